--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Builds everything and runs every test. The README's test command; CI calls it too.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${ANVILDRUM_BUILD:-build}
+jobs=${ANVILDRUM_JOBS:-$(nproc)}
+cmake -S . -B "$build" -G Ninja >/dev/null
+cmake --build "$build" -j "$jobs"
+scripts/lint.sh "$build"
+ctest --test-dir "$build" --output-on-failure -j 4
+if [ "${ANVILDRUM_SANITIZERS:-1}" = 1 ]; then
+  cmake -S . -B "$build-sanitize" -G Ninja -DANVILDRUM_SANITIZE=ON -DANVILDRUM_CORE_ONLY=ON >/dev/null
+  cmake --build "$build-sanitize" -j "$jobs"
+  ctest --test-dir "$build-sanitize" --output-on-failure -j "$jobs"
+fi
