--- /dev/null
+++ b/src/membership/internal/suspicion.cc
@@ -0,0 +1,155 @@
+#include "membership/suspicion.h"
+
+#include <algorithm>
+
+namespace anvildrum::membership {
+namespace {
+
+constexpr auto kSmoothing = 8;  // RFC 6298: the new sample weighs an eighth
+
+auto FindPeer(Suspicion& state, const PeerRef& ref) -> Peer* {
+  auto found = std::ranges::lower_bound(state.peers, ref.instance, {}, &Peer::instance);
+  if (found == state.peers.end() || found->instance != ref.instance) return nullptr;
+  return found->incarnation == ref.incarnation ? &*found : nullptr;
+}
+
+auto SetSuspect(Peer& peer, bool suspect, base::TimePoint now, SuspicionEffects& effects) -> void {
+  peer.suspect = suspect;
+  peer.answers = 0;
+  peer.misses = 0;
+  peer.last_change = now;
+  effects.changes.push_back({peer.instance, suspect});
+}
+
+// Safeguard: a peer that dies and lives again every few seconds would move its flows' home each
+// time, and each move costs registrations. It has to answer twice as often each time before it is
+// trusted again, so the moves grow rarer; after a calm period it starts afresh.
+auto NoteAnswer(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
+                SuspicionEffects& effects) -> void {
+  peer.last_heard = now;
+  peer.misses = 0;
+  if (!peer.suspect) {
+    if (now - peer.last_change > policy.calm) peer.recovery_answers = 1;
+    return;
+  }
+  ++peer.answers;
+  if (peer.answers < peer.recovery_answers) return;
+  peer.recovery_answers = std::min(2 * peer.recovery_answers, policy.most_recovery_answers);
+  SetSuspect(peer, false, now, effects);
+}
+
+auto NoteMiss(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
+              SuspicionEffects& effects) -> void {
+  peer.answers = 0;
+  ++peer.misses;
+  if (peer.suspect || peer.misses < policy.misses) return;
+  SetSuspect(peer, true, now, effects);
+}
+
+auto Smooth(Peer& peer, base::Duration sample) -> void {
+  if (peer.round_trip == base::Duration::zero()) {
+    peer.round_trip = sample;
+    return;
+  }
+  peer.round_trip += (sample - peer.round_trip) / kSmoothing;
+}
+
+auto ReplacePeers(Suspicion& state, std::span<const PeerRef> refs, base::TimePoint now) -> void {
+  auto peers = std::vector<Peer>{};
+  peers.reserve(refs.size());
+  for (const auto& ref : refs) {
+    const auto* known = FindPeer(state, ref);
+    auto fresh = Peer{ref.instance, ref.incarnation};
+    fresh.last_heard = now;
+    peers.push_back(known != nullptr ? *known : fresh);
+  }
+  std::ranges::sort(peers, {}, &Peer::instance);
+  state.peers = std::move(peers);
+}
+
+auto ExpireProbes(Suspicion& state, base::TimePoint now, SuspicionEffects& effects) -> void {
+  for (auto& peer : state.peers) {
+    if (peer.probe == 0) continue;
+    if (now - peer.probe_sent < TimeoutOf(state.policy, peer)) continue;
+    peer.probe = 0;
+    NoteMiss(state.policy, peer, now, effects);
+  }
+}
+
+auto SendRound(Suspicion& state, base::TimePoint now, SuspicionEffects& effects) -> void {
+  auto count = std::min<std::size_t>(state.policy.probes_per_round, state.peers.size());
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    state.next_peer = state.next_peer % state.peers.size();
+    auto& peer = state.peers[state.next_peer];
+    ++state.next_peer;
+    if (peer.probe != 0) continue;
+    peer.probe = ++state.sequence;
+    peer.probe_sent = now;
+    effects.probes.push_back({peer.instance, peer.probe});
+  }
+  state.next_round = now + state.policy.probe_period;
+}
+
+auto Handle(Suspicion& state, const PeersChanged& event, base::TimePoint now, SuspicionEffects&)
+    -> void {
+  ReplacePeers(state, event.peers, now);
+}
+
+auto Handle(Suspicion& state, const Heard& event, base::TimePoint now, SuspicionEffects& effects)
+    -> void {
+  auto* peer = FindPeer(state, event.peer);
+  if (peer == nullptr) return;
+  if (peer->suspect) return;  // only answered probes, which are counted, end a suspicion
+  NoteAnswer(state.policy, *peer, now, effects);
+}
+
+auto Handle(Suspicion& state, const ProbeAnswered& event, base::TimePoint now,
+            SuspicionEffects& effects) -> void {
+  auto* peer = FindPeer(state, event.peer);
+  if (peer == nullptr || peer->probe != event.sequence) return;
+  peer->probe = 0;
+  Smooth(*peer, now - peer->probe_sent);
+  NoteAnswer(state.policy, *peer, now, effects);
+}
+
+auto Handle(Suspicion& state, const Unanswered& event, base::TimePoint now,
+            SuspicionEffects& effects) -> void {
+  auto* peer = FindPeer(state, event.peer);
+  if (peer != nullptr) NoteMiss(state.policy, *peer, now, effects);
+}
+
+auto Handle(Suspicion& state, const SuspicionTimer&, base::TimePoint now, SuspicionEffects& effects)
+    -> void {
+  ExpireProbes(state, now, effects);
+  if (now >= state.next_round) SendRound(state, now, effects);
+}
+
+}  // namespace
+
+auto Step(Suspicion& state, const SuspicionEvent& event, base::TimePoint now) -> SuspicionEffects {
+  auto effects = SuspicionEffects{};
+  std::visit([&](const auto& concrete) { Handle(state, concrete, now, effects); }, event);
+  return effects;
+}
+
+auto NextWakeUp(const Suspicion& state) -> base::TimePoint {
+  auto next = state.next_round;
+  for (const auto& peer : state.peers) {
+    if (peer.probe == 0) continue;
+    next = std::min(next, peer.probe_sent + TimeoutOf(state.policy, peer));
+  }
+  return next;
+}
+
+auto TimeoutOf(const SuspicionPolicy& policy, const Peer& peer) -> base::Duration {
+  if (peer.round_trip == base::Duration::zero()) return policy.longest_timeout;
+  auto timeout = peer.round_trip * policy.timeout_factor;
+  return std::clamp(timeout, policy.shortest_timeout, policy.longest_timeout);
+}
+
+auto FindPeer(const Suspicion& state, base::InstanceId instance) -> const Peer* {
+  auto found = std::ranges::lower_bound(state.peers, instance, {}, &Peer::instance);
+  return found != state.peers.end() && found->instance == instance ? &*found : nullptr;
+}
+
+}  // namespace anvildrum::membership
--- /dev/null
+++ b/src/steering/directory.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "membership/view.h"
+#include "steering/rendezvous.h"
+#include "steering/types/directory_types.h"
+
+namespace anvildrum::steering {
+
+/// An agent's knowledge of the flows of its service: those it serves, and those that others serve
+/// although this agent is, or was, their home.
+///
+/// Rules that keep one owner a flow:
+/// 1. A home opens a flow without asking only while every peer that it does not suspect has
+///    registered its flows under the same view (digest). Such a peer has no flow of this home that
+///    the home does not know of.
+/// 2. Otherwise an opener asks all peers, and opens only when each has answered or is suspect. A
+///    peer that answers "not mine" defers to the asker from then on; of two that ask at once the
+///    lower target id goes first.
+/// 3. A target opens a flow for another agent only if that agent is the flow's home in its own
+/// view;
+///    else it asks as in 2.
+/// What remains is a cut network: two sides may open one flow. When they meet again, the home keeps
+/// the owner that heard from the client last (by more than `stopped_after`), else the one that
+/// opened it first, else the lower id; the other drops its state and passes packets on.
+struct Directory {
+  DirectoryPolicy policy;
+  TargetRef self;
+  base::ServiceId service;
+  base::InstanceId instance;
+  Random random;
+
+  // From the view.
+  bool in_view = false;
+  bool draining = false;
+  std::uint64_t digest = 0;
+  std::vector<PeerTarget> peers;  ///< sorted by target, without this agent's own
+  CandidateSet candidates;
+  std::uint32_t self_index = kNone;  ///< in candidates
+  std::vector<membership::BalancerRecord> balancers;
+
+  std::unordered_map<base::FlowKey, OwnedFlow> owned;
+  std::unordered_map<base::FlowKey, KnownOwner> known;
+  std::unordered_map<base::FlowKey, PendingFlow> pending;
+  std::vector<RegisterStream> streams;  ///< sorted by home's target
+  std::vector<PendingYield> yields;
+  std::vector<TargetLoad> load_scratch;
+  bool pump_due = false;  ///< a stream may have something to send
+  std::uint32_t drain_notices_left = 0;
+  base::TimePoint next_drain_notice{};
+
+  TargetLoad load;  ///< this target's own
+  TokenBucket openings;
+  TokenBucket hints;
+  std::uint64_t sequence = 0;
+  std::uint64_t stamp = 0;
+  base::TimePoint last_step{};
+  base::TimePoint next_resettle{};
+  base::TimePoint next_sweep{};
+  /// After a stop, until all peers have settled again: nothing is delivered, answered or opened.
+  bool fenced = false;
+  DirectoryCounters counters;
+};
+
+class DirectoryBuilder {
+ public:
+  auto WithTarget(const membership::TargetRecord& record) -> DirectoryBuilder&;
+  auto WithPolicy(const DirectoryPolicy& policy) -> DirectoryBuilder&;
+  auto WithSeed(std::uint32_t seed) -> DirectoryBuilder&;
+  auto Build() const -> Directory;
+
+ private:
+  membership::TargetRecord record;
+  DirectoryPolicy policy;
+  std::uint32_t seed = 1;
+};
+
+/// A datagram of the tunnel for the directory: Packet, OwnerQuery, OwnerAnswer, Register,
+/// RegisterAck, Yield, YieldAck, Resettle, Refused; others are ignored.
+/// The views are used during the call only.
+struct TunnelArrived {
+  base::Endpoint from;
+  const wire::pb::TunnelHeader* header = nullptr;
+  wire::BytesView payload;
+};
+/// Also after this instance's own suspicion changed. The view must have this agent's own record.
+struct ViewArrived {
+  const membership::View* view = nullptr;
+};
+/// This target's own load; `flows` is kept by the directory itself.
+struct OwnLoadChanged {
+  TargetLoad load;
+};
+/// From a peer's ProbeAnswer.
+struct PeerLoadArrived {
+  wire::pb::LoadReport report;
+};
+/// The agent has let go of the flow (the target's side ended it, or it went idle).
+struct FlowEnded {
+  base::FlowKey flow;
+};
+/// At least every second, and for prompt retries every 20 ms or so.
+struct DirectoryTimer {};
+
+using DirectoryEvent = std::variant<TunnelArrived, ViewArrived, OwnLoadChanged, PeerLoadArrived,
+                                    FlowEnded, DirectoryTimer>;
+
+struct SendTunnel {
+  base::Endpoint to;
+  wire::pb::TunnelHeader header;
+  wire::BytesView payload;
+};
+
+/// A client's datagram for the target.
+struct Deliver {
+  base::FlowKey flow;
+  wire::BytesView payload;
+  bool opened = false;  ///< first packet of the flow here
+  std::uint64_t trace_id = 0;
+  std::uint64_t span_id = 0;
+};
+
+/// This agent has stopped being the owner: its state for the flow goes, nothing more is sent to the
+/// client.
+struct FlowDropped {
+  base::FlowKey flow;
+};
+
+/// Payload views refer to the event's buffer or to `held`.
+struct DirectoryEffects {
+  std::vector<SendTunnel> sends;
+  std::vector<Deliver> deliveries;
+  std::vector<FlowDropped> dropped;
+  std::vector<wire::Bytes> held;  ///< storage of held packets that are released
+};
+
+/// The directory's one entry.
+auto Step(Directory& directory, const DirectoryEvent& event, base::TimePoint now)
+    -> DirectoryEffects;
+
+/// Where the target's datagrams for the flow leave: the balancer that it was last seen at. Nothing
+/// when the flow is not this agent's, or the agent is fenced. Counts as use of the flow.
+auto ReplyRoute(Directory& directory, const base::FlowKey& flow, base::TimePoint now)
+    -> std::optional<base::Endpoint>;
+
+/// Sends the flow's replies through another balancer from now on.
+auto MoveReplies(Directory& directory, const base::FlowKey& flow, const base::Endpoint& balancer)
+    -> void;
+
+/// Whether every peer that is not suspect has registered its flows under this agent's view.
+auto IsSettled(const Directory& directory) -> bool;
+
+/// For the ProbeAnswer to peers.
+auto OwnLoadReport(const Directory& directory) -> wire::pb::LoadReport;
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/directory.cc
@@ -0,0 +1,191 @@
+#include "steering/directory.h"
+
+#include <algorithm>
+
+#include "steering/internal/directory_parts.h"
+#include "wire/convert.h"
+
+namespace anvildrum::steering {
+namespace {
+
+auto HandlePacket(StepContext& context, const TunnelArrived& event) -> void {
+  const auto& packet = event.header->packet();
+  auto flow = wire::ReadFlow(packet.flow());
+  if (!flow) {
+    ++context.directory.counters.malformed;
+    return;
+  }
+  AcceptPacket(context, {*flow, packet, event.payload, {event.header->sender()}});
+}
+
+auto Handle(StepContext& context, const TunnelArrived& event) -> void {
+  using wire::pb::TunnelHeader;
+  const auto& header = *event.header;
+  switch (header.body_case()) {
+    case TunnelHeader::kPacket:
+      return HandlePacket(context, event);
+    case TunnelHeader::kOwnerQuery:
+      return HandleOwnerQuery(context, event.from, header.owner_query());
+    case TunnelHeader::kOwnerAnswer:
+      return HandleOwnerAnswer(context, header.owner_answer());
+    case TunnelHeader::kRegister:
+      return HandleRegister(context, header.register_());
+    case TunnelHeader::kRegisterAck:
+      return HandleRegisterAck(context, header.register_ack());
+    case TunnelHeader::kYield:
+      return HandleYield(context, event.from, header.yield());
+    case TunnelHeader::kYieldAck:
+      return HandleYieldAck(context, header.yield_ack());
+    case TunnelHeader::kResettle:
+      return HandleResettle(context, header.resettle());
+    case TunnelHeader::kRefused:
+      return HandleRefused(context, {header.sender()}, header.refused());
+    default:
+      return;
+  }
+}
+
+auto Handle(StepContext& context, const ViewArrived& event) -> void {
+  HandleView(context, *event.view);
+}
+
+auto Handle(StepContext& context, const OwnLoadChanged& event) -> void {
+  auto weight = context.directory.load.weight;
+  context.directory.load = event.load;
+  context.directory.load.weight = weight;
+}
+
+auto Handle(StepContext& context, const PeerLoadArrived& event) -> void {
+  const auto& report = event.report;
+  auto* peer = FindPeer(context.directory, ReadRef(report.target()));
+  if (peer == nullptr || report.service() != context.directory.service.value) return;
+  peer->load.flows = report.flows();
+  peer->load.in_flight = report.in_flight() + report.queued();
+  peer->load.delay = base::microseconds(report.delay_us());
+  peer->load.refused_permille = report.refused_permille();
+}
+
+auto Handle(StepContext& context, const FlowEnded& event) -> void {
+  CloseFlow(context, event.flow);
+}
+
+auto EndIdleFlows(StepContext& context) -> void {
+  auto& directory = context.directory;
+  auto idle = std::vector<base::FlowKey>{};
+  for (const auto& [flow, owned] : directory.owned) {
+    if (owned.closing || context.now - owned.last_used < directory.policy.flow_idle) continue;
+    idle.push_back(flow);
+  }
+  for (const auto& flow : idle) {
+    context.effects.dropped.push_back({flow});
+    CloseFlow(context, flow);
+  }
+}
+
+// Entries that this agent keeps as an earlier home only save hops.
+auto ForgetOldForwards(StepContext& context) -> void {
+  auto& directory = context.directory;
+  std::erase_if(directory.known, [&](const auto& entry) {
+    if (context.now - entry.second.last_packet < directory.policy.forward_memory) return false;
+    return entry.second.promised || !IsHome(directory, entry.first);
+  });
+}
+
+auto Handle(StepContext& context, const DirectoryTimer&) -> void {
+  auto& directory = context.directory;
+  directory.pump_due = true;
+  ContinueAsking(context);
+  RetryYields(context);
+  SendDrainNotices(context);
+  if (context.now < directory.next_sweep) return;
+  directory.next_sweep = context.now + directory.policy.sweep_period;
+  EndIdleFlows(context);
+  ForgetOldForwards(context);
+}
+
+auto NoticeStop(StepContext& context) -> void {
+  auto& directory = context.directory;
+  auto first = directory.last_step == base::TimePoint{};
+  auto stopped = context.now - directory.last_step > directory.policy.stopped_after;
+  directory.last_step = context.now;
+  if (!first && stopped && directory.in_view) Fence(context);
+}
+
+}  // namespace
+
+auto DirectoryBuilder::WithTarget(const membership::TargetRecord& target) -> DirectoryBuilder& {
+  this->record = target;
+  return *this;
+}
+
+auto DirectoryBuilder::WithPolicy(const DirectoryPolicy& parameters) -> DirectoryBuilder& {
+  this->policy = parameters;
+  return *this;
+}
+
+auto DirectoryBuilder::WithSeed(std::uint32_t value) -> DirectoryBuilder& {
+  this->seed = value;
+  return *this;
+}
+
+auto DirectoryBuilder::Build() const -> Directory {
+  auto directory = Directory{};
+  directory.policy = this->policy;
+  directory.self = {this->record.id, this->record.incarnation};
+  directory.service = this->record.service;
+  directory.instance = this->record.instance;
+  directory.random.seed(this->seed);
+  directory.load.slots = this->record.slots;
+  directory.load.connections = this->record.connections;
+  directory.load.failure_domain = base::HashName(this->record.failure_domain);
+  return directory;
+}
+
+auto Step(Directory& directory, const DirectoryEvent& event, base::TimePoint now)
+    -> DirectoryEffects {
+  auto effects = DirectoryEffects{};
+  auto context = StepContext{directory, now, effects};
+  NoticeStop(context);
+  std::visit([&](const auto& concrete) { Handle(context, concrete); }, event);
+  if (directory.pump_due) PumpStreams(context);
+  ContinueFence(context);
+  return effects;
+}
+
+auto ReplyRoute(Directory& directory, const base::FlowKey& flow, base::TimePoint now)
+    -> std::optional<base::Endpoint> {
+  auto stopped = now - directory.last_step > directory.policy.stopped_after;
+  if (directory.fenced || stopped) return std::nullopt;
+  auto* owned = FindOwned(directory, flow);
+  if (owned == nullptr || owned->closing || owned->balancer.port == 0) return std::nullopt;
+  owned->last_used = now;
+  return owned->balancer;
+}
+
+auto MoveReplies(Directory& directory, const base::FlowKey& flow, const base::Endpoint& balancer)
+    -> void {
+  auto* owned = FindOwned(directory, flow);
+  if (owned != nullptr) owned->balancer = balancer;
+}
+
+auto IsSettled(const Directory& directory) -> bool {
+  if (!directory.in_view || directory.fenced) return false;
+  return std::ranges::all_of(directory.peers, [&](const PeerTarget& peer) {
+    return peer.suspect || peer.settled_view == directory.digest;
+  });
+}
+
+auto OwnLoadReport(const Directory& directory) -> wire::pb::LoadReport {
+  auto report = wire::pb::LoadReport{};
+  WriteRef(directory.self, *report.mutable_target());
+  report.set_service(directory.service.value);
+  report.set_in_flight(directory.load.in_flight);
+  report.set_flows(static_cast<std::uint32_t>(directory.owned.size()));
+  auto delay = std::chrono::duration_cast<base::microseconds>(directory.load.delay);
+  report.set_delay_us(static_cast<std::uint32_t>(delay.count()));
+  report.set_refused_permille(directory.load.refused_permille);
+  report.set_view(directory.digest);
+  return report;
+}
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/directory_asking.cc
@@ -0,0 +1,243 @@
+#include <algorithm>
+
+#include "steering/internal/directory_parts.h"
+#include "wire/convert.h"
+
+namespace anvildrum::steering {
+namespace {
+
+auto SendQuery(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending,
+               const PeerTarget& peer) -> void {
+  auto header = MakeHeader(context.directory);
+  auto* query = header.mutable_owner_query();
+  wire::WriteFlow(flow, *query->mutable_flow());
+  WriteRef(context.directory.self, *query->mutable_asker());
+  query->set_sequence(pending.sequence);
+  if (pending.lost) WriteRef(*pending.lost, *query->mutable_owner());
+  SendControl(context, peer.tunnel, header);
+}
+
+auto AskWaiting(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+  pending.next_ask = context.now + context.directory.policy.ask_period;
+  for (const auto& ref : pending.waiting) {
+    auto* peer = FindPeer(context.directory, ref);
+    if (peer != nullptr) SendQuery(context, flow, pending, *peer);
+  }
+}
+
+// Takes the flow out of `pending` and hands its packets on as if they had just arrived.
+auto ReleaseHeld(StepContext& context, const base::FlowKey& flow, bool place_first) -> void {
+  auto& directory = context.directory;
+  auto node = directory.pending.extract(flow);
+  if (node.empty()) return;
+  auto place = place_first;
+  for (auto& held : node.mapped().held) {
+    context.effects.held.push_back(std::move(held.payload));
+    auto arrival = PacketArrival{flow, held.packet, context.effects.held.back(), {}};
+    if (place) {
+      place = !held.packet.may_open();
+      PlaceFlow(context, arrival);
+    } else {
+      AcceptPacket(context, arrival);
+    }
+  }
+}
+
+auto DeferTo(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
+             const base::Endpoint& from) -> void {
+  auto known = KnownOwner{};
+  known.owner = asker;
+  known.via = from;
+  known.via_since = context.now;
+  known.opened = context.now;
+  known.last_packet = context.now;
+  known.promised = true;
+  context.directory.known[flow] = known;
+}
+
+// All have answered, or are suspect.
+auto Conclude(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+  auto& directory = context.directory;
+  if (!pending.claimed) {
+    ReleaseHeld(context, flow, true);
+    return;
+  }
+  auto* peer = FindPeer(directory, *pending.claimed);
+  if (peer == nullptr) {
+    ReleaseHeld(context, flow, true);
+    return;
+  }
+  if (peer->suspect && pending.claimed_via.port == 0 && !pending.lost) {
+    // Known to another agent, but out of reach from here: does anyone reach it?
+    pending.lost = pending.claimed;
+    pending.claimed.reset();
+    pending.sequence = ++directory.sequence;
+    pending.waiting.clear();
+    for (const auto& other : directory.peers) pending.waiting.push_back(other.ref);
+    AskWaiting(context, flow, pending);
+    return;
+  }
+  auto owner = KnownOwner{};
+  owner.owner = *pending.claimed;
+  owner.via = pending.claimed_via;
+  owner.via_since = context.now;
+  owner.opened = context.now;
+  owner.last_packet = context.now;
+  FinishAsking(context, flow, owner);
+}
+
+// What this agent answers about a flow that it does not serve.
+auto AnswerFor(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
+               const base::Endpoint& from, const wire::pb::OwnerQuery& query)
+    -> std::optional<TargetRef> {
+  auto& directory = context.directory;
+  auto pending = directory.pending.find(flow);
+  if (pending != directory.pending.end()) {
+    if (directory.self.target < asker.target) return directory.self;
+    DeferTo(context, flow, asker, from);
+    ReleaseHeld(context, flow, false);
+    return std::nullopt;
+  }
+  auto lost = query.has_owner() ? std::optional(ReadRef(query.owner())) : std::nullopt;
+  auto known = directory.known.find(flow);
+  if (known != directory.known.end() && !known->second.promised) {
+    auto owner = known->second.owner;
+    auto* peer = FindPeer(directory, owner);
+    if (owner == asker) return std::nullopt;
+    if (peer != nullptr && owner != lost) return owner;
+  }
+  auto* lost_peer = lost ? FindPeer(directory, *lost) : nullptr;
+  if (lost_peer != nullptr && !lost_peer->suspect) {
+    auto relayed = KnownOwner{};
+    relayed.owner = *lost;
+    relayed.opened = context.now;
+    relayed.last_packet = context.now;
+    directory.known[flow] = relayed;
+    return lost;
+  }
+  DeferTo(context, flow, asker, from);
+  return std::nullopt;
+}
+
+auto DropSilent(StepContext& context, PendingFlow& pending) -> void {
+  std::erase_if(pending.waiting, [&](const TargetRef& ref) {
+    auto* peer = FindPeer(context.directory, ref);
+    return peer == nullptr || peer->suspect;
+  });
+}
+
+}  // namespace
+
+auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
+                 std::optional<TargetRef> lost) -> void {
+  auto& directory = context.directory;
+  auto under_way = directory.pending.find(flow);
+  if (under_way != directory.pending.end()) {
+    if (arrival != nullptr) HoldPacket(context, under_way->second, *arrival);
+    return;
+  }
+  if (directory.pending.size() >= directory.policy.pending_flows) {
+    if (arrival != nullptr) ++directory.counters.held_dropped;
+    return;
+  }
+  auto& pending = directory.pending[flow];
+  pending.sequence = ++directory.sequence;
+  pending.started = context.now;
+  pending.lost = lost;
+  for (const auto& peer : directory.peers) pending.waiting.push_back(peer.ref);
+  if (arrival != nullptr) HoldPacket(context, pending, *arrival);
+  ++directory.counters.asked;
+  AskWaiting(context, flow, pending);
+  if (pending.waiting.empty()) Conclude(context, flow, pending);
+}
+
+auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
+                      const wire::pb::OwnerQuery& query) -> void {
+  auto& directory = context.directory;
+  auto flow = wire::ReadFlow(query.flow());
+  if (!flow || flow->service != directory.service || directory.fenced) return;
+  auto asker = ReadRef(query.asker());
+  auto* peer = FindPeer(directory, asker.target);
+  if (peer != nullptr && peer->ref.incarnation > asker.incarnation) {
+    ++directory.counters.stale_sender;
+    return;
+  }
+  auto* owned = FindOwned(directory, *flow);
+  auto owner = owned != nullptr && !owned->closing ? std::optional(directory.self)
+                                                   : AnswerFor(context, *flow, asker, from, query);
+  auto header = MakeHeader(directory);
+  auto* answer = header.mutable_owner_answer();
+  *answer->mutable_flow() = query.flow();
+  answer->set_owned(owner.has_value());
+  if (owner) WriteRef(*owner, *answer->mutable_owner());
+  WriteRef(directory.self, *answer->mutable_responder());
+  answer->set_sequence(query.sequence());
+  SendControl(context, from, header);
+}
+
+auto HandleOwnerAnswer(StepContext& context, const wire::pb::OwnerAnswer& answer) -> void {
+  auto& directory = context.directory;
+  auto flow = wire::ReadFlow(answer.flow());
+  if (!flow) return;
+  auto found = directory.pending.find(*flow);
+  if (found == directory.pending.end()) return;
+  auto& pending = found->second;
+  // Safeguard: an answer to an earlier query says nothing of what the peer has opened since.
+  if (pending.sequence != answer.sequence()) return;
+  auto responder = ReadRef(answer.responder());
+  auto owner = ReadRef(answer.owner());
+  auto* peer = FindPeer(directory, responder);
+  if (peer == nullptr) return;
+  std::erase(pending.waiting, responder);
+  if (answer.owned() && owner == responder) {
+    auto known = KnownOwner{};
+    known.owner = owner;
+    known.opened = context.now;
+    known.last_packet = context.now;
+    // It answered just now, whatever the probes say.
+    if (peer->suspect) {
+      known.via = peer->tunnel;
+      known.via_since = context.now;
+    }
+    FinishAsking(context, *flow, known);
+    return;
+  }
+  if (answer.owned() && owner != directory.self) {
+    pending.claimed = owner;
+    pending.claimed_via = pending.lost == owner ? peer->tunnel : base::Endpoint{};
+  }
+  if (pending.waiting.empty()) Conclude(context, *flow, pending);
+}
+
+auto ContinueAsking(StepContext& context) -> void {
+  auto& directory = context.directory;
+  auto due = std::vector<base::FlowKey>{};
+  for (const auto& [flow, pending] : directory.pending) {
+    if (context.now >= pending.next_ask) due.push_back(flow);
+  }
+  std::ranges::sort(due);
+  for (const auto& flow : due) {
+    auto found = directory.pending.find(flow);
+    if (found == directory.pending.end()) continue;
+    auto& pending = found->second;
+    if (context.now - pending.started > directory.policy.longest_hold) {
+      directory.counters.held_dropped += pending.held.size();
+      directory.pending.erase(found);
+      continue;
+    }
+    DropSilent(context, pending);
+    if (pending.waiting.empty()) {
+      Conclude(context, flow, pending);
+    } else {
+      AskWaiting(context, flow, pending);
+    }
+  }
+}
+
+auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner)
+    -> void {
+  context.directory.known[flow] = owner;
+  ReleaseHeld(context, flow, false);
+}
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/directory_home.cc
@@ -0,0 +1,205 @@
+#include <algorithm>
+
+#include "steering/internal/directory_parts.h"
+#include "wire/convert.h"
+
+namespace anvildrum::steering {
+namespace {
+
+constexpr auto kYieldTries = std::uint32_t{50};
+
+// One of two owners of a flow.
+struct Claim {
+  TargetRef owner;
+  base::TimePoint opened{};
+  base::TimePoint last_from_client{};
+  std::uint64_t stamp = 0;
+};
+
+// The owner that heard from the client last has the client's present state: the other one was cut
+// off or stopped meanwhile. When both heard from it, the older has more state to lose.
+auto IsBetter(const Claim& one, const Claim& other, base::Duration apart) -> bool {
+  auto lead = one.last_from_client - other.last_from_client;
+  if (lead > apart) return true;
+  if (-lead > apart) return false;
+  if (one.opened != other.opened) return one.opened < other.opened;
+  return one.owner.target < other.owner.target;
+}
+
+auto DropOwn(StepContext& context, const base::FlowKey& flow) -> void {
+  auto& directory = context.directory;
+  directory.owned.erase(flow);
+  ++directory.counters.yielded;
+  context.effects.dropped.push_back({flow});
+}
+
+auto SendYield(StepContext& context, PendingYield& yield) -> void {
+  yield.next_retry = context.now + context.directory.policy.register_retry;
+  ++yield.tries;
+  auto* peer = FindPeer(context.directory, yield.loser);
+  if (peer == nullptr) return;
+  auto header = MakeHeader(context.directory);
+  auto* message = header.mutable_yield();
+  wire::WriteFlow(yield.flow, *message->mutable_flow());
+  WriteRef(yield.loser, *message->mutable_loser());
+  WriteRef(yield.winner, *message->mutable_winner());
+  message->set_stamp(yield.stamp);
+  SendControl(context, peer->tunnel, header);
+}
+
+auto Overrule(StepContext& context, const base::FlowKey& flow, const Claim& loser,
+              const TargetRef& winner) -> void {
+  auto& directory = context.directory;
+  if (loser.owner == directory.self) {
+    DropOwn(context, flow);
+    return;
+  }
+  auto same = [&](const PendingYield& yield) {
+    return yield.flow == flow && yield.loser == loser.owner;
+  };
+  std::erase_if(directory.yields, same);
+  directory.yields.push_back({flow, loser.owner, winner, loser.stamp, context.now, 0});
+  SendYield(context, directory.yields.back());
+}
+
+auto Remember(StepContext& context, const base::FlowKey& flow, const Claim& claim) -> void {
+  auto known = KnownOwner{};
+  known.owner = claim.owner;
+  known.opened = claim.opened;
+  known.last_packet = claim.last_from_client;
+  known.stamp = claim.stamp;
+  if (context.directory.pending.contains(flow)) {
+    FinishAsking(context, flow, known);
+    return;
+  }
+  context.directory.known[flow] = known;
+}
+
+// The flow's owner as this home knows it so far, if it is another than `owner` and alive.
+auto OtherClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+    -> std::optional<Claim> {
+  auto& directory = context.directory;
+  auto* own = FindOwned(directory, flow);
+  if (own != nullptr && !own->closing) {
+    return Claim{directory.self, own->opened, own->last_from_client, own->stamp};
+  }
+  auto known = directory.known.find(flow);
+  if (known == directory.known.end()) return std::nullopt;
+  const auto& entry = known->second;
+  if (entry.promised || entry.owner == owner) return std::nullopt;
+  if (FindPeer(directory, entry.owner) == nullptr) return std::nullopt;
+  return Claim{entry.owner, entry.opened, entry.last_packet, entry.stamp};
+}
+
+auto ApplyRegistration(StepContext& context, const base::FlowKey& flow, const Claim& claim)
+    -> void {
+  auto other = OtherClaim(context, flow, claim.owner);
+  if (!other) {
+    Remember(context, flow, claim);
+    return;
+  }
+  ++context.directory.counters.conflicts;
+  if (IsBetter(claim, *other, context.directory.policy.stopped_after)) {
+    Overrule(context, flow, *other, claim.owner);
+    Remember(context, flow, claim);
+  } else {
+    Overrule(context, flow, claim, other->owner);
+  }
+}
+
+auto ApplyEnd(Directory& directory, const base::FlowKey& flow, const TargetRef& owner,
+              std::uint64_t stamp) -> void {
+  auto known = directory.known.find(flow);
+  if (known == directory.known.end() || known->second.owner != owner) return;
+  if (known->second.stamp != 0 && known->second.stamp != stamp) return;
+  directory.known.erase(known);
+}
+
+auto ApplyBatch(StepContext& context, const wire::pb::Register& message, const TargetRef& owner)
+    -> void {
+  auto& directory = context.directory;
+  for (const auto& registration : message.flows()) {
+    auto client = wire::ReadEndpoint(registration.client());
+    if (!client) {
+      ++directory.counters.malformed;
+      continue;
+    }
+    auto flow = base::FlowKey{*client, directory.service};
+    if (registration.ended()) {
+      ApplyEnd(directory, flow, owner, registration.stamp());
+      continue;
+    }
+    auto claim =
+        Claim{owner, context.now - base::milliseconds(registration.age_ms()),
+              context.now - base::milliseconds(registration.idle_ms()), registration.stamp()};
+    ApplyRegistration(context, flow, claim);
+  }
+}
+
+}  // namespace
+
+auto HandleRegister(StepContext& context, const wire::pb::Register& message) -> void {
+  auto& directory = context.directory;
+  auto* peer = FindPeer(directory, ReadRef(message.owner()));
+  auto home = ReadRef(message.home());
+  if (message.service() != directory.service.value || home != directory.self || peer == nullptr) {
+    ++directory.counters.stale_sender;
+    return;
+  }
+  // Safeguard: a duplicate of an earlier batch could end a flow that was opened since.
+  if (message.sequence() > peer->applied) {
+    peer->applied = message.sequence();
+    ApplyBatch(context, message, peer->ref);
+    if (message.settled()) peer->settled_view = message.view();
+  }
+  auto header = MakeHeader(directory);
+  auto* ack = header.mutable_register_ack();
+  ack->set_service(directory.service.value);
+  ack->set_sequence(message.sequence());
+  WriteRef(directory.self, *ack->mutable_home());
+  SendControl(context, peer->tunnel, header);
+}
+
+auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
+    -> void {
+  auto& directory = context.directory;
+  auto flow = wire::ReadFlow(message.flow());
+  if (!flow || ReadRef(message.loser()) != directory.self) return;
+  auto* owned = FindOwned(directory, *flow);
+  // Safeguard: a late duplicate must not end a flow that was opened here afterwards.
+  if (owned != nullptr && owned->stamp == message.stamp()) {
+    DropOwn(context, *flow);
+    auto known = KnownOwner{};
+    known.owner = ReadRef(message.winner());
+    known.opened = context.now;
+    known.last_packet = context.now;
+    directory.known[*flow] = known;
+  }
+  auto header = MakeHeader(directory);
+  auto* ack = header.mutable_yield_ack();
+  *ack->mutable_flow() = message.flow();
+  *ack->mutable_loser() = message.loser();
+  ack->set_stamp(message.stamp());
+  SendControl(context, from, header);
+}
+
+auto HandleYieldAck(StepContext& context, const wire::pb::YieldAck& message) -> void {
+  auto flow = wire::ReadFlow(message.flow());
+  if (!flow) return;
+  auto loser = ReadRef(message.loser());
+  std::erase_if(context.directory.yields, [&](const PendingYield& yield) {
+    return yield.flow == *flow && yield.loser == loser && yield.stamp == message.stamp();
+  });
+}
+
+auto RetryYields(StepContext& context) -> void {
+  auto& directory = context.directory;
+  std::erase_if(directory.yields, [&](const PendingYield& yield) {
+    return yield.tries >= kYieldTries || FindPeer(directory, yield.loser) == nullptr;
+  });
+  for (auto& yield : directory.yields) {
+    if (context.now >= yield.next_retry) SendYield(context, yield);
+  }
+}
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/directory_parts.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <optional>
+
+#include "steering/directory.h"
+
+/// What the parts of the directory share. Private to the module.
+namespace anvildrum::steering {
+
+struct StepContext {
+  Directory& directory;
+  base::TimePoint now;
+  DirectoryEffects& effects;
+};
+
+// directory_lookup.cc
+auto FindPeer(Directory& directory, base::TargetId target) -> PeerTarget*;
+/// Null also when the incarnation differs.
+auto FindPeer(Directory& directory, const TargetRef& ref) -> PeerTarget*;
+auto FindPeerByInstance(Directory& directory, base::InstanceId instance) -> PeerTarget*;
+/// The first home in this agent's view: nothing when no target takes flows.
+auto HomeOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef>;
+auto IsHome(const Directory& directory, const base::FlowKey& flow) -> bool;
+auto FindOwned(Directory& directory, const base::FlowKey& flow) -> OwnedFlow*;
+
+// directory_messages.cc
+auto MakeHeader(const Directory& directory) -> wire::pb::TunnelHeader;
+auto WriteRef(const TargetRef& ref, wire::pb::TargetRef& message) -> void;
+auto ReadRef(const wire::pb::TargetRef& message) -> TargetRef;
+auto SendControl(StepContext& context, const base::Endpoint& to,
+                 const wire::pb::TunnelHeader& header) -> void;
+auto SendPacket(StepContext& context, const base::Endpoint& to, const wire::pb::Packet& packet,
+                wire::BytesView payload) -> void;
+auto SendRefused(StepContext& context, const wire::pb::Packet& packet,
+                 wire::pb::Refused::Reason reason) -> void;
+auto SendRefusedTo(StepContext& context, const base::Endpoint& to, const base::FlowKey& flow,
+                   wire::pb::Refused::Reason reason) -> void;
+auto SendHint(StepContext& context, const wire::pb::Packet& packet, const TargetRef& owner) -> void;
+auto SendDrainNotices(StepContext& context) -> void;
+
+// directory_packets.cc
+/// A packet on its way: `sender` is the process that it came from, nothing for a held one.
+struct PacketArrival {
+  base::FlowKey flow;
+  const wire::pb::Packet& packet;
+  wire::BytesView payload;
+  base::InstanceId sender;
+};
+auto AcceptPacket(StepContext& context, const PacketArrival& arrival) -> void;
+/// Opens the flow here or at another target. The caller has made sure that nobody else has it.
+auto PlaceFlow(StepContext& context, const PacketArrival& arrival) -> void;
+auto HandleRefused(StepContext& context, base::InstanceId sender, const wire::pb::Refused& refused)
+    -> void;
+auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void;
+
+// directory_asking.cc
+auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
+                 std::optional<TargetRef> lost) -> void;
+auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
+                      const wire::pb::OwnerQuery& query) -> void;
+auto HandleOwnerAnswer(StepContext& context, const wire::pb::OwnerAnswer& answer) -> void;
+auto ContinueAsking(StepContext& context) -> void;
+/// The owner of a flow that is asked for has become known: releases the held packets.
+auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner) -> void;
+
+// directory_registration.cc
+auto EnqueueRegistration(Directory& directory, const base::FlowKey& flow, OwnedFlow& owned) -> void;
+auto PumpStreams(StepContext& context) -> void;
+auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void;
+auto HandleResettle(StepContext& context, const wire::pb::Resettle& message) -> void;
+auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void;
+
+// directory_home.cc
+auto HandleRegister(StepContext& context, const wire::pb::Register& message) -> void;
+auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
+    -> void;
+auto HandleYieldAck(StepContext& context, const wire::pb::YieldAck& message) -> void;
+auto RetryYields(StepContext& context) -> void;
+
+// directory_view.cc
+auto HandleView(StepContext& context, const membership::View& view) -> void;
+auto Fence(StepContext& context) -> void;
+auto ContinueFence(StepContext& context) -> void;
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/directory_registration.cc
@@ -0,0 +1,147 @@
+#include <algorithm>
+
+#include "steering/internal/directory_parts.h"
+#include "wire/convert.h"
+
+namespace anvildrum::steering {
+namespace {
+
+auto TargetOf(const RegisterStream& stream) -> base::TargetId { return stream.home.target; }
+
+auto FindStream(Directory& directory, const TargetRef& home) -> RegisterStream* {
+  auto found = std::ranges::lower_bound(directory.streams, home.target, {}, TargetOf);
+  if (found == directory.streams.end() || found->home != home) return nullptr;
+  return &*found;
+}
+
+auto MillisecondsSince(base::TimePoint then, base::TimePoint now) -> std::uint64_t {
+  return std::chrono::duration_cast<base::milliseconds>(now - then).count();
+}
+
+// Flows that are still this agent's and whose home the stream leads to.
+auto FillBatch(Directory& directory, RegisterStream& stream) -> void {
+  stream.batch.clear();
+  while (!stream.queue.empty() && stream.batch.size() < directory.policy.registrations_of_batch) {
+    auto flow = stream.queue.front();
+    stream.queue.pop_front();
+    auto* owned = FindOwned(directory, flow);
+    if (owned == nullptr) continue;
+    owned->queued = false;
+    if (HomeOf(directory, flow) == stream.home) stream.batch.push_back(flow);
+  }
+  // With the queue empty, this batch is the last one under the view.
+  auto unsettled = stream.settled != directory.digest;
+  stream.batch_settles = stream.queue.empty() && unsettled ? directory.digest : 0;
+}
+
+auto SendBatch(StepContext& context, RegisterStream& stream) -> void {
+  auto& directory = context.directory;
+  auto* peer = FindPeer(directory, stream.home);
+  if (peer == nullptr) return;
+  auto header = MakeHeader(directory);
+  auto* message = header.mutable_register_();
+  message->set_service(directory.service.value);
+  message->set_sequence(stream.sequence);
+  WriteRef(directory.self, *message->mutable_owner());
+  WriteRef(stream.home, *message->mutable_home());
+  message->set_settled(stream.batch_settles != 0);
+  message->set_view(stream.batch_settles);
+  for (const auto& flow : stream.batch) {
+    auto* owned = FindOwned(directory, flow);
+    if (owned == nullptr) continue;
+    auto* registration = message->add_flows();
+    wire::WriteEndpoint(flow.client, *registration->mutable_client());
+    registration->set_age_ms(MillisecondsSince(owned->opened, context.now));
+    registration->set_idle_ms(MillisecondsSince(owned->last_from_client, context.now));
+    registration->set_stamp(owned->stamp);
+    registration->set_ended(owned->closing);
+  }
+  stream.next_retry = context.now + directory.policy.register_retry;
+  SendControl(context, peer->tunnel, header);
+}
+
+auto PumpStream(StepContext& context, RegisterStream& stream) -> void {
+  if (stream.under_way) {
+    if (context.now >= stream.next_retry) SendBatch(context, stream);
+    return;
+  }
+  FillBatch(context.directory, stream);
+  if (stream.batch.empty() && stream.batch_settles == 0) return;
+  ++stream.sequence;
+  stream.under_way = true;
+  SendBatch(context, stream);
+}
+
+auto NoteRegistered(Directory& directory, const base::FlowKey& flow, const TargetRef& home)
+    -> void {
+  auto* owned = FindOwned(directory, flow);
+  if (owned == nullptr || owned->queued) return;
+  if (owned->closing) {
+    directory.owned.erase(flow);
+  } else {
+    owned->registered_at = home;
+  }
+}
+
+}  // namespace
+
+auto EnqueueRegistration(Directory& directory, const base::FlowKey& flow, OwnedFlow& owned)
+    -> void {
+  auto home = HomeOf(directory, flow);
+  if (!home || owned.queued) return;
+  if (*home == directory.self) {
+    owned.registered_at = directory.self;
+    return;
+  }
+  auto* stream = FindStream(directory, *home);
+  if (stream == nullptr) return;
+  stream->queue.push_back(flow);
+  owned.queued = true;
+  directory.pump_due = true;
+}
+
+auto PumpStreams(StepContext& context) -> void {
+  auto& directory = context.directory;
+  directory.pump_due = false;
+  if (!directory.in_view) return;
+  for (auto& stream : directory.streams) PumpStream(context, stream);
+}
+
+auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void {
+  auto& directory = context.directory;
+  auto* stream = FindStream(directory, ReadRef(ack.home()));
+  if (stream == nullptr || !stream->under_way || stream->sequence != ack.sequence()) return;
+  stream->under_way = false;
+  for (const auto& flow : stream->batch) NoteRegistered(directory, flow, stream->home);
+  if (stream->batch_settles != 0) stream->settled = stream->batch_settles;
+  stream->batch.clear();
+  directory.pump_due = true;
+}
+
+auto HandleResettle(StepContext& context, const wire::pb::Resettle& message) -> void {
+  auto& directory = context.directory;
+  auto* stream = FindStream(directory, ReadRef(message.asker()));
+  if (stream == nullptr) return;
+  stream->settled = 0;
+  if (stream->batch_settles != 0) stream->batch_settles = 0;
+  for (auto& [flow, owned] : directory.owned) {
+    if (HomeOf(directory, flow) == stream->home) EnqueueRegistration(directory, flow, owned);
+  }
+  directory.pump_due = true;
+}
+
+auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void {
+  auto& directory = context.directory;
+  auto* owned = FindOwned(directory, flow);
+  if (owned == nullptr || owned->closing) return;
+  ++directory.counters.ended;
+  auto home = HomeOf(directory, flow);
+  if (!home || *home == directory.self || FindStream(directory, *home) == nullptr) {
+    directory.owned.erase(flow);
+    return;
+  }
+  owned->closing = true;
+  EnqueueRegistration(directory, flow, *owned);
+}
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/directory_view.cc
@@ -0,0 +1,160 @@
+#include <algorithm>
+
+#include "steering/internal/directory_parts.h"
+
+namespace anvildrum::steering {
+namespace {
+
+auto MakePeer(const membership::Target& target) -> PeerTarget {
+  auto peer = PeerTarget{};
+  peer.ref = {target.record.id, target.record.incarnation};
+  peer.load.slots = target.record.slots;
+  peer.load.connections = target.record.connections;
+  peer.load.failure_domain = base::HashName(target.record.failure_domain);
+  return peer;
+}
+
+auto UpdatePeers(Directory& directory, const membership::ServiceView& service) -> void {
+  auto peers = std::vector<PeerTarget>{};
+  for (const auto& target : service.targets) {
+    if (target.record.id == directory.self.target) continue;
+    auto* known = FindPeer(directory, {target.record.id, target.record.incarnation});
+    auto peer = known != nullptr ? *known : MakePeer(target);
+    peer.instance = target.record.instance;
+    peer.tunnel = target.record.tunnel;
+    peer.suspect = target.suspect;
+    peer.draining = target.draining;
+    peer.since = target.since;
+    peer.load.weight = target.weight;
+    peers.push_back(std::move(peer));
+  }
+  directory.peers = std::move(peers);
+}
+
+auto UpdateSelf(Directory& directory, const membership::ServiceView& service) -> void {
+  const auto* self = membership::FindTarget(service, directory.self.target);
+  directory.in_view = self != nullptr && self->record.incarnation == directory.self.incarnation;
+  auto draining = directory.in_view && self->draining;
+  if (draining != directory.draining) {
+    directory.drain_notices_left = directory.policy.drain_notices;
+    directory.next_drain_notice = {};
+  }
+  directory.draining = draining;
+  directory.self_index = kNone;
+  if (!directory.in_view) return;
+  directory.load.weight = self->weight;
+  auto index = static_cast<std::uint32_t>(self - service.targets.data());
+  directory.candidates.candidates[index].suspect = false;
+  if (directory.candidates.candidates[index].placeable) directory.self_index = index;
+}
+
+auto UpdateStreams(Directory& directory) -> void {
+  auto streams = std::vector<RegisterStream>{};
+  for (const auto& peer : directory.peers) {
+    auto found = std::ranges::find(directory.streams, peer.ref, &RegisterStream::home);
+    if (found != directory.streams.end()) {
+      streams.push_back(std::move(*found));
+    } else {
+      streams.push_back({});
+      streams.back().home = peer.ref;
+    }
+    streams.back().queue.clear();
+  }
+  directory.streams = std::move(streams);
+}
+
+// Every flow whose home is another one now is registered there; flows that were closing are
+// forgotten, because the new home has never heard of them.
+auto RegisterAnew(Directory& directory, bool all) -> void {
+  auto forgotten = std::vector<base::FlowKey>{};
+  for (auto& [flow, owned] : directory.owned) {
+    owned.queued = false;
+    auto home = HomeOf(directory, flow);
+    auto moved = home && owned.registered_at != *home;
+    if (owned.closing && (moved || !home)) forgotten.push_back(flow);
+    if (moved || all || owned.closing) EnqueueRegistration(directory, flow, owned);
+  }
+  for (const auto& flow : forgotten) directory.owned.erase(flow);
+}
+
+auto ForgetDeadOwners(Directory& directory) -> void {
+  std::erase_if(directory.known, [&](const auto& entry) {
+    const auto& known = entry.second;
+    return known.via.port == 0 && FindPeer(directory, known.owner) == nullptr;
+  });
+}
+
+auto DropAll(StepContext& context) -> void {
+  auto& directory = context.directory;
+  for (const auto& [flow, owned] : directory.owned) {
+    if (!owned.closing) context.effects.dropped.push_back({flow});
+  }
+  directory.owned.clear();
+  directory.pending.clear();
+}
+
+}  // namespace
+
+auto HandleView(StepContext& context, const membership::View& view) -> void {
+  auto& directory = context.directory;
+  directory.balancers = view.balancers;
+  const auto* service = membership::FindService(view, directory.service);
+  auto none = membership::ServiceView{directory.service, {}, 0};
+  const auto& present = service != nullptr ? *service : none;
+  auto was_in_view = directory.in_view;
+  auto moved = present.digest != directory.digest;
+  UpdatePeers(directory, present);
+  directory.candidates = MakeCandidates(present);
+  UpdateSelf(directory, present);
+  directory.digest = present.digest;
+  // The record was removed, by conditional update on this incarnation: others have given its flows
+  // up, and a later start has a higher incarnation.
+  if (was_in_view && !directory.in_view) DropAll(context);
+  if (!moved) return;
+  UpdateStreams(directory);
+  RegisterAnew(directory, false);
+  ForgetDeadOwners(directory);
+  directory.pump_due = true;
+}
+
+// Safeguard: a process that was stopped for longer than its peers wait may own flows that were
+// opened elsewhere meanwhile, and its knowledge of who is settled is old. Its client would see
+// answers of two targets. It does nothing for clients until every peer that it does not suspect
+// has registered its flows here anew, by which time each doubly opened flow has one owner again.
+auto Fence(StepContext& context) -> void {
+  auto& directory = context.directory;
+  ++directory.counters.stops_noticed;
+  directory.fenced = true;
+  directory.next_resettle = {};
+  for (auto& peer : directory.peers) peer.settled_view = 0;
+  directory.pending.clear();
+  for (auto& stream : directory.streams) stream.queue.clear();
+  RegisterAnew(directory, true);
+}
+
+auto ContinueFence(StepContext& context) -> void {
+  auto& directory = context.directory;
+  if (!directory.fenced) return;
+  auto done = [&](const RegisterStream& stream) {
+    auto* peer = FindPeer(directory, stream.home);
+    return peer == nullptr || peer->suspect || (stream.queue.empty() && !stream.under_way);
+  };
+  auto settled = [&](const PeerTarget& peer) {
+    return peer.suspect || peer.settled_view == directory.digest;
+  };
+  if (std::ranges::all_of(directory.peers, settled) &&
+      std::ranges::all_of(directory.streams, done)) {
+    directory.fenced = false;
+    return;
+  }
+  if (context.now < directory.next_resettle) return;
+  directory.next_resettle = context.now + directory.policy.register_retry;
+  auto header = MakeHeader(directory);
+  header.mutable_resettle()->set_service(directory.service.value);
+  WriteRef(directory.self, *header.mutable_resettle()->mutable_asker());
+  for (const auto& peer : directory.peers) {
+    if (peer.settled_view != directory.digest) SendControl(context, peer.tunnel, header);
+  }
+}
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/internal/placement.cc
@@ -0,0 +1,172 @@
+#include "steering/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace anvildrum::steering {
+namespace {
+
+constexpr auto kDelayWeight = 0.5;
+constexpr auto kRefusedWeight = 0.01;
+constexpr auto kDraws = 2;
+constexpr auto kDrawTries = 8;
+
+auto CanTake(const TargetLoad& load) -> bool {
+  if (!load.eligible || load.weight <= 0) return false;
+  return load.connections == 0 || load.flows < load.connections;
+}
+
+// What the service's eligible targets have in common.
+struct Means {
+  double flows_per_weight = 0;
+  double delay = 0;    ///< in ns, over those that have one
+  double refused = 0;  ///< permille
+};
+
+auto MeansOf(std::span<const TargetLoad> loads) -> Means {
+  auto flows = 0.0;
+  auto weight = 0.0;
+  auto delay = 0.0;
+  auto delays = 0;
+  auto refused = 0.0;
+  auto count = 0;
+  for (const auto& load : loads) {
+    if (!load.eligible) continue;
+    ++count;
+    flows += load.flows;
+    weight += load.weight;
+    refused += load.refused_permille;
+    if (load.delay <= base::Duration::zero()) continue;
+    ++delays;
+    delay += static_cast<double>(load.delay.count());
+  }
+  return {weight > 0 ? flows / weight : 0, delays > 0 ? delay / delays : 0,
+          count > 0 ? refused / count : 0};
+}
+
+auto ColdShare(const PlacementPolicy& policy, const TargetLoad& load) -> double {
+  if (load.age >= policy.slow_start) return 1.0;
+  auto ramp =
+      static_cast<double>(load.age.count()) / static_cast<double>(policy.slow_start.count());
+  return std::max(policy.slow_start_floor, ramp);
+}
+
+auto IsSlow(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> bool {
+  if (static_cast<double>(load.delay.count()) > policy.delay_factor * means.delay) {
+    return means.delay > 0;
+  }
+  return load.refused_permille > means.refused + policy.refused_excess;
+}
+
+auto IsWithinBound(const PlacementPolicy& policy, const TargetLoad& load, const Means& means)
+    -> bool {
+  if (!CanTake(load) || IsSlow(policy, load, means)) return false;
+  return load.flows + 1.0 <= FlowBound(policy, load, means.flows_per_weight);
+}
+
+// Lower is better: flows against the share, requests against slots, delay and refusals against the
+// mean. A cold target counts as fuller than it is.
+auto Cost(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> double {
+  auto flows = (load.flows + 1.0) / load.weight / (means.flows_per_weight + 1.0);
+  auto busy = static_cast<double>(load.in_flight) / std::max(1U, load.slots);
+  auto waiting = std::max(0.0, busy - 1.0);
+  auto delay = means.delay > 0 ? static_cast<double>(load.delay.count()) / means.delay : 0.0;
+  auto excess = std::max(0.0, load.refused_permille - means.refused);
+  auto cost = flows + waiting + kDelayWeight * std::max(0.0, delay - 1.0) + kRefusedWeight * excess;
+  return cost / ColdShare(policy, load);
+}
+
+// The number of eligible targets is small or a sample of them is enough, so draws that hit a target
+// which can't take the flow are repeated a few times before all are looked at.
+template <typename Allowed>
+auto Draw(std::span<const TargetLoad> loads, Random& random, Allowed allowed) -> std::uint32_t {
+  auto any =
+      std::uniform_int_distribution<std::uint32_t>(0, static_cast<std::uint32_t>(loads.size()) - 1);
+  for (auto i = 0; i < kDrawTries; ++i) {
+    auto index = any(random);
+    if (allowed(loads[index])) return index;
+  }
+  auto start = any(random);
+  for (auto i = std::size_t{0}; i < loads.size(); ++i) {
+    auto index = static_cast<std::uint32_t>((start + i) % loads.size());
+    if (allowed(loads[index])) return index;
+  }
+  return kNoTarget;
+}
+
+template <typename Allowed>
+auto LessLoadedOfTwo(const PlacementPolicy& policy, std::span<const TargetLoad> loads,
+                     const Means& means, Random& random, Allowed allowed) -> std::uint32_t {
+  auto best = kNoTarget;
+  auto best_cost = std::numeric_limits<double>::infinity();
+  for (auto i = 0; i < kDraws; ++i) {
+    auto index = Draw(loads, random, allowed);
+    if (index == kNoTarget) return kNoTarget;
+    auto cost = Cost(policy, loads[index], means);
+    if (cost >= best_cost) continue;
+    best = index;
+    best_cost = cost;
+  }
+  return best;
+}
+
+auto LeastReported(std::span<const TargetLoad> loads) -> std::uint32_t {
+  auto best = kNoTarget;
+  for (auto i = std::uint32_t{0}; i < loads.size(); ++i) {
+    if (!CanTake(loads[i])) continue;
+    if (best != kNoTarget && loads[i].reported_load >= loads[best].reported_load) continue;
+    best = i;
+  }
+  return best;
+}
+
+auto HomeOrAny(const PlacementRequest& request, Random& random) -> std::uint32_t {
+  if (request.home != kNoTarget && CanTake(request.loads[request.home])) return request.home;
+  return Draw(request.loads, random, CanTake);
+}
+
+auto PlaceHomeFirst(const PlacementPolicy& policy, const PlacementRequest& request,
+                    const Means& means, Random& random) -> std::uint32_t {
+  auto loads = request.loads;
+  auto preferred = [&](const TargetLoad& load) {
+    return !policy.prefer_domain || load.failure_domain == request.preferred_domain;
+  };
+  auto within = [&](const TargetLoad& load) { return IsWithinBound(policy, load, means); };
+  if (request.home != kNoTarget) {
+    const auto& home = loads[request.home];
+    if (preferred(home) && within(home)) return request.home;
+  }
+  auto both = [&](const TargetLoad& load) { return preferred(load) && within(load); };
+  auto chosen = LessLoadedOfTwo(policy, loads, means, random, both);
+  if (chosen == kNoTarget) chosen = LessLoadedOfTwo(policy, loads, means, random, within);
+  if (chosen == kNoTarget) chosen = LessLoadedOfTwo(policy, loads, means, random, CanTake);
+  return chosen;
+}
+
+}  // namespace
+
+auto FlowBound(const PlacementPolicy& policy, const TargetLoad& load, double mean) -> double {
+  auto share = load.weight * mean * ColdShare(policy, load);
+  return (1.0 + policy.flow_margin) * share + policy.flow_slack;
+}
+
+auto Place(const PlacementPolicy& policy, const PlacementRequest& request, Random& random)
+    -> std::uint32_t {
+  if (request.loads.empty()) return kNoTarget;
+  switch (policy.kind) {
+    case PlacementKind::kRandom:
+      return Draw(request.loads, random, CanTake);
+    case PlacementKind::kLeastReportedLoad:
+      return LeastReported(request.loads);
+    case PlacementKind::kRendezvous:
+      return HomeOrAny(request, random);
+    case PlacementKind::kPowerOfTwo:
+      return LessLoadedOfTwo(policy, request.loads, MeansOf(request.loads), random, CanTake);
+    case PlacementKind::kHomeFirst:
+      return PlaceHomeFirst(policy, request, MeansOf(request.loads), random);
+  }
+  return kNoTarget;
+}
+
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/tests/placement_test.cc
@@ -0,0 +1,87 @@
+#include "steering/placement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace anvildrum::steering {
+namespace {
+
+auto MakeLoads(std::size_t count, std::uint32_t flows) -> std::vector<TargetLoad> {
+  auto load = TargetLoad{};
+  load.flows = flows;
+  load.connections = 2000;
+  load.slots = 4;
+  load.delay = base::milliseconds(10);
+  return std::vector<TargetLoad>(count, load);
+}
+
+auto PlaceAt(const std::vector<TargetLoad>& loads, std::uint32_t home) -> std::uint32_t {
+  auto random = Random(7);
+  return Place(PlacementPolicy{}, {loads, home, 0}, random);
+}
+
+BOOST_AUTO_TEST_CASE(a_flow_stays_at_its_home_within_the_bound) {
+  BOOST_TEST(PlaceAt(MakeLoads(7, 1000), 3) == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_home_over_its_bound_gives_the_flow_away) {
+  auto loads = MakeLoads(7, 1000);
+  loads[3].flows = 1100;
+  BOOST_TEST(PlaceAt(loads, 3) != 3u);
+}
+
+// A target that answers three times as slowly as the others would collect waiting requests.
+BOOST_AUTO_TEST_CASE(a_slow_or_refusing_home_gives_the_flow_away) {
+  auto loads = MakeLoads(7, 1000);
+  loads[3].delay = base::milliseconds(100);
+  BOOST_TEST(PlaceAt(loads, 3) != 3u);
+  loads = MakeLoads(7, 1000);
+  loads[3].refused_permille = 500;
+  BOOST_TEST(PlaceAt(loads, 3) != 3u);
+}
+
+// The target's own word says that it is idle. Only what agents observe counts.
+BOOST_AUTO_TEST_CASE(a_target_cannot_draw_flows_by_its_own_word) {
+  auto loads = MakeLoads(7, 1000);
+  for (auto& load : loads) load.reported_load = 900;
+  loads[3].reported_load = 0;
+  loads[3].flows = 1500;
+  BOOST_TEST(PlaceAt(loads, 3) != 3u);
+}
+
+BOOST_AUTO_TEST_CASE(no_flow_goes_over_a_connection_limit_or_to_an_ineligible_target) {
+  auto loads = MakeLoads(3, 2000);
+  BOOST_TEST(PlaceAt(loads, 0) == kNoTarget);
+  loads[1].flows = 1999;
+  BOOST_TEST(PlaceAt(loads, 0) == 1u);
+  loads[1].eligible = false;
+  BOOST_TEST(PlaceAt(loads, 0) == kNoTarget);
+}
+
+// A target joins cold among full ones. At once it may hold a fifth of its share, in the end all.
+BOOST_AUTO_TEST_CASE(a_cold_target_takes_a_growing_share) {
+  auto policy = PlacementPolicy{};
+  auto cold = TargetLoad{};
+  cold.age = base::Duration::zero();
+  auto at_start = FlowBound(policy, cold, 1000);
+  cold.age = policy.slow_start;
+  auto at_end = FlowBound(policy, cold, 1000);
+  BOOST_TEST(at_start < 0.25 * at_end);
+}
+
+BOOST_AUTO_TEST_CASE(every_policy_places_on_an_eligible_target) {
+  auto loads = MakeLoads(5, 10);
+  for (auto& load : loads) load.eligible = false;
+  loads[2].eligible = true;
+  auto random = Random(7);
+  for (auto kind :
+       {PlacementKind::kRandom, PlacementKind::kLeastReportedLoad, PlacementKind::kRendezvous,
+        PlacementKind::kPowerOfTwo, PlacementKind::kHomeFirst}) {
+    auto policy = PlacementPolicy{};
+    policy.kind = kind;
+    BOOST_TEST(Place(policy, {loads, 0, 0}, random) == 2u);
+  }
+}
+
+}  // namespace
+}  // namespace anvildrum::steering
--- /dev/null
+++ b/src/steering/types/directory_types.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "base/types/endpoint.h"
+#include "base/types/flow_key.h"
+#include "base/types/time.h"
+#include "steering/placement.h"
+#include "steering/types/token_bucket.h"
+#include "wire/datagram.h"
+
+namespace anvildrum::steering {
+
+/// Parameters of an agent's directory.
+struct DirectoryPolicy {
+  PlacementPolicy placement;
+  base::Duration ask_period = base::milliseconds(100);  ///< between two queries for one flow
+  base::Duration longest_hold = base::seconds(3);       ///< then held packets are dropped
+  std::size_t pending_flows = 1024;                     ///< flows that are asked for at once
+  std::size_t held_packets_of_flow = 4;
+  base::Duration promise = base::seconds(10);  ///< how long an answered query defers to the asker
+  base::Duration register_retry = base::milliseconds(200);
+  std::size_t registrations_of_batch = 24;
+  base::Duration flow_idle = base::hours(2);
+  std::uint32_t hop_limit = 4;
+  std::uint32_t asking_hops = 3;  ///< a packet that passed this many agents is asked for
+  /// A process that was not run for this long may have been given up by its peers.
+  base::Duration stopped_after = base::seconds(3);
+  base::Duration drain_notice_retry = base::milliseconds(300);
+  std::uint32_t drain_notices = 3;
+  std::size_t notified_balancers = 64;  ///< others hear of a drain through the relay
+  base::Duration sweep_period = base::seconds(1);
+  base::Duration forward_memory = base::minutes(10);  ///< of flows whose home is elsewhere
+  double openings_per_second = 2000;
+  double openings_burst = 4000;
+  double hints_per_second = 50;
+  double hints_burst = 200;
+};
+
+struct TargetRef {
+  base::TargetId target;
+  base::Incarnation incarnation = 0;
+  auto operator==(const TargetRef&) const -> bool = default;
+};
+
+/// A flow that this agent serves.
+struct OwnedFlow {
+  base::TimePoint opened{};
+  base::TimePoint last_from_client{};
+  base::TimePoint last_used{};  ///< either way
+  base::Endpoint balancer;      ///< where it was seen last; replies leave there
+  std::uint64_t stamp = 0;
+  TargetRef registered_at;  ///< the home that acknowledged it
+  bool queued = false;      ///< waits in a stream
+  bool closing = false;     ///< ended here, the home has not acknowledged it yet
+};
+
+/// What this agent knows of a flow that another one serves.
+struct KnownOwner {
+  TargetRef owner;
+  base::Endpoint via;  ///< port 0: the owner's own tunnel, as the view has it
+  base::TimePoint via_since{};
+  base::TimePoint opened{};
+  base::TimePoint last_packet{};
+  std::uint64_t stamp = 0;  ///< 0: not registered yet
+  bool promised = false;    ///< the owner asked and may open the flow; it has not said that it did
+};
+
+struct HeldPacket {
+  wire::pb::Packet packet;
+  wire::Bytes payload;
+};
+
+/// A flow that is asked for: nobody opens it before all others have answered.
+struct PendingFlow {
+  std::uint64_t sequence = 0;
+  std::vector<TargetRef> waiting;    ///< peers that have not answered
+  std::optional<TargetRef> claimed;  ///< named by an agent that isn't the owner itself
+  base::Endpoint claimed_via;        ///< the agent that reaches it; port 0: directly
+  std::optional<TargetRef> lost;     ///< the owner that cannot be reached
+  std::vector<HeldPacket> held;
+  base::TimePoint started{};
+  base::TimePoint next_ask{};
+  bool asked_twice = false;
+};
+
+/// Owner's end of the registrations with one peer: one batch under way at a time.
+struct RegisterStream {
+  TargetRef home;
+  std::uint64_t sequence = 0;
+  std::deque<base::FlowKey> queue;
+  std::vector<base::FlowKey> batch;  ///< under way
+  bool under_way = false;
+  std::uint64_t batch_settles = 0;  ///< digest that the batch declares settled; 0: none
+  std::uint64_t settled = 0;        ///< digest whose settling was acknowledged
+  base::TimePoint next_retry{};
+};
+
+/// Another target of the service.
+struct PeerTarget {
+  TargetRef ref;
+  base::InstanceId instance;
+  base::Endpoint tunnel;
+  bool suspect = false;
+  bool draining = false;
+  std::uint64_t applied = 0;       ///< last batch of its registrations that was applied here
+  std::uint64_t settled_view = 0;  ///< digest under which all its flows are registered here
+  TargetLoad load;
+  base::TimePoint since{};
+};
+
+/// A verdict that the loser has not acknowledged.
+struct PendingYield {
+  base::FlowKey flow;
+  TargetRef loser;
+  TargetRef winner;
+  std::uint64_t stamp = 0;
+  base::TimePoint next_retry{};
+  std::uint32_t tries = 0;
+};
+
+/// Counts of what the directory did; monotonic.
+struct DirectoryCounters {
+  std::uint64_t delivered = 0;
+  std::uint64_t opened = 0;
+  std::uint64_t deflected = 0;  ///< opened for this home at another target
+  std::uint64_t passed_on = 0;  ///< packets to another agent
+  std::uint64_t wrong_service = 0;
+  std::uint64_t hop_limit = 0;
+  std::uint64_t unknown_flow = 0;  ///< may_open was false
+  std::uint64_t full = 0;
+  std::uint64_t draining = 0;
+  std::uint64_t asked = 0;
+  std::uint64_t held_dropped = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t yielded = 0;
+  std::uint64_t ended = 0;
+  std::uint64_t stops_noticed = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t stale_sender = 0;
+  std::uint64_t control_bytes = 0;  ///< sent, headers of the tunnel only
+};
+
+}  // namespace anvildrum::steering
