--- /dev/null
+++ b/src/requests/internal/admission.cc
@@ -0,0 +1,171 @@
+#include "requests/admission.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace anvildrum::requests {
+namespace {
+
+constexpr auto kDecisionWeight = 0.02;       // moving average over about the last 50 decisions
+constexpr auto kSpreadWhenAllRefused = 3.0;  // the range grows by this factor on top of one
+
+auto LoadOf(const Admission& admission, const ClientAddress& client) -> ClientLoad {
+  auto found = admission.clients.find(client);
+  return found == admission.clients.end() ? ClientLoad{} : found->second;
+}
+
+// Keeps no entry for a client that has nothing here.
+auto ForgetIfIdle(Admission& admission, const ClientAddress& client) -> void {
+  auto found = admission.clients.find(client);
+  if (found == admission.clients.end()) return;
+  const auto& load = found->second;
+  if (load.running + load.queued == 0) admission.clients.erase(found);
+}
+
+auto Take(Admission& admission, std::vector<QueuedRequest>::iterator at) -> QueuedRequest {
+  auto request = *at;
+  admission.queue.erase(at);
+  --admission.clients[request.client].queued;
+  ForgetIfIdle(admission, request.client);
+  return request;
+}
+
+// Slots are given to clients in turns, so a newcomer waits for as many requests of each other
+// client as it has itself, not for the whole of another's burst.
+auto RequestsAhead(const Admission& admission, const ClientAddress& client) -> std::uint32_t {
+  auto turn = LoadOf(admission, client).queued + 1;
+  auto ahead = std::uint32_t{0};
+  for (const auto& [address, load] : admission.clients) {
+    ahead += address == client ? load.queued : std::min(load.queued, turn);
+  }
+  return ahead;
+}
+
+auto CanFinishInTime(const Admission& admission, const Parameters& parameters,
+                     const ClientAddress& client) -> bool {
+  auto rounds = static_cast<double>(RequestsAhead(admission, client) + 1) / parameters.slots;
+  auto expected = (rounds + 1) * static_cast<double>(admission.service_time.count());
+  return expected <= static_cast<double>(parameters.queue_limit.count());
+}
+
+}  // namespace
+
+auto ClientAddressHash::operator()(const ClientAddress& address) const noexcept -> std::size_t {
+  return XXH3_64bits(address.data(), address.size());
+}
+
+auto DecideAdmission(const Admission& admission, const Parameters& parameters,
+                     const ClientAddress& client) -> AdmissionVerdict {
+  auto load = LoadOf(admission, client);
+  if (load.running + load.queued >= parameters.client_in_flight) {
+    return AdmissionVerdict::kRefuseClient;
+  }
+  if (admission.running < parameters.slots && admission.queue.empty()) {
+    return AdmissionVerdict::kRun;
+  }
+  if (!CanFinishInTime(admission, parameters, client)) return AdmissionVerdict::kRefuseQueue;
+  if (admission.queue.size() < parameters.queue_size) return AdmissionVerdict::kQueue;
+  return VictimFor(admission, client) ? AdmissionVerdict::kQueue : AdmissionVerdict::kRefuseQueue;
+}
+
+auto Enqueue(Admission& admission, const QueuedRequest& request) -> void {
+  admission.queue.push_back(request);
+  ++admission.clients[request.client].queued;
+}
+
+auto VictimFor(const Admission& admission, const ClientAddress& client)
+    -> std::optional<std::uint64_t> {
+  auto most = LoadOf(admission, client).queued + 1;
+  auto victim = std::optional<std::uint64_t>{};
+  for (const auto& request : admission.queue) {
+    auto queued = LoadOf(admission, request.client).queued;
+    if (queued < most || (queued == most && !victim)) continue;
+    most = queued;
+    victim = request.id;
+  }
+  return victim;
+}
+
+auto TakeNext(Admission& admission, const Parameters& parameters) -> std::optional<QueuedRequest> {
+  if (admission.running >= parameters.slots || admission.queue.empty()) return std::nullopt;
+  auto comes_first = [&](const QueuedRequest& left, const QueuedRequest& right) {
+    auto left_running = LoadOf(admission, left.client).running;
+    auto right_running = LoadOf(admission, right.client).running;
+    if (left_running != right_running) return left_running < right_running;
+    return left.deadline < right.deadline;
+  };
+  return Take(admission,
+              std::min_element(admission.queue.begin(), admission.queue.end(), comes_first));
+}
+
+auto TakeOverdue(Admission& admission, base::TimePoint now) -> std::optional<QueuedRequest> {
+  auto latest_start = now + admission.service_time;
+  auto at = std::find_if(admission.queue.begin(), admission.queue.end(),
+                         [&](const auto& request) { return request.deadline <= latest_start; });
+  if (at == admission.queue.end()) return std::nullopt;
+  return Take(admission, at);
+}
+
+auto RemoveQueued(Admission& admission, std::uint64_t id) -> void {
+  auto at = std::find_if(admission.queue.begin(), admission.queue.end(),
+                         [&](const auto& request) { return request.id == id; });
+  if (at != admission.queue.end()) Take(admission, at);
+}
+
+auto NextOverdue(const Admission& admission) -> std::optional<base::TimePoint> {
+  auto next = std::optional<base::TimePoint>{};
+  for (const auto& request : admission.queue) {
+    auto due = request.deadline - admission.service_time;
+    if (!next || due < *next) next = due;
+  }
+  return next;
+}
+
+auto HoldSlot(Admission& admission, const ClientAddress& client) -> void {
+  ++admission.running;
+  ++admission.clients[client].running;
+}
+
+auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void {
+  --admission.running;
+  --admission.clients[client].running;
+  ForgetIfIdle(admission, client);
+}
+
+auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken)
+    -> void {
+  auto change = static_cast<double>((taken - admission.service_time).count());
+  auto step = static_cast<base::Duration::rep>(change * parameters.service_time_weight);
+  admission.service_time += base::Duration(step);
+}
+
+auto ObserveDecision(Admission& admission, bool refused) -> void {
+  admission.refused_share += ((refused ? 1.0 : 0.0) - admission.refused_share) * kDecisionWeight;
+}
+
+auto ChallengesOf(const Admission& admission, const ClientAddress& client) -> std::uint32_t {
+  auto found = admission.challenges.find(client);
+  return found == admission.challenges.end() ? 0 : found->second;
+}
+
+auto AddChallenge(Admission& admission, const ClientAddress& client) -> void {
+  ++admission.challenges[client];
+  ++admission.open_challenges;
+}
+
+auto EndChallenge(Admission& admission, const ClientAddress& client) -> void {
+  auto found = admission.challenges.find(client);
+  if (found == admission.challenges.end()) return;
+  --admission.open_challenges;
+  if (--found->second == 0) admission.challenges.erase(found);
+}
+
+auto DrawMaxAge(const Admission& admission, const Parameters& parameters, std::mt19937_64& random)
+    -> std::uint32_t {
+  auto widened = parameters.max_age_spread * (1 + kSpreadWhenAllRefused * admission.refused_share);
+  auto range = static_cast<std::uint64_t>(widened) + 1;
+  return parameters.max_age_min + static_cast<std::uint32_t>(random() % range);
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/internal/dispatch.cc
@@ -0,0 +1,225 @@
+// Life of a request between its intake and its outcome: queue, slot, target, timers.
+#include <algorithm>
+
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+constexpr auto kIdBytes = std::size_t{8};
+
+auto Enlist(Context& context, LedgerEntry& entry, Stage stage) -> void {
+  entry.stage = stage;
+  auto& live = FlowOf(context, entry.identity.flow).live;
+  if (std::find(live.begin(), live.end(), entry.id) == live.end()) live.push_back(entry.id);
+}
+
+auto MakeRoomInQueue(Context& context, const ClientAddress& client) -> void {
+  auto& state = context.state;
+  if (state.admission.queue.size() < state.parameters.queue_size) return;
+  auto victim = VictimFor(state.admission, client);
+  if (!victim) return;
+  FinishNotRun(context, *FindById(state.ledger, *victim), Counter::kRefusedQueue);
+}
+
+auto WaitInQueue(Context& context, LedgerEntry& entry) -> void {
+  const auto& client = entry.identity.flow.client.address;
+  MakeRoomInQueue(context, client);
+  Enlist(context, entry, Stage::kQueued);
+  Enqueue(context.state.admission, {entry.id, client, entry.deadline});
+  CountOne(context, Counter::kQueued);
+  MarkTrace(context, entry, Mark::kQueued);
+}
+
+auto OnWake(Context& context, LedgerEntry& entry) -> void {
+  entry.wake = {};
+  switch (entry.stage) {
+    case Stage::kRunning:
+      ObserveServiceTime(context.state.admission, context.state.parameters,
+                         context.now - entry.started);
+      FinishUnknown(context, entry, Counter::kUnknownRunLimit);
+      break;
+    case Stage::kOffered:
+      FinishUnknown(context, entry, Counter::kUnknownHandOn);
+      break;
+    case Stage::kObserving:
+      OnStreamWake(context, entry);
+      break;
+    default:
+      ResendOwn(context, entry);
+      break;
+  }
+}
+
+auto WakeEntries(Context& context) -> void {
+  auto& wakeups = context.state.wakeups;
+  while (!wakeups.empty() && wakeups.begin()->first <= context.now) {
+    auto id = wakeups.begin()->second;
+    wakeups.erase(wakeups.begin());
+    auto* entry = FindById(context.state.ledger, id);
+    if (entry != nullptr) OnWake(context, *entry);
+  }
+}
+
+auto RefuseOverdue(Context& context) -> void {
+  auto& state = context.state;
+  while (auto overdue = TakeOverdue(state.admission, context.now)) {
+    FinishNotRun(context, *FindById(state.ledger, overdue->id), Counter::kRefusedQueue);
+  }
+}
+
+auto Run(Context& context, LedgerEntry& entry) -> void {
+  auto& state = context.state;
+  Enlist(context, entry, Stage::kRunning);
+  entry.started = context.now;
+  entry.holds_slot = !entry.follow_up;
+  if (entry.holds_slot) HoldSlot(state.admission, entry.identity.flow.client.address);
+  SendRequest(context, entry);
+  // A safe request may be sent again when the client repeats it; any other one never is.
+  if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
+  WakeAt(context, entry, context.now + state.parameters.run_limit);
+  ++state.admitted;
+  EarnRetry(state.retries, state.parameters.retry_share, state.parameters.retry_burst);
+  ObserveDecision(state.admission, false);
+  CountOne(context, Counter::kAdmitted);
+  MarkTrace(context, entry, Mark::kSentToTarget);
+}
+
+}  // namespace
+
+auto CountOne(Context& context, Counter counter) -> void {
+  context.effects.emplace_back(Count{counter});
+}
+
+auto MarkTrace(Context& context, const LedgerEntry& entry, Mark mark) -> void {
+  context.effects.emplace_back(TraceMark{entry.identity.flow, entry.id, mark});
+}
+
+auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState& {
+  auto [at, added] = context.state.flows.try_emplace(flow);
+  if (!added) return at->second;
+  // A flow that comes back finds other message IDs in use than those the client still remembers.
+  at->second.next_target_message_id = static_cast<std::uint16_t>(context.state.random());
+  at->second.next_client_message_id = static_cast<std::uint16_t>(context.state.random());
+  return at->second;
+}
+
+auto WakeAt(Context& context, LedgerEntry& entry, base::TimePoint at) -> void {
+  auto& wakeups = context.state.wakeups;
+  if (entry.wake != base::TimePoint{}) wakeups.erase({entry.wake, entry.id});
+  entry.wake = at;
+  if (at != base::TimePoint{}) wakeups.insert({at, entry.id});
+}
+
+auto TokenOfId(std::uint64_t id) -> Token {
+  auto token = Token{};
+  token.size = kIdBytes;
+  for (auto i = std::size_t{0}; i < kIdBytes; ++i) {
+    token.bytes[i] = static_cast<std::uint8_t>(id >> (8 * i));
+  }
+  return token;
+}
+
+auto IdOfToken(const Token& token) -> std::uint64_t {
+  if (token.size != kIdBytes) return 0;
+  auto id = std::uint64_t{0};
+  for (auto i = std::size_t{0}; i < kIdBytes; ++i) {
+    id |= static_cast<std::uint64_t>(token.bytes[i]) << (8 * i);
+  }
+  return id;
+}
+
+auto SendRequest(Context& context, LedgerEntry& entry) -> void {
+  auto& flow = FlowOf(context, entry.identity.flow);
+  auto parsed = ParseMessage(entry.request);
+  entry.target_message_id = flow.next_target_message_id++;
+  auto bytes = ForTarget(*parsed, entry.target_message_id, TokenOfId(entry.id));
+  context.effects.emplace_back(SendToTarget{entry.identity.flow, std::move(bytes)});
+}
+
+auto Admit(Context& context, LedgerEntry& entry) -> void {
+  auto& state = context.state;
+  if (entry.follow_up) return Run(context, entry);
+  const auto& client = entry.identity.flow.client.address;
+  switch (DecideAdmission(state.admission, state.parameters, client)) {
+    case AdmissionVerdict::kRun:
+      return Run(context, entry);
+    case AdmissionVerdict::kQueue:
+      return WaitInQueue(context, entry);
+    case AdmissionVerdict::kRefuseQueue:
+      return FinishNotRun(context, entry, Counter::kRefusedQueue);
+    case AdmissionVerdict::kRefuseClient:
+      return FinishNotRun(context, entry, Counter::kRefusedClientLimit);
+  }
+}
+
+auto StartQueued(Context& context) -> void {
+  auto& state = context.state;
+  while (auto next = TakeNext(state.admission, state.parameters)) {
+    Run(context, *FindById(state.ledger, next->id));
+  }
+}
+
+auto EndLive(Context& context, LedgerEntry& entry) -> void {
+  auto& admission = context.state.admission;
+  const auto& client = entry.identity.flow.client.address;
+  if (entry.stage == Stage::kQueued) RemoveQueued(admission, entry.id);
+  if (entry.holds_slot) ReleaseSlot(admission, client);
+  entry.holds_slot = false;
+  WakeAt(context, entry, {});
+  auto flow = context.state.flows.find(entry.identity.flow);
+  if (flow == context.state.flows.end()) return;
+  std::erase(flow->second.live, entry.id);
+}
+
+auto OnTimer(Context& context) -> void {
+  auto& state = context.state;
+  WakeEntries(context);
+  RefuseOverdue(context);
+  ExpireRequests(state.ledger, context.now, [&](LedgerEntry& entry) {
+    WakeAt(context, entry, {});
+    if (entry.stage != Stage::kChallenged) return;
+    EndChallenge(state.admission, entry.identity.flow.client.address);
+  });
+}
+
+auto OnFlowClosed(Context& context, const FlowClosed& event) -> void {
+  auto& state = context.state;
+  auto found = state.flows.find(event.flow);
+  if (found == state.flows.end()) return;
+  auto live = found->second.live;
+  for (auto id : live) {
+    auto* entry = FindById(state.ledger, id);
+    if (entry == nullptr) continue;
+    if (entry->stage == Stage::kObserving) {
+      EndStream(context, *entry, Counter::kStreamEnded);
+    } else if (entry->stage == Stage::kQueued) {
+      FinishNotRun(context, *entry, Counter::kRefusedQueue);
+    } else {
+      FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
+    }
+  }
+  state.flows.erase(event.flow);
+}
+
+auto OnTargetUnreachable(Context& context, const TargetUnreachable& event) -> void {
+  auto& state = context.state;
+  auto found = state.flows.find(event.flow);
+  if (found == state.flows.end()) return;
+  auto live = found->second.live;
+  for (auto id : live) {
+    auto* entry = FindById(state.ledger, id);
+    if (entry == nullptr) continue;
+    if (entry->stage == Stage::kObserving) {
+      FinishNotRun(context, *entry, Counter::kStreamEnded);
+    } else if (entry->stage == Stage::kQueued) {
+      FinishNotRun(context, *entry, Counter::kRefusedQueue);
+    } else if (entry->stage == Stage::kRunning) {
+      if (entry->method == MethodClass::kSafe && TryHandOn(context, *entry)) continue;
+      FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
+    }
+  }
+  context.effects.emplace_back(CloseFlow{event.flow, CloseReason::kTargetGone});
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/internal/hand_on.cc
@@ -0,0 +1,87 @@
+// Requests handed on between agents, both sides.
+#include <algorithm>
+
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+// A hand-on may only follow a refusal: the request was never sent to this agent's target, or
+// repeating it changes nothing. Streams and transfers stay with their flow.
+auto MayBeHandedOn(const LedgerEntry& entry) -> bool {
+  if (entry.identity.origin.value != 0) return false;
+  if (entry.observe || entry.follow_up || entry.request.empty()) return false;
+  if (entry.stage == Stage::kOffered || entry.stage == Stage::kObserving) return false;
+  return entry.stage != Stage::kRunning || entry.method == MethodClass::kSafe;
+}
+
+auto GiveUpAt(const Context& context, const LedgerEntry& entry) -> base::TimePoint {
+  return std::max(entry.deadline, context.now) + context.state.parameters.queue_limit;
+}
+
+auto Offer(Context& context, LedgerEntry& entry, Bytes bytes, base::TargetId only_to) -> void {
+  context.effects.emplace_back(
+      OfferHandOn{entry.identity.flow, entry.id, std::move(bytes), entry.deadline, only_to});
+  WakeAt(context, entry, GiveUpAt(context, entry));
+}
+
+// The other agent's challenge: it has not run the request, and only it can with this value.
+auto OfferAgain(Context& context, LedgerEntry& entry, const Message& challenge,
+                base::TargetId only_to) -> void {
+  if (entry.offer_confirmed) return;
+  entry.offer_confirmed = true;
+  auto request = ParseMessage(entry.request);
+  Offer(context, entry, WithEcho(*request, *challenge.echo), only_to);
+}
+
+auto IsChallenge(const Message& message) -> bool {
+  return message.code == kCodeUnauthorized && message.echo.has_value();
+}
+
+}  // namespace
+
+auto TryHandOn(Context& context, LedgerEntry& entry) -> bool {
+  auto& state = context.state;
+  if (!MayBeHandedOn(entry) || state.parameters.retry_share <= 0) return false;
+  if (entry.deadline <= context.now) return false;
+  if (!SpendRetry(state.retries)) {
+    CountOne(context, Counter::kHandOnBudgetSpent);
+    return false;
+  }
+  EndLive(context, entry);
+  entry.stage = Stage::kOffered;
+  FlowOf(context, entry.identity.flow).live.push_back(entry.id);
+  CountOne(context, Counter::kHandOnOffered);
+  auto request = ParseMessage(entry.request);
+  Offer(context, entry, ForTarget(*request, request->message_id, request->token), {});
+  return true;
+}
+
+auto OnHandOnRequested(Context& context, const HandOnRequested& event) -> void {
+  auto message = ParseMessage(event.bytes);
+  if (!message || !IsRequest(*message)) return CountOne(context, Counter::kClientMalformed);
+  auto identity = RequestIdentity{event.flow, message->token, message->message_id, event.origin};
+  auto asker = Asker{identity, message->type, event.request};
+  if (context.state.draining) return ReplyNotRun(context, asker, Counter::kRefusedQueue);
+  OnRequest(context, *message, asker, event.left);
+}
+
+auto OnHandOnAnswered(Context& context, const HandOnAnswered& event) -> void {
+  auto* entry = FindById(context.state.ledger, event.request);
+  if (entry == nullptr || entry->stage != Stage::kOffered || entry->identity.flow != event.flow) {
+    return CountOne(context, Counter::kLateAnswer);
+  }
+  // A read that was under way at a target that died may have run there.
+  auto may_have_run_here = entry->started != base::TimePoint{};
+  if (event.not_run && may_have_run_here) {
+    return FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
+  }
+  if (event.not_run) return FinishNotRun(context, *entry, Counter::kRefusedQueue);
+  auto answer = ParseMessage(event.bytes);
+  if (!answer || !IsResponse(*answer)) return CountOne(context, Counter::kTargetMalformed);
+  if (IsChallenge(*answer)) return OfferAgain(context, *entry, *answer, event.from);
+  CountOne(context, Counter::kHandOnAnswered);
+  FinishAnswered(context, *entry, *answer);
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/internal/intake.cc
@@ -0,0 +1,288 @@
+// What becomes of a request that comes in: a repetition, a read, or one that changes something.
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+constexpr auto kSizeExponentBase = 4;  // a block has 2^(exponent + 4) bytes (RFC 7959, 2.2)
+constexpr auto kRepeatToTargetAfter = base::seconds(1);
+
+struct Intake {
+  const Message& message;
+  const Asker& asker;
+  base::Duration left;
+};
+
+auto EntryFor(const Context& context, const Intake& intake) -> LedgerEntry {
+  auto entry = LedgerEntry{};
+  entry.identity = intake.asker.identity;
+  entry.type = intake.message.type;
+  entry.origin_request = intake.asker.origin_request;
+  entry.method = MethodClassOf(intake.message.code);
+  entry.content_digest = intake.message.content_digest;
+  entry.path_digest = intake.message.path_digest;
+  entry.arrived = context.now;
+  entry.deadline = context.now + intake.left;
+  entry.request = Bytes(intake.message.whole.begin(), intake.message.whole.end());
+  return entry;
+}
+
+auto HasRoomFor(const Context& context, const Intake& intake) -> bool {
+  const auto& state = context.state;
+  return HasRoom(state.ledger, state.parameters.ledger_bytes, intake.message.whole.size());
+}
+
+auto StartsUpload(const Message& message) -> bool {
+  return message.block1 && message.block1->number == 0 && message.block1->more;
+}
+
+auto IsLaterBlock(const Message& message) -> bool {
+  return message.block1 && message.block1->number > 0;
+}
+
+auto OffsetBehind(const Block& block) -> std::uint64_t {
+  return (std::uint64_t{block.number} + 1) << (block.size_exponent + kSizeExponentBase);
+}
+
+auto OffsetOf(const Block& block) -> std::uint64_t {
+  return std::uint64_t{block.number} << (block.size_exponent + kSizeExponentBase);
+}
+
+// Remembers an upload whose first block was taken, so that its later blocks are let through.
+auto NoteUpload(Context& context, const Intake& intake, std::uint64_t id) -> void {
+  if (!StartsUpload(intake.message)) return;
+  auto* entry = FindById(context.state.ledger, id);
+  if (entry == nullptr || !IsLive(entry->stage)) return;
+  FlowOf(context, intake.asker.identity.flow).upload =
+      Upload{intake.message.path_digest, OffsetBehind(*intake.message.block1),
+             context.now + kExchangeLifetime};
+}
+
+// Whether this is the next block of the flow's upload; moves the upload on when it is.
+auto ContinueUpload(Context& context, const Intake& intake) -> bool {
+  auto& upload = FlowOf(context, intake.asker.identity.flow).upload;
+  if (!upload || upload->expires <= context.now) return false;
+  const auto& block = *intake.message.block1;
+  if (upload->path_digest != intake.message.path_digest) return false;
+  if (upload->next_offset != OffsetOf(block)) return false;
+  upload->next_offset = OffsetBehind(block);
+  if (!block.more) upload.reset();
+  return true;
+}
+
+auto SendChallenge(Context& context, const LedgerEntry& entry) -> void {
+  auto asker = Asker{entry.challenged, entry.type, entry.origin_request};
+  auto form = ReplyFormOf(context, asker);
+  auto binding = EchoBinding{entry.challenged.flow, entry.challenged.origin, entry.content_digest};
+  auto echo = EchoOfIssue(context.state.mint, binding, entry.echo_issue);
+  Reply(context, asker, false,
+        BuildChallenge(form.type, form.message_id, entry.challenged.token, echo));
+}
+
+// A challenge answered now would be refused at once, and no other agent may be asked.
+auto WouldBeRefused(const Context& context, const Intake& intake) -> bool {
+  const auto& state = context.state;
+  auto can_hand_on = state.parameters.retry_share > 0 && state.retries.tokens >= 1 &&
+                     intake.asker.identity.origin.value == 0;
+  if (can_hand_on) return false;
+  auto verdict =
+      DecideAdmission(state.admission, state.parameters, intake.asker.identity.flow.client.address);
+  return verdict != AdmissionVerdict::kRun && verdict != AdmissionVerdict::kQueue;
+}
+
+auto TooManyChallenges(const Context& context, const Intake& intake) -> bool {
+  const auto& state = context.state;
+  auto of_client = ChallengesOf(state.admission, intake.asker.identity.flow.client.address);
+  if (of_client >= state.parameters.client_challenges) return true;
+  auto share =
+      state.parameters.challenge_share * static_cast<double>(state.parameters.ledger_bytes);
+  return static_cast<double>(state.admission.open_challenges * kLedgerEntryBytes) > share;
+}
+
+// A request that must not run twice and carries no Echo value made for it. It never runs: only its
+// sender, by sending it again with the value, shows that it still waits for it.
+auto Challenge(Context& context, const Intake& intake) -> void {
+  auto& state = context.state;
+  const auto& asker = intake.asker;
+  if (FlowOf(context, asker.identity.flow).adopted_until > context.now) {
+    return ReplyUnknown(context, asker, Counter::kUnknownAdoptedFlow);
+  }
+  if (WouldBeRefused(context, intake)) {
+    return ReplyNotRun(context, asker, Counter::kRefusedQueue);
+  }
+  if (TooManyChallenges(context, intake)) {
+    return ReplyNotRun(context, asker, Counter::kRefusedChallenges);
+  }
+  if (!HasRoom(state.ledger, state.parameters.ledger_bytes, 0)) {
+    return ReplyNotRun(context, asker, Counter::kRefusedLedgerFull);
+  }
+  auto entry = EntryFor(context, intake);
+  entry.request.clear();
+  entry.stage = Stage::kChallenged;
+  entry.was_challenged = true;
+  entry.challenged = asker.identity;
+  auto binding = EchoBinding{asker.identity.flow, asker.identity.origin, entry.content_digest};
+  entry.echo_issue = MintEcho(state.mint, binding, context.now).issue;
+  auto& kept = InsertRequest(state.ledger, std::move(entry));
+  KeepUntil(state.ledger, kept, context.now + kExchangeLifetime);
+  AddChallenge(state.admission, asker.identity.flow.client.address);
+  CountOne(context, Counter::kChallenged);
+  MarkTrace(context, kept, Mark::kChallenged);
+  SendChallenge(context, kept);
+}
+
+// The request came back with the Echo value of its challenge, which from here on is used up.
+auto Confirm(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
+  auto& state = context.state;
+  EndChallenge(state.admission, intake.asker.identity.flow.client.address);
+  AdoptIdentity(state.ledger, entry, intake.asker.identity);
+  entry.type = intake.message.type;
+  entry.origin_request = intake.asker.origin_request;
+  entry.arrived = context.now;
+  entry.deadline = context.now + intake.left;
+  // A copy that was minutes on its way: its sender may have stopped waiting. It has not run, and
+  // the used value sees to it that no other copy will.
+  if (EchoAge(entry.echo_issue, context.now) > state.parameters.echo_lifetime) {
+    return FinishNotRun(context, entry, Counter::kRefusedExpiredEcho);
+  }
+  SetRequestBytes(state.ledger, entry, intake.message.whole);
+  auto id = entry.id;
+  Admit(context, entry);
+  NoteUpload(context, intake, id);
+}
+
+// Safeguard: a client that saw the challenge twice may send the request twice, under two message
+// IDs and tokens but with the same value; run both, and one hold is made twice. Each value runs one
+// request, once.
+auto OnMintedEcho(Context& context, const Intake& intake, std::uint64_t issue) -> void {
+  auto* entry = FindByEcho(context.state.ledger, issue);
+  if (entry == nullptr || entry->stage != Stage::kChallenged) {
+    return ReplyUnknown(context, intake.asker, Counter::kUnknownEchoUsed);
+  }
+  Confirm(context, intake, *entry);
+}
+
+auto OnLaterBlock(Context& context, const Intake& intake) -> void {
+  // Without its first block here the upload began at another agent or incarnation, where this may
+  // have been the block that completed it.
+  if (!ContinueUpload(context, intake)) {
+    return ReplyUnknown(context, intake.asker, Counter::kUnknownUpload);
+  }
+  auto entry = EntryFor(context, intake);
+  entry.follow_up = true;
+  Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
+}
+
+auto OnGuarded(Context& context, const Intake& intake) -> void {
+  if (IsLaterBlock(intake.message)) return OnLaterBlock(context, intake);
+  if (!intake.message.echo) return Challenge(context, intake);
+  const auto& identity = intake.asker.identity;
+  auto binding = EchoBinding{identity.flow, identity.origin, intake.message.content_digest};
+  auto check = CheckEcho(context.state.mint, binding, *intake.message.echo);
+  switch (check.verdict) {
+    case EchoVerdict::kMinted:
+      return OnMintedEcho(context, intake, check.issue);
+    case EchoVerdict::kOtherContent:
+      return Challenge(context, intake);
+    case EchoVerdict::kForeign:
+      return ReplyUnknown(context, intake.asker, Counter::kUnknownForeignEcho);
+  }
+}
+
+// PUT, DELETE, iPATCH: a late copy must not undo what came after it, so each is remembered.
+auto OnIdempotent(Context& context, const Intake& intake) -> void {
+  auto follow_up = IsLaterBlock(intake.message) && ContinueUpload(context, intake);
+  // A refusal that is not recorded could be followed by a late copy that runs.
+  if (!follow_up && !HasRoomFor(context, intake)) {
+    return ReplyUnknown(context, intake.asker, Counter::kUnknownNoRecord);
+  }
+  auto entry = EntryFor(context, intake);
+  entry.follow_up = follow_up;
+  auto& kept = InsertRequest(context.state.ledger, std::move(entry));
+  auto id = kept.id;
+  Admit(context, kept);
+  NoteUpload(context, intake, id);
+}
+
+auto StreamsOf(const Context& context, const FlowState& flow) -> std::uint32_t {
+  auto streams = std::uint32_t{0};
+  for (auto id : flow.live) {
+    if (context.state.ledger.entries.at(id).observe) ++streams;
+  }
+  return streams;
+}
+
+auto ContinuesTransfer(const Context& context, const FlowState& flow, const Message& message)
+    -> bool {
+  return message.block2 && message.block2->number > 0 && flow.transfer_until > context.now &&
+         flow.transfer_path == message.path_digest;
+}
+
+auto OnSafe(Context& context, const Intake& intake) -> void {
+  if (intake.message.observe && RefreshStream(context, intake.message, intake.asker)) return;
+  if (!HasRoomFor(context, intake)) {
+    return ReplyNotRun(context, intake.asker, Counter::kRefusedLedgerFull);
+  }
+  const auto& flow = FlowOf(context, intake.asker.identity.flow);
+  auto entry = EntryFor(context, intake);
+  entry.observe = intake.message.observe == 0U && intake.asker.identity.origin.value == 0;
+  entry.follow_up = ContinuesTransfer(context, flow, intake.message);
+  if (entry.observe && StreamsOf(context, flow) >= context.state.parameters.flow_streams) {
+    return ReplyNotRun(context, intake.asker, Counter::kRefusedStreams);
+  }
+  Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
+}
+
+auto IsChallengedCopy(const LedgerEntry& entry, const RequestIdentity& identity) -> bool {
+  return entry.was_challenged && entry.challenged == identity && entry.identity != identity;
+}
+
+auto RepeatToTarget(Context& context, LedgerEntry& entry) -> void {
+  if (entry.method != MethodClass::kSafe || entry.request.empty()) return;
+  if (context.now - entry.started < kRepeatToTargetAfter) return;
+  SendRequest(context, entry);
+}
+
+auto OnLiveRepeated(Context& context, LedgerEntry& entry) -> void {
+  CountOne(context, Counter::kRetransmissionWhileRunning);
+  auto from_client = entry.identity.origin.value == 0;
+  if (entry.acknowledged && from_client) {
+    context.effects.emplace_back(
+        SendToClient{entry.identity.flow, BuildEmptyAck(entry.identity.message_id)});
+    return;
+  }
+  if (entry.stage == Stage::kRunning || entry.stage == Stage::kObserving) {
+    RepeatToTarget(context, entry);
+  }
+}
+
+auto OnRepeated(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
+  if (entry.content_digest != intake.message.content_digest) {
+    return ReplyUnknown(context, intake.asker, Counter::kUnknownIdentityReuse);
+  }
+  if (entry.stage == Stage::kChallenged) return SendChallenge(context, entry);
+  // The client has the challenge, since it has answered it.
+  if (IsChallengedCopy(entry, intake.asker.identity)) {
+    return CountOne(context, Counter::kRetransmissionWhileRunning);
+  }
+  if (IsLive(entry.stage)) return OnLiveRepeated(context, entry);
+  RepeatAnswer(context, entry);
+}
+
+}  // namespace
+
+auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
+    -> void {
+  auto intake = Intake{message, asker, left};
+  auto* known = FindRequest(context.state.ledger, asker.identity);
+  auto answers_challenge =
+      known != nullptr && known->stage == Stage::kChallenged && message.echo.has_value();
+  if (known != nullptr && !answers_challenge) return OnRepeated(context, intake, *known);
+  auto method = MethodClassOf(message.code);
+  if (method == MethodClass::kSafe) return OnSafe(context, intake);
+  auto from_client = asker.identity.origin.value == 0;
+  if (method == MethodClass::kIdempotent && from_client) return OnIdempotent(context, intake);
+  OnGuarded(context, intake);
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/internal/outcome.cc
@@ -0,0 +1,168 @@
+// The three final outcomes and how each is sent.
+#include <algorithm>
+
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+constexpr auto kAckTimeout = base::seconds(2);  // RFC 7252, 4.8
+constexpr auto kMaxSends = std::uint8_t{5};     // the first and MAX_RETRANSMIT more
+
+auto HadAnswer(const LedgerEntry& entry) -> bool {
+  return entry.acknowledged || entry.stage == Stage::kObserving;
+}
+
+// The client no longer waits for an ACK: the outcome goes out as a CON of the agent's own.
+auto OwnConfirmable(Context& context, LedgerEntry& entry) -> ReplyForm {
+  auto& flow = FlowOf(context, entry.identity.flow);
+  entry.client_message_id = flow.next_client_message_id++;
+  entry.sends_left = kMaxSends - 1;
+  RememberPassed(flow, {entry.client_message_id, 0, entry.id});
+  return {MessageType::kConfirmable, entry.client_message_id};
+}
+
+auto FormFor(Context& context, LedgerEntry& entry) -> ReplyForm {
+  if (entry.identity.origin.value == 0 && HadAnswer(entry)) return OwnConfirmable(context, entry);
+  return ReplyFormOf(context, AskerOf(entry));
+}
+
+auto MustBeKept(const LedgerEntry& entry) -> bool {
+  return entry.method != MethodClass::kSafe || entry.sends_left > 0;
+}
+
+auto Settle(Context& context, LedgerEntry& entry, Stage stage, Bytes answer) -> void {
+  auto& state = context.state;
+  EndLive(context, entry);
+  entry.stage = stage;
+  Reply(context, AskerOf(entry), stage == Stage::kRefused, answer);
+  if (!MustBeKept(entry)) return EraseRequest(state.ledger, entry.id);
+  SetRequestBytes(state.ledger, entry, {});
+  SetAnswerBytes(state.ledger, entry, std::move(answer));
+  KeepUntil(state.ledger, entry, context.now + kExchangeLifetime);
+  if (entry.sends_left > 0) WakeAt(context, entry, context.now + kAckTimeout);
+}
+
+auto NoteTransfer(Context& context, const LedgerEntry& entry, const Message& answer) -> void {
+  if (!answer.block2) return;
+  auto& flow = FlowOf(context, entry.identity.flow);
+  flow.transfer_path = entry.path_digest;
+  flow.transfer_until = answer.block2->more ? context.now + context.state.parameters.transfer_idle
+                                            : base::TimePoint{};
+}
+
+// A separate response of the target (RFC 7252, 5.2.2). The entry is kept, so that the target's
+// retransmissions reach the client under the same message ID until it acknowledges one.
+auto PassSeparate(Context& context, LedgerEntry& entry, const Message& answer) -> void {
+  auto& ledger = context.state.ledger;
+  auto bytes = PassToClient(context, entry, answer);
+  EndLive(context, entry);
+  entry.stage = Stage::kAnswered;
+  SetRequestBytes(ledger, entry, {});
+  if (entry.method != MethodClass::kSafe) SetAnswerBytes(ledger, entry, std::move(bytes));
+  KeepUntil(ledger, entry, context.now + kExchangeLifetime);
+}
+
+auto IsPiggybacked(const Message& answer) -> bool {
+  return answer.type == MessageType::kAcknowledgement;
+}
+
+}  // namespace
+
+auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void {
+  if (!entry.holds_slot) return;
+  ObserveServiceTime(context.state.admission, context.state.parameters,
+                     context.now - entry.started);
+}
+
+auto AskerOf(const LedgerEntry& entry) -> Asker {
+  return {entry.identity, entry.type, entry.origin_request};
+}
+
+auto ReplyFormOf(Context& context, const Asker& asker) -> ReplyForm {
+  if (asker.type == MessageType::kConfirmable || asker.identity.origin.value != 0) {
+    return {MessageType::kAcknowledgement, asker.identity.message_id};
+  }
+  auto& flow = FlowOf(context, asker.identity.flow);
+  return {MessageType::kNonConfirmable, flow.next_client_message_id++};
+}
+
+auto Reply(Context& context, const Asker& asker, bool not_run, Bytes bytes) -> void {
+  const auto& identity = asker.identity;
+  if (identity.origin.value == 0) {
+    context.effects.emplace_back(SendToClient{identity.flow, std::move(bytes)});
+    return;
+  }
+  context.effects.emplace_back(AnswerHandOn{identity.flow, identity.origin, asker.origin_request,
+                                            not_run, std::move(bytes)});
+}
+
+auto ReplyNotRun(Context& context, const Asker& asker, Counter counter) -> void {
+  auto& state = context.state;
+  auto form = ReplyFormOf(context, asker);
+  auto max_age = DrawMaxAge(state.admission, state.parameters, state.random);
+  ++state.refused;
+  ObserveDecision(state.admission, true);
+  CountOne(context, counter);
+  Reply(context, asker, true,
+        BuildNotRun(form.type, form.message_id, asker.identity.token, max_age));
+}
+
+auto ReplyUnknown(Context& context, const Asker& asker, Counter counter) -> void {
+  auto form = ReplyFormOf(context, asker);
+  CountOne(context, counter);
+  Reply(context, asker, false, BuildUnknown(form.type, form.message_id, asker.identity.token));
+}
+
+auto FinishNotRun(Context& context, LedgerEntry& entry, Counter counter) -> void {
+  auto& state = context.state;
+  if (TryHandOn(context, entry)) return;
+  auto form = FormFor(context, entry);
+  auto max_age = DrawMaxAge(state.admission, state.parameters, state.random);
+  ++state.refused;
+  ObserveDecision(state.admission, true);
+  CountOne(context, counter);
+  MarkTrace(context, entry, Mark::kRefused);
+  Settle(context, entry, Stage::kRefused,
+         BuildNotRun(form.type, form.message_id, entry.identity.token, max_age));
+}
+
+auto FinishUnknown(Context& context, LedgerEntry& entry, Counter counter) -> void {
+  auto form = FormFor(context, entry);
+  CountOne(context, counter);
+  MarkTrace(context, entry, Mark::kUnknown);
+  Settle(context, entry, Stage::kUnknown,
+         BuildUnknown(form.type, form.message_id, entry.identity.token));
+}
+
+auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void {
+  NoteServiceTime(context, entry);
+  NoteTransfer(context, entry, answer);
+  CountOne(context, Counter::kAnswered);
+  MarkTrace(context, entry, Mark::kAnswered);
+  auto from_client = entry.identity.origin.value == 0;
+  if (from_client && !IsPiggybacked(answer)) return PassSeparate(context, entry, answer);
+  auto form = FormFor(context, entry);
+  Settle(context, entry, Stage::kAnswered,
+         WithIdentity(answer.whole, form.type, form.message_id, entry.identity.token));
+}
+
+auto RepeatAnswer(Context& context, LedgerEntry& entry) -> void {
+  CountOne(context, Counter::kRetransmissionAnswered);
+  const auto& flow = entry.identity.flow;
+  if (entry.acknowledged) {
+    context.effects.emplace_back(SendToClient{flow, BuildEmptyAck(entry.identity.message_id)});
+  }
+  if (entry.answer.empty()) return;
+  Reply(context, AskerOf(entry), entry.stage == Stage::kRefused, entry.answer);
+}
+
+auto ResendOwn(Context& context, LedgerEntry& entry) -> void {
+  if (entry.sends_left == 0) return;
+  auto round = kMaxSends - entry.sends_left;
+  --entry.sends_left;
+  context.effects.emplace_back(SendToClient{entry.identity.flow, entry.answer});
+  if (entry.sends_left > 0) WakeAt(context, entry, context.now + kAckTimeout * (1 << round));
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/internal/state.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "requests/admission.h"
+#include "requests/echo.h"
+#include "requests/ledger.h"
+#include "requests/requests.h"
+#include "requests/retry_budget.h"
+
+namespace anvildrum::requests {
+
+/// A CON or NON of the target that was passed on: the client's ACK or RST goes back with the
+/// target's message ID.
+struct PassedMessage {
+  std::uint16_t client_side = 0;
+  std::uint16_t target_side = 0;
+  std::uint64_t request = 0;
+};
+
+/// A block-wise upload whose first block was admitted (RFC 7959, 2.5).
+struct Upload {
+  std::uint64_t path_digest = 0;
+  std::uint64_t next_offset = 0;  ///< bytes
+  base::TimePoint expires;
+};
+
+/// What the core keeps of a flow besides its requests.
+struct FlowState {
+  std::uint16_t next_target_message_id = 0;
+  std::uint16_t next_client_message_id = 0;
+  base::TimePoint adopted_until;
+  std::vector<std::uint64_t> live;    ///< requests queued, running, offered or observing
+  std::vector<PassedMessage> passed;  ///< a ring of the latest
+  std::size_t passed_next = 0;
+  std::optional<Upload> upload;
+  base::TimePoint transfer_until;  ///< a block-wise answer is in progress until then
+  std::uint64_t transfer_path = 0;
+};
+
+struct State {
+  Parameters parameters;
+  EchoMint mint;
+  std::mt19937_64 random;
+  Ledger ledger;
+  Admission admission;
+  RetryBudget retries;
+  std::unordered_map<base::FlowKey, FlowState> flows;
+  std::set<std::pair<base::TimePoint, std::uint64_t>> wakeups;  ///< entries' own timers
+  std::optional<base::TimePoint> timer;                         ///< as last asked for
+  bool draining = false;
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+};
+
+/// What one Step works on.
+struct Context {
+  State& state;
+  base::TimePoint now;
+  Effects& effects;
+};
+
+/// Steps of the event kinds, one file each.
+auto OnClientDatagram(Context& context, const ClientDatagram& event) -> void;
+auto OnTargetDatagram(Context& context, const TargetDatagram& event) -> void;
+auto OnTargetUnreachable(Context& context, const TargetUnreachable& event) -> void;
+auto OnFlowClosed(Context& context, const FlowClosed& event) -> void;
+auto OnHandOnRequested(Context& context, const HandOnRequested& event) -> void;
+auto OnHandOnAnswered(Context& context, const HandOnAnswered& event) -> void;
+auto OnTimer(Context& context) -> void;
+
+auto CountOne(Context& context, Counter counter) -> void;
+auto MarkTrace(Context& context, const LedgerEntry& entry, Mark mark) -> void;
+auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState&;
+
+/// Sets the entry's own timer, in place of the one before; a zero time ends it.
+auto WakeAt(Context& context, LedgerEntry& entry, base::TimePoint at) -> void;
+
+/// Life of a request: dispatch.cc.
+auto Admit(Context& context, LedgerEntry& entry) -> void;
+auto SendRequest(Context& context, LedgerEntry& entry) -> void;
+auto StartQueued(Context& context) -> void;
+
+/// Takes the entry out of the live ones: queue, slot, flow and timer.
+auto EndLive(Context& context, LedgerEntry& entry) -> void;
+
+/// Final outcomes: outcome.cc. After each the entry may be gone.
+auto FinishNotRun(Context& context, LedgerEntry& entry, Counter counter) -> void;
+auto FinishUnknown(Context& context, LedgerEntry& entry, Counter counter) -> void;
+/// `answer` is a response of the target, or of the agent that took the request, with any identity.
+auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void;
+
+/// Takes the time since the request was sent into the observed service times.
+auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void;
+
+/// Refusals of requests that are in no ledger; `identity` is the request's.
+struct Asker {
+  RequestIdentity identity;
+  MessageType type = MessageType::kConfirmable;
+  std::uint64_t origin_request = 0;
+};
+auto ReplyNotRun(Context& context, const Asker& asker, Counter counter) -> void;
+auto ReplyUnknown(Context& context, const Asker& asker, Counter counter) -> void;
+auto Reply(Context& context, const Asker& asker, bool not_run, Bytes bytes) -> void;
+
+/// Type and message ID under which a request that has no empty ACK is answered: piggybacked on the
+/// ACK of a confirmable one (RFC 7252, 5.2.1), or as a NON with an ID of the agent's.
+struct ReplyForm {
+  MessageType type = MessageType::kAcknowledgement;
+  std::uint16_t message_id = 0;
+};
+auto ReplyFormOf(Context& context, const Asker& asker) -> ReplyForm;
+auto AskerOf(const LedgerEntry& entry) -> Asker;
+
+/// Sends what a retransmission of a finished request gets again.
+auto RepeatAnswer(Context& context, LedgerEntry& entry) -> void;
+/// Retransmission of a CON of the agent's own that the client has not acknowledged.
+auto ResendOwn(Context& context, LedgerEntry& entry) -> void;
+
+/// Offers the request to another agent when that is allowed and the budget has room: hand_on.cc.
+auto TryHandOn(Context& context, LedgerEntry& entry) -> bool;
+
+/// A request of a client or of another agent: intake.cc.
+auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
+    -> void;
+
+/// Notifications and the client's answers to them: streams.cc.
+auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void;
+auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void;
+auto OnStreamWake(Context& context, LedgerEntry& entry) -> void;
+/// A new request for an observation the client already has. False when there is none.
+auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool;
+
+/// Passes a CON or NON of the target on under a message ID of the agent's.
+auto PassToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes;
+auto FindPassedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
+    -> PassedMessage*;
+auto FindPassedByClient(FlowState& flow, std::uint16_t client_side) -> PassedMessage*;
+auto RememberPassed(FlowState& flow, const PassedMessage& message) -> void;
+
+auto TokenOfId(std::uint64_t id) -> Token;
+auto IdOfToken(const Token& token) -> std::uint64_t;
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/internal/streams.cc
@@ -0,0 +1,166 @@
+// Observations (RFC 7641) and the message IDs of what the target sends on its own.
+#include <algorithm>
+
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+constexpr auto kPassedRing = std::size_t{32};
+// RFC 7641, 3.4: sequence numbers are 24 bits and compare as newer within half of that, or after
+// this much time whatever they are.
+constexpr auto kSequenceHalf = std::uint32_t{1} << 23;
+constexpr auto kSequenceTime = base::seconds(128);
+constexpr auto kSuccessClass = 2;
+
+auto IsFresh(const LedgerEntry& entry, std::uint32_t sequence, base::TimePoint now) -> bool {
+  auto last = entry.notification_sequence;
+  if (last < sequence) return sequence - last < kSequenceHalf;
+  if (last > sequence && last - sequence > kSequenceHalf) return true;
+  return now > entry.notified + kSequenceTime;
+}
+
+auto NoteNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+  entry.notification_sequence = message.observe.value_or(entry.notification_sequence);
+  entry.notification_message_id = message.message_id;
+  entry.notified = context.now;
+}
+
+auto PassNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+  if (message.type == MessageType::kAcknowledgement) {
+    auto form = ReplyFormOf(context, AskerOf(entry));
+    context.effects.emplace_back(SendToClient{
+        entry.identity.flow,
+        WithIdentity(message.whole, form.type, form.message_id, entry.identity.token)});
+    return;
+  }
+  PassToClient(context, entry, message);
+  auto waits = entry.wake != base::TimePoint{};
+  if (message.type != MessageType::kConfirmable || waits) return;
+  WakeAt(context, entry, context.now + context.state.parameters.stream_ack_limit);
+}
+
+// The first answer ends the request; the stream that stays holds a connection, not a slot.
+auto OpenStream(Context& context, LedgerEntry& entry) -> void {
+  NoteServiceTime(context, entry);
+  EndLive(context, entry);
+  entry.stage = Stage::kObserving;
+  FlowOf(context, entry.identity.flow).live.push_back(entry.id);
+  CountOne(context, Counter::kStreamOpened);
+  CountOne(context, Counter::kAnswered);
+  MarkTrace(context, entry, Mark::kAnswered);
+}
+
+auto IsStale(const Context& context, const LedgerEntry& entry, const Message& message) -> bool {
+  return message.observe && message.type != MessageType::kAcknowledgement &&
+         !IsFresh(entry, *message.observe, context.now);
+}
+
+auto DropStale(Context& context, const LedgerEntry& entry, const Message& message) -> void {
+  CountOne(context, Counter::kStaleNotification);
+  if (message.type != MessageType::kConfirmable) return;
+  context.effects.emplace_back(
+      SendToTarget{entry.identity.flow, BuildEmptyAck(message.message_id)});
+}
+
+auto EndsStream(const Message& message) -> bool {
+  return !message.observe || message.code >> 5 != kSuccessClass;
+}
+
+}  // namespace
+
+auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+  auto& flow = FlowOf(context, entry.identity.flow);
+  if (entry.stage == Stage::kRunning) {
+    OpenStream(context, entry);
+  } else if (FindPassedByTarget(flow, entry.id, message.message_id) == nullptr &&
+             IsStale(context, entry, message)) {
+    return DropStale(context, entry, message);
+  }
+  PassNotification(context, entry, message);
+  if (EndsStream(message)) return EndStream(context, entry, Counter::kStreamEnded);
+  NoteNotification(context, entry, message);
+}
+
+auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void {
+  CountOne(context, counter);
+  EndLive(context, entry);
+  EraseRequest(context.state.ledger, entry.id);
+}
+
+auto OnStreamWake(Context& context, LedgerEntry& entry) -> void {
+  // A target that sends confirmable notifications waits for their ACKs too; the RST makes it
+  // forget the stream now rather than after its own retransmissions (RFC 7641, 3.6).
+  context.effects.emplace_back(
+      SendToTarget{entry.identity.flow, BuildReset(entry.notification_message_id)});
+  EndStream(context, entry, Counter::kStreamClientGone);
+}
+
+auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool {
+  auto& ledger = context.state.ledger;
+  auto matches = [&](std::uint64_t id) {
+    const auto& entry = ledger.entries.at(id);
+    return entry.stage == Stage::kObserving && entry.identity.token == asker.identity.token &&
+           entry.path_digest == message.path_digest;
+  };
+  const auto& live = FlowOf(context, asker.identity.flow).live;
+  auto found = std::find_if(live.begin(), live.end(), matches);
+  if (asker.identity.origin.value != 0 || found == live.end()) return false;
+  auto& entry = *FindById(ledger, *found);
+  AdoptIdentity(ledger, entry, asker.identity);
+  entry.type = asker.type;
+  entry.acknowledged = false;
+  entry.content_digest = message.content_digest;
+  SetRequestBytes(ledger, entry, message.whole);
+  if (message.observe != 0U) {
+    // The client gives the observation up: what comes now is a plain answer.
+    entry.observe = false;
+    entry.follow_up = true;
+    entry.stage = Stage::kRunning;
+    entry.started = context.now;
+    WakeAt(context, entry, context.now + context.state.parameters.run_limit);
+  }
+  SendRequest(context, entry);
+  return true;
+}
+
+auto FindPassedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
+    -> PassedMessage* {
+  for (auto& passed : flow.passed) {
+    if (passed.request == request && passed.target_side == target_side) return &passed;
+  }
+  return nullptr;
+}
+
+auto FindPassedByClient(FlowState& flow, std::uint16_t client_side) -> PassedMessage* {
+  for (auto& passed : flow.passed) {
+    if (passed.client_side == client_side) return &passed;
+  }
+  return nullptr;
+}
+
+auto RememberPassed(FlowState& flow, const PassedMessage& message) -> void {
+  if (flow.passed.size() < kPassedRing) {
+    flow.passed.push_back(message);
+    return;
+  }
+  flow.passed[flow.passed_next] = message;
+  flow.passed_next = (flow.passed_next + 1) % kPassedRing;
+}
+
+auto PassToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes {
+  auto& flow = FlowOf(context, entry.identity.flow);
+  auto* known = FindPassedByTarget(flow, entry.id, message.message_id);
+  auto client_side = std::uint16_t{0};
+  if (known != nullptr) {
+    client_side = known->client_side;
+  } else {
+    client_side = flow.next_client_message_id++;
+    RememberPassed(flow, {client_side, message.message_id, entry.id});
+  }
+  auto bytes = WithIdentity(message.whole, message.type, client_side, entry.identity.token);
+  context.effects.emplace_back(SendToClient{entry.identity.flow, bytes});
+  return bytes;
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/ledger.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+#include "base/types/flow_key.h"
+#include "base/types/ids.h"
+#include "base/types/time.h"
+#include "requests/coap_message.h"
+
+namespace anvildrum::requests {
+
+/// Where a request stands.
+enum class Stage : std::uint8_t {
+  kChallenged,  ///< 4.01 sent; its Echo value has not come back
+  kQueued,
+  kRunning,    ///< sent to the target
+  kOffered,    ///< handed on to another agent
+  kObserving,  ///< answered, and notifications follow (RFC 7641)
+  kAnswered,
+  kRefused,  ///< not run
+  kUnknown,  ///< may have run
+};
+
+/// What tells a request from others: the client's message ID and token within a flow. `origin` is
+/// the agent that handed the request on, 0 for a client.
+struct RequestIdentity {
+  base::FlowKey flow;
+  Token token;
+  std::uint16_t message_id = 0;
+  base::InstanceId origin;
+  auto operator<=>(const RequestIdentity&) const = default;
+};
+
+struct RequestIdentityHash {
+  auto operator()(const RequestIdentity& identity) const noexcept -> std::size_t;
+};
+
+/// One request. `id` is also its token towards the target: unique within the incarnation, so that
+/// a late answer cannot be taken for that of a later request with the same token of the client.
+struct LedgerEntry {
+  std::uint64_t id = 0;
+  RequestIdentity identity;
+  RequestIdentity challenged;  ///< of the request without Echo, when there was a challenge
+  MessageType type = MessageType::kConfirmable;
+  MethodClass method = MethodClass::kSafe;
+  Stage stage = Stage::kRunning;
+  bool was_challenged = false;
+  bool acknowledged = false;  ///< the client has an empty ACK: its answer comes separately
+  bool observe = false;       ///< asks for notifications
+  bool follow_up = false;     ///< later block of a transfer: never refused, holds no slot
+  bool holds_slot = false;
+  bool offer_confirmed = false;  ///< offered again with the other agent's Echo value
+  std::uint8_t sends_left = 0;   ///< of the final answer, when that is a CON of the agent's own
+  std::uint16_t target_message_id = 0;
+  std::uint16_t client_message_id = 0;        ///< of the agent's last CON towards the client
+  std::uint16_t notification_message_id = 0;  ///< the target's, of the last notification
+  std::uint32_t notification_sequence = 0;
+  std::uint64_t content_digest = 0;
+  std::uint64_t path_digest = 0;
+  std::uint64_t echo_issue = 0;      ///< 0: none
+  std::uint64_t origin_request = 0;  ///< the origin's id of a request handed on
+  base::TimePoint arrived;
+  base::TimePoint started;
+  base::TimePoint deadline;  ///< of the wait in the queue or for a hand-on
+  base::TimePoint wake;      ///< when the entry's own timer is due; zero: none
+  base::TimePoint notified;  ///< the last notification that was passed on
+  base::TimePoint expires;   ///< of a final stage
+  Bytes request;             ///< while it may still have to be sent
+  Bytes answer;              ///< as sent to the client; kept for its retransmissions
+};
+
+/// Every request that is live or that a late copy could still repeat.
+struct Ledger {
+  std::unordered_map<std::uint64_t, LedgerEntry> entries;
+  std::unordered_map<RequestIdentity, std::uint64_t, RequestIdentityHash> by_identity;
+  std::unordered_map<std::uint64_t, std::uint64_t> by_echo;        ///< issue number -> entry
+  std::deque<std::pair<base::TimePoint, std::uint64_t>> expiries;  ///< in the order of time
+  std::size_t bytes = 0;
+  std::uint64_t next_id = 1;
+};
+
+/// Memory counted for an entry besides its request and answer: the entry and its index nodes.
+inline constexpr auto kLedgerEntryBytes = sizeof(LedgerEntry) + 2 * sizeof(RequestIdentity) + 160;
+
+auto IsLive(Stage stage) -> bool;
+auto FindRequest(Ledger& ledger, const RequestIdentity& identity) -> LedgerEntry*;
+auto FindById(Ledger& ledger, std::uint64_t id) -> LedgerEntry*;
+auto FindByEcho(Ledger& ledger, std::uint64_t issue) -> LedgerEntry*;
+
+/// Whether `size` more bytes fit under `limit`.
+auto HasRoom(const Ledger& ledger, std::size_t limit, std::size_t size) -> bool;
+
+/// Takes the entry in and gives it its id. The caller has checked HasRoom.
+auto InsertRequest(Ledger& ledger, LedgerEntry entry) -> LedgerEntry&;
+
+/// Makes the request also known under the identity it came back with, after a challenge or as a
+/// refresh of an observation.
+auto AdoptIdentity(Ledger& ledger, LedgerEntry& entry, const RequestIdentity& identity) -> void;
+
+auto SetEcho(Ledger& ledger, LedgerEntry& entry, std::uint64_t issue) -> void;
+auto SetRequestBytes(Ledger& ledger, LedgerEntry& entry, BytesView bytes) -> void;
+auto SetAnswerBytes(Ledger& ledger, LedgerEntry& entry, Bytes bytes) -> void;
+
+/// Keeps the entry, which is in a final stage or challenged, until `expires`.
+auto KeepUntil(Ledger& ledger, LedgerEntry& entry, base::TimePoint expires) -> void;
+
+auto EraseRequest(Ledger& ledger, std::uint64_t id) -> void;
+
+/// Forgets what is due. Calls `forgotten(entry)` before each.
+template <typename Forgotten>
+auto ExpireRequests(Ledger& ledger, base::TimePoint now, Forgotten&& forgotten) -> void {
+  while (!ledger.expiries.empty() && ledger.expiries.front().first <= now) {
+    auto id = ledger.expiries.front().second;
+    ledger.expiries.pop_front();
+    auto* entry = FindById(ledger, id);
+    if (entry == nullptr || IsLive(entry->stage)) continue;
+    if (entry->expires > now) continue;
+    forgotten(*entry);
+    EraseRequest(ledger, id);
+  }
+}
+
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/types/counter.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+
+namespace anvildrum::requests {
+
+/// What is counted, one each; the daemon turns these into metrics.
+enum class Counter : std::uint8_t {
+  kClientMalformed,       ///< datagram of a client that is no CoAP message
+  kTargetMalformed,       ///< datagram of the target that is no CoAP message
+  kUnexpectedFromClient,  ///< a response, or an ACK or RST that matches nothing
+  kUnexpectedFromTarget,  ///< a request, or an ACK or RST that matches nothing
+  kAdmitted,
+  kQueued,
+  kAnswered,
+  kRefusedQueue,        ///< could not finish by its deadline; not run
+  kRefusedClientLimit,  ///< too many requests of one client; not run
+  kRefusedLedgerFull,   ///< not run
+  kRefusedChallenges,   ///< too many open challenges; not run
+  kRefusedExpiredEcho,  ///< a challenge answered too late; not run
+  kRefusedStreams,      ///< too many observations of the flow; not run
+  kUnknownRunLimit,     ///< no answer of the target in time
+  kUnknownTargetGone,
+  kUnknownForeignEcho,    ///< an Echo value of another incarnation or flow
+  kUnknownEchoUsed,       ///< an Echo value whose request has been admitted already
+  kUnknownAdoptedFlow,    ///< may be a late copy from before the flow was taken over
+  kUnknownUpload,         ///< a later block of an upload that did not start here
+  kUnknownIdentityReuse,  ///< message ID and token of another request that is still remembered
+  kUnknownHandOn,         ///< no answer of the other agent in time
+  kUnknownNoRecord,       ///< the ledger is full and a later copy could not be told from a new one
+  kChallenged,
+  kRetransmissionAnswered,
+  kRetransmissionWhileRunning,
+  kLateAnswer,         ///< of the target, for a request that has its final answer
+  kStaleNotification,  ///< older than one already sent (RFC 7641, 3.4)
+  kStreamOpened,
+  kStreamEnded,
+  kStreamClientGone,
+  kHandOnOffered,
+  kHandOnAnswered,
+  kHandOnBudgetSpent,
+  kCount,  ///< number of counters, not one itself
+};
+
+}  // namespace anvildrum::requests
