--- /dev/null
+++ b/src/relay/state.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "relay/store.h"
+#include "relay/types/effect.h"
+#include "relay/types/settings.h"
+
+namespace anvildrum::relay {
+
+/// Counted by kind; read by the operator port.
+struct RelayCounters {
+  std::uint64_t accepted = 0;
+  std::uint64_t duplicates = 0;
+  std::uint64_t refused_stale_revision = 0;
+  std::uint64_t refused_stale_number = 0;
+  std::uint64_t refused_config_deleted = 0;
+  std::uint64_t refused_forgotten = 0;
+  std::uint64_t bad_messages = 0;
+  std::uint64_t bad_deltas = 0;  ///< without their base, or that did not unpack
+  std::uint64_t gaps = 0;        ///< a parent was ahead of what arrived
+  std::uint64_t repairs = 0;     ///< sets that differed at the same revision
+  std::uint64_t parents_lost = 0;
+  std::uint64_t subscribes_sent = 0;
+  std::uint64_t updates_sent = 0;
+  std::uint64_t heartbeats_sent = 0;
+  std::uint64_t watches_started = 0;
+  std::uint64_t watches_failed = 0;
+  std::uint64_t watches_hung = 0;
+  std::uint64_t polls_started = 0;
+  std::uint64_t polls_failed = 0;
+  std::uint64_t suspicions_sent = 0;
+  std::uint64_t deletes_issued = 0;
+  std::uint64_t deletes_conflicted = 0;
+};
+
+/// A peer that this instance hears from.
+struct Parent {
+  base::InstanceId instance;  ///< zero for a seed until it answers
+  base::Endpoint endpoint;
+  bool answered = false;
+  bool rooted = false;  ///< its heartbeats arrive, so its way to a root is whole
+  std::uint32_t hops = 0;
+  base::TimePoint asked_at{};
+  base::TimePoint heard_at{};
+  base::TimePoint renewed_at{};
+};
+
+/// A peer that hears from this instance.
+struct Child {
+  base::ServiceId service;
+  std::uint64_t sent_revision = 0;    ///< has everything up to here
+  std::uint64_t config_revision = 0;  ///< the configuration it holds
+  bool complete_sent = false;
+  base::TimePoint renewed_at{};
+};
+
+struct WatchState {
+  bool active = false;
+  base::TimePoint started_at{};  ///< when the call begins, its delay included
+  std::uint32_t failures = 0;
+};
+
+struct PollState {
+  bool active = false;
+  base::TimePoint started_at{};
+  std::optional<base::TimePoint> next;  ///< while isolated
+  base::TimePoint relist_at{};
+  std::uint32_t failures = 0;
+};
+
+/// What this balancer itself suspects.
+struct OwnSuspicion {
+  std::uint64_t revision = 0;
+  std::string failure_domain;
+  base::TimePoint since{};
+  base::TimePoint sent_at{};
+  bool sent = false;
+};
+
+/// What this balancer was told by others, as the one that clears.
+struct Reports {
+  std::uint64_t revision = 0;
+  base::TimePoint first{};
+  std::map<std::uint64_t, base::TimePoint> reporters;
+  std::optional<base::TimePoint> deleted_at;  ///< when a delete was last issued
+};
+
+struct State {
+  RelaySettings settings;
+  std::mt19937_64 random;
+  Store store;
+  std::vector<RelayPeer> peers;                           ///< all balancers, this one included
+  std::map<std::string, std::vector<RelayPeer>> domains;  ///< in rank order
+  std::map<base::Endpoint, Parent> parents;
+  std::map<base::Endpoint, base::TimePoint> avoided;  ///< silent ones, until when
+  std::map<base::InstanceId, Child> children;
+  WatchState watch;
+  PollState poll;
+  std::map<std::string, OwnSuspicion> own_suspicions;
+  std::map<std::string, Reports> reports;
+  base::TimePoint next_delete{};
+  base::TimePoint started_at{};
+  base::TimePoint next_heartbeat{};
+  base::TimePoint forwarded_at{};  ///< last heartbeat passed on
+  base::TimePoint repaired_at{};
+  base::TimePoint rooted_at{};  ///< last sign of a root, or the start
+  std::size_t seed_index = 0;   ///< seed that is asked now
+  bool started = false;
+  bool stopping = false;
+  bool ready = false;
+  bool root = false;
+  RelayCounters counters;
+};
+
+}  // namespace anvildrum::relay
