Bring records to every instance: store, tree, watchers, clearing

Revisions and the configuration's number only rise; each domain's first two balancers that answer watch the platform, roots hear from each other, all others from a parent in the rank tree; dead announcements are cleared by a conditional delete after several reports.

Thin: only the store has tests so far.

--- /dev/null
+++ b/src/relay/internal/children.cc
@@ -0,0 +1,200 @@
+#include "relay/internal/children.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "relay/internal/delta.h"
+
+namespace anvildrum::relay {
+namespace {
+
+auto Seal(wire::pb::RelayMessage message) -> SharedMessage {
+  return std::make_shared<const wire::pb::RelayMessage>(std::move(message));
+}
+
+auto AddRecord(wire::pb::Update& update, const PlatformObject& object) -> void {
+  wire::pb::Record& record = *update.add_records();
+  record.set_key(object.key);
+  record.set_revision(object.revision);
+  record.set_deleted(object.deleted);
+  record.set_value(object.value);
+  record.set_number(object.number);
+}
+
+/// The steps from `held` to the newest configuration; false when one of them is not kept.
+auto AddConfigDeltas(wire::pb::Update& update, const Store& store, std::uint64_t held) -> bool {
+  auto step = store.deltas.begin();
+  while (step != store.deltas.end() && step->from != held) ++step;
+  if (step == store.deltas.end()) return false;
+  for (; step != store.deltas.end(); ++step) {
+    wire::pb::Record& record = *update.add_records();
+    record.set_key(std::string(kConfigKey));
+    record.set_revision(step->to);
+    record.set_number(step->number);
+    record.set_encoding(wire::pb::Record::ZSTD_DELTA);
+    record.set_base_revision(step->from);
+    record.set_value(step->bytes);
+  }
+  return true;
+}
+
+auto AddConfig(wire::pb::Update& update, const Store& store, std::uint64_t held) -> void {
+  const StoredRecord* config = FindConfig(store);
+  if (config == nullptr || config->revision == held) return;
+  if (AddConfigDeltas(update, store, held)) return;
+  wire::pb::Record& record = *update.add_records();
+  record.set_key(std::string(kConfigKey));
+  record.set_revision(config->revision);
+  record.set_number(config->number);
+  record.set_encoding(wire::pb::Record::ZSTD);
+  record.set_value(Pack(config->value, {}));
+}
+
+auto AddStored(wire::pb::Update& update, const std::string& key, const StoredRecord& stored)
+    -> void {
+  AddRecord(update, {.key = key,
+                     .revision = stored.revision,
+                     .deleted = stored.deleted,
+                     .value = stored.value,
+                     .number = stored.number});
+}
+
+/// Everything that exists, for a child that holds nothing of use. A configuration that the child
+/// holds is left out: a complete set never takes one away.
+auto FillComplete(wire::pb::Update& update, const Store& store, const Child& child) -> void {
+  update.set_complete(true);
+  for (const auto& [key, stored] : store.records) {
+    if (stored.deleted || key == kConfigKey) continue;
+    if (IsTakenBy(stored.service, child.service)) AddStored(update, key, stored);
+  }
+  AddConfig(update, store, child.config_revision);
+}
+
+auto FillNewer(wire::pb::Update& update, const Store& store, const Child& child, std::uint64_t than)
+    -> void {
+  update.set_base(than);
+  auto place = store.by_revision.lower_bound({than + 1, std::string{}});
+  for (; place != store.by_revision.end(); ++place) {
+    const StoredRecord& stored = store.records.find(place->second)->second;
+    if (place->second == kConfigKey) continue;
+    if (IsTakenBy(stored.service, child.service)) AddStored(update, place->second, stored);
+  }
+  AddConfig(update, store, child.config_revision);
+}
+
+auto NoteSent(const State& state, Child& child) -> void {
+  const StoredRecord* config = FindConfig(state.store);
+  child.sent_revision = state.store.horizon;
+  child.config_revision = config == nullptr ? 0 : config->revision;
+  child.complete_sent = true;
+}
+
+/// Answers a subscription: what is newer than the child's horizon, or everything.
+auto SendNewer(State& state, base::InstanceId to, Child& child, std::uint64_t horizon,
+               Effects& effects) -> void {
+  auto message = NewMessage(state);
+  wire::pb::Update& update = *message.mutable_update();
+  update.set_revision(state.store.horizon);
+  if (horizon == 0 || horizon < state.store.floor) {
+    FillComplete(update, state.store, child);
+  } else {
+    FillNewer(update, state.store, child, horizon);
+  }
+  NoteSent(state, child);
+  ++state.counters.updates_sent;
+  effects.emplace_back(SendPeer{.to = to, .endpoint = {}, .message = Seal(std::move(message))});
+}
+
+/// Children that get the same bytes.
+using Group = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>;
+
+auto MakeChange(const State& state, std::span<const PlatformObject> accepted, const Child& child)
+    -> SharedMessage {
+  auto message = NewMessage(state);
+  wire::pb::Update& update = *message.mutable_update();
+  update.set_base(child.sent_revision);
+  update.set_revision(state.store.horizon);
+  for (const PlatformObject& object : accepted) {
+    if (object.key == kConfigKey) continue;
+    if (IsTakenBy(ServiceOfKey(object.key), child.service)) AddRecord(update, object);
+  }
+  AddConfig(update, state.store, child.config_revision);
+  if (update.records_size() == 0) return nullptr;
+  return Seal(std::move(message));
+}
+
+}  // namespace
+
+auto NewMessage(const State& state) -> wire::pb::RelayMessage {
+  wire::pb::RelayMessage message;
+  message.set_sender(state.settings.self.instance.value);
+  message.set_incarnation(state.settings.self.incarnation);
+  return message;
+}
+
+auto OnSubscribe(State& state, base::InstanceId sender, const wire::pb::Subscribe& subscribe,
+                 base::TimePoint now, Effects& effects) -> void {
+  Child& child = state.children[sender];
+  const bool is_renewal = child.complete_sent && subscribe.revision() >= child.sent_revision &&
+                          subscribe.config_revision() == child.config_revision;
+  child.service = base::ServiceId{subscribe.service()};
+  child.renewed_at = now;
+  if (is_renewal || !state.store.complete) return;
+  child.config_revision = subscribe.config_revision();
+  SendNewer(state, sender, child, subscribe.revision(), effects);
+}
+
+auto OnUnsubscribe(State& state, base::InstanceId sender) -> void { state.children.erase(sender); }
+
+auto PassOn(State& state, std::span<const PlatformObject> accepted, base::InstanceId from,
+            base::TimePoint /*now*/, Effects& effects) -> void {
+  if (!state.store.complete) return;
+  std::map<Group, SharedMessage> messages;
+  for (auto& [instance, child] : state.children) {
+    if (!child.complete_sent) {
+      SendNewer(state, instance, child, 0, effects);
+      continue;
+    }
+    if (accepted.empty() || instance == from) continue;
+    const Group group{child.service.value, child.sent_revision, child.config_revision};
+    auto [place, is_new] = messages.try_emplace(group);
+    if (is_new) place->second = MakeChange(state, accepted, child);
+    if (place->second == nullptr) continue;
+    NoteSent(state, child);
+    ++state.counters.updates_sent;
+    effects.emplace_back(SendPeer{.to = instance, .endpoint = {}, .message = place->second});
+  }
+}
+
+auto SendHeartbeats(State& state, std::uint32_t hops, base::TimePoint now, Effects& effects)
+    -> void {
+  if (!state.store.complete) return;
+  state.forwarded_at = now;
+  const StoredRecord* config = FindConfig(state.store);
+  std::map<std::uint64_t, SharedMessage> messages;
+  for (const auto& [instance, child] : state.children) {
+    SharedMessage& shared = messages[child.service.value];
+    if (shared == nullptr) {
+      auto message = NewMessage(state);
+      wire::pb::Heartbeat& heartbeat = *message.mutable_heartbeat();
+      heartbeat.set_config_number(config == nullptr ? 0 : config->number);
+      heartbeat.set_revision(state.store.horizon);
+      heartbeat.set_hops(hops);
+      heartbeat.set_digest(DigestFor(state.store, child.service));
+      shared = Seal(std::move(message));
+    }
+    ++state.counters.heartbeats_sent;
+    effects.emplace_back(SendPeer{.to = instance, .endpoint = {}, .message = shared});
+  }
+}
+
+auto DropSilentChildren(State& state, base::TimePoint now) -> void {
+  std::erase_if(state.children, [&](const auto& entry) {
+    return now - entry.second.renewed_at > state.settings.policy.child_timeout;
+  });
+}
+
+}  // namespace anvildrum::relay
--- /dev/null
+++ b/src/relay/internal/clearing.cc
@@ -0,0 +1,162 @@
+#include "relay/internal/clearing.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "relay/internal/children.h"
+#include "relay/internal/topology.h"
+
+namespace anvildrum::relay {
+namespace {
+
+/// A delete whose outcome never came back is issued again after this; its condition makes it safe.
+constexpr base::Duration kDeleteRetry = base::seconds(30);
+
+auto HoldsRevision(const Store& store, const std::string& key, std::uint64_t revision) -> bool {
+  const auto found = store.records.find(key);
+  return found != store.records.end() && !found->second.deleted &&
+         found->second.revision == revision;
+}
+
+auto NoteReport(State& state, std::uint64_t reporter, const std::string& key,
+                std::uint64_t revision, base::TimePoint now) -> void {
+  if (!HoldsRevision(state.store, key, revision)) return;
+  Reports& reports = state.reports[key];
+  if (reports.revision != revision) reports = {.revision = revision, .first = now};
+  reports.reporters[reporter] = now;
+}
+
+auto WithdrawReport(State& state, std::uint64_t reporter, const std::string& key) -> void {
+  const auto found = state.reports.find(key);
+  if (found == state.reports.end()) return;
+  found->second.reporters.erase(reporter);
+  if (found->second.reporters.empty()) state.reports.erase(found);
+}
+
+auto AttemptOf(const State& state, const OwnSuspicion& suspicion, base::TimePoint now)
+    -> std::size_t {
+  return static_cast<std::size_t>((now - suspicion.since) /
+                                  state.settings.policy.suspicion_escalate);
+}
+
+/// To the balancer that clears for the domain, or into the own book when that is this one.
+auto Report(State& state, const std::string& key, const OwnSuspicion& suspicion, bool is_alive,
+            base::TimePoint now, Effects& effects) -> void {
+  const Link clearer =
+      ClearerFor(state, suspicion.failure_domain, AttemptOf(state, suspicion, now), now);
+  const base::InstanceId self = state.settings.self.instance;
+  if (clearer.instance.value == 0) return;
+  if (clearer.instance == self) {
+    if (is_alive) return WithdrawReport(state, self.value, key);
+    return NoteReport(state, self.value, key, suspicion.revision, now);
+  }
+  auto message = NewMessage(state);
+  wire::pb::Suspicion& body = *message.mutable_suspicion();
+  body.set_key(key);
+  body.set_revision(suspicion.revision);
+  body.set_alive(is_alive);
+  ++state.counters.suspicions_sent;
+  effects.emplace_back(
+      SendPeer{.to = clearer.instance,
+               .endpoint = clearer.endpoint,
+               .message = std::make_shared<const wire::pb::RelayMessage>(std::move(message))});
+}
+
+auto RepeatReports(State& state, base::TimePoint now, Effects& effects) -> void {
+  std::erase_if(state.own_suspicions, [&](const auto& entry) {
+    return !HoldsRevision(state.store, entry.first, entry.second.revision);
+  });
+  for (auto& [key, suspicion] : state.own_suspicions) {
+    if (now - suspicion.sent_at < state.settings.policy.suspicion_repeat) continue;
+    suspicion.sent_at = now;
+    Report(state, key, suspicion, false, now, effects);
+  }
+}
+
+/// One balancer's view may be a cut between it and the target, so one report never clears; with few
+/// balancers all but one must agree, since that one may be what died.
+auto Quorum(const State& state) -> std::size_t {
+  const std::size_t others = state.peers.size() > 1 ? state.peers.size() - 1 : 1;
+  return std::min(state.settings.policy.suspicion_quorum, others);
+}
+
+auto ForgetOldReports(State& state, base::TimePoint now) -> void {
+  for (auto& [key, reports] : state.reports) {
+    std::erase_if(reports.reporters, [&](const auto& entry) {
+      return now - entry.second > state.settings.policy.suspicion_expiry;
+    });
+  }
+  std::erase_if(state.reports, [&](const auto& entry) {
+    return entry.second.reporters.empty() ||
+           !HoldsRevision(state.store, entry.first, entry.second.revision);
+  });
+}
+
+auto IsDue(const State& state, const Reports& reports, base::TimePoint now) -> bool {
+  const bool is_held = now - reports.first >= state.settings.policy.suspicion_hold;
+  const bool is_new = !reports.deleted_at.has_value() || now - *reports.deleted_at > kDeleteRetry;
+  return is_held && is_new && reports.reporters.size() >= Quorum(state);
+}
+
+/// No lease: the delete names the revision that was suspected. Failure: this balancer is paused
+/// between deciding and writing, another clears, the target announces itself again. Symptom without
+/// the condition: a live target disappears. With it the late write meets a newer revision and
+/// fails, whoever else believes to be the clearer.
+auto ClearReported(State& state, base::TimePoint now, Effects& effects) -> void {
+  if (now < state.next_delete) return;
+  for (auto& [key, reports] : state.reports) {
+    if (!IsDue(state, reports, now)) continue;
+    reports.deleted_at = now;
+    state.next_delete = now + state.settings.policy.delete_interval;
+    ++state.counters.deletes_issued;
+    effects.emplace_back(DeleteRecord{.key = key, .if_revision = reports.revision});
+    return;
+  }
+}
+
+}  // namespace
+
+auto OnSuspected(State& state, const RecordSuspected& event, base::TimePoint now, Effects& effects)
+    -> void {
+  if (!HoldsRevision(state.store, event.key, event.revision)) return;
+  OwnSuspicion& suspicion = state.own_suspicions[event.key];
+  const bool is_new = suspicion.revision != event.revision;
+  if (!is_new) return;
+  suspicion = {.revision = event.revision,
+               .failure_domain = event.failure_domain,
+               .since = now,
+               .sent_at = now};
+  Report(state, event.key, suspicion, false, now, effects);
+}
+
+auto OnAlive(State& state, const RecordAlive& event, base::TimePoint now, Effects& effects)
+    -> void {
+  const auto found = state.own_suspicions.find(event.key);
+  if (found == state.own_suspicions.end()) return;
+  Report(state, event.key, found->second, true, now, effects);
+  state.own_suspicions.erase(found);
+}
+
+auto OnSuspicion(State& state, base::InstanceId sender, const wire::pb::Suspicion& suspicion,
+                 base::TimePoint now) -> void {
+  if (suspicion.alive()) return WithdrawReport(state, sender.value, suspicion.key());
+  NoteReport(state, sender.value, suspicion.key(), suspicion.revision(), now);
+}
+
+auto OnDeleteFinished(State& state, const DeleteFinished& event) -> void {
+  if (!event.conflict) return;
+  ++state.counters.deletes_conflicted;
+  const auto found = state.reports.find(event.key);
+  if (found != state.reports.end() && found->second.revision == event.revision) {
+    state.reports.erase(found);
+  }
+}
+
+auto TickClearing(State& state, base::TimePoint now, Effects& effects) -> void {
+  RepeatReports(state, now, effects);
+  ForgetOldReports(state, now);
+  ClearReported(state, now, effects);
+}
+
+}  // namespace anvildrum::relay
--- /dev/null
+++ b/src/relay/internal/parents.cc
@@ -0,0 +1,242 @@
+#include "relay/internal/parents.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "relay/internal/apply.h"
+#include "relay/internal/children.h"
+#include "relay/internal/delta.h"
+#include "relay/internal/platform.h"
+#include "relay/internal/topology.h"
+
+namespace anvildrum::relay {
+namespace {
+
+/// A heartbeat that came further went round in a circle of balancers with different views.
+constexpr std::uint32_t kHopsMost = 12;
+
+auto SendSubscribe(State& state, Parent& parent, bool everything, base::TimePoint now,
+                   Effects& effects) -> void {
+  auto message = NewMessage(state);
+  wire::pb::Subscribe& subscribe = *message.mutable_subscribe();
+  const StoredRecord* config = FindConfig(state.store);
+  subscribe.set_config_number(config == nullptr ? 0 : config->number);
+  subscribe.set_config_revision(config == nullptr ? 0 : config->revision);
+  subscribe.set_revision(everything || !state.store.complete ? 0 : state.store.horizon);
+  subscribe.set_service(state.settings.service.value);
+  parent.renewed_at = now;
+  ++state.counters.subscribes_sent;
+  effects.emplace_back(
+      SendPeer{.to = parent.instance,
+               .endpoint = parent.endpoint,
+               .message = std::make_shared<const wire::pb::RelayMessage>(std::move(message))});
+}
+
+auto SendUnsubscribe(State& state, const Parent& parent, Effects& effects) -> void {
+  auto message = NewMessage(state);
+  message.mutable_unsubscribe();
+  effects.emplace_back(
+      SendPeer{.to = parent.instance,
+               .endpoint = parent.endpoint,
+               .message = std::make_shared<const wire::pb::RelayMessage>(std::move(message))});
+}
+
+auto OpenParent(State& state, const Link& link, base::TimePoint now, Effects& effects) -> void {
+  Parent& parent = state.parents[link.endpoint];
+  parent = {.instance = link.instance, .endpoint = link.endpoint, .asked_at = now, .heard_at = now};
+  effects.emplace_back(SubscribeTo{link.endpoint});
+  SendSubscribe(state, parent, false, now, effects);
+}
+
+auto CloseParent(State& state, const Parent& parent, Effects& effects) -> void {
+  SendUnsubscribe(state, parent, effects);
+  effects.emplace_back(DropParent{parent.endpoint});
+}
+
+/// One that never answered gets the plain timeout; the hops of one that did are known.
+auto TimeoutOf(const State& state, const Parent& parent) -> base::Duration {
+  const RelayPolicy& policy = state.settings.policy;
+  return policy.parent_timeout + policy.timeout_per_hop * parent.hops;
+}
+
+auto FindParent(State& state, const PeerMessage& event) -> Parent* {
+  const auto found = state.parents.find(event.endpoint);
+  if (found == state.parents.end()) return nullptr;
+  found->second.instance = event.sender;
+  found->second.answered = true;
+  return &found->second;
+}
+
+/// What is left behind on the way to a parent that was ahead: asked for again, once in a while.
+auto AskAgain(State& state, Parent& parent, base::TimePoint now, Effects& effects) -> void {
+  if (now - parent.renewed_at < state.settings.policy.subscribe_retry) return;
+  ++state.counters.gaps;
+  SendSubscribe(state, parent, false, now, effects);
+}
+
+/// The sets differ at the same revision: a watch lost an event. A root asks the platform, since
+/// its peer may be the one that is wrong; all others take what their parent holds.
+auto Repair(State& state, Parent& parent, base::TimePoint now, Effects& effects) -> void {
+  if (now - state.repaired_at < state.settings.policy.repair_interval) return;
+  state.repaired_at = now;
+  ++state.counters.repairs;
+  if (state.root) {
+    StartPoll(state, base::Duration::zero(), now, effects);
+    return;
+  }
+  SendSubscribe(state, parent, true, now, effects);
+}
+
+/// The configuration that the next delta of an update starts from.
+struct DeltaBase {
+  std::uint64_t revision = 0;
+  std::string value;
+};
+
+auto ReadConfig(const wire::pb::Record& record, DeltaBase& base) -> std::optional<Incoming> {
+  const bool is_delta = record.encoding() == wire::pb::Record::ZSTD_DELTA;
+  if (is_delta && record.base_revision() != base.revision) return std::nullopt;
+  auto value = Unpack(record.value(), is_delta ? base.value : std::string{}, kValueMost);
+  if (!value.has_value()) return std::nullopt;
+  base = {.revision = record.revision(), .value = *value};
+  Incoming incoming;
+  incoming.object = {.key = record.key(),
+                     .revision = record.revision(),
+                     .value = std::move(*value),
+                     .number = record.number()};
+  if (is_delta) incoming.delta_base = record.base_revision();
+  if (is_delta) incoming.delta = record.value();
+  return incoming;
+}
+
+/// Reads the records of an update; false when a configuration could not be unpacked.
+auto ReadRecords(State& state, const wire::pb::Update& update, std::vector<Incoming>& records)
+    -> bool {
+  const StoredRecord* config = FindConfig(state.store);
+  DeltaBase base;
+  if (config != nullptr) base = {.revision = config->revision, .value = config->value};
+  bool is_whole = true;
+  for (const wire::pb::Record& record : update.records()) {
+    if (record.encoding() == wire::pb::Record::PLAIN) {
+      records.push_back({.object = {.key = record.key(),
+                                    .revision = record.revision(),
+                                    .deleted = record.deleted(),
+                                    .value = record.value(),
+                                    .number = record.number()}});
+      continue;
+    }
+    if (record.revision() <= base.revision) {
+      ++state.counters.duplicates;
+      continue;
+    }
+    auto incoming = ReadConfig(record, base);
+    if (incoming.has_value()) records.push_back(std::move(*incoming));
+    is_whole = is_whole && incoming.has_value();
+  }
+  return is_whole;
+}
+
+auto ForwardHeartbeat(State& state, std::uint32_t hops, base::TimePoint now, Effects& effects)
+    -> void {
+  if (state.root) return;
+  if (now - state.forwarded_at < state.settings.policy.heartbeat / 2) return;
+  SendHeartbeats(state, hops + 1, now, effects);
+}
+
+/// Compares what the parent holds with what is held here.
+auto CompareWith(State& state, Parent& parent, const wire::pb::Heartbeat& heartbeat,
+                 base::TimePoint now, Effects& effects) -> void {
+  Store& store = state.store;
+  if (!store.complete) return AskAgain(state, parent, now, effects);
+  if (heartbeat.digest() == DigestFor(store, state.settings.service)) {
+    // Nothing between the two horizons concerns this instance.
+    store.horizon = std::max(store.horizon, heartbeat.revision());
+    return;
+  }
+  if (heartbeat.revision() > store.horizon) return AskAgain(state, parent, now, effects);
+  if (heartbeat.revision() == store.horizon) Repair(state, parent, now, effects);
+}
+
+}  // namespace
+
+auto ReconcileParents(State& state, base::TimePoint now, Effects& effects) -> void {
+  const std::vector<Link> wanted = WantedParents(state, now);
+  const auto is_wanted = [&](const base::Endpoint& endpoint) {
+    return std::any_of(wanted.begin(), wanted.end(),
+                       [&](const Link& link) { return link.endpoint == endpoint; });
+  };
+  for (const auto& [endpoint, parent] : state.parents) {
+    if (!is_wanted(endpoint)) CloseParent(state, parent, effects);
+  }
+  std::erase_if(state.parents, [&](const auto& entry) { return !is_wanted(entry.first); });
+  for (const Link& link : wanted) {
+    if (!state.parents.contains(link.endpoint)) OpenParent(state, link, now, effects);
+  }
+}
+
+auto TickParents(State& state, base::TimePoint now, Effects& effects) -> void {
+  const RelayPolicy& policy = state.settings.policy;
+  for (auto& [endpoint, parent] : state.parents) {
+    if (now - parent.heard_at > TimeoutOf(state, parent)) {
+      ++state.counters.parents_lost;
+      state.avoided[endpoint] = now + policy.avoid_for;
+      continue;
+    }
+    const base::Duration wait = parent.answered ? policy.renew_interval : policy.subscribe_retry;
+    if (now - parent.renewed_at >= wait) SendSubscribe(state, parent, false, now, effects);
+  }
+  std::erase_if(state.avoided, [&](const auto& entry) { return entry.second <= now; });
+}
+
+auto ForgiveParents(State& state, base::TimePoint now) -> void {
+  for (auto& [endpoint, parent] : state.parents) parent.heard_at = now;
+}
+
+auto OnUpdate(State& state, const PeerMessage& event, base::TimePoint now, Effects& effects)
+    -> void {
+  Parent* parent = FindParent(state, event);
+  if (parent == nullptr) {
+    ++state.counters.bad_messages;
+    return;
+  }
+  const wire::pb::Update& update = event.message.update();
+  std::vector<Incoming> records;
+  const bool is_whole = ReadRecords(state, update, records);
+  const bool has_gap =
+      state.store.complete && !update.complete() && update.base() > state.store.horizon;
+  Apply(state, std::move(records),
+        {.base = update.base(),
+         .revision = update.revision(),
+         .complete = update.complete(),
+         .from = event.sender},
+        now, effects);
+  if (!is_whole) ++state.counters.bad_deltas;
+  if (!is_whole || has_gap) AskAgain(state, *parent, now, effects);
+}
+
+auto OnHeartbeat(State& state, const PeerMessage& event, base::TimePoint now, Effects& effects)
+    -> void {
+  Parent* parent = FindParent(state, event);
+  const wire::pb::Heartbeat& heartbeat = event.message.heartbeat();
+  if (parent == nullptr || heartbeat.hops() > kHopsMost) {
+    ++state.counters.bad_messages;
+    return;
+  }
+  parent->heard_at = now;
+  parent->rooted = true;
+  parent->hops = heartbeat.hops();
+  state.rooted_at = now;
+  CompareWith(state, *parent, heartbeat, now, effects);
+  ForwardHeartbeat(state, heartbeat.hops(), now, effects);
+}
+
+auto LeaveParents(State& state, Effects& effects) -> void {
+  for (const auto& [endpoint, parent] : state.parents) CloseParent(state, parent, effects);
+  state.parents.clear();
+}
+
+}  // namespace anvildrum::relay
--- /dev/null
+++ b/src/relay/internal/topology.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "base/types/endpoint.h"
+#include "base/types/ids.h"
+#include "base/types/time.h"
+#include "relay/state.h"
+
+namespace anvildrum::relay {
+
+/// A peer to subscribe to.
+struct Link {
+  base::InstanceId instance;  ///< zero for a seed
+  base::Endpoint endpoint;
+};
+
+/// Sorts the balancers into domains and ranks; for an agent also its order of preference.
+auto TakePeers(State& state, const std::vector<RelayPeer>& peers) -> void;
+
+/// Parent of rank >= 1 in a tree where each has at most `fan_out` children.
+auto ParentRank(std::size_t rank, std::size_t fan_out) -> std::size_t;
+
+/// Ranks to ask, in order: the parent, the one beside it, the ways up to the first rank, then all
+/// others below `rank`.
+auto CandidateRanks(std::size_t rank, std::size_t fan_out) -> std::vector<std::size_t>;
+
+/// Whether this balancer should watch the platform: fewer than `watchers_per_domain` balancers
+/// before it in its domain's order answer, as far as it can tell.
+auto IsRoot(const State& state, base::TimePoint now) -> bool;
+
+/// Peers to hear from now.
+auto WantedParents(const State& state, base::TimePoint now) -> std::vector<Link>;
+
+/// The `attempt`-th balancer to tell of dead announcements in a failure domain: the domain's own
+/// first, then those of the domains after it. Instance zero: there is none.
+auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt,
+                base::TimePoint now) -> Link;
+
+auto IsAvoided(const State& state, const base::Endpoint& endpoint, base::TimePoint now) -> bool;
+
+}  // namespace anvildrum::relay
--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -62,14 +62,15 @@
 
 struct WatchState {
   bool active = false;
+  std::uint64_t after = 0;
   base::TimePoint started_at{};  ///< when the call begins, its delay included
   std::uint32_t failures = 0;
 };
 
 struct PollState {
   bool active = false;
-  base::TimePoint started_at{};
-  std::optional<base::TimePoint> next;  ///< while isolated
+  base::TimePoint started_at{};         ///< when the call begins, its delay included
+  std::optional<base::TimePoint> next;  ///< without a complete set or a parent
   base::TimePoint relist_at{};
   std::uint32_t failures = 0;
 };
@@ -80,15 +81,14 @@
   std::string failure_domain;
   base::TimePoint since{};
   base::TimePoint sent_at{};
-  bool sent = false;
 };
 
 /// What this balancer was told by others, as the one that clears.
 struct Reports {
   std::uint64_t revision = 0;
   base::TimePoint first{};
-  std::map<std::uint64_t, base::TimePoint> reporters;
-  std::optional<base::TimePoint> deleted_at;  ///< when a delete was last issued
+  std::map<std::uint64_t, base::TimePoint> reporters{};
+  std::optional<base::TimePoint> deleted_at{};  ///< when a delete was last issued
 };
 
 struct State {
@@ -97,6 +97,7 @@
   Store store;
   std::vector<RelayPeer> peers;                           ///< all balancers, this one included
   std::map<std::string, std::vector<RelayPeer>> domains;  ///< in rank order
+  std::vector<RelayPeer> preferred;  ///< agents: balancers in the order they are asked
   std::map<base::Endpoint, Parent> parents;
   std::map<base::Endpoint, base::TimePoint> avoided;  ///< silent ones, until when
   std::map<base::InstanceId, Child> children;
@@ -106,6 +107,7 @@
   std::map<std::string, Reports> reports;
   base::TimePoint next_delete{};
   base::TimePoint started_at{};
+  base::TimePoint ticked_at{};
   base::TimePoint next_heartbeat{};
   base::TimePoint forwarded_at{};  ///< last heartbeat passed on
   base::TimePoint repaired_at{};
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -22,8 +22,7 @@
   std::uint64_t revision = 0;
   std::uint64_t number = 0;  ///< configuration only
   bool deleted = false;      ///< a tombstone
-  base::TimePoint deleted_at{};
-  base::ServiceId service;  ///< of a target's record; zero for what everyone takes
+  base::ServiceId service;   ///< of a target's record; zero for what everyone takes
   std::string value;
 };
 
@@ -45,15 +44,24 @@
   std::string bytes;
 };
 
+/// Where a tombstone stands, in the order of the deletions.
+struct Tombstone {
+  base::TimePoint at{};
+  std::uint64_t revision = 0;
+  std::string key;
+};
+
 /// Records by key. Revisions and the configuration's number only rise.
 struct Store {
   boost::unordered_flat_map<std::string, StoredRecord> records;
   std::set<std::pair<std::uint64_t, std::string>> by_revision;
-  /// Everything up to this revision is held; zero before the first complete set.
+  bool complete = false;  ///< a complete set was taken once
+  /// Everything up to this revision is held; of no meaning before the first complete set.
   std::uint64_t horizon = 0;
   /// Deletions up to this revision may have been forgotten.
   std::uint64_t floor = 0;
   std::size_t tombstones = 0;
+  std::deque<Tombstone> tombstone_queue;
   std::uint64_t shared_digest = 0;
   boost::unordered_flat_map<std::uint64_t, std::uint64_t> service_digests;
   std::uint64_t all_digest = 0;
--- a/src/relay/types/event.h
+++ b/src/relay/types/event.h
@@ -18,7 +18,7 @@
   std::string key;
   std::uint64_t revision = 0;
   bool deleted = false;
-  std::string value;         ///< JSON text, empty when deleted
+  std::string value{};       ///< JSON text, empty when deleted
   std::uint64_t number = 0;  ///< key "config": the configuration's number; otherwise 0
 };
 
