--- /dev/null
+++ b/src/relay/tests/fleet.cc
@@ -0,0 +1,391 @@
+#include "relay/tests/fleet.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace anvildrum::relay::fleet {
+namespace {
+
+constexpr base::Duration kPlatformDelay = base::milliseconds(3);
+constexpr std::uint16_t kPort = 7000;
+constexpr std::uint32_t kFirstAddress = 0x0A000001;
+
+auto Schedule(Fleet& fleet, base::TimePoint at, std::function<void()> run) -> void {
+  fleet.queue.push({.at = at, .sequence = ++fleet.sequence, .run = std::move(run)});
+}
+
+/// Runs only when the instance still lives the life it lived now.
+auto ScheduleFor(Fleet& fleet, std::size_t index, base::Duration delay, std::function<void()> run)
+    -> void {
+  const std::uint64_t life = fleet.nodes[index].life;
+  Schedule(fleet, fleet.now + delay, [&fleet, index, life, run = std::move(run)] {
+    if (fleet.nodes[index].up && fleet.nodes[index].life == life) run();
+  });
+}
+
+auto IndexOf(const base::Endpoint& endpoint) -> std::size_t {
+  return (static_cast<std::size_t>(endpoint.address[13]) << 16U) +
+         (static_cast<std::size_t>(endpoint.address[14]) << 8U) + endpoint.address[15] - 1;
+}
+
+auto IndexOf(const Fleet& fleet, base::InstanceId instance) -> std::size_t {
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.nodes[i].state.settings.self.instance == instance) return i;
+  }
+  return fleet.nodes.size();
+}
+
+auto IsCut(const Fleet& fleet, std::size_t left, std::size_t right) -> bool {
+  return fleet.cuts.contains({std::min(left, right), std::max(left, right)});
+}
+
+auto Chance(Fleet& fleet, double probability) -> bool {
+  return probability > 0 && std::uniform_real_distribution<>(0, 1)(fleet.random) < probability;
+}
+
+auto Jitter(Fleet& fleet) -> base::Duration {
+  if (fleet.jitter == base::Duration::zero()) return {};
+  return base::Duration(
+      std::uniform_int_distribution<base::Duration::rep>(0, fleet.jitter.count())(fleet.random));
+}
+
+auto ToObject(const std::string& key, const FakeObject& object) -> PlatformObject {
+  return {.key = key,
+          .revision = object.revision,
+          .deleted = object.deleted,
+          .value = object.value,
+          .number = object.number};
+}
+
+auto Newer(const FakePlatform& platform, std::uint64_t than, bool complete) -> PlatformObjects {
+  PlatformObjects answer{.objects = {}, .revision = platform.revision, .complete = complete};
+  for (const auto& [key, object] : platform.objects) {
+    const bool is_wanted = complete ? !object.deleted : object.revision > than;
+    if (is_wanted) answer.objects.push_back(ToObject(key, object));
+  }
+  return answer;
+}
+
+auto CountCall(Fleet& fleet) -> void {
+  ++fleet.platform.calls;
+  const auto second = std::chrono::duration_cast<base::seconds>(fleet.now.time_since_epoch());
+  ++fleet.platform.calls_by_second[second.count()];
+}
+
+auto AnswerWatch(Fleet& fleet, std::size_t index, std::uint64_t token, Event answer) -> void {
+  ScheduleFor(fleet, index, kPlatformDelay, [&fleet, index, token, answer = std::move(answer)] {
+    if (fleet.nodes[index].watch_token == token) Deliver(fleet, index, answer);
+  });
+}
+
+auto IsPlatformUp(const Fleet& fleet, std::size_t index) -> bool {
+  return !fleet.platform.down && fleet.nodes[index].reaches_platform;
+}
+
+auto BeginWatch(Fleet& fleet, std::size_t index, const StartWatch& watch, std::uint64_t token)
+    -> void {
+  if (fleet.nodes[index].watch_token != token) return;
+  CountCall(fleet);
+  FakePlatform& platform = fleet.platform;
+  if (!IsPlatformUp(fleet, index)) {
+    return AnswerWatch(fleet, index, token, PlatformFailed{PlatformCall::kWatch, false});
+  }
+  if (platform.hangs) return;
+  if (watch.after < platform.kept_from) {
+    return AnswerWatch(fleet, index, token, PlatformFailed{PlatformCall::kWatch, true});
+  }
+  if (platform.revision > watch.after) {
+    return AnswerWatch(fleet, index, token, Newer(platform, watch.after, false));
+  }
+  platform.waiting[index] = {.after = watch.after, .token = token};
+  ScheduleFor(fleet, index, watch.timeout, [&fleet, index, token] {
+    const auto found = fleet.platform.waiting.find(index);
+    if (found == fleet.platform.waiting.end() || found->second.token != token) return;
+    fleet.platform.waiting.erase(found);
+    AnswerWatch(fleet, index, token, Newer(fleet.platform, fleet.platform.revision, false));
+  });
+}
+
+auto AnswerWaiting(Fleet& fleet) -> void {
+  const auto waiting = std::exchange(fleet.platform.waiting, {});
+  for (const auto& [index, watch] : waiting) {
+    AnswerWatch(fleet, index, watch.token, Newer(fleet.platform, watch.after, false));
+  }
+}
+
+auto Write(Fleet& fleet, const std::string& key, FakeObject object) -> std::uint64_t {
+  object.revision = ++fleet.platform.revision;
+  fleet.platform.objects[key] = std::move(object);
+  AnswerWaiting(fleet);
+  return fleet.platform.revision;
+}
+
+auto Send(Fleet& fleet, std::size_t from, const SendPeer& send) -> void {
+  const bool to_parent = send.endpoint.port != 0;
+  const std::size_t to = to_parent ? IndexOf(send.endpoint) : IndexOf(fleet, send.to);
+  const std::size_t bytes = send.message->ByteSizeLong();
+  fleet.bytes += bytes;
+  ++fleet.messages;
+  ++fleet.nodes[from].messages_out;
+  fleet.nodes[from].bytes_out += bytes;
+  if (to >= fleet.nodes.size() || IsCut(fleet, from, to) || Chance(fleet, fleet.loss)) return;
+  const RelayPeer& self = fleet.nodes[from].state.settings.self;
+  PeerMessage event{.sender = self.instance,
+                    .endpoint = to_parent ? base::Endpoint{} : EndpointOf(from),
+                    .message = *send.message};
+  ScheduleFor(fleet, to, fleet.delay + Jitter(fleet),
+              [&fleet, to, bytes, event = std::move(event)] {
+                fleet.nodes[to].bytes_in += bytes;
+                Deliver(fleet, to, event);
+              });
+}
+
+/// What a daemon does with the records of balancers.
+auto UpdatePeers(Fleet& fleet, std::size_t index, const RecordsChanged& changed) -> void {
+  constexpr std::string_view kPrefix = "balancers/";
+  Node& node = fleet.nodes[index];
+  bool is_changed = false;
+  for (const PlatformObject& object : changed.records) {
+    if (!object.key.starts_with(kPrefix)) continue;
+    is_changed = true;
+    node.peers.erase(object.key);
+    if (object.deleted) continue;
+    const std::size_t other = std::stoul(object.key.substr(kPrefix.size()));
+    RelayPeer peer = fleet.nodes[other].state.settings.self;
+    peer.incarnation = std::stoull(object.value);
+    node.peers.emplace(object.key, std::move(peer));
+  }
+  if (!is_changed) return;
+  PeersChanged event;
+  for (const auto& [key, peer] : node.peers) event.peers.push_back(peer);
+  ScheduleFor(fleet, index, base::Duration::zero(),
+              [&fleet, index, event = std::move(event)] { Deliver(fleet, index, event); });
+}
+
+auto NoteInForce(Fleet& fleet, Node& node, const RecordsChanged& changed) -> void {
+  for (const PlatformObject& object : changed.records) {
+    std::uint64_t& revision = node.revisions[object.key];
+    node.went_back = node.went_back || object.revision < revision;
+    revision = object.revision;
+    if (object.key != kConfigKey) continue;
+    node.went_back = node.went_back || object.number <= node.number;
+    node.number = object.number;
+    node.in_force_at = fleet.now;
+  }
+}
+
+auto Delete(Fleet& fleet, std::size_t index, const DeleteRecord& request) -> void {
+  ScheduleFor(fleet, index, kPlatformDelay, [&fleet, index, request] {
+    CountCall(fleet);
+    if (!IsPlatformUp(fleet, index)) return;
+    const bool deleted = DeleteObject(fleet, request.key, request.if_revision);
+    Deliver(fleet, index,
+            DeleteFinished{.key = request.key,
+                           .revision = request.if_revision,
+                           .deleted = deleted,
+                           .conflict = !deleted});
+  });
+}
+
+struct Carry {
+  Fleet& fleet;
+  std::size_t index;
+
+  auto Self() const -> Node& { return this->fleet.nodes[this->index]; }
+  auto operator()(const SendPeer& send) const -> void { Send(this->fleet, this->index, send); }
+  auto operator()(const SubscribeTo& /*effect*/) const -> void {}
+  auto operator()(const DropParent& /*effect*/) const -> void {}
+  auto operator()(const StartWatch& watch) const -> void {
+    const std::uint64_t token = ++this->Self().watch_token;
+    ScheduleFor(this->fleet, this->index, watch.delay,
+                [&fleet = this->fleet, index = this->index, watch, token] {
+                  BeginWatch(fleet, index, watch, token);
+                });
+  }
+  auto operator()(const StopWatch& /*effect*/) const -> void {
+    ++this->Self().watch_token;
+    this->fleet.platform.waiting.erase(this->index);
+  }
+  auto operator()(const PollPlatform& poll) const -> void {
+    ScheduleFor(this->fleet, this->index, poll.delay + kPlatformDelay,
+                [&fleet = this->fleet, index = this->index] {
+                  CountCall(fleet);
+                  if (!IsPlatformUp(fleet, index)) {
+                    return Deliver(fleet, index, PlatformFailed{PlatformCall::kPoll, false});
+                  }
+                  Deliver(fleet, index, Newer(fleet.platform, 0, true));
+                });
+  }
+  auto operator()(const DeleteRecord& request) const -> void {
+    if (this->Self().holds_deletes) return this->Self().held_deletes.push_back(request);
+    Delete(this->fleet, this->index, request);
+  }
+  auto operator()(const RecordsChanged& changed) const -> void {
+    NoteInForce(this->fleet, this->Self(), changed);
+    UpdatePeers(this->fleet, this->index, changed);
+  }
+  auto operator()(const Ready& /*effect*/) const -> void { this->Self().is_ready = true; }
+  auto operator()(const SetTimer& timer) const -> void {
+    const std::uint64_t token = ++this->Self().timer_token;
+    ScheduleFor(this->fleet, this->index, timer.at - this->fleet.now,
+                [&fleet = this->fleet, index = this->index, token] {
+                  if (fleet.nodes[index].timer_token == token) Deliver(fleet, index, TimerFired{});
+                });
+  }
+};
+
+}  // namespace
+
+auto EndpointOf(std::size_t index) -> base::Endpoint {
+  return base::EndpointFromV4(kFirstAddress + static_cast<std::uint32_t>(index), kPort);
+}
+
+auto Balancer(std::size_t index, const std::string& domain) -> RelaySettings {
+  RelaySettings settings;
+  settings.self.name = std::to_string(index);
+  settings.self.instance = base::InstanceIdOf(settings.self.name);
+  settings.self.control = EndpointOf(index);
+  settings.self.failure_domain = domain;
+  return settings;
+}
+
+auto Agent(std::size_t index, const std::string& domain, const std::string& service)
+    -> RelaySettings {
+  RelaySettings settings = Balancer(index, domain);
+  settings.role = RelayRole::kAgent;
+  settings.service = base::ServiceIdOf(service);
+  return settings;
+}
+
+auto AddNode(Fleet& fleet, RelaySettings settings) -> std::size_t {
+  fleet.nodes.push_back({.state = MakeState(std::move(settings))});
+  return fleet.nodes.size() - 1;
+}
+
+auto StartNode(Fleet& fleet, std::size_t index) -> void {
+  Node& node = fleet.nodes[index];
+  RelaySettings settings = node.state.settings;
+  ++settings.self.incarnation;
+  node = {.state = MakeState(std::move(settings)),
+          .up = true,
+          .reaches_platform = node.reaches_platform,
+          .life = node.life + 1,
+          .timer_token = node.timer_token,
+          .watch_token = node.watch_token + 1,
+          .bytes_in = node.bytes_in,
+          .bytes_out = node.bytes_out,
+          .messages_out = node.messages_out};
+  Deliver(fleet, index, Started{});
+}
+
+auto KillNode(Fleet& fleet, std::size_t index) -> void {
+  fleet.nodes[index].up = false;
+  ++fleet.nodes[index].life;
+  fleet.platform.waiting.erase(index);
+}
+
+auto Announce(Fleet& fleet, std::size_t index) -> void {
+  const RelayPeer& self = fleet.nodes[index].state.settings.self;
+  PutObject(fleet, "balancers/" + self.name, std::to_string(self.incarnation));
+}
+
+auto PutObject(Fleet& fleet, const std::string& key, std::string value, std::uint64_t number)
+    -> std::uint64_t {
+  return Write(fleet, key, {.number = number, .value = std::move(value)});
+}
+
+auto DeleteObject(Fleet& fleet, const std::string& key, std::optional<std::uint64_t> if_revision)
+    -> bool {
+  const auto found = fleet.platform.objects.find(key);
+  if (found == fleet.platform.objects.end() || found->second.deleted) return false;
+  if (if_revision.has_value() && found->second.revision != *if_revision) return false;
+  Write(fleet, key, {.deleted = true});
+  return true;
+}
+
+auto SetDown(Fleet& fleet, bool down) -> void {
+  fleet.platform.down = down;
+  if (!down) return;
+  const auto waiting = std::exchange(fleet.platform.waiting, {});
+  for (const auto& [index, watch] : waiting) {
+    AnswerWatch(fleet, index, watch.token, PlatformFailed{PlatformCall::kWatch, false});
+  }
+}
+
+auto Deliver(Fleet& fleet, std::size_t index, const Event& event) -> void {
+  if (!fleet.nodes[index].up) return;
+  const Effects effects = Step(fleet.nodes[index].state, event, fleet.now);
+  for (const Effect& effect : effects) std::visit(Carry{fleet, index}, effect);
+}
+
+auto ReleaseDeletes(Fleet& fleet, std::size_t index) -> void {
+  Node& node = fleet.nodes[index];
+  node.holds_deletes = false;
+  for (const DeleteRecord& request : std::exchange(node.held_deletes, {})) {
+    Delete(fleet, index, request);
+  }
+}
+
+auto SetCut(Fleet& fleet, std::size_t left, std::size_t right, bool cut) -> void {
+  const std::pair<std::size_t, std::size_t> pair{std::min(left, right), std::max(left, right)};
+  if (cut) {
+    fleet.cuts.insert(pair);
+  } else {
+    fleet.cuts.erase(pair);
+  }
+}
+
+auto RunFor(Fleet& fleet, base::Duration duration) -> void {
+  RunUntil(fleet, duration, [] { return false; });
+}
+
+auto RunUntil(Fleet& fleet, base::Duration limit, const std::function<bool()>& done)
+    -> std::optional<base::Duration> {
+  const base::TimePoint start = fleet.now;
+  while (!done()) {
+    if (fleet.queue.empty() || fleet.queue.top().at > start + limit) {
+      fleet.now = start + limit;
+      return std::nullopt;
+    }
+    const Item item = fleet.queue.top();
+    fleet.queue.pop();
+    fleet.now = item.at;
+    item.run();
+  }
+  return fleet.now - start;
+}
+
+auto AllHold(const Fleet& fleet, std::uint64_t number) -> bool {
+  return std::all_of(fleet.nodes.begin(), fleet.nodes.end(),
+                     [&](const Node& node) { return !node.up || node.number == number; });
+}
+
+auto AllAgree(const Fleet& fleet) -> bool {
+  return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const Node& node) {
+    if (!node.up) return true;
+    Store truth;
+    for (const auto& [key, object] : fleet.platform.objects) {
+      if (object.deleted) continue;
+      if (!IsTakenBy(ServiceOfKey(key), node.state.settings.service)) continue;
+      Offer(truth, ToObject(key, object), true, fleet.now);
+    }
+    return truth.all_digest == node.state.store.all_digest;
+  });
+}
+
+auto Watchers(const Fleet& fleet) -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(fleet.nodes.begin(), fleet.nodes.end(),
+                    [](const Node& node) { return node.up && node.state.watch.active; }));
+}
+
+auto PeakCalls(const Fleet& fleet, base::TimePoint from) -> std::uint64_t {
+  const auto first = std::chrono::duration_cast<base::seconds>(from.time_since_epoch()).count();
+  std::uint64_t peak = 0;
+  for (const auto& [second, calls] : fleet.platform.calls_by_second) {
+    if (second >= first) peak = std::max(peak, calls);
+  }
+  return peak;
+}
+
+}  // namespace anvildrum::relay::fleet
