--- a/src/relay/tests/fleet.cc
+++ b/src/relay/tests/fleet.cc
@@ -262,6 +262,31 @@
   return fleet.nodes.size() - 1;
 }
 
+auto MakeFleet(std::size_t domains, std::size_t balancers, std::size_t agents) -> Fleet {
+  Fleet fleet;
+  for (std::size_t i = 0; i < domains * balancers; ++i) {
+    AddNode(fleet, Balancer(i, "fd" + std::to_string(i / balancers)));
+  }
+  for (std::size_t i = 0; i < domains * agents; ++i) {
+    AddNode(fleet, Agent(fleet.nodes.size(), "fd" + std::to_string(i / agents), "desk"));
+  }
+  for (Node& node : fleet.nodes) {
+    for (std::size_t i = 0; i < domains; ++i) {
+      node.state.settings.seeds.push_back(EndpointOf(i * balancers));
+    }
+  }
+  return fleet;
+}
+
+auto StartAll(Fleet& fleet) -> void {
+  PutObject(fleet, "config", "{\"number\": 1}", 1);
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    StartNode(fleet, i);
+    if (fleet.nodes[i].state.settings.role == RelayRole::kBalancer) Announce(fleet, i);
+  }
+  RunFor(fleet, base::seconds(30));
+}
+
 auto StartNode(Fleet& fleet, std::size_t index) -> void {
   Node& node = fleet.nodes[index];
   RelaySettings settings = node.state.settings;
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -94,6 +94,13 @@
     -> RelaySettings;
 auto EndpointOf(std::size_t index) -> base::Endpoint;
 
+/// Balancers first, domain by domain, then agents of service "desk". Every one has the first
+/// balancer of each domain as a seed.
+auto MakeFleet(std::size_t domains, std::size_t balancers, std::size_t agents) -> Fleet;
+
+/// Writes configuration 1, starts all, announces the balancers and lets them settle.
+auto StartAll(Fleet& fleet) -> void;
+
 /// Starts (or restarts with the next incarnation) an instance with an empty state.
 auto StartNode(Fleet& fleet, std::size_t index) -> void;
 auto KillNode(Fleet& fleet, std::size_t index) -> void;
--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -1,36 +1,36 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "relay/internal/topology.h"
 #include "relay/tests/fleet.h"
 
 namespace anvildrum::relay::fleet {
 namespace {
 
-/// Balancers first (indices 0..), domain by domain, then agents of service "desk"; every one with
-/// the first balancer of each domain as a seed.
-auto MakeFleet(std::size_t domains, std::size_t balancers, std::size_t agents) -> Fleet {
-  Fleet fleet;
-  for (std::size_t i = 0; i < domains * balancers; ++i) {
-    AddNode(fleet, Balancer(i, "fd" + std::to_string(i / balancers)));
-  }
-  for (std::size_t i = 0; i < domains * agents; ++i) {
-    AddNode(fleet, Agent(fleet.nodes.size(), "fd" + std::to_string(i / agents), "desk"));
-  }
-  for (Node& node : fleet.nodes) {
-    for (std::size_t i = 0; i < domains; ++i) {
-      node.state.settings.seeds.push_back(EndpointOf(i * balancers));
-    }
+/// The parent that an instance hears from; the fleet's size when it has none or several.
+auto ParentOf(const Fleet& fleet, std::size_t index) -> std::size_t {
+  const auto& parents = fleet.nodes[index].state.parents;
+  if (parents.size() != 1) return fleet.nodes.size();
+  const auto& endpoint = parents.begin()->first;
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (EndpointOf(i) == endpoint) return i;
   }
-  return fleet;
+  return fleet.nodes.size();
+}
+
+auto NobodyWentBack(const Fleet& fleet) -> bool {
+  return std::none_of(fleet.nodes.begin(), fleet.nodes.end(),
+                      [](const Node& node) { return node.went_back; });
 }
 
-auto StartAll(Fleet& fleet) -> void {
-  PutObject(fleet, "config", "{\"number\": 1}", 1);
+/// A balancer that is nobody's root and passes records on to others.
+auto FindInner(const Fleet& fleet) -> std::size_t {
   for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
-    StartNode(fleet, i);
-    if (fleet.nodes[i].state.settings.role == RelayRole::kBalancer) Announce(fleet, i);
+    const State& state = fleet.nodes[i].state;
+    if (!state.root && state.children.size() > 1) return i;
   }
-  RunFor(fleet, base::seconds(30));
+  return fleet.nodes.size();
 }
 
 BOOST_AUTO_TEST_SUITE(Relay)
@@ -47,6 +47,130 @@
   BOOST_TEST((*took < base::seconds(1)));
 }
 
+// The child of a balancer that is killed hears nothing more and would keep an old configuration.
+// Its parent is silent for two seconds; it moves to the next one, which sends what was missed.
+BOOST_AUTO_TEST_CASE(ChildrenOfADeadParentMoveInTime) {
+  Fleet fleet = MakeFleet(1, 40, 40);
+  StartAll(fleet);
+  const std::size_t dead = FindInner(fleet);
+  BOOST_REQUIRE(dead < fleet.nodes.size());
+  KillNode(fleet, dead);
+  PutObject(fleet, "config", "{\"number\": 2}", 2);
+  const auto took = RunUntil(fleet, base::seconds(6), [&] { return AllHold(fleet, 2); });
+  BOOST_REQUIRE(took.has_value());
+  BOOST_TEST((*took < base::seconds(4)));
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.nodes[i].up) BOOST_TEST(ParentOf(fleet, i) != dead);
+  }
+}
+
+// Both watchers of a domain die at once. The next balancers notice and watch in their place.
+BOOST_AUTO_TEST_CASE(OthersWatchWhenBothWatchersDie) {
+  Fleet fleet = MakeFleet(2, 10, 10);
+  StartAll(fleet);
+  for (std::size_t i = 0; i < 10; ++i) {
+    if (fleet.nodes[i].state.root) KillNode(fleet, i);
+  }
+  RunFor(fleet, base::seconds(8));
+  PutObject(fleet, "config", "{\"number\": 2}", 2);
+  const auto took = RunUntil(fleet, base::seconds(6), [&] { return AllHold(fleet, 2); });
+  BOOST_TEST(took.has_value());
+  BOOST_TEST(Watchers(fleet) >= 4U);
+}
+
+// A whole failure domain cannot reach the platform, its instances can reach peers elsewhere. Its
+// roots hear from the roots of other domains.
+BOOST_AUTO_TEST_CASE(ADomainWithoutThePlatformHearsFromOthers) {
+  Fleet fleet = MakeFleet(5, 6, 4);
+  StartAll(fleet);
+  for (Node& node : fleet.nodes) {
+    node.reaches_platform = node.state.settings.self.failure_domain == "fd4";
+  }
+  SetDown(fleet, true);
+  SetDown(fleet, false);
+  RunFor(fleet, base::seconds(12));
+  PutObject(fleet, "config", "{\"number\": 2}", 2);
+  const auto took = RunUntil(fleet, base::seconds(6), [&] { return AllHold(fleet, 2); });
+  BOOST_REQUIRE(took.has_value());
+  BOOST_TEST((*took < base::seconds(1)));
+}
+
+// Two halves of a domain see different balancers, so more than two believe that they have to watch.
+// That costs a few calls and never an older record; once the views agree the extra ones stop.
+BOOST_AUTO_TEST_CASE(DifferentViewsGiveMoreWatchersForAWhile) {
+  Fleet fleet = MakeFleet(1, 8, 6);
+  StartAll(fleet);
+  PeersChanged odd;
+  PeersChanged even;
+  PeersChanged all;
+  for (std::size_t i = 0; i < 8; ++i) {
+    const RelayPeer& peer = fleet.nodes[i].state.settings.self;
+    all.peers.push_back(peer);
+    (i % 2 == 0 ? even : odd).peers.push_back(peer);
+  }
+  for (std::size_t i = 0; i < 8; ++i) Deliver(fleet, i, i % 2 == 0 ? even : odd);
+  RunFor(fleet, base::seconds(3));
+  BOOST_TEST(Watchers(fleet) == 4U);
+  PutObject(fleet, "config", "{\"number\": 2}", 2);
+  BOOST_TEST(RunUntil(fleet, base::seconds(6), [&] { return AllHold(fleet, 2); }).has_value());
+  for (std::size_t i = 0; i < 8; ++i) Deliver(fleet, i, all);
+  RunFor(fleet, base::seconds(3));
+  BOOST_TEST(Watchers(fleet) == 2U);
+  BOOST_TEST(NobodyWentBack(fleet));
+}
+
+// An agent takes the records of its own service and of balancers, and nothing of other services.
+BOOST_AUTO_TEST_CASE(AgentsTakeOnlyTheirService) {
+  Fleet fleet = MakeFleet(1, 3, 2);
+  StartAll(fleet);
+  PutObject(fleet, "targets/desk/d1", "{}");
+  PutObject(fleet, "targets/mapper/m1", "{}");
+  RunFor(fleet, base::seconds(3));
+  const Store& agent = fleet.nodes[3].state.store;
+  BOOST_TEST(agent.records.contains("targets/desk/d1"));
+  BOOST_TEST(!agent.records.contains("targets/mapper/m1"));
+  BOOST_TEST(fleet.nodes[0].state.store.records.contains("targets/mapper/m1"));
+  const std::uint64_t sent = fleet.nodes[3].state.counters.subscribes_sent;
+  PutObject(fleet, "targets/mapper/m2", "{}");
+  RunFor(fleet, base::seconds(5));
+  BOOST_TEST(fleet.nodes[3].state.counters.subscribes_sent <= sent + 1);
+  BOOST_TEST(AllAgree(fleet));
+}
+
+// An instance restarts every second for a minute. Others must not pay for it: each start costs its
+// own join and a few messages, not a storm among those that stay.
+BOOST_AUTO_TEST_CASE(AFlappingInstanceCostsBoundedBytes) {
+  Fleet fleet = MakeFleet(1, 20, 0);
+  StartAll(fleet);
+  RunFor(fleet, base::seconds(60));
+  std::uint64_t before = fleet.bytes;
+  RunFor(fleet, base::seconds(60));
+  const std::uint64_t quiet = fleet.bytes - before;
+  before = fleet.bytes;
+  for (int i = 0; i < 60; ++i) {
+    KillNode(fleet, 7);
+    StartNode(fleet, 7);
+    Announce(fleet, 7);
+    RunFor(fleet, base::seconds(1));
+  }
+  const std::uint64_t flapping = fleet.bytes - before - quiet;
+  constexpr std::uint64_t kBytesOfAStart = 20 * 400;
+  BOOST_TEST(flapping < 60 * kBytesOfAStart);
+  BOOST_TEST(RunUntil(fleet, base::seconds(30), [&] { return AllAgree(fleet); }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RanksBelowAreAskedParentFirst) {
+  BOOST_TEST(CandidateRanks(0, 8).empty());
+  const std::vector<std::size_t> second{0};
+  BOOST_TEST(CandidateRanks(1, 8) == second, boost::test_tools::per_element());
+  const auto deep = CandidateRanks(80, 8);
+  BOOST_TEST(deep.size() == 80U);
+  BOOST_TEST(deep[0] == 9U);
+  BOOST_TEST(deep[1] == 8U);
+  BOOST_TEST(deep[2] == 1U);
+  BOOST_TEST(deep[3] == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
