--- /dev/null
+++ b/src/net/internal/signals.cc
@@ -0,0 +1,41 @@
+#include "net/signals.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <utility>
+
+namespace anvildrum::net {
+
+struct StopSignal::Impl : std::enable_shared_from_this<StopSignal::Impl> {
+  Impl(boost::asio::io_context& io, OnStop on_stop)
+      : signals(io, SIGTERM, SIGINT), on_stop(std::move(on_stop)) {}
+
+  // The set stays registered after the first signal, which keeps the default action (death) off.
+  auto Wait() -> void {
+    this->signals.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error, int signal) {
+          if (error || self->closed) return;
+          self->on_stop(signal);
+        });
+  }
+
+  boost::asio::signal_set signals;
+  OnStop on_stop;
+  bool closed = false;
+};
+
+StopSignal::StopSignal(boost::asio::io_context& io, OnStop on_stop)
+    : impl(std::make_shared<Impl>(io, std::move(on_stop))) {
+  this->impl->Wait();
+}
+
+StopSignal::~StopSignal() {
+  this->impl->closed = true;
+  auto ignored = boost::system::error_code{};
+  this->impl->signals.clear(ignored);
+}
+
+auto StopSignal::Release() -> void { this->impl->signals.cancel(); }
+
+}  // namespace anvildrum::net
--- /dev/null
+++ b/src/net/signals.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace anvildrum::net {
+
+/// Calls back once at the first SIGTERM or SIGINT; later ones are ignored, so that an impatient
+/// second signal can't cut the graceful stop that the first one began.
+class StopSignal {
+ public:
+  using OnStop = std::function<void(int signal)>;
+
+  StopSignal(boost::asio::io_context& io, OnStop on_stop);
+  StopSignal(const StopSignal&) = delete;
+  auto operator=(const StopSignal&) -> StopSignal& = delete;
+  ~StopSignal();
+
+  /// Lets the io_context run out of work: stops listening, but the signals stay ignored until the
+  /// object is destroyed.
+  auto Release() -> void;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace anvildrum::net
