--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -32,7 +32,7 @@
   Field(std::string_view key, Number value) : key(key), value(std::uint64_t{value}) {}
   Field(std::string_view key, double value) : key(key), value(value) {}
   template <std::convertible_to<std::string_view> Text>
-  Field(std::string_view key, const Text& value) : key(key), value(std::string_view(value)) {}
+  Field(std::string_view key, const Text& value) : key(key), value(std::string_view{value}) {}
 
   std::string_view key;
   Value value;
