--- /dev/null
+++ b/src/platform/internal/client.cc
@@ -0,0 +1,297 @@
+#include "platform/client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "platform/internal/http_call.h"
+
+namespace anvildrum::platform {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto kHttp11 = 11U;
+
+auto ToAsio(const base::Endpoint& endpoint) -> tcp::endpoint {
+  auto address = asio::ip::address_v6(endpoint.address);
+  if (!base::IsV4(endpoint)) return {address, endpoint.port};
+  return {asio::ip::make_address_v4(asio::ip::v4_mapped, address), endpoint.port};
+}
+
+auto VerbOf(CallKind kind) -> http::verb {
+  if (kind == CallKind::kPut) return http::verb::put;
+  if (kind == CallKind::kDelete) return http::verb::delete_;
+  return http::verb::get;
+}
+
+auto MakeRequest(const HttpCall& call) -> http::request<http::string_body> {
+  auto request = http::request<http::string_body>(VerbOf(call.kind), call.target, kHttp11);
+  request.set(http::field::host, "platform");
+  if (!call.if_match.empty()) request.set(http::field::if_match, call.if_match);
+  if (!call.if_none_match.empty()) request.set(http::field::if_none_match, call.if_none_match);
+  if (call.kind == CallKind::kPut) request.set(http::field::content_type, "application/json");
+  request.body() = call.body;
+  request.prepare_payload();
+  return request;
+}
+
+struct Connection {
+  explicit Connection(asio::io_context& context) : stream(context) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  base::TimePoint idle_since{};
+  bool reused = false;
+};
+using ConnectionPtr = std::unique_ptr<Connection>;
+
+using Finish = std::function<void(Outcome<HttpAnswer>)>;
+using Response = http::response_parser<http::string_body>;
+
+}  // namespace
+
+struct Exchange;
+
+/// What a client's exchanges share.
+struct ClientCore : std::enable_shared_from_this<ClientCore> {
+  ClientCore(asio::io_context& io, ClientSettings given)
+      : context(io),
+        settings(std::move(given)),
+        budget(MakeCallBudget(this->settings.budget, base::Clock::now())) {}
+
+  auto Start(HttpCall call, base::Duration timeout, Finish finish) -> void;
+  auto TakeIdle() -> ConnectionPtr;
+  auto KeepIdle(ConnectionPtr connection) -> void;
+  auto Stop() -> void;
+
+  asio::io_context& context;
+  ClientSettings settings;
+  CallBudget budget;
+  std::vector<ConnectionPtr> idle;
+  std::set<std::shared_ptr<Exchange>> running;
+  std::size_t endpoint = 0;  ///< index of the one that connected last
+  bool stopped = false;
+};
+
+/// One call on its connection, from connecting to its outcome.
+struct Exchange : std::enable_shared_from_this<Exchange> {
+  auto Begin() -> void;
+  auto Connect() -> void;
+  auto ConnectFailed() -> void;
+  auto Send() -> void;
+  auto Receive() -> void;
+  auto ExchangeFailed(beast::error_code error) -> void;
+  auto Answered() -> void;
+  auto Fail(PlatformErrorCode code) -> void;
+  auto End(Outcome<HttpAnswer> outcome) -> void;
+
+  std::shared_ptr<ClientCore> core;
+  HttpCall call;
+  base::Duration timeout{};
+  Finish finish;
+  ConnectionPtr connection;
+  std::size_t attempts = 0;  ///< endpoints tried
+  http::request<http::string_body> request;
+  std::optional<Response> parser;
+};
+
+auto Exchange::Begin() -> void {
+  if (!TakeCall(this->core->budget, this->call.kind, base::Clock::now())) {
+    this->core->running.erase(this->shared_from_this());
+    return this->finish(PlatformError{PlatformErrorCode::kOverBudget, 0, this->call.key});
+  }
+  this->request = MakeRequest(this->call);
+  this->connection = this->core->TakeIdle();
+  if (this->connection) return this->Send();
+  this->Connect();
+}
+
+auto Exchange::Connect() -> void {
+  const auto& settings = this->core->settings;
+  if (settings.endpoints.empty()) return this->Fail(PlatformErrorCode::kNoEndpoint);
+  this->connection = std::make_unique<Connection>(this->core->context);
+  auto& stream = this->connection->stream;
+  stream.expires_after(settings.connect_timeout);
+  auto endpoint = ToAsio(settings.endpoints[this->core->endpoint]);
+  stream.async_connect(endpoint, [self = this->shared_from_this()](beast::error_code error) {
+    if (self->core->stopped) return;
+    if (error) return self->ConnectFailed();
+    self->Send();
+  });
+}
+
+auto Exchange::ConnectFailed() -> void {
+  auto endpoints = this->core->settings.endpoints.size();
+  this->core->endpoint = (this->core->endpoint + 1) % endpoints;
+  if (++this->attempts < endpoints) return this->Connect();
+  this->Fail(PlatformErrorCode::kUnreachable);
+}
+
+auto Exchange::Send() -> void {
+  auto& stream = this->connection->stream;
+  stream.expires_after(this->timeout);
+  auto done = [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+    if (self->core->stopped) return;
+    if (error) return self->ExchangeFailed(error);
+    self->Receive();
+  };
+  http::async_write(stream, this->request, std::move(done));
+}
+
+auto Exchange::Receive() -> void {
+  this->parser.emplace();
+  this->parser->body_limit(this->core->settings.max_answer_bytes);
+  auto done = [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+    if (self->core->stopped) return;
+    if (error) return self->ExchangeFailed(error);
+    self->Answered();
+  };
+  http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
+                   std::move(done));
+}
+
+// Safeguard: a platform that restarted leaves closed connections in the idle list, and the first
+// call on each would fail. A read goes out again on a new connection, once, because that one is not
+// a reused one; a write does not, because it may have taken effect.
+auto Exchange::ExchangeFailed(beast::error_code error) -> void {
+  if (error == beast::error::timeout) return this->Fail(PlatformErrorCode::kTimeout);
+  auto answer_began = this->parser && this->parser->got_some();
+  if (answer_began) return this->Fail(PlatformErrorCode::kMalformedAnswer);
+  if (this->connection->reused && !IsWrite(this->call.kind)) return this->Connect();
+  this->Fail(PlatformErrorCode::kAnswerLost);
+}
+
+auto Exchange::Answered() -> void {
+  auto message = this->parser->release();
+  auto answer = HttpAnswer{message.result_int(), std::string(message[http::field::etag]),
+                           std::move(message.body())};
+  if (message.keep_alive()) this->core->KeepIdle(std::move(this->connection));
+  this->End(std::move(answer));
+}
+
+auto Exchange::Fail(PlatformErrorCode code) -> void {
+  this->End(PlatformError{code, 0, this->call.key});
+}
+
+auto Exchange::End(Outcome<HttpAnswer> outcome) -> void {
+  auto self = this->shared_from_this();
+  FinishCall(this->core->budget, this->call.kind);
+  this->core->running.erase(self);
+  this->finish(std::move(outcome));
+}
+
+auto ClientCore::Start(HttpCall call, base::Duration timeout, Finish finish) -> void {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->core = this->shared_from_this();
+  exchange->call = std::move(call);
+  exchange->timeout = timeout;
+  exchange->finish = std::move(finish);
+  this->running.insert(exchange);
+  asio::post(this->context, [exchange] {
+    if (!exchange->core->stopped) exchange->Begin();
+  });
+}
+
+auto ClientCore::TakeIdle() -> ConnectionPtr {
+  auto oldest = base::Clock::now() - this->settings.idle_timeout;
+  while (!this->idle.empty()) {
+    auto connection = std::move(this->idle.back());
+    this->idle.pop_back();
+    if (connection->idle_since >= oldest) return connection;
+  }
+  return nullptr;
+}
+
+auto ClientCore::KeepIdle(ConnectionPtr connection) -> void {
+  connection->idle_since = base::Clock::now();
+  connection->reused = true;
+  connection->stream.expires_never();
+  this->idle.push_back(std::move(connection));
+}
+
+// Ending an exchange here would run its callback, which may use what its owner has already let go
+// of. Dropping it closes the connection; its pending operations see `stopped`.
+auto ClientCore::Stop() -> void {
+  this->stopped = true;
+  this->idle.clear();
+  for (const auto& exchange : std::exchange(this->running, {})) {
+    exchange->finish = nullptr;
+    if (exchange->connection) exchange->connection->stream.close();
+  }
+}
+
+Client::Client(asio::io_context& context, ClientSettings settings)
+    : core(std::make_shared<ClientCore>(context, std::move(settings))) {}
+
+Client::~Client() {
+  if (this->core) this->core->Stop();
+}
+
+Client::Client(Client&&) noexcept = default;
+
+auto Client::operator=(Client&& other) noexcept -> Client& {
+  std::swap(this->core, other.core);
+  return *this;
+}
+
+namespace {
+
+// Runs `read` on the answer, or hands the error on, to the caller's callback.
+template <typename T>
+auto Then(const HttpCall& call, Outcome<T> (*read)(const HttpCall&, const HttpAnswer&),
+          Callback<T> callback) -> Finish {
+  return [call = HttpCall{call.kind, call.key, {}, {}, {}, {}}, read,
+          callback = std::move(callback)](Outcome<HttpAnswer> outcome) {
+    if (const auto* error = std::get_if<PlatformError>(&outcome)) return callback(*error);
+    callback(read(call, std::get<HttpAnswer>(outcome)));
+  };
+}
+
+}  // namespace
+
+auto Client::Get(std::string_view key, Callback<Object> callback) -> void {
+  auto call = GetCall(key);
+  auto finish = Then<Object>(call, ReadObject, std::move(callback));
+  this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
+}
+
+auto Client::Put(std::string_view key, std::string_view value, const Precondition& precondition,
+                 Callback<std::uint64_t> callback) -> void {
+  auto call = PutCall(key, value, precondition);
+  auto finish = Then<std::uint64_t>(call, ReadRevision, std::move(callback));
+  this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
+}
+
+auto Client::Delete(std::string_view key, IfMatch precondition, Callback<std::monostate> callback)
+    -> void {
+  auto call = DeleteCall(key, precondition);
+  auto finish = Then<std::monostate>(call, ReadDeleted, std::move(callback));
+  this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
+}
+
+auto Client::List(std::string_view prefix, Callback<Listing> callback) -> void {
+  auto call = ListCall(prefix);
+  auto finish = Then<Listing>(call, ReadListing, std::move(callback));
+  this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
+}
+
+auto Client::Watch(std::string_view prefix, std::uint64_t after, base::Duration hold,
+                   Callback<Listing> callback) -> void {
+  auto milliseconds = std::chrono::duration_cast<base::milliseconds>(hold).count();
+  auto call = WatchCall(prefix, after, static_cast<std::uint64_t>(milliseconds));
+  auto finish = Then<Listing>(call, ReadListing, std::move(callback));
+  auto timeout = hold + this->core->settings.call_timeout;
+  this->core->Start(std::move(call), timeout, std::move(finish));
+}
+
+auto Client::Counts() const -> const CallCounts& { return this->core->budget.counts; }
+
+}  // namespace anvildrum::platform
--- /dev/null
+++ b/src/platform/internal/http_call.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "platform/call_budget.h"
+#include "platform/types/object.h"
+
+namespace anvildrum::platform {
+
+/// A call as HTTP: method, target and conditions (RFC 9110, 13.1).
+struct HttpCall {
+  CallKind kind = CallKind::kGet;
+  std::string key;     ///< key or prefix, for errors
+  std::string target;  ///< path and query, percent-encoded
+  std::string if_match;
+  std::string if_none_match;
+  std::string body;
+};
+
+struct HttpAnswer {
+  unsigned status = 0;
+  std::string etag;
+  std::string body;
+};
+
+auto IsWrite(CallKind kind) -> bool;
+
+auto GetCall(std::string_view key) -> HttpCall;
+auto PutCall(std::string_view key, std::string_view value, const Precondition& precondition)
+    -> HttpCall;
+auto DeleteCall(std::string_view key, IfMatch precondition) -> HttpCall;
+auto ListCall(std::string_view prefix) -> HttpCall;
+auto WatchCall(std::string_view prefix, std::uint64_t after, std::uint64_t timeout_ms) -> HttpCall;
+
+/// Reads of an answer. An answer that is not what the API promises is kMalformedAnswer.
+auto ReadObject(const HttpCall& call, const HttpAnswer& answer) -> Outcome<Object>;
+auto ReadRevision(const HttpCall& call, const HttpAnswer& answer) -> Outcome<std::uint64_t>;
+auto ReadDeleted(const HttpCall& call, const HttpAnswer& answer) -> Outcome<std::monostate>;
+auto ReadListing(const HttpCall& call, const HttpAnswer& answer) -> Outcome<Listing>;
+
+}  // namespace anvildrum::platform
