Balancer core: route by hint, home or second; flood guard; life cycle

Hints for exceptions only, packets of unknown flows keep no state; over the opening limit they travel with may_open = false. Suspicion: doubtful peers are probed ahead of their turn.

--- /dev/null
+++ b/src/balancer/internal/life_cycle.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "balancer/balancer.h"
+
+namespace anvildrum::balancer {
+
+enum class LifeEvent : std::uint8_t { kConfigured, kStop, kLetGo };
+
+/// The phase after the event. A plain face to the state machine, which only life_cycle.cc includes.
+auto NextPhase(Phase phase, LifeEvent event) -> Phase;
+
+}  // namespace anvildrum::balancer
--- /dev/null
+++ b/src/balancer/tests/balancer_test.cc
@@ -0,0 +1,221 @@
+#include "balancer/balancer.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "wire/convert.h"
+
+namespace anvildrum::balancer {
+namespace {
+
+constexpr auto kNow = base::TimePoint{base::seconds(100)};
+const auto kDesk = base::ServiceIdOf("desk");
+const auto kMapper = base::ServiceIdOf("mapper");
+const auto kDeskAddress = base::EndpointFromV4(0x0a000001, 5683);
+const auto kMapperAddress = base::EndpointFromV4(0x0a000002, 5683);
+const auto kClient = base::EndpointFromV4(0x0b000001, 40000);
+
+auto MakeRecord(const std::string& name, const std::string& service, std::uint16_t port)
+    -> membership::TargetRecord {
+  auto record = membership::TargetRecord{};
+  record.name = name;
+  record.id = base::TargetIdOf(name);
+  record.service_name = service;
+  record.service = base::ServiceIdOf(service);
+  record.instance = base::InstanceIdOf(name);
+  record.incarnation = 1;
+  record.tunnel = base::EndpointFromV4(0x0c000001, port);
+  record.failure_domain = "domain-" + std::to_string(port % 3);
+  record.revision = port;
+  return record;
+}
+
+auto MakeConfiguration(std::uint64_t number) -> config::Configuration {
+  auto configuration = config::Configuration{};
+  configuration.number = number;
+  configuration.services.push_back({"desk", kDesk, {kDeskAddress}, {}, {}, {}});
+  configuration.services.push_back({"mapper", kMapper, {kMapperAddress}, {}, {}, {}});
+  return configuration;
+}
+
+auto MakeView() -> membership::View {
+  auto view = membership::View{};
+  for (auto port : {1, 2, 3}) {
+    membership::ApplyRecord(view, MakeRecord("desk-" + std::to_string(port), "desk", port), kNow);
+  }
+  for (auto port : {11, 12}) {
+    membership::ApplyRecord(view, MakeRecord("map-" + std::to_string(port), "mapper", port), kNow);
+  }
+  return view;
+}
+
+auto MakeReady(const BalancerPolicy& policy) -> Balancer {
+  auto state = BalancerBuilder{}
+                   .WithPolicy(policy)
+                   .WithInstance(base::InstanceIdOf("balancer"), 1)
+                   .WithTunnel(base::EndpointFromV4(0x0d000001, 7000))
+                   .Build();
+  auto configuration = MakeConfiguration(1);
+  auto view = MakeView();
+  Step(state, ConfigChanged{&configuration}, kNow);
+  Step(state, ViewChanged{&view}, kNow);
+  return state;
+}
+
+auto SmallPolicy() -> BalancerPolicy {
+  auto policy = BalancerPolicy{};
+  policy.flow_table_capacity = 64;
+  policy.established_bits = 1 << 12;
+  return policy;
+}
+
+auto Send(Balancer& state) -> Route { return RoutePacket(state, kDeskAddress, kClient, kNow); }
+
+auto HintFor(const membership::TargetRecord& record) -> wire::pb::TunnelHeader {
+  auto header = wire::pb::TunnelHeader{};
+  wire::WriteFlow({kClient, kDesk}, *header.mutable_hint()->mutable_flow());
+  header.mutable_hint()->mutable_owner()->set_target(record.id.value);
+  header.mutable_hint()->mutable_owner()->set_incarnation(record.incarnation);
+  return header;
+}
+
+// Some target that isn't the flow's home.
+auto OtherThanHome(Balancer& state) -> membership::TargetRecord {
+  auto home = Send(state).to;
+  const auto* service = membership::FindService(state.view, kDesk);
+  for (const auto& target : service->targets) {
+    if (target.record.tunnel != home) return target.record;
+  }
+  BOOST_FAIL("one target only");
+  return {};
+}
+
+BOOST_AUTO_TEST_CASE(a_packet_goes_to_its_home_and_after_a_hint_to_its_owner) {
+  auto state = MakeReady(SmallPolicy());
+  BOOST_CHECK(Send(state).kind == RouteKind::kHome);
+  auto owner = OtherThanHome(state);
+  auto hint = HintFor(owner);
+  Step(state, TunnelMessage{{}, &hint, {}}, kNow);
+  auto route = Send(state);
+  BOOST_CHECK(route.kind == RouteKind::kOwner);
+  BOOST_CHECK(route.to == owner.tunnel);
+}
+
+// A hint names a target of the mapper for a flow of the desk. Following it, the balancer would send
+// a trader's packet to the mapper.
+BOOST_AUTO_TEST_CASE(a_hint_across_services_is_not_taken) {
+  auto state = MakeReady(SmallPolicy());
+  auto hint = HintFor(MakeRecord("map-11", "mapper", 11));
+  Step(state, TunnelMessage{{}, &hint, {}}, kNow);
+  BOOST_CHECK(Send(state).kind == RouteKind::kHome);
+  BOOST_TEST(state.counters.stale_hints == 1u);
+}
+
+// The owner's process restarts: the hint names a process that is gone, and with it the flow.
+BOOST_AUTO_TEST_CASE(a_hint_to_an_earlier_incarnation_is_dropped) {
+  auto state = MakeReady(SmallPolicy());
+  auto owner = OtherThanHome(state);
+  auto hint = HintFor(owner);
+  Step(state, TunnelMessage{{}, &hint, {}}, kNow);
+  auto view = state.view;
+  owner.incarnation = 2;
+  owner.revision = 99;
+  membership::ApplyRecord(view, owner, kNow);
+  Step(state, ViewChanged{&view}, kNow);
+  BOOST_CHECK(Send(state).kind == RouteKind::kHome);
+  BOOST_TEST(state.flows.size == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_suspect_home_is_replaced_by_the_second) {
+  auto state = MakeReady(SmallPolicy());
+  auto home = Send(state).to;
+  auto view = state.view;
+  for (const auto& target : membership::FindService(view, kDesk)->targets) {
+    if (target.record.tunnel == home) membership::SetSuspect(view, target.record.id, true);
+  }
+  Step(state, ViewChanged{&view}, kNow);
+  auto route = Send(state);
+  BOOST_CHECK(route.kind == RouteKind::kSecond);
+  BOOST_CHECK(route.to != home);
+}
+
+// A flood of spoofed clients. Each packet still goes to its home, because it may belong to a flow
+// that another balancer carried so far, but over the limit none may open a flow, and the balancer
+// keeps nothing of it. A client that got a reply through here is not limited.
+BOOST_AUTO_TEST_CASE(a_flood_opens_flows_at_the_limit_and_leaves_established_ones_alone) {
+  auto policy = SmallPolicy();
+  policy.openings_per_second = 10;
+  policy.openings_burst = 10;
+  policy.established_bits = 1 << 16;
+  auto state = MakeReady(policy);
+  auto reply = wire::pb::TunnelHeader{};
+  wire::WriteFlow({kClient, kDesk}, *reply.mutable_reply()->mutable_flow());
+  Step(state, TunnelMessage{{}, &reply, {}}, kNow);
+  auto may_open = 0;
+  for (auto i = 0U; i < 1000; ++i) {
+    auto spoofed = base::EndpointFromV4(0x0e000000 + i, 1);
+    auto route = RoutePacket(state, kDeskAddress, spoofed, kNow);
+    BOOST_CHECK(route.kind == RouteKind::kHome);
+    may_open += route.may_open ? 1 : 0;
+  }
+  BOOST_TEST(may_open == 10);
+  BOOST_TEST(Send(state).may_open);
+  BOOST_TEST(state.flows.size == 0u);
+}
+
+// A draining target's home share moves at the notice of its agent, without the platform.
+BOOST_AUTO_TEST_CASE(a_drain_notice_moves_the_home_at_once) {
+  auto state = MakeReady(SmallPolicy());
+  auto home = Send(state).to;
+  auto notice = wire::pb::TunnelHeader{};
+  for (const auto& target : membership::FindService(state.view, kDesk)->targets) {
+    if (target.record.tunnel != home) continue;
+    notice.mutable_drain_notice()->mutable_target()->set_target(target.record.id.value);
+    notice.mutable_drain_notice()->mutable_target()->set_incarnation(1);
+    notice.mutable_drain_notice()->set_draining(true);
+  }
+  auto effects = Step(state, TunnelMessage{{}, &notice, {}}, kNow);
+  BOOST_TEST(effects.view_changed);
+  BOOST_CHECK(Send(state).to != home);
+}
+
+// An operator moves an address from the desk to the mapper. A stale peer offers the older
+// configuration afterwards; were it taken, mapper's clients would reach the desk.
+BOOST_AUTO_TEST_CASE(an_address_moves_between_services_and_never_back) {
+  auto state = MakeReady(SmallPolicy());
+  auto moved = MakeConfiguration(2);
+  moved.services[0].addresses = {};
+  moved.services[1].addresses = {kMapperAddress, kDeskAddress};
+  Step(state, ConfigChanged{&moved}, kNow);
+  BOOST_CHECK(Send(state).flow.service == kMapper);
+  auto older = MakeConfiguration(1);
+  Step(state, ConfigChanged{&older}, kNow);
+  BOOST_CHECK(Send(state).flow.service == kMapper);
+  BOOST_TEST(state.config_number == 2u);
+}
+
+// A balancer that stops is still handed packets until the fabric has noticed.
+BOOST_AUTO_TEST_CASE(a_stopping_balancer_forwards_until_the_fabric_lets_go) {
+  auto state = BalancerBuilder{}.WithPolicy(SmallPolicy()).Build();
+  BOOST_CHECK(Send(state).kind == RouteKind::kNotReady);
+  state = MakeReady(SmallPolicy());
+  BOOST_CHECK(state.phase == Phase::kReady);
+  Step(state, StopRequested{}, kNow);
+  BOOST_CHECK(state.phase == Phase::kStopping);
+  BOOST_CHECK(Send(state).kind == RouteKind::kHome);
+  Step(state, FabricLetGo{}, kNow);
+  BOOST_CHECK(state.phase == Phase::kStopped);
+  BOOST_CHECK(Send(state).kind == RouteKind::kNotReady);
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_leaves_from_the_address_of_its_service) {
+  auto state = MakeReady(SmallPolicy());
+  auto reply = wire::pb::TunnelHeader{};
+  wire::WriteFlow({kClient, kMapper}, *reply.mutable_reply()->mutable_flow());
+  auto effects = Step(state, TunnelMessage{{}, &reply, {}}, kNow);
+  BOOST_REQUIRE(effects.client.size() == 1);
+  BOOST_CHECK(effects.client[0].service_address == kMapperAddress);
+  BOOST_CHECK(effects.client[0].client == kClient);
+}
+
+}  // namespace
+}  // namespace anvildrum::balancer
--- a/src/membership/internal/suspicion.cc
+++ b/src/membership/internal/suspicion.cc
@@ -27,6 +27,7 @@
 auto NoteAnswer(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
                 SuspicionEffects& effects) -> void {
   peer.last_heard = now;
+  peer.sent_since = {};
   peer.misses = 0;
   if (!peer.suspect) {
     if (now - peer.last_change > policy.calm) peer.recovery_answers = 1;
@@ -48,7 +49,7 @@
 
 auto Smooth(Peer& peer, base::Duration sample) -> void {
   if (peer.round_trip == base::Duration::zero()) {
-    peer.round_trip = sample;
+    peer.round_trip = std::max<base::Duration>(sample, base::microseconds(1));
     return;
   }
   peer.round_trip += (sample - peer.round_trip) / kSmoothing;
@@ -67,27 +68,43 @@
   state.peers = std::move(peers);
 }
 
+auto SendProbeTo(Suspicion& state, Peer& peer, base::TimePoint now, SuspicionEffects& effects)
+    -> void {
+  peer.probe = ++state.sequence;
+  peer.probe_sent = now;
+  effects.probes.push_back({peer.instance, peer.probe});
+}
+
 auto ExpireProbes(Suspicion& state, base::TimePoint now, SuspicionEffects& effects) -> void {
   for (auto& peer : state.peers) {
     if (peer.probe == 0) continue;
     if (now - peer.probe_sent < TimeoutOf(state.policy, peer)) continue;
     peer.probe = 0;
     NoteMiss(state.policy, peer, now, effects);
+    if (!peer.suspect) SendProbeTo(state, peer, now, effects);
   }
 }
 
+auto IsDoubtful(const SuspicionPolicy& policy, const Peer& peer, base::TimePoint now) -> bool {
+  if (peer.suspect || peer.probe != 0 || peer.sent_since == base::TimePoint{}) return false;
+  return now - peer.sent_since > TimeoutOf(policy, peer);
+}
+
 auto SendRound(Suspicion& state, base::TimePoint now, SuspicionEffects& effects) -> void {
-  auto count = std::min<std::size_t>(state.policy.probes_per_round, state.peers.size());
-  for (auto i = std::size_t{0}; i < count; ++i) {
+  state.next_round = now + state.policy.probe_period;
+  auto left = std::min<std::size_t>(state.policy.probes_per_round, state.peers.size());
+  for (auto& peer : state.peers) {
+    if (left == 0) return;
+    if (!IsDoubtful(state.policy, peer, now)) continue;
+    SendProbeTo(state, peer, now, effects);
+    --left;
+  }
+  for (; left > 0; --left) {
     state.next_peer = state.next_peer % state.peers.size();
     auto& peer = state.peers[state.next_peer];
     ++state.next_peer;
-    if (peer.probe != 0) continue;
-    peer.probe = ++state.sequence;
-    peer.probe_sent = now;
-    effects.probes.push_back({peer.instance, peer.probe});
+    if (peer.probe == 0) SendProbeTo(state, peer, now, effects);
   }
-  state.next_round = now + state.policy.probe_period;
 }
 
 auto Handle(Suspicion& state, const PeersChanged& event, base::TimePoint now, SuspicionEffects&)
@@ -112,10 +129,9 @@
   NoteAnswer(state.policy, *peer, now, effects);
 }
 
-auto Handle(Suspicion& state, const Unanswered& event, base::TimePoint now,
-            SuspicionEffects& effects) -> void {
+auto Handle(Suspicion& state, const Sent& event, base::TimePoint now, SuspicionEffects&) -> void {
   auto* peer = FindPeer(state, event.peer);
-  if (peer != nullptr) NoteMiss(state.policy, *peer, now, effects);
+  if (peer != nullptr && peer->sent_since == base::TimePoint{}) peer->sent_since = now;
 }
 
 auto Handle(Suspicion& state, const SuspicionTimer&, base::TimePoint now, SuspicionEffects& effects)
--- a/src/membership/suspicion.h
+++ b/src/membership/suspicion.h
@@ -15,7 +15,7 @@
   base::Duration probe_period = base::milliseconds(500);  ///< between rounds of probes
   std::uint32_t probes_per_round = 8;                     ///< bound on a round's probes
   std::uint32_t timeout_factor = 4;                       ///< timeout = factor x smoothed RTT
-  base::Duration shortest_timeout = base::milliseconds(50);
+  base::Duration shortest_timeout = base::milliseconds(150);
   base::Duration longest_timeout = base::seconds(1);
   std::uint32_t misses = 3;  ///< unanswered probes in a row until a peer is suspect
   /// Each recovery doubles the number of answers that the next recovery takes, up to the bound;
@@ -34,6 +34,7 @@
   std::uint32_t recovery_answers = 1;
   base::Duration round_trip{};  ///< smoothed; zero until measured
   base::TimePoint last_heard{};
+  base::TimePoint sent_since{};  ///< first datagram after `last_heard`; zero: none
   base::TimePoint last_change{};
   std::uint64_t probe = 0;  ///< sequence of the probe under way; 0: none
   base::TimePoint probe_sent{};
@@ -66,13 +67,15 @@
   PeerRef peer;
   std::uint64_t sequence = 0;
 };
-/// A datagram that the peer has to answer went unanswered for longer than TimeoutOf.
-struct Unanswered {
+/// A datagram went to the peer. If nothing is heard of it for longer than TimeoutOf, the peer is
+/// probed ahead of its turn: with more peers than a round reaches, traffic tells whom to doubt.
+/// Silence itself is no proof, because answers may leave by another way.
+struct Sent {
   PeerRef peer;
 };
 struct SuspicionTimer {};
 
-using SuspicionEvent = std::variant<PeersChanged, Heard, ProbeAnswered, Unanswered, SuspicionTimer>;
+using SuspicionEvent = std::variant<PeersChanged, Heard, ProbeAnswered, Sent, SuspicionTimer>;
 
 struct SendProbe {
   base::InstanceId instance;
@@ -87,9 +90,10 @@
   std::vector<SuspectChanged> changes;
 };
 
-/// The observer's one entry. Call with SuspicionTimer at NextWakeUp or more often. Control traffic
-/// is bounded by probes_per_round probes each probe_period, however many peers there are and
-/// however often they come and go; suspects are probed in turn like the others.
+/// The observer's one entry. Call with SuspicionTimer at NextWakeUp or more often. Each
+/// probe_period starts at most probes_per_round probes, however many peers there are and however
+/// often they come and go; an unanswered one is repeated at once until the peer is suspect, so that
+/// control traffic is at most `misses` times that.
 auto Step(Suspicion& state, const SuspicionEvent& event, base::TimePoint now) -> SuspicionEffects;
 
 /// When the next timer is due.
