Ask a silent parent anew instead of waiting for it

An instance whose only peer was silent kept the dead subscription and counted a loss with each tick; found by the test of a fleet that starts while the platform is down. A silent parent is now closed and, when it is the only one, opened again.

--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -63,6 +63,16 @@
   return policy.parent_timeout + policy.timeout_per_hop * parent.hops;
 }
 
+auto IsSilent(const State& state, const Parent& parent, base::TimePoint now) -> bool {
+  return now - parent.heard_at > TimeoutOf(state, parent);
+}
+
+auto LoseParent(State& state, const Parent& parent, base::TimePoint now, Effects& effects) -> void {
+  ++state.counters.parents_lost;
+  state.avoided[parent.endpoint] = now + state.settings.policy.avoid_for;
+  CloseParent(state, parent, effects);
+}
+
 auto FindParent(State& state, const PeerMessage& event) -> Parent* {
   const auto found = state.parents.find(event.endpoint);
   if (found == state.parents.end()) return nullptr;
@@ -180,16 +190,17 @@
 
 auto TickParents(State& state, base::TimePoint now, Effects& effects) -> void {
   const RelayPolicy& policy = state.settings.policy;
+  std::erase_if(state.avoided, [&](const auto& entry) { return entry.second <= now; });
   for (auto& [endpoint, parent] : state.parents) {
-    if (now - parent.heard_at > TimeoutOf(state, parent)) {
-      ++state.counters.parents_lost;
-      state.avoided[endpoint] = now + policy.avoid_for;
+    if (IsSilent(state, parent, now)) {
+      LoseParent(state, parent, now, effects);
       continue;
     }
     const base::Duration wait = parent.answered ? policy.renew_interval : policy.subscribe_retry;
     if (now - parent.renewed_at >= wait) SendSubscribe(state, parent, false, now, effects);
   }
-  std::erase_if(state.avoided, [&](const auto& entry) { return entry.second <= now; });
+  std::erase_if(state.parents,
+                [&](const auto& entry) { return IsSilent(state, entry.second, now); });
 }
 
 auto ForgiveParents(State& state, base::TimePoint now) -> void {
