Check configurations and apply patches as a whole

Cause: operators change the system by RFC 6902 patches against a number; a patch has to be taken or refused whole, with the rule and JSON pointer at fault, and a retry after a lost answer must hear the number it made. Ruled out: writing the normalised document back (an operator's pointers would then depend on defaults); keeping each old document (a megabyte a number) instead of each difference; applying all operations in one call (the failing one could not be named). Change: module config: reading, rules of sense, patches, bounded history. Safeguards tried by taking each out and running the test: nesting depth, repeated keys, growth by copy, id before base, stale base, writable paths, address moves, placement, open relay, secrets in errors. Each made its own test fail and nothing was kept of the trial.

--- /dev/null
+++ b/src/config/internal/patch.cc
@@ -0,0 +1,167 @@
+#include "config/patch.h"
+
+#include <algorithm>
+
+#include "base/types/ids.h"
+#include "config/configuration.h"
+#include "config/internal/operations.h"
+#include "config/internal/read.h"
+#include "config/internal/rules.h"
+#include "config/internal/write.h"
+
+namespace anvildrum::config {
+namespace {
+
+using json::Json;
+using Fault = std::optional<ConfigurationError>;
+
+constexpr auto kMaxIdentity = std::size_t{64};
+
+// The document in force, parsed.
+struct Current {
+  Json document;
+  Configuration configuration;
+};
+
+auto Refuse(const Current& current, ConfigurationError fault) -> boost::leaf::error_id {
+  return boost::leaf::new_error(PatchRefusal{std::move(fault), current.configuration.number, {}});
+}
+
+auto ReadCurrent(std::string_view text, Current& out) -> Fault {
+  auto fault = ParseDocument(text, out.document);
+  if (!fault) fault = Read(out.document, out.configuration);
+  if (fault) fault->place = Place::kCurrent;
+  return fault;
+}
+
+auto IsIdentity(std::string_view text) -> bool {
+  if (text.empty() || text.size() > kMaxIdentity) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+auto CheckIdentity(const PatchRequest& request) -> Fault {
+  auto whole =
+      IsIdentity(request.id) && IsIdentity(request.author) && IsIdentity(request.submitted_at);
+  if (whole) return std::nullopt;
+  return ConfigurationError{Rule::kBadIdentity, Place::kPatch, {}, {}, {}};
+}
+
+// Under one id there is one patch: its text, its base and its author.
+auto DigestOf(const PatchRequest& request) -> std::uint64_t {
+  auto text = std::to_string(request.base) + '\n' + request.author + '\n' + request.patch;
+  return base::HashName(text);
+}
+
+auto FindRecord(const Configuration& configuration, const std::string& id) -> const PatchRecord* {
+  const auto& history = configuration.history;
+  auto same = [&](const PatchRecord& record) { return record.id == id; };
+  auto found = std::find_if(history.begin(), history.end(), same);
+  return found == history.end() ? nullptr : &*found;
+}
+
+auto Since(const Configuration& configuration, std::uint64_t base) -> std::string {
+  auto since = Json::array();
+  for (const auto& record : configuration.history) {
+    if (record.number <= base) continue;
+    for (auto& operation : Json::parse(record.difference)) since.push_back(std::move(operation));
+  }
+  return since.dump();
+}
+
+// Whether the history reaches back to the number that the base was followed by.
+auto Remembers(const Configuration& configuration, std::uint64_t base) -> bool {
+  const auto& history = configuration.history;
+  return !history.empty() && history.front().number <= base + 1;
+}
+
+auto RefuseStale(const Current& current, std::uint64_t base) -> boost::leaf::error_id {
+  const auto& configuration = current.configuration;
+  auto known = base > configuration.number || Remembers(configuration, base);
+  auto rule = known ? Rule::kStale : Rule::kBaseForgotten;
+  auto fault = ConfigurationError{rule, Place::kCurrent, "/number", std::to_string(base), {}};
+  auto since = known ? Since(configuration, base) : std::string();
+  return boost::leaf::new_error(PatchRefusal{fault, configuration.number, since});
+}
+
+// Parts of a service that may be left out are written in, so that an "add" below them has a parent.
+auto WithSections(Json document) -> Json {
+  for (auto& service : document["services"]) {
+    for (const auto* section : {"spread", "limits", "weights"}) {
+      if (!service.contains(section)) service[section] = Json::object();
+    }
+  }
+  return document;
+}
+
+auto Trim(Json& history) -> void {
+  auto bytes = history.dump().size();
+  while (history.size() > 1 && (history.size() > kMaxHistory || bytes > kMaxHistoryBytes)) {
+    bytes -= history.front().dump().size();
+    history.erase(history.begin());
+  }
+}
+
+auto Number(const Current& current, const PatchRequest& request, const std::string& difference,
+            Json& document) -> std::uint64_t {
+  auto number = current.configuration.number + 1;
+  auto record = PatchRecord{request.id, request.author,    request.submitted_at,
+                            number,     DigestOf(request), difference};
+  document["number"] = number;
+  auto& history = document["history"];
+  if (!history.is_array()) history = Json::array();
+  history.push_back(WriteRecord(record));
+  Trim(history);
+  return number;
+}
+
+auto CheckChange(const Current& current, const PatchDocument& patch, const Json& document,
+                 std::span<const KnownTarget> targets) -> Fault {
+  auto after = Configuration{};
+  if (auto fault = Read(document, after)) return fault;
+  if (!patch.allow_address_move) {
+    if (auto fault = CheckMoves(current.configuration, after)) return fault;
+  }
+  return CheckPlacement(current.configuration, after, targets);
+}
+
+auto Again(const Current& current, const PatchRecord& record, const PatchRequest& request,
+           std::string_view text) -> base::Result<Accepted> {
+  if (record.digest != DigestOf(request)) {
+    return Refuse(current, {Rule::kIdReused, Place::kPatch, {}, request.id, {}});
+  }
+  return Accepted{std::string(text), record.number, record.difference, true};
+}
+
+auto ApplyFresh(const Current& current, const PatchRequest& request,
+                std::span<const KnownTarget> targets) -> base::Result<Accepted> {
+  auto patch = PatchDocument{};
+  if (auto fault = ParsePatch(request.patch, patch)) return Refuse(current, *fault);
+  auto before = WithSections(current.document);
+  auto after = before;
+  if (auto fault = Apply(patch.operations, after)) return Refuse(current, *fault);
+  if (auto fault = CheckChange(current, patch, after, targets)) return Refuse(current, *fault);
+  auto difference = Json::diff(before, after).dump();
+  auto number = Number(current, request, difference, after);
+  auto document = after.dump();
+  if (document.size() > kMaxDocument) {
+    return Refuse(current, {Rule::kTooLarge, {}, {}, std::to_string(document.size()), {}});
+  }
+  return Accepted{std::move(document), number, std::move(difference), false};
+}
+
+}  // namespace
+
+auto ApplyPatch(std::string_view text, const PatchRequest& request,
+                std::span<const KnownTarget> targets) -> base::Result<Accepted> {
+  auto current = Current{};
+  if (auto fault = ReadCurrent(text, current)) return Refuse(current, *fault);
+  if (auto fault = CheckIdentity(request)) return Refuse(current, *fault);
+  // Safeguard: a patch whose answer was lost comes again under its id. Its base is stale by then,
+  // so it must be looked for before the base is compared, or it would be reported as refused.
+  const auto* record = FindRecord(current.configuration, request.id);
+  if (record != nullptr) return Again(current, *record, request, text);
+  if (request.base != current.configuration.number) return RefuseStale(current, request.base);
+  return ApplyFresh(current, request, targets);
+}
+
+}  // namespace anvildrum::config
--- /dev/null
+++ b/src/config/internal/rules.cc
@@ -0,0 +1,123 @@
+#include "config/internal/rules.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "json/parse.h"
+
+namespace anvildrum::config {
+namespace {
+
+using Owners = std::unordered_map<base::Endpoint, std::string>;
+
+auto ServicePointer(const Service& service) -> std::string {
+  return json::Child("/services", service.name);
+}
+
+auto AddressPointer(const Service& service, std::size_t index) -> std::string {
+  return json::Child(json::Child(ServicePointer(service), "addresses"), std::to_string(index));
+}
+
+auto Broken(Rule rule, std::string pointer, std::string found) -> ConfigurationError {
+  return {rule, Place::kDocument, std::move(pointer), std::move(found), {}};
+}
+
+auto IsUsable(const base::Endpoint& endpoint) -> bool {
+  auto unspecified_v4 = base::EndpointFromV4(0, endpoint.port);
+  auto unspecified_v6 = base::Endpoint{{}, endpoint.port};
+  return endpoint.port != 0 && endpoint != unspecified_v4 && endpoint != unspecified_v6;
+}
+
+auto CheckService(const Service& service, Owners& owners) -> std::optional<ConfigurationError> {
+  if (service.addresses.empty()) {
+    return Broken(Rule::kNoAddress, ServicePointer(service) + "/addresses", service.name);
+  }
+  for (auto i = std::size_t{0}; i < service.addresses.size(); ++i) {
+    const auto& address = service.addresses[i];
+    auto text = base::FormatEndpoint(address);
+    if (!IsUsable(address)) {
+      return Broken(Rule::kUnusableAddress, AddressPointer(service, i), text);
+    }
+    auto [owner, added] = owners.emplace(address, service.name);
+    if (!added) {
+      return Broken(Rule::kAddressTaken, AddressPointer(service, i), text + " of " + owner->second);
+    }
+  }
+  return std::nullopt;
+}
+
+auto OwnersOf(const Configuration& configuration) -> Owners {
+  auto owners = Owners{};
+  for (const auto& service : configuration.services) {
+    for (const auto& address : service.addresses) owners.emplace(address, service.name);
+  }
+  return owners;
+}
+
+auto FindService(const Configuration& configuration, const std::string& name) -> const Service* {
+  for (const auto& service : configuration.services) {
+    if (service.name == name) return &service;
+  }
+  return nullptr;
+}
+
+auto WeightOf(const Service& service, const std::string& target) -> double {
+  for (const auto& weight : service.weights) {
+    if (weight.target == target) return weight.weight;
+  }
+  return 1.0;
+}
+
+auto CanPlace(const Service& service, std::span<const KnownTarget> targets) -> bool {
+  return std::any_of(targets.begin(), targets.end(), [&](const KnownTarget& target) {
+    return target.service == service.name && !target.draining && WeightOf(service, target.name) > 0;
+  });
+}
+
+auto HasTargets(const Service& service, std::span<const KnownTarget> targets) -> bool {
+  return std::any_of(targets.begin(), targets.end(), [&](const KnownTarget& target) {
+    return target.service == service.name && !target.draining;
+  });
+}
+
+}  // namespace
+
+auto CheckAddresses(const Configuration& configuration) -> std::optional<ConfigurationError> {
+  auto owners = Owners{};
+  for (const auto& service : configuration.services) {
+    auto fault = CheckService(service, owners);
+    if (fault) return fault;
+  }
+  return std::nullopt;
+}
+
+auto CheckMoves(const Configuration& before, const Configuration& after)
+    -> std::optional<ConfigurationError> {
+  auto owners = OwnersOf(before);
+  for (const auto& service : after.services) {
+    for (auto i = std::size_t{0}; i < service.addresses.size(); ++i) {
+      auto owner = owners.find(service.addresses[i]);
+      if (owner == owners.end() || owner->second == service.name) continue;
+      return Broken(Rule::kAddressMoved, AddressPointer(service, i),
+                    base::FormatEndpoint(owner->first) + " of " + owner->second);
+    }
+  }
+  return std::nullopt;
+}
+
+auto CheckPlacement(const Configuration& before, const Configuration& after,
+                    std::span<const KnownTarget> targets) -> std::optional<ConfigurationError> {
+  for (const auto& service : before.services) {
+    const auto* successor = FindService(after, service.name);
+    if (successor == nullptr) {
+      if (!HasTargets(service, targets)) continue;
+      return Broken(Rule::kServiceHasTargets, ServicePointer(service), service.name);
+    }
+    if (CanPlace(service, targets) && !CanPlace(*successor, targets)) {
+      return Broken(Rule::kNowhereToPlace, ServicePointer(service) + "/weights", service.name);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace anvildrum::config
--- a/src/config/types/configuration.h
+++ b/src/config/types/configuration.h
@@ -42,13 +42,14 @@
   std::vector<TargetWeight> weights;
 };
 
-/// A patch that was accepted. The difference itself is kept as the JSON text of the patch.
+/// A patch that was accepted.
 struct PatchRecord {
   std::string id;
   std::string author;
-  std::string accepted_at;  ///< RFC 3339
-  std::uint64_t number = 0;
-  std::string patch;
+  std::string accepted_at;   ///< RFC 3339
+  std::uint64_t number = 0;  ///< the one it made
+  std::uint64_t digest = 0;  ///< XXH3 of the patch as it was submitted
+  std::string difference;    ///< RFC 6902 text of what it changed
 };
 
 /// The whole configuration under its number. Instances move to higher numbers only.
