--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -23,6 +23,7 @@
 struct ClientLoad {
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  std::uint64_t last_start = 0;  ///< Admission::starts when a request of it last got a slot
 };
 
 struct QueuedRequest {
@@ -34,6 +35,7 @@
 /// Slots, queue and what was observed of the target.
 struct Admission {
   std::uint32_t running = 0;  ///< slots held
+  std::uint64_t starts = 0;   ///< slots given so far
   std::vector<QueuedRequest> queue;
   std::unordered_map<ClientAddress, ClientLoad, ClientAddressHash> clients;
   std::unordered_map<ClientAddress, std::uint32_t, ClientAddressHash> challenges;  ///< open ones
@@ -56,8 +58,9 @@
 auto VictimFor(const Admission& admission, const ClientAddress& client)
     -> std::optional<std::uint64_t>;
 
-/// Takes the next request for a free slot: of the client with the fewest running, the one with the
-/// earliest deadline. Nothing when no slot is free or nothing waits.
+/// Takes the next request for a free slot: of the client with the fewest running, among these of
+/// the one that was served longest ago, the request with the earliest deadline. Nothing when no
+/// slot is free or nothing waits.
 auto TakeNext(Admission& admission, const Parameters& parameters) -> std::optional<QueuedRequest>;
 
 /// Takes out one request whose deadline can no longer be met.
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -52,7 +52,7 @@
 struct HandOnRequested {
   base::FlowKey flow;
   base::InstanceId origin;
-  std::uint64_t request = 0;  ///< the origin's id of the request
+  std::uint64_t request = 0;  ///< the origin's id of the offer
   BytesView bytes;
   base::Duration left{};  ///< until the deadline
 };
--- a/src/requests/internal/admission.cc
+++ b/src/requests/internal/admission.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace anvildrum::requests {
 namespace {
@@ -89,12 +90,11 @@
 
 auto TakeNext(Admission& admission, const Parameters& parameters) -> std::optional<QueuedRequest> {
   if (admission.running >= parameters.slots || admission.queue.empty()) return std::nullopt;
-  auto comes_first = [&](const QueuedRequest& left, const QueuedRequest& right) {
-    auto left_running = LoadOf(admission, left.client).running;
-    auto right_running = LoadOf(admission, right.client).running;
-    if (left_running != right_running) return left_running < right_running;
-    return left.deadline < right.deadline;
+  auto rank = [&](const QueuedRequest& request) {
+    auto load = LoadOf(admission, request.client);
+    return std::tuple(load.running, load.last_start, request.deadline);
   };
+  auto comes_first = [&](const auto& left, const auto& right) { return rank(left) < rank(right); };
   return Take(admission,
               std::min_element(admission.queue.begin(), admission.queue.end(), comes_first));
 }
@@ -124,7 +124,9 @@
 
 auto HoldSlot(Admission& admission, const ClientAddress& client) -> void {
   ++admission.running;
-  ++admission.clients[client].running;
+  auto& load = admission.clients[client];
+  ++load.running;
+  load.last_start = ++admission.starts;
 }
 
 auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void {
--- a/src/requests/internal/coap_message.cc
+++ b/src/requests/internal/coap_message.cc
@@ -12,6 +12,7 @@
 constexpr auto kHeaderSize = std::size_t{4};
 constexpr auto kVersionMask = std::uint8_t{0xc0};
 constexpr auto kVersionOne = std::uint8_t{0x40};
+constexpr auto kTokenLengthMask = std::uint8_t{0x0f};
 constexpr auto kTypeShift = 4;
 constexpr auto kTypeMask = std::uint8_t{0x03};
 constexpr auto kCodeClassShift = 5;
@@ -237,7 +238,6 @@
 
 auto WithIdentity(BytesView datagram, MessageType type, std::uint16_t message_id,
                   const Token& token) -> Bytes {
-  constexpr auto kTokenLengthMask = std::uint8_t{0x0f};
   auto body = datagram.subspan(kHeaderSize + (datagram[0] & kTokenLengthMask));
   auto out = Bytes{};
   out.reserve(kHeaderSize + token.size + body.size());
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -19,9 +19,16 @@
   return std::max(entry.deadline, context.now) + context.state.parameters.queue_limit;
 }
 
+// Safeguard: the first offer may have been copied on its way, and one copy refused while the other
+// was challenged and then run. That refusal, arriving late, would tell the client "not run" of a
+// request that runs; so answers name the offer they are for.
+auto OfferId(const LedgerEntry& entry) -> std::uint64_t {
+  return entry.offer_confirmed ? entry.id + 1 : entry.id;
+}
+
 auto Offer(Context& context, LedgerEntry& entry, Bytes bytes, base::TargetId only_to) -> void {
   context.effects.emplace_back(
-      OfferHandOn{entry.identity.flow, entry.id, std::move(bytes), entry.deadline, only_to});
+      OfferHandOn{entry.identity.flow, OfferId(entry), std::move(bytes), entry.deadline, only_to});
   WakeAt(context, entry, GiveUpAt(context, entry));
 }
 
@@ -38,6 +45,13 @@
   return message.code == kCodeUnauthorized && message.echo.has_value();
 }
 
+auto FindOffered(Context& context, const HandOnAnswered& event) -> LedgerEntry* {
+  auto* entry = FindById(context.state.ledger, event.request / kIdStep * kIdStep);
+  if (entry == nullptr || entry->stage != Stage::kOffered) return nullptr;
+  auto is_for_it = entry->identity.flow == event.flow && OfferId(*entry) == event.request;
+  return is_for_it ? entry : nullptr;
+}
+
 }  // namespace
 
 auto TryHandOn(Context& context, LedgerEntry& entry) -> bool {
@@ -67,10 +81,8 @@
 }
 
 auto OnHandOnAnswered(Context& context, const HandOnAnswered& event) -> void {
-  auto* entry = FindById(context.state.ledger, event.request);
-  if (entry == nullptr || entry->stage != Stage::kOffered || entry->identity.flow != event.flow) {
-    return CountOne(context, Counter::kLateAnswer);
-  }
+  auto* entry = FindOffered(context, event);
+  if (entry == nullptr) return CountOne(context, Counter::kLateAnswer);
   // A read that was under way at a target that died may have run there.
   auto may_have_run_here = entry->started != base::TimePoint{};
   if (event.not_run && may_have_run_here) {
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -173,6 +173,8 @@
   Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
 }
 
+// POST, and PUT, DELETE and iPATCH too: a late copy of a PUT at another agent would undo what came
+// after it, or run what was refused here as not run.
 auto OnGuarded(Context& context, const Intake& intake) -> void {
   if (IsLaterBlock(intake.message)) return OnLaterBlock(context, intake);
   if (!intake.message.echo) return Challenge(context, intake);
@@ -189,21 +191,6 @@
   }
 }
 
-// PUT, DELETE, iPATCH: a late copy must not undo what came after it, so each is remembered.
-auto OnIdempotent(Context& context, const Intake& intake) -> void {
-  auto follow_up = IsLaterBlock(intake.message) && ContinueUpload(context, intake);
-  // A refusal that is not recorded could be followed by a late copy that runs.
-  if (!follow_up && !HasRoomFor(context, intake)) {
-    return ReplyUnknown(context, intake.asker, Counter::kUnknownNoRecord);
-  }
-  auto entry = EntryFor(context, intake);
-  entry.follow_up = follow_up;
-  auto& kept = InsertRequest(context.state.ledger, std::move(entry));
-  auto id = kept.id;
-  Admit(context, kept);
-  NoteUpload(context, intake, id);
-}
-
 auto StreamsOf(const Context& context, const FlowState& flow) -> std::uint32_t {
   auto streams = std::uint32_t{0};
   for (auto id : flow.live) {
@@ -278,10 +265,7 @@
   auto answers_challenge =
       known != nullptr && known->stage == Stage::kChallenged && message.echo.has_value();
   if (known != nullptr && !answers_challenge) return OnRepeated(context, intake, *known);
-  auto method = MethodClassOf(message.code);
-  if (method == MethodClass::kSafe) return OnSafe(context, intake);
-  auto from_client = asker.identity.origin.value == 0;
-  if (method == MethodClass::kIdempotent && from_client) return OnIdempotent(context, intake);
+  if (MethodClassOf(message.code) == MethodClass::kSafe) return OnSafe(context, intake);
   OnGuarded(context, intake);
 }
 
--- a/src/requests/internal/ledger.cc
+++ b/src/requests/internal/ledger.cc
@@ -45,7 +45,8 @@
 }
 
 auto InsertRequest(Ledger& ledger, LedgerEntry entry) -> LedgerEntry& {
-  entry.id = ledger.next_id++;
+  ledger.next_id += kIdStep;
+  entry.id = ledger.next_id;
   ledger.bytes += kLedgerEntryBytes + entry.request.size() + entry.answer.size();
   ledger.by_identity[entry.identity] = entry.id;
   if (entry.echo_issue != 0) ledger.by_echo[entry.echo_issue] = entry.id;
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -9,6 +9,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 auto Dispatch(Context& context, const Event& event) -> void {
   std::visit(Overloaded{
@@ -113,7 +115,7 @@
   state->admission.service_time = this->parameters.initial_service_time;
   state->retries.tokens = this->parameters.retry_burst;
   // Ids start at random, so that an answer meant for an earlier incarnation matches nothing here.
-  state->ledger.next_id = state->random();
+  state->ledger.next_id = state->random() * kIdStep;
   return state;
 }
 
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -79,9 +79,12 @@
   std::unordered_map<std::uint64_t, std::uint64_t> by_echo;        ///< issue number -> entry
   std::deque<std::pair<base::TimePoint, std::uint64_t>> expiries;  ///< in the order of time
   std::size_t bytes = 0;
-  std::uint64_t next_id = 1;
+  std::uint64_t next_id = 0;  ///< even; see kIdStep
 };
 
+/// Ids are even: the odd one that follows names the second offer of the request to another agent.
+inline constexpr auto kIdStep = std::uint64_t{2};
+
 /// Memory counted for an entry besides its request and answer: the entry and its index nodes.
 inline constexpr auto kLedgerEntryBytes = sizeof(LedgerEntry) + 2 * sizeof(RequestIdentity) + 160;
 
--- /dev/null
+++ b/src/requests/tests/admission_test.cc
@@ -0,0 +1,128 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "requests/tests/rig.h"
+
+namespace anvildrum::requests {
+namespace {
+
+auto FlowOfClient(std::uint32_t client) -> base::FlowKey {
+  return {base::EndpointFromV4(0x0a000000 + client, 40000), base::ServiceIdOf("desk")};
+}
+
+auto OneSlot() -> Parameters {
+  auto parameters = Alone();
+  parameters.slots = 1;
+  return parameters;
+}
+
+// The target's slots are full: the next request waits and starts when an answer frees a slot.
+BOOST_AUTO_TEST_CASE(request_waits_for_a_slot) {
+  auto rig = MakeRig(OneSlot());
+  FromClient(rig, Get(1, 1));
+  auto sent = rig.to_target.at(0);
+  FromClient(rig, Get(2, 2));
+  BOOST_TEST(rig.to_target.empty());
+  BOOST_TEST(rig.to_client.empty());
+  rig.now += base::milliseconds(20);
+  Answer(rig, ParseMessage(sent).value(), 1);
+  BOOST_TEST(rig.to_target.size() == 1U);
+}
+
+// With 100 ms a request and 250 ms to the deadline, the third in line would be answered late. It
+// is refused at once, with a time to come back, instead of waiting for an answer it cannot use.
+BOOST_AUTO_TEST_CASE(nothing_is_queued_that_would_be_late) {
+  auto parameters = OneSlot();
+  parameters.initial_service_time = base::milliseconds(100);
+  auto rig = MakeRig(parameters);
+  FromClient(rig, Get(1, 1));
+  FromClient(rig, Get(2, 2));
+  BOOST_TEST(rig.to_client.empty());
+  FromClient(rig, Get(3, 3));
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_TEST(Sent(rig).max_age.has_value());
+}
+
+// The target stalls after a request was queued: as soon as the wait has eaten the time that the
+// run would take, the client is told not run, before its deadline rather than after.
+BOOST_AUTO_TEST_CASE(queued_request_is_refused_before_its_deadline) {
+  auto rig = MakeRig(OneSlot());
+  FromClient(rig, Get(1, 1));
+  FromClient(rig, Get(2, 2));
+  rig.now += rig.parameters.queue_limit - rig.parameters.initial_service_time;
+  Feed(rig, Timer{});
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_TEST(BusyOf(*rig.core, rig.now).queued == 0U);
+}
+
+// One trader sends a burst that fills the queue; another's single request takes the next slot and
+// does not wait behind the burst.
+BOOST_AUTO_TEST_CASE(burst_of_one_client_does_not_starve_another) {
+  auto parameters = OneSlot();
+  parameters.queue_size = 4;
+  parameters.initial_service_time = base::milliseconds(1);
+  auto rig = MakeRig(parameters);
+  FromClient(rig, Get(1, 1), FlowOfClient(1));
+  auto first = rig.to_target.at(0);
+  for (auto i = std::uint16_t{2}; i < 8; ++i) FromClient(rig, Get(i, i), FlowOfClient(1));
+  FromClient(rig, Get(1, 99), FlowOfClient(2));
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_TEST(Sent(rig).message_id == 5);  // the newest of the burst that was in the queue
+  Answer(rig, ParseMessage(first).value(), 1, FlowOfClient(1));
+  BOOST_TEST(rig.to_target.at(0).back() == 99);
+}
+
+// A client with as many requests as it may have is refused, though slots are free.
+BOOST_AUTO_TEST_CASE(client_limit) {
+  auto parameters = Alone();
+  parameters.client_in_flight = 2;
+  auto rig = MakeRig(parameters);
+  FromClient(rig, Get(1, 1));
+  FromClient(rig, Get(2, 2));
+  FromClient(rig, Get(3, 3));
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  FromClient(rig, Get(1, 4), kOtherFlow);
+  BOOST_TEST(rig.to_target.size() == 1U);
+}
+
+// Clients refused together come back at different times, or they would be refused together again.
+BOOST_AUTO_TEST_CASE(refusals_spread_the_returns) {
+  auto parameters = OneSlot();
+  parameters.queue_size = 0;
+  auto rig = MakeRig(parameters);
+  FromClient(rig, Get(1, 1));
+  auto ages = std::set<std::uint32_t>{};
+  for (auto i = std::uint16_t{2}; i < 60; ++i) {
+    FromClient(rig, Get(i, i));
+    ages.insert(Sent(rig).max_age.value());
+  }
+  BOOST_TEST(*ages.begin() >= parameters.max_age_min);
+  BOOST_TEST(ages.size() > parameters.max_age_spread);
+}
+
+// A report is on its way in blocks while the target is full: its next block is not refused, which
+// would cut the report; a first block of another report is.
+BOOST_AUTO_TEST_CASE(next_block_of_a_report_is_not_refused) {
+  auto parameters = OneSlot();
+  parameters.queue_size = 0;
+  auto rig = MakeRig(parameters);
+  auto block = [](std::uint8_t number) {  // GET /hold with Block2 number/0/1024
+    return Bytes{0x41, 1,   0,   number, number, 0xb4,
+                 'h',  'o', 'l', 'd',    0xc1,   static_cast<std::uint8_t>(number << 4 | 6)};
+  };
+  FromClient(rig, block(0));
+  auto request = ParseMessage(rig.to_target.at(0)).value();
+  auto answer = Bytes{0x68, 0x45, static_cast<std::uint8_t>(request.message_id >> 8),
+                      static_cast<std::uint8_t>(request.message_id)};
+  answer.insert(answer.end(), request.token.bytes.begin(), request.token.bytes.end());
+  answer.insert(answer.end(), {0xd1, 10, 0x0e, 0xff, 'x'});  // Block2 0/more/1024
+  Feed(rig, TargetDatagram{kFlow, answer});
+  FromClient(rig, Get(50, 50), kOtherFlow);  // takes the only slot
+  FromClient(rig, block(1));
+  BOOST_TEST(rig.to_target.size() == 1U);
+  FromClient(rig, block(1), kOtherFlow);
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+}
+
+}  // namespace
+}  // namespace anvildrum::requests
--- /dev/null
+++ b/src/requests/tests/world.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "requests/coap_message.h"
+#include "requests/requests.h"
+
+// Several request cores with their targets and clients on one virtual clock, joined by a network
+// that drops, duplicates, reorders and delays. A run is a function of the seed.
+namespace anvildrum::requests::world {
+
+inline constexpr std::uint8_t kGet = 1;
+inline constexpr std::uint8_t kPost = 2;
+inline constexpr std::uint8_t kPut = 3;
+
+enum class Outcome : std::uint8_t { kPending, kAnswered, kNotRun, kUnknown, kTimeout };
+
+/// A request as its user sees it; its number is the payload, and the target answers with it.
+struct Order {
+  std::uint8_t method = kPost;
+  base::FlowKey flow;
+  Outcome outcome = Outcome::kPending;
+  bool foreign_answer = false;  ///< an answer with the number of another order
+  std::uint32_t executions = 0;
+};
+
+struct Faults {
+  double drop = 0;
+  double duplicate = 0;
+  double late = 0;         ///< share of copies delayed by minutes
+  double agent_death = 0;  ///< chance a second that some agent restarts
+  double target_death = 0;
+  double move = 0;       ///< chance a second that some flow moves to another agent
+  bool adopted = false;  ///< moved flows are opened as taken over
+  bool reuse_tokens = false;
+  bool lenient = false;  ///< clients answer a challenge of any message of an open request
+};
+
+struct Exchange {
+  std::size_t order = 0;
+  std::uint16_t message_id = 0;
+  Token token;
+  Bytes bytes;
+  int sends = 0;
+  bool acknowledged = false;
+  bool open = true;
+};
+
+struct Client {
+  base::FlowKey flow;
+  std::size_t owner = 0;
+  std::uint16_t next_message_id = 0;
+  std::vector<Exchange> exchanges;
+  std::set<std::uint16_t> seen;  ///< message IDs of CON messages received
+};
+
+struct Agent {
+  StatePtr core;
+  base::Incarnation incarnation = 0;
+  std::uint64_t target_life = 0;
+};
+
+struct World {
+  std::mt19937_64 random;
+  Faults faults;
+  Parameters parameters;
+  base::TimePoint now{base::hours(1)};
+  std::vector<Agent> agents;
+  std::vector<Client> clients;
+  std::vector<Order> orders;
+  using Job = std::function<void()>;
+  std::multimap<base::TimePoint, Job> jobs;
+  std::map<Counter, std::uint64_t> counts;
+  bool echo_reached_target = false;
+};
+
+/// A request to /hold, and the answer 2.04 to it, with `number` in the last four bytes.
+auto MakeRequest(std::uint8_t method, std::uint16_t message_id, const Token& token,
+                 std::size_t number) -> Bytes;
+auto MakeResponse(MessageType type, std::uint16_t message_id, const Token& token,
+                  std::size_t number) -> Bytes;
+
+auto MakeWorld(std::uint64_t seed, const Faults& faults, const Parameters& parameters,
+               std::size_t agents, std::size_t clients) -> World;
+auto RestartAgent(World& world, std::size_t agent) -> void;
+auto Feed(World& world, std::size_t agent, const Event& event) -> void;
+auto PlaceOrder(World& world, std::size_t client, std::uint8_t method) -> std::size_t;
+/// Runs until nothing is left to happen.
+auto RunAll(World& world) -> void;
+auto After(World& world, base::Duration delay, World::Job job) -> void;
+
+}  // namespace anvildrum::requests::world
--- a/src/requests/types/counter.h
+++ b/src/requests/types/counter.h
@@ -27,7 +27,6 @@
   kUnknownUpload,         ///< a later block of an upload that did not start here
   kUnknownIdentityReuse,  ///< message ID and token of another request that is still remembered
   kUnknownHandOn,         ///< no answer of the other agent in time
-  kUnknownNoRecord,       ///< the ledger is full and a later copy could not be told from a new one
   kChallenged,
   kRetransmissionAnswered,
   kRetransmissionWhileRunning,
