Ask lost parents again beside the one in use

Failure: a parent that was lost was avoided for 15 s and then asked again in place of the one in use. While it was still dead its former children, and an acting watcher with all below it, went without heartbeats for two seconds every 15 s. Now a lost peer stays lost until it is heard, is asked beside the one in use, with a doubling pause, and a new incarnation starts afresh. Heartbeats every 900 ms rather than 600 (bytes).

--- a/src/relay/internal/clearing.cc
+++ b/src/relay/internal/clearing.cc
@@ -44,7 +44,7 @@
 auto Report(State& state, const std::string& key, const OwnSuspicion& suspicion, bool is_alive,
             base::TimePoint now, Effects& effects) -> void {
   const Link clearer =
-      ClearerFor(state, suspicion.failure_domain, AttemptOf(state, suspicion, now), now);
+      ClearerFor(state, suspicion.failure_domain, AttemptOf(state, suspicion, now));
   const base::InstanceId self = state.settings.self.instance;
   if (clearer.instance.value == 0) return;
   if (clearer.instance == self) {
--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -18,6 +18,7 @@
 
 /// A heartbeat that came further went round in a circle of balancers with different views.
 constexpr std::uint32_t kHopsMost = 12;
+constexpr std::uint32_t kDoublingsMost = 10;
 
 auto SendSubscribe(State& state, Parent& parent, bool everything, base::TimePoint now,
                    Effects& effects) -> void {
@@ -63,13 +64,17 @@
   return policy.parent_timeout + policy.timeout_per_hop * parent.hops;
 }
 
-auto IsSilent(const State& state, const Parent& parent, base::TimePoint now) -> bool {
+auto IsLost(const State& state, const Parent& parent, base::TimePoint now) -> bool {
   return now - parent.heard_at > TimeoutOf(state, parent);
 }
 
 auto LoseParent(State& state, const Parent& parent, base::TimePoint now, Effects& effects) -> void {
   ++state.counters.parents_lost;
-  state.avoided[parent.endpoint] = now + state.settings.policy.avoid_for;
+  const RelayPolicy& policy = state.settings.policy;
+  Silence& silence = state.silent[parent.endpoint];
+  const std::uint32_t doublings = std::min(silence.losses, kDoublingsMost);
+  silence.until = now + std::min(policy.avoid_for * (1U << doublings), policy.avoid_most);
+  ++silence.losses;
   CloseParent(state, parent, effects);
 }
 
@@ -190,17 +195,15 @@
 
 auto TickParents(State& state, base::TimePoint now, Effects& effects) -> void {
   const RelayPolicy& policy = state.settings.policy;
-  std::erase_if(state.avoided, [&](const auto& entry) { return entry.second <= now; });
   for (auto& [endpoint, parent] : state.parents) {
-    if (IsSilent(state, parent, now)) {
+    if (IsLost(state, parent, now)) {
       LoseParent(state, parent, now, effects);
       continue;
     }
     const base::Duration wait = parent.answered ? policy.renew_interval : policy.subscribe_retry;
     if (now - parent.renewed_at >= wait) SendSubscribe(state, parent, false, now, effects);
   }
-  std::erase_if(state.parents,
-                [&](const auto& entry) { return IsSilent(state, entry.second, now); });
+  std::erase_if(state.parents, [&](const auto& entry) { return IsLost(state, entry.second, now); });
 }
 
 auto ForgiveParents(State& state, base::TimePoint now) -> void {
@@ -238,7 +241,7 @@
     return;
   }
   parent->heard_at = now;
-  parent->rooted = true;
+  state.silent.erase(event.endpoint);
   parent->hops = heartbeat.hops();
   state.rooted_at = now;
   CompareWith(state, *parent, heartbeat, now, effects);
--- a/src/relay/internal/step.cc
+++ b/src/relay/internal/step.cc
@@ -20,7 +20,7 @@
 auto Rearrange(State& state, base::TimePoint now, Effects& effects) -> void {
   const bool may_be_root =
       state.store.complete || now - state.started_at >= state.settings.policy.seed_wait;
-  state.root = may_be_root && IsRoot(state, now);
+  state.root = may_be_root && IsRoot(state);
   ReconcileParents(state, now, effects);
 }
 
--- a/src/relay/internal/topology.cc
+++ b/src/relay/internal/topology.cc
@@ -49,13 +49,35 @@
   return {.instance = peer.instance, .endpoint = peer.control};
 }
 
-/// First of a domain that answers, as far as is known; nullptr when all are avoided.
-auto FirstOf(const State& state, const std::vector<RelayPeer>& domain, base::TimePoint now)
-    -> const RelayPeer* {
-  const auto found = std::find_if(domain.begin(), domain.end(), [&](const RelayPeer& peer) {
-    return !IsAvoided(state, peer.control, now);
-  });
-  return found == domain.end() ? nullptr : &*found;
+/// Peers of one purpose: the first that answers as far as is known, and at most one before it that
+/// was lost and may be asked again.
+struct Choice {
+  std::vector<Link> links;
+  bool is_usable = false;
+};
+
+auto Choose(const State& state, const std::vector<Link>& candidates, base::TimePoint now)
+    -> Choice {
+  Choice choice;
+  for (const Link& link : candidates) {
+    const auto found = state.silent.find(link.endpoint);
+    if (found == state.silent.end()) {
+      choice.links.push_back(link);
+      choice.is_usable = true;
+      return choice;
+    }
+    const bool may_ask = found->second.until <= now && choice.links.empty();
+    if (may_ask) choice.links.push_back(link);
+  }
+  return choice;
+}
+
+auto ToLinks(const State& state, const std::vector<RelayPeer>& peers) -> std::vector<Link> {
+  std::vector<Link> links;
+  for (const RelayPeer& peer : peers) {
+    if (peer.instance != state.settings.self.instance) links.push_back(ToLink(peer));
+  }
+  return links;
 }
 
 /// The domain `steps` further round the ring of names.
@@ -67,42 +89,38 @@
   return place->second;
 }
 
-/// First answering balancer at or after `steps` round the ring, other than the own domain's.
-auto AddRootAt(const State& state, std::size_t steps, base::TimePoint now, std::vector<Link>& links)
-    -> void {
-  for (std::size_t more = 0; steps + more < state.domains.size(); ++more) {
-    const auto& domain =
-        DomainAfter(state.domains, state.settings.self.failure_domain, steps + more);
-    const RelayPeer* peer = FirstOf(state, domain, now);
-    if (peer == nullptr) continue;
-    links.push_back(ToLink(*peer));
-    return;
+auto Append(std::vector<Link>& links, const Choice& choice) -> void {
+  links.insert(links.end(), choice.links.begin(), choice.links.end());
+}
+
+/// Into the first domain at or after `steps` round the ring that has an answering balancer.
+auto AppendRootAt(const State& state, std::size_t steps, base::TimePoint now,
+                  std::vector<Link>& links) -> void {
+  const std::string& own = state.settings.self.failure_domain;
+  for (; steps < state.domains.size(); ++steps) {
+    const auto& domain = DomainAfter(state.domains, own, steps);
+    const Choice choice = Choose(state, ToLinks(state, domain), now);
+    Append(links, choice);
+    if (choice.is_usable) return;
   }
 }
 
-/// Roots hear from the other roots of their domain and from two other domains: one and about a
-/// square root of all further round the ring. One root that reaches the platform is enough for all,
-/// within twice that square root of hops.
+/// Roots hear from another root of their domain and from two other domains: the next one and the
+/// one about a square root of all further round the ring. One root that reaches the platform is
+/// enough for all, within twice that square root of hops.
 auto RootLinks(const State& state, const std::vector<RelayPeer>& domain, base::TimePoint now)
     -> std::vector<Link> {
   std::vector<Link> links;
-  for (const RelayPeer& peer : domain) {
-    if (links.size() + 1 >= state.settings.policy.watchers_per_domain) break;
-    const bool is_self = peer.instance == state.settings.self.instance;
-    if (!is_self && !IsAvoided(state, peer.control, now)) links.push_back(ToLink(peer));
-  }
+  Append(links, Choose(state, ToLinks(state, domain), now));
   const auto chord = static_cast<std::size_t>(std::sqrt(static_cast<double>(state.domains.size())));
-  AddRootAt(state, 1, now, links);
-  if (chord > 1) AddRootAt(state, chord, now, links);
+  AppendRootAt(state, 1, now, links);
+  if (chord > 1) AppendRootAt(state, chord, now, links);
   return links;
 }
 
-/// When every candidate is silent, the one whose time is over first is asked again.
-auto LeastAvoided(const State& state, const std::vector<Link>& candidates) -> std::vector<Link> {
-  const auto until = [&](const Link& link) {
-    const auto found = state.avoided.find(link.endpoint);
-    return found == state.avoided.end() ? base::TimePoint{} : found->second;
-  };
+/// When every candidate is silent, the one whose time is over first is asked again at once.
+auto LeastSilent(const State& state, const std::vector<Link>& candidates) -> std::vector<Link> {
+  const auto until = [&](const Link& link) { return state.silent.at(link.endpoint).until; };
   const auto least = std::min_element(
       candidates.begin(), candidates.end(),
       [&](const Link& left, const Link& right) { return until(left) < until(right); });
@@ -112,10 +130,9 @@
 
 auto FirstUsable(const State& state, const std::vector<Link>& candidates, base::TimePoint now)
     -> std::vector<Link> {
-  for (const Link& link : candidates) {
-    if (!IsAvoided(state, link.endpoint, now)) return {link};
-  }
-  return LeastAvoided(state, candidates);
+  Choice choice = Choose(state, candidates, now);
+  if (choice.links.empty()) return LeastSilent(state, candidates);
+  return std::move(choice.links);
 }
 
 auto SeedLinks(const State& state) -> std::vector<Link> {
@@ -145,15 +162,32 @@
   return links;
 }
 
+/// A peer that was started anew is asked like any other; one that is gone needs no memory.
+auto ForgetSilence(State& state, const std::vector<RelayPeer>& peers) -> void {
+  const auto is_same = [&](const RelayPeer& peer) {
+    return std::find(state.peers.begin(), state.peers.end(), peer) != state.peers.end();
+  };
+  std::map<base::Endpoint, Silence> kept;
+  for (const RelayPeer& peer : peers) {
+    const auto found = state.silent.find(peer.control);
+    if (found != state.silent.end() && is_same(peer)) kept.insert(*found);
+  }
+  for (const base::Endpoint& seed : state.settings.seeds) {
+    const auto found = state.silent.find(seed);
+    if (found != state.silent.end()) kept.insert(*found);
+  }
+  state.silent = std::move(kept);
+}
+
 }  // namespace
 
-auto IsAvoided(const State& state, const base::Endpoint& endpoint, base::TimePoint now) -> bool {
-  const auto found = state.avoided.find(endpoint);
-  return found != state.avoided.end() && found->second > now;
+auto IsSilent(const State& state, const base::Endpoint& endpoint) -> bool {
+  return state.silent.contains(endpoint);
 }
 
 auto TakePeers(State& state, const std::vector<RelayPeer>& peers) -> void {
   const RelayPeer& self = state.settings.self;
+  ForgetSilence(state, peers);
   state.peers.clear();
   std::copy_if(peers.begin(), peers.end(), std::back_inserter(state.peers),
                [&](const RelayPeer& peer) { return peer.instance != self.instance; });
@@ -186,14 +220,14 @@
   return ranks;
 }
 
-auto IsRoot(const State& state, base::TimePoint now) -> bool {
+auto IsRoot(const State& state) -> bool {
   if (state.settings.role != RelayRole::kBalancer) return false;
   const std::vector<RelayPeer>* domain = OwnDomain(state);
   if (domain == nullptr) return false;
   std::size_t answering = 0;
   for (const RelayPeer& peer : *domain) {
     if (peer.instance == state.settings.self.instance) return true;
-    if (!IsAvoided(state, peer.control, now)) ++answering;
+    if (!IsSilent(state, peer.control)) ++answering;
     if (answering >= state.settings.policy.watchers_per_domain) return false;
   }
   return false;
@@ -210,13 +244,13 @@
   return FirstUsable(state, TreeLinks(state), now);
 }
 
-auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt,
-                base::TimePoint now) -> Link {
+auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt)
+    -> Link {
   if (state.domains.empty()) return {};
   for (std::size_t steps = 0; steps < state.domains.size(); ++steps) {
     const auto& domain = DomainAfter(state.domains, failure_domain, steps);
     for (const RelayPeer& peer : domain) {
-      if (IsAvoided(state, peer.control, now)) continue;
+      if (IsSilent(state, peer.control)) continue;
       if (attempt == 0) return ToLink(peer);
       --attempt;
       // Two of a domain are asked before the next domain's turn comes.
--- a/src/relay/internal/topology.h
+++ b/src/relay/internal/topology.h
@@ -29,16 +29,16 @@
 
 /// Whether this balancer should watch the platform: fewer than `watchers_per_domain` balancers
 /// before it in its domain's order answer, as far as it can tell.
-auto IsRoot(const State& state, base::TimePoint now) -> bool;
+auto IsRoot(const State& state) -> bool;
 
-/// Peers to hear from now.
+/// Peers to hear from now: those in use, and beside them lost ones that are asked again.
 auto WantedParents(const State& state, base::TimePoint now) -> std::vector<Link>;
 
 /// The `attempt`-th balancer to tell of dead announcements in a failure domain: the domain's own
 /// first, then those of the domains after it. Instance zero: there is none.
-auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt,
-                base::TimePoint now) -> Link;
+auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt) -> Link;
 
-auto IsAvoided(const State& state, const base::Endpoint& endpoint, base::TimePoint now) -> bool;
+/// Whether a peer was lost and has not been heard since.
+auto IsSilent(const State& state, const base::Endpoint& endpoint) -> bool;
 
 }  // namespace anvildrum::relay
--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -44,13 +44,19 @@
   base::InstanceId instance;  ///< zero for a seed until it answers
   base::Endpoint endpoint;
   bool answered = false;
-  bool rooted = false;  ///< its heartbeats arrive, so its way to a root is whole
   std::uint32_t hops = 0;
   base::TimePoint asked_at{};
   base::TimePoint heard_at{};
   base::TimePoint renewed_at{};
 };
 
+/// A peer that was lost. It is asked again now and then, beside the one that took its place, so that
+/// asking costs no gap.
+struct Silence {
+  base::TimePoint until{};  ///< not asked before
+  std::uint32_t losses = 0;
+};
+
 /// A peer that hears from this instance.
 struct Child {
   base::ServiceId service;
@@ -99,7 +105,7 @@
   std::map<std::string, std::vector<RelayPeer>> domains;  ///< in rank order
   std::vector<RelayPeer> preferred;  ///< agents: balancers in the order they are asked
   std::map<base::Endpoint, Parent> parents;
-  std::map<base::Endpoint, base::TimePoint> avoided;  ///< silent ones, until when
+  std::map<base::Endpoint, Silence> silent;  ///< lost and not heard since
   std::map<base::InstanceId, Child> children;
   WatchState watch;
   PollState poll;
--- a/src/relay/types/settings.h
+++ b/src/relay/types/settings.h
@@ -28,14 +28,14 @@
 struct RelayPolicy {
   std::size_t fan_out = 8;              ///< children of a balancer in its domain's tree
   std::size_t watchers_per_domain = 2;  ///< balancers of a domain that watch the platform
-  base::Duration heartbeat = base::milliseconds(600);
+  base::Duration heartbeat = base::milliseconds(900);
   base::Duration parent_timeout = base::seconds(2);
   /// Added to the timeout for each hop below the first, so that the children of a dead parent move
   /// before their own children give up on them.
   base::Duration timeout_per_hop = base::milliseconds(250);
   base::Duration subscribe_retry = base::milliseconds(700);  ///< a subscription without an answer
-  base::Duration avoid_for =
-      base::seconds(15);  ///< a silent parent is not asked again for this long
+  base::Duration avoid_most = base::minutes(4);
+  base::Duration avoid_for = base::seconds(15);       ///< a lost parent is not asked again; doubles
   base::Duration child_timeout = base::seconds(30);   ///< a child that does not renew is dropped
   base::Duration renew_interval = base::seconds(10);  ///< subscriptions are sent again this often
   base::Duration watch_timeout = base::seconds(20);   ///< the platform answers a watch by then
