--- a/src/relay/internal/children.cc
+++ b/src/relay/internal/children.cc
@@ -11,6 +11,9 @@
 namespace anvildrum::relay {
 namespace {
 
+/// Records in an update from which packing pays.
+constexpr int kPackFrom = 8;
+
 auto Seal(wire::pb::RelayMessage message) -> SharedMessage {
   return std::make_shared<const wire::pb::RelayMessage>(std::move(message));
 }
@@ -92,6 +95,13 @@
   child.complete_sent = true;
 }
 
+/// The records of thousands of instances look alike: a complete set packs to a fraction.
+auto PackRecords(wire::pb::Update& update) -> void {
+  wire::pb::Update records;
+  records.mutable_records()->Swap(update.mutable_records());
+  update.set_packed(Pack(records.SerializeAsString(), {}));
+}
+
 /// Answers a subscription: what is newer than the child's horizon, or everything.
 auto SendNewer(State& state, base::InstanceId to, Child& child, std::uint64_t horizon,
                Effects& effects) -> void {
@@ -103,6 +113,7 @@
   } else {
     FillNewer(update, state.store, child, horizon);
   }
+  if (update.records_size() >= kPackFrom) PackRecords(update);
   NoteSent(state, child);
   ++state.counters.updates_sent;
   effects.emplace_back(SendPeer{.to = to, .endpoint = {}, .message = Seal(std::move(message))});
@@ -191,6 +202,16 @@
   }
 }
 
+auto DismissChildren(State& state, Effects& effects) -> void {
+  auto message = NewMessage(state);
+  message.mutable_unsubscribe();
+  const SharedMessage shared = Seal(std::move(message));
+  for (const auto& [instance, child] : state.children) {
+    effects.emplace_back(SendPeer{.to = instance, .endpoint = {}, .message = shared});
+  }
+  state.children.clear();
+}
+
 auto DropSilentChildren(State& state, base::TimePoint now) -> void {
   std::erase_if(state.children, [&](const auto& entry) {
     return now - entry.second.renewed_at > state.settings.policy.child_timeout;
--- a/src/relay/internal/children.h
+++ b/src/relay/internal/children.h
@@ -25,6 +25,9 @@
 auto SendHeartbeats(State& state, std::uint32_t hops, base::TimePoint now, Effects& effects)
     -> void;
 
+/// At a graceful stop: children go elsewhere at once instead of after a timeout.
+auto DismissChildren(State& state, Effects& effects) -> void;
+
 auto DropSilentChildren(State& state, base::TimePoint now) -> void;
 
 }  // namespace anvildrum::relay
--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -16,8 +16,11 @@
 namespace anvildrum::relay {
 namespace {
 
-/// A heartbeat that came further went round in a circle of balancers with different views.
-constexpr std::uint32_t kHopsMost = 12;
+/// Hops that lengthen the timeout. A tree of 8 children each is this deep at millions of balancers.
+/// There are no circles: a parent in the tree always comes before its child in the order of ids.
+constexpr std::uint32_t kHopsMost = 8;
+/// Longest complete set that is unpacked, in bytes; at 26,100 records it takes a quarter.
+constexpr std::size_t kUpdateMost = std::size_t{64} << 20U;
 constexpr std::uint32_t kDoublingsMost = 10;
 
 auto SendSubscribe(State& state, Parent& parent, bool everything, base::TimePoint now,
@@ -128,6 +131,11 @@
   return incoming;
 }
 
+auto UnpackRecords(const wire::pb::Update& update, wire::pb::Update& unpacked) -> bool {
+  const auto bytes = Unpack(update.packed(), {}, kUpdateMost);
+  return bytes.has_value() && unpacked.ParseFromString(*bytes);
+}
+
 /// Reads the records of an update; false when a configuration could not be unpacked.
 auto ReadRecords(State& state, const wire::pb::Update& update, std::vector<Incoming>& records)
     -> bool {
@@ -218,8 +226,13 @@
     return;
   }
   const wire::pb::Update& update = event.message.update();
+  wire::pb::Update unpacked;
+  if (!update.packed().empty() && !UnpackRecords(update, unpacked)) {
+    ++state.counters.bad_messages;
+    return;
+  }
   std::vector<Incoming> records;
-  const bool is_whole = ReadRecords(state, update, records);
+  const bool is_whole = ReadRecords(state, update.packed().empty() ? update : unpacked, records);
   const bool has_gap =
       state.store.complete && !update.complete() && update.base() > state.store.horizon;
   Apply(state, std::move(records),
@@ -236,18 +249,26 @@
     -> void {
   Parent* parent = FindParent(state, event);
   const wire::pb::Heartbeat& heartbeat = event.message.heartbeat();
-  if (parent == nullptr || heartbeat.hops() > kHopsMost) {
+  if (parent == nullptr) {
     ++state.counters.bad_messages;
     return;
   }
   parent->heard_at = now;
   state.silent.erase(event.endpoint);
-  parent->hops = heartbeat.hops();
+  parent->hops = std::min(heartbeat.hops(), kHopsMost);
   state.rooted_at = now;
   CompareWith(state, *parent, heartbeat, now, effects);
   ForwardHeartbeat(state, heartbeat.hops(), now, effects);
 }
 
+auto OnDismissed(State& state, const PeerMessage& event, base::TimePoint now, Effects& effects)
+    -> void {
+  const auto found = state.parents.find(event.endpoint);
+  if (found == state.parents.end()) return;
+  LoseParent(state, found->second, now, effects);
+  state.parents.erase(found);
+}
+
 auto LeaveParents(State& state, Effects& effects) -> void {
   for (const auto& [endpoint, parent] : state.parents) CloseParent(state, parent, effects);
   state.parents.clear();
--- a/src/relay/internal/parents.h
+++ b/src/relay/internal/parents.h
@@ -21,6 +21,10 @@
 auto OnHeartbeat(State& state, const PeerMessage& event, base::TimePoint now, Effects& effects)
     -> void;
 
+/// A parent that stops says so: its children go elsewhere at once.
+auto OnDismissed(State& state, const PeerMessage& event, base::TimePoint now, Effects& effects)
+    -> void;
+
 /// Tells all parents that no more is wanted.
 auto LeaveParents(State& state, Effects& effects) -> void;
 
--- a/src/relay/internal/step.cc
+++ b/src/relay/internal/step.cc
@@ -66,7 +66,9 @@
     case wire::pb::RelayMessage::kSubscribe:
       return OnSubscribe(state, event.sender, event.message.subscribe(), now, effects);
     case wire::pb::RelayMessage::kUnsubscribe:
-      return OnUnsubscribe(state, event.sender);
+      if (event.endpoint.port == 0) return OnUnsubscribe(state, event.sender);
+      OnDismissed(state, event, now, effects);
+      return Rearrange(state, now, effects);
     case wire::pb::RelayMessage::kUpdate:
       return OnUpdate(state, event, now, effects);
     case wire::pb::RelayMessage::kHeartbeat:
@@ -108,6 +110,7 @@
 auto On(State& state, const StopRequested& /*event*/, base::TimePoint /*now*/, Effects& effects)
     -> void {
   state.stopping = true;
+  DismissChildren(state, effects);
   LeaveParents(state, effects);
   StopPlatform(state, effects);
 }
--- a/src/relay/internal/topology.cc
+++ b/src/relay/internal/topology.cc
@@ -164,19 +164,15 @@
 
 /// A peer that was started anew is asked like any other; one that is gone needs no memory.
 auto ForgetSilence(State& state, const std::vector<RelayPeer>& peers) -> void {
-  const auto is_same = [&](const RelayPeer& peer) {
-    return std::find(state.peers.begin(), state.peers.end(), peer) != state.peers.end();
-  };
-  std::map<base::Endpoint, Silence> kept;
-  for (const RelayPeer& peer : peers) {
-    const auto found = state.silent.find(peer.control);
-    if (found != state.silent.end() && is_same(peer)) kept.insert(*found);
-  }
-  for (const base::Endpoint& seed : state.settings.seeds) {
-    const auto found = state.silent.find(seed);
-    if (found != state.silent.end()) kept.insert(*found);
-  }
-  state.silent = std::move(kept);
+  const auto& seeds = state.settings.seeds;
+  std::erase_if(state.silent, [&](const auto& entry) {
+    const auto peer = std::find_if(peers.begin(), peers.end(), [&](const RelayPeer& candidate) {
+      return candidate.control == entry.first;
+    });
+    if (peer == peers.end())
+      return std::find(seeds.begin(), seeds.end(), entry.first) == seeds.end();
+    return std::find(state.peers.begin(), state.peers.end(), *peer) == state.peers.end();
+  });
 }
 
 }  // namespace
--- a/src/relay/tests/fleet.cc
+++ b/src/relay/tests/fleet.cc
@@ -339,10 +339,23 @@
 
 auto Deliver(Fleet& fleet, std::size_t index, const Event& event) -> void {
   if (!fleet.nodes[index].up) return;
+  if (fleet.nodes[index].is_paused) {
+    fleet.nodes[index].held_events.push_back(event);
+    return;
+  }
   const Effects effects = Step(fleet.nodes[index].state, event, fleet.now);
   for (const Effect& effect : effects) std::visit(Carry{fleet, index}, effect);
 }
 
+auto Pause(Fleet& fleet, std::size_t index) -> void { fleet.nodes[index].is_paused = true; }
+
+auto Resume(Fleet& fleet, std::size_t index) -> void {
+  fleet.nodes[index].is_paused = false;
+  for (const Event& event : std::exchange(fleet.nodes[index].held_events, {})) {
+    Deliver(fleet, index, event);
+  }
+}
+
 auto ReleaseDeletes(Fleet& fleet, std::size_t index) -> void {
   Node& node = fleet.nodes[index];
   node.holds_deletes = false;
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -44,6 +44,8 @@
   bool up = false;
   bool reaches_platform = true;
   bool is_ready = false;
+  bool is_paused = false;
+  std::vector<Event> held_events{};
   bool holds_deletes = false;  ///< paused between deciding to delete and writing
   std::vector<DeleteRecord> held_deletes{};
   std::uint64_t life = 0;  ///< counts starts; what was meant for an earlier one is dropped
@@ -116,6 +118,9 @@
 auto SetDown(Fleet& fleet, bool down) -> void;
 
 auto Deliver(Fleet& fleet, std::size_t index, const Event& event) -> void;
+/// SIGSTOP and SIGCONT: what arrives meanwhile is handled afterwards, in order.
+auto Pause(Fleet& fleet, std::size_t index) -> void;
+auto Resume(Fleet& fleet, std::size_t index) -> void;
 auto ReleaseDeletes(Fleet& fleet, std::size_t index) -> void;
 auto SetCut(Fleet& fleet, std::size_t left, std::size_t right, bool cut) -> void;
 
--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -64,6 +64,80 @@
   }
 }
 
+// At size the configuration has hundreds of kilobytes and changes 6,800 times a day. Whole values
+// would cost each instance ten times its budget; a change costs what it changes.
+BOOST_AUTO_TEST_CASE(AConfigurationChangeTravelsAsItsDifference) {
+  Fleet fleet = MakeFleet(1, 12, 10);
+  StartAll(fleet);
+  std::string value;
+  for (int i = 0; i < 20'000; ++i) value += std::to_string(i * 7919 % 100'003) + ",";
+  PutObject(fleet, "config", value, 2);
+  RunFor(fleet, base::seconds(3));
+  const std::uint64_t before = fleet.nodes.back().bytes_in;
+  value.replace(value.size() / 2, 5, "weigh");
+  const std::uint64_t revision = PutObject(fleet, "config", value, 3);
+  RunFor(fleet, base::seconds(3));
+  BOOST_TEST(AllHold(fleet, 3));
+  BOOST_TEST(fleet.nodes.back().bytes_in - before < 1'500U);
+  for (const Node& node : fleet.nodes) {
+    BOOST_TEST(FindConfig(node.state.store)->revision == revision);
+    BOOST_TEST((FindConfig(node.state.store)->value == value));
+  }
+}
+
+// An instance is cut off while the configuration changes more often than steps are kept. Back
+// again it holds a base that nobody has a step for, and gets the value whole.
+BOOST_AUTO_TEST_CASE(WithoutItsStepTheConfigurationComesWhole) {
+  Fleet fleet = MakeFleet(1, 4, 2);
+  StartAll(fleet);
+  const std::size_t cut_off = 5;
+  for (std::size_t i = 0; i < 4; ++i) SetCut(fleet, cut_off, i, true);
+  for (std::uint64_t number = 2; number <= 30; ++number) {
+    PutObject(fleet, "config", std::string(3000, 'x') + std::to_string(number), number);
+    RunFor(fleet, base::milliseconds(100));
+  }
+  fleet.cuts.clear();
+  BOOST_TEST(RunUntil(fleet, base::seconds(10), [&] { return AllHold(fleet, 30); }).has_value());
+  BOOST_TEST(AllAgree(fleet));
+}
+
+// A balancer is stopped for a restart. It says so to its children, which hear from another at once
+// rather than after a timeout.
+BOOST_AUTO_TEST_CASE(ChildrenOfAStoppingParentMoveAtOnce) {
+  Fleet fleet = MakeFleet(1, 40, 40);
+  StartAll(fleet);
+  const std::size_t stopping = FindInner(fleet);
+  BOOST_REQUIRE(stopping < fleet.nodes.size());
+  Deliver(fleet, stopping, StopRequested{});
+  RunFor(fleet, base::milliseconds(10));
+  KillNode(fleet, stopping);
+  PutObject(fleet, "config", "{\"number\": 2}", 2);
+  const auto took = RunUntil(fleet, base::seconds(6), [&] { return AllHold(fleet, 2); });
+  BOOST_REQUIRE(took.has_value());
+  BOOST_TEST((*took < base::seconds(1)));
+}
+
+// A balancer is paused for a while and wakes. All it knows is that it has heard nobody, which says
+// nothing about the others: it must not take its parent for dead and become a watcher.
+BOOST_AUTO_TEST_CASE(AWokenBalancerKeepsItsParent) {
+  Fleet fleet = MakeFleet(1, 12, 4);
+  StartAll(fleet);
+  const std::size_t paused = FindInner(fleet);
+  BOOST_REQUIRE(paused < fleet.nodes.size());
+  const std::size_t parent = ParentOf(fleet, paused);
+  Pause(fleet, paused);
+  RunFor(fleet, base::seconds(20));
+  // Its timer comes before the messages that waited in its sockets.
+  auto& held = fleet.nodes[paused].held_events;
+  std::stable_partition(held.begin(), held.end(), [](const Event& event) {
+    return std::holds_alternative<TimerFired>(event);
+  });
+  Resume(fleet, paused);
+  RunFor(fleet, base::seconds(3));
+  BOOST_TEST(ParentOf(fleet, paused) == parent);
+  BOOST_TEST(fleet.nodes[paused].state.counters.parents_lost == 0U);
+}
+
 // Both watchers of a domain die at once. The next balancers notice and watch in their place.
 BOOST_AUTO_TEST_CASE(OthersWatchWhenBothWatchersDie) {
   Fleet fleet = MakeFleet(2, 10, 10);
