Join directory, request core and peers to the agent's step; wire the daemon

Cause: the cores of steering, requests and relay stood alone; nothing served a request.

Ruled out: replies always leaving by the balancer a flow was last seen at (a stream without client packets freezes when that balancer dies); a lease for announcements (every write is conditional on the record's revision).

Change: src/agent (its Step, life cycle, probes, reply routes, hand-on), balancer's monitor, and src/daemon with sockets, relay, announcements, metrics and spans round them.

--- /dev/null
+++ b/src/agent/agent.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "agent/types/agent_policy.h"
+#include "config/types/configuration.h"
+#include "membership/suspicion.h"
+#include "membership/view.h"
+#include "requests/requests.h"
+#include "steering/directory.h"
+#include "wire/datagram.h"
+
+/// The process beside a target: joins the flow directory (who serves which flow), the request core
+/// (what may run) and the observation of peers. No input or output.
+namespace anvildrum::agent {
+
+/// Life cycle; the transitions are in internal/life_cycle.cc.
+enum class Phase : std::uint8_t {
+  kStarting,  ///< its own record has not come back from the platform yet
+  kServing,
+  kDraining,  ///< no new flows; established ones go on
+  kDrained,   ///< nothing is left, or the time allowed for it has passed
+};
+
+struct AgentCounters {
+  std::uint64_t tunnel_packets = 0;
+  std::uint64_t replies = 0;
+  std::uint64_t replies_dropped = 0;  ///< no balancer to send through, or not the owner
+  std::uint64_t malformed = 0;        ///< tunnel messages that were sealed right but make no sense
+  std::uint64_t probes_sent = 0;
+  std::uint64_t probes_answered = 0;
+  std::uint64_t suspicions = 0;
+  std::uint64_t hand_ons_sent = 0;
+  std::uint64_t hand_ons_taken = 0;
+  std::uint64_t hand_ons_without_target = 0;
+  std::uint64_t stale_config = 0;
+  std::array<std::uint64_t, static_cast<std::size_t>(requests::Counter::kCount)> requests{};
+};
+
+/// A sampled flow's trace, so that the spans of its requests hang under the tunnel's.
+struct FlowTrace {
+  std::uint64_t trace_id = 0;
+  std::uint64_t span_id = 0;
+};
+
+struct Agent {
+  AgentPolicy policy;
+  membership::TargetRecord record;  ///< as announced
+  Phase phase = Phase::kStarting;
+  std::uint64_t config_number = 0;
+  std::vector<membership::NamedWeight> weights;
+  membership::View view;
+  steering::Directory directory;
+  requests::StatePtr requests;
+  membership::Suspicion suspicion;
+  std::vector<membership::BalancerRecord> reply_balancers;
+  std::uint64_t reply_turn = 0;
+  std::optional<base::TimePoint> request_timer;
+  base::TimePoint next_load{};
+  std::uint64_t admitted_before = 0;
+  std::uint64_t refused_before = 0;
+  double refused_permille = 0;
+  base::TimePoint drain_started{};
+  std::unordered_map<base::FlowKey, FlowTrace> traces;  ///< bounded, sampled flows only
+  AgentCounters counters;
+};
+
+class AgentBuilder {
+ public:
+  auto WithPolicy(const AgentPolicy& policy) -> AgentBuilder&;
+  auto WithRecord(const membership::TargetRecord& record) -> AgentBuilder&;
+  /// From a cryptographic generator; see requests::EchoSecret.
+  auto WithEchoSecret(const requests::EchoSecret& secret) -> AgentBuilder&;
+  auto WithSeed(std::uint64_t seed) -> AgentBuilder&;
+  auto Build() const -> Agent;
+
+ private:
+  AgentPolicy policy;
+  membership::TargetRecord record;
+  requests::EchoSecret secret{};
+  std::uint64_t seed = 1;
+};
+
+/// A datagram of the tunnel. The views are used during the call only.
+struct TunnelMessage {
+  base::Endpoint from;
+  const wire::pb::TunnelHeader* header = nullptr;
+  wire::BytesView payload;
+};
+/// What the target sent on the flow's socket.
+struct TargetDatagram {
+  base::FlowKey flow;
+  wire::BytesView payload;
+};
+/// Nothing listens at the target.
+struct TargetUnreachable {
+  base::FlowKey flow;
+};
+struct TargetRecordChanged {
+  membership::TargetRecord record;
+};
+struct TargetRecordRemoved {
+  base::TargetId id;
+  base::Incarnation incarnation = 0;
+  std::uint64_t revision = 0;
+};
+struct BalancerRecordChanged {
+  membership::BalancerRecord record;
+};
+struct BalancerRecordRemoved {
+  base::InstanceId instance;
+  base::Incarnation incarnation = 0;
+};
+/// Lower numbers than the one in force are ignored and counted.
+struct ConfigChanged {
+  const config::Configuration* configuration = nullptr;
+};
+struct Timer {};
+struct DrainRequested {};
+
+using Event =
+    std::variant<TunnelMessage, TargetDatagram, TargetUnreachable, TargetRecordChanged,
+                 TargetRecordRemoved, BalancerRecordChanged, BalancerRecordRemoved, ConfigChanged,
+                 Timer, DrainRequested>;
+
+struct SendTunnel {
+  base::Endpoint to;
+  wire::pb::TunnelHeader header;
+  wire::Bytes payload;
+};
+/// On the flow's socket, opened at its first use.
+struct SendTarget {
+  base::FlowKey flow;
+  wire::Bytes payload;
+};
+struct CloseTarget {
+  base::FlowKey flow;
+};
+/// Announce the record with `draining` set, by conditional update.
+struct AnnounceDraining {};
+/// Nothing is left: take the announcement away and end.
+struct Drained {};
+struct SpanMark {
+  std::uint64_t trace_id = 0;
+  std::uint64_t parent_span_id = 0;
+  std::uint64_t request = 0;
+  requests::Mark mark = requests::Mark::kQueued;
+};
+
+using Effect =
+    std::variant<SendTunnel, SendTarget, CloseTarget, AnnounceDraining, Drained, SpanMark>;
+using Effects = std::vector<Effect>;
+
+/// The agent's one entry.
+auto Step(Agent& agent, const Event& event, base::TimePoint now) -> Effects;
+
+/// When Step wants its next Timer at the latest.
+auto NextWakeUp(const Agent& agent, base::TimePoint now) -> base::TimePoint;
+
+}  // namespace anvildrum::agent
--- /dev/null
+++ b/src/agent/internal/replies.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+
+#include "agent/internal/parts.h"
+#include "wire/convert.h"
+
+namespace anvildrum::agent {
+namespace {
+
+using membership::BalancerRecord;
+
+auto RankOf(const Agent& agent, const BalancerRecord& balancer) -> std::pair<bool, std::uint64_t> {
+  auto elsewhere = balancer.failure_domain != agent.record.failure_domain;
+  auto mixed = agent.record.id.value ^ (balancer.instance.value * 0x9e3779b97f4a7c15ULL);
+  return {elsewhere, mixed * 0xbf58476d1ce4e5b9ULL};
+}
+
+auto IsSuspect(const Agent& agent, base::InstanceId instance) -> bool {
+  const auto* peer = membership::FindPeer(agent.suspicion, instance);
+  return peer != nullptr && peer->suspect;
+}
+
+auto FindByTunnel(const Agent& agent, const base::Endpoint& tunnel) -> const BalancerRecord* {
+  const auto& balancers = agent.view.balancers;
+  auto found = std::find_if(balancers.begin(), balancers.end(),
+                            [&](const auto& balancer) { return balancer.tunnel == tunnel; });
+  return found == balancers.end() ? nullptr : &*found;
+}
+
+auto IsFresh(const Context& context, const base::FlowKey& flow) -> bool {
+  auto found = context.agent.directory.owned.find(flow);
+  if (found == context.agent.directory.owned.end()) return false;
+  return context.now - found->second.last_from_client < context.agent.policy.fresh_route;
+}
+
+auto NextReplyBalancer(Agent& agent) -> const BalancerRecord* {
+  auto count = agent.reply_balancers.size();
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    const auto& balancer = agent.reply_balancers[agent.reply_turn++ % count];
+    if (!IsSuspect(agent, balancer.instance)) return &balancer;
+  }
+  return nullptr;
+}
+
+// Safeguard: a stream may run for an hour without a packet of its client, and the balancer that
+// carried its last one may die or lose its way to the clients meanwhile: the client's screen would
+// freeze. A route without a fresh client packet is therefore not trusted: such replies take turns
+// over a few probed balancers, so that a dead one is left out once it is suspect and one that
+// merely lost its clients takes a share of the notifications, not all.
+auto RouteOf(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
+  auto& agent = context.agent;
+  auto last = steering::ReplyRoute(agent.directory, flow, context.now);
+  if (!last) return std::nullopt;
+  const auto* seen = FindByTunnel(agent, *last);
+  auto suspect = seen != nullptr && IsSuspect(agent, seen->instance);
+  if (IsFresh(context, flow) && !suspect) return last;
+  const auto* other = NextReplyBalancer(agent);
+  return other == nullptr ? last : std::optional(other->tunnel);
+}
+
+}  // namespace
+
+auto ChooseReplyBalancers(Agent& agent) -> void {
+  auto chosen = agent.view.balancers;
+  std::sort(chosen.begin(), chosen.end(), [&](const auto& left, const auto& right) {
+    return RankOf(agent, left) < RankOf(agent, right);
+  });
+  if (chosen.size() > agent.policy.reply_balancers) chosen.resize(agent.policy.reply_balancers);
+  agent.reply_balancers = std::move(chosen);
+}
+
+auto SendReply(Context& context, const base::FlowKey& flow, wire::Bytes payload) -> void {
+  auto route = RouteOf(context, flow);
+  if (!route) {
+    ++context.agent.counters.replies_dropped;
+    return;
+  }
+  auto header = MakeHeader(context.agent);
+  auto* reply = header.mutable_reply();
+  wire::WriteFlow(flow, *reply->mutable_flow());
+  auto trace = context.agent.traces.find(flow);
+  if (trace != context.agent.traces.end()) reply->set_trace_id(trace->second.trace_id);
+  ++context.agent.counters.replies;
+  context.effects.emplace_back(SendTunnel{*route, std::move(header), std::move(payload)});
+}
+
+}  // namespace anvildrum::agent
--- /dev/null
+++ b/src/agent/types/agent_policy.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/types/time.h"
+#include "membership/suspicion.h"
+#include "requests/types/parameters.h"
+#include "steering/types/directory_types.h"
+
+namespace anvildrum::agent {
+
+/// Parameters of an agent.
+struct AgentPolicy {
+  steering::DirectoryPolicy directory;
+  requests::Parameters requests;
+  membership::SuspicionPolicy suspicion;
+  /// Balancers through which replies of flows without fresh client packets leave, and which are
+  /// probed for it. Any balancer can carry any reply, so a few suffice, whatever the fleet's size.
+  std::size_t reply_balancers = 4;
+  /// A client packet through a balancer proves the whole way for this long.
+  base::Duration fresh_route = base::seconds(5);
+  /// Peers of the service that are probed at most; the others are heard of through the relay.
+  std::size_t probed_peers = 16;
+  base::Duration load_period = base::milliseconds(100);  ///< between two looks at the own load
+  base::Duration drain_limit = base::hours(8);           ///< then what is left is ended
+};
+
+}  // namespace anvildrum::agent
--- /dev/null
+++ b/src/balancer/monitor.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "membership/suspicion.h"
+#include "membership/view.h"
+#include "wire/datagram.h"
+
+/// A balancer's observation of agents: which ones it probes, what it suspects. No input or output.
+namespace anvildrum::balancer {
+
+struct MonitorPolicy {
+  membership::SuspicionPolicy suspicion;
+  /// Up to this many agents are probed by every balancer. Beyond, each agent is probed by
+  /// `monitors` balancers of its failure domain, so that a probe's cost does not grow with the
+  /// product of balancers and agents.
+  std::size_t probe_all_up_to = 64;
+  std::size_t monitors = 3;
+};
+
+struct Monitor {
+  MonitorPolicy policy;
+  base::InstanceId self;
+  base::Incarnation incarnation = 0;
+  std::string failure_domain;
+  membership::View view;
+  membership::Suspicion suspicion;
+  std::uint64_t probes_sent = 0;
+  std::uint64_t probes_answered = 0;
+};
+
+struct MonitorView {
+  const membership::View* view = nullptr;
+};
+struct MonitorMessage {
+  base::Endpoint from;
+  const wire::pb::TunnelHeader* header = nullptr;
+};
+struct MonitorTimer {};
+using MonitorEvent = std::variant<MonitorView, MonitorMessage, MonitorTimer>;
+
+struct SendControl {
+  base::Endpoint to;
+  wire::pb::TunnelHeader header;
+};
+/// The opinion on a target changed.
+struct TargetSuspicion {
+  membership::TargetRecord record;
+  bool suspect = false;
+};
+struct MonitorEffects {
+  std::vector<SendControl> sends;
+  std::vector<TargetSuspicion> changes;
+};
+
+/// The monitor's one entry. Answers probes, sends its own, and reports what it suspects.
+auto Step(Monitor& monitor, const MonitorEvent& event, base::TimePoint now) -> MonitorEffects;
+
+}  // namespace anvildrum::balancer
--- /dev/null
+++ b/src/daemon/internal/agent_runtime.cc
@@ -0,0 +1,279 @@
+#include "daemon/internal/agent_runtime.h"
+
+#include "config/configuration.h"
+#include "daemon/internal/records.h"
+#include "daemon/internal/status.h"
+#include "membership/codec.h"
+#include "telemetry/log.h"
+
+namespace anvildrum::daemon {
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+constexpr auto kMostSpans = std::size_t{4096};
+
+auto MakePolicy(const Runtime& runtime) -> agent::AgentPolicy {
+  auto policy = agent::AgentPolicy{};
+  policy.drain_limit = base::seconds(runtime.settings.agent.drain_seconds);
+  return policy;
+}
+
+auto NameOf(requests::Mark mark) -> std::string_view {
+  switch (mark) {
+    case requests::Mark::kChallenged:
+      return "challenge";
+    case requests::Mark::kQueued:
+      return "admission";
+    case requests::Mark::kSentToTarget:
+      return "target";
+    case requests::Mark::kAnswered:
+      return "answered";
+    case requests::Mark::kRefused:
+      return "not_run";
+    case requests::Mark::kUnknown:
+      return "unknown";
+  }
+  return "request";
+}
+
+auto IsFinal(requests::Mark mark) -> bool {
+  return mark == requests::Mark::kAnswered || mark == requests::Mark::kRefused ||
+         mark == requests::Mark::kUnknown || mark == requests::Mark::kChallenged;
+}
+
+}  // namespace
+
+AgentRuntime::AgentRuntime(std::unique_ptr<Runtime> runtime)
+    : runtime(std::move(runtime)), timer(this->runtime->io) {}
+
+auto AgentRuntime::MakeRecord() const -> membership::TargetRecord {
+  const auto& settings = this->runtime->settings;
+  const auto& target = settings.agent.target;
+  auto record = membership::TargetRecord{};
+  record.name = target.name;
+  record.id = base::TargetIdOf(target.name);
+  record.service_name = target.service;
+  record.service = base::ServiceIdOf(target.service);
+  record.instance = this->runtime->instance;
+  record.tunnel = this->tunnel->LocalEndpoint();
+  record.operator_port = this->runtime->operator_port->LocalEndpoint();
+  record.failure_domain = settings.failure_domain;
+  record.slots = target.slots;
+  record.connections = target.connections;
+  return record;
+}
+
+auto AgentRuntime::Open() -> base::Result<void> {
+  const auto& settings = this->runtime->settings;
+  auto on_message = [this](const base::Endpoint& from, const wire::Opened& opened) {
+    this->Step(agent::TunnelMessage{from, &opened.header, opened.payload});
+  };
+  BOOST_LEAF_ASSIGN(this->tunnel, TunnelPort::Open(this->runtime->io, settings.tunnel,
+                                                   settings.tunnel_keys, on_message));
+  this->record = this->MakeRecord();
+  auto callbacks = RelayRuntime::Callbacks{
+      [this](const auto& records) { this->OnRecords(records); },
+      [] { Log(LogLevel::kInfo, "ready"); },
+  };
+  auto relay_settings = MakeRelaySettings(*this->runtime, {}, this->record.service);
+  this->relay = std::make_unique<RelayRuntime>(*this->runtime, relay_settings, callbacks);
+  this->AddRoutes();
+  return {};
+}
+
+auto AgentRuntime::Run() -> void {
+  auto key = TargetKey(this->record);
+  auto compose = [this](base::Incarnation incarnation) {
+    auto record = this->record;
+    record.incarnation = incarnation;
+    record.draining = this->stopping;
+    return membership::Serialize(record);
+  };
+  auto incarnation_of = [key](const std::string& text) { return IncarnationOfTarget(key, text); };
+  auto announced = [this](const auto& result) { this->Announced(result); };
+  this->announcer = std::make_unique<Announcer>(
+      *this->runtime, Announcer::Parts{key, compose, incarnation_of, announced});
+  this->announcer->Announce();
+  this->relay->Start();
+  this->stop_signal = std::make_unique<net::StopSignal>(this->runtime->io,
+                                                        [this](int) { this->BeginDrain(); });
+  Log(LogLevel::kInfo, "started", {{"role", "agent"}, {"target", this->record.name}});
+  this->runtime->io.run();
+  Log(LogLevel::kInfo, "stopped");
+}
+
+auto AgentRuntime::Announced(const Announcer::Announced& result) -> void {
+  this->record.incarnation = result.incarnation;
+  this->record.revision = result.revision;
+  if (!this->agent) this->StartCore();
+}
+
+auto AgentRuntime::StartCore() -> void {
+  auto secret = requests::EchoSecret{};
+  FillRandom(secret);
+  this->agent = agent::AgentBuilder{}
+                    .WithPolicy(MakePolicy(*this->runtime))
+                    .WithRecord(this->record)
+                    .WithEchoSecret(secret)
+                    .WithSeed(this->runtime->seed)
+                    .Build();
+  for (const auto& [key, record] : this->records) this->ApplyRecord(record);
+  this->UpdateRelayPeers();
+  this->Step(agent::TargetRecordChanged{this->record});
+  if (this->stopping) this->Step(agent::DrainRequested{});
+  this->ArmTimer();
+}
+
+auto AgentRuntime::OnRecords(const std::vector<relay::PlatformObject>& records) -> void {
+  for (const auto& record : records) {
+    this->records[record.key] = record;
+    this->ApplyRecord(record);
+  }
+  this->UpdateRelayPeers();
+}
+
+auto AgentRuntime::ApplyRecord(const relay::PlatformObject& record) -> void {
+  if (record.key == TargetKey(this->record)) {
+    this->announcer->Recorded(record.deleted ? nullptr : &record.value);
+  }
+  if (!this->agent) return;
+  if (record.key == relay::kConfigKey) return this->ApplyConfig(record);
+  if (record.key.starts_with(kTargetPrefix)) return this->ApplyTarget(record);
+  if (record.key.starts_with(kBalancerPrefix)) return this->ApplyBalancer(record);
+}
+
+auto AgentRuntime::ApplyTarget(const relay::PlatformObject& record) -> void {
+  if (record.deleted) {
+    auto id = base::TargetIdOf(NameOfKey(record.key));
+    const auto* known = membership::FindTarget(this->agent->view, id);
+    if (known == nullptr) return;
+    return this->Step(
+        agent::TargetRecordRemoved{id, known->record.incarnation, record.revision});
+  }
+  auto parsed = membership::ParseTargetRecord(record.key, record.revision, record.value);
+  if (parsed) return this->Step(agent::TargetRecordChanged{*parsed});
+  Log(LogLevel::kWarning, "record_refused", {{"key", record.key}});
+}
+
+auto AgentRuntime::ApplyBalancer(const relay::PlatformObject& record) -> void {
+  if (record.deleted) {
+    auto instance = base::InstanceIdOf(NameOfKey(record.key));
+    for (const auto& known : this->agent->view.balancers) {
+      if (known.instance != instance) continue;
+      return this->Step(agent::BalancerRecordRemoved{instance, known.incarnation});
+    }
+    return;
+  }
+  auto parsed = membership::ParseBalancerRecord(record.key, record.revision, record.value);
+  if (parsed) return this->Step(agent::BalancerRecordChanged{*parsed});
+  Log(LogLevel::kWarning, "record_refused", {{"key", record.key}});
+}
+
+auto AgentRuntime::ApplyConfig(const relay::PlatformObject& record) -> void {
+  auto configuration = config::ParseConfiguration(record.value);
+  if (!configuration) {
+    Log(LogLevel::kError, "configuration_malformed", {{"revision", record.revision}});
+    return;
+  }
+  this->Step(agent::ConfigChanged{&*configuration});
+  Log(LogLevel::kInfo, "configuration_in_force", {{"number", this->agent->config_number}});
+}
+
+auto AgentRuntime::UpdateRelayPeers() -> void {
+  auto peers = std::vector<relay::RelayPeer>{};
+  for (const auto& [key, record] : this->records) {
+    if (!key.starts_with(kBalancerPrefix) || record.deleted) continue;
+    auto parsed = membership::ParseBalancerRecord(key, record.revision, record.value);
+    if (parsed) peers.push_back(ToRelayPeer(*parsed));
+  }
+  this->relay->PeersChanged(std::move(peers));
+}
+
+auto AgentRuntime::Step(const agent::Event& event) -> void {
+  if (!this->agent) return;
+  auto effects = agent::Step(*this->agent, event, Now());
+  for (const auto& effect : effects) this->Carry(effect);
+}
+
+auto AgentRuntime::Carry(const agent::Effect& effect) -> void {
+  if (const auto* send = std::get_if<agent::SendTunnel>(&effect)) {
+    return this->tunnel->Send(send->to, send->header, send->payload);
+  }
+  if (const auto* send = std::get_if<agent::SendTarget>(&effect)) return this->SendTarget(*send);
+  if (const auto* close = std::get_if<agent::CloseTarget>(&effect)) {
+    this->sockets.erase(close->flow);
+    return;
+  }
+  if (std::holds_alternative<agent::AnnounceDraining>(effect)) return this->announcer->Announce();
+  if (std::holds_alternative<agent::Drained>(effect)) return this->Withdraw();
+  if (const auto* mark = std::get_if<agent::SpanMark>(&effect)) return this->WriteSpan(*mark);
+}
+
+auto AgentRuntime::SendTarget(const agent::SendTarget& send) -> void {
+  auto* socket = this->SocketOf(send.flow);
+  if (socket != nullptr) socket->Send(send.payload);
+}
+
+auto AgentRuntime::SocketOf(const base::FlowKey& flow) -> net::ConnectedUdp* {
+  auto found = this->sockets.find(flow);
+  if (found != this->sockets.end()) return found->second.get();
+  auto handlers = net::ConnectedUdp::Handlers{
+      [this, flow](wire::BytesView payload) {
+        this->Step(agent::TargetDatagram{flow, payload});
+      },
+      [this, flow] { this->Step(agent::TargetUnreachable{flow}); },
+  };
+  const auto& target = this->runtime->settings.agent.target.address;
+  auto socket = net::ConnectedUdp::Open(this->runtime->io, target, handlers);
+  if (!socket) {
+    Log(LogLevel::kError, "target_socket_failed", {{"open", this->sockets.size()}});
+    return nullptr;
+  }
+  return this->sockets.emplace(flow, std::move(*socket)).first->second.get();
+}
+
+auto AgentRuntime::WriteSpan(const agent::SpanMark& mark) -> void {
+  auto now = Now();
+  auto& tracer = *this->runtime->tracer;
+  auto open = this->spans.find(mark.request);
+  if (open != this->spans.end()) {
+    telemetry::AddAttribute(open->second, "ended_by", std::string(NameOf(mark.mark)));
+    telemetry::Finish(tracer, open->second, now);
+    this->spans.erase(open);
+  }
+  auto parent = telemetry::SpanContext{mark.trace_id, mark.parent_span_id};
+  auto span = telemetry::StartSpan(tracer, NameOf(mark.mark), parent, now);
+  telemetry::AddAttribute(span, "target", this->record.name);
+  if (IsFinal(mark.mark) || this->spans.size() >= kMostSpans) {
+    return telemetry::Finish(tracer, span, now);
+  }
+  this->spans.emplace(mark.request, std::move(span));
+}
+
+auto AgentRuntime::ArmTimer() -> void {
+  this->timer.expires_at(agent::NextWakeUp(*this->agent, Now()));
+  this->timer.async_wait([this](const auto& error) {
+    if (error) return;
+    this->Step(agent::Timer{});
+    this->ArmTimer();
+  });
+}
+
+auto AgentRuntime::BeginDrain() -> void {
+  if (this->stopping) return;
+  this->stopping = true;
+  this->record.draining = true;
+  Log(LogLevel::kInfo, "draining", {{"target", this->record.name}});
+  if (!this->agent) return this->Withdraw();
+  this->Step(agent::DrainRequested{});
+}
+
+auto AgentRuntime::Withdraw() -> void {
+  Log(LogLevel::kInfo, "drained", {{"target", this->record.name}});
+  this->relay->Stop();
+  this->announcer->Withdraw([this] { this->runtime->io.stop(); });
+}
+
+}  // namespace anvildrum::daemon
--- /dev/null
+++ b/src/daemon/internal/metrics_export.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "agent/agent.h"
+#include "balancer/balancer.h"
+#include "balancer/monitor.h"
+#include "daemon/internal/tunnel_port.h"
+#include "platform/client.h"
+#include "relay/relay.h"
+#include "telemetry/metrics.h"
+
+/// Brings the counters of the cores, which have no registry, into the one that is rendered.
+namespace anvildrum::daemon {
+
+auto ExportBalancer(telemetry::Registry& metrics, const balancer::Balancer& balancer) -> void;
+auto ExportMonitor(telemetry::Registry& metrics, const balancer::Monitor& monitor) -> void;
+auto ExportAgent(telemetry::Registry& metrics, const agent::Agent& agent) -> void;
+auto ExportRelay(telemetry::Registry& metrics, const relay::State& state) -> void;
+auto ExportTunnel(telemetry::Registry& metrics, const TunnelPort& tunnel) -> void;
+auto ExportPlatform(telemetry::Registry& metrics, const platform::Client& client) -> void;
+
+}  // namespace anvildrum::daemon
--- /dev/null
+++ b/src/daemon/internal/records.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "daemon/internal/runtime.h"
+#include "membership/types/records.h"
+#include "relay/types/event.h"
+#include "relay/types/settings.h"
+
+namespace anvildrum::daemon {
+
+inline constexpr std::string_view kTargetPrefix = "targets/";
+inline constexpr std::string_view kBalancerPrefix = "balancers/";
+
+auto TargetKey(const membership::TargetRecord& record) -> std::string;
+auto BalancerKey(const membership::BalancerRecord& record) -> std::string;
+
+/// Last part of a key: the name of the target or balancer.
+auto NameOfKey(std::string_view key) -> std::string_view;
+
+auto ToRelayPeer(const membership::BalancerRecord& record) -> relay::RelayPeer;
+
+/// What the relay has to know of this instance. `control` has port 0 for an agent.
+auto MakeRelaySettings(const Runtime& runtime, const base::Endpoint& control,
+                       base::ServiceId service) -> relay::RelaySettings;
+
+/// Incarnation that the text of an announcement names; 0 when it names none.
+auto IncarnationOfTarget(std::string_view key, const std::string& text) -> base::Incarnation;
+auto IncarnationOfBalancer(std::string_view key, const std::string& text) -> base::Incarnation;
+
+}  // namespace anvildrum::daemon
--- /dev/null
+++ b/src/daemon/internal/relay_runtime.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/internal/runtime.h"
+#include "net/relay_socket.h"
+#include "relay/relay.h"
+
+namespace anvildrum::daemon {
+
+/// Drives relay::Step with ZeroMQ sockets, platform calls and a timer.
+class RelayRuntime {
+ public:
+  struct Callbacks {
+    std::function<void(const std::vector<relay::PlatformObject>&)> on_records;
+    std::function<void()> on_ready;
+  };
+
+  /// `server` is open on a balancer and null on an agent.
+  RelayRuntime(Runtime& runtime, relay::RelaySettings settings, Callbacks callbacks);
+  ~RelayRuntime();
+  RelayRuntime(const RelayRuntime&) = delete;
+  auto operator=(const RelayRuntime&) -> RelayRuntime& = delete;
+
+  /// Binds the port for children. Errors: net::NetError.
+  auto Listen(const base::Endpoint& local) -> base::Result<base::Endpoint>;
+
+  auto Start() -> void;
+  auto PeersChanged(std::vector<relay::RelayPeer> peers) -> void;
+  auto Suspect(const relay::RecordSuspected& suspected) -> void;
+  auto Alive(const std::string& key) -> void;
+  auto Stop() -> void;
+
+  [[nodiscard]] auto State() const -> const relay::State&;
+
+ private:
+  /// A connection to a parent. `waiting` is what was said last while it was not up yet.
+  struct Link {
+    std::unique_ptr<net::RelayLink> socket;
+    std::string waiting;
+  };
+
+  auto Run(const relay::Event& event) -> void;
+  auto Carry(const relay::Effect& effect) -> void;
+  auto Send(const relay::SendPeer& send) -> void;
+  auto OpenLink(const base::Endpoint& endpoint) -> Link*;
+  auto LinkUp(const base::Endpoint& endpoint) -> void;
+  auto FromChild(const net::RelayPeer& identity, wire::BytesView bytes) -> void;
+  auto FromParent(const base::Endpoint& endpoint, wire::BytesView bytes) -> void;
+  auto Watch(const relay::StartWatch& watch) -> void;
+  auto Poll(const relay::PollPlatform& poll) -> void;
+  auto Delete(const relay::DeleteRecord& record) -> void;
+  auto Arm(base::TimePoint at) -> void;
+
+  Runtime& runtime;
+  relay::State state;
+  Callbacks callbacks;
+  net::RelayContext context;
+  std::unique_ptr<net::RelayServer> server;
+  std::map<base::Endpoint, Link> links;
+  std::map<base::InstanceId, net::RelayPeer> children;
+  boost::asio::steady_timer timer;
+  boost::asio::steady_timer watch_timer;
+  boost::asio::steady_timer poll_timer;
+  std::uint64_t watch_call = 0;  ///< answers of earlier watches are ignored
+  std::uint64_t malformed = 0;
+};
+
+}  // namespace anvildrum::daemon
