--- /dev/null
+++ b/tools/target_standin/server.cc
@@ -0,0 +1,110 @@
+#include "tools/target_standin/server.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+
+#include "tools/common/coap_address.h"
+#include "tools/common/report.h"
+#include "tools/common/stop.h"
+#include "tools/target_standin/resources.h"
+
+namespace anvildrum::target {
+namespace {
+
+// Longest sleep of the loop; a stop is noticed after at most this.
+constexpr auto kMaxWait = base::milliseconds{50};
+// A report whose client has not asked for a block for so long is given up at a stop.
+constexpr auto kExportIdleLimit = base::seconds{10};
+constexpr auto kFirstPrice = 100.0;
+constexpr auto kPriceStep = 0.25;
+
+struct ContextDeleter {
+  auto operator()(coap_context_t* context) const -> void { coap_free_context(context); }
+};
+using Context = std::unique_ptr<coap_context_t, ContextDeleter>;
+
+/// The bound address, which libcoap only gives as text: "IP:PORT UDP".
+auto BoundAddress(const coap_endpoint_t* endpoint) -> std::string {
+  auto text = std::string(coap_endpoint_str(endpoint));
+  return text.substr(0, text.find(' '));
+}
+
+auto Listen(coap_context_t* context, const base::Endpoint& listen) -> bool {
+  auto address = tools::ToCoapAddress(listen);
+  auto* endpoint = coap_new_endpoint(context, &address, COAP_PROTO_UDP);
+  if (endpoint == nullptr) return false;
+  std::cout << "listening " << BoundAddress(endpoint) << std::endl;
+  return true;
+}
+
+auto Notify(Server& server) -> void {
+  ++server.sequence;
+  auto step = std::uniform_int_distribution<int>(-2, 2)(server.work.random);
+  server.price += kPriceStep * step;
+  for (auto* resource : server.observed) coap_resource_notify_observers(resource, nullptr);
+}
+
+auto WaitUntil(base::TimePoint next) -> std::uint32_t {
+  auto left = std::chrono::ceil<base::milliseconds>(next - base::Clock::now());
+  auto wait = std::clamp<base::milliseconds>(left, base::milliseconds{1}, kMaxWait);
+  return static_cast<std::uint32_t>(wait.count());
+}
+
+/// Serves until `done` says so.
+template <typename Done>
+auto Serve(coap_context_t* context, Server& server, Done done) -> void {
+  auto next = base::Clock::now() + server.line.notify_interval;
+  while (!done()) {
+    coap_io_process(context, WaitUntil(next));
+    if (base::Clock::now() < next) continue;
+    next += server.line.notify_interval;
+    Notify(server);
+  }
+}
+
+auto ExportsInProgress(Server& server, base::TimePoint now) -> bool {
+  std::erase_if(server.exports,
+                [&](const auto& entry) { return now - entry.second > kExportIdleLimit; });
+  return !server.exports.empty();
+}
+
+auto Drain(coap_context_t* context, Server& server) -> void {
+  auto limit = base::Clock::now() + server.line.drain_limit;
+  SetDraining(server.work, true, base::Clock::now());
+  Serve(context, server, [&] {
+    auto now = base::Clock::now();
+    auto busy = !server.work.jobs.empty() || ExportsInProgress(server, now);
+    return now >= limit || (!busy && coap_can_exit(context) != 0);
+  });
+}
+
+}  // namespace
+
+auto ServerOf(coap_session_t* session) -> Server& {
+  return *static_cast<Server*>(coap_get_app_data(coap_session_get_context(session)));
+}
+
+auto RunServer(const CommandLine& line) -> bool {
+  auto server = Server{};
+  server.line = line;
+  server.work.settings = line.work;
+  server.work.random.seed(line.seed);
+  server.price = kFirstPrice;
+  if (line.kind == TargetKind::kReportServer) {
+    server.report = tools::MakeReport(line.name, tools::kReportSize);
+    server.report_digest = XXH3_64bits(server.report.data(), server.report.size());
+  }
+  auto context = Context(coap_new_context(nullptr));
+  if (!context) return false;
+  coap_set_app_data(context.get(), &server);
+  AddResources(context.get(), server);
+  if (!Listen(context.get(), line.listen)) return false;
+  Serve(context.get(), server, [] { return tools::StopRequested(); });
+  Drain(context.get(), server);
+  return true;
+}
+
+}  // namespace anvildrum::target
--- /dev/null
+++ b/tools/target_standin/slow_request.cc
@@ -0,0 +1,66 @@
+#include "tools/target_standin/slow_request.h"
+
+#include "tools/common/coap_message.h"
+#include "tools/target_standin/bodies.h"
+
+namespace anvildrum::target {
+namespace {
+
+auto JobOf(coap_async_t* async) -> JobId {
+  return reinterpret_cast<JobId>(coap_async_get_app_data(async));
+}
+
+auto Refuse(Server& server, const SlowRequest& slow) -> void {
+  tools::WriteJson(slow.response, COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE,
+                   ErrorBody(server.line.name, "not run", slow.id), RefusalMaxAge(server.work));
+}
+
+/// Ticks of libcoap are milliseconds; a delay of 0 would wait forever.
+auto ToTicks(base::Duration delay) -> coap_tick_t {
+  auto milliseconds = std::chrono::ceil<base::milliseconds>(delay).count();
+  return std::max<coap_tick_t>(1, milliseconds * COAP_TICKS_PER_SECOND / 1000);
+}
+
+auto Begin(Server& server, const SlowRequest& slow) -> void {
+  auto now = base::Clock::now();
+  // Registered before a slot is taken: it fails for a token that is already in use.
+  auto* async = coap_register_async(slow.session, slow.request, 0);
+  if (async == nullptr) return Refuse(server, slow);
+  auto admitted = Admit(server.work, slow.id, slow.extra, now);
+  if (!admitted) {
+    coap_free_async(slow.session, async);
+    return Refuse(server, slow);
+  }
+  coap_async_set_app_data(async, reinterpret_cast<void*>(admitted->job));
+  coap_async_set_delay(async, ToTicks(admitted->run_time));
+  server.asyncs[admitted->job] = async;
+}
+
+}  // namespace
+
+auto ReadyToAnswer(const SlowRequest& slow) -> bool {
+  auto& server = ServerOf(slow.session);
+  auto* async = coap_find_async(slow.session, coap_pdu_get_token(slow.request));
+  if (async == nullptr) {
+    Begin(server, slow);
+    return false;
+  }
+  auto job = JobOf(async);
+  server.asyncs.erase(job);
+  if (Finish(server.work, job, base::Clock::now()) == JobOutcome::kDone) return true;
+  tools::WriteJson(slow.response, COAP_RESPONSE_CODE_GATEWAY_TIMEOUT,
+                   ErrorBody(server.line.name, "cancelled", slow.id));
+  return false;
+}
+
+auto Wake(Server& server, JobId job) -> void {
+  auto found = server.asyncs.find(job);
+  if (found != server.asyncs.end()) coap_async_trigger(found->second);
+}
+
+auto QueryView(const coap_string_t* query) -> std::string_view {
+  if (query == nullptr) return {};
+  return {reinterpret_cast<const char*>(query->s), query->length};
+}
+
+}  // namespace anvildrum::target
