Let a report's first block leave at once and hold a slot until its last

Cause: libcoap 4.3.1's client drops a block-wise answer to a confirmable GET whose first block is a separate response. Ruled out: a Block2 option in the request, which changed nothing. Change: the pauses come between blocks; each export holds a slot, and a stop waits for its last block.

--- a/tools/target_standin/block_handlers.cc
+++ b/tools/target_standin/block_handlers.cc
@@ -1,9 +1,15 @@
 // Answers that don't fit in a datagram, by block-wise transfer (RFC 7959). libcoap's own transfer
 // (coap_add_data_large_response) doesn't tell when a client has fetched the last block, which a
 // graceful stop has to wait for; its block functions below let the handler see every block.
+//
+// A report is slow between its blocks. Its first block leaves at once, in the acknowledgement:
+// libcoap 4.3.1's client refuses a block-wise answer to a confirmable GET whose first block comes as
+// a separate response ("large body receive internal issue").
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 #include "tools/common/coap_message.h"
 #include "tools/target_standin/bodies.h"
 #include "tools/target_standin/handlers.h"
@@ -12,6 +18,8 @@
 namespace anvildrum::target {
 namespace {
 
+// Blocks between two pauses of a report.
+constexpr auto kPauseBlocks = 64U;
 constexpr auto kDefaultBlock = coap_block_t{0, 0, COAP_MAX_BLOCK_SZX};
 
 auto RequestedBlock(const coap_pdu_t* request) -> coap_block_t {
@@ -43,26 +51,54 @@
   tools::AddUintOption(response, COAP_OPTION_SIZE2, static_cast<std::uint32_t>(body.size()));
   coap_add_block(response, body.size(), reinterpret_cast<const std::uint8_t*>(body.data()),
                  block.num, block.szx);
-  return block.m == 0;
+  return coap_more_blocks(body.size(), block.num, block.szx) == 0;
 }
 
 auto DigestOf(std::string_view body) -> std::uint64_t {
   return XXH3_64bits(body.data(), body.size());
 }
 
+/// Takes a slot, or keeps the one of a client that starts afresh.
+auto BeginExport(Server& server, const std::string& client) -> bool {
+  if (server.exports.contains(client)) return true;
+  auto now = base::Clock::now();
+  auto admitted = Admit(server.work, {}, now);
+  if (!admitted) return false;
+  server.exports[client] = Export{admitted->job, now};
+  return true;
+}
+
+auto RecordBlock(Server& server, const std::string& client, bool last) -> void {
+  auto found = server.exports.find(client);
+  if (found == server.exports.end()) return;
+  found->second.last_block = base::Clock::now();
+  if (!last) return;
+  Finish(server.work, found->second.job, base::Clock::now());
+  server.exports.erase(found);
+}
+
+/// The pauses of a report add up to its time, whatever the size of its blocks.
+auto PauseOf(const Server& server, const coap_block_t& block) -> base::Duration {
+  auto pause_bytes = std::size_t{kPauseBlocks} << (block.szx + 4);
+  auto pauses = std::max<std::size_t>(1, server.report.size() / pause_bytes);
+  return server.work.settings.report_time / pauses;
+}
+
 }  // namespace
 
 auto GetReport(coap_resource_t*, coap_session_t* session, const coap_pdu_t* request,
                const coap_string_t*, coap_pdu_t* response) -> void {
   auto& server = ServerOf(session);
   auto block = RequestedBlock(request);
-  auto slow = SlowRequest{session, request, response, {}, server.work.settings.report_time};
-  if (block.num == 0 && !ReadyToAnswer(slow)) return;
   auto client = std::string(coap_session_str(session));
-  server.exports[client] = base::Clock::now();
+  if (block.num == 0) {
+    if (!BeginExport(server, client)) return Refuse(server, {session, request, response, {}});
+  } else if (block.num % kPauseBlocks == 0 && !ReadyAfter(session, request, PauseOf(server, block))) {
+    return;
+  }
   auto last = WriteBlock(response, block, server.report, COAP_MEDIATYPE_TEXT_PLAIN,
                          server.report_digest);
-  if (last) server.exports.erase(client);
+  RecordBlock(server, client, last);
 }
 
 auto GetExecutions(coap_resource_t*, coap_session_t* session, const coap_pdu_t* request,
--- a/tools/target_standin/server.cc
+++ b/tools/target_standin/server.cc
@@ -16,7 +16,8 @@
 
 // Longest sleep of the loop; a stop is noticed after at most this.
 constexpr auto kMaxWait = base::milliseconds{50};
-// A report whose client has not asked for a block for so long is given up at a stop.
+// A report whose client has not asked for a block for so long is given up: a client retransmits a
+// block's request at least once in this time (RFC 7252, 4.8), so a longer silence means it is gone.
 constexpr auto kExportIdleLimit = base::seconds{10};
 constexpr auto kFirstPrice = 100.0;
 constexpr auto kPriceStep = 0.25;
@@ -53,6 +54,14 @@
   return static_cast<std::uint32_t>(wait.count());
 }
 
+auto GiveUpIdleExports(Server& server, base::TimePoint now) -> void {
+  std::erase_if(server.exports, [&](const auto& entry) {
+    if (now - entry.second.last_block <= kExportIdleLimit) return false;
+    Finish(server.work, entry.second.job, now);
+    return true;
+  });
+}
+
 /// Serves until `done` says so.
 template <typename Done>
 auto Serve(coap_context_t* context, Server& server, Done done) -> void {
@@ -62,22 +71,16 @@
     if (base::Clock::now() < next) continue;
     next += server.line.notify_interval;
     Notify(server);
+    GiveUpIdleExports(server, base::Clock::now());
   }
 }
 
-auto ExportsInProgress(Server& server, base::TimePoint now) -> bool {
-  std::erase_if(server.exports,
-                [&](const auto& entry) { return now - entry.second > kExportIdleLimit; });
-  return !server.exports.empty();
-}
-
 auto Drain(coap_context_t* context, Server& server) -> void {
   auto limit = base::Clock::now() + server.line.drain_limit;
   SetDraining(server.work, true, base::Clock::now());
   Serve(context, server, [&] {
-    auto now = base::Clock::now();
-    auto busy = !server.work.jobs.empty() || ExportsInProgress(server, now);
-    return now >= limit || (!busy && coap_can_exit(context) != 0);
+    auto idle = server.work.jobs.empty() && coap_can_exit(context) != 0;
+    return idle || base::Clock::now() >= limit;
   });
 }
 
--- a/tools/target_standin/server.h
+++ b/tools/target_standin/server.h
@@ -12,6 +12,12 @@
 
 namespace anvildrum::target {
 
+/// A report that a client is fetching block by block; it holds a slot until its last block.
+struct Export {
+  JobId job = 0;
+  base::TimePoint last_block;
+};
+
 /// The server's whole state, reached from libcoap's handlers by the context's app data.
 struct Server {
   CommandLine line;
@@ -21,7 +27,7 @@
   std::map<std::string, std::string> execution_bodies;  ///< by client, while it fetches the blocks
   std::vector<coap_resource_t*> observed;        ///< notified at each interval
   std::map<JobId, coap_async_t*> asyncs;         ///< delayed answers by job
-  std::map<std::string, base::TimePoint> exports;  ///< by client, the time of its last block
+  std::map<std::string, Export> exports;  ///< by client
   std::uint64_t sequence = 0;                    ///< of the last notification
   double price = 0;
 };
--- a/tools/target_standin/slow_request.cc
+++ b/tools/target_standin/slow_request.cc
@@ -1,5 +1,7 @@
 #include "tools/target_standin/slow_request.h"
 
+#include <algorithm>
+
 #include "tools/common/coap_message.h"
 #include "tools/target_standin/bodies.h"
 
@@ -10,11 +12,6 @@
   return reinterpret_cast<JobId>(coap_async_get_app_data(async));
 }
 
-auto Refuse(Server& server, const SlowRequest& slow) -> void {
-  tools::WriteJson(slow.response, COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE,
-                   ErrorBody(server.line.name, "not run", slow.id), RefusalMaxAge(server.work));
-}
-
 /// Ticks of libcoap are milliseconds; a delay of 0 would wait forever.
 auto ToTicks(base::Duration delay) -> coap_tick_t {
   auto milliseconds = std::chrono::ceil<base::milliseconds>(delay).count();
@@ -26,7 +23,7 @@
   // Registered before a slot is taken: it fails for a token that is already in use.
   auto* async = coap_register_async(slow.session, slow.request, 0);
   if (async == nullptr) return Refuse(server, slow);
-  auto admitted = Admit(server.work, slow.id, slow.extra, now);
+  auto admitted = Admit(server.work, slow.id, now);
   if (!admitted) {
     coap_free_async(slow.session, async);
     return Refuse(server, slow);
@@ -38,6 +35,16 @@
 
 }  // namespace
 
+auto Refuse(Server& server, const SlowRequest& slow) -> void {
+  tools::WriteJson(slow.response, COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE,
+                   ErrorBody(server.line.name, "not run", slow.id), RefusalMaxAge(server.work));
+}
+
+auto ReadyAfter(coap_session_t* session, const coap_pdu_t* request, base::Duration delay) -> bool {
+  if (coap_find_async(session, coap_pdu_get_token(request)) != nullptr) return true;
+  return coap_register_async(session, request, ToTicks(delay)) == nullptr;
+}
+
 auto ReadyToAnswer(const SlowRequest& slow) -> bool {
   auto& server = ServerOf(slow.session);
   auto* async = coap_find_async(slow.session, coap_pdu_get_token(slow.request));
--- a/tools/target_standin/slow_request.h
+++ b/tools/target_standin/slow_request.h
@@ -14,8 +14,7 @@
   coap_session_t* session = nullptr;
   const coap_pdu_t* request = nullptr;
   coap_pdu_t* response = nullptr;
-  std::string_view id;     ///< of the request's body or query; may be empty
-  base::Duration extra{};  ///< run time beyond that of an ordinary request
+  std::string_view id;  ///< of the request's body or query; may be empty
 };
 
 /// First pass: takes a slot and has libcoap call the handler again when the run time is over
@@ -23,6 +22,12 @@
 /// handler has to write the answer now.
 auto ReadyToAnswer(const SlowRequest& slow) -> bool;
 
+/// Like ReadyToAnswer for a request that has no slot of its own: answered after `delay`.
+auto ReadyAfter(coap_session_t* session, const coap_pdu_t* request, base::Duration delay) -> bool;
+
+/// Writes 5.03 with Max-Age: the request has not run.
+auto Refuse(Server& server, const SlowRequest& slow) -> void;
+
 /// Wakes the handler of a job at once.
 auto Wake(Server& server, JobId job) -> void;
 
--- a/tools/target_standin/work.cc
+++ b/tools/target_standin/work.cc
@@ -41,13 +41,13 @@
 
 }  // namespace
 
-auto Admit(Work& work, std::string_view request_id, base::Duration extra, base::TimePoint now)
+auto Admit(Work& work, std::string_view request_id, base::TimePoint now)
     -> std::optional<Admitted> {
   if (work.draining || work.in_flight >= work.settings.slots) {
     ++work.refused;
     return std::nullopt;
   }
-  auto admitted = Admitted{work.next_job++, RunTime(work) + extra};
+  auto admitted = Admitted{work.next_job++, RunTime(work)};
   ++work.admitted;
   ++work.in_flight;
   work.jobs[admitted.job] = Job{std::string(request_id)};
--- a/tools/target_standin/work.h
+++ b/tools/target_standin/work.h
@@ -17,7 +17,7 @@
   unsigned slots = 4;             ///< requests run at once
   base::Duration service_time{};  ///< mean of a warm request
   base::Duration cold_extra{};    ///< added to the first request, less to each later one
-  base::Duration report_time{};   ///< before the first block of a report
+  base::Duration report_time{};   ///< at least, from a report's first block to its last
   base::Duration load_lag{};      ///< age of what the health and load answers tell
   bool lying_load = false;        ///< the load answer tells an idle target
 };
@@ -63,7 +63,7 @@
 
 /// Takes a slot, or refuses when all are taken or the target drains. A request with an id counts as
 /// executed from here on.
-auto Admit(Work& work, std::string_view request_id, base::Duration extra, base::TimePoint now)
+auto Admit(Work& work, std::string_view request_id, base::TimePoint now)
     -> std::optional<Admitted>;
 
 /// Ends a job and frees its slot; what had become of it. Unknown jobs count as cancelled.
