--- /dev/null
+++ b/tools/load_client/command_line.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "base/types/endpoint.h"
+#include "base/types/time.h"
+
+namespace anvildrum::load {
+
+struct CommandLine {
+  base::Endpoint service;
+  unsigned flows = 1;
+  std::string observe;  ///< paths; empty for none
+  std::string post;
+  std::string get;
+  std::string report;
+  double rate = 1;  ///< POSTs and GETs a second over all flows, each
+  base::Duration run_time{};
+  base::Duration gap_limit{};
+  base::Duration request_timeout{};
+  base::Duration report_timeout{};
+  std::string run_id;  ///< goes before the number in each request's id
+  bool json = false;
+};
+
+/// Reads the options. Ends the process on --help, --version and options that TCLAP refuses.
+/// Errors: base::EndpointError.
+auto ParseCommandLine(int argc, const char* const* argv) -> base::Result<CommandLine>;
+
+}  // namespace anvildrum::load
