Let a target have 64 confirmable messages outstanding with a client

Cause: with 10% of packets lost for 3 s of a 25 s run (10 flows, 20 POSTs/s), 234 of 500 POSTs timed out and 5 of 10 streams died long after the losses had ended. libcoap's logs showed why: its 4.3.1 client drops a repeated confirmable answer without a second acknowledgement, and a server with NSTART 1 holds all else back until that answer's retransmissions have run out. Ruled out: the fabric stand-in and the client's own queue; both went on. Change: NSTART 64 on the target's sessions.

--- a/tools/target_standin/server.cc
+++ b/tools/target_standin/server.cc
@@ -19,6 +19,11 @@
 // A report whose client has not asked for a block for so long is given up: a client retransmits a
 // block's request at least once in this time (RFC 7252, 4.8), so a longer silence means it is gone.
 constexpr auto kExportIdleLimit = base::seconds{10};
+// Confirmable messages a client may have outstanding. libcoap 4.3.1's client drops a repeated
+// confirmable answer without acknowledging it again, so after one lost acknowledgement the default
+// of 1 holds up every answer and notification of that client until the retransmissions have run out,
+// which takes over a minute. Each answer has its own retransmissions, so letting others pass is safe.
+constexpr auto kOutstanding = std::uint16_t{64};
 constexpr auto kFirstPrice = 100.0;
 constexpr auto kPriceStep = 0.25;
 
@@ -41,6 +46,11 @@
   return true;
 }
 
+auto OnEvent(coap_session_t* session, coap_event_t event) -> int {
+  if (event == COAP_EVENT_SERVER_SESSION_NEW) coap_session_set_nstart(session, kOutstanding);
+  return 0;
+}
+
 auto Notify(Server& server) -> void {
   ++server.sequence;
   auto step = std::uniform_int_distribution<int>(-2, 2)(server.work.random);
@@ -103,6 +113,7 @@
   auto context = Context(coap_new_context(nullptr));
   if (!context) return false;
   coap_set_app_data(context.get(), &server);
+  coap_register_event_handler(context.get(), OnEvent);
   AddResources(context.get(), server);
   if (!Listen(context.get(), line.listen)) return false;
   Serve(context.get(), server, [] { return tools::StopRequested(); });
