--- /dev/null
+++ b/src/membership/types/membership_error.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "json/types/read_error.h"
+
+namespace anvildrum::membership {
+
+enum class MembershipErrorCode {
+  kBadKey,     ///< not "targets/SERVICE/NAME" or "balancers/NAME"
+  kBadRecord,  ///< the value isn't a record; `shape` says why
+};
+
+struct MembershipError {
+  MembershipErrorCode code = MembershipErrorCode::kBadRecord;
+  std::string key;        ///< the object's key at the platform
+  json::ReadError shape;  ///< for kBadRecord
+};
+
+}  // namespace anvildrum::membership
