Work out the capacity page from measured slopes

The arithmetic decides the design, so it comes before the modules.

bench/capacity prints slopes (three sizes or more, line and worst residual) of what is on main: flow digests, datagrams of the tunnel, messages of the relay, the configuration's JSON. model.json holds every input with its kind and reason, rows.json every row with its formula, limit and mechanism; make_capacity.py works them out and writes the page. What modules to come will cost (a table's entry, a flow at its owner) stands in the model as assumed until its slope is measured.

Ruled out: plain least squares. Over sizes of 1 to 1000 it missed the smallest point by 18 times its value (update_ns), so distances count as a share of the point.

--- /dev/null
+++ b/bench/capacity/measure.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <functional>
+
+namespace anvildrum::capacity {
+
+/// Processor time of this thread that one call of `work` takes, in nanoseconds: the least of
+/// several batches, because whatever else runs on the machine can only add to it.
+auto NanosecondsPerCall(const std::function<void()>& work) -> double;
+
+/// Keeps the optimizer from dropping the computation of `value`.
+template <typename T>
+auto Keep(const T& value) -> void {
+  asm volatile("" : : "r,m"(value) : "memory");
+}
+
+}  // namespace anvildrum::capacity
--- /dev/null
+++ b/bench/capacity/relay_wire_slopes.cc
@@ -0,0 +1,125 @@
+#include <array>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "measure.h"
+#include "slopes.h"
+#include "wire/relay.pb.h"
+
+namespace anvildrum::capacity {
+namespace {
+
+constexpr auto kRecordCounts = std::array{1, 10, 100, 1000};
+constexpr auto kHeartbeatCounts = std::array{1, 10, 100};
+constexpr auto kRevision = std::uint64_t{50'000'000};
+constexpr auto kConfigNumber = std::uint64_t{5'000'000};
+constexpr auto kInstance = std::uint64_t{0x9e3779b97f4a7c15};
+
+// A target's announcement as the platform keeps it: every field of membership::TargetRecord.
+auto TargetRecordJson() -> std::string {
+  return nlohmann::json{{"name", "scada-gw-03"},
+                        {"service", "scada-gw"},
+                        {"instance", "agent-scada-gw-03"},
+                        {"incarnation", 1'800'000'000'000},
+                        {"tunnel", "198.51.100.203:17000"},
+                        {"operator_port", "198.51.100.203:17001"},
+                        {"failure_domain", "cuyo-2"},
+                        {"slots", 5},
+                        {"connections", 2000},
+                        {"draining", false}}
+      .dump();
+}
+
+// A service of the configuration: every field of config::Service.
+auto ServiceJson(std::size_t index) -> nlohmann::json {
+  return {
+      {"name", "service-" + std::to_string(index)},
+      {"addresses", {"203.0.113.10:5683"}},
+      {"spread",
+       {{"load_margin", 0.03}, {"local_failure_domain_first", true}, {"slow_start_seconds", 10}}},
+      {"limits", {{"queue_ms", 250}, {"client_in_flight", 64}, {"flow_idle_seconds", 7200}}},
+      {"weights", {{{"target", "scada-gw-03"}, {"weight", 1.5}}}}};
+}
+
+auto ConfigurationJson(int services) -> std::string {
+  auto document = nlohmann::json{{"number", kConfigNumber}, {"services", nlohmann::json::array()}};
+  for (auto i = 0; i < services; ++i) document["services"].push_back(ServiceJson(i));
+  return document.dump();
+}
+
+auto UpdateMessage(int records) -> wire::pb::RelayMessage {
+  auto message = wire::pb::RelayMessage{};
+  message.set_sender(kInstance);
+  message.set_incarnation(kInstance);
+  auto& update = *message.mutable_update();
+  update.set_revision(kRevision);
+  for (auto i = 0; i < records; ++i) {
+    auto& record = *update.add_records();
+    record.set_key("targets/scada-gw/scada-gw-03");
+    record.set_revision(kRevision);
+    record.set_value(TargetRecordJson());
+  }
+  return message;
+}
+
+auto HeartbeatMessage() -> wire::pb::RelayMessage {
+  auto message = wire::pb::RelayMessage{};
+  message.set_sender(kInstance);
+  message.set_incarnation(kInstance);
+  message.mutable_heartbeat()->set_config_number(kConfigNumber);
+  message.mutable_heartbeat()->set_revision(kRevision);
+  return message;
+}
+
+auto CodecCost(const wire::pb::RelayMessage& message) -> double {
+  auto bytes = std::string{};
+  auto read = wire::pb::RelayMessage{};
+  return NanosecondsPerCall([&] {
+    message.SerializeToString(&bytes);
+    read.ParseFromString(bytes);
+  });
+}
+
+auto UpdateSlopes() -> std::vector<Slope> {
+  auto bytes = Slope{"update_bytes", "bytes", "target record", {}};
+  auto cost = Slope{"update_ns", "ns", "target record", {}};
+  for (auto count : kRecordCounts) {
+    auto message = UpdateMessage(count);
+    auto size = static_cast<double>(message.ByteSizeLong());
+    bytes.points.push_back({static_cast<double>(count), size});
+    cost.points.push_back({static_cast<double>(count), CodecCost(message)});
+  }
+  return {bytes, cost};
+}
+
+auto HeartbeatSlope() -> Slope {
+  auto slope = Slope{"heartbeat_bytes", "bytes", "message", {}};
+  auto size = static_cast<double>(HeartbeatMessage().ByteSizeLong());
+  for (auto count : kHeartbeatCounts) {
+    slope.points.push_back({static_cast<double>(count), size * count});
+  }
+  return slope;
+}
+
+auto ConfigurationSlopes() -> std::vector<Slope> {
+  auto bytes = Slope{"config_json_bytes", "bytes", "service", {}};
+  auto cost = Slope{"config_json_parse_ns", "ns", "service", {}};
+  for (auto count : kRecordCounts) {
+    auto text = ConfigurationJson(count);
+    bytes.points.push_back({static_cast<double>(count), static_cast<double>(text.size())});
+    auto parse = [&] { Keep(nlohmann::json::parse(text).size()); };
+    cost.points.push_back({static_cast<double>(count), NanosecondsPerCall(parse)});
+  }
+  return {bytes, cost};
+}
+
+}  // namespace
+
+auto MeasureRelayWire() -> std::vector<Slope> {
+  auto all = UpdateSlopes();
+  all.push_back(HeartbeatSlope());
+  for (auto& slope : ConfigurationSlopes()) all.push_back(std::move(slope));
+  return all;
+}
+
+}  // namespace anvildrum::capacity
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Measures the slopes and writes docs/CAPACITY.md anew; --check only compares the page with the
+# committed slopes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ "${1:-}" = --check ]; then
+  exec python3 scripts/make_capacity.py --check
+fi
+build=${ANVILDRUM_BUILD:-build}
+cmake -S . -B "$build" -G Ninja >/dev/null
+cmake --build "$build" -j "${ANVILDRUM_JOBS:-$(nproc)}" --target anvildrum-capacity-bench
+"$build/bench/capacity/anvildrum-capacity-bench" >"$build/capacity-slopes.json"
+mv "$build/capacity-slopes.json" docs/figures/capacity-slopes.json
+python3 scripts/make_capacity.py
