Measure datagrams and relay messages through the system, and the queries of a join

Processor time of control left out the sockets.

New rows: owner queries of a home that joins, as long as not every owner has settled.

--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -34,7 +34,8 @@
   auto report = nlohmann::json{};
   report["machine"] = {{"cpu", CpuModel()}, {"nproc", std::thread::hardware_concurrency()}};
   report["slopes"] = nlohmann::json::array();
-  for (auto* measure : {MeasureBase, MeasureWire, MeasureRelayWire}) {
+  for (auto* measure :
+       {MeasureBase, MeasureWire, MeasureLists, MeasureRelayWire, MeasureUdp, MeasureZeroMq}) {
     for (const auto& slope : measure()) report["slopes"].push_back(ToJson(slope));
   }
   return report;
--- a/bench/capacity/measure.h
+++ b/bench/capacity/measure.h
@@ -8,6 +8,9 @@
 /// several batches, because whatever else runs on the machine can only add to it.
 auto NanosecondsPerCall(const std::function<void()>& work) -> double;
 
+/// The same for all threads of the process, where a library works in threads of its own.
+auto ProcessNanosecondsPerCall(const std::function<void()>& work) -> double;
+
 /// Keeps the optimizer from dropping the computation of `value`.
 template <typename T>
 auto Keep(const T& value) -> void {
--- a/bench/capacity/slopes.h
+++ b/bench/capacity/slopes.h
@@ -12,6 +12,15 @@
 /// Datagrams of the tunnel: processor time of Seal and Open, bytes of each kind.
 auto MeasureWire() -> std::vector<Slope>;
 
+/// Datagrams that carry a list: bytes and processor time by its length.
+auto MeasureLists() -> std::vector<Slope>;
+
+/// Processor time of a datagram through the loopback device, system calls included.
+auto MeasureUdp() -> std::vector<Slope>;
+
+/// Processor time of a message over ZeroMQ with CURVE on the loopback device.
+auto MeasureZeroMq() -> std::vector<Slope>;
+
 /// Messages of the relay: bytes and processor time of updates.
 auto MeasureRelayWire() -> std::vector<Slope>;
 
--- a/bench/capacity/wire_slopes.cc
+++ b/bench/capacity/wire_slopes.cc
@@ -1,37 +1,14 @@
-#include <functional>
+#include <array>
 #include <string>
 
-#include "measure.h"
+#include "sample.h"
 #include "slopes.h"
-#include "wire/convert.h"
-#include "wire/datagram.h"
 
 namespace anvildrum::capacity {
 namespace {
 
 constexpr auto kPayloadSizes = std::array{0, 64, 256, 1200};
 constexpr auto kMessageCounts = std::array{1, 10, 100};
-constexpr auto kListSizes = std::array{1, 8, 32, 128};
-constexpr auto kIncarnation = std::uint64_t{1'800'000'000'000};
-constexpr auto kCount = 1000;
-
-auto Ring() -> wire::KeyRing { return wire::KeyRing{{wire::Key{1, 2, 3}}}; }
-
-auto SampleFlow() -> base::FlowKey {
-  return {base::EndpointFromV4(0xcb007107, 40000), base::ServiceIdOf("desk")};
-}
-
-auto FillTarget(wire::pb::TargetRef& target) -> void {
-  target.set_target(base::TargetIdOf("desk-3").value);
-  target.set_incarnation(kIncarnation);
-}
-
-auto EmptyHeader() -> wire::pb::TunnelHeader {
-  auto header = wire::pb::TunnelHeader{};
-  header.set_sender(base::InstanceIdOf("balancer-17").value);
-  header.set_incarnation(kIncarnation);
-  return header;
-}
 
 auto PacketHeader() -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
@@ -61,61 +38,37 @@
   return header;
 }
 
-auto ProbeAnswerHeader(int loads) -> wire::pb::TunnelHeader {
-  auto header = EmptyHeader();
-  auto& answer = *header.mutable_probe_answer();
-  answer.set_sequence(kCount);
-  for (auto i = 0; i < loads; ++i) {
-    auto& load = *answer.add_loads();
-    FillTarget(*load.mutable_target());
-    load.set_service(base::ServiceIdOf("desk").value);
-    load.set_in_flight(4);
-    load.set_queued(2);
-    load.set_flows(kCount);
-    load.set_delay_us(kCount);
-  }
-  return header;
-}
-
-auto RegisterHeader(int clients) -> wire::pb::TunnelHeader {
+auto SettledHeader() -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
-  auto& message = *header.mutable_register_();
+  auto& message = *header.mutable_settled();
   message.set_service(base::ServiceIdOf("desk").value);
   message.set_view(base::HashName("view"));
   FillTarget(*message.mutable_owner());
-  message.set_sequence(1);
-  for (auto i = 0; i < clients; ++i) {
-    wire::WriteEndpoint(SampleFlow().client, *message.add_clients());
-  }
   return header;
 }
 
-auto SettledHeader() -> wire::pb::TunnelHeader {
+auto RegisterAckHeader() -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
-  auto& message = *header.mutable_settled();
+  auto& message = *header.mutable_register_ack();
   message.set_service(base::ServiceIdOf("desk").value);
   message.set_view(base::HashName("view"));
-  FillTarget(*message.mutable_owner());
+  message.set_sequence(1);
   return header;
 }
 
-auto Sealed(const wire::pb::TunnelHeader& header, wire::BytesView payload) -> wire::Bytes {
-  auto out = wire::Bytes{};
-  wire::Seal(Ring(), header, payload, out).value();
-  return out;
-}
-
-auto SealCost(const wire::pb::TunnelHeader& header, wire::BytesView payload) -> double {
-  auto ring = Ring();
-  auto out = wire::Bytes{};
-  return NanosecondsPerCall([&] { wire::Seal(ring, header, payload, out).value(); });
+auto OwnerQueryHeader() -> wire::pb::TunnelHeader {
+  auto header = EmptyHeader();
+  wire::WriteFlow(SampleFlow(), *header.mutable_owner_query()->mutable_flow());
+  return header;
 }
 
-auto OpenCost(const wire::pb::TunnelHeader& header, wire::BytesView payload) -> double {
-  auto ring = Ring();
-  auto datagram = Sealed(header, payload);
-  auto opened = wire::Opened{};
-  return NanosecondsPerCall([&] { wire::Open(ring, datagram, opened).value(); });
+auto OwnerAnswerHeader() -> wire::pb::TunnelHeader {
+  auto header = EmptyHeader();
+  auto& answer = *header.mutable_owner_answer();
+  wire::WriteFlow(SampleFlow(), *answer.mutable_flow());
+  answer.set_owned(true);
+  FillTarget(*answer.mutable_owner());
+  return header;
 }
 
 auto PayloadSlopes() -> std::vector<Slope> {
@@ -156,23 +109,6 @@
   return {bytes, cost};
 }
 
-using HeaderOfSize = std::function<wire::pb::TunnelHeader(int)>;
-
-// Bytes and processor time (both ends) of one datagram by the length of the list it carries.
-auto ListSlopes(const std::string& kind, const std::string& per, const HeaderOfSize& make)
-    -> std::vector<Slope> {
-  auto bytes = Slope{kind + "_bytes", "bytes", per, {}};
-  auto cost = Slope{kind + "_ns", "ns", per, {}};
-  for (auto count : kListSizes) {
-    auto header = make(count);
-    auto size = static_cast<double>(Sealed(header, {}).size());
-    bytes.points.push_back({static_cast<double>(count), size});
-    cost.points.push_back(
-        {static_cast<double>(count), SealCost(header, {}) + OpenCost(header, {})});
-  }
-  return {bytes, cost};
-}
-
 auto Append(std::vector<Slope>& all, std::vector<Slope> more) -> void {
   for (auto& slope : more) all.push_back(std::move(slope));
 }
@@ -185,8 +121,9 @@
   Append(all, KindSlopes("hint", HintHeader()));
   Append(all, KindSlopes("probe", ProbeHeader()));
   Append(all, KindSlopes("settled", SettledHeader()));
-  Append(all, ListSlopes("probe_answer", "load report", ProbeAnswerHeader));
-  Append(all, ListSlopes("register", "flow", RegisterHeader));
+  Append(all, KindSlopes("register_ack", RegisterAckHeader()));
+  Append(all, KindSlopes("owner_query", OwnerQueryHeader()));
+  Append(all, KindSlopes("owner_answer", OwnerAnswerHeader()));
   return all;
 }
 
--- a/scripts/make_capacity.py
+++ b/scripts/make_capacity.py
@@ -53,7 +53,7 @@
         """Bytes of the Register datagrams for `flows`, each with its acknowledgement."""
         datagrams = math.ceil(flows / self.value("register_batch"))
         overhead = self.intercept("register_bytes") + 2 * self.value("udp_ip")
-        acknowledgement = self.slope("probe_bytes") + 27
+        acknowledgement = self.slope("register_ack_bytes")
         return flows * self.slope("register_bytes") + datagrams * (overhead + acknowledgement)
 
     def functions(self):
@@ -84,7 +84,7 @@
 
     def slope_names(self, formula):
         found = set(re.findall(r"'(\w+)'", formula))
-        return found | ({"register_bytes", "probe_bytes"} if "register_stream" in formula else set())
+        return found | ({"register_bytes", "register_ack_bytes"} if "register_stream" in formula else set())
 
     def basis(self, formula):
         """(assumed inputs, measured slopes, other inputs) that a formula rests on, at any depth."""
