--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -12,3 +12,4 @@
 "$build/bench/capacity/anvildrum-capacity-bench" >"$build/capacity-slopes.json"
 mv "$build/capacity-slopes.json" docs/figures/capacity-slopes.json
 python3 scripts/make_capacity.py
+python3 scripts/plot.py docs/figures/wire-cost.json docs/figures/wire-cost.svg
