--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -84,7 +84,7 @@
 }
 
 auto AgentRuntime::Run() -> void {
-  auto key = TargetKey(this->record);
+  auto key = membership::KeyOf(this->record);
   auto compose = [this](base::Incarnation incarnation) {
     auto record = this->record;
     record.incarnation = incarnation;
@@ -135,13 +135,13 @@
 }
 
 auto AgentRuntime::ApplyRecord(const relay::PlatformObject& record) -> void {
-  if (record.key == TargetKey(this->record)) {
+  if (record.key == membership::KeyOf(this->record)) {
     this->announcer->Recorded(record.deleted ? nullptr : &record.value);
   }
   if (!this->agent) return;
   if (record.key == relay::kConfigKey) return this->ApplyConfig(record);
-  if (record.key.starts_with(kTargetPrefix)) return this->ApplyTarget(record);
-  if (record.key.starts_with(kBalancerPrefix)) return this->ApplyBalancer(record);
+  if (record.key.starts_with(membership::kTargetPrefix)) return this->ApplyTarget(record);
+  if (record.key.starts_with(membership::kBalancerPrefix)) return this->ApplyBalancer(record);
 }
 
 auto AgentRuntime::ApplyTarget(const relay::PlatformObject& record) -> void {
@@ -184,7 +184,7 @@
 auto AgentRuntime::UpdateRelayPeers() -> void {
   auto peers = std::vector<relay::RelayPeer>{};
   for (const auto& [key, record] : this->records) {
-    if (!key.starts_with(kBalancerPrefix) || record.deleted) continue;
+    if (!key.starts_with(membership::kBalancerPrefix) || record.deleted) continue;
     auto parsed = membership::ParseBalancerRecord(key, record.revision, record.value);
     if (parsed) peers.push_back(ToRelayPeer(*parsed));
   }
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -77,7 +77,7 @@
 }
 
 auto BalancerRuntime::Run() -> void {
-  auto key = BalancerKey(this->record);
+  auto key = membership::KeyOf(this->record);
   auto compose = [this](base::Incarnation incarnation) {
     this->record.incarnation = incarnation;
     return membership::Serialize(this->record);
@@ -112,7 +112,7 @@
 auto BalancerRuntime::OnRecord(const relay::PlatformObject& record, membership::View& view)
     -> void {
   if (record.key == relay::kConfigKey) return this->OnConfig(record);
-  if (record.key == BalancerKey(this->record)) {
+  if (record.key == membership::KeyOf(this->record)) {
     this->announcer->Recorded(record.deleted ? nullptr : &record.value);
   }
   if (!ApplyObject(record, view, Now())) {
@@ -143,7 +143,7 @@
   if (effects.changes.empty()) return;
   auto view = this->balancer.view;
   for (const auto& change : effects.changes) {
-    auto key = TargetKey(change.record);
+    auto key = membership::KeyOf(change.record);
     membership::SetSuspect(view, change.record.id, change.suspect);
     Log(LogLevel::kWarning, change.suspect ? "target_suspect" : "target_alive", {{"key", key}});
     if (change.suspect) {
--- a/src/daemon/internal/records.cc
+++ b/src/daemon/internal/records.cc
@@ -4,14 +4,6 @@
 
 namespace anvildrum::daemon {
 
-auto TargetKey(const membership::TargetRecord& record) -> std::string {
-  return std::string(kTargetPrefix) + record.service_name + "/" + record.name;
-}
-
-auto BalancerKey(const membership::BalancerRecord& record) -> std::string {
-  return std::string(kBalancerPrefix) + record.name;
-}
-
 auto NameOfKey(std::string_view key) -> std::string_view {
   return key.substr(key.rfind('/') + 1);
 }
--- a/src/daemon/internal/records.h
+++ b/src/daemon/internal/records.h
@@ -10,12 +10,6 @@
 
 namespace anvildrum::daemon {
 
-inline constexpr std::string_view kTargetPrefix = "targets/";
-inline constexpr std::string_view kBalancerPrefix = "balancers/";
-
-auto TargetKey(const membership::TargetRecord& record) -> std::string;
-auto BalancerKey(const membership::BalancerRecord& record) -> std::string;
-
 /// Last part of a key: the name of the target or balancer.
 auto NameOfKey(std::string_view key) -> std::string_view;
 
--- a/src/daemon/internal/status.cc
+++ b/src/daemon/internal/status.cc
@@ -13,7 +13,7 @@
 auto RemoveTarget(const relay::PlatformObject& object, membership::View& view) -> void {
   auto id = base::TargetIdOf(NameOfKey(object.key));
   const auto* known = membership::FindTarget(view, id);
-  if (known == nullptr || TargetKey(known->record) != object.key) return;
+  if (known == nullptr || membership::KeyOf(known->record) != object.key) return;
   membership::RemoveRecord(view, id, known->record.incarnation, object.revision);
 }
 
@@ -75,8 +75,8 @@
 
 auto ApplyObject(const relay::PlatformObject& object, membership::View& view, base::TimePoint now)
     -> bool {
-  if (object.key.starts_with(kTargetPrefix)) return ApplyTarget(object, view, now);
-  if (object.key.starts_with(kBalancerPrefix)) return ApplyBalancerObject(object, view);
+  if (object.key.starts_with(membership::kTargetPrefix)) return ApplyTarget(object, view, now);
+  if (object.key.starts_with(membership::kBalancerPrefix)) return ApplyBalancerObject(object, view);
   return true;
 }
 
