--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -136,6 +136,7 @@
 }
 
 auto Exchange::Send() -> void {
+  this->parser.reset();
   auto& stream = this->connection->stream;
   stream.expires_after(this->timeout);
   auto done = [self = this->shared_from_this()](beast::error_code error, std::size_t) {
--- /dev/null
+++ b/src/platform/tests/client_faults_test.cc
@@ -0,0 +1,183 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "platform/conditional_writer.h"
+#include "platform/prefix_watcher.h"
+#include "platform/tests/client_rig.h"
+
+namespace anvildrum::platform {
+namespace {
+
+const auto kMine = std::string(R"("mine")");
+
+auto ProposeMine(const std::optional<Object>& current) -> WriteProposal {
+  if (current && current->value == kMine) return {WriteIntent::kDone, ""};
+  return {WriteIntent::kPut, kMine};
+}
+
+auto WriteMine(ClientRig& rig) -> WriteResult {
+  auto writer = ConditionalWriter(rig.context, rig.client, {}, 1);
+  auto result = std::optional<WriteResult>{};
+  writer.Write("config", ProposeMine, [&](const auto& given) { result = given; });
+  rig.RunUntil([&] { return result.has_value(); });
+  return *result;
+}
+
+/// A watcher with short times, and the state that its changes add up to.
+struct Follower {
+  explicit Follower(ClientRig& rig)
+      : watcher(rig.context, rig.client, this->settings, this->Callbacks()) {}
+
+  auto Callbacks() -> PrefixWatcherCallbacks {
+    auto on_change = [this](const Object& object) {
+      if (object.deleted) {
+        this->state.erase(object.key);
+      } else {
+        this->state[object.key] = object.value;
+      }
+    };
+    return {on_change, [this](std::uint64_t revision) { this->synced = revision; }};
+  }
+
+  std::map<std::string, std::string> state;
+  std::uint64_t synced = 0;
+  PrefixWatcherSettings settings{"t/",
+                                 {base::milliseconds(50), base::milliseconds(100), base::Duration{},
+                                  BackoffPolicy{base::milliseconds(5), base::milliseconds(20)}},
+                                 1};
+  PrefixWatcher watcher;
+};
+
+auto PutDirectly(ClientRig& rig, std::string_view key, std::string value) -> void {
+  platform_standin::Put(rig.Store(), key, std::move(value), platform_standin::Unconditional{});
+}
+
+// The operator's patch takes effect and the answer is lost. The object is read again, the writer's
+// own mark is found, and the patch counts as taken after a single write.
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_settled_and_not_repeated) {
+  auto rig = ClientRig{};
+  rig.Faults().lose_answers = 1;
+  auto result = WriteMine(rig);
+  BOOST_CHECK(result.verdict == WriteVerdict::kTook);
+  BOOST_TEST(rig.Counts().put == 1U);
+  BOOST_TEST(rig.Store().revision == 1U);
+}
+
+// The platform repeats a write inside and answers 412 to its own success. The operator must not
+// hear that the patch was refused.
+BOOST_AUTO_TEST_CASE(a_conflict_after_a_write_that_took_counts_as_taken) {
+  auto rig = ClientRig{};
+  rig.Faults().conflict_after_write = 1;
+  BOOST_CHECK(WriteMine(rig).verdict == WriteVerdict::kTook);
+  BOOST_TEST(rig.Counts().put == 1U);
+}
+
+// The write's answer is cut off in the middle of its body.
+BOOST_AUTO_TEST_CASE(a_half_written_answer_is_settled) {
+  auto rig = ClientRig{};
+  PutDirectly(rig, "config", "0");
+  BOOST_REQUIRE(!CodeOf(rig.Get("config")).has_value());
+  rig.Faults().half_body = 2;
+  BOOST_CHECK(CodeOf(rig.Get("config")) == PlatformErrorCode::kMalformedAnswer);
+  BOOST_CHECK(WriteMine(rig).verdict == WriteVerdict::kTook);
+  BOOST_TEST(rig.Counts().put == 1U);
+}
+
+// The platform closed the idle connection, as a restart does. A read goes out again on a new one; a
+// write is not repeated, since nobody knows whether the closed connection carried it.
+BOOST_AUTO_TEST_CASE(only_reads_are_repeated_on_a_connection_that_was_closed) {
+  auto rig = ClientRig{};
+  auto other = platform_standin::Server(rig.context);
+  auto reach = [&](platform_standin::Server& server) {
+    server.State() = rig.server.State();
+    return server.Listen(rig.endpoint).value();
+  };
+  PutDirectly(rig, "a", "1");
+  rig.Get("a");
+  rig.server.Stop();
+  reach(other);
+  BOOST_CHECK(!CodeOf(rig.Get("a")).has_value());
+  other.Stop();
+  auto third = platform_standin::Server(rig.context);
+  reach(third);
+  BOOST_CHECK(CodeOf(rig.Put("a", "2", IfMatch{1})) == PlatformErrorCode::kAnswerLost);
+  BOOST_TEST(third.State().store.revision == 1U);
+}
+
+// The platform accepts connections and closes them without a word, and later comes back.
+BOOST_AUTO_TEST_CASE(a_watcher_goes_on_after_an_outage) {
+  auto rig = ClientRig{};
+  PutDirectly(rig, "t/a", "1");
+  auto follower = Follower(rig);
+  rig.RunUntil([&] { return follower.synced == 1; });
+  rig.Faults().down = true;
+  auto failed = follower.watcher.Counters().failures;
+  rig.RunUntil([&] { return follower.watcher.Counters().failures >= failed + 3; });
+  BOOST_TEST(follower.state.size() == 1U);
+  PutDirectly(rig, "t/b", "2");
+  rig.Faults().down = false;
+  rig.RunUntil([&] { return follower.state.contains("t/b"); });
+}
+
+// Watches hang without a sign while a change is made. The call's timeout ends them, and the list
+// that follows brings the change.
+BOOST_AUTO_TEST_CASE(a_hung_watch_is_recovered_by_a_list) {
+  auto rig = ClientRig{};
+  rig.client = ClientBuilder{}
+                   .WithEndpoint(rig.endpoint)
+                   .WithBudget(ClientRig::kWideBudget)
+                   .WithCallTimeout(base::milliseconds(50))
+                   .Build(rig.context);
+  rig.Faults().hang_watches = true;
+  auto follower = Follower(rig);
+  rig.RunUntil([&] { return rig.Counts().waiting_watches == 1; });
+  PutDirectly(rig, "t/a", "1");
+  rig.RunUntil([&] { return follower.state.contains("t/a"); });
+  BOOST_TEST(follower.watcher.Counters().hung > 0U);
+}
+
+// Reads lag two revisions behind, as from a replica. The watcher's lists are refused and counted,
+// and the deleted object does not come back.
+BOOST_AUTO_TEST_CASE(a_lagging_list_brings_nothing_back) {
+  auto rig = ClientRig{};
+  PutDirectly(rig, "t/a", "1");
+  PutDirectly(rig, "t/b", "2");
+  platform_standin::Delete(rig.Store(), "t/a", platform_standin::Unconditional{});
+  auto follower = Follower(rig);
+  rig.RunUntil([&] { return follower.synced == 3; });
+  rig.Faults().stale_reads_revisions = 2;
+  rig.RunUntil([&] { return follower.watcher.Counters().older_refused >= 2; });
+  BOOST_TEST(follower.state.size() == 1U);
+  BOOST_TEST(follower.synced == 3U);
+  rig.Faults().stale_reads_revisions = 0;
+  PutDirectly(rig, "t/c", "3");
+  rig.RunUntil([&] { return follower.state.contains("t/c"); });
+}
+
+// 500s and cut-off answers while a watcher starts: it comes through with the right state.
+BOOST_AUTO_TEST_CASE(a_watcher_starts_through_500s_and_cut_off_answers) {
+  auto rig = ClientRig{};
+  PutDirectly(rig, "t/a", "1");
+  rig.Faults().error_500 = 3;
+  rig.Faults().half_body = 3;
+  auto follower = Follower(rig);
+  rig.RunUntil([&] { return follower.state.contains("t/a"); });
+  BOOST_TEST(follower.watcher.Counters().failures >= 6U);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_platform_times_out_and_the_write_is_settled) {
+  auto rig = ClientRig{};
+  rig.client = ClientBuilder{}
+                   .WithEndpoint(rig.endpoint)
+                   .WithBudget(ClientRig::kWideBudget)
+                   .WithCallTimeout(base::milliseconds(100))
+                   .Build(rig.context);
+  rig.Faults().delay_ms = 1000;
+  BOOST_CHECK(CodeOf(rig.Put("config", kMine, IfAbsent{})) == PlatformErrorCode::kTimeout);
+  rig.Faults().delay_ms = 0;
+  BOOST_CHECK(WriteMine(rig).verdict == WriteVerdict::kTook);
+  BOOST_TEST(rig.Store().revision == 1U);
+}
+
+}  // namespace
+}  // namespace anvildrum::platform
--- /dev/null
+++ b/src/platform/tests/http_call_test.cc
@@ -0,0 +1,70 @@
+#include "platform/internal/http_call.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace anvildrum::platform {
+namespace {
+
+template <typename T>
+auto CodeOf(const Outcome<T>& outcome) -> PlatformErrorCode {
+  BOOST_REQUIRE(std::holds_alternative<PlatformError>(outcome));
+  return std::get<PlatformError>(outcome).code;
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_escaped_and_conditions_written) {
+  auto put = PutCall("targets/desk/a b", "1", IfMatch{7});
+  BOOST_TEST(put.target == "/v1/objects/targets/desk/a%20b");
+  BOOST_TEST(put.if_match == R"("7")");
+  BOOST_TEST(put.if_none_match.empty());
+  BOOST_TEST(PutCall("k", "1", IfAbsent{}).if_none_match == "*");
+  BOOST_TEST(WatchCall("a&b=", 3, 250).target ==
+             "/v1/watch?prefix=a%26b%3D&after=3&timeout_ms=250");
+}
+
+BOOST_AUTO_TEST_CASE(listings_and_events_are_read) {
+  auto answer =
+      HttpAnswer{200, "",
+                 R"({"revision":9,"events":[{"key":"a","revision":8,"deleted":true,"value":null},)"
+                 R"({"key":"b","revision":9,"value":{"x":1}}]})"};
+  auto listing = std::get<Listing>(ReadListing(WatchCall("", 1, 1), answer));
+  BOOST_TEST(listing.revision == 9U);
+  BOOST_REQUIRE(listing.items.size() == 2U);
+  BOOST_CHECK(listing.items[0] == (Object{"a", 8, true, ""}));
+  BOOST_CHECK(listing.items[1] == (Object{"b", 9, false, R"({"x":1})"}));
+}
+
+// A platform or a middle box that answers rubbish with status 200 must not become an empty listing,
+// which would read as "all targets are gone".
+BOOST_AUTO_TEST_CASE(answers_that_are_not_the_api_are_malformed) {
+  for (const auto* body :
+       {"", "null", "[]", "{", "{}", R"({"revision":-1,"items":[]})", R"({"revision":1})",
+        R"({"revision":1,"items":{}})", R"({"revision":1,"items":[1]})",
+        R"({"revision":1,"items":[{"key":"a"}]})", R"({"revision":1,"items":[{"revision":1}]})",
+        R"({"revision":1,"items":[{"key":1,"revision":1,"value":1}]})",
+        R"({"revision":1,"items":[{"key":"a","revision":1}]})",
+        R"({"revision":1,"items":[{"key":"a","revision":1,"deleted":"no","value":1}]})"}) {
+    auto outcome = ReadListing(ListCall(""), HttpAnswer{200, "", body});
+    BOOST_CHECK(CodeOf(outcome) == PlatformErrorCode::kMalformedAnswer);
+  }
+  for (const auto* tag : {"", "7", R"("")", R"("7)", R"("x")", R"("7 ")"}) {
+    auto outcome = ReadRevision(PutCall("k", "1", IfAbsent{}), HttpAnswer{200, tag, "{}"});
+    BOOST_CHECK(CodeOf(outcome) == PlatformErrorCode::kMalformedAnswer);
+  }
+  auto cut = ReadObject(GetCall("k"), HttpAnswer{200, R"("7")", R"({"a":)"});
+  BOOST_CHECK(CodeOf(cut) == PlatformErrorCode::kMalformedAnswer);
+}
+
+BOOST_AUTO_TEST_CASE(statuses_become_typed_errors) {
+  auto code = [](unsigned status) {
+    return CodeOf(ReadRevision(PutCall("k", "1", IfMatch{1}), HttpAnswer{status, "", "{}"}));
+  };
+  BOOST_CHECK(code(404) == PlatformErrorCode::kNotFound);
+  BOOST_CHECK(code(410) == PlatformErrorCode::kTooOld);
+  BOOST_CHECK(code(412) == PlatformErrorCode::kConflict);
+  BOOST_CHECK(code(413) == PlatformErrorCode::kTooLarge);
+  BOOST_CHECK(code(400) == PlatformErrorCode::kRefused);
+  BOOST_CHECK(code(503) == PlatformErrorCode::kServerError);
+}
+
+}  // namespace
+}  // namespace anvildrum::platform
