Survive deep and mutilated answers; keep the stand-in's controls out of its faults

A value of half a million brackets, which anybody with write access can store, would have ended each watcher's stack when its value was written as text. What is nested deeper than 64 levels is left out while the answer is parsed.

The stand-in delayed its own /v1/faults by delay_ms and closed the connection that had asked for an outage; both calls are now served outside the faults.

--- a/src/platform/internal/http_call.cc
+++ b/src/platform/internal/http_call.cc
@@ -12,6 +12,9 @@
 
 constexpr auto kDigits = std::string_view("0123456789ABCDEF");
 
+// Deepest nesting that is read.
+constexpr auto kMaxDepth = 64;
+
 enum HttpStatus : unsigned {
   kOk = 200,
   kCreated = 201,
@@ -74,6 +77,14 @@
   return {PlatformErrorCode::kMalformedAnswer, answer.status, call.key};
 }
 
+// Safeguard: writing a JSON value as text recurses, and a value of half a million brackets, which
+// anybody who may write to the platform can put there, would end every watcher's stack. What is
+// nested deeper than any record of ours is left out, so that the other objects are still read.
+auto ParseBounded(std::string_view text) -> Json {
+  auto keep = [](int depth, Json::parse_event_t, Json&) { return depth <= kMaxDepth; };
+  return Json::parse(text, keep, false);
+}
+
 auto IsRevision(const Json& node, const char* name) -> bool {
   return node.contains(name) && node[name].is_number_unsigned();
 }
@@ -144,8 +155,9 @@
 auto ReadObject(const HttpCall& call, const HttpAnswer& answer) -> Outcome<Object> {
   if (answer.status != kOk) return Failure(call, answer);
   auto revision = ParseTag(answer.etag);
-  if (!revision || !Json::accept(answer.body)) return Malformed(call, answer);
-  return Object{call.key, *revision, false, answer.body};
+  auto document = ParseBounded(answer.body);
+  if (!revision || document.is_discarded()) return Malformed(call, answer);
+  return Object{call.key, *revision, false, document.dump()};
 }
 
 auto ReadRevision(const HttpCall& call, const HttpAnswer& answer) -> Outcome<std::uint64_t> {
@@ -162,7 +174,7 @@
 
 auto ReadListing(const HttpCall& call, const HttpAnswer& answer) -> Outcome<Listing> {
   if (answer.status != kOk) return Failure(call, answer);
-  auto document = Json::parse(answer.body, nullptr, false);
+  auto document = ParseBounded(answer.body);
   if (!document.is_object() || !IsRevision(document, "revision")) return Malformed(call, answer);
   auto items = ReadItems(document, call.kind == CallKind::kWatch ? "events" : "items");
   if (!items) return Malformed(call, answer);
--- a/src/platform/tests/http_call_test.cc
+++ b/src/platform/tests/http_call_test.cc
@@ -1,6 +1,7 @@
 #include "platform/internal/http_call.h"
 
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 namespace anvildrum::platform {
 namespace {
@@ -54,6 +55,49 @@
   BOOST_CHECK(CodeOf(cut) == PlatformErrorCode::kMalformedAnswer);
 }
 
+// Somebody stores a value of half a million brackets. Every watcher reads it; none may die of it,
+// and the other objects of the answer are still read.
+BOOST_AUTO_TEST_CASE(a_value_nested_beyond_all_reason_is_survived) {
+  constexpr auto kDepth = 500'000;
+  auto deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  auto body = R"({"revision":2,"items":[{"key":"a","revision":1,"value":)" + deep +
+              R"(},{"key":"b","revision":2,"value":1}]})";
+  auto listing = std::get<Listing>(ReadListing(ListCall(""), HttpAnswer{200, "", body}));
+  BOOST_REQUIRE(listing.items.size() == 2U);
+  BOOST_TEST(listing.items[0].value.size() < 200U);
+  BOOST_TEST(listing.items[1].value == "1");
+  auto object = ReadObject(GetCall("a"), HttpAnswer{200, R"("1")", deep});
+  BOOST_TEST(std::get<Object>(object).value.size() < 200U);
+}
+
+// Answers with bytes flipped, cut out and doubled: each is read or refused by its type, and none
+// throws or reads beyond its end (the sanitizer build looks).
+BOOST_AUTO_TEST_CASE(mutilated_answers_are_read_or_refused) {
+  constexpr auto kRounds = 20'000;
+  const auto whole = std::string(
+      R"({"revision":9,"events":[{"key":"a\u00e9","revision":8,"deleted":true,"value":null},)"
+      R"({"key":"b","revision":9,"deleted":false,"value":{"x":[1,-2.5e3,"y",true]}}]})");
+  auto random = std::mt19937_64(1);
+  auto read = 0;
+  for (auto round = 0; round < kRounds; ++round) {
+    auto body = whole;
+    for (auto change = random() % 3 + 1; change > 0; --change) {
+      auto at = random() % body.size();
+      auto kind = random() % 3;
+      if (kind == 0) body[at] = static_cast<char>(random());
+      if (kind == 1) body.erase(at, random() % 8);
+      if (kind == 2) body.insert(at, body.substr(random() % body.size(), random() % 8));
+    }
+    auto outcome = ReadListing(WatchCall("", 1, 1), HttpAnswer{200, "", body});
+    auto code = std::holds_alternative<Listing>(outcome) ? PlatformErrorCode::kMalformedAnswer
+                                                         : CodeOf(outcome);
+    BOOST_REQUIRE(code == PlatformErrorCode::kMalformedAnswer);
+    read += std::holds_alternative<Listing>(outcome) ? 1 : 0;
+  }
+  BOOST_TEST(read > 0);
+  BOOST_TEST(read < kRounds);
+}
+
 BOOST_AUTO_TEST_CASE(statuses_become_typed_errors) {
   auto code = [](unsigned status) {
     return CodeOf(ReadRevision(PutCall("k", "1", IfMatch{1}), HttpAnswer{status, "", "{}"}));
--- a/tools/platform_standin/api.cc
+++ b/tools/platform_standin/api.cc
@@ -25,7 +25,7 @@
   kInternalError = 500,
 };
 
-auto Plain(unsigned status) -> Handled { return {Answer{status, 0, "{}", Delivery::kWhole}, {}}; }
+auto Plain(unsigned status) -> Handled { return {Answer{status, 0, "{}", Delivery::kWhole}}; }
 
 auto Malformed(Platform& platform) -> Handled {
   ++platform.counts.malformed;
@@ -70,7 +70,7 @@
   auto objects = ObjectsAt(platform.store, ReadRevision(platform));
   auto found = objects.find(key);
   if (found == objects.end()) return Plain(kNotFound);
-  return {Answer{kOk, found->second.revision, *found->second.value, Delivery::kWhole}, {}};
+  return {Answer{kOk, found->second.revision, *found->second.value, Delivery::kWhole}};
 }
 
 auto HandleList(Platform& platform, const Query& query) -> Handled {
@@ -82,7 +82,7 @@
   for (const auto& [key, entry] : ObjectsAt(platform.store, revision)) {
     if (key.starts_with(prefix->second)) WriteItem(body, key, entry.revision, entry.value.get());
   }
-  return {Answer{kOk, 0, body + "]}", Delivery::kWhole}, {}};
+  return {Answer{kOk, 0, body + "]}", Delivery::kWhole}};
 }
 
 auto HandleWatch(Platform& platform, const Query& query) -> Handled {
@@ -163,7 +163,16 @@
                              {"malformed", counts.malformed},
                              {"waiting_watches", counts.waiting_watches},
                              {"revision", platform.store.revision}};
-  return {Answer{kOk, 0, body.dump(), Delivery::kWhole}, {}};
+  return {Answer{kOk, 0, body.dump(), Delivery::kWhole}};
+}
+
+auto HandleControl(Platform& platform, const Request& request, const Target& target)
+    -> std::optional<Handled> {
+  auto handled = std::optional<Handled>{};
+  if (target.path == "/v1/faults") handled = HandleFaults(platform, request);
+  if (target.path == "/v1/counts") handled = HandleCounts(platform);
+  if (handled) handled->control = true;
+  return handled;
 }
 
 auto HandleApi(Platform& platform, const Request& request, const Target& target) -> Handled {
@@ -181,10 +190,9 @@
 auto Handle(Platform& platform, const Request& request) -> Handled {
   auto target = ParseTarget(request.target);
   if (!target) return Malformed(platform);
-  if (target->path == "/v1/faults") return HandleFaults(platform, request);
-  if (target->path == "/v1/counts") return HandleCounts(platform);
+  if (auto control = HandleControl(platform, request, *target)) return *control;
   auto closed = Answer{0, 0, "", Delivery::kClose};
-  if (platform.faults.down) return {closed, {}};
+  if (platform.faults.down) return {closed};
   if (Strike(platform.faults.error_500)) return Plain(kInternalError);
   auto handled = HandleApi(platform, request, *target);
   if (!handled.held && Strike(platform.faults.half_body)) handled.answer.delivery = Delivery::kHalf;
--- a/tools/platform_standin/api.h
+++ b/tools/platform_standin/api.h
@@ -60,7 +60,8 @@
 /// What a call comes to: an answer, or a watch to be held when `held` is set.
 struct Handled {
   Answer answer;
-  std::optional<HeldWatch> held;
+  std::optional<HeldWatch> held = {};
+  bool control = false;  ///< a call of the stand-in's own, which no fault touches
 };
 
 /// One call of the object API, or of the stand-in's own /v1/faults and /v1/counts.
--- a/tools/platform_standin/server.cc
+++ b/tools/platform_standin/server.cc
@@ -58,7 +58,7 @@
 
   auto Accept() -> void;
   auto ChangeSeen() -> void;
-  auto CloseSessions() -> void;
+  auto CloseSessions(const Session* but = nullptr) -> void;
 
   tcp::acceptor acceptor;
   Platform platform;
@@ -115,8 +115,9 @@
   if (this->core->platform.store.revision != revision) this->core->ChangeSeen();
   auto cut = !was_down && this->core->platform.faults.down;
   if (handled.held) return this->Hold(*handled.held);
+  if (cut) this->core->CloseSessions(this);
+  if (handled.control) return this->Send(handled.answer);
   this->Deliver(std::move(handled.answer));
-  if (cut) this->core->CloseSessions();
 }
 
 auto Session::Hold(HeldWatch watch) -> void {
@@ -216,9 +217,10 @@
   }
 }
 
-auto ServerCore::CloseSessions() -> void {
-  for (const auto& known : std::exchange(this->sessions, {})) {
-    if (auto session = known.lock()) session->Close();
+auto ServerCore::CloseSessions(const Session* but) -> void {
+  for (const auto& known : std::vector(this->sessions.begin(), this->sessions.end())) {
+    auto session = known.lock();
+    if (session && session.get() != but) session->Close();
   }
 }
 
