--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -41,7 +41,7 @@
     "refused_ledger_full", "refused_challenges", "refused_expired_echo", "refused_streams",
     "unknown_run_limit", "unknown_target_gone", "unknown_foreign_echo", "unknown_echo_used",
     "unknown_adopted_flow", "unknown_upload", "unknown_identity_reuse", "unknown_hand_on",
-    "unknown_no_record", "challenged", "retransmission_answered", "retransmission_while_running",
+    "challenged", "retransmission_answered", "retransmission_while_running",
     "late_answer", "stale_notification", "stream_opened", "stream_ended", "stream_client_gone",
     "hand_on_offered", "hand_on_answered", "hand_on_budget_spent"};
 
--- a/src/daemon/internal/relay_runtime.h
+++ b/src/daemon/internal/relay_runtime.h
@@ -10,6 +10,7 @@
 #include "daemon/internal/runtime.h"
 #include "net/relay_socket.h"
 #include "relay/relay.h"
+#include "wire/datagram.h"
 
 namespace anvildrum::daemon {
 
--- a/src/daemon/internal/runtime.h
+++ b/src/daemon/internal/runtime.h
@@ -2,8 +2,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <span>
 
 #include "base/result.h"
+#include "base/types/ids.h"
+#include "base/types/time.h"
 #include "net/operator_port.h"
 #include "platform/client.h"
 #include "settings/types/settings.h"
