--- a/src/net/internal/udp_socket.cc
+++ b/src/net/internal/udp_socket.cc
@@ -48,6 +48,18 @@
   return socket;
 }
 
+auto ConnectUdpSocket(const base::Endpoint& remote) -> base::Result<FileDescriptor> {
+  const auto family = FamilyOf(remote);
+  auto socket = FileDescriptor{::socket(family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  if (socket.Get() < 0) return Fail(NetErrorCode::kOpen, base::FormatEndpoint(remote));
+  const auto address = ToSocketAddress(remote, family);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&address.storage);
+  if (::connect(socket.Get(), raw, address.length) != 0) {
+    return Fail(NetErrorCode::kConnect, base::FormatEndpoint(remote));
+  }
+  return socket;
+}
+
 auto BoundEndpoint(int socket) -> base::Endpoint {
   auto storage = sockaddr_storage{};
   auto length = socklen_t{sizeof storage};
--- a/src/net/internal/udp_socket.h
+++ b/src/net/internal/udp_socket.h
@@ -31,6 +31,9 @@
 /// A bound, non-blocking UDP socket. Errors: NetError kOpen, kOption, kBind.
 auto OpenUdpSocket(const UdpSocketOptions& options) -> base::Result<FileDescriptor>;
 
+/// A non-blocking UDP socket that talks to `remote` alone. Errors: NetError kOpen, kConnect.
+auto ConnectUdpSocket(const base::Endpoint& remote) -> base::Result<FileDescriptor>;
+
 /// The address that the socket is bound to.
 auto BoundEndpoint(int socket) -> base::Endpoint;
 
--- a/src/net/tests/operator_port_test.cc
+++ b/src/net/tests/operator_port_test.cc
@@ -8,14 +8,13 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "run_until.h"
+
 namespace anvildrum::net {
 namespace {
 
 using boost::asio::ip::tcp;
 
-constexpr auto kLoopback = std::uint32_t{0x7f000001};
-constexpr auto kPatience = base::seconds{20};
-
 /// A raw client: what it sends is given, and it collects bytes until the server closes.
 struct Client {
   Client(boost::asio::io_context& io, const base::Endpoint& server) : socket(io) {
@@ -41,7 +40,7 @@
   std::unique_ptr<OperatorPort> port;
 
   auto Open(OperatorPortOptions options = {}) -> void {
-    options.local = base::EndpointFromV4(kLoopback, 0);
+    options.local = Loopback();
     this->port = OperatorPort::Open(this->io, options).value();
     this->port->Route("GET", "/status", [](const OperatorRequest& request) {
       return OperatorResponse{.body = "status " + std::string{request.query}};
@@ -54,11 +53,7 @@
 
   auto RunUntilDone(Client& client) -> bool {
     client.Collect();
-    const auto limit = base::Clock::now() + kPatience;
-    while (!client.done && base::Clock::now() < limit) {
-      this->io.run_one_for(base::milliseconds{50});
-    }
-    return client.done;
+    return RunUntil(this->io, [&] { return client.done; });
   }
 
   auto Ask(std::string_view text) -> std::string {
--- a/src/net/tests/udp_port_test.cc
+++ b/src/net/tests/udp_port_test.cc
@@ -5,15 +5,12 @@
 #include <string>
 #include <vector>
 
-#include "base/types/time.h"
 #include "net/sockaddr.h"
+#include "run_until.h"
 
 namespace anvildrum::net {
 namespace {
 
-constexpr auto kLoopback = std::uint32_t{0x7f000001};
-constexpr auto kPatience = base::seconds{20};
-
 using Bytes = std::vector<std::uint8_t>;
 
 struct Fixture {
@@ -21,17 +18,9 @@
 
   auto Open(UdpPort::OnDatagram on_datagram, std::size_t max_datagram = 2048)
       -> std::unique_ptr<UdpPort> {
-    const auto options =
-        UdpPortOptions{.local = base::EndpointFromV4(kLoopback, 0), .max_datagram = max_datagram};
+    const auto options = UdpPortOptions{.local = Loopback(), .max_datagram = max_datagram};
     return UdpPort::Open(this->io, options, std::move(on_datagram)).value();
   }
-
-  template <typename Condition>
-  auto RunUntil(Condition condition) -> bool {
-    const auto limit = base::Clock::now() + kPatience;
-    while (!condition() && base::Clock::now() < limit) this->io.run_one_for(base::milliseconds{50});
-    return condition();
-  }
 };
 
 auto Ignore(const base::Endpoint&, std::span<const std::uint8_t>) -> void {}
@@ -52,7 +41,7 @@
   for (auto index = std::size_t{0}; index < datagrams; ++index) {
     sender->Send(receiver->LocalEndpoint(), Bytes(index + 1, static_cast<std::uint8_t>(index)));
   }
-  BOOST_TEST(this->RunUntil([&] { return got.size() == datagrams; }));
+  BOOST_TEST(RunUntil(this->io, [&] { return got.size() == datagrams; }));
   for (auto index = std::size_t{0}; index < got.size(); ++index) {
     BOOST_TEST(got[index] == Bytes(index + 1, static_cast<std::uint8_t>(index)));
   }
@@ -72,7 +61,7 @@
   });
   const auto sent = Bytes{1, 2, 3};
   client->Send(echo->LocalEndpoint(), sent);
-  BOOST_TEST(this->RunUntil([&] { return !got.empty(); }));
+  BOOST_TEST(RunUntil(this->io, [&] { return !got.empty(); }));
   BOOST_TEST(got == sent);
 }
 
@@ -88,7 +77,7 @@
   auto sender = this->Open(Ignore);
   sender->Send(receiver->LocalEndpoint(), Bytes(101, 1));
   sender->Send(receiver->LocalEndpoint(), Bytes(100, 2));
-  BOOST_TEST(this->RunUntil([&] { return !got.empty(); }));
+  BOOST_TEST(RunUntil(this->io, [&] { return !got.empty(); }));
   BOOST_TEST(got.size() == 1U);
   BOOST_TEST(got.front() == Bytes(100, 2));
   BOOST_TEST(receiver->Counts().oversized == 1U);
@@ -105,9 +94,9 @@
   const auto six = base::ParseEndpoint("[2001:db8::1]:9").value();
   sender->Send(receiver->LocalEndpoint(), Bytes{1});
   sender->Send(six, Bytes{2});
-  sender->Send(base::EndpointFromV4(kLoopback, 0), Bytes{3});
+  sender->Send(Loopback(), Bytes{3});
   sender->Send(receiver->LocalEndpoint(), Bytes{4});
-  BOOST_TEST(this->RunUntil([&] { return got.size() == 2U; }));
+  BOOST_TEST(RunUntil(this->io, [&] { return got.size() == 2U; }));
   BOOST_TEST(got == (std::vector<Bytes>{{1}, {4}}));
   BOOST_TEST(sender->Counts().send_drops == 2U);
   BOOST_TEST(sender->Counts().sent == 2U);
@@ -123,7 +112,7 @@
   auto sender = this->Open(Ignore);
   sender->Send(receiver->LocalEndpoint(), Bytes{1});
   sender->Send(receiver->LocalEndpoint(), Bytes{2});
-  BOOST_TEST(this->RunUntil([&] { return calls > 0; }));
+  BOOST_TEST(RunUntil(this->io, [&] { return calls > 0; }));
   this->io.poll();
   BOOST_TEST(calls == 1);
 }
