--- a/src/net/internal/datagram_batch.cc
+++ b/src/net/internal/datagram_batch.cc
@@ -10,15 +10,16 @@
     : max_datagram(max_datagram), bytes(max_datagram * kBatchSize) {
   for (auto index = std::size_t{0}; index < kBatchSize; ++index) {
     this->parts[index].iov_base = this->bytes.data() + index * max_datagram;
+    this->parts[index].iov_len = max_datagram;
     this->headers[index].msg_hdr.msg_iov = &this->parts[index];
     this->headers[index].msg_hdr.msg_iovlen = 1;
     this->headers[index].msg_hdr.msg_name = &this->addresses[index];
   }
+  this->PrepareReceive(kBatchSize);
 }
 
-auto DatagramBatch::PrepareReceive() -> void {
-  for (auto index = std::size_t{0}; index < kBatchSize; ++index) {
-    this->parts[index].iov_len = this->max_datagram;
+auto DatagramBatch::PrepareReceive(std::size_t count) -> void {
+  for (auto index = std::size_t{0}; index < count; ++index) {
     this->headers[index].msg_hdr.msg_namelen = sizeof(sockaddr_storage);
   }
 }
--- a/src/net/internal/datagram_batch.h
+++ b/src/net/internal/datagram_batch.h
@@ -23,8 +23,8 @@
   auto operator=(const DatagramBatch&) -> DatagramBatch& = delete;
   ~DatagramBatch() = default;
 
-  /// Makes every slot ready for recvmmsg.
-  auto PrepareReceive() -> void;
+  /// Makes the first `count` slots, which a recvmmsg has filled, ready for the next one.
+  auto PrepareReceive(std::size_t count) -> void;
   [[nodiscard]] auto Data(std::size_t index) const -> std::span<const std::uint8_t>;
   [[nodiscard]] auto Truncated(std::size_t index) const -> bool;
   [[nodiscard]] auto From(std::size_t index) const -> base::Endpoint;
--- a/src/net/internal/udp_port.cc
+++ b/src/net/internal/udp_port.cc
@@ -46,7 +46,6 @@
 
   /// False when the socket has no more for now.
   auto ReceiveBatch() -> bool {
-    this->incoming.PrepareReceive();
     const auto received = ::recvmmsg(this->socket.native_handle(), this->incoming.Headers(),
                                      internal::kBatchSize, MSG_DONTWAIT, nullptr);
     if (received <= 0) return false;
@@ -55,6 +54,7 @@
       this->Deliver(index);
       if (this->closed) return false;
     }
+    this->incoming.PrepareReceive(count);
     return count == internal::kBatchSize;
   }
 
