--- a/tools/common/report.cc
+++ b/tools/common/report.cc
@@ -24,7 +24,8 @@
   auto report = "report of " + std::string(target) + "\n";
   auto body_size = size - kDigestLineSize;
   for (auto station = 0; report.size() < body_size; ++station) {
-    report += "station " + std::to_string(station) + " flow " + std::to_string(station * 7919 % 997);
+    report +=
+        "station " + std::to_string(station) + " flow " + std::to_string(station * 7919 % 997);
     report += '\n';
   }
   report.resize(body_size);
--- a/tools/fabric_standin/command_line.cc
+++ b/tools/fabric_standin/command_line.cc
@@ -37,8 +37,8 @@
                                              "number", command);
   auto client_ms = TCLAP::ValueArg<double>("", "client-ms", "one-way delay, client to fabric",
                                            false, 0, "ms", command);
-  auto balancer_ms = TCLAP::ValueArg<double>(
-      "", "balancer-ms", "one-way delay, fabric to balancer", false, 0, "ms", command);
+  auto balancer_ms = TCLAP::ValueArg<double>("", "balancer-ms", "one-way delay, fabric to balancer",
+                                             false, 0, "ms", command);
   command.parse(argc, argv);
   auto line = CommandLine{};
   for (const auto& text : services.getValue()) {
--- a/tools/fabric_standin/main.cc
+++ b/tools/fabric_standin/main.cc
@@ -20,14 +20,14 @@
 }
 
 auto RunOrExplain(int argc, const char* const* argv) -> int {
-  return boost::leaf::try_handle_all(
-      [&] { return Run(argc, argv); },
-      [](const OptionError& error) {
-        std::cerr << "option refused (" << static_cast<int>(error.code) << "): " << error.text
-                  << '\n';
-        return kExitUsage;
-      },
-      [] { return EXIT_FAILURE; });
+  return boost::leaf::try_handle_all([&] { return Run(argc, argv); },
+                                     [](const OptionError& error) {
+                                       std::cerr << "option refused ("
+                                                 << static_cast<int>(error.code)
+                                                 << "): " << error.text << '\n';
+                                       return kExitUsage;
+                                     },
+                                     [] { return EXIT_FAILURE; });
 }
 
 }  // namespace
--- a/tools/fabric_standin/relay.cc
+++ b/tools/fabric_standin/relay.cc
@@ -23,6 +23,7 @@
 constexpr auto kMaxDatagram = std::size_t{65507};
 constexpr auto kIdleLimit = base::hours{1};
 constexpr auto kSweepInterval = base::minutes{1};
+constexpr auto kBatch = 64;
 constexpr auto kReceiveBuffer = 4 << 20;
 
 using Buffer = std::array<char, kMaxDatagram>;
@@ -85,8 +86,7 @@
 }
 
 /// `owner` keeps the port alive until a delayed packet has left.
-template <typename Owner>
-auto Send(Relay& relay, const Owner& owner, Port& port, std::string_view packet,
+auto Send(Relay& relay, const std::shared_ptr<void>& owner, Port& port, std::string_view packet,
           const Delivery& delivery) -> void {
   if (delivery.delay <= base::Duration::zero()) {
     SendNow(relay, port, packet, delivery.to);
@@ -99,15 +99,15 @@
   });
 }
 
-/// Reads everything that waits at the port, then waits for more; `handle` gets each packet.
-template <typename Owner, typename Handle>
-auto Receive(Relay& relay, Owner owner, Port& port, Handle handle) -> void {
+/// Reads what waits at the port, a batch at a time so that the other ports get their turn, and
+/// waits for more; `handle` gets each packet.
+template <typename Handle>
+auto Receive(Relay& relay, const std::shared_ptr<void>& owner, Port& port, Handle handle) -> void {
   port.socket.async_wait(udp::socket::wait_read, [&relay, owner, &port, handle](const Error& wait) {
     if (wait || !port.socket.is_open()) return;
-    while (port.socket.is_open()) {
+    for (auto left = kBatch; left > 0 && port.socket.is_open(); --left) {
       auto error = Error{};
-      auto size =
-          port.socket.receive_from(asio::buffer(*relay.buffer), port.sender, 0, error);
+      auto size = port.socket.receive_from(asio::buffer(*relay.buffer), port.sender, 0, error);
       if (error == asio::error::would_block) break;
       if (error) {
         ++relay.fabric.counts.socket_errors;
--- a/tools/load_client/callbacks.cc
+++ b/tools/load_client/callbacks.cc
@@ -40,7 +40,8 @@
 }
 
 auto OnStreamMessage(Flow& flow, const coap_pdu_t* received, base::TimePoint now) -> void {
-  auto notification = Notification{CodeOf(received), tools::UintOption(received, COAP_OPTION_OBSERVE)};
+  auto notification =
+      Notification{CodeOf(received), tools::UintOption(received, COAP_OPTION_OBSERVE)};
   auto refused = notification.code == 503 && !flow.stream->established;
   if (refused) {
     flow.stream_retry_at = ComeBackAt(received, now);
@@ -97,9 +98,8 @@
 
 /// libcoap uses tokens of its own for the later blocks of a report.
 auto FailReport(Load& load, Flow& flow, coap_nack_reason_t reason) -> void {
-  std::erase_if(flow.pending, [](const auto& entry) {
-    return entry.second.kind == RequestKind::kReport;
-  });
+  std::erase_if(flow.pending,
+                [](const auto& entry) { return entry.second.kind == RequestKind::kReport; });
   flow.report_pending = false;
   flow.report_at = base::Clock::now() + base::seconds(kDefaultMaxAge);
   CountFailure(load.tally, reason);
--- a/tools/load_client/command_line.cc
+++ b/tools/load_client/command_line.cc
@@ -35,7 +35,8 @@
   auto command = TCLAP::CmdLine("Scripted CoAP load", ' ', "0.1.0");
   auto service = Text("", "service", "where to send", true, "", "coap://IP:PORT", command);
   auto flows = Number("", "flows", "sessions, each with its own port", false, 1, "N", command);
-  auto observe = Text("", "observe", "resource that each flow observes", false, "", "PATH", command);
+  auto observe =
+      Text("", "observe", "resource that each flow observes", false, "", "PATH", command);
   auto post = Text("", "post", "resource to POST to", false, "", "PATH", command);
   auto get = Text("", "get", "resource to GET", false, "", "PATH", command);
   auto report = Text("", "report", "report that each flow fetches", false, "", "PATH", command);
--- a/tools/load_client/load.cc
+++ b/tools/load_client/load.cc
@@ -67,7 +67,8 @@
 
 auto Observe(Load& load, Flow& flow) -> void {
   flow.stream_retry_at = base::TimePoint::max();
-  auto token = SendMessage(flow, {.path = load.line.observe, .query = {}, .body = {}, .observe = true});
+  auto token =
+      SendMessage(flow, {.path = load.line.observe, .query = {}, .body = {}, .observe = true});
   if (token) flow.stream_token = *token;
 }
 
@@ -117,8 +118,8 @@
 }
 
 auto MakeSeries(const Load& load, RequestKind kind, const std::string& path) -> Series {
-  auto interval = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(1 / load.line.rate));
+  auto interval =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(1 / load.line.rate));
   auto first = path.empty() ? base::TimePoint::max() : base::Clock::now();
   return Series{kind, path, interval, first, 0};
 }
--- a/tools/load_client/load.h
+++ b/tools/load_client/load.h
@@ -21,8 +21,8 @@
   bool stopping = false;  ///< nothing new is sent
 };
 
-/// Sends the load, waits for the outstanding answers and prints the summary on standard output. Ends
-/// early on SIGTERM or SIGINT. Returns whether the run passed.
+/// Sends the load, waits for the outstanding answers and prints the summary on standard output.
+/// Ends early on SIGTERM or SIGINT. Returns whether the run passed.
 auto RunLoad(const CommandLine& line) -> bool;
 
 }  // namespace anvildrum::load
--- a/tools/load_client/stream.h
+++ b/tools/load_client/stream.h
@@ -18,11 +18,11 @@
 /// One observation (RFC 7641) as its client sees it.
 struct Stream {
   bool established = false;
-  std::uint32_t sequence = 0;   ///< Observe value of the last fresh notification
-  base::TimePoint last_fresh;   ///< or when the stream was asked for
+  std::uint32_t sequence = 0;  ///< Observe value of the last fresh notification
+  base::TimePoint last_fresh;  ///< or when the stream was asked for
   base::Duration longest_gap{};
   std::uint64_t notifications = 0;
-  std::uint64_t stale = 0;  ///< notifications that came after a newer one
+  std::uint64_t stale = 0;                 ///< notifications that came after a newer one
   StreamFault fault = StreamFault::kNone;  ///< the first one; it stays
 };
 
--- a/tools/target_standin/block_handlers.cc
+++ b/tools/target_standin/block_handlers.cc
@@ -3,8 +3,8 @@
 // graceful stop has to wait for; its block functions below let the handler see every block.
 //
 // A report is slow between its blocks. Its first block leaves at once, in the acknowledgement:
-// libcoap 4.3.1's client refuses a block-wise answer to a confirmable GET whose first block comes as
-// a separate response ("large body receive internal issue").
+// libcoap 4.3.1's client refuses a block-wise answer to a confirmable GET whose first block comes
+// as a separate response ("large body receive internal issue").
 
 #include <xxhash.h>
 
@@ -91,13 +91,13 @@
   auto& server = ServerOf(session);
   auto block = RequestedBlock(request);
   auto client = std::string(coap_session_str(session));
-  if (block.num == 0) {
-    if (!BeginExport(server, client)) return Refuse(server, {session, request, response, {}});
-  } else if (block.num % kPauseBlocks == 0 && !ReadyAfter(session, request, PauseOf(server, block))) {
-    return;
+  if (block.num == 0 && !BeginExport(server, client)) {
+    return Refuse(server, {session, request, response, {}});
   }
-  auto last = WriteBlock(response, block, server.report, COAP_MEDIATYPE_TEXT_PLAIN,
-                         server.report_digest);
+  auto pauses = block.num != 0 && block.num % kPauseBlocks == 0;
+  if (pauses && !ReadyAfter(session, request, PauseOf(server, block))) return;
+  auto last =
+      WriteBlock(response, block, server.report, COAP_MEDIATYPE_TEXT_PLAIN, server.report_digest);
   RecordBlock(server, client, last);
 }
 
@@ -107,7 +107,9 @@
   auto block = RequestedBlock(request);
   auto client = std::string(coap_session_str(session));
   // Counts change between blocks: later blocks come from the body that the first one was cut from.
-  if (block.num == 0) server.execution_bodies[client] = ExecutionsBody(server.line.name, server.work);
+  if (block.num == 0) {
+    server.execution_bodies[client] = ExecutionsBody(server.line.name, server.work);
+  }
   const auto& body = server.execution_bodies[client];
   auto last = WriteBlock(response, block, body, COAP_MEDIATYPE_APPLICATION_JSON, DigestOf(body));
   if (last) server.execution_bodies.erase(client);
--- a/tools/target_standin/command_line.cc
+++ b/tools/target_standin/command_line.cc
@@ -39,12 +39,12 @@
   auto kinds = TCLAP::ValuesConstraint<std::string>(names);
   auto kind = TCLAP::ValueArg<std::string>("", "kind", "service that it is a target of", true, "",
                                            &kinds, command);
-  auto name = TCLAP::ValueArg<std::string>("", "name", "named in each answer", true, "", "NAME",
-                                           command);
+  auto name =
+      TCLAP::ValueArg<std::string>("", "name", "named in each answer", true, "", "NAME", command);
   auto listen = TCLAP::ValueArg<std::string>("", "listen", "address; port 0 takes a free one",
                                              false, "127.0.0.1:0", "IP:PORT", command);
-  auto slots = TCLAP::ValueArg<unsigned>("", "slots", "requests run at once", false, 4, "number",
-                                         command);
+  auto slots =
+      TCLAP::ValueArg<unsigned>("", "slots", "requests run at once", false, 4, "number", command);
   auto seed = TCLAP::ValueArg<std::uint64_t>("", "seed", "seed of every random choice", false, 1,
                                              "number", command);
   auto lying = TCLAP::SwitchArg("", "lying-load", "the load answer tells an idle target", command);
--- a/tools/target_standin/resources.cc
+++ b/tools/target_standin/resources.cc
@@ -13,11 +13,11 @@
 auto AddResource(coap_context_t* context, std::string_view path, std::string_view type)
     -> coap_resource_t* {
   auto uri = coap_str_const_t{path.size(), reinterpret_cast<const std::uint8_t*>(path.data())};
-  auto* resource = coap_resource_init(coap_new_str_const(uri.s, uri.length),
-                                      COAP_RESOURCE_FLAGS_RELEASE_URI);
+  auto* resource =
+      coap_resource_init(coap_new_str_const(uri.s, uri.length), COAP_RESOURCE_FLAGS_RELEASE_URI);
   auto quoted = '"' + std::string(type) + '"';
-  auto value = coap_str_const_t{quoted.size(),
-                                reinterpret_cast<const std::uint8_t*>(quoted.data())};
+  auto value =
+      coap_str_const_t{quoted.size(), reinterpret_cast<const std::uint8_t*>(quoted.data())};
   coap_add_attr(resource, coap_make_str_const("rt"), coap_new_str_const(value.s, value.length),
                 COAP_ATTR_FLAGS_RELEASE_VALUE);
   coap_add_resource(context, resource);
--- a/tools/target_standin/server.cc
+++ b/tools/target_standin/server.cc
@@ -21,8 +21,9 @@
 constexpr auto kExportIdleLimit = base::seconds{10};
 // Confirmable messages a client may have outstanding. libcoap 4.3.1's client drops a repeated
 // confirmable answer without acknowledging it again, so after one lost acknowledgement the default
-// of 1 holds up every answer and notification of that client until the retransmissions have run out,
-// which takes over a minute. Each answer has its own retransmissions, so letting others pass is safe.
+// of 1 holds up every answer and notification of that client until the retransmissions have run
+// out, which takes over a minute. Each answer has its own retransmissions, so letting others pass
+// is safe.
 constexpr auto kOutstanding = std::uint16_t{64};
 constexpr auto kFirstPrice = 100.0;
 constexpr auto kPriceStep = 0.25;
--- a/tools/target_standin/server.h
+++ b/tools/target_standin/server.h
@@ -22,13 +22,13 @@
 struct Server {
   CommandLine line;
   Work work;
-  std::string report;                            ///< made once at start
+  std::string report;  ///< made once at start
   std::uint64_t report_digest = 0;
   std::map<std::string, std::string> execution_bodies;  ///< by client, while it fetches the blocks
-  std::vector<coap_resource_t*> observed;        ///< notified at each interval
-  std::map<JobId, coap_async_t*> asyncs;         ///< delayed answers by job
-  std::map<std::string, Export> exports;  ///< by client
-  std::uint64_t sequence = 0;                    ///< of the last notification
+  std::vector<coap_resource_t*> observed;               ///< notified at each interval
+  std::map<coap_async_t*, JobId> jobs_of_asyncs;        ///< of delayed answers
+  std::map<std::string, Export> exports;                ///< by client
+  std::uint64_t sequence = 0;                           ///< of the last notification
   double price = 0;
 };
 
--- a/tools/target_standin/slow_handlers.cc
+++ b/tools/target_standin/slow_handlers.cc
@@ -15,8 +15,7 @@
                             ErrorBody(server.line.name, "no id", ""));
   }
   if (!ReadyToAnswer({session, request, response, *id})) return;
-  tools::WriteJson(response, success,
-                   RunBody(server.line.name, *id, server.work.executions[*id]));
+  tools::WriteJson(response, success, RunBody(server.line.name, *id, server.work.executions[*id]));
 }
 
 }  // namespace
--- a/tools/target_standin/slow_request.cc
+++ b/tools/target_standin/slow_request.cc
@@ -8,10 +8,6 @@
 namespace anvildrum::target {
 namespace {
 
-auto JobOf(coap_async_t* async) -> JobId {
-  return reinterpret_cast<JobId>(coap_async_get_app_data(async));
-}
-
 /// Ticks of libcoap are milliseconds; a delay of 0 would wait forever.
 auto ToTicks(base::Duration delay) -> coap_tick_t {
   auto milliseconds = std::chrono::ceil<base::milliseconds>(delay).count();
@@ -28,9 +24,8 @@
     coap_free_async(slow.session, async);
     return Refuse(server, slow);
   }
-  coap_async_set_app_data(async, reinterpret_cast<void*>(admitted->job));
   coap_async_set_delay(async, ToTicks(admitted->run_time));
-  server.asyncs[admitted->job] = async;
+  server.jobs_of_asyncs[async] = admitted->job;
 }
 
 }  // namespace
@@ -52,17 +47,19 @@
     Begin(server, slow);
     return false;
   }
-  auto job = JobOf(async);
-  server.asyncs.erase(job);
-  if (Finish(server.work, job, base::Clock::now()) == JobOutcome::kDone) return true;
+  // libcoap frees the async when the handler returns.
+  auto job = server.jobs_of_asyncs.extract(async);
+  if (job.empty()) return true;
+  if (Finish(server.work, job.mapped(), base::Clock::now()) == JobOutcome::kDone) return true;
   tools::WriteJson(slow.response, COAP_RESPONSE_CODE_GATEWAY_TIMEOUT,
                    ErrorBody(server.line.name, "cancelled", slow.id));
   return false;
 }
 
 auto Wake(Server& server, JobId job) -> void {
-  auto found = server.asyncs.find(job);
-  if (found != server.asyncs.end()) coap_async_trigger(found->second);
+  for (const auto& [async, running] : server.jobs_of_asyncs) {
+    if (running == job) coap_async_trigger(async);
+  }
 }
 
 auto QueryView(const coap_string_t* query) -> std::string_view {
--- a/tools/target_standin/work.cc
+++ b/tools/target_standin/work.cc
@@ -13,7 +13,8 @@
 constexpr auto kMaxMaxAge = 3U;
 
 auto Scale(base::Duration duration, double factor) -> base::Duration {
-  return base::Duration(static_cast<base::Duration::rep>(duration.count() * factor));
+  return base::Duration(
+      static_cast<base::Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
 auto RunTime(Work& work) -> base::Duration {
--- a/tools/target_standin/work.h
+++ b/tools/target_standin/work.h
@@ -63,8 +63,7 @@
 
 /// Takes a slot, or refuses when all are taken or the target drains. A request with an id counts as
 /// executed from here on.
-auto Admit(Work& work, std::string_view request_id, base::TimePoint now)
-    -> std::optional<Admitted>;
+auto Admit(Work& work, std::string_view request_id, base::TimePoint now) -> std::optional<Admitted>;
 
 /// Ends a job and frees its slot; what had become of it. Unknown jobs count as cancelled.
 auto Finish(Work& work, JobId job, base::TimePoint now) -> JobOutcome;
