--- a/src/relay/tests/fleet.cc
+++ b/src/relay/tests/fleet.cc
@@ -29,10 +29,8 @@
 }
 
 auto IndexOf(const Fleet& fleet, base::InstanceId instance) -> std::size_t {
-  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
-    if (fleet.nodes[i].state.settings.self.instance == instance) return i;
-  }
-  return fleet.nodes.size();
+  const auto found = fleet.indices.find(instance);
+  return found == fleet.indices.end() ? fleet.nodes.size() : found->second;
 }
 
 auto IsCut(const Fleet& fleet, std::size_t left, std::size_t right) -> bool {
@@ -258,6 +256,7 @@
 }
 
 auto AddNode(Fleet& fleet, RelaySettings settings) -> std::size_t {
+  fleet.indices[settings.self.instance] = fleet.nodes.size();
   fleet.nodes.push_back({.state = MakeState(std::move(settings))});
   return fleet.nodes.size() - 1;
 }
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -8,6 +8,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -79,6 +81,7 @@
   std::uint64_t sequence = 0;
   std::priority_queue<Item, std::vector<Item>, Later> queue;
   std::vector<Node> nodes;
+  std::unordered_map<base::InstanceId, std::size_t> indices;
   FakePlatform platform;
   std::mt19937_64 random{1};
   base::Duration delay = base::milliseconds(2);  ///< one way, between any two
