--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -117,7 +117,7 @@
 
 auto ReadConfig(const wire::pb::Record& record, DeltaBase& base) -> std::optional<Incoming> {
   const bool is_delta = record.encoding() == wire::pb::Record::ZSTD_DELTA;
-  if (is_delta && record.base_revision() != base.revision) return std::nullopt;
+  // On another base than its own a delta fails its checksum.
   auto value = Unpack(record.value(), is_delta ? base.value : std::string{}, kValueMost);
   if (!value.has_value()) return std::nullopt;
   base = {.revision = record.revision(), .value = *value};
@@ -235,7 +235,7 @@
   const bool is_whole = ReadRecords(state, update.packed().empty() ? update : unpacked, records);
   const bool has_gap =
       state.store.complete && !update.complete() && update.base() > state.store.horizon;
-  Apply(state, std::move(records),
+  Apply(state, records,
         {.base = update.base(),
          .revision = update.revision(),
          .complete = update.complete(),
