Answer reads in the ACK of their own message ID; remember NONs and ended observations

Ruled out: keeping every read's answer for EXCHANGE_LIFETIME (at 200 reads a second some 20 MB). Change: the agent swallows the target's empty ACK of a read and piggybacks the answer, which a client matches by message ID; NON reads and ended observations are remembered without an answer.

--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -6,13 +6,12 @@
 namespace anvildrum::requests {
 namespace {
 
-// A hand-on may only follow a refusal: the request was never sent to this agent's target, or
-// repeating it changes nothing. Streams and transfers stay with their flow.
+// Only what has not been sent to the target here, or a read, still has its bytes. Streams and
+// transfers stay with their flow.
 auto MayBeHandedOn(const LedgerEntry& entry) -> bool {
-  if (entry.identity.origin.value != 0) return false;
-  if (entry.observe || entry.follow_up || entry.request.empty()) return false;
-  if (entry.stage == Stage::kOffered || entry.stage == Stage::kObserving) return false;
-  return entry.stage != Stage::kRunning || entry.method == MethodClass::kSafe;
+  if (entry.identity.origin.value != 0 || entry.request.empty()) return false;
+  if (entry.observe || entry.follow_up) return false;
+  return entry.stage != Stage::kOffered && entry.stage != Stage::kObserving;
 }
 
 auto GiveUpAt(const Context& context, const LedgerEntry& entry) -> base::TimePoint {
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -28,7 +28,9 @@
 }
 
 auto MustBeKept(const LedgerEntry& entry) -> bool {
-  return entry.method != MethodClass::kSafe || entry.sends_left > 0;
+  // A copy of a NON is to be dropped (RFC 7252, 4.3); its answer would be matched by token alone.
+  return entry.method != MethodClass::kSafe || entry.sends_left > 0 ||
+         entry.type == MessageType::kNonConfirmable;
 }
 
 auto Settle(Context& context, LedgerEntry& entry, Stage stage, Bytes answer) -> void {
@@ -63,12 +65,13 @@
   KeepUntil(ledger, entry, context.now + kExchangeLifetime);
 }
 
-auto IsPiggybacked(const Message& answer) -> bool {
-  return answer.type == MessageType::kAcknowledgement;
-}
-
 }  // namespace
 
+auto AnswersInAck(const LedgerEntry& entry) -> bool {
+  if (entry.identity.origin.value != 0) return true;
+  return entry.type == MessageType::kConfirmable && !HadAnswer(entry);
+}
+
 auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void {
   if (!entry.holds_slot) return;
   ObserveServiceTime(context.state.admission, context.state.parameters,
@@ -140,8 +143,8 @@
   NoteTransfer(context, entry, answer);
   CountOne(context, Counter::kAnswered);
   MarkTrace(context, entry, Mark::kAnswered);
-  auto from_client = entry.identity.origin.value == 0;
-  if (from_client && !IsPiggybacked(answer)) return PassSeparate(context, entry, answer);
+  auto piggybacked = answer.type == MessageType::kAcknowledgement;
+  if (!piggybacked && !AnswersInAck(entry)) return PassSeparate(context, entry, answer);
   auto form = FormFor(context, entry);
   Settle(context, entry, Stage::kAnswered,
          WithIdentity(answer.whole, form.type, form.message_id, entry.identity.token));
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -97,6 +97,10 @@
 /// `answer` is a response of the target, or of the agent that took the request, with any identity.
 auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void;
 
+/// Whether the final answer goes into the ACK of the request, or back to the agent it came from:
+/// then the target's separate response is acknowledged here.
+auto AnswersInAck(const LedgerEntry& entry) -> bool;
+
 /// Takes the time since the request was sent into the observed service times.
 auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void;
 
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -85,7 +85,10 @@
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void {
   CountOne(context, counter);
   EndLive(context, entry);
-  EraseRequest(context.state.ledger, entry.id);
+  // Kept without an answer: a late copy of the registration must not open the stream again.
+  entry.stage = Stage::kAnswered;
+  SetRequestBytes(context.state.ledger, entry, {});
+  KeepUntil(context.state.ledger, entry, context.now + kExchangeLifetime);
 }
 
 auto OnStreamWake(Context& context, LedgerEntry& entry) -> void {
--- a/src/requests/internal/target.cc
+++ b/src/requests/internal/target.cc
@@ -23,8 +23,12 @@
 // The target took the request and answers later: the client may stop retransmitting.
 auto OnEmptyAck(Context& context, LedgerEntry& entry) -> void {
   if (entry.stage != Stage::kRunning) return;
-  entry.acknowledged = true;
   if (entry.identity.origin.value != 0 || entry.type != MessageType::kConfirmable) return;
+  // Safeguard: the answer to a read is always piggybacked on the ACK of its own message ID. A late
+  // copy of a read runs again; answered separately, by its token alone, it could be taken for the
+  // answer to a later request with the same token.
+  if (entry.method == MethodClass::kSafe && !entry.observe) return;
+  entry.acknowledged = true;
   context.effects.emplace_back(
       SendToClient{entry.identity.flow, BuildEmptyAck(entry.identity.message_id)});
 }
@@ -59,11 +63,10 @@
 }
 
 auto OnAnswer(Context& context, LedgerEntry& entry, const Message& message) -> void {
-  auto handed_on = entry.identity.origin.value != 0;
-  if (handed_on && message.type == MessageType::kConfirmable) {
+  if (OpensStream(entry, message)) return OnNotification(context, entry, message);
+  if (AnswersInAck(entry) && message.type == MessageType::kConfirmable) {
     SendBack(context, entry.identity.flow, BuildEmptyAck(message.message_id));
   }
-  if (OpensStream(entry, message)) return OnNotification(context, entry, message);
   FinishAnswered(context, entry, message);
 }
 
--- a/src/requests/tests/hand_on_test.cc
+++ b/src/requests/tests/hand_on_test.cc
@@ -102,6 +102,22 @@
   BOOST_TEST(Sent(here).code == kCodeUnauthorized);
 }
 
+// The target dies with a POST and a GET running. The GET may go elsewhere; the POST may have run,
+// so it is unknown and no other target gets it.
+BOOST_AUTO_TEST_CASE(running_post_of_a_dead_target_is_not_offered) {
+  auto here = MakeRig(Parameters{});
+  FromClient(here, ChallengedPost(here, 1, 7));
+  FromClient(here, Get(10, 8));
+  Feed(here, TargetUnreachable{kFlow});
+  BOOST_TEST(here.offers.size() == 1U);
+  BOOST_TEST(here.offers.at(0).bytes == Get(10, 8));
+  BOOST_TEST(Sent(here).code == kCodeGatewayTimeout);
+  // Refused there: the GET may still have run here, so this is not "not run".
+  auto offer = here.offers.at(0);
+  Feed(here, HandOnAnswered{kFlow, offer.request, kThere, true, {}});
+  BOOST_TEST(Sent(here).code == kCodeGatewayTimeout);
+}
+
 // All targets shed: after the budget is spent refusals stay refusals, and the other targets are
 // not loaded with the retries of this one.
 BOOST_AUTO_TEST_CASE(retry_budget_bounds_the_offers) {
--- a/src/requests/tests/streams_test.cc
+++ b/src/requests/tests/streams_test.cc
@@ -128,6 +128,45 @@
   BOOST_TEST(rig.to_target.at(0) == BuildEmptyAck(900));
 }
 
+// A read was answered and its client uses the token for the next request, when a copy of the read
+// comes late and the target answers it separately. Passed on as a message of its own, the answer
+// would be taken for that of the next request; in the ACK of the old message ID it does no harm.
+BOOST_AUTO_TEST_CASE(late_copy_of_a_read_is_answered_in_its_ack) {
+  auto rig = MakeRig(Alone());
+  FromClient(rig, Get(1, 7));
+  auto request = ParseMessage(rig.to_target.at(0)).value();
+  auto token = request.token;
+  Feed(rig, TargetDatagram{kFlow, BuildEmptyAck(request.message_id)});
+  BOOST_TEST(rig.to_client.empty());
+  auto response = world::MakeResponse(MessageType::kConfirmable, 900, token, 7);
+  Feed(rig, TargetDatagram{kFlow, response});
+  BOOST_CHECK(Sent(rig).type == MessageType::kAcknowledgement);
+  BOOST_TEST(Sent(rig).message_id == 1);
+  BOOST_TEST(rig.to_target.at(0) == BuildEmptyAck(900));
+}
+
+// An answer that comes in on the socket of another flow is nobody's.
+BOOST_AUTO_TEST_CASE(answer_on_the_wrong_flow_is_dropped) {
+  auto rig = MakeRig(Alone());
+  FromClient(rig, Get(1, 7));
+  auto sent = rig.to_target.at(0);
+  Answer(rig, ParseMessage(sent).value(), 7, kOtherFlow);
+  BOOST_TEST(rig.to_client.empty());
+  BOOST_CHECK(rig.counts == std::vector{Counter::kLateAnswer});
+}
+
+// The client has ended its observation when a copy of the registration comes late: it opens no
+// stream that nobody reads.
+BOOST_AUTO_TEST_CASE(late_copy_of_a_registration_opens_no_stream) {
+  auto rig = MakeRig(Alone());
+  auto token = OpenStream(rig);
+  Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kNonConfirmable, 500, token, 11)});
+  FromClient(rig, BuildReset(Sent(rig).message_id));
+  FromClient(rig, ObserveGet(1, false));
+  BOOST_TEST(rig.to_target.empty());
+  BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
+}
+
 // The client has the ACK when the target freezes, so it no longer asks: its 5.04 is a CON of the
 // agent's, sent again until the client acknowledges it.
 BOOST_AUTO_TEST_CASE(outcome_after_an_ack_is_sent_until_acknowledged) {
--- a/src/requests/tests/world.cc
+++ b/src/requests/tests/world.cc
@@ -58,8 +58,9 @@
 auto RandomToken(World& world) -> Token {
   auto token = Token{};
   token.size = static_cast<std::uint8_t>(world.random() % 3);  // short ones repeat
-  for (auto i = 0; i < token.size; ++i)
+  for (auto i = 0; i < token.size; ++i) {
     token.bytes[i] = static_cast<std::uint8_t>(world.random() % 2);
+  }
   return token;
 }
 
@@ -73,8 +74,9 @@
   if (world.faults.reuse_tokens) token = RandomToken(world);
   while (!world.faults.reuse_tokens ? token.size == 0 : is_open(token)) {
     token.size = 4;
-    for (auto& byte : std::span(token.bytes).first(4))
+    for (auto& byte : std::span(token.bytes).first(4)) {
       byte = static_cast<std::uint8_t>(world.random());
+    }
   }
   return token;
 }
