--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -27,7 +27,7 @@
 
 /// A block-wise upload whose first block was admitted (RFC 7959, 2.5).
 struct Upload {
-  std::uint64_t path_digest = 0;
+  std::uint64_t body_digest = 0;
   std::uint64_t next_offset = 0;  ///< bytes
   base::TimePoint expires;
 };
@@ -97,6 +97,10 @@
 /// `answer` is a response of the target, or of the agent that took the request, with any identity.
 auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void;
 
+/// Whether the final answer goes into the ACK of the request, or back to the agent it came from:
+/// then the target's separate response is acknowledged here.
+auto AnswersInAck(const LedgerEntry& entry) -> bool;
+
 /// Takes the time since the request was sent into the observed service times.
 auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void;
 
