--- a/src/platform/prefix_watch.h
+++ b/src/platform/prefix_watch.h
@@ -16,8 +16,8 @@
 
 struct WatchPolicy {
   base::Duration hold = base::seconds(25);    ///< longest wait of one watch
-  base::Duration resync = base::seconds(60);  ///< list at least so often, and within
-  double resync_bytes_per_second = 2048;      ///< this many bytes of lists in the mean
+  base::Duration resync = base::seconds(60);  ///< longest time between lists, unless they are so
+  double resync_bytes_per_second = 2048;      ///< large that they would take more than this
   base::Duration start_spread{};              ///< the first list waits up to this
   BackoffPolicy backoff;
 };
@@ -39,10 +39,9 @@
 /// revisions; taking them would bring back a configuration or a target that is gone. A revision
 /// below what was seen is refused and counted, for the listing as a whole and for each key. (2) A
 /// watch can hang or skip changes without a sign; instances would go on with an old view for ever.
-/// Each watch ends by its deadline, and a list at least every `resync` finds what was skipped, also
-/// deletions, because all known keys are compared. (3) The
-/// lists of a fleet's prefix are megabytes and would take more of the network than control may
-/// spend; the time between two grows with their size.
+/// Each watch ends by its deadline, and the next list finds what was skipped, also deletions,
+/// because all known keys are compared. (3) The lists of a fleet's prefix are megabytes and would
+/// take more of the network than control may spend; the time between two grows with their size.
 struct PrefixWatch {
   std::string prefix;
   WatchPolicy policy;
--- a/tools/platform_standin/server.cc
+++ b/tools/platform_standin/server.cc
@@ -90,6 +90,7 @@
   http::response<http::string_body> response;
   std::string half;
   std::optional<HeldWatch> held;
+  std::uint64_t holds = 0;  ///< watches held so far on this connection
 };
 
 auto Session::ReadNext() -> void {
@@ -121,6 +122,7 @@
 }
 
 auto Session::Hold(HeldWatch watch) -> void {
+  ++this->holds;
   ++this->core->platform.counts.waiting_watches;
   this->held = std::move(watch);
   this->timer.expires_after(std::chrono::milliseconds(this->held->timeout_ms));
@@ -134,8 +136,8 @@
 // A client that gives a watch up closes its connection; without this the watch would be counted as
 // waiting until its time is over.
 auto Session::NoticeClose() -> void {
-  auto readable = [self = this->shared_from_this()](beast::error_code error) {
-    if (!self->held) return;
+  auto readable = [self = this->shared_from_this(), hold = this->holds](beast::error_code error) {
+    if (!self->held || self->holds != hold) return;
     if (error || self->stream.socket().available(error) == 0) self->Close();
   };
   this->stream.socket().async_wait(tcp::socket::wait_read, std::move(readable));
