Directory: register with the acting home too, tell lost owners, judge by who heard last

Found by drawing interleavings: a flow reopened while its owner was out of reach kept two owners when neither was the home; a relay opened the flow itself; with the home dead and the platform down nobody judged. A drain is final for an incarnation, so ApplyDrain has no way back.

--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -87,8 +87,7 @@
 auto HandleDrainNotice(Balancer& state, const wire::pb::DrainNotice& notice, Effects& effects)
     -> void {
   const auto& target = notice.target();
-  auto applied = membership::ApplyDrain(state.view, {target.target()}, target.incarnation(),
-                                        notice.draining());
+  auto applied = membership::ApplyDrain(state.view, {target.target()}, target.incarnation());
   if (applied != membership::Applied::kChanged) return;
   effects.view_changed = true;
   UpdateTargets(state);
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -171,7 +171,6 @@
     if (target.record.tunnel != home) continue;
     notice.mutable_drain_notice()->mutable_target()->set_target(target.record.id.value);
     notice.mutable_drain_notice()->mutable_target()->set_incarnation(1);
-    notice.mutable_drain_notice()->set_draining(true);
   }
   auto effects = Step(state, TunnelMessage{{}, &notice, {}}, kNow);
   BOOST_TEST(effects.view_changed);
--- a/src/base/types/endpoint.h
+++ b/src/base/types/endpoint.h
@@ -22,7 +22,7 @@
 struct Endpoint {
   std::array<std::uint8_t, 16> address{};
   std::uint16_t port = 0;  ///< host byte order
-  auto operator<=>(const Endpoint&) const = default;
+  auto operator<=>(const Endpoint&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Reads "192.0.2.1:5683" or "[2001:db8::1]:5683". Host names are refused: instances talk by IP
--- a/src/base/types/flow_key.h
+++ b/src/base/types/flow_key.h
@@ -13,7 +13,7 @@
 struct FlowKey {
   Endpoint client;
   ServiceId service;
-  auto operator<=>(const FlowKey&) const = default;
+  auto operator<=>(const FlowKey&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// 64-bit digest of a flow, the same on every instance.
--- a/src/base/types/ids.h
+++ b/src/base/types/ids.h
@@ -11,7 +11,7 @@
 template <typename Tag>
 struct Id {
   std::uint64_t value = 0;
-  auto operator<=>(const Id&) const = default;
+  auto operator<=>(const Id&) const = default;  // NOLINT(modernize-use-nullptr): false positive
 };
 
 using ServiceId = Id<struct ServiceTag>;    ///< XXH3 of the service's name
--- a/src/membership/internal/view.cc
+++ b/src/membership/internal/view.cc
@@ -92,7 +92,6 @@
   if (record.revision < target.record.revision) return Applied::kStale;
   if (record.revision == target.record.revision) return Applied::kUnchanged;
   target.record = record;
-  // A drain that the agent itself announced stands until the agent takes it back.
   target.draining = target.draining || record.draining;
   UpdateDigest(*place.service);
   return Applied::kChanged;
@@ -136,13 +135,12 @@
   return Applied::kChanged;
 }
 
-auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation, bool draining)
-    -> Applied {
+auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation) -> Applied {
   auto place = FindPlace(view, id);
   if (place.target == nullptr) return Applied::kStale;
   if (place.target->record.incarnation != incarnation) return Applied::kStale;
-  if (place.target->draining == draining) return Applied::kUnchanged;
-  place.target->draining = draining;
+  if (place.target->draining) return Applied::kUnchanged;
+  place.target->draining = true;
   UpdateDigest(*place.service);
   return Applied::kChanged;
 }
--- a/src/membership/tests/view_test.cc
+++ b/src/membership/tests/view_test.cc
@@ -63,14 +63,26 @@
   BOOST_TEST(digest(one) == digest(other));
   SetSuspect(one, base::TargetIdOf("a"), true);
   BOOST_TEST(digest(one) == digest(other));
-  ApplyDrain(one, base::TargetIdOf("a"), 1, true);
+  ApplyDrain(one, base::TargetIdOf("a"), 1);
   BOOST_TEST(digest(one) != digest(other));
 }
 
 BOOST_AUTO_TEST_CASE(a_drain_notice_of_an_earlier_incarnation_is_refused) {
   auto view = View{};
   ApplyRecord(view, MakeRecord("a", "desk", 2, 1), kNow);
-  BOOST_CHECK(ApplyDrain(view, base::TargetIdOf("a"), 1, true) == Applied::kStale);
+  BOOST_CHECK(ApplyDrain(view, base::TargetIdOf("a"), 1) == Applied::kStale);
+  BOOST_CHECK(StateOf(*FindTarget(view, base::TargetIdOf("a"))) == TargetState::kLive);
+}
+
+// The agent says that its target drains; then the platform's record from before arrives late. Were
+// the drain taken back, the target would get new flows.
+BOOST_AUTO_TEST_CASE(a_record_from_before_the_drain_does_not_end_it) {
+  auto view = View{};
+  ApplyRecord(view, MakeRecord("a", "desk", 1, 1), kNow);
+  ApplyDrain(view, base::TargetIdOf("a"), 1);
+  ApplyRecord(view, MakeRecord("a", "desk", 1, 2), kNow);
+  BOOST_CHECK(StateOf(*FindTarget(view, base::TargetIdOf("a"))) == TargetState::kDraining);
+  ApplyRecord(view, MakeRecord("a", "desk", 2, 3), kNow);
   BOOST_CHECK(StateOf(*FindTarget(view, base::TargetIdOf("a"))) == TargetState::kLive);
 }
 
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -65,9 +65,10 @@
 auto RemoveRecord(View& view, base::TargetId id, base::Incarnation incarnation,
                   std::uint64_t revision) -> Applied;
 
-/// Takes in the word of a target's own agent, which comes ahead of the platform's.
-auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation, bool draining)
-    -> Applied;
+/// Takes in the word of a target's own agent, which comes ahead of the platform's. A drain is final
+/// for an incarnation, so that a late record from before cannot end it; the target takes flows
+/// again after a restart.
+auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation) -> Applied;
 
 /// Sets this instance's own suspicion. Leaves the digest as it is.
 auto SetSuspect(View& view, base::TargetId id, bool suspect) -> Applied;
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -26,8 +26,8 @@
 /// view;
 ///    else it asks as in 2.
 /// What remains is a cut network: two sides may open one flow. When they meet again, the home keeps
-/// the owner that heard from the client last (by more than `stopped_after`), else the one that
-/// opened it first, else the lower id; the other drops its state and passes packets on.
+/// the owner that heard from the client last, of two that heard together the one that opened it
+/// first, else the lower id; the other drops its state and passes packets on.
 struct Directory {
   DirectoryPolicy policy;
   TargetRef self;
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto kYieldTries = std::uint32_t{50};
+constexpr auto kHeardTogether = base::milliseconds(100);  // delays on the way, and no more
 
 // One of two owners of a flow.
 struct Claim {
@@ -17,11 +18,11 @@
 };
 
 // The owner that heard from the client last has the client's present state: the other one was cut
-// off or stopped meanwhile. When both heard from it, the older has more state to lose.
-auto IsBetter(const Claim& one, const Claim& other, base::Duration apart) -> bool {
+// off or stopped meanwhile. When both heard from it, the older one has more state to lose.
+auto IsBetter(const Claim& one, const Claim& other) -> bool {
   auto lead = one.last_from_client - other.last_from_client;
-  if (lead > apart) return true;
-  if (-lead > apart) return false;
+  if (lead > kHeardTogether) return true;
+  if (-lead > kHeardTogether) return false;
   if (one.opened != other.opened) return one.opened < other.opened;
   return one.owner.target < other.owner.target;
 }
@@ -99,7 +100,7 @@
     return;
   }
   ++context.directory.counters.conflicts;
-  if (IsBetter(claim, *other, context.directory.policy.stopped_after)) {
+  if (IsBetter(claim, *other)) {
     Overrule(context, flow, *other, claim.owner);
     Remember(context, flow, claim);
   } else {
@@ -160,6 +161,18 @@
   SendControl(context, peer->tunnel, header);
 }
 
+auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
+    -> void {
+  auto& directory = context.directory;
+  auto known = directory.known.find(flow);
+  if (known == directory.known.end()) return;
+  const auto& lost = known->second;
+  // Without a stamp the owner has its registration still to come, which will be judged then.
+  if (lost.promised || lost.stamp == 0 || lost.owner == winner) return;
+  if (FindPeer(directory, lost.owner) == nullptr) return;
+  Overrule(context, flow, {lost.owner, lost.opened, lost.last_packet, lost.stamp}, winner);
+}
+
 auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
     -> void {
   auto& directory = context.directory;
@@ -198,6 +211,8 @@
     return yield.tries >= kYieldTries || FindPeer(directory, yield.loser) == nullptr;
   });
   for (auto& yield : directory.yields) {
+    // A loser that is out of reach hears of it when it is back.
+    if (FindPeer(directory, yield.loser)->suspect) continue;
     if (context.now >= yield.next_retry) SendYield(context, yield);
   }
 }
--- a/src/steering/internal/directory_lookup.cc
+++ b/src/steering/internal/directory_lookup.cc
@@ -7,6 +7,13 @@
 
 auto TargetOf(const PeerTarget& peer) -> base::TargetId { return peer.ref.target; }
 
+auto RefAt(const Directory& directory, std::uint32_t index) -> std::optional<TargetRef> {
+  if (index == kNone) return std::nullopt;
+  if (index == directory.self_index) return directory.self;
+  auto target = directory.candidates.candidates[index].target;
+  return std::ranges::lower_bound(directory.peers, target, {}, TargetOf)->ref;
+}
+
 }  // namespace
 
 auto FindPeer(Directory& directory, base::TargetId target) -> PeerTarget* {
@@ -26,12 +33,12 @@
 }
 
 auto HomeOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef> {
-  auto index = FindFirst(directory.candidates, base::HashFlow(flow));
-  if (index == kNone) return std::nullopt;
-  if (index == directory.self_index) return directory.self;
-  auto target = directory.candidates.candidates[index].target;
-  auto found = std::ranges::lower_bound(directory.peers, target, {}, TargetOf);
-  return found->ref;
+  return RefAt(directory, FindFirst(directory.candidates, base::HashFlow(flow)));
+}
+
+auto ActingHomeOf(const Directory& directory, const base::FlowKey& flow)
+    -> std::optional<TargetRef> {
+  return RefAt(directory, FindActing(directory.candidates, base::HashFlow(flow)));
 }
 
 auto IsHome(const Directory& directory, const base::FlowKey& flow) -> bool {
--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -74,7 +74,6 @@
   auto* notice = header.mutable_drain_notice();
   WriteRef(directory.self, *notice->mutable_target());
   notice->set_service(directory.service.value);
-  notice->set_draining(directory.draining);
   for (const auto& peer : directory.peers) SendControl(context, peer.tunnel, header);
   auto count = std::min(directory.balancers.size(), directory.policy.notified_balancers);
   for (auto i = std::size_t{0}; i < count; ++i) {
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -52,6 +52,7 @@
 
 auto OpenHere(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
+  OverruleLost(context, arrival.flow, directory.self);
   directory.known.erase(arrival.flow);
   auto& owned = directory.owned[arrival.flow];
   owned = OwnedFlow{};
@@ -70,6 +71,7 @@
   known.owner = peer.ref;
   known.opened = context.now;
   known.last_packet = context.now;
+  OverruleLost(context, arrival.flow, peer.ref);
   directory.known[arrival.flow] = known;
   PassOn(context, peer.tunnel, arrival, true);
   SendHint(context, arrival.packet, peer.ref);
@@ -185,7 +187,9 @@
     to = peer->tunnel;
   }
   known.last_packet = context.now;
-  auto opening = !known.promised && IsHome(directory, arrival.flow) && arrival.packet.may_open();
+  // An agent that only relays must not open the flow itself.
+  auto direct = known.via.port == 0;
+  auto opening = direct && IsHome(directory, arrival.flow) && arrival.packet.may_open();
   PassOn(context, to, arrival, opening);
   if (arrival.packet.hops() == 0 && !known.promised) SendHint(context, arrival.packet, owner);
 }
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -20,6 +20,9 @@
 auto FindPeerByInstance(Directory& directory, base::InstanceId instance) -> PeerTarget*;
 /// The first home in this agent's view: nothing when no target takes flows.
 auto HomeOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef>;
+/// The home that is in charge while this agent suspects the first one; else the first one.
+auto ActingHomeOf(const Directory& directory, const base::FlowKey& flow)
+    -> std::optional<TargetRef>;
 auto IsHome(const Directory& directory, const base::FlowKey& flow) -> bool;
 auto FindOwned(Directory& directory, const base::FlowKey& flow) -> OwnedFlow*;
 
@@ -64,7 +67,10 @@
 auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner) -> void;
 
 // directory_registration.cc
+/// Queues the flow for each of its homes that has not acknowledged it.
 auto EnqueueRegistration(Directory& directory, const base::FlowKey& flow, OwnedFlow& owned) -> void;
+/// Empties the queues and fills them anew, after the homes of flows changed.
+auto RegisterAnew(Directory& directory) -> void;
 auto PumpStreams(StepContext& context) -> void;
 auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void;
 auto HandleResettle(StepContext& context, const wire::pb::Resettle& message) -> void;
@@ -75,6 +81,9 @@
 auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
     -> void;
 auto HandleYieldAck(StepContext& context, const wire::pb::YieldAck& message) -> void;
+/// The flow is about to be opened at `winner` although its owner may still live, out of reach: that
+/// one is told to let go of it as soon as it is back.
+auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner) -> void;
 auto RetryYields(StepContext& context) -> void;
 
 // directory_view.cc
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -18,6 +18,14 @@
   return std::chrono::duration_cast<base::milliseconds>(now - then).count();
 }
 
+// The home of the flow that `home` is, if it is one.
+auto RegisteredAtOf(const Directory& directory, const base::FlowKey& flow, OwnedFlow& owned,
+                    const TargetRef& home) -> RegisteredAt* {
+  if (HomeOf(directory, flow) == home) return &owned.first;
+  if (ActingHomeOf(directory, flow) == home) return &owned.acting;
+  return nullptr;
+}
+
 // Flows that are still this agent's and whose home the stream leads to.
 auto FillBatch(Directory& directory, RegisterStream& stream) -> void {
   stream.batch.clear();
@@ -26,8 +34,10 @@
     stream.queue.pop_front();
     auto* owned = FindOwned(directory, flow);
     if (owned == nullptr) continue;
-    owned->queued = false;
-    if (HomeOf(directory, flow) == stream.home) stream.batch.push_back(flow);
+    auto* registered = RegisteredAtOf(directory, flow, *owned, stream.home);
+    if (registered == nullptr) continue;
+    registered->queued = false;
+    stream.batch.push_back(flow);
   }
   // With the queue empty, this batch is the last one under the view.
   auto unsettled = stream.settled != directory.digest;
@@ -75,12 +85,28 @@
 auto NoteRegistered(Directory& directory, const base::FlowKey& flow, const TargetRef& home)
     -> void {
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->queued) return;
-  if (owned->closing) {
+  if (owned == nullptr) return;
+  auto* registered = RegisteredAtOf(directory, flow, *owned, home);
+  if (registered == nullptr || registered->queued) return;
+  if (owned->closing && registered == &owned->first) {
     directory.owned.erase(flow);
-  } else {
-    owned->registered_at = home;
+    return;
   }
+  registered->home = home;
+}
+
+auto Enqueue(Directory& directory, const base::FlowKey& flow, RegisteredAt& registered,
+             const TargetRef& home) -> void {
+  if (registered.queued || registered.home == home) return;
+  if (home == directory.self) {
+    registered.home = home;
+    return;
+  }
+  auto* stream = FindStream(directory, home);
+  if (stream == nullptr) return;
+  stream->queue.push_back(flow);
+  registered.queued = true;
+  directory.pump_due = true;
 }
 
 }  // namespace
@@ -88,16 +114,29 @@
 auto EnqueueRegistration(Directory& directory, const base::FlowKey& flow, OwnedFlow& owned)
     -> void {
   auto home = HomeOf(directory, flow);
-  if (!home || owned.queued) return;
-  if (*home == directory.self) {
-    owned.registered_at = directory.self;
-    return;
+  if (!home) return;
+  Enqueue(directory, flow, owned.first, *home);
+  auto acting = ActingHomeOf(directory, flow);
+  if (acting == home) {
+    owned.acting = {};
+  } else if (acting) {
+    Enqueue(directory, flow, owned.acting, *acting);
   }
-  auto* stream = FindStream(directory, *home);
-  if (stream == nullptr) return;
-  stream->queue.push_back(flow);
-  owned.queued = true;
-  directory.pump_due = true;
+}
+
+// A flow that is closing is forgotten when its home moves, because the new home has never heard of
+// it.
+auto RegisterAnew(Directory& directory) -> void {
+  for (auto& stream : directory.streams) stream.queue.clear();
+  auto forgotten = std::vector<base::FlowKey>{};
+  for (auto& [flow, owned] : directory.owned) {
+    owned.first.queued = false;
+    owned.acting.queued = false;
+    auto moved = HomeOf(directory, flow) != owned.closing_at;
+    if (owned.closing && moved) forgotten.push_back(flow);
+    EnqueueRegistration(directory, flow, owned);
+  }
+  for (const auto& flow : forgotten) directory.owned.erase(flow);
 }
 
 auto PumpStreams(StepContext& context) -> void {
@@ -125,7 +164,10 @@
   stream->settled = 0;
   if (stream->batch_settles != 0) stream->batch_settles = 0;
   for (auto& [flow, owned] : directory.owned) {
-    if (HomeOf(directory, flow) == stream->home) EnqueueRegistration(directory, flow, owned);
+    auto* registered = RegisteredAtOf(directory, flow, owned, stream->home);
+    if (registered == nullptr) continue;
+    registered->home = {};
+    EnqueueRegistration(directory, flow, owned);
   }
   directory.pump_due = true;
 }
@@ -141,6 +183,9 @@
     return;
   }
   owned->closing = true;
+  owned->closing_at = *home;
+  owned->first.home = {};
+  owned->acting.home = {};
   EnqueueRegistration(directory, flow, *owned);
 }
 
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -14,7 +14,9 @@
   return peer;
 }
 
-auto UpdatePeers(Directory& directory, const membership::ServiceView& service) -> void {
+// Returns whether this agent's suspicion of a peer changed.
+auto UpdatePeers(Directory& directory, const membership::ServiceView& service) -> bool {
+  auto changed = false;
   auto peers = std::vector<PeerTarget>{};
   for (const auto& target : service.targets) {
     if (target.record.id == directory.self.target) continue;
@@ -22,13 +24,15 @@
     auto peer = known != nullptr ? *known : MakePeer(target);
     peer.instance = target.record.instance;
     peer.tunnel = target.record.tunnel;
+    changed = changed || peer.suspect != target.suspect;
     peer.suspect = target.suspect;
     peer.draining = target.draining;
     peer.since = target.since;
     peer.load.weight = target.weight;
-    peers.push_back(std::move(peer));
+    peers.push_back(peer);
   }
   directory.peers = std::move(peers);
+  return changed;
 }
 
 auto UpdateSelf(Directory& directory, const membership::ServiceView& service) -> void {
@@ -58,25 +62,10 @@
       streams.push_back({});
       streams.back().home = peer.ref;
     }
-    streams.back().queue.clear();
   }
   directory.streams = std::move(streams);
 }
 
-// Every flow whose home is another one now is registered there; flows that were closing are
-// forgotten, because the new home has never heard of them.
-auto RegisterAnew(Directory& directory, bool all) -> void {
-  auto forgotten = std::vector<base::FlowKey>{};
-  for (auto& [flow, owned] : directory.owned) {
-    owned.queued = false;
-    auto home = HomeOf(directory, flow);
-    auto moved = home && owned.registered_at != *home;
-    if (owned.closing && (moved || !home)) forgotten.push_back(flow);
-    if (moved || all || owned.closing) EnqueueRegistration(directory, flow, owned);
-  }
-  for (const auto& flow : forgotten) directory.owned.erase(flow);
-}
-
 auto ForgetDeadOwners(Directory& directory) -> void {
   std::erase_if(directory.known, [&](const auto& entry) {
     const auto& known = entry.second;
@@ -103,17 +92,17 @@
   const auto& present = service != nullptr ? *service : none;
   auto was_in_view = directory.in_view;
   auto moved = present.digest != directory.digest;
-  UpdatePeers(directory, present);
+  auto suspicion_changed = UpdatePeers(directory, present);
   directory.candidates = MakeCandidates(present);
   UpdateSelf(directory, present);
   directory.digest = present.digest;
   // The record was removed, by conditional update on this incarnation: others have given its flows
   // up, and a later start has a higher incarnation.
   if (was_in_view && !directory.in_view) DropAll(context);
-  if (!moved) return;
-  UpdateStreams(directory);
-  RegisterAnew(directory, false);
-  ForgetDeadOwners(directory);
+  if (!moved && !suspicion_changed) return;
+  if (moved) UpdateStreams(directory);
+  RegisterAnew(directory);
+  if (moved) ForgetDeadOwners(directory);
   directory.pump_due = true;
 }
 
@@ -128,8 +117,11 @@
   directory.next_resettle = {};
   for (auto& peer : directory.peers) peer.settled_view = 0;
   directory.pending.clear();
-  for (auto& stream : directory.streams) stream.queue.clear();
-  RegisterAnew(directory, true);
+  for (auto& [flow, owned] : directory.owned) {
+    owned.first.home = {};
+    owned.acting.home = {};
+  }
+  RegisterAnew(directory);
 }
 
 auto ContinueFence(StepContext& context) -> void {
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -46,6 +46,12 @@
   auto operator==(const TargetRef&) const -> bool = default;
 };
 
+/// Whether one home of a flow knows its owner.
+struct RegisteredAt {
+  TargetRef home;       ///< that acknowledged the registration
+  bool queued = false;  ///< waits in the home's stream
+};
+
 /// A flow that this agent serves.
 struct OwnedFlow {
   base::TimePoint opened{};
@@ -53,9 +59,10 @@
   base::TimePoint last_used{};  ///< either way
   base::Endpoint balancer;      ///< where it was seen last; replies leave there
   std::uint64_t stamp = 0;
-  TargetRef registered_at;  ///< the home that acknowledged it
-  bool queued = false;      ///< waits in a stream
-  bool closing = false;     ///< ended here, the home has not acknowledged it yet
+  RegisteredAt first;
+  RegisteredAt acting;   ///< while this agent suspects the first home
+  bool closing = false;  ///< ended here, the first home has not acknowledged it yet
+  TargetRef closing_at;  ///< the first home at that time
 };
 
 /// What this agent knows of a flow that another one serves.
