--- /dev/null
+++ b/bench/capacity/constants.cc
@@ -0,0 +1,65 @@
+#include "constants.h"
+
+#include "balancer/balancer.h"
+#include "config/types/configuration.h"
+#include "membership/suspicion.h"
+#include "relay/types/settings.h"
+#include "requests/types/parameters.h"
+#include "steering/types/directory_types.h"
+
+namespace anvildrum::capacity {
+namespace {
+
+auto Seconds(base::Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+auto RelayConstants() -> std::vector<Constant> {
+  auto policy = relay::RelayPolicy{};
+  auto source = std::string("relay::RelayPolicy");
+  return {{"fan_out", static_cast<double>(policy.fan_out), source},
+          {"watchers_per_domain", static_cast<double>(policy.watchers_per_domain), source},
+          {"relay_period_s", Seconds(policy.heartbeat), source},
+          {"relay_timeout_s", Seconds(policy.parent_timeout), source},
+          {"relay_timeout_hop_s", Seconds(policy.timeout_per_hop), source},
+          {"relay_retry_s", Seconds(policy.subscribe_retry), source},
+          {"watch_s", Seconds(policy.watch_timeout), source},
+          {"quorum", static_cast<double>(policy.suspicion_quorum), source},
+          {"suspicion_hold_s", Seconds(policy.suspicion_hold), source},
+          {"suspicion_repeat_s", Seconds(policy.suspicion_repeat), source},
+          {"delete_period_s", Seconds(policy.delete_interval), source}};
+}
+
+auto SteeringConstants() -> std::vector<Constant> {
+  auto directory = steering::DirectoryPolicy{};
+  auto balancer = balancer::BalancerPolicy{};
+  auto suspicion = membership::SuspicionPolicy{};
+  auto table_places = static_cast<double>(balancer.flow_table_capacity);
+  auto batch = static_cast<double>(directory.registrations_of_batch);
+  return {{"load_margin", config::SpreadPolicy{}.load_margin, "config::SpreadPolicy"},
+          {"table_entries", table_places, "balancer::BalancerPolicy"},
+          {"hint_rate", directory.hints_per_second, "steering::DirectoryPolicy"},
+          {"register_batch", batch, "steering::DirectoryPolicy"},
+          {"probe_round_s", Seconds(suspicion.probe_period), "membership::SuspicionPolicy"},
+          {"probes_per_round", static_cast<double>(suspicion.probes_per_round),
+           "membership::SuspicionPolicy"},
+          {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"}};
+}
+
+auto RequestConstants() -> std::vector<Constant> {
+  auto parameters = requests::Parameters{};
+  auto ledger = static_cast<double>(parameters.ledger_bytes);
+  return {{"ledger_limit", ledger, "requests::Parameters"},
+          {"exchange_lifetime_s", Seconds(requests::kExchangeLifetime), "RFC 7252, 4.8.2"}};
+}
+
+}  // namespace
+
+auto PolicyConstants() -> std::vector<Constant> {
+  auto all = RelayConstants();
+  for (auto& constant : SteeringConstants()) all.push_back(std::move(constant));
+  for (auto& constant : RequestConstants()) all.push_back(std::move(constant));
+  return all;
+}
+
+}  // namespace anvildrum::capacity
--- a/bench/capacity/list_slopes.cc
+++ b/bench/capacity/list_slopes.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr auto kListSizes = std::array{1, 8, 32, 128};
+constexpr auto kAgeMs = 3'600'000;  // an hour
 
 auto ProbeAnswerHeader(int loads) -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
@@ -22,6 +23,7 @@
     load.set_queued(2);
     load.set_flows(kCount);
     load.set_delay_us(kCount);
+    load.set_view(base::HashName("view"));
   }
   return header;
 }
@@ -32,9 +34,14 @@
   message.set_service(base::ServiceIdOf("desk").value);
   message.set_view(base::HashName("view"));
   FillTarget(*message.mutable_owner());
-  message.set_sequence(1);
+  FillTarget(*message.mutable_home());
+  message.set_sequence(kCount);
   for (auto i = 0; i < clients; ++i) {
-    wire::WriteEndpoint(SampleFlow().client, *message.add_clients());
+    auto& registration = *message.add_flows();
+    wire::WriteEndpoint(SampleFlow().client, *registration.mutable_client());
+    registration.set_age_ms(kAgeMs);
+    registration.set_idle_ms(kCount);
+    registration.set_stamp(kCount);
   }
   return header;
 }
--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 
+#include "constants.h"
 #include "slopes.h"
 
 namespace anvildrum::capacity {
@@ -33,9 +34,14 @@
 auto Report() -> nlohmann::json {
   auto report = nlohmann::json{};
   report["machine"] = {{"cpu", CpuModel()}, {"nproc", std::thread::hardware_concurrency()}};
+  report["constants"] = nlohmann::json::array();
+  for (const auto& constant : PolicyConstants()) {
+    report["constants"].push_back(
+        {{"name", constant.name}, {"value", constant.value}, {"source", constant.source}});
+  }
   report["slopes"] = nlohmann::json::array();
-  for (auto* measure :
-       {MeasureBase, MeasureWire, MeasureLists, MeasureRelayWire, MeasureUdp, MeasureZeroMq}) {
+  for (auto* measure : {MeasureBase, MeasureWire, MeasureLists, MeasureRelayWire, MeasureUdp,
+                        MeasureZeroMq, MeasureSteering, MeasureRelay, MeasureRequests}) {
     for (const auto& slope : measure()) report["slopes"].push_back(ToJson(slope));
   }
   return report;
--- a/bench/capacity/measure.cc
+++ b/bench/capacity/measure.cc
@@ -1,5 +1,7 @@
 #include "measure.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <ctime>
@@ -49,4 +51,9 @@
   return LeastPerCall(CLOCK_PROCESS_CPUTIME_ID, work);
 }
 
+auto AllocatedBytes() -> double {
+  auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
 }  // namespace anvildrum::capacity
--- a/bench/capacity/measure.h
+++ b/bench/capacity/measure.h
@@ -11,6 +11,9 @@
 /// The same for all threads of the process, where a library works in threads of its own.
 auto ProcessNanosecondsPerCall(const std::function<void()>& work) -> double;
 
+/// Bytes of the heap in use, the allocator's own overhead included.
+auto AllocatedBytes() -> double;
+
 /// Keeps the optimizer from dropping the computation of `value`.
 template <typename T>
 auto Keep(const T& value) -> void {
--- a/bench/capacity/relay_wire_slopes.cc
+++ b/bench/capacity/relay_wire_slopes.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "measure.h"
+#include "sample_records.h"
 #include "slopes.h"
 #include "wire/relay.pb.h"
 
@@ -12,41 +13,8 @@
 constexpr auto kRecordCounts = std::array{1, 10, 100, 1000};
 constexpr auto kHeartbeatCounts = std::array{1, 10, 100};
 constexpr auto kRevision = std::uint64_t{50'000'000};
-constexpr auto kConfigNumber = std::uint64_t{5'000'000};
 constexpr auto kInstance = std::uint64_t{0x9e3779b97f4a7c15};
 
-// A target's announcement as the platform keeps it: every field of membership::TargetRecord.
-auto TargetRecordJson() -> std::string {
-  return nlohmann::json{{"name", "scada-gw-03"},
-                        {"service", "scada-gw"},
-                        {"instance", "agent-scada-gw-03"},
-                        {"incarnation", 1'800'000'000'000},
-                        {"tunnel", "198.51.100.203:17000"},
-                        {"operator_port", "198.51.100.203:17001"},
-                        {"failure_domain", "cuyo-2"},
-                        {"slots", 5},
-                        {"connections", 2000},
-                        {"draining", false}}
-      .dump();
-}
-
-// A service of the configuration: every field of config::Service.
-auto ServiceJson(std::size_t index) -> nlohmann::json {
-  return {
-      {"name", "service-" + std::to_string(index)},
-      {"addresses", {"203.0.113.10:5683"}},
-      {"spread",
-       {{"load_margin", 0.03}, {"local_failure_domain_first", true}, {"slow_start_seconds", 10}}},
-      {"limits", {{"queue_ms", 250}, {"client_in_flight", 64}, {"flow_idle_seconds", 7200}}},
-      {"weights", {{{"target", "scada-gw-03"}, {"weight", 1.5}}}}};
-}
-
-auto ConfigurationJson(int services) -> std::string {
-  auto document = nlohmann::json{{"number", kConfigNumber}, {"services", nlohmann::json::array()}};
-  for (auto i = 0; i < services; ++i) document["services"].push_back(ServiceJson(i));
-  return document.dump();
-}
-
 auto UpdateMessage(int records) -> wire::pb::RelayMessage {
   auto message = wire::pb::RelayMessage{};
   message.set_sender(kInstance);
--- a/bench/capacity/slopes.h
+++ b/bench/capacity/slopes.h
@@ -24,4 +24,13 @@
 /// Messages of the relay: bytes and processor time of updates.
 auto MeasureRelayWire() -> std::vector<Slope>;
 
+/// Flow table, rendezvous order, views, flows at their owner and home.
+auto MeasureSteering() -> std::vector<Slope>;
+
+/// Records held and taken, deltas of the configuration.
+auto MeasureRelay() -> std::vector<Slope>;
+
+/// The ledger and a request's whole way through the agent's core.
+auto MeasureRequests() -> std::vector<Slope>;
+
 }  // namespace anvildrum::capacity
--- a/bench/capacity/wire_slopes.cc
+++ b/bench/capacity/wire_slopes.cc
@@ -38,27 +38,21 @@
   return header;
 }
 
-auto SettledHeader() -> wire::pb::TunnelHeader {
-  auto header = EmptyHeader();
-  auto& message = *header.mutable_settled();
-  message.set_service(base::ServiceIdOf("desk").value);
-  message.set_view(base::HashName("view"));
-  FillTarget(*message.mutable_owner());
-  return header;
-}
-
 auto RegisterAckHeader() -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
   auto& message = *header.mutable_register_ack();
   message.set_service(base::ServiceIdOf("desk").value);
-  message.set_view(base::HashName("view"));
-  message.set_sequence(1);
+  message.set_sequence(kCount);
+  FillTarget(*message.mutable_home());
   return header;
 }
 
 auto OwnerQueryHeader() -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
-  wire::WriteFlow(SampleFlow(), *header.mutable_owner_query()->mutable_flow());
+  auto& query = *header.mutable_owner_query();
+  wire::WriteFlow(SampleFlow(), *query.mutable_flow());
+  FillTarget(*query.mutable_asker());
+  query.set_sequence(kCount);
   return header;
 }
 
@@ -68,6 +62,8 @@
   wire::WriteFlow(SampleFlow(), *answer.mutable_flow());
   answer.set_owned(true);
   FillTarget(*answer.mutable_owner());
+  FillTarget(*answer.mutable_responder());
+  answer.set_sequence(kCount);
   return header;
 }
 
@@ -120,7 +116,6 @@
   Append(all, KindSlopes("reply", ReplyHeader()));
   Append(all, KindSlopes("hint", HintHeader()));
   Append(all, KindSlopes("probe", ProbeHeader()));
-  Append(all, KindSlopes("settled", SettledHeader()));
   Append(all, KindSlopes("register_ack", RegisterAckHeader()));
   Append(all, KindSlopes("owner_query", OwnerQueryHeader()));
   Append(all, KindSlopes("owner_answer", OwnerAnswerHeader()));
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -108,7 +108,7 @@
   agent.phase = Advance(agent.phase, LifeEvent::kDrainRequested);
   agent.drain_started = context.now;
   agent.record.draining = true;
-  membership::ApplyDrain(agent.view, agent.record.id, agent.record.incarnation, true);
+  membership::ApplyDrain(agent.view, agent.record.id, agent.record.incarnation);
   RunRequests(context, requests::Drain{});
   OnViewChange(context);
   context.effects.emplace_back(AnnounceDraining{});
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -87,8 +87,8 @@
 
 auto OnDrainNotice(Context& context, const wire::pb::DrainNotice& notice) -> void {
   auto target = base::TargetId{notice.target().target()};
-  auto applied = membership::ApplyDrain(context.agent.view, target,
-                                        notice.target().incarnation(), notice.draining());
+  auto applied =
+      membership::ApplyDrain(context.agent.view, target, notice.target().incarnation());
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
