--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -27,7 +27,7 @@
     case TunnelHeader::kOwnerQuery:
       return HandleOwnerQuery(context, event.from, header.owner_query());
     case TunnelHeader::kOwnerAnswer:
-      return HandleOwnerAnswer(context, header.owner_answer());
+      return HandleOwnerAnswer(context, event.from, header.owner_answer());
     case TunnelHeader::kRegister:
       return HandleRegister(context, header.register_());
     case TunnelHeader::kRegisterAck:
--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -91,6 +91,11 @@
   FinishAsking(context, flow, owner);
 }
 
+// Whether `newer` is a later process of the same target: then the earlier one is dead.
+auto IsSuperseded(const TargetRef& ref, const TargetRef& newer) -> bool {
+  return ref.target == newer.target && ref.incarnation < newer.incarnation;
+}
+
 // What this agent answers about a flow that it does not serve.
 auto AnswerFor(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
                const base::Endpoint& from, const wire::pb::OwnerQuery& query)
@@ -105,6 +110,10 @@
   }
   auto lost = query.has_owner() ? std::optional(ReadRef(query.owner())) : std::nullopt;
   auto known = directory.known.find(flow);
+  if (known != directory.known.end() && IsSuperseded(known->second.owner, asker)) {
+    directory.known.erase(known);
+    known = directory.known.end();
+  }
   if (known != directory.known.end() && !known->second.promised) {
     auto owner = known->second.owner;
     auto* peer = FindPeer(directory, owner);
@@ -185,7 +194,8 @@
   SendControl(context, from, header);
 }
 
-auto HandleOwnerAnswer(StepContext& context, const wire::pb::OwnerAnswer& answer) -> void {
+auto HandleOwnerAnswer(StepContext& context, const base::Endpoint& from,
+                       const wire::pb::OwnerAnswer& answer) -> void {
   auto& directory = context.directory;
   auto flow = wire::ReadFlow(answer.flow());
   if (!flow) return;
@@ -196,9 +206,13 @@
   if (pending.sequence != answer.sequence()) return;
   auto responder = ReadRef(answer.responder());
   auto owner = ReadRef(answer.owner());
-  auto* peer = FindPeer(directory, responder);
-  if (peer == nullptr) return;
-  std::erase(pending.waiting, responder);
+  auto* peer = FindPeer(directory, responder.target);
+  if (peer == nullptr || peer->ref.incarnation > responder.incarnation) return;
+  auto claims_other = answer.owned() && owner != responder && owner != directory.self;
+  // The responder's view names a process that this one does not: one of them lags. Asked again.
+  if (claims_other && FindPeer(directory, owner) == nullptr) return;
+  std::erase_if(pending.waiting,
+                [&](const TargetRef& ref) { return ref.target == responder.target; });
   if (!answer.owned() && pending.claimed == responder) pending.denied = true;
   if (answer.owned() && owner == responder) {
     auto known = KnownOwner{};
@@ -207,14 +221,14 @@
     known.noted = context.now;
     known.last_packet = context.now;
     // It answered just now, whatever the probes say.
-    if (peer->suspect) {
-      known.via = peer->tunnel;
+    if (peer->suspect || peer->ref != responder) {
+      known.via = from;
       known.via_since = context.now;
     }
     FinishAsking(context, *flow, known);
     return;
   }
-  if (answer.owned() && owner != directory.self) {
+  if (claims_other) {
     pending.claimed = owner;
     pending.denied = !std::ranges::count(pending.waiting, owner);
     pending.claimed_via = pending.lost == owner ? peer->tunnel : base::Endpoint{};
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -117,18 +117,6 @@
   SendPacket(context, home.tunnel, *packet, arrival.payload);
 }
 
-// A target that this agent chose does not take the flow. The flow is asked for before it is placed
-// again, because a duplicate of the message may arrive late.
-auto PlaceDeclined(StepContext& context, const PacketArrival& arrival) -> void {
-  auto& directory = context.directory;
-  auto* peer = FindPeerByInstance(directory, arrival.sender);
-  auto known = directory.known.find(arrival.flow);
-  if (peer == nullptr || known == directory.known.end()) return;
-  if (known->second.owner != peer->ref) return;
-  directory.known.erase(known);
-  StartAsking(context, arrival.flow, &arrival, std::nullopt);
-}
-
 // The home asks this agent to open the flow (rule 3 of Directory).
 auto OpenForHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
@@ -154,6 +142,17 @@
   return packet.opening() && packet.opening_incarnation() == directory.self.incarnation;
 }
 
+auto DeclineToHome(StepContext& context, const PacketArrival& arrival) -> void {
+  auto& directory = context.directory;
+  auto home = ActingHomeOf(directory, arrival.flow);
+  auto* peer = home ? FindPeer(directory, *home) : nullptr;
+  if (peer != nullptr) {
+    Decline(context, *peer, arrival);
+  } else {
+    Refuse(context, arrival, Refused::REASON_DRAINING, directory.counters.draining);
+  }
+}
+
 auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto index = FindActing(directory.candidates, base::HashFlow(arrival.flow));
@@ -227,6 +226,22 @@
   if (arrival.packet.hops() == 0 && !known.promised) SendHint(context, arrival.packet, owner);
 }
 
+// The sender, chosen by this agent or having asked it, does not open the flow. The flow is asked for
+// before it is placed, because a duplicate of the message may arrive late.
+auto PlaceDeclined(StepContext& context, const PacketArrival& arrival) -> void {
+  auto& directory = context.directory;
+  auto* peer = FindPeerByInstance(directory, arrival.sender);
+  auto known = directory.known.find(arrival.flow);
+  if (known != directory.known.end()) {
+    if (peer == nullptr || known->second.owner != peer->ref) {
+      RouteByKnown(context, arrival, known->second);
+      return;
+    }
+    directory.known.erase(known);
+  }
+  StartAsking(context, arrival.flow, &arrival, std::nullopt);
+}
+
 auto HoldWhileFenced(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto held = directory.pending.contains(arrival.flow);
@@ -288,7 +303,7 @@
   }
   if (directory.self_index == kNone) {
     // This agent drains, or is not announced yet: the home places.
-    PassToHome(context, arrival);
+    DeclineToHome(context, arrival);
     return;
   }
   if (!TakeToken(directory.openings, policy.openings_per_second, policy.openings_burst,
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -57,7 +57,8 @@
                  std::optional<TargetRef> lost) -> void;
 auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
                       const wire::pb::OwnerQuery& query) -> void;
-auto HandleOwnerAnswer(StepContext& context, const wire::pb::OwnerAnswer& answer) -> void;
+auto HandleOwnerAnswer(StepContext& context, const base::Endpoint& from,
+                       const wire::pb::OwnerAnswer& answer) -> void;
 auto ContinueAsking(StepContext& context) -> void;
 /// Hands all held packets on as if they had just arrived.
 auto ReleaseAll(StepContext& context) -> void;
