--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -128,7 +128,7 @@
   }
   auto limit = directory.load.connections;
   auto full = limit != 0 && directory.owned.size() >= limit;
-  if (!directory.draining && !full) {
+  if (directory.in_view && !directory.draining && !full) {
     OpenHere(context, arrival);
     return;
   }
