--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -27,7 +27,7 @@
     case TunnelHeader::kOwnerQuery:
       return HandleOwnerQuery(context, event.from, header.owner_query());
     case TunnelHeader::kOwnerAnswer:
-      return HandleOwnerAnswer(context, header.owner_answer());
+      return HandleOwnerAnswer(context, event.from, header.owner_answer());
     case TunnelHeader::kRegister:
       return HandleRegister(context, header.register_());
     case TunnelHeader::kRegisterAck:
@@ -38,8 +38,6 @@
       return HandleYieldAck(context, header.yield_ack());
     case TunnelHeader::kResettle:
       return HandleResettle(context, header.resettle());
-    case TunnelHeader::kRefused:
-      return HandleRefused(context, {header.sender()}, header.refused());
     default:
       return;
   }
