--- /dev/null
+++ b/src/requests/internal/coap_build.cc
@@ -0,0 +1,132 @@
+// Datagrams that the agent writes or alters.
+#include <algorithm>
+
+#include "requests/internal/coap_pdu.h"
+
+namespace anvildrum::requests {
+namespace {
+
+constexpr auto kTokenLengthMask = std::uint8_t{0x0f};
+constexpr auto kPayloadMarker = std::uint8_t{0xff};
+constexpr auto kMaxOptionHeader = std::size_t{5};
+
+auto AppendHeader(Bytes& out, MessageType type, std::uint8_t code, std::uint16_t message_id,
+                  const Token& token) -> void {
+  out.push_back(
+      static_cast<std::uint8_t>(kVersionOne | static_cast<int>(type) << kTypeShift | token.size));
+  out.push_back(code);
+  out.push_back(static_cast<std::uint8_t>(message_id >> 8));
+  out.push_back(static_cast<std::uint8_t>(message_id));
+  out.insert(out.end(), token.bytes.begin(), token.bytes.begin() + token.size);
+}
+
+auto AppendOption(Bytes& out, std::uint16_t& last, std::uint16_t number, BytesView value) -> void {
+  auto offset = out.size();
+  out.resize(offset + kMaxOptionHeader + value.size());
+  auto used =
+      coap_opt_encode(out.data() + offset, out.size() - offset,
+                      static_cast<std::uint16_t>(number - last), value.data(), value.size());
+  out.resize(offset + used);
+  last = number;
+}
+
+auto AppendEchoIfDue(Bytes& out, std::uint16_t& last, std::uint16_t next,
+                     std::optional<BytesView>& echo) -> void {
+  if (!echo || next <= COAP_OPTION_ECHO) return;
+  AppendOption(out, last, COAP_OPTION_ECHO, *echo);
+  echo.reset();
+}
+
+// Writes the options and payload of `message` with its Echo option replaced by `echo`, or left out.
+auto AppendBody(Bytes& out, const Message& message, std::optional<BytesView> echo) -> void {
+  auto pdu = ParsePdu(message.whole);
+  auto last = std::uint16_t{0};
+  auto iterator = coap_opt_iterator_t{};
+  coap_option_iterator_init(pdu.get(), &iterator, COAP_OPT_ALL);
+  while (auto* option = coap_option_next(&iterator)) {
+    if (iterator.number == COAP_OPTION_ECHO) continue;
+    AppendEchoIfDue(out, last, iterator.number, echo);
+    AppendOption(out, last, iterator.number, OptionValue(option));
+  }
+  AppendEchoIfDue(out, last, COAP_OPTION_ECHO + 1, echo);
+  auto payload = PayloadOf(pdu.get());
+  if (payload.empty()) return;
+  out.push_back(kPayloadMarker);
+  out.insert(out.end(), payload.begin(), payload.end());
+}
+
+}  // namespace
+
+auto WithIdentity(BytesView datagram, MessageType type, std::uint16_t message_id,
+                  const Token& token) -> Bytes {
+  auto body = datagram.subspan(kHeaderSize + (datagram[0] & kTokenLengthMask));
+  auto out = Bytes{};
+  out.reserve(kHeaderSize + token.size + body.size());
+  AppendHeader(out, type, datagram[1], message_id, token);
+  out.insert(out.end(), body.begin(), body.end());
+  return out;
+}
+
+auto ForTarget(const Message& message, std::uint16_t message_id, const Token& token) -> Bytes {
+  if (!message.echo) return WithIdentity(message.whole, message.type, message_id, token);
+  auto out = Bytes{};
+  out.reserve(message.whole.size() + token.bytes.size());
+  AppendHeader(out, message.type, message.code, message_id, token);
+  AppendBody(out, message, std::nullopt);
+  return out;
+}
+
+auto WithEcho(const Message& message, BytesView echo) -> Bytes {
+  auto out = Bytes{};
+  out.reserve(message.whole.size() + kMaxOptionHeader + echo.size());
+  AppendHeader(out, message.type, message.code, message.message_id, message.token);
+  AppendBody(out, message, echo);
+  return out;
+}
+
+auto BuildChallenge(MessageType type, std::uint16_t message_id, const Token& token, BytesView echo)
+    -> Bytes {
+  auto out = Bytes{};
+  auto last = std::uint16_t{0};
+  AppendHeader(out, type, kCodeUnauthorized, message_id, token);
+  AppendOption(out, last, COAP_OPTION_ECHO, echo);
+  return out;
+}
+
+auto BuildNotRun(MessageType type, std::uint16_t message_id, const Token& token,
+                 std::uint32_t max_age) -> Bytes {
+  auto out = Bytes{};
+  auto last = std::uint16_t{0};
+  auto value = std::array<std::uint8_t, sizeof(max_age)>{};
+  auto size = coap_encode_var_safe(value.data(), value.size(), max_age);
+  AppendHeader(out, type, kCodeServiceUnavailable, message_id, token);
+  AppendOption(out, last, COAP_OPTION_MAXAGE, BytesView(value).first(size));
+  return out;
+}
+
+auto BuildUnknown(MessageType type, std::uint16_t message_id, const Token& token) -> Bytes {
+  auto out = Bytes{};
+  AppendHeader(out, type, kCodeGatewayTimeout, message_id, token);
+  return out;
+}
+
+auto BuildReset(std::uint16_t message_id) -> Bytes {
+  auto out = Bytes{};
+  AppendHeader(out, MessageType::kReset, kCodeEmpty, message_id, {});
+  return out;
+}
+
+auto BuildEmptyAck(std::uint16_t message_id) -> Bytes {
+  auto out = Bytes{};
+  AppendHeader(out, MessageType::kAcknowledgement, kCodeEmpty, message_id, {});
+  return out;
+}
+
+auto ResetForMalformed(BytesView datagram) -> std::optional<Bytes> {
+  if (datagram.size() < kHeaderSize) return std::nullopt;
+  if ((datagram[0] & kVersionMask) != kVersionOne) return std::nullopt;
+  if (TypeOf(datagram) != MessageType::kConfirmable) return std::nullopt;
+  return BuildReset(static_cast<std::uint16_t>(datagram[2] << 8 | datagram[3]));
+}
+
+}  // namespace anvildrum::requests
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -8,8 +8,8 @@
 
 constexpr auto kIdBytes = std::size_t{8};
 
-auto Enlist(Context& context, LedgerEntry& entry, Stage stage) -> void {
-  entry.stage = stage;
+auto Enlist(Context& context, LedgerEntry& entry, Transition transition) -> void {
+  MoveOn(context, entry, transition);
   auto& live = FlowOf(context, entry.identity.flow).live;
   if (std::find(live.begin(), live.end(), entry.id) == live.end()) live.push_back(entry.id);
 }
@@ -25,7 +25,7 @@
 auto WaitInQueue(Context& context, LedgerEntry& entry) -> void {
   const auto& client = entry.identity.flow.client.address;
   MakeRoomInQueue(context, client);
-  Enlist(context, entry, Stage::kQueued);
+  Enlist(context, entry, Transition::kEnqueue);
   Enqueue(context.state.admission, {entry.id, client, entry.deadline});
   CountOne(context, Counter::kQueued);
   MarkTrace(context, entry, Mark::kQueued);
@@ -70,7 +70,7 @@
 
 auto Run(Context& context, LedgerEntry& entry) -> void {
   auto& state = context.state;
-  Enlist(context, entry, Stage::kRunning);
+  Enlist(context, entry, Transition::kSend);
   entry.started = context.now;
   entry.holds_slot = !entry.follow_up;
   if (entry.holds_slot) HoldSlot(state.admission, entry.identity.flow.client.address);
@@ -91,6 +91,12 @@
   context.effects.emplace_back(Count{counter});
 }
 
+auto MoveOn(Context& context, LedgerEntry& entry, Transition transition) -> void {
+  auto next = Advance(entry.stage, transition);
+  if (!next) return CountOne(context, Counter::kIllegalTransition);
+  entry.stage = *next;
+}
+
 auto MarkTrace(Context& context, const LedgerEntry& entry, Mark mark) -> void {
   context.effects.emplace_back(TraceMark{entry.identity.flow, entry.id, mark});
 }
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -62,7 +62,7 @@
     return false;
   }
   EndLive(context, entry);
-  entry.stage = Stage::kOffered;
+  MoveOn(context, entry, Transition::kOffer);
   FlowOf(context, entry.identity.flow).live.push_back(entry.id);
   CountOne(context, Counter::kHandOnOffered);
   auto request = ParseMessage(entry.request);
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -118,7 +118,7 @@
   }
   auto entry = EntryFor(context, intake);
   entry.request.clear();
-  entry.stage = Stage::kChallenged;
+  MoveOn(context, entry, Transition::kChallenge);
   entry.was_challenged = true;
   entry.challenged = asker.identity;
   auto binding = EchoBinding{asker.identity.flow, asker.identity.origin, entry.content_digest};
@@ -135,6 +135,7 @@
 auto Confirm(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
   auto& state = context.state;
   EndChallenge(state.admission, intake.asker.identity.flow.client.address);
+  MoveOn(context, entry, Transition::kConfirm);
   AdoptIdentity(state.ledger, entry, intake.asker.identity);
   entry.type = intake.message.type;
   entry.origin_request = intake.asker.origin_request;
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -33,11 +33,11 @@
          entry.type == MessageType::kNonConfirmable;
 }
 
-auto Settle(Context& context, LedgerEntry& entry, Stage stage, Bytes answer) -> void {
+auto Settle(Context& context, LedgerEntry& entry, Transition outcome, Bytes answer) -> void {
   auto& state = context.state;
   EndLive(context, entry);
-  entry.stage = stage;
-  Reply(context, AskerOf(entry), stage == Stage::kRefused, answer);
+  MoveOn(context, entry, outcome);
+  Reply(context, AskerOf(entry), outcome == Transition::kRefuse, answer);
   if (!MustBeKept(entry)) return EraseRequest(state.ledger, entry.id);
   SetRequestBytes(state.ledger, entry, {});
   SetAnswerBytes(state.ledger, entry, std::move(answer));
@@ -59,7 +59,7 @@
   auto& ledger = context.state.ledger;
   auto bytes = PassToClient(context, entry, answer);
   EndLive(context, entry);
-  entry.stage = Stage::kAnswered;
+  MoveOn(context, entry, Transition::kAnswer);
   SetRequestBytes(ledger, entry, {});
   if (entry.method != MethodClass::kSafe) SetAnswerBytes(ledger, entry, std::move(bytes));
   KeepUntil(ledger, entry, context.now + kExchangeLifetime);
@@ -126,7 +126,7 @@
   ObserveDecision(state.admission, true);
   CountOne(context, counter);
   MarkTrace(context, entry, Mark::kRefused);
-  Settle(context, entry, Stage::kRefused,
+  Settle(context, entry, Transition::kRefuse,
          BuildNotRun(form.type, form.message_id, entry.identity.token, max_age));
 }
 
@@ -134,7 +134,7 @@
   auto form = FormFor(context, entry);
   CountOne(context, counter);
   MarkTrace(context, entry, Mark::kUnknown);
-  Settle(context, entry, Stage::kUnknown,
+  Settle(context, entry, Transition::kGiveUp,
          BuildUnknown(form.type, form.message_id, entry.identity.token));
 }
 
@@ -146,7 +146,7 @@
   auto piggybacked = answer.type == MessageType::kAcknowledgement;
   if (!piggybacked && !AnswersInAck(entry)) return PassSeparate(context, entry, answer);
   auto form = FormFor(context, entry);
-  Settle(context, entry, Stage::kAnswered,
+  Settle(context, entry, Transition::kAnswer,
          WithIdentity(answer.whole, form.type, form.message_id, entry.identity.token));
 }
 
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -77,6 +77,9 @@
 auto OnTimer(Context& context) -> void;
 
 auto CountOne(Context& context, Counter counter) -> void;
+/// Takes the entry through its life cycle; a transition that does not exist is counted and left
+/// out.
+auto MoveOn(Context& context, LedgerEntry& entry, Transition transition) -> void;
 auto MarkTrace(Context& context, const LedgerEntry& entry, Mark mark) -> void;
 auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState&;
 
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -44,7 +44,7 @@
 auto OpenStream(Context& context, LedgerEntry& entry) -> void {
   NoteServiceTime(context, entry);
   EndLive(context, entry);
-  entry.stage = Stage::kObserving;
+  MoveOn(context, entry, Transition::kOpenStream);
   FlowOf(context, entry.identity.flow).live.push_back(entry.id);
   CountOne(context, Counter::kStreamOpened);
   CountOne(context, Counter::kAnswered);
@@ -86,7 +86,7 @@
   CountOne(context, counter);
   EndLive(context, entry);
   // Kept without an answer: a late copy of the registration must not open the stream again.
-  entry.stage = Stage::kAnswered;
+  MoveOn(context, entry, Transition::kAnswer);
   SetRequestBytes(context.state.ledger, entry, {});
   KeepUntil(context.state.ledger, entry, context.now + kExchangeLifetime);
 }
@@ -119,7 +119,7 @@
     // The client gives the observation up: what comes now is a plain answer.
     entry.observe = false;
     entry.follow_up = true;
-    entry.stage = Stage::kRunning;
+    MoveOn(context, entry, Transition::kCancelStream);
     entry.started = context.now;
     WakeAt(context, entry, context.now + context.state.parameters.run_limit);
   }
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -9,21 +9,10 @@
 #include "base/types/ids.h"
 #include "base/types/time.h"
 #include "requests/coap_message.h"
+#include "requests/lifecycle.h"
 
 namespace anvildrum::requests {
 
-/// Where a request stands.
-enum class Stage : std::uint8_t {
-  kChallenged,  ///< 4.01 sent; its Echo value has not come back
-  kQueued,
-  kRunning,    ///< sent to the target
-  kOffered,    ///< handed on to another agent
-  kObserving,  ///< answered, and notifications follow (RFC 7641)
-  kAnswered,
-  kRefused,  ///< not run
-  kUnknown,  ///< may have run
-};
-
 /// What tells a request from others: the client's message ID and token within a flow. `origin` is
 /// the agent that handed the request on, 0 for a client.
 struct RequestIdentity {
@@ -46,7 +35,7 @@
   RequestIdentity challenged;  ///< of the request without Echo, when there was a challenge
   MessageType type = MessageType::kConfirmable;
   MethodClass method = MethodClass::kSafe;
-  Stage stage = Stage::kRunning;
+  Stage stage = Stage::kNew;
   bool was_challenged = false;
   bool acknowledged = false;  ///< the client has an empty ACK: its answer comes separately
   bool observe = false;       ///< asks for notifications
--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -18,10 +18,6 @@
   return asked == nullptr ? usual : std::stoull(asked);
 }
 
-auto Chance(World& world, double share) -> bool {
-  return std::uniform_real_distribution<>(0, 1)(world.random) < share;
-}
-
 auto MoveFlow(World& world) -> void {
   auto& client = world.clients[world.random() % world.clients.size()];
   auto old_owner = client.owner;
@@ -70,6 +66,7 @@
 
 auto BrokenInvariant(World& world) -> std::string {
   if (world.echo_reached_target) return "a target saw an Echo value";
+  if (world.counts.count(Counter::kIllegalTransition) > 0) return "an illegal transition";
   for (const auto& order : world.orders) {
     auto changes = order.method != kGet;
     if (changes && order.executions > 1) return "ran twice";
--- a/src/requests/tests/streams_test.cc
+++ b/src/requests/tests/streams_test.cc
@@ -158,6 +158,24 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
+// A NON read was refused; when a slot is free again a copy of it comes. It gets the same refusal:
+// the client was told "not run" and may use the token for its next request.
+BOOST_AUTO_TEST_CASE(copy_of_a_refused_non_gets_the_same_refusal) {
+  auto parameters = Alone();
+  parameters.slots = 1;
+  parameters.queue_size = 0;
+  auto rig = MakeRig(parameters);
+  FromClient(rig, Get(1, 1), kOtherFlow);
+  auto sent = rig.to_target.at(0);
+  auto read = WithIdentity(Get(1, 7), MessageType::kNonConfirmable, 1, TokenOf(7));
+  FromClient(rig, read);
+  auto refusal = rig.to_client.at(0);
+  Answer(rig, ParseMessage(sent).value(), 1, kOtherFlow);
+  FromClient(rig, read);
+  BOOST_TEST(rig.to_target.empty());
+  BOOST_TEST(rig.to_client.at(0) == refusal);
+}
+
 // An answer that comes in on the socket of another flow is nobody's.
 BOOST_AUTO_TEST_CASE(answer_on_the_wrong_flow_is_dropped) {
   auto rig = MakeRig(Alone());
--- a/src/requests/tests/world.cc
+++ b/src/requests/tests/world.cc
@@ -5,12 +5,6 @@
 namespace anvildrum::requests::world {
 namespace {
 
-constexpr auto kSends = 5;
-
-auto Chance(World& world, double share) -> bool {
-  return std::uniform_real_distribution<>(0, 1)(world.random) < share;
-}
-
 auto Between(World& world, base::Duration low, base::Duration high) -> base::Duration {
   auto span = static_cast<std::uint64_t>((high - low).count()) + 1;
   return low + base::Duration(static_cast<base::Duration::rep>(world.random() % span));
@@ -23,132 +17,6 @@
   return Between(world, base::milliseconds(1), base::milliseconds(12));
 }
 
-auto Deliver(World& world, const World::Job& job) -> void {
-  if (!Chance(world, world.faults.drop)) After(world, NetworkDelay(world), job);
-  if (Chance(world, world.faults.duplicate)) After(world, NetworkDelay(world), job);
-}
-
-auto NumberIn(BytesView datagram) -> std::size_t {
-  auto number = std::size_t{0};
-  if (datagram.size() < 4) return number;
-  for (auto byte : datagram.last(4)) number = number << 8 | byte;
-  return number;
-}
-
-auto ClientOf(World& world, const base::FlowKey& flow) -> Client& {
-  return world.clients[flow.client.port];
-}
-
-auto ToOwner(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void {
-  Deliver(world, [&world, flow, bytes] {
-    Feed(world, ClientOf(world, flow).owner, ClientDatagram{flow, bytes});
-  });
-}
-
-auto Transmit(World& world, const base::FlowKey& flow, std::size_t exchange) -> void {
-  auto& sent = ClientOf(world, flow).exchanges[exchange];
-  if (!sent.open || sent.acknowledged) return;
-  if (sent.sends == kSends) return;
-  ToOwner(world, flow, sent.bytes);
-  auto timeout = base::seconds(2 << sent.sends++);
-  After(world, timeout + timeout * static_cast<int>(world.random() % 50) / 100,
-        [&world, flow, exchange] { Transmit(world, flow, exchange); });
-}
-
-auto RandomToken(World& world) -> Token {
-  auto token = Token{};
-  token.size = static_cast<std::uint8_t>(world.random() % 3);  // short ones repeat
-  for (auto i = 0; i < token.size; ++i) {
-    token.bytes[i] = static_cast<std::uint8_t>(world.random() % 2);
-  }
-  return token;
-}
-
-// A client uses a token for one open exchange at a time (RFC 7252, 5.3.1).
-auto FreeToken(World& world, const Client& client) -> Token {
-  auto is_open = [&](const Token& token) {
-    return std::any_of(client.exchanges.begin(), client.exchanges.end(),
-                       [&](const auto& at) { return at.open && at.token == token; });
-  };
-  auto token = Token{};
-  if (world.faults.reuse_tokens) token = RandomToken(world);
-  while (!world.faults.reuse_tokens ? token.size == 0 : is_open(token)) {
-    token.size = 4;
-    for (auto& byte : std::span(token.bytes).first(4)) {
-      byte = static_cast<std::uint8_t>(world.random());
-    }
-  }
-  return token;
-}
-
-auto OpenExchange(World& world, Client& client, std::size_t order, BytesView echo) -> void {
-  auto exchange = Exchange{};
-  exchange.order = order;
-  exchange.message_id = client.next_message_id++;
-  exchange.token = FreeToken(world, client);
-  exchange.bytes =
-      MakeRequest(world.orders[order].method, exchange.message_id, exchange.token, order);
-  if (!echo.empty()) exchange.bytes = WithEcho(ParseMessage(exchange.bytes).value(), echo);
-  client.exchanges.push_back(exchange);
-  Transmit(world, client.flow, client.exchanges.size() - 1);
-}
-
-auto Close(World& world, Exchange& exchange, Outcome outcome) -> void {
-  exchange.open = false;
-  auto& order = world.orders[exchange.order];
-  if (order.outcome == Outcome::kPending) order.outcome = outcome;
-}
-
-auto OnFinal(World& world, Client& client, Exchange& exchange, const Message& message) -> void {
-  if (message.code == kCodeUnauthorized && message.echo) {
-    auto order = exchange.order;
-    exchange.open = false;
-    OpenExchange(world, client, order, *message.echo);
-    return;
-  }
-  if (message.code == kCodeServiceUnavailable) return Close(world, exchange, Outcome::kNotRun);
-  if (message.code == kCodeGatewayTimeout) return Close(world, exchange, Outcome::kUnknown);
-  if (NumberIn(message.whole) != exchange.order) world.orders[exchange.order].foreign_answer = true;
-  Close(world, exchange, Outcome::kAnswered);
-}
-
-auto FindExchange(World& world, Client& client, const Message& message) -> Exchange* {
-  auto piggybacked = message.type == MessageType::kAcknowledgement;
-  for (auto& exchange : client.exchanges) {
-    auto open = exchange.open;
-    if (world.faults.lenient && !open) {
-      // Takes a repeated challenge of the first message for one of the message that followed it.
-      open = message.code == kCodeUnauthorized &&
-             world.orders[exchange.order].outcome == Outcome::kPending;
-    }
-    if (!open || exchange.token != message.token) continue;
-    if (!piggybacked || exchange.message_id == message.message_id) return &exchange;
-  }
-  return nullptr;
-}
-
-auto ClientReceives(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void {
-  auto& client = ClientOf(world, flow);
-  auto message = ParseMessage(bytes).value();
-  if (message.code == kCodeEmpty) {
-    for (auto& exchange : client.exchanges) {
-      if (exchange.open && exchange.message_id == message.message_id) exchange.acknowledged = true;
-    }
-    return;
-  }
-  auto* exchange = FindExchange(world, client, message);
-  if (message.type == MessageType::kConfirmable) {
-    auto known = exchange != nullptr;
-    // A copy of what was received before is acknowledged and dropped (RFC 7252, 4.2).
-    if (!client.seen.insert(message.message_id).second) {
-      return ToOwner(world, flow, BuildEmptyAck(message.message_id));
-    }
-    ToOwner(world, flow,
-            known ? BuildEmptyAck(message.message_id) : BuildReset(message.message_id));
-  }
-  if (exchange != nullptr) OnFinal(world, client, *exchange, message);
-}
-
 auto TargetAnswers(World& world, std::size_t agent, const base::FlowKey& flow, const Bytes& bytes,
                    std::uint64_t life) -> void {
   if (world.agents[agent].target_life != life) return;
@@ -234,6 +102,32 @@
 
 }  // namespace
 
+auto Chance(World& world, double share) -> bool {
+  return std::uniform_real_distribution<>(0, 1)(world.random) < share;
+}
+
+auto Deliver(World& world, const World::Job& job) -> void {
+  if (!Chance(world, world.faults.drop)) After(world, NetworkDelay(world), job);
+  if (Chance(world, world.faults.duplicate)) After(world, NetworkDelay(world), job);
+}
+
+auto NumberIn(BytesView datagram) -> std::size_t {
+  auto number = std::size_t{0};
+  if (datagram.size() < 4) return number;
+  for (auto byte : datagram.last(4)) number = number << 8 | byte;
+  return number;
+}
+
+auto ClientOf(World& world, const base::FlowKey& flow) -> Client& {
+  return world.clients[flow.client.port];
+}
+
+auto ToOwner(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void {
+  Deliver(world, [&world, flow, bytes] {
+    Feed(world, ClientOf(world, flow).owner, ClientDatagram{flow, bytes});
+  });
+}
+
 auto MakeRequest(std::uint8_t method, std::uint16_t message_id, const Token& token,
                  std::size_t number) -> Bytes {
   auto out =
@@ -295,19 +189,6 @@
   return world;
 }
 
-auto PlaceOrder(World& world, std::size_t client, std::uint8_t method) -> std::size_t {
-  auto& at = world.clients[client];
-  auto number = world.orders.size();
-  world.orders.push_back({method, at.flow});
-  OpenExchange(world, at, number, {});
-  After(world, kMaxTransmitWait, [&world, client, number] {
-    for (auto& exchange : world.clients[client].exchanges) {
-      if (exchange.order == number && exchange.open) Close(world, exchange, Outcome::kTimeout);
-    }
-  });
-  return number;
-}
-
 auto RunAll(World& world) -> void {
   while (!world.jobs.empty()) {
     auto first = world.jobs.begin();
--- a/src/requests/tests/world.h
+++ b/src/requests/tests/world.h
@@ -95,4 +95,12 @@
 auto RunAll(World& world) -> void;
 auto After(World& world, base::Duration delay, World::Job job) -> void;
 
+auto Chance(World& world, double share) -> bool;
+/// Does the job after a network delay; not at all or twice, as the faults have it.
+auto Deliver(World& world, const World::Job& job) -> void;
+auto NumberIn(BytesView datagram) -> std::size_t;
+auto ClientOf(World& world, const base::FlowKey& flow) -> Client&;
+auto ToOwner(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void;
+auto ClientReceives(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void;
+
 }  // namespace anvildrum::requests::world
--- a/src/requests/types/counter.h
+++ b/src/requests/types/counter.h
@@ -38,7 +38,8 @@
   kHandOnOffered,
   kHandOnAnswered,
   kHandOnBudgetSpent,
-  kCount,  ///< number of counters, not one itself
+  kIllegalTransition,  ///< a fault of the core itself
+  kCount,              ///< number of counters, not one itself
 };
 
 }  // namespace anvildrum::requests
