--- a/src/relay/tests/door_test.cc
+++ b/src/relay/tests/door_test.cc
@@ -94,6 +94,10 @@
 BOOST_AUTO_TEST_CASE(ALostUpdateIsAskedForAtTheNextHeartbeat) {
   Fleet fleet = MakeFleet(1, 3, 1);
   StartAll(fleet);
+  // Well before the next renewal, which would hide the loss.
+  const std::uint64_t sent = fleet.nodes[3].state.counters.subscribes_sent;
+  RunUntil(fleet, base::seconds(20),
+           [&] { return fleet.nodes[3].state.counters.subscribes_sent > sent; });
   for (std::size_t i = 0; i < 3; ++i) SetCut(fleet, 3, i, true);
   PutObject(fleet, "config", "{}", 2);
   RunFor(fleet, base::milliseconds(30));
