--- a/src/relay/tests/fleet.cc
+++ b/src/relay/tests/fleet.cc
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <memory>
 
+#include "relay/tests/fake_platform.h"
+
 namespace anvildrum::relay::fleet {
 namespace {
 
-constexpr base::Duration kPlatformDelay = base::milliseconds(3);
 constexpr std::string_view kBalancersPrefix = "balancers/";
 constexpr std::uint16_t kPort = 7000;
 constexpr std::uint32_t kFirstAddress = 0x0A000001;
@@ -15,15 +16,6 @@
   fleet.queue.push({.at = at, .sequence = ++fleet.sequence, .run = std::move(run)});
 }
 
-/// Runs only when the instance still lives the life it lived now.
-auto ScheduleFor(Fleet& fleet, std::size_t index, base::Duration delay, std::function<void()> run)
-    -> void {
-  const std::uint64_t life = fleet.nodes[index].life;
-  Schedule(fleet, fleet.now + delay, [&fleet, index, life, run = std::move(run)] {
-    if (fleet.nodes[index].up && fleet.nodes[index].life == life) run();
-  });
-}
-
 auto IndexOf(const base::Endpoint& endpoint) -> std::size_t {
   return (static_cast<std::size_t>(endpoint.address[13]) << 16U) +
          (static_cast<std::size_t>(endpoint.address[14]) << 8U) + endpoint.address[15] - 1;
@@ -48,77 +40,6 @@
       std::uniform_int_distribution<base::Duration::rep>(0, fleet.jitter.count())(fleet.random));
 }
 
-auto ToObject(const std::string& key, const FakeObject& object) -> PlatformObject {
-  return {.key = key,
-          .revision = object.revision,
-          .deleted = object.deleted,
-          .value = object.value,
-          .number = object.number};
-}
-
-auto Newer(const FakePlatform& platform, std::uint64_t than, bool complete) -> PlatformObjects {
-  PlatformObjects answer{.objects = {}, .revision = platform.revision, .complete = complete};
-  for (const auto& [key, object] : platform.objects) {
-    const bool is_wanted = complete ? !object.deleted : object.revision > than;
-    if (is_wanted) answer.objects.push_back(ToObject(key, object));
-  }
-  return answer;
-}
-
-auto CountCall(Fleet& fleet) -> void {
-  ++fleet.platform.calls;
-  const auto second = std::chrono::duration_cast<base::seconds>(fleet.now.time_since_epoch());
-  ++fleet.platform.calls_by_second[second.count()];
-}
-
-auto AnswerWatch(Fleet& fleet, std::size_t index, std::uint64_t token, Event answer) -> void {
-  ScheduleFor(fleet, index, kPlatformDelay, [&fleet, index, token, answer = std::move(answer)] {
-    if (fleet.nodes[index].watch_token == token) Deliver(fleet, index, answer);
-  });
-}
-
-auto IsPlatformUp(const Fleet& fleet, std::size_t index) -> bool {
-  return !fleet.platform.down && fleet.nodes[index].reaches_platform;
-}
-
-auto BeginWatch(Fleet& fleet, std::size_t index, const StartWatch& watch, std::uint64_t token)
-    -> void {
-  if (fleet.nodes[index].watch_token != token) return;
-  CountCall(fleet);
-  FakePlatform& platform = fleet.platform;
-  if (!IsPlatformUp(fleet, index)) {
-    return AnswerWatch(fleet, index, token, PlatformFailed{PlatformCall::kWatch, false});
-  }
-  if (platform.hangs) return;
-  if (watch.after < platform.kept_from) {
-    return AnswerWatch(fleet, index, token, PlatformFailed{PlatformCall::kWatch, true});
-  }
-  if (platform.revision > watch.after) {
-    return AnswerWatch(fleet, index, token, Newer(platform, watch.after, false));
-  }
-  platform.waiting[index] = {.after = watch.after, .token = token};
-  ScheduleFor(fleet, index, watch.timeout, [&fleet, index, token] {
-    const auto found = fleet.platform.waiting.find(index);
-    if (found == fleet.platform.waiting.end() || found->second.token != token) return;
-    fleet.platform.waiting.erase(found);
-    AnswerWatch(fleet, index, token, Newer(fleet.platform, fleet.platform.revision, false));
-  });
-}
-
-auto AnswerWaiting(Fleet& fleet) -> void {
-  const auto waiting = std::exchange(fleet.platform.waiting, {});
-  for (const auto& [index, watch] : waiting) {
-    AnswerWatch(fleet, index, watch.token, Newer(fleet.platform, watch.after, false));
-  }
-}
-
-auto Write(Fleet& fleet, const std::string& key, FakeObject object) -> std::uint64_t {
-  object.revision = ++fleet.platform.revision;
-  fleet.platform.objects[key] = std::move(object);
-  AnswerWaiting(fleet);
-  return fleet.platform.revision;
-}
-
 auto Send(Fleet& fleet, std::size_t from, const SendPeer& send) -> void {
   const bool to_parent = send.endpoint.port != 0;
   const std::size_t to = to_parent ? IndexOf(send.endpoint) : IndexOf(fleet, send.to);
@@ -172,19 +93,6 @@
   }
 }
 
-auto Delete(Fleet& fleet, std::size_t index, const DeleteRecord& request) -> void {
-  ScheduleFor(fleet, index, kPlatformDelay, [&fleet, index, request] {
-    CountCall(fleet);
-    if (!IsPlatformUp(fleet, index)) return;
-    const bool deleted = DeleteObject(fleet, request.key, request.if_revision);
-    Deliver(fleet, index,
-            DeleteFinished{.key = request.key,
-                           .revision = request.if_revision,
-                           .deleted = deleted,
-                           .conflict = !deleted});
-  });
-}
-
 struct Carry {
   Fleet& fleet;
   std::size_t index;
@@ -205,18 +113,11 @@
     this->fleet.platform.waiting.erase(this->index);
   }
   auto operator()(const PollPlatform& poll) const -> void {
-    ScheduleFor(this->fleet, this->index, poll.delay + kPlatformDelay,
-                [&fleet = this->fleet, index = this->index] {
-                  CountCall(fleet);
-                  if (!IsPlatformUp(fleet, index)) {
-                    return Deliver(fleet, index, PlatformFailed{PlatformCall::kPoll, false});
-                  }
-                  Deliver(fleet, index, Newer(fleet.platform, 0, true));
-                });
+    BeginPoll(this->fleet, this->index, poll);
   }
   auto operator()(const DeleteRecord& request) const -> void {
     if (this->Self().holds_deletes) return this->Self().held_deletes.push_back(request);
-    Delete(this->fleet, this->index, request);
+    BeginDelete(this->fleet, this->index, request);
   }
   auto operator()(const RecordsChanged& changed) const -> void {
     NoteInForce(this->fleet, this->Self(), changed);
@@ -234,6 +135,14 @@
 
 }  // namespace
 
+auto ScheduleFor(Fleet& fleet, std::size_t index, base::Duration delay, std::function<void()> run)
+    -> void {
+  const std::uint64_t life = fleet.nodes[index].life;
+  Schedule(fleet, fleet.now + delay, [&fleet, index, life, run = std::move(run)] {
+    if (fleet.nodes[index].up && fleet.nodes[index].life == life) run();
+  });
+}
+
 auto EndpointOf(std::size_t index) -> base::Endpoint {
   return base::EndpointFromV4(kFirstAddress + static_cast<std::uint32_t>(index), kPort);
 }
@@ -313,29 +222,6 @@
   PutObject(fleet, "balancers/" + self.name, std::to_string(self.incarnation));
 }
 
-auto PutObject(Fleet& fleet, const std::string& key, std::string value, std::uint64_t number)
-    -> std::uint64_t {
-  return Write(fleet, key, {.number = number, .value = std::move(value)});
-}
-
-auto DeleteObject(Fleet& fleet, const std::string& key, std::optional<std::uint64_t> if_revision)
-    -> bool {
-  const auto found = fleet.platform.objects.find(key);
-  if (found == fleet.platform.objects.end() || found->second.deleted) return false;
-  if (if_revision.has_value() && found->second.revision != *if_revision) return false;
-  Write(fleet, key, {.deleted = true});
-  return true;
-}
-
-auto SetDown(Fleet& fleet, bool down) -> void {
-  fleet.platform.down = down;
-  if (!down) return;
-  const auto waiting = std::exchange(fleet.platform.waiting, {});
-  for (const auto& [index, watch] : waiting) {
-    AnswerWatch(fleet, index, watch.token, PlatformFailed{PlatformCall::kWatch, false});
-  }
-}
-
 auto Deliver(Fleet& fleet, std::size_t index, const Event& event) -> void {
   if (!fleet.nodes[index].up) return;
   if (fleet.nodes[index].is_paused) {
@@ -359,7 +245,7 @@
   Node& node = fleet.nodes[index];
   node.holds_deletes = false;
   for (const DeleteRecord& request : std::exchange(node.held_deletes, {})) {
-    Delete(fleet, index, request);
+    BeginDelete(fleet, index, request);
   }
 }
 
@@ -392,37 +278,4 @@
   return fleet.now - start;
 }
 
-auto AllHold(const Fleet& fleet, std::uint64_t number) -> bool {
-  return std::all_of(fleet.nodes.begin(), fleet.nodes.end(),
-                     [&](const Node& node) { return !node.up || node.number == number; });
-}
-
-auto AllAgree(const Fleet& fleet) -> bool {
-  return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const Node& node) {
-    if (!node.up) return true;
-    Store truth;
-    for (const auto& [key, object] : fleet.platform.objects) {
-      if (object.deleted) continue;
-      if (!IsTakenBy(ServiceOfKey(key), node.state.settings.service)) continue;
-      Offer(truth, ToObject(key, object), true, fleet.now);
-    }
-    return truth.all_digest == node.state.store.all_digest;
-  });
-}
-
-auto Watchers(const Fleet& fleet) -> std::size_t {
-  return static_cast<std::size_t>(
-      std::count_if(fleet.nodes.begin(), fleet.nodes.end(),
-                    [](const Node& node) { return node.up && node.state.watch.active; }));
-}
-
-auto PeakCalls(const Fleet& fleet, base::TimePoint from) -> std::uint64_t {
-  const auto first = std::chrono::duration_cast<base::seconds>(from.time_since_epoch()).count();
-  std::uint64_t peak = 0;
-  for (const auto& [second, calls] : fleet.platform.calls_by_second) {
-    if (second >= first) peak = std::max(peak, calls);
-  }
-  return peak;
-}
-
 }  // namespace anvildrum::relay::fleet
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -127,6 +127,10 @@
 auto ReleaseDeletes(Fleet& fleet, std::size_t index) -> void;
 auto SetCut(Fleet& fleet, std::size_t left, std::size_t right, bool cut) -> void;
 
+/// Runs something later, when the instance still lives the life that it lives now.
+auto ScheduleFor(Fleet& fleet, std::size_t index, base::Duration delay, std::function<void()> run)
+    -> void;
+
 auto RunFor(Fleet& fleet, base::Duration duration) -> void;
 
 /// Runs until `done` or the limit; the time it took, or nothing.
