--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -109,18 +110,18 @@
   SendSubscribe(state, parent, true, now, effects);
 }
 
-/// The configuration that the next delta of an update starts from.
+/// The configuration that the next delta of an update starts from. `value` views the store or a
+/// record that was read before.
 struct DeltaBase {
   std::uint64_t revision = 0;
-  std::string value;
+  std::string_view value;
 };
 
-auto ReadConfig(const wire::pb::Record& record, DeltaBase& base) -> std::optional<Incoming> {
+auto ReadConfig(const wire::pb::Record& record, const DeltaBase& base) -> std::optional<Incoming> {
   const bool is_delta = record.encoding() == wire::pb::Record::ZSTD_DELTA;
   // On another base than its own a delta fails its checksum.
-  auto value = Unpack(record.value(), is_delta ? base.value : std::string{}, kValueMost);
+  auto value = Unpack(record.value(), is_delta ? base.value : std::string_view{}, kValueMost);
   if (!value.has_value()) return std::nullopt;
-  base = {.revision = record.revision(), .value = *value};
   Incoming incoming;
   incoming.object = {.key = record.key(),
                      .revision = record.revision(),
@@ -143,6 +144,8 @@
   DeltaBase base;
   if (config != nullptr) base = {.revision = config->revision, .value = config->value};
   bool is_whole = true;
+  // The base views these records, so they must not move.
+  records.reserve(static_cast<std::size_t>(update.records_size()));
   for (const wire::pb::Record& record : update.records()) {
     if (record.encoding() == wire::pb::Record::PLAIN) {
       records.push_back({.object = {.key = record.key(),
@@ -157,8 +160,12 @@
       continue;
     }
     auto incoming = ReadConfig(record, base);
-    if (incoming.has_value()) records.push_back(std::move(*incoming));
-    is_whole = is_whole && incoming.has_value();
+    if (!incoming.has_value()) {
+      is_whole = false;
+      continue;
+    }
+    records.push_back(std::move(*incoming));
+    base = {.revision = record.revision(), .value = records.back().object.value};
   }
   return is_whole;
 }
