--- a/bench/relay_bench.cc
+++ b/bench/relay_bench.cc
@@ -131,7 +131,8 @@
   AddChildren(root, 1);
   AddChildren(inner, 8);
   const base::Endpoint endpoint = base::EndpointFromV4(0x0A000001, 7000);
-  inner.parents[endpoint] = {.endpoint = endpoint, .heard_at = kNow};
+  inner.parents[endpoint].endpoint = endpoint;
+  inner.parents[endpoint].heard_at = kNow;
   std::uint64_t revision = root.store.horizon;
   std::uint64_t number = 1;
   std::size_t bytes = 0;
