Give up on a peer that does not answer sooner than on one that falls silent

Subscriptions are no longer sent again to a peer that has not answered: each would bring the complete set once more. Repairs in vain back off.

--- a/bench/relay_spread.cc
+++ b/bench/relay_spread.cc
@@ -301,6 +301,69 @@
   return row;
 }
 
+/// Balancers that pass records on are killed, one at a time, each in the moment of a change: how
+/// long until all that are left have it.
+auto MeasureParentDeath(std::size_t receivers) -> Json {
+  constexpr int deaths = 10;
+  Fleet fleet = MakeSized(receivers);
+  StartSized(fleet);
+  std::vector<double> delays;
+  std::uint64_t number = 1;
+  for (int death = 0; death < deaths; ++death) {
+    const auto dead = std::find_if(fleet.nodes.begin(), fleet.nodes.end(), [](const Node& node) {
+      return node.up && !node.state.root && node.state.children.size() > 1;
+    });
+    if (dead == fleet.nodes.end()) break;
+    KillNode(fleet, static_cast<std::size_t>(dead - fleet.nodes.begin()));
+    const base::TimePoint start = fleet.now;
+    ++number;
+    PutObject(fleet, "config", ConfigText(number), number);
+    RunFor(fleet, base::seconds(20));
+    base::TimePoint last = start;
+    for (const Node& node : fleet.nodes) {
+      if (node.up) last = std::max(last, node.in_force_at);
+    }
+    delays.push_back(Millis(last - start));
+  }
+  Json row;
+  row["receivers"] = receivers;
+  row["deaths"] = delays.size();
+  row["all_hold"] = AllHold(fleet, number);
+  row["in_force_everywhere_ms_p50"] = Percentile(delays, 0.5);
+  row["in_force_everywhere_ms_max"] = Percentile(delays, 1.0);
+  return row;
+}
+
+/// Thirty minutes without the platform, an instance replaced each minute, then it is back.
+auto MeasureOutage() -> Json {
+  Fleet fleet = MakeFleet(4, 10, 30);
+  StartAll(fleet);
+  const base::TimePoint down_at = fleet.now;
+  const std::uint64_t calls = fleet.platform.calls;
+  SetDown(fleet, true);
+  for (std::size_t i = 0; i < 30; ++i) {
+    const std::size_t replaced = (i * 37) % fleet.nodes.size();
+    KillNode(fleet, replaced);
+    RunFor(fleet, base::seconds(30));
+    StartNode(fleet, replaced);
+    RunFor(fleet, base::seconds(30));
+  }
+  Json row;
+  row["instances"] = fleet.nodes.size();
+  row["watchers"] = 8;
+  row["outage_calls"] = fleet.platform.calls - calls;
+  row["outage_calls_peak_per_s"] = PeakCalls(fleet, down_at);
+  const base::TimePoint up_at = fleet.now;
+  SetDown(fleet, false);
+  PutObject(fleet, "config", "{}", 2);
+  for (std::size_t i = 0; i < 40; ++i) Announce(fleet, i);
+  const auto took = RunUntil(fleet, base::minutes(2), [&] { return AllAgree(fleet); });
+  row["agree_after_ms"] = took.has_value() ? Millis(*took) : -1.0;
+  RunFor(fleet, base::seconds(30));
+  row["after_calls_peak_per_s"] = PeakCalls(fleet, up_at);
+  return row;
+}
+
 auto Run(std::size_t most) -> Json {
   Json out;
   out["per_hop_ms"] = Millis(kHop);
@@ -318,6 +381,8 @@
     out["ways"].push_back(MeasureGossip(receivers, bytes));
     out["ways"].push_back(MeasureGossipOnce(receivers, bytes));
   }
+  out["parent_death"] = MeasureParentDeath(std::min<std::size_t>(most, 1'000));
+  out["outage"] = MeasureOutage();
   for (const std::size_t records : {1'000, 5'000, 26'100}) {
     out["memory"].push_back(MeasureMemory(records));
   }
--- a/src/relay/internal/children.cc
+++ b/src/relay/internal/children.cc
@@ -149,7 +149,8 @@
 auto OnSubscribe(State& state, base::InstanceId sender, const wire::pb::Subscribe& subscribe,
                  base::TimePoint now, Effects& effects) -> void {
   Child& child = state.children[sender];
-  const bool is_renewal = child.complete_sent && subscribe.revision() >= child.sent_revision &&
+  const bool is_renewal = subscribe.renewal() && child.complete_sent &&
+                          subscribe.revision() >= child.sent_revision &&
                           subscribe.config_revision() == child.config_revision;
   child.service = base::ServiceId{subscribe.service()};
   child.renewed_at = now;
--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -33,6 +33,7 @@
   subscribe.set_config_revision(config == nullptr ? 0 : config->revision);
   subscribe.set_revision(everything || !state.store.complete ? 0 : state.store.horizon);
   subscribe.set_service(state.settings.service.value);
+  subscribe.set_renewal(parent.answered);
   parent.renewed_at = now;
   ++state.counters.subscribes_sent;
   effects.emplace_back(
@@ -62,9 +63,11 @@
   effects.emplace_back(DropParent{parent.endpoint});
 }
 
-/// One that never answered gets the plain timeout; the hops of one that did are known.
+/// A subscription is answered at once, so one that is not shows a dead peer sooner than missing
+/// heartbeats do; but the first complete set may take its time on the way.
 auto TimeoutOf(const State& state, const Parent& parent) -> base::Duration {
   const RelayPolicy& policy = state.settings.policy;
+  if (!parent.answered && state.store.complete) return policy.answer_timeout;
   return policy.parent_timeout + policy.timeout_per_hop * parent.hops;
 }
 
@@ -100,8 +103,12 @@
 /// The sets differ at the same revision: a watch lost an event. A root asks the platform, since
 /// its peer may be the one that is wrong; all others take what their parent holds.
 auto Repair(State& state, Parent& parent, base::TimePoint now, Effects& effects) -> void {
-  if (now - state.repaired_at < state.settings.policy.repair_interval) return;
+  // Sets that stay different, as after a restore of the platform, must not cost a set every time.
+  const std::uint32_t doublings = std::min(state.repairs_in_vain, kDoublingsMost);
+  const base::Duration pause = state.settings.policy.repair_interval * (1U << doublings);
+  if (now - state.repaired_at < pause) return;
   state.repaired_at = now;
+  ++state.repairs_in_vain;
   ++state.counters.repairs;
   if (state.root) {
     StartPoll(state, base::Duration::zero(), now, effects);
@@ -184,6 +191,7 @@
   if (!store.complete) return AskAgain(state, parent, now, effects);
   if (heartbeat.digest() == DigestFor(store, state.settings.service)) {
     // Nothing between the two horizons concerns this instance.
+    state.repairs_in_vain = 0;
     store.horizon = std::max(store.horizon, heartbeat.revision());
     return;
   }
@@ -215,8 +223,8 @@
       LoseParent(state, parent, now, effects);
       continue;
     }
-    const base::Duration wait = parent.answered ? policy.renew_interval : policy.subscribe_retry;
-    if (now - parent.renewed_at >= wait) SendSubscribe(state, parent, false, now, effects);
+    const bool is_due = parent.answered && now - parent.renewed_at >= policy.renew_interval;
+    if (is_due) SendSubscribe(state, parent, false, now, effects);
   }
   std::erase_if(state.parents, [&](const auto& entry) { return IsLost(state, entry.second, now); });
 }
--- a/src/relay/tests/door_test.cc
+++ b/src/relay/tests/door_test.cc
@@ -111,11 +111,28 @@
   State state = MakeHolder({Config(5, 1), Target(10)}, 10);
   BOOST_TEST(Subscribe(state, 0, kNow).complete());
   PeerMessage renewal{.sender = kChild, .endpoint = {}, .message = {}};
+  renewal.message.mutable_subscribe()->set_renewal(true);
   renewal.message.mutable_subscribe()->set_revision(10);
   renewal.message.mutable_subscribe()->set_config_revision(5);
   BOOST_TEST(!Has<SendPeer>(Step(state, renewal, kNow + base::seconds(10))));
 }
 
+// A parent's set stays different at the same revision. Taking it again and again would cost each
+// child more than its whole budget.
+BOOST_AUTO_TEST_CASE(RepairsInVainBecomeRare) {
+  State state = MakeHolder({Config(5, 1)}, 10);
+  const base::Endpoint endpoint = EndpointOf(9);
+  state.parents[endpoint].endpoint = endpoint;
+  PeerMessage event{.sender = kChild, .endpoint = endpoint, .message = {}};
+  event.message.mutable_heartbeat()->set_revision(10);
+  event.message.mutable_heartbeat()->set_digest(1);
+  for (int second = 0; second < 3600; ++second) {
+    Step(state, event, kNow + base::seconds(second));
+  }
+  BOOST_TEST(state.counters.repairs >= 2U);
+  BOOST_TEST(state.counters.repairs <= 8U);
+}
+
 // Rubbish in the relay's messages is counted and changes nothing.
 BOOST_AUTO_TEST_CASE(WhatMakesNoSenseIsCounted) {
   State state = MakeHolder({Config(5, 1)}, 10);
--- a/src/relay/types/settings.h
+++ b/src/relay/types/settings.h
@@ -33,7 +33,9 @@
   /// Added to the timeout for each hop below the first, so that the children of a dead parent move
   /// before their own children give up on them.
   base::Duration timeout_per_hop = base::milliseconds(250);
-  base::Duration subscribe_retry = base::milliseconds(700);  ///< a subscription without an answer
+  base::Duration answer_timeout = base::milliseconds(800);  ///< of a first subscription
+  base::Duration subscribe_retry =
+      base::milliseconds(700);  ///< between requests for what is missing
   base::Duration avoid_most = base::minutes(4);
   base::Duration avoid_for = base::seconds(15);       ///< a lost parent is not asked again; doubles
   base::Duration child_timeout = base::seconds(30);   ///< a child that does not renew is dropped
