--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -133,8 +133,8 @@
   base::TimePoint forwarded_at{};  ///< last heartbeat passed on
   base::TimePoint repaired_at{};
   std::uint32_t repairs_in_vain = 0;  ///< since the sets were last equal
-  base::TimePoint rooted_at{};  ///< last sign of a root, or the start
-  std::size_t seed_index = 0;   ///< seed that is asked now
+  base::TimePoint rooted_at{};        ///< last sign of a root, or the start
+  std::size_t seed_index = 0;         ///< seed that is asked now
   bool started = false;
   bool stopping = false;
   bool ready = false;
