--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,7 @@
   subscribe.set_config_revision(config == nullptr ? 0 : config->revision);
   subscribe.set_revision(everything || !state.store.complete ? 0 : state.store.horizon);
   subscribe.set_service(state.settings.service.value);
+  subscribe.set_renewal(parent.answered);
   parent.renewed_at = now;
   ++state.counters.subscribes_sent;
   effects.emplace_back(
@@ -61,9 +63,11 @@
   effects.emplace_back(DropParent{parent.endpoint});
 }
 
-/// One that never answered gets the plain timeout; the hops of one that did are known.
+/// A subscription is answered at once, so one that is not shows a dead peer sooner than missing
+/// heartbeats do; but the first complete set may take its time on the way.
 auto TimeoutOf(const State& state, const Parent& parent) -> base::Duration {
   const RelayPolicy& policy = state.settings.policy;
+  if (!parent.answered && state.store.complete) return policy.answer_timeout;
   return policy.parent_timeout + policy.timeout_per_hop * parent.hops;
 }
 
@@ -99,8 +103,12 @@
 /// The sets differ at the same revision: a watch lost an event. A root asks the platform, since
 /// its peer may be the one that is wrong; all others take what their parent holds.
 auto Repair(State& state, Parent& parent, base::TimePoint now, Effects& effects) -> void {
-  if (now - state.repaired_at < state.settings.policy.repair_interval) return;
+  // Sets that stay different, as after a restore of the platform, must not cost a set every time.
+  const std::uint32_t doublings = std::min(state.repairs_in_vain, kDoublingsMost);
+  const base::Duration pause = state.settings.policy.repair_interval * (1U << doublings);
+  if (now - state.repaired_at < pause) return;
   state.repaired_at = now;
+  ++state.repairs_in_vain;
   ++state.counters.repairs;
   if (state.root) {
     StartPoll(state, base::Duration::zero(), now, effects);
@@ -109,18 +117,18 @@
   SendSubscribe(state, parent, true, now, effects);
 }
 
-/// The configuration that the next delta of an update starts from.
+/// The configuration that the next delta of an update starts from. `value` views the store or a
+/// record that was read before.
 struct DeltaBase {
   std::uint64_t revision = 0;
-  std::string value;
+  std::string_view value;
 };
 
-auto ReadConfig(const wire::pb::Record& record, DeltaBase& base) -> std::optional<Incoming> {
+auto ReadConfig(const wire::pb::Record& record, const DeltaBase& base) -> std::optional<Incoming> {
   const bool is_delta = record.encoding() == wire::pb::Record::ZSTD_DELTA;
   // On another base than its own a delta fails its checksum.
-  auto value = Unpack(record.value(), is_delta ? base.value : std::string{}, kValueMost);
+  auto value = Unpack(record.value(), is_delta ? base.value : std::string_view{}, kValueMost);
   if (!value.has_value()) return std::nullopt;
-  base = {.revision = record.revision(), .value = *value};
   Incoming incoming;
   incoming.object = {.key = record.key(),
                      .revision = record.revision(),
@@ -143,6 +151,8 @@
   DeltaBase base;
   if (config != nullptr) base = {.revision = config->revision, .value = config->value};
   bool is_whole = true;
+  // The base views these records, so they must not move.
+  records.reserve(static_cast<std::size_t>(update.records_size()));
   for (const wire::pb::Record& record : update.records()) {
     if (record.encoding() == wire::pb::Record::PLAIN) {
       records.push_back({.object = {.key = record.key(),
@@ -157,8 +167,12 @@
       continue;
     }
     auto incoming = ReadConfig(record, base);
-    if (incoming.has_value()) records.push_back(std::move(*incoming));
-    is_whole = is_whole && incoming.has_value();
+    if (!incoming.has_value()) {
+      is_whole = false;
+      continue;
+    }
+    records.push_back(std::move(*incoming));
+    base = {.revision = record.revision(), .value = records.back().object.value};
   }
   return is_whole;
 }
@@ -177,6 +191,7 @@
   if (!store.complete) return AskAgain(state, parent, now, effects);
   if (heartbeat.digest() == DigestFor(store, state.settings.service)) {
     // Nothing between the two horizons concerns this instance.
+    state.repairs_in_vain = 0;
     store.horizon = std::max(store.horizon, heartbeat.revision());
     return;
   }
@@ -208,8 +223,8 @@
       LoseParent(state, parent, now, effects);
       continue;
     }
-    const base::Duration wait = parent.answered ? policy.renew_interval : policy.subscribe_retry;
-    if (now - parent.renewed_at >= wait) SendSubscribe(state, parent, false, now, effects);
+    const bool is_due = parent.answered && now - parent.renewed_at >= policy.renew_interval;
+    if (is_due) SendSubscribe(state, parent, false, now, effects);
   }
   std::erase_if(state.parents, [&](const auto& entry) { return IsLost(state, entry.second, now); });
 }
