--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -122,10 +122,9 @@
 struct Timer {};
 struct DrainRequested {};
 
-using Event =
-    std::variant<TunnelMessage, TargetDatagram, TargetUnreachable, TargetRecordChanged,
-                 TargetRecordRemoved, BalancerRecordChanged, BalancerRecordRemoved, ConfigChanged,
-                 Timer, DrainRequested>;
+using Event = std::variant<TunnelMessage, TargetDatagram, TargetUnreachable, TargetRecordChanged,
+                           TargetRecordRemoved, BalancerRecordChanged, BalancerRecordRemoved,
+                           ConfigChanged, Timer, DrainRequested>;
 
 struct SendTunnel {
   base::Endpoint to;
--- a/src/agent/internal/drain.cc
+++ b/src/agent/internal/drain.cc
@@ -3,9 +3,7 @@
 namespace anvildrum::agent {
 namespace {
 
-auto IsEmpty(const Context& context) -> bool {
-  return context.agent.directory.owned.empty();
-}
+auto IsEmpty(const Context& context) -> bool { return context.agent.directory.owned.empty(); }
 
 auto IsOverdue(const Context& context) -> bool {
   return context.now - context.agent.drain_started >= context.agent.policy.drain_limit;
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -34,8 +34,8 @@
 auto SendHandOnAnswer(Context& context, requests::AnswerHandOn answer) -> void;
 auto OnHandOn(Context& context, const wire::pb::TunnelHeader& header, wire::BytesView payload)
     -> void;
-auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header,
-                    wire::BytesView payload) -> void;
+auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header, wire::BytesView payload)
+    -> void;
 
 // life_cycle.cc
 enum class LifeEvent : std::uint8_t { kAnnounced, kDrainRequested, kEmpty };
--- a/src/agent/internal/peers.cc
+++ b/src/agent/internal/peers.cc
@@ -15,9 +15,8 @@
   const auto* service = membership::FindService(agent.view, agent.record.service);
   if (service == nullptr) return;
   const auto& targets = service->targets;
-  auto self = std::find_if(targets.begin(), targets.end(), [&](const auto& target) {
-    return target.record.id == agent.record.id;
-  });
+  auto self = std::find_if(targets.begin(), targets.end(),
+                           [&](const auto& target) { return target.record.id == agent.record.id; });
   auto start = static_cast<std::size_t>(self - targets.begin());
   auto count = std::min(agent.policy.probed_peers, targets.size());
   for (auto i = std::size_t{1}; i <= count; ++i) {
@@ -38,9 +37,8 @@
 auto TargetOfInstance(const Agent& agent, base::InstanceId instance) -> const membership::Target* {
   const auto* service = membership::FindService(agent.view, agent.record.service);
   if (service == nullptr) return nullptr;
-  auto found = std::find_if(
-      service->targets.begin(), service->targets.end(),
-      [&](const auto& target) { return target.record.instance == instance; });
+  auto found = std::find_if(service->targets.begin(), service->targets.end(),
+                            [&](const auto& target) { return target.record.instance == instance; });
   return found == service->targets.end() ? nullptr : &*found;
 }
 
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -56,8 +56,8 @@
 }
 
 auto Handle(Context& context, const TargetRecordRemoved& event) -> void {
-  auto applied = membership::RemoveRecord(context.agent.view, event.id, event.incarnation,
-                                          event.revision);
+  auto applied =
+      membership::RemoveRecord(context.agent.view, event.id, event.incarnation, event.revision);
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
@@ -67,8 +67,7 @@
 }
 
 auto Handle(Context& context, const BalancerRecordRemoved& event) -> void {
-  auto applied =
-      membership::RemoveBalancer(context.agent.view, event.instance, event.incarnation);
+  auto applied = membership::RemoveBalancer(context.agent.view, event.instance, event.incarnation);
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -87,8 +87,7 @@
 
 auto OnDrainNotice(Context& context, const wire::pb::DrainNotice& notice) -> void {
   auto target = base::TargetId{notice.target().target()};
-  auto applied =
-      membership::ApplyDrain(context.agent.view, target, notice.target().incarnation());
+  auto applied = membership::ApplyDrain(context.agent.view, target, notice.target().incarnation());
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
@@ -104,8 +103,7 @@
 auto RunDirectory(Context& context, const steering::DirectoryEvent& event) -> void {
   auto effects = steering::Step(context.agent.directory, event, context.now);
   for (auto& send : effects.sends) {
-    context.effects.emplace_back(
-        SendTunnel{send.to, std::move(send.header), CopyOf(send.payload)});
+    context.effects.emplace_back(SendTunnel{send.to, std::move(send.header), CopyOf(send.payload)});
   }
   for (const auto& dropped : effects.dropped) DropFlow(context, dropped.flow);
   for (const auto& delivery : effects.deliveries) DeliverPacket(context, delivery);
--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -48,7 +48,8 @@
   for (const auto& service : monitor.view.services) {
     for (const auto& target : service.targets) {
       const auto& record = target.record;
-      if (all || IsMonitorOf(monitor, record)) peers.push_back({record.instance, record.incarnation});
+      if (all || IsMonitorOf(monitor, record))
+        peers.push_back({record.instance, record.incarnation});
     }
   }
   return peers;
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -97,8 +97,8 @@
       *this->runtime, Announcer::Parts{key, compose, incarnation_of, announced});
   this->announcer->Announce();
   this->relay->Start();
-  this->stop_signal = std::make_unique<net::StopSignal>(this->runtime->io,
-                                                        [this](int) { this->BeginDrain(); });
+  this->stop_signal =
+      std::make_unique<net::StopSignal>(this->runtime->io, [this](int) { this->BeginDrain(); });
   Log(LogLevel::kInfo, "started", {{"role", "agent"}, {"target", this->record.name}});
   this->runtime->io.run();
   Log(LogLevel::kInfo, "stopped");
@@ -149,8 +149,7 @@
     auto id = base::TargetIdOf(NameOfKey(record.key));
     const auto* known = membership::FindTarget(this->agent->view, id);
     if (known == nullptr) return;
-    return this->Step(
-        agent::TargetRecordRemoved{id, known->record.incarnation, record.revision});
+    return this->Step(agent::TargetRecordRemoved{id, known->record.incarnation, record.revision});
   }
   auto parsed = membership::ParseTargetRecord(record.key, record.revision, record.value);
   if (parsed) return this->Step(agent::TargetRecordChanged{*parsed});
--- a/src/daemon/internal/announcer.cc
+++ b/src/daemon/internal/announcer.cc
@@ -60,7 +60,9 @@
   }
   this->settled = true;
   Log(LogLevel::kInfo, "announced",
-      {{"key", this->parts.key}, {"revision", result.revision}, {"incarnation", this->incarnation}});
+      {{"key", this->parts.key},
+       {"revision", result.revision},
+       {"incarnation", this->incarnation}});
   this->parts.on_announced({this->incarnation, result.revision});
   if (!this->again) return;
   this->again = false;
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -93,8 +93,8 @@
   this->relay->Start();
   this->tick = std::make_unique<net::PeriodicTimer>(
       this->runtime->io, kTickPeriod, [this](base::TimePoint now) { this->OnTick(now); });
-  this->stop_signal = std::make_unique<net::StopSignal>(this->runtime->io,
-                                                        [this](int) { this->BeginStop(); });
+  this->stop_signal =
+      std::make_unique<net::StopSignal>(this->runtime->io, [this](int) { this->BeginStop(); });
   Log(LogLevel::kInfo, "started", {{"role", "balancer"}});
   this->runtime->io.run();
   Log(LogLevel::kInfo, "stopped");
--- a/src/daemon/internal/records.cc
+++ b/src/daemon/internal/records.cc
@@ -4,13 +4,10 @@
 
 namespace anvildrum::daemon {
 
-auto NameOfKey(std::string_view key) -> std::string_view {
-  return key.substr(key.rfind('/') + 1);
-}
+auto NameOfKey(std::string_view key) -> std::string_view { return key.substr(key.rfind('/') + 1); }
 
 auto ToRelayPeer(const membership::BalancerRecord& record) -> relay::RelayPeer {
-  return {record.name, record.instance, record.incarnation, record.control,
-          record.failure_domain};
+  return {record.name, record.instance, record.incarnation, record.control, record.failure_domain};
 }
 
 auto MakeRelaySettings(const Runtime& runtime, const base::Endpoint& control,
--- a/src/daemon/internal/relay_runtime.cc
+++ b/src/daemon/internal/relay_runtime.cc
@@ -22,14 +22,13 @@
 auto ToObjects(const platform::Listing& listing, bool complete) -> relay::PlatformObjects {
   auto objects = relay::PlatformObjects{{}, listing.revision, complete};
   for (const auto& item : listing.items) {
-    objects.objects.push_back(
-        {item.key, item.revision, item.deleted, item.value, NumberOf(item)});
+    objects.objects.push_back({item.key, item.revision, item.deleted, item.value, NumberOf(item)});
   }
   return objects;
 }
 
-// All instances of a deployment share its key pairs: the first is this instance's own, and the other
-// end may use any of them, which is what lets a pair be replaced without a gap.
+// All instances of a deployment share its key pairs: the first is this instance's own, and the
+// other end may use any of them, which is what lets a pair be replaced without a gap.
 auto SecurityOf(const settings::Settings& settings) -> net::RelaySecurity {
   auto security = net::RelaySecurity{};
   security.insecure = settings.insecure_relay;
@@ -64,8 +63,8 @@
   auto receive = [this](const net::RelayPeer& identity, wire::BytesView bytes) {
     this->FromChild(identity, bytes);
   };
-  BOOST_LEAF_ASSIGN(this->server, net::RelayServer::Open(this->context, this->runtime.io, options,
-                                                         receive));
+  BOOST_LEAF_ASSIGN(this->server,
+                    net::RelayServer::Open(this->context, this->runtime.io, options, receive));
   return this->server->LocalEndpoint();
 }
 
@@ -179,8 +178,8 @@
     if (const auto* listing = std::get_if<platform::Listing>(&outcome)) {
       return this->Run(ToObjects(*listing, false));
     }
-    auto gone = std::get<platform::PlatformError>(outcome).code ==
-                platform::PlatformErrorCode::kTooOld;
+    auto gone =
+        std::get<platform::PlatformError>(outcome).code == platform::PlatformErrorCode::kTooOld;
     this->Run(relay::PlatformFailed{relay::PlatformCall::kWatch, gone});
   };
   this->watch_timer.expires_after(watch.delay);
--- a/src/daemon/internal/runtime.cc
+++ b/src/daemon/internal/runtime.cc
@@ -67,8 +67,8 @@
   runtime->incarnation = StartNumber();
   runtime->instance = base::InstanceIdOf(settings.name);
   runtime->seed = RandomSeed();
-  BOOST_LEAF_CHECK(telemetry::OpenLog(
-      {ToTelemetry(settings.log.level), settings.log.file, settings.name}));
+  BOOST_LEAF_CHECK(
+      telemetry::OpenLog({ToTelemetry(settings.log.level), settings.log.file, settings.name}));
   BOOST_LEAF_ASSIGN(runtime->tracer, OpenTracer(*runtime));
   auto client = platform::ClientSettings{};
   client.endpoints = settings.platform;
--- a/src/daemon/internal/status.cc
+++ b/src/daemon/internal/status.cc
@@ -67,8 +67,8 @@
           {"number", number},
           {"revision", relay.store.horizon},
           {"relay_root", relay.root},
-          {"refused_stale", relay.counters.refused_stale_revision +
-                                relay.counters.refused_stale_number}};
+          {"refused_stale",
+           relay.counters.refused_stale_revision + relay.counters.refused_stale_number}};
 }
 
 }  // namespace
--- a/src/daemon/internal/tunnel_port.h
+++ b/src/daemon/internal/tunnel_port.h
@@ -27,8 +27,8 @@
                    const wire::KeyRing& ring, OnMessage on_message)
       -> base::Result<std::unique_ptr<TunnelPort>>;
 
-  auto Send(const base::Endpoint& to, const wire::pb::TunnelHeader& header,
-            wire::BytesView payload) -> void;
+  auto Send(const base::Endpoint& to, const wire::pb::TunnelHeader& header, wire::BytesView payload)
+      -> void;
 
   [[nodiscard]] auto LocalEndpoint() const -> const base::Endpoint&;
   [[nodiscard]] auto Counts() const -> const TunnelCounts&;
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -226,8 +226,8 @@
   if (arrival.packet.hops() == 0 && !known.promised) SendHint(context, arrival.packet, owner);
 }
 
-// The sender, chosen by this agent or having asked it, does not open the flow. The flow is asked for
-// before it is placed, because a duplicate of the message may arrive late.
+// The sender, chosen by this agent or having asked it, does not open the flow. The flow is asked
+// for before it is placed, because a duplicate of the message may arrive late.
 auto PlaceDeclined(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto* peer = FindPeerByInstance(directory, arrival.sender);
