Refuse to start a target on a port that is in use

Cause: libcoap binds with SO_REUSEADDR; a second target on a taken port printed its listening line and would have taken the first one's packets. Change: a bind without that option first. Conclusion: the second program exits 1 where it went on before; the first one is not disturbed. No unit test covers this; it was run by hand.

--- a/tools/target_standin/server.cc
+++ b/tools/target_standin/server.cc
@@ -1,5 +1,7 @@
 #include "tools/target_standin/server.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -39,8 +41,19 @@
   return text.substr(0, text.find(' '));
 }
 
+/// Safeguard: libcoap binds with SO_REUSEADDR, so a second target on a port in use would start and
+/// take the first one's packets without an error. Binding once without that option fails then.
+auto IsFree(const coap_address_t& address) -> bool {
+  auto probe = socket(address.addr.sa.sa_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  if (probe < 0) return false;
+  auto bound = bind(probe, &address.addr.sa, address.size) == 0;
+  close(probe);
+  return bound;
+}
+
 auto Listen(coap_context_t* context, const base::Endpoint& listen) -> bool {
   auto address = tools::ToCoapAddress(listen);
+  if (!IsFree(address)) return false;
   auto* endpoint = coap_new_endpoint(context, &address, COAP_PROTO_UDP);
   if (endpoint == nullptr) return false;
   std::cout << "listening " << BoundAddress(endpoint) << std::endl;
