--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -78,6 +78,23 @@
   BOOST_TEST((*took < base::seconds(5)));
 }
 
+// A dead parent stays in the records until it is cleared, and its children ask it again now and
+// then. They do so beside the parent that they have, so that no change is late for it.
+BOOST_AUTO_TEST_CASE(AskingADeadParentAgainDelaysNothing) {
+  Fleet fleet = MakeFleet(1, 20, 10);
+  for (Node& node : fleet.nodes) node.state.settings.policy.fan_out = 2;
+  StartAll(fleet);
+  KillNode(fleet, std::stoul(fleet.nodes[0].state.domains.at("fd0")[2].name));
+  RunFor(fleet, base::seconds(5));
+  for (std::uint64_t number = 2; number < 100; ++number) {
+    PutObject(fleet, "config", std::to_string(number), number);
+    const auto took = RunUntil(fleet, base::seconds(6), [&] { return AllHold(fleet, number); });
+    BOOST_REQUIRE(took.has_value());
+    BOOST_TEST((*took < base::milliseconds(200)));
+    RunFor(fleet, base::milliseconds(500));
+  }
+}
+
 // At size the configuration has hundreds of kilobytes and changes 6,800 times a day. Whole values
 // would cost each instance ten times its budget; a change costs what it changes.
 BOOST_AUTO_TEST_CASE(AConfigurationChangeTravelsAsItsDifference) {
