Read documents in linear time

The placement rule compared every service with every other one and every target. Ruled out: trusting the finished document (it no longer shows repeated keys). Change: depth, repeated keys and syntax are checked by a SAX pass; the placement rule indexes services and targets. Safeguards tried again on the new code: depth, repeated keys, placement; each made its test fail.

--- a/src/config/internal/rules.cc
+++ b/src/config/internal/rules.cc
@@ -54,11 +54,22 @@
   return owners;
 }
 
-auto FindService(const Configuration& configuration, const std::string& name) -> const Service* {
-  for (const auto& service : configuration.services) {
-    if (service.name == name) return &service;
+using ServicesByName = std::unordered_map<std::string_view, const Service*>;
+using TargetsByService = std::unordered_map<std::string_view, std::vector<const KnownTarget*>>;
+
+auto IndexServices(const Configuration& configuration) -> ServicesByName {
+  auto services = ServicesByName{};
+  for (const auto& service : configuration.services) services.emplace(service.name, &service);
+  return services;
+}
+
+// Targets that take new flows, as far as they themselves go.
+auto IndexTargets(std::span<const KnownTarget> targets) -> TargetsByService {
+  auto by_service = TargetsByService{};
+  for (const auto& target : targets) {
+    if (!target.draining) by_service[target.service].push_back(&target);
   }
-  return nullptr;
+  return by_service;
 }
 
 auto WeightOf(const Service& service, const std::string& target) -> double {
@@ -68,15 +79,9 @@
   return 1.0;
 }
 
-auto CanPlace(const Service& service, std::span<const KnownTarget> targets) -> bool {
-  return std::any_of(targets.begin(), targets.end(), [&](const KnownTarget& target) {
-    return target.service == service.name && !target.draining && WeightOf(service, target.name) > 0;
-  });
-}
-
-auto HasTargets(const Service& service, std::span<const KnownTarget> targets) -> bool {
-  return std::any_of(targets.begin(), targets.end(), [&](const KnownTarget& target) {
-    return target.service == service.name && !target.draining;
+auto CanPlace(const Service& service, std::span<const KnownTarget* const> targets) -> bool {
+  return std::any_of(targets.begin(), targets.end(), [&](const KnownTarget* target) {
+    return WeightOf(service, target->name) > 0;
   });
 }
 
@@ -107,13 +112,16 @@
 
 auto CheckPlacement(const Configuration& before, const Configuration& after,
                     std::span<const KnownTarget> targets) -> std::optional<ConfigurationError> {
+  auto successors = IndexServices(after);
+  auto by_service = IndexTargets(targets);
   for (const auto& service : before.services) {
-    const auto* successor = FindService(after, service.name);
-    if (successor == nullptr) {
-      if (!HasTargets(service, targets)) continue;
+    const auto& own = by_service[service.name];
+    if (own.empty()) continue;
+    auto successor = successors.find(service.name);
+    if (successor == successors.end()) {
       return Broken(Rule::kServiceHasTargets, ServicePointer(service), service.name);
     }
-    if (CanPlace(service, targets) && !CanPlace(*successor, targets)) {
+    if (CanPlace(service, own) && !CanPlace(*successor->second, own)) {
       return Broken(Rule::kNowhereToPlace, ServicePointer(service) + "/weights", service.name);
     }
   }
--- a/src/json/internal/parse.cc
+++ b/src/json/internal/parse.cc
@@ -16,12 +16,6 @@
   std::set<std::string> keys;
 };
 
-// Finds depth and repeated keys, which a finished document no longer shows.
-struct Watcher {
-  std::vector<Frame> frames;
-  std::optional<ReadError> error;
-};
-
 auto PointerOf(const std::vector<Frame>& frames) -> std::string {
   auto pointer = std::string();
   for (const auto& frame : frames) {
@@ -30,55 +24,64 @@
   return pointer;
 }
 
-auto Record(Watcher& watcher, ReadErrorCode code) -> void {
-  if (watcher.error) return;
-  watcher.error = ReadError{code, PointerOf(watcher.frames), {}, {}, {}, 0};
-}
-
-auto OnKey(Watcher& watcher, const std::string& key) -> void {
-  auto& frame = watcher.frames.back();
-  frame.key = key;
-  if (!frame.keys.insert(key).second) Record(watcher, ReadErrorCode::kDuplicateKey);
-}
+// Finds syntax errors, depth and repeated keys, which a finished document no longer shows. A pass
+// of its own: the library's parser with a callback looks through the whole parent at the end of
+// each object, so that its time grows with the square of the number of services.
+class Checker : public nlohmann::json_sax<Json> {
+ public:
+  std::optional<ReadError> error;
+  std::size_t error_byte = 0;
+
+  auto null() -> bool override { return this->Value(); }
+  auto boolean(bool) -> bool override { return this->Value(); }
+  auto number_integer(number_integer_t) -> bool override { return this->Value(); }
+  auto number_unsigned(number_unsigned_t) -> bool override { return this->Value(); }
+  auto number_float(number_float_t, const string_t&) -> bool override { return this->Value(); }
+  auto string(string_t&) -> bool override { return this->Value(); }
+  auto binary(binary_t&) -> bool override { return this->Value(); }
+
+  auto start_object(std::size_t) -> bool override { return this->Open(false); }
+  auto start_array(std::size_t) -> bool override { return this->Open(true); }
+  auto end_object() -> bool override { return this->Close(); }
+  auto end_array() -> bool override { return this->Close(); }
+
+  auto key(string_t& name) -> bool override {
+    auto& frame = this->frames.back();
+    frame.key = name;
+    return frame.keys.insert(name).second || this->Refuse(ReadErrorCode::kDuplicateKey);
+  }
 
-// Returning false drops the container: it then reports neither its content nor its end.
-auto OnStart(Watcher& watcher, int depth, bool is_array) -> bool {
-  if (depth >= kMaxDepth) {
-    Record(watcher, ReadErrorCode::kTooDeep);
+  auto parse_error(std::size_t byte, const std::string&, const nlohmann::detail::exception&)
+      -> bool override {
+    this->error = ReadError{ReadErrorCode::kNotJson, {}, {}, {}, {}, 0};
+    this->error_byte = byte;
     return false;
   }
-  watcher.frames.push_back({is_array, 0, {}, {}});
-  return true;
-}
 
-auto OnValue(Watcher& watcher) -> void {
-  if (!watcher.frames.empty()) ++watcher.frames.back().index;
-}
+ private:
+  std::vector<Frame> frames;
 
-auto OnEnd(Watcher& watcher) -> void {
-  watcher.frames.pop_back();
-  OnValue(watcher);
-}
+  auto Value() -> bool {
+    if (!this->frames.empty()) ++this->frames.back().index;
+    return true;
+  }
 
-auto OnEvent(Watcher& watcher, int depth, Json::parse_event_t event, const Json& value) -> bool {
-  switch (event) {
-    case Json::parse_event_t::object_start:
-      return OnStart(watcher, depth, false);
-    case Json::parse_event_t::array_start:
-      return OnStart(watcher, depth, true);
-    case Json::parse_event_t::object_end:
-    case Json::parse_event_t::array_end:
-      OnEnd(watcher);
-      break;
-    case Json::parse_event_t::key:
-      OnKey(watcher, value.get_ref<const std::string&>());
-      break;
-    case Json::parse_event_t::value:
-      OnValue(watcher);
-      break;
+  auto Open(bool is_array) -> bool {
+    if (this->frames.size() >= kMaxDepth) return this->Refuse(ReadErrorCode::kTooDeep);
+    this->frames.push_back({is_array, 0, {}, {}});
+    return true;
   }
-  return true;
-}
+
+  auto Close() -> bool {
+    this->frames.pop_back();
+    return this->Value();
+  }
+
+  auto Refuse(ReadErrorCode code) -> bool {
+    this->error = ReadError{code, PointerOf(this->frames), {}, {}, {}, 0};
+    return false;
+  }
+};
 
 auto LineOf(std::string_view text, std::size_t byte) -> std::size_t {
   auto end = text.begin() + static_cast<std::ptrdiff_t>(std::min(byte, text.size()));
@@ -88,19 +91,15 @@
 }  // namespace
 
 auto Parse(std::string_view text, Comments comments) -> base::Result<Json> {
-  auto watcher = Watcher{};
-  auto watch = [&](int depth, Json::parse_event_t event, Json& value) {
-    return OnEvent(watcher, depth, event, value);
-  };
-  try {
-    auto document = Json::parse(text, watch, true, comments == Comments::kIgnored);
-    if (watcher.error) return boost::leaf::new_error(*watcher.error);
-    return document;
-  } catch (const Json::exception& exception) {
-    const auto* syntax = dynamic_cast<const Json::parse_error*>(&exception);
-    auto line = syntax == nullptr ? 0 : LineOf(text, syntax->byte);
-    return boost::leaf::new_error(ReadError{ReadErrorCode::kNotJson, {}, {}, {}, {}, line});
+  auto ignore_comments = comments == Comments::kIgnored;
+  auto checker = Checker{};
+  Json::sax_parse(text, &checker, Json::input_format_t::json, true, ignore_comments);
+  if (checker.error) {
+    auto error = *checker.error;
+    if (error.code == ReadErrorCode::kNotJson) error.line = LineOf(text, checker.error_byte);
+    return boost::leaf::new_error(error);
   }
+  return Json::parse(text, nullptr, true, ignore_comments);
 }
 
 auto Child(std::string_view pointer, std::string_view key) -> std::string {
