--- a/src/config/internal/describe.cc
+++ b/src/config/internal/describe.cc
@@ -36,8 +36,6 @@
       return "address-moved";
     case Rule::kNotWritable:
       return "not-writable";
-    case Rule::kBadOperation:
-      return "bad-operation";
     case Rule::kPathMissing:
       return "path-missing";
     case Rule::kTestFailed:
--- a/src/config/types/configuration_error.h
+++ b/src/config/types/configuration_error.h
@@ -16,7 +16,6 @@
   kServiceHasTargets,  ///< a service is removed while targets serve it
   kAddressMoved,       ///< an address changes its service and the patch doesn't allow that
   kNotWritable,        ///< only "/services" may be patched
-  kBadOperation,       ///< not an operation of RFC 6902
   kPathMissing,        ///< an operation names a place that isn't there
   kTestFailed,         ///< a "test" operation doesn't hold
   kTooLarge,           ///< over the size that the platform or this module takes
--- a/src/ctl/internal/apply.cc
+++ b/src/ctl/internal/apply.cc
@@ -63,9 +63,11 @@
 }
 
 auto Refused(config::PatchRefusal refusal, const Run& run) -> ApplyOutcome {
-  auto forgotten = refusal.fault.rule == config::Rule::kBaseForgotten;
-  if (!forgotten && (!run.in_doubt || IsFinal(refusal))) return refusal;
-  return Unsettled{CtlError{CtlErrorCode::kNoAnswer, std::string(kConfigKey), 0}};
+  if (refusal.fault.rule == config::Rule::kBaseForgotten) {
+    return Unsettled{CtlError{CtlErrorCode::kForgotten, "base " + refusal.fault.found, 0}};
+  }
+  if (!run.in_doubt || IsFinal(refusal)) return refusal;
+  return Unsettled{run.error};
 }
 
 // One round; nothing when another one is needed.
--- a/src/ctl/internal/render.cc
+++ b/src/ctl/internal/render.cc
@@ -133,6 +133,8 @@
       return error.subject + " answered with status " + std::to_string(error.status);
     case CtlErrorCode::kBadAnswer:
       return error.subject + " gave an answer that can't be read";
+    case CtlErrorCode::kForgotten:
+      return error.subject + " is older than the patches that are remembered";
     case CtlErrorCode::kNotReadable:
       return error.subject + ": can't be read";
     case CtlErrorCode::kNoSuchTarget:
--- a/src/ctl/internal/run_apply.cc
+++ b/src/ctl/internal/run_apply.cc
@@ -72,8 +72,10 @@
   }
 
   auto operator()(const Unsettled& failure) const -> base::Result<int> {
-    this->edge.err << "anvilctl: the patch may have been taken (" << Describe(failure.error)
-                   << "); the same command again tells, id " << this->id << '\n';
+    auto again = failure.error.code != CtlErrorCode::kForgotten;
+    this->edge.err << "anvilctl: the patch may have been taken: " << Describe(failure.error)
+                   << (again ? "; the same command again tells" : "") << ", id " << this->id
+                   << '\n';
     return kUnsettled;
   }
 };
--- a/src/ctl/tests/apply_test.cc
+++ b/src/ctl/tests/apply_test.cc
@@ -123,6 +123,15 @@
   BOOST_CHECK(std::holds_alternative<Unsettled>(outcome));
 }
 
+// Of a patch whose base is past the history nobody can tell whether it was once taken.
+BOOST_AUTO_TEST_CASE(a_forgotten_base_is_unsettled) {
+  auto platform = SamplePlatform();
+  platform.Set(kConfigKey, R"({"number": 900, "services": {}, "history": []})");
+  auto outcome = Apply(platform.Store(), Request("p1"), Options());
+  BOOST_REQUIRE(std::holds_alternative<Unsettled>(outcome));
+  BOOST_CHECK(std::get<Unsettled>(outcome).error.code == CtlErrorCode::kForgotten);
+}
+
 BOOST_AUTO_TEST_CASE(a_dry_run_writes_nothing) {
   auto platform = SamplePlatform();
   auto options = Options();
--- a/src/ctl/types/ctl_error.h
+++ b/src/ctl/types/ctl_error.h
@@ -11,6 +11,7 @@
   kNoAnswer,      ///< sent, but no whole answer: the call may have taken effect
   kServerError,   ///< an answer that is neither success nor a known refusal; may have taken effect
   kBadAnswer,     ///< an answer that isn't what the API promises
+  kForgotten,     ///< the patch's base is older than the patches that are remembered
   kNotReadable,   ///< a file can't be read
   kNoSuchTarget,  ///< no target of that name is announced
   kAmbiguous,     ///< more than one target of that name is announced
