--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -31,11 +31,7 @@
               r.hops);
 }
 
-}  // namespace
-}  // namespace anvildrum::bench
-
-auto main() -> int {
-  using namespace anvildrum::bench;
+auto RunAll() -> void {
   const auto conditions =
       std::array{std::pair("equal", Condition::kEqual), std::pair("cold", Condition::kCold),
                  std::pair("slow", Condition::kSlow), std::pair("lying", Condition::kLying)};
@@ -49,5 +45,12 @@
       }
     }
   }
+}
+
+}  // namespace
+}  // namespace anvildrum::bench
+
+auto main() -> int {
+  anvildrum::bench::RunAll();
   return 0;
 }
--- a/src/balancer/tests/interleaving_nodes.cc
+++ b/src/balancer/tests/interleaving_nodes.cc
@@ -13,7 +13,7 @@
   TellCore(world, node);
 }
 
-auto StartAgent(World& world, membership::TargetRecord record) -> void {
+auto StartAgent(World& world, const membership::TargetRecord& record) -> void {
   auto agent = std::make_unique<AgentNode>();
   agent->record = record;
   agent->instance = record.instance;
--- a/src/balancer/tests/interleaving_world.h
+++ b/src/balancer/tests/interleaving_world.h
@@ -94,7 +94,7 @@
 auto UpdatePeers(World& world, Node& node) -> void;
 auto ApplyWeights(const World& world, Node& node) -> void;
 auto MakeAgentRecord(World& world, const std::string& service) -> membership::TargetRecord;
-auto StartAgent(World& world, membership::TargetRecord record) -> void;
+auto StartAgent(World& world, const membership::TargetRecord& record) -> void;
 auto StartBalancer(World& world) -> void;
 /// The platform takes the record, or its removal, and tells every node at a moment of its own.
 auto Publish(World& world, const membership::TargetRecord& record, bool removed,
--- a/src/base/types/endpoint.h
+++ b/src/base/types/endpoint.h
@@ -21,7 +21,7 @@
 /// An IP address and UDP or TCP port. IPv4 is kept in its IPv4-mapped form (RFC 4291, 2.5.5.2).
 struct Endpoint {
   std::array<std::uint8_t, 16> address{};
-  std::uint16_t port = 0;  ///< host byte order
+  std::uint16_t port = 0;                             ///< host byte order
   auto operator<=>(const Endpoint&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
