--- a/src/requests/effects.h
+++ b/src/requests/effects.h
@@ -11,7 +11,8 @@
 
 namespace anvildrum::requests {
 
-/// Send on the flow's socket, which is connected to the target and opened at the first use.
+/// Send on the flow's socket, which is connected to the target and opened at the first use: also
+/// for a flow of another agent whose request was handed on to this one.
 struct SendToTarget {
   base::FlowKey flow;
   Bytes bytes;
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -38,7 +38,8 @@
   bool adopted = false;
 };
 
-/// The agent no longer serves this flow and its socket is closed.
+/// The agent no longer serves this flow and its socket is closed. Due for every flow in the end,
+/// also for one that only a hand-on opened: the core keeps some 200 bytes of each until then.
 struct FlowClosed {
   base::FlowKey flow;
 };
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -14,8 +14,11 @@
   return entry.stage != Stage::kOffered && entry.stage != Stage::kObserving;
 }
 
+// The other agent may start it up to its deadline, and then it runs there.
 auto GiveUpAt(const Context& context, const LedgerEntry& entry) -> base::TimePoint {
-  return std::max(entry.deadline, context.now) + context.state.parameters.queue_limit;
+  constexpr auto kRunsAllowed = 4;
+  return std::max(entry.deadline, context.now) + context.state.parameters.queue_limit +
+         kRunsAllowed * RunEstimate(context.state.admission);
 }
 
 // Safeguard: the first offer may have been copied on its way, and one copy refused while the other
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -85,6 +85,14 @@
   return busy;
 }
 
+auto IsIdle(const State& state, const base::FlowKey& key, base::TimePoint now) -> bool {
+  auto found = state.flows.find(key);
+  if (found == state.flows.end()) return true;
+  const auto& flow = found->second;
+  auto uploading = flow.upload && flow.upload->expires > now;
+  return flow.live.empty() && flow.transfer_until <= now && !uploading && flow.adopted_until <= now;
+}
+
 auto StateDeleter::operator()(State* state) const -> void { delete state; }
 
 auto RequestsBuilder::WithParameters(const Parameters& parameters) -> RequestsBuilder& {
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -64,4 +64,8 @@
 };
 auto BusyOf(const State& state, base::TimePoint now) -> Busy;
 
+/// Whether nothing of the flow is in progress, so that its socket may be closed (then feed
+/// FlowClosed). For flows of other agents, which a hand-on opened here, that is at once.
+auto IsIdle(const State& state, const base::FlowKey& flow, base::TimePoint now) -> bool;
+
 }  // namespace anvildrum::requests
