--- a/src/requests/tests/admission_test.cc
+++ b/src/requests/tests/admission_test.cc
@@ -85,6 +85,38 @@
   BOOST_TEST(rig.to_target.size() == 1U);
 }
 
+// A source that asks for challenges and never answers one is refused after its share; others are
+// not.
+BOOST_AUTO_TEST_CASE(open_challenges_of_one_client_are_bounded) {
+  auto parameters = Alone();
+  parameters.client_challenges = 3;
+  auto rig = MakeRig(parameters);
+  for (auto i = std::uint16_t{0}; i < 3; ++i) ChallengedPost(rig, i, i);
+  FromClient(rig, world::MakeRequest(world::kPost, 50, TokenOf(50), 50));
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_CHECK(rig.counts == std::vector{Counter::kRefusedChallenges});
+  FromClient(rig, world::MakeRequest(world::kPost, 50, TokenOf(50), 50), kOtherFlow);
+  BOOST_TEST(Sent(rig).code == kCodeUnauthorized);
+}
+
+// A flood of challenges from ever new addresses takes its share of the ledger and no more: what was
+// challenged before still runs.
+BOOST_AUTO_TEST_CASE(open_challenges_take_half_of_the_ledger) {
+  auto parameters = Alone();
+  parameters.ledger_bytes = 20000;
+  auto rig = MakeRig(parameters);
+  auto post = ChallengedPost(rig, 1, 7);
+  auto refused = false;
+  for (auto client = std::uint32_t{1}; client < 100 && !refused; ++client) {
+    FromClient(rig, world::MakeRequest(world::kPost, 1, TokenOf(1), 1), FlowOfClient(client));
+    refused = Sent(rig).code == kCodeServiceUnavailable;
+  }
+  BOOST_TEST(refused);
+  BOOST_TEST(BusyOf(*rig.core, rig.now).ledger_bytes < 11000U);
+  FromClient(rig, post);
+  BOOST_TEST(rig.to_target.size() == 1U);
+}
+
 // Clients refused together come back at different times, or they would be refused together again.
 BOOST_AUTO_TEST_CASE(refusals_spread_the_returns) {
   auto parameters = OneSlot();
--- a/src/requests/tests/streams_test.cc
+++ b/src/requests/tests/streams_test.cc
@@ -48,6 +48,48 @@
   BOOST_TEST(busy.streams == 1U);
 }
 
+// A client that opens streams without end is refused, typed and counted.
+BOOST_AUTO_TEST_CASE(streams_of_a_flow_are_bounded) {
+  auto parameters = Alone();
+  parameters.flow_streams = 1;
+  auto rig = MakeRig(parameters);
+  OpenStream(rig);
+  auto second = WithIdentity(ObserveGet(9, false), MessageType::kConfirmable, 9, TokenOf(77));
+  FromClient(rig, second);
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_CHECK(rig.counts == std::vector{Counter::kRefusedStreams});
+}
+
+// A stream, a request or a transfer keeps the flow's socket; nothing else does.
+BOOST_AUTO_TEST_CASE(flow_with_a_stream_is_not_idle) {
+  auto rig = MakeRig(Alone());
+  BOOST_TEST(IsIdle(*rig.core, kFlow, rig.now));
+  auto token = OpenStream(rig);
+  BOOST_TEST(!IsIdle(*rig.core, kFlow, rig.now));
+  Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kNonConfirmable, 500, token, 11)});
+  FromClient(rig, BuildReset(Sent(rig).message_id));
+  BOOST_TEST(IsIdle(*rig.core, kFlow, rig.now));
+}
+
+// The target dies under a stream: its client is told at once and under the stream's token, instead
+// of watching a frozen screen.
+BOOST_AUTO_TEST_CASE(stream_of_a_dead_target_is_ended_aloud) {
+  auto rig = MakeRig(Alone());
+  OpenStream(rig);
+  Feed(rig, TargetUnreachable{kFlow});
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_CHECK(Sent(rig).token == TokenOf(5));
+  BOOST_CHECK(Sent(rig).type == MessageType::kConfirmable);
+}
+
+// A ping (an empty CON) is answered by the agent (RFC 7252, 4.3).
+BOOST_AUTO_TEST_CASE(ping_is_answered_by_a_reset) {
+  auto rig = MakeRig(Alone());
+  FromClient(rig, Bytes{0x40, 0, 0, 9});
+  BOOST_TEST(rig.to_client.at(0) == BuildReset(9));
+  BOOST_TEST(rig.to_target.empty());
+}
+
 // Notifications reach the client under its own token; one that was overtaken is dropped, or the
 // screen would show an older price after a newer one.
 BOOST_AUTO_TEST_CASE(overtaken_notification_is_dropped) {
