Make 'nobody will run it again' hold when a flow comes back, and for late offers and doubled answers

A POST whose Echo value was foreign at another agent ran when a copy reached the first agent again; a late second offer ran at the other agent; a doubled answer was told 5.04 while the first still waited. Change: Echo values end with the flow's stay; for offers they live as long as the origin waits; a doubled answer is told nothing until the first is settled. A doubled request with a cached value gets one challenge, not two. An upload's time starts anew with each block.

--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -30,8 +30,8 @@
 /// The time of the last SetTimer effect has come. Early and repeated ones do no harm.
 struct Timer {};
 
-/// The agent serves this flow from now on. Needed only for `adopted`: flows are otherwise opened by
-/// their first datagram.
+/// The agent serves this flow from now on: due before its first datagram whenever a flow is opened
+/// here, also again. Echo values that it got here before run nothing any more.
 struct FlowOpened {
   base::FlowKey flow;
   /// The flow was, or may have been, served by another agent or another incarnation of this one.
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -107,6 +107,9 @@
   // A flow that comes back finds other message IDs in use than those the client still remembers.
   at->second.next_target_message_id = static_cast<std::uint16_t>(context.state.random());
   at->second.next_client_message_id = static_cast<std::uint16_t>(context.state.random());
+  const auto& floors = context.state.closed.floors;
+  auto floor = floors.find(flow);
+  if (floor != floors.end()) at->second.echo_floor = floor->second;
   return at->second;
 }
 
@@ -178,10 +181,32 @@
   std::erase(flow->second.live, entry.id);
 }
 
+// A flow that closes may be opened elsewhere, where what its client was challenged for here is
+// foreign and told unknown; should it come back, the old values must not run anything.
+auto KeepFloor(Context& context, const base::FlowKey& key, const FlowState& flow) -> void {
+  if (std::max(flow.last_echo, flow.echo_floor) == 0) return;
+  auto& closed = context.state.closed;
+  closed.floors[key] = context.state.mint.last_issue;
+  closed.expiries.emplace_back(context.now + context.state.parameters.echo_lifetime, key);
+}
+
+auto ForgetFloors(Context& context) -> void {
+  auto& closed = context.state.closed;
+  while (!closed.expiries.empty() && closed.expiries.front().first <= context.now) {
+    auto key = closed.expiries.front().second;
+    closed.expiries.pop_front();
+    auto floor = closed.floors.find(key);
+    if (floor == closed.floors.end()) continue;
+    auto age = EchoAge(floor->second, context.now);
+    if (age >= context.state.parameters.echo_lifetime) closed.floors.erase(floor);
+  }
+}
+
 auto OnTimer(Context& context) -> void {
   auto& state = context.state;
   WakeEntries(context);
   RefuseOverdue(context);
+  ForgetFloors(context);
   ExpireRequests(state.ledger, context.now, [&](LedgerEntry& entry) {
     WakeAt(context, entry, {});
     if (entry.stage != Stage::kChallenged) return;
@@ -205,6 +230,7 @@
       FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
     }
   }
+  KeepFloor(context, event.flow, state.flows.at(event.flow));
   state.flows.erase(event.flow);
 }
 
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -66,6 +66,7 @@
   if (upload->body_digest != intake.message.body_digest) return false;
   if (upload->next_offset != OffsetOf(block)) return false;
   upload->next_offset = OffsetBehind(block);
+  upload->expires = context.now + kExchangeLifetime;
   if (!block.more) upload.reset();
   return true;
 }
@@ -79,6 +80,42 @@
         BuildChallenge(form.type, form.message_id, entry.challenged.token, echo));
 }
 
+auto IsChallengedCopy(const LedgerEntry& entry, const RequestIdentity& identity) -> bool {
+  return entry.was_challenged && entry.challenged == identity && entry.identity != identity;
+}
+
+auto RepeatToTarget(Context& context, LedgerEntry& entry) -> void {
+  if (entry.method != MethodClass::kSafe || entry.request.empty()) return;
+  if (context.now - entry.started < kRepeatToTargetAfter) return;
+  SendRequest(context, entry);
+}
+
+auto OnLiveRepeated(Context& context, LedgerEntry& entry) -> void {
+  CountOne(context, Counter::kRetransmissionWhileRunning);
+  auto from_client = entry.identity.origin.value == 0;
+  if (entry.acknowledged && from_client) {
+    context.effects.emplace_back(
+        SendToClient{entry.identity.flow, BuildEmptyAck(entry.identity.message_id)});
+    return;
+  }
+  if (entry.stage == Stage::kRunning || entry.stage == Stage::kObserving) {
+    RepeatToTarget(context, entry);
+  }
+}
+
+auto OnRepeated(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
+  if (entry.content_digest != intake.message.content_digest) {
+    return ReplyUnknown(context, intake.asker, Counter::kUnknownIdentityReuse);
+  }
+  if (entry.stage == Stage::kChallenged) return SendChallenge(context, entry);
+  // The client has the challenge, since it has answered it.
+  if (IsChallengedCopy(entry, intake.asker.identity)) {
+    return CountOne(context, Counter::kRetransmissionWhileRunning);
+  }
+  if (IsLive(entry.stage)) return OnLiveRepeated(context, entry);
+  RepeatAnswer(context, entry);
+}
+
 // A challenge answered now would be refused at once, and no other agent may be asked.
 auto WouldBeRefused(const Context& context, const Intake& intake) -> bool {
   const auto& state = context.state;
@@ -104,6 +141,9 @@
 auto Challenge(Context& context, const Intake& intake) -> void {
   auto& state = context.state;
   const auto& asker = intake.asker;
+  // A copy of a request with a cached value gets the challenge again, not a second value.
+  auto* known = FindRequest(state.ledger, asker.identity);
+  if (known != nullptr) return OnRepeated(context, intake, *known);
   if (FlowOf(context, asker.identity.flow).adopted_until > context.now) {
     return ReplyUnknown(context, asker, Counter::kUnknownAdoptedFlow);
   }
@@ -123,6 +163,7 @@
   entry.challenged = asker.identity;
   auto binding = EchoBinding{asker.identity.flow, asker.identity.origin, entry.content_digest};
   entry.echo_issue = MintEcho(state.mint, binding, context.now).issue;
+  FlowOf(context, asker.identity.flow).last_echo = entry.echo_issue;
   auto& kept = InsertRequest(state.ledger, std::move(entry));
   KeepUntil(state.ledger, kept, context.now + kExchangeLifetime);
   AddChallenge(state.admission, asker.identity.flow.client.address);
@@ -131,6 +172,14 @@
   SendChallenge(context, kept);
 }
 
+// Another agent answers at once or gives up: it waits this long beyond the deadline of its offer
+// (hand_on.cc), so that nothing starts here after it has told its client "unknown".
+auto EchoLifetimeOf(const Context& context, const Intake& intake) -> base::Duration {
+  const auto& parameters = context.state.parameters;
+  auto from_client = intake.asker.identity.origin.value == 0;
+  return from_client ? parameters.echo_lifetime : parameters.queue_limit;
+}
+
 // The request came back with the Echo value of its challenge, which from here on is used up.
 auto Confirm(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
   auto& state = context.state;
@@ -143,7 +192,7 @@
   entry.deadline = context.now + intake.left;
   // A copy that was minutes on its way: its sender may have stopped waiting. It has not run, and
   // the used value sees to it that no other copy will.
-  if (EchoAge(entry.echo_issue, context.now) > state.parameters.echo_lifetime) {
+  if (EchoAge(entry.echo_issue, context.now) > EchoLifetimeOf(context, intake)) {
     return FinishNotRun(context, entry, Counter::kRefusedExpiredEcho);
   }
   SetRequestBytes(state.ledger, entry, intake.message.whole);
@@ -156,7 +205,16 @@
 // IDs and tokens but with the same value; run both, and one hold is made twice. Each value runs one
 // request, once.
 auto OnMintedEcho(Context& context, const Intake& intake, std::uint64_t issue) -> void {
+  // Safeguard: the flow was elsewhere meanwhile, where this request was foreign and its client was
+  // told that nobody would run it; a copy that comes here now must not.
+  if (issue <= FlowOf(context, intake.asker.identity.flow).echo_floor) {
+    return ReplyUnknown(context, intake.asker, Counter::kUnknownForeignEcho);
+  }
   auto* entry = FindByEcho(context.state.ledger, issue);
+  // Told "unknown" now, the client might act on it before the first copy even starts.
+  if (entry != nullptr && IsLive(entry->stage)) {
+    return CountOne(context, Counter::kRetransmissionWhileRunning);
+  }
   if (entry == nullptr || entry->stage != Stage::kChallenged) {
     return ReplyUnknown(context, intake.asker, Counter::kUnknownEchoUsed);
   }
@@ -221,42 +279,6 @@
   Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
 }
 
-auto IsChallengedCopy(const LedgerEntry& entry, const RequestIdentity& identity) -> bool {
-  return entry.was_challenged && entry.challenged == identity && entry.identity != identity;
-}
-
-auto RepeatToTarget(Context& context, LedgerEntry& entry) -> void {
-  if (entry.method != MethodClass::kSafe || entry.request.empty()) return;
-  if (context.now - entry.started < kRepeatToTargetAfter) return;
-  SendRequest(context, entry);
-}
-
-auto OnLiveRepeated(Context& context, LedgerEntry& entry) -> void {
-  CountOne(context, Counter::kRetransmissionWhileRunning);
-  auto from_client = entry.identity.origin.value == 0;
-  if (entry.acknowledged && from_client) {
-    context.effects.emplace_back(
-        SendToClient{entry.identity.flow, BuildEmptyAck(entry.identity.message_id)});
-    return;
-  }
-  if (entry.stage == Stage::kRunning || entry.stage == Stage::kObserving) {
-    RepeatToTarget(context, entry);
-  }
-}
-
-auto OnRepeated(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
-  if (entry.content_digest != intake.message.content_digest) {
-    return ReplyUnknown(context, intake.asker, Counter::kUnknownIdentityReuse);
-  }
-  if (entry.stage == Stage::kChallenged) return SendChallenge(context, entry);
-  // The client has the challenge, since it has answered it.
-  if (IsChallengedCopy(entry, intake.asker.identity)) {
-    return CountOne(context, Counter::kRetransmissionWhileRunning);
-  }
-  if (IsLive(entry.stage)) return OnLiveRepeated(context, entry);
-  RepeatAnswer(context, entry);
-}
-
 }  // namespace
 
 auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <random>
 #include <set>
@@ -37,6 +38,8 @@
   std::uint16_t next_target_message_id = 0;
   std::uint16_t next_client_message_id = 0;
   base::TimePoint adopted_until;
+  std::uint64_t echo_floor = 0;       ///< Echo values issued up to here run nothing any more
+  std::uint64_t last_echo = 0;        ///< issue number of the latest value for the flow
   std::vector<std::uint64_t> live;    ///< requests queued, running, offered or observing
   std::vector<PassedMessage> passed;  ///< a ring of the latest
   std::size_t passed_next = 0;
@@ -45,6 +48,12 @@
   std::uint64_t transfer_path = 0;
 };
 
+/// Echo floors of flows that have closed, for as long as a value below them could still run.
+struct ClosedFloors {
+  std::unordered_map<base::FlowKey, std::uint64_t> floors;
+  std::deque<std::pair<base::TimePoint, base::FlowKey>> expiries;
+};
+
 struct State {
   Parameters parameters;
   EchoMint mint;
@@ -53,6 +62,7 @@
   Admission admission;
   RetryBudget retries;
   std::unordered_map<base::FlowKey, FlowState> flows;
+  ClosedFloors closed;
   std::set<std::pair<base::TimePoint, std::uint64_t>> wakeups;  ///< entries' own timers
   std::optional<base::TimePoint> timer;                         ///< as last asked for
   bool draining = false;
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -20,6 +20,7 @@
                  [&](const Timer&) {},
                  [&](const FlowOpened& at) {
                    auto& flow = FlowOf(context, at.flow);
+                   flow.echo_floor = context.state.mint.last_issue;
                    if (!at.adopted) return;
                    flow.adopted_until = context.now + context.state.parameters.adopted_quarantine;
                  },
--- a/src/requests/tests/crash_test.cc
+++ b/src/requests/tests/crash_test.cc
@@ -111,12 +111,34 @@
   auto post = ChallengedPost(rig, 1, 7);
   auto again = WithIdentity(post, MessageType::kConfirmable, 9, TokenOf(200));
   FromClient(rig, post);
-  BOOST_TEST(rig.to_target.size() == 1U);
+  auto sent = rig.to_target.at(0);
+  FromClient(rig, again);
+  BOOST_TEST(rig.to_target.empty());
+  BOOST_TEST(rig.to_client.empty());  // the first is not settled yet
+  Answer(rig, ParseMessage(sent).value(), 7);
+  BOOST_TEST(Sent(rig).message_id == 2);
   FromClient(rig, again);
   BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
   BOOST_TEST(rig.to_target.empty());
 }
 
+// The client answered the challenge; the flow was elsewhere for a while, where that POST was
+// foreign and the client was told 5.04; now it is here again. A copy that was on its way must not
+// run.
+BOOST_AUTO_TEST_CASE(copy_comes_when_the_flow_is_back) {
+  auto rig = MakeRig(Alone());
+  auto post = ChallengedPost(rig, 1, 7);
+  Feed(rig, FlowClosed{kFlow});
+  FromClient(rig, post);
+  BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
+  BOOST_TEST(rig.to_target.empty());
+  auto other = ChallengedPost(rig, 11, 8, kOtherFlow);
+  Feed(rig, FlowOpened{kOtherFlow});
+  FromClient(rig, other, kOtherFlow);
+  BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
+  BOOST_TEST(rig.to_target.empty());
+}
+
 // A repeated first POST gets the same challenge, not a second value that could run a second time.
 BOOST_AUTO_TEST_CASE(repeated_request_gets_the_same_challenge) {
   auto rig = MakeRig(Alone());
@@ -140,6 +162,19 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
+// The network doubles a POST that carries a cached value: both copies get the same challenge.
+BOOST_AUTO_TEST_CASE(cached_echo_on_a_doubled_request) {
+  auto rig = MakeRig(Alone());
+  auto echo = *ParseMessage(ChallengedPost(rig, 1, 7)).value().echo;
+  auto kept = Bytes(echo.begin(), echo.end());
+  auto other = world::MakeRequest(world::kPost, 5, TokenOf(5), 8);
+  auto cached = WithEcho(ParseMessage(other).value(), kept);
+  FromClient(rig, cached);
+  auto challenge = rig.to_client.at(0);
+  FromClient(rig, cached);
+  BOOST_TEST(rig.to_client.at(0) == challenge);
+}
+
 // The flow's agent died and this one took the flow over. A late copy of the client's first,
 // unchallenged POST must not be challenged here: a client that answers would have it run again.
 BOOST_AUTO_TEST_CASE(late_copy_reaches_the_agent_that_took_over) {
--- a/src/requests/tests/hand_on_test.cc
+++ b/src/requests/tests/hand_on_test.cc
@@ -56,6 +56,21 @@
   BOOST_TEST(here.to_client.empty());
 }
 
+// The origin's second offer was seconds on its way; the origin has told its client "unknown". It
+// must not start now.
+BOOST_AUTO_TEST_CASE(late_second_offer_does_not_run) {
+  auto there = MakeRig(Alone());
+  auto post = world::MakeRequest(world::kPost, 2, TokenOf(7), 7);
+  Feed(there, HandOnRequested{kFlow, kOrigin, 10, post, base::milliseconds(200)});
+  auto challenge = there.offer_answers.at(0).bytes;
+  auto echo = *ParseMessage(challenge).value().echo;
+  there.now += base::seconds(3);
+  auto again = WithEcho(ParseMessage(post).value(), echo);
+  Feed(there, HandOnRequested{kFlow, kOrigin, 11, again, base::milliseconds(200)});
+  BOOST_TEST(there.to_target.empty());
+  BOOST_TEST(there.offer_answers.at(0).not_run);
+}
+
 // A copy of the offer comes to the other agent long after it has forgotten the first. Without the
 // origin's answer to a new challenge it does not run.
 BOOST_AUTO_TEST_CASE(late_copy_of_an_offer_does_not_run) {
--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -72,6 +72,7 @@
     if (changes && order.executions > 1) return "ran twice";
     if (changes && order.outcome == Outcome::kNotRun && order.executions > 0) return "not run ran";
     if (order.outcome == Outcome::kAnswered && order.executions == 0) return "answered, never ran";
+    if (changes && order.ran_after_unknown) return "ran after its client was told unknown";
     if (order.foreign_answer) return "answer of another request";
     if (order.outcome == Outcome::kPending) return "no final outcome";
   }
--- a/src/requests/tests/world.cc
+++ b/src/requests/tests/world.cc
@@ -29,7 +29,11 @@
   if (!IsRequest(message) || Chance(world, world.faults.drop / 10)) return;
   if (message.echo) world.echo_reached_target = true;
   auto number = NumberIn(bytes);
-  ++world.orders[number].executions;
+  auto& order = world.orders[number];
+  ++order.executions;
+  // What waits in the queue of an agent that lost the flow but lives may still start.
+  auto settled = order.told + 2 * world.parameters.queue_limit;
+  if (order.outcome == Outcome::kUnknown && world.now > settled) order.ran_after_unknown = true;
   auto life = world.agents[agent].target_life;
   auto taken = Between(world, base::milliseconds(1), base::milliseconds(120));
   auto send = [&world, agent, flow, life](base::Duration delay, const Bytes& datagram) {
--- a/src/requests/tests/world.h
+++ b/src/requests/tests/world.h
@@ -28,6 +28,8 @@
   Outcome outcome = Outcome::kPending;
   bool foreign_answer = false;  ///< an answer with the number of another order
   std::uint32_t executions = 0;
+  base::TimePoint told;            ///< when the outcome reached the client
+  bool ran_after_unknown = false;  ///< its client had long been told that nobody would run it
 };
 
 struct Faults {
--- a/src/requests/tests/world_client.cc
+++ b/src/requests/tests/world_client.cc
@@ -59,7 +59,9 @@
 auto Close(World& world, Exchange& exchange, Outcome outcome) -> void {
   exchange.open = false;
   auto& order = world.orders[exchange.order];
-  if (order.outcome == Outcome::kPending) order.outcome = outcome;
+  if (order.outcome != Outcome::kPending) return;
+  order.outcome = outcome;
+  order.told = world.now;
 }
 
 auto OnFinal(World& world, Client& client, Exchange& exchange, const Message& message) -> void {
@@ -117,7 +119,10 @@
 auto PlaceOrder(World& world, std::size_t client, std::uint8_t method) -> std::size_t {
   auto& at = world.clients[client];
   auto number = world.orders.size();
-  world.orders.push_back({method, at.flow});
+  auto order = Order{};
+  order.method = method;
+  order.flow = at.flow;
+  world.orders.push_back(order);
   OpenExchange(world, at, number, {});
   After(world, kMaxTransmitWait, [&world, client, number] {
     for (auto& exchange : world.clients[client].exchanges) {
