--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -20,6 +20,7 @@
                  [&](const Timer&) {},
                  [&](const FlowOpened& at) {
                    auto& flow = FlowOf(context, at.flow);
+                   flow.echo_floor = context.state.mint.last_issue;
                    if (!at.adopted) return;
                    flow.adopted_until = context.now + context.state.parameters.adopted_quarantine;
                  },
@@ -85,6 +86,14 @@
   return busy;
 }
 
+auto IsIdle(const State& state, const base::FlowKey& key, base::TimePoint now) -> bool {
+  auto found = state.flows.find(key);
+  if (found == state.flows.end()) return true;
+  const auto& flow = found->second;
+  auto uploading = flow.upload && flow.upload->expires > now;
+  return flow.live.empty() && flow.transfer_until <= now && !uploading && flow.adopted_until <= now;
+}
+
 auto StateDeleter::operator()(State* state) const -> void { delete state; }
 
 auto RequestsBuilder::WithParameters(const Parameters& parameters) -> RequestsBuilder& {
