--- /dev/null
+++ b/src/steering/tests/directory_owner_test.cc
@@ -0,0 +1,183 @@
+#include "steering/tests/directory_fixture.h"
+
+namespace anvildrum::steering {
+namespace {
+
+auto MakeAnswer(const wire::pb::Flow& flow, std::uint16_t responder, std::uint64_t sequence)
+    -> wire::pb::TunnelHeader {
+  auto header = wire::pb::TunnelHeader{};
+  auto* answer = header.mutable_owner_answer();
+  *answer->mutable_flow() = flow;
+  answer->mutable_responder()->set_target(MakeRecord(responder).id.value);
+  answer->mutable_responder()->set_incarnation(1);
+  answer->set_sequence(sequence);
+  return header;
+}
+
+// The home asked for a flow before, and an answer "not mine" of that time comes late. Meanwhile the
+// peer has opened the flow: counted as an answer to the present query, it would give two owners.
+BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_query_does_not_count) {
+  auto view = MakeView(2);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  auto asked = Send(directory, packet);
+  BOOST_REQUIRE(CountOf(asked, TunnelHeader::kOwnerQuery) == 1);
+  auto sequence = directory.pending.at(FlowOf(packet)).sequence;
+  auto late = MakeAnswer(packet.packet().flow(), 2, sequence - 1);
+  BOOST_TEST(Send(directory, late).deliveries.empty());
+  auto answer = MakeAnswer(packet.packet().flow(), 2, sequence);
+  BOOST_TEST(Send(directory, answer).deliveries.size() == 1u);
+}
+
+auto MakeRegister(const wire::pb::TunnelHeader& packet, std::uint64_t sequence, bool ended)
+    -> wire::pb::TunnelHeader {
+  auto header = wire::pb::TunnelHeader{};
+  auto* message = header.mutable_register_();
+  message->set_service(kDesk.value);
+  message->set_sequence(sequence);
+  message->mutable_owner()->set_target(MakeRecord(2).id.value);
+  message->mutable_owner()->set_incarnation(1);
+  message->mutable_home()->set_target(MakeRecord(1).id.value);
+  message->mutable_home()->set_incarnation(1);
+  auto* flow = message->add_flows();
+  *flow->mutable_client() = packet.packet().flow().client();
+  flow->set_stamp(1);
+  flow->set_ended(ended);
+  return header;
+}
+
+// An owner registers a flow and later ends it; then the network delivers the registration again.
+// The home would keep sending the client's packets to a target that has let go of the flow.
+BOOST_AUTO_TEST_CASE(a_batch_of_registrations_is_applied_once) {
+  auto view = MakeView(2);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  Send(directory, MakeRegister(packet, 1, false));
+  BOOST_TEST(directory.known.contains(FlowOf(packet)));
+  Send(directory, MakeRegister(packet, 2, true));
+  BOOST_TEST(!directory.known.contains(FlowOf(packet)));
+  auto repeated = Send(directory, MakeRegister(packet, 1, false));
+  BOOST_TEST(!directory.known.contains(FlowOf(packet)));
+  BOOST_TEST(CountOf(repeated, TunnelHeader::kRegisterAck) == 1);
+}
+
+// A request to open waits in the socket of a process that dies; its successor at the same address
+// reads it. The home has given the flow to another target by then.
+BOOST_AUTO_TEST_CASE(what_was_meant_for_an_earlier_process_opens_nothing) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 2));
+  packet.set_sender(MakeRecord(2).instance.value);
+  packet.mutable_packet()->set_opening(true);
+  packet.mutable_packet()->set_opening_incarnation(9);
+  BOOST_TEST(Send(directory, packet).deliveries.empty());
+}
+
+// The home of a flow dies while the platform is down, so that its record stays. Balancers turn to
+// the acting home; if the owner had not registered there too, two owners could not be told apart.
+BOOST_AUTO_TEST_CASE(a_flow_is_registered_with_the_acting_home_of_a_suspect_one) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto acting = [&](std::uint32_t client) {
+    auto set = MakeCandidates(view.services.front());
+    auto index = FindActing(set, base::HashFlow(FlowOf(MakePacket(client))));
+    return set.candidates[index].target;
+  };
+  membership::SetSuspect(view, MakeRecord(2).id, true);
+  auto client = ClientOf(view, 2);
+  while (acting(client) != MakeRecord(3).id || HomeNumber(view, client) != 2) ++client;
+  directory.owned[FlowOf(MakePacket(client))].balancer = kBalancer;
+  for (auto& stream : directory.streams) stream.under_way = false;
+  auto effects = Step(directory, ViewArrived{&view}, kStart);
+  auto registered = [](const SendTunnel& send) {
+    return send.to == MakeRecord(3).tunnel && send.header.register_().flows_size() == 1;
+  };
+  BOOST_TEST(std::ranges::count_if(effects.sends, registered) == 1);
+}
+
+auto MakeOpening(const wire::pb::TunnelHeader& packet, std::uint16_t home)
+    -> wire::pb::TunnelHeader {
+  auto header = packet;
+  header.set_sender(MakeRecord(home).instance.value);
+  header.mutable_packet()->set_opening(true);
+  header.mutable_packet()->set_opening_incarnation(1);
+  return header;
+}
+
+// The home has not heard that this target drains, or was removed, and gives it a new flow. It hands
+// the packet back, so that the client is served elsewhere without a retransmission.
+BOOST_AUTO_TEST_CASE(a_draining_or_removed_target_hands_a_new_flow_back) {
+  auto draining = MakeView(3);
+  membership::ApplyDrain(draining, MakeRecord(1).id, 1);
+  auto removed = MakeView(3);
+  membership::RemoveRecord(removed, MakeRecord(1).id, 1, 9);
+  for (const auto& view : {draining, removed}) {
+    auto directory = MakeDirectory(view);
+    auto effects = Send(directory, MakeOpening(MakePacket(ClientOf(view, 2)), 2));
+    BOOST_TEST(effects.deliveries.empty());
+    BOOST_REQUIRE(CountOf(effects, TunnelHeader::kPacket) == 1);
+    BOOST_TEST(effects.sends[0].header.packet().declined());
+  }
+}
+
+// A flow ends; its home has not heard yet and sends the client's next packet to open it here, while
+// another packet of the client finds the home after it has heard and is opened elsewhere. So
+// nothing opens here before the home has acknowledged the end.
+BOOST_AUTO_TEST_CASE(an_ended_flow_is_not_opened_again_before_the_home_knows) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto opening = MakeOpening(MakePacket(ClientOf(view, 2)), 2);
+  BOOST_TEST(Send(directory, opening).deliveries.size() == 1u);
+  Step(directory, FlowEnded{FlowOf(opening)}, kStart);
+  BOOST_TEST(Send(directory, opening).deliveries.empty());
+  // The batches up to the one that carries the end.
+  for (auto& stream : directory.streams) {
+    for (auto rounds = 0; rounds < 3 && stream.home.target == MakeRecord(2).id; ++rounds) {
+      auto ack = wire::pb::TunnelHeader{};
+      ack.mutable_register_ack()->set_sequence(stream.sequence);
+      ack.mutable_register_ack()->mutable_home()->set_target(stream.home.target.value);
+      ack.mutable_register_ack()->mutable_home()->set_incarnation(1);
+      Send(directory, ack);
+    }
+  }
+  BOOST_TEST(Send(directory, opening).deliveries.size() == 1u);
+}
+
+// A peer names as owner a later process of another target, which this agent has not heard of. To
+// take that for "nobody" would open the flow twice.
+BOOST_AUTO_TEST_CASE(a_claim_for_an_unknown_process_keeps_the_flow_from_being_opened) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  Send(directory, packet);
+  auto sequence = directory.pending.at(FlowOf(packet)).sequence;
+  auto claim = MakeAnswer(packet.packet().flow(), 2, sequence);
+  claim.mutable_owner_answer()->set_owned(true);
+  claim.mutable_owner_answer()->mutable_owner()->set_target(MakeRecord(3).id.value);
+  claim.mutable_owner_answer()->mutable_owner()->set_incarnation(2);
+  Send(directory, claim);
+  auto denial = MakeAnswer(packet.packet().flow(), 3, sequence);
+  BOOST_TEST(Send(directory, denial).deliveries.empty());
+}
+
+// This agent was the flow's home once and never heard of its end. It must not go on naming the
+// target that served it.
+BOOST_AUTO_TEST_CASE(an_earlier_home_does_not_answer_from_old_memory) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 2));
+  auto known = KnownOwner{};
+  known.owner = {MakeRecord(3).id, 1};
+  known.noted = kStart - directory.policy.fresh_claim;
+  directory.known[FlowOf(packet)] = known;
+  auto query = wire::pb::TunnelHeader{};
+  *query.mutable_owner_query()->mutable_flow() = packet.packet().flow();
+  query.mutable_owner_query()->mutable_asker()->set_target(MakeRecord(2).id.value);
+  query.mutable_owner_query()->mutable_asker()->set_incarnation(1);
+  auto effects = Send(directory, query);
+  BOOST_REQUIRE(CountOf(effects, TunnelHeader::kOwnerAnswer) == 1);
+  BOOST_TEST(!effects.sends[0].header.owner_answer().owned());
+}
+
+}  // namespace
+}  // namespace anvildrum::steering
