Prove the promises with real processes; mend what they broke in the agent

tests/process: unittest files on scripts/fleet.py, one ctest each. A fleet holds a bound socket on its range's last port for its life, so that fleets that start at the same time never share a range.

Cause: on ECONNREFUSED the request is handed on and the flow ended; the answer that comes back finds no owner's route and is dropped. Now the answers of a flow that ended here go out for 93 s more, through any probed balancer (any can carry any reply; a fenced agent sends none). - A hold ran twice (late-copy-0: 2, late-copy-1: 2): a copy of the POST from before its challenge reached the agent's next incarnation, was challenged, and the challenge answered. Cause: nobody set `adopted`. Now a flow is adopted when it opens within 247 s of the loss of its home or owner: removed, replaced or suspected without a drain; an agent's own earlier incarnation counts when its record was still there at the announcement. Such a flow opens at its home and not at a third agent, which could not know. - An agent that was stopped for 15 s served nobody again (not settled within 60 s). Cause: its record was cleared as dead; on waking it announced the same incarnation, which everyone refuses after a removal. Ruled out: the fence (it waits only for peers that accept the record). Now a cleared instance takes a new incarnation and a fresh core. - Found while at it: the agent beside a dead target looks idle and drew new flows, and a stream's client was never told. The agent pings its target four times a second; on refusal it ends its flows with their outcome, reports that it refuses all, and takes none while another can.

Not closed: adoption goes by what this agent has seen. An agent whose record was already cleared when it starts again cannot tell a crash from a drain. What is in doubt is told "unknown", so that after a crash the POSTs of about one new flow in N are refused for 247 s.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -19,14 +19,6 @@
 DRAIN_SECONDS = "5"  # streams of the demo's own clients need no hours
 
 
-def coap(method, uri, payload=None, seconds="10"):
-    command = ["coap-client-notls", "-B", seconds, "-m", method]
-    if payload is not None:
-        command += ["-e", payload]
-    result = subprocess.run(command + [uri], capture_output=True, text=True, timeout=30)
-    return (result.stdout + result.stderr).strip()
-
-
 class Demo:
     def __init__(self, deployment):
         self.fleet = deployment
@@ -40,13 +32,13 @@
 
     def read(self, service, address):
         path = READS[service]
-        answer = coap("get", f"coap://{address}/{path}")
+        answer = fleet.coap("get", f"coap://{address}/{path}")
         right = "target" in answer or answer.startswith("</")
         self.check(f"GET  {service}/{path} by {address}", answer, right)
 
     def post(self, service, address, number):
         request_id = f"demo-{number}"
-        answer = coap("post", f"coap://{address}/{POSTS[service]}", json.dumps({"id": request_id}))
+        answer = fleet.coap("post", f"coap://{address}/{POSTS[service]}", json.dumps({"id": request_id}))
         try:
             body = json.loads(answer)
             right = body["id"] == request_id and body["executions"] == 1
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -19,6 +20,7 @@
 LAST_BASE = 32000  # below the system's ephemeral ports
 READY_SECONDS = 60
 STOP_SECONDS = 60
+COMMAND_SECONDS = 60
 POLL_SECONDS = 0.05
 
 
@@ -47,16 +49,42 @@
     return True
 
 
-def free_base_port():
-    """A base whose ports are all free now; processes that run side by side start at another one."""
+def _hold(port):
+    """A socket on the port, or None when another one is there."""
+    holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        holder.bind(("127.0.0.1", port))
+    except OSError:
+        holder.close()
+        return None
+    return holder
+
+
+def reserve_ports():
+    """(base, holder) of a range whose ports are free. The holder's bound socket on the last port
+    keeps fleets that start at the same time off the range; it is to be closed with the fleet."""
     bases = range(FIRST_BASE, LAST_BASE, PORTS)
     start = os.getpid() % len(bases)
     for base in list(bases)[start:] + list(bases)[:start]:
-        if all(_is_free(port) for port in range(base, base + PORTS)):
-            return base
+        holder = _hold(base + PORTS - 1)
+        if holder is None:
+            continue
+        if all(_is_free(port) for port in range(base, base + PORTS - 1)):
+            return base, holder
+        holder.close()
     raise FleetError("no free range of ports")
 
 
+def coap(method, uri, payload=None, seconds=10):
+    """What the stock client prints for one request; empty when no answer came."""
+    command = ["coap-client-notls", "-B", str(seconds), "-m", method]
+    if payload is not None:
+        command += ["-e", payload]
+    limit = seconds + COMMAND_SECONDS
+    result = subprocess.run(command + [uri], capture_output=True, text=True, timeout=limit)
+    return (result.stdout + result.stderr).strip()
+
+
 class Fleet:
     """One running deployment. Use as a context manager: leaving it stops what it started."""
 
@@ -65,9 +93,11 @@
         self.deployment = deployment
         self.folder = tempfile.TemporaryDirectory(prefix="anvildrum-")
         self.path = pathlib.Path(self.folder.name)
-        self.base = free_base_port()
+        self.log_copy = os.environ.get("ANVILDRUM_FLEET_LOGS")
+        self.base, self.holder = reserve_ports()
         self.target_options = list(target_options)
         self.processes = {}  # name -> (role, Popen)
+        self.commands = []  # clients of this fleet
         make = [sys.executable, str(ROOT / "scripts/make_deployment.py"), deployment, str(self.path)]
         make += ["--base-port", str(self.base), "--run-dir", str(self.path)]
         subprocess.run(make + list(make_options), check=True, stdout=subprocess.DEVNULL)
@@ -186,11 +216,24 @@
         code, text = self.http(entry["operator_port"], "/status")
         return json.loads(text) if code == 200 else None
 
+    def metrics(self, entry):
+        """Value of each sample of an instance, by its name with labels."""
+        code, text = self.http(entry["operator_port"], "/metrics")
+        lines = [line for line in text.splitlines() if line and line[0] != "#"] if code == 200 else []
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
+
+    def executions(self, name):
+        """Times that each request id was run by a target; empty when it is down."""
+        answer = coap("get", f"coap://{self.target(name)['address']}/executions")
+        return json.loads(answer)["executions"] if answer.startswith("{") else {}
+
+    def is_running(self, name):
+        return name in self.processes and self.processes[name][1].poll() is None
+
     def is_ready(self):
-        count = len(self.plan["targets"])
+        count = sum(self.is_running(target["agent"]) for target in self.plan["targets"])
         for name, entry in self.entries():
-            process = self.processes.get(name)
-            if process is None or process[1].poll() is not None:
+            if not self.is_running(name):
                 continue
             status = self.status(entry)
             if not status or not status.get("ready"):
@@ -216,6 +259,26 @@
         command = [self.program("anvilctl"), *arguments, "--platform", self.plan["platform"]]
         return subprocess.run(command, capture_output=True, text=True, timeout=60)
 
+    # Clients.
+
+    def start_command(self, command):
+        """A client that runs beside the test; its output is text."""
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+                                   stdin=subprocess.DEVNULL, text=True)
+        self.commands.append(process)
+        return process
+
+    def start_load(self, service, *options):
+        """A load client through the fabric."""
+        address = f"coap://{self.service_address(service)}"
+        program = self.program("anvildrum-load-client")
+        return self.start_command([program, "--service", address, "--json", *options])
+
+    def finish_load(self, process, seconds=240):
+        """The load client's summary, once it has finished by itself."""
+        text, _ = process.communicate(timeout=seconds)
+        return json.loads(text)
+
     # Stop.
 
     def signal(self, name, number):
@@ -232,6 +295,11 @@
 
     def stop(self):
         """Stops every process gracefully, daemons first; returns those that had to be killed."""
+        for command in self.commands:
+            if command.poll() is None:
+                command.kill()
+            command.communicate()
+        self.commands = []
         killed = []
         for roles in (("agent",), ("balancer",), ("fabric", "target"), ("platform",)):
             chosen = [(n, p) for n, (role, p) in self.processes.items() if role in roles]
@@ -246,5 +314,8 @@
                     process.wait()
                     killed.append(name)
         self.processes = {}
+        if self.log_copy:
+            shutil.copytree(self.path, pathlib.Path(self.log_copy) / self.path.name)
         self.folder.cleanup()
+        self.holder.close()
         return killed
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -38,6 +38,8 @@
   std::uint64_t hand_ons_taken = 0;
   std::uint64_t hand_ons_without_target = 0;
   std::uint64_t stale_config = 0;
+  std::uint64_t target_losses = 0;  ///< times that nothing listened at the target any more
+  std::uint64_t adopted = 0;        ///< flows that may have been served by a lost target
   std::array<std::uint64_t, static_cast<std::size_t>(requests::Counter::kCount)> requests{};
 };
 
@@ -47,6 +49,19 @@
   std::uint64_t span_id = 0;
 };
 
+/// Whether the target beside the agent is there, by pings of the agent's own (RFC 7252, 4.3).
+struct TargetWatch {
+  base::TimePoint next_ping{};
+  std::uint32_t unanswered = 0;  ///< pings in a row
+  bool refused = false;          ///< nothing listens
+};
+
+/// A target of the service that was lost without a drain: what it ran, nobody else knows.
+struct LostTarget {
+  steering::Candidate candidate;
+  base::TimePoint until{};
+};
+
 struct Agent {
   AgentPolicy policy;
   membership::TargetRecord record;  ///< as announced
@@ -65,6 +80,13 @@
   std::uint64_t refused_before = 0;
   double refused_permille = 0;
   base::TimePoint drain_started{};
+  TargetWatch target;
+  bool earlier_lost = false;  ///< not yet noted in `lost`
+  /// Flows that ended here and whose last answers are still to be sent, with the time until when.
+  std::unordered_map<base::FlowKey, base::TimePoint> parted;
+  std::vector<LostTarget> lost;
+  /// Flows of this home whose owner was lost.
+  std::unordered_map<base::FlowKey, base::TimePoint> lost_flows;
   std::unordered_map<base::FlowKey, FlowTrace> traces;  ///< bounded, sampled flows only
   AgentCounters counters;
 };
@@ -76,6 +98,8 @@
   /// From a cryptographic generator; see requests::EchoSecret.
   auto WithEchoSecret(const requests::EchoSecret& secret) -> AgentBuilder&;
   auto WithSeed(std::uint64_t seed) -> AgentBuilder&;
+  /// An earlier incarnation of this agent ended without a drain.
+  auto WithEarlierLost(bool lost) -> AgentBuilder&;
   auto Build() const -> Agent;
 
  private:
@@ -83,6 +107,7 @@
   membership::TargetRecord record;
   requests::EchoSecret secret{};
   std::uint64_t seed = 1;
+  bool earlier_lost = false;
 };
 
 /// A datagram of the tunnel. The views are used during the call only.
@@ -122,10 +147,9 @@
 struct Timer {};
 struct DrainRequested {};
 
-using Event =
-    std::variant<TunnelMessage, TargetDatagram, TargetUnreachable, TargetRecordChanged,
-                 TargetRecordRemoved, BalancerRecordChanged, BalancerRecordRemoved, ConfigChanged,
-                 Timer, DrainRequested>;
+using Event = std::variant<TunnelMessage, TargetDatagram, TargetUnreachable, TargetRecordChanged,
+                           TargetRecordRemoved, BalancerRecordChanged, BalancerRecordRemoved,
+                           ConfigChanged, Timer, DrainRequested>;
 
 struct SendTunnel {
   base::Endpoint to;
--- a/src/agent/internal/hand_on.cc
+++ b/src/agent/internal/hand_on.cc
@@ -17,7 +17,7 @@
 
 auto CanTake(const PeerTarget& peer, base::TargetId only_to) -> bool {
   if (only_to.value != 0) return peer.ref.target == only_to;
-  return !peer.suspect && !peer.draining;
+  return !peer.suspect && !peer.draining && peer.load.weight > 0;
 }
 
 auto WaitingPerSlot(const PeerTarget& peer) -> double {
@@ -60,8 +60,7 @@
   message->set_request(offer.request);
   message->set_deadline_ms(MillisecondsLeft(offer.deadline, context.now));
   ++context.agent.counters.hand_ons_sent;
-  context.effects.emplace_back(
-      SendTunnel{peer->tunnel, std::move(header), std::move(offer.bytes)});
+  context.effects.emplace_back(SendTunnel{peer->tunnel, std::move(header), std::move(offer.bytes)});
 }
 
 auto SendHandOnAnswer(Context& context, requests::AnswerHandOn answer) -> void {
@@ -85,12 +84,12 @@
   ++context.agent.counters.hand_ons_taken;
   auto left = base::milliseconds(header.hand_on().deadline_ms());
   auto origin = base::InstanceId{header.sender()};
-  RunRequests(context, requests::HandOnRequested{*flow, origin, header.hand_on().request(),
-                                                 payload, left});
+  RunRequests(context,
+              requests::HandOnRequested{*flow, origin, header.hand_on().request(), payload, left});
 }
 
-auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header,
-                    wire::BytesView payload) -> void {
+auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header, wire::BytesView payload)
+    -> void {
   const auto& answer = header.hand_on_answer();
   auto flow = wire::ReadFlow(answer.flow());
   if (!flow) {
@@ -98,8 +97,8 @@
     return;
   }
   auto from = TargetOf(context.agent, {header.sender()});
-  RunRequests(context, requests::HandOnAnswered{*flow, answer.request(), from, answer.not_run(),
-                                                payload});
+  RunRequests(context,
+              requests::HandOnAnswered{*flow, answer.request(), from, answer.not_run(), payload});
 }
 
 }  // namespace anvildrum::agent
--- /dev/null
+++ b/src/agent/internal/lost.cc
@@ -0,0 +1,126 @@
+// Targets that were lost without a drain. A request may have run there, and a late copy of it may
+// still be on its way for the exchange lifetime; the next owner of the flow must not run it.
+#include <algorithm>
+
+#include "agent/internal/parts.h"
+#include "wire/convert.h"
+
+namespace anvildrum::agent {
+namespace {
+
+using membership::Target;
+using steering::Candidate;
+using steering::CandidateSet;
+
+auto CandidateOf(const Target& target) -> Candidate {
+  auto candidate = Candidate{};
+  candidate.target = target.record.id;
+  candidate.weight = target.weight;
+  candidate.failure_domain = base::HashName(target.record.failure_domain);
+  return candidate;
+}
+
+auto KeepLost(Context& context, const Candidate& candidate) -> void {
+  auto& lost = context.agent.lost;
+  std::erase_if(lost, [&](const auto& one) { return one.candidate.target == candidate.target; });
+  lost.push_back({candidate, context.now + context.agent.policy.lost_memory});
+}
+
+// The directory forgets them when the view changes.
+auto KeepFlowsOf(Context& context, const steering::TargetRef& owner) -> void {
+  auto& agent = context.agent;
+  auto until = context.now + agent.policy.lost_memory;
+  for (const auto& [flow, known] : agent.directory.known) {
+    if (known.owner != owner) continue;
+    if (agent.lost_flows.size() >= agent.policy.parted_flows) return;
+    agent.lost_flows[flow] = until;
+  }
+}
+
+auto FindCandidate(CandidateSet& set, base::TargetId target) -> Candidate* {
+  auto found = std::ranges::find(set.candidates, target, &Candidate::target);
+  return found == set.candidates.end() ? nullptr : &*found;
+}
+
+// The candidates as they were before the losses.
+auto WithLost(const Agent& agent) -> CandidateSet {
+  auto set = agent.directory.candidates;
+  for (const auto& lost : agent.lost) {
+    set.equal_weights = set.equal_weights && lost.candidate.weight == 1.0;
+    auto* present = FindCandidate(set, lost.candidate.target);
+    if (present == nullptr) {
+      set.candidates.push_back(lost.candidate);
+    } else {
+      present->placeable = true;
+    }
+  }
+  return set;
+}
+
+// Before anything is served here, since the first event of an agent is its own record.
+auto NoteEarlierSelf(Context& context) -> void {
+  auto& agent = context.agent;
+  if (!agent.earlier_lost) return;
+  agent.earlier_lost = false;
+  auto self = Candidate{};
+  self.target = agent.record.id;
+  self.failure_domain = base::HashName(agent.record.failure_domain);
+  KeepLost(context, self);
+}
+
+auto WasHome(const Agent& agent, const base::FlowKey& flow) -> bool {
+  auto set = WithLost(agent);
+  auto index = steering::FindFirst(set, base::HashFlow(flow));
+  if (index == steering::kNone) return false;
+  auto home = set.candidates[index].target;
+  return std::ranges::any_of(agent.lost,
+                             [&](const auto& lost) { return lost.candidate.target == home; });
+}
+
+}  // namespace
+
+auto NoteLost(Context& context, const Target& target) -> void {
+  if (target.draining || target.record.service != context.agent.record.service) return;
+  KeepLost(context, CandidateOf(target));
+  KeepFlowsOf(context, {target.record.id, target.record.incarnation});
+}
+
+auto NoteReplaced(Context& context, const membership::TargetRecord& record) -> void {
+  NoteEarlierSelf(context);
+  const auto* known = membership::FindTarget(context.agent.view, record.id);
+  if (known == nullptr || record.incarnation <= known->record.incarnation) return;
+  NoteLost(context, *known);
+}
+
+auto NoteRemoved(Context& context, const TargetRecordRemoved& event) -> void {
+  const auto* known = membership::FindTarget(context.agent.view, event.id);
+  if (known == nullptr || known->record.incarnation != event.incarnation) return;
+  NoteLost(context, *known);
+}
+
+auto ForgetLost(Context& context) -> void {
+  auto& agent = context.agent;
+  auto over = [&](const auto& entry) { return entry.second <= context.now; };
+  std::erase_if(agent.lost, [&](const auto& lost) { return lost.until <= context.now; });
+  if (!agent.lost_flows.empty()) std::erase_if(agent.lost_flows, over);
+  if (!agent.parted.empty()) std::erase_if(agent.parted, over);
+}
+
+auto IsAdopted(const Agent& agent, const base::FlowKey& flow) -> bool {
+  if (agent.lost_flows.contains(flow)) return true;
+  return !agent.lost.empty() && WasHome(agent, flow);
+}
+
+auto MayOpenAdopted(Context& context, const steering::DirectoryEvent& event) -> bool {
+  const auto& agent = context.agent;
+  if (agent.lost.empty()) return false;
+  auto pending = std::ranges::any_of(
+      agent.directory.pending, [&](const auto& entry) { return IsAdopted(agent, entry.first); });
+  if (pending) return true;
+  const auto* arrived = std::get_if<steering::TunnelArrived>(&event);
+  if (arrived == nullptr || !arrived->header->has_packet()) return false;
+  auto flow = wire::ReadFlow(arrived->header->packet().flow());
+  return flow && !agent.directory.owned.contains(*flow) && IsAdopted(agent, *flow);
+}
+
+}  // namespace anvildrum::agent
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -34,14 +34,32 @@
 auto SendHandOnAnswer(Context& context, requests::AnswerHandOn answer) -> void;
 auto OnHandOn(Context& context, const wire::pb::TunnelHeader& header, wire::BytesView payload)
     -> void;
-auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header,
-                    wire::BytesView payload) -> void;
+auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header, wire::BytesView payload)
+    -> void;
 
 // life_cycle.cc
 enum class LifeEvent : std::uint8_t { kAnnounced, kDrainRequested, kEmpty };
 auto Advance(Phase phase, LifeEvent event) -> Phase;
 auto CheckDrain(Context& context) -> void;
 
+// target_watch.cc
+/// Stands for the agent's own pings: no client has port 0.
+auto PingFlow(const Agent& agent) -> base::FlowKey;
+auto PingTarget(Context& context) -> void;
+auto NoteTargetHeard(Context& context) -> void;
+auto NoteTargetRefused(Context& context) -> void;
+auto IsTargetSilent(const Agent& agent) -> bool;
+
+// lost.cc
+auto NoteLost(Context& context, const membership::Target& target) -> void;
+auto NoteReplaced(Context& context, const membership::TargetRecord& record) -> void;
+auto NoteRemoved(Context& context, const TargetRecordRemoved& event) -> void;
+auto ForgetLost(Context& context) -> void;
+/// Whether a flow that opens here may have been served by a target that was lost.
+auto IsAdopted(const Agent& agent, const base::FlowKey& flow) -> bool;
+/// Whether the event may open such a flow: its packet, or the end of asking for it.
+auto MayOpenAdopted(Context& context, const steering::DirectoryEvent& event) -> bool;
+
 /// A header from this agent, without a body.
 auto MakeHeader(const Agent& agent) -> wire::pb::TunnelHeader;
 
--- a/src/agent/internal/peers.cc
+++ b/src/agent/internal/peers.cc
@@ -8,16 +8,16 @@
 using membership::PeerRef;
 
 constexpr auto kPermille = 1000.0;
-constexpr auto kRefusedMemory = 0.9;  // share of the old average kept at each look
+constexpr auto kGone = std::uint32_t{1000};  // refused of a thousand: nothing listens
+constexpr auto kRefusedMemory = 0.9;         // share of the old average kept at each look
 
 // The peers that come next in the ring of target ids: every target is some other one's next.
 auto AppendProbedTargets(const Agent& agent, std::vector<PeerRef>& peers) -> void {
   const auto* service = membership::FindService(agent.view, agent.record.service);
   if (service == nullptr) return;
   const auto& targets = service->targets;
-  auto self = std::find_if(targets.begin(), targets.end(), [&](const auto& target) {
-    return target.record.id == agent.record.id;
-  });
+  auto self = std::find_if(targets.begin(), targets.end(),
+                           [&](const auto& target) { return target.record.id == agent.record.id; });
   auto start = static_cast<std::size_t>(self - targets.begin());
   auto count = std::min(agent.policy.probed_peers, targets.size());
   for (auto i = std::size_t{1}; i <= count; ++i) {
@@ -38,9 +38,8 @@
 auto TargetOfInstance(const Agent& agent, base::InstanceId instance) -> const membership::Target* {
   const auto* service = membership::FindService(agent.view, agent.record.service);
   if (service == nullptr) return nullptr;
-  auto found = std::find_if(
-      service->targets.begin(), service->targets.end(),
-      [&](const auto& target) { return target.record.instance == instance; });
+  auto found = std::find_if(service->targets.begin(), service->targets.end(),
+                            [&](const auto& target) { return target.record.instance == instance; });
   return found == service->targets.end() ? nullptr : &*found;
 }
 
@@ -48,10 +47,44 @@
   if (change.suspect) ++context.agent.counters.suspicions;
   const auto* target = TargetOfInstance(context.agent, change.instance);
   if (target == nullptr) return;
+  if (change.suspect) NoteLost(context, *target);
   membership::SetSuspect(context.agent.view, target->record.id, change.suspect);
   RunDirectory(context, steering::ViewArrived{&context.agent.view});
 }
 
+auto WeightOf(const Agent& agent, base::TargetId id) -> double {
+  const auto* target = membership::FindTarget(agent.view, id);
+  return target == nullptr ? 1.0 : target->weight;
+}
+
+// A target that does not answer pings may still answer requests, so that only one that refuses
+// datagrams is reported as gone.
+auto ReportedRefusals(const Agent& agent) -> std::uint32_t {
+  if (agent.target.refused) return kGone;
+  if (IsTargetSilent(agent)) return kGone - 1;
+  return static_cast<std::uint32_t>(agent.refused_permille);
+}
+
+// With no other to take a flow it is opened here, so that its client gets an error and not silence.
+auto HasPeerToTake(const Agent& agent) -> bool {
+  const auto& peers = agent.directory.peers;
+  return std::any_of(peers.begin(), peers.end(), [](const auto& peer) {
+    return !peer.suspect && !peer.draining && peer.load.weight > 0;
+  });
+}
+
+// A peer that refuses everything has no target. Without weight no flow is placed there; rendezvous
+// order, which has to be the same for all, goes by the view's weight.
+auto ApplyPeerLoad(Context& context, const wire::pb::LoadReport& report) -> void {
+  RunDirectory(context, steering::PeerLoadArrived{report});
+  auto target = base::TargetId{report.target().target()};
+  for (auto& peer : context.agent.directory.peers) {
+    if (peer.ref.target != target) continue;
+    auto gone = report.refused_permille() >= kGone;
+    peer.load.weight = gone ? 0 : WeightOf(context.agent, target);
+  }
+}
+
 auto SendProbe(Context& context, const membership::SendProbe& probe) -> void {
   const auto* to = TunnelOf(context.agent.view, probe.instance);
   if (to == nullptr) return;
@@ -117,7 +150,7 @@
   auto peer = PeerRef{{header.sender()}, header.incarnation()};
   ObservePeers(context, membership::ProbeAnswered{peer, header.probe_answer().sequence()});
   for (const auto& load : header.probe_answer().loads()) {
-    RunDirectory(context, steering::PeerLoadArrived{load});
+    ApplyPeerLoad(context, load);
   }
 }
 
@@ -132,8 +165,10 @@
   load.connections = agent.record.connections;
   load.in_flight = busy.running + busy.queued;
   load.delay = busy.service_time;
-  load.refused_permille = static_cast<std::uint32_t>(agent.refused_permille);
+  load.refused_permille = ReportedRefusals(agent);
   RunDirectory(context, steering::OwnLoadChanged{load});
+  auto gives_away = agent.target.refused && HasPeerToTake(agent);
+  agent.directory.load.weight = gives_away ? 0 : WeightOf(agent, agent.record.id);
 }
 
 }  // namespace anvildrum::agent
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -41,6 +41,13 @@
   return nullptr;
 }
 
+auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
+  auto& agent = context.agent;
+  if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
+  const auto* balancer = NextReplyBalancer(agent);
+  return balancer == nullptr ? std::nullopt : std::optional(balancer->tunnel);
+}
+
 // Safeguard: a stream may run for an hour without a packet of its client, and the balancer that
 // carried its last one may die or lose its way to the clients meanwhile: the client's screen would
 // freeze. A route without a fresh client packet is therefore not trusted: such replies take turns
@@ -49,7 +56,7 @@
 auto RouteOf(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   auto last = steering::ReplyRoute(agent.directory, flow, context.now);
-  if (!last) return std::nullopt;
+  if (!last) return PartingRoute(context, flow);
   const auto* seen = FindByTunnel(agent, *last);
   auto suspect = seen != nullptr && IsSuspect(agent, seen->instance);
   if (IsFresh(context, flow) && !suspect) return last;
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -41,14 +41,18 @@
 }
 
 auto Handle(Context& context, const TargetDatagram& event) -> void {
+  NoteTargetHeard(context);
+  if (event.flow == PingFlow(context.agent)) return;
   RunRequests(context, requests::TargetDatagram{event.flow, event.payload});
 }
 
 auto Handle(Context& context, const TargetUnreachable& event) -> void {
   RunRequests(context, requests::TargetUnreachable{event.flow});
+  NoteTargetRefused(context);
 }
 
 auto Handle(Context& context, const TargetRecordChanged& event) -> void {
+  NoteReplaced(context, event.record);
   auto applied = membership::ApplyRecord(context.agent.view, event.record, context.now);
   if (applied != membership::Applied::kChanged) return;
   ApplyKeptWeights(context.agent);
@@ -56,8 +60,9 @@
 }
 
 auto Handle(Context& context, const TargetRecordRemoved& event) -> void {
-  auto applied = membership::RemoveRecord(context.agent.view, event.id, event.incarnation,
-                                          event.revision);
+  NoteRemoved(context, event);
+  auto applied =
+      membership::RemoveRecord(context.agent.view, event.id, event.incarnation, event.revision);
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
@@ -67,8 +72,7 @@
 }
 
 auto Handle(Context& context, const BalancerRecordRemoved& event) -> void {
-  auto applied =
-      membership::RemoveBalancer(context.agent.view, event.instance, event.incarnation);
+  auto applied = membership::RemoveBalancer(context.agent.view, event.instance, event.incarnation);
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
@@ -96,6 +100,8 @@
 
 auto Handle(Context& context, const Timer&) -> void {
   ObservePeers(context, membership::SuspicionTimer{});
+  PingTarget(context);
+  ForgetLost(context);
   RefreshOwnLoad(context);
   RunDirectory(context, steering::DirectoryTimer{});
   RunDueRequestTimer(context);
@@ -133,6 +139,10 @@
   this->seed = seed;
   return *this;
 }
+auto AgentBuilder::WithEarlierLost(bool lost) -> AgentBuilder& {
+  this->earlier_lost = lost;
+  return *this;
+}
 
 auto AgentBuilder::Build() const -> Agent {
   auto agent = Agent{};
@@ -151,6 +161,7 @@
                        .WithEchoSecret(this->secret)
                        .WithSeed(this->seed)
                        .Build();
+  agent.earlier_lost = this->earlier_lost;
   return agent;
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -24,7 +24,11 @@
 
 auto DeliverPacket(Context& context, const steering::Deliver& delivery) -> void {
   RememberTrace(context.agent, delivery);
-  if (delivery.opened) RunRequests(context, requests::FlowOpened{delivery.flow});
+  if (delivery.opened) {
+    auto adopted = IsAdopted(context.agent, delivery.flow);
+    if (adopted) ++context.agent.counters.adopted;
+    RunRequests(context, requests::FlowOpened{delivery.flow, adopted});
+  }
   RunRequests(context, requests::ClientDatagram{delivery.flow, delivery.payload});
 }
 
@@ -34,8 +38,15 @@
   RunRequests(context, requests::FlowClosed{flow});
 }
 
+// Safeguard: the flow ends while answers are still due: a request that was handed on, and the last
+// word to a stream's client with its retransmissions. Dropped for want of an owner, they would
+// leave the client to its timeout; so the flow's answers go out for a while longer.
 auto EndFlow(Context& context, const base::FlowKey& flow) -> void {
   context.agent.traces.erase(flow);
+  auto& parted = context.agent.parted;
+  if (parted.size() < context.agent.policy.parted_flows) {
+    parted[flow] = context.now + context.agent.policy.parting;
+  }
   context.effects.emplace_back(CloseTarget{flow});
   RunDirectory(context, steering::FlowEnded{flow});
 }
@@ -87,8 +98,7 @@
 
 auto OnDrainNotice(Context& context, const wire::pb::DrainNotice& notice) -> void {
   auto target = base::TargetId{notice.target().target()};
-  auto applied =
-      membership::ApplyDrain(context.agent.view, target, notice.target().incarnation());
+  auto applied = membership::ApplyDrain(context.agent.view, target, notice.target().incarnation());
   if (applied == membership::Applied::kChanged) OnViewChange(context);
 }
 
@@ -101,11 +111,23 @@
   return header;
 }
 
+// Safeguard: a flow whose owner was lost, given by its home to a third agent, would be new to that
+// one, and a late copy of a request could run. While such a flow may open, it opens at its home.
+auto StepDirectory(Context& context, const steering::DirectoryEvent& event)
+    -> steering::DirectoryEffects {
+  auto& directory = context.agent.directory;
+  auto& kind = directory.policy.placement.kind;
+  auto usual = kind;
+  if (MayOpenAdopted(context, event)) kind = steering::PlacementKind::kRendezvous;
+  auto effects = steering::Step(directory, event, context.now);
+  kind = usual;
+  return effects;
+}
+
 auto RunDirectory(Context& context, const steering::DirectoryEvent& event) -> void {
-  auto effects = steering::Step(context.agent.directory, event, context.now);
+  auto effects = StepDirectory(context, event);
   for (auto& send : effects.sends) {
-    context.effects.emplace_back(
-        SendTunnel{send.to, std::move(send.header), CopyOf(send.payload)});
+    context.effects.emplace_back(SendTunnel{send.to, std::move(send.header), CopyOf(send.payload)});
   }
   for (const auto& dropped : effects.dropped) DropFlow(context, dropped.flow);
   for (const auto& delivery : effects.deliveries) DeliverPacket(context, delivery);
--- a/src/agent/tests/agent_test.cc
+++ b/src/agent/tests/agent_test.cc
@@ -1,97 +1,10 @@
-#include "agent/agent.h"
-
 #include <boost/test/unit_test.hpp>
 
-#include "wire/convert.h"
+#include "agent/tests/fixture.h"
 
 namespace anvildrum::agent {
 namespace {
 
-constexpr auto kStart = base::TimePoint{} + base::hours(1);
-const auto kDesk = base::ServiceIdOf("desk");
-const auto kClient = base::EndpointFromV4(0x7f000009, 7000);
-
-auto RecordOf(const std::string& name, std::uint16_t port) -> membership::TargetRecord {
-  auto record = membership::TargetRecord{};
-  record.name = name;
-  record.id = base::TargetIdOf(name);
-  record.service_name = "desk";
-  record.service = kDesk;
-  record.instance = base::InstanceIdOf("agent-" + name);
-  record.incarnation = 1;
-  record.tunnel = base::EndpointFromV4(0x7f000001, port);
-  record.failure_domain = "boston-1";
-  record.slots = 4;
-  record.connections = 2000;
-  record.revision = 1;
-  return record;
-}
-
-auto BalancerOf(const std::string& name, std::uint16_t port) -> membership::BalancerRecord {
-  auto record = membership::BalancerRecord{};
-  record.name = name;
-  record.instance = base::InstanceIdOf(name);
-  record.incarnation = 1;
-  record.tunnel = base::EndpointFromV4(0x7f000002, port);
-  record.failure_domain = "boston-1";
-  return record;
-}
-
-// One agent alone in its service, with two balancers.
-struct Fixture {
-  Agent agent = AgentBuilder{}.WithRecord(RecordOf("desk-1", 1)).WithEchoSecret({7}).Build();
-  base::TimePoint now = kStart;
-
-  Fixture() {
-    this->Run(TargetRecordChanged{RecordOf("desk-1", 1)});
-    this->Run(BalancerRecordChanged{BalancerOf("b1", 11)});
-    this->Run(BalancerRecordChanged{BalancerOf("b2", 12)});
-  }
-
-  auto Run(const Event& event) -> Effects { return Step(this->agent, event, this->now); }
-
-  auto RunTimers(base::Duration span) -> Effects {
-    auto all = Effects{};
-    for (auto end = this->now + span; this->now < end; this->now += base::milliseconds(20)) {
-      for (auto& effect : this->Run(Timer{})) all.push_back(std::move(effect));
-    }
-    return all;
-  }
-
-  auto Deliver(const wire::Bytes& payload, const std::string& balancer, std::uint16_t port)
-      -> Effects {
-    auto header = wire::pb::TunnelHeader{};
-    header.set_sender(base::InstanceIdOf(balancer).value);
-    header.set_incarnation(1);
-    auto* packet = header.mutable_packet();
-    wire::WriteFlow({kClient, kDesk}, *packet->mutable_flow());
-    auto from = BalancerOf(balancer, port).tunnel;
-    wire::WriteEndpoint(from, *packet->mutable_balancer());
-    packet->set_may_open(true);
-    return this->Run(TunnelMessage{from, &header, payload});
-  }
-};
-
-// Confirmable GET with message ID 1, token aa, no options (RFC 7252, 3).
-const auto kGet = wire::Bytes{0x41, 0x01, 0x00, 0x01, 0xaa};
-
-template <typename Kind>
-auto Find(const Effects& effects) -> const Kind* {
-  for (const auto& effect : effects) {
-    if (const auto* found = std::get_if<Kind>(&effect)) return found;
-  }
-  return nullptr;
-}
-
-// 2.05 in answer to what the target was sent: same message ID and token.
-auto AnswerTo(const SendTarget& sent) -> wire::Bytes {
-  auto answer = sent.payload;
-  answer[0] = 0x60 | (answer[0] & 0x0f);
-  answer[1] = 0x45;
-  answer.resize(4U + (answer[0] & 0x0fU));
-  return answer;
-}
-
 auto ReplyTo(Fixture& fixture, const Effects& delivered) -> const SendTunnel* {
   static auto effects = Effects{};
   const auto* sent = Find<SendTarget>(delivered);
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -22,7 +22,15 @@
   /// Peers of the service that are probed at most; the others are heard of through the relay.
   std::size_t probed_peers = 16;
   base::Duration load_period = base::milliseconds(100);  ///< between two looks at the own load
-  base::Duration drain_limit = base::hours(8);           ///< then what is left is ended
+  base::Duration ping_period = base::milliseconds(250);  ///< between two looks at the target
+  std::uint32_t silent_pings = 8;  ///< unanswered ones until others are preferred
+  /// The answers of a flow that ended are still sent for this long: every retransmission of a
+  /// confirmable one (RFC 7252, 4.8.2) fits in.
+  base::Duration parting = requests::kMaxTransmitWait;
+  std::size_t parted_flows = 100'000;  ///< bound on those, and on flows of lost owners
+  /// A late copy of a request is on its way for less than this.
+  base::Duration lost_memory = requests::kExchangeLifetime;
+  base::Duration drain_limit = base::hours(8);  ///< then what is left is ended
 };
 
 }  // namespace anvildrum::agent
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -97,8 +97,8 @@
       *this->runtime, Announcer::Parts{key, compose, incarnation_of, announced});
   this->announcer->Announce();
   this->relay->Start();
-  this->stop_signal = std::make_unique<net::StopSignal>(this->runtime->io,
-                                                        [this](int) { this->BeginDrain(); });
+  this->stop_signal =
+      std::make_unique<net::StopSignal>(this->runtime->io, [this](int) { this->BeginDrain(); });
   Log(LogLevel::kInfo, "started", {{"role", "agent"}, {"target", this->record.name}});
   this->runtime->io.run();
   Log(LogLevel::kInfo, "stopped");
@@ -107,16 +107,21 @@
 auto AgentRuntime::Announced(const Announcer::Announced& result) -> void {
   this->record.incarnation = result.incarnation;
   this->record.revision = result.revision;
-  if (!this->agent) this->StartCore();
+  auto current = this->agent && this->agent->record.incarnation == result.incarnation;
+  if (!current) this->StartCore(result.earlier_lost);
 }
 
-auto AgentRuntime::StartCore() -> void {
+auto AgentRuntime::StartCore(bool earlier_lost) -> void {
+  // Nothing of an earlier incarnation goes on in the new one.
+  this->sockets.clear();
+  this->spans.clear();
   auto secret = requests::EchoSecret{};
   FillRandom(secret);
   this->agent = agent::AgentBuilder{}
                     .WithPolicy(MakePolicy(*this->runtime))
                     .WithRecord(this->record)
                     .WithEchoSecret(secret)
+                    .WithEarlierLost(earlier_lost)
                     .WithSeed(this->runtime->seed)
                     .Build();
   for (const auto& [key, record] : this->records) this->ApplyRecord(record);
@@ -149,8 +154,7 @@
     auto id = base::TargetIdOf(NameOfKey(record.key));
     const auto* known = membership::FindTarget(this->agent->view, id);
     if (known == nullptr) return;
-    return this->Step(
-        agent::TargetRecordRemoved{id, known->record.incarnation, record.revision});
+    return this->Step(agent::TargetRecordRemoved{id, known->record.incarnation, record.revision});
   }
   auto parsed = membership::ParseTargetRecord(record.key, record.revision, record.value);
   if (parsed) return this->Step(agent::TargetRecordChanged{*parsed});
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -32,7 +32,7 @@
  private:
   auto MakeRecord() const -> membership::TargetRecord;
   auto Announced(const Announcer::Announced& result) -> void;
-  auto StartCore() -> void;
+  auto StartCore(bool earlier_lost) -> void;
   auto OnRecords(const std::vector<relay::PlatformObject>& records) -> void;
   auto ApplyRecord(const relay::PlatformObject& record) -> void;
   auto ApplyTarget(const relay::PlatformObject& record) -> void;
--- a/src/daemon/internal/announcer.cc
+++ b/src/daemon/internal/announcer.cc
@@ -25,8 +25,7 @@
 }  // namespace
 
 Announcer::Announcer(Runtime& runtime, Parts parts)
-    : runtime(runtime),
-      parts(std::move(parts)),
+    : parts(std::move(parts)),
       writer(runtime.io, *runtime.platform, AnnouncePolicy(), runtime.seed),
       incarnation(runtime.incarnation) {}
 
@@ -34,6 +33,7 @@
   auto recorded = current ? this->parts.incarnation_of(current->value) : base::Incarnation{0};
   if (current && current->value == this->written) return {WriteIntent::kDone, {}};
   auto ours = recorded == this->incarnation;
+  if (!this->settled && !ours && recorded != 0) this->earlier_lost = true;
   if (!ours && recorded >= this->incarnation) this->incarnation = recorded + 1;
   this->written = this->parts.compose(this->incarnation);
   return {WriteIntent::kPut, this->written};
@@ -60,8 +60,10 @@
   }
   this->settled = true;
   Log(LogLevel::kInfo, "announced",
-      {{"key", this->parts.key}, {"revision", result.revision}, {"incarnation", this->incarnation}});
-  this->parts.on_announced({this->incarnation, result.revision});
+      {{"key", this->parts.key},
+       {"revision", result.revision},
+       {"incarnation", this->incarnation}});
+  this->parts.on_announced({this->incarnation, result.revision, this->earlier_lost});
   if (!this->again) return;
   this->again = false;
   this->Announce();
@@ -73,6 +75,8 @@
   if (recorded >= this->incarnation) return;
   if (text != nullptr) return;
   Log(LogLevel::kWarning, "announcement_missing", {{"key", this->parts.key}});
+  ++this->incarnation;
+  this->earlier_lost = true;
   this->Announce();
 }
 
--- a/src/daemon/internal/announcer.h
+++ b/src/daemon/internal/announcer.h
@@ -15,6 +15,10 @@
 /// Safeguard: a clock that was set back gives a restarted instance a lower incarnation than the one
 /// on record, and everyone would refuse it as stale for ever. The writer therefore reads first and
 /// takes the higher of its own number and the recorded one plus one.
+///
+/// Safeguard: an instance that was stopped for long is given up, its record cleared and its
+/// incarnation refused by everyone from then on. When it wakes it would announce the same one and
+/// serve nobody again; it takes a new incarnation instead, as after a restart.
 class Announcer {
  public:
   /// The object's text for an incarnation.
@@ -24,6 +28,9 @@
   struct Announced {
     base::Incarnation incarnation = 0;
     std::uint64_t revision = 0;
+    /// The record of an earlier incarnation was still there: it did not end by a drain, which
+    /// deletes it.
+    bool earlier_lost = false;
   };
   using OnAnnounced = std::function<void(const Announced&)>;
 
@@ -50,7 +57,6 @@
   auto ProposeDelete(const std::optional<platform::Object>& current) -> platform::WriteProposal;
   auto Finish(const platform::WriteResult& result) -> void;
 
-  Runtime& runtime;
   Parts parts;
   platform::ConditionalWriter writer;
   base::Incarnation incarnation;
@@ -59,6 +65,7 @@
   bool again = false;
   bool settled = false;
   bool withdrawn = false;
+  bool earlier_lost = false;
 };
 
 }  // namespace anvildrum::daemon
--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -34,16 +34,40 @@
 }
 
 // In the order of requests::Counter.
-constexpr auto kRequestEvents = std::array<std::string_view,
-                                           static_cast<std::size_t>(requests::Counter::kCount)>{
-    "client_malformed", "target_malformed", "unexpected_from_client", "unexpected_from_target",
-    "admitted", "queued", "answered", "refused_queue", "refused_client_limit",
-    "refused_ledger_full", "refused_challenges", "refused_expired_echo", "refused_streams",
-    "unknown_run_limit", "unknown_target_gone", "unknown_foreign_echo", "unknown_echo_used",
-    "unknown_adopted_flow", "unknown_upload", "unknown_identity_reuse", "unknown_hand_on",
-    "challenged", "retransmission_answered", "retransmission_while_running",
-    "late_answer", "stale_notification", "stream_opened", "stream_ended", "stream_client_gone",
-    "hand_on_offered", "hand_on_answered", "hand_on_budget_spent"};
+constexpr auto kRequestEvents =
+    std::array<std::string_view, static_cast<std::size_t>(requests::Counter::kCount)>{
+        "client_malformed",
+        "target_malformed",
+        "unexpected_from_client",
+        "unexpected_from_target",
+        "admitted",
+        "queued",
+        "answered",
+        "refused_queue",
+        "refused_client_limit",
+        "refused_ledger_full",
+        "refused_challenges",
+        "refused_expired_echo",
+        "refused_streams",
+        "unknown_run_limit",
+        "unknown_target_gone",
+        "unknown_foreign_echo",
+        "unknown_echo_used",
+        "unknown_adopted_flow",
+        "unknown_upload",
+        "unknown_identity_reuse",
+        "unknown_hand_on",
+        "challenged",
+        "retransmission_answered",
+        "retransmission_while_running",
+        "late_answer",
+        "stale_notification",
+        "stream_opened",
+        "stream_ended",
+        "stream_client_gone",
+        "hand_on_offered",
+        "hand_on_answered",
+        "hand_on_budget_spent"};
 
 // In the order of wire::WireErrorCode.
 constexpr auto kWireErrors = std::array<std::string_view, TunnelCounts::kCodes>{
@@ -129,6 +153,10 @@
              counters.probes_answered);
   SetCounter(metrics, "anvildrum_suspicions_total", "Peers that became suspect",
              counters.suspicions);
+  SetCounter(metrics, "anvildrum_target_losses_total",
+             "Times that nothing listened at the target any more", counters.target_losses);
+  SetCounter(metrics, "anvildrum_flows_adopted_total",
+             "Flows opened here that a lost target may have served", counters.adopted);
   SetGauge(metrics, "anvildrum_config_number", "Number of the configuration in force",
            static_cast<double>(agent.config_number));
 }
--- /dev/null
+++ b/tests/process/test_agent_loss.py
@@ -0,0 +1,140 @@
+"""Agents and targets killed while requests run."""
+
+import json
+import unittest
+
+from coap import CON, ECHO, GET, NON, OBSERVE, POST, RST, Flow
+from support import WIDE_SECONDS, FleetTest, wait_until
+
+FLOWS = 40  # enough that each of seven targets has some
+
+
+class AgentLoss(FleetTest):
+    def open_flows(self, running, service="desk", path="feed", count=FLOWS):
+        """target name -> flows that it serves"""
+        flows = {}
+        for _ in range(count):
+            flow = Flow(running.service_address(service))
+            self.addCleanup(flow.socket.close)
+            flows.setdefault(flow.get(path).body["target"], []).append(flow)
+        return flows
+
+    # The client sees: its POST is answered, refused as not run, told as unknown, or it times out;
+    # new flows are served. Order: POSTs run everywhere; SIGKILL to one agent; then to its
+    # restarted successor's neighbour. Why: whoever takes over has no memory of what ran, so a
+    # request that could have run there is never run again.
+    def test_no_post_runs_twice_when_agents_die(self):
+        running = self.start_fleet(target_options=["--service-ms", "200"])
+        load = running.start_load("desk", "--flows", "30", "--post", "hold", "--rate", "30",
+                                  "--seconds", "20", "--timeout-ms", "20000")
+        desks = [t for t in running.plan["targets"] if t["service"] == "desk"]
+        for target in desks[:2]:
+            wait_until(lambda: running.status(target)["running"] > 0, "a POST under way",
+                       WIDE_SECONDS)
+            running.kill(target["agent"])
+            self.check_new_flows(running, target["name"])
+            running.start_daemon("agent", target)
+            wait_until(running.is_ready, "the agent ready again", WIDE_SECONDS)
+        summary = running.finish_load(load)
+        self.assert_right(summary)
+        codes = {int(code) // 100 * 100 if int(code) < 300 else int(code)
+                 for code in summary["by_code"]}
+        self.assertLessEqual(codes, {200, 503, 504}, summary)
+        self.assert_at_most_once(running, "desk")
+
+    def check_new_flows(self, running, dead):
+        for _ in range(FLOWS):
+            with Flow(running.service_address("desk")) as flow:
+                answer = flow.get("feed")
+                self.assertIsNotNone(answer, "a new flow got no answer")
+                self.assertNotEqual(answer.body.get("target"), dead)
+
+    # The client sees: an answer to whatever it sends next, by another target or as an error, at
+    # once and not after its own timeout. Order: flows at every target; one target (not its agent)
+    # is killed; each of its flows sends a GET, then a POST. Why: the agent learns by ECONNREFUSED
+    # that the target is gone, offers the GET to another one, and tells the rest.
+    def test_clients_of_a_dead_target_are_told(self):
+        running = self.start_fleet()
+        flows = self.open_flows(running)
+        dead, its_flows = max(flows.items(), key=lambda entry: len(entry[1]))
+        running.kill(dead)
+        for number, flow in enumerate(its_flows):
+            with self.subTest(flow=number):
+                answer = flow.get("feed", seconds=20)
+                self.assertIsNotNone(answer, "the GET got no answer")
+                self.assertIn(answer.status, (205, 503, 504))
+                answer = flow.post("hold", f"told-{number}", seconds=20)
+                self.assertIsNotNone(answer, "the POST got no answer")
+                self.assertIn(answer.status, (201, 503, 504))
+        self.assert_at_most_once(running, "desk")
+
+    # The client sees: new flows get answers from live targets, not refusals from a dead one.
+    # Order: one target dies under its living agent, and stays down; new flows come.
+    # Why: an agent whose target refuses every datagram does not take flows, although it answers
+    # probes and looks idle.
+    def test_a_dead_target_takes_no_new_flow(self):
+        running = self.start_fleet()
+        dead = running.plan["targets"][0]["name"]
+        running.kill(dead)
+
+        def all_answered():
+            answers = self.answers_of_new_flows(running)
+            return all(answer is not None and answer.status == 205 for answer in answers)
+        wait_until(all_answered, "every new flow answered by a live target", WIDE_SECONDS)
+        self.assertTrue(all_answered(), "later new flows went to the dead target again")
+
+    def answers_of_new_flows(self, running):
+        answers = []
+        for _ in range(FLOWS):
+            with Flow(running.service_address("desk")) as flow:
+                answers.append(flow.get("feed", seconds=20))
+        return answers
+
+    # The client sees: "unknown", and its hold is made once. Order: a POST without Echo is sent and
+    # copied by the network; it is challenged, sent again with Echo, and runs; the agent is killed;
+    # the late copy arrives, and its challenge is answered like the first one.
+    # Why: the new owner of a flow whose agent was lost can't tell a late copy from a new request.
+    def test_a_late_copy_does_not_run_after_the_agents_death(self):
+        running = self.start_fleet()
+        flows = self.open_flows(running)
+        for kind in (NON, CON):
+            victim = max(flows, key=lambda name: len(flows[name]))
+            target = running.target(victim)
+            flow = flows.pop(victim)[0]
+            request_id = f"late-copy-{kind}"
+            with self.subTest(kind=kind):
+                self.run_late_copy(running, target, flow, request_id, kind)
+
+    def run_late_copy(self, running, target, flow, request_id, kind):
+        payload = json.dumps({"id": request_id}).encode()
+        first = flow.request(POST, "hold", payload=payload, kind=kind)
+        challenge = flow.exchange(first)
+        self.assertEqual(challenge.status, 401)
+        echo = [(ECHO, challenge.options[ECHO])]
+        self.assertEqual(flow.exchange(flow.request(POST, "hold", echo, payload)).status, 201)
+        running.kill(target["agent"])
+        running.start_daemon("agent", target)
+        wait_until(running.is_ready, "the agent ready again", WIDE_SECONDS)
+        answer = flow.exchange(first)
+        if answer is not None and answer.status == 401:
+            echo = [(ECHO, answer.options[ECHO])]
+            flow.exchange(flow.request(POST, "hold", echo, payload))
+        total = self.assert_at_most_once(running, "desk")
+        self.assertEqual(total[request_id], 1)
+
+    # The client sees: nothing until it sends anything, for it holds an Observe that has fallen
+    # silent; its next packet, whatever it is, is answered by a reset, an error or a new answer.
+    # Order: an Observe is open; the target is killed; the client refreshes the registration.
+    def test_a_silent_observer_is_told_at_its_next_packet(self):
+        running = self.start_fleet()
+        with Flow(running.service_address("desk")) as flow:
+            answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
+            running.kill(answer.body["target"])
+            wait_until(lambda: flow.receive(3) is None, "the stream silent", WIDE_SECONDS)
+            answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]), seconds=20)
+            self.assertIsNotNone(answer, "the observer was not told")
+            self.assertTrue(answer.kind == RST or answer.status in (205, 503, 504))
+
+
+if __name__ == "__main__":
+    unittest.main()
