--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -80,6 +80,7 @@
   std::uint64_t refused_before = 0;
   double refused_permille = 0;
   base::TimePoint drain_started{};
+  std::optional<base::TimePoint> farewell;  ///< end of a drain whose time is up
   TargetWatch target;
   bool earlier_lost = false;  ///< not yet noted in `lost`
   /// Flows that ended here and whose last answers are still to be sent, with the time until when.
--- a/src/agent/internal/drain.cc
+++ b/src/agent/internal/drain.cc
@@ -3,22 +3,36 @@
 namespace anvildrum::agent {
 namespace {
 
-auto IsEmpty(const Context& context) -> bool {
-  return context.agent.directory.owned.empty();
-}
+auto IsEmpty(const Context& context) -> bool { return context.agent.directory.owned.empty(); }
 
 auto IsOverdue(const Context& context) -> bool {
   return context.now - context.agent.drain_started >= context.agent.policy.drain_limit;
 }
 
+auto Finish(Context& context) -> void {
+  context.agent.phase = Advance(context.agent.phase, LifeEvent::kEmpty);
+  context.effects.emplace_back(Drained{});
+}
+
+// Safeguard: what is left when the time is up ends with the process, and a stream's client, who
+// only listens, would not notice. Each is told, and the process stays for a retransmission.
+auto EndWhatIsLeft(Context& context) -> void {
+  auto& agent = context.agent;
+  if (!agent.farewell) {
+    agent.farewell = context.now + agent.policy.farewell;
+    EndAllFlows(context);
+  }
+  if (context.now >= *agent.farewell) Finish(context);
+}
+
 }  // namespace
 
 auto CheckDrain(Context& context) -> void {
-  auto& agent = context.agent;
-  if (agent.phase != Phase::kDraining) return;
-  if (!IsEmpty(context) && !IsOverdue(context)) return;
-  agent.phase = Advance(agent.phase, LifeEvent::kEmpty);
-  context.effects.emplace_back(Drained{});
+  if (context.agent.phase != Phase::kDraining) return;
+  if (context.agent.farewell || (IsOverdue(context) && !IsEmpty(context))) {
+    return EndWhatIsLeft(context);
+  }
+  if (IsEmpty(context)) Finish(context);
 }
 
 }  // namespace anvildrum::agent
--- a/src/agent/internal/life_cycle.cc
+++ b/src/agent/internal/life_cycle.cc
@@ -24,11 +24,10 @@
 
   // A drain has no way back: balancers and homes were told to forget the target, and a new
   // incarnation is the only thing they take again.
-  struct transition_table
-      : boost::mpl::vector<Row<Starting, Announced, Serving, none, none>,
-                           Row<Starting, DrainBegun, Draining, none, none>,
-                           Row<Serving, DrainBegun, Draining, none, none>,
-                           Row<Draining, Emptied, Ended, none, none>> {};
+  struct transition_table : boost::mpl::vector<Row<Starting, Announced, Serving, none, none>,
+                                               Row<Starting, DrainBegun, Draining, none, none>,
+                                               Row<Serving, DrainBegun, Draining, none, none>,
+                                               Row<Draining, Emptied, Ended, none, none>> {};
 
   template <typename Machine, typename AnyEvent>
   auto no_transition(const AnyEvent&, Machine&, int) -> void {}
--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -68,13 +68,33 @@
   KeepLost(context, self);
 }
 
-auto WasHome(const Agent& agent, const base::FlowKey& flow) -> bool {
-  auto set = WithLost(agent);
-  auto index = steering::FindFirst(set, base::HashFlow(flow));
-  if (index == steering::kNone) return false;
-  auto home = set.candidates[index].target;
+auto IsLost(const Agent& agent, base::TargetId target) -> bool {
   return std::ranges::any_of(agent.lost,
-                             [&](const auto& lost) { return lost.candidate.target == home; });
+                             [&](const auto& lost) { return lost.candidate.target == target; });
+}
+
+auto IsAdoptedIn(const Agent& agent, const CandidateSet& set, const base::FlowKey& flow) -> bool {
+  if (agent.lost_flows.contains(flow)) return true;
+  auto index = steering::FindFirst(set, base::HashFlow(flow));
+  return index != steering::kNone && IsLost(agent, set.candidates[index].target);
+}
+
+auto AnyPendingIsAdopted(const Agent& agent) -> bool {
+  if (agent.directory.pending.empty()) return false;
+  auto set = WithLost(agent);
+  return std::ranges::any_of(agent.directory.pending, [&](const auto& entry) {
+    return IsAdoptedIn(agent, set, entry.first);
+  });
+}
+
+// The flow that a message may open here.
+auto FlowOpenedBy(const Agent& agent, const wire::pb::TunnelHeader& header)
+    -> std::optional<base::FlowKey> {
+  if (!header.has_packet() && !header.has_owner_answer()) return std::nullopt;
+  const auto& message = header.has_packet() ? header.packet().flow() : header.owner_answer().flow();
+  auto flow = wire::ReadFlow(message);
+  if (!flow || agent.directory.owned.contains(*flow)) return std::nullopt;
+  return *flow;
 }
 
 }  // namespace
@@ -107,20 +127,17 @@
 }
 
 auto IsAdopted(const Agent& agent, const base::FlowKey& flow) -> bool {
-  if (agent.lost_flows.contains(flow)) return true;
-  return !agent.lost.empty() && WasHome(agent, flow);
+  if (agent.lost.empty()) return false;
+  return IsAdoptedIn(agent, WithLost(agent), flow);
 }
 
-auto MayOpenAdopted(Context& context, const steering::DirectoryEvent& event) -> bool {
-  const auto& agent = context.agent;
+auto MayOpenAdopted(const Agent& agent, const steering::DirectoryEvent& event) -> bool {
   if (agent.lost.empty()) return false;
-  auto pending = std::ranges::any_of(
-      agent.directory.pending, [&](const auto& entry) { return IsAdopted(agent, entry.first); });
-  if (pending) return true;
+  if (std::holds_alternative<steering::DirectoryTimer>(event)) return AnyPendingIsAdopted(agent);
   const auto* arrived = std::get_if<steering::TunnelArrived>(&event);
-  if (arrived == nullptr || !arrived->header->has_packet()) return false;
-  auto flow = wire::ReadFlow(arrived->header->packet().flow());
-  return flow && !agent.directory.owned.contains(*flow) && IsAdopted(agent, *flow);
+  if (arrived == nullptr) return false;
+  auto flow = FlowOpenedBy(agent, *arrived->header);
+  return flow && IsAdopted(agent, *flow);
 }
 
 }  // namespace anvildrum::agent
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -48,6 +48,8 @@
 auto PingTarget(Context& context) -> void;
 auto NoteTargetHeard(Context& context) -> void;
 auto NoteTargetRefused(Context& context) -> void;
+/// Gives every request and stream its outcome and ends the flows.
+auto EndAllFlows(Context& context) -> void;
 auto IsTargetSilent(const Agent& agent) -> bool;
 
 // lost.cc
@@ -58,7 +60,7 @@
 /// Whether a flow that opens here may have been served by a target that was lost.
 auto IsAdopted(const Agent& agent, const base::FlowKey& flow) -> bool;
 /// Whether the event may open such a flow: its packet, or the end of asking for it.
-auto MayOpenAdopted(Context& context, const steering::DirectoryEvent& event) -> bool;
+auto MayOpenAdopted(const Agent& agent, const steering::DirectoryEvent& event) -> bool;
 
 /// A header from this agent, without a body.
 auto MakeHeader(const Agent& agent) -> wire::pb::TunnelHeader;
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -44,8 +44,10 @@
 auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
-  const auto* balancer = NextReplyBalancer(agent);
-  return balancer == nullptr ? std::nullopt : std::optional(balancer->tunnel);
+  if (const auto* balancer = NextReplyBalancer(agent)) return balancer->tunnel;
+  // All are suspect: this agent itself may be cut off, and trying costs nothing.
+  if (agent.reply_balancers.empty()) return std::nullopt;
+  return agent.reply_balancers.front().tunnel;
 }
 
 // Safeguard: a stream may run for an hour without a packet of its client, and the balancer that
--- a/src/agent/internal/target_watch.cc
+++ b/src/agent/internal/target_watch.cc
@@ -12,6 +12,8 @@
           static_cast<std::uint8_t>(message_id)};
 }
 
+}  // namespace
+
 // Safeguard: with the target dead, the client of a stream, who sends nothing himself, would look at
 // a frozen screen until he wonders. Every flow that is served here has died with the target; its
 // requests and streams get their outcome now.
@@ -23,8 +25,6 @@
   for (const auto& flow : flows) RunRequests(context, requests::TargetUnreachable{flow});
 }
 
-}  // namespace
-
 auto PingFlow(const Agent& agent) -> base::FlowKey {
   return {base::Endpoint{}, agent.record.service};
 }
@@ -56,6 +56,7 @@
   watch.refused = true;
   ++context.agent.counters.target_losses;
   context.agent.next_load = {};
+  RefreshOwnLoad(context);
   EndAllFlows(context);
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -118,7 +118,7 @@
   auto& directory = context.agent.directory;
   auto& kind = directory.policy.placement.kind;
   auto usual = kind;
-  if (MayOpenAdopted(context, event)) kind = steering::PlacementKind::kRendezvous;
+  if (MayOpenAdopted(context.agent, event)) kind = steering::PlacementKind::kRendezvous;
   auto effects = steering::Step(directory, event, context.now);
   kind = usual;
   return effects;
--- a/src/agent/tests/loss_test.cc
+++ b/src/agent/tests/loss_test.cc
@@ -64,6 +64,24 @@
   BOOST_TEST(fixture.agent.counters.target_losses == 1U);
 }
 
+// A trader's feed stops without a word: the time of a planned stop was up and the agent ended with
+// the stream still open. It must end the stream with an error, and repeat that while it can.
+BOOST_AUTO_TEST_CASE(client_of_a_stream_is_told_when_the_time_of_a_drain_is_up) {
+  auto fixture = Fixture{};
+  fixture.agent.policy.drain_limit = base::seconds(1);
+  auto delivered = fixture.Deliver(kObserve, "b1", 11);
+  auto notification = AnswerTo(*Find<SendTarget>(delivered));
+  notification.insert(notification.end(), {0x61, 0x05});  // Observe 5
+  fixture.Run(TargetDatagram{kFlow, notification});
+  fixture.Run(DrainRequested{});
+  auto effects = fixture.RunTimers(base::milliseconds(1100));
+  BOOST_TEST(CodeOf(ReplyIn(effects)) == kServiceUnavailable);
+  BOOST_TEST((Find<Drained>(effects) == nullptr));
+  effects = fixture.RunTimers(base::seconds(5));
+  BOOST_TEST(CodeOf(ReplyIn(effects)) == kServiceUnavailable);
+  BOOST_TEST((Find<Drained>(effects) != nullptr));
+}
+
 // New clients get refusals while six desks idle: the agent beside a dead one answers probes and has
 // no load. It must report that it refuses, until its target answers a ping again.
 BOOST_AUTO_TEST_CASE(agent_of_a_dead_or_silent_target_reports_that_it_refuses) {
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -31,6 +31,8 @@
   /// A late copy of a request is on its way for less than this.
   base::Duration lost_memory = requests::kExchangeLifetime;
   base::Duration drain_limit = base::hours(8);  ///< then what is left is ended
+  /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
+  base::Duration farewell = base::seconds(4);
 };
 
 }  // namespace anvildrum::agent
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -16,13 +16,15 @@
 BUILD = os.environ.get("ANVILDRUM_BUILD", str(ROOT / "build"))
 WIDE_SECONDS = 60  # a condition that takes longer than this is not going to come true
 DRAIN_SECONDS = 5
+# A target waits for the acknowledgements of clients that are gone; its agent has drained before.
+TARGET_STOP = ["--drain-ms", "3000"]
 
 
 class FleetTest(unittest.TestCase):
     """Starts a fleet and stops it again; a process that had to be killed fails the test."""
 
     def start_fleet(self, deployment="ledgewater", target_options=(), drain_seconds=DRAIN_SECONDS):
-        running = fleet.Fleet(deployment, BUILD, target_options,
+        running = fleet.Fleet(deployment, BUILD, [*TARGET_STOP, *target_options],
                               ["--drain-seconds", str(drain_seconds)])
         self.addCleanup(self.stop_fleet, running)
         return running.start()
--- a/tests/process/test_agent_loss.py
+++ b/tests/process/test_agent_loss.py
@@ -1,9 +1,10 @@
 """Agents and targets killed while requests run."""
 
 import json
+import signal
 import unittest
 
-from coap import CON, ECHO, GET, NON, OBSERVE, POST, RST, Flow
+from coap import CON, ECHO, GET, NON, OBSERVE, POST, Flow
 from support import WIDE_SECONDS, FleetTest, wait_until
 
 FLOWS = 40  # enough that each of seven targets has some
@@ -122,18 +123,42 @@
         total = self.assert_at_most_once(running, "desk")
         self.assertEqual(total[request_id], 1)
 
-    # The client sees: nothing until it sends anything, for it holds an Observe that has fallen
-    # silent; its next packet, whatever it is, is answered by a reset, an error or a new answer.
-    # Order: an Observe is open; the target is killed; the client refreshes the registration.
-    def test_a_silent_observer_is_told_at_its_next_packet(self):
+    # The client sees: its silent stream ends with an error, though it sends nothing itself.
+    # Order: an Observe is open; the target is killed; the agent's ping finds nobody there.
+    # Why: a client that only listens can't find out, and would look at an old price.
+    def test_an_observer_is_told_that_its_target_died(self):
         running = self.start_fleet()
         with Flow(running.service_address("desk")) as flow:
             answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
+            self.assertEqual(answer.status, 205)
             running.kill(answer.body["target"])
-            wait_until(lambda: flow.receive(3) is None, "the stream silent", WIDE_SECONDS)
-            answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]), seconds=20)
-            self.assertIsNotNone(answer, "the observer was not told")
-            self.assertTrue(answer.kind == RST or answer.status in (205, 503, 504))
+            self.assertEqual(self.last_status(flow), 503)
+            wait_until(lambda: self.observe_again(flow), "a stream from another target",
+                       WIDE_SECONDS)
+
+    # Until its peers have heard of it, the flow may be given to the dead target's agent again.
+    def observe_again(self, flow):
+        answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
+        self.assertIn(answer.status, (205, 503, 504))
+        return answer.status == 205
+
+    def last_status(self, flow):
+        """The status of the first message that is not a notification."""
+        def status():
+            message = flow.receive(1)
+            return message.status if message and message.status not in (0, 205) else None
+        return wait_until(status, "an end of the stream", WIDE_SECONDS)
+
+    # The client sees: its stream ends with an error when the time of its target's planned stop is
+    # up. Order: an Observe is open; the agent gets SIGTERM and drains for as long as it may.
+    def test_an_observer_is_told_that_its_drain_ran_out(self):
+        running = self.start_fleet()
+        with Flow(running.service_address("desk")) as flow:
+            answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
+            agent = running.target(answer.body["target"])["agent"]
+            running.signal(agent, signal.SIGTERM)
+            self.assertEqual(self.last_status(flow), 503)
+            self.assertEqual(running.terminate(agent), 0)
 
 
 if __name__ == "__main__":
--- a/tests/process/test_rolling_restart.py
+++ b/tests/process/test_rolling_restart.py
@@ -1,5 +1,7 @@
 """Planned replacement of balancers, agents and targets, one at a time, under clients' load."""
 
+import collections
+import signal
 import unittest
 
 from support import WIDE_SECONDS, FleetTest, wait_until
@@ -65,6 +67,49 @@
         wait_until(running.is_ready, f"{target['name']} ready again", WIDE_SECONDS)
         return ran
 
+    # The client sees: nothing but that flows which outlast the drain move on. Order: all balancers
+    # of a failure domain leave the fabric and end; all its agents drain and end together, its
+    # targets after them; all start again; the next domain. Why: as for one, and the others suffice.
+    def test_replacing_a_failure_domain_at_a_time_repeats_no_post(self):
+        running = self.start_fleet()
+        domains = sorted({balancer["failure_domain"] for balancer in running.plan["balancers"]})
+        for domain in domains:
+            load = running.start_load("desk", "--flows", "20", "--post", "hold", "--rate", "30",
+                                      "--seconds", "3")
+            ran = self.replace_domain(running, domain)
+            summary = running.finish_load(load)
+            with self.subTest(domain=domain):
+                self.assert_right(summary)
+                self.assertEqual([one for one, count in ran.items() if count > 1], [])
+
+    def replace_domain(self, running, domain):
+        """Runs of each request by the domain's targets up to their end, and by all others since."""
+        balancers = [b for b in running.plan["balancers"] if b["failure_domain"] == domain]
+        targets = [t for t in running.plan["targets"] if t["failure_domain"] == domain]
+        for balancer in balancers:
+            running.fabric_do({"do": "remove", "balancer": balancer["name"]})
+        self.end_all(running, [balancer["name"] for balancer in balancers])
+        self.end_all(running, [target["agent"] for target in targets])
+        ran = collections.Counter()
+        for target in running.plan["targets"]:
+            ran.update(running.executions(target["name"]))
+        self.end_all(running, [target["name"] for target in targets])
+        for balancer in balancers:
+            running.start_daemon("balancer", balancer)
+        for target in targets:
+            running.start_target(target["name"])
+            running.start_daemon("agent", target)
+        wait_until(running.is_ready, f"{domain} ready again", WIDE_SECONDS)
+        for balancer in balancers:
+            running.fabric_do({"do": "add", "balancer": balancer["name"]})
+        return ran
+
+    def end_all(self, running, names):
+        for name in names:
+            running.signal(name, signal.SIGTERM)
+        for name in names:
+            self.assertEqual(running.terminate(name), 0, name)
+
     # The client sees: its report of a megabyte arrives whole, although its target was told to stop
     # in the middle. Order: reports under way at every target; SIGTERM to each agent in turn, each
     # replaced before the next. Why: a draining agent serves its flows on, here for all of the time
