--- a/src/agent/internal/hand_on.cc
+++ b/src/agent/internal/hand_on.cc
@@ -17,7 +17,7 @@
 
 auto CanTake(const PeerTarget& peer, base::TargetId only_to) -> bool {
   if (only_to.value != 0) return peer.ref.target == only_to;
-  return !peer.suspect && !peer.draining;
+  return !peer.suspect && !peer.draining && peer.load.weight > 0;
 }
 
 auto WaitingPerSlot(const PeerTarget& peer) -> double {
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -107,16 +107,21 @@
 auto AgentRuntime::Announced(const Announcer::Announced& result) -> void {
   this->record.incarnation = result.incarnation;
   this->record.revision = result.revision;
-  if (!this->agent) this->StartCore();
+  auto current = this->agent && this->agent->record.incarnation == result.incarnation;
+  if (!current) this->StartCore(result.earlier_lost);
 }
 
-auto AgentRuntime::StartCore() -> void {
+auto AgentRuntime::StartCore(bool earlier_lost) -> void {
+  // Nothing of an earlier incarnation goes on in the new one.
+  this->sockets.clear();
+  this->spans.clear();
   auto secret = requests::EchoSecret{};
   FillRandom(secret);
   this->agent = agent::AgentBuilder{}
                     .WithPolicy(MakePolicy(*this->runtime))
                     .WithRecord(this->record)
                     .WithEchoSecret(secret)
+                    .WithEarlierLost(earlier_lost)
                     .WithSeed(this->runtime->seed)
                     .Build();
   for (const auto& [key, record] : this->records) this->ApplyRecord(record);
--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -153,6 +153,10 @@
              counters.probes_answered);
   SetCounter(metrics, "anvildrum_suspicions_total", "Peers that became suspect",
              counters.suspicions);
+  SetCounter(metrics, "anvildrum_target_losses_total",
+             "Times that nothing listened at the target any more", counters.target_losses);
+  SetCounter(metrics, "anvildrum_flows_adopted_total",
+             "Flows opened here that a lost target may have served", counters.adopted);
   SetGauge(metrics, "anvildrum_config_number", "Number of the configuration in force",
            static_cast<double>(agent.config_number));
 }
