--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "steering/internal/directory_parts.h"
 #include "wire/convert.h"
 
@@ -8,166 +6,12 @@
 
 using wire::pb::Refused;
 
-// The packet as it goes on, or nothing when it has passed too many agents. Safeguard: two agents
-// whose views differ could send a packet to and fro for ever.
-auto NextHop(StepContext& context, const PacketArrival& arrival)
-    -> std::optional<wire::pb::Packet> {
-  auto& directory = context.directory;
-  if (arrival.packet.hops() >= directory.policy.hop_limit) {
-    ++directory.counters.hop_limit;
-    SendRefused(context, arrival.packet, Refused::REASON_HOP_LIMIT);
-    return std::nullopt;
-  }
-  auto packet = arrival.packet;
-  packet.set_hops(packet.hops() + 1);
-  packet.set_opening(false);
-  packet.set_declined(false);
-  return packet;
-}
-
-// `opens`: the target that is asked to open the flow, if any.
-auto PassOn(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
-            const TargetRef* opens) -> void {
-  auto packet = NextHop(context, arrival);
-  if (!packet) return;
-  packet->set_opening(opens != nullptr);
-  packet->set_opening_incarnation(opens != nullptr ? opens->incarnation : 0);
-  ++context.directory.counters.passed_on;
-  SendPacket(context, to, *packet, arrival.payload);
-}
-
-auto Refuse(StepContext& context, const PacketArrival& arrival, Refused::Reason reason,
-            std::uint64_t& counter) -> void {
-  ++counter;
-  SendRefused(context, arrival.packet, reason);
-}
-
-auto DeliverPacket(StepContext& context, const PacketArrival& arrival, OwnedFlow& owned,
-                   bool opened) -> void {
-  auto balancer = wire::ReadEndpoint(arrival.packet.balancer());
-  if (balancer && balancer->port != 0) owned.balancer = *balancer;
-  owned.last_from_client = context.now;
-  owned.last_used = context.now;
-  ++context.directory.counters.delivered;
-  context.effects.deliveries.push_back(
-      {arrival.flow, arrival.payload, opened, arrival.packet.trace_id(), arrival.packet.span_id()});
-}
-
-auto OpenHere(StepContext& context, const PacketArrival& arrival) -> void {
-  auto& directory = context.directory;
-  OverruleLost(context, arrival.flow, directory.self);
-  directory.known.erase(arrival.flow);
-  auto& owned = directory.owned[arrival.flow];
-  owned = OwnedFlow{};
-  owned.opened = context.now;
-  owned.stamp = ++directory.stamp;
-  ++directory.counters.opened;
-  EnqueueRegistration(directory, arrival.flow, owned);
-  DeliverPacket(context, arrival, owned, true);
-}
-
-auto IsFull(const Directory& directory) -> bool {
-  auto limit = directory.load.connections;
-  return limit != 0 && directory.owned.size() >= limit;
-}
-
-auto OpenAt(StepContext& context, const PacketArrival& arrival, PeerTarget& peer) -> void {
-  auto& directory = context.directory;
-  ++peer.load.flows;
-  ++directory.counters.deflected;
-  auto known = KnownOwner{};
-  known.owner = peer.ref;
-  known.opened = context.now;
-  known.noted = context.now;
-  known.last_packet = context.now;
-  OverruleLost(context, arrival.flow, peer.ref);
-  directory.known[arrival.flow] = known;
-  PassOn(context, peer.tunnel, arrival, &peer.ref);
-  SendHint(context, arrival.packet, peer.ref);
-}
-
-auto FillLoads(StepContext& context) -> void {
-  auto& directory = context.directory;
-  auto& loads = directory.load_scratch;
-  loads.clear();
-  for (const auto& candidate : directory.candidates.candidates) {
-    if (candidate.target == directory.self.target) {
-      loads.push_back(directory.load);
-      loads.back().flows = static_cast<std::uint32_t>(directory.owned.size());
-      loads.back().eligible = candidate.placeable;
-      continue;
-    }
-    const auto& peer = *FindPeer(directory, candidate.target);
-    loads.push_back(peer.load);
-    loads.back().age = context.now - peer.since;
-    // A peer under another view might not accept this agent as the flow's home.
-    loads.back().eligible =
-        candidate.placeable && !peer.suspect && peer.settled_view == directory.digest;
-  }
-}
-
-auto BalancerDomain(const Directory& directory, const wire::pb::Packet& packet) -> std::uint64_t {
-  auto endpoint = wire::ReadEndpoint(packet.balancer());
-  if (!endpoint) return 0;
-  for (const auto& balancer : directory.balancers) {
-    if (balancer.tunnel == *endpoint) return base::HashName(balancer.failure_domain);
-  }
-  return 0;
-}
-
-auto Decline(StepContext& context, const PeerTarget& home, const PacketArrival& arrival) -> void {
-  auto packet = NextHop(context, arrival);
-  if (!packet) return;
-  packet->set_declined(true);
-  SendPacket(context, home.tunnel, *packet, arrival.payload);
-}
-
-// The home asks this agent to open the flow (rule 3 of Directory).
-auto OpenForHome(StepContext& context, const PacketArrival& arrival) -> void {
-  auto& directory = context.directory;
-  auto home = HomeOf(directory, arrival.flow);
-  auto* sender = FindPeerByInstance(directory, arrival.sender);
-  if (sender == nullptr || !home || sender->ref != *home) {
-    StartAsking(context, arrival.flow, &arrival, std::nullopt);
-    return;
-  }
-  auto full = IsFull(directory);
-  if (directory.in_view && !directory.draining && !full) {
-    OpenHere(context, arrival);
-    return;
-  }
-  ++(full ? directory.counters.full : directory.counters.draining);
-  Decline(context, *sender, arrival);
-}
-
 // Safeguard: what was meant for an earlier process at this address opens nothing here.
 auto IsOpening(const Directory& directory, const PacketArrival& arrival) -> bool {
   const auto& packet = arrival.packet;
   return packet.opening() && packet.opening_incarnation() == directory.self.incarnation;
 }
 
-auto DeclineToHome(StepContext& context, const PacketArrival& arrival) -> void {
-  auto& directory = context.directory;
-  auto home = ActingHomeOf(directory, arrival.flow);
-  auto* peer = home ? FindPeer(directory, *home) : nullptr;
-  if (peer != nullptr) {
-    Decline(context, *peer, arrival);
-  } else {
-    Refuse(context, arrival, Refused::REASON_DRAINING, directory.counters.draining);
-  }
-}
-
-auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void {
-  auto& directory = context.directory;
-  auto index = FindActing(directory.candidates, base::HashFlow(arrival.flow));
-  if (index == kNone) {
-    Refuse(context, arrival, Refused::REASON_DRAINING, directory.counters.draining);
-    return;
-  }
-  auto* peer = FindPeer(directory, directory.candidates.candidates[index].target);
-  PassOn(context, peer->tunnel, arrival, nullptr);
-}
-
 auto RouteUnknown(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   if (IsOpening(directory, arrival)) {
@@ -298,42 +142,15 @@
   RouteUnknown(context, arrival);
 }
 
-auto PlaceFlow(StepContext& context, const PacketArrival& arrival) -> void {
-  auto& directory = context.directory;
-  const auto& policy = directory.policy;
-  if (!arrival.packet.may_open()) {
-    Refuse(context, arrival, Refused::REASON_UNKNOWN_FLOW, directory.counters.unknown_flow);
-    return;
-  }
-  if (directory.self_index == kNone) {
-    // This agent drains, or is not announced yet: the home places.
-    DeclineToHome(context, arrival);
-    return;
-  }
-  if (!TakeToken(directory.openings, policy.openings_per_second, policy.openings_burst,
-                 context.now)) {
-    Refuse(context, arrival, Refused::REASON_FULL, directory.counters.full);
-    return;
-  }
-  // Only the first home gives flows away: a target that takes one from another agent has to ask all
-  // others first, and could give it away in turn.
-  if (!IsHome(directory, arrival.flow) && !IsFull(directory)) {
-    OpenHere(context, arrival);
-    return;
-  }
-  FillLoads(context);
-  auto request = PlacementRequest{directory.load_scratch, directory.self_index, 0};
-  if (policy.placement.prefer_domain) {
-    request.preferred_domain = BalancerDomain(directory, arrival.packet);
-  }
-  auto index = Place(policy.placement, request, directory.random);
-  if (index == kNoTarget) {
-    Refuse(context, arrival, Refused::REASON_FULL, directory.counters.full);
-  } else if (index == directory.self_index) {
-    OpenHere(context, arrival);
-  } else {
-    OpenAt(context, arrival, *FindPeer(directory, directory.candidates.candidates[index].target));
-  }
+auto DeliverPacket(StepContext& context, const PacketArrival& arrival, OwnedFlow& owned,
+                   bool opened) -> void {
+  auto balancer = wire::ReadEndpoint(arrival.packet.balancer());
+  if (balancer && balancer->port != 0) owned.balancer = *balancer;
+  owned.last_from_client = context.now;
+  owned.last_used = context.now;
+  ++context.directory.counters.delivered;
+  context.effects.deliveries.push_back(
+      {arrival.flow, arrival.payload, opened, arrival.packet.trace_id(), arrival.packet.span_id()});
 }
 
 auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void {
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -48,9 +48,26 @@
   base::InstanceId sender;
 };
 auto AcceptPacket(StepContext& context, const PacketArrival& arrival) -> void;
+auto DeliverPacket(StepContext& context, const PacketArrival& arrival, OwnedFlow& owned,
+                   bool opened) -> void;
+auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void;
+
+// directory_forwarding.cc
+/// `opens`: the target that is asked to open the flow; null: none.
+auto PassOn(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
+            const TargetRef* opens) -> void;
+auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void;
+/// Hands the packet back: this agent does not open the flow.
+auto Decline(StepContext& context, const PeerTarget& home, const PacketArrival& arrival) -> void;
+auto DeclineToHome(StepContext& context, const PacketArrival& arrival) -> void;
+auto Refuse(StepContext& context, const PacketArrival& arrival, wire::pb::Refused::Reason reason,
+            std::uint64_t& counter) -> void;
+
+// directory_opening.cc
 /// Opens the flow here or at another target. The caller has made sure that nobody else has it.
 auto PlaceFlow(StepContext& context, const PacketArrival& arrival) -> void;
-auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void;
+/// The home asks this agent to open the flow (rule 3 of Directory).
+auto OpenForHome(StepContext& context, const PacketArrival& arrival) -> void;
 
 // directory_asking.cc
 auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -179,5 +179,27 @@
   BOOST_TEST(!effects.sends[0].header.owner_answer().owned());
 }
 
+// The asker cannot reach the flow's owner, but this agent can: the network is cut between those two
+// only. Were the flow given up, a cut of one link would break it.
+BOOST_AUTO_TEST_CASE(an_agent_that_reaches_a_lost_owner_says_so) {
+  auto view = MakeView(3);
+  auto query = wire::pb::TunnelHeader{};
+  auto packet = MakePacket(ClientOf(view, 2));
+  *query.mutable_owner_query()->mutable_flow() = packet.packet().flow();
+  query.mutable_owner_query()->mutable_asker()->set_target(MakeRecord(2).id.value);
+  query.mutable_owner_query()->mutable_asker()->set_incarnation(1);
+  query.mutable_owner_query()->mutable_owner()->set_target(MakeRecord(3).id.value);
+  query.mutable_owner_query()->mutable_owner()->set_incarnation(1);
+  auto reaches = MakeDirectory(view);
+  auto answer = Send(reaches, query);
+  BOOST_REQUIRE(answer.sends.size() == 1);
+  BOOST_TEST(answer.sends[0].header.owner_answer().owned());
+  membership::SetSuspect(view, MakeRecord(3).id, true);
+  auto cut_off = MakeDirectory(view);
+  answer = Send(cut_off, query);
+  BOOST_REQUIRE(answer.sends.size() == 1);
+  BOOST_TEST(!answer.sends[0].header.owner_answer().owned());
+}
+
 }  // namespace
 }  // namespace anvildrum::steering
