--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -120,9 +120,10 @@
     DeliverPacket(context, arrival, *owned, false);
     return;
   }
-  // A closing flow stays closed until the home knows; the client's retransmission opens it anew.
+  // A closing flow stays closed until the home knows; the home places it anew meanwhile.
   if (owned != nullptr && IsOpening(directory, arrival)) {
-    ++directory.counters.held_dropped;
+    auto* sender = FindPeerByInstance(directory, arrival.sender);
+    if (sender != nullptr) Decline(context, *sender, arrival);
     return;
   }
   if (arrival.packet.declined() && owned == nullptr) {
