Keep a configuration's delta as small as the change

Services resemble each other; zstd's long-distance matcher, with its least match of 64 bytes, jumps to the wrong service and breaks the one long match.

Ruled out, by trial on a scratch copy: no long-distance matching (114 bytes for the changed service, yet 1546 when a service is added to alike ones); higher levels (125 ms and more a change).

Change: the least match is 512 bytes. The new test fails without it (9119 bytes against 400).

relay_test: 43 cases, no errors.

--- a/src/relay/internal/delta.cc
+++ b/src/relay/internal/delta.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr int kLevel = 3;
+/// Services resemble each other, so that shorter matches lead from the base to the wrong service and
+/// break the one long match that a delta is: shorter than two services, longer than a change.
+constexpr int kMatchLeast = 512;
 /// Smallest window that zstd takes, as a power of two.
 constexpr int kWindowLeast = 10;
 /// Holds a value of a megabyte and its base.
@@ -32,6 +35,7 @@
   if (!base.empty()) {
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, WindowFor(value.size() + base.size()));
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_ldmMinMatch, kMatchLeast);
     ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
   }
   std::string packed(ZSTD_compressBound(value.size()), '\0');
--- a/src/relay/tests/delta_test.cc
+++ b/src/relay/tests/delta_test.cc
@@ -26,6 +26,27 @@
   BOOST_TEST((*again == new_value));
 }
 
+// A few thousand services that differ in their names alone, and an operator adds one at the front
+// and changes another: every child of the relay gets the delta, so its size is what a change costs.
+BOOST_AUTO_TEST_CASE(ADeltaOfAlikeServicesIsAsSmallAsTheChange) {
+  const auto service = [](int index) {
+    return R"({"addresses":["203.0.113.10:5683"],"limits":{"client_in_flight":64,)"
+           R"("flow_idle_seconds":7200,"queue_ms":250},"name":"service-)" +
+           std::to_string(index) +
+           R"(","spread":{"load_margin":0.03,"local_failure_domain_first":true,)"
+           R"("slow_start_seconds":10},"weights":[{"target":"scada-gw-03","weight":1.5}]},)";
+  };
+  std::string before;
+  for (int i = 0; i < 3000; ++i) before += service(i);
+  std::string after = service(3000) + before;
+  after.replace(after.find("250", after.size() / 2), 3, "350");
+  const std::string delta = Pack(after, before);
+  BOOST_TEST(delta.size() < 400U);
+  const auto again = Unpack(delta, before, kValueMost);
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST((*again == after));
+}
+
 // A child whose base is not what its parent believes would build a configuration that nobody wrote.
 BOOST_AUTO_TEST_CASE(ADeltaOnAnotherBaseIsRefused) {
   const std::string old_value = Numbers(0, 5'000);
