Work the capacity page out from module slopes and the code's own defaults

Cause: rows for tables, views, records, ledger and requests rested on assumed bytes, and decided inputs were typed in (a heartbeat of 0.6 s where the code has 0.9 s, three prefixes watched where the code watches one).

Change: the bench prints the policies' defaults beside the slopes and the page takes them from there; rows use the measured slopes of flow table, view, records, deltas, ledger and requests. The flow cache is argued from hint traffic (5.4 MB/s against 7 KB/s): at 40 bytes an entry its memory would fit.

--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -1,6 +1,8 @@
 #include "constants.h"
 
+#include "agent/types/agent_policy.h"
 #include "balancer/balancer.h"
+#include "balancer/monitor.h"
 #include "config/types/configuration.h"
 #include "membership/suspicion.h"
 #include "relay/types/settings.h"
@@ -22,7 +24,7 @@
           {"relay_period_s", Seconds(policy.heartbeat), source},
           {"relay_timeout_s", Seconds(policy.parent_timeout), source},
           {"relay_timeout_hop_s", Seconds(policy.timeout_per_hop), source},
-          {"relay_retry_s", Seconds(policy.subscribe_retry), source},
+          {"relay_answer_s", Seconds(policy.answer_timeout), source},
           {"watch_s", Seconds(policy.watch_timeout), source},
           {"quorum", static_cast<double>(policy.suspicion_quorum), source},
           {"suspicion_hold_s", Seconds(policy.suspicion_hold), source},
@@ -34,6 +36,7 @@
   auto directory = steering::DirectoryPolicy{};
   auto balancer = balancer::BalancerPolicy{};
   auto suspicion = membership::SuspicionPolicy{};
+  auto agent = agent::AgentPolicy{};
   auto table_places = static_cast<double>(balancer.flow_table_capacity);
   auto batch = static_cast<double>(directory.registrations_of_batch);
   return {{"load_margin", config::SpreadPolicy{}.load_margin, "config::SpreadPolicy"},
@@ -43,7 +46,12 @@
           {"probe_round_s", Seconds(suspicion.probe_period), "membership::SuspicionPolicy"},
           {"probes_per_round", static_cast<double>(suspicion.probes_per_round),
            "membership::SuspicionPolicy"},
-          {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"}};
+          {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"},
+          {"probe_timeout_s", Seconds(suspicion.longest_timeout), "membership::SuspicionPolicy"},
+          {"reply_balancers", static_cast<double>(agent.reply_balancers), "agent::AgentPolicy"},
+          {"probed_peers", static_cast<double>(agent.probed_peers), "agent::AgentPolicy"},
+          {"probers", static_cast<double>(balancer::MonitorPolicy{}.monitors),
+           "balancer::MonitorPolicy"}};
 }
 
 auto RequestConstants() -> std::vector<Constant> {
--- a/bench/capacity/relay_slopes.cc
+++ b/bench/capacity/relay_slopes.cc
@@ -13,6 +13,7 @@
 constexpr auto kRecordCounts = std::array{1000, 4000, 16000};
 constexpr auto kServiceCounts = std::array{100, 1000, 3600};
 constexpr auto kNow = base::TimePoint{base::seconds(1000)};
+constexpr auto kAddedService = 100'000;
 
 auto ObjectOf(int index, std::uint64_t revision) -> relay::PlatformObject {
   return {.key = "targets/scada-gw/scada-gw-" + std::to_string(index),
@@ -38,7 +39,7 @@
   return {bytes, cost};
 }
 
-// One service of the configuration is changed; the delta refers to the value before.
+// One service is changed and one is added; the delta refers to the value before.
 auto DeltaSlopes() -> std::vector<Slope> {
   auto bytes = Slope{"config_delta_bytes", "bytes", "service of the configuration", {}};
   auto pack = Slope{"config_pack_ns", "ns", "service of the configuration", {}};
@@ -46,6 +47,7 @@
   for (auto count : kServiceCounts) {
     auto before = ConfigurationJson(count);
     auto after = before;
+    after.insert(after.find('[') + 1, ServiceJson(kAddedService).dump() + ",");
     after.replace(after.find("250", after.size() / 2), 3, "350");
     auto delta = relay::Pack(after, before);
     auto size = static_cast<double>(count);
--- a/scripts/make_capacity.py
+++ b/scripts/make_capacity.py
@@ -31,7 +31,11 @@
 class Model:
     """Evaluates the rows' formulas; each value remembers what it rests on."""
 
-    def __init__(self, inputs, rows, slopes):
+    def __init__(self, inputs, rows, bench):
+        slopes = bench["slopes"]
+        decided = [{**entry, "kind": "decided", "reason": f"default in the code: {entry['source']}"}
+                   for entry in bench["constants"]]
+        inputs = [*inputs, *decided]
         self.inputs = {entry["name"]: entry for entry in inputs}
         self.rows = {row["name"]: row for row in rows}
         self.slopes = {entry["name"]: entry for entry in slopes}
@@ -126,6 +130,10 @@
     return f"{text} {prefix}{unit}".strip()
 
 
+def plain_number(value):
+    return f"{value:,.0f}" if value >= 1e5 else f"{value:,g}"
+
+
 def table(head, lines):
     rule = "|" + "---|" * len(head)
     return "\n".join(["| " + " | ".join(head) + " |", rule]
@@ -182,7 +190,7 @@
     if unused:
         raise ValueError(f"inputs that no row uses: {sorted(unused)}")
     return table(["input", "value", "kind", "reason"],
-                 [[f"`{entry['name']}`", f"{entry['value']:,}", entry["kind"], entry["reason"]]
+                 [[f"`{entry['name']}`", plain_number(entry["value"]), entry["kind"], entry["reason"]]
                   for entry in model.inputs.values()])
 
 
@@ -201,7 +209,7 @@
     bench = json.loads(SLOPES.read_text())
     sections = json.loads(ROWS.read_text())["sections"]
     rows = [row for section in sections for row in section["rows"]]
-    model = Model(json.loads(MODEL.read_text())["inputs"], rows, bench["slopes"])
+    model = Model(json.loads(MODEL.read_text())["inputs"], rows, bench)
     page = replace(page, "misfits", misfits(model, sections))
     page = replace(page, "machine", machine_line(bench["machine"]))
     page = replace(page, "slopes", slope_table(bench["slopes"]))
--- a/src/relay/internal/delta.cc
+++ b/src/relay/internal/delta.cc
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr int kLevel = 3;
-/// Services resemble each other, so that shorter matches lead from the base to the wrong service and
-/// break the one long match that a delta is: shorter than two services, longer than a change.
+/// Services resemble each other, so that shorter matches lead from the base to the wrong service
+/// and break the one long match that a delta is: shorter than two services, longer than a change.
 constexpr int kMatchLeast = 512;
 /// Smallest window that zstd takes, as a power of two.
 constexpr int kWindowLeast = 10;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -39,8 +39,8 @@
   base::Duration forward_memory = base::minutes(10);  ///< of flows whose home is elsewhere
   double openings_per_second = 2000;
   double openings_burst = 4000;
-  /// A balancer hears hints from many homes: docs/CAPACITY.md (hint_rate_fits) has the bound. Beyond
-  /// it a packet of an exception costs a hop, nothing else.
+  /// A balancer hears hints from many homes: docs/CAPACITY.md (hint_rate_fits) has the bound.
+  /// Beyond it a packet of an exception costs a hop, nothing else.
   double hints_per_second = 1;
   double hints_burst = 200;
 };
