--- a/src/steering/tests/directory_test.cc
+++ b/src/steering/tests/directory_test.cc
@@ -136,24 +136,24 @@
 // second. Were every packet answered by a hint, the balancers' control traffic would grow with the
 // clients' traffic; the packets themselves must all reach the owner.
 BOOST_AUTO_TEST_CASE(hints_are_bounded_however_many_packets_pass) {
-  constexpr auto kFlows = 1000U;
-  constexpr auto kSeconds = 10;
+  constexpr auto flows = 1000U;
+  constexpr auto seconds = 10;
   auto policy = DirectoryPolicy{};
   policy.stopped_after = base::hours(1);
   auto directory = MakeDirectory(MakeView(3), policy);
   auto known = KnownOwner{};
   known.owner = {MakeRecord(2).id, 1};
-  for (auto i = 1U; i <= kFlows; ++i) directory.known[FlowOf(MakePacket(i))] = known;
+  for (auto i = 1U; i <= flows; ++i) directory.known[FlowOf(MakePacket(i))] = known;
   auto hints = std::ptrdiff_t{0};
   auto passed = std::ptrdiff_t{0};
-  for (auto second = 1; second <= kSeconds; ++second) {
-    for (auto i = 1U; i <= kFlows; ++i) {
+  for (auto second = 1; second <= seconds; ++second) {
+    for (auto i = 1U; i <= flows; ++i) {
       auto effects = Send(directory, MakePacket(i), kStart + base::seconds(second));
       hints += CountOf(effects, TunnelHeader::kHint);
       passed += CountOf(effects, TunnelHeader::kPacket);
     }
   }
-  BOOST_TEST(passed == kSeconds * kFlows);
+  BOOST_TEST(passed == seconds * flows);
   BOOST_TEST(hints >= 1);
   BOOST_TEST(hints <= 210);
 }
