Take a peer to have got as many new flows as this home since its report

Cause: 350 streams opened at once over seven desks ended at max/mean 1.33 of flows, with 51 to 58 flows given away by each home (of about 50 each). A home compared its own count of the moment with reports from before the burst, found itself over its bound, and gave flows away at random; so did all others.

Ruled out: more frequent reports (a burst is shorter than any period that control traffic allows); a wider slack (it would also allow the spread when reports are fresh).

Change: ExpectedFlows in directory_opening.cc. The test fails without it (26 of 50 given away).

--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -54,7 +54,8 @@
   std::uint32_t drain_notices_left = 0;
   base::TimePoint next_drain_notice{};
 
-  TargetLoad load;  ///< this target's own
+  TargetLoad load;                   ///< this target's own
+  std::uint64_t placed_as_home = 0;  ///< flows that this agent placed, here or elsewhere
   TokenBucket openings;
   TokenBucket hints;
   std::uint64_t sequence = 0;
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -58,6 +58,8 @@
   auto* peer = FindPeer(context.directory, ReadRef(report.target()));
   if (peer == nullptr || report.service() != context.directory.service.value) return;
   peer->load.flows = report.flows();
+  peer->reported_flows = report.flows();
+  peer->placed_at_report = context.directory.placed_as_home;
   peer->load.in_flight = report.in_flight() + report.queued();
   peer->load.delay = base::microseconds(report.delay_us());
   peer->load.refused_permille = report.refused_permille();
--- a/src/steering/internal/directory_opening.cc
+++ b/src/steering/internal/directory_opening.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "steering/internal/directory_parts.h"
 #include "wire/convert.h"
 
@@ -39,6 +41,20 @@
   SendHint(context, arrival.packet, peer.ref);
 }
 
+// Flows that a peer has by now, as far as this agent can tell.
+//
+// Safeguard: reports come twice a second, and a burst of new flows reaches every home at once. A
+// home that compared its own count of this moment with its peers' counts of before the burst would
+// find itself over its bound and give most of its flows away, each home by its own draw: the
+// targets end up further apart than by the hash alone. Homes get new flows at the same rate (their
+// order is a hash), so a peer is taken to have got as many as this home since its report.
+auto ExpectedFlows(const Directory& directory, const PeerTarget& peer) -> std::uint32_t {
+  auto placed = static_cast<double>(directory.placed_as_home - peer.placed_at_report);
+  auto own_weight = directory.load.weight > 0 ? directory.load.weight : 1.0;
+  auto expected = peer.reported_flows + placed * peer.load.weight / own_weight;
+  return std::max(peer.load.flows, static_cast<std::uint32_t>(expected));
+}
+
 auto FillLoads(StepContext& context) -> void {
   auto& directory = context.directory;
   auto& loads = directory.load_scratch;
@@ -52,6 +68,7 @@
     }
     const auto& peer = *FindPeer(directory, candidate.target);
     loads.push_back(peer.load);
+    loads.back().flows = ExpectedFlows(directory, peer);
     loads.back().age = context.now - peer.since;
     // A peer under another view might not accept this agent as the flow's home.
     loads.back().eligible =
@@ -111,6 +128,7 @@
     return;
   }
   FillLoads(context);
+  ++directory.placed_as_home;
   auto request = PlacementRequest{directory.load_scratch, directory.self_index, 0};
   if (policy.placement.prefer_domain) {
     request.preferred_domain = BalancerDomain(directory, arrival.packet);
--- a/src/steering/tests/directory_test.cc
+++ b/src/steering/tests/directory_test.cc
@@ -158,5 +158,28 @@
   BOOST_TEST(hints <= 210);
 }
 
+// All traders come back at once after a break in their network, 350 flows to seven desks within a
+// moment. The last reports of the others are from before. Were they taken for the present, this
+// home would give nearly all its flows away, and so would the others: some desks end up with far
+// more than others, and a late hold loses a route.
+BOOST_AUTO_TEST_CASE(a_burst_is_not_given_away_on_reports_from_before_it) {
+  constexpr auto flows = 50U;
+  auto view = MakeView(7);
+  auto directory = MakeDirectory(view);
+  for (auto& peer : directory.peers) {
+    peer.settled_view = directory.digest;
+    peer.load.connections = 1000;
+  }
+  directory.load.connections = 1000;
+  auto opened = 0U;
+  for (auto client = 1U; opened < flows; ++client) {
+    if (HomeNumber(view, client) != 1) continue;
+    Send(directory, MakePacket(client));
+    ++opened;
+  }
+  BOOST_TEST(directory.counters.deflected <= 5u);
+  BOOST_TEST(directory.counters.opened >= 45u);
+}
+
 }  // namespace
 }  // namespace anvildrum::steering
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -130,6 +130,8 @@
   std::uint64_t applied = 0;       ///< last batch of its registrations that was applied here
   std::uint64_t settled_view = 0;  ///< digest under which all its flows are registered here
   TargetLoad load;
+  std::uint32_t reported_flows = 0;    ///< by its last report
+  std::uint64_t placed_at_report = 0;  ///< Directory::placed_as_home when that came
   base::TimePoint since{};
 };
 
