--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -38,7 +38,8 @@
 
     def post(self, service, address, number):
         request_id = f"demo-{number}"
-        answer = fleet.coap("post", f"coap://{address}/{POSTS[service]}", json.dumps({"id": request_id}))
+        uri = f"coap://{address}/{POSTS[service]}"
+        answer = fleet.coap("post", uri, json.dumps({"id": request_id}))
         try:
             body = json.loads(answer)
             right = body["id"] == request_id and body["executions"] == 1
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -219,7 +219,7 @@
     def metrics(self, entry):
         """Value of each sample of an instance, by its name with labels."""
         code, text = self.http(entry["operator_port"], "/metrics")
-        lines = [line for line in text.splitlines() if line and line[0] != "#"] if code == 200 else []
+        lines = [line for line in text.splitlines() if line and line[0] != "#" and code == 200]
         return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
 
     def executions(self, name):
--- a/src/agent/internal/drain.cc
+++ b/src/agent/internal/drain.cc
@@ -14,12 +14,19 @@
   context.effects.emplace_back(Drained{});
 }
 
+// Whether a client still waits for something here; a flow without it can move on unnoticed.
+auto IsAwaited(const Context& context) -> bool {
+  auto busy = requests::BusyOf(*context.agent.requests, context.now);
+  return busy.running + busy.queued + busy.offered + busy.streams + busy.transfers > 0;
+}
+
 // Safeguard: what is left when the time is up ends with the process, and a stream's client, who
 // only listens, would not notice. Each is told, and the process stays for a retransmission.
 auto EndWhatIsLeft(Context& context) -> void {
   auto& agent = context.agent;
   if (!agent.farewell) {
-    agent.farewell = context.now + agent.policy.farewell;
+    auto stay = IsAwaited(context) ? agent.policy.farewell : base::Duration::zero();
+    agent.farewell = context.now + stay;
     EndAllFlows(context);
   }
   if (context.now >= *agent.farewell) Finish(context);
--- a/src/daemon/internal/balancer_routes.cc
+++ b/src/daemon/internal/balancer_routes.cc
@@ -27,6 +27,7 @@
   auto& metrics = this->runtime->metrics;
   ExportBalancer(metrics, this->balancer);
   ExportMonitor(metrics, this->monitor);
+  ExportFence(metrics, this->fence);
   ExportRelay(metrics, this->relay->State());
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -93,8 +93,8 @@
   this->relay->Start();
   this->tick = std::make_unique<net::PeriodicTimer>(
       this->runtime->io, kTickPeriod, [this](base::TimePoint now) { this->OnTick(now); });
-  this->stop_signal = std::make_unique<net::StopSignal>(this->runtime->io,
-                                                        [this](int) { this->BeginStop(); });
+  this->stop_signal =
+      std::make_unique<net::StopSignal>(this->runtime->io, [this](int) { this->BeginStop(); });
   Log(LogLevel::kInfo, "started", {{"role", "balancer"}});
   this->runtime->io.run();
   Log(LogLevel::kInfo, "stopped");
@@ -168,8 +168,13 @@
 
 auto BalancerRuntime::OnClient(const base::Endpoint& address, const base::Endpoint& client,
                                wire::BytesView payload) -> void {
-  auto route = balancer::RoutePacket(this->balancer, address, client, Now());
-  this->last_client_packet = Now();
+  auto now = Now();
+  this->last_client_packet = now;
+  if (NoteRun(this->fence, now)) {
+    ++this->fence.dropped;
+    return;
+  }
+  auto route = balancer::RoutePacket(this->balancer, address, client, now);
   if (route.to == base::Endpoint{}) return;
   balancer::WritePacketHeader(this->balancer, route, this->scratch_header);
   this->tunnel->Send(route.to, this->scratch_header, payload);
@@ -229,6 +234,8 @@
 }
 
 auto BalancerRuntime::OnTick(base::TimePoint now) -> void {
+  NoteRun(this->fence, now);
+  LiftFence(this->fence, this->relay->State(), now);
   this->Carry(balancer::Step(this->balancer, balancer::Timer{}, now));
   this->ApplyMonitor(balancer::Step(this->monitor, balancer::MonitorTimer{}, now));
   if (this->balancer.phase != balancer::Phase::kStopping) return;
--- a/src/daemon/internal/balancer_runtime.h
+++ b/src/daemon/internal/balancer_runtime.h
@@ -9,6 +9,7 @@
 #include "daemon/internal/relay_runtime.h"
 #include "daemon/internal/runtime.h"
 #include "daemon/internal/tunnel_port.h"
+#include "daemon/internal/wake_fence.h"
 #include "net/periodic_timer.h"
 #include "net/signals.h"
 #include "net/udp_port.h"
@@ -58,6 +59,7 @@
   std::unique_ptr<net::PeriodicTimer> tick;
   std::unique_ptr<net::StopSignal> stop_signal;
   wire::pb::TunnelHeader scratch_header;
+  WakeFence fence;
   base::TimePoint stop_begun{};
   base::TimePoint last_client_packet{};
 };
--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -121,6 +121,14 @@
              monitor.probes_answered);
 }
 
+auto ExportFence(Registry& metrics, const WakeFence& fence) -> void {
+  SetCounter(metrics, "anvildrum_stops_noticed_total", "Times that the process was not run",
+             fence.stops);
+  SetCounter(metrics, "anvildrum_packets_fenced_total",
+             "Client datagrams dropped after a stop, before the balancer was up to date",
+             fence.dropped);
+}
+
 auto ExportAgent(Registry& metrics, const agent::Agent& agent) -> void {
   const auto& counters = agent.counters;
   const auto& directory = agent.directory.counters;
--- a/src/daemon/internal/metrics_export.h
+++ b/src/daemon/internal/metrics_export.h
@@ -4,6 +4,7 @@
 #include "balancer/balancer.h"
 #include "balancer/monitor.h"
 #include "daemon/internal/tunnel_port.h"
+#include "daemon/internal/wake_fence.h"
 #include "platform/client.h"
 #include "relay/relay.h"
 #include "telemetry/metrics.h"
@@ -12,6 +13,7 @@
 namespace anvildrum::daemon {
 
 auto ExportBalancer(telemetry::Registry& metrics, const balancer::Balancer& balancer) -> void;
+auto ExportFence(telemetry::Registry& metrics, const WakeFence& fence) -> void;
 auto ExportMonitor(telemetry::Registry& metrics, const balancer::Monitor& monitor) -> void;
 auto ExportAgent(telemetry::Registry& metrics, const agent::Agent& agent) -> void;
 auto ExportRelay(telemetry::Registry& metrics, const relay::State& state) -> void;
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -49,6 +49,16 @@
         self.assertEqual(twice, {}, "POSTs that ran more than once")
         return total
 
+    def replace_target(self, running, target):
+        """Returns the runs that the target forgets with its restart."""
+        self.assertEqual(running.terminate(target["agent"]), 0)
+        ran = running.executions(target["name"])
+        self.assertEqual(running.terminate(target["name"]), 0)
+        running.start_target(target["name"])
+        running.start_daemon("agent", target)
+        wait_until(running.is_ready, f"{target['name']} ready again", WIDE_SECONDS)
+        return ran
+
 
 class Observer:
     """The stock client observing a resource; its notifications are read from its output."""
