--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -168,8 +168,13 @@
 
 auto BalancerRuntime::OnClient(const base::Endpoint& address, const base::Endpoint& client,
                                wire::BytesView payload) -> void {
-  auto route = balancer::RoutePacket(this->balancer, address, client, Now());
-  this->last_client_packet = Now();
+  auto now = Now();
+  this->last_client_packet = now;
+  if (NoteRun(this->fence, now)) {
+    ++this->fence.dropped;
+    return;
+  }
+  auto route = balancer::RoutePacket(this->balancer, address, client, now);
   if (route.to == base::Endpoint{}) return;
   balancer::WritePacketHeader(this->balancer, route, this->scratch_header);
   this->tunnel->Send(route.to, this->scratch_header, payload);
@@ -229,6 +234,8 @@
 }
 
 auto BalancerRuntime::OnTick(base::TimePoint now) -> void {
+  NoteRun(this->fence, now);
+  LiftFence(this->fence, this->relay->State(), now);
   this->Carry(balancer::Step(this->balancer, balancer::Timer{}, now));
   this->ApplyMonitor(balancer::Step(this->monitor, balancer::MonitorTimer{}, now));
   if (this->balancer.phase != balancer::Phase::kStopping) return;
