--- /dev/null
+++ b/tools/scenario/records.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "membership/types/records.h"
+#include "membership/view.h"
+#include "relay/types/event.h"
+
+namespace anvildrum::scenario {
+
+struct World;
+
+auto ToRelayPeer(const membership::BalancerRecord& record) -> relay::RelayPeer;
+/// Takes an object of the platform into a view, as the daemon does.
+auto ApplyObject(const relay::PlatformObject& object, membership::View& view, base::TimePoint now)
+    -> void;
+/// Start number of a process that starts now.
+auto IncarnationAt(const World& world) -> base::Incarnation;
+
+}  // namespace anvildrum::scenario
