--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -29,6 +29,11 @@
   if (const auto* send = std::get_if<agent::SendTarget>(&effect)) {
     return ToTarget(*node.world, node.name, send->flow, send->payload);
   }
+  if (const auto* close = std::get_if<agent::CloseTarget>(&effect)) {
+    auto client = node.world->client_at.find(close->flow.client);
+    auto name = client == node.world->client_at.end() ? std::string("?") : client->second;
+    return Trace(*node.world, node.process + " lets go of the flow of " + name);
+  }
   if (std::holds_alternative<agent::AnnounceDraining>(effect)) return Announce(node.announcer);
   if (std::holds_alternative<agent::Drained>(effect)) return BeginWithdraw(node);
 }
--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -149,6 +149,7 @@
 auto Acknowledge(World& world, Client& client, const Message& message, bool known) -> bool {
   if (message.type != MessageType::kConfirmable) {
     if (message.type == MessageType::kNonConfirmable && !known) {
+      Trace(world, client.name + " resets " + std::to_string(message.message_id));
       FromClient(world, client, requests::BuildReset(message.message_id));
     }
     return true;
--- a/tools/scenario/platform.cc
+++ b/tools/scenario/platform.cc
@@ -74,8 +74,9 @@
 
 auto AnswerWatch(World& world, const FakePlatform::Watch& watch,
                  const platform::Outcome<Listing>& answer) -> void {
-  AfterIn(world.clock, ProcessOf(world, watch.process), kCallDelay,
-          [done = watch.done, answer] { done(answer); });
+  auto& process = ProcessOf(world, watch.process);
+  if (process.life != watch.life) return;
+  AfterIn(world.clock, process, kCallDelay, [done = watch.done, answer] { done(answer); });
 }
 
 auto AnswerWatches(World& world) -> void {
@@ -130,7 +131,7 @@
   if (!IsReached(world, process)) return AfterIn(world.clock, caller, kCallTimeout, fail);
   if (!world.platform.up) return AfterIn(world.clock, caller, kCallDelay, fail);
   auto id = world.platform.next_watch++;
-  auto watch = FakePlatform::Watch{process, after, done, id};
+  auto watch = FakePlatform::Watch{process, caller.life, after, done, id};
   if (world.platform.store.revision > after) {
     return AnswerWatch(world, watch, ChangesOf(world, after));
   }
--- a/tools/scenario/platform.h
+++ b/tools/scenario/platform.h
@@ -20,6 +20,7 @@
 struct FakePlatform {
   struct Watch {
     std::string process;
+    std::uint64_t life = 0;  ///< of the process
     std::uint64_t after = 0;
     platform::Callback<platform::Listing> done;
     std::uint64_t id = 0;
