Let a joining agent serve only when its own record has come back through the relay

Cause: the daemon gave the core its own record as soon as the announcement had taken. Until the relay had brought the peers, the core saw a service of one target, took itself to be settled and opened flows that others served; in the conflict that followed, the owner heard last won and the feeds of the other one went silent. Ruled out: suspicion (none was recorded), the fabric (no balancer had died). Change: the core starts with what the relay holds and serves when its own record comes back with it, which is what agent.h says of kStarting.

--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -121,7 +121,6 @@
                     .Build();
   for (const auto& [key, record] : this->records) this->ApplyRecord(record);
   this->UpdateRelayPeers();
-  this->Step(agent::TargetRecordChanged{this->record});
   if (this->stopping) this->Step(agent::DrainRequested{});
   this->ArmTimer();
 }
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -113,7 +113,6 @@
   auto records = node.records;
   for (const auto& [key, record] : records) ApplyRecord(node, record);
   UpdateRelayPeers(node);
-  Feed(node, agent::TargetRecordChanged{node.record});
   if (node.stopping) Feed(node, agent::DrainRequested{});
   ArmTimer(node);
 }
