--- a/tools/scenario/act.cc
+++ b/tools/scenario/act.cc
@@ -42,7 +42,29 @@
   ForProcesses(run, words, [](Process& process) { EndProcess(process); });
 }
 
+// The machine is given another job: its process starts as a target of another service, on the same
+// port.
+auto StartAs(Run& run, Words& words, const std::string& name) -> void {
+  auto service = TakeName(words);
+  auto agent = run.world.agents.find(name);
+  if (agent == run.world.agents.end() || !run.world.services.contains(service)) {
+    words.wrong = true;
+    return;
+  }
+  agent->second->record.service_name = service;
+  agent->second->record.service = base::ServiceIdOf(service);
+  run.world.targets.at(name)->service = service;
+  StartTarget(run.world, name);
+  StartAgent(run.world, name);
+}
+
 auto DoStart(Run& run, Words& words) -> void {
+  auto as = words.next + 1;
+  if (as < words.line.words.size() && words.line.words[as].text == "as") {
+    auto name = TakeName(words);
+    ++words.next;
+    return StartAs(run, words, name);
+  }
   ForProcesses(run, words, [&](Process& process) { StartByName(run.world, process.name); });
 }
 
@@ -88,6 +110,10 @@
 auto DoPlatform(Run& run, Words& words) -> void {
   if (Takes(words, "down")) return SetPlatformUp(run.world, false);
   if (Takes(words, "up")) return SetPlatformUp(run.world, true);
+  if (Takes(words, "holds-deletes")) {
+    run.world.platform.delete_delay = TakeDuration(words);
+    return;
+  }
   if (!Takes(words, "loses")) words.wrong = true;
   run.world.platform.lost_answers = TakeNumber(words);
 }
@@ -112,6 +138,41 @@
   if (verb == "reorder") faults.reorder = TakeDuration(words);
 }
 
+constexpr auto kFloodStep = base::milliseconds(1);
+
+auto Flood(Run& run, const Client& model, std::uint32_t rate, base::TimePoint until) -> void {
+  for (auto i = 0U; i < rate / 1000; ++i) {
+    auto client = model;
+    client.endpoint = base::EndpointFromV4(static_cast<std::uint32_t>(run.world.random()),
+                                           static_cast<std::uint16_t>(run.world.random()));
+    auto draft = Draft{};
+    draft.code = kGet;
+    draft.message_id = static_cast<std::uint16_t>(run.world.random());
+    draft.path = "route";
+    draft.query = "id=flood&to=" + client.service;
+    FromClient(run.world, client, Write(draft));
+  }
+  if (run.world.clock.now >= until) return;
+  After(run.world.clock, kFloodStep,
+        [&run, model, rate, until] { Flood(run, model, rate, until); });
+}
+
+// `flood desk 20000 for 5s`: packets a second, each from a source of its own.
+auto DoFlood(Run& run, Words& words) -> void {
+  auto model = Client{};
+  model.service = TakeName(words);
+  auto rate = static_cast<std::uint32_t>(TakeNumber(words));
+  if (!Takes(words, "for")) words.wrong = true;
+  auto until = run.world.clock.now + TakeDuration(words);
+  auto service = run.world.services.find(model.service);
+  if (words.wrong || service == run.world.services.end()) {
+    words.wrong = true;
+    return;
+  }
+  model.address = service->second;
+  Flood(run, model, rate, until);
+}
+
 auto MethodOf(const std::string& verb) -> std::uint8_t {
   if (verb == "post") return kPost;
   return verb == "put" ? kPut : kGet;
@@ -168,10 +229,16 @@
   auto verb = TakeName(words);
   if (verb == "get" || verb == "post" || verb == "put") return DoRequest(run, words, names, verb);
   if (verb != "open" && verb != "cancel") words.wrong = true;
+  auto span = Takes(words, "over") ? TakeDuration(words) : base::Duration{};
+  auto step = names.empty() ? span : span / static_cast<int>(names.size());
+  auto delay = base::Duration{};
   for (const auto& name : names) {
     auto& client = run.world.clients.at(name);
-    if (verb == "open") OpenStream(run.world, client);
-    if (verb == "cancel") CancelStream(run.world, client);
+    After(run.world.clock, delay, [&run, &client, opens = verb == "open"] {
+      if (opens) return OpenStream(run.world, client);
+      CancelStream(run.world, client);
+    });
+    delay += step;
   }
 }
 
@@ -179,7 +246,7 @@
 const auto kVerbs = std::map<std::string, Verb>{
     {"kill", DoKill}, {"start", DoStart}, {"stop", DoStop},         {"drain", DoStop},
     {"cut", DoCut},   {"heal", DoHeal},   {"platform", DoPlatform}, {"patch", DoPatch},
-    {"freeze", DoFreeze}, {"replay", DoReplay}};
+    {"freeze", DoFreeze}, {"replay", DoReplay}, {"flood", DoFlood}};
 
 auto IsFault(const std::string& verb) -> bool {
   return verb == "loss" || verb == "duplicate" || verb == "late" || verb == "reorder";
--- a/tools/scenario/expect.cc
+++ b/tools/scenario/expect.cc
@@ -66,6 +66,17 @@
   CheckCount(run, words, alive, missing.empty() ? "" : "; not" + missing);
 }
 
+// Streams of a target that ended without a word to their clients.
+auto ExpectUntold(Run& run, Words& words) -> void {
+  auto names = std::vector<std::string>{TakeName(words)};
+  auto untold = std::uint64_t{0};
+  for (const auto& [name, client] : run.world.clients) {
+    if (TargetOf(client) != names[0]) continue;
+    untold += client.stream->broken.starts_with("told") ? 0 : 1;
+  }
+  CheckCount(run, words, untold);
+}
+
 auto ExpectExecutions(Run& run, Words& words) -> void {
   auto id = TakeName(words);
   auto order = run.world.orders.find(id);
@@ -220,7 +231,7 @@
 using Verb = void (*)(Run&, Words&);
 const auto kExpectations = std::map<std::string, Verb>{
     {"broken", ExpectBroken},         {"streams", ExpectStreams},
-    {"executions", ExpectExecutions}, {"outcome", ExpectOutcome},
+    {"untold", ExpectUntold},         {"executions", ExpectExecutions}, {"outcome", ExpectOutcome},
     {"outcomes", ExpectOutcomes},     {"owners-per-flow", ExpectOwners},
     {"crossings", ExpectCrossings},   {"config", ExpectConfig},
     {"patches", ExpectPatches},       {"imbalance", ExpectImbalance},
--- a/tools/scenario/platform.cc
+++ b/tools/scenario/platform.cc
@@ -32,7 +32,8 @@
 // Runs `serve` at the platform and its answer in the caller.
 template <typename Answer, typename Serve>
 auto Call(World& world, const std::string& name, const std::string& key,
-          const platform::Callback<Answer>& done, Serve serve) -> void {
+          const platform::Callback<Answer>& done, Serve serve,
+          base::Duration held = base::Duration{}) -> void {
   CountCall(world);
   auto& caller = ProcessOf(world, name);
   auto fail = [done, key](PlatformErrorCode code) { done(PlatformError{code, 0, key}); };
@@ -40,7 +41,7 @@
     return AfterIn(world.clock, caller, kCallTimeout, [fail] { fail(PlatformErrorCode::kTimeout); });
   }
   auto life = caller.life;
-  After(world.clock, kCallDelay, [&world, &caller, life, done, fail, serve] {
+  After(world.clock, kCallDelay + held, [&world, &caller, life, done, fail, serve] {
     if (!world.platform.up) {
       if (caller.life != life) return;
       return AfterIn(world.clock, caller, kCallDelay,
@@ -159,7 +160,7 @@
     if (error) return *error;
     return std::monostate{};
   };
-  Call<std::monostate>(world, process, key, done, serve);
+  Call<std::monostate>(world, process, key, done, serve, world.platform.delete_delay);
 }
 
 auto SetPlatformUp(World& world, bool up) -> void {
--- a/tools/scenario/platform.h
+++ b/tools/scenario/platform.h
@@ -28,6 +28,7 @@
   platform_standin::Store store;
   bool up = true;
   double lost_answers = 0;  ///< share of writes that take effect and whose answer is lost
+  base::Duration delete_delay{};  ///< on the way of a delete to the store
   std::vector<Watch> watches;
   std::uint64_t next_watch = 0;
   std::map<std::int64_t, std::uint64_t> calls;  ///< by second since the start
--- a/tools/scenario/world.cc
+++ b/tools/scenario/world.cc
@@ -107,10 +107,9 @@
   auto name = PickBalancer(world);
   if (name.empty()) return;
   auto& receiver = world.processes.at(name);
-  auto deliver = [&world, &receiver, &client, bytes] {
-    Receive(receiver, [&world, &receiver, &client, bytes] {
-      auto& node = *world.balancers.at(receiver.name);
-      FromFabric(node, client.address, client.endpoint, bytes);
+  auto deliver = [&world, &receiver, to = client.address, from = client.endpoint, bytes] {
+    Receive(receiver, [&world, &receiver, to, from, bytes] {
+      FromFabric(*world.balancers.at(receiver.name), to, from, bytes);
     });
   };
   Transmit(world, kToClient, deliver);
