--- a/tools/scenario/main.cc
+++ b/tools/scenario/main.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "scenario/draw.h"
 #include "scenario/run.h"
 
 namespace {
@@ -15,6 +16,7 @@
   std::vector<std::string> files;
   std::uint64_t first_seed = 1;
   std::uint64_t last_seed = 1;
+  std::uint64_t drawn = 0;
   bool trace = false;
 };
 
@@ -27,6 +29,8 @@
       options.trace = true;
     } else if (argument == "--seed" && has_value) {
       options.first_seed = options.last_seed = std::stoull(arguments[++i]);
+    } else if (argument == "--random" && has_value) {
+      options.drawn = std::stoull(arguments[++i]);
     } else if (argument == "--seeds" && has_value) {
       const auto& range = arguments[++i];
       options.first_seed = std::stoull(range);
@@ -85,11 +89,13 @@
 
 auto main(int argc, char** argv) -> int {
   auto options = ReadOptions(std::vector<std::string>(argv + 1, argv + argc));
-  if (options.files.empty()) {
-    std::cerr << "anvildrum-scenario FILE... [--seed N] [--seeds A..B] [--trace]\n";
+  if (options.files.empty() && options.drawn == 0) {
+    std::cerr << "anvildrum-scenario FILE... [--seed N] [--seeds A..B] [--trace]\n"
+                 "anvildrum-scenario --random N [--seed FIRST]\n";
     return 2;
   }
-  auto good = true;
+  auto good = options.drawn == 0 || anvildrum::scenario::RunDrawn(options.first_seed, options.drawn,
+                                                                  std::cout) == 0;
   for (const auto& file : options.files) good = RunFile(options, file) && good;
   return good ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tools/scenario/platform.cc
+++ b/tools/scenario/platform.cc
@@ -76,7 +76,7 @@
 auto AnswerWatch(World& world, const FakePlatform::Watch& watch,
                  const platform::Outcome<Listing>& answer) -> void {
   auto& process = ProcessOf(world, watch.process);
-  if (process.life != watch.life) return;
+  if (process.life != watch.life || !IsReached(world, watch.process)) return;
   AfterIn(world.clock, process, kCallDelay, [done = watch.done, answer] { done(answer); });
 }
 
