Flush what a handler sent when it returns, without a posted handler

Cause: a datagram that comes in at one port and leaves through another one was flushed by a posted handler, for which the io_context asks for events once more. Ruled out: sendto at once for each datagram (loses the batches, which carry the balancer under load). Change: the ports of an io_context share a queue of those to flush; it is emptied when the handler under way returns. Also for the sockets towards a target. Its test fails with the posted handler in place (run and restored).

--- a/bench/forwarding/forwarding.py
+++ b/bench/forwarding/forwarding.py
@@ -2,11 +2,13 @@
 """Processor time a packet through one real balancer process, against a plain Asio relay of the same
 hops; delay against the direct path; memory of the flows that a balancer holds.
 
-    bench/forwarding/forwarding.py BUILD [--rounds N] [--packets N] [--out FILE]
+    bench/forwarding/forwarding.py BUILD [--rounds N] [--packets N] [--out FILE] [--before DAEMON]
 
 Client -> balancer (or relay) -> sink and back, on loopback addresses. The sinks stand in for agents
 and targets. All run turn by turn, so that a busy machine bears on each alike; the figures are
-medians over the rounds, and ratios are medians of each round's ratio. Stops by itself.
+medians over the rounds, and ratios are medians of each round's ratio. Stops by itself. With
+--before, a second balancer from another build of anvildrumd takes its turn as well, and each cell
+says by what ratio the processor time a packet changed.
 """
 
 import argparse
@@ -35,6 +37,7 @@
 DEFAULT_ENTRIES = 1_000_000  # as in src/settings
 SMALLEST_ENTRIES = 1024
 SETTLE_SECONDS = 0.5
+BEFORE = 4  # number of the balancer that --before names
 DATAGRAMS = 2  # forwarded for each answer: one each way
 NS_PER_SECOND = 1e9
 LIMIT_SECONDS = 120  # of one turn
@@ -52,7 +55,7 @@
         self.processes = []
         self.balancers = []
         self.sinks = {}
-        self.balancer = self.relay = None
+        self.balancer = self.before = self.relay = None
 
     def __enter__(self):
         return self
@@ -92,12 +95,12 @@
         self.relay, _ = self.begin([self.program, "relay", "--front", self.address(2), *echoes])
         self.balancer = self.start_balancer(1, DEFAULT_ENTRIES)
 
-    def start_balancer(self, number, entries):
+    def start_balancer(self, number, entries, daemon=None):
         """Balancer `number`, whose port of clients is at client_side(number)."""
         path = self.path / f"b{number}.json"
         path.write_text(json.dumps(self.settings(number, entries)))
         balancer = subprocess.Popen(
-            [str(self.build / "src/daemon/anvildrumd"), "--settings", str(path)])
+            [daemon or str(self.build / "src/daemon/anvildrumd"), "--settings", str(path)])
         self.balancers.append(balancer)
         fleet.wait_until(lambda: self.is_ready(number), f"balancer {number} ready")
         return balancer
@@ -183,14 +186,18 @@
 
 def cell(bench, size, window, rounds, packets):
     """One size and window: floor, balancer and direct path in turn."""
-    relay, balancer, direct = [], [], []
+    relay, balancer, direct, before = [], [], [], []
     for _ in range(rounds):
         relay.append(bench.turn(bench.relay, [bench.address(2)], size, window, packets))
         balancer.append(bench.turn(bench.balancer, [bench.client_side(1)], size, window, packets))
+        if bench.before:
+            before.append(
+                bench.turn(bench.before, [bench.client_side(BEFORE)], size, window, packets))
         direct.append(bench.turn(None, bench.sinks["echoes"], size, window, packets))
     keys = ("ns_per_packet", "packets_per_second", "p50_us", "p99_us")
+    change = {"change": ratio(balancer, before, "ns_per_packet")} if before else {}
     return {
-        "bytes": size, "window": window * LOAD_THREADS,
+        **change, "bytes": size, "window": window * LOAD_THREADS,
         "relay": {key: median(relay, key) for key in keys},
         "balancer": {key: median(balancer, key) for key in keys},
         "direct": {key: median(direct, key) for key in ("p50_us", "p99_us")},
@@ -245,7 +252,8 @@
           f"x {one['packets_per_second_ratio']['median']}, p50 x "
           f"{one['p50_over_direct']['median']} (relay {one['relay_p50_over_direct']['median']}), "
           f"p99 x {one['p99_over_direct']['median']} "
-          f"(relay {one['relay_p99_over_direct']['median']})", file=sys.stderr, flush=True)
+          f"(relay {one['relay_p99_over_direct']['median']})", one.get("change", ""),
+          file=sys.stderr, flush=True)
 
 
 def main():
@@ -255,9 +263,12 @@
     parser.add_argument("--packets", type=int, default=60_000, help="answers of one turn")
     parser.add_argument("--windows", type=int, nargs="+", default=WINDOWS)
     parser.add_argument("--out")
+    parser.add_argument("--before", help="another build of anvildrumd")
     options = parser.parse_args()
     with Bench(options.build) as bench:
         bench.start()
+        if options.before:
+            bench.before = bench.start_balancer(BEFORE, DEFAULT_ENTRIES, options.before)
         result = {"command": "bench/forwarding/forwarding.py BUILD --rounds "
                              f"{options.rounds} --packets {options.packets}",
                   "machine": machine(), "memory": memory(bench), "cells": []}
--- a/src/net/internal/connected_udp.cc
+++ b/src/net/internal/connected_udp.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/internal/send_queue.h"
 #include "net/internal/udp_socket.h"
 #include "net/sockaddr.h"
 
@@ -31,7 +32,9 @@
 
 struct ConnectedUdp::Impl : std::enable_shared_from_this<ConnectedUdp::Impl> {
   Impl(asio::io_context& io, internal::FileDescriptor opened, Handlers handlers)
-      : socket(io, opened.Release()), handlers(std::move(handlers)) {}
+      : queue(asio::use_service<internal::SendQueue>(io)),
+        socket(io, opened.Release()),
+        handlers(std::move(handlers)) {}
 
   auto Wait() -> void {
     this->socket.async_wait(asio::posix::stream_descriptor::wait_read,
@@ -42,10 +45,11 @@
   }
 
   auto WakeUp() -> void {
+    this->queue.Begin();
     for (auto read = 0; read < kReadsPerWakeUp; ++read) {
-      if (!this->Read()) break;
-      if (this->closed) return;
+      if (!this->Read() || this->closed) break;
     }
+    this->queue.End();
     if (!this->closed) this->Wait();
   }
 
@@ -82,6 +86,7 @@
     });
   }
 
+  internal::SendQueue& queue;
   asio::posix::stream_descriptor socket;
   Handlers handlers;
   bool closed = false;
--- a/src/net/internal/udp_port.cc
+++ b/src/net/internal/udp_port.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "net/internal/datagram_batch.h"
+#include "net/internal/send_queue.h"
 #include "net/internal/udp_socket.h"
 #include "net/sockaddr.h"
 
@@ -13,7 +14,7 @@
 
 namespace asio = boost::asio;
 
-struct UdpPort::Impl : std::enable_shared_from_this<UdpPort::Impl> {
+struct UdpPort::Impl : internal::Flushable, std::enable_shared_from_this<UdpPort::Impl> {
   Impl(asio::io_context& io, const UdpPortOptions& options, internal::FileDescriptor opened,
        OnDatagram on_datagram)
       : local(internal::BoundEndpoint(opened.Get())),
@@ -22,6 +23,7 @@
         on_datagram(std::move(on_datagram)),
         incoming(options.max_datagram),
         outgoing(options.max_datagram),
+        queue(asio::use_service<internal::SendQueue>(io)),
         socket(io, opened.Release()) {}
 
   auto Wait() -> void {
@@ -34,14 +36,12 @@
 
   auto WakeUp() -> void {
     ++this->counts.wake_ups;
-    this->awake = true;
+    this->queue.Begin();
     for (auto batch = std::size_t{0}; batch < this->batches_per_wake_up; ++batch) {
       if (!this->ReceiveBatch()) break;
     }
-    this->awake = false;
-    if (this->closed) return;
-    this->Flush();
-    this->Wait();
+    this->queue.End();
+    if (!this->closed) this->Wait();
   }
 
   /// False when the socket has no more for now.
@@ -81,15 +81,16 @@
   }
 
   auto ScheduleFlush() -> void {
-    if (this->awake || this->flush_posted) return;
-    this->flush_posted = true;
+    if (this->flush_due) return;
+    this->flush_due = true;
+    if (this->queue.IsOpen()) return this->queue.Add(this->shared_from_this());
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
-      self->flush_posted = false;
       if (!self->closed) self->Flush();
     });
   }
 
-  auto Flush() -> void {
+  auto Flush() -> void override {
+    this->flush_due = false;
     auto done = std::size_t{0};
     while (done < this->queued) {
       const auto sent =
@@ -115,10 +116,10 @@
   internal::DatagramBatch incoming;
   internal::DatagramBatch outgoing;
   std::size_t queued = 0;
-  bool awake = false;
-  bool flush_posted = false;
+  bool flush_due = false;
   bool closed = false;
   UdpPortCounts counts;
+  internal::SendQueue& queue;
   asio::posix::stream_descriptor socket;
 };
 
--- a/src/net/tests/udp_port_test.cc
+++ b/src/net/tests/udp_port_test.cc
@@ -67,6 +67,19 @@
 
 // A client sends a datagram longer than the port takes. Passing on its first part would hand the
 // target a request that the client never made; the port drops it whole, and the next one arrives.
+BOOST_AUTO_TEST_CASE(what_a_callback_sends_through_another_port_leaves_with_its_return) {
+  auto way_out = this->Open(Ignore);
+  auto way_in = this->Open([&](const base::Endpoint& sender, std::span<const std::uint8_t> data) {
+    way_out->Send(sender, data);
+    BOOST_TEST(way_out->Counts().sent == 0U);
+  });
+  auto client = this->Open(Ignore);
+  client->Send(way_in->LocalEndpoint(), Bytes{1});
+  client->Flush();
+  while (way_in->Counts().received == 0) this->io.run_one();
+  BOOST_TEST(way_out->Counts().sent == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(drops_an_oversized_datagram_whole) {
   auto got = std::vector<Bytes>{};
   auto receiver = this->Open(
