--- a/tools/scenario/nodes.h
+++ b/tools/scenario/nodes.h
@@ -61,6 +61,7 @@
     requests::Token token;
     std::string id;
     std::uint32_t sequence = 2;
+    std::uint16_t last_message_id = 0;  ///< a Reset names it (RFC 7641, 3.6)
   };
   World* world = nullptr;
   std::string name;
--- a/tools/scenario/target_node.cc
+++ b/tools/scenario/target_node.cc
@@ -38,6 +38,7 @@
   draft.type = confirm ? MessageType::kConfirmable : MessageType::kNonConfirmable;
   draft.code = kContent;
   draft.message_id = node.message_id++;
+  observer.last_message_id = draft.message_id;
   draft.token = observer.token;
   draft.observe = observer.sequence++;
   draft.payload = BodyOf(node, observer.id);
@@ -109,7 +110,9 @@
   auto message = requests::ParseMessage(job.datagram);
   if (!message) return;
   if (message->type == MessageType::kReset) {
-    std::erase_if(node.observers, [&](const auto& at) { return at.flow == job.flow; });
+    std::erase_if(node.observers, [&](const auto& at) {
+      return at.flow == job.flow && at.last_message_id == message->message_id;
+    });
     return;
   }
   if (!requests::IsRequest(*message)) return;
