--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -18,10 +18,11 @@
 
 /// An agent's process: sockets, files and timers round agent::Step. The core starts when the
 /// announcement has taken, because the platform's record settles the incarnation that all of the
-/// core's safeguards are bound to. The core serves when that record has come back through the relay,
-/// which brings all earlier announcements first. Failure: an agent that took its own record at once
-/// knew of no peer, believed itself settled and alone, and opened flows that others served; the
-/// home then kept the one heard last. Symptom: established feeds went silent when a target joined.
+/// core's safeguards are bound to. The core serves when that record has come back through the
+/// relay, which brings all earlier announcements first. Failure: an agent that took its own record
+/// at once knew of no peer, believed itself settled and alone, and opened flows that others served;
+/// the home then kept the one heard last. Symptom: established feeds went silent when a target
+/// joined.
 class AgentRuntime {
  public:
   explicit AgentRuntime(std::unique_ptr<Runtime> runtime);
--- a/tools/scenario/act.cc
+++ b/tools/scenario/act.cc
@@ -244,8 +244,8 @@
 
 using Verb = void (*)(Run&, Words&);
 const auto kVerbs = std::map<std::string, Verb>{
-    {"kill", DoKill}, {"start", DoStart}, {"stop", DoStop},         {"drain", DoStop},
-    {"cut", DoCut},   {"heal", DoHeal},   {"platform", DoPlatform}, {"patch", DoPatch},
+    {"kill", DoKill},     {"start", DoStart},   {"stop", DoStop},         {"drain", DoStop},
+    {"cut", DoCut},       {"heal", DoHeal},     {"platform", DoPlatform}, {"patch", DoPatch},
     {"freeze", DoFreeze}, {"replay", DoReplay}, {"flood", DoFlood}};
 
 auto IsFault(const std::string& verb) -> bool {
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -145,8 +145,8 @@
 auto MakeRelay(AgentNode& node) -> void {
   auto settings = relay::RelaySettings{};
   settings.role = relay::RelayRole::kAgent;
-  settings.self = {node.process, node.record.instance, node.record.incarnation, {},
-                   node.record.failure_domain};
+  settings.self = {
+      node.process, node.record.instance, node.record.incarnation, {}, node.record.failure_domain};
   settings.service = node.record.service;
   settings.seed = node.world->random();
   for (const auto& [name, balancer] : node.world->balancers) {
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -38,8 +38,8 @@
     membership::SetSuspect(view, change.record.id, change.suspect);
     Trace(*node.world, node.name + (change.suspect ? " suspects " : " hears again ") + key);
     if (change.suspect) {
-      Feed(node.relay, relay::RecordSuspected{key, change.record.revision,
-                                              change.record.failure_domain});
+      Feed(node.relay,
+           relay::RecordSuspected{key, change.record.revision, change.record.failure_domain});
     } else {
       Feed(node.relay, relay::RecordAlive{key});
     }
--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -1,9 +1,9 @@
-#include "requests/types/parameters.h"
 #include "scenario/client.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "requests/types/parameters.h"
 #include "scenario/world.h"
 
 namespace anvildrum::scenario {
@@ -60,8 +60,8 @@
   next.confirmed = true;
   next.message_id = client.next_message_id++;
   next.token = before.token;
-  auto renamed = requests::WithIdentity(before.bytes, MessageType::kConfirmable, next.message_id,
-                                        next.token);
+  auto renamed =
+      requests::WithIdentity(before.bytes, MessageType::kConfirmable, next.message_id, next.token);
   auto message = requests::ParseMessage(renamed);
   if (message) next.bytes = requests::WithEcho(*message, *challenge.echo);
   Begin(world, client, std::move(next));
@@ -106,8 +106,9 @@
 auto OnStream(World& world, Client& client, const Message& message) -> void {
   auto& stream = *client.stream;
   if ((message.code & kClassMask) != kSuccess) {
-    return Break(world, client, stream, "told " + std::to_string(message.code >> 5) + ".0" +
-                                            std::to_string(message.code & 0x1f));
+    return Break(
+        world, client, stream,
+        "told " + std::to_string(message.code >> 5) + ".0" + std::to_string(message.code & 0x1f));
   }
   CheckAnswer(world, client, stream.id, message.whole);
   if (message.observe) HearStream(world, client, stream, message);
@@ -164,8 +165,8 @@
 }  // namespace
 
 auto NameOf(Outcome outcome) -> std::string {
-  static const auto kNames = std::vector<std::string>{"pending", "answered", "not-run",
-                                                      "unknown", "timeout",  "error"};
+  static const auto kNames =
+      std::vector<std::string>{"pending", "answered", "not-run", "unknown", "timeout", "error"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
@@ -193,8 +194,14 @@
   exchange.order = id;
   exchange.token = NextToken(client);
   exchange.message_id = client.next_message_id++;
-  auto draft = Draft{MessageType::kConfirmable, method, exchange.message_id, exchange.token, {},
-                     path, "id=" + id + "&to=" + client.service, {}};
+  auto draft = Draft{MessageType::kConfirmable,
+                     method,
+                     exchange.message_id,
+                     exchange.token,
+                     {},
+                     path,
+                     "id=" + id + "&to=" + client.service,
+                     {}};
   exchange.bytes = Write(draft);
   Begin(world, client, std::move(exchange));
   After(world.clock, requests::kMaxTransmitWait, [&world, &client, id] {
@@ -217,8 +224,14 @@
   order.method = kGet;
   order.sent = world.clock.now;
   world.orders[id] = order;
-  auto draft = Draft{MessageType::kConfirmable, kGet, message_id, token, 0, "feed",
-                     "id=" + id + "&to=" + client.service, {}};
+  auto draft = Draft{MessageType::kConfirmable,
+                     kGet,
+                     message_id,
+                     token,
+                     0,
+                     "feed",
+                     "id=" + id + "&to=" + client.service,
+                     {}};
   auto exchange = Exchange{id, token, message_id, Write(draft)};
   Begin(world, client, std::move(exchange));
 }
--- a/tools/scenario/draw.cc
+++ b/tools/scenario/draw.cc
@@ -47,32 +47,33 @@
   return DrawClient(drawer) + drawer.Of(kKinds);
 }
 
-// b3 stays, so that there is always a balancer; desk-1 and mapper-1 stay, so that there is a target.
+// b3 stays, so that there is always a balancer; desk-1 and mapper-1 stay, so that there is a
+// target.
 auto DrawPlanned(Drawer& drawer) -> std::string {
-  static const auto kKinds = Choices{
-      "stop b1",
-      "stop b2",
-      "start b1",
-      "start b2",
-      "drain desk-2",
-      "drain desk-3",
-      "drain mapper-2",
-      "start desk-5",
-      "start desk-2",
-      R"(patch [{"op":"add","path":"/services/desk/weights/desk-2","value":2}])",
-      R"(patch [{"op":"add","path":"/services/desk/weights/desk-4","value":0.5}])"};
+  static const auto kKinds =
+      Choices{"stop b1",
+              "stop b2",
+              "start b1",
+              "start b2",
+              "drain desk-2",
+              "drain desk-3",
+              "drain mapper-2",
+              "start desk-5",
+              "start desk-2",
+              R"(patch [{"op":"add","path":"/services/desk/weights/desk-2","value":2}])",
+              R"(patch [{"op":"add","path":"/services/desk/weights/desk-4","value":0.5}])"};
   return drawer.Of(kKinds);
 }
 
 auto DrawFault(Drawer& drawer) -> std::string {
   static const auto kPlaces =
-      Choices{"b1", "b2", "desk-1", "desk-2", "desk-3", "desk-4", "mapper-1", "agent-desk-4",
-              "target-desk-4"};
+      Choices{"b1",     "b2",       "desk-1",       "desk-2",       "desk-3",
+              "desk-4", "mapper-1", "agent-desk-4", "target-desk-4"};
   static const auto kEnds = Choices{"b1", "b2", "b3", "desk-1", "desk-2", "desk-4", "platform"};
   static const auto kTimes = Choices{"300ms", "500ms", "1s", "3s", "12s"};
-  static const auto kOthers = Choices{"platform down",     "platform up", "heal all",
-                                      "duplicate 30%",     "loss 5%",     "reorder 40ms",
-                                      "platform loses 50%", "late 5%"};
+  static const auto kOthers =
+      Choices{"platform down", "platform up",  "heal all",           "duplicate 30%",
+              "loss 5%",       "reorder 40ms", "platform loses 50%", "late 5%"};
   switch (drawer.Below(5)) {
     case 0:
       return "kill " + drawer.Of(kPlaces);
--- a/tools/scenario/expect.cc
+++ b/tools/scenario/expect.cc
@@ -87,8 +87,7 @@
   auto id = TakeName(words);
   auto wanted = "|" + TakeName(words) + "|";
   auto order = run.world.orders.find(id);
-  auto seen =
-      order == run.world.orders.end() ? std::string("none") : NameOf(order->second.outcome);
+  auto seen = order == run.world.orders.end() ? std::string("none") : NameOf(order->second.outcome);
   Check(run, words.line, wanted.find("|" + seen + "|") != std::string::npos, seen);
 }
 
@@ -230,13 +229,21 @@
 
 using Verb = void (*)(Run&, Words&);
 const auto kExpectations = std::map<std::string, Verb>{
-    {"broken", ExpectBroken},         {"streams", ExpectStreams},
-    {"untold", ExpectUntold},         {"executions", ExpectExecutions}, {"outcome", ExpectOutcome},
-    {"outcomes", ExpectOutcomes},     {"owners-per-flow", ExpectOwners},
-    {"crossings", ExpectCrossings},   {"config", ExpectConfig},
-    {"patches", ExpectPatches},       {"imbalance", ExpectImbalance},
-    {"new-flows", ExpectNewFlows},    {"flows", ExpectFlows},
-    {"platform-calls", ExpectPlatformCalls}, {"record", ExpectRecord},
+    {"broken", ExpectBroken},
+    {"streams", ExpectStreams},
+    {"untold", ExpectUntold},
+    {"executions", ExpectExecutions},
+    {"outcome", ExpectOutcome},
+    {"outcomes", ExpectOutcomes},
+    {"owners-per-flow", ExpectOwners},
+    {"crossings", ExpectCrossings},
+    {"config", ExpectConfig},
+    {"patches", ExpectPatches},
+    {"imbalance", ExpectImbalance},
+    {"new-flows", ExpectNewFlows},
+    {"flows", ExpectFlows},
+    {"platform-calls", ExpectPlatformCalls},
+    {"record", ExpectRecord},
     {"ended", [](Run& run, Words& words) { ExpectRunning(run, words, false); }},
     {"running", [](Run& run, Words& words) { ExpectRunning(run, words, true); }}};
 
--- a/tools/scenario/main.cc
+++ b/tools/scenario/main.cc
@@ -94,8 +94,8 @@
                  "anvildrum-scenario --random N [--seed FIRST]\n";
     return 2;
   }
-  auto good = options.drawn == 0 || anvildrum::scenario::RunDrawn(options.first_seed, options.drawn,
-                                                                  std::cout) == 0;
+  auto good = options.drawn == 0 ||
+              anvildrum::scenario::RunDrawn(options.first_seed, options.drawn, std::cout) == 0;
   for (const auto& file : options.files) good = RunFile(options, file) && good;
   return good ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tools/scenario/platform.cc
+++ b/tools/scenario/platform.cc
@@ -38,7 +38,8 @@
   auto& caller = ProcessOf(world, name);
   auto fail = [done, key](PlatformErrorCode code) { done(PlatformError{code, 0, key}); };
   if (!IsReached(world, name)) {
-    return AfterIn(world.clock, caller, kCallTimeout, [fail] { fail(PlatformErrorCode::kTimeout); });
+    return AfterIn(world.clock, caller, kCallTimeout,
+                   [fail] { fail(PlatformErrorCode::kTimeout); });
   }
   auto life = caller.life;
   After(world.clock, kCallDelay + held, [&world, &caller, life, done, fail, serve] {
@@ -140,9 +141,9 @@
   After(world.clock, timeout, [&world, id] { EndWatch(world, id); });
 }
 
-auto Put(World& world, const std::string& process, const std::string& key,
-         const std::string& value, const platform::Precondition& precondition,
-         const platform::Callback<std::uint64_t>& done) -> void {
+auto Put(World& world, const std::string& process, const std::string& key, const std::string& value,
+         const platform::Precondition& precondition, const platform::Callback<std::uint64_t>& done)
+    -> void {
   auto serve = [&world, key, value, precondition]() -> platform::Outcome<std::uint64_t> {
     auto result = store::Put(world.platform.store, key, value, ConditionOf(precondition));
     auto error = ErrorOf(world, result, key);
@@ -225,8 +226,7 @@
               platform::Propose propose, const platform::WritePolicy& policy, std::uint64_t seed,
               std::function<void(const platform::WriteResult&)> done) -> void {
   auto write = platform::MakeConditionalWrite(key, std::move(propose), policy, seed);
-  auto running =
-      std::make_shared<RunningWrite>(world, process, std::move(write), std::move(done));
+  auto running = std::make_shared<RunningWrite>(world, process, std::move(write), std::move(done));
   running->Apply(platform::Begin(running->write, world.clock.now));
 }
 
--- a/tools/scenario/platform.h
+++ b/tools/scenario/platform.h
@@ -27,7 +27,7 @@
   };
   platform_standin::Store store;
   bool up = true;
-  double lost_answers = 0;  ///< share of writes that take effect and whose answer is lost
+  double lost_answers = 0;        ///< share of writes that take effect and whose answer is lost
   base::Duration delete_delay{};  ///< on the way of a delete to the store
   std::vector<Watch> watches;
   std::uint64_t next_watch = 0;
@@ -39,9 +39,9 @@
           const platform::Callback<platform::Listing>& done) -> void;
 auto Watch(World& world, const std::string& process, std::uint64_t after, base::Duration timeout,
            const platform::Callback<platform::Listing>& done) -> void;
-auto Put(World& world, const std::string& process, const std::string& key,
-         const std::string& value, const platform::Precondition& precondition,
-         const platform::Callback<std::uint64_t>& done) -> void;
+auto Put(World& world, const std::string& process, const std::string& key, const std::string& value,
+         const platform::Precondition& precondition, const platform::Callback<std::uint64_t>& done)
+    -> void;
 auto Delete(World& world, const std::string& process, const std::string& key,
             std::uint64_t if_revision, const platform::Callback<std::monostate>& done) -> void;
 
--- a/tools/scenario/relay_node.cc
+++ b/tools/scenario/relay_node.cc
@@ -27,9 +27,7 @@
   return objects;
 }
 
-auto ProcessOf(const RelayNode& node) -> Process& {
-  return node.world->processes.at(node.process);
-}
+auto ProcessOf(const RelayNode& node) -> Process& { return node.world->processes.at(node.process); }
 
 // The process that listens at a control endpoint, and its node; null when nobody does.
 auto Listener(World& world, const base::Endpoint& control) -> BalancerNode* {
@@ -58,15 +56,15 @@
   auto event = relay::PeerMessage{{message->sender()}, seen_as, *message};
   AfterIn(world.clock, receiver, DelayOf(world, from, receiver),
           [&world, to, event, sender = node.process] {
-    auto* target = RelayOf(world, to);
-    if (target == nullptr) return;
-    if (event.endpoint == base::Endpoint{}) {
-      target->children[event.sender.value] = sender;
-    } else if (!target->links.contains(event.endpoint)) {
-      return;
-    }
-    Feed(*target, event);
-  });
+            auto* target = RelayOf(world, to);
+            if (target == nullptr) return;
+            if (event.endpoint == base::Endpoint{}) {
+              target->children[event.sender.value] = sender;
+            } else if (!target->links.contains(event.endpoint)) {
+              return;
+            }
+            Feed(*target, event);
+          });
 }
 
 auto Send(RelayNode& node, const relay::SendPeer& send) -> void {
--- a/tools/scenario/relay_node.h
+++ b/tools/scenario/relay_node.h
@@ -18,8 +18,8 @@
   std::string process;
   relay::State state;
   std::function<void(const std::vector<relay::PlatformObject>&)> on_records;
-  std::set<base::Endpoint> links;                     ///< to parents and clearers
-  std::map<std::uint64_t, std::string> children;      ///< sender -> process
+  std::set<base::Endpoint> links;                 ///< to parents and clearers
+  std::map<std::uint64_t, std::string> children;  ///< sender -> process
   std::uint64_t watch_call = 0;
   std::uint64_t poll_call = 0;
   std::uint64_t timer_call = 0;
--- a/tools/scenario/script.cc
+++ b/tools/scenario/script.cc
@@ -72,9 +72,7 @@
   auto on_first = [&](auto& context) { range.first = x3::_attr(context); };
   auto on_last = [&](auto& context) { range.last = x3::_attr(context); };
   auto on_range = [&](auto&) { is_good = Expand(words, range); };
-  auto on_per_cent = [&](auto& context) {
-    Append(words, {{}, {}, x3::_attr(context) / 100});
-  };
+  auto on_per_cent = [&](auto& context) { Append(words, {{}, {}, x3::_attr(context) / 100}); };
   auto on_number = [&](auto& context) {
     auto value = x3::_attr(context);
     Append(words, {{}, {}, value});
--- a/tools/scenario/statement.h
+++ b/tools/scenario/statement.h
@@ -30,8 +30,8 @@
 struct Run {
   World world;
   Report report;
-  std::uint64_t patches = 0;  ///< of the script, so far
-  std::map<std::string, std::uint64_t> patch_outcomes;  ///< "accepted", "refused", "lost"
+  std::uint64_t patches = 0;                                  ///< of the script, so far
+  std::map<std::string, std::uint64_t> patch_outcomes;        ///< "accepted", "refused", "lost"
   std::map<std::string, std::set<std::string>> flows_before;  ///< target -> clients, see Watch
 };
 
--- a/tools/scenario/target_node.cc
+++ b/tools/scenario/target_node.cc
@@ -68,8 +68,14 @@
   auto message = requests::ParseMessage(job.datagram);
   if (!message) return;
   auto id = FieldOf(QueryOf(job.datagram), "id");
-  auto draft = Draft{MessageType::kAcknowledgement, kContent, message->message_id, message->token,
-                     {}, {}, {}, BodyOf(node, id)};
+  auto draft = Draft{MessageType::kAcknowledgement,
+                     kContent,
+                     message->message_id,
+                     message->token,
+                     {},
+                     {},
+                     {},
+                     BodyOf(node, id)};
   if (message->type == MessageType::kNonConfirmable) draft.type = MessageType::kNonConfirmable;
   if (message->code != kGet) draft.code = kChanged;
   if (message->observe == 0U) {
@@ -145,9 +151,8 @@
     });
   }
   auto job = TargetNode::Job{flow, agent.life, datagram};
-  After(world.clock, kLoopback, [&node, &process, job] {
-    Receive(process, [&node, job] { Take(node, job); });
-  });
+  After(world.clock, kLoopback,
+        [&node, &process, job] { Receive(process, [&node, job] { Take(node, job); }); });
 }
 
 }  // namespace anvildrum::scenario
--- a/tools/scenario/world.cc
+++ b/tools/scenario/world.cc
@@ -126,9 +126,8 @@
     return;
   }
   auto bytes = Bytes(payload.begin(), payload.end());
-  Transmit(world, kToClient, [&world, &receiver, bytes] {
-    ClientReceives(world, receiver, bytes);
-  });
+  Transmit(world, kToClient,
+           [&world, &receiver, bytes] { ClientReceives(world, receiver, bytes); });
 }
 
 auto StartFabric(World& world) -> void {
