--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -165,9 +165,9 @@
 }  // namespace
 
 auto NameOf(Outcome outcome) -> std::string {
-  static const auto kNames =
+  static const auto names =
       std::vector<std::string>{"pending", "answered", "not-run", "unknown", "timeout", "error"};
-  return kNames.at(static_cast<std::size_t>(outcome));
+  return names.at(static_cast<std::size_t>(outcome));
 }
 
 auto ClientReceives(World& world, Client& client, BytesView bytes) -> void {
--- a/tools/scenario/draw.cc
+++ b/tools/scenario/draw.cc
@@ -42,15 +42,15 @@
 }
 
 auto DrawTraffic(Drawer& drawer) -> std::string {
-  static const auto kKinds = Choices{" open", " post hold", " get", " post hold every 700ms for 8s",
+  static const auto kinds = Choices{" open", " post hold", " get", " post hold every 700ms for 8s",
                                      " get every 500ms for 8s"};
-  return DrawClient(drawer) + drawer.Of(kKinds);
+  return DrawClient(drawer) + drawer.Of(kinds);
 }
 
 // b3 stays, so that there is always a balancer; desk-1 and mapper-1 stay, so that there is a
 // target.
 auto DrawPlanned(Drawer& drawer) -> std::string {
-  static const auto kKinds =
+  static const auto kinds =
       Choices{"stop b1",
               "stop b2",
               "start b1",
@@ -62,29 +62,29 @@
               "start desk-2",
               R"(patch [{"op":"add","path":"/services/desk/weights/desk-2","value":2}])",
               R"(patch [{"op":"add","path":"/services/desk/weights/desk-4","value":0.5}])"};
-  return drawer.Of(kKinds);
+  return drawer.Of(kinds);
 }
 
 auto DrawFault(Drawer& drawer) -> std::string {
-  static const auto kPlaces =
+  static const auto places =
       Choices{"b1",     "b2",       "desk-1",       "desk-2",       "desk-3",
               "desk-4", "mapper-1", "agent-desk-4", "target-desk-4"};
-  static const auto kEnds = Choices{"b1", "b2", "b3", "desk-1", "desk-2", "desk-4", "platform"};
-  static const auto kTimes = Choices{"300ms", "500ms", "1s", "3s", "12s"};
-  static const auto kOthers =
+  static const auto ends = Choices{"b1", "b2", "b3", "desk-1", "desk-2", "desk-4", "platform"};
+  static const auto durations = Choices{"300ms", "500ms", "1s", "3s", "12s"};
+  static const auto others =
       Choices{"platform down", "platform up",  "heal all",           "duplicate 30%",
               "loss 5%",       "reorder 40ms", "platform loses 50%", "late 5%"};
   switch (drawer.Below(5)) {
     case 0:
-      return "kill " + drawer.Of(kPlaces);
+      return "kill " + drawer.Of(places);
     case 1:
-      return "start " + drawer.Of(kPlaces);
+      return "start " + drawer.Of(places);
     case 2:
-      return "freeze " + drawer.Of(kPlaces) + " for " + drawer.Of(kTimes);
+      return "freeze " + drawer.Of(places) + " for " + drawer.Of(durations);
     case 3:
-      return "cut " + drawer.Of(kEnds) + " " + drawer.Of(kEnds);
+      return "cut " + drawer.Of(ends) + " " + drawer.Of(ends);
     default:
-      return drawer.Of(kOthers);
+      return drawer.Of(others);
   }
 }
 
