--- a/tools/scenario/target_node.cc
+++ b/tools/scenario/target_node.cc
@@ -38,6 +38,7 @@
   draft.type = confirm ? MessageType::kConfirmable : MessageType::kNonConfirmable;
   draft.code = kContent;
   draft.message_id = node.message_id++;
+  observer.last_message_id = draft.message_id;
   draft.token = observer.token;
   draft.observe = observer.sequence++;
   draft.payload = BodyOf(node, observer.id);
@@ -67,8 +68,14 @@
   auto message = requests::ParseMessage(job.datagram);
   if (!message) return;
   auto id = FieldOf(QueryOf(job.datagram), "id");
-  auto draft = Draft{MessageType::kAcknowledgement, kContent, message->message_id, message->token,
-                     {}, {}, {}, BodyOf(node, id)};
+  auto draft = Draft{MessageType::kAcknowledgement,
+                     kContent,
+                     message->message_id,
+                     message->token,
+                     {},
+                     {},
+                     {},
+                     BodyOf(node, id)};
   if (message->type == MessageType::kNonConfirmable) draft.type = MessageType::kNonConfirmable;
   if (message->code != kGet) draft.code = kChanged;
   if (message->observe == 0U) {
@@ -109,7 +116,9 @@
   auto message = requests::ParseMessage(job.datagram);
   if (!message) return;
   if (message->type == MessageType::kReset) {
-    std::erase_if(node.observers, [&](const auto& at) { return at.flow == job.flow; });
+    std::erase_if(node.observers, [&](const auto& at) {
+      return at.flow == job.flow && at.last_message_id == message->message_id;
+    });
     return;
   }
   if (!requests::IsRequest(*message)) return;
@@ -142,9 +151,8 @@
     });
   }
   auto job = TargetNode::Job{flow, agent.life, datagram};
-  After(world.clock, kLoopback, [&node, &process, job] {
-    Receive(process, [&node, job] { Take(node, job); });
-  });
+  After(world.clock, kLoopback,
+        [&node, &process, job] { Receive(process, [&node, job] { Take(node, job); }); });
 }
 
 }  // namespace anvildrum::scenario
