Clear the records of balancers that died or stopped while the platform was away

Nobody observed balancers, so a record whose balancer could not take it back stayed for ever (scenario platform_outage, line 26: 'expect record balancers/b1 absent (seen: present)'). And each reporter of a suspicion went over to the next clearer after its own waiting time, so that reporters that began at different moments named different clearers, and none had a quorum: after two minutes no delete was issued any more (trace: last one at 605 s of 1,860 s).

Ruled out: a balancer that waits for the platform before it ends (an outage would stop a planned stop); a shorter quorum (one cut would clear a live record).

Change: the monitor probes balancers as it does agents; suspicions go to the first clearers as well as the next one. Tests: monitor_test (a_balancer_that_stays_silent_is_reported fails before).

--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -22,29 +22,37 @@
 
 // Whether this balancer is one of the agent's monitors: among the first by rank of the balancers
 // in the agent's failure domain, or of all where that domain has none.
-auto IsMonitorOf(const Monitor& monitor, const TargetRecord& record) -> bool {
+template <typename Record>
+auto IsMonitorOf(const Monitor& monitor, const Record& record) -> bool {
   auto in_domain = [&](const auto& balancer) {
-    return balancer.failure_domain == record.failure_domain;
+    return balancer.failure_domain == record.failure_domain && balancer.instance != record.instance;
   };
   const auto& balancers = monitor.view.balancers;
   auto local = std::any_of(balancers.begin(), balancers.end(), in_domain);
   if (local && monitor.failure_domain != record.failure_domain) return false;
   auto own = MonitorRank(monitor.self, record.instance);
   auto better = std::count_if(balancers.begin(), balancers.end(), [&](const auto& balancer) {
-    return (!local || in_domain(balancer)) && MonitorRank(balancer.instance, record.instance) < own;
+    return (!local || in_domain(balancer)) && balancer.instance != record.instance &&
+           MonitorRank(balancer.instance, record.instance) < own;
   });
   return static_cast<std::size_t>(better) < monitor.policy.monitors;
 }
 
-auto CountTargets(const membership::View& view) -> std::size_t {
-  auto count = std::size_t{0};
+auto CountInstances(const membership::View& view) -> std::size_t {
+  auto count = view.balancers.size();
   for (const auto& service : view.services) count += service.targets.size();
   return count;
 }
 
-auto AgentsToProbe(const Monitor& monitor) -> std::vector<PeerRef> {
-  auto all = CountTargets(monitor.view) <= monitor.policy.probe_all_up_to;
+auto PeersToProbe(const Monitor& monitor) -> std::vector<PeerRef> {
+  auto all = CountInstances(monitor.view) <= monitor.policy.probe_all_up_to;
   auto peers = std::vector<PeerRef>{};
+  for (const auto& balancer : monitor.view.balancers) {
+    if (balancer.instance == monitor.self) continue;
+    if (all || IsMonitorOf(monitor, balancer)) {
+      peers.push_back({balancer.instance, balancer.incarnation});
+    }
+  }
   for (const auto& service : monitor.view.services) {
     for (const auto& target : service.targets) {
       const auto& record = target.record;
@@ -64,6 +72,20 @@
   return nullptr;
 }
 
+auto BalancerOf(const Monitor& monitor, base::InstanceId instance)
+    -> const membership::BalancerRecord* {
+  for (const auto& balancer : monitor.view.balancers) {
+    if (balancer.instance == instance) return &balancer;
+  }
+  return nullptr;
+}
+
+auto TunnelOf(const Monitor& monitor, base::InstanceId instance) -> const base::Endpoint* {
+  if (const auto* balancer = BalancerOf(monitor, instance)) return &balancer->tunnel;
+  const auto* record = RecordOf(monitor, instance);
+  return record == nullptr ? nullptr : &record->tunnel;
+}
+
 auto MakeHeader(const Monitor& monitor) -> wire::pb::TunnelHeader {
   auto header = wire::pb::TunnelHeader{};
   header.set_sender(monitor.self.value);
@@ -71,26 +93,33 @@
   return header;
 }
 
+auto NoteChange(MonitorContext& context, const membership::SuspectChanged& change) -> void {
+  auto& effects = context.effects;
+  if (const auto* balancer = BalancerOf(context.monitor, change.instance)) {
+    effects.balancer_changes.push_back({*balancer, change.suspect});
+    return;
+  }
+  const auto* record = RecordOf(context.monitor, change.instance);
+  if (record != nullptr) effects.changes.push_back({*record, change.suspect});
+}
+
 auto Observe(MonitorContext& context, const membership::SuspicionEvent& event) -> void {
   auto& monitor = context.monitor;
   auto observed = membership::Step(monitor.suspicion, event, context.now);
   for (const auto& probe : observed.probes) {
-    const auto* record = RecordOf(monitor, probe.instance);
-    if (record == nullptr) continue;
+    const auto* to = TunnelOf(monitor, probe.instance);
+    if (to == nullptr) continue;
     auto header = MakeHeader(monitor);
     header.mutable_probe()->set_sequence(probe.sequence);
     ++monitor.probes_sent;
-    context.effects.sends.push_back({record->tunnel, std::move(header)});
-  }
-  for (const auto& change : observed.changes) {
-    const auto* record = RecordOf(monitor, change.instance);
-    if (record != nullptr) context.effects.changes.push_back({*record, change.suspect});
+    context.effects.sends.push_back({*to, std::move(header)});
   }
+  for (const auto& change : observed.changes) NoteChange(context, change);
 }
 
 auto Handle(MonitorContext& context, const MonitorView& event) -> void {
   context.monitor.view = *event.view;
-  auto peers = AgentsToProbe(context.monitor);
+  auto peers = PeersToProbe(context.monitor);
   Observe(context, membership::PeersChanged{peers});
 }
 
--- a/src/balancer/monitor.h
+++ b/src/balancer/monitor.h
@@ -9,13 +9,14 @@
 #include "membership/view.h"
 #include "wire/datagram.h"
 
-/// A balancer's observation of agents: which ones it probes, what it suspects. No input or output.
+/// A balancer's observation of agents and other balancers: which ones it probes, what it suspects.
+/// No input or output.
 namespace anvildrum::balancer {
 
 struct MonitorPolicy {
   membership::SuspicionPolicy suspicion;
-  /// Up to this many agents are probed by every balancer. Beyond, each agent is probed by
-  /// `monitors` balancers of its failure domain, so that a probe's cost does not grow with the
+  /// Up to this many agents and balancers are probed by every balancer. Beyond, each one is probed
+  /// by `monitors` balancers of its failure domain, so that a probe's cost does not grow with the
   /// product of balancers and agents.
   std::size_t probe_all_up_to = 64;
   std::size_t monitors = 3;
@@ -51,9 +52,16 @@
   membership::TargetRecord record;
   bool suspect = false;
 };
+/// The opinion on another balancer changed. Packets are never routed by it; it clears the record of
+/// a balancer that died, or stopped while the platform was away, and could not take it back itself.
+struct BalancerSuspicion {
+  membership::BalancerRecord record;
+  bool suspect = false;
+};
 struct MonitorEffects {
   std::vector<SendControl> sends;
   std::vector<TargetSuspicion> changes;
+  std::vector<BalancerSuspicion> balancer_changes;
 };
 
 /// The monitor's one entry. Answers probes, sends its own, and reports what it suspects.
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -138,19 +138,27 @@
   this->ApplyMonitor(balancer::Step(this->monitor, balancer::MonitorView{&view}, Now()));
 }
 
+template <typename Record>
+auto BalancerRuntime::ReportSuspicion(const Record& record, bool suspect) -> void {
+  auto key = membership::KeyOf(record);
+  Log(LogLevel::kWarning, suspect ? "instance_suspect" : "instance_alive", {{"key", key}});
+  if (suspect) {
+    this->relay->Suspect({key, record.revision, record.failure_domain});
+  } else {
+    this->relay->Alive(key);
+  }
+}
+
 auto BalancerRuntime::ApplyMonitor(const balancer::MonitorEffects& effects) -> void {
   for (const auto& send : effects.sends) this->tunnel->Send(send.to, send.header, {});
+  for (const auto& change : effects.balancer_changes) {
+    this->ReportSuspicion(change.record, change.suspect);
+  }
   if (effects.changes.empty()) return;
   auto view = this->balancer.view;
   for (const auto& change : effects.changes) {
-    auto key = membership::KeyOf(change.record);
     membership::SetSuspect(view, change.record.id, change.suspect);
-    Log(LogLevel::kWarning, change.suspect ? "target_suspect" : "target_alive", {{"key", key}});
-    if (change.suspect) {
-      this->relay->Suspect({key, change.record.revision, change.record.failure_domain});
-    } else {
-      this->relay->Alive(key);
-    }
+    this->ReportSuspicion(change.record, change.suspect);
   }
   this->Carry(balancer::Step(this->balancer, balancer::ViewChanged{&view}, Now()));
   this->monitor.view = this->balancer.view;
--- a/src/daemon/internal/balancer_runtime.h
+++ b/src/daemon/internal/balancer_runtime.h
@@ -36,6 +36,8 @@
                 wire::BytesView payload) -> void;
   auto OnTick(base::TimePoint now) -> void;
   auto ApplyView(const membership::View& view) -> void;
+  template <typename Record>
+  auto ReportSuspicion(const Record& record, bool suspect) -> void;
   auto ApplyMonitor(const balancer::MonitorEffects& effects) -> void;
   auto Carry(const balancer::Effects& effects) -> void;
   auto BindServices() -> void;
--- a/src/relay/internal/clearing.cc
+++ b/src/relay/internal/clearing.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "relay/internal/children.h"
 #include "relay/internal/topology.h"
@@ -13,6 +14,9 @@
 /// A delete whose outcome never came back is issued again after this; its condition makes it safe.
 constexpr base::Duration kDeleteRetry = base::seconds(30);
 
+/// Balancers that are told of one suspicion at most.
+constexpr std::size_t kMostClearers = 4;
+
 auto HoldsRevision(const Store& store, const std::string& key, std::uint64_t revision) -> bool {
   const auto found = store.records.find(key);
   return found != store.records.end() && !found->second.deleted &&
@@ -40,13 +44,10 @@
                                   state.settings.policy.suspicion_escalate);
 }
 
-/// To the balancer that clears for the domain, or into the own book when that is this one.
-auto Report(State& state, const std::string& key, const OwnSuspicion& suspicion, bool is_alive,
-            base::TimePoint now, Effects& effects) -> void {
-  const Link clearer =
-      ClearerFor(state, suspicion.failure_domain, AttemptOf(state, suspicion, now));
+auto ReportTo(State& state, const Link& clearer, const std::string& key,
+              const OwnSuspicion& suspicion, bool is_alive, base::TimePoint now, Effects& effects)
+    -> void {
   const base::InstanceId self = state.settings.self.instance;
-  if (clearer.instance.value == 0) return;
   if (clearer.instance == self) {
     if (is_alive) return WithdrawReport(state, self.value, key);
     return NoteReport(state, self.value, key, suspicion.revision, now);
@@ -63,6 +64,25 @@
                .message = std::make_shared<const wire::pb::RelayMessage>(std::move(message))});
 }
 
+/// To the balancer that clears for the domain, or into the own book when that is this one; after a
+/// while without effect also to the next ones.
+///
+/// Failure: the clearer is dead too, or the platform is away. Were each reporter to go over to the
+/// next clearer after its own waiting time, reporters that began at different moments would name
+/// different clearers and no clearer would ever have a quorum; the first ones are told as well.
+auto Report(State& state, const std::string& key, const OwnSuspicion& suspicion, bool is_alive,
+            base::TimePoint now, Effects& effects) -> void {
+  auto told = std::vector<base::InstanceId>{};
+  const std::size_t attempts = std::min(AttemptOf(state, suspicion, now), kMostClearers - 1);
+  for (std::size_t attempt = 0; attempt <= attempts; ++attempt) {
+    const Link clearer = ClearerFor(state, suspicion.failure_domain, attempt);
+    if (clearer.instance.value == 0) continue;
+    if (std::ranges::find(told, clearer.instance) != told.end()) continue;
+    told.push_back(clearer.instance);
+    ReportTo(state, clearer, key, suspicion, is_alive, now, effects);
+  }
+}
+
 auto RepeatReports(State& state, base::TimePoint now, Effects& effects) -> void {
   std::erase_if(state.own_suspicions, [&](const auto& entry) {
     return !HoldsRevision(state.store, entry.first, entry.second.revision);
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -29,20 +29,27 @@
   }
 }
 
+template <typename Record>
+auto ReportSuspicion(BalancerNode& node, const Record& record, bool suspect) -> void {
+  auto key = membership::KeyOf(record);
+  Trace(*node.world, node.name + (suspect ? " suspects " : " hears again ") + key);
+  if (suspect) {
+    Feed(node.relay, relay::RecordSuspected{key, record.revision, record.failure_domain});
+  } else {
+    Feed(node.relay, relay::RecordAlive{key});
+  }
+}
+
 auto ApplyMonitor(BalancerNode& node, const balancer::MonitorEffects& effects) -> void {
   for (const auto& send : effects.sends) Send(node, send.to, send.header, {});
+  for (const auto& change : effects.balancer_changes) {
+    ReportSuspicion(node, change.record, change.suspect);
+  }
   if (effects.changes.empty()) return;
   auto view = node.balancer.view;
   for (const auto& change : effects.changes) {
-    auto key = membership::KeyOf(change.record);
     membership::SetSuspect(view, change.record.id, change.suspect);
-    Trace(*node.world, node.name + (change.suspect ? " suspects " : " hears again ") + key);
-    if (change.suspect) {
-      Feed(node.relay,
-           relay::RecordSuspected{key, change.record.revision, change.record.failure_domain});
-    } else {
-      Feed(node.relay, relay::RecordAlive{key});
-    }
+    ReportSuspicion(node, change.record, change.suspect);
   }
   Carry(node, balancer::Step(node.balancer, balancer::ViewChanged{&view}, Now(node)));
   node.monitor.view = node.balancer.view;
