Announce a higher incarnation, and begin anew, after being given up while alive

Cause: everyone refuses the incarnation of a record that was removed. A target that had only been stopped or cut off found its record gone and wrote it again under the same incarnation: it never served again, and when the deletion and the new record reached it as one change it kept flows that others had opened since. Ruled out: the fence (it had ended), the tombstones (they do what they say). Change: an announcement that had taken and is gone is written with a higher incarnation, and the agent's core begins anew with it; the fakes mirror the daemon. Also: a feed that is never answered has an outcome after MAX_TRANSMIT_WAIT, as other requests.

--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -105,11 +105,19 @@
 }
 
 auto AgentRuntime::Announced(const Announcer::Announced& result) -> void {
+  // Given up and announced anew: what the earlier incarnation served is others' now.
+  if (result.incarnation != this->record.incarnation) this->ForgetCore();
   this->record.incarnation = result.incarnation;
   this->record.revision = result.revision;
   if (!this->agent) this->StartCore();
 }
 
+auto AgentRuntime::ForgetCore() -> void {
+  this->agent.reset();
+  this->sockets.clear();
+  this->spans.clear();
+}
+
 auto AgentRuntime::StartCore() -> void {
   auto secret = requests::EchoSecret{};
   FillRandom(secret);
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -36,6 +36,7 @@
  private:
   auto MakeRecord() const -> membership::TargetRecord;
   auto Announced(const Announcer::Announced& result) -> void;
+  auto ForgetCore() -> void;
   auto StartCore() -> void;
   auto OnRecords(const std::vector<relay::PlatformObject>& records) -> void;
   auto ApplyRecord(const relay::PlatformObject& record) -> void;
--- a/src/daemon/internal/announcer.cc
+++ b/src/daemon/internal/announcer.cc
@@ -35,6 +35,7 @@
   if (current && current->value == this->written) return {WriteIntent::kDone, {}};
   auto ours = recorded == this->incarnation;
   if (!ours && recorded >= this->incarnation) this->incarnation = recorded + 1;
+  if (!current && this->settled) ++this->incarnation;
   this->written = this->parts.compose(this->incarnation);
   return {WriteIntent::kPut, this->written};
 }
--- a/src/daemon/internal/announcer.h
+++ b/src/daemon/internal/announcer.h
@@ -15,6 +15,11 @@
 /// Safeguard: a clock that was set back gives a restarted instance a lower incarnation than the one
 /// on record, and everyone would refuse it as stale for ever. The writer therefore reads first and
 /// takes the higher of its own number and the recorded one plus one.
+///
+/// Safeguard: an announcement that had taken and is gone was removed by those who gave this
+/// instance up, and they refuse its incarnation from then on. Written again unchanged, a target
+/// that was merely stopped or cut off would never serve again, and would keep flows that others
+/// have opened since. It is written with a higher incarnation, and the owner begins anew with that.
 class Announcer {
  public:
   /// The object's text for an incarnation.
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -96,12 +96,18 @@
 auto ArmTimer(AgentNode& node) -> void {
   auto at = agent::NextWakeUp(*node.agent, Now(node));
   auto delay = std::max(at - Now(node), base::Duration{});
-  AfterIn(node.world->clock, ProcessOf(node), delay, [&node] {
+  AfterIn(node.world->clock, ProcessOf(node), delay, [&node, core = node.core] {
+    if (core != node.core) return;
     Feed(node, agent::Timer{});
     ArmTimer(node);
   });
 }
 
+auto ForgetCore(AgentNode& node) -> void {
+  node.agent.reset();
+  ++node.core;
+}
+
 auto StartCore(AgentNode& node) -> void {
   auto secret = requests::EchoSecret{};
   for (auto& byte : secret) byte = static_cast<std::uint8_t>(node.world->random());
@@ -135,6 +141,7 @@
     return record ? record->incarnation : 0;
   };
   announcer.on_announced = [&node](base::Incarnation incarnation, std::uint64_t revision) {
+    if (incarnation != node.record.incarnation) ForgetCore(node);
     node.record.incarnation = incarnation;
     node.record.revision = revision;
     if (!node.agent) StartCore(node);
@@ -160,6 +167,11 @@
 
 }  // namespace
 
+auto SocketsOf(const World& world, const std::string& target) -> Sockets {
+  const auto& node = *world.agents.at(target);
+  return {world.processes.at(node.process).life, node.core};
+}
+
 auto Feed(AgentNode& node, const agent::Event& event) -> void {
   if (!node.agent) return;
   auto effects = agent::Step(*node.agent, event, Now(node));
--- a/tools/scenario/announcer.cc
+++ b/tools/scenario/announcer.cc
@@ -24,6 +24,7 @@
   auto recorded = current ? announcer.incarnation_of(current->value) : base::Incarnation{0};
   auto ours = recorded == announcer.incarnation;
   if (!ours && recorded >= announcer.incarnation) announcer.incarnation = recorded + 1;
+  if (!current && announcer.settled) ++announcer.incarnation;
   announcer.written = announcer.compose(announcer.incarnation);
   return {WriteIntent::kPut, announcer.written};
 }
--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -51,6 +51,14 @@
   Trace(world, order.client + " " + order.id + " " + NameOf(outcome));
 }
 
+auto GiveUpLater(World& world, Client& client, const std::string& id) -> void {
+  After(world.clock, requests::kMaxTransmitWait, [&world, &client, id] {
+    for (auto& at : client.exchanges) {
+      if (at.order == id && at.open) Settle(world, at, Outcome::kTimeout);
+    }
+  });
+}
+
 auto RepeatWithEcho(World& world, Client& client, std::size_t index, const Message& challenge)
     -> void {
   auto& before = client.exchanges.at(index);
@@ -204,11 +212,7 @@
                      {}};
   exchange.bytes = Write(draft);
   Begin(world, client, std::move(exchange));
-  After(world.clock, requests::kMaxTransmitWait, [&world, &client, id] {
-    for (auto& at : client.exchanges) {
-      if (at.order == id && at.open) Settle(world, at, Outcome::kTimeout);
-    }
-  });
+  GiveUpLater(world, client, id);
 }
 
 auto OpenStream(World& world, Client& client) -> void {
@@ -234,6 +238,7 @@
                      {}};
   auto exchange = Exchange{id, token, message_id, Write(draft)};
   Begin(world, client, std::move(exchange));
+  GiveUpLater(world, client, id);
 }
 
 auto CancelStream(World& world, Client& client) -> void {
--- a/tools/scenario/draw.cc
+++ b/tools/scenario/draw.cc
@@ -43,7 +43,7 @@
 
 auto DrawTraffic(Drawer& drawer) -> std::string {
   static const auto kinds = Choices{" open", " post hold", " get", " post hold every 700ms for 8s",
-                                     " get every 500ms for 8s"};
+                                    " get every 500ms for 8s"};
   return DrawClient(drawer) + drawer.Of(kinds);
 }
 
@@ -66,9 +66,8 @@
 }
 
 auto DrawFault(Drawer& drawer) -> std::string {
-  static const auto places =
-      Choices{"b1",     "b2",       "desk-1",       "desk-2",       "desk-3",
-              "desk-4", "mapper-1", "agent-desk-4", "target-desk-4"};
+  static const auto places = Choices{"b1",     "b2",       "desk-1",       "desk-2",       "desk-3",
+                                     "desk-4", "mapper-1", "agent-desk-4", "target-desk-4"};
   static const auto ends = Choices{"b1", "b2", "b3", "desk-1", "desk-2", "desk-4", "platform"};
   static const auto durations = Choices{"300ms", "500ms", "1s", "3s", "12s"};
   static const auto others =
--- a/tools/scenario/nodes.h
+++ b/tools/scenario/nodes.h
@@ -45,19 +45,27 @@
   Announcer announcer;
   std::map<std::string, relay::PlatformObject> records;
   bool stopping = false;
-  std::uint64_t timer_call = 0;
+  std::uint64_t core = 0;  ///< rises when the core begins anew under a higher incarnation
 };
 
+/// The sockets of an agent's core towards its target: of this life of the process, and this core.
+struct Sockets {
+  std::uint64_t life = 0;
+  std::uint64_t core = 0;
+  auto operator==(const Sockets&) const -> bool = default;
+};
+auto SocketsOf(const World& world, const std::string& target) -> Sockets;
+
 /// A fake target: so many slots, so long a service, observers of `feed`.
 struct TargetNode {
   struct Job {
     base::FlowKey flow;
-    std::uint64_t agent_life = 0;
+    Sockets sockets;
     Bytes datagram;
   };
   struct Observer {
     base::FlowKey flow;
-    std::uint64_t agent_life = 0;
+    Sockets sockets;
     requests::Token token;
     std::string id;
     std::uint32_t sequence = 2;
--- a/tools/scenario/target_node.cc
+++ b/tools/scenario/target_node.cc
@@ -17,10 +17,10 @@
   return node.world->processes.at("agent-" + node.name);
 }
 
-auto SendBack(TargetNode& node, const base::FlowKey& flow, std::uint64_t agent_life,
+auto SendBack(TargetNode& node, const base::FlowKey& flow, const Sockets& sockets,
               const Draft& draft) -> void {
   auto& agent = AgentOf(node);
-  if (agent.life != agent_life) return;
+  if (SocketsOf(*node.world, node.name) != sockets) return;
   auto& world = *node.world;
   AfterIn(world.clock, agent, kLoopback, [&world, name = node.name, flow, bytes = Write(draft)] {
     Feed(*world.agents.at(name), agent::TargetDatagram{flow, bytes});
@@ -42,11 +42,11 @@
   draft.token = observer.token;
   draft.observe = observer.sequence++;
   draft.payload = BodyOf(node, observer.id);
-  SendBack(node, observer.flow, observer.agent_life, draft);
+  SendBack(node, observer.flow, observer.sockets, draft);
 }
 
 auto NotifyAll(TargetNode& node) -> void {
-  auto is_gone = [&](const auto& at) { return at.agent_life != AgentOf(node).life; };
+  auto is_gone = [&](const auto& at) { return at.sockets != SocketsOf(*node.world, node.name); };
   std::erase_if(node.observers, is_gone);
   for (auto& observer : node.observers) Notify(node, observer);
   AfterIn(node.world->clock, ProcessOf(node), node.notify, [&node] { NotifyAll(node); });
@@ -80,10 +80,10 @@
   if (message->code != kGet) draft.code = kChanged;
   if (message->observe == 0U) {
     Forget(node, job.flow, message->token);
-    node.observers.push_back({job.flow, job.agent_life, message->token, id});
+    node.observers.push_back({job.flow, job.sockets, message->token, id});
     draft.observe = node.observers.back().sequence++;
   }
-  SendBack(node, job.flow, job.agent_life, draft);
+  SendBack(node, job.flow, job.sockets, draft);
 }
 
 auto RunNext(TargetNode& node) -> void;
@@ -150,7 +150,7 @@
       Feed(*world.agents.at(name), agent::TargetUnreachable{flow});
     });
   }
-  auto job = TargetNode::Job{flow, agent.life, datagram};
+  auto job = TargetNode::Job{flow, SocketsOf(world, name), datagram};
   After(world.clock, kLoopback,
         [&node, &process, job] { Receive(process, [&node, job] { Take(node, job); }); });
 }
