--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -114,6 +114,7 @@
 auto OnStream(World& world, Client& client, const Message& message) -> void {
   auto& stream = *client.stream;
   if ((message.code & kClassMask) != kSuccess) {
+    if (stream.notifications == 0) return client.stream.reset();  // refused, so never established
     return Break(
         world, client, stream,
         "told " + std::to_string(message.code >> 5) + ".0" + std::to_string(message.code & 0x1f));
