--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -51,6 +51,14 @@
   Trace(world, order.client + " " + order.id + " " + NameOf(outcome));
 }
 
+auto GiveUpLater(World& world, Client& client, const std::string& id) -> void {
+  After(world.clock, requests::kMaxTransmitWait, [&world, &client, id] {
+    for (auto& at : client.exchanges) {
+      if (at.order == id && at.open) Settle(world, at, Outcome::kTimeout);
+    }
+  });
+}
+
 auto RepeatWithEcho(World& world, Client& client, std::size_t index, const Message& challenge)
     -> void {
   auto& before = client.exchanges.at(index);
@@ -106,6 +114,7 @@
 auto OnStream(World& world, Client& client, const Message& message) -> void {
   auto& stream = *client.stream;
   if ((message.code & kClassMask) != kSuccess) {
+    if (stream.notifications == 0) return client.stream.reset();  // refused, so never established
     return Break(
         world, client, stream,
         "told " + std::to_string(message.code >> 5) + ".0" + std::to_string(message.code & 0x1f));
@@ -204,11 +213,7 @@
                      {}};
   exchange.bytes = Write(draft);
   Begin(world, client, std::move(exchange));
-  After(world.clock, requests::kMaxTransmitWait, [&world, &client, id] {
-    for (auto& at : client.exchanges) {
-      if (at.order == id && at.open) Settle(world, at, Outcome::kTimeout);
-    }
-  });
+  GiveUpLater(world, client, id);
 }
 
 auto OpenStream(World& world, Client& client) -> void {
@@ -234,6 +239,7 @@
                      {}};
   auto exchange = Exchange{id, token, message_id, Write(draft)};
   Begin(world, client, std::move(exchange));
+  GiveUpLater(world, client, id);
 }
 
 auto CancelStream(World& world, Client& client) -> void {
