--- a/bench/forwarding/main.cc
+++ b/bench/forwarding/main.cc
@@ -24,10 +24,11 @@
 
 auto main(int argc, char** argv) -> int {
   auto command = TCLAP::CmdLine("Load, sinks and floor of the forwarding bench", ' ', "0.1.0");
-  auto role = TCLAP::UnlabeledValueArg<std::string>("role", "load, hold, relay or sinks", true, "",
-                                                    "ROLE", command);
+  auto role = TCLAP::UnlabeledValueArg<std::string>(
+      "role", "load, hold, relay, sinks, requests or target", true, "", "ROLE", command);
   auto to = Texts("", "to", "where to send", false, "IP:PORT", command);
-  auto front = Text("", "front", "the relay's side of the clients", false, "", "IP:PORT", command);
+  auto front =
+      Text("", "front", "where the relay or target listens", false, "", "IP:PORT", command);
   auto service = Text("", "service", "of the sinks", false, "bench", "NAME", command);
   auto key = Text("", "key", "of the tunnel", false, "", "HEX", command);
   auto sinks = Number("", "sinks", "threads", false, 1, "N", command);
@@ -45,7 +46,14 @@
   if (role.getValue() == "sinks") {
     return forwarding::RunSinks({service.getValue(), key.getValue(), sinks.getValue()});
   }
+  if (role.getValue() == "target") {
+    return forwarding::RunTarget(ReadEndpoints({front.getValue()}).front());
+  }
   if (addresses.empty()) return 1;
+  if (role.getValue() == "requests") {
+    return forwarding::RunRequests({addresses.front(), service.getValue(), key.getValue(),
+                                    flows.getValue(), window.getValue(), packets.getValue()});
+  }
   if (role.getValue() == "hold") return forwarding::RunHold(addresses.front(), flows.getValue());
   return forwarding::RunLoad({addresses, threads.getValue(), flows.getValue(), window.getValue(),
                               packets.getValue(), size.getValue(), warm_up.getValue()});
--- a/bench/forwarding/roles.h
+++ b/bench/forwarding/roles.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/types/endpoint.h"
+#include "wire/key_ring.h"
 
 /// The processes round the balancer under measurement: load, sinks (in the place of agents and
 /// targets), and a plain relay in the place of the balancer.
@@ -47,4 +48,23 @@
 /// echoes. Prints one line of JSON with the records and addresses, then serves until SIGTERM.
 auto RunSinks(const SinkPlan& plan) -> int;
 
+/// A tunnel key from 32 hexadecimal digits.
+auto ReadKey(const std::string& digits) -> wire::Key;
+
+struct RequestsPlan {
+  base::Endpoint agent;  ///< its tunnel
+  std::string service;
+  std::string key;
+  std::uint32_t flows = 1;
+  std::uint32_t window = 1;    ///< requests on their way at a time
+  std::uint32_t requests = 1;  ///< in all
+};
+
+/// In the place of a balancer: sends GETs through the tunnel to an agent. Prints as RunLoad does,
+/// with the answers that were not 2.05.
+auto RunRequests(const RequestsPlan& plan) -> int;
+
+/// In the place of a target: answers each confirmable GET with 64 bytes. Ends with SIGTERM.
+auto RunTarget(const base::Endpoint& listen) -> int;
+
 }  // namespace anvildrum::forwarding
--- a/bench/forwarding/sink.cc
+++ b/bench/forwarding/sink.cc
@@ -24,15 +24,6 @@
 constexpr auto kConnections = 10'000'000U;
 constexpr auto kHexBase = 16;
 
-auto ReadKey(const std::string& digits) -> wire::Key {
-  auto key = wire::Key{};
-  for (auto i = std::size_t{0}; i < key.size(); ++i) {
-    const auto* begin = digits.data() + 2 * i;
-    std::from_chars(begin, begin + 2, key[i], kHexBase);
-  }
-  return key;
-}
-
 struct Sink {
   membership::TargetRecord record;
   wire::KeyRing ring;
@@ -132,6 +123,15 @@
 
 }  // namespace
 
+auto ReadKey(const std::string& digits) -> wire::Key {
+  auto key = wire::Key{};
+  for (auto i = std::size_t{0}; i < key.size(); ++i) {
+    const auto* begin = digits.data() + 2 * i;
+    std::from_chars(begin, begin + 2, key[i], kHexBase);
+  }
+  return key;
+}
+
 auto RunSinks(const SinkPlan& plan) -> int {
   BlockStopSignals();
   auto sinks = std::vector<std::unique_ptr<Sink>>{};
--- a/src/wire/tests/datagram_test.cc
+++ b/src/wire/tests/datagram_test.cc
@@ -37,8 +37,8 @@
   BOOST_TEST(Bytes(opened.payload.begin(), opened.payload.end()) == payload);
 }
 
-// Instances of two versions run side by side during a rollout: were the MAC computed otherwise, each
-// would drop all datagrams of the other. The bytes are those that OpenSSL's SIPHASH gave.
+// Instances of two versions run side by side during a rollout: were the MAC computed otherwise,
+// each would drop all datagrams of the other. The bytes are those that OpenSSL's SIPHASH gave.
 BOOST_AUTO_TEST_CASE(a_sealed_datagram_is_the_same_in_every_version) {
   auto header = pb::TunnelHeader{};
   header.set_sender(1);
