--- a/bench/forwarding/requests_load.cc
+++ b/bench/forwarding/requests_load.cc
@@ -94,7 +94,7 @@
 auto TakeAnswer(Asker& asker, wire::BytesView datagram) -> bool {
   if (!wire::Open(asker.ring, datagram, asker.opened)) return false;
   const auto& answer = asker.opened.payload;
-  if (!asker.opened.header->has_reply() || answer.size() < kHeaderBytes) return false;
+  if (!asker.opened.header.has_reply() || answer.size() < kHeaderBytes) return false;
   if (answer[1] != kContent) ++asker.refused;
   auto sent = Clock::rep{};
   std::copy_n(answer.data() + 4, sizeof sent, reinterpret_cast<std::uint8_t*>(&sent));
--- a/bench/forwarding/sink.cc
+++ b/bench/forwarding/sink.cc
@@ -55,7 +55,7 @@
 
 auto OnTunnel(Sink& sink, const base::Endpoint& from, wire::BytesView datagram) -> void {
   if (!wire::Open(sink.ring, datagram, sink.opened)) return;
-  const auto& header = *sink.opened.header;
+  const auto& header = sink.opened.header;
   if (header.has_packet()) {
     SendHint(sink, from, header.packet().flow());
     *sink.reply.mutable_reply()->mutable_flow() = header.packet().flow();
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -68,7 +68,7 @@
 auto AgentRuntime::Open() -> base::Result<void> {
   const auto& settings = this->runtime->settings;
   auto on_message = [this](const base::Endpoint& from, const wire::Opened& opened) {
-    this->Step(agent::TunnelMessage{from, opened.header, opened.payload});
+    this->Step(agent::TunnelMessage{from, &opened.header, opened.payload});
   };
   BOOST_LEAF_ASSIGN(this->tunnel, TunnelPort::Open(this->runtime->io, settings.tunnel,
                                                    settings.tunnel_keys, on_message));
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -159,8 +159,8 @@
 auto BalancerRuntime::OnTunnel(const base::Endpoint& from, const wire::Opened& opened) -> void {
   auto now = Now();
   this->ApplyMonitor(
-      balancer::Step(this->monitor, balancer::MonitorMessage{from, opened.header}, now));
-  auto message = balancer::TunnelMessage{from, opened.header, opened.payload};
+      balancer::Step(this->monitor, balancer::MonitorMessage{from, &opened.header}, now));
+  auto message = balancer::TunnelMessage{from, &opened.header, opened.payload};
   auto effects = balancer::Step(this->balancer, message, now);
   this->Carry(effects);
   if (effects.view_changed) this->monitor.view = this->balancer.view;
--- a/src/wire/datagram.h
+++ b/src/wire/datagram.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <google/protobuf/arena.h>
-
-#include <array>
-#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -25,25 +21,10 @@
 using Bytes = std::vector<std::uint8_t>;
 using BytesView = std::span<const std::uint8_t>;
 
-/// A datagram that was opened, until the next one is opened into the same object: `header` lives in
-/// its memory, `payload` views the buffer that was passed to Open. Stays where it is.
-class Opened {
- public:
-  Opened();
-  Opened(const Opened&) = delete;
-  auto operator=(const Opened&) -> Opened& = delete;
-  ~Opened() = default;
-
-  /// Forgets the header and gives an empty one in the same memory.
-  auto Renew() -> pb::TunnelHeader&;
-
-  pb::TunnelHeader* header = nullptr;
+/// A datagram that was opened: `payload` views the buffer that was passed to Open.
+struct Opened {
+  pb::TunnelHeader header;
   BytesView payload;
-
- private:
-  static constexpr auto kArenaBytes = std::size_t{2048};  // most headers; longer ones take more
-  alignas(std::max_align_t) std::array<char, kArenaBytes> memory{};
-  google::protobuf::Arena arena;
 };
 
 /// Writes the sealed datagram into `out`, whose capacity is reused.
--- a/src/wire/internal/datagram.cc
+++ b/src/wire/internal/datagram.cc
@@ -32,23 +32,8 @@
   return boost::leaf::new_error(WireError{code, size});
 }
 
-auto ArenaIn(std::span<char> memory) -> google::protobuf::ArenaOptions {
-  auto options = google::protobuf::ArenaOptions{};
-  options.initial_block = memory.data();
-  options.initial_block_size = memory.size();
-  return options;
-}
-
 }  // namespace
 
-Opened::Opened() : arena(ArenaIn(this->memory)) { this->Renew(); }
-
-auto Opened::Renew() -> pb::TunnelHeader& {
-  this->arena.Reset();
-  this->header = google::protobuf::Arena::CreateMessage<pb::TunnelHeader>(&this->arena);
-  return *this->header;
-}
-
 auto Seal(const KeyRing& ring, const pb::TunnelHeader& header, BytesView payload, Bytes& out)
     -> base::Result<void> {
   if (ring.keys.empty()) return Fail(WireErrorCode::kNoKey, 0);
@@ -82,11 +67,10 @@
   auto offset = static_cast<std::size_t>(input.CurrentPosition());
   if (header_size > sealed.size() - offset) return Fail(WireErrorCode::kTruncated, size);
   auto header = sealed.subspan(offset, header_size);
-  auto& message = opened.Renew();
-  if (!message.ParseFromArray(header.data(), static_cast<int>(header.size()))) {
+  if (!opened.header.ParseFromArray(header.data(), static_cast<int>(header.size()))) {
     return Fail(WireErrorCode::kMalformed, size);
   }
-  if (message.body_case() == pb::TunnelHeader::BODY_NOT_SET) {
+  if (opened.header.body_case() == pb::TunnelHeader::BODY_NOT_SET) {
     return Fail(WireErrorCode::kMissingBody, size);
   }
   opened.payload = sealed.subspan(offset + header_size);
--- a/src/wire/tests/datagram_test.cc
+++ b/src/wire/tests/datagram_test.cc
@@ -32,7 +32,7 @@
   auto datagram = SealPacket(ring, payload);
   auto opened = Opened{};
   BOOST_REQUIRE(Open(ring, datagram, opened));
-  auto flow = ReadFlow(opened.header->packet().flow()).value();
+  auto flow = ReadFlow(opened.header.packet().flow()).value();
   BOOST_TEST(base::FormatEndpoint(flow.client) == "127.0.0.1:5683");
   BOOST_TEST(Bytes(opened.payload.begin(), opened.payload.end()) == payload);
 }
