Clear the records of balancers that never come back

Cause: balancers observed agents only; the record of one that was killed, or that stopped while the platform was away, stayed for ever. Change: the monitor probes the other balancers too (all up to 64, else three monitors each) and the relay clears what a quorum suspects, as with targets.

--- a/src/balancer/monitor.h
+++ b/src/balancer/monitor.h
@@ -9,14 +9,15 @@
 #include "membership/view.h"
 #include "wire/datagram.h"
 
-/// A balancer's observation of agents: which ones it probes, what it suspects. No input or output.
+/// A balancer's observation of agents and other balancers: which ones it probes, what it suspects.
+/// No input or output.
 namespace anvildrum::balancer {
 
 struct MonitorPolicy {
   membership::SuspicionPolicy suspicion;
-  /// Up to this many agents are probed by every balancer. Beyond, each agent is probed by
-  /// `monitors` balancers of its failure domain, so that a probe's cost does not grow with the
-  /// product of balancers and agents.
+  /// Up to this many agents are probed by every balancer, and up to this many balancers. Beyond,
+  /// each is probed by `monitors` balancers of its failure domain, so that a probe's cost does not
+  /// grow with the product of balancers and agents.
   std::size_t probe_all_up_to = 64;
   std::size_t monitors = 3;
 };
@@ -51,9 +52,16 @@
   membership::TargetRecord record;
   bool suspect = false;
 };
+/// The opinion on another balancer changed. It steers nothing: whoever replies through a balancer
+/// observes it itself. It tells the relay that the record of one that never comes back is to go.
+struct BalancerSuspicion {
+  membership::BalancerRecord record;
+  bool suspect = false;
+};
 struct MonitorEffects {
   std::vector<SendControl> sends;
   std::vector<TargetSuspicion> changes;
+  std::vector<BalancerSuspicion> balancer_changes;
 };
 
 /// The monitor's one entry. Answers probes, sends its own, and reports what it suspects.
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -140,6 +140,7 @@
 
 auto BalancerRuntime::ApplyMonitor(const balancer::MonitorEffects& effects) -> void {
   for (const auto& send : effects.sends) this->tunnel->Send(send.to, send.header, {});
+  for (const auto& change : effects.balancer_changes) this->TellRelay(change);
   if (effects.changes.empty()) return;
   auto view = this->balancer.view;
   for (const auto& change : effects.changes) {
@@ -156,6 +157,13 @@
   this->monitor.view = this->balancer.view;
 }
 
+auto BalancerRuntime::TellRelay(const balancer::BalancerSuspicion& change) -> void {
+  auto key = membership::KeyOf(change.record);
+  Log(LogLevel::kWarning, change.suspect ? "balancer_suspect" : "balancer_alive", {{"key", key}});
+  if (!change.suspect) return this->relay->Alive(key);
+  this->relay->Suspect({key, change.record.revision, change.record.failure_domain});
+}
+
 auto BalancerRuntime::OnTunnel(const base::Endpoint& from, const wire::Opened& opened) -> void {
   auto now = Now();
   this->ApplyMonitor(
--- a/src/daemon/internal/balancer_runtime.h
+++ b/src/daemon/internal/balancer_runtime.h
@@ -36,6 +36,7 @@
   auto OnTick(base::TimePoint now) -> void;
   auto ApplyView(const membership::View& view) -> void;
   auto ApplyMonitor(const balancer::MonitorEffects& effects) -> void;
+  auto TellRelay(const balancer::BalancerSuspicion& change) -> void;
   auto Carry(const balancer::Effects& effects) -> void;
   auto BindServices() -> void;
   auto BindService(const base::Endpoint& address) -> void;
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -29,8 +29,17 @@
   }
 }
 
+auto TellRelay(BalancerNode& node, const balancer::BalancerSuspicion& change) -> void {
+  auto key = membership::KeyOf(change.record);
+  Trace(*node.world, node.name + (change.suspect ? " suspects " : " hears again ") + key);
+  if (!change.suspect) return Feed(node.relay, relay::RecordAlive{key});
+  Feed(node.relay,
+       relay::RecordSuspected{key, change.record.revision, change.record.failure_domain});
+}
+
 auto ApplyMonitor(BalancerNode& node, const balancer::MonitorEffects& effects) -> void {
   for (const auto& send : effects.sends) Send(node, send.to, send.header, {});
+  for (const auto& change : effects.balancer_changes) TellRelay(node, change);
   if (effects.changes.empty()) return;
   auto view = node.balancer.view;
   for (const auto& change : effects.changes) {
