Let the turns of those who clear dead records go round

Cause: each balancer that suspects a record turns to the next clearer every 30 s, and ClearerFor came to the end of the list and named nobody. After an outage of the platform that outlasted the list, no dead record was ever cleared. Ruled out: failed deletes (they are issued again), lost suspicions (the observers still held them). Change: the turns go round.

--- a/src/relay/internal/topology.cc
+++ b/src/relay/internal/topology.cc
@@ -243,18 +243,20 @@
 
 auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt)
     -> Link {
-  if (state.domains.empty()) return {};
+  auto clearers = std::vector<Link>{};
   for (std::size_t steps = 0; steps < state.domains.size(); ++steps) {
     const auto& domain = DomainAfter(state.domains, failure_domain, steps);
     for (const RelayPeer& peer : domain) {
       if (IsSilent(state, peer.control)) continue;
-      if (attempt == 0) return ToLink(peer);
-      --attempt;
+      clearers.push_back(ToLink(peer));
       // Two of a domain are asked before the next domain's turn comes.
       if (&peer - domain.data() >= 2) break;
     }
   }
-  return {};
+  // Safeguard: the turns go round. An outage of the platform outlasts them, and a record that came
+  // to the end of the list would never be cleared afterwards.
+  if (clearers.empty()) return {};
+  return clearers[attempt % clearers.size()];
 }
 
 }  // namespace anvildrum::relay
