Count the time before a record is cleared from the quorum's agreement

Cause: the hold of ten seconds ran from the first report. Change: the time runs while a quorum reports, and starts again when it is lost.

--- a/src/relay/internal/clearing.cc
+++ b/src/relay/internal/clearing.cc
@@ -23,7 +23,7 @@
                 std::uint64_t revision, base::TimePoint now) -> void {
   if (!HoldsRevision(state.store, key, revision)) return;
   Reports& reports = state.reports[key];
-  if (reports.revision != revision) reports = {.revision = revision, .first = now};
+  if (reports.revision != revision) reports = {.revision = revision};
   reports.reporters[reporter] = now;
 }
 
@@ -93,10 +93,19 @@
   });
 }
 
+/// The time runs from the agreement. Failure: one balancer is cut off from the target for long; a
+/// stop of a second makes the others agree for an instant. Symptom with the first report's time: a
+/// live target is given up at once, and its feeds end.
+auto NoteAgreement(const State& state, Reports& reports, base::TimePoint now) -> void {
+  if (reports.reporters.size() < Quorum(state)) return reports.agreed.reset();
+  if (!reports.agreed.has_value()) reports.agreed = now;
+}
+
 auto IsDue(const State& state, const Reports& reports, base::TimePoint now) -> bool {
-  const bool is_held = now - reports.first >= state.settings.policy.suspicion_hold;
+  if (!reports.agreed.has_value()) return false;
+  const bool is_held = now - *reports.agreed >= state.settings.policy.suspicion_hold;
   const bool is_new = !reports.deleted_at.has_value() || now - *reports.deleted_at > kDeleteRetry;
-  return is_held && is_new && reports.reporters.size() >= Quorum(state);
+  return is_held && is_new;
 }
 
 /// No lease: the delete names the revision that was suspected. Failure: this balancer is paused
@@ -104,6 +113,7 @@
 /// the condition: a live target disappears. With it the late write meets a newer revision and
 /// fails, whoever else believes to be the clearer.
 auto ClearReported(State& state, base::TimePoint now, Effects& effects) -> void {
+  for (auto& [key, reports] : state.reports) NoteAgreement(state, reports, now);
   if (now < state.next_delete) return;
   for (auto& [key, reports] : state.reports) {
     if (!IsDue(state, reports, now)) continue;
--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -107,8 +107,8 @@
 /// What this balancer was told by others, as the one that clears.
 struct Reports {
   std::uint64_t revision = 0;
-  base::TimePoint first{};
   std::map<std::uint64_t, base::TimePoint> reporters{};
+  std::optional<base::TimePoint> agreed{};      ///< since when a quorum reports it
   std::optional<base::TimePoint> deleted_at{};  ///< when a delete was last issued
 };
 
--- a/src/relay/types/settings.h
+++ b/src/relay/types/settings.h
@@ -58,10 +58,10 @@
   std::size_t deltas_kept = 8;      ///< last configuration changes kept for children
   /// Balancers that must suspect a record before it is cleared; fewer when the domain has fewer.
   std::size_t suspicion_quorum = 3;
-  base::Duration suspicion_hold = base::seconds(10);      ///< from the first report to the delete
-  base::Duration suspicion_expiry = base::seconds(45);    ///< a report not repeated is forgotten
-  base::Duration suspicion_repeat = base::seconds(10);    ///< reports go out again this often
-  base::Duration suspicion_escalate = base::seconds(30);  ///< then the next balancer is told
+  base::Duration suspicion_hold = base::seconds(10);    ///< from the quorum's reports to the delete
+  base::Duration suspicion_expiry = base::seconds(45);  ///< a report not repeated is forgotten
+  base::Duration suspicion_repeat = base::seconds(10);  ///< reports go out again this often
+  base::Duration suspicion_escalate = base::seconds(30);     ///< then the next balancer is told
   base::Duration delete_interval = base::milliseconds(500);  ///< between a clearer's deletes
 };
 
