--- a/tools/scenario/expect.cc
+++ b/tools/scenario/expect.cc
@@ -98,6 +98,19 @@
   CheckCount(run, words, count);
 }
 
+// Requests that took longer than this until their client was told.
+auto ExpectSlower(Run& run, Words& words) -> void {
+  auto limit = TakeDuration(words);
+  auto slow = std::uint64_t{0};
+  auto detail = std::string{};
+  for (const auto& [id, order] : run.world.orders) {
+    auto told = order.outcome == Outcome::kPending ? run.world.clock.now : order.told;
+    if (told - order.sent <= limit) continue;
+    if (++slow <= 3) detail += " " + id;
+  }
+  CheckCount(run, words, slow, detail);
+}
+
 auto OwnersOf(const World& world, const base::FlowKey& flow) -> std::vector<std::string> {
   auto owners = std::vector<std::string>{};
   for (const auto& [name, node] : world.agents) {
@@ -231,6 +244,7 @@
 const auto kExpectations = std::map<std::string, Verb>{
     {"broken", ExpectBroken},
     {"streams", ExpectStreams},
+    {"slower-than", ExpectSlower},
     {"untold", ExpectUntold},
     {"executions", ExpectExecutions},
     {"outcome", ExpectOutcome},
