Announce a target when its agent knows its peers

Cause: an agent announced itself before its relay held anything. Until it had found a live peer to learn from (seconds, when the first seed is down), balancers took it for the home of flows that it could not place, and their packets waited for the client's retransmission. Change: the announcement follows the relay's readiness.

--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -75,7 +75,7 @@
   this->record = this->MakeRecord();
   auto callbacks = RelayRuntime::Callbacks{
       [this](const auto& records) { this->OnRecords(records); },
-      [] { Log(LogLevel::kInfo, "ready"); },
+      [this] { this->OnReady(); },
   };
   auto relay_settings = MakeRelaySettings(*this->runtime, {}, this->record.service);
   this->relay = std::make_unique<RelayRuntime>(*this->runtime, relay_settings, callbacks);
@@ -95,7 +95,6 @@
   auto announced = [this](const auto& result) { this->Announced(result); };
   this->announcer = std::make_unique<Announcer>(
       *this->runtime, Announcer::Parts{key, compose, incarnation_of, announced});
-  this->announcer->Announce();
   this->relay->Start();
   this->stop_signal =
       std::make_unique<net::StopSignal>(this->runtime->io, [this](int) { this->BeginDrain(); });
@@ -104,6 +103,13 @@
   Log(LogLevel::kInfo, "stopped");
 }
 
+// Safeguard: announced before it knows its peers, a target is the home of flows that it cannot
+// place yet, and their packets are lost until it has found a live peer to learn from.
+auto AgentRuntime::OnReady() -> void {
+  Log(LogLevel::kInfo, "ready");
+  this->announcer->Announce();
+}
+
 auto AgentRuntime::Announced(const Announcer::Announced& result) -> void {
   // Given up and announced anew: what the earlier incarnation served is others' now.
   if (result.incarnation != this->record.incarnation) this->ForgetCore();
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -35,6 +35,7 @@
 
  private:
   auto MakeRecord() const -> membership::TargetRecord;
+  auto OnReady() -> void;
   auto Announced(const Announcer::Announced& result) -> void;
   auto ForgetCore() -> void;
   auto StartCore() -> void;
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -197,7 +197,7 @@
     Feed(node, agent::TunnelMessage{from, &header, payload});
   };
   world.tunnel_ports[node.record.tunnel] = {node.process, receive};
-  Announce(node.announcer);
+  node.relay.on_ready = [&node] { Announce(node.announcer); };
   Feed(node.relay, relay::Started{});
 }
 
--- a/tools/scenario/relay_node.cc
+++ b/tools/scenario/relay_node.cc
@@ -143,6 +143,7 @@
   if (const auto* changed = std::get_if<relay::RecordsChanged>(&effect)) {
     return node.on_records(changed->records);
   }
+  if (std::holds_alternative<relay::Ready>(effect) && node.on_ready) return node.on_ready();
   if (const auto* timer = std::get_if<relay::SetTimer>(&effect)) return Arm(node, timer->at);
 }
 
--- a/tools/scenario/relay_node.h
+++ b/tools/scenario/relay_node.h
@@ -18,6 +18,7 @@
   std::string process;
   relay::State state;
   std::function<void(const std::vector<relay::PlatformObject>&)> on_records;
+  std::function<void()> on_ready;
   std::set<base::Endpoint> links;                 ///< to parents and clearers
   std::map<std::uint64_t, std::string> children;  ///< sender -> process
   std::uint64_t watch_call = 0;
