--- a/src/requests/coap_message.h
+++ b/src/requests/coap_message.h
@@ -86,6 +86,9 @@
 /// The request with `echo` in place of any Echo option it had.
 auto WithEcho(const Message& message, BytesView echo) -> Bytes;
 
+/// The notification with another sequence number in its Observe option (RFC 7641, 2).
+auto WithObserve(const Message& message, std::uint32_t sequence) -> Bytes;
+
 /// 4.01 with an Echo option (RFC 9175, 2.3).
 auto BuildChallenge(MessageType type, std::uint16_t message_id, const Token& token, BytesView echo)
     -> Bytes;
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -38,6 +38,15 @@
   bool adopted = false;
 };
 
+struct FlowRecord;
+
+/// The agent serves this flow from now on, in place of a draining one that has stopped to: instead
+/// of FlowOpened. See requests/hand_over.h; the record is used during the call only.
+struct FlowAdopted {
+  base::FlowKey flow;
+  const FlowRecord* record = nullptr;
+};
+
 /// The agent no longer serves this flow and its socket is closed. Due for every flow in the end,
 /// also for one that only a hand-on opened: the core keeps some 200 bytes of each until then.
 struct FlowClosed {
@@ -68,6 +77,6 @@
 };
 
 using Event = std::variant<ClientDatagram, TargetDatagram, TargetUnreachable, Timer, FlowOpened,
-                           FlowClosed, Drain, HandOnRequested, HandOnAnswered>;
+                           FlowAdopted, FlowClosed, Drain, HandOnRequested, HandOnAnswered>;
 
 }  // namespace anvildrum::requests
--- a/src/requests/internal/client.cc
+++ b/src/requests/internal/client.cc
@@ -30,6 +30,7 @@
   auto* entry = FindById(context.state.ledger, passed.request);
   if (IsOwn(entry, passed)) return StopResending(context, *entry);
   context.effects.emplace_back(SendToTarget{flow, BuildEmptyAck(passed.target_side)});
+  if (entry != nullptr) entry->awaits_ack = false;
   // The client of the stream is there.
   if (entry != nullptr && entry->stage == Stage::kObserving) WakeAt(context, *entry, {});
 }
@@ -38,6 +39,7 @@
   auto* entry = FindById(context.state.ledger, passed.request);
   if (IsOwn(entry, passed)) return StopResending(context, *entry);
   context.effects.emplace_back(SendToTarget{flow, BuildReset(passed.target_side)});
+  if (entry != nullptr) entry->awaits_ack = false;
   if (entry == nullptr || entry->stage != Stage::kObserving) return;
   EndStream(context, *entry, Counter::kStreamClientGone);
 }
--- a/src/requests/internal/coap_build.cc
+++ b/src/requests/internal/coap_build.cc
@@ -30,6 +30,12 @@
   last = number;
 }
 
+auto AppendPayload(Bytes& out, BytesView payload) -> void {
+  if (payload.empty()) return;
+  out.push_back(kPayloadMarker);
+  out.insert(out.end(), payload.begin(), payload.end());
+}
+
 auto AppendEchoIfDue(Bytes& out, std::uint16_t& last, std::uint16_t next,
                      std::optional<BytesView>& echo) -> void {
   if (!echo || next <= COAP_OPTION_ECHO) return;
@@ -49,10 +55,7 @@
     AppendOption(out, last, iterator.number, OptionValue(option));
   }
   AppendEchoIfDue(out, last, COAP_OPTION_ECHO + 1, echo);
-  auto payload = PayloadOf(pdu.get());
-  if (payload.empty()) return;
-  out.push_back(kPayloadMarker);
-  out.insert(out.end(), payload.begin(), payload.end());
+  AppendPayload(out, PayloadOf(pdu.get()));
 }
 
 }  // namespace
@@ -84,6 +87,25 @@
   return out;
 }
 
+auto WithObserve(const Message& message, std::uint32_t sequence) -> Bytes {
+  auto out = Bytes{};
+  out.reserve(message.whole.size() + sizeof(sequence));
+  AppendHeader(out, message.type, message.code, message.message_id, message.token);
+  auto pdu = ParsePdu(message.whole);
+  auto value = std::array<std::uint8_t, sizeof(sequence)>{};
+  auto size = coap_encode_var_safe(value.data(), value.size(), sequence);
+  auto last = std::uint16_t{0};
+  auto iterator = coap_opt_iterator_t{};
+  coap_option_iterator_init(pdu.get(), &iterator, COAP_OPT_ALL);
+  while (auto* option = coap_option_next(&iterator)) {
+    auto is_observe = iterator.number == COAP_OPTION_OBSERVE;
+    AppendOption(out, last, iterator.number,
+                 is_observe ? BytesView(value).first(size) : OptionValue(option));
+  }
+  AppendPayload(out, PayloadOf(pdu.get()));
+  return out;
+}
+
 auto BuildChallenge(MessageType type, std::uint16_t message_id, const Token& token, BytesView echo)
     -> Bytes {
   auto out = Bytes{};
--- /dev/null
+++ b/src/requests/internal/hand_over.cc
@@ -0,0 +1,175 @@
+// A flow that moves from a draining agent to another one, both sides.
+#include "requests/hand_over.h"
+
+#include <algorithm>
+
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+// A client answers a challenge within a round trip; its next retransmission comes after 3 s at the
+// latest (RFC 7252, 4.8.2).
+constexpr auto kChallengeOpen = base::seconds(5);
+constexpr auto kSequenceMask = std::uint32_t{0xffffff};
+
+auto KeptFor(const LedgerEntry& entry, base::TimePoint now) -> base::Duration {
+  return now - (entry.expires - kExchangeLifetime);
+}
+
+// Safeguard: a separate answer that was lost is sent again by the target until the client has
+// acknowledged it. Moved before that, the flow's client would be left without a final answer.
+auto AwaitsClient(const LedgerEntry& entry, base::TimePoint now) -> bool {
+  if (entry.sends_left > 0) return true;
+  return entry.awaits_ack && KeptFor(entry, now) < kMaxTransmitWait;
+}
+
+auto HoldsFlow(const LedgerEntry& entry, base::TimePoint now) -> bool {
+  if (entry.stage == Stage::kObserving) return false;
+  if (IsLive(entry.stage)) return true;
+  if (entry.stage == Stage::kChallenged) return KeptFor(entry, now) < kChallengeOpen;
+  return AwaitsClient(entry, now);
+}
+
+auto HoldsFlow(const FlowState& flow, base::TimePoint now) -> bool {
+  return flow.transfer_until > now || (flow.upload && flow.upload->expires > now);
+}
+
+auto StreamOf(const LedgerEntry& entry) -> HandedStream {
+  auto sent = entry.notification_sequence + entry.sequence_offset;
+  return {entry.request, sent & kSequenceMask};
+}
+
+auto RequestOf(const LedgerEntry& entry, base::TimePoint now) -> HandedRequest {
+  auto handed = HandedRequest{};
+  handed.token = entry.identity.token;
+  handed.message_id = entry.identity.message_id;
+  handed.was_challenged = entry.was_challenged;
+  handed.challenged_token = entry.challenged.token;
+  handed.challenged_message_id = entry.challenged.message_id;
+  handed.type = entry.type;
+  handed.method = entry.method;
+  handed.stage = entry.stage == Stage::kChallenged ? Stage::kUnknown : entry.stage;
+  handed.acknowledged = entry.acknowledged;
+  handed.content_digest = entry.content_digest;
+  handed.left = entry.expires - now;
+  handed.answer = entry.answer;
+  return handed;
+}
+
+// The client never answered its challenge here. It may yet, with a value that is foreign to the new
+// owner; both messages are told the same then.
+auto AnswerAbandoned(HandedRequest& handed, FlowRecord& record) -> void {
+  auto confirmable = handed.type == MessageType::kConfirmable;
+  auto type = confirmable ? MessageType::kAcknowledgement : MessageType::kNonConfirmable;
+  auto message_id = confirmable ? handed.message_id : record.next_client_message_id++;
+  handed.answer = BuildUnknown(type, message_id, handed.token);
+}
+
+auto AddTo(FlowRecord& record, const LedgerEntry& entry, base::TimePoint now) -> void {
+  if (entry.stage == Stage::kObserving) {
+    record.streams.push_back(StreamOf(entry));
+    return;
+  }
+  if (entry.expires <= now) return;
+  auto handed = RequestOf(entry, now);
+  if (entry.stage == Stage::kChallenged) AnswerAbandoned(handed, record);
+  record.requests.push_back(std::move(handed));
+}
+
+auto TakeRequest(Context& context, const base::FlowKey& flow, const HandedRequest& handed) -> void {
+  auto& ledger = context.state.ledger;
+  auto identity = RequestIdentity{flow, handed.token, handed.message_id, {}};
+  auto entry = LedgerEntry{};
+  entry.challenged = {flow, handed.challenged_token, handed.challenged_message_id, {}};
+  entry.was_challenged = handed.was_challenged;
+  entry.identity = entry.was_challenged ? entry.challenged : identity;
+  entry.type = handed.type;
+  entry.method = handed.method;
+  entry.stage = handed.stage;
+  entry.acknowledged = handed.acknowledged;
+  entry.content_digest = handed.content_digest;
+  entry.answer = handed.answer;
+  auto& kept = InsertRequest(ledger, std::move(entry));
+  if (kept.identity != identity) AdoptIdentity(ledger, kept, identity);
+  KeepUntil(ledger, kept, context.now + std::min(handed.left, base::Duration(kExchangeLifetime)));
+}
+
+// Registered at this target as a request that is never refused and holds no slot: the client was
+// admitted long ago. Its first answer goes out as a notification, not in the ACK of a request that
+// the client has long had answered.
+auto TakeStream(Context& context, const base::FlowKey& flow, const HandedStream& handed) -> void {
+  auto request = ParseMessage(handed.request);
+  if (!request || !IsRequest(*request)) return CountOne(context, Counter::kClientMalformed);
+  auto entry = LedgerEntry{};
+  entry.identity = {flow, request->token, request->message_id, {}};
+  entry.type = MessageType::kNonConfirmable;
+  entry.method = MethodClassOf(request->code);
+  entry.content_digest = request->content_digest;
+  entry.path_digest = request->path_digest;
+  entry.arrived = context.now;
+  entry.deadline = context.now;
+  entry.request = handed.request;
+  entry.observe = true;
+  entry.follow_up = true;
+  entry.sequence_offset = handed.sequence;
+  entry.sequence_moved = true;
+  Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
+}
+
+}  // namespace
+
+auto IndexLedger(const State& state) -> FlowLedgers {
+  auto ledgers = FlowLedgers{};
+  for (const auto& [id, entry] : state.ledger.entries) {
+    if (entry.identity.origin.value == 0) ledgers[entry.identity.flow].push_back(id);
+  }
+  return ledgers;
+}
+
+auto ExportFlow(const State& state, const FlowLedgers& ledgers, const base::FlowKey& key,
+                base::TimePoint now) -> std::optional<FlowRecord> {
+  auto record = FlowRecord{};
+  auto flow = state.flows.find(key);
+  if (flow == state.flows.end()) return record;
+  if (HoldsFlow(flow->second, now)) return std::nullopt;
+  record.next_client_message_id = flow->second.next_client_message_id;
+  record.quarantine_left = std::max(flow->second.adopted_until - now, base::Duration{});
+  auto ids = ledgers.find(key);
+  if (ids == ledgers.end()) return record;
+  for (auto id : ids->second) {
+    const auto& entry = state.ledger.entries.at(id);
+    if (HoldsFlow(entry, now)) return std::nullopt;
+    AddTo(record, entry, now);
+  }
+  return record;
+}
+
+auto HasRoomFor(const State& state, const FlowRecord& record) -> bool {
+  auto bytes = std::size_t{0};
+  for (const auto& handed : record.requests) bytes += kLedgerEntryBytes + handed.answer.size();
+  for (const auto& handed : record.streams) bytes += kLedgerEntryBytes + handed.request.size();
+  return state.ledger.bytes + bytes <= state.parameters.ledger_bytes;
+}
+
+auto OnFlowAdopted(Context& context, const FlowAdopted& event) -> void {
+  auto& flow = FlowOf(context, event.flow);
+  const auto& record = *event.record;
+  flow.echo_floor = context.state.mint.last_issue;
+  flow.next_client_message_id = record.next_client_message_id;
+  flow.adopted_until = context.now + record.quarantine_left;
+  for (const auto& handed : record.requests) TakeRequest(context, event.flow, handed);
+  for (const auto& handed : record.streams) TakeStream(context, event.flow, handed);
+}
+
+auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void {
+  if (!entry.sequence_moved) return;
+  entry.sequence_moved = false;
+  entry.sequence_offset = (entry.sequence_offset + 1 - first) & kSequenceMask;
+}
+
+auto MovedSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t {
+  return (sequence + entry.sequence_offset) & kSequenceMask;
+}
+
+}  // namespace anvildrum::requests
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -63,6 +63,7 @@
   SetRequestBytes(ledger, entry, {});
   if (entry.method != MethodClass::kSafe) SetAnswerBytes(ledger, entry, std::move(bytes));
   KeepUntil(ledger, entry, context.now + kExchangeLifetime);
+  entry.awaits_ack = answer.type == MessageType::kConfirmable;
 }
 
 }  // namespace
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -81,6 +81,7 @@
 auto OnClientDatagram(Context& context, const ClientDatagram& event) -> void;
 auto OnTargetDatagram(Context& context, const TargetDatagram& event) -> void;
 auto OnTargetUnreachable(Context& context, const TargetUnreachable& event) -> void;
+auto OnFlowAdopted(Context& context, const FlowAdopted& event) -> void;
 auto OnFlowClosed(Context& context, const FlowClosed& event) -> void;
 auto OnHandOnRequested(Context& context, const HandOnRequested& event) -> void;
 auto OnHandOnAnswered(Context& context, const HandOnAnswered& event) -> void;
@@ -148,6 +149,11 @@
 auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
     -> void;
 
+/// Sequence numbers of a stream that was taken over: hand_over.cc. The first answer's number follows
+/// the last one that the client was sent.
+auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void;
+auto MovedSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t;
+
 /// Notifications and the client's answers to them: streams.cc.
 auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void;
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void;
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -24,6 +24,7 @@
                    if (!at.adopted) return;
                    flow.adopted_until = context.now + context.state.parameters.adopted_quarantine;
                  },
+                 [&](const FlowAdopted& at) { OnFlowAdopted(context, at); },
                  [&](const FlowClosed& at) { OnFlowClosed(context, at); },
                  [&](const Drain&) { context.state.draining = true; },
                  [&](const HandOnRequested& at) { OnHandOnRequested(context, at); },
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -40,6 +40,16 @@
   WakeAt(context, entry, context.now + context.state.parameters.stream_ack_limit);
 }
 
+// Safeguard: a client drops a notification whose number is not newer than the last one (RFC 7641,
+// 3.4), and two targets count apart: after a move its screen would stand still for 128 s.
+auto PassMoved(Context& context, LedgerEntry& entry, const Message& message) -> void {
+  if (!message.observe) return PassNotification(context, entry, message);
+  MoveSequence(entry, *message.observe);
+  if (entry.sequence_offset == 0) return PassNotification(context, entry, message);
+  auto bytes = WithObserve(message, MovedSequence(entry, *message.observe));
+  PassNotification(context, entry, *ParseMessage(bytes));
+}
+
 // The first answer ends the request; the stream that stays holds a connection, not a slot.
 auto OpenStream(Context& context, LedgerEntry& entry) -> void {
   NoteServiceTime(context, entry);
@@ -77,7 +87,7 @@
              IsStale(context, entry, message)) {
     return DropStale(context, entry, message);
   }
-  PassNotification(context, entry, message);
+  PassMoved(context, entry, message);
   if (EndsStream(message)) return EndStream(context, entry, Counter::kStreamEnded);
   NoteNotification(context, entry, message);
 }
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -46,7 +46,12 @@
   std::uint16_t target_message_id = 0;
   std::uint16_t client_message_id = 0;        ///< of the agent's last CON towards the client
   std::uint16_t notification_message_id = 0;  ///< the target's, of the last notification
-  std::uint32_t notification_sequence = 0;
+  std::uint32_t notification_sequence = 0;    ///< the target's, of the last notification
+  /// Added to the target's sequence numbers for the client, modulo 2^24. Until the first answer of
+  /// a target that took the stream over: the last number that the client was sent.
+  std::uint32_t sequence_offset = 0;
+  bool sequence_moved = false;  ///< the stream was taken over, its first answer is due
+  bool awaits_ack = false;      ///< a separate answer, sent as a CON, is not acknowledged yet
   std::uint64_t content_digest = 0;
   std::uint64_t path_digest = 0;
   std::uint64_t echo_issue = 0;      ///< 0: none
