--- a/src/balancer/tests/interleaving_run.cc
+++ b/src/balancer/tests/interleaving_run.cc
@@ -97,6 +97,7 @@
       return Drain(world, agent);
     case ActionKind::kLeave:
       if (!agent.record.draining || !agent.directory.owned.empty()) return;
+      if (!agent.directory.outgoing.empty()) return;
       Kill(world, agent);
       return Publish(world, agent.record, true);
     case ActionKind::kJoinAgent:
--- a/src/balancer/tests/interleaving_world.cc
+++ b/src/balancer/tests/interleaving_world.cc
@@ -68,8 +68,29 @@
   Fail(world, "an established flow moved to another target");
 }
 
+auto Serves(const AgentNode& agent, const base::FlowKey& flow) -> bool {
+  auto found = agent.directory.owned.find(flow);
+  if (found == agent.directory.owned.end()) return false;
+  return !found->second.closing && !found->second.handing;
+}
+
+// The old owner has stopped before the new one starts.
+auto CheckTaken(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void {
+  auto process = TargetProcess{agent.record.id.value, agent.record.incarnation};
+  for (const auto& other : world.agents) {
+    auto before = TargetProcess{other->record.id.value, other->record.incarnation};
+    if (!other->running || before == process || !Serves(*other, flow)) continue;
+    if (world.disturbed.contains(before) || world.disturbed.contains(process)) continue;
+    Fail(world, "a flow was taken over while its old owner serves it");
+  }
+  ++world.hand_overs;
+  auto known = world.owner_of.find(flow);
+  if (known != world.owner_of.end()) known->second = process;
+}
+
 auto Apply(World& world, AgentNode& agent, const steering::DirectoryEvent& event) -> void {
   auto effects = steering::Step(agent.directory, event, world.now);
+  for (const auto& taken : effects.taken) CheckTaken(world, agent, taken.flow);
   for (const auto& send : effects.sends) Send(world, agent.tunnel, send.to, send.header);
   for (const auto& delivery : effects.deliveries) {
     CheckDelivery(world, agent, delivery.flow);
@@ -205,6 +226,11 @@
     membership::ApplyDrain(agent.view, {notice.target().target()}, notice.target().incarnation());
     return TellCore(world, agent);
   }
+  if (header.body_case() == TunnelHeader::kHandOver) {
+    // Now and then the agent's ledger has no room.
+    return Apply(world, agent,
+                 steering::HandOverArrived{datagram.from, &header, {}, Below(world, 8) != 0});
+  }
   Apply(world, agent, steering::TunnelArrived{datagram.from, &header, {}});
 }
 
@@ -234,10 +260,22 @@
   }
 }
 
+// A draining agent offers its flows to others, each when its requests let it.
+auto OfferFlows(World& world, AgentNode& agent) -> void {
+  auto flows = std::vector<base::FlowKey>{};
+  for (const auto& [flow, owned] : agent.directory.owned) flows.push_back(flow);
+  std::ranges::sort(flows);
+  for (const auto& flow : flows) {
+    if (!steering::CanHandOver(agent.directory, flow) || Below(world, 4) != 0) continue;
+    Apply(world, agent, steering::FlowOffered{flow, {}});
+  }
+}
+
 auto Tick(World& world) -> void {
   for (auto& agent : world.agents) {
     if (!agent->running || IsFrozen(world, *agent)) continue;
     Apply(world, *agent, steering::DirectoryTimer{});
+    if (agent->record.draining) OfferFlows(world, *agent);
     if (Observe(world, *agent, membership::SuspicionTimer{})) TellCore(world, *agent);
   }
   for (auto& balancer : world.balancers) {
--- a/src/balancer/tests/interleaving_world.h
+++ b/src/balancer/tests/interleaving_world.h
@@ -77,6 +77,7 @@
   std::set<TargetProcess> removed;    ///< at the platform
   std::set<TargetProcess> disturbed;  ///< frozen or cut at some time
   std::map<base::FlowKey, std::uint64_t> delivered;
+  std::uint64_t hand_overs = 0;
   std::string failure;  ///< the first invariant that broke
 };
 
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -25,6 +25,9 @@
 /// 3. A target opens a flow for another agent only if that agent is the flow's home in its own
 /// view;
 ///    else it asks as in 2.
+/// 4. A draining owner hands a flow over only when the flow's home knows it as the owner, and stops
+///    serving it before it offers it. Until the new owner is registered there, the old one passes
+///    packets on and names the new one to who asks. See docs/design/handover.md.
 /// What remains is a cut network: two sides may open one flow. When they meet again, the home keeps
 /// the owner that heard from the client last, of two that heard together the one that opened it
 /// first, else the lower id; the other drops its state and passes packets on.
@@ -47,6 +50,8 @@
   std::unordered_map<base::FlowKey, OwnedFlow> owned;
   std::unordered_map<base::FlowKey, KnownOwner> known;
   std::unordered_map<base::FlowKey, PendingFlow> pending;
+  std::unordered_map<base::FlowKey, OutgoingHandOver> outgoing;
+  std::unordered_map<base::FlowKey, IncomingHandOver> incoming;
   std::vector<RegisterStream> streams;  ///< sorted by home's target
   std::vector<PendingYield> yields;
   std::vector<TargetLoad> load_scratch;
@@ -104,11 +109,24 @@
 struct FlowEnded {
   base::FlowKey flow;
 };
+/// Offers the flow to another target, with `record`, which is opaque here. Nothing happens unless
+/// CanHandOver. It ends by FlowDropped, when the other one has taken it, or the flow is served on.
+struct FlowOffered {
+  base::FlowKey flow;
+  wire::Bytes record;
+};
+/// A HandOver of another agent; `acceptable`: the agent can take the record.
+struct HandOverArrived {
+  base::Endpoint from;
+  const wire::pb::TunnelHeader* header = nullptr;
+  wire::BytesView record;
+  bool acceptable = true;
+};
 /// At least every second, and for prompt retries every 20 ms or so.
 struct DirectoryTimer {};
 
 using DirectoryEvent = std::variant<TunnelArrived, ViewArrived, OwnLoadChanged, PeerLoadArrived,
-                                    FlowEnded, DirectoryTimer>;
+                                    FlowEnded, FlowOffered, HandOverArrived, DirectoryTimer>;
 
 struct SendTunnel {
   base::Endpoint to;
@@ -131,11 +149,19 @@
   base::FlowKey flow;
 };
 
+/// This agent has taken the flow over: due before any delivery of the same step. `record` views the
+/// event's buffer.
+struct FlowTaken {
+  base::FlowKey flow;
+  wire::BytesView record;
+};
+
 /// Payload views refer to the event's buffer or to `held`.
 struct DirectoryEffects {
   std::vector<SendTunnel> sends;
   std::vector<Deliver> deliveries;
   std::vector<FlowDropped> dropped;
+  std::vector<FlowTaken> taken;
   std::vector<wire::Bytes> held;  ///< storage of held packets that are released
 };
 
@@ -155,6 +181,9 @@
 /// Whether every peer that is not suspect has registered its flows under this agent's view.
 auto IsSettled(const Directory& directory) -> bool;
 
+/// Whether the flow can be offered now: this agent drains and serves it, and its home knows that.
+auto CanHandOver(const Directory& directory, const base::FlowKey& flow) -> bool;
+
 /// For the ProbeAnswer to peers.
 auto OwnLoadReport(const Directory& directory) -> wire::pb::LoadReport;
 
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -36,6 +36,8 @@
       return HandleYield(context, event.from, header.yield());
     case TunnelHeader::kYieldAck:
       return HandleYieldAck(context, header.yield_ack());
+    case TunnelHeader::kHandOverAck:
+      return HandleHandOverAck(context, header.hand_over_ack());
     case TunnelHeader::kResettle:
       return HandleResettle(context, header.resettle());
     default:
@@ -67,11 +69,17 @@
   CloseFlow(context, event.flow);
 }
 
+auto Handle(StepContext& context, const FlowOffered& event) -> void { OfferFlow(context, event); }
+
+auto Handle(StepContext& context, const HandOverArrived& event) -> void {
+  HandleHandOver(context, event);
+}
+
 auto EndIdleFlows(StepContext& context) -> void {
   auto& directory = context.directory;
   auto idle = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : directory.owned) {
-    if (owned.closing || context.now - owned.last_used < directory.policy.flow_idle) continue;
+    if (owned.closing || owned.handing || context.now - owned.last_used < directory.policy.flow_idle) continue;
     idle.push_back(flow);
   }
   for (const auto& flow : idle) {
@@ -94,6 +102,7 @@
   directory.pump_due = true;
   ContinueAsking(context);
   RetryYields(context);
+  ContinueHandOvers(context);
   SendDrainNotices(context);
   if (context.now < directory.next_sweep) return;
   directory.next_sweep = context.now + directory.policy.sweep_period;
@@ -155,7 +164,7 @@
   auto stopped = now - directory.last_step > directory.policy.stopped_after;
   if (directory.fenced || stopped) return std::nullopt;
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->closing || owned->balancer.port == 0) return std::nullopt;
+  if (owned == nullptr || owned->closing || owned->handing || owned->balancer.port == 0) return std::nullopt;
   owned->last_used = now;
   return owned->balancer;
 }
--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -83,6 +83,7 @@
   }
   auto owner = KnownOwner{};
   owner.owner = *pending.claimed;
+  owner.lineage = pending.claimed_lineage;
   owner.via = pending.claimed_via;
   owner.via_since = context.now;
   owner.opened = context.now;
@@ -138,6 +139,15 @@
   return std::nullopt;
 }
 
+auto LineageOf(const Directory& directory, const base::FlowKey& flow, const TargetRef& owner)
+    -> Lineage {
+  auto owned = directory.owned.find(flow);
+  if (owner == directory.self && owned != directory.owned.end()) return owned->second.lineage;
+  auto known = directory.known.find(flow);
+  auto names = known != directory.known.end() && known->second.owner == owner;
+  return names ? known->second.lineage : Lineage{};
+}
+
 auto DropSilent(StepContext& context, PendingFlow& pending) -> void {
   std::erase_if(pending.waiting, [&](const TargetRef& ref) {
     auto* peer = FindPeer(context.directory, ref);
@@ -191,6 +201,7 @@
   if (owner) WriteRef(*owner, *answer->mutable_owner());
   WriteRef(directory.self, *answer->mutable_responder());
   answer->set_sequence(query.sequence());
+  if (owner) WriteLineage(LineageOf(directory, *flow, *owner), *answer->mutable_lineage());
   SendControl(context, from, header);
 }
 
@@ -217,6 +228,7 @@
   if (answer.owned() && owner == responder) {
     auto known = KnownOwner{};
     known.owner = owner;
+    known.lineage = ReadLineage(answer.lineage());
     known.opened = context.now;
     known.noted = context.now;
     known.last_packet = context.now;
@@ -230,6 +242,7 @@
   }
   if (claims_other) {
     pending.claimed = owner;
+    pending.claimed_lineage = ReadLineage(answer.lineage());
     pending.denied = !std::ranges::count(pending.waiting, owner);
     pending.claimed_via = pending.lost == owner ? peer->tunnel : base::Endpoint{};
   }
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -15,11 +15,28 @@
   base::TimePoint opened{};
   base::TimePoint last_from_client{};
   std::uint64_t stamp = 0;
+  Lineage lineage;
 };
 
+auto HaveSameOpening(const Claim& one, const Claim& other) -> bool {
+  if (one.lineage.stamp == 0 || one.lineage.stamp != other.lineage.stamp) return false;
+  return one.lineage.opener == other.lineage.opener;
+}
+
+// The claim of an owner that took the flow over, directly or not, from `other`, of which this home
+// knows no more than that it was the owner.
+auto Follows(const Claim& claim, const Claim& other) -> bool {
+  if (other.lineage.stamp != 0) return false;
+  return std::ranges::count(claim.lineage.previous, other.owner) != 0;
+}
+
 // The owner that heard from the client last has the client's present state: the other one was cut
 // off or stopped meanwhile. When both heard from it, the older one has more state to lose.
 auto IsBetter(const Claim& one, const Claim& other) -> bool {
+  if (Follows(one, other) != Follows(other, one)) return Follows(one, other);
+  // Safeguard: the new owner of a flow that was handed over registers it while the home still names
+  // the old one. Judged as two owners, the one that serves it could be told to let go.
+  if (HaveSameOpening(one, other)) return one.lineage.hand_overs > other.lineage.hand_overs;
   auto lead = one.last_from_client - other.last_from_client;
   if (lead > kHeardTogether) return true;
   if (-lead > kHeardTogether) return false;
@@ -30,6 +47,7 @@
 auto DropOwn(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   directory.owned.erase(flow);
+  directory.outgoing.erase(flow);
   ++directory.counters.yielded;
   context.effects.dropped.push_back({flow});
 }
@@ -52,6 +70,8 @@
               const TargetRef& winner) -> void {
   auto& directory = context.directory;
   if (loser.owner == directory.self) {
+    auto* own = FindOwned(directory, flow);
+    if (own != nullptr && own->handing) return SettleHandOver(context, flow, winner);
     DropOwn(context, flow);
     return;
   }
@@ -70,6 +90,7 @@
   known.noted = context.now;
   known.last_packet = claim.last_from_client;
   known.stamp = claim.stamp;
+  known.lineage = claim.lineage;
   OverruleLost(context, flow, claim.owner);
   if (context.directory.pending.contains(flow)) {
     FinishAsking(context, flow, known);
@@ -84,14 +105,14 @@
   auto& directory = context.directory;
   auto* own = FindOwned(directory, flow);
   if (own != nullptr && !own->closing) {
-    return Claim{directory.self, own->opened, own->last_from_client, own->stamp};
+    return Claim{directory.self, own->opened, own->last_from_client, own->stamp, own->lineage};
   }
   auto known = directory.known.find(flow);
   if (known == directory.known.end()) return std::nullopt;
   const auto& entry = known->second;
   if (entry.promised || entry.owner == owner) return std::nullopt;
   if (FindPeer(directory, entry.owner) == nullptr) return std::nullopt;
-  return Claim{entry.owner, entry.opened, entry.last_packet, entry.stamp};
+  return Claim{entry.owner, entry.opened, entry.last_packet, entry.stamp, entry.lineage};
 }
 
 auto ApplyRegistration(StepContext& context, const base::FlowKey& flow, const Claim& claim)
@@ -134,7 +155,8 @@
     }
     auto claim =
         Claim{owner, context.now - base::milliseconds(registration.age_ms()),
-              context.now - base::milliseconds(registration.idle_ms()), registration.stamp()};
+              context.now - base::milliseconds(registration.idle_ms()), registration.stamp(),
+              ReadLineage(registration.lineage())};
     ApplyRegistration(context, flow, claim);
   }
 }
@@ -177,7 +199,7 @@
   auto lost = LostOwnerOf(context.directory, flow);
   if (lost.stamp == 0 || lost.owner == winner) return;
   if (FindPeer(context.directory, lost.owner) == nullptr) return;
-  Overrule(context, flow, {lost.owner, {}, {}, lost.stamp}, winner);
+  Overrule(context, flow, {lost.owner, {}, {}, lost.stamp, {}}, winner);
 }
 
 auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
@@ -187,7 +209,9 @@
   if (!flow || ReadRef(message.loser()) != directory.self) return;
   auto* owned = FindOwned(directory, *flow);
   // Safeguard: a late duplicate must not end a flow that was opened here afterwards.
-  if (owned != nullptr && owned->stamp == message.stamp()) {
+  if (owned != nullptr && owned->stamp == message.stamp() && owned->handing) {
+    SettleHandOver(context, *flow, ReadRef(message.winner()));
+  } else if (owned != nullptr && owned->stamp == message.stamp()) {
     DropOwn(context, *flow);
     auto known = KnownOwner{};
     known.owner = ReadRef(message.winner());
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -61,16 +61,12 @@
   owned = OwnedFlow{};
   owned.opened = context.now;
   owned.stamp = ++directory.stamp;
+  owned.lineage = {directory.self, owned.stamp, 0, {}};
   ++directory.counters.opened;
   EnqueueRegistration(directory, arrival.flow, owned);
   DeliverPacket(context, arrival, owned, true);
 }
 
-auto IsFull(const Directory& directory) -> bool {
-  auto limit = directory.load.connections;
-  return limit != 0 && directory.owned.size() >= limit;
-}
-
 auto OpenAt(StepContext& context, const PacketArrival& arrival, PeerTarget& peer) -> void {
   auto& directory = context.directory;
   ++peer.load.flows;
@@ -86,26 +82,6 @@
   SendHint(context, arrival.packet, peer.ref);
 }
 
-auto FillLoads(StepContext& context) -> void {
-  auto& directory = context.directory;
-  auto& loads = directory.load_scratch;
-  loads.clear();
-  for (const auto& candidate : directory.candidates.candidates) {
-    if (candidate.target == directory.self.target) {
-      loads.push_back(directory.load);
-      loads.back().flows = static_cast<std::uint32_t>(directory.owned.size());
-      loads.back().eligible = candidate.placeable;
-      continue;
-    }
-    const auto& peer = *FindPeer(directory, candidate.target);
-    loads.push_back(peer.load);
-    loads.back().age = context.now - peer.since;
-    // A peer under another view might not accept this agent as the flow's home.
-    loads.back().eligible =
-        candidate.placeable && !peer.suspect && peer.settled_view == directory.digest;
-  }
-}
-
 auto BalancerDomain(const Directory& directory, const wire::pb::Packet& packet) -> std::uint64_t {
   auto endpoint = wire::ReadEndpoint(packet.balancer());
   if (!endpoint) return 0;
@@ -258,6 +234,31 @@
 
 }  // namespace
 
+auto IsFull(const Directory& directory) -> bool {
+  auto limit = directory.load.connections;
+  return limit != 0 && directory.owned.size() >= limit;
+}
+
+auto FillLoads(StepContext& context) -> void {
+  auto& directory = context.directory;
+  auto& loads = directory.load_scratch;
+  loads.clear();
+  for (const auto& candidate : directory.candidates.candidates) {
+    if (candidate.target == directory.self.target) {
+      loads.push_back(directory.load);
+      loads.back().flows = static_cast<std::uint32_t>(directory.owned.size());
+      loads.back().eligible = candidate.placeable;
+      continue;
+    }
+    const auto& peer = *FindPeer(directory, candidate.target);
+    loads.push_back(peer.load);
+    loads.back().age = context.now - peer.since;
+    // A peer under another view might not accept this agent as the flow's home.
+    loads.back().eligible =
+        candidate.placeable && !peer.suspect && peer.settled_view == directory.digest;
+  }
+}
+
 auto AcceptPacket(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   // Safeguard: after an address moved to another service, or a target restarted under another
@@ -272,6 +273,10 @@
     return;
   }
   auto* owned = FindOwned(directory, arrival.flow);
+  if (owned != nullptr && owned->handing) {
+    HoldForHandOver(context, arrival);
+    return;
+  }
   if (owned != nullptr && !owned->closing) {
     DeliverPacket(context, arrival, *owned, false);
     return;
@@ -291,7 +296,8 @@
     return;
   }
   auto known = directory.known.find(arrival.flow);
-  if (known != directory.known.end() && !IsOpening(directory, arrival)) {
+  auto handed_over = known != directory.known.end() && known->second.lineage.hand_overs > 0;
+  if (known != directory.known.end() && (handed_over || !IsOpening(directory, arrival))) {
     RouteByKnown(context, arrival, known->second);
     return;
   }
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -50,6 +50,9 @@
 auto AcceptPacket(StepContext& context, const PacketArrival& arrival) -> void;
 /// Opens the flow here or at another target. The caller has made sure that nobody else has it.
 auto PlaceFlow(StepContext& context, const PacketArrival& arrival) -> void;
+/// Targets' loads in the order of the candidates, in load_scratch.
+auto FillLoads(StepContext& context) -> void;
+auto IsFull(const Directory& directory) -> bool;
 auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void;
 
 // directory_asking.cc
@@ -87,6 +90,18 @@
 auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner) -> void;
 auto RetryYields(StepContext& context) -> void;
 
+// directory_hand_over.cc
+auto OfferFlow(StepContext& context, const FlowOffered& event) -> void;
+auto HandleHandOver(StepContext& context, const HandOverArrived& event) -> void;
+auto HandleHandOverAck(StepContext& context, const wire::pb::HandOverAck& ack) -> void;
+auto ContinueHandOvers(StepContext& context) -> void;
+/// Keeps a packet of a flow that is offered to another target.
+auto HoldForHandOver(StepContext& context, const PacketArrival& arrival) -> void;
+/// The flow is no longer this agent's: what it held for it goes after the new owner.
+auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner) -> void;
+auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void;
+auto ReadLineage(const wire::pb::Lineage& message) -> Lineage;
+
 // directory_view.cc
 auto HandleView(StepContext& context, const membership::View& view) -> void;
 auto Fence(StepContext& context) -> void;
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -64,6 +64,7 @@
     registration->set_age_ms(MillisecondsSince(owned->opened, context.now));
     registration->set_idle_ms(MillisecondsSince(owned->last_from_client, context.now));
     registration->set_stamp(owned->stamp);
+    WriteLineage(owned->lineage, *registration->mutable_lineage());
     registration->set_ended(owned->closing);
   }
   stream.next_retry = context.now + directory.policy.register_retry;
@@ -175,7 +176,8 @@
 auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->closing) return;
+  // What is offered may be served elsewhere already: there it will end.
+  if (owned == nullptr || owned->closing || owned->handing) return;
   ++directory.counters.ended;
   auto home = HomeOf(directory, flow);
   if (!home || *home == directory.self || FindStream(directory, *home) == nullptr) {
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -79,6 +79,7 @@
     if (!owned.closing) context.effects.dropped.push_back({flow});
   }
   directory.owned.clear();
+  directory.outgoing.clear();
   directory.pending.clear();
 }
 
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -32,6 +32,9 @@
   /// A process that was not run for this long may have been given up by its peers: shorter than
   /// the shortest time in which they suspect it (misses x shortest_timeout of SuspicionPolicy).
   base::Duration stopped_after = base::milliseconds(400);
+  base::Duration hand_over_retry = base::milliseconds(100);
+  /// An offer to a target that is suspect is taken back after this.
+  base::Duration hand_over_limit = base::seconds(3);
   base::Duration drain_notice_retry = base::milliseconds(300);
   std::uint32_t drain_notices = 3;
   std::size_t notified_balancers = 64;  ///< others hear of a drain through the relay
@@ -49,6 +52,14 @@
   auto operator==(const TargetRef&) const -> bool = default;
 };
 
+/// Where a flow comes from: its opening, and how often it was handed over since.
+struct Lineage {
+  TargetRef opener;
+  std::uint64_t stamp = 0;  ///< of the opening; 0: not known
+  std::uint32_t hand_overs = 0;
+  std::vector<TargetRef> previous;  ///< owners that handed it over, the latest last; bounded
+};
+
 /// Whether one home of a flow knows its owner.
 struct RegisteredAt {
   TargetRef home;       ///< that acknowledged the registration
@@ -66,6 +77,8 @@
   RegisteredAt acting;   ///< while this agent suspects the first home
   bool closing = false;  ///< ended here, the first home has not acknowledged it yet
   TargetRef closing_at;  ///< the first home at that time
+  Lineage lineage;
+  bool handing = false;  ///< offered to another target: nothing is delivered or answered
 };
 
 /// An owner that was out of reach; when it is back it has to let go of a flow that was opened
@@ -86,6 +99,7 @@
   base::TimePoint noted{};  ///< when this agent learnt it
   bool promised = false;    ///< the owner asked and may open the flow; it has not said that it did
   LostOwner lost;
+  Lineage lineage;
 };
 
 struct HeldPacket {
@@ -98,6 +112,7 @@
   std::uint64_t sequence = 0;
   std::vector<TargetRef> waiting;    ///< peers that have not answered
   std::optional<TargetRef> claimed;  ///< named by an agent that isn't the owner itself
+  Lineage claimed_lineage;
   base::Endpoint claimed_via;        ///< the agent that reaches it; port 0: directly
   bool denied = false;               ///< the claimed owner itself says no
   std::optional<TargetRef> lost;     ///< the owner that cannot be reached
@@ -106,6 +121,27 @@
   base::TimePoint next_ask{};
 };
 
+/// A hand-over that this agent has begun.
+struct OutgoingHandOver {
+  TargetRef to;
+  std::uint64_t attempt = 0;
+  wire::Bytes record;  ///< opaque here
+  bool accepted = false;
+  std::vector<HeldPacket> held;
+  std::vector<TargetRef> refused_by;
+  OwnedFlow flow;  ///< as handed over
+  base::TimePoint started{};
+  base::TimePoint next_send{};
+};
+
+/// The latest hand-over of a flow that this agent answered.
+struct IncomingHandOver {
+  TargetRef from;
+  std::uint64_t attempt = 0;
+  bool accepted = false;
+  base::TimePoint at{};
+};
+
 /// Owner's end of the registrations with one peer: one batch under way at a time.
 struct RegisterStream {
   TargetRef home;
@@ -157,6 +193,10 @@
   std::uint64_t conflicts = 0;
   std::uint64_t yielded = 0;
   std::uint64_t ended = 0;
+  std::uint64_t handed_over = 0;
+  std::uint64_t taken_over = 0;
+  std::uint64_t hand_overs_refused = 0;  ///< by this agent
+  std::uint64_t hand_overs_taken_back = 0;
   std::uint64_t stops_noticed = 0;
   std::uint64_t malformed = 0;
   std::uint64_t stale_sender = 0;
