--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -65,6 +65,7 @@
   std::uint64_t refused_before = 0;
   double refused_permille = 0;
   base::TimePoint drain_started{};
+  base::TimePoint next_offers{};
   std::unordered_map<base::FlowKey, FlowTrace> traces;  ///< bounded, sampled flows only
   AgentCounters counters;
 };
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -37,6 +37,12 @@
 auto OnHandOnAnswer(Context& context, const wire::pb::TunnelHeader& header, wire::BytesView payload)
     -> void;
 
+// hand_over.cc
+/// Offers flows of a draining agent to other targets, so many a period.
+auto OfferFlows(Context& context) -> void;
+auto OnHandOver(Context& context, const TunnelMessage& message) -> void;
+auto AdoptFlow(Context& context, const steering::FlowTaken& taken) -> void;
+
 // life_cycle.cc
 enum class LifeEvent : std::uint8_t { kAnnounced, kDrainRequested, kEmpty };
 auto Advance(Phase phase, LifeEvent event) -> Phase;
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -98,6 +98,7 @@
   RefreshOwnLoad(context);
   RunDirectory(context, steering::DirectoryTimer{});
   RunDueRequestTimer(context);
+  OfferFlows(context);
   CheckDrain(context);
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -79,6 +79,7 @@
     case TunnelHeader::kYieldAck:
     case TunnelHeader::kResettle:
     case TunnelHeader::kRefused:
+    case TunnelHeader::kHandOverAck:
       return true;
     default:
       return false;
@@ -105,6 +106,7 @@
   for (auto& send : effects.sends) {
     context.effects.emplace_back(SendTunnel{send.to, std::move(send.header), CopyOf(send.payload)});
   }
+  for (const auto& taken : effects.taken) AdoptFlow(context, taken);
   for (const auto& dropped : effects.dropped) DropFlow(context, dropped.flow);
   for (const auto& delivery : effects.deliveries) DeliverPacket(context, delivery);
 }
@@ -129,6 +131,8 @@
       return OnProbeAnswer(context, header);
     case TunnelHeader::kDrainNotice:
       return OnDrainNotice(context, header.drain_notice());
+    case TunnelHeader::kHandOver:
+      return OnHandOver(context, message);
     case TunnelHeader::kHandOn:
       return OnHandOn(context, header, message.payload);
     case TunnelHeader::kHandOnAnswer:
--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -65,6 +65,7 @@
     base::Incarnation incarnation = 0;
     base::Endpoint tunnel;
     bool suspect = false;
+    bool draining = false;
   };
   std::vector<Target> targets;
   steering::CandidateSet candidates;
--- a/src/balancer/internal/route.cc
+++ b/src/balancer/internal/route.cc
@@ -32,7 +32,9 @@
     return nullptr;
   }
   // The home, or the second, may still reach a target that this balancer suspects.
-  return target->suspect ? nullptr : target;
+  // Safeguard: a draining target hands its flows over and ends; a hint that still names it then
+  // would lose packets until its record is gone here. The home knows who has the flow.
+  return target->suspect || target->draining ? nullptr : target;
 }
 
 // Safeguard: under a flood of new flows the agents would open flows without end. A balancer cannot
--- a/src/balancer/internal/tables.cc
+++ b/src/balancer/internal/tables.cc
@@ -7,7 +7,7 @@
 
 auto MakeTarget(const membership::Target& target) -> ServiceRoute::Target {
   const auto& record = target.record;
-  return {record.id, record.incarnation, record.tunnel, target.suspect};
+  return {record.id, record.incarnation, record.tunnel, target.suspect, target.draining};
 }
 
 auto FillTargets(const membership::View& view, ServiceRoute& route) -> void {
--- a/src/balancer/tests/interleaving_world.cc
+++ b/src/balancer/tests/interleaving_world.cc
@@ -266,7 +266,7 @@
   for (const auto& [flow, owned] : agent.directory.owned) flows.push_back(flow);
   std::ranges::sort(flows);
   for (const auto& flow : flows) {
-    if (!steering::CanHandOver(agent.directory, flow) || Below(world, 4) != 0) continue;
+    if (!steering::CanHandOver(agent.directory, flow, world.now) || Below(world, 4) != 0) continue;
     Apply(world, agent, steering::FlowOffered{flow, {}});
   }
 }
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -182,7 +182,8 @@
 auto IsSettled(const Directory& directory) -> bool;
 
 /// Whether the flow can be offered now: this agent drains and serves it, and its home knows that.
-auto CanHandOver(const Directory& directory, const base::FlowKey& flow) -> bool;
+auto CanHandOver(const Directory& directory, const base::FlowKey& flow, base::TimePoint now)
+    -> bool;
 
 /// For the ProbeAnswer to peers.
 auto OwnLoadReport(const Directory& directory) -> wire::pb::LoadReport;
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -17,7 +17,7 @@
 
 // The policy's choice as for a new flow, without those that have refused this one.
 auto ChooseTarget(StepContext& context, const base::FlowKey& flow, const OutgoingHandOver& offer)
-    -> const PeerTarget* {
+    -> PeerTarget* {
   auto& directory = context.directory;
   FillLoads(context);
   const auto& candidates = directory.candidates.candidates;
@@ -65,6 +65,7 @@
   if (node.empty() || owned == nullptr) return;
   ++directory.counters.hand_overs_taken_back;
   owned->handing = false;
+  owned->next_offer = context.now + directory.policy.hand_over_pause;
   for (auto& held : node.mapped().held) {
     context.effects.held.push_back(std::move(held.payload));
     AcceptPacket(context, {flow, held.packet, context.effects.held.back(), {}});
@@ -73,8 +74,9 @@
 
 // The target whose turn it is, or back to this one.
 auto OfferNext(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer) -> void {
-  const auto* peer = ChooseTarget(context, flow, offer);
+  auto* peer = ChooseTarget(context, flow, offer);
   if (peer == nullptr) return TakeBack(context, flow);
+  ++peer->load.flows;
   offer.to = peer->ref;
   offer.attempt = ++context.directory.sequence;
   offer.started = context.now;
@@ -193,11 +195,13 @@
   return lineage;
 }
 
-auto CanHandOver(const Directory& directory, const base::FlowKey& flow) -> bool {
+auto CanHandOver(const Directory& directory, const base::FlowKey& flow, base::TimePoint now)
+    -> bool {
   if (!directory.draining || directory.fenced || !directory.in_view) return false;
   auto found = directory.owned.find(flow);
   if (found == directory.owned.end()) return false;
   const auto& owned = found->second;
+  if (now < owned.next_offer) return false;
   auto home = HomeOf(directory, flow);
   // Safeguard: a home that has not heard of the flow at all would, once the old owner is gone,
   // open it anew beside the new owner.
@@ -207,7 +211,7 @@
 
 auto OfferFlow(StepContext& context, const FlowOffered& event) -> void {
   auto& directory = context.directory;
-  if (!CanHandOver(directory, event.flow)) return;
+  if (!CanHandOver(directory, event.flow, context.now)) return;
   auto& owned = *FindOwned(directory, event.flow);
   auto& offer = directory.outgoing[event.flow];
   offer.record = event.record;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -33,6 +33,7 @@
   /// the shortest time in which they suspect it (misses x shortest_timeout of SuspicionPolicy).
   base::Duration stopped_after = base::milliseconds(400);
   base::Duration hand_over_retry = base::milliseconds(100);
+  base::Duration hand_over_pause = base::seconds(1);  ///< after an offer that nobody took
   /// An offer to a target that is suspect is taken back after this.
   base::Duration hand_over_limit = base::seconds(3);
   base::Duration drain_notice_retry = base::milliseconds(300);
@@ -78,7 +79,8 @@
   bool closing = false;  ///< ended here, the first home has not acknowledged it yet
   TargetRef closing_at;  ///< the first home at that time
   Lineage lineage;
-  bool handing = false;  ///< offered to another target: nothing is delivered or answered
+  base::TimePoint next_offer{};  ///< after an offer that nobody took
+  bool handing = false;          ///< offered to another target: nothing is delivered or answered
 };
 
 /// An owner that was out of reach; when it is back it has to let go of a flow that was opened
