--- /dev/null
+++ b/src/agent/tests/drain_world.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <queue>
+#include <vector>
+
+#include "agent/agent.h"
+
+// Agents with a target each and one balancer, joined by a queue under a virtual clock.
+namespace anvildrum::agent {
+
+inline const auto kDeskService = base::ServiceIdOf("desk");
+
+/// A stream at a target, which notifies at each period.
+struct TargetStream {
+  base::FlowKey flow;
+  std::array<std::uint8_t, 8> token{};  ///< of the agent
+  std::uint32_t sequence = 2;
+};
+
+struct Desk {
+  Agent agent;
+  base::Endpoint tunnel;
+  std::vector<TargetStream> streams;
+  std::uint64_t posts = 0;  ///< that ran
+  bool drained = false;
+  base::TimePoint drained_at{};
+};
+
+/// A datagram that reached a client.
+struct Received {
+  base::TimePoint at{};
+  std::size_t from = 0;  ///< the desk
+  wire::Bytes bytes;
+};
+
+struct InQueue {
+  base::TimePoint due{};
+  std::uint64_t order = 0;
+  base::Endpoint from;
+  base::Endpoint to;
+  wire::pb::TunnelHeader header;
+  wire::Bytes payload;
+};
+struct IsLater {
+  auto operator()(const InQueue& one, const InQueue& other) const -> bool {
+    return std::pair(one.due, one.order) > std::pair(other.due, other.order);
+  }
+};
+
+struct DrainWorld {
+  base::TimePoint now{base::hours(1)};
+  base::TimePoint next_notification{};
+  base::Duration notification_period = base::milliseconds(100);
+  std::uint64_t order = 0;
+  std::vector<Desk> desks;
+  std::priority_queue<InQueue, std::vector<InQueue>, IsLater> queue;
+  std::map<base::FlowKey, std::vector<Received>> received;
+};
+
+/// `hand_overs`: flows that a draining agent offers a period; 0 for none.
+auto MakeDrainWorld(std::size_t desks, std::size_t hand_overs) -> DrainWorld;
+auto RunFor(DrainWorld& world, base::Duration span) -> void;
+auto FlowOfClient(std::uint32_t client) -> base::FlowKey;
+/// Through the balancer to the first desk that takes packets.
+auto FromClient(DrainWorld& world, const base::FlowKey& flow, const wire::Bytes& bytes) -> void;
+auto BeginDrain(DrainWorld& world, std::size_t desk) -> void;
+/// The desk that serves the flow, or the number of desks.
+auto OwnerOf(const DrainWorld& world, const base::FlowKey& flow) -> std::size_t;
+
+/// GET /feed with Observe 0 and token 5.
+auto ObserveGet() -> wire::Bytes;
+/// POST /hold with this token; see requests::WithEcho for the answer to its challenge.
+auto PostHold(std::uint16_t message_id, std::uint8_t token) -> wire::Bytes;
+
+}  // namespace anvildrum::agent
