--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <string>
 
+#include "requests/hand_over.h"
 #include "requests/tests/world.h"
 
 namespace anvildrum::requests::world {
@@ -26,6 +27,19 @@
   Feed(world, client.owner, FlowOpened{client.flow, world.faults.adopted});
 }
 
+// A busy flow stays: its owner tries again later.
+auto HandOver(World& world) -> void {
+  auto& client = world.clients[world.random() % world.clients.size()];
+  auto old_owner = client.owner;
+  auto new_owner = (old_owner + 1 + world.random() % 2) % world.agents.size();
+  const auto& core = *world.agents[old_owner].core;
+  auto record = ExportFlow(core, IndexLedger(core), client.flow, world.now);
+  if (!record) return;
+  client.owner = new_owner;
+  Feed(world, new_owner, FlowAdopted{client.flow, &*record});
+  Feed(world, old_owner, FlowClosed{client.flow});
+}
+
 auto KillTarget(World& world) -> void {
   auto agent = world.random() % world.agents.size();
   ++world.agents[agent].target_life;
@@ -43,6 +57,7 @@
     }
   }
   if (Chance(world, world.faults.target_death)) KillTarget(world);
+  if (world.faults.hand_over > 0 && Chance(world, world.faults.hand_over)) HandOver(world);
 }
 
 auto MethodOf(World& world) -> std::uint8_t {
@@ -156,5 +171,26 @@
   CheckSeeds(faults, 800, false);
 }
 
+// Targets drain one after the other and flows are handed over again and again, also back, among
+// copies that are late by minutes and clients that answer each copy of a challenge. The record
+// that moves with a flow has to do what a quarantine of 247 s does for a flow whose owner died.
+BOOST_AUTO_TEST_CASE(flows_that_are_handed_over) {
+  auto faults = Faults{};
+  faults.drop = 0.05;
+  faults.duplicate = 0.2;
+  faults.late = 0.05;
+  faults.hand_over = 0.9;
+  faults.lenient = true;
+  CheckSeeds(faults, 700, true);
+}
+
+// Without loss on the way, a hand-over leaves nobody without an outcome.
+BOOST_AUTO_TEST_CASE(hand_over_leaves_nobody_to_time_out) {
+  auto faults = Faults{};
+  faults.duplicate = 0.1;
+  faults.hand_over = 0.9;
+  CheckSeeds(faults, 400, false);
+}
+
 }  // namespace
 }  // namespace anvildrum::requests::world
--- a/src/requests/tests/world.h
+++ b/src/requests/tests/world.h
@@ -39,6 +39,7 @@
   double agent_death = 0;  ///< chance a second that some agent restarts
   double target_death = 0;
   double move = 0;       ///< chance a second that some flow moves to another agent
+  double hand_over = 0;  ///< chance a second that some flow is handed over, planned
   bool adopted = false;  ///< moved flows are opened as taken over
   bool reuse_tokens = false;
   bool lenient = false;  ///< clients answer a challenge of any message of an open request
