--- a/src/agent/tests/hand_over_test.cc
+++ b/src/agent/tests/hand_over_test.cc
@@ -91,6 +91,38 @@
   BOOST_TEST(world.received[flow].size() > before);
 }
 
+// The flow has moved, but some balancer has not heard yet that the desk drains, and sends the
+// client's packet there. Ended at once, the agent would lose it; it passes packets on until every
+// balancer has heard.
+BOOST_AUTO_TEST_CASE(drained_agent_passes_packets_on_for_a_while) {
+  auto world = MakeDrainWorld(2, kOffers);
+  auto old_owner = OpenFeed(world, FlowOfClient(kClient));
+  BeginDrain(world, old_owner);
+  RunFor(world, base::seconds(3));
+  BOOST_TEST(OwnerOf(world, FlowOfClient(kClient)) == 1 - old_owner);
+  BOOST_TEST(!world.desks[old_owner].drained);
+  RunFor(world, base::seconds(4));
+  BOOST_TEST(world.desks[old_owner].drained);
+}
+
+// The new owner is cut off from the old one right after it took the flow: whether it is registered
+// is not known, and the agent does not end although it serves nothing any more.
+BOOST_AUTO_TEST_CASE(agent_stays_until_the_new_owner_is_registered) {
+  auto world = MakeDrainWorld(2, kOffers);
+  auto flow = FlowOfClient(kClient);
+  auto& agent = world.desks[OpenFeed(world, flow)].agent;
+  agent.directory.outgoing[flow].accepted = true;
+  agent.directory.owned.clear();
+  agent.directory.counters.handed_over = 1;
+  Step(agent, DrainRequested{}, world.now);
+  auto later = world.now + agent.policy.drain_linger;
+  Step(agent, Timer{}, later);
+  BOOST_CHECK(agent.phase == Phase::kDraining);
+  agent.directory.outgoing.clear();
+  Step(agent, Timer{}, later);
+  BOOST_CHECK(agent.phase == Phase::kDrained);
+}
+
 // A datagram of another version of the system, or of a fault, must not become a flow's state.
 BOOST_AUTO_TEST_CASE(malformed_record_is_refused) {
   auto record = requests::FlowRecord{};
--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -129,7 +129,7 @@
                 std::array<Sample, 1>{{{kRequestEvents[i], counters.requests[i]}}});
   }
   SetLabelled(metrics, "anvildrum_flow_events_total", "Events of the flow directory", "event",
-              std::array<Sample, 10>{{{"delivered", directory.delivered},
+              std::array<Sample, 14>{{{"delivered", directory.delivered},
                                       {"opened", directory.opened},
                                       {"deflected", directory.deflected},
                                       {"passed_on", directory.passed_on},
@@ -138,7 +138,11 @@
                                       {"full", directory.full},
                                       {"asked", directory.asked},
                                       {"conflicts", directory.conflicts},
-                                      {"ended", directory.ended}}});
+                                      {"ended", directory.ended},
+                                      {"handed_over", directory.handed_over},
+                                      {"taken_over", directory.taken_over},
+                                      {"hand_overs_refused", directory.hand_overs_refused},
+                                      {"hand_overs_taken_back", directory.hand_overs_taken_back}}});
   SetGauge(metrics, "anvildrum_flows", "Flows that this agent serves",
            static_cast<double>(agent.directory.owned.size()));
   SetGauge(metrics, "anvildrum_flow_exceptions", "Flows of this home that others serve",
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -97,6 +97,14 @@
   });
 }
 
+// No duplicate of an offer is on its way for that long.
+auto ForgetOldOffers(StepContext& context) -> void {
+  auto& directory = context.directory;
+  std::erase_if(directory.incoming, [&](const auto& entry) {
+    return context.now - entry.second.at > directory.policy.forward_memory;
+  });
+}
+
 auto Handle(StepContext& context, const DirectoryTimer&) -> void {
   auto& directory = context.directory;
   directory.pump_due = true;
@@ -108,6 +116,7 @@
   directory.next_sweep = context.now + directory.policy.sweep_period;
   EndIdleFlows(context);
   ForgetOldForwards(context);
+  ForgetOldOffers(context);
 }
 
 auto NoticeStop(StepContext& context) -> void {
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -268,9 +268,6 @@
 
 auto ContinueHandOvers(StepContext& context) -> void {
   auto& directory = context.directory;
-  std::erase_if(directory.incoming, [&](const auto& entry) {
-    return context.now - entry.second.at > directory.policy.forward_memory;
-  });
   if (directory.fenced) return;
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, offer] : directory.outgoing) flows.push_back(flow);
--- /dev/null
+++ b/src/steering/tests/directory_hand_over_test.cc
@@ -0,0 +1,198 @@
+#include "steering/tests/directory_fixture.h"
+
+namespace anvildrum::steering {
+namespace {
+
+constexpr auto kLater = kStart + base::milliseconds(20);
+
+auto WriteTo(wire::pb::TargetRef& message, std::uint16_t number) -> void {
+  message.set_target(MakeRecord(number).id.value);
+  message.set_incarnation(1);
+}
+
+// From desk-2 to desk-1.
+auto MakeHandOver(const wire::pb::TunnelHeader& packet, std::uint64_t attempt)
+    -> wire::pb::TunnelHeader {
+  auto header = wire::pb::TunnelHeader{};
+  auto* message = header.mutable_hand_over();
+  *message->mutable_flow() = packet.packet().flow();
+  WriteTo(*message->mutable_from(), 2);
+  WriteTo(*message->mutable_to(), 1);
+  message->set_attempt(attempt);
+  wire::WriteEndpoint(kBalancer, *message->mutable_balancer());
+  WriteTo(*message->mutable_lineage()->mutable_opener(), 2);
+  message->mutable_lineage()->set_stamp(1);
+  message->mutable_lineage()->set_hand_overs(1);
+  return header;
+}
+
+auto Arrive(Directory& directory, const wire::pb::TunnelHeader& header, bool acceptable = true)
+    -> DirectoryEffects {
+  return Step(directory, HandOverArrived{kBalancer, &header, {}, acceptable}, kLater);
+}
+
+// The last message of the kind, which must be there.
+auto Last(const DirectoryEffects& effects, TunnelHeader::BodyCase body) -> wire::pb::TunnelHeader {
+  auto last = wire::pb::TunnelHeader{};
+  for (const auto& send : effects.sends) {
+    if (send.header.body_case() == body) last = send.header;
+  }
+  BOOST_REQUIRE(last.body_case() == body);
+  return last;
+}
+
+auto AckOf(const wire::pb::TunnelHeader& offer, bool accepted, bool registered)
+    -> wire::pb::TunnelHeader {
+  auto header = wire::pb::TunnelHeader{};
+  auto* ack = header.mutable_hand_over_ack();
+  *ack->mutable_flow() = offer.hand_over().flow();
+  *ack->mutable_from() = offer.hand_over().from();
+  *ack->mutable_to() = offer.hand_over().to();
+  ack->set_attempt(offer.hand_over().attempt());
+  ack->set_accepted(accepted);
+  ack->set_registered(registered);
+  return header;
+}
+
+// Acknowledges the batch that is under way to each peer.
+auto AckRegistrations(Directory& directory) -> void {
+  auto streams = directory.streams;
+  for (const auto& stream : streams) {
+    if (!stream.under_way) continue;
+    auto header = wire::pb::TunnelHeader{};
+    auto* ack = header.mutable_register_ack();
+    ack->set_service(kDesk.value);
+    ack->set_sequence(stream.sequence);
+    ack->mutable_home()->set_target(stream.home.target.value);
+    ack->mutable_home()->set_incarnation(stream.home.incarnation);
+    Send(directory, header, kLater);
+  }
+}
+
+auto SettlePeers(Directory& directory) -> void {
+  for (auto& peer : directory.peers) peer.settled_view = directory.digest;
+}
+
+// desk-1 of three drains and serves one flow, which its home knows.
+struct Draining {
+  membership::View view = MakeView(3);
+  Directory directory = MakeDirectory(this->view);
+  wire::pb::TunnelHeader packet = MakePacket(ClientOf(this->view, 1));
+  base::FlowKey flow = FlowOf(this->packet);
+
+  explicit Draining(bool home_knows = true) {
+    Arrive(this->directory, MakeHandOver(this->packet, 1));
+    membership::ApplyDrain(this->view, MakeRecord(1).id, 1);
+    Step(this->directory, ViewArrived{&this->view}, kLater);
+    SettlePeers(this->directory);
+    // The first batches were sent before the flow was here.
+    AckRegistrations(this->directory);
+    if (home_knows) AckRegistrations(this->directory);
+  }
+  auto Offer() -> DirectoryEffects {
+    return Step(this->directory, FlowOffered{this->flow, {1, 2, 3}}, kLater);
+  }
+};
+
+// A desk drains. Its flow is offered to another one, and from that moment it neither delivers what
+// the client sends nor answers: the other one may be serving it already, and the client would see
+// two desks. Once the other one has it, what was held goes after it.
+BOOST_AUTO_TEST_CASE(offered_flow_is_served_no_more) {
+  auto world = Draining{};
+  auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
+  BOOST_TEST(Send(world.directory, world.packet, kLater).deliveries.empty());
+  BOOST_TEST(!ReplyRoute(world.directory, world.flow, kLater).has_value());
+  auto effects = Send(world.directory, AckOf(offer, true, true), kLater);
+  BOOST_TEST(effects.dropped.size() == 1U);
+  BOOST_TEST(CountOf(effects, TunnelHeader::kPacket) == 1);
+  BOOST_TEST(world.directory.outgoing.empty());
+}
+
+// A home that has not heard of the flow would, once the drained desk is gone, open it anew beside
+// its new owner; so the flow is not offered before the home has acknowledged it.
+BOOST_AUTO_TEST_CASE(flow_that_its_home_does_not_know_is_not_offered) {
+  auto world = Draining{false};
+  BOOST_TEST(!CanHandOver(world.directory, world.flow, kLater));
+  BOOST_TEST(CountOf(world.Offer(), TunnelHeader::kHandOver) == 0);
+}
+
+// One desk has no room: the other one is asked. Neither has: the flow is served on here, and what
+// its client sent meanwhile is delivered.
+BOOST_AUTO_TEST_CASE(refused_flow_is_offered_to_another_and_served_on_when_all_refuse) {
+  auto world = Draining{};
+  auto first = Last(world.Offer(), TunnelHeader::kHandOver);
+  Send(world.directory, world.packet, kLater);
+  auto asked = Send(world.directory, AckOf(first, false, false), kLater);
+  auto second = Last(asked, TunnelHeader::kHandOver);
+  BOOST_TEST(second.hand_over().to().target() != first.hand_over().to().target());
+  auto effects = Send(world.directory, AckOf(second, false, false), kLater);
+  BOOST_TEST(effects.deliveries.size() == 1U);
+  BOOST_TEST(!CanHandOver(world.directory, world.flow, kLater));
+  BOOST_TEST(CanHandOver(world.directory, world.flow, kLater + base::seconds(2)));
+}
+
+// The new owner has the flow but its home has not heard of it yet. Ended now, the old owner would
+// take the home's only knowledge of the flow along; it asks on until the home knows.
+BOOST_AUTO_TEST_CASE(hand_over_ends_when_the_home_knows) {
+  auto world = Draining{};
+  auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
+  Send(world.directory, AckOf(offer, true, false), kLater);
+  BOOST_TEST(world.directory.outgoing.size() == 1U);
+  auto effects = Step(world.directory, DirectoryTimer{}, kLater + base::milliseconds(200));
+  BOOST_TEST(Last(effects, TunnelHeader::kHandOver).hand_over().settled());
+  Send(world.directory, AckOf(offer, true, true), kLater);
+  BOOST_TEST(world.directory.outgoing.empty());
+}
+
+// The flow was taken over and has ended since; then the network delivers the offer again. Taken a
+// second time, a flow without a client would be served, beside its next opening elsewhere.
+BOOST_AUTO_TEST_CASE(repeated_offer_opens_nothing) {
+  auto view = MakeView(2);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  auto offer = MakeHandOver(packet, 5);
+  BOOST_TEST(Arrive(directory, offer).taken.size() == 1U);
+  Step(directory, FlowEnded{FlowOf(packet)}, kLater);
+  auto effects = Arrive(directory, offer);
+  BOOST_TEST(effects.taken.empty());
+  BOOST_TEST(Last(effects, TunnelHeader::kHandOverAck).hand_over_ack().accepted());
+  BOOST_TEST(Arrive(directory, MakeHandOver(packet, 4)).taken.empty());
+}
+
+// Without room in its ledger, or draining itself, a desk takes nothing over and says so.
+BOOST_AUTO_TEST_CASE(target_that_cannot_take_a_flow_refuses) {
+  auto view = MakeView(2);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  auto effects = Arrive(directory, MakeHandOver(packet, 1), false);
+  BOOST_TEST(effects.taken.empty());
+  BOOST_TEST(!Last(effects, TunnelHeader::kHandOverAck).hand_over_ack().accepted());
+  membership::ApplyDrain(view, MakeRecord(1).id, 1);
+  Step(directory, ViewArrived{&view}, kLater);
+  BOOST_TEST(Arrive(directory, MakeHandOver(packet, 2)).taken.empty());
+}
+
+// A stopped process wakes and finds an offer in its socket, which its sender may have taken back
+// long ago: two desks would serve the flow.
+BOOST_AUTO_TEST_CASE(stopped_process_takes_nothing_over) {
+  auto view = MakeView(2);
+  auto directory = MakeDirectory(view);
+  auto offer = MakeHandOver(MakePacket(ClientOf(view, 1)), 1);
+  auto effects = Step(directory, HandOverArrived{kBalancer, &offer, {}, true},
+                      kStart + base::seconds(5));
+  BOOST_TEST(effects.taken.empty());
+}
+
+// The target that was asked is gone from the platform: it has nothing, and the flow is served here.
+BOOST_AUTO_TEST_CASE(offer_to_a_target_that_is_gone_is_taken_back) {
+  auto world = Draining{};
+  auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
+  auto to = base::TargetId{offer.hand_over().to().target()};
+  membership::RemoveRecord(world.view, to, 1, 100);
+  Step(world.directory, ViewArrived{&world.view}, kLater);
+  Step(world.directory, DirectoryTimer{}, kLater);
+  BOOST_TEST(Send(world.directory, world.packet, kLater).deliveries.size() == 1U);
+}
+
+}  // namespace
+}  // namespace anvildrum::steering
