--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -79,9 +79,8 @@
   auto& directory = context.directory;
   auto idle = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : directory.owned) {
-    if (owned.closing || owned.handing ||
-        context.now - owned.last_used < directory.policy.flow_idle)
-      continue;
+    auto is_used = context.now - owned.last_used < directory.policy.flow_idle;
+    if (owned.closing || owned.handing || is_used) continue;
     idle.push_back(flow);
   }
   for (const auto& flow : idle) {
@@ -175,8 +174,8 @@
   auto stopped = now - directory.last_step > directory.policy.stopped_after;
   if (directory.fenced || stopped) return std::nullopt;
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->closing || owned->handing || owned->balancer.port == 0)
-    return std::nullopt;
+  if (owned == nullptr || owned->closing || owned->handing) return std::nullopt;
+  if (owned->balancer.port == 0) return std::nullopt;
   owned->last_used = now;
   return owned->balancer;
 }
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -8,9 +8,6 @@
 namespace anvildrum::steering {
 namespace {
 
-// Homes that are more hand-overs behind than this know the flow's opening as well.
-constexpr auto kPreviousOwners = std::size_t{8};
-
 auto MillisecondsSince(base::TimePoint then, base::TimePoint now) -> std::uint64_t {
   return std::chrono::duration_cast<base::milliseconds>(now - then).count();
 }
@@ -160,12 +157,6 @@
   return event.acceptable && directory.in_view && !directory.draining && !IsFull(directory);
 }
 
-auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void {
-  ++lineage.hand_overs;
-  lineage.previous.push_back(self);
-  if (lineage.previous.size() > kPreviousOwners) lineage.previous.erase(lineage.previous.begin());
-}
-
 auto Decide(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event) -> bool {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
@@ -181,19 +172,6 @@
 
 }  // namespace
 
-auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void {
-  WriteRef(lineage.opener, *message.mutable_opener());
-  message.set_stamp(lineage.stamp);
-  message.set_hand_overs(lineage.hand_overs);
-  for (const auto& owner : lineage.previous) WriteRef(owner, *message.add_previous());
-}
-
-auto ReadLineage(const wire::pb::Lineage& message) -> Lineage {
-  auto lineage = Lineage{ReadRef(message.opener()), message.stamp(), message.hand_overs(), {}};
-  for (const auto& owner : message.previous()) lineage.previous.push_back(ReadRef(owner));
-  return lineage;
-}
-
 auto CanHandOver(const Directory& directory, const base::FlowKey& flow, base::TimePoint now)
     -> bool {
   if (!directory.draining || directory.fenced || !directory.in_view) return false;
--- /dev/null
+++ b/src/steering/internal/directory_lineage.cc
@@ -0,0 +1,31 @@
+// Where a flow comes from, over hand-overs.
+#include "steering/internal/directory_parts.h"
+
+namespace anvildrum::steering {
+namespace {
+
+// Homes that are more hand-overs behind than this know the flow's opening as well.
+constexpr auto kPreviousOwners = std::size_t{8};
+
+}  // namespace
+
+auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void {
+  ++lineage.hand_overs;
+  lineage.previous.push_back(self);
+  if (lineage.previous.size() > kPreviousOwners) lineage.previous.erase(lineage.previous.begin());
+}
+
+auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void {
+  WriteRef(lineage.opener, *message.mutable_opener());
+  message.set_stamp(lineage.stamp);
+  message.set_hand_overs(lineage.hand_overs);
+  for (const auto& owner : lineage.previous) WriteRef(owner, *message.add_previous());
+}
+
+auto ReadLineage(const wire::pb::Lineage& message) -> Lineage {
+  auto lineage = Lineage{ReadRef(message.opener()), message.stamp(), message.hand_overs(), {}};
+  for (const auto& owner : message.previous()) lineage.previous.push_back(ReadRef(owner));
+  return lineage;
+}
+
+}  // namespace anvildrum::steering
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -100,6 +100,10 @@
 /// The flow is no longer this agent's: what it held for it goes after the new owner.
 auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void;
+
+// directory_lineage.cc
+/// As the next owner has it.
+auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void;
 auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void;
 auto ReadLineage(const wire::pb::Lineage& message) -> Lineage;
 
