--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -90,6 +90,7 @@
   std::vector<LostTarget> lost;
   /// Flows of this home whose owner was lost.
   std::unordered_map<base::FlowKey, base::TimePoint> lost_flows;
+  base::TimePoint next_offers{};
   std::unordered_map<base::FlowKey, FlowTrace> traces;  ///< bounded, sampled flows only
   AgentCounters counters;
 };
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -30,9 +30,14 @@
   std::size_t parted_flows = 100'000;  ///< bound on those, and on flows of lost owners
   /// A late copy of a request is on its way for less than this.
   base::Duration lost_memory = requests::kExchangeLifetime;
-  base::Duration drain_limit = base::hours(8);  ///< then what is left is ended
   /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
   base::Duration farewell = base::seconds(4);
+  base::Duration hand_over_period = base::milliseconds(100);
+  std::size_t hand_overs_of_period = 128;  ///< flows that a draining agent offers at most
+  /// How long a draining agent goes on passing packets on after its last flow has moved: until
+  /// every balancer has heard that it drains.
+  base::Duration drain_linger = base::seconds(6);
+  base::Duration drain_limit = base::hours(8);  ///< then what is left is ended
 };
 
 }  // namespace anvildrum::agent
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -36,6 +36,8 @@
       return HandleYield(context, event.from, header.yield());
     case TunnelHeader::kYieldAck:
       return HandleYieldAck(context, header.yield_ack());
+    case TunnelHeader::kHandOverAck:
+      return HandleHandOverAck(context, header.hand_over_ack());
     case TunnelHeader::kResettle:
       return HandleResettle(context, header.resettle());
     default:
@@ -69,11 +71,18 @@
   CloseFlow(context, event.flow);
 }
 
+auto Handle(StepContext& context, const FlowOffered& event) -> void { OfferFlow(context, event); }
+
+auto Handle(StepContext& context, const HandOverArrived& event) -> void {
+  HandleHandOver(context, event);
+}
+
 auto EndIdleFlows(StepContext& context) -> void {
   auto& directory = context.directory;
   auto idle = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : directory.owned) {
-    if (owned.closing || context.now - owned.last_used < directory.policy.flow_idle) continue;
+    auto is_used = context.now - owned.last_used < directory.policy.flow_idle;
+    if (owned.closing || owned.handing || is_used) continue;
     idle.push_back(flow);
   }
   for (const auto& flow : idle) {
@@ -91,16 +100,26 @@
   });
 }
 
+// No duplicate of an offer is on its way for that long.
+auto ForgetOldOffers(StepContext& context) -> void {
+  auto& directory = context.directory;
+  std::erase_if(directory.incoming, [&](const auto& entry) {
+    return context.now - entry.second.at > directory.policy.forward_memory;
+  });
+}
+
 auto Handle(StepContext& context, const DirectoryTimer&) -> void {
   auto& directory = context.directory;
   directory.pump_due = true;
   ContinueAsking(context);
   RetryYields(context);
+  ContinueHandOvers(context);
   SendDrainNotices(context);
   if (context.now < directory.next_sweep) return;
   directory.next_sweep = context.now + directory.policy.sweep_period;
   EndIdleFlows(context);
   ForgetOldForwards(context);
+  ForgetOldOffers(context);
 }
 
 auto NoticeStop(StepContext& context) -> void {
@@ -157,7 +176,8 @@
   auto stopped = now - directory.last_step > directory.policy.stopped_after;
   if (directory.fenced || stopped) return std::nullopt;
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->closing || owned->balancer.port == 0) return std::nullopt;
+  if (owned == nullptr || owned->closing || owned->handing) return std::nullopt;
+  if (owned->balancer.port == 0) return std::nullopt;
   owned->last_used = now;
   return owned->balancer;
 }
--- a/src/steering/internal/directory_opening.cc
+++ b/src/steering/internal/directory_opening.cc
@@ -16,16 +16,12 @@
   owned = OwnedFlow{};
   owned.opened = context.now;
   owned.stamp = ++directory.stamp;
+  owned.lineage = {directory.self, owned.stamp, 0, {}};
   ++directory.counters.opened;
   EnqueueRegistration(directory, arrival.flow, owned);
   DeliverPacket(context, arrival, owned, true);
 }
 
-auto IsFull(const Directory& directory) -> bool {
-  auto limit = directory.load.connections;
-  return limit != 0 && directory.owned.size() >= limit;
-}
-
 auto OpenAt(StepContext& context, const PacketArrival& arrival, PeerTarget& peer) -> void {
   auto& directory = context.directory;
   ++peer.load.flows;
@@ -55,6 +51,22 @@
   return std::max(peer.load.flows, static_cast<std::uint32_t>(expected));
 }
 
+auto BalancerDomain(const Directory& directory, const wire::pb::Packet& packet) -> std::uint64_t {
+  auto endpoint = wire::ReadEndpoint(packet.balancer());
+  if (!endpoint) return 0;
+  for (const auto& balancer : directory.balancers) {
+    if (balancer.tunnel == *endpoint) return base::HashName(balancer.failure_domain);
+  }
+  return 0;
+}
+
+}  // namespace
+
+auto IsFull(const Directory& directory) -> bool {
+  auto limit = directory.load.connections;
+  return limit != 0 && directory.owned.size() >= limit;
+}
+
 auto FillLoads(StepContext& context) -> void {
   auto& directory = context.directory;
   auto& loads = directory.load_scratch;
@@ -76,17 +88,6 @@
   }
 }
 
-auto BalancerDomain(const Directory& directory, const wire::pb::Packet& packet) -> std::uint64_t {
-  auto endpoint = wire::ReadEndpoint(packet.balancer());
-  if (!endpoint) return 0;
-  for (const auto& balancer : directory.balancers) {
-    if (balancer.tunnel == *endpoint) return base::HashName(balancer.failure_domain);
-  }
-  return 0;
-}
-
-}  // namespace
-
 auto OpenForHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto home = HomeOf(directory, arrival.flow);
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -116,6 +116,10 @@
     return;
   }
   auto* owned = FindOwned(directory, arrival.flow);
+  if (owned != nullptr && owned->handing) {
+    HoldForHandOver(context, arrival);
+    return;
+  }
   if (owned != nullptr && !owned->closing) {
     DeliverPacket(context, arrival, *owned, false);
     return;
@@ -136,7 +140,8 @@
     return;
   }
   auto known = directory.known.find(arrival.flow);
-  if (known != directory.known.end() && !IsOpening(directory, arrival)) {
+  auto handed_over = known != directory.known.end() && known->second.lineage.hand_overs > 0;
+  if (known != directory.known.end() && (handed_over || !IsOpening(directory, arrival))) {
     RouteByKnown(context, arrival, known->second);
     return;
   }
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -68,6 +68,9 @@
 auto PlaceFlow(StepContext& context, const PacketArrival& arrival) -> void;
 /// The home asks this agent to open the flow (rule 3 of Directory).
 auto OpenForHome(StepContext& context, const PacketArrival& arrival) -> void;
+/// Targets' loads in the order of the candidates, in load_scratch.
+auto FillLoads(StepContext& context) -> void;
+auto IsFull(const Directory& directory) -> bool;
 
 // directory_asking.cc
 auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
@@ -104,6 +107,23 @@
 auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner) -> void;
 auto RetryYields(StepContext& context) -> void;
 
+// directory_hand_over.cc
+auto OfferFlow(StepContext& context, const FlowOffered& event) -> void;
+auto HandleHandOver(StepContext& context, const HandOverArrived& event) -> void;
+auto HandleHandOverAck(StepContext& context, const wire::pb::HandOverAck& ack) -> void;
+auto ContinueHandOvers(StepContext& context) -> void;
+/// Keeps a packet of a flow that is offered to another target.
+auto HoldForHandOver(StepContext& context, const PacketArrival& arrival) -> void;
+/// The flow is no longer this agent's: what it held for it goes after the new owner.
+auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+    -> void;
+
+// directory_lineage.cc
+/// As the next owner has it.
+auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void;
+auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void;
+auto ReadLineage(const wire::pb::Lineage& message) -> Lineage;
+
 // directory_view.cc
 auto HandleView(StepContext& context, const membership::View& view) -> void;
 auto Fence(StepContext& context) -> void;
--- a/tools/scenario/act.cc
+++ b/tools/scenario/act.cc
@@ -68,8 +68,18 @@
   ForProcesses(run, words, [&](Process& process) { StartByName(run.world, process.name); });
 }
 
+// A target leaves when its agent is told to.
+auto NoteLeaving(World& world, const std::string& process) -> void {
+  constexpr auto kAgentPrefix = std::string_view("agent-");
+  auto name = process.starts_with(kAgentPrefix) ? process.substr(kAgentPrefix.size()) : process;
+  world.leaving.insert(name);
+}
+
 auto DoStop(Run& run, Words& words) -> void {
-  ForProcesses(run, words, [&](Process& process) { StopByName(run.world, process.name); });
+  ForProcesses(run, words, [&](Process& process) {
+    NoteLeaving(run.world, process.name);
+    StopByName(run.world, process.name);
+  });
 }
 
 auto DoFreeze(Run& run, Words& words) -> void {
--- a/tools/scenario/world.h
+++ b/tools/scenario/world.h
@@ -69,6 +69,7 @@
   std::unordered_map<base::Endpoint, std::string> client_at;
   std::map<std::string, Order> orders;  ///< every request, by id
   std::set<std::string> attached;       ///< balancers that the fabric sends to
+  std::set<std::string> leaving;        ///< targets that were told to leave
   Violations violations;
   std::ostream* trace = nullptr;
 };
