--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -15,8 +15,9 @@
   MonitorEffects effects;
 };
 
+constexpr auto kMix = std::uint64_t{0x9e3779b97f4a7c15};
+
 auto MonitorRank(base::InstanceId balancer, base::InstanceId agent) -> std::uint64_t {
-  constexpr auto kMix = std::uint64_t{0x9e3779b97f4a7c15};
   auto mixed = (balancer.value ^ (agent.value * kMix)) * kMix;
   return mixed ^ (mixed >> 29U);
 }
@@ -51,8 +52,8 @@
   for (const auto& service : monitor.view.services) {
     for (const auto& target : service.targets) {
       const auto& record = target.record;
-      if (all || IsMonitorOf(monitor, record))
-        peers.push_back({record.instance, record.incarnation});
+      if (!all && !IsMonitorOf(monitor, record)) continue;
+      peers.push_back({record.instance, record.incarnation});
     }
   }
   return peers;
