--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -17,6 +17,7 @@
 READS = {"desk": ".well-known/core", "mapper": "route", "scada-gw": ".well-known/core",
          "report-srv": ".well-known/core"}
 DRAIN_SECONDS = "5"  # streams of the demo's own clients need no hours
+KEPT_DRAIN_SECONDS = "20"  # when all agents stop at once, none can take the others' flows
 
 
 class Demo:
@@ -112,7 +113,8 @@
     parser.add_argument("--build", required=True)
     parser.add_argument("--keep", action="store_true")
     options = parser.parse_args()
-    make_options = [] if options.keep else ["--drain-seconds", DRAIN_SECONDS]
+    drain_seconds = KEPT_DRAIN_SECONDS if options.keep else DRAIN_SECONDS
+    make_options = ["--drain-seconds", drain_seconds]
     deployment = fleet.Fleet(options.deployment, options.build, make_options=make_options)
     try:
         deployment.start()
