--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -164,7 +164,8 @@
 
     def start_fabric(self):
         command = [self.program("anvildrum-fabric-standin"),
-                   "--control", "%s:%d" % self.control, "--seed", "1"]
+                   "--control", "%s:%d" % self.control, "--seed", "1",
+                   "--client-ms", str(self.plan["one_way_delay_us"]["client"] / 1000)]
         for index, service in enumerate(self.plan["services"]):
             command += ["--service", f"{service['name']}={service['address']}"]
             for balancer in self.plan["balancers"]:
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -91,7 +91,8 @@
   /// Flows of this home whose owner was lost.
   std::unordered_map<base::FlowKey, base::TimePoint> lost_flows;
   base::TimePoint next_offers{};
-  std::unordered_map<base::FlowKey, FlowTrace> traces;  ///< bounded, sampled flows only
+  std::unordered_map<base::FlowKey, FlowTrace> traces;      ///< bounded, sampled flows only
+  std::unordered_map<std::uint64_t, base::TimePoint> sent;  ///< requests at the target, bounded
   AgentCounters counters;
 };
 
@@ -172,6 +173,10 @@
 struct AnnounceDraining {};
 /// Nothing is left: take the announcement away and end.
 struct Drained {};
+/// The target has answered a request; `taken` is counted from when it was sent there.
+struct RequestAnswered {
+  base::Duration taken{};
+};
 /// A hop that a sampled packet has passed here; it ends now.
 enum class Hop : std::uint8_t {
   kTunnel,      ///< out of the tunnel at this agent
@@ -191,7 +196,7 @@
 };
 
 using Effect = std::variant<SendTunnel, SendTarget, CloseTarget, AnnounceDraining, Drained,
-                            HopPassed, SpanMark>;
+                            RequestAnswered, HopPassed, SpanMark>;
 using Effects = std::vector<Effect>;
 
 /// The agent's one entry.
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -62,7 +62,26 @@
   RunDirectory(context, steering::FlowEnded{flow});
 }
 
+// Requests that end without a mark, with their flow, say, would otherwise stay for ever.
+constexpr auto kMostTimedRequests = std::size_t{4096};
+
+auto TimeRequest(Context& context, const requests::TraceMark& mark) -> void {
+  auto& sent = context.agent.sent;
+  if (mark.mark == requests::Mark::kSentToTarget) {
+    if (sent.size() >= kMostTimedRequests) sent.clear();
+    sent[mark.request] = context.now;
+    return;
+  }
+  auto found = sent.find(mark.request);
+  if (found == sent.end()) return;
+  if (mark.mark == requests::Mark::kAnswered) {
+    context.effects.emplace_back(RequestAnswered{context.now - found->second});
+  }
+  sent.erase(found);
+}
+
 auto MarkSpan(Context& context, const requests::TraceMark& mark) -> void {
+  TimeRequest(context, mark);
   auto trace = context.agent.traces.find(mark.flow);
   if (trace == context.agent.traces.end()) return;
   context.effects.emplace_back(
--- a/src/agent/tests/agent_test.cc
+++ b/src/agent/tests/agent_test.cc
@@ -21,9 +21,24 @@
   const auto* reply = ReplyTo(fixture, delivered);
   BOOST_REQUIRE(reply != nullptr);
   BOOST_TEST(reply->header.has_reply());
+  BOOST_TEST(fixture.agent.sent.empty());
   BOOST_CHECK(reply->to == BalancerOf("b2", 12).tunnel);
 }
 
+BOOST_AUTO_TEST_CASE(time_at_the_target_is_told) {
+  constexpr auto kTaken = base::milliseconds(30);
+  auto fixture = Fixture{};
+  auto delivered = fixture.Deliver(kGet, "b2", 12);
+  const auto* sent = Find<SendTarget>(delivered);
+  BOOST_REQUIRE(sent != nullptr);
+  fixture.now += kTaken;
+  auto answer = AnswerTo(*sent);
+  auto effects = fixture.Run(TargetDatagram{sent->flow, answer});
+  const auto* answered = Find<RequestAnswered>(effects);
+  BOOST_REQUIRE(answered != nullptr);
+  BOOST_CHECK(answered->taken == kTaken);
+}
+
 // A trader's feed shows no new price although the desk sends them: the balancer that the flow was
 // last seen at was killed, and the client, which only listens, sends nothing that would show
 // another way. The agent's probes go unanswered, so it must use the other balancer.
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -38,6 +38,10 @@
   return "request";
 }
 
+auto InSeconds(base::Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
 auto IsFinal(requests::Mark mark) -> bool {
   return mark == requests::Mark::kAnswered || mark == requests::Mark::kRefused ||
          mark == requests::Mark::kUnknown || mark == requests::Mark::kChallenged;
@@ -46,7 +50,10 @@
 }  // namespace
 
 AgentRuntime::AgentRuntime(std::unique_ptr<Runtime> runtime)
-    : runtime(std::move(runtime)), timer(this->runtime->io) {}
+    : runtime(std::move(runtime)),
+      request_seconds(telemetry::AddSummary(this->runtime->metrics, "anvildrum_request_seconds",
+                                            "Time from sending a request to its target's answer")),
+      timer(this->runtime->io) {}
 
 auto AgentRuntime::MakeRecord() const -> membership::TargetRecord {
   const auto& settings = this->runtime->settings;
@@ -217,6 +224,9 @@
   }
   if (std::holds_alternative<agent::AnnounceDraining>(effect)) return this->announcer->Announce();
   if (std::holds_alternative<agent::Drained>(effect)) return this->Withdraw();
+  if (const auto* answered = std::get_if<agent::RequestAnswered>(&effect)) {
+    return telemetry::Observe(this->request_seconds, InSeconds(answered->taken));
+  }
   if (const auto* hop = std::get_if<agent::HopPassed>(&effect)) return this->WriteHop(*hop);
   if (const auto* mark = std::get_if<agent::SpanMark>(&effect)) return this->WriteSpan(*mark);
 }
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -65,6 +65,7 @@
   std::map<std::string, relay::PlatformObject> records;  ///< latest, until the core can take them
   std::unordered_map<base::FlowKey, std::unique_ptr<net::ConnectedUdp>> sockets;
   std::unordered_map<std::uint64_t, telemetry::Span> spans;  ///< by request
+  telemetry::Summary& request_seconds;
   boost::asio::steady_timer timer;
   std::unique_ptr<net::StopSignal> stop_signal;
   bool stopping = false;
