--- a/src/agent/internal/life_cycle.cc
+++ b/src/agent/internal/life_cycle.cc
@@ -24,6 +24,7 @@
 
   // A drain has no way back: balancers and homes were told to forget the target, and a new
   // incarnation is the only thing they take again.
+  // NOLINTNEXTLINE(readability-identifier-naming): the name that MSM looks for
   struct transition_table : boost::mpl::vector<Row<Starting, Announced, Serving, none, none>,
                                                Row<Starting, DrainBegun, Draining, none, none>,
                                                Row<Serving, DrainBegun, Draining, none, none>,
@@ -43,9 +44,9 @@
 }
 
 auto PhaseOf(const LifeCycle& machine) -> Phase {
-  constexpr auto kPhases =
+  constexpr auto phases =
       std::array{Phase::kStarting, Phase::kServing, Phase::kDraining, Phase::kDrained};
-  return kPhases.at(static_cast<std::size_t>(machine.current_state()[0]));
+  return phases.at(static_cast<std::size_t>(machine.current_state()[0]));
 }
 
 }  // namespace
--- a/src/agent/tests/agent_test.cc
+++ b/src/agent/tests/agent_test.cc
@@ -26,17 +26,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(time_at_the_target_is_told) {
-  constexpr auto kTaken = base::milliseconds(30);
+  constexpr auto taken = base::milliseconds(30);
   auto fixture = Fixture{};
   auto delivered = fixture.Deliver(kGet, "b2", 12);
   const auto* sent = Find<SendTarget>(delivered);
   BOOST_REQUIRE(sent != nullptr);
-  fixture.now += kTaken;
+  fixture.now += taken;
   auto answer = AnswerTo(*sent);
   auto effects = fixture.Run(TargetDatagram{sent->flow, answer});
   const auto* answered = Find<RequestAnswered>(effects);
   BOOST_REQUIRE(answered != nullptr);
-  BOOST_CHECK(answered->taken == kTaken);
+  BOOST_CHECK(answered->taken == taken);
 }
 
 // A trader's feed shows no new price although the desk sends them: the balancer that the flow was
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -56,15 +56,15 @@
 
 // With a hundred balancers, each is probed by three of its failure domain, not by all.
 BOOST_AUTO_TEST_CASE(each_balancer_has_as_many_monitors_as_the_policy_says) {
-  constexpr auto kBalancers = 100;
-  auto view = ViewOf(kBalancers);
+  constexpr auto balancers = 100;
+  auto view = ViewOf(balancers);
   auto observed = std::size_t{0};
-  for (auto i = 1; i <= kBalancers; ++i) {
+  for (auto i = 1; i <= balancers; ++i) {
     auto monitor = MonitorOf("b" + std::to_string(i));
     Step(monitor, MonitorView{&view}, kStart);
     observed += monitor.suspicion.peers.size();
   }
-  BOOST_TEST(observed == kBalancers * MonitorPolicy{}.monitors);
+  BOOST_TEST(observed == balancers * MonitorPolicy{}.monitors);
 }
 
 }  // namespace
--- a/tools/scenario/act.cc
+++ b/tools/scenario/act.cc
@@ -70,8 +70,8 @@
 
 // A target leaves when its agent is told to.
 auto NoteLeaving(World& world, const std::string& process) -> void {
-  constexpr auto kAgentPrefix = std::string_view("agent-");
-  auto name = process.starts_with(kAgentPrefix) ? process.substr(kAgentPrefix.size()) : process;
+  constexpr auto prefix = std::string_view("agent-");
+  auto name = process.starts_with(prefix) ? process.substr(prefix.size()) : process;
   world.leaving.insert(name);
 }
 
