--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -121,8 +121,9 @@
     CheckTarget(world, client, stream, target);
   }
   auto now = world.clock.now;
-  if (stream.notifications > 0)
+  if (stream.notifications > 0) {
     stream.longest_gap = std::max(stream.longest_gap, now - stream.heard);
+  }
   if (!fresh) return;
   stream.last_sequence = *message.observe;
   stream.heard = now;
