Take options before anvilctl's command; test what a drain now does to a stream

Change: leading options are taken; the test is replaced by two that ask for more: one target that leaves keeps the stream going from another target and exits 0; when all of them leave at once and nobody can take it, the client is told 5.03.

--- a/src/ctl/internal/command_line.cc
+++ b/src/ctl/internal/command_line.cc
@@ -2,6 +2,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -154,6 +155,18 @@
   return !asks_instances || invocation.operators.empty();
 }
 
+// Options may stand before the command, so that "anvilctl --platform IP:PORT" can be kept as a
+// prefix. The first word that names a command is the command: what a prefix would hold, addresses
+// and seconds, names none.
+auto CommandFirst(std::span<const std::string> arguments) -> std::vector<std::string> {
+  auto words = std::vector<std::string>(arguments.begin(), arguments.end());
+  if (words.empty() || !words.front().starts_with('-')) return words;
+  auto is_command = [](const std::string& word) { return Commands().contains(word); };
+  auto command = std::ranges::find_if(words, is_command);
+  if (command != words.end()) std::rotate(words.begin(), command, command + 1);
+  return words;
+}
+
 auto IsHelp(std::string_view word) -> bool { return word == "--help" || word == "-h"; }
 
 }  // namespace
@@ -165,11 +178,12 @@
     if (IsHelp(argument)) return Stop{kDone, std::string(kHelp)};
     if (argument == "--version") return Stop{kDone, "anvilctl " ANVILDRUM_VERSION "\n"};
   }
-  auto command = Commands().find(arguments.front());
-  if (command == Commands().end()) return Usage("no command '" + arguments.front() + "'");
+  auto words = CommandFirst(arguments);
+  auto command = Commands().find(words.front());
+  if (command == Commands().end()) return Usage("no command '" + words.front() + "'");
   try {
     auto parser = Parser(environment);
-    auto invocation = command->second(parser, arguments.subspan(1));
+    auto invocation = command->second(parser, std::span<const std::string>(words).subspan(1));
     if (!NeedsPlatform(invocation) || !invocation.platform.empty()) return invocation;
     return Usage("--platform IP:PORT or ANVILCTL_PLATFORM is missing");
   } catch (TCLAP::ArgException& exception) {
--- a/src/ctl/tests/command_line_test.cc
+++ b/src/ctl/tests/command_line_test.cc
@@ -38,6 +38,12 @@
   BOOST_TEST(base::FormatEndpoint(invocation.platform[0]) == "127.0.0.1:1");
 }
 
+BOOST_AUTO_TEST_CASE(options_may_stand_before_the_command) {
+  auto invocation = Understood({"--platform", "127.0.0.1:1", "drain", "desk-1"}, kNothing);
+  BOOST_TEST(std::get<DrainCommand>(invocation.command).target == "desk-1");
+  BOOST_TEST(invocation.platform.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_platform_comes_from_the_environment) {
   BOOST_TEST(Understood({"get"}, kEnvironment).platform.size() == 2U);
   BOOST_TEST(Stopped({"get"}, kNothing).exit_code == kUsage);
--- a/tests/process/test_agent_loss.py
+++ b/tests/process/test_agent_loss.py
@@ -162,16 +162,44 @@
             return message.status if message and message.status not in (0, 205) else None
         return wait_until(status, "an end of the stream", WIDE_SECONDS)
 
-    # The client sees: its stream ends with an error when the time of its target's planned stop is
-    # up. Order: an Observe is open; the agent gets SIGTERM and drains for as long as it may.
-    def test_an_observer_is_told_that_its_drain_ran_out(self):
+    # The client sees: its stream goes on, from another target. Order: an Observe is open; its
+    # target's agent gets SIGTERM, hands the flow over and ends by itself.
+    # Why: a planned stop may not cost a stream that another target can carry on.
+    def test_an_observer_keeps_its_stream_when_its_target_leaves(self):
         running = self.start_fleet()
         with Flow(running.service_address("desk")) as flow:
             answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
-            agent = running.target(answer.body["target"])["agent"]
+            target = answer.body["target"]
+            agent = running.target(target)["agent"]
             running.signal(agent, signal.SIGTERM)
-            self.assertEqual(self.last_status(flow), 503)
+            self.assertNotEqual(self.next_target(flow, target), target)
             self.assertEqual(running.terminate(agent), 0)
+            self.assertEqual(flow.receive(WIDE_SECONDS).status, 205)
+
+    def next_target(self, flow, target):
+        """The target of the first notification that is not from `target`."""
+        def moved():
+            message = flow.receive(1)
+            if message is None or message.status == 0:
+                return None
+            self.assertEqual(message.status, 205, "the stream ended")
+            return message.body["target"] if message.body["target"] != target else None
+        return wait_until(moved, "a notification from another target", WIDE_SECONDS)
+
+    # The client sees: its stream ends with an error. Order: an Observe is open; all agents of the
+    # service get SIGTERM together, so that nobody can take the flow; their time runs out.
+    # Why: a client that only listens can't find out, and would look at an old price.
+    def test_an_observer_is_told_that_its_drain_ran_out(self):
+        running = self.start_fleet()
+        with Flow(running.service_address("desk")) as flow:
+            answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
+            self.assertEqual(answer.status, 205)
+            agents = [t["agent"] for t in running.plan["targets"] if t["service"] == "desk"]
+            for agent in agents:
+                running.signal(agent, signal.SIGTERM)
+            self.assertEqual(self.last_status(flow), 503)
+            for agent in agents:
+                self.assertEqual(running.terminate(agent), 0)
 
 
 if __name__ == "__main__":
