--- a/tools/scenario/client.cc
+++ b/tools/scenario/client.cc
@@ -152,6 +152,14 @@
   return std::nullopt;
 }
 
+auto FindChallenged(const Client& client, const Message& message) -> std::optional<std::size_t> {
+  if (!client.answers_any_challenge || message.code != requests::kCodeUnauthorized) return {};
+  for (auto i = client.exchanges.size(); i-- > 0;) {
+    if (client.exchanges[i].message_id == message.message_id) return i;
+  }
+  return std::nullopt;
+}
+
 auto OnAnswer(World& world, Client& client, std::size_t index, const Message& message) -> void {
   auto& exchange = client.exchanges.at(index);
   auto challenged = message.code == requests::kCodeUnauthorized && message.echo;
@@ -203,6 +211,7 @@
   if (!message) return;
   if (message->code == requests::kCodeEmpty) return OnEmpty(world, client, *message);
   auto exchange = FindExchange(client, *message);
+  if (!exchange) exchange = FindChallenged(client, *message);
   auto stream = IsStream(client, *message);
   if (!Acknowledge(world, client, *message, exchange || stream)) return;
   if (exchange) OnAnswer(world, client, *exchange, *message);
--- a/tools/scenario/client.h
+++ b/tools/scenario/client.h
@@ -67,6 +67,9 @@
   std::set<std::uint16_t> seen;
   std::vector<Exchange> exchanges;
   std::optional<Stream> stream;
+  /// Answers a challenge to a message of its own that is no longer open, which RFC 7252, 4.2 has it
+  /// ignore.
+  bool answers_any_challenge = false;
   bool held = false;  ///< its packets stay in the network until it is let go
 };
 
--- a/tools/scenario/statement.cc
+++ b/tools/scenario/statement.cc
@@ -109,6 +109,7 @@
   auto names = TakeNames(words);
   if (!Takes(words, "of")) words.wrong = true;
   auto service = TakeName(words);
+  auto answers_any_challenge = Takes(words, "answering-any-challenge");
   auto address = run.world.services.find(service);
   if (address == run.world.services.end()) words.wrong = true;
   for (const auto& name : names) {
@@ -119,6 +120,7 @@
     client.service = service;
     client.endpoint = base::EndpointFromV4(kClientNet + number, kClientPort);
     client.address = address->second;
+    client.answers_any_challenge = answers_any_challenge;
     run.world.client_at[client.endpoint] = name;
   }
 }
