Ask a target that joins while a flow is asked for as well

A target asked its peers for a flow and waited for one that had just died. Another target restarted under that service meanwhile, became the flow's home, found all its peers settled and opened the flow without asking, as it may. The first asker, told of the new target but having asked only the peers of before, opened the flow too when it came to suspect the dead one. The same for a peer that restarts: its earlier process was struck off the list of those that had not answered, and the new one was not on it.

Ruled out: dropping what is asked for at each change of view (a client's packet would be lost in planned change); asking only when this target is still the home (the one that asks must hear of all owners).

Change: a peer that a view brings is asked for each flow that is asked for.

--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -14,14 +14,26 @@
   return peer;
 }
 
+// Safeguard: the asker may wait for seconds for a peer that has died. A target that joined or
+// restarted meanwhile, and is the flow's home, has opened it without asking, since all its peers
+// had registered what they owned. Not asked, it and the asker would both own the flow.
+auto AskJoined(StepContext& context, const TargetRef& peer) -> void {
+  for (auto& [flow, pending] : context.directory.pending) {
+    pending.waiting.push_back(peer);
+    pending.next_ask = context.now;
+  }
+}
+
 // Returns whether this agent's suspicion of a peer changed.
-auto UpdatePeers(Directory& directory, const membership::ServiceView& service) -> bool {
+auto UpdatePeers(StepContext& context, const membership::ServiceView& service) -> bool {
+  auto& directory = context.directory;
   auto changed = false;
   auto peers = std::vector<PeerTarget>{};
   for (const auto& target : service.targets) {
     if (target.record.id == directory.self.target) continue;
     auto* known = FindPeer(directory, {target.record.id, target.record.incarnation});
     auto peer = known != nullptr ? *known : MakePeer(target);
+    if (known == nullptr) AskJoined(context, peer.ref);
     peer.instance = target.record.instance;
     peer.tunnel = target.record.tunnel;
     changed = changed || peer.suspect != target.suspect;
@@ -93,7 +105,7 @@
   const auto& present = service != nullptr ? *service : none;
   auto was_in_view = directory.in_view;
   auto moved = present.digest != directory.digest;
-  auto suspicion_changed = UpdatePeers(directory, present);
+  auto suspicion_changed = UpdatePeers(context, present);
   directory.candidates = MakeCandidates(present);
   UpdateSelf(directory, present);
   directory.digest = present.digest;
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -29,6 +29,23 @@
   BOOST_TEST(Send(directory, answer).deliveries.size() == 1u);
 }
 
+// A target asks who has a trader's flow, and waits for a peer that died. A desk joins meanwhile, is
+// the flow's home and opens it. Were the new desk not asked, the first one would open the flow as
+// well as soon as it suspects the dead peer, and the trader's feed would move.
+BOOST_AUTO_TEST_CASE(a_target_that_joins_while_a_flow_is_asked_for_is_asked_too) {
+  auto directory = MakeDirectory(MakeView(2));
+  auto view = MakeView(3);
+  auto packet = MakePacket(ClientOf(view, 1));
+  Send(directory, packet);
+  auto sequence = directory.pending.at(FlowOf(packet)).sequence;
+  Step(directory, ViewArrived{&view}, kStart);
+  auto answer = MakeAnswer(packet.packet().flow(), 2, sequence);
+  BOOST_TEST(Send(directory, answer).deliveries.empty());
+  BOOST_TEST(CountOf(Step(directory, DirectoryTimer{}, kStart), TunnelHeader::kOwnerQuery) == 1);
+  answer = MakeAnswer(packet.packet().flow(), 3, sequence);
+  BOOST_TEST(Send(directory, answer).deliveries.size() == 1u);
+}
+
 auto MakeRegister(const wire::pb::TunnelHeader& packet, std::uint64_t sequence, bool ended)
     -> wire::pb::TunnelHeader {
   auto header = wire::pb::TunnelHeader{};
