Go on with observations at a stand-by when agent and target die together

Cause: a client that observes a feed and sends nothing was never told when its target and its agent died together: nobody else knew the client, and its screen froze.

Ruled out: telling the client only (5.03), which stock clients report and do not come back from; copies at balancers (they keep no flow state) or at the platform (several hundred writes a second for all); a copy of each notification's number (bytes for each).

Change: each owner leaves a copy of its flows' observations (lineage, next message ID, the clients' GETs and last sequence numbers; the hand-over's record without the ledger) at the flow's stand-by, the first placeable target in rendezvous order that is not the owner, in another failure domain where there is one. In batches, acknowledged and repeated, within 1,500 bytes a second an owner. When the owner is out of reach the stand-by asks all peers as for an opening; when nobody reaches it and some peer has answered, or its process is gone from the view, it takes the flow over: GET at its own target, sequence numbers 2^22 above the last one reported, message IDs 2^15 above, POSTs quarantined for 247 s. Where it cannot serve, the clients get 5.03 with Max-Age in a CON under each token.

The scenario runner's fake targets now answer CoAP pings, as real ones do (RFC 7252, 4.3): without, an agent with no flows took its target for silent. A feed may change hands when its target was killed or frozen; new expectations moved, two-sources and longest-gap.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -41,6 +42,11 @@
   std::uint64_t moved_address = 0;  ///< packets for an address that is not the service's any more
   std::uint64_t target_losses = 0;  ///< times that nothing listened at the target any more
   std::uint64_t adopted = 0;        ///< flows that may have been served by a lost target
+  std::uint64_t copies_sent = 0;    ///< of a flow's observations to its stand-by
+  std::uint64_t copy_bytes = 0;     ///< of batches of copies, with headers, repetitions and all
+  std::uint64_t copies_too_large = 0;
+  std::uint64_t streams_resumed = 0;      ///< observations of lost targets that went on here
+  std::uint64_t streams_not_resumed = 0;  ///< their clients were told 5.03
   std::array<std::uint64_t, static_cast<std::size_t>(requests::Counter::kCount)> requests{};
 };
 
@@ -63,6 +69,33 @@
   base::TimePoint until{};
 };
 
+/// What a flow's stand-by has been sent.
+struct CopiedFlow {
+  steering::TargetRef keeper;
+  std::uint64_t version = 0;  ///< requests::StreamsVersion
+  base::TimePoint sent{};
+};
+
+/// Copies on their way to one stand-by: one batch at a time, in order.
+struct CopyStream {
+  steering::TargetRef keeper;
+  std::uint64_t sequence = 0;
+  std::deque<base::FlowKey> queue;
+  std::unordered_map<base::FlowKey, bool> queued;  ///< of `queue`; true: it may have a copy
+  std::optional<wire::pb::TunnelHeader> batch;     ///< not acknowledged yet
+  base::TimePoint next_send{};
+  base::Duration retry{};
+};
+
+/// The owner's end of the stand-by copies.
+struct Copies {
+  std::unordered_map<base::FlowKey, CopiedFlow> flows;
+  std::vector<CopyStream> streams;
+  base::TimePoint next_look{};
+  double bytes_left = 0;  ///< of the budget; may go below zero by one batch
+  base::TimePoint earned{};
+};
+
 struct Agent {
   AgentPolicy policy;
   membership::TargetRecord record;  ///< as announced
@@ -91,6 +124,7 @@
   /// Flows of this home whose owner was lost.
   std::unordered_map<base::FlowKey, base::TimePoint> lost_flows;
   base::TimePoint next_offers{};
+  Copies copies;
   std::unordered_map<base::FlowKey, FlowTrace> traces;      ///< bounded, sampled flows only
   std::unordered_map<std::uint64_t, base::TimePoint> sent;  ///< requests at the target, bounded
   AgentCounters counters;
--- a/src/agent/internal/hand_over.cc
+++ b/src/agent/internal/hand_over.cc
@@ -59,6 +59,7 @@
 }
 
 auto AdoptFlow(Context& context, const steering::FlowTaken& taken) -> void {
+  if (taken.lost) return ResumeFlow(context, taken);
   auto record = ReadRecord(taken.record);
   if (!record) return;
   RunRequests(context, requests::FlowAdopted{taken.flow, &*record});
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -43,6 +43,13 @@
 auto OnHandOver(Context& context, const TunnelMessage& message) -> void;
 auto AdoptFlow(Context& context, const steering::FlowTaken& taken) -> void;
 
+// stand_by.cc
+/// Sends copies of observations that are served here to their stand-bys.
+auto CopyStreams(Context& context) -> void;
+auto OnStandByAck(Context& context, const wire::pb::StandByAck& ack) -> void;
+/// Goes on with the observations of a lost owner, or tells their clients.
+auto ResumeFlow(Context& context, const steering::FlowTaken& taken) -> void;
+
 // life_cycle.cc
 enum class LifeEvent : std::uint8_t { kAnnounced, kDrainRequested, kEmpty };
 auto Advance(Phase phase, LifeEvent event) -> Phase;
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -108,6 +108,7 @@
   RunDirectory(context, steering::DirectoryTimer{});
   RunDueRequestTimer(context);
   OfferFlows(context);
+  CopyStreams(context);
   CheckDrain(context);
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -121,6 +121,7 @@
     case TunnelHeader::kResettle:
     case TunnelHeader::kRefused:
     case TunnelHeader::kHandOverAck:
+    case TunnelHeader::kStandBy:
       return true;
     default:
       return false;
@@ -206,6 +207,8 @@
       return OnDrainNotice(context, header.drain_notice());
     case TunnelHeader::kHandOver:
       return OnHandOver(context, message);
+    case TunnelHeader::kStandByAck:
+      return OnStandByAck(context, header.stand_by_ack());
     case TunnelHeader::kHandOn:
       return OnHandOn(context, header, message.payload);
     case TunnelHeader::kHandOnAnswer:
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -9,6 +9,21 @@
 
 namespace anvildrum::agent {
 
+/// Copies of observations at another agent; docs/design/standby.md has the arithmetic.
+struct StandByPolicy {
+  bool copies = true;                              ///< false: none are sent
+  base::Duration lived = base::seconds(3);         ///< observations that have not are left out
+  base::Duration look_period = base::seconds(2);   ///< between two looks for what has changed
+  base::Duration refresh = base::minutes(20);      ///< sent again after this, changed or not
+  base::Duration retry = base::milliseconds(400);  ///< doubled at each repetition
+  base::Duration longest_retry = base::seconds(10);
+  std::size_t batch_bytes = 900;         ///< a batch that has reached this takes no more copies
+  std::size_t most_copy_bytes = 16'384;  ///< a flow with a larger one is not copied
+  /// Sent at most; beyond it copies wait, and flows that end meanwhile cost nothing.
+  double bytes_per_second = 1500;
+  double burst_bytes = 15'000;
+};
+
 /// Parameters of an agent.
 struct AgentPolicy {
   steering::DirectoryPolicy directory;
@@ -32,6 +47,7 @@
   base::Duration lost_memory = requests::kExchangeLifetime;
   /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
   base::Duration farewell = base::seconds(4);
+  StandByPolicy stand_by;
   base::Duration hand_over_period = base::milliseconds(100);
   std::size_t hand_overs_of_period = 128;  ///< flows that a draining agent offers at most
   /// How long a draining agent goes on passing packets on after its last flow has moved: until
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -40,11 +40,14 @@
 
 struct FlowRecord;
 
-/// The agent serves this flow from now on, in place of a draining one that has stopped to: instead
-/// of FlowOpened. See requests/hand_over.h; the record is used during the call only.
+/// The agent serves this flow from now on, in place of a draining one that has stopped to, or of a
+/// lost one: instead of FlowOpened. See requests/hand_over.h; the record is used during the call
+/// only.
 struct FlowAdopted {
   base::FlowKey flow;
   const FlowRecord* record = nullptr;
+  /// False: it cannot be served here either. The observations end with 5.03, and the flow closes.
+  bool served = true;
 };
 
 /// The agent no longer serves this flow and its socket is closed. Due for every flow in the end,
--- a/src/requests/hand_over.h
+++ b/src/requests/hand_over.h
@@ -9,7 +9,8 @@
 #include "requests/ledger.h"
 #include "requests/requests.h"
 
-/// A planned hand-over of a flow from a draining agent to another one: what has to survive.
+/// A planned hand-over of a flow from a draining agent to another one: what has to survive. Of it,
+/// an agent's stand-by keeps the observations, for the case that the agent is lost.
 namespace anvildrum::requests {
 
 /// An observation. The new owner registers it at its own target and goes on under the client's
@@ -53,6 +54,20 @@
 auto ExportFlow(const State& state, const FlowLedgers& ledgers, const base::FlowKey& flow,
                 base::TimePoint now) -> std::optional<FlowRecord>;
 
+/// The observations of the flow that began by `until`, for its stand-by; without streams when there
+/// is none.
+auto ExportStreams(const State& state, const base::FlowKey& flow, base::TimePoint until)
+    -> FlowRecord;
+
+/// Changes when the stand-by's copy is out of date: by an observation more or less, by a refresh of
+/// the client, and by every 2^20 steps of a sequence number and 2^14 message IDs. 0: no streams.
+auto StreamsVersion(const State& state, const base::FlowKey& flow, base::TimePoint until)
+    -> std::uint64_t;
+
+/// Makes a stand-by's copy into the record to go on by: sequence numbers and message IDs continue
+/// well above what the lost owner can have used since, and POSTs are quarantined.
+auto ResumeAfterLoss(FlowRecord& record, base::Duration quarantine) -> void;
+
 /// Whether the ledger has room for the record. A record that is taken anyway is taken whole.
 auto HasRoomFor(const State& state, const FlowRecord& record) -> bool;
 
--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -11,7 +11,6 @@
 // A client answers a challenge within a round trip; its next retransmission comes after 3 s at the
 // latest (RFC 7252, 4.8.2).
 constexpr auto kChallengeOpen = base::seconds(5);
-constexpr auto kSequenceMask = std::uint32_t{0xffffff};
 
 auto KeptFor(const LedgerEntry& entry, base::TimePoint now) -> base::Duration {
   return now - (entry.expires - kExchangeLifetime);
@@ -35,11 +34,6 @@
   return flow.transfer_until > now || (flow.upload && flow.upload->expires > now);
 }
 
-auto StreamOf(const LedgerEntry& entry) -> HandedStream {
-  auto sent = entry.notification_sequence + entry.sequence_offset;
-  return {entry.request, sent & kSequenceMask};
-}
-
 auto RequestOf(const LedgerEntry& entry, base::TimePoint now) -> HandedRequest {
   auto handed = HandedRequest{};
   handed.token = entry.identity.token;
@@ -98,9 +92,13 @@
 // Registered at this target as a request that is never refused and holds no slot: the client was
 // admitted long ago. Its first answer goes out as a notification, not in the ACK of a request that
 // the client has long had answered.
-auto TakeStream(Context& context, const base::FlowKey& flow, const HandedStream& handed) -> void {
+auto TakeStream(Context& context, const base::FlowKey& flow, const HandedStream& handed)
+    -> LedgerEntry* {
   auto request = ParseMessage(handed.request);
-  if (!request || !IsRequest(*request)) return CountOne(context, Counter::kClientMalformed);
+  if (!request || !IsRequest(*request)) {
+    CountOne(context, Counter::kClientMalformed);
+    return nullptr;
+  }
   auto entry = LedgerEntry{};
   entry.identity = {flow, request->token, request->message_id, {}};
   entry.type = MessageType::kNonConfirmable;
@@ -114,7 +112,21 @@
   entry.follow_up = true;
   entry.sequence_offset = handed.sequence;
   entry.sequence_moved = true;
-  Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
+  return &InsertRequest(context.state.ledger, std::move(entry));
+}
+
+auto ServeStream(Context& context, const base::FlowKey& flow, const HandedStream& handed) -> void {
+  if (auto* entry = TakeStream(context, flow, handed)) Admit(context, *entry);
+}
+
+// The client's last word for its token, sent until it is acknowledged, as after the loss of a
+// target.
+auto RefuseStream(Context& context, const base::FlowKey& flow, const HandedStream& handed) -> void {
+  auto* entry = TakeStream(context, flow, handed);
+  if (entry == nullptr) return;
+  MoveOn(context, *entry, Transition::kSend);
+  MoveOn(context, *entry, Transition::kOpenStream);
+  FinishNotRun(context, *entry, Counter::kStreamEnded);
 }
 
 }  // namespace
@@ -159,7 +171,16 @@
   flow.next_client_message_id = record.next_client_message_id;
   flow.adopted_until = context.now + record.quarantine_left;
   for (const auto& handed : record.requests) TakeRequest(context, event.flow, handed);
-  for (const auto& handed : record.streams) TakeStream(context, event.flow, handed);
+  for (const auto& handed : record.streams) {
+    if (event.served) ServeStream(context, event.flow, handed);
+    if (!event.served) RefuseStream(context, event.flow, handed);
+  }
+  if (event.served) return;
+  context.effects.emplace_back(CloseFlow{event.flow, CloseReason::kTargetGone});
+}
+
+auto StreamOf(const LedgerEntry& entry) -> HandedStream {
+  return {entry.request, MovedSequence(entry, entry.notification_sequence)};
 }
 
 auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void {
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -12,6 +12,7 @@
 
 #include "requests/admission.h"
 #include "requests/echo.h"
+#include "requests/hand_over.h"
 #include "requests/ledger.h"
 #include "requests/requests.h"
 #include "requests/retry_budget.h"
@@ -149,8 +150,12 @@
 auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
     -> void;
 
-/// Sequence numbers of a stream that was taken over: hand_over.cc. The first answer's number
-/// follows the last one that the client was sent.
+/// An observation as it moves: hand_over.cc.
+auto StreamOf(const LedgerEntry& entry) -> HandedStream;
+
+/// Sequence numbers (RFC 7641, 3.4) of a stream that was taken over: hand_over.cc. The first
+/// answer's number follows the last one that the client was sent.
+inline constexpr auto kSequenceMask = std::uint32_t{0xffffff};
 auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void;
 auto MovedSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t;
 
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -28,6 +28,9 @@
 /// 4. A draining owner hands a flow over only when the flow's home knows it as the owner, and stops
 ///    serving it before it offers it. Until the new owner is registered there, the old one passes
 ///    packets on and names the new one to who asks. See docs/design/handover.md.
+/// 5. A flow's stand-by takes it over only when it does not reach the owner and has asked all peers
+///    as in 2; at least one must have answered, or the owner's process be gone from the view. See
+///    docs/design/standby.md.
 /// What remains is a cut network: two sides may open one flow. When they meet again, the home keeps
 /// the owner that heard from the client last, of two that heard together the one that opened it
 /// first, else the lower id; the other drops its state and passes packets on.
@@ -52,7 +55,10 @@
   std::unordered_map<base::FlowKey, PendingFlow> pending;
   std::unordered_map<base::FlowKey, OutgoingHandOver> outgoing;
   std::unordered_map<base::FlowKey, IncomingHandOver> incoming;
-  std::vector<RegisterStream> streams;  ///< sorted by home's target
+  std::unordered_map<base::FlowKey, StandByCopy> copies;
+  std::vector<CopiedOwner> copied_owners;  ///< of `copies`
+  std::size_t copied_bytes = 0;            ///< of `copies`
+  std::vector<RegisterStream> streams;     ///< sorted by home's target
   std::vector<PendingYield> yields;
   std::vector<TargetLoad> load_scratch;
   bool pump_due = false;  ///< a stream may have something to send
@@ -87,7 +93,7 @@
 };
 
 /// A datagram of the tunnel for the directory: Packet, OwnerQuery, OwnerAnswer, Register,
-/// RegisterAck, Yield, YieldAck, Resettle; others are ignored.
+/// RegisterAck, Yield, YieldAck, Resettle, StandBy; others are ignored.
 /// The views are used during the call only.
 struct TunnelArrived {
   base::Endpoint from;
@@ -151,10 +157,12 @@
 };
 
 /// This agent has taken the flow over: due before any delivery of the same step. `record` views the
-/// event's buffer.
+/// event's buffer, or `held`.
 struct FlowTaken {
   base::FlowKey flow;
   wire::BytesView record;
+  bool lost = false;  ///< from an owner that was lost, by the copy that this agent kept
+  bool full = false;  ///< of a lost owner: this agent has no connection left for it
 };
 
 /// Payload views refer to the event's buffer or to `held`.
@@ -186,6 +194,18 @@
 auto CanHandOver(const Directory& directory, const base::FlowKey& flow, base::TimePoint now)
     -> bool;
 
+/// Who is to keep copies of the flow's observations while this agent serves it: nothing when there
+/// is no other target, or this agent is fenced or not in the view.
+auto StandByOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef>;
+
+/// Service, owner and keeper of a batch of copies.
+auto AddressCopies(const Directory& directory, const TargetRef& keeper, wire::pb::StandBy& batch)
+    -> void;
+
+/// Where a flow that is served here comes from.
+auto WriteLineageOf(const Directory& directory, const base::FlowKey& flow,
+                    wire::pb::Lineage& message) -> void;
+
 /// For the ProbeAnswer to peers.
 auto OwnLoadReport(const Directory& directory) -> wire::pb::LoadReport;
 
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -40,6 +40,8 @@
       return HandleHandOverAck(context, header.hand_over_ack());
     case TunnelHeader::kResettle:
       return HandleResettle(context, header.resettle());
+    case TunnelHeader::kStandBy:
+      return HandleStandBy(context, header.stand_by());
     default:
       return;
   }
@@ -114,12 +116,14 @@
   ContinueAsking(context);
   RetryYields(context);
   ContinueHandOvers(context);
+  ContinueStandBy(context);
   SendDrainNotices(context);
   if (context.now < directory.next_sweep) return;
   directory.next_sweep = context.now + directory.policy.sweep_period;
   EndIdleFlows(context);
   ForgetOldForwards(context);
   ForgetOldOffers(context);
+  ForgetOldCopies(context);
 }
 
 auto NoticeStop(StepContext& context) -> void {
--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -14,6 +14,7 @@
   WriteRef(context.directory.self, *query->mutable_asker());
   query->set_sequence(pending.sequence);
   if (pending.lost) WriteRef(*pending.lost, *query->mutable_owner());
+  query->set_stands_by(pending.stands_by);
   SendControl(context, peer.tunnel, header);
 }
 
@@ -57,17 +58,24 @@
   context.directory.known[flow] = known;
 }
 
+// Nobody has the flow.
+auto ConcludeUnowned(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
+    -> void {
+  auto taken = ConcludeOrphan(context, flow, pending);
+  ReleaseHeld(context, flow, !taken);
+}
+
 // All have answered, or are suspect.
 auto Conclude(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   auto& directory = context.directory;
   if (!pending.claimed) {
-    ReleaseHeld(context, flow, true);
+    ConcludeUnowned(context, flow, pending);
     return;
   }
   auto* peer = FindPeer(directory, *pending.claimed);
   auto denied = pending.denied && peer != nullptr && peer->draining;
   if (peer == nullptr || denied) {
-    ReleaseHeld(context, flow, true);
+    ConcludeUnowned(context, flow, pending);
     return;
   }
   if (peer->suspect && pending.claimed_via.port == 0 && !pending.lost) {
@@ -97,14 +105,28 @@
   return ref.target == newer.target && ref.incarnation < newer.incarnation;
 }
 
+// Of two that ask at once the stand-by goes first, since it has the flow's observations; of two
+// alike the lower id.
+auto GoesFirst(const Directory& directory, const PendingFlow& pending, const TargetRef& asker,
+               const wire::pb::OwnerQuery& query) -> bool {
+  if (pending.stands_by != query.stands_by()) return pending.stands_by;
+  return directory.self.target < asker.target;
+}
+
 // What this agent answers about a flow that it does not serve.
 auto AnswerFor(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
                const base::Endpoint& from, const wire::pb::OwnerQuery& query)
     -> std::optional<TargetRef> {
   auto& directory = context.directory;
+  // Safeguard: opened by another agent, the flow would go on there without its observations, and
+  // their client's screen would freeze. The stand-by answers for it and asks by itself.
+  if (!query.stands_by() && IsOrphaned(directory, flow)) {
+    StartAsking(context, flow, nullptr, std::nullopt);
+    if (FindOwned(directory, flow) != nullptr) return directory.self;
+  }
   auto pending = directory.pending.find(flow);
   if (pending != directory.pending.end()) {
-    if (directory.self.target < asker.target) return directory.self;
+    if (GoesFirst(directory, pending->second, asker, query)) return directory.self;
     DeferTo(context, flow, asker, from);
     ReleaseHeld(context, flow, false);
     return std::nullopt;
@@ -173,6 +195,8 @@
   pending.sequence = ++directory.sequence;
   pending.started = context.now;
   pending.lost = lost;
+  pending.stands_by = IsOrphaned(directory, flow);
+  if (pending.stands_by) pending.lost = directory.copies.at(flow).owner;
   for (const auto& peer : directory.peers) pending.waiting.push_back(peer.ref);
   if (arrival != nullptr) HoldPacket(context, pending, *arrival);
   ++directory.counters.asked;
@@ -224,6 +248,7 @@
   if (claims_other && FindPeer(directory, owner) == nullptr) return;
   std::erase_if(pending.waiting,
                 [&](const TargetRef& ref) { return ref.target == responder.target; });
+  if (!answer.owned()) pending.answered = true;
   if (!answer.owned() && pending.claimed == responder) pending.denied = true;
   if (answer.owned() && owner == responder) {
     auto known = KnownOwner{};
@@ -284,6 +309,7 @@
 
 auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner)
     -> void {
+  NoteCopysOwner(context, flow, owner.owner);
   auto known = owner;
   known.lost = LostOwnerOf(context.directory, flow);
   context.directory.known[flow] = known;
--- a/src/steering/internal/directory_opening.cc
+++ b/src/steering/internal/directory_opening.cc
@@ -10,6 +10,10 @@
 
 auto OpenHere(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
+  if (TakeOrphan(context, arrival.flow)) {
+    DeliverPacket(context, arrival, directory.owned.at(arrival.flow), false);
+    return;
+  }
   OverruleLost(context, arrival.flow, directory.self);
   directory.known.erase(arrival.flow);
   auto& owned = directory.owned[arrival.flow];
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -27,7 +27,8 @@
     PassToHome(context, arrival);
     return;
   }
-  if (IsHome(directory, arrival.flow) && IsSettled(directory)) {
+  auto settled = IsHome(directory, arrival.flow) && IsSettled(directory);
+  if (settled && !IsOrphaned(directory, arrival.flow)) {
     PlaceFlow(context, arrival);
   } else {
     StartAsking(context, arrival.flow, &arrival, std::nullopt);
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -118,6 +118,21 @@
 auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void;
 
+// directory_stand_by.cc
+auto HandleStandBy(StepContext& context, const wire::pb::StandBy& message) -> void;
+/// Whether this agent has a copy of the flow's observations and does not reach their owner.
+auto IsOrphaned(Directory& directory, const base::FlowKey& flow) -> bool;
+/// Takes an orphaned flow over; nobody else has it, as the caller has made sure. False: no copy.
+auto TakeOrphan(StepContext& context, const base::FlowKey& flow) -> bool;
+/// The same at the end of asking, where the loss is agreed; else the copy waits for a later try.
+auto ConcludeOrphan(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
+    -> bool;
+/// The flow has this owner: a copy of another one's is of no use, and one of its own waits.
+auto NoteCopysOwner(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+    -> void;
+auto ContinueStandBy(StepContext& context) -> void;
+auto ForgetOldCopies(StepContext& context) -> void;
+
 // directory_lineage.cc
 /// As the next owner has it.
 auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void;
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -81,6 +81,9 @@
   directory.owned.clear();
   directory.outgoing.clear();
   directory.pending.clear();
+  directory.copies.clear();
+  directory.copied_owners.clear();
+  directory.copied_bytes = 0;
 }
 
 }  // namespace
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -78,6 +78,16 @@
   return {first, FindSecond(set, flow_hash, first)};
 }
 
+auto FindStandBy(const CandidateSet& set, std::uint64_t flow_hash, base::TargetId owner,
+                 std::uint64_t owner_domain) -> std::uint32_t {
+  auto elsewhere = BestOf(set, flow_hash, [&](std::uint32_t, const Candidate& c) {
+    return c.target != owner && c.failure_domain != owner_domain;
+  });
+  if (elsewhere != kNone) return elsewhere;
+  return BestOf(set, flow_hash,
+                [&](std::uint32_t, const Candidate& c) { return c.target != owner; });
+}
+
 auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
   auto first = FindFirst(set, flow_hash);
   if (first == kNone || !set.candidates[first].suspect) return first;
--- a/src/steering/rendezvous.h
+++ b/src/steering/rendezvous.h
@@ -42,6 +42,11 @@
 /// The first home alone, at half the cost.
 auto FindFirst(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
 
+/// Who keeps copies of the flow's observations while `owner` serves it: the first in order that is
+/// not the owner, in another failure domain than the owner's where there is one.
+auto FindStandBy(const CandidateSet& set, std::uint64_t flow_hash, base::TargetId owner,
+                 std::uint64_t owner_domain) -> std::uint32_t;
+
 /// The home to send to: the first unless this instance suspects it, then the second, then any that
 /// is not suspect, then the first again (all are suspect: the observer itself may be cut off).
 auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -36,6 +36,16 @@
   base::Duration hand_over_pause = base::seconds(1);  ///< after an offer that nobody took
   /// An offer to a target that is suspect is taken back after this.
   base::Duration hand_over_limit = base::seconds(3);
+  /// Copies of other targets' observations that this agent keeps, in all.
+  std::size_t copied_flows = 50'000;
+  std::size_t copied_bytes = 16U << 20U;
+  /// A copy that its owner has not sent again is forgotten; AgentPolicy's refresh is a third of it.
+  base::Duration copy_memory = base::hours(1);
+  /// Flows of a lost owner that are asked for at a step: the first alone, to learn whether others
+  /// reach the owner, and then so many.
+  std::size_t copies_asked = 64;
+  base::Duration copy_retry = base::milliseconds(100);
+  base::Duration longest_copy_retry = base::seconds(5);  ///< while others reach the owner
   base::Duration drain_notice_retry = base::milliseconds(300);
   std::uint32_t drain_notices = 3;
   std::size_t notified_balancers = 64;  ///< others hear of a drain through the relay
@@ -120,6 +130,8 @@
   base::Endpoint claimed_via;     ///< the agent that reaches it; port 0: directly
   bool denied = false;            ///< the claimed owner itself says no
   std::optional<TargetRef> lost;  ///< the owner that cannot be reached
+  bool stands_by = false;         ///< this agent has a copy of the lost owner's observations
+  bool answered = false;          ///< by a peer that reaches no owner of the flow
   std::vector<HeldPacket> held;
   base::TimePoint started{};
   base::TimePoint next_ask{};
@@ -146,6 +158,24 @@
   base::TimePoint at{};
 };
 
+/// What an owner has left here of a flow's observations, for the case that it is lost.
+struct StandByCopy {
+  TargetRef owner;
+  Lineage lineage;     ///< of the owner
+  wire::Bytes record;  ///< opaque here
+  base::TimePoint noted{};
+};
+
+/// An owner of copies that are kept here.
+struct CopiedOwner {
+  TargetRef ref;
+  std::size_t flows = 0;
+  /// Its loss is agreed: a flow of it was taken over here since it was last in reach.
+  bool agreed = false;
+  base::TimePoint next_try{};
+  base::Duration pause{};  ///< before the next one, when others reach the owner
+};
+
 /// Owner's end of the registrations with one peer: one batch under way at a time.
 struct RegisterStream {
   TargetRef home;
@@ -165,8 +195,9 @@
   base::Endpoint tunnel;
   bool suspect = false;
   bool draining = false;
-  std::uint64_t applied = 0;       ///< last batch of its registrations that was applied here
-  std::uint64_t settled_view = 0;  ///< digest under which all its flows are registered here
+  std::uint64_t applied = 0;         ///< last batch of its registrations that was applied here
+  std::uint64_t settled_view = 0;    ///< digest under which all its flows are registered here
+  std::uint64_t copies_applied = 0;  ///< last batch of its copies that was applied here
   TargetLoad load;
   std::uint32_t reported_flows = 0;    ///< by its last report
   std::uint64_t placed_at_report = 0;  ///< Directory::placed_as_home when that came
@@ -203,6 +234,9 @@
   std::uint64_t taken_over = 0;
   std::uint64_t hand_overs_refused = 0;  ///< by this agent
   std::uint64_t hand_overs_taken_back = 0;
+  std::uint64_t copies_refused = 0;   ///< for want of room
+  std::uint64_t copies_taken = 0;     ///< flows taken over from a lost owner
+  std::uint64_t copies_withheld = 0;  ///< tries that found the owner in reach of others, or nobody
   std::uint64_t stops_noticed = 0;
   std::uint64_t malformed = 0;
   std::uint64_t stale_sender = 0;
--- a/tools/scenario/act.cc
+++ b/tools/scenario/act.cc
@@ -38,8 +38,20 @@
   if (process.starts_with("agent-")) return DrainAgent(world, process.substr(6));
 }
 
+// A target, or its agent, that may be lost to its streams: they may go on at another one.
+auto NoteLost(World& world, const Process& process) -> void {
+  for (const auto* prefix : {"agent-", "target-"}) {
+    if (process.name.starts_with(prefix)) {
+      world.lost.insert(process.name.substr(std::string_view(prefix).size()));
+    }
+  }
+}
+
 auto DoKill(Run& run, Words& words) -> void {
-  ForProcesses(run, words, [](Process& process) { EndProcess(process); });
+  ForProcesses(run, words, [&](Process& process) {
+    NoteLost(run.world, process);
+    EndProcess(process);
+  });
 }
 
 // The machine is given another job: its process starts as a target of another service, on the same
@@ -88,6 +100,7 @@
   if (!Takes(words, "for")) words.wrong = true;
   auto time = TakeDuration(words);
   for (auto* process : frozen) {
+    NoteLost(run.world, *process);
     Freeze(*process);
     After(run.world.clock, time, [process, life = process->life] {
       if (process->life == life) Wake(*process);
--- a/tools/scenario/client.h
+++ b/tools/scenario/client.h
@@ -46,7 +46,9 @@
 struct Stream {
   requests::Token token;
   std::string id;
-  std::string target;  ///< whose first answer it was, with its life
+  std::string target;             ///< whose answer was the latest, with its life
+  base::TimePoint moved{};        ///< to this target from another one
+  std::uint64_t two_sources = 0;  ///< notifications of another one, long after that
   std::uint32_t last_sequence = 0;
   base::TimePoint heard{};
   base::Duration longest_gap{};
--- a/tools/scenario/expect.cc
+++ b/tools/scenario/expect.cc
@@ -77,6 +77,37 @@
   CheckCount(run, words, untold);
 }
 
+// Notifications of a target that a stream had left for another one a second before.
+auto ExpectTwoSources(Run& run, Words& words) -> void {
+  auto seen = std::uint64_t{0};
+  auto detail = std::string{};
+  for (const auto& [name, client] : run.world.clients) {
+    if (!client.stream || client.stream->two_sources == 0) continue;
+    seen += client.stream->two_sources;
+    detail += " " + name;
+  }
+  CheckCount(run, words, seen, detail);
+}
+
+// Streams that have gone on at another target.
+auto ExpectMoved(Run& run, Words& words) -> void {
+  auto moved = std::uint64_t{0};
+  for (const auto& [name, client] : run.world.clients) {
+    moved += client.stream && client.stream->moved != base::TimePoint{} ? 1 : 0;
+  }
+  CheckCount(run, words, moved);
+}
+
+auto ExpectLongestGap(Run& run, Words& words) -> void {
+  auto limit = TakeDuration(words);
+  auto longest = base::Duration{};
+  for (const auto& [name, client] : run.world.clients) {
+    if (client.stream) longest = std::max(longest, client.stream->longest_gap);
+  }
+  auto seen = std::chrono::duration_cast<base::milliseconds>(longest).count();
+  Check(run, words.line, longest <= limit, std::to_string(seen) + " ms");
+}
+
 auto ExpectExecutions(Run& run, Words& words) -> void {
   auto id = TakeName(words);
   auto order = run.world.orders.find(id);
@@ -246,6 +277,9 @@
     {"streams", ExpectStreams},
     {"slower-than", ExpectSlower},
     {"untold", ExpectUntold},
+    {"two-sources", ExpectTwoSources},
+    {"moved", ExpectMoved},
+    {"longest-gap", ExpectLongestGap},
     {"executions", ExpectExecutions},
     {"outcome", ExpectOutcome},
     {"outcomes", ExpectOutcomes},
--- a/tools/scenario/target_node.cc
+++ b/tools/scenario/target_node.cc
@@ -112,6 +112,11 @@
   AfterIn(node.world->clock, ProcessOf(node), time, [&node, job] { Finish(node, job); });
 }
 
+// RFC 7252, 4.3.
+auto IsPing(const requests::Message& message) -> bool {
+  return message.type == MessageType::kConfirmable && message.code == requests::kCodeEmpty;
+}
+
 auto Take(TargetNode& node, const TargetNode::Job& job) -> void {
   auto message = requests::ParseMessage(job.datagram);
   if (!message) return;
@@ -121,6 +126,13 @@
     });
     return;
   }
+  if (IsPing(*message)) {
+    auto draft = Draft{};
+    draft.type = MessageType::kReset;
+    draft.code = requests::kCodeEmpty;
+    draft.message_id = message->message_id;
+    return SendBack(node, job.flow, job.sockets, draft);
+  }
   if (!requests::IsRequest(*message)) return;
   CheckCrossing(node, job.flow, QueryOf(job.datagram));
   node.queue.push_back(job);
--- a/tools/scenario/world.h
+++ b/tools/scenario/world.h
@@ -70,6 +70,7 @@
   std::map<std::string, Order> orders;  ///< every request, by id
   std::set<std::string> attached;       ///< balancers that the fabric sends to
   std::set<std::string> leaving;        ///< targets that were told to leave
+  std::set<std::string> lost;           ///< targets that were killed or frozen, or their agents
   Violations violations;
   std::ostream* trace = nullptr;
 };
