--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -105,11 +105,11 @@
   StartAsking(context, arrival.flow, &arrival, std::nullopt);
 }
 
-// Safeguard: the home places a flow here that this agent once handed over. Either the flow has ended
-// since, and its successor, passed the packet, would pass it back, for ever; or the packet is a late
-// copy of the flow's first opening, and opened here it would bring up a second owner. Declined, the
-// home passes it to the owner that it knows, or asks everybody before it opens the flow. Returns
-// whether it was declined.
+// Safeguard: the home places a flow here that this agent once handed over. Either the flow has
+// ended since, and its successor, passed the packet, would pass it back, for ever; or the packet is
+// a late copy of the flow's first opening, and opened here it would bring up a second owner.
+// Declined, the home passes it to the owner that it knows, or asks everybody before it opens the
+// flow. Returns whether it was declined.
 auto DeclineHandedOver(StepContext& context, const PacketArrival& arrival) -> bool {
   auto& directory = context.directory;
   auto known = directory.known.find(arrival.flow);
