Test the stand-by's bounds and guards; leave no copy with a suspect, act on a removed record

Cause: two faults that the tests found. A flow taken over from its home had that dead home as its stand-by until the record was removed, so the loss of the next owner within that time was untold [observation_goes_on_twice]. A stand-by that had found no witness waited out its pause of up to 5 s after the owner's record was removed [stand_by_without_a_witness_waits_for_the_removed_record].

Change: the stand-by is not suspect to the owner; a removed record ends the pause.

--- a/src/agent/tests/drain_world.cc
+++ b/src/agent/tests/drain_world.cc
@@ -72,6 +72,11 @@
 
 auto RunTarget(DrainWorld& world, std::size_t desk, const SendTarget& send) -> void {
   auto request = requests::ParseMessage(send.payload);
+  if (request && request->code == requests::kCodeEmpty &&
+      request->type == requests::MessageType::kConfirmable) {
+    auto pong = requests::BuildReset(request->message_id);
+    return StepDesk(world, desk, TargetDatagram{send.flow, pong});
+  }
   if (!request || !requests::IsRequest(*request)) return;
   auto& at = world.desks[desk];
   if (request->code == kPost) ++at.posts;
@@ -123,6 +128,7 @@
 auto Arrive(DrainWorld& world, const InQueue& item) -> void {
   if (item.to == kBalancer) return AtBalancer(world, item);
   auto desk = DeskAt(world, item.to);
+  if (world.cuts.contains({item.from, item.to})) return;
   if (desk == world.desks.size() || world.desks[desk].drained) return;
   StepDesk(world, desk, TunnelMessage{item.from, &item.header, item.payload});
 }
@@ -214,8 +220,30 @@
   }
 }
 
+auto Kill(DrainWorld& world, std::size_t desk) -> void {
+  world.desks[desk].drained = true;
+  world.desks[desk].streams.clear();
+}
+
+auto RemoveRecord(DrainWorld& world, std::size_t desk) -> void {
+  auto record = RecordOf(desk);
+  for (auto i = std::size_t{0}; i < world.desks.size(); ++i) {
+    if (i == desk) continue;
+    StepDesk(world, i, TargetRecordRemoved{record.id, record.incarnation, record.revision + 100});
+  }
+}
+
+auto Cut(DrainWorld& world, std::size_t one, std::size_t other) -> void {
+  auto left = world.desks[one].tunnel;
+  auto right = world.desks[other].tunnel;
+  world.cuts.insert({left, right});
+  world.cuts.insert({right, left});
+}
+
 auto OwnerOf(const DrainWorld& world, const base::FlowKey& flow) -> std::size_t {
-  auto owns = [&](const Desk& desk) { return desk.agent.directory.owned.contains(flow); };
+  auto owns = [&](const Desk& desk) {
+    return !desk.drained && desk.agent.directory.owned.contains(flow);
+  };
   auto found = std::ranges::find_if(world.desks, owns);
   return static_cast<std::size_t>(found - world.desks.begin());
 }
--- a/src/agent/tests/drain_world.h
+++ b/src/agent/tests/drain_world.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <map>
 #include <queue>
+#include <set>
 #include <vector>
 
 #include "agent/agent.h"
@@ -24,7 +25,7 @@
   base::Endpoint tunnel;
   std::vector<TargetStream> streams;
   std::uint64_t posts = 0;  ///< that ran
-  bool drained = false;
+  bool drained = false;     ///< or killed
   base::TimePoint drained_at{};
 };
 
@@ -57,6 +58,7 @@
   std::vector<Desk> desks;
   std::priority_queue<InQueue, std::vector<InQueue>, IsLater> queue;
   std::map<base::FlowKey, std::vector<Received>> received;
+  std::set<std::pair<base::Endpoint, base::Endpoint>> cuts;  ///< tunnels, both ways
 };
 
 /// `hand_overs`: flows that a draining agent offers a period; 0 for none.
@@ -66,6 +68,11 @@
 /// Through the balancer to the first desk that takes packets.
 auto FromClient(DrainWorld& world, const base::FlowKey& flow, const wire::Bytes& bytes) -> void;
 auto BeginDrain(DrainWorld& world, std::size_t desk) -> void;
+/// The desk's target and agent are gone; their record stays.
+auto Kill(DrainWorld& world, std::size_t desk) -> void;
+/// The others learn that the desk's record was removed.
+auto RemoveRecord(DrainWorld& world, std::size_t desk) -> void;
+auto Cut(DrainWorld& world, std::size_t one, std::size_t other) -> void;
 /// The desk that serves the flow, or the number of desks.
 auto OwnerOf(const DrainWorld& world, const base::FlowKey& flow) -> std::size_t;
 
--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -134,7 +134,8 @@
 
 auto AskForOrphans(StepContext& context, CopiedOwner& owner) -> void {
   const auto& policy = context.directory.policy;
-  if (context.now < owner.next_try) return;
+  auto gone = FindPeer(context.directory, owner.ref) == nullptr;
+  if (!gone && context.now < owner.next_try) return;
   if (!owner.agreed) owner.next_try = context.now + policy.copy_retry;
   auto flows = FlowsToAskFor(context.directory, owner);
   // `owner` may be gone after the first of them.
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -80,12 +80,12 @@
 
 auto FindStandBy(const CandidateSet& set, std::uint64_t flow_hash, base::TargetId owner,
                  std::uint64_t owner_domain) -> std::uint32_t {
+  auto other = [&](const Candidate& c) { return c.target != owner && !c.suspect; };
   auto elsewhere = BestOf(set, flow_hash, [&](std::uint32_t, const Candidate& c) {
-    return c.target != owner && c.failure_domain != owner_domain;
+    return other(c) && c.failure_domain != owner_domain;
   });
   if (elsewhere != kNone) return elsewhere;
-  return BestOf(set, flow_hash,
-                [&](std::uint32_t, const Candidate& c) { return c.target != owner; });
+  return BestOf(set, flow_hash, [&](std::uint32_t, const Candidate& c) { return other(c); });
 }
 
 auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
--- a/src/steering/rendezvous.h
+++ b/src/steering/rendezvous.h
@@ -43,7 +43,7 @@
 auto FindFirst(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
 
 /// Who keeps copies of the flow's observations while `owner` serves it: the first in order that is
-/// not the owner, in another failure domain than the owner's where there is one.
+/// neither the owner nor suspect, in another failure domain than the owner's where there is one.
 auto FindStandBy(const CandidateSet& set, std::uint64_t flow_hash, base::TargetId owner,
                  std::uint64_t owner_domain) -> std::uint32_t;
 
