--- a/src/agent/tests/drain_world.h
+++ b/src/agent/tests/drain_world.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <map>
 #include <queue>
+#include <set>
 #include <vector>
 
 #include "agent/agent.h"
@@ -25,7 +26,7 @@
   std::vector<TargetStream> streams;
   std::uint64_t posts = 0;  ///< that ran
   bool refuses = false;     ///< the target answers 5.03
-  bool drained = false;
+  bool drained = false;     ///< or killed
   base::TimePoint drained_at{};
 };
 
@@ -58,6 +59,7 @@
   std::vector<Desk> desks;
   std::priority_queue<InQueue, std::vector<InQueue>, IsLater> queue;
   std::map<base::FlowKey, std::vector<Received>> received;
+  std::set<std::pair<base::Endpoint, base::Endpoint>> cuts;  ///< tunnels, both ways
 };
 
 /// `hand_overs`: flows that a draining agent offers a period; 0 for none.
@@ -67,6 +69,11 @@
 /// Through the balancer to the first desk that takes packets.
 auto FromClient(DrainWorld& world, const base::FlowKey& flow, const wire::Bytes& bytes) -> void;
 auto BeginDrain(DrainWorld& world, std::size_t desk) -> void;
+/// The desk's target and agent are gone; their record stays.
+auto Kill(DrainWorld& world, std::size_t desk) -> void;
+/// The others learn that the desk's record was removed.
+auto RemoveRecord(DrainWorld& world, std::size_t desk) -> void;
+auto Cut(DrainWorld& world, std::size_t one, std::size_t other) -> void;
 /// The desk that serves the flow, or the number of desks.
 auto OwnerOf(const DrainWorld& world, const base::FlowKey& flow) -> std::size_t;
 
