Name the right owner after a conflict in the interleaving test

A target was stopped; another opened the flow; the conflict rule kept the one that had been stopped, and the other let go. The test went on naming the one that was heard last, so that a restart of the kept owner, after which the flow is opened anew, looked like a move away from a living one. The check was wrong there.

Change: when one of two owners lets go, and one of the two was stopped or cut off, the remaining one is the client's. Nothing is excused that was not: without a stop or cut the check is as before, and a later move away from the remaining owner fails as any other.

--- a/src/balancer/tests/interleaving_world.h
+++ b/src/balancer/tests/interleaving_world.h
@@ -90,6 +90,13 @@
 auto IsFrozen(const World& world, const Node& node) -> bool;
 auto Apply(World& world, AgentNode& agent, const steering::DirectoryEvent& event) -> void;
 auto Apply(World& world, BalancerNode& balancer, const Event& event) -> void;
+/// One owner a flow: the check behind every delivery.
+auto CheckDelivery(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
+/// After a hand-over: the old owner has stopped before the new one starts.
+auto CheckTaken(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
+/// Of two owners, of which one was stopped or cut off, this one has let go of the flow: the client
+/// is the other's, also if it was heard at this one last.
+auto NoteLetGo(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
 auto TellCore(World& world, AgentNode& agent) -> void;
 auto TellCore(World& world, BalancerNode& balancer) -> void;
 auto UpdatePeers(World& world, Node& node) -> void;
