Count a process that restarts behind a cut as cut off in the interleaving test

Cause: unplanned failed with an established flow moved. Two targets were cut from each other and both restarted meanwhile; the new home could not reach the owner, came to suspect it and opened the flow anew, as after any cut. The check excused the processes of before the restarts only, although the cut is between addresses and went on. The check was wrong; the same check stays for every other process.

Noted for the design: such a home does not know the owner's name, so it cannot ask the others to relay.

--- a/src/balancer/tests/interleaving_run.cc
+++ b/src/balancer/tests/interleaving_run.cc
@@ -34,6 +34,13 @@
   if (action.other % 3 == 0) Publish(world, agent.record, true, kRemovalDelay);
 }
 
+auto IsCutOff(const World& world, const base::Endpoint& tunnel) -> bool {
+  return std::ranges::any_of(world.cuts, [&](const auto& cut) {
+    const auto& [ports, until] = cut;
+    return world.now < until && (ports.first == tunnel.port || ports.second == tunnel.port);
+  });
+}
+
 auto Restart(World& world, AgentNode& agent, bool other_service) -> void {
   agent.running = false;
   world.dead.insert(ProcessOf(agent));
@@ -45,6 +52,8 @@
     record.service = base::ServiceIdOf(record.service_name);
   }
   StartAgent(world, record);
+  // A cut is between addresses: the new process is behind it as well.
+  if (IsCutOff(world, record.tunnel)) world.disturbed.insert(ProcessOf(*world.agents.back()));
 }
 
 auto Drain(World& world, AgentNode& agent) -> void {
