--- a/src/agent/tests/agent_test.cc
+++ b/src/agent/tests/agent_test.cc
@@ -83,6 +83,23 @@
   BOOST_CHECK(fixture.agent.phase == Phase::kDraining);
 }
 
+// A balancer or agent of another version sends what makes no sense to an agent. It is counted, and
+// the next client is served.
+BOOST_AUTO_TEST_CASE(tunnel_messages_without_sense_are_counted) {
+  auto fixture = Fixture{};
+  auto messages = std::array<wire::pb::TunnelHeader, 4>{};
+  messages[0].mutable_reply();  // balancers take replies, agents don't
+  messages[1].mutable_hand_on();
+  messages[2].mutable_hand_on_answer();
+  messages[3].mutable_hand_over();
+  for (auto& message : messages) {
+    message.set_sender(base::InstanceIdOf("b1").value);
+    fixture.Run(TunnelMessage{BalancerOf("b1", 11).tunnel, &message, wire::Bytes{0xff}});
+  }
+  BOOST_TEST(fixture.agent.counters.malformed == messages.size());
+  BOOST_TEST(Find<SendTarget>(fixture.Deliver(kGet, "b2", 12)) != nullptr);
+}
+
 // A mapper's client gets the answer of a desk: an address moved from desk to mapper while a
 // balancer was stopped for a moment, and it still sends packets for the address to desk's agents.
 // The agent has the newer configuration and drops them; a balancer that is as new as the agent is
--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -52,7 +52,8 @@
   std::uint64_t refused_unknown_flow = 0;
   std::uint64_t refused_hop_limit = 0;
   std::uint64_t refused_draining = 0;
-  std::uint64_t malformed = 0;
+  std::uint64_t malformed = 0;      ///< tunnel messages that were sealed right but make no sense
+  std::uint64_t misdirected = 0;    ///< tunnel messages that are for agents
   std::uint64_t wrong_service = 0;  ///< replies for a service that is not configured
 };
 
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -105,8 +105,11 @@
       return HandleRefused(state, event.header->refused());
     case TunnelHeader::kDrainNotice:
       return HandleDrainNotice(state, event.header->drain_notice(), effects);
+    case TunnelHeader::kProbe:
+    case TunnelHeader::kProbeAnswer:
+      return;  // the monitor's
     default:
-      return;
+      ++state.counters.misdirected;
   }
 }
 
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -222,6 +222,39 @@
   BOOST_CHECK(Send(state).kind == RouteKind::kNotReady);
 }
 
+// An instance of another version, or a fault, sends what is sealed right and makes no sense here.
+// Each kind is counted, nothing is sent, and the next client's packet goes its way.
+BOOST_AUTO_TEST_CASE(tunnel_messages_without_sense_are_counted_by_kind) {
+  auto state = MakeReady(SmallPolicy());
+  auto without_flow = wire::pb::TunnelHeader{};
+  without_flow.mutable_reply();
+  Step(state, TunnelMessage{{}, &without_flow, {}}, kNow);
+  auto for_agents = wire::pb::TunnelHeader{};
+  for_agents.mutable_owner_query();
+  Step(state, TunnelMessage{{}, &for_agents, {}}, kNow);
+  auto probe = wire::pb::TunnelHeader{};
+  probe.mutable_probe();
+  Step(state, TunnelMessage{{}, &probe, {}}, kNow);
+  auto unknown = wire::pb::TunnelHeader{};
+  wire::WriteFlow({kClient, base::ServiceIdOf("unknown")},
+                  *unknown.mutable_reply()->mutable_flow());
+  auto effects = Step(state, TunnelMessage{{}, &unknown, {}}, kNow);
+  BOOST_TEST(effects.client.empty());
+  BOOST_TEST(state.counters.malformed == 1u);
+  BOOST_TEST(state.counters.misdirected == 1u);
+  BOOST_TEST(state.counters.wrong_service == 1u);
+  BOOST_CHECK(Send(state).kind == RouteKind::kHome);
+}
+
+// A client's packet comes in by an address that no service has.
+BOOST_AUTO_TEST_CASE(a_packet_for_an_unknown_address_is_counted) {
+  auto state = MakeReady(SmallPolicy());
+  auto nobodys = base::EndpointFromV4(0x0a000009, 5683);
+  BOOST_CHECK(RoutePacket(state, nobodys, kClient, kNow).kind == RouteKind::kUnknownAddress);
+  BOOST_TEST(state.counters.unknown_address == 1u);
+  BOOST_CHECK(Send(state).kind == RouteKind::kHome);
+}
+
 BOOST_AUTO_TEST_CASE(a_reply_leaves_from_the_address_of_its_service) {
   auto state = MakeReady(SmallPolicy());
   auto reply = wire::pb::TunnelHeader{};
--- a/src/daemon/internal/agent_routes.cc
+++ b/src/daemon/internal/agent_routes.cc
@@ -30,6 +30,9 @@
   auto& metrics = this->runtime->metrics;
   if (this->agent) ExportAgent(metrics, *this->agent);
   ExportRelay(metrics, this->relay->State());
+  ExportRelayEdge(metrics, this->relay->Refusals(), this->relay->State().counters);
+  ExportRecords(metrics, this->records_refused);
+  ExportOperatorPort(metrics, *this->runtime->operator_port);
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
   return telemetry::RenderPrometheus(metrics);
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -12,41 +12,16 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr auto kMostSpans = std::size_t{4096};
-
 auto MakePolicy(const Runtime& runtime) -> agent::AgentPolicy {
   auto policy = agent::AgentPolicy{};
   policy.drain_limit = base::seconds(runtime.settings.agent.drain_seconds);
   return policy;
 }
 
-auto NameOf(requests::Mark mark) -> std::string_view {
-  switch (mark) {
-    case requests::Mark::kChallenged:
-      return "challenge";
-    case requests::Mark::kQueued:
-      return "admission";
-    case requests::Mark::kSentToTarget:
-      return "target";
-    case requests::Mark::kAnswered:
-      return "answered";
-    case requests::Mark::kRefused:
-      return "not_run";
-    case requests::Mark::kUnknown:
-      return "unknown";
-  }
-  return "request";
-}
-
 auto InSeconds(base::Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
 }
 
-auto IsFinal(requests::Mark mark) -> bool {
-  return mark == requests::Mark::kAnswered || mark == requests::Mark::kRefused ||
-         mark == requests::Mark::kUnknown || mark == requests::Mark::kChallenged;
-}
-
 }  // namespace
 
 AgentRuntime::AgentRuntime(std::unique_ptr<Runtime> runtime)
@@ -170,7 +145,7 @@
   }
   auto parsed = membership::ParseTargetRecord(record.key, record.revision, record.value);
   if (parsed) return this->Step(agent::TargetRecordChanged{*parsed});
-  Log(LogLevel::kWarning, "record_refused", {{"key", record.key}});
+  this->RefuseRecord(record);
 }
 
 auto AgentRuntime::ApplyBalancer(const relay::PlatformObject& record) -> void {
@@ -184,12 +159,18 @@
   }
   auto parsed = membership::ParseBalancerRecord(record.key, record.revision, record.value);
   if (parsed) return this->Step(agent::BalancerRecordChanged{*parsed});
-  Log(LogLevel::kWarning, "record_refused", {{"key", record.key}});
+  this->RefuseRecord(record);
+}
+
+auto AgentRuntime::RefuseRecord(const relay::PlatformObject& record) -> void {
+  CountRefused(this->records_refused, record.key);
+  Log(LogLevel::kWarning, "record_refused", {{"key", record.key}, {"revision", record.revision}});
 }
 
 auto AgentRuntime::ApplyConfig(const relay::PlatformObject& record) -> void {
   auto configuration = config::ParseConfiguration(record.value);
   if (!configuration) {
+    CountRefused(this->records_refused, record.key);
     Log(LogLevel::kError, "configuration_malformed", {{"revision", record.revision}});
     return;
   }
@@ -254,38 +235,6 @@
   return this->sockets.emplace(flow, std::move(*socket)).first->second.get();
 }
 
-auto AgentRuntime::WriteHop(const agent::HopPassed& hop) -> void {
-  auto& tracer = *this->runtime->tracer;
-  const auto* name = hop.hop == agent::Hop::kTunnel ? "tunnel" : "home_lookup";
-  auto parent = telemetry::SpanContext{hop.trace_id, hop.parent_span_id};
-  auto span = telemetry::StartSpan(tracer, name, parent, hop.started);
-  telemetry::AddAttribute(span, "target", this->record.name);
-  telemetry::Finish(tracer, span, Now());
-}
-
-auto AgentRuntime::WriteSpan(const agent::SpanMark& mark) -> void {
-  auto now = Now();
-  auto& tracer = *this->runtime->tracer;
-  auto open = this->spans.find(mark.request);
-  auto waited = open != this->spans.end();
-  if (waited) {
-    telemetry::AddAttribute(open->second, "ended_by", std::string(NameOf(mark.mark)));
-    telemetry::Finish(tracer, open->second, now);
-    this->spans.erase(open);
-  }
-  auto parent = telemetry::SpanContext{mark.trace_id, mark.parent_span_id};
-  if (mark.mark == requests::Mark::kSentToTarget && !waited) {
-    // Admitted without a wait: the hop is there all the same.
-    telemetry::Finish(tracer, telemetry::StartSpan(tracer, "admission", parent, now), now);
-  }
-  auto span = telemetry::StartSpan(tracer, NameOf(mark.mark), parent, now);
-  telemetry::AddAttribute(span, "target", this->record.name);
-  if (IsFinal(mark.mark) || this->spans.size() >= kMostSpans) {
-    return telemetry::Finish(tracer, span, now);
-  }
-  this->spans.emplace(mark.request, std::move(span));
-}
-
 auto AgentRuntime::ArmTimer() -> void {
   this->timer.expires_at(agent::NextWakeUp(*this->agent, Now()));
   this->timer.async_wait([this](const auto& error) {
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -8,6 +8,7 @@
 
 #include "agent/agent.h"
 #include "daemon/internal/announcer.h"
+#include "daemon/internal/records.h"
 #include "daemon/internal/relay_runtime.h"
 #include "daemon/internal/runtime.h"
 #include "daemon/internal/tunnel_port.h"
@@ -42,6 +43,7 @@
   auto ApplyRecord(const relay::PlatformObject& record) -> void;
   auto ApplyTarget(const relay::PlatformObject& record) -> void;
   auto ApplyBalancer(const relay::PlatformObject& record) -> void;
+  auto RefuseRecord(const relay::PlatformObject& record) -> void;
   auto ApplyConfig(const relay::PlatformObject& record) -> void;
   auto UpdateRelayPeers() -> void;
   auto Step(const agent::Event& event) -> void;
@@ -68,6 +70,7 @@
   telemetry::Summary& request_seconds;
   boost::asio::steady_timer timer;
   std::unique_ptr<net::StopSignal> stop_signal;
+  RecordRefusals records_refused;
   bool stopping = false;
 };
 
--- a/src/daemon/internal/balancer_routes.cc
+++ b/src/daemon/internal/balancer_routes.cc
@@ -29,6 +29,10 @@
   ExportMonitor(metrics, this->monitor);
   ExportFence(metrics, this->fence);
   ExportRelay(metrics, this->relay->State());
+  ExportRelayEdge(metrics, this->relay->Refusals(), this->relay->State().counters);
+  ExportRecords(metrics, this->records_refused);
+  ExportOperatorPort(metrics, *this->runtime->operator_port);
+  ExportServicePorts(metrics, this->Datagrams());
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
   return telemetry::RenderPrometheus(metrics);
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -44,6 +44,11 @@
   return monitor;
 }
 
+auto AddPort(ServiceDatagrams& sum, const net::UdpPortCounts& counts) -> void {
+  sum.oversized += counts.oversized;
+  sum.send_drops += counts.send_drops;
+}
+
 }  // namespace
 
 BalancerRuntime::BalancerRuntime(std::unique_ptr<Runtime> runtime)
@@ -116,6 +121,7 @@
     this->announcer->Recorded(record.deleted ? nullptr : &record.value);
   }
   if (!ApplyObject(record, view, Now())) {
+    CountRefused(this->records_refused, record.key);
     Log(LogLevel::kWarning, "record_refused", {{"key", record.key}, {"revision", record.revision}});
   }
 }
@@ -123,6 +129,7 @@
 auto BalancerRuntime::OnConfig(const relay::PlatformObject& record) -> void {
   auto configuration = config::ParseConfiguration(record.value);
   if (!configuration) {
+    CountRefused(this->records_refused, record.key);
     Log(LogLevel::kError, "configuration_malformed", {{"revision", record.revision}});
     return;
   }
@@ -218,11 +225,19 @@
   auto wanted = std::vector<base::Endpoint>{};
   for (const auto& [address, index] : this->balancer.service_at) wanted.push_back(address);
   std::erase_if(this->service_ports, [&](const auto& port) {
-    return std::find(wanted.begin(), wanted.end(), port.first) == wanted.end();
+    auto gone = std::find(wanted.begin(), wanted.end(), port.first) == wanted.end();
+    if (gone) AddPort(this->closed_ports, port.second->Counts());
+    return gone;
   });
   for (const auto& address : wanted) this->BindService(address);
 }
 
+auto BalancerRuntime::Datagrams() const -> ServiceDatagrams {
+  auto sum = this->closed_ports;
+  for (const auto& [address, port] : this->service_ports) AddPort(sum, port->Counts());
+  return sum;
+}
+
 auto BalancerRuntime::BindService(const base::Endpoint& address) -> void {
   if (this->service_ports.contains(address)) return;
   auto options = net::UdpPortOptions{};
--- a/src/daemon/internal/balancer_runtime.h
+++ b/src/daemon/internal/balancer_runtime.h
@@ -6,8 +6,10 @@
 #include "balancer/balancer.h"
 #include "balancer/monitor.h"
 #include "daemon/internal/announcer.h"
+#include "daemon/internal/records.h"
 #include "daemon/internal/relay_runtime.h"
 #include "daemon/internal/runtime.h"
+#include "daemon/internal/service_datagrams.h"
 #include "daemon/internal/tunnel_port.h"
 #include "daemon/internal/wake_fence.h"
 #include "net/periodic_timer.h"
@@ -41,6 +43,7 @@
   auto ApplyMonitor(const balancer::MonitorEffects& effects) -> void;
   auto Carry(const balancer::Effects& effects) -> void;
   auto BindServices() -> void;
+  auto Datagrams() const -> ServiceDatagrams;
   auto BindService(const base::Endpoint& address) -> void;
   auto LocalOf(const base::Endpoint& address) const -> base::Endpoint;
   auto WriteClientSpan(const balancer::Route& route) -> void;
@@ -62,6 +65,8 @@
   std::unique_ptr<net::StopSignal> stop_signal;
   wire::pb::TunnelHeader scratch_header;
   WakeFence fence;
+  RecordRefusals records_refused;
+  ServiceDatagrams closed_ports;  ///< counts of service ports that are closed
   base::TimePoint stop_begun{};
   base::TimePoint last_client_packet{};
 };
--- a/src/daemon/internal/records.cc
+++ b/src/daemon/internal/records.cc
@@ -1,9 +1,20 @@
 #include "daemon/internal/records.h"
 
 #include "membership/codec.h"
+#include "relay/store.h"
 
 namespace anvildrum::daemon {
 
+auto CountRefused(RecordRefusals& refusals, std::string_view key) -> void {
+  if (key == relay::kConfigKey) {
+    ++refusals.configurations;
+  } else if (key.starts_with(membership::kTargetPrefix)) {
+    ++refusals.targets;
+  } else if (key.starts_with(membership::kBalancerPrefix)) {
+    ++refusals.balancers;
+  }
+}
+
 auto NameOfKey(std::string_view key) -> std::string_view { return key.substr(key.rfind('/') + 1); }
 
 auto ToRelayPeer(const membership::BalancerRecord& record) -> relay::RelayPeer {
--- a/src/daemon/internal/records.h
+++ b/src/daemon/internal/records.h
@@ -10,6 +10,16 @@
 
 namespace anvildrum::daemon {
 
+/// Records of the platform that don't parse, by what they should have been.
+struct RecordRefusals {
+  std::uint64_t configurations = 0;
+  std::uint64_t targets = 0;
+  std::uint64_t balancers = 0;
+};
+
+/// Counts by the key; keys of other kinds are nobody's.
+auto CountRefused(RecordRefusals& refusals, std::string_view key) -> void;
+
 /// Last part of a key: the name of the target or balancer.
 auto NameOfKey(std::string_view key) -> std::string_view;
 
--- a/src/daemon/internal/relay_runtime.cc
+++ b/src/daemon/internal/relay_runtime.cc
@@ -39,6 +39,11 @@
   return security;
 }
 
+auto AddLink(RelayRefusals& refusals, const net::RelayLinkCounts& counts) -> void {
+  refusals.link_handshakes_failed += counts.handshakes_failed;
+  refusals.link_malformed += counts.malformed;
+}
+
 auto AsBytes(const std::string& text) -> wire::BytesView {
   return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
 }
@@ -72,6 +77,13 @@
 auto RelayRuntime::Stop() -> void { this->Run(relay::StopRequested{}); }
 auto RelayRuntime::State() const -> const relay::State& { return this->state; }
 
+auto RelayRuntime::Refusals() const -> RelayRefusals {
+  auto refusals = this->refusals;
+  if (this->server != nullptr) refusals.server = this->server->Counts();
+  for (const auto& [endpoint, link] : this->links) AddLink(refusals, link.socket->Counts());
+  return refusals;
+}
+
 auto RelayRuntime::PeersChanged(std::vector<relay::RelayPeer> peers) -> void {
   this->Run(relay::PeersChanged{std::move(peers)});
 }
@@ -94,8 +106,7 @@
     return;
   }
   if (const auto* drop = std::get_if<relay::DropParent>(&effect)) {
-    this->links.erase(drop->endpoint);
-    return;
+    return this->CloseLink(drop->endpoint);
   }
   if (const auto* watch = std::get_if<relay::StartWatch>(&effect)) return this->Watch(*watch);
   if (std::holds_alternative<relay::StopWatch>(effect)) {
@@ -142,6 +153,13 @@
   return &this->links.emplace(endpoint, Link{std::move(*socket), {}}).first->second;
 }
 
+auto RelayRuntime::CloseLink(const base::Endpoint& endpoint) -> void {
+  auto found = this->links.find(endpoint);
+  if (found == this->links.end()) return;
+  AddLink(this->refusals, found->second.socket->Counts());
+  this->links.erase(found);
+}
+
 auto RelayRuntime::LinkUp(const base::Endpoint& endpoint) -> void {
   auto found = this->links.find(endpoint);
   if (found == this->links.end() || found->second.waiting.empty()) return;
@@ -152,7 +170,7 @@
 auto RelayRuntime::FromChild(const net::RelayPeer& identity, wire::BytesView bytes) -> void {
   auto message = relay::PeerMessage{};
   if (!message.message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    ++this->malformed;
+    ++this->refusals.malformed;
     return;
   }
   message.sender = {message.message.sender()};
@@ -163,7 +181,7 @@
 auto RelayRuntime::FromParent(const base::Endpoint& endpoint, wire::BytesView bytes) -> void {
   auto message = relay::PeerMessage{};
   if (!message.message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    ++this->malformed;
+    ++this->refusals.malformed;
     return;
   }
   message.sender = {message.message.sender()};
--- a/src/daemon/internal/relay_runtime.h
+++ b/src/daemon/internal/relay_runtime.h
@@ -14,6 +14,14 @@
 
 namespace anvildrum::daemon {
 
+/// What the relay's sockets refused before relay::Step saw it, since the start.
+struct RelayRefusals {
+  net::RelayServerCounts server;             ///< the port for children; an agent has none
+  std::uint64_t malformed = 0;               ///< not a RelayMessage
+  std::uint64_t link_handshakes_failed = 0;  ///< with parents and seeds
+  std::uint64_t link_malformed = 0;          ///< messages of parents that are not of one frame
+};
+
 /// Drives relay::Step with ZeroMQ sockets, platform calls and a timer.
 class RelayRuntime {
  public:
@@ -38,6 +46,7 @@
   auto Stop() -> void;
 
   [[nodiscard]] auto State() const -> const relay::State&;
+  [[nodiscard]] auto Refusals() const -> RelayRefusals;
 
  private:
   /// A connection to a parent. `waiting` is what was said last while it was not up yet.
@@ -50,6 +59,7 @@
   auto Carry(const relay::Effect& effect) -> void;
   auto Send(const relay::SendPeer& send) -> void;
   auto OpenLink(const base::Endpoint& endpoint) -> Link*;
+  auto CloseLink(const base::Endpoint& endpoint) -> void;
   auto LinkUp(const base::Endpoint& endpoint) -> void;
   auto FromChild(const net::RelayPeer& identity, wire::BytesView bytes) -> void;
   auto FromParent(const base::Endpoint& endpoint, wire::BytesView bytes) -> void;
@@ -69,7 +79,7 @@
   boost::asio::steady_timer watch_timer;
   boost::asio::steady_timer poll_timer;
   std::uint64_t watch_call = 0;  ///< answers of earlier watches are ignored
-  std::uint64_t malformed = 0;
+  RelayRefusals refusals;        ///< without the server's, and without those of open links
 };
 
 }  // namespace anvildrum::daemon
--- a/src/daemon/internal/tunnel_port.h
+++ b/src/daemon/internal/tunnel_port.h
@@ -12,8 +12,7 @@
 
 /// Counts of datagrams that were refused, by wire::WireErrorCode.
 struct TunnelCounts {
-  static constexpr auto kCodes = std::size_t{7};
-  std::array<std::uint64_t, kCodes> refused{};
+  std::array<std::uint64_t, wire::kWireErrorCodes> refused{};
   std::uint64_t unsent = 0;  ///< headers and payloads too large for a datagram
 };
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -62,9 +62,10 @@
       });
 }
 
-auto Report(const std::vector<SettingsError>& errors) -> int {
+auto Report(const std::string& file, const std::vector<SettingsError>& errors) -> int {
   for (const auto& error : errors) {
-    std::cerr << "anvildrumd: " << anvildrum::settings::DescribeError(error) << "\n";
+    std::cerr << "anvildrumd: " << file << ": " << anvildrum::settings::DescribeError(error)
+              << "\n";
   }
   return kBadSettings;
 }
@@ -79,7 +80,7 @@
   command.parse(argc, argv);
   auto loaded = anvildrum::settings::LoadSettings(file.getValue());
   if (const auto* errors = std::get_if<std::vector<SettingsError>>(&loaded)) {
-    return Report(*errors);
+    return Report(file.getValue(), *errors);
   }
   return RunDaemon(std::get<Settings>(loaded));
 }
--- /dev/null
+++ b/src/net/internal/handshake_log.cc
@@ -0,0 +1,54 @@
+#include "net/internal/handshake_log.h"
+
+#include <zmq.h>
+
+namespace anvildrum::net::internal {
+namespace {
+
+auto NoteEnd(HandshakeLog& log, std::uint32_t descriptor) -> void {
+  const auto found = log.accepted.find(descriptor);
+  if (found == log.accepted.end()) return;
+  const auto before = found->second;
+  log.accepted.erase(found);
+  if (log.ends_expected > 0) {
+    --log.ends_expected;
+  } else if (before == log.succeeded) {
+    ++log.malformed;
+  }
+}
+
+}  // namespace
+
+auto HandshakeEvents() -> int {
+  return ZMQ_EVENT_ACCEPTED | ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_HANDSHAKE_SUCCEEDED |
+         ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+         ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
+}
+
+auto NoteEvent(HandshakeLog& log, std::uint16_t event, std::uint32_t value) -> void {
+  switch (event) {
+    case ZMQ_EVENT_ACCEPTED:
+      log.accepted[value] = log.succeeded;
+      return;
+    case ZMQ_EVENT_HANDSHAKE_SUCCEEDED:
+      ++log.succeeded;
+      return;
+    case ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL:
+      ++log.malformed;
+      ++log.ends_expected;
+      return;
+    case ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL:
+      ++log.broken_off;
+      ++log.ends_expected;
+      return;
+    case ZMQ_EVENT_HANDSHAKE_FAILED_AUTH:
+      ++log.ends_expected;  // the ZapHandler has counted it
+      return;
+    case ZMQ_EVENT_DISCONNECTED:
+      return NoteEnd(log, value);
+    default:
+      return;
+  }
+}
+
+}  // namespace anvildrum::net::internal
--- a/src/net/internal/operator_port.cc
+++ b/src/net/internal/operator_port.cc
@@ -108,8 +108,8 @@
       return;
     }
     if (error.category() == http::make_error_code(http::error::bad_method).category()) {
-      ++this->port->counts.malformed;
       const auto too_long = error == http::error::body_limit;
+      ++(too_long ? this->port->counts.too_large : this->port->counts.malformed);
       this->Write({.status = too_long ? 413U : 400U, .body = "malformed request\n"}, false);
       return;
     }
@@ -128,9 +128,15 @@
                                                 .path = path,
                                                 .query = query,
                                                 .body = request.body()});
+    this->CountRefusal(response.status);
     this->Write(std::move(response), request.keep_alive());
   }
 
+  auto CountRefusal(unsigned status) -> void {
+    if (status == internal::kNotFound) ++this->port->counts.unknown_path;
+    if (status == internal::kMethodNotAllowed) ++this->port->counts.wrong_method;
+  }
+
   auto Write(OperatorResponse answer, bool keep_alive) -> void {
     this->response.emplace();
     this->response->result(answer.status);
--- a/src/net/internal/relay_link.cc
+++ b/src/net/internal/relay_link.cc
@@ -1,10 +1,11 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
-#include <cstring>
+#include <optional>
 #include <random>
 #include <utility>
 
 #include "net/internal/relay_context.h"
+#include "net/internal/socket_monitor.h"
 #include "net/internal/zmq_pump.h"
 #include "net/relay_socket.h"
 
@@ -41,15 +42,14 @@
         options(options),
         handlers(std::move(handlers)),
         socket(this->context->zmq, zmq::socket_type::dealer),
-        monitor(this->context->zmq, zmq::socket_type::pair),
         retry(io),
         jitter(std::random_device{}()),
         pause(options.first_retry) {}
 
-  auto Connect() -> base::Result<void> {
+  auto Connect(boost::asio::io_context& io) -> base::Result<void> {
     try {
       SetOptions(this->socket, this->options);
-      this->WatchEvents();
+      this->WatchEvents(io);
       this->ConnectWithKey();
     } catch (const zmq::error_t& error) {
       return internal::Fail(NetErrorCode::kConnect, error,
@@ -58,14 +58,12 @@
     return {};
   }
 
-  // The object's own address makes the in-process name unique.
-  auto WatchEvents() -> void {
-    const auto name = "inproc://link-" + std::to_string(reinterpret_cast<std::uintptr_t>(this));
-    if (::zmq_socket_monitor(this->socket.handle(), name.c_str(), kWatchedEvents) != 0) {
-      throw zmq::error_t{};
-    }
-    this->monitor.set(zmq::sockopt::linger, 0);
-    this->monitor.connect(name);
+  // The weak pointer breaks the cycle link -> monitor -> link.
+  auto WatchEvents(boost::asio::io_context& io) -> void {
+    auto on_event = [weak = this->weak_from_this()](std::uint16_t kind, std::uint32_t) {
+      if (const auto self = weak.lock()) self->HandleEvent(kind);
+    };
+    this->monitor.emplace(this->context->zmq, io, this->socket, kWatchedEvents, on_event);
   }
 
   auto ConnectWithKey() -> void {
@@ -76,17 +74,12 @@
     this->socket.connect(internal::ZmqAddress(this->options.parent));
   }
 
-  // The weak pointers break the cycle link -> pump -> link.
+  // The weak pointer breaks the cycle link -> pump -> link.
   auto Start(boost::asio::io_context& io) -> void {
-    const auto weak = this->weak_from_this();
-    this->pump = std::make_shared<internal::ZmqPump>(io, this->socket, [weak] {
+    this->pump = std::make_shared<internal::ZmqPump>(io, this->socket, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->Receive();
     });
-    this->monitor_pump = std::make_shared<internal::ZmqPump>(io, this->monitor, [weak] {
-      if (const auto self = weak.lock()) self->ReceiveEvent();
-    });
     this->pump->Start();
-    this->monitor_pump->Start();
   }
 
   auto Receive() -> void {
@@ -96,22 +89,14 @@
       if (!this->socket.recv(message, zmq::recv_flags::dontwait)) return;
       ++parts;
     } while (message.more());
-    if (parts != 1) return;
+    if (parts != 1) {
+      ++this->counts.malformed;
+      return;
+    }
     ++this->counts.received;
     this->handlers.on_message(internal::BytesOf(message));
   }
 
-  auto ReceiveEvent() -> void {
-    auto event = zmq::message_t{};
-    auto address = zmq::message_t{};
-    if (!this->monitor.recv(event, zmq::recv_flags::dontwait)) return;
-    if (event.more() && !this->monitor.recv(address, zmq::recv_flags::dontwait)) return;
-    auto kind = std::uint16_t{0};
-    if (event.size() < sizeof kind) return;
-    std::memcpy(&kind, event.data(), sizeof kind);
-    this->HandleEvent(kind);
-  }
-
   auto HandleEvent(std::uint16_t kind) -> void {
     if (kind == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
       this->pause = this->options.first_retry;
@@ -179,14 +164,14 @@
     this->closed = true;
     this->retry.cancel();
     this->pump->Stop();
-    this->monitor_pump->Stop();
+    this->monitor->Stop();
   }
 
   std::shared_ptr<RelayContext::Impl> context;
   RelayLinkOptions options;
   Handlers handlers;
   zmq::socket_t socket;
-  zmq::socket_t monitor;
+  std::optional<internal::SocketMonitor> monitor;
   boost::asio::steady_timer retry;
   std::minstd_rand jitter;
   base::Duration pause;
@@ -196,7 +181,6 @@
   bool closed = false;
   RelayLinkCounts counts;
   std::shared_ptr<internal::ZmqPump> pump;
-  std::shared_ptr<internal::ZmqPump> monitor_pump;
 };
 
 auto RelayLink::Open(RelayContext& context, boost::asio::io_context& io,
@@ -205,7 +189,7 @@
   auto checked = internal::CheckSecurity(options.security);
   if (!checked) return checked.error();
   auto impl = std::make_shared<Impl>(context.impl, io, options, std::move(handlers));
-  auto connected = impl->Connect();
+  auto connected = impl->Connect(io);
   if (!connected) return connected.error();
   impl->Start(io);
   return std::unique_ptr<RelayLink>(new RelayLink(std::move(impl)));
--- a/src/net/internal/relay_server.cc
+++ b/src/net/internal/relay_server.cc
@@ -1,8 +1,10 @@
 #include <optional>
 #include <utility>
 
+#include "net/internal/handshake_log.h"
 #include "net/internal/peer_table.h"
 #include "net/internal/relay_context.h"
+#include "net/internal/socket_monitor.h"
 #include "net/internal/zap_handler.h"
 #include "net/internal/zmq_pump.h"
 #include "net/relay_socket.h"
@@ -42,6 +44,7 @@
       this->socket.set(zmq::sockopt::router_mandatory, true);
       this->socket.set(zmq::sockopt::handshake_ivl, internal::Milliseconds(kHandshake));
       SetSecurity(this->socket, options.security);
+      this->WatchHandshakes(io);
       this->socket.bind(internal::ZmqAddress(options.local));
     } catch (const zmq::error_t& error) {
       return internal::Fail(NetErrorCode::kBind, error, base::FormatEndpoint(options.local));
@@ -53,6 +56,14 @@
     return {};
   }
 
+  auto WatchHandshakes(boost::asio::io_context& io) -> void {
+    auto on_event = [weak = this->weak_from_this()](std::uint16_t event, std::uint32_t value) {
+      if (const auto self = weak.lock()) internal::NoteEvent(self->handshakes, event, value);
+    };
+    this->monitor.emplace(this->context->zmq, io, this->socket, internal::HandshakeEvents(),
+                          on_event);
+  }
+
   // The weak pointer breaks the cycle server -> pump -> server.
   auto Start(boost::asio::io_context& io) -> void {
     this->pump = std::make_shared<internal::ZmqPump>(io, this->socket, [weak = weak_from_this()] {
@@ -70,7 +81,11 @@
       if (!this->socket.recv(payload, zmq::recv_flags::dontwait)) return;
       ++parts;
     }
-    if (parts == 2) this->Deliver({routing_id.to_string()}, payload);
+    if (parts != 2) {
+      ++this->counts.malformed;
+      return;
+    }
+    this->Deliver({routing_id.to_string()}, payload);
   }
 
   auto Deliver(const RelayPeer& from, const zmq::message_t& payload) -> void {
@@ -107,8 +122,10 @@
   OnMessage on_message;
   std::optional<internal::ZapHandler> zap;
   zmq::socket_t socket;
+  std::optional<internal::SocketMonitor> monitor;
   base::Endpoint local;
   internal::PeerTable peers;
+  internal::HandshakeLog handshakes;
   RelayServerCounts counts;
   std::shared_ptr<internal::ZmqPump> pump;
 };
@@ -127,7 +144,10 @@
 
 RelayServer::RelayServer(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
 
-RelayServer::~RelayServer() { this->impl->pump->Stop(); }
+RelayServer::~RelayServer() {
+  this->impl->pump->Stop();
+  this->impl->monitor->Stop();
+}
 
 auto RelayServer::Send(const RelayPeer& to, std::span<const std::uint8_t> message) -> bool {
   return this->impl->Send(to, message);
@@ -144,8 +164,11 @@
 auto RelayServer::LocalEndpoint() const -> const base::Endpoint& { return this->impl->local; }
 
 auto RelayServer::Counts() const -> const RelayServerCounts& {
-  if (this->impl->zap) this->impl->counts.keys_refused = this->impl->zap->Refused();
-  return this->impl->counts;
+  auto& counts = this->impl->counts;
+  if (this->impl->zap) counts.keys_refused = this->impl->zap->Refused();
+  counts.handshakes_malformed = this->impl->handshakes.malformed;
+  counts.handshakes_broken_off = this->impl->handshakes.broken_off;
+  return counts;
 }
 
 }  // namespace anvildrum::net
--- a/src/net/internal/route_table.cc
+++ b/src/net/internal/route_table.cc
@@ -3,9 +3,6 @@
 namespace anvildrum::net::internal {
 namespace {
 
-constexpr auto kNotFound = 404U;
-constexpr auto kMethodNotAllowed = 405U;
-
 auto Matches(const RouteEntry& route, std::string_view path) -> bool {
   if (route.path.ends_with('/')) return path.starts_with(route.path);
   return path == route.path;
--- a/src/net/internal/route_table.h
+++ b/src/net/internal/route_table.h
@@ -13,6 +13,9 @@
   OperatorPort::Handler handler;
 };
 
+inline constexpr auto kNotFound = 404U;
+inline constexpr auto kMethodNotAllowed = 405U;
+
 using RouteTable = std::vector<RouteEntry>;
 
 /// The answer of the route with the longest matching path; 404 or 405 without one.
--- a/src/net/operator_port.h
+++ b/src/net/operator_port.h
@@ -40,7 +40,10 @@
 
 struct OperatorPortCounts {
   std::uint64_t requests = 0;
-  std::uint64_t malformed = 0;  ///< not HTTP, or a header or body over its limit
+  std::uint64_t malformed = 0;  ///< not HTTP, cut off, or a header over its limit
+  std::uint64_t too_large = 0;  ///< a body over its limit
+  std::uint64_t unknown_path = 0;
+  std::uint64_t wrong_method = 0;  ///< for a path that is known
   std::uint64_t timed_out = 0;
   std::uint64_t turned_away = 0;  ///< over max_connections
 };
--- a/src/net/relay_socket.h
+++ b/src/net/relay_socket.h
@@ -68,9 +68,14 @@
 struct RelayServerCounts {
   std::uint64_t received = 0;
   std::uint64_t sent = 0;
-  std::uint64_t send_drops = 0;     ///< peer gone, or its queue full
-  std::uint64_t keys_refused = 0;   ///< handshakes with a key that isn't accepted
-  std::uint64_t peers_refused = 0;  ///< messages of peers over max_peers
+  std::uint64_t send_drops = 0;    ///< peer gone, or its queue full
+  std::uint64_t keys_refused = 0;  ///< handshakes with a key that isn't accepted
+  /// Connections whose handshake is not ZMTP (ZeroMQ RFC 23), has no CURVE key, or is sealed to
+  /// another key than the server's.
+  std::uint64_t handshakes_malformed = 0;
+  std::uint64_t handshakes_broken_off = 0;  ///< connections that ended before it was done
+  std::uint64_t peers_refused = 0;          ///< messages of peers over max_peers
+  std::uint64_t malformed = 0;              ///< messages that are not of one frame
 };
 
 /// The parent's end: a ROUTER socket. Used from the io_context's one thread.
@@ -119,6 +124,7 @@
   std::uint64_t sent = 0;
   std::uint64_t send_drops = 0;
   std::uint64_t handshakes_failed = 0;
+  std::uint64_t malformed = 0;  ///< messages that are not of one frame
 };
 
 /// The child's end: a DEALER socket that connects again by itself, trying the accepted server keys
--- a/src/net/tests/operator_port_test.cc
+++ b/src/net/tests/operator_port_test.cc
@@ -80,6 +80,8 @@
   BOOST_TEST(post.ends_with("/flows/7=ab"));
   BOOST_TEST(this->Ask("GET /nothing HTTP/1.0\r\n\r\n").starts_with("HTTP/1.1 404"));
   BOOST_TEST(this->Ask("PUT /status HTTP/1.0\r\n\r\n").starts_with("HTTP/1.1 405"));
+  BOOST_TEST(this->port->Counts().unknown_path == 1U);
+  BOOST_TEST(this->port->Counts().wrong_method == 1U);
 }
 
 // A scanner sends what is no HTTP, and a body over the limit. Each gets an error on its own
@@ -90,7 +92,8 @@
   const auto too_long =
       this->Ask("POST /flows/1 HTTP/1.0\r\nContent-Length: 11\r\n\r\n12345678901");
   BOOST_TEST(too_long.starts_with("HTTP/1.1 413"));
-  BOOST_TEST(this->port->Counts().malformed == 2U);
+  BOOST_TEST(this->port->Counts().malformed == 1U);
+  BOOST_TEST(this->port->Counts().too_large == 1U);
   BOOST_TEST(this->Serves());
 }
 
--- a/src/platform/call_budget.h
+++ b/src/platform/call_budget.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "base/types/time.h"
+#include "platform/types/platform_error.h"
 
 namespace anvildrum::platform {
 
@@ -34,6 +35,8 @@
 struct CallCounts {
   std::array<std::uint64_t, kCallKinds> sent{};
   std::array<std::uint64_t, kCallKinds> refused{};  ///< by the budget, never sent
+  /// Calls that ended in an error, by PlatformErrorCode.
+  std::array<std::uint64_t, kPlatformErrorCodes> failed{};
   std::uint64_t waiting_watches = 0;
 };
 
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -245,14 +245,19 @@
 
 namespace {
 
-// Runs `read` on the answer, or hands the error on, to the caller's callback.
+// Runs `read` on the answer, or hands the error on, to the caller's callback. Errors are counted
+// here, where those of the connection and those found in the answer meet.
 template <typename T>
-auto Then(const HttpCall& call, Outcome<T> (*read)(const HttpCall&, const HttpAnswer&),
-          Callback<T> callback) -> Finish {
-  return [call = HttpCall{call.kind, call.key, {}, {}, {}, {}}, read,
+auto Then(ClientCore& core, const HttpCall& call,
+          Outcome<T> (*read)(const HttpCall&, const HttpAnswer&), Callback<T> callback) -> Finish {
+  return [&counts = core.budget.counts, call = HttpCall{call.kind, call.key, {}, {}, {}, {}}, read,
           callback = std::move(callback)](Outcome<HttpAnswer> outcome) {
-    if (const auto* error = std::get_if<PlatformError>(&outcome)) return callback(*error);
-    callback(read(call, std::get<HttpAnswer>(outcome)));
+    const auto* answer = std::get_if<HttpAnswer>(&outcome);
+    auto result = answer != nullptr ? read(call, *answer) : std::get<PlatformError>(outcome);
+    if (const auto* error = std::get_if<PlatformError>(&result)) {
+      ++counts.failed.at(static_cast<std::size_t>(error->code));
+    }
+    callback(std::move(result));
   };
 }
 
@@ -260,27 +265,27 @@
 
 auto Client::Get(std::string_view key, Callback<Object> callback) -> void {
   auto call = GetCall(key);
-  auto finish = Then<Object>(call, ReadObject, std::move(callback));
+  auto finish = Then<Object>(*this->core, call, ReadObject, std::move(callback));
   this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
 }
 
 auto Client::Put(std::string_view key, std::string_view value, const Precondition& precondition,
                  Callback<std::uint64_t> callback) -> void {
   auto call = PutCall(key, value, precondition);
-  auto finish = Then<std::uint64_t>(call, ReadRevision, std::move(callback));
+  auto finish = Then<std::uint64_t>(*this->core, call, ReadRevision, std::move(callback));
   this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
 }
 
 auto Client::Delete(std::string_view key, IfMatch precondition, Callback<std::monostate> callback)
     -> void {
   auto call = DeleteCall(key, precondition);
-  auto finish = Then<std::monostate>(call, ReadDeleted, std::move(callback));
+  auto finish = Then<std::monostate>(*this->core, call, ReadDeleted, std::move(callback));
   this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
 }
 
 auto Client::List(std::string_view prefix, Callback<Listing> callback) -> void {
   auto call = ListCall(prefix);
-  auto finish = Then<Listing>(call, ReadListing, std::move(callback));
+  auto finish = Then<Listing>(*this->core, call, ReadListing, std::move(callback));
   this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
 }
 
@@ -288,7 +293,7 @@
                    Callback<Listing> callback) -> void {
   auto milliseconds = std::chrono::duration_cast<base::milliseconds>(hold).count();
   auto call = WatchCall(prefix, after, static_cast<std::uint64_t>(milliseconds));
-  auto finish = Then<Listing>(call, ReadListing, std::move(callback));
+  auto finish = Then<Listing>(*this->core, call, ReadListing, std::move(callback));
   auto timeout = hold + this->core->settings.call_timeout;
   this->core->Start(std::move(call), timeout, std::move(finish));
 }
--- a/src/platform/tests/client_faults_test.cc
+++ b/src/platform/tests/client_faults_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <numeric>
 
 #include "platform/conditional_writer.h"
 #include "platform/prefix_watcher.h"
@@ -85,6 +86,27 @@
   BOOST_TEST(rig.Counts().put == 1U);
 }
 
+// The platform fails in several ways, one call each. The operator tells them apart by their counts,
+// and the next good answer is taken.
+BOOST_AUTO_TEST_CASE(failures_are_counted_by_kind) {
+  auto rig = ClientRig{};
+  PutDirectly(rig, "a", "1");
+  auto failed = [&](PlatformErrorCode code) {
+    return rig.client.Counts().failed.at(static_cast<std::size_t>(code));
+  };
+  rig.Faults().half_body = 1;
+  rig.Get("a");
+  rig.Faults().error_500 = 1;
+  rig.Get("a");
+  rig.Get("missing");
+  BOOST_TEST(failed(PlatformErrorCode::kMalformedAnswer) == 1U);
+  BOOST_TEST(failed(PlatformErrorCode::kServerError) == 1U);
+  BOOST_TEST(failed(PlatformErrorCode::kNotFound) == 1U);
+  BOOST_CHECK(!CodeOf(rig.Get("a")).has_value());
+  BOOST_TEST(std::accumulate(rig.client.Counts().failed.begin(), rig.client.Counts().failed.end(),
+                             0U) == 3U);
+}
+
 // The platform closed the idle connection, as a restart does. A read goes out again on a new one; a
 // write is not repeated, since nobody knows whether the closed connection carried it.
 BOOST_AUTO_TEST_CASE(only_reads_are_repeated_on_a_connection_that_was_closed) {
--- a/src/platform/types/platform_error.h
+++ b/src/platform/types/platform_error.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 namespace anvildrum::platform {
@@ -18,6 +19,7 @@
   kRefused,          ///< any other answer
   kOverBudget,       ///< not sent: the instance's own budget of calls is used up
 };
+inline constexpr auto kPlatformErrorCodes = std::size_t{12};
 
 struct PlatformError {
   PlatformErrorCode code = PlatformErrorCode::kUnreachable;
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -18,9 +18,33 @@
   AcceptPacket(context, {*flow, packet, event.payload, {event.header->sender()}});
 }
 
+// The flow that a control message speaks of; null where it speaks of none.
+auto FlowIn(const wire::pb::TunnelHeader& header) -> const wire::pb::Flow* {
+  using wire::pb::TunnelHeader;
+  switch (header.body_case()) {
+    case TunnelHeader::kOwnerQuery:
+      return &header.owner_query().flow();
+    case TunnelHeader::kOwnerAnswer:
+      return &header.owner_answer().flow();
+    case TunnelHeader::kYield:
+      return &header.yield().flow();
+    case TunnelHeader::kYieldAck:
+      return &header.yield_ack().flow();
+    case TunnelHeader::kHandOverAck:
+      return &header.hand_over_ack().flow();
+    default:
+      return nullptr;
+  }
+}
+
 auto Handle(StepContext& context, const TunnelArrived& event) -> void {
   using wire::pb::TunnelHeader;
   const auto& header = *event.header;
+  const auto* flow = FlowIn(header);
+  if (flow != nullptr && !wire::ReadFlow(*flow)) {
+    ++context.directory.counters.malformed;
+    return;
+  }
   switch (header.body_case()) {
     case TunnelHeader::kPacket:
       return HandlePacket(context, event);
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -203,8 +203,12 @@
   auto& directory = context.directory;
   const auto& message = event.header->hand_over();
   auto flow = wire::ReadFlow(message.flow());
+  if (!flow) {
+    ++directory.counters.malformed;
+    return;
+  }
   // Safeguard: what waited in the socket of a stopped process may have been taken back since.
-  if (!flow || flow->service != directory.service || directory.fenced) return;
+  if (flow->service != directory.service || directory.fenced) return;
   auto from = ReadRef(message.from());
   auto* peer = FindPeer(directory, from);
   if (peer == nullptr || ReadRef(message.to()) != directory.self) {
--- a/src/steering/tests/directory_test.cc
+++ b/src/steering/tests/directory_test.cc
@@ -3,6 +3,26 @@
 namespace anvildrum::steering {
 namespace {
 
+// A peer of another version, or with a fault, names no flow in its messages. Each is counted, none
+// is answered, and the next packet is served.
+BOOST_AUTO_TEST_CASE(messages_without_a_flow_are_counted) {
+  auto directory = MakeDirectory(MakeView(1));
+  auto messages = std::array<TunnelHeader, 6>{};
+  messages[0].mutable_owner_query();
+  messages[1].mutable_owner_answer();
+  messages[2].mutable_yield();
+  messages[3].mutable_yield_ack();
+  messages[4].mutable_hand_over_ack();
+  messages[5].mutable_packet();
+  for (const auto& message : messages) BOOST_TEST(Send(directory, message).sends.empty());
+  auto hand_over = TunnelHeader{};
+  hand_over.mutable_hand_over();
+  auto arrived = HandOverArrived{kBalancer, &hand_over, {}, true};
+  BOOST_TEST(Step(directory, arrived, kStart).sends.empty());
+  BOOST_TEST(directory.counters.malformed == messages.size() + 1);
+  BOOST_TEST(Send(directory, MakePacket(1)).deliveries.size() == 1u);
+}
+
 // An address moved from mapper to desk, and a balancer has not heard: a mapper client's packet
 // comes to a desk agent. Delivered, it would be answered by the wrong service.
 BOOST_AUTO_TEST_CASE(a_packet_of_another_service_is_refused_and_counted) {
--- a/src/wire/types/wire_error.h
+++ b/src/wire/types/wire_error.h
@@ -14,6 +14,7 @@
   kTooLarge,     ///< over kMaxDatagram
   kNoKey,        ///< a key ring without keys
 };
+inline constexpr auto kWireErrorCodes = std::size_t{7};
 
 struct WireError {
   WireErrorCode code = WireErrorCode::kMalformed;
--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -5,7 +5,9 @@
 import socket
 import subprocess
 import unittest
+import urllib.request
 
+import rubbish
 from coap import Flow
 from support import WIDE_SECONDS, FleetTest, wait_until
 
@@ -14,6 +16,10 @@
 LARGEST = 2000
 SEED = 20
 EXIT_BAD_SETTINGS = 2
+LARGEST_DATAGRAM = 65507  # over IPv4
+TOO_LARGE_BODY = 2 * 1024 * 1024
+OWNER_QUERY, REPLY = 6, 4  # bodies of a tunnel header, src/wire/tunnel.proto
+NO_SERVICE = 1  # the id of none
 
 
 def endpoint(text):
@@ -84,7 +90,126 @@
                        if name.startswith("anvildrum_requests_total") and "malformed" in name)
         wait_until(lambda: malformed() > 0, "malformed client datagrams counted", WIDE_SECONDS)
 
-    # The operator sees: exit code 2 and the key at fault, and no port bound.
+    # The operator sees: for each kind of rubbish its own count, and everything else as ever.
+    # Order: one kind at one edge, its count, a request or call that is served, then the next kind.
+    # Why: a fault, or a stranger, shows by its kind; one sum would not tell them apart.
+    def test_each_kind_of_rubbish_is_counted_at_its_edge(self):
+        running = self.start_fleet()
+        self.b1, self.agent = running.balancer("b1"), running.plan["targets"][0]
+        for edge in (self.client_edge, self.tunnel_edge, self.control_edge, self.operator_edge,
+                     self.platform_edge):
+            for where, sample, send in edge(running):
+                with self.subTest(edge=edge.__name__, sample=sample):
+                    self.check_kind(running, where, sample, send)
+        patch = running.path / "patch.json"
+        patch.write_text('[{"op": "add", "path": "/services/desk/limits/queue_ms", "value": 300}]')
+        done = running.ctl("apply", "--base", "1", "--wait", "--timeout", "30", str(patch))
+        self.assertEqual(done.returncode, 0, done.stderr)
+
+    def check_kind(self, running, where, sample, send):
+        def count():
+            return sum(running.metrics(entry)[sample] for entry in where)
+        before = count()
+        send()
+        wait_until(lambda: count() > before, f"{sample} rises", WIDE_SECONDS)
+        with Flow(self.b1["binds"][0]) as flow:
+            self.assertEqual(flow.get("feed").status, 205)
+        for entry in (self.b1, self.agent):
+            self.assertTrue(running.status(entry)["ready"])
+
+    def datagram(self, address, data):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(data, endpoint(address))
+
+    def stream(self, address, data):
+        with socket.create_connection(endpoint(address), timeout=5) as sender:
+            sender.sendall(data)
+            sender.settimeout(5)
+            try:
+                while sender.recv(4096):
+                    pass
+            except OSError:
+                pass  # reset by the other end
+
+    def client_edge(self, running):
+        bind = self.b1["binds"][0]
+        token_of_15_bytes = bytes([0x4f, 1, 0, 7]) + bytes(15)
+        yield (running.plan["targets"], 'anvildrum_requests_total{event="client_malformed"}',
+               lambda: self.datagram(bind, token_of_15_bytes))
+        yield ([self.b1], "anvildrum_tunnel_unsent_total",
+               lambda: self.datagram(bind, bytes(LARGEST_DATAGRAM)))
+
+    def tunnel_edge(self, running):
+        for name, entry in (("b1", self.b1), (self.agent["agent"], self.agent)):
+            settings = self.settings(running, name)
+            address, key = settings["tunnel"], bytes.fromhex(settings["tunnel_keys"][0])
+            datagrams = {"truncated": b"abc", "bad_mac": self.random.randbytes(LARGEST_DATAGRAM),
+                         "malformed": rubbish.seal(key, b"\xff\xff"),
+                         "missing_body": rubbish.seal(key, b"")}
+            for kind, data in datagrams.items():
+                yield ([entry], f'anvildrum_tunnel_refused_total{{reason="{kind}"}}',
+                       lambda data=data: self.datagram(address, data))
+        key = bytes.fromhex(self.settings(running, "b1")["tunnel_keys"][0])
+        b1, agent = (self.settings(running, name)["tunnel"] for name in ("b1", self.agent["agent"]))
+        messages = 'anvildrum_tunnel_messages_refused_total{kind="%s"}'
+        yield ([self.b1], messages % "misdirected",
+               lambda: self.datagram(b1, rubbish.seal(key, rubbish.part(OWNER_QUERY, b""))))
+        yield ([self.b1], messages % "malformed",
+               lambda: self.datagram(b1, rubbish.seal(key, rubbish.part(REPLY, b""))))
+        yield ([self.agent], messages % "malformed",
+               lambda: self.datagram(agent, rubbish.seal(key, rubbish.part(REPLY, b""))))
+        yield ([self.agent], 'anvildrum_flow_events_total{event="wrong_service"}',
+               lambda: self.datagram(agent, rubbish.seal(key, rubbish.packet(NO_SERVICE), b"x")))
+
+    def control_edge(self, running):
+        settings = self.settings(running, "b1")
+        address, keys = settings["balancer"]["control"], settings["relay_keys"][0]
+        handshakes = 'anvildrum_relay_handshakes_refused_total{kind="%s"}'
+        messages = 'anvildrum_relay_messages_refused_total{kind="%s"}'
+
+        def closed_at_once():
+            socket.create_connection(endpoint(address), timeout=5).close()
+        yield [self.b1], handshakes % "malformed", lambda: self.stream(address, b"x" * 100)
+        yield [self.b1], handshakes % "broken_off", closed_at_once
+        peers = [(handshakes % "malformed", {}, [b"without keys"]),
+                 (handshakes % "key_not_accepted", {"own": rubbish.new_keys(), "server": keys},
+                  [b"with a strange key"]),
+                 (messages % "malformed", {"own": keys, "server": keys}, [b"\xff\xff"]),
+                 (messages % "wrong_frames", {"own": keys, "server": keys}, [b"1", b"2", b"3"]),
+                 (messages % "unexpected", {"own": keys, "server": keys}, [b""])]
+        for sample, options, frames in peers:
+            with rubbish.RelayPeer(address, **options) as peer:
+                yield [self.b1], sample, lambda peer=peer, frames=frames: peer.send(*frames)
+
+    def operator_edge(self, _):
+        refused = 'anvildrum_operator_refused_total{kind="%s"}'
+        body = f"POST /drain HTTP/1.1\r\nContent-Length: {TOO_LARGE_BODY}\r\n\r\n"
+        requests = {"malformed": "\x16\x03\x01 rubbish\r\n\r\n", "too_large": body,
+                    "unknown_path": "GET /nothing HTTP/1.0\r\n\r\n",
+                    "wrong_method": "PUT /status HTTP/1.0\r\n\r\n"}
+        for entry in (self.b1, self.agent):
+            for kind, text in requests.items():
+                yield ([entry], refused % kind,
+                       lambda text=text: self.stream(entry["operator_port"], text.encode()))
+
+    def platform_edge(self, running):
+        def put(key):
+            request = urllib.request.Request(
+                f"http://{running.plan['platform']}/v1/objects/{key}", method="PUT",
+                data=b'{"no": "record"}', headers={"If-None-Match": "*"})
+            urllib.request.urlopen(request, timeout=5).close()
+        refused = 'anvildrum_records_refused_total{kind="%s"}'
+        yield [self.b1], refused % "target", lambda: put("targets/desk/no-record")
+        yield [self.agent], refused % "target", lambda: put("targets/desk/no-record-either")
+        yield [self.b1], refused % "balancer", lambda: put("balancers/no-record")
+        every = [entry for _, entry in running.entries()]
+
+        def cut_off():
+            running.faults(half_body=10)
+            put("targets/desk/ends-a-watch")
+        yield every, 'anvildrum_platform_failures_total{kind="malformed_answer"}', cut_off
+
+    # The operator sees: exit code 2, the file and the key at fault, and no port bound.
     def test_wrong_settings_end_the_daemon_before_it_binds(self):
         running = self.start_fleet()
         good = self.settings(running, "b1")
@@ -101,6 +226,7 @@
                                         capture_output=True, text=True, timeout=WIDE_SECONDS)
                 # The ports are taken by b1: binding first would end with another code.
                 self.assertEqual(result.returncode, EXIT_BAD_SETTINGS, result.stderr)
+                self.assertIn(f"{path}: ", result.stderr)
                 self.assertIn(key, result.stderr)
 
     # The operator sees: each process ends by itself, with exit code 0, after one SIGTERM.
