Stop the demo's processes at any signal, also an early one or a Ctrl-C

Cause: demo.py set its handlers when everything was ready. A SIGTERM before that left what it had started running; a Ctrl-C in a terminal goes to the whole group, so platform and fabric ended beside the agents, which could then neither drain nor withdraw.

Change: handlers from the start on, which lead to the one stop at the end; a further signal doesn't cut that short. The demo's processes are in sessions of their own, so that the script alone is signalled. The status table is printed whole.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -8,7 +8,6 @@
 import signal
 import subprocess
 import sys
-import threading
 
 import fleet
 
@@ -17,9 +16,23 @@
 READS = {"desk": ".well-known/core", "mapper": "route", "scada-gw": ".well-known/core",
          "report-srv": ".well-known/core"}
 DRAIN_SECONDS = "5"  # streams of the demo's own clients need no hours
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 KEPT_DRAIN_SECONDS = "20"  # when all agents stop at once, none can take the others' flows
 
 
+class Interrupted(Exception):
+    """A signal asked for the end."""
+
+
+def interrupt(*_):
+    raise Interrupted
+
+
+def on_stop_signals(handler):
+    for number in STOP_SIGNALS:
+        signal.signal(number, handler)
+
+
 class Demo:
     def __init__(self, deployment):
         self.fleet = deployment
@@ -99,12 +112,24 @@
 
 
 def keep(deployment):
-    stopped = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stopped.set())
     announce(deployment)
-    stopped.wait()
-    return 0
+    try:
+        while True:
+            signal.pause()
+    except Interrupted:
+        return 0
+
+
+def run(deployment):
+    """The number of wrong answers."""
+    demo = Demo(deployment)
+    demo.through_every_balancer()
+    demo.load()
+    demo.print_trace()
+    status = deployment.ctl("status")
+    demo.check("anvilctl status", status.stderr, status.returncode == 0)
+    print(status.stdout)
+    return demo.wrong
 
 
 def main():
@@ -115,22 +140,23 @@
     options = parser.parse_args()
     drain_seconds = KEPT_DRAIN_SECONDS if options.keep else DRAIN_SECONDS
     make_options = ["--drain-seconds", drain_seconds]
-    deployment = fleet.Fleet(options.deployment, options.build, make_options=make_options)
+    # Safeguard: a signal that comes while processes are being started would otherwise leave them
+    # running with nobody to stop them. From here on it leads to the stop below, which no further
+    # signal cuts short.
+    on_stop_signals(interrupt)
+    deployment = fleet.Fleet(options.deployment, options.build, make_options=make_options,
+                             own_groups=True)
     try:
         deployment.start()
-        if options.keep:
-            return keep(deployment)
-        demo = Demo(deployment)
-        demo.through_every_balancer()
-        demo.load()
-        demo.print_trace()
-        status = deployment.ctl("status")
-        demo.check("anvilctl status", "\n" + status.stdout, status.returncode == 0)
+        wrong = keep(deployment) if options.keep else run(deployment)
+    except Interrupted:
+        wrong = 1
     finally:
+        on_stop_signals(signal.SIG_IGN)
         killed = deployment.stop()
     if killed:
         print("had to be killed:", ", ".join(killed))
-    return 1 if demo.wrong or killed else 0
+    return 1 if wrong or killed else 0
 
 
 if __name__ == "__main__":
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -88,7 +88,9 @@
 class Fleet:
     """One running deployment. Use as a context manager: leaving it stops what it started."""
 
-    def __init__(self, deployment, build, target_options=(), make_options=()):
+    # `own_groups`: a terminal's Ctrl-C reaches this process alone. Safeguard: it would stop platform
+    # and fabric at once with the agents, which could then neither drain nor withdraw.
+    def __init__(self, deployment, build, target_options=(), make_options=(), own_groups=False):
         self.build = pathlib.Path(build)
         self.deployment = deployment
         self.folder = tempfile.TemporaryDirectory(prefix="anvildrum-")
@@ -96,6 +98,7 @@
         self.log_copy = os.environ.get("ANVILDRUM_FLEET_LOGS")
         self.base, self.holder = reserve_ports()
         self.target_options = list(target_options)
+        self.own_groups = own_groups
         self.processes = {}  # name -> (role, Popen)
         self.commands = []  # clients of this fleet
         make = [sys.executable, str(ROOT / "scripts/make_deployment.py"), deployment, str(self.path)]
@@ -125,7 +128,8 @@
 
     def start_process(self, role, name, command):
         log = open(self.path / f"{name}.log", "ab")
-        process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                   start_new_session=self.own_groups)
         log.close()
         self.processes[name] = (role, process)
         return process
