--- a/src/ctl/internal/command_line.cc
+++ b/src/ctl/internal/command_line.cc
@@ -167,6 +167,21 @@
   return words;
 }
 
+// What stands where the command should: the first word that is neither an option nor its value.
+auto NameNoCommand(std::span<const std::string> words) -> Stop {
+  for (auto i = std::size_t{0}; i < words.size(); ++i) {
+    if (!words[i].starts_with('-')) return Usage("no command '" + words[i] + "'");
+    if (words[i].find('=') == std::string::npos) ++i;
+  }
+  return Usage("a command is missing");
+}
+
+auto Describe(const TCLAP::ArgException& exception) -> std::string {
+  auto argument = exception.argId();
+  auto named = argument.find_first_not_of(' ') != std::string::npos;
+  return named ? argument + " " + exception.error() : exception.error();
+}
+
 auto IsHelp(std::string_view word) -> bool { return word == "--help" || word == "-h"; }
 
 }  // namespace
@@ -180,14 +195,14 @@
   }
   auto words = CommandFirst(arguments);
   auto command = Commands().find(words.front());
-  if (command == Commands().end()) return Usage("no command '" + words.front() + "'");
+  if (command == Commands().end()) return NameNoCommand(words);
   try {
     auto parser = Parser(environment);
     auto invocation = command->second(parser, std::span<const std::string>(words).subspan(1));
     if (!NeedsPlatform(invocation) || !invocation.platform.empty()) return invocation;
     return Usage("--platform IP:PORT or ANVILCTL_PLATFORM is missing");
   } catch (TCLAP::ArgException& exception) {
-    return Usage(exception.argId() + " " + exception.error());
+    return Usage(Describe(exception));
   } catch (const UsageError& error) {
     return Usage(error.text);
   }
--- a/src/ctl/tests/command_line_test.cc
+++ b/src/ctl/tests/command_line_test.cc
@@ -70,6 +70,19 @@
   }
 }
 
+// The operator mistypes a command behind the kept prefix, or forgets it: the word at fault is
+// named, not the prefix.
+BOOST_AUTO_TEST_CASE(a_wrong_command_behind_options_is_named) {
+  auto mistyped = Stopped({"--platform", "127.0.0.1:1", "stauts", "--json"}, kNothing);
+  BOOST_TEST(mistyped.text.starts_with("anvilctl: no command 'stauts'\n"));
+  auto joined = Stopped({"--platform=127.0.0.1:1", "stauts"}, kNothing);
+  BOOST_TEST(joined.text.starts_with("anvilctl: no command 'stauts'\n"));
+  auto forgotten = Stopped({"--platform", "127.0.0.1:1"}, kNothing);
+  BOOST_TEST(forgotten.text.starts_with("anvilctl: a command is missing\n"));
+  auto incomplete = Stopped({"apply"}, kEnvironment);
+  BOOST_TEST(incomplete.text.starts_with("anvilctl: Required arguments missing: base, patch\n"));
+}
+
 BOOST_AUTO_TEST_CASE(help_and_version_end_well) {
   for (const auto* word : {"--help", "-h", "--version"}) {
     auto stop = Stopped({word}, kNothing);
--- a/src/platform/tests/client_faults_test.cc
+++ b/src/platform/tests/client_faults_test.cc
@@ -104,7 +104,7 @@
   BOOST_TEST(failed(PlatformErrorCode::kNotFound) == 1U);
   BOOST_CHECK(!CodeOf(rig.Get("a")).has_value());
   BOOST_TEST(std::accumulate(rig.client.Counts().failed.begin(), rig.client.Counts().failed.end(),
-                             0U) == 3U);
+                             std::uint64_t{0}) == 3U);
 }
 
 // The platform closed the idle connection, as a restart does. A read goes out again on a new one; a
