Take monitors' probes as the sign that an agent's replies may leave by them

Change: a balancer that monitors the agent probes it anyway; its probe shows for 0.6 s that replies may leave by it, and those with such a sign take turns. A probe says when the last one went unanswered and is then no sign. Without signs one balancer is asked a round, never the one heard last. Ruled out: probing what replies left by (as dear with many feeds), and a single probed balancer (one that lost its clients would carry everything).

--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "constants.h"
@@ -31,14 +32,19 @@
           {"points", std::move(points)}};
 }
 
-auto Report() -> nlohmann::json {
-  auto report = nlohmann::json{};
-  report["machine"] = {{"cpu", CpuModel()}, {"nproc", std::thread::hardware_concurrency()}};
-  report["constants"] = nlohmann::json::array();
+auto Constants() -> nlohmann::json {
+  auto constants = nlohmann::json::array();
   for (const auto& constant : PolicyConstants()) {
-    report["constants"].push_back(
+    constants.push_back(
         {{"name", constant.name}, {"value", constant.value}, {"source", constant.source}});
   }
+  return constants;
+}
+
+auto Report() -> nlohmann::json {
+  auto report = nlohmann::json{};
+  report["machine"] = {{"cpu", CpuModel()}, {"nproc", std::thread::hardware_concurrency()}};
+  report["constants"] = Constants();
   report["slopes"] = nlohmann::json::array();
   for (auto* measure : {MeasureBase, MeasureWire, MeasureLists, MeasureRelayWire, MeasureUdp,
                         MeasureZeroMq, MeasureSteering, MeasureRelay, MeasureRequests}) {
@@ -50,7 +56,10 @@
 }  // namespace
 }  // namespace anvildrum::capacity
 
-auto main() -> int {
-  std::cout << anvildrum::capacity::Report().dump(1) << '\n';
+// --constants: the code's decided parameters alone, where the slopes are kept.
+auto main(int count, char** arguments) -> int {
+  auto only_constants = count > 1 && std::string_view(arguments[1]) == "--constants";
+  auto report = only_constants ? anvildrum::capacity::Constants() : anvildrum::capacity::Report();
+  std::cout << report.dump(1) << '\n';
   return 0;
 }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures the slopes and writes docs/CAPACITY.md anew; --check only compares the page with the
-# committed slopes.
+# committed slopes. --constants takes the code's parameters anew and keeps the slopes, for a machine
+# that is too busy to measure on.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = --check ]; then
@@ -9,6 +10,11 @@
 build=${ANVILDRUM_BUILD:-build}
 cmake -S . -B "$build" -G Ninja >/dev/null
 cmake --build "$build" -j "${ANVILDRUM_JOBS:-$(nproc)}" --target anvildrum-capacity-bench
+if [ "${1:-}" = --constants ]; then
+  "$build/bench/capacity/anvildrum-capacity-bench" --constants >"$build/capacity-constants.json"
+  python3 scripts/make_capacity.py --constants "$build/capacity-constants.json"
+  exit
+fi
 "$build/bench/capacity/anvildrum-capacity-bench" >"$build/capacity-slopes.json"
 mv "$build/capacity-slopes.json" docs/figures/capacity-slopes.json
 python3 scripts/make_capacity.py
--- a/scripts/make_capacity.py
+++ b/scripts/make_capacity.py
@@ -1,9 +1,10 @@
 #!/usr/bin/env python3
 """Writes the tables of docs/CAPACITY.md from the model, its rows and the measured slopes.
 
-    scripts/make_capacity.py [--check]
+    scripts/make_capacity.py [--check | --constants FILE]
 
---check changes nothing and fails when the page is not what the inputs give.
+--check changes nothing and fails when the page is not what the inputs give. --constants takes the
+code's parameters from FILE into the committed slopes, and then writes the page.
 """
 import ast
 import json
@@ -219,7 +220,15 @@
     return page
 
 
+def take_constants(path):
+    bench = json.loads(SLOPES.read_text())
+    bench["constants"] = json.loads(pathlib.Path(path).read_text())
+    SLOPES.write_text(json.dumps(bench, indent=1, sort_keys=True) + "\n")
+
+
 def main():
+    if sys.argv[1:2] == ["--constants"]:
+        take_constants(sys.argv[2])
     page = PAGE.read_text()
     made = render(page)
     if "--check" in sys.argv[1:]:
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -63,6 +63,25 @@
   base::TimePoint until{};
 };
 
+/// A balancer's last sign that replies may leave by it: its probe, or its answer to this agent's.
+struct ReplySign {
+  base::InstanceId instance;
+  base::Incarnation incarnation = 0;
+  base::Endpoint tunnel;
+  base::TimePoint heard{};
+  base::TimePoint probed{};  ///< its last probe; zero: none
+  base::Duration period{};   ///< longest time between its last probes; zero: not known yet
+};
+
+/// What is known of the balancers that replies may leave by, and the question under way to one
+/// that gave no sign of its own accord.
+struct ReplySigns {
+  std::vector<ReplySign> signs;
+  std::uint64_t sequence = 0;  ///< of the last question
+  std::uint64_t turn = 0;
+  base::TimePoint next_question{};
+};
+
 struct Agent {
   AgentPolicy policy;
   membership::TargetRecord record;  ///< as announced
@@ -75,6 +94,7 @@
   requests::StatePtr requests;
   membership::Suspicion suspicion;
   std::vector<membership::BalancerRecord> reply_balancers;
+  ReplySigns reply_signs;
   std::uint64_t reply_turn = 0;
   std::optional<base::TimePoint> request_timer;
   base::TimePoint next_load{};
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -22,10 +22,25 @@
 auto ChooseReplyBalancers(Agent& agent) -> void;
 auto SendReply(Context& context, const base::FlowKey& flow, wire::Bytes payload) -> void;
 
+// reply_signs.cc
+/// A balancer's probe or answer came; a sender that is no balancer of the view is ignored.
+auto NoteProbed(Context& context, const wire::pb::TunnelHeader& header) -> void;
+auto NoteAnswered(Context& context, const wire::pb::TunnelHeader& header) -> void;
+/// Asks one balancer when none gave a sign for a while.
+auto AskForSign(Context& context) -> void;
+/// Drops what was known of balancers that left the view.
+auto ForgetSigns(Agent& agent) -> void;
+/// The balancer for a reply without a trusted route: those with a fresh sign take turns. Null: no
+/// balancer has given one yet.
+auto NextBySign(Context& context) -> const ReplySign*;
+/// Whether a balancer that used to probe this agent has fallen silent.
+auto IsOverdue(const Context& context, const base::Endpoint& tunnel) -> bool;
+
 // peers.cc
 auto OnViewChange(Context& context) -> void;
 auto ObservePeers(Context& context, const membership::SuspicionEvent& event) -> void;
-auto OnProbe(Context& context, const base::Endpoint& from, const wire::pb::Probe& probe) -> void;
+auto OnProbe(Context& context, const base::Endpoint& from, const wire::pb::TunnelHeader& probe)
+    -> void;
 auto OnProbeAnswer(Context& context, const wire::pb::TunnelHeader& header) -> void;
 auto RefreshOwnLoad(Context& context) -> void;
 
--- a/src/agent/internal/peers.cc
+++ b/src/agent/internal/peers.cc
@@ -29,9 +29,6 @@
 auto PeersToObserve(const Agent& agent) -> std::vector<PeerRef> {
   auto peers = std::vector<PeerRef>{};
   AppendProbedTargets(agent, peers);
-  for (const auto& balancer : agent.reply_balancers) {
-    peers.push_back({balancer.instance, balancer.incarnation});
-  }
   return peers;
 }
 
@@ -121,6 +118,7 @@
 auto OnViewChange(Context& context) -> void {
   auto& agent = context.agent;
   ChooseReplyBalancers(agent);
+  ForgetSigns(agent);
   auto peers = PeersToObserve(agent);
   ObservePeers(context, membership::PeersChanged{peers});
   const auto* self = membership::FindTarget(agent.view, agent.record.id);
@@ -136,10 +134,12 @@
   for (const auto& change : effects.changes) ApplySuspicion(context, change);
 }
 
-auto OnProbe(Context& context, const base::Endpoint& from, const wire::pb::Probe& probe) -> void {
+auto OnProbe(Context& context, const base::Endpoint& from, const wire::pb::TunnelHeader& probe)
+    -> void {
+  NoteProbed(context, probe);
   auto header = MakeHeader(context.agent);
   auto* answer = header.mutable_probe_answer();
-  answer->set_sequence(probe.sequence());
+  answer->set_sequence(probe.probe().sequence());
   answer->set_draining(context.agent.phase >= Phase::kDraining);
   *answer->add_loads() = steering::OwnLoadReport(context.agent.directory);
   ++context.agent.counters.probes_answered;
@@ -148,6 +148,7 @@
 
 auto OnProbeAnswer(Context& context, const wire::pb::TunnelHeader& header) -> void {
   auto peer = PeerRef{{header.sender()}, header.incarnation()};
+  NoteAnswered(context, header);
   ObservePeers(context, membership::ProbeAnswered{peer, header.probe_answer().sequence()});
   for (const auto& load : header.probe_answer().loads()) {
     ApplyPeerLoad(context, load);
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -14,38 +14,17 @@
   return {elsewhere, mixed * 0xbf58476d1ce4e5b9ULL};
 }
 
-auto IsSuspect(const Agent& agent, base::InstanceId instance) -> bool {
-  const auto* peer = membership::FindPeer(agent.suspicion, instance);
-  return peer != nullptr && peer->suspect;
-}
-
-auto FindByTunnel(const Agent& agent, const base::Endpoint& tunnel) -> const BalancerRecord* {
-  const auto& balancers = agent.view.balancers;
-  auto found = std::find_if(balancers.begin(), balancers.end(),
-                            [&](const auto& balancer) { return balancer.tunnel == tunnel; });
-  return found == balancers.end() ? nullptr : &*found;
-}
-
 auto IsFresh(const Context& context, const base::FlowKey& flow) -> bool {
   auto found = context.agent.directory.owned.find(flow);
   if (found == context.agent.directory.owned.end()) return false;
   return context.now - found->second.last_from_client < context.agent.policy.fresh_route;
 }
 
-auto NextReplyBalancer(Agent& agent) -> const BalancerRecord* {
-  auto count = agent.reply_balancers.size();
-  for (auto i = std::size_t{0}; i < count; ++i) {
-    const auto& balancer = agent.reply_balancers[agent.reply_turn++ % count];
-    if (!IsSuspect(agent, balancer.instance)) return &balancer;
-  }
-  return nullptr;
-}
-
 auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
-  if (const auto* balancer = NextReplyBalancer(agent)) return balancer->tunnel;
-  // All are suspect: this agent itself may be cut off, and trying costs nothing.
+  if (const auto* sign = NextBySign(context)) return sign->tunnel;
+  // None gave a sign: this agent itself may be cut off, and trying costs nothing.
   if (agent.reply_balancers.empty()) return std::nullopt;
   return agent.reply_balancers.front().tunnel;
 }
@@ -53,16 +32,14 @@
 // Safeguard: a stream may run for an hour without a packet of its client, and the balancer that
 // carried its last one may die or lose its way to the clients meanwhile: the client's screen would
 // freeze. A route without a fresh client packet is therefore not trusted: such replies take turns
-// over a few probed balancers, so that a dead one is left out once it is suspect and one that
-// merely lost its clients takes a share of the notifications, not all.
+// over balancers that have just given a sign of life, so that a dead one is left out when its sign
+// is old and one that merely lost its clients takes a share of the notifications, not all.
 auto RouteOf(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   auto last = steering::ReplyRoute(agent.directory, flow, context.now);
   if (!last) return PartingRoute(context, flow);
-  const auto* seen = FindByTunnel(agent, *last);
-  auto suspect = seen != nullptr && IsSuspect(agent, seen->instance);
-  if (IsFresh(context, flow) && !suspect) return last;
-  const auto* other = NextReplyBalancer(agent);
+  if (IsFresh(context, flow) && !IsOverdue(context, *last)) return last;
+  const auto* other = NextBySign(context);
   return other == nullptr ? last : std::optional(other->tunnel);
 }
 
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -102,6 +102,7 @@
 
 auto Handle(Context& context, const Timer&) -> void {
   ObservePeers(context, membership::SuspicionTimer{});
+  AskForSign(context);
   PingTarget(context);
   ForgetLost(context);
   RefreshOwnLoad(context);
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -199,7 +199,7 @@
   }
   switch (header.body_case()) {
     case TunnelHeader::kProbe:
-      return OnProbe(context, message.from, header.probe());
+      return OnProbe(context, message.from, header);
     case TunnelHeader::kProbeAnswer:
       return OnProbeAnswer(context, header);
     case TunnelHeader::kDrainNotice:
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -14,9 +14,16 @@
   steering::DirectoryPolicy directory;
   requests::Parameters requests;
   membership::SuspicionPolicy suspicion;
-  /// Balancers through which replies of flows without fresh client packets leave, and which are
-  /// probed for it. Any balancer can carry any reply, so a few suffice, whatever the fleet's size.
+  /// Balancers that are asked in turn, for replies of flows without fresh client packets, while no
+  /// monitor's probe tells which ones live. Any balancer can carry any reply, so a few suffice,
+  /// whatever the fleet's size.
   std::size_t reply_balancers = 4;
+  /// A balancer's probe shows for this long that replies may leave by it, and without any such sign
+  /// one balancer is asked this often. A little over SuspicionPolicy::probe_period, so that a
+  /// monitor that probes in every round is not asked as well.
+  base::Duration sign_period = base::milliseconds(600);
+  /// A balancer that probes at known intervals is late by this much before it is left out.
+  base::Duration sign_margin = base::milliseconds(300);
   /// A client packet through a balancer proves the whole way for this long.
   base::Duration fresh_route = base::seconds(5);
   /// Peers of the service that are probed at most; the others are heard of through the relay.
--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -112,6 +112,9 @@
     if (to == nullptr) continue;
     auto header = MakeHeader(monitor);
     header.mutable_probe()->set_sequence(probe.sequence);
+    const auto* peer = membership::FindPeer(monitor.suspicion, probe.instance);
+    auto unheard = peer != nullptr && (peer->suspect || peer->misses > 0);
+    header.mutable_probe()->set_unheard(unheard);
     ++monitor.probes_sent;
     context.effects.sends.push_back({*to, std::move(header)});
   }
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -67,5 +67,23 @@
   BOOST_TEST(observed == balancers * MonitorPolicy{}.monitors);
 }
 
+// The way from an agent to a balancer is cut, the other direction is not. The agent takes probes as
+// the sign that its replies may leave by the balancer, and they would vanish; so a probe says that
+// the last one got no answer.
+BOOST_AUTO_TEST_CASE(a_probe_tells_that_the_last_one_went_unanswered) {
+  auto monitor = MonitorOf("b1");
+  auto view = ViewOf(2);
+  Step(monitor, MonitorView{&view}, kStart);
+  auto probes = std::vector<bool>{};
+  for (auto now = kStart; now < kStart + base::seconds(3); now += kTick) {
+    for (const auto& send : Step(monitor, MonitorTimer{}, now).sends) {
+      probes.push_back(send.header.probe().unheard());
+    }
+  }
+  BOOST_REQUIRE(probes.size() >= 2);
+  BOOST_TEST(!probes[0]);
+  BOOST_TEST(probes[1]);
+}
+
 }  // namespace
 }  // namespace anvildrum::balancer
