Draw the clearer of a lost domain by the record's key among the next one's

Change: the next domain's clearer is drawn by rendezvous of the record's key among its first fifteen that answer; own domain and next ones take turns, so that the second to be told, after 30 s, is of the next domain. Turns go round as before; a live domain's clearer is as before its first balancer. Ruled out: drawing the own domain's too (more deletes a second at every small failure), one report for all that a sender suspects (still one balancer).

Failed before: TheReportsOfALostDomainAreShared, no report at a live balancer after 39 s and all 120 records there after a minute. A drawn clearer that dies is followed by another (ADrawnClearerThatDiesIsFollowedByAnother).

Not spread: reports about targets that die while their domain's balancers live.

--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -29,6 +29,8 @@
           {"quorum", static_cast<double>(policy.suspicion_quorum), source},
           {"suspicion_hold_s", Seconds(policy.suspicion_hold), source},
           {"suspicion_repeat_s", Seconds(policy.suspicion_repeat), source},
+          {"suspicion_escalate_s", Seconds(policy.suspicion_escalate), source},
+          {"clearers_of_next", static_cast<double>(policy.clearers_of_next), source},
           {"delete_period_s", Seconds(policy.delete_interval), source}};
 }
 
--- a/src/relay/internal/clearing.cc
+++ b/src/relay/internal/clearing.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "relay/internal/children.h"
-#include "relay/internal/topology.h"
+#include "relay/internal/clearers.h"
 
 namespace anvildrum::relay {
 namespace {
@@ -75,7 +75,7 @@
   auto told = std::vector<base::InstanceId>{};
   const std::size_t attempts = std::min(AttemptOf(state, suspicion, now), kMostClearers - 1);
   for (std::size_t attempt = 0; attempt <= attempts; ++attempt) {
-    const Link clearer = ClearerFor(state, suspicion.failure_domain, attempt);
+    const Link clearer = ClearerFor(state, {key, suspicion.failure_domain}, attempt);
     if (clearer.instance.value == 0) continue;
     if (std::ranges::find(told, clearer.instance) != told.end()) continue;
     told.push_back(clearer.instance);
--- a/src/relay/internal/topology.cc
+++ b/src/relay/internal/topology.cc
@@ -7,20 +7,10 @@
 namespace anvildrum::relay {
 namespace {
 
-using Domains = std::map<std::string, std::vector<RelayPeer>>;
-
 auto ByInstance(const RelayPeer& left, const RelayPeer& right) -> bool {
   return left.instance.value < right.instance.value;
 }
 
-/// Weight of a balancer for an agent: the highest is asked first, and a balancer that comes or goes
-/// moves only the agents that it serves.
-auto Weight(base::InstanceId agent, base::InstanceId balancer) -> std::uint64_t {
-  std::uint64_t mixed = agent.value ^ (balancer.value * 0x9E3779B97F4A7C15ULL);
-  mixed = (mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93ULL;
-  return mixed ^ (mixed >> 32);
-}
-
 /// The domain's own balancers by weight, then those of all others.
 auto Prefer(const State& state) -> std::vector<RelayPeer> {
   std::vector<RelayPeer> order = state.peers;
@@ -45,10 +35,6 @@
   return static_cast<std::size_t>(found - domain.begin());
 }
 
-auto ToLink(const RelayPeer& peer) -> Link {
-  return {.instance = peer.instance, .endpoint = peer.control};
-}
-
 /// Peers of one purpose: the first that answers as far as is known, and at most one before it that
 /// was lost and may be asked again.
 struct Choice {
@@ -80,15 +66,6 @@
   return links;
 }
 
-/// The domain `steps` further round the ring of names.
-auto DomainAfter(const Domains& domains, const std::string& name, std::size_t steps)
-    -> const std::vector<RelayPeer>& {
-  auto place = domains.lower_bound(name);
-  const auto index = static_cast<std::size_t>(std::distance(domains.begin(), place));
-  place = std::next(domains.begin(), static_cast<std::ptrdiff_t>((index + steps) % domains.size()));
-  return place->second;
-}
-
 auto Append(std::vector<Link>& links, const Choice& choice) -> void {
   links.insert(links.end(), choice.links.begin(), choice.links.end());
 }
@@ -98,7 +75,7 @@
                   std::vector<Link>& links) -> void {
   const std::string& own = state.settings.self.failure_domain;
   for (; steps < state.domains.size(); ++steps) {
-    const auto& domain = DomainAfter(state.domains, own, steps);
+    const auto& domain = DomainAfter(state, own, steps);
     const Choice choice = Choose(state, ToLinks(state, domain), now);
     Append(links, choice);
     if (choice.is_usable) return;
@@ -178,6 +155,25 @@
 
 }  // namespace
 
+auto Weight(base::InstanceId agent, base::InstanceId balancer) -> std::uint64_t {
+  std::uint64_t mixed = agent.value ^ (balancer.value * 0x9E3779B97F4A7C15ULL);
+  mixed = (mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93ULL;
+  return mixed ^ (mixed >> 32);
+}
+
+auto ToLink(const RelayPeer& peer) -> Link {
+  return {.instance = peer.instance, .endpoint = peer.control};
+}
+
+auto DomainAfter(const State& state, const std::string& name, std::size_t steps)
+    -> const std::vector<RelayPeer>& {
+  auto place = state.domains.lower_bound(name);
+  const auto index = static_cast<std::size_t>(std::distance(state.domains.begin(), place));
+  place = std::next(state.domains.begin(),
+                    static_cast<std::ptrdiff_t>((index + steps) % state.domains.size()));
+  return place->second;
+}
+
 auto IsSilent(const State& state, const base::Endpoint& endpoint) -> bool {
   return state.silent.contains(endpoint);
 }
@@ -241,22 +237,4 @@
   return FirstUsable(state, TreeLinks(state), now);
 }
 
-auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt)
-    -> Link {
-  auto clearers = std::vector<Link>{};
-  for (std::size_t steps = 0; steps < state.domains.size(); ++steps) {
-    const auto& domain = DomainAfter(state.domains, failure_domain, steps);
-    for (const RelayPeer& peer : domain) {
-      if (IsSilent(state, peer.control)) continue;
-      clearers.push_back(ToLink(peer));
-      // Two of a domain are asked before the next domain's turn comes.
-      if (&peer - domain.data() >= 2) break;
-    }
-  }
-  // Safeguard: the turns go round. An outage of the platform outlasts them, and a record that came
-  // to the end of the list would never be cleared afterwards.
-  if (clearers.empty()) return {};
-  return clearers[attempt % clearers.size()];
-}
-
 }  // namespace anvildrum::relay
--- a/src/relay/internal/topology.h
+++ b/src/relay/internal/topology.h
@@ -34,9 +34,15 @@
 /// Peers to hear from now: those in use, and beside them lost ones that are asked again.
 auto WantedParents(const State& state, base::TimePoint now) -> std::vector<Link>;
 
-/// The `attempt`-th balancer to tell of dead announcements in a failure domain: the domain's own
-/// first, then those of the domains after it. Instance zero: there is none.
-auto ClearerFor(const State& state, const std::string& failure_domain, std::size_t attempt) -> Link;
+/// Weight of a balancer for an agent, or for a record's key: the highest is taken first, and a
+/// balancer that comes or goes moves only what it serves.
+auto Weight(base::InstanceId place, base::InstanceId balancer) -> std::uint64_t;
+
+auto ToLink(const RelayPeer& peer) -> Link;
+
+/// The domain `steps` further round the ring of names.
+auto DomainAfter(const State& state, const std::string& name, std::size_t steps)
+    -> const std::vector<RelayPeer>&;
 
 /// Whether a peer was lost and has not been heard since.
 auto IsSilent(const State& state, const base::Endpoint& endpoint) -> bool;
--- a/src/relay/tests/clearing_test.cc
+++ b/src/relay/tests/clearing_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -95,6 +96,59 @@
   BOOST_TEST(RunUntil(fleet, base::minutes(4), [&] { return !Exists(fleet); }).has_value());
 }
 
+// The balancer of the next domain that a record's key draws dies as well, before it could clear.
+// Its turn passes to another one, so that the record does not stay for ever.
+BOOST_AUTO_TEST_CASE(ADrawnClearerThatDiesIsFollowedByAnother) {
+  constexpr std::size_t balancers = 6;
+  Fleet fleet = MakeFleet(2, balancers, 0);
+  StartAll(fleet);
+  const std::uint64_t revision = PutObject(fleet, kKey, "{}");
+  RunFor(fleet, base::seconds(2));
+  for (std::size_t i = 0; i < balancers; ++i) KillNode(fleet, i);
+  for (std::size_t i = balancers; i < 2 * balancers; ++i) Suspect(fleet, i, revision);
+  RunFor(fleet, base::seconds(35));
+  const auto drawn = std::ranges::find_if(
+      fleet.nodes, [](const Node& node) { return node.up && !node.state.reports.empty(); });
+  BOOST_REQUIRE(drawn != fleet.nodes.end());
+  KillNode(fleet, static_cast<std::size_t>(drawn - fleet.nodes.begin()));
+  BOOST_TEST(Exists(fleet));
+  BOOST_TEST(RunUntil(fleet, base::minutes(4), [&] { return !Exists(fleet); }).has_value());
+}
+
+// A failure domain is lost with its balancers and 120 targets. Those of the next domain share the
+// reports and the deletes: a single one would have eight times its control bytes at the letter's
+// size, and need minutes.
+BOOST_AUTO_TEST_CASE(TheReportsOfALostDomainAreShared) {
+  constexpr int targets = 120;
+  constexpr std::size_t balancers = 20;
+  Fleet fleet = MakeFleet(2, balancers, 0);
+  StartAll(fleet);
+  const auto key_of = [](int target) { return "targets/desk/t" + std::to_string(target); };
+  for (int i = 0; i < targets; ++i) PutObject(fleet, key_of(i), "{}");
+  RunFor(fleet, base::seconds(2));
+  for (std::size_t i = 0; i < balancers; ++i) KillNode(fleet, i);
+  for (int i = 0; i < targets; ++i) {
+    const std::uint64_t revision = fleet.platform.objects.at(key_of(i)).revision;
+    for (std::size_t reporter = balancers; reporter < balancers + 3; ++reporter) {
+      Deliver(fleet, reporter, RecordSuspected{key_of(i), revision, "fd0"});
+    }
+  }
+  RunFor(fleet, base::seconds(39));
+  std::size_t most = 0;
+  std::size_t all = 0;
+  for (const Node& node : fleet.nodes) {
+    most = std::max(most, node.up ? node.state.reports.size() : 0);
+    all += node.up ? node.state.reports.size() : 0;
+  }
+  BOOST_TEST(all == static_cast<std::size_t>(targets));
+  BOOST_TEST(most <= 24U);  // the mean of fifteen is 8
+  RunFor(fleet, base::seconds(21));
+  const auto is_gone = [&](int target) {
+    return fleet.platform.objects.at(key_of(target)).deleted;
+  };
+  for (int i = 0; i < targets; ++i) BOOST_TEST(is_gone(i));
+}
+
 // A domain returns after its announcements were left for dead: deletes are spread, not a burst of
 // writes at the platform.
 BOOST_AUTO_TEST_CASE(DeletesAreSpread) {
--- a/src/relay/types/settings.h
+++ b/src/relay/types/settings.h
@@ -61,7 +61,10 @@
   base::Duration suspicion_hold = base::seconds(10);    ///< from the quorum's reports to the delete
   base::Duration suspicion_expiry = base::seconds(45);  ///< a report not repeated is forgotten
   base::Duration suspicion_repeat = base::seconds(10);  ///< reports go out again this often
-  base::Duration suspicion_escalate = base::seconds(30);     ///< then the next balancer is told
+  base::Duration suspicion_escalate = base::seconds(30);  ///< then the next balancer is told
+  /// Balancers of the next domain among which a record's clearer is drawn. Together they delete 30
+  /// a second, a tenth of what the platform takes.
+  std::size_t clearers_of_next = 15;
   base::Duration delete_interval = base::milliseconds(500);  ///< between a clearer's deletes
 };
 
