Monitor an instance from the nearest other failure domain too, by a quorum

A domain lost with its balancers was suspected by nobody, its records stayed, and new flows went on going there; one dead monitor left the quorum of three short.

Change: five monitors, two inside and three in the domain whose name is most like it; where a side has too few the other makes up for it. Ruled out: any other domain by rank (a quorum in another region would, in a cut between regions, have live targets' records deleted; records name no region). A region of one domain is still monitored from another region. Pools are made once a change of view; Monitor::failure_domain is not needed any more.

--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -53,6 +53,8 @@
           {"sign_period_s", Seconds(agent.sign_period), "agent::AgentPolicy"},
           {"probed_peers", static_cast<double>(agent.probed_peers), "agent::AgentPolicy"},
           {"probers", static_cast<double>(balancer::MonitorPolicy{}.monitors),
+           "balancer::MonitorPolicy"},
+          {"probers_outside", static_cast<double>(balancer::MonitorPolicy{}.monitors_outside),
            "balancer::MonitorPolicy"}};
 }
 
--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -1,6 +1,6 @@
 #include "balancer/monitor.h"
 
-#include <algorithm>
+#include "balancer/internal/monitors.h"
 
 namespace anvildrum::balancer {
 namespace {
@@ -14,56 +14,6 @@
   MonitorEffects effects;
 };
 
-constexpr auto kMix = std::uint64_t{0x9e3779b97f4a7c15};
-
-auto MonitorRank(base::InstanceId balancer, base::InstanceId agent) -> std::uint64_t {
-  auto mixed = (balancer.value ^ (agent.value * kMix)) * kMix;
-  return mixed ^ (mixed >> 29U);
-}
-
-// Whether this balancer is one of the agent's monitors: among the first by rank of the balancers
-// in the agent's failure domain, or of all where that domain has none.
-template <typename Record>
-auto IsMonitorOf(const Monitor& monitor, const Record& record) -> bool {
-  auto in_domain = [&](const auto& balancer) {
-    return balancer.failure_domain == record.failure_domain && balancer.instance != record.instance;
-  };
-  const auto& balancers = monitor.view.balancers;
-  auto local = std::any_of(balancers.begin(), balancers.end(), in_domain);
-  if (local && monitor.failure_domain != record.failure_domain) return false;
-  auto own = MonitorRank(monitor.self, record.instance);
-  auto better = std::count_if(balancers.begin(), balancers.end(), [&](const auto& balancer) {
-    return (!local || in_domain(balancer)) && balancer.instance != record.instance &&
-           MonitorRank(balancer.instance, record.instance) < own;
-  });
-  return static_cast<std::size_t>(better) < monitor.policy.monitors;
-}
-
-auto CountInstances(const membership::View& view) -> std::size_t {
-  auto count = view.balancers.size();
-  for (const auto& service : view.services) count += service.targets.size();
-  return count;
-}
-
-auto PeersToProbe(const Monitor& monitor) -> std::vector<PeerRef> {
-  auto all = CountInstances(monitor.view) <= monitor.policy.probe_all_up_to;
-  auto peers = std::vector<PeerRef>{};
-  for (const auto& balancer : monitor.view.balancers) {
-    if (balancer.instance == monitor.self) continue;
-    if (all || IsMonitorOf(monitor, balancer)) {
-      peers.push_back({balancer.instance, balancer.incarnation});
-    }
-  }
-  for (const auto& service : monitor.view.services) {
-    for (const auto& target : service.targets) {
-      const auto& record = target.record;
-      if (!all && !IsMonitorOf(monitor, record)) continue;
-      peers.push_back({record.instance, record.incarnation});
-    }
-  }
-  return peers;
-}
-
 auto RecordOf(const Monitor& monitor, base::InstanceId instance) -> const TargetRecord* {
   for (const auto& service : monitor.view.services) {
     for (const auto& target : service.targets) {
--- a/src/balancer/monitor.h
+++ b/src/balancer/monitor.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -16,17 +15,18 @@
 struct MonitorPolicy {
   membership::SuspicionPolicy suspicion;
   /// Up to this many agents and balancers are probed by every balancer. Beyond, each one is probed
-  /// by `monitors` balancers of its failure domain, so that a probe's cost does not grow with the
-  /// product of balancers and agents.
+  /// by `monitors` balancers, so that a probe's cost does not grow with the product of balancers
+  /// and agents: more than relay::RelayPolicy::suspicion_quorum, so that one may die.
   std::size_t probe_all_up_to = 64;
-  std::size_t monitors = 3;
+  std::size_t monitors = 5;
+  /// Of these, so many are of the nearest other failure domain: a quorum.
+  std::size_t monitors_outside = 3;
 };
 
 struct Monitor {
   MonitorPolicy policy;
   base::InstanceId self;
   base::Incarnation incarnation = 0;
-  std::string failure_domain;
   membership::View view;
   membership::Suspicion suspicion;
   std::uint64_t probes_sent = 0;
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -1,6 +1,8 @@
 #include "balancer/monitor.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
 
 namespace anvildrum::balancer {
 namespace {
@@ -23,7 +25,6 @@
   auto monitor = Monitor{};
   monitor.self = base::InstanceIdOf(name);
   monitor.incarnation = 1;
-  monitor.failure_domain = "boston-1";
   return monitor;
 }
 
@@ -67,6 +68,82 @@
   BOOST_TEST(observed == balancers * MonitorPolicy{}.monitors);
 }
 
+// Monitors of a target by failure domain. The view has so many balancers in each domain.
+using Sizes = std::map<std::string, int>;
+
+auto ViewOf(const Sizes& sizes) -> membership::View {
+  auto view = membership::View{};
+  auto port = std::uint16_t{1};
+  for (const auto& [domain, size] : sizes) {
+    for (auto i = 0; i < size; ++i) {
+      auto record = BalancerNamed(domain + "-b" + std::to_string(i), port++);
+      record.failure_domain = domain;
+      membership::ApplyBalancer(view, record);
+    }
+  }
+  return view;
+}
+
+auto AddTargets(membership::View& view, const std::string& domain, int count) -> void {
+  for (auto i = 0; i < count; ++i) {
+    auto record = membership::TargetRecord{};
+    record.name = domain + "-t" + std::to_string(i);
+    record.id = base::TargetIdOf(record.name);
+    record.service_name = "desk";
+    record.service = base::ServiceIdOf("desk");
+    record.instance = base::InstanceIdOf("agent-" + record.name);
+    record.incarnation = 1;
+    record.failure_domain = domain;
+    record.revision = 1;
+    membership::ApplyRecord(view, record, kStart);
+  }
+}
+
+auto MonitorsByDomain(const membership::View& view, const std::string& target) -> Sizes {
+  auto monitors = Sizes{};
+  auto observed = base::InstanceIdOf("agent-" + target);
+  for (const auto& balancer : view.balancers) {
+    auto monitor = MonitorOf(balancer.name);
+    Step(monitor, MonitorView{&view}, kStart);
+    auto peer = membership::FindPeer(monitor.suspicion, observed);
+    if (peer != nullptr) ++monitors[balancer.failure_domain];
+  }
+  return monitors;
+}
+
+// A failure domain is lost with all its balancers. Unless a quorum of three watches from outside,
+// nobody suspects its targets, their records stay, and each client runs into its timeout.
+BOOST_AUTO_TEST_CASE(a_lost_domain_leaves_a_quorum_of_monitors) {
+  auto view = ViewOf(Sizes{{"boston-1", 20}, {"boston-2", 20}, {"boston-3", 20}});
+  AddTargets(view, "boston-2", 20);
+  for (auto i = 0; i < 20; ++i) {
+    auto monitors = MonitorsByDomain(view, "boston-2-t" + std::to_string(i));
+    BOOST_TEST(monitors["boston-2"] == 2);
+    BOOST_TEST(monitors["boston-3"] == 3);
+  }
+}
+
+// A region is cut off from the others. Were the targets of its last domain watched from another
+// region, a quorum there would have the records of live targets deleted.
+BOOST_AUTO_TEST_CASE(monitors_outside_the_domain_are_near) {
+  auto view = ViewOf(Sizes{{"boston-1", 25}, {"boston-2", 25}, {"chicago-1", 25}});
+  AddTargets(view, "boston-2", 5);
+  for (auto i = 0; i < 5; ++i) {
+    auto monitors = MonitorsByDomain(view, "boston-2-t" + std::to_string(i));
+    BOOST_TEST(monitors["boston-1"] == 3);
+    BOOST_TEST(monitors["chicago-1"] == 0);
+  }
+}
+
+// A domain has a single balancer: the others make up for it, also from several domains.
+BOOST_AUTO_TEST_CASE(small_domains_make_up_for_each_other) {
+  auto view = ViewOf(Sizes{{"a", 1}, {"b", 2}, {"c", 70}});
+  AddTargets(view, "a", 1);
+  auto monitors = MonitorsByDomain(view, "a-t0");
+  BOOST_TEST(monitors["a"] == 1);
+  BOOST_TEST(monitors["b"] + monitors["c"] == 4);
+}
+
 // The way from an agent to a balancer is cut, the other direction is not. The agent takes probes as
 // the sign that its replies may leave by the balancer, and they would vanish; so a probe says that
 // the last one got no answer.
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -40,7 +40,6 @@
   auto monitor = balancer::Monitor{};
   monitor.self = runtime.instance;
   monitor.incarnation = runtime.incarnation;
-  monitor.failure_domain = runtime.settings.failure_domain;
   return monitor;
 }
 
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -149,7 +149,6 @@
                       .Build();
   node.monitor.self = node.record.instance;
   node.monitor.incarnation = node.record.incarnation;
-  node.monitor.failure_domain = node.record.failure_domain;
 }
 
 }  // namespace
