Slow the relay's heartbeats to a third where many children hang on a balancer

Change: with eight children or more a balancer sends heartbeats every 2.7 s and says so in each; all below it cannot hear more often and say so too. A child waits longer by what the period is longer than 0.9 s, and of a parent that has answered and not told yet it expects the longer one. Ruled out: children that derive the period from records (agents are not in them), the longer period for agents alone (saves a quarter of it).

Notice takes 1.8 s longer.

--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -22,6 +22,7 @@
   return {{"fan_out", static_cast<double>(policy.fan_out), source},
           {"watchers_per_domain", static_cast<double>(policy.watchers_per_domain), source},
           {"relay_period_s", Seconds(policy.heartbeat), source},
+          {"relay_slow_period_s", Seconds(policy.slow_heartbeat), source},
           {"relay_timeout_s", Seconds(policy.parent_timeout), source},
           {"relay_timeout_hop_s", Seconds(policy.timeout_per_hop), source},
           {"relay_answer_s", Seconds(policy.answer_timeout), source},
--- a/bench/capacity/relay_wire_slopes.cc
+++ b/bench/capacity/relay_wire_slopes.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto kRecordCounts = std::array{1, 10, 100, 1000};
+constexpr auto kHops = std::uint32_t{3};
+constexpr auto kPeriodMs = std::uint32_t{2700};
 constexpr auto kHeartbeatCounts = std::array{1, 10, 100};
 constexpr auto kRevision = std::uint64_t{50'000'000};
 constexpr auto kInstance = std::uint64_t{0x9e3779b97f4a7c15};
@@ -36,6 +38,9 @@
   message.set_incarnation(kInstance);
   message.mutable_heartbeat()->set_config_number(kConfigNumber);
   message.mutable_heartbeat()->set_revision(kRevision);
+  message.mutable_heartbeat()->set_hops(kHops);
+  message.mutable_heartbeat()->set_digest(kInstance);
+  message.mutable_heartbeat()->set_period_ms(kPeriodMs);
   return message;
 }
 
--- a/src/relay/internal/children.cc
+++ b/src/relay/internal/children.cc
@@ -1,5 +1,7 @@
 #include "relay/internal/children.h"
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +29,11 @@
   record.set_number(object.number);
 }
 
+auto ToMilliseconds(base::Duration duration) -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 /// The steps from `held` to the newest configuration; false when one of them is not kept.
 auto AddConfigDeltas(wire::pb::Update& update, const Store& store, std::uint64_t held) -> bool {
   auto step = store.deltas.begin();
@@ -164,6 +171,15 @@
 
 }  // namespace
 
+auto PeriodForChildren(const State& state) -> base::Duration {
+  const RelayPolicy& policy = state.settings.policy;
+  const bool has_many = state.children.size() >= policy.many_children;
+  base::Duration period = has_many ? policy.slow_heartbeat : policy.heartbeat;
+  if (state.root) return period;
+  for (const auto& [endpoint, parent] : state.parents) period = std::max(period, parent.period);
+  return period;
+}
+
 auto NewMessage(const State& state) -> wire::pb::RelayMessage {
   wire::pb::RelayMessage message;
   message.set_sender(state.settings.self.instance.value);
@@ -210,6 +226,7 @@
     -> void {
   if (!state.store.complete) return;
   state.forwarded_at = now;
+  state.told_period = PeriodForChildren(state);
   const StoredRecord* config = FindConfig(state.store);
   std::map<std::uint64_t, SharedMessage> messages;
   for (const auto& [instance, child] : state.children) {
@@ -220,6 +237,7 @@
       heartbeat.set_config_number(config == nullptr ? 0 : config->number);
       heartbeat.set_revision(state.store.horizon);
       heartbeat.set_hops(hops);
+      heartbeat.set_period_ms(ToMilliseconds(state.told_period));
       heartbeat.set_digest(DigestFor(state.store, child.service));
       shared = Seal(std::move(message));
     }
--- a/src/relay/internal/children.h
+++ b/src/relay/internal/children.h
@@ -21,6 +21,10 @@
 auto PassOn(State& state, std::span<const PlatformObject> accepted, base::InstanceId from,
             base::TimePoint now, Effects& effects) -> void;
 
+/// How often the children hear of this instance from now on: seldom where they are many, and never
+/// more often than it hears of its own parent.
+auto PeriodForChildren(const State& state) -> base::Duration;
+
 /// `hops`: from the root that started it to the children.
 auto SendHeartbeats(State& state, std::uint32_t hops, base::TimePoint now, Effects& effects)
     -> void;
--- a/src/relay/internal/parents.cc
+++ b/src/relay/internal/parents.cc
@@ -20,6 +20,8 @@
 /// Hops that lengthen the timeout. A tree of 8 children each is this deep at millions of balancers.
 /// There are no circles: a parent in the tree always comes before its child in the order of ids.
 constexpr std::uint32_t kHopsMost = 8;
+/// Longest period that a parent is believed.
+constexpr base::Duration kPeriodMost = base::seconds(10);
 /// Longest complete set that is unpacked, in bytes; at 26,100 records it takes a quarter.
 constexpr std::size_t kUpdateMost = std::size_t{64} << 20U;
 constexpr std::uint32_t kDoublingsMost = 10;
@@ -63,12 +65,23 @@
   effects.emplace_back(DropParent{parent.endpoint});
 }
 
+/// By how much the parent's heartbeats come less often than most. Safeguard: a parent with many
+/// children that has answered and not told its period yet would be given up before its first
+/// heartbeat, and all its children would wander about; the longest period is assumed.
+auto LongerPeriod(const RelayPolicy& policy, const Parent& parent) -> base::Duration {
+  if (!parent.answered) return base::Duration::zero();
+  const bool is_told = parent.period != base::Duration::zero();
+  const base::Duration period = is_told ? parent.period : policy.slow_heartbeat;
+  return std::max(period, policy.heartbeat) - policy.heartbeat;
+}
+
 /// A subscription is answered at once, so one that is not shows a dead peer sooner than missing
 /// heartbeats do; but the first complete set may take its time on the way.
 auto TimeoutOf(const State& state, const Parent& parent) -> base::Duration {
   const RelayPolicy& policy = state.settings.policy;
   if (!parent.answered && state.store.complete) return policy.answer_timeout;
-  return policy.parent_timeout + policy.timeout_per_hop * parent.hops;
+  return policy.parent_timeout + LongerPeriod(policy, parent) +
+         policy.timeout_per_hop * parent.hops;
 }
 
 auto IsLost(const State& state, const Parent& parent, base::TimePoint now) -> bool {
@@ -180,7 +193,10 @@
 auto ForwardHeartbeat(State& state, std::uint32_t hops, base::TimePoint now, Effects& effects)
     -> void {
   if (state.root) return;
-  if (now - state.forwarded_at < state.settings.policy.heartbeat / 2) return;
+  // By the period that the children were told: a longer one begins after the heartbeat that says
+  // so.
+  const base::Duration pause = state.told_period - state.settings.policy.heartbeat / 2;
+  if (now - state.forwarded_at < pause) return;
   SendHeartbeats(state, hops + 1, now, effects);
 }
 
@@ -271,6 +287,7 @@
   parent->heard_at = now;
   state.silent.erase(event.endpoint);
   parent->hops = std::min(heartbeat.hops(), kHopsMost);
+  parent->period = std::min<base::Duration>(base::milliseconds(heartbeat.period_ms()), kPeriodMost);
   state.rooted_at = now;
   CompareWith(state, *parent, heartbeat, now, effects);
   ForwardHeartbeat(state, heartbeat.hops(), now, effects);
--- a/src/relay/internal/step.cc
+++ b/src/relay/internal/step.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -26,9 +27,9 @@
 
 auto BeatIfRoot(State& state, base::TimePoint now, Effects& effects) -> void {
   if (!state.root || now < state.next_heartbeat) return;
-  state.next_heartbeat = now + state.settings.policy.heartbeat;
   state.rooted_at = now;
   SendHeartbeats(state, 0, now, effects);
+  state.next_heartbeat = now + std::max(state.told_period, state.settings.policy.heartbeat);
 }
 
 auto Tick(State& state, base::TimePoint now, Effects& effects) -> void {
--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -60,6 +60,7 @@
   base::Endpoint endpoint;
   bool answered = false;
   std::uint32_t hops = 0;
+  base::Duration period{};  ///< of its heartbeats, as it says; zero: none came yet
   base::TimePoint asked_at{};
   base::TimePoint heard_at{};
   base::TimePoint renewed_at{};
@@ -142,6 +143,7 @@
   base::TimePoint ticked_at{};
   base::TimePoint next_heartbeat{};
   base::TimePoint forwarded_at{};  ///< last heartbeat passed on
+  base::Duration told_period{};    ///< to the children, with that; zero: nothing yet
   base::TimePoint repaired_at{};
   std::uint32_t repairs_in_vain = 0;  ///< since the sets were last equal
   base::TimePoint rooted_at{};        ///< last sign of a root, or the start
--- a/src/relay/types/settings.h
+++ b/src/relay/types/settings.h
@@ -29,7 +29,10 @@
   std::size_t fan_out = 8;              ///< children of a balancer in its domain's tree
   std::size_t watchers_per_domain = 2;  ///< balancers of a domain that watch the platform
   base::Duration heartbeat = base::milliseconds(900);
-  base::Duration parent_timeout = base::seconds(2);
+  /// From so many children on a balancer sends them heartbeats of the longer period, and tells it.
+  std::size_t many_children = 8;
+  base::Duration slow_heartbeat = base::milliseconds(2700);
+  base::Duration parent_timeout = base::seconds(2);  ///< longer by what its period is longer
   /// Added to the timeout for each hop below the first, so that the children of a dead parent move
   /// before their own children give up on them.
   base::Duration timeout_per_hop = base::milliseconds(250);
