--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -22,6 +22,7 @@
   return {{"fan_out", static_cast<double>(policy.fan_out), source},
           {"watchers_per_domain", static_cast<double>(policy.watchers_per_domain), source},
           {"relay_period_s", Seconds(policy.heartbeat), source},
+          {"relay_slow_period_s", Seconds(policy.slow_heartbeat), source},
           {"relay_timeout_s", Seconds(policy.parent_timeout), source},
           {"relay_timeout_hop_s", Seconds(policy.timeout_per_hop), source},
           {"relay_answer_s", Seconds(policy.answer_timeout), source},
@@ -29,6 +30,8 @@
           {"quorum", static_cast<double>(policy.suspicion_quorum), source},
           {"suspicion_hold_s", Seconds(policy.suspicion_hold), source},
           {"suspicion_repeat_s", Seconds(policy.suspicion_repeat), source},
+          {"suspicion_escalate_s", Seconds(policy.suspicion_escalate), source},
+          {"clearers_of_next", static_cast<double>(policy.clearers_of_next), source},
           {"delete_period_s", Seconds(policy.delete_interval), source}};
 }
 
@@ -48,9 +51,11 @@
            "membership::SuspicionPolicy"},
           {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"},
           {"probe_timeout_s", Seconds(suspicion.longest_timeout), "membership::SuspicionPolicy"},
-          {"reply_balancers", static_cast<double>(agent.reply_balancers), "agent::AgentPolicy"},
+          {"sign_period_s", Seconds(agent.sign_period), "agent::AgentPolicy"},
           {"probed_peers", static_cast<double>(agent.probed_peers), "agent::AgentPolicy"},
           {"probers", static_cast<double>(balancer::MonitorPolicy{}.monitors),
+           "balancer::MonitorPolicy"},
+          {"probers_outside", static_cast<double>(balancer::MonitorPolicy{}.monitors_outside),
            "balancer::MonitorPolicy"}};
 }
 
