--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -38,6 +38,7 @@
     std::array<std::string_view, static_cast<std::size_t>(requests::Counter::kCount)>{
         "client_malformed",
         "target_malformed",
+        "bad_deadline",
         "unexpected_from_client",
         "unexpected_from_target",
         "admitted",
@@ -49,6 +50,7 @@
         "refused_challenges",
         "refused_expired_echo",
         "refused_streams",
+        "refused_deadline",
         "unknown_run_limit",
         "unknown_target_gone",
         "unknown_foreign_echo",
@@ -57,6 +59,7 @@
         "unknown_upload",
         "unknown_identity_reuse",
         "unknown_hand_on",
+        "unknown_deadline",
         "challenged",
         "retransmission_answered",
         "retransmission_while_running",
@@ -67,7 +70,10 @@
         "stream_client_gone",
         "hand_on_offered",
         "hand_on_answered",
-        "hand_on_budget_spent"};
+        "hand_on_budget_spent",
+        "illegal_transition"};
+// An entry too few would leave the last counter without a name.
+static_assert(!kRequestEvents.back().empty());
 
 // In the order of wire::WireErrorCode.
 constexpr auto kWireErrors = std::array<std::string_view, TunnelCounts::kCodes>{
--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -42,19 +42,34 @@
   std::uint32_t open_challenges = 0;   ///< of all clients
   base::Duration service_time{};       ///< moving average of observed service times
   base::Duration service_deviation{};  ///< moving average of their distance from it
+  base::TimePoint observed;            ///< when a service time was observed last
   double refused_share = 0;            ///< moving average over recent requests
 };
 
-enum class AdmissionVerdict : std::uint8_t { kRun, kQueue, kRefuseQueue, kRefuseClient };
+/// A request that asks to be admitted.
+struct Candidate {
+  ClientAddress client{};
+  base::TimePoint deadline;                                  ///< of a wait and the run after it
+  base::TimePoint client_deadline = base::TimePoint::max();  ///< the client's own, of any run
+};
+
+enum class AdmissionVerdict : std::uint8_t {
+  kRun,
+  kQueue,
+  kRefuseQueue,
+  kRefuseClient,
+  kRefuseDeadline
+};
 
 /// Time within which most runs end: the mean and twice the mean deviation, as RFC 6298 bounds a
 /// round trip.
 auto RunEstimate(const Admission& admission) -> base::Duration;
 
 /// Decides on a new request. Nothing is queued whose wait and run, by the observed service times,
-/// would end after its deadline: it would take a slot for an answer that comes too late.
+/// would end after its deadline: it would take a slot for an answer that comes too late. Nothing is
+/// started either that would end after its client's own.
 auto DecideAdmission(const Admission& admission, const Parameters& parameters,
-                     const ClientAddress& client) -> AdmissionVerdict;
+                     const Candidate& candidate, base::TimePoint now) -> AdmissionVerdict;
 
 auto Enqueue(Admission& admission, const QueuedRequest& request) -> void;
 
@@ -79,8 +94,11 @@
 
 auto HoldSlot(Admission& admission, const ClientAddress& client) -> void;
 auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void;
-auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken)
-    -> void;
+auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken,
+                        base::TimePoint now) -> void;
+/// A run was given up after `taken`.
+auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
+                   base::TimePoint now) -> void;
 auto ObserveDecision(Admission& admission, bool refused) -> void;
 auto ChallengesOf(const Admission& admission, const ClientAddress& client) -> std::uint32_t;
 auto AddChallenge(Admission& admission, const ClientAddress& client) -> void;
--- a/src/requests/coap_message.h
+++ b/src/requests/coap_message.h
@@ -42,6 +42,13 @@
   std::uint8_t size_exponent = 0;
 };
 
+/// Number of the Deadline option: how many milliseconds after the request was sent its client stops
+/// waiting; an unsigned integer of at most 4 bytes (RFC 7252, 3.2). Of the range for experiments
+/// (RFC 7252, 12.2) and elective, so that who does not know it ignores it (5.4.1); Safe-to-Forward
+/// and NoCacheKey by its bits (5.4.6).
+inline constexpr std::uint16_t kDeadlineOption = 65020;
+inline constexpr std::size_t kMaxDeadlineBytes = 4;
+
 /// View of a CoAP datagram over UDP. Spans view the buffer that was parsed.
 struct Message {
   BytesView whole;
@@ -54,8 +61,15 @@
   std::optional<Block> block2;
   std::optional<BytesView> echo;
   std::optional<std::uint32_t> max_age;
-  /// Digest of code, options and payload without the Echo option: equal for a request and the same
-  /// request sent again with an Echo value. Unkeyed: for comparison with what the same flow sent.
+  std::optional<std::uint32_t>
+      deadline;                      ///< milliseconds, of the first well-formed Deadline option
+  bool has_deadline_option = false;  ///< one at least, whatever its form
+  /// A Deadline option that is too long or comes twice: treated as one that is not known, which for
+  /// an elective option means ignored (RFC 7252, 5.4.3 and 5.4.5).
+  bool bad_deadline = false;
+  /// Digest of code, options and payload without the Echo and Deadline options: equal for a request
+  /// and the same request sent again with an Echo value and what is left of its time. Unkeyed: for
+  /// comparison with what the same flow sent.
   std::uint64_t content_digest = 0;
   std::uint64_t path_digest = 0;  ///< of method and Uri-Path
   std::uint64_t body_digest = 0;  ///< of method, Uri-Path and Request-Tag (RFC 9175, 3)
@@ -80,12 +94,18 @@
                   const Token& token) -> Bytes;
 
 /// Request for the target: without any Echo option, which is the agent's, and under a message ID
-/// and token of the agent. All other options and the payload stay byte-equal.
-auto ForTarget(const Message& message, std::uint16_t message_id, const Token& token) -> Bytes;
+/// and token of the agent. Its Deadline option is `deadline`, in milliseconds from now, or none.
+/// All other options and the payload stay byte-equal.
+auto ForTarget(const Message& message, std::uint16_t message_id, const Token& token,
+               std::optional<std::uint32_t> deadline) -> Bytes;
 
 /// The request with `echo` in place of any Echo option it had.
 auto WithEcho(const Message& message, BytesView echo) -> Bytes;
 
+/// The end of an observation whose registration `message` is (RFC 7641, 3.6): the same request with
+/// Observe 1, without a Deadline option.
+auto Deregistration(const Message& message, std::uint16_t message_id, const Token& token) -> Bytes;
+
 /// The notification with another sequence number in its Observe option (RFC 7641, 2).
 auto WithObserve(const Message& message, std::uint32_t sequence) -> Bytes;
 
--- a/src/requests/internal/admission.cc
+++ b/src/requests/internal/admission.cc
@@ -8,7 +8,9 @@
 namespace anvildrum::requests {
 namespace {
 
-constexpr auto kDecisionWeight = 0.02;       // moving average over about the last 50 decisions
+constexpr auto kDecisionWeight = 0.02;  // moving average over about the last 50 decisions
+constexpr auto kEstimateLifetime = base::milliseconds(250);
+constexpr auto kCutRunFactor = 2;
 constexpr auto kSpreadWhenAllRefused = 3.0;  // the range grows by this factor on top of one
 
 auto LoadOf(const Admission& admission, const ClientAddress& client) -> ClientLoad {
@@ -49,13 +51,30 @@
 }
 
 auto CanFinishInTime(const Admission& admission, const Parameters& parameters,
-                     const ClientAddress& client) -> bool {
-  auto rounds = static_cast<double>(RequestsAhead(admission, client) + 1) / parameters.slots;
+                     const Candidate& candidate, base::TimePoint now) -> bool {
+  auto ahead = RequestsAhead(admission, candidate.client);
+  auto rounds = static_cast<double>(ahead + 1) / parameters.slots;
   auto wait = rounds * static_cast<double>(admission.service_time.count());
-  auto left = parameters.queue_limit - RunEstimate(admission);
+  auto left = candidate.deadline - now - RunEstimate(admission);
   return wait <= static_cast<double>(left.count());
 }
 
+// Safeguard: when all clients have deadlines and the target was slow for a while, none of their
+// requests would run any more, no service time would be observed, and the refusals would never end.
+// One request at a time at an otherwise idle target is enough to see that it is fast again.
+auto MayProbe(const Admission& admission, base::TimePoint now) -> bool {
+  auto idle = admission.running == 0 && admission.queue.empty();
+  return idle && now - admission.observed >= kEstimateLifetime;
+}
+
+auto MissesClientDeadline(const Admission& admission, const Candidate& candidate,
+                          base::TimePoint now) -> bool {
+  if (candidate.client_deadline == base::TimePoint::max()) return false;
+  if (candidate.client_deadline <= now) return true;
+  auto in_time = candidate.client_deadline - now > RunEstimate(admission);
+  return !in_time && !MayProbe(admission, now);
+}
+
 }  // namespace
 
 auto ClientAddressHash::operator()(const ClientAddress& address) const noexcept -> std::size_t {
@@ -67,17 +86,21 @@
 }
 
 auto DecideAdmission(const Admission& admission, const Parameters& parameters,
-                     const ClientAddress& client) -> AdmissionVerdict {
-  auto load = LoadOf(admission, client);
+                     const Candidate& candidate, base::TimePoint now) -> AdmissionVerdict {
+  auto load = LoadOf(admission, candidate.client);
   if (load.running + load.queued >= parameters.client_in_flight) {
     return AdmissionVerdict::kRefuseClient;
   }
+  if (MissesClientDeadline(admission, candidate, now)) return AdmissionVerdict::kRefuseDeadline;
   if (admission.running < parameters.slots && admission.queue.empty()) {
     return AdmissionVerdict::kRun;
   }
-  if (!CanFinishInTime(admission, parameters, client)) return AdmissionVerdict::kRefuseQueue;
+  if (!CanFinishInTime(admission, parameters, candidate, now)) {
+    return AdmissionVerdict::kRefuseQueue;
+  }
   if (admission.queue.size() < parameters.queue_size) return AdmissionVerdict::kQueue;
-  return VictimFor(admission, client) ? AdmissionVerdict::kQueue : AdmissionVerdict::kRefuseQueue;
+  auto has_room = VictimFor(admission, candidate.client).has_value();
+  return has_room ? AdmissionVerdict::kQueue : AdmissionVerdict::kRefuseQueue;
 }
 
 auto Enqueue(Admission& admission, const QueuedRequest& request) -> void {
@@ -145,8 +168,9 @@
   ForgetIfIdle(admission, client);
 }
 
-auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken)
-    -> void {
+auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken,
+                        base::TimePoint now) -> void {
+  admission.observed = now;
   auto distance = taken - admission.service_time;
   auto weight = parameters.service_time_weight;
   admission.service_deviation =
@@ -154,6 +178,15 @@
   admission.service_time = Moved(admission.service_time, taken, weight);
 }
 
+// Safeguard: a run that is cut at its client's deadline takes longer than that, and nobody knows
+// how much. Observed as the deadline, the estimate would settle there and let in what cannot
+// finish; twice the time seen keeps it over the deadline, as RFC 6298, 5.5 backs its timer off.
+auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
+                   base::TimePoint now) -> void {
+  ObserveServiceTime(admission, parameters, std::max(admission.service_time, kCutRunFactor * taken),
+                     now);
+}
+
 auto ObserveDecision(Admission& admission, bool refused) -> void {
   admission.refused_share += ((refused ? 1.0 : 0.0) - admission.refused_share) * kDecisionWeight;
 }
--- a/src/requests/internal/coap_build.cc
+++ b/src/requests/internal/coap_build.cc
@@ -1,5 +1,7 @@
 // Datagrams that the agent writes or alters.
 #include <algorithm>
+#include <array>
+#include <span>
 
 #include "requests/internal/coap_pdu.h"
 
@@ -9,6 +11,7 @@
 constexpr auto kTokenLengthMask = std::uint8_t{0x0f};
 constexpr auto kPayloadMarker = std::uint8_t{0xff};
 constexpr auto kMaxOptionHeader = std::size_t{5};
+constexpr auto kBeyondOptions = std::uint32_t{1} << 16;
 
 auto AppendHeader(Bytes& out, MessageType type, std::uint8_t code, std::uint16_t message_id,
                   const Token& token) -> void {
@@ -36,25 +39,45 @@
   out.insert(out.end(), payload.begin(), payload.end());
 }
 
-auto AppendEchoIfDue(Bytes& out, std::uint16_t& last, std::uint16_t next,
-                     std::optional<BytesView>& echo) -> void {
-  if (!echo || next <= COAP_OPTION_ECHO) return;
-  AppendOption(out, last, COAP_OPTION_ECHO, *echo);
-  echo.reset();
+/// An option that is to be written in place of those of the same number.
+struct Replacement {
+  std::uint16_t number = 0;
+  std::optional<BytesView> value;  ///< nothing: leave them out
+};
+
+using UintBytes = std::array<std::uint8_t, sizeof(std::uint32_t)>;
+
+auto EncodeUint(UintBytes& bytes, std::uint32_t value) -> BytesView {
+  auto size = coap_encode_var_safe(bytes.data(), bytes.size(), value);
+  return BytesView(bytes).first(size);
+}
+
+// Options are written in the order of their numbers (RFC 7252, 3.1).
+auto AppendDue(Bytes& out, std::uint16_t& last, std::uint32_t below,
+               std::span<const Replacement>& replacements) -> void {
+  while (!replacements.empty() && replacements.front().number < below) {
+    const auto& [number, value] = replacements.front();
+    if (value) AppendOption(out, last, number, *value);
+    replacements = replacements.subspan(1);
+  }
 }
 
-// Writes the options and payload of `message` with its Echo option replaced by `echo`, or left out.
-auto AppendBody(Bytes& out, const Message& message, std::optional<BytesView> echo) -> void {
+// Writes the options and payload of `message` with the replacements, which are in the order of
+// their numbers.
+auto AppendBody(Bytes& out, const Message& message, std::span<const Replacement> replacements)
+    -> void {
   auto pdu = ParsePdu(message.whole);
   auto last = std::uint16_t{0};
+  auto due = replacements;
   auto iterator = coap_opt_iterator_t{};
   coap_option_iterator_init(pdu.get(), &iterator, COAP_OPT_ALL);
   while (auto* option = coap_option_next(&iterator)) {
-    if (iterator.number == COAP_OPTION_ECHO) continue;
-    AppendEchoIfDue(out, last, iterator.number, echo);
+    auto is_replaced = [&](const auto& one) { return one.number == iterator.number; };
+    if (std::any_of(replacements.begin(), replacements.end(), is_replaced)) continue;
+    AppendDue(out, last, iterator.number, due);
     AppendOption(out, last, iterator.number, OptionValue(option));
   }
-  AppendEchoIfDue(out, last, COAP_OPTION_ECHO + 1, echo);
+  AppendDue(out, last, kBeyondOptions, due);
   AppendPayload(out, PayloadOf(pdu.get()));
 }
 
@@ -70,12 +93,18 @@
   return out;
 }
 
-auto ForTarget(const Message& message, std::uint16_t message_id, const Token& token) -> Bytes {
-  if (!message.echo) return WithIdentity(message.whole, message.type, message_id, token);
+auto ForTarget(const Message& message, std::uint16_t message_id, const Token& token,
+               std::optional<std::uint32_t> deadline) -> Bytes {
+  auto unchanged = !message.echo && !message.has_deadline_option && !deadline;
+  if (unchanged) return WithIdentity(message.whole, message.type, message_id, token);
+  auto left = UintBytes{};
+  auto replacements =
+      std::array{Replacement{COAP_OPTION_ECHO, {}}, Replacement{kDeadlineOption, {}}};
+  if (deadline) replacements[1].value = EncodeUint(left, *deadline);
   auto out = Bytes{};
   out.reserve(message.whole.size() + token.bytes.size());
   AppendHeader(out, message.type, message.code, message_id, token);
-  AppendBody(out, message, std::nullopt);
+  AppendBody(out, message, replacements);
   return out;
 }
 
@@ -83,26 +112,27 @@
   auto out = Bytes{};
   out.reserve(message.whole.size() + kMaxOptionHeader + echo.size());
   AppendHeader(out, message.type, message.code, message.message_id, message.token);
-  AppendBody(out, message, echo);
+  AppendBody(out, message, std::array{Replacement{COAP_OPTION_ECHO, echo}});
+  return out;
+}
+
+auto Deregistration(const Message& message, std::uint16_t message_id, const Token& token) -> Bytes {
+  auto value = UintBytes{};
+  auto out = Bytes{};
+  AppendHeader(out, message.type, message.code, message_id, token);
+  AppendBody(out, message,
+             std::array{Replacement{COAP_OPTION_OBSERVE, EncodeUint(value, COAP_OBSERVE_CANCEL)},
+                        Replacement{COAP_OPTION_ECHO, {}}, Replacement{kDeadlineOption, {}}});
   return out;
 }
 
 auto WithObserve(const Message& message, std::uint32_t sequence) -> Bytes {
+  auto value = UintBytes{};
   auto out = Bytes{};
-  out.reserve(message.whole.size() + sizeof(sequence));
+  out.reserve(message.whole.size() + value.size());
   AppendHeader(out, message.type, message.code, message.message_id, message.token);
-  auto pdu = ParsePdu(message.whole);
-  auto value = std::array<std::uint8_t, sizeof(sequence)>{};
-  auto size = coap_encode_var_safe(value.data(), value.size(), sequence);
-  auto last = std::uint16_t{0};
-  auto iterator = coap_opt_iterator_t{};
-  coap_option_iterator_init(pdu.get(), &iterator, COAP_OPT_ALL);
-  while (auto* option = coap_option_next(&iterator)) {
-    auto is_observe = iterator.number == COAP_OPTION_OBSERVE;
-    AppendOption(out, last, iterator.number,
-                 is_observe ? BytesView(value).first(size) : OptionValue(option));
-  }
-  AppendPayload(out, PayloadOf(pdu.get()));
+  AppendBody(out, message,
+             std::array{Replacement{COAP_OPTION_OBSERVE, EncodeUint(value, sequence)}});
   return out;
 }
 
@@ -119,10 +149,9 @@
                  std::uint32_t max_age) -> Bytes {
   auto out = Bytes{};
   auto last = std::uint16_t{0};
-  auto value = std::array<std::uint8_t, sizeof(max_age)>{};
-  auto size = coap_encode_var_safe(value.data(), value.size(), max_age);
+  auto value = UintBytes{};
   AppendHeader(out, type, kCodeServiceUnavailable, message_id, token);
-  AppendOption(out, last, COAP_OPTION_MAXAGE, BytesView(value).first(size));
+  AppendOption(out, last, COAP_OPTION_MAXAGE, EncodeUint(value, max_age));
   return out;
 }
 
--- a/src/requests/internal/coap_message.cc
+++ b/src/requests/internal/coap_message.cc
@@ -56,6 +56,16 @@
                           value.size());
 }
 
+auto ReadDeadline(const coap_opt_t* option, Message& message) -> void {
+  message.has_deadline_option = true;
+  auto well_formed = coap_opt_length(option) <= kMaxDeadlineBytes;
+  if (!well_formed || message.deadline) {
+    message.bad_deadline = true;
+    return;
+  }
+  message.deadline = OptionNumber(option);
+}
+
 auto ReadOption(const coap_pdu_t* pdu, std::uint16_t number, const coap_opt_t* option,
                 Message& message) -> void {
   auto value = OptionValue(option);
@@ -82,6 +92,8 @@
     case COAP_OPTION_ECHO:
       message.echo = InDatagram(pdu, message.whole, value);
       return;
+    case kDeadlineOption:
+      return ReadDeadline(option, message);
     default:
       break;
   }
--- /dev/null
+++ b/src/requests/internal/deadline.cc
@@ -0,0 +1,60 @@
+// The client's own deadline, as its Deadline option tells it.
+#include <algorithm>
+
+#include "requests/internal/state.h"
+
+namespace anvildrum::requests {
+namespace {
+
+using base::milliseconds;
+
+// An offer that has not been confirmed with the other agent's Echo value runs nothing there.
+auto CannotHaveRun(const LedgerEntry& entry) -> bool {
+  return entry.stage == Stage::kOffered && entry.method != MethodClass::kSafe &&
+         !entry.offer_confirmed;
+}
+
+}  // namespace
+
+auto ClientDeadlineOf(const Context& context, const Message& message) -> base::TimePoint {
+  if (!message.deadline) return kNoDeadline;
+  auto left = std::min<base::Duration>(milliseconds(*message.deadline), kMaxClientDeadline);
+  return context.now + left;
+}
+
+auto DeadlineLeft(const Context& context, const LedgerEntry& entry)
+    -> std::optional<std::uint32_t> {
+  if (entry.client_deadline == kNoDeadline) return std::nullopt;
+  auto left = std::max(entry.client_deadline - context.now, base::Duration{});
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(left).count());
+}
+
+// What this target needs says nothing of another when this one is slow; the initial service time is
+// what a healthy one is taken to need.
+auto LeavesTimeElsewhere(const Context& context, base::TimePoint client_deadline) -> bool {
+  if (client_deadline == kNoDeadline) return true;
+  const auto& state = context.state;
+  auto needed = std::min(RunEstimate(state.admission), state.parameters.initial_service_time);
+  return client_deadline - context.now > needed;
+}
+
+auto CancelAtTarget(Context& context, const LedgerEntry& entry) -> void {
+  if (!entry.observe || entry.stage != Stage::kRunning) return;
+  auto& flow = FlowOf(context, entry.identity.flow);
+  auto request = ParseMessage(entry.request);
+  auto message_id = flow.next_target_message_id++;
+  context.effects.emplace_back(
+      SendToTarget{entry.identity.flow, Deregistration(*request, message_id, TokenOfId(entry.id))});
+}
+
+auto OnClientDeadline(Context& context, LedgerEntry& entry) -> void {
+  if (CannotHaveRun(entry)) return FinishNotRun(context, entry, Counter::kRefusedDeadline);
+  if (entry.holds_slot) {
+    ObserveCutRun(context.state.admission, context.state.parameters, context.now - entry.started,
+                  context.now);
+  }
+  CancelAtTarget(context, entry);
+  FinishUnknown(context, entry, Counter::kUnknownDeadline);
+}
+
+}  // namespace anvildrum::requests
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -35,11 +35,13 @@
   entry.wake = {};
   switch (entry.stage) {
     case Stage::kRunning:
+      if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
       ObserveServiceTime(context.state.admission, context.state.parameters,
-                         context.now - entry.started);
+                         context.now - entry.started, context.now);
       FinishUnknown(context, entry, Counter::kUnknownRunLimit);
       break;
     case Stage::kOffered:
+      if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
       FinishUnknown(context, entry, Counter::kUnknownHandOn);
       break;
     case Stage::kObserving:
@@ -77,7 +79,7 @@
   SendRequest(context, entry);
   // A safe request may be sent again when the client repeats it; any other one never is.
   if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
-  WakeAt(context, entry, context.now + state.parameters.run_limit);
+  WakeAt(context, entry, std::min(context.now + state.parameters.run_limit, entry.client_deadline));
   ++state.admitted;
   EarnRetry(state.retries, state.parameters.retry_share, state.parameters.retry_burst);
   ObserveDecision(state.admission, false);
@@ -142,15 +144,20 @@
   auto& flow = FlowOf(context, entry.identity.flow);
   auto parsed = ParseMessage(entry.request);
   entry.target_message_id = flow.next_target_message_id++;
-  auto bytes = ForTarget(*parsed, entry.target_message_id, TokenOfId(entry.id));
+  auto bytes = ForTarget(*parsed, entry.target_message_id, TokenOfId(entry.id),
+                         DeadlineLeft(context, entry));
   context.effects.emplace_back(SendToTarget{entry.identity.flow, std::move(bytes)});
 }
 
 auto Admit(Context& context, LedgerEntry& entry) -> void {
   auto& state = context.state;
+  if (entry.client_deadline <= context.now) {
+    return FinishNotRun(context, entry, Counter::kRefusedDeadline);
+  }
   if (entry.follow_up) return Run(context, entry);
-  const auto& client = entry.identity.flow.client.address;
-  switch (DecideAdmission(state.admission, state.parameters, client)) {
+  auto candidate =
+      Candidate{entry.identity.flow.client.address, entry.deadline, entry.client_deadline};
+  switch (DecideAdmission(state.admission, state.parameters, candidate, context.now)) {
     case AdmissionVerdict::kRun:
       return Run(context, entry);
     case AdmissionVerdict::kQueue:
@@ -159,6 +166,8 @@
       return FinishNotRun(context, entry, Counter::kRefusedQueue);
     case AdmissionVerdict::kRefuseClient:
       return FinishNotRun(context, entry, Counter::kRefusedClientLimit);
+    case AdmissionVerdict::kRefuseDeadline:
+      return FinishNotRun(context, entry, Counter::kRefusedDeadline);
   }
 }
 
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -32,7 +32,13 @@
 auto Offer(Context& context, LedgerEntry& entry, Bytes bytes, base::TargetId only_to) -> void {
   context.effects.emplace_back(
       OfferHandOn{entry.identity.flow, OfferId(entry), std::move(bytes), entry.deadline, only_to});
-  WakeAt(context, entry, GiveUpAt(context, entry));
+  WakeAt(context, entry, std::min(GiveUpAt(context, entry), entry.client_deadline));
+}
+
+// With what is left of the client's time.
+auto OfferBytes(const Context& context, const LedgerEntry& entry) -> Bytes {
+  auto request = ParseMessage(entry.request);
+  return ForTarget(*request, request->message_id, request->token, DeadlineLeft(context, entry));
 }
 
 // The other agent's challenge: it has not run the request, and only it can with this value.
@@ -40,8 +46,8 @@
                 base::TargetId only_to) -> void {
   if (entry.offer_confirmed) return;
   entry.offer_confirmed = true;
-  auto request = ParseMessage(entry.request);
-  Offer(context, entry, WithEcho(*request, *challenge.echo), only_to);
+  auto offer = OfferBytes(context, entry);
+  Offer(context, entry, WithEcho(*ParseMessage(offer), *challenge.echo), only_to);
 }
 
 auto IsChallenge(const Message& message) -> bool {
@@ -61,6 +67,7 @@
   auto& state = context.state;
   if (!MayBeHandedOn(entry) || state.parameters.retry_share <= 0) return false;
   if (entry.deadline <= context.now) return false;
+  if (!LeavesTimeElsewhere(context, entry.client_deadline)) return false;
   if (!SpendRetry(state.retries)) {
     CountOne(context, Counter::kHandOnBudgetSpent);
     return false;
@@ -69,8 +76,7 @@
   MoveOn(context, entry, Transition::kOffer);
   FlowOf(context, entry.identity.flow).live.push_back(entry.id);
   CountOne(context, Counter::kHandOnOffered);
-  auto request = ParseMessage(entry.request);
-  Offer(context, entry, ForTarget(*request, request->message_id, request->token), {});
+  Offer(context, entry, OfferBytes(context, entry), {});
   return true;
 }
 
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -1,4 +1,6 @@
 // What becomes of a request that comes in: a repetition, a read, or one that changes something.
+#include <algorithm>
+
 #include "requests/internal/state.h"
 
 namespace anvildrum::requests {
@@ -22,7 +24,8 @@
   entry.content_digest = intake.message.content_digest;
   entry.path_digest = intake.message.path_digest;
   entry.arrived = context.now;
-  entry.deadline = context.now + intake.left;
+  entry.client_deadline = ClientDeadlineOf(context, intake.message);
+  entry.deadline = std::min(context.now + intake.left, entry.client_deadline);
   entry.request = Bytes(intake.message.whole.begin(), intake.message.whole.end());
   return entry;
 }
@@ -119,11 +122,14 @@
 // A challenge answered now would be refused at once, and no other agent may be asked.
 auto WouldBeRefused(const Context& context, const Intake& intake) -> bool {
   const auto& state = context.state;
+  auto client_deadline = ClientDeadlineOf(context, intake.message);
   auto can_hand_on = state.parameters.retry_share > 0 && state.retries.tokens >= 1 &&
-                     intake.asker.identity.origin.value == 0;
+                     intake.asker.identity.origin.value == 0 &&
+                     LeavesTimeElsewhere(context, client_deadline);
   if (can_hand_on) return false;
-  auto verdict =
-      DecideAdmission(state.admission, state.parameters, intake.asker.identity.flow.client.address);
+  auto candidate = Candidate{intake.asker.identity.flow.client.address,
+                             std::min(context.now + intake.left, client_deadline), client_deadline};
+  auto verdict = DecideAdmission(state.admission, state.parameters, candidate, context.now);
   return verdict != AdmissionVerdict::kRun && verdict != AdmissionVerdict::kQueue;
 }
 
@@ -189,7 +195,10 @@
   entry.type = intake.message.type;
   entry.origin_request = intake.asker.origin_request;
   entry.arrived = context.now;
-  entry.deadline = context.now + intake.left;
+  // The time runs from the first message, whatever the second one says is left of it.
+  entry.client_deadline =
+      std::min(entry.client_deadline, ClientDeadlineOf(context, intake.message));
+  entry.deadline = std::min(context.now + intake.left, entry.client_deadline);
   // A copy that was minutes on its way: its sender may have stopped waiting. It has not run, and
   // the used value sees to it that no other copy will.
   if (EchoAge(entry.echo_issue, context.now) > EchoLifetimeOf(context, intake)) {
@@ -266,6 +275,8 @@
 
 auto OnSafe(Context& context, const Intake& intake) -> void {
   if (intake.message.observe && RefreshStream(context, intake.message, intake.asker)) return;
+  auto gives_up = intake.message.observe.value_or(0) != 0;
+  if (gives_up) CancelPending(context, intake.message, intake.asker);
   if (!HasRoomFor(context, intake)) {
     return ReplyNotRun(context, intake.asker, Counter::kRefusedLedgerFull);
   }
@@ -284,6 +295,7 @@
 auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
     -> void {
   auto intake = Intake{message, asker, left};
+  if (message.bad_deadline) CountOne(context, Counter::kBadDeadline);
   auto* known = FindRequest(context.state.ledger, asker.identity);
   auto answers_challenge =
       known != nullptr && known->stage == Stage::kChallenged && message.echo.has_value();
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -28,8 +28,10 @@
 }
 
 auto MustBeKept(const LedgerEntry& entry) -> bool {
+  // A copy of a read that ran out of its time would run once more, with all of that time again.
+  auto missed_deadline = entry.client_deadline != kNoDeadline && entry.stage == Stage::kUnknown;
   // A copy of a NON is to be dropped (RFC 7252, 4.3); its answer would be matched by token alone.
-  return entry.method != MethodClass::kSafe || entry.sends_left > 0 ||
+  return missed_deadline || entry.method != MethodClass::kSafe || entry.sends_left > 0 ||
          entry.type == MessageType::kNonConfirmable;
 }
 
@@ -75,8 +77,8 @@
 
 auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void {
   if (!entry.holds_slot) return;
-  ObserveServiceTime(context.state.admission, context.state.parameters,
-                     context.now - entry.started);
+  ObserveServiceTime(context.state.admission, context.state.parameters, context.now - entry.started,
+                     context.now);
 }
 
 auto AskerOf(const LedgerEntry& entry) -> Asker {
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -142,6 +142,19 @@
 /// Retransmission of a CON of the agent's own that the client has not acknowledged.
 auto ResendOwn(Context& context, LedgerEntry& entry) -> void;
 
+/// The client's own deadline: deadline.cc.
+/// Of a request that has just come; kNoDeadline when it has no Deadline option.
+auto ClientDeadlineOf(const Context& context, const Message& message) -> base::TimePoint;
+/// What is left of it in milliseconds, for whom the request is sent on to.
+auto DeadlineLeft(const Context& context, const LedgerEntry& entry) -> std::optional<std::uint32_t>;
+/// Whether another target could still answer in time.
+auto LeavesTimeElsewhere(const Context& context, base::TimePoint client_deadline) -> bool;
+/// Tells the target that nobody waits for a registration that runs. CoAP has no such message for a
+/// plain request; that one the target gives up by the Deadline option itself.
+auto CancelAtTarget(Context& context, const LedgerEntry& entry) -> void;
+/// The deadline is up while the request runs here or elsewhere.
+auto OnClientDeadline(Context& context, LedgerEntry& entry) -> void;
+
 /// Offers the request to another agent when that is allowed and the budget has room: hand_on.cc.
 auto TryHandOn(Context& context, LedgerEntry& entry) -> bool;
 
@@ -158,6 +171,10 @@
 auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void;
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void;
 auto OnStreamWake(Context& context, LedgerEntry& entry) -> void;
+/// The client gives up an observation whose registration has not been answered (RFC 7641, 3.6):
+/// what waits is dropped, the target is told of what runs. Without this the target would open a
+/// stream that its client has cancelled.
+auto CancelPending(Context& context, const Message& message, const Asker& asker) -> void;
 /// A new request for an observation the client already has. False when there is none.
 auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool;
 
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -109,6 +109,21 @@
   EndStream(context, entry, Counter::kStreamClientGone);
 }
 
+auto CancelPending(Context& context, const Message& message, const Asker& asker) -> void {
+  auto& ledger = context.state.ledger;
+  auto live = FlowOf(context, asker.identity.flow).live;
+  for (auto id : live) {
+    auto& entry = *FindById(ledger, id);
+    auto is_it = entry.observe && entry.identity.token == asker.identity.token &&
+                 entry.path_digest == message.path_digest;
+    if (!is_it) continue;
+    if (entry.stage == Stage::kQueued) FinishNotRun(context, entry, Counter::kStreamEnded);
+    if (entry.stage != Stage::kRunning) continue;
+    CancelAtTarget(context, entry);
+    entry.observe = false;
+  }
+}
+
 auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool {
   auto& ledger = context.state.ledger;
   auto matches = [&](std::uint64_t id) {
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -13,6 +13,8 @@
 
 namespace anvildrum::requests {
 
+inline constexpr auto kNoDeadline = base::TimePoint::max();
+
 /// What tells a request from others: the client's message ID and token within a flow. `origin` is
 /// the agent that handed the request on, 0 for a client.
 struct RequestIdentity {
@@ -58,12 +60,13 @@
   std::uint64_t origin_request = 0;  ///< the origin's id of a request handed on
   base::TimePoint arrived;
   base::TimePoint started;
-  base::TimePoint deadline;  ///< of the wait in the queue or for a hand-on
-  base::TimePoint wake;      ///< when the entry's own timer is due; zero: none
-  base::TimePoint notified;  ///< the last notification that was passed on
-  base::TimePoint expires;   ///< of a final stage
-  Bytes request;             ///< while it may still have to be sent
-  Bytes answer;              ///< as sent to the client; kept for its retransmissions
+  base::TimePoint deadline;                       ///< of the wait in the queue or for a hand-on
+  base::TimePoint client_deadline = kNoDeadline;  ///< the client's own: of the run too
+  base::TimePoint wake;                           ///< when the entry's own timer is due; zero: none
+  base::TimePoint notified;                       ///< the last notification that was passed on
+  base::TimePoint expires;                        ///< of a final stage
+  Bytes request;                                  ///< while it may still have to be sent
+  Bytes answer;  ///< as sent to the client; kept for its retransmissions
 };
 
 /// Every request that is live or that a late copy could still repeat.
--- a/src/requests/tests/coap_message_test.cc
+++ b/src/requests/tests/coap_message_test.cc
@@ -35,7 +35,20 @@
   BOOST_REQUIRE(message.echo.has_value());
   BOOST_TEST(Bytes(message.echo->begin(), message.echo->end()) == kEcho);
   BOOST_TEST(message.content_digest == plain.content_digest);
-  BOOST_TEST(ForTarget(message, plain.message_id, plain.token) == kPost);
+  BOOST_TEST(ForTarget(message, plain.message_id, plain.token, {}) == kPost);
+}
+
+// Options of higher numbers than the Deadline option stay behind it, those before it in front.
+BOOST_AUTO_TEST_CASE(deadline_is_written_in_the_order_of_options) {
+  auto with_highest = Bytes{kPost.begin(), kPost.end() - 2};
+  auto highest = Bytes{0xe1, 0xfe, 0xe5, 9, 0xff, 'x'};  // option 65533
+  with_highest.insert(with_highest.end(), highest.begin(), highest.end());
+  auto plain = ParseMessage(with_highest).value();
+  auto bytes = ForTarget(plain, plain.message_id, plain.token, 500);
+  auto message = ParseMessage(bytes).value();
+  BOOST_TEST(message.deadline.value() == 500U);
+  BOOST_TEST(message.content_digest == plain.content_digest);
+  BOOST_TEST(ForTarget(message, plain.message_id, plain.token, {}) == with_highest);
 }
 
 BOOST_AUTO_TEST_CASE(malformed_datagrams_are_typed_and_confirmable_ones_reset) {
--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -164,6 +164,20 @@
   CheckSeeds(faults, 800, true);
 }
 
+// Clients that do not wait long, with all faults: an outcome that is told at a client's deadline,
+// while the request runs here or elsewhere, must be as true as any other.
+BOOST_AUTO_TEST_CASE(clients_with_deadlines) {
+  auto faults = Faults{};
+  faults.drop = 0.05;
+  faults.duplicate = 0.1;
+  faults.late = 0.05;
+  faults.agent_death = 0.05;
+  faults.target_death = 0.03;
+  faults.move = 0.1;
+  faults.deadlines = true;
+  CheckSeeds(faults, 800, true);
+}
+
 // With a network that loses nothing and agents and targets that live, nobody is left to time out.
 BOOST_AUTO_TEST_CASE(every_request_is_told_its_outcome) {
   auto faults = Faults{};
--- a/src/requests/tests/rig.h
+++ b/src/requests/tests/rig.h
@@ -100,6 +100,15 @@
   return WithEcho(ParseMessage(next).value(), echo);
 }
 
+/// The request of world::MakeRequest with a Deadline option in front of its payload.
+inline auto Within(Bytes request, std::uint32_t milliseconds) -> Bytes {
+  auto high = static_cast<std::uint8_t>(milliseconds >> 8);
+  auto low = static_cast<std::uint8_t>(milliseconds);
+  auto option = Bytes{0xe2, 0xfc, 0xe4, high, low};  // 65020, after Uri-Path; two bytes
+  request.insert(request.end() - 5, option.begin(), option.end());
+  return request;
+}
+
 inline auto Get(std::uint16_t message_id, std::size_t number) -> Bytes {
   return world::MakeRequest(world::kGet, message_id, TokenOf(static_cast<std::uint8_t>(number)),
                             number);
--- a/src/requests/tests/streams_test.cc
+++ b/src/requests/tests/streams_test.cc
@@ -240,6 +240,22 @@
   BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
 }
 
+// A screen asks for a feed and closes at once: its Observe 1 overtakes the target's first answer.
+// The target is told under the token of the registration; the answer opens no stream.
+BOOST_AUTO_TEST_CASE(registration_is_given_up_before_its_answer) {
+  auto rig = MakeRig(Alone());
+  FromClient(rig, ObserveGet(1, false));
+  auto sent = rig.to_target.at(0);
+  auto request = ParseMessage(sent).value();
+  FromClient(rig, ObserveGet(2, true));
+  BOOST_REQUIRE(rig.to_target.size() == 2U);
+  BOOST_TEST(Forwarded(rig).observe.value() == 1U);
+  BOOST_CHECK(Forwarded(rig).token == request.token);
+  Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kAcknowledgement, request.message_id,
+                                               request.token, 10)});
+  BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
+}
+
 // The client has the ACK when the target freezes, so it no longer asks: its 5.04 is a CON of the
 // agent's, sent again until the client acknowledges it.
 BOOST_AUTO_TEST_CASE(outcome_after_an_ack_is_sent_until_acknowledged) {
--- a/src/requests/tests/world.h
+++ b/src/requests/tests/world.h
@@ -42,7 +42,8 @@
   double hand_over = 0;  ///< chance a second that some flow is handed over, planned
   bool adopted = false;  ///< moved flows are opened as taken over
   bool reuse_tokens = false;
-  bool lenient = false;  ///< clients answer a challenge of any message of an open request
+  bool deadlines = false;  ///< most requests carry a Deadline option of 30 to 400 ms
+  bool lenient = false;    ///< clients answer a challenge of any message of an open request
 };
 
 struct Exchange {
--- a/src/requests/tests/world_client.cc
+++ b/src/requests/tests/world_client.cc
@@ -51,6 +51,11 @@
   exchange.token = FreeToken(world, client);
   exchange.bytes =
       MakeRequest(world.orders[order].method, exchange.message_id, exchange.token, order);
+  auto message = ParseMessage(exchange.bytes).value();
+  if (world.faults.deadlines && Chance(world, 0.8)) {
+    auto deadline = static_cast<std::uint32_t>(30 + world.random() % 371);
+    exchange.bytes = ForTarget(message, exchange.message_id, exchange.token, deadline);
+  }
   if (!echo.empty()) exchange.bytes = WithEcho(ParseMessage(exchange.bytes).value(), echo);
   client.exchanges.push_back(exchange);
   Transmit(world, client.flow, client.exchanges.size() - 1);
--- a/src/requests/types/counter.h
+++ b/src/requests/types/counter.h
@@ -8,6 +8,7 @@
 enum class Counter : std::uint8_t {
   kClientMalformed,       ///< datagram of a client that is no CoAP message
   kTargetMalformed,       ///< datagram of the target that is no CoAP message
+  kBadDeadline,           ///< Deadline option too long or repeated; ignored
   kUnexpectedFromClient,  ///< a response, or an ACK or RST that matches nothing
   kUnexpectedFromTarget,  ///< a request, or an ACK or RST that matches nothing
   kAdmitted,
@@ -19,6 +20,7 @@
   kRefusedChallenges,   ///< too many open challenges; not run
   kRefusedExpiredEcho,  ///< a challenge answered too late; not run
   kRefusedStreams,      ///< too many observations of the flow; not run
+  kRefusedDeadline,     ///< could not finish by the client's own deadline; not run
   kUnknownRunLimit,     ///< no answer of the target in time
   kUnknownTargetGone,
   kUnknownForeignEcho,    ///< an Echo value of another incarnation or flow
@@ -27,6 +29,7 @@
   kUnknownUpload,         ///< a later block of an upload that did not start here
   kUnknownIdentityReuse,  ///< message ID and token of another request that is still remembered
   kUnknownHandOn,         ///< no answer of the other agent in time
+  kUnknownDeadline,       ///< no answer by the client's own deadline
   kChallenged,
   kRetransmissionAnswered,
   kRetransmissionWhileRunning,
--- a/src/requests/types/parameters.h
+++ b/src/requests/types/parameters.h
@@ -12,14 +12,17 @@
 inline constexpr auto kNonLifetime = base::seconds(145);
 inline constexpr auto kMaxTransmitWait = base::seconds(93);
 
+/// Longest deadline that is taken from a client: by then it has stopped waiting anyway.
+inline constexpr auto kMaxClientDeadline = kMaxTransmitWait;
+
 /// What an agent's request core is set to. The queue and client limits come from
 /// config::ServiceLimits, the slots from membership::TargetRecord.
 struct Parameters {
   std::uint32_t slots = 4;              ///< requests the target runs at once
   std::uint32_t queue_size = 64;        ///< requests waiting at most
   std::uint32_t client_in_flight = 64;  ///< queued and running requests of one client address
-  /// A request's deadline is its arrival plus this: the answer should be there by then. CoAP has
-  /// no option that carries a client's own deadline.
+  /// A request's deadline is its arrival plus this: the answer should be there by then. A client's
+  /// own deadline (Deadline option) can only be earlier.
   base::Duration queue_limit = base::milliseconds(250);
   /// A running request is given up as unknown after this; under kMaxTransmitWait, so that a client
   /// that follows RFC 7252 is still waiting for the answer.
--- a/tools/common/coap_message.cc
+++ b/tools/common/coap_message.cc
@@ -5,6 +5,8 @@
 namespace anvildrum::tools {
 namespace {
 
+constexpr auto kMaxUintBytes = 4U;
+
 auto View(const std::uint8_t* data, std::size_t size) -> std::string_view {
   return {reinterpret_cast<const char*>(data), size};
 }
@@ -30,6 +32,13 @@
   return coap_decode_var_bytes(coap_opt_value(option), coap_opt_length(option));
 }
 
+auto TimeLeft(const coap_pdu_t* request) -> base::Duration {
+  auto iterator = coap_opt_iterator_t{};
+  const auto* option = coap_check_option(request, kDeadlineOption, &iterator);
+  if (option == nullptr || coap_opt_length(option) > kMaxUintBytes) return base::Duration::max();
+  return base::milliseconds(coap_decode_var_bytes(coap_opt_value(option), coap_opt_length(option)));
+}
+
 auto AddUintOption(coap_pdu_t* pdu, coap_option_num_t number, std::uint32_t value) -> void {
   auto bytes = std::array<std::uint8_t, 4>{};
   auto size = coap_encode_var_safe(bytes.data(), bytes.size(), value);
--- a/tools/common/coap_message.h
+++ b/tools/common/coap_message.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/types/time.h"
+
 namespace anvildrum::tools {
 
 /// Views the payload of a message; empty when it has none.
@@ -18,6 +20,14 @@
 /// Value of an option that holds an unsigned integer (RFC 7252, 3.2), when the message has it.
 auto UintOption(const coap_pdu_t* pdu, coap_option_num_t number) -> std::optional<std::uint32_t>;
 
+/// Deadline option: milliseconds from sending until the client stops waiting. Elective, of the
+/// range for experiments (RFC 7252, 12.2); docs/client-guide.md.
+inline constexpr coap_option_num_t kDeadlineOption = 65020;
+
+/// Time that the Deadline option leaves a request; the longest there is without one that is well
+/// formed (RFC 7252, 5.4.3).
+auto TimeLeft(const coap_pdu_t* request) -> base::Duration;
+
 auto AddUintOption(coap_pdu_t* pdu, coap_option_num_t number, std::uint32_t value) -> void;
 
 /// Code, content format JSON, Max-Age where it isn't nothing, and the body.
--- a/tools/load_client/command_line.cc
+++ b/tools/load_client/command_line.cc
@@ -47,6 +47,8 @@
   auto timeout = Number("", "timeout-ms", "wait for an answer", false, 30'000, "ms", command);
   auto report_timeout =
       Number("", "report-timeout-ms", "wait for a report", false, 120'000, "ms", command);
+  auto deadline = Number("", "deadline-ms", "Deadline option of POSTs and GETs; 0: none", false, 0,
+                         "ms", command);
   auto run_id = Text("", "run-id", "starts each request's id", false, "", "TEXT", command);
   auto json = TCLAP::SwitchArg("", "json", "summary as one line of JSON", command);
   command.parse(argc, argv);
@@ -64,6 +66,7 @@
   line.gap_limit = base::milliseconds(gap.getValue());
   line.request_timeout = base::milliseconds(timeout.getValue());
   line.report_timeout = base::milliseconds(report_timeout.getValue());
+  line.deadline = base::milliseconds(deadline.getValue());
   line.run_id = run_id.getValue().empty() ? FreshRunId() : run_id.getValue();
   line.json = json.getValue();
   return line;
--- a/tools/load_client/command_line.h
+++ b/tools/load_client/command_line.h
@@ -23,6 +23,8 @@
   base::Duration gap_limit{};
   base::Duration request_timeout{};
   base::Duration report_timeout{};
+  /// Sent in the Deadline option of POSTs and GETs; zero: no option.
+  base::milliseconds deadline{};
   std::string run_id;  ///< goes before the number in each request's id
   bool json = false;
 };
--- a/tools/load_client/flow.cc
+++ b/tools/load_client/flow.cc
@@ -44,6 +44,10 @@
   if (!message.query.empty()) {
     coap_add_option(pdu, COAP_OPTION_URI_QUERY, message.query.size(), Bytes(message.query));
   }
+  if (message.deadline > base::Duration{}) {
+    tools::AddUintOption(pdu, tools::kDeadlineOption,
+                         static_cast<std::uint32_t>(message.deadline.count()));
+  }
   if (!message.body.empty()) coap_add_data(pdu, message.body.size(), Bytes(message.body));
 }
 
--- a/tools/load_client/flow.h
+++ b/tools/load_client/flow.h
@@ -32,6 +32,7 @@
   std::string_view query;
   std::string_view body;
   bool observe = false;
+  base::milliseconds deadline{};  ///< zero: no Deadline option
 };
 
 /// Sends a confirmable request; its token, or nothing when libcoap refuses it.
--- a/tools/load_client/load.cc
+++ b/tools/load_client/load.cc
@@ -44,10 +44,12 @@
   auto body = is_post ? "{\"id\":\"" + id + "\"}" : std::string{};
   auto query = is_post ? std::string{} : "id=" + id;
   auto method = is_post ? COAP_REQUEST_CODE_POST : COAP_REQUEST_CODE_GET;
-  auto token = SendMessage(flow, {method, series.path, query, body});
+  auto deadline = load.line.deadline;
+  auto token = SendMessage(flow, {method, series.path, query, body, false, deadline});
   if (!token) return;
   ++load.tally.sent;
-  flow.pending[*token] = Request{series.kind, id, now};
+  auto ends = deadline > base::Duration{} ? now + deadline : base::TimePoint::max();
+  flow.pending[*token] = Request{series.kind, id, now, ends};
 }
 
 auto SendDue(Load& load, Series& series, base::TimePoint now) -> void {
--- a/tools/load_client/summary.cc
+++ b/tools/load_client/summary.cc
@@ -37,6 +37,7 @@
   json["timeouts"] = tally.timeouts;
   json["resets"] = tally.resets;
   json["late"] = tally.late;
+  json["after_deadline"] = tally.after_deadline;
   json["wrong_answers"] = tally.wrong_answers;
   json["double_executions"] = tally.double_executions;
   json["reports"] = tally.reports;
--- a/tools/load_client/tally.cc
+++ b/tools/load_client/tally.cc
@@ -77,6 +77,7 @@
 
 auto CountAnswered(Tally& tally, const Request& request, const Answer& answer, base::TimePoint now)
     -> void {
+  if (now > request.deadline) ++tally.after_deadline;
   auto target = request.kind == RequestKind::kReport ? std::string{} : TargetOf(answer.payload);
   if (!target.empty()) ++tally.by_target[target];
   if (request.kind == RequestKind::kReport) {
--- a/tools/load_client/tally.h
+++ b/tools/load_client/tally.h
@@ -17,6 +17,7 @@
   RequestKind kind = RequestKind::kGet;
   std::string id;  ///< empty for a report
   base::TimePoint sent;
+  base::TimePoint deadline = base::TimePoint::max();  ///< what its Deadline option asks for
 };
 
 struct Answer {
@@ -42,8 +43,9 @@
   std::uint64_t unknown = 0;
   std::uint64_t errors = 0;
   std::uint64_t timeouts = 0;
-  std::uint64_t resets = 0;  ///< requests that were answered by RST or an unreachable port
-  std::uint64_t late = 0;    ///< answers to requests that had got their outcome before
+  std::uint64_t resets = 0;          ///< requests that were answered by RST or an unreachable port
+  std::uint64_t late = 0;            ///< answers to requests that had got their outcome before
+  std::uint64_t after_deadline = 0;  ///< answered, but after the request's deadline
   std::uint64_t wrong_answers = 0;
   std::uint64_t double_executions = 0;
   std::uint64_t reports = 0;
--- a/tools/load_client/tests/tally_test.cc
+++ b/tools/load_client/tests/tally_test.cc
@@ -23,6 +23,17 @@
   BOOST_TEST(boost::accumulators::count(tally.latencies) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(answer_after_the_deadline_is_counted) {
+  auto tally = Tally{};
+  auto request = kPost;
+  request.deadline = kStart + base::milliseconds(100);
+  auto answer = Answer{201, R"({"target":"d1","id":"r-1","executions":1})"};
+  Count(tally, request, answer, kStart + base::milliseconds(100));
+  BOOST_TEST(tally.after_deadline == 0U);
+  Count(tally, request, answer, kStart + base::milliseconds(101));
+  BOOST_TEST(tally.after_deadline == 1U);
+}
+
 // A client that takes another's answer for its own believes in a hold that it does not have.
 BOOST_AUTO_TEST_CASE(answer_to_another_request_is_wrong_whatever_its_code) {
   for (auto code : {201U, 204U, 205U, 503U, 504U}) {
--- a/tools/target_standin/slow_request.cc
+++ b/tools/target_standin/slow_request.cc
@@ -14,12 +14,16 @@
   return std::max<coap_tick_t>(1, milliseconds * COAP_TICKS_PER_SECOND / 1000);
 }
 
+auto ReasonOf(JobOutcome outcome) -> std::string_view {
+  return outcome == JobOutcome::kExpired ? "deadline" : "cancelled";
+}
+
 auto Begin(Server& server, const SlowRequest& slow) -> void {
   auto now = base::Clock::now();
   // Registered before a slot is taken: it fails for a token that is already in use.
   auto* async = coap_register_async(slow.session, slow.request, 0);
   if (async == nullptr) return Refuse(server, slow);
-  auto admitted = Admit(server.work, slow.id, now);
+  auto admitted = Admit(server.work, slow.id, now, tools::TimeLeft(slow.request));
   if (!admitted) {
     coap_free_async(slow.session, async);
     return Refuse(server, slow);
@@ -50,9 +54,10 @@
   // libcoap frees the async when the handler returns.
   auto job = server.jobs_of_asyncs.extract(async);
   if (job.empty()) return true;
-  if (Finish(server.work, job.mapped(), base::Clock::now()) == JobOutcome::kDone) return true;
+  auto outcome = Finish(server.work, job.mapped(), base::Clock::now());
+  if (outcome == JobOutcome::kDone) return true;
   tools::WriteJson(slow.response, COAP_RESPONSE_CODE_GATEWAY_TIMEOUT,
-                   ErrorBody(server.line.name, "cancelled", slow.id));
+                   ErrorBody(server.line.name, ReasonOf(outcome), slow.id));
   return false;
 }
 
--- a/tools/target_standin/tests/work_test.cc
+++ b/tools/target_standin/tests/work_test.cc
@@ -55,6 +55,30 @@
   BOOST_TEST(work.in_flight == 1U);
 }
 
+// A target that starts what it cannot finish burns a slot for an answer that nobody reads, and then
+// has to say "unknown" where "not run" would have been true.
+BOOST_AUTO_TEST_CASE(request_that_cannot_finish_in_time_is_not_run) {
+  auto work = MakeWork(1);
+  BOOST_TEST(!Admit(work, "a", kStart, base::milliseconds(19)).has_value());
+  BOOST_TEST(!work.executions.contains("a"));
+  BOOST_TEST(Admit(work, "a", kStart, base::milliseconds(40)).has_value());
+}
+
+// A run that turns out longer than its client waits stops then, and the slot is free.
+BOOST_AUTO_TEST_CASE(run_ends_at_the_deadline) {
+  auto work = MakeWork(1);
+  auto expired = 0;
+  for (auto i = 0; i < 100; ++i) {
+    auto running = Admit(work, "a", kStart, base::milliseconds(20)).value();
+    BOOST_CHECK(running.run_time <= base::milliseconds(20));
+    if (Finish(work, running.job, kStart) == JobOutcome::kExpired) ++expired;
+  }
+  BOOST_TEST(work.in_flight == 0U);
+  BOOST_TEST(expired > 20);
+  BOOST_TEST(expired < 80);
+  BOOST_TEST(work.expired == static_cast<std::uint64_t>(expired));
+}
+
 BOOST_AUTO_TEST_CASE(cold_target_is_slower_until_it_has_warmed_up) {
   auto work = MakeWork(100);
   work.settings.cold_extra = base::milliseconds(200);
--- a/tools/target_standin/work.cc
+++ b/tools/target_standin/work.cc
@@ -17,11 +17,18 @@
       static_cast<base::Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+auto ColdExtra(const Work& work) -> base::Duration {
+  auto cold = std::max(0.0, 1 - static_cast<double>(work.admitted) / kColdRequests);
+  return Scale(work.settings.cold_extra, cold);
+}
+
+auto MeanRunTime(const Work& work) -> base::Duration {
+  return work.settings.service_time + ColdExtra(work);
+}
+
 auto RunTime(Work& work) -> base::Duration {
   auto spread = std::uniform_real_distribution<double>(1 - kSpread, 1 + kSpread);
-  auto cold = std::max(0.0, 1 - static_cast<double>(work.admitted) / kColdRequests);
-  return Scale(work.settings.service_time, spread(work.random)) +
-         Scale(work.settings.cold_extra, cold);
+  return Scale(work.settings.service_time, spread(work.random)) + ColdExtra(work);
 }
 
 /// Drops what is older than any lagging answer needs: one entry at or before the lag's start stays.
@@ -42,16 +49,18 @@
 
 }  // namespace
 
-auto Admit(Work& work, std::string_view request_id, base::TimePoint now)
+auto Admit(Work& work, std::string_view request_id, base::TimePoint now, base::Duration left)
     -> std::optional<Admitted> {
-  if (work.draining || work.in_flight >= work.settings.slots) {
+  auto full = work.draining || work.in_flight >= work.settings.slots;
+  if (full || MeanRunTime(work) > left) {
     ++work.refused;
     return std::nullopt;
   }
-  auto admitted = Admitted{work.next_job++, RunTime(work)};
+  auto run_time = RunTime(work);
+  auto admitted = Admitted{work.next_job++, std::min(run_time, left)};
   ++work.admitted;
   ++work.in_flight;
-  work.jobs[admitted.job] = Job{std::string(request_id)};
+  work.jobs[admitted.job] = Job{std::string(request_id), JobOutcome::kRunning, run_time > left};
   if (!request_id.empty()) ++work.executions[std::string(request_id)];
   Record(work, now);
   return admitted;
@@ -60,11 +69,13 @@
 auto Finish(Work& work, JobId job, base::TimePoint now) -> JobOutcome {
   auto found = work.jobs.find(job);
   if (found == work.jobs.end()) return JobOutcome::kCancelled;
-  auto outcome = found->second.outcome;
+  auto ended = found->second;
   work.jobs.erase(found);
-  if (outcome == JobOutcome::kCancelled) return outcome;
+  if (ended.outcome == JobOutcome::kCancelled) return ended.outcome;
   FreeSlot(work, now);
-  return JobOutcome::kDone;
+  if (!ended.expires) return JobOutcome::kDone;
+  ++work.expired;
+  return JobOutcome::kExpired;
 }
 
 auto Cancel(Work& work, std::string_view request_id, base::TimePoint now) -> std::optional<JobId> {
--- a/tools/target_standin/work.h
+++ b/tools/target_standin/work.h
@@ -24,11 +24,12 @@
 
 using JobId = std::uint64_t;
 
-enum class JobOutcome { kRunning, kDone, kCancelled };
+enum class JobOutcome { kRunning, kDone, kCancelled, kExpired };
 
 struct Job {
   std::string request_id;  ///< empty for a request without one
   JobOutcome outcome = JobOutcome::kRunning;
+  bool expires = false;  ///< its client's deadline ends it
 };
 
 struct Load {
@@ -50,6 +51,7 @@
   std::deque<LoadAt> history;                                    ///< oldest first
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
+  std::uint64_t expired = 0;  ///< stopped at their client's deadline
   unsigned in_flight = 0;
   bool draining = false;
   JobId next_job = 1;
@@ -61,11 +63,14 @@
   base::Duration run_time{};
 };
 
-/// Takes a slot, or refuses when all are taken or the target drains. A request with an id counts as
-/// executed from here on.
-auto Admit(Work& work, std::string_view request_id, base::TimePoint now) -> std::optional<Admitted>;
+/// Takes a slot, or refuses when all are taken, the target drains, or the mean run is longer than
+/// what is left of the client's time. A run that turns out longer than that ends there. A request
+/// with an id counts as executed from here on.
+auto Admit(Work& work, std::string_view request_id, base::TimePoint now,
+           base::Duration left = base::Duration::max()) -> std::optional<Admitted>;
 
-/// Ends a job and frees its slot; what had become of it. Unknown jobs count as cancelled.
+/// Ends a job and frees its slot; what had become of it: kDone, kCancelled, or kExpired when the
+/// client's deadline ended it. Unknown jobs count as cancelled.
 auto Finish(Work& work, JobId job, base::TimePoint now) -> JobOutcome;
 
 /// Frees the slot of the running request with this id at once. Returns its job, which stays until
