Measure hedging of reads, deadlines and the challenge under overload; ship no hedging

Cause: hedging was neither built nor measured; the cost of the Echo challenge was read off two different policies.

Change (bench only): reads as a load, hedges after 50 or 100 ms within the 4 % of the retry budget, alone or sharing it with hand-on; holds with a deadline of 250 ms that targets honour.

Conclusion: no hedging; it helps where nothing is late and costs where something is. The hand-on stays.

--- a/bench/overload_sim.cc
+++ b/bench/overload_sim.cc
@@ -1,117 +1,24 @@
 #include "overload_sim.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "requests/coap_message.h"
 
 namespace anvildrum::requests {
 namespace {
 
-auto At(Milliseconds now) -> base::TimePoint {
-  return base::TimePoint(base::hours(1)) +
-         base::microseconds(static_cast<std::int64_t>(now * 1000));
-}
-
-auto After(Sim& sim, Milliseconds delay, std::function<void()> job) -> void {
-  sim.jobs.emplace(sim.now + std::max(delay, 0.0), std::move(job));
-}
-
-auto DrawServiceTime(Sim& sim, std::size_t target) -> Milliseconds {
-  auto spread = std::normal_distribution<>(-kServiceSpread * kServiceSpread / 2, kServiceSpread);
-  auto taken = kServiceTime * std::exp(spread(sim.random));
-  if (target == kSlow) taken *= kSlowFactor;
-  if (target == kCold && sim.now < kColdFor) {
-    taken *= kColdFactor - (kColdFactor - 1) * sim.now / kColdFor;
-  }
-  return taken;
-}
-
-auto StartNext(Sim& sim, std::size_t target) -> void {
-  auto& at = sim.targets[target];
-  if (at.running == kSlots || at.waiting.empty()) return;
-  auto done = std::move(at.waiting.front());
-  at.waiting.pop();
-  ++at.running;
-  ++at.runs;
-  After(sim, DrawServiceTime(sim, target), [&sim, target, done] {
-    --sim.targets[target].running;
-    StartNext(sim, target);
-    done();
-  });
-}
-
-auto RunAtTarget(Sim& sim, std::size_t target, std::function<void()> done) -> void {
-  sim.targets[target].waiting.push(std::move(done));
-  StartNext(sim, target);
-}
-
-auto InFlight(const SimTarget& target) -> std::size_t {
-  return target.running + target.waiting.size();
-}
-
-auto Better(const Sim& sim, std::size_t left, std::size_t right) -> std::size_t {
-  return sim.targets[left].observed <= sim.targets[right].observed ? left : right;
-}
-
-auto TwoChoices(Sim& sim, std::size_t but_not) -> std::size_t {
-  auto draw = [&] {
-    auto target = sim.random() % kTargets;
-    return target == but_not ? (target + 1) % kTargets : target;
-  };
-  auto left = draw();
-  return Better(sim, left, draw());
-}
-
-auto LeastReported(Sim& sim) -> std::size_t {
-  auto least = [](const auto& left, const auto& right) { return left.reported < right.reported; };
-  auto at = std::min_element(sim.targets.begin(), sim.targets.end(), least);
-  return static_cast<std::size_t>(at - sim.targets.begin());
-}
-
-auto Place(Sim& sim, std::size_t client) -> std::size_t {
-  switch (sim.policy) {
-    case Policy::kRandom:
-      return sim.random() % kTargets;
-    case Policy::kLeastReported:
-      return LeastReported(sim);
-    case Policy::kCorePinned:
-    case Policy::kCoreAlone:
-      return client % kTargets;
-    default:
-      return TwoChoices(sim, kTargets);
-  }
-}
-
-auto Report(Sim& sim) -> void {
-  for (auto i = std::size_t{0}; i < kTargets; ++i) {
-    sim.targets[i].reported = i == kLiar ? 0 : InFlight(sim.targets[i]);
-  }
-  After(sim, kReportEvery, [&sim] { Report(sim); });
-}
-
-// What is observed without asking the target: requests in flight and how long they take.
-auto Observe(Sim& sim) -> void {
-  for (auto i = std::size_t{0}; i < kTargets; ++i) {
-    auto& target = sim.targets[i];
-    if (sim.cores.empty()) {
-      target.observed = static_cast<double>(InFlight(target));
-      continue;
-    }
-    auto busy = BusyOf(*sim.cores[i], At(sim.now));
-    target.observed = static_cast<double>(busy.running + busy.queued + 1) *
-                      static_cast<double>(busy.service_time.count());
-  }
-  After(sim, kObserveEvery, [&sim] { Observe(sim); });
-}
+constexpr auto kHedgeOrigin = kTargets + 1;  // and above: origins of hedges, one an agent
 
 auto Finish(Sim& sim, std::size_t hold) -> void {
-  sim.latencies.push_back(sim.now - sim.holds[hold].sent);
+  auto& at = sim.holds[hold];
+  if (at.settled) return;
+  at.settled = true;
+  sim.latencies.push_back(sim.now - at.sent);
 }
 
-auto Post(std::size_t hold) -> Bytes {
+auto RequestOf(const Sim& sim, std::size_t hold) -> Bytes {
   auto bytes = Bytes{0x41,
-                     2,
+                     static_cast<std::uint8_t>(sim.trial.reads ? 1 : 2),
                      static_cast<std::uint8_t>(hold >> 8),
                      static_cast<std::uint8_t>(hold),
                      1,
@@ -122,13 +29,43 @@
                      'd',
                      0xff};
   for (auto shift : {24, 16, 8, 0}) bytes.push_back(static_cast<std::uint8_t>(hold >> shift));
-  return bytes;
+  if (!sim.trial.deadlines) return bytes;
+  auto message = ParseMessage(bytes).value();
+  return ForTarget(message, message.message_id, message.token,
+                   static_cast<std::uint32_t>(kDeadline));
+}
+
+auto HoldIn(BytesView request) -> std::size_t {
+  auto hold = std::size_t{0};
+  for (auto byte : request.last(4)) hold = hold << 8U | byte;
+  return hold;
 }
 
 auto Feed(Sim& sim, std::size_t agent, const Event& event) -> void;
 
+// The same read to another agent, which is not told apart from a hand-on there.
+auto Hedge(Sim& sim, std::size_t agent, const base::FlowKey& flow, const Bytes& bytes) -> void {
+  auto hold = HoldIn(bytes);
+  if (sim.holds[hold].settled || !SpendRetry(sim.hedge_budget)) return;
+  auto other = TwoChoices(sim, agent);
+  auto left = sim.holds[hold].sent + kDeadline - sim.now;
+  After(sim, kBetweenAgents, [&sim, agent, other, flow, bytes, hold, left] {
+    auto remaining = base::microseconds(static_cast<std::int64_t>(left * 1000));
+    Feed(sim, other,
+         HandOnRequested{flow, base::InstanceId{agent + kHedgeOrigin}, hold, bytes, remaining});
+  });
+}
+
+auto HedgeLater(Sim& sim, std::size_t agent, const base::FlowKey& flow, const Bytes& bytes)
+    -> void {
+  if (sim.trial.hedge_after <= 0) return;
+  EarnRetry(sim.hedge_budget, sim.trial.hedge_share, Parameters{}.retry_burst);
+  After(sim, sim.trial.hedge_after, [&sim, agent, flow, bytes] { Hedge(sim, agent, flow, bytes); });
+}
+
 auto ToAgent(Sim& sim, std::size_t agent, const base::FlowKey& flow, Bytes bytes) -> void {
   After(sim, kNetwork, [&sim, agent, flow, bytes = std::move(bytes)] {
+    HedgeLater(sim, agent, flow, bytes);
     Feed(sim, agent, ClientDatagram{flow, bytes});
   });
 }
@@ -138,16 +75,15 @@
   auto hold = static_cast<std::size_t>(message.message_id) |
               (static_cast<std::size_t>(sent.flow.client.port) << 16U);
   if (message.code == kCodeUnauthorized) {
-    auto bytes = Post(hold);
+    auto bytes = RequestOf(sim, hold);
     return ToAgent(sim, agent, sent.flow, WithEcho(ParseMessage(bytes).value(), *message.echo));
   }
-  if (message.code == kCodeServiceUnavailable) {
-    ++sim.refused;
-  } else if (message.code == kCodeGatewayTimeout) {
-    ++sim.unknown;
-  } else {
-    Finish(sim, hold);
-  }
+  auto refused = message.code == kCodeServiceUnavailable;
+  auto unknown = message.code == kCodeGatewayTimeout;
+  if (!refused && !unknown) return Finish(sim, hold);
+  if (sim.holds[hold].settled) return;
+  sim.holds[hold].settled = true;
+  ++(refused ? sim.refused : sim.unknown);
 }
 
 auto TargetReceives(Sim& sim, std::size_t agent, const SendToTarget& sent) -> void {
@@ -156,9 +92,13 @@
   auto answer = Bytes(sent.bytes.begin(), sent.bytes.begin() + 4 + request.token.size);
   answer[0] = static_cast<std::uint8_t>(0x60 | request.token.size);
   answer[1] = 0x44;
-  RunAtTarget(sim, agent, [&sim, agent, flow = sent.flow, answer] {
-    Feed(sim, agent, TargetDatagram{flow, answer});
-  });
+  auto ends = request.deadline ? sim.now + *request.deadline : kNever;
+  RunAtTarget(
+      sim, agent,
+      [&sim, agent, flow = sent.flow, answer] {
+        Feed(sim, agent, TargetDatagram{flow, answer});
+      },
+      ends);
 }
 
 auto Offer(Sim& sim, std::size_t agent, const OfferHandOn& offer) -> void {
@@ -174,6 +114,12 @@
 }
 
 auto AnswerOffer(Sim& sim, std::size_t agent, const AnswerHandOn& answer) -> void {
+  if (answer.origin.value >= kHedgeOrigin) {
+    if (answer.not_run) return;
+    ++sim.hedge_runs;
+    return After(sim, kBetweenAgents + kNetwork,
+                 [&sim, hold = answer.request] { Finish(sim, hold); });
+  }
   After(sim, kBetweenAgents, [&sim, agent, answer] {
     Feed(sim, answer.origin.value - 1,
          HandOnAnswered{answer.flow, answer.request, base::TargetId{agent + 1}, answer.not_run,
@@ -207,7 +153,7 @@
   auto flow = base::FlowKey{base::EndpointFromV4(address, static_cast<std::uint16_t>(hold >> 16U)),
                             base::ServiceIdOf("desk")};
   sim.holds.push_back({sim.now, target, flow});
-  if (!sim.cores.empty()) return ToAgent(sim, target, flow, Post(hold));
+  if (!sim.cores.empty()) return ToAgent(sim, target, flow, RequestOf(sim, hold));
   After(sim, kNetwork, [&sim, hold, target] {
     RunAtTarget(sim, target,
                 [&sim, hold] { After(sim, kNetwork, [&sim, hold] { Finish(sim, hold); }); });
@@ -217,16 +163,16 @@
 auto Arrive(Sim& sim) -> void {
   if (sim.now > kRun) return;
   SendHold(sim);
-  auto rate = CapacityPerSecond() * sim.load / 1000;
+  auto rate = CapacityPerSecond() * sim.trial.load / 1000;
   After(sim, std::exponential_distribution<>(rate)(sim.random), [&sim] { Arrive(sim); });
 }
 
 auto MakeCores(Sim& sim) -> void {
-  if (sim.policy < Policy::kCore) return;
+  if (sim.trial.policy < Policy::kCore) return;
   auto parameters = Parameters{};
   parameters.slots = kSlots;
   parameters.ledger_bytes = std::size_t{1} << 30U;
-  if (sim.policy == Policy::kCoreAlone) parameters.retry_share = 0;
+  parameters.retry_share = sim.trial.policy == Policy::kCoreAlone ? 0 : sim.trial.retry_share;
   for (auto i = std::size_t{0}; i < kTargets; ++i) {
     auto builder = RequestsBuilder{};
     sim.cores.push_back(
@@ -241,10 +187,9 @@
   return per_target * (static_cast<double>(kTargets) - 1 + 1 / kSlowFactor);
 }
 
-auto RunSim(Policy policy, double load) -> Sim {
+auto RunSim(const Trial& trial) -> Sim {
   auto sim = Sim{};
-  sim.policy = policy;
-  sim.load = load;
+  sim.trial = trial;
   MakeCores(sim);
   Report(sim);
   Observe(sim);
--- a/bench/overload_sim.h
+++ b/bench/overload_sim.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "requests/requests.h"
+#include "requests/retry_budget.h"
 
 // Holds sent to targets on a virtual clock, under the request core or a plain baseline.
 namespace anvildrum::requests {
@@ -32,26 +33,46 @@
 inline constexpr auto kClients = std::size_t{200};
 inline constexpr auto kServiceSpread = 0.5;  // sigma of the log-normal service time
 inline constexpr auto kSeed = 20260101;
+inline constexpr auto kNever = Milliseconds{1e12};
 
 enum class Policy { kRandom, kLeastReported, kObservedUnbounded, kCore, kCorePinned, kCoreAlone };
 
+/// What clients send, and what is tried on top of the policy.
+struct Trial {
+  Policy policy = Policy::kRandom;
+  double load = 0;
+  bool reads = false;      ///< GETs in place of holds: no challenge, and they may be hedged
+  bool deadlines = false;  ///< every request carries a Deadline option of kDeadline
+  /// A read that has no answer this long after it reached its agent is also sent to another one,
+  /// and the first answer counts; 0: never.
+  Milliseconds hedge_after = 0;
+  double retry_share = Parameters{}.retry_share;
+  double hedge_share = 0;  ///< hedges for each read, at most
+};
+
 struct Hold {
   Milliseconds sent = 0;
   std::size_t target = 0;
   base::FlowKey flow;
+  bool settled = false;  ///< its client has a final answer
+};
+
+struct Waiting {
+  std::function<void()> done;
+  Milliseconds ends = 0;  ///< the run stops then at the latest
 };
 
 struct SimTarget {
   std::size_t running = 0;
-  std::queue<std::function<void()>> waiting;
+  std::queue<Waiting> waiting;
   std::size_t reported = 0;
   double observed = 0;
   std::uint64_t runs = 0;
 };
 
 struct Sim {
-  Policy policy = Policy::kRandom;
-  double load = 0;
+  Trial trial;
+  RetryBudget hedge_budget;
   std::mt19937_64 random{kSeed};
   Milliseconds now = 0;
   std::multimap<Milliseconds, std::function<void()>> jobs;
@@ -62,11 +83,29 @@
   std::uint64_t refused = 0;
   std::uint64_t unknown = 0;
   std::uint64_t offers = 0;
+  std::uint64_t hedge_runs = 0;  ///< runs of what runs at another target too
 };
 
+auto At(Milliseconds now) -> base::TimePoint;
+auto After(Sim& sim, Milliseconds delay, std::function<void()> job) -> void;
+
+/// Runs `done` when a slot of the target has been free and the request has run, or been stopped.
+auto RunAtTarget(Sim& sim, std::size_t target, std::function<void()> done,
+                 Milliseconds ends = kNever) -> void;
+
+/// The better of two random targets by what was observed last; `but_not` none of them.
+auto TwoChoices(Sim& sim, std::size_t but_not) -> std::size_t;
+
+/// The target of a new request, by the policy.
+auto Place(Sim& sim, std::size_t client) -> std::size_t;
+
+/// What targets report, and what is observed without asking them; each goes on by itself.
+auto Report(Sim& sim) -> void;
+auto Observe(Sim& sim) -> void;
+
 auto CapacityPerSecond() -> double;
 
 /// Runs the load for kRun and until all holds that are in flight have ended.
-auto RunSim(Policy policy, double load) -> Sim;
+auto RunSim(const Trial& trial) -> Sim;
 
 }  // namespace anvildrum::requests
