End a flow's requests in one function; move uploads out of the intake

Change: EndRequest with what ended the flow; uploads.cc has the block-wise uploads. No change of behaviour.

--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -87,6 +87,34 @@
   MarkTrace(context, entry, Mark::kSentToTarget);
 }
 
+enum class FlowEnd : std::uint8_t { kClosed, kTargetGone };
+
+auto EndRequest(Context& context, LedgerEntry& entry, FlowEnd end) -> void {
+  auto target_gone = end == FlowEnd::kTargetGone;
+  switch (entry.stage) {
+    case Stage::kObserving:
+      if (target_gone) return FinishNotRun(context, entry, Counter::kStreamEnded);
+      return EndStream(context, entry, Counter::kStreamEnded);
+    case Stage::kQueued:
+      return FinishNotRun(context, entry, Counter::kRefusedQueue);
+    case Stage::kRunning:
+      if (target_gone && entry.method == MethodClass::kSafe && TryHandOn(context, entry)) return;
+      return FinishUnknown(context, entry, Counter::kUnknownTargetGone);
+    default:
+      // What is offered to another agent goes on there while the flow is open here.
+      if (!target_gone) FinishUnknown(context, entry, Counter::kUnknownTargetGone);
+  }
+}
+
+// Ends what of the flow is in progress; the flow is known.
+auto EndRequests(Context& context, const base::FlowKey& flow, FlowEnd end) -> void {
+  auto live = context.state.flows.at(flow).live;
+  for (auto id : live) {
+    auto* entry = FindById(context.state.ledger, id);
+    if (entry != nullptr) EndRequest(context, *entry, end);
+  }
+}
+
 }  // namespace
 
 auto CountOne(Context& context, Counter counter) -> void {
@@ -225,41 +253,15 @@
 
 auto OnFlowClosed(Context& context, const FlowClosed& event) -> void {
   auto& state = context.state;
-  auto found = state.flows.find(event.flow);
-  if (found == state.flows.end()) return;
-  auto live = found->second.live;
-  for (auto id : live) {
-    auto* entry = FindById(state.ledger, id);
-    if (entry == nullptr) continue;
-    if (entry->stage == Stage::kObserving) {
-      EndStream(context, *entry, Counter::kStreamEnded);
-    } else if (entry->stage == Stage::kQueued) {
-      FinishNotRun(context, *entry, Counter::kRefusedQueue);
-    } else {
-      FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
-    }
-  }
+  if (!state.flows.contains(event.flow)) return;
+  EndRequests(context, event.flow, FlowEnd::kClosed);
   KeepFloor(context, event.flow, state.flows.at(event.flow));
   state.flows.erase(event.flow);
 }
 
 auto OnTargetUnreachable(Context& context, const TargetUnreachable& event) -> void {
-  auto& state = context.state;
-  auto found = state.flows.find(event.flow);
-  if (found == state.flows.end()) return;
-  auto live = found->second.live;
-  for (auto id : live) {
-    auto* entry = FindById(state.ledger, id);
-    if (entry == nullptr) continue;
-    if (entry->stage == Stage::kObserving) {
-      FinishNotRun(context, *entry, Counter::kStreamEnded);
-    } else if (entry->stage == Stage::kQueued) {
-      FinishNotRun(context, *entry, Counter::kRefusedQueue);
-    } else if (entry->stage == Stage::kRunning) {
-      if (entry->method == MethodClass::kSafe && TryHandOn(context, *entry)) continue;
-      FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
-    }
-  }
+  if (!context.state.flows.contains(event.flow)) return;
+  EndRequests(context, event.flow, FlowEnd::kTargetGone);
   context.effects.emplace_back(CloseFlow{event.flow, CloseReason::kTargetGone});
 }
 
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -6,7 +6,6 @@
 namespace anvildrum::requests {
 namespace {
 
-constexpr auto kSizeExponentBase = 4;  // a block has 2^(exponent + 4) bytes (RFC 7959, 2.2)
 constexpr auto kRepeatToTargetAfter = base::seconds(1);
 
 struct Intake {
@@ -35,45 +34,6 @@
   return HasRoom(state.ledger, state.parameters.ledger_bytes, intake.message.whole.size());
 }
 
-auto StartsUpload(const Message& message) -> bool {
-  return message.block1 && message.block1->number == 0 && message.block1->more;
-}
-
-auto IsLaterBlock(const Message& message) -> bool {
-  return message.block1 && message.block1->number > 0;
-}
-
-auto OffsetBehind(const Block& block) -> std::uint64_t {
-  return (std::uint64_t{block.number} + 1) << (block.size_exponent + kSizeExponentBase);
-}
-
-auto OffsetOf(const Block& block) -> std::uint64_t {
-  return std::uint64_t{block.number} << (block.size_exponent + kSizeExponentBase);
-}
-
-// Remembers an upload whose first block was taken, so that its later blocks are let through.
-auto NoteUpload(Context& context, const Intake& intake, std::uint64_t id) -> void {
-  if (!StartsUpload(intake.message)) return;
-  auto* entry = FindById(context.state.ledger, id);
-  if (entry == nullptr || !IsLive(entry->stage)) return;
-  FlowOf(context, intake.asker.identity.flow).upload =
-      Upload{intake.message.body_digest, OffsetBehind(*intake.message.block1),
-             context.now + kExchangeLifetime};
-}
-
-// Whether this is the next block of the flow's upload; moves the upload on when it is.
-auto ContinueUpload(Context& context, const Intake& intake) -> bool {
-  auto& upload = FlowOf(context, intake.asker.identity.flow).upload;
-  if (!upload || upload->expires <= context.now) return false;
-  const auto& block = *intake.message.block1;
-  if (upload->body_digest != intake.message.body_digest) return false;
-  if (upload->next_offset != OffsetOf(block)) return false;
-  upload->next_offset = OffsetBehind(block);
-  upload->expires = context.now + kExchangeLifetime;
-  if (!block.more) upload.reset();
-  return true;
-}
-
 auto SendChallenge(Context& context, const LedgerEntry& entry) -> void {
   auto asker = Asker{entry.challenged, entry.type, entry.origin_request};
   auto form = ReplyFormOf(context, asker);
@@ -207,7 +167,7 @@
   SetRequestBytes(state.ledger, entry, intake.message.whole);
   auto id = entry.id;
   Admit(context, entry);
-  NoteUpload(context, intake, id);
+  NoteUpload(context, intake.message, intake.asker.identity.flow, id);
 }
 
 // Safeguard: a client that saw the challenge twice may send the request twice, under two message
@@ -233,7 +193,7 @@
 auto OnLaterBlock(Context& context, const Intake& intake) -> void {
   // Without its first block here the upload began at another agent or incarnation, where this may
   // have been the block that completed it.
-  if (!ContinueUpload(context, intake)) {
+  if (!ContinueUpload(context, intake.message, intake.asker.identity.flow)) {
     return ReplyUnknown(context, intake.asker, Counter::kUnknownUpload);
   }
   auto entry = EntryFor(context, intake);
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -162,6 +162,14 @@
 auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
     -> void;
 
+/// Block-wise uploads: uploads.cc.
+auto IsLaterBlock(const Message& message) -> bool;
+/// Remembers an upload whose first block was taken, so that its later blocks are let through.
+auto NoteUpload(Context& context, const Message& message, const base::FlowKey& flow,
+                std::uint64_t id) -> void;
+/// Whether this is the next block of the flow's upload; moves the upload on when it is.
+auto ContinueUpload(Context& context, const Message& message, const base::FlowKey& flow) -> bool;
+
 /// Sequence numbers of a stream that was taken over: hand_over.cc. The first answer's number
 /// follows the last one that the client was sent.
 auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void;
