--- a/src/daemon/internal/metric_names.h
+++ b/src/daemon/internal/metric_names.h
@@ -20,6 +20,8 @@
       return "client_malformed";
     case Counter::kTargetMalformed:
       return "target_malformed";
+    case Counter::kBadDeadline:
+      return "bad_deadline";
     case Counter::kUnexpectedFromClient:
       return "unexpected_from_client";
     case Counter::kUnexpectedFromTarget:
@@ -42,6 +44,8 @@
       return "refused_expired_echo";
     case Counter::kRefusedStreams:
       return "refused_streams";
+    case Counter::kRefusedDeadline:
+      return "refused_deadline";
     case Counter::kUnknownRunLimit:
       return "unknown_run_limit";
     case Counter::kUnknownTargetGone:
@@ -58,6 +62,8 @@
       return "unknown_identity_reuse";
     case Counter::kUnknownHandOn:
       return "unknown_hand_on";
+    case Counter::kUnknownDeadline:
+      return "unknown_deadline";
     case Counter::kChallenged:
       return "challenged";
     case Counter::kRetransmissionAnswered:
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -35,11 +35,13 @@
   entry.wake = {};
   switch (entry.stage) {
     case Stage::kRunning:
+      if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
       ObserveServiceTime(context.state.admission, context.state.parameters,
-                         context.now - entry.started);
+                         context.now - entry.started, context.now);
       FinishUnknown(context, entry, Counter::kUnknownRunLimit);
       break;
     case Stage::kOffered:
+      if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
       FinishUnknown(context, entry, Counter::kUnknownHandOn);
       break;
     case Stage::kObserving:
@@ -77,7 +79,7 @@
   SendRequest(context, entry);
   // A safe request may be sent again when the client repeats it; any other one never is.
   if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
-  WakeAt(context, entry, context.now + state.parameters.run_limit);
+  WakeAt(context, entry, std::min(context.now + state.parameters.run_limit, entry.client_deadline));
   ++state.admitted;
   EarnRetry(state.retries, state.parameters.retry_share, state.parameters.retry_burst);
   ObserveDecision(state.admission, false);
@@ -85,6 +87,34 @@
   MarkTrace(context, entry, Mark::kSentToTarget);
 }
 
+enum class FlowEnd : std::uint8_t { kClosed, kTargetGone };
+
+auto EndRequest(Context& context, LedgerEntry& entry, FlowEnd end) -> void {
+  auto target_gone = end == FlowEnd::kTargetGone;
+  switch (entry.stage) {
+    case Stage::kObserving:
+      if (target_gone) return FinishNotRun(context, entry, Counter::kStreamEnded);
+      return EndStream(context, entry, Counter::kStreamEnded);
+    case Stage::kQueued:
+      return FinishNotRun(context, entry, Counter::kRefusedQueue);
+    case Stage::kRunning:
+      if (target_gone && entry.method == MethodClass::kSafe && TryHandOn(context, entry)) return;
+      return FinishUnknown(context, entry, Counter::kUnknownTargetGone);
+    default:
+      // What is offered to another agent goes on there while the flow is open here.
+      if (!target_gone) FinishUnknown(context, entry, Counter::kUnknownTargetGone);
+  }
+}
+
+// Ends what of the flow is in progress; the flow is known.
+auto EndRequests(Context& context, const base::FlowKey& flow, FlowEnd end) -> void {
+  auto live = context.state.flows.at(flow).live;
+  for (auto id : live) {
+    auto* entry = FindById(context.state.ledger, id);
+    if (entry != nullptr) EndRequest(context, *entry, end);
+  }
+}
+
 }  // namespace
 
 auto CountOne(Context& context, Counter counter) -> void {
@@ -142,15 +172,20 @@
   auto& flow = FlowOf(context, entry.identity.flow);
   auto parsed = ParseMessage(entry.request);
   entry.target_message_id = flow.next_target_message_id++;
-  auto bytes = ForTarget(*parsed, entry.target_message_id, TokenOfId(entry.id));
+  auto bytes = ForTarget(*parsed, entry.target_message_id, TokenOfId(entry.id),
+                         DeadlineLeft(context, entry));
   context.effects.emplace_back(SendToTarget{entry.identity.flow, std::move(bytes)});
 }
 
 auto Admit(Context& context, LedgerEntry& entry) -> void {
   auto& state = context.state;
+  if (entry.client_deadline <= context.now) {
+    return FinishNotRun(context, entry, Counter::kRefusedDeadline);
+  }
   if (entry.follow_up) return Run(context, entry);
-  const auto& client = entry.identity.flow.client.address;
-  switch (DecideAdmission(state.admission, state.parameters, client)) {
+  auto candidate =
+      Candidate{entry.identity.flow.client.address, entry.deadline, entry.client_deadline};
+  switch (DecideAdmission(state.admission, state.parameters, candidate, context.now)) {
     case AdmissionVerdict::kRun:
       return Run(context, entry);
     case AdmissionVerdict::kQueue:
@@ -159,6 +194,8 @@
       return FinishNotRun(context, entry, Counter::kRefusedQueue);
     case AdmissionVerdict::kRefuseClient:
       return FinishNotRun(context, entry, Counter::kRefusedClientLimit);
+    case AdmissionVerdict::kRefuseDeadline:
+      return FinishNotRun(context, entry, Counter::kRefusedDeadline);
   }
 }
 
@@ -216,41 +253,15 @@
 
 auto OnFlowClosed(Context& context, const FlowClosed& event) -> void {
   auto& state = context.state;
-  auto found = state.flows.find(event.flow);
-  if (found == state.flows.end()) return;
-  auto live = found->second.live;
-  for (auto id : live) {
-    auto* entry = FindById(state.ledger, id);
-    if (entry == nullptr) continue;
-    if (entry->stage == Stage::kObserving) {
-      EndStream(context, *entry, Counter::kStreamEnded);
-    } else if (entry->stage == Stage::kQueued) {
-      FinishNotRun(context, *entry, Counter::kRefusedQueue);
-    } else {
-      FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
-    }
-  }
+  if (!state.flows.contains(event.flow)) return;
+  EndRequests(context, event.flow, FlowEnd::kClosed);
   KeepFloor(context, event.flow, state.flows.at(event.flow));
   state.flows.erase(event.flow);
 }
 
 auto OnTargetUnreachable(Context& context, const TargetUnreachable& event) -> void {
-  auto& state = context.state;
-  auto found = state.flows.find(event.flow);
-  if (found == state.flows.end()) return;
-  auto live = found->second.live;
-  for (auto id : live) {
-    auto* entry = FindById(state.ledger, id);
-    if (entry == nullptr) continue;
-    if (entry->stage == Stage::kObserving) {
-      FinishNotRun(context, *entry, Counter::kStreamEnded);
-    } else if (entry->stage == Stage::kQueued) {
-      FinishNotRun(context, *entry, Counter::kRefusedQueue);
-    } else if (entry->stage == Stage::kRunning) {
-      if (entry->method == MethodClass::kSafe && TryHandOn(context, *entry)) continue;
-      FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
-    }
-  }
+  if (!context.state.flows.contains(event.flow)) return;
+  EndRequests(context, event.flow, FlowEnd::kTargetGone);
   context.effects.emplace_back(CloseFlow{event.flow, CloseReason::kTargetGone});
 }
 
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -1,10 +1,11 @@
 // What becomes of a request that comes in: a repetition, a read, or one that changes something.
+#include <algorithm>
+
 #include "requests/internal/state.h"
 
 namespace anvildrum::requests {
 namespace {
 
-constexpr auto kSizeExponentBase = 4;  // a block has 2^(exponent + 4) bytes (RFC 7959, 2.2)
 constexpr auto kRepeatToTargetAfter = base::seconds(1);
 
 struct Intake {
@@ -22,7 +23,8 @@
   entry.content_digest = intake.message.content_digest;
   entry.path_digest = intake.message.path_digest;
   entry.arrived = context.now;
-  entry.deadline = context.now + intake.left;
+  entry.client_deadline = ClientDeadlineOf(context, intake.message);
+  entry.deadline = std::min(context.now + intake.left, entry.client_deadline);
   entry.request = Bytes(intake.message.whole.begin(), intake.message.whole.end());
   return entry;
 }
@@ -32,45 +34,6 @@
   return HasRoom(state.ledger, state.parameters.ledger_bytes, intake.message.whole.size());
 }
 
-auto StartsUpload(const Message& message) -> bool {
-  return message.block1 && message.block1->number == 0 && message.block1->more;
-}
-
-auto IsLaterBlock(const Message& message) -> bool {
-  return message.block1 && message.block1->number > 0;
-}
-
-auto OffsetBehind(const Block& block) -> std::uint64_t {
-  return (std::uint64_t{block.number} + 1) << (block.size_exponent + kSizeExponentBase);
-}
-
-auto OffsetOf(const Block& block) -> std::uint64_t {
-  return std::uint64_t{block.number} << (block.size_exponent + kSizeExponentBase);
-}
-
-// Remembers an upload whose first block was taken, so that its later blocks are let through.
-auto NoteUpload(Context& context, const Intake& intake, std::uint64_t id) -> void {
-  if (!StartsUpload(intake.message)) return;
-  auto* entry = FindById(context.state.ledger, id);
-  if (entry == nullptr || !IsLive(entry->stage)) return;
-  FlowOf(context, intake.asker.identity.flow).upload =
-      Upload{intake.message.body_digest, OffsetBehind(*intake.message.block1),
-             context.now + kExchangeLifetime};
-}
-
-// Whether this is the next block of the flow's upload; moves the upload on when it is.
-auto ContinueUpload(Context& context, const Intake& intake) -> bool {
-  auto& upload = FlowOf(context, intake.asker.identity.flow).upload;
-  if (!upload || upload->expires <= context.now) return false;
-  const auto& block = *intake.message.block1;
-  if (upload->body_digest != intake.message.body_digest) return false;
-  if (upload->next_offset != OffsetOf(block)) return false;
-  upload->next_offset = OffsetBehind(block);
-  upload->expires = context.now + kExchangeLifetime;
-  if (!block.more) upload.reset();
-  return true;
-}
-
 auto SendChallenge(Context& context, const LedgerEntry& entry) -> void {
   auto asker = Asker{entry.challenged, entry.type, entry.origin_request};
   auto form = ReplyFormOf(context, asker);
@@ -119,11 +82,14 @@
 // A challenge answered now would be refused at once, and no other agent may be asked.
 auto WouldBeRefused(const Context& context, const Intake& intake) -> bool {
   const auto& state = context.state;
+  auto client_deadline = ClientDeadlineOf(context, intake.message);
   auto can_hand_on = state.parameters.retry_share > 0 && state.retries.tokens >= 1 &&
-                     intake.asker.identity.origin.value == 0;
+                     intake.asker.identity.origin.value == 0 &&
+                     LeavesTimeElsewhere(context, client_deadline);
   if (can_hand_on) return false;
-  auto verdict =
-      DecideAdmission(state.admission, state.parameters, intake.asker.identity.flow.client.address);
+  auto candidate = Candidate{intake.asker.identity.flow.client.address,
+                             std::min(context.now + intake.left, client_deadline), client_deadline};
+  auto verdict = DecideAdmission(state.admission, state.parameters, candidate, context.now);
   return verdict != AdmissionVerdict::kRun && verdict != AdmissionVerdict::kQueue;
 }
 
@@ -189,7 +155,10 @@
   entry.type = intake.message.type;
   entry.origin_request = intake.asker.origin_request;
   entry.arrived = context.now;
-  entry.deadline = context.now + intake.left;
+  // The time runs from the first message, whatever the second one says is left of it.
+  entry.client_deadline =
+      std::min(entry.client_deadline, ClientDeadlineOf(context, intake.message));
+  entry.deadline = std::min(context.now + intake.left, entry.client_deadline);
   // A copy that was minutes on its way: its sender may have stopped waiting. It has not run, and
   // the used value sees to it that no other copy will.
   if (EchoAge(entry.echo_issue, context.now) > EchoLifetimeOf(context, intake)) {
@@ -198,7 +167,7 @@
   SetRequestBytes(state.ledger, entry, intake.message.whole);
   auto id = entry.id;
   Admit(context, entry);
-  NoteUpload(context, intake, id);
+  NoteUpload(context, intake.message, intake.asker.identity.flow, id);
 }
 
 // Safeguard: a client that saw the challenge twice may send the request twice, under two message
@@ -224,7 +193,7 @@
 auto OnLaterBlock(Context& context, const Intake& intake) -> void {
   // Without its first block here the upload began at another agent or incarnation, where this may
   // have been the block that completed it.
-  if (!ContinueUpload(context, intake)) {
+  if (!ContinueUpload(context, intake.message, intake.asker.identity.flow)) {
     return ReplyUnknown(context, intake.asker, Counter::kUnknownUpload);
   }
   auto entry = EntryFor(context, intake);
@@ -266,6 +235,8 @@
 
 auto OnSafe(Context& context, const Intake& intake) -> void {
   if (intake.message.observe && RefreshStream(context, intake.message, intake.asker)) return;
+  auto gives_up = intake.message.observe.value_or(0) != 0;
+  if (gives_up) CancelPending(context, intake.message, intake.asker);
   if (!HasRoomFor(context, intake)) {
     return ReplyNotRun(context, intake.asker, Counter::kRefusedLedgerFull);
   }
@@ -284,6 +255,7 @@
 auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
     -> void {
   auto intake = Intake{message, asker, left};
+  if (message.bad_deadline) CountOne(context, Counter::kBadDeadline);
   auto* known = FindRequest(context.state.ledger, asker.identity);
   auto answers_challenge =
       known != nullptr && known->stage == Stage::kChallenged && message.echo.has_value();
