Report a suspect again when its record is written anew

Cause: a monitor told the relay of a change of opinion only. A suspect whose record was written anew (an agent that drains and dies in the same second) stayed suspect without a change; the report that stood named the earlier revision, which the relay drops, so a dead target's record stayed for ever. Likewise a suspect that got other monitors (a balancer joined) was never taken back by its earlier one: suspect there for ever, with a standing report that counts towards a quorum.

Ruled out: a restart that dies again. It has a new incarnation, so the peer is observed afresh and reported anew (an_instance_that_dies_twice, passes with and without this change).

Change: at each new view the monitor repeats its word on a suspect whose record's revision has changed, and takes it back of one that it does not observe any more. The relay is untouched.

Without it a_suspect_whose_record_changes_is_reported_again and a_suspect_that_is_left_to_others_is_not_suspect_any_more fail.

--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -118,10 +118,48 @@
   for (const auto& change : observed.changes) NoteChange(context, change);
 }
 
+auto SuspectsOf(const Monitor& monitor) -> std::vector<base::InstanceId> {
+  auto suspects = std::vector<base::InstanceId>{};
+  for (const auto& peer : monitor.suspicion.peers) {
+    if (peer.suspect) suspects.push_back(peer.instance);
+  }
+  return suspects;
+}
+
+// 0 when nothing is on record.
+auto RevisionOf(const Monitor& monitor, base::InstanceId instance) -> std::uint64_t {
+  if (const auto* balancer = BalancerOf(monitor, instance)) return balancer->revision;
+  const auto* record = RecordOf(monitor, instance);
+  return record == nullptr ? 0 : record->revision;
+}
+
+/// What was said of an instance before its record changed, or before it was left to others.
+///
+/// Failure: an agent writes its record anew (it drains) and dies in the same second; it was suspect
+/// before and stays so. The report named the earlier revision, which no delete can meet. Symptom:
+/// the record of a dead target stays for ever. Another: a suspect has other monitors now; this one
+/// would suspect it for ever, and three such stale words clear a live target.
+auto SayAgain(MonitorContext& context, base::InstanceId instance, std::uint64_t revision_before)
+    -> void {
+  auto& monitor = context.monitor;
+  auto revision = RevisionOf(monitor, instance);
+  if (revision == 0) return;
+  const auto* peer = membership::FindPeer(monitor.suspicion, instance);
+  if (peer == nullptr) return NoteChange(context, {instance, false});
+  if (peer->suspect && revision != revision_before) NoteChange(context, {instance, true});
+}
+
 auto Handle(MonitorContext& context, const MonitorView& event) -> void {
-  context.monitor.view = *event.view;
-  auto peers = PeersToProbe(context.monitor);
+  auto& monitor = context.monitor;
+  auto suspects = SuspectsOf(monitor);
+  auto revisions = std::vector<std::uint64_t>{};
+  for (auto suspect : suspects) revisions.push_back(RevisionOf(monitor, suspect));
+  monitor.view = *event.view;
+  auto peers = PeersToProbe(monitor);
   Observe(context, membership::PeersChanged{peers});
+  for (auto i = std::size_t{0}; i < suspects.size(); ++i) {
+    SayAgain(context, suspects[i], revisions[i]);
+  }
 }
 
 auto Handle(MonitorContext& context, const MonitorMessage& event) -> void {
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -54,6 +54,72 @@
   BOOST_TEST(reported[0].record.revision == 2u);
 }
 
+// Runs the monitor for so long that a silent peer is suspect.
+auto RunSilent(Monitor& monitor, base::TimePoint from) -> base::TimePoint {
+  auto end = from + base::seconds(10);
+  for (auto now = from; now < end; now += kTick) Step(monitor, MonitorTimer{}, now);
+  return end;
+}
+
+// An agent is suspect, writes its record anew and dies in the same second. A delete names the
+// revision that was suspected, so without a second report its announcement stays for ever.
+BOOST_AUTO_TEST_CASE(a_suspect_whose_record_changes_is_reported_again) {
+  auto monitor = MonitorOf("b1");
+  auto view = ViewOf(2);
+  Step(monitor, MonitorView{&view}, kStart);
+  auto now = RunSilent(monitor, kStart);
+  BOOST_TEST(Step(monitor, MonitorView{&view}, now).balancer_changes.empty());
+  auto anew = BalancerNamed("b2", 2);
+  anew.revision = 77;
+  membership::ApplyBalancer(view, anew);
+  auto effects = Step(monitor, MonitorView{&view}, now);
+  BOOST_REQUIRE(effects.balancer_changes.size() == 1);
+  BOOST_TEST(effects.balancer_changes[0].suspect);
+  BOOST_TEST(effects.balancer_changes[0].record.revision == 77u);
+  BOOST_TEST(Step(monitor, MonitorView{&view}, now).balancer_changes.empty());
+}
+
+// It is started again after that, and dies again: a fresh peer, found silent and reported anew.
+BOOST_AUTO_TEST_CASE(an_instance_that_dies_twice_is_reported_twice) {
+  auto monitor = MonitorOf("b1");
+  auto view = ViewOf(2);
+  Step(monitor, MonitorView{&view}, kStart);
+  auto now = RunSilent(monitor, kStart);
+  auto anew = BalancerNamed("b2", 2);
+  anew.incarnation = 2;
+  anew.revision = 77;
+  membership::ApplyBalancer(view, anew);
+  BOOST_TEST(Step(monitor, MonitorView{&view}, now).balancer_changes.empty());
+  auto reported = std::vector<std::uint64_t>{};
+  for (auto end = now + base::seconds(10); now < end; now += kTick) {
+    for (const auto& change : Step(monitor, MonitorTimer{}, now).balancer_changes) {
+      reported.push_back(change.record.revision);
+    }
+  }
+  BOOST_TEST(reported == std::vector<std::uint64_t>{77}, boost::test_tools::per_element());
+}
+
+// A balancer joins and takes a suspect over. Who observed it before does not hear of it any more,
+// and would keep it suspect for ever: no new flow goes there, and its report would still count.
+BOOST_AUTO_TEST_CASE(a_suspect_that_is_left_to_others_is_not_suspect_any_more) {
+  auto monitor = MonitorOf("b1");
+  monitor.policy.probe_all_up_to = 2;
+  monitor.policy.monitors = 1;
+  auto view = ViewOf(2);
+  Step(monitor, MonitorView{&view}, kStart);
+  auto now = RunSilent(monitor, kStart);
+  BOOST_REQUIRE(monitor.suspicion.peers.size() == 1);
+  auto released = std::vector<BalancerSuspicion>{};
+  for (auto i = 3; i <= 100 && released.empty(); ++i) {
+    auto number = static_cast<std::uint16_t>(i);
+    membership::ApplyBalancer(view, BalancerNamed("b" + std::to_string(i), number));
+    released = Step(monitor, MonitorView{&view}, now).balancer_changes;
+  }
+  BOOST_REQUIRE(released.size() == 1);
+  BOOST_TEST(!released[0].suspect);
+  BOOST_TEST(released[0].record.name == "b2");
+}
+
 // With a hundred balancers, each is probed by three of its failure domain, not by all.
 BOOST_AUTO_TEST_CASE(each_balancer_has_as_many_monitors_as_the_policy_says) {
   constexpr auto balancers = 100;
