Let no jump of a clock change a verdict

Every use of a clock: cores take the time as an argument; the wall clock gave incarnations, the history's accepted_at, log and trace times; the steady clock gave the cores' time. Log, trace and history times are only printed. Two faults were left.

Now the platform's revision orders records and the incarnation only tells processes of one name apart; the removed incarnation itself stays out at any revision.

Steady clock. CLOCK_MONOTONIC stands still while a machine is suspended, so neither the balancer's nor the agent's fence saw the gap. The daemon's time is now CLOCK_BOOTTIME (base::Now); timers wait for differences of it. Ruled out: another type behind base::Clock, which Asio would need traits for and which would touch every file. clock_test runs in a time namespace whose boot time is ten hours ahead; by CLOCK_MONOTONIC it fails.

Not covered: a machine that is paused from outside and whose clocks all stand still sees nothing; its peers suspect it within seconds.

--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -108,7 +108,8 @@
 auto NoteReplaced(Context& context, const membership::TargetRecord& record) -> void {
   NoteEarlierSelf(context);
   const auto* known = membership::FindTarget(context.agent.view, record.id);
-  if (known == nullptr || record.incarnation <= known->record.incarnation) return;
+  if (known == nullptr || record.incarnation == known->record.incarnation) return;
+  if (record.revision < known->record.revision) return;
   NoteLost(context, *known);
 }
 
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -287,7 +287,8 @@
 }
 
 auto AgentRuntime::ArmTimer() -> void {
-  this->timer.expires_at(agent::NextWakeUp(*this->agent, Now()));
+  auto now = Now();
+  this->timer.expires_after(agent::NextWakeUp(*this->agent, now) - now);
   this->timer.async_wait([this](const auto& error) {
     if (error) return;
     this->Step(agent::Timer{});
--- a/src/daemon/internal/relay_runtime.cc
+++ b/src/daemon/internal/relay_runtime.cc
@@ -216,7 +216,7 @@
 }
 
 auto RelayRuntime::Arm(base::TimePoint at) -> void {
-  this->timer.expires_at(at);
+  this->timer.expires_after(at - Now());
   this->timer.async_wait([this](const auto& error) {
     if (!error) this->Run(relay::TimerFired{});
   });
--- a/src/daemon/internal/runtime.h
+++ b/src/daemon/internal/runtime.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <span>
 
+#include "base/clock.h"
 #include "base/result.h"
 #include "base/types/ids.h"
 #include "base/types/time.h"
@@ -37,6 +38,6 @@
 /// Bytes of the operating system's generator.
 auto FillRandom(std::span<std::uint8_t> bytes) -> void;
 
-inline auto Now() -> base::TimePoint { return base::Clock::now(); }
+using base::Now;
 
 }  // namespace anvildrum::daemon
--- a/src/membership/internal/view.cc
+++ b/src/membership/internal/view.cc
@@ -63,10 +63,18 @@
   UpdateDigest(*place.service);
 }
 
+// Whether a record of another incarnation was written before what is known. The platform's
+// revisions tell; an incarnation is a clock's word.
+auto IsEarlier(base::Incarnation incarnation, std::uint64_t revision, base::Incarnation known,
+               std::uint64_t known_revision) -> bool {
+  if (revision != known_revision) return revision < known_revision;
+  return incarnation < known;
+}
+
 auto IsBuried(const View& view, const TargetRecord& record) -> bool {
   auto found = LowerBound(view.tombstones, record.id, IdOfTombstone);
   if (found == view.tombstones.end() || found->id != record.id) return false;
-  return record.incarnation <= found->incarnation;
+  return record.incarnation == found->incarnation || record.revision <= found->revision;
 }
 
 auto Bury(View& view, const Tombstone& tombstone) -> bool {
@@ -75,7 +83,7 @@
     view.tombstones.insert(found, tombstone);
     return true;
   }
-  if (found->incarnation >= tombstone.incarnation) return false;
+  if (found->revision >= tombstone.revision) return false;
   *found = tombstone;
   return true;
 }
@@ -108,9 +116,11 @@
   if (IsBuried(view, record)) return Applied::kStale;
   auto place = FindPlace(view, record.id);
   if (place.target != nullptr) {
-    auto known = place.target->record.incarnation;
-    if (record.incarnation < known) return Applied::kStale;
-    if (record.incarnation == known) return UpdateSameIncarnation(place, record);
+    const auto& known = place.target->record;
+    if (record.incarnation == known.incarnation) return UpdateSameIncarnation(place, record);
+    if (IsEarlier(record.incarnation, record.revision, known.incarnation, known.revision)) {
+      return Applied::kStale;
+    }
   }
   auto weight = kDefaultWeight;
   if (place.target != nullptr) {
@@ -125,8 +135,9 @@
 auto RemoveRecord(View& view, base::TargetId id, base::Incarnation incarnation,
                   std::uint64_t revision) -> Applied {
   auto place = FindPlace(view, id);
-  if (place.target != nullptr && place.target->record.incarnation > incarnation) {
-    return Applied::kStale;
+  if (place.target != nullptr) {
+    const auto& known = place.target->record;
+    if (known.incarnation > incarnation || known.revision > revision) return Applied::kStale;
   }
   auto buried = Bury(view, {id, incarnation, revision});
   view.revision = std::max(view.revision, revision);
@@ -171,9 +182,11 @@
     view.balancers.insert(found, record);
     return Applied::kChanged;
   }
-  if (record.incarnation < found->incarnation) return Applied::kStale;
-  if (record.incarnation == found->incarnation && record.revision <= found->revision) {
-    return record.revision == found->revision ? Applied::kUnchanged : Applied::kStale;
+  if (record.incarnation == found->incarnation && record.revision == found->revision) {
+    return Applied::kUnchanged;
+  }
+  if (IsEarlier(record.incarnation, record.revision, found->incarnation, found->revision)) {
+    return Applied::kStale;
   }
   *found = record;
   view.revision = std::max(view.revision, record.revision);
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -55,13 +55,20 @@
 };
 
 /// Takes a record in. Safeguard: a lagging read, a slow peer or a process that wakes may offer the
-/// record of an earlier incarnation, which would send packets to a dead process; a record of lower
-/// incarnation, or of the same one with a lower revision, is refused as kStale. A record of a
-/// higher incarnation under another service takes the target out of its earlier service.
+/// record of an earlier process, which would send packets to a dead one; a record of lower
+/// revision, or of the same one with a lower incarnation, is refused as kStale. So is the
+/// incarnation that was removed, whatever its revision.
+///
+/// The revision goes first because incarnations come from a wall clock. Failure: a target drains,
+/// its machine's clock is set back, it starts anew. Symptom by incarnation: no instance takes its
+/// record, and it serves nobody until the clock has passed the earlier start. The platform's
+/// revisions never go back for a key.
+///
+/// A later record under another service takes the target out of its earlier service.
 auto ApplyRecord(View& view, const TargetRecord& record, base::TimePoint now) -> Applied;
 
 /// Takes a target out after its record was deleted at `revision`. A removal of an incarnation older
-/// than the known one is kStale.
+/// than the known one, or at a lower revision than the known record's, is kStale.
 auto RemoveRecord(View& view, base::TargetId id, base::Incarnation incarnation,
                   std::uint64_t revision) -> Applied;
 
--- a/src/net/internal/periodic_timer.cc
+++ b/src/net/internal/periodic_timer.cc
@@ -5,17 +5,19 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "base/clock.h"
+
 namespace anvildrum::net {
 
 struct PeriodicTimer::Impl : std::enable_shared_from_this<PeriodicTimer::Impl> {
   Impl(boost::asio::io_context& io, base::Duration period, OnTick on_tick)
-      : timer(io), period(period), due(base::Clock::now() + period), on_tick(std::move(on_tick)) {}
+      : timer(io), period(period), due(base::Now() + period), on_tick(std::move(on_tick)) {}
 
   auto Wait() -> void {
-    this->timer.expires_at(this->due);
+    this->timer.expires_after(this->due - base::Now());
     this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
       if (error || self->closed) return;
-      self->Tick(base::Clock::now());
+      self->Tick(base::Now());
     });
   }
 
--- a/src/net/internal/relay_server.cc
+++ b/src/net/internal/relay_server.cc
@@ -1,6 +1,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/clock.h"
 #include "net/internal/peer_table.h"
 #include "net/internal/relay_context.h"
 #include "net/internal/zap_handler.h"
@@ -74,7 +75,7 @@
   }
 
   auto Deliver(const RelayPeer& from, const zmq::message_t& payload) -> void {
-    if (!internal::Hear(this->peers, from, base::Clock::now())) {
+    if (!internal::Hear(this->peers, from, base::Now())) {
       ++this->counts.peers_refused;
       return;
     }
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "base/clock.h"
 #include "platform/internal/http_call.h"
 
 namespace anvildrum::platform {
@@ -65,7 +66,7 @@
   ClientCore(asio::io_context& io, ClientSettings given)
       : context(io),
         settings(std::move(given)),
-        budget(MakeCallBudget(this->settings.budget, base::Clock::now())) {}
+        budget(MakeCallBudget(this->settings.budget, base::Now())) {}
 
   auto Start(HttpCall call, base::Duration timeout, Finish finish) -> void;
   auto TakeIdle() -> ConnectionPtr;
@@ -104,7 +105,7 @@
 };
 
 auto Exchange::Begin() -> void {
-  if (!TakeCall(this->core->budget, this->call.kind, base::Clock::now())) {
+  if (!TakeCall(this->core->budget, this->call.kind, base::Now())) {
     this->core->running.erase(this->shared_from_this());
     return this->finish(PlatformError{PlatformErrorCode::kOverBudget, 0, this->call.key});
   }
@@ -202,7 +203,7 @@
 }
 
 auto ClientCore::TakeIdle() -> ConnectionPtr {
-  auto oldest = base::Clock::now() - this->settings.idle_timeout;
+  auto oldest = base::Now() - this->settings.idle_timeout;
   while (!this->idle.empty()) {
     auto connection = std::move(this->idle.back());
     this->idle.pop_back();
@@ -212,7 +213,7 @@
 }
 
 auto ClientCore::KeepIdle(ConnectionPtr connection) -> void {
-  connection->idle_since = base::Clock::now();
+  connection->idle_since = base::Now();
   connection->reused = true;
   connection->stream.expires_never();
   this->idle.push_back(std::move(connection));
--- a/src/platform/internal/conditional_writer.cc
+++ b/src/platform/internal/conditional_writer.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "base/clock.h"
+
 namespace anvildrum::platform {
 
 struct RunningWrite;
@@ -50,7 +52,7 @@
 }
 
 auto RunningWrite::Take(const WriteEvent& event) -> void {
-  this->Apply(Step(this->write, event, base::Clock::now()));
+  this->Apply(Step(this->write, event, base::Now()));
 }
 
 auto RunningWrite::Send(const WriteCall& call) -> void {
@@ -90,7 +92,7 @@
   auto write = MakeConditionalWrite(key, std::move(propose), owner.policy, owner.next_seed++);
   auto running = std::make_shared<RunningWrite>(owner, std::move(write), std::move(done));
   owner.running.insert(running);
-  running->Apply(Begin(running->write, base::Clock::now()));
+  running->Apply(Begin(running->write, base::Now()));
 }
 
 }  // namespace anvildrum::platform
--- a/src/platform/internal/prefix_watcher.cc
+++ b/src/platform/internal/prefix_watcher.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "base/clock.h"
+
 namespace anvildrum::platform {
 
 struct PrefixWatcherCore : std::enable_shared_from_this<PrefixWatcherCore> {
@@ -46,7 +48,7 @@
 
 auto PrefixWatcherCore::Take(const WatchEvent& event) -> void {
   if (this->stopped) return;
-  auto effects = Step(this->watch, event, base::Clock::now());
+  auto effects = Step(this->watch, event, base::Now());
   if (effects) this->Apply(*effects);
 }
 
--- a/tools/scenario/act.cc
+++ b/tools/scenario/act.cc
@@ -95,6 +95,16 @@
   }
 }
 
+// `clock desk-3 back 2h`: the wall clock of a machine jumps; what runs there is not told.
+auto DoClock(Run& run, Words& words) -> void {
+  auto processes = std::vector<std::string>{};
+  ForProcesses(run, words, [&](Process& process) { processes.push_back(process.name); });
+  auto ahead = Takes(words, "ahead");
+  if (!ahead && !Takes(words, "back")) words.wrong = true;
+  auto jump = TakeDuration(words);
+  for (const auto& process : processes) run.world.wall_clocks[process] += ahead ? jump : -jump;
+}
+
 // A target is reached through its agent.
 auto EndOf(Run& run, Words& words) -> std::string {
   auto name = TakeName(words);
@@ -256,7 +266,7 @@
 const auto kVerbs = std::map<std::string, Verb>{
     {"kill", DoKill},     {"start", DoStart},   {"stop", DoStop},         {"drain", DoStop},
     {"cut", DoCut},       {"heal", DoHeal},     {"platform", DoPlatform}, {"patch", DoPatch},
-    {"freeze", DoFreeze}, {"replay", DoReplay}, {"flood", DoFlood}};
+    {"freeze", DoFreeze}, {"replay", DoReplay}, {"flood", DoFlood},       {"clock", DoClock}};
 
 auto IsFault(const std::string& verb) -> bool {
   return verb == "loss" || verb == "duplicate" || verb == "late" || verb == "reorder";
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -187,7 +187,7 @@
   node.name = name;
   node.process = process.name;
   node.record = world.agents.at(name)->record;
-  node.record.incarnation = IncarnationAt(world);
+  node.record.incarnation = IncarnationAt(world, node.process);
   node.record.draining = false;
   world.agents.at(name) = std::move(fresh);
   StartProcess(process);
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -163,7 +163,7 @@
   node.world = &world;
   node.name = name;
   node.record = record;
-  node.record.incarnation = IncarnationAt(world);
+  node.record.incarnation = IncarnationAt(world, name);
   world.balancers.at(name) = std::move(fresh);
   StartProcess(process);
   MakeCores(node);
--- a/tools/scenario/records.cc
+++ b/tools/scenario/records.cc
@@ -6,6 +6,9 @@
 namespace anvildrum::scenario {
 namespace {
 
+// Far enough from zero to be set back from.
+constexpr auto kWallStart = base::hours(1000);
+
 auto NameOfKey(const std::string& key) -> std::string { return key.substr(key.rfind('/') + 1); }
 
 auto ApplyTarget(const relay::PlatformObject& object, membership::View& view, base::TimePoint now)
@@ -48,9 +51,11 @@
   if (object.key.starts_with(membership::kBalancerPrefix)) return ApplyBalancer(object, view);
 }
 
-auto IncarnationAt(const World& world) -> base::Incarnation {
-  auto since = world.clock.now.time_since_epoch();
-  return static_cast<base::Incarnation>(since.count()) + 1;
+auto IncarnationAt(const World& world, const std::string& process) -> base::Incarnation {
+  auto jumped = world.wall_clocks.find(process);
+  auto offset = jumped == world.wall_clocks.end() ? base::Duration{} : jumped->second;
+  auto wall = kWallStart + world.clock.now.time_since_epoch() + offset;
+  return static_cast<base::Incarnation>(base::Duration(wall).count()) + 1;
 }
 
 }  // namespace anvildrum::scenario
--- a/tools/scenario/world.h
+++ b/tools/scenario/world.h
@@ -53,6 +53,7 @@
   Clock clock;
   std::mt19937_64 random;
   Faults faults;
+  std::map<std::string, base::Duration> wall_clocks;  ///< process -> how far its wall clock is off
   std::map<std::string, Process> processes;
   std::set<std::pair<std::string, std::string>> cuts;  ///< of processes or failure domains
   struct BoundPort {
