Serve a target that is started again while the platform is away

Cause: an agent served once the platform had taken its announcement, so a target that was restarted in an outage was not served until it ended.

The platform's next word has a higher revision and wins. It takes the number that its announcer writes, and a new one when the record has gone or changed before that.

Only for the same name, service, address and failure domain. A target that is new or has moved waits as before.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -85,6 +85,10 @@
   std::optional<base::TimePoint> farewell;  ///< end of a drain whose time is up
   TargetWatch target;
   bool earlier_lost = false;  ///< not yet noted in `lost`
+  /// It serves under the record of its earlier process, see RestartOf, and tells the others.
+  bool provisional = false;
+  std::size_t next_told = 0;
+  base::TimePoint next_notice{};
   /// Flows that ended here and whose last answers are still to be sent, with the time until when.
   std::unordered_map<base::FlowKey, base::TimePoint> parted;
   std::vector<LostTarget> lost;
@@ -105,6 +109,8 @@
   auto WithSeed(std::uint64_t seed) -> AgentBuilder&;
   /// An earlier incarnation of this agent ended without a drain.
   auto WithEarlierLost(bool lost) -> AgentBuilder&;
+  /// The platform has not taken the record yet, which comes from RestartOf.
+  auto WithProvisional(bool provisional) -> AgentBuilder&;
   auto Build() const -> Agent;
 
  private:
@@ -113,8 +119,16 @@
   requests::EchoSecret secret{};
   std::uint64_t seed = 1;
   bool earlier_lost = false;
+  bool provisional = false;
 };
 
+/// The record under which an agent may serve while it can't reach the platform: that of its earlier
+/// process, as its peers have it in force, under a higher incarnation. Nothing when there is none,
+/// or when this process is another one than it names (service, address, failure domain). `start` is
+/// the process' own start number; the announcer draws the same incarnation.
+auto RestartOf(const membership::TargetRecord& in_force, const membership::TargetRecord& own,
+               base::Incarnation start) -> std::optional<membership::TargetRecord>;
+
 /// A datagram of the tunnel. The views are used during the call only.
 struct TunnelMessage {
   base::Endpoint from;
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -43,6 +43,16 @@
 auto OnHandOver(Context& context, const TunnelMessage& message) -> void;
 auto AdoptFlow(Context& context, const steering::FlowTaken& taken) -> void;
 
+// restart.cc
+/// Tells the next one of peers and balancers, while the platform doesn't know of this process.
+auto TellRestart(Context& context) -> void;
+auto TellRestartTo(Context& context, const base::Endpoint& to) -> void;
+auto OnRestartNotice(Context& context, const base::Endpoint& from,
+                     const wire::pb::RestartNotice& notice) -> void;
+/// The own record as the agent takes it: while provisional, the earlier process' one is its own.
+auto TakeOwnRecord(Agent& agent, const membership::TargetRecord& record)
+    -> membership::TargetRecord;
+
 // life_cycle.cc
 enum class LifeEvent : std::uint8_t { kAnnounced, kDrainRequested, kEmpty };
 auto Advance(Phase phase, LifeEvent event) -> Phase;
--- a/src/agent/internal/peers.cc
+++ b/src/agent/internal/peers.cc
@@ -137,6 +137,8 @@
 }
 
 auto OnProbe(Context& context, const base::Endpoint& from, const wire::pb::Probe& probe) -> void {
+  // First, so that the prober knows the incarnation of the answer.
+  TellRestartTo(context, from);
   auto header = MakeHeader(context.agent);
   auto* answer = header.mutable_probe_answer();
   answer->set_sequence(probe.sequence());
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -52,8 +52,9 @@
 }
 
 auto Handle(Context& context, const TargetRecordChanged& event) -> void {
-  NoteReplaced(context, event.record);
-  auto applied = membership::ApplyRecord(context.agent.view, event.record, context.now);
+  auto record = TakeOwnRecord(context.agent, event.record);
+  NoteReplaced(context, record);
+  auto applied = membership::ApplyRecord(context.agent.view, record, context.now);
   if (applied != membership::Applied::kChanged) return;
   ApplyKeptWeights(context.agent);
   OnViewChange(context);
@@ -105,6 +106,7 @@
   PingTarget(context);
   ForgetLost(context);
   RefreshOwnLoad(context);
+  TellRestart(context);
   RunDirectory(context, steering::DirectoryTimer{});
   RunDueRequestTimer(context);
   OfferFlows(context);
@@ -146,6 +148,10 @@
   this->earlier_lost = lost;
   return *this;
 }
+auto AgentBuilder::WithProvisional(bool value) -> AgentBuilder& {
+  this->provisional = value;
+  return *this;
+}
 
 auto AgentBuilder::Build() const -> Agent {
   auto agent = Agent{};
@@ -165,6 +171,7 @@
                        .WithSeed(this->seed)
                        .Build();
   agent.earlier_lost = this->earlier_lost;
+  agent.provisional = this->provisional;
   return agent;
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -204,6 +204,8 @@
       return OnProbeAnswer(context, header);
     case TunnelHeader::kDrainNotice:
       return OnDrainNotice(context, header.drain_notice());
+    case TunnelHeader::kRestartNotice:
+      return OnRestartNotice(context, message.from, header.restart_notice());
     case TunnelHeader::kHandOver:
       return OnHandOver(context, message);
     case TunnelHeader::kHandOn:
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -27,6 +27,9 @@
   /// The answers of a flow that ended are still sent for this long: every retransmission of a
   /// confirmable one (RFC 7252, 4.8.2) fits in.
   base::Duration parting = requests::kMaxTransmitWait;
+  /// Between two notices of a restart that the platform doesn't know of yet, to one instance after
+  /// the other: 10 a second of 90 bytes, however many there are.
+  base::Duration restart_notice_period = base::milliseconds(100);
   std::size_t parted_flows = 100'000;  ///< bound on those, and on flows of lost owners
   /// A late copy of a request is on its way for less than this.
   base::Duration lost_memory = requests::kExchangeLifetime;
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -93,7 +93,18 @@
   UpdateTargets(state);
 }
 
-auto Handle(Balancer& state, const TunnelMessage& event, base::TimePoint, Effects& effects)
+auto HandleRestartNotice(Balancer& state, const TunnelMessage& event, base::TimePoint now,
+                         Effects& effects) -> void {
+  const auto& notice = event.header->restart_notice();
+  const auto& target = notice.target();
+  auto restart = membership::Restart{
+      {target.target()}, {notice.service()}, target.incarnation(), notice.revision(), event.from};
+  if (membership::ApplyRestart(state.view, restart, now) != membership::Applied::kChanged) return;
+  effects.view_changed = true;
+  UpdateTargets(state);
+}
+
+auto Handle(Balancer& state, const TunnelMessage& event, base::TimePoint now, Effects& effects)
     -> void {
   using wire::pb::TunnelHeader;
   switch (event.header->body_case()) {
@@ -105,6 +116,8 @@
       return HandleRefused(state, event.header->refused());
     case TunnelHeader::kDrainNotice:
       return HandleDrainNotice(state, event.header->drain_notice(), effects);
+    case TunnelHeader::kRestartNotice:
+      return HandleRestartNotice(state, event, now, effects);
     default:
       return;
   }
--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -145,8 +145,9 @@
   auto revision = RevisionOf(monitor, instance);
   if (revision == 0) return;
   const auto* peer = membership::FindPeer(monitor.suspicion, instance);
-  if (peer == nullptr) return NoteChange(context, {instance, false});
-  if (peer->suspect && revision != revision_before) NoteChange(context, {instance, true});
+  auto suspect = peer != nullptr && peer->suspect;
+  auto is_news = suspect == (revision != revision_before);
+  if (peer == nullptr || is_news) NoteChange(context, {instance, suspect});
 }
 
 auto Handle(MonitorContext& context, const MonitorView& event) -> void {
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -193,6 +193,27 @@
   BOOST_CHECK(Send(state).to != home);
 }
 
+// A target is started again while the platform is away; its agent says so itself. A balancer that
+// suspects it would send it no new client until the outage ends. From another address the word is
+// not believed: two agents under one name.
+BOOST_AUTO_TEST_CASE(a_restart_notice_counts_from_the_targets_own_address_only) {
+  auto state = MakeReady(SmallPolicy());
+  auto record = MakeRecord("desk-1", "desk", 1);
+  membership::SetSuspect(state.view, record.id, true);
+  auto notice = wire::pb::TunnelHeader{};
+  auto& restart = *notice.mutable_restart_notice();
+  restart.mutable_target()->set_target(record.id.value);
+  restart.mutable_target()->set_incarnation(2);
+  restart.set_service(record.service.value);
+  restart.set_revision(record.revision);
+  auto elsewhere = MakeRecord("desk-2", "desk", 2).tunnel;
+  BOOST_TEST(!Step(state, TunnelMessage{elsewhere, &notice, {}}, kNow).view_changed);
+  BOOST_TEST(Step(state, TunnelMessage{record.tunnel, &notice, {}}, kNow).view_changed);
+  const auto* target = membership::FindTarget(state.view, record.id);
+  BOOST_TEST(target->record.incarnation == 2u);
+  BOOST_TEST(!target->suspect);
+}
+
 // An operator moves an address from the desk to the mapper. A stale peer offers the older
 // configuration afterwards; were it taken, mapper's clients would reach the desk.
 BOOST_AUTO_TEST_CASE(an_address_moves_between_services_and_never_back) {
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -99,6 +99,22 @@
   BOOST_TEST(reported == std::vector<std::uint64_t>{77}, boost::test_tools::per_element());
 }
 
+// A target dies and is started again while the platform is away: the record stays, the process is
+// another one. Were its suspicion left standing, the clearers would delete a live target's record
+// as soon as the platform is back.
+BOOST_AUTO_TEST_CASE(a_new_process_under_the_same_record_is_not_suspect_any_more) {
+  auto monitor = MonitorOf("b1");
+  auto view = ViewOf(2);
+  Step(monitor, MonitorView{&view}, kStart);
+  auto now = RunSilent(monitor, kStart);
+  auto anew = BalancerNamed("b2", 2);
+  anew.incarnation = 2;
+  membership::ApplyBalancer(view, anew);
+  auto effects = Step(monitor, MonitorView{&view}, now);
+  BOOST_REQUIRE(effects.balancer_changes.size() == 1);
+  BOOST_TEST(!effects.balancer_changes[0].suspect);
+}
+
 // A balancer joins and takes a suspect over. Who observed it before does not hear of it any more,
 // and would keep it suspect for ever: no new flow goes there, and its report would still count.
 BOOST_AUTO_TEST_CASE(a_suspect_that_is_left_to_others_is_not_suspect_any_more) {
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -13,6 +13,8 @@
 using telemetry::LogLevel;
 
 constexpr auto kMostSpans = std::size_t{4096};
+// A platform that answers takes an announcement in well under this.
+constexpr auto kWaitForPlatform = base::seconds(3);
 
 auto MakePolicy(const Runtime& runtime) -> agent::AgentPolicy {
   auto policy = agent::AgentPolicy{};
@@ -53,7 +55,8 @@
     : runtime(std::move(runtime)),
       request_seconds(telemetry::AddSummary(this->runtime->metrics, "anvildrum_request_seconds",
                                             "Time from sending a request to its target's answer")),
-      timer(this->runtime->io) {}
+      timer(this->runtime->io),
+      restart_timer(this->runtime->io) {}
 
 auto AgentRuntime::MakeRecord() const -> membership::TargetRecord {
   const auto& settings = this->runtime->settings;
@@ -115,9 +118,36 @@
 auto AgentRuntime::OnReady() -> void {
   Log(LogLevel::kInfo, "ready");
   this->announcer->Announce();
+  this->ArmRestart();
+}
+
+auto AgentRuntime::ArmRestart() -> void {
+  this->restart_timer.expires_after(kWaitForPlatform);
+  this->restart_timer.async_wait([this](const auto& error) {
+    if (error || this->agent || this->stopping) return;
+    this->ServeUnderEarlierRecord();
+    if (!this->agent) this->ArmRestart();
+  });
+}
+
+auto AgentRuntime::ServeUnderEarlierRecord() -> void {
+  auto found = this->records.find(membership::KeyOf(this->record));
+  if (found == this->records.end() || found->second.deleted) return;
+  const auto& object = found->second;
+  auto in_force = membership::ParseTargetRecord(object.key, object.revision, object.value);
+  if (!in_force) return;
+  auto record = agent::RestartOf(*in_force, this->record, this->announcer->Incarnation());
+  if (!record) return;
+  Log(LogLevel::kWarning, "serving_before_the_platform_knows",
+      {{"revision", record->revision}, {"incarnation", record->incarnation}});
+  this->record = *record;
+  this->provisional = true;
+  this->announcer->ServesUnder(record->incarnation, record->revision);
+  this->StartCore(true);
 }
 
 auto AgentRuntime::Announced(const Announcer::Announced& result) -> void {
+  this->provisional = false;
   this->record.incarnation = result.incarnation;
   this->record.revision = result.revision;
   auto current = this->agent && this->agent->record.incarnation == result.incarnation;
@@ -135,9 +165,15 @@
                     .WithRecord(this->record)
                     .WithEchoSecret(secret)
                     .WithEarlierLost(earlier_lost)
+                    .WithProvisional(this->provisional)
                     .WithSeed(this->runtime->seed)
                     .Build();
-  for (const auto& [key, record] : this->records) this->ApplyRecord(record);
+  // The own record last: with it the core serves.
+  auto own = membership::KeyOf(this->record);
+  for (const auto& [key, record] : this->records) {
+    if (key != own) this->ApplyRecord(record);
+  }
+  if (this->records.contains(own)) this->ApplyRecord(this->records.at(own));
   this->UpdateRelayPeers();
   if (this->stopping) this->Step(agent::DrainRequested{});
   this->ArmTimer();
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -38,6 +38,8 @@
   auto OnReady() -> void;
   auto Announced(const Announcer::Announced& result) -> void;
   auto StartCore(bool earlier_lost) -> void;
+  auto ArmRestart() -> void;
+  auto ServeUnderEarlierRecord() -> void;
   auto OnRecords(const std::vector<relay::PlatformObject>& records) -> void;
   auto ApplyRecord(const relay::PlatformObject& record) -> void;
   auto ApplyTarget(const relay::PlatformObject& record) -> void;
@@ -67,6 +69,8 @@
   std::unordered_map<std::uint64_t, telemetry::Span> spans;  ///< by request
   telemetry::Summary& request_seconds;
   boost::asio::steady_timer timer;
+  boost::asio::steady_timer restart_timer;
+  bool provisional = false;  ///< the core runs, and the platform has not taken the record yet
   std::unique_ptr<net::StopSignal> stop_signal;
   bool stopping = false;
 };
--- a/src/daemon/internal/announcer.cc
+++ b/src/daemon/internal/announcer.cc
@@ -35,10 +35,26 @@
   auto ours = recorded == this->incarnation;
   if (!this->settled && !ours && recorded != 0) this->earlier_lost = true;
   if (!ours && recorded >= this->incarnation) this->incarnation = recorded + 1;
+  if (!ours && this->provisional && !(current && this->StandsOn(*current))) {
+    ++this->incarnation;
+    this->earlier_lost = true;
+    this->provisional.reset();
+  }
   this->written = this->parts.compose(this->incarnation);
   return {WriteIntent::kPut, this->written};
 }
 
+auto Announcer::StandsOn(const Object& current) const -> bool {
+  return this->provisional == current.revision;
+}
+
+auto Announcer::ServesUnder(base::Incarnation number, std::uint64_t revision) -> void {
+  this->incarnation = number;
+  this->provisional = revision;
+}
+
+auto Announcer::Incarnation() const -> base::Incarnation { return this->incarnation; }
+
 auto Announcer::Announce() -> void {
   if (this->withdrawn) return;
   if (this->writing) {
@@ -59,6 +75,7 @@
     return this->Announce();
   }
   this->settled = true;
+  this->provisional.reset();
   Log(LogLevel::kInfo, "announced",
       {{"key", this->parts.key},
        {"revision", result.revision},
@@ -82,7 +99,8 @@
 
 auto Announcer::ProposeDelete(const std::optional<Object>& current) -> WriteProposal {
   if (!current) return {WriteIntent::kDone, {}};
-  auto ours = this->parts.incarnation_of(current->value) == this->incarnation;
+  auto ours =
+      this->parts.incarnation_of(current->value) == this->incarnation || this->StandsOn(*current);
   return {ours ? WriteIntent::kDelete : WriteIntent::kAbandon, {}};
 }
 
--- a/src/daemon/internal/announcer.h
+++ b/src/daemon/internal/announcer.h
@@ -43,6 +43,17 @@
 
   Announcer(Runtime& runtime, Parts parts);
 
+  /// The instance serves under the record of its earlier process, of this revision, under
+  /// an incarnation that starts from Incarnation(), see agent::RestartOf.
+  ///
+  /// Safeguard: when the record has gone or changed before the write, peers may have buried the
+  /// incarnation with it; announced all the same, it would be refused by everyone for ever. The
+  /// writer takes a new one.
+  auto ServesUnder(base::Incarnation incarnation, std::uint64_t revision) -> void;
+
+  /// What the next write would carry.
+  auto Incarnation() const -> base::Incarnation;
+
   /// Writes now, also when nothing changed. Retries until it took.
   auto Announce() -> void;
 
@@ -56,6 +67,7 @@
   auto Propose(const std::optional<platform::Object>& current) -> platform::WriteProposal;
   auto ProposeDelete(const std::optional<platform::Object>& current) -> platform::WriteProposal;
   auto Finish(const platform::WriteResult& result) -> void;
+  auto StandsOn(const platform::Object& current) const -> bool;
 
   Parts parts;
   platform::ConditionalWriter writer;
@@ -66,6 +78,7 @@
   bool settled = false;
   bool withdrawn = false;
   bool earlier_lost = false;
+  std::optional<std::uint64_t> provisional;  ///< revision that it serves under
 };
 
 }  // namespace anvildrum::daemon
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -171,7 +171,9 @@
   auto message = balancer::TunnelMessage{from, &opened.header, opened.payload};
   auto effects = balancer::Step(this->balancer, message, now);
   this->Carry(effects);
-  if (effects.view_changed) this->monitor.view = this->balancer.view;
+  if (!effects.view_changed) return;
+  auto view = this->balancer.view;
+  this->ApplyMonitor(balancer::Step(this->monitor, balancer::MonitorView{&view}, now));
 }
 
 auto BalancerRuntime::OnClient(const base::Endpoint& address, const base::Endpoint& client,
--- a/src/membership/internal/view.cc
+++ b/src/membership/internal/view.cc
@@ -156,6 +156,19 @@
   return Applied::kChanged;
 }
 
+auto ApplyRestart(View& view, const Restart& restart, base::TimePoint now) -> Applied {
+  auto place = FindPlace(view, restart.id);
+  if (place.target == nullptr) return Applied::kStale;
+  auto record = place.target->record;
+  auto stands_on_it = record.service == restart.service && record.revision == restart.revision &&
+                      record.tunnel == restart.tunnel;
+  if (!stands_on_it) return Applied::kStale;
+  if (record.incarnation == restart.incarnation) return Applied::kUnchanged;
+  record.incarnation = restart.incarnation;
+  record.draining = false;
+  return ApplyRecord(view, record, now);
+}
+
 auto SetSuspect(View& view, base::TargetId id, bool suspect) -> Applied {
   auto place = FindPlace(view, id);
   if (place.target == nullptr) return Applied::kStale;
--- a/src/membership/tests/view_test.cc
+++ b/src/membership/tests/view_test.cc
@@ -77,6 +77,63 @@
   BOOST_CHECK(ApplyBalancer(view, balancer) == Applied::kStale);
 }
 
+auto RestartOfA(base::Incarnation incarnation) -> Restart {
+  auto record = MakeRecord("a", "desk", 2, 20);
+  return {record.id, record.service, incarnation, record.revision, record.tunnel};
+}
+
+// The platform is away and a target starts again. Its agent's word puts the new process under the
+// record in force; the platform's word, when it comes, has a higher revision and wins.
+BOOST_AUTO_TEST_CASE(a_restart_stands_on_the_record_in_force_until_the_platform_speaks) {
+  auto view = View{};
+  auto id = base::TargetIdOf("a");
+  ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
+  ApplyDrain(view, id, 2);
+  SetSuspect(view, id, true);
+  BOOST_CHECK(ApplyRestart(view, RestartOfA(3), kNow) == Applied::kChanged);
+  BOOST_CHECK(StateOf(*FindTarget(view, id)) == TargetState::kLive);
+  BOOST_CHECK(ApplyRestart(view, RestartOfA(3), kNow) == Applied::kUnchanged);
+  BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow) == Applied::kStale);
+  BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 3, 21), kNow) == Applied::kChanged);
+  BOOST_CHECK(ApplyRestart(view, RestartOfA(4), kNow) == Applied::kStale);
+  BOOST_TEST(FindTarget(view, id)->record.incarnation == 3u);
+}
+
+// Words that must not be believed: of a target that was removed, of an earlier process, of one that
+// stands on another record, of a second agent of the name elsewhere, of another service.
+BOOST_AUTO_TEST_CASE(a_restart_that_does_not_stand_on_the_record_is_refused) {
+  auto view = View{};
+  BOOST_CHECK(ApplyRestart(view, RestartOfA(3), kNow) == Applied::kStale);
+  ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
+  auto refused = [&](auto change) {
+    auto restart = RestartOfA(3);
+    change(restart);
+    return ApplyRestart(view, restart, kNow) == Applied::kStale;
+  };
+  BOOST_TEST(refused([](Restart& restart) { restart.incarnation = 1; }));
+  BOOST_TEST(refused([](Restart& restart) { restart.revision = 19; }));
+  BOOST_TEST(refused([](Restart& restart) { restart.revision = 21; }));
+  BOOST_TEST(refused([](Restart& restart) { restart.tunnel.port = 9; }));
+  BOOST_TEST(refused([](Restart& restart) { restart.service = base::ServiceIdOf("mapper"); }));
+  RemoveRecord(view, base::TargetIdOf("a"), 2, 22);
+  BOOST_CHECK(ApplyRestart(view, RestartOfA(3), kNow) == Applied::kStale);
+  BOOST_TEST(view.services.front().targets.empty());
+}
+
+// The record is removed while a process serves under it. Its incarnation is buried with it: a late
+// copy of its word, or of the record, doesn't bring it back.
+BOOST_AUTO_TEST_CASE(a_restart_is_buried_with_its_record) {
+  auto view = View{};
+  auto id = base::TargetIdOf("a");
+  ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
+  ApplyRestart(view, RestartOfA(3), kNow);
+  BOOST_CHECK(RemoveRecord(view, id, 3, 22) == Applied::kChanged);
+  BOOST_CHECK(ApplyRestart(view, RestartOfA(3), kNow) == Applied::kStale);
+  BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow) == Applied::kStale);
+  BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 3, 23), kNow) == Applied::kStale);
+  BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 4, 23), kNow) == Applied::kChanged);
+}
+
 // A process restarts on the same port as a target of another service. Balancers of the old service
 // must not find it any more.
 BOOST_AUTO_TEST_CASE(a_target_that_restarts_under_another_service_leaves_the_first) {
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -77,6 +77,21 @@
 /// again after a restart.
 auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation) -> Applied;
 
+/// The word of a target's agent that it was started again while the platform was out of its reach.
+struct Restart {
+  base::TargetId id;
+  base::ServiceId service;
+  base::Incarnation incarnation = 0;
+  std::uint64_t revision = 0;  ///< of the record in force that it stands on
+  base::Endpoint tunnel;       ///< where the word came from
+};
+
+/// Puts a new incarnation under the record in force, which keeps its revision. Taken only under the
+/// very record that the agent stands on, from its own address and for its service. So nobody comes
+/// back who was removed, a second agent of the name elsewhere isn't believed, and whatever the
+/// platform takes later has a higher revision and wins. All else is kStale.
+auto ApplyRestart(View& view, const Restart& restart, base::TimePoint now) -> Applied;
+
 /// Sets this instance's own suspicion. Leaves the digest as it is.
 auto SetSuspect(View& view, base::TargetId id, bool suspect) -> Applied;
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -40,6 +40,32 @@
         self.assert_at_most_once(running, "desk")
         self.await_convergence(running, drained)
 
+    # The client sees: a new flow is answered by a target that was started during the outage. Order:
+    # the platform goes down; a target and its agent are killed and started again; new flows come;
+    # the platform returns and takes the announcement. Why: the agent serves under the record of
+    # its earlier process, which its peers hold, and tells them so itself.
+    def test_a_target_started_again_in_an_outage_is_served(self):
+        running = self.start_fleet()
+        running.faults(down=True)
+        again = running.plan["targets"][0]
+        running.kill(again["agent"])
+        running.kill(again["name"])
+        running.start_target(again["name"])
+        running.start_daemon("agent", again)
+        wait_until(lambda: self.target_of_new_flow(running) == again["name"],
+                   "a new flow at the target", WIDE_SECONDS)
+        self.assertTrue(running.status(again)["provisional"])
+        running.faults(down=False)
+        wait_until(lambda: not running.status(again)["provisional"], "announced", WIDE_SECONDS)
+        wait_until(lambda: running.ctl("status").returncode == 0, "anvilctl status", WIDE_SECONDS)
+        wait_until(lambda: self.target_of_new_flow(running) == again["name"],
+                   "a new flow at the target after the outage", WIDE_SECONDS)
+
+    def target_of_new_flow(self, running):
+        with Flow(running.service_address("desk")) as flow:
+            answer = flow.get("feed")
+            return answer and answer.body["target"]
+
     def replace_balancer(self, running, name):
         running.fabric_do({"do": "remove", "balancer": name})
         running.kill(name)
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -10,6 +10,8 @@
 namespace anvildrum::scenario {
 namespace {
 
+constexpr auto kWaitForPlatform = base::seconds(3);
+
 auto ProcessOf(AgentNode& node) -> Process& { return node.world->processes.at(node.process); }
 auto Now(const AgentNode& node) -> base::TimePoint { return node.world->clock.now; }
 
@@ -114,10 +116,16 @@
   node.agent = agent::AgentBuilder{}
                    .WithRecord(node.record)
                    .WithEchoSecret(secret)
+                   .WithEarlierLost(node.announcer.provisional.has_value())
+                   .WithProvisional(node.announcer.provisional.has_value())
                    .WithSeed(node.world->random())
                    .Build();
   auto records = node.records;
-  for (const auto& [key, record] : records) ApplyRecord(node, record);
+  auto own = membership::KeyOf(node.record);
+  for (const auto& [key, record] : records) {
+    if (key != own) ApplyRecord(node, record);
+  }
+  if (records.contains(own)) ApplyRecord(node, records.at(own));
   UpdateRelayPeers(node);
   if (node.stopping) Feed(node, agent::DrainRequested{});
   ArmTimer(node);
@@ -149,6 +157,29 @@
   return announcer;
 }
 
+auto ServeUnderEarlierRecord(AgentNode& node) -> void {
+  auto found = node.records.find(membership::KeyOf(node.record));
+  if (found == node.records.end() || found->second.deleted) return;
+  const auto& object = found->second;
+  auto in_force = membership::ParseTargetRecord(object.key, object.revision, object.value);
+  if (!in_force) return;
+  auto record = agent::RestartOf(*in_force, node.record, node.announcer.incarnation);
+  if (!record) return;
+  Trace(*node.world, node.process + " serves before the platform knows");
+  node.record = *record;
+  node.announcer.incarnation = record->incarnation;
+  node.announcer.provisional = record->revision;
+  StartCore(node);
+}
+
+auto ArmRestart(AgentNode& node) -> void {
+  AfterIn(node.world->clock, ProcessOf(node), kWaitForPlatform, [&node] {
+    if (node.agent || node.stopping) return;
+    ServeUnderEarlierRecord(node);
+    if (!node.agent) ArmRestart(node);
+  });
+}
+
 auto MakeRelay(AgentNode& node) -> void {
   auto settings = relay::RelaySettings{};
   settings.role = relay::RelayRole::kAgent;
@@ -197,7 +228,10 @@
     Feed(node, agent::TunnelMessage{from, &header, payload});
   };
   world.tunnel_ports[node.record.tunnel] = {node.process, receive};
-  node.relay.on_ready = [&node] { Announce(node.announcer); };
+  node.relay.on_ready = [&node] {
+    Announce(node.announcer);
+    ArmRestart(node);
+  };
   Feed(node.relay, relay::Started{});
 }
 
--- a/tools/scenario/announcer.cc
+++ b/tools/scenario/announcer.cc
@@ -19,12 +19,20 @@
   return policy;
 }
 
+auto StandsOn(const Announcer& announcer, const Object& current) -> bool {
+  return announcer.provisional == current.revision;
+}
+
 auto Propose(Announcer& announcer, const std::optional<Object>& current) -> WriteProposal {
   if (current && current->value == announcer.written) return {WriteIntent::kDone, {}};
   auto recorded = current ? announcer.incarnation_of(current->value) : base::Incarnation{0};
   auto ours = recorded == announcer.incarnation;
   if (!ours && recorded >= announcer.incarnation) announcer.incarnation = recorded + 1;
   if (!current && announcer.settled) ++announcer.incarnation;
+  if (!ours && announcer.provisional && !(current && StandsOn(announcer, *current))) {
+    ++announcer.incarnation;
+    announcer.provisional.reset();
+  }
   announcer.written = announcer.compose(announcer.incarnation);
   return {WriteIntent::kPut, announcer.written};
 }
@@ -32,7 +40,8 @@
 auto ProposeDelete(const Announcer& announcer, const std::optional<Object>& current)
     -> WriteProposal {
   if (!current) return {WriteIntent::kDone, {}};
-  auto ours = announcer.incarnation_of(current->value) == announcer.incarnation;
+  auto ours = announcer.incarnation_of(current->value) == announcer.incarnation ||
+              StandsOn(announcer, *current);
   return {ours ? WriteIntent::kDelete : WriteIntent::kAbandon, {}};
 }
 
@@ -40,6 +49,7 @@
   announcer.writing = false;
   if (result.verdict != platform::WriteVerdict::kTook) return Announce(announcer);
   announcer.settled = true;
+  announcer.provisional.reset();
   announcer.on_announced(announcer.incarnation, result.revision);
   if (!std::exchange(announcer.again, false)) return;
   Announce(announcer);
--- a/tools/scenario/announcer.h
+++ b/tools/scenario/announcer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/types/ids.h"
@@ -25,6 +26,7 @@
   bool again = false;
   bool settled = false;
   bool withdrawn = false;
+  std::optional<std::uint64_t> provisional;  ///< revision that it serves under
 };
 
 auto Announce(Announcer& announcer) -> void;
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -88,7 +88,9 @@
   auto message = balancer::TunnelMessage{from, &header, payload};
   auto effects = balancer::Step(node.balancer, message, Now(node));
   Carry(node, effects);
-  if (effects.view_changed) node.monitor.view = node.balancer.view;
+  if (!effects.view_changed) return;
+  auto view = node.balancer.view;
+  ApplyMonitor(node, balancer::Step(node.monitor, balancer::MonitorView{&view}, Now(node)));
 }
 
 auto EndStop(BalancerNode& node) -> void {
