Never say "nothing was changed" of a patch that was sent

What fell short:

A lost answer. HttpObjectStore raised the error anew inside a LEAF handler, where it was lost; its caller saw an empty error, whose code is "connection never made". So a write without an answer did not count as sent, and with the platform away afterwards anvilctl said "nothing was changed" of a patch that may be in force. Seen as `can't reach` with no address. ErrorOf takes the place of the handler. The faults of the fake platform had hidden it: they fail above the HTTP client.

--wait with the platform gone after the write ended with 4, "nothing was changed". Now 6, and the words that the patch was taken.

--dry-run of a patch in force said "would become number N".

--- a/src/ctl/internal/http_object_store.cc
+++ b/src/ctl/internal/http_object_store.cc
@@ -27,19 +27,13 @@
 // at two addresses at once.
 auto Call(const Platform& platform, const HttpRequest& request) -> base::Result<HttpAnswer> {
   for (const auto& server : platform) {
-    auto unreachable = false;
-    auto answer = boost::leaf::try_handle_some(
-        [&]() -> base::Result<std::optional<HttpAnswer>> {
-          BOOST_LEAF_AUTO(got, CallHttp(server, request, kCallLimit));
-          return std::optional<HttpAnswer>(std::move(got));
-        },
-        [&](const CtlError& error) -> base::Result<std::optional<HttpAnswer>> {
-          unreachable = error.code == CtlErrorCode::kUnreachable;
-          if (unreachable) return std::optional<HttpAnswer>{};
-          return boost::leaf::new_error(error);
-        });
-    if (!answer) return answer.error();
-    if (*answer) return **answer;
+    auto answer = HttpAnswer{};
+    auto failure = base::ErrorOf<CtlError>([&]() -> base::Result<void> {
+      BOOST_LEAF_ASSIGN(answer, CallHttp(server, request, kCallLimit));
+      return {};
+    });
+    if (!failure) return answer;
+    if (failure->code != CtlErrorCode::kUnreachable) return boost::leaf::new_error(*failure);
   }
   return Fail(CtlErrorCode::kUnreachable, "the platform");
 }
--- a/src/ctl/internal/run_apply.cc
+++ b/src/ctl/internal/run_apply.cc
@@ -31,8 +31,17 @@
   return request;
 }
 
-auto Wait(std::uint64_t number, base::Duration limit, Edge& edge) -> base::Result<int> {
-  BOOST_LEAF_AUTO(instances, ListInstances(edge.store));
+// The patch is in; no failure here may be told as "nothing was changed".
+auto Wait(std::uint64_t number, base::Duration limit, Edge& edge) -> int {
+  auto instances = std::vector<Instance>{};
+  auto failure = base::ErrorOf<CtlError>([&]() -> base::Result<void> {
+    BOOST_LEAF_ASSIGN(instances, ListInstances(edge.store));
+    return {};
+  });
+  if (failure) {
+    edge.err << "anvilctl: can't tell where it is in force: " << Describe(*failure) << '\n';
+    return kIncomplete;
+  }
   auto missing = WaitInForce(instances, number, {edge.fetch_status, edge.sleep, edge.now, limit});
   for (const auto& report : missing) {
     edge.err << "anvilctl: " << NameOf(report.instance)
@@ -50,14 +59,14 @@
   Edge& edge;
 
   auto operator()(const config::Accepted& accepted) const -> base::Result<int> {
-    if (this->command.dry_run) {
+    if (this->command.dry_run && !accepted.before) {
       this->edge.out << "would become number " << accepted.number << ": " << accepted.difference
                      << '\n';
       return kDone;
     }
     this->edge.out << "accepted number " << accepted.number << " id " << this->id
                    << (accepted.before ? " (it was in force already)\n" : "\n");
-    if (!this->command.wait) return kDone;
+    if (!this->command.wait || this->command.dry_run) return kDone;
     return Wait(accepted.number, this->wait_limit, this->edge);
   }
 
--- a/src/ctl/tests/fake_platform.cc
+++ b/src/ctl/tests/fake_platform.cc
@@ -34,6 +34,7 @@
   if (fault == WriteFault::kLostRequest) return Fail(CtlErrorCode::kNoAnswer);
   if (fault == WriteFault::kRaced) platform.Set(kConfigKey, platform.racer);
   auto outcome = PutIfMatches(platform, key, value, revision);
+  if (fault == WriteFault::kThenDown) platform.down = true;
   if (fault == WriteFault::kLostAnswer) return Fail(CtlErrorCode::kNoAnswer);
   if (fault == WriteFault::kFalseConflict) return PutOutcome::kConflict;
   return outcome;
--- a/src/ctl/tests/fake_platform.h
+++ b/src/ctl/tests/fake_platform.h
@@ -16,6 +16,7 @@
   kLostRequest,        ///< no effect, no answer
   kFalseConflict,      ///< takes effect and is answered as a conflict
   kRaced,              ///< `racer` is written first, so that the write conflicts
+  kThenDown,           ///< takes effect, is answered, and the platform goes down
 };
 
 /// A platform in memory with faults in turn.
--- a/src/ctl/tests/http_test.cc
+++ b/src/ctl/tests/http_test.cc
@@ -109,6 +109,17 @@
   BOOST_CHECK(CodeOf(rubbish.Address(), kLimit) == CtlErrorCode::kNoAnswer);
 }
 
+// The operator is told "nothing was changed" of a patch that the platform has taken: its answer was
+// lost, and the store called that a connection that was never made.
+BOOST_AUTO_TEST_CASE(the_store_tells_a_lost_answer_of_a_write) {
+  auto server = OneAnswer("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf");
+  auto store = HttpObjectStore({server.Address()});
+  auto error = base::ErrorOf<CtlError>([&] { return store.put("config", "{}", 7); });
+  BOOST_REQUIRE(error.has_value());
+  BOOST_CHECK(error->code == CtlErrorCode::kNoAnswer);
+  BOOST_TEST(error->subject == base::FormatEndpoint(server.Address()));
+}
+
 // The platform takes the connection and then freezes. Without a limit the tool would never return.
 BOOST_AUTO_TEST_CASE(a_silent_server_is_given_up) {
   auto server = OneAnswer("");
--- a/src/ctl/tests/run_test.cc
+++ b/src/ctl/tests/run_test.cc
@@ -25,6 +25,7 @@
   std::mutex mutex;
   std::vector<std::string> drained;
   base::TimePoint clock;
+  std::string wall_time = "2026-12-02T10:00:00Z";
   std::ostringstream out;
   std::ostringstream err;
   std::function<void()> on_sleep = [] {};
@@ -80,7 +81,7 @@
                        this->on_sleep();
                      },
                      [this] { return this->clock; },
-                     [] { return std::string("2026-12-02T10:00:00Z"); },
+                     [this] { return this->wall_time; },
                      this->out,
                      this->err};
     auto invocation = Invocation{std::move(command), {}, std::move(operators)};
@@ -170,6 +171,40 @@
   BOOST_TEST(site.err.str().find("agent desk-1: unreachable") != std::string::npos);
 }
 
+// The patch was taken, and then the platform went away. The exit code that means "nothing was
+// changed" would make the operator write it anew.
+BOOST_AUTO_TEST_CASE(wait_without_the_platform_says_that_the_patch_was_taken) {
+  auto site = Site();
+  site.platform.faults = {WriteFault::kThenDown};
+  BOOST_TEST(site.Apply("[]", true) == kIncomplete);
+  BOOST_TEST(site.out.str().find("accepted number 4") != std::string::npos);
+  BOOST_TEST(site.err.str().find("can't tell where it is in force") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_dry_run_of_a_patch_in_force_says_so) {
+  auto site = Site();
+  BOOST_TEST(site.Apply("[]") == kDone);
+  site.out.str("");
+  BOOST_TEST(site.Run(ApplyCommand{3, site.File("[]"), "p1", "ana", true, false}) == kDone);
+  BOOST_TEST(site.out.str() == "accepted number 4 id p1 (it was in force already)\n");
+}
+
+// An operator's clock goes back by hours between two patches. Numbers order the history, and the
+// same command again is known by its id, whatever time it is.
+BOOST_AUTO_TEST_CASE(a_clock_that_jumps_back_changes_neither_history_nor_verdict) {
+  auto site = Site();
+  BOOST_TEST(site.Apply("[]") == kDone);
+  site.wall_time = "2026-12-02T07:00:00Z";
+  BOOST_TEST(site.Run(ApplyCommand{4, site.File("[]"), "p2", "bea", false, false}) == kDone);
+  BOOST_TEST(site.Apply("[]") == kDone);
+  BOOST_TEST(site.platform.writes_that_took == 2);
+  site.out.str("");
+  BOOST_TEST(site.Run(HistoryCommand{}) == kDone);
+  auto text = site.out.str();
+  BOOST_TEST(text.find("4  2026-12-02T10:00:00Z") < text.find("5  2026-12-02T07:00:00Z"));
+  BOOST_TEST(text.find("5  2026-12-02T07:00:00Z") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(history_and_get_show_the_document) {
   auto site = Site();
   site.Apply("[]");
