--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -93,7 +93,18 @@
   UpdateTargets(state);
 }
 
-auto Handle(Balancer& state, const TunnelMessage& event, base::TimePoint, Effects& effects)
+auto HandleRestartNotice(Balancer& state, const TunnelMessage& event, base::TimePoint now,
+                         Effects& effects) -> void {
+  const auto& notice = event.header->restart_notice();
+  const auto& target = notice.target();
+  auto restart = membership::Restart{
+      {target.target()}, {notice.service()}, target.incarnation(), notice.revision(), event.from};
+  if (membership::ApplyRestart(state.view, restart, now) != membership::Applied::kChanged) return;
+  effects.view_changed = true;
+  UpdateTargets(state);
+}
+
+auto Handle(Balancer& state, const TunnelMessage& event, base::TimePoint now, Effects& effects)
     -> void {
   using wire::pb::TunnelHeader;
   switch (event.header->body_case()) {
@@ -108,6 +119,8 @@
     case TunnelHeader::kProbe:
     case TunnelHeader::kProbeAnswer:
       return;  // the monitor's
+    case TunnelHeader::kRestartNotice:
+      return HandleRestartNotice(state, event, now, effects);
     default:
       ++state.counters.misdirected;
   }
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -55,13 +55,20 @@
 };
 
 /// Takes a record in. Safeguard: a lagging read, a slow peer or a process that wakes may offer the
-/// record of an earlier incarnation, which would send packets to a dead process; a record of lower
-/// incarnation, or of the same one with a lower revision, is refused as kStale. A record of a
-/// higher incarnation under another service takes the target out of its earlier service.
+/// record of an earlier process, which would send packets to a dead one; a record of lower
+/// revision, or of the same one with a lower incarnation, is refused as kStale. So is the
+/// incarnation that was removed, whatever its revision.
+///
+/// The revision goes first because incarnations come from a wall clock. Failure: a target drains,
+/// its machine's clock is set back, it starts anew. Symptom by incarnation: no instance takes its
+/// record, and it serves nobody until the clock has passed the earlier start. The platform's
+/// revisions never go back for a key.
+///
+/// A later record under another service takes the target out of its earlier service.
 auto ApplyRecord(View& view, const TargetRecord& record, base::TimePoint now) -> Applied;
 
 /// Takes a target out after its record was deleted at `revision`. A removal of an incarnation older
-/// than the known one is kStale.
+/// than the known one, or at a lower revision than the known record's, is kStale.
 auto RemoveRecord(View& view, base::TargetId id, base::Incarnation incarnation,
                   std::uint64_t revision) -> Applied;
 
@@ -70,6 +77,21 @@
 /// again after a restart.
 auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation) -> Applied;
 
+/// The word of a target's agent that it was started again while the platform was out of its reach.
+struct Restart {
+  base::TargetId id;
+  base::ServiceId service;
+  base::Incarnation incarnation = 0;
+  std::uint64_t revision = 0;  ///< of the record in force that it stands on
+  base::Endpoint tunnel;       ///< where the word came from
+};
+
+/// Puts a new incarnation under the record in force, which keeps its revision. Taken only under the
+/// very record that the agent stands on, from its own address and for its service. So nobody comes
+/// back who was removed, a second agent of the name elsewhere isn't believed, and whatever the
+/// platform takes later has a higher revision and wins. All else is kStale.
+auto ApplyRestart(View& view, const Restart& restart, base::TimePoint now) -> Applied;
+
 /// Sets this instance's own suspicion. Leaves the digest as it is.
 auto SetSuspect(View& view, base::TargetId id, bool suspect) -> Applied;
 
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -88,7 +88,9 @@
   auto message = balancer::TunnelMessage{from, &header, payload};
   auto effects = balancer::Step(node.balancer, message, Now(node));
   Carry(node, effects);
-  if (effects.view_changed) node.monitor.view = node.balancer.view;
+  if (!effects.view_changed) return;
+  auto view = node.balancer.view;
+  ApplyMonitor(node, balancer::Step(node.monitor, balancer::MonitorView{&view}, Now(node)));
 }
 
 auto EndStop(BalancerNode& node) -> void {
@@ -162,7 +164,7 @@
   node.world = &world;
   node.name = name;
   node.record = record;
-  node.record.incarnation = IncarnationAt(world);
+  node.record.incarnation = IncarnationAt(world, name);
   world.balancers.at(name) = std::move(fresh);
   StartProcess(process);
   MakeCores(node);
