Play scenario files against real processes too

Cause: tests/scenarios/*.scenario ran on the cores alone; the process tests were other scripts. So no file showed the same client's view in both. The load client opens its feeds over a time, sends requests for a part of the run, and can list each feed with its targets and its fault. Ruled out: a second client in Python (a stock client is the point), and playing cuts between processes (one loopback).

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -135,14 +135,18 @@
 
     # Start.
 
-    def start(self):
+    def start(self, names=None):
+        """Starts the balancers and targets of these names, or all; the rest may follow later."""
+        def chosen(entries):
+            return [entry for entry in entries if names is None or entry["name"] in names]
+        targets = chosen(self.plan["targets"])
         self.start_platform()
-        for target in self.plan["targets"]:
+        for target in targets:
             self.start_target(target["name"])
         self.start_fabric()
-        for balancer in self.plan["balancers"]:
+        for balancer in chosen(self.plan["balancers"]):
             self.start_daemon("balancer", balancer)
-        for target in self.plan["targets"]:
+        for target in targets:
             self.start_daemon("agent", target)
         wait_until(self.is_ready, "every instance ready and settled")
         return self
--- a/scripts/make_deployment.py
+++ b/scripts/make_deployment.py
@@ -3,6 +3,7 @@
 plan.json, which tells scripts every name and port.
 
     scripts/make_deployment.py ledgewater OUT [--base-port N] [--run-dir DIR] [--drain-seconds N]
+                               [--balancers N]
     scripts/make_deployment.py --check        # the committed files are what this script writes
 
 Ports, all on 127.0.0.1, from the base port B:
@@ -21,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BALANCERS = 3
+MAX_BALANCERS = 9  # by the plan of ports
 FAILURE_DOMAINS = 3
 CONNECTIONS = 2000
 PORTS_PER_DEPLOYMENT = 300
@@ -100,6 +102,7 @@
     base_port: int
     run_dir: str
     drain_seconds: int
+    balancers: int = BALANCERS
 
 
 def address(port):
@@ -132,7 +135,7 @@
 
 
 def control_ports(options):
-    return [address(balancer_port(options, number) + 1) for number in range(1, BALANCERS + 1)]
+    return [address(balancer_port(options, number) + 1) for number in range(1, options.balancers + 1)]
 
 
 def common_settings(deployment, options, role, name, domain_index, tunnel):
@@ -195,7 +198,8 @@
 
 def all_settings(deployment, options):
     balancers = [
-        balancer_settings(deployment, options, number) for number in range(1, BALANCERS + 1)
+        balancer_settings(deployment, options, number)
+        for number in range(1, options.balancers + 1)
     ]
     agents = [
         agent_settings(deployment, options, index, service, target)
@@ -337,6 +341,7 @@
     parser.add_argument("--base-port", type=int)
     parser.add_argument("--run-dir", default="", help="folder for logs and traces")
     parser.add_argument("--drain-seconds", type=int, default=DEMO_DRAIN_SECONDS)
+    parser.add_argument("--balancers", type=int, default=BALANCERS, choices=range(1, MAX_BALANCERS + 1))
     arguments = parser.parse_args()
     if not arguments.check and (arguments.deployment is None or arguments.out is None):
         parser.error("DEPLOYMENT and OUT, or --check")
@@ -352,7 +357,7 @@
     if not 0 < base_port <= MAX_PORT - PORTS_PER_DEPLOYMENT:
         print(f"base port {base_port} leaves no room for the plan", file=sys.stderr)
         return 2
-    options = Options(base_port, arguments.run_dir, arguments.drain_seconds)
+    options = Options(base_port, arguments.run_dir, arguments.drain_seconds, arguments.balancers)
     write(files_of(deployment, options), arguments.out)
     return 0
 
--- a/tools/load_client/callbacks.cc
+++ b/tools/load_client/callbacks.cc
@@ -41,7 +41,8 @@
 
 auto OnStreamMessage(Flow& flow, const coap_pdu_t* received, base::TimePoint now) -> void {
   auto notification =
-      Notification{CodeOf(received), tools::UintOption(received, COAP_OPTION_OBSERVE)};
+      Notification{CodeOf(received), tools::UintOption(received, COAP_OPTION_OBSERVE),
+                   TargetOf(BodyOf(received))};
   auto refused = notification.code == 503 && !flow.stream->established;
   if (refused) {
     flow.stream_retry_at = ComeBackAt(received, now);
--- a/tools/load_client/command_line.cc
+++ b/tools/load_client/command_line.cc
@@ -43,12 +43,19 @@
   auto rate = TCLAP::ValueArg<double>("", "rate", "POSTs, and GETs, a second over all flows", false,
                                       1, "R", command);
   auto seconds = TCLAP::ValueArg<double>("", "seconds", "time to send for", false, 5, "S", command);
+  auto open_over = TCLAP::ValueArg<double>("", "open-over", "time to open the streams in", false, 0,
+                                           "S", command);
+  auto requests_after =
+      TCLAP::ValueArg<double>("", "requests-after", "first POST and GET", false, 0, "S", command);
+  auto requests_for =
+      TCLAP::ValueArg<double>("", "requests-for", "time of POSTs and GETs", false, 0, "S", command);
   auto gap = Number("", "gap-ms", "longest gap of a stream", false, 2000, "ms", command);
   auto timeout = Number("", "timeout-ms", "wait for an answer", false, 30'000, "ms", command);
   auto report_timeout =
       Number("", "report-timeout-ms", "wait for a report", false, 120'000, "ms", command);
   auto run_id = Text("", "run-id", "starts each request's id", false, "", "TEXT", command);
   auto json = TCLAP::SwitchArg("", "json", "summary as one line of JSON", command);
+  auto list_streams = TCLAP::SwitchArg("", "list-streams", "each stream in the summary", command);
   command.parse(argc, argv);
   auto address = ParseService(service.getValue());
   if (!address) return address.error();
@@ -61,11 +68,15 @@
   line.report = report.getValue();
   line.rate = std::clamp(rate.getValue(), kMinRate, kMaxRate);
   line.run_time = Seconds(seconds.getValue());
+  line.open_over = Seconds(open_over.getValue());
+  line.requests_after = Seconds(requests_after.getValue());
+  line.requests_for = Seconds(requests_for.getValue());
   line.gap_limit = base::milliseconds(gap.getValue());
   line.request_timeout = base::milliseconds(timeout.getValue());
   line.report_timeout = base::milliseconds(report_timeout.getValue());
   line.run_id = run_id.getValue().empty() ? FreshRunId() : run_id.getValue();
   line.json = json.getValue();
+  line.list_streams = list_streams.getValue();
   return line;
 }
 
--- a/tools/load_client/flow.h
+++ b/tools/load_client/flow.h
@@ -20,6 +20,7 @@
   std::set<std::string> targets;                        ///< named in its answers
   std::optional<Stream> stream;
   std::string stream_token;
+  base::TimePoint stream_open_at = base::TimePoint::max();
   base::TimePoint stream_retry_at = base::TimePoint::max();
   bool report_pending = false;
   base::TimePoint report_at;  ///< when the next report may be asked for
--- a/tools/load_client/load.cc
+++ b/tools/load_client/load.cc
@@ -27,6 +27,7 @@
   std::string path;
   base::Duration interval{};
   base::TimePoint next;
+  base::TimePoint end;
   std::size_t flow = 0;
 };
 
@@ -51,10 +52,12 @@
 }
 
 auto SendDue(Load& load, Series& series, base::TimePoint now) -> void {
+  if (series.next >= series.end) series.next = base::TimePoint::max();
   while (series.next <= now) {
     SendOne(load, load.flows[series.flow], series, now);
     series.flow = (series.flow + 1) % load.flows.size();
     series.next += series.interval;
+    if (series.next >= series.end) series.next = base::TimePoint::max();
   }
 }
 
@@ -72,10 +75,19 @@
   if (token) flow.stream_token = *token;
 }
 
-auto OpenStreams(Load& load) -> void {
+auto PlanStreams(Load& load, base::TimePoint now) -> void {
   if (load.line.observe.empty()) return;
+  auto step = load.line.open_over / load.flows.size();
   for (auto& flow : load.flows) {
-    flow.stream = OpenStream(base::Clock::now());
+    flow.stream_open_at = now;
+    now += step;
+  }
+}
+
+auto OpenStreams(Load& load, base::TimePoint now) -> void {
+  for (auto& flow : load.flows) {
+    if (flow.stream || now < flow.stream_open_at) continue;
+    flow.stream = OpenStream(now);
     Observe(load, flow);
   }
 }
@@ -120,8 +132,11 @@
 auto MakeSeries(const Load& load, RequestKind kind, const std::string& path) -> Series {
   auto interval =
       std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(1 / load.line.rate));
-  auto first = path.empty() ? base::TimePoint::max() : base::Clock::now();
-  return Series{kind, path, interval, first, 0};
+  auto start = base::Clock::now() + load.line.requests_after;
+  auto first = path.empty() ? base::TimePoint::max() : start;
+  auto is_limited = load.line.requests_for > base::Duration{};
+  auto end = is_limited ? start + load.line.requests_for : base::TimePoint::max();
+  return Series{kind, path, interval, first, end, 0};
 }
 
 auto SendUntil(coap_context_t* context, Load& load, base::TimePoint end) -> void {
@@ -129,6 +144,7 @@
   auto gets = MakeSeries(load, RequestKind::kGet, load.line.get);
   while (base::Clock::now() < end && !tools::StopRequested()) {
     auto now = base::Clock::now();
+    OpenStreams(load, now);
     SendDue(load, posts, now);
     SendDue(load, gets, now);
     SendReports(load, now);
@@ -148,10 +164,12 @@
 
 auto Summarize(const Load& load) -> Summary {
   auto summary = Summary{};
+  summary.started = load.started;
   summary.tally = &load.tally;
   summary.flows = load.flows.size();
   for (const auto& flow : load.flows) {
     if (flow.targets.size() > 1) ++summary.flows_moved;
+    if (flow.stream && load.line.list_streams) summary.listed.push_back(&*flow.stream);
     if (flow.stream) AddStream(summary, *flow.stream, load.line.gap_limit, base::Clock::now());
   }
   return summary;
@@ -175,7 +193,8 @@
   coap_context_set_block_mode(context.get(), COAP_BLOCK_USE_LIBCOAP | COAP_BLOCK_SINGLE_BODY);
   RegisterCallbacks(context.get(), load);
   if (!OpenFlows(context.get(), load)) return false;
-  OpenStreams(load);
+  load.started = base::Clock::now();
+  PlanStreams(load, load.started);
   SendUntil(context.get(), load, base::Clock::now() + line.run_time);
   while (HasPending(load)) Process(context.get(), load, base::TimePoint::max());
   auto summary = Summarize(load);
--- a/tools/load_client/load.h
+++ b/tools/load_client/load.h
@@ -18,6 +18,7 @@
   Tally tally;
   std::vector<Flow> flows;
   std::uint64_t next_request = 1;
+  base::TimePoint started;
   bool stopping = false;  ///< nothing new is sent
 };
 
--- a/tools/load_client/stream.cc
+++ b/tools/load_client/stream.cc
@@ -9,8 +9,15 @@
 // After this long a notification is fresh whatever its number (RFC 7641, 3.4).
 constexpr auto kFreshAnyway = base::seconds{128};
 
-auto Fault(Stream& stream, StreamFault fault) -> void {
-  if (stream.fault == StreamFault::kNone) stream.fault = fault;
+auto Fault(Stream& stream, StreamFault fault, base::TimePoint now) -> void {
+  if (stream.fault != StreamFault::kNone) return;
+  stream.fault = fault;
+  stream.failed = now;
+}
+
+auto NoteTarget(Stream& stream, const std::string& target, base::TimePoint now) -> void {
+  if (!stream.places.empty() && stream.places.back().target == target) return;
+  stream.places.push_back({target, now});
 }
 
 auto MeasureGap(Stream& stream, base::TimePoint now) -> void {
@@ -34,7 +41,7 @@
 
 auto OnNotification(Stream& stream, const Notification& notification, base::TimePoint now) -> void {
   if (notification.code / 100 != 2 || !notification.sequence) {
-    return Fault(stream, StreamFault::kCancelled);
+    return Fault(stream, StreamFault::kCancelled, now);
   }
   ++stream.notifications;
   if (!IsFresh(stream, *notification.sequence, now)) {
@@ -42,6 +49,7 @@
     return;
   }
   MeasureGap(stream, now);
+  NoteTarget(stream, notification.target, now);
   stream.established = true;
   stream.sequence = *notification.sequence;
   stream.last_fresh = now;
@@ -49,7 +57,7 @@
 
 auto CheckGap(Stream& stream, base::Duration limit, base::TimePoint now) -> void {
   MeasureGap(stream, now);
-  if (now - stream.last_fresh > limit) Fault(stream, StreamFault::kGap);
+  if (now - stream.last_fresh > limit) Fault(stream, StreamFault::kGap, now);
 }
 
 auto IsAlive(const Stream& stream, base::Duration limit, base::TimePoint now) -> bool {
--- a/tools/load_client/stream.h
+++ b/tools/load_client/stream.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/types/time.h"
 
@@ -15,6 +16,12 @@
   kCancelled,  ///< an error, or an answer without Observe, came in place of a notification
 };
 
+/// From when on notifications named a target.
+struct Place {
+  std::string target;
+  base::TimePoint since;
+};
+
 /// One observation (RFC 7641) as its client sees it.
 struct Stream {
   bool established = false;
@@ -24,11 +31,14 @@
   std::uint64_t notifications = 0;
   std::uint64_t stale = 0;                 ///< notifications that came after a newer one
   StreamFault fault = StreamFault::kNone;  ///< the first one; it stays
+  std::vector<Place> places;               ///< targets that served it, in turn
+  std::optional<base::TimePoint> failed;   ///< when it got its fault
 };
 
 struct Notification {
   unsigned code = 0;                      ///< 205 for 2.05
   std::optional<std::uint32_t> sequence;  ///< the Observe option
+  std::string target = {};                ///< that its body names; empty: none
 };
 
 auto OpenStream(base::TimePoint now) -> Stream;
--- a/tools/load_client/summary.cc
+++ b/tools/load_client/summary.cc
@@ -1,6 +1,7 @@
 #include "tools/load_client/summary.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace anvildrum::load {
@@ -57,6 +58,28 @@
   json["longest_gap_ms"] = summary.longest_gap_ms;
 }
 
+auto Since(const Summary& summary, base::TimePoint moment) -> double {
+  return Milliseconds(moment - summary.started);
+}
+
+auto ToJson(const Summary& summary, const Stream& stream) -> Json {
+  static const auto faults = std::array<const char*, 3>{"", "silent", "cancelled"};
+  auto json = Json::object();
+  json["fault"] = faults.at(static_cast<std::size_t>(stream.fault));
+  json["failed_ms"] = stream.failed ? Json(Since(summary, *stream.failed)) : Json(nullptr);
+  auto& places = json["places"] = Json::array();
+  for (const auto& place : stream.places) {
+    places.push_back({{"target", place.target}, {"since_ms", Since(summary, place.since)}});
+  }
+  return json;
+}
+
+auto AddListed(Json& json, const Summary& summary) -> void {
+  if (summary.listed.empty()) return;
+  auto& list = json["stream_list"] = Json::array();
+  for (const auto* stream : summary.listed) list.push_back(ToJson(summary, *stream));
+}
+
 auto Write(const Summary& summary) -> Json {
   auto json = Json::object();
   json["passed"] = Passed(summary);
@@ -64,6 +87,7 @@
   AddStreams(json, summary);
   json["flows"] = summary.flows;
   json["flows_moved"] = summary.flows_moved;
+  AddListed(json, summary);
   return json;
 }
 
--- a/tools/load_client/summary.h
+++ b/tools/load_client/summary.h
@@ -21,7 +21,9 @@
   std::uint64_t stale_notifications = 0;
   double longest_gap_ms = 0;
   std::uint64_t flows = 0;
-  std::uint64_t flows_moved = 0;  ///< flows whose answers named more than one target
+  base::TimePoint started;            ///< of the run; what is listed counts from it
+  std::vector<const Stream*> listed;  ///< streams to print one by one
+  std::uint64_t flows_moved = 0;      ///< flows whose answers named more than one target
 };
 
 auto AddStream(Summary& summary, const Stream& stream, base::Duration gap_limit,
--- a/tools/load_client/tests/summary_test.cc
+++ b/tools/load_client/tests/summary_test.cc
@@ -58,6 +58,24 @@
   BOOST_TEST(json["longest_gap_ms"] == 3000.0);
 }
 
+BOOST_AUTO_TEST_CASE(listed_stream_names_its_targets_and_its_fault) {
+  auto tally = GoodTally();
+  auto summary = Summary{};
+  summary.tally = &tally;
+  summary.started = base::TimePoint{} + base::hours(1);
+  auto stream = OpenStream(summary.started);
+  OnNotification(stream, {205, 1, "desk-1"}, summary.started + base::milliseconds(100));
+  OnNotification(stream, {205, 2, "desk-1"}, summary.started + base::milliseconds(200));
+  OnNotification(stream, {205, 3, "desk-2"}, summary.started + base::milliseconds(300));
+  OnNotification(stream, {503, {}, ""}, summary.started + base::milliseconds(400));
+  summary.listed.push_back(&stream);
+  auto listed = nlohmann::json::parse(ToJson(summary))["stream_list"][0];
+  auto wanted = nlohmann::json::parse(
+      R"({"fault": "cancelled", "failed_ms": 400.0, "places": [{"target": "desk-1", "since_ms": 100.0},
+          {"target": "desk-2", "since_ms": 300.0}]})");
+  BOOST_TEST(listed == wanted);
+}
+
 BOOST_AUTO_TEST_CASE(quantiles_are_those_of_the_samples) {
   auto tally = GoodTally();
   for (auto ms = 1; ms <= 100; ++ms) tally.latencies(ms);
--- a/tools/scenario/main.cc
+++ b/tools/scenario/main.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "scenario/draw.h"
+#include "scenario/plan.h"
 #include "scenario/run.h"
 
 namespace {
@@ -18,6 +19,7 @@
   std::uint64_t last_seed = 1;
   std::uint64_t drawn = 0;
   bool trace = false;
+  bool plan = false;  ///< print the statements, run nothing
 };
 
 auto ReadOptions(const std::vector<std::string>& arguments) -> Options {
@@ -27,6 +29,8 @@
     auto has_value = i + 1 < arguments.size();
     if (argument == "--trace") {
       options.trace = true;
+    } else if (argument == "--plan") {
+      options.plan = true;
     } else if (argument == "--seed" && has_value) {
       options.first_seed = options.last_seed = std::stoull(arguments[++i]);
     } else if (argument == "--random" && has_value) {
@@ -78,6 +82,10 @@
     std::cout << file << ":" << (error ? error->line : 0) << ": not understood\n";
     return false;
   }
+  if (options.plan) {
+    anvildrum::scenario::WritePlan(lines, std::cout);
+    return true;
+  }
   auto good = true;
   for (auto seed = options.first_seed; seed <= options.last_seed; ++seed) {
     good = RunOnce(file, lines, seed, options.trace) && good;
@@ -91,6 +99,7 @@
   auto options = ReadOptions(std::vector<std::string>(argv + 1, argv + argc));
   if (options.files.empty() && options.drawn == 0) {
     std::cerr << "anvildrum-scenario FILE... [--seed N] [--seeds A..B] [--trace]\n"
+                 "anvildrum-scenario FILE --plan\n"
                  "anvildrum-scenario --random N [--seed FIRST]\n";
     return 2;
   }
--- a/tools/scenario/run.cc
+++ b/tools/scenario/run.cc
@@ -43,21 +43,6 @@
   return Act(run, line);
 }
 
-// A statement without a time of its own happens with the one before it.
-auto InOrder(const std::vector<Line>& lines) -> std::vector<Line> {
-  auto ordered = std::vector<Line>{};
-  auto at = base::Duration{};
-  for (const auto& line : lines) {
-    if (line.words.empty() || IsSetUp(line.words.front().text)) continue;
-    ordered.push_back(line);
-    at = line.at.value_or(at);
-    ordered.back().at = at;
-  }
-  std::stable_sort(ordered.begin(), ordered.end(),
-                   [](const Line& left, const Line& right) { return *left.at < *right.at; });
-  return ordered;
-}
-
 auto KnownTargets(const platform::Listing& listing) -> std::vector<config::KnownTarget> {
   auto targets = std::vector<config::KnownTarget>{};
   for (const auto& item : listing.items) {
@@ -93,6 +78,20 @@
 
 }  // namespace
 
+auto InOrder(const std::vector<Line>& lines) -> std::vector<Line> {
+  auto ordered = std::vector<Line>{};
+  auto at = base::Duration{};
+  for (const auto& line : lines) {
+    if (line.words.empty() || IsSetUp(line.words.front().text)) continue;
+    ordered.push_back(line);
+    at = line.at.value_or(at);
+    ordered.back().at = at;
+  }
+  std::stable_sort(ordered.begin(), ordered.end(),
+                   [](const Line& left, const Line& right) { return *left.at < *right.at; });
+  return ordered;
+}
+
 auto SubmitPatch(Run& run, const std::string& patch) -> void {
   auto request = config::PatchRequest{};
   request.id = "patch-" + std::to_string(++run.patches);
--- a/tools/scenario/run.h
+++ b/tools/scenario/run.h
@@ -16,6 +16,10 @@
   std::uint64_t requests = 0;
 };
 
+/// The statements that are not set-up by their time, which each of them then has: a statement
+/// without one of its own happens with the one before it.
+auto InOrder(const std::vector<Line>& lines) -> std::vector<Line>;
+
 /// Runs a script against the role cores. `trace` may be null. Errors: ScriptError.
 auto RunScript(const std::vector<Line>& lines, std::uint64_t seed, std::ostream* trace)
     -> base::Result<Report>;
--- a/tools/scenario/statement.cc
+++ b/tools/scenario/statement.cc
@@ -133,6 +133,15 @@
   run.world.services[name] = *address;
 }
 
+// How tests/process plays the file; nothing here but its form matters to the cores.
+auto ReadProcesses(Words& words) -> void {
+  if (Takes(words, "wait-at-most")) {
+    TakeDuration(words);
+  } else if (!Takes(words, "leave-out") || TakeNames(words).empty()) {
+    words.wrong = true;
+  }
+}
+
 }  // namespace
 
 auto IsAtEnd(const Words& words) -> bool { return words.next >= words.line.words.size(); }
@@ -176,7 +185,8 @@
 }
 
 auto IsSetUp(const std::string& verb) -> bool {
-  return verb == "service" || verb == "balancers" || verb == "targets" || verb == "clients";
+  return verb == "service" || verb == "balancers" || verb == "targets" || verb == "clients" ||
+         verb == "processes";
 }
 
 auto SetUp(Run& run, const Line& line) -> bool {
@@ -186,6 +196,7 @@
   if (verb == "balancers") SetUpBalancers(run, words);
   if (verb == "targets") SetUpTargets(run, words);
   if (verb == "clients") SetUpClients(run, words);
+  if (verb == "processes") ReadProcesses(words);
   return !words.wrong && IsAtEnd(words);
 }
 
