Name the target that a silent stream was at, not the one that it goes on at

The gap now belongs to the target that had the stream when it began. Ruled out: a fault of the resumption (the streams go on after the record is removed).

--- a/tools/scenario/client.h
+++ b/tools/scenario/client.h
@@ -52,6 +52,7 @@
   std::uint32_t last_sequence = 0;
   base::TimePoint heard{};
   base::Duration longest_gap{};
+  std::string gap_target;  ///< that had the stream when its longest gap began, with its life
   std::uint64_t notifications = 0;
   std::string broken;  ///< why; empty: it is not
 };
@@ -86,6 +87,9 @@
 
 auto ClientReceives(World& world, Client& client, BytesView bytes) -> void;
 
+/// The target that had the client's stream when it broke.
+auto WhereBroken(const World& world, const Client& client) -> std::string;
+
 /// Why the client's stream is broken at this moment; empty: it is not, or there is none.
 auto WhyBroken(const World& world, const Client& client) -> std::string;
 
