--- a/src/daemon/internal/runtime.cc
+++ b/src/daemon/internal/runtime.cc
@@ -1,6 +1,6 @@
 #include "daemon/internal/runtime.h"
 
-#include <openssl/rand.h>
+#include <sodium.h>
 
 #include <chrono>
 #include <cstring>
@@ -60,7 +60,7 @@
 }  // namespace
 
 auto FillRandom(std::span<std::uint8_t> bytes) -> void {
-  RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+  randombytes_buf(bytes.data(), bytes.size());
 }
 
 auto MakeRuntime(const settings::Settings& settings) -> base::Result<std::unique_ptr<Runtime>> {
--- a/src/requests/echo.h
+++ b/src/requests/echo.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 
+#include "base/siphash.h"
 #include "base/types/flow_key.h"
 #include "base/types/ids.h"
 #include "base/types/time.h"
@@ -11,7 +12,7 @@
 namespace anvildrum::requests {
 
 /// 128-bit key of the Echo values, drawn anew by each incarnation.
-using EchoSecret = std::array<std::uint8_t, 16>;
+using EchoSecret = base::SipHashKey;
 
 /// Echo value (RFC 9175, 2.2.1: 1 to 40 bytes). Layout, big-endian: incarnation, issue number,
 /// MAC over flow and issue number, MAC over flow, issue number and content; 8 bytes each. The MACs
--- a/src/requests/internal/echo.cc
+++ b/src/requests/internal/echo.cc
@@ -1,12 +1,8 @@
 #include "requests/echo.h"
 
-#include <openssl/core_names.h>
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/params.h>
-
 #include <algorithm>
-#include <memory>
+
+#include "base/siphash.h"
 
 namespace anvildrum::requests {
 namespace {
@@ -20,40 +16,8 @@
 constexpr auto kFlowInputSize = kClientSize + 3 * kWord;
 constexpr auto kContentInputSize = kFlowInputSize + kWord;
 
-using Mac = std::array<std::uint8_t, kWord>;
 using MacInput = std::array<std::uint8_t, kContentInputSize>;
 
-struct MacContextDeleter {
-  auto operator()(EVP_MAC_CTX* context) const -> void { EVP_MAC_CTX_free(context); }
-};
-using MacContext = std::unique_ptr<EVP_MAC_CTX, MacContextDeleter>;
-
-auto MakeMacContext() -> MacContext {
-  auto* mac = EVP_MAC_fetch(nullptr, "SIPHASH", nullptr);
-  auto context = MacContext(EVP_MAC_CTX_new(mac));
-  EVP_MAC_free(mac);
-  return context;
-}
-
-// Fetching the algorithm costs more than computing the MAC, so each thread keeps one context.
-auto ThreadMacContext() -> EVP_MAC_CTX* {
-  thread_local auto context = MakeMacContext();
-  return context.get();
-}
-
-auto ComputeMac(const EchoSecret& secret, BytesView input) -> Mac {
-  auto mac = Mac{};
-  auto size = mac.size();
-  auto mac_size = mac.size();
-  auto parameters = std::array{OSSL_PARAM_construct_size_t(OSSL_MAC_PARAM_SIZE, &mac_size),
-                               OSSL_PARAM_construct_end()};
-  auto* context = ThreadMacContext();
-  EVP_MAC_init(context, secret.data(), secret.size(), parameters.data());
-  EVP_MAC_update(context, input.data(), input.size());
-  EVP_MAC_final(context, mac.data(), &size, mac.size());
-  return mac;
-}
-
 auto WriteWord(std::uint64_t value, std::uint8_t* out) -> void {
   for (auto i = std::size_t{0}; i < kWord; ++i) {
     out[i] = static_cast<std::uint8_t>(value >> (8 * (kWord - 1 - i)));
@@ -79,10 +43,6 @@
   return input;
 }
 
-auto SameMac(BytesView left, BytesView right) -> bool {
-  return CRYPTO_memcmp(left.data(), right.data(), kWord) == 0;
-}
-
 }  // namespace
 
 auto MintEcho(EchoMint& mint, const EchoBinding& binding, base::TimePoint now) -> MintedEcho {
@@ -94,8 +54,8 @@
 auto EchoOfIssue(const EchoMint& mint, const EchoBinding& binding, std::uint64_t issue) -> Echo {
   auto echo = Echo{};
   auto input = InputOf(binding, issue);
-  auto flow_mac = ComputeMac(mint.secret, BytesView(input).first(kFlowInputSize));
-  auto content_mac = ComputeMac(mint.secret, input);
+  auto flow_mac = base::SipHash64(mint.secret, BytesView(input).first(kFlowInputSize));
+  auto content_mac = base::SipHash64(mint.secret, input);
   WriteWord(mint.incarnation, echo.data());
   WriteWord(issue, echo.data() + kIssueOffset);
   std::copy(flow_mac.begin(), flow_mac.end(), echo.begin() + kFlowMacOffset);
@@ -108,12 +68,12 @@
   if (ReadWord(value.data()) != mint.incarnation) return {EchoVerdict::kForeign, 0};
   auto issue = ReadWord(value.data() + kIssueOffset);
   auto expected = EchoOfIssue(mint, binding, issue);
-  if (!SameMac(value.subspan(kFlowMacOffset, kWord),
-               BytesView(expected).subspan(kFlowMacOffset, kWord))) {
+  if (!base::SameCode(value.subspan(kFlowMacOffset, kWord),
+                      BytesView(expected).subspan(kFlowMacOffset, kWord))) {
     return {EchoVerdict::kForeign, 0};
   }
-  auto content_matches = SameMac(value.subspan(kContentMacOffset, kWord),
-                                 BytesView(expected).subspan(kContentMacOffset, kWord));
+  auto content_matches = base::SameCode(value.subspan(kContentMacOffset, kWord),
+                                        BytesView(expected).subspan(kContentMacOffset, kWord));
   return {content_matches ? EchoVerdict::kMinted : EchoVerdict::kOtherContent, issue};
 }
 
--- a/src/wire/internal/datagram.cc
+++ b/src/wire/internal/datagram.cc
@@ -1,31 +1,20 @@
 #include "wire/datagram.h"
 
 #include <google/protobuf/io/coded_stream.h>
-#include <sodium.h>
 
 #include <algorithm>
-#include <tuple>
+
+#include "base/siphash.h"
 
 namespace anvildrum::wire {
 namespace {
 
 using google::protobuf::io::CodedInputStream;
 using google::protobuf::io::CodedOutputStream;
-using Mac = std::array<std::uint8_t, kMacSize>;
-
-static_assert(kMacSize == crypto_shorthash_siphashx24_BYTES);
-static_assert(std::tuple_size_v<Key> == crypto_shorthash_siphashx24_KEYBYTES);
-
-// SipHash-2-4 with 128 bits of output (Aumasson and Bernstein, 2012).
-auto ComputeMac(const Key& key, BytesView bytes) -> Mac {
-  auto mac = Mac{};
-  crypto_shorthash_siphashx24(mac.data(), bytes.data(), bytes.size(), key.data());
-  return mac;
-}
+static_assert(kMacSize == std::tuple_size_v<decltype(base::SipHash128({}, {}))>);
 
 auto MacMatches(const Key& key, BytesView sealed, BytesView mac) -> bool {
-  auto expected = ComputeMac(key, sealed);
-  return sodium_memcmp(expected.data(), mac.data(), kMacSize) == 0;
+  return base::SameCode(base::SipHash128(key, sealed), mac);
 }
 
 auto Fail(WireErrorCode code, std::size_t size) -> boost::leaf::error_id {
@@ -46,7 +35,7 @@
   cursor = CodedOutputStream::WriteVarint32ToArray(static_cast<std::uint32_t>(header_size), cursor);
   cursor = header.SerializeWithCachedSizesToArray(cursor);
   std::copy(payload.begin(), payload.end(), cursor);
-  auto mac = ComputeMac(ring.keys.front(), BytesView(out).subspan(kMacSize));
+  auto mac = base::SipHash128(ring.keys.front(), BytesView(out).subspan(kMacSize));
   std::copy(mac.begin(), mac.end(), out.begin());
   return {};
 }
