Show the stand-by to operators, prove it with processes, and count what it costs

Cause: the stand-by had no figures for operators, no proof with real processes, and no row in the capacity page.

A process test: the stock client and a client of ours observe at one target; its agent and it are killed; both go on from another target without sending anything, with a number that counts as newer.

--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -54,6 +54,16 @@
            "balancer::MonitorPolicy"}};
 }
 
+auto StandByConstants() -> std::vector<Constant> {
+  auto policy = agent::StandByPolicy{};
+  auto source = std::string("agent::StandByPolicy");
+  return {{"stand_by_bytes_s", policy.bytes_per_second, source},
+          {"stand_by_batch", static_cast<double>(policy.batch_bytes), source},
+          {"stand_by_refresh_s", Seconds(policy.refresh), source},
+          {"stand_by_look_s", Seconds(policy.look_period), source},
+          {"stand_by_lived_s", Seconds(policy.lived), source}};
+}
+
 auto RequestConstants() -> std::vector<Constant> {
   auto parameters = requests::Parameters{};
   auto ledger = static_cast<double>(parameters.ledger_bytes);
@@ -66,6 +76,7 @@
 auto PolicyConstants() -> std::vector<Constant> {
   auto all = RelayConstants();
   for (auto& constant : SteeringConstants()) all.push_back(std::move(constant));
+  for (auto& constant : StandByConstants()) all.push_back(std::move(constant));
   for (auto& constant : RequestConstants()) all.push_back(std::move(constant));
   return all;
 }
--- a/bench/capacity/wire_slopes.cc
+++ b/bench/capacity/wire_slopes.cc
@@ -9,6 +9,8 @@
 
 constexpr auto kPayloadSizes = std::array{0, 64, 256, 1200};
 constexpr auto kMessageCounts = std::array{1, 10, 100};
+constexpr auto kCopyCounts = std::array{1, 4, 8};
+constexpr auto kObserveBytes = std::size_t{40};  // header, token of 8, Observe, path, a query
 
 auto PacketHeader() -> wire::pb::TunnelHeader {
   auto header = EmptyHeader();
@@ -67,6 +69,44 @@
   return header;
 }
 
+// A copy of one flow with one observation, of a feed with a path of two segments.
+auto AddCopy(wire::pb::StandBy& batch) -> void {
+  auto record = wire::pb::FlowRecord{};
+  record.set_next_client_message_id(kCount);
+  record.add_streams()->set_request(std::string(kObserveBytes, 'x'));
+  record.mutable_streams(0)->set_sequence(kCount);
+  auto& flow = *batch.add_flows();
+  wire::WriteEndpoint(SampleFlow().client, *flow.mutable_client());
+  flow.set_record(record.SerializeAsString());
+  FillTarget(*flow.mutable_lineage()->mutable_opener());
+  flow.mutable_lineage()->set_stamp(kCount);
+}
+
+auto StandBySlope() -> Slope {
+  auto slope = Slope{"stand_by_bytes", "bytes", "copy of a flow", {}};
+  for (auto count : kCopyCounts) {
+    auto header = EmptyHeader();
+    auto& batch = *header.mutable_stand_by();
+    batch.set_service(base::ServiceIdOf("desk").value);
+    FillTarget(*batch.mutable_owner());
+    FillTarget(*batch.mutable_keeper());
+    batch.set_sequence(kCount);
+    for (auto i = 0; i < count; ++i) AddCopy(batch);
+    auto bytes = static_cast<double>(Sealed(header, {}).size());
+    slope.points.push_back({static_cast<double>(count), bytes});
+  }
+  return slope;
+}
+
+auto StandByAckHeader() -> wire::pb::TunnelHeader {
+  auto header = EmptyHeader();
+  auto& message = *header.mutable_stand_by_ack();
+  message.set_service(base::ServiceIdOf("desk").value);
+  message.set_sequence(kCount);
+  FillTarget(*message.mutable_keeper());
+  return header;
+}
+
 auto PayloadSlopes() -> std::vector<Slope> {
   auto seal = Slope{"seal_packet_ns", "ns", "payload byte", {}};
   auto open = Slope{"open_packet_ns", "ns", "payload byte", {}};
@@ -119,6 +159,8 @@
   Append(all, KindSlopes("register_ack", RegisterAckHeader()));
   Append(all, KindSlopes("owner_query", OwnerQueryHeader()));
   Append(all, KindSlopes("owner_answer", OwnerAnswerHeader()));
+  all.push_back(StandBySlope());
+  Append(all, KindSlopes("stand_by_ack", StandByAckHeader()));
   return all;
 }
 
--- a/src/agent/tests/stand_by_test.cc
+++ b/src/agent/tests/stand_by_test.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto kClients = std::uint32_t{20};
+constexpr auto kMany = std::uint32_t{1800};
 constexpr auto kServiceUnavailable = std::uint8_t{0xa3};  // 5.03
 constexpr auto kSequenceRange = std::uint32_t{1} << 24;   // RFC 7641, 3.4
 constexpr auto kCopied = base::seconds(8);                // age, look and way of a copy
@@ -188,7 +189,6 @@
 
 // Many feeds open at once: their copies wait for their turn, and all are there in the end.
 BOOST_AUTO_TEST_CASE(copies_keep_to_their_bytes) {
-  constexpr auto kMany = std::uint32_t{1800};
   auto world = OpenFeeds(3, kMany);
   const auto policy = StandByPolicy{};
   auto check = [&](double seconds) {
--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -129,6 +129,28 @@
              fence.dropped);
 }
 
+namespace {
+
+auto ExportStandBy(Registry& metrics, const agent::Agent& agent) -> void {
+  const auto& counters = agent.counters;
+  const auto& directory = agent.directory.counters;
+  SetLabelled(metrics, "anvildrum_stand_by_total", "Copies of observations, and their use", "event",
+              std::array<Sample, 7>{{{"copy_sent", counters.copies_sent},
+                                     {"copy_too_large", counters.copies_too_large},
+                                     {"copy_refused", directory.copies_refused},
+                                     {"withheld", directory.copies_withheld},
+                                     {"flow_taken", directory.copies_taken},
+                                     {"stream_resumed", counters.streams_resumed},
+                                     {"stream_not_resumed", counters.streams_not_resumed}}});
+  SetCounter(metrics, "anvildrum_stand_by_bytes_total", "Bytes of copies sent, headers and all",
+             counters.copy_bytes);
+  SetGauge(metrics, "anvildrum_stand_by_copies",
+           "Flows of other targets whose observations this agent could take over",
+           static_cast<double>(agent.directory.copies.size()));
+}
+
+}  // namespace
+
 auto ExportAgent(Registry& metrics, const agent::Agent& agent) -> void {
   const auto& counters = agent.counters;
   const auto& directory = agent.directory.counters;
@@ -171,6 +193,7 @@
              "Times that nothing listened at the target any more", counters.target_losses);
   SetCounter(metrics, "anvildrum_flows_adopted_total",
              "Flows opened here that a lost target may have served", counters.adopted);
+  ExportStandBy(metrics, agent);
   SetGauge(metrics, "anvildrum_config_number", "Number of the configuration in force",
            static_cast<double>(agent.config_number));
 }
--- a/tests/process/test_agent_loss.py
+++ b/tests/process/test_agent_loss.py
@@ -6,7 +6,7 @@
 import unittest
 
 from coap import CON, ECHO, GET, NON, OBSERVE, POST, Flow
-from support import WIDE_SECONDS, FleetTest, wait_until
+from support import WIDE_SECONDS, FleetTest, Observer, wait_until
 
 FLOWS = 40  # enough that each of seven targets has some
 OPENED = 'anvildrum_flow_events_total{event="opened"}'
@@ -15,6 +15,7 @@
 # Of so many new flows. Left out for its refusals alone, a dead target takes some for 20 and more.
 ROUNDS = 10
 CLEAN_ROUNDS = 3  # at the end of them
+SEQUENCE_RANGE = 1 << 24  # RFC 7641, 3.4
 
 
 class AgentLoss(FleetTest):
@@ -162,6 +163,51 @@
             return message.status if message and message.status not in (0, 205) else None
         return wait_until(status, "an end of the stream", WIDE_SECONDS)
 
+    # The client sees: its stream goes on, from another target, with a number that counts as newer;
+    # it sends nothing. Order: the stock client and one of ours observe at the same target; their
+    # stand-bys have copies; SIGKILL to the agent and the target.
+    # Why: nobody else knows these clients, and both would look at an old price for ever.
+    def test_observers_go_on_when_target_and_agent_die(self):
+        running = self.start_fleet()
+        stock = Observer(running, "desk", "feed")
+        wait_until(stock.notifications, "a notification", WIDE_SECONDS)
+        target = stock.notifications()[0]["target"]
+        flow = self.observe_at(running, target)
+        wait_until(lambda: self.copies_of(running, target) >= 2, "copies of both", WIDE_SECONDS)
+        last = flow.receive(WIDE_SECONDS)
+        running.kill(running.target(target)["agent"])
+        running.kill(target)
+        first = self.first_of_another(flow, target)
+        step = int.from_bytes(first.options[OBSERVE], "big") - int.from_bytes(
+            last.options[OBSERVE], "big")
+        self.assertLess(step % SEQUENCE_RANGE, SEQUENCE_RANGE // 2, "counts as older")
+        self.assertEqual(first.token, last.token)
+        wait_until(lambda: target not in stock.file.read_text().splitlines()[-1],
+                   "a notification of another target at the stock client", WIDE_SECONDS)
+        self.assertIsNone(stock.process.poll(), "the stock client has ended")
+
+    def observe_at(self, running, target):
+        """A flow of ours that observes at `target`."""
+        while True:
+            flow = Flow(running.service_address("desk"))
+            self.addCleanup(flow.socket.close)
+            answer = flow.exchange(flow.request(GET, "feed", [(OBSERVE, b"")]))
+            if answer.status == 205 and answer.body["target"] == target:
+                return flow
+
+    def copies_of(self, running, target):
+        return running.metrics(running.target(target))['anvildrum_stand_by_total{event="copy_sent"}']
+
+    def first_of_another(self, flow, target):
+        """The first notification that is not from `target`."""
+        def moved():
+            message = flow.receive(1)
+            if message is None or message.status == 0:
+                return None
+            self.assertEqual(message.status, 205, "the stream ended")
+            return message if message.body["target"] != target else None
+        return wait_until(moved, "a notification from another target", WIDE_SECONDS)
+
     # The client sees: its stream goes on, from another target. Order: an Observe is open; its
     # target's agent gets SIGTERM, hands the flow over and ends by itself.
     # Why: a planned stop may not cost a stream that another target can carry on.
@@ -178,13 +224,7 @@
 
     def next_target(self, flow, target):
         """The target of the first notification that is not from `target`."""
-        def moved():
-            message = flow.receive(1)
-            if message is None or message.status == 0:
-                return None
-            self.assertEqual(message.status, 205, "the stream ended")
-            return message.body["target"] if message.body["target"] != target else None
-        return wait_until(moved, "a notification from another target", WIDE_SECONDS)
+        return self.first_of_another(flow, target).body["target"]
 
     # The client sees: its stream ends with an error. Order: an Observe is open; all agents of the
     # service get SIGTERM together, so that nobody can take the flow; their time runs out.
