Take no refusal of the target for a fast run

Cause: an answer's time went into the observed service times whatever its code. A target that refuses at once by itself (5.03: full, or the client's deadline cannot be met) or stops at the deadline looked like the fastest one, to its own admission and to placement.

--- a/bench/overload_sim.cc
+++ b/bench/overload_sim.cc
@@ -95,7 +95,8 @@
   auto ends = request.deadline ? sim.now + *request.deadline : kNever;
   RunAtTarget(
       sim, agent,
-      [&sim, agent, flow = sent.flow, answer] {
+      [&sim, agent, flow = sent.flow, answer](bool cut) mutable {
+        if (cut) answer[1] = kCodeGatewayTimeout;
         Feed(sim, agent, TargetDatagram{flow, answer});
       },
       ends);
@@ -156,7 +157,7 @@
   if (!sim.cores.empty()) return ToAgent(sim, target, flow, RequestOf(sim, hold));
   After(sim, kNetwork, [&sim, hold, target] {
     RunAtTarget(sim, target,
-                [&sim, hold] { After(sim, kNetwork, [&sim, hold] { Finish(sim, hold); }); });
+                [&sim, hold](bool) { After(sim, kNetwork, [&sim, hold] { Finish(sim, hold); }); });
   });
 }
 
--- a/bench/overload_sim.h
+++ b/bench/overload_sim.h
@@ -57,8 +57,11 @@
   bool settled = false;  ///< its client has a final answer
 };
 
+/// What follows a run; `cut`: it was stopped before its end.
+using AfterRun = std::function<void(bool cut)>;
+
 struct Waiting {
-  std::function<void()> done;
+  AfterRun done;
   Milliseconds ends = 0;  ///< the run stops then at the latest
 };
 
@@ -89,9 +92,8 @@
 auto At(Milliseconds now) -> base::TimePoint;
 auto After(Sim& sim, Milliseconds delay, std::function<void()> job) -> void;
 
-/// Runs `done` when a slot of the target has been free and the request has run, or been stopped.
-auto RunAtTarget(Sim& sim, std::size_t target, std::function<void()> done,
-                 Milliseconds ends = kNever) -> void;
+/// Calls `done` when a slot of the target has been free and the request has run, or been stopped.
+auto RunAtTarget(Sim& sim, std::size_t target, AfterRun done, Milliseconds ends = kNever) -> void;
 
 /// The better of two random targets by what was observed last; `but_not` none of them.
 auto TwoChoices(Sim& sim, std::size_t but_not) -> std::size_t;
--- a/bench/overload_targets.cc
+++ b/bench/overload_targets.cc
@@ -24,11 +24,12 @@
   at.waiting.pop();
   ++at.running;
   ++at.runs;
-  auto taken = std::min(DrawServiceTime(sim, target), std::max(ends - sim.now, 0.0));
-  After(sim, taken, [&sim, target, done = std::move(done)] {
+  auto needed = DrawServiceTime(sim, target);
+  auto taken = std::min(needed, std::max(ends - sim.now, 0.0));
+  After(sim, taken, [&sim, target, done = std::move(done), cut = taken < needed] {
     --sim.targets[target].running;
     StartNext(sim, target);
-    done();
+    done(cut);
   });
 }
 
@@ -57,8 +58,7 @@
   sim.jobs.emplace(sim.now + std::max(delay, 0.0), std::move(job));
 }
 
-auto RunAtTarget(Sim& sim, std::size_t target, std::function<void()> done, Milliseconds ends)
-    -> void {
+auto RunAtTarget(Sim& sim, std::size_t target, AfterRun done, Milliseconds ends) -> void {
   sim.targets[target].waiting.push({std::move(done), ends});
   StartNext(sim, target);
 }
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -75,10 +75,16 @@
   return entry.type == MessageType::kConfirmable && !HadAnswer(entry);
 }
 
-auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void {
-  if (!entry.holds_slot) return;
-  ObserveServiceTime(context.state.admission, context.state.parameters, context.now - entry.started,
-                     context.now);
+// Safeguard: a target that refuses at once, or stops at its client's deadline, has run nothing to
+// its end. Taken for a run, the slowest target would look like the fastest and draw new flows.
+auto NoteServiceTime(Context& context, const LedgerEntry& entry, std::uint8_t code) -> void {
+  if (!entry.holds_slot || code == kCodeServiceUnavailable) return;
+  auto& admission = context.state.admission;
+  const auto& parameters = context.state.parameters;
+  auto taken = context.now - entry.started;
+  auto was_cut = code == kCodeGatewayTimeout && entry.client_deadline != kNoDeadline;
+  if (was_cut) return ObserveCutRun(admission, parameters, taken, context.now);
+  ObserveServiceTime(admission, parameters, taken, context.now);
 }
 
 auto AskerOf(const LedgerEntry& entry) -> Asker {
@@ -142,7 +148,7 @@
 }
 
 auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void {
-  NoteServiceTime(context, entry);
+  NoteServiceTime(context, entry, answer.code);
   NoteTransfer(context, entry, answer);
   CountOne(context, Counter::kAnswered);
   MarkTrace(context, entry, Mark::kAnswered);
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -115,8 +115,9 @@
 /// then the target's separate response is acknowledged here.
 auto AnswersInAck(const LedgerEntry& entry) -> bool;
 
-/// Takes the time since the request was sent into the observed service times.
-auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void;
+/// Takes the time since the request was sent into the observed service times; `code` is the
+/// answer's.
+auto NoteServiceTime(Context& context, const LedgerEntry& entry, std::uint8_t code) -> void;
 
 /// Refusals of requests that are in no ledger; `identity` is the request's.
 struct Asker {
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -51,8 +51,8 @@
 }
 
 // The first answer ends the request; the stream that stays holds a connection, not a slot.
-auto OpenStream(Context& context, LedgerEntry& entry) -> void {
-  NoteServiceTime(context, entry);
+auto OpenStream(Context& context, LedgerEntry& entry, std::uint8_t code) -> void {
+  NoteServiceTime(context, entry, code);
   EndLive(context, entry);
   MoveOn(context, entry, Transition::kOpenStream);
   FlowOf(context, entry.identity.flow).live.push_back(entry.id);
@@ -82,7 +82,7 @@
 auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
   auto& flow = FlowOf(context, entry.identity.flow);
   if (entry.stage == Stage::kRunning) {
-    OpenStream(context, entry);
+    OpenStream(context, entry, message.code);
   } else if (FindPassedByTarget(flow, entry.id, message.message_id) == nullptr &&
              IsStale(context, entry, message)) {
     return DropStale(context, entry, message);
--- a/src/requests/tests/deadline_test.cc
+++ b/src/requests/tests/deadline_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "requests/hand_over.h"
 #include "requests/tests/rig.h"
 
 namespace anvildrum::requests {
@@ -109,6 +110,25 @@
   BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
 }
 
+// The target honours deadlines itself: it refuses at once what it cannot finish, and stops what it
+// could not. Neither is a fast run: taken for one, a slow target would look like the fastest of all
+// and draw the flows.
+BOOST_AUTO_TEST_CASE(refusals_of_the_target_do_not_look_like_fast_runs) {
+  auto rig = MakeRig(Slow(milliseconds(100)));
+  for (auto code : {kCodeServiceUnavailable, kCodeGatewayTimeout}) {
+    FromClient(rig, Within(Get(code, 1), 150));
+    auto request = Forwarded(rig);
+    auto answer =
+        world::MakeResponse(MessageType::kAcknowledgement, request.message_id, request.token, 1);
+    answer[1] = code;
+    rig.now += milliseconds(1);
+    Feed(rig, TargetDatagram{kFlow, answer});
+    BOOST_TEST(Sent(rig).code == code);
+    rig.now += milliseconds(300);
+  }
+  BOOST_CHECK(BusyOf(*rig.core, rig.now).service_time >= milliseconds(100));
+}
+
 // A hold runs, and its client's time is up: the client is told "unknown" then and not after the run
 // limit of 60 s. The answer that comes later is dropped, and a late copy is told the same.
 BOOST_AUTO_TEST_CASE(deadline_ends_the_wait_for_a_run) {
@@ -182,6 +202,20 @@
   BOOST_TEST(!cancelled.has_deadline_option);
 }
 
+// The flow of an open feed is handed over. The client has its first answer long since: the new
+// target is not told of a deadline that was for that one.
+BOOST_AUTO_TEST_CASE(feed_that_is_handed_over_has_no_deadline) {
+  auto there = MakeRig(Alone());
+  auto record = FlowRecord{};
+  auto observe = Bytes{0x41, 1, 0, 1, 1, 0x60, 0x54, 'h', 'o', 'l', 'd', 0xe1, 0xfc, 0xe4, 100};
+  record.streams.push_back({observe, 7});
+  Feed(there, FlowAdopted{kFlow, &record});
+  BOOST_TEST(Forwarded(there).observe.value() == 0U);
+  BOOST_TEST(!Forwarded(there).has_deadline_option);
+  Pass(there, base::seconds(1));
+  BOOST_TEST(there.to_client.empty());
+}
+
 // A full agent offers a hold elsewhere, with what is left of its client's time in both offers. When
 // that is up before the other agent's challenge came, the hold cannot have run: "not run". After
 // the second offer it may have.
