Count refusals by their own cause at the challenge and after an offer

An operator would have added targets where clients' deadlines were too short. Change: one RefusalOf for intake and admission; an offered request keeps its cause.

--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -177,6 +177,21 @@
   context.effects.emplace_back(SendToTarget{entry.identity.flow, std::move(bytes)});
 }
 
+auto RefusalOf(AdmissionVerdict verdict) -> std::optional<Counter> {
+  switch (verdict) {
+    case AdmissionVerdict::kRun:
+    case AdmissionVerdict::kQueue:
+      return std::nullopt;
+    case AdmissionVerdict::kRefuseQueue:
+      return Counter::kRefusedQueue;
+    case AdmissionVerdict::kRefuseClient:
+      return Counter::kRefusedClientLimit;
+    case AdmissionVerdict::kRefuseDeadline:
+      return Counter::kRefusedDeadline;
+  }
+  return std::nullopt;
+}
+
 auto Admit(Context& context, LedgerEntry& entry) -> void {
   auto& state = context.state;
   if (entry.client_deadline <= context.now) {
@@ -185,18 +200,10 @@
   if (entry.follow_up) return Run(context, entry);
   auto candidate =
       Candidate{entry.identity.flow.client.address, entry.deadline, entry.client_deadline};
-  switch (DecideAdmission(state.admission, state.parameters, candidate, context.now)) {
-    case AdmissionVerdict::kRun:
-      return Run(context, entry);
-    case AdmissionVerdict::kQueue:
-      return WaitInQueue(context, entry);
-    case AdmissionVerdict::kRefuseQueue:
-      return FinishNotRun(context, entry, Counter::kRefusedQueue);
-    case AdmissionVerdict::kRefuseClient:
-      return FinishNotRun(context, entry, Counter::kRefusedClientLimit);
-    case AdmissionVerdict::kRefuseDeadline:
-      return FinishNotRun(context, entry, Counter::kRefusedDeadline);
-  }
+  auto verdict = DecideAdmission(state.admission, state.parameters, candidate, context.now);
+  if (auto refusal = RefusalOf(verdict)) return FinishNotRun(context, entry, *refusal);
+  if (verdict == AdmissionVerdict::kQueue) return WaitInQueue(context, entry);
+  Run(context, entry);
 }
 
 auto StartQueued(Context& context) -> void {
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -97,7 +97,7 @@
   if (event.not_run && may_have_run_here) {
     return FinishUnknown(context, *entry, Counter::kUnknownTargetGone);
   }
-  if (event.not_run) return FinishNotRun(context, *entry, Counter::kRefusedQueue);
+  if (event.not_run) return FinishNotRun(context, *entry, entry->refusal);
   auto answer = ParseMessage(event.bytes);
   if (!answer || !IsResponse(*answer)) return CountOne(context, Counter::kTargetMalformed);
   if (IsChallenge(*answer)) return OfferAgain(context, *entry, *answer, event.from);
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -80,17 +80,16 @@
 }
 
 // A challenge answered now would be refused at once, and no other agent may be asked.
-auto WouldBeRefused(const Context& context, const Intake& intake) -> bool {
+auto WouldBeRefused(const Context& context, const Intake& intake) -> std::optional<Counter> {
   const auto& state = context.state;
   auto client_deadline = ClientDeadlineOf(context, intake.message);
   auto can_hand_on = state.parameters.retry_share > 0 && state.retries.tokens >= 1 &&
                      intake.asker.identity.origin.value == 0 &&
                      LeavesTimeElsewhere(context, client_deadline);
-  if (can_hand_on) return false;
+  if (can_hand_on) return std::nullopt;
   auto candidate = Candidate{intake.asker.identity.flow.client.address,
                              std::min(context.now + intake.left, client_deadline), client_deadline};
-  auto verdict = DecideAdmission(state.admission, state.parameters, candidate, context.now);
-  return verdict != AdmissionVerdict::kRun && verdict != AdmissionVerdict::kQueue;
+  return RefusalOf(DecideAdmission(state.admission, state.parameters, candidate, context.now));
 }
 
 auto TooManyChallenges(const Context& context, const Intake& intake) -> bool {
@@ -113,8 +112,8 @@
   if (FlowOf(context, asker.identity.flow).adopted_until > context.now) {
     return ReplyUnknown(context, asker, Counter::kUnknownAdoptedFlow);
   }
-  if (WouldBeRefused(context, intake)) {
-    return ReplyNotRun(context, asker, Counter::kRefusedQueue);
+  if (auto refusal = WouldBeRefused(context, intake)) {
+    return ReplyNotRun(context, asker, *refusal);
   }
   if (TooManyChallenges(context, intake)) {
     return ReplyNotRun(context, asker, Counter::kRefusedChallenges);
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -128,6 +128,7 @@
 
 auto FinishNotRun(Context& context, LedgerEntry& entry, Counter counter) -> void {
   auto& state = context.state;
+  entry.refusal = counter;
   if (TryHandOn(context, entry)) return;
   auto form = FormFor(context, entry);
   auto max_age = DrawMaxAge(state.admission, state.parameters, state.random);
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -99,6 +99,8 @@
 
 /// Life of a request: dispatch.cc.
 auto Admit(Context& context, LedgerEntry& entry) -> void;
+/// What a refusal counts as; nothing when the verdict is none.
+auto RefusalOf(AdmissionVerdict verdict) -> std::optional<Counter>;
 auto SendRequest(Context& context, LedgerEntry& entry) -> void;
 auto StartQueued(Context& context) -> void;
 
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -10,6 +10,7 @@
 #include "base/types/time.h"
 #include "requests/coap_message.h"
 #include "requests/lifecycle.h"
+#include "requests/types/counter.h"
 
 namespace anvildrum::requests {
 
@@ -43,8 +44,9 @@
   bool observe = false;       ///< asks for notifications
   bool follow_up = false;     ///< later block of a transfer: never refused, holds no slot
   bool holds_slot = false;
-  bool offer_confirmed = false;  ///< offered again with the other agent's Echo value
-  std::uint8_t sends_left = 0;   ///< of the final answer, when that is a CON of the agent's own
+  Counter refusal = Counter::kRefusedQueue;  ///< why it was offered to another agent
+  bool offer_confirmed = false;              ///< offered again with the other agent's Echo value
+  std::uint8_t sends_left = 0;  ///< of the final answer, when that is a CON of the agent's own
   std::uint16_t target_message_id = 0;
   std::uint16_t client_message_id = 0;        ///< of the agent's last CON towards the client
   std::uint16_t notification_message_id = 0;  ///< the target's, of the last notification
--- a/src/requests/tests/deadline_test.cc
+++ b/src/requests/tests/deadline_test.cc
@@ -65,6 +65,7 @@
   BOOST_TEST(rig.to_target.size() == 1U);
   FromClient(rig, Within(world::MakeRequest(world::kPost, 4, TokenOf(4), 4), 50));
   BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);  // without a challenge first
+  BOOST_TEST(Counted(rig, Counter::kRefusedDeadline));
 }
 
 // The time is up before the request arrives: it does not run, whoever is idle.
@@ -243,6 +244,24 @@
   }
 }
 
+// A slow target's agent offers a read that it cannot run in time; there it is refused too. It
+// counts as refused for its deadline, not for a full queue: the operator is to look at the right
+// thing.
+BOOST_AUTO_TEST_CASE(refusal_elsewhere_keeps_its_cause) {
+  auto parameters = Parameters{};
+  parameters.initial_service_time = milliseconds(20);
+  auto rig = MakeRig(parameters);
+  FromClient(rig, Get(1, 1));
+  auto first = rig.to_target.at(0);
+  rig.now += base::seconds(2);
+  Answer(rig, ParseMessage(first).value(), 1);  // the estimate is 600 ms from here on
+  FromClient(rig, Within(Get(2, 2), 100));
+  auto offer = rig.offers.at(0);
+  Feed(rig, HandOnAnswered{kFlow, offer.request, kThere, true, {}});
+  BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
+  BOOST_TEST(Counted(rig, Counter::kRefusedDeadline));
+}
+
 // 15 ms do not suffice for a run of 20 ms anywhere: no other agent is asked.
 BOOST_AUTO_TEST_CASE(nothing_is_offered_that_would_be_late) {
   auto parameters = Parameters{};
