--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -82,10 +82,16 @@
   return entry.type == MessageType::kConfirmable && !HadAnswer(entry);
 }
 
-auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void {
-  if (!entry.holds_slot) return;
-  ObserveServiceTime(context.state.admission, context.state.parameters, context.now - entry.started,
-                     context.now);
+// Safeguard: a target that refuses at once, or stops at its client's deadline, has run nothing to
+// its end. Taken for a run, the slowest target would look like the fastest and draw new flows.
+auto NoteServiceTime(Context& context, const LedgerEntry& entry, std::uint8_t code) -> void {
+  if (!entry.holds_slot || code == kCodeServiceUnavailable) return;
+  auto& admission = context.state.admission;
+  const auto& parameters = context.state.parameters;
+  auto taken = context.now - entry.started;
+  auto was_cut = code == kCodeGatewayTimeout && entry.client_deadline != kNoDeadline;
+  if (was_cut) return ObserveCutRun(admission, parameters, taken, context.now);
+  ObserveServiceTime(admission, parameters, taken, context.now);
 }
 
 auto AskerOf(const LedgerEntry& entry) -> Asker {
@@ -129,6 +135,7 @@
 
 auto FinishNotRun(Context& context, LedgerEntry& entry, Counter counter) -> void {
   auto& state = context.state;
+  entry.refusal = counter;
   if (TryHandOn(context, entry)) return;
   auto form = FormFor(context, entry);
   auto max_age = DrawMaxAge(state.admission, state.parameters, state.random);
@@ -149,7 +156,7 @@
 }
 
 auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void {
-  NoteServiceTime(context, entry);
+  NoteServiceTime(context, entry, answer.code);
   NoteTransfer(context, entry, answer);
   NoteShed(context, entry, answer);
   CountOne(context, Counter::kAnswered);
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -100,6 +100,8 @@
 
 /// Life of a request: dispatch.cc.
 auto Admit(Context& context, LedgerEntry& entry) -> void;
+/// What a refusal counts as; nothing when the verdict is none.
+auto RefusalOf(AdmissionVerdict verdict) -> std::optional<Counter>;
 auto SendRequest(Context& context, LedgerEntry& entry) -> void;
 auto StartQueued(Context& context) -> void;
 
@@ -116,8 +118,9 @@
 /// then the target's separate response is acknowledged here.
 auto AnswersInAck(const LedgerEntry& entry) -> bool;
 
-/// Takes the time since the request was sent into the observed service times.
-auto NoteServiceTime(Context& context, const LedgerEntry& entry) -> void;
+/// Takes the time since the request was sent into the observed service times; `code` is the
+/// answer's.
+auto NoteServiceTime(Context& context, const LedgerEntry& entry, std::uint8_t code) -> void;
 
 /// Refusals of requests that are in no ledger; `identity` is the request's.
 struct Asker {
