Let the replies of each flow take turns over balancers

The turns were counted for the agent, and a target notifies all its streams at once: with a multiple of three streams and three balancers each stream got the same balancer every time. Ruled out: the test's fake. Change: each flow counts its own turns, in a byte of padding; the number of its opening starts it. The language gets `cut BALANCER fabric`.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -75,7 +75,7 @@
   requests::StatePtr requests;
   membership::Suspicion suspicion;
   std::vector<membership::BalancerRecord> reply_balancers;
-  std::uint64_t reply_turn = 0;
+  std::uint64_t reply_turn = 0;  ///< of replies to flows that are not owned any more
   std::optional<base::TimePoint> request_timer;
   base::TimePoint next_load{};
   std::uint64_t admitted_before = 0;
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -32,19 +32,30 @@
   return context.now - found->second.last_from_client < context.agent.policy.fresh_route;
 }
 
-auto NextReplyBalancer(Agent& agent) -> const BalancerRecord* {
+auto NextReplyBalancer(Agent& agent, std::uint64_t first) -> const BalancerRecord* {
   auto count = agent.reply_balancers.size();
   for (auto i = std::size_t{0}; i < count; ++i) {
-    const auto& balancer = agent.reply_balancers[agent.reply_turn++ % count];
+    const auto& balancer = agent.reply_balancers[(first + i) % count];
     if (!IsSuspect(agent, balancer.instance)) return &balancer;
   }
   return nullptr;
 }
 
+// Safeguard: a target notifies all its streams at once. Were the turns counted for the agent as a
+// whole, then with as many streams as balancers, or a multiple, each stream would get the same
+// balancer every time, and stay silent for as long as that one has lost its clients. So each flow
+// counts its own; the number of its opening starts flows at different balancers.
+auto TurnOf(Context& context, const base::FlowKey& flow) -> std::uint64_t {
+  auto found = context.agent.directory.owned.find(flow);
+  if (found == context.agent.directory.owned.end()) return context.agent.reply_turn++;
+  return found->second.stamp + found->second.reply_turn++;
+}
+
 auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
-  if (const auto* balancer = NextReplyBalancer(agent)) return balancer->tunnel;
+  const auto* balancer = NextReplyBalancer(agent, agent.reply_turn++);
+  if (balancer != nullptr) return balancer->tunnel;
   // All are suspect: this agent itself may be cut off, and trying costs nothing.
   if (agent.reply_balancers.empty()) return std::nullopt;
   return agent.reply_balancers.front().tunnel;
@@ -62,7 +73,7 @@
   const auto* seen = FindByTunnel(agent, *last);
   auto suspect = seen != nullptr && IsSuspect(agent, seen->instance);
   if (IsFresh(context, flow) && !suspect) return last;
-  const auto* other = NextReplyBalancer(agent);
+  const auto* other = NextReplyBalancer(agent, TurnOf(context, flow));
   return other == nullptr ? last : std::optional(other->tunnel);
 }
 
--- a/tools/scenario/run.cc
+++ b/tools/scenario/run.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto kOperator = "operator";
+constexpr auto kFabric = "fabric";
 
 auto FirstDocument(const World& world) -> std::string {
   auto configuration = config::Configuration{};
@@ -31,6 +32,9 @@
   run.world.processes["platform"].name = "platform";
   run.world.processes["platform"].domain = "platform";
   StartProcess(run.world.processes["platform"]);
+  run.world.processes[kFabric].name = kFabric;
+  run.world.processes[kFabric].domain = kFabric;
+  StartProcess(run.world.processes[kFabric]);
   run.world.processes[kOperator].name = kOperator;
   run.world.processes[kOperator].domain = kOperator;
   StartProcess(run.world.processes[kOperator]);
--- a/tools/scenario/world.cc
+++ b/tools/scenario/world.cc
@@ -21,11 +21,15 @@
   return world.cuts.contains({left, right}) || world.cuts.contains({right, left});
 }
 
+auto IsCutFromFabric(const World& world, const Process& balancer) -> bool {
+  return IsCut(world, balancer, world.processes.at("fabric"));
+}
+
 auto CheckBalancers(World& world) -> void {
   world.attached.clear();
   for (const auto& [name, node] : world.balancers) {
     const auto& process = world.processes.at(name);
-    if (!process.up || process.frozen) continue;
+    if (!process.up || process.frozen || IsCutFromFabric(world, process)) continue;
     if (node->balancer.phase == balancer::Phase::kReady) world.attached.insert(name);
   }
 }
@@ -107,6 +111,7 @@
   auto name = PickBalancer(world);
   if (name.empty()) return;
   auto& receiver = world.processes.at(name);
+  if (IsCutFromFabric(world, receiver)) return;
   auto deliver = [&world, &receiver, to = client.address, from = client.endpoint, bytes] {
     Receive(receiver, [&world, &receiver, to, from, bytes] {
       FromFabric(*world.balancers.at(receiver.name), to, from, bytes);
@@ -117,7 +122,7 @@
 
 auto ToClient(World& world, const std::string& balancer, const base::Endpoint& service,
               const base::Endpoint& client, wire::BytesView payload) -> void {
-  (void)balancer;
+  if (IsCutFromFabric(world, world.processes.at(balancer))) return;
   auto found = world.client_at.find(client);
   if (found == world.client_at.end()) return;
   auto& receiver = world.clients.at(found->second);
