--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -20,10 +20,20 @@
   return context.now - found->second.last_from_client < context.agent.policy.fresh_route;
 }
 
+// Safeguard: a target notifies all its streams at once. Were the turns counted for the agent as a
+// whole, then with as many streams as balancers, or a multiple, each stream would get the same
+// balancer every time, and stay silent for as long as that one has lost its clients. So each flow
+// counts its own; the number of its opening starts flows at different balancers.
+auto TurnOf(Context& context, const base::FlowKey& flow) -> std::uint64_t {
+  auto found = context.agent.directory.owned.find(flow);
+  if (found == context.agent.directory.owned.end()) return context.agent.reply_turn++;
+  return found->second.stamp + found->second.reply_turn++;
+}
+
 auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
-  if (const auto* sign = NextBySign(context)) return sign->tunnel;
+  if (const auto* sign = NextBySign(context, agent.reply_turn++)) return sign->tunnel;
   // None gave a sign: this agent itself may be cut off, and trying costs nothing.
   if (agent.reply_balancers.empty()) return std::nullopt;
   return agent.reply_balancers.front().tunnel;
@@ -39,7 +49,7 @@
   auto last = steering::ReplyRoute(agent.directory, flow, context.now);
   if (!last) return PartingRoute(context, flow);
   if (IsFresh(context, flow) && !IsOverdue(context, *last)) return last;
-  const auto* other = NextBySign(context);
+  const auto* other = NextBySign(context, TurnOf(context, flow));
   return other == nullptr ? last : std::optional(other->tunnel);
 }
 
--- a/src/agent/internal/reply_signs.cc
+++ b/src/agent/internal/reply_signs.cc
@@ -102,11 +102,11 @@
   });
 }
 
-auto NextBySign(Context& context) -> const ReplySign* {
-  auto& agent = context.agent;
+auto NextBySign(const Context& context, std::uint64_t turn) -> const ReplySign* {
+  const auto& agent = context.agent;
   const auto& signs = agent.reply_signs.signs;
   for (auto i = std::size_t{0}; i < signs.size(); ++i) {
-    const auto& sign = signs[agent.reply_turn++ % signs.size()];
+    const auto& sign = signs[(turn + i) % signs.size()];
     if (context.now - sign.heard < agent.policy.sign_period) return &sign;
   }
   return LastHeard(agent.reply_signs);
