List the platform in pages

Change: the object API's list takes `from` and `limit_bytes` and names the `next` key; the client asks for 0.9 MB at a time and gives its caller the list as of the first page's revision, so that the watch from there tells what changed between pages. A page older than the first fails the list (a lagging replica lacks what is new, which would look like deletions), and so does one that does not lead on. Without a limit a list is whole, as before; anvilctl still asks so. Ruled out: prefixes by region (keys name none) or by service (thousands of calls); pages of 0.5 MB (with balancers and configuration nearly the instance's burst of 20 reads, and a page over it fails the list).

The relay took lists with newer records right as it was; ChangesBetweenPagesOfAListEndUpRight holds it to that.

--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -5,6 +5,7 @@
 #include "balancer/monitor.h"
 #include "config/types/configuration.h"
 #include "membership/suspicion.h"
+#include "platform/client.h"
 #include "relay/types/settings.h"
 #include "requests/types/parameters.h"
 #include "steering/types/directory_types.h"
@@ -63,6 +64,9 @@
   auto parameters = requests::Parameters{};
   auto ledger = static_cast<double>(parameters.ledger_bytes);
   return {{"ledger_limit", ledger, "requests::Parameters"},
+          {"list_page_bytes", static_cast<double>(platform::ClientSettings{}.list_page_bytes),
+           "platform::ClientSettings"},
+          {"read_burst", platform::BudgetPolicy{}.reads.burst, "platform::BudgetPolicy"},
           {"exchange_lifetime_s", Seconds(requests::kExchangeLifetime), "RFC 7252, 4.8.2"}};
 }
 
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -25,6 +25,9 @@
   base::Duration call_timeout = base::seconds(5);
   base::Duration idle_timeout = base::seconds(10);  ///< older idle connections are not reused
   std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
+  /// Of an answer to a list, unless one object is longer. A list of a whole fleet has to fit the
+  /// burst of reads, since a page over the budget fails it.
+  std::size_t list_page_bytes = 900'000;
   BudgetPolicy budget;
 };
 
@@ -52,6 +55,8 @@
   auto Delete(std::string_view key, IfMatch precondition, Callback<std::monostate> callback)
       -> void;
 
+  /// Asks page after page; each is a call of the budget. All objects as of the revision given, some
+  /// of them newer: a watch from that revision tells what changed meanwhile.
   auto List(std::string_view prefix, Callback<Listing> callback) -> void;
 
   /// Changes newer than `after`, held open for up to `hold`, then an empty listing. Fails with
@@ -77,6 +82,10 @@
     this->settings.call_timeout = timeout;
     return *this;
   }
+  auto WithListPage(std::size_t bytes) -> ClientBuilder& {
+    this->settings.list_page_bytes = bytes;
+    return *this;
+  }
   auto WithBudget(const BudgetPolicy& budget) -> ClientBuilder& {
     this->settings.budget = budget;
     return *this;
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -256,6 +256,24 @@
   };
 }
 
+// From where `whole` ends. The core lives as long as its exchanges, and `finish` is dropped with
+// them.
+auto ListPages(const std::shared_ptr<ClientCore>& core, std::string prefix, Listing whole,
+               Callback<Listing> callback) -> void {
+  auto call = ListPageCall(prefix, whole.next, core->settings.list_page_bytes);
+  auto timeout = core->settings.call_timeout;
+  auto join = [core, prefix = std::move(prefix), whole = std::move(whole),
+               callback = std::move(callback)](Outcome<Listing> outcome) {
+    if (const auto* error = std::get_if<PlatformError>(&outcome)) return callback(*error);
+    auto joined = JoinPage(whole, std::get<Listing>(std::move(outcome)));
+    if (!joined) return callback(PlatformError{PlatformErrorCode::kMalformedAnswer, 0, prefix});
+    if (joined->next.empty()) return callback(std::move(*joined));
+    ListPages(core, prefix, std::move(*joined), callback);
+  };
+  auto finish = Then<Listing>(call, ReadListing, std::move(join));
+  core->Start(std::move(call), timeout, std::move(finish));
+}
+
 }  // namespace
 
 auto Client::Get(std::string_view key, Callback<Object> callback) -> void {
@@ -279,9 +297,7 @@
 }
 
 auto Client::List(std::string_view prefix, Callback<Listing> callback) -> void {
-  auto call = ListCall(prefix);
-  auto finish = Then<Listing>(call, ReadListing, std::move(callback));
-  this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
+  ListPages(this->core, std::string(prefix), {}, std::move(callback));
 }
 
 auto Client::Watch(std::string_view prefix, std::uint64_t after, base::Duration hold,
--- a/src/platform/internal/http_call.cc
+++ b/src/platform/internal/http_call.cc
@@ -164,6 +164,14 @@
   return {CallKind::kList, std::string(prefix), "/v1/list?prefix=" + Escape(prefix), "", "", ""};
 }
 
+auto ListPageCall(std::string_view prefix, std::string_view from, std::size_t limit_bytes)
+    -> HttpCall {
+  auto call = ListCall(prefix);
+  call.target += "&limit_bytes=" + std::to_string(limit_bytes);
+  if (!from.empty()) call.target += "&from=" + Escape(from);
+  return call;
+}
+
 auto WatchCall(std::string_view prefix, std::uint64_t after, std::uint64_t timeout_ms) -> HttpCall {
   auto target = "/v1/watch?prefix=" + Escape(prefix) + "&after=" + std::to_string(after) +
                 "&timeout_ms=" + std::to_string(timeout_ms);
@@ -196,7 +204,11 @@
   if (!document.is_object() || !IsRevision(document, "revision")) return Malformed(call, answer);
   auto items = ReadItems(document, call.kind == CallKind::kWatch ? "events" : "items");
   if (!items) return Malformed(call, answer);
-  return Listing{document["revision"], std::move(*items)};
+  auto listing = Listing{document["revision"], std::move(*items)};
+  if (!document.contains("next")) return listing;
+  if (!document["next"].is_string()) return Malformed(call, answer);
+  listing.next = document["next"];
+  return listing;
 }
 
 }  // namespace anvildrum::platform
--- a/src/platform/types/object.h
+++ b/src/platform/types/object.h
@@ -24,6 +24,7 @@
 struct Listing {
   std::uint64_t revision = 0;
   std::vector<Object> items;
+  std::string next{};  ///< a page of a list: the key that the next one begins with; empty: the last
 };
 
 /// The write takes effect only on the object in this revision.
--- a/src/relay/tests/platform_test.cc
+++ b/src/relay/tests/platform_test.cc
@@ -140,6 +140,36 @@
   BOOST_TEST(fleet.nodes[0].state.counters.refused_stale_revision > 0U);
 }
 
+// A list comes in pages, and between two of them a target is announced and another one is removed.
+// The list counts as of its first page: it holds the new one and lacks the other. The watch that
+// goes on from there tells both again, and the watcher ends up with what the platform holds.
+BOOST_AUTO_TEST_CASE(ChangesBetweenPagesOfAListEndUpRight) {
+  Fleet fleet = MakeFleet(1, 1, 0);
+  StartAll(fleet);
+  PutObject(fleet, "targets/desk/kept", "{}");
+  PutObject(fleet, "targets/desk/removed", "{}");
+  RunFor(fleet, base::seconds(2));
+  fleet.nodes[0].reaches_platform = false;
+  const std::uint64_t first_page = PutObject(fleet, "targets/desk/a", "{}");
+  DeleteObject(fleet, "targets/desk/removed", std::nullopt);
+  PutObject(fleet, "targets/desk/z", "{}");
+  PlatformObjects list{.objects = {}, .revision = first_page, .complete = true};
+  for (const auto& [key, object] : fleet.platform.objects) {
+    if (object.deleted) continue;
+    list.objects.push_back({.key = key,
+                            .revision = object.revision,
+                            .deleted = false,
+                            .value = object.value,
+                            .number = object.number});
+  }
+  Deliver(fleet, 0, list);
+  fleet.nodes[0].reaches_platform = true;
+  RunFor(fleet, base::minutes(2));
+  BOOST_TEST(AllAgree(fleet));
+  BOOST_TEST(!fleet.nodes[0].went_back);
+  BOOST_TEST(fleet.nodes[0].state.store.horizon == fleet.platform.revision);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tools/platform_standin/api.cc
+++ b/tools/platform_standin/api.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "platform_standin/query.h"
@@ -73,16 +74,46 @@
   return {Answer{kOk, found->second.revision, *found->second.value, Delivery::kWhole}};
 }
 
+// What a list asks for. Without `limit_bytes` it is not cut into pages.
+struct ListQuery {
+  std::string prefix;
+  std::string from;  ///< first key of the page
+  std::uint64_t limit_bytes = std::numeric_limits<std::uint64_t>::max();
+};
+
+auto ReadListQuery(const Query& query) -> std::optional<ListQuery> {
+  auto prefix = query.find("prefix");
+  if (prefix == query.end()) return std::nullopt;
+  auto read = ListQuery{};
+  read.prefix = prefix->second;
+  if (auto from = query.find("from"); from != query.end()) read.from = from->second;
+  if (auto limit = query.find("limit_bytes"); limit != query.end()) {
+    auto bytes = ParseNumber(limit->second);
+    if (!bytes) return std::nullopt;
+    read.limit_bytes = *bytes;
+  }
+  return read;
+}
+
+// One object at least, so that each page leads on.
 auto HandleList(Platform& platform, const Query& query) -> Handled {
   ++platform.counts.list;
-  auto prefix = query.find("prefix");
-  if (prefix == query.end()) return Malformed(platform);
+  auto asked = ReadListQuery(query);
+  if (!asked) return Malformed(platform);
   auto revision = ReadRevision(platform);
   auto body = R"({"revision":)" + std::to_string(revision) + R"(,"items":[)";
+  auto next = std::string{};
   for (const auto& [key, entry] : ObjectsAt(platform.store, revision)) {
-    if (key.starts_with(prefix->second)) WriteItem(body, key, entry.revision, entry.value.get());
+    if (!key.starts_with(asked->prefix) || key < asked->from) continue;
+    auto before = body.size();
+    auto first = body.back() == '[';
+    WriteItem(body, key, entry.revision, entry.value.get());
+    if (first || body.size() <= asked->limit_bytes) continue;
+    body.resize(before);
+    next = R"(,"next":)" + Quote(key);
+    break;
   }
-  return {Answer{kOk, 0, body + "]}", Delivery::kWhole}};
+  return {Answer{kOk, 0, body + "]" + next + "}", Delivery::kWhole}};
 }
 
 auto HandleWatch(Platform& platform, const Query& query) -> Handled {
