--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -4,18 +4,21 @@
 import random
 import socket
 import subprocess
+import tempfile
 import unittest
 import urllib.request
 
 import rubbish
 from coap import Flow
-from support import WIDE_SECONDS, FleetTest, wait_until
+from support import BUILD, ROOT, WIDE_SECONDS, FleetTest, wait_until
 
 DATAGRAMS = 300
 CONNECTIONS = 30
 LARGEST = 2000
 SEED = 20
+EXIT_USAGE = 1
 EXIT_BAD_SETTINGS = 2
+EXIT_NO_SOCKET = 3
 LARGEST_DATAGRAM = 65507  # over IPv4
 TOO_LARGE_BODY = 2 * 1024 * 1024
 OWNER_QUERY, REPLY = 6, 4  # bodies of a tunnel header, src/wire/tunnel.proto
@@ -27,6 +30,10 @@
     return host, int(port)
 
 
+def without_comments(text):
+    return "\n".join(line for line in text.splitlines() if not line.strip().startswith("//"))
+
+
 class BadInput(FleetTest):
     def setUp(self):
         self.random = random.Random(SEED)
@@ -49,8 +56,7 @@
 
     def settings(self, running, name):
         text = (running.path / "settings" / f"{name}.json").read_text()
-        lines = [line for line in text.splitlines() if not line.strip().startswith("//")]
-        return json.loads("\n".join(lines))
+        return json.loads(without_comments(text))
 
     # The client sees: its answers, as ever. Order: random bytes reach every port of a balancer and
     # of an agent, and the fabric's service address; then requests are sent.
@@ -229,6 +235,28 @@
                 self.assertIn(f"{path}: ", result.stderr)
                 self.assertIn(key, result.stderr)
 
+    # The operator sees: the exit codes of docs/operators/settings.md, and on standard error what is
+    # at fault.
+    def test_the_daemons_exit_codes_are_those_documented(self):
+        def run(*arguments):
+            result = subprocess.run([f"{BUILD}/src/daemon/anvildrumd", *arguments], text=True,
+                                    capture_output=True, timeout=WIDE_SECONDS)
+            return result.returncode, result.stderr
+        self.assertEqual(run("--version")[0], 0)
+        self.assertEqual(run("--help")[0], 0)
+        self.assertEqual(run("--colour")[0], EXIT_USAGE)
+        code, text = run("--settings", "missing.json")
+        self.assertEqual((code, "missing.json: " in text), (EXIT_BAD_SETTINGS, True), text)
+        with socket.create_server(("127.0.0.1", 0)) as taken, \
+                tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            port = "127.0.0.1:%d" % taken.getsockname()[1]
+            example = (ROOT / "deployments/ledgewater/settings/b1.json").read_text()
+            operator_port = json.loads(without_comments(example))["operator_port"]
+            file.write(example.replace(operator_port, port))
+            file.flush()
+            code, text = run("--settings", file.name)
+            self.assertEqual((code, port in text), (EXIT_NO_SOCKET, True), text)
+
     # The operator sees: each process ends by itself, with exit code 0, after one SIGTERM.
     def test_sigterm_ends_every_process(self):
         running = self.start_fleet()
