Show the relay's counters that its page tells operators to look at

docs/operators/relay.md listed gaps, repairs, polls, deletes and others by the names of fields, and 7 of them were at no port. They are shown as anvildrum_relay_events_total; the page names each as /metrics does, and a test takes the names from the page. It failed before the export, with gaps, repairs, watches_failed, polls_failed, polls_started, deletes_issued and deletes_conflicted missing, and is green after it (5 s).

--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -123,6 +123,19 @@
                {"stale_number", counters.refused_stale_number},
                {"config_deleted", counters.refused_config_deleted},
                {"forgotten", counters.refused_forgotten}});
+  SetLabelled(metrics, "anvildrum_relay_events_total", "Events of the relay", "event",
+              {{"gaps", counters.gaps},
+               {"repairs", counters.repairs},
+               {"watches_started", counters.watches_started},
+               {"watches_failed", counters.watches_failed},
+               {"polls_started", counters.polls_started},
+               {"polls_failed", counters.polls_failed},
+               {"subscribes_sent", counters.subscribes_sent},
+               {"updates_sent", counters.updates_sent},
+               {"heartbeats_sent", counters.heartbeats_sent},
+               {"suspicions_sent", counters.suspicions_sent},
+               {"deletes_issued", counters.deletes_issued},
+               {"deletes_conflicted", counters.deletes_conflicted}});
   SetCounter(metrics, "anvildrum_relay_parents_lost_total", "Parents that fell silent",
              counters.parents_lost);
   SetCounter(metrics, "anvildrum_relay_watches_hung_total", "Watches that never answered",
--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import re
 import socket
 import subprocess
 import tempfile
@@ -96,6 +97,20 @@
                        if name.startswith("anvildrum_requests_total") and "malformed" in name)
         wait_until(lambda: malformed() > 0, "malformed client datagrams counted", WIDE_SECONDS)
 
+    # The operator sees: at every instance the counters that docs/operators/relay.md tells to look at.
+    def test_the_relays_counters_are_shown(self):
+        page = (ROOT / "docs/operators/relay.md").read_text()
+        table = page[page.index("## Counters"):page.index("## Limits")]
+        rows = [row.split("|")[1] for row in table.splitlines() if row.startswith("| ")][1:]
+        named = [name for row in rows for name in re.findall("`([a-z_]+)`", row)]
+        self.assertGreater(len(named), 15)
+        running = self.start_fleet()
+        for name, entry in running.entries():
+            samples = running.metrics(entry)
+            shown = {label for sample in samples if sample.startswith("anvildrum_relay_")
+                     for label in re.findall('"([a-z_]+)"', sample) or [sample]}
+            self.assertEqual([one for one in named if one not in shown], [], name)
+
     # The operator sees: for each kind of rubbish its own count, and everything else as ever.
     # Order: one kind at one edge, its count, a request or call that is served, then the next kind.
     # Why: a fault, or a stranger, shows by its kind; one sum would not tell them apart.
