--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -68,13 +68,13 @@
   const auto& counters = agent.counters;
   const auto& directory = agent.directory.counters;
   SetLabelled(metrics, "anvildrum_stand_by_total", "Copies of observations, and their use", "event",
-              std::array<Sample, 7>{{{"copy_sent", counters.copies_sent},
-                                     {"copy_too_large", counters.copies_too_large},
-                                     {"copy_refused", directory.copies_refused},
-                                     {"withheld", directory.copies_withheld},
-                                     {"flow_taken", directory.copies_taken},
-                                     {"stream_resumed", counters.streams_resumed},
-                                     {"stream_not_resumed", counters.streams_not_resumed}}});
+              {{"copy_sent", counters.copies_sent},
+               {"copy_too_large", counters.copies_too_large},
+               {"copy_refused", directory.copies_refused},
+               {"withheld", directory.copies_withheld},
+               {"flow_taken", directory.copies_taken},
+               {"stream_resumed", counters.streams_resumed},
+               {"stream_not_resumed", counters.streams_not_resumed}});
   SetCounter(metrics, "anvildrum_stand_by_bytes_total", "Bytes of copies sent, headers and all",
              counters.copy_bytes);
   SetGauge(metrics, "anvildrum_stand_by_copies",
