Tell peers of a burst while it lasts; measure bursts after a join on the real directories

Cause: policy_bench gives every home the same fresh counts, so it could not show what stale reports do after a join.

Change: an agent whose flows have changed by 5% or eight since tells its peers unasked, at most every 50 ms. A load that is told unasked has no sequence and answers no probe: it would have lengthened the round trip that suspicion goes by. New: bench/burst_model, policy_bench burst.

Each test fails without its change: 0 messages during a burst; the round trip changed.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -1,14 +1,18 @@
 // All policies and baselines on the same arrivals, as CSV on standard output. Run:
 //   policy_bench > docs/figures/policy_bench.csv
+//   policy_bench burst > docs/figures/policy_burst.csv
 #include <array>
 #include <cstdio>
+#include <string_view>
 
+#include "burst_model.h"
 #include "policy_model.h"
 
 namespace anvildrum::bench {
 namespace {
 
 constexpr auto kSeeds = 3U;
+constexpr auto kBurstSeeds = 10U;
 
 auto Variants() -> std::vector<Variant> {
   using steering::PlacementKind;
@@ -47,10 +51,64 @@
   }
 }
 
+auto PrintBurst(const std::string& burst, const std::string& name, const BurstPlan& plan,
+                const BurstResult& r) -> void {
+  std::printf("%s,%s,%u,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f\n", burst.c_str(),
+              name.c_str(), plan.seed, r.steady.max_over_mean, r.steady.cv,
+              r.after_join.max_over_mean, r.after_join.cv, r.worst, r.newcomer_at_end,
+              r.worst_newcomer, r.passed_on, r.exceptions);
+}
+
+struct Burst {
+  std::string name;
+  double arrivals_per_second = 0;
+  double burst_per_second = 0;
+  double after = 0;
+  double seconds = 0;
+};
+
+// Flows before the join: 60 times the arrivals.
+auto Bursts() -> std::vector<Burst> {
+  return {{"none", 100, 0, 0, 0},
+          {"6000 flows + 5000 in 5 s after 1 s", 100, 1000, 1, 5},
+          {"6000 flows + 3000 in 0.3 s after 1 s", 100, 10'000, 1, 0.3},
+          {"6000 flows + 3000 in 0.3 s after 3 s", 100, 10'000, 3, 0.3},
+          {"360 flows + 350 in 5 s after 1 s", 6, 70, 1, 5},
+          {"360 flows + 350 in 0.3 s after 1 s", 6, 1167, 1, 0.3},
+          {"360 flows + 350 in 0.3 s after 3 s", 6, 1167, 3, 0.3}};
+}
+
+// The targets' own word of their load is not part of what agents tell each other.
+auto CanRunOnDirectories(const Variant& variant) -> bool {
+  return variant.finder == Finder::kDirectory &&
+         variant.placement != steering::PlacementKind::kLeastReportedLoad;
+}
+
+auto RunBursts() -> void {
+  std::printf(
+      "burst,variant,seed,steady_max_over_mean,steady_cv,join_max_over_mean,join_cv,"
+      "worst_max_over_mean,newcomer_over_mean,newcomer_worst,passed_on,steady_extra_hops\n");
+  for (const auto& burst : Bursts()) {
+    for (const auto& variant : Variants()) {
+      if (!CanRunOnDirectories(variant)) continue;
+      for (auto seed = 1U; seed <= kBurstSeeds; ++seed) {
+        auto plan = BurstPlan{variant.placement,      burst.arrivals_per_second,
+                              burst.burst_per_second, burst.after,
+                              burst.seconds,          seed};
+        PrintBurst(burst.name, variant.name, plan, RunBurst(plan));
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace anvildrum::bench
 
-auto main() -> int {
-  anvildrum::bench::RunAll();
+auto main(int count, char** arguments) -> int {
+  if (count > 1 && std::string_view(arguments[1]) == "burst") {
+    anvildrum::bench::RunBursts();
+  } else {
+    anvildrum::bench::RunAll();
+  }
   return 0;
 }
--- a/src/membership/internal/suspicion.cc
+++ b/src/membership/internal/suspicion.cc
@@ -122,6 +122,10 @@
 
 auto Handle(Suspicion& state, const ProbeAnswered& event, base::TimePoint now,
             SuspicionEffects& effects) -> void {
+  // Safeguard: a load that a peer tells unasked has no sequence. Taken for the answer to a probe
+  // that was answered before, it would lengthen the round trip, and the peer's death be noticed
+  // late.
+  if (event.sequence == 0) return;
   auto* peer = FindPeer(state, event.peer);
   if (peer == nullptr || peer->probe != event.sequence) return;
   peer->probe = 0;
--- a/src/membership/tests/suspicion_test.cc
+++ b/src/membership/tests/suspicion_test.cc
@@ -80,5 +80,16 @@
   BOOST_TEST(state.peers[0].suspect);
 }
 
+// A peer tells its load unasked, under no sequence, half a period after it answered a probe. Taken
+// for the answer, it would look half a period away, and its death would be noticed that much later.
+BOOST_AUTO_TEST_CASE(a_load_told_unasked_answers_no_probe) {
+  auto state = MakeObserver(1);
+  auto now = base::TimePoint{};
+  Run(state, now, base::seconds(5), [](auto) { return true; });
+  auto round_trip = state.peers[0].round_trip;
+  Step(state, ProbeAnswered{{{1}, 1}, 0}, now + state.policy.probe_period / 2);
+  BOOST_TEST((state.peers[0].round_trip == round_trip));
+}
+
 }  // namespace
 }  // namespace anvildrum::membership
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -61,6 +61,8 @@
 
   TargetLoad load;                   ///< this target's own
   std::uint64_t placed_as_home = 0;  ///< flows that this agent placed, here or elsewhere
+  std::uint64_t told_flows = 0;      ///< as the peers were told last without asking
+  base::TimePoint next_told{};
   TokenBucket openings;
   TokenBucket hints;
   std::uint64_t sequence = 0;
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -167,6 +167,7 @@
   NoticeStop(context);
   std::visit([&](const auto& concrete) { Handle(context, concrete); }, event);
   if (directory.pump_due) PumpStreams(context);
+  TellFlows(context);
   ContinueFence(context);
   return effects;
 }
--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "steering/internal/directory_parts.h"
 #include "wire/convert.h"
@@ -73,4 +74,24 @@
   }
 }
 
+// Safeguard: probes ask for the number of flows twice a second, and a burst of openings is shorter.
+// No home can tell by reports from before it which targets got more than others, and the burst ends
+// up no more even than the hash.
+auto TellFlows(StepContext& context) -> void {
+  auto& directory = context.directory;
+  const auto& policy = directory.policy;
+  if (context.now < directory.next_told) return;
+  auto flows = static_cast<double>(directory.owned.size());
+  auto told = static_cast<double>(directory.told_flows);
+  auto step = std::max<double>(policy.told_flows, policy.told_share * told);
+  if (std::abs(flows - told) < step) return;
+  directory.told_flows = directory.owned.size();
+  directory.next_told = context.now + policy.told_period;
+  auto header = MakeHeader(directory);
+  *header.mutable_probe_answer()->add_loads() = OwnLoadReport(directory);
+  for (const auto& peer : directory.peers) {
+    if (!peer.suspect) SendControl(context, peer.tunnel, header);
+  }
+}
+
 }  // namespace anvildrum::steering
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -38,6 +38,8 @@
                  wire::pb::Refused::Reason reason) -> void;
 auto SendHint(StepContext& context, const wire::pb::Packet& packet, const TargetRef& owner) -> void;
 auto SendDrainNotices(StepContext& context) -> void;
+/// Tells the peers how many flows this agent has when that has changed much since.
+auto TellFlows(StepContext& context) -> void;
 
 // directory_packets.cc
 /// A packet on its way: `sender` is the process that it came from, nothing for a held one.
--- a/src/steering/tests/directory_test.cc
+++ b/src/steering/tests/directory_test.cc
@@ -181,5 +181,26 @@
   BOOST_TEST(directory.counters.opened >= 45u);
 }
 
+// 350 traders come back within 0.3 s. Were the desks to hear of each other's flows only with the
+// next probe, none could tell that it got more than the others, and a desk that is 20% over the
+// mean delays its holds. So a desk tells the others at once, but not for every flow.
+BOOST_AUTO_TEST_CASE(a_burst_is_told_to_the_peers_while_it_lasts) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  directory.load.connections = 1000;
+  for (auto& peer : directory.peers) peer.settled_view = directory.digest;
+  auto told = std::ptrdiff_t{0};
+  auto now = kStart;
+  auto client = 1U;
+  for (auto opened = 0U; opened < 48; ++client) {
+    if (HomeNumber(view, client) != 1) continue;
+    now += base::milliseconds(6);
+    told += CountOf(Send(directory, MakePacket(client), now), TunnelHeader::kProbeAnswer);
+    ++opened;
+  }
+  BOOST_TEST(told >= 2 * 4);
+  BOOST_TEST(told <= 2 * 6);
+}
+
 }  // namespace
 }  // namespace anvildrum::steering
