--- a/src/steering/tests/directory_hand_over_test.cc
+++ b/src/steering/tests/directory_hand_over_test.cc
@@ -1,59 +1,8 @@
-#include "steering/tests/directory_fixture.h"
+#include "steering/tests/hand_over_fixture.h"
 
 namespace anvildrum::steering {
 namespace {
 
-constexpr auto kLater = kStart + base::milliseconds(20);
-
-auto WriteTo(wire::pb::TargetRef& message, std::uint16_t number) -> void {
-  message.set_target(MakeRecord(number).id.value);
-  message.set_incarnation(1);
-}
-
-// From desk-2 to desk-1.
-auto MakeHandOver(const wire::pb::TunnelHeader& packet, std::uint64_t attempt)
-    -> wire::pb::TunnelHeader {
-  auto header = wire::pb::TunnelHeader{};
-  auto* message = header.mutable_hand_over();
-  *message->mutable_flow() = packet.packet().flow();
-  WriteTo(*message->mutable_from(), 2);
-  WriteTo(*message->mutable_to(), 1);
-  message->set_attempt(attempt);
-  wire::WriteEndpoint(kBalancer, *message->mutable_balancer());
-  WriteTo(*message->mutable_lineage()->mutable_opener(), 2);
-  message->mutable_lineage()->set_stamp(1);
-  message->mutable_lineage()->set_hand_overs(1);
-  return header;
-}
-
-auto Arrive(Directory& directory, const wire::pb::TunnelHeader& header, bool acceptable = true)
-    -> DirectoryEffects {
-  return Step(directory, HandOverArrived{kBalancer, &header, {}, acceptable}, kLater);
-}
-
-// The last message of the kind, which must be there.
-auto Last(const DirectoryEffects& effects, TunnelHeader::BodyCase body) -> wire::pb::TunnelHeader {
-  auto last = wire::pb::TunnelHeader{};
-  for (const auto& send : effects.sends) {
-    if (send.header.body_case() == body) last = send.header;
-  }
-  BOOST_REQUIRE(last.body_case() == body);
-  return last;
-}
-
-auto AckOf(const wire::pb::TunnelHeader& offer, bool accepted, bool registered)
-    -> wire::pb::TunnelHeader {
-  auto header = wire::pb::TunnelHeader{};
-  auto* ack = header.mutable_hand_over_ack();
-  *ack->mutable_flow() = offer.hand_over().flow();
-  *ack->mutable_from() = offer.hand_over().from();
-  *ack->mutable_to() = offer.hand_over().to();
-  ack->set_attempt(offer.hand_over().attempt());
-  ack->set_accepted(accepted);
-  ack->set_registered(registered);
-  return header;
-}
-
 // Acknowledges the batch that is under way to each peer.
 auto AckRegistrations(Directory& directory) -> void {
   auto streams = directory.streams;
@@ -69,10 +18,6 @@
   }
 }
 
-auto SettlePeers(Directory& directory) -> void {
-  for (auto& peer : directory.peers) peer.settled_view = directory.digest;
-}
-
 // desk-1 of three drains and serves one flow, which its home knows.
 struct Draining {
   membership::View view = MakeView(3);
@@ -211,88 +156,6 @@
   BOOST_CHECK(directory.known.at(FlowOf(packet)).owner == (TargetRef{MakeRecord(3).id, 1}));
 }
 
-// A report server's slots are taken by the exports of others, and its target refuses one more. The
-// flow goes to a server with a free slot; were it sent to another full one, its client would be
-// refused there when it comes back, and with all full it stays and is served on where it is.
-BOOST_AUTO_TEST_CASE(shed_flow_moves_to_a_target_with_a_free_slot_or_not_at_all) {
-  auto view = MakeView(3);
-  for (auto full : {1U, 2U}) {
-    auto directory = MakeDirectory(view);
-    SettlePeers(directory);
-    auto packet = MakePacket(ClientOf(view, 1));
-    Send(directory, packet, kLater);
-    for (auto i = 0U; i < full; ++i) directory.peers[i].load.in_flight = 1;
-    auto offered = FlowOffered{FlowOf(packet), {1}, HandOverReason::kShed};
-    auto effects = Step(directory, offered, kLater);
-    if (full == 1) {
-      auto to = Last(effects, TunnelHeader::kHandOver).hand_over().to().target();
-      BOOST_TEST(to == directory.peers[1].ref.target.value);
-    } else {
-      BOOST_TEST(CountOf(effects, TunnelHeader::kHandOver) == 0);
-      BOOST_TEST(Send(directory, packet, kLater).deliveries.size() == 1U);
-    }
-  }
-}
-
-// The home itself served the flow and handed it over: it is the first to hear of the new owner and
-// passes the client's packets on, also those that came before the new owner had registered.
-BOOST_AUTO_TEST_CASE(home_that_handed_its_own_flow_over_passes_on) {
-  auto view = MakeView(3);
-  auto directory = MakeDirectory(view);
-  SettlePeers(directory);
-  auto packet = MakePacket(ClientOf(view, 1));
-  Send(directory, packet, kLater);
-  auto offered = FlowOffered{FlowOf(packet), {1}, HandOverReason::kShed};
-  auto offer = Last(Step(directory, offered, kLater), TunnelHeader::kHandOver);
-  Send(directory, AckOf(offer, true, false), kLater);
-  auto effects = Send(directory, packet, kLater);
-  BOOST_TEST(effects.deliveries.empty());
-  BOOST_TEST(CountOf(effects, TunnelHeader::kPacket) == 1);
-}
-
-// Two targets shed load in turns: the new owner has taken the flow and offers it back before the
-// word that it took it has arrived here. Accepted, both would forget the flow when it does arrive,
-// each sure that the other one has it, and its client would have nobody.
-BOOST_AUTO_TEST_CASE(flow_that_is_offered_back_too_soon_is_refused) {
-  auto view = MakeView(3);
-  auto directory = MakeDirectory(view);
-  SettlePeers(directory);
-  auto packet = MakePacket(ClientOf(view, 1));
-  Send(directory, packet, kLater);
-  directory.peers[1].load.in_flight = 1;
-  auto offered = FlowOffered{FlowOf(packet), {1}, HandOverReason::kShed};
-  auto offer = Last(Step(directory, offered, kLater), TunnelHeader::kHandOver);
-  auto back = MakeHandOver(packet, 1);
-  *back.mutable_hand_over()->mutable_from() = offer.hand_over().to();
-  auto answer = Last(Arrive(directory, back), TunnelHeader::kHandOverAck);
-  BOOST_TEST(!answer.hand_over_ack().accepted());
-}
-
-// The new owner has taken the flow and its client is gone already; that it ended reaches the home
-// before the word that it was taken. The client's next packet opens the flow anew. With the home
-// still naming the other one, which has forgotten it, the packet would go back and forth for ever.
-BOOST_AUTO_TEST_CASE(flow_that_ended_at_its_new_owner_can_be_opened_again) {
-  auto view = MakeView(3);
-  auto directory = MakeDirectory(view);
-  SettlePeers(directory);
-  auto packet = MakePacket(ClientOf(view, 1));
-  Send(directory, packet, kLater);
-  auto offered = FlowOffered{FlowOf(packet), {1}, HandOverReason::kShed};
-  auto offer = Last(Step(directory, offered, kLater), TunnelHeader::kHandOver);
-  auto header = wire::pb::TunnelHeader{};
-  auto* ended = header.mutable_register_();
-  ended->set_service(kDesk.value);
-  ended->set_sequence(1);
-  *ended->mutable_owner() = offer.hand_over().to();
-  WriteTo(*ended->mutable_home(), 1);
-  *ended->add_flows()->mutable_client() = packet.packet().flow().client();
-  ended->mutable_flows(0)->set_stamp(1);
-  ended->mutable_flows(0)->set_ended(true);
-  Send(directory, header, kLater);
-  Send(directory, AckOf(offer, true, true), kLater);
-  BOOST_TEST(Send(directory, packet, kLater).deliveries.size() == 1U);
-}
-
 // The target that was asked is gone from the platform: it has nothing, and the flow is served here.
 BOOST_AUTO_TEST_CASE(offer_to_a_target_that_is_gone_is_taken_back) {
   auto world = Draining{};
