--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -77,6 +77,8 @@
                {"full", directory.full},
                {"asked", directory.asked},
                {"conflicts", directory.conflicts},
+               {"yielded", directory.yielded},
+               {"stops_noticed", directory.stops_noticed},
                {"ended", directory.ended},
                {"handed_over", directory.handed_over},
                {"taken_over", directory.taken_over},
--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -97,8 +97,8 @@
                        if name.startswith("anvildrum_requests_total") and "malformed" in name)
         wait_until(lambda: malformed() > 0, "malformed client datagrams counted", WIDE_SECONDS)
 
-    # The operator sees: at every instance the counters that docs/operators/relay.md tells to look at.
-    def test_the_relays_counters_are_shown(self):
+    # The operator sees: the counters that docs/operators/relay.md and steering.md tell to look at.
+    def test_the_counters_of_the_pages_are_shown(self):
         page = (ROOT / "docs/operators/relay.md").read_text()
         table = page[page.index("## Counters"):page.index("## Limits")]
         rows = [row.split("|")[1] for row in table.splitlines() if row.startswith("| ")][1:]
@@ -110,6 +110,15 @@
             shown = {label for sample in samples if sample.startswith("anvildrum_relay_")
                      for label in re.findall('"([a-z_]+)"', sample) or [sample]}
             self.assertEqual([one for one in named if one not in shown], [], name)
+        page = (ROOT / "docs/operators/steering.md").read_text()
+        cells = [row.split("|")[1] for row in page[page.index("## Alarms"):].splitlines()
+                 if row.startswith("| `")]
+        events = [name for cell in cells if "settled" not in cell and "balancer" not in cell
+                  for name in re.findall("`([a-z_]+)`", cell)]
+        self.assertGreater(len(events), 5)
+        samples = running.metrics(running.plan["targets"][0])
+        shown = [f'anvildrum_flow_events_total{{event="{event}"}}' for event in events]
+        self.assertEqual([one for one in shown if one not in samples], [])
 
     # The operator sees: for each kind of rubbish its own count, and everything else as ever.
     # Order: one kind at one edge, its count, a request or call that is served, then the next kind.
