Withdraw a verdict whose loser wins; ask for packets that go in a circle

Ruled out: not renewing what is remembered by packets (real exceptions would be forgotten); erasing it at the hop limit (the packet and the knowledge of a lost owner would be gone).

Change: a verdict against an owner is withdrawn when that owner wins.

Each directed test fails without its change.

--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -75,10 +75,12 @@
     DropOwn(context, flow);
     return;
   }
-  auto same = [&](const PendingYield& yield) {
-    return yield.flow == flow && yield.loser == loser.owner;
+  // Safeguard: a verdict against an owner that was out of reach still waits when that owner is
+  // heard again and wins. Sent after all, both would let go, and nobody would own the flow.
+  auto is_earlier = [&](const PendingYield& yield) {
+    return yield.flow == flow && (yield.loser == loser.owner || yield.loser == winner);
   };
-  std::erase_if(directory.yields, same);
+  std::erase_if(directory.yields, is_earlier);
   directory.yields.push_back({flow, loser.owner, winner, loser.stamp, context.now, 0});
   SendYield(context, directory.yields.back());
 }
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -88,6 +88,16 @@
   if (arrival.packet.hops() == 0 && !known.promised) SendHint(context, arrival.packet, owner);
 }
 
+// Safeguard: what agents remember of a flow may lead in a circle when none of them owns it any
+// more, and each packet of the client would keep the circle alive: the client is served by nobody.
+// A packet that has passed this many agents is asked for instead. Held ones, which have no sender,
+// have been.
+auto MayCircle(const Directory& directory, const PacketArrival& arrival) -> bool {
+  const auto& policy = directory.policy;
+  auto hops = arrival.packet.hops();
+  return arrival.sender.value != 0 && hops >= policy.asking_hops && hops < policy.hop_limit;
+}
+
 // The sender, chosen by this agent or having asked it, does not open the flow. The flow is asked
 // for before it is placed, because a duplicate of the message may arrive late.
 auto PlaceDeclined(StepContext& context, const PacketArrival& arrival) -> void {
@@ -156,7 +166,11 @@
   auto known = directory.known.find(arrival.flow);
   auto handed_over = known != directory.known.end() && known->second.lineage.hand_overs > 0;
   if (known != directory.known.end() && (handed_over || !IsOpening(directory, arrival))) {
-    RouteByKnown(context, arrival, known->second);
+    if (MayCircle(directory, arrival)) {
+      StartAsking(context, arrival.flow, &arrival, std::nullopt);
+    } else {
+      RouteByKnown(context, arrival, known->second);
+    }
     return;
   }
   RouteUnknown(context, arrival);
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -190,6 +190,38 @@
   BOOST_TEST(CountOf(asked, TunnelHeader::kOwnerQuery) == 2);
 }
 
+// After a cut the home told one desk to let go of a trader's feed and could not reach it. Now that
+// desk has heard from the trader last and wins. Were the first verdict still sent, both desks would
+// let go, and the trader would be served by nobody.
+BOOST_AUTO_TEST_CASE(a_verdict_is_withdrawn_when_its_loser_wins) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  auto other = KnownOwner{};
+  other.owner = {MakeRecord(3).id, 1};
+  other.stamp = 1;
+  directory.known[FlowOf(packet)] = other;
+  directory.yields.push_back({FlowOf(packet), {MakeRecord(2).id, 1}, other.owner, 1, kStart, 1});
+  Send(directory, MakeRegister(packet, 1, false));
+  BOOST_REQUIRE(directory.yields.size() == 1u);
+  BOOST_TEST((directory.yields[0].loser == other.owner));
+}
+
+// What three desks remember of a flow leads in a circle, since none owns it any more. The trader's
+// packets, passed on from memory, would be dropped at the hop limit for as long as it sends.
+BOOST_AUTO_TEST_CASE(a_packet_that_goes_in_a_circle_is_asked_for) {
+  auto view = MakeView(3);
+  auto directory = MakeDirectory(view);
+  auto packet = MakePacket(ClientOf(view, 1));
+  auto known = KnownOwner{};
+  known.owner = {MakeRecord(2).id, 1};
+  directory.known[FlowOf(packet)] = known;
+  packet.mutable_packet()->set_hops(directory.policy.asking_hops);
+  auto effects = Send(directory, packet);
+  BOOST_TEST(CountOf(effects, TunnelHeader::kPacket) == 0);
+  BOOST_TEST(CountOf(effects, TunnelHeader::kOwnerQuery) == 2);
+}
+
 // A peer names as owner a later process of another target, which this agent has not heard of. To
 // take that for "nobody" would open the flow twice.
 BOOST_AUTO_TEST_CASE(a_claim_for_an_unknown_process_keeps_the_flow_from_being_opened) {
