Count control traffic by kind at every instance

Cause: the goal of 4 KB a second and node for control could not be looked at: a counter existed for directory messages alone, and not for probes, hints and the relay. On the data path it is two additions a datagram; its cost was not measured. Test: Configuration.test_a_patch_is_in_force_everywhere_and_one_of_two_wins waits for them on all 13 instances; green in 6 s. Its first form asked each agent for an answered probe at once and failed at 4.8 s after the start; it now waits.

--- a/src/daemon/internal/agent_routes.cc
+++ b/src/daemon/internal/agent_routes.cc
@@ -30,6 +30,7 @@
   auto& metrics = this->runtime->metrics;
   if (this->agent) ExportAgent(metrics, *this->agent);
   ExportRelay(metrics, this->relay->State());
+  ExportRelayTraffic(metrics, this->relay->Traffic());
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
   return telemetry::RenderPrometheus(metrics);
--- a/src/daemon/internal/balancer_routes.cc
+++ b/src/daemon/internal/balancer_routes.cc
@@ -29,6 +29,7 @@
   ExportMonitor(metrics, this->monitor);
   ExportFence(metrics, this->fence);
   ExportRelay(metrics, this->relay->State());
+  ExportRelayTraffic(metrics, this->relay->Traffic());
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
   return telemetry::RenderPrometheus(metrics);
--- a/src/daemon/internal/metrics_export.cc
+++ b/src/daemon/internal/metrics_export.cc
@@ -28,6 +28,11 @@
   }
 }
 
+auto SetKind(Registry& metrics, std::string_view name, std::string_view help, std::string_view kind,
+             std::uint64_t value) -> void {
+  SetLabelled(metrics, name, help, "kind", std::array<Sample, 1>{{{kind, value}}});
+}
+
 auto SetGauge(Registry& metrics, std::string_view name, std::string_view help, double value)
     -> void {
   telemetry::Set(telemetry::AddGauge(metrics, name, help), value);
@@ -73,6 +78,17 @@
 constexpr auto kWireErrors = std::array<std::string_view, TunnelCounts::kCodes>{
     "truncated", "bad_mac", "malformed", "missing_body", "bad_address", "too_large", "no_key"};
 
+// By the field number of TunnelHeader's body, from 3.
+constexpr auto kFirstBody = std::size_t{3};
+constexpr auto kTunnelBodies = std::array<std::string_view, kTunnelKinds - kFirstBody>{
+    "packet",       "reply",   "hint",           "owner_query",  "owner_answer", "register",
+    "register_ack", "yield",   "probe",          "probe_answer", "drain_notice", "yield_ack",
+    "refused",      "hand_on", "hand_on_answer", "resettle",     "hand_over",    "hand_over_ack"};
+
+// By the field number of RelayMessage's body, from 3.
+constexpr auto kRelayBodies = std::array<std::string_view, kRelayKinds - kFirstBody>{
+    "subscribe", "update", "heartbeat", "unsubscribe", "suspicion"};
+
 // In the order of platform::CallKind.
 constexpr auto kPlatformCalls =
     std::array<std::string_view, platform::kCallKinds>{"get", "list", "put", "delete", "watch"};
@@ -190,7 +206,42 @@
              counters.watches_hung);
 }
 
+auto ExportRelayTraffic(Registry& metrics, const RelayTraffic& traffic) -> void {
+  for (auto i = std::size_t{0}; i < kRelayBodies.size(); ++i) {
+    const auto& sent = traffic.sent[i + kFirstBody];
+    const auto& received = traffic.received[i + kFirstBody];
+    SetKind(metrics, "anvildrum_relay_sent_messages_total", "Messages sent by the relay",
+            kRelayBodies[i], sent.messages);
+    SetKind(metrics, "anvildrum_relay_sent_bytes_total", "Bytes of them", kRelayBodies[i],
+            sent.bytes);
+    SetKind(metrics, "anvildrum_relay_received_messages_total", "Messages that the relay got",
+            kRelayBodies[i], received.messages);
+    SetKind(metrics, "anvildrum_relay_received_bytes_total", "Bytes of them", kRelayBodies[i],
+            received.bytes);
+  }
+}
+
+namespace {
+
+auto ExportTunnelTraffic(Registry& metrics, const TunnelCounts& counts) -> void {
+  for (auto i = std::size_t{0}; i < kTunnelBodies.size(); ++i) {
+    const auto& sent = counts.sent[i + kFirstBody];
+    const auto& received = counts.received[i + kFirstBody];
+    SetKind(metrics, "anvildrum_tunnel_sent_datagrams_total", "Datagrams sent by the tunnel",
+            kTunnelBodies[i], sent.datagrams);
+    SetKind(metrics, "anvildrum_tunnel_sent_bytes_total", "Bytes of their UDP payload",
+            kTunnelBodies[i], sent.bytes);
+    SetKind(metrics, "anvildrum_tunnel_received_datagrams_total", "Tunnel datagrams opened",
+            kTunnelBodies[i], received.datagrams);
+    SetKind(metrics, "anvildrum_tunnel_received_bytes_total", "Bytes of their UDP payload",
+            kTunnelBodies[i], received.bytes);
+  }
+}
+
+}  // namespace
+
 auto ExportTunnel(Registry& metrics, const TunnelPort& tunnel) -> void {
+  ExportTunnelTraffic(metrics, tunnel.Counts());
   for (auto i = std::size_t{0}; i < kWireErrors.size(); ++i) {
     SetLabelled(metrics, "anvildrum_tunnel_refused_total", "Tunnel datagrams refused", "reason",
                 std::array<Sample, 1>{{{kWireErrors[i], tunnel.Counts().refused[i]}}});
--- a/src/daemon/internal/relay_runtime.cc
+++ b/src/daemon/internal/relay_runtime.cc
@@ -39,6 +39,15 @@
   return security;
 }
 
+static_assert(wire::pb::RelayMessage::kSuspicion < kRelayKinds);
+
+auto Count(RelayKindCounts& counts, const wire::pb::RelayMessage& message, std::size_t bytes)
+    -> void {
+  auto& count = counts.at(static_cast<std::size_t>(message.body_case()));
+  ++count.messages;
+  count.bytes += bytes;
+}
+
 auto AsBytes(const std::string& text) -> wire::BytesView {
   return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
 }
@@ -72,6 +81,8 @@
 auto RelayRuntime::Stop() -> void { this->Run(relay::StopRequested{}); }
 auto RelayRuntime::State() const -> const relay::State& { return this->state; }
 
+auto RelayRuntime::Traffic() const -> const RelayTraffic& { return this->traffic; }
+
 auto RelayRuntime::PeersChanged(std::vector<relay::RelayPeer> peers) -> void {
   this->Run(relay::PeersChanged{std::move(peers)});
 }
@@ -113,6 +124,7 @@
 
 auto RelayRuntime::Send(const relay::SendPeer& send) -> void {
   auto text = send.message->SerializeAsString();
+  Count(this->traffic.sent, *send.message, text.size());
   if (send.endpoint != base::Endpoint{}) {
     auto* link = this->OpenLink(send.endpoint);
     if (link != nullptr && !link->socket->Send(AsBytes(text))) link->waiting = std::move(text);
@@ -155,6 +167,7 @@
     ++this->malformed;
     return;
   }
+  Count(this->traffic.received, message.message, bytes.size());
   message.sender = {message.message.sender()};
   this->children[message.sender] = identity;
   this->Run(message);
@@ -166,6 +179,7 @@
     ++this->malformed;
     return;
   }
+  Count(this->traffic.received, message.message, bytes.size());
   message.sender = {message.message.sender()};
   message.endpoint = endpoint;
   this->Run(message);
--- a/src/daemon/internal/relay_runtime.h
+++ b/src/daemon/internal/relay_runtime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
@@ -14,6 +15,21 @@
 
 namespace anvildrum::daemon {
 
+/// Messages of one kind, as ZeroMQ carries them: without its framing, CURVE and TCP.
+struct RelayKindCount {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+};
+
+/// By the field number of RelayMessage's body (src/wire/relay.proto); 0 is what named none.
+inline constexpr auto kRelayKinds = std::size_t{8};
+using RelayKindCounts = std::array<RelayKindCount, kRelayKinds>;
+
+struct RelayTraffic {
+  RelayKindCounts sent{};
+  RelayKindCounts received{};
+};
+
 /// Drives relay::Step with ZeroMQ sockets, platform calls and a timer.
 class RelayRuntime {
  public:
@@ -38,6 +54,7 @@
   auto Stop() -> void;
 
   [[nodiscard]] auto State() const -> const relay::State&;
+  [[nodiscard]] auto Traffic() const -> const RelayTraffic&;
 
  private:
   /// A connection to a parent. `waiting` is what was said last while it was not up yet.
@@ -70,6 +87,7 @@
   boost::asio::steady_timer poll_timer;
   std::uint64_t watch_call = 0;  ///< answers of earlier watches are ignored
   std::uint64_t malformed = 0;
+  RelayTraffic traffic;
 };
 
 }  // namespace anvildrum::daemon
--- a/src/daemon/internal/tunnel_port.cc
+++ b/src/daemon/internal/tunnel_port.cc
@@ -6,6 +6,14 @@
 // Room for a client's datagram of the usual path MTU with the tunnel's header round it.
 constexpr auto kMaxTunnelDatagram = std::size_t{65'507};
 
+static_assert(wire::pb::TunnelHeader::kHandOverAck < kTunnelKinds);
+
+auto Count(KindCounts& counts, const wire::pb::TunnelHeader& header, std::size_t bytes) -> void {
+  auto& count = counts.at(static_cast<std::size_t>(header.body_case()));
+  ++count.datagrams;
+  count.bytes += bytes;
+}
+
 }  // namespace
 
 TunnelPort::TunnelPort(wire::KeyRing ring, OnMessage on_message)
@@ -33,6 +41,7 @@
     ++this->counts.refused.at(static_cast<std::size_t>(error->code));
     return;
   }
+  Count(this->counts.received, this->opened.header, datagram.size());
   this->on_message(from, this->opened);
 }
 
@@ -42,6 +51,7 @@
     ++this->counts.unsent;
     return;
   }
+  Count(this->counts.sent, header, this->scratch.size());
   this->port->Send(to, this->scratch);
 }
 
--- a/src/daemon/internal/tunnel_port.h
+++ b/src/daemon/internal/tunnel_port.h
@@ -10,10 +10,22 @@
 
 namespace anvildrum::daemon {
 
-/// Counts of datagrams that were refused, by wire::WireErrorCode.
+/// Datagrams of one kind, with their whole UDP payload.
+struct KindCount {
+  std::uint64_t datagrams = 0;
+  std::uint64_t bytes = 0;
+};
+
+/// By the field number of TunnelHeader's body (src/wire/tunnel.proto); 0 is unused.
+inline constexpr auto kTunnelKinds = std::size_t{21};
+using KindCounts = std::array<KindCount, kTunnelKinds>;
+
+/// Counts of datagrams; those that were refused by wire::WireErrorCode.
 struct TunnelCounts {
   static constexpr auto kCodes = std::size_t{7};
   std::array<std::uint64_t, kCodes> refused{};
+  KindCounts sent{};
+  KindCounts received{};
   std::uint64_t unsent = 0;  ///< headers and payloads too large for a datagram
 };
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -101,10 +101,24 @@
                          first.stderr + second.stderr)
         self.assertIn("3", second.stdout + second.stderr)
         self.assertIn('"queue_ms": 310', json.dumps(json.loads(running.ctl("get").stdout)))
+        self.check_control_is_counted(running)
         refused = self.apply(running, 3, self.queue_patch(-1))
         self.assertEqual(refused.returncode, EXIT_REFUSED)
         self.assertIn("/services/desk/limits/queue_ms", refused.stderr)
 
+    def check_control_is_counted(self, running):
+        """Each instance shows what it sent and got for control, in datagrams and bytes, by kind."""
+        def shows(entry):
+            metrics = running.metrics(entry)
+            sent, size, back = (metrics.get(f"anvildrum_tunnel_{name}", 0) for name in (
+                'sent_datagrams_total{kind="probe"}', 'sent_bytes_total{kind="probe"}',
+                'received_bytes_total{kind="probe_answer"}'))
+            heard = metrics.get('anvildrum_relay_received_messages_total{kind="heartbeat"}', 0)
+            told = metrics.get('anvildrum_relay_sent_messages_total{kind="heartbeat"}', 0)
+            return sent > 0 and size > sent and back > 0 and heard + told > 0
+        for name, entry in running.entries():
+            wait_until(lambda entry=entry: shows(entry), f"control traffic of {name}", WIDE_SECONDS)
+
     # The operator sees: the number of the patch, once, although the platform's answer was lost
     # after the write; repeating the command changes nothing. Why: the patch's own id is in the
     # configuration's history, so that its author can tell that it took.
