--- a/src/daemon/internal/agent_routes.cc
+++ b/src/daemon/internal/agent_routes.cc
@@ -33,6 +33,7 @@
   ExportRelayEdge(metrics, this->relay->Refusals(), this->relay->State().counters);
   ExportRecords(metrics, this->records_refused);
   ExportOperatorPort(metrics, *this->runtime->operator_port);
+  ExportRelayTraffic(metrics, this->relay->Traffic());
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
   return telemetry::RenderPrometheus(metrics);
--- a/src/daemon/internal/balancer_routes.cc
+++ b/src/daemon/internal/balancer_routes.cc
@@ -33,6 +33,7 @@
   ExportRecords(metrics, this->records_refused);
   ExportOperatorPort(metrics, *this->runtime->operator_port);
   ExportServicePorts(metrics, this->Datagrams());
+  ExportRelayTraffic(metrics, this->relay->Traffic());
   ExportTunnel(metrics, *this->tunnel);
   ExportPlatform(metrics, *this->runtime->platform);
   return telemetry::RenderPrometheus(metrics);
--- a/src/daemon/internal/edges_export.cc
+++ b/src/daemon/internal/edges_export.cc
@@ -18,6 +18,7 @@
 }
 
 auto ExportTunnel(Registry& metrics, const TunnelPort& tunnel) -> void {
+  ExportTunnelTraffic(metrics, tunnel.Counts());
   SetByName<wire::WireErrorCode>(metrics, "anvildrum_tunnel_refused_total",
                                  "Tunnel datagrams refused", "reason", tunnel.Counts().refused);
   SetLabelled(metrics, kOversized, kOversizedHelp, "port",
--- a/src/daemon/internal/metrics_export.h
+++ b/src/daemon/internal/metrics_export.h
@@ -22,6 +22,10 @@
 auto ExportAgent(telemetry::Registry& metrics, const agent::Agent& agent) -> void;
 auto ExportRelay(telemetry::Registry& metrics, const relay::State& state) -> void;
 
+// traffic_export.cc: what is sent and received for control, by kind of message.
+auto ExportRelayTraffic(telemetry::Registry& metrics, const RelayTraffic& traffic) -> void;
+auto ExportTunnelTraffic(telemetry::Registry& metrics, const TunnelCounts& counts) -> void;
+
 // edges_export.cc: what is counted where input comes in, refusals by kind above all.
 auto ExportServicePorts(telemetry::Registry& metrics, const ServiceDatagrams& counts) -> void;
 auto ExportTunnel(telemetry::Registry& metrics, const TunnelPort& tunnel) -> void;
--- a/src/daemon/internal/relay_runtime.cc
+++ b/src/daemon/internal/relay_runtime.cc
@@ -44,6 +44,15 @@
   refusals.link_malformed += counts.malformed;
 }
 
+static_assert(wire::pb::RelayMessage::kSuspicion < kRelayKinds);
+
+auto Count(RelayKindCounts& counts, const wire::pb::RelayMessage& message, std::size_t bytes)
+    -> void {
+  auto& count = counts.at(static_cast<std::size_t>(message.body_case()));
+  ++count.messages;
+  count.bytes += bytes;
+}
+
 auto AsBytes(const std::string& text) -> wire::BytesView {
   return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
 }
@@ -84,6 +93,8 @@
   return refusals;
 }
 
+auto RelayRuntime::Traffic() const -> const RelayTraffic& { return this->traffic; }
+
 auto RelayRuntime::PeersChanged(std::vector<relay::RelayPeer> peers) -> void {
   this->Run(relay::PeersChanged{std::move(peers)});
 }
@@ -124,6 +135,7 @@
 
 auto RelayRuntime::Send(const relay::SendPeer& send) -> void {
   auto text = send.message->SerializeAsString();
+  Count(this->traffic.sent, *send.message, text.size());
   if (send.endpoint != base::Endpoint{}) {
     auto* link = this->OpenLink(send.endpoint);
     if (link != nullptr && !link->socket->Send(AsBytes(text))) link->waiting = std::move(text);
@@ -173,6 +185,7 @@
     ++this->refusals.malformed;
     return;
   }
+  Count(this->traffic.received, message.message, bytes.size());
   message.sender = {message.message.sender()};
   this->children[message.sender] = identity;
   this->Run(message);
@@ -184,6 +197,7 @@
     ++this->refusals.malformed;
     return;
   }
+  Count(this->traffic.received, message.message, bytes.size());
   message.sender = {message.message.sender()};
   message.endpoint = endpoint;
   this->Run(message);
