Keep a copy where it is until the next stand-by has its own

Cause: an owner that for a while did not reach its stand-by, and knew no other, told it to forget the copies, and left new ones only at the next look; one that changed its stand-by told the earlier one first. Had the owner died in between, its clients' screens would have frozen [copy_stays_where_it_is_while_no_other_can_keep_it failed before: the copy was gone after the cut was mended].

Change: only a flow that is over takes its copy back by itself; when the stand-by changes, the earlier one is told to forget after the new copy has gone out. The streams of copies are a list, since one may be added while another is filled.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -90,7 +91,7 @@
 /// The owner's end of the stand-by copies.
 struct Copies {
   std::unordered_map<base::FlowKey, CopiedFlow> flows;
-  std::vector<CopyStream> streams;
+  std::list<CopyStream> streams;  ///< references last while others are added
   base::TimePoint next_look{};
   double bytes_left = 0;  ///< of the budget; may go below zero by one batch
   base::TimePoint earned{};
--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -61,18 +61,17 @@
   auto keeper = steering::StandByOf(context.agent.directory, flow);
   if (!keeper) return;
   auto copied = copies.flows.find(flow);
-  auto has_copy = copied != copies.flows.end();
-  if (has_copy && IsCurrent(context, copied->second, *keeper, version)) return;
-  Enqueue(copies, *keeper, flow, has_copy);
+  auto known = copied != copies.flows.end();
+  if (known && IsCurrent(context, copied->second, *keeper, version)) return;
+  Enqueue(copies, *keeper, flow, known && copied->second.keeper == *keeper);
 }
 
-// Flows that have ended or moved, and flows that have another stand-by now.
+// Flows that have ended or moved.
 auto LookAtCopied(Context& context) -> void {
   auto& agent = context.agent;
   auto over = std::vector<base::FlowKey>{};
   for (const auto& [flow, copied] : agent.copies.flows) {
-    auto keeper = steering::StandByOf(agent.directory, flow);
-    if (keeper != copied.keeper || VersionOf(context, flow) == 0) over.push_back(flow);
+    if (VersionOf(context, flow) == 0) over.push_back(flow);
   }
   std::ranges::sort(over);
   for (const auto& flow : over) {
@@ -92,6 +91,15 @@
   for (const auto& flow : flows) LookAtServed(context, flow);
 }
 
+// Safeguard: told to forget its copy before the next stand-by has one, the earlier one could not go
+// on with the flow if the owner died in between. It is told after it.
+auto NoteCopy(Copies& copies, const base::FlowKey& flow, const CopiedFlow& copy) -> void {
+  auto before = copies.flows.find(flow);
+  auto moved = before != copies.flows.end() && before->second.keeper != copy.keeper;
+  if (moved) Enqueue(copies, before->second.keeper, flow, true);
+  copies.flows[flow] = copy;
+}
+
 // The flow as its stand-by is to have it now; without a record when it is to forget it. A flow that
 // has ended while it waited for its first copy costs nothing.
 auto AddCopy(Context& context, const base::FlowKey& flow, const CopyStream& stream, bool has_copy,
@@ -107,7 +115,7 @@
   if (!keeps) return;
   auto record = requests::ExportStreams(*agent.requests, flow, context.now - policy.lived);
   auto bytes = WriteRecord(record);
-  agent.copies.flows[flow] = {keeper, version, context.now};
+  NoteCopy(agent.copies, flow, {keeper, version, context.now});
   if (bytes.size() > policy.most_copy_bytes) {
     ++agent.counters.copies_too_large;
     return;
--- a/src/agent/tests/stand_by_test.cc
+++ b/src/agent/tests/stand_by_test.cc
@@ -187,6 +187,36 @@
   BOOST_TEST(KeeperOf(world, flow) == 3U);
 }
 
+// The owner does not reach its stand-by for a while, and knows no other: the copy must stay, also
+// right after, or an owner that dies then leaves its clients to a frozen screen.
+BOOST_AUTO_TEST_CASE(copy_stays_where_it_is_while_no_other_can_keep_it) {
+  auto world = OpenFeeds(2);
+  auto flow = FlowsOf(world, 0).front();
+  BOOST_REQUIRE(KeeperOf(world, flow) == 1U);
+  Cut(world, 0, 1);
+  RunFor(world, base::seconds(8));
+  world.cuts.clear();
+  for (auto i = 0; i < 600; ++i) {
+    RunFor(world, base::milliseconds(20));
+    BOOST_REQUIRE(KeeperOf(world, flow) == 1U);
+  }
+}
+
+// The stand-by is out of the owner's reach, and another one gets the copy. When the first is back,
+// it is that one's again, and the other has forgotten it.
+BOOST_AUTO_TEST_CASE(copy_follows_the_stand_by) {
+  auto world = OpenFeeds(3);
+  auto flow = FlowsOf(world, 0).front();
+  auto first = KeeperOf(world, flow);
+  Cut(world, 0, first);
+  RunFor(world, base::seconds(8));
+  BOOST_TEST(world.desks[3 - first].agent.directory.copies.contains(flow));
+  world.cuts.clear();
+  RunFor(world, base::seconds(30));
+  BOOST_TEST(world.desks[first].agent.directory.copies.contains(flow));
+  BOOST_TEST(!world.desks[3 - first].agent.directory.copies.contains(flow));
+}
+
 // Many feeds open at once: their copies wait for their turn, and all are there in the end.
 BOOST_AUTO_TEST_CASE(copies_keep_to_their_bytes) {
   auto world = OpenFeeds(3, kMany);
