Wait for each flow's first answers before the drain of the outage test

The load client counts a flow as moved when two targets have answered it. The replaced balancer is now ready 8 ms after its start (its log), so the drain came some 0.4 s after the flows had opened, and each posts once a second: most had no answer yet from the target they left. Ruled out: two owners of a flow (30 posts a flow, all answered, 20 of 20 streams alive). Change: the outage begins when 40 POSTs have run, two on each flow. What is expected stays.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -23,8 +23,8 @@
         running = self.start_fleet(drain_seconds=35)
         load = running.start_load("desk", "--flows", "20", "--observe", "feed", "--gap-ms", "30000",
                                   "--post", "hold", "--rate", "20", "--seconds", "30")
-        wait_until(lambda: sum(running.status(t)["flows"] for t in running.plan["targets"]) >= 20,
-                   "flows open", WIDE_SECONDS)
+        # Flows post in turns. One that moved before its first answer would not be seen to move.
+        wait_until(lambda: self.posts_run(running) >= 40, "two answers on each flow", WIDE_SECONDS)
         running.faults(down=True)
         down_since = time.monotonic()
         self.replace_balancer(running, "b1")
@@ -61,6 +61,10 @@
         wait_until(lambda: self.target_of_new_flow(running) == again["name"],
                    "a new flow at the target after the outage", WIDE_SECONDS)
 
+    def posts_run(self, running):
+        names = [t["name"] for t in running.plan["targets"] if t["service"] == "desk"]
+        return sum(len(running.executions(name)) for name in names)
+
     def target_of_new_flow(self, running):
         with Flow(running.service_address("desk")) as flow:
             answer = flow.get("feed")
