--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -119,6 +119,8 @@
         self.assertGreater(len(events), 5)
         samples = running.metrics(running.plan["targets"][0])
         shown = [f'anvildrum_flow_events_total{{event="{event}"}}' for event in events]
+        shown += re.findall('`(anvildrum_[a-z_]+{[^`]+})`', "".join(cells))
+        self.assertGreater(len(shown), len(events))
         self.assertEqual([one for one in shown if one not in samples], [])
 
     # The operator sees: for each kind of rubbish its own count, and everything else as ever.
