--- a/bench/forwarding/forwarding.py
+++ b/bench/forwarding/forwarding.py
@@ -51,7 +51,7 @@
         self.program = str(self.build / "bench/forwarding/anvildrum-forwarding-bench")
         self.folder = tempfile.TemporaryDirectory(prefix="anvildrum-bench-")
         self.path = pathlib.Path(self.folder.name)
-        self.base = fleet.free_base_port()
+        self.base, self.holder = fleet.reserve_ports()
         self.processes = []
         self.balancers = []
         self.sinks = {}
@@ -64,6 +64,7 @@
         self.stop(self.balancers)
         self.stop(self.processes)
         self.folder.cleanup()
+        self.holder.close()
 
     @staticmethod
     def stop(processes):
