Look a remembered flow up once for a packet; one Overloaded for all modules

Cause, seen on the last read: AcceptPacket looked the known owner up twice on each packet that is passed on, with the decision about it spread over two functions; OwnedFlows listed the flows that can move now, not all; struct Overloaded stood in agent and requests. Change: RouteByMemory decides by one look-up; MovableFlows and OfferAllFlows say what they do; base/overloaded.h. Behaviour stays.

--- a/src/agent/internal/hand_over.cc
+++ b/src/agent/internal/hand_over.cc
@@ -13,7 +13,7 @@
 // over waits until its ledger entries have expired.
 constexpr auto kMostRecordBytes = wire::kMaxDatagram - 1024;
 
-auto OwnedFlows(const Context& context) -> std::vector<base::FlowKey> {
+auto MovableFlows(const Context& context) -> std::vector<base::FlowKey> {
   auto flows = std::vector<base::FlowKey>{};
   const auto& directory = context.agent.directory;
   for (const auto& [flow, owned] : directory.owned) {
@@ -33,9 +33,9 @@
   return bytes;
 }
 
-auto OfferOwnedFlows(Context& context) -> void {
+auto OfferAllFlows(Context& context) -> void {
   auto& agent = context.agent;
-  auto flows = OwnedFlows(context);
+  auto flows = MovableFlows(context);
   if (flows.empty()) return;
   auto ledgers = requests::IndexLedger(*agent.requests);
   auto left = agent.policy.hand_overs_of_period;
@@ -94,7 +94,7 @@
   auto& agent = context.agent;
   if (context.now < agent.next_offers) return;
   agent.next_offers = context.now + agent.policy.hand_over_period;
-  if (agent.phase == Phase::kDraining) return OfferOwnedFlows(context);
+  if (agent.phase == Phase::kDraining) return OfferAllFlows(context);
   if (agent.phase == Phase::kServing) OfferShedFlows(context);
 }
 
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "agent/internal/parts.h"
+#include "base/overloaded.h"
 #include "wire/convert.h"
 
 namespace anvildrum::agent {
@@ -10,13 +11,6 @@
 
 constexpr auto kMostTracedFlows = std::size_t{4096};
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 auto CopyOf(wire::BytesView view) -> wire::Bytes { return {view.begin(), view.end()}; }
 
 auto RememberTrace(Agent& agent, const steering::Deliver& delivery) -> void {
@@ -90,7 +84,7 @@
 
 auto Carry(Context& context, requests::Effect effect) -> void {
   std::visit(
-      Overloaded{
+      base::Overloaded{
           [&](requests::SendToTarget& send) {
             context.effects.emplace_back(SendTarget{send.flow, std::move(send.bytes)});
           },
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -1,19 +1,13 @@
 #include <algorithm>
 
+#include "base/overloaded.h"
 #include "requests/internal/state.h"
 
 namespace anvildrum::requests {
 namespace {
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 auto Dispatch(Context& context, const Event& event) -> void {
-  std::visit(Overloaded{
+  std::visit(base::Overloaded{
                  [&](const ClientDatagram& at) { OnClientDatagram(context, at); },
                  [&](const TargetDatagram& at) { OnTargetDatagram(context, at); },
                  [&](const TargetUnreachable& at) { OnTargetUnreachable(context, at); },
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -120,13 +120,27 @@
 // a late copy of the flow's first opening, and opened here it would bring up a second owner.
 // Declined, the home passes it to the owner that it knows, or asks everybody before it opens the
 // flow. Returns whether it was declined.
-auto DeclineHandedOver(StepContext& context, const PacketArrival& arrival) -> bool {
+auto DeclineOpening(StepContext& context, const PacketArrival& arrival) -> bool {
+  auto* sender = FindPeerByInstance(context.directory, arrival.sender);
+  if (sender == nullptr) return false;
+  Decline(context, *sender, arrival);
+  return true;
+}
+
+// By what this agent remembers of the flow; returns whether that decides.
+auto RouteByMemory(StepContext& context, const PacketArrival& arrival) -> bool {
   auto& directory = context.directory;
   auto known = directory.known.find(arrival.flow);
-  if (known == directory.known.end() || known->second.lineage.hand_overs == 0) return false;
-  auto* sender = FindPeerByInstance(directory, arrival.sender);
-  if (sender == nullptr || !IsOpening(directory, arrival)) return false;
-  Decline(context, *sender, arrival);
+  if (known == directory.known.end()) return false;
+  if (IsOpening(directory, arrival)) {
+    if (known->second.lineage.hand_overs == 0) return false;
+    if (DeclineOpening(context, arrival)) return true;
+  }
+  if (MayCircle(directory, arrival)) {
+    StartAsking(context, arrival.flow, &arrival, std::nullopt);
+  } else {
+    RouteByKnown(context, arrival, known->second);
+  }
   return true;
 }
 
@@ -179,17 +193,7 @@
     HoldPacket(context, pending->second, arrival);
     return;
   }
-  auto known = directory.known.find(arrival.flow);
-  auto handed_over = known != directory.known.end() && known->second.lineage.hand_overs > 0;
-  if (DeclineHandedOver(context, arrival)) return;
-  if (known != directory.known.end() && (handed_over || !IsOpening(directory, arrival))) {
-    if (MayCircle(directory, arrival)) {
-      StartAsking(context, arrival.flow, &arrival, std::nullopt);
-    } else {
-      RouteByKnown(context, arrival, known->second);
-    }
-    return;
-  }
+  if (RouteByMemory(context, arrival)) return;
   RouteUnknown(context, arrival);
 }
 
