Lines of a log never wait for their reader

Cause: the log of the packets daemon goes to standard output, usually a pipe. Its writer is the daemon's only thread; when the collector stalls and the pipe is full, every flow stands still. Ruled out: O_NONBLOCK on standard output (shared with whoever else holds the descriptor), a thread of its own (a wake-up a line). Change: a sink that asks poll(2) first, writes lines of PIPE_BUF at most, and counts the lines that found no room; the count precedes the next line.

--- a/src/telemetry/internal/log.cc
+++ b/src/telemetry/internal/log.cc
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -11,6 +12,8 @@
 #include <memory>
 #include <utility>
 
+#include "telemetry/internal/pipe_sink.h"
+
 namespace anvildrum::telemetry {
 namespace {
 
@@ -68,7 +71,7 @@
 auto OpenSink(const LogOptions& options) -> base::Result<spdlog::sink_ptr> {
   const auto& file = options.file;
   if (options.standard_output) {
-    return spdlog::sink_ptr{std::make_shared<spdlog::sinks::stdout_sink_mt>()};
+    return spdlog::sink_ptr{std::make_shared<PipeSink>(STDOUT_FILENO)};
   }
   if (file.empty()) return StandardError();
   try {
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -17,9 +17,10 @@
 
 struct LogOptions {
   LogLevel level = LogLevel::kInfo;
-  std::string file = {};         ///< appended to; empty: standard error
-  std::string instance = {};     ///< goes into every line
-  bool standard_output = false;  ///< instead of a file or standard error
+  std::string file = {};      ///< appended to; empty: standard error
+  std::string instance = {};  ///< goes into every line
+  /// Instead of a file or standard error. A reader that stalls costs lines, never time.
+  bool standard_output = false;
 };
 
 /// One key and value of an event. Text is kept as a view: a field lives as long as the Log call.
