Search a service of more than 64 agents whole

Cause: a packet's way ends after 63 hops, and each further packet of an unknown flow began its search one place further: in a service of 200 agents the last third was not asked before some hundred packets. Change: where there are more than 64 agents the next packet goes on behind the way of the last one. Test: a_few_packets_search_all_agents_of_a_large_service, which failed before (67 of 200 asked by four packets).

--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -99,14 +99,19 @@
   return RefuseOpening{DiscardReason::kNoTarget};
 }
 
-// Where the search for a flow's agent begins: at the head of its order, and one place further with
-// each packet, so that an agent on the way that has just ended does not swallow all of them.
+// Places by which the search moves on with each packet. One packet's way ends after kMaxHops
+// agents: where there are more, the next packet goes on behind it. Moved on by one place, a flow at
+// the 150th of 200 agents was found by its client's 88th packet; so it is found by the third.
+auto SearchStep(std::size_t agents) -> std::size_t { return agents > kMaxHops + 1U ? kMaxHops : 1; }
+
+// Where the search for a flow's agent begins: at the head of its order, and further on with each
+// packet, so that an agent on the way that has just ended does not swallow all of them.
 auto SearchFrom(Balancer& balancer, const FlowId& flow, Hint& hint, base::ServiceId service,
                 base::TimePoint now) -> Address {
   ++balancer.counters.unhinted;
   const auto order = RendezvousOrder(flow, SearchSet(balancer.view, service, now));
   if (order.empty()) return 0;
-  return order[hint.searches++ % order.size()];
+  return order[(hint.searches++ * SearchStep(order.size())) % order.size()];
 }
 
 // Whether a hint is worth following: the agent is known, stands beside a target of the service that
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -98,6 +98,26 @@
   BOOST_TEST(begun.size() == 5U);
 }
 
+// A service has 200 agents, and the flow is held by one far down its order, where it was placed
+// while those before it were busy. One packet asks 64 of them. All have to be asked by the client's
+// first few packets: it gives up after as many as it can send until its deadline.
+BOOST_AUTO_TEST_CASE(a_few_packets_search_all_agents_of_a_large_service) {
+  constexpr auto kAgents = Address{200};
+  auto rig = Rig{kAgents};
+  auto agents = std::vector<Address>{};
+  for (auto i = Address{0}; i < kAgents; ++i) agents.push_back(kFirstAgent + i);
+  const auto order = RendezvousOrder({{0x64400007, 9}, kRoute}, agents);
+  auto asked = std::set<Address>{};
+  for (auto packet = 0; packet < 4; ++packet) {
+    auto place = std::find(order.begin(), order.end(), AgentOf(rig.Data(9)));
+    for (auto hops = 0; hops <= kMaxHops; ++hops) {
+      if (place == order.end()) place = order.begin();
+      asked.insert(*place++);
+    }
+  }
+  BOOST_TEST(asked.size() == kAgents);
+}
+
 BOOST_AUTO_TEST_CASE(a_located_flow_is_not_searched_any_more) {
   auto rig = Rig{5};
   rig.Data(9);
