Give a target that has been silent for two heartbeats no opening

Cause: a target ends without a word, its address serves another service two seconds later at the earliest, and the agent is told by its changed settings alone, which it looks at every two seconds. Meanwhile openings for its former service are given to the new target. Ruled out: the stamp's service tag (it is compared with the agent's own service, which is the one out of date). Change: openings go elsewhere when the target has been silent for two and a half heartbeats, but no longer than until its address may be used again (settings, from the platform); a heartbeat for another service makes the process read its settings at once. Packets of open flows are still delivered: a target that is cut off from its agent's heartbeats keeps its flows.

--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -22,7 +23,10 @@
 /// The agent as a process: sockets, timers and the platform round packets::Agent.
 class AgentNode {
  public:
-  AgentNode(boost::asio::io_context& io, const Adapter& adapter, const Settings& settings);
+  /// `reload` reads the settings file again: the target beside the agent says that it is of another
+  /// service than they say.
+  AgentNode(boost::asio::io_context& io, const Adapter& adapter, const Settings& settings,
+            std::function<void()> reload);
 
   /// Binds all sockets and begins. Errors: net::NetError.
   auto Start() -> base::Result<void>;
@@ -60,6 +64,7 @@
   boost::asio::io_context& io;
   const Adapter& adapter;
   Settings settings;
+  std::function<void()> reload;
   OperatorView operators;
   packets::Agent core;
   platform::Client client;
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -34,21 +34,37 @@
   return response;
 }
 
+// Two heartbeats and a half, so that one may be lost; but before the address may serve another
+// service. Openings are withheld from a target that is well if it is shorter than this many.
+constexpr auto kSilentHeartbeats = 2.5;
+constexpr auto kLeastHeartbeats = 1.5;
+
+auto SilentFor(const AgentSettings& settings) -> base::Duration {
+  const auto period = std::chrono::duration<double>(settings.heartbeat_period);
+  const auto missed = std::min(period * kSilentHeartbeats,
+                               std::chrono::duration<double>(settings.address_reused_after));
+  const auto silent = std::max(missed, period * kLeastHeartbeats);
+  return std::chrono::duration_cast<base::Duration>(silent);
+}
+
 auto MembersKey(const Adapter& adapter, const Settings& settings) -> std::string {
   return std::string(adapter.members_prefix) + "/" + RecordName(AddressOf(settings.packets));
 }
 
 }  // namespace
 
-AgentNode::AgentNode(boost::asio::io_context& io, const Adapter& adapter, const Settings& settings)
+AgentNode::AgentNode(boost::asio::io_context& io, const Adapter& adapter, const Settings& settings,
+                     std::function<void()> reload)
     : io(io),
       adapter(adapter),
       settings(settings),
+      reload(std::move(reload)),
       client(MakeClient(io, settings, *adapter.dialect)),
       work_seconds(telemetry::AddSummary(this->operators.registry, "anvildrum_packets_work_seconds",
                                          "From a request's last packet to its answer's first")),
       registrar(io, this->client, MembersKey(adapter, settings), StartSeed(settings)) {
   this->core.own = AddressOf(settings.packets);
+  this->core.policy.silent_for = SilentFor(*settings.agent);
   this->core.service = base::ServiceIdOf(settings.agent->service);
   this->core.start = StartSeed(settings);
 }
@@ -212,8 +228,12 @@
     ++this->malformed;
     return Json(kBadRequest);
   }
-  const auto changed = packets::TakeHeartbeat(this->core, *heartbeat, base::Now());
-  if (!changed || this->core.stopping) return Json(kOk);
+  auto outcome = packets::TakeHeartbeat(this->core, *heartbeat, base::Now());
+  if (outcome == packets::HeartbeatOutcome::kOtherService) {
+    this->reload();
+    outcome = packets::TakeHeartbeat(this->core, *heartbeat, base::Now());
+  }
+  if (outcome != packets::HeartbeatOutcome::kChanged || this->core.stopping) return Json(kOk);
   Log(LogLevel::kInfo, "target_state",
       {{"incarnation", heartbeat->incarnation},
        {"sequence", heartbeat->sequence},
--- a/src/packetd/internal/run.cc
+++ b/src/packetd/internal/run.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <functional>
 #include <memory>
+#include <type_traits>
 #include <variant>
 
 #include "json/parse.h"
@@ -39,7 +40,7 @@
   Process(const std::filesystem::path& file, const Adapter& adapter, const Settings& settings)
       : file(file),
         settings(settings),
-        node(this->io, adapter, settings),
+        node(this->MakeNode(adapter)),
         hang_up(this->io, SIGHUP),
         stop(this->io, [this](int) { this->Stop(); }),
         reload(this->io, kReloadPeriod, [this](base::TimePoint) { this->Reload(); }),
@@ -59,6 +60,14 @@
     return EXIT_SUCCESS;
   }
 
+  auto MakeNode(const Adapter& adapter) -> Node {
+    if constexpr (std::is_same_v<Node, AgentNode>) {
+      return Node(this->io, adapter, this->settings, [this] { this->Reload(); });
+    } else {
+      return Node(this->io, adapter, this->settings);
+    }
+  }
+
   auto WaitForHangUp() -> void {
     this->hang_up.async_wait([this](boost::system::error_code error, int) {
       if (error) return;
--- a/src/packetd/internal/settings.cc
+++ b/src/packetd/internal/settings.cc
@@ -18,7 +18,8 @@
 constexpr auto kMaxPort = 65535.0;
 constexpr auto kMaxSeeds = 64.0;
 constexpr auto kMaxSeconds = 3600.0;
-constexpr auto kLeastSeconds = 2.0;  // a watch and the timeout of a call have to fit in
+constexpr auto kLeastSeconds = 2.0;     // a watch and the timeout of a call have to fit in
+constexpr auto kLeastHeartbeat = 0.05;  // shorter ones would cost more than they tell
 
 auto TakeV4(const Cursor& at, base::Endpoint& out) -> void {
   if (!json::TakeEndpoint(at, out) || base::IsV4(out)) return;
@@ -65,6 +66,9 @@
   TakeV4(section, "from_target", agent.from_target);
   TakeV4(section, "target", agent.target);
   TakeText(section, "service", agent.service);
+  TakeSeconds(section, "heartbeat_seconds", {kLeastHeartbeat, kMaxSeconds}, agent.heartbeat_period);
+  TakeSeconds(section, "address_reused_after_seconds", {0, kMaxSeconds},
+              agent.address_reused_after);
   return agent;
 }
 
--- a/src/packetd/tests/settings_test.cc
+++ b/src/packetd/tests/settings_test.cc
@@ -37,12 +37,15 @@
 
 BOOST_AUTO_TEST_CASE(an_agents_settings_name_its_target) {
   const auto agent = std::string{
-      R"("from_target": "10.1.0.12:8162", "target": "10.1.0.12:8165", "service": "desk")"};
+      R"("from_target": "10.1.0.12:8162", "target": "10.1.0.12:8165", "service": "desk",
+         "heartbeat_seconds": 500e-3, "address_reused_after_seconds": 3)"};
   const auto parsed = ParseSettings("{\"role\": \"agent\"," + agent + "," + kCommon + "}");
   const auto* settings = std::get_if<Settings>(&parsed);
   BOOST_REQUIRE(settings != nullptr);
   BOOST_TEST(settings->agent->service == "desk");
   BOOST_TEST(settings->agent->target.port == 8165);
+  BOOST_TEST((settings->agent->heartbeat_period == base::milliseconds{500}));
+  BOOST_TEST((settings->agent->address_reused_after == base::seconds{3}));
 }
 
 BOOST_AUTO_TEST_CASE(every_fault_is_reported) {
--- a/src/packetd/types/settings.h
+++ b/src/packetd/types/settings.h
@@ -17,6 +17,8 @@
   base::Endpoint from_target;  ///< where the target sends its packets to
   base::Endpoint target;       ///< where it takes packets
   std::string service;
+  base::Duration heartbeat_period = base::milliseconds{750};  ///< of the target, about
+  base::Duration address_reused_after = base::seconds{2};  ///< at the earliest, by another service
   auto operator==(const AgentSettings&) const -> bool = default;
 };
 
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -29,6 +29,9 @@
   /// An opening whose client has not gone on for this long counts as no load any more. A client
   /// goes on within its way there and back, some 10 ms, or with another target's answer.
   base::Duration opening_for = base::milliseconds{150};
+  /// A target that has not been heard of for this long is given no opening: two heartbeats of 750
+  /// ms and a half. An address may serve another service two seconds after its target's end.
+  base::Duration silent_for = base::milliseconds{1875};
   /// What a balancer said counts for this long: four hellos.
   base::Duration hello_for = base::seconds{1};
   /// A flow is reset only after the known agents have been the same for this long, in which each
@@ -85,9 +88,9 @@
 
 /// The target beside the agent, by its heartbeats.
 struct LocalTarget {
-  TargetState state = TargetState::kUnknown;
+  TargetState state = TargetState::kUnknown;  ///< as it was said last; StateOf counts silence too
   Heartbeat last;
-  base::TimePoint heard{};
+  base::TimePoint heard{};                    ///< when the last heartbeat came
   base::TimePoint left_at{};                  ///< when it said that it leaves
   std::unordered_set<std::uint64_t> retired;  ///< incarnations that have left or were replaced
 };
@@ -145,8 +148,16 @@
 /// Decides on a packet that the target sent or gave back.
 auto FromTarget(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict;
 
-/// Takes a heartbeat of the target. True where the target's state changed.
-auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now) -> bool;
+enum class HeartbeatOutcome : std::uint8_t {
+  kStale,         ///< of an incarnation that is gone, or older than the last one
+  kOtherService,  ///< of an unknown incarnation: the address may have changed hands
+  kUnchanged,
+  kChanged,  ///< the target's state is another one now
+};
+
+/// Takes a heartbeat of the target.
+auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
+    -> HeartbeatOutcome;
 
 /// The target says that it leaves for good. True where it was the current one.
 auto TakeLeave(Agent& agent, std::uint64_t incarnation, base::TimePoint now) -> bool;
@@ -161,6 +172,14 @@
 /// one of the new service, and reset flows that others held.
 auto ChangeService(Agent& agent, base::ServiceId service, base::TimePoint now) -> void;
 
+/// Where the target stands now: one that has been silent for AgentPolicy::silent_for is unknown.
+///
+/// Safeguard: a target ends without a word, and its address is given to one of another service
+/// before this process is told. Openings that still go there are run by a service that they were
+/// not meant for. Its flows' packets do no harm: a target gives back those of flows it doesn't
+/// hold.
+auto StateOf(const Agent& agent, base::TimePoint now) -> TargetState;
+
 /// The next report to a balancer.
 auto MakeReport(Agent& agent, Address balancer, base::TimePoint now) -> TargetReport;
 
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -47,8 +47,8 @@
   return agent.at_work < limit * slots;
 }
 
-auto TakesOpenings(const Agent& agent) -> bool {
-  return agent.target.state == TargetState::kReady && !agent.stopping;
+auto TakesOpenings(const Agent& agent, base::TimePoint now) -> bool {
+  return StateOf(agent, now) == TargetState::kReady && !agent.stopping;
 }
 
 // An agent that has just started does not know its target yet, but the target may be alive and hold
@@ -242,7 +242,7 @@
   }
   // A draining target would still take an opening. Passing it on here keeps the promise without
   // any balancer having heard of it.
-  if (IsOpening(packet) && !TakesOpenings(agent)) return PassOn(agent, packet, now);
+  if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet, now);
   ExpireOffers(agent, now);
   if (IsOpening(packet) && !HasPlace(agent, packet)) {
     ++agent.counters.over_limit;
@@ -271,27 +271,28 @@
 
 // A heartbeat of an incarnation that is gone may come late, after the next one has announced
 // itself: it must neither bring a dead target back nor make a live one drain.
-auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now) -> bool {
+auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
+    -> HeartbeatOutcome {
   auto& target = agent.target;
   const auto known = target.state == TargetState::kReady || target.state == TargetState::kDraining;
   const auto current = known && heartbeat.incarnation == target.last.incarnation;
   const auto stale = target.retired.contains(heartbeat.incarnation) ||
-                     heartbeat.service != agent.service ||
                      (current && heartbeat.sequence <= target.last.sequence);
-  if (stale) {
+  const auto other = heartbeat.service != agent.service;
+  if (stale || other) {
     ++agent.counters.late_heartbeats;
-    return false;
+    return stale ? HeartbeatOutcome::kStale : HeartbeatOutcome::kOtherService;
   }
   if (known && !current) {
     target.retired.insert(target.last.incarnation);
     ForgetFlows(agent);
   }
   const auto state = heartbeat.draining ? TargetState::kDraining : TargetState::kReady;
-  const auto changed = !current || state != target.state;
+  const auto changed = !current || state != StateOf(agent, now);
   target.state = state;
   target.last = heartbeat;
   target.heard = now;
-  return changed;
+  return changed ? HeartbeatOutcome::kChanged : HeartbeatOutcome::kUnchanged;
 }
 
 auto TakeLeave(Agent& agent, std::uint64_t incarnation, base::TimePoint now) -> bool {
@@ -332,12 +333,20 @@
   UnitePeers(agent, now);
 }
 
+auto StateOf(const Agent& agent, base::TimePoint now) -> TargetState {
+  const auto& target = agent.target;
+  const auto silent = now - target.heard > agent.policy.silent_for;
+  const auto present =
+      target.state == TargetState::kReady || target.state == TargetState::kDraining;
+  return present && silent ? TargetState::kUnknown : target.state;
+}
+
 auto MakeReport(Agent& agent, Address balancer, base::TimePoint now) -> TargetReport {
   ExpireOffers(agent, now);
   const auto& target = agent.target;
   const auto told = agent.balancers.find(balancer);
   const auto leaves = target.state == TargetState::kAbsent && TakesPackets(agent, now);
-  const auto state = leaves ? TargetState::kDraining : target.state;
+  const auto state = leaves ? TargetState::kDraining : StateOf(agent, now);
   return {.agent = agent.own,
           .service = agent.service,
           .start = agent.start,
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -204,7 +204,7 @@
                                             .sequence = ++target.heartbeats,
                                             .draining = target.draining,
                                             .slots = kSlots};
-  if (!TakeHeartbeat(site.core, heartbeat, this->now)) return;
+  if (TakeHeartbeat(site.core, heartbeat, this->now) != HeartbeatOutcome::kChanged) return;
   this->Record(site.core.own, target.service);
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
     this->Report(site, kFirstBalancer + static_cast<Address>(i));
