List the agents of a large service in parts

Cause: a hello names the agents of a service by 16 bytes each in one datagram, and a datagram of more than 1,500 bytes is not sent: from some 90 agents on no agent knew any other. Packets of flows that a balancer doesn't remember were passed on to nobody. Ruled out: longer datagrams (fragments, and 1 MB of buffers a port). Change: four bytes an agent, lists in parts of 300, a list counts once all parts have come. Tests: a_long_list_is_sent_in_parts_that_fit_into_frames, a_list_in_parts_counts_once_it_is_whole.

--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -220,16 +220,18 @@
     hello.digest = packets::DigestOf(hello);
     hello.complete = records_fresh && packets::IsComplete(this->core.view, service, now);
   }
-  auto encoded = std::map<std::pair<base::ServiceId, bool>, std::string>{};
+  auto encoded = std::map<std::pair<base::ServiceId, bool>, std::vector<std::string>>{};
   for (auto& [service, hello] : live) {
-    encoded[{service, true}] = packets::EncodeControl(hello);
+    for (const auto& part : packets::SplitHello(hello)) {
+      encoded[{service, true}].push_back(packets::EncodeControl(part));
+    }
     hello.listed = false;
     hello.peers.clear();
-    encoded[{service, false}] = packets::EncodeControl(hello);
+    encoded[{service, false}].push_back(packets::EncodeControl(hello));
   }
   for (const auto& [agent, member] : this->core.view.members) {
     const auto listed = member.report.hello_digest != live[member.service].digest;
-    this->SendControl(agent, encoded[{member.service, listed}]);
+    for (const auto& text : encoded[{member.service, listed}]) this->SendControl(agent, text);
   }
 }
 
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -82,8 +82,10 @@
 struct BalancerHello {
   base::TimePoint at{};
   std::vector<Address> peers;
-  bool complete = false;     ///< no other agent of the service can hold a flow
-  std::uint32_t digest = 0;  ///< of `peers`; 0: the balancer has others by now
+  bool complete = false;                       ///< no other agent of the service can hold a flow
+  std::uint32_t digest = 0;                    ///< of `peers`; 0: the balancer has others by now
+  std::uint32_t gathered_digest = 0;           ///< of a list of which parts have come
+  std::vector<std::vector<Address>> gathered;  ///< by part; empty: it has not come yet
 };
 
 /// The target beside the agent, by its heartbeats.
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -214,6 +214,22 @@
   return agents;
 }
 
+// Keeps a part of a balancer's list. The whole list once every part of it has come.
+auto Gather(BalancerHello& known, const Hello& hello) -> std::optional<std::vector<Address>> {
+  if (known.gathered_digest != hello.digest || known.gathered.size() != hello.parts) {
+    known.gathered_digest = hello.digest;
+    known.gathered.assign(hello.parts, {});
+  }
+  known.gathered[hello.part] = AgentsOf(hello);
+  auto whole = std::vector<Address>{};
+  for (const auto& part : known.gathered) {
+    if (part.empty() && hello.parts > 1) return std::nullopt;
+    whole.insert(whole.end(), part.begin(), part.end());
+  }
+  known.gathered.clear();
+  return whole;
+}
+
 // The agents that any balancer holds for alive.
 auto UnitePeers(Agent& agent, base::TimePoint now) -> void {
   agent.united_at = now;
@@ -311,14 +327,15 @@
   auto& known = agent.balancers[balancer];
   const auto late = now - known.at > agent.policy.hello_for;
   known.at = now;
-  if (!hello.listed && hello.digest != known.digest) {
+  auto whole = hello.listed ? Gather(known, hello) : std::nullopt;
+  if (!whole && hello.digest != known.digest) {
     known.digest = 0;
     known.complete = false;
     return true;
   }
   known.complete = hello.complete;
   const auto changed = late || hello.digest != known.digest;
-  if (hello.listed) known.peers = AgentsOf(hello);
+  if (whole) known.peers = std::move(*whole);
   known.digest = hello.digest;
   const auto stale = now - agent.united_at > agent.policy.hello_for / 2;
   if (changed || stale) UnitePeers(agent, now);
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -1,5 +1,6 @@
 #include "packets/control.h"
 
+#include <algorithm>
 #include <limits>
 
 #include "packets/control.pb.h"
@@ -15,6 +16,12 @@
   body->set_service(hello.service.value);
   body->set_listed(hello.listed);
   body->set_digest(hello.digest);
+  body->set_part(hello.part);
+  body->set_parts(hello.parts);
+  if (hello.service != base::ServiceId{}) {
+    for (const auto& peer : hello.peers) body->add_agents(peer.agent);
+    return message;
+  }
   for (const auto& peer : hello.peers) {
     auto* entry = body->add_peers();
     entry->set_agent(peer.agent);
@@ -61,8 +68,11 @@
   return Located{sender, {client, service}};
 }
 
-auto FromMessage(const pb::Hello& message) -> Hello {
+auto FromMessage(const pb::Hello& message) -> std::optional<Hello> {
   auto hello = Hello{};
+  if (message.parts() > kMaxHelloParts || message.part() >= message.parts()) return std::nullopt;
+  hello.part = message.part();
+  hello.parts = message.parts();
   hello.complete = message.complete();
   hello.service = base::ServiceId{message.service()};
   hello.listed = message.listed();
@@ -70,6 +80,7 @@
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}});
   }
+  for (const auto agent : message.agents()) hello.peers.push_back({agent, hello.service});
   return hello;
 }
 
@@ -95,6 +106,24 @@
   return static_cast<std::uint32_t>(LongDigestOf(agents)) | 1U;
 }
 
+auto SplitHello(const Hello& hello) -> std::vector<Hello> {
+  const auto count = hello.peers.size();
+  const auto wanted = std::max<std::size_t>((count + kAgentsInHello - 1) / kAgentsInHello, 1);
+  auto parts = std::vector<Hello>(std::min<std::size_t>(wanted, kMaxHelloParts), hello);
+  for (auto i = std::size_t{0}; i < parts.size(); ++i) {
+    auto& part = parts[i];
+    const auto first = i * kAgentsInHello;
+    const auto last = std::min(first + kAgentsInHello, count);
+    const auto begin = hello.peers.begin();
+    part.peers.assign(begin + static_cast<std::ptrdiff_t>(first),
+                      begin + static_cast<std::ptrdiff_t>(last));
+    part.part = static_cast<std::uint32_t>(i);
+    part.parts = static_cast<std::uint32_t>(parts.size());
+    if (wanted > kMaxHelloParts) part.complete = false;
+  }
+  return parts;
+}
+
 auto EncodeControl(const Control& control) -> std::string {
   return std::visit([](const auto& body) { return ToMessage(body).SerializeAsString(); }, control);
 }
@@ -102,7 +131,10 @@
 auto DecodeControl(std::span<const std::uint8_t> bytes, Address sender) -> std::optional<Control> {
   auto message = pb::Control{};
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
-  if (message.has_hello()) return FromMessage(message.hello());
+  if (message.has_hello()) {
+    const auto hello = FromMessage(message.hello());
+    return hello ? std::optional<Control>{*hello} : std::nullopt;
+  }
   if (message.has_located()) {
     const auto located = FromMessage(message.located(), sender);
     return located ? std::optional<Control>{*located} : std::nullopt;
--- a/src/packets/tests/agent_test.cc
+++ b/src/packets/tests/agent_test.cc
@@ -264,6 +264,27 @@
   BOOST_TEST(MakeReport(agent, kBalancer + 1, kStart).hello_digest == 0U);
 }
 
+// A list comes in parts, out of order, and one is lost at first. Until all have come the agent goes
+// by what it was told before, and its report makes the balancer send the list again.
+BOOST_AUTO_TEST_CASE(a_list_in_parts_counts_once_it_is_whole) {
+  auto agent = MakeAgent();
+  const auto before = agent.peers;
+  auto hello = HelloOf({});
+  for (auto i = Address{0}; i < 2 * kAgentsInHello + 1; ++i) {
+    hello.peers.push_back({kOther + i, kDesk});
+  }
+  hello.digest = DigestOf(hello);
+  const auto parts = SplitHello(hello);
+  BOOST_REQUIRE(parts.size() == 3U);
+  TakeHello(agent, kBalancer, parts[2], kStart);
+  TakeHello(agent, kBalancer, parts[0], kStart);
+  BOOST_TEST((agent.peers == before));
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).hello_digest != hello.digest);
+  for (const auto& part : parts) TakeHello(agent, kBalancer, part, kStart);
+  BOOST_TEST(agent.peers.size() == hello.peers.size());
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).hello_digest == hello.digest);
+}
+
 // A service has more agents than a packet can count on its way: 38 targets are being replaced, and
 // the new ones stand beside the old. The way ends before it has been at all of them, and proves
 // nothing.
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -13,14 +13,56 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_hello_comes_back_whole) {
-  const auto peers = std::vector<Peer>{{1, base::ServiceId{7}}, {2, base::ServiceId{8}}};
-  const auto read = RoundTrip(Hello{base::ServiceId{7}, peers, true, true, 99});
+  const auto peers = std::vector<Peer>{{1, base::ServiceId{7}}, {2, base::ServiceId{7}}};
+  const auto read = RoundTrip(Hello{base::ServiceId{7}, peers, true, true, 99, 1, 3});
   BOOST_REQUIRE(read);
   BOOST_TEST((std::get<Hello>(*read).peers == peers));
   BOOST_TEST(std::get<Hello>(*read).complete);
   BOOST_TEST(std::get<Hello>(*read).service.value == 7U);
   BOOST_TEST(std::get<Hello>(*read).listed);
   BOOST_TEST(std::get<Hello>(*read).digest == 99U);
+  BOOST_TEST(std::get<Hello>(*read).part == 1U);
+  BOOST_TEST(std::get<Hello>(*read).parts == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_hello_between_balancers_names_the_service_of_each_agent) {
+  const auto peers = std::vector<Peer>{{1, base::ServiceId{7}}, {2, base::ServiceId{8}}};
+  const auto read = RoundTrip(Hello{base::ServiceId{}, peers});
+  BOOST_REQUIRE(read);
+  BOOST_TEST((std::get<Hello>(*read).peers == peers));
+}
+
+// A service has more agents than one datagram can list. Each part has to fit into a frame, and
+// together they name every agent: one that is left out would pass packets on to nobody.
+BOOST_AUTO_TEST_CASE(a_long_list_is_sent_in_parts_that_fit_into_frames) {
+  constexpr auto kFrame = std::size_t{1400};
+  auto hello = Hello{base::ServiceId{7}, {}, true};
+  for (auto agent = Address{1}; agent <= 1000; ++agent) {
+    hello.peers.push_back({0x0a010000 + agent, base::ServiceId{7}});
+  }
+  hello.digest = DigestOf(hello);
+  const auto parts = SplitHello(hello);
+  auto together = std::vector<Peer>{};
+  for (const auto& part : parts) {
+    BOOST_TEST(EncodeControl(part).size() <= kFrame);
+    BOOST_TEST(part.complete);
+    together.insert(together.end(), part.peers.begin(), part.peers.end());
+  }
+  BOOST_TEST((together == hello.peers));
+  BOOST_TEST(SplitHello(Hello{base::ServiceId{7}, {}}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_list_that_is_too_long_to_be_sent_is_not_called_complete) {
+  auto hello = Hello{base::ServiceId{7}, {}, true};
+  hello.peers.resize(kAgentsInHello * kMaxHelloParts + 1);
+  const auto parts = SplitHello(hello);
+  BOOST_TEST(parts.size() == kMaxHelloParts);
+  BOOST_TEST(!parts.front().complete);
+}
+
+BOOST_AUTO_TEST_CASE(parts_that_cannot_be_are_refused) {
+  BOOST_TEST(!RoundTrip(Hello{base::ServiceId{7}, {}, true, true, 99, 3, 3}));
+  BOOST_TEST(!RoundTrip(Hello{base::ServiceId{7}, {}, true, true, 99, 0, kMaxHelloParts + 1}));
 }
 
 BOOST_AUTO_TEST_CASE(a_report_comes_back_whole_under_its_senders_address) {
