Refuse no opening that may have waited while the process stood still

Agent 64 was paused for two seconds; woken, it found the flow's first opening in its socket, had no place and knew no other agent, and refused it. The client had sent a copy meanwhile, which another target took. Change: after more than 300 ms without an event (hellos and timers come every 250 ms) agents and balancers call no opening refusable for 200 ms. Left: an opening that waits 200 to 300 ms in the socket of a process that is merely slow.

--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -205,6 +205,7 @@
 // To each agent the live agents of its own service: that is the set along which agents pass on what
 // their targets give back, and the one that this balancer offers openings to.
 auto BalancerNode::SayHello(base::TimePoint now) -> void {
+  packets::NoteQuietEvent(this->core, now);
   auto live = std::map<base::ServiceId, packets::Hello>{};
   for (const auto& [agent, member] : this->core.view.members) {
     auto& hello = live[member.service];
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -10,6 +10,7 @@
 
 #include "packets/balancer.h"
 #include "packets/control.h"
+#include "packets/stall.h"
 #include "packets/types/target.h"
 
 /// The agent's part of packet flows, without input or output: it delivers to the target beside it
@@ -127,6 +128,7 @@
   std::uint64_t start = 0;
   std::uint64_t reports = 0;
   bool stopping = false;  ///< the process ends in a moment
+  StallWatch stall;
   AgentCounters counters;
 };
 
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "packets/routes.h"
+#include "packets/stall.h"
 #include "packets/view.h"
 
 /// The balancer's part of packet flows, without input or output: where a client's packet goes. The
@@ -68,6 +69,7 @@
   std::optional<Routes> routes;  ///< nothing until a configuration has been read
   View view;
   std::unordered_map<FlowId, Hint> hints;
+  StallWatch stall;
   BalancerCounters counters;
 };
 
@@ -98,6 +100,10 @@
 
 using BalancerVerdict = std::variant<ForwardToAgent, RefuseOpening, Discard>;
 
+/// Counts an event that no other function here is told of: a report, a timer. Keeps the watch for
+/// stalls from taking a quiet moment for one.
+auto NoteQuietEvent(Balancer& balancer, base::TimePoint now) -> void;
+
 /// Decides on one packet of a client.
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict;
 
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -169,6 +169,17 @@
   return answered;
 }
 
+auto NotRefusable(Packet packet) -> Packet {
+  packet.stamp.refusable = false;
+  return packet;
+}
+
+// Openings only: a packet of an open flow that waited is still its target's, which takes it.
+auto WithoutStaleRefusal(Agent& agent, const Packet& packet, base::TimePoint now) -> Packet {
+  const auto doubtful = NoteEvent(agent.stall, now);
+  return doubtful && IsOpening(packet) ? NotRefusable(packet) : packet;
+}
+
 // Whether the flow is known to be held here and balancers have not been told lately.
 auto TellsLocation(Agent& agent, const Packet& packet, base::TimePoint now) -> bool {
   const auto entry = agent.flows.find(FlowFromClient(packet));
@@ -251,7 +262,8 @@
 // Safeguard: an address is used again by another service while a balancer still has the old record;
 // the packet would be run by a service that it was not meant for. The stamp names the service that
 // the balancer chose, and only the agent's own service is delivered.
-auto FromPeer(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
+auto FromPeer(Agent& agent, const Packet& received, base::TimePoint now) -> AgentVerdict {
+  const auto packet = WithoutStaleRefusal(agent, received, now);
   if (packet.stamp.service_tag != TagOf(agent.service)) {
     ++agent.counters.wrong_service;
     return Discard{DiscardReason::kWrongService};
@@ -265,17 +277,14 @@
     return PassOn(agent, packet, now);
   }
   if (!TakesPackets(agent, now)) return PassOn(agent, packet, now);
-  if (OpenedElsewhere(agent, packet)) {
-    auto doubtful = packet;
-    doubtful.stamp.refusable = false;
-    return PassOn(agent, doubtful, now);
-  }
+  if (OpenedElsewhere(agent, packet)) return PassOn(agent, NotRefusable(packet), now);
   CountFromClient(agent, packet, now);
   ++agent.counters.delivered;
   return DeliverToTarget{packet.stamp.hops != 0 && TellsLocation(agent, packet, now)};
 }
 
-auto FromTarget(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
+auto FromTarget(Agent& agent, const Packet& received, base::TimePoint now) -> AgentVerdict {
+  const auto packet = WithoutStaleRefusal(agent, received, now);
   if (packet.returned) {
     ++agent.counters.returned;
     Erase(agent, FlowFromClient(packet));
@@ -289,6 +298,7 @@
 // itself: it must neither bring a dead target back nor make a live one drain.
 auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
     -> HeartbeatOutcome {
+  NoteEvent(agent.stall, now);
   auto& target = agent.target;
   const auto known = target.state == TargetState::kReady || target.state == TargetState::kDraining;
   const auto current = known && heartbeat.incarnation == target.last.incarnation;
@@ -323,6 +333,7 @@
 }
 
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
+  NoteEvent(agent.stall, now);
   if (hello.service != agent.service) return false;
   auto& known = agent.balancers[balancer];
   const auto late = now - known.at > agent.policy.hello_for;
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -76,7 +76,8 @@
   ++member.offered;
 }
 
-auto RouteOpening(Balancer& balancer, const Packet& packet, base::ServiceId service,
+// `doubtful`: it may have waited for longer than its client did, so that a refusal proves nothing.
+auto RouteOpening(Balancer& balancer, const Packet& packet, base::ServiceId service, bool doubtful,
                   base::TimePoint now) -> BalancerVerdict {
   const auto flow = FlowFromClient(packet);
   ++balancer.counters.openings;
@@ -85,7 +86,7 @@
   hint.seen = now;
   if (packet.acknowledged != 0) ++balancer.counters.copies;
   if (hint.offers != 0 && !hint.opened) Suspect(balancer, hint, now);
-  const auto sole = packet.acknowledged == 0 && hint.offers == 0;
+  const auto sole = packet.acknowledged == 0 && hint.offers == 0 && !doubtful;
   const auto agent = ChooseAgent(balancer, flow, service, hint, now);
   if (agent != 0) {
     Offer(hint, balancer.view.members.at(agent), now);
@@ -159,14 +160,19 @@
   return "unknown";
 }
 
+auto NoteQuietEvent(Balancer& balancer, base::TimePoint now) -> void {
+  NoteEvent(balancer.stall, now);
+}
+
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict {
+  const auto doubtful = NoteEvent(balancer.stall, now);
   if (!balancer.routes) return Discard{DiscardReason::kNoConfiguration};
   const auto service = ServiceOf(*balancer.routes, FlowFromClient(packet));
   if (!service) {
     ++balancer.counters.no_route;
     return Discard{DiscardReason::kNoRoute};
   }
-  auto verdict = IsOpening(packet) ? RouteOpening(balancer, packet, *service, now)
+  auto verdict = IsOpening(packet) ? RouteOpening(balancer, packet, *service, doubtful, now)
                                    : RouteOther(balancer, packet, *service, now);
   if (std::holds_alternative<ForwardToAgent>(verdict)) ++balancer.counters.forwarded;
   return verdict;
--- a/src/packets/tests/agent_test.cc
+++ b/src/packets/tests/agent_test.cc
@@ -167,6 +167,23 @@
   return packet;
 }
 
+// The process was paused, and wakes with an opening in its socket that its client has long since
+// sent again. A copy was taken by another target and the flow is open; refused now, it would be
+// reset.
+BOOST_AUTO_TEST_CASE(an_opening_that_waited_while_the_process_stood_still_is_not_refused) {
+  auto agent = MakeAgent();
+  TakeHeartbeat(agent, Beat(1, 2, true), kStart);
+  const auto hop = FromPeer(agent, Opening(), kStart + milliseconds{100});
+  BOOST_TEST(std::get<ForwardToAgent>(hop).stamp.refusable);
+  const auto woken = kStart + milliseconds{100} + kStallAfter + milliseconds{1};
+  const auto late = FromPeer(agent, Opening(), woken);
+  BOOST_TEST(!std::get<ForwardToAgent>(late).stamp.refusable);
+  const auto queued = FromPeer(agent, Opening(), woken + milliseconds{50});
+  BOOST_TEST(!std::get<ForwardToAgent>(queued).stamp.refusable);
+  const auto fresh = FromPeer(agent, Opening(), woken + kStallDoubt);
+  BOOST_TEST(std::get<ForwardToAgent>(fresh).stamp.refusable);
+}
+
 // All machines lost power; clients go on with flows that no target knows any more. Without an
 // answer each of them waits until its deadline and fails, though a new flow would serve it.
 BOOST_AUTO_TEST_CASE(a_flow_that_every_target_gave_back_is_reset) {
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -222,6 +222,19 @@
   BOOST_TEST(std::holds_alternative<Discard>(rig.Opening(2, 1)));
 }
 
+// As at an agent: a balancer wakes with openings whose clients have sent copies to another one
+// since.
+BOOST_AUTO_TEST_CASE(an_opening_that_waited_while_the_balancer_stood_still_is_not_called_sole) {
+  auto rig = Rig{3};
+  rig.Opening(1);
+  rig.now += kStallAfter + milliseconds{1};
+  const auto late = rig.Opening(2);
+  BOOST_TEST(!std::get<ForwardToAgent>(late).stamp.refusable);
+  rig.now += kStallDoubt;
+  const auto fresh = rig.Opening(3);
+  BOOST_TEST(std::get<ForwardToAgent>(fresh).stamp.refusable);
+}
+
 // A balancer that has just started has no configuration: a reset for a route that exists would be
 // an older configuration's answer.
 BOOST_AUTO_TEST_CASE(nothing_is_refused_without_a_configuration_or_without_a_route) {
