--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -77,6 +77,7 @@
   std::unique_ptr<net::UdpPort> control_port;
   std::unique_ptr<net::OperatorPort> readiness_port;
   std::unique_ptr<net::OperatorPort> heartbeat_port;
+  std::unique_ptr<net::PeriodicTimer> stall_timer;
   std::unique_ptr<net::PeriodicTimer> sweep_timer;
 };
 
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -74,6 +74,7 @@
   std::unique_ptr<net::UdpPort> control_port;
   std::unique_ptr<net::OperatorPort> readiness_port;
   std::unique_ptr<net::PeriodicTimer> hello_timer;
+  std::unique_ptr<net::PeriodicTimer> stall_timer;
   std::unique_ptr<net::PeriodicTimer> sweep_timer;
   std::unique_ptr<platform::PrefixWatcher> configuration_watcher;
   std::unique_ptr<platform::PrefixWatcher> record_watcher;
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -70,6 +70,7 @@
 }
 
 auto AgentNode::Start() -> base::Result<void> {
+  packets::NoteEvent(this->core.stall, base::Now());
   auto opened = this->OpenPorts();
   if (!opened) return opened.error();
   auto heartbeats = this->OpenHeartbeats();
@@ -77,6 +78,9 @@
   auto metrics =
       this->operators.Serve(this->io, this->settings.metrics, [this] { return this->Counts(); });
   if (!metrics) return metrics.error();
+  this->stall_timer = std::make_unique<net::PeriodicTimer>(
+      this->io, packets::kStallCheck,
+      [this](base::TimePoint now) { packets::NoteEvent(this->core.stall, now); });
   this->sweep_timer =
       std::make_unique<net::PeriodicTimer>(this->io, kSweepPeriod, [this](base::TimePoint now) {
         packets::ForgetQuiet(this->core, now);
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -70,11 +70,15 @@
 }
 
 auto BalancerNode::Start() -> base::Result<void> {
+  packets::NoteEvent(this->core.stall, base::Now());
   auto opened = this->OpenPorts();
   if (!opened) return opened.error();
   this->Watch();
   this->hello_timer = std::make_unique<net::PeriodicTimer>(
       this->io, kHelloPeriod, [this](base::TimePoint now) { this->SayHello(now); });
+  this->stall_timer = std::make_unique<net::PeriodicTimer>(
+      this->io, packets::kStallCheck,
+      [this](base::TimePoint now) { packets::NoteEvent(this->core.stall, now); });
   this->sweep_timer =
       std::make_unique<net::PeriodicTimer>(this->io, kSweepPeriod, [this](base::TimePoint now) {
         packets::ForgetHints(this->core, now);
@@ -205,7 +209,6 @@
 // To each agent the live agents of its own service: that is the set along which agents pass on what
 // their targets give back, and the one that this balancer offers openings to.
 auto BalancerNode::SayHello(base::TimePoint now) -> void {
-  packets::NoteQuietEvent(this->core, now);
   auto live = std::map<base::ServiceId, packets::Hello>{};
   for (const auto& [agent, member] : this->core.view.members) {
     auto& hello = live[member.service];
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -100,10 +100,6 @@
 
 using BalancerVerdict = std::variant<ForwardToAgent, RefuseOpening, Discard>;
 
-/// Counts an event that no other function here is told of: a report, a timer. Keeps the watch for
-/// stalls from taking a quiet moment for one.
-auto NoteQuietEvent(Balancer& balancer, base::TimePoint now) -> void;
-
 /// Decides on one packet of a client.
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict;
 
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -298,7 +298,6 @@
 // itself: it must neither bring a dead target back nor make a live one drain.
 auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
     -> HeartbeatOutcome {
-  NoteEvent(agent.stall, now);
   auto& target = agent.target;
   const auto known = target.state == TargetState::kReady || target.state == TargetState::kDraining;
   const auto current = known && heartbeat.incarnation == target.last.incarnation;
@@ -333,7 +332,6 @@
 }
 
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
-  NoteEvent(agent.stall, now);
   if (hello.service != agent.service) return false;
   auto& known = agent.balancers[balancer];
   const auto late = now - known.at > agent.policy.hello_for;
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -92,7 +92,7 @@
     Offer(hint, balancer.view.members.at(agent), now);
     return ForwardToAgent{agent, {0, sole, 0, TagOf(service)}};
   }
-  if (hint.offers != 0) return ForwardToAgent{hint.agent, {0, false, 0, TagOf(service)}};
+  if (hint.agent != 0) return ForwardToAgent{hint.agent, {0, false, 0, TagOf(service)}};
   balancer.hints.erase(flow);
   ++balancer.counters.no_target;
   if (!sole) return Discard{DiscardReason::kNoTarget};
@@ -160,10 +160,6 @@
   return "unknown";
 }
 
-auto NoteQuietEvent(Balancer& balancer, base::TimePoint now) -> void {
-  NoteEvent(balancer.stall, now);
-}
-
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict {
   const auto doubtful = NoteEvent(balancer.stall, now);
   if (!balancer.routes) return Discard{DiscardReason::kNoConfiguration};
--- a/src/packets/stall.h
+++ b/src/packets/stall.h
@@ -15,9 +15,12 @@
   base::TimePoint doubtful_until{};  ///< until then packets may have waited
 };
 
-/// Longer than the quiet between two events in the ordinary: a balancer's hellos come, and its own
-/// timer runs, every 250 ms.
-inline constexpr auto kStallAfter = base::milliseconds{300};
+/// A process with nothing else to do counts an event this often.
+inline constexpr auto kStallCheck = base::milliseconds{50};
+
+/// More than two checks, which may come late, and less than the 200 ms of a client's first copy by
+/// the time that the rest of an opening's way takes.
+inline constexpr auto kStallAfter = base::milliseconds{120};
 
 /// How long after a stall the sockets are taken to hold what came during it. A receive buffer of
 /// 1 MB, some 5,000 openings of 200 bytes with the system's overhead, is read within it at 40 us
--- a/src/packets/tests/agent_test.cc
+++ b/src/packets/tests/agent_test.cc
@@ -173,13 +173,14 @@
 BOOST_AUTO_TEST_CASE(an_opening_that_waited_while_the_process_stood_still_is_not_refused) {
   auto agent = MakeAgent();
   TakeHeartbeat(agent, Beat(1, 2, true), kStart);
-  const auto hop = FromPeer(agent, Opening(), kStart + milliseconds{100});
+  const auto hop = FromPeer(agent, Opening(), kStart);
   BOOST_TEST(std::get<ForwardToAgent>(hop).stamp.refusable);
-  const auto woken = kStart + milliseconds{100} + kStallAfter + milliseconds{1};
+  const auto woken = kStart + kStallAfter + milliseconds{1};
   const auto late = FromPeer(agent, Opening(), woken);
   BOOST_TEST(!std::get<ForwardToAgent>(late).stamp.refusable);
   const auto queued = FromPeer(agent, Opening(), woken + milliseconds{50});
   BOOST_TEST(!std::get<ForwardToAgent>(queued).stamp.refusable);
+  NoteEvent(agent.stall, woken + milliseconds{100});
   const auto fresh = FromPeer(agent, Opening(), woken + kStallDoubt);
   BOOST_TEST(std::get<ForwardToAgent>(fresh).stamp.refusable);
 }
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -230,11 +230,24 @@
   rig.now += kStallAfter + milliseconds{1};
   const auto late = rig.Opening(2);
   BOOST_TEST(!std::get<ForwardToAgent>(late).stamp.refusable);
-  rig.now += kStallDoubt;
+  for (auto waited = base::Duration{}; waited < kStallDoubt; waited += kStallCheck) {
+    rig.now += kStallCheck;
+    NoteEvent(rig.balancer.stall, rig.now);
+  }
   const auto fresh = rig.Opening(3);
   BOOST_TEST(std::get<ForwardToAgent>(fresh).stamp.refusable);
 }
 
+// The only agent that an opening was offered to has no target any more and its hint is dropped; then
+// the client's copy comes. It must go to nobody: it was sent to the address 0.0.0.0.
+BOOST_AUTO_TEST_CASE(a_copy_whose_only_agent_is_gone_goes_nowhere) {
+  auto rig = Rig{1};
+  rig.Opening(1);
+  rig.Report(kFirstAgent, 0, TargetState::kAbsent);
+  rig.Data(1);
+  BOOST_TEST(std::holds_alternative<Discard>(rig.Opening(1, 1)));
+}
+
 // A balancer that has just started has no configuration: a reset for a route that exists would be
 // an older configuration's answer.
 BOOST_AUTO_TEST_CASE(nothing_is_refused_without_a_configuration_or_without_a_route) {
--- a/src/packets/tests/interleaving_test.cc
+++ b/src/packets/tests/interleaving_test.cc
@@ -27,8 +27,8 @@
 constexpr auto kBusy = base::seconds{20};
 constexpr auto kCalm = base::seconds{8};
 
-auto Play(std::uint64_t seed) -> World {
-  auto world = World{{.seed = seed}};
+auto Play(const WorldOptions& options) -> World {
+  auto world = World{options};
   world.Run(kBusy);
   world.Settle(kCalm);
   return world;
@@ -39,7 +39,7 @@
   auto resets = std::uint64_t{0};
   const auto [first, count] = Seeds();
   for (auto seed = first; seed < first + count; ++seed) {
-    const auto world = Play(seed);
+    const auto world = Play({.seed = seed});
     const auto fault = world.faults.empty() ? std::string{} : world.faults.front();
     BOOST_TEST(world.faults.empty(), "seed " << seed << ": " << fault);
     opened += world.opened;
@@ -50,5 +50,19 @@
   BOOST_TEST(resets > count / 10);
 }
 
+// Processes that stand still wake with old datagrams in their sockets and old beliefs, and targets
+// have few slots, so that openings are passed on and refused.
+BOOST_AUTO_TEST_CASE(any_interleaving_with_pauses_keeps_the_promises) {
+  auto refusals = std::uint64_t{0};
+  const auto [first, count] = Seeds();
+  for (auto seed = first; seed < first + count; ++seed) {
+    const auto world = Play({.seed = seed, .pauses = true, .slots = 2});
+    const auto fault = world.faults.empty() ? std::string{} : world.faults.front();
+    BOOST_TEST(world.faults.empty(), "seed " << seed << ": " << fault);
+    refusals += world.refusals;
+  }
+  BOOST_TEST(refusals > count);
+}
+
 }  // namespace
 }  // namespace anvildrum::packets::tests
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -12,7 +12,6 @@
 constexpr auto kTickEvery = milliseconds{50};
 constexpr auto kHelloTicks = std::uint64_t{5};       // 250 ms
 constexpr auto kHeartbeatTicks = std::uint64_t{15};  // 750 ms
-constexpr auto kSlots = 50U;                         // load is not what is drawn here
 
 auto IsServed(const AgentSite& site) -> bool { return site.up && site.target.alive; }
 
@@ -45,6 +44,14 @@
   this->Later(milliseconds{1 + this->Draw(10)}, std::move(run));
 }
 
+// Runs at once, or as soon as the process goes on.
+auto World::WhenAwake(const Pause& pause, std::function<void()> run) -> void {
+  if (pause.until <= this->now) return run();
+  this->Later(pause.until - this->now, [this, &pause, starts = pause.starts, run = std::move(run)] {
+    if (pause.starts == starts) this->WhenAwake(pause, run);
+  });
+}
+
 auto World::Advance(base::TimePoint until) -> void {
   while (!this->queue.empty() && this->queue.top().at <= until) {
     auto event = this->queue.top();
@@ -89,18 +96,25 @@
 
 auto World::Tick() -> void {
   static_assert(kTickEvery * kHelloTicks == milliseconds{250});
+  static_assert(kTickEvery == kStallCheck);
   const auto ticks = static_cast<std::uint64_t>(this->now.time_since_epoch() / kTickEvery);
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
     auto& balancer = this->balancers[i];
     const auto due = ticks % kHelloTicks == i % kHelloTicks;
-    if (balancer.up && due) this->Hello(balancer, kFirstBalancer + static_cast<Address>(i));
+    const auto awake = balancer.pause.until <= this->now;
+    if (awake) NoteEvent(balancer.core.stall, this->now);
+    if (balancer.up && awake && due)
+      this->Hello(balancer, kFirstBalancer + static_cast<Address>(i));
   }
   for (auto i = std::size_t{0}; i < this->agents.size(); ++i) {
     auto& site = this->agents[i];
-    if (site.up && ticks % kHeartbeatTicks == i) this->Heartbeat(site);
+    const auto awake = site.pause.until <= this->now;
+    if (awake) NoteEvent(site.core.stall, this->now);
+    if (site.up && awake && ticks % kHeartbeatTicks == i) this->Heartbeat(site);
   }
   this->StepClients();
   if (!this->calm && this->Draw(10) == 0) this->Disturb();
+  if (!this->calm && this->options.pauses && this->Draw(10) == 0) this->PauseOne();
   this->Later(kTickEvery, [this] { this->Tick(); });
 }
 
@@ -137,6 +151,8 @@
     restarted.core.start = start + 1;
     restarted.core.service = restarted.target.service;
     restarted.up = true;
+    NoteEvent(restarted.core.stall, this->now);
+    restarted.pause = {{}, restarted.pause.starts + 1};
   });
 }
 
@@ -149,7 +165,10 @@
   for (const auto& [agent, service] : this->records) {
     AddRecord(fresh.view, agent, service, this->now);
   }
-  this->balancers[index].core = std::move(fresh);
+  auto& restarted = this->balancers[index];
+  restarted.core = std::move(fresh);
+  NoteEvent(restarted.core.stall, this->now);
+  restarted.pause = {{}, restarted.pause.starts + 1};
 }
 
 // The target says that it drains, keeps its flows for a while, leaves and ends; another one takes
@@ -186,6 +205,13 @@
               [this, index, service] { this->StartTarget(index, service); });
 }
 
+auto World::PauseOne() -> void {
+  const auto until = this->now + milliseconds{50 + this->Draw(2000)};
+  auto& pause = this->Draw(2) == 0 ? this->agents[this->Draw(this->agents.size())].pause
+                                   : this->balancers[this->Draw(this->balancers.size())].pause;
+  pause.until = std::max(pause.until, until);
+}
+
 auto World::StartTarget(std::size_t index, base::ServiceId service) -> void {
   auto& site = this->agents[index];
   if (site.target.alive && site.target.incarnation != 0) return;
@@ -203,7 +229,7 @@
                                             .service = target.service,
                                             .sequence = ++target.heartbeats,
                                             .draining = target.draining,
-                                            .slots = kSlots};
+                                            .slots = this->options.slots};
   if (TakeHeartbeat(site.core, heartbeat, this->now) != HeartbeatOutcome::kChanged) return;
   this->Record(site.core.own, target.service);
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
@@ -246,10 +272,12 @@
       hello.peers.clear();
     }
     this->Carry([this, to = agent, own, hello] {
-      auto* site = this->SiteOf(to);
-      if (!site->up) return;
-      TakeHello(site->core, own, hello, this->now);
-      this->Report(*site, own);
+      this->WhenAwake(this->SiteOf(to)->pause, [this, to, own, hello] {
+        auto* site = this->SiteOf(to);
+        if (!site->up) return;
+        TakeHello(site->core, own, hello, this->now);
+        this->Report(*site, own);
+      });
     });
   }
 }
@@ -297,24 +325,31 @@
   const auto usual = HashOf(FlowFromClient(packet)) % this->balancers.size();
   const auto index = this->Draw(10) == 0 ? this->Draw(this->balancers.size()) : usual;
   this->Carry([this, index, packet] {
-    const auto verdict = RoutePacket(this->balancers[index].core, packet, this->now);
-    if (const auto* forward = std::get_if<ForwardToAgent>(&verdict)) {
-      auto stamped = packet;
-      stamped.stamp = forward->stamp;
-      this->ToAgent(forward->agent, stamped);
-    }
-    if (std::holds_alternative<RefuseOpening>(verdict)) {
-      ++this->refusals;
-      this->ResetClient(FlowFromClient(packet), "a balancer's refusal");
-    }
+    this->WhenAwake(this->balancers[index].pause,
+                    [this, index, packet] { this->AtBalancer(index, packet); });
   });
 }
 
+auto World::AtBalancer(std::size_t index, const Packet& packet) -> void {
+  const auto verdict = RoutePacket(this->balancers[index].core, packet, this->now);
+  if (const auto* forward = std::get_if<ForwardToAgent>(&verdict)) {
+    auto stamped = packet;
+    stamped.stamp = forward->stamp;
+    this->ToAgent(forward->agent, stamped);
+  }
+  if (std::holds_alternative<RefuseOpening>(verdict)) {
+    ++this->refusals;
+    this->ResetClient(FlowFromClient(packet), "a balancer's refusal");
+  }
+}
+
 auto World::ToAgent(Address agent, const Packet& packet) -> void {
   this->Carry([this, agent, packet] {
-    auto* site = this->SiteOf(agent);
-    if (!site->up) return;
-    this->Act(*site, packet, FromPeer(site->core, packet, this->now));
+    this->WhenAwake(this->SiteOf(agent)->pause, [this, agent, packet] {
+      auto* site = this->SiteOf(agent);
+      if (!site->up) return;
+      this->Act(*site, packet, FromPeer(site->core, packet, this->now));
+    });
   });
 }
 
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -36,15 +36,23 @@
   std::map<FlowId, HeldFlow> flows;
 };
 
+/// A process that stands still; datagrams wait in its sockets, and are lost if it is started anew.
+struct Pause {
+  base::TimePoint until{};
+  std::uint64_t starts = 0;
+};
+
 struct AgentSite {
   Agent core;
   Target target;
   bool up = true;
+  Pause pause;
 };
 
 struct BalancerSite {
   Balancer core;
   bool up = true;
+  Pause pause;
 };
 
 struct ClientFlow {
@@ -70,6 +78,8 @@
   std::size_t balancers = 3;
   std::size_t agents = 5;
   int loss_percent = 2;
+  bool pauses = false;       ///< processes stand still for up to two seconds now and then
+  std::uint32_t slots = 50;  ///< of a target; few of them make load a matter of the draw
 };
 
 class World {
@@ -91,6 +101,7 @@
   auto Advance(base::TimePoint until) -> void;
   auto Later(base::Duration delay, std::function<void()> run) -> void;
   auto Carry(std::function<void()> run) -> void;
+  auto WhenAwake(const Pause& pause, std::function<void()> run) -> void;
   auto Draw(std::uint64_t below) -> std::uint64_t;
   auto Fault(const std::string& what, const FlowId& flow) -> void;
 
@@ -100,6 +111,7 @@
   auto RestartBalancer(std::size_t index) -> void;
   auto Drain(std::size_t index) -> void;
   auto Crash(std::size_t index) -> void;
+  auto PauseOne() -> void;
   auto StartTarget(std::size_t index, base::ServiceId service) -> void;
 
   auto Hello(BalancerSite& balancer, Address own) -> void;
@@ -110,6 +122,7 @@
   auto StepClients() -> void;
   auto Send(ClientFlow& flow) -> void;
   auto ToBalancer(const Packet& packet) -> void;
+  auto AtBalancer(std::size_t index, const Packet& packet) -> void;
   auto ToAgent(Address agent, const Packet& packet) -> void;
   auto ToTarget(AgentSite& site, Packet packet) -> void;
   auto FromTargetOf(AgentSite& site, const Packet& packet) -> void;
