--- a/tests/process/packet_standins.py
+++ b/tests/process/packet_standins.py
@@ -28,6 +28,8 @@
 WATCH_STEP_SECONDS = 0.05
 RECEIVE_SECONDS = 0.1
 READY_SECONDS = 30
+SLOW_SECONDS = 0.3  # an answer of a store that is slow
+BUSY, MANY, SLOW = 503, 429, "slow"  # what a store may be harmed by
 
 
 def number(address):
@@ -60,6 +62,7 @@
     def __init__(self, address):
         self.lock = threading.Lock()
         self.objects, self.events, self.revision = {}, [], 0
+        self.harm, self.history_from = None, 0
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -81,7 +84,11 @@
                 length = int(self.headers.get("Content-Length", 0))
                 body = json.loads(self.rfile.read(length)) if length else None
                 query = dict(urllib.parse.parse_qsl(url.query))
+                if store.harm == SLOW:
+                    time.sleep(SLOW_SECONDS)
                 try:
+                    if store.harm in (BUSY, MANY):
+                        return self.answer(store.harm, {})
                     self.answer(*store.call(self.command, parts[1], parts[2:], query, body))
                 except BrokenPipeError:
                     self.close_connection = True  # the caller was ended
@@ -129,10 +136,18 @@
             self.delete(kind, name[0])
         return 200, current
 
+    def drop_history(self):
+        """Watches from before now are told that what they ask for is gone."""
+        with self.lock:
+            self.history_from = self.revision
+            self.events = []
+
     def watch(self, kind, after, wait_ms):
         deadline = time.monotonic() + wait_ms / 1000
         while True:
             with self.lock:
+                if after < self.history_from:
+                    return 410, {}
                 found = [event for at, of, event in self.events if at > after and of == kind]
                 if found or time.monotonic() >= deadline:
                     return 200, {"events": found, "storeRevision": self.revision}
@@ -286,7 +301,7 @@
     def host(self, last):
         return f"{self.net}.{last}"
 
-    def settings(self, last, service):
+    def settings_of(self, last, service):
         host = self.host(last)
         own = {"role": "agent" if service else "balancer", "name": f"machine-{last}",
                "failure_domain": "z", "packets": f"{host}:{PACKETS}",
@@ -297,9 +312,15 @@
         if service:
             own |= {"from_target": f"{host}:{FROM_TARGET}", "target": f"{host}:{TARGET}",
                     "service": service}
+        return own
+
+    def settings(self, last, service):
+        """Writes a process's settings file; its path."""
         path = os.path.join(self.folder.name, f"{last}.json")
-        with open(path, "w") as file:
-            json.dump(own, file)
+        whole = path + ".new"
+        with open(whole, "w") as file:
+            json.dump(self.settings_of(last, service), file)
+        os.replace(whole, path)  # a process that reads it meanwhile finds one of the two
         return path
 
     def start(self, last, service=None):
