--- a/tests/process/packet_standins.py
+++ b/tests/process/packet_standins.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -56,6 +57,14 @@
         return Packet((dotted[0], sport), (dotted[1], dport), flags, seq, ack, data, echo)
 
 
+class StoreServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], ConnectionError):  # a caller that was ended, or a reset
+            super().handle_error(request, client_address)
+
+
 class Store:
     """The platform's store: objects by kind and name, lists and watches."""
 
@@ -95,8 +104,7 @@
 
             do_GET = do_POST = do_PUT = do_DELETE = handle_call
 
-        self.server = http.server.ThreadingHTTPServer((address, STORE), Handler)
-        self.server.daemon_threads = True
+        self.server = StoreServer((address, STORE), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def put(self, kind, name, spec):
