Balancers have the configuration from each other when the store is away

Cause: a balancer that starts while the platform's store is away, or turns it away, has no configuration and drops every packet until the store is back. Ruled out: another store, longer outages survived by not restarting (planned work is the operators'), configuration in control datagrams (up to 340 kB). Change: each balancer serves what it has in force at its control address, in the platform's own form, and one without any asks the balancers that its settings name; a balancer that has just said hello is told the live agents at once.

--- a/src/packetd/adapter.h
+++ b/src/packetd/adapter.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -30,10 +31,13 @@
   auto(*incarnation_of)(std::string_view id) -> std::uint64_t = nullptr;
   const platform::Dialect* dialect = nullptr;
   const platform::Dialect* stale_dialect = nullptr;  ///< cheaper reads, which may be seconds old
-  std::string_view configuration_prefix;             ///< of the operator's object at the platform
-  std::string_view members_prefix;                   ///< of the agents' records
-  std::string_view readiness_path;                   ///< GET: 200 or 503
-  std::string_view heartbeat_path;  ///< PUT and DELETE, followed by the target's id
+  /// An object as the platform answers with it, for balancers that ask each other.
+  auto(*encode_object)(const platform::Object& object) -> std::string = nullptr;
+  std::string_view configuration_prefix;  ///< of the operator's object at the platform
+  std::string_view configuration_key;     ///< of the object itself
+  std::string_view members_prefix;        ///< of the agents' records
+  std::string_view readiness_path;        ///< GET: 200 or 503
+  std::string_view heartbeat_path;        ///< PUT and DELETE, followed by the target's id
 };
 
 }  // namespace anvildrum::packetd
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -14,6 +14,7 @@
 #include "net/udp_port.h"
 #include "packetd/adapter.h"
 #include "packetd/internal/operator_view.h"
+#include "packetd/peer_configuration.h"
 #include "packetd/settings.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
@@ -43,11 +44,13 @@
   auto OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram) -> void;
   auto SayHello(base::TimePoint now) -> void;
   auto OnAnswer(const platform::PlatformError* error) -> void;
-  auto OnConfiguration(const platform::Object& object) -> void;
+  auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
   auto OnRecord(const platform::Object& object) -> void;
   auto OpenPorts() -> base::Result<void>;
   auto Watch() -> void;
   auto TellBalancers(base::TimePoint now) -> void;
+  auto MakeHearsay(base::TimePoint now) -> std::string;
+  auto OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now) -> void;
   auto SendControl(packets::Address to, std::string_view text) -> void;
   auto LogDecision(std::string_view event, const packets::Packet& packet, std::string_view reason)
       -> void;
@@ -61,7 +64,8 @@
   OperatorView operators;
   packets::Balancer core;
   platform::Client client;
-  platform::Client record_client;                         ///< whose reads may be seconds old
+  platform::Client record_client;  ///< whose reads may be seconds old
+  PeerConfiguration peers;
   std::map<packets::Address, base::TimePoint> balancers;  ///< when they last said hello
   std::size_t hearsay_from = 0;  ///< where the next message to balancers goes on
   bool records_read = false;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -65,7 +65,9 @@
       adapter(adapter),
       settings(settings),
       client(MakeClient(io, settings, *adapter.dialect)),
-      record_client(MakeClient(io, settings, *adapter.stale_dialect)) {
+      record_client(MakeClient(io, settings, *adapter.stale_dialect)),
+      peers(io, adapter, settings,
+            [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }) {
   this->core.view.policy = this->core.policy.view;
 }
 
@@ -74,8 +76,11 @@
   auto opened = this->OpenPorts();
   if (!opened) return opened.error();
   this->Watch();
-  this->hello_timer = std::make_unique<net::PeriodicTimer>(
-      this->io, kHelloPeriod, [this](base::TimePoint now) { this->SayHello(now); });
+  this->hello_timer =
+      std::make_unique<net::PeriodicTimer>(this->io, kHelloPeriod, [this](base::TimePoint now) {
+        this->SayHello(now);
+        if (!this->core.routes) this->peers.Ask();
+      });
   this->stall_timer = std::make_unique<net::PeriodicTimer>(
       this->io, packets::kStallCheck,
       [this](base::TimePoint now) { packets::NoteEvent(this->core.stall, now); });
@@ -112,6 +117,8 @@
                                 response.status = this->IsReady() ? 200U : 503U;
                                 return response;
                               });
+  auto peers_opened = this->peers.Open();
+  if (!peers_opened) return peers_opened.error();
   return this->operators.Serve(this->io, this->settings.metrics, [this] { return this->Counts(); });
 }
 
@@ -124,7 +131,8 @@
                                       .policy = WatchPolicyOf(hold, kConfigurationPause),
                                       .seed = seed},
       platform::PrefixWatcherCallbacks{
-          .on_change = [this](const platform::Object& object) { this->OnConfiguration(object); },
+          .on_change =
+              [this](const platform::Object& object) { this->OnConfiguration(object, "platform"); },
           .on_answer = [this](const platform::PlatformError* error) { this->OnAnswer(error); }});
   this->record_watcher = std::make_unique<platform::PrefixWatcher>(
       this->io, this->record_client,
@@ -140,7 +148,11 @@
               }});
 }
 
-auto BalancerNode::Reload(const Settings& changed) -> void { this->settings.seeds = changed.seeds; }
+auto BalancerNode::Reload(const Settings& changed) -> void {
+  if (this->settings.seeds == changed.seeds) return;
+  this->settings.seeds = changed.seeds;
+  this->peers.SetSeeds(changed.seeds);
+}
 
 auto BalancerNode::Stop() -> base::Duration {
   this->stopping = true;
@@ -190,22 +202,29 @@
     ++this->malformed;
     return;
   }
-  std::visit(base::Overloaded{[&](const packets::Hello& hello) {
-                                this->balancers[AddressOf(from)] = now;
-                                for (const auto& peer : hello.peers) {
-                                  packets::AddHearsay(this->core.view, peer.agent, peer.service,
-                                                      now);
-                                }
-                              },
-                              [&](const packets::TargetReport& report) {
-                                packets::TakeReport(this->core.view, report, now);
-                              },
-                              [&](const packets::Located& located) {
-                                packets::TakeLocated(this->core, located.flow, located.agent, now);
-                              }},
+  std::visit(base::Overloaded{
+                 [&](const packets::Hello& hello) { this->OnHello(AddressOf(from), hello, now); },
+                 [&](const packets::TargetReport& report) {
+                   packets::TakeReport(this->core.view, report, now);
+                 },
+                 [&](const packets::Located& located) {
+                   packets::TakeLocated(this->core, located.flow, located.agent, now);
+                 }},
              *control);
 }
 
+// A balancer that has just started is told at once which agents are live: where the platform turns
+// it away, it has nothing else to go by.
+auto BalancerNode::OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now)
+    -> void {
+  const auto is_new = !this->balancers.contains(from);
+  this->balancers[from] = now;
+  for (const auto& peer : hello.peers) {
+    packets::AddHearsay(this->core.view, peer.agent, peer.service, now);
+  }
+  if (is_new) this->SendControl(from, this->MakeHearsay(now));
+}
+
 // To each agent the live agents of its own service: that is the set along which agents pass on what
 // their targets give back, and the one that this balancer offers openings to.
 auto BalancerNode::SayHello(base::TimePoint now) -> void {
@@ -242,6 +261,18 @@
 // A new agent is known to all balancers within a second, also to those that the platform turns away
 // or tells late. Balancers find each other by the seeds, which answer whoever says hello.
 auto BalancerNode::TellBalancers(base::TimePoint now) -> void {
+  std::erase_if(this->balancers,
+                [&](const auto& entry) { return now - entry.second > kBalancerFor; });
+  auto to = std::set<packets::Address>{};
+  for (const auto& [balancer, heard] : this->balancers) to.insert(balancer);
+  for (const auto& seed : this->settings.seeds) to.insert(AddressOf(seed));
+  to.erase(AddressOf(this->settings.packets));
+  const auto text = this->MakeHearsay(now);
+  for (const auto balancer : to) this->SendControl(balancer, text);
+}
+
+// The live agents, a part of them at a time where they are many.
+auto BalancerNode::MakeHearsay(base::TimePoint now) -> std::string {
   auto hello = packets::Hello{};
   for (const auto& [agent, member] : this->core.view.members) {
     if (!packets::IsAlive(this->core.view, member, now)) continue;
@@ -257,14 +288,7 @@
     hello.peers.resize(kMaxHearsay);
     this->hearsay_from += kMaxHearsay;
   }
-  std::erase_if(this->balancers,
-                [&](const auto& entry) { return now - entry.second > kBalancerFor; });
-  auto to = std::set<packets::Address>{};
-  for (const auto& [balancer, heard] : this->balancers) to.insert(balancer);
-  for (const auto& seed : this->settings.seeds) to.insert(AddressOf(seed));
-  to.erase(AddressOf(this->settings.packets));
-  const auto text = packets::EncodeControl(hello);
-  for (const auto balancer : to) this->SendControl(balancer, text);
+  return packets::EncodeControl(hello);
 }
 
 auto BalancerNode::SendControl(packets::Address to, std::string_view text) -> void {
@@ -324,7 +348,7 @@
        {"prefix", error->key}});
 }
 
-auto BalancerNode::OnConfiguration(const platform::Object& object) -> void {
+auto BalancerNode::OnConfiguration(const platform::Object& object, std::string_view from) -> void {
   if (object.deleted) return;
   auto routes = this->adapter.decode_configuration(object.value);
   if (!routes) {
@@ -334,8 +358,9 @@
   const auto version = routes->version;
   const auto count = routes->shares.size();
   const auto taken = packets::PutInForce(this->core, std::move(*routes));
+  if (taken) this->peers.Keep(object);
   Log(LogLevel::kInfo, taken ? "configuration_in_force" : "configuration_older",
-      {{"version", version}, {"routes", count}, {"revision", object.revision}});
+      {{"version", version}, {"routes", count}, {"revision", object.revision}, {"from", from}});
 }
 
 auto BalancerNode::OnRecord(const platform::Object& object) -> void {
--- /dev/null
+++ b/src/packetd/internal/peer_configuration.cc
@@ -0,0 +1,85 @@
+#include "packetd/peer_configuration.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "telemetry/log.h"
+
+namespace anvildrum::packetd {
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+// A peer that is off does not answer; it is asked again every hello period while it is needed.
+constexpr auto kAnswerWithin = base::milliseconds{500};
+
+constexpr auto kOk = 200U;
+constexpr auto kUnavailable = 503U;
+
+}  // namespace
+
+PeerConfiguration::PeerConfiguration(boost::asio::io_context& io, const Adapter& adapter,
+                                     const Settings& settings, OnObject on_object)
+    : io(io), adapter(adapter), own(settings.heartbeats), on_object(std::move(on_object)) {
+  this->SetSeeds(settings.seeds);
+}
+
+auto PeerConfiguration::Open() -> base::Result<void> {
+  auto opened = net::OperatorPort::Open(this->io, {.local = this->own});
+  if (!opened) return opened.error();
+  this->port = std::move(opened.value());
+  const auto path = this->adapter.dialect->get(this->adapter.configuration_key).target;
+  this->port->Route("GET", path, [this](const net::OperatorRequest&) { return this->Answer(); });
+  return {};
+}
+
+auto PeerConfiguration::Answer() const -> net::OperatorResponse {
+  if (!this->kept)
+    return {.status = kUnavailable, .content_type = "application/json", .body = "{}"};
+  return {.status = kOk,
+          .content_type = "application/json",
+          .body = this->adapter.encode_object(*this->kept)};
+}
+
+auto PeerConfiguration::Keep(const platform::Object& object) -> void { this->kept = object; }
+
+auto PeerConfiguration::SetSeeds(const std::vector<base::Endpoint>& seeds) -> void {
+  this->peers.clear();
+  for (const auto& seed : seeds) {
+    if (seed == this->own) continue;
+    auto peer = std::make_unique<Peer>();
+    peer->endpoint = seed;
+    this->peers.push_back(std::move(peer));
+  }
+}
+
+auto PeerConfiguration::Ask() -> void {
+  for (auto& peer : this->peers) this->AskOne(*peer);
+}
+
+// The callback dies with the client, and the client with its peer.
+auto PeerConfiguration::AskOne(Peer& peer) -> void {
+  if (peer.asked) return;
+  if (peer.client == nullptr) {
+    peer.client = std::make_unique<platform::Client>(platform::ClientBuilder{}
+                                                         .WithEndpoint(peer.endpoint)
+                                                         .WithCallTimeout(kAnswerWithin)
+                                                         .WithDialect(*this->adapter.dialect)
+                                                         .Build(this->io));
+  }
+  peer.asked = true;
+  const auto on_answer = [this, &peer](const platform::Outcome<platform::Object>& outcome) {
+    peer.asked = false;
+    if (const auto* error = std::get_if<platform::PlatformError>(&outcome)) {
+      Log(LogLevel::kDebug, "peer_without_configuration",
+          {{"code", static_cast<int>(error->code)}, {"status", error->http_status}});
+      return;
+    }
+    this->on_object(std::get<platform::Object>(outcome));
+  };
+  peer.client->Get(this->adapter.configuration_key, on_answer);
+}
+
+}  // namespace anvildrum::packetd
--- /dev/null
+++ b/src/packetd/peer_configuration.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/result.h"
+#include "net/operator_port.h"
+#include "packetd/adapter.h"
+#include "packetd/settings.h"
+#include "platform/client.h"
+
+namespace anvildrum::packetd {
+
+/// The configuration from one balancer to another: each serves what it has in force, and one that
+/// has none yet asks the balancers that its settings name.
+///
+/// Safeguard: a balancer starts while the platform is away, or turns it away and serves others. It
+/// would drop every packet until the platform is back; where it is one of few of its failure domain
+/// the fabric sends it packets although it isn't ready. What a peer has in force is no older than
+/// what this one would have gone on with, had it not been restarted.
+class PeerConfiguration {
+ public:
+  using OnObject = std::function<void(const platform::Object& object)>;
+
+  /// `on_object` is called with each answer of a peer.
+  PeerConfiguration(boost::asio::io_context& io, const Adapter& adapter, const Settings& settings,
+                    OnObject on_object);
+
+  /// Begins to serve. Errors: net::NetError.
+  auto Open() -> base::Result<void>;
+
+  /// What is served from now on.
+  auto Keep(const platform::Object& object) -> void;
+
+  /// Asks each of the settings' balancers once, unless a question to it is under way.
+  auto Ask() -> void;
+
+  auto SetSeeds(const std::vector<base::Endpoint>& seeds) -> void;
+
+ private:
+  struct Peer {
+    base::Endpoint endpoint;
+    std::unique_ptr<platform::Client> client;
+    bool asked = false;  ///< an answer is awaited
+  };
+
+  auto AskOne(Peer& peer) -> void;
+  [[nodiscard]] auto Answer() const -> net::OperatorResponse;
+
+  boost::asio::io_context& io;
+  const Adapter& adapter;
+  base::Endpoint own;
+  OnObject on_object;
+  std::optional<platform::Object> kept;
+  std::vector<std::unique_ptr<Peer>> peers;
+  std::unique_ptr<net::OperatorPort> port;
+};
+
+}  // namespace anvildrum::packetd
--- a/tests/process/packet_standins.py
+++ b/tests/process/packet_standins.py
@@ -322,17 +322,17 @@
                     "service": service}
         return own
 
-    def settings(self, last, service):
+    def settings(self, last, service, **changed):
         """Writes a process's settings file; its path."""
         path = os.path.join(self.folder.name, f"{last}.json")
         whole = path + ".new"
         with open(whole, "w") as file:
-            json.dump(self.settings_of(last, service), file)
+            json.dump(self.settings_of(last, service) | changed, file)
         os.replace(whole, path)  # a process that reads it meanwhile finds one of the two
         return path
 
-    def start(self, last, service=None):
-        command = [self.program, "--settings", self.settings(last, service)]
+    def start(self, last, service=None, **changed):
+        command = [self.program, "--settings", self.settings(last, service, **changed)]
         self.processes[last] = subprocess.Popen(command, stdout=subprocess.DEVNULL)
 
     def end(self, last, how=signal.SIGTERM):
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -7,7 +7,8 @@
 from packet_standins import METRICS, Client, Machines, Target
 from support import BUILD, WIDE_SECONDS, wait_until
 
-BALANCER, FIRST_AGENT, SECOND_AGENT, CLIENT = 10, 20, 21, 90
+BALANCER, CUT_OFF, FIRST_AGENT, SECOND_AGENT, CLIENT = 10, 11, 20, 21, 90
+NOBODY = 8199  # a port that nobody listens at
 ROUTE = ("198.18.0.1", 8443)
 REMOVED = ("198.18.0.2", 8443)
 FLOWS = 20
@@ -112,6 +113,16 @@
         self.assertTrue(str(flows[0].request(b"late")).endswith(":late"))
         self.assertEqual(self.machines.processes.pop(BALANCER).wait(WIDE_SECONDS), 0)
 
+    def test_a_balancer_that_the_platform_turns_away_serves(self):
+        # It starts while it cannot reach the platform; others can. It has the configuration and the
+        # agents from the balancer that its settings name, and carries flows like any other.
+        flows = self.open_flows()
+        self.machines.start(CUT_OFF, platform=f"{self.machines.host(1)}:{NOBODY}")
+        wait_until(lambda: self.machines.is_ready(CUT_OFF), "ready", WIDE_SECONDS)
+        self.client.balancer = self.machines.host(CUT_OFF)
+        self.assert_served(flows)
+        self.open_flows()
+
     def test_counters_are_served(self):
         self.open_flows()
         for last, name in ((BALANCER, "anvildrum_packets_forwarded_total"),
