A request that is repeated after its answer is no work

A client repeats a request whose answer is late; the copy reaches the target when the answer has gone, the target acknowledges it without data, and the agent counted it as a request at work until the flow had been quiet for 20 s. Change: data counts as work only beyond what was delivered before, and a flow that its target has ended is remembered until its client has closed it too (2 s at most). One test used the same sequence number for a second request; it is given its own. Tests: a_request_that_is_repeated_after_its_answer_is_no_load (failed before: in flight 1 in place of 0), a_flow_that_both_ends_closed_is_forgotten.

--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -49,6 +49,9 @@
   std::size_t most_flows = 50'000;
   /// A flow's state is dropped after this long without a packet.
   base::Duration flow_idle = base::seconds{20};
+  /// The same for a flow that its target has ended: longer than its client waits at most before it
+  /// sends a packet again, 1.6 s.
+  base::Duration ended_idle = base::seconds{2};
   /// A balancer that has not said hello for this long is not told of changes any more.
   base::Duration balancer_for = base::seconds{3};
 };
@@ -60,6 +63,7 @@
   kAnswered,   ///< the target answered the opening; the client has not gone on yet
   kOpen,       ///< the target takes its packets
   kElsewhere,  ///< the client went on with another target
+  kEnded,      ///< the target has sent its last data
 };
 
 /// A flow that was offered to the target, and the load that it puts on it.
@@ -68,7 +72,9 @@
   bool at_work = false;          ///< an opening or a request without the target's data after it
   std::uint32_t unanswered = 0;  ///< packets delivered while the stage was kAssumed
   base::TimePoint told_at{};     ///< when balancers were told where the flow is
-  std::uint32_t target_sequence = 0;  ///< of its answer to the opening
+  std::uint32_t target_sequence = 0;         ///< of its answer to the opening
+  std::optional<std::uint32_t> asked_up_to;  ///< end of the client's data that was delivered so far
+  bool client_finished = false;
   base::TimePoint seen{};
   base::TimePoint asked_at{};  ///< the request at work: its last packet; the epoch: none
 };
@@ -124,6 +130,7 @@
   base::TimePoint united_at{};    ///< when `peers` was last worked out from the hellos
   std::unordered_map<FlowId, FlowState> flows;
   std::uint32_t at_work = 0;        ///< flows whose state says so
+  std::uint32_t ended = 0;          ///< flows in FlowStage::kEnded
   std::deque<OfferedFlow> offered;  ///< openings that count as load, oldest first
   std::uint64_t start = 0;
   std::uint64_t reports = 0;
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -18,9 +18,19 @@
   const auto entry = agent.flows.find(flow);
   if (entry == agent.flows.end()) return;
   SetAtWork(agent, entry->second, false);
+  if (entry->second.stage == FlowStage::kEnded) --agent.ended;
   agent.flows.erase(entry);
 }
 
+// The target has sent its last data. What the client repeats until it has closed the flow too is
+// told from new work by this state.
+auto End(Agent& agent, const FlowId& id, FlowState& flow) -> void {
+  if (flow.client_finished) return Erase(agent, id);
+  SetAtWork(agent, flow, false);
+  if (flow.stage != FlowStage::kEnded) ++agent.ended;
+  flow.stage = FlowStage::kEnded;
+}
+
 // Safeguard: an opening is answered by two targets, or its client is gone; the target that the
 // client did not go on with holds it half open for seconds. Counted as load, such flows filled the
 // limit of targets that were idle: in a rush of copies 0.7 of the openings were refused while half
@@ -120,6 +130,17 @@
   return ForwardToAgent{next, stamp};
 }
 
+// Whether the packet carries data that has not been delivered before.
+//
+// Safeguard: a client sends a request again whose answer is late or lost, and the copy comes when
+// the answer has been given. The target acknowledges it without data. Counted as work that is never
+// done, six of them closed a target of three slots for 16 s while it was idle.
+auto IsNewData(const FlowState& flow, const Packet& packet) -> bool {
+  if (packet.payload == 0 || flow.stage == FlowStage::kEnded) return false;
+  const auto end = packet.sequence + packet.payload;
+  return !flow.asked_up_to || static_cast<std::int32_t>(end - *flow.asked_up_to) > 0;
+}
+
 auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void {
   const auto flow = FlowFromClient(packet);
   if (packet.reset) return Erase(agent, flow);
@@ -136,11 +157,15 @@
     }
   }
   if (entry->second.stage == FlowStage::kAssumed) ++entry->second.unanswered;
-  if (packet.payload != 0) {
+  if (IsNewData(entry->second, packet)) {
     SetAtWork(agent, entry->second, true);
     entry->second.asked_at = now;
+    entry->second.asked_up_to = packet.sequence + packet.payload;
   }
   entry->second.seen = now;
+  if (!packet.finish) return;
+  entry->second.client_finished = true;
+  if (entry->second.stage == FlowStage::kEnded) Erase(agent, flow);
 }
 
 // How long the request took that the packet begins the answer to.
@@ -155,7 +180,7 @@
   if (entry == agent.flows.end()) return std::nullopt;
   auto& flow = entry->second;
   const auto answered = packet.payload != 0 ? TakeAnswer(flow, now) : std::nullopt;
-  if (packet.finish || packet.reset) {
+  if (packet.reset) {
     Erase(agent, entry->first);
     return answered;
   }
@@ -166,6 +191,7 @@
   if (!packet.synchronize && flow.stage == FlowStage::kAssumed) flow.stage = FlowStage::kOpen;
   if (packet.payload != 0) SetAtWork(agent, flow, false);
   flow.seen = now;
+  if (packet.finish) End(agent, entry->first, flow);
   return answered;
 }
 
@@ -379,7 +405,7 @@
           .sequence = ++agent.reports,
           .state = agent.stopping ? TargetState::kStopping : state,
           .in_flight = agent.at_work,
-          .held = static_cast<std::uint32_t>(agent.flows.size()),
+          .held = static_cast<std::uint32_t>(agent.flows.size()) - agent.ended,
           .slots = target.last.slots,
           .cold = target.last.cold_ms > 0,
           .hello_digest = told == agent.balancers.end() ? 0 : told->second.digest};
@@ -388,12 +414,15 @@
 auto ForgetFlows(Agent& agent) -> void {
   agent.flows.clear();
   agent.at_work = 0;
+  agent.ended = 0;
 }
 
 auto ForgetQuiet(Agent& agent, base::TimePoint now) -> void {
   auto quiet = std::vector<FlowId>{};
   for (const auto& [flow, state] : agent.flows) {
-    if (now - state.seen > agent.policy.flow_idle) quiet.push_back(flow);
+    const auto ended = state.stage == FlowStage::kEnded;
+    const auto idle = ended ? agent.policy.ended_idle : agent.policy.flow_idle;
+    if (now - state.seen > idle) quiet.push_back(flow);
   }
   for (const auto& flow : quiet) Erase(agent, flow);
   std::erase_if(agent.balancers, [&](const auto& entry) {
--- a/src/packets/tests/agent_test.cc
+++ b/src/packets/tests/agent_test.cc
@@ -517,7 +517,9 @@
   FromTarget(agent, Reply(600), kStart);
   BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 0U);
   BOOST_TEST(MakeReport(agent, kBalancer, kStart).held == 1U);
-  FromPeer(agent, Data(), kStart);
+  auto second = Data();
+  second.sequence = second.payload;
+  FromPeer(agent, second, kStart);
   BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 1U);
   auto finish = Reply(0);
   finish.finish = true;
@@ -525,5 +527,51 @@
   BOOST_TEST(MakeReport(agent, kBalancer, kStart).held == 0U);
 }
 
+// An answer is late, so that the client sends its request again; the copy reaches the target after
+// the answer has gone, and is acknowledged without data. On a flow that stays open, and on one that
+// the target has closed: nothing is at work, and the target would otherwise be full while it is
+// idle.
+BOOST_AUTO_TEST_CASE(a_request_that_is_repeated_after_its_answer_is_no_load) {
+  for (const auto closes : {false, true}) {
+    auto agent = MakeAgent();
+    FromPeer(agent, Opening(), kStart);
+    FromPeer(agent, Data(), kStart);
+    auto answer = Reply(600);
+    answer.finish = closes;
+    FromTarget(agent, answer, kStart);
+    FromPeer(agent, Data(), kStart);
+    FromTarget(agent, Reply(0), kStart);
+    BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 0U);
+    BOOST_TEST(MakeReport(agent, kBalancer, kStart).held == (closes ? 0U : 1U));
+  }
+}
+
+// Both ends have closed the flow, in either order, or one of them is never heard of again: nothing
+// is remembered of it.
+BOOST_AUTO_TEST_CASE(a_flow_that_both_ends_closed_is_forgotten) {
+  auto last = Data();
+  last.payload = 0;
+  last.finish = true;
+  auto finish = Reply(0);
+  finish.finish = true;
+  for (const auto client_first : {false, true}) {
+    auto agent = MakeAgent();
+    FromPeer(agent, Opening(), kStart);
+    FromPeer(agent, Data(), kStart);
+    if (client_first) FromPeer(agent, last, kStart);
+    FromTarget(agent, finish, kStart);
+    if (!client_first) FromPeer(agent, last, kStart);
+    BOOST_TEST(agent.flows.empty());
+    BOOST_TEST(agent.ended == 0U);
+  }
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  FromTarget(agent, finish, kStart);
+  BOOST_TEST(agent.flows.size() == 1U);
+  ForgetQuiet(agent, kStart + agent.policy.ended_idle + milliseconds{1});
+  BOOST_TEST(agent.flows.empty());
+  BOOST_TEST(agent.ended == 0U);
+}
+
 }  // namespace
 }  // namespace anvildrum::packets
