Open flows stay with the service that holds them when their route's services change

Cause: a packet of an open flow was sent to agents of the service that a new flow would get. A change of a route's service or weights, which the configuration's format allows, put open flows under another service: their hints were dropped and their packets searched where no target knew them. Change: a hint is followed at any service that the route shares its flows among or has left less than 60 s ago; forgotten flows are searched in all of them by turns, and are not reset there. Tests, failed before: open_flows_stay_with_a_service_that_their_route_has_left, all_services_that_may_hold_a_forgotten_flow_are_searched.

--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -33,6 +33,9 @@
   /// A flow's hint is dropped after this long without a packet where no configuration says how long
   /// a flow may be idle. The flow itself stays.
   base::Duration hint_idle = base::seconds{20};
+  /// How long a service that a route has left may still hold its flows: the age up to which the
+  /// users keep them.
+  base::Duration former_for = base::seconds{60};
   /// Load that an open flow without a request counts for: about one request of 30 ms a second.
   double held_weight = 0.03;
   /// Factor on the load of a target that has just started and is slow.
@@ -64,9 +67,16 @@
   std::uint64_t suspicions = 0;
 };
 
+/// A service that an earlier configuration sent a route's flows to.
+struct FormerService {
+  base::ServiceId service;
+  base::TimePoint until{};  ///< its flows are too old by then to be kept
+};
+
 struct Balancer {
   BalancerPolicy policy;
   std::optional<Routes> routes;  ///< nothing until a configuration has been read
+  std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf the route
   View view;
   std::unordered_map<FlowId, Hint> hints;
   StallWatch stall;
@@ -111,6 +121,7 @@
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void;
 
 /// Puts a configuration in force unless it is older than the one that is. False when it is older.
-auto PutInForce(Balancer& balancer, Routes routes) -> bool;
+/// New flows go by it; open flows of routes that stay are left where they are.
+auto PutInForce(Balancer& balancer, Routes routes, base::TimePoint now) -> bool;
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -105,43 +105,111 @@
 // the 150th of 200 agents was found by its client's 88th packet; so it is found by the third.
 auto SearchStep(std::size_t agents) -> std::size_t { return agents > kMaxHops + 1U ? kMaxHops : 1; }
 
+// The services that may hold a flow which has opened: the one that a new flow would be sent to
+// first, then the others that its route shares its flows among, or has left a short while ago.
+//
+// Safeguard: a change of a route's services or weights puts flows that are open under another
+// service than the one that holds them. Searched there alone, they would be silent until they
+// break, though nothing but a planned change has happened.
+auto HoldersOf(const Balancer& balancer, const FlowId& flow, base::TimePoint now)
+    -> std::vector<base::ServiceId> {
+  auto holders = std::vector<base::ServiceId>{};
+  const auto add = [&](base::ServiceId service) {
+    const auto known = std::find(holders.begin(), holders.end(), service) != holders.end();
+    if (!known) holders.push_back(service);
+  };
+  const auto route = balancer.routes->shares.find(KeyOf(flow.service));
+  if (route == balancer.routes->shares.end()) return holders;
+  const auto first = ServiceOf(*balancer.routes, flow);
+  if (first) add(*first);
+  for (const auto& share : route->second) add(share.service);
+  const auto former = balancer.former.find(route->first);
+  if (former == balancer.former.end()) return holders;
+  for (const auto& left : former->second) {
+    if (now < left.until) add(left.service);
+  }
+  return holders;
+}
+
 // Where the search for a flow's agent begins: at the head of its order, and further on with each
-// packet, so that an agent on the way that has just ended does not swallow all of them.
-auto SearchFrom(Balancer& balancer, const FlowId& flow, Hint& hint, base::ServiceId service,
-                base::TimePoint now) -> Address {
+// packet, so that an agent on the way that has just ended does not swallow all of them. Where
+// several services may hold the flow, they take turns.
+auto SearchFrom(Balancer& balancer, const FlowId& flow, Hint& hint,
+                std::span<const base::ServiceId> holders, base::TimePoint now) -> Address {
   ++balancer.counters.unhinted;
+  const auto searches = hint.searches++;
+  const auto service = holders[searches % holders.size()];
   const auto order = RendezvousOrder(flow, SearchSet(balancer.view, service, now));
   if (order.empty()) return 0;
-  return order[(hint.searches++ * SearchStep(order.size())) % order.size()];
+  return order[(searches / holders.size() * SearchStep(order.size())) % order.size()];
 }
 
-// Whether a hint is worth following: the agent is known, stands beside a target of the service that
-// has not left, and is not
-// silent for good. One that is silent for a moment keeps its flows.
-auto MayStillHold(const View& view, Address agent, base::ServiceId service, base::TimePoint now)
-    -> bool {
+// Whether a hint is worth following: the agent is known, stands beside a target of a service that
+// may hold the flow, the target has not left, and the agent is not silent for good. One that is
+// silent for a moment keeps its flows.
+auto MayStillHold(const View& view, Address agent, std::span<const base::ServiceId> holders,
+                  base::TimePoint now) -> bool {
   const auto entry = view.members.find(agent);
   if (entry == view.members.end()) return false;
   const auto& member = entry->second;
-  if (member.service != service || member.report.state == TargetState::kAbsent) return false;
+  const auto allowed = std::find(holders.begin(), holders.end(), member.service) != holders.end();
+  if (!allowed || member.report.state == TargetState::kAbsent) return false;
   return member.listed || IsAlive(view, member, now) || member.heard == base::TimePoint{};
 }
 
-auto RouteOther(Balancer& balancer, const Packet& packet, base::ServiceId service,
+// A packet that all targets of one service gave back proves nothing where another one may hold the
+// flow: it may be reset only if there is no other.
+auto RouteOther(Balancer& balancer, const Packet& packet, std::span<const base::ServiceId> holders,
                 base::TimePoint now) -> BalancerVerdict {
   const auto flow = FlowFromClient(packet);
   auto forgotten = Hint{};
   auto& hint = HintOf(balancer, flow, forgotten);
   hint.seen = now;
   hint.opened = true;
-  if (!MayStillHold(balancer.view, hint.agent, service, now)) hint.agent = 0;
-  const auto agent = hint.agent != 0 ? hint.agent : SearchFrom(balancer, flow, hint, service, now);
+  if (!MayStillHold(balancer.view, hint.agent, holders, now)) hint.agent = 0;
+  const auto agent = hint.agent != 0 ? hint.agent : SearchFrom(balancer, flow, hint, holders, now);
   if (packet.reset) balancer.hints.erase(flow);
-  if (agent != 0) return ForwardToAgent{agent, {0, true, 0, TagOf(service)}};
+  if (agent != 0) {
+    const auto service = balancer.view.members.at(agent).service;
+    return ForwardToAgent{agent, {0, holders.size() == 1, 0, TagOf(service)}};
+  }
   ++balancer.counters.no_target;
   return Discard{DiscardReason::kNoTarget};
 }
 
+auto RouteOf(Balancer& balancer, const Packet& packet, bool doubtful, base::TimePoint now)
+    -> BalancerVerdict {
+  const auto flow = FlowFromClient(packet);
+  if (IsOpening(packet)) {
+    const auto service = ServiceOf(*balancer.routes, flow);
+    if (service) return RouteOpening(balancer, packet, *service, doubtful, now);
+  } else {
+    const auto holders = HoldersOf(balancer, flow, now);
+    if (!holders.empty()) return RouteOther(balancer, packet, holders, now);
+  }
+  ++balancer.counters.no_route;
+  return Discard{DiscardReason::kNoRoute};
+}
+
+// What each route that stays has left, with what it had left before.
+auto TakeFormerServices(Balancer& balancer, const Routes& next, base::TimePoint now) -> void {
+  for (const auto& [key, shares] : balancer.routes->shares) {
+    const auto stays = next.shares.find(key);
+    if (stays == next.shares.end()) continue;
+    for (const auto& share : shares) {
+      const auto same = [&](const Share& other) { return other.service == share.service; };
+      if (std::any_of(stays->second.begin(), stays->second.end(), same)) continue;
+      balancer.former[key].push_back({share.service, now + balancer.policy.former_for});
+    }
+  }
+  for (auto& [key, services] : balancer.former) {
+    std::erase_if(services, [&](const FormerService& left) { return now >= left.until; });
+  }
+  std::erase_if(balancer.former, [&](const auto& entry) {
+    return entry.second.empty() || !next.shares.contains(entry.first);
+  });
+}
+
 }  // namespace
 
 auto NameOf(DiscardReason reason) -> std::string_view {
@@ -163,13 +231,7 @@
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict {
   const auto doubtful = NoteEvent(balancer.stall, now);
   if (!balancer.routes) return Discard{DiscardReason::kNoConfiguration};
-  const auto service = ServiceOf(*balancer.routes, FlowFromClient(packet));
-  if (!service) {
-    ++balancer.counters.no_route;
-    return Discard{DiscardReason::kNoRoute};
-  }
-  auto verdict = IsOpening(packet) ? RouteOpening(balancer, packet, *service, doubtful, now)
-                                   : RouteOther(balancer, packet, *service, now);
+  auto verdict = RouteOf(balancer, packet, doubtful, now);
   if (std::holds_alternative<ForwardToAgent>(verdict)) ++balancer.counters.forwarded;
   return verdict;
 }
@@ -187,8 +249,9 @@
   std::erase_if(balancer.hints, [&](const auto& entry) { return now - entry.second.seen > idle; });
 }
 
-auto PutInForce(Balancer& balancer, Routes routes) -> bool {
+auto PutInForce(Balancer& balancer, Routes routes, base::TimePoint now) -> bool {
   if (balancer.routes && routes.version < balancer.routes->version) return false;
+  if (balancer.routes) TakeFormerServices(balancer, routes, now);
   balancer.routes = std::move(routes);
   return true;
 }
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -17,6 +17,7 @@
 constexpr auto kRoute = End{0xc6120001, 443};
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kDesk = base::ServiceId{11};
+constexpr auto kMapper = base::ServiceId{22};
 
 /// A balancer with a route to desk and `agents` live agents with four slots each.
 struct Rig {
@@ -24,16 +25,24 @@
     auto routes = Routes{};
     routes.version = 3;
     routes.shares[KeyOf(kRoute)] = {{kDesk, 1}};
-    PutInForce(this->balancer, routes);
+    PutInForce(this->balancer, routes, this->now);
     this->balancer.view.policy = this->balancer.policy.view;
     for (auto i = Address{0}; i < agents; ++i) this->Report(kFirstAgent + i, 0);
   }
 
-  auto Report(Address agent, std::uint32_t in_flight, TargetState state = TargetState::kReady)
-      -> void {
+  /// A version of the configuration with these shares of the route.
+  auto Configure(std::uint64_t version, std::vector<Share> shares) -> void {
+    auto routes = Routes{};
+    routes.version = version;
+    routes.shares[KeyOf(kRoute)] = std::move(shares);
+    PutInForce(this->balancer, routes, this->now);
+  }
+
+  auto Report(Address agent, std::uint32_t in_flight, TargetState state = TargetState::kReady,
+              base::ServiceId service = kDesk) -> void {
     TakeReport(this->balancer.view,
                {.agent = agent,
-                .service = kDesk,
+                .service = service,
                 .start = 1,
                 .sequence = ++this->sequence,
                 .state = state,
@@ -125,6 +134,51 @@
   for (auto i = 0; i < 5; ++i) BOOST_TEST(AgentOf(rig.Data(9)) == kFirstAgent + 3);
 }
 
+// An operator sends a route's new flows to another service. A flow that is open stays where it is;
+// its packets would otherwise be offered to targets that know nothing of it until its client gives
+// up.
+BOOST_AUTO_TEST_CASE(open_flows_stay_with_a_service_that_their_route_has_left) {
+  constexpr auto kMapperAgent = kFirstAgent + 100;
+  auto rig = Rig{3};
+  rig.Report(kMapperAgent, 0, TargetState::kReady, kMapper);
+  const auto agent = AgentOf(rig.Opening(1));
+  rig.Configure(4, {{kMapper, 1}});
+  const auto verdict = rig.Data(1);
+  BOOST_TEST(AgentOf(verdict) == agent);
+  BOOST_TEST(std::get<ForwardToAgent>(verdict).stamp.service_tag == TagOf(kDesk));
+  BOOST_TEST(AgentOf(rig.Opening(2)) == kMapperAgent);
+  rig.now += rig.balancer.policy.former_for;
+  rig.Report(kMapperAgent, 0, TargetState::kReady, kMapper);
+  BOOST_TEST(AgentOf(rig.Data(1)) == kMapperAgent);
+}
+
+// The same for a balancer that remembers no flow of the route, or where weights have moved it:
+// every service that may hold it is searched, and giving it back proves nothing for one of them
+// alone.
+BOOST_AUTO_TEST_CASE(all_services_that_may_hold_a_forgotten_flow_are_searched) {
+  constexpr auto kMapperAgent = kFirstAgent + 100;
+  auto rig = Rig{1};
+  rig.Report(kMapperAgent, 0, TargetState::kReady, kMapper);
+  BOOST_TEST(std::get<ForwardToAgent>(rig.Data(9)).stamp.refusable);
+  rig.Configure(4, {{kDesk, 0}, {kMapper, 1}});
+  auto asked = std::set<Address>{};
+  for (auto i = 0; i < 4; ++i) {
+    const auto verdict = rig.Data(8);
+    asked.insert(AgentOf(verdict));
+    BOOST_TEST(!std::get<ForwardToAgent>(verdict).stamp.refusable);
+  }
+  BOOST_TEST((asked == std::set<Address>{kFirstAgent, kMapperAgent}));
+}
+
+BOOST_AUTO_TEST_CASE(flows_of_a_route_that_is_gone_go_nowhere) {
+  auto rig = Rig{3};
+  rig.Opening(1);
+  auto routes = Routes{};
+  routes.version = 4;
+  PutInForce(rig.balancer, routes, rig.now);
+  BOOST_TEST(std::holds_alternative<Discard>(rig.Data(1)));
+}
+
 // The flow's target left, and the agent beside it ends: a hint that is followed on would lose every
 // packet of a flow that lives elsewhere.
 BOOST_AUTO_TEST_CASE(a_hint_to_an_agent_without_a_target_is_dropped) {
@@ -238,8 +292,8 @@
   BOOST_TEST(std::get<ForwardToAgent>(fresh).stamp.refusable);
 }
 
-// The only agent that an opening was offered to has no target any more and its hint is dropped; then
-// the client's copy comes. It must go to nobody: it was sent to the address 0.0.0.0.
+// The only agent that an opening was offered to has no target any more and its hint is dropped;
+// then the client's copy comes. It must go to nobody: it was sent to the address 0.0.0.0.
 BOOST_AUTO_TEST_CASE(a_copy_whose_only_agent_is_gone_goes_nowhere) {
   auto rig = Rig{1};
   rig.Opening(1);
@@ -263,7 +317,7 @@
   auto rig = Rig{1};
   auto older = Routes{};
   older.version = 2;
-  BOOST_TEST(!PutInForce(rig.balancer, older));
+  BOOST_TEST(!PutInForce(rig.balancer, older, rig.now));
   BOOST_TEST(rig.balancer.routes->version == 3U);
 }
 
