--- /dev/null
+++ b/tests/process/test_packets_store.py
@@ -0,0 +1,113 @@
+"""Packet flows while the platform's store misbehaves: silent connections, lost answers, a history that
+is gone, a store that is busy."""
+
+import os
+import signal
+import time
+import unittest
+
+from packet_standins import BUSY, METRICS, STORE, Client, Machines, Target
+from support import BUILD, WIDE_SECONDS, wait_until
+from tcp_proxy import Mode, Proxy
+from test_packets import ROUTE, configuration
+
+BALANCER, AGENT, CLIENT = 10, 20, 90
+ADDED = ("198.18.0.3", 8443)
+PROXY_PORT = STORE + 1
+SILENT_SECONDS = 0.5  # long enough for a watch's answer to be lost on its way
+
+
+class Store(unittest.TestCase):
+    def setUp(self):
+        self.machines = Machines(os.path.join(BUILD, "platform", "anvildrum-packetd"))
+        self.addCleanup(self.machines.close)
+        self.store = self.machines.store
+        self.store.put("config", "main", configuration(1, [ROUTE]))
+        self.proxies = {}
+        for last in (BALANCER, AGENT):
+            self.proxies[last] = Proxy((self.machines.host(last), PROXY_PORT),
+                                       (self.machines.host(1), STORE))
+            self.addCleanup(self.proxies[last].close)
+        self.target = Target(self.machines.host(AGENT), "desk")
+        self.client = Client(self.machines.host(CLIENT), self.machines.host(BALANCER))
+        self.addCleanup(self.client.close)
+        self.addCleanup(self.target.stop)
+
+    def start(self, last, service=None):
+        self.machines.start(last, service, platform=f"{self.machines.host(last)}:{PROXY_PORT}",
+                            seeds=[])
+
+    def start_all(self):
+        self.start(AGENT, "desk")
+        self.start(BALANCER)
+        self.wait_until_open(ROUTE)
+
+    def wait_until_open(self, route):
+        wait_until(lambda: self.client.new_flow(route).open(), f"{route} open", WIDE_SECONDS)
+
+    def test_a_configuration_is_in_force_though_the_watch_went_silent(self):
+        # The connection of the balancer's watch goes silent without a reset, just as the answer with
+        # a new configuration is on its way. New connections work. The balancer has to give the
+        # watch up by itself.
+        self.start_all()
+        self.proxies[BALANCER].mode = Mode.SILENT
+        self.store.put("config", "main", configuration(2, [ROUTE, ADDED]))
+        time.sleep(SILENT_SECONDS)
+        self.proxies[BALANCER].mode = Mode.PASS
+        self.wait_until_open(ADDED)
+
+    def test_a_configuration_is_in_force_though_the_history_is_gone(self):
+        # The store drops its history while the balancer is cut off from it; a watch from its last
+        # revision is refused, and only a list tells what has changed.
+        self.start_all()
+        self.proxies[BALANCER].mode = Mode.RESET
+        self.store.put("config", "main", configuration(2, [ROUTE, ADDED]))
+        self.store.drop_history()
+        self.proxies[BALANCER].mode = Mode.PASS
+        self.wait_until_open(ADDED)
+
+    def test_a_record_whose_answer_is_lost_is_written_once(self):
+        # The agent's record is created, and the answer is lost. The agent asks again, finds its own
+        # record there and is content: it neither writes for ever nor stays unknown.
+        self.proxies[AGENT].mode = Mode.ONE_WAY
+        self.start(AGENT, "desk")
+        wait_until(lambda: self.records(), "the agent's record", WIDE_SECONDS)
+        revision = self.records()[0]["meta"]["revision"]
+        self.proxies[AGENT].mode = Mode.PASS
+        self.start(BALANCER)
+        self.wait_until_open(ROUTE)
+        wait_until(self.agent_was_answered, "an answer to the agent", WIDE_SECONDS)
+        self.assertEqual(len(self.records()), 1)
+        self.assertEqual(self.records()[0]["meta"]["revision"], revision)
+
+    def test_flows_open_while_the_store_is_busy_and_after(self):
+        # Flows need no store. Processes that start while it is busy serve as soon as it is back.
+        self.start_all()
+        flow = self.client.new_flow(ROUTE)
+        wait_until(flow.open, "a flow open", WIDE_SECONDS)
+        self.store.harm = BUSY
+        self.wait_until_open(ROUTE)
+        self.machines.end(BALANCER, signal.SIGKILL)
+        self.machines.end(AGENT, signal.SIGKILL)
+        self.start(AGENT, "desk")
+        self.start(BALANCER)
+        wait_until(lambda: self.machines.get(BALANCER, METRICS, "/metrics") is not None,
+                   "the balancer started", WIDE_SECONDS)
+        self.assertFalse(self.machines.is_ready(BALANCER))
+        self.store.harm = None
+        wait_until(lambda: str(flow.request(b"still")).endswith(":still"), "the flow served",
+                   WIDE_SECONDS)
+
+    def agent_was_answered(self):
+        sent, failed = (self.metric(AGENT, f"anvildrum_packets_platform_calls{kind}_total")
+                        for kind in ("", "_failed"))
+        return sent > failed
+
+    def metric(self, last, name):
+        text = self.machines.get(last, METRICS, "/metrics") or ""
+        return sum(float(line.split()[1]) for line in text.splitlines()
+                   if line.startswith(name + " "))
+
+    def records(self):
+        return [item for (kind, _), item in self.store.objects.items()
+                if kind == "anvildrum-agents"]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,8 +8,8 @@
 import threading
 import time
 
-from packet_standins import PACKETS, RECEIVE_SECONDS, STORE, Machines, Packet
-from proxy import Mode, Proxy
+from packet_standins import PACKETS, STORE, Machines, Packet
+from tcp_proxy import Mode, Proxy
 from traffic import Books, SoakFlow, SoakTarget, Stage
 
 STORE_HOST, FIRST_BALANCER, FIRST_AGENT, CLIENT_HOST = 1, 10, 60, 250
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 
 from fleet import FIXED_ROUTES, VERSION_PORT, Fleet  # noqa: E402
 from packet_standins import BUSY, MANY, SLOW  # noqa: E402
-from proxy import Mode  # noqa: E402
+from tcp_proxy import Mode  # noqa: E402
 from traffic import Stage  # noqa: E402
 
 START_SECONDS = 30      # until every target is given openings
