--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -11,6 +11,7 @@
 #include "packetd/addresses.h"
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
+#include "packets/hello.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -225,36 +226,22 @@
   if (is_new) this->SendControl(from, this->MakeHearsay(now));
 }
 
-// To each agent the live agents of its own service: that is the set along which agents pass on what
-// their targets give back, and the one that this balancer offers openings to.
 auto BalancerNode::SayHello(base::TimePoint now) -> void {
-  auto live = std::map<base::ServiceId, packets::Hello>{};
-  for (const auto& [agent, member] : this->core.view.members) {
-    auto& hello = live[member.service];
-    if (packets::MayHoldFlows(this->core.view, member, now)) {
-      hello.peers.push_back({agent, member.service});
-    }
-  }
   const auto records_fresh = now - this->records_at < kRecordsFresh;
-  for (auto& [service, hello] : live) {
-    std::sort(hello.peers.begin(), hello.peers.end(),
-              [](const auto& a, const auto& b) { return a.agent < b.agent; });
-    hello.service = service;
-    hello.digest = packets::DigestOf(hello);
-    hello.complete = records_fresh && packets::IsComplete(this->core.view, service, now);
-  }
-  auto encoded = std::map<std::pair<base::ServiceId, bool>, std::vector<std::string>>{};
-  for (auto& [service, hello] : live) {
-    for (const auto& part : packets::SplitHello(hello)) {
-      encoded[{service, true}].push_back(packets::EncodeControl(part));
-    }
-    hello.listed = false;
-    hello.peers.clear();
-    encoded[{service, false}].push_back(packets::EncodeControl(hello));
+  const auto hellos = packets::MakeHellos(this->core.view, records_fresh, now);
+  auto lists = std::map<base::ServiceId, std::vector<std::string>>{};
+  auto briefs = std::map<base::ServiceId, std::string>{};
+  for (const auto& [service, hello] : hellos) {
+    briefs[service] = packets::EncodeControl(hello.brief);
+    for (const auto& part : hello.listed) lists[service].push_back(packets::EncodeControl(part));
   }
   for (const auto& [agent, member] : this->core.view.members) {
-    const auto listed = member.report.hello_digest != live[member.service].digest;
-    for (const auto& text : encoded[{member.service, listed}]) this->SendControl(agent, text);
+    const auto service = member.service;
+    if (!packets::NeedsList(member, hellos.at(service))) {
+      this->SendControl(agent, briefs.at(service));
+      continue;
+    }
+    for (const auto& part : lists.at(service)) this->SendControl(agent, part);
   }
 }
 
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -35,24 +35,12 @@
   std::uint32_t parts = 1;
 };
 
-/// Agents in one hello to an agent: with 4 bytes each it stays below 1,300 bytes, so that no
-/// datagram is longer than an Ethernet frame.
-inline constexpr auto kAgentsInHello = std::size_t{300};
-
-/// Most parts of a list: 19,200 agents of one service.
+/// Most parts of a list.
 inline constexpr auto kMaxHelloParts = std::uint32_t{64};
 
 /// Digest of a hello's peers; never 0.
 auto DigestOf(const Hello& hello) -> std::uint32_t;
 
-/// The hello in parts of kAgentsInHello peers; one part where it fits. Peers beyond kMaxHelloParts
-/// are left out, and `complete` is false then.
-///
-/// Safeguard: a list that is longer than a datagram never leaves its balancer. Agents of a service
-/// of 170 then knew no other, and packets of flows that nobody remembered were passed on to nobody:
-/// an established flow was silent as soon as its packets came by another balancer.
-auto SplitHello(const Hello& hello) -> std::vector<Hello>;
-
 /// From an agent to balancers: its target holds the flow, a packet of which came here by way of
 /// other agents.
 ///
--- /dev/null
+++ b/src/packets/hello.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "base/types/ids.h"
+#include "base/types/time.h"
+#include "packets/control.h"
+#include "packets/view.h"
+
+/// What a balancer says to the agents that it knows.
+namespace anvildrum::packets {
+
+/// Agents in one hello to an agent: with 4 bytes each it stays below 1,300 bytes, so that no
+/// datagram is longer than an Ethernet frame. kMaxHelloParts of them are 19,200 agents of a
+/// service.
+inline constexpr auto kAgentsInHello = std::size_t{300};
+
+/// To the agents of one service.
+struct ServiceHello {
+  Hello brief;                ///< to an agent that holds the list already
+  std::vector<Hello> listed;  ///< the list, in parts
+};
+
+/// To each agent the live agents of its own service: the set along which agents pass on what their
+/// targets give back, and the one that this balancer offers openings to. `records_fresh`: the
+/// platform's records are as new as can be; without them nothing is called complete.
+auto MakeHellos(const View& view, bool records_fresh, base::TimePoint now)
+    -> std::map<base::ServiceId, ServiceHello>;
+
+/// Whether the agent has to be sent the list: it has told of another one, or of none.
+auto NeedsList(const Member& member, const ServiceHello& hello) -> bool;
+
+/// The hello in parts of kAgentsInHello peers; one part where it fits. Peers beyond kMaxHelloParts
+/// are left out, and `complete` is false then.
+///
+/// Safeguard: a list that is longer than a datagram never leaves its balancer. Agents of a service
+/// of 170 then knew no other, and packets of flows that nobody remembered were passed on to nobody:
+/// an established flow was silent as soon as its packets came by another balancer.
+auto SplitHello(const Hello& hello) -> std::vector<Hello>;
+
+}  // namespace anvildrum::packets
--- /dev/null
+++ b/src/packets/internal/agent_peers.cc
@@ -0,0 +1,104 @@
+#include "packets/internal/agent_peers.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "packets/internal/flow_load.h"
+#include "packets/order.h"
+
+namespace anvildrum::packets {
+namespace {
+
+auto AgentsOf(const Hello& hello) -> std::vector<Address> {
+  auto agents = std::vector<Address>{};
+  for (const auto& peer : hello.peers) agents.push_back(peer.agent);
+  return agents;
+}
+
+// Keeps a part of a balancer's list. The whole list once every part of it has come.
+auto Gather(BalancerHello& known, const Hello& hello) -> std::optional<std::vector<Address>> {
+  if (known.gathered_digest != hello.digest || known.gathered.size() != hello.parts) {
+    known.gathered_digest = hello.digest;
+    known.gathered.assign(hello.parts, {});
+  }
+  known.gathered[hello.part] = AgentsOf(hello);
+  auto whole = std::vector<Address>{};
+  for (const auto& part : known.gathered) {
+    if (part.empty() && hello.parts > 1) return std::nullopt;
+    whole.insert(whole.end(), part.begin(), part.end());
+  }
+  known.gathered.clear();
+  return whole;
+}
+
+}  // namespace
+
+// The agents that any balancer holds for alive.
+auto UnitePeers(Agent& agent, base::TimePoint now) -> void {
+  agent.united_at = now;
+  auto all = std::vector<Address>{};
+  for (const auto& [balancer, hello] : agent.balancers) {
+    if (now - hello.at > agent.policy.hello_for) continue;
+    all.insert(all.end(), hello.peers.begin(), hello.peers.end());
+  }
+  std::sort(all.begin(), all.end());
+  all.erase(std::unique(all.begin(), all.end()), all.end());
+  if (all == agent.peers) return;
+  agent.peers = std::move(all);
+  agent.peers_digest = DigestOf(agent.peers);
+  agent.peers_since = now;
+}
+
+auto OthersOf(const Agent& agent) -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(agent.peers.begin(), agent.peers.end(),
+                                                [&](Address peer) { return peer != agent.own; }));
+}
+
+// Safeguard: a client that goes on with a flow of a target that is gone waits until its deadline,
+// and each of its packets goes round all agents. After all machines lost power 1,500 requests of
+// long flows failed so that a new flow would have served. A reset is true when every target that
+// can be alive has given the packet back; while an agent is away, or one may be unknown to some
+// balancer, nobody can tell. A packet without data proves nothing: a target also gives back the
+// last acknowledgement of a flow that has just ended in good order.
+auto KnowsAll(const Agent& agent, base::TimePoint now) -> bool {
+  auto heard = false;
+  for (const auto& [balancer, hello] : agent.balancers) {
+    if (now - hello.at > agent.policy.hello_for) continue;
+    if (!hello.complete) return false;
+    heard = true;
+  }
+  return heard;
+}
+
+// Whether this agent counts the same others as those before it on the way. Only then has a packet
+// that went one round been at each of them: a way that leads over an agent which the last one does
+// not count ends one short of the target that may hold the flow.
+auto SameRound(const Agent& agent, const Stamp& stamp, base::TimePoint now) -> bool {
+  if (now - agent.peers_since < agent.policy.settle_for) return false;
+  const auto listed = std::binary_search(agent.peers.begin(), agent.peers.end(), agent.own);
+  return listed && (stamp.hops == 0 || stamp.peers_digest == agent.peers_digest);
+}
+
+auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
+  if (hello.service != agent.service) return false;
+  auto& known = agent.balancers[balancer];
+  const auto late = now - known.at > agent.policy.hello_for;
+  known.at = now;
+  auto whole = hello.listed ? Gather(known, hello) : std::nullopt;
+  if (!whole && hello.digest != known.digest) {
+    known.digest = 0;
+    known.complete = false;
+    return true;
+  }
+  known.complete = hello.complete;
+  const auto changed = late || hello.digest != known.digest;
+  if (whole) known.peers = std::move(*whole);
+  known.digest = hello.digest;
+  const auto stale = now - agent.united_at > agent.policy.hello_for / 2;
+  if (changed || stale) UnitePeers(agent, now);
+  return true;
+}
+
+}  // namespace anvildrum::packets
--- /dev/null
+++ b/src/packets/internal/agent_peers.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+
+#include "packets/agent.h"
+
+/// The other agents of the service, as balancers tell of them.
+namespace anvildrum::packets {
+
+/// Works out the agents that any balancer holds for alive.
+auto UnitePeers(Agent& agent, base::TimePoint now) -> void;
+
+/// Known agents besides this one.
+auto OthersOf(const Agent& agent) -> std::size_t;
+
+/// Whether a balancer has been heard from, and each that has says that it knows all.
+auto KnowsAll(const Agent& agent, base::TimePoint now) -> bool;
+
+/// Whether this agent counts the same others as those that passed the packet on.
+auto SameRound(const Agent& agent, const Stamp& stamp, base::TimePoint now) -> bool;
+
+}  // namespace anvildrum::packets
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -1,6 +1,5 @@
 #include "packets/control.h"
 
-#include <algorithm>
 #include <limits>
 
 #include "packets/control.pb.h"
@@ -106,24 +105,6 @@
   return static_cast<std::uint32_t>(LongDigestOf(agents)) | 1U;
 }
 
-auto SplitHello(const Hello& hello) -> std::vector<Hello> {
-  const auto count = hello.peers.size();
-  const auto wanted = std::max<std::size_t>((count + kAgentsInHello - 1) / kAgentsInHello, 1);
-  auto parts = std::vector<Hello>(std::min<std::size_t>(wanted, kMaxHelloParts), hello);
-  for (auto i = std::size_t{0}; i < parts.size(); ++i) {
-    auto& part = parts[i];
-    const auto first = i * kAgentsInHello;
-    const auto last = std::min(first + kAgentsInHello, count);
-    const auto begin = hello.peers.begin();
-    part.peers.assign(begin + static_cast<std::ptrdiff_t>(first),
-                      begin + static_cast<std::ptrdiff_t>(last));
-    part.part = static_cast<std::uint32_t>(i);
-    part.parts = static_cast<std::uint32_t>(parts.size());
-    if (wanted > kMaxHelloParts) part.complete = false;
-  }
-  return parts;
-}
-
 auto EncodeControl(const Control& control) -> std::string {
   return std::visit([](const auto& body) { return ToMessage(body).SerializeAsString(); }, control);
 }
--- /dev/null
+++ b/src/packets/internal/flow_load.cc
@@ -0,0 +1,144 @@
+#include "packets/internal/flow_load.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvildrum::packets {
+namespace {
+
+// The target has sent its last data. What the client repeats until it has closed the flow too is
+// told from new work by this state.
+auto EndFlow(Agent& agent, const FlowId& id, FlowState& flow) -> void {
+  if (flow.client_finished) return Erase(agent, id);
+  SetAtWork(agent, flow, false);
+  if (flow.stage != FlowStage::kEnded) ++agent.ended;
+  flow.stage = FlowStage::kEnded;
+}
+
+// Whether the packet carries data that has not been delivered before.
+//
+// Safeguard: a client sends a request again whose answer is late or lost, and the copy comes when
+// the answer has been given. The target acknowledges it without data. Counted as work that is never
+// done, six of them closed a target of three slots for 16 s while it was idle.
+auto IsNewData(const FlowState& flow, const Packet& packet) -> bool {
+  if (packet.payload == 0 || flow.stage == FlowStage::kEnded) return false;
+  const auto end = packet.sequence + packet.payload;
+  return !flow.asked_up_to || static_cast<std::int32_t>(end - *flow.asked_up_to) > 0;
+}
+
+// How long the request took that the packet begins the answer to.
+auto TakeAnswer(FlowState& flow, base::TimePoint now) -> std::optional<base::Duration> {
+  if (flow.asked_at == base::TimePoint{}) return std::nullopt;
+  return now - std::exchange(flow.asked_at, {});
+}
+
+}  // namespace
+
+auto SetAtWork(Agent& agent, FlowState& flow, bool at_work) -> void {
+  if (flow.at_work == at_work) return;
+  flow.at_work = at_work;
+  agent.at_work += at_work ? 1 : -1;
+}
+
+auto Erase(Agent& agent, const FlowId& flow) -> void {
+  const auto entry = agent.flows.find(flow);
+  if (entry == agent.flows.end()) return;
+  SetAtWork(agent, entry->second, false);
+  if (entry->second.stage == FlowStage::kEnded) --agent.ended;
+  agent.flows.erase(entry);
+}
+
+// Safeguard: an opening is answered by two targets, or its client is gone; the target that the
+// client did not go on with holds it half open for seconds. Counted as load, such flows filled the
+// limit of targets that were idle: in a rush of copies 0.7 of the openings were refused while half
+// of the slots were free.
+auto ExpireOffers(Agent& agent, base::TimePoint now) -> void {
+  while (!agent.offered.empty()) {
+    const auto& oldest = agent.offered.front();
+    if (now - oldest.at < agent.policy.opening_for) return;
+    const auto entry = agent.flows.find(oldest.flow);
+    const auto waits = entry != agent.flows.end() && (entry->second.stage == FlowStage::kOffered ||
+                                                      entry->second.stage == FlowStage::kAnswered);
+    if (waits) SetAtWork(agent, entry->second, false);
+    agent.offered.pop_front();
+  }
+}
+
+// Safeguard: when more comes than the targets can work on, a queue at the target delays everybody:
+// after an outage all requests of some seconds were answered, and all of them late. An opening that
+// finds no place in time goes to a target that has one, or is refused at once.
+auto HasPlace(const Agent& agent, const Packet& packet) -> bool {
+  const auto first = packet.acknowledged == 0;
+  const auto limit = first ? agent.policy.opening_limit : agent.policy.copy_limit;
+  const auto slots = std::max<std::uint32_t>(agent.target.last.slots, 1);
+  return agent.at_work < limit * slots;
+}
+
+auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void {
+  const auto flow = FlowFromClient(packet);
+  if (packet.reset) return Erase(agent, flow);
+  auto entry = agent.flows.find(flow);
+  if (entry == agent.flows.end()) {
+    const auto empty = !IsOpening(packet) && packet.payload == 0;
+    if (empty || agent.flows.size() >= agent.policy.most_flows) return;
+    entry = agent.flows.emplace(flow, FlowState{}).first;
+    SetAtWork(agent, entry->second, true);
+    if (IsOpening(packet)) {
+      agent.offered.push_back({flow, now});
+    } else {
+      entry->second.stage = FlowStage::kAssumed;
+    }
+  }
+  if (entry->second.stage == FlowStage::kAssumed) ++entry->second.unanswered;
+  if (IsNewData(entry->second, packet)) {
+    SetAtWork(agent, entry->second, true);
+    entry->second.asked_at = now;
+    entry->second.asked_up_to = packet.sequence + packet.payload;
+  }
+  entry->second.seen = now;
+  if (!packet.finish) return;
+  entry->second.client_finished = true;
+  if (entry->second.stage == FlowStage::kEnded) Erase(agent, flow);
+}
+
+auto CountFromTarget(Agent& agent, const Packet& packet, base::TimePoint now)
+    -> std::optional<base::Duration> {
+  const auto entry = agent.flows.find(FlowFromTarget(packet));
+  if (entry == agent.flows.end()) return std::nullopt;
+  auto& flow = entry->second;
+  const auto answered = packet.payload != 0 ? TakeAnswer(flow, now) : std::nullopt;
+  if (packet.reset) {
+    Erase(agent, entry->first);
+    return answered;
+  }
+  if (packet.synchronize && flow.stage == FlowStage::kOffered) {
+    flow.stage = FlowStage::kAnswered;
+    flow.target_sequence = packet.sequence;
+  }
+  if (!packet.synchronize && flow.stage == FlowStage::kAssumed) flow.stage = FlowStage::kOpen;
+  if (packet.payload != 0) SetAtWork(agent, flow, false);
+  flow.seen = now;
+  if (packet.finish) EndFlow(agent, entry->first, flow);
+  return answered;
+}
+
+auto ForgetFlows(Agent& agent) -> void {
+  agent.flows.clear();
+  agent.at_work = 0;
+  agent.ended = 0;
+}
+
+auto ForgetQuiet(Agent& agent, base::TimePoint now) -> void {
+  auto quiet = std::vector<FlowId>{};
+  for (const auto& [flow, state] : agent.flows) {
+    const auto ended = state.stage == FlowStage::kEnded;
+    const auto idle = ended ? agent.policy.ended_idle : agent.policy.flow_idle;
+    if (now - state.seen > idle) quiet.push_back(flow);
+  }
+  for (const auto& flow : quiet) Erase(agent, flow);
+  std::erase_if(agent.balancers, [&](const auto& entry) {
+    return now - entry.second.at > agent.policy.balancer_for;
+  });
+}
+
+}  // namespace anvildrum::packets
--- /dev/null
+++ b/src/packets/internal/hello.cc
@@ -0,0 +1,51 @@
+#include "packets/hello.h"
+
+#include <algorithm>
+
+namespace anvildrum::packets {
+
+auto SplitHello(const Hello& hello) -> std::vector<Hello> {
+  const auto count = hello.peers.size();
+  const auto wanted = std::max<std::size_t>((count + kAgentsInHello - 1) / kAgentsInHello, 1);
+  auto parts = std::vector<Hello>(std::min<std::size_t>(wanted, kMaxHelloParts), hello);
+  for (auto i = std::size_t{0}; i < parts.size(); ++i) {
+    auto& part = parts[i];
+    const auto first = i * kAgentsInHello;
+    const auto last = std::min(first + kAgentsInHello, count);
+    const auto begin = hello.peers.begin();
+    part.peers.assign(begin + static_cast<std::ptrdiff_t>(first),
+                      begin + static_cast<std::ptrdiff_t>(last));
+    part.part = static_cast<std::uint32_t>(i);
+    part.parts = static_cast<std::uint32_t>(parts.size());
+    if (wanted > kMaxHelloParts) part.complete = false;
+  }
+  return parts;
+}
+
+auto MakeHellos(const View& view, bool records_fresh, base::TimePoint now)
+    -> std::map<base::ServiceId, ServiceHello> {
+  auto hellos = std::map<base::ServiceId, ServiceHello>{};
+  for (const auto& [agent, member] : view.members) {
+    auto& hello = hellos[member.service].brief;
+    if (MayHoldFlows(view, member, now)) hello.peers.push_back({agent, member.service});
+  }
+  for (auto& [service, said] : hellos) {
+    auto& hello = said.brief;
+    std::sort(hello.peers.begin(), hello.peers.end(),
+              [](const Peer& a, const Peer& b) { return a.agent < b.agent; });
+    hello.service = service;
+    hello.digest = DigestOf(hello);
+    hello.complete = records_fresh && IsComplete(view, service, now);
+    said.listed = SplitHello(hello);
+    hello.complete = said.listed.front().complete;
+    hello.listed = false;
+    hello.peers.clear();
+  }
+  return hellos;
+}
+
+auto NeedsList(const Member& member, const ServiceHello& hello) -> bool {
+  return member.report.hello_digest != hello.brief.digest;
+}
+
+}  // namespace anvildrum::packets
--- a/src/packets/tests/agent_test.cc
+++ b/src/packets/tests/agent_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "packets/hello.h"
+
 namespace anvildrum::packets {
 namespace {
 
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -1,6 +1,7 @@
 #include "interleaving_world.h"
 
 #include "base/overloaded.h"
+#include "packets/hello.h"
 
 namespace anvildrum::packets::tests {
 namespace {
@@ -258,19 +259,10 @@
   auto& view = balancer.core.view;
   Forget(view, this->now);
   ForgetHints(balancer.core, this->now);
+  const auto hellos = MakeHellos(view, true, this->now);
   for (const auto& [agent, member] : view.members) {
-    auto hello = packets::Hello{member.service, {}, IsComplete(view, member.service, this->now)};
-    for (const auto& [other, known] : view.members) {
-      if (known.service != member.service || !MayHoldFlows(view, known, this->now)) continue;
-      hello.peers.push_back({other, known.service});
-    }
-    std::sort(hello.peers.begin(), hello.peers.end(),
-              [](const auto& a, const auto& b) { return a.agent < b.agent; });
-    hello.digest = DigestOf(hello);
-    if (member.report.hello_digest == hello.digest) {
-      hello.listed = false;
-      hello.peers.clear();
-    }
+    const auto& said = hellos.at(member.service);
+    const auto hello = NeedsList(member, said) ? said.listed.front() : said.brief;
     this->Carry([this, to = agent, own, hello] {
       this->WhenAwake(this->SiteOf(to)->pause, [this, to, own, hello] {
         auto* site = this->SiteOf(to);
