--- /dev/null
+++ b/src/packets/tests/agent_load_test.cc
@@ -0,0 +1,145 @@
+#include <boost/test/unit_test.hpp>
+
+#include "agent_rig.h"
+#include "packets/agent.h"
+
+namespace anvildrum::packets::agent_tests {
+namespace {
+
+BOOST_AUTO_TEST_CASE(a_flood_of_flows_fills_no_more_than_the_agents_table) {
+  auto agent = MakeAgent();
+  agent.policy.most_flows = 3;
+  for (auto port = std::uint16_t{1}; port <= 50; ++port) {
+    FromPeer(agent, OpeningOf(port, 0), kStart);
+  }
+  BOOST_TEST(agent.flows.size() == 3U);
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), kStart)));
+}
+
+// After an outage all clients come at once. Queued at the target, each of them waits for all before
+// it, and all are late; the first in line could have been in time, and the others elsewhere.
+BOOST_AUTO_TEST_CASE(openings_over_the_limit_are_passed_on_and_refused_in_the_end) {
+  auto agent = MakeAgent();
+  for (auto port = std::uint16_t{1}; port <= 8; ++port) {
+    BOOST_TEST(
+        std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(port, 0), kStart)));
+  }
+  auto ninth = OpeningOf(9, 0);
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, ninth, kStart)));
+  ninth.stamp.hops = 1;
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(FromPeer(agent, ninth, kStart)));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_takes_a_free_slot_but_waits_for_none) {
+  auto agent = MakeAgent();
+  for (auto port = std::uint16_t{1}; port <= 4; ++port) {
+    BOOST_TEST(
+        std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(port, 1), kStart)));
+  }
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, OpeningOf(5, 1), kStart)));
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(6, 0), kStart)));
+}
+
+// A rush of copies: each opening is answered by two targets, and its client goes on with one. Here
+// nobody goes on; counted as load for as long as the target holds them, these flows would keep a
+// target without any work closed for openings.
+BOOST_AUTO_TEST_CASE(openings_that_nobody_goes_on_with_make_room_again) {
+  auto agent = MakeAgent();
+  for (auto port = std::uint16_t{1}; port <= 8; ++port) {
+    FromPeer(agent, OpeningOf(port, 0), kStart);
+  }
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, OpeningOf(9, 0), kStart)));
+  const auto later = kStart + agent.policy.opening_for;
+  BOOST_TEST(MakeReport(agent, kBalancer, later).in_flight == 0U);
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(9, 0), later)));
+}
+
+BOOST_AUTO_TEST_CASE(the_first_data_of_an_answer_tells_how_long_it_took) {
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  FromPeer(agent, Data(), kStart);
+  const auto at = kStart + milliseconds{40};
+  const auto first = FromTarget(agent, Reply(1200), at);
+  BOOST_TEST((std::get<SendToClient>(first).answered_after == milliseconds{40}));
+  const auto second = FromTarget(agent, Reply(800), at);
+  BOOST_TEST(!std::get<SendToClient>(second).answered_after);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_at_work_stays_load_however_long_it_takes) {
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  auto answer = Reply(0);
+  answer.synchronize = true;
+  FromTarget(agent, answer, kStart);
+  auto data = Data();
+  data.acknowledged = 1;
+  FromPeer(agent, data, kStart);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart + seconds{3}).in_flight == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_in_flight_are_those_without_an_answer_yet) {
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 1U);
+  FromPeer(agent, Data(), kStart);
+  FromTarget(agent, Reply(600), kStart);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 0U);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).held == 1U);
+  auto second = Data();
+  second.sequence = second.payload;
+  FromPeer(agent, second, kStart);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 1U);
+  auto finish = Reply(0);
+  finish.finish = true;
+  FromTarget(agent, finish, kStart);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).held == 0U);
+}
+
+// An answer is late, so that the client sends its request again; the copy reaches the target after
+// the answer has gone, and is acknowledged without data. On a flow that stays open, and on one that
+// the target has closed: nothing is at work, and the target would otherwise be full while it is
+// idle.
+BOOST_AUTO_TEST_CASE(a_request_that_is_repeated_after_its_answer_is_no_load) {
+  for (const auto closes : {false, true}) {
+    auto agent = MakeAgent();
+    FromPeer(agent, Opening(), kStart);
+    FromPeer(agent, Data(), kStart);
+    auto answer = Reply(600);
+    answer.finish = closes;
+    FromTarget(agent, answer, kStart);
+    FromPeer(agent, Data(), kStart);
+    FromTarget(agent, Reply(0), kStart);
+    BOOST_TEST(MakeReport(agent, kBalancer, kStart).in_flight == 0U);
+    BOOST_TEST(MakeReport(agent, kBalancer, kStart).held == (closes ? 0U : 1U));
+  }
+}
+
+// Both ends have closed the flow, in either order, or one of them is never heard of again: nothing
+// is remembered of it.
+BOOST_AUTO_TEST_CASE(a_flow_that_both_ends_closed_is_forgotten) {
+  auto last = Data();
+  last.payload = 0;
+  last.finish = true;
+  auto finish = Reply(0);
+  finish.finish = true;
+  for (const auto client_first : {false, true}) {
+    auto agent = MakeAgent();
+    FromPeer(agent, Opening(), kStart);
+    FromPeer(agent, Data(), kStart);
+    if (client_first) FromPeer(agent, last, kStart);
+    FromTarget(agent, finish, kStart);
+    if (!client_first) FromPeer(agent, last, kStart);
+    BOOST_TEST(agent.flows.empty());
+    BOOST_TEST(agent.ended == 0U);
+  }
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  FromTarget(agent, finish, kStart);
+  BOOST_TEST(agent.flows.size() == 1U);
+  ForgetQuiet(agent, kStart + agent.policy.ended_idle + milliseconds{1});
+  BOOST_TEST(agent.flows.empty());
+  BOOST_TEST(agent.ended == 0U);
+}
+
+}  // namespace
+}  // namespace anvildrum::packets::agent_tests
--- /dev/null
+++ b/src/packets/tests/agent_rig.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "packets/agent.h"
+
+/// Packets, heartbeats and hellos for the tests of an agent.
+namespace anvildrum::packets::agent_tests {
+
+using base::milliseconds;
+using base::seconds;
+
+inline constexpr auto kStart = base::TimePoint{seconds{1000}};
+inline constexpr auto kOwn = Address{0x0a010001};
+inline constexpr auto kOther = Address{0x0a010002};
+inline constexpr auto kBalancer = Address{0x0a010009};
+inline constexpr auto kDesk = base::ServiceId{11};
+inline constexpr auto kMapper = base::ServiceId{22};
+inline constexpr auto kClient = End{0x64400007, 40001};
+inline constexpr auto kRoute = End{0xc6120001, 443};
+
+inline auto HelloOf(const std::vector<Address>& agents, bool complete = true) -> Hello {
+  auto hello = Hello{kDesk, {}, complete};
+  for (const auto agent : agents) hello.peers.push_back({agent, kDesk});
+  hello.digest = DigestOf(hello);
+  return hello;
+}
+
+inline auto Beat(std::uint64_t incarnation, std::uint64_t sequence, bool draining = false)
+    -> Heartbeat {
+  return {.incarnation = incarnation,
+          .service = kDesk,
+          .sequence = sequence,
+          .draining = draining,
+          .slots = 4};
+}
+
+/// An agent of desk with a ready target and one peer.
+inline auto MakeAgent() -> Agent {
+  auto agent = Agent{};
+  agent.own = kOwn;
+  agent.service = kDesk;
+  TakeHeartbeat(agent, Beat(1, 1), kStart);
+  TakeHello(agent, kBalancer, HelloOf({kOwn, kOther}, true), kStart);
+  return agent;
+}
+
+inline auto Opening(bool sole = true) -> Packet {
+  auto packet = Packet{.source = kClient, .destination = kRoute};
+  packet.synchronize = true;
+  packet.stamp = {0, sole, 0, TagOf(kDesk)};
+  return packet;
+}
+
+inline auto OpeningOf(std::uint16_t port, std::uint32_t copy) -> Packet {
+  auto packet = Opening();
+  packet.source.port = port;
+  packet.acknowledged = copy;
+  return packet;
+}
+
+inline auto Data() -> Packet {
+  auto packet = Packet{.source = kClient, .destination = kRoute};
+  packet.acknowledge = true;
+  packet.payload = 100;
+  packet.stamp = {0, false, 0, TagOf(kDesk)};
+  return packet;
+}
+
+inline auto Returned(Packet packet) -> Packet {
+  packet.returned = true;
+  return packet;
+}
+
+inline auto Reply(std::uint16_t payload) -> Packet {
+  auto packet = Packet{.source = kRoute, .destination = kClient};
+  packet.acknowledge = true;
+  packet.payload = payload;
+  return packet;
+}
+
+/// A packet of a flow that came round all agents; each target gave it back.
+inline auto LastOfRound(const Agent& agent) -> Packet {
+  auto packet = Returned(Data());
+  packet.stamp.hops = 1;
+  packet.stamp.refusable = true;
+  packet.stamp.peers_digest = agent.peers_digest;
+  return packet;
+}
+
+}  // namespace anvildrum::packets::agent_tests
--- /dev/null
+++ b/src/packets/tests/agent_target_test.cc
@@ -0,0 +1,106 @@
+#include <boost/test/unit_test.hpp>
+
+#include "agent_rig.h"
+#include "packets/agent.h"
+
+namespace anvildrum::packets::agent_tests {
+namespace {
+
+// The target has said that it drains. Openings of balancers that have not heard of it still come
+// here, and the target would take them.
+BOOST_AUTO_TEST_CASE(a_draining_target_is_given_no_opening_but_its_flows_packets) {
+  auto agent = MakeAgent();
+  BOOST_TEST((TakeHeartbeat(agent, Beat(1, 2, true), kStart) == HeartbeatOutcome::kChanged));
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Opening(), kStart)));
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), kStart)));
+}
+
+// All agents were killed and started again; the targets live on with their flows, and their next
+// heartbeats come within a second. Until then the agent delivers packets of flows, which the target
+// gives back if they are not its own, but no opening: the target may be draining.
+BOOST_AUTO_TEST_CASE(an_agent_that_has_just_started_delivers_packets_but_no_opening) {
+  auto agent = Agent{};
+  agent.own = kOwn;
+  agent.service = kDesk;
+  TakeHello(agent, kBalancer, HelloOf({kOwn, kOther}, true), kStart);
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), kStart)));
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Opening(), kStart)));
+}
+
+// The agent ends in a moment; an opening that it took would be silent until the next one is there.
+BOOST_AUTO_TEST_CASE(a_stopping_agent_takes_no_opening) {
+  auto agent = MakeAgent();
+  agent.stopping = true;
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Opening(), kStart)));
+  BOOST_TEST((MakeReport(agent, kBalancer, kStart).state == TargetState::kStopping));
+}
+
+// A target says that it leaves and exits; for some milliseconds it is still alive.
+BOOST_AUTO_TEST_CASE(a_leaving_target_is_given_its_flows_packets_for_a_moment) {
+  auto agent = MakeAgent();
+  TakeLeave(agent, 1, kStart);
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), kStart)));
+  BOOST_TEST((MakeReport(agent, kBalancer, kStart).state == TargetState::kDraining));
+  const auto later = kStart + agent.policy.leave_for;
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Data(), later)));
+}
+
+// A cut held up a heartbeat of a target that then crashed; the next one has announced itself. The
+// late one says that it drains: the live target would get no flow any more.
+BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_incarnation_changes_nothing) {
+  auto agent = MakeAgent();
+  TakeHeartbeat(agent, Beat(2, 1), kStart + seconds{1});
+  BOOST_TEST(
+      (TakeHeartbeat(agent, Beat(1, 9, true), kStart + seconds{2}) == HeartbeatOutcome::kStale));
+  BOOST_TEST((agent.target.state == TargetState::kReady));
+  BOOST_TEST(agent.target.last.incarnation == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_out_of_order_does_not_undo_draining) {
+  auto agent = MakeAgent();
+  TakeHeartbeat(agent, Beat(1, 3, true), kStart);
+  BOOST_TEST((TakeHeartbeat(agent, Beat(1, 2), kStart) == HeartbeatOutcome::kStale));
+  BOOST_TEST((agent.target.state == TargetState::kDraining));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_left_stays_gone_whatever_comes_late) {
+  auto agent = MakeAgent();
+  BOOST_TEST(TakeLeave(agent, 1, kStart));
+  BOOST_TEST((TakeHeartbeat(agent, Beat(1, 9), kStart) == HeartbeatOutcome::kStale));
+  const auto later = kStart + agent.policy.leave_for;
+  BOOST_TEST((MakeReport(agent, kBalancer, later).state == TargetState::kAbsent));
+}
+
+// A target ends without a word. Two seconds later its address serves another service, and the agent
+// is told a moment after that. An opening that is still given to it would be run by a service that
+// it was not meant for; packets of open flows may be, since the new target gives them back.
+BOOST_AUTO_TEST_CASE(a_silent_target_is_given_no_opening) {
+  auto agent = MakeAgent();
+  const auto heard = kStart + agent.policy.silent_for;
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Opening(), heard)));
+  const auto silent = heard + milliseconds{1};
+  TakeHello(agent, kBalancer, HelloOf({kOwn, kOther}, true), silent);
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, OpeningOf(7, 0), silent)));
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), silent)));
+  BOOST_TEST((MakeReport(agent, kBalancer, silent).state == TargetState::kUnknown));
+  const auto back = TakeHeartbeat(agent, Beat(1, 2), silent);
+  BOOST_TEST((back == HeartbeatOutcome::kChanged));
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(8, 0), silent)));
+  BOOST_TEST((MakeReport(agent, kBalancer, silent).state == TargetState::kReady));
+}
+
+// The first heartbeat of a target of another service comes before the changed settings are read.
+// It does not count as this service's target; it is told apart from a late one of a former
+// incarnation, so that the process reads its settings at once.
+BOOST_AUTO_TEST_CASE(a_heartbeat_for_another_service_is_told_apart) {
+  auto agent = MakeAgent();
+  auto beat = Beat(2, 1);
+  beat.service = kMapper;
+  BOOST_TEST((TakeHeartbeat(agent, beat, kStart) == HeartbeatOutcome::kOtherService));
+  BOOST_TEST(agent.target.last.incarnation == 1U);
+  TakeLeave(agent, 2, kStart);
+  BOOST_TEST((TakeHeartbeat(agent, beat, kStart) == HeartbeatOutcome::kStale));
+}
+
+}  // namespace
+}  // namespace anvildrum::packets::agent_tests
