--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -36,8 +36,9 @@
 }
 
 auto PeerConfiguration::Answer() const -> net::OperatorResponse {
-  if (!this->kept)
+  if (!this->kept) {
     return {.status = kUnavailable, .content_type = "application/json", .body = "{}"};
+  }
   return {.status = kOk,
           .content_type = "application/json",
           .body = this->adapter.encode_object(*this->kept)};
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -111,10 +111,10 @@
 // while those before it were busy. One packet asks 64 of them. All have to be asked by the client's
 // first few packets: it gives up after as many as it can send until its deadline.
 BOOST_AUTO_TEST_CASE(a_few_packets_search_all_agents_of_a_large_service) {
-  constexpr auto kAgents = Address{200};
-  auto rig = Rig{kAgents};
+  constexpr auto agents_in_all = Address{200};
+  auto rig = Rig{agents_in_all};
   auto agents = std::vector<Address>{};
-  for (auto i = Address{0}; i < kAgents; ++i) agents.push_back(kFirstAgent + i);
+  for (auto i = Address{0}; i < agents_in_all; ++i) agents.push_back(kFirstAgent + i);
   const auto order = RendezvousOrder({{0x64400007, 9}, kRoute}, agents);
   auto asked = std::set<Address>{};
   for (auto packet = 0; packet < 4; ++packet) {
@@ -124,7 +124,7 @@
       asked.insert(*place++);
     }
   }
-  BOOST_TEST(asked.size() == kAgents);
+  BOOST_TEST(asked.size() == agents_in_all);
 }
 
 BOOST_AUTO_TEST_CASE(a_located_flow_is_not_searched_any_more) {
@@ -138,27 +138,27 @@
 // its packets would otherwise be offered to targets that know nothing of it until its client gives
 // up.
 BOOST_AUTO_TEST_CASE(open_flows_stay_with_a_service_that_their_route_has_left) {
-  constexpr auto kMapperAgent = kFirstAgent + 100;
+  constexpr auto mapper_agent = kFirstAgent + 100;
   auto rig = Rig{3};
-  rig.Report(kMapperAgent, 0, TargetState::kReady, kMapper);
+  rig.Report(mapper_agent, 0, TargetState::kReady, kMapper);
   const auto agent = AgentOf(rig.Opening(1));
   rig.Configure(4, {{kMapper, 1}});
   const auto verdict = rig.Data(1);
   BOOST_TEST(AgentOf(verdict) == agent);
   BOOST_TEST(std::get<ForwardToAgent>(verdict).stamp.service_tag == TagOf(kDesk));
-  BOOST_TEST(AgentOf(rig.Opening(2)) == kMapperAgent);
+  BOOST_TEST(AgentOf(rig.Opening(2)) == mapper_agent);
   rig.now += rig.balancer.policy.former_for;
-  rig.Report(kMapperAgent, 0, TargetState::kReady, kMapper);
-  BOOST_TEST(AgentOf(rig.Data(1)) == kMapperAgent);
+  rig.Report(mapper_agent, 0, TargetState::kReady, kMapper);
+  BOOST_TEST(AgentOf(rig.Data(1)) == mapper_agent);
 }
 
 // The same for a balancer that remembers no flow of the route, or where weights have moved it:
 // every service that may hold it is searched, and giving it back proves nothing for one of them
 // alone.
 BOOST_AUTO_TEST_CASE(all_services_that_may_hold_a_forgotten_flow_are_searched) {
-  constexpr auto kMapperAgent = kFirstAgent + 100;
+  constexpr auto mapper_agent = kFirstAgent + 100;
   auto rig = Rig{1};
-  rig.Report(kMapperAgent, 0, TargetState::kReady, kMapper);
+  rig.Report(mapper_agent, 0, TargetState::kReady, kMapper);
   BOOST_TEST(std::get<ForwardToAgent>(rig.Data(9)).stamp.refusable);
   rig.Configure(4, {{kDesk, 0}, {kMapper, 1}});
   auto asked = std::set<Address>{};
@@ -167,7 +167,7 @@
     asked.insert(AgentOf(verdict));
     BOOST_TEST(!std::get<ForwardToAgent>(verdict).stamp.refusable);
   }
-  BOOST_TEST((asked == std::set<Address>{kFirstAgent, kMapperAgent}));
+  BOOST_TEST((asked == std::set<Address>{kFirstAgent, mapper_agent}));
 }
 
 BOOST_AUTO_TEST_CASE(flows_of_a_route_that_is_gone_go_nowhere) {
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -37,7 +37,7 @@
 // A service has more agents than one datagram can list. Each part has to fit into a frame, and
 // together they name every agent: one that is left out would pass packets on to nobody.
 BOOST_AUTO_TEST_CASE(a_long_list_is_sent_in_parts_that_fit_into_frames) {
-  constexpr auto kFrame = std::size_t{1400};
+  constexpr auto frame = std::size_t{1400};
   auto hello = Hello{base::ServiceId{7}, {}, true};
   for (auto agent = Address{1}; agent <= 1000; ++agent) {
     hello.peers.push_back({0x0a010000 + agent, base::ServiceId{7}});
@@ -46,7 +46,7 @@
   const auto parts = SplitHello(hello);
   auto together = std::vector<Peer>{};
   for (const auto& part : parts) {
-    BOOST_TEST(EncodeControl(part).size() <= kFrame);
+    BOOST_TEST(EncodeControl(part).size() <= frame);
     BOOST_TEST(part.complete);
     together.insert(together.end(), part.peers.begin(), part.peers.end());
   }
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -49,7 +49,8 @@
 auto World::WhenAwake(const Pause& pause, std::function<void()> run) -> void {
   if (pause.until <= this->now) return run();
   this->Later(pause.until - this->now, [this, &pause, starts = pause.starts, run = std::move(run)] {
-    if (pause.starts == starts) this->WhenAwake(pause, run);
+    if (pause.starts != starts) return;
+    this->WhenAwake(pause, run);
   });
 }
 
@@ -104,8 +105,8 @@
     const auto due = ticks % kHelloTicks == i % kHelloTicks;
     const auto awake = balancer.pause.until <= this->now;
     if (awake) NoteEvent(balancer.core.stall, this->now);
-    if (balancer.up && awake && due)
-      this->Hello(balancer, kFirstBalancer + static_cast<Address>(i));
+    const auto says = balancer.up && awake && due;
+    if (says) this->Hello(balancer, kFirstBalancer + static_cast<Address>(i));
   }
   for (auto i = std::size_t{0}; i < this->agents.size(); ++i) {
     auto& site = this->agents[i];
--- a/src/telemetry/tests/pipe_sink_test.cc
+++ b/src/telemetry/tests/pipe_sink_test.cc
@@ -57,16 +57,16 @@
 // The collector of the logs stalls and the pipe fills up. The process goes on: it would stand still
 // for good in this test otherwise. When the collector reads again, each line is there or counted.
 BOOST_AUTO_TEST_CASE(a_reader_that_stalls_costs_lines_but_no_time) {
-  constexpr auto kWritten = std::size_t{20'000};
+  constexpr auto lines_written = std::size_t{20'000};
   auto pipe = StalledPipe{};
   auto logger = LoggerTo(pipe.ends[1]);
-  for (auto i = std::size_t{0}; i < kWritten; ++i) logger.info("event=traffic number={}", i);
+  for (auto i = std::size_t{0}; i < lines_written; ++i) logger.info("event=traffic number={}", i);
   const auto before = Lines(pipe.Drain());
   BOOST_TEST(before > 0U);
-  BOOST_TEST(before < kWritten);
+  BOOST_TEST(before < lines_written);
   logger.info("event=after");
   const auto expected =
-      "event=log_lines_lost count=" + std::to_string(kWritten - before) + "\nevent=after\n";
+      "event=log_lines_lost count=" + std::to_string(lines_written - before) + "\nevent=after\n";
   BOOST_TEST(pipe.Drain() == expected);
   logger.info("event=later");
   BOOST_TEST(pipe.Drain() == "event=later\n");
