--- a/tests/process/tcp_proxy.py
+++ b/tests/process/tcp_proxy.py
@@ -22,6 +22,16 @@
     RESET = "reset"      # connections are reset as soon as they say anything
 
 
+def readable(sockets, seconds):
+    """Those of the sockets that have something to read. Not select(), which takes no descriptor
+    above 1,023: a soak of a hundred processes has more."""
+    poll = select.poll()
+    for each in sockets:
+        poll.register(each, select.POLLIN)
+    ready = {descriptor for descriptor, _ in poll.poll(seconds * 1000)}
+    return [each for each in sockets if each.fileno() in ready]
+
+
 class Proxy:
     """Takes connections at one address and carries them to another."""
 
@@ -50,8 +60,7 @@
         with near, far:
             try:
                 while self.running:
-                    ready, _, _ = select.select([near, far], [], [], STEP_SECONDS)
-                    for source in ready:
+                    for source in readable([near, far], STEP_SECONDS):
                         part = source.recv(PART_BYTES)
                         if not part:
                             return
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -3,17 +3,18 @@
 import dataclasses
 import enum
 import random
-import select
 import socket
 import threading
 import time
 
 from packet_standins import ACK, FIN, RETURNED, RST, SYN, Packet, Target
+from tcp_proxy import readable
 
 OPENING_AFTER = (0.0, 0.2, 0.6)  # seconds after the first opening at which a client sends each
 OPENING_ENDS = 1.4
 REPEAT_AFTER = (0.2, 0.6, 1.4, 3.0)  # seconds after a request at which it is sent again
 REQUEST_ENDS = 4.6
+READ_SECONDS = 0.05
 PARTS = 3  # packets of an answer
 PAUSE_SECONDS = (0.1, 0.8)  # between two requests of a long flow
 
@@ -74,7 +75,7 @@
 
     def serve(self):
         while self.running:
-            select.select([self.socket], [], [], 0.05)
+            readable([self.socket], READ_SECONDS)
             with self.mutex:
                 self.take_all()
 
