--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -35,12 +36,15 @@
 
 }  // namespace
 
-// The agents that any balancer holds for alive.
+// The agents that any balancer holds for alive. Most balancers hold the same ones: each list is
+// taken once.
 auto UnitePeers(Agent& agent, base::TimePoint now) -> void {
   agent.united_at = now;
   auto all = std::vector<Address>{};
+  auto taken = std::unordered_set<std::uint32_t>{};
   for (const auto& [balancer, hello] : agent.balancers) {
-    if (now - hello.at > agent.policy.hello_for) continue;
+    const auto fresh = now - hello.at <= agent.policy.hello_for;
+    if (!fresh || (hello.digest != 0 && !taken.insert(hello.digest).second)) continue;
     all.insert(all.end(), hello.peers.begin(), hello.peers.end());
   }
   std::sort(all.begin(), all.end());
