--- a/bench/tests/placement_model_test.cc
+++ b/bench/tests/placement_model_test.cc
@@ -28,7 +28,8 @@
   BOOST_TEST(RunPlacement(PowerOfTwo(), {.of_slots = 2.0}, kSeed).in_aim < 0.01);
 }
 
-// Reports are a second old. Going by them alone, all balancers choose the target that looked emptiest.
+// Reports are a second old. Going by them alone, all balancers choose the target that looked
+// emptiest.
 BOOST_AUTO_TEST_CASE(old_reports_make_no_rush) {
   const auto load = PlacementLoad{.of_slots = 0.8, .report_ms = 1000};
   BOOST_TEST(RunPlacement(Product(), load, kSeed).max_over_mean < 2.2);
--- a/tools/fuzz/packet_control.cc
+++ b/tools/fuzz/packet_control.cc
@@ -1,6 +1,4 @@
 // A control datagram of packet flows, as a balancer and an agent take it.
-#include "packets/control.h"
-
 #include <cstdint>
 #include <span>
 #include <variant>
@@ -8,6 +6,7 @@
 #include "base/overloaded.h"
 #include "packets/agent.h"
 #include "packets/balancer.h"
+#include "packets/control.h"
 
 namespace {
 
--- a/tools/fuzz/store_documents.cc
+++ b/tools/fuzz/store_documents.cc
@@ -1,5 +1,5 @@
-// What the users' platform and targets send: a datagram, a configuration, a heartbeat, answers of the
-// store.
+// What the users' platform and targets send: a datagram, a configuration, a heartbeat, answers of
+// the store.
 #include <cstdint>
 #include <string>
 #include <string_view>
