--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <vector>
 
-#include "packets/internal/flow_load.h"
 #include "packets/order.h"
 
 namespace anvildrum::packets {
--- a/src/telemetry/internal/pipe_sink.cc
+++ b/src/telemetry/internal/pipe_sink.cc
@@ -4,12 +4,10 @@
 #include <spdlog/fmt/fmt.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <climits>
 #include <cstddef>
 #include <string>
-#include <utility>
 
 namespace anvildrum::telemetry {
 namespace {
