Entries of other writers hide no others and name nothing to use

Cause: one entry without a readable name failed a whole list or watch, so that balancers learned of nothing any more until somebody had removed it; any object of the configuration's kind was taken for the configuration; a record that turned unreadable stayed in use.

Change: such entries are left out, counted (anvildrum_packets_unreadable_total) and logged; only the operator's object is the configuration; a record that can't be read, or that names another agent than its key, names none.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -73,6 +73,7 @@
   std::optional<base::TimePoint> platform_lost_at;
   bool stopping = false;
   std::uint64_t malformed = 0;
+  std::uint64_t unreadable = 0;      ///< records and configurations
   packets::BalancerCounters logged;  ///< as of the last traffic line
   std::unique_ptr<net::UdpPort> packet_port;
   std::unique_ptr<net::UdpPort> control_port;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -294,6 +294,10 @@
   const auto calls = CountsOf(this->client.Counts());
   counts.insert(counts.end(), calls.begin(), calls.end());
   counts.push_back({"malformed_total", "Datagrams and heartbeats refused whole", this->malformed});
+  const auto left_out = this->configuration_watcher->Counters().unreadable +
+                        this->record_watcher->Counters().unreadable;
+  counts.push_back({"unreadable_total", "Entries of the platform that could not be used",
+                    this->unreadable + left_out});
   return counts;
 }
 
@@ -336,10 +340,12 @@
 }
 
 auto BalancerNode::OnConfiguration(const platform::Object& object, std::string_view from) -> void {
-  if (object.deleted) return;
+  if (object.deleted || object.key != this->adapter.configuration_key) return;
   auto routes = this->adapter.decode_configuration(object.value);
   if (!routes) {
-    Log(LogLevel::kError, "configuration_unreadable", {{"revision", object.revision}});
+    ++this->unreadable;
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"key", object.key}, {"revision", object.revision}, {"from", from}});
     return;
   }
   const auto version = routes->version;
@@ -353,8 +359,10 @@
 auto BalancerNode::OnRecord(const platform::Object& object) -> void {
   const auto agent = AgentOfKey(object.key);
   const auto record = DecodeRecord(object.value);
-  if (!agent || (!object.deleted && !record)) {
-    Log(LogLevel::kWarning, "record_unreadable", {{"key", object.key}});
+  if (!agent || (!object.deleted && (!record || record->agent != *agent))) {
+    ++this->unreadable;
+    this->operators.LogOdd("record_unreadable", object.key);
+    if (agent) packets::RemoveRecord(this->core.view, *agent);
     return;
   }
   Log(LogLevel::kInfo, "record",
--- a/src/platform/internal/list_pages.cc
+++ b/src/platform/internal/list_pages.cc
@@ -19,6 +19,7 @@
   if (page.revision < whole.revision) return std::nullopt;
   if (!page.next.empty() && page.next <= whole.next) return std::nullopt;
   std::move(page.items.begin(), page.items.end(), std::back_inserter(whole.items));
+  whole.unreadable += page.unreadable;
   whole.next = std::move(page.next);
   return whole;
 }
--- a/src/platform/internal/prefix_watch.cc
+++ b/src/platform/internal/prefix_watch.cc
@@ -109,6 +109,7 @@
     ++watch.counters.older_refused;
     return Retry(watch);
   }
+  watch.counters.unreadable += listing->unreadable;
   auto effects = AcceptListing(watch, *listing);
   watch.revision = listing->revision;
   effects.synced = watch.revision;
@@ -148,6 +149,7 @@
     watch.list_next = true;
     return Retry(watch);
   }
+  watch.counters.unreadable += listing.unreadable;
   auto effects = WatchEffects{};
   AcceptEvents(watch, listing.items, effects);
   auto moved = listing.revision > watch.revision;
--- a/src/platform/prefix_watch.h
+++ b/src/platform/prefix_watch.h
@@ -32,6 +32,7 @@
   std::uint64_t hung = 0;           ///< watches without an answer in time
   std::uint64_t too_old = 0;        ///< watches from before the platform's history
   std::uint64_t older_refused = 0;  ///< listings and objects older than what is known
+  std::uint64_t unreadable = 0;     ///< entries of answers that named no object
   std::uint64_t missed = 0;         ///< changes that a list found and no watch had told
 };
 
--- a/src/platform/types/object.h
+++ b/src/platform/types/object.h
@@ -25,6 +25,7 @@
   std::uint64_t revision = 0;
   std::vector<Object> items;
   std::string next{};  ///< a page of a list: the key that the next one begins with; empty: the last
+  std::uint64_t unreadable = 0;  ///< entries that were left out, since they name no object
 };
 
 /// The write takes effect only on the object in this revision.
--- a/tests/process/test_packets_store.py
+++ b/tests/process/test_packets_store.py
@@ -98,6 +98,28 @@
         wait_until(lambda: str(flow.request(b"still")).endswith(":still"), "the flow served",
                    WIDE_SECONDS)
 
+    def test_entries_of_other_writers_hide_nothing(self):
+        # Another writer has left entries that can't be read among the agents' records and beside the
+        # configuration, before the processes start and while they run. The balancer counts them and
+        # goes on with the others; a second object of the configuration's kind is not in force.
+        self.put_odd_entries("before")
+        self.start_all()
+        self.put_odd_entries("after")
+        self.store.put("config", "main", configuration(2, [ROUTE, ADDED]))
+        self.wait_until_open(ADDED)
+        wait_until(lambda: self.metric(BALANCER, "anvildrum_packets_unreadable_total") >= 8,
+                   "odd entries counted", WIDE_SECONDS)
+        self.assertTrue(self.client.new_flow(ROUTE).open())
+
+    def put_odd_entries(self, name):
+        other = self.machines.host(AGENT + 1)
+        for number, spec in enumerate((None, [], "text", {"agent": 7, "service": "desk"},
+                                       {"agent": other}, {"service": "desk"})):
+            self.store.put("anvildrum-agents", f"{name}-{number}", spec)
+        self.store.put("anvildrum-agents", other.replace(".", "-"),
+                       {"agent": self.machines.host(AGENT), "service": "desk"})
+        self.store.put("config", name, configuration(9, []))
+
     def agent_was_answered(self):
         sent, failed = (self.metric(AGENT, f"anvildrum_packets_platform_calls{kind}_total")
                         for kind in ("", "_failed"))
