Tell why a packet that nobody took was dropped

The log said "no target took it" for five different reasons. Each has its own words now: an opening that somebody may have taken before, a flow that somebody may hold, a packet without data, agents that do not know the same others yet, an agent that is away.

--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -93,7 +93,12 @@
   kNoRoute,
   kNoTarget,
   kWrongService,
-  kNoneLeft,
+  kNoneTook,    ///< an opening that every agent on its way passed on
+  kMayBeOpen,   ///< an opening that nobody took now, but somebody may have taken before
+  kMayBeHeld,   ///< a target on its way may hold the flow and did not say so
+  kNoData,      ///< of a flow that has ended, perhaps in good order
+  kUnsettled,   ///< agents on its way did not all know the same others
+  kSomeAway,    ///< an agent whose target may hold the flow is away
 };
 
 /// For logs: a few words in place of the number.
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -1,6 +1,7 @@
 #include "packets/agent.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/agent_target.h"
@@ -14,17 +15,27 @@
   return StateOf(agent, now) == TargetState::kReady && !agent.stopping;
 }
 
+// Why it is not proven that no target holds the packet's flow, after its last agent; nothing where
+// it is.
+auto DoubtOf(const Agent& agent, const Packet& packet, base::TimePoint now)
+    -> std::optional<DiscardReason> {
+  if (!packet.stamp.refusable) return DiscardReason::kMayBeHeld;
+  if (packet.payload == 0) return DiscardReason::kNoData;
+  const auto whole_round = packet.stamp.hops >= OthersOf(agent);
+  if (!whole_round || !SameRound(agent, packet.stamp, now)) return DiscardReason::kUnsettled;
+  if (!KnowsAll(agent, now)) return DiscardReason::kSomeAway;
+  return std::nullopt;
+}
+
 auto NoneLeft(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
   ++agent.counters.none_left;
-  if (!packet.stamp.refusable) return Discard{DiscardReason::kNoneLeft};
   if (IsOpening(packet)) {
+    if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
     ++agent.counters.refused;
-    return RefuseOpening{DiscardReason::kNoneLeft};
+    return RefuseOpening{DiscardReason::kNoneTook};
   }
-  const auto whole_round = packet.stamp.hops >= OthersOf(agent);
-  const auto proven = packet.payload != 0 && whole_round && SameRound(agent, packet.stamp, now) &&
-                      KnowsAll(agent, now);
-  if (!proven) return Discard{DiscardReason::kNoneLeft};
+  const auto doubt = DoubtOf(agent, packet, now);
+  if (doubt) return Discard{*doubt};
   ++agent.counters.resets;
   return ResetFlow{};
 }
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -222,8 +222,18 @@
       return "no target known";
     case DiscardReason::kWrongService:
       return "other service";
-    case DiscardReason::kNoneLeft:
+    case DiscardReason::kNoneTook:
       return "no target took it";
+    case DiscardReason::kMayBeOpen:
+      return "no target took it, one may have before";
+    case DiscardReason::kMayBeHeld:
+      return "no target took it, one may hold it";
+    case DiscardReason::kNoData:
+      return "no target took it, no data";
+    case DiscardReason::kUnsettled:
+      return "no target took it, agents not settled";
+    case DiscardReason::kSomeAway:
+      return "no target took it, an agent is away";
   }
   return "unknown";
 }
