--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -20,7 +20,7 @@
 auto DoubtOf(const Agent& agent, const Packet& packet, base::TimePoint now)
     -> std::optional<DiscardReason> {
   if (!packet.stamp.refusable) return DiscardReason::kMayBeHeld;
-  if (packet.payload == 0) return DiscardReason::kNoData;
+  if (packet.payload == 0 && !packet.finish) return DiscardReason::kNoData;
   const auto whole_round = packet.stamp.hops >= OthersOf(agent);
   if (!whole_round || !SameRound(agent, packet.stamp, now)) return DiscardReason::kUnsettled;
   if (!KnowsAll(agent, now)) return DiscardReason::kSomeAway;
