Keep flows within their client's failure domain while it has places

Change: agents report a digest of their failure domain, hellos name it with each agent, and the rendezvous order goes round one domain after the other. A balancer offers an opening to the least loaded agent of its own domain unless all of these are busy, and searches there first. Openings that find no place go on in an order that does not look at domains. A list holds 180 agents a part.

The new cases of balancer_test and order_test fail without it.

--- a/bench/placement_model.cc
+++ b/bench/placement_model.cc
@@ -178,10 +178,14 @@
       return balancer.view.members.at(agent).report.in_flight;
     };
     auto all = std::vector<packets::Address>{};
-    for (const auto& agent : this->agents) all.push_back(agent.own);
+    auto places = std::vector<packets::Place>{};
+    for (const auto& agent : this->agents) {
+      all.push_back(agent.own);
+      places.push_back({agent.own, agent.domain});
+    }
     switch (this->variant.choice) {
       case Choice::kRendezvous:
-        return packets::RendezvousOrder(packets::FlowFromClient(packet), all).front();
+        return packets::RendezvousOrder(packets::FlowFromClient(packet), places).front();
       case Choice::kLeastReported:
         std::shuffle(all.begin(), all.end(), this->choice_draw);
         return *std::min_element(all.begin(), all.end(),
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -68,6 +68,7 @@
                                          "From a request's last packet to its answer's first")),
       registrar(io, this->client, MembersKey(adapter, settings), StartSeed(settings)) {
   this->core.own = AddressOf(settings.packets);
+  this->core.domain = packets::DomainTagOf(settings.failure_domain);
   this->core.policy.silent_for = SilentFor(*settings.agent);
   this->core.service = base::ServiceIdOf(settings.agent->service);
   this->core.start = StartSeed(settings);
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -70,6 +70,7 @@
       peers(io, adapter, settings,
             [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }) {
   this->core.view.policy = this->core.policy.view;
+  this->core.domain = packets::DomainTagOf(settings.failure_domain);
 }
 
 auto BalancerNode::Start() -> base::Result<void> {
@@ -263,7 +264,7 @@
   auto hello = packets::Hello{};
   for (const auto& [agent, member] : this->core.view.members) {
     if (!packets::IsAlive(this->core.view, member, now)) continue;
-    hello.peers.push_back({agent, member.service});
+    hello.peers.push_back({agent, member.service, 0});
   }
   std::sort(hello.peers.begin(), hello.peers.end(),
             [](const auto& a, const auto& b) { return a.agent < b.agent; });
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -93,11 +93,11 @@
 /// What a balancer last said.
 struct BalancerHello {
   base::TimePoint at{};
-  std::vector<Address> peers;
-  bool complete = false;                       ///< no other agent of the service can hold a flow
-  std::uint32_t digest = 0;                    ///< of `peers`; 0: the balancer has others by now
-  std::uint32_t gathered_digest = 0;           ///< of a list of which parts have come
-  std::vector<std::vector<Address>> gathered;  ///< by part; empty: it has not come yet
+  std::vector<Place> peers;
+  bool complete = false;                     ///< no other agent of the service can hold a flow
+  std::uint32_t digest = 0;                  ///< of `peers`; 0: the balancer has others by now
+  std::uint32_t gathered_digest = 0;         ///< of a list of which parts have come
+  std::vector<std::vector<Place>> gathered;  ///< by part; empty: it has not come yet
 };
 
 /// Former incarnations that an agent remembers: those whose heartbeats may still come late.
@@ -141,10 +141,11 @@
 struct Agent {
   AgentPolicy policy;
   Address own = 0;
+  DomainTag domain = 0;
   base::ServiceId service;
   LocalTarget target;
   std::unordered_map<Address, BalancerHello> balancers;
-  std::vector<Address> peers;  ///< agents of the service that any of them holds for alive
+  std::vector<Place> peers;  ///< agents of the service that any of them holds for alive
   std::uint16_t peers_digest = 0;
   base::TimePoint peers_since{};  ///< when `peers` last changed
   base::TimePoint united_at{};    ///< when `peers` was last worked out from the hellos
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -75,6 +75,7 @@
 
 struct Balancer {
   BalancerPolicy policy;
+  DomainTag domain = 0;          ///< where it runs, and where its clients mostly are
   std::optional<Routes> routes;  ///< nothing until a configuration has been read
   std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf the route
   View view;
@@ -93,12 +94,12 @@
   kNoRoute,
   kNoTarget,
   kWrongService,
-  kNoneTook,    ///< an opening that every agent on its way passed on
-  kMayBeOpen,   ///< an opening that nobody took now, but somebody may have taken before
-  kMayBeHeld,   ///< a target on its way may hold the flow and did not say so
-  kNoData,      ///< of a flow that has ended, perhaps in good order
-  kUnsettled,   ///< agents on its way did not all know the same others
-  kSomeAway,    ///< an agent whose target may hold the flow is away
+  kNoneTook,   ///< an opening that every agent on its way passed on
+  kMayBeOpen,  ///< an opening that nobody took now, but somebody may have taken before
+  kMayBeHeld,  ///< a target on its way may hold the flow and did not say so
+  kNoData,     ///< of a flow that has ended, perhaps in good order
+  kUnsettled,  ///< agents on its way did not all know the same others
+  kSomeAway,   ///< an agent whose target may hold the flow is away
 };
 
 /// For logs: a few words in place of the number.
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -17,6 +17,7 @@
 struct Peer {
   Address agent = 0;
   base::ServiceId service;
+  DomainTag domain = 0;  ///< told to agents
   auto operator==(const Peer&) const -> bool = default;
 };
 
--- a/src/packets/hello.h
+++ b/src/packets/hello.h
@@ -12,10 +12,10 @@
 /// What a balancer says to the agents that it knows.
 namespace anvildrum::packets {
 
-/// Agents in one hello to an agent: with 4 bytes each it stays below 1,300 bytes, so that no
-/// datagram is longer than an Ethernet frame. kMaxHelloParts of them are 19,200 agents of a
+/// Agents in one hello to an agent: with 7 bytes each at most it stays below 1,300 bytes, so that
+/// no datagram is longer than an Ethernet frame. kMaxHelloParts of them are 11,520 agents of a
 /// service.
-inline constexpr auto kAgentsInHello = std::size_t{300};
+inline constexpr auto kAgentsInHello = std::size_t{180};
 
 /// To the agents of one service.
 struct ServiceHello {
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -47,7 +47,9 @@
   const auto others = OthersOf(agent);
   const auto most = IsOpening(packet) ? agent.policy.opening_hops : kMaxHops;
   if (packet.stamp.hops >= std::min<std::size_t>(others, most)) return NoneLeft(agent, packet, now);
-  const auto next = NextInOrder(flow, agent.peers, agent.own);
+  const auto own = Place{agent.own, agent.domain};
+  const auto next = IsOpening(packet) ? NextAnywhere(flow, agent.peers, own)
+                                      : NextInOrder(flow, agent.peers, own);
   if (next == 0) return NoneLeft(agent, packet, now);
   ++agent.counters.passed_on;
   auto stamp = packet.stamp;
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -1,6 +1,7 @@
 #include "packets/internal/agent_peers.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <unordered_set>
 #include <utility>
@@ -11,20 +12,20 @@
 namespace anvildrum::packets {
 namespace {
 
-auto AgentsOf(const Hello& hello) -> std::vector<Address> {
-  auto agents = std::vector<Address>{};
-  for (const auto& peer : hello.peers) agents.push_back(peer.agent);
+auto AgentsOf(const Hello& hello) -> std::vector<Place> {
+  auto agents = std::vector<Place>{};
+  for (const auto& peer : hello.peers) agents.push_back({peer.agent, peer.domain});
   return agents;
 }
 
 // Keeps a part of a balancer's list. The whole list once every part of it has come.
-auto Gather(BalancerHello& known, const Hello& hello) -> std::optional<std::vector<Address>> {
+auto Gather(BalancerHello& known, const Hello& hello) -> std::optional<std::vector<Place>> {
   if (known.gathered_digest != hello.digest || known.gathered.size() != hello.parts) {
     known.gathered_digest = hello.digest;
     known.gathered.assign(hello.parts, {});
   }
   known.gathered[hello.part] = AgentsOf(hello);
-  auto whole = std::vector<Address>{};
+  auto whole = std::vector<Place>{};
   for (const auto& part : known.gathered) {
     if (part.empty() && hello.parts > 1) return std::nullopt;
     whole.insert(whole.end(), part.begin(), part.end());
@@ -39,15 +40,17 @@
 // taken once.
 auto UnitePeers(Agent& agent, base::TimePoint now) -> void {
   agent.united_at = now;
-  auto all = std::vector<Address>{};
+  auto all = std::vector<Place>{};
   auto taken = std::unordered_set<std::uint32_t>{};
   for (const auto& [balancer, hello] : agent.balancers) {
     const auto fresh = now - hello.at <= agent.policy.hello_for;
     if (!fresh || (hello.digest != 0 && !taken.insert(hello.digest).second)) continue;
     all.insert(all.end(), hello.peers.begin(), hello.peers.end());
   }
-  std::sort(all.begin(), all.end());
-  all.erase(std::unique(all.begin(), all.end()), all.end());
+  std::sort(all.begin(), all.end(), std::greater<>{});
+  const auto same_agent = [](const Place& a, const Place& b) { return a.agent == b.agent; };
+  all.erase(std::unique(all.begin(), all.end(), same_agent), all.end());
+  std::reverse(all.begin(), all.end());
   if (all == agent.peers) return;
   agent.peers = std::move(all);
   agent.peers_digest = DigestOf(agent.peers);
@@ -55,8 +58,9 @@
 }
 
 auto OthersOf(const Agent& agent) -> std::size_t {
-  return static_cast<std::size_t>(std::count_if(agent.peers.begin(), agent.peers.end(),
-                                                [&](Address peer) { return peer != agent.own; }));
+  return static_cast<std::size_t>(
+      std::count_if(agent.peers.begin(), agent.peers.end(),
+                    [&](const Place& peer) { return peer.agent != agent.own; }));
 }
 
 // Safeguard: a client that goes on with a flow of a target that is gone waits until its deadline,
@@ -80,7 +84,8 @@
 // not count ends one short of the target that may hold the flow.
 auto SameRound(const Agent& agent, const Stamp& stamp, base::TimePoint now) -> bool {
   if (now - agent.peers_since < agent.policy.settle_for) return false;
-  const auto listed = std::binary_search(agent.peers.begin(), agent.peers.end(), agent.own);
+  const auto own = Place{agent.own, agent.domain};
+  const auto listed = std::binary_search(agent.peers.begin(), agent.peers.end(), own);
   return listed && (stamp.hops == 0 || stamp.peers_digest == agent.peers_digest);
 }
 
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -180,7 +180,8 @@
           .held = static_cast<std::uint32_t>(agent.flows.size()) - agent.ended,
           .slots = target.last.slots,
           .cold = target.last.cold_ms > 0,
-          .hello_digest = told == agent.balancers.end() ? 0 : told->second.digest};
+          .hello_digest = told == agent.balancers.end() ? 0 : told->second.digest,
+          .domain = agent.domain};
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -35,16 +35,28 @@
   return best;
 }
 
-// Where the head of the order is busy, all others are looked at: one more hop for the packets of a
-// flow that is forgotten costs less than a request that waits.
+// The least loaded of the first few, or of all where these are busy: one more hop for the packets
+// of a flow that is forgotten costs less than a request that waits.
+auto ChooseAmong(const Balancer& balancer, std::span<const Address> order)
+    -> std::pair<Address, double> {
+  const auto near = LeastLoaded(balancer, order, balancer.policy.candidates);
+  if (near.first == 0 || near.second < balancer.policy.busy) return near;
+  return LeastLoaded(balancer, order, order.size());
+}
+
+// An agent of the balancer's own failure domain, unless all of these are busy.
 auto ChooseAgent(const Balancer& balancer, const FlowId& flow, base::ServiceId service,
                  const Hint& hint, base::TimePoint now) -> Address {
   auto usable = PlacementSet(balancer.view, service, now);
-  std::erase_if(usable, [&](Address agent) { return WasTried(hint, agent); });
-  const auto order = RendezvousOrder(flow, usable);
-  const auto near = LeastLoaded(balancer, order, balancer.policy.candidates);
-  if (near.second < balancer.policy.busy) return near.first;
-  return LeastLoaded(balancer, order, order.size()).first;
+  std::erase_if(usable, [&](const Place& place) { return WasTried(hint, place.agent); });
+  const auto order = RendezvousOrder(flow, usable, balancer.domain);
+  const auto in_domain = std::count_if(usable.begin(), usable.end(), [&](const Place& place) {
+    return place.domain == balancer.domain;
+  });
+  const auto own = std::span{order}.first(static_cast<std::size_t>(in_domain));
+  const auto choice = ChooseAmong(balancer, own);
+  if (choice.first != 0 && choice.second < balancer.policy.busy) return choice.first;
+  return ChooseAmong(balancer, order).first;
 }
 
 // An opening that is repeated went without an answer for as long as the client waits for one.
@@ -139,7 +151,8 @@
   ++balancer.counters.unhinted;
   const auto searches = hint.searches++;
   const auto service = holders[searches % holders.size()];
-  const auto order = RendezvousOrder(flow, SearchSet(balancer.view, service, now));
+  const auto agents = SearchSet(balancer.view, service, now);
+  const auto order = RendezvousOrder(flow, agents, balancer.domain);
   if (order.empty()) return 0;
   return order[(searches / holders.size() * SearchStep(order.size())) % order.size()];
 }
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -18,7 +18,10 @@
   body->set_part(hello.part);
   body->set_parts(hello.parts);
   if (hello.service != base::ServiceId{}) {
-    for (const auto& peer : hello.peers) body->add_agents(peer.agent);
+    for (const auto& peer : hello.peers) {
+      body->add_agents(peer.agent);
+      body->add_domains(peer.domain);
+    }
     return message;
   }
   for (const auto& peer : hello.peers) {
@@ -41,6 +44,7 @@
   body->set_slots(report.slots);
   body->set_cold(report.cold);
   body->set_hello_digest(report.hello_digest);
+  body->set_domain(report.domain);
   return message;
 }
 
@@ -67,6 +71,21 @@
   return Located{sender, {client, service}};
 }
 
+auto IsDomain(std::uint32_t number) -> bool {
+  return number <= std::numeric_limits<DomainTag>::max();
+}
+
+// The peers of a hello to an agent, each with its domain.
+auto TakeAgents(const pb::Hello& message, Hello& hello) -> bool {
+  if (message.domains_size() != message.agents_size()) return false;
+  for (auto i = 0; i < message.agents_size(); ++i) {
+    if (!IsDomain(message.domains(i))) return false;
+    const auto domain = static_cast<DomainTag>(message.domains(i));
+    hello.peers.push_back({message.agents(i), hello.service, domain});
+  }
+  return true;
+}
+
 auto FromMessage(const pb::Hello& message) -> std::optional<Hello> {
   auto hello = Hello{};
   if (message.parts() > kMaxHelloParts || message.part() >= message.parts()) return std::nullopt;
@@ -77,14 +96,15 @@
   hello.listed = message.listed();
   hello.digest = message.digest();
   for (const auto& peer : message.peers()) {
-    hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}});
+    hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
   }
-  for (const auto agent : message.agents()) hello.peers.push_back({agent, hello.service});
+  if (!TakeAgents(message, hello)) return std::nullopt;
   return hello;
 }
 
 auto FromMessage(const pb::Report& message, Address sender) -> std::optional<TargetReport> {
   if (message.state() > static_cast<std::uint32_t>(TargetState::kStopping)) return std::nullopt;
+  if (!IsDomain(message.domain())) return std::nullopt;
   return TargetReport{.agent = sender,
                       .service = base::ServiceId{message.service()},
                       .start = message.start(),
@@ -94,14 +114,15 @@
                       .held = message.held(),
                       .slots = message.slots(),
                       .cold = message.cold(),
-                      .hello_digest = message.hello_digest()};
+                      .hello_digest = message.hello_digest(),
+                      .domain = static_cast<DomainTag>(message.domain())};
 }
 
 }  // namespace
 
 auto DigestOf(const Hello& hello) -> std::uint32_t {
-  auto agents = std::vector<Address>{};
-  for (const auto& peer : hello.peers) agents.push_back(peer.agent);
+  auto agents = std::vector<Place>{};
+  for (const auto& peer : hello.peers) agents.push_back({peer.agent, peer.domain});
   return static_cast<std::uint32_t>(LongDigestOf(agents)) | 1U;
 }
 
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -29,7 +29,9 @@
   auto hellos = std::map<base::ServiceId, ServiceHello>{};
   for (const auto& [agent, member] : view.members) {
     auto& hello = hellos[member.service].brief;
-    if (MayHoldFlows(view, member, now)) hello.peers.push_back({agent, member.service});
+    if (MayHoldFlows(view, member, now)) {
+      hello.peers.push_back({agent, member.service, member.report.domain});
+    }
   }
   for (auto& [service, said] : hellos) {
     auto& hello = said.brief;
--- a/src/packets/internal/order.cc
+++ b/src/packets/internal/order.cc
@@ -1,7 +1,9 @@
 #include "packets/order.h"
 
 #include <algorithm>
-#include <utility>
+#include <functional>
+
+#include "base/types/ids.h"
 
 namespace anvildrum::packets {
 namespace {
@@ -19,50 +21,98 @@
   return (std::uint64_t{end.address} << 16U) | end.port;
 }
 
-auto Weight(std::uint64_t digest, Address agent) -> std::uint64_t {
-  return Mix(digest ^ Mix(agent));
+auto Weight(std::uint64_t digest, std::uint64_t subject) -> std::uint64_t {
+  return Mix(digest ^ Mix(subject));
+}
+
+// Distinguishes domains from agents in weights.
+constexpr auto kDomainSalt = std::uint64_t{1} << 48U;
+
+// A place in a flow's order; higher ranks come first.
+struct Rank {
+  std::uint64_t domain = 0;
+  std::uint64_t weight = 0;
+  Address agent = 0;
+  auto operator<=>(const Rank&) const = default;  // NOLINT(modernize-use-nullptr): false positive
+};
+
+auto RankAnywhere(std::uint64_t digest, const Place& place) -> Rank {
+  return {0, Weight(digest, place.agent), place.agent};
+}
+
+auto RankByDomain(std::uint64_t digest, const Place& place) -> Rank {
+  auto rank = RankAnywhere(digest, place);
+  rank.domain = Weight(digest, kDomainSalt | place.domain);
+  return rank;
+}
+
+// The highest rank below `own`, or else the highest of all others.
+template <typename RankOf>
+auto NextBy(RankOf rank_of, std::span<const Place> agents, const Place& own) -> Address {
+  const auto own_rank = rank_of(own);
+  auto first = Rank{};
+  auto next = Rank{};
+  for (const auto& place : agents) {
+    if (place.agent == own.agent) continue;
+    const auto rank = rank_of(place);
+    first = std::max(first, rank);
+    if (rank < own_rank) next = std::max(next, rank);
+  }
+  return next.agent != 0 ? next.agent : first.agent;
 }
 
 }  // namespace
 
+auto DomainTagOf(std::string_view name) -> DomainTag {
+  return static_cast<DomainTag>(base::HashName(name) | 1U);
+}
+
 auto HashOf(const FlowId& flow) -> std::uint64_t {
   return Mix(Mix(Pack(flow.client)) ^ Pack(flow.service));
 }
 
-auto RendezvousOrder(const FlowId& flow, std::span<const Address> agents) -> std::vector<Address> {
+auto RendezvousOrder(const FlowId& flow, std::span<const Place> agents, DomainTag first)
+    -> std::vector<Address> {
   const auto digest = HashOf(flow);
-  auto weighted = std::vector<std::pair<std::uint64_t, Address>>{};
-  weighted.reserve(agents.size());
-  for (const auto agent : agents) weighted.emplace_back(Weight(digest, agent), agent);
-  std::sort(weighted.begin(), weighted.end(), std::greater<>{});
+  auto ranked = std::vector<Rank>{};
+  ranked.reserve(agents.size());
+  auto in_first = std::size_t{0};
+  for (const auto& place : agents) {
+    ranked.push_back(RankByDomain(digest, place));
+    if (place.domain == first) ++in_first;
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>{});
   auto order = std::vector<Address>{};
-  order.reserve(weighted.size());
-  for (const auto& [weight, agent] : weighted) order.push_back(agent);
+  order.reserve(ranked.size());
+  for (const auto& rank : ranked) order.push_back(rank.agent);
+  if (first == 0 || in_first == 0) return order;
+  const auto weight = Weight(digest, kDomainSalt | first);
+  const auto begin = std::find_if(ranked.begin(), ranked.end(),
+                                  [&](const Rank& rank) { return rank.domain == weight; });
+  std::rotate(order.begin(), order.begin() + (begin - ranked.begin()), order.end());
   return order;
 }
 
-auto LongDigestOf(std::span<const Address> agents) -> std::uint64_t {
+auto LongDigestOf(std::span<const Place> agents) -> std::uint64_t {
   auto digest = std::uint64_t{0};
-  for (const auto agent : agents) digest = Mix(digest ^ agent);
+  for (const auto& place : agents) {
+    digest = Mix(digest ^ place.agent ^ (std::uint64_t{place.domain} << 32U));
+  }
   return digest;
 }
 
-auto DigestOf(std::span<const Address> agents) -> std::uint16_t {
+auto DigestOf(std::span<const Place> agents) -> std::uint16_t {
   return static_cast<std::uint16_t>(LongDigestOf(agents) >> (64U - kPeersDigestBits));
 }
 
-auto NextInOrder(const FlowId& flow, std::span<const Address> agents, Address own) -> Address {
+auto NextInOrder(const FlowId& flow, std::span<const Place> agents, const Place& own) -> Address {
   const auto digest = HashOf(flow);
-  const auto own_place = std::pair{Weight(digest, own), own};
-  auto first = std::pair<std::uint64_t, Address>{};  // the highest of all others
-  auto next = std::pair<std::uint64_t, Address>{};   // the highest below our own place
-  for (const auto agent : agents) {
-    if (agent == own) continue;
-    const auto place = std::pair{Weight(digest, agent), agent};
-    first = std::max(first, place);
-    if (place < own_place) next = std::max(next, place);
-  }
-  return next.second != 0 ? next.second : first.second;
+  return NextBy([&](const Place& place) { return RankByDomain(digest, place); }, agents, own);
+}
+
+auto NextAnywhere(const FlowId& flow, std::span<const Place> agents, const Place& own) -> Address {
+  const auto digest = HashOf(flow);
+  return NextBy([&](const Place& place) { return RankAnywhere(digest, place); }, agents, own);
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -21,6 +21,8 @@
   return member;
 }
 
+auto PlaceOf(const Member& member) -> Place { return {member.agent, member.report.domain}; }
+
 // How promising a member is for an opening, best first.
 enum class Tier : std::uint8_t {
   kUsable,
@@ -101,24 +103,24 @@
 }
 
 auto SearchSet(const View& view, base::ServiceId service, base::TimePoint now)
-    -> std::vector<Address> {
-  auto alive = std::vector<Address>{};
-  auto known = std::vector<Address>{};
+    -> std::vector<Place> {
+  auto alive = std::vector<Place>{};
+  auto known = std::vector<Place>{};
   for (const auto& [agent, member] : view.members) {
     if (member.service != service) continue;
-    known.push_back(agent);
-    if (MayHoldFlows(view, member, now)) alive.push_back(agent);
+    known.push_back(PlaceOf(member));
+    if (MayHoldFlows(view, member, now)) alive.push_back(PlaceOf(member));
   }
   return alive.empty() ? known : alive;
 }
 
 auto PlacementSet(const View& view, base::ServiceId service, base::TimePoint now)
-    -> std::vector<Address> {
-  auto tiers = std::array<std::vector<Address>, 4>{};
+    -> std::vector<Place> {
+  auto tiers = std::array<std::vector<Place>, 4>{};
   for (const auto& [agent, member] : view.members) {
     if (member.service != service) continue;
     const auto tier = TierOf(view, member, now);
-    if (tier) tiers.at(static_cast<std::size_t>(*tier)).push_back(agent);
+    if (tier) tiers.at(static_cast<std::size_t>(*tier)).push_back(PlaceOf(member));
   }
   for (auto& tier : tiers) {
     if (!tier.empty()) return std::move(tier);
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -47,7 +47,8 @@
                 .sequence = ++this->sequence,
                 .state = state,
                 .in_flight = in_flight,
-                .slots = 4},
+                .slots = 4,
+                .domain = this->domains[agent]},
                this->now);
   }
 
@@ -66,6 +67,7 @@
   }
 
   Balancer balancer;
+  std::map<Address, DomainTag> domains;  ///< of agents, for their next reports
   base::TimePoint now = kStart;
   std::uint64_t sequence = 0;
 };
@@ -89,14 +91,61 @@
 // first three of the flow's order, so that is where the search has to begin.
 BOOST_AUTO_TEST_CASE(a_flow_that_nobody_remembers_is_searched_from_the_head_of_its_order) {
   auto rig = Rig{7};
-  auto agents = std::vector<Address>{};
-  for (auto i = Address{0}; i < 7; ++i) agents.push_back(kFirstAgent + i);
+  auto agents = std::vector<Place>{};
+  for (auto i = Address{0}; i < 7; ++i) agents.push_back({kFirstAgent + i, 0});
   const auto order = RendezvousOrder({{0x64400007, 9}, kRoute}, agents);
   BOOST_TEST(AgentOf(rig.Data(9)) == order.front());
   const auto placed = AgentOf(rig.Opening(9));
   BOOST_TEST((std::find(order.begin(), order.begin() + 3, placed) != order.begin() + 3));
 }
 
+// A rig whose agents take turns in three failure domains, with the balancer in the second one.
+auto MakeRigOfDomains(Address agents) -> Rig {
+  auto rig = Rig{0};
+  rig.balancer.domain = 2;
+  for (auto i = Address{0}; i < agents; ++i) {
+    rig.domains[kFirstAgent + i] = static_cast<DomainTag>(1 + i % 3);
+    rig.Report(kFirstAgent + i, 0);
+  }
+  return rig;
+}
+
+// Clients' packets come by balancers of their own failure domain, and answers go from the agent to
+// the client: placed anywhere, two thirds of all bytes cross domains, which operators pay for.
+BOOST_AUTO_TEST_CASE(openings_stay_in_the_balancers_domain_while_it_has_places) {
+  auto rig = MakeRigOfDomains(9);
+  for (auto port = std::uint16_t{1}; port <= 12; ++port) {
+    BOOST_TEST(rig.domains.at(AgentOf(rig.Opening(port))) == 2);
+  }
+}
+
+// All agents of the domain are busy, those of the others idle: a request that waited for its own
+// domain would be late for nothing.
+BOOST_AUTO_TEST_CASE(openings_leave_a_domain_whose_agents_are_busy) {
+  auto rig = MakeRigOfDomains(9);
+  for (const auto& [agent, domain] : rig.domains) rig.Report(agent, domain == 2 ? 4 : 0);
+  for (auto port = std::uint16_t{1}; port <= 12; ++port) {
+    BOOST_TEST(rig.domains.at(AgentOf(rig.Opening(port))) != 2);
+  }
+}
+
+// A balancer of the domain has just started and remembers no flow. The opening was placed among the
+// first three of the domain; searched from another one on, the packet would pass half of all
+// agents.
+BOOST_AUTO_TEST_CASE(a_flow_that_nobody_remembers_is_searched_in_the_own_domain_first) {
+  auto rig = MakeRigOfDomains(30);
+  const auto placed = AgentOf(rig.Opening(9));
+  auto fresh = MakeRigOfDomains(30);
+  auto places = std::vector<Place>{};
+  for (const auto& [agent, domain] : rig.domains) places.push_back({agent, domain});
+  auto passed = 0;
+  auto at = AgentOf(fresh.Data(9));
+  for (; at != placed; ++passed) {
+    at = NextInOrder({{0x64400007, 9}, kRoute}, places, {at, rig.domains.at(at)});
+  }
+  BOOST_TEST(passed < 3);
+}
+
 // A balancer has just started; two agents ended a moment ago and their reports are not missed yet.
 // The packets of a flow go round the agents, and each that reaches one of these is lost. Sent the
 // same way each time, none arrives, and a healthy target's flow is silent for seconds.
@@ -113,8 +162,8 @@
 BOOST_AUTO_TEST_CASE(a_few_packets_search_all_agents_of_a_large_service) {
   constexpr auto agents_in_all = Address{200};
   auto rig = Rig{agents_in_all};
-  auto agents = std::vector<Address>{};
-  for (auto i = Address{0}; i < agents_in_all; ++i) agents.push_back(kFirstAgent + i);
+  auto agents = std::vector<Place>{};
+  for (auto i = Address{0}; i < agents_in_all; ++i) agents.push_back({kFirstAgent + i, 0});
   const auto order = RendezvousOrder({{0x64400007, 9}, kRoute}, agents);
   auto asked = std::set<Address>{};
   for (auto packet = 0; packet < 4; ++packet) {
--- a/src/packets/tests/view_test.cc
+++ b/src/packets/tests/view_test.cc
@@ -56,7 +56,7 @@
   const auto later = kStart + view.policy.alive_for + milliseconds{1};
   TakeReport(view, other, later);
   BOOST_TEST(PlacementSet(view, kDesk, later).size() == 1U);
-  BOOST_TEST(SearchSet(view, kDesk, later).front() == kAgent + 1);
+  BOOST_TEST(SearchSet(view, kDesk, later).front().agent == kAgent + 1);
 }
 
 BOOST_AUTO_TEST_CASE(where_all_are_silent_all_are_searched) {
@@ -81,7 +81,7 @@
   TakeReport(view, ReportOf(kDesk, 7, 1), kStart);
   AddRecord(view, kAgent + 1, kDesk, kStart);
   BOOST_TEST(PlacementSet(view, kDesk, kStart).size() == 1U);
-  BOOST_TEST(PlacementSet(view, kDesk, kStart).front() == kAgent);
+  BOOST_TEST(PlacementSet(view, kDesk, kStart).front().agent == kAgent);
 }
 
 BOOST_AUTO_TEST_CASE(a_draining_target_is_offered_nothing_even_if_it_is_the_last) {
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -5,6 +5,7 @@
 
 #include "base/types/ids.h"
 #include "packets/types/packet.h"
+#include "packets/types/place.h"
 
 namespace anvildrum::packets {
 
@@ -34,6 +35,7 @@
   std::uint32_t slots = 0;         ///< requests that the target works on at once
   bool cold = false;               ///< just started, and slow for now
   std::uint32_t hello_digest = 0;  ///< of the peers that this balancer told last; 0: none
+  DomainTag domain = 0;            ///< where the agent runs
 };
 
 /// One start of a target. An id may be used again by a later start, which holds nothing of before.
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -7,6 +7,7 @@
 
 #include "base/types/ids.h"
 #include "base/types/time.h"
+#include "packets/types/place.h"
 #include "packets/types/target.h"
 
 namespace anvildrum::packets {
@@ -82,7 +83,7 @@
 /// Safeguard: packets of flows that nobody remembers go round this set, and an agent that ends
 /// swallows those that reach it; it would be missed only when its reports are.
 auto SearchSet(const View& view, base::ServiceId service, base::TimePoint now)
-    -> std::vector<Address>;
+    -> std::vector<Place>;
 
 /// Agents of a service to which an opening may be sent. Where none is usable, the next best that
 /// are not known to refuse it: suspected ones, then those known only by name, then silent ones.
@@ -91,6 +92,6 @@
 /// nobody and that no opening was answered; the fault is its own, and refusing all that comes would
 /// fail requests while every target is well. An agent that cannot take an opening passes it on.
 auto PlacementSet(const View& view, base::ServiceId service, base::TimePoint now)
-    -> std::vector<Address>;
+    -> std::vector<Place>;
 
 }  // namespace anvildrum::packets
