--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -24,6 +24,10 @@
   return requests / std::max(1.0, static_cast<double>(report.slots));
 }
 
+auto HasFreeSlot(const Member& member) -> bool {
+  return member.report.in_flight + member.offered < member.report.slots;
+}
+
 // The least loaded of the first `count` in the order; 0 where there is none.
 auto LeastLoaded(const Balancer& balancer, std::span<const Address> order, std::size_t count)
     -> std::pair<Address, double> {
@@ -44,7 +48,7 @@
   return LeastLoaded(balancer, order, order.size());
 }
 
-// An agent of the balancer's own failure domain, unless all of these are busy.
+// An agent of the balancer's own failure domain, unless the least loaded of these has no free slot.
 auto ChooseAgent(const Balancer& balancer, const FlowId& flow, base::ServiceId service,
                  const Hint& hint, base::TimePoint now) -> Address {
   auto usable = PlacementSet(balancer.view, service, now);
@@ -54,8 +58,8 @@
     return place.domain == balancer.domain;
   });
   const auto own = std::span{order}.first(static_cast<std::size_t>(in_domain));
-  const auto choice = ChooseAmong(balancer, own);
-  if (choice.first != 0 && choice.second < balancer.policy.busy) return choice.first;
+  const auto choice = ChooseAmong(balancer, own).first;
+  if (choice != 0 && HasFreeSlot(balancer.view.members.at(choice))) return choice;
   return ChooseAmong(balancer, order).first;
 }
 
