--- a/src/packets/tests/view_test.cc
+++ b/src/packets/tests/view_test.cc
@@ -1,6 +1,7 @@
 #include "packets/view.h"
 
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 namespace anvildrum::packets {
 namespace {
@@ -110,6 +111,39 @@
   BOOST_TEST(!IsComplete(view, kDesk, long_silent - seconds{1}, long_silent));  // it was paused
 }
 
+// A balancer has started after a loss of power and knows agents by their records. One that does not
+// answer yet is asked again soon, but not for ever: its instance may be gone.
+BOOST_AUTO_TEST_CASE(members_that_are_silent_are_asked_again_for_a_while) {
+  auto view = View{};
+  AddRecord(view, kAgent, kDesk, kStart);
+  BOOST_TEST(Unheard(view, kStart, kStart + view.policy.greet_for).size() == 1U);
+  const auto later = kStart + view.policy.greet_for + milliseconds{1};
+  BOOST_TEST(Unheard(view, kStart, later).empty());
+  BOOST_TEST(Unheard(view, later, later).size() == 1U);  // this process was paused
+  TakeReport(view, ReportOf(kDesk, 7, 1), later);
+  BOOST_TEST(Unheard(view, later, later).empty());
+}
+
+// Whatever changes which agents may hold flows is told at once; reports that say the same are not
+// worth a message to every agent.
+BOOST_AUTO_TEST_CASE(changes_that_hellos_tell_of_are_counted) {
+  auto view = View{};
+  auto before = view.changes;
+  const auto changed = [&] { return std::exchange(before, view.changes) != view.changes; };
+  AddRecord(view, kAgent, kDesk, kStart);
+  BOOST_TEST(changed());
+  TakeReport(view, ReportOf(kDesk, 7, 1), kStart);
+  BOOST_TEST(changed());
+  TakeReport(view, ReportOf(kDesk, 7, 2), kStart);
+  BOOST_TEST(!changed());
+  auto stopping = ReportOf(kDesk, 7, 3);
+  stopping.state = TargetState::kStopping;
+  TakeReport(view, stopping, kStart);
+  BOOST_TEST(changed());
+  TakeReport(view, ReportOf(kDesk, 8, 1), kStart);
+  BOOST_TEST(changed());
+}
+
 BOOST_AUTO_TEST_CASE(members_are_forgotten_only_without_record_and_report) {
   auto view = View{};
   AddRecord(view, kAgent, kDesk, kStart);
