--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -1,13 +1,14 @@
 #include "packets/internal/agent_target.h"
 
+#include <algorithm>
+
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/flow_load.h"
+#include "packets/internal/incarnations.h"
 
 namespace anvildrum::packets {
 namespace {
 
-auto WasHeard(const LocalTarget& target) -> bool { return target.heard != base::TimePoint{}; }
-
 // How long the process has run without a stall; 0 where it has not begun.
 auto RunsFor(const Agent& agent, base::TimePoint now) -> base::Duration {
   const auto since = agent.stall.running_since;
@@ -32,62 +33,13 @@
   return StateOf(agent, now);
 }
 
-// What a heartbeat is to the incarnation that is known.
-enum class Claim : std::uint8_t {
-  kCurrent,   ///< its next one
-  kNext,      ///< the first of an incarnation that started later
-  kDoubtful,  ///< may have been said earlier, or by a target that is gone
-};
-
-auto IsRetired(const LocalTarget& target, const Incarnation& incarnation) -> bool {
-  return std::any_of(target.retired.begin(), target.retired.end(), [&](const Incarnation& retired) {
-    return retired == incarnation || (!retired.started_ms && retired.id == incarnation.id);
-  });
-}
-
-auto Retire(LocalTarget& target, const Incarnation& incarnation) -> void {
-  if (IsRetired(target, incarnation)) return;
-  target.retired.push_back(incarnation);
-  if (target.retired.size() > kMostRetired) target.retired.pop_front();
-}
-
-auto ClaimOf(const LocalTarget& target, const Heartbeat& heartbeat) -> Claim {
-  if (IsRetired(target, heartbeat.incarnation)) return Claim::kDoubtful;
-  if (!WasHeard(target)) return Claim::kNext;
-  const auto& before = target.last.incarnation;
-  const auto& after = heartbeat.incarnation;
-  if (before == after) {
-    return heartbeat.sequence > target.last.sequence ? Claim::kCurrent : Claim::kDoubtful;
-  }
-  if (before.started_ms && after.started_ms) {
-    return *after.started_ms > *before.started_ms ? Claim::kNext : Claim::kDoubtful;
-  }
-  return before.id == after.id ? Claim::kDoubtful : Claim::kNext;
-}
-
-// Whether a doubtful heartbeat follows an earlier one of its incarnation after `apart`.
-auto GoesOn(LocalTarget& target, const Heartbeat& heartbeat, base::Duration apart,
-            base::TimePoint now) -> bool {
-  auto& first = target.doubtful;
-  if (first && first->incarnation == heartbeat.incarnation &&
-      heartbeat.sequence > first->sequence) {
-    return now - first->heard >= apart;
-  }
-  first = DoubtfulHeartbeat{heartbeat.incarnation, heartbeat.sequence, now};
-  return false;
-}
-
 // Flows of before are gone with the incarnation that held them.
 auto StartAnew(Agent& agent, const Incarnation& next, base::TimePoint now) -> void {
   auto& target = agent.target;
   const auto before = target.last.incarnation;
   if (WasHeard(target)) Retire(target, before);
-  const auto again = std::any_of(target.retired.begin(), target.retired.end(),
-                                 [&](const Incarnation& retired) { return retired.id == next.id; });
-  if (again) target.again_at = now;
-  std::erase_if(target.retired, [&](const Incarnation& retired) {
-    return retired == next || (!retired.started_ms && retired.id == next.id);
-  });
+  if (IsFormerId(target, next.id)) target.again_at = now;
+  Reinstate(target, next);
   if (WasHeard(target)) ForgetFlows(agent);
 }
 
