--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -41,11 +41,10 @@
 
 // The least loaded of the first few, or of all where these are busy: one more hop for the packets
 // of a flow that is forgotten costs less than a request that waits.
-auto ChooseAmong(const Balancer& balancer, std::span<const Address> order)
-    -> std::pair<Address, double> {
+auto ChooseAmong(const Balancer& balancer, std::span<const Address> order) -> Address {
   const auto near = LeastLoaded(balancer, order, balancer.policy.candidates);
-  if (near.first == 0 || near.second < balancer.policy.busy) return near;
-  return LeastLoaded(balancer, order, order.size());
+  if (near.first == 0 || near.second < balancer.policy.busy) return near.first;
+  return LeastLoaded(balancer, order, order.size()).first;
 }
 
 // An agent of the balancer's own failure domain, unless the least loaded of these has no free slot.
@@ -58,9 +57,9 @@
     return place.domain == balancer.domain;
   });
   const auto own = std::span{order}.first(static_cast<std::size_t>(in_domain));
-  const auto choice = ChooseAmong(balancer, own).first;
+  const auto choice = ChooseAmong(balancer, own);
   if (choice != 0 && HasFreeSlot(balancer.view.members.at(choice))) return choice;
-  return ChooseAmong(balancer, order).first;
+  return ChooseAmong(balancer, order);
 }
 
 // An opening that is repeated went without an answer for as long as the client waits for one.
