Remove a record once; work out heartbeats in one place

Registrar::Remove now returns where the record is known to be absent, as Keep does for a value that stands. SilentFor uses HeartbeatsOf in place of the same conversions. Behaviour else unchanged.

--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -49,11 +49,9 @@
 }
 
 auto SilentFor(const AgentSettings& settings) -> base::Duration {
-  const auto period = std::chrono::duration<double>(settings.heartbeat_period);
-  const auto missed = std::min(period * kSilentHeartbeats,
-                               std::chrono::duration<double>(settings.address_reused_after));
-  const auto silent = std::max(missed, period * kLeastHeartbeats);
-  return std::chrono::duration_cast<base::Duration>(silent);
+  const auto missed =
+      std::min(HeartbeatsOf(settings, kSilentHeartbeats), settings.address_reused_after);
+  return std::max(missed, HeartbeatsOf(settings, kLeastHeartbeats));
 }
 
 auto MembersKey(const Adapter& adapter, const Settings& settings) -> std::string {
--- a/src/packetd/internal/registrar.cc
+++ b/src/packetd/internal/registrar.cc
@@ -164,6 +164,8 @@
 }
 
 auto Registrar::Remove() -> void {
+  const auto absent = this->core->looked && this->core->revision == 0;
+  if (this->core->wanted.empty() && this->core->settled && absent) return;
   this->core->wanted.clear();
   this->core->Run();
 }
