Greet agents at a bounded rate, and send a list to who lacks it

Cause: each balancer greeted each agent four times a second, and all of them, with the whole list, at any change within 50 ms: up to twenty times a second 2.2 kB to 204 agents over links of 20 Mbit/s while targets were replaced.

Change: hellos go in turn, 200 a second while nothing changes and 100 a check while there is news, suspected agents first; a hello names its list by a digest, and an agent that holds no list of that digest from any balancer asks one of them for it. Suspicion lasts until the agent reports; it is asked at once. Lines of records have a budget of their own.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -18,6 +18,8 @@
 #include "packetd/settings.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
+#include "packets/greeting.h"
+#include "packets/hello.h"
 #include "platform/client.h"
 #include "platform/prefix_watcher.h"
 
@@ -42,9 +44,8 @@
   auto Carry(std::span<const std::uint8_t> datagram, const packets::Packet& packet,
              const packets::BalancerVerdict& verdict) -> void;
   auto OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram) -> void;
-  auto SayHello(base::TimePoint now) -> void;
-  auto SayHelloTo(std::span<const packets::Address> agents, base::TimePoint now) -> void;
   auto Greet(base::TimePoint now) -> void;
+  auto OnReport(const packets::TargetReport& report, base::TimePoint now) -> void;
   auto OnAnswer(const platform::PlatformError* error) -> void;
   auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
   auto OnRecord(const platform::Object& object) -> void;
@@ -69,8 +70,8 @@
   platform::Client record_client;  ///< whose reads may be seconds old
   PeerConfiguration peers;
   std::map<packets::Address, base::TimePoint> balancers;  ///< when they last said hello
-  std::size_t hearsay_from = 0;    ///< where the next message to balancers goes on
-  std::uint64_t said_changes = 0;  ///< packets::View::changes that the last hellos told of
+  std::size_t hearsay_from = 0;  ///< where the next message to balancers goes on
+  std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
   base::TimePoint records_at{};  ///< when the platform last confirmed them
   std::optional<base::TimePoint> platform_lost_at;
@@ -81,8 +82,8 @@
   std::unique_ptr<net::UdpPort> packet_port;
   std::unique_ptr<net::UdpPort> control_port;
   std::unique_ptr<net::OperatorPort> readiness_port;
-  std::unique_ptr<net::PeriodicTimer> hello_timer;
-  std::unique_ptr<net::PeriodicTimer> stall_timer;
+  std::unique_ptr<net::PeriodicTimer> ask_timer;
+  std::unique_ptr<net::PeriodicTimer> check_timer;
   std::unique_ptr<net::PeriodicTimer> sweep_timer;
   std::unique_ptr<platform::PrefixWatcher> configuration_watcher;
   std::unique_ptr<platform::PrefixWatcher> record_watcher;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -11,7 +11,6 @@
 #include "packetd/addresses.h"
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
-#include "packets/hello.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -33,6 +32,9 @@
 constexpr auto kRecordHold = base::seconds{8};
 constexpr auto kRecordPause = base::milliseconds{500};
 
+// Between two questions to other balancers while no configuration is known.
+constexpr auto kAskPeriod = base::milliseconds{250};
+
 // To other balancers, of the agents that are known to be live. A new agent tells its seeds at once.
 constexpr auto kMaxHearsay = std::size_t{90};  ///< agents in one message: 1.3 kB
 constexpr auto kBalancerFor = base::seconds{5};
@@ -78,12 +80,11 @@
   auto opened = this->OpenPorts();
   if (!opened) return opened.error();
   this->Watch();
-  this->hello_timer =
-      std::make_unique<net::PeriodicTimer>(this->io, kHelloPeriod, [this](base::TimePoint now) {
-        this->SayHello(now);
+  this->ask_timer =
+      std::make_unique<net::PeriodicTimer>(this->io, kAskPeriod, [this](base::TimePoint /*now*/) {
         if (!this->core.routes) this->peers.Ask();
       });
-  this->stall_timer = std::make_unique<net::PeriodicTimer>(
+  this->check_timer = std::make_unique<net::PeriodicTimer>(
       this->io, packets::kStallCheck, [this](base::TimePoint now) {
         packets::NoteEvent(this->core.stall, now);
         this->Greet(now);
@@ -148,7 +149,7 @@
           .on_synced =
               [this](std::uint64_t /*revision*/) {
                 this->records_at = base::Now();
-                if (!std::exchange(this->records_read, true)) this->SayHello(this->records_at);
+                if (!std::exchange(this->records_read, true)) this->Greet(this->records_at);
               }});
 }
 
@@ -208,9 +209,7 @@
   }
   std::visit(base::Overloaded{
                  [&](const packets::Hello& hello) { this->OnHello(AddressOf(from), hello, now); },
-                 [&](const packets::TargetReport& report) {
-                   packets::TakeReport(this->core.view, report, now);
-                 },
+                 [&](const packets::TargetReport& report) { this->OnReport(report, now); },
                  [&](const packets::Located& located) {
                    packets::TakeLocated(this->core, located.flow, located.agent, now);
                  }},
@@ -229,42 +228,29 @@
   if (is_new) this->SendControl(from, this->MakeHearsay(now));
 }
 
-auto BalancerNode::SayHello(base::TimePoint now) -> void {
-  auto everybody = std::vector<packets::Address>{};
-  for (const auto& [agent, member] : this->core.view.members) everybody.push_back(agent);
-  this->said_changes = this->core.view.changes;
-  this->SayHelloTo(everybody, now);
-}
-
-// What has changed is told within a check of stalls, and who has not been heard is asked as often.
-//
-// Safeguard: after a loss of power a flow that is lost can be reset once all agents know the same
-// others and every balancer has heard of each. Told with the next of four hellos a second this took
-// 0.85 s, in which each request on a lost flow waited for its client to repeat it.
 auto BalancerNode::Greet(base::TimePoint now) -> void {
-  if (this->said_changes != this->core.view.changes) return this->SayHello(now);
-  const auto unheard = packets::Unheard(this->core.view, this->core.stall.running_since, now);
-  if (!unheard.empty()) this->SayHelloTo(unheard, now);
-}
-
-auto BalancerNode::SayHelloTo(std::span<const packets::Address> agents, base::TimePoint now)
-    -> void {
+  const auto running_since = this->core.stall.running_since;
+  const auto due = packets::DueGreetings(this->core.view, {}, running_since, now);
+  if (due.empty()) return;
   const auto records_fresh = now - this->records_at < kRecordsFresh;
-  const auto hellos = packets::MakeHellos(this->core, records_fresh, now);
-  auto lists = std::map<base::ServiceId, std::vector<std::string>>{};
+  this->said = packets::MakeHellos(this->core, records_fresh, now);
   auto briefs = std::map<base::ServiceId, std::string>{};
-  for (const auto& [service, hello] : hellos) {
+  for (const auto& [service, hello] : this->said) {
     briefs[service] = packets::EncodeControl(hello.brief);
-    for (const auto& part : hello.listed) lists[service].push_back(packets::EncodeControl(part));
   }
-  for (const auto agent : agents) {
-    const auto& member = this->core.view.members.at(agent);
-    const auto service = member.service;
-    if (!packets::NeedsList(member, hellos.at(service))) {
-      this->SendControl(agent, briefs.at(service));
-      continue;
-    }
-    for (const auto& part : lists.at(service)) this->SendControl(agent, part);
+  for (const auto agent : due) {
+    this->SendControl(agent, briefs.at(this->core.view.members.at(agent).service));
+  }
+}
+
+// An agent that lacks the list which the last hellos named is sent it.
+auto BalancerNode::OnReport(const packets::TargetReport& report, base::TimePoint now) -> void {
+  packets::TakeReport(this->core.view, report, now);
+  if (report.wanted_list == 0) return;
+  const auto hello = this->said.find(report.service);
+  if (hello == this->said.end() || hello->second.brief.digest != report.wanted_list) return;
+  for (const auto& part : hello->second.listed) {
+    this->SendControl(report.agent, packets::EncodeControl(part));
   }
 }
 
@@ -388,8 +374,7 @@
     if (agent) packets::RemoveRecord(this->core.view, *agent);
     return;
   }
-  Log(LogLevel::kInfo, "record",
-      {{"key", object.key}, {"deleted", object.deleted}, {"revision", object.revision}});
+  this->operators.LogRecord(object.key, object.deleted, object.revision);
   if (object.deleted) return packets::RemoveRecord(this->core.view, *agent);
   packets::AddRecord(this->core.view, *agent, base::ServiceIdOf(record->service), base::Now());
 }
--- a/src/packetd/internal/common.h
+++ b/src/packetd/internal/common.h
@@ -15,10 +15,6 @@
 /// Largest datagram of a flow: header and payload, with room to spare.
 inline constexpr auto kMaxDatagram = std::size_t{1500};
 
-/// A balancer's hellos to each agent; an agent's report answers each. Four fit into the time after
-/// which a silent agent is taken as gone (packets::ViewPolicy::alive_for).
-inline constexpr auto kHelloPeriod = base::milliseconds{250};
-
 /// Between two sweeps of tables for what has been quiet.
 inline constexpr auto kSweepPeriod = base::seconds{1};
 
--- a/src/packetd/internal/operator_view.cc
+++ b/src/packetd/internal/operator_view.cc
@@ -7,8 +7,16 @@
 #include "packetd/addresses.h"
 
 namespace anvildrum::packetd {
+namespace {
 
-OperatorView::OperatorView() : gate(telemetry::MakeLogGate({}, base::Now())) {}
+// Lines of records, each of which tells how many were left out before it.
+constexpr auto kRecordLines = telemetry::LogBudget{.burst = 20, .per_second = 5};
+
+}  // namespace
+
+OperatorView::OperatorView()
+    : gate(telemetry::MakeLogGate({}, base::Now())),
+      record_gate(telemetry::MakeLogGate(kRecordLines, base::Now())) {}
 
 auto OperatorView::Serve(boost::asio::io_context& io, const std::optional<base::Endpoint>& local,
                          Collect collect) -> base::Result<void> {
@@ -47,4 +55,12 @@
                  {{"subject", subject}, {"left_out", left_out}});
 }
 
+auto OperatorView::LogRecord(std::string_view key, bool deleted, std::uint64_t revision) -> void {
+  if (!telemetry::TakeLine(this->record_gate, base::Now())) return;
+  const auto left_out = std::exchange(this->record_gate.left_out, 0);
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "record",
+      {{"key", key}, {"deleted", deleted}, {"revision", revision}, {"left_out", left_out}});
+}
+
 }  // namespace anvildrum::packetd
--- a/src/packetd/internal/operator_view.h
+++ b/src/packetd/internal/operator_view.h
@@ -40,10 +40,15 @@
   /// The same of what another writer sent that names nothing to use; `subject` says which.
   auto LogOdd(std::string_view event, std::string_view subject) -> void;
 
+  /// The same of an agent's record that was read at the platform. 91 balancers that started at once
+  /// wrote 30,000 such lines in a second.
+  auto LogRecord(std::string_view key, bool deleted, std::uint64_t revision) -> void;
+
   telemetry::Registry registry;
 
  private:
   telemetry::LogGate gate;
+  telemetry::LogGate record_gate;  ///< apart, so that a start leaves decisions their lines
   std::unique_ptr<net::OperatorPort> port;
 };
 
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -41,8 +42,12 @@
   /// A leave that comes this soon after a start may be an earlier start's: calls of a target that
   /// has ended may be that late, after retransmissions and a pause of this process.
   base::Duration late_for = base::seconds{5};
-  /// What a balancer said counts for this long: four hellos.
+  /// What a balancer said counts for this long: four hellos, or kReportsMissed of its periods where
+  /// these are longer.
   base::Duration hello_for = base::seconds{1};
+  /// A list that was asked for is asked for again, of the next balancer that names it, after this
+  /// long: more than its way, and a moment of a busy balancer.
+  base::Duration list_within = base::milliseconds{100};
   /// A flow is reset only after the known agents have been the same for this long, in which each
   /// balancer has said hello once: one of them may know an agent that the others do not yet.
   base::Duration settle_for = base::milliseconds{350};
@@ -93,16 +98,27 @@
   base::TimePoint at{};
 };
 
+/// A list of agents; most balancers tell the same one, and it is kept once.
+using PeerList = std::shared_ptr<const std::vector<Place>>;
+
 /// What a balancer last said.
 struct BalancerHello {
   base::TimePoint at{};
-  std::vector<Place> peers;
-  bool complete = false;                     ///< no other agent of the service can hold a flow
+  base::Duration every{};                    ///< until its next hello
+  Hello said;                                ///< without the list
+  PeerList peers;                            ///< nothing before the first list is known
   std::uint32_t digest = 0;                  ///< of `peers`; 0: the balancer has others by now
   std::uint32_t gathered_digest = 0;         ///< of a list of which parts have come
   std::vector<std::vector<Place>> gathered;  ///< by part; empty: it has not come yet
 };
 
+/// A list that was named by its digest and asked for.
+struct WantedList {
+  std::uint32_t digest = 0;
+  Address balancer = 0;  ///< the one that was asked
+  base::TimePoint at{};
+};
+
 /// Former incarnations that an agent remembers: those whose heartbeats may still come late.
 inline constexpr auto kMostRetired = std::size_t{64};
 
@@ -148,6 +164,7 @@
   base::ServiceId service;
   LocalTarget target;
   std::unordered_map<Address, BalancerHello> balancers;
+  std::optional<WantedList> wanted;
   std::vector<Place> peers;  ///< agents of the service that any of them holds for alive
   std::uint16_t peers_digest = 0;
   base::TimePoint peers_since{};  ///< when `peers` last changed
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/types/time.h"
 #include "packets/types/target.h"
 
 /// Control datagrams of packet flows. A balancer says hello to each agent that it knows, and the
@@ -23,8 +24,9 @@
 
 /// From a balancer: to an agent with the live agents of its service, to a balancer with all.
 ///
-/// An agent that holds the list already is sent its digest alone: with the list in each of four
-/// hellos a second a balancer of 48 agents sent 110 kB/s.
+/// A hello names the list by its digest. An agent that holds no list with that digest, from this
+/// balancer or another one, asks for it in its report (TargetReport::wanted_list). With the list in
+/// each of four hellos a second a balancer of 48 agents sent 110 kB/s.
 struct Hello {
   base::ServiceId service{};  ///< of the agent that it goes to; zero: it goes to a balancer
   std::vector<Peer> peers;    ///< in the order of addresses; empty where `listed` is false
@@ -34,6 +36,7 @@
   std::uint32_t digest = 0;  ///< of the peers, as DigestOf(Hello)
   std::uint32_t part = 0;    ///< of a list that is sent in parts, from 0
   std::uint32_t parts = 1;
+  base::Duration every{};  ///< until the balancer's next hello, while nothing changes
 };
 
 /// Most parts of a list.
--- a/src/packets/hello.h
+++ b/src/packets/hello.h
@@ -19,8 +19,8 @@
 
 /// To the agents of one service.
 struct ServiceHello {
-  Hello brief;                ///< to an agent that holds the list already
-  std::vector<Hello> listed;  ///< the list, in parts
+  Hello brief;                ///< without the list
+  std::vector<Hello> listed;  ///< the list, in parts, for agents that ask for it
 };
 
 /// To each agent the live agents of its own service: the set along which agents pass on what their
@@ -29,9 +29,6 @@
 auto MakeHellos(const Balancer& balancer, bool records_fresh, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello>;
 
-/// Whether the agent has to be sent the list: it has told of another one, or of none.
-auto NeedsList(const Member& member, const ServiceHello& hello) -> bool;
-
 /// The hello in parts of kAgentsInHello peers; one part where it fits. Peers beyond kMaxHelloParts
 /// are left out, and `complete` is false then.
 ///
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -34,6 +34,42 @@
   return whole;
 }
 
+auto IsFresh(const Agent& agent, const BalancerHello& hello, base::TimePoint now) -> bool {
+  return now - hello.at <= std::max(agent.policy.hello_for, kReportsMissed * hello.every);
+}
+
+// A list has come: it is that of every balancer that names it.
+auto TakeList(Agent& agent, std::uint32_t digest, const PeerList& list) -> void {
+  if (agent.wanted && agent.wanted->digest == digest) agent.wanted.reset();
+  for (auto& [balancer, known] : agent.balancers) {
+    if (known.said.digest != digest) continue;
+    known.peers = list;
+    known.digest = digest;
+  }
+}
+
+// The balancer names a list that it has not told; perhaps another one has.
+auto Adopt(Agent& agent, BalancerHello& known) -> void {
+  known.digest = 0;
+  for (const auto& [balancer, other] : agent.balancers) {
+    if (other.digest != known.said.digest) continue;
+    known.peers = other.peers;
+    known.digest = other.digest;
+    return;
+  }
+}
+
+// Asks the balancer for the list that it names, unless another one has just been asked.
+//
+// Safeguard: all balancers name a new list at about the same time. Asked for it by each agent, 91
+// balancers sent the same list to 163 agents, twice a second while targets were replaced.
+auto Want(Agent& agent, Address balancer, std::uint32_t digest, base::TimePoint now) -> void {
+  const auto& wanted = agent.wanted;
+  const auto asked =
+      wanted && wanted->digest == digest && now - wanted->at < agent.policy.list_within;
+  if (!asked) agent.wanted = WantedList{digest, balancer, now};
+}
+
 }  // namespace
 
 // The agents that any balancer holds for alive. Most balancers hold the same ones: each list is
@@ -43,9 +79,9 @@
   auto all = std::vector<Place>{};
   auto taken = std::unordered_set<std::uint32_t>{};
   for (const auto& [balancer, hello] : agent.balancers) {
-    const auto fresh = now - hello.at <= agent.policy.hello_for;
-    if (!fresh || (hello.digest != 0 && !taken.insert(hello.digest).second)) continue;
-    all.insert(all.end(), hello.peers.begin(), hello.peers.end());
+    if (!hello.peers || !IsFresh(agent, hello, now)) continue;
+    if (hello.digest != 0 && !taken.insert(hello.digest).second) continue;
+    all.insert(all.end(), hello.peers->begin(), hello.peers->end());
   }
   std::sort(all.begin(), all.end(), std::greater<>{});
   const auto same_agent = [](const Place& a, const Place& b) { return a.agent == b.agent; };
@@ -72,8 +108,8 @@
 auto KnowsAll(const Agent& agent, base::TimePoint now) -> bool {
   auto heard = false;
   for (const auto& [balancer, hello] : agent.balancers) {
-    if (now - hello.at > agent.policy.hello_for) continue;
-    if (!hello.complete) return false;
+    if (!IsFresh(agent, hello, now)) continue;
+    if (!hello.said.complete || hello.digest == 0) return false;
     heard = true;
   }
   return heard;
@@ -92,20 +128,21 @@
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
   if (hello.service != agent.service) return false;
   auto& known = agent.balancers[balancer];
-  const auto late = now - known.at > agent.policy.hello_for;
+  const auto late = !IsFresh(agent, known, now);
+  const auto before = known.digest;
   known.at = now;
+  known.every = hello.every;
   auto whole = hello.listed ? Gather(known, hello) : std::nullopt;
-  if (!whole && hello.digest != known.digest) {
-    known.digest = 0;
-    known.complete = false;
-    return true;
+  known.said = hello;
+  known.said.peers.clear();
+  if (whole) {
+    TakeList(agent, hello.digest, std::make_shared<const std::vector<Place>>(std::move(*whole)));
+  } else if (known.digest != hello.digest) {
+    Adopt(agent, known);
   }
-  known.complete = hello.complete;
-  const auto changed = late || hello.digest != known.digest;
-  if (whole) known.peers = std::move(*whole);
-  known.digest = hello.digest;
+  if (known.digest == 0 && !hello.listed) Want(agent, balancer, hello.digest, now);
   const auto stale = now - agent.united_at > agent.policy.hello_for / 2;
-  if (changed || stale) UnitePeers(agent, now);
+  if (whole || late || known.digest != before || stale) UnitePeers(agent, now);
   return true;
 }
 
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -122,6 +122,7 @@
   agent.target = {};
   agent.target.again_at = now;  // what the earlier service's target says may come late
   agent.balancers.clear();
+  agent.wanted.reset();
   ForgetFlows(agent);
   UnitePeers(agent, now);
 }
@@ -130,7 +131,7 @@
   NoteEvent(agent.stall, now);  // a process that wakes must not take its own pause for silence
   ExpireOffers(agent, now);
   const auto& target = agent.target;
-  const auto told = agent.balancers.find(balancer);
+  const auto asks = agent.wanted && agent.wanted->balancer == balancer;
   return {.agent = agent.own,
           .service = agent.service,
           .start = agent.start,
@@ -140,7 +141,7 @@
           .held = static_cast<std::uint32_t>(agent.flows.size()) - agent.ended,
           .slots = target.last.slots,
           .cold = target.last.cold_ms > 0,
-          .hello_digest = told == agent.balancers.end() ? 0 : told->second.digest,
+          .wanted_list = asks ? agent.wanted->digest : 0,
           .domain = agent.domain};
 }
 
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -66,12 +66,12 @@
 // Safeguard: an agent or target that is gone would be given its share of all openings until its
 // reports are missed; each of them costs its client this wait. A member that has reported or
 // answered a flow since the opening is not suspected, since the packet may just have been lost.
-auto Suspect(Balancer& balancer, const Hint& hint, base::TimePoint now) -> void {
+auto SuspectOffered(Balancer& balancer, const Hint& hint, base::TimePoint now) -> void {
   const auto entry = balancer.view.members.find(hint.agent);
   if (entry == balancer.view.members.end()) return;
   auto& member = entry->second;
   if (member.heard > hint.offered_at) return;
-  member.suspected_until = now + balancer.view.policy.suspect_for;
+  packets::Suspect(member, now);
   ++balancer.counters.suspicions;
 }
 
@@ -100,7 +100,7 @@
   auto& hint = HintOf(balancer, flow, forgotten);
   hint.seen = now;
   if (packet.acknowledged != 0) ++balancer.counters.copies;
-  if (hint.offers != 0 && !hint.opened) Suspect(balancer, hint, now);
+  if (hint.offers != 0 && !hint.opened) SuspectOffered(balancer, hint, now);
   const auto sole = packet.acknowledged == 0 && hint.offers == 0 && !doubtful;
   const auto agent = ChooseAgent(balancer, flow, service, hint, now);
   if (agent != 0) {
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -17,6 +17,7 @@
   body->set_digest(hello.digest);
   body->set_part(hello.part);
   body->set_parts(hello.parts);
+  body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
     for (const auto& peer : hello.peers) {
       body->add_agents(peer.agent);
@@ -43,7 +44,7 @@
   body->set_held(report.held);
   body->set_slots(report.slots);
   body->set_cold(report.cold);
-  body->set_hello_digest(report.hello_digest);
+  body->set_wanted_list(report.wanted_list);
   body->set_domain(report.domain);
   return message;
 }
@@ -95,6 +96,7 @@
   hello.service = base::ServiceId{message.service()};
   hello.listed = message.listed();
   hello.digest = message.digest();
+  hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
   }
@@ -114,7 +116,7 @@
                       .held = message.held(),
                       .slots = message.slots(),
                       .cold = message.cold(),
-                      .hello_digest = message.hello_digest(),
+                      .wanted_list = message.wanted_list(),
                       .domain = static_cast<DomainTag>(message.domain())};
 }
 
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -138,7 +138,8 @@
   }
   for (const auto& flow : quiet) Erase(agent, flow);
   std::erase_if(agent.balancers, [&](const auto& entry) {
-    return now - entry.second.at > agent.policy.balancer_for;
+    const auto& hello = entry.second;
+    return now - hello.at > std::max(agent.policy.balancer_for, kReportsMissed * hello.every);
   });
 }
 
--- /dev/null
+++ b/src/packets/internal/greeting.cc
@@ -0,0 +1,45 @@
+#include "packets/greeting.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace anvildrum::packets {
+namespace {
+
+auto PeriodFor(const GreetingPolicy& policy, std::size_t agents) -> base::Duration {
+  const auto count = static_cast<std::int64_t>(agents);
+  const auto round =
+      base::Duration{base::seconds{count}} / static_cast<std::int64_t>(policy.calm_per_second);
+  return std::max(policy.period, round);
+}
+
+// Suspected members first: each check without their answer counts.
+auto UrgencyOf(const Member& member) -> std::tuple<bool, base::TimePoint, Address> {
+  return {member.suspected_at == base::TimePoint{}, member.greeted_at, member.agent};
+}
+
+}  // namespace
+
+auto DueGreetings(View& view, const GreetingPolicy& policy, base::TimePoint running_since,
+                  base::TimePoint now) -> std::vector<Address> {
+  view.greet_every = PeriodFor(policy, view.members.size());
+  auto due = std::vector<Member*>{};
+  for (auto& [agent, member] : view.members) {
+    const auto told = member.told_changes == view.changes && member.greeted_at != base::TimePoint{};
+    const auto calm = told && now - member.greeted_at < view.greet_every;
+    if (calm && !IsAwaited(view, member, running_since, now)) continue;
+    due.push_back(&member);
+  }
+  std::sort(due.begin(), due.end(),
+            [](const Member* a, const Member* b) { return UrgencyOf(*a) < UrgencyOf(*b); });
+  if (due.size() > policy.most_per_check) due.resize(policy.most_per_check);
+  auto agents = std::vector<Address>{};
+  for (auto* member : due) {
+    member->greeted_at = now;
+    member->told_changes = view.changes;
+    agents.push_back(member->agent);
+  }
+  return agents;
+}
+
+}  // namespace anvildrum::packets
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -38,6 +38,7 @@
     std::sort(hello.peers.begin(), hello.peers.end(),
               [](const Peer& a, const Peer& b) { return a.agent < b.agent; });
     hello.service = service;
+    hello.every = view.greet_every;
     hello.digest = DigestOf(hello);
     hello.complete = records_fresh && IsComplete(view, service, running_since, now);
     said.listed = SplitHello(hello);
@@ -48,8 +49,4 @@
   return hellos;
 }
 
-auto NeedsList(const Member& member, const ServiceHello& hello) -> bool {
-  return member.report.hello_digest != hello.brief.digest;
-}
-
 }  // namespace anvildrum::packets
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -10,6 +10,8 @@
 
 auto WasHeard(const Member& member) -> bool { return member.heard != base::TimePoint{}; }
 
+auto IsSuspected(const Member& member) -> bool { return member.suspected_at != base::TimePoint{}; }
+
 auto Find(View& view, Address agent, base::ServiceId service, base::TimePoint now) -> Member& {
   auto [entry, added] = view.members.try_emplace(agent);
   auto& member = entry->second;
@@ -67,11 +69,16 @@
   member.service = report.service;
   member.report = report;
   member.heard = now;
+  member.suspected_at = {};
   member.offered = 0;
   if (moved || held_flows != MayHoldFlows(view, member, now)) ++view.changes;
   return true;
 }
 
+auto Suspect(Member& member, base::TimePoint now) -> void {
+  if (member.suspected_at == base::TimePoint{}) member.suspected_at = now;
+}
+
 auto Forget(View& view, base::TimePoint now) -> void {
   std::erase_if(view.members, [&](const auto& entry) {
     const auto& member = entry.second;
@@ -81,12 +88,14 @@
 }
 
 auto IsAlive(const View& view, const Member& member, base::TimePoint now) -> bool {
-  return WasHeard(member) && now - member.heard <= view.policy.alive_for;
+  if (IsSuspected(member) && now - member.suspected_at > view.policy.suspect_for) return false;
+  const auto alive_for = std::max(view.policy.alive_for, kReportsMissed * view.greet_every);
+  return WasHeard(member) && now - member.heard <= alive_for;
 }
 
 auto IsUsable(const View& view, const Member& member, base::TimePoint now) -> bool {
   return IsAlive(view, member, now) && member.report.state == TargetState::kReady &&
-         now >= member.suspected_until;
+         !IsSuspected(member);
 }
 
 auto MayHoldFlows(const View& view, const Member& member, base::TimePoint now) -> bool {
@@ -108,15 +117,12 @@
   });
 }
 
-auto Unheard(const View& view, base::TimePoint running_since, base::TimePoint now)
-    -> std::vector<Address> {
-  auto unheard = std::vector<Address>{};
-  for (const auto& [agent, member] : view.members) {
-    const auto last = std::max({member.heard, member.known_since, running_since});
-    if (IsAlive(view, member, now) || now - last > view.policy.greet_for) continue;
-    unheard.push_back(agent);
-  }
-  return unheard;
+auto IsAwaited(const View& view, const Member& member, base::TimePoint running_since,
+               base::TimePoint now) -> bool {
+  const auto last =
+      std::max({member.heard, member.known_since, member.suspected_at, running_since});
+  if (now - last > view.policy.greet_for) return false;
+  return IsSuspected(member) || !IsAlive(view, member, now);
 }
 
 auto SearchSet(const View& view, base::ServiceId service, base::TimePoint now)
--- a/src/packets/tests/agent_peers_test.cc
+++ b/src/packets/tests/agent_peers_test.cc
@@ -95,14 +95,52 @@
 BOOST_AUTO_TEST_CASE(a_digest_stands_for_a_list_that_the_agent_holds) {
   auto agent = MakeAgent();
   const auto whole = HelloOf({kOwn, kOther});
-  BOOST_TEST(MakeReport(agent, kBalancer, kStart).hello_digest == whole.digest);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).wanted_list == 0U);
   auto brief = Hello{kDesk, {}, true, false, whole.digest};
   TakeHello(agent, kBalancer, brief, kStart);
   BOOST_TEST(agent.peers.size() == 2U);
   ++brief.digest;
   TakeHello(agent, kBalancer, brief, kStart);
-  BOOST_TEST(MakeReport(agent, kBalancer, kStart).hello_digest == 0U);
-  BOOST_TEST(MakeReport(agent, kBalancer + 1, kStart).hello_digest == 0U);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).wanted_list == brief.digest);
+  BOOST_TEST(MakeReport(agent, kBalancer + 1, kStart).wanted_list == 0U);
+}
+
+// 91 balancers name the same new list within some milliseconds. Asked for it by each agent, they
+// would send it 91 times to each.
+BOOST_AUTO_TEST_CASE(a_list_that_many_balancers_name_is_asked_for_once) {
+  constexpr auto balancers = Address{91};
+  auto agent = MakeAgent();
+  const auto next = HelloOf({kOwn, kOther, kOther + 1});
+  auto brief = next;
+  brief.peers.clear();
+  brief.listed = false;
+  auto asked = std::vector<Address>{};
+  for (auto i = Address{0}; i < balancers; ++i) {
+    TakeHello(agent, kBalancer + i, brief, kStart);
+    const auto wanted = MakeReport(agent, kBalancer + i, kStart).wanted_list;
+    if (wanted == next.digest) asked.push_back(kBalancer + i);
+  }
+  BOOST_TEST(asked.size() == 1U);
+  const auto settled = kStart + agent.policy.settle_for;
+  BOOST_TEST(std::holds_alternative<Discard>(FromTarget(agent, LastOfRound(agent), settled)));
+  TakeHello(agent, asked.front(), next, kStart);
+  for (const auto& [balancer, known] : agent.balancers) BOOST_TEST(known.digest == next.digest);
+  BOOST_TEST(agent.peers.size() == 3U);
+  TakeHello(agent, kBalancer + balancers, brief, kStart);  // starts later, and need not tell it
+  BOOST_TEST(MakeReport(agent, kBalancer + balancers, kStart).wanted_list == 0U);
+}
+
+// The datagram with the list is lost, or its balancer has just ended: another one is asked.
+BOOST_AUTO_TEST_CASE(a_list_that_does_not_come_is_asked_for_again) {
+  auto agent = MakeAgent();
+  const auto brief = Hello{kDesk, {}, true, false, 4711};
+  TakeHello(agent, kBalancer, brief, kStart);
+  const auto soon = kStart + agent.policy.list_within / 2;
+  TakeHello(agent, kBalancer + 1, brief, soon);
+  BOOST_TEST(MakeReport(agent, kBalancer + 1, soon).wanted_list == 0U);
+  const auto later = kStart + agent.policy.list_within;
+  TakeHello(agent, kBalancer + 1, brief, later);
+  BOOST_TEST(MakeReport(agent, kBalancer + 1, later).wanted_list == brief.digest);
 }
 
 // A list comes in parts, out of order, and one is lost at first. Until all have come the agent goes
@@ -120,10 +158,15 @@
   TakeHello(agent, kBalancer, parts[2], kStart);
   TakeHello(agent, kBalancer, parts[0], kStart);
   BOOST_TEST((agent.peers == before));
-  BOOST_TEST(MakeReport(agent, kBalancer, kStart).hello_digest != hello.digest);
+  BOOST_TEST(agent.balancers.at(kBalancer).digest != hello.digest);
+  auto brief = parts[0];
+  brief.peers.clear();
+  brief.listed = false;
+  TakeHello(agent, kBalancer, brief, kStart);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).wanted_list == hello.digest);
   for (const auto& part : parts) TakeHello(agent, kBalancer, part, kStart);
   BOOST_TEST(agent.peers.size() == hello.peers.size());
-  BOOST_TEST(MakeReport(agent, kBalancer, kStart).hello_digest == hello.digest);
+  BOOST_TEST(MakeReport(agent, kBalancer, kStart).wanted_list == 0U);
 }
 
 // A service has more agents than a packet can count on its way: 38 targets are being replaced, and
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -77,7 +77,7 @@
                                    .held = 4,
                                    .slots = 5,
                                    .cold = true,
-                                   .hello_digest = 77};
+                                   .wanted_list = 77};
   const auto read = RoundTrip(report);
   BOOST_REQUIRE(read);
   const auto& got = std::get<TargetReport>(*read);
@@ -90,7 +90,7 @@
   BOOST_TEST(got.held == 4U);
   BOOST_TEST(got.slots == 5U);
   BOOST_TEST(got.cold);
-  BOOST_TEST(got.hello_digest == 77U);
+  BOOST_TEST(got.wanted_list == 77U);
 }
 
 BOOST_AUTO_TEST_CASE(a_located_flow_comes_back_whole) {
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -1,6 +1,7 @@
 #include "interleaving_world.h"
 
 #include "base/overloaded.h"
+#include "packets/greeting.h"
 #include "packets/hello.h"
 
 namespace anvildrum::packets::tests {
@@ -11,7 +12,6 @@
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kFirstBalancer = Address{0x0a020001};
 constexpr auto kTickEvery = milliseconds{50};
-constexpr auto kHelloTicks = std::uint64_t{5};       // 250 ms
 constexpr auto kHeartbeatTicks = std::uint64_t{15};  // 750 ms
 
 auto IsServed(const AgentSite& site) -> bool { return site.up && site.target.alive; }
@@ -97,16 +97,13 @@
 }
 
 auto World::Tick() -> void {
-  static_assert(kTickEvery * kHelloTicks == milliseconds{250});
   static_assert(kTickEvery == kStallCheck);
   const auto ticks = static_cast<std::uint64_t>(this->now.time_since_epoch() / kTickEvery);
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
     auto& balancer = this->balancers[i];
-    const auto due = ticks % kHelloTicks == i % kHelloTicks;
     const auto awake = balancer.pause.until <= this->now;
     if (awake) NoteEvent(balancer.core.stall, this->now);
-    const auto says = balancer.up && awake && due;
-    if (says) this->Hello(balancer, kFirstBalancer + static_cast<Address>(i));
+    if (balancer.up && awake) this->Hello(balancer, kFirstBalancer + static_cast<Address>(i));
   }
   for (auto i = std::size_t{0}; i < this->agents.size(); ++i) {
     auto& site = this->agents[i];
@@ -284,25 +281,34 @@
   auto& view = balancer.core.view;
   Forget(view, this->now);
   ForgetHints(balancer.core, this->now);
-  const auto hellos = MakeHellos(balancer.core, true, this->now);
-  for (const auto& [agent, member] : view.members) {
-    const auto& said = hellos.at(member.service);
-    const auto hello = NeedsList(member, said) ? said.listed.front() : said.brief;
-    this->Carry([this, to = agent, own, hello] {
-      this->WhenAwake(this->SiteOf(to)->pause, [this, to, own, hello] {
-        auto* site = this->SiteOf(to);
-        if (!site->up) return;
-        TakeHello(site->core, own, hello, this->now);
-        this->Report(*site, own);
-      });
-    });
+  const auto due = DueGreetings(view, {}, balancer.core.stall.running_since, this->now);
+  if (due.empty()) return;
+  balancer.said = MakeHellos(balancer.core, true, this->now);
+  for (const auto agent : due) {
+    this->Say(agent, own, balancer.said.at(view.members.at(agent).service).brief);
   }
 }
 
+auto World::Say(Address agent, Address balancer, const packets::Hello& hello) -> void {
+  this->Carry([this, agent, balancer, hello] {
+    this->WhenAwake(this->SiteOf(agent)->pause, [this, agent, balancer, hello] {
+      auto* site = this->SiteOf(agent);
+      if (!site->up) return;
+      TakeHello(site->core, balancer, hello, this->now);
+      this->Report(*site, balancer);
+    });
+  });
+}
+
 auto World::Report(AgentSite& site, Address balancer) -> void {
   const auto report = MakeReport(site.core, balancer, this->now);
   this->Carry([this, balancer, report] {
-    TakeReport(this->balancers[balancer - kFirstBalancer].core.view, report, this->now);
+    auto& site = this->balancers[balancer - kFirstBalancer];
+    TakeReport(site.core.view, report, this->now);
+    if (report.wanted_list == 0) return;
+    const auto hello = site.said.find(report.service);
+    if (hello == site.said.end() || hello->second.brief.digest != report.wanted_list) return;
+    for (const auto& part : hello->second.listed) this->Say(report.agent, balancer, part);
   });
 }
 
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -12,6 +12,7 @@
 #include "packets/agent.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
+#include "packets/hello.h"
 
 /// A small deployment on a virtual clock, for drawing interleavings: balancers, agents with their
 /// targets and clients, with datagrams that are late or lost. Only the cores under test decide; the
@@ -52,6 +53,7 @@
 
 struct BalancerSite {
   Balancer core;
+  std::map<base::ServiceId, ServiceHello> said;
   bool up = true;
   Pause pause;
 };
@@ -119,6 +121,7 @@
   auto StartTarget(std::size_t index, base::ServiceId service) -> void;
 
   auto Hello(BalancerSite& balancer, Address own) -> void;
+  auto Say(Address agent, Address balancer, const packets::Hello& hello) -> void;
   auto Heartbeat(AgentSite& site) -> void;
   auto BeatOf(const Target& target, std::uint64_t sequence) const -> packets::Heartbeat;
   [[nodiscard]] auto MayBeUnheard(const AgentSite& site) const -> bool;
--- a/src/packets/tests/view_test.cc
+++ b/src/packets/tests/view_test.cc
@@ -72,7 +72,7 @@
 BOOST_AUTO_TEST_CASE(where_all_are_suspected_or_silent_openings_still_go_somewhere) {
   auto view = View{};
   TakeReport(view, ReportOf(kDesk, 7, 1), kStart);
-  view.members.at(kAgent).suspected_until = kStart + seconds{2};
+  view.members.at(kAgent).suspected_at = kStart;
   BOOST_TEST(PlacementSet(view, kDesk, kStart).size() == 1U);
   BOOST_TEST(PlacementSet(view, kDesk, kStart + seconds{5}).size() == 1U);
 }
@@ -116,12 +116,33 @@
 BOOST_AUTO_TEST_CASE(members_that_are_silent_are_asked_again_for_a_while) {
   auto view = View{};
   AddRecord(view, kAgent, kDesk, kStart);
-  BOOST_TEST(Unheard(view, kStart, kStart + view.policy.greet_for).size() == 1U);
+  const auto awaited = [&](base::TimePoint running_since, base::TimePoint now) {
+    return IsAwaited(view, view.members.at(kAgent), running_since, now);
+  };
+  BOOST_TEST(awaited(kStart, kStart + view.policy.greet_for));
   const auto later = kStart + view.policy.greet_for + milliseconds{1};
-  BOOST_TEST(Unheard(view, kStart, later).empty());
-  BOOST_TEST(Unheard(view, later, later).size() == 1U);  // this process was paused
+  BOOST_TEST(!awaited(kStart, later));
+  BOOST_TEST(awaited(later, later));  // this process was paused
   TakeReport(view, ReportOf(kDesk, 7, 1), later);
-  BOOST_TEST(Unheard(view, later, later).empty());
+  BOOST_TEST(!awaited(later, later));
+}
+
+// An opening went without an answer. Was it the agent, it is to be given no further one; was it a
+// lost packet, the agent says so within a round trip.
+BOOST_AUTO_TEST_CASE(a_suspected_member_is_asked_until_it_reports_or_is_taken_as_gone) {
+  auto view = View{};
+  TakeReport(view, ReportOf(kDesk, 7, 1), kStart);
+  auto& member = view.members.at(kAgent);
+  BOOST_TEST(!IsAwaited(view, member, kStart, kStart));
+  Suspect(member, kStart);
+  BOOST_TEST(IsAwaited(view, member, kStart, kStart));
+  BOOST_TEST(!IsUsable(view, member, kStart));
+  BOOST_TEST(IsAlive(view, member, kStart + view.policy.suspect_for));
+  const auto gone = kStart + view.policy.suspect_for + milliseconds{1};
+  Suspect(member, gone);  // by another opening: it has been silent since the first
+  BOOST_TEST(!IsAlive(view, member, gone));
+  TakeReport(view, ReportOf(kDesk, 7, 2), gone);
+  BOOST_TEST(IsUsable(view, member, gone));
 }
 
 // Whatever changes which agents may hold flows is told at once; reports that say the same are not
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -30,12 +30,12 @@
   std::uint64_t start = 0;     ///< differs between starts of the agent's process
   std::uint64_t sequence = 0;  ///< rises within a start
   TargetState state = TargetState::kUnknown;
-  std::uint32_t in_flight = 0;     ///< requests at work, openings without an answer
-  std::uint32_t held = 0;          ///< open flows
-  std::uint32_t slots = 0;         ///< requests that the target works on at once
-  bool cold = false;               ///< just started, and slow for now
-  std::uint32_t hello_digest = 0;  ///< of the peers that this balancer told last; 0: none
-  DomainTag domain = 0;            ///< where the agent runs
+  std::uint32_t in_flight = 0;    ///< requests at work, openings without an answer
+  std::uint32_t held = 0;         ///< open flows
+  std::uint32_t slots = 0;        ///< requests that the target works on at once
+  bool cold = false;              ///< just started, and slow for now
+  std::uint32_t wanted_list = 0;  ///< digest of a list of peers that the agent lacks; 0: none
+  DomainTag domain = 0;           ///< where the agent runs
 };
 
 /// One start of a target. An id may be used again by a later start, which holds nothing of before.
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -18,19 +18,21 @@
   base::ServiceId service;
   bool listed = false;  ///< has a record at the platform
   base::TimePoint known_since{};
-  base::TimePoint heard{};            ///< last report; the epoch: never
-  base::TimePoint suspected_until{};  ///< given no opening before that
+  base::TimePoint heard{};         ///< last report; the epoch: never
+  base::TimePoint suspected_at{};  ///< given no opening until it reports; the epoch: not suspected
+  base::TimePoint greeted_at{};    ///< last hello; the epoch: none yet
+  std::uint64_t told_changes = 0;  ///< View::changes as of that hello
   TargetReport report;
   std::uint32_t offered = 0;  ///< openings sent to it since its last report
 };
 
 struct ViewPolicy {
-  /// A member that has not reported for this long is taken as gone. Four reports, of which three
-  /// may be lost.
+  /// A member that has not reported for this long is taken as gone, or for kReportsMissed periods
+  /// of greeting where these are longer.
   base::Duration alive_for = base::milliseconds{1000};
-  /// How long a member that left an opening without an answer is given no other, unless it proves
-  /// itself earlier. Longer than two reports, so that a live agent clears itself.
-  base::Duration suspect_for = base::milliseconds{1500};
+  /// A member that left an opening without an answer is given no other until it reports, and is
+  /// asked at each check. Without a report for this long, ten questions, it is taken as gone.
+  base::Duration suspect_for = base::milliseconds{500};
   /// A member with a record that has been silent for this long is off, cut off or frozen. An agent
   /// that is started again is back within three seconds.
   base::Duration gone_after = base::seconds{5};
@@ -44,6 +46,9 @@
   base::Duration forget_after = base::seconds{10};
 };
 
+/// Reports that are awaited in vain before a member is taken as gone: three may be lost.
+inline constexpr auto kReportsMissed = 4;
+
 /// The agents that a balancer knows: from the platform's records, from other balancers, and from
 /// agents that announced themselves. Only what an agent itself reports makes it live.
 struct View {
@@ -52,6 +57,8 @@
   /// Counts what makes hellos say something else: members that are new, and reports by which one
   /// may hold flows now, or may no more.
   std::uint64_t changes = 0;
+  /// Between two hellos to a member while nothing changes; see DueGreetings.
+  base::Duration greet_every = base::milliseconds{250};
 };
 
 /// The platform has a record of the agent.
@@ -66,6 +73,9 @@
 /// The agent reported. False for a report that is older than the last one of the same start.
 auto TakeReport(View& view, const TargetReport& report, base::TimePoint now) -> bool;
 
+/// The member left an opening without an answer.
+auto Suspect(Member& member, base::TimePoint now) -> void;
+
 /// Drops members without a record that have been silent for long.
 auto Forget(View& view, base::TimePoint now) -> void;
 
@@ -86,10 +96,10 @@
 auto IsComplete(const View& view, base::ServiceId service, base::TimePoint running_since,
                 base::TimePoint now) -> bool;
 
-/// Members that are not live, and were known or live ViewPolicy::greet_for ago at the earliest;
-/// `running_since`: of this process, which may have slept through their reports.
-auto Unheard(const View& view, base::TimePoint running_since, base::TimePoint now)
-    -> std::vector<Address>;
+/// Whether the member is suspected, or is not live and was known or live ViewPolicy::greet_for ago
+/// at the earliest; `running_since`: of this process, which may have slept through its reports.
+auto IsAwaited(const View& view, const Member& member, base::TimePoint running_since,
+               base::TimePoint now) -> bool;
 
 /// Agents of a service that may hold flows, in no order: those that are alive, stay, and have a
 /// target. Where there is none, all that are known.
