--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -44,12 +44,14 @@
   auto OnTarget(std::span<const std::uint8_t> datagram) -> void;
   auto Carry(std::span<const std::uint8_t> datagram, const packets::Packet& packet,
              const packets::AgentVerdict& verdict) -> void;
-  auto Reset(const packets::Packet& packet) -> void;
+  auto Refuse(const packets::Packet& packet) -> void;
   auto OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram) -> void;
   auto OnHeartbeat(const net::OperatorRequest& request) -> net::OperatorResponse;
   auto OnLeave(const net::OperatorRequest& request) -> net::OperatorResponse;
   auto Tell(packets::Address balancer, const packets::Control& control) -> void;
-  auto TellLocated(const packets::FlowId& flow) -> void;
+  auto TellLocated(const packets::FlowId& flow, std::uint16_t origin) -> void;
+  auto SendBack(std::span<const std::uint8_t> datagram, std::uint16_t origin, bool by_target)
+      -> void;
   auto Report(packets::Address balancer) -> void;
   auto ReportToAll() -> void;
   auto ObserveWork(base::Duration took) -> void;
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -13,6 +13,7 @@
 #include "net/periodic_timer.h"
 #include "net/udp_port.h"
 #include "packetd/adapter.h"
+#include "packetd/flow_searcher.h"
 #include "packetd/internal/operator_view.h"
 #include "packetd/peer_configuration.h"
 #include "packetd/settings.h"
@@ -45,6 +46,8 @@
              const packets::BalancerVerdict& verdict) -> void;
   auto OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram) -> void;
   auto Greet(base::TimePoint now) -> void;
+  auto MakeSearchPorts() -> SearchPorts;
+  auto OnGivenBack(const packets::GivenBack& given_back, base::TimePoint now) -> void;
   auto OnReport(const packets::TargetReport& report, base::TimePoint now) -> void;
   auto OnAnswer(const platform::PlatformError* error) -> void;
   auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
@@ -66,6 +69,7 @@
   Settings settings;
   OperatorView operators;
   packets::Balancer core;
+  FlowSearcher searcher;
   platform::Client client;
   platform::Client record_client;  ///< whose reads may be seconds old
   PeerConfiguration peers;
@@ -73,7 +77,6 @@
   std::size_t hearsay_from = 0;  ///< where the next message to balancers goes on
   std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
-  base::TimePoint records_at{};  ///< when the platform last confirmed them
   std::optional<base::TimePoint> platform_lost_at;
   bool stopping = false;
   std::uint64_t malformed = 0;
--- /dev/null
+++ b/src/packetd/flow_searcher.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "packetd/held_packets.h"
+#include "packets/balancer.h"
+#include "packets/control.h"
+#include "packets/search.h"
+
+namespace anvildrum::packetd {
+
+/// What a search sends, and the line that it writes when it ends without a result.
+struct SearchPorts {
+  std::function<void(packets::Address to, const packets::Control& control)> send_control;
+  std::function<void(const packets::Candidate& to, std::span<const std::uint8_t> datagram)> forward;
+  std::function<void(const packets::FlowLost& lost)> reset;
+  std::function<void(const packets::FlowId& flow, std::string_view event, std::string_view reason)>
+      log;
+};
+
+/// Carries out the searches of a balancer's core: its timer, its queries and the packets that wait.
+class FlowSearcher {
+ public:
+  FlowSearcher(boost::asio::io_context& io, packets::Balancer& core, SearchPorts ports);
+
+  /// The core awaits the search for the packet's flow.
+  auto Await(const packets::FlowId& flow, std::span<const std::uint8_t> datagram) -> void;
+
+  auto OnAnswer(const packets::FlowAnswer& answer, base::TimePoint now) -> void;
+
+  /// An agent gave `packet` back.
+  auto OnGivenBack(const packets::GivenBack& given_back, const packets::Packet& packet,
+                   base::TimePoint now) -> void;
+
+ private:
+  auto Arm() -> void;
+  auto Step() -> void;
+  auto Apply(const std::vector<packets::SearchOutcome>& outcomes) -> void;
+  auto Forward(const packets::FlowId& flow, const packets::Candidate& agent) -> void;
+
+  packets::Balancer& core;
+  SearchPorts ports;
+  HeldPackets held;
+  boost::asio::steady_timer timer;
+  bool armed = false;
+};
+
+}  // namespace anvildrum::packetd
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -74,6 +74,7 @@
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
   this->core.policy.silent_for = SilentFor(*settings.agent);
   this->core.policy.unheard_for = HeartbeatsOf(*settings.agent, kLeastHeartbeats);
+  this->core.policy.heartbeat_every = settings.agent->heartbeat_period;
   this->core.policy.proof_apart = settings.agent->heartbeat_period / 2;
   this->core.service = base::ServiceIdOf(settings.agent->service);
   this->core.start = StartSeed(settings);
@@ -181,43 +182,45 @@
 auto AgentNode::Carry(std::span<const std::uint8_t> datagram, const packets::Packet& packet,
                       const packets::AgentVerdict& verdict) -> void {
   const auto port = this->settings.packets.port;
-  std::visit(base::Overloaded{[&](const packets::DeliverToTarget& deliver) {
-                                this->packet_port->Send(this->settings.agent->target, datagram);
-                                if (deliver.located) {
-                                  this->TellLocated(packets::FlowFromClient(packet));
-                                }
-                              },
-                              [&](const packets::SendToClient& reply) {
-                                if (reply.answered_after) {
-                                  this->ObserveWork(*reply.answered_after);
-                                }
-                                this->packet_port->Send(
-                                    base::EndpointFromV4(packet.destination.address, port),
-                                    datagram);
-                              },
-                              [&](const packets::ForwardToAgent& forward) {
-                                ForwardPacket(*this->packet_port, this->adapter,
-                                              base::EndpointFromV4(forward.agent, port), datagram,
-                                              forward.stamp);
-                              },
-                              [&](const packets::RefuseOpening& refuse) {
-                                this->Reset(packet);
-                                this->LogDecision("opening_refused", packet, NameOf(refuse.reason));
-                              },
-                              [&](const packets::ResetFlow&) {
-                                this->Reset(packet);
-                                this->LogDecision("flow_reset", packet, "held by no target");
-                              },
-                              [&](const packets::Discard& discard) {
-                                this->LogDecision("packet_dropped", packet, NameOf(discard.reason));
-                              }},
-             verdict);
-}
-
-auto AgentNode::Reset(const packets::Packet& packet) -> void {
+  std::visit(
+      base::Overloaded{[&](const packets::DeliverToTarget& deliver) {
+                         this->packet_port->Send(this->settings.agent->target, datagram);
+                         if (deliver.located) {
+                           this->TellLocated(packets::FlowFromClient(packet), packet.stamp.origin);
+                         }
+                       },
+                       [&](const packets::SendToClient& reply) {
+                         if (reply.answered_after) {
+                           this->ObserveWork(*reply.answered_after);
+                         }
+                         if (reply.located_for) {
+                           this->TellLocated(packets::FlowFromTarget(packet), *reply.located_for);
+                         }
+                         this->packet_port->Send(
+                             base::EndpointFromV4(packet.destination.address, port), datagram);
+                       },
+                       [&](const packets::ForwardToAgent& forward) {
+                         ForwardPacket(*this->packet_port, this->adapter,
+                                       base::EndpointFromV4(forward.agent, port), datagram,
+                                       forward.stamp);
+                       },
+                       [&](const packets::RefuseOpening& refuse) {
+                         this->Refuse(packet);
+                         this->LogDecision("opening_refused", packet, NameOf(refuse.reason));
+                       },
+                       [&](const packets::GiveBack& back) {
+                         this->SendBack(datagram, packet.stamp.origin, back.by_target);
+                       },
+                       [&](const packets::Discard& discard) {
+                         this->LogDecision("packet_dropped", packet, NameOf(discard.reason));
+                       }},
+      verdict);
+}
+
+auto AgentNode::Refuse(const packets::Packet& packet) -> void {
   const auto flow = packets::FlowFromClient(packet);
   this->packet_port->Send(base::EndpointFromV4(flow.client.address, this->settings.packets.port),
-                          this->adapter.make_reset(flow, packet.acknowledged));
+                          this->adapter.make_reset(flow, 0));
 }
 
 auto AgentNode::OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram)
@@ -225,12 +228,15 @@
   const auto sender = AddressOf(from);
   const auto control = packets::DecodeControl(datagram, sender);
   const auto* hello = control ? std::get_if<packets::Hello>(&*control) : nullptr;
-  if (hello == nullptr) {
-    ++this->malformed;
-    return;
+  const auto* query = control ? std::get_if<packets::FlowQuery>(&*control) : nullptr;
+  if (hello != nullptr) {
+    packets::TakeHello(this->core, sender, *hello, base::Now());
+    return this->Report(sender);
   }
-  packets::TakeHello(this->core, sender, *hello, base::Now());
-  this->Report(sender);
+  if (query != nullptr) {
+    return this->Tell(sender, packets::AnswerQuery(this->core, *query, base::Now()));
+  }
+  ++this->malformed;
 }
 
 auto AgentNode::TargetIdOf(std::string_view path) const -> std::string_view {
@@ -287,9 +293,18 @@
   this->Tell(balancer, packets::MakeReport(this->core, balancer, base::Now()));
 }
 
-auto AgentNode::TellLocated(const packets::FlowId& flow) -> void {
+auto AgentNode::TellLocated(const packets::FlowId& flow, std::uint16_t origin) -> void {
   const auto located = packets::Located{this->core.own, flow};
-  for (const auto& [balancer, heard] : this->core.balancers) this->Tell(balancer, located);
+  for (const auto balancer : packets::BalancersOf(this->core, origin)) {
+    this->Tell(balancer, located);
+  }
+}
+
+auto AgentNode::SendBack(std::span<const std::uint8_t> datagram, std::uint16_t origin,
+                         bool by_target) -> void {
+  const auto back =
+      packets::GivenBack{this->core.own, by_target, {datagram.begin(), datagram.end()}};
+  for (const auto balancer : packets::BalancersOf(this->core, origin)) this->Tell(balancer, back);
 }
 
 auto AgentNode::ReportToAll() -> void {
@@ -327,8 +342,9 @@
        {"over_limit", counters.over_limit - this->logged.over_limit},
        {"wrong_service", counters.wrong_service - this->logged.wrong_service},
        {"none_left", counters.none_left - this->logged.none_left},
+       {"given_back", counters.given_back - this->logged.given_back},
+       {"queried", counters.queried - this->logged.queried},
        {"refused", counters.refused - this->logged.refused},
-       {"resets", counters.resets - this->logged.resets},
        {"flows", this->core.flows.size()},
        {"at_work", this->core.at_work},
        {"peers", this->core.peers.size()}});
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -39,10 +39,6 @@
 constexpr auto kMaxHearsay = std::size_t{90};  ///< agents in one message: 1.3 kB
 constexpr auto kBalancerFor = base::seconds{5};
 
-// Records that were confirmed this long ago are as new as can be: a watch, its call's timeout and a
-// pause.
-constexpr auto kRecordsFresh = base::seconds{10};
-
 // Between failed calls: a configuration has to be read soon after the platform is back, and an
 // instance's budget bounds the calls of a long outage.
 constexpr auto kWatchBackoff =
@@ -67,11 +63,13 @@
     : io(io),
       adapter(adapter),
       settings(settings),
+      searcher(io, this->core, this->MakeSearchPorts()),
       client(MakeClient(io, settings, *adapter.dialect)),
       record_client(MakeClient(io, settings, *adapter.stale_dialect)),
       peers(io, adapter, settings,
             [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }) {
   this->core.view.policy = this->core.policy.view;
+  this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
 }
 
@@ -148,8 +146,9 @@
           .on_change = [this](const platform::Object& object) { this->OnRecord(object); },
           .on_synced =
               [this](std::uint64_t /*revision*/) {
-                this->records_at = base::Now();
-                if (!std::exchange(this->records_read, true)) this->Greet(this->records_at);
+                const auto now = base::Now();
+                this->core.records_at = now;
+                if (!std::exchange(this->records_read, true)) this->Greet(now);
               }});
 }
 
@@ -193,6 +192,9 @@
                                     this->adapter.make_reset(flow, 0));
                                 this->LogDecision("opening_refused", packet, NameOf(refuse.reason));
                               },
+                              [&](const packets::AwaitSearch&) {
+                                this->searcher.Await(packets::FlowFromClient(packet), datagram);
+                              },
                               [&](const packets::Discard& discard) {
                                 this->LogDecision("packet_dropped", packet, NameOf(discard.reason));
                               }},
@@ -212,10 +214,47 @@
                  [&](const packets::TargetReport& report) { this->OnReport(report, now); },
                  [&](const packets::Located& located) {
                    packets::TakeLocated(this->core, located.flow, located.agent, now);
-                 }},
+                 },
+                 [&](const packets::FlowAnswer& answer) { this->searcher.OnAnswer(answer, now); },
+                 [&](const packets::GivenBack& back) { this->OnGivenBack(back, now); },
+                 [&](const packets::FlowQuery&) { ++this->malformed; }},  // is for agents
              *control);
 }
 
+auto BalancerNode::OnGivenBack(const packets::GivenBack& given_back, base::TimePoint now) -> void {
+  const auto packet = this->adapter.decode_packet(given_back.datagram);
+  if (!packet) {
+    ++this->malformed;
+    return;
+  }
+  this->searcher.OnGivenBack(given_back, *packet, now);
+}
+
+auto BalancerNode::MakeSearchPorts() -> SearchPorts {
+  return {.send_control =
+              [this](packets::Address to, const packets::Control& control) {
+                this->SendControl(to, packets::EncodeControl(control));
+              },
+          .forward =
+              [this](const packets::Candidate& to, std::span<const std::uint8_t> datagram) {
+                ForwardPacket(*this->packet_port, this->adapter,
+                              base::EndpointFromV4(to.agent, this->settings.packets.port), datagram,
+                              packets::StampFor(this->core, to.service));
+              },
+          .reset =
+              [this](const packets::FlowLost& lost) {
+                this->packet_port->Send(
+                    base::EndpointFromV4(lost.flow.client.address, this->settings.packets.port),
+                    this->adapter.make_reset(lost.flow, lost.acknowledged));
+              },
+          .log =
+              [this](const packets::FlowId& flow, std::string_view event, std::string_view reason) {
+                const auto packet =
+                    packets::Packet{.source = flow.client, .destination = flow.service};
+                this->LogDecision(event, packet, reason);
+              }};
+}
+
 // A balancer that has just started is told at once which agents are live: where the platform turns
 // it away, it has nothing else to go by.
 auto BalancerNode::OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now)
@@ -232,8 +271,7 @@
   const auto running_since = this->core.stall.running_since;
   const auto due = packets::DueGreetings(this->core.view, {}, running_since, now);
   if (due.empty()) return;
-  const auto records_fresh = now - this->records_at < kRecordsFresh;
-  this->said = packets::MakeHellos(this->core, records_fresh, now);
+  this->said = packets::MakeHellos(this->core, now);
   auto briefs = std::map<base::ServiceId, std::string>{};
   for (const auto& [service, hello] : this->said) {
     briefs[service] = packets::EncodeControl(hello.brief);
@@ -324,6 +362,10 @@
        {"no_target", counters.no_target - this->logged.no_target},
        {"refused", counters.refused - this->logged.refused},
        {"suspicions", counters.suspicions - this->logged.suspicions},
+       {"queries", counters.queries - this->logged.queries},
+       {"found", counters.found - this->logged.found},
+       {"not_found", counters.not_found - this->logged.not_found},
+       {"resets", counters.resets - this->logged.resets},
        {"flows", this->core.hints.size()},
        {"agents", this->core.view.members.size()}});
   this->logged = counters;
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -26,6 +26,10 @@
       {"no_target_total", "Packets for a service without an agent", counters.no_target},
       {"refused_total", "Openings answered by a reset", counters.refused},
       {"suspicions_total", "Openings that an agent left without an answer", counters.suspicions},
+      {"queries_total", "Agents asked for flows that were not remembered", counters.queries},
+      {"found_total", "Flows that an agent said it holds", counters.found},
+      {"not_found_total", "Searches for flows without a result", counters.not_found},
+      {"resets_total", "Flows that no target holds, answered by a reset", counters.resets},
   };
 }
 
@@ -35,13 +39,14 @@
       {"delivered_total", "Packets given to the target", counters.delivered},
       {"replies_total", "Packets of the target sent to clients", counters.replies},
       {"returned_total", "Packets that the target gave back", counters.returned},
-      {"passed_on_total", "Packets sent to the next agent", counters.passed_on},
+      {"passed_on_total", "Openings sent to the next agent", counters.passed_on},
       {"over_limit_total", "Openings for which the target had no place", counters.over_limit},
       {"wrong_service_total", "Packets for another service", counters.wrong_service},
-      {"none_left_total", "Packets that no agent took", counters.none_left},
+      {"none_left_total", "Openings that no agent took", counters.none_left},
+      {"given_back_total", "Packets sent back to their balancer", counters.given_back},
+      {"queried_total", "Flows that balancers asked for", counters.queried},
       {"elsewhere_total", "Packets of flows that opened at another target", counters.elsewhere},
       {"refused_total", "Openings answered by a reset", counters.refused},
-      {"resets_total", "Flows that no target holds, answered by a reset", counters.resets},
       {"late_heartbeats_total", "Heartbeats that were late or of another service",
        counters.late_heartbeats},
   };
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -54,14 +54,16 @@
   /// A target that said that it leaves may still be there for a moment: packets of its flows are
   /// delivered and balancers are not told yet.
   base::Duration leave_for = base::milliseconds{500};
-  /// Between two times that balancers are told where a flow is: one of them may have been started
-  /// meanwhile, and a burst of packets must not become a burst of messages.
-  base::Duration tell_every = base::milliseconds{300};
   /// Flows that are remembered, 150 bytes each. Packets of further ones are carried as of unknown
   /// flows: a flood of made-up flows must not end the process at its limit of memory.
   std::size_t most_flows = 50'000;
-  /// A flow's state is dropped after this long without a packet.
+  /// The state of a flow that has not opened here is dropped after this long without a packet.
   base::Duration flow_idle = base::seconds{20};
+  /// The same for one that has: the age up to which the users keep a flow. An agent that has run
+  /// for as long has seen the opening of every flow that its target holds.
+  base::Duration flow_age = base::seconds{60};
+  /// Between two heartbeats of the target, about.
+  base::Duration heartbeat_every = base::milliseconds{750};
   /// The same for a flow that its target has ended: longer than its client waits at most before it
   /// sends a packet again, 1.6 s.
   base::Duration ended_idle = base::seconds{2};
@@ -84,10 +86,10 @@
   FlowStage stage = FlowStage::kOffered;
   bool at_work = false;          ///< an opening or a request without the target's data after it
   std::uint32_t unanswered = 0;  ///< packets delivered while the stage was kAssumed
-  base::TimePoint told_at{};     ///< when balancers were told where the flow is
-  std::uint32_t target_sequence = 0;         ///< of its answer to the opening
-  std::optional<std::uint32_t> asked_up_to;  ///< end of the client's data that was delivered so far
-  bool client_finished = false;
+  std::uint16_t origin = 0;      ///< Stamp::origin of the last packet
+  std::uint32_t target_sequence = 0;  ///< of its answer to the opening
+  std::optional<std::uint32_t>
+      asked_up_to{};  ///< end of the client's data that was delivered so far
   base::TimePoint seen{};
   base::TimePoint asked_at{};  ///< the request at work: its last packet; the epoch: none
 };
@@ -139,8 +141,11 @@
   /// the id.
   std::deque<Incarnation> retired;
   std::optional<DoubtfulHeartbeat> doubtful;
-  base::TimePoint again_at{};   ///< when a start was believed whose id an earlier one had
-  bool leave_doubtful = false;  ///< the leave that was told may be an earlier start's
+  base::TimePoint again_at{};    ///< when a start was believed whose id an earlier one had
+  bool leave_doubtful = false;   ///< the leave that was told may be an earlier start's
+  bool seen_from_start = false;  ///< no other process has given this incarnation an opening
+  /// The same, unless another process of the agent ran a moment before this one.
+  bool seen_from_first_heartbeat = false;
 };
 
 struct AgentCounters {
@@ -150,10 +155,11 @@
   std::uint64_t passed_on = 0;
   std::uint64_t over_limit = 0;     ///< openings for which the target had no place
   std::uint64_t wrong_service = 0;  ///< packets for another service than the target's
-  std::uint64_t none_left = 0;      ///< packets that no agent took
+  std::uint64_t none_left = 0;      ///< openings that no agent took
+  std::uint64_t given_back = 0;     ///< packets sent back to their balancer
+  std::uint64_t queried = 0;        ///< flows that balancers asked for
   std::uint64_t elsewhere = 0;      ///< packets of flows that opened at another target
   std::uint64_t refused = 0;        ///< openings that no target took, answered by a reset
-  std::uint64_t resets = 0;         ///< flows that no target holds any more, answered by a reset
   std::uint64_t late_heartbeats = 0;
 };
 
@@ -166,15 +172,18 @@
   std::unordered_map<Address, BalancerHello> balancers;
   std::optional<WantedList> wanted;
   std::vector<Place> peers;  ///< agents of the service that any of them holds for alive
-  std::uint16_t peers_digest = 0;
+  std::uint32_t peers_digest = 0;
   base::TimePoint peers_since{};  ///< when `peers` last changed
   base::TimePoint united_at{};    ///< when `peers` was last worked out from the hellos
   std::unordered_map<FlowId, FlowState> flows;
+  bool overflowed = false;  ///< a flow of this target was not remembered for want of room
+
   std::uint32_t at_work = 0;        ///< flows whose state says so
   std::uint32_t ended = 0;          ///< flows in FlowStage::kEnded
   std::deque<OfferedFlow> offered;  ///< openings that count as load, oldest first
   base::TimePoint started_at{};     ///< of the process
   std::uint64_t start = 0;
+  bool had_predecessor = false;  ///< a balancer knew another process of this agent, a moment ago
   std::uint64_t reports = 0;
   bool stopping = false;  ///< the process ends in a moment
   StallWatch stall;
@@ -182,18 +191,22 @@
 };
 
 struct DeliverToTarget {
-  bool located = false;  ///< the flow is held here and came by way of others: tell balancers
+  bool located = false;  ///< an opening that came by way of others: tell its balancer
 };
 struct SendToClient {
   /// How long the target worked on the request that this is the first data of an answer to.
   std::optional<base::Duration> answered_after;
+  /// The target has shown that it holds a flow which the agent did not know: tell this balancer.
+  std::optional<std::uint16_t> located_for;
 };
 
-/// Answer with a reset: every target of the service has said that it does not hold the flow.
-struct ResetFlow {};
+/// Send the packet back to the balancer that it came from, which searches for its flow.
+struct GiveBack {
+  bool by_target = false;  ///< the target does not hold the flow; otherwise it may, half open
+};
 
 using AgentVerdict =
-    std::variant<DeliverToTarget, SendToClient, ForwardToAgent, RefuseOpening, ResetFlow, Discard>;
+    std::variant<DeliverToTarget, SendToClient, ForwardToAgent, RefuseOpening, GiveBack, Discard>;
 
 /// Decides on a packet that a balancer or another agent sent.
 auto FromPeer(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict;
@@ -201,6 +214,12 @@
 /// Decides on a packet that the target sent or gave back.
 auto FromTarget(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict;
 
+/// What the agent knows of the flows that a balancer searches for.
+auto AnswerQuery(Agent& agent, const FlowQuery& query, base::TimePoint now) -> FlowAnswer;
+
+/// The balancers that a stamp's origin stands for: mostly one.
+auto BalancersOf(const Agent& agent, std::uint16_t origin) -> std::vector<Address>;
+
 enum class HeartbeatOutcome : std::uint8_t {
   kStale,         ///< not believed: by all that is known its sender is gone, or said it earlier
   kOtherService,  ///< of an unknown incarnation: the address may have changed hands
@@ -257,6 +276,15 @@
 /// Drops all flows: they are not those of the target any more.
 auto ForgetFlows(Agent& agent) -> void;
 
+/// The target has started anew, at `started` at the earliest. Flows whose last packet came before
+/// are gone with its earlier start; those with a later one may be held by the new start, and are
+/// kept without load until their next packet tells.
+///
+/// Safeguard: a target crashes and starts again, and takes openings for up to a period of
+/// heartbeats before its first one is heard. Forgotten, these flows were said to be nowhere, and
+/// reset. When the earlier start was heard of last tells nothing, since its heartbeats come late.
+auto DoubtFlows(Agent& agent, base::TimePoint started) -> void;
+
 /// Drops the state of flows that have been quiet, and balancers that are gone.
 auto ForgetQuiet(Agent& agent, base::TimePoint now) -> void;
 
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -12,6 +12,7 @@
 
 #include "packets/routes.h"
 #include "packets/stall.h"
+#include "packets/types/search.h"
 #include "packets/view.h"
 
 /// The balancer's part of packet flows, without input or output: where a client's packet goes. The
@@ -21,9 +22,12 @@
 
 struct BalancerPolicy {
   ViewPolicy view;
-  /// Agents at the head of a flow's order among which the least loaded is given the opening. A
-  /// packet of a flow that nobody remembers is offered to about as many.
+  SearchPolicy search;
+  /// Agents at the head of a flow's order among which the least loaded is given the opening.
   std::size_t candidates = 3;
+  /// Records that the platform confirmed this long ago are as new as can be: a watch, its call's
+  /// timeout and a pause.
+  base::Duration records_fresh_for = base::seconds{10};
   /// Flows that are remembered, 130 bytes each. Packets of further ones are carried as of unknown
   /// flows: a flood of made-up flows must not end the process at its limit of memory.
   std::size_t most_hints = 200'000;
@@ -48,7 +52,6 @@
 /// What is remembered of a flow.
 struct Hint {
   Address agent = 0;             ///< the one that it was offered to or is held by; 0: not known
-  std::uint32_t searches = 0;    ///< packets that were sent round the agents
   base::TimePoint seen{};        ///< last packet
   base::TimePoint offered_at{};  ///< last opening
   bool opened = false;           ///< the client went on after its opening, so a target answered
@@ -65,6 +68,10 @@
   std::uint64_t no_target = 0;  ///< no agent of the service is known
   std::uint64_t refused = 0;
   std::uint64_t suspicions = 0;
+  std::uint64_t queries = 0;    ///< agents that were asked for flows, each time
+  std::uint64_t found = 0;      ///< flows that an agent said it holds
+  std::uint64_t not_found = 0;  ///< searches that ended without a result
+  std::uint64_t resets = 0;     ///< flows that no target holds any more, answered by a reset
 };
 
 /// A service that an earlier configuration sent a route's flows to.
@@ -75,11 +82,14 @@
 
 struct Balancer {
   BalancerPolicy policy;
+  Address own = 0;
   DomainTag domain = 0;          ///< where it runs, and where its clients mostly are
+  base::TimePoint records_at{};  ///< when the platform last confirmed the agents' records
   std::optional<Routes> routes;  ///< nothing until a configuration has been read
   std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf the route
   View view;
   std::unordered_map<FlowId, Hint> hints;
+  Searches searches;
   StallWatch stall;
   BalancerCounters counters;
 };
@@ -94,12 +104,10 @@
   kNoRoute,
   kNoTarget,
   kWrongService,
-  kNoneTook,   ///< an opening that every agent on its way passed on
-  kMayBeOpen,  ///< an opening that nobody took now, but somebody may have taken before
-  kMayBeHeld,  ///< a target on its way may hold the flow and did not say so
-  kNoData,     ///< of a flow that has ended, perhaps in good order
-  kUnsettled,  ///< agents on its way did not all know the same others
-  kSomeAway,   ///< an agent whose target may hold the flow is away
+  kNoneTook,      ///< an opening that every agent on its way passed on
+  kMayBeOpen,     ///< an opening that nobody took now, but somebody may have taken before
+  kEnded,         ///< the last acknowledgement of a flow that has ended in good order
+  kManySearches,  ///< too many flows are searched for
 };
 
 /// For logs: a few words in place of the number.
@@ -114,7 +122,10 @@
   DiscardReason reason = DiscardReason::kNoTarget;
 };
 
-using BalancerVerdict = std::variant<ForwardToAgent, RefuseOpening, Discard>;
+/// Keep the packet until the search for its flow ends (packets/search.h).
+struct AwaitSearch {};
+
+using BalancerVerdict = std::variant<ForwardToAgent, RefuseOpening, AwaitSearch, Discard>;
 
 /// Decides on one packet of a client.
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict;
@@ -123,6 +134,13 @@
 auto TakeLocated(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now)
     -> void;
 
+/// The stamp of a packet of an open flow of the service.
+auto StampFor(const Balancer& balancer, base::ServiceId service) -> Stamp;
+
+/// Whether the platform's records of agents are as new as can be. Without them nobody can say that
+/// no agent is missing.
+auto RecordsAreFresh(const Balancer& balancer, base::TimePoint now) -> bool;
+
 /// Drops hints of flows that have been quiet for long.
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void;
 
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/types/time.h"
+#include "packets/types/query.h"
 #include "packets/types/target.h"
 
 /// Control datagrams of packet flows. A balancer says hello to each agent that it knows, and the
@@ -37,27 +38,44 @@
   std::uint32_t part = 0;    ///< of a list that is sent in parts, from 0
   std::uint32_t parts = 1;
   base::Duration every{};  ///< until the balancer's next hello, while nothing changes
+  /// Agents of the service whose process has started anew a moment ago, and that the balancer knew
+  /// before: their targets may hold flows which an earlier process opened. At most kMostRestarted.
+  std::vector<Address> restarted{};
 };
 
+/// Agents that a hello names as started anew, the rest of a datagram: beyond that their targets are
+/// not told apart, and `complete` is false.
+inline constexpr auto kMostRestarted = std::size_t{300};
+
 /// Most parts of a list.
 inline constexpr auto kMaxHelloParts = std::uint32_t{64};
 
 /// Digest of a hello's peers; never 0.
 auto DigestOf(const Hello& hello) -> std::uint32_t;
 
-/// From an agent to balancers: its target holds the flow, a packet of which came here by way of
-/// other agents.
+/// From an agent to the balancer that sent a flow's packet: the flow is here. Its opening came by
+/// way of other agents, or the agent had to ask its target.
 ///
-/// Safeguard: a balancer that has just started remembers no flow, and each packet of one would go
-/// round the agents until it finds its own; one agent on that way that has just ended swallows it.
-/// The symptom is an established flow that stays silent while its target is well. From the first
-/// packet on that arrives, the balancer knows the way.
+/// Safeguard: the balancer would send the client's next packets to the agent that passed the
+/// opening on, whose target gives each of them back.
 struct Located {
   Address agent = 0;
   FlowId flow;
 };
 
-using Control = std::variant<Hello, TargetReport, Located>;
+/// From an agent to the balancer that sent it: a packet of a flow that its target does not take.
+struct GivenBack {
+  Address agent = 0;
+  /// The target does not hold the flow; otherwise the agent withheld the packet, and the target may
+  /// hold the flow half open.
+  bool by_target = false;
+  std::vector<std::uint8_t> datagram;  ///< at most kMaxGivenBack
+};
+
+/// The longest packet, header and payload, with room to spare.
+inline constexpr auto kMaxGivenBack = std::size_t{1400};
+
+using Control = std::variant<Hello, TargetReport, Located, FlowQuery, FlowAnswer, GivenBack>;
 
 auto EncodeControl(const Control& control) -> std::string;
 
--- a/src/packets/greeting.h
+++ b/src/packets/greeting.h
@@ -20,9 +20,10 @@
   std::size_t most_per_check = 100;
 };
 
-/// The members that are to be sent a hello now, suspected ones first, then those whose last one was longest ago; they
-/// count as greeted. Due is who has not been told of the last change, who is awaited, and whose
-/// last hello was a period ago. Sets View::greet_every. Called at each check of stalls.
+/// The members that are to be sent a hello now, suspected ones first, then those whose last one was
+/// longest ago; they count as greeted. Due is who has not been told of the last change, who is
+/// awaited, and whose last hello was a period ago. Sets View::greet_every. Called at each check of
+/// stalls.
 ///
 /// Safeguard: with all agents greeted at each change, 91 balancers said hello to 204 agents up to
 /// twenty times a second while targets were replaced; hellos and lists filled links of 20 Mbit/s,
--- a/src/packets/hello.h
+++ b/src/packets/hello.h
@@ -23,10 +23,9 @@
   std::vector<Hello> listed;  ///< the list, in parts, for agents that ask for it
 };
 
-/// To each agent the live agents of its own service: the set along which agents pass on what their
-/// targets give back, and the one that this balancer offers openings to. `records_fresh`: the
-/// platform's records are as new as can be; without them nothing is called complete.
-auto MakeHellos(const Balancer& balancer, bool records_fresh, base::TimePoint now)
+/// To each agent the live agents of its own service: the set along which agents pass openings on,
+/// and the one that this balancer asks for flows.
+auto MakeHellos(const Balancer& balancer, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello>;
 
 /// The hello in parts of kAgentsInHello peers; one part where it fits. Peers beyond kMaxHelloParts
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -15,69 +15,50 @@
   return StateOf(agent, now) == TargetState::kReady && !agent.stopping;
 }
 
-// Why it is not proven that no target holds the packet's flow, after its last agent; nothing where
-// it is.
-auto DoubtOf(const Agent& agent, const Packet& packet, base::TimePoint now)
-    -> std::optional<DiscardReason> {
-  if (!packet.stamp.refusable) return DiscardReason::kMayBeHeld;
-  if (packet.payload == 0 && !packet.finish) return DiscardReason::kNoData;
-  const auto whole_round = packet.stamp.hops >= OthersOf(agent);
-  if (!whole_round || !SameRound(agent, packet.stamp, now)) return DiscardReason::kUnsettled;
-  if (!KnowsAll(agent, now)) return DiscardReason::kSomeAway;
-  return std::nullopt;
-}
-
-auto NoneLeft(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
+auto NoneLeft(Agent& agent, const Packet& packet) -> AgentVerdict {
   ++agent.counters.none_left;
-  if (IsOpening(packet)) {
-    if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
-    ++agent.counters.refused;
-    return RefuseOpening{DiscardReason::kNoneTook};
-  }
-  const auto doubt = DoubtOf(agent, packet, now);
-  if (doubt) return Discard{*doubt};
-  ++agent.counters.resets;
-  return ResetFlow{};
+  if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
+  ++agent.counters.refused;
+  return RefuseOpening{DiscardReason::kNoneTook};
 }
 
-// To the next agent in the flow's order. The stamp counts the agents that the packet has seen, so
-// that it ends after one round whatever each of them believes of the others.
-auto PassOn(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
-  const auto flow = FlowFromClient(packet);
-  const auto others = OthersOf(agent);
-  const auto most = IsOpening(packet) ? agent.policy.opening_hops : kMaxHops;
-  if (packet.stamp.hops >= std::min<std::size_t>(others, most)) return NoneLeft(agent, packet, now);
+// An opening, to the next agent in its flow's order. The stamp counts the agents that it has seen,
+// so that it ends after some of them whatever each believes of the others.
+auto PassOn(Agent& agent, const Packet& packet) -> AgentVerdict {
+  const auto most = std::min<std::size_t>(OthersOf(agent), agent.policy.opening_hops);
+  if (packet.stamp.hops >= most) return NoneLeft(agent, packet);
   const auto own = Place{agent.own, agent.domain};
-  const auto next = IsOpening(packet) ? NextAnywhere(flow, agent.peers, own)
-                                      : NextInOrder(flow, agent.peers, own);
-  if (next == 0) return NoneLeft(agent, packet, now);
+  const auto next = NextAnywhere(FlowFromClient(packet), agent.peers, own);
+  if (next == 0) return NoneLeft(agent, packet);
   ++agent.counters.passed_on;
   auto stamp = packet.stamp;
-  if (!IsOpening(packet) && !SameRound(agent, stamp, now)) stamp.refusable = false;
-  stamp.peers_digest = agent.peers_digest;
   ++stamp.hops;
   return ForwardToAgent{next, stamp};
 }
 
-auto NotRefusable(Packet packet) -> Packet {
-  packet.stamp.refusable = false;
-  return packet;
+auto Return(Agent& agent, bool by_target) -> AgentVerdict {
+  ++agent.counters.given_back;
+  return GiveBack{by_target};
 }
 
-// After a stall nothing is refused or reset: what came during it is old, and so is what balancers
-// said last. A flow's packet that waited 0.7 s in its last agent's socket had missed an agent that
-// came back meanwhile.
-auto WithoutStaleRefusal(Agent& agent, const Packet& packet, base::TimePoint now) -> Packet {
-  return NoteEvent(agent.stall, now) ? NotRefusable(packet) : packet;
+// The target gave back a packet of a flow. The last acknowledgement of a flow that has ended in
+// good order needs no search: its client is content.
+auto ReturnOf(Agent& agent, const Packet& packet) -> AgentVerdict {
+  const auto flow = FlowFromClient(packet);
+  const auto entry = agent.flows.find(flow);
+  const auto ended = entry != agent.flows.end() && entry->second.stage == FlowStage::kEnded;
+  const auto bare = packet.payload == 0 && !packet.finish;
+  if (ended && bare) return Discard{DiscardReason::kEnded};
+  Erase(agent, flow);
+  return Return(agent, true);
 }
 
-// Whether the flow is known to be held here and balancers have not been told lately.
-auto TellsLocation(Agent& agent, const Packet& packet, base::TimePoint now) -> bool {
-  const auto entry = agent.flows.find(FlowFromClient(packet));
-  if (entry == agent.flows.end() || entry->second.stage != FlowStage::kOpen) return false;
-  if (now - entry->second.told_at < agent.policy.tell_every) return false;
-  entry->second.told_at = now;
-  return true;
+// After a stall nothing is refused: what came during it is old. An opening that waited may have
+// been taken by another target since.
+auto WithoutStaleRefusal(Agent& agent, const Packet& received, base::TimePoint now) -> Packet {
+  auto packet = received;
+  if (NoteEvent(agent.stall, now)) packet.stamp.refusable = false;
+  return packet;
 }
 
 // An agent that was started again does not know whether its target holds a flow or holds it half
@@ -110,6 +91,15 @@
   return true;
 }
 
+// The balancer that is to be told where the flow is: the target answers for the first time on a
+// flow that was taken for its own.
+auto LocatedFor(const Agent& agent, const Packet& packet) -> std::optional<std::uint16_t> {
+  const auto entry = agent.flows.find(FlowFromTarget(packet));
+  if (entry == agent.flows.end() || entry->second.stage != FlowStage::kAssumed) return std::nullopt;
+  if (packet.synchronize || packet.reset) return std::nullopt;
+  return entry->second.origin;
+}
+
 }  // namespace
 
 // Safeguard: an address is used again by another service while a balancer still has the old record;
@@ -123,28 +113,30 @@
   }
   // A draining target would still take an opening. Passing it on here keeps the promise without
   // any balancer having heard of it.
-  if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet, now);
+  if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet);
   ExpireOffers(agent, now);
   if (IsOpening(packet) && !HasPlace(agent, packet)) {
     ++agent.counters.over_limit;
-    return PassOn(agent, packet, now);
+    return PassOn(agent, packet);
   }
-  if (!TakesPackets(agent, now)) return PassOn(agent, packet, now);
-  if (OpenedElsewhere(agent, packet)) return PassOn(agent, NotRefusable(packet), now);
+  if (!TakesPackets(agent, now)) return Return(agent, true);
+  if (OpenedElsewhere(agent, packet)) return Return(agent, false);
   CountFromClient(agent, packet, now);
   ++agent.counters.delivered;
-  return DeliverToTarget{packet.stamp.hops != 0 && TellsLocation(agent, packet, now)};
+  return DeliverToTarget{IsOpening(packet) && packet.stamp.hops != 0};
 }
 
 auto FromTarget(Agent& agent, const Packet& received, base::TimePoint now) -> AgentVerdict {
   const auto packet = WithoutStaleRefusal(agent, received, now);
   if (packet.returned) {
     ++agent.counters.returned;
+    if (!IsOpening(packet)) return ReturnOf(agent, packet);
     Erase(agent, FlowFromClient(packet));
-    return PassOn(agent, packet, now);
+    return PassOn(agent, packet);
   }
   ++agent.counters.replies;
-  return SendToClient{CountFromTarget(agent, packet, now)};
+  const auto located_for = LocatedFor(agent, packet);
+  return SendToClient{CountFromTarget(agent, packet, now), located_for};
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <span>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -12,6 +13,12 @@
 namespace anvildrum::packets {
 namespace {
 
+auto AsHello(const std::vector<Place>& places) -> Hello {
+  auto hello = Hello{};
+  for (const auto& place : places) hello.peers.push_back({place.agent, {}, place.domain});
+  return hello;
+}
+
 auto AgentsOf(const Hello& hello) -> std::vector<Place> {
   auto agents = std::vector<Place>{};
   for (const auto& peer : hello.peers) agents.push_back({peer.agent, peer.domain});
@@ -34,6 +41,10 @@
   return whole;
 }
 
+auto Names(std::span<const Address> agents, Address agent) -> bool {
+  return std::find(agents.begin(), agents.end(), agent) != agents.end();
+}
+
 auto IsFresh(const Agent& agent, const BalancerHello& hello, base::TimePoint now) -> bool {
   return now - hello.at <= std::max(agent.policy.hello_for, kReportsMissed * hello.every);
 }
@@ -89,7 +100,7 @@
   std::reverse(all.begin(), all.end());
   if (all == agent.peers) return;
   agent.peers = std::move(all);
-  agent.peers_digest = DigestOf(agent.peers);
+  agent.peers_digest = DigestOf(AsHello(agent.peers));
   agent.peers_since = now;
 }
 
@@ -99,12 +110,8 @@
                     [&](const Place& peer) { return peer.agent != agent.own; }));
 }
 
-// Safeguard: a client that goes on with a flow of a target that is gone waits until its deadline,
-// and each of its packets goes round all agents. After all machines lost power 1,500 requests of
-// long flows failed so that a new flow would have served. A reset is true when every target that
-// can be alive has given the packet back; while an agent is away, or one may be unknown to some
-// balancer, nobody can tell. A packet without data proves nothing: a target also gives back the
-// last acknowledgement of a flow that has just ended in good order.
+// While an agent is away, or one may be unknown to some balancer, nobody can tell that a flow is
+// lost.
 auto KnowsAll(const Agent& agent, base::TimePoint now) -> bool {
   auto heard = false;
   for (const auto& [balancer, hello] : agent.balancers) {
@@ -115,14 +122,16 @@
   return heard;
 }
 
-// Whether this agent counts the same others as those before it on the way. Only then has a packet
-// that went one round been at each of them: a way that leads over an agent which the last one does
-// not count ends one short of the target that may hold the flow.
-auto SameRound(const Agent& agent, const Stamp& stamp, base::TimePoint now) -> bool {
-  if (now - agent.peers_since < agent.policy.settle_for) return false;
+// A balancer that greets less often tells later of an agent that it alone knows: what has changed
+// is told to all within a tenth of its period.
+auto HasSettled(const Agent& agent, base::TimePoint now) -> bool {
+  auto settle_for = agent.policy.settle_for;
+  for (const auto& [balancer, hello] : agent.balancers) {
+    settle_for = std::max<base::Duration>(settle_for, hello.every / 4);
+  }
+  if (now - agent.peers_since < settle_for) return false;
   const auto own = Place{agent.own, agent.domain};
-  const auto listed = std::binary_search(agent.peers.begin(), agent.peers.end(), own);
-  return listed && (stamp.hops == 0 || stamp.peers_digest == agent.peers_digest);
+  return std::binary_search(agent.peers.begin(), agent.peers.end(), own);
 }
 
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
@@ -132,6 +141,7 @@
   const auto before = known.digest;
   known.at = now;
   known.every = hello.every;
+  if (Names(hello.restarted, agent.own)) agent.had_predecessor = true;
   auto whole = hello.listed ? Gather(known, hello) : std::nullopt;
   known.said = hello;
   known.said.peers.clear();
--- a/src/packets/internal/agent_peers.h
+++ b/src/packets/internal/agent_peers.h
@@ -16,7 +16,8 @@
 /// Whether a balancer has been heard from, and each that has says that it knows all.
 auto KnowsAll(const Agent& agent, base::TimePoint now) -> bool;
 
-/// Whether this agent counts the same others as those that passed the packet on.
-auto SameRound(const Agent& agent, const Stamp& stamp, base::TimePoint now) -> bool;
+/// Whether this agent has counted the same others for a while, and itself among them: one of the
+/// balancers may know an agent that the others do not yet.
+auto HasSettled(const Agent& agent, base::TimePoint now) -> bool;
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -33,14 +33,30 @@
   return StateOf(agent, now);
 }
 
+// When the heartbeat's sender may have started: it counts each, and waits a period for the next.
+// Counted twice as long, since one may be late.
+auto StartedAtEarliest(const Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
+    -> base::TimePoint {
+  constexpr auto most = std::uint64_t{1'000'000};  // a week, and no overflow
+  const auto count = static_cast<std::int64_t>(std::min(heartbeat.sequence, most) + 1);
+  return now - 2 * count * agent.policy.heartbeat_every;
+}
+
 // Flows of before are gone with the incarnation that held them.
-auto StartAnew(Agent& agent, const Incarnation& next, base::TimePoint now) -> void {
+auto StartAnew(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now) -> void {
   auto& target = agent.target;
+  const auto& next = heartbeat.incarnation;
   const auto before = target.last.incarnation;
   if (WasHeard(target)) Retire(target, before);
   if (IsFormerId(target, next.id)) target.again_at = now;
   Reinstate(target, next);
-  if (WasHeard(target)) ForgetFlows(agent);
+  if (WasHeard(target)) DoubtFlows(agent, StartedAtEarliest(agent, heartbeat, now));
+}
+
+// Whether the target has started since this process did: by its first heartbeat, or by their
+// number.
+auto SeenFromStart(const Agent& agent, const Heartbeat& heartbeat, base::TimePoint now) -> bool {
+  return now - RunsFor(agent, now) < StartedAtEarliest(agent, heartbeat, now);
 }
 
 auto LeaveIsDoubtful(const Agent& agent, base::TimePoint now) -> bool {
@@ -82,7 +98,12 @@
     ++agent.counters.late_heartbeats;
     return stale ? HeartbeatOutcome::kStale : HeartbeatOutcome::kOtherService;
   }
-  if (claim != Claim::kCurrent) StartAnew(agent, heartbeat.incarnation, now);
+  const auto first = !WasHeard(target) || claim != Claim::kCurrent;
+  if (first) {
+    target.seen_from_start = SeenFromStart(agent, heartbeat, now);
+    target.seen_from_first_heartbeat = heartbeat.sequence <= 1;
+  }
+  if (claim != Claim::kCurrent) StartAnew(agent, heartbeat, now);
   const auto before = StateOf(agent, now);
   target.state = heartbeat.draining ? TargetState::kDraining : TargetState::kReady;
   target.last = heartbeat;
@@ -113,7 +134,9 @@
   if (target.state == TargetState::kAbsent) return false;
   target.state = TargetState::kAbsent;
   target.left_at = now;
-  ForgetFlows(agent);
+  target.seen_from_start = false;
+  target.seen_from_first_heartbeat = false;
+  DoubtFlows(agent, {});  // the leave may be an earlier start's, and come late
   return true;
 }
 
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "packets/order.h"
+#include "packets/search.h"
 
 namespace anvildrum::packets {
 namespace {
@@ -105,9 +106,11 @@
   const auto agent = ChooseAgent(balancer, flow, service, hint, now);
   if (agent != 0) {
     Offer(hint, balancer.view.members.at(agent), now);
-    return ForwardToAgent{agent, {0, sole, 0, TagOf(service)}};
+    return ForwardToAgent{agent, {0, sole, OriginTagOf(balancer.own), TagOf(service)}};
+  }
+  if (hint.agent != 0) {
+    return ForwardToAgent{hint.agent, {0, false, OriginTagOf(balancer.own), TagOf(service)}};
   }
-  if (hint.agent != 0) return ForwardToAgent{hint.agent, {0, false, 0, TagOf(service)}};
   balancer.hints.erase(flow);
   ++balancer.counters.no_target;
   if (!sole) return Discard{DiscardReason::kNoTarget};
@@ -115,11 +118,6 @@
   return RefuseOpening{DiscardReason::kNoTarget};
 }
 
-// Places by which the search moves on with each packet. One packet's way ends after kMaxHops
-// agents: where there are more, the next packet goes on behind it. Moved on by one place, a flow at
-// the 150th of 200 agents was found by its client's 88th packet; so it is found by the third.
-auto SearchStep(std::size_t agents) -> std::size_t { return agents > kMaxHops + 1U ? kMaxHops : 1; }
-
 // The services that may hold a flow which has opened: the one that a new flow would be sent to
 // first, then the others that its route shares its flows among, or has left a short while ago.
 //
@@ -146,20 +144,6 @@
   return holders;
 }
 
-// Where the search for a flow's agent begins: at the head of its order, and further on with each
-// packet, so that an agent on the way that has just ended does not swallow all of them. Where
-// several services may hold the flow, they take turns.
-auto SearchFrom(Balancer& balancer, const FlowId& flow, Hint& hint,
-                std::span<const base::ServiceId> holders, base::TimePoint now) -> Address {
-  ++balancer.counters.unhinted;
-  const auto searches = hint.searches++;
-  const auto service = holders[searches % holders.size()];
-  const auto agents = SearchSet(balancer.view, service, now);
-  const auto order = RendezvousOrder(flow, agents, balancer.domain);
-  if (order.empty()) return 0;
-  return order[(searches / holders.size() * SearchStep(order.size())) % order.size()];
-}
-
 // Whether a hint is worth following: the agent is known, stands beside a target of a service that
 // may hold the flow, the target has not left, and the agent is not silent for good. One that is
 // silent for a moment keeps its flows.
@@ -173,24 +157,23 @@
   return member.listed || IsAlive(view, member, now) || member.heard == base::TimePoint{};
 }
 
-// A packet that all targets of one service gave back proves nothing where another one may hold the
-// flow: it may be reset only if there is no other.
 auto RouteOther(Balancer& balancer, const Packet& packet, std::span<const base::ServiceId> holders,
-                base::TimePoint now) -> BalancerVerdict {
+                bool doubtful, base::TimePoint now) -> BalancerVerdict {
   const auto flow = FlowFromClient(packet);
   auto forgotten = Hint{};
   auto& hint = HintOf(balancer, flow, forgotten);
   hint.seen = now;
   hint.opened = true;
   if (!MayStillHold(balancer.view, hint.agent, holders, now)) hint.agent = 0;
-  const auto agent = hint.agent != 0 ? hint.agent : SearchFrom(balancer, flow, hint, holders, now);
+  const auto agent = hint.agent;
   if (packet.reset) balancer.hints.erase(flow);
   if (agent != 0) {
     const auto service = balancer.view.members.at(agent).service;
-    return ForwardToAgent{agent, {0, holders.size() == 1, 0, TagOf(service)}};
+    return ForwardToAgent{agent, StampFor(balancer, service)};
   }
-  ++balancer.counters.no_target;
-  return Discard{DiscardReason::kNoTarget};
+  ++balancer.counters.unhinted;
+  if (BeginSearch(balancer, packet, holders, doubtful)) return AwaitSearch{};
+  return Discard{DiscardReason::kManySearches};
 }
 
 auto RouteOf(Balancer& balancer, const Packet& packet, bool doubtful, base::TimePoint now)
@@ -201,7 +184,7 @@
     if (service) return RouteOpening(balancer, packet, *service, doubtful, now);
   } else {
     const auto holders = HoldersOf(balancer, flow, now);
-    if (!holders.empty()) return RouteOther(balancer, packet, holders, now);
+    if (!holders.empty()) return RouteOther(balancer, packet, holders, doubtful, now);
   }
   ++balancer.counters.no_route;
   return Discard{DiscardReason::kNoRoute};
@@ -242,14 +225,10 @@
       return "no target took it";
     case DiscardReason::kMayBeOpen:
       return "no target took it, one may have before";
-    case DiscardReason::kMayBeHeld:
-      return "no target took it, one may hold it";
-    case DiscardReason::kNoData:
-      return "no target took it, no data";
-    case DiscardReason::kUnsettled:
-      return "no target took it, agents not settled";
-    case DiscardReason::kSomeAway:
-      return "no target took it, an agent is away";
+    case DiscardReason::kEnded:
+      return "the flow has ended";
+    case DiscardReason::kManySearches:
+      return "too many flows are searched for";
   }
   return "unknown";
 }
@@ -270,6 +249,15 @@
   entry->second.seen = now;
 }
 
+auto StampFor(const Balancer& balancer, base::ServiceId service) -> Stamp {
+  return {0, false, OriginTagOf(balancer.own), TagOf(service)};
+}
+
+auto RecordsAreFresh(const Balancer& balancer, base::TimePoint now) -> bool {
+  return balancer.records_at != base::TimePoint{} &&
+         now - balancer.records_at < balancer.policy.records_fresh_for;
+}
+
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void {
   const auto idle = balancer.routes ? balancer.routes->idle_limit : balancer.policy.hint_idle;
   std::erase_if(balancer.hints, [&](const auto& entry) { return now - entry.second.seen > idle; });
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -17,6 +17,7 @@
   body->set_digest(hello.digest);
   body->set_part(hello.part);
   body->set_parts(hello.parts);
+  for (const auto agent : hello.restarted) body->add_restarted(agent);
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
     for (const auto& peer : hello.peers) {
@@ -59,6 +60,43 @@
   return message;
 }
 
+auto ToNumber(const End& end) -> std::uint64_t {
+  return (std::uint64_t{end.address} << 16U) | end.port;
+}
+
+auto ToMessage(const FlowQuery& query) -> pb::Control {
+  auto message = pb::Control{};
+  auto* body = message.mutable_query();
+  body->set_service(query.service.value);
+  body->set_token(query.token);
+  for (const auto& flow : query.flows) {
+    body->add_clients(ToNumber(flow.client));
+    body->add_routes(ToNumber(flow.service));
+  }
+  return message;
+}
+
+auto ToMessage(const FlowAnswer& answer) -> pb::Control {
+  auto message = pb::Control{};
+  auto* body = message.mutable_answer();
+  body->set_service(answer.service.value);
+  body->set_token(answer.token);
+  body->set_knows_flows(answer.knows_flows);
+  body->set_settled(answer.settled);
+  body->set_peers_digest(answer.peers_digest);
+  for (const auto place : answer.held) body->add_held(place);
+  for (const auto place : answer.unsure) body->add_unsure(place);
+  return message;
+}
+
+auto ToMessage(const GivenBack& given_back) -> pb::Control {
+  auto message = pb::Control{};
+  auto* body = message.mutable_given_back();
+  body->set_datagram(given_back.datagram.data(), given_back.datagram.size());
+  body->set_by_target(given_back.by_target);
+  return message;
+}
+
 auto IsPort(std::uint32_t number) -> bool {
   return number <= std::numeric_limits<std::uint16_t>::max();
 }
@@ -96,6 +134,7 @@
   hello.service = base::ServiceId{message.service()};
   hello.listed = message.listed();
   hello.digest = message.digest();
+  hello.restarted.assign(message.restarted().begin(), message.restarted().end());
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
@@ -120,6 +159,52 @@
                       .domain = static_cast<DomainTag>(message.domain())};
 }
 
+// Nothing for numbers that are no address and port.
+auto EndOf(std::uint64_t number) -> std::optional<End> {
+  constexpr auto bits = 48U;
+  if (number >> bits != 0) return std::nullopt;
+  return End{static_cast<Address>(number >> 16U), static_cast<std::uint16_t>(number)};
+}
+
+auto FromMessage(const pb::Query& message) -> std::optional<FlowQuery> {
+  const auto count = message.clients_size();
+  if (message.routes_size() != count || count > static_cast<int>(kFlowsInQuery)) {
+    return std::nullopt;
+  }
+  auto query = FlowQuery{base::ServiceId{message.service()}, message.token(), {}};
+  for (auto i = 0; i < count; ++i) {
+    const auto client = EndOf(message.clients(i));
+    const auto service = EndOf(message.routes(i));
+    if (!client || !service) return std::nullopt;
+    query.flows.push_back({*client, *service});
+  }
+  return query;
+}
+
+auto FromMessage(const pb::Answer& message, Address sender) -> FlowAnswer {
+  return {.agent = sender,
+          .service = base::ServiceId{message.service()},
+          .token = message.token(),
+          .knows_flows = message.knows_flows(),
+          .settled = message.settled(),
+          .peers_digest = message.peers_digest(),
+          .held = {message.held().begin(), message.held().end()},
+          .unsure = {message.unsure().begin(), message.unsure().end()}};
+}
+
+auto FromMessage(const pb::GivenBack& message, Address sender) -> std::optional<GivenBack> {
+  const auto& datagram = message.datagram();
+  if (datagram.size() > kMaxGivenBack) return std::nullopt;
+  return GivenBack{sender, message.by_target(), {datagram.begin(), datagram.end()}};
+}
+
+// A message as the control that it holds, where it is one.
+template <typename Message>
+auto AsControl(const std::optional<Message>& message) -> std::optional<Control> {
+  if (!message) return std::nullopt;
+  return Control{*message};
+}
+
 }  // namespace
 
 auto DigestOf(const Hello& hello) -> std::uint32_t {
@@ -135,18 +220,22 @@
 auto DecodeControl(std::span<const std::uint8_t> bytes, Address sender) -> std::optional<Control> {
   auto message = pb::Control{};
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
-  if (message.has_hello()) {
-    const auto hello = FromMessage(message.hello());
-    return hello ? std::optional<Control>{*hello} : std::nullopt;
-  }
-  if (message.has_located()) {
-    const auto located = FromMessage(message.located(), sender);
-    return located ? std::optional<Control>{*located} : std::nullopt;
+  switch (message.body_case()) {
+    case pb::Control::kHello:
+      return AsControl(FromMessage(message.hello()));
+    case pb::Control::kReport:
+      return AsControl(FromMessage(message.report(), sender));
+    case pb::Control::kLocated:
+      return AsControl(FromMessage(message.located(), sender));
+    case pb::Control::kQuery:
+      return AsControl(FromMessage(message.query()));
+    case pb::Control::kAnswer:
+      return FromMessage(message.answer(), sender);
+    case pb::Control::kGivenBack:
+      return AsControl(FromMessage(message.given_back(), sender));
+    default:
+      return std::nullopt;
   }
-  if (!message.has_report()) return std::nullopt;
-  const auto report = FromMessage(message.report(), sender);
-  if (!report) return std::nullopt;
-  return *report;
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -7,9 +7,9 @@
 namespace {
 
 // The target has sent its last data. What the client repeats until it has closed the flow too is
-// told from new work by this state.
-auto EndFlow(Agent& agent, const FlowId& id, FlowState& flow) -> void {
-  if (flow.client_finished) return Erase(agent, id);
+// told from new work by this state, and so is its last acknowledgement, which the target gives
+// back.
+auto EndFlow(Agent& agent, FlowState& flow) -> void {
   SetAtWork(agent, flow, false);
   if (flow.stage != FlowStage::kEnded) ++agent.ended;
   flow.stage = FlowStage::kEnded;
@@ -80,7 +80,11 @@
   auto entry = agent.flows.find(flow);
   if (entry == agent.flows.end()) {
     const auto empty = !IsOpening(packet) && packet.payload == 0;
-    if (empty || agent.flows.size() >= agent.policy.most_flows) return;
+    if (empty) return;
+    if (agent.flows.size() >= agent.policy.most_flows) {
+      agent.overflowed = true;
+      return;
+    }
     entry = agent.flows.emplace(flow, FlowState{}).first;
     SetAtWork(agent, entry->second, true);
     if (IsOpening(packet)) {
@@ -96,15 +100,16 @@
     entry->second.asked_up_to = packet.sequence + packet.payload;
   }
   entry->second.seen = now;
-  if (!packet.finish) return;
-  entry->second.client_finished = true;
-  if (entry->second.stage == FlowStage::kEnded) Erase(agent, flow);
+  entry->second.origin = packet.stamp.origin;
 }
 
 auto CountFromTarget(Agent& agent, const Packet& packet, base::TimePoint now)
     -> std::optional<base::Duration> {
-  const auto entry = agent.flows.find(FlowFromTarget(packet));
-  if (entry == agent.flows.end()) return std::nullopt;
+  auto entry = agent.flows.find(FlowFromTarget(packet));
+  if (entry == agent.flows.end()) {
+    if (packet.payload == 0 || agent.flows.size() >= agent.policy.most_flows) return std::nullopt;
+    entry = agent.flows.emplace(FlowFromTarget(packet), FlowState{.stage = FlowStage::kOpen}).first;
+  }
   auto& flow = entry->second;
   const auto answered = packet.payload != 0 ? TakeAnswer(flow, now) : std::nullopt;
   if (packet.reset) {
@@ -118,23 +123,48 @@
   if (!packet.synchronize && flow.stage == FlowStage::kAssumed) flow.stage = FlowStage::kOpen;
   if (packet.payload != 0) SetAtWork(agent, flow, false);
   flow.seen = now;
-  if (packet.finish) EndFlow(agent, entry->first, flow);
+  if (packet.finish) EndFlow(agent, flow);
   return answered;
 }
 
+auto DoubtFlows(Agent& agent, base::TimePoint started) -> void {
+  std::erase_if(agent.flows, [&](const auto& entry) { return entry.second.seen < started; });
+  for (auto& [flow, state] : agent.flows) {
+    auto doubtful = FlowState{};
+    doubtful.stage = FlowStage::kAssumed;
+    doubtful.origin = state.origin;
+    doubtful.seen = state.seen;
+    state = doubtful;
+  }
+  agent.overflowed = false;
+  agent.offered.clear();
+  agent.at_work = 0;
+  agent.ended = 0;
+}
+
 auto ForgetFlows(Agent& agent) -> void {
   agent.flows.clear();
+  agent.overflowed = false;
   agent.offered.clear();
   agent.at_work = 0;
   agent.ended = 0;
 }
 
+auto IdleOf(const AgentPolicy& policy, FlowStage stage) -> base::Duration {
+  switch (stage) {
+    case FlowStage::kOpen:
+      return policy.flow_age;
+    case FlowStage::kEnded:
+      return policy.ended_idle;
+    default:
+      return policy.flow_idle;
+  }
+}
+
 auto ForgetQuiet(Agent& agent, base::TimePoint now) -> void {
   auto quiet = std::vector<FlowId>{};
   for (const auto& [flow, state] : agent.flows) {
-    const auto ended = state.stage == FlowStage::kEnded;
-    const auto idle = ended ? agent.policy.ended_idle : agent.policy.flow_idle;
-    if (now - state.seen > idle) quiet.push_back(flow);
+    if (now - state.seen > IdleOf(agent.policy, state.stage)) quiet.push_back(flow);
   }
   for (const auto& flow : quiet) Erase(agent, flow);
   std::erase_if(agent.balancers, [&](const auto& entry) {
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -22,13 +22,16 @@
   return parts;
 }
 
-auto MakeHellos(const Balancer& balancer, bool records_fresh, base::TimePoint now)
+auto MakeHellos(const Balancer& balancer, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello> {
   const auto& view = balancer.view;
   const auto running_since = balancer.stall.running_since;
   auto hellos = std::map<base::ServiceId, ServiceHello>{};
   for (const auto& [agent, member] : view.members) {
     auto& hello = hellos[member.service].brief;
+    const auto restarted = member.restarted_at != base::TimePoint{} &&
+                           now - member.restarted_at < view.policy.restarted_for;
+    if (restarted) hello.restarted.push_back(agent);
     if (MayHoldFlows(view, member, now)) {
       hello.peers.push_back({agent, member.service, member.report.domain});
     }
@@ -40,11 +43,17 @@
     hello.service = service;
     hello.every = view.greet_every;
     hello.digest = DigestOf(hello);
-    hello.complete = records_fresh && IsComplete(view, service, running_since, now);
+    hello.complete =
+        RecordsAreFresh(balancer, now) && IsComplete(view, service, running_since, now);
+    if (hello.restarted.size() > kMostRestarted) {
+      hello.restarted.clear();
+      hello.complete = false;
+    }
     said.listed = SplitHello(hello);
     hello.complete = said.listed.front().complete;
     hello.listed = false;
     hello.peers.clear();
+    for (auto& part : said.listed) part.restarted.clear();
   }
   return hellos;
 }
--- a/src/packets/internal/order.cc
+++ b/src/packets/internal/order.cc
@@ -71,6 +71,10 @@
   return Mix(Mix(Pack(flow.client)) ^ Pack(flow.service));
 }
 
+auto OriginTagOf(Address balancer) -> std::uint16_t {
+  return static_cast<std::uint16_t>(Mix(balancer) >> (64U - kOriginTagBits));
+}
+
 auto RendezvousOrder(const FlowId& flow, std::span<const Place> agents, DomainTag first)
     -> std::vector<Address> {
   const auto digest = HashOf(flow);
@@ -101,15 +105,6 @@
   return digest;
 }
 
-auto DigestOf(std::span<const Place> agents) -> std::uint16_t {
-  return static_cast<std::uint16_t>(LongDigestOf(agents) >> (64U - kPeersDigestBits));
-}
-
-auto NextInOrder(const FlowId& flow, std::span<const Place> agents, const Place& own) -> Address {
-  const auto digest = HashOf(flow);
-  return NextBy([&](const Place& place) { return RankByDomain(digest, place); }, agents, own);
-}
-
 auto NextAnywhere(const FlowId& flow, std::span<const Place> agents, const Place& own) -> Address {
   const auto digest = HashOf(flow);
   return NextBy([&](const Place& place) { return RankAnywhere(digest, place); }, agents, own);
--- /dev/null
+++ b/src/packets/internal/search.cc
@@ -0,0 +1,356 @@
+#include "packets/search.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "packets/hello.h"
+#include "packets/order.h"
+
+namespace anvildrum::packets {
+namespace {
+
+using Services = std::vector<base::ServiceId>;
+
+// The agents that may hold a flow of these services.
+auto AgentsOf(const Balancer& balancer, const Services& services, base::TimePoint now)
+    -> std::vector<Place> {
+  auto agents = std::vector<Place>{};
+  for (const auto service : services) {
+    const auto some = SearchSet(balancer.view, service, now);
+    agents.insert(agents.end(), some.begin(), some.end());
+  }
+  std::sort(agents.begin(), agents.end());
+  return agents;
+}
+
+auto DigestOfPlaces(const std::vector<Place>& places) -> std::uint32_t {
+  auto hello = Hello{};
+  for (const auto& place : places) hello.peers.push_back({place.agent, {}, place.domain});
+  return DigestOf(hello);
+}
+
+auto Remember(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now) -> void {
+  const auto entry = balancer.hints.find(flow);
+  if (entry == balancer.hints.end()) return;
+  entry->second.agent = agent;
+  entry->second.seen = now;
+}
+
+auto Fail(Balancer& balancer, const FlowId& flow, SearchFailure reason) -> SearchOutcome {
+  balancer.searches.flows.erase(flow);
+  ++balancer.counters.not_found;
+  return FlowNotFound{flow, reason};
+}
+
+// The queries of a round, to the agents that have not answered yet.
+auto Send(const Balancer& balancer, std::uint32_t token, const QueryRound& round,
+          std::vector<AddressedQuery>& queries) -> void {
+  for (const auto agent : round.missing) {
+    const auto member = balancer.view.members.find(agent);
+    if (member == balancer.view.members.end()) continue;
+    queries.push_back({agent, {member->second.service, token, round.flows}});
+  }
+}
+
+// Asks `agents` for `flows`.
+auto Ask(Balancer& balancer, std::vector<FlowId> flows, const std::vector<Place>& agents,
+         bool everybody, base::TimePoint now, SearchStep& step) -> void {
+  const auto token = ++balancer.searches.last_token;
+  auto& round = balancer.searches.rounds[token];
+  for (const auto& flow : flows) {
+    auto& search = balancer.searches.flows.at(flow);
+    search.stage = SearchStage::kAsked;
+    search.round = token;
+    round.services = search.services;
+  }
+  round.unsure_of_flow.resize(flows.size());
+  round.flows = std::move(flows);
+  round.everybody = everybody;
+  round.proves = everybody && round.services.size() == 1;
+  if (everybody) round.digest = DigestOfPlaces(agents);
+  for (const auto& place : agents) round.missing.push_back(place.agent);
+  round.asked_at = now;
+  round.sent_at = now;
+  balancer.counters.queries += round.missing.size();
+  Send(balancer, token, round, step.queries);
+}
+
+// The agents at the head of the flow's order, in the order of their addresses.
+auto LikelyAgents(const Balancer& balancer, const FlowId& flow, const std::vector<Place>& agents)
+    -> std::vector<Place> {
+  auto order = RendezvousOrder(flow, agents, balancer.domain);
+  order.resize(std::min(order.size(), balancer.policy.search.likely));
+  auto likely = std::vector<Place>{};
+  for (const auto agent : order) likely.push_back({agent, 0});
+  std::sort(likely.begin(), likely.end());
+  return likely;
+}
+
+// Asks all agents for the flows of one set of services, as many in a datagram as fit.
+auto AskEverybody(Balancer& balancer, const std::vector<FlowId>& flows,
+                  const std::vector<Place>& agents, base::TimePoint now, SearchStep& step) -> void {
+  for (auto first = std::size_t{0}; first < flows.size(); first += kFlowsInQuery) {
+    if (now < balancer.searches.everybody_at) return;
+    const auto last = std::min(first + kFlowsInQuery, flows.size());
+    Ask(balancer,
+        {flows.begin() + static_cast<std::ptrdiff_t>(first),
+         flows.begin() + static_cast<std::ptrdiff_t>(last)},
+        agents, true, now, step);
+    const auto count = static_cast<std::int64_t>(agents.size());
+    const auto rate = static_cast<std::int64_t>(balancer.policy.search.queries_per_second);
+    balancer.searches.everybody_at =
+        std::max(balancer.searches.everybody_at, now) + base::Duration{base::seconds{count}} / rate;
+  }
+}
+
+// The searches of one set of services that are due.
+auto AskFor(Balancer& balancer, const Services& services, const std::vector<FlowId>& due,
+            base::TimePoint now, SearchStep& step) -> void {
+  const auto agents = AgentsOf(balancer, services, now);
+  if (agents.empty()) {
+    for (const auto& flow : due) {
+      step.outcomes.push_back(Fail(balancer, flow, SearchFailure::kNoTarget));
+    }
+    return;
+  }
+  const auto& policy = balancer.policy.search;
+  const auto few = balancer.searches.flows.size() <= policy.few && agents.size() > policy.likely;
+  auto everybody = std::vector<FlowId>{};
+  for (const auto& flow : due) {
+    auto& search = balancer.searches.flows.at(flow);
+    if (!few) search.everybody = true;
+    if (search.everybody) {
+      everybody.push_back(flow);
+    } else {
+      Ask(balancer, {flow}, LikelyAgents(balancer, flow, agents), false, now, step);
+    }
+  }
+  AskEverybody(balancer, everybody, agents, now, step);
+}
+
+// Whether the balancer itself knows of no agent that may be away.
+auto KnowsNobodyAway(const Balancer& balancer, base::ServiceId service, base::TimePoint now)
+    -> bool {
+  return RecordsAreFresh(balancer, now) && now >= balancer.stall.doubtful_until &&
+         IsComplete(balancer.view, service, balancer.stall.running_since, now);
+}
+
+// The flow is held nowhere, as far as could be asked: is it lost?
+auto Conclude(Balancer& balancer, const FlowId& flow, base::TimePoint now) -> SearchOutcome {
+  const auto& search = balancer.searches.flows.at(flow);
+  if (!search.expects_answer) return Fail(balancer, flow, SearchFailure::kNoData);
+  if (!search.proves) return Fail(balancer, flow, SearchFailure::kUnsettled);
+  if (!KnowsNobodyAway(balancer, search.services.front(), now)) {
+    return Fail(balancer, flow, SearchFailure::kSomeAway);
+  }
+  const auto lost = FlowLost{flow, search.acknowledged};
+  balancer.searches.flows.erase(flow);
+  balancer.hints.erase(flow);
+  ++balancer.counters.resets;
+  return lost;
+}
+
+// Nobody who has answered holds the flow at this place of the round.
+auto ConcludeAt(Balancer& balancer, const QueryRound& round, std::size_t place, base::TimePoint now)
+    -> SearchOutcome {
+  const auto& flow = round.flows[place];
+  auto& search = balancer.searches.flows.at(flow);
+  search.proves = round.proves && round.missing.empty();
+  search.probed = round.unsure_of_all;
+  const auto& unsure = round.unsure_of_flow[place];
+  search.probed.insert(search.probed.end(), unsure.begin(), unsure.end());
+  if (search.probed.empty() && !round.missing.empty()) {
+    return Fail(balancer, flow, SearchFailure::kNoAnswer);
+  }
+  if (search.probed.empty()) return Conclude(balancer, flow, now);
+  search.stage = SearchStage::kProbing;
+  search.probed_at = now;
+  return FlowUnsure{flow, search.probed};
+}
+
+auto IsOfRound(const Balancer& balancer, const FlowId& flow, std::uint32_t token) -> bool {
+  const auto entry = balancer.searches.flows.find(flow);
+  return entry != balancer.searches.flows.end() && entry->second.stage == SearchStage::kAsked &&
+         entry->second.round == token;
+}
+
+// An agent that does not answer is asked for a report until it does, and is taken as gone soon.
+auto SuspectSilent(Balancer& balancer, const QueryRound& round, base::TimePoint now) -> void {
+  for (const auto agent : round.missing) {
+    const auto member = balancer.view.members.find(agent);
+    if (member == balancer.view.members.end() || member->second.heard > round.asked_at) continue;
+    Suspect(member->second, now);
+  }
+}
+
+// The round has ended: its flows are asked for of all agents, or their searches end.
+auto Close(Balancer& balancer, std::uint32_t token, base::TimePoint now)
+    -> std::vector<SearchOutcome> {
+  const auto node = balancer.searches.rounds.extract(token);
+  const auto& round = node.mapped();
+  SuspectSilent(balancer, round, now);
+  auto outcomes = std::vector<SearchOutcome>{};
+  for (auto place = std::size_t{0}; place < round.flows.size(); ++place) {
+    const auto& flow = round.flows[place];
+    if (!IsOfRound(balancer, flow, token)) continue;
+    auto& search = balancer.searches.flows.at(flow);
+    if (!round.everybody) {
+      search.everybody = true;
+      search.stage = SearchStage::kDue;
+    } else {
+      outcomes.push_back(ConcludeAt(balancer, round, place, now));
+    }
+  }
+  return outcomes;
+}
+
+// Whether a flow of the round is still searched for by it.
+auto IsWanted(const Balancer& balancer, std::uint32_t token, const QueryRound& round) -> bool {
+  return std::any_of(round.flows.begin(), round.flows.end(),
+                     [&](const FlowId& flow) { return IsOfRound(balancer, flow, token); });
+}
+
+// Asks once more who has not answered, and ends rounds that have waited for long enough.
+auto StepRounds(Balancer& balancer, base::TimePoint now, SearchStep& step) -> void {
+  const auto& policy = balancer.policy.search;
+  auto ended = std::vector<std::uint32_t>{};
+  for (auto& [token, round] : balancer.searches.rounds) {
+    const auto wait = round.everybody ? policy.answer_within : policy.ask_again;
+    if (now - round.asked_at >= wait || !IsWanted(balancer, token, round)) {
+      ended.push_back(token);
+    } else if (now - round.sent_at >= policy.ask_again) {
+      round.sent_at = now;
+      balancer.counters.queries += round.missing.size();
+      Send(balancer, token, round, step.queries);
+    }
+  }
+  for (const auto token : ended) {
+    const auto outcomes = Close(balancer, token, now);
+    step.outcomes.insert(step.outcomes.end(), outcomes.begin(), outcomes.end());
+  }
+}
+
+// Where the answer's places point to, if they point into the round.
+auto FlowAt(const QueryRound& round, std::uint32_t place) -> const FlowId* {
+  return place < round.flows.size() ? &round.flows[place] : nullptr;
+}
+
+auto Found(Balancer& balancer, const FlowId& flow, const Candidate& holder, base::TimePoint now)
+    -> SearchOutcome {
+  balancer.searches.flows.erase(flow);
+  Remember(balancer, flow, holder.agent, now);
+  ++balancer.counters.found;
+  return FlowFound{flow, holder};
+}
+
+}  // namespace
+
+auto NameOf(SearchFailure failure) -> std::string_view {
+  switch (failure) {
+    case SearchFailure::kNoTarget:
+      return "no target known";
+    case SearchFailure::kNoAnswer:
+      return "not found, an agent did not answer";
+    case SearchFailure::kUnsettled:
+      return "not found, agents not settled";
+    case SearchFailure::kSomeAway:
+      return "not found, an agent is away";
+    case SearchFailure::kNoData:
+      return "not found, no data";
+    case SearchFailure::kMayBeHeld:
+      return "not found, a target may hold it";
+  }
+  return "unknown";
+}
+
+auto BeginSearch(Balancer& balancer, const Packet& packet,
+                 std::span<const base::ServiceId> services, bool doubtful) -> bool {
+  auto& searches = balancer.searches;
+  const auto flow = FlowFromClient(packet);
+  const auto known = searches.flows.find(flow);
+  if (known == searches.flows.end() && searches.flows.size() >= balancer.policy.search.most) {
+    return false;
+  }
+  auto& search = known == searches.flows.end() ? searches.flows[flow] : known->second;
+  if (known == searches.flows.end()) {
+    search.services.assign(services.begin(), services.end());
+  }
+  // A packet without data proves nothing: a target also gives back the last acknowledgement of a
+  // flow that has just ended in good order.
+  if (!doubtful && (packet.payload != 0 || packet.finish)) search.expects_answer = true;
+  search.acknowledged = packet.acknowledged;
+  return true;
+}
+
+auto StepSearches(Balancer& balancer, base::TimePoint now) -> SearchStep {
+  auto step = SearchStep{};
+  StepRounds(balancer, now, step);
+  auto due = std::map<Services, std::vector<FlowId>>{};
+  auto over = std::vector<FlowId>{};
+  for (const auto& [flow, search] : balancer.searches.flows) {
+    if (search.stage == SearchStage::kDue) due[search.services].push_back(flow);
+    const auto ends = search.stage == SearchStage::kProbing &&
+                      now - search.probed_at >= balancer.policy.search.probe_for;
+    if (ends) over.push_back(flow);
+  }
+  for (const auto& flow : over) {
+    step.outcomes.push_back(Fail(balancer, flow, SearchFailure::kMayBeHeld));
+  }
+  for (const auto& [services, flows] : due) AskFor(balancer, services, flows, now, step);
+  return step;
+}
+
+auto TakeAnswer(Balancer& balancer, const FlowAnswer& answer, base::TimePoint now)
+    -> std::vector<SearchOutcome> {
+  const auto entry = balancer.searches.rounds.find(answer.token);
+  if (entry == balancer.searches.rounds.end()) return {};
+  auto& round = entry->second;
+  const auto place = std::lower_bound(round.missing.begin(), round.missing.end(), answer.agent);
+  if (place == round.missing.end() || *place != answer.agent) return {};
+  round.missing.erase(place);
+  if (!answer.settled || answer.peers_digest != round.digest) round.proves = false;
+  const auto candidate = Candidate{answer.agent, answer.service};
+  const auto asked_for = std::find(round.services.begin(), round.services.end(), answer.service) !=
+                         round.services.end();
+  if (!asked_for) round.proves = false;
+  if (asked_for && !answer.knows_flows) round.unsure_of_all.push_back(candidate);
+  for (const auto unsure : answer.unsure) {
+    if (FlowAt(round, unsure) == nullptr || !asked_for || !answer.knows_flows) continue;
+    round.unsure_of_flow[unsure].push_back(candidate);
+  }
+  auto outcomes = std::vector<SearchOutcome>{};
+  for (const auto held : answer.held) {
+    const auto* flow = FlowAt(round, held);
+    if (flow == nullptr || !asked_for || !IsOfRound(balancer, *flow, answer.token)) continue;
+    outcomes.push_back(Found(balancer, *flow, candidate, now));
+  }
+  if (!round.missing.empty()) return outcomes;
+  const auto others = Close(balancer, answer.token, now);
+  outcomes.insert(outcomes.end(), others.begin(), others.end());
+  return outcomes;
+}
+
+auto TakeGivenBack(Balancer& balancer, const Packet& packet, Address agent, bool by_target,
+                   base::TimePoint now) -> GivenBackStep {
+  const auto flow = FlowFromClient(packet);
+  const auto entry = balancer.searches.flows.find(flow);
+  if (entry != balancer.searches.flows.end() && entry->second.stage == SearchStage::kProbing) {
+    auto& search = entry->second;
+    const auto left = std::erase_if(
+        search.probed, [&](const Candidate& candidate) { return candidate.agent == agent; });
+    if (left != 0 && !by_target) search.proves = false;
+    if (left == 0 || !search.probed.empty()) return {};
+    return {false, {Conclude(balancer, flow, now)}};
+  }
+  const auto hint = balancer.hints.find(flow);
+  if (hint != balancer.hints.end() && hint->second.agent == agent) hint->second.agent = 0;
+  const auto verdict = RoutePacket(balancer, packet, now);
+  if (std::holds_alternative<AwaitSearch>(verdict)) return {true, {}};
+  const auto* forward = std::get_if<ForwardToAgent>(&verdict);
+  if (forward == nullptr) return {};
+  const auto service = balancer.view.members.at(forward->agent).service;
+  return {true, {FlowFound{flow, {forward->agent, service}}}};
+}
+
+}  // namespace anvildrum::packets
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -64,6 +64,8 @@
   auto& member = Find(view, report.agent, report.service, now);
   const auto same_start = WasHeard(member) && member.report.start == report.start;
   if (same_start && report.sequence <= member.report.sequence) return false;
+  const auto restarted = WasHeard(member) && !same_start;
+  if (restarted) member.restarted_at = now;
   const auto held_flows = MayHoldFlows(view, member, now);
   const auto moved = member.service != report.service || member.report.domain != report.domain;
   member.service = report.service;
@@ -71,7 +73,7 @@
   member.heard = now;
   member.suspected_at = {};
   member.offered = 0;
-  if (moved || held_flows != MayHoldFlows(view, member, now)) ++view.changes;
+  if (moved || restarted || held_flows != MayHoldFlows(view, member, now)) ++view.changes;
   return true;
 }
 
--- a/src/packets/tests/interleaving_test.cc
+++ b/src/packets/tests/interleaving_test.cc
@@ -91,6 +91,15 @@
   }
 }
 
+// A target had started again and taken an opening before its first heartbeat, and its agent was
+// started again at that moment: the flow that it held was reset.
+BOOST_AUTO_TEST_CASE(seeds_of_agents_younger_than_their_targets_flows_keep_the_promises) {
+  for (const auto seed : {std::uint64_t{309}, std::uint64_t{3557}, std::uint64_t{3884}}) {
+    const auto world = Play({.seed = seed});
+    BOOST_TEST(world.faults.empty(), "seed " << seed);
+  }
+}
+
 // 1: the leave of an earlier service's target came late. 4: a paused agent took its own pause for
 // the silence of a target whose leave was doubtful. 14672: the agent had heard of the earlier start
 // by its leave alone. 16623: the next start was silent before the late leave, not after it.
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -13,6 +13,7 @@
 #include "packets/balancer.h"
 #include "packets/control.h"
 #include "packets/hello.h"
+#include "packets/search.h"
 
 /// A small deployment on a virtual clock, for drawing interleavings: balancers, agents with their
 /// targets and clients, with datagrams that are late or lost. Only the cores under test decide; the
@@ -54,6 +55,8 @@
 struct BalancerSite {
   Balancer core;
   std::map<base::ServiceId, ServiceHello> said;
+  std::map<FlowId, Packet> held;  ///< packets that wait for a search
+  bool searching = false;
   bool up = true;
   Pause pause;
 };
@@ -133,6 +136,13 @@
   auto Send(ClientFlow& flow) -> void;
   auto ToBalancer(const Packet& packet) -> void;
   auto AtBalancer(std::size_t index, const Packet& packet) -> void;
+  auto Await(std::size_t index, const Packet& packet) -> void;
+  auto StepSearch(std::size_t index, std::uint64_t starts) -> void;
+  auto Query(std::size_t index, const AddressedQuery& addressed) -> void;
+  auto ToBalancerCore(std::size_t index, std::function<void(Balancer&)> take) -> void;
+  auto Apply(std::size_t index, const std::vector<SearchOutcome>& outcomes) -> void;
+  auto TellLocated(const AgentSite& agent, const FlowId& flow, std::uint16_t origin) -> void;
+  auto SendBack(const AgentSite& agent, const Packet& packet, bool by_target) -> void;
   auto ToAgent(Address agent, const Packet& packet) -> void;
   auto ToTarget(AgentSite& site, Packet packet) -> void;
   auto FromTargetOf(AgentSite& site, const Packet& packet) -> void;
--- a/src/packets/tests/view_test.cc
+++ b/src/packets/tests/view_test.cc
@@ -163,6 +163,8 @@
   BOOST_TEST(changed());
   TakeReport(view, ReportOf(kDesk, 8, 1), kStart);
   BOOST_TEST(changed());
+  TakeReport(view, ReportOf(kDesk, 9, 1), kStart);  // its process was killed, and is back at once
+  BOOST_TEST(changed());
 }
 
 BOOST_AUTO_TEST_CASE(members_are_forgotten_only_without_record_and_report) {
--- a/src/packets/types/packet.h
+++ b/src/packets/types/packet.h
@@ -27,22 +27,26 @@
 /// 64-bit digest of a flow, the same on every instance.
 auto HashOf(const FlowId& flow) -> std::uint64_t;
 
-/// Bits of a service's id, and of a digest of agents, that fit into a stamp: of 8,192 packets that
-/// come to an address that another service uses now, one would not be recognized by them.
+/// kOriginTagBits that differ between most balancers.
+auto OriginTagOf(Address balancer) -> std::uint16_t;
+
+/// Bits of a service's id that fit into a stamp: of 8,192 packets that come to an address that
+/// another service uses now, one would not be recognized by them.
 inline constexpr auto kServiceTagBits = 13U;
-inline constexpr auto kPeersDigestBits = 12U;
-/// Largest number of agents that can pass a packet on.
+/// Bits of a balancer's address: what is meant for one is sent to each that has the same ones, of
+/// 100 balancers to one other in two of 100 cases.
+inline constexpr auto kOriginTagBits = 12U;
+/// Largest number of agents that can pass an opening on.
 inline constexpr auto kMaxHops = std::uint8_t{63};
 
 /// What balancers and agents write into a packet for the next agent. A target returns it unchanged
 /// with a packet that it does not take.
 struct Stamp {
-  std::uint8_t hops = 0;  ///< agents that have passed the packet on, at most kMaxHops
-  /// Whether a reset is a true answer when nobody takes the packet: an opening was offered nowhere
-  /// else, any other packet passed no agent whose target may still hold its flow.
+  std::uint8_t hops = 0;  ///< agents that have passed the opening on, at most kMaxHops
+  /// Whether a reset is a true answer when nobody takes the opening: it was offered nowhere else.
   bool refusable = false;
-  std::uint16_t peers_digest = 0;  ///< of the agents that those who passed it on counted
-  std::uint16_t service_tag = 0;   ///< low kServiceTagBits of the service's id
+  std::uint16_t origin = 0;       ///< OriginTagOf the balancer that sent it
+  std::uint16_t service_tag = 0;  ///< low kServiceTagBits of the service's id
   auto operator==(const Stamp&) const -> bool = default;
 };
 
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -20,6 +20,7 @@
   base::TimePoint known_since{};
   base::TimePoint heard{};         ///< last report; the epoch: never
   base::TimePoint suspected_at{};  ///< given no opening until it reports; the epoch: not suspected
+  base::TimePoint restarted_at{};  ///< first report of another start than before; the epoch: none
   base::TimePoint greeted_at{};    ///< last hello; the epoch: none yet
   std::uint64_t told_changes = 0;  ///< View::changes as of that hello
   TargetReport report;
@@ -42,6 +43,9 @@
   /// A member that is known and not live is greeted more often for this long: it is starting, or
   /// was left out by the loss of a datagram.
   base::Duration greet_for = base::seconds{2};
+  /// An agent whose process has started anew is told so for this long, with what it has to know of
+  /// its target until then: more than its first two heartbeats.
+  base::Duration restarted_for = base::seconds{5};
   /// A member without a record that has been silent for this long is forgotten.
   base::Duration forget_after = base::seconds{10};
 };
--- a/tools/fuzz/packet_control.cc
+++ b/tools/fuzz/packet_control.cc
@@ -7,6 +7,7 @@
 #include "packets/agent.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
+#include "packets/search.h"
 
 namespace {
 
@@ -16,6 +17,16 @@
 constexpr auto kSender = packets::Address{0x0a010001};
 constexpr auto kService = base::ServiceId{7};
 
+// One flow that an agent has been asked for.
+auto BeginSearch(packets::Balancer& balancer) -> void {
+  packets::AddRecord(balancer.view, kSender, kService, kNow);
+  auto packet = packets::Packet{.source = {1, 2}, .destination = {3, 4}};
+  packet.payload = 1;
+  const auto services = {kService};
+  packets::BeginSearch(balancer, packet, services, false);
+  packets::StepSearches(balancer, kNow);
+}
+
 }  // namespace
 
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int {
@@ -24,17 +35,25 @@
   auto agent = packets::Agent{};
   agent.service = kService;
   auto balancer = packets::Balancer{};
-  std::visit(base::Overloaded{[&](packets::Hello hello) {
-                                hello.service = kService;
-                                packets::TakeHello(agent, kSender, hello, kNow);
-                                packets::MakeReport(agent, kSender, kNow);
-                              },
-                              [&](const packets::TargetReport& report) {
-                                packets::TakeReport(balancer.view, report, kNow);
-                              },
-                              [&](const packets::Located& located) {
-                                packets::TakeLocated(balancer, located.flow, located.agent, kNow);
-                              }},
+  std::visit(base::Overloaded{
+                 [&](packets::Hello hello) {
+                   hello.service = kService;
+                   packets::TakeHello(agent, kSender, hello, kNow);
+                   packets::MakeReport(agent, kSender, kNow);
+                 },
+                 [&](const packets::TargetReport& report) {
+                   packets::TakeReport(balancer.view, report, kNow);
+                 },
+                 [&](const packets::Located& located) {
+                   packets::TakeLocated(balancer, located.flow, located.agent, kNow);
+                 },
+                 [&](const packets::FlowQuery& query) { packets::AnswerQuery(agent, query, kNow); },
+                 [&](packets::FlowAnswer answer) {
+                   BeginSearch(balancer);
+                   answer.token = balancer.searches.last_token;
+                   packets::TakeAnswer(balancer, answer, kNow);
+                 },
+                 [](const packets::GivenBack&) {}},
              *control);
   return 0;
 }
