Share the wait for the configuration among balancers; read records less often

Change: balancers tell each other the revision that they have in force, once a second, and ask one that has a newer one for it; a watch that went silent is made up for by any other balancer whose watch is well. With six others or more each waits longer, up to 25 s.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -54,6 +54,7 @@
   auto OnRecord(const platform::Object& object) -> void;
   auto OpenPorts() -> base::Result<void>;
   auto Watch() -> void;
+  [[nodiscard]] auto ConfigurationHold() const -> base::Duration;
   auto TellBalancers(base::TimePoint now) -> void;
   auto MakeHearsay(base::TimePoint now) -> std::string;
   auto OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now) -> void;
@@ -62,6 +63,7 @@
       -> void;
   [[nodiscard]] auto Counts() const -> std::vector<NamedCount>;
   auto LogTraffic() -> void;
+  [[nodiscard]] auto FirstAway() const -> packets::Address;
   auto IsReady() const -> bool;
 
   boost::asio::io_context& io;
@@ -74,6 +76,7 @@
   platform::Client record_client;  ///< whose reads may be seconds old
   PeerConfiguration peers;
   std::map<packets::Address, base::TimePoint> balancers;  ///< when they last said hello
+  std::uint32_t others = 0;      ///< balancers there are besides this one, as far as is told
   std::size_t hearsay_from = 0;  ///< where the next message to balancers goes on
   std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -30,7 +30,14 @@
 // balancers. A fleet's start is read by a few calls instead of one for each agent: 65 machines made
 // 2,200 calls in 50 s, two thirds of them for records.
 constexpr auto kRecordHold = base::seconds{8};
-constexpr auto kRecordPause = base::milliseconds{500};
+constexpr auto kRecordPause = base::seconds{2};
+
+// A watch that has gone silent without a sign is found by its end. Balancers tell each other of the
+// configuration that they have in force, so that one of them whose watch is well is enough: where
+// there are many, each waits longer, up to the platform's most. One of 26 balancers that wait for 16
+// s each begins a new watch within any four seconds but in one case of 2,000.
+constexpr auto kShareOfWatch = 6;
+constexpr auto kLongestHold = base::seconds{25};
 
 // Between two questions to other balancers while no configuration is known.
 constexpr auto kAskPeriod = base::milliseconds{250};
@@ -127,7 +134,7 @@
 
 auto BalancerNode::Watch() -> void {
   const auto seed = StartSeed(this->settings);
-  const auto hold = this->settings.configuration_within - kAfterSilentWatch;
+  const auto hold = this->ConfigurationHold();
   this->configuration_watcher = std::make_unique<platform::PrefixWatcher>(
       this->io, this->client,
       platform::PrefixWatcherSettings{.prefix = std::string(this->adapter.configuration_prefix),
@@ -152,6 +159,12 @@
               }});
 }
 
+auto BalancerNode::ConfigurationHold() const -> base::Duration {
+  const auto alone = this->settings.configuration_within - kAfterSilentWatch;
+  const auto shared = alone * static_cast<std::int64_t>(this->others) / kShareOfWatch;
+  return std::max(alone, std::min<base::Duration>(shared, kLongestHold));
+}
+
 auto BalancerNode::Reload(const Settings& changed) -> void {
   if (this->settings.seeds == changed.seeds) return;
   this->settings.seeds = changed.seeds;
@@ -261,6 +274,11 @@
     -> void {
   const auto is_new = !this->balancers.contains(from);
   this->balancers[from] = now;
+  this->others = std::max(hello.balancers, static_cast<std::uint32_t>(this->balancers.size()));
+  this->configuration_watcher->SetHold(this->ConfigurationHold());
+  if (hello.revision > this->peers.Revision()) {
+    this->peers.AskFor(base::EndpointFromV4(from, this->peers.Port()));
+  }
   for (const auto& peer : hello.peers) {
     packets::AddHearsay(this->core.view, peer.agent, peer.service, now);
   }
@@ -314,6 +332,8 @@
   }
   std::sort(hello.peers.begin(), hello.peers.end(),
             [](const auto& a, const auto& b) { return a.agent < b.agent; });
+  hello.revision = this->peers.Revision();
+  hello.balancers = static_cast<std::uint32_t>(this->balancers.size());
   if (hello.peers.size() > kMaxHearsay) {
     this->hearsay_from %= hello.peers.size();
     std::rotate(hello.peers.begin(),
@@ -367,10 +387,21 @@
        {"not_found", counters.not_found - this->logged.not_found},
        {"resets", counters.resets - this->logged.resets},
        {"flows", this->core.hints.size()},
-       {"agents", this->core.view.members.size()}});
+       {"agents", this->core.view.members.size()},
+       {"away", FormatAddress(this->FirstAway())}});
   this->logged = counters;
 }
 
+// An agent that keeps lost flows from being reset; 0 where there is none.
+auto BalancerNode::FirstAway() const -> packets::Address {
+  for (const auto& [service, hello] : this->said) {
+    const auto away =
+        packets::FirstAway(this->core.view, service, this->core.stall.running_since, base::Now());
+    if (away != 0) return away;
+  }
+  return 0;
+}
+
 // The watch of the configuration tells of the platform: one line when it is lost, one when it is
 // back.
 auto BalancerNode::OnAnswer(const platform::PlatformError* error) -> void {
--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -46,6 +46,19 @@
 
 auto PeerConfiguration::Keep(const platform::Object& object) -> void { this->kept = object; }
 
+auto PeerConfiguration::Revision() const -> std::uint64_t {
+  return this->kept ? this->kept->revision : 0;
+}
+
+auto PeerConfiguration::Port() const -> std::uint16_t { return this->own.port; }
+
+auto PeerConfiguration::AskFor(const base::Endpoint& endpoint) -> void {
+  if (this->newer && this->newer->asked) return;
+  this->newer = std::make_unique<Peer>();
+  this->newer->endpoint = endpoint;
+  this->AskOne(*this->newer);
+}
+
 auto PeerConfiguration::SetSeeds(const std::vector<base::Endpoint>& seeds) -> void {
   this->peers.clear();
   for (const auto& seed : seeds) {
--- a/src/packetd/peer_configuration.h
+++ b/src/packetd/peer_configuration.h
@@ -35,9 +35,18 @@
   /// What is served from now on.
   auto Keep(const platform::Object& object) -> void;
 
+  /// The platform's revision of what is served; 0: nothing yet.
+  [[nodiscard]] auto Revision() const -> std::uint64_t;
+
   /// Asks each of the settings' balancers once, unless a question to it is under way.
   auto Ask() -> void;
 
+  /// Asks another balancer, which says that it has a newer one, unless one is being asked so.
+  auto AskFor(const base::Endpoint& newer) -> void;
+
+  /// A balancer's port for such questions is the same at every instance; this is the own one.
+  [[nodiscard]] auto Port() const -> std::uint16_t;
+
   auto SetSeeds(const std::vector<base::Endpoint>& seeds) -> void;
 
  private:
@@ -56,6 +65,7 @@
   OnObject on_object;
   std::optional<platform::Object> kept;
   std::vector<std::unique_ptr<Peer>> peers;
+  std::unique_ptr<Peer> newer;  ///< the last one that said so
   std::unique_ptr<net::OperatorPort> port;
 };
 
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -18,6 +18,8 @@
   body->set_part(hello.part);
   body->set_parts(hello.parts);
   for (const auto agent : hello.restarted) body->add_restarted(agent);
+  body->set_revision(hello.revision);
+  body->set_balancers(hello.balancers);
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
     for (const auto& peer : hello.peers) {
@@ -135,6 +137,8 @@
   hello.listed = message.listed();
   hello.digest = message.digest();
   hello.restarted.assign(message.restarted().begin(), message.restarted().end());
+  hello.revision = message.revision();
+  hello.balancers = message.balancers();
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
