Give no monitor's name twice; hold a signal while a process is being started

net_test (bad_result): a monitor was named by its object's place in memory. ZeroMQ lets go of a former one's name in a thread of its own, later; a link that was opened again at once found its own name in use.

process_test_demo (one process left): a signal raised its exception between the start of a process and its entry in the list of those to stop. The signal is held meanwhile; two tests that do without chance.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -20,14 +20,6 @@
 KEPT_DRAIN_SECONDS = "20"  # when all agents stop at once, none can take the others' flows
 
 
-class Interrupted(Exception):
-    """A signal asked for the end."""
-
-
-def interrupt(*_):
-    raise Interrupted
-
-
 def on_stop_signals(handler):
     for number in STOP_SIGNALS:
         signal.signal(number, handler)
@@ -116,7 +108,7 @@
     try:
         while True:
             signal.pause()
-    except Interrupted:
+    except fleet.Interrupted:
         return 0
 
 
@@ -143,13 +135,14 @@
     # Safeguard: a signal that comes while processes are being started would otherwise leave them
     # running with nobody to stop them. From here on it leads to the stop below, which no further
     # signal cuts short.
-    on_stop_signals(interrupt)
+    interrupts = fleet.Interrupts()
+    on_stop_signals(interrupts)
     deployment = fleet.Fleet(options.deployment, options.build, make_options=make_options,
-                             own_groups=True)
+                             own_groups=True, interrupts=interrupts)
     try:
         deployment.start()
         wrong = keep(deployment) if options.keep else run(deployment)
-    except Interrupted:
+    except fleet.Interrupted:
         wrong = 1
     finally:
         on_stop_signals(signal.SIG_IGN)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,6 +1,7 @@
 """Starts, watches and stops a whole deployment on loopback addresses: platform, targets, fabric,
 balancers and agents, each its own process. Used by scripts/demo.py and the process tests."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -28,6 +29,39 @@
     """A process that ended, or a condition that did not come true in time."""
 
 
+class Interrupted(Exception):
+    """A signal asked for the end."""
+
+
+class Interrupts:
+    """Raises Interrupted for a signal, but not while it is held.
+
+    A signal that comes between the start of a process and its entry in a list would leave the
+    process running with nobody to stop it.
+    """
+
+    def __init__(self):
+        self.is_held = False
+        self.pending = False
+
+    def __call__(self, *_):
+        if self.is_held:
+            self.pending = True
+        else:
+            raise Interrupted
+
+    @contextlib.contextmanager
+    def held(self):
+        self.is_held = True
+        try:
+            yield
+        finally:
+            self.is_held = False
+        if self.pending:
+            self.pending = False
+            raise Interrupted
+
+
 def wait_until(condition, what, seconds=READY_SECONDS):
     """Returns the first true value of condition()."""
     deadline = time.monotonic() + seconds
@@ -90,7 +124,8 @@
 
     # `own_groups`: a terminal's Ctrl-C reaches this process alone. Safeguard: it would stop platform
     # and fabric at once with the agents, which could then neither drain nor withdraw.
-    def __init__(self, deployment, build, target_options=(), make_options=(), own_groups=False):
+    def __init__(self, deployment, build, target_options=(), make_options=(), own_groups=False,
+                 interrupts=None):
         self.build = pathlib.Path(build)
         self.deployment = deployment
         self.folder = tempfile.TemporaryDirectory(prefix="anvildrum-")
@@ -99,6 +134,7 @@
         self.base, self.holder = reserve_ports()
         self.target_options = list(target_options)
         self.own_groups = own_groups
+        self.interrupts = interrupts or Interrupts()
         self.processes = {}  # name -> (role, Popen)
         self.commands = []  # clients of this fleet
         make = [sys.executable, str(ROOT / "scripts/make_deployment.py"), deployment, str(self.path)]
@@ -128,10 +164,11 @@
 
     def start_process(self, role, name, command):
         log = open(self.path / f"{name}.log", "ab")
-        process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-                                   start_new_session=self.own_groups)
+        with self.interrupts.held():
+            process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                       start_new_session=self.own_groups)
+            self.processes[name] = (role, process)
         log.close()
-        self.processes[name] = (role, process)
         return process
 
     def log_of(self, name):
--- a/src/net/internal/socket_monitor.cc
+++ b/src/net/internal/socket_monitor.cc
@@ -1,18 +1,29 @@
 #include "net/internal/socket_monitor.h"
 
+#include <atomic>
 #include <cstring>
 #include <string>
 #include <utility>
 
 namespace anvildrum::net::internal {
+namespace {
 
-// The object's own address makes the in-process name unique. Safeguard: ZeroMQ's thread waits where
-// a monitor's queue is full, and all connections of the process with it; the queue has no limit,
-// and is read at every turn of the io_context.
+// No name is used twice. ZeroMQ lets go of a former monitor's name later, in a thread of its own:
+// with names by the objects' places in memory, a link that was opened again at once found its own
+// still in use, and failed.
+auto NextName() -> std::string {
+  static auto names = std::atomic<std::uint64_t>{0};
+  return "inproc://monitor-" + std::to_string(++names);
+}
+
+}  // namespace
+
+// Safeguard: ZeroMQ's thread waits where a monitor's queue is full, and all connections of the
+// process with it; the queue has no limit, and is read at every turn of the io_context.
 SocketMonitor::SocketMonitor(zmq::context_t& context, boost::asio::io_context& io,
                              zmq::socket_t& watched, int events, OnEvent on_event)
     : watched(watched), socket(context, zmq::socket_type::pair), on_event(std::move(on_event)) {
-  const auto name = "inproc://monitor-" + std::to_string(reinterpret_cast<std::uintptr_t>(this));
+  const auto name = NextName();
   if (::zmq_socket_monitor(watched.handle(), name.c_str(), events) != 0) throw zmq::error_t{};
   this->socket.set(zmq::sockopt::linger, 0);
   this->socket.set(zmq::sockopt::rcvhwm, 0);
--- a/tests/process/test_demo.py
+++ b/tests/process/test_demo.py
@@ -3,13 +3,16 @@
 import os
 import pathlib
 import shlex
+import shutil
 import signal
 import subprocess
 import sys
+import tempfile
 import unittest
+import unittest.mock
 
 from coap import Flow
-from support import BUILD, ROOT, WIDE_SECONDS, wait_until
+from support import BUILD, ROOT, WIDE_SECONDS, fleet, wait_until
 
 ROLES = {"platform": 1, "target": 10, "fabric": 1, "balancer": 3, "agent": 10}
 
@@ -90,5 +93,41 @@
         self.assertEqual([pid for pid in started if is_running(pid)], [])
 
 
+class Interrupts(unittest.TestCase):
+    # The operator sees: one process left running after the demo has ended. Order: a process is
+    # started, the signal comes, and only then would the process be entered in the list of those to
+    # stop. Why: the signal is held until it is.
+    def test_a_signal_during_a_start_comes_after_the_process_is_known(self):
+        interrupts = fleet.Interrupts()
+        known = []
+        signal.signal(signal.SIGUSR1, interrupts)
+        self.addCleanup(signal.signal, signal.SIGUSR1, signal.SIG_DFL)
+        with self.assertRaises(fleet.Interrupted):
+            with interrupts.held():
+                os.kill(os.getpid(), signal.SIGUSR1)
+                known.append("process")
+        self.assertEqual(known, ["process"])
+        with self.assertRaises(fleet.Interrupted):
+            os.kill(os.getpid(), signal.SIGUSR1)
+
+    def test_processes_are_started_with_signals_held(self):
+        held = []
+        started = fleet.Fleet.__new__(fleet.Fleet)
+        started.interrupts = fleet.Interrupts()
+        started.own_groups = True
+        started.processes = {}
+        started.path = pathlib.Path(tempfile.mkdtemp(prefix="anvildrum-"))
+        self.addCleanup(shutil.rmtree, started.path)
+
+        def start(*_, **__):
+            held.append(started.interrupts.is_held)
+            return "process"
+
+        with unittest.mock.patch("subprocess.Popen", start):
+            started.start_process("target", "target-1", ["true"])
+        self.assertEqual(held, [True])
+        self.assertEqual(started.processes, {"target-1": ("target", "process")})
+
+
 if __name__ == "__main__":
     unittest.main()
