--- /dev/null
+++ b/src/packets/internal/search_queries.cc
@@ -0,0 +1,127 @@
+#include "packets/internal/search_queries.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "packets/hello.h"
+#include "packets/order.h"
+
+namespace anvildrum::packets {
+namespace {
+
+auto DigestOfPlaces(const std::vector<Place>& places) -> std::uint32_t {
+  auto hello = Hello{};
+  for (const auto& place : places) hello.peers.push_back({place.agent, {}, place.domain});
+  return DigestOf(hello);
+}
+
+// Asks `agents` for `flows`.
+auto Ask(Balancer& balancer, std::vector<FlowId> flows, const std::vector<Place>& agents,
+         bool everybody, base::TimePoint now, SearchStep& step) -> void {
+  const auto token = ++balancer.searches.last_token;
+  auto& round = balancer.searches.rounds[token];
+  for (const auto& flow : flows) {
+    auto& search = balancer.searches.flows.at(flow);
+    search.stage = SearchStage::kAsked;
+    search.round = token;
+    round.services = search.services;
+  }
+  round.unsure.resize(flows.size());
+  round.flows = std::move(flows);
+  round.everybody = everybody;
+  round.proves = everybody && round.services.size() == 1;
+  if (everybody) round.digest = DigestOfPlaces(agents);
+  for (const auto& place : agents) round.missing.push_back(place.agent);
+  round.asked_at = now;
+  round.sent_at = now;
+  balancer.counters.queries += round.missing.size();
+  const auto count = static_cast<std::int64_t>(agents.size());
+  const auto rate = static_cast<std::int64_t>(balancer.policy.search.queries_per_second);
+  auto& ask_at = balancer.searches.ask_at;
+  ask_at = std::max(ask_at, now) + base::Duration{base::seconds{count}} / rate;
+  SendQueries(balancer, token, round, step.queries);
+}
+
+// Asks `agents` for the flows, as many in a datagram as fit, while the rate allows it.
+auto AskInChunks(Balancer& balancer, const std::vector<FlowId>& flows,
+                 const std::vector<Place>& agents, bool everybody, base::TimePoint now,
+                 SearchStep& step) -> void {
+  for (auto first = std::size_t{0}; first < flows.size(); first += kFlowsInQuery) {
+    if (now < balancer.searches.ask_at) return;
+    const auto last = std::min(first + kFlowsInQuery, flows.size());
+    Ask(balancer,
+        {flows.begin() + static_cast<std::ptrdiff_t>(first),
+         flows.begin() + static_cast<std::ptrdiff_t>(last)},
+        agents, everybody, now, step);
+  }
+}
+
+// Few flows are asked for of their own likely agents, many of all agents of the failure domain,
+// where these are found: that takes fewer datagrams.
+auto AskLikely(Balancer& balancer, const std::vector<FlowId>& flows,
+               const std::vector<Place>& agents, base::TimePoint now, SearchStep& step) -> void {
+  auto domain = agents;
+  std::erase_if(domain, [&](const Place& place) { return place.domain != balancer.domain; });
+  const auto likely = balancer.policy.search.likely;
+  if (!domain.empty() && flows.size() * likely > domain.size()) {
+    const auto all = domain.size() == agents.size();
+    for (const auto& flow : flows) balancer.searches.flows.at(flow).everybody = all;
+    return AskInChunks(balancer, flows, domain, all, now, step);
+  }
+  for (const auto& flow : flows) {
+    if (now < balancer.searches.ask_at) return;
+    Ask(balancer, {flow}, LikelyAgents(balancer, flow, agents), false, now, step);
+  }
+}
+
+}  // namespace
+
+auto AgentsOf(const Balancer& balancer, const Services& services, base::TimePoint now)
+    -> std::vector<Place> {
+  auto agents = std::vector<Place>{};
+  for (const auto service : services) {
+    const auto some = SearchSet(balancer.view, service, now);
+    agents.insert(agents.end(), some.begin(), some.end());
+  }
+  std::sort(agents.begin(), agents.end());
+  return agents;
+}
+
+auto LikelyAgents(const Balancer& balancer, const FlowId& flow, const std::vector<Place>& agents)
+    -> std::vector<Place> {
+  auto order = RendezvousOrder(flow, agents, balancer.domain);
+  order.resize(std::min(order.size(), balancer.policy.search.likely));
+  auto likely = std::vector<Place>{};
+  for (const auto agent : order) likely.push_back({agent, 0});
+  std::sort(likely.begin(), likely.end());
+  return likely;
+}
+
+auto SendQueries(const Balancer& balancer, std::uint32_t token, const QueryRound& round,
+                 std::vector<AddressedQuery>& queries) -> void {
+  for (const auto agent : round.missing) {
+    const auto member = balancer.view.members.find(agent);
+    if (member == balancer.view.members.end()) continue;
+    queries.push_back({agent, {member->second.service, token, round.flows}});
+  }
+}
+
+auto AskFor(Balancer& balancer, const std::vector<Place>& agents, const std::vector<FlowId>& due,
+            base::TimePoint now, SearchStep& step) -> void {
+  auto& searches = balancer.searches;
+  const auto likely_first =
+      now >= searches.all_at_once_until && agents.size() > balancer.policy.search.likely;
+  auto everybody = std::vector<FlowId>{};
+  auto others = std::vector<FlowId>{};
+  for (const auto& flow : due) {
+    auto& search = searches.flows.at(flow);
+    if (!likely_first) search.everybody = true;
+    (search.everybody ? everybody : others).push_back(flow);
+  }
+  const auto all_now = others.empty() || (!everybody.empty() && searches.turn_of_all);
+  searches.turn_of_all = !all_now;
+  if (all_now) return AskInChunks(balancer, everybody, agents, true, now, step);
+  AskLikely(balancer, others, agents, now, step);
+}
+
+}  // namespace anvildrum::packets
