Keep the configuration at agents; tell balancers of new agents, and of some others in turn

Besides, a balancer that is a seed told each of 91 others once a second of 90 agents, 118 kB a second whatever changed, and one that started learned of the agents beyond 90 a part a second.

Change: six agents of a service keep a copy of the configuration, asked for when a hello names a newer revision. Agents tell balancers that have fallen silent of themselves, twice a second, and name the copy's revision; a balancer that has found no configuration for half a second asks one of them. It is never put in force over a newer one, and replaced as soon as the platform answers. Balancers tell each other of agents that are new and of 20 others in turn, and of all to one that knows nobody.

A target whose port takes no connections (the stand-ins' did not) was taken for gone twice: once its heartbeats go on after a refusal, its port is not asked for an opinion any more. New process test; the stand-ins listen now, as targets with a health check do.

--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -12,6 +12,7 @@
 #include "net/udp_port.h"
 #include "packetd/adapter.h"
 #include "packetd/internal/operator_view.h"
+#include "packetd/peer_configuration.h"
 #include "packetd/registrar.h"
 #include "packetd/settings.h"
 #include "packetd/target_watch.h"
@@ -57,6 +58,8 @@
   auto ReportToAll() -> void;
   auto Check(base::TimePoint now) -> void;
   auto OnRefused(base::TimePoint began) -> void;
+  auto KeepConfiguration(packets::Address balancer, std::uint64_t revision) -> void;
+  auto RemindBalancers(base::TimePoint now) -> void;
   auto ObserveWork(base::Duration took) -> void;
   auto LogDecision(std::string_view event, const packets::Packet& packet, std::string_view reason)
       -> void;
@@ -80,7 +83,10 @@
   std::uint64_t malformed = 0;
   packets::TargetState told_state = packets::TargetState::kUnknown;  ///< to balancers, unasked
   TargetWatch target_watch;
-  packets::AgentCounters logged;  ///< as of the last traffic line
+  PeerConfiguration configuration;  ///< a copy, kept for balancers that find it nowhere else
+  base::TimePoint asked_at{};       ///< for a newer one
+  base::TimePoint reminded_at{};    ///< silent balancers, of this agent
+  packets::AgentCounters logged;    ///< as of the last traffic line
   std::unique_ptr<net::UdpPort> packet_port;
   std::unique_ptr<net::UdpPort> target_port;
   std::unique_ptr<net::UdpPort> control_port;
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -20,6 +20,7 @@
 #include "packets/balancer.h"
 #include "packets/control.h"
 #include "packets/greeting.h"
+#include "packets/hearsay.h"
 #include "packets/hello.h"
 #include "platform/client.h"
 #include "platform/prefix_watcher.h"
@@ -48,6 +49,7 @@
   auto Greet(base::TimePoint now) -> void;
   auto MakeSearchPorts() -> SearchPorts;
   auto OnGivenBack(const packets::GivenBack& given_back, base::TimePoint now) -> void;
+  auto AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void;
   auto OnReport(const packets::TargetReport& report, base::TimePoint now) -> void;
   auto OnAnswer(const platform::PlatformError* error) -> void;
   auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
@@ -56,7 +58,7 @@
   auto Watch() -> void;
   [[nodiscard]] auto ConfigurationHold() const -> base::Duration;
   auto TellBalancers(base::TimePoint now) -> void;
-  auto MakeHearsay(base::TimePoint now) -> std::string;
+  [[nodiscard]] auto Complete(packets::Hello hello) const -> std::string;
   auto OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now) -> void;
   auto SendControl(packets::Address to, std::string_view text) -> void;
   auto LogDecision(std::string_view event, const packets::Packet& packet, std::string_view reason,
@@ -81,6 +83,7 @@
   std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
   std::optional<base::TimePoint> platform_lost_at;
+  base::TimePoint started_at{};  ///< of the process
   bool stopping = false;
   std::uint64_t malformed = 0;
   std::uint64_t unreadable = 0;      ///< records and configurations
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -54,6 +54,14 @@
   return std::max(missed, HeartbeatsOf(settings, kLeastHeartbeats));
 }
 
+// Between two questions for a newer configuration: a storm of changes is not followed step by step.
+constexpr auto kAskAgain = base::milliseconds{500};
+
+// Balancers that are silent are told of this agent this often, so many at a time: after all of them
+// were started again each is known to some agents within half a second, and these are told on.
+constexpr auto kRemindEvery = base::milliseconds{500};
+constexpr auto kMostReminded = std::size_t{8};
+
 auto MembersKey(const Adapter& adapter, const Settings& settings) -> std::string {
   return std::string(adapter.members_prefix) + "/" + RecordName(AddressOf(settings.packets));
 }
@@ -71,7 +79,9 @@
                                          "From a request's last packet to its answer's first")),
       registrar(io, this->client, MembersKey(adapter, settings), StartSeed(settings)),
       target_watch(io, settings.agent->target,
-                   [this](base::TimePoint began) { this->OnRefused(began); }) {
+                   [this](base::TimePoint began) { this->OnRefused(began); }),
+      configuration(io, adapter, settings,
+                    [this](const platform::Object& object) { this->configuration.Keep(object); }) {
   this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
   this->core.policy.silent_for = SilentFor(*settings.agent);
@@ -110,10 +120,30 @@
 auto AgentNode::Check(base::TimePoint now) -> void {
   packets::NoteEvent(this->core.stall, now);
   packets::RefreshPeers(this->core, now);
+  this->RemindBalancers(now);
   const auto state = packets::StateOf(this->core, now);
   if (std::exchange(this->told_state, state) != state) this->ReportToAll();
 }
 
+// Safeguard: all balancers end at once while the platform is away. Started again they found the
+// configuration nowhere, and nothing was served until the platform was back.
+auto AgentNode::KeepConfiguration(packets::Address balancer, std::uint64_t revision) -> void {
+  const auto now = base::Now();
+  const auto newer = revision > this->configuration.Revision();
+  if (!newer || now - this->asked_at < kAskAgain) return;
+  if (!packets::KeepsConfiguration(this->core)) return;
+  this->asked_at = now;
+  this->configuration.AskFor(base::EndpointFromV4(balancer, this->settings.heartbeats.port));
+}
+
+auto AgentNode::RemindBalancers(base::TimePoint now) -> void {
+  if (now - this->reminded_at < kRemindEvery) return;
+  this->reminded_at = now;
+  for (const auto balancer : packets::SilentBalancers(this->core, kMostReminded, now)) {
+    this->Report(balancer);
+  }
+}
+
 auto AgentNode::OnRefused(base::TimePoint began) -> void {
   if (!packets::TakeRefusal(this->core, began, base::Now())) return;
   Log(LogLevel::kInfo, "target_ended", {{"target", this->core.target.last.incarnation.id}});
@@ -155,6 +185,9 @@
   this->heartbeat_port->Route("PUT", path, [this](const net::OperatorRequest& request) {
     return this->OnHeartbeat(request);
   });
+  this->heartbeat_port->Route(
+      "GET", this->configuration.Path(),
+      [this](const net::OperatorRequest&) { return this->configuration.Answer(); });
   this->heartbeat_port->Route("DELETE", path, [this](const net::OperatorRequest& request) {
     return this->OnLeave(request);
   });
@@ -248,6 +281,7 @@
   const auto* query = control ? std::get_if<packets::FlowQuery>(&*control) : nullptr;
   if (hello != nullptr) {
     packets::TakeHello(this->core, sender, *hello, base::Now());
+    this->KeepConfiguration(sender, hello->revision);
     return this->Report(sender);
   }
   if (query != nullptr) {
@@ -309,7 +343,9 @@
 }
 
 auto AgentNode::Report(packets::Address balancer) -> void {
-  this->Tell(balancer, packets::MakeReport(this->core, balancer, base::Now()));
+  auto report = packets::MakeReport(this->core, balancer, base::Now());
+  report.revision = this->configuration.Revision();
+  this->Tell(balancer, report);
 }
 
 auto AgentNode::TellLocated(const packets::FlowId& flow, std::uint16_t origin) -> void {
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -39,11 +39,14 @@
 constexpr auto kShareOfWatch = 6;
 constexpr auto kLongestHold = base::seconds{25};
 
+// How long the platform and other balancers are asked alone: either answers within some
+// milliseconds where it can, and has the newest.
+constexpr auto kAskAgentsAfter = base::milliseconds{500};
+
 // Between two questions to other balancers while no configuration is known.
 constexpr auto kAskPeriod = base::milliseconds{250};
 
-// To other balancers, of the agents that are known to be live. A new agent tells its seeds at once.
-constexpr auto kMaxHearsay = std::size_t{90};  ///< agents in one message: 1.3 kB
+// A balancer that has not said hello for this long is not told of agents any more.
 constexpr auto kBalancerFor = base::seconds{5};
 
 // Between failed calls: a configuration has to be read soon after the platform is back, and an
@@ -81,10 +84,12 @@
 }
 
 auto BalancerNode::Start() -> base::Result<void> {
-  packets::NoteEvent(this->core.stall, base::Now());
+  this->started_at = base::Now();
+  packets::NoteEvent(this->core.stall, this->started_at);
   auto opened = this->OpenPorts();
   if (!opened) return opened.error();
   this->Watch();
+  this->TellBalancers(base::Now());  // they answer with the agents that they know
   this->ask_timer =
       std::make_unique<net::PeriodicTimer>(this->io, kAskPeriod, [this](base::TimePoint /*now*/) {
         if (!this->core.routes) this->peers.Ask();
@@ -271,8 +276,8 @@
           }};
 }
 
-// A balancer that has just started is told at once which agents are live: where the platform turns
-// it away, it has nothing else to go by.
+// A balancer that is new, or knows of no agent, is told at once which are live: where the platform
+// turns it away, it has nothing else to go by.
 auto BalancerNode::OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now)
     -> void {
   const auto is_new = !this->balancers.contains(from);
@@ -285,7 +290,10 @@
   for (const auto& peer : hello.peers) {
     packets::AddHearsay(this->core.view, peer.agent, peer.service, now);
   }
-  if (is_new) this->SendControl(from, this->MakeHearsay(now));
+  if (!is_new && !hello.peers.empty()) return;
+  for (const auto& part : packets::WholeHearsay(this->core.view, now)) {
+    this->SendControl(from, this->Complete(part));
+  }
 }
 
 auto BalancerNode::Greet(base::TimePoint now) -> void {
@@ -295,16 +303,28 @@
   this->said = packets::MakeHellos(this->core, now);
   auto briefs = std::map<base::ServiceId, std::string>{};
   for (const auto& [service, hello] : this->said) {
-    briefs[service] = packets::EncodeControl(hello.brief);
+    auto brief = hello.brief;
+    brief.revision = this->peers.Revision();
+    briefs[service] = packets::EncodeControl(brief);
   }
   for (const auto agent : due) {
     this->SendControl(agent, briefs.at(this->core.view.members.at(agent).service));
   }
 }
 
+// An agent keeps a configuration, and this balancer has found none for a while. What the agent
+// keeps is what was in force when it last heard of a balancer; a newer one replaces it as soon as
+// the platform answers.
+auto BalancerNode::AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void {
+  if (this->core.routes || report.revision == 0) return;
+  if (now - this->started_at < kAskAgentsAfter) return;
+  this->peers.AskFor(base::EndpointFromV4(report.agent, this->peers.Port()));
+}
+
 // An agent that lacks the list which the last hellos named is sent it.
 auto BalancerNode::OnReport(const packets::TargetReport& report, base::TimePoint now) -> void {
   packets::TakeReport(this->core.view, report, now);
+  this->AskAgent(report, now);
   if (report.wanted_list == 0) return;
   const auto hello = this->said.find(report.service);
   if (hello == this->said.end() || hello->second.brief.digest != report.wanted_list) return;
@@ -322,29 +342,14 @@
   for (const auto& [balancer, heard] : this->balancers) to.insert(balancer);
   for (const auto& seed : this->settings.seeds) to.insert(AddressOf(seed));
   to.erase(AddressOf(this->settings.packets));
-  const auto text = this->MakeHearsay(now);
+  const auto hearsay = packets::NextHearsay(this->core.view, this->hearsay_from, now);
+  const auto text = this->Complete(hearsay);
   for (const auto balancer : to) this->SendControl(balancer, text);
 }
 
-// The live agents, a part of them at a time where they are many.
-auto BalancerNode::MakeHearsay(base::TimePoint now) -> std::string {
-  auto hello = packets::Hello{};
-  for (const auto& [agent, member] : this->core.view.members) {
-    if (!packets::IsAlive(this->core.view, member, now)) continue;
-    hello.peers.push_back({agent, member.service, 0});
-  }
-  std::sort(hello.peers.begin(), hello.peers.end(),
-            [](const auto& a, const auto& b) { return a.agent < b.agent; });
+auto BalancerNode::Complete(packets::Hello hello) const -> std::string {
   hello.revision = this->peers.Revision();
   hello.balancers = static_cast<std::uint32_t>(this->balancers.size());
-  if (hello.peers.size() > kMaxHearsay) {
-    this->hearsay_from %= hello.peers.size();
-    std::rotate(hello.peers.begin(),
-                hello.peers.begin() + static_cast<std::ptrdiff_t>(this->hearsay_from),
-                hello.peers.end());
-    hello.peers.resize(kMaxHearsay);
-    this->hearsay_from += kMaxHearsay;
-  }
   return packets::EncodeControl(hello);
 }
 
--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -30,11 +30,15 @@
   auto opened = net::OperatorPort::Open(this->io, {.local = this->own});
   if (!opened) return opened.error();
   this->port = std::move(opened.value());
-  const auto path = this->adapter.dialect->get(this->adapter.configuration_key).target;
-  this->port->Route("GET", path, [this](const net::OperatorRequest&) { return this->Answer(); });
+  this->port->Route("GET", this->Path(),
+                    [this](const net::OperatorRequest&) { return this->Answer(); });
   return {};
 }
 
+auto PeerConfiguration::Path() const -> std::string {
+  return this->adapter.dialect->get(this->adapter.configuration_key).target;
+}
+
 auto PeerConfiguration::Answer() const -> net::OperatorResponse {
   if (!this->kept) {
     return {.status = kUnavailable, .content_type = "application/json", .body = "{}"};
--- a/src/packetd/peer_configuration.h
+++ b/src/packetd/peer_configuration.h
@@ -14,8 +14,9 @@
 
 namespace anvildrum::packetd {
 
-/// The configuration from one balancer to another: each serves what it has in force, and one that
-/// has none yet asks the balancers that its settings name.
+/// The configuration from one process to another: each balancer serves what it has in force, some
+/// agents what they keep, and a balancer that has none yet asks the balancers that its settings
+/// name, and in the end an agent.
 ///
 /// Safeguard: a balancer starts while the platform is away, or turns it away and serves others. It
 /// would drop every packet until the platform is back; where it is one of few of its failure domain
@@ -32,6 +33,10 @@
   /// Begins to serve. Errors: net::NetError.
   auto Open() -> base::Result<void>;
 
+  /// What is answered at Path(): to other processes, wherever it is served.
+  [[nodiscard]] auto Answer() const -> net::OperatorResponse;
+  [[nodiscard]] auto Path() const -> std::string;
+
   /// What is served from now on.
   auto Keep(const platform::Object& object) -> void;
 
@@ -41,7 +46,7 @@
   /// Asks each of the settings' balancers once, unless a question to it is under way.
   auto Ask() -> void;
 
-  /// Asks another balancer, which says that it has a newer one, unless one is being asked so.
+  /// Asks another process, which says that it has a newer one, unless one is being asked so.
   auto AskFor(const base::Endpoint& newer) -> void;
 
   /// A balancer's port for such questions is the same at every instance; this is the own one.
@@ -57,7 +62,6 @@
   };
 
   auto AskOne(Peer& peer) -> void;
-  [[nodiscard]] auto Answer() const -> net::OperatorResponse;
 
   boost::asio::io_context& io;
   const Adapter& adapter;
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -70,8 +70,9 @@
   /// A packet that the target has not reacted to for this long is no work: the target holds its
   /// flow half open, or what it gave back was lost.
   base::Duration reaction_for = base::seconds{1};
-  /// A balancer that has not said hello for this long is not told of changes any more.
-  base::Duration balancer_for = base::seconds{3};
+  /// A balancer that has not said hello for this long is not told of changes any more. Until then
+  /// it is told of this agent now and then: it may have been started again, and know nobody.
+  base::Duration balancer_for = base::seconds{10};
 };
 
 /// Where the target stands with a flow, as far as its packets have told.
@@ -150,6 +151,8 @@
   bool seen_from_start = false;  ///< no other process has given this incarnation an opening
   /// The same, unless another process of the agent ran a moment before this one.
   bool seen_from_first_heartbeat = false;
+  bool refused = false;           ///< its port refused a connection, and it was taken for gone
+  bool refusals_mislead = false;  ///< it went on after that: its port tells nothing
 };
 
 struct AgentCounters {
@@ -255,12 +258,24 @@
 /// The target's port refused a connection that was begun at `attempted_at`: its process has ended,
 /// and its flows with it. True where that is news. Not believed of a target that has been heard of
 /// since, or that drains, which may close its port before its last flow. A target that was taken
-/// for gone is believed again once it goes on.
+/// for gone is believed again once it goes on, and its port is not believed any more.
 auto TakeRefusal(Agent& agent, base::TimePoint attempted_at, base::TimePoint now) -> bool;
 
 /// Takes a balancer's hello. False for one that is meant for an agent of another service.
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool;
 
+/// Agents of a service that keep a copy of the configuration: enough that some are there after a
+/// failure domain or two have gone.
+inline constexpr auto kKeepers = std::size_t{6};
+
+/// Whether this agent is one of them, by its peers; the same ones on all agents that know the same.
+auto KeepsConfiguration(const Agent& agent) -> bool;
+
+/// Balancers that have been silent for longer than their hellos take, at most `most` of them, those
+/// first that were heard last: they may have been started again and know nobody.
+auto SilentBalancers(const Agent& agent, std::size_t most, base::TimePoint now)
+    -> std::vector<Address>;
+
 /// Works `peers` out from the hellos, where these have changed or have lapsed. Called at each check
 /// of stalls; until then the agent proves nothing.
 ///
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -41,8 +41,9 @@
   /// Agents of the service whose process has started anew a moment ago, and that the balancer knew
   /// before: their targets may hold flows which an earlier process opened. At most kMostRestarted.
   std::vector<Address> restarted{};
-  /// To a balancer: the platform's revision of the configuration that the sender has in force; 0:
-  /// none. A balancer whose watch has gone silent learns of a newer one by it.
+  /// The platform's revision of the configuration that the sender has in force; 0: none. A balancer
+  /// whose watch has gone silent learns of a newer one by it, an agent that keeps a copy asks for
+  /// it.
   std::uint64_t revision = 0;
   std::uint32_t balancers = 0;  ///< to a balancer: others that the sender hears from
 };
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -135,6 +135,27 @@
   return std::binary_search(agent.peers.begin(), agent.peers.end(), own);
 }
 
+auto KeepsConfiguration(const Agent& agent) -> bool {
+  auto places = agent.peers;
+  for (auto& place : places) place.domain = 0;  // spread over all of them
+  const auto order = RendezvousOrder({}, places);
+  const auto keepers = std::span{order}.first(std::min(order.size(), kKeepers));
+  return Names(keepers, agent.own);
+}
+
+auto SilentBalancers(const Agent& agent, std::size_t most, base::TimePoint now)
+    -> std::vector<Address> {
+  auto silent = std::vector<std::pair<base::TimePoint, Address>>{};
+  for (const auto& [balancer, hello] : agent.balancers) {
+    if (now - hello.at > 2 * hello.every) silent.emplace_back(hello.at, balancer);
+  }
+  std::sort(silent.begin(), silent.end(), std::greater<>{});
+  silent.resize(std::min(silent.size(), most));
+  auto balancers = std::vector<Address>{};
+  for (const auto& [heard, balancer] : silent) balancers.push_back(balancer);
+  return balancers;
+}
+
 auto RefreshPeers(Agent& agent, base::TimePoint now) -> void {
   const auto lapsed = now - agent.united_at > agent.policy.hello_for / 2;
   if (agent.peers_stale || lapsed) UnitePeers(agent, now);
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -105,6 +105,9 @@
     target.seen_from_start = SeenFromStart(agent, heartbeat, now);
     target.seen_from_first_heartbeat = heartbeat.sequence <= 1;
   }
+  const auto went_on = target.refused && heartbeat.incarnation == target.last.incarnation;
+  if (went_on) target.refusals_mislead = true;
+  target.refused = false;
   if (claim != Claim::kCurrent) StartAnew(agent, heartbeat, now);
   const auto before = StateOf(agent, now);
   target.state = heartbeat.draining ? TargetState::kDraining : TargetState::kReady;
@@ -146,7 +149,8 @@
   auto& target = agent.target;
   const auto heard_since = WasHeard(target) && target.heard >= attempted_at;
   if (heard_since || target.state == TargetState::kDraining) return false;
-  if (target.state == TargetState::kAbsent) return false;
+  if (target.state == TargetState::kAbsent || target.refusals_mislead) return false;
+  target.refused = WasHeard(target);
   if (WasHeard(target)) Retire(target, target.last.incarnation);
   target.state = TargetState::kAbsent;
   target.left_at = now - agent.policy.leave_for;
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -49,6 +49,7 @@
   body->set_cold(report.cold);
   body->set_wanted_list(report.wanted_list);
   body->set_domain(report.domain);
+  body->set_revision(report.revision);
   return message;
 }
 
@@ -173,7 +174,8 @@
                       .slots = message.slots(),
                       .cold = message.cold(),
                       .wanted_list = message.wanted_list(),
-                      .domain = static_cast<DomainTag>(message.domain())};
+                      .domain = static_cast<DomainTag>(message.domain()),
+                      .revision = message.revision()};
 }
 
 // Nothing for numbers that are no address and port.
--- a/src/packets/tests/agent_peers_test.cc
+++ b/src/packets/tests/agent_peers_test.cc
@@ -293,5 +293,42 @@
   BOOST_TEST(MakeReport(agent, kBalancer, kStart).wanted_list == 0U);
 }
 
+// All balancers have ended and the platform is away: some agents have to have the configuration, of
+// 200 as of three, and not all of them, since each change of it goes to each that keeps it.
+BOOST_AUTO_TEST_CASE(a_few_agents_of_a_service_keep_the_configuration) {
+  for (const auto count : {Address{3}, Address{200}}) {
+    auto all = std::vector<Address>{};
+    for (auto i = Address{0}; i < count; ++i) all.push_back(kOwn + i);
+    auto keepers = std::size_t{0};
+    for (const auto own : all) {
+      auto agent = MakeAgent();
+      agent.own = own;
+      Greet(agent, kBalancer, HelloOf(all), kStart);
+      keepers += KeepsConfiguration(agent) ? 1 : 0;
+    }
+    BOOST_TEST(keepers == std::min<std::size_t>(count, kKeepers));
+  }
+}
+
+// Balancers that were started again know nobody; agents tell those that have fallen silent of
+// themselves, the last heard first and a few at a time.
+BOOST_AUTO_TEST_CASE(balancers_that_have_fallen_silent_are_told_of_the_agent) {
+  auto agent = MakeAgent();
+  auto hello = HelloOf({kOwn, kOther});
+  hello.every = milliseconds{250};
+  for (auto i = Address{0}; i < 20; ++i) {
+    Greet(agent, kBalancer + i, hello, kStart + milliseconds{i});
+  }
+  BOOST_TEST(SilentBalancers(agent, 8, kStart + milliseconds{500}).empty());
+  const auto later = kStart + seconds{1};
+  Greet(agent, kBalancer + 19, hello, later);
+  const auto silent = SilentBalancers(agent, 8, later);
+  BOOST_TEST(silent.size() == 8U);
+  BOOST_TEST(silent.front() == kBalancer + 18);
+  const auto gone = later + agent.policy.balancer_for + milliseconds{1};
+  ForgetQuiet(agent, gone);
+  BOOST_TEST(SilentBalancers(agent, 8, gone).empty());
+}
+
 }  // namespace
 }  // namespace anvildrum::packets::agent_tests
--- a/src/packets/tests/agent_target_test.cc
+++ b/src/packets/tests/agent_target_test.cc
@@ -230,6 +230,7 @@
   TakeHeartbeat(agent, Beat(1, 2), refused + milliseconds{10});
   const auto later = refused + milliseconds{10} + agent.policy.proof_apart;
   BOOST_TEST((TakeHeartbeat(agent, Beat(1, 3), later) == HeartbeatOutcome::kChanged));
+  BOOST_TEST(!TakeRefusal(agent, later + milliseconds{1}, later + milliseconds{1}));
   const auto query = FlowQuery{kDesk, 1, {{kClient, kRoute}}};
   BOOST_TEST(AnswerQuery(agent, query, later).held.empty());
   BOOST_TEST((AnswerQuery(agent, query, later).unsure.size() == 1U ||
--- /dev/null
+++ b/src/packets/tests/hearsay_test.cc
@@ -0,0 +1,91 @@
+#include "packets/hearsay.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace anvildrum::packets {
+namespace {
+
+using base::seconds;
+
+constexpr auto kStart = base::TimePoint{seconds{1000}};
+constexpr auto kFirstAgent = Address{0x0a010001};
+constexpr auto kDesk = base::ServiceId{11};
+
+auto Report(View& view, Address agent, base::TimePoint now) -> void {
+  TakeReport(view,
+             {.agent = agent,
+              .service = kDesk,
+              .start = 1,
+              .sequence = static_cast<std::uint64_t>(now.time_since_epoch().count()),
+              .state = TargetState::kReady},
+             now);
+}
+
+auto ViewOf(Address agents) -> View {
+  auto view = View{};
+  for (auto i = Address{0}; i < agents; ++i) Report(view, kFirstAgent + i, kStart);
+  return view;
+}
+
+auto Named(const Hello& hello) -> std::set<Address> {
+  auto named = std::set<Address>{};
+  for (const auto& peer : hello.peers) named.insert(peer.agent);
+  return named;
+}
+
+// A balancer starts while the platform is away, and knows nobody. Beyond 90 agents it learned of
+// the others a part a second, and placed all openings on those that it knew.
+BOOST_AUTO_TEST_CASE(a_balancer_that_knows_nobody_is_told_of_all_at_once) {
+  const auto view = ViewOf(2 * kMostHearsay + 1);
+  const auto parts = WholeHearsay(view, kStart);
+  BOOST_TEST(parts.size() == 3U);
+  auto all = std::set<Address>{};
+  for (const auto& part : parts) {
+    BOOST_TEST(part.peers.size() <= kMostHearsay);
+    all.merge(Named(part));
+  }
+  BOOST_TEST(all.size() == 2 * kMostHearsay + 1);
+  BOOST_TEST(WholeHearsay(View{}, kStart).empty());
+}
+
+// An agent has started and reported here alone: it is named in the next messages whatever their
+// turn is, and agents that have been silent are not.
+BOOST_AUTO_TEST_CASE(a_new_agent_is_told_of_in_the_next_messages) {
+  auto view = ViewOf(200);
+  const auto later = kStart + seconds{60};
+  for (auto i = Address{1}; i < 200; ++i) Report(view, kFirstAgent + i, later);
+  Report(view, kFirstAgent + 500, later);
+  auto from = std::size_t{0};
+  for (auto i = 0; i < 3; ++i) {
+    const auto hello = NextHearsay(view, from, later);
+    BOOST_TEST(Named(hello).contains(kFirstAgent + 500));
+    BOOST_TEST(!Named(hello).contains(kFirstAgent));
+    BOOST_TEST(hello.peers.size() == kHearsayAgain + 1);
+  }
+}
+
+// All agents are told of again in turn, and all of a small site each time.
+BOOST_AUTO_TEST_CASE(all_agents_are_told_of_again_in_turn) {
+  for (const auto agents : {Address{10}, Address{90}, Address{201}}) {
+    auto view = ViewOf(agents);
+    const auto later = kStart + kHearsayNew;
+    for (auto i = Address{0}; i < agents; ++i) Report(view, kFirstAgent + i, later);
+    auto from = std::size_t{0};
+    auto named = std::set<Address>{};
+    for (auto message = Address{0}; message < agents; message += kHearsayAgain) {
+      named.merge(Named(NextHearsay(view, from, later)));
+    }
+    BOOST_TEST(named.size() == agents);
+  }
+}
+
+// More agents are new than a message holds: the others follow in their turn.
+BOOST_AUTO_TEST_CASE(more_new_agents_than_fit_do_not_make_a_message_longer) {
+  const auto view = ViewOf(300);
+  auto from = std::size_t{0};
+  BOOST_TEST(NextHearsay(view, from, kStart).peers.size() <= kMostHearsay);
+}
+
+}  // namespace
+}  // namespace anvildrum::packets
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -36,6 +36,7 @@
   bool cold = false;              ///< just started, and slow for now
   std::uint32_t wanted_list = 0;  ///< digest of a list of peers that the agent lacks; 0: none
   DomainTag domain = 0;           ///< where the agent runs
+  std::uint64_t revision = 0;     ///< the platform's, of the configuration that it keeps; 0: none
 };
 
 /// One start of a target. An id may be used again by a later start, which holds nothing of before.
--- a/tests/process/packet_standins.py
+++ b/tests/process/packet_standins.py
@@ -167,9 +167,12 @@
 
 
 class Target:
-    """A target beside an agent: opens flows, answers each packet with data, gives back the rest."""
+    """A target beside an agent: opens flows, answers each packet with data, gives back the rest.
 
-    def __init__(self, address, service, name=None):
+    `listens`: its port takes connections, as that of a target with a health check does.
+    """
+
+    def __init__(self, address, service, name=None, listens=True):
         self.address, self.service = address, service
         self.id = name or f"i-{random.getrandbits(32):08x}"
         self.started_ms = time.time_ns() // 1_000_000
@@ -178,6 +181,7 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((address, TARGET))
         self.socket.settimeout(RECEIVE_SECONDS)
+        self.listener = socket.create_server((address, TARGET)) if listens else None
         self.running = True
         self.threads = [threading.Thread(target=work, daemon=True)
                         for work in (self.serve, self.announce)]
@@ -234,6 +238,8 @@
         for thread in self.threads:
             thread.join()
         self.socket.close()
+        if self.listener:
+            self.listener.close()
 
 
 class Client:
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -5,7 +5,7 @@
 import unittest
 import urllib.error
 
-from packet_standins import METRICS, Client, Machines, Target
+from packet_standins import HEARTBEATS, METRICS, Client, Machines, Target
 from support import BUILD, WIDE_SECONDS, wait_until
 
 BALANCER, CUT_OFF, FIRST_AGENT, SECOND_AGENT, CLIENT = 10, 11, 20, 21, 90
@@ -151,6 +151,32 @@
         self.assert_served(flows)
         self.open_flows()
 
+    def test_a_balancer_finds_the_configuration_at_an_agent(self):
+        # All balancers end while the store is away. The one that is started again finds the
+        # configuration and the agents nowhere but at these; flows go on and new ones open.
+        flows = self.open_flows()
+        wait_until(self.is_kept, "configuration kept", WIDE_SECONDS)
+        self.machines.end(BALANCER, signal.SIGKILL)
+        self.machines.start(BALANCER, platform=f"{self.machines.host(1)}:{NOBODY}", seeds=[])
+        wait_until(lambda: self.machines.is_ready(BALANCER), "ready", WIDE_SECONDS)
+        self.assert_served(flows)
+        self.open_flows()
+
+    def is_kept(self):
+        """Whether an agent has a copy of the configuration."""
+        path = "/objects/config/main"
+        copies = [self.machines.get(last, HEARTBEATS, path) for last in (FIRST_AGENT, SECOND_AGENT)]
+        return any(copy and "routes" in copy for copy in copies)
+
+    def test_a_target_whose_port_takes_no_connections_is_served(self):
+        # The agent is refused and takes the target for gone; its heartbeats go on, so that the port
+        # tells nothing.
+        target = self.targets.pop(SECOND_AGENT)
+        target.stop()
+        self.targets[SECOND_AGENT] = Target(self.machines.host(SECOND_AGENT), "desk", listens=False)
+        self.wait_for_targets()
+        self.assert_served(self.open_flows())
+
     def test_counters_are_served(self):
         self.open_flows()
         for last, name in ((BALANCER, "anvildrum_packets_forwarded_total"),
