--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -14,7 +14,7 @@
 #include "packets/types/target.h"
 
 /// The agent's part of packet flows, without input or output: it delivers to the target beside it
-/// what the target takes, and passes on the rest.
+/// what the target takes, passes openings on, and sends other packets back to their balancer.
 namespace anvildrum::packets {
 
 struct AgentPolicy {
--- a/src/packets/hello.h
+++ b/src/packets/hello.h
@@ -32,7 +32,7 @@
 /// are left out, and `complete` is false then.
 ///
 /// Safeguard: a list that is longer than a datagram never leaves its balancer. Agents of a service
-/// of 170 then knew no other, and packets of flows that nobody remembered were passed on to nobody:
+/// of 170 then knew no other, and packets of flows that nobody remembered reached nobody:
 /// an established flow was silent as soon as its packets came by another balancer.
 auto SplitHello(const Hello& hello) -> std::vector<Hello>;
 
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -69,7 +69,8 @@
 
 // An agent that was started again does not know whether its target holds a flow or holds it half
 // open. A target that holds it reacts within some ten milliseconds, long before the client repeats
-// a packet; where it has not, every other packet goes on to the others, one of whom may hold it.
+// a packet; where it has not, every other packet goes back to its balancer: another one may hold
+// it.
 auto TurnsToOthers(FlowState& flow) -> bool {
   if (flow.unanswered % 2 == 0) return false;
   ++flow.unanswered;
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -67,7 +67,7 @@
 }  // namespace
 
 // An agent that has just started does not know its target yet, but the target may be alive and hold
-// flows: withheld until its first heartbeat, their packets would go round all other agents.
+// flows: withheld until its first heartbeat, their packets would find nobody.
 auto TakesPackets(const Agent& agent, base::TimePoint now) -> bool {
   if (StateOf(agent, now) != TargetState::kAbsent) return true;
   return now - agent.target.left_at < agent.policy.leave_for;
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -112,8 +112,8 @@
 /// Agents of a service that may hold flows, in no order: those that are alive, stay, and have a
 /// target. Where there is none, all that are known.
 ///
-/// Safeguard: packets of flows that nobody remembers go round this set, and an agent that ends
-/// swallows those that reach it; it would be missed only when its reports are.
+/// Safeguard: these are asked for flows that nobody remembers, and an agent that ends does not
+/// answer; it would be missed only when its reports are.
 auto SearchSet(const View& view, base::ServiceId service, base::TimePoint now)
     -> std::vector<Place>;
 
