Say once what stood twice: TCP endpoints, load that is cleared, lists of agents

Cause: ToTcp stood in three files (net, ctl, packetd), "no flow is load" in two functions of flow_load.cc, the digest of places was made by way of a hello in three. EndFound serves found and presumed flows; what a report asks for is answered in the core.

Ruled out: a change of the digest's value between versions (it folds the same numbers).

--- a/src/base/tests/endpoint_test.cc
+++ b/src/base/tests/endpoint_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/result.h"
+#include "base/tcp_endpoint.h"
 
 namespace anvildrum::base {
 namespace {
@@ -25,5 +26,15 @@
   BOOST_CHECK(CodeOf("127.0.0.1:70000") == EndpointErrorCode::kPortOutOfRange);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_becomes_one_of_its_own_kind_of_address) {
+  const auto v4 = ToTcp(ParseEndpoint("127.0.0.1:5683").value());
+  BOOST_TEST(v4.address().is_v4());
+  BOOST_TEST(v4.address().to_string() == "127.0.0.1");
+  BOOST_TEST(v4.port() == 5683);
+  const auto v6 = ToTcp(ParseEndpoint("[2001:db8::1]:1").value());
+  BOOST_TEST(v6.address().is_v6());
+  BOOST_TEST(v6.address().to_string() == "2001:db8::1");
+}
+
 }  // namespace
 }  // namespace anvildrum::base
--- a/src/ctl/internal/http_client.cc
+++ b/src/ctl/internal/http_client.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/tcp_endpoint.h"
+
 namespace anvildrum::ctl {
 namespace {
 
@@ -35,12 +37,6 @@
   }
 };
 
-auto ToTcp(const base::Endpoint& endpoint) -> asio::ip::tcp::endpoint {
-  auto v6 = asio::ip::address_v6(endpoint.address);
-  if (!base::IsV4(endpoint)) return {v6, endpoint.port};
-  return {asio::ip::make_address_v4(asio::ip::v4_mapped, v6), endpoint.port};
-}
-
 auto MakeRequest(const base::Endpoint& server, const HttpRequest& request)
     -> http::request<http::string_body> {
   auto message = http::request<http::string_body>{};
@@ -65,7 +61,7 @@
     -> base::Result<HttpAnswer> {
   auto connection = Connection{};
   connection.stream.expires_after(limit);
-  connection.stream.async_connect(ToTcp(server), connection.Note());
+  connection.stream.async_connect(base::ToTcp(server), connection.Note());
   if (!connection.Finish()) return Fail(CtlErrorCode::kUnreachable, server);
   auto message = MakeRequest(server, request);
   http::async_write(connection.stream, message, connection.Note());
--- a/src/net/internal/operator_port.cc
+++ b/src/net/internal/operator_port.cc
@@ -13,6 +13,7 @@
 #include <set>
 #include <utility>
 
+#include "base/tcp_endpoint.h"
 #include "net/internal/route_table.h"
 
 namespace anvildrum::net {
@@ -26,12 +27,6 @@
 
 constexpr auto kAcceptPause = base::milliseconds{100};
 
-auto ToTcp(const base::Endpoint& endpoint) -> tcp::endpoint {
-  const auto mapped = asio::ip::address_v6{endpoint.address};
-  if (!base::IsV4(endpoint)) return {mapped, endpoint.port};
-  return {asio::ip::make_address_v4(asio::ip::v4_mapped, mapped), endpoint.port};
-}
-
 auto Fail(NetErrorCode code, const boost::system::error_code& error, const base::Endpoint& where)
     -> boost::leaf::error_id {
   return boost::leaf::new_error(NetError{code, error.value(), base::FormatEndpoint(where)});
@@ -52,7 +47,7 @@
       : options(options), acceptor(io), retry(io) {}
 
   auto Listen() -> base::Result<void> {
-    const auto wanted = ToTcp(this->options.local);
+    const auto wanted = base::ToTcp(this->options.local);
     auto error = boost::system::error_code{};
     this->acceptor.open(wanted.protocol(), error);
     if (error) return Fail(NetErrorCode::kOpen, error, this->options.local);
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -133,7 +133,7 @@
   if (!newer || now - this->asked_at < kAskAgain) return;
   if (!packets::KeepsConfiguration(this->core)) return;
   this->asked_at = now;
-  this->configuration.AskFor(base::EndpointFromV4(balancer, this->settings.heartbeats.port));
+  this->configuration.AskFor(balancer);
 }
 
 auto AgentNode::RemindBalancers(base::TimePoint now) -> void {
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -1,3 +1,10 @@
+// A watch that has gone silent without a sign is found by its end. Balancers tell each other of the
+// configuration that they have in force, so that one of them whose watch is well is enough: where
+// there are many, each waits longer, up to the platform's most. One of 26 balancers that wait for
+// 16 s each begins a new watch within any four seconds but in one case of 2,000.
+constexpr auto kShareOfWatch = 6;
+constexpr auto kLongestHold = base::seconds{25};
+
 #include "packetd/balancer_node.h"
 
 #include <algorithm>
@@ -32,13 +39,6 @@
 constexpr auto kRecordHold = base::seconds{8};
 constexpr auto kRecordPause = base::seconds{2};
 
-// A watch that has gone silent without a sign is found by its end. Balancers tell each other of the
-// configuration that they have in force, so that one of them whose watch is well is enough: where
-// there are many, each waits longer, up to the platform's most. One of 26 balancers that wait for
-// 16 s each begins a new watch within any four seconds but in one case of 2,000.
-constexpr auto kShareOfWatch = 6;
-constexpr auto kLongestHold = base::seconds{25};
-
 // How long the platform and other balancers are asked alone: either answers within some
 // milliseconds where it can, and has the newest.
 constexpr auto kAskAgentsAfter = base::milliseconds{500};
@@ -285,7 +285,7 @@
   this->others = std::max(hello.balancers, static_cast<std::uint32_t>(this->balancers.size()));
   this->configuration_watcher->SetHold(this->ConfigurationHold());
   if (hello.revision > this->peers.Revision()) {
-    this->peers.AskFor(base::EndpointFromV4(from, this->peers.Port()));
+    this->peers.AskFor(from);
   }
   for (const auto& peer : hello.peers) {
     packets::AddHearsay(this->core.view, peer.agent, peer.service, now);
@@ -318,17 +318,14 @@
 auto BalancerNode::AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void {
   if (this->core.routes || report.revision == 0) return;
   if (now - this->started_at < kAskAgentsAfter) return;
-  this->peers.AskFor(base::EndpointFromV4(report.agent, this->peers.Port()));
+  this->peers.AskFor(report.agent);
 }
 
 // An agent that lacks the list which the last hellos named is sent it.
 auto BalancerNode::OnReport(const packets::TargetReport& report, base::TimePoint now) -> void {
   packets::TakeReport(this->core.view, report, now);
   this->AskAgent(report, now);
-  if (report.wanted_list == 0) return;
-  const auto hello = this->said.find(report.service);
-  if (hello == this->said.end() || hello->second.brief.digest != report.wanted_list) return;
-  for (const auto& part : hello->second.listed) {
+  for (const auto& part : packets::WantedParts(this->said, report)) {
     this->SendControl(report.agent, packets::EncodeControl(part));
   }
 }
--- a/src/packetd/internal/flow_searcher.cc
+++ b/src/packetd/internal/flow_searcher.cc
@@ -61,8 +61,7 @@
     this->ports.send_control(addressed.agent, addressed.query);
   }
   this->Apply(step.outcomes);
-  const auto& searches = this->core.searches;
-  if (!searches.flows.empty() || !searches.rounds.empty()) this->Arm();
+  if (!packets::IsIdle(this->core.searches)) this->Arm();
 }
 
 auto FlowSearcher::Apply(const std::vector<packets::SearchOutcome>& outcomes) -> void {
--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -54,12 +54,10 @@
   return this->kept ? this->kept->revision : 0;
 }
 
-auto PeerConfiguration::Port() const -> std::uint16_t { return this->own.port; }
-
-auto PeerConfiguration::AskFor(const base::Endpoint& endpoint) -> void {
+auto PeerConfiguration::AskFor(packets::Address address) -> void {
   if (this->newer && this->newer->asked) return;
   this->newer = std::make_unique<Peer>();
-  this->newer->endpoint = endpoint;
+  this->newer->endpoint = base::EndpointFromV4(address, this->own.port);
   this->AskOne(*this->newer);
 }
 
--- a/src/packetd/internal/target_watch.cc
+++ b/src/packetd/internal/target_watch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/tcp_endpoint.h"
 
 namespace anvildrum::packetd {
 namespace {
@@ -23,13 +24,6 @@
 // After an attempt that failed for another reason than a refusal.
 constexpr auto kRetryAfter = base::milliseconds{1000};
 
-auto ToTcp(const base::Endpoint& endpoint) -> asio::ip::tcp::endpoint {
-  auto bytes = asio::ip::address_v6::bytes_type{};
-  std::copy(endpoint.address.begin(), endpoint.address.end(), bytes.begin());
-  return {asio::ip::make_address_v4(asio::ip::v4_mapped, asio::ip::address_v6(bytes)),
-          endpoint.port};
-}
-
 }  // namespace
 
 TargetWatch::TargetWatch(asio::io_context& io, const base::Endpoint& target, OnRefused on_refused)
@@ -62,7 +56,7 @@
   auto ignored_error = error_code{};
   this->socket.close(ignored_error);  // of the attempt before; nothing is left to do with it
   const auto began = base::Now();
-  this->socket.async_connect(ToTcp(this->target), [this, began](const error_code& error) {
+  this->socket.async_connect(base::ToTcp(this->target), [this, began](const error_code& error) {
     if (error == asio::error::operation_aborted) return;
     if (!error) return this->AwaitClose();
     if (error != asio::error::connection_refused) return this->ConnectIn(kRetryAfter);
--- a/src/packetd/peer_configuration.h
+++ b/src/packetd/peer_configuration.h
@@ -10,6 +10,7 @@
 #include "net/operator_port.h"
 #include "packetd/adapter.h"
 #include "packetd/settings.h"
+#include "packets/types/packet.h"
 #include "platform/client.h"
 
 namespace anvildrum::packetd {
@@ -46,11 +47,9 @@
   /// Asks each of the settings' balancers once, unless a question to it is under way.
   auto Ask() -> void;
 
-  /// Asks another process, which says that it has a newer one, unless one is being asked so.
-  auto AskFor(const base::Endpoint& newer) -> void;
-
-  /// A balancer's port for such questions is the same at every instance; this is the own one.
-  [[nodiscard]] auto Port() const -> std::uint16_t;
+  /// Asks the process at this address, which says that it has a newer one, unless one is being
+  /// asked so. The port for such questions is the same at every instance.
+  auto AskFor(packets::Address newer) -> void;
 
   auto SetSeeds(const std::vector<base::Endpoint>& seeds) -> void;
 
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -62,11 +62,11 @@
   /// The same for one that has: the age up to which the users keep a flow. An agent that has run
   /// for as long has seen the opening of every flow that its target holds.
   base::Duration flow_age = base::seconds{60};
-  /// Between two heartbeats of the target, about.
-  base::Duration heartbeat_every = base::milliseconds{750};
   /// The same for a flow that its target has ended or does not hold: longer than its client waits
   /// at most before it sends a packet again, 1.6 s.
   base::Duration ended_idle = base::seconds{2};
+  /// Between two heartbeats of the target, about.
+  base::Duration heartbeat_every = base::milliseconds{750};
   /// A packet that the target has not reacted to for this long is no work: the target holds its
   /// flow half open, or what it gave back was lost.
   base::Duration reaction_for = base::seconds{1};
@@ -93,8 +93,8 @@
   std::uint32_t unanswered = 0;  ///< packets delivered while the stage was kAssumed
   std::uint16_t origin = 0;      ///< Stamp::origin of the last packet
   std::uint32_t target_sequence = 0;  ///< of its answer to the opening
-  std::optional<std::uint32_t>
-      asked_up_to{};  ///< end of the client's data that was delivered so far
+  /// End of the client's data that was delivered so far.
+  std::optional<std::uint32_t> asked_up_to{};
   base::TimePoint seen{};
   base::TimePoint asked_at{};  ///< the request at work: its last packet; the epoch: none
 };
@@ -184,8 +184,7 @@
   base::TimePoint united_at{};    ///< when `peers` was last worked out from the hellos
   bool peers_stale = false;       ///< hellos have changed since
   std::unordered_map<FlowId, FlowState> flows;
-  bool overflowed = false;  ///< a flow of this target was not remembered for want of room
-
+  bool overflowed = false;          ///< a flow of this target was not remembered for want of room
   std::uint32_t at_work = 0;        ///< flows whose state says so
   std::uint32_t ended = 0;          ///< flows in FlowStage::kEnded and kNotHere
   std::deque<OfferedFlow> offered;  ///< openings that count as load, oldest first
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -130,13 +130,8 @@
 /// Decides on one packet of a client.
 auto RoutePacket(Balancer& balancer, const Packet& packet, base::TimePoint now) -> BalancerVerdict;
 
-/// An agent says that its target holds a flow. True where the flow's packet had been sent to agents
-/// that could not tell: its search has ended, and what came since follows.
-auto TakeLocated(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now)
-    -> bool;
-
-/// The stamp of a packet of an open flow of the service. `kept`: the balancer keeps the packet.
-auto StampFor(const Balancer& balancer, base::ServiceId service, bool kept = false) -> Stamp;
+/// The stamp of a packet of the service; `refusable` as in Stamp.
+auto StampFor(const Balancer& balancer, base::ServiceId service, bool refusable = false) -> Stamp;
 
 /// Whether the platform's records of agents are as new as can be. Without them nobody can say that
 /// no agent is missing.
--- a/src/packets/hello.h
+++ b/src/packets/hello.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <span>
 #include <vector>
 
 #include "base/types/ids.h"
@@ -28,6 +29,11 @@
 auto MakeHellos(const Balancer& balancer, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello>;
 
+/// The parts of the list that the report asks for; none where it asks for none, or for another one
+/// than `hellos` name.
+auto WantedParts(const std::map<base::ServiceId, ServiceHello>& hellos, const TargetReport& report)
+    -> std::span<const Hello>;
+
 /// The hello in parts of kAgentsInHello peers; one part where it fits. Peers beyond kMaxHelloParts
 /// are left out, and `complete` is false then.
 ///
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -13,12 +13,6 @@
 namespace anvildrum::packets {
 namespace {
 
-auto AsHello(const std::vector<Place>& places) -> Hello {
-  auto hello = Hello{};
-  for (const auto& place : places) hello.peers.push_back({place.agent, {}, place.domain});
-  return hello;
-}
-
 auto AgentsOf(const Hello& hello) -> std::vector<Place> {
   auto agents = std::vector<Place>{};
   for (const auto& peer : hello.peers) agents.push_back({peer.agent, peer.domain});
@@ -101,7 +95,7 @@
   std::reverse(all.begin(), all.end());
   if (all == agent.peers) return;
   agent.peers = std::move(all);
-  agent.peers_digest = DigestOf(AsHello(agent.peers));
+  agent.peers_digest = DigestOf(agent.peers);
   agent.peers_since = now;
 }
 
@@ -143,6 +137,14 @@
   return Names(keepers, agent.own);
 }
 
+auto BalancersOf(const Agent& agent, std::uint16_t origin) -> std::vector<Address> {
+  auto balancers = std::vector<Address>{};
+  for (const auto& [balancer, hello] : agent.balancers) {
+    if (OriginTagOf(balancer) == origin) balancers.push_back(balancer);
+  }
+  return balancers;
+}
+
 auto SilentBalancers(const Agent& agent, std::size_t most, base::TimePoint now)
     -> std::vector<Address> {
   auto silent = std::vector<std::pair<base::TimePoint, Address>>{};
--- a/src/packets/internal/agent_query.cc
+++ b/src/packets/internal/agent_query.cc
@@ -65,12 +65,4 @@
   return answer;
 }
 
-auto BalancersOf(const Agent& agent, std::uint16_t origin) -> std::vector<Address> {
-  auto balancers = std::vector<Address>{};
-  for (const auto& [balancer, hello] : agent.balancers) {
-    if (OriginTagOf(balancer) == origin) balancers.push_back(balancer);
-  }
-  return balancers;
-}
-
 }  // namespace anvildrum::packets
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -59,6 +59,16 @@
   return now - RunsFor(agent, now) < StartedAtEarliest(agent, heartbeat, now);
 }
 
+// The target is gone. Its flows are kept in doubt: what told so may be about an earlier start.
+auto TakeForGone(Agent& agent, base::TimePoint left_at) -> void {
+  auto& target = agent.target;
+  target.state = TargetState::kAbsent;
+  target.left_at = left_at;
+  target.seen_from_start = false;
+  target.seen_from_first_heartbeat = false;
+  DoubtFlows(agent, {});
+}
+
 auto LeaveIsDoubtful(const Agent& agent, base::TimePoint now) -> bool {
   const auto started = std::max(agent.started_at, agent.target.again_at);
   return started != base::TimePoint{} && now - started < agent.policy.late_for;
@@ -137,11 +147,7 @@
   }
   if (target.state != TargetState::kUnknown && !known) return false;
   if (target.state == TargetState::kAbsent) return false;
-  target.state = TargetState::kAbsent;
-  target.left_at = now;
-  target.seen_from_start = false;
-  target.seen_from_first_heartbeat = false;
-  DoubtFlows(agent, {});  // the leave may be an earlier start's, and come late
+  TakeForGone(agent, now);
   return true;
 }
 
@@ -152,11 +158,7 @@
   if (target.state == TargetState::kAbsent || target.refusals_mislead) return false;
   target.refused = WasHeard(target);
   if (WasHeard(target)) Retire(target, target.last.incarnation);
-  target.state = TargetState::kAbsent;
-  target.left_at = now - agent.policy.leave_for;
-  target.seen_from_start = false;
-  target.seen_from_first_heartbeat = false;
-  DoubtFlows(agent, {});
+  TakeForGone(agent, now - agent.policy.leave_for);
   return true;
 }
 
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -106,11 +106,9 @@
   const auto agent = ChooseAgent(balancer, flow, service, hint, now);
   if (agent != 0) {
     Offer(hint, balancer.view.members.at(agent), now);
-    return ForwardToAgent{agent, {0, sole, OriginTagOf(balancer.own), TagOf(service)}};
-  }
-  if (hint.agent != 0) {
-    return ForwardToAgent{hint.agent, {0, false, OriginTagOf(balancer.own), TagOf(service)}};
+    return ForwardToAgent{agent, StampFor(balancer, service, sole)};
   }
+  if (hint.agent != 0) return ForwardToAgent{hint.agent, StampFor(balancer, service)};
   balancer.hints.erase(flow);
   ++balancer.counters.no_target;
   if (!sole) return Discard{DiscardReason::kNoTarget};
@@ -241,18 +239,8 @@
   return verdict;
 }
 
-auto TakeLocated(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now)
-    -> bool {
-  const auto searched = EndSearch(balancer, flow);
-  const auto entry = balancer.hints.find(flow);
-  if (entry == balancer.hints.end()) return searched;
-  entry->second.agent = agent;
-  entry->second.seen = now;
-  return searched;
-}
-
-auto StampFor(const Balancer& balancer, base::ServiceId service, bool kept) -> Stamp {
-  return {0, kept, OriginTagOf(balancer.own), TagOf(service)};
+auto StampFor(const Balancer& balancer, base::ServiceId service, bool refusable) -> Stamp {
+  return {0, refusable, OriginTagOf(balancer.own), TagOf(service)};
 }
 
 auto RecordsAreFresh(const Balancer& balancer, base::TimePoint now) -> bool {
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -66,18 +66,14 @@
   return message;
 }
 
-auto ToNumber(const End& end) -> std::uint64_t {
-  return (std::uint64_t{end.address} << 16U) | end.port;
-}
-
 auto ToMessage(const FlowQuery& query) -> pb::Control {
   auto message = pb::Control{};
   auto* body = message.mutable_query();
   body->set_service(query.service.value);
   body->set_token(query.token);
   for (const auto& flow : query.flows) {
-    body->add_clients(ToNumber(flow.client));
-    body->add_routes(ToNumber(flow.service));
+    body->add_clients(KeyOf(flow.client));
+    body->add_routes(KeyOf(flow.service));
   }
   return message;
 }
@@ -178,7 +174,7 @@
                       .revision = message.revision()};
 }
 
-// Nothing for numbers that are no address and port.
+// Inverse of KeyOf; nothing for numbers that are no address and port.
 auto EndOf(std::uint64_t number) -> std::optional<End> {
   constexpr auto bits = 48U;
   if (number >> bits != 0) return std::nullopt;
@@ -234,7 +230,7 @@
 auto DigestOf(const Hello& hello) -> std::uint32_t {
   auto agents = std::vector<Place>{};
   for (const auto& peer : hello.peers) agents.push_back({peer.agent, peer.domain});
-  return static_cast<std::uint32_t>(LongDigestOf(agents)) | 1U;
+  return DigestOf(agents);
 }
 
 auto EncodeControl(const Control& control) -> std::string {
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -37,6 +37,34 @@
   return now - std::exchange(flow.asked_at, {});
 }
 
+// No flow is load.
+auto ClearLoad(Agent& agent) -> void {
+  agent.overflowed = false;
+  agent.offered.clear();
+  agent.at_work = 0;
+  agent.ended = 0;
+}
+
+auto IdleOf(const AgentPolicy& policy, FlowStage stage) -> base::Duration {
+  switch (stage) {
+    case FlowStage::kOpen:
+      return policy.flow_age;
+    case FlowStage::kEnded:
+    case FlowStage::kNotHere:
+      return policy.ended_idle;
+    default:
+      return policy.flow_idle;
+  }
+}
+
+// Safeguard: after all agents were started again, each packet was taken for work that its target
+// had begun; where what a target gave back was lost, 360 such requests stayed on agents of 104
+// slots, and nine tenths of the openings were refused while targets stood idle.
+auto IsWorkNoLonger(const AgentPolicy& policy, const FlowState& flow, base::TimePoint now) -> bool {
+  const auto most = flow.stage == FlowStage::kAssumed ? policy.reaction_for : policy.flow_idle;
+  return flow.at_work && now - flow.seen > most;
+}
+
 }  // namespace
 
 auto SetAtWork(Agent& agent, FlowState& flow, bool at_work) -> void {
@@ -154,38 +182,12 @@
     doubtful.seen = state.seen;
     state = doubtful;
   }
-  agent.overflowed = false;
-  agent.offered.clear();
-  agent.at_work = 0;
-  agent.ended = 0;
+  ClearLoad(agent);
 }
 
 auto ForgetFlows(Agent& agent) -> void {
   agent.flows.clear();
-  agent.overflowed = false;
-  agent.offered.clear();
-  agent.at_work = 0;
-  agent.ended = 0;
-}
-
-auto IdleOf(const AgentPolicy& policy, FlowStage stage) -> base::Duration {
-  switch (stage) {
-    case FlowStage::kOpen:
-      return policy.flow_age;
-    case FlowStage::kEnded:
-    case FlowStage::kNotHere:
-      return policy.ended_idle;
-    default:
-      return policy.flow_idle;
-  }
-}
-
-// Safeguard: after all agents were started again, each packet was taken for work that its target
-// had begun; where what a target gave back was lost, 360 such requests stayed on agents of 104
-// slots, and nine tenths of the openings were refused while targets stood idle.
-auto IsWorkNoLonger(const AgentPolicy& policy, const FlowState& flow, base::TimePoint now) -> bool {
-  const auto most = flow.stage == FlowStage::kAssumed ? policy.reaction_for : policy.flow_idle;
-  return flow.at_work && now - flow.seen > most;
+  ClearLoad(agent);
 }
 
 auto ForgetQuiet(Agent& agent, base::TimePoint now) -> void {
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -22,6 +22,14 @@
   return parts;
 }
 
+auto WantedParts(const std::map<base::ServiceId, ServiceHello>& hellos, const TargetReport& report)
+    -> std::span<const Hello> {
+  if (report.wanted_list == 0) return {};
+  const auto hello = hellos.find(report.service);
+  if (hello == hellos.end() || hello->second.brief.digest != report.wanted_list) return {};
+  return hello->second.listed;
+}
+
 auto MakeHellos(const Balancer& balancer, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello> {
   const auto& view = balancer.view;
--- a/src/packets/internal/order.cc
+++ b/src/packets/internal/order.cc
@@ -17,10 +17,6 @@
   return value ^ (value >> 31U);
 }
 
-auto Pack(const End& end) -> std::uint64_t {
-  return (std::uint64_t{end.address} << 16U) | end.port;
-}
-
 auto Weight(std::uint64_t digest, std::uint64_t subject) -> std::uint64_t {
   return Mix(digest ^ Mix(subject));
 }
@@ -68,7 +64,7 @@
 }
 
 auto HashOf(const FlowId& flow) -> std::uint64_t {
-  return Mix(Mix(Pack(flow.client)) ^ Pack(flow.service));
+  return Mix(Mix(KeyOf(flow.client)) ^ KeyOf(flow.service));
 }
 
 auto OriginTagOf(Address balancer) -> std::uint16_t {
@@ -97,12 +93,12 @@
   return order;
 }
 
-auto LongDigestOf(std::span<const Place> agents) -> std::uint64_t {
+auto DigestOf(std::span<const Place> agents) -> std::uint32_t {
   auto digest = std::uint64_t{0};
   for (const auto& place : agents) {
     digest = Mix(digest ^ place.agent ^ (std::uint64_t{place.domain} << 32U));
   }
-  return digest;
+  return static_cast<std::uint32_t>(digest) | 1U;
 }
 
 auto NextAnywhere(const FlowId& flow, std::span<const Place> agents, const Place& own) -> Address {
--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -23,11 +23,18 @@
   return FlowNotFound{flow, reason, agent};
 }
 
-// Whether the balancer itself knows of no agent that may be away.
-auto KnowsNobodyAway(const Balancer& balancer, base::ServiceId service, base::TimePoint now)
-    -> bool {
-  return RecordsAreFresh(balancer, now) && now >= balancer.stall.doubtful_until &&
-         IsComplete(balancer.view, service, balancer.stall.running_since, now);
+// Whether the balancer can be trusted to know of every agent that may be away.
+auto KnowsAllAgents(const Balancer& balancer, base::TimePoint now) -> bool {
+  return RecordsAreFresh(balancer, now) && now >= balancer.stall.doubtful_until;
+}
+
+// The search has found its flow at the agent.
+auto EndFound(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now) -> void {
+  const auto entry = balancer.searches.flows.find(flow);
+  if (!entry->second.everybody) balancer.searches.misses = 0;
+  balancer.searches.flows.erase(entry);
+  ++balancer.counters.found;
+  Remember(balancer, flow, agent, now);
 }
 
 // The flow is held nowhere, as far as could be asked: is it lost?
@@ -35,9 +42,9 @@
   const auto& search = balancer.searches.flows.at(flow);
   if (!search.expects_answer) return Fail(balancer, flow, SearchFailure::kNoData);
   if (!search.proves) return Fail(balancer, flow, SearchFailure::kUnsettled, search.doubter);
-  if (!KnowsNobodyAway(balancer, search.services.front(), now)) {
-    const auto away =
-        FirstAway(balancer.view, search.services.front(), balancer.stall.running_since, now);
+  const auto away =
+      FirstAway(balancer.view, search.services.front(), balancer.stall.running_since, now);
+  if (away != 0 || !KnowsAllAgents(balancer, now)) {
     return Fail(balancer, flow, SearchFailure::kSomeAway, away);
   }
   const auto lost = FlowLost{flow, search.acknowledged};
@@ -47,11 +54,12 @@
   return lost;
 }
 
-// Those of the flow's likely agents that could not tell.
-auto LikelyOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
+// The agents to which the flow's packet may go, since they could not tell: those of all that were
+// asked, or of the likely ones.
+auto UnsureOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
               base::TimePoint now) -> std::vector<Candidate> {
   auto unsure = round.unsure[place];
-  if (unsure.size() <= balancer.policy.search.likely) return unsure;
+  if (round.everybody || unsure.size() <= balancer.policy.search.likely) return unsure;
   const auto agents = AgentsOf(balancer, round.services, now);
   const auto likely = LikelyAgents(balancer, round.flows[place], agents);
   std::erase_if(unsure, [&](const Candidate& candidate) {
@@ -61,14 +69,13 @@
   return unsure;
 }
 
-// Nobody who has answered holds the flow at this place of the round.
-auto ConcludeAt(Balancer& balancer, const QueryRound& round, std::size_t place, base::TimePoint now)
-    -> SearchOutcome {
-  const auto& flow = round.flows[place];
+// Nobody who has answered holds the flow of the round; `unsure` could not tell.
+auto ConcludeRound(Balancer& balancer, const QueryRound& round, const FlowId& flow,
+                   std::vector<Candidate> unsure, base::TimePoint now) -> SearchOutcome {
   auto& search = balancer.searches.flows.at(flow);
   search.proves = round.proves && round.missing.empty();
   search.doubter = round.missing.empty() ? round.doubter : round.missing.front();
-  search.probed = round.everybody ? round.unsure[place] : LikelyOf(balancer, round, place, now);
+  search.probed = std::move(unsure);
   if (search.probed.empty() && !round.missing.empty()) {
     return Fail(balancer, flow, SearchFailure::kNoAnswer, round.missing.front());
   }
@@ -113,11 +120,11 @@
   for (auto place = std::size_t{0}; place < round.flows.size(); ++place) {
     const auto& flow = round.flows[place];
     if (!IsOfRound(balancer, flow, token)) continue;
-    auto& search = balancer.searches.flows.at(flow);
-    if (!round.everybody && LikelyOf(balancer, round, place, now).empty()) {
-      AskTheRest(balancer, search, now);
+    auto unsure = UnsureOf(balancer, round, place, now);
+    if (!round.everybody && unsure.empty()) {
+      AskTheRest(balancer, balancer.searches.flows.at(flow), now);
     } else {
-      outcomes.push_back(ConcludeAt(balancer, round, place, now));
+      outcomes.push_back(ConcludeRound(balancer, round, flow, std::move(unsure), now));
     }
   }
   return outcomes;
@@ -159,16 +166,6 @@
   return place < round.flows.size() ? &round.flows[place] : nullptr;
 }
 
-auto Found(Balancer& balancer, const FlowId& flow, const Candidate& holder, base::TimePoint now)
-    -> SearchOutcome {
-  const auto entry = balancer.searches.flows.find(flow);
-  if (!entry->second.everybody) balancer.searches.misses = 0;
-  balancer.searches.flows.erase(entry);
-  Remember(balancer, flow, holder.agent, now);
-  ++balancer.counters.found;
-  return FlowFound{flow, holder};
-}
-
 // The likely agents are awaited for less: the others may hold the flow.
 auto ProbeFor(const SearchPolicy& policy, const FlowSearch& search) -> base::Duration {
   return search.everybody ? policy.probe_for : policy.answer_within;
@@ -193,8 +190,7 @@
       std::find_if(search.probed.begin(), search.probed.end(),
                    [&](const Candidate& probed) { return probed.agent != search.withheld; });
   if (holder != search.probed.end()) {
-    Remember(balancer, flow, holder->agent, now);
-    EndSearch(balancer, flow);
+    EndFound(balancer, flow, holder->agent, now);
     step.outcomes.emplace_back(FlowPresumed{flow});
   } else if (search.everybody) {
     step.outcomes.push_back(Fail(balancer, flow, SearchFailure::kMayBeHeld));
@@ -294,7 +290,8 @@
   for (const auto held : answer.held) {
     const auto* flow = FlowAt(round, held);
     if (flow == nullptr || !asked_for || !IsOfRound(balancer, *flow, answer.token)) continue;
-    outcomes.push_back(Found(balancer, *flow, candidate, now));
+    EndFound(balancer, *flow, candidate.agent, now);
+    outcomes.emplace_back(FlowFound{*flow, candidate});
   }
   if (!round.missing.empty()) return outcomes;
   const auto others = Close(balancer, answer.token, now);
@@ -302,14 +299,17 @@
   return outcomes;
 }
 
-auto EndSearch(Balancer& balancer, const FlowId& flow) -> bool {
-  const auto entry = balancer.searches.flows.find(flow);
-  if (entry == balancer.searches.flows.end()) return false;
-  if (entry->second.stage != SearchStage::kProbing) return false;
-  if (!entry->second.everybody) balancer.searches.misses = 0;
-  balancer.searches.flows.erase(entry);
-  ++balancer.counters.found;
-  return true;
+auto TakeLocated(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now)
+    -> bool {
+  const auto& flows = balancer.searches.flows;
+  const auto entry = flows.find(flow);
+  const auto probed = entry != flows.end() && entry->second.stage == SearchStage::kProbing;
+  if (probed) {
+    EndFound(balancer, flow, agent, now);
+  } else {
+    Remember(balancer, flow, agent, now);
+  }
+  return probed;
 }
 
 auto TakeProbeBack(Balancer& balancer, const FlowId& flow, Address agent, bool by_target,
--- a/src/packets/internal/search_queries.cc
+++ b/src/packets/internal/search_queries.cc
@@ -3,19 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "packets/hello.h"
 #include "packets/order.h"
 
 namespace anvildrum::packets {
 namespace {
 
-auto DigestOfPlaces(const std::vector<Place>& places) -> std::uint32_t {
-  auto hello = Hello{};
-  for (const auto& place : places) hello.peers.push_back({place.agent, {}, place.domain});
-  return DigestOf(hello);
-}
-
-// Asks `agents` for `flows`.
+// Asks `agents` for `flows`, which are of one set of services.
 auto Ask(Balancer& balancer, std::vector<FlowId> flows, const std::vector<Place>& agents,
          bool everybody, base::TimePoint now, SearchStep& step) -> void {
   const auto token = ++balancer.searches.last_token;
@@ -24,13 +17,13 @@
     auto& search = balancer.searches.flows.at(flow);
     search.stage = SearchStage::kAsked;
     search.round = token;
-    round.services = search.services;
   }
+  round.services = balancer.searches.flows.at(flows.front()).services;
   round.unsure.resize(flows.size());
   round.flows = std::move(flows);
   round.everybody = everybody;
   round.proves = everybody && round.services.size() == 1;
-  if (everybody) round.digest = DigestOfPlaces(agents);
+  if (everybody) round.digest = DigestOf(agents);
   for (const auto& place : agents) round.missing.push_back(place.agent);
   round.asked_at = now;
   round.sent_at = now;
--- a/src/packets/order.h
+++ b/src/packets/order.h
@@ -10,8 +10,8 @@
 
 /// The agents in the rendezvous order of a flow (highest random weight), the same on every instance
 /// that knows the same agents, in whatever order it lists them. Failure domains are ordered by
-/// their weights and agents within their domain, so that one domain comes
-/// after the other. The order begins with the agents of `first`, where it is one of them.
+/// their weights and agents within their domain, so that one domain comes after the other. The
+/// order begins with the agents of `first`, where it is one of them.
 ///
 /// An opening is placed among the first few of this order, so that a balancer that does not
 /// remember a flow finds it by a question to as many agents. Clients' packets come by balancers of
@@ -19,8 +19,8 @@
 auto RendezvousOrder(const FlowId& flow, std::span<const Place> agents, DomainTag first = 0)
     -> std::vector<Address>;
 
-/// Digest of a set of agents. `agents` in the order of their addresses.
-auto LongDigestOf(std::span<const Place> agents) -> std::uint64_t;
+/// Digest of a set of agents; never 0. `agents` in the order of their addresses.
+auto DigestOf(std::span<const Place> agents) -> std::uint32_t;
 
 /// The agent after `own` in a cyclic order of the flow that does not look at failure domains: an
 /// opening that found no place in one domain finds the others just as full there, but perhaps not
--- a/src/packets/routes.h
+++ b/src/packets/routes.h
@@ -25,11 +25,6 @@
   base::Duration idle_limit = base::seconds{15};  ///< a flow idle for longer may be discarded
 };
 
-/// Key of a route's address and port.
-inline auto KeyOf(const End& service) -> std::uint64_t {
-  return (std::uint64_t{service.address} << 16U) | service.port;
-}
-
 /// The service of a new flow: where several share a route, by weight and the flow's digest, so that
 /// each instance chooses the same. Nothing where no route has the flow's address.
 auto ServiceOf(const Routes& routes, const FlowId& flow) -> std::optional<base::ServiceId>;
--- a/src/packets/search.h
+++ b/src/packets/search.h
@@ -53,9 +53,10 @@
 auto TakeAnswer(Balancer& balancer, const FlowAnswer& answer, base::TimePoint now)
     -> std::vector<SearchOutcome>;
 
-/// The flow has been found by other means: its search ends where its packet was sent to the agents
-/// that could not tell. True where it did.
-auto EndSearch(Balancer& balancer, const FlowId& flow) -> bool;
+/// An agent says that its target holds a flow. True where the flow's packet had been sent to agents
+/// that could not tell: its search has ended, and what came since follows.
+auto TakeLocated(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now)
+    -> bool;
 
 /// What becomes of a packet that an agent gave back.
 struct GivenBackStep {
--- a/src/packets/tests/agent_peers_test.cc
+++ b/src/packets/tests/agent_peers_test.cc
@@ -157,10 +157,7 @@
   const auto port = kClient.port;
   FromPeer(agent, Opening(), kStart);
   BOOST_TEST(AnswerQuery(agent, QueryOf(port), kStart).unsure.size() == 1U);
-  auto answer = Reply(0);
-  answer.synchronize = true;
-  answer.sequence = 5000;
-  FromTarget(agent, answer, kStart);
+  FromTarget(agent, OpeningAnswer(5000), kStart);
   BOOST_TEST(AnswerQuery(agent, QueryOf(port), kStart).unsure.size() == 1U);
   auto elsewhere = agent;
   auto data = Data();
--- a/src/packets/tests/agent_rig.h
+++ b/src/packets/tests/agent_rig.h
@@ -94,4 +94,12 @@
   return packet;
 }
 
+/// The target's answer to an opening.
+inline auto OpeningAnswer(std::uint32_t sequence) -> Packet {
+  auto answer = Reply(0);
+  answer.synchronize = true;
+  answer.sequence = sequence;
+  return answer;
+}
+
 }  // namespace anvildrum::packets::agent_tests
--- a/src/packets/tests/agent_test.cc
+++ b/src/packets/tests/agent_test.cc
@@ -90,10 +90,7 @@
 BOOST_AUTO_TEST_CASE(packets_of_a_flow_that_opened_at_another_target_are_given_back) {
   auto agent = MakeAgent();
   FromPeer(agent, Opening(false), kStart);
-  auto answer = Reply(0);
-  answer.synchronize = true;
-  answer.sequence = 5000;
-  FromTarget(agent, answer, kStart);
+  FromTarget(agent, OpeningAnswer(5000), kStart);
   auto data = Data();
   data.acknowledged = 777001;
   for (auto i = 0; i < 2; ++i) {
@@ -118,10 +115,7 @@
 BOOST_AUTO_TEST_CASE(packets_of_a_flow_that_opened_here_are_delivered_whatever_they_acknowledge) {
   auto agent = MakeAgent();
   FromPeer(agent, Opening(), kStart);
-  auto answer = Reply(0);
-  answer.synchronize = true;
-  answer.sequence = 5000;
-  FromTarget(agent, answer, kStart);
+  FromTarget(agent, OpeningAnswer(5000), kStart);
   auto data = Data();
   data.acknowledged = 5001;
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, data, kStart)));
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -313,10 +313,9 @@
   this->Carry([this, balancer, report] {
     auto& site = this->balancers[balancer - kFirstBalancer];
     TakeReport(site.core.view, report, this->now);
-    if (report.wanted_list == 0) return;
-    const auto hello = site.said.find(report.service);
-    if (hello == site.said.end() || hello->second.brief.digest != report.wanted_list) return;
-    for (const auto& part : hello->second.listed) this->Say(report.agent, balancer, part);
+    for (const auto& part : WantedParts(site.said, report)) {
+      this->Say(report.agent, balancer, part);
+    }
   });
 }
 
@@ -392,7 +391,7 @@
     const auto step = StepSearches(awake.core, this->now);
     for (const auto& addressed : step.queries) this->Query(index, addressed);
     this->Apply(index, step.outcomes);
-    awake.searching = !awake.core.searches.flows.empty() || !awake.core.searches.rounds.empty();
+    awake.searching = !IsIdle(awake.core.searches);
     if (!awake.searching) return;
     this->Later(kSearchCheck, [this, index, starts] { this->StepSearch(index, starts); });
   });
--- a/src/packets/types/packet.h
+++ b/src/packets/types/packet.h
@@ -17,6 +17,11 @@
   auto operator<=>(const End&) const = default;  // NOLINT(modernize-use-nullptr): false positive
 };
 
+/// The end as a number of 48 bits, its address above its port.
+inline auto KeyOf(const End& end) -> std::uint64_t {
+  return (std::uint64_t{end.address} << 16U) | end.port;
+}
+
 /// The two ends of a flow, whichever of them sent the packet at hand.
 struct FlowId {
   End client;
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -97,6 +97,11 @@
   base::TimePoint all_at_once_until{};
 };
 
+/// Whether there is anything to step.
+inline auto IsIdle(const Searches& searches) -> bool {
+  return searches.flows.empty() && searches.rounds.empty();
+}
+
 /// The flow's packets go to this agent.
 struct FlowFound {
   FlowId flow;
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -31,8 +31,9 @@
   /// A member that has not reported for this long is taken as gone, or for kReportsMissed periods
   /// of greeting where these are longer.
   base::Duration alive_for = base::milliseconds{1000};
-  /// A member that left an opening without an answer is given no other until it reports, and is
-  /// asked at each check. Without a report for this long, ten questions, it is taken as gone.
+  /// A member that left an opening or a query without an answer is given no other until it reports,
+  /// and is asked at each check. Without a report for this long, ten questions, it is taken as
+  /// gone.
   base::Duration suspect_for = base::milliseconds{500};
   /// A member with a record that has been silent for this long is off, cut off or frozen. An agent
   /// that is started again is back within three seconds.
@@ -77,7 +78,7 @@
 /// The agent reported. False for a report that is older than the last one of the same start.
 auto TakeReport(View& view, const TargetReport& report, base::TimePoint now) -> bool;
 
-/// The member left an opening without an answer.
+/// The member left an opening or a query without an answer.
 auto Suspect(Member& member, base::TimePoint now) -> void;
 
 /// Drops members without a record that have been silent for long.
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/tcp_endpoint.h"
 #include "platform/internal/http_call.h"
 
 namespace anvildrum::platform {
@@ -22,12 +23,6 @@
 
 constexpr auto kHttp11 = 11U;
 
-auto ToAsio(const base::Endpoint& endpoint) -> tcp::endpoint {
-  auto address = asio::ip::address_v6(endpoint.address);
-  if (!base::IsV4(endpoint)) return {address, endpoint.port};
-  return {asio::ip::make_address_v4(asio::ip::v4_mapped, address), endpoint.port};
-}
-
 auto VerbOf(HttpMethod method) -> http::verb {
   switch (method) {
     case HttpMethod::kPost:
@@ -137,7 +132,7 @@
   this->connection = std::make_unique<Connection>(this->core->context);
   auto& stream = this->connection->stream;
   stream.expires_after(settings.connect_timeout);
-  auto endpoint = ToAsio(settings.endpoints[this->core->endpoint]);
+  auto endpoint = base::ToTcp(settings.endpoints[this->core->endpoint]);
   stream.async_connect(endpoint, [self = this->shared_from_this()](beast::error_code error) {
     if (self->core->stopped) return;
     if (error) return self->ConnectFailed();
