--- a/src/packetd/adapter.h
+++ b/src/packetd/adapter.h
@@ -35,9 +35,11 @@
   auto(*encode_object)(const platform::Object& object) -> std::string = nullptr;
   std::string_view configuration_prefix;  ///< of the operator's object at the platform
   std::string_view configuration_key;     ///< of the object itself
-  std::string_view members_prefix;        ///< of the agents' records
-  std::string_view readiness_path;        ///< GET: 200 or 503
-  std::string_view heartbeat_path;        ///< PUT and DELETE, followed by the target's id
+  /// Objects of operators, each named after a failure domain that is drained while it is there.
+  std::string_view drains_prefix;
+  std::string_view members_prefix;  ///< of the agents' records
+  std::string_view readiness_path;  ///< GET: 200 or 503
+  std::string_view heartbeat_path;  ///< PUT and DELETE, followed by the target's id
 };
 
 }  // namespace anvildrum::packetd
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "packetd/adapter.h"
 #include "packetd/flow_searcher.h"
 #include "packetd/internal/operator_view.h"
+#include "packetd/operator_reads.h"
 #include "packetd/peer_configuration.h"
 #include "packetd/settings.h"
 #include "packets/balancer.h"
@@ -27,6 +29,14 @@
 
 namespace anvildrum::packetd {
 
+/// A configuration that another process has, newer than the own one.
+struct NewerConfiguration {
+  packets::Address from = 0;
+  std::uint64_t revision = 0;
+  base::TimePoint asked_at{};  ///< for it, the last time
+  bool ask_platform = false;   ///< the next time, in place of the process that has it
+};
+
 /// The balancer as a process: sockets, timers and the platform round packets::Balancer.
 class BalancerNode {
  public:
@@ -52,12 +62,21 @@
   auto AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void;
   auto OnReport(const packets::TargetReport& report, base::TimePoint now) -> void;
   auto OnAnswer(const platform::PlatformError* error) -> void;
+  auto OnDrains(const platform::Listing& drains) -> void;
+  auto TakeDrained(const packets::DrainedDomains& told, std::string_view from) -> void;
+  auto TakeConfirmation(const packets::Hello& hello, base::TimePoint now) -> bool;
+  auto NoteNewer(packets::Address from, std::uint64_t revision, base::TimePoint now) -> void;
+  auto AskForNewer(base::TimePoint now) -> void;
   auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
   auto OnRecord(const platform::Object& object) -> void;
   auto OpenPorts() -> base::Result<void>;
   auto Watch() -> void;
-  [[nodiscard]] auto ConfigurationHold() const -> base::Duration;
+  auto WatchAsSeed() -> void;
+  auto MakeReadPorts() -> OperatorReadPorts;
+  [[nodiscard]] auto IsSeed() const -> bool;
+  [[nodiscard]] auto Balancers() const -> std::set<packets::Address>;
   auto TellBalancers(base::TimePoint now) -> void;
+  auto TellAtOnce() -> void;
   [[nodiscard]] auto Complete(packets::Hello hello) const -> std::string;
   auto OnHello(packets::Address from, const packets::Hello& hello, base::TimePoint now) -> void;
   auto SendControl(packets::Address to, std::string_view text) -> void;
@@ -77,8 +96,9 @@
   platform::Client client;
   platform::Client record_client;  ///< whose reads may be seconds old
   PeerConfiguration peers;
+  OperatorReads reads;
+  std::optional<NewerConfiguration> newer;
   std::map<packets::Address, base::TimePoint> balancers;  ///< when they last said hello
-  std::uint32_t others = 0;      ///< balancers there are besides this one, as far as is told
   std::size_t hearsay_from = 0;  ///< where the next message to balancers goes on
   std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
@@ -94,7 +114,8 @@
   std::unique_ptr<net::PeriodicTimer> ask_timer;
   std::unique_ptr<net::PeriodicTimer> check_timer;
   std::unique_ptr<net::PeriodicTimer> sweep_timer;
-  std::unique_ptr<platform::PrefixWatcher> configuration_watcher;
+  std::unique_ptr<platform::PrefixWatcher> configuration_watcher;  ///< at a seed
+  std::unique_ptr<platform::PrefixWatcher> drains_watcher;         ///< the same
   std::unique_ptr<platform::PrefixWatcher> record_watcher;
 };
 
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -280,7 +280,7 @@
   const auto* hello = control ? std::get_if<packets::Hello>(&*control) : nullptr;
   const auto* query = control ? std::get_if<packets::FlowQuery>(&*control) : nullptr;
   if (hello != nullptr) {
-    packets::TakeHello(this->core, sender, *hello, base::Now());
+    this->OnHello(sender, *hello);
     this->KeepConfiguration(sender, hello->revision);
     return this->Report(sender);
   }
@@ -290,6 +290,17 @@
   ++this->malformed;
 }
 
+auto AgentNode::OnHello(packets::Address balancer, const packets::Hello& hello) -> void {
+  const auto was_drained = packets::IsDrained(this->core.drained, this->core.domain);
+  packets::TakeHello(this->core, balancer, hello, base::Now());
+  const auto is_drained = packets::IsDrained(this->core.drained, this->core.domain);
+  if (was_drained == is_drained) return;
+  Log(LogLevel::kInfo, is_drained ? "domain_drained" : "domain_taken_back",
+      {{"domain", this->settings.failure_domain},
+       {"revision", this->core.drained.revision},
+       {"flows", this->core.flows.size()}});
+}
+
 auto AgentNode::TargetIdOf(std::string_view path) const -> std::string_view {
   return path.substr(std::min(path.size(), this->adapter.heartbeat_path.size()));
 }
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -1,10 +1,3 @@
-// A watch that has gone silent without a sign is found by its end. Balancers tell each other of the
-// configuration that they have in force, so that one of them whose watch is well is enough: where
-// there are many, each waits longer, up to the platform's most. One of 26 balancers that wait for
-// 16 s each begins a new watch within any four seconds but in one case of 2,000.
-constexpr auto kShareOfWatch = 6;
-constexpr auto kLongestHold = base::seconds{25};
-
 #include "packetd/balancer_node.h"
 
 #include <algorithm>
@@ -26,12 +19,20 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-// What remains of the time in which a configuration has to be in force, when a watch of it has gone
-// silent without a sign: the call's timeout and a list.
-constexpr auto kAfterSilentWatch = base::milliseconds{1200};
+// Changes in quick succession end one watch in this time.
+constexpr auto kSeedPause = base::milliseconds{250};
+
+// Seeds wait this long at the platform for a change; a watch only tells early what the next read
+// would find.
+constexpr auto kSeedHold = base::seconds{25};
+
+// Between two questions for a configuration that another balancer has in force: that one and the
+// platform, which answers within 300 ms while it is slow, are asked in turn.
+constexpr auto kAskForNewerEvery = base::milliseconds{400};
 
-// Configurations in quick succession are read by one call in this time.
-constexpr auto kConfigurationPause = base::milliseconds{250};
+// Longer configurations are read at the platform first: a balancer that served a dozen others would
+// fill its link for a second.
+constexpr auto kServedByPeers = std::size_t{64} * 1024;
 
 // Records tell a balancer whom to say hello to; what changes quickly it hears from agents and other
 // balancers. A fleet's start is read by a few calls instead of one for each agent: 65 machines made
@@ -77,7 +78,8 @@
       client(MakeClient(io, settings, *adapter.dialect)),
       record_client(MakeClient(io, settings, *adapter.stale_dialect)),
       peers(io, adapter, settings,
-            [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }) {
+            [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }),
+      reads(this->client, adapter, settings, this->MakeReadPorts()) {
   this->core.view.policy = this->core.policy.view;
   this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
@@ -97,6 +99,8 @@
   this->check_timer = std::make_unique<net::PeriodicTimer>(
       this->io, packets::kStallCheck, [this](base::TimePoint now) {
         packets::NoteEvent(this->core.stall, now);
+        this->reads.Check(now);
+        this->AskForNewer(now);
         this->Greet(now);
       });
   this->sweep_timer =
@@ -139,16 +143,8 @@
 
 auto BalancerNode::Watch() -> void {
   const auto seed = StartSeed(this->settings);
-  const auto hold = this->ConfigurationHold();
-  this->configuration_watcher = std::make_unique<platform::PrefixWatcher>(
-      this->io, this->client,
-      platform::PrefixWatcherSettings{.prefix = std::string(this->adapter.configuration_prefix),
-                                      .policy = WatchPolicyOf(hold, kConfigurationPause),
-                                      .seed = seed},
-      platform::PrefixWatcherCallbacks{
-          .on_change =
-              [this](const platform::Object& object) { this->OnConfiguration(object, "platform"); },
-          .on_answer = [this](const platform::PlatformError* error) { this->OnAnswer(error); }});
+  this->reads.Check(base::Now());
+  this->WatchAsSeed();
   this->record_watcher = std::make_unique<platform::PrefixWatcher>(
       this->io, this->record_client,
       platform::PrefixWatcherSettings{.prefix = std::string(this->adapter.members_prefix),
@@ -164,16 +160,48 @@
               }});
 }
 
-auto BalancerNode::ConfigurationHold() const -> base::Duration {
-  const auto alone = this->settings.configuration_within - kAfterSilentWatch;
-  const auto shared = alone * static_cast<std::int64_t>(this->others) / kShareOfWatch;
-  return std::max(alone, std::min<base::Duration>(shared, kLongestHold));
+auto BalancerNode::IsSeed() const -> bool {
+  const auto& seeds = this->settings.seeds;
+  return std::any_of(seeds.begin(), seeds.end(),
+                     [&](const base::Endpoint& seed) { return AddressOf(seed) == this->core.own; });
+}
+
+// Changes reach the fleet within milliseconds by the few balancers that are seeds: they wait for
+// them at the platform and tell the others. That they do is not relied on.
+auto BalancerNode::WatchAsSeed() -> void {
+  this->configuration_watcher.reset();
+  this->drains_watcher.reset();
+  if (!this->IsSeed()) return;
+  const auto watch = [this](std::string_view prefix, std::uint64_t seed) {
+    return std::make_unique<platform::PrefixWatcher>(
+        this->io, this->client,
+        platform::PrefixWatcherSettings{.prefix = std::string(prefix),
+                                        .policy = WatchPolicyOf(kSeedHold, kSeedPause),
+                                        .seed = seed},
+        platform::PrefixWatcherCallbacks{.on_change = [this](const platform::Object& /*object*/) {
+          this->reads.Hasten(base::Now());
+        }});
+  };
+  const auto seed = StartSeed(this->settings);
+  this->configuration_watcher = watch(this->adapter.configuration_prefix, seed + 2);
+  if (this->settings.drains_within) {
+    this->drains_watcher = watch(this->adapter.drains_prefix, seed + 3);
+  }
+}
+
+auto BalancerNode::MakeReadPorts() -> OperatorReadPorts {
+  return {.on_configuration =
+              [this](const platform::Object& object) { this->OnConfiguration(object, "platform"); },
+          .on_drains = [this](const platform::Listing& drains) { this->OnDrains(drains); },
+          .on_answer = [this](const platform::PlatformError* error) { this->OnAnswer(error); },
+          .on_confirmed = [this] { this->TellAtOnce(); }};
 }
 
 auto BalancerNode::Reload(const Settings& changed) -> void {
   if (this->settings.seeds == changed.seeds) return;
   this->settings.seeds = changed.seeds;
   this->peers.SetSeeds(changed.seeds);
+  this->WatchAsSeed();
 }
 
 auto BalancerNode::Stop() -> base::Duration {
@@ -282,15 +310,14 @@
     -> void {
   const auto is_new = !this->balancers.contains(from);
   this->balancers[from] = now;
-  this->others = std::max(hello.balancers, static_cast<std::uint32_t>(this->balancers.size()));
-  this->configuration_watcher->SetHold(this->ConfigurationHold());
-  if (hello.revision > this->peers.Revision()) {
-    this->peers.AskFor(from);
-  }
+  this->TakeDrained(hello.drained, "balancer");
+  this->NoteNewer(from, hello.revision, now);
+  if (this->TakeConfirmation(hello, now) && this->IsSeed()) this->TellAtOnce();
   for (const auto& peer : hello.peers) {
     packets::AddHearsay(this->core.view, peer.agent, peer.service, now);
   }
-  if (!is_new && !hello.peers.empty()) return;
+  const auto knows_agents = !hello.listed || !hello.peers.empty();
+  if (!is_new && knows_agents) return;
   for (const auto& part : packets::WholeHearsay(this->core.view, now)) {
     this->SendControl(from, this->Complete(part));
   }
@@ -324,6 +351,7 @@
 // An agent that lacks the list which the last hellos named is sent it.
 auto BalancerNode::OnReport(const packets::TargetReport& report, base::TimePoint now) -> void {
   packets::TakeReport(this->core.view, report, now);
+  this->TakeDrained(report.drained, "agent");
   this->AskAgent(report, now);
   for (const auto& part : packets::WantedParts(this->said, report)) {
     this->SendControl(report.agent, packets::EncodeControl(part));
@@ -335,18 +363,59 @@
 auto BalancerNode::TellBalancers(base::TimePoint now) -> void {
   std::erase_if(this->balancers,
                 [&](const auto& entry) { return now - entry.second > kBalancerFor; });
+  const auto hearsay = packets::NextHearsay(this->core.view, this->hearsay_from, now);
+  const auto text = this->Complete(hearsay);
+  for (const auto balancer : this->Balancers()) this->SendControl(balancer, text);
+}
+
+auto BalancerNode::Balancers() const -> std::set<packets::Address> {
   auto to = std::set<packets::Address>{};
   for (const auto& [balancer, heard] : this->balancers) to.insert(balancer);
   for (const auto& seed : this->settings.seeds) to.insert(AddressOf(seed));
-  to.erase(AddressOf(this->settings.packets));
-  const auto hearsay = packets::NextHearsay(this->core.view, this->hearsay_from, now);
-  const auto text = this->Complete(hearsay);
-  for (const auto balancer : to) this->SendControl(balancer, text);
+  to.erase(this->core.own);
+  return to;
+}
+
+// Others put off their own reads, or read what is new.
+auto BalancerNode::TellAtOnce() -> void {
+  auto brief = packets::Hello{};
+  brief.listed = false;
+  const auto text = this->Complete(brief);
+  for (const auto balancer : this->Balancers()) this->SendControl(balancer, text);
+}
+
+// Whether the other balancer's read confirms what this one has. Seeds tell it on, where it is news:
+// others know no balancers but seeds.
+auto BalancerNode::TakeConfirmation(const packets::Hello& hello, base::TimePoint now) -> bool {
+  const auto same = hello.revision == this->peers.Revision() &&
+                    hello.drained.domains == this->core.view.drained.domains;
+  if (!hello.confirmed_ago || !same) return false;
+  return this->reads.Confirm(now - *hello.confirmed_ago, now);
+}
+
+auto BalancerNode::NoteNewer(packets::Address from, std::uint64_t revision, base::TimePoint now)
+    -> void {
+  if (revision <= std::max(this->peers.Revision(), this->newer ? this->newer->revision : 0)) return;
+  this->newer = NewerConfiguration{from, revision, {}, this->peers.Size() > kServedByPeers};
+  this->AskForNewer(now);
+}
+
+// The other balancer may have gone since, and the platform may not answer this one.
+auto BalancerNode::AskForNewer(base::TimePoint now) -> void {
+  if (!this->newer) return;
+  if (this->newer->revision <= this->peers.Revision()) return this->newer.reset();
+  if (now - this->newer->asked_at < kAskForNewerEvery) return;
+  this->newer->asked_at = now;
+  const auto ask_platform = this->newer->ask_platform;
+  this->newer->ask_platform = !ask_platform;
+  if (ask_platform) return this->reads.FetchConfiguration();
+  this->peers.AskFor(this->newer->from);
 }
 
 auto BalancerNode::Complete(packets::Hello hello) const -> std::string {
   hello.revision = this->peers.Revision();
-  hello.balancers = static_cast<std::uint32_t>(this->balancers.size());
+  hello.drained = this->core.view.drained;
+  hello.confirmed_ago = this->reads.Age(base::Now());
   return packets::EncodeControl(hello);
 }
 
@@ -366,8 +435,7 @@
   const auto calls = CountsOf(this->client.Counts());
   counts.insert(counts.end(), calls.begin(), calls.end());
   counts.push_back({"malformed_total", "Datagrams and heartbeats refused whole", this->malformed});
-  const auto left_out = this->configuration_watcher->Counters().unreadable +
-                        this->record_watcher->Counters().unreadable;
+  const auto left_out = this->record_watcher->Counters().unreadable;
   counts.push_back({"unreadable_total", "Entries of the platform that could not be used",
                     this->unreadable + left_out});
   return counts;
@@ -407,8 +475,7 @@
   return 0;
 }
 
-// The watch of the configuration tells of the platform: one line when it is lost, one when it is
-// back.
+// Reads of the configuration tell of the platform: one line when it is lost, one when it is back.
 auto BalancerNode::OnAnswer(const platform::PlatformError* error) -> void {
   const auto now = base::Now();
   if (error == nullptr) {
@@ -428,6 +495,7 @@
 
 auto BalancerNode::OnConfiguration(const platform::Object& object, std::string_view from) -> void {
   if (object.deleted || object.key != this->adapter.configuration_key) return;
+  if (object.revision == this->peers.Revision()) return;  // in force already
   auto routes = this->adapter.decode_configuration(object.value);
   if (!routes) {
     ++this->unreadable;
@@ -443,6 +511,27 @@
       {{"version", version}, {"routes", count}, {"revision", object.revision}, {"from", from}});
 }
 
+auto BalancerNode::OnDrains(const platform::Listing& drains) -> void {
+  this->unreadable += drains.unreadable;
+  auto domains = std::vector<packets::DomainTag>{};
+  auto names = std::string{};
+  for (const auto& drain : drains.items) {
+    const auto name = std::string_view{drain.key}.substr(this->adapter.drains_prefix.size() + 1);
+    domains.push_back(packets::DomainTagOf(name));
+    names += (names.empty() ? "" : " ") + std::string(name);
+  }
+  this->TakeDrained(packets::DrainedOf(drains.revision, std::move(domains)), names);
+}
+
+auto BalancerNode::TakeDrained(const packets::DrainedDomains& told, std::string_view from) -> void {
+  if (!packets::TakeDrained(this->core.view, told)) return;
+  Log(LogLevel::kInfo, "domains_drained",
+      {{"count", told.domains.size()},
+       {"own", packets::IsDrained(told, this->core.domain)},
+       {"revision", told.revision},
+       {"from", from}});
+}
+
 auto BalancerNode::OnRecord(const platform::Object& object) -> void {
   const auto agent = AgentOfKey(object.key);
   const auto record = DecodeRecord(object.value);
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -30,6 +30,8 @@
       {"found_total", "Flows that an agent said it holds", counters.found},
       {"not_found_total", "Searches for flows without a result", counters.not_found},
       {"resets_total", "Flows that no target holds, answered by a reset", counters.resets},
+      {"drained_domains", "Failure domains that an operator has drained",
+       balancer.view.drained.domains.size(), true},
   };
 }
 
@@ -41,6 +43,8 @@
       {"returned_total", "Packets that the target gave back", counters.returned},
       {"passed_on_total", "Openings sent to the next agent", counters.passed_on},
       {"over_limit_total", "Openings for which the target had no place", counters.over_limit},
+      {"drained", "Whether the target's failure domain is drained",
+       packets::IsDrained(agent.drained, agent.domain) ? 1U : 0U, true},
       {"wrong_service_total", "Packets for another service", counters.wrong_service},
       {"none_left_total", "Openings that no agent took", counters.none_left},
       {"given_back_total", "Packets sent back to their balancer", counters.given_back},
@@ -63,7 +67,11 @@
 auto Export(telemetry::Registry& registry, const std::vector<NamedCount>& counts) -> void {
   for (const auto& count : counts) {
     const auto name = std::string(kPrefix) + std::string(count.name);
-    telemetry::AddCounter(registry, name, count.help).value = count.value;
+    if (count.is_gauge) {
+      telemetry::AddGauge(registry, name, count.help).value = static_cast<double>(count.value);
+    } else {
+      telemetry::AddCounter(registry, name, count.help).value = count.value;
+    }
   }
 }
 
--- /dev/null
+++ b/src/packetd/internal/operator_reads.cc
@@ -0,0 +1,98 @@
+#include "packetd/operator_reads.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "base/clock.h"
+#include "packetd/internal/common.h"
+
+namespace anvildrum::packetd {
+namespace {
+
+// Of the time in which a change has to be in force: a read of any balancer falls due after one part
+// at the earliest and two at the latest; the others are for a call that hangs and its repetition.
+constexpr auto kPartsOfBound = 4;
+
+auto PolicyFor(const Settings& settings) -> platform::SharedReadsPolicy {
+  const auto bound = std::min(settings.configuration_within,
+                              settings.drains_within.value_or(base::Duration::max()));
+  return {.fresh_for = bound / kPartsOfBound, .spread = bound / kPartsOfBound};
+}
+
+template <typename T>
+auto ErrorOf(const platform::Outcome<T>& outcome) -> const platform::PlatformError* {
+  return std::get_if<platform::PlatformError>(&outcome);
+}
+
+}  // namespace
+
+OperatorReads::OperatorReads(platform::Client& client, const Adapter& adapter,
+                             const Settings& settings, OperatorReadPorts ports)
+    : client(client),
+      adapter(adapter),
+      ports(std::move(ports)),
+      reads_drains(settings.drains_within.has_value()),
+      reads(platform::MakeSharedReads(PolicyFor(settings), StartSeed(settings))) {}
+
+auto OperatorReads::Check(base::TimePoint now) -> void {
+  if (!platform::IsReadDue(this->reads, now)) return;
+  platform::BeginRead(this->reads, now);
+  this->failed = false;
+  this->awaited = this->reads_drains ? 2 : 1;
+  if (this->reads_drains) {
+    this->client.List(this->adapter.drains_prefix,
+                      [this](const platform::Outcome<platform::Listing>& outcome) {
+                        const auto* error = ErrorOf(outcome);
+                        if (error == nullptr) {
+                          this->ports.on_drains(std::get<platform::Listing>(outcome));
+                        }
+                        this->OnPart(error);
+                      });
+  }
+  this->GetConfiguration([this](const platform::PlatformError* error) { this->OnPart(error); });
+}
+
+auto OperatorReads::FetchConfiguration() -> void {
+  this->GetConfiguration([](const platform::PlatformError* /*error*/) {});
+}
+
+auto OperatorReads::GetConfiguration(std::function<void(const platform::PlatformError*)> then)
+    -> void {
+  this->client.Get(this->adapter.configuration_key,
+                   [this, then = std::move(then)](const platform::Outcome<platform::Object>& got) {
+                     const auto* error = ErrorOf(got);
+                     if (error == nullptr) {
+                       this->ports.on_configuration(std::get<platform::Object>(got));
+                     }
+                     then(error);
+                   });
+}
+
+auto OperatorReads::OnPart(const platform::PlatformError* error) -> void {
+  // Before the first configuration there is none to be read, and that is known to hold as well.
+  const auto absent = error != nullptr && error->code == platform::PlatformErrorCode::kNotFound;
+  if (absent) error = nullptr;
+  this->ports.on_answer(error);
+  if (error != nullptr) this->failed = true;
+  if (--this->awaited != 0) return;
+  const auto now = base::Now();
+  if (this->failed) return platform::FailRead(this->reads, now);
+  platform::EndRead(this->reads, now);
+  this->ports.on_confirmed();
+}
+
+auto OperatorReads::Hasten(base::TimePoint now) -> void { platform::HastenRead(this->reads, now); }
+
+auto OperatorReads::Confirm(base::TimePoint as_of, base::TimePoint now) -> bool {
+  const auto before = this->Age(now);
+  platform::TakeConfirmation(this->reads, as_of, now);
+  const auto after = this->Age(now);
+  return before && after && *before - *after > this->reads.policy.fresh_for / 2;
+}
+
+auto OperatorReads::Age(base::TimePoint now) const -> std::optional<base::Duration> {
+  return platform::AgeOf(this->reads, now);
+}
+
+}  // namespace anvildrum::packetd
--- a/src/packetd/internal/settings.cc
+++ b/src/packetd/internal/settings.cc
@@ -90,6 +90,9 @@
   TakeSeconds(section, "grace_seconds", {0, kMaxSeconds}, settings.grace);
   TakeSeconds(section, "configuration_within_seconds", {kLeastSeconds, kMaxSeconds},
               settings.configuration_within);
+  auto drains_within = base::Duration{};
+  TakeSeconds(section, "drains_within_seconds", {kLeastSeconds, kMaxSeconds}, drains_within);
+  if (drains_within != base::Duration{}) settings.drains_within = drains_within;
   if (settings.role == Role::kAgent) settings.agent = TakeAgent(section);
   json::CloseSection(section);
   return settings;
--- a/src/packetd/metrics.h
+++ b/src/packetd/metrics.h
@@ -16,6 +16,7 @@
   std::string_view name;  ///< Prometheus name, without the common prefix
   std::string_view help;
   std::uint64_t value = 0;
+  bool is_gauge = false;  ///< it may fall
 };
 
 auto CountsOf(const packets::Balancer& balancer) -> std::vector<NamedCount>;
--- /dev/null
+++ b/src/packetd/operator_reads.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+#include "base/types/time.h"
+#include "packetd/adapter.h"
+#include "packetd/settings.h"
+#include "platform/client.h"
+#include "platform/shared_reads.h"
+
+namespace anvildrum::packetd {
+
+/// Whom the reads tell.
+struct OperatorReadPorts {
+  std::function<void(const platform::Object&)> on_configuration;
+  std::function<void(const platform::Listing&)> on_drains;        ///< all that are drained
+  std::function<void(const platform::PlatformError*)> on_answer;  ///< null: no error
+  std::function<void()> on_confirmed;  ///< all of a read has been given: others may put off theirs
+};
+
+/// Reads what operators want, the configuration and the drained failure domains, at the platform,
+/// in turn with the other balancers (platform::SharedReads). Reads are linearizable: what one
+/// brings was the newest when it began.
+class OperatorReads {
+ public:
+  /// `client` and `adapter` have to outlive it.
+  OperatorReads(platform::Client& client, const Adapter& adapter, const Settings& settings,
+                OperatorReadPorts ports);
+
+  /// Reads where it is this balancer's turn. Called at each check of stalls.
+  auto Check(base::TimePoint now) -> void;
+
+  /// Reads the configuration alone: another balancer has a newer one. An answer confirms nothing,
+  /// and an error is followed by the next regular read.
+  auto FetchConfiguration() -> void;
+
+  /// There is something newer at the platform.
+  auto Hasten(base::TimePoint now) -> void;
+
+  /// Another balancer's read, begun at `as_of`, found nothing newer than what is known here. True
+  /// where what is known had not been confirmed for a while.
+  auto Confirm(base::TimePoint as_of, base::TimePoint now) -> bool;
+
+  /// How long ago what is known was confirmed; nothing before the first read.
+  [[nodiscard]] auto Age(base::TimePoint now) const -> std::optional<base::Duration>;
+
+ private:
+  auto GetConfiguration(std::function<void(const platform::PlatformError*)> then) -> void;
+  auto OnPart(const platform::PlatformError* error) -> void;
+
+  platform::Client& client;
+  const Adapter& adapter;
+  OperatorReadPorts ports;
+  bool reads_drains = false;
+  platform::SharedReads reads;
+  unsigned awaited = 0;  ///< answers of the read under way
+  bool failed = false;   ///< one of them was an error
+};
+
+}  // namespace anvildrum::packetd
--- a/src/packetd/types/settings.h
+++ b/src/packetd/types/settings.h
@@ -36,6 +36,9 @@
   std::optional<base::Endpoint> metrics;    ///< HTTP: counters and latencies for operators
   base::Duration grace = base::seconds{6};  ///< from SIGTERM to SIGKILL
   base::Duration configuration_within = base::seconds{3};  ///< from acceptance to being in force
+  /// From an operator's draining a failure domain to the last opening there; nothing where
+  /// operators drain none.
+  std::optional<base::Duration> drains_within;
   std::optional<AgentSettings> agent;
   auto operator==(const Settings&) const -> bool = default;
 };
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -178,6 +178,7 @@
   LocalTarget target;
   std::unordered_map<Address, BalancerHello> balancers;
   std::optional<WantedList> wanted;
+  DrainedDomains drained;    ///< as balancers have told
   std::vector<Place> peers;  ///< agents of the service that any of them holds for alive
   std::uint32_t peers_digest = 0;
   base::TimePoint peers_since{};  ///< when `peers` last changed
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -103,6 +103,7 @@
   kNoConfiguration,
   kNoRoute,
   kNoTarget,
+  kDrained,  ///< all domains in which the service has targets are drained
   kWrongService,
   kNoneTook,      ///< an opening that every agent on its way passed on
   kMayBeOpen,     ///< an opening that nobody took now, but somebody may have taken before
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/types/time.h"
+#include "packets/drain.h"
 #include "packets/types/query.h"
 #include "packets/types/target.h"
 
@@ -42,10 +43,12 @@
   /// before: their targets may hold flows which an earlier process opened. At most kMostRestarted.
   std::vector<Address> restarted{};
   /// The platform's revision of the configuration that the sender has in force; 0: none. A balancer
-  /// whose watch has gone silent learns of a newer one by it, an agent that keeps a copy asks for
-  /// it.
+  /// that has an older one reads it, an agent that keeps a copy asks for it.
   std::uint64_t revision = 0;
-  std::uint32_t balancers = 0;  ///< to a balancer: others that the sender hears from
+  DrainedDomains drained{};  ///< as the sender knows them
+  /// To a balancer: the platform said this long ago that there is nothing newer than `revision` and
+  /// `drained`; nothing where that is not known.
+  std::optional<base::Duration> confirmed_ago{};
 };
 
 /// Agents that a hello names as started anew, the rest of a datagram: beyond that their targets are
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -12,7 +12,8 @@
 namespace {
 
 auto TakesOpenings(const Agent& agent, base::TimePoint now) -> bool {
-  return StateOf(agent, now) == TargetState::kReady && !agent.stopping;
+  const auto drained = IsDrained(agent.drained, agent.domain);
+  return StateOf(agent, now) == TargetState::kReady && !agent.stopping && !drained;
 }
 
 auto NoneLeft(Agent& agent, const Packet& packet) -> AgentVerdict {
@@ -25,10 +26,11 @@
 // An opening, to the next agent in its flow's order. The stamp counts the agents that it has seen,
 // so that it ends after some of them whatever each believes of the others.
 auto PassOn(Agent& agent, const Packet& packet) -> AgentVerdict {
-  const auto most = std::min<std::size_t>(OthersOf(agent), agent.policy.opening_hops);
+  const auto others = OpenPeers(agent);
+  const auto most = std::min<std::size_t>(others.size(), agent.policy.opening_hops);
   if (packet.stamp.hops >= most) return NoneLeft(agent, packet);
   const auto own = Place{agent.own, agent.domain};
-  const auto next = NextAnywhere(FlowFromClient(packet), agent.peers, own);
+  const auto next = NextAnywhere(FlowFromClient(packet), others, own);
   if (next == 0) return NoneLeft(agent, packet);
   ++agent.counters.passed_on;
   auto stamp = packet.stamp;
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <span>
 #include <unordered_set>
@@ -99,10 +100,21 @@
   agent.peers_since = now;
 }
 
-auto OthersOf(const Agent& agent) -> std::size_t {
-  return static_cast<std::size_t>(
-      std::count_if(agent.peers.begin(), agent.peers.end(),
-                    [&](const Place& peer) { return peer.agent != agent.own; }));
+auto OpenPeers(const Agent& agent) -> std::vector<Place> {
+  auto open = std::vector<Place>{};
+  std::copy_if(agent.peers.begin(), agent.peers.end(), std::back_inserter(open),
+               [&](const Place& peer) {
+                 return peer.agent != agent.own && !IsDrained(agent.drained, peer.domain);
+               });
+  return open;
+}
+
+auto DrainedFor(const Agent& agent, Address balancer) -> DrainedDomains {
+  const auto entry = agent.balancers.find(balancer);
+  if (entry == agent.balancers.end()) return agent.drained;
+  const auto& known = entry->second.said.drained;
+  const auto knows = known.revision != 0 && known.domains == agent.drained.domains;
+  return knows || known.revision >= agent.drained.revision ? DrainedDomains{} : agent.drained;
 }
 
 // While an agent is away, or one may be unknown to some balancer, nobody can tell that a flow is
@@ -164,6 +176,7 @@
 }
 
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
+  TakeDrained(agent.drained, hello.drained);
   if (hello.service != agent.service) return false;
   auto& known = agent.balancers[balancer];
   const auto late = !IsFresh(agent, known, now);
--- a/src/packets/internal/agent_peers.h
+++ b/src/packets/internal/agent_peers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstddef>
+#include <vector>
 
 #include "packets/agent.h"
 
@@ -10,8 +10,11 @@
 /// Works out the agents that any balancer holds for alive.
 auto UnitePeers(Agent& agent, base::TimePoint now) -> void;
 
-/// Known agents besides this one.
-auto OthersOf(const Agent& agent) -> std::size_t;
+/// Known agents besides this one to which an opening may be passed on: none of a drained domain.
+auto OpenPeers(const Agent& agent) -> std::vector<Place>;
+
+/// What the balancer is told of drained domains: nothing where it knows the same or newer ones.
+auto DrainedFor(const Agent& agent, Address balancer) -> DrainedDomains;
 
 /// Whether a balancer has been heard from, and each that has says that it knows all.
 auto KnowsAll(const Agent& agent, base::TimePoint now) -> bool;
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -187,7 +187,8 @@
           .slots = target.last.slots,
           .cold = target.last.cold_ms > 0,
           .wanted_list = asks ? agent.wanted->digest : 0,
-          .domain = agent.domain};
+          .domain = agent.domain,
+          .drained = DrainedFor(agent, balancer)};
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -92,6 +92,13 @@
   ++member.offered;
 }
 
+// Whether an agent that the opening was offered to before may be given it once more.
+auto MayTakeCopies(const View& view, Address agent) -> bool {
+  const auto entry = view.members.find(agent);
+  if (entry == view.members.end()) return agent != 0;
+  return !IsDrained(view.drained, entry->second.report.domain);
+}
+
 // `doubtful`: it may have waited for longer than its client did, so that a refusal proves nothing.
 auto RouteOpening(Balancer& balancer, const Packet& packet, base::ServiceId service, bool doubtful,
                   base::TimePoint now) -> BalancerVerdict {
@@ -108,12 +115,16 @@
     Offer(hint, balancer.view.members.at(agent), now);
     return ForwardToAgent{agent, StampFor(balancer, service, sole)};
   }
-  if (hint.agent != 0) return ForwardToAgent{hint.agent, StampFor(balancer, service)};
+  if (MayTakeCopies(balancer.view, hint.agent)) {
+    return ForwardToAgent{hint.agent, StampFor(balancer, service)};
+  }
   balancer.hints.erase(flow);
   ++balancer.counters.no_target;
-  if (!sole) return Discard{DiscardReason::kNoTarget};
+  const auto reason =
+      IsHeldBack(balancer.view, service, now) ? DiscardReason::kDrained : DiscardReason::kNoTarget;
+  if (!sole) return Discard{reason};
   ++balancer.counters.refused;
-  return RefuseOpening{DiscardReason::kNoTarget};
+  return RefuseOpening{reason};
 }
 
 // The services that may hold a flow which has opened: the one that a new flow would be sent to
@@ -217,6 +228,8 @@
       return "no route";
     case DiscardReason::kNoTarget:
       return "no target known";
+    case DiscardReason::kDrained:
+      return "all failure domains with targets are drained";
     case DiscardReason::kWrongService:
       return "other service";
     case DiscardReason::kNoneTook:
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -1,6 +1,9 @@
 #include "packets/control.h"
 
+#include <algorithm>
 #include <limits>
+#include <span>
+#include <utility>
 
 #include "packets/control.pb.h"
 #include "packets/order.h"
@@ -8,6 +11,12 @@
 namespace anvildrum::packets {
 namespace {
 
+auto PutDrained(const DrainedDomains& drained, pb::Drained& body) -> void {
+  body.set_revision(drained.revision);
+  const auto count = std::min(drained.domains.size(), kMostDrained);
+  for (const auto domain : std::span{drained.domains}.first(count)) body.add_domains(domain);
+}
+
 auto ToMessage(const Hello& hello) -> pb::Control {
   auto message = pb::Control{};
   auto* body = message.mutable_hello();
@@ -19,7 +28,11 @@
   body->set_parts(hello.parts);
   for (const auto agent : hello.restarted) body->add_restarted(agent);
   body->set_revision(hello.revision);
-  body->set_balancers(hello.balancers);
+  if (hello.drained.revision != 0) PutDrained(hello.drained, *body->mutable_drained());
+  if (hello.confirmed_ago) {
+    body->set_confirmed_ms_ago(
+        static_cast<std::uint32_t>(*hello.confirmed_ago / base::milliseconds{1}));
+  }
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
     for (const auto& peer : hello.peers) {
@@ -50,6 +63,7 @@
   body->set_wanted_list(report.wanted_list);
   body->set_domain(report.domain);
   body->set_revision(report.revision);
+  if (report.drained.revision != 0) PutDrained(report.drained, *body->mutable_drained());
   return message;
 }
 
@@ -122,8 +136,13 @@
   return Located{sender, *flow};
 }
 
-auto IsDomain(std::uint32_t number) -> bool {
-  return number <= std::numeric_limits<DomainTag>::max();
+auto IsDomain(std::uint32_t number) -> bool { return number >> kDomainTagBits == 0; }
+
+auto DrainedFrom(const pb::Drained& message) -> std::optional<DrainedDomains> {
+  auto domains = std::vector<DomainTag>(message.domains().begin(), message.domains().end());
+  const auto fits = std::all_of(domains.begin(), domains.end(), IsDomain);
+  if (!fits || domains.size() > kMostDrained) return std::nullopt;
+  return DrainedOf(message.revision(), std::move(domains));
 }
 
 // The peers of a hello to an agent, each with its domain.
@@ -131,8 +150,7 @@
   if (message.domains_size() != message.agents_size()) return false;
   for (auto i = 0; i < message.agents_size(); ++i) {
     if (!IsDomain(message.domains(i))) return false;
-    const auto domain = static_cast<DomainTag>(message.domains(i));
-    hello.peers.push_back({message.agents(i), hello.service, domain});
+    hello.peers.push_back({message.agents(i), hello.service, message.domains(i)});
   }
   return true;
 }
@@ -148,7 +166,12 @@
   hello.digest = message.digest();
   hello.restarted.assign(message.restarted().begin(), message.restarted().end());
   hello.revision = message.revision();
-  hello.balancers = message.balancers();
+  const auto drained = DrainedFrom(message.drained());
+  if (!drained) return std::nullopt;
+  hello.drained = *drained;
+  if (message.has_confirmed_ms_ago()) {
+    hello.confirmed_ago = base::milliseconds{message.confirmed_ms_ago()};
+  }
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
@@ -159,7 +182,8 @@
 
 auto FromMessage(const pb::Report& message, Address sender) -> std::optional<TargetReport> {
   if (message.state() > static_cast<std::uint32_t>(TargetState::kStopping)) return std::nullopt;
-  if (!IsDomain(message.domain())) return std::nullopt;
+  const auto drained = DrainedFrom(message.drained());
+  if (!IsDomain(message.domain()) || !drained) return std::nullopt;
   return TargetReport{.agent = sender,
                       .service = base::ServiceId{message.service()},
                       .start = message.start(),
@@ -170,8 +194,9 @@
                       .slots = message.slots(),
                       .cold = message.cold(),
                       .wanted_list = message.wanted_list(),
-                      .domain = static_cast<DomainTag>(message.domain()),
-                      .revision = message.revision()};
+                      .domain = message.domain(),
+                      .revision = message.revision(),
+                      .drained = *drained};
 }
 
 // Inverse of KeyOf; nothing for numbers that are no address and port.
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -49,6 +49,7 @@
     std::sort(hello.peers.begin(), hello.peers.end(),
               [](const Peer& a, const Peer& b) { return a.agent < b.agent; });
     hello.service = service;
+    hello.drained = view.drained;
     hello.every = view.greet_every;
     hello.digest = DigestOf(hello);
     hello.complete =
@@ -61,7 +62,10 @@
     hello.complete = said.listed.front().complete;
     hello.listed = false;
     hello.peers.clear();
-    for (auto& part : said.listed) part.restarted.clear();
+    for (auto& part : said.listed) {
+      part.restarted.clear();
+      part.drained = {};
+    }
   }
   return hellos;
 }
--- a/src/packets/internal/order.cc
+++ b/src/packets/internal/order.cc
@@ -60,7 +60,8 @@
 }  // namespace
 
 auto DomainTagOf(std::string_view name) -> DomainTag {
-  return static_cast<DomainTag>(base::HashName(name) | 1U);
+  constexpr auto mask = (std::uint64_t{1} << kDomainTagBits) - 1;
+  return static_cast<DomainTag>((base::HashName(name) & mask) | 1U);
 }
 
 auto HashOf(const FlowId& flow) -> std::uint64_t {
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -35,6 +35,7 @@
 };
 
 auto TierOf(const View& view, const Member& member, base::TimePoint now) -> std::optional<Tier> {
+  if (IsDrained(view.drained, member.report.domain)) return std::nullopt;
   if (IsUsable(view, member, now)) return Tier::kUsable;
   if (!WasHeard(member)) return Tier::kUnheard;
   if (member.report.state != TargetState::kReady) return std::nullopt;
@@ -88,6 +89,20 @@
   return true;
 }
 
+auto TakeDrained(View& view, const DrainedDomains& told) -> bool {
+  const auto changed = TakeDrained(view.drained, told);
+  if (changed) ++view.changes;
+  return changed;
+}
+
+auto IsHeldBack(const View& view, base::ServiceId service, base::TimePoint now) -> bool {
+  return std::any_of(view.members.begin(), view.members.end(), [&](const auto& entry) {
+    const auto& member = entry.second;
+    return member.service == service && IsDrained(view.drained, member.report.domain) &&
+           IsUsable(view, member, now);
+  });
+}
+
 auto Suspect(Member& member, base::TimePoint now) -> void {
   if (member.suspected_at == base::TimePoint{}) member.suspected_at = now;
 }
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -27,6 +27,35 @@
   BOOST_TEST(std::get<Hello>(*read).parts == 3U);
 }
 
+// What an operator wants travels in hellos and reports. Domains beyond kMostDrained are left out:
+// the rest still fits into a frame, and balancers go by what they have read.
+BOOST_AUTO_TEST_CASE(drained_domains_and_confirmations_come_back) {
+  constexpr auto frame = std::size_t{1400};
+  auto hello = Hello{};
+  hello.confirmed_ago = base::milliseconds{0};
+  hello.drained.revision = 12;
+  for (auto tag = DomainTag{1}; tag <= kMostDrained + 1; ++tag) {
+    hello.drained.domains.push_back((DomainTag{1} << kDomainTagBits) - 200 + tag);
+  }
+  BOOST_TEST(EncodeControl(hello).size() <= frame);
+  const auto read = RoundTrip(hello);
+  BOOST_REQUIRE(read);
+  const auto& back = std::get<Hello>(*read);
+  BOOST_TEST(back.drained.domains.size() == kMostDrained);
+  BOOST_TEST(back.drained.revision == 12U);
+  BOOST_TEST((back.confirmed_ago == base::Duration{}));
+  BOOST_TEST(!std::get<Hello>(*RoundTrip(Hello{})).confirmed_ago.has_value());
+  const auto report = RoundTrip(TargetReport{.agent = kSender, .drained = DrainedOf(5, {7, 9})});
+  BOOST_REQUIRE(report);
+  BOOST_TEST((std::get<TargetReport>(*report).drained == DrainedOf(5, {7, 9})));
+}
+
+BOOST_AUTO_TEST_CASE(a_domain_that_has_too_many_bits_makes_a_hello_unreadable) {
+  auto hello = Hello{};
+  hello.drained = DrainedOf(5, {DomainTag{1} << kDomainTagBits});
+  BOOST_TEST(!RoundTrip(hello));
+}
+
 BOOST_AUTO_TEST_CASE(a_hello_between_balancers_names_the_service_of_each_agent) {
   const auto peers = std::vector<Peer>{{1, base::ServiceId{7}}, {2, base::ServiceId{8}}};
   const auto read = RoundTrip(Hello{base::ServiceId{}, peers});
--- a/src/packets/tests/interleaving_test.cc
+++ b/src/packets/tests/interleaving_test.cc
@@ -81,6 +81,21 @@
   BOOST_TEST(opened > 50 * count);
 }
 
+// An operator drains failure domains and takes them back, while balancers and agents are started
+// again. The platform is silent for all but a balancer or two at each change: the others know it
+// from agents alone. Once all have run for a moment, no opening goes to a drained domain.
+BOOST_AUTO_TEST_CASE(any_interleaving_with_drained_domains_keeps_the_promises) {
+  auto opened = std::uint64_t{0};
+  const auto [first, count] = Seeds();
+  for (auto seed = first; seed < first + count; ++seed) {
+    const auto world = Play({.seed = seed, .drains = true});
+    const auto fault = world.faults.empty() ? std::string{} : world.faults.front();
+    BOOST_TEST(world.faults.empty(), "seed " << seed << ": " << fault);
+    opened += world.opened;
+  }
+  BOOST_TEST(opened > 30 * count);
+}
+
 // Seeds that showed a fault. 6339: the last agent of a round was paused, and reset a flow whose
 // agent had come back meanwhile. 20736: a balancer that had been paused took an agent that was
 // paused after it for gone, and said that nobody was missing.
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -14,6 +14,10 @@
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kFirstBalancer = Address{0x0a020001};
 constexpr auto kTickEvery = milliseconds{50};
+constexpr auto kDomains = std::size_t{3};
+// From an operator's word to the last opening in the domain, where all processes have run so long:
+// a balancer reads it within two seconds, and agents hear of it by the next check or two.
+constexpr auto kDrainWithin = milliseconds{3000};
 constexpr auto kHeartbeatTicks = std::uint64_t{15};  // 750 ms
 
 auto IsServed(const AgentSite& site) -> bool { return site.up && site.target.alive; }
@@ -28,6 +32,7 @@
     auto& core = this->agents[i].core;
     core.own = kFirstAgent + static_cast<Address>(i);
     core.start = 1;
+    if (given.drains) core.domain = static_cast<DomainTag>(1 + i % kDomains);
     this->StartTarget(i, kDesk);
   }
   this->Later({}, [this] { this->Tick(); });
@@ -116,6 +121,7 @@
   }
   this->StepClients();
   if (!this->calm && this->Draw(10) == 0) this->Disturb();
+  if (!this->calm && this->options.drains && this->Draw(20) == 0) this->DrainDomain();
   if (!this->calm && this->options.pauses && this->Draw(10) == 0) this->PauseOne();
   this->Later(kTickEvery, [this] { this->Tick(); });
 }
@@ -150,6 +156,9 @@
     const auto start = restarted.core.start;
     restarted.core = {};
     restarted.core.own = own;
+    if (this->options.drains) {
+      restarted.core.domain = static_cast<DomainTag>(1 + index % kDomains);
+    }
     restarted.core.start = start + 1;
     restarted.core.service = restarted.target.service;
     restarted.core.started_at = this->now;
@@ -221,6 +230,34 @@
   pause.until = std::max(pause.until, until);
 }
 
+// One balancer or more reads what has changed, the others are told by agents.
+auto World::DrainDomain() -> void {
+  const auto domain = static_cast<DomainTag>(1 + this->Draw(kDomains));
+  auto domains = this->drained.domains;
+  const auto drain = std::erase(domains, domain) == 0;
+  if (drain) domains.push_back(domain);
+  if (drain) this->drained_at[domain] = this->now;
+  if (!drain) this->drained_at.erase(domain);
+  this->drained = DrainedOf(this->drained.revision + 1, std::move(domains));
+  const auto readers = 1 + this->Draw(this->balancers.size());
+  for (auto i = std::size_t{0}; i < readers; ++i) {
+    const auto index = (domain + i) % this->balancers.size();
+    this->Later(milliseconds{10 + this->Draw(2000)}, [this, index, read = this->drained] {
+      this->WhenAwake(this->balancers[index].pause,
+                      [this, index, read] { TakeDrained(this->balancers[index].core.view, read); });
+    });
+  }
+}
+
+// Whether an opening there breaks the operator's word. Processes that started or stood still a
+// moment ago may not know it yet.
+auto World::IsLongDrained(const AgentSite& site) const -> bool {
+  const auto entry = this->drained_at.find(site.core.domain);
+  if (entry == this->drained_at.end()) return false;
+  const auto runs_since = std::max(site.core.started_at, site.core.stall.running_since);
+  return this->now - std::max(entry->second, runs_since) > kDrainWithin;
+}
+
 auto World::StartTarget(std::size_t index, base::ServiceId service) -> void {
   auto& site = this->agents[index];
   if (site.target.alive && site.target.incarnation != 0) return;
@@ -313,6 +350,7 @@
   this->Carry([this, balancer, report] {
     auto& site = this->balancers[balancer - kFirstBalancer];
     TakeReport(site.core.view, report, this->now);
+    TakeDrained(site.core.view, report.drained);
     for (const auto& part : WantedParts(site.said, report)) {
       this->Say(report.agent, balancer, part);
     }
@@ -523,6 +561,7 @@
     if (target.draining && !this->MayBeUnheard(site)) {
       this->Fault("an opening reached a draining target", flow);
     }
+    if (this->IsLongDrained(site)) this->Fault("an opening reached a drained domain", flow);
     const auto sequence = static_cast<std::uint32_t>(this->Draw(0xffffff) + 1000);
     auto& held = target.flows.try_emplace(flow, HeldFlow{false, sequence}).first->second;
     reply.synchronize = true;
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -89,6 +89,9 @@
   /// Targets start again under the id that they had, and tell when they started; heartbeats and
   /// leaves of earlier starts come late.
   bool same_id = false;
+  /// An operator drains failure domains and takes them back. The platform tells nobody that starts
+  /// later, so that it is known only by what instances tell each other.
+  bool drains = false;
 };
 
 class World {
@@ -121,6 +124,8 @@
   auto Drain(std::size_t index) -> void;
   auto Crash(std::size_t index) -> void;
   auto PauseOne() -> void;
+  auto DrainDomain() -> void;
+  [[nodiscard]] auto IsLongDrained(const AgentSite& site) const -> bool;
   auto StartTarget(std::size_t index, base::ServiceId service) -> void;
 
   auto Hello(BalancerSite& balancer, Address own) -> void;
@@ -161,6 +166,8 @@
   std::vector<BalancerSite> balancers;
   std::map<FlowId, ClientFlow> clients;
   std::map<Address, base::ServiceId> records;
+  DrainedDomains drained;                           ///< as the operator wants it
+  std::map<DomainTag, base::TimePoint> drained_at;  ///< of those that are
   std::uint64_t incarnations = 0;
   std::uint64_t ports = 0;
   bool calm = false;
--- a/src/packets/types/place.h
+++ b/src/packets/types/place.h
@@ -9,8 +9,12 @@
 namespace anvildrum::packets {
 
 /// A failure domain as it travels: a digest of its name; 0: not known. Two domains with the same
-/// digest are taken for one, which costs bytes between them and nothing else.
-using DomainTag = std::uint16_t;
+/// digest are taken for one, so that an operator who drains one of them drains both.
+using DomainTag = std::uint32_t;
+
+/// As many as a number of three bytes holds on the wire. Of 26 domains two have the same digest in
+/// one of 3,200 fleets.
+inline constexpr auto kDomainTagBits = 21U;
 
 /// Digest of a failure domain's name, never 0.
 auto DomainTagOf(std::string_view name) -> DomainTag;
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/types/ids.h"
+#include "packets/drain.h"
 #include "packets/types/packet.h"
 #include "packets/types/place.h"
 
@@ -37,6 +38,7 @@
   std::uint32_t wanted_list = 0;  ///< digest of a list of peers that the agent lacks; 0: none
   DomainTag domain = 0;           ///< where the agent runs
   std::uint64_t revision = 0;     ///< the platform's, of the configuration that it keeps; 0: none
+  DrainedDomains drained{};       ///< told to a balancer that has another, older set
 };
 
 /// One start of a target. An id may be used again by a later start, which holds nothing of before.
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -7,6 +7,7 @@
 
 #include "base/types/ids.h"
 #include "base/types/time.h"
+#include "packets/drain.h"
 #include "packets/types/place.h"
 #include "packets/types/target.h"
 
@@ -59,8 +60,9 @@
 struct View {
   ViewPolicy policy;
   std::unordered_map<Address, Member> members;
+  DrainedDomains drained;  ///< as an operator wants it
   /// Counts what makes hellos say something else: members that are new, and reports by which one
-  /// may hold flows now, or may no more.
+  /// may hold flows now, or may no more; and other domains that are drained.
   std::uint64_t changes = 0;
   /// Between two hellos to a member while nothing changes; see DueGreetings.
   base::Duration greet_every = base::milliseconds{250};
@@ -78,6 +80,13 @@
 /// The agent reported. False for a report that is older than the last one of the same start.
 auto TakeReport(View& view, const TargetReport& report, base::TimePoint now) -> bool;
 
+/// Takes which domains are drained, where that is newer. True where they are others than before;
+/// agents are told of these as of each change.
+auto TakeDrained(View& view, const DrainedDomains& told) -> bool;
+
+/// Whether the service has a live agent that would be given openings if its domain weren't drained.
+auto IsHeldBack(const View& view, base::ServiceId service, base::TimePoint now) -> bool;
+
 /// The member left an opening or a query without an answer.
 auto Suspect(Member& member, base::TimePoint now) -> void;
 
@@ -118,8 +127,9 @@
 auto SearchSet(const View& view, base::ServiceId service, base::TimePoint now)
     -> std::vector<Place>;
 
-/// Agents of a service to which an opening may be sent. Where none is usable, the next best that
-/// are not known to refuse it: suspected ones, then those known only by name, then silent ones.
+/// Agents of a service to which an opening may be sent, none of a domain that is drained. Where
+/// none is usable, the next best that are not known to refuse it: suspected ones, then those known
+/// only by name (which know themselves whether their domain is drained), then silent ones.
 ///
 /// Safeguard: a balancer that was short of processor time for a second finds that it has heard from
 /// nobody and that no opening was answered; the fault is its own, and refusing all that comes would
