Give a cold target no more openings than it bears

Cause: services tell how many requests a second a cold target bears; nothing read it. A domain that comes back cold is the least loaded, and was given all openings at once.

Ruled out: the limit at balancers (each would know only its own share, and lose it with its process).

Change: the agent, which sees every opening of its target, gives a cold one at most 1.25 * rate + 2 a second (generic cell rate), so that a restart of the agent within that second stays below 1.5 * rate + 5. Balancers tell the rate in hellos.

--- a/bench/vary_site.py
+++ b/bench/vary_site.py
@@ -24,6 +24,13 @@
                   lambda found: found[1] + str(change(int(found[2]))), text)
 
 
+def cold(text, per_second):
+    """`text` with services whose cold targets bear that many requests a second; 0: no limit."""
+    if per_second == 0:
+        return text
+    return re.sub(r"(cold_x = [0-9.]+,)", rf"\1 cold_per_s = {per_second}.0,", text)
+
+
 def vary(text, draw):
     text = re.sub(r'hash = "\w+"', f'hash = "{draw.choice(("mod", "steady"))}"', text)
     text = integer(text, "beat_ms", lambda _: draw.choice((400, 770, 1000, 1300)))
@@ -33,6 +40,7 @@
     text = scaled(text, "cross_zone_ms", draw.choice((0.5, 1, 4)))
     text = scaled(text, "client_ms", draw.choice((0.5, 1, 3)))
     text = scaled(text, "cpu_share", draw.choice((0.7, 1, 1.5)))
+    text = cold(text, draw.choice((0, 5, 20, 80)))
     text = scaled(text, " }, per_s", draw.choice((0.5, 0.8, 1)), digits=4)  # of traffic
     return text
 
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -43,6 +43,8 @@
       {"returned_total", "Packets that the target gave back", counters.returned},
       {"passed_on_total", "Openings sent to the next agent", counters.passed_on},
       {"over_limit_total", "Openings for which the target had no place", counters.over_limit},
+      {"over_cold_total", "Those that the target would not bear while it is cold",
+       counters.over_cold},
       {"drained", "Whether the target's failure domain is drained",
        packets::IsDrained(agent.drained, agent.domain) ? 1U : 0U, true},
       {"wrong_service_total", "Packets for another service", counters.wrong_service},
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "packets/balancer.h"
+#include "packets/cold.h"
 #include "packets/control.h"
 #include "packets/stall.h"
 #include "packets/types/target.h"
@@ -151,6 +152,10 @@
   bool seen_from_start = false;  ///< no other process has given this incarnation an opening
   /// The same, unless another process of the agent ran a moment before this one.
   bool seen_from_first_heartbeat = false;
+  /// Its failure domain has just been taken back: it may have become cold, which its next heartbeat
+  /// tells.
+  bool cold_doubtful = false;
+  ColdAllowance cold_allowance;   ///< what it was given while it was cold
   bool refused = false;           ///< its port refused a connection, and it was taken for gone
   bool refusals_mislead = false;  ///< it went on after that: its port tells nothing
 };
@@ -161,6 +166,7 @@
   std::uint64_t returned = 0;  ///< packets that the target gave back
   std::uint64_t passed_on = 0;
   std::uint64_t over_limit = 0;     ///< openings for which the target had no place
+  std::uint64_t over_cold = 0;      ///< those of them that a cold target would not have borne
   std::uint64_t wrong_service = 0;  ///< packets for another service than the target's
   std::uint64_t none_left = 0;      ///< openings that no agent took
   std::uint64_t given_back = 0;     ///< packets sent back to their balancer
@@ -178,7 +184,8 @@
   LocalTarget target;
   std::unordered_map<Address, BalancerHello> balancers;
   std::optional<WantedList> wanted;
-  DrainedDomains drained;    ///< as balancers have told
+  DrainedDomains drained;                        ///< as balancers have told
+  std::optional<std::uint32_t> cold_per_second;  ///< Hello::cold_per_second; nothing: not told yet
   std::vector<Place> peers;  ///< agents of the service that any of them holds for alive
   std::uint32_t peers_digest = 0;
   base::TimePoint peers_since{};  ///< when `peers` last changed
@@ -304,6 +311,9 @@
 /// hold.
 auto StateOf(const Agent& agent, base::TimePoint now) -> TargetState;
 
+/// Whether the target is slow after its start, or may be.
+auto IsCold(const Agent& agent, base::TimePoint now) -> bool;
+
 /// The next report to a balancer.
 auto MakeReport(Agent& agent, Address balancer, base::TimePoint now) -> TargetReport;
 
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -49,6 +49,9 @@
   /// To a balancer: the platform said this long ago that there is nothing newer than `revision` and
   /// `drained`; nothing where that is not known.
   std::optional<base::Duration> confirmed_ago{};
+  /// To an agent: openings a second that a target of its service bears while it is cold; 0: as many
+  /// as it has places for.
+  std::uint32_t cold_per_second = 0;
 };
 
 /// Agents that a hello names as started anew, the rest of a datagram: beyond that their targets are
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -109,6 +109,14 @@
   return open;
 }
 
+// A domain that was taken back may have become cold a moment before: until the target says
+// otherwise it is given what a cold one bears.
+auto TakeDrainedOf(Agent& agent, const Hello& hello) -> void {
+  const auto was_drained = IsDrained(agent.drained, agent.domain);
+  TakeDrained(agent.drained, hello.drained);
+  if (was_drained && !IsDrained(agent.drained, agent.domain)) agent.target.cold_doubtful = true;
+}
+
 auto DrainedFor(const Agent& agent, Address balancer) -> DrainedDomains {
   const auto entry = agent.balancers.find(balancer);
   if (entry == agent.balancers.end()) return agent.drained;
@@ -176,8 +184,9 @@
 }
 
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool {
-  TakeDrained(agent.drained, hello.drained);
+  TakeDrainedOf(agent, hello);
   if (hello.service != agent.service) return false;
+  if (hello.revision != 0) agent.cold_per_second = hello.cold_per_second;
   auto& known = agent.balancers[balancer];
   const auto late = !IsFresh(agent, known, now);
   const auto before = known.digest;
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -125,6 +125,7 @@
   target.heard = now;
   target.doubtful.reset();
   target.leave_doubtful = false;
+  target.cold_doubtful = false;
   const auto changed = claim != Claim::kCurrent || target.state != before;
   return changed ? HeartbeatOutcome::kChanged : HeartbeatOutcome::kUnchanged;
 }
@@ -172,6 +173,11 @@
   UnitePeers(agent, now);
 }
 
+auto IsCold(const Agent& agent, base::TimePoint now) -> bool {
+  const auto& target = agent.target;
+  return target.cold_doubtful || now < target.heard + base::milliseconds{target.last.cold_ms};
+}
+
 auto MakeReport(Agent& agent, Address balancer, base::TimePoint now) -> TargetReport {
   NoteEvent(agent.stall, now);  // a process that wakes must not take its own pause for silence
   ExpireOffers(agent, now);
@@ -185,7 +191,7 @@
           .in_flight = agent.at_work,
           .held = static_cast<std::uint32_t>(agent.flows.size()) - agent.ended,
           .slots = target.last.slots,
-          .cold = target.last.cold_ms > 0,
+          .cold = IsCold(agent, now),
           .wanted_list = asks ? agent.wanted->digest : 0,
           .domain = agent.domain,
           .drained = DrainedFor(agent, balancer)};
--- /dev/null
+++ b/src/packets/internal/cold.cc
@@ -0,0 +1,28 @@
+#include "packets/cold.h"
+
+#include <algorithm>
+
+namespace anvildrum::packets {
+namespace {
+
+// Openings at once, beside the rate: a quarter of a second's, and two of a service that bears few.
+constexpr auto kBurstShare = 4U;
+constexpr auto kLeastBurst = 2U;
+
+auto Interval(std::uint32_t per_second) -> base::Duration {
+  return base::Duration{base::seconds{1}} / per_second;
+}
+
+}  // namespace
+
+auto MayGiveCold(const ColdAllowance& allowance, std::uint32_t per_second, base::TimePoint now)
+    -> bool {
+  const auto burst = per_second / kBurstShare + kLeastBurst;
+  return allowance.used_until - now <= (burst - 1) * Interval(per_second);
+}
+
+auto CountCold(ColdAllowance& allowance, std::uint32_t per_second, base::TimePoint now) -> void {
+  allowance.used_until = std::max(allowance.used_until, now) + Interval(per_second);
+}
+
+}  // namespace anvildrum::packets
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -33,6 +33,7 @@
     body->set_confirmed_ms_ago(
         static_cast<std::uint32_t>(*hello.confirmed_ago / base::milliseconds{1}));
   }
+  body->set_cold_per_second(hello.cold_per_second);
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
     for (const auto& peer : hello.peers) {
@@ -172,6 +173,7 @@
   if (message.has_confirmed_ms_ago()) {
     hello.confirmed_ago = base::milliseconds{message.confirmed_ms_ago()};
   }
+  hello.cold_per_second = message.cold_per_second();
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -37,6 +37,10 @@
   return now - std::exchange(flow.asked_at, {});
 }
 
+// Openings a second for a cold target whose service's rate no balancer has told yet. Each service
+// that states one bears more.
+constexpr auto kColdBeforeTold = std::uint32_t{4};
+
 // No flow is load.
 auto ClearLoad(Agent& agent) -> void {
   agent.overflowed = false;
@@ -67,6 +71,10 @@
 
 }  // namespace
 
+auto ColdLimit(const Agent& agent, base::TimePoint now) -> std::uint32_t {
+  return IsCold(agent, now) ? agent.cold_per_second.value_or(kColdBeforeTold) : 0;
+}
+
 auto SetAtWork(Agent& agent, FlowState& flow, bool at_work) -> void {
   if (flow.at_work == at_work) return;
   flow.at_work = at_work;
@@ -100,7 +108,12 @@
 // Safeguard: when more comes than the targets can work on, a queue at the target delays everybody:
 // after an outage all requests of some seconds were answered, and all of them late. An opening that
 // finds no place in time goes to a target that has one, or is refused at once.
-auto HasPlace(const Agent& agent, const Packet& packet) -> bool {
+auto HasPlace(Agent& agent, const Packet& packet, base::TimePoint now) -> bool {
+  const auto cold_limit = ColdLimit(agent, now);
+  if (cold_limit != 0 && !MayGiveCold(agent.target.cold_allowance, cold_limit, now)) {
+    ++agent.counters.over_cold;
+    return false;
+  }
   const auto first = packet.acknowledged == 0;
   const auto limit = first ? agent.policy.opening_limit : agent.policy.copy_limit;
   const auto slots = std::max<std::uint32_t>(agent.target.last.slots, 1);
@@ -109,6 +122,8 @@
 
 auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void {
   const auto flow = FlowFromClient(packet);
+  const auto cold_limit = IsOpening(packet) ? ColdLimit(agent, now) : 0;
+  if (cold_limit != 0) CountCold(agent.target.cold_allowance, cold_limit, now);
   if (packet.reset) return Erase(agent, flow);
   auto entry = agent.flows.find(flow);
   if (entry != agent.flows.end() && entry->second.stage == FlowStage::kNotHere) {
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -30,6 +30,16 @@
   return hello->second.listed;
 }
 
+namespace {
+
+auto ColdPerSecond(const Balancer& balancer, base::ServiceId service) -> std::uint32_t {
+  if (!balancer.routes) return 0;
+  const auto rate = balancer.routes->cold_per_second.find(service);
+  return rate == balancer.routes->cold_per_second.end() ? 0 : rate->second;
+}
+
+}  // namespace
+
 auto MakeHellos(const Balancer& balancer, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello> {
   const auto& view = balancer.view;
@@ -50,6 +60,7 @@
               [](const Peer& a, const Peer& b) { return a.agent < b.agent; });
     hello.service = service;
     hello.drained = view.drained;
+    hello.cold_per_second = ColdPerSecond(balancer, service);
     hello.every = view.greet_every;
     hello.digest = DigestOf(hello);
     hello.complete =
--- a/src/packets/routes.h
+++ b/src/packets/routes.h
@@ -22,6 +22,9 @@
 struct Routes {
   std::uint64_t version = 0;  ///< the operator's number; rises with each version
   std::unordered_map<std::uint64_t, std::vector<Share>> shares;  ///< by KeyOf
+  /// Openings a second that a cold target of a service bears; services without a number have no
+  /// such limit.
+  std::unordered_map<base::ServiceId, std::uint32_t> cold_per_second;
   base::Duration idle_limit = base::seconds{15};  ///< a flow idle for longer may be discarded
 };
 
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -33,6 +33,7 @@
   constexpr auto frame = std::size_t{1400};
   auto hello = Hello{};
   hello.confirmed_ago = base::milliseconds{0};
+  hello.cold_per_second = 80;
   hello.drained.revision = 12;
   for (auto tag = DomainTag{1}; tag <= kMostDrained + 1; ++tag) {
     hello.drained.domains.push_back((DomainTag{1} << kDomainTagBits) - 200 + tag);
@@ -43,6 +44,7 @@
   const auto& back = std::get<Hello>(*read);
   BOOST_TEST(back.drained.domains.size() == kMostDrained);
   BOOST_TEST(back.drained.revision == 12U);
+  BOOST_TEST(back.cold_per_second == 80U);
   BOOST_TEST((back.confirmed_ago == base::Duration{}));
   BOOST_TEST(!std::get<Hello>(*RoundTrip(Hello{})).confirmed_ago.has_value());
   const auto report = RoundTrip(TargetReport{.agent = kSender, .drained = DrainedOf(5, {7, 9})});
