Tell machines that are off from processes that have ended

Balancers waited 5 s for each silent agent, and each restarted one 5 s more from its own start (logs: away=10.3.0.50 from 27 to 32 s, 10.3.0.35 from 36.2 to 41.2); hints went on leading to machines that were off. Clients of lost flows sent into nothing until their deadlines: 147 and 108 of each two seconds after the domain, 615 and 439 after the return of power.

Ruled out: a shorter wait for every silent agent (a process that is started again is back within three seconds, and its target lives); the drained shares of the domain (openings went elsewhere in time).

Change: a machine that is up accepts or refuses a connection, one that is off leaves it unanswered. Balancers ask the machines of silent agents; one out of reach is given up after a second, and its flows are searched for. A balancer that hears from nobody gives nobody up. Seeds tell starting balancers whom they have found out of reach; what is told is not told on.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -16,6 +16,7 @@
 #include "packetd/adapter.h"
 #include "packetd/flow_searcher.h"
 #include "packetd/internal/operator_view.h"
+#include "packetd/machine_probes.h"
 #include "packetd/operator_reads.h"
 #include "packetd/peer_configuration.h"
 #include "packetd/settings.h"
@@ -57,6 +58,7 @@
              const packets::BalancerVerdict& verdict) -> void;
   auto OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram) -> void;
   auto Greet(base::TimePoint now) -> void;
+  auto ProbeSilent(base::TimePoint now) -> void;
   auto MakeSearchPorts() -> SearchPorts;
   auto OnGivenBack(const packets::GivenBack& given_back, base::TimePoint now) -> void;
   auto AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void;
@@ -97,6 +99,7 @@
   platform::Client record_client;  ///< whose reads may be seconds old
   PeerConfiguration peers;
   OperatorReads reads;
+  MachineProbes probes;
   std::optional<NewerConfiguration> newer;
   std::map<packets::Address, base::TimePoint> balancers;  ///< when they last said hello
   std::size_t hearsay_from = 0;  ///< where the next message to balancers goes on
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -11,6 +11,7 @@
 #include "packetd/addresses.h"
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
+#include "packets/reach.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -79,7 +80,11 @@
       record_client(MakeClient(io, settings, *adapter.stale_dialect)),
       peers(io, adapter, settings,
             [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }),
-      reads(this->client, adapter, settings, this->MakeReadPorts()) {
+      reads(this->client, adapter, settings, this->MakeReadPorts()),
+      probes(io, settings.heartbeats.port,
+             [this](packets::Address machine, base::TimePoint began, bool answered) {
+               packets::TakeProbe(this->core.view, machine, began, answered);
+             }) {
   this->core.view.policy = this->core.policy.view;
   this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
@@ -101,6 +106,7 @@
         packets::NoteEvent(this->core.stall, now);
         this->reads.Check(now);
         this->AskForNewer(now);
+        this->ProbeSilent(now);
         this->Greet(now);
       });
   this->sweep_timer =
@@ -313,6 +319,9 @@
   this->TakeDrained(hello.drained, "balancer");
   this->NoteNewer(from, hello.revision, now);
   if (this->TakeConfirmation(hello, now) && this->IsSeed()) this->TellAtOnce();
+  for (const auto agent : hello.out_of_reach) {
+    packets::TakeOutOfReach(this->core.view, agent, now);
+  }
   for (const auto& peer : hello.peers) {
     packets::AddHearsay(this->core.view, peer.agent, peer.service, now);
   }
@@ -339,6 +348,12 @@
   }
 }
 
+auto BalancerNode::ProbeSilent(base::TimePoint now) -> void {
+  const auto due = packets::DueProbes(this->core.view, {}, this->probes.Room(),
+                                      this->core.stall.running_since, now);
+  for (const auto agent : due) this->probes.Begin(agent);
+}
+
 // An agent keeps a configuration, and this balancer has found none for a while. What the agent
 // keeps is what was in force when it last heard of a balancer; a newer one replaces it as soon as
 // the platform answers.
@@ -415,7 +430,9 @@
 auto BalancerNode::Complete(packets::Hello hello) const -> std::string {
   hello.revision = this->peers.Revision();
   hello.drained = this->core.view.drained;
-  hello.confirmed_ago = this->reads.Age(base::Now());
+  const auto now = base::Now();
+  hello.confirmed_ago = this->reads.Age(now);
+  hello.out_of_reach = packets::OutOfReach(this->core.view, this->core.stall.running_since, now);
   return packets::EncodeControl(hello);
 }
 
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -46,6 +46,9 @@
   /// that has an older one reads it, an agent that keeps a copy asks for it.
   std::uint64_t revision = 0;
   DrainedDomains drained{};  ///< as the sender knows them
+  /// To a balancer: agents whose machines the sender has found out of reach, kMostOutOfReach of
+  /// them.
+  std::vector<Address> out_of_reach{};
   /// To a balancer: the platform said this long ago that there is nothing newer than `revision` and
   /// `drained`; nothing where that is not known.
   std::optional<base::Duration> confirmed_ago{};
@@ -58,6 +61,10 @@
 /// not told apart, and `complete` is false.
 inline constexpr auto kMostRestarted = std::size_t{300};
 
+/// Agents that a hello to a balancer names as out of reach, beside hearsay in one datagram. Others
+/// each balancer finds itself, a second later.
+inline constexpr auto kMostOutOfReach = std::size_t{200};
+
 /// Most parts of a list.
 inline constexpr auto kMaxHelloParts = std::uint32_t{64};
 
--- a/src/packets/hearsay.h
+++ b/src/packets/hearsay.h
@@ -29,4 +29,9 @@
 /// agents in each message it sent 118 kB a second to 91 balancers, whatever changed.
 auto NextHearsay(const View& view, std::size_t& from, base::TimePoint now) -> Hello;
 
+/// Agents that this balancer has found out of reach, at most kMostOutOfReach. What others have told
+/// is not told on: it would outlive its cause among balancers that repeat each other.
+auto OutOfReach(const View& view, base::TimePoint running_since, base::TimePoint now)
+    -> std::vector<Address>;
+
 }  // namespace anvildrum::packets
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -155,12 +155,14 @@
 
 // Whether a hint is worth following: the agent is known, stands beside a target of a service that
 // may hold the flow, the target has not left, and the agent is not silent for good. One that is
-// silent for a moment keeps its flows.
-auto MayStillHold(const View& view, Address agent, std::span<const base::ServiceId> holders,
+// silent for a moment keeps its flows, unless its machine cannot be reached.
+auto MayStillHold(const Balancer& balancer, Address agent, std::span<const base::ServiceId> holders,
                   base::TimePoint now) -> bool {
+  const auto& view = balancer.view;
   const auto entry = view.members.find(agent);
   if (entry == view.members.end()) return false;
   const auto& member = entry->second;
+  if (IsOutOfReach(view, member, balancer.stall.running_since, now)) return false;
   const auto allowed = std::find(holders.begin(), holders.end(), member.service) != holders.end();
   if (!allowed || member.report.state == TargetState::kAbsent) return false;
   return member.listed || IsAlive(view, member, now) || member.heard == base::TimePoint{};
@@ -173,7 +175,7 @@
   auto& hint = HintOf(balancer, flow, forgotten);
   hint.seen = now;
   hint.opened = true;
-  if (!MayStillHold(balancer.view, hint.agent, holders, now)) hint.agent = 0;
+  if (!MayStillHold(balancer, hint.agent, holders, now)) hint.agent = 0;
   const auto agent = hint.agent;
   if (packet.reset) balancer.hints.erase(flow);
   if (agent != 0) {
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -34,6 +34,7 @@
         static_cast<std::uint32_t>(*hello.confirmed_ago / base::milliseconds{1}));
   }
   body->set_cold_per_second(hello.cold_per_second);
+  for (const auto agent : hello.out_of_reach) body->add_out_of_reach(agent);
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
     for (const auto& peer : hello.peers) {
@@ -174,6 +175,7 @@
     hello.confirmed_ago = base::milliseconds{message.confirmed_ms_ago()};
   }
   hello.cold_per_second = message.cold_per_second();
+  hello.out_of_reach.assign(message.out_of_reach().begin(), message.out_of_reach().end());
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
     hello.peers.push_back({peer.agent(), base::ServiceId{peer.service()}, 0});
--- a/src/packets/internal/hearsay.cc
+++ b/src/packets/internal/hearsay.cc
@@ -44,4 +44,14 @@
   return hello;
 }
 
+auto OutOfReach(const View& view, base::TimePoint running_since, base::TimePoint now)
+    -> std::vector<Address> {
+  auto agents = std::vector<Address>{};
+  for (const auto& [agent, member] : view.members) {
+    if (agents.size() == kMostOutOfReach) break;
+    if (FoundOutOfReach(view, member, running_since, now)) agents.push_back(agent);
+  }
+  return agents;
+}
+
 }  // namespace anvildrum::packets
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -45,6 +45,7 @@
 // Whether the member may hold flows and does not say so now.
 auto IsAway(const View& view, const Member& member, base::TimePoint running_since,
             base::TimePoint now) -> bool {
+  if (IsOutOfReach(view, member, running_since, now)) return false;
   const auto last = std::max({member.heard, member.known_since, running_since});
   const auto counts =
       member.report.state != TargetState::kAbsent && (member.listed || WasHeard(member));
@@ -108,6 +109,8 @@
 }
 
 auto Forget(View& view, base::TimePoint now) -> void {
+  std::erase_if(view.told_out_of_reach,
+                [&](const auto& told) { return now - told.second > view.policy.told_for; });
   std::erase_if(view.members, [&](const auto& entry) {
     const auto& member = entry.second;
     const auto last = WasHeard(member) ? member.heard : member.known_since;
@@ -126,6 +129,27 @@
          !IsSuspected(member);
 }
 
+auto IsOutOfReach(const View& view, const Member& member, base::TimePoint running_since,
+                  base::TimePoint now) -> bool {
+  if (view.isolated || IsAlive(view, member, now)) return false;
+  const auto told = view.told_out_of_reach.find(member.agent);
+  const auto was_told = told != view.told_out_of_reach.end() &&
+                        now - told->second < view.policy.told_for &&
+                        told->second > std::max(member.heard, member.reached_at);
+  return was_told || FoundOutOfReach(view, member, running_since, now);
+}
+
+auto FoundOutOfReach(const View& view, const Member& member, base::TimePoint running_since,
+                     base::TimePoint now) -> bool {
+  const auto last = std::max({member.heard, member.known_since, running_since});
+  const auto out_of_reach = !view.isolated && member.unreachable_at > last;
+  return out_of_reach && now - last > view.policy.unreachable_for && !IsAlive(view, member, now);
+}
+
+auto TakeOutOfReach(View& view, Address agent, base::TimePoint now) -> void {
+  view.told_out_of_reach[agent] = now;
+}
+
 auto MayHoldFlows(const View& view, const Member& member, base::TimePoint now) -> bool {
   const auto state = member.report.state;
   const auto stays = state != TargetState::kAbsent && state != TargetState::kStopping;
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -23,6 +23,11 @@
   base::TimePoint suspected_at{};  ///< given no opening until it reports; the epoch: not suspected
   base::TimePoint restarted_at{};  ///< first report of another start than before; the epoch: none
   base::TimePoint greeted_at{};    ///< last hello; the epoch: none yet
+  base::TimePoint probed_at{};     ///< its machine was asked for a connection; the epoch: never
+  /// When the attempt began that its machine left unanswered; the epoch, or before `heard`: it has
+  /// answered since.
+  base::TimePoint unreachable_at{};
+  base::TimePoint reached_at{};    ///< when the last attempt began that was answered
   std::uint64_t told_changes = 0;  ///< View::changes as of that hello
   TargetReport report;
   std::uint32_t offered = 0;  ///< openings sent to it since its last report
@@ -42,6 +47,13 @@
   /// The same for one that said that its process ends: started again it is back in some tenths of a
   /// second, within two seconds on a slow instance, and may be paused for two more.
   base::Duration back_after = base::seconds{4};
+  /// The same for one whose machine cannot be reached: longer than a process is paused by its own
+  /// machine's load, and short enough that a client whose flow was lost is told within its
+  /// deadline.
+  base::Duration unreachable_for = base::milliseconds{1000};
+  /// That another balancer has given a member up counts for this long: two of its messages, of
+  /// which one may be lost.
+  base::Duration told_for = base::milliseconds{2500};
   /// A member that is known and not live is greeted more often for this long: it is starting, or
   /// was left out by the loss of a datagram.
   base::Duration greet_for = base::seconds{2};
@@ -61,6 +73,10 @@
   ViewPolicy policy;
   std::unordered_map<Address, Member> members;
   DrainedDomains drained;  ///< as an operator wants it
+  /// When another balancer last said that an agent's machine is out of reach.
+  std::unordered_map<Address, base::TimePoint> told_out_of_reach;
+  /// Nobody is heard from: this instance itself is cut off, and nothing is known of any machine.
+  bool isolated = false;
   /// Counts what makes hellos say something else: members that are new, and reports by which one
   /// may hold flows now, or may no more; and other domains that are drained.
   std::uint64_t changes = 0;
@@ -95,6 +111,22 @@
 
 auto IsAlive(const View& view, const Member& member, base::TimePoint now) -> bool;
 
+/// Whether the member has been silent and its machine out of reach for so long, counted from
+/// `running_since` at the earliest, that the flows of its target count as lost.
+auto IsOutOfReach(const View& view, const Member& member, base::TimePoint running_since,
+                  base::TimePoint now) -> bool;
+
+/// Whether this instance itself has found it so.
+auto FoundOutOfReach(const View& view, const Member& member, base::TimePoint running_since,
+                     base::TimePoint now) -> bool;
+
+/// Another balancer has given the agent up.
+///
+/// Safeguard: a balancer that starts while a failure domain is off knows nothing of it, and said
+/// for a second that agents may be away. With balancers restarted one a second no lost flow of the
+/// service was reset.
+auto TakeOutOfReach(View& view, Address agent, base::TimePoint now) -> void;
+
 /// Whether packets of unknown flows may find their own there.
 auto MayHoldFlows(const View& view, const Member& member, base::TimePoint now) -> bool;
 
