--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -35,6 +35,7 @@
   packets::Address from = 0;
   std::uint64_t revision = 0;
   base::TimePoint asked_at{};  ///< for it, the last time
+  unsigned asks = 0;           ///< so far
   bool ask_platform = false;   ///< the next time, in place of the process that has it
 };
 
--- /dev/null
+++ b/src/packetd/internal/balancer_platform.cc
@@ -0,0 +1,230 @@
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <utility>
+
+#include "base/clock.h"
+#include "packetd/addresses.h"
+#include "packetd/balancer_node.h"
+#include "packetd/internal/common.h"
+#include "packetd/record.h"
+#include "telemetry/log.h"
+
+// What a balancer follows at the platform: the configuration, drained failure domains, and the
+// records of agents.
+namespace anvildrum::packetd {
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+// Changes in quick succession end one watch in this time.
+constexpr auto kSeedPause = base::milliseconds{250};
+
+// Seeds wait this long at the platform for a change; a watch only tells early what the next read
+// would find.
+constexpr auto kSeedHold = base::seconds{25};
+
+// Between two questions for a configuration that another balancer has in force: that one and the
+// platform, which answers within 300 ms while it is slow, are asked in turn.
+constexpr auto kAskForNewerEvery = base::milliseconds{400};
+
+// Questions for a newer configuration, after which the regular reads tell what there is.
+constexpr auto kMostAsks = 8U;
+
+// Longer configurations are read at the platform first: a balancer that served a dozen others would
+// fill its link for a second.
+constexpr auto kServedByPeers = std::size_t{64} * 1024;
+
+// How long the platform and other balancers are asked alone: either answers within some
+// milliseconds where it can, and has the newest.
+constexpr auto kAskAgentsAfter = base::milliseconds{500};
+
+// Between failed calls: a configuration has to be read soon after the platform is back, and an
+// instance's budget bounds the calls of a long outage.
+constexpr auto kWatchBackoff =
+    platform::BackoffPolicy{.first = base::milliseconds{200}, .cap = base::milliseconds{1000}};
+
+// Records tell a balancer whom to say hello to; what changes quickly it hears from agents and other
+// balancers. A fleet's start is read by a few calls instead of one for each agent: 65 machines made
+// 2,200 calls in 50 s, two thirds of them for records.
+constexpr auto kRecordHold = base::seconds{8};
+constexpr auto kRecordPause = base::seconds{2};
+
+auto WatchPolicyOf(base::Duration hold, base::Duration pause) -> platform::WatchPolicy {
+  auto policy = platform::WatchPolicy{};
+  policy.hold = hold;
+  policy.pause = pause;
+  policy.backoff = kWatchBackoff;
+  return policy;
+}
+
+}  // namespace
+
+auto BalancerNode::Watch() -> void {
+  const auto seed = StartSeed(this->settings);
+  this->reads.Check(base::Now());
+  this->WatchAsSeed();
+  this->record_watcher = std::make_unique<platform::PrefixWatcher>(
+      this->io, this->record_client,
+      platform::PrefixWatcherSettings{.prefix = std::string(this->adapter.members_prefix),
+                                      .policy = WatchPolicyOf(kRecordHold, kRecordPause),
+                                      .seed = seed + 1},
+      platform::PrefixWatcherCallbacks{
+          .on_change = [this](const platform::Object& object) { this->OnRecord(object); },
+          .on_synced =
+              [this](std::uint64_t /*revision*/) {
+                const auto now = base::Now();
+                this->core.records_at = now;
+                if (!std::exchange(this->records_read, true)) this->Greet(now);
+              }});
+}
+
+auto BalancerNode::IsSeed() const -> bool {
+  const auto& seeds = this->settings.seeds;
+  return std::any_of(seeds.begin(), seeds.end(),
+                     [&](const base::Endpoint& seed) { return AddressOf(seed) == this->core.own; });
+}
+
+// Changes reach the fleet within milliseconds by the few balancers that are seeds: they wait for
+// them at the platform and tell the others. That they do is not relied on.
+auto BalancerNode::WatchAsSeed() -> void {
+  this->configuration_watcher.reset();
+  this->drains_watcher.reset();
+  if (!this->IsSeed()) return;
+  const auto watch = [this](std::string_view prefix, std::uint64_t seed) {
+    return std::make_unique<platform::PrefixWatcher>(
+        this->io, this->client,
+        platform::PrefixWatcherSettings{.prefix = std::string(prefix),
+                                        .policy = WatchPolicyOf(kSeedHold, kSeedPause),
+                                        .seed = seed},
+        platform::PrefixWatcherCallbacks{.on_change = [this](const platform::Object& /*object*/) {
+          this->reads.Hasten(base::Now());
+        }});
+  };
+  const auto seed = StartSeed(this->settings);
+  this->configuration_watcher = watch(this->adapter.configuration_prefix, seed + 2);
+  if (this->settings.drains_within) {
+    this->drains_watcher = watch(this->adapter.drains_prefix, seed + 3);
+  }
+}
+
+auto BalancerNode::MakeReadPorts() -> OperatorReadPorts {
+  return {.on_configuration =
+              [this](const platform::Object& object) { this->OnConfiguration(object, "platform"); },
+          .on_drains = [this](const platform::Listing& drains) { this->OnDrains(drains); },
+          .on_answer = [this](const platform::PlatformError* error) { this->OnAnswer(error); },
+          .on_confirmed = [this] { this->TellAtOnce(); }};
+}
+
+// An agent keeps a configuration, and this balancer has found none for a while. What the agent
+// keeps is what was in force when it last heard of a balancer; a newer one replaces it as soon as
+// the platform answers.
+auto BalancerNode::AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void {
+  if (this->core.routes || report.revision == 0) return;
+  if (now - this->started_at < kAskAgentsAfter) return;
+  this->peers.AskFor(report.agent);
+}
+
+// Whether the other balancer's read confirms what this one has. Seeds tell it on, where it is news:
+// others know no balancers but seeds.
+auto BalancerNode::TakeConfirmation(const packets::Hello& hello, base::TimePoint now) -> bool {
+  const auto same = hello.revision == this->peers.Revision() &&
+                    hello.drained.domains == this->core.view.drained.domains;
+  if (!hello.confirmed_ago || !same) return false;
+  return this->reads.Confirm(now - *hello.confirmed_ago, now);
+}
+
+auto BalancerNode::NoteNewer(packets::Address from, std::uint64_t revision, base::TimePoint now)
+    -> void {
+  if (revision <= std::max(this->peers.Revision(), this->newer ? this->newer->revision : 0)) return;
+  this->newer = NewerConfiguration{from, revision, {}, this->peers.Size() > kServedByPeers};
+  this->AskForNewer(now);
+}
+
+// The other balancer may have gone since, and the platform may not answer this one.
+auto BalancerNode::AskForNewer(base::TimePoint now) -> void {
+  if (!this->newer) return;
+  if (this->newer->revision <= this->peers.Revision()) return this->newer.reset();
+  if (now - this->newer->asked_at < kAskForNewerEvery) return;
+  // The one that said so may have gone, and the platform may have been set back to an older state.
+  if (++this->newer->asks > kMostAsks) return this->newer.reset();
+  this->newer->asked_at = now;
+  const auto ask_platform = this->newer->ask_platform;
+  this->newer->ask_platform = !ask_platform;
+  if (ask_platform) return this->reads.FetchConfiguration();
+  this->peers.AskFor(this->newer->from);
+}
+
+// Reads of the configuration tell of the platform: one line when it is lost, one when it is back.
+auto BalancerNode::OnAnswer(const platform::PlatformError* error) -> void {
+  const auto now = base::Now();
+  if (error == nullptr) {
+    if (!this->platform_lost_at) return;
+    const auto away = std::chrono::duration_cast<base::milliseconds>(now - *this->platform_lost_at);
+    Log(LogLevel::kInfo, "platform_regained", {{"after_ms", away.count()}});
+    this->platform_lost_at.reset();
+    return;
+  }
+  if (this->platform_lost_at) return;
+  this->platform_lost_at = now;
+  Log(LogLevel::kWarning, "platform_lost",
+      {{"code", static_cast<int>(error->code)},
+       {"status", error->http_status},
+       {"prefix", error->key}});
+}
+
+auto BalancerNode::OnConfiguration(const platform::Object& object, std::string_view from) -> void {
+  if (object.deleted || object.key != this->adapter.configuration_key) return;
+  if (object.revision == this->peers.Revision()) return;  // in force already
+  auto routes = this->adapter.decode_configuration(object.value);
+  if (!routes) {
+    ++this->unreadable;
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"key", object.key}, {"revision", object.revision}, {"from", from}});
+    return;
+  }
+  const auto version = routes->version;
+  const auto count = routes->shares.size();
+  const auto taken = packets::PutInForce(this->core, std::move(*routes), base::Now());
+  if (taken) this->peers.Keep(object);
+  Log(LogLevel::kInfo, taken ? "configuration_in_force" : "configuration_older",
+      {{"version", version}, {"routes", count}, {"revision", object.revision}, {"from", from}});
+}
+
+auto BalancerNode::OnDrains(const platform::Listing& drains) -> void {
+  this->unreadable += drains.unreadable;
+  auto domains = std::vector<packets::DomainTag>{};
+  auto names = std::string{};
+  for (const auto& drain : drains.items) {
+    const auto name = std::string_view{drain.key}.substr(this->adapter.drains_prefix.size() + 1);
+    domains.push_back(packets::DomainTagOf(name));
+    names += (names.empty() ? "" : " ") + std::string(name);
+  }
+  this->TakeDrained(packets::DrainedOf(drains.revision, std::move(domains)), names);
+}
+
+auto BalancerNode::TakeDrained(const packets::DrainedDomains& told, std::string_view from) -> void {
+  if (!packets::TakeDrained(this->core.view, told)) return;
+  Log(LogLevel::kInfo, "domains_drained",
+      {{"count", told.domains.size()},
+       {"own", packets::IsDrained(told, this->core.domain)},
+       {"revision", told.revision},
+       {"from", from}});
+}
+
+auto BalancerNode::OnRecord(const platform::Object& object) -> void {
+  const auto agent = AgentOfKey(object.key);
+  const auto record = DecodeRecord(object.value);
+  if (!agent || (!object.deleted && (!record || record->agent != *agent))) {
+    ++this->unreadable;
+    this->operators.LogOdd("record_unreadable", object.key);
+    if (agent) packets::RemoveRecord(this->core.view, *agent);
+    return;
+  }
+  this->operators.LogRecord(object.key, object.deleted, object.revision);
+  if (object.deleted) return packets::RemoveRecord(this->core.view, *agent);
+  packets::AddRecord(this->core.view, *agent, base::ServiceIdOf(record->service), base::Now());
+}
+
+}  // namespace anvildrum::packetd
--- /dev/null
+++ b/src/packets/tests/interleaving_events.cc
@@ -0,0 +1,175 @@
+// What happens to the deployment: restarts, drains, crashes, pauses.
+
+#include <algorithm>
+#include <utility>
+
+#include "interleaving_world.h"
+
+namespace anvildrum::packets::tests {
+namespace {
+
+using base::milliseconds;
+
+// From an operator's word to the last opening in the domain, where all processes have run so long:
+// a balancer reads it within two seconds, and agents hear of it by the next check or two.
+constexpr auto kDrainWithin = milliseconds{3000};
+
+}  // namespace
+
+auto World::Disturb() -> void {
+  const auto index = this->Draw(this->agents.size());
+  switch (this->Draw(6)) {
+    case 0:
+    case 1:
+      return this->RestartAgent(index);
+    case 2:
+      return this->RestartBalancer(this->Draw(this->balancers.size()));
+    case 3:
+    case 4:
+      return this->Drain(index);
+    default:
+      return this->Crash(index);
+  }
+}
+
+auto World::RestartAgent(std::size_t index) -> void {
+  auto& site = this->agents[index];
+  if (!site.up) return;
+  site.core.stopping = true;
+  for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
+    this->Report(site, kFirstBalancer + static_cast<Address>(i));
+  }
+  this->Later(milliseconds{100}, [this, index] { this->agents[index].up = false; });
+  this->Later(milliseconds{300 + this->Draw(1500)}, [this, index] {
+    auto& restarted = this->agents[index];
+    const auto own = restarted.core.own;
+    const auto start = restarted.core.start;
+    restarted.core = {};
+    restarted.core.own = own;
+    if (this->options.drains) {
+      restarted.core.domain = static_cast<DomainTag>(1 + index % kDomains);
+    }
+    restarted.core.start = start + 1;
+    restarted.core.service = restarted.target.service;
+    restarted.core.started_at = this->now;
+    restarted.up = true;
+    NoteEvent(restarted.core.stall, this->now);
+    restarted.pause = {{}, restarted.pause.starts + 1};
+  });
+}
+
+auto World::RestartBalancer(std::size_t index) -> void {
+  auto fresh = Balancer{};
+  auto routes = Routes{};
+  routes.version = 1;
+  routes.shares[KeyOf(kRoute)] = {{kDesk, 1}};
+  PutInForce(fresh, std::move(routes), this->now);
+  for (const auto& [agent, service] : this->records) {
+    AddRecord(fresh.view, agent, service, this->now);
+  }
+  fresh.own = kFirstBalancer + static_cast<Address>(index);
+  auto& restarted = this->balancers[index];
+  restarted.core = std::move(fresh);
+  restarted.held.clear();
+  restarted.searching = false;
+  NoteEvent(restarted.core.stall, this->now);
+  restarted.pause = {{}, restarted.pause.starts + 1};
+}
+
+// The target says that it drains, keeps its flows for a while, leaves and ends; another one takes
+// its place, sometimes of another service.
+auto World::Drain(std::size_t index) -> void {
+  auto& site = this->agents[index];
+  if (!site.up || !site.target.alive || site.target.draining) return;
+  site.target.draining = true;
+  this->Heartbeat(site);
+  const auto incarnation = site.target.incarnation;
+  const auto id = site.target.id;
+  this->Later(milliseconds{500 + this->Draw(3000)}, [this, index, incarnation, id] {
+    auto& leaving = this->agents[index];
+    if (leaving.target.incarnation != incarnation || !leaving.target.alive) return;
+    if (leaving.up && TakeLeave(leaving.core, id, this->now)) {
+      this->Record(leaving.core.own, std::nullopt);
+    }
+    this->Later(milliseconds{5 + this->Draw(100)}, [this, index, incarnation] {
+      auto& gone = this->agents[index];
+      if (gone.target.incarnation != incarnation) return;
+      gone.target.alive = false;
+      if (this->options.same_id) this->SpeakLate(index, true);
+      const auto service = this->Draw(4) == 0 ? kMapper : kDesk;
+      this->Later(milliseconds{200 + this->Draw(1500)},
+                  [this, index, service] { this->StartTarget(index, service); });
+    });
+  });
+}
+
+auto World::Crash(std::size_t index) -> void {
+  auto& site = this->agents[index];
+  if (!site.target.alive) return;
+  site.target.alive = false;
+  if (this->options.same_id) this->SpeakLate(index, false);
+  const auto service = site.target.service;
+  this->Later(milliseconds{200 + this->Draw(1500)},
+              [this, index, service] { this->StartTarget(index, service); });
+}
+
+auto World::PauseOne() -> void {
+  const auto until = this->now + milliseconds{50 + this->Draw(2000)};
+  auto& pause = this->Draw(2) == 0 ? this->agents[this->Draw(this->agents.size())].pause
+                                   : this->balancers[this->Draw(this->balancers.size())].pause;
+  pause.until = std::max(pause.until, until);
+}
+
+// One balancer or more reads what has changed, the others are told by agents.
+auto World::DrainDomain() -> void {
+  const auto domain = static_cast<DomainTag>(1 + this->Draw(kDomains));
+  auto domains = this->drained.domains;
+  const auto drain = std::erase(domains, domain) == 0;
+  if (drain) domains.push_back(domain);
+  if (drain) this->drained_at[domain] = this->now;
+  if (!drain) this->drained_at.erase(domain);
+  this->drained = DrainedOf(this->drained.revision + 1, std::move(domains));
+  const auto readers = 1 + this->Draw(this->balancers.size());
+  for (auto i = std::size_t{0}; i < readers; ++i) {
+    const auto index = (domain + i) % this->balancers.size();
+    this->Later(milliseconds{10 + this->Draw(2000)}, [this, index, read = this->drained] {
+      this->WhenAwake(this->balancers[index].pause,
+                      [this, index, read] { TakeDrained(this->balancers[index].core.view, read); });
+    });
+  }
+}
+
+// Whether an opening there breaks the operator's word. Processes that started or stood still a
+// moment ago may not know it yet.
+auto World::IsLongDrained(const AgentSite& site) const -> bool {
+  const auto entry = this->drained_at.find(site.core.domain);
+  if (entry == this->drained_at.end()) return false;
+  const auto runs_since = std::max(site.core.started_at, site.core.stall.running_since);
+  return this->now - std::max(entry->second, runs_since) > kDrainWithin;
+}
+
+auto World::StartTarget(std::size_t index, base::ServiceId service) -> void {
+  auto& site = this->agents[index];
+  if (site.target.alive && site.target.incarnation != 0) return;
+  site.target = Target{};
+  site.target.incarnation = ++this->incarnations;
+  site.target.id = this->options.same_id ? index + 1 : site.target.incarnation;
+  site.target.service = service;
+  if (site.core.service == service) return;
+  ChangeService(site.core, service, this->now);  // the agent's settings name the new service
+}
+
+// What a target said before its end comes up to four seconds after it, perhaps when the next start
+// has been heard of: a heartbeat, and its leave.
+auto World::SpeakLate(std::size_t index, bool leave) -> void {
+  const auto& target = this->agents[index].target;
+  const auto heartbeat = this->BeatOf(target, target.heartbeats + 1);
+  this->Later(milliseconds{this->Draw(4000)}, [this, index, heartbeat, leave] {
+    auto& site = this->agents[index];
+    if (!site.up) return;
+    TakeHeartbeat(site.core, heartbeat, this->now);
+    if (leave) TakeLeave(site.core, heartbeat.incarnation.id, this->now);
+  });
+}
+
+}  // namespace anvildrum::packets::tests
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -22,6 +22,8 @@
 
 inline constexpr auto kRoute = End{0xc6120001, 443};
 inline constexpr auto kDesk = base::ServiceId{0x1234567};
+inline constexpr auto kFirstBalancer = Address{0x0a020001};
+inline constexpr auto kDomains = std::size_t{3};  // where domains are drained
 inline constexpr auto kMapper = base::ServiceId{0x7654321};
 
 struct HeldFlow {
