--- /dev/null
+++ b/src/packetd/tests/machine_probes_test.cc
@@ -0,0 +1,75 @@
+#include "packetd/machine_probes.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <vector>
+
+namespace anvildrum::packetd {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto kMachine = packets::Address{0x7f000001};
+// More than the system keeps for a listener with the least backlog that nobody accepts from.
+constexpr auto kFilling = 8;
+
+/// A probe's end.
+struct Ended {
+  packets::Address machine = 0;
+  bool answered = false;
+};
+
+auto ProbeOnce(asio::io_context& io, std::uint16_t port) -> std::optional<Ended> {
+  auto ended = std::optional<Ended>{};
+  auto probes =
+      MachineProbes{io, port, [&](packets::Address machine, base::TimePoint, bool answered) {
+                      ended = Ended{machine, answered};
+                      io.stop();
+                    }};
+  probes.Begin(kMachine);
+  io.restart();
+  io.run();
+  return ended;
+}
+
+auto ListenOn(asio::io_context& io) -> tcp::acceptor {
+  auto acceptor = tcp::acceptor{io};
+  acceptor.open(tcp::v4());
+  acceptor.bind({asio::ip::address_v4{kMachine}, 0});
+  acceptor.listen(0);
+  return acceptor;
+}
+
+BOOST_AUTO_TEST_CASE(a_machine_that_accepts_or_refuses_has_answered) {
+  auto io = asio::io_context{1};
+  auto acceptor = ListenOn(io);
+  const auto port = acceptor.local_endpoint().port();
+  const auto accepted = ProbeOnce(io, port);
+  BOOST_REQUIRE(accepted);
+  BOOST_TEST(accepted->answered);
+  BOOST_TEST(accepted->machine == kMachine);
+  acceptor.close();
+  const auto refused = ProbeOnce(io, port);
+  BOOST_REQUIRE(refused);
+  BOOST_TEST(refused->answered);
+}
+
+// A machine that is off drops what comes, as a listener whose queue is full does.
+BOOST_AUTO_TEST_CASE(a_machine_that_drops_connections_has_not_answered) {
+  auto io = asio::io_context{1};
+  auto acceptor = ListenOn(io);
+  auto filling = std::vector<tcp::socket>{};
+  for (auto i = 0; i < kFilling; ++i) {
+    auto& socket = filling.emplace_back(io);
+    socket.async_connect(acceptor.local_endpoint(), [](const boost::system::error_code&) {});
+  }
+  const auto ended = ProbeOnce(io, acceptor.local_endpoint().port());
+  BOOST_REQUIRE(ended);
+  BOOST_TEST(!ended->answered);
+}
+
+}  // namespace
+}  // namespace anvildrum::packetd
