Read a newer configuration at the platform first

Ruled out: jitter (the bytes stay); a number of balancers by which each chooses (most know seeds alone).

Change: the platform first, which answers each in milliseconds; the balancer that told of it after 400 ms, where the platform turns this one away.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -36,7 +36,6 @@
   std::uint64_t revision = 0;
   base::TimePoint asked_at{};  ///< for it, the last time
   unsigned asks = 0;           ///< so far
-  bool ask_platform = false;   ///< the next time, in place of the process that has it
 };
 
 /// The balancer as a process: sockets, timers and the platform round packets::Balancer.
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cstddef>
 #include <string>
 #include <utility>
 
@@ -25,17 +24,15 @@
 // would find.
 constexpr auto kSeedHold = base::seconds{25};
 
-// Between two questions for a configuration that another balancer has in force: that one and the
-// platform, which answers within 300 ms while it is slow, are asked in turn.
+// Between two questions for a configuration that another balancer has in force: the platform, which
+// answers within 300 ms while it is slow, and that one are asked in turn. The platform first, since
+// all others hear of it from a few balancers at the same moment, and serving them would fill the
+// links of these.
 constexpr auto kAskForNewerEvery = base::milliseconds{400};
 
 // Questions for a newer configuration, after which the regular reads tell what there is.
 constexpr auto kMostAsks = 8U;
 
-// Longer configurations are read at the platform first: a balancer that served a dozen others would
-// fill its link for a second.
-constexpr auto kServedByPeers = std::size_t{64} * 1024;
-
 // How long the platform and other balancers are asked alone: either answers within some
 // milliseconds where it can, and has the newest.
 constexpr auto kAskAgentsAfter = base::milliseconds{500};
@@ -138,7 +135,7 @@
 auto BalancerNode::NoteNewer(packets::Address from, std::uint64_t revision, base::TimePoint now)
     -> void {
   if (revision <= std::max(this->peers.Revision(), this->newer ? this->newer->revision : 0)) return;
-  this->newer = NewerConfiguration{from, revision, {}, this->peers.Size() > kServedByPeers};
+  this->newer = NewerConfiguration{.from = from, .revision = revision};
   this->AskForNewer(now);
 }
 
@@ -150,9 +147,7 @@
   // The one that said so may have gone, and the platform may have been set back to an older state.
   if (++this->newer->asks > kMostAsks) return this->newer.reset();
   this->newer->asked_at = now;
-  const auto ask_platform = this->newer->ask_platform;
-  this->newer->ask_platform = !ask_platform;
-  if (ask_platform) return this->reads.FetchConfiguration();
+  if (this->newer->asks % 2 == 1) return this->reads.FetchConfiguration();
   this->peers.AskFor(this->newer->from);
 }
 
--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -54,10 +54,6 @@
   return this->kept ? this->kept->revision : 0;
 }
 
-auto PeerConfiguration::Size() const -> std::size_t {
-  return this->kept ? this->kept->value.size() : 0;
-}
-
 auto PeerConfiguration::AskFor(packets::Address address) -> void {
   if (this->newer && this->newer->asked) return;
   this->newer = std::make_unique<Peer>();
--- a/src/packetd/peer_configuration.h
+++ b/src/packetd/peer_configuration.h
@@ -44,9 +44,6 @@
   /// The platform's revision of what is served; 0: nothing yet.
   [[nodiscard]] auto Revision() const -> std::uint64_t;
 
-  /// Bytes of what is served; 0: nothing yet.
-  [[nodiscard]] auto Size() const -> std::size_t;
-
   /// Asks each of the settings' balancers once, unless a question to it is under way.
   auto Ask() -> void;
 
