Refuse nothing for want of domains that are not drained, while few agents are known

Change: a balancer refuses for that reason only with fresh records, or after a second in which all agents have reminded it of themselves; an agent of a drained domain only once it has settled.

--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -16,8 +16,11 @@
   return StateOf(agent, now) == TargetState::kReady && !agent.stopping && !drained;
 }
 
-auto NoneLeft(Agent& agent, const Packet& packet) -> AgentVerdict {
+// An agent of a drained domain refuses nothing while it may know only some of the others.
+auto NoneLeft(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
   ++agent.counters.none_left;
+  const auto drained = IsDrained(agent.drained, agent.domain);
+  if (drained && !HasSettled(agent, now)) return Discard{DiscardReason::kDrained};
   if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
   ++agent.counters.refused;
   return RefuseOpening{DiscardReason::kNoneTook};
@@ -25,13 +28,13 @@
 
 // An opening, to the next agent in its flow's order. The stamp counts the agents that it has seen,
 // so that it ends after some of them whatever each believes of the others.
-auto PassOn(Agent& agent, const Packet& packet) -> AgentVerdict {
+auto PassOn(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
   const auto others = OpenPeers(agent);
   const auto most = std::min<std::size_t>(others.size(), agent.policy.opening_hops);
-  if (packet.stamp.hops >= most) return NoneLeft(agent, packet);
+  if (packet.stamp.hops >= most) return NoneLeft(agent, packet, now);
   const auto own = Place{agent.own, agent.domain};
   const auto next = NextAnywhere(FlowFromClient(packet), others, own);
-  if (next == 0) return NoneLeft(agent, packet);
+  if (next == 0) return NoneLeft(agent, packet, now);
   ++agent.counters.passed_on;
   auto stamp = packet.stamp;
   ++stamp.hops;
@@ -122,11 +125,11 @@
   }
   // A draining target would still take an opening. Passing it on here keeps the promise without
   // any balancer having heard of it.
-  if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet);
+  if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet, now);
   ExpireOffers(agent, now);
   if (IsOpening(packet) && !HasPlace(agent, packet, now)) {
     ++agent.counters.over_limit;
-    return PassOn(agent, packet);
+    return PassOn(agent, packet, now);
   }
   if (!TakesPackets(agent, now)) return Return(agent, true);
   if (!IsOpening(packet) && IsNotHere(agent, packet)) return Return(agent, true);
@@ -142,7 +145,7 @@
     ++agent.counters.returned;
     if (!IsOpening(packet)) return ReturnOf(agent, packet, now);
     Erase(agent, FlowFromClient(packet));
-    return PassOn(agent, packet);
+    return PassOn(agent, packet, now);
   }
   ++agent.counters.replies;
   const auto located_for = LocatedFor(agent, packet);
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -92,6 +92,15 @@
   ++member.offered;
 }
 
+// Safeguard: all balancers were started again while the platform was silent, and the first agents
+// that they heard of stood in a drained domain. Refused at once, each client came back until its
+// tries were used up, a moment before the other agents were heard of; one that gets no answer
+// repeats its opening then.
+auto MayKnowAll(const Balancer& balancer, base::TimePoint now) -> bool {
+  const auto runs_for = now - balancer.stall.running_since;
+  return RecordsAreFresh(balancer, now) || runs_for > balancer.policy.hears_all_after;
+}
+
 // Whether an agent that the opening was offered to before may be given it once more.
 auto MayTakeCopies(const View& view, Address agent) -> bool {
   const auto entry = view.members.find(agent);
@@ -120,9 +129,9 @@
   }
   balancer.hints.erase(flow);
   ++balancer.counters.no_target;
-  const auto reason =
-      IsHeldBack(balancer.view, service, now) ? DiscardReason::kDrained : DiscardReason::kNoTarget;
-  if (!sole) return Discard{reason};
+  const auto held_back = IsHeldBack(balancer.view, service, now);
+  const auto reason = held_back ? DiscardReason::kDrained : DiscardReason::kNoTarget;
+  if (!sole || (held_back && !MayKnowAll(balancer, now))) return Discard{reason};
   ++balancer.counters.refused;
   return RefuseOpening{reason};
 }
--- a/src/platform/shared_reads.h
+++ b/src/platform/shared_reads.h
@@ -25,9 +25,9 @@
 ///
 /// Safeguard: watches wait silently while the platform drops its history, or after their connection
 /// went dead, all of them at once where they began together. Instances that went by their watches
-/// alone held an old configuration until the platform ended them. A read proves that there is nothing newer; a watch
-/// that waits proves nothing. With n instances the fleet reads about once in `fresh_for`; one that
-/// hears of nobody reads for itself within `fresh_for` and `spread`.
+/// alone held an old configuration until the platform ended them. A read proves that there is
+/// nothing newer; a watch that waits proves nothing. With n instances the fleet reads about once in
+/// `fresh_for`; one that hears of nobody reads for itself within `fresh_for` and `spread`.
 struct SharedReads {
   SharedReadsPolicy policy;
   Backoff backoff;
