--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -288,9 +288,9 @@
 /// Works `peers` out from the hellos, where these have changed or have lapsed. Called at each check
 /// of stalls; until then the agent proves nothing.
 ///
-/// Safeguard: 107 balancers that start at once tell as many lists that differ. Worked out at each
-/// of their hellos, the union took 1.5 ms of processor time 107 times in a row, a second of an
-/// instance that has 0.15 of a core, while clients of lost flows waited for resets.
+/// Safeguard: balancers that start at once tell as many lists that differ. Worked out at each of
+/// their hellos, the union took all of a small instance while clients of lost flows waited for
+/// resets.
 auto RefreshPeers(Agent& agent, base::TimePoint now) -> void;
 
 /// The address is used by a target of another service from now on. Nothing that was known of the
