Remove what the reads in turn left without use

PrefixWatcher::SetHold served the shared wait for a configuration alone, and watch_hold the change of it under a waiting watch. Nobody calls it since balancers read in turn; a watch's hold is its policy's.

platform_core_test and packetd_test pass; the daemon builds; formatter clean.

--- a/src/platform/internal/prefix_watch.cc
+++ b/src/platform/internal/prefix_watch.cc
@@ -27,7 +27,6 @@
 auto Watch(PrefixWatch& watch, base::TimePoint now, WatchEffects effects) -> WatchEffects {
   ++watch.counters.watches;
   watch.watch_since = now;
-  watch.watch_hold = watch.policy.hold;
   effects.next = StartWatch{++watch.call, watch.revision, watch.policy.hold};
   return effects;
 }
@@ -158,7 +157,7 @@
   effects.synced = watch.revision;
   // Safeguard: a platform that answers watches at once with nothing new would be called in a tight
   // loop by every watcher; such an answer is waited out like a failure.
-  auto hasty = !moved && now - watch.watch_since < watch.watch_hold / 2;
+  auto hasty = !moved && now - watch.watch_since < watch.policy.hold / 2;
   if (hasty) return Retry(watch, std::move(effects));
   Reset(watch.backoff);
   if (moved && watch.policy.pause > base::Duration{}) {
--- a/src/platform/internal/prefix_watcher.cc
+++ b/src/platform/internal/prefix_watcher.cc
@@ -99,8 +99,6 @@
   this->core->timer.cancel();
 }
 
-auto PrefixWatcher::SetHold(base::Duration hold) -> void { this->core->watch.policy.hold = hold; }
-
 auto PrefixWatcher::Revision() const -> std::uint64_t { return this->core->watch.revision; }
 
 auto PrefixWatcher::Counters() const -> const WatchCounters& { return this->core->watch.counters; }
--- a/src/platform/prefix_watch.h
+++ b/src/platform/prefix_watch.h
@@ -55,7 +55,6 @@
   bool list_next = true;
   base::TimePoint resync_at{};
   base::TimePoint watch_since{};
-  base::Duration watch_hold{};  ///< that the watch since then was asked to wait
   std::unordered_map<std::string, std::uint64_t> known;  ///< key -> revision
   WatchCounters counters;
 };
--- a/src/platform/prefix_watcher.h
+++ b/src/platform/prefix_watcher.h
@@ -34,9 +34,6 @@
   PrefixWatcher(const PrefixWatcher&) = delete;
   auto operator=(const PrefixWatcher&) -> PrefixWatcher& = delete;
 
-  /// The longest wait of each watch from the next one on.
-  auto SetHold(base::Duration hold) -> void;
-
   /// Newest revision seen.
   auto Revision() const -> std::uint64_t;
   auto Counters() const -> const WatchCounters&;
