Say how old a balancer holds its configuration to be

configuration_age_ms, configuration_unconfirmed, operator_reads_total, operator_reads_failed_total and confirmations_total in the metrics; configuration_unconfirmed and configuration_confirmed in the log, once each, with the same counts. No decision changes.

test_packets_store: test_a_balancer_says_when_its_configuration_is_not_confirmed.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -86,6 +86,8 @@
                    packets::Address agent = 0) -> void;
   [[nodiscard]] auto Counts() const -> std::vector<NamedCount>;
   auto LogTraffic() -> void;
+  [[nodiscard]] auto ConfigurationAge(base::TimePoint now) const -> base::Duration;
+  auto LogFreshness(base::TimePoint now) -> void;
   [[nodiscard]] auto FirstAway() const -> packets::Address;
   auto IsReady() const -> bool;
 
@@ -106,6 +108,7 @@
   std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
   std::optional<base::TimePoint> platform_lost_at;
+  bool unconfirmed = false;      ///< the configuration may have been replaced beyond its bound
   base::TimePoint started_at{};  ///< of the process
   bool stopping = false;
   std::uint64_t malformed = 0;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -68,6 +68,7 @@
         packets::NoteEvent(this->core.stall, now);
         this->reads.Check(now);
         this->AskForNewer(now);
+        this->LogFreshness(now);
         this->ProbeSilent(now);
         this->Greet(now);
       });
@@ -320,6 +321,14 @@
   auto counts = CountsOf(this->core);
   const auto calls = CountsOf(this->client.Counts());
   counts.insert(counts.end(), calls.begin(), calls.end());
+  const auto reads = CountsOf(this->reads.counters);
+  counts.insert(counts.end(), reads.begin(), reads.end());
+  const auto age = this->ConfigurationAge(base::Now()) / base::milliseconds{1};
+  counts.push_back({"configuration_age_ms",
+                    "Since the configuration was confirmed to be the newest",
+                    static_cast<std::uint64_t>(age), true});
+  counts.push_back({"configuration_unconfirmed", "Whether that is longer ago than it may be",
+                    this->unconfirmed ? 1U : 0U, true});
   counts.push_back({"malformed_total", "Datagrams and heartbeats refused whole", this->malformed});
   const auto left_out = this->record_watcher->Counters().unreadable;
   counts.push_back({"unreadable_total", "Entries of the platform that could not be used",
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -132,6 +132,24 @@
   return this->reads.Confirm(now - *hello.confirmed_ago, now);
 }
 
+auto BalancerNode::ConfigurationAge(base::TimePoint now) const -> base::Duration {
+  return this->reads.Age(now).value_or(now - this->started_at);
+}
+
+// One line when what is in force may be older than it has to be, one when it is known not to be.
+auto BalancerNode::LogFreshness(base::TimePoint now) -> void {
+  const auto age = this->ConfigurationAge(now);
+  const auto late = this->core.routes && age > this->settings.configuration_within;
+  if (std::exchange(this->unconfirmed, late) == late) return;
+  Log(late ? LogLevel::kWarning : LogLevel::kInfo,
+      late ? "configuration_unconfirmed" : "configuration_confirmed",
+      {{"age_ms", age / base::milliseconds{1}},
+       {"revision", this->peers.Revision()},
+       {"reads", this->reads.counters.reads},
+       {"reads_failed", this->reads.counters.failed},
+       {"confirmations", this->reads.counters.confirmations}});
+}
+
 auto BalancerNode::NoteNewer(packets::Address from, std::uint64_t revision, base::TimePoint now)
     -> void {
   if (revision <= std::max(this->peers.Revision(), this->newer ? this->newer->revision : 0)) return;
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -66,6 +66,15 @@
   };
 }
 
+auto CountsOf(const OperatorReadCounters& reads) -> std::vector<NamedCount> {
+  return {
+      {"operator_reads_total", "Reads of the configuration in this balancer's turn", reads.reads},
+      {"operator_reads_failed_total", "Those that ended in an error", reads.failed},
+      {"confirmations_total", "Reads of other balancers that took the place of own ones",
+       reads.confirmations},
+  };
+}
+
 auto Export(telemetry::Registry& registry, const std::vector<NamedCount>& counts) -> void {
   for (const auto& count : counts) {
     const auto name = std::string(kPrefix) + std::string(count.name);
--- a/src/packetd/internal/operator_reads.cc
+++ b/src/packetd/internal/operator_reads.cc
@@ -39,6 +39,7 @@
 auto OperatorReads::Check(base::TimePoint now) -> void {
   if (!platform::IsReadDue(this->reads, now)) return;
   platform::BeginRead(this->reads, now);
+  ++this->counters.reads;
   this->failed = false;
   this->awaited = this->reads_drains ? 2 : 1;
   if (this->reads_drains) {
@@ -82,7 +83,10 @@
   if (error != nullptr) this->failed = true;
   if (--this->awaited != 0) return;
   const auto now = base::Now();
-  if (this->failed) return platform::FailRead(this->reads, now);
+  if (this->failed) {
+    ++this->counters.failed;
+    return platform::FailRead(this->reads, now);
+  }
   platform::EndRead(this->reads, now);
   this->ports.on_confirmed();
 }
@@ -93,6 +97,7 @@
   const auto before = this->Age(now);
   platform::TakeConfirmation(this->reads, as_of, now);
   const auto after = this->Age(now);
+  if (after != before) ++this->counters.confirmations;
   return before && after && *before - *after > this->reads.policy.fresh_for / 2;
 }
 
--- a/src/packetd/metrics.h
+++ b/src/packetd/metrics.h
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <vector>
 
+#include "packetd/operator_reads.h"
 #include "packets/agent.h"
 #include "packets/balancer.h"
 #include "platform/call_budget.h"
@@ -22,6 +23,7 @@
 auto CountsOf(const packets::Balancer& balancer) -> std::vector<NamedCount>;
 auto CountsOf(const packets::Agent& agent) -> std::vector<NamedCount>;
 auto CountsOf(const platform::CallCounts& calls) -> std::vector<NamedCount>;
+auto CountsOf(const OperatorReadCounters& reads) -> std::vector<NamedCount>;
 
 /// Brings the exported counters up to these values.
 auto Export(telemetry::Registry& registry, const std::vector<NamedCount>& counts) -> void;
--- a/src/packetd/operator_reads.h
+++ b/src/packetd/operator_reads.h
@@ -20,6 +20,13 @@
   std::function<void()> on_confirmed;  ///< all of a read has been given: others may put off theirs
 };
 
+/// Reads since the start, and what others told in place of own ones.
+struct OperatorReadCounters {
+  std::uint64_t reads = 0;
+  std::uint64_t failed = 0;         ///< of these
+  std::uint64_t confirmations = 0;  ///< of others that made what is known here newer
+};
+
 /// Reads what operators want, the configuration and the drained failure domains, at the platform,
 /// in turn with the other balancers (platform::SharedReads). Reads are linearizable: what one
 /// brings was the newest when it began.
@@ -46,6 +53,8 @@
   /// How long ago what is known was confirmed; nothing before the first read.
   [[nodiscard]] auto Age(base::TimePoint now) const -> std::optional<base::Duration>;
 
+  OperatorReadCounters counters;
+
  private:
   auto GetConfiguration(std::function<void(const platform::PlatformError*)> then) -> void;
   auto OnPart(const platform::PlatformError* error) -> void;
--- a/tests/process/test_packets_store.py
+++ b/tests/process/test_packets_store.py
@@ -66,6 +66,18 @@
         self.proxies[BALANCER].mode = Mode.PASS
         self.wait_until_open(ADDED)
 
+    def test_a_balancer_says_when_its_configuration_is_not_confirmed(self):
+        # The store goes silent for longer than a configuration may take to be in force. What the
+        # balancer has may have been replaced: operators see that it does not know.
+        unconfirmed = "anvildrum_packets_configuration_unconfirmed"
+        self.start_all()
+        self.assertEqual(self.metric(BALANCER, unconfirmed), 0)
+        self.proxies[BALANCER].mode = Mode.SILENT
+        wait_until(lambda: self.metric(BALANCER, unconfirmed) == 1, "doubt is told", WIDE_SECONDS)
+        self.assertGreater(self.metric(BALANCER, "anvildrum_packets_configuration_age_ms"), 0)
+        self.proxies[BALANCER].mode = Mode.PASS
+        wait_until(lambda: self.metric(BALANCER, unconfirmed) == 0, "no doubt", WIDE_SECONDS)
+
     def test_a_record_whose_answer_is_lost_is_written_once(self):
         # The agent's record is created, and the answer is lost. The agent asks again, finds its own
         # record there and is content: it neither writes for ever nor stays unknown.
