--- a/src/relay/tests/platform_test.cc
+++ b/src/relay/tests/platform_test.cc
@@ -90,6 +90,24 @@
   BOOST_TEST(RunUntil(fleet, base::seconds(30), [&] { return AllHold(fleet, 3); }).has_value());
 }
 
+// Every watch of the platform falls silent while the configuration changes. Watchers that wait for
+// theirs to end leave the old one in force everywhere.
+BOOST_AUTO_TEST_CASE(AChangeIsInForceInTimeThoughWatchesAreSilent, *boost::unit_test::disabled()) {
+  for (const std::size_t domains : {1U, 4U}) {
+    Fleet fleet = MakeFleet(domains, 3, 2);
+    StartAll(fleet);
+    fleet.platform.hangs = true;
+    PutObject(fleet, "config", "{}", 2);
+    RunFor(fleet, base::seconds(2));
+    for (std::uint64_t number = 3; number <= 6; ++number) {
+      PutObject(fleet, "config", "{}", number);
+      const base::Duration bound = base::seconds(6);
+      const auto holds = [&] { return AllHold(fleet, number); };
+      BOOST_TEST(RunUntil(fleet, bound, holds).has_value(), domains << " domains, " << number);
+    }
+  }
+}
+
 // The platform's history does not reach back to where the watcher was. It lists again instead of
 // asking for ever.
 BOOST_AUTO_TEST_CASE(AWatchWithoutHistoryListsAgain) {
