--- a/src/base/internal/echo.cc
+++ b/src/base/internal/echo.cc
@@ -17,8 +17,7 @@
 
 auto SentNotBefore(const MarkClock& clock, const Echo& echo, TimePoint now)
     -> std::optional<TimePoint> {
-  // Marks go round after 49 days: the age is worked out backwards from the
-  // present one.
+  // Marks go round after 49 days: the age is worked out backwards from the present one.
   const auto age = milliseconds{MarkAt(clock, now) - echo.mark};
   const auto made = std::chrono::floor<milliseconds>(now - clock.started) - age;
   if (age > kMarkFor || made < milliseconds{0} || echo.held < Duration{}) return std::nullopt;
--- a/src/packets/tests/hearsay_test.cc
+++ b/src/packets/tests/hearsay_test.cc
@@ -80,6 +80,20 @@
   }
 }
 
+// A message with all that a hello between balancers says, and some domains drained, is longer than
+// a frame, and the network drops or cuts it.
+BOOST_AUTO_TEST_CASE(a_full_message_fits_into_a_frame) {
+  constexpr auto frame = std::size_t{1472};  // 1,500 bytes less the headers of IP and UDP
+  auto hello = WholeHearsay(ViewOf(2 * kMostHearsay), kStart).front();
+  BOOST_TEST(hello.peers.size() == kMostHearsay);
+  hello.revision = 1ULL << 32;
+  hello.drained = DrainedOf(1ULL << 32, {1, 2, 3, 4});
+  hello.confirmed_ago = seconds{60};
+  hello.mark = 1U << 31;
+  hello.echo = base::Echo{.mark = 1U << 31, .held = base::kMarkFor};
+  BOOST_TEST(EncodeControl(hello).size() <= frame);
+}
+
 // More agents are new than a message holds: the others follow in their turn.
 BOOST_AUTO_TEST_CASE(more_new_agents_than_fit_do_not_make_a_message_longer) {
   const auto view = ViewOf(300);
