Count answers that are given up while they come; log reads of the configuration that take long

Now platform_answers_cut_short_total counts the second kind, the platform_calls line has it as cut_short, and configuration_read_slowly gives duration, bytes and error of each read over 400 ms.

No change of what is done.

--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -67,6 +67,8 @@
        Sum(calls.copies.sent)},
       {"platform_copy_calls_failed_total", "Those that ended in an error",
        Sum(calls.copies.failed)},
+      {"platform_answers_cut_short_total", "Answers of the platform given up while they came",
+       calls.newest.cut_short + calls.copies.cut_short},
   };
 }
 
--- a/src/packetd/internal/operator_reads.cc
+++ b/src/packetd/internal/operator_reads.cc
@@ -15,6 +15,9 @@
 // at the earliest and two at the latest; the others are for a call that hangs and its repetition.
 constexpr auto kPartsOfBound = 4;
 
+// Longer than an answer takes while the platform is slow.
+constexpr auto kSlowRead = base::milliseconds{400};
+
 auto PolicyFor(const Settings& settings) -> platform::SharedReadsPolicy {
   const auto bound = std::min(settings.configuration_within,
                               settings.drains_within.value_or(base::Duration::max()));
@@ -31,6 +34,17 @@
   return error != nullptr && error->code == platform::PlatformErrorCode::kNotFound;
 }
 
+// A link that is narrow for the size of the configuration shows here before anything is late.
+auto LogSlowRead(base::Duration took, const platform::Outcome<platform::Object>& got) -> void {
+  if (took < kSlowRead) return;
+  const auto* error = ErrorOf(got);
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "configuration_read_slowly",
+      {{"took_ms", took / base::milliseconds{1}},
+       {"bytes", error == nullptr ? std::get<platform::Object>(got).value.size() : 0},
+       {"code", error == nullptr ? -1 : static_cast<int>(error->code)}});
+}
+
 }  // namespace
 
 OperatorReads::OperatorReads(const PlatformClients& clients, const Adapter& adapter,
@@ -79,9 +93,11 @@
 auto OperatorReads::GetConfiguration(platform::Client& client,
                                      std::function<void(const platform::PlatformError*)> then)
     -> void {
+  const auto begun = base::Now();
   client.Get(this->adapter.configuration_key,
-             [this, then = std::move(then)](const platform::Outcome<platform::Object>& got) {
+             [this, begun, then = std::move(then)](const platform::Outcome<platform::Object>& got) {
                const auto* error = ErrorOf(got);
+               LogSlowRead(base::Now() - begun, got);
                if (error == nullptr) {
                  this->ports.on_configuration(std::get<platform::Object>(got));
                }
--- a/src/packetd/internal/operator_view.cc
+++ b/src/packetd/internal/operator_view.cc
@@ -75,7 +75,8 @@
                   {"watches", sent(platform::CallKind::kWatch)},
                   {"failed", Sum(calls.newest.failed)},
                   {"copies", Sum(calls.copies.sent)},
-                  {"copies_failed", Sum(calls.copies.failed)}});
+                  {"copies_failed", Sum(calls.copies.failed)},
+                  {"cut_short", calls.newest.cut_short + calls.copies.cut_short}});
 }
 
 auto OperatorView::LogRecord(std::string_view key, bool deleted, std::uint64_t revision) -> void {
--- a/src/platform/call_budget.h
+++ b/src/platform/call_budget.h
@@ -37,6 +37,7 @@
   std::array<std::uint64_t, kCallKinds> refused{};  ///< by the budget, never sent
   /// Calls that ended in an error, by PlatformErrorCode.
   std::array<std::uint64_t, kPlatformErrorCodes> failed{};
+  std::uint64_t cut_short = 0;  ///< of these: given up while their answer was coming
   std::uint64_t waiting_watches = 0;
 };
 
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -175,8 +175,11 @@
 // call on each would fail. A read goes out again on a new connection, once, because that one is not
 // a reused one; a write does not, because it may have taken effect.
 auto Exchange::ExchangeFailed(beast::error_code error) -> void {
-  if (error == beast::error::timeout) return this->Fail(PlatformErrorCode::kTimeout);
   auto answer_began = this->parser && this->parser->got_some();
+  if (error == beast::error::timeout) {
+    if (answer_began) ++this->core->budget.counts.cut_short;
+    return this->Fail(PlatformErrorCode::kTimeout);
+  }
   if (answer_began) return this->Fail(PlatformErrorCode::kMalformedAnswer);
   if (this->connection->reused && !IsWrite(this->call.kind)) return this->Connect();
   this->Fail(PlatformErrorCode::kAnswerLost);
