--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -26,26 +26,12 @@
 #include "packets/greeting.h"
 #include "packets/hearsay.h"
 #include "packets/hello.h"
+#include "packets/newer_configuration.h"
 #include "platform/client.h"
 #include "platform/prefix_watcher.h"
 
 namespace anvildrum::packetd {
 
-/// A configuration that another process has, newer than the own one.
-struct NewerConfiguration {
-  packets::Address from = 0;  ///< who has it
-  std::uint64_t revision = 0;
-  base::TimePoint asked_at{};  ///< for it, the last time
-  unsigned asks = 0;           ///< so far
-};
-
-/// Who is asked for a configuration that another balancer has in force.
-enum class ConfigurationSource : std::uint8_t {
-  kCopy,      ///< of the platform's state, which may be behind
-  kPlatform,  ///< its newest state
-  kBalancer,  ///< that has it
-};
-
 /// Another balancer, as of its last hello.
 struct KnownBalancer {
   base::HeardMark mark;
@@ -84,7 +70,6 @@
   auto TakeConfirmation(const packets::Hello& hello, base::TimePoint now) -> bool;
   auto NoteNewer(packets::Address from, const packets::Hello& hello, base::TimePoint now) -> void;
   auto AskForNewer(base::TimePoint now) -> void;
-  [[nodiscard]] auto SourceOfNewer(unsigned ask) const -> ConfigurationSource;
   auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
   auto OnRecord(const platform::Object& object) -> void;
   auto OpenPorts() -> base::Result<void>;
@@ -123,7 +108,7 @@
   PeerConfiguration peers;
   OperatorReads reads;
   MachineProbes probes;
-  std::optional<NewerConfiguration> newer;
+  std::optional<packets::NewerConfiguration> newer;
   base::MarkClock marks;
   std::map<packets::Address, KnownBalancer> balancers;  ///< that have said hello lately
   packets::Address last_holder = 0;                     ///< that was told as one
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -28,9 +28,6 @@
 // time in which it has to be in force: three questions are answered within half of it.
 constexpr auto kAskForNewerParts = 8;
 
-// Questions for a newer configuration, after which the regular reads tell what there is.
-constexpr auto kMostAsks = 8U;
-
 // How long the platform and other balancers are asked alone: either answers within some
 // milliseconds where it can, and has the newest.
 constexpr auto kAskAgentsAfter = base::milliseconds{500};
@@ -46,27 +43,6 @@
 constexpr auto kRecordHold = base::seconds{8};
 constexpr auto kRecordPause = base::seconds{2};
 
-using Source = ConfigurationSource;
-
-// Questions that go to copies of the platform's state first, which are cheaper and may be behind.
-constexpr auto kCopyAsks = 2U;
-
-// Whom the n-th question goes to, from 1. After the copies the platform itself, since all others
-// hear of the new version from a few balancers at the same moment, and serving them would fill the
-// links of these.
-auto SourceOf(unsigned ask) -> Source {
-  if (ask <= kCopyAsks) return Source::kCopy;
-  return ask % 2 == 1 ? Source::kPlatform : Source::kBalancer;
-}
-
-// The same of a balancer that the platform has turned away.
-//
-// Safeguard: it would ask the platform several times for each version, in vain, and a refused call
-// costs as much as an answered one.
-auto SourceWhileTurnedAway(unsigned ask) -> Source {
-  return ask % 4 == 0 ? Source::kCopy : Source::kBalancer;
-}
-
 auto WatchPolicyOf(base::Duration hold, base::Duration pause) -> platform::WatchPolicy {
   auto policy = platform::WatchPolicy{};
   policy.hold = hold;
@@ -178,41 +154,30 @@
 auto BalancerNode::NoteNewer(packets::Address from, const packets::Hello& hello,
                              base::TimePoint now) -> void {
   const auto holder = hello.holder != 0 && hello.holder != this->core.own ? hello.holder : from;
-  if (hello.revision <= this->peers.Revision()) return;
-  if (this->newer && hello.revision < this->newer->revision) return;
-  if (this->newer && hello.revision == this->newer->revision) {
-    this->newer->from = holder;
-    return;
+  if (packets::NoteNewer(this->newer, holder, hello.revision, this->peers.Revision())) {
+    this->AskForNewer(now);
   }
-  this->newer = NewerConfiguration{.from = holder, .revision = hello.revision};
-  this->AskForNewer(now);
 }
 
 // The other balancer may have gone since, and the platform may not answer this one.
 auto BalancerNode::AskForNewer(base::TimePoint now) -> void {
-  if (!this->newer) return;
-  if (this->newer->revision <= this->peers.Revision()) return this->newer.reset();
-  const auto every = this->settings.configuration_within / kAskForNewerParts;
-  if (now - this->newer->asked_at < every) return;
-  // The one that said so may have gone, and the platform may have been set back to an older state.
-  if (++this->newer->asks > kMostAsks) return this->newer.reset();
-  this->newer->asked_at = now;
-  switch (this->SourceOfNewer(this->newer->asks)) {
-    case Source::kCopy:
+  const auto basis =
+      packets::AskBasis{.revision = this->peers.Revision(),
+                        .is_seed = this->IsSeed(),
+                        .turned_away = this->platform_lost_at.has_value(),
+                        .every = this->settings.configuration_within / kAskForNewerParts};
+  const auto source = packets::NextAsk(this->newer, basis, now);
+  if (!source) return;
+  switch (*source) {
+    case packets::ConfigurationSource::kCopy:
       return this->reads.FetchConfiguration(Freshness::kMayBeOld);
-    case Source::kPlatform:
+    case packets::ConfigurationSource::kPlatform:
       return this->reads.FetchConfiguration(Freshness::kNewest);
-    case Source::kBalancer:
-      return this->peers.AskFor(this->newer->from);
+    case packets::ConfigurationSource::kBalancer:
+      return this->peers.AskFor(this->newer->holder);
   }
 }
 
-// Seeds tell all others: what they have is not to be late by the age of a copy.
-auto BalancerNode::SourceOfNewer(unsigned ask) const -> ConfigurationSource {
-  if (this->platform_lost_at) return SourceWhileTurnedAway(ask);
-  return SourceOf(this->IsSeed() ? ask + kCopyAsks : ask);
-}
-
 // What this balancer asks in an outage falls with the number of balancers, and it asks soon after
 // another one was answered.
 auto BalancerNode::PaceCalls(base::TimePoint now) -> void {
--- a/src/packetd/internal/operator_reads.cc
+++ b/src/packetd/internal/operator_reads.cc
@@ -38,11 +38,10 @@
 auto LogSlowRead(base::Duration took, const platform::Outcome<platform::Object>& got) -> void {
   if (took < kSlowRead) return;
   const auto* error = ErrorOf(got);
-  telemetry::Log(
-      telemetry::LogLevel::kInfo, "configuration_read_slowly",
-      {{"took_ms", took / base::milliseconds{1}},
-       {"bytes", error == nullptr ? std::get<platform::Object>(got).value.size() : 0},
-       {"code", error == nullptr ? -1 : static_cast<int>(error->code)}});
+  telemetry::Log(telemetry::LogLevel::kInfo, "configuration_read_slowly",
+                 {{"took_ms", took / base::milliseconds{1}},
+                  {"bytes", error == nullptr ? std::get<platform::Object>(got).value.size() : 0},
+                  {"code", error == nullptr ? -1 : static_cast<int>(error->code)}});
 }
 
 }  // namespace
--- /dev/null
+++ b/src/packets/internal/newer_configuration.cc
@@ -0,0 +1,59 @@
+#include "packets/newer_configuration.h"
+
+namespace anvildrum::packets {
+namespace {
+
+using Source = ConfigurationSource;
+
+// Questions for a newer configuration, after which the regular reads tell what there is.
+constexpr auto kMostAsks = 8U;
+
+// Questions that go to copies of the platform's state first, which are cheaper and may be behind.
+constexpr auto kCopyAsks = 2U;
+
+// Whom the n-th question goes to, from 1. After the copies the platform itself, since all others
+// hear of the new version from a few balancers at the same moment, and serving them would fill the
+// links of these.
+auto SourceOf(unsigned ask) -> Source {
+  if (ask <= kCopyAsks) return Source::kCopy;
+  return ask % 2 == 1 ? Source::kPlatform : Source::kBalancer;
+}
+
+// The same of a balancer that the platform has turned away.
+//
+// Safeguard: it would ask the platform several times for each version, in vain, and a refused call
+// costs as much as an answered one.
+auto SourceWhileTurnedAway(unsigned ask) -> Source {
+  return ask % 4 == 0 ? Source::kCopy : Source::kBalancer;
+}
+
+}  // namespace
+
+auto NoteNewer(std::optional<NewerConfiguration>& newer, Address holder, std::uint64_t revision,
+               std::uint64_t own_revision) -> bool {
+  if (revision <= own_revision) return false;
+  if (newer && revision < newer->revision) return false;
+  if (newer && revision == newer->revision) {
+    newer->holder = holder;
+    return false;
+  }
+  newer = NewerConfiguration{.holder = holder, .revision = revision};
+  return true;
+}
+
+auto NextAsk(std::optional<NewerConfiguration>& newer, const AskBasis& basis, base::TimePoint now)
+    -> std::optional<ConfigurationSource> {
+  if (newer && newer->revision <= basis.revision) newer.reset();
+  if (!newer || now - newer->asked_at < basis.every) return std::nullopt;
+  // The one that said so may have gone, and the platform may have been set back to an older state.
+  if (++newer->asks > kMostAsks) {
+    newer.reset();
+    return std::nullopt;
+  }
+  newer->asked_at = now;
+  if (basis.turned_away) return SourceWhileTurnedAway(newer->asks);
+  // Seeds tell all others: what they have is not to be late by the age of a copy.
+  return SourceOf(basis.is_seed ? newer->asks + kCopyAsks : newer->asks);
+}
+
+}  // namespace anvildrum::packets
--- /dev/null
+++ b/src/packets/newer_configuration.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/types/time.h"
+#include "packets/types/packet.h"
+
+/// Whom a balancer asks for a configuration that another one has in force.
+namespace anvildrum::packets {
+
+/// Who is asked.
+enum class ConfigurationSource : std::uint8_t {
+  kCopy,      ///< of the platform's state, which may be behind
+  kPlatform,  ///< its newest state
+  kBalancer,  ///< that has it
+};
+
+/// A configuration that another process has, newer than the own one.
+struct NewerConfiguration {
+  Address holder = 0;  ///< who has it
+  std::uint64_t revision = 0;
+  base::TimePoint asked_at{};  ///< for it, the last time
+  unsigned asks = 0;           ///< so far
+};
+
+/// What the next question depends on.
+struct AskBasis {
+  std::uint64_t revision = 0;  ///< of the configuration that is in force here
+  bool is_seed = false;        ///< others hear of changes from this balancer
+  bool turned_away = false;    ///< the platform has not answered this balancer
+  base::Duration every{};      ///< between two questions
+};
+
+/// Takes what another balancer says: `holder` has this revision in force. True where a question for
+/// it is due at once.
+auto NoteNewer(std::optional<NewerConfiguration>& newer, Address holder, std::uint64_t revision,
+               std::uint64_t own_revision) -> bool;
+
+/// Who is asked now; nothing where no question is due. Counts the question as asked.
+auto NextAsk(std::optional<NewerConfiguration>& newer, const AskBasis& basis, base::TimePoint now)
+    -> std::optional<ConfigurationSource>;
+
+}  // namespace anvildrum::packets
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/tcp_endpoint.h"
+#include "platform/answer_progress.h"
 #include "platform/internal/http_call.h"
 
 namespace anvildrum::platform {
@@ -79,7 +80,8 @@
     if (this->settings.dialect == nullptr) this->settings.dialect = &ObjectApi();
   }
 
-  auto Start(HttpCall call, base::Duration timeout, Finish finish) -> void;
+  /// `first`: how long the first bytes of the answer are awaited.
+  auto Start(HttpCall call, base::Duration first, Finish finish) -> void;
   auto TakeIdle() -> ConnectionPtr;
   auto KeepIdle(ConnectionPtr connection) -> void;
   auto Stop() -> void;
@@ -99,6 +101,7 @@
   auto Connect() -> void;
   auto ConnectFailed() -> void;
   auto Send() -> void;
+  auto BeginAnswer() -> void;
   auto Receive() -> void;
   auto ExchangeFailed(beast::error_code error) -> void;
   auto Answered() -> void;
@@ -107,12 +110,13 @@
 
   std::shared_ptr<ClientCore> core;
   HttpCall call;
-  base::Duration timeout{};
+  AnswerTimeouts timeouts;
   Finish finish;
   ConnectionPtr connection;
   std::size_t attempts = 0;  ///< endpoints tried
   http::request<http::string_body> request;
   std::optional<Response> parser;
+  AnswerProgress progress;
 };
 
 auto Exchange::Begin() -> void {
@@ -149,26 +153,34 @@
 
 auto Exchange::Send() -> void {
   this->parser.reset();
+  this->progress = {.sent_at = base::Now(), .heard_at = {}};
   auto& stream = this->connection->stream;
-  stream.expires_after(this->timeout);
+  stream.expires_after(this->timeouts.first);
   auto done = [self = this->shared_from_this()](beast::error_code error, std::size_t) {
     if (self->core->stopped) return;
     if (error) return self->ExchangeFailed(error);
-    self->Receive();
+    self->BeginAnswer();
   };
   http::async_write(stream, this->request, std::move(done));
 }
 
-auto Exchange::Receive() -> void {
+auto Exchange::BeginAnswer() -> void {
   this->parser.emplace();
   this->parser->body_limit(this->core->settings.max_answer_bytes);
+  this->Receive();
+}
+
+auto Exchange::Receive() -> void {
+  auto& stream = this->connection->stream;
+  stream.expires_after(GiveUpAt(this->progress, this->timeouts) - base::Now());
   auto done = [self = this->shared_from_this()](beast::error_code error, std::size_t) {
     if (self->core->stopped) return;
     if (error) return self->ExchangeFailed(error);
-    self->Answered();
+    if (self->parser->is_done()) return self->Answered();
+    self->progress.heard_at = base::Now();
+    self->Receive();
   };
-  http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
-                   std::move(done));
+  http::async_read_some(stream, this->connection->buffer, *this->parser, std::move(done));
 }
 
 // Safeguard: a platform that restarted leaves closed connections in the idle list, and the first
@@ -204,11 +216,11 @@
   this->finish(std::move(outcome));
 }
 
-auto ClientCore::Start(HttpCall call, base::Duration timeout, Finish finish) -> void {
+auto ClientCore::Start(HttpCall call, base::Duration first, Finish finish) -> void {
   auto exchange = std::make_shared<Exchange>();
   exchange->core = this->shared_from_this();
   exchange->call = std::move(call);
-  exchange->timeout = timeout;
+  exchange->timeouts = {.first = first, .between = this->settings.call_timeout};
   exchange->finish = std::move(finish);
   this->running.insert(exchange);
   asio::post(this->context, [exchange] {
