Await an answer of the platform for as long as it comes

Cause: a read was given up one second after it was sent, whether or not its answer was coming. 740 kB take 0.6 s of a link of 10 Mbit/s alone; two reads at once take 1.2 s, are both given up, and are sent again beside others: no read ever ends while the configuration stays that large.

Ruled out: reads that were silent (the link took in all it can while they were given up); the size of the value (it is read at once on wide links).

Change: a call is given up when its answer does not begin in time, when nothing of it has come for as long, or 30 s after it should have begun.

--- a/src/platform/answer_progress.h
+++ b/src/platform/answer_progress.h
@@ -18,7 +18,10 @@
   base::Duration between{};  ///< from any bytes to the next ones
 };
 
-/// When the call is given up.
+/// When the call is given up: its answer does not begin, or stops coming, or never ends.
+///
+/// Safeguard: with one deadline for the whole answer, a configuration that takes longer than that
+/// over a narrow link is given up and sent again beside others, which takes longer still, for ever.
 auto GiveUpAt(const AnswerProgress& progress, const AnswerTimeouts& timeouts) -> base::TimePoint;
 
 }  // namespace anvildrum::platform
