Receive one configuration at a time

Cause: a balancer reads in its turn, asks copies, the platform and other balancers for a newer version at fixed intervals, whatever is on its way; answers that come at the same time share the link, and each takes as many times longer.

Change: no read or question for the configuration begins while bytes of one are coming, from wherever. A call whose answer has not begun holds nothing back: a silent platform or balancer costs the others no time.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -70,6 +70,7 @@
   auto TakeConfirmation(const packets::Hello& hello, base::TimePoint now) -> bool;
   auto NoteNewer(packets::Address from, const packets::Hello& hello, base::TimePoint now) -> void;
   auto AskForNewer(base::TimePoint now) -> void;
+  [[nodiscard]] auto IsConfigurationComing() const -> bool;
   auto OnConfiguration(const platform::Object& object, std::string_view from) -> void;
   auto OnRecord(const platform::Object& object) -> void;
   auto OpenPorts() -> base::Result<void>;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -72,13 +72,13 @@
   this->TellBalancers(base::Now());  // they answer with the agents that they know
   this->ask_timer =
       std::make_unique<net::PeriodicTimer>(this->io, kAskPeriod, [this](base::TimePoint /*now*/) {
-        if (!this->core.routes) this->peers.Ask();
+        if (!this->core.routes && !this->IsConfigurationComing()) this->peers.Ask();
       });
   this->check_timer = std::make_unique<net::PeriodicTimer>(
       this->io, packets::kStallCheck, [this](base::TimePoint now) {
         packets::NoteEvent(this->core.stall, now);
         this->PaceCalls(now);
-        this->reads.Check(now);
+        if (!this->IsConfigurationComing()) this->reads.Check(now);
         this->AskForNewer(now);
         this->LogFreshness(now);
         this->ProbeSilent(now);
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -114,7 +114,7 @@
 // the platform answers.
 auto BalancerNode::AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void {
   if (this->core.routes || report.revision == 0) return;
-  if (now - this->started_at < kAskAgentsAfter) return;
+  if (now - this->started_at < kAskAgentsAfter || this->IsConfigurationComing()) return;
   this->peers.AskFor(report.agent);
 }
 
@@ -159,12 +159,18 @@
   }
 }
 
+// From wherever. Another one would share the link with it, and both would come later.
+auto BalancerNode::IsConfigurationComing() const -> bool {
+  return this->reads.IsConfigurationComing() || this->peers.IsConfigurationComing();
+}
+
 // The other balancer may have gone since, and the platform may not answer this one.
 auto BalancerNode::AskForNewer(base::TimePoint now) -> void {
   const auto basis =
       packets::AskBasis{.revision = this->peers.Revision(),
                         .is_seed = this->IsSeed(),
                         .turned_away = this->platform_lost_at.has_value(),
+                        .answer_coming = this->IsConfigurationComing(),
                         .every = this->settings.configuration_within / kAskForNewerParts};
   const auto source = packets::NextAsk(this->newer, basis, now);
   if (!source) return;
--- a/src/packetd/internal/operator_reads.cc
+++ b/src/packetd/internal/operator_reads.cc
@@ -89,6 +89,10 @@
   });
 }
 
+auto OperatorReads::IsConfigurationComing() const -> bool {
+  return this->clients.newest.IsReceivingObject() || this->clients.may_be_old.IsReceivingObject();
+}
+
 auto OperatorReads::GetConfiguration(platform::Client& client,
                                      std::function<void(const platform::PlatformError*)> then)
     -> void {
--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -1,5 +1,6 @@
 #include "packetd/peer_configuration.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <variant>
@@ -71,6 +72,13 @@
   }
 }
 
+auto PeerConfiguration::IsConfigurationComing() const -> bool {
+  const auto is_coming = [](const std::unique_ptr<Peer>& peer) {
+    return peer != nullptr && peer->client != nullptr && peer->client->IsReceivingObject();
+  };
+  return is_coming(this->newer) || std::any_of(this->peers.begin(), this->peers.end(), is_coming);
+}
+
 auto PeerConfiguration::Ask() -> void {
   for (auto& peer : this->peers) this->AskOne(*peer);
 }
--- a/src/packetd/operator_reads.h
+++ b/src/packetd/operator_reads.h
@@ -53,6 +53,9 @@
   /// and an error is followed by the next regular read. OperatorReadPorts::on_answer is told.
   auto FetchConfiguration(Freshness freshness) -> void;
 
+  /// Whether a configuration is coming from the platform.
+  [[nodiscard]] auto IsConfigurationComing() const -> bool;
+
   /// How many balancers tell each other of their reads, this one included.
   auto SetBalancers(std::size_t count, base::TimePoint now) -> void;
 
--- a/src/packetd/peer_configuration.h
+++ b/src/packetd/peer_configuration.h
@@ -44,6 +44,9 @@
   /// The platform's revision of what is served; 0: nothing yet.
   [[nodiscard]] auto Revision() const -> std::uint64_t;
 
+  /// Whether a configuration is coming from another process.
+  [[nodiscard]] auto IsConfigurationComing() const -> bool;
+
   /// Asks each of the settings' balancers once, unless a question to it is under way.
   auto Ask() -> void;
 
--- a/src/packets/internal/newer_configuration.cc
+++ b/src/packets/internal/newer_configuration.cc
@@ -44,7 +44,7 @@
 auto NextAsk(std::optional<NewerConfiguration>& newer, const AskBasis& basis, base::TimePoint now)
     -> std::optional<ConfigurationSource> {
   if (newer && newer->revision <= basis.revision) newer.reset();
-  if (!newer || now - newer->asked_at < basis.every) return std::nullopt;
+  if (!newer || basis.answer_coming || now - newer->asked_at < basis.every) return std::nullopt;
   // The one that said so may have gone, and the platform may have been set back to an older state.
   if (++newer->asks > kMostAsks) {
     newer.reset();
--- a/src/packets/newer_configuration.h
+++ b/src/packets/newer_configuration.h
@@ -29,6 +29,7 @@
   std::uint64_t revision = 0;  ///< of the configuration that is in force here
   bool is_seed = false;        ///< others hear of changes from this balancer
   bool turned_away = false;    ///< the platform has not answered this balancer
+  bool answer_coming = false;  ///< to a question or to a read of the configuration
   base::Duration every{};      ///< between two questions
 };
 
@@ -38,6 +39,9 @@
                std::uint64_t own_revision) -> bool;
 
 /// Who is asked now; nothing where no question is due. Counts the question as asked.
+///
+/// Safeguard: answers that come at the same time share the link, and each takes as much longer. A
+/// question is due only once the answer that is coming has ended.
 auto NextAsk(std::optional<NewerConfiguration>& newer, const AskBasis& basis, base::TimePoint now)
     -> std::optional<ConfigurationSource>;
 
--- a/src/packets/tests/narrow_links_world.cc
+++ b/src/packets/tests/narrow_links_world.cc
@@ -86,14 +86,20 @@
 
 auto NarrowLinksWorld::Ask(std::size_t index) -> void {
   auto& balancer = this->balancers[index];
-  if (platform::IsReadDue(balancer.reads, this->now)) {
+  const auto coming =
+      std::any_of(balancer.answers.begin(), balancer.answers.end(),
+                  [](const Answer& answer) { return answer.progress.heard_at.has_value(); });
+  if (!coming && platform::IsReadDue(balancer.reads, this->now)) {
     platform::BeginRead(balancer.reads, this->now);
     this->BeginAnswer(index, Purpose::kTurn, std::nullopt, this->VersionAt(this->now));
   }
-  const auto basis =
-      AskBasis{.revision = balancer.version,
-               .is_seed = index<kSeeds, .turned_away = balancer.reads.backoff.failures> 0,
-               .every = kAskEvery};
+  const auto is_seed = index < kSeeds;
+  const auto turned_away = balancer.reads.backoff.failures != 0;
+  const auto basis = AskBasis{.revision = balancer.version,
+                              .is_seed = is_seed,
+                              .turned_away = turned_away,
+                              .answer_coming = coming,
+                              .every = kAskEvery};
   const auto source = NextAsk(balancer.newer, basis, this->now);
   if (!source) return;
   if (*source == ConfigurationSource::kBalancer) {
--- /dev/null
+++ b/src/packets/tests/newer_configuration_test.cc
@@ -0,0 +1,83 @@
+#include "packets/newer_configuration.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace anvildrum::packets {
+namespace {
+
+using base::milliseconds;
+using Source = ConfigurationSource;
+
+constexpr auto kStart = base::TimePoint{base::seconds{1000}};
+constexpr auto kEvery = milliseconds{500};
+constexpr auto kHolder = Address{7};
+constexpr auto kBasis = AskBasis{.revision = 3, .every = kEvery};
+
+// The questions of `count` periods by a balancer that has heard of revision 4.
+auto AsksOf(const AskBasis& basis, int count) -> std::vector<Source> {
+  auto newer = std::optional<NewerConfiguration>{};
+  BOOST_TEST(NoteNewer(newer, kHolder, 4, basis.revision));
+  auto asks = std::vector<Source>{};
+  for (auto period = 0; period < count; ++period) {
+    if (const auto source = NextAsk(newer, basis, kStart + period * kEvery)) {
+      asks.push_back(*source);
+    }
+  }
+  return asks;
+}
+
+BOOST_AUTO_TEST_CASE(copies_are_asked_first_then_the_platform_and_a_holder_in_turn) {
+  const auto expected = std::vector{Source::kCopy, Source::kCopy, Source::kPlatform,
+                                    Source::kBalancer, Source::kPlatform};
+  BOOST_TEST((AsksOf(kBasis, 5) == expected));
+}
+
+// What a seed has would be late by the age of a copy, and all others hear of it from seeds.
+BOOST_AUTO_TEST_CASE(a_seed_asks_the_platform_at_once) {
+  auto basis = kBasis;
+  basis.is_seed = true;
+  BOOST_TEST((AsksOf(basis, 2) == std::vector{Source::kPlatform, Source::kBalancer}));
+}
+
+// Calls that the platform refuses cost as much as answered ones.
+BOOST_AUTO_TEST_CASE(a_balancer_that_is_turned_away_asks_holders) {
+  auto basis = kBasis;
+  basis.turned_away = true;
+  const auto expected =
+      std::vector{Source::kBalancer, Source::kBalancer, Source::kBalancer, Source::kCopy};
+  BOOST_TEST((AsksOf(basis, 4) == expected));
+}
+
+// A holder that has gone would be asked for ever.
+BOOST_AUTO_TEST_CASE(questions_for_one_revision_end) {
+  BOOST_TEST(AsksOf(kBasis, 20).size() == 8U);
+}
+
+// A second answer shares the link with the one that is coming, and both come later.
+BOOST_AUTO_TEST_CASE(nobody_is_asked_while_an_answer_is_coming) {
+  auto basis = kBasis;
+  basis.answer_coming = true;
+  BOOST_TEST(AsksOf(basis, 20).empty());
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_asked_for_what_is_in_force) {
+  auto newer = std::optional<NewerConfiguration>{};
+  BOOST_TEST(!NoteNewer(newer, kHolder, 3, 3));
+  BOOST_TEST(NoteNewer(newer, kHolder, 4, 3));
+  auto basis = kBasis;
+  basis.revision = 4;
+  BOOST_TEST(!NextAsk(newer, basis, kStart).has_value());
+  BOOST_TEST(!newer.has_value());
+}
+
+// The one that told first may have gone by the time of the next question.
+BOOST_AUTO_TEST_CASE(the_holder_that_told_last_is_asked) {
+  auto newer = std::optional<NewerConfiguration>{};
+  NoteNewer(newer, kHolder, 4, 3);
+  BOOST_TEST(!NoteNewer(newer, kHolder + 1, 4, 3));
+  BOOST_TEST(newer->holder == kHolder + 1);
+}
+
+}  // namespace
+}  // namespace anvildrum::packets
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -68,6 +68,9 @@
 
   auto Counts() const -> const CallCounts&;
 
+  /// Whether a part of the answer to a Get has come, and the rest is awaited.
+  [[nodiscard]] auto IsReceivingObject() const -> bool;
+
  private:
   std::shared_ptr<ClientCore> core;
 };
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -1,5 +1,6 @@
 #include "platform/client.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -349,4 +350,11 @@
 
 auto Client::Counts() const -> const CallCounts& { return this->core->budget.counts; }
 
+auto Client::IsReceivingObject() const -> bool {
+  const auto& running = this->core->running;
+  return std::any_of(running.begin(), running.end(), [](const auto& exchange) {
+    return exchange->call.kind == CallKind::kGet && exchange->progress.heard_at;
+  });
+}
+
 }  // namespace anvildrum::platform
