Ask one seed after another for the configuration

Callers: nobody is served by a balancer that has no configuration; with a large one it stays so for longer.

Change: seeds are asked in turn from one that is drawn, the next one as soon as one says that it has none; one that does not answer is passed over at the next tick of 250 ms.

--- a/src/packetd/internal/peer_configuration.cc
+++ b/src/packetd/internal/peer_configuration.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "packetd/internal/common.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -23,7 +24,11 @@
 
 PeerConfiguration::PeerConfiguration(boost::asio::io_context& io, const Adapter& adapter,
                                      const Settings& settings, OnObject on_object)
-    : io(io), adapter(adapter), own(settings.heartbeats), on_object(std::move(on_object)) {
+    : io(io),
+      adapter(adapter),
+      own(settings.heartbeats),
+      on_object(std::move(on_object)),
+      next_peer(StartSeed(settings)) {
   this->SetSeeds(settings.seeds);
 }
 
@@ -59,7 +64,7 @@
   if (this->newer && this->newer->asked) return;
   this->newer = std::make_unique<Peer>();
   this->newer->endpoint = base::EndpointFromV4(address, this->own.port);
-  this->AskOne(*this->newer);
+  this->AskOne(*this->newer, [] {});
 }
 
 auto PeerConfiguration::SetSeeds(const std::vector<base::Endpoint>& seeds) -> void {
@@ -80,12 +85,21 @@
 }
 
 auto PeerConfiguration::Ask() -> void {
-  for (auto& peer : this->peers) this->AskOne(*peer);
+  this->left_to_ask = this->peers.size();
+  this->AskNext();
+}
+
+auto PeerConfiguration::AskNext() -> void {
+  if (this->kept || this->IsConfigurationComing()) return;
+  while (this->left_to_ask > 0) {
+    --this->left_to_ask;
+    auto& peer = *this->peers[this->next_peer++ % this->peers.size()];
+    if (!peer.asked) return this->AskOne(peer, [this] { this->AskNext(); });
+  }
 }
 
 // The callback dies with the client, and the client with its peer.
-auto PeerConfiguration::AskOne(Peer& peer) -> void {
-  if (peer.asked) return;
+auto PeerConfiguration::AskOne(Peer& peer, std::function<void()> on_failure) -> void {
   if (peer.client == nullptr) {
     peer.client = std::make_unique<platform::Client>(platform::ClientBuilder{}
                                                          .WithEndpoint(peer.endpoint)
@@ -94,12 +108,13 @@
                                                          .Build(this->io));
   }
   peer.asked = true;
-  const auto on_answer = [this, &peer](const platform::Outcome<platform::Object>& outcome) {
+  const auto on_answer = [this, &peer, on_failure = std::move(on_failure)](
+                             const platform::Outcome<platform::Object>& outcome) {
     peer.asked = false;
     if (const auto* error = std::get_if<platform::PlatformError>(&outcome)) {
       Log(LogLevel::kDebug, "peer_without_configuration",
           {{"code", static_cast<int>(error->code)}, {"status", error->http_status}});
-      return;
+      return on_failure();
     }
     this->on_object(std::get<platform::Object>(outcome));
   };
--- a/src/packetd/peer_configuration.h
+++ b/src/packetd/peer_configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -47,7 +48,10 @@
   /// Whether a configuration is coming from another process.
   [[nodiscard]] auto IsConfigurationComing() const -> bool;
 
-  /// Asks each of the settings' balancers once, unless a question to it is under way.
+  /// Asks the settings' balancers one after another until one has a configuration. Called again, it
+  /// goes on beside those that do not answer.
+  ///
+  /// Safeguard: asked all at once, each would send a whole configuration over the same link.
   auto Ask() -> void;
 
   /// Asks the process at this address, which says that it has a newer one, unless one is being
@@ -63,7 +67,8 @@
     bool asked = false;  ///< an answer is awaited
   };
 
-  auto AskOne(Peer& peer) -> void;
+  auto AskNext() -> void;
+  auto AskOne(Peer& peer, std::function<void()> on_failure) -> void;
 
   boost::asio::io_context& io;
   const Adapter& adapter;
@@ -71,6 +76,8 @@
   OnObject on_object;
   std::optional<platform::Object> kept;
   std::vector<std::unique_ptr<Peer>> peers;
+  std::size_t next_peer;        ///< as a count that begins anywhere, so that starts are spread
+  std::size_t left_to_ask = 0;  ///< peers, until Ask is called again
   std::unique_ptr<Peer> newer;  ///< the last one that said so
   std::unique_ptr<net::OperatorPort> port;
 };
