Ask agents for the newest configuration that any of them keeps

Change: of what agents say that they keep the newest is asked for; after 1.5 s an older one, which is better than none. While nobody has confirmed what was taken, a newer one that an agent keeps is asked for.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -110,6 +110,7 @@
   OperatorReads reads;
   MachineProbes probes;
   std::optional<packets::NewerConfiguration> newer;
+  packets::KeptConfigurations kept;
   base::MarkClock marks;
   std::map<packets::Address, KnownBalancer> balancers;  ///< that have said hello lately
   packets::Address last_holder = 0;                     ///< that was told as one
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -28,10 +28,6 @@
 // time in which it has to be in force: three questions are answered within half of it.
 constexpr auto kAskForNewerParts = 8;
 
-// How long the platform and other balancers are asked alone: either answers within some
-// milliseconds where it can, and has the newest.
-constexpr auto kAskAgentsAfter = base::milliseconds{500};
-
 // Between failed calls: a configuration has to be read soon after the platform is back, and an
 // instance's budget bounds the calls of a long outage.
 constexpr auto kWatchBackoff =
@@ -109,13 +105,17 @@
           .on_confirmed = [this] { this->TellAtOnce(base::Now()); }};
 }
 
-// An agent keeps a configuration, and this balancer has found none for a while. What the agent
-// keeps is what was in force when it last heard of a balancer; a newer one replaces it as soon as
-// the platform answers.
+// An agent keeps a configuration, and this balancer has found none for a while, or one that nobody
+// has confirmed. What agents keep is what was in force when they last heard of a balancer; a newer
+// one replaces it as soon as the platform answers.
 auto BalancerNode::AskAgent(const packets::TargetReport& report, base::TimePoint now) -> void {
-  if (this->core.routes || report.revision == 0) return;
-  if (now - this->started_at < kAskAgentsAfter || this->IsConfigurationComing()) return;
-  this->peers.AskFor(report.agent);
+  if (this->reads.Age(now)) return;
+  const auto ask = packets::TakeKept(this->kept, report.revision, now - this->started_at);
+  if (this->core.routes) {
+    packets::NoteNewer(this->newer, report.agent, report.revision, this->peers.Revision());
+  } else if (ask && !this->IsConfigurationComing()) {
+    this->peers.AskFor(report.agent);
+  }
 }
 
 // Whether the other balancer's read confirms what this one has. Seeds tell it on, where it is news:
--- a/src/packets/internal/newer_configuration.cc
+++ b/src/packets/internal/newer_configuration.cc
@@ -1,5 +1,7 @@
 #include "packets/newer_configuration.h"
 
+#include <algorithm>
+
 namespace anvildrum::packets {
 namespace {
 
@@ -27,6 +29,13 @@
   return ask % 4 == 0 ? Source::kCopy : Source::kBalancer;
 }
 
+// How long the platform and other balancers are asked alone: either answers within some
+// milliseconds where it can, and has the newest.
+constexpr auto kAskAgentsAfter = base::milliseconds{500};
+
+// From when on an older configuration is better than none: whoever has a newer one may have gone.
+constexpr auto kTakeOlderAfter = base::milliseconds{1500};
+
 }  // namespace
 
 auto NoteNewer(std::optional<NewerConfiguration>& newer, Address holder, std::uint64_t revision,
@@ -56,4 +65,11 @@
   return SourceOf(basis.is_seed ? newer->asks + kCopyAsks : newer->asks);
 }
 
+auto TakeKept(KeptConfigurations& kept, std::uint64_t revision, base::Duration running_for)
+    -> bool {
+  kept.newest = std::max(kept.newest, revision);
+  if (revision == 0 || running_for < kAskAgentsAfter) return false;
+  return revision == kept.newest || running_for >= kTakeOlderAfter;
+}
+
 }  // namespace anvildrum::packets
--- a/src/packets/newer_configuration.h
+++ b/src/packets/newer_configuration.h
@@ -45,4 +45,16 @@
 auto NextAsk(std::optional<NewerConfiguration>& newer, const AskBasis& basis, base::TimePoint now)
     -> std::optional<ConfigurationSource>;
 
+/// What agents have said that they keep, to a balancer that has no configuration.
+struct KeptConfigurations {
+  std::uint64_t newest = 0;  ///< revision
+};
+
+/// Takes what an agent says to a balancer that has been running for this long. True where the agent
+/// is to be asked for it.
+///
+/// Safeguard: an agent that kept the configuration once offers what it had then. Asked because it
+/// was the first to report, it puts a configuration in force that was replaced long ago.
+auto TakeKept(KeptConfigurations& kept, std::uint64_t revision, base::Duration running_for) -> bool;
+
 }  // namespace anvildrum::packets
