Send an answer for as long as its client reads

Change: the limit of OperatorPortOptions holds between two parts of an answer; a minute for the whole of it, so that a client that reads a byte now and then gives its place back. an_answer_that_is_read_slowly_is_sent_whole fails with the limit on the whole (tried).

--- a/src/net/internal/operator_port.cc
+++ b/src/net/internal/operator_port.cc
@@ -1,5 +1,6 @@
 #include "net/operator_port.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -7,12 +8,14 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 #include <set>
 #include <utility>
 
+#include "base/clock.h"
 #include "base/tcp_endpoint.h"
 #include "net/internal/route_table.h"
 
@@ -27,6 +30,9 @@
 
 constexpr auto kAcceptPause = base::milliseconds{100};
 
+// However slowly its client reads, an answer gives its place back after this long.
+constexpr auto kAnswerWithin = base::minutes{1};
+
 auto Fail(NetErrorCode code, const boost::system::error_code& error, const base::Endpoint& where)
     -> boost::leaf::error_id {
   return boost::leaf::new_error(NetError{code, error.value(), base::FormatEndpoint(where)});
@@ -139,16 +145,26 @@
     this->response->body() = std::move(answer.body);
     this->response->keep_alive(keep_alive);
     this->response->prepare_payload();
-    this->stream.expires_after(this->port->options.timeout);
-    http::async_write(this->stream, *this->response,
-                      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                        self->HandleWrite(error);
-                      });
+    this->serializer.emplace(*this->response);
+    this->answer_began = base::Now();
+    this->WriteSome();
+  }
+
+  // Safeguard: with one deadline for the whole answer, a large one that many ask for over a narrow
+  // link is cut off and asked for again, for ever.
+  auto WriteSome() -> void {
+    const auto left = this->answer_began + kAnswerWithin - base::Now();
+    this->stream.expires_after(std::min<base::Duration>(this->port->options.timeout, left));
+    http::async_write_some(this->stream, *this->serializer,
+                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                             self->HandleWrite(error);
+                           });
   }
 
   auto HandleWrite(beast::error_code error) -> void {
     if (error == beast::error::timeout) ++this->port->counts.timed_out;
     if (error || this->port->closed) return;
+    if (!this->serializer->is_done()) return this->WriteSome();
     if (this->response->keep_alive()) {
       this->Read();
       return;
@@ -162,6 +178,8 @@
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   std::optional<http::response<http::string_body>> response;
+  std::optional<http::response_serializer<http::string_body>> serializer;
+  base::TimePoint answer_began{};
 };
 
 auto OperatorPort::Impl::Accept() -> void {
--- a/src/net/operator_port.h
+++ b/src/net/operator_port.h
@@ -35,7 +35,7 @@
   base::Endpoint local = {};                        ///< port 0: the system picks one
   std::size_t max_body = std::size_t{1024} * 1024;  ///< bytes; a longer one gets 413
   std::size_t max_connections = 32;                 ///< further ones are closed at once
-  base::Duration timeout = base::seconds{10};       ///< for each read and each write of a request
+  base::Duration timeout = base::seconds{10};  ///< of a request, and between parts of an answer
 };
 
 struct OperatorPortCounts {
--- a/src/net/tests/operator_port_test.cc
+++ b/src/net/tests/operator_port_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <string>
@@ -30,6 +31,22 @@
                             [this](boost::system::error_code, std::size_t) { this->done = true; });
   }
 
+  /// Reads so many bytes, waits a while, and again.
+  auto CollectSlowly(boost::asio::steady_timer& timer, std::size_t bytes) -> void {
+    auto buffer = boost::asio::dynamic_buffer(this->answer);
+    boost::asio::async_read(this->socket, buffer, boost::asio::transfer_exactly(bytes),
+                            [this, &timer, bytes](boost::system::error_code error, std::size_t) {
+                              this->done = error.failed();
+                              if (this->done) return;
+                              timer.expires_after(kReadPause);
+                              timer.async_wait([this, &timer, bytes](boost::system::error_code) {
+                                this->CollectSlowly(timer, bytes);
+                              });
+                            });
+  }
+
+  static constexpr auto kReadPause = base::milliseconds{50};
+
   tcp::socket socket;
   std::string answer;
   bool done = false;
@@ -108,6 +125,23 @@
   BOOST_TEST(this->Serves());
 }
 
+// A large answer over a narrow link takes longer than a client may be silent. Cut off, it would be
+// asked for again, and none would ever come whole.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_read_slowly_is_sent_whole) {
+  constexpr auto kBytes = std::size_t{32} * 1024 * 1024;
+  this->Open({.timeout = base::seconds{1}});
+  this->port->Route("GET", "/large", [](const OperatorRequest&) {
+    return OperatorResponse{.body = std::string(kBytes, 'x')};
+  });
+  auto client = Client{this->io, this->port->LocalEndpoint()};
+  client.Send("GET /large HTTP/1.0\r\n\r\n");
+  auto timer = boost::asio::steady_timer{this->io};
+  client.CollectSlowly(timer, kBytes / 64);
+  BOOST_TEST(RunUntil(this->io, [&] { return client.done; }));
+  BOOST_TEST(client.answer.size() > kBytes);
+  BOOST_TEST(this->port->Counts().timed_out == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(turns_away_connections_over_the_limit) {
   this->Open({.max_connections = 1});
   auto first = Client{this->io, this->port->LocalEndpoint()};
