--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -78,7 +78,7 @@
       this->io, packets::kStallCheck, [this](base::TimePoint now) {
         packets::NoteEvent(this->core.stall, now);
         this->PaceCalls(now);
-        if (!this->IsConfigurationComing()) this->reads.Check(now);
+        this->reads.Check(now);
         this->AskForNewer(now);
         this->LogFreshness(now);
         this->ProbeSilent(now);
--- a/src/packetd/internal/operator_reads.cc
+++ b/src/packetd/internal/operator_reads.cc
@@ -59,8 +59,9 @@
   this->FetchConfiguration(Freshness::kMayBeOld);
 }
 
+// What comes from another process holds no read back: that one's link may be full.
 auto OperatorReads::Check(base::TimePoint now) -> void {
-  if (!platform::IsReadDue(this->reads, now)) return;
+  if (!platform::IsReadDue(this->reads, now) || this->IsConfigurationComing()) return;
   platform::BeginRead(this->reads, now);
   ++this->counters.reads;
   this->failed = false;
--- a/src/packetd/operator_reads.h
+++ b/src/packetd/operator_reads.h
@@ -46,7 +46,8 @@
   /// old, is read at once. Whoever started at the same moment is told of the first read.
   auto Begin(base::TimePoint now) -> void;
 
-  /// Reads where it is this balancer's turn. Called at each check of stalls.
+  /// Reads where it is this balancer's turn and no configuration is coming from the platform.
+  /// Called at each check of stalls.
   auto Check(base::TimePoint now) -> void;
 
   /// Reads the configuration alone: another balancer has a newer one. An answer confirms nothing,
--- a/src/packets/tests/narrow_links_world.cc
+++ b/src/packets/tests/narrow_links_world.cc
@@ -86,10 +86,12 @@
 
 auto NarrowLinksWorld::Ask(std::size_t index) -> void {
   auto& balancer = this->balancers[index];
-  const auto coming =
-      std::any_of(balancer.answers.begin(), balancer.answers.end(),
-                  [](const Answer& answer) { return answer.progress.heard_at.has_value(); });
-  if (!coming && platform::IsReadDue(balancer.reads, this->now)) {
+  const auto& answers = balancer.answers;
+  const auto is_coming = [](const Answer& answer) { return answer.progress.heard_at.has_value(); };
+  const auto is_platforms = [&](const Answer& answer) { return is_coming(answer) && !answer.from; };
+  const auto coming = std::any_of(answers.begin(), answers.end(), is_coming);
+  if (std::none_of(answers.begin(), answers.end(), is_platforms) &&
+      platform::IsReadDue(balancer.reads, this->now)) {
     platform::BeginRead(balancer.reads, this->now);
     this->BeginAnswer(index, Purpose::kTurn, std::nullopt, this->VersionAt(this->now));
   }
