--- a/src/net/tests/operator_port_test.cc
+++ b/src/net/tests/operator_port_test.cc
@@ -128,17 +128,17 @@
 // A large answer over a narrow link takes longer than a client may be silent. Cut off, it would be
 // asked for again, and none would ever come whole.
 BOOST_AUTO_TEST_CASE(an_answer_that_is_read_slowly_is_sent_whole) {
-  constexpr auto kBytes = std::size_t{32} * 1024 * 1024;
+  constexpr auto bytes = std::size_t{32} * 1024 * 1024;
   this->Open({.timeout = base::seconds{1}});
   this->port->Route("GET", "/large", [](const OperatorRequest&) {
-    return OperatorResponse{.body = std::string(kBytes, 'x')};
+    return OperatorResponse{.body = std::string(bytes, 'x')};
   });
   auto client = Client{this->io, this->port->LocalEndpoint()};
   client.Send("GET /large HTTP/1.0\r\n\r\n");
   auto timer = boost::asio::steady_timer{this->io};
-  client.CollectSlowly(timer, kBytes / 64);
+  client.CollectSlowly(timer, bytes / 64);
   BOOST_TEST(RunUntil(this->io, [&] { return client.done; }));
-  BOOST_TEST(client.answer.size() > kBytes);
+  BOOST_TEST(client.answer.size() > bytes);
   BOOST_TEST(this->port->Counts().timed_out == 0U);
 }
 
