--- a/src/packetd/internal/common.cc
+++ b/src/packetd/internal/common.cc
@@ -9,9 +9,10 @@
 namespace anvildrum::packetd {
 namespace {
 
-// A call without an answer for this long is repeated on a new connection: a connection may go
-// silent without a reset, and a configuration has to be in force three seconds after it was
-// accepted. An answer takes some milliseconds, and up to 300 while the platform is slow.
+// A call is repeated on a new connection when its answer does not begin, or stops coming, for this
+// long: a connection may go silent without a reset, and a configuration has to be in force three
+// seconds after it was accepted. An answer begins after some milliseconds, and after up to 300
+// while the platform is slow.
 constexpr auto kCallTimeout = base::milliseconds{1000};
 
 }  // namespace
--- a/src/packets/tests/narrow_links_world.h
+++ b/src/packets/tests/narrow_links_world.h
@@ -25,7 +25,8 @@
 };
 
 /// Balancers that read a configuration at a platform and from each other over links that it fills
-/// for a while. Answers that come at the same time share a link.
+/// for a while, by the product's own decisions: whose turn a read is, whom to ask for what another
+/// balancer has, and when a call is given up. Answers that come at the same time share a link.
 class NarrowLinksWorld {
  public:
   explicit NarrowLinksWorld(const NarrowLinksOptions& options);
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -23,7 +23,7 @@
 struct ClientSettings {
   std::vector<base::Endpoint> endpoints;  ///< tried in turn from the last one that connected
   base::Duration connect_timeout = base::seconds(1);
-  base::Duration call_timeout = base::seconds(5);
+  base::Duration call_timeout = base::seconds(5);   ///< till an answer begins, between parts
   base::Duration idle_timeout = base::seconds(10);  ///< older idle connections are not reused
   std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
   /// Of an answer to a list, unless one object is longer. A list of a whole fleet has to fit the
@@ -62,7 +62,7 @@
   auto List(std::string_view prefix, Callback<Listing> callback) -> void;
 
   /// Changes newer than `after`, held open for up to `hold`, then an empty listing. Fails with
-  /// kTimeout when there is no answer within `hold` and the call timeout together.
+  /// kTimeout when no answer begins within `hold` and the call timeout together.
   auto Watch(std::string_view prefix, std::uint64_t after, base::Duration hold,
              Callback<Listing> callback) -> void;
 
--- a/src/platform/types/platform_error.h
+++ b/src/platform/types/platform_error.h
@@ -8,7 +8,7 @@
 enum class PlatformErrorCode {
   kNoEndpoint,       ///< the client has no endpoint to call
   kUnreachable,      ///< no connection; the call was not sent
-  kTimeout,          ///< sent, no whole answer in time
+  kTimeout,          ///< sent, the answer did not begin in time or stopped coming
   kAnswerLost,       ///< sent, connection ended before an answer
   kMalformedAnswer,  ///< the answer was cut off or is not what the API promises
   kServerError,      ///< 5xx
