--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -34,8 +34,7 @@
     platform::BackoffPolicy{.first = base::milliseconds{200}, .cap = base::milliseconds{1000}};
 
 // Records tell a balancer whom to say hello to; what changes quickly it hears from agents and other
-// balancers. A fleet's start is read by a few calls instead of one for each agent: 65 machines made
-// 2,200 calls in 50 s, two thirds of them for records.
+// balancers. A fleet's start is read by a few calls instead of one for each agent.
 constexpr auto kRecordHold = base::seconds{8};
 constexpr auto kRecordPause = base::seconds{2};
 
--- a/src/packetd/internal/operator_view.h
+++ b/src/packetd/internal/operator_view.h
@@ -41,8 +41,7 @@
   /// The same of what another writer sent that names nothing to use; `subject` says which.
   auto LogOdd(std::string_view event, std::string_view subject) -> void;
 
-  /// The same of an agent's record that was read at the platform. 91 balancers that started at once
-  /// wrote 30,000 such lines in a second.
+  /// The same of an agent's record that was read at the platform: all are read at a start.
   auto LogRecord(std::string_view key, bool deleted, std::uint64_t revision) -> void;
 
   /// Calls to the platform since the start, by kind, where there were any since the last line; at
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -29,7 +29,7 @@
 ///
 /// A hello names the list by its digest. An agent that holds no list with that digest, from this
 /// balancer or another one, asks for it in its report (TargetReport::wanted_list). With the list in
-/// each of four hellos a second a balancer of 48 agents sent 110 kB/s.
+/// every hello a balancer's bytes grow as its agents squared.
 struct Hello {
   base::ServiceId service{};  ///< of the agent that it goes to; zero: it goes to a balancer
   std::vector<Peer> peers;    ///< in the order of addresses; empty where `listed` is false
--- a/src/packets/hearsay.h
+++ b/src/packets/hearsay.h
@@ -26,8 +26,8 @@
 
 /// The regular message: agents that are new, and some of the others. `from`: where these go on.
 ///
-/// Safeguard: a balancer that others name as their seed tells each of them once a second. With 90
-/// agents in each message it sent 118 kB a second to 91 balancers, whatever changed.
+/// Safeguard: a balancer that others name as their seed tells each of them once a second. With all
+/// agents in each message its link is filled by what did not change.
 auto NextHearsay(const View& view, std::size_t& from, base::TimePoint now) -> Hello;
 
 /// Agents that this balancer has found out of reach, at most kMostOutOfReach. What others have told
