Leave an endpoint of the platform that does not answer, once for all calls

Where one of several processes of the platform stands still, its connections stay open: each call waited its whole time and the next one went to the same process, over the next idle connection and then over a new one, for as long as it stood. Calls that failed to connect together moved on once each, so that of two endpoints the second call came back to the closed one and failed. Cause: only a connection that failed led to another endpoint, and it led there from wherever the client was by then. Change: a connection knows its endpoint. Who leaves one moves on only while the client still goes there; a call that timed out leaves it too, and takes along the connections to it that were idle all the while. Ruled out: giving up on an endpoint after several timeouts: a call's time is 1 s or 5 s, and a configuration has to be in force in 5.

--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -21,7 +21,8 @@
 namespace anvildrum::platform {
 
 struct ClientSettings {
-  std::vector<base::Endpoint> endpoints;  ///< tried in turn from the last one that connected
+  /// Tried in turn; the one that answers is kept until it stops doing so.
+  std::vector<base::Endpoint> endpoints;
   base::Duration connect_timeout = base::seconds(1);
   base::Duration call_timeout = base::seconds(5);   ///< till an answer begins, between parts
   base::Duration idle_timeout = base::seconds(10);  ///< older idle connections are not reused
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -60,6 +60,7 @@
   }
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  std::size_t endpoint = 0;  ///< index
   base::TimePoint idle_since{};
   bool reused = false;
 };
@@ -85,6 +86,8 @@
   auto Start(HttpCall call, base::Duration first, Finish finish) -> void;
   auto TakeIdle() -> ConnectionPtr;
   auto KeepIdle(ConnectionPtr connection) -> void;
+  auto LeaveEndpoint(std::size_t index) -> void;
+  auto LeaveSilentEndpoint(std::size_t index, base::TimePoint silent_since) -> void;
   auto Stop() -> void;
 
   asio::io_context& context;
@@ -92,7 +95,7 @@
   CallBudget budget;
   std::vector<ConnectionPtr> idle;
   std::set<std::shared_ptr<Exchange>> running;
-  std::size_t endpoint = 0;  ///< index of the one that connected last
+  std::size_t endpoint = 0;  ///< index of the one that is connected to
   bool stopped = false;
 };
 
@@ -137,7 +140,8 @@
   this->connection = std::make_unique<Connection>(this->core->context);
   auto& stream = this->connection->stream;
   stream.expires_after(settings.connect_timeout);
-  auto endpoint = base::ToTcp(settings.endpoints[this->core->endpoint]);
+  this->connection->endpoint = this->core->endpoint;
+  auto endpoint = base::ToTcp(settings.endpoints[this->connection->endpoint]);
   stream.async_connect(endpoint, [self = this->shared_from_this()](beast::error_code error) {
     if (self->core->stopped) return;
     if (error) return self->ConnectFailed();
@@ -146,9 +150,8 @@
 }
 
 auto Exchange::ConnectFailed() -> void {
-  auto endpoints = this->core->settings.endpoints.size();
-  this->core->endpoint = (this->core->endpoint + 1) % endpoints;
-  if (++this->attempts < endpoints) return this->Connect();
+  this->core->LeaveEndpoint(this->connection->endpoint);
+  if (++this->attempts < this->core->settings.endpoints.size()) return this->Connect();
   this->Fail(PlatformErrorCode::kUnreachable);
 }
 
@@ -191,6 +194,7 @@
   auto answer_began = this->parser && this->parser->got_some();
   if (error == beast::error::timeout) {
     if (answer_began) ++this->core->budget.counts.cut_short;
+    this->core->LeaveSilentEndpoint(this->connection->endpoint, this->progress.sent_at);
     return this->Fail(PlatformErrorCode::kTimeout);
   }
   if (answer_began) return this->Fail(PlatformErrorCode::kMalformedAnswer);
@@ -246,6 +250,23 @@
   this->idle.push_back(std::move(connection));
 }
 
+// Other calls may have left it already.
+auto ClientCore::LeaveEndpoint(std::size_t index) -> void {
+  if (this->endpoint != index) return;
+  this->endpoint = (index + 1) % this->settings.endpoints.size();
+}
+
+// Connections to it that were idle all the while are as silent as the one that was waited for, and
+// each would cost a call its whole time.
+auto ClientCore::LeaveSilentEndpoint(std::size_t index, base::TimePoint silent_since) -> void {
+  this->LeaveEndpoint(index);
+  const auto is_silent = [&](const ConnectionPtr& connection) {
+    return connection->endpoint == index && connection->idle_since < silent_since;
+  };
+  this->idle.erase(std::remove_if(this->idle.begin(), this->idle.end(), is_silent),
+                   this->idle.end());
+}
+
 // Ending an exchange here would run its callback, which may use what its owner has already let go
 // of. Dropping it closes the connection; its pending operations see `stopped`.
 auto ClientCore::Stop() -> void {
--- a/src/platform/tests/client_faults_test.cc
+++ b/src/platform/tests/client_faults_test.cc
@@ -1,6 +1,8 @@
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <numeric>
+#include <vector>
 
 #include "platform/conditional_writer.h"
 #include "platform/prefix_watcher.h"
@@ -120,6 +122,79 @@
   BOOST_TEST(rig.Store().revision == 1U);
 }
 
+// Two calls at once find the same endpoint closed. Moving on for each of them would lead the second
+// back to where it came from.
+BOOST_AUTO_TEST_CASE(calls_that_fail_to_connect_together_go_to_the_same_other_endpoint) {
+  auto rig = ClientRig{};
+  auto closed = boost::asio::ip::tcp::acceptor{
+      rig.context, boost::asio::ip::tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0}};
+  const auto port = closed.local_endpoint().port();
+  closed.close();
+  rig.client = ClientBuilder{}
+                   .WithEndpoint(base::EndpointFromV4(0x7f000001, port))
+                   .WithEndpoint(rig.endpoint)
+                   .WithBudget(ClientRig::kWideBudget)
+                   .Build(rig.context);
+  PutDirectly(rig, "a", "1");
+  auto outcomes = std::vector<Outcome<Object>>{};
+  const auto take = [&](Outcome<Object> outcome) { outcomes.push_back(std::move(outcome)); };
+  rig.client.Get("a", take);
+  rig.client.Get("a", take);
+  rig.RunUntil([&] { return outcomes.size() == 2; });
+  BOOST_TEST(!CodeOf(outcomes[0]).has_value());
+  BOOST_TEST(!CodeOf(outcomes[1]).has_value());
+}
+
+/// A client of the rig's platform and of another one beside it, with two connections kept to the
+/// rig's.
+struct TwoEndpoints {
+  explicit TwoEndpoints(ClientRig& rig) : other(rig.context) {
+    const auto local = base::EndpointFromV4(0x7f000001, 0);
+    rig.client = ClientBuilder{}
+                     .WithEndpoint(rig.endpoint)
+                     .WithEndpoint(this->other.Listen(local).value())
+                     .WithBudget(ClientRig::kWideBudget)
+                     .WithCallTimeout(base::milliseconds(200))
+                     .Build(rig.context);
+    platform_standin::Put(this->other.State().store, "a", "2", platform_standin::Unconditional{});
+    PutDirectly(rig, "a", "1");
+    auto answers = 0;
+    const auto count = [&](const Outcome<Object>& /*outcome*/) { ++answers; };
+    rig.client.Get("a", count);
+    rig.client.Get("a", count);
+    rig.RunUntil([&] { return answers == 2; });
+  }
+
+  platform_standin::Server other;
+};
+
+// A process of the platform stands still: its connections stay open and nothing is answered. Calls
+// that go on to it fail one after the other, though another endpoint answers.
+BOOST_AUTO_TEST_CASE(a_call_after_a_timeout_goes_to_another_endpoint) {
+  auto rig = ClientRig{};
+  const auto endpoints = TwoEndpoints{rig};
+  rig.Faults().delay_ms = 2000;
+  BOOST_CHECK(CodeOf(rig.Get("a")) == PlatformErrorCode::kTimeout);
+  const auto second = rig.Get("a");
+  BOOST_REQUIRE(!CodeOf(second).has_value());
+  BOOST_TEST(std::get<Object>(second).value == "2");
+}
+
+// Calls that time out together must not lead back to the endpoint that did not answer them.
+BOOST_AUTO_TEST_CASE(calls_that_time_out_together_move_on_once) {
+  auto rig = ClientRig{};
+  const auto endpoints = TwoEndpoints{rig};
+  rig.Faults().delay_ms = 2000;
+  auto timeouts = 0;
+  const auto count = [&](const Outcome<Object>& outcome) {
+    timeouts += CodeOf(outcome) == PlatformErrorCode::kTimeout ? 1 : 0;
+  };
+  rig.client.Get("a", count);
+  rig.client.Get("a", count);
+  rig.RunUntil([&] { return timeouts == 2; });
+  BOOST_TEST(!CodeOf(rig.Get("a")).has_value());
+}
+
 // A write is rare, and its kept connection has often been closed meanwhile. Connections idle for
 // longer than the limit are not used again, which saves the writer a lost answer.
 BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_too_long_is_not_reused) {
