Await the platform's answer to the relay's watch and list while it comes

Cause: the relay took a watch or list for hung 3 s after it was sent, whether or not its answer was coming, and started another one, and a read, beside it over the same link. No watch ever ended, and records were never told. Change: the client says when the first bytes of an answer have come; from then on it alone ends the call (as it does since: when the answer stops coming, or after 30 s). A call without any bytes counts as hung as before. Tests: two in platform_test in virtual time, over a link that answers share, and one of the client. Ruled out: no bound of the relay's own for lists: one that hangs without a byte would be waited for 5 s instead of 3.

--- a/src/daemon/internal/relay_runtime.cc
+++ b/src/daemon/internal/relay_runtime.cc
@@ -218,10 +218,13 @@
         std::get<platform::PlatformError>(outcome).code == platform::PlatformErrorCode::kTooOld;
     this->Run(relay::PlatformFailed{relay::PlatformCall::kWatch, gone});
   };
+  auto begun = [this, call] {
+    if (call == this->watch_call) this->Run(relay::AnswerBegun{relay::PlatformCall::kWatch});
+  };
   this->watch_timer.expires_after(watch.delay);
-  this->watch_timer.async_wait([this, call, watch, finish](const auto& error) {
+  this->watch_timer.async_wait([this, call, watch, finish, begun](const auto& error) {
     if (error || call != this->watch_call) return;
-    this->runtime.platform->Watch(kEverything, watch.after, watch.timeout, finish);
+    this->runtime.platform->Watch(kEverything, watch.after, watch.timeout, finish, begun);
   });
 }
 
@@ -232,10 +235,11 @@
     }
     this->Run(relay::PlatformFailed{relay::PlatformCall::kPoll, false});
   };
+  auto begun = [this] { this->Run(relay::AnswerBegun{relay::PlatformCall::kPoll}); };
   this->poll_timer.expires_after(poll.delay);
-  this->poll_timer.async_wait([this, finish](const auto& error) {
+  this->poll_timer.async_wait([this, finish, begun](const auto& error) {
     if (error) return;
-    this->runtime.platform->List(kEverything, finish);
+    this->runtime.platform->List(kEverything, finish, begun);
   });
 }
 
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -36,6 +37,9 @@
 
 struct ClientCore;
 
+/// The first bytes of an answer have come; it is awaited until it ends or stops coming.
+using OnBegun = std::function<void()>;
+
 /// Owner of the connections. A connection carries one call at a time, is kept alive and reused; a
 /// waiting watch has one to itself. All calls return at once and call back on the io_context's
 /// thread. After destruction no callback runs. Not safe to share between threads.
@@ -60,12 +64,12 @@
 
   /// Asks page after page; each is a call of the budget. All objects as of the revision given, some
   /// of them newer: a watch from that revision tells what changed meanwhile.
-  auto List(std::string_view prefix, Callback<Listing> callback) -> void;
+  auto List(std::string_view prefix, Callback<Listing> callback, OnBegun on_begun = {}) -> void;
 
   /// Changes newer than `after`, held open for up to `hold`, then an empty listing. Fails with
   /// kTimeout when no answer begins within `hold` and the call timeout together.
   auto Watch(std::string_view prefix, std::uint64_t after, base::Duration hold,
-             Callback<Listing> callback) -> void;
+             Callback<Listing> callback, OnBegun on_begun = {}) -> void;
 
   auto Counts() const -> const CallCounts&;
 
--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -83,7 +83,7 @@
   }
 
   /// `first`: how long the first bytes of the answer are awaited.
-  auto Start(HttpCall call, base::Duration first, Finish finish) -> void;
+  auto Start(HttpCall call, base::Duration first, Finish finish, OnBegun on_begun = {}) -> void;
   auto TakeIdle() -> ConnectionPtr;
   auto KeepIdle(ConnectionPtr connection) -> void;
   auto LeaveEndpoint(std::size_t index) -> void;
@@ -107,6 +107,7 @@
   auto Send() -> void;
   auto BeginAnswer() -> void;
   auto Receive() -> void;
+  auto Heard() -> void;
   auto ExchangeFailed(beast::error_code error) -> void;
   auto Answered() -> void;
   auto Fail(PlatformErrorCode code) -> void;
@@ -116,6 +117,7 @@
   HttpCall call;
   AnswerTimeouts timeouts;
   Finish finish;
+  OnBegun on_begun;
   ConnectionPtr connection;
   std::size_t attempts = 0;  ///< endpoints tried
   http::request<http::string_body> request;
@@ -180,13 +182,19 @@
   auto done = [self = this->shared_from_this()](beast::error_code error, std::size_t) {
     if (self->core->stopped) return;
     if (error) return self->ExchangeFailed(error);
+    self->Heard();
+    if (self->core->stopped) return;
     if (self->parser->is_done()) return self->Answered();
-    self->progress.heard_at = base::Now();
     self->Receive();
   };
   http::async_read_some(stream, this->connection->buffer, *this->parser, std::move(done));
 }
 
+auto Exchange::Heard() -> void {
+  const auto begins = !std::exchange(this->progress.heard_at, base::Now()).has_value();
+  if (begins && this->on_begun) this->on_begun();
+}
+
 // Safeguard: a platform that restarted leaves closed connections in the idle list, and the first
 // call on each would fail. A read goes out again on a new connection, once, because that one is not
 // a reused one; a write does not, because it may have taken effect.
@@ -221,12 +229,14 @@
   this->finish(std::move(outcome));
 }
 
-auto ClientCore::Start(HttpCall call, base::Duration first, Finish finish) -> void {
+auto ClientCore::Start(HttpCall call, base::Duration first, Finish finish, OnBegun on_begun)
+    -> void {
   auto exchange = std::make_shared<Exchange>();
   exchange->core = this->shared_from_this();
   exchange->call = std::move(call);
   exchange->timeouts = {.first = first, .between = this->settings.call_timeout};
   exchange->finish = std::move(finish);
+  exchange->on_begun = std::move(on_begun);
   this->running.insert(exchange);
   asio::post(this->context, [exchange] {
     if (!exchange->core->stopped) exchange->Begin();
@@ -314,7 +324,7 @@
 // From where `whole` ends. The core lives as long as its exchanges, and `finish` is dropped with
 // them.
 auto ListPages(const std::shared_ptr<ClientCore>& core, std::string prefix, Listing whole,
-               Callback<Listing> callback) -> void {
+               Callback<Listing> callback, OnBegun on_begun = {}) -> void {
   auto call = core->settings.dialect->list_page(prefix, whole.next, core->settings.list_page_bytes);
   auto timeout = core->settings.call_timeout;
   auto join = [core, prefix = std::move(prefix), whole = std::move(whole),
@@ -326,7 +336,7 @@
     ListPages(core, prefix, std::move(*joined), callback);
   };
   auto finish = Then<Listing>(*core, call, core->settings.dialect->read_listing, std::move(join));
-  core->Start(std::move(call), timeout, std::move(finish));
+  core->Start(std::move(call), timeout, std::move(finish), std::move(on_begun));
 }
 
 }  // namespace
@@ -354,19 +364,19 @@
   this->core->Start(std::move(call), this->core->settings.call_timeout, std::move(finish));
 }
 
-auto Client::List(std::string_view prefix, Callback<Listing> callback) -> void {
-  ListPages(this->core, std::string(prefix), {}, std::move(callback));
+auto Client::List(std::string_view prefix, Callback<Listing> callback, OnBegun on_begun) -> void {
+  ListPages(this->core, std::string(prefix), {}, std::move(callback), std::move(on_begun));
 }
 
 auto Client::Watch(std::string_view prefix, std::uint64_t after, base::Duration hold,
-                   Callback<Listing> callback) -> void {
+                   Callback<Listing> callback, OnBegun on_begun) -> void {
   auto milliseconds = std::chrono::duration_cast<base::milliseconds>(hold).count();
   auto call =
       this->core->settings.dialect->watch(prefix, after, static_cast<std::uint64_t>(milliseconds));
   auto finish = Then<Listing>(*this->core, call, this->core->settings.dialect->read_listing,
                               std::move(callback));
   auto timeout = hold + this->core->settings.call_timeout;
-  this->core->Start(std::move(call), timeout, std::move(finish));
+  this->core->Start(std::move(call), timeout, std::move(finish), std::move(on_begun));
 }
 
 auto Client::Counts() const -> const CallCounts& { return this->core->budget.counts; }
--- a/src/platform/tests/client_progress_test.cc
+++ b/src/platform/tests/client_progress_test.cc
@@ -89,5 +89,25 @@
   BOOST_TEST(client.Counts().cut_short == 0U);
 }
 
+// Whoever gives a watch up that does not answer has to know that its answer is coming.
+BOOST_AUTO_TEST_CASE(a_caller_is_told_once_that_an_answer_has_begun) {
+  auto context = boost::asio::io_context{1};
+  auto server = SlowServer{context};
+  auto client = ClientBuilder{}.WithEndpoint(server.Endpoint()).Build(context);
+  auto begun = 0;
+  auto begun_before_end = 0;
+  auto ended = false;
+  const auto end = [&](const Outcome<Listing>& /*outcome*/) {
+    begun_before_end = begun;
+    ended = true;
+  };
+  client.Watch("", 1, base::milliseconds{10}, end, [&] { ++begun; });
+  const auto deadline = base::Clock::now() + kLongest;
+  while (!ended && base::Clock::now() < deadline) context.run_one_for(base::milliseconds{10});
+  BOOST_TEST(ended);
+  BOOST_TEST(begun_before_end == 1);
+  BOOST_TEST(begun == 1);
+}
+
 }  // namespace
 }  // namespace anvildrum::platform
--- a/src/relay/internal/platform.cc
+++ b/src/relay/internal/platform.cc
@@ -46,6 +46,7 @@
   state.watch.active = true;
   state.watch.after = state.store.horizon;
   state.watch.started_at = now + delay;
+  state.watch.answer_begun = false;
   ++state.counters.watches_started;
   effects.emplace_back(StartWatch{
       .after = state.watch.after, .delay = delay, .timeout = state.settings.policy.watch_timeout});
@@ -60,16 +61,22 @@
 /// Failure: the platform takes a watch and never answers. Symptom: changes are missed in silence.
 /// A platform in health answers by the timeout that the call itself names. All watches may hang at
 /// once, and the next ones too, so that the configuration is read beside them: it has a bound.
+///
+/// One whose answer has begun is not hung: given up, it would be asked for again beside itself,
+/// over the same link.
 auto EndHungCalls(State& state, base::TimePoint now, Effects& effects) -> void {
   const RelayPolicy& policy = state.settings.policy;
   const base::Duration most = policy.watch_timeout + policy.watch_grace;
-  if (state.watch.active && now - state.watch.started_at > most) {
+  const auto is_hung = [&](const auto& call) {
+    return call.active && !call.answer_begun && now - call.started_at > most;
+  };
+  if (is_hung(state.watch)) {
     StopWatching(state, effects);
     ++state.counters.watches_hung;
     const base::Duration spread = state.settings.policy.hung_read_spread;
     effects.emplace_back(ReadConfiguration{Uniform(state, base::Duration::zero(), spread)});
   }
-  if (state.poll.active && now - state.poll.started_at > most) {
+  if (is_hung(state.poll)) {
     state.poll.active = false;
     ++state.poll.failures;
     ++state.counters.polls_failed;
@@ -140,6 +147,7 @@
   if (state.poll.active) return;
   state.poll.active = true;
   state.poll.started_at = now + delay;
+  state.poll.answer_begun = false;
   ++state.counters.polls_started;
   effects.emplace_back(PollPlatform{.delay = delay});
 }
@@ -185,6 +193,14 @@
   StartPoll(state, Uniform(state, base::Duration::zero(), kHistoryGoneJitter), now, effects);
 }
 
+auto OnAnswerBegun(State& state, const AnswerBegun& event) -> void {
+  if (event.call == PlatformCall::kPoll) {
+    state.poll.answer_begun = true;
+  } else {
+    state.watch.answer_begun = true;
+  }
+}
+
 auto StopPlatform(State& state, Effects& effects) -> void { StopWatching(state, effects); }
 
 }  // namespace anvildrum::relay
--- a/src/relay/internal/platform.h
+++ b/src/relay/internal/platform.h
@@ -24,6 +24,8 @@
 auto OnFailed(State& state, const PlatformFailed& event, base::TimePoint now, Effects& effects)
     -> void;
 
+auto OnAnswerBegun(State& state, const AnswerBegun& event) -> void;
+
 /// At a graceful stop.
 auto StopPlatform(State& state, Effects& effects) -> void;
 
--- a/src/relay/internal/step.cc
+++ b/src/relay/internal/step.cc
@@ -95,6 +95,11 @@
   OnFailed(state, event, now, effects);
 }
 
+auto On(State& state, const AnswerBegun& event, base::TimePoint /*now*/, Effects& /*effects*/)
+    -> void {
+  OnAnswerBegun(state, event);
+}
+
 auto On(State& state, const PeersChanged& event, base::TimePoint now, Effects& effects) -> void {
   TakePeers(state, event.peers);
   Rearrange(state, now, effects);
--- a/src/relay/state.h
+++ b/src/relay/state.h
@@ -86,12 +86,14 @@
   bool active = false;
   std::uint64_t after = 0;
   base::TimePoint started_at{};  ///< when the call begins, its delay included
+  bool answer_begun = false;     ///< the rest of it is awaited for as long as it comes
   std::uint32_t failures = 0;
 };
 
 struct PollState {
   bool active = false;
   base::TimePoint started_at{};         ///< when the call begins, its delay included
+  bool answer_begun = false;            ///< as of a watch
   std::optional<base::TimePoint> next;  ///< without a complete set or a parent
   base::TimePoint relist_at{};
   std::uint32_t failures = 0;
--- a/src/relay/tests/fake_platform.cc
+++ b/src/relay/tests/fake_platform.cc
@@ -1,5 +1,6 @@
 #include "relay/tests/fake_platform.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvildrum::relay::fleet {
@@ -22,10 +23,36 @@
   ++fleet.platform.calls_by_second[second.count()];
 }
 
+auto HasObjects(const Event& answer) -> bool {
+  const auto* objects = std::get_if<PlatformObjects>(&answer);
+  return (objects != nullptr && !objects->objects.empty()) ||
+         std::holds_alternative<ConfigurationRead>(answer);
+}
+
+/// From now until the whole answer has come over the caller's link.
+auto TimeOf(Fleet& fleet, std::size_t index, const Event& answer) -> base::Duration {
+  const base::Duration takes = fleet.platform.answer_takes;
+  if (takes == base::Duration::zero() || !HasObjects(answer)) return kPlatformDelay;
+  base::TimePoint& free_at = fleet.nodes[index].link_free_at;
+  free_at = std::max(free_at, fleet.now + kPlatformDelay) + takes;
+  return free_at - fleet.now;
+}
+
+/// Has `deliver` take the answer, and before it the word that it has begun.
+auto Answer(Fleet& fleet, std::size_t index, PlatformCall call, Event answer,
+            const std::function<void(const Event&)>& deliver) -> void {
+  const base::Duration whole = TimeOf(fleet, index, answer);
+  if (whole > kPlatformDelay) {
+    ScheduleFor(fleet, index, kPlatformDelay, [deliver, call] { deliver(AnswerBegun{call}); });
+  }
+  ScheduleFor(fleet, index, whole, [deliver, answer = std::move(answer)] { deliver(answer); });
+}
+
 auto AnswerWatch(Fleet& fleet, std::size_t index, std::uint64_t token, Event answer) -> void {
-  ScheduleFor(fleet, index, kPlatformDelay, [&fleet, index, token, answer = std::move(answer)] {
-    if (fleet.nodes[index].watch_token == token) Deliver(fleet, index, answer);
-  });
+  const auto deliver = [&fleet, index, token](const Event& event) {
+    if (fleet.nodes[index].watch_token == token) Deliver(fleet, index, event);
+  };
+  Answer(fleet, index, PlatformCall::kWatch, std::move(answer), deliver);
 }
 
 auto IsPlatformUp(const Fleet& fleet, std::size_t index) -> bool {
@@ -81,21 +108,25 @@
 }
 
 auto BeginPoll(Fleet& fleet, std::size_t index, const PollPlatform& poll) -> void {
-  ScheduleFor(fleet, index, poll.delay + kPlatformDelay, [&fleet, index] {
+  ScheduleFor(fleet, index, poll.delay, [&fleet, index] {
     CountCall(fleet);
-    if (!IsPlatformUp(fleet, index)) {
-      return Deliver(fleet, index, PlatformFailed{PlatformCall::kPoll, false});
-    }
-    Deliver(fleet, index, Newer(fleet.platform, 0, true));
+    const auto deliver = [&fleet, index](const Event& event) { Deliver(fleet, index, event); };
+    const bool is_up = IsPlatformUp(fleet, index);
+    const Event answer = is_up ? Event(Newer(fleet.platform, 0, true))
+                               : Event(PlatformFailed{PlatformCall::kPoll, false});
+    Answer(fleet, index, PlatformCall::kPoll, answer, deliver);
   });
 }
 
 auto BeginRead(Fleet& fleet, std::size_t index, const ReadConfiguration& read) -> void {
-  ScheduleFor(fleet, index, read.delay + kPlatformDelay, [&fleet, index] {
+  ScheduleFor(fleet, index, read.delay, [&fleet, index] {
     CountCall(fleet);
     if (!IsPlatformUp(fleet, index)) return;
     for (const PlatformObject& object : Newer(fleet.platform, 0, true).objects) {
-      if (object.key == kConfigKey) Deliver(fleet, index, ConfigurationRead{object});
+      if (object.key != kConfigKey) continue;
+      const Event answer = ConfigurationRead{object};
+      ScheduleFor(fleet, index, TimeOf(fleet, index, answer),
+                  [&fleet, index, answer] { Deliver(fleet, index, answer); });
     }
   });
 }
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -36,6 +36,8 @@
   std::uint64_t kept_from = 0;  ///< a watch after an older revision is answered 410
   bool down = false;
   bool hangs = false;  ///< watches that are started get no answer
+  /// Of an answer with objects, over the link of its caller; answers that come at once add up.
+  base::Duration answer_takes{};
   std::map<std::size_t, WaitingWatch> waiting;
   std::uint64_t calls = 0;
   std::map<std::int64_t, std::uint64_t> calls_by_second;
@@ -55,7 +57,8 @@
   std::uint64_t watch_token = 0;
   base::TimePoint timer_at{};
   std::map<std::string, RelayPeer> peers{};
-  std::uint64_t number = 0;  ///< in force, from RecordsChanged
+  base::TimePoint link_free_at{};  ///< of answers of the platform
+  std::uint64_t number = 0;        ///< in force, from RecordsChanged
   bool went_back = false;    ///< a number or a revision fell
   std::map<std::string, std::uint64_t> revisions{};
   base::TimePoint in_force_at{};
--- a/src/relay/tests/platform_test.cc
+++ b/src/relay/tests/platform_test.cc
@@ -93,6 +93,34 @@
   BOOST_TEST(AllHold(fleet, 3));
 }
 
+auto HungWatches(const Fleet& fleet) -> std::uint64_t {
+  std::uint64_t hung = 0;
+  for (const Node& node : fleet.nodes) hung += node.state.counters.watches_hung;
+  return hung;
+}
+
+// An answer takes longer over its caller's link than a watch may take to begin. Given up while it
+// comes, it is asked for again beside itself, and none ever ends.
+BOOST_AUTO_TEST_CASE(AnAnswerIsAwaitedWhileItComes) {
+  Fleet fleet = MakeFleet(1, 3, 2);
+  StartAll(fleet);
+  fleet.platform.answer_takes = base::seconds(4);
+  PutObject(fleet, "config", "{}", 2);
+  PutObject(fleet, "targets/desk/d1", "{}");
+  const auto is_told = [&] { return AllHold(fleet, 2) && AllAgree(fleet); };
+  BOOST_TEST(RunUntil(fleet, base::seconds(10), is_told).has_value());
+  BOOST_TEST(HungWatches(fleet) == 0U);
+}
+
+// The same of the first list of an instance that starts.
+BOOST_AUTO_TEST_CASE(AFirstListIsAwaitedWhileItComes) {
+  Fleet fleet = MakeFleet(1, 1, 0);
+  fleet.platform.answer_takes = base::seconds(8);
+  StartAll(fleet);
+  BOOST_TEST(fleet.nodes[0].is_ready);
+  BOOST_TEST(fleet.nodes[0].state.counters.polls_failed == 0U);
+}
+
 // Every watch of the platform falls silent while the configuration changes. Watchers that wait for
 // theirs to end leave the old one in force everywhere.
 BOOST_AUTO_TEST_CASE(AChangeIsInForceInTimeThoughWatchesAreSilent) {
--- a/src/relay/types/event.h
+++ b/src/relay/types/event.h
@@ -57,6 +57,12 @@
   bool history_gone = false;
 };
 
+/// The answer to a watch or poll has begun to come. Whoever receives it ends the call from now on,
+/// with the whole answer or with PlatformFailed.
+struct AnswerBegun {
+  PlatformCall call = PlatformCall::kWatch;
+};
+
 /// All balancers that have a record, this one included where it has one.
 struct PeersChanged {
   std::vector<RelayPeer> peers;
@@ -87,7 +93,7 @@
 struct StopRequested {};
 
 using Event = std::variant<Started, TimerFired, PeerMessage, PlatformObjects, ConfigurationRead,
-                           PlatformFailed, PeersChanged, RecordSuspected, RecordAlive,
+                           PlatformFailed, AnswerBegun, PeersChanged, RecordSuspected, RecordAlive,
                            DeleteFinished, StopRequested>;
 
 }  // namespace anvildrum::relay
