Tell balancers of all agents that are new, however many at once

A balancer that the platform turns away learns of agents from others' hellos. Cause: a message has room for 65 new agents. Three messages named the same 65, those with the lowest addresses, and the others came up 20 a second in the turn of all: after 34 s on a site of 682 agents, as after a return of power. Change: agents are told of in the order in which they became known, from where the last message ended; those that are still new after that are repeated where there is room. Test: all_new_agents_are_told_of_by_full_messages. Before, by as many messages as hold them: 65 of 66, 65 of 131, 65 of 196, 560 of 2,000; now all. A message is no longer than before. Ruled out: more parts a second: a seed's link carries a message to each balancer a second.

--- a/src/packets/hearsay.h
+++ b/src/packets/hearsay.h
@@ -18,17 +18,26 @@
 /// lost comes again, all of 200 within ten seconds.
 inline constexpr auto kHearsayAgain = std::size_t{20};
 
-/// How long an agent counts as new: three messages, of which two may be lost.
+/// How long an agent counts as new: three messages, of which two may be lost. One that has not been
+/// told of by then stays new until it has.
 inline constexpr auto kHearsayNew = base::seconds{3};
 
+/// How far the regular messages have come.
+struct HearsayTurn {
+  base::TimePoint known_since{};  ///< of the last agent that was told of as new
+  Address agent = 0;              ///< that agent; those known as long are told of by address
+  std::size_t again = 0;          ///< where agents that are told of again go on
+};
+
 /// To a balancer that knows nobody yet: all live agents, in parts.
 auto WholeHearsay(const View& view, base::TimePoint now) -> std::vector<Hello>;
 
-/// The regular message: agents that are new, and some of the others. `from`: where these go on.
+/// The regular message: agents that are new, those first that no message has told of yet, and some
+/// of the others.
 ///
 /// Safeguard: a balancer that others name as their seed tells each of them once a second. With all
 /// agents in each message its link is filled by what did not change.
-auto NextHearsay(const View& view, std::size_t& from, base::TimePoint now) -> Hello;
+auto NextHearsay(const View& view, HearsayTurn& turn, base::TimePoint now) -> Hello;
 
 /// Agents that this balancer has found out of reach, at most kMostOutOfReach. What others have told
 /// is not told on: it would outlive its cause among balancers that repeat each other.
--- a/src/packets/internal/hearsay.cc
+++ b/src/packets/internal/hearsay.cc
@@ -1,6 +1,7 @@
 #include "packets/hearsay.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace anvildrum::packets {
 namespace {
@@ -17,6 +18,31 @@
   return peers;
 }
 
+constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
+
+auto WasTold(const HearsayTurn& turn, const Member& member) -> bool {
+  return std::tie(member.known_since, member.agent) <= std::tie(turn.known_since, turn.agent);
+}
+
+// In the order in which they became known, so that none is passed over, however many there are.
+auto TellUntold(const View& view, HearsayTurn& turn, base::TimePoint now, Hello& hello) -> void {
+  auto untold = std::vector<const Member*>{};
+  for (const auto& [agent, member] : view.members) {
+    if (!WasTold(turn, member) && IsAlive(view, member, now)) untold.push_back(&member);
+  }
+  const auto told = std::min(untold.size(), kMostNew);
+  const auto end = untold.begin() + static_cast<std::ptrdiff_t>(told);
+  std::partial_sort(untold.begin(), end, untold.end(), [](const Member* a, const Member* b) {
+    return std::tie(a->known_since, a->agent) < std::tie(b->known_since, b->agent);
+  });
+  std::for_each(untold.begin(), end, [&](const Member* member) {
+    hello.peers.push_back({member->agent, member->service, 0});
+  });
+  if (told == 0) return;
+  turn.known_since = untold[told - 1]->known_since;
+  turn.agent = untold[told - 1]->agent;
+}
+
 }  // namespace
 
 auto WholeHearsay(const View& view, base::TimePoint now) -> std::vector<Hello> {
@@ -31,16 +57,22 @@
   return parts;
 }
 
-auto NextHearsay(const View& view, std::size_t& from, base::TimePoint now) -> Hello {
-  const auto is_new = [&](const Member& member) { return now - member.known_since < kHearsayNew; };
+auto NextHearsay(const View& view, HearsayTurn& turn, base::TimePoint now) -> Hello {
   auto hello = Hello{};
-  hello.peers = LivePeers(view, now, is_new);
-  hello.peers.resize(std::min(hello.peers.size(), kMostHearsay - kHearsayAgain));
-  const auto others = LivePeers(view, now, [&](const Member& member) { return !is_new(member); });
+  const auto before = turn;
+  TellUntold(view, turn, now, hello);
+  const auto is_new = [&](const Member& member) { return now - member.known_since < kHearsayNew; };
+  const auto repeated = LivePeers(
+      view, now, [&](const Member& member) { return is_new(member) && WasTold(before, member); });
+  const auto room = std::min(kMostNew - hello.peers.size(), repeated.size());
+  hello.peers.insert(hello.peers.end(), repeated.begin(),
+                     repeated.begin() + static_cast<std::ptrdiff_t>(room));
+  const auto others = LivePeers(
+      view, now, [&](const Member& member) { return !is_new(member) && WasTold(before, member); });
   for (auto i = std::size_t{0}; i < std::min(kHearsayAgain, others.size()); ++i) {
-    hello.peers.push_back(others[(from + i) % others.size()]);
+    hello.peers.push_back(others[(turn.again + i) % others.size()]);
   }
-  from = others.empty() ? 0 : (from + kHearsayAgain) % others.size();
+  turn.again = others.empty() ? 0 : (turn.again + kHearsayAgain) % others.size();
   return hello;
 }
 
--- a/src/packets/tests/hearsay_test.cc
+++ b/src/packets/tests/hearsay_test.cc
@@ -11,6 +11,7 @@
 constexpr auto kStart = base::TimePoint{seconds{1000}};
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kDesk = base::ServiceId{11};
+constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
 
 auto Report(View& view, Address agent, base::TimePoint now) -> void {
   TakeReport(view,
@@ -56,25 +57,44 @@
   const auto later = kStart + seconds{60};
   for (auto i = Address{1}; i < 200; ++i) Report(view, kFirstAgent + i, later);
   Report(view, kFirstAgent + 500, later);
-  auto from = std::size_t{0};
+  auto turn = HearsayTurn{.known_since = kStart, .agent = kFirstAgent + 200};
   for (auto i = 0; i < 3; ++i) {
-    const auto hello = NextHearsay(view, from, later);
+    const auto hello = NextHearsay(view, turn, later);
     BOOST_TEST(Named(hello).contains(kFirstAgent + 500));
     BOOST_TEST(!Named(hello).contains(kFirstAgent));
     BOOST_TEST(hello.peers.size() == kHearsayAgain + 1);
   }
 }
 
+// A release or a return of power makes more agents new than one message holds. Those that did not
+// fit came up in the turn of all others: on a large site after minutes.
+BOOST_AUTO_TEST_CASE(all_new_agents_are_told_of_by_full_messages) {
+  for (const auto agents : {kMostNew + 1, 2 * kMostNew + 1, 3 * kMostNew + 1, std::size_t{2000}}) {
+    auto view = ViewOf(static_cast<Address>(agents));
+    auto turn = HearsayTurn{};
+    auto named = std::set<Address>{};
+    auto now = kStart;
+    for (auto told = std::size_t{0}; told < agents; told += kMostNew) {
+      for (auto i = Address{0}; i < agents; ++i) Report(view, kFirstAgent + i, now);
+      const auto hello = NextHearsay(view, turn, now);
+      BOOST_TEST(hello.peers.size() <= kMostHearsay);
+      named.merge(Named(hello));
+      now += seconds{1};
+    }
+    BOOST_TEST(named.size() == agents);
+  }
+}
+
 // All agents are told of again in turn, and all of a small site each time.
 BOOST_AUTO_TEST_CASE(all_agents_are_told_of_again_in_turn) {
   for (const auto agents : {Address{10}, Address{90}, Address{201}}) {
     auto view = ViewOf(agents);
     const auto later = kStart + kHearsayNew;
     for (auto i = Address{0}; i < agents; ++i) Report(view, kFirstAgent + i, later);
-    auto from = std::size_t{0};
+    auto turn = HearsayTurn{.known_since = kStart, .agent = kFirstAgent + agents};
     auto named = std::set<Address>{};
     for (auto message = Address{0}; message < agents; message += kHearsayAgain) {
-      named.merge(Named(NextHearsay(view, from, later)));
+      named.merge(Named(NextHearsay(view, turn, later)));
     }
     BOOST_TEST(named.size() == agents);
   }
@@ -99,8 +119,8 @@
 // More agents are new than a message holds: the others follow in their turn.
 BOOST_AUTO_TEST_CASE(more_new_agents_than_fit_do_not_make_a_message_longer) {
   const auto view = ViewOf(300);
-  auto from = std::size_t{0};
-  BOOST_TEST(NextHearsay(view, from, kStart).peers.size() <= kMostHearsay);
+  auto turn = HearsayTurn{};
+  BOOST_TEST(NextHearsay(view, turn, kStart).peers.size() <= kMostHearsay);
 }
 
 }  // namespace
--- a/src/packets/tests/reach_test.cc
+++ b/src/packets/tests/reach_test.cc
@@ -169,8 +169,8 @@
   }
   const auto later = kStart + seconds{2};
   rig.Report(kAgent, later);
-  auto from = std::size_t{0};
-  auto hello = NextHearsay(rig.view, from, later);
+  auto turn = HearsayTurn{};
+  auto hello = NextHearsay(rig.view, turn, later);
   hello.out_of_reach = OutOfReach(rig.view, kStart, later);
   BOOST_TEST(hello.out_of_reach.size() == kMostOutOfReach);
   BOOST_TEST(EncodeControl(hello).size() <= frame);
