--- a/src/packetd/tests/machine_probes_test.cc
+++ b/src/packetd/tests/machine_probes_test.cc
@@ -71,5 +71,24 @@
   BOOST_TEST(!ended->answered);
 }
 
+// A failure domain of many machines falls silent: each probe takes a socket, and a process has so
+// many. The others follow as probes end.
+BOOST_AUTO_TEST_CASE(no_more_probes_are_begun_than_there_is_room_for) {
+  auto io = asio::io_context{1};
+  auto acceptor = ListenOn(io);
+  const auto port = acceptor.local_endpoint().port();
+  acceptor.close();
+  auto ended = std::size_t{0};
+  auto probes = MachineProbes{io, port, [&](packets::Address, base::TimePoint, bool) { ++ended; }};
+  const auto room = probes.Room();
+  for (auto i = packets::Address{0}; i <= room; ++i) probes.Begin(kMachine + i);
+  BOOST_TEST(probes.Room() == 0U);
+  io.run();
+  BOOST_TEST(ended == room);
+  BOOST_TEST(probes.Room() == room);
+  probes.Begin(kMachine + static_cast<packets::Address>(room));
+  BOOST_TEST(probes.Room() == room - 1);
+}
+
 }  // namespace
 }  // namespace anvildrum::packetd
--- a/src/packetd/tests/settings_test.cc
+++ b/src/packetd/tests/settings_test.cc
@@ -67,6 +67,21 @@
   BOOST_TEST(Faults("not json").size() == 1U);
 }
 
+// Each seed is asked in turn by whoever starts without the platform.
+BOOST_AUTO_TEST_CASE(more_seeds_than_can_be_asked_are_refused) {
+  const auto with_seeds = [](int count) {
+    auto seeds = std::string{};
+    for (auto i = 0; i < count; ++i) {
+      seeds += (i == 0 ? "" : ", ") + std::string{"\"10.1.0."} + std::to_string(i) + ":8166\"";
+    }
+    auto text = "{\"role\": \"balancer\"," + kCommon + "}";
+    const auto from = text.find("\"10.1.0.10:8166\", \"10.2");
+    return text.replace(from, text.find(']', from) - from, seeds);
+  };
+  BOOST_TEST(Faults(with_seeds(64)).empty());
+  BOOST_TEST(Faults(with_seeds(65)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(addresses_have_to_be_ipv4) {
   auto text = "{\"role\": \"balancer\"," + kCommon + "}";
   text.replace(text.find("10.200.1.7"), 10, "[2001:db8::1]");
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -114,6 +114,46 @@
   BOOST_TEST(!parts.front().complete);
 }
 
+// Half of a large service has started again: a list of those that does not fit into a datagram must
+// not be taken for one of all of them, or flows that they hold would be reset.
+BOOST_AUTO_TEST_CASE(more_restarted_agents_than_can_be_named_leave_a_list_incomplete) {
+  constexpr auto service = base::ServiceId{7};
+  constexpr auto now = base::TimePoint{base::seconds{1000}};
+  for (const auto count : {kMostRestarted, kMostRestarted + 1}) {
+    auto balancer = Balancer{};
+    balancer.records_at = now;
+    for (auto i = std::size_t{0}; i < count; ++i) {
+      const auto agent = static_cast<Address>(0x0a010000 + i);
+      AddRecord(balancer.view, agent, service, now);
+      TakeReport(balancer.view,
+                 {.agent = agent,
+                  .service = service,
+                  .start = 1,
+                  .sequence = 1,
+                  .state = TargetState::kReady},
+                 now);
+      balancer.view.members.at(agent).restarted_at = now;
+    }
+    const auto hello = MakeHellos(balancer, now).at(service).brief;
+    const auto fits = count == kMostRestarted;
+    BOOST_TEST(hello.restarted.size() == (fits ? count : 0U));
+    BOOST_TEST(hello.complete == fits);
+  }
+}
+
+// Both would be longer than any datagram that another balancer or agent of ours sends.
+BOOST_AUTO_TEST_CASE(questions_and_packets_that_are_too_long_are_refused) {
+  auto query = FlowQuery{base::ServiceId{7}, 1, std::vector<FlowId>(kFlowsInQuery)};
+  BOOST_TEST(RoundTrip(query).has_value());
+  query.flows.emplace_back();
+  BOOST_TEST(!RoundTrip(query).has_value());
+  const auto given_back = [](std::size_t size) {
+    return GivenBack{kSender, true, std::vector<std::uint8_t>(size)};
+  };
+  BOOST_TEST(RoundTrip(given_back(kMaxGivenBack)).has_value());
+  BOOST_TEST(!RoundTrip(given_back(kMaxGivenBack + 1)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(parts_that_cannot_be_are_refused) {
   BOOST_TEST(!RoundTrip(Hello{base::ServiceId{7}, {}, true, true, 99, 3, 3}));
   BOOST_TEST(!RoundTrip(Hello{base::ServiceId{7}, {}, true, true, 99, 0, kMaxHelloParts + 1}));
