Send agents out of reach apart from a list that leaves them no room

A hello between balancers carries agents (85) and agents out of reach (200) "in one datagram": together they are 2,222 bytes, a frame's payload is 1,472. What is longer is dropped, and with it the confirmation of the configuration, the drained domains and the agents, for as long as the lists are long: while a failure domain is out of reach and agents start elsewhere. Cause: each list was tested alone. Change: where both do not fit, the agents out of reach go in a hello of their own, without a list. A second datagram is sent in that state alone. Test: agents_out_of_reach_go_apart_from_a_full_list (12 pairs of sizes); before, one message of 2,222 bytes. Ruled out: naming fewer out of reach (others find each by itself a second later, and reset its flows that much later).

--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -335,12 +335,17 @@
   hello.out_of_reach = packets::OutOfReach(this->core.view, this->core.stall.running_since, now);
   hello.mark = base::MarkAt(this->marks, now);
   hello.balancers = static_cast<std::uint32_t>(this->balancers.size() + 1);
+  auto parts = packets::InFrames(hello);
   for (const auto balancer : to) {
     const auto heard = this->balancers.find(balancer);
-    hello.echo =
+    const auto echo =
         heard != this->balancers.end() ? base::EchoOf(heard->second.mark, now) : std::nullopt;
-    hello.holder = this->NextHolder(balancer);
-    this->SendControl(balancer, packets::EncodeControl(hello));
+    const auto holder = this->NextHolder(balancer);
+    for (auto& part : parts) {
+      part.echo = echo;
+      part.holder = holder;
+      this->SendControl(balancer, packets::EncodeControl(part));
+    }
   }
 }
 
--- a/src/packets/hearsay.h
+++ b/src/packets/hearsay.h
@@ -39,6 +39,13 @@
 /// agents in each message its link is filled by what did not change.
 auto NextHearsay(const View& view, HearsayTurn& turn, base::TimePoint now) -> Hello;
 
+/// The message in parts that fit into a frame each: agents out of reach go apart from a list that
+/// leaves them no room.
+///
+/// Safeguard: a message that is longer than a frame is dropped, and with it what it confirms. A
+/// failure domain is out of reach just when the others' agents start again.
+auto InFrames(const Hello& message) -> std::vector<Hello>;
+
 /// Agents that this balancer has found out of reach, at most kMostOutOfReach. What others have told
 /// is not told on: it would outlive its cause among balancers that repeat each other.
 auto OutOfReach(const View& view, base::TimePoint running_since, base::TimePoint now)
--- a/src/packets/internal/hearsay.cc
+++ b/src/packets/internal/hearsay.cc
@@ -20,6 +20,10 @@
 
 constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
 
+// Of a message that is sent, at most.
+constexpr auto kPeerBytes = std::size_t{15};
+constexpr auto kAddressBytes = std::size_t{4};
+
 auto WasTold(const HearsayTurn& turn, const Member& member) -> bool {
   return std::tie(member.known_since, member.agent) <= std::tie(turn.known_since, turn.agent);
 }
@@ -76,6 +80,18 @@
   return hello;
 }
 
+auto InFrames(const Hello& message) -> std::vector<Hello> {
+  const auto bytes =
+      message.peers.size() * kPeerBytes + message.out_of_reach.size() * kAddressBytes;
+  if (message.out_of_reach.empty() || bytes <= kMostHearsay * kPeerBytes) return {message};
+  auto agents = message;
+  agents.out_of_reach.clear();
+  auto out_of_reach = message;
+  out_of_reach.peers.clear();
+  out_of_reach.listed = false;
+  return {agents, out_of_reach};
+}
+
 auto OutOfReach(const View& view, base::TimePoint running_since, base::TimePoint now)
     -> std::vector<Address> {
   auto agents = std::vector<Address>{};
--- a/src/packets/tests/hearsay_test.cc
+++ b/src/packets/tests/hearsay_test.cc
@@ -12,6 +12,7 @@
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kDesk = base::ServiceId{11};
 constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
+constexpr auto kFrame = std::size_t{1472};  // 1,500 bytes less the headers of IP and UDP
 
 auto Report(View& view, Address agent, base::TimePoint now) -> void {
   TakeReport(view,
@@ -100,10 +101,8 @@
   }
 }
 
-// A message with all that a hello between balancers says, and some domains drained, is longer than
-// a frame, and the network drops or cuts it.
-BOOST_AUTO_TEST_CASE(a_full_message_fits_into_a_frame) {
-  constexpr auto frame = std::size_t{1472};  // 1,500 bytes less the headers of IP and UDP
+// All that a hello between balancers says, and some domains drained.
+auto FullHello() -> Hello {
   auto hello = WholeHearsay(ViewOf(2 * kMostHearsay), kStart).front();
   BOOST_TEST(hello.peers.size() == kMostHearsay);
   hello.revision = 1ULL << 32;
@@ -113,7 +112,35 @@
   hello.echo = base::Echo{.mark = 1U << 31, .held = base::kMarkFor};
   hello.balancers = 5000;
   hello.holder = 1U << 31;
-  BOOST_TEST(EncodeControl(hello).size() <= frame);
+  return hello;
+}
+
+// A message with all that a hello between balancers says, and some domains drained, is longer than
+// a frame, and the network drops or cuts it.
+BOOST_AUTO_TEST_CASE(a_full_message_fits_into_a_frame) {
+  BOOST_TEST(EncodeControl(FullHello()).size() <= kFrame);
+}
+
+// A failure domain is out of reach while the agents of another one start: both lists together are
+// longer than a frame, and with the message its confirmation of the configuration was lost.
+BOOST_AUTO_TEST_CASE(agents_out_of_reach_go_apart_from_a_full_list) {
+  for (const auto peers : {std::size_t{0}, kHearsayAgain, kMostHearsay / 2, kMostHearsay}) {
+    for (const auto count : {std::size_t{1}, kMostOutOfReach / 2, kMostOutOfReach}) {
+      auto hello = FullHello();
+      hello.peers.resize(peers);
+      for (auto i = Address{0}; i < count; ++i) hello.out_of_reach.push_back(kFirstAgent + i);
+      auto out_of_reach = std::size_t{0};
+      auto named = std::size_t{0};
+      for (const auto& part : InFrames(hello)) {
+        BOOST_TEST(EncodeControl(part).size() <= kFrame);
+        BOOST_TEST((!part.peers.empty() || peers == 0 || !part.listed));
+        out_of_reach += part.out_of_reach.size();
+        named += part.peers.size();
+      }
+      BOOST_TEST(out_of_reach == count);
+      BOOST_TEST(named == peers);
+    }
+  }
 }
 
 // More agents are new than a message holds: the others follow in their turn.
