Keep full hellos within a frame with the most drained domains

Callers: none; operators with 26 domains rarely drain them all. Change: 75 agents in a message. Tests: both lists full, in hearsay_test and for hellos to agents (300 restarted, 64 domains: fitted before too).

--- a/src/packets/hearsay.h
+++ b/src/packets/hearsay.h
@@ -10,9 +10,9 @@
 /// platform turns away or tells late.
 namespace anvildrum::packets {
 
-/// Agents in one message: with what else a hello says, no datagram is longer than an Ethernet
-/// frame.
-inline constexpr auto kMostHearsay = std::size_t{85};
+/// Agents in one message: with what else a hello says, kMostDrained domains among it, no datagram
+/// is longer than an Ethernet frame.
+inline constexpr auto kMostHearsay = std::size_t{75};
 
 /// Agents that each message repeats of those that have been known for longer, in turn: what was
 /// lost comes again, all of 200 within ten seconds.
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -8,6 +8,16 @@
 namespace {
 
 constexpr auto kSender = Address{0x0a010001};
+constexpr auto kFrame = std::size_t{1472};  // 1,500 bytes less the headers of IP and UDP
+
+// As many as there may be, with the longest tags.
+auto MostDrained() -> std::vector<DomainTag> {
+  auto drained = std::vector<DomainTag>{};
+  for (auto tag = DomainTag{1}; tag <= kMostDrained; ++tag) {
+    drained.push_back((DomainTag{1} << kDomainTagBits) - tag);
+  }
+  return drained;
+}
 
 auto RoundTrip(const Control& control) -> std::optional<Control> {
   const auto text = EncodeControl(control);
@@ -122,6 +132,7 @@
   for (const auto count : {kMostRestarted, kMostRestarted + 1}) {
     auto balancer = Balancer{};
     balancer.records_at = now;
+    balancer.view.drained = DrainedOf(1ULL << 32, MostDrained());
     for (auto i = std::size_t{0}; i < count; ++i) {
       const auto agent = static_cast<Address>(0x0a010000 + i);
       AddRecord(balancer.view, agent, service, now);
@@ -138,6 +149,7 @@
     const auto fits = count == kMostRestarted;
     BOOST_TEST(hello.restarted.size() == (fits ? count : 0U));
     BOOST_TEST(hello.complete == fits);
+    BOOST_TEST(EncodeControl(hello).size() <= kFrame);
   }
 }
 
--- a/src/packets/tests/hearsay_test.cc
+++ b/src/packets/tests/hearsay_test.cc
@@ -101,12 +101,16 @@
   }
 }
 
-// All that a hello between balancers says, and some domains drained.
+// All that a hello between balancers says, and as many domains drained as there may be.
 auto FullHello() -> Hello {
   auto hello = WholeHearsay(ViewOf(2 * kMostHearsay), kStart).front();
   BOOST_TEST(hello.peers.size() == kMostHearsay);
   hello.revision = 1ULL << 32;
-  hello.drained = DrainedOf(1ULL << 32, {1, 2, 3, 4});
+  auto drained = std::vector<DomainTag>{};
+  for (auto tag = DomainTag{1}; tag <= kMostDrained; ++tag) {
+    drained.push_back((DomainTag{1} << kDomainTagBits) - tag);
+  }
+  hello.drained = DrainedOf(1ULL << 32, drained);
   hello.confirmed_ago = seconds{60};
   hello.mark = 1U << 31;
   hello.echo = base::Echo{.mark = 1U << 31, .held = base::kMarkFor};
