--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -112,9 +112,9 @@
   std::optional<packets::NewerConfiguration> newer;
   packets::KeptConfigurations kept;
   base::MarkClock marks;
-  std::map<packets::Address, KnownBalancer> balancers;  ///< that have said hello lately
-  packets::Address last_holder = 0;                     ///< that was told as one
-  packets::HearsayTurn hearsay;  ///< of the messages to balancers
+  std::map<packets::Address, KnownBalancer> balancers;    ///< that have said hello lately
+  packets::Address last_holder = 0;                       ///< that was told as one
+  packets::HearsayTurn hearsay;                           ///< of the messages to balancers
   std::map<base::ServiceId, packets::ServiceHello> said;  ///< the last hellos
   bool records_read = false;
   std::optional<base::TimePoint> platform_lost_at;
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -59,7 +59,7 @@
   std::map<std::string, RelayPeer> peers{};
   base::TimePoint link_free_at{};  ///< of answers of the platform
   std::uint64_t number = 0;        ///< in force, from RecordsChanged
-  bool went_back = false;    ///< a number or a revision fell
+  bool went_back = false;          ///< a number or a revision fell
   std::map<std::string, std::uint64_t> revisions{};
   base::TimePoint in_force_at{};
   std::uint64_t bytes_in = 0;
