--- /dev/null
+++ b/src/packets/tests/search_rig.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "packets/agent.h"
+#include "packets/hello.h"
+#include "packets/order.h"
+#include "packets/search.h"
+
+/// A balancer and the agents of a service, for the tests of searches.
+namespace anvildrum::packets::search_tests {
+
+using base::milliseconds;
+using base::seconds;
+
+inline constexpr auto kStart = base::TimePoint{seconds{1000}};
+inline constexpr auto kRoute = End{0xc6120001, 443};
+inline constexpr auto kFirstAgent = Address{0x0a010001};
+inline constexpr auto kBalancer = Address{0x0a020001};
+inline constexpr auto kDesk = base::ServiceId{11};
+inline constexpr auto kSizes = {std::size_t{5}, std::size_t{65}, std::size_t{200},
+                                std::size_t{1000}};
+
+inline auto FlowOf(std::uint16_t port) -> FlowId { return {{0x64400007, port}, kRoute}; }
+
+inline auto DataOf(std::uint16_t port) -> Packet {
+  auto packet = Packet{.source = {0x64400007, port}, .destination = kRoute};
+  packet.acknowledge = true;
+  packet.acknowledged = 4711;
+  packet.payload = 100;
+  return packet;
+}
+
+inline auto ReplyOf(std::uint16_t port) -> Packet {
+  auto packet = Packet{.source = kRoute, .destination = {0x64400007, port}};
+  packet.acknowledge = true;
+  packet.payload = 100;
+  return packet;
+}
+
+/// A balancer without any hint, and the real agents of a service, each beside a target that has
+/// just started. All of them know each other.
+struct Rig {
+  explicit Rig(std::size_t count) : agents(count) {
+    auto routes = Routes{};
+    routes.version = 1;
+    routes.shares[KeyOf(kRoute)] = {{kDesk, 1}};
+    PutInForce(this->balancer, routes, this->now);
+    this->balancer.own = kBalancer;
+    this->balancer.records_at = this->now;
+    NoteEvent(this->balancer.stall, this->now);
+    for (auto i = std::size_t{0}; i < count; ++i) {
+      auto& agent = this->agents[i];
+      agent.own = kFirstAgent + static_cast<Address>(i);
+      agent.service = kDesk;
+      agent.start = 1;
+      this->Beat(i, 1, 1);
+      TakeReport(this->balancer.view, MakeReport(agent, kBalancer, this->now), this->now);
+    }
+    this->SayHello();
+    this->now += agents.front().policy.settle_for;
+    this->balancer.records_at = this->now;
+    for (auto& agent : this->agents) {
+      agent.stall = {};
+      NoteEvent(agent.stall, this->now);
+    }
+    this->balancer.stall = {};
+    NoteEvent(this->balancer.stall, this->now);
+  }
+
+  auto Beat(std::size_t index, std::uint64_t id, std::uint64_t sequence) -> void {
+    TakeHeartbeat(
+        this->agents[index],
+        {.incarnation = {id, std::nullopt}, .service = kDesk, .sequence = sequence, .slots = 2},
+        this->now);
+  }
+
+  auto SayHello() -> void {
+    const auto hellos = MakeHellos(this->balancer, this->now);
+    for (auto& agent : this->agents) {
+      for (const auto& part : hellos.at(kDesk).listed) {
+        TakeHello(agent, kBalancer, part, this->now);
+      }
+      RefreshPeers(agent, this->now);
+    }
+    this->greeted_at = this->now;
+  }
+
+  auto Route(const Packet& packet) -> BalancerVerdict {
+    return RoutePacket(this->balancer, packet, this->now);
+  }
+
+  /// Agents that are named here get no datagrams.
+  std::set<Address> cut;
+  /// What targets hold, though their agents may not know it.
+  std::set<std::pair<Address, FlowId>> held;
+  /// Of these targets hear nothing: they are at work, or hold the flow half open.
+  std::set<std::pair<Address, FlowId>> silent;
+
+  /// Steps until all searches have ended. Every datagram arrives 1 ms later.
+  auto Search() -> std::vector<SearchOutcome> {
+    auto ended = std::vector<SearchOutcome>{};
+    for (auto steps = 0; steps < 1000 && !this->balancer.searches.flows.empty(); ++steps) {
+      const auto step = StepSearches(this->balancer, this->now);
+      this->Apply(step.outcomes, ended);
+      this->now += milliseconds{1};
+      for (const auto& addressed : step.queries) this->Ask(addressed, ended);
+      this->Live(kSearchCheck);
+    }
+    return ended;
+  }
+
+  /// Processes run, and the balancer says hello now and then.
+  auto Live(base::Duration duration) -> void {
+    this->now += duration;
+    this->balancer.records_at = this->now;
+    NoteEvent(this->balancer.stall, this->now);
+    for (auto& agent : this->agents) NoteEvent(agent.stall, this->now);
+    if (this->now - this->greeted_at < milliseconds{200}) return;
+    this->SayHello();
+    for (const auto& agent : this->agents) {
+      if (this->cut.contains(agent.own)) continue;
+      this->balancer.view.members.at(agent.own).heard = this->now;
+    }
+  }
+
+  auto Ask(const AddressedQuery& addressed, std::vector<SearchOutcome>& ended) -> void {
+    ++this->queries;
+    if (this->cut.contains(addressed.agent)) return;
+    auto& agent = this->agents.at(addressed.agent - kFirstAgent);
+    const auto answer = AnswerQuery(agent, addressed.query, this->now);
+    this->Apply(TakeAnswer(this->balancer, answer, this->now), ended);
+  }
+
+  auto Apply(const std::vector<SearchOutcome>& outcomes, std::vector<SearchOutcome>& ended)
+      -> void {
+    for (const auto& outcome : outcomes) {
+      const auto* unsure = std::get_if<FlowUnsure>(&outcome);
+      if (unsure == nullptr) {
+        ended.push_back(outcome);
+        continue;
+      }
+      for (const auto& to : unsure->agents) this->Probe(unsure->flow, to.agent, ended);
+    }
+  }
+
+  // The flow's packet goes to an agent whose target tells whether it holds the flow.
+  auto Probe(const FlowId& flow, Address to, std::vector<SearchOutcome>& ended) -> void {
+    ++this->probes;
+    auto& agent = this->agents.at(to - kFirstAgent);
+    auto packet = DataOf(flow.client.port);
+    packet.stamp = StampFor(this->balancer, kDesk, true);
+    auto verdict = FromPeer(agent, packet, this->now);
+    if (std::holds_alternative<DeliverToTarget>(verdict)) {
+      if (this->held.contains({to, flow})) {
+        const auto reply = FromTarget(agent, ReplyOf(flow.client.port), this->now);
+        if (std::get<SendToClient>(reply).located_for) {
+          TakeLocated(this->balancer, flow, to, this->now);
+        }
+        return;
+      }
+      if (this->silent.contains({to, flow})) return;
+      packet.returned = true;
+      verdict = FromTarget(agent, packet, this->now);
+    }
+    const auto& back = std::get<GiveBack>(verdict);
+    const auto flow_of = FlowFromClient(packet);
+    this->Apply(TakeProbeBack(this->balancer, flow_of, to, back.by_target, this->now), ended);
+  }
+
+  base::TimePoint now = kStart;
+  std::vector<Agent> agents;
+  Balancer balancer;
+  base::TimePoint greeted_at{};
+  std::size_t queries = 0;
+  std::size_t probes = 0;
+};
+
+template <typename Outcome>
+auto Count(const std::vector<SearchOutcome>& outcomes) -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      outcomes.begin(), outcomes.end(),
+      [](const SearchOutcome& outcome) { return std::holds_alternative<Outcome>(outcome); }));
+}
+
+inline auto ReasonOf(const std::vector<SearchOutcome>& outcomes) -> SearchFailure {
+  BOOST_REQUIRE(outcomes.size() == 1U);
+  BOOST_REQUIRE(std::holds_alternative<FlowNotFound>(outcomes.front()));
+  return std::get<FlowNotFound>(outcomes.front()).reason;
+}
+
+/// The place in the flow's order of the agent with this index.
+inline auto AgentAt(const Rig& rig, std::uint16_t port, std::size_t place) -> std::size_t {
+  auto places = std::vector<Place>{};
+  for (const auto& agent : rig.agents) places.push_back({agent.own, 0});
+  return RendezvousOrder(FlowOf(port), places).at(place) - kFirstAgent;
+}
+
+}  // namespace anvildrum::packets::search_tests
