Go by what was told, not by when an agent became known

Change: a balancer remembers which live agents its messages have told of, and since when. One that falls silent and comes back is new again. A set as large as the live agents, 32 bytes each (arithmetic): 22 kB at 682, 0.7 MB at 22,000. Test: agents_that_come_back_to_life_are_told_of_as_new, failed before; the others as they were.

--- a/src/packets/hearsay.h
+++ b/src/packets/hearsay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <unordered_map>
 #include <vector>
 
 #include "packets/control.h"
@@ -18,22 +19,21 @@
 /// lost comes again, all of 200 within ten seconds.
 inline constexpr auto kHearsayAgain = std::size_t{20};
 
-/// How long an agent counts as new: three messages, of which two may be lost. One that has not been
-/// told of by then stays new until it has.
+/// How long an agent counts as new once it has been told of: three messages, of which two may be
+/// lost.
 inline constexpr auto kHearsayNew = base::seconds{3};
 
-/// How far the regular messages have come.
+/// What the regular messages have told so far.
 struct HearsayTurn {
-  base::TimePoint known_since{};  ///< of the last agent that was told of as new
-  Address agent = 0;              ///< that agent; those known as long are told of by address
-  std::size_t again = 0;          ///< where agents that are told of again go on
+  std::unordered_map<Address, base::TimePoint> told;  ///< live agents, and since when
+  std::size_t again = 0;                              ///< where agents that are told of again go on
 };
 
 /// To a balancer that knows nobody yet: all live agents, in parts.
 auto WholeHearsay(const View& view, base::TimePoint now) -> std::vector<Hello>;
 
-/// The regular message: agents that are new, those first that no message has told of yet, and some
-/// of the others.
+/// The regular message: agents that are new, those first that no message has told of since they
+/// came to life, and some of the others.
 ///
 /// Safeguard: a balancer that others name as their seed tells each of them once a second. With all
 /// agents in each message its link is filled by what did not change.
--- a/src/packets/internal/hearsay.cc
+++ b/src/packets/internal/hearsay.cc
@@ -1,7 +1,8 @@
 #include "packets/hearsay.h"
 
 #include <algorithm>
-#include <tuple>
+#include <span>
+#include <utility>
 
 namespace anvildrum::packets {
 namespace {
@@ -24,27 +25,11 @@
 constexpr auto kPeerBytes = std::size_t{15};
 constexpr auto kAddressBytes = std::size_t{4};
 
-auto WasTold(const HearsayTurn& turn, const Member& member) -> bool {
-  return std::tie(member.known_since, member.agent) <= std::tie(turn.known_since, turn.agent);
-}
-
-// In the order in which they became known, so that none is passed over, however many there are.
-auto TellUntold(const View& view, HearsayTurn& turn, base::TimePoint now, Hello& hello) -> void {
-  auto untold = std::vector<const Member*>{};
-  for (const auto& [agent, member] : view.members) {
-    if (!WasTold(turn, member) && IsAlive(view, member, now)) untold.push_back(&member);
+// Takes up to `most` of `peers` into the message, from `from` on and round.
+auto Append(Hello& hello, std::span<const Peer> peers, std::size_t from, std::size_t most) -> void {
+  for (auto i = std::size_t{0}; i < std::min(most, peers.size()); ++i) {
+    hello.peers.push_back(peers[(from + i) % peers.size()]);
   }
-  const auto told = std::min(untold.size(), kMostNew);
-  const auto end = untold.begin() + static_cast<std::ptrdiff_t>(told);
-  std::partial_sort(untold.begin(), end, untold.end(), [](const Member* a, const Member* b) {
-    return std::tie(a->known_since, a->agent) < std::tie(b->known_since, b->agent);
-  });
-  std::for_each(untold.begin(), end, [&](const Member* member) {
-    hello.peers.push_back({member->agent, member->service, 0});
-  });
-  if (told == 0) return;
-  turn.known_since = untold[told - 1]->known_since;
-  turn.agent = untold[told - 1]->agent;
 }
 
 }  // namespace
@@ -62,20 +47,25 @@
 }
 
 auto NextHearsay(const View& view, HearsayTurn& turn, base::TimePoint now) -> Hello {
-  auto hello = Hello{};
-  const auto before = turn;
-  TellUntold(view, turn, now, hello);
-  const auto is_new = [&](const Member& member) { return now - member.known_since < kHearsayNew; };
-  const auto repeated = LivePeers(
-      view, now, [&](const Member& member) { return is_new(member) && WasTold(before, member); });
-  const auto room = std::min(kMostNew - hello.peers.size(), repeated.size());
-  hello.peers.insert(hello.peers.end(), repeated.begin(),
-                     repeated.begin() + static_cast<std::ptrdiff_t>(room));
-  const auto others = LivePeers(
-      view, now, [&](const Member& member) { return !is_new(member) && WasTold(before, member); });
-  for (auto i = std::size_t{0}; i < std::min(kHearsayAgain, others.size()); ++i) {
-    hello.peers.push_back(others[(turn.again + i) % others.size()]);
+  const auto live = LivePeers(view, now, [](const Member&) { return true; });
+  auto told = std::exchange(turn.told, {});
+  auto untold = std::vector<Peer>{};
+  auto recent = std::vector<Peer>{};
+  auto others = std::vector<Peer>{};
+  for (const auto& peer : live) {
+    const auto before = told.find(peer.agent);
+    if (before == told.end()) {
+      untold.push_back(peer);
+      continue;
+    }
+    turn.told.insert(*before);
+    (now - before->second < kHearsayNew ? recent : others).push_back(peer);
   }
+  auto hello = Hello{};
+  Append(hello, untold, 0, kMostNew);
+  for (const auto& peer : hello.peers) turn.told[peer.agent] = now;
+  Append(hello, recent, 0, kMostNew - hello.peers.size());
+  Append(hello, others, turn.again, kHearsayAgain);
   turn.again = others.empty() ? 0 : (turn.again + kHearsayAgain) % others.size();
   return hello;
 }
--- a/src/packets/tests/hearsay_test.cc
+++ b/src/packets/tests/hearsay_test.cc
@@ -36,6 +36,13 @@
   return named;
 }
 
+// Messages until each live agent has been told of.
+auto TellAll(const View& view, HearsayTurn& turn, base::TimePoint now) -> void {
+  for (auto i = std::size_t{0}; i <= view.members.size() / kMostNew; ++i) {
+    NextHearsay(view, turn, now);
+  }
+}
+
 // A balancer starts while the platform is away, and knows nobody. Beyond 90 agents it learned of
 // the others a part a second, and placed all openings on those that it knew.
 BOOST_AUTO_TEST_CASE(a_balancer_that_knows_nobody_is_told_of_all_at_once) {
@@ -55,10 +62,11 @@
 // turn is, and agents that have been silent are not.
 BOOST_AUTO_TEST_CASE(a_new_agent_is_told_of_in_the_next_messages) {
   auto view = ViewOf(200);
+  auto turn = HearsayTurn{};
+  TellAll(view, turn, kStart);
   const auto later = kStart + seconds{60};
   for (auto i = Address{1}; i < 200; ++i) Report(view, kFirstAgent + i, later);
   Report(view, kFirstAgent + 500, later);
-  auto turn = HearsayTurn{.known_since = kStart, .agent = kFirstAgent + 200};
   for (auto i = 0; i < 3; ++i) {
     const auto hello = NextHearsay(view, turn, later);
     BOOST_TEST(Named(hello).contains(kFirstAgent + 500));
@@ -86,13 +94,33 @@
   }
 }
 
+// A failure domain was cut off and is back: what others have not heard of its agents meanwhile they
+// are told as of new ones, all within the time of full messages. Its records were known all the
+// while.
+BOOST_AUTO_TEST_CASE(agents_that_come_back_to_life_are_told_of_as_new) {
+  constexpr auto agents = Address{2 * kMostNew + 1};
+  auto view = View{};
+  for (auto i = Address{0}; i < agents; ++i) AddRecord(view, kFirstAgent + i, kDesk, kStart);
+  auto turn = HearsayTurn{};
+  BOOST_TEST(NextHearsay(view, turn, kStart).peers.empty());
+  auto now = kStart + seconds{60};
+  auto named = std::set<Address>{};
+  for (auto message = 0; message < 3; ++message) {
+    for (auto i = Address{0}; i < agents; ++i) Report(view, kFirstAgent + i, now);
+    named.merge(Named(NextHearsay(view, turn, now)));
+    now += seconds{1};
+  }
+  BOOST_TEST(named.size() == agents);
+}
+
 // All agents are told of again in turn, and all of a small site each time.
 BOOST_AUTO_TEST_CASE(all_agents_are_told_of_again_in_turn) {
   for (const auto agents : {Address{10}, Address{90}, Address{201}}) {
     auto view = ViewOf(agents);
+    auto turn = HearsayTurn{};
+    TellAll(view, turn, kStart);
     const auto later = kStart + kHearsayNew;
     for (auto i = Address{0}; i < agents; ++i) Report(view, kFirstAgent + i, later);
-    auto turn = HearsayTurn{.known_since = kStart, .agent = kFirstAgent + agents};
     auto named = std::set<Address>{};
     for (auto message = Address{0}; message < agents; message += kHearsayAgain) {
       named.merge(Named(NextHearsay(view, turn, later)));
