--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -3,21 +3,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "packets/hello.h"
+#include "packets/tests/frame.h"
 
 namespace anvildrum::packets {
 namespace {
 
 constexpr auto kSender = Address{0x0a010001};
-constexpr auto kFrame = std::size_t{1472};  // 1,500 bytes less the headers of IP and UDP
-
-// As many as there may be, with the longest tags.
-auto MostDrained() -> std::vector<DomainTag> {
-  auto drained = std::vector<DomainTag>{};
-  for (auto tag = DomainTag{1}; tag <= kMostDrained; ++tag) {
-    drained.push_back((DomainTag{1} << kDomainTagBits) - tag);
-  }
-  return drained;
-}
 
 auto RoundTrip(const Control& control) -> std::optional<Control> {
   const auto text = EncodeControl(control);
--- a/src/packets/tests/hearsay_test.cc
+++ b/src/packets/tests/hearsay_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
+#include "packets/tests/frame.h"
+
 namespace anvildrum::packets {
 namespace {
 
@@ -12,7 +14,6 @@
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kDesk = base::ServiceId{11};
 constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
-constexpr auto kFrame = std::size_t{1472};  // 1,500 bytes less the headers of IP and UDP
 
 auto Report(View& view, Address agent, base::TimePoint now) -> void {
   TakeReport(view,
@@ -134,11 +135,7 @@
   auto hello = WholeHearsay(ViewOf(2 * kMostHearsay), kStart).front();
   BOOST_TEST(hello.peers.size() == kMostHearsay);
   hello.revision = 1ULL << 32;
-  auto drained = std::vector<DomainTag>{};
-  for (auto tag = DomainTag{1}; tag <= kMostDrained; ++tag) {
-    drained.push_back((DomainTag{1} << kDomainTagBits) - tag);
-  }
-  hello.drained = DrainedOf(1ULL << 32, drained);
+  hello.drained = DrainedOf(1ULL << 32, MostDrained());
   hello.confirmed_ago = seconds{60};
   hello.mark = 1U << 31;
   hello.echo = base::Echo{.mark = 1U << 31, .held = base::kMarkFor};
