Keep what hearsay has told in place, without a filter that nothing used

NextHearsay took the whole set of agents told of apart and built it anew each second, an allocation an agent; agents that have fallen silent are erased from it instead. LivePeers' filter had been left with callers that pass everything.

--- a/src/packets/internal/hearsay.cc
+++ b/src/packets/internal/hearsay.cc
@@ -2,28 +2,33 @@
 
 #include <algorithm>
 #include <span>
-#include <utility>
 
 namespace anvildrum::packets {
 namespace {
 
-// Live members that `wanted` holds for, in the order of their addresses.
-template <typename Wanted>
-auto LivePeers(const View& view, base::TimePoint now, Wanted wanted) -> std::vector<Peer> {
+constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
+
+// Of a message that is sent, at most.
+constexpr auto kPeerBytes = std::size_t{15};
+constexpr auto kAddressBytes = std::size_t{4};
+
+// In the order of their addresses.
+auto LivePeers(const View& view, base::TimePoint now) -> std::vector<Peer> {
   auto peers = std::vector<Peer>{};
   for (const auto& [agent, member] : view.members) {
-    if (IsAlive(view, member, now) && wanted(member)) peers.push_back({agent, member.service, 0});
+    if (IsAlive(view, member, now)) peers.push_back({agent, member.service, 0});
   }
   std::sort(peers.begin(), peers.end(),
             [](const Peer& a, const Peer& b) { return a.agent < b.agent; });
   return peers;
 }
 
-constexpr auto kMostNew = kMostHearsay - kHearsayAgain;
-
-// Of a message that is sent, at most.
-constexpr auto kPeerBytes = std::size_t{15};
-constexpr auto kAddressBytes = std::size_t{4};
+auto ForgetSilent(HearsayTurn& turn, const View& view, base::TimePoint now) -> void {
+  std::erase_if(turn.told, [&](const auto& told) {
+    const auto member = view.members.find(told.first);
+    return member == view.members.end() || !IsAlive(view, member->second, now);
+  });
+}
 
 // Takes up to `most` of `peers` into the message, from `from` on and round.
 auto Append(Hello& hello, std::span<const Peer> peers, std::size_t from, std::size_t most) -> void {
@@ -35,7 +40,7 @@
 }  // namespace
 
 auto WholeHearsay(const View& view, base::TimePoint now) -> std::vector<Hello> {
-  const auto all = LivePeers(view, now, [](const Member&) { return true; });
+  const auto all = LivePeers(view, now);
   auto parts = std::vector<Hello>{};
   for (auto first = std::size_t{0}; first < all.size(); first += kMostHearsay) {
     const auto last = std::min(first + kMostHearsay, all.size());
@@ -47,19 +52,17 @@
 }
 
 auto NextHearsay(const View& view, HearsayTurn& turn, base::TimePoint now) -> Hello {
-  const auto live = LivePeers(view, now, [](const Member&) { return true; });
-  auto told = std::exchange(turn.told, {});
+  ForgetSilent(turn, view, now);
   auto untold = std::vector<Peer>{};
   auto recent = std::vector<Peer>{};
   auto others = std::vector<Peer>{};
-  for (const auto& peer : live) {
-    const auto before = told.find(peer.agent);
-    if (before == told.end()) {
+  for (const auto& peer : LivePeers(view, now)) {
+    const auto told = turn.told.find(peer.agent);
+    if (told == turn.told.end()) {
       untold.push_back(peer);
-      continue;
+    } else {
+      (now - told->second < kHearsayNew ? recent : others).push_back(peer);
     }
-    turn.told.insert(*before);
-    (now - before->second < kHearsayNew ? recent : others).push_back(peer);
   }
   auto hello = Hello{};
   Append(hello, untold, 0, kMostNew);
