--- a/src/packets/internal/newer_configuration.cc
+++ b/src/packets/internal/newer_configuration.cc
@@ -13,6 +13,13 @@
 // Questions that go to copies of the platform's state first, which are cheaper and may be behind.
 constexpr auto kCopyAsks = 2U;
 
+// Seeds tell all others: what they have is not to be late by the age of a copy. A copy that is
+// behind sends all of its bytes for nothing: where these took long, none is asked again.
+auto CopiesToAsk(const NewerConfiguration& newer, const AskBasis& basis) -> unsigned {
+  if (basis.is_seed) return 0;
+  return newer.first_was_slow ? 1 : kCopyAsks;
+}
+
 // Whom the n-th question goes to, from 1. After the copies the platform itself, since all others
 // hear of the new version from a few balancers at the same moment, and serving them would fill the
 // links of these.
@@ -21,13 +28,6 @@
   return (ask - copies) % 2 == 1 ? Source::kPlatform : Source::kBalancer;
 }
 
-// Seeds tell all others: what they have is not to be late by the age of a copy. A copy that is
-// behind sends all of its bytes for nothing: where these took long, none is asked again.
-auto CopiesToAsk(const NewerConfiguration& newer, const AskBasis& basis) -> unsigned {
-  if (basis.is_seed) return 0;
-  return newer.first_was_slow ? 1 : kCopyAsks;
-}
-
 // The same of a balancer that the platform has turned away.
 //
 // Safeguard: it would ask the platform several times for each version, in vain, and a refused call
