--- a/src/platform/internal/client.cc
+++ b/src/platform/internal/client.cc
@@ -273,8 +273,7 @@
   const auto is_silent = [&](const ConnectionPtr& connection) {
     return connection->endpoint == index && connection->idle_since < silent_since;
   };
-  this->idle.erase(std::remove_if(this->idle.begin(), this->idle.end(), is_silent),
-                   this->idle.end());
+  std::erase_if(this->idle, is_silent);
 }
 
 // Ending an exchange here would run its callback, which may use what its owner has already let go
