--- a/src/net/tests/timers_test.cc
+++ b/src/net/tests/timers_test.cc
@@ -54,6 +54,22 @@
   BOOST_TEST(stops == 1);
 }
 
+// Guards against a process that a late signal kills while it closes what its graceful stop has
+// left.
+BOOST_AUTO_TEST_CASE(signals_stay_ignored_when_the_stop_signal_is_destroyed) {
+  auto io = boost::asio::io_context{};
+  auto stops = 0;
+  auto signal = std::make_unique<StopSignal>(io, [&](int) { ++stops; });
+  std::raise(SIGTERM);
+  BOOST_TEST(RunUntil(io, [&] { return stops == 1; }));
+  signal.reset();
+  for (const auto number : {SIGTERM, SIGINT, SIGHUP}) {
+    auto action = (struct sigaction){};
+    BOOST_TEST(sigaction(number, nullptr, &action) == 0);
+    BOOST_TEST((action.sa_handler != SIG_DFL), "signal " << number);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace anvildrum::net
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -1,5 +1,6 @@
 """What the process tests share: a fleet for each test, built on scripts/fleet.py."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -16,10 +17,21 @@
 BUILD = os.environ.get("ANVILDRUM_BUILD", str(ROOT / "build"))
 WIDE_SECONDS = 60  # a condition that takes longer than this is not going to come true
 DRAIN_SECONDS = 5
+SIGNAL_GAP_SECONDS = 0.0002  # short beside what a process does between its last line and its end
 # A target waits for the acknowledgements of clients that are gone; its agent has drained before.
 TARGET_STOP = ["--drain-ms", "3000"]
 
 
+def signal_until_gone(process, first, *later):
+    """Sends `first`, then all of them again and again until the process is gone; its exit code."""
+    process.send_signal(first)
+    for number in itertools.cycle((first, *later)):
+        if process.poll() is not None:
+            return process.returncode
+        process.send_signal(number)
+        time.sleep(SIGNAL_GAP_SECONDS)
+
+
 class FleetTest(unittest.TestCase):
     """Starts a fleet and stops it again; a process that had to be killed fails the test."""
 
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -6,7 +6,7 @@
 import urllib.error
 
 from packet_standins import HEARTBEATS, METRICS, Client, Machines, Target
-from support import BUILD, WIDE_SECONDS, wait_until
+from support import BUILD, WIDE_SECONDS, signal_until_gone, wait_until
 
 BALANCER, CUT_OFF, FIRST_AGENT, SECOND_AGENT, CLIENT = 10, 11, 20, 21, 90
 NOBODY = 8199  # a port that nobody listens at
@@ -76,6 +76,13 @@
                     self.machines.start(last, service)
                     self.assert_served(flows)
 
+    def test_signals_sent_until_a_process_is_gone_do_not_cut_its_stop(self):
+        # Guards against a graceful stop that a later signal turns into a kill, near its end.
+        for last in (FIRST_AGENT, BALANCER):
+            process = self.machines.processes.pop(last)
+            code = signal_until_gone(process, signal.SIGTERM, signal.SIGHUP)
+            self.assertEqual(code, 0, last)
+
     def test_a_draining_target_is_given_no_opening_and_keeps_its_flows(self):
         # From the acknowledgement on openings go elsewhere, whatever balancers have heard of it.
         flows = self.open_flows()
--- a/tests/process/test_rolling_restart.py
+++ b/tests/process/test_rolling_restart.py
@@ -4,7 +4,7 @@
 import signal
 import unittest
 
-from support import WIDE_SECONDS, FleetTest, wait_until
+from support import WIDE_SECONDS, FleetTest, signal_until_gone, wait_until
 
 
 class RollingRestart(FleetTest):
@@ -77,6 +77,14 @@
         for name in names:
             self.assertEqual(running.terminate(name), 0, name)
 
+    # Guards against a graceful stop that a later signal turns into a kill, near its end.
+    def test_signals_sent_until_a_process_is_gone_do_not_cut_its_stop(self):
+        running = self.start_fleet()
+        agent, balancer = running.plan["targets"][0]["agent"], running.plan["balancers"][0]["name"]
+        for name in (agent, balancer):
+            process = running.processes[name][1]
+            self.assertEqual(signal_until_gone(process, signal.SIGTERM, signal.SIGINT), 0, name)
+
 
 if __name__ == "__main__":
     unittest.main()
