--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/.."
 build=${ANVILDRUM_BUILD:-build}
 jobs=${ANVILDRUM_JOBS:-$(nproc)}
+# Objects of another copy of the repository serve too.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 cmake -S . -B "$build" -G Ninja >/dev/null
 cmake --build "$build" -j "$jobs"
 scripts/lint.sh "$build"
