Tell which version of the configuration each balancer has in force

Who is behind could be read from logs alone, and with hundreds of balancers nobody reads them one by one.

New gauge configuration_version, and `anvilctl versions BALANCERS`: asks the metrics addresses in a file, sixteen at a time, prints a line a version and the balancers that are late (no answer, no configuration, an older one, not confirmed for too long), at most as many as asked for. It asks no platform, so that it works in an outage.

--- a/src/ctl/internal/command_line.cc
+++ b/src/ctl/internal/command_line.cc
@@ -139,17 +139,29 @@
   return invocation;
 }
 
+auto ParseVersions(Parser& parser, Arguments arguments) -> Invocation {
+  auto most =
+      ValueArg<std::size_t>("m", "most", "", false, VersionsCommand{}.most, "N", parser.line);
+  auto file =
+      UnlabeledValueArg<std::string>("balancers", "the file", true, "", "BALANCERS", parser.line);
+  auto invocation = parser.Parse("versions", arguments);
+  invocation.command = VersionsCommand{file.getValue(), most.getValue()};
+  return invocation;
+}
+
 using ParseCommand = std::function<Invocation(Parser&, Arguments)>;
 
 auto Commands() -> const std::map<std::string, ParseCommand, std::less<>>& {
   static const auto commands = std::map<std::string, ParseCommand, std::less<>>{
-      {"status", ParseStatus}, {"get", ParseGet},     {"history", ParseHistory},
-      {"apply", ParseApply},   {"drain", ParseDrain}, {"check", ParseCheck}};
+      {"status", ParseStatus},    {"get", ParseGet},     {"history", ParseHistory},
+      {"apply", ParseApply},      {"drain", ParseDrain}, {"check", ParseCheck},
+      {"versions", ParseVersions}};
   return commands;
 }
 
 auto NeedsPlatform(const Invocation& invocation) -> bool {
   if (std::holds_alternative<CheckCommand>(invocation.command)) return false;
+  if (std::holds_alternative<VersionsCommand>(invocation.command)) return false;
   auto asks_instances = std::holds_alternative<StatusCommand>(invocation.command) ||
                         std::holds_alternative<DrainCommand>(invocation.command);
   return !asks_instances || invocation.operators.empty();
--- a/src/ctl/internal/fleet.cc
+++ b/src/ctl/internal/fleet.cc
@@ -1,9 +1,8 @@
 #include "ctl/fleet.h"
 
 #include <algorithm>
-#include <atomic>
-#include <thread>
 
+#include "ctl/internal/ask_each.h"
 #include "ctl/internal/http_client.h"
 #include "json/parse.h"
 #include "membership/codec.h"
@@ -15,7 +14,6 @@
 
 constexpr auto kStatusLimit = base::seconds(2);
 constexpr auto kDrainLimit = base::seconds(5);
-constexpr auto kWorkers = std::size_t{16};
 constexpr auto kFirstError = 300;
 
 auto CallOperator(const base::Endpoint& port, const HttpRequest& request, base::Duration limit)
@@ -109,20 +107,10 @@
   return known;
 }
 
-// Safeguard: one dead instance costs its whole time limit, so asked one after the other a few of
-// them would make the command take minutes; sixteen at a time keep it to seconds at today's sizes.
 auto AskInstances(std::span<const Instance> instances, const FetchStatus& fetch)
     -> std::vector<InstanceReport> {
   auto reports = std::vector<InstanceReport>(instances.size());
-  auto next = std::atomic<std::size_t>{0};
-  auto work = [&] {
-    for (auto i = next++; i < instances.size(); i = next++) reports[i] = Ask(instances[i], fetch);
-  };
-  auto workers = std::vector<std::thread>{};
-  for (auto i = std::size_t{0}; i < std::min(kWorkers, instances.size()); ++i) {
-    workers.emplace_back(work);
-  }
-  for (auto& worker : workers) worker.join();
+  AskEach(instances.size(), [&](std::size_t i) { reports[i] = Ask(instances[i], fetch); });
   return reports;
 }
 
--- a/src/ctl/internal/help.h
+++ b/src/ctl/internal/help.h
@@ -17,6 +17,9 @@
       [--id ID] [--author NAME]
   drain TARGET              stop new flows and requests to a target
   check SETTINGS            check a settings file of anvildrumd
+  versions BALANCERS        which version of the configuration is in force at balancers of packet
+                            flows; BALANCERS is a file of their metrics addresses, one a line
+      [--most N]              name at most so many that are late (default 20)
 
 Options:
   -p, --platform IP:PORT    the platform; again for another address of it
--- a/src/ctl/internal/run.cc
+++ b/src/ctl/internal/run.cc
@@ -7,6 +7,7 @@
 #include "ctl/exit_code.h"
 #include "ctl/internal/run_apply.h"
 #include "ctl/render.h"
+#include "ctl/versions.h"
 #include "settings/settings.h"
 
 namespace anvildrum::ctl {
@@ -121,6 +122,13 @@
   return unreadable ? kUsage : kRefused;
 }
 
+auto RunVersions(const VersionsCommand& command, Edge& edge) -> base::Result<int> {
+  BOOST_LEAF_AUTO(balancers, ReadAddresses(command.file));
+  const auto versions = AskVersions(balancers, edge.fetch_metrics);
+  edge.out << VersionsText(versions, command.most);
+  return LateBalancers(versions).empty() ? kDone : kIncomplete;
+}
+
 struct Runner {
   const Invocation& invocation;
   Edge& edge;
@@ -141,6 +149,9 @@
   auto operator()(const CheckCommand& command) const -> base::Result<int> {
     return RunCheck(command, this->edge);
   }
+  auto operator()(const VersionsCommand& command) const -> base::Result<int> {
+    return RunVersions(command, this->edge);
+  }
 };
 
 }  // namespace
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -7,6 +7,7 @@
 
 #include "ctl/command_line.h"
 #include "ctl/run.h"
+#include "ctl/versions.h"
 
 namespace anvildrum::ctl {
 namespace {
@@ -30,6 +31,7 @@
 auto MakeEdge(const Invocation& invocation) -> Edge {
   return Edge{HttpObjectStore(invocation.platform),
               HttpFetchStatus(),
+              HttpFetchMetrics(),
               PostDrain,
               [](base::Duration pause) { std::this_thread::sleep_for(pause); },
               base::Clock::now,
--- a/src/ctl/run.h
+++ b/src/ctl/run.h
@@ -15,6 +15,7 @@
 struct Edge {
   ObjectStore store;
   FetchStatus fetch_status;
+  FetchStatus fetch_metrics;
   std::function<base::Result<void>(const base::Endpoint&)> post_drain;
   std::function<void(base::Duration)> sleep;
   std::function<base::TimePoint()> now;
--- a/src/ctl/tests/command_line_test.cc
+++ b/src/ctl/tests/command_line_test.cc
@@ -57,6 +57,14 @@
   BOOST_TEST(status.operators.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(versions_need_a_file_and_no_platform) {
+  const auto invocation = Understood({"versions", "balancers.txt", "--most", "3"}, kNothing);
+  const auto& command = std::get<VersionsCommand>(invocation.command);
+  BOOST_TEST(command.file == "balancers.txt");
+  BOOST_TEST(command.most == 3U);
+  BOOST_TEST(Stopped({"versions"}, kNothing).exit_code == kUsage);
+}
+
 BOOST_AUTO_TEST_CASE(wrong_command_lines_are_usage_errors) {
   using Words = std::vector<std::string>;
   for (const auto& words :
--- a/src/ctl/tests/run_test.cc
+++ b/src/ctl/tests/run_test.cc
@@ -21,7 +21,8 @@
 // A site of one balancer and one agent, with the number that each has in force.
 struct Site {
   FakePlatform platform;
-  std::map<std::string, int> numbers;  // by operator port; absent: unreachable
+  std::map<std::string, int> numbers;          // by operator port; absent: unreachable
+  std::map<std::string, std::string> metrics;  // by metrics address; absent: unreachable
   std::mutex mutex;
   std::vector<std::string> drained;
   base::TimePoint clock;
@@ -69,9 +70,17 @@
     return R"({"flows": 5, "number": )" + std::to_string(found->second) + "}";
   }
 
+  auto FetchMetrics(const base::Endpoint& port) -> base::Result<std::string> {
+    auto lock = std::lock_guard(this->mutex);
+    auto found = this->metrics.find(base::FormatEndpoint(port));
+    if (found != this->metrics.end()) return found->second;
+    return boost::leaf::new_error(CtlError{CtlErrorCode::kUnreachable, "it", 0});
+  }
+
   auto Run(Command command, std::vector<base::Endpoint> operators = {}) -> int {
     auto edge = Edge{this->platform.Store(),
                      [this](const auto& port) { return this->Fetch(port); },
+                     [this](const auto& port) { return this->FetchMetrics(port); },
                      [this](const auto& port) -> base::Result<void> {
                        this->drained.push_back(base::FormatEndpoint(port));
                        return {};
@@ -110,6 +119,32 @@
   BOOST_TEST(site.out.str().find("behind") != std::string::npos);
 }
 
+// Guards against a balancer that goes by an old configuration while all that is asked looks well.
+BOOST_AUTO_TEST_CASE(versions_name_balancers_that_are_behind) {
+  auto site = Site();
+  const auto at = [](std::string_view version) {
+    return "anvildrum_packets_configuration_version " + std::string(version) +
+           "\nanvildrum_packets_configuration_age_ms 400\n";
+  };
+  site.metrics = {{"10.0.0.1:9464", at("20")}, {"10.0.0.2:9464", at("20")}};
+  const auto file = site.File("# balancers\n10.0.0.1:9464\n\n10.0.0.2:9464\n");
+  BOOST_TEST(site.Run(VersionsCommand{file}) == kDone);
+  BOOST_TEST(site.out.str() == "version 20 at 2 balancers, confirmed 0.40 s ago at most\n");
+  site.metrics["10.0.0.1:9464"] = at("17");
+  BOOST_TEST(site.Run(VersionsCommand{file}) == kIncomplete);
+  BOOST_TEST(site.out.str().ends_with("10.0.0.1:9464  version 17, confirmed 0.40 s ago\n"));
+  site.metrics.erase("10.0.0.2:9464");
+  BOOST_TEST(site.Run(VersionsCommand{file}) == kIncomplete);
+  BOOST_TEST(site.out.str().ends_with("10.0.0.2:9464  unreachable, or no balancer\n"));
+}
+
+BOOST_AUTO_TEST_CASE(versions_of_an_unreadable_file_are_a_usage_error) {
+  auto site = Site();
+  BOOST_TEST(site.Run(VersionsCommand{"/nowhere"}) == kUsage);
+  BOOST_TEST(site.Run(VersionsCommand{site.File("10.0.0.1:9464\nedge-1\n")}) == kUsage);
+  BOOST_TEST(site.err.str().find("line 2") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(status_as_json_is_json) {
   auto site = Site();
   site.Run(StatusCommand{true});
--- a/src/ctl/types/command.h
+++ b/src/ctl/types/command.h
@@ -35,8 +35,13 @@
   std::string file;
 };
 
+struct VersionsCommand {
+  std::string file;       ///< metrics addresses of balancers
+  std::size_t most = 20;  ///< late balancers that are named
+};
+
 using Command = std::variant<StatusCommand, GetCommand, HistoryCommand, ApplyCommand, DrainCommand,
-                             CheckCommand>;
+                             CheckCommand, VersionsCommand>;
 
 /// A command line that was understood.
 struct Invocation {
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -388,6 +388,10 @@
                     static_cast<std::uint64_t>(age), true});
   counts.push_back({"configuration_unconfirmed", "Whether that is longer ago than it may be",
                     this->unconfirmed ? 1U : 0U, true});
+  if (this->core.routes) {
+    counts.push_back({"configuration_version", "Number of the configuration that is in force",
+                      this->core.routes->version, true});
+  }
   counts.push_back({"malformed_total", "Datagrams and heartbeats refused whole", this->malformed});
   const auto left_out = this->record_watcher->Counters().unreadable;
   counts.push_back({"unreadable_total", "Entries of the platform that could not be used",
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import subprocess
 import unittest
 import urllib.error
 
@@ -83,6 +84,15 @@
             code = signal_until_gone(process, signal.SIGTERM, signal.SIGHUP)
             self.assertEqual(code, 0, last)
 
+    def test_anvilctl_tells_which_version_is_in_force(self):
+        balancers = os.path.join(self.machines.folder.name, "balancers.txt")
+        with open(balancers, "w") as file:
+            file.write(f"{self.machines.host(BALANCER)}:{METRICS}\n")
+        command = [os.path.join(BUILD, "src", "ctl", "anvilctl"), "versions", balancers]
+        asked = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertTrue(asked.stdout.startswith("version 1 at 1 balancers"), asked)
+        self.assertEqual(asked.returncode, 0, asked)
+
     def test_a_draining_target_is_given_no_opening_and_keeps_its_flows(self):
         # From the acknowledgement on openings go elsewhere, whatever balancers have heard of it.
         flows = self.open_flows()
