--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -9,8 +9,9 @@
 
 namespace anvildrum::net {
 
-/// Calls back once at the first SIGTERM or SIGINT. From then on these and SIGHUP are ignored until the
-/// process has ended, so that no later signal can cut the graceful stop that the first one began.
+/// Calls back once at the first SIGTERM or SIGINT. From then on these and SIGHUP are ignored until
+/// the process has ended, so that no later signal can cut the graceful stop that the first one
+/// began.
 class StopSignal {
  public:
   using OnStop = std::function<void(int signal)>;
