--- a/src/net/internal/signals.cc
+++ b/src/net/internal/signals.cc
@@ -50,6 +50,4 @@
   this->impl->signals.clear(ignored);
 }
 
-auto StopSignal::Release() -> void { this->impl->signals.cancel(); }
-
 }  // namespace anvildrum::net
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -21,10 +21,6 @@
   auto operator=(const StopSignal&) -> StopSignal& = delete;
   ~StopSignal();
 
-  /// Lets the io_context run out of work: stops listening, but the signals stay ignored until the
-  /// object is destroyed.
-  auto Release() -> void;
-
  private:
   struct Impl;
   std::shared_ptr<Impl> impl;
