Ignore SIGHUP until a starting process handles it

Found while looking for the cause of "-15 != 0" elsewhere (a signal's default action ends a process): a settings file changes, and its SIGHUP reaches a process that has just been started and has not registered its handler. The process dies (-1) and is started again; a balancer under a roll with changing settings loses some tenths of a second, and ends "by itself" without any line in its log.

Change: SIGHUP is ignored from the first line of Run on.

The test holds the start at the reading of its settings by a pipe. Not covered: a signal before main, while libraries are loaded.

--- a/src/packetd/internal/run.cc
+++ b/src/packetd/internal/run.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <functional>
 #include <memory>
@@ -107,6 +108,9 @@
 }  // namespace
 
 auto Run(const std::filesystem::path& settings_file, const Adapter& adapter) -> int {
+  // Until Process handles it, SIGHUP would end the process. A change that is missed meanwhile is
+  // found by the next regular reload.
+  std::signal(SIGHUP, SIG_IGN);
   const auto loaded = LoadSettings(settings_file);
   if (const auto* errors = std::get_if<std::vector<json::ReadError>>(&loaded)) {
     ReportFaults(*errors);
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -84,6 +84,17 @@
             code = signal_until_gone(process, signal.SIGTERM, signal.SIGHUP)
             self.assertEqual(code, 0, last)
 
+    def test_a_hang_up_during_the_start_does_not_end_a_process(self):
+        # Guards against a process that a change of its settings kills before it handles the signal.
+        pipe = os.path.join(self.machines.folder.name, "settings.pipe")
+        os.mkfifo(pipe)
+        command = [self.machines.program, "--settings", pipe]
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        with open(pipe, "w") as settings:  # waits until the process reads its settings
+            process.send_signal(signal.SIGHUP)
+            settings.write("no settings")
+        self.assertEqual(process.wait(WIDE_SECONDS), 1)
+
     def test_anvilctl_tells_which_version_is_in_force(self):
         balancers = os.path.join(self.machines.folder.name, "balancers.txt")
         with open(balancers, "w") as file:
