--- a/src/ctl/internal/command_line.cc
+++ b/src/ctl/internal/command_line.cc
@@ -7,6 +7,7 @@
 #include <map>
 
 #include "ctl/exit_code.h"
+#include "ctl/internal/append_endpoint.h"
 #include "ctl/internal/help.h"
 
 namespace anvildrum::ctl {
@@ -39,19 +40,14 @@
   return Stop{kUsage, "anvilctl: " + text + "\nanvilctl --help lists the commands\n"};
 }
 
-auto AppendEndpoint(const std::string& text, std::vector<base::Endpoint>& out) -> void {
-  auto refused = base::ErrorOf<base::EndpointError>([&]() -> base::Result<void> {
-    BOOST_LEAF_AUTO(endpoint, base::ParseEndpoint(text));
-    out.push_back(endpoint);
-    return {};
-  });
-  if (refused) throw UsageError{"'" + text + "' is not IP:PORT"};
+auto TakeEndpoint(const std::string& text, std::vector<base::Endpoint>& out) -> void {
+  if (!AppendEndpoint(text, out)) throw UsageError{"'" + text + "' is not IP:PORT"};
 }
 
-auto AppendEndpoints(std::string_view list, std::vector<base::Endpoint>& out) -> void {
+auto TakeEndpoints(std::string_view list, std::vector<base::Endpoint>& out) -> void {
   while (!list.empty()) {
     auto comma = std::min(list.find(','), list.size());
-    AppendEndpoint(std::string(list.substr(0, comma)), out);
+    TakeEndpoint(std::string(list.substr(0, comma)), out);
     list.remove_prefix(std::min(comma + 1, list.size()));
   }
 }
@@ -69,9 +65,9 @@
     words.insert(words.end(), arguments.begin(), arguments.end());
     this->line.parse(words);
     auto invocation = Invocation{};
-    for (const auto& text : this->platform) AppendEndpoint(text, invocation.platform);
-    if (invocation.platform.empty()) AppendEndpoints(environment.platform, invocation.platform);
-    for (const auto& text : this->operators) AppendEndpoint(text, invocation.operators);
+    for (const auto& text : this->platform) TakeEndpoint(text, invocation.platform);
+    if (invocation.platform.empty()) TakeEndpoints(environment.platform, invocation.platform);
+    for (const auto& text : this->operators) TakeEndpoint(text, invocation.operators);
     if (this->wait_limit.getValue() > kMostWait) throw UsageError{"--timeout is over an hour"};
     invocation.wait_limit = base::seconds(this->wait_limit.getValue());
     return invocation;
--- a/src/ctl/internal/fleet.cc
+++ b/src/ctl/internal/fleet.cc
@@ -14,15 +14,6 @@
 
 constexpr auto kStatusLimit = base::seconds(2);
 constexpr auto kDrainLimit = base::seconds(5);
-constexpr auto kFirstError = 300;
-
-auto CallOperator(const base::Endpoint& port, const HttpRequest& request, base::Duration limit)
-    -> base::Result<std::string> {
-  BOOST_LEAF_AUTO(answer, CallHttp(port, request, limit));
-  if (answer.status < kFirstError) return std::move(answer.body);
-  return boost::leaf::new_error(
-      CtlError{CtlErrorCode::kServerError, base::FormatEndpoint(port), answer.status});
-}
 
 // The value of a record that this version can read.
 template <typename Record>
@@ -73,12 +64,12 @@
 
 auto HttpFetchStatus() -> FetchStatus {
   return [](const base::Endpoint& port) {
-    return CallOperator(port, HttpRequest{"GET", "/status", {}, {}}, kStatusLimit);
+    return FetchBody(port, HttpRequest{"GET", "/status", {}, {}}, kStatusLimit);
   };
 }
 
 auto PostDrain(const base::Endpoint& operator_port) -> base::Result<void> {
-  BOOST_LEAF_CHECK(CallOperator(operator_port, HttpRequest{"POST", "/drain", {}, {}}, kDrainLimit));
+  BOOST_LEAF_CHECK(FetchBody(operator_port, HttpRequest{"POST", "/drain", {}, {}}, kDrainLimit));
   return {};
 }
 
--- a/src/ctl/internal/http_client.cc
+++ b/src/ctl/internal/http_client.cc
@@ -16,6 +16,7 @@
 using boost::system::error_code;
 
 constexpr auto kHttpVersion = 11;
+constexpr auto kFirstError = 300;
 constexpr auto kMaxBody = std::uint64_t{64} << 20;
 
 // Safeguard: a server that takes a connection and then says nothing would hold the tool for ever.
@@ -76,4 +77,12 @@
                     std::move(answer.body())};
 }
 
+auto FetchBody(const base::Endpoint& server, const HttpRequest& request, base::Duration limit)
+    -> base::Result<std::string> {
+  BOOST_LEAF_AUTO(answer, CallHttp(server, request, limit));
+  if (answer.status < kFirstError) return std::move(answer.body);
+  return boost::leaf::new_error(
+      CtlError{CtlErrorCode::kServerError, base::FormatEndpoint(server), answer.status});
+}
+
 }  // namespace anvildrum::ctl
--- a/src/ctl/internal/http_client.h
+++ b/src/ctl/internal/http_client.h
@@ -30,4 +30,8 @@
 auto CallHttp(const base::Endpoint& server, const HttpRequest& request, base::Duration limit)
     -> base::Result<HttpAnswer>;
 
+/// The body of an answer that is a success. Errors: those of CallHttp, CtlError kServerError.
+auto FetchBody(const base::Endpoint& server, const HttpRequest& request, base::Duration limit)
+    -> base::Result<std::string>;
+
 }  // namespace anvildrum::ctl
--- a/src/ctl/internal/versions.cc
+++ b/src/ctl/internal/versions.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <tuple>
 
+#include "ctl/internal/append_endpoint.h"
 #include "ctl/internal/ask_each.h"
 #include "ctl/internal/http_client.h"
 
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr auto kMetricsLimit = base::seconds(2);
-constexpr auto kFirstError = 300;
 constexpr auto kAge = std::string_view{"anvildrum_packets_configuration_age_ms"};
 constexpr auto kUnconfirmed = std::string_view{"anvildrum_packets_configuration_unconfirmed"};
 constexpr auto kVersion = std::string_view{"anvildrum_packets_configuration_version"};
@@ -26,16 +26,6 @@
   return boost::leaf::new_error(CtlError{CtlErrorCode::kNotReadable, subject, 0});
 }
 
-auto ParseAddress(const std::string& text) -> std::optional<base::Endpoint> {
-  auto address = std::optional<base::Endpoint>{};
-  base::ErrorOf<base::EndpointError>([&]() -> base::Result<void> {
-    BOOST_LEAF_AUTO(endpoint, base::ParseEndpoint(text));
-    address = endpoint;
-    return {};
-  });
-  return address;
-}
-
 // The value of a sample without labels.
 auto ValueOf(std::string_view line, std::string_view name) -> std::optional<double> {
   if (!line.starts_with(name) || line.size() <= name.size() || line[name.size()] != ' ') {
@@ -83,11 +73,8 @@
 }  // namespace
 
 auto HttpFetchMetrics() -> FetchStatus {
-  return [](const base::Endpoint& address) -> base::Result<std::string> {
-    BOOST_LEAF_AUTO(answer, CallHttp(address, {"GET", "/metrics", {}, {}}, kMetricsLimit));
-    if (answer.status < kFirstError) return std::move(answer.body);
-    return boost::leaf::new_error(
-        CtlError{CtlErrorCode::kServerError, base::FormatEndpoint(address), answer.status});
+  return [](const base::Endpoint& address) {
+    return FetchBody(address, HttpRequest{"GET", "/metrics", {}, {}}, kMetricsLimit);
   };
 }
 
@@ -99,9 +86,9 @@
   for (auto line = std::string{}; std::getline(in, line);) {
     ++number;
     if (line.empty() || line.starts_with('#')) continue;
-    const auto address = ParseAddress(line);
-    if (!address) return NotReadable(file + ", line " + std::to_string(number));
-    addresses.push_back(*address);
+    if (!AppendEndpoint(line, addresses)) {
+      return NotReadable(file + ", line " + std::to_string(number));
+    }
   }
   return addresses;
 }
@@ -167,8 +154,8 @@
   }
   auto out = std::ostringstream{};
   for (const auto& [version, row] : rows) {
-    out << VersionText({version}) << " at " << row.balancers << " balancers, confirmed "
-        << Seconds(row.oldest) << " ago at most\n";
+    out << VersionText({version}) << " at " << row.balancers << " of " << balancers.size()
+        << " balancers, confirmed " << Seconds(row.oldest) << " ago at most\n";
   }
   const auto late = LateBalancers(balancers);
   for (const auto& balancer : std::span{late}.first(std::min(most, late.size()))) {
--- a/src/ctl/tests/run_test.cc
+++ b/src/ctl/tests/run_test.cc
@@ -129,7 +129,7 @@
   site.metrics = {{"10.0.0.1:9464", at("20")}, {"10.0.0.2:9464", at("20")}};
   const auto file = site.File("# balancers\n10.0.0.1:9464\n\n10.0.0.2:9464\n");
   BOOST_TEST(site.Run(VersionsCommand{file}) == kDone);
-  BOOST_TEST(site.out.str() == "version 20 at 2 balancers, confirmed 0.40 s ago at most\n");
+  BOOST_TEST(site.out.str() == "version 20 at 2 of 2 balancers, confirmed 0.40 s ago at most\n");
   site.metrics["10.0.0.1:9464"] = at("17");
   BOOST_TEST(site.Run(VersionsCommand{file}) == kIncomplete);
   BOOST_TEST(site.out.str().ends_with("10.0.0.1:9464  version 17, confirmed 0.40 s ago\n"));
--- a/src/ctl/tests/versions_test.cc
+++ b/src/ctl/tests/versions_test.cc
@@ -62,8 +62,8 @@
   auto balancers = std::vector{At(1, 2, 100)};
   for (auto i = std::uint32_t{2}; i <= 4000; ++i) balancers.push_back(At(i, 1, 100));
   BOOST_TEST(VersionsText(balancers, 2) ==
-             "version 2 at 1 balancers, confirmed 0.10 s ago at most\n"
-             "version 1 at 3999 balancers, confirmed 0.10 s ago at most\n"
+             "version 2 at 1 of 4000 balancers, confirmed 0.10 s ago at most\n"
+             "version 1 at 3999 of 4000 balancers, confirmed 0.10 s ago at most\n"
              "10.0.0.2:9464  version 1, confirmed 0.10 s ago\n"
              "10.0.0.3:9464  version 1, confirmed 0.10 s ago\n"
              "and 3997 more are late\n");
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -101,7 +101,7 @@
             file.write(f"{self.machines.host(BALANCER)}:{METRICS}\n")
         command = [os.path.join(BUILD, "src", "ctl", "anvilctl"), "versions", balancers]
         asked = subprocess.run(command, capture_output=True, text=True, check=False)
-        self.assertTrue(asked.stdout.startswith("version 1 at 1 balancers"), asked)
+        self.assertTrue(asked.stdout.startswith("version 1 at 1 of 1 balancers"), asked)
         self.assertEqual(asked.returncode, 0, asked)
 
     def test_a_draining_target_is_given_no_opening_and_keeps_its_flows(self):
