--- a/bench/lost_worth.py
+++ b/bench/lost_worth.py
@@ -12,7 +12,7 @@
 
 
 def losses_of(day):
-    """By name, what a day loses; with it the worth that is left."""
+    """By name, what a day loses."""
     lost = {f"{name} ({weight})": weight * (1 - value) for name, weight, value in day["parts"]}
     lost |= {name: price for name, _, price in day["prices"]}
     return lost
