--- /dev/null
+++ b/src/admission/internal/controller.cc
@@ -0,0 +1,192 @@
+#include "admission/controller.h"
+
+#include <algorithm>
+
+namespace anvildrum::admission {
+namespace {
+
+// Requests in flight per slot at which an ordinary first opening goes to another target, and at
+// which a shortage begins.
+constexpr auto kOrdinaryPerSlot = 2.0;
+
+// The same limit for a copy, whose client has waited for at least 200 ms.
+constexpr auto kCopyPerSlot = 1.0;
+
+// Limit for the most urgent requests under shortage, in requests per slot. Targets queue four
+// requests per slot beyond the running ones and reject further ones.
+constexpr auto kUrgentPerSlot = 4.0;
+
+// Openings that less urgent requests may have in flight beyond the slots under shortage, so that no
+// slot is idle during the round trip between an admitted opening and its request.
+constexpr auto kPipelined = 1U;
+
+// A shortage ends this long after an opening last found the target at its ordinary limit. It is
+// several times the interval between two openings at a busy target (12 to 40 ms).
+constexpr auto kShortageMemory = base::milliseconds{500};
+
+// How long openings are left to their clients' copies: bursts shorter than this end before the
+// copies stop, after 600 ms.
+constexpr auto kAwaitCopiesFor = base::milliseconds{1000};
+
+// Times of a client's copies after its first opening.
+constexpr auto kFirstCopyAfter = base::milliseconds{200};
+constexpr auto kSecondCopyAfter = base::milliseconds{600};
+
+// Hops of a less urgent opening that a target has turned away: nearly all other targets are at
+// their limit too.
+constexpr auto kHopsUnderShortage = std::uint8_t{1};
+
+// Weight of a new observation in the moving averages.
+constexpr auto kServiceTimeWeight = 0.1;
+
+// Service time before the first observation, as a divisor of the latency objective.
+constexpr auto kObjectivePerServiceTime = 5;
+
+// Handshake time before the first observation: a round trip between client and target.
+constexpr auto kInitialHandshake = base::milliseconds{6};
+
+// Less urgent openings that may be saved up for admission beyond their limit.
+constexpr auto kMaxReserved = 2.0;
+
+auto IsSameWork(const RequestClass& a, const RequestClass& b) -> bool {
+  return a.priority == b.priority && a.objective == b.objective && a.repeatable == b.repeatable;
+}
+
+auto Find(const Controller& controller, const RequestClass& request) -> const ServiceTime* {
+  const auto& times = controller.service_times;
+  const auto entry = std::find_if(times.begin(), times.end(), [&](const auto& known) {
+    return IsSameWork(known.request, request);
+  });
+  return entry == times.end() ? nullptr : &entry->estimate;
+}
+
+auto WaitedFor(std::uint32_t copies) -> base::Duration {
+  if (copies == 0) return {};
+  return copies == 1 ? kFirstCopyAfter : kSecondCopyAfter;
+}
+
+auto IsUrgent(const Controller& controller, const RequestClass& request) -> bool {
+  return !controller.policy.order_by_priority || request.priority <= controller.most_urgent;
+}
+
+// Whether the opening would be answered too late to be of use. A copy's client has missed its
+// objective already or is about to, so that only its timeout counts.
+auto EndsTooLate(const Controller& controller, const Candidate& candidate, const TargetLoad& load)
+    -> bool {
+  const auto& request = candidate.request;
+  if (load.in_flight < load.slots) return false;
+  const auto allowed =
+      candidate.copies == 0 ? request.objective : request.timeout - WaitedFor(candidate.copies);
+  return allowed != base::Duration{} && PredictCompletion(controller, request, load) > allowed;
+}
+
+auto Below(const TargetLoad& load, double per_slot) -> bool {
+  return load.in_flight < per_slot * load.slots;
+}
+
+auto DecideUnderShortage(Controller& controller, const Candidate& candidate, const TargetLoad& load)
+    -> Limit {
+  if (load.in_flight < load.slots) return Limit::kNone;
+  if (candidate.copies != 0) return Limit::kSlots;
+  if (candidate.over_share) return Limit::kCaller;
+  const auto by_completion = controller.policy.admit_by_completion;
+  const auto most = by_completion ? kUrgentPerSlot : kOrdinaryPerSlot;
+  if (IsUrgent(controller, candidate.request)) {
+    if (!Below(load, most)) return Limit::kSlots;
+    controller.reserved =
+        std::min(controller.reserved + controller.policy.reserved_share, kMaxReserved);
+    return Limit::kNone;
+  }
+  if (load.in_flight < load.slots + kPipelined) return Limit::kNone;
+  if (controller.reserved < 1 || !Below(load, most)) return Limit::kPriority;
+  controller.reserved -= 1;
+  return Limit::kNone;
+}
+
+}  // namespace
+
+auto NameOf(Limit limit) -> std::string_view {
+  switch (limit) {
+    case Limit::kNone:
+      return "admitted";
+    case Limit::kSlots:
+      return "slots";
+    case Limit::kPriority:
+      return "priority";
+    case Limit::kCompletion:
+      return "completion";
+    case Limit::kCaller:
+      return "caller";
+  }
+  return "unknown";
+}
+
+auto IsShort(const Controller& controller, base::TimePoint now) -> bool {
+  return now < controller.short_until;
+}
+
+auto Decide(Controller& controller, const Candidate& candidate, const TargetLoad& load,
+            base::TimePoint now) -> Limit {
+  if (!Below(load, kOrdinaryPerSlot)) {
+    if (!IsShort(controller, now)) controller.short_since = now;
+    controller.short_until = now + kShortageMemory;
+  }
+  const auto short_of_slots = IsShort(controller, now);
+  if (!candidate.request.known || !short_of_slots) {
+    const auto most = candidate.copies == 0 ? kOrdinaryPerSlot : kCopyPerSlot;
+    return Below(load, most) ? Limit::kNone : Limit::kSlots;
+  }
+  const auto late =
+      controller.policy.admit_by_completion && EndsTooLate(controller, candidate, load);
+  if (late) return Limit::kCompletion;
+  return DecideUnderShortage(controller, candidate, load);
+}
+
+auto RecordAnswer(Controller& controller, const RequestClass& request, base::Duration taken,
+                  std::uint32_t ahead, std::uint32_t slots, base::TimePoint now) -> void {
+  const auto service_time = WithoutWait(taken, ahead, slots);
+  Observe(controller.mix, service_time, kServiceTimeWeight, now);
+  if (!request.known) return;
+  auto& times = controller.service_times;
+  auto entry = std::find_if(times.begin(), times.end(),
+                            [&](const auto& known) { return IsSameWork(known.request, request); });
+  if (entry == times.end()) {
+    if (times.size() >= kMaxClasses) return;
+    entry = times.insert(entry, {request, {}});
+  }
+  Observe(entry->estimate, service_time, kServiceTimeWeight, now);
+}
+
+auto PredictCompletion(const Controller& controller, const RequestClass& request,
+                       const TargetLoad& load) -> base::Duration {
+  const auto* own = Find(controller, request);
+  const auto start = request.objective / kObjectivePerServiceTime;
+  const auto run = own != nullptr ? UpperBound(*own) : start;
+  const auto each = controller.mix.observed != base::TimePoint{} ? controller.mix.mean : start;
+  const auto handshake = controller.handshake.observed != base::TimePoint{}
+                             ? controller.handshake.mean
+                             : base::Duration{kInitialHandshake};
+  const auto ahead = load.in_flight < load.slots ? 0U : load.in_flight + 1 - load.slots;
+  const auto slots = static_cast<base::Duration::rep>(std::max(load.slots, 1U));
+  return handshake + each * static_cast<base::Duration::rep>(ahead) / slots + run;
+}
+
+auto MaxHops(const Controller& controller, const Candidate& candidate, std::uint8_t ordinary,
+             base::TimePoint now) -> std::uint8_t {
+  const auto urgent = !candidate.request.known || IsUrgent(controller, candidate.request);
+  if (urgent || !IsShort(controller, now)) return ordinary;
+  return std::min(ordinary, kHopsUnderShortage);
+}
+
+auto AwaitsCopy(const Controller& controller, const Candidate& candidate, base::TimePoint now)
+    -> bool {
+  const auto& request = candidate.request;
+  if (!controller.policy.await_copies || !request.known || !IsShort(controller, now)) return false;
+  if (candidate.copies >= 2 || now - controller.short_since >= kAwaitCopiesFor) return false;
+  const auto idle = TargetLoad{.in_flight = 0, .slots = 1};
+  const auto answered =
+      WaitedFor(candidate.copies + 1) + PredictCompletion(controller, request, idle);
+  return answered <= request.timeout;
+}
+
+}  // namespace anvildrum::admission
--- /dev/null
+++ b/src/admission/service_time.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/types/time.h"
+
+namespace anvildrum::admission {
+
+/// Moving average of observed service times, and of their distance from it.
+struct ServiceTime {
+  base::Duration mean{};
+  base::Duration deviation{};
+  base::TimePoint observed{};  ///< last observation; the epoch: none
+};
+
+/// Adds an observation with `weight` in (0, 1]. The first observation sets the mean.
+auto Observe(ServiceTime& estimate, base::Duration taken, double weight, base::TimePoint now)
+    -> void;
+
+/// Time within which most runs end: the mean and twice the mean deviation, as RFC 6298 bounds a
+/// round trip.
+auto UpperBound(const ServiceTime& estimate) -> base::Duration;
+
+/// Returns the service time of a request that was answered `taken` after its arrival at a target
+/// with `slots` slots, when `ahead` earlier requests were waiting for a slot. The target's queue is
+/// part of what is measured, so that the wait has to be taken out.
+auto WithoutWait(base::Duration taken, std::uint32_t ahead, std::uint32_t slots) -> base::Duration;
+
+}  // namespace anvildrum::admission
