Leave openings unordered while the service has one priority

IsUrgent compared with most_urgent even if most and least urgent were equal. Before the priorities are known, both are 0, and a request of priority 1 counted as less urgent.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -65,8 +65,12 @@
   return copies == 1 ? kFirstCopyAfter : kSecondCopyAfter;
 }
 
+// Whether the request belongs to the most urgent ones. All do while they are not ordered, or while
+// the service's routes have a single priority.
 auto IsUrgent(const Controller& controller, const RequestClass& request) -> bool {
-  return !controller.policy.order_by_priority || request.priority <= controller.most_urgent;
+  const auto ordered = controller.policy.order_by_priority &&
+                       controller.most_urgent != controller.least_urgent;
+  return !ordered || request.priority <= controller.most_urgent;
 }
 
 // Whether the opening would be answered too late to be of use. A copy's client has missed its
