Turn callers away only while fair_callers is on

DecideUnderShortage looked at over_share whatever the policy, so that a caller's share counted with all switches off.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -92,7 +92,7 @@
     -> Limit {
   if (load.in_flight < load.slots) return Limit::kNone;
   if (candidate.copies != 0) return Limit::kSlots;
-  if (candidate.over_share) return Limit::kCaller;
+  if (controller.policy.fair_callers && candidate.over_share) return Limit::kCaller;
   const auto by_completion = controller.policy.admit_by_completion;
   const auto most = by_completion ? kUrgentPerSlot : kOrdinaryPerSlot;
   if (IsUrgent(controller, candidate.request)) {
