Earn the reserved share with every urgent opening admitted under shortage

An urgent opening that found a free slot earned nothing, so that less urgent openings got less than reserved_share of the admitted ones. By the specification each admitted opening of the highest priority earns it.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -88,7 +88,8 @@
   return load.in_flight < per_slot * load.slots;
 }
 
-auto DecideUnderShortage(Controller& controller, const Candidate& candidate, const TargetLoad& load)
+// Decides by the rules of a shortage, without the reserved share's credit for an admitted opening.
+auto DecideByLimits(Controller& controller, const Candidate& candidate, const TargetLoad& load)
     -> Limit {
   if (load.in_flight < load.slots) return Limit::kNone;
   if (candidate.copies != 0) return Limit::kSlots;
@@ -96,10 +97,7 @@
   const auto by_completion = controller.policy.admit_by_completion;
   const auto most = by_completion ? kUrgentPerSlot : kOrdinaryPerSlot;
   if (IsUrgent(controller, candidate.request)) {
-    if (!Below(load, most)) return Limit::kSlots;
-    controller.reserved =
-        std::min(controller.reserved + controller.policy.reserved_share, kMaxReserved);
-    return Limit::kNone;
+    return Below(load, most) ? Limit::kNone : Limit::kSlots;
   }
   if (load.in_flight < load.slots + kPipelined) return Limit::kNone;
   if (controller.reserved < 1 || !Below(load, most)) return Limit::kPriority;
@@ -107,6 +105,16 @@
   return Limit::kNone;
 }
 
+auto DecideUnderShortage(Controller& controller, const Candidate& candidate, const TargetLoad& load)
+    -> Limit {
+  const auto verdict = DecideByLimits(controller, candidate, load);
+  if (verdict == Limit::kNone && IsUrgent(controller, candidate.request)) {
+    const auto credit = controller.reserved + controller.policy.reserved_share;
+    controller.reserved = std::min(credit, kMaxReserved);
+  }
+  return verdict;
+}
+
 }  // namespace
 
 auto NameOf(Limit limit) -> std::string_view {
