--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -173,8 +173,11 @@
                        const TargetLoad& load) -> base::Duration {
   const auto* own = Find(controller, request);
   const auto start = request.objective / kObjectivePerServiceTime;
-  const auto run = own != nullptr ? UpperBound(*own) : start;
-  const auto each = controller.mix.observed != base::TimePoint{} ? controller.mix.mean : start;
+  const auto measured = controller.mix.observed != base::TimePoint{};
+  const auto full = controller.service_times.size() >= kMaxClasses;
+  const auto unknown = full && measured ? UpperBound(controller.mix) : start;
+  const auto run = own != nullptr ? UpperBound(*own) : unknown;
+  const auto each = measured ? controller.mix.mean : start;
   const auto handshake = controller.handshake.observed != base::TimePoint{}
                              ? controller.handshake.mean
                              : base::Duration{kInitialHandshake};
