Judge copies by time only if their timeout is known

An unknown timeout (zero) less the time waited was negative, so that each copy counted as too late; a timeout of exactly the time waited counted as unknown.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -79,9 +79,9 @@
     -> bool {
   const auto& request = candidate.request;
   if (load.in_flight < load.slots) return false;
-  const auto allowed =
-      candidate.copies == 0 ? request.objective : request.timeout - WaitedFor(candidate.copies);
-  return allowed != base::Duration{} && PredictCompletion(controller, request, load) > allowed;
+  const auto within = candidate.copies == 0 ? request.objective : request.timeout;
+  if (within == base::Duration{}) return false;
+  return WaitedFor(candidate.copies) + PredictCompletion(controller, request, load) > within;
 }
 
 auto Below(const TargetLoad& load, double per_slot) -> bool {
