Count the requests that must end before one gets a slot

RecordAnswer took the number of requests waiting for a slot. A request that finds all slots taken and nothing waiting still waits for one to end, so that estimates at a target of three slots were up to a third too high. `ahead` now is the number of requests that must end first, as in PredictCompletion, and AheadOf returns it.

--- a/src/admission/controller.h
+++ b/src/admission/controller.h
@@ -70,8 +70,11 @@
 auto Decide(Controller& controller, const Candidate& candidate, const TargetLoad& load,
             base::TimePoint now) -> Limit;
 
-/// Records the time from a request's last packet to the first packet of its answer; `ahead` earlier
-/// requests were waiting for a slot when it arrived.
+/// Requests that must end before a new one gets a slot: 0 while a slot is free.
+auto AheadOf(const TargetLoad& load) -> std::uint32_t;
+
+/// Records the time from a request's last packet to the first packet of its answer; `ahead`
+/// requests had to end before a slot was free for it (AheadOf).
 auto RecordAnswer(Controller& controller, const RequestClass& request, base::Duration taken,
                   std::uint32_t ahead, std::uint32_t slots, base::TimePoint now) -> void;
 
--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -68,8 +68,8 @@
 // Whether the request belongs to the most urgent ones. All do while they are not ordered, or while
 // the service's routes have a single priority.
 auto IsUrgent(const Controller& controller, const RequestClass& request) -> bool {
-  const auto ordered = controller.policy.order_by_priority &&
-                       controller.most_urgent != controller.least_urgent;
+  const auto ordered =
+      controller.policy.order_by_priority && controller.most_urgent != controller.least_urgent;
   return !ordered || request.priority <= controller.most_urgent;
 }
 
@@ -154,6 +154,10 @@
   return DecideUnderShortage(controller, candidate, load);
 }
 
+auto AheadOf(const TargetLoad& load) -> std::uint32_t {
+  return load.in_flight < load.slots ? 0U : load.in_flight + 1 - load.slots;
+}
+
 auto RecordAnswer(Controller& controller, const RequestClass& request, base::Duration taken,
                   std::uint32_t ahead, std::uint32_t slots, base::TimePoint now) -> void {
   const auto service_time = WithoutWait(taken, ahead, slots);
@@ -181,9 +185,9 @@
   const auto handshake = controller.handshake.observed != base::TimePoint{}
                              ? controller.handshake.mean
                              : base::Duration{kInitialHandshake};
-  const auto ahead = load.in_flight < load.slots ? 0U : load.in_flight + 1 - load.slots;
+  const auto ahead = static_cast<base::Duration::rep>(AheadOf(load));
   const auto slots = static_cast<base::Duration::rep>(std::max(load.slots, 1U));
-  return handshake + each * static_cast<base::Duration::rep>(ahead) / slots + run;
+  return handshake + each * ahead / slots + run;
 }
 
 auto MaxHops(const Controller& controller, const Candidate& candidate, std::uint8_t ordinary,
--- a/src/admission/service_time.h
+++ b/src/admission/service_time.h
@@ -22,8 +22,9 @@
 auto UpperBound(const ServiceTime& estimate) -> base::Duration;
 
 /// Returns the service time of a request that was answered `taken` after its arrival at a target
-/// with `slots` slots, when `ahead` earlier requests were waiting for a slot. The target's queue is
-/// part of what is measured, so that the wait has to be taken out.
+/// with `slots` slots, when `ahead` requests had to end before it got a slot: one more than were
+/// waiting, or none if a slot was free. The target's queue is part of what is measured, so that the
+/// wait has to be taken out.
 auto WithoutWait(base::Duration taken, std::uint32_t ahead, std::uint32_t slots) -> base::Duration;
 
 }  // namespace anvildrum::admission
