Use admission::ServiceTime for the runs of requests

src/requests kept its own moving average of run times and the same bound as admission::ServiceTime. Admission holds a ServiceTime now, and ServiceTime can start from an assumed mean, which observations move: requests starts at Parameters::initial_service_time.

--- a/src/admission/internal/service_time.cc
+++ b/src/admission/internal/service_time.cc
@@ -12,11 +12,13 @@
 
 }  // namespace
 
+auto StartingAt(base::Duration mean) -> ServiceTime { return {.mean = mean, .started = true}; }
+
 auto Observe(ServiceTime& estimate, base::Duration taken, double weight, base::TimePoint now)
     -> void {
-  const auto first = estimate.observed == base::TimePoint{};
   estimate.observed = now;
-  if (first) {
+  if (!estimate.started) {
+    estimate.started = true;
     estimate.mean = taken;
     return;
   }
--- a/src/admission/service_time.h
+++ b/src/admission/service_time.h
@@ -11,9 +11,14 @@
   base::Duration mean{};
   base::Duration deviation{};
   base::TimePoint observed{};  ///< last observation; the epoch: none
+  bool started = false;        ///< the mean has a value, observed or assumed
 };
 
-/// Adds an observation with `weight` in (0, 1]. The first observation sets the mean.
+/// Returns an estimate with an assumed mean, which observations then move.
+auto StartingAt(base::Duration mean) -> ServiceTime;
+
+/// Adds an observation with `weight` in (0, 1]. Without an assumed mean, the first observation sets
+/// it.
 auto Observe(ServiceTime& estimate, base::Duration taken, double weight, base::TimePoint now)
     -> void;
 
--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/service_time.h"
 #include "base/types/endpoint.h"
 #include "base/types/time.h"
 #include "requests/types/parameters.h"
@@ -39,11 +40,9 @@
   std::vector<QueuedRequest> queue;
   std::unordered_map<ClientAddress, ClientLoad, ClientAddressHash> clients;
   std::unordered_map<ClientAddress, std::uint32_t, ClientAddressHash> challenges;  ///< open ones
-  std::uint32_t open_challenges = 0;   ///< of all clients
-  base::Duration service_time{};       ///< moving average of observed service times
-  base::Duration service_deviation{};  ///< moving average of their distance from it
-  base::TimePoint observed;            ///< when a service time was observed last
-  double refused_share = 0;            ///< moving average over recent requests
+  std::uint32_t open_challenges = 0;    ///< of all clients
+  admission::ServiceTime service_time;  ///< of the runs observed
+  double refused_share = 0;             ///< moving average over recent requests
 };
 
 /// A request that asks to be admitted.
@@ -61,10 +60,6 @@
   kRefuseDeadline
 };
 
-/// Time within which most runs end: the mean and twice the mean deviation, as RFC 6298 bounds a
-/// round trip.
-auto RunEstimate(const Admission& admission) -> base::Duration;
-
 /// Decides on a new request. Nothing is queued whose wait and run, by the observed service times,
 /// would end after its deadline: it would take a slot for an answer that comes too late. Nothing is
 /// started either that would end after its client's own.
@@ -94,8 +89,6 @@
 
 auto HoldSlot(Admission& admission, const ClientAddress& client) -> void;
 auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void;
-auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken,
-                        base::TimePoint now) -> void;
 /// A run was given up after `taken`.
 auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
                    base::TimePoint now) -> void;
--- a/src/requests/internal/admission.cc
+++ b/src/requests/internal/admission.cc
@@ -45,17 +45,12 @@
   return ahead;
 }
 
-auto Moved(base::Duration average, base::Duration observed, double weight) -> base::Duration {
-  auto change = static_cast<double>((observed - average).count()) * weight;
-  return average + base::Duration(static_cast<base::Duration::rep>(change));
-}
-
 auto CanFinishInTime(const Admission& admission, const Parameters& parameters,
                      const Candidate& candidate, base::TimePoint now) -> bool {
   auto ahead = RequestsAhead(admission, candidate.client);
   auto rounds = static_cast<double>(ahead + 1) / parameters.slots;
-  auto wait = rounds * static_cast<double>(admission.service_time.count());
-  auto left = candidate.deadline - now - RunEstimate(admission);
+  auto wait = rounds * static_cast<double>(admission.service_time.mean.count());
+  auto left = candidate.deadline - now - admission::UpperBound(admission.service_time);
   return wait <= static_cast<double>(left.count());
 }
 
@@ -64,14 +59,14 @@
 // One request at a time at an otherwise idle target is enough to see that it is fast again.
 auto MayProbe(const Admission& admission, base::TimePoint now) -> bool {
   auto idle = admission.running == 0 && admission.queue.empty();
-  return idle && now - admission.observed >= kEstimateLifetime;
+  return idle && now - admission.service_time.observed >= kEstimateLifetime;
 }
 
 auto MissesClientDeadline(const Admission& admission, const Candidate& candidate,
                           base::TimePoint now) -> bool {
   if (candidate.client_deadline == base::TimePoint::max()) return false;
   if (candidate.client_deadline <= now) return true;
-  auto in_time = candidate.client_deadline - now > RunEstimate(admission);
+  auto in_time = candidate.client_deadline - now > admission::UpperBound(admission.service_time);
   return !in_time && !MayProbe(admission, now);
 }
 
@@ -81,10 +76,6 @@
   return XXH3_64bits(address.data(), address.size());
 }
 
-auto RunEstimate(const Admission& admission) -> base::Duration {
-  return admission.service_time + 2 * admission.service_deviation;
-}
-
 auto DecideAdmission(const Admission& admission, const Parameters& parameters,
                      const Candidate& candidate, base::TimePoint now) -> AdmissionVerdict {
   auto load = LoadOf(admission, candidate.client);
@@ -133,7 +124,7 @@
 }
 
 auto TakeOverdue(Admission& admission, base::TimePoint now) -> std::optional<QueuedRequest> {
-  auto latest_start = now + RunEstimate(admission);
+  auto latest_start = now + admission::UpperBound(admission.service_time);
   auto at = std::find_if(admission.queue.begin(), admission.queue.end(),
                          [&](const auto& request) { return request.deadline <= latest_start; });
   if (at == admission.queue.end()) return std::nullopt;
@@ -149,7 +140,7 @@
 auto NextOverdue(const Admission& admission) -> std::optional<base::TimePoint> {
   auto next = std::optional<base::TimePoint>{};
   for (const auto& request : admission.queue) {
-    auto due = request.deadline - RunEstimate(admission);
+    auto due = request.deadline - admission::UpperBound(admission.service_time);
     if (!next || due < *next) next = due;
   }
   return next;
@@ -168,23 +159,13 @@
   ForgetIfIdle(admission, client);
 }
 
-auto ObserveServiceTime(Admission& admission, const Parameters& parameters, base::Duration taken,
-                        base::TimePoint now) -> void {
-  admission.observed = now;
-  auto distance = taken - admission.service_time;
-  auto weight = parameters.service_time_weight;
-  admission.service_deviation =
-      Moved(admission.service_deviation, std::chrono::abs(distance), weight);
-  admission.service_time = Moved(admission.service_time, taken, weight);
-}
-
 // Safeguard: a run that is cut at its client's deadline takes longer than that, and nobody knows
 // how much. Observed as the deadline, the estimate would settle there and let in what cannot
 // finish; twice the time seen keeps it over the deadline, as RFC 6298, 5.5 backs its timer off.
 auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
                    base::TimePoint now) -> void {
-  ObserveServiceTime(admission, parameters, std::max(admission.service_time, kCutRunFactor * taken),
-                     now);
+  const auto at_least = std::max(admission.service_time.mean, kCutRunFactor * taken);
+  admission::Observe(admission.service_time, at_least, parameters.service_time_weight, now);
 }
 
 auto ObserveDecision(Admission& admission, bool refused) -> void {
--- a/src/requests/internal/deadline.cc
+++ b/src/requests/internal/deadline.cc
@@ -34,7 +34,8 @@
 auto LeavesTimeElsewhere(const Context& context, base::TimePoint client_deadline) -> bool {
   if (client_deadline == kNoDeadline) return true;
   const auto& state = context.state;
-  auto needed = std::min(RunEstimate(state.admission), state.parameters.initial_service_time);
+  auto needed = std::min(admission::UpperBound(state.admission.service_time),
+                         state.parameters.initial_service_time);
   return client_deadline - context.now > needed;
 }
 
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -36,8 +36,8 @@
   switch (entry.stage) {
     case Stage::kRunning:
       if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
-      ObserveServiceTime(context.state.admission, context.state.parameters,
-                         context.now - entry.started, context.now);
+      admission::Observe(context.state.admission.service_time, context.now - entry.started,
+                         context.state.parameters.service_time_weight, context.now);
       FinishUnknown(context, entry, Counter::kUnknownRunLimit);
       break;
     case Stage::kOffered:
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -19,7 +19,7 @@
 // The other agent may start it up to its deadline, and then it runs there.
 auto GiveUpAt(const Context& context, const LedgerEntry& entry) -> base::TimePoint {
   return std::max(entry.deadline, context.now) + context.state.parameters.queue_limit +
-         kRunsAllowed * RunEstimate(context.state.admission);
+         kRunsAllowed * admission::UpperBound(context.state.admission.service_time);
 }
 
 // Safeguard: the first offer may have been copied on its way, and one copy refused while the other
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -73,7 +73,7 @@
       if (stage == Stage::kOffered) ++busy.offered;
     }
   }
-  busy.service_time = state.admission.service_time;
+  busy.service_time = state.admission.service_time.mean;
   busy.admitted = state.admitted;
   busy.refused = state.refused;
   busy.ledger_entries = state.ledger.entries.size();
@@ -116,7 +116,7 @@
   SetParameters(*state, this->parameters);
   state->mint = EchoMint{this->secret, this->incarnation, 0};
   state->random.seed(this->seed);
-  state->admission.service_time = this->parameters.initial_service_time;
+  state->admission.service_time = admission::StartingAt(this->parameters.initial_service_time);
   state->retries.tokens = this->parameters.retry_burst;
   // Ids start at random, so that an answer meant for an earlier incarnation matches nothing here.
   state->ledger.next_id = state->random() * kIdStep;
