--- a/bench/placement_model.cc
+++ b/bench/placement_model.cc
@@ -113,7 +113,10 @@
     agent.service = kService;
     agent.policy.silent_for = base::hours{1};
     agent.policy.hello_lifetime = base::hours{1};
-    if (!this->variant.limited) agent.policy.opening_limit = agent.policy.copy_limit = kNoLimit;
+    if (!this->variant.limited) {
+      auto& admission = agent.admission.policy;
+      admission.opening_limit = admission.copy_limit = kNoLimit;
+    }
     packets::TakeHeartbeat(
         agent,
         {.incarnation = {1, std::nullopt}, .service = kService, .sequence = 1, .slots = kSlots},
--- a/src/admission/controller.h
+++ b/src/admission/controller.h
@@ -78,6 +78,9 @@
 auto RecordAnswer(Controller& controller, const RequestClass& request, base::Duration taken,
                   std::uint32_t ahead, std::uint32_t slots, base::TimePoint now) -> void;
 
+/// Records the time from the target's answer to an opening to the client's next packet.
+auto RecordHandshake(Controller& controller, base::Duration taken, base::TimePoint now) -> void;
+
 /// Predicted time from an opening's admission to the first packet of its answer.
 auto PredictCompletion(const Controller& controller, const RequestClass& request,
                        const TargetLoad& load) -> base::Duration;
--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -5,13 +5,6 @@
 namespace anvildrum::admission {
 namespace {
 
-// Requests in flight per slot at which an ordinary first opening goes to another target, and at
-// which a shortage begins.
-constexpr auto kOrdinaryPerSlot = 2.0;
-
-// The same limit for a copy, whose client has waited for at least 200 ms.
-constexpr auto kCopyPerSlot = 1.0;
-
 // Limit for the most urgent requests under shortage, in requests per slot. Targets queue four
 // requests per slot beyond the running ones and reject further ones.
 constexpr auto kUrgentPerSlot = 4.0;
@@ -20,6 +13,10 @@
 // slot is idle during the round trip between an admitted opening and its request.
 constexpr auto kPipelined = 1U;
 
+// The same for urgent requests of callers over their share. It exceeds kPipelined, so that such a
+// caller's urgent request still goes before the less urgent ones of others.
+constexpr auto kUrgentOverShare = kPipelined + 1;
+
 // A shortage ends this long after an opening last found the target at its ordinary limit. It is
 // several times the interval between two openings at a busy target (12 to 40 ms).
 constexpr auto kShortageMemory = base::milliseconds{500};
@@ -93,10 +90,14 @@
     -> Limit {
   if (load.in_flight < load.slots) return Limit::kNone;
   if (candidate.copies != 0) return Limit::kSlots;
-  if (controller.policy.fair_callers && candidate.over_share) return Limit::kCaller;
+  const auto urgent = IsUrgent(controller, candidate.request);
+  if (controller.policy.fair_callers && candidate.over_share) {
+    const auto queued = urgent ? kUrgentOverShare : 0;
+    return load.in_flight < load.slots + queued ? Limit::kNone : Limit::kCaller;
+  }
   const auto by_completion = controller.policy.admit_by_completion;
-  const auto most = by_completion ? kUrgentPerSlot : kOrdinaryPerSlot;
-  if (IsUrgent(controller, candidate.request)) {
+  const auto most = by_completion ? kUrgentPerSlot : controller.policy.opening_limit;
+  if (urgent) {
     return Below(load, most) ? Limit::kNone : Limit::kSlots;
   }
   if (load.in_flight < load.slots + kPipelined) return Limit::kNone;
@@ -139,13 +140,14 @@
 
 auto Decide(Controller& controller, const Candidate& candidate, const TargetLoad& load,
             base::TimePoint now) -> Limit {
-  if (!Below(load, kOrdinaryPerSlot)) {
+  const auto& policy = controller.policy;
+  if (!Below(load, policy.opening_limit)) {
     if (!IsShort(controller, now)) controller.short_since = now;
     controller.short_until = now + kShortageMemory;
   }
   const auto short_of_slots = IsShort(controller, now);
   if (!candidate.request.known || !short_of_slots) {
-    const auto most = candidate.copies == 0 ? kOrdinaryPerSlot : kCopyPerSlot;
+    const auto most = candidate.copies == 0 ? policy.opening_limit : policy.copy_limit;
     return Below(load, most) ? Limit::kNone : Limit::kSlots;
   }
   const auto late =
@@ -173,6 +175,10 @@
   Observe(entry->estimate, service_time, kServiceTimeWeight, now);
 }
 
+auto RecordHandshake(Controller& controller, base::Duration taken, base::TimePoint now) -> void {
+  Observe(controller.handshake, taken, kServiceTimeWeight, now);
+}
+
 auto PredictCompletion(const Controller& controller, const RequestClass& request,
                        const TargetLoad& load) -> base::Duration {
   const auto* own = Find(controller, request);
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -20,14 +20,6 @@
 namespace anvildrum::packets {
 
 struct AgentPolicy {
-  /// Requests in progress per slot at which the first copy of an opening goes to another target.
-  /// The limit allows one running and one waiting request. A third would wait for two others and
-  /// miss its latency objective, which is four to five times the service time of one request.
-  double opening_limit = 2.0;
-  /// The same limit for a retransmitted opening. Its client has waited for at least 200 ms, so the
-  /// request is already late: it may use a free slot, but may not queue ahead of requests that can
-  /// still meet their objective.
-  double copy_limit = 1.0;
   /// Maximum number of times that an opening is forwarded in search of a target with capacity.
   std::uint8_t opening_hops = 6;
   /// An opening stops counting as load after this long without a further packet from its client. A
@@ -107,6 +99,7 @@
   std::uint32_t unanswered = 0;       ///< packets delivered while the stage was kAssumed
   std::uint16_t origin = 0;           ///< Stamp::origin of the last packet
   std::uint32_t target_sequence = 0;  ///< sequence of its answer to the opening
+  std::uint32_t ahead = 0;            ///< requests that waited for a slot before the one in progress
   /// Sequence number after the last byte of client data delivered so far.
   std::optional<std::uint32_t> request_end{};
   base::TimePoint seen{};
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -17,11 +17,15 @@
 }
 
 // An agent in a drained domain refuses no opening while its list of other agents may be incomplete.
+// An opening that its client's next copy may still bring in time is left to that copy.
 auto RefuseOrDiscard(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
   ++agent.counters.none_left;
   const auto drained = IsDrained(agent.drained, agent.domain);
   if (drained && !HasSettled(agent, now)) return Discard{DiscardReason::kDrained};
   if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
+  if (admission::AwaitsCopy(agent.admission, CandidateOf(agent, packet, now), now)) {
+    return Discard{DiscardReason::kAwaitsCopy};
+  }
   ++agent.counters.refused;
   return RefuseOpening{DiscardReason::kNotAccepted};
 }
@@ -30,7 +34,9 @@
 // which bounds their number even if the agents' peer lists differ.
 auto PassOn(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
   const auto others = OpenPeers(agent);
-  const auto most = std::min<std::size_t>(others.size(), agent.policy.opening_hops);
+  const auto hops = admission::MaxHops(agent.admission, CandidateOf(agent, packet, now),
+                                       agent.policy.opening_hops, now);
+  const auto most = std::min<std::size_t>(others.size(), hops);
   if (packet.stamp.hops >= most) return RefuseOrDiscard(agent, packet, now);
   const auto own = Place{agent.own, agent.domain};
   const auto next = NextAnywhere(FlowFromClient(packet), others, own);
@@ -88,13 +94,14 @@
 // continues with one of them. The other target holds the flow half open: it neither serves nor
 // returns its packets, so that a balancer that sends them there would hang the flow for good.
 // Until this target has sent data, a packet meant for it acknowledges exactly its answer.
-auto OpenedElsewhere(Agent& agent, const Packet& packet) -> bool {
+auto OpenedElsewhere(Agent& agent, const Packet& packet, base::TimePoint now) -> bool {
   const auto entry = agent.flows.find(FlowFromClient(packet));
   if (entry == agent.flows.end() || IsOpening(packet)) return false;
   auto& flow = entry->second;
   if (flow.stage == FlowStage::kAnswered) {
     const auto ours = packet.acknowledged - flow.target_sequence <= 1;
     flow.stage = ours ? FlowStage::kOpen : FlowStage::kOpenElsewhere;
+    if (ours) admission::RecordHandshake(agent.admission, now - flow.seen, now);
   }
   if (flow.stage == FlowStage::kAssumed) return ReturnsForSearch(flow);
   if (flow.stage != FlowStage::kOpenElsewhere) return false;
@@ -127,14 +134,20 @@
   // receives none even before any balancer knows that it drains.
   if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet, now);
   ExpireOffers(agent, now);
-  if (IsOpening(packet) && !HasCapacity(agent, packet, now)) {
-    ++agent.counters.over_limit;
-    return PassOn(agent, packet, now);
+  if (IsOpening(packet)) {
+    const auto limit = CapacityLimit(agent, packet, now);
+    if (limit != admission::Limit::kNone) {
+      ++agent.counters.over_limit;
+      return PassOn(agent, packet, now);
+    }
   }
   if (!TakesPackets(agent, now)) return Return(agent, true);
   if (!IsOpening(packet) && IsNotHeld(agent, packet)) return Return(agent, true);
-  if (OpenedElsewhere(agent, packet)) return Return(agent, false);
+  if (OpenedElsewhere(agent, packet, now)) return Return(agent, false);
   CountFromClient(agent, packet, now);
+  if (IsOpening(packet) && agent.admission.policy.fair_callers) {
+    admission::CountUse(agent.callers, packet.source.address, now);
+  }
   ++agent.counters.delivered;
   return DeliverToTarget{IsOpening(packet) && packet.stamp.hops != 0};
 }
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -271,6 +271,8 @@
       return "no target took it, one may have before";
     case DiscardReason::kEnded:
       return "the flow has ended";
+    case DiscardReason::kAwaitsCopy:
+      return "no capacity yet, left to the client's next copy";
     case DiscardReason::kTooManySearches:
       return "too many flows are searched for";
   }
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -6,6 +6,17 @@
 namespace anvildrum::packets {
 namespace {
 
+auto LoadOf(const Agent& agent) -> admission::TargetLoad {
+  return {.in_flight = agent.at_work,
+          .slots = std::max<std::uint32_t>(agent.target.last.slots, 1)};
+}
+
+// Returns the requests that wait for a slot, without the one that has just arrived.
+auto RequestsAhead(const Agent& agent) -> std::uint32_t {
+  const auto load = LoadOf(agent);
+  return load.in_flight > load.slots ? load.in_flight - load.slots : 0;
+}
+
 // Whether the flow causes no load and is kept only to recognize its client's last packets.
 auto IsOver(const FlowState& flow) -> bool {
   return flow.stage == FlowStage::kEnded || flow.stage == FlowStage::kNotHeld;
@@ -31,12 +42,14 @@
   return !flow.request_end || static_cast<std::int32_t>(end - *flow.request_end) > 0;
 }
 
-// Returns the service time of the request in progress and marks it as answered.
-auto TakeAnswer(Agent& agent, FlowState& flow, base::TimePoint now)
-    -> std::optional<base::Duration> {
+// Returns the time since the last packet of the request in progress and marks it as answered.
+auto TakeAnswer(Agent& agent, FlowState& flow, const admission::RequestClass& request,
+                base::TimePoint now) -> std::optional<base::Duration> {
   if (flow.asked_at == base::TimePoint{}) return std::nullopt;
   agent.answered = std::max(agent.answered, flow.asked_at);
-  return now - std::exchange(flow.asked_at, {});
+  const auto taken = now - std::exchange(flow.asked_at, {});
+  admission::RecordAnswer(agent.admission, request, taken, flow.ahead, LoadOf(agent).slots, now);
+  return taken;
 }
 
 // Openings per second for a cold target until a balancer reports the rate of its service. It is
@@ -125,19 +138,29 @@
   }
 }
 
+auto CandidateOf(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Candidate {
+  const auto fair = agent.admission.policy.fair_callers;
+  return {.request = ClassOf(agent, packet),
+          .copies = packet.acknowledged,
+          .over_share =
+              fair && admission::IsOverShare(agent.callers, packet.source.address, now)};
+}
+
 // Safeguard: under overload, a queue at the target delays all requests: after an outage, all
 // requests of several seconds were answered, but too late. An opening that cannot be served in time
 // goes to a target with capacity or is refused at once.
-auto HasCapacity(Agent& agent, const Packet& packet, base::TimePoint now) -> bool {
+auto CapacityLimit(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Limit {
   const auto cold_limit = ColdLimit(agent, now);
   if (cold_limit != 0 && !MayAdmitCold(agent.target.cold_allowance, cold_limit, now)) {
     ++agent.counters.over_cold;
-    return false;
+    return admission::Limit::kSlots;
   }
-  const auto first = packet.acknowledged == 0;
-  const auto limit = first ? agent.policy.opening_limit : agent.policy.copy_limit;
-  const auto slots = std::max<std::uint32_t>(agent.target.last.slots, 1);
-  return agent.at_work < limit * slots || (first && MayAdmitTrial(agent, limit * slots, now));
+  const auto load = LoadOf(agent);
+  const auto limit =
+      admission::Decide(agent.admission, CandidateOf(agent, packet, now), load, now);
+  if (limit == admission::Limit::kNone || packet.acknowledged != 0) return limit;
+  const auto trial_limit = agent.admission.policy.opening_limit * load.slots;
+  return MayAdmitTrial(agent, trial_limit, now) ? admission::Limit::kNone : limit;
 }
 
 auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void {
@@ -169,6 +192,7 @@
   if (IsNewData(entry->second, packet)) {
     SetAtWork(agent, entry->second, true);
     entry->second.asked_at = now;
+    entry->second.ahead = RequestsAhead(agent);
     entry->second.request_end = packet.sequence + packet.payload;
   }
   entry->second.seen = now;
@@ -183,7 +207,9 @@
     entry = agent.flows.emplace(FlowFromTarget(packet), FlowState{.stage = FlowStage::kOpen}).first;
   }
   auto& flow = entry->second;
-  const auto answered = packet.payload != 0 ? TakeAnswer(agent, flow, now) : std::nullopt;
+  const auto answered = packet.payload != 0
+                            ? TakeAnswer(agent, flow, ClassOf(agent, packet.source), now)
+                            : std::nullopt;
   if (packet.reset) {
     Erase(agent, entry->first);
     return answered;
--- a/src/packets/internal/flow_load.h
+++ b/src/packets/internal/flow_load.h
@@ -2,14 +2,18 @@
 
 #include <optional>
 
+#include "admission/controller.h"
 #include "packets/agent.h"
 
 namespace anvildrum::packets {
 
 /// The load that flows put on the agent's target, as derived from their packets.
 
-/// Whether the target has capacity for the opening.
-auto HasCapacity(Agent& agent, const Packet& packet, base::TimePoint now) -> bool;
+/// Returns the limit that keeps the target from taking the opening; Limit::kNone if it has capacity.
+auto CapacityLimit(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Limit;
+
+/// Returns the opening as a candidate for admission.
+auto CandidateOf(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Candidate;
 
 /// Counts a packet that is delivered to the target.
 auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void;
