Read settings of admission under shortage, and pass them to the agent's core

Cause: admission under shortage is switched per deployment, by an operator or by a contract that the platform has in force.

Change: packetd::Settings gains the section "shortage", whose keys are optional so that an absent switch differs from one that is off, the list "platform_contracts" and the switches "avoid_failing_targets" and "place_by_completion". AgentNode puts the policy into packets::Agent::admission, which nothing reads yet.

--- a/src/packetd/adapter.h
+++ b/src/packetd/adapter.h
@@ -41,6 +41,8 @@
   std::string_view members_prefix;  ///< key prefix of the agents' records
   std::string_view readiness_path;  ///< GET: 200 or 503
   std::string_view heartbeat_path;  ///< PUT and DELETE, followed by the target's id
+  /// Contract of the platform that switches on all of admission::Policy (see ShortagePolicyOf).
+  std::string_view shortage_contract;
 };
 
 }  // namespace anvildrum::packetd
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -8,6 +8,7 @@
 #include "packetd/addresses.h"
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
+#include "packetd/shortage_policy.h"
 #include "packets/control.h"
 #include "telemetry/log.h"
 
@@ -98,6 +99,7 @@
   this->core.policy.never_heard_timeout = HeartbeatsOf(*settings.agent, kMinHeartbeats);
   this->core.policy.heartbeat_every = settings.agent->heartbeat_period;
   this->core.policy.confirmation_interval = settings.agent->heartbeat_period / 2;
+  this->core.admission.policy = ShortagePolicyOf(settings, adapter.shortage_contract);
   this->core.service = base::ServiceIdOf(settings.agent->service);
   this->core.start = StartSeed(settings);
 }
--- a/src/packetd/internal/settings.cc
+++ b/src/packetd/internal/settings.cc
@@ -18,7 +18,9 @@
 constexpr auto kMaxPort = 65535.0;
 constexpr auto kMaxSeeds = 64.0;
 constexpr auto kMaxSeconds = 3600.0;
-constexpr auto kMinSeconds = 2.0;            // has to exceed a watch and the timeout of a call
+constexpr auto kMinSeconds = 2.0;  // has to exceed a watch and the timeout of a call
+constexpr auto kMaxContracts = 1000.0;
+constexpr auto kMaxReservedShare = 0.5;
 constexpr auto kMinHeartbeatSeconds = 0.05;  // shorter periods cost more than they gain
 
 auto TakeV4(const Cursor& at, base::Endpoint& out) -> void {
@@ -61,6 +63,43 @@
   });
 }
 
+// Leaves `out` unchanged if the key is missing.
+auto TakeFlag(Section& section, std::string_view key, bool& out) -> void {
+  const auto at = json::Find(section, key, Presence::kOptional);
+  if (at) json::TakeFlag(*at, out);
+}
+
+auto TakeFlag(Section& section, std::string_view key, std::optional<bool>& out) -> void {
+  auto flag = false;
+  const auto at = json::Find(section, key, Presence::kOptional);
+  if (at && json::TakeFlag(*at, flag)) out = flag;
+}
+
+auto TakeContracts(Section& section, std::vector<std::string>& out) -> void {
+  const auto at = json::Find(section, "platform_contracts", Presence::kOptional);
+  if (!at) return;
+  json::TakeEach(*at, {0, kMaxContracts},
+                 [&](const Cursor& item) { json::TakeText(item, out.emplace_back()); });
+}
+
+auto TakeShortage(Section& settings) -> ShortageSettings {
+  const auto at = json::Find(settings, "shortage", Presence::kOptional);
+  if (!at) return {};
+  auto shortage = ShortageSettings{};
+  auto section = json::OpenSection(*at);
+  TakeFlag(section, "order_by_priority", shortage.order_by_priority);
+  TakeFlag(section, "admit_by_completion", shortage.admit_by_completion);
+  TakeFlag(section, "fair_callers", shortage.fair_callers);
+  TakeFlag(section, "await_copies", shortage.await_copies);
+  auto share = 0.0;
+  const auto reserved = json::Find(section, "reserved_share", Presence::kOptional);
+  if (reserved && json::TakeReal(*reserved, {0, kMaxReservedShare}, share)) {
+    shortage.reserved_share = share;
+  }
+  json::CloseSection(section);
+  return shortage;
+}
+
 auto TakeAgent(Section& section) -> AgentSettings {
   auto agent = AgentSettings{};
   TakeV4(section, "from_target", agent.from_target);
@@ -94,6 +133,10 @@
   auto drains_within = base::Duration{};
   TakeSeconds(section, "drains_within_seconds", {kMinSeconds, kMaxSeconds}, drains_within);
   if (drains_within != base::Duration{}) settings.drains_within = drains_within;
+  settings.shortage = TakeShortage(section);
+  TakeContracts(section, settings.platform_contracts);
+  TakeFlag(section, "avoid_failing_targets", settings.avoid_failing_targets);
+  TakeFlag(section, "place_by_completion", settings.place_by_completion);
   if (settings.role == Role::kAgent) settings.agent = TakeAgent(section);
   json::CloseSection(section);
   return settings;
--- a/src/packetd/tests/settings_test.cc
+++ b/src/packetd/tests/settings_test.cc
@@ -47,6 +47,56 @@
       !Faults(R"({"role": "balancer", "drains_within_seconds": 0.5,)" + kCommon + "}").empty());
 }
 
+// Guards against taking an absent switch for one that is off: a contract must be able to switch it
+// on.
+BOOST_AUTO_TEST_CASE(a_switch_that_is_not_stated_differs_from_one_that_is_off) {
+  const auto parsed = ParseSettings(R"({"role": "balancer",
+      "shortage": {"order_by_priority": true, "fair_callers": false, "reserved_share": 0.1},
+      "platform_contracts": ["other", "pressure"], "place_by_completion": true,)" +
+                                    kCommon + "}");
+  const auto* settings = std::get_if<Settings>(&parsed);
+  BOOST_REQUIRE(settings != nullptr);
+  BOOST_TEST((settings->shortage.order_by_priority == std::optional{true}));
+  BOOST_TEST((settings->shortage.fair_callers == std::optional{false}));
+  BOOST_TEST(!settings->shortage.admit_by_completion.has_value());
+  BOOST_TEST(!settings->shortage.await_copies.has_value());
+  BOOST_TEST((settings->shortage.reserved_share == std::optional{0.1}));
+  BOOST_TEST((settings->platform_contracts == std::vector<std::string>{"other", "pressure"}));
+  BOOST_TEST(settings->place_by_completion);
+  BOOST_TEST(!settings->avoid_failing_targets);
+}
+
+// Guards against a mistyped key that is ignored silently, and against a fault without its place.
+BOOST_AUTO_TEST_CASE(faults_of_the_shortage_settings_name_their_pointer) {
+  struct Case {
+    std::string text;
+    json::ReadErrorCode code;
+    std::string pointer;
+  };
+  using Code = json::ReadErrorCode;
+  const auto cases = std::vector<Case>{
+      {R"("shortage": {"order_by_prority": true})", Code::kUnknownKey,
+       "/shortage/order_by_prority"},
+      {R"("shortage": {"reserved_share": 0.51})", Code::kOutOfRange, "/shortage/reserved_share"},
+      {R"("shortage": {"reserved_share": -0.01})", Code::kOutOfRange, "/shortage/reserved_share"},
+      {R"("shortage": {"reserved_share": "0.05"})", Code::kWrongType, "/shortage/reserved_share"},
+      {R"("shortage": {"fair_callers": 1})", Code::kWrongType, "/shortage/fair_callers"},
+      {R"("shortage": true)", Code::kWrongType, "/shortage"},
+      {R"("platform_contracts": "pressure")", Code::kWrongType, "/platform_contracts"},
+      {R"("platform_contracts": ["pressure", 7])", Code::kWrongType, "/platform_contracts/1"},
+      {R"("avoid_failing_targets": "on")", Code::kWrongType, "/avoid_failing_targets"},
+      {R"("place_by_completion": null)", Code::kWrongType, "/place_by_completion"},
+  };
+  for (const auto& [text, code, pointer] : cases) {
+    const auto faults = Faults(R"({"role": "balancer", )" + text + "," + kCommon + "}");
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_REQUIRE(faults.size() == 1U);
+      BOOST_TEST((faults.front().code == code));
+      BOOST_TEST(faults.front().pointer == pointer);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_agents_settings_name_its_target) {
   const auto agent = std::string{
       R"("from_target": "10.1.0.12:8162", "target": "10.1.0.12:8165", "service": "desk",
--- a/src/packetd/types/settings.h
+++ b/src/packetd/types/settings.h
@@ -23,6 +23,17 @@
   auto operator==(const AgentSettings&) const -> bool = default;
 };
 
+/// How a target's capacity is shared out under shortage, as far as the settings state it. An absent
+/// key takes the default of admission::Policy, or is switched on by a contract of the platform.
+struct ShortageSettings {
+  std::optional<bool> order_by_priority;
+  std::optional<bool> admit_by_completion;
+  std::optional<bool> fair_callers;
+  std::optional<bool> await_copies;
+  std::optional<double> reserved_share;  ///< 0 to 0.5
+  auto operator==(const ShortageSettings&) const -> bool = default;
+};
+
 /// Settings of a process that carries packet flows. All addresses are IPv4.
 struct Settings {
   Role role = Role::kBalancer;
@@ -41,6 +52,10 @@
   /// drain failure domains.
   std::optional<base::Duration> drains_within;
   std::optional<AgentSettings> agent;
+  ShortageSettings shortage;
+  std::vector<std::string> platform_contracts;  ///< contracts that the platform has in force
+  bool avoid_failing_targets = false;  ///< balancers send fewer openings to targets that fail
+  bool place_by_completion = false;    ///< balancers place openings by their expected completion
   auto operator==(const Settings&) const -> bool = default;
 };
 
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/controller.h"
 #include "packets/balancer.h"
 #include "packets/cold.h"
 #include "packets/control.h"
@@ -192,6 +193,7 @@
 
 struct Agent {
   AgentPolicy policy;
+  admission::Controller admission;
   Address own = 0;
   DomainTag domain = 0;
   base::ServiceId service;
