--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/caller_share.h"
 #include "admission/controller.h"
 #include "packets/balancer.h"
 #include "packets/cold.h"
@@ -186,6 +187,7 @@
 
 struct Agent {
   AgentPolicy policy;
+  admission::CallerShare callers;  ///< recent use of the target by caller
   admission::Controller admission;
   Address own = 0;
   DomainTag domain = 0;
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -1,6 +1,7 @@
 #include "packets/internal/flow_load.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace anvildrum::packets {
@@ -140,7 +141,7 @@
 
 auto CandidateOf(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Candidate {
   const auto fair = agent.admission.policy.fair_callers;
-  return {.request = ClassOf(agent, packet),
+  return {.request = ClassOf(agent, packet.destination),
           .copies = packet.acknowledged,
           .over_share =
               fair && admission::IsOverShare(agent.callers, packet.source.address, now)};
@@ -156,6 +157,7 @@
     return admission::Limit::kSlots;
   }
   const auto load = LoadOf(agent);
+  std::tie(agent.admission.most_urgent, agent.admission.least_urgent) = PriorityRange(agent);
   const auto limit =
       admission::Decide(agent.admission, CandidateOf(agent, packet, now), load, now);
   if (limit == admission::Limit::kNone || packet.acknowledged != 0) return limit;
