Judge openings of the reserved share by their timeout

Less urgent openings were judged by their objective before their reserved share applied. Where urgent requests fill the slots up to a limit that the shorter objective of less urgent ones does not allow, these got nothing. They now need an answer within the timeout only.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -134,8 +134,9 @@
   const auto& request = candidate.request;
   const auto late = EndsTooLate(controller, candidate, load, request.objective);
   if (!late && load.in_flight < LessUrgentLimit(controller, load, now)) return Limit::kNone;
-  const auto reserved =
-      controller.reserved >= 1 && load.in_flight < UrgentLimit(controller, load) && !late;
+  const auto reserved = controller.reserved >= 1 &&
+                        load.in_flight < UrgentLimit(controller, load) &&
+                        !EndsTooLate(controller, candidate, load, request.timeout);
   if (!reserved) return late ? Limit::kCompletion : Limit::kPriority;
   controller.reserved -= 1;
   return Limit::kNone;
