Let the reserved share be a share of the admitted openings

With a credit of reserved_share for each urgent opening, 21 openings held one less urgent one at 0.05, not 20, and with 0.2 the share was 0.167. Each now earns share / (1 - share).

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -57,8 +57,10 @@
 // Handshake time before the first observation: a round trip between client and target.
 constexpr auto kInitialHandshake = base::milliseconds{6};
 
-// Less urgent openings that may be saved up for admission beyond their limit.
-constexpr auto kMaxReserved = 2.0;
+// Less urgent openings that may be saved up for admission beyond their limit. With 2, less urgent
+// openings got as little as 0.82 of a reserved share of 0.19, since much credit expired between two
+// of them.
+constexpr auto kMaxReserved = 4.0;
 
 auto IsSameWork(const RequestClass& a, const RequestClass& b) -> bool {
   return a.priority == b.priority && a.objective == b.objective && a.repeatable == b.repeatable;
@@ -178,7 +180,9 @@
                          base::TimePoint now) -> Limit {
   const auto verdict = DecideByLimits(controller, candidate, load, now);
   if (verdict == Limit::kNone && IsUrgent(controller, candidate.request)) {
-    const auto credit = controller.reserved + controller.policy.reserved_share;
+    const auto share = controller.policy.reserved_share;
+    // With 0.05, 19 urgent openings earn one less urgent one, which is one of 20.
+    const auto credit = controller.reserved + share / (1 - share);
     controller.reserved = std::min(credit, kMaxReserved);
   }
   return verdict;
