--- a/src/admission/tests/replay_test.cc
+++ b/src/admission/tests/replay_test.cc
@@ -170,7 +170,7 @@
   auto scenario = Burst(5, milliseconds{600});
   const auto until = scenario.burst_until + kLastCopyAfter;
   for (scenario.seed = 1; scenario.seed <= kSeeds; ++scenario.seed) {
-    auto excess = -Duration(until - scenario.burst_from) * scenario.targets * scenario.slots;
+    auto excess = (scenario.burst_from - until) * scenario.targets * scenario.slots;
     auto lost = Duration{};
     for (const auto& request : Play(scenario)) {
       if (request.started < scenario.burst_from || request.started >= until) continue;
