Add route classes: types, messages and the agent's storage

Agents read no configuration and therefore cannot tell urgent requests from others. Decodes the class of each route from the configuration, sends the classes of a service to its agents on request, and adds ClassOf and PriorityRange. No decision uses the classes yet.

--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -49,6 +49,7 @@
   auto Refuse(const packets::Packet& packet) -> void;
   auto OnControl(const base::Endpoint& from, std::span<const std::uint8_t> datagram) -> void;
   auto OnHello(packets::Address balancer, const packets::Hello& hello) -> void;
+  auto OnRouteClasses(const packets::RouteClassesPart& part) -> void;
   auto OnHeartbeat(const net::OperatorRequest& request) -> net::OperatorResponse;
   auto OnLeave(const net::OperatorRequest& request) -> net::OperatorResponse;
   auto SendControl(packets::Address balancer, const packets::Control& control) -> void;
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -297,6 +297,7 @@
   const auto control = packets::DecodeControl(datagram, sender);
   const auto* hello = control ? std::get_if<packets::Hello>(&*control) : nullptr;
   const auto* query = control ? std::get_if<packets::FlowQuery>(&*control) : nullptr;
+  const auto* part = control ? std::get_if<packets::RouteClassesPart>(&*control) : nullptr;
   if (hello != nullptr) {
     this->OnHello(sender, *hello);
     this->KeepConfiguration(sender, hello->revision);
@@ -306,9 +307,17 @@
   if (query != nullptr) {
     return this->SendControl(sender, packets::AnswerQuery(this->core, *query, base::Now()));
   }
+  if (part != nullptr) return this->OnRouteClasses(*part);
   ++this->malformed;
 }
 
+auto AgentNode::OnRouteClasses(const packets::RouteClassesPart& part) -> void {
+  if (!packets::TakeRouteClasses(this->core, part, base::Now())) return;
+  const auto& known = this->core.route_classes;
+  Log(LogLevel::kInfo, "route_classes",
+      {{"version", known.version}, {"routes", known.classes.size()}});
+}
+
 auto AgentNode::OnHello(packets::Address balancer, const packets::Hello& hello) -> void {
   const auto was_drained = packets::IsDrained(this->core.drained, this->core.domain);
   packets::TakeHello(this->core, balancer, hello, base::Now());
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -190,7 +190,8 @@
           [&](const packets::Located& located) { this->searcher.OnLocated(located, now); },
           [&](const packets::FlowAnswer& answer) { this->searcher.OnAnswer(answer, now); },
           [&](const packets::GivenBack& back) { this->OnGivenBack(back, now); },
-          [&](const packets::FlowQuery&) { ++this->malformed; }},  // only agents answer queries
+          [&](const packets::FlowQuery&) { ++this->malformed; },  // only agents answer queries
+          [&](const packets::RouteClassesPart&) { ++this->malformed; }},  // sent to agents only
       *control);
 }
 
@@ -280,7 +281,7 @@
   for (const auto agent : due) this->probes.Begin(agent);
 }
 
-// Sends an agent the parts of the last hello's agent list that its report shows as missing.
+// Sends an agent the parts of the last hello's agent list and the route classes that it requests.
 auto BalancerNode::OnReport(const packets::TargetReport& report, base::TimePoint now) -> void {
   packets::TakeReport(this->core.view, report, now);
   this->TakeDrained(report.drained, "agent");
@@ -288,6 +289,9 @@
   for (const auto& part : packets::WantedParts(this->last_hellos, report)) {
     this->SendControl(report.agent, packets::EncodeControl(part));
   }
+  for (const auto& part : packets::RequestedClasses(this->core.classes, report)) {
+    this->SendControl(report.agent, packets::EncodeControl(part));
+  }
 }
 
 // These hellos make a new agent known to all balancers within a second, including balancers whose
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -5,12 +5,14 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "packets/balancer.h"
 #include "packets/cold.h"
 #include "packets/control.h"
+#include "packets/route_classes.h"
 #include "packets/stall.h"
 #include "packets/types/target.h"
 
@@ -52,6 +54,12 @@
   /// A peer list that was requested but not received is requested again after this long, from the
   /// next balancer that announces it. This exceeds the network delay plus a busy balancer's delay.
   base::Duration list_request_timeout = base::milliseconds{100};
+  /// The same time for requested route classes.
+  base::Duration class_request_timeout = base::milliseconds{100};
+  /// A set of route classes whose contents do not match its digest is requested again after this
+  /// long. It probably comes from a build that computes the digest differently, and up to 60 kB of
+  /// it should not be sent for each hello.
+  base::Duration class_mismatch_pause = base::seconds{10};
   /// A flow is reset only if no new agent has become known for this long. Each balancer sends a
   /// hello within it, since one balancer may know an agent that the others do not know yet. The
   /// removal of an agent does not restart this time: otherwise, with one target replaced per
@@ -198,6 +206,7 @@
   LocalTarget target;
   std::unordered_map<Address, BalancerHello> balancers;
   std::optional<WantedList> wanted;
+  KnownClasses route_classes;                    ///< of the service's routes
   DrainedDomains drained;                        ///< as told by balancers
   std::optional<std::uint32_t> cold_per_second;  ///< Hello::cold_per_second, once received
   std::vector<Place> peers;  ///< agents of the service that any balancer considers alive
@@ -291,6 +300,18 @@
 /// Handles a balancer's hello. Returns false if it is for an agent of another service.
 auto TakeHello(Agent& agent, Address balancer, const Hello& hello, base::TimePoint now) -> bool;
 
+/// Handles a part of the route classes that the agent has requested. Parts of other sets, and of
+/// another service, are ignored. Returns true if the known classes have changed.
+auto TakeRouteClasses(Agent& agent, const RouteClassesPart& part, base::TimePoint now) -> bool;
+
+/// Returns the class of the requests on the route of a client's packet, or RequestClass{} if the
+/// class is unknown.
+auto ClassOf(const Agent& agent, const Packet& packet) -> admission::RequestClass;
+
+/// Returns the most and the least urgent priority among the known classes of the service's routes,
+/// in this order; both are 0 if no class is known.
+auto PriorityRange(const Agent& agent) -> std::pair<admission::Priority, admission::Priority>;
+
 /// Number of agents per service that hold a copy of the configuration. Some of them survive the
 /// loss of one or two failure domains.
 inline constexpr auto kConfigurationCopies = std::size_t{6};
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "packets/route_classes.h"
 #include "packets/routes.h"
 #include "packets/stall.h"
 #include "packets/types/search.h"
@@ -90,6 +91,7 @@
   DomainTag domain = 0;          ///< domain of this balancer and of most of its clients
   base::TimePoint records_at{};  ///< when the platform last confirmed the agents' records
   std::optional<Routes> routes;  ///< empty until a configuration has been read
+  ClassesByService classes;      ///< of the routes in `routes`
   std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf(route)
   View view;
   std::unordered_map<FlowId, Hint> hints;
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -11,6 +11,7 @@
 #include "base/types/time.h"
 #include "packets/drain.h"
 #include "packets/types/query.h"
+#include "packets/types/route_classes.h"
 #include "packets/types/target.h"
 
 /// Control datagrams of packet flows. A balancer sends a hello to each agent that it knows, and the
@@ -65,6 +66,9 @@
   Address holder = 0;
   bool platform_silent = false;  ///< to an agent: the platform has answered no balancer lately
   std::uint32_t balancers = 0;   ///< to a balancer: number that the sender knows, itself included
+  /// To an agent: digest of the classes of its service's routes; 0: the sender knows none.
+  std::uint32_t classes_digest = 0;
+  std::uint64_t classes_version = 0;  ///< number of the configuration that states the classes
 };
 
 /// Maximum number of restarted agents in a hello; they fill the rest of a datagram. If there are
@@ -106,7 +110,8 @@
 /// Maximum size of a returned packet in bytes, header and payload. It exceeds the longest packet.
 inline constexpr auto kMaxGivenBack = std::size_t{1400};
 
-using Control = std::variant<Hello, TargetReport, Located, FlowQuery, FlowAnswer, GivenBack>;
+using Control =
+    std::variant<Hello, TargetReport, Located, FlowQuery, FlowAnswer, GivenBack, RouteClassesPart>;
 
 auto EncodeControl(const Control& control) -> std::string;
 
--- a/src/packets/hello.h
+++ b/src/packets/hello.h
@@ -9,6 +9,7 @@
 #include "base/types/time.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
+#include "packets/route_classes.h"
 
 /// Builds the hellos that a balancer sends to its agents.
 namespace anvildrum::packets {
@@ -34,6 +35,11 @@
 auto WantedParts(const std::map<base::ServiceId, ServiceHello>& hellos, const TargetReport& report)
     -> std::span<const Hello>;
 
+/// Returns the parts of the route classes that the report requests. The result is empty if the
+/// report requests none, or a set other than the one in `classes`. It refers to `classes`.
+auto RequestedClasses(const ClassesByService& classes, const TargetReport& report)
+    -> std::span<const RouteClassesPart>;
+
 /// Splits the hello into parts of kAgentsInHello peers; there is always at least one part. Peers
 /// beyond kMaxHelloParts parts are left out, and `complete` is then false in every part.
 ///
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "packets/internal/agent_classes.h"
 #include "packets/order.h"
 
 namespace anvildrum::packets {
@@ -40,10 +41,6 @@
   return std::find(agents.begin(), agents.end(), agent) != agents.end();
 }
 
-auto IsFresh(const Agent& agent, const BalancerHello& hello, base::TimePoint now) -> bool {
-  return now - hello.at <= std::max(agent.policy.hello_lifetime, kReportsMissed * hello.every);
-}
-
 // Assigns a received list to every balancer that announced its digest.
 auto TakeList(Agent& agent, std::uint32_t digest, const PeerList& list) -> void {
   if (agent.wanted && agent.wanted->digest == digest) agent.wanted.reset();
@@ -80,6 +77,10 @@
 
 }  // namespace
 
+auto IsFresh(const Agent& agent, const BalancerHello& hello, base::TimePoint now) -> bool {
+  return now - hello.at <= std::max(agent.policy.hello_lifetime, kReportsMissed * hello.every);
+}
+
 // Most balancers announce the same list, so each distinct list is merged only once.
 auto MergePeers(Agent& agent, base::TimePoint now) -> void {
   agent.merged_at = now;
@@ -205,6 +206,7 @@
     AdoptKnownList(agent, known);
   }
   if (known.digest == 0 && !hello.listed) RequestList(agent, balancer, hello.digest, now);
+  NoteClassesOffer(agent, balancer, hello, now);
   if (whole || late || known.digest != before) agent.peers_stale = true;
   return true;
 }
--- a/src/packets/internal/agent_peers.h
+++ b/src/packets/internal/agent_peers.h
@@ -7,6 +7,9 @@
 /// The other agents of the service, as reported by balancers.
 namespace anvildrum::packets {
 
+/// Whether the balancer's last hello is still valid.
+auto IsFresh(const Agent& agent, const BalancerHello& hello, base::TimePoint now) -> bool;
+
 /// Recomputes `peers`, the agents that at least one balancer considers alive.
 auto MergePeers(Agent& agent, base::TimePoint now) -> void;
 
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "packets/internal/agent_classes.h"
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/flow_load.h"
 #include "packets/internal/incarnations.h"
@@ -169,6 +170,7 @@
   agent.target.restarted_at = now;  // messages of the earlier service's target may arrive late
   agent.balancers.clear();
   agent.wanted.reset();
+  agent.route_classes = {};
   ForgetFlows(agent);
   MergePeers(agent, now);
 }
@@ -194,7 +196,8 @@
           .cold = IsCold(agent, now),
           .wanted_list = asks ? agent.wanted->digest : 0,
           .domain = agent.domain,
-          .drained = DrainedFor(agent, balancer)};
+          .drained = DrainedFor(agent, balancer),
+          .wanted_classes = TakeRequestFor(agent, balancer)};
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -302,6 +302,7 @@
 auto ApplyRoutes(Balancer& balancer, Routes routes, base::TimePoint now) -> bool {
   if (balancer.routes && routes.version < balancer.routes->version) return false;
   if (balancer.routes) RecordFormerServices(balancer, routes, now);
+  balancer.classes = MakeServiceClasses(routes);
   balancer.routes = std::move(routes);
   return true;
 }
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -43,6 +43,8 @@
   body->set_balancers(hello.balancers);
   body->set_platform_silent(hello.platform_silent);
   body->set_holder(hello.holder);
+  body->set_classes_digest(hello.classes_digest);
+  body->set_classes_version(hello.classes_version);
   for (const auto agent : hello.out_of_reach) body->add_out_of_reach(agent);
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
@@ -75,6 +77,7 @@
   body->set_domain(report.domain);
   body->set_revision(report.revision);
   if (report.drained.revision != 0) PutDrained(report.drained, *body->mutable_drained());
+  body->set_wanted_classes(report.wanted_classes);
   return message;
 }
 
@@ -128,6 +131,29 @@
   return message;
 }
 
+auto MillisecondsOf(base::Duration duration) -> std::uint32_t {
+  return static_cast<std::uint32_t>(duration / base::milliseconds{1});
+}
+
+auto ToMessage(const RouteClassesPart& part) -> pb::Control {
+  auto message = pb::Control{};
+  auto* body = message.mutable_route_classes();
+  body->set_service(part.service.value);
+  body->set_version(part.version);
+  body->set_digest(part.digest);
+  body->set_part(part.part);
+  body->set_parts(part.parts);
+  for (const auto& group : part.groups) {
+    auto* entry = body->add_classes();
+    entry->set_priority(group.request_class.priority);
+    entry->set_objective_ms(MillisecondsOf(group.request_class.objective));
+    entry->set_timeout_ms(MillisecondsOf(group.request_class.timeout));
+    entry->set_repeatable(group.request_class.repeatable);
+    for (const auto route : group.routes) entry->add_routes(route);
+  }
+  return message;
+}
+
 auto IsPort(std::uint32_t number) -> bool {
   return number <= std::numeric_limits<std::uint16_t>::max();
 }
@@ -192,6 +218,8 @@
   hello.balancers = message.balancers();
   hello.platform_silent = message.platform_silent();
   hello.holder = message.holder();
+  hello.classes_digest = message.classes_digest();
+  hello.classes_version = message.classes_version();
   hello.out_of_reach.assign(message.out_of_reach().begin(), message.out_of_reach().end());
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
@@ -217,7 +245,8 @@
                       .wanted_list = message.wanted_list(),
                       .domain = message.domain(),
                       .revision = message.revision(),
-                      .drained = *drained};
+                      .drained = *drained,
+                      .wanted_classes = message.wanted_classes()};
 }
 
 // Inverse of KeyOf; returns nullopt for numbers that are not an address and port.
@@ -264,6 +293,31 @@
                    std::vector<std::uint8_t>{datagram.begin(), datagram.end()}};
 }
 
+auto ClassFrom(const pb::RouteClass& message) -> admission::RequestClass {
+  return admission::MakeRequestClass(message.priority(), base::milliseconds{message.objective_ms()},
+                                     base::milliseconds{message.timeout_ms()},
+                                     message.repeatable());
+}
+
+auto FromMessage(const pb::RouteClasses& message) -> std::optional<RouteClassesPart> {
+  if (message.parts() > kMaxClassParts || message.part() >= message.parts()) return std::nullopt;
+  auto part = RouteClassesPart{.service = base::ServiceId{message.service()},
+                               .version = message.version(),
+                               .digest = message.digest(),
+                               .part = message.part(),
+                               .parts = message.parts()};
+  auto routes = 0;
+  for (const auto& entry : message.classes()) {
+    auto group = RouteGroup{ClassFrom(entry), {entry.routes().begin(), entry.routes().end()}};
+    routes += entry.routes_size();
+    if (!group.request_class.known || routes > static_cast<int>(kRoutesInPart)) {
+      return std::nullopt;
+    }
+    part.groups.push_back(std::move(group));
+  }
+  return part;
+}
+
 // Wraps a decoded message as a Control; nullopt stays nullopt.
 template <typename Message>
 auto AsControl(const std::optional<Message>& message) -> std::optional<Control> {
@@ -299,6 +353,8 @@
       return FromMessage(message.answer(), sender);
     case pb::Control::kGivenBack:
       return AsControl(FromMessage(message.given_back(), sender));
+    case pb::Control::kRouteClasses:
+      return AsControl(FromMessage(message.route_classes()));
     default:
       return std::nullopt;
   }
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -38,8 +38,24 @@
   return rate == balancer.routes->cold_per_second.end() ? 0 : rate->second;
 }
 
+// Announces the classes of the service's routes, if the balancer has a configuration.
+auto PutClasses(const Balancer& balancer, Hello& hello) -> void {
+  if (!balancer.routes) return;
+  const auto entry = balancer.classes.find(hello.service);
+  const auto none = entry == balancer.classes.end();
+  hello.classes_digest = none ? DigestOfNoClasses() : entry->second.digest;
+  hello.classes_version = balancer.routes->version;
+}
+
 }  // namespace
 
+auto RequestedClasses(const ClassesByService& classes, const TargetReport& report)
+    -> std::span<const RouteClassesPart> {
+  const auto entry = classes.find(report.service);
+  if (entry == classes.end() || entry->second.digest != report.wanted_classes) return {};
+  return entry->second.parts;
+}
+
 auto MakeHellos(const Balancer& balancer, base::TimePoint now)
     -> std::map<base::ServiceId, ServiceHello> {
   const auto& view = balancer.view;
@@ -61,6 +77,7 @@
     hello.service = service;
     hello.drained = view.drained;
     hello.cold_per_second = ColdPerSecond(balancer, service);
+    PutClasses(balancer, hello);
     hello.every = view.hello_interval;
     hello.digest = DigestOf(hello);
     hello.complete =
--- a/src/packets/routes.h
+++ b/src/packets/routes.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/types/request_class.h"
 #include "base/types/ids.h"
 #include "base/types/time.h"
 #include "packets/types/packet.h"
@@ -25,6 +26,8 @@
   /// Openings per second that a cold target of a service can take; a service without an entry has
   /// no such limit.
   std::unordered_map<base::ServiceId, std::uint32_t> cold_per_second;
+  /// What the configuration states about the requests of each route, by KeyOf.
+  std::unordered_map<std::uint64_t, admission::RequestClass> classes;
   base::Duration idle_limit = base::seconds{15};  ///< a flow idle for longer may be discarded
 };
 
