Test the transfer of route classes

The agent's view of the classes has to survive restarts, lost parts, two versions at once and old builds on either side.

--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -125,6 +125,9 @@
     auto balancer = Balancer{};
     balancer.records_at = now;
     balancer.view.drained = DrainedOf(1ULL << 32, MostDrained());
+    auto routes = Routes{};
+    routes.version = 1ULL << 32;
+    ApplyRoutes(balancer, routes, now);
     for (auto i = std::size_t{0}; i < count; ++i) {
       const auto agent = static_cast<Address>(0x0a010000 + i);
       AddRecord(balancer.view, agent, service, now);
@@ -173,7 +176,8 @@
                                    .held = 4,
                                    .slots = 5,
                                    .cold = true,
-                                   .wanted_list = 77};
+                                   .wanted_list = 77,
+                                   .wanted_classes = 78};
   const auto read = RoundTrip(report);
   BOOST_REQUIRE(read);
   const auto& got = std::get<TargetReport>(*read);
@@ -187,6 +191,7 @@
   BOOST_TEST(got.slots == 5U);
   BOOST_TEST(got.cold);
   BOOST_TEST(got.wanted_list == 77U);
+  BOOST_TEST(got.wanted_classes == 78U);
 }
 
 BOOST_AUTO_TEST_CASE(a_located_flow_comes_back_whole) {
--- a/src/packets/tests/route_classes_test.cc
+++ b/src/packets/tests/route_classes_test.cc
@@ -1,22 +1,481 @@
 #include "packets/route_classes.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "agent_test_utils.h"
+#include "packets/hello.h"
 
 namespace anvildrum::packets::agent_tests {
 namespace {
 
-constexpr auto kUrgent = admission::RequestClass{true, 1, milliseconds{300}, milliseconds{1500}};
+using admission::RequestClass;
+using Classes = std::unordered_map<std::uint64_t, RequestClass>;
+using PriorityPair = std::pair<admission::Priority, admission::Priority>;
+
+constexpr auto kFirst = kBalancer;
+constexpr auto kSecond = kBalancer + 1;
+constexpr auto kHelloPeriod = milliseconds{250};
+constexpr auto kUrgent = RequestClass{true, 1, milliseconds{300}, milliseconds{1500}, false};
+constexpr auto kRelaxed = RequestClass{true, 2, milliseconds{250}, milliseconds{1200}, true};
+
+// Upper bound of the size of a datagram with classes, in bytes.
+constexpr auto kMaxDatagramBytes = std::size_t{1300};
+
+auto RouteAt(std::size_t index) -> std::uint64_t {
+  return KeyOf({kRoute.address + static_cast<Address>(index), 443});
+}
+
+// Returns the classes of `count` routes that share a class.
+auto ClassesOf(std::size_t count, const RequestClass& shared) -> Classes {
+  auto classes = Classes{};
+  for (auto i = std::size_t{0}; i < count; ++i) classes[RouteAt(i)] = shared;
+  return classes;
+}
+
+// Returns routes to service kDesk.
+auto RoutesWith(std::uint64_t version, const Classes& classes) -> Routes {
+  auto routes = Routes{};
+  routes.version = version;
+  routes.classes = classes;
+  for (const auto& [route, request_class] : classes) routes.shares[route] = {{kDesk, 1}};
+  return routes;
+}
+
+// A balancer that knows one agent of service kDesk.
+auto MakeBalancer(std::uint64_t version, const Classes& classes) -> Balancer {
+  auto balancer = Balancer{};
+  AddRecord(balancer.view, kOwn, kDesk, kStart);
+  ApplyRoutes(balancer, RoutesWith(version, classes), kStart);
+  return balancer;
+}
+
+auto RoundTrip(const Control& control) -> std::optional<Control> {
+  const auto text = EncodeControl(control);
+  return DecodeControl({reinterpret_cast<const std::uint8_t*>(text.data()), text.size()}, kOwn);
+}
+
+// Returns the size of the control datagram in bytes.
+auto SizeOf(const Control& control) -> std::size_t { return EncodeControl(control).size(); }
+
+auto HelloOf(const Balancer& balancer, base::TimePoint now) -> Hello {
+  return MakeHellos(balancer, now).at(kDesk).brief;
+}
+
+// Delivers a hello and returns the agent's report to it.
+auto Announce(Agent& agent, Address address, const Balancer& balancer, base::TimePoint now)
+    -> TargetReport {
+  TakeHello(agent, address, std::get<Hello>(*RoundTrip(HelloOf(balancer, now))), now);
+  return std::get<TargetReport>(*RoundTrip(MakeReport(agent, address, now)));
+}
+
+// Selects the parts, by index, that reach the agent.
+using Delivered = std::function<bool(std::uint32_t)>;
+
+auto All(std::uint32_t /*part*/) -> bool { return true; }
+
+// Delivers a hello and the parts that the agent requests. Returns the number of parts sent.
+auto Exchange(Agent& agent, Address address, const Balancer& balancer, base::TimePoint now,
+              const Delivered& delivered = All) -> std::size_t {
+  const auto report = Announce(agent, address, balancer, now);
+  const auto parts = RequestedClasses(balancer.classes, report);
+  for (const auto& part : parts) {
+    if (!delivered(part.part)) continue;
+    TakeRouteClasses(agent, std::get<RouteClassesPart>(*RoundTrip(part)), now);
+  }
+  return parts.size();
+}
+
+auto Knows(const Agent& agent, const RequestClass& request_class) -> bool {
+  return ClassOf(agent, Opening()) == request_class;
+}
 
 // Guards against a route without a class being treated as the most urgent one.
 BOOST_AUTO_TEST_CASE(an_unknown_route_has_no_class) {
   auto agent = MakeAgent();
-  BOOST_TEST(!ClassOf(agent, Opening()).known);
-  BOOST_TEST((PriorityRange(agent) == std::pair<admission::Priority, admission::Priority>{}));
+  BOOST_TEST((ClassOf(agent, Opening()) == RequestClass{}));
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
+  SetClasses(agent.route_classes, {{RouteAt(1), kUrgent}});
+  BOOST_TEST((ClassOf(agent, Opening()) == RequestClass{}));
+}
+
+// Guards against the range keeping priorities of routes that were removed or are unknown.
+BOOST_AUTO_TEST_CASE(the_range_covers_the_known_classes) {
+  auto agent = MakeAgent();
+  SetClasses(agent.route_classes,
+             {{RouteAt(0), kUrgent}, {RouteAt(1), kRelaxed}, {RouteAt(2), RequestClass{}}});
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{1, 2}));
+  SetClasses(agent.route_classes, {{RouteAt(1), kRelaxed}});
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{2, 2}));
+}
+
+// Guards against a class that is altered on its way to the agent, and against repeated transfers.
+BOOST_AUTO_TEST_CASE(classes_reach_the_agent_once) {
+  auto agent = MakeAgent();
+  const auto longest = RequestClass{true, 255, base::hours{1}, base::hours{1}, true};
+  const auto classes =
+      Classes{{RouteAt(0), kUrgent}, {RouteAt(1), kRelaxed}, {~0ULL >> 16U, longest}};
+  const auto balancer = MakeBalancer(7, classes);
+  BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == 1U);
+  BOOST_TEST((agent.route_classes.classes == classes));
+  BOOST_TEST(agent.route_classes.version == 7U);
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{1, 255}));
+  BOOST_TEST(Exchange(agent, kFirst, balancer, kStart + kHelloPeriod) == 0U);
+  BOOST_TEST(Exchange(agent, kSecond, balancer, kStart + kHelloPeriod) == 0U);
+}
+
+// Guards against a packet of another route, or of another port of the address, getting the class.
+BOOST_AUTO_TEST_CASE(the_class_is_that_of_the_packets_route) {
+  auto agent = MakeAgent();
   SetClasses(agent.route_classes, {{KeyOf(kRoute), kUrgent}});
-  BOOST_TEST((ClassOf(agent, Opening()) == kUrgent));
-  BOOST_TEST((PriorityRange(agent) == std::pair<admission::Priority, admission::Priority>{1, 1}));
+  auto packet = Opening();
+  BOOST_TEST((ClassOf(agent, packet) == kUrgent));
+  packet.destination.port = 444;
+  BOOST_TEST(!ClassOf(agent, packet).known);
+}
+
+// Guards against the routes of other services, or without new flows, counting for the service.
+BOOST_AUTO_TEST_CASE(a_service_has_the_classes_of_its_routes) {
+  auto routes = RoutesWith(7, {{RouteAt(0), kUrgent}, {RouteAt(1), kRelaxed}, {RouteAt(2), {}}});
+  routes.shares[RouteAt(0)] = {{kDesk, 90}, {kMapper, 10}};
+  routes.shares[RouteAt(1)] = {{kDesk, 0}, {kMapper, 1}};
+  const auto classes = MakeServiceClasses(routes);
+  const auto groups = [&](base::ServiceId service) {
+    return classes.at(service).parts.front().groups;
+  };
+  const auto urgent = RouteGroup{kUrgent, {RouteAt(0)}};
+  const auto relaxed = RouteGroup{kRelaxed, {RouteAt(1)}};
+  BOOST_TEST((groups(kDesk) == std::vector{urgent}));
+  BOOST_TEST((groups(kMapper) == std::vector{urgent, relaxed}));
+  BOOST_TEST(!classes.contains(base::ServiceId{33}));
+}
+
+// Guards against a digest that depends on the order of a hash table, so that the agent would
+// request the same classes from every balancer.
+BOOST_AUTO_TEST_CASE(balancers_with_the_same_configuration_announce_the_same_digest) {
+  auto forwards = ClassesOf(300, kUrgent);
+  auto backwards = Classes{};
+  backwards.reserve(5'000);
+  for (auto i = std::size_t{300}; i > 0; --i) backwards[RouteAt(i - 1)] = kUrgent;
+  const auto digest = MakeBalancer(7, forwards).classes.at(kDesk).digest;
+  BOOST_TEST(MakeBalancer(7, backwards).classes.at(kDesk).digest == digest);
+  backwards[RouteAt(5)].repeatable = true;
+  BOOST_TEST(MakeBalancer(7, backwards).classes.at(kDesk).digest != digest);
+}
+
+// Guards against a change of the digest between builds, which compare it with each other.
+BOOST_AUTO_TEST_CASE(the_digest_of_a_set_is_fixed) {
+  const auto groups = std::vector{RouteGroup{kUrgent, {1, 2}}, RouteGroup{kRelaxed, {3}}};
+  BOOST_TEST(DigestOf(groups) == 4107329609U);
+  BOOST_TEST(DigestOfNoClasses() == 953390275U);
+}
+
+// Guards against a restarted balancer, which has no configuration yet, removing the classes.
+BOOST_AUTO_TEST_CASE(a_balancer_that_has_restarted_changes_nothing) {
+  auto agent = MakeAgent();
+  Exchange(agent, kFirst, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart);
+  auto restarted = Balancer{};
+  AddRecord(restarted.view, kOwn, kDesk, kStart);
+  BOOST_TEST(HelloOf(restarted, kStart).classes_digest == 0U);
+  BOOST_TEST(Exchange(agent, kFirst, restarted, kStart + kHelloPeriod) == 0U);
+  BOOST_TEST(Knows(agent, kUrgent));
+  BOOST_TEST(agent.route_classes.version == 7U);
+}
+
+// Guards against a restarted agent staying without classes, which all balancers believe it to have.
+BOOST_AUTO_TEST_CASE(an_agent_that_has_restarted_knows_the_classes_after_one_hello) {
+  const auto balancer = MakeBalancer(7, ClassesOf(1, kUrgent));
+  auto agent = MakeAgent();
+  Exchange(agent, kFirst, balancer, kStart);
+  agent = MakeAgent();
+  BOOST_TEST(Knows(agent, {}));
+  Exchange(agent, kFirst, balancer, kStart + kHelloPeriod);
+  BOOST_TEST(Knows(agent, kUrgent));
+}
+
+// Guards against classes that alternate while a new configuration reaches one balancer after the
+// other.
+BOOST_AUTO_TEST_CASE(of_two_versions_told_at_once_the_higher_one_applies) {
+  const auto older = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto newer = MakeBalancer(8, ClassesOf(1, kRelaxed));
+  for (const auto older_first : {true, false}) {
+    auto agent = MakeAgent();
+    auto now = kStart;
+    for (auto round = 0; round < 4; ++round) {
+      Exchange(agent, kFirst, older_first ? older : newer, now);
+      if (round > 0) BOOST_TEST(Knows(agent, kRelaxed));
+      Exchange(agent, kSecond, older_first ? newer : older, now + milliseconds{1});
+      BOOST_TEST(Knows(agent, kRelaxed));
+      now += kHelloPeriod;
+    }
+    BOOST_TEST(agent.route_classes.version == 8U);
+  }
+}
+
+// Guards against a lower version, announced or in delayed parts, replacing a higher one.
+BOOST_AUTO_TEST_CASE(a_lower_version_does_not_replace_a_higher_one) {
+  const auto older = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto newer = MakeBalancer(8, ClassesOf(1, kRelaxed));
+  auto agent = MakeAgent();
+  const auto report = Announce(agent, kFirst, older, kStart);
+  BOOST_TEST(report.wanted_classes == older.classes.at(kDesk).digest);
+  Exchange(agent, kSecond, newer, kStart + milliseconds{1});
+  BOOST_TEST(Knows(agent, kRelaxed));
+  for (const auto& part : RequestedClasses(older.classes, report)) {
+    BOOST_TEST(!TakeRouteClasses(agent, part, kStart + milliseconds{2}));
+  }
+  // Neither after the balancer of the higher version has been silent for a long time.
+  for (auto now = kStart; now < kStart + seconds{20}; now += kHelloPeriod) {
+    BOOST_TEST(Exchange(agent, kFirst, older, now) == 0U);
+  }
+  BOOST_TEST(Knows(agent, kRelaxed));
+}
+
+// Guards against classes that did not change being sent again with each configuration, and against
+// their version staying behind, so that older classes would replace them.
+BOOST_AUTO_TEST_CASE(the_same_classes_of_a_higher_version_are_not_requested) {
+  auto agent = MakeAgent();
+  Exchange(agent, kFirst, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart);
+  const auto same = MakeBalancer(9, ClassesOf(1, kUrgent));
+  BOOST_TEST(Exchange(agent, kFirst, same, kStart + kHelloPeriod) == 0U);
+  BOOST_TEST(agent.route_classes.version == 9U);
+  const auto between = MakeBalancer(8, ClassesOf(1, kRelaxed));
+  BOOST_TEST(Exchange(agent, kSecond, between, kStart + kHelloPeriod) == 0U);
+  BOOST_TEST(Knows(agent, kUrgent));
+}
+
+// Guards against classes that the operator has removed staying in force.
+BOOST_AUTO_TEST_CASE(a_configuration_without_classes_removes_them) {
+  auto agent = MakeAgent();
+  Exchange(agent, kFirst, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart);
+  const auto without = MakeBalancer(8, {});
+  BOOST_TEST(Exchange(agent, kFirst, without, kStart + kHelloPeriod) == 0U);
+  BOOST_TEST(Knows(agent, {}));
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
+  BOOST_TEST(agent.route_classes.version == 8U);
+}
+
+// Guards against two balancers that disagree about the same version making the agent request both
+// sets in turn forever. A republished configuration still applies once all balancers have it.
+BOOST_AUTO_TEST_CASE(a_set_of_an_equal_version_replaces_one_that_is_no_longer_announced) {
+  const auto one = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto other = MakeBalancer(7, ClassesOf(1, kRelaxed));
+  auto agent = MakeAgent();
+  auto now = kStart;
+  auto sent = std::size_t{0};
+  for (; now < kStart + seconds{10}; now += kHelloPeriod) {
+    sent += Exchange(agent, kFirst, one, now);
+    sent += Exchange(agent, kSecond, other, now);
+  }
+  BOOST_TEST(sent == 1U);
+  BOOST_TEST(Knows(agent, kUrgent));
+  Exchange(agent, kFirst, other, now);
+  BOOST_TEST(Knows(agent, kRelaxed));
+}
+
+// Guards against an old balancer, whose hellos have no such fields, affecting the agent.
+BOOST_AUTO_TEST_CASE(an_agent_requests_nothing_from_an_old_balancer) {
+  auto agent = MakeAgent();
+  const auto old = MakeHello({kOwn, kOther});
+  TakeHello(agent, kFirst, std::get<Hello>(*RoundTrip(old)), kStart);
+  BOOST_TEST(MakeReport(agent, kFirst, kStart).wanted_classes == 0U);
+  Exchange(agent, kSecond, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart);
+  TakeHello(agent, kFirst, std::get<Hello>(*RoundTrip(old)), kStart + kHelloPeriod);
+  BOOST_TEST(MakeReport(agent, kFirst, kStart + kHelloPeriod).wanted_classes == 0U);
+  BOOST_TEST(Knows(agent, kUrgent));
+}
+
+// Guards against messages to an old agent that it would count as malformed.
+BOOST_AUTO_TEST_CASE(a_balancer_sends_no_classes_to_an_old_agent) {
+  const auto balancer = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto old = TargetReport{.agent = kOwn, .service = kDesk};
+  BOOST_TEST(RequestedClasses(balancer.classes, old).empty());
+  const auto other = TargetReport{.agent = kOwn, .service = kDesk, .wanted_classes = 12};
+  BOOST_TEST(RequestedClasses(balancer.classes, other).empty());
+  const auto unknown = TargetReport{.agent = kOwn, .service = kMapper, .wanted_classes = 12};
+  BOOST_TEST(RequestedClasses(balancer.classes, unknown).empty());
+}
+
+// Guards against an incomplete set being used, and against the classes known before being dropped
+// while a set is incomplete.
+BOOST_AUTO_TEST_CASE(a_set_with_a_lost_part_is_not_used_and_is_completed_by_the_next_balancer) {
+  auto agent = MakeAgent();
+  Exchange(agent, kFirst, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart);
+  const auto newer = MakeBalancer(8, ClassesOf(kRoutesInPart * 2 + 1, kRelaxed));
+  const auto asked_at = kStart + seconds{1};
+  const auto sent =
+      Exchange(agent, kFirst, newer, asked_at, [](std::uint32_t part) { return part != 1; });
+  BOOST_TEST(sent == 3U);
+  BOOST_TEST(Knows(agent, kUrgent));
+  BOOST_TEST(agent.route_classes.classes.size() == 1U);
+  // The request is repeated 100 ms after the last one, not earlier.
+  BOOST_TEST(Exchange(agent, kSecond, newer, asked_at + milliseconds{99}) == 0U);
+  Exchange(agent, kSecond, newer, asked_at + milliseconds{100},
+           [](std::uint32_t part) { return part == 1; });
+  BOOST_TEST(Knows(agent, kRelaxed));
+  BOOST_TEST(agent.route_classes.classes.size() == kRoutesInPart * 2 + 1);
+}
+
+// Guards against a lost request or answer leaving the agent without classes, and against one
+// request being answered more than once because the agent reports for other reasons.
+BOOST_AUTO_TEST_CASE(a_request_is_sent_once_and_repeated_after_its_time) {
+  auto agent = MakeAgent();
+  const auto balancer = MakeBalancer(7, ClassesOf(1, kUrgent));
+  BOOST_TEST(Announce(agent, kFirst, balancer, kStart).wanted_classes != 0U);
+  BOOST_TEST(MakeReport(agent, kFirst, kStart).wanted_classes == 0U);
+  BOOST_TEST(MakeReport(agent, kSecond, kStart).wanted_classes == 0U);
+  const auto later = kStart + agent.policy.class_request_timeout;
+  BOOST_TEST(Announce(agent, kSecond, balancer, later - milliseconds{1}).wanted_classes == 0U);
+  BOOST_TEST(Announce(agent, kSecond, balancer, later).wanted_classes != 0U);
+  BOOST_TEST(MakeReport(agent, kFirst, later).wanted_classes == 0U);
+}
+
+// Guards against the parts of a higher version being discarded by each hello with a lower one, so
+// that a set of many parts would never be complete where packets are lost.
+BOOST_AUTO_TEST_CASE(a_lower_version_does_not_interrupt_the_receipt_of_a_higher_one) {
+  auto agent = MakeAgent();
+  const auto older = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto newer = MakeBalancer(8, ClassesOf(kRoutesInPart * 2, kRelaxed));
+  Exchange(agent, kFirst, newer, kStart, [](std::uint32_t part) { return part == 0; });
+  BOOST_TEST(Exchange(agent, kSecond, older, kStart + kHelloPeriod) == 0U);
+  Exchange(agent, kFirst, newer, kStart + kHelloPeriod,
+           [](std::uint32_t part) { return part == 1; });
+  BOOST_TEST(Knows(agent, kRelaxed));
+}
+
+// Guards against an agent that waits forever for a version whose only balancer is gone.
+BOOST_AUTO_TEST_CASE(a_version_that_is_no_longer_announced_gives_way_to_a_lower_one) {
+  auto agent = MakeAgent();
+  const auto older = MakeBalancer(7, ClassesOf(1, kUrgent));
+  Announce(agent, kFirst, MakeBalancer(8, ClassesOf(1, kRelaxed)), kStart);
+  Exchange(agent, kSecond, older, kStart + agent.policy.hello_lifetime);
+  BOOST_TEST(Knows(agent, {}));
+  Exchange(agent, kSecond, older, kStart + agent.policy.hello_lifetime + milliseconds{1});
+  BOOST_TEST(Knows(agent, kUrgent));
+}
+
+// Guards against a mixture of two sets being used, and against a set that never matches its digest
+// being requested with each hello.
+BOOST_AUTO_TEST_CASE(a_set_that_does_not_match_its_digest_is_not_used) {
+  auto agent = MakeAgent();
+  auto wrong = MakeBalancer(7, ClassesOf(1, kUrgent));
+  wrong.classes.at(kDesk).parts.front().groups.front().request_class = kRelaxed;
+  auto sent = std::size_t{0};
+  for (auto now = kStart; now < kStart + seconds{10}; now += kHelloPeriod) {
+    sent += Exchange(agent, kFirst, wrong, now);
+  }
+  BOOST_TEST(sent == 1U);
+  BOOST_TEST(Knows(agent, {}));
+  Exchange(agent, kFirst, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart + seconds{10});
+  BOOST_TEST(Knows(agent, kUrgent));
+}
+
+// Guards against routes of an earlier service keeping their classes, and against parts that were
+// sent before the change.
+BOOST_AUTO_TEST_CASE(an_agent_that_changes_its_service_forgets_the_classes) {
+  auto agent = MakeAgent();
+  const auto balancer = MakeBalancer(7, ClassesOf(1, kUrgent));
+  Exchange(agent, kFirst, balancer, kStart);
+  ChangeService(agent, kMapper, kStart);
+  BOOST_TEST(Knows(agent, {}));
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
+  BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == 0U);
+  BOOST_TEST(!TakeRouteClasses(agent, balancer.classes.at(kDesk).parts.front(), kStart));
+  BOOST_TEST(Knows(agent, {}));
+}
+
+// Guards against an unbounded number of datagrams. The least urgent routes stay unknown.
+BOOST_AUTO_TEST_CASE(routes_beyond_the_bound_stay_unknown) {
+  constexpr auto most = kRoutesInPart * kMaxClassParts;
+  auto classes = ClassesOf(most + 1, kUrgent);
+  classes[RouteAt(0)] = kRelaxed;
+  const auto balancer = MakeBalancer(7, classes);
+  auto agent = MakeAgent();
+  BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == kMaxClassParts);
+  BOOST_TEST(agent.route_classes.classes.size() == most);
+  BOOST_TEST(!agent.route_classes.classes.contains(RouteAt(0)));
+  BOOST_TEST((PriorityRange(agent) == PriorityPair{1, 1}));
+}
+
+// Guards against control traffic above its bounds: 6,700 routes in datagrams of under 1,300 bytes,
+// and hellos that do not grow with the routes.
+BOOST_AUTO_TEST_CASE(the_traffic_of_6700_routes_is_bounded) {
+  constexpr auto routes = std::size_t{6'700};
+  auto classes = Classes{};
+  for (auto i = std::size_t{0}; i < routes; ++i) {
+    auto request_class = i % 2 == 0 ? kUrgent : kRelaxed;
+    request_class.priority = static_cast<admission::Priority>(i % 4);
+    classes[RouteAt(i)] = request_class;
+  }
+  const auto balancer = MakeBalancer(1ULL << 32U, classes);
+  auto bytes = std::size_t{0};
+  const auto& parts = balancer.classes.at(kDesk).parts;
+  for (const auto& part : parts) {
+    BOOST_TEST(SizeOf(part) < kMaxDatagramBytes);
+    bytes += SizeOf(part);
+  }
+  BOOST_TEST(parts.size() == (routes + kRoutesInPart - 1) / kRoutesInPart);
+  BOOST_TEST(bytes < 60'000U);
+  auto without = HelloOf(balancer, kStart);
+  const auto with_classes = SizeOf(without);
+  without.classes_digest = 0;
+  without.classes_version = 0;
+  BOOST_TEST(with_classes - SizeOf(without) <= 15U);
+  auto agent = MakeAgent();
+  BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == parts.size());
+  BOOST_TEST((agent.route_classes.classes == classes));
+}
+
+// Guards against datagrams that are too long where each route has a class of its own, and against
+// parts that are far shorter than a datagram. The size of a group of one route is overestimated by
+// two bytes.
+BOOST_AUTO_TEST_CASE(many_classes_make_shorter_parts) {
+  auto classes = Classes{};
+  for (auto i = std::size_t{0}; i < 6'700; ++i) {
+    const auto objective = base::hours{1} - milliseconds{i};
+    classes[RouteAt(i)] = RequestClass{true, 255, objective, base::hours{1}, true};
+  }
+  const auto balancer = MakeBalancer(~0ULL, classes);
+  for (const auto& part : balancer.classes.at(kDesk).parts) {
+    BOOST_TEST(SizeOf(part) < kMaxDatagramBytes);
+    BOOST_TEST(SizeOf(part) > kMaxDatagramBytes - 120);
+  }
+  auto agent = MakeAgent();
+  BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == kMaxClassParts);
+  BOOST_TEST(agent.route_classes.version == ~0ULL);
+  BOOST_TEST(agent.route_classes.classes.size() > 2'500U);
+}
+
+// Guards against invalid classes and parts being stored, and against memory beyond the bounds.
+BOOST_AUTO_TEST_CASE(invalid_parts_are_rejected) {
+  const auto valid = RouteClassesPart{.service = kDesk, .digest = 5, .groups = {{kUrgent, {1, 2}}}};
+  BOOST_TEST(RoundTrip(valid).has_value());
+  auto part = valid;
+  part.part = 1;
+  BOOST_TEST(!RoundTrip(part));
+  part.parts = kMaxClassParts;
+  BOOST_TEST(RoundTrip(part).has_value());
+  part.parts = kMaxClassParts + 1;
+  BOOST_TEST(!RoundTrip(part));
+  part = valid;
+  part.groups.front().routes.resize(kRoutesInPart);
+  BOOST_TEST(RoundTrip(part).has_value());
+  part.groups.push_back({kRelaxed, {1}});
+  BOOST_TEST(!RoundTrip(part));
+  for (const auto time : {milliseconds{0}, milliseconds{3'600'001}}) {
+    part = valid;
+    part.groups.front().request_class.objective = time;
+    BOOST_TEST(!RoundTrip(part));
+    part = valid;
+    part.groups.front().request_class.timeout = time;
+    BOOST_TEST(!RoundTrip(part));
+  }
 }
 
 }  // namespace
