Report classed routes, and test their transfer between processes

Operators need to see that classes have arrived before they switch on a feature that depends on them, and the tests of the cores did not cover the processes' wiring.

Adds the gauge classed_routes of agents, a process test (configuration with a class, restart of an agent, removal of the class), and tests for faults that trial mutations of the code had left undetected.

--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -425,6 +425,8 @@
   auto counts = CountsOf(this->core);
   const auto calls = CountsOf(CallsByFreshness{this->client.Counts(), this->stale_client.Counts()});
   counts.insert(counts.end(), calls.begin(), calls.end());
+  counts.push_back({"classed_routes", "Routes of the target's service whose class is known",
+                    this->core.route_classes.classes.size(), true});
   counts.push_back(
       {"malformed_total", "Datagrams and heartbeats rejected as malformed", this->malformed});
   return counts;
--- a/src/packets/tests/route_classes_test.cc
+++ b/src/packets/tests/route_classes_test.cc
@@ -186,6 +186,13 @@
   BOOST_TEST(Exchange(agent, kFirst, restarted, kStart + kHelloPeriod) == 0U);
   BOOST_TEST(Knows(agent, kUrgent));
   BOOST_TEST(agent.route_classes.version == 7U);
+  auto without_digest = MakeHello({kOwn, kOther});
+  without_digest.classes_version = 9;
+  TakeHello(agent, kSecond, without_digest, kStart + kHelloPeriod);
+  BOOST_TEST(MakeReport(agent, kSecond, kStart + kHelloPeriod).wanted_classes == 0U);
+  BOOST_TEST(agent.route_classes.version == 7U);
+  Exchange(agent, kFirst, MakeBalancer(8, ClassesOf(1, kRelaxed)), kStart + kHelloPeriod);
+  BOOST_TEST(Knows(agent, kRelaxed));
 }
 
 // Guards against a restarted agent staying without classes, which all balancers believe it to have.
@@ -327,7 +334,9 @@
 BOOST_AUTO_TEST_CASE(a_request_is_sent_once_and_repeated_after_its_time) {
   auto agent = MakeAgent();
   const auto balancer = MakeBalancer(7, ClassesOf(1, kUrgent));
-  BOOST_TEST(Announce(agent, kFirst, balancer, kStart).wanted_classes != 0U);
+  TakeHello(agent, kFirst, HelloOf(balancer, kStart), kStart);
+  BOOST_TEST(MakeReport(agent, kSecond, kStart).wanted_classes == 0U);
+  BOOST_TEST(MakeReport(agent, kFirst, kStart).wanted_classes != 0U);
   BOOST_TEST(MakeReport(agent, kFirst, kStart).wanted_classes == 0U);
   BOOST_TEST(MakeReport(agent, kSecond, kStart).wanted_classes == 0U);
   const auto later = kStart + agent.policy.class_request_timeout;
@@ -349,6 +358,41 @@
   BOOST_TEST(Knows(agent, kRelaxed));
 }
 
+// Guards against two sets of one version discarding each other's parts before the first is
+// complete.
+BOOST_AUTO_TEST_CASE(an_equal_version_does_not_interrupt_a_request) {
+  auto agent = MakeAgent();
+  const auto one = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto other = MakeBalancer(7, ClassesOf(1, kRelaxed));
+  const auto report = Announce(agent, kFirst, one, kStart);
+  BOOST_TEST(Exchange(agent, kSecond, other, kStart + milliseconds{1}) == 0U);
+  for (const auto& part : RequestedClasses(one.classes, report)) {
+    BOOST_TEST(TakeRouteClasses(agent, part, kStart + milliseconds{2}));
+  }
+  BOOST_TEST(Knows(agent, kUrgent));
+}
+
+// Guards against a higher version waiting for the end of a request for a lower one.
+BOOST_AUTO_TEST_CASE(a_higher_version_replaces_a_request_at_once) {
+  auto agent = MakeAgent();
+  const auto older = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto newer = MakeBalancer(8, ClassesOf(1, kRelaxed));
+  Announce(agent, kFirst, older, kStart);
+  const auto report = Announce(agent, kSecond, newer, kStart + milliseconds{1});
+  BOOST_TEST(report.wanted_classes == newer.classes.at(kDesk).digest);
+}
+
+// Guards against the classes of another service whose routes have the same classes.
+BOOST_AUTO_TEST_CASE(parts_of_another_service_are_ignored) {
+  auto agent = MakeAgent();
+  const auto balancer = MakeBalancer(7, ClassesOf(1, kUrgent));
+  const auto report = Announce(agent, kFirst, balancer, kStart);
+  auto part = RequestedClasses(balancer.classes, report).front();
+  part.service = kMapper;
+  BOOST_TEST(!TakeRouteClasses(agent, part, kStart));
+  BOOST_TEST(Knows(agent, {}));
+}
+
 // Guards against an agent that waits forever for a version whose only balancer is gone.
 BOOST_AUTO_TEST_CASE(a_version_that_is_no_longer_announced_gives_way_to_a_lower_one) {
   auto agent = MakeAgent();
@@ -372,6 +416,7 @@
   }
   BOOST_TEST(sent == 1U);
   BOOST_TEST(Knows(agent, {}));
+  BOOST_TEST(agent.route_classes.wanted->parts.empty());
   Exchange(agent, kFirst, MakeBalancer(7, ClassesOf(1, kUrgent)), kStart + seconds{10});
   BOOST_TEST(Knows(agent, kUrgent));
 }
--- a/tests/process/test_packets.py
+++ b/tests/process/test_packets.py
@@ -154,6 +154,28 @@
         wait_until(lambda: self.open_flows() and len(target.openings) > before, "openings",
                    WIDE_SECONDS)
 
+    def test_agents_learn_the_classes_of_routes(self):
+        # Guards against classes that one process encodes and the other does not read, and against
+        # an agent that stays without them after a restart.
+        changed = configuration(2, [ROUTE, REMOVED])
+        changed["routes"][0].update(priority=1, timeoutMs=1500)
+        self.machines.store.put("config", "main", changed)
+        for last in (FIRST_AGENT, SECOND_AGENT):
+            self.wait_for_classes(last, 1)
+        self.machines.end(FIRST_AGENT, signal.SIGKILL)
+        self.machines.start(FIRST_AGENT, "desk")
+        self.wait_for_classes(FIRST_AGENT, 1)
+        self.machines.store.put("config", "main", configuration(3, [ROUTE, REMOVED]))
+        for last in (FIRST_AGENT, SECOND_AGENT):
+            self.wait_for_classes(last, 0)
+        self.assert_served(self.open_flows())
+
+    def wait_for_classes(self, last, count):
+        """Until the agent knows the classes of this many routes."""
+        line = f"\nanvildrum_packets_classed_routes {count}\n"
+        wait_until(lambda: line in (self.machines.get(last, METRICS, "/metrics") or ""),
+                   f"{count} classes at agent {last}", WIDE_SECONDS)
+
     def test_a_removed_route_is_served_no_more_and_others_go_on(self):
         flows = self.open_flows()
         self.machines.store.put("config", "main", configuration(2, [ROUTE]))
