--- a/tools/fuzz/packet_control.cc
+++ b/tools/fuzz/packet_control.cc
@@ -27,6 +27,16 @@
   packets::StepSearches(balancer, kNow);
 }
 
+// Lets the agent request the set that the part belongs to.
+auto RequestClasses(packets::Agent& agent, const packets::RouteClassesPart& part) -> void {
+  auto hello = packets::Hello{};
+  hello.service = kService;
+  hello.classes_digest = part.digest;
+  hello.classes_version = part.version;
+  packets::TakeHello(agent, kSender, hello, kNow);
+  packets::MakeReport(agent, kSender, kNow);
+}
+
 }  // namespace
 
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int {
@@ -53,7 +63,13 @@
                    answer.token = balancer.searches.last_token;
                    packets::TakeAnswer(balancer, answer, kNow);
                  },
-                 [](const packets::GivenBack&) {}},
+                 [](const packets::GivenBack&) {},
+                 [&](packets::RouteClassesPart part) {
+                   part.service = kService;
+                   RequestClasses(agent, part);
+                   packets::TakeRouteClasses(agent, part, kNow);
+                   packets::PriorityRange(agent);
+                 }},
              *control);
   return 0;
 }
