--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -299,6 +299,7 @@
   const auto control = packets::DecodeControl(datagram, sender);
   const auto* hello = control ? std::get_if<packets::Hello>(&*control) : nullptr;
   const auto* query = control ? std::get_if<packets::FlowQuery>(&*control) : nullptr;
+  const auto* part = control ? std::get_if<packets::RouteClassesPart>(&*control) : nullptr;
   if (hello != nullptr) {
     this->OnHello(sender, *hello);
     this->KeepConfiguration(sender, hello->revision);
@@ -308,9 +309,17 @@
   if (query != nullptr) {
     return this->SendControl(sender, packets::AnswerQuery(this->core, *query, base::Now()));
   }
+  if (part != nullptr) return this->OnRouteClasses(*part);
   ++this->malformed;
 }
 
+auto AgentNode::OnRouteClasses(const packets::RouteClassesPart& part) -> void {
+  if (!packets::TakeRouteClasses(this->core, part, base::Now())) return;
+  const auto& known = this->core.route_classes;
+  Log(LogLevel::kInfo, "route_classes",
+      {{"version", known.version}, {"routes", known.classes.size()}});
+}
+
 auto AgentNode::OnHello(packets::Address balancer, const packets::Hello& hello) -> void {
   const auto was_drained = packets::IsDrained(this->core.drained, this->core.domain);
   packets::TakeHello(this->core, balancer, hello, base::Now());
@@ -418,6 +427,8 @@
   auto counts = CountsOf(this->core);
   const auto calls = CountsOf(CallsByFreshness{this->client.Counts(), this->stale_client.Counts()});
   counts.insert(counts.end(), calls.begin(), calls.end());
+  counts.push_back({"classed_routes", "Routes of the target's service whose class is known",
+                    this->core.route_classes.classes.size(), true});
   counts.push_back(
       {"malformed_total", "Datagrams and heartbeats rejected as malformed", this->malformed});
   return counts;
