Serve counters of shortages, and log their beginning and end

Cause: an operator has to see that a service is full at a target, and which rule turned openings away.

Change: packets::ShortageCounters holds the counts, which the core does not raise yet. They are served as anvildrum_packets_shortages_total, admitted_first_total, left_to_copies_total and turned_away_total with the label "reason"; the gauge anvildrum_packets_short is derived from admission::IsShort when the page is read. AgentNode::Check logs shortage_began and shortage_ended with their inputs, at most one line a second; NextShortageLine decides which line is due.

--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -15,6 +15,7 @@
 #include "packetd/peer_configuration.h"
 #include "packetd/registrar.h"
 #include "packetd/settings.h"
+#include "packetd/shortage_log.h"
 #include "packetd/target_watch.h"
 #include "packets/agent.h"
 #include "packets/control.h"
@@ -66,6 +67,7 @@
       -> void;
   [[nodiscard]] auto Counts() const -> std::vector<NamedCount>;
   auto LogTraffic() -> void;
+  auto LogShortage(base::TimePoint now) -> void;
   auto RemoveRecordOfSilent(base::TimePoint now) -> void;
   auto LogInvalidInput(std::string_view event, std::string_view path) -> void;
   [[nodiscard]] auto IsKnown() const -> bool;
@@ -85,9 +87,10 @@
   std::uint64_t malformed = 0;
   packets::TargetState told_state = packets::TargetState::kUnknown;  ///< last pushed state
   TargetWatch target_watch;
-  PeerConfiguration configuration;         ///< copy for balancers that find no other
-  base::TimePoint asked_at{};              ///< last request for a newer configuration
-  base::TimePoint reminded_at{};           ///< last reports to silent balancers
+  PeerConfiguration configuration;  ///< copy for balancers that find no other
+  base::TimePoint asked_at{};       ///< last request for a newer configuration
+  base::TimePoint reminded_at{};    ///< last reports to silent balancers
+  ShortageLog shortage_log;
   packets::AgentCounters logged_counters;  ///< counters as of the last traffic log line
   std::unique_ptr<net::UdpPort> packet_port;
   std::unique_ptr<net::UdpPort> target_port;
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -134,6 +134,7 @@
   packets::NoteEvent(this->core.stall, now);
   packets::RefreshPeers(this->core, now);
   this->RemindBalancers(now);
+  this->LogShortage(now);
   const auto state = packets::StateOf(this->core, now);
   if (std::exchange(this->told_state, state) != state) this->ReportToAll();
 }
@@ -415,7 +416,7 @@
 }
 
 auto AgentNode::Counts() const -> std::vector<NamedCount> {
-  auto counts = CountsOf(this->core);
+  auto counts = CountsOf(this->core, base::Now());
   const auto calls = CountsOf(CallsByFreshness{this->client.Counts(), this->stale_client.Counts()});
   counts.insert(counts.end(), calls.begin(), calls.end());
   counts.push_back(
@@ -452,6 +453,22 @@
   this->logged_counters = counters;
 }
 
+auto AgentNode::LogShortage(base::TimePoint now) -> void {
+  const auto& admission = this->core.admission;
+  const auto turned_away = TurnedAway(this->core.counters.shortage);
+  const auto line =
+      NextShortageLine(this->shortage_log, admission::IsShort(admission, now), turned_away, now);
+  if (line == ShortageLine::kNone) return;
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  Log(LogLevel::kInfo, line == ShortageLine::kBegan ? "shortage_began" : "shortage_ended",
+      {{"in_flight", this->core.at_work},
+       {"slots", this->core.target.last.slots},
+       {"most_urgent", admission.most_urgent},
+       {"least_urgent", admission.least_urgent},
+       {"service_time_ms", Milliseconds(admission.mix.mean).count()},
+       {"turned_away", turned_away - this->shortage_log.turned_away}});
+}
+
 // Removes the record after a doubtful leave once the target has stayed silent, which shows that the
 // leave was genuine.
 auto AgentNode::RemoveRecordOfSilent(base::TimePoint now) -> void {
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -1,5 +1,6 @@
 #include "packetd/metrics.h"
 
+#include <array>
 #include <numeric>
 #include <string>
 
@@ -8,6 +9,30 @@
 
 constexpr auto kPrefix = std::string_view{"anvildrum_packets_"};
 
+constexpr auto kTurnedAwayBy =
+    std::array{admission::Limit::kPriority, admission::Limit::kCompletion,
+               admission::Limit::kCaller, admission::Limit::kSlots};
+
+auto ShortageCountsOf(const packets::Agent& agent, base::TimePoint now) -> std::vector<NamedCount> {
+  const auto& counters = agent.counters.shortage;
+  auto counts = std::vector<NamedCount>{
+      {"short", "Whether the service is short of capacity at this target",
+       admission::IsShort(agent.admission, now) ? 1U : 0U, true},
+      {"shortages_total", "Shortages that began", counters.shortages},
+      {"admitted_first_total", "Openings of the highest priority admitted before lower ones",
+       counters.admitted_urgent_first},
+      {"left_to_copies_total", "Openings left without an answer until their client's next copy",
+       counters.left_to_copies},
+  };
+  for (const auto limit : kTurnedAwayBy) {
+    counts.push_back({.name = "turned_away_total",
+                      .help = "Openings that the target was not given, by reason",
+                      .value = counters.turned_away.at(static_cast<std::size_t>(limit)),
+                      .reason = admission::NameOf(limit)});
+  }
+  return counts;
+}
+
 }  // namespace
 
 auto Sum(std::span<const std::uint64_t> counts) -> std::uint64_t {
@@ -34,9 +59,9 @@
   };
 }
 
-auto CountsOf(const packets::Agent& agent) -> std::vector<NamedCount> {
+auto CountsOf(const packets::Agent& agent, base::TimePoint now) -> std::vector<NamedCount> {
   const auto& counters = agent.counters;
-  return {
+  auto counts = std::vector<NamedCount>{
       {"delivered_total", "Packets delivered to the target", counters.delivered},
       {"replies_total", "Packets of the target sent to clients", counters.replies},
       {"returned_total", "Packets that the target gave back", counters.returned},
@@ -55,6 +80,9 @@
       {"late_heartbeats_total", "Heartbeats that were late or of another service",
        counters.late_heartbeats},
   };
+  const auto of_shortage = ShortageCountsOf(agent, now);
+  counts.insert(counts.end(), of_shortage.begin(), of_shortage.end());
+  return counts;
 }
 
 auto CountsOf(const CallsByFreshness& calls) -> std::vector<NamedCount> {
@@ -88,10 +116,13 @@
 auto Export(telemetry::Registry& registry, const std::vector<NamedCount>& counts) -> void {
   for (const auto& count : counts) {
     const auto name = std::string(kPrefix) + std::string(count.name);
+    auto labels = telemetry::Labels{};
+    if (!count.reason.empty()) labels.push_back({"reason", std::string(count.reason)});
     if (count.is_gauge) {
-      telemetry::AddGauge(registry, name, count.help).value = static_cast<double>(count.value);
+      telemetry::AddGauge(registry, name, count.help, labels).value =
+          static_cast<double>(count.value);
     } else {
-      telemetry::AddCounter(registry, name, count.help).value = count.value;
+      telemetry::AddCounter(registry, name, count.help, labels).value = count.value;
     }
   }
 }
--- a/src/packetd/metrics.h
+++ b/src/packetd/metrics.h
@@ -18,7 +18,8 @@
   std::string_view name;  ///< Prometheus name, without the common prefix
   std::string_view help;
   std::uint64_t value = 0;
-  bool is_gauge = false;  ///< the value may decrease
+  bool is_gauge = false;         ///< the value may decrease
+  std::string_view reason = {};  ///< value of the label `reason`; empty: no label
 };
 
 /// Counts of a process's calls to the platform, by the freshness of the answers.
@@ -30,7 +31,7 @@
 auto Sum(std::span<const std::uint64_t> counts) -> std::uint64_t;
 
 auto CountsOf(const packets::Balancer& balancer) -> std::vector<NamedCount>;
-auto CountsOf(const packets::Agent& agent) -> std::vector<NamedCount>;
+auto CountsOf(const packets::Agent& agent, base::TimePoint now) -> std::vector<NamedCount>;
 auto CountsOf(const CallsByFreshness& calls) -> std::vector<NamedCount>;
 auto CountsOf(const OperatorReadCounters& reads) -> std::vector<NamedCount>;
 
--- a/src/packetd/tests/settings_test.cc
+++ b/src/packetd/tests/settings_test.cc
@@ -88,7 +88,10 @@
       {R"("place_by_completion": null)", Code::kWrongType, "/place_by_completion"},
   };
   for (const auto& [text, code, pointer] : cases) {
-    const auto faults = Faults(R"({"role": "balancer", )" + text + "," + kCommon + "}");
+    auto document = std::string{R"({"role": "balancer", )"};
+    document += text;
+    document += "," + kCommon + "}";
+    const auto faults = Faults(document);
     BOOST_TEST_CONTEXT(text) {
       BOOST_REQUIRE(faults.size() == 1U);
       BOOST_TEST((faults.front().code == code));
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -175,6 +177,17 @@
   bool ignore_refusals = false;  ///< it sent a heartbeat after a refused connection
 };
 
+inline constexpr auto kLimitCount = static_cast<std::size_t>(admission::Limit::kCaller) + 1;
+
+/// Openings decided by admission::Decide, and the shortages that it found.
+struct ShortageCounters {
+  std::uint64_t shortages = 0;  ///< shortages that began
+  /// Openings of the highest priority that were admitted where a lower one would not have been.
+  std::uint64_t admitted_urgent_first = 0;
+  std::array<std::uint64_t, kLimitCount> turned_away{};  ///< by admission::Limit; kNone is unused
+  std::uint64_t left_to_copies = 0;  ///< openings left without an answer until the client's copy
+};
+
 struct AgentCounters {
   std::uint64_t delivered = 0;
   std::uint64_t replies = 0;
@@ -189,6 +202,7 @@
   std::uint64_t elsewhere = 0;      ///< packets of flows that may be open at another target
   std::uint64_t refused = 0;        ///< openings that no target accepted, answered by a reset
   std::uint64_t late_heartbeats = 0;
+  ShortageCounters shortage;
 };
 
 struct Agent {
