--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -34,7 +34,8 @@
   /// Binds all sockets and starts to serve. Errors: net::NetError.
   auto Start() -> base::Result<void>;
 
-  /// Applies changed seeds and the target's changed service and address.
+  /// Applies changed seeds, the changed policy under shortage, and the target's changed service and
+  /// address.
   auto Reload(const Settings& settings) -> void;
 
   /// Directs openings to other agents. Returns how long the process has to continue to run.
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -216,6 +216,7 @@
 // The agent may have a different target from now on, possibly of another service.
 auto AgentNode::Reload(const Settings& changed) -> void {
   this->settings.seeds = changed.seeds;
+  this->core.admission.policy = ShortagePolicyOf(changed, this->adapter.shortage_contract);
   if (!changed.agent || *changed.agent == *this->settings.agent) return;
   this->settings.agent->target = changed.agent->target;
   this->target_watch.SetTarget(changed.agent->target);
