Report request outcomes and service times of targets

Balancers could not tell a target that fails fast from an idle one.

The agent derives the outcome of each request from its packets: resets by the target, requests without an answer after eight times the usual time, returned packets, and answers far shorter than usual. Clients that leave, flows that the target may not hold and stalls of the agent are no failures.

--- a/src/outlier/internal/verdicts.cc
+++ b/src/outlier/internal/verdicts.cc
@@ -33,7 +33,7 @@
 // failure in its counts. With the plain quotient the peers' median was then 0, and one healthy
 // target in 11 became doubtful within an hour.
 auto ShareOf(const Counts& counts) -> double {
-  return (counts.failed + 0.5) / (counts.answered + 1.0);
+  return (std::min(counts.failed, counts.answered) + 0.5) / (counts.answered + 1.0);
 }
 
 // Returns the median of the sorted shares without the one at `left_out`.
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "outlier/outcomes.h"
 #include "packets/balancer.h"
 #include "packets/cold.h"
 #include "packets/control.h"
@@ -60,7 +61,7 @@
   /// A target may keep running briefly after its leave notice. For this long, packets of its flows
   /// are still delivered and balancers are not informed.
   base::Duration leave_grace = base::milliseconds{500};
-  /// Maximum number of tracked flows, 150 bytes each. Packets of further flows are handled as those
+  /// Maximum number of tracked flows, 170 bytes each. Packets of further flows are handled as those
   /// of unknown flows, so that a flood of forged flows cannot exhaust the memory limit.
   std::size_t max_flows = 50'000;
   /// The state of a flow that is not open at this target is dropped after this long without a
@@ -100,6 +101,15 @@
   kNotHeld,        ///< the target returned a packet of the flow
 };
 
+/// The last request of a flow and its answer, for the outcomes at the target.
+struct AnswerState {
+  base::Duration taken{};   ///< from the request's last packet to the first data of the answer
+  std::uint32_t bytes = 0;  ///< of the answer so far
+  std::uint16_t ahead = 0;  ///< requests that waited for a slot when this one arrived
+  bool answering = false;   ///< the answer has begun and is not counted yet
+  bool counted = false;     ///< the request has counted as failed
+};
+
 /// State of a flow that was offered to the target, and its load.
 struct FlowState {
   FlowStage stage = FlowStage::kOffered;
@@ -111,6 +121,7 @@
   std::optional<std::uint32_t> request_end{};
   base::TimePoint seen{};
   base::TimePoint asked_at{};  ///< last packet of the request in progress; the epoch if none
+  AnswerState answer{};
 };
 
 /// An opening that was delivered.
@@ -219,6 +230,7 @@
   std::uint64_t reports = 0;
   bool stopping = false;  ///< the process is about to end
   StallWatch stall;
+  outlier::Outcomes outcomes;  ///< of the requests at the target
   AgentCounters counters;
 };
 
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -6,6 +6,7 @@
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/agent_target.h"
 #include "packets/internal/flow_load.h"
+#include "packets/internal/request_outcome.h"
 #include "packets/order.h"
 
 namespace anvildrum::packets {
@@ -143,6 +144,7 @@
   const auto packet = WithoutStaleRefusal(agent, received, now);
   if (packet.returned) {
     ++agent.counters.returned;
+    NoteReturned(agent, packet, now);
     if (!IsOpening(packet)) return ReturnOf(agent, packet, now);
     Erase(agent, FlowFromClient(packet));
     return PassOn(agent, packet, now);
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -5,6 +5,7 @@
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/flow_load.h"
 #include "packets/internal/incarnations.h"
+#include "packets/internal/request_outcome.h"
 
 namespace anvildrum::packets {
 namespace {
@@ -50,6 +51,7 @@
   if (WasHeard(target)) Retire(target, before);
   if (IsFormerId(target, next.id)) target.restarted_at = now;
   Reinstate(target, next);
+  if (WasHeard(target)) ForgetOutcomes(agent);
   if (WasHeard(target)) MarkFlowsUncertain(agent, StartedAtEarliest(agent, heartbeat, now));
 }
 
@@ -169,6 +171,7 @@
   agent.target.restarted_at = now;  // messages of the earlier service's target may arrive late
   agent.balancers.clear();
   agent.wanted.reset();
+  agent.outcomes = {};
   ForgetFlows(agent);
   MergePeers(agent, now);
 }
@@ -183,6 +186,7 @@
   ExpireOffers(agent, now);
   const auto& target = agent.target;
   const auto asks = agent.wanted && agent.wanted->balancer == balancer;
+  const auto counts = outlier::CountsOf(agent.outcomes, now);
   return {.agent = agent.own,
           .service = agent.service,
           .start = agent.start,
@@ -194,7 +198,10 @@
           .cold = IsCold(agent, now),
           .wanted_list = asks ? agent.wanted->digest : 0,
           .domain = agent.domain,
-          .drained = DrainedFor(agent, balancer)};
+          .drained = DrainedFor(agent, balancer),
+          .answered = counts.answered,
+          .failed = counts.failed,
+          .service_time = outlier::MeanService(agent.outcomes, now)};
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -60,6 +60,14 @@
   return message;
 }
 
+// A known service time stays known, however short or long it is.
+auto ServiceMicroseconds(base::Duration time) -> std::uint32_t {
+  if (time <= base::Duration{}) return 0;
+  constexpr auto most = base::microseconds{std::numeric_limits<std::uint32_t>::max()};
+  const auto whole = std::chrono::duration_cast<base::microseconds>(time);
+  return static_cast<std::uint32_t>(std::clamp(whole, base::microseconds{1}, most).count());
+}
+
 auto ToMessage(const TargetReport& report) -> pb::Control {
   auto message = pb::Control{};
   auto* body = message.mutable_report();
@@ -75,6 +83,9 @@
   body->set_domain(report.domain);
   body->set_revision(report.revision);
   if (report.drained.revision != 0) PutDrained(report.drained, *body->mutable_drained());
+  body->set_answered(report.answered);
+  body->set_failed(report.failed);
+  body->set_service_us(ServiceMicroseconds(report.service_time));
   return message;
 }
 
@@ -205,6 +216,7 @@
   if (message.state() > static_cast<std::uint32_t>(TargetState::kStopping)) return std::nullopt;
   const auto drained = DrainedFrom(message.drained());
   if (!IsDomain(message.domain()) || !drained) return std::nullopt;
+  if (message.failed() > message.answered()) return std::nullopt;
   return TargetReport{.agent = sender,
                       .service = base::ServiceId{message.service()},
                       .start = message.start(),
@@ -217,7 +229,10 @@
                       .wanted_list = message.wanted_list(),
                       .domain = message.domain(),
                       .revision = message.revision(),
-                      .drained = *drained};
+                      .drained = *drained,
+                      .answered = message.answered(),
+                      .failed = message.failed(),
+                      .service_time = base::microseconds{message.service_us()}};
 }
 
 // Inverse of KeyOf; returns nullopt for numbers that are not an address and port.
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "packets/internal/request_outcome.h"
+
 namespace anvildrum::packets {
 namespace {
 
@@ -120,6 +122,7 @@
     const auto entry = agent.flows.find(oldest.flow);
     const auto waits = entry != agent.flows.end() && (entry->second.stage == FlowStage::kOffered ||
                                                       entry->second.stage == FlowStage::kAnswered);
+    if (waits) NoteUnansweredOpening(agent, oldest.flow, entry->second, now);
     if (waits) SetAtWork(agent, entry->second, false);
     agent.offered.pop_front();
   }
@@ -144,6 +147,7 @@
   const auto flow = FlowFromClient(packet);
   const auto cold_limit = IsOpening(packet) ? ColdLimit(agent, now) : 0;
   if (cold_limit != 0) CountColdOpening(agent.target.cold_allowance, cold_limit, now);
+  if (packet.reset) NoteClientReset(agent, flow, now);
   if (packet.reset) return Erase(agent, flow);
   auto entry = agent.flows.find(flow);
   if (entry != agent.flows.end() && entry->second.stage == FlowStage::kNotHeld) {
@@ -167,6 +171,7 @@
   }
   if (entry->second.stage == FlowStage::kAssumed) ++entry->second.unanswered;
   if (IsNewData(entry->second, packet)) {
+    NoteRequest(agent, flow, entry->second, now);
     SetAtWork(agent, entry->second, true);
     entry->second.asked_at = now;
     entry->second.request_end = packet.sequence + packet.payload;
@@ -184,6 +189,7 @@
   }
   auto& flow = entry->second;
   const auto answered = packet.payload != 0 ? TakeAnswer(agent, flow, now) : std::nullopt;
+  NoteFromTarget(agent, entry->first, flow, packet, answered, now);
   if (packet.reset) {
     Erase(agent, entry->first);
     return answered;
@@ -254,9 +260,13 @@
   auto quiet = std::vector<FlowId>{};
   agent.quiet_work = 0;
   for (auto& [flow, state] : agent.flows) {
+    NoteSilence(agent, flow, state, now);
     if (state.at_work && IsWorkAbandoned(agent, state, now)) SetAtWork(agent, state, false);
     if (state.at_work && now - state.seen > agent.policy.overtaken_timeout) ++agent.quiet_work;
-    if (now - state.seen > IdleTimeoutOf(agent.policy, state.stage)) quiet.push_back(flow);
+    if (now - state.seen > IdleTimeoutOf(agent.policy, state.stage)) {
+      NoteEndOfFlow(agent, flow, state, now);
+      quiet.push_back(flow);
+    }
   }
   for (const auto& flow : quiet) Erase(agent, flow);
   std::erase_if(agent.balancers, [&](const auto& entry) {
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -75,6 +75,36 @@
   BOOST_TEST(!std::get<Hello>(*RoundTrip(Hello{})).echo.has_value());
 }
 
+// Guards against a report whose counts are lost on the way, or read from an old build as failures.
+BOOST_AUTO_TEST_CASE(a_report_carries_outcomes_and_service_time) {
+  const auto read = RoundTrip(TargetReport{.agent = kSender,
+                                           .answered = 90,
+                                           .failed = 7,
+                                           .service_time = base::nanoseconds{30'000'999}});
+  BOOST_REQUIRE(read);
+  const auto& report = std::get<TargetReport>(*read);
+  BOOST_TEST(report.answered == 90U);
+  BOOST_TEST(report.failed == 7U);
+  BOOST_TEST((report.service_time == base::microseconds{30'000}));
+  const auto old = RoundTrip(TargetReport{.agent = kSender});
+  BOOST_REQUIRE(old);
+  BOOST_TEST(std::get<TargetReport>(*old).answered == 0U);
+  BOOST_TEST((std::get<TargetReport>(*old).service_time == base::Duration{}));
+}
+
+// Guards against a known service time that is read as unknown, and against an overflow.
+BOOST_AUTO_TEST_CASE(extreme_service_times_stay_known) {
+  auto report = TargetReport{.agent = kSender, .service_time = base::nanoseconds{1}};
+  BOOST_TEST((std::get<TargetReport>(*RoundTrip(report)).service_time == base::microseconds{1}));
+  report.service_time = base::hours{24};
+  BOOST_TEST((std::get<TargetReport>(*RoundTrip(report)).service_time > base::hours{1}));
+}
+
+// Guards against a failure share above 1.
+BOOST_AUTO_TEST_CASE(a_report_of_more_failures_than_requests_is_unreadable) {
+  BOOST_TEST(!RoundTrip(TargetReport{.agent = kSender, .answered = 3, .failed = 4}));
+}
+
 BOOST_AUTO_TEST_CASE(a_domain_that_has_too_many_bits_makes_a_hello_unreadable) {
   auto hello = Hello{};
   hello.drained = DrainedOf(5, {DomainTag{1} << kDomainTagBits});
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/types/ids.h"
+#include "base/types/time.h"
 #include "packets/drain.h"
 #include "packets/types/packet.h"
 #include "packets/types/place.h"
@@ -39,6 +40,11 @@
   DomainTag domain = 0;           ///< failure domain of the agent
   std::uint64_t revision = 0;     ///< platform revision of its configuration copy; 0 if none
   DrainedDomains drained{};       ///< set only if the balancer has an older, different set
+  std::uint32_t answered = 0;     ///< requests that ended in the last one to two seconds
+  std::uint32_t failed = 0;       ///< of these, the failed ones
+  /// Mean of recent requests without the wait in the target's queue; zero: unknown. Reports carry
+  /// it in whole microseconds.
+  base::Duration service_time{};
 };
 
 /// One run of a target's process. A later run may use the same id, but holds none of the flows of
