Place openings by verdicts and by expected completion

Openings went to the least loaded candidate, so that a target that fails fast attracted requests, and slow targets were busier than the others.

With BalancerPolicy::avoid_failing_targets a balancer assesses the agents of each service every 250 ms; a doubtful target receives repeatable requests only, a bad one a twentieth of the openings that have it first in order. Until routes carry classes, no request counts as repeatable. With place_by_completion candidates are compared by the time at which a request would end; times within a quarter of the median count as equal, since the reported means vary by a tenth. Both are off by default.

--- a/src/outlier/verdicts.h
+++ b/src/outlier/verdicts.h
@@ -37,7 +37,7 @@
 struct TargetEvidence {
   std::uint64_t target = 0;  ///< any key that is unique in the service
   std::uint64_t start = 0;   ///< differs between starts of the agent, which lose the evidence
-  Counts counts;
+  Counts counts{};
   bool current = true;  ///< false: no report has arrived since the last assessment
 };
 
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -13,6 +13,7 @@
 #include "packets/routes.h"
 #include "packets/stall.h"
 #include "packets/types/search.h"
+#include "packets/types/target_verdicts.h"
 #include "packets/view.h"
 
 /// Decides to which agent a balancer forwards each client packet. This code does no input or
@@ -48,6 +49,12 @@
   double held_flow_weight = 0.03;
   /// Factor applied to the load of a target that has just started and is still slow.
   double cold_load_factor = 2.0;
+  /// Targets whose requests fail more often than those of their peers lose weight
+  /// (packets/target_verdicts.h).
+  bool avoid_failing_targets = false;
+  /// Candidates are compared by the time at which the opening's request would end there, instead of
+  /// by requests per slot.
+  bool place_by_completion = false;
 };
 
 /// Maximum number of agents that a hint records as tried for an opening.
@@ -94,6 +101,7 @@
   View view;
   std::unordered_map<FlowId, Hint> hints;
   Searches searches;
+  TargetVerdicts verdicts;
   StallWatch stall;
   BalancerCounters counters;
 };
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -6,6 +6,7 @@
 
 #include "packets/order.h"
 #include "packets/search.h"
+#include "packets/target_verdicts.h"
 
 namespace anvildrum::packets {
 namespace {
@@ -25,16 +26,46 @@
   return requests / std::max(1.0, static_cast<double>(report.slots));
 }
 
+// Returns the time in seconds at which a further request would end at the member.
+auto CompletionAt(const BalancerPolicy& policy, const Member& member, double service_time)
+    -> double {
+  const auto slots = std::max(1.0, static_cast<double>(member.report.slots));
+  return std::max(1.0, LoadOf(policy, member) + 1 / slots) * service_time;
+}
+
 auto HasFreeSlot(const Member& member) -> bool {
   return member.report.in_flight + member.offered < member.report.slots;
 }
 
-// Returns the least loaded of the first `count` agents in the order, with its load; the agent is 0
-// if there is none.
-auto LeastLoaded(const Balancer& balancer, std::span<const Address> order, std::size_t count)
+// Returns the agent at which the opening's request would end first, with its load. Of agents with
+// the same time, the least loaded one is preferred.
+auto FirstToComplete(const Balancer& balancer, std::span<const Address> agents,
+                     std::span<const double> service_times) -> std::pair<Address, double> {
+  auto best = std::pair<Address, double>{};
+  auto earliest = std::pair<double, double>{};
+  for (auto i = std::size_t{0}; i < agents.size(); ++i) {
+    const auto& member = balancer.view.members.at(agents[i]);
+    const auto load = LoadOf(balancer.policy, member);
+    const auto rank = std::pair{CompletionAt(balancer.policy, member, service_times[i]), load};
+    if (best.first != 0 && rank >= earliest) continue;
+    best = {agents[i], load};
+    earliest = rank;
+  }
+  return best;
+}
+
+// Returns the best of the first `count` agents in the order, with its load: the least loaded one,
+// or that with the earliest completion if the targets differ in speed. The agent is 0 if there is
+// none.
+auto BestOf(const Balancer& balancer, std::span<const Address> order, std::size_t count)
     -> std::pair<Address, double> {
+  const auto agents = order.first(std::min(order.size(), count));
+  if (balancer.policy.place_by_completion) {
+    const auto times = ComparedServiceTimes(balancer, agents);
+    if (!times.empty()) return FirstToComplete(balancer, agents, times);
+  }
   auto best = std::pair<Address, double>{};
-  for (const auto agent : order.first(std::min(order.size(), count))) {
+  for (const auto agent : agents) {
     const auto load = LoadOf(balancer.policy, balancer.view.members.at(agent));
     if (best.first == 0 || load < best.second) best = {agent, load};
   }
@@ -44,17 +75,25 @@
 // Returns the least loaded of the first few agents, or of all if these are busy. If the hint of a
 // flow is lost, an extra hop for its packets costs less than a request that waits.
 auto ChooseAmong(const Balancer& balancer, std::span<const Address> order) -> Address {
-  const auto near = LeastLoaded(balancer, order, balancer.policy.candidates);
+  const auto near = BestOf(balancer, order, balancer.policy.candidates);
   if (near.first == 0 || near.second < balancer.policy.busy_load) return near.first;
-  return LeastLoaded(balancer, order, order.size()).first;
+  return BestOf(balancer, order, order.size()).first;
 }
 
+// Whether running the flow's request twice does no harm. The routes do not carry the classes of
+// requests yet, so that every request counts as one that runs at most once.
+auto MayRepeat(const Balancer& /*balancer*/, const FlowId& /*flow*/) -> bool { return false; }
+
 // Prefers an agent in the balancer's own failure domain, unless the least loaded of the candidates
 // there has no free slot.
 auto ChooseAgent(const Balancer& balancer, const FlowId& flow, base::ServiceId service,
                  const Hint& hint, base::TimePoint now) -> Address {
   auto usable = PlacementSet(balancer.view, service, now);
   std::erase_if(usable, [&](const Place& place) { return WasTried(hint, place.agent); });
+  if (balancer.policy.avoid_failing_targets) {
+    const auto repeatable = MayRepeat(balancer, flow);
+    usable = WithoutFailing(balancer, flow, service, std::move(usable), repeatable, now);
+  }
   const auto order = RendezvousOrder(flow, usable, balancer.domain);
   const auto in_domain = std::count_if(usable.begin(), usable.end(), [&](const Place& place) {
     return place.domain == balancer.domain;
