Export and log the verdicts on targets

Operators could not see which targets a balancer avoids, or why.

Balancers export the gauges doubtful_targets and bad_targets, and log each change of a verdict with the counts, the peers' median failure share and the ratio. Assessments run from the check timer, at most every 250 ms. No switch in the settings reaches the policy yet, so that no verdict is made in a deployment.

--- a/src/outlier/tests/verdicts_test.cc
+++ b/src/outlier/tests/verdicts_test.cc
@@ -19,6 +19,7 @@
 
 constexpr auto kStart = base::TimePoint{seconds{1000}};
 constexpr auto kTick = milliseconds{250};  // period of the reports and the assessments
+constexpr auto kTicksPerHour = std::size_t{4} * 3600;
 constexpr auto kRoute = std::uint64_t{7};
 
 /// How a target answers at a time.
@@ -283,7 +284,7 @@
   auto evidence = std::vector<TargetEvidence>(targets);
   auto state = ServiceState{};
   auto alarmed = std::set<std::uint64_t>{};
-  for (auto tick = std::size_t{0}; tick < 4 * 3600; ++tick) {
+  for (auto tick = std::size_t{0}; tick < kTicksPerHour; ++tick) {
     for (auto i = std::size_t{0}; i < targets; ++i) {
       auto& [current, previous] = drawn[i].generations;
       // The generations of the agents begin at different times.
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -93,6 +93,7 @@
                    packets::Address agent = 0) -> void;
   [[nodiscard]] auto Counts() const -> std::vector<NamedCount>;
   auto LogTraffic() -> void;
+  auto RefreshVerdicts(base::TimePoint now) -> void;
   [[nodiscard]] auto ConfigurationAge(base::TimePoint now) const -> base::Duration;
   [[nodiscard]] auto IsPlatformSilent(base::TimePoint now) const -> bool;
   auto LogFreshness(base::TimePoint now) -> void;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -12,6 +12,7 @@
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
 #include "packets/reach.h"
+#include "packets/target_verdicts.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -84,6 +85,7 @@
         this->LogFreshness(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
+        this->RefreshVerdicts(now);
       });
   this->sweep_timer =
       std::make_unique<net::PeriodicTimer>(this->io, kSweepPeriod, [this](base::TimePoint now) {
@@ -431,6 +433,20 @@
   this->logged_counters = counters;
 }
 
+auto BalancerNode::RefreshVerdicts(base::TimePoint now) -> void {
+  for (const auto& [service, change] : packets::RefreshVerdicts(this->core, now)) {
+    const auto agent = static_cast<packets::Address>(change.target);
+    Log(LogLevel::kInfo, "target_verdict",
+        {{"agent", FormatAddress(agent)},
+         {"before", outlier::NameOf(change.before)},
+         {"after", outlier::NameOf(change.after)},
+         {"answered", change.counts.answered},
+         {"failed", change.counts.failed},
+         {"peers_failed_share", change.peer_share},
+         {"ratio", change.ratio}});
+  }
+}
+
 // Returns an agent whose absence prevents the reset of lost flows; 0 if there is none.
 auto BalancerNode::FirstAway() const -> packets::Address {
   for (const auto& [service, hello] : this->last_hellos) {
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -3,6 +3,8 @@
 #include <numeric>
 #include <string>
 
+#include "packets/target_verdicts.h"
+
 namespace anvildrum::packetd {
 namespace {
 
@@ -31,6 +33,10 @@
       {"resets_total", "Flows that no target holds, answered by a reset", counters.resets},
       {"drained_domains", "Failure domains that an operator has drained",
        balancer.view.drained.domains.size(), true},
+      {"doubtful_targets", "Targets that receive repeatable requests only",
+       packets::CountVerdicts(balancer, outlier::Verdict::kDoubtful), true},
+      {"bad_targets", "Targets that receive a twentieth of their repeatable requests",
+       packets::CountVerdicts(balancer, outlier::Verdict::kBad), true},
   };
 }
 
