--- a/src/admission/controller.h
+++ b/src/admission/controller.h
@@ -85,6 +85,11 @@
 auto PredictCompletion(const Controller& controller, const RequestClass& request,
                        const TargetLoad& load) -> base::Duration;
 
+/// Whether an admitted opening belongs to the highest priority and finds the target so busy that
+/// one of a lower priority would have been turned away.
+auto GoesFirst(const Controller& controller, const Candidate& candidate, const TargetLoad& load,
+               base::TimePoint now) -> bool;
+
 /// Maximum number of agents that an opening may visit after the first one that has turned it away.
 auto MaxHops(const Controller& controller, const Candidate& candidate, std::uint8_t ordinary,
              base::TimePoint now) -> std::uint8_t;
--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -115,7 +115,8 @@
 auto CopyLimit(const Controller& controller, const Candidate& candidate, const TargetLoad& load,
                base::TimePoint now) -> double {
   const auto& policy = controller.policy;
-  return (IsLastCopy(controller, candidate, now) ? policy.opening_limit : policy.copy_limit) * load.slots;
+  return (IsLastCopy(controller, candidate, now) ? policy.opening_limit : policy.copy_limit) *
+         load.slots;
 }
 
 auto UrgentLimit(const Controller& controller, const TargetLoad& load) -> double {
@@ -227,6 +228,15 @@
   return DecideUnderShortage(controller, candidate, load, now);
 }
 
+auto GoesFirst(const Controller& controller, const Candidate& candidate, const TargetLoad& load,
+               base::TimePoint now) -> bool {
+  const auto ordered =
+      controller.policy.order_by_priority && controller.most_urgent != controller.least_urgent;
+  if (!ordered || !candidate.request.known || candidate.copies != 0) return false;
+  if (!IsShort(controller, now) || !IsUrgent(controller, candidate.request)) return false;
+  return load.in_flight >= LessUrgentLimit(controller, load);
+}
+
 auto AheadOf(const TargetLoad& load) -> std::uint32_t {
   return load.in_flight < load.slots ? 0U : load.in_flight + 1 - load.slots;
 }
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -102,6 +102,7 @@
   this->core.admission.policy = ShortagePolicyOf(settings, adapter.shortage_contract);
   this->core.service = base::ServiceIdOf(settings.agent->service);
   this->core.start = StartSeed(settings);
+  this->core.callers.seed = this->core.start;
 }
 
 auto AgentNode::Start() -> base::Result<void> {
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -12,6 +12,7 @@
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
 #include "packets/reach.h"
+#include "packets/target_verdicts.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -58,6 +59,8 @@
                packets::RecordProbeResult(this->core.view, machine, began, answered);
              }) {
   this->core.view.policy = this->core.policy.view;
+  this->core.policy.avoid_failing_targets = settings.avoid_failing_targets;
+  this->core.policy.place_by_completion = settings.place_by_completion;
   this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
 }
@@ -84,6 +87,7 @@
         this->LogFreshness(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
+        this->RefreshVerdicts(now);
       });
   this->sweep_timer =
       std::make_unique<net::PeriodicTimer>(this->io, kSweepPeriod, [this](base::TimePoint now) {
@@ -435,6 +439,20 @@
   this->logged_counters = counters;
 }
 
+auto BalancerNode::RefreshVerdicts(base::TimePoint now) -> void {
+  for (const auto& [service, change] : packets::RefreshVerdicts(this->core, now)) {
+    const auto agent = static_cast<packets::Address>(change.target);
+    Log(LogLevel::kInfo, "target_verdict",
+        {{"agent", FormatAddress(agent)},
+         {"before", outlier::NameOf(change.before)},
+         {"after", outlier::NameOf(change.after)},
+         {"answered", change.counts.answered},
+         {"failed", change.counts.failed},
+         {"peers_failed_share", change.peer_share},
+         {"ratio", change.ratio}});
+  }
+}
+
 // Returns an agent whose absence prevents the reset of lost flows; 0 if there is none.
 auto BalancerNode::FirstAway() const -> packets::Address {
   for (const auto& [service, hello] : this->last_hellos) {
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -13,6 +13,7 @@
 
 #include "admission/caller_share.h"
 #include "admission/controller.h"
+#include "outlier/outcomes.h"
 #include "packets/balancer.h"
 #include "packets/cold.h"
 #include "packets/control.h"
@@ -64,7 +65,7 @@
   /// A target may keep running briefly after its leave notice. For this long, packets of its flows
   /// are still delivered and balancers are not informed.
   base::Duration leave_grace = base::milliseconds{500};
-  /// Maximum number of tracked flows, 150 bytes each. Packets of further flows are handled as those
+  /// Maximum number of tracked flows, 170 bytes each. Packets of further flows are handled as those
   /// of unknown flows, so that a flood of forged flows cannot exhaust the memory limit.
   std::size_t max_flows = 50'000;
   /// The state of a flow that is not open at this target is dropped after this long without a
@@ -104,6 +105,15 @@
   kNotHeld,        ///< the target returned a packet of the flow
 };
 
+/// The last request of a flow and its answer, for the outcomes at the target.
+struct AnswerState {
+  base::Duration taken{};   ///< from the request's last packet to the first data of the answer
+  std::uint32_t bytes = 0;  ///< of the answer so far
+  std::uint16_t ahead = 0;  ///< requests that waited for a slot when this one arrived
+  bool answering = false;   ///< the answer has begun and is not counted yet
+  bool counted = false;     ///< the request has counted as failed
+};
+
 /// State of a flow that was offered to the target, and its load.
 struct FlowState {
   FlowStage stage = FlowStage::kOffered;
@@ -111,11 +121,11 @@
   std::uint32_t unanswered = 0;       ///< packets delivered while the stage was kAssumed
   std::uint16_t origin = 0;           ///< Stamp::origin of the last packet
   std::uint32_t target_sequence = 0;  ///< sequence of its answer to the opening
-  std::uint32_t ahead = 0;            ///< requests that waited for a slot before the one in progress
   /// Sequence number after the last byte of client data delivered so far.
   std::optional<std::uint32_t> request_end{};
   base::TimePoint seen{};
   base::TimePoint asked_at{};  ///< last packet of the request in progress; the epoch if none
+  AnswerState answer{};
 };
 
 /// An opening that was delivered.
@@ -239,6 +249,7 @@
   std::uint64_t reports = 0;
   bool stopping = false;  ///< the process is about to end
   StallWatch stall;
+  outlier::Outcomes outcomes;  ///< of the requests at the target
   AgentCounters counters;
 };
 
@@ -315,9 +326,8 @@
 /// another service, are ignored. Returns true if the known classes have changed.
 auto TakeRouteClasses(Agent& agent, const RouteClassesPart& part, base::TimePoint now) -> bool;
 
-/// Returns the class of the requests on the route of a client's packet, or RequestClass{} if the
-/// class is unknown.
-auto ClassOf(const Agent& agent, const Packet& packet) -> admission::RequestClass;
+/// Returns the class of the requests on the route, or RequestClass{} if it is unknown.
+auto ClassOf(const Agent& agent, const End& route) -> admission::RequestClass;
 
 /// Returns the most and the least urgent priority among the known classes of the service's routes,
 /// in this order; both are 0 if no class is known.
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -6,6 +6,7 @@
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/agent_target.h"
 #include "packets/internal/flow_load.h"
+#include "packets/internal/request_outcome.h"
 #include "packets/order.h"
 
 namespace anvildrum::packets {
@@ -24,6 +25,7 @@
   if (drained && !HasSettled(agent, now)) return Discard{DiscardReason::kDrained};
   if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
   if (admission::AwaitsCopy(agent.admission, CandidateOf(agent, packet, now), now)) {
+    ++agent.counters.shortage.left_to_copies;
     return Discard{DiscardReason::kAwaitsCopy};
   }
   ++agent.counters.refused;
@@ -145,9 +147,6 @@
   if (!IsOpening(packet) && IsNotHeld(agent, packet)) return Return(agent, true);
   if (OpenedElsewhere(agent, packet, now)) return Return(agent, false);
   CountFromClient(agent, packet, now);
-  if (IsOpening(packet) && agent.admission.policy.fair_callers) {
-    admission::CountUse(agent.callers, packet.source.address, now);
-  }
   ++agent.counters.delivered;
   return DeliverToTarget{IsOpening(packet) && packet.stamp.hops != 0};
 }
@@ -156,6 +155,7 @@
   const auto packet = WithoutStaleRefusal(agent, received, now);
   if (packet.returned) {
     ++agent.counters.returned;
+    NoteReturned(agent, packet, now);
     if (!IsOpening(packet)) return ReturnOf(agent, packet, now);
     Erase(agent, FlowFromClient(packet));
     return PassOn(agent, packet, now);
--- a/src/packets/internal/agent_classes.cc
+++ b/src/packets/internal/agent_classes.cc
@@ -122,9 +122,9 @@
   return true;
 }
 
-auto ClassOf(const Agent& agent, const Packet& packet) -> admission::RequestClass {
+auto ClassOf(const Agent& agent, const End& route) -> admission::RequestClass {
   const auto& classes = agent.route_classes.classes;
-  const auto entry = classes.find(KeyOf(FlowFromClient(packet).service));
+  const auto entry = classes.find(KeyOf(route));
   return entry == classes.end() ? admission::RequestClass{} : entry->second;
 }
 
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -4,12 +4,13 @@
 #include <tuple>
 #include <utility>
 
+#include "packets/internal/request_outcome.h"
+
 namespace anvildrum::packets {
 namespace {
 
 auto LoadOf(const Agent& agent) -> admission::TargetLoad {
-  return {.in_flight = agent.at_work,
-          .slots = std::max<std::uint32_t>(agent.target.last.slots, 1)};
+  return {.in_flight = agent.at_work, .slots = std::max<std::uint32_t>(agent.target.last.slots, 1)};
 }
 
 // Whether the flow causes no load and is kept only to recognize its client's last packets.
@@ -43,7 +44,8 @@
   if (flow.asked_at == base::TimePoint{}) return std::nullopt;
   agent.answered = std::max(agent.answered, flow.asked_at);
   const auto taken = now - std::exchange(flow.asked_at, {});
-  admission::RecordAnswer(agent.admission, request, taken, flow.ahead, LoadOf(agent).slots, now);
+  admission::RecordAnswer(agent.admission, request, taken, flow.answer.ahead, LoadOf(agent).slots,
+                          now);
   return taken;
 }
 
@@ -98,6 +100,16 @@
   return true;
 }
 
+auto CountVerdict(Agent& agent, const admission::Candidate& candidate, admission::Limit limit,
+                  const admission::TargetLoad& load, base::TimePoint now) -> void {
+  auto& counters = agent.counters.shortage;
+  if (limit != admission::Limit::kNone) {
+    ++counters.turned_away.at(static_cast<std::size_t>(limit));
+    return;
+  }
+  if (admission::GoesFirst(agent.admission, candidate, load, now)) ++counters.admitted_urgent_first;
+}
+
 }  // namespace
 
 auto ColdLimit(const Agent& agent, base::TimePoint now) -> std::uint32_t {
@@ -128,6 +140,7 @@
     const auto entry = agent.flows.find(oldest.flow);
     const auto waits = entry != agent.flows.end() && (entry->second.stage == FlowStage::kOffered ||
                                                       entry->second.stage == FlowStage::kAnswered);
+    if (waits) NoteUnansweredOpening(agent, oldest.flow, entry->second, now);
     if (waits) SetAtWork(agent, entry->second, false);
     agent.offered.pop_front();
   }
@@ -137,8 +150,7 @@
   const auto fair = agent.admission.policy.fair_callers;
   return {.request = ClassOf(agent, packet.destination),
           .copies = packet.acknowledged,
-          .over_share =
-              fair && admission::IsOverShare(agent.callers, packet.source.address, now)};
+          .over_share = fair && admission::IsOverShare(agent.callers, packet.source.address, now)};
 }
 
 // Safeguard: under overload, a queue at the target delays all requests: after an outage, all
@@ -152,8 +164,11 @@
   }
   const auto load = LoadOf(agent);
   std::tie(agent.admission.most_urgent, agent.admission.least_urgent) = PriorityRange(agent);
-  const auto limit =
-      admission::Decide(agent.admission, CandidateOf(agent, packet, now), load, now);
+  const auto candidate = CandidateOf(agent, packet, now);
+  const auto was_short = admission::IsShort(agent.admission, now);
+  const auto limit = admission::Decide(agent.admission, candidate, load, now);
+  if (!was_short && admission::IsShort(agent.admission, now)) ++agent.counters.shortage.shortages;
+  CountVerdict(agent, candidate, limit, load, now);
   if (limit == admission::Limit::kNone || packet.acknowledged != 0) return limit;
   const auto trial_limit = agent.admission.policy.opening_limit * load.slots;
   return MayAdmitTrial(agent, trial_limit, now) ? admission::Limit::kNone : limit;
@@ -163,6 +178,7 @@
   const auto flow = FlowFromClient(packet);
   const auto cold_limit = IsOpening(packet) ? ColdLimit(agent, now) : 0;
   if (cold_limit != 0) CountColdOpening(agent.target.cold_allowance, cold_limit, now);
+  if (packet.reset) NoteClientReset(agent, flow, now);
   if (packet.reset) return Erase(agent, flow);
   auto entry = agent.flows.find(flow);
   if (entry != agent.flows.end() && entry->second.stage == FlowStage::kNotHeld) {
@@ -186,8 +202,10 @@
   }
   if (entry->second.stage == FlowStage::kAssumed) ++entry->second.unanswered;
   if (IsNewData(entry->second, packet)) {
-    SetAtWork(agent, entry->second, false);
-    entry->second.ahead = admission::AheadOf(LoadOf(agent));
+    NoteRequest(agent, flow, entry->second, now);
+    if (agent.admission.policy.fair_callers) {
+      admission::CountUse(agent.callers, packet.source.address, now);
+    }
     SetAtWork(agent, entry->second, true);
     entry->second.asked_at = now;
     entry->second.request_end = packet.sequence + packet.payload;
@@ -207,6 +225,7 @@
   const auto answered = packet.payload != 0
                             ? TakeAnswer(agent, flow, ClassOf(agent, packet.source), now)
                             : std::nullopt;
+  NoteFromTarget(agent, entry->first, flow, packet, answered, now);
   if (packet.reset) {
     Erase(agent, entry->first);
     return answered;
@@ -277,9 +296,13 @@
   auto quiet = std::vector<FlowId>{};
   agent.quiet_work = 0;
   for (auto& [flow, state] : agent.flows) {
+    NoteSilence(agent, flow, state, now);
     if (state.at_work && IsWorkAbandoned(agent, state, now)) SetAtWork(agent, state, false);
     if (state.at_work && now - state.seen > agent.policy.overtaken_timeout) ++agent.quiet_work;
-    if (now - state.seen > IdleTimeoutOf(agent.policy, state.stage)) quiet.push_back(flow);
+    if (now - state.seen > IdleTimeoutOf(agent.policy, state.stage)) {
+      NoteEndOfFlow(agent, flow, state, now);
+      quiet.push_back(flow);
+    }
   }
   for (const auto& flow : quiet) Erase(agent, flow);
   std::erase_if(agent.balancers, [&](const auto& entry) {
--- a/src/packets/tests/route_classes_test.cc
+++ b/src/packets/tests/route_classes_test.cc
@@ -93,16 +93,16 @@
 }
 
 auto Knows(const Agent& agent, const RequestClass& request_class) -> bool {
-  return ClassOf(agent, Opening()) == request_class;
+  return ClassOf(agent, kRoute) == request_class;
 }
 
 // Guards against a route without a class being treated as the most urgent one.
 BOOST_AUTO_TEST_CASE(an_unknown_route_has_no_class) {
   auto agent = MakeAgent();
-  BOOST_TEST((ClassOf(agent, Opening()) == RequestClass{}));
+  BOOST_TEST((ClassOf(agent, kRoute) == RequestClass{}));
   BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
   SetClasses(agent.route_classes, {{RouteAt(1), kUrgent}});
-  BOOST_TEST((ClassOf(agent, Opening()) == RequestClass{}));
+  BOOST_TEST((ClassOf(agent, kRoute) == RequestClass{}));
 }
 
 // Guards against the range keeping priorities of routes that were removed or are unknown.
@@ -135,9 +135,9 @@
   auto agent = MakeAgent();
   SetClasses(agent.route_classes, {{KeyOf(kRoute), kUrgent}});
   auto packet = Opening();
-  BOOST_TEST((ClassOf(agent, packet) == kUrgent));
+  BOOST_TEST((ClassOf(agent, packet.destination) == kUrgent));
   packet.destination.port = 444;
-  BOOST_TEST(!ClassOf(agent, packet).known);
+  BOOST_TEST(!ClassOf(agent, packet.destination).known);
 }
 
 // Guards against the routes of other services, or without new flows, counting for the service.
