--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -32,20 +32,20 @@
   std::uint64_t start = 0;     ///< differs between starts of the agent's process
   std::uint64_t sequence = 0;  ///< rises within a start
   TargetState state = TargetState::kUnknown;
-  std::uint32_t in_flight = 0;    ///< requests in progress and unanswered openings
-  std::uint32_t held = 0;         ///< open flows
-  std::uint32_t slots = 0;        ///< requests that the target processes concurrently
-  bool cold = false;              ///< slow after its start
-  std::uint32_t wanted_list = 0;  ///< digest of a requested peer list; 0 if none
-  DomainTag domain = 0;           ///< failure domain of the agent
-  std::uint64_t revision = 0;     ///< platform revision of its configuration copy; 0 if none
-  DrainedDomains drained{};       ///< set only if the balancer has an older, different set
-  std::uint32_t answered = 0;     ///< requests that ended in the last one to two seconds
-  std::uint32_t failed = 0;       ///< of these, the failed ones
+  std::uint32_t in_flight = 0;       ///< requests in progress and unanswered openings
+  std::uint32_t held = 0;            ///< open flows
+  std::uint32_t slots = 0;           ///< requests that the target processes concurrently
+  bool cold = false;                 ///< slow after its start
+  std::uint32_t wanted_list = 0;     ///< digest of a requested peer list; 0 if none
+  DomainTag domain = 0;              ///< failure domain of the agent
+  std::uint64_t revision = 0;        ///< platform revision of its configuration copy; 0 if none
+  DrainedDomains drained{};          ///< set only if the balancer has an older, different set
+  std::uint32_t wanted_classes = 0;  ///< digest of requested route classes; 0 if none
+  std::uint32_t answered = 0;        ///< requests that ended in the last one to two seconds
+  std::uint32_t failed = 0;          ///< of these, the failed ones
   /// Mean of recent requests without the wait in the target's queue; zero: unknown. Reports carry
   /// it in whole microseconds.
   base::Duration service_time{};
-  std::uint32_t wanted_classes = 0;  ///< digest of requested route classes; 0 if none
 };
 
 /// One run of a target's process. A later run may use the same id, but holds none of the flows of
