--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/active_priorities.h"
 #include "admission/caller_share.h"
 #include "admission/controller.h"
 #include "outlier/outcomes.h"
@@ -219,7 +220,8 @@
 
 struct Agent {
   AgentPolicy policy;
-  admission::CallerShare callers;  ///< recent use of the target by caller
+  admission::CallerShare callers;          ///< recent use of the target by caller
+  admission::ActivePriorities priorities;  ///< of recent openings
   admission::Controller admission;
   Address own = 0;
   DomainTag domain = 0;
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -163,8 +163,12 @@
     return admission::Limit::kSlots;
   }
   const auto load = LoadOf(agent);
-  std::tie(agent.admission.most_urgent, agent.admission.least_urgent) = PriorityRange(agent);
   const auto candidate = CandidateOf(agent, packet, now);
+  if (candidate.request.known && packet.stamp.hops == 0) {
+    admission::NoteOpening(agent.priorities, candidate.request.priority, now);
+  }
+  auto& controller = agent.admission;
+  std::tie(controller.most_urgent, controller.least_urgent) = admission::RangeOf(agent.priorities);
   const auto was_short = admission::IsShort(agent.admission, now);
   const auto limit = admission::Decide(agent.admission, candidate, load, now);
   if (!was_short && admission::IsShort(agent.admission, now)) ++agent.counters.shortage.shortages;
