--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -76,12 +76,14 @@
   return copies == 1 ? kFirstCopyAfter : kSecondCopyAfter;
 }
 
+auto IsOrdered(const Controller& controller) -> bool {
+  return controller.policy.order_by_priority && controller.most_urgent != controller.least_urgent;
+}
+
 // Whether the request belongs to the most urgent ones. All do while they are not ordered, or while
-// the service's routes have a single priority.
+// there is a single priority.
 auto IsUrgent(const Controller& controller, const RequestClass& request) -> bool {
-  const auto ordered =
-      controller.policy.order_by_priority && controller.most_urgent != controller.least_urgent;
-  return !ordered || request.priority <= controller.most_urgent;
+  return !IsOrdered(controller) || request.priority <= controller.most_urgent;
 }
 
 auto Below(const TargetLoad& load, double per_slot) -> bool {
@@ -164,7 +166,8 @@
   const auto copy = candidate.copies != 0;
   const auto urgent = IsUrgent(controller, request);
   if (controller.policy.fair_callers && candidate.over_share) {
-    const auto queued = urgent && !copy ? kUrgentOverShare : 0U;
+    const auto before_others = IsOrdered(controller) && urgent && !copy;
+    const auto queued = before_others ? kUrgentOverShare : 0U;
     return load.in_flight < load.slots + queued ? Limit::kNone : Limit::kCaller;
   }
   if (!copy && !urgent) {
@@ -230,9 +233,8 @@
 
 auto GoesFirst(const Controller& controller, const Candidate& candidate, const TargetLoad& load,
                base::TimePoint now) -> bool {
-  const auto ordered =
-      controller.policy.order_by_priority && controller.most_urgent != controller.least_urgent;
-  if (!ordered || !candidate.request.known || candidate.copies != 0) return false;
+  if (!IsOrdered(controller)) return false;
+  if (!candidate.request.known || candidate.copies != 0) return false;
   if (!IsShort(controller, now) || !IsUrgent(controller, candidate.request)) return false;
   return load.in_flight >= LessUrgentLimit(controller, load);
 }
--- a/src/admission/tests/controller_test.cc
+++ b/src/admission/tests/controller_test.cc
@@ -165,6 +165,15 @@
   BOOST_TEST(hops == 6U);
 }
 
+// Guards against a caller over its share whose urgent requests go behind the less urgent ones of
+// others: shares are compared among equal priorities only.
+BOOST_AUTO_TEST_CASE(urgent_requests_of_a_caller_over_its_share_go_before_less_urgent_ones) {
+  auto controller = ShortWith({.order_by_priority = true, .fair_callers = true});
+  const auto others = LimitOf(controller, {.request = kLessUrgent});
+  BOOST_TEST(LimitOf(controller, {.request = kUrgent, .over_share = true}) == others + 1);
+  BOOST_TEST(LimitOf(controller, {.request = kLessUrgent, .over_share = true}) == kSlots);
+}
+
 // Guards against callers that are turned away although nothing else asks for the slot, or although
 // callers are not compared.
 BOOST_AUTO_TEST_CASE(a_caller_over_its_share_gets_free_slots_only) {
