--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -19,7 +19,7 @@
 }
 
 auto AskWaiting(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
-  pending.next_ask = context.now + context.directory.policy.ask_period;
+  pending.next_ask = context.now + context.directory.policy.query_interval;
   for (const auto& ref : pending.waiting) {
     auto* peer = FindPeer(context.directory, ref);
     if (peer != nullptr) SendQuery(context, flow, pending, *peer);
