--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -305,7 +305,7 @@
     auto found = directory.pending.find(flow);
     if (found == directory.pending.end()) continue;
     auto& pending = found->second;
-    if (context.now - pending.started > directory.policy.longest_hold) {
+    if (context.now - pending.started > directory.policy.max_hold_time) {
       directory.counters.held_dropped += pending.held.size();
       directory.pending.erase(found);
       continue;
