--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -51,7 +51,7 @@
 
 // Whether the entry can still be used; entries that are too old lose their relay or promise.
 auto IsUsable(StepContext& context, KnownOwner& known) -> bool {
-  auto expired = context.now - known.via_since > context.directory.policy.promise;
+  auto expired = context.now - known.via_since > context.directory.policy.deferral_time;
   if (known.via.port != 0 && !expired) return true;
   if (known.promised) return false;
   known.via = {};
