--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -122,7 +122,7 @@
   auto& directory = context.directory;
   std::erase_if(directory.known, [&](const auto& entry) {
     if (context.now - entry.second.last_packet < directory.policy.forward_memory) return false;
-    return entry.second.promised || !IsHome(directory, entry.first);
+    return entry.second.tentative || !IsHome(directory, entry.first);
   });
 }
 
--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -53,7 +53,7 @@
   known.opened = context.now;
   known.noted = context.now;
   known.last_packet = context.now;
-  known.promised = true;
+  known.tentative = true;
   known.lost = LostOwnerOf(context.directory, flow);
   context.directory.known[flow] = known;
 }
@@ -155,7 +155,7 @@
     directory.known.erase(known);
     known = directory.known.end();
   }
-  if (known != directory.known.end() && !known->second.promised) {
+  if (known != directory.known.end() && !known->second.tentative) {
     auto owner = known->second.owner;
     auto* peer = FindPeer(directory, owner);
     if (owner == asker) return std::nullopt;
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -112,7 +112,7 @@
   auto known = directory.known.find(flow);
   if (known == directory.known.end()) return std::nullopt;
   const auto& entry = known->second;
-  if (entry.promised || entry.owner == owner) return std::nullopt;
+  if (entry.tentative || entry.owner == owner) return std::nullopt;
   if (FindPeer(directory, entry.owner) == nullptr) return std::nullopt;
   return Claim{entry.owner, entry.opened, entry.last_packet, entry.stamp, entry.lineage};
 }
@@ -204,7 +204,7 @@
   if (found == directory.known.end()) return {};
   const auto& known = found->second;
   // Without a stamp the owner has its registration still to come, which will be judged then.
-  if (known.promised || known.stamp == 0) return known.lost;
+  if (known.tentative || known.stamp == 0) return known.lost;
   return {known.owner, known.stamp};
 }
 
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -53,7 +53,7 @@
 auto IsUsable(StepContext& context, KnownOwner& known) -> bool {
   auto expired = context.now - known.via_since > context.directory.policy.deferral_time;
   if (known.via.port != 0 && !expired) return true;
-  if (known.promised) return false;
+  if (known.tentative) return false;
   known.via = {};
   return true;
 }
@@ -86,7 +86,7 @@
   auto direct = known.via.port == 0;
   auto opening = direct && IsHome(directory, arrival.flow) && arrival.packet.may_open();
   PassOn(context, to, arrival, opening ? &owner : nullptr);
-  if (arrival.packet.hops() == 0 && !known.promised) SendHint(context, arrival.packet, owner);
+  if (arrival.packet.hops() == 0 && !known.tentative) SendHint(context, arrival.packet, owner);
 }
 
 // Safeguard: what agents remember of a flow may lead in a circle when none of them owns it any
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -118,7 +118,7 @@
   base::TimePoint last_packet{};
   std::uint64_t stamp = 0;  ///< 0: not registered yet
   base::TimePoint noted{};  ///< when this agent learnt it
-  bool promised = false;    ///< the owner asked and may open the flow; it has not said that it did
+  bool tentative = false;   ///< the owner asked and may open the flow; it has not said that it did
   LostOwner lost;
   Lineage lineage;
 };
