--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -161,7 +161,7 @@
     if (owner == asker) return std::nullopt;
     // Safeguard: only the home hears of a flow's end. What an earlier home remembers would lead to
     // a target that has let go of the flow, again and again.
-    auto fresh = context.now - known->second.noted < directory.policy.fresh_claim;
+    auto fresh = context.now - known->second.noted < directory.policy.claim_validity;
     auto current = fresh || IsHome(directory, flow);
     if (peer != nullptr && owner != lost && current) return owner;
   }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -24,7 +24,7 @@
   base::Duration deferral_time =
       base::seconds(10);  ///< how long an answered query defers to the asker
   /// How long an agent that is no longer the home answers for a placement of its own.
-  base::Duration fresh_claim = base::seconds(5);
+  base::Duration claim_validity = base::seconds(5);
   base::Duration register_retry = base::milliseconds(200);
   std::size_t registrations_of_batch = 24;
   base::Duration flow_idle = base::hours(2);
