--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -42,7 +42,7 @@
   auto suspicion = membership::SuspicionPolicy{};
   auto agent = agent::AgentPolicy{};
   auto table_places = static_cast<double>(balancer.flow_table_capacity);
-  auto batch = static_cast<double>(directory.registrations_of_batch);
+  auto batch = static_cast<double>(directory.registrations_per_batch);
   return {{"load_margin", config::SpreadPolicy{}.load_margin, "config::SpreadPolicy"},
           {"table_entries", table_places, "balancer::BalancerPolicy"},
           {"hint_rate", directory.hints_per_second, "steering::DirectoryPolicy"},
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -29,7 +29,7 @@
 // Flows that are still this agent's and whose home the stream leads to.
 auto FillBatch(Directory& directory, RegisterStream& stream) -> void {
   stream.batch.clear();
-  while (!stream.queue.empty() && stream.batch.size() < directory.policy.registrations_of_batch) {
+  while (!stream.queue.empty() && stream.batch.size() < directory.policy.registrations_per_batch) {
     auto flow = stream.queue.front();
     stream.queue.pop_front();
     auto* owned = FindOwned(directory, flow);
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -26,7 +26,7 @@
   /// How long an agent that is no longer the home answers for a placement of its own.
   base::Duration claim_validity = base::seconds(5);
   base::Duration register_retry = base::milliseconds(200);
-  std::size_t registrations_of_batch = 24;
+  std::size_t registrations_per_batch = 24;
   base::Duration flow_idle = base::hours(2);
   std::uint32_t hop_limit = 4;
   std::uint32_t asking_hops = 3;  ///< a packet that passed this many agents is asked for
