--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -275,7 +275,7 @@
 auto HoldForHandOver(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto& held = directory.outgoing.at(arrival.flow).held;
-  if (held.size() >= directory.policy.held_packets_of_flow) {
+  if (held.size() >= directory.policy.held_packets_per_flow) {
     ++directory.counters.held_dropped;
     return;
   }
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -210,7 +210,7 @@
 
 auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
-  if (pending.held.size() >= directory.policy.held_packets_of_flow) {
+  if (pending.held.size() >= directory.policy.held_packets_per_flow) {
     ++directory.counters.held_dropped;
     return;
   }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -20,7 +20,7 @@
   base::Duration query_interval = base::milliseconds(100);  ///< between two queries for one flow
   base::Duration max_hold_time = base::seconds(3);          ///< then held packets are dropped
   std::size_t pending_flows = 1024;                         ///< flows that are asked for at once
-  std::size_t held_packets_of_flow = 4;
+  std::size_t held_packets_per_flow = 4;
   base::Duration deferral_time =
       base::seconds(10);  ///< how long an answered query defers to the asker
   /// How long an agent that is no longer the home answers for a placement of its own.
