--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -205,7 +205,7 @@
     if (arrival != nullptr) HoldPacket(context, under_way->second, *arrival);
     return;
   }
-  if (directory.pending.size() >= directory.policy.pending_flows) {
+  if (directory.pending.size() >= directory.policy.max_pending_flows) {
     if (arrival != nullptr) ++directory.counters.held_dropped;
     return;
   }
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -147,7 +147,7 @@
 auto HoldWhileFenced(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto held = directory.pending.contains(arrival.flow);
-  if (!held && directory.pending.size() >= directory.policy.pending_flows) {
+  if (!held && directory.pending.size() >= directory.policy.max_pending_flows) {
     ++directory.counters.held_dropped;
     return;
   }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -19,7 +19,7 @@
   PlacementPolicy placement;
   base::Duration query_interval = base::milliseconds(100);  ///< between two queries for one flow
   base::Duration max_hold_time = base::seconds(3);          ///< then held packets are dropped
-  std::size_t pending_flows = 1024;                         ///< flows that are asked for at once
+  std::size_t max_pending_flows = 1024;                     ///< flows that are asked for at once
   std::size_t held_packets_per_flow = 4;
   base::Duration deferral_time =
       base::seconds(10);  ///< how long an answered query defers to the asker
