--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -153,7 +153,7 @@
 auto NoticeStop(StepContext& context) -> void {
   auto& directory = context.directory;
   auto first = directory.last_step == base::TimePoint{};
-  auto stopped = context.now - directory.last_step > directory.policy.stopped_after;
+  auto stopped = context.now - directory.last_step > directory.policy.pause_threshold;
   directory.last_step = context.now;
   if (!first && stopped && directory.in_view) Fence(context);
 }
@@ -202,7 +202,7 @@
 
 auto ReplyRoute(Directory& directory, const base::FlowKey& flow, base::TimePoint now)
     -> std::optional<base::Endpoint> {
-  auto stopped = now - directory.last_step > directory.policy.stopped_after;
+  auto stopped = now - directory.last_step > directory.policy.pause_threshold;
   if (directory.fenced || stopped) return std::nullopt;
   auto* owned = FindOwned(directory, flow);
   if (owned == nullptr || owned->closing || owned->handing) return std::nullopt;
--- a/src/steering/tests/directory_test.cc
+++ b/src/steering/tests/directory_test.cc
@@ -129,7 +129,7 @@
 BOOST_AUTO_TEST_CASE(an_idle_flow_ends) {
   auto policy = DirectoryPolicy{};
   policy.flow_idle = base::seconds(10);
-  policy.stopped_after = base::hours(1);
+  policy.pause_threshold = base::hours(1);
   auto directory = MakeDirectory(MakeView(1), policy);
   Send(directory, MakePacket(1));
   BOOST_TEST(Step(directory, DirectoryTimer{}, kStart + base::seconds(9)).dropped.empty());
@@ -159,7 +159,7 @@
   constexpr auto flows = 1000U;
   constexpr auto seconds = 10;
   auto policy = DirectoryPolicy{};
-  policy.stopped_after = base::hours(1);
+  policy.pause_threshold = base::hours(1);
   auto directory = MakeDirectory(MakeView(3), policy);
   auto known = KnownOwner{};
   known.owner = {MakeRecord(2).id, 1};
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -32,7 +32,7 @@
   std::uint32_t asking_hops = 3;  ///< a packet that passed this many agents is asked for
   /// A process that was not run for this long may have been given up by its peers: shorter than
   /// the shortest time in which they suspect it (misses x shortest_timeout of SuspicionPolicy).
-  base::Duration stopped_after = base::milliseconds(400);
+  base::Duration pause_threshold = base::milliseconds(400);
   base::Duration hand_over_retry = base::milliseconds(100);
   base::Duration hand_over_pause = base::seconds(1);  ///< after an offer that nobody took
   /// An offer to a target that is suspect is taken back after this.
