--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -71,7 +71,7 @@
   if (node.empty() || owned == nullptr) return;
   ++directory.counters.hand_overs_taken_back;
   owned->handing = false;
-  owned->next_offer = context.now + directory.policy.hand_over_pause;
+  owned->next_offer = context.now + directory.policy.hand_over_backoff;
   for (auto& held : node.mapped().held) {
     context.effects.held.push_back(std::move(held.payload));
     AcceptPacket(context, {flow, held.packet, context.effects.held.back(), {}});
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -34,7 +34,7 @@
   /// the shortest time in which they suspect it (misses x shortest_timeout of SuspicionPolicy).
   base::Duration pause_threshold = base::milliseconds(400);
   base::Duration hand_over_retry = base::milliseconds(100);
-  base::Duration hand_over_pause = base::seconds(1);  ///< after an offer that nobody took
+  base::Duration hand_over_backoff = base::seconds(1);  ///< after an offer that nobody took
   /// An offer to a target that is suspect is taken back after this.
   base::Duration hand_over_limit = base::seconds(3);
   /// Copies of other targets' observations that this agent keeps, in all.
