--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -96,7 +96,7 @@
   auto* peer = FindPeer(context.directory, offer.to);
   if (peer == nullptr) return true;
   auto waited = context.now - offer.started;
-  return peer->suspect && waited > context.directory.policy.hand_over_limit;
+  return peer->suspect && waited > context.directory.policy.hand_over_timeout;
 }
 
 auto ContinueOffer(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer)
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -36,7 +36,7 @@
   base::Duration hand_over_retry = base::milliseconds(100);
   base::Duration hand_over_backoff = base::seconds(1);  ///< after an offer that nobody took
   /// An offer to a target that is suspect is taken back after this.
-  base::Duration hand_over_limit = base::seconds(3);
+  base::Duration hand_over_timeout = base::seconds(3);
   /// Copies of other targets' observations that this agent keeps, in all.
   std::size_t copied_flows = 50'000;
   std::size_t copied_bytes = 16U << 20U;
