--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -46,7 +46,7 @@
 }
 
 auto HasRoom(const Directory& directory, const StandByCopy& copy) -> bool {
-  if (directory.copies.size() >= directory.policy.copied_flows) return false;
+  if (directory.copies.size() >= directory.policy.max_copies) return false;
   return directory.copied_bytes + copy.record.size() <= directory.policy.copied_bytes;
 }
 
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -38,7 +38,7 @@
   /// An offer to a target that is suspect is taken back after this.
   base::Duration hand_over_timeout = base::seconds(3);
   /// Copies of other targets' observations that this agent keeps, in all.
-  std::size_t copied_flows = 50'000;
+  std::size_t max_copies = 50'000;
   std::size_t copied_bytes = 16U << 20U;
   /// A copy that its owner has not sent again is forgotten; AgentPolicy's refresh is a third of it.
   base::Duration copy_memory = base::hours(1);
