--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -274,7 +274,7 @@
   auto& directory = context.directory;
   auto old = std::vector<base::FlowKey>{};
   for (const auto& [flow, copy] : directory.copies) {
-    if (context.now - copy.noted > directory.policy.copy_memory) old.push_back(flow);
+    if (context.now - copy.noted > directory.policy.copy_ttl) old.push_back(flow);
   }
   for (const auto& flow : old) ForgetCopy(directory, flow);
 }
--- a/src/steering/tests/directory_stand_by_test.cc
+++ b/src/steering/tests/directory_stand_by_test.cc
@@ -99,7 +99,7 @@
   Send(directory, MakeBatch(2, MakePacket(4), 4, "1"));
   BOOST_TEST(directory.copies.size() == 2U);
   BOOST_TEST(directory.counters.copies_refused == 2U);
-  Step(directory, DirectoryTimer{}, kStart + policy.copy_memory + kSecond);
+  Step(directory, DirectoryTimer{}, kStart + policy.copy_ttl + kSecond);
   BOOST_TEST(directory.copies.empty());
 }
 
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -41,7 +41,7 @@
   std::size_t max_copies = 50'000;
   std::size_t copied_bytes = 16U << 20U;
   /// A copy that its owner has not sent again is forgotten; AgentPolicy's refresh is a third of it.
-  base::Duration copy_memory = base::hours(1);
+  base::Duration copy_ttl = base::hours(1);
   /// Flows of a lost owner that are asked for at a step: the first alone, to learn whether others
   /// reach the owner, and then so many.
   std::size_t copies_asked = 64;
