--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -127,7 +127,7 @@
     if (copy.owner == owner.ref && !directory.pending.contains(flow)) flows.push_back(flow);
   }
   std::ranges::sort(flows);
-  auto most = owner.agreed ? directory.policy.copies_asked : std::size_t{1};
+  auto most = owner.agreed ? directory.policy.takeover_batch : std::size_t{1};
   if (flows.size() > most) flows.resize(most);
   return flows;
 }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -44,7 +44,7 @@
   base::Duration copy_ttl = base::hours(1);
   /// Flows of a lost owner that are asked for at a step: the first alone, to learn whether others
   /// reach the owner, and then so many.
-  std::size_t copies_asked = 64;
+  std::size_t takeover_batch = 64;
   base::Duration copy_retry = base::milliseconds(100);
   base::Duration longest_copy_retry = base::seconds(5);  ///< while others reach the owner
   base::Duration drain_notice_retry = base::milliseconds(300);
