--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -114,7 +114,7 @@
   auto* owner = FindCopiedOwner(directory, ref);
   if (owner == nullptr) return;
   ++directory.counters.copies_withheld;
-  auto longest = directory.policy.longest_copy_retry;
+  auto longest = directory.policy.max_takeover_retry;
   owner->agreed = false;
   owner->pause = std::clamp(owner->pause * 2, directory.policy.copy_retry, longest);
   owner->next_try = context.now + owner->pause;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -46,7 +46,7 @@
   /// reach the owner, and then so many.
   std::size_t takeover_batch = 64;
   base::Duration copy_retry = base::milliseconds(100);
-  base::Duration longest_copy_retry = base::seconds(5);  ///< while others reach the owner
+  base::Duration max_takeover_retry = base::seconds(5);  ///< while others reach the owner
   base::Duration drain_notice_retry = base::milliseconds(300);
   std::uint32_t drain_notices = 3;
   std::size_t notified_balancers = 64;  ///< others hear of a drain through the relay
