--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -116,7 +116,7 @@
   ++directory.counters.copies_withheld;
   auto longest = directory.policy.max_takeover_retry;
   owner->agreed = false;
-  owner->pause = std::clamp(owner->pause * 2, directory.policy.copy_retry, longest);
+  owner->pause = std::clamp(owner->pause * 2, directory.policy.takeover_retry, longest);
   owner->next_try = context.now + owner->pause;
 }
 
@@ -136,7 +136,7 @@
   const auto& policy = context.directory.policy;
   auto gone = FindPeer(context.directory, owner.ref) == nullptr;
   if (!gone && context.now < owner.next_try) return;
-  if (!owner.agreed) owner.next_try = context.now + policy.copy_retry;
+  if (!owner.agreed) owner.next_try = context.now + policy.takeover_retry;
   auto flows = FlowsToAskFor(context.directory, owner);
   // `owner` may be gone after the first of them.
   for (const auto& flow : flows) StartAsking(context, flow, nullptr, std::nullopt);
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -45,7 +45,7 @@
   /// Flows of a lost owner that are asked for at a step: the first alone, to learn whether others
   /// reach the owner, and then so many.
   std::size_t takeover_batch = 64;
-  base::Duration copy_retry = base::milliseconds(100);
+  base::Duration takeover_retry = base::milliseconds(100);
   base::Duration max_takeover_retry = base::seconds(5);  ///< while others reach the owner
   base::Duration drain_notice_retry = base::milliseconds(300);
   std::uint32_t drain_notices = 3;
