--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -121,7 +121,7 @@
 auto ForgetOldForwards(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.known, [&](const auto& entry) {
-    if (context.now - entry.second.last_packet < directory.policy.forward_memory) return false;
+    if (context.now - entry.second.last_packet < directory.policy.forward_ttl) return false;
     return entry.second.tentative || !IsHome(directory, entry.first);
   });
 }
@@ -130,7 +130,7 @@
 auto ForgetOldOffers(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.incoming, [&](const auto& entry) {
-    return context.now - entry.second.at > directory.policy.forward_memory;
+    return context.now - entry.second.at > directory.policy.forward_ttl;
   });
 }
 
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -51,7 +51,7 @@
   std::uint32_t drain_notices = 3;
   std::size_t notified_balancers = 64;  ///< others hear of a drain through the relay
   base::Duration sweep_period = base::seconds(1);
-  base::Duration forward_memory = base::minutes(10);  ///< of flows whose home is elsewhere
+  base::Duration forward_ttl = base::minutes(10);  ///< of flows whose home is elsewhere
   /// Peers are told of this agent's flows when their number has changed by this much since, beside
   /// the answers to their probes; at most once a `told_period`.
   double told_share = 0.05;
