--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -83,7 +83,7 @@
   if (context.now < directory.next_told) return;
   auto flows = static_cast<double>(directory.owned.size());
   auto told = static_cast<double>(directory.told_flows);
-  auto step = std::max<double>(policy.told_flows, policy.told_share * told);
+  auto step = std::max<double>(policy.told_flows, policy.load_report_share * told);
   if (std::abs(flows - told) < step) return;
   directory.told_flows = directory.owned.size();
   directory.next_told = context.now + policy.told_period;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -54,7 +54,7 @@
   base::Duration forward_ttl = base::minutes(10);  ///< of flows whose home is elsewhere
   /// Peers are told of this agent's flows when their number has changed by this much since, beside
   /// the answers to their probes; at most once a `told_period`.
-  double told_share = 0.05;
+  double load_report_share = 0.05;
   std::uint32_t told_flows = 8;
   base::Duration told_period = base::milliseconds(50);
   double openings_per_second = 2000;
