--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -86,7 +86,7 @@
   auto step = std::max<double>(policy.told_flows, policy.load_report_share * told);
   if (std::abs(flows - told) < step) return;
   directory.told_flows = directory.owned.size();
-  directory.next_told = context.now + policy.told_period;
+  directory.next_told = context.now + policy.load_report_interval;
   auto header = MakeHeader(directory);
   *header.mutable_probe_answer()->add_loads() = OwnLoadReport(directory);
   for (const auto& peer : directory.peers) {
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -53,10 +53,10 @@
   base::Duration sweep_period = base::seconds(1);
   base::Duration forward_ttl = base::minutes(10);  ///< of flows whose home is elsewhere
   /// Peers are told of this agent's flows when their number has changed by this much since, beside
-  /// the answers to their probes; at most once a `told_period`.
+  /// the answers to their probes; at most once a `load_report_interval`.
   double load_report_share = 0.05;
   std::uint32_t told_flows = 8;
-  base::Duration told_period = base::milliseconds(50);
+  base::Duration load_report_interval = base::milliseconds(50);
   double openings_per_second = 2000;
   double openings_burst = 4000;
   /// A balancer hears hints from many homes: docs/CAPACITY.md (hint_rate_fits) has the bound.
