--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -68,7 +68,7 @@
   TargetLoad load;                   ///< this target's own
   std::uint64_t placed_as_home = 0;  ///< flows that this agent placed, here or elsewhere
   std::uint64_t told_flows = 0;      ///< as the peers were told last without asking
-  base::TimePoint next_told{};
+  base::TimePoint next_load_report{};
   TokenBucket openings;
   TokenBucket hints;
   std::uint64_t sequence = 0;
--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -80,13 +80,13 @@
 auto TellFlows(StepContext& context) -> void {
   auto& directory = context.directory;
   const auto& policy = directory.policy;
-  if (context.now < directory.next_told) return;
+  if (context.now < directory.next_load_report) return;
   auto flows = static_cast<double>(directory.owned.size());
   auto told = static_cast<double>(directory.told_flows);
   auto step = std::max<double>(policy.told_flows, policy.load_report_share * told);
   if (std::abs(flows - told) < step) return;
   directory.told_flows = directory.owned.size();
-  directory.next_told = context.now + policy.load_report_interval;
+  directory.next_load_report = context.now + policy.load_report_interval;
   auto header = MakeHeader(directory);
   *header.mutable_probe_answer()->add_loads() = OwnLoadReport(directory);
   for (const auto& peer : directory.peers) {
