--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -32,7 +32,7 @@
     OpenForHome(context, arrival);
     return;
   }
-  if (arrival.packet.hops() >= directory.policy.asking_hops) {
+  if (arrival.packet.hops() >= directory.policy.query_hops) {
     StartAsking(context, arrival.flow, &arrival, std::nullopt);
     return;
   }
@@ -96,7 +96,7 @@
 auto MayCircle(const Directory& directory, const PacketArrival& arrival) -> bool {
   const auto& policy = directory.policy;
   auto hops = arrival.packet.hops();
-  return arrival.sender.value != 0 && hops >= policy.asking_hops && hops < policy.hop_limit;
+  return arrival.sender.value != 0 && hops >= policy.query_hops && hops < policy.hop_limit;
 }
 
 // The sender, chosen by this agent or having asked it, does not open the flow. The flow is asked
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -216,7 +216,7 @@
   auto known = KnownOwner{};
   known.owner = {MakeRecord(2).id, 1};
   directory.known[FlowOf(packet)] = known;
-  packet.mutable_packet()->set_hops(directory.policy.asking_hops);
+  packet.mutable_packet()->set_hops(directory.policy.query_hops);
   auto effects = Send(directory, packet);
   BOOST_TEST(CountOf(effects, TunnelHeader::kPacket) == 0);
   BOOST_TEST(CountOf(effects, TunnelHeader::kOwnerQuery) == 2);
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -29,7 +29,7 @@
   std::size_t registrations_per_batch = 24;
   base::Duration flow_idle = base::hours(2);
   std::uint32_t hop_limit = 4;
-  std::uint32_t asking_hops = 3;  ///< a packet that passed this many agents is asked for
+  std::uint32_t query_hops = 3;  ///< a packet that passed this many agents is asked for
   /// A process that was not run for this long may have been given up by its peers: shorter than
   /// the shortest time in which they suspect it (misses x shortest_timeout of SuspicionPolicy).
   base::Duration pause_threshold = base::milliseconds(400);
