--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -136,7 +136,7 @@
   membership::Suspicion suspicion;
   std::vector<membership::BalancerRecord> reply_balancers;
   ReplySigns reply_signs;
-  std::uint64_t reply_turn = 0;  ///< of replies to flows that are not owned any more
+  std::uint64_t reply_rotation = 0;  ///< of replies to flows that are not owned any more
   std::optional<base::TimePoint> request_timer;
   base::TimePoint next_load{};
   std::uint64_t admitted_before = 0;
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -26,14 +26,14 @@
 // counts its own; the number of its opening starts flows at different balancers.
 auto TurnOf(Context& context, const base::FlowKey& flow) -> std::uint64_t {
   auto found = context.agent.directory.owned.find(flow);
-  if (found == context.agent.directory.owned.end()) return context.agent.reply_turn++;
-  return found->second.stamp + found->second.reply_turn++;
+  if (found == context.agent.directory.owned.end()) return context.agent.reply_rotation++;
+  return found->second.stamp + found->second.reply_rotation++;
 }
 
 auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
-  if (const auto* sign = NextBySign(context, agent.reply_turn++)) return sign->tunnel;
+  if (const auto* sign = NextBySign(context, agent.reply_rotation++)) return sign->tunnel;
   // None gave a sign: this agent itself may be cut off, and trying costs nothing.
   if (agent.reply_balancers.empty()) return std::nullopt;
   return agent.reply_balancers.front().tunnel;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -93,10 +93,10 @@
   base::Endpoint balancer;      ///< where it was seen last; replies leave there
   std::uint64_t stamp = 0;
   RegisteredAt first;
-  RegisteredAt acting;          ///< while this agent suspects the first home
-  bool closing = false;         ///< ended here, the first home has not acknowledged it yet
-  std::uint8_t reply_turn = 0;  ///< whose turn it is of the balancers that replies may leave by
-  TargetRef closing_at;         ///< the first home at that time
+  RegisteredAt acting;              ///< while this agent suspects the first home
+  bool closing = false;             ///< ended here, the first home has not acknowledged it yet
+  std::uint8_t reply_rotation = 0;  ///< whose turn it is of the balancers that replies may leave by
+  TargetRef closing_at;             ///< the first home at that time
   Lineage lineage;
   base::TimePoint next_offer{};  ///< after an offer that nobody took
   bool handing = false;          ///< offered to another target: nothing is delivered or answered
