--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -38,7 +38,7 @@
 
 auto IsServed(const Agent& agent, const base::FlowKey& flow) -> bool {
   auto owned = agent.directory.owned.find(flow);
-  return owned != agent.directory.owned.end() && !owned->second.closing && !owned->second.handing;
+  return owned != agent.directory.owned.end() && !owned->second.closing && !owned->second.offered;
 }
 
 // 0: nothing of the flow is to be kept by anyone.
--- a/src/balancer/tests/interleaving_checks.cc
+++ b/src/balancer/tests/interleaving_checks.cc
@@ -7,7 +7,7 @@
 auto Serves(const AgentNode& agent, const base::FlowKey& flow) -> bool {
   auto found = agent.directory.owned.find(flow);
   if (found == agent.directory.owned.end()) return false;
-  return !found->second.closing && !found->second.handing;
+  return !found->second.closing && !found->second.offered;
 }
 
 }  // namespace
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -108,7 +108,7 @@
   auto idle = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : directory.owned) {
     auto is_used = context.now - owned.last_used < directory.policy.flow_idle;
-    if (owned.closing || owned.handing || is_used) continue;
+    if (owned.closing || owned.offered || is_used) continue;
     idle.push_back(flow);
   }
   for (const auto& flow : idle) {
@@ -205,7 +205,7 @@
   auto stopped = now - directory.last_step > directory.policy.pause_threshold;
   if (directory.fenced || stopped) return std::nullopt;
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->closing || owned->handing) return std::nullopt;
+  if (owned == nullptr || owned->closing || owned->offered) return std::nullopt;
   if (owned->balancer.port == 0) return std::nullopt;
   owned->last_used = now;
   return owned->balancer;
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -70,7 +70,7 @@
   auto* owned = FindOwned(directory, flow);
   if (node.empty() || owned == nullptr) return;
   ++directory.counters.hand_overs_taken_back;
-  owned->handing = false;
+  owned->offered = false;
   owned->next_offer = context.now + directory.policy.hand_over_backoff;
   for (auto& held : node.mapped().held) {
     context.effects.held.push_back(std::move(held.payload));
@@ -173,7 +173,7 @@
   // Safeguard: this agent has offered the flow itself, perhaps to the very sender, which took it
   // and offers it back before its word of that has arrived here. Accepted now, the flow would be
   // given up by both when it does arrive. Refused, the sender serves it on.
-  if (owned != nullptr && owned->handing) return false;
+  if (owned != nullptr && owned->offered) return false;
   // Two owners, after a cut: the old one lets go.
   if (owned != nullptr) return !owned->closing;
   if (MayTake(directory, event)) {
@@ -198,7 +198,7 @@
   // open it anew beside the new owner.
   auto known =
       home && (*home == directory.self || (owned.first.home == *home && !owned.first.queued));
-  return known && !owned.closing && !owned.handing && !directory.outgoing.contains(flow);
+  return known && !owned.closing && !owned.offered && !directory.outgoing.contains(flow);
 }
 
 auto OfferFlow(StepContext& context, const FlowOffered& event) -> void {
@@ -211,7 +211,7 @@
   offer.flow = owned;
   ExtendLineage(offer.flow.lineage, directory.self);
   // From here on nothing is delivered or answered: one owner at any time.
-  owned.handing = true;
+  owned.offered = true;
   OfferNext(context, event.flow, offer);
 }
 
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -71,7 +71,7 @@
   auto& directory = context.directory;
   if (loser.owner == directory.self) {
     auto* own = FindOwned(directory, flow);
-    if (own != nullptr && own->handing) return SettleHandOver(context, flow, winner);
+    if (own != nullptr && own->offered) return SettleHandOver(context, flow, winner);
     DropOwn(context, flow);
     return;
   }
@@ -223,7 +223,7 @@
   if (!flow || ReadRef(message.loser()) != directory.self) return;
   auto* owned = FindOwned(directory, *flow);
   // Safeguard: a late duplicate must not end a flow that was opened here afterwards.
-  if (owned != nullptr && owned->stamp == message.stamp() && owned->handing) {
+  if (owned != nullptr && owned->stamp == message.stamp() && owned->offered) {
     SettleHandOver(context, *flow, ReadRef(message.winner()));
   } else if (owned != nullptr && owned->stamp == message.stamp()) {
     DropOwn(context, *flow);
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -170,7 +170,7 @@
     return;
   }
   auto* owned = FindOwned(directory, arrival.flow);
-  if (owned != nullptr && owned->handing) {
+  if (owned != nullptr && owned->offered) {
     HoldForHandOver(context, arrival);
     return;
   }
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -177,7 +177,7 @@
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
   // What is offered may be served elsewhere already: there it will end.
-  if (owned == nullptr || owned->closing || owned->handing) return;
+  if (owned == nullptr || owned->closing || owned->offered) return;
   ++directory.counters.ended;
   auto home = HomeOf(directory, flow);
   if (!home || *home == directory.self || FindStream(directory, *home) == nullptr) {
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -99,7 +99,7 @@
   TargetRef closing_at;             ///< the first home at that time
   Lineage lineage;
   base::TimePoint next_offer{};  ///< after an offer that nobody took
-  bool handing = false;          ///< offered to another target: nothing is delivered or answered
+  bool offered = false;          ///< offered to another target: nothing is delivered or answered
 };
 
 /// An owner that was out of reach; when it is back it has to let go of a flow that was opened
