--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -51,7 +51,7 @@
   known.via = from;
   known.via_since = context.now;
   known.opened = context.now;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = context.now;
   known.tentative = true;
   known.lost = LostOwnerOf(context.directory, flow);
@@ -113,7 +113,7 @@
   owner.via = pending.claimed_via;
   owner.via_since = context.now;
   owner.opened = context.now;
-  owner.noted = context.now;
+  owner.noted_at = context.now;
   owner.last_packet = context.now;
   FinishAsking(context, flow, owner);
 }
@@ -161,7 +161,7 @@
     if (owner == asker) return std::nullopt;
     // Safeguard: only the home hears of a flow's end. What an earlier home remembers would lead to
     // a target that has let go of the flow, again and again.
-    auto fresh = context.now - known->second.noted < directory.policy.claim_validity;
+    auto fresh = context.now - known->second.noted_at < directory.policy.claim_validity;
     auto current = fresh || IsHome(directory, flow);
     if (peer != nullptr && owner != lost && current) return owner;
   }
@@ -170,7 +170,7 @@
     auto relayed = KnownOwner{};
     relayed.owner = *lost;
     relayed.opened = context.now;
-    relayed.noted = context.now;
+    relayed.noted_at = context.now;
     relayed.last_packet = context.now;
     directory.known[flow] = relayed;
     return lost;
@@ -273,7 +273,7 @@
     known.owner = owner;
     known.lineage = ReadLineage(answer.lineage());
     known.opened = context.now;
-    known.noted = context.now;
+    known.noted_at = context.now;
     known.last_packet = context.now;
     // It answered just now, whatever the probes say.
     if (peer->suspect || peer->ref != responder) {
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -294,7 +294,7 @@
   auto known = KnownOwner{};
   known.owner = owner;
   known.opened = offer.flow.opened;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = context.now;
   known.lineage = offer.flow.lineage;
   directory.known[flow] = known;
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -89,7 +89,7 @@
   auto known = KnownOwner{};
   known.owner = claim.owner;
   known.opened = claim.opened;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = claim.last_from_client;
   known.stamp = claim.stamp;
   known.lineage = claim.lineage;
@@ -230,7 +230,7 @@
     auto known = KnownOwner{};
     known.owner = ReadRef(message.winner());
     known.opened = context.now;
-    known.noted = context.now;
+    known.noted_at = context.now;
     known.last_packet = context.now;
     directory.known[*flow] = known;
   }
--- a/src/steering/internal/directory_opening.cc
+++ b/src/steering/internal/directory_opening.cc
@@ -33,7 +33,7 @@
   auto known = KnownOwner{};
   known.owner = peer.ref;
   known.opened = context.now;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = context.now;
   OverruleLost(context, arrival.flow, peer.ref);
   directory.known[arrival.flow] = known;
--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -152,7 +152,7 @@
   auto& directory = context.directory;
   auto owned = OwnedFlow{};
   owned.opened = context.now;
-  owned.last_from_client = copy.noted;
+  owned.last_from_client = copy.noted_at;
   owned.last_used = context.now;
   owned.balancer = AnyBalancer(directory);
   owned.stamp = ++directory.stamp;
@@ -274,7 +274,7 @@
   auto& directory = context.directory;
   auto old = std::vector<base::FlowKey>{};
   for (const auto& [flow, copy] : directory.copies) {
-    if (context.now - copy.noted > directory.policy.copy_ttl) old.push_back(flow);
+    if (context.now - copy.noted_at > directory.policy.copy_ttl) old.push_back(flow);
   }
   for (const auto& flow : old) ForgetCopy(directory, flow);
 }
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -247,7 +247,7 @@
   auto packet = MakePacket(ClientOf(view, 2));
   auto known = KnownOwner{};
   known.owner = {MakeRecord(3).id, 1};
-  known.noted = kStart - directory.policy.claim_validity;
+  known.noted_at = kStart - directory.policy.claim_validity;
   directory.known[FlowOf(packet)] = known;
   auto query = MakeQuery(packet, 2);
   auto effects = Send(directory, query);
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -116,9 +116,9 @@
   base::TimePoint via_since{};
   base::TimePoint opened{};
   base::TimePoint last_packet{};
-  std::uint64_t stamp = 0;  ///< 0: not registered yet
-  base::TimePoint noted{};  ///< when this agent learnt it
-  bool tentative = false;   ///< the owner asked and may open the flow; it has not said that it did
+  std::uint64_t stamp = 0;     ///< 0: not registered yet
+  base::TimePoint noted_at{};  ///< when this agent learnt it
+  bool tentative = false;  ///< the owner asked and may open the flow; it has not said that it did
   LostOwner lost;
   Lineage lineage;
 };
@@ -176,7 +176,7 @@
   TargetRef owner;
   Lineage lineage;     ///< of the owner
   wire::Bytes record;  ///< opaque here
-  base::TimePoint noted{};
+  base::TimePoint noted_at{};
 };
 
 /// An owner of copies that are kept here.
