--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -115,7 +115,7 @@
   if (owner == nullptr) return;
   ++directory.counters.copies_withheld;
   auto longest = directory.policy.max_takeover_retry;
-  owner->agreed = false;
+  owner->loss_confirmed = false;
   owner->pause = std::clamp(owner->pause * 2, directory.policy.takeover_retry, longest);
   owner->next_try = context.now + owner->pause;
 }
@@ -127,7 +127,7 @@
     if (copy.owner == owner.ref && !directory.pending.contains(flow)) flows.push_back(flow);
   }
   std::ranges::sort(flows);
-  auto most = owner.agreed ? directory.policy.takeover_batch : std::size_t{1};
+  auto most = owner.loss_confirmed ? directory.policy.takeover_batch : std::size_t{1};
   if (flows.size() > most) flows.resize(most);
   return flows;
 }
@@ -136,7 +136,7 @@
   const auto& policy = context.directory.policy;
   auto gone = FindPeer(context.directory, owner.ref) == nullptr;
   if (!gone && context.now < owner.next_try) return;
-  if (!owner.agreed) owner.next_try = context.now + policy.takeover_retry;
+  if (!owner.loss_confirmed) owner.next_try = context.now + policy.takeover_retry;
   auto flows = FlowsToAskFor(context.directory, owner);
   // `owner` may be gone after the first of them.
   for (const auto& flow : flows) StartAsking(context, flow, nullptr, std::nullopt);
@@ -237,7 +237,7 @@
   }
   TakeOrphan(context, flow);
   if (auto* owner = FindCopiedOwner(directory, ref)) {
-    owner->agreed = true;
+    owner->loss_confirmed = true;
     owner->pause = {};
     owner->next_try = {};
   }
@@ -263,7 +263,7 @@
     if (IsOutOfReach(directory, owner->ref)) {
       AskForOrphans(context, *owner);
     } else {
-      owner->agreed = false;
+      owner->loss_confirmed = false;
       owner->pause = {};
       owner->next_try = {};
     }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -184,7 +184,7 @@
   TargetRef ref;
   std::size_t flows = 0;
   /// Its loss is agreed: a flow of it was taken over here since it was last in reach.
-  bool agreed = false;
+  bool loss_confirmed = false;
   base::TimePoint next_try{};
   base::Duration pause{};  ///< before the next one, when others reach the owner
 };
