--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -117,7 +117,7 @@
   auto longest = directory.policy.max_takeover_retry;
   owner->loss_confirmed = false;
   owner->pause = std::clamp(owner->pause * 2, directory.policy.takeover_retry, longest);
-  owner->next_try = context.now + owner->pause;
+  owner->next_attempt = context.now + owner->pause;
 }
 
 auto FlowsToAskFor(const Directory& directory, const CopiedOwner& owner)
@@ -135,8 +135,8 @@
 auto AskForOrphans(StepContext& context, CopiedOwner& owner) -> void {
   const auto& policy = context.directory.policy;
   auto gone = FindPeer(context.directory, owner.ref) == nullptr;
-  if (!gone && context.now < owner.next_try) return;
-  if (!owner.loss_confirmed) owner.next_try = context.now + policy.takeover_retry;
+  if (!gone && context.now < owner.next_attempt) return;
+  if (!owner.loss_confirmed) owner.next_attempt = context.now + policy.takeover_retry;
   auto flows = FlowsToAskFor(context.directory, owner);
   // `owner` may be gone after the first of them.
   for (const auto& flow : flows) StartAsking(context, flow, nullptr, std::nullopt);
@@ -239,7 +239,7 @@
   if (auto* owner = FindCopiedOwner(directory, ref)) {
     owner->loss_confirmed = true;
     owner->pause = {};
-    owner->next_try = {};
+    owner->next_attempt = {};
   }
   return true;
 }
@@ -265,7 +265,7 @@
     } else {
       owner->loss_confirmed = false;
       owner->pause = {};
-      owner->next_try = {};
+      owner->next_attempt = {};
     }
   }
 }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -185,7 +185,7 @@
   std::size_t flows = 0;
   /// Its loss is agreed: a flow of it was taken over here since it was last in reach.
   bool loss_confirmed = false;
-  base::TimePoint next_try{};
+  base::TimePoint next_attempt{};
   base::Duration pause{};  ///< before the next one, when others reach the owner
 };
 
