--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -200,9 +200,9 @@
 auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
                  std::optional<TargetRef> lost) -> void {
   auto& directory = context.directory;
-  auto under_way = directory.pending.find(flow);
-  if (under_way != directory.pending.end()) {
-    if (arrival != nullptr) HoldPacket(context, under_way->second, *arrival);
+  auto awaiting_ack = directory.pending.find(flow);
+  if (awaiting_ack != directory.pending.end()) {
+    if (arrival != nullptr) HoldPacket(context, awaiting_ack->second, *arrival);
     return;
   }
   if (directory.pending.size() >= directory.policy.max_pending_flows) {
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -72,14 +72,14 @@
 }
 
 auto PumpStream(StepContext& context, RegisterStream& stream) -> void {
-  if (stream.under_way) {
+  if (stream.awaiting_ack) {
     if (context.now >= stream.next_retry) SendBatch(context, stream);
     return;
   }
   FillBatch(context.directory, stream);
   if (stream.batch.empty() && stream.batch_settles == 0) return;
   ++stream.sequence;
-  stream.under_way = true;
+  stream.awaiting_ack = true;
   SendBatch(context, stream);
 }
 
@@ -150,8 +150,8 @@
 auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void {
   auto& directory = context.directory;
   auto* stream = FindStream(directory, ReadRef(ack.home()));
-  if (stream == nullptr || !stream->under_way || stream->sequence != ack.sequence()) return;
-  stream->under_way = false;
+  if (stream == nullptr || !stream->awaiting_ack || stream->sequence != ack.sequence()) return;
+  stream->awaiting_ack = false;
   for (const auto& flow : stream->batch) NoteRegistered(directory, flow, stream->home);
   if (stream->batch_settles != 0) stream->settled = stream->batch_settles;
   stream->batch.clear();
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -145,7 +145,7 @@
   if (!directory.fenced) return;
   auto done = [&](const RegisterStream& stream) {
     auto* peer = FindPeer(directory, stream.home);
-    return peer == nullptr || peer->suspect || (stream.queue.empty() && !stream.under_way);
+    return peer == nullptr || peer->suspect || (stream.queue.empty() && !stream.awaiting_ack);
   };
   auto settled = [&](const PeerTarget& peer) {
     return peer.suspect || peer.settled_view == directory.digest;
--- a/src/steering/tests/directory_hand_over_test.cc
+++ b/src/steering/tests/directory_hand_over_test.cc
@@ -7,7 +7,7 @@
 auto AckRegistrations(Directory& directory) -> void {
   auto streams = directory.streams;
   for (const auto& stream : streams) {
-    if (!stream.under_way) continue;
+    if (!stream.awaiting_ack) continue;
     auto header = wire::pb::TunnelHeader{};
     auto* ack = header.mutable_register_ack();
     ack->set_service(kDesk.value);
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -104,7 +104,7 @@
   auto client = ClientOf(view, 2);
   while (acting(client) != MakeRecord(3).id || HomeNumber(view, client) != 2) ++client;
   directory.owned[FlowOf(MakePacket(client))].balancer = kBalancer;
-  for (auto& stream : directory.streams) stream.under_way = false;
+  for (auto& stream : directory.streams) stream.awaiting_ack = false;
   auto effects = Step(directory, ViewArrived{&view}, kStart);
   auto registered = [](const SendTunnel& send) {
     return send.to == MakeRecord(3).tunnel && send.header.register_().flows_size() == 1;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -195,7 +195,7 @@
   std::uint64_t sequence = 0;
   std::deque<base::FlowKey> queue;
   std::vector<base::FlowKey> batch;  ///< under way
-  bool under_way = false;
+  bool awaiting_ack = false;
   std::uint64_t batch_settles = 0;  ///< digest that the batch declares settled; 0: none
   std::uint64_t settled = 0;        ///< digest whose settling was acknowledged
   base::TimePoint next_retry{};
