--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -41,7 +41,7 @@
   }
   // With the queue empty, this batch is the last one under the view.
   auto unsettled = stream.settled != directory.digest;
-  stream.batch_settles = stream.queue.empty() && unsettled ? directory.digest : 0;
+  stream.settling_digest = stream.queue.empty() && unsettled ? directory.digest : 0;
 }
 
 auto SendBatch(StepContext& context, RegisterStream& stream) -> void {
@@ -54,8 +54,8 @@
   message->set_sequence(stream.sequence);
   WriteRef(directory.self, *message->mutable_owner());
   WriteRef(stream.home, *message->mutable_home());
-  message->set_settled(stream.batch_settles != 0);
-  message->set_view(stream.batch_settles);
+  message->set_settled(stream.settling_digest != 0);
+  message->set_view(stream.settling_digest);
   for (const auto& flow : stream.batch) {
     auto* owned = FindOwned(directory, flow);
     if (owned == nullptr) continue;
@@ -77,7 +77,7 @@
     return;
   }
   FillBatch(context.directory, stream);
-  if (stream.batch.empty() && stream.batch_settles == 0) return;
+  if (stream.batch.empty() && stream.settling_digest == 0) return;
   ++stream.sequence;
   stream.awaiting_ack = true;
   SendBatch(context, stream);
@@ -153,7 +153,7 @@
   if (stream == nullptr || !stream->awaiting_ack || stream->sequence != ack.sequence()) return;
   stream->awaiting_ack = false;
   for (const auto& flow : stream->batch) NoteRegistered(directory, flow, stream->home);
-  if (stream->batch_settles != 0) stream->settled = stream->batch_settles;
+  if (stream->settling_digest != 0) stream->settled = stream->settling_digest;
   stream->batch.clear();
   directory.pump_due = true;
 }
@@ -163,7 +163,7 @@
   auto* stream = FindStream(directory, ReadRef(message.asker()));
   if (stream == nullptr) return;
   stream->settled = 0;
-  if (stream->batch_settles != 0) stream->batch_settles = 0;
+  if (stream->settling_digest != 0) stream->settling_digest = 0;
   for (auto& [flow, owned] : directory.owned) {
     auto* registered = RegisteredAtOf(directory, flow, owned, stream->home);
     if (registered == nullptr) continue;
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -196,8 +196,8 @@
   std::deque<base::FlowKey> queue;
   std::vector<base::FlowKey> batch;  ///< under way
   bool awaiting_ack = false;
-  std::uint64_t batch_settles = 0;  ///< digest that the batch declares settled; 0: none
-  std::uint64_t settled = 0;        ///< digest whose settling was acknowledged
+  std::uint64_t settling_digest = 0;  ///< digest that the batch declares settled; 0: none
+  std::uint64_t settled = 0;          ///< digest whose settling was acknowledged
   base::TimePoint next_retry{};
 };
 
