--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -54,7 +54,7 @@
 
 auto SendYield(StepContext& context, PendingYield& yield) -> void {
   yield.next_retry = context.now + context.directory.policy.register_retry;
-  ++yield.tries;
+  ++yield.attempts;
   auto* peer = FindPeer(context.directory, yield.loser);
   if (peer == nullptr) return;
   auto header = MakeHeader(context.directory);
@@ -254,7 +254,7 @@
 auto RetryYields(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.yields, [&](const PendingYield& yield) {
-    return yield.tries >= kYieldTries || FindPeer(directory, yield.loser) == nullptr;
+    return yield.attempts >= kYieldTries || FindPeer(directory, yield.loser) == nullptr;
   });
   for (auto& yield : directory.yields) {
     // A loser that is out of reach hears of it when it is back.
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -224,7 +224,7 @@
   TargetRef winner;
   std::uint64_t stamp = 0;
   base::TimePoint next_retry{};
-  std::uint32_t tries = 0;
+  std::uint32_t attempts = 0;
 };
 
 /// Counts of what the directory did; monotonic.
