--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -47,7 +47,7 @@
 
 auto ShareOf(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> double {
   auto factor = DelayFactor(policy, load, means) * RefusedFactor(policy, load, means);
-  return load.weight * ColdFactor(policy, load) * std::max(policy.least_factor, factor);
+  return load.weight * ColdFactor(policy, load) * std::max(policy.min_factor, factor);
 }
 
 auto MeansOf(const PlacementPolicy& policy, std::span<const TargetLoad> loads) -> Means {
--- a/src/steering/placement.h
+++ b/src/steering/placement.h
@@ -43,7 +43,7 @@
   double flow_slack = 2.0;
   double delay_margin = 1.25;    ///< delay up to this much over the mean counts as equal
   double refused_margin = 50.0;  ///< refused requests of a thousand over the mean, likewise
-  double least_factor = 0.1;     ///< a slow or refusing target keeps this much of its share
+  double min_factor = 0.1;       ///< a slow or refusing target keeps this much of its share
   /// Full share after this age; before, one that grows linearly from `slow_start_floor` of it.
   base::Duration slow_start = base::seconds(10);
   double slow_start_floor = 0.2;
