--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -133,7 +133,7 @@
   for (auto& [flow, owned] : directory.owned) {
     owned.first.queued = false;
     owned.acting.queued = false;
-    auto moved = HomeOf(directory, flow) != owned.closing_at;
+    auto moved = HomeOf(directory, flow) != owned.closing_home;
     if (owned.closing && moved) forgotten.push_back(flow);
     EnqueueRegistration(directory, flow, owned);
   }
@@ -185,7 +185,7 @@
     return;
   }
   owned->closing = true;
-  owned->closing_at = *home;
+  owned->closing_home = *home;
   owned->first.home = {};
   owned->acting.home = {};
   EnqueueRegistration(directory, flow, *owned);
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -96,7 +96,7 @@
   RegisteredAt acting;              ///< while this agent suspects the first home
   bool closing = false;             ///< ended here, the first home has not acknowledged it yet
   std::uint8_t reply_rotation = 0;  ///< whose turn it is of the balancers that replies may leave by
-  TargetRef closing_at;             ///< the first home at that time
+  TargetRef closing_home;           ///< the first home at that time
   Lineage lineage;
   base::TimePoint next_offer{};  ///< after an offer that nobody took
   bool offered = false;          ///< offered to another target: nothing is delivered or answered
