--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -61,7 +61,7 @@
   std::vector<RegisterStream> streams;     ///< sorted by home's target
   std::vector<PendingYield> yields;
   std::vector<TargetLoad> load_scratch;
-  bool pump_due = false;  ///< a stream may have something to send
+  bool streams_due = false;  ///< a stream may have something to send
   std::uint32_t drain_notices_left = 0;
   base::TimePoint next_drain_notice{};
 
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -136,7 +136,7 @@
 
 auto Handle(StepContext& context, const DirectoryTimer&) -> void {
   auto& directory = context.directory;
-  directory.pump_due = true;
+  directory.streams_due = true;
   ContinueAsking(context);
   RetryYields(context);
   ContinueHandOvers(context);
@@ -194,7 +194,7 @@
   auto context = StepContext{directory, now, effects};
   NoticeStop(context);
   std::visit([&](const auto& concrete) { Handle(context, concrete); }, event);
-  if (directory.pump_due) PumpStreams(context);
+  if (directory.streams_due) PumpStreams(context);
   TellFlows(context);
   ContinueFence(context);
   return effects;
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -107,7 +107,7 @@
   if (stream == nullptr) return;
   stream->queue.push_back(flow);
   registered.queued = true;
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 }  // namespace
@@ -142,7 +142,7 @@
 
 auto PumpStreams(StepContext& context) -> void {
   auto& directory = context.directory;
-  directory.pump_due = false;
+  directory.streams_due = false;
   if (!directory.in_view) return;
   for (auto& stream : directory.streams) PumpStream(context, stream);
 }
@@ -155,7 +155,7 @@
   for (const auto& flow : stream->batch) NoteRegistered(directory, flow, stream->home);
   if (stream->settling_digest != 0) stream->settled = stream->settling_digest;
   stream->batch.clear();
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 auto HandleResettle(StepContext& context, const wire::pb::Resettle& message) -> void {
@@ -170,7 +170,7 @@
     registered->home = {};
     EnqueueRegistration(directory, flow, owned);
   }
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void {
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -119,7 +119,7 @@
   if (moved) UpdateStreams(directory);
   RegisterAnew(directory);
   if (moved) ForgetDeadOwners(directory);
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 // Safeguard: a process that was stopped for longer than its peers wait may own flows that were
