--- a/bench/burst_model.cc
+++ b/bench/burst_model.cc
@@ -126,7 +126,7 @@
   const auto& view = model.balancers[model.random() % kBalancers];
   auto flow = base::FlowKey{base::EndpointFromV4(++model.clients, 4000), base::ServiceIdOf("desk")};
   auto set = steering::MakeCandidates(view.services.front());
-  auto home = steering::FindFirst(set, base::HashFlow(flow));
+  auto home = steering::FindFirstHome(set, base::HashFlow(flow));
   auto header = wire::pb::TunnelHeader{};
   wire::WriteFlow(flow, *header.mutable_packet()->mutable_flow());
   header.mutable_packet()->set_may_open(true);
@@ -234,7 +234,7 @@
   for (const auto& agent : model.agents) {
     const auto& directory = agent->directory;
     for (const auto& [flow, owned] : directory.owned) {
-      auto home = steering::FindFirst(directory.candidates, base::HashFlow(flow));
+      auto home = steering::FindFirstHome(directory.candidates, base::HashFlow(flow));
       if (home != directory.self_index) away += 1;
       total += 1;
     }
--- a/bench/capacity/steering_slopes.cc
+++ b/bench/capacity/steering_slopes.cc
@@ -101,7 +101,7 @@
     }
     auto set = steering::MakeCandidates(service);
     auto hash = base::HashFlow(SampleFlow());
-    auto cost = NanosecondsPerCall([&] { Keep(steering::FindFirst(set, ++hash)); });
+    auto cost = NanosecondsPerCall([&] { Keep(steering::FindFirstHome(set, ++hash)); });
     slope.points.push_back({static_cast<double>(count), cost});
   }
   return slope;
--- a/bench/policy_model.cc
+++ b/bench/policy_model.cc
@@ -140,9 +140,9 @@
 auto ChooseOwner(Model& model, const Flow& flow, std::uint32_t balancer, double now)
     -> std::uint32_t {
   if (model.variant.finder != Finder::kDirectory) {
-    return steering::FindFirst(model.views[ViewOf(model, balancer, now)].set, flow.hash);
+    return steering::FindFirstHome(model.views[ViewOf(model, balancer, now)].set, flow.hash);
   }
-  auto home = steering::FindFirst(model.views.back().set, flow.hash);
+  auto home = steering::FindFirstHome(model.views.back().set, flow.hash);
   auto policy = steering::PlacementPolicy{};
   policy.kind = model.variant.placement;
   auto loads = LoadsOf(model, now);
@@ -195,7 +195,7 @@
 // Whether the packet reaches the flow's owner; counts extra hops.
 auto Reaches(Model& model, Flow& flow, std::uint32_t balancer, double now) -> bool {
   auto view = ViewOf(model, balancer, now);
-  auto first = steering::FindFirst(model.views[view].set, flow.hash);
+  auto first = steering::FindFirstHome(model.views[view].set, flow.hash);
   auto steady = now >= At(model, kSteadyFrom) && now < At(model, kJoin);
   if (steady) model.packets += 1;
   switch (model.variant.finder) {
@@ -207,7 +207,8 @@
     case Finder::kPreviousChain: {
       if (first == flow.owner) return true;
       if (steady) model.hops += 1;
-      return view > 0 && steering::FindFirst(model.views[view - 1].set, flow.hash) == flow.owner;
+      return view > 0 &&
+             steering::FindFirstHome(model.views[view - 1].set, flow.hash) == flow.owner;
     }
     case Finder::kDirectory:
       if (TakesHop(model, flow, balancer, first, now) && steady) model.hops += 1;
--- a/bench/steering_bench.cc
+++ b/bench/steering_bench.cc
@@ -82,7 +82,7 @@
   auto set = MakeSet(static_cast<std::uint32_t>(state.range(0)), state.range(1) != 0);
   auto hash = std::uint64_t{1};
   for (auto _ : state) {
-    benchmark::DoNotOptimize(steering::FindFirst(set, hash));
+    benchmark::DoNotOptimize(steering::FindFirstHome(set, hash));
     hash += 0x9e3779b97f4a7c15;
   }
 }
--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -75,7 +75,7 @@
 
 auto IsAdoptedIn(const Agent& agent, const CandidateSet& set, const base::FlowKey& flow) -> bool {
   if (agent.lost_flows.contains(flow)) return true;
-  auto index = steering::FindFirst(set, base::HashFlow(flow));
+  auto index = steering::FindFirstHome(set, base::HashFlow(flow));
   return index != steering::kNone && IsLost(agent, set.candidates[index].target);
 }
 
--- a/src/balancer/internal/route.cc
+++ b/src/balancer/internal/route.cc
@@ -50,7 +50,7 @@
 
 auto RouteToHome(Balancer& state, const ServiceRoute& service, Route& route) -> void {
   auto hash = base::HashFlow(route.flow);
-  auto index = steering::FindFirst(service.candidates, hash);
+  auto index = steering::FindFirstHome(service.candidates, hash);
   if (index == steering::kNone) {
     ++state.counters.no_target;
     return;
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -35,7 +35,7 @@
     auto own = candidates[i].target == directory.self.target;
     if (own || !MayBeOffered(offer, candidates[i].target, load)) load.eligible = false;
   }
-  auto home = FindFirst(directory.candidates, base::HashFlow(flow));
+  auto home = FindFirstHome(directory.candidates, base::HashFlow(flow));
   auto request = PlacementRequest{directory.load_scratch, home, 0};
   auto index = Place(directory.policy.placement, request, directory.random);
   if (index == kNoTarget) return nullptr;
--- a/src/steering/internal/directory_lookup.cc
+++ b/src/steering/internal/directory_lookup.cc
@@ -33,7 +33,7 @@
 }
 
 auto HomeOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef> {
-  return RefAt(directory, FindFirst(directory.candidates, base::HashFlow(flow)));
+  return RefAt(directory, FindFirstHome(directory.candidates, base::HashFlow(flow)));
 }
 
 auto ActingHomeOf(const Directory& directory, const base::FlowKey& flow)
@@ -43,7 +43,7 @@
 
 auto IsHome(const Directory& directory, const base::FlowKey& flow) -> bool {
   if (directory.self_index == kNone) return false;
-  return FindFirst(directory.candidates, base::HashFlow(flow)) == directory.self_index;
+  return FindFirstHome(directory.candidates, base::HashFlow(flow)) == directory.self_index;
 }
 
 auto FindOwned(Directory& directory, const base::FlowKey& flow) -> OwnedFlow* {
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -69,12 +69,12 @@
   return set;
 }
 
-auto FindFirst(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
+auto FindFirstHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
   return BestOf(set, flow_hash, [](std::uint32_t, const Candidate&) { return true; });
 }
 
 auto FindHomes(const CandidateSet& set, std::uint64_t flow_hash) -> Homes {
-  auto first = FindFirst(set, flow_hash);
+  auto first = FindFirstHome(set, flow_hash);
   return {first, FindSecond(set, flow_hash, first)};
 }
 
@@ -89,7 +89,7 @@
 }
 
 auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
-  auto first = FindFirst(set, flow_hash);
+  auto first = FindFirstHome(set, flow_hash);
   if (first == kNone || !set.candidates[first].suspect) return first;
   auto second = FindSecond(set, flow_hash, first);
   if (second != kNone && !set.candidates[second].suspect) return second;
--- a/src/steering/rendezvous.h
+++ b/src/steering/rendezvous.h
@@ -40,7 +40,7 @@
 auto FindHomes(const CandidateSet& set, std::uint64_t flow_hash) -> Homes;
 
 /// The first home alone, at half the cost.
-auto FindFirst(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
+auto FindFirstHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
 
 /// Who keeps copies of the flow's observations while `owner` serves it: the first in order that is
 /// neither the owner nor suspect, in another failure domain than the owner's where there is one.
--- a/src/steering/tests/directory_fixture.h
+++ b/src/steering/tests/directory_fixture.h
@@ -64,7 +64,7 @@
 // The number of the target that is the home of the client's flow.
 inline auto HomeNumber(const membership::View& view, std::uint32_t client) -> std::uint16_t {
   auto set = MakeCandidates(view.services.front());
-  auto index = FindFirst(set, base::HashFlow(FlowOf(MakePacket(client))));
+  auto index = FindFirstHome(set, base::HashFlow(FlowOf(MakePacket(client))));
   auto number = std::uint16_t{1};
   while (set.candidates[index].target != MakeRecord(number).id) ++number;
   return number;
--- a/src/steering/tests/rendezvous_test.cc
+++ b/src/steering/tests/rendezvous_test.cc
@@ -23,7 +23,7 @@
 
 auto Shares(const CandidateSet& set) -> std::vector<double> {
   auto shares = std::vector<double>(set.candidates.size());
-  for (auto i = std::uint64_t{0}; i < kFlows; ++i) shares[FindFirst(set, FlowHash(i))] += 1.0;
+  for (auto i = std::uint64_t{0}; i < kFlows; ++i) shares[FindFirstHome(set, FlowHash(i))] += 1.0;
   return shares;
 }
 
@@ -43,8 +43,8 @@
   auto without = set;
   without.candidates[3].placeable = false;
   for (auto i = std::uint64_t{0}; i < 1000; ++i) {
-    auto before = FindFirst(set, FlowHash(i));
-    if (before != 3) BOOST_TEST(FindFirst(without, FlowHash(i)) == before);
+    auto before = FindFirstHome(set, FlowHash(i));
+    if (before != 3) BOOST_TEST(FindFirstHome(without, FlowHash(i)) == before);
   }
 }
 
@@ -69,9 +69,9 @@
 BOOST_AUTO_TEST_CASE(without_placeable_targets_there_is_no_home) {
   auto set = MakeSet(1);
   set.candidates[0].placeable = false;
-  BOOST_TEST(FindFirst(set, 1) == kNone);
+  BOOST_TEST(FindFirstHome(set, 1) == kNone);
   BOOST_TEST(FindActing(set, 1) == kNone);
-  BOOST_TEST(FindFirst(CandidateSet{}, 1) == kNone);
+  BOOST_TEST(FindFirstHome(CandidateSet{}, 1) == kNone);
 }
 
 }  // namespace
