--- a/src/balancer/internal/route.cc
+++ b/src/balancer/internal/route.cc
@@ -56,7 +56,7 @@
     return;
   }
   auto is_first = !service.targets[index].suspect;
-  if (!is_first) index = steering::FindActing(service.candidates, hash);
+  if (!is_first) index = steering::FindActingHome(service.candidates, hash);
   route.kind = is_first ? RouteKind::kHome : RouteKind::kSecond;
   route.to = service.targets[index].tunnel;
   ++(is_first ? state.counters.to_home : state.counters.to_second);
--- a/src/steering/internal/directory_forwarding.cc
+++ b/src/steering/internal/directory_forwarding.cc
@@ -60,7 +60,7 @@
 
 auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
-  auto index = FindActing(directory.candidates, base::HashFlow(arrival.flow));
+  auto index = FindActingHome(directory.candidates, base::HashFlow(arrival.flow));
   if (index == kNone) {
     Refuse(context, arrival, Refused::REASON_DRAINING, directory.counters.draining);
     return;
--- a/src/steering/internal/directory_lookup.cc
+++ b/src/steering/internal/directory_lookup.cc
@@ -38,7 +38,7 @@
 
 auto ActingHomeOf(const Directory& directory, const base::FlowKey& flow)
     -> std::optional<TargetRef> {
-  return RefAt(directory, FindActing(directory.candidates, base::HashFlow(flow)));
+  return RefAt(directory, FindActingHome(directory.candidates, base::HashFlow(flow)));
 }
 
 auto IsHome(const Directory& directory, const base::FlowKey& flow) -> bool {
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -36,7 +36,7 @@
     StartAsking(context, arrival.flow, &arrival, std::nullopt);
     return;
   }
-  auto index = FindActing(directory.candidates, base::HashFlow(arrival.flow));
+  auto index = FindActingHome(directory.candidates, base::HashFlow(arrival.flow));
   if (index == kNone || index != directory.self_index) {
     GiveToHome(context, arrival);
     return;
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -88,7 +88,7 @@
   return BestOf(set, flow_hash, [&](std::uint32_t, const Candidate& c) { return other(c); });
 }
 
-auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
+auto FindActingHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
   auto first = FindFirstHome(set, flow_hash);
   if (first == kNone || !set.candidates[first].suspect) return first;
   auto second = FindSecond(set, flow_hash, first);
--- a/src/steering/rendezvous.h
+++ b/src/steering/rendezvous.h
@@ -49,6 +49,6 @@
 
 /// The home to send to: the first unless this instance suspects it, then the second, then any that
 /// is not suspect, then the first again (all are suspect: the observer itself may be cut off).
-auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
+auto FindActingHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t;
 
 }  // namespace anvildrum::steering
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -97,7 +97,7 @@
   auto directory = MakeDirectory(view);
   auto acting = [&](std::uint32_t client) {
     auto set = MakeCandidates(view.services.front());
-    auto index = FindActing(set, base::HashFlow(FlowOf(MakePacket(client))));
+    auto index = FindActingHome(set, base::HashFlow(FlowOf(MakePacket(client))));
     return set.candidates[index].target;
   };
   membership::SetSuspect(view, MakeRecord(2).id, true);
--- a/src/steering/tests/rendezvous_test.cc
+++ b/src/steering/tests/rendezvous_test.cc
@@ -61,16 +61,16 @@
   auto set = MakeSet(3);
   auto homes = FindHomes(set, FlowHash(1));
   set.candidates[homes.first].suspect = true;
-  BOOST_TEST(FindActing(set, FlowHash(1)) == homes.second);
+  BOOST_TEST(FindActingHome(set, FlowHash(1)) == homes.second);
   for (auto& candidate : set.candidates) candidate.suspect = true;
-  BOOST_TEST(FindActing(set, FlowHash(1)) == homes.first);
+  BOOST_TEST(FindActingHome(set, FlowHash(1)) == homes.first);
 }
 
 BOOST_AUTO_TEST_CASE(without_placeable_targets_there_is_no_home) {
   auto set = MakeSet(1);
   set.candidates[0].placeable = false;
   BOOST_TEST(FindFirstHome(set, 1) == kNone);
-  BOOST_TEST(FindActing(set, 1) == kNone);
+  BOOST_TEST(FindActingHome(set, 1) == kNone);
   BOOST_TEST(FindFirstHome(CandidateSet{}, 1) == kNone);
 }
 
