--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -129,7 +129,7 @@
   auto& agent = context.agent;
   auto header = MakeHeader(agent);
   auto& batch = *header.mutable_stand_by();
-  steering::AddressCopies(agent.directory, stream.keeper, batch);
+  steering::WriteBatchAddress(agent.directory, stream.keeper, batch);
   batch.set_sequence(++stream.sequence);
   while (!stream.queue.empty() && header.ByteSizeLong() < agent.policy.stand_by.batch_bytes) {
     auto flow = stream.queue.front();
--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -202,8 +202,8 @@
 auto StandByOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef>;
 
 /// Service, owner and keeper of a batch of copies.
-auto AddressCopies(const Directory& directory, const TargetRef& keeper, wire::pb::StandBy& batch)
-    -> void;
+auto WriteBatchAddress(const Directory& directory, const TargetRef& keeper,
+                       wire::pb::StandBy& batch) -> void;
 
 /// Where a flow that is served here comes from.
 auto WriteLineageOf(const Directory& directory, const base::FlowKey& flow,
--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -173,8 +173,8 @@
   return std::ranges::lower_bound(directory.peers, target, {}, target_of)->ref;
 }
 
-auto AddressCopies(const Directory& directory, const TargetRef& keeper, wire::pb::StandBy& batch)
-    -> void {
+auto WriteBatchAddress(const Directory& directory, const TargetRef& keeper,
+                       wire::pb::StandBy& batch) -> void {
   batch.set_service(directory.service.value);
   WriteRef(directory.self, *batch.mutable_owner());
   WriteRef(keeper, *batch.mutable_keeper());
