--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -187,8 +187,8 @@
     -> std::optional<base::Endpoint>;
 
 /// Sends the flow's replies through another balancer from now on.
-auto MoveReplies(Directory& directory, const base::FlowKey& flow, const base::Endpoint& balancer)
-    -> void;
+auto SetReplyBalancer(Directory& directory, const base::FlowKey& flow,
+                      const base::Endpoint& balancer) -> void;
 
 /// Whether every peer that is not suspect has registered its flows under this agent's view.
 auto IsSettled(const Directory& directory) -> bool;
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -211,8 +211,8 @@
   return owned->balancer;
 }
 
-auto MoveReplies(Directory& directory, const base::FlowKey& flow, const base::Endpoint& balancer)
-    -> void {
+auto SetReplyBalancer(Directory& directory, const base::FlowKey& flow,
+                      const base::Endpoint& balancer) -> void {
   auto* owned = FindOwned(directory, flow);
   if (owned != nullptr) owned->balancer = balancer;
 }
