--- a/src/steering/flow_table.h
+++ b/src/steering/flow_table.h
@@ -43,7 +43,7 @@
   std::uint64_t evictions = 0;
 };
 
-inline constexpr std::size_t kSlotsOfSet = 8;
+inline constexpr std::size_t kSlotsPerSet = 8;
 
 /// A table of at least `capacity` places (rounded up to a power of two).
 auto MakeFlowTable(std::size_t capacity) -> FlowTable;
--- a/src/steering/internal/flow_table.cc
+++ b/src/steering/internal/flow_table.cc
@@ -14,7 +14,7 @@
 
 auto SetOf(FlowTable& table, const Fingerprint& fingerprint) -> std::span<FlowSlot> {
   auto set = fingerprint.low & table.set_mask;
-  return std::span(table.slots).subspan(set * kSlotsOfSet, kSlotsOfSet);
+  return std::span(table.slots).subspan(set * kSlotsPerSet, kSlotsPerSet);
 }
 
 auto FindSlot(FlowTable& table, const Fingerprint& fingerprint) -> FlowSlot* {
@@ -36,9 +36,9 @@
 }
 
 auto MakeFlowTable(std::size_t capacity) -> FlowTable {
-  auto sets = std::bit_ceil(std::max<std::size_t>(1, (capacity + kSlotsOfSet - 1) / kSlotsOfSet));
+  auto sets = std::bit_ceil(std::max<std::size_t>(1, (capacity + kSlotsPerSet - 1) / kSlotsPerSet));
   auto table = FlowTable{};
-  table.slots.resize(sets * kSlotsOfSet);
+  table.slots.resize(sets * kSlotsPerSet);
   table.set_mask = sets - 1;
   return table;
 }
