--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -47,7 +47,7 @@
 
 auto HasRoom(const Directory& directory, const StandByCopy& copy) -> bool {
   if (directory.copies.size() >= directory.policy.max_copies) return false;
-  return directory.copied_bytes + copy.record.size() <= directory.policy.copied_bytes;
+  return directory.copied_bytes + copy.record.size() <= directory.policy.max_copy_bytes;
 }
 
 auto KeepCopy(StepContext& context, const base::FlowKey& flow, StandByCopy copy) -> void {
--- a/src/steering/tests/directory_stand_by_test.cc
+++ b/src/steering/tests/directory_stand_by_test.cc
@@ -89,7 +89,7 @@
 BOOST_AUTO_TEST_CASE(copies_are_bounded_in_number_and_bytes) {
   auto policy = DirectoryPolicy{};
   policy.max_copies = 2;
-  policy.copied_bytes = 10;
+  policy.max_copy_bytes = 10;
   auto view = MakeView(3);
   auto directory = MakeDirectory(view, policy);
   Send(directory, MakeBatch(2, MakePacket(1), 1, "12345678"));
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -39,7 +39,7 @@
   base::Duration hand_over_timeout = base::seconds(3);
   /// Copies of other targets' observations that this agent keeps, in all.
   std::size_t max_copies = 50'000;
-  std::size_t copied_bytes = 16U << 20U;
+  std::size_t max_copy_bytes = 16U << 20U;
   /// A copy that its owner has not sent again is forgotten; AgentPolicy's refresh is a third of it.
   base::Duration copy_ttl = base::hours(1);
   /// Flows of a lost owner that are asked for at a step: the first alone, to learn whether others
