--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -65,9 +65,9 @@
   std::uint32_t drain_notices_left = 0;
   base::TimePoint next_drain_notice{};
 
-  TargetLoad load;                   ///< this target's own
-  std::uint64_t placed_as_home = 0;  ///< flows that this agent placed, here or elsewhere
-  std::uint64_t told_flows = 0;      ///< as the peers were told last without asking
+  TargetLoad load;                       ///< this target's own
+  std::uint64_t placed_as_home = 0;      ///< flows that this agent placed, here or elsewhere
+  std::uint64_t reported_own_flows = 0;  ///< as the peers were told last without asking
   base::TimePoint next_load_report{};
   TokenBucket openings;
   TokenBucket hints;
--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -82,10 +82,10 @@
   const auto& policy = directory.policy;
   if (context.now < directory.next_load_report) return;
   auto flows = static_cast<double>(directory.owned.size());
-  auto told = static_cast<double>(directory.told_flows);
-  auto step = std::max<double>(policy.told_flows, policy.load_report_share * told);
+  auto told = static_cast<double>(directory.reported_own_flows);
+  auto step = std::max<double>(policy.load_report_flows, policy.load_report_share * told);
   if (std::abs(flows - told) < step) return;
-  directory.told_flows = directory.owned.size();
+  directory.reported_own_flows = directory.owned.size();
   directory.next_load_report = context.now + policy.load_report_interval;
   auto header = MakeHeader(directory);
   *header.mutable_probe_answer()->add_loads() = OwnLoadReport(directory);
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -55,7 +55,7 @@
   /// Peers are told of this agent's flows when their number has changed by this much since, beside
   /// the answers to their probes; at most once a `load_report_interval`.
   double load_report_share = 0.05;
-  std::uint32_t told_flows = 8;
+  std::uint32_t load_report_flows = 8;
   base::Duration load_report_interval = base::milliseconds(50);
   double openings_per_second = 2000;
   double openings_burst = 4000;
