--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_asking.cc
@@ -20,7 +20,7 @@
 
 auto AskWaiting(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   pending.next_ask = context.now + context.directory.policy.query_interval;
-  for (const auto& ref : pending.waiting) {
+  for (const auto& ref : pending.unanswered) {
     auto* peer = FindPeer(context.directory, ref);
     if (peer != nullptr) SendQuery(context, flow, pending, *peer);
   }
@@ -70,8 +70,8 @@
   if (!WasHandedOver(pending) || FindPeer(context.directory, *pending.claimed) == nullptr) return;
   pending.denied = false;
   pending.sequence = ++context.directory.sequence;
-  auto waits = std::ranges::count(pending.waiting, *pending.claimed) != 0;
-  if (!waits) pending.waiting.push_back(*pending.claimed);
+  auto waits = std::ranges::count(pending.unanswered, *pending.claimed) != 0;
+  if (!waits) pending.unanswered.push_back(*pending.claimed);
   AskWaiting(context, flow, pending);
 }
 
@@ -102,8 +102,8 @@
     pending.claimed.reset();
     pending.denied = false;
     pending.sequence = ++directory.sequence;
-    pending.waiting.clear();
-    for (const auto& other : directory.peers) pending.waiting.push_back(other.ref);
+    pending.unanswered.clear();
+    for (const auto& other : directory.peers) pending.unanswered.push_back(other.ref);
     AskWaiting(context, flow, pending);
     return;
   }
@@ -189,7 +189,7 @@
 }
 
 auto DropSilent(StepContext& context, PendingFlow& pending) -> void {
-  std::erase_if(pending.waiting, [&](const TargetRef& ref) {
+  std::erase_if(pending.unanswered, [&](const TargetRef& ref) {
     auto* peer = FindPeer(context.directory, ref);
     return peer == nullptr || peer->suspect;
   });
@@ -215,11 +215,11 @@
   pending.lost = lost;
   pending.stands_by = IsOrphaned(directory, flow);
   if (pending.stands_by) pending.lost = directory.copies.at(flow).owner;
-  for (const auto& peer : directory.peers) pending.waiting.push_back(peer.ref);
+  for (const auto& peer : directory.peers) pending.unanswered.push_back(peer.ref);
   if (arrival != nullptr) HoldPacket(context, pending, *arrival);
   ++directory.counters.asked;
   AskWaiting(context, flow, pending);
-  if (pending.waiting.empty()) Conclude(context, flow, pending);
+  if (pending.unanswered.empty()) Conclude(context, flow, pending);
 }
 
 auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
@@ -264,7 +264,7 @@
   auto claims_other = answer.owned() && owner != responder && owner != directory.self;
   // The responder's view names a process that this one does not: one of them lags. Asked again.
   if (claims_other && FindPeer(directory, owner) == nullptr) return;
-  std::erase_if(pending.waiting,
+  std::erase_if(pending.unanswered,
                 [&](const TargetRef& ref) { return ref.target == responder.target; });
   if (!answer.owned()) pending.answered = true;
   if (!answer.owned() && pending.claimed == responder) pending.denied = true;
@@ -286,11 +286,11 @@
   if (claims_other) {
     pending.claimed = owner;
     pending.claimed_lineage = ReadLineage(answer.lineage());
-    pending.denied = !std::ranges::count(pending.waiting, owner);
+    pending.denied = !std::ranges::count(pending.unanswered, owner);
     pending.claimed_via = pending.lost == owner ? peer->tunnel : base::Endpoint{};
     AskSuccessor(context, *flow, pending);
   }
-  if (pending.waiting.empty()) Conclude(context, *flow, pending);
+  if (pending.unanswered.empty()) Conclude(context, *flow, pending);
 }
 
 auto ContinueAsking(StepContext& context) -> void {
@@ -311,7 +311,7 @@
       continue;
     }
     DropSilent(context, pending);
-    if (pending.waiting.empty()) {
+    if (pending.unanswered.empty()) {
       Conclude(context, flow, pending);
     } else {
       AskWaiting(context, flow, pending);
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -19,7 +19,7 @@
 // had registered what they owned. Not asked, it and the asker would both own the flow.
 auto AskJoined(StepContext& context, const TargetRef& peer) -> void {
   for (auto& [flow, pending] : context.directory.pending) {
-    pending.waiting.push_back(peer);
+    pending.unanswered.push_back(peer);
     pending.next_ask = context.now;
   }
 }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -131,8 +131,8 @@
 /// A flow that is asked for: nobody opens it before all others have answered.
 struct PendingFlow {
   std::uint64_t sequence = 0;
-  std::vector<TargetRef> waiting;    ///< peers that have not answered
-  std::optional<TargetRef> claimed;  ///< named by an agent that isn't the owner itself
+  std::vector<TargetRef> unanswered;  ///< peers that have not answered
+  std::optional<TargetRef> claimed;   ///< named by an agent that isn't the owner itself
   Lineage claimed_lineage;
   base::Endpoint claimed_via;     ///< the agent that reaches it; port 0: directly
   bool denied = false;            ///< the claimed owner itself says no
