--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -116,8 +116,8 @@
   ++directory.counters.copies_withheld;
   auto longest = directory.policy.max_takeover_retry;
   owner->loss_confirmed = false;
-  owner->pause = std::clamp(owner->pause * 2, directory.policy.takeover_retry, longest);
-  owner->next_attempt = context.now + owner->pause;
+  owner->backoff = std::clamp(owner->backoff * 2, directory.policy.takeover_retry, longest);
+  owner->next_attempt = context.now + owner->backoff;
 }
 
 auto FlowsToAskFor(const Directory& directory, const CopiedOwner& owner)
@@ -238,7 +238,7 @@
   TakeOrphan(context, flow);
   if (auto* owner = FindCopiedOwner(directory, ref)) {
     owner->loss_confirmed = true;
-    owner->pause = {};
+    owner->backoff = {};
     owner->next_attempt = {};
   }
   return true;
@@ -264,7 +264,7 @@
       AskForOrphans(context, *owner);
     } else {
       owner->loss_confirmed = false;
-      owner->pause = {};
+      owner->backoff = {};
       owner->next_attempt = {};
     }
   }
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -186,7 +186,7 @@
   /// Its loss is agreed: a flow of it was taken over here since it was last in reach.
   bool loss_confirmed = false;
   base::TimePoint next_attempt{};
-  base::Duration pause{};  ///< before the next one, when others reach the owner
+  base::Duration backoff{};  ///< before the next one, when others reach the owner
 };
 
 /// Owner's end of the registrations with one peer: one batch under way at a time.
