--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -19,7 +19,7 @@
 }
 
 // The flow that a control message speaks of; null where it speaks of none.
-auto FlowIn(const wire::pb::TunnelHeader& header) -> const wire::pb::Flow* {
+auto FlowOfMessage(const wire::pb::TunnelHeader& header) -> const wire::pb::Flow* {
   using wire::pb::TunnelHeader;
   switch (header.body_case()) {
     case TunnelHeader::kOwnerQuery:
@@ -40,7 +40,7 @@
 auto Handle(StepContext& context, const TunnelArrived& event) -> void {
   using wire::pb::TunnelHeader;
   const auto& header = *event.header;
-  const auto* flow = FlowIn(header);
+  const auto* flow = FlowOfMessage(header);
   if (flow != nullptr && !wire::ReadFlow(*flow)) {
     ++context.directory.counters.malformed;
     return;
@@ -118,7 +118,7 @@
 }
 
 // Entries that this agent keeps as an earlier home only save hops.
-auto ForgetOldForwards(StepContext& context) -> void {
+auto ExpireForwards(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.known, [&](const auto& entry) {
     if (context.now - entry.second.last_packet < directory.policy.forward_ttl) return false;
@@ -127,7 +127,7 @@
 }
 
 // No duplicate of an offer is on its way for that long.
-auto ForgetOldOffers(StepContext& context) -> void {
+auto ExpireOffers(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.incoming, [&](const auto& entry) {
     return context.now - entry.second.at > directory.policy.forward_ttl;
@@ -137,20 +137,20 @@
 auto Handle(StepContext& context, const DirectoryTimer&) -> void {
   auto& directory = context.directory;
   directory.streams_due = true;
-  ContinueAsking(context);
+  RetryOwnerQueries(context);
   RetryYields(context);
-  ContinueHandOvers(context);
-  ContinueStandBy(context);
+  RetryHandOvers(context);
+  RetryTakeovers(context);
   SendDrainNotices(context);
   if (context.now < directory.next_sweep) return;
   directory.next_sweep = context.now + directory.policy.sweep_period;
   EndIdleFlows(context);
-  ForgetOldForwards(context);
-  ForgetOldOffers(context);
-  ForgetOldCopies(context);
+  ExpireForwards(context);
+  ExpireOffers(context);
+  ExpireCopies(context);
 }
 
-auto NoticeStop(StepContext& context) -> void {
+auto DetectPause(StepContext& context) -> void {
   auto& directory = context.directory;
   auto first = directory.last_step == base::TimePoint{};
   auto stopped = context.now - directory.last_step > directory.policy.pause_threshold;
@@ -192,11 +192,11 @@
     -> DirectoryEffects {
   auto effects = DirectoryEffects{};
   auto context = StepContext{directory, now, effects};
-  NoticeStop(context);
+  DetectPause(context);
   std::visit([&](const auto& concrete) { Handle(context, concrete); }, event);
-  if (directory.streams_due) PumpStreams(context);
-  TellFlows(context);
-  ContinueFence(context);
+  if (directory.streams_due) SendDueBatches(context);
+  ReportFlowCount(context);
+  UpdateFence(context);
   return effects;
 }
 
--- a/src/steering/internal/directory_forwarding.cc
+++ b/src/steering/internal/directory_forwarding.cc
@@ -24,8 +24,8 @@
 
 }  // namespace
 
-auto PassOn(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
-            const TargetRef* opens) -> void {
+auto ForwardPacket(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
+                   const TargetRef* opens) -> void {
   auto packet = NextHop(context, arrival);
   if (!packet) return;
   packet->set_opening(opens != nullptr);
@@ -58,7 +58,7 @@
   }
 }
 
-auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void {
+auto ForwardToHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto index = FindActingHome(directory.candidates, base::HashFlow(arrival.flow));
   if (index == kNone) {
@@ -66,7 +66,7 @@
     return;
   }
   auto* peer = FindPeer(directory, directory.candidates.candidates[index].target);
-  PassOn(context, peer->tunnel, arrival, nullptr);
+  ForwardPacket(context, peer->tunnel, arrival, nullptr);
 }
 
 }  // namespace anvildrum::steering
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -64,7 +64,7 @@
 }
 
 // Nothing was taken: the flow is served here as before.
-auto TakeBack(StepContext& context, const base::FlowKey& flow) -> void {
+auto CancelOffer(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   auto node = directory.outgoing.extract(flow);
   auto* owned = FindOwned(directory, flow);
@@ -81,7 +81,7 @@
 // The target whose turn it is, or back to this one.
 auto OfferNext(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer) -> void {
   auto* peer = ChooseTarget(context, flow, offer);
-  if (peer == nullptr) return TakeBack(context, flow);
+  if (peer == nullptr) return CancelOffer(context, flow);
   ++peer->load.flows;
   offer.to = peer->ref;
   offer.attempt = ++context.directory.sequence;
@@ -92,7 +92,7 @@
 // Safeguard: a target that does not answer may have taken the flow. It is offered elsewhere, or
 // taken back, only when the target is certainly gone; one that is merely suspect holds the flow up
 // for a while and no longer, as an owner that is cut off does.
-auto IsHopeless(StepContext& context, const OutgoingHandOver& offer) -> bool {
+auto IsExpired(StepContext& context, const OutgoingHandOver& offer) -> bool {
   auto* peer = FindPeer(context.directory, offer.to);
   if (peer == nullptr) return true;
   auto waited = context.now - offer.started;
@@ -102,11 +102,11 @@
 auto ContinueOffer(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer)
     -> void {
   auto& outgoing = context.directory.outgoing;
-  if (IsHopeless(context, offer)) {
+  if (IsExpired(context, offer)) {
     if (offer.accepted) {
       outgoing.erase(flow);
     } else {
-      TakeBack(context, flow);
+      CancelOffer(context, flow);
     }
     return;
   }
@@ -122,8 +122,8 @@
   return home && (*home == directory.self || (first.home == *home && !first.queued));
 }
 
-auto Answer(StepContext& context, const base::Endpoint& to, const wire::pb::HandOver& message,
-            bool accepted) -> void {
+auto AcknowledgeOffer(StepContext& context, const base::Endpoint& to,
+                      const wire::pb::HandOver& message, bool accepted) -> void {
   auto flow = wire::ReadFlow(message.flow());
   auto header = MakeHeader(context.directory);
   auto* ack = header.mutable_hand_over_ack();
@@ -145,7 +145,8 @@
   }
 }
 
-auto Take(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event) -> void {
+auto TakeOver(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event)
+    -> void {
   auto& directory = context.directory;
   const auto& message = event.header->hand_over();
   directory.known.erase(flow);
@@ -163,11 +164,12 @@
   ReleasePending(context, flow);
 }
 
-auto MayTake(const Directory& directory, const HandOverArrived& event) -> bool {
+auto CanTakeOver(const Directory& directory, const HandOverArrived& event) -> bool {
   return event.acceptable && directory.in_view && !directory.draining && !IsFull(directory);
 }
 
-auto Decide(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event) -> bool {
+auto DecideOffer(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event)
+    -> bool {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
   // Safeguard: this agent has offered the flow itself, perhaps to the very sender, which took it
@@ -176,8 +178,8 @@
   if (owned != nullptr && owned->offered) return false;
   // Two owners, after a cut: the old one lets go.
   if (owned != nullptr) return !owned->closing;
-  if (MayTake(directory, event)) {
-    Take(context, flow, event);
+  if (CanTakeOver(directory, event)) {
+    TakeOver(context, flow, event);
     return true;
   }
   ++directory.counters.hand_overs_refused;
@@ -240,9 +242,9 @@
   if (!repeated && !message.settled()) {
     last.from = from;
     last.attempt = message.attempt();
-    last.accepted = Decide(context, *flow, event);
+    last.accepted = DecideOffer(context, *flow, event);
   }
-  Answer(context, peer->tunnel, message, message.settled() || last.accepted);
+  AcknowledgeOffer(context, peer->tunnel, message, message.settled() || last.accepted);
 }
 
 auto HandleHandOverAck(StepContext& context, const wire::pb::HandOverAck& ack) -> void {
@@ -259,11 +261,11 @@
     OfferNext(context, *flow, offer);
     return;
   }
-  if (!offer.accepted) SettleHandOver(context, *flow, offer.to);
+  if (!offer.accepted) CompleteHandOver(context, *flow, offer.to);
   if (ack.registered()) directory.outgoing.erase(*flow);
 }
 
-auto ContinueHandOvers(StepContext& context) -> void {
+auto RetryHandOvers(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced) return;
   auto flows = std::vector<base::FlowKey>{};
@@ -282,7 +284,7 @@
   held.push_back({arrival.packet, {arrival.payload.begin(), arrival.payload.end()}});
 }
 
-auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+auto CompleteHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void {
   auto& directory = context.directory;
   auto& offer = directory.outgoing.at(flow);
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -6,8 +6,8 @@
 namespace anvildrum::steering {
 namespace {
 
-constexpr auto kYieldTries = std::uint32_t{50};
-constexpr auto kHeardTogether = base::milliseconds(100);  // delays on the way, and no more
+constexpr auto kMaxYieldAttempts = std::uint32_t{50};
+constexpr auto kSimultaneousWindow = base::milliseconds(100);  // delays on the way, and no more
 
 // One of two owners of a flow.
 struct Claim {
@@ -32,19 +32,19 @@
 
 // The owner that heard from the client last has the client's present state: the other one was cut
 // off or stopped meanwhile. When both heard from it, the older one has more state to lose.
-auto IsBetter(const Claim& one, const Claim& other) -> bool {
+auto HasPrecedence(const Claim& one, const Claim& other) -> bool {
   if (Follows(one, other) != Follows(other, one)) return Follows(one, other);
   // Safeguard: the new owner of a flow that was handed over registers it while the home still names
   // the old one. Judged as two owners, the one that serves it could be told to let go.
   if (HaveSameOpening(one, other)) return one.lineage.hand_overs > other.lineage.hand_overs;
   auto lead = one.last_from_client - other.last_from_client;
-  if (lead > kHeardTogether) return true;
-  if (-lead > kHeardTogether) return false;
+  if (lead > kSimultaneousWindow) return true;
+  if (-lead > kSimultaneousWindow) return false;
   if (one.opened != other.opened) return one.opened < other.opened;
   return one.owner.target < other.owner.target;
 }
 
-auto DropOwn(StepContext& context, const base::FlowKey& flow) -> void {
+auto DropOwnedFlow(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   directory.owned.erase(flow);
   directory.outgoing.erase(flow);
@@ -66,13 +66,13 @@
   SendControl(context, peer->tunnel, header);
 }
 
-auto Overrule(StepContext& context, const base::FlowKey& flow, const Claim& loser,
-              const TargetRef& winner) -> void {
+auto RevokeClaim(StepContext& context, const base::FlowKey& flow, const Claim& loser,
+                 const TargetRef& winner) -> void {
   auto& directory = context.directory;
   if (loser.owner == directory.self) {
     auto* own = FindOwned(directory, flow);
-    if (own != nullptr && own->offered) return SettleHandOver(context, flow, winner);
-    DropOwn(context, flow);
+    if (own != nullptr && own->offered) return CompleteHandOver(context, flow, winner);
+    DropOwnedFlow(context, flow);
     return;
   }
   // Safeguard: a verdict against an owner that was out of reach still waits when that owner is
@@ -85,7 +85,7 @@
   SendYield(context, directory.yields.back());
 }
 
-auto Remember(StepContext& context, const base::FlowKey& flow, const Claim& claim) -> void {
+auto RecordOwner(StepContext& context, const base::FlowKey& flow, const Claim& claim) -> void {
   auto known = KnownOwner{};
   known.owner = claim.owner;
   known.opened = claim.opened;
@@ -93,9 +93,9 @@
   known.last_packet = claim.last_from_client;
   known.stamp = claim.stamp;
   known.lineage = claim.lineage;
-  OverruleLost(context, flow, claim.owner);
+  RevokeLostClaim(context, flow, claim.owner);
   if (context.directory.pending.contains(flow)) {
-    FinishAsking(context, flow, known);
+    ResolveOwner(context, flow, known);
     return;
   }
   context.directory.known[flow] = known;
@@ -121,33 +121,34 @@
     -> void {
   auto other = OtherClaim(context, flow, claim.owner);
   if (!other) {
-    Remember(context, flow, claim);
+    RecordOwner(context, flow, claim);
     return;
   }
   ++context.directory.counters.conflicts;
-  if (IsBetter(claim, *other)) {
-    Overrule(context, flow, *other, claim.owner);
-    Remember(context, flow, claim);
+  if (HasPrecedence(claim, *other)) {
+    RevokeClaim(context, flow, *other, claim.owner);
+    RecordOwner(context, flow, claim);
   } else {
-    Overrule(context, flow, claim, other->owner);
+    RevokeClaim(context, flow, claim, other->owner);
   }
 }
 
 // Safeguard: this home has handed the flow over, and it has ended at its new owner before the
 // acceptance arrived here. Taken for accepted afterwards, the home would send the client's next
 // packets to an agent that has forgotten the flow, and that one back to the home, for ever.
-auto EndOffered(StepContext& context, const base::FlowKey& flow, const TargetRef& owner) -> void {
+auto CompleteEndedOffer(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+    -> void {
   auto& directory = context.directory;
   auto offer = directory.outgoing.find(flow);
   if (offer == directory.outgoing.end() || offer->second.to != owner) return;
-  if (!offer->second.accepted) SettleHandOver(context, flow, owner);
+  if (!offer->second.accepted) CompleteHandOver(context, flow, owner);
   directory.outgoing.erase(flow);
 }
 
 auto ApplyEnd(StepContext& context, const base::FlowKey& flow, const TargetRef& owner,
               std::uint64_t stamp) -> void {
   auto& directory = context.directory;
-  EndOffered(context, flow, owner);
+  CompleteEndedOffer(context, flow, owner);
   auto known = directory.known.find(flow);
   if (known == directory.known.end() || known->second.owner != owner) return;
   if (known->second.stamp != 0 && known->second.stamp != stamp) return;
@@ -208,12 +209,12 @@
   return {known.owner, known.stamp};
 }
 
-auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
+auto RevokeLostClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
     -> void {
   auto lost = LostOwnerOf(context.directory, flow);
   if (lost.stamp == 0 || lost.owner == winner) return;
   if (FindPeer(context.directory, lost.owner) == nullptr) return;
-  Overrule(context, flow, {lost.owner, {}, {}, lost.stamp, {}}, winner);
+  RevokeClaim(context, flow, {lost.owner, {}, {}, lost.stamp, {}}, winner);
 }
 
 auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
@@ -224,9 +225,9 @@
   auto* owned = FindOwned(directory, *flow);
   // Safeguard: a late duplicate must not end a flow that was opened here afterwards.
   if (owned != nullptr && owned->stamp == message.stamp() && owned->offered) {
-    SettleHandOver(context, *flow, ReadRef(message.winner()));
+    CompleteHandOver(context, *flow, ReadRef(message.winner()));
   } else if (owned != nullptr && owned->stamp == message.stamp()) {
-    DropOwn(context, *flow);
+    DropOwnedFlow(context, *flow);
     auto known = KnownOwner{};
     known.owner = ReadRef(message.winner());
     known.opened = context.now;
@@ -254,7 +255,7 @@
 auto RetryYields(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.yields, [&](const PendingYield& yield) {
-    return yield.attempts >= kYieldTries || FindPeer(directory, yield.loser) == nullptr;
+    return yield.attempts >= kMaxYieldAttempts || FindPeer(directory, yield.loser) == nullptr;
   });
   for (auto& yield : directory.yields) {
     // A loser that is out of reach hears of it when it is back.
--- a/src/steering/internal/directory_lineage.cc
+++ b/src/steering/internal/directory_lineage.cc
@@ -5,14 +5,15 @@
 namespace {
 
 // Homes that are more hand-overs behind than this know the flow's opening as well.
-constexpr auto kPreviousOwners = std::size_t{8};
+constexpr auto kMaxPreviousOwners = std::size_t{8};
 
 }  // namespace
 
 auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void {
   ++lineage.hand_overs;
   lineage.previous.push_back(self);
-  if (lineage.previous.size() > kPreviousOwners) lineage.previous.erase(lineage.previous.begin());
+  if (lineage.previous.size() > kMaxPreviousOwners)
+    lineage.previous.erase(lineage.previous.begin());
 }
 
 auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void {
--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -77,7 +77,7 @@
 // Safeguard: probes ask for the number of flows twice a second, and a burst of openings is shorter.
 // No home can tell by reports from before it which targets got more than others, and the burst ends
 // up no more even than the hash.
-auto TellFlows(StepContext& context) -> void {
+auto ReportFlowCount(StepContext& context) -> void {
   auto& directory = context.directory;
   const auto& policy = directory.policy;
   if (context.now < directory.next_load_report) return;
--- a/src/steering/internal/directory_opening.cc
+++ b/src/steering/internal/directory_opening.cc
@@ -10,11 +10,11 @@
 
 auto OpenHere(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
-  if (TakeOrphan(context, arrival.flow)) {
+  if (TakeOverOrphan(context, arrival.flow)) {
     DeliverPacket(context, arrival, directory.owned.at(arrival.flow), false);
     return;
   }
-  OverruleLost(context, arrival.flow, directory.self);
+  RevokeLostClaim(context, arrival.flow, directory.self);
   directory.known.erase(arrival.flow);
   auto& owned = directory.owned[arrival.flow];
   owned = OwnedFlow{};
@@ -35,9 +35,9 @@
   known.opened = context.now;
   known.noted_at = context.now;
   known.last_packet = context.now;
-  OverruleLost(context, arrival.flow, peer.ref);
+  RevokeLostClaim(context, arrival.flow, peer.ref);
   directory.known[arrival.flow] = known;
-  PassOn(context, peer.tunnel, arrival, &peer.ref);
+  ForwardPacket(context, peer.tunnel, arrival, &peer.ref);
   SendHint(context, arrival.packet, peer.ref);
 }
 
@@ -97,7 +97,7 @@
   auto home = HomeOf(directory, arrival.flow);
   auto* sender = FindPeerByInstance(directory, arrival.sender);
   if (sender == nullptr || !home || sender->ref != *home) {
-    StartAsking(context, arrival.flow, &arrival, std::nullopt);
+    StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
     return;
   }
   auto full = IsFull(directory);
--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_owner_query.cc
@@ -18,7 +18,7 @@
   SendControl(context, peer.tunnel, header);
 }
 
-auto AskWaiting(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+auto SendQueries(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   pending.next_ask = context.now + context.directory.policy.query_interval;
   for (const auto& ref : pending.unanswered) {
     auto* peer = FindPeer(context.directory, ref);
@@ -66,24 +66,24 @@
 // its successor for a while after that one has let go of it. Believed, two of them could name each
 // other, and the client's packets would go round between them. The successor had taken the flow
 // when it was named, so that its word from then on decides; its earlier answer may be from before.
-auto AskSuccessor(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+auto QuerySuccessor(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   if (!WasHandedOver(pending) || FindPeer(context.directory, *pending.claimed) == nullptr) return;
   pending.denied = false;
   pending.sequence = ++context.directory.sequence;
   auto waits = std::ranges::count(pending.unanswered, *pending.claimed) != 0;
   if (!waits) pending.unanswered.push_back(*pending.claimed);
-  AskWaiting(context, flow, pending);
+  SendQueries(context, flow, pending);
 }
 
 // Nobody has the flow.
 auto ConcludeUnowned(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
     -> void {
-  auto taken = ConcludeOrphan(context, flow, pending);
+  auto taken = ConcludeOrphanQuery(context, flow, pending);
   ReleaseHeld(context, flow, !taken);
 }
 
 // All have answered, or are suspect.
-auto Conclude(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+auto ConcludeQuery(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   auto& directory = context.directory;
   if (!pending.claimed) {
     ConcludeUnowned(context, flow, pending);
@@ -104,7 +104,7 @@
     pending.sequence = ++directory.sequence;
     pending.unanswered.clear();
     for (const auto& other : directory.peers) pending.unanswered.push_back(other.ref);
-    AskWaiting(context, flow, pending);
+    SendQueries(context, flow, pending);
     return;
   }
   auto owner = KnownOwner{};
@@ -115,7 +115,7 @@
   owner.opened = context.now;
   owner.noted_at = context.now;
   owner.last_packet = context.now;
-  FinishAsking(context, flow, owner);
+  ResolveOwner(context, flow, owner);
 }
 
 // Whether `newer` is a later process of the same target: then the earlier one is dead.
@@ -125,26 +125,26 @@
 
 // Of two that ask at once the stand-by goes first, since it has the flow's observations; of two
 // alike the lower id.
-auto GoesFirst(const Directory& directory, const PendingFlow& pending, const TargetRef& asker,
-               const wire::pb::OwnerQuery& query) -> bool {
+auto HasPriority(const Directory& directory, const PendingFlow& pending, const TargetRef& asker,
+                 const wire::pb::OwnerQuery& query) -> bool {
   if (pending.stands_by != query.stands_by()) return pending.stands_by;
   return directory.self.target < asker.target;
 }
 
 // What this agent answers about a flow that it does not serve.
-auto AnswerFor(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
-               const base::Endpoint& from, const wire::pb::OwnerQuery& query)
+auto FindAnswer(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
+                const base::Endpoint& from, const wire::pb::OwnerQuery& query)
     -> std::optional<TargetRef> {
   auto& directory = context.directory;
   // Safeguard: opened by another agent, the flow would go on there without its observations, and
   // their client's screen would freeze. The stand-by answers for it and asks by itself.
   if (!query.stands_by() && IsOrphaned(directory, flow)) {
-    StartAsking(context, flow, nullptr, std::nullopt);
+    StartOwnerQuery(context, flow, nullptr, std::nullopt);
     if (FindOwned(directory, flow) != nullptr) return directory.self;
   }
   auto pending = directory.pending.find(flow);
   if (pending != directory.pending.end()) {
-    if (GoesFirst(directory, pending->second, asker, query)) return directory.self;
+    if (HasPriority(directory, pending->second, asker, query)) return directory.self;
     DeferTo(context, flow, asker, from);
     ReleaseHeld(context, flow, false);
     return std::nullopt;
@@ -188,7 +188,7 @@
   return names ? known->second.lineage : Lineage{};
 }
 
-auto DropSilent(StepContext& context, PendingFlow& pending) -> void {
+auto DropSuspects(StepContext& context, PendingFlow& pending) -> void {
   std::erase_if(pending.unanswered, [&](const TargetRef& ref) {
     auto* peer = FindPeer(context.directory, ref);
     return peer == nullptr || peer->suspect;
@@ -197,8 +197,8 @@
 
 }  // namespace
 
-auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
-                 std::optional<TargetRef> lost) -> void {
+auto StartOwnerQuery(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
+                     std::optional<TargetRef> lost) -> void {
   auto& directory = context.directory;
   auto awaiting_ack = directory.pending.find(flow);
   if (awaiting_ack != directory.pending.end()) {
@@ -218,8 +218,8 @@
   for (const auto& peer : directory.peers) pending.unanswered.push_back(peer.ref);
   if (arrival != nullptr) HoldPacket(context, pending, *arrival);
   ++directory.counters.asked;
-  AskWaiting(context, flow, pending);
-  if (pending.unanswered.empty()) Conclude(context, flow, pending);
+  SendQueries(context, flow, pending);
+  if (pending.unanswered.empty()) ConcludeQuery(context, flow, pending);
 }
 
 auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
@@ -235,7 +235,7 @@
   }
   auto* owned = FindOwned(directory, *flow);
   auto owner = owned != nullptr && !owned->closing ? std::optional(directory.self)
-                                                   : AnswerFor(context, *flow, asker, from, query);
+                                                   : FindAnswer(context, *flow, asker, from, query);
   auto header = MakeHeader(directory);
   auto* answer = header.mutable_owner_answer();
   *answer->mutable_flow() = query.flow();
@@ -280,7 +280,7 @@
       known.via = from;
       known.via_since = context.now;
     }
-    FinishAsking(context, *flow, known);
+    ResolveOwner(context, *flow, known);
     return;
   }
   if (claims_other) {
@@ -288,12 +288,12 @@
     pending.claimed_lineage = ReadLineage(answer.lineage());
     pending.denied = !std::ranges::count(pending.unanswered, owner);
     pending.claimed_via = pending.lost == owner ? peer->tunnel : base::Endpoint{};
-    AskSuccessor(context, *flow, pending);
+    QuerySuccessor(context, *flow, pending);
   }
-  if (pending.unanswered.empty()) Conclude(context, *flow, pending);
+  if (pending.unanswered.empty()) ConcludeQuery(context, *flow, pending);
 }
 
-auto ContinueAsking(StepContext& context) -> void {
+auto RetryOwnerQueries(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced) return;
   auto due = std::vector<base::FlowKey>{};
@@ -310,25 +310,25 @@
       directory.pending.erase(found);
       continue;
     }
-    DropSilent(context, pending);
+    DropSuspects(context, pending);
     if (pending.unanswered.empty()) {
-      Conclude(context, flow, pending);
+      ConcludeQuery(context, flow, pending);
     } else {
-      AskWaiting(context, flow, pending);
+      SendQueries(context, flow, pending);
     }
   }
 }
 
-auto ReleaseAll(StepContext& context) -> void {
+auto ReleaseAllHeld(StepContext& context) -> void {
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, pending] : context.directory.pending) flows.push_back(flow);
   std::ranges::sort(flows);
   for (const auto& flow : flows) ReleaseHeld(context, flow, false);
 }
 
-auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner)
+auto ResolveOwner(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner)
     -> void {
-  NoteCopysOwner(context, flow, owner.owner);
+  ReconcileCopy(context, flow, owner.owner);
   auto known = owner;
   known.lost = LostOwnerOf(context.directory, flow);
   context.directory.known[flow] = known;
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -16,13 +16,13 @@
 // promise holds, also after the flow has ended here and this agent drains. Sent to and fro as an
 // ordinary packet, it would be dropped at the hop limit. Handed back, it makes the home forget the
 // promise and ask all others.
-auto GiveToHome(StepContext& context, const PacketArrival& arrival) -> void {
+auto ReturnToHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto home = ActingHomeOf(context.directory, arrival.flow);
   auto* sender = FindPeerByInstance(context.directory, arrival.sender);
   if (sender != nullptr && home == sender->ref) {
     Decline(context, *sender, arrival);
   } else {
-    PassToHome(context, arrival);
+    ForwardToHome(context, arrival);
   }
 }
 
@@ -33,19 +33,19 @@
     return;
   }
   if (arrival.packet.hops() >= directory.policy.query_hops) {
-    StartAsking(context, arrival.flow, &arrival, std::nullopt);
+    StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
     return;
   }
   auto index = FindActingHome(directory.candidates, base::HashFlow(arrival.flow));
   if (index == kNone || index != directory.self_index) {
-    GiveToHome(context, arrival);
+    ReturnToHome(context, arrival);
     return;
   }
   auto settled = IsHome(directory, arrival.flow) && IsSettled(directory);
   if (settled && !IsOrphaned(directory, arrival.flow)) {
     PlaceFlow(context, arrival);
   } else {
-    StartAsking(context, arrival.flow, &arrival, std::nullopt);
+    StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
   }
 }
 
@@ -62,7 +62,7 @@
   auto& directory = context.directory;
   if (!IsUsable(context, known)) {
     directory.known.erase(arrival.flow);
-    StartAsking(context, arrival.flow, &arrival, std::nullopt);
+    StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
     return;
   }
   auto owner = known.owner;
@@ -76,7 +76,7 @@
       return;
     }
     if (peer->suspect) {
-      StartAsking(context, arrival.flow, &arrival, owner);
+      StartOwnerQuery(context, arrival.flow, &arrival, owner);
       return;
     }
     to = peer->tunnel;
@@ -85,7 +85,7 @@
   // An agent that only relays must not open the flow itself.
   auto direct = known.via.port == 0;
   auto opening = direct && IsHome(directory, arrival.flow) && arrival.packet.may_open();
-  PassOn(context, to, arrival, opening ? &owner : nullptr);
+  ForwardPacket(context, to, arrival, opening ? &owner : nullptr);
   if (arrival.packet.hops() == 0 && !known.tentative) SendHint(context, arrival.packet, owner);
 }
 
@@ -93,7 +93,7 @@
 // more, and each packet of the client would keep the circle alive: the client is served by nobody.
 // A packet that has passed this many agents is asked for instead. Held ones, which have no sender,
 // have been.
-auto MayCircle(const Directory& directory, const PacketArrival& arrival) -> bool {
+auto MayLoop(const Directory& directory, const PacketArrival& arrival) -> bool {
   const auto& policy = directory.policy;
   auto hops = arrival.packet.hops();
   return arrival.sender.value != 0 && hops >= policy.query_hops && hops < policy.hop_limit;
@@ -112,7 +112,7 @@
     }
     directory.known.erase(known);
   }
-  StartAsking(context, arrival.flow, &arrival, std::nullopt);
+  StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
 }
 
 // Safeguard: the home places a flow here that this agent once handed over. Either the flow has
@@ -128,7 +128,7 @@
 }
 
 // By what this agent remembers of the flow; returns whether that decides.
-auto RouteByMemory(StepContext& context, const PacketArrival& arrival) -> bool {
+auto RouteIfKnown(StepContext& context, const PacketArrival& arrival) -> bool {
   auto& directory = context.directory;
   auto known = directory.known.find(arrival.flow);
   if (known == directory.known.end()) return false;
@@ -136,8 +136,8 @@
     if (known->second.lineage.hand_overs == 0) return false;
     if (DeclineOpening(context, arrival)) return true;
   }
-  if (MayCircle(directory, arrival)) {
-    StartAsking(context, arrival.flow, &arrival, std::nullopt);
+  if (MayLoop(directory, arrival)) {
+    StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
   } else {
     RouteByKnown(context, arrival, known->second);
   }
@@ -193,7 +193,7 @@
     HoldPacket(context, pending->second, arrival);
     return;
   }
-  if (RouteByMemory(context, arrival)) return;
+  if (RouteIfKnown(context, arrival)) return;
   RouteUnknown(context, arrival);
 }
 
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -39,7 +39,7 @@
 auto SendHint(StepContext& context, const wire::pb::Packet& packet, const TargetRef& owner) -> void;
 auto SendDrainNotices(StepContext& context) -> void;
 /// Tells the peers how many flows this agent has when that has changed much since.
-auto TellFlows(StepContext& context) -> void;
+auto ReportFlowCount(StepContext& context) -> void;
 
 // directory_packets.cc
 /// A packet on its way: `sender` is the process that it came from, nothing for a held one.
@@ -56,9 +56,9 @@
 
 // directory_forwarding.cc
 /// `opens`: the target that is asked to open the flow; null: none.
-auto PassOn(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
-            const TargetRef* opens) -> void;
-auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void;
+auto ForwardPacket(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
+                   const TargetRef* opens) -> void;
+auto ForwardToHome(StepContext& context, const PacketArrival& arrival) -> void;
 /// Hands the packet back: this agent does not open the flow.
 auto Decline(StepContext& context, const PeerTarget& home, const PacketArrival& arrival) -> void;
 auto DeclineToHome(StepContext& context, const PacketArrival& arrival) -> void;
@@ -74,25 +74,25 @@
 auto FillLoads(StepContext& context) -> void;
 auto IsFull(const Directory& directory) -> bool;
 
-// directory_asking.cc
-auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
-                 std::optional<TargetRef> lost) -> void;
+// directory_owner_query.cc
+auto StartOwnerQuery(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
+                     std::optional<TargetRef> lost) -> void;
 auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
                       const wire::pb::OwnerQuery& query) -> void;
 auto HandleOwnerAnswer(StepContext& context, const base::Endpoint& from,
                        const wire::pb::OwnerAnswer& answer) -> void;
-auto ContinueAsking(StepContext& context) -> void;
+auto RetryOwnerQueries(StepContext& context) -> void;
 /// Hands all held packets on as if they had just arrived.
-auto ReleaseAll(StepContext& context) -> void;
+auto ReleaseAllHeld(StepContext& context) -> void;
 /// The owner of a flow that is asked for has become known: releases the held packets.
-auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner) -> void;
+auto ResolveOwner(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner) -> void;
 
 // directory_registration.cc
 /// Queues the flow for each of its homes that has not acknowledged it.
 auto EnqueueRegistration(Directory& directory, const base::FlowKey& flow, OwnedFlow& owned) -> void;
 /// Empties the queues and fills them anew, after the homes of flows changed.
-auto RegisterAnew(Directory& directory) -> void;
-auto PumpStreams(StepContext& context) -> void;
+auto ReregisterFlows(Directory& directory) -> void;
+auto SendDueBatches(StepContext& context) -> void;
 auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void;
 auto HandleResettle(StepContext& context, const wire::pb::Resettle& message) -> void;
 auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void;
@@ -106,18 +106,19 @@
 auto LostOwnerOf(const Directory& directory, const base::FlowKey& flow) -> LostOwner;
 /// The flow is about to be opened at `winner` although its owner may still live, out of reach: that
 /// one is told to let go of it as soon as it is back.
-auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner) -> void;
+auto RevokeLostClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
+    -> void;
 auto RetryYields(StepContext& context) -> void;
 
 // directory_hand_over.cc
 auto OfferFlow(StepContext& context, const FlowOffered& event) -> void;
 auto HandleHandOver(StepContext& context, const HandOverArrived& event) -> void;
 auto HandleHandOverAck(StepContext& context, const wire::pb::HandOverAck& ack) -> void;
-auto ContinueHandOvers(StepContext& context) -> void;
+auto RetryHandOvers(StepContext& context) -> void;
 /// Keeps a packet of a flow that is offered to another target.
 auto HoldForHandOver(StepContext& context, const PacketArrival& arrival) -> void;
 /// The flow is no longer this agent's: what it held for it goes after the new owner.
-auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+auto CompleteHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void;
 
 // directory_stand_by.cc
@@ -125,15 +126,14 @@
 /// Whether this agent has a copy of the flow's observations and does not reach their owner.
 auto IsOrphaned(Directory& directory, const base::FlowKey& flow) -> bool;
 /// Takes an orphaned flow over; nobody else has it, as the caller has made sure. False: no copy.
-auto TakeOrphan(StepContext& context, const base::FlowKey& flow) -> bool;
+auto TakeOverOrphan(StepContext& context, const base::FlowKey& flow) -> bool;
 /// The same at the end of asking, where the loss is agreed; else the copy waits for a later try.
-auto ConcludeOrphan(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
-    -> bool;
+auto ConcludeOrphanQuery(StepContext& context, const base::FlowKey& flow,
+                         const PendingFlow& pending) -> bool;
 /// The flow has this owner: a copy of another one's is of no use, and one of its own waits.
-auto NoteCopysOwner(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
-    -> void;
-auto ContinueStandBy(StepContext& context) -> void;
-auto ForgetOldCopies(StepContext& context) -> void;
+auto ReconcileCopy(StepContext& context, const base::FlowKey& flow, const TargetRef& owner) -> void;
+auto RetryTakeovers(StepContext& context) -> void;
+auto ExpireCopies(StepContext& context) -> void;
 
 // directory_lineage.cc
 /// As the next owner has it.
@@ -144,6 +144,6 @@
 // directory_view.cc
 auto HandleView(StepContext& context, const membership::View& view) -> void;
 auto Fence(StepContext& context) -> void;
-auto ContinueFence(StepContext& context) -> void;
+auto UpdateFence(StepContext& context) -> void;
 
 }  // namespace anvildrum::steering
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -19,8 +19,8 @@
 }
 
 // The home of the flow that `home` is, if it is one.
-auto RegisteredAtOf(const Directory& directory, const base::FlowKey& flow, OwnedFlow& owned,
-                    const TargetRef& home) -> RegisteredAt* {
+auto FindRegistration(const Directory& directory, const base::FlowKey& flow, OwnedFlow& owned,
+                      const TargetRef& home) -> RegisteredAt* {
   if (HomeOf(directory, flow) == home) return &owned.first;
   if (ActingHomeOf(directory, flow) == home) return &owned.acting;
   return nullptr;
@@ -34,7 +34,7 @@
     stream.queue.pop_front();
     auto* owned = FindOwned(directory, flow);
     if (owned == nullptr) continue;
-    auto* registered = RegisteredAtOf(directory, flow, *owned, stream.home);
+    auto* registered = FindRegistration(directory, flow, *owned, stream.home);
     if (registered == nullptr) continue;
     registered->queued = false;
     stream.batch.push_back(flow);
@@ -71,7 +71,7 @@
   SendControl(context, peer->tunnel, header);
 }
 
-auto PumpStream(StepContext& context, RegisterStream& stream) -> void {
+auto SendDueBatch(StepContext& context, RegisterStream& stream) -> void {
   if (stream.awaiting_ack) {
     if (context.now >= stream.next_retry) SendBatch(context, stream);
     return;
@@ -83,11 +83,11 @@
   SendBatch(context, stream);
 }
 
-auto NoteRegistered(Directory& directory, const base::FlowKey& flow, const TargetRef& home)
+auto MarkRegistered(Directory& directory, const base::FlowKey& flow, const TargetRef& home)
     -> void {
   auto* owned = FindOwned(directory, flow);
   if (owned == nullptr) return;
-  auto* registered = RegisteredAtOf(directory, flow, *owned, home);
+  auto* registered = FindRegistration(directory, flow, *owned, home);
   if (registered == nullptr || registered->queued) return;
   if (owned->closing && registered == &owned->first) {
     directory.owned.erase(flow);
@@ -127,7 +127,7 @@
 
 // A flow that is closing is forgotten when its home moves, because the new home has never heard of
 // it.
-auto RegisterAnew(Directory& directory) -> void {
+auto ReregisterFlows(Directory& directory) -> void {
   for (auto& stream : directory.streams) stream.queue.clear();
   auto forgotten = std::vector<base::FlowKey>{};
   for (auto& [flow, owned] : directory.owned) {
@@ -140,11 +140,11 @@
   for (const auto& flow : forgotten) directory.owned.erase(flow);
 }
 
-auto PumpStreams(StepContext& context) -> void {
+auto SendDueBatches(StepContext& context) -> void {
   auto& directory = context.directory;
   directory.streams_due = false;
   if (!directory.in_view) return;
-  for (auto& stream : directory.streams) PumpStream(context, stream);
+  for (auto& stream : directory.streams) SendDueBatch(context, stream);
 }
 
 auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void {
@@ -152,7 +152,7 @@
   auto* stream = FindStream(directory, ReadRef(ack.home()));
   if (stream == nullptr || !stream->awaiting_ack || stream->sequence != ack.sequence()) return;
   stream->awaiting_ack = false;
-  for (const auto& flow : stream->batch) NoteRegistered(directory, flow, stream->home);
+  for (const auto& flow : stream->batch) MarkRegistered(directory, flow, stream->home);
   if (stream->settling_digest != 0) stream->settled = stream->settling_digest;
   stream->batch.clear();
   directory.streams_due = true;
@@ -165,7 +165,7 @@
   stream->settled = 0;
   if (stream->settling_digest != 0) stream->settling_digest = 0;
   for (auto& [flow, owned] : directory.owned) {
-    auto* registered = RegisteredAtOf(directory, flow, owned, stream->home);
+    auto* registered = FindRegistration(directory, flow, owned, stream->home);
     if (registered == nullptr) continue;
     registered->home = {};
     EnqueueRegistration(directory, flow, owned);
--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -27,7 +27,7 @@
   std::erase_if(directory.copied_owners, [&](const auto& one) { return one.ref == ref; });
 }
 
-auto ForgetCopy(Directory& directory, const base::FlowKey& flow) -> void {
+auto RemoveCopy(Directory& directory, const base::FlowKey& flow) -> void {
   auto found = directory.copies.find(flow);
   if (found == directory.copies.end()) return;
   directory.copied_bytes -= found->second.record.size();
@@ -50,12 +50,12 @@
   return directory.copied_bytes + copy.record.size() <= directory.policy.max_copy_bytes;
 }
 
-auto KeepCopy(StepContext& context, const base::FlowKey& flow, StandByCopy copy) -> void {
+auto StoreCopy(StepContext& context, const base::FlowKey& flow, StandByCopy copy) -> void {
   auto& directory = context.directory;
   if (directory.owned.contains(flow)) return;
   auto known = directory.copies.find(flow);
   if (known != directory.copies.end() && IsOutdated(copy, known->second)) return;
-  ForgetCopy(directory, flow);
+  RemoveCopy(directory, flow);
   if (!HasRoom(directory, copy)) {
     ++directory.counters.copies_refused;
     return;
@@ -78,10 +78,10 @@
   if (!record.empty()) {
     auto bytes = wire::Bytes(record.begin(), record.end());
     auto lineage = ReadLineage(message.lineage());
-    return KeepCopy(context, flow, {owner, std::move(lineage), std::move(bytes), context.now});
+    return StoreCopy(context, flow, {owner, std::move(lineage), std::move(bytes), context.now});
   }
   auto known = directory.copies.find(flow);
-  if (known != directory.copies.end() && known->second.owner == owner) ForgetCopy(directory, flow);
+  if (known != directory.copies.end() && known->second.owner == owner) RemoveCopy(directory, flow);
 }
 
 auto Acknowledge(StepContext& context, const PeerTarget& owner, std::uint64_t sequence) -> void {
@@ -104,12 +104,12 @@
 // that, two targets would notify one client. So the owner's process is gone from the view, which is
 // agreed through the platform, or some peer has answered and reaches no owner either, or the client
 // itself has come here.
-auto IsAgreedLost(Directory& directory, const TargetRef& owner, const PendingFlow& pending)
+auto IsLossConfirmed(Directory& directory, const TargetRef& owner, const PendingFlow& pending)
     -> bool {
   return FindPeer(directory, owner) == nullptr || pending.answered || !pending.held.empty();
 }
 
-auto Withhold(StepContext& context, const TargetRef& ref) -> void {
+auto PostponeTakeover(StepContext& context, const TargetRef& ref) -> void {
   auto& directory = context.directory;
   auto* owner = FindCopiedOwner(directory, ref);
   if (owner == nullptr) return;
@@ -120,7 +120,7 @@
   owner->next_attempt = context.now + owner->backoff;
 }
 
-auto FlowsToAskFor(const Directory& directory, const CopiedOwner& owner)
+auto FlowsToQuery(const Directory& directory, const CopiedOwner& owner)
     -> std::vector<base::FlowKey> {
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, copy] : directory.copies) {
@@ -132,14 +132,14 @@
   return flows;
 }
 
-auto AskForOrphans(StepContext& context, CopiedOwner& owner) -> void {
+auto QueryOrphans(StepContext& context, CopiedOwner& owner) -> void {
   const auto& policy = context.directory.policy;
   auto gone = FindPeer(context.directory, owner.ref) == nullptr;
   if (!gone && context.now < owner.next_attempt) return;
   if (!owner.loss_confirmed) owner.next_attempt = context.now + policy.takeover_retry;
-  auto flows = FlowsToAskFor(context.directory, owner);
+  auto flows = FlowsToQuery(context.directory, owner);
   // `owner` may be gone after the first of them.
-  for (const auto& flow : flows) StartAsking(context, flow, nullptr, std::nullopt);
+  for (const auto& flow : flows) StartOwnerQuery(context, flow, nullptr, std::nullopt);
 }
 
 // Where replies leave until the client is heard of: the agent's route goes by probes for such
@@ -148,7 +148,7 @@
   return directory.balancers.empty() ? base::Endpoint{} : directory.balancers.front().tunnel;
 }
 
-auto OwnOrphan(StepContext& context, const StandByCopy& copy) -> OwnedFlow {
+auto MakeOwnedOrphan(StepContext& context, const StandByCopy& copy) -> OwnedFlow {
   auto& directory = context.directory;
   auto owned = OwnedFlow{};
   owned.opened = context.now;
@@ -207,18 +207,18 @@
   return copy != directory.copies.end() && IsOutOfReach(directory, copy->second.owner);
 }
 
-auto TakeOrphan(StepContext& context, const base::FlowKey& flow) -> bool {
+auto TakeOverOrphan(StepContext& context, const base::FlowKey& flow) -> bool {
   auto& directory = context.directory;
   if (!IsOrphaned(directory, flow)) return false;
   auto copy = std::move(directory.copies.at(flow));
   directory.copied_bytes -= copy.record.size();
   directory.copies.erase(flow);
   UncountOwner(directory, copy.owner);
-  OverruleLost(context, flow, directory.self);
+  RevokeLostClaim(context, flow, directory.self);
   directory.known.erase(flow);
   auto full = IsFull(directory);
   auto& owned = directory.owned[flow];
-  owned = OwnOrphan(context, copy);
+  owned = MakeOwnedOrphan(context, copy);
   ++directory.counters.copies_taken;
   context.effects.held.push_back(std::move(copy.record));
   context.effects.taken.push_back({flow, context.effects.held.back(), true, full});
@@ -226,16 +226,16 @@
   return true;
 }
 
-auto ConcludeOrphan(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
-    -> bool {
+auto ConcludeOrphanQuery(StepContext& context, const base::FlowKey& flow,
+                         const PendingFlow& pending) -> bool {
   auto& directory = context.directory;
   if (!IsOrphaned(directory, flow)) return false;
   auto ref = directory.copies.at(flow).owner;
-  if (!IsAgreedLost(directory, ref, pending)) {
-    Withhold(context, ref);
+  if (!IsLossConfirmed(directory, ref, pending)) {
+    PostponeTakeover(context, ref);
     return false;
   }
-  TakeOrphan(context, flow);
+  TakeOverOrphan(context, flow);
   if (auto* owner = FindCopiedOwner(directory, ref)) {
     owner->loss_confirmed = true;
     owner->backoff = {};
@@ -244,16 +244,16 @@
   return true;
 }
 
-auto NoteCopysOwner(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+auto ReconcileCopy(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void {
   auto copy = context.directory.copies.find(flow);
   if (copy == context.directory.copies.end()) return;
-  if (copy->second.owner == owner) return Withhold(context, owner);
-  ForgetCopy(context.directory, flow);
+  if (copy->second.owner == owner) return PostponeTakeover(context, owner);
+  RemoveCopy(context.directory, flow);
 }
 
 // The flows of an owner that is out of reach are asked for: one until the loss is agreed, then all.
-auto ContinueStandBy(StepContext& context) -> void {
+auto RetryTakeovers(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced || !directory.in_view) return;
   auto owners = directory.copied_owners;
@@ -261,7 +261,7 @@
     auto* owner = FindCopiedOwner(directory, known.ref);
     if (owner == nullptr) continue;
     if (IsOutOfReach(directory, owner->ref)) {
-      AskForOrphans(context, *owner);
+      QueryOrphans(context, *owner);
     } else {
       owner->loss_confirmed = false;
       owner->backoff = {};
@@ -270,13 +270,13 @@
   }
 }
 
-auto ForgetOldCopies(StepContext& context) -> void {
+auto ExpireCopies(StepContext& context) -> void {
   auto& directory = context.directory;
   auto old = std::vector<base::FlowKey>{};
   for (const auto& [flow, copy] : directory.copies) {
     if (context.now - copy.noted_at > directory.policy.copy_ttl) old.push_back(flow);
   }
-  for (const auto& flow : old) ForgetCopy(directory, flow);
+  for (const auto& flow : old) RemoveCopy(directory, flow);
 }
 
 }  // namespace anvildrum::steering
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -17,7 +17,7 @@
 // Safeguard: the asker may wait for seconds for a peer that has died. A target that joined or
 // restarted meanwhile, and is the flow's home, has opened it without asking, since all its peers
 // had registered what they owned. Not asked, it and the asker would both own the flow.
-auto AskJoined(StepContext& context, const TargetRef& peer) -> void {
+auto QueryNewPeer(StepContext& context, const TargetRef& peer) -> void {
   for (auto& [flow, pending] : context.directory.pending) {
     pending.unanswered.push_back(peer);
     pending.next_ask = context.now;
@@ -33,7 +33,7 @@
     if (target.record.id == directory.self.target) continue;
     auto* known = FindPeer(directory, {target.record.id, target.record.incarnation});
     auto peer = known != nullptr ? *known : MakePeer(target);
-    if (known == nullptr) AskJoined(context, peer.ref);
+    if (known == nullptr) QueryNewPeer(context, peer.ref);
     peer.instance = target.record.instance;
     peer.tunnel = target.record.tunnel;
     changed = changed || peer.suspect != target.suspect;
@@ -78,7 +78,7 @@
   directory.streams = std::move(streams);
 }
 
-auto ForgetDeadOwners(Directory& directory) -> void {
+auto RemoveDeadOwners(Directory& directory) -> void {
   std::erase_if(directory.known, [&](const auto& entry) {
     const auto& known = entry.second;
     return known.via.port == 0 && FindPeer(directory, known.owner) == nullptr;
@@ -117,8 +117,8 @@
   if (was_in_view && !directory.in_view) DropAll(context);
   if (!moved && !suspicion_changed) return;
   if (moved) UpdateStreams(directory);
-  RegisterAnew(directory);
-  if (moved) ForgetDeadOwners(directory);
+  ReregisterFlows(directory);
+  if (moved) RemoveDeadOwners(directory);
   directory.streams_due = true;
 }
 
@@ -137,10 +137,10 @@
     owned.first.home = {};
     owned.acting.home = {};
   }
-  RegisterAnew(directory);
+  ReregisterFlows(directory);
 }
 
-auto ContinueFence(StepContext& context) -> void {
+auto UpdateFence(StepContext& context) -> void {
   auto& directory = context.directory;
   if (!directory.fenced) return;
   auto done = [&](const RegisterStream& stream) {
@@ -153,7 +153,7 @@
   if (std::ranges::all_of(directory.peers, settled) &&
       std::ranges::all_of(directory.streams, done)) {
     directory.fenced = false;
-    ReleaseAll(context);
+    ReleaseAllHeld(context);
     return;
   }
   if (context.now < directory.next_resettle) return;
--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -9,7 +9,7 @@
 
 constexpr auto kPermille = 1000.0;
 constexpr auto kDraws = 2;
-constexpr auto kDrawTries = 8;
+constexpr auto kMaxDrawAttempts = 8;
 
 auto CanTake(const TargetLoad& load) -> bool {
   if (!load.eligible || load.weight <= 0) return false;
@@ -23,7 +23,7 @@
   double flows_per_share = 0;  ///< flows over the sum of shares
 };
 
-auto ColdFactor(const PlacementPolicy& policy, const TargetLoad& load) -> double {
+auto SlowStartFactor(const PlacementPolicy& policy, const TargetLoad& load) -> double {
   if (load.age >= policy.slow_start) return 1.0;
   auto ramp =
       static_cast<double>(load.age.count()) / static_cast<double>(policy.slow_start.count());
@@ -47,7 +47,7 @@
 
 auto ShareOf(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> double {
   auto factor = DelayFactor(policy, load, means) * RefusedFactor(policy, load, means);
-  return load.weight * ColdFactor(policy, load) * std::max(policy.min_factor, factor);
+  return load.weight * SlowStartFactor(policy, load) * std::max(policy.min_factor, factor);
 }
 
 auto MeansOf(const PlacementPolicy& policy, std::span<const TargetLoad> loads) -> Means {
@@ -95,7 +95,7 @@
 auto Draw(std::span<const TargetLoad> loads, Random& random, Allowed allowed) -> std::uint32_t {
   auto any =
       std::uniform_int_distribution<std::uint32_t>(0, static_cast<std::uint32_t>(loads.size()) - 1);
-  for (auto i = 0; i < kDrawTries; ++i) {
+  for (auto i = 0; i < kMaxDrawAttempts; ++i) {
     auto index = any(random);
     if (allowed(loads[index])) return index;
   }
@@ -123,7 +123,7 @@
   return best;
 }
 
-auto LeastReported(std::span<const TargetLoad> loads) -> std::uint32_t {
+auto LeastReportedLoad(std::span<const TargetLoad> loads) -> std::uint32_t {
   auto best = kNoTarget;
   for (auto i = std::uint32_t{0}; i < loads.size(); ++i) {
     if (!CanTake(loads[i])) continue;
@@ -165,7 +165,7 @@
     case PlacementKind::kRandom:
       return Draw(request.loads, random, CanTake);
     case PlacementKind::kLeastReportedLoad:
-      return LeastReported(request.loads);
+      return LeastReportedLoad(request.loads);
     case PlacementKind::kRendezvous:
       return HomeOrAny(request, random);
     case PlacementKind::kPowerOfTwo:
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -45,7 +45,7 @@
   return best;
 }
 
-auto FindSecond(const CandidateSet& set, std::uint64_t flow_hash, std::uint32_t first)
+auto FindSecondHome(const CandidateSet& set, std::uint64_t flow_hash, std::uint32_t first)
     -> std::uint32_t {
   if (first == kNone) return kNone;
   auto domain = set.candidates[first].failure_domain;
@@ -75,7 +75,7 @@
 
 auto FindHomes(const CandidateSet& set, std::uint64_t flow_hash) -> Homes {
   auto first = FindFirstHome(set, flow_hash);
-  return {first, FindSecond(set, flow_hash, first)};
+  return {first, FindSecondHome(set, flow_hash, first)};
 }
 
 auto FindStandBy(const CandidateSet& set, std::uint64_t flow_hash, base::TargetId owner,
@@ -91,7 +91,7 @@
 auto FindActingHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
   auto first = FindFirstHome(set, flow_hash);
   if (first == kNone || !set.candidates[first].suspect) return first;
-  auto second = FindSecond(set, flow_hash, first);
+  auto second = FindSecondHome(set, flow_hash, first);
   if (second != kNone && !set.candidates[second].suspect) return second;
   auto trusted =
       BestOf(set, flow_hash, [](std::uint32_t, const Candidate& c) { return !c.suspect; });
