--- a/src/steering/directory.h
+++ b/src/steering/directory.h
@@ -12,28 +12,29 @@
 
 namespace anvildrum::steering {
 
-/// An agent's knowledge of the flows of its service: those it serves, and those that others serve
-/// although this agent is, or was, their home.
+/// An agent's knowledge of the flows of its service: the flows that it serves, and the flows that
+/// others serve although this agent is or was their home.
 ///
-/// Rules that keep one owner a flow:
-/// 1. A home opens a flow without asking only while every peer that it does not suspect has
+/// The following rules keep a flow at a single owner:
+/// 1. A home opens a flow without a query only while every peer that it does not suspect has
 ///    registered its flows under the same view (digest). Such a peer has no flow of this home that
-///    the home does not know of.
-/// 2. Otherwise an opener asks all peers, and opens only when each has answered or is suspect. A
-///    peer that answers "not mine" defers to the asker from then on; of two that ask at once the
-///    lower target id goes first.
-/// 3. A target opens a flow for another agent only if that agent is the flow's home in its own
-/// view;
-///    else it asks as in 2.
-/// 4. An owner hands a flow over only when the flow's home knows it as the owner, and stops
-///    serving it before it offers it. Until the new owner is registered there, the old one passes
-///    packets on and names the new one to who asks. See docs/design/handover.md.
-/// 5. A flow's stand-by takes it over only when it does not reach the owner and has asked all peers
-///    as in 2; at least one must have answered, or the owner's process be gone from the view. See
-///    docs/design/standby.md.
-/// What remains is a cut network: two sides may open one flow. When they meet again, the home keeps
-/// the owner that heard from the client last, of two that heard together the one that opened it
-/// first, else the lower id; the other drops its state and passes packets on.
+///    the home does not know.
+/// 2. Otherwise an agent queries all peers before it opens a flow, and opens it only when each has
+///    answered or is suspect. A peer that answers "not mine" defers to the sender of the query from
+///    then on. If two agents query at the same time, the lower target id takes precedence.
+/// 3. A target opens a flow for another agent only if that agent is the flow's home in the target's
+///    own view. Otherwise it queries as in rule 2.
+/// 4. An owner hands a flow over only when the flow's home knows it as the owner, and stops serving
+///    the flow before it offers it. Until the new owner is registered with the home, the old owner
+///    forwards packets and names the new owner in answers to queries. See docs/design/handover.md.
+/// 5. A flow's stand-by takes the flow over only when it does not reach the owner and has queried
+///    all peers as in rule 2. At least one peer must have answered, or the owner's process must be
+///    gone from the view. See docs/design/standby.md.
+///
+/// Only a partitioned network can give a flow two owners, one on each side. When the sides are
+/// connected again, the home keeps the owner that received a client packet last. If both received
+/// one at about the same time, it keeps the one that opened the flow first, else the one with the
+/// lower id. The other owner drops its state and forwards packets.
 struct Directory {
   DirectoryPolicy policy;
   TargetRef self;
@@ -45,7 +46,7 @@
   bool in_view = false;
   bool draining = false;
   std::uint64_t digest = 0;
-  std::vector<PeerTarget> peers;  ///< sorted by target, without this agent's own
+  std::vector<PeerTarget> peers;  ///< sorted by target, without this agent
   CandidateSet candidates;
   std::uint32_t self_index = kNone;  ///< in candidates
   std::vector<membership::BalancerRecord> balancers;
@@ -61,13 +62,13 @@
   std::vector<RegisterStream> streams;     ///< sorted by home's target
   std::vector<PendingYield> yields;
   std::vector<TargetLoad> load_scratch;
-  bool streams_due = false;  ///< a stream may have something to send
+  bool streams_due = false;  ///< a stream may have a batch to send
   std::uint32_t drain_notices_left = 0;
   base::TimePoint next_drain_notice{};
 
-  TargetLoad load;                       ///< this target's own
-  std::uint64_t placed_as_home = 0;      ///< flows that this agent placed, here or elsewhere
-  std::uint64_t reported_own_flows = 0;  ///< as the peers were told last without asking
+  TargetLoad load;                       ///< of this target
+  std::uint64_t placed_as_home = 0;      ///< flows placed by this agent, here or elsewhere
+  std::uint64_t reported_own_flows = 0;  ///< as last reported without a probe
   base::TimePoint next_load_report{};
   TokenBucket openings;
   TokenBucket hints;
@@ -76,7 +77,8 @@
   base::TimePoint last_step{};
   base::TimePoint next_resettle{};
   base::TimePoint next_sweep{};
-  /// After a stop, until all peers have settled again: nothing is delivered, answered or opened.
+  /// Set after a pause of the process until all peers have settled again. Meanwhile nothing is
+  /// delivered, sent to clients or opened.
   bool fenced = false;
   DirectoryCounters counters;
 };
@@ -94,45 +96,46 @@
   std::uint32_t seed = 1;
 };
 
-/// A datagram of the tunnel for the directory: Packet, OwnerQuery, OwnerAnswer, Register,
-/// RegisterAck, Yield, YieldAck, Resettle, StandBy; others are ignored.
-/// The views are used during the call only.
+/// A tunnel datagram for the directory: Packet, OwnerQuery, OwnerAnswer, Register, RegisterAck,
+/// Yield, YieldAck, HandOverAck, Resettle or StandBy. Others are ignored. The views are used during
+/// the call only.
 struct TunnelArrived {
   base::Endpoint from;
   const wire::pb::TunnelHeader* header = nullptr;
   wire::BytesView payload;
 };
-/// Also after this instance's own suspicion changed. The view must have this agent's own record.
+/// Also sent when this instance's own suspicions change. The view must contain this agent's record.
 struct ViewArrived {
   const membership::View* view = nullptr;
 };
-/// This target's own load; `flows` is kept by the directory itself.
+/// The load of this agent's target. The directory counts `flows` itself.
 struct OwnLoadChanged {
   TargetLoad load;
 };
-/// From a peer's ProbeAnswer.
+/// Load report in a peer's ProbeAnswer.
 struct PeerLoadArrived {
   wire::pb::LoadReport report;
 };
-/// The agent has let go of the flow (the target's side ended it, or it went idle).
+/// The agent has ended the flow because the target's side ended it or it was idle.
 struct FlowEnded {
   base::FlowKey flow;
 };
-/// Offers the flow to another target, with `record`, which is opaque here. Nothing happens unless
-/// CanHandOver. It ends by FlowDropped, when the other one has taken it, or the flow is served on.
+/// Offers the flow to another target, with `record`, which is opaque here. Without CanHandOver
+/// nothing happens. The hand-over ends with FlowDropped when the other target has accepted it;
+/// otherwise the flow continues to be served here.
 struct FlowOffered {
   base::FlowKey flow;
   wire::Bytes record;
   HandOverReason reason = HandOverReason::kDrain;
 };
-/// A HandOver of another agent; `acceptable`: the agent can take the record.
+/// A HandOver from another agent. `acceptable`: the agent can accept the record.
 struct HandOverArrived {
   base::Endpoint from;
   const wire::pb::TunnelHeader* header = nullptr;
   wire::BytesView record;
   bool acceptable = true;
 };
-/// At least every second, and for prompt retries every 20 ms or so.
+/// Sent at least every second; for prompt retries about every 20 ms.
 struct DirectoryTimer {};
 
 using DirectoryEvent = std::variant<TunnelArrived, ViewArrived, OwnLoadChanged, PeerLoadArrived,
@@ -144,28 +147,28 @@
   wire::BytesView payload;
 };
 
-/// A client's datagram for the target.
+/// A client's datagram to deliver to the target.
 struct Deliver {
   base::FlowKey flow;
   wire::BytesView payload;
-  bool opened = false;  ///< first packet of the flow here
+  bool opened = false;  ///< first packet of the flow at this agent
   std::uint64_t trace_id = 0;
   std::uint64_t span_id = 0;
 };
 
-/// This agent has stopped being the owner: its state for the flow goes, nothing more is sent to the
-/// client.
+/// This agent is no longer the owner. Its state of the flow has to be discarded, and nothing more
+/// is sent to the client.
 struct FlowDropped {
   base::FlowKey flow;
 };
 
-/// This agent has taken the flow over: due before any delivery of the same step. `record` views the
-/// event's buffer, or `held`.
+/// This agent has taken the flow over. The effect has to be applied before any delivery of the same
+/// step. `record` refers to the event's buffer or to `held`.
 struct FlowTaken {
   base::FlowKey flow;
   wire::BytesView record;
-  bool lost = false;  ///< from an owner that was lost, by the copy that this agent kept
-  bool full = false;  ///< of a lost owner: this agent has no connection left for it
+  bool lost = false;  ///< from a lost owner, restored from this agent's copy
+  bool full = false;  ///< from a lost owner, while this agent is at its connection limit
 };
 
 /// Payload views refer to the event's buffer or to `held`.
@@ -174,42 +177,43 @@
   std::vector<Deliver> deliveries;
   std::vector<FlowDropped> dropped;
   std::vector<FlowTaken> taken;
-  std::vector<wire::Bytes> held;  ///< storage of held packets that are released
+  std::vector<wire::Bytes> held;  ///< storage of held packets that are released in this step
 };
 
-/// The directory's one entry.
+/// Applies an event and returns its effects.
 auto Step(Directory& directory, const DirectoryEvent& event, base::TimePoint now)
     -> DirectoryEffects;
 
-/// Where the target's datagrams for the flow leave: the balancer that it was last seen at. Nothing
-/// when the flow is not this agent's, or the agent is fenced. Counts as use of the flow.
+/// Returns the balancer through which the target's datagrams of the flow are sent: the one of the
+/// flow's last packet. Returns nothing if this agent does not own the flow or is fenced. Counts as
+/// use of the flow.
 auto ReplyRoute(Directory& directory, const base::FlowKey& flow, base::TimePoint now)
     -> std::optional<base::Endpoint>;
 
-/// Sends the flow's replies through another balancer from now on.
+/// Sends the flow's replies through this balancer from now on.
 auto SetReplyBalancer(Directory& directory, const base::FlowKey& flow,
                       const base::Endpoint& balancer) -> void;
 
 /// Whether every peer that is not suspect has registered its flows under this agent's view.
 auto IsSettled(const Directory& directory) -> bool;
 
-/// Whether the flow can be offered now: this agent serves it, and its home knows that.
+/// Whether the flow can be offered now: this agent serves it, and the flow's home knows that.
 auto CanHandOver(const Directory& directory, const base::FlowKey& flow, base::TimePoint now)
     -> bool;
 
-/// Who is to keep copies of the flow's observations while this agent serves it: nothing when there
-/// is no other target, or this agent is fenced or not in the view.
+/// Returns the target that keeps copies of the flow's observations while this agent serves it.
+/// Returns nothing if there is no other target, or if this agent is fenced or not in the view.
 auto StandByOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef>;
 
-/// Service, owner and keeper of a batch of copies.
+/// Writes the service, owner and keeper of a batch of copies.
 auto WriteBatchAddress(const Directory& directory, const TargetRef& keeper,
                        wire::pb::StandBy& batch) -> void;
 
-/// Where a flow that is served here comes from.
+/// Writes the lineage of a flow that is served here.
 auto WriteLineageOf(const Directory& directory, const base::FlowKey& flow,
                     wire::pb::Lineage& message) -> void;
 
-/// For the ProbeAnswer to peers.
+/// Returns the load report for ProbeAnswer messages to peers.
 auto OwnLoadReport(const Directory& directory) -> wire::pb::LoadReport;
 
 }  // namespace anvildrum::steering
--- a/src/steering/flow_table.h
+++ b/src/steering/flow_table.h
@@ -8,8 +8,8 @@
 
 namespace anvildrum::steering {
 
-/// 128 bits of XXH3 over client and service. Two flows of one table share one with a probability
-/// of about flows^2 / 2^129; the owner's answer corrects the hint even then.
+/// 128-bit XXH3 hash of client and service. Two flows of a table collide with a probability of
+/// about flows^2 / 2^129. In that case the owner's answer corrects the hint.
 struct Fingerprint {
   std::uint64_t low = 0;
   std::uint64_t high = 0;
@@ -18,13 +18,13 @@
 
 auto FingerprintOf(const base::FlowKey& flow) -> Fingerprint;
 
-/// A hint: packets of the flow go to this incarnation of this target.
+/// A hint: packets of the flow go to this incarnation of the target.
 struct FlowHint {
   base::TargetId target;
   base::Incarnation incarnation = 0;
 };
 
-/// One place of the table: 40 bytes.
+/// A table entry of 40 bytes.
 struct FlowSlot {
   Fingerprint fingerprint;
   FlowHint hint;
@@ -32,33 +32,34 @@
 };
 static_assert(sizeof(FlowSlot) <= 64);
 
-/// A balancer's bounded cache of flows whose owner is not their home. Set-associative: a flow lives
-/// in one of the eight places of its set, and the place that was used longest ago makes room. All
-/// memory is taken by MakeFlowTable. A cache, not the truth: a lost entry costs a hop.
+/// A balancer's bounded cache of flows whose owner is not their home. The cache is set-associative:
+/// a flow is stored in one of the eight slots of its set, where it replaces the least recently used
+/// entry. MakeFlowTable allocates all memory. A lost entry costs a hop, never a flow.
 struct FlowTable {
   std::vector<FlowSlot> slots;
   std::uint64_t set_mask = 0;
-  std::uint32_t epoch = 1;  ///< advanced by Tick, once a second or so
+  std::uint32_t epoch = 1;  ///< advanced by Tick, about once per second
   std::uint64_t size = 0;
   std::uint64_t evictions = 0;
 };
 
 inline constexpr std::size_t kSlotsPerSet = 8;
 
-/// A table of at least `capacity` places (rounded up to a power of two).
+/// Returns a table of at least `capacity` slots, rounded up to a power of two.
 auto MakeFlowTable(std::size_t capacity) -> FlowTable;
 
-/// Null when the flow isn't known. The pointer holds until the next call that changes the table.
+/// Returns null if the flow is unknown. The pointer is valid until the next call that changes the
+/// table.
 auto Find(FlowTable& table, const Fingerprint& fingerprint) -> const FlowHint*;
 
 auto Insert(FlowTable& table, const Fingerprint& fingerprint, const FlowHint& hint) -> void;
 
 auto Erase(FlowTable& table, const Fingerprint& fingerprint) -> void;
 
-/// Advances the clock by which entries age.
+/// Advances the epoch by which entries age.
 auto Tick(FlowTable& table) -> void;
 
-/// Bytes of memory that the table holds.
+/// Returns the size of the table's memory in bytes.
 auto MemoryOf(const FlowTable& table) -> std::size_t;
 
 }  // namespace anvildrum::steering
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -18,7 +18,7 @@
   AcceptPacket(context, {*flow, packet, event.payload, {event.header->sender()}});
 }
 
-// The flow that a control message speaks of; null where it speaks of none.
+// Returns the flow of a control message; null if the message type has none.
 auto FlowOfMessage(const wire::pb::TunnelHeader& header) -> const wire::pb::Flow* {
   using wire::pb::TunnelHeader;
   switch (header.body_case()) {
@@ -117,7 +117,7 @@
   }
 }
 
-// Entries that this agent keeps as an earlier home only save hops.
+// Entries that this agent keeps as a former home only save hops.
 auto ExpireForwards(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.known, [&](const auto& entry) {
@@ -126,7 +126,7 @@
   });
 }
 
-// No duplicate of an offer is on its way for that long.
+// No duplicate of an offer is delayed for this long.
 auto ExpireOffers(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.incoming, [&](const auto& entry) {
--- a/src/steering/internal/directory_forwarding.cc
+++ b/src/steering/internal/directory_forwarding.cc
@@ -5,8 +5,8 @@
 
 using wire::pb::Refused;
 
-// The packet as it goes on, or nothing when it has passed too many agents. Safeguard: two agents
-// whose views differ could send a packet to and fro for ever.
+// Returns the packet to forward; nothing if it has passed too many agents. Safeguard: two agents
+// with different views could send a packet back and forth indefinitely.
 auto NextHop(StepContext& context, const PacketArrival& arrival)
     -> std::optional<wire::pb::Packet> {
   auto& directory = context.directory;
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -1,5 +1,5 @@
-// Flows move from their owner to other targets: both sides. docs/design/handover.md has the
-// argument.
+// Both sides of a hand-over, in which a flow moves from its owner to another target.
+// docs/design/handover.md explains the protocol.
 #include <algorithm>
 
 #include "steering/internal/directory_parts.h"
@@ -24,7 +24,7 @@
   return offer.reason == HandOverReason::kDrain || HasFreeSlot(load);
 }
 
-// The policy's choice as for a new flow, without those that have refused this one.
+// Chooses a target as for a new flow, except those that have refused this one.
 auto ChooseTarget(StepContext& context, const base::FlowKey& flow, const OutgoingHandOver& offer)
     -> PeerTarget* {
   auto& directory = context.directory;
@@ -63,7 +63,7 @@
   context.effects.sends.push_back({peer->tunnel, std::move(header), record});
 }
 
-// Nothing was taken: the flow is served here as before.
+// No target has accepted the flow; it continues to be served here.
 auto CancelOffer(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   auto node = directory.outgoing.extract(flow);
@@ -78,7 +78,7 @@
   }
 }
 
-// The target whose turn it is, or back to this one.
+// Offers the flow to the next target, or cancels the offer if there is none.
 auto OfferNext(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer) -> void {
   auto* peer = ChooseTarget(context, flow, offer);
   if (peer == nullptr) return CancelOffer(context, flow);
@@ -89,9 +89,9 @@
   SendOffer(context, flow, offer);
 }
 
-// Safeguard: a target that does not answer may have taken the flow. It is offered elsewhere, or
-// taken back, only when the target is certainly gone; one that is merely suspect holds the flow up
-// for a while and no longer, as an owner that is cut off does.
+// Safeguard: a target that does not answer may have accepted the flow. The flow is offered
+// elsewhere or served here again only when the target is certainly gone. A target that is merely
+// suspect delays the flow for a limited time, as an unreachable owner does.
 auto IsExpired(StepContext& context, const OutgoingHandOver& offer) -> bool {
   auto* peer = FindPeer(context.directory, offer.to);
   if (peer == nullptr) return true;
@@ -115,7 +115,7 @@
 
 auto IsRegistered(const Directory& directory, const base::FlowKey& flow) -> bool {
   auto owned = directory.owned.find(flow);
-  // Moved on or ended: what became of it is registered by its own rules.
+  // If the flow has moved on or ended, that is registered separately.
   if (owned == directory.owned.end() || owned->second.closing) return true;
   auto home = HomeOf(directory, flow);
   const auto& first = owned->second.first;
@@ -172,11 +172,12 @@
     -> bool {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
-  // Safeguard: this agent has offered the flow itself, perhaps to the very sender, which took it
-  // and offers it back before its word of that has arrived here. Accepted now, the flow would be
-  // given up by both when it does arrive. Refused, the sender serves it on.
+  // Safeguard: this agent has offered the flow itself, perhaps to the sender of this offer, which
+  // has accepted it and offers it back before its acceptance has arrived here. If this offer were
+  // accepted, both would drop the flow when that acceptance arrives. After a refusal the sender
+  // continues to serve it.
   if (owned != nullptr && owned->offered) return false;
-  // Two owners, after a cut: the old one lets go.
+  // There are two owners after a network partition; the old one drops the flow.
   if (owned != nullptr) return !owned->closing;
   if (CanTakeOver(directory, event)) {
     TakeOver(context, flow, event);
@@ -196,8 +197,8 @@
   const auto& owned = found->second;
   if (now < owned.next_offer) return false;
   auto home = HomeOf(directory, flow);
-  // Safeguard: a home that has not heard of the flow at all would, once the old owner is gone,
-  // open it anew beside the new owner.
+  // Safeguard: a home that does not know the flow at all would open it again beside the new owner
+  // once the old owner is gone.
   auto known =
       home && (*home == directory.self || (owned.first.home == *home && !owned.first.queued));
   return known && !owned.closing && !owned.offered && !directory.outgoing.contains(flow);
@@ -212,7 +213,8 @@
   offer.record = event.record;
   offer.flow = owned;
   ExtendLineage(offer.flow.lineage, directory.self);
-  // From here on nothing is delivered or answered: one owner at any time.
+  // From here on nothing is delivered or sent to the client, so that the flow has one owner at any
+  // time.
   owned.offered = true;
   OfferNext(context, event.flow, offer);
 }
@@ -225,7 +227,8 @@
     ++directory.counters.malformed;
     return;
   }
-  // Safeguard: what waited in the socket of a stopped process may have been taken back since.
+  // Safeguard: an offer that waited in the socket of a paused process may have been withdrawn
+  // since.
   if (flow->service != directory.service || directory.fenced) return;
   auto from = ReadRef(message.from());
   auto* peer = FindPeer(directory, from);
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr auto kMaxYieldAttempts = std::uint32_t{50};
-constexpr auto kSimultaneousWindow = base::milliseconds(100);  // delays on the way, and no more
+constexpr auto kSimultaneousWindow = base::milliseconds(100);  // allows for network delay only
 
-// One of two owners of a flow.
+// A target's claim to own a flow.
 struct Claim {
   TargetRef owner;
   base::TimePoint opened{};
@@ -23,19 +23,21 @@
   return one.lineage.opener == other.lineage.opener;
 }
 
-// The claim of an owner that took the flow over, directly or not, from `other`, of which this home
-// knows no more than that it was the owner.
+// Whether `claim` is from an owner that took the flow over, directly or not, from the owner of
+// `other`, about which this home knows nothing else.
 auto Follows(const Claim& claim, const Claim& other) -> bool {
   if (other.lineage.stamp != 0) return false;
   return std::ranges::count(claim.lineage.previous, other.owner) != 0;
 }
 
-// The owner that heard from the client last has the client's present state: the other one was cut
-// off or stopped meanwhile. When both heard from it, the older one has more state to lose.
+// Whether the first claim takes precedence. The owner that received a client packet last has the
+// client's current state; the other one was disconnected or paused in the meantime. If both
+// received one, the older owner has more state to lose.
 auto HasPrecedence(const Claim& one, const Claim& other) -> bool {
   if (Follows(one, other) != Follows(other, one)) return Follows(one, other);
   // Safeguard: the new owner of a flow that was handed over registers it while the home still names
-  // the old one. Judged as two owners, the one that serves it could be told to let go.
+  // the old owner. If the two were judged as competing owners, the one that serves the flow could
+  // be told to drop it.
   if (HaveSameOpening(one, other)) return one.lineage.hand_overs > other.lineage.hand_overs;
   auto lead = one.last_from_client - other.last_from_client;
   if (lead > kSimultaneousWindow) return true;
@@ -75,8 +77,9 @@
     DropOwnedFlow(context, flow);
     return;
   }
-  // Safeguard: a verdict against an owner that was out of reach still waits when that owner is
-  // heard again and wins. Sent after all, both would let go, and nobody would own the flow.
+  // Safeguard: a decision against an unreachable owner may still be waiting when that owner is
+  // heard again and wins. If it were still sent, both owners would drop the flow and nobody would
+  // serve it.
   auto is_earlier = [&](const PendingYield& yield) {
     return yield.flow == flow && (yield.loser == loser.owner || yield.loser == winner);
   };
@@ -101,7 +104,8 @@
   context.directory.known[flow] = known;
 }
 
-// The flow's owner as this home knows it so far, if it is another than `owner` and alive.
+// Returns the claim of the owner that this home knows so far, if that owner is alive and is not
+// `owner`.
 auto OtherClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> std::optional<Claim> {
   auto& directory = context.directory;
@@ -133,9 +137,9 @@
   }
 }
 
-// Safeguard: this home has handed the flow over, and it has ended at its new owner before the
-// acceptance arrived here. Taken for accepted afterwards, the home would send the client's next
-// packets to an agent that has forgotten the flow, and that one back to the home, for ever.
+// Safeguard: this home has handed the flow over, and the flow has ended at its new owner before the
+// acceptance arrived here. If the acceptance were processed afterwards, the home would send the
+// client's next packets to an agent that has discarded the flow and returns them, indefinitely.
 auto CompleteEndedOffer(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void {
   auto& directory = context.directory;
@@ -204,7 +208,7 @@
   auto found = directory.known.find(flow);
   if (found == directory.known.end()) return {};
   const auto& known = found->second;
-  // Without a stamp the owner has its registration still to come, which will be judged then.
+  // Without a stamp the owner's registration is still to come, and will be judged when it arrives.
   if (known.tentative || known.stamp == 0) return known.lost;
   return {known.owner, known.stamp};
 }
@@ -258,7 +262,7 @@
     return yield.attempts >= kMaxYieldAttempts || FindPeer(directory, yield.loser) == nullptr;
   });
   for (auto& yield : directory.yields) {
-    // A loser that is out of reach hears of it when it is back.
+    // An unreachable loser is told when it is reachable again.
     if (FindPeer(directory, yield.loser)->suspect) continue;
     if (context.now >= yield.next_retry) SendYield(context, yield);
   }
--- a/src/steering/internal/directory_lineage.cc
+++ b/src/steering/internal/directory_lineage.cc
@@ -1,10 +1,10 @@
-// Where a flow comes from, over hand-overs.
+// The history of a flow's hand-overs.
 #include "steering/internal/directory_parts.h"
 
 namespace anvildrum::steering {
 namespace {
 
-// Homes that are more hand-overs behind than this know the flow's opening as well.
+// A home that missed more hand-overs than this still knows the flow's opening.
 constexpr auto kMaxPreviousOwners = std::size_t{8};
 
 }  // namespace
--- a/src/steering/internal/directory_messages.cc
+++ b/src/steering/internal/directory_messages.cc
@@ -74,17 +74,17 @@
   }
 }
 
-// Safeguard: probes ask for the number of flows twice a second, and a burst of openings is shorter.
-// No home can tell by reports from before it which targets got more than others, and the burst ends
-// up no more even than the hash.
+// Safeguard: probes request the number of flows twice a second, and a burst of openings is shorter
+// than that. With reports from before the burst, no home can tell which targets received more flows
+// than others, and the result is no better balanced than the hash.
 auto ReportFlowCount(StepContext& context) -> void {
   auto& directory = context.directory;
   const auto& policy = directory.policy;
   if (context.now < directory.next_load_report) return;
   auto flows = static_cast<double>(directory.owned.size());
-  auto told = static_cast<double>(directory.reported_own_flows);
-  auto step = std::max<double>(policy.load_report_flows, policy.load_report_share * told);
-  if (std::abs(flows - told) < step) return;
+  auto reported = static_cast<double>(directory.reported_own_flows);
+  auto step = std::max<double>(policy.load_report_flows, policy.load_report_share * reported);
+  if (std::abs(flows - reported) < step) return;
   directory.reported_own_flows = directory.owned.size();
   directory.next_load_report = context.now + policy.load_report_interval;
   auto header = MakeHeader(directory);
--- a/src/steering/internal/directory_opening.cc
+++ b/src/steering/internal/directory_opening.cc
@@ -41,13 +41,14 @@
   SendHint(context, arrival.packet, peer.ref);
 }
 
-// Flows that a peer has by now, as far as this agent can tell.
+// Estimates the peer's current number of flows.
 //
-// Safeguard: reports come twice a second, and a burst of new flows reaches every home at once. A
-// home that compared its own count of this moment with its peers' counts of before the burst would
-// find itself over its bound and give most of its flows away, each home by its own draw: the
-// targets end up further apart than by the hash alone. Homes get new flows at the same rate (their
-// order is a hash), so a peer is taken to have got as many as this home since its report.
+// Safeguard: load reports arrive twice a second, and a burst of new flows reaches every home at
+// once. A home that compared its own current count with its peers' counts from before the burst
+// would find itself over its bound and place most of its flows elsewhere. Since each home draws by
+// itself, the targets would end up less balanced than by the hash alone. Homes get new flows at the
+// same rate because their order is a hash, so a peer is assumed to have got as many as this home
+// since its report.
 auto ExpectedFlows(const Directory& directory, const PeerTarget& peer) -> std::uint32_t {
   auto placed = static_cast<double>(directory.placed_as_home - peer.placed_at_report);
   auto own_weight = directory.load.weight > 0 ? directory.load.weight : 1.0;
@@ -86,7 +87,7 @@
     loads.push_back(peer.load);
     loads.back().flows = ExpectedFlows(directory, peer);
     loads.back().age = context.now - peer.since;
-    // A peer under another view might not accept this agent as the flow's home.
+    // A peer with another view might not accept this agent as the flow's home.
     loads.back().eligible =
         candidate.placeable && !peer.suspect && peer.settled_view == directory.digest;
   }
@@ -117,7 +118,7 @@
     return;
   }
   if (directory.self_index == kNone) {
-    // This agent drains, or is not announced yet: the home places.
+    // This agent is draining or not announced yet, so the home places the flow.
     DeclineToHome(context, arrival);
     return;
   }
@@ -126,8 +127,8 @@
     Refuse(context, arrival, Refused::REASON_FULL, directory.counters.full);
     return;
   }
-  // Only the first home gives flows away: a target that takes one from another agent has to ask all
-  // others first, and could give it away in turn.
+  // Only the first home places flows elsewhere. A target that opens a flow for another agent has to
+  // query all others first, and could in turn place it elsewhere.
   if (!IsHome(directory, arrival.flow) && !IsFull(directory)) {
     OpenHere(context, arrival);
     return;
--- a/src/steering/internal/directory_owner_query.cc
+++ b/src/steering/internal/directory_owner_query.cc
@@ -19,14 +19,14 @@
 }
 
 auto SendQueries(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
-  pending.next_ask = context.now + context.directory.policy.query_interval;
+  pending.next_query = context.now + context.directory.policy.query_interval;
   for (const auto& ref : pending.unanswered) {
     auto* peer = FindPeer(context.directory, ref);
     if (peer != nullptr) SendQuery(context, flow, pending, *peer);
   }
 }
 
-// `place_first`: the first packet that may open the flow does.
+// `place_first`: places the flow with the first held packet that may open it.
 auto ReleaseHeld(StepContext& context, const base::FlowKey& flow, bool place_first) -> void {
   auto& directory = context.directory;
   auto node = directory.pending.extract(flow);
@@ -62,10 +62,11 @@
   return pending.claimed_lineage.hand_overs > 0;
 }
 
-// Safeguard: flows move between targets that shed load, and one that handed a flow over remembers
-// its successor for a while after that one has let go of it. Believed, two of them could name each
-// other, and the client's packets would go round between them. The successor had taken the flow
-// when it was named, so that its word from then on decides; its earlier answer may be from before.
+// Safeguard: flows move between targets that shed load, and a target that handed a flow over keeps
+// its successor's name for a while after the successor has dropped the flow. Two such targets could
+// name each other, and the client's packets would go back and forth between them. The successor
+// already had the flow when it was named, so only its answers from then on decide; an earlier
+// answer may be from before.
 auto QuerySuccessor(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   if (!WasHandedOver(pending) || FindPeer(context.directory, *pending.claimed) == nullptr) return;
   pending.denied = false;
@@ -75,14 +76,14 @@
   SendQueries(context, flow, pending);
 }
 
-// Nobody has the flow.
+// Concludes a query that found no owner.
 auto ConcludeUnowned(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
     -> void {
   auto taken = ConcludeOrphanQuery(context, flow, pending);
   ReleaseHeld(context, flow, !taken);
 }
 
-// All have answered, or are suspect.
+// Called when all peers have answered or are suspect.
 auto ConcludeQuery(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   auto& directory = context.directory;
   if (!pending.claimed) {
@@ -97,7 +98,7 @@
     return;
   }
   if (peer->suspect && pending.claimed_via.port == 0 && !pending.lost) {
-    // Known to another agent, but out of reach from here: does anyone reach it?
+    // Another agent knows the owner, but this one cannot reach it: query whether any peer does.
     pending.lost = pending.claimed;
     pending.claimed.reset();
     pending.denied = false;
@@ -118,26 +119,27 @@
   ResolveOwner(context, flow, owner);
 }
 
-// Whether `newer` is a later process of the same target: then the earlier one is dead.
+// Whether `newer` is a later process of the same target, so that the earlier one is dead.
 auto IsSuperseded(const TargetRef& ref, const TargetRef& newer) -> bool {
   return ref.target == newer.target && ref.incarnation < newer.incarnation;
 }
 
-// Of two that ask at once the stand-by goes first, since it has the flow's observations; of two
-// alike the lower id.
+// Whether this agent's query takes precedence over a concurrent one. A stand-by takes precedence
+// because it has the flow's observations; otherwise the lower id does.
 auto HasPriority(const Directory& directory, const PendingFlow& pending, const TargetRef& asker,
                  const wire::pb::OwnerQuery& query) -> bool {
   if (pending.stands_by != query.stands_by()) return pending.stands_by;
   return directory.self.target < asker.target;
 }
 
-// What this agent answers about a flow that it does not serve.
+// Returns the owner to name in the answer to a query about a flow that this agent does not serve.
 auto FindAnswer(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
                 const base::Endpoint& from, const wire::pb::OwnerQuery& query)
     -> std::optional<TargetRef> {
   auto& directory = context.directory;
-  // Safeguard: opened by another agent, the flow would go on there without its observations, and
-  // their client's screen would freeze. The stand-by answers for it and asks by itself.
+  // Safeguard: if another agent opened the flow, it would continue there without its observations,
+  // and the client's screen would freeze. The stand-by answers for the flow and sends queries
+  // itself.
   if (!query.stands_by() && IsOrphaned(directory, flow)) {
     StartOwnerQuery(context, flow, nullptr, std::nullopt);
     if (FindOwned(directory, flow) != nullptr) return directory.self;
@@ -159,8 +161,8 @@
     auto owner = known->second.owner;
     auto* peer = FindPeer(directory, owner);
     if (owner == asker) return std::nullopt;
-    // Safeguard: only the home hears of a flow's end. What an earlier home remembers would lead to
-    // a target that has let go of the flow, again and again.
+    // Safeguard: only the home is told of a flow's end. The entry of a former home would repeatedly
+    // lead to a target that has dropped the flow.
     auto fresh = context.now - known->second.noted_at < directory.policy.claim_validity;
     auto current = fresh || IsHome(directory, flow);
     if (peer != nullptr && owner != lost && current) return owner;
@@ -255,14 +257,16 @@
   auto found = directory.pending.find(*flow);
   if (found == directory.pending.end()) return;
   auto& pending = found->second;
-  // Safeguard: an answer to an earlier query says nothing of what the peer has opened since.
+  // Safeguard: an answer to an earlier query says nothing about flows that the peer has opened
+  // since.
   if (pending.sequence != answer.sequence()) return;
   auto responder = ReadRef(answer.responder());
   auto owner = ReadRef(answer.owner());
   auto* peer = FindPeer(directory, responder.target);
   if (peer == nullptr || peer->ref.incarnation > responder.incarnation) return;
   auto claims_other = answer.owned() && owner != responder && owner != directory.self;
-  // The responder's view names a process that this one does not: one of them lags. Asked again.
+  // The responder's view contains a process that this agent's view does not, so one of them is
+  // stale. The peer is queried again.
   if (claims_other && FindPeer(directory, owner) == nullptr) return;
   std::erase_if(pending.unanswered,
                 [&](const TargetRef& ref) { return ref.target == responder.target; });
@@ -275,7 +279,7 @@
     known.opened = context.now;
     known.noted_at = context.now;
     known.last_packet = context.now;
-    // It answered just now, whatever the probes say.
+    // The owner has just answered, whatever the probes indicate.
     if (peer->suspect || peer->ref != responder) {
       known.via = from;
       known.via_since = context.now;
@@ -298,7 +302,7 @@
   if (directory.fenced) return;
   auto due = std::vector<base::FlowKey>{};
   for (const auto& [flow, pending] : directory.pending) {
-    if (context.now >= pending.next_ask) due.push_back(flow);
+    if (context.now >= pending.next_query) due.push_back(flow);
   }
   std::ranges::sort(due);
   for (const auto& flow : due) {
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -6,16 +6,18 @@
 
 using wire::pb::Refused;
 
-// Safeguard: what was meant for an earlier process at this address opens nothing here.
+// Safeguard: a request to an earlier process at this address opens nothing here.
 auto IsOpening(const Directory& directory, const PacketArrival& arrival) -> bool {
   const auto& packet = arrival.packet;
   return packet.opening() && packet.opening_incarnation() == directory.self.incarnation;
 }
 
-// To the home. Safeguard: a home that promised this agent the flow sends it here for as long as the
-// promise holds, also after the flow has ended here and this agent drains. Sent to and fro as an
-// ordinary packet, it would be dropped at the hop limit. Handed back, it makes the home forget the
-// promise and ask all others.
+// Sends the packet to the home, or returns it if it came from there.
+//
+// Safeguard: a home that deferred to this agent sends it the flow's packets until the deferral
+// expires, also after the flow has ended here and this agent is draining. Ordinary packets would go
+// back and forth and be dropped at the hop limit. A declined packet makes the home discard the
+// deferral and query all others.
 auto ReturnToHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto home = ActingHomeOf(context.directory, arrival.flow);
   auto* sender = FindPeerByInstance(context.directory, arrival.sender);
@@ -49,7 +51,8 @@
   }
 }
 
-// Whether the entry can still be used; entries that are too old lose their relay or promise.
+// Whether the entry is still usable. Removes an expired relay; an expired tentative entry is not
+// usable.
 auto IsUsable(StepContext& context, KnownOwner& known) -> bool {
   auto expired = context.now - known.via_since > context.directory.policy.deferral_time;
   if (known.via.port != 0 && !expired) return true;
@@ -89,18 +92,19 @@
   if (arrival.packet.hops() == 0 && !known.tentative) SendHint(context, arrival.packet, owner);
 }
 
-// Safeguard: what agents remember of a flow may lead in a circle when none of them owns it any
-// more, and each packet of the client would keep the circle alive: the client is served by nobody.
-// A packet that has passed this many agents is asked for instead. Held ones, which have no sender,
-// have been.
+// Safeguard: the entries of several agents may form a forwarding loop when none of them owns the
+// flow any more. Each packet of the client would keep the entries alive, and no target would serve
+// the client. The owner of a packet that has passed this many agents is therefore queried. Held
+// packets, which have no sender, have been through a query already.
 auto MayLoop(const Directory& directory, const PacketArrival& arrival) -> bool {
   const auto& policy = directory.policy;
   auto hops = arrival.packet.hops();
   return arrival.sender.value != 0 && hops >= policy.query_hops && hops < policy.hop_limit;
 }
 
-// The sender, chosen by this agent or having asked it, does not open the flow. The flow is asked
-// for before it is placed, because a duplicate of the message may arrive late.
+// Handles a packet returned by a sender that does not open the flow, although this agent chose it
+// or deferred to it. The flow's owner is queried before the flow is placed, because a duplicate of
+// the message may arrive late.
 auto PlaceDeclined(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto* peer = FindPeerByInstance(directory, arrival.sender);
@@ -115,11 +119,11 @@
   StartOwnerQuery(context, arrival.flow, &arrival, std::nullopt);
 }
 
-// Safeguard: the home places a flow here that this agent once handed over. Either the flow has
-// ended since, and its successor, passed the packet, would pass it back, for ever; or the packet is
-// a late copy of the flow's first opening, and opened here it would bring up a second owner.
-// Declined, the home passes it to the owner that it knows, or asks everybody before it opens the
-// flow. Returns whether it was declined.
+// Safeguard: the home places a flow here that this agent has handed over before. Either the flow
+// has ended since, and its successor would return a forwarded packet indefinitely; or the packet is
+// a late copy of the flow's first opening, which would create a second owner if it were opened
+// here. If the packet is declined, the home forwards it to the owner that it knows, or queries all
+// peers before it opens the flow. Returns whether the packet was declined.
 auto DeclineOpening(StepContext& context, const PacketArrival& arrival) -> bool {
   auto* sender = FindPeerByInstance(context.directory, arrival.sender);
   if (sender == nullptr) return false;
@@ -127,7 +131,8 @@
   return true;
 }
 
-// By what this agent remembers of the flow; returns whether that decides.
+// Routes the packet by the flow's entry in `known`, if there is one. Returns whether the packet was
+// handled.
 auto RouteIfKnown(StepContext& context, const PacketArrival& arrival) -> bool {
   auto& directory = context.directory;
   auto known = directory.known.find(arrival.flow);
@@ -158,9 +163,9 @@
 
 auto AcceptPacket(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
-  // Safeguard: after an address moved to another service, or a target restarted under another
-  // service on the same port, a stale balancer sends one service's packet to a target of another.
-  // The service travels in the packet, and an agent serves one service only.
+  // Safeguard: after an address has moved to another service, or a target has restarted under
+  // another service on the same port, a balancer with a stale view sends packets of one service to
+  // a target of another. Therefore packets carry the service, and an agent serves one service only.
   if (arrival.flow.service != directory.service) {
     Refuse(context, arrival, Refused::REASON_WRONG_SERVICE, directory.counters.wrong_service);
     return;
@@ -178,7 +183,8 @@
     DeliverPacket(context, arrival, *owned, false);
     return;
   }
-  // A closing flow stays closed until the home knows; the home places it anew meanwhile.
+  // A closing flow stays closed until the home knows about its end. Meanwhile the home places the
+  // flow elsewhere.
   if (owned != nullptr && IsOpening(directory, arrival)) {
     auto* sender = FindPeerByInstance(directory, arrival.sender);
     if (sender != nullptr) Decline(context, *sender, arrival);
--- a/src/steering/internal/directory_parts.h
+++ b/src/steering/internal/directory_parts.h
@@ -4,7 +4,7 @@
 
 #include "steering/directory.h"
 
-/// What the parts of the directory share. Private to the module.
+/// Internal declarations shared by the directory's source files.
 namespace anvildrum::steering {
 
 struct StepContext {
@@ -15,12 +15,13 @@
 
 // directory_lookup.cc
 auto FindPeer(Directory& directory, base::TargetId target) -> PeerTarget*;
-/// Null also when the incarnation differs.
+/// Returns null also if the incarnation differs.
 auto FindPeer(Directory& directory, const TargetRef& ref) -> PeerTarget*;
 auto FindPeerByInstance(Directory& directory, base::InstanceId instance) -> PeerTarget*;
-/// The first home in this agent's view: nothing when no target takes flows.
+/// Returns the first home in this agent's view; nothing if no target takes flows.
 auto HomeOf(const Directory& directory, const base::FlowKey& flow) -> std::optional<TargetRef>;
-/// The home that is in charge while this agent suspects the first one; else the first one.
+/// Returns the home that is responsible while this agent suspects the first one, else the first
+/// one.
 auto ActingHomeOf(const Directory& directory, const base::FlowKey& flow)
     -> std::optional<TargetRef>;
 auto IsHome(const Directory& directory, const base::FlowKey& flow) -> bool;
@@ -38,11 +39,11 @@
                  wire::pb::Refused::Reason reason) -> void;
 auto SendHint(StepContext& context, const wire::pb::Packet& packet, const TargetRef& owner) -> void;
 auto SendDrainNotices(StepContext& context) -> void;
-/// Tells the peers how many flows this agent has when that has changed much since.
+/// Reports this agent's number of flows to its peers after a considerable change.
 auto ReportFlowCount(StepContext& context) -> void;
 
 // directory_packets.cc
-/// A packet on its way: `sender` is the process that it came from, nothing for a held one.
+/// A received packet. `sender` is the process that sent it; unset for a held packet.
 struct PacketArrival {
   base::FlowKey flow;
   const wire::pb::Packet& packet;
@@ -55,22 +56,22 @@
 auto HoldPacket(StepContext& context, PendingFlow& pending, const PacketArrival& arrival) -> void;
 
 // directory_forwarding.cc
-/// `opens`: the target that is asked to open the flow; null: none.
+/// `opens`: the target that is to open the flow; null: none.
 auto ForwardPacket(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
                    const TargetRef* opens) -> void;
 auto ForwardToHome(StepContext& context, const PacketArrival& arrival) -> void;
-/// Hands the packet back: this agent does not open the flow.
+/// Returns the packet to the home: this agent does not open the flow.
 auto Decline(StepContext& context, const PeerTarget& home, const PacketArrival& arrival) -> void;
 auto DeclineToHome(StepContext& context, const PacketArrival& arrival) -> void;
 auto Refuse(StepContext& context, const PacketArrival& arrival, wire::pb::Refused::Reason reason,
             std::uint64_t& counter) -> void;
 
 // directory_opening.cc
-/// Opens the flow here or at another target. The caller has made sure that nobody else has it.
+/// Opens the flow here or at another target. The caller has verified that no other agent owns it.
 auto PlaceFlow(StepContext& context, const PacketArrival& arrival) -> void;
-/// The home asks this agent to open the flow (rule 3 of Directory).
+/// Opens a flow on request of its home (rule 3 of Directory).
 auto OpenForHome(StepContext& context, const PacketArrival& arrival) -> void;
-/// Targets' loads in the order of the candidates, in load_scratch.
+/// Fills load_scratch with the targets' loads, in the order of the candidates.
 auto FillLoads(StepContext& context) -> void;
 auto IsFull(const Directory& directory) -> bool;
 
@@ -82,15 +83,15 @@
 auto HandleOwnerAnswer(StepContext& context, const base::Endpoint& from,
                        const wire::pb::OwnerAnswer& answer) -> void;
 auto RetryOwnerQueries(StepContext& context) -> void;
-/// Hands all held packets on as if they had just arrived.
+/// Processes all held packets as if they had just been received.
 auto ReleaseAllHeld(StepContext& context) -> void;
-/// The owner of a flow that is asked for has become known: releases the held packets.
+/// Records the owner of a queried flow and releases the held packets.
 auto ResolveOwner(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner) -> void;
 
 // directory_registration.cc
-/// Queues the flow for each of its homes that has not acknowledged it.
+/// Queues the flow for each of its homes that has not acknowledged its registration.
 auto EnqueueRegistration(Directory& directory, const base::FlowKey& flow, OwnedFlow& owned) -> void;
-/// Empties the queues and fills them anew, after the homes of flows changed.
+/// Clears the queues and fills them again after the homes of flows have changed.
 auto ReregisterFlows(Directory& directory) -> void;
 auto SendDueBatches(StepContext& context) -> void;
 auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void;
@@ -102,10 +103,10 @@
 auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
     -> void;
 auto HandleYieldAck(StepContext& context, const wire::pb::YieldAck& message) -> void;
-/// The owner that `known` names or has lost; stamp 0: none.
+/// Returns the owner that `known` names or has lost; stamp 0: none.
 auto LostOwnerOf(const Directory& directory, const base::FlowKey& flow) -> LostOwner;
-/// The flow is about to be opened at `winner` although its owner may still live, out of reach: that
-/// one is told to let go of it as soon as it is back.
+/// Called before the flow is opened at `winner` although its previous owner may be alive and only
+/// unreachable. Tells that owner to drop the flow as soon as it is reachable again.
 auto RevokeLostClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
     -> void;
 auto RetryYields(StepContext& context) -> void;
@@ -115,28 +116,31 @@
 auto HandleHandOver(StepContext& context, const HandOverArrived& event) -> void;
 auto HandleHandOverAck(StepContext& context, const wire::pb::HandOverAck& ack) -> void;
 auto RetryHandOvers(StepContext& context) -> void;
-/// Keeps a packet of a flow that is offered to another target.
+/// Holds a packet of a flow that is offered to another target.
 auto HoldForHandOver(StepContext& context, const PacketArrival& arrival) -> void;
-/// The flow is no longer this agent's: what it held for it goes after the new owner.
+/// Ends this agent's ownership and forwards the held packets to the new owner.
 auto CompleteHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void;
 
 // directory_stand_by.cc
 auto HandleStandBy(StepContext& context, const wire::pb::StandBy& message) -> void;
-/// Whether this agent has a copy of the flow's observations and does not reach their owner.
+/// Whether this agent has a copy of the flow's observations and cannot reach their owner.
 auto IsOrphaned(Directory& directory, const base::FlowKey& flow) -> bool;
-/// Takes an orphaned flow over; nobody else has it, as the caller has made sure. False: no copy.
+/// Takes an orphaned flow over. The caller has verified that no other agent owns it. Returns false
+/// if there is no copy.
 auto TakeOverOrphan(StepContext& context, const base::FlowKey& flow) -> bool;
-/// The same at the end of asking, where the loss is agreed; else the copy waits for a later try.
+/// Called at the end of an owner query. Takes the flow over if the owner's loss is confirmed;
+/// otherwise the copy stays for a later attempt.
 auto ConcludeOrphanQuery(StepContext& context, const base::FlowKey& flow,
                          const PendingFlow& pending) -> bool;
-/// The flow has this owner: a copy of another one's is of no use, and one of its own waits.
+/// Called when the flow's owner has become known. Removes the copy of another owner; postpones the
+/// takeover from this one.
 auto ReconcileCopy(StepContext& context, const base::FlowKey& flow, const TargetRef& owner) -> void;
 auto RetryTakeovers(StepContext& context) -> void;
 auto ExpireCopies(StepContext& context) -> void;
 
 // directory_lineage.cc
-/// As the next owner has it.
+/// Appends the hand-over by `self`, as the next owner records it.
 auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void;
 auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void;
 auto ReadLineage(const wire::pb::Lineage& message) -> Lineage;
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -18,7 +18,7 @@
   return std::chrono::duration_cast<base::milliseconds>(now - then).count();
 }
 
-// The home of the flow that `home` is, if it is one.
+// Returns the flow's registration with `home`; null if `home` is not one of its homes.
 auto FindRegistration(const Directory& directory, const base::FlowKey& flow, OwnedFlow& owned,
                       const TargetRef& home) -> RegisteredAt* {
   if (HomeOf(directory, flow) == home) return &owned.first;
@@ -26,7 +26,7 @@
   return nullptr;
 }
 
-// Flows that are still this agent's and whose home the stream leads to.
+// Fills the batch with queued flows that this agent still owns and whose home the stream leads to.
 auto FillBatch(Directory& directory, RegisterStream& stream) -> void {
   stream.batch.clear();
   while (!stream.queue.empty() && stream.batch.size() < directory.policy.registrations_per_batch) {
@@ -39,7 +39,7 @@
     registered->queued = false;
     stream.batch.push_back(flow);
   }
-  // With the queue empty, this batch is the last one under the view.
+  // If the queue is empty, this batch is the last one under the view.
   auto unsettled = stream.settled != directory.digest;
   stream.settling_digest = stream.queue.empty() && unsettled ? directory.digest : 0;
 }
@@ -125,8 +125,7 @@
   }
 }
 
-// A flow that is closing is forgotten when its home moves, because the new home has never heard of
-// it.
+// A closing flow is discarded when its home moves, because the new home has never known it.
 auto ReregisterFlows(Directory& directory) -> void {
   for (auto& stream : directory.streams) stream.queue.clear();
   auto forgotten = std::vector<base::FlowKey>{};
@@ -176,7 +175,7 @@
 auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
-  // What is offered may be served elsewhere already: there it will end.
+  // An offered flow may already be served elsewhere, and will end there.
   if (owned == nullptr || owned->closing || owned->offered) return;
   ++directory.counters.ended;
   auto home = HomeOf(directory, flow);
--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -1,5 +1,5 @@
-// Copies of observations that other targets serve, and what becomes of them when such a target is
-// lost. docs/design/standby.md has the argument.
+// Copies of observations that other targets serve, and the takeover of their flows when such a
+// target is lost. docs/design/standby.md explains the protocol.
 #include <algorithm>
 
 #include "steering/internal/directory_parts.h"
@@ -36,7 +36,8 @@
   UncountOwner(directory, owner);
 }
 
-// A later copy of an owner that the flow has left does not replace that of the new one.
+// Whether the copy is from an owner that has handed the flow over to the owner of the known copy.
+// Such a copy does not replace the known one, even if it arrives later.
 auto IsOutdated(const StandByCopy& copy, const StandByCopy& known) -> bool {
   if (copy.owner == known.owner) return false;
   const auto& one = copy.lineage;
@@ -94,16 +95,16 @@
   SendControl(context, owner.tunnel, header);
 }
 
-// No such process any more, or out of reach.
+// Whether the owner's process is gone from the view or unreachable.
 auto IsOutOfReach(Directory& directory, const TargetRef& owner) -> bool {
   auto* peer = FindPeer(directory, owner);
   return peer == nullptr || peer->suspect;
 }
 
-// Safeguard: a stand-by that is cut off from its peers takes them all for lost. Were it to act on
-// that, two targets would notify one client. So the owner's process is gone from the view, which is
-// agreed through the platform, or some peer has answered and reaches no owner either, or the client
-// itself has come here.
+// Safeguard: a stand-by that is disconnected from its peers considers all of them lost. If it acted
+// on that alone, two targets would notify one client. A loss is therefore confirmed only if the
+// owner's process is gone from the view, which is decided through the platform, or if a peer has
+// answered that it reaches no owner either, or if a packet of the client itself has arrived here.
 auto IsLossConfirmed(Directory& directory, const TargetRef& owner, const PendingFlow& pending)
     -> bool {
   return FindPeer(directory, owner) == nullptr || pending.answered || !pending.held.empty();
@@ -114,9 +115,9 @@
   auto* owner = FindCopiedOwner(directory, ref);
   if (owner == nullptr) return;
   ++directory.counters.copies_withheld;
-  auto longest = directory.policy.max_takeover_retry;
+  auto max_backoff = directory.policy.max_takeover_retry;
   owner->loss_confirmed = false;
-  owner->backoff = std::clamp(owner->backoff * 2, directory.policy.takeover_retry, longest);
+  owner->backoff = std::clamp(owner->backoff * 2, directory.policy.takeover_retry, max_backoff);
   owner->next_attempt = context.now + owner->backoff;
 }
 
@@ -127,8 +128,8 @@
     if (copy.owner == owner.ref && !directory.pending.contains(flow)) flows.push_back(flow);
   }
   std::ranges::sort(flows);
-  auto most = owner.loss_confirmed ? directory.policy.takeover_batch : std::size_t{1};
-  if (flows.size() > most) flows.resize(most);
+  auto limit = owner.loss_confirmed ? directory.policy.takeover_batch : std::size_t{1};
+  if (flows.size() > limit) flows.resize(limit);
   return flows;
 }
 
@@ -138,12 +139,12 @@
   if (!gone && context.now < owner.next_attempt) return;
   if (!owner.loss_confirmed) owner.next_attempt = context.now + policy.takeover_retry;
   auto flows = FlowsToQuery(context.directory, owner);
-  // `owner` may be gone after the first of them.
+  // The first query may remove `owner`.
   for (const auto& flow : flows) StartOwnerQuery(context, flow, nullptr, std::nullopt);
 }
 
-// Where replies leave until the client is heard of: the agent's route goes by probes for such
-// flows.
+// Returns the balancer for replies until the first packet from the client. For such flows the agent
+// chooses the route by probes.
 auto AnyBalancer(const Directory& directory) -> base::Endpoint {
   return directory.balancers.empty() ? base::Endpoint{} : directory.balancers.front().tunnel;
 }
@@ -194,7 +195,7 @@
     ++directory.counters.stale_sender;
     return;
   }
-  // Safeguard: a duplicate of an earlier batch would bring a copy back that was taken away since.
+  // Safeguard: a duplicate of an earlier batch would restore a copy that was removed since.
   if (message.sequence() > peer->copies_applied) {
     peer->copies_applied = message.sequence();
     for (const auto& flow : message.flows()) ApplyCopy(context, flow, peer->ref);
@@ -252,7 +253,7 @@
   RemoveCopy(context.directory, flow);
 }
 
-// The flows of an owner that is out of reach are asked for: one until the loss is agreed, then all.
+// Queries the flows of unreachable owners: a single flow until the loss is confirmed, then all.
 auto RetryTakeovers(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced || !directory.in_view) return;
--- a/src/steering/internal/directory_view.cc
+++ b/src/steering/internal/directory_view.cc
@@ -14,17 +14,17 @@
   return peer;
 }
 
-// Safeguard: the asker may wait for seconds for a peer that has died. A target that joined or
-// restarted meanwhile, and is the flow's home, has opened it without asking, since all its peers
-// had registered what they owned. Not asked, it and the asker would both own the flow.
+// Safeguard: a query may wait for seconds for a peer that has died. A target that joins or restarts
+// in that time and is the flow's home opens the flow without a query, since all its peers have
+// registered their flows. If it were not queried too, it and this agent would both own the flow.
 auto QueryNewPeer(StepContext& context, const TargetRef& peer) -> void {
   for (auto& [flow, pending] : context.directory.pending) {
     pending.unanswered.push_back(peer);
-    pending.next_ask = context.now;
+    pending.next_query = context.now;
   }
 }
 
-// Returns whether this agent's suspicion of a peer changed.
+// Returns whether this agent's suspicion of a peer has changed.
 auto UpdatePeers(StepContext& context, const membership::ServiceView& service) -> bool {
   auto& directory = context.directory;
   auto changed = false;
@@ -112,7 +112,7 @@
   directory.candidates = MakeCandidates(present);
   UpdateSelf(directory, present);
   directory.digest = present.digest;
-  // The record was removed, by conditional update on this incarnation: others have given its flows
+  // The record was removed by a conditional update on this incarnation. Others have given its flows
   // up, and a later start has a higher incarnation.
   if (was_in_view && !directory.in_view) DropAll(context);
   if (!moved && !suspicion_changed) return;
@@ -122,10 +122,11 @@
   directory.streams_due = true;
 }
 
-// Safeguard: a process that was stopped for longer than its peers wait may own flows that were
-// opened elsewhere meanwhile, and its knowledge of who is settled is old. Its client would see
-// answers of two targets. It does nothing for clients until every peer that it does not suspect
-// has registered its flows here anew, by which time each doubly opened flow has one owner again.
+// Safeguard: a process that was paused for longer than the peers' suspicion timeout may own flows
+// that were opened elsewhere in the meantime, and its knowledge of settled peers is stale. Its
+// clients would receive replies from two targets. It does nothing for clients until every peer that
+// it does not suspect has registered its flows here again. By then each flow that was opened twice
+// has one owner again.
 auto Fence(StepContext& context) -> void {
   auto& directory = context.directory;
   ++directory.counters.stops_noticed;
--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -16,11 +16,11 @@
   return load.connections == 0 || load.flows < load.connections;
 }
 
-// What the service's eligible targets have in common.
+// Mean values of the service's eligible targets.
 struct Means {
-  double delay = 0;            ///< in ns, over those that have one
+  double delay = 0;            ///< in ns, over the targets with a known delay
   double refused = 0;          ///< permille
-  double flows_per_share = 0;  ///< flows over the sum of shares
+  double flows_per_share = 0;  ///< number of flows divided by the sum of shares
 };
 
 auto SlowStartFactor(const PlacementPolicy& policy, const TargetLoad& load) -> double {
@@ -30,7 +30,7 @@
   return policy.slow_start_floor + (1.0 - policy.slow_start_floor) * ramp;
 }
 
-// A target that answers in twice the mean time is worth half a target.
+// A target with twice the mean delay gets half the share.
 auto DelayFactor(const PlacementPolicy& policy, const TargetLoad& load, const Means& means)
     -> double {
   auto delay = static_cast<double>(load.delay.count());
@@ -82,15 +82,15 @@
   return load.flows + 1.0 <= (1.0 + policy.flow_margin) * mean + policy.flow_slack;
 }
 
-// Lower is better: flows against the share, and requests that wait for a slot.
+// Combines the flows relative to the share and the requests that wait for a slot. Lower is better.
 auto Cost(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> double {
   auto flows = (load.flows + 1.0) / ShareOf(policy, load, means) / (means.flows_per_share + 1.0);
   auto busy = static_cast<double>(load.in_flight) / std::max(1U, load.slots);
   return flows + std::max(0.0, busy - 1.0);
 }
 
-// The number of eligible targets is small or a sample of them is enough, so draws that hit a target
-// which can't take the flow are repeated a few times before all are looked at.
+// Draws a random target that can take the flow. Usually a few draws find one; after
+// kMaxDrawAttempts all targets are checked.
 template <typename Allowed>
 auto Draw(std::span<const TargetLoad> loads, Random& random, Allowed allowed) -> std::uint32_t {
   auto any =
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -9,7 +9,7 @@
 constexpr auto kUnit = 0x1.0p-53;
 constexpr auto kMantissaShift = 11;
 
-// Finalizer of SplitMix64: spreads flow and target over 64 bits.
+// Mixes flow and target into 64 uniform bits with the finalizer of SplitMix64.
 auto Mix(std::uint64_t flow_hash, base::TargetId target) -> std::uint64_t {
   auto x = flow_hash ^ target.value;
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -22,7 +22,7 @@
   return -weight / std::log(uniform);
 }
 
-// Index of the best of the candidates that `allowed` lets in.
+// Returns the index of the best candidate for which `allowed` is true.
 template <typename Allowed>
 auto BestOf(const CandidateSet& set, std::uint64_t flow_hash, Allowed allowed) -> std::uint32_t {
   auto best = kNone;
--- a/src/steering/placement.h
+++ b/src/steering/placement.h
@@ -8,46 +8,50 @@
 
 namespace anvildrum::steering {
 
-/// Seeded by the caller; 8 bytes of state would do, the standard engine keeps runs comparable.
+/// The caller seeds it. A standard engine keeps runs comparable, although 8 bytes of state would
+/// do.
 using Random = std::minstd_rand;
 
-/// What the placing agent knows of one target when a flow opens.
+/// What the agent that places a flow knows about a target.
 struct TargetLoad {
   double weight = 1.0;
   std::uint64_t failure_domain = 0;
-  std::uint32_t flows = 0;        ///< last report plus what was placed here since
+  std::uint32_t flows = 0;        ///< last report plus the flows placed here since
   std::uint32_t connections = 0;  ///< limit; 0: none
   std::uint32_t slots = 1;
   std::uint32_t in_flight = 0;  ///< running and queued
-  base::Duration delay{};       ///< observed service time; zero: none yet
+  base::Duration delay{};       ///< observed service time; zero: unknown
   std::uint32_t refused_permille = 0;
-  std::uint32_t reported_load = 0;      ///< the target's own word in permille: may lag or lie
-  base::Duration age = base::hours(1);  ///< since it was announced; for slow start
-  bool eligible = true;                 ///< live, not draining, able to take a flow now
+  /// As reported by the target, in permille; may be stale or wrong.
+  std::uint32_t reported_load = 0;
+  base::Duration age = base::hours(1);  ///< since its announcement; for slow start
+  bool eligible = true;                 ///< alive, not draining and able to take a flow
 };
 
 enum class PlacementKind : std::uint8_t {
   kRandom,             ///< any eligible target
-  kLeastReportedLoad,  ///< by the targets' own word
+  kLeastReportedLoad,  ///< lowest reported_load
   kRendezvous,         ///< always the home
   kPowerOfTwo,         ///< the less loaded of two random targets
-  kHomeFirst,          ///< the home within its bound, else the less loaded of two
+  kHomeFirst,          ///< the home while within its bound, else kPowerOfTwo
 };
 
 struct PlacementPolicy {
   PlacementKind kind = PlacementKind::kHomeFirst;
-  /// A target's share of the service's flows goes with its weight, its age (slow start), the mean
-  /// delay over its own and the requests that it does not refuse. It is over its bound with more
-  /// than (1 + flow_margin) x share + flow_slack flows.
+  /// A target's share of the service's flows is proportional to its weight, its slow-start factor,
+  /// the ratio of the mean delay to its own delay and the share of requests that it does not
+  /// refuse. A target is over its bound with more than (1 + flow_margin) x share + flow_slack
+  /// flows.
   double flow_margin = 0.03;
   double flow_slack = 2.0;
-  double delay_margin = 1.25;    ///< delay up to this much over the mean counts as equal
-  double refused_margin = 50.0;  ///< refused requests of a thousand over the mean, likewise
-  double min_factor = 0.1;       ///< a slow or refusing target keeps this much of its share
-  /// Full share after this age; before, one that grows linearly from `slow_start_floor` of it.
+  double delay_margin = 1.25;    ///< delays up to this multiple of the mean count as equal
+  double refused_margin = 50.0;  ///< refusals up to this many permille over the mean count as equal
+  double min_factor = 0.1;       ///< minimum share of a slow or refusing target
+  /// Age at which a target gets its full share. Until then the share grows linearly from
+  /// `slow_start_floor` of it.
   base::Duration slow_start = base::seconds(10);
   double slow_start_floor = 0.2;
-  /// Targets of `preferred_domain` first, while any of them is within its bound.
+  /// Prefers targets of `preferred_domain` while any of them is within its bound.
   bool prefer_domain = false;
 };
 
@@ -56,12 +60,13 @@
 struct PlacementRequest {
   std::span<const TargetLoad> loads;
   std::uint32_t home = kNoTarget;      ///< index into loads
-  std::uint64_t preferred_domain = 0;  ///< of the balancer that the flow came through
+  std::uint64_t preferred_domain = 0;  ///< of the balancer that sent the packet
 };
 
-/// Chooses the target of a new flow: an index into `loads`, or kNoTarget when none can take it
-/// (none eligible, or all at their connection limit). Linear in the number of targets, allocates
-/// nothing. A target at its connection limit is never chosen.
+/// Chooses the target of a new flow. Returns an index into `loads`, or kNoTarget if no target can
+/// take the flow (none is eligible, or all are at their connection limit). A target at its
+/// connection limit is never chosen. The time is linear in the number of targets; nothing is
+/// allocated.
 auto Place(const PlacementPolicy& policy, const PlacementRequest& request, Random& random)
     -> std::uint32_t;
 
--- a/src/steering/tests/directory_fixture.h
+++ b/src/steering/tests/directory_fixture.h
@@ -33,7 +33,7 @@
   return view;
 }
 
-// The directory of desk-1, which has `view`.
+// Returns the directory of desk-1 with the given view.
 inline auto MakeDirectory(const membership::View& view, const DirectoryPolicy& policy = {})
     -> Directory {
   auto directory = DirectoryBuilder{}.WithTarget(MakeRecord(1)).WithPolicy(policy).Build();
@@ -61,7 +61,7 @@
   return wire::ReadFlow(header.packet().flow()).value();
 }
 
-// The number of the target that is the home of the client's flow.
+// Returns the number of the target that is the home of the client's flow.
 inline auto HomeNumber(const membership::View& view, std::uint32_t client) -> std::uint16_t {
   auto set = MakeCandidates(view.services.front());
   auto index = FindFirstHome(set, base::HashFlow(FlowOf(MakePacket(client))));
@@ -70,7 +70,7 @@
   return number;
 }
 
-// A client whose flow's home is desk-`number` among `view`.
+// Returns a client whose flow has desk-`number` as its home in `view`.
 inline auto ClientOf(const membership::View& view, std::uint16_t number) -> std::uint32_t {
   auto client = 1U;
   while (HomeNumber(view, client) != number) ++client;
--- a/src/steering/tests/directory_hand_over_test.cc
+++ b/src/steering/tests/directory_hand_over_test.cc
@@ -39,10 +39,10 @@
   }
 };
 
-// A desk drains. Its flow is offered to another one, and from that moment it neither delivers what
-// the client sends nor answers: the other one may be serving it already, and the client would see
-// two desks. Once the other one has it, what was held goes after it.
-BOOST_AUTO_TEST_CASE(offered_flow_is_served_no_more) {
+// A desk drains and offers its flow to another one. From then on it may neither deliver the
+// client's packets nor send replies: the other desk may be serving the flow already, and the client
+// would receive replies from two desks. After the acceptance the held packets are forwarded.
+BOOST_AUTO_TEST_CASE(offered_flow_is_no_longer_served) {
   auto world = Draining{};
   auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
   BOOST_TEST(Send(world.directory, world.packet, kLater).deliveries.empty());
@@ -53,17 +53,17 @@
   BOOST_TEST(world.directory.outgoing.empty());
 }
 
-// A home that has not heard of the flow would, once the drained desk is gone, open it anew beside
-// its new owner; so the flow is not offered before the home has acknowledged it.
+// A home that does not know the flow would open it again beside its new owner once the drained desk
+// is gone. The flow must not be offered before the home has acknowledged it.
 BOOST_AUTO_TEST_CASE(flow_that_its_home_does_not_know_is_not_offered) {
   auto world = Draining{false};
   BOOST_TEST(!CanHandOver(world.directory, world.flow, kLater));
   BOOST_TEST(CountOf(world.Offer(), TunnelHeader::kHandOver) == 0);
 }
 
-// One desk has no room: the other one is asked. Neither has: the flow is served on here, and what
-// its client sent meanwhile is delivered.
-BOOST_AUTO_TEST_CASE(refused_flow_is_offered_to_another_and_served_on_when_all_refuse) {
+// If one desk refuses the flow, the other one gets the offer. If both refuse, the flow continues to
+// be served here, and the packets held in the meantime are delivered.
+BOOST_AUTO_TEST_CASE(refused_flow_is_offered_to_another_and_kept_when_all_refuse) {
   auto world = Draining{};
   auto first = Last(world.Offer(), TunnelHeader::kHandOver);
   Send(world.directory, world.packet, kLater);
@@ -76,9 +76,10 @@
   BOOST_TEST(CanHandOver(world.directory, world.flow, kLater + base::seconds(2)));
 }
 
-// The new owner has the flow but its home has not heard of it yet. Ended now, the old owner would
-// take the home's only knowledge of the flow along; it asks on until the home knows.
-BOOST_AUTO_TEST_CASE(hand_over_ends_when_the_home_knows) {
+// The new owner has accepted the flow, but its home does not know it yet. If the hand-over ended
+// now, the old owner would discard the only entry by which the home's packets reach the flow. It
+// has to repeat its message until the home knows the new owner.
+BOOST_AUTO_TEST_CASE(hand_over_ends_when_the_home_knows_the_new_owner) {
   auto world = Draining{};
   auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
   Send(world.directory, AckOf(offer, true, false), kLater);
@@ -89,8 +90,9 @@
   BOOST_TEST(world.directory.outgoing.empty());
 }
 
-// The flow was taken over and has ended since; then the network delivers the offer again. Taken a
-// second time, a flow without a client would be served, beside its next opening elsewhere.
+// The flow was taken over and has ended since; then the network delivers the offer again. If it
+// were accepted a second time, a flow without a client would be served beside its next opening
+// elsewhere.
 BOOST_AUTO_TEST_CASE(repeated_offer_opens_nothing) {
   auto view = MakeView(2);
   auto directory = MakeDirectory(view);
@@ -104,7 +106,7 @@
   BOOST_TEST(Arrive(directory, MakeHandOver(packet, 4)).taken.empty());
 }
 
-// Without room in its ledger, or draining itself, a desk takes nothing over and says so.
+// A desk that has no room in its ledger or is draining must refuse the offer.
 BOOST_AUTO_TEST_CASE(target_that_cannot_take_a_flow_refuses) {
   auto view = MakeView(2);
   auto directory = MakeDirectory(view);
@@ -117,9 +119,9 @@
   BOOST_TEST(Arrive(directory, MakeHandOver(packet, 2)).taken.empty());
 }
 
-// A stopped process wakes and finds an offer in its socket, which its sender may have taken back
-// long ago: two desks would serve the flow.
-BOOST_AUTO_TEST_CASE(stopped_process_takes_nothing_over) {
+// A paused process resumes and finds an offer in its socket that its sender may have withdrawn long
+// ago. If it accepted, two desks would serve the flow.
+BOOST_AUTO_TEST_CASE(paused_process_takes_nothing_over) {
   auto view = MakeView(2);
   auto directory = MakeDirectory(view);
   auto offer = MakeHandOver(MakePacket(ClientOf(view, 1)), 1);
@@ -128,10 +130,11 @@
   BOOST_TEST(effects.taken.empty());
 }
 
-// A home placed a flow at desk-2 and knows no more of it; desk-2 has handed it over to desk-3 by
-// another view meanwhile. Judged as two owners, desk-3, whose client was heard of longer ago, would
-// be told to let go, and nobody would serve the flow.
-BOOST_AUTO_TEST_CASE(registration_of_the_new_owner_follows_the_old_one) {
+// A home placed a flow at desk-2 and knows nothing more about it; meanwhile desk-2 has handed it
+// over to desk-3 under another view. If the two were judged as competing owners, desk-3, which
+// received its last client packet earlier, would be told to drop the flow, and nobody would serve
+// it.
+BOOST_AUTO_TEST_CASE(registration_of_the_new_owner_supersedes_the_old_one) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 1));
@@ -156,8 +159,9 @@
   BOOST_CHECK(directory.known.at(FlowOf(packet)).owner == (TargetRef{MakeRecord(3).id, 1}));
 }
 
-// The target that was asked is gone from the platform: it has nothing, and the flow is served here.
-BOOST_AUTO_TEST_CASE(offer_to_a_target_that_is_gone_is_taken_back) {
+// The target that received the offer is gone from the platform. It cannot have the flow, which has
+// to be served here again.
+BOOST_AUTO_TEST_CASE(offer_to_a_target_that_is_gone_is_withdrawn) {
   auto world = Draining{};
   auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
   auto to = base::TargetId{offer.hand_over().to().target()};
--- a/src/steering/tests/directory_owner_test.cc
+++ b/src/steering/tests/directory_owner_test.cc
@@ -14,8 +14,8 @@
   return header;
 }
 
-// The home asked for a flow before, and an answer "not mine" of that time comes late. Meanwhile the
-// peer has opened the flow: counted as an answer to the present query, it would give two owners.
+// An answer "not mine" to an earlier query of the home arrives late, after the peer has opened the
+// flow. If it counted as an answer to the present query, the flow would have two owners.
 BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_query_does_not_count) {
   auto view = MakeView(2);
   auto directory = MakeDirectory(view);
@@ -29,10 +29,10 @@
   BOOST_TEST(Send(directory, answer).deliveries.size() == 1u);
 }
 
-// A target asks who has a trader's flow, and waits for a peer that died. A desk joins meanwhile, is
-// the flow's home and opens it. Were the new desk not asked, the first one would open the flow as
-// well as soon as it suspects the dead peer, and the trader's feed would move.
-BOOST_AUTO_TEST_CASE(a_target_that_joins_while_a_flow_is_asked_for_is_asked_too) {
+// A target queries the owner of a flow and waits for a peer that has died. Meanwhile a desk joins,
+// is the flow's home and opens it. If the new desk were not queried, the first one would open the
+// flow as well as soon as it suspects the dead peer, and the client's feed would move.
+BOOST_AUTO_TEST_CASE(a_target_that_joins_during_a_query_is_queried_too) {
   auto directory = MakeDirectory(MakeView(2));
   auto view = MakeView(3);
   auto packet = MakePacket(ClientOf(view, 1));
@@ -63,8 +63,9 @@
   return header;
 }
 
-// An owner registers a flow and later ends it; then the network delivers the registration again.
-// The home would keep sending the client's packets to a target that has let go of the flow.
+// An owner registers a flow and later ends it; then the network delivers the registration again. If
+// the home applied it, it would continue to send the client's packets to a target that has dropped
+// the flow.
 BOOST_AUTO_TEST_CASE(a_batch_of_registrations_is_applied_once) {
   auto view = MakeView(2);
   auto directory = MakeDirectory(view);
@@ -78,9 +79,9 @@
   BOOST_TEST(CountOf(repeated, TunnelHeader::kRegisterAck) == 1);
 }
 
-// A request to open waits in the socket of a process that dies; its successor at the same address
-// reads it. The home has given the flow to another target by then.
-BOOST_AUTO_TEST_CASE(what_was_meant_for_an_earlier_process_opens_nothing) {
+// A request to open a flow waits in the socket of a process that dies, and the next process at the
+// same address reads it. By then the home has placed the flow at another target.
+BOOST_AUTO_TEST_CASE(a_request_to_an_earlier_process_opens_nothing) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 2));
@@ -90,8 +91,8 @@
   BOOST_TEST(Send(directory, packet).deliveries.empty());
 }
 
-// The home of a flow dies while the platform is down, so that its record stays. Balancers turn to
-// the acting home; if the owner had not registered there too, two owners could not be told apart.
+// The home of a flow dies while the platform is down, so its record stays and balancers send to the
+// acting home. If the owner had not registered there too, two owners could not be told apart.
 BOOST_AUTO_TEST_CASE(a_flow_is_registered_with_the_acting_home_of_a_suspect_one) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
@@ -121,9 +122,10 @@
   return header;
 }
 
-// The home has not heard that this target drains, or was removed, and gives it a new flow. It hands
-// the packet back, so that the client is served elsewhere without a retransmission.
-BOOST_AUTO_TEST_CASE(a_draining_or_removed_target_hands_a_new_flow_back) {
+// The home does not know yet that this target is draining or was removed, and places a new flow
+// there. The target returns the packet, so that the client is served elsewhere without a
+// retransmission.
+BOOST_AUTO_TEST_CASE(a_draining_or_removed_target_declines_a_new_flow) {
   auto draining = MakeView(3);
   membership::ApplyDrain(draining, MakeRecord(1).id, 1);
   auto removed = MakeView(3);
@@ -137,9 +139,10 @@
   }
 }
 
-// A flow ends; its home has not heard yet and sends the client's next packet to open it here, while
-// another packet of the client finds the home after it has heard and is opened elsewhere. So
-// nothing opens here before the home has acknowledged the end.
+// A flow ends, and its home, which does not know yet, requests this agent to open it for the
+// client's next packet. Another packet of the client reaches the home after it has learnt of the
+// end, and the flow is opened elsewhere. To avoid two owners, nothing is opened here before the
+// home has acknowledged the end.
 BOOST_AUTO_TEST_CASE(an_ended_flow_is_not_opened_again_before_the_home_knows) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
@@ -169,11 +172,12 @@
   return header;
 }
 
-// A trader's flow ends at its desk, which drains then, so that another desk is the home. That one
-// promised the flow to the first desk seconds ago and sends the trader's next packet there. Sent to
-// and fro between the two, the packet is dropped at the hop limit, and the trader waits for its
-// retransmission. So the first desk hands it back, and the home asks.
-BOOST_AUTO_TEST_CASE(a_flow_that_has_ended_goes_back_to_the_home_that_promised_it) {
+// A flow ends at its desk, which then drains, so another desk is the home. That one deferred the
+// flow to the first desk seconds ago and sends the client's next packet there. If the first desk
+// sent it back as an ordinary packet, the packet would be dropped at the hop limit, and the client
+// would have to retransmit it. The first desk has to decline it, and the home has to query its
+// peers.
+BOOST_AUTO_TEST_CASE(an_ended_flow_is_declined_to_the_home_that_deferred_it) {
   auto view = MakeView(3);
   auto packet = MakePacket(ClientOf(view, 1));
   auto home = MakeDirectory(view);
@@ -190,10 +194,10 @@
   BOOST_TEST(CountOf(asked, TunnelHeader::kOwnerQuery) == 2);
 }
 
-// After a cut the home told one desk to let go of a trader's feed and could not reach it. Now that
-// desk has heard from the trader last and wins. Were the first verdict still sent, both desks would
-// let go, and the trader would be served by nobody.
-BOOST_AUTO_TEST_CASE(a_verdict_is_withdrawn_when_its_loser_wins) {
+// After a network partition the home told one desk to drop a flow but could not reach it. Now that
+// desk has received a client packet last and wins. If the first decision were still sent, both
+// desks would drop the flow and nobody would serve the client.
+BOOST_AUTO_TEST_CASE(a_decision_is_withdrawn_when_its_loser_wins) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 1));
@@ -207,9 +211,10 @@
   BOOST_TEST((directory.yields[0].loser == other.owner));
 }
 
-// What three desks remember of a flow leads in a circle, since none owns it any more. The trader's
-// packets, passed on from memory, would be dropped at the hop limit for as long as it sends.
-BOOST_AUTO_TEST_CASE(a_packet_that_goes_in_a_circle_is_asked_for) {
+// The entries of three desks form a forwarding loop, since none of them owns the flow any more. If
+// the client's packets were forwarded by these entries, they would be dropped at the hop limit as
+// long as the client sends.
+BOOST_AUTO_TEST_CASE(a_packet_in_a_forwarding_loop_causes_a_query) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 1));
@@ -222,8 +227,8 @@
   BOOST_TEST(CountOf(effects, TunnelHeader::kOwnerQuery) == 2);
 }
 
-// A peer names as owner a later process of another target, which this agent has not heard of. To
-// take that for "nobody" would open the flow twice.
+// A peer names a later process of another target as owner, which this agent does not know yet. If
+// that counted as "no owner", the flow would be opened twice.
 BOOST_AUTO_TEST_CASE(a_claim_for_an_unknown_process_keeps_the_flow_from_being_opened) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
@@ -239,9 +244,9 @@
   BOOST_TEST(Send(directory, denial).deliveries.empty());
 }
 
-// This agent was the flow's home once and never heard of its end. It must not go on naming the
-// target that served it.
-BOOST_AUTO_TEST_CASE(an_earlier_home_does_not_answer_from_old_memory) {
+// This agent was the flow's home once and was not told of the flow's end. It must not continue to
+// name the target that served it.
+BOOST_AUTO_TEST_CASE(a_former_home_does_not_answer_from_an_old_entry) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 2));
@@ -255,9 +260,10 @@
   BOOST_TEST(!effects.sends[0].header.owner_answer().owned());
 }
 
-// The asker cannot reach the flow's owner, but this agent can: the network is cut between those two
-// only. Were the flow given up, a cut of one link would break it.
-BOOST_AUTO_TEST_CASE(an_agent_that_reaches_a_lost_owner_says_so) {
+// The agent that sends the query cannot reach the flow's owner, but this agent can, since only the
+// link between those two has failed. If the flow were given up, the failure of one link would break
+// it.
+BOOST_AUTO_TEST_CASE(an_agent_that_reaches_a_lost_owner_names_it) {
   auto view = MakeView(3);
   auto packet = MakePacket(ClientOf(view, 2));
   auto query = MakeQuery(packet, 2);
--- a/src/steering/tests/directory_shed_test.cc
+++ b/src/steering/tests/directory_shed_test.cc
@@ -3,7 +3,8 @@
 namespace anvildrum::steering {
 namespace {
 
-// desk-1 of three is the home of a flow, serves it, and does not drain; its target sheds load.
+// desk-1 of three is the home of a flow and serves it. It is not draining, but its target sheds
+// load.
 struct Shedding {
   membership::View view = MakeView(3);
   Directory directory = MakeDirectory(this->view);
@@ -17,7 +18,7 @@
   auto Offer() -> DirectoryEffects {
     return Step(this->directory, FlowOffered{this->flow, {1}, HandOverReason::kShed}, kLater);
   }
-  // Offered and taken; returns the new owner's number.
+  // Hands the flow over and returns the new owner's number.
   auto HandOver() -> std::uint16_t {
     auto offer = Last(this->Offer(), TunnelHeader::kHandOver);
     Send(this->directory, AckOf(offer, true, true), kLater);
@@ -25,8 +26,8 @@
   }
 };
 
-// A report server's slots are taken by the exports of others, and its target refuses one more. The
-// flow goes to a server with a free slot: at another full one its client would be refused again.
+// All slots of a report server are taken, and its target refuses one more request. The flow has to
+// move to a server with a free slot; at another full one the request would be refused again.
 BOOST_AUTO_TEST_CASE(shed_flow_moves_to_a_target_with_a_free_slot) {
   auto world = Shedding{};
   world.directory.peers[0].load.in_flight = 1;
@@ -34,7 +35,7 @@
   BOOST_TEST(to == world.directory.peers[1].ref.target.value);
 }
 
-// All servers are full: the flow stays, and its client's packets are delivered where it is.
+// All servers are full, so the flow stays, and its client's packets are delivered here.
 BOOST_AUTO_TEST_CASE(shed_flow_stays_when_all_targets_are_full) {
   auto world = Shedding{};
   for (auto& peer : world.directory.peers) peer.load.in_flight = 1;
@@ -42,9 +43,9 @@
   BOOST_TEST(Send(world.directory, world.packet, kLater).deliveries.size() == 1U);
 }
 
-// The home itself served the flow and handed it over: it is the first to hear of the new owner and
-// passes the client's packets on, also those that came before the new owner had registered.
-BOOST_AUTO_TEST_CASE(home_that_handed_its_own_flow_over_passes_on) {
+// The home itself served the flow and handed it over. It is the first to know the new owner and has
+// to forward the client's packets, also those from before the new owner's registration.
+BOOST_AUTO_TEST_CASE(home_that_handed_its_own_flow_over_forwards_packets) {
   auto world = Shedding{};
   world.HandOver();
   auto effects = Send(world.directory, world.packet, kLater);
@@ -52,9 +53,9 @@
   BOOST_TEST(CountOf(effects, TunnelHeader::kPacket) == 1);
 }
 
-// Two targets shed load in turns: the new owner has taken the flow and offers it back before the
-// word that it took it has arrived here. Accepted, both would forget the flow when it does arrive,
-// each sure that the other one has it, and its client would have nobody.
+// Two targets shed load in turns: the new owner has accepted the flow and offers it back before its
+// acceptance has arrived here. If the offer were accepted, both would drop the flow when the
+// acceptance arrives, each assuming that the other one has it, and nobody would serve the client.
 BOOST_AUTO_TEST_CASE(flow_that_is_offered_back_too_soon_is_refused) {
   auto world = Shedding{};
   auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
@@ -64,9 +65,9 @@
   BOOST_TEST(!answer.hand_over_ack().accepted());
 }
 
-// The new owner has taken the flow and its client is gone already; that it ended reaches the home
-// before the word that it was taken. The client's next packet opens the flow anew. With the home
-// still naming the other one, which has forgotten it, the packet would go back and forth for ever.
+// The new owner has accepted the flow and its client has gone since. The end of the flow reaches
+// the home before the acceptance does. If the home still named the other target, which has dropped
+// the flow, the client's next packet would go back and forth instead of opening the flow.
 BOOST_AUTO_TEST_CASE(flow_that_ended_at_its_new_owner_can_be_opened_again) {
   auto world = Shedding{};
   auto offer = Last(world.Offer(), TunnelHeader::kHandOver);
@@ -84,9 +85,10 @@
   BOOST_TEST(Send(world.directory, world.packet, kLater).deliveries.size() == 1U);
 }
 
-// desk-1 handed a flow over, which has ended since; another home, by another view, places it here
-// again. Passed on to the former successor, the packet would come back; opened here, a late copy of
-// the flow's first opening would bring up a second owner. The home gets it back and asks everybody.
+// desk-1 handed a flow over, which has ended since, and another home with another view places it
+// here again. If the packet were forwarded to the former successor, it would come back; if it were
+// opened here, a late copy of the flow's first opening would create a second owner. The packet has
+// to be returned to the home, which then queries all peers.
 BOOST_AUTO_TEST_CASE(former_owner_declines_a_flow_that_is_placed_again) {
   auto world = Shedding{};
   world.HandOver();
@@ -100,11 +102,11 @@
   BOOST_TEST(Last(effects, TunnelHeader::kPacket).packet().declined());
 }
 
-// desk-1 asks who has a flow. A former owner names its successor, desk-3, which said "not mine": it
-// may have taken the flow since, or have let go of it long ago. Believed, the former owner's memory
-// would send the client's packets round between the two for ever; so desk-3 is asked once more, and
-// when it says no again, the flow is opened.
-BOOST_AUTO_TEST_CASE(successor_that_says_no_again_does_not_have_the_flow) {
+// desk-1 queries a flow's owner. A former owner names its successor, desk-3, which has answered
+// "not mine": it may have taken the flow since, or have dropped it long ago. If the former owner's
+// entry were believed, the client's packets would go back and forth between the two indefinitely.
+// desk-3 has to be queried once more, and the flow is opened if it denies again.
+BOOST_AUTO_TEST_CASE(successor_that_denies_twice_does_not_have_the_flow) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 1));
--- a/src/steering/tests/directory_stand_by_test.cc
+++ b/src/steering/tests/directory_stand_by_test.cc
@@ -10,7 +10,7 @@
   message.set_incarnation(1);
 }
 
-// A batch of desk-`owner` for desk-1 with one flow; an empty record takes its copy back.
+// A batch of desk-`owner` for desk-1 with one flow; an empty record removes its copy.
 auto MakeBatch(std::uint16_t owner, const wire::pb::TunnelHeader& packet, std::uint64_t sequence,
                const std::string& record, std::uint32_t hand_overs = 0) -> wire::pb::TunnelHeader {
   auto header = wire::pb::TunnelHeader{};
@@ -60,9 +60,9 @@
   Keeper() { Send(this->directory, MakeBatch(2, this->packet, 1, "copy")); }
 };
 
-// A repetition of an earlier batch comes after the flow has ended: the copy must not come back, or
-// the client would hear of a feed that it ended when the owner dies.
-BOOST_AUTO_TEST_CASE(late_duplicate_brings_no_copy_back) {
+// A duplicate of an earlier batch arrives after the flow has ended. If it restored the copy, the
+// client would receive notifications of an ended feed when the owner dies.
+BOOST_AUTO_TEST_CASE(late_duplicate_does_not_restore_a_copy) {
   auto keeper = Keeper{};
   BOOST_TEST(keeper.directory.copies.contains(keeper.flow));
   auto effects = Send(keeper.directory, MakeBatch(2, keeper.packet, 2, ""));
@@ -75,9 +75,9 @@
   BOOST_TEST(keeper.directory.copied_bytes == 0U);
 }
 
-// desk-2 has handed the flow over to desk-3, whose copy came first. The old owner's late copy, or
-// its last word, must not take the place of the new one's.
-BOOST_AUTO_TEST_CASE(copy_of_the_owner_before_does_not_replace_the_new_ones) {
+// desk-2 has handed the flow over to desk-3, whose copy arrived first. A late copy or removal from
+// the old owner must not replace or remove the copy of the new one.
+BOOST_AUTO_TEST_CASE(copy_of_the_former_owner_does_not_replace_the_new_one) {
   auto keeper = Keeper{};
   Send(keeper.directory, MakeBatch(3, keeper.packet, 1, "newer", 1));
   Send(keeper.directory, MakeBatch(2, keeper.packet, 2, "older"));
@@ -103,10 +103,11 @@
   BOOST_TEST(directory.copies.empty());
 }
 
-// The client's packet comes to another agent than the stand-by, which asks before it opens the
-// flow. Opened there, the flow would lose its feeds: the stand-by claims it, but only while it does
-// not reach the owner, and not against another stand-by with a lower id.
-BOOST_AUTO_TEST_CASE(stand_by_claims_an_orphaned_flow_that_another_asks_for) {
+// The client's packet reaches another agent than the stand-by, and that agent sends a query before
+// it opens the flow. If it opened the flow, the feeds would be lost. The stand-by has to claim the
+// flow, but only while it does not reach the owner, and not against another stand-by with a lower
+// id.
+BOOST_AUTO_TEST_CASE(stand_by_claims_an_orphaned_flow_that_another_queries) {
   auto keeper = Keeper{};
   BOOST_TEST(!AnswerIn(Send(keeper.directory, Query(keeper.packet, 3, false))).owned());
   Suspect(keeper.directory, keeper.view, 2);
@@ -118,8 +119,9 @@
   BOOST_TEST(AnswerIn(other).owned() == (MakeRecord(1).id < MakeRecord(3).id));
 }
 
-// A home that has all registrations opens a flow without asking. Not one whose feeds it keeps.
-BOOST_AUTO_TEST_CASE(settled_home_takes_its_copy_and_opens_no_new_flow) {
+// A home with all registrations opens flows without a query. It must not do so for a flow whose
+// observations it keeps.
+BOOST_AUTO_TEST_CASE(settled_home_restores_its_copy_instead_of_opening_a_flow) {
   auto keeper = Keeper{};
   auto packet = MakePacket(ClientOf(keeper.view, 1));
   Send(keeper.directory, MakeBatch(2, packet, 2, "feeds"));
--- a/src/steering/tests/directory_test.cc
+++ b/src/steering/tests/directory_test.cc
@@ -3,8 +3,8 @@
 namespace anvildrum::steering {
 namespace {
 
-// A peer of another version, or with a fault, names no flow in its messages. Each is counted, none
-// is answered, and the next packet is served.
+// A peer of another version or a faulty one sends messages that name no flow. Each message is
+// counted and not answered, and the next packet is served.
 BOOST_AUTO_TEST_CASE(messages_without_a_flow_are_counted) {
   auto directory = MakeDirectory(MakeView(1));
   auto messages = std::array<TunnelHeader, 6>{};
@@ -23,8 +23,8 @@
   BOOST_TEST(Send(directory, MakePacket(1)).deliveries.size() == 1u);
 }
 
-// An address moved from mapper to desk, and a balancer has not heard: a mapper client's packet
-// comes to a desk agent. Delivered, it would be answered by the wrong service.
+// An address has moved from mapper to desk, and a balancer with a stale view sends a mapper
+// client's packet to a desk agent. If the packet were delivered, the wrong service would answer it.
 BOOST_AUTO_TEST_CASE(a_packet_of_another_service_is_refused_and_counted) {
   auto directory = MakeDirectory(MakeView(1));
   auto effects = Send(directory, MakePacket(1, base::ServiceIdOf("mapper")));
@@ -45,9 +45,9 @@
   BOOST_CHECK(ReplyRoute(directory, FlowOf(MakePacket(1)), kStart) == kBalancer);
 }
 
-// The home has just started and does not know which flows its peers serve. Were it to open, a flow
-// that a peer serves would have two targets.
-BOOST_AUTO_TEST_CASE(an_unsettled_home_asks_before_it_opens) {
+// A home that has just started does not know which flows its peers serve. If it opened a flow that
+// a peer serves, the flow would have two targets.
+BOOST_AUTO_TEST_CASE(an_unsettled_home_sends_queries_before_it_opens) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   auto effects = Send(directory, MakePacket(ClientOf(view, 1)));
@@ -55,9 +55,9 @@
   BOOST_TEST(CountOf(effects, TunnelHeader::kOwnerQuery) == 2);
 }
 
-// Another agent, whose view is older, takes itself for the home and tells this one to open the
-// flow. This agent has already told the present home that it has no such flow, so the present home
-// may open it at the same time.
+// An agent with an older view considers itself the home and requests this agent to open the flow.
+// This agent has already answered the present home that it does not have the flow, so the present
+// home may open it at the same time.
 BOOST_AUTO_TEST_CASE(a_flow_is_not_opened_for_an_agent_that_is_not_its_home) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
@@ -73,7 +73,8 @@
   BOOST_TEST(Send(fresh, packet).deliveries.size() == 1u);
 }
 
-// Two agents whose views differ each take the other for the home of a flow that nobody may open.
+// Two agents with different views each consider the other the home of a flow. Without a hop limit
+// they would forward its packets to each other indefinitely.
 BOOST_AUTO_TEST_CASE(a_packet_stops_at_the_hop_limit) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
@@ -90,7 +91,8 @@
   BOOST_TEST(directory.counters.hop_limit == 1u);
 }
 
-// A flood: balancers let packets of unknown flows pass, marked. They must open nothing.
+// During a flood, balancers forward packets of unknown flows with a mark. Such packets must not
+// open flows.
 BOOST_AUTO_TEST_CASE(a_packet_that_may_not_open_reaches_existing_flows_only) {
   auto directory = MakeDirectory(MakeView(1));
   auto marked = MakePacket(1);
@@ -108,9 +110,9 @@
   BOOST_TEST(directory.counters.full == 1u);
 }
 
-// The target drains with the platform down. Its agent tells peers and balancers itself, and the
-// flows that it has stay.
-BOOST_AUTO_TEST_CASE(a_draining_agent_tells_peers_and_balancers_and_keeps_its_flows) {
+// The target drains while the platform is down. Its agent has to notify peers and balancers itself
+// and keep its open flows.
+BOOST_AUTO_TEST_CASE(a_draining_agent_notifies_peers_and_balancers_and_keeps_its_flows) {
   auto view = MakeView(1);
   auto balancer = membership::BalancerRecord{};
   balancer.tunnel = kBalancer;
@@ -138,9 +140,9 @@
   BOOST_TEST(directory.owned.empty());
 }
 
-// The process was stopped for a second; its peers may have opened its flows elsewhere. Until they
-// have registered anew, neither the client's packets nor the target's replies pass.
-BOOST_AUTO_TEST_CASE(an_agent_that_was_stopped_does_nothing_until_its_peers_have_settled) {
+// The process was paused for a second, and its peers may have opened its flows elsewhere. Until
+// they have registered again, neither the client's packets nor the target's replies may pass.
+BOOST_AUTO_TEST_CASE(a_paused_agent_serves_nothing_until_its_peers_have_settled) {
   auto view = MakeView(2);
   auto directory = MakeDirectory(view);
   auto packet = MakePacket(ClientOf(view, 1));
@@ -152,9 +154,9 @@
   BOOST_TEST(CountOf(effects, TunnelHeader::kResettle) == 1);
 }
 
-// A target's restart made a thousand flows exceptions at this home, and each sends a packet every
-// second. Were every packet answered by a hint, the balancers' control traffic would grow with the
-// clients' traffic; the packets themselves must all reach the owner.
+// After a target's restart this home has a thousand exceptions, each with a packet every second. If
+// every packet were answered with a hint, control traffic to the balancers would grow with the
+// clients' traffic. The packets themselves must all reach the owner.
 BOOST_AUTO_TEST_CASE(hints_are_bounded_however_many_packets_pass) {
   constexpr auto flows = 1000U;
   constexpr auto seconds = 10;
@@ -178,11 +180,11 @@
   BOOST_TEST(hints <= 210);
 }
 
-// All traders come back at once after a break in their network, 350 flows to seven desks within a
-// moment. The last reports of the others are from before. Were they taken for the present, this
-// home would give nearly all its flows away, and so would the others: some desks end up with far
-// more than others, and a late hold loses a route.
-BOOST_AUTO_TEST_CASE(a_burst_is_not_given_away_on_reports_from_before_it) {
+// All clients reconnect at once after a network failure, 350 flows to seven desks, and the last
+// load reports are from before. If this home took the reports for current, it would place nearly
+// all its flows elsewhere, and so would the others: some desks would get far more flows than
+// others, and requests on them would be delayed.
+BOOST_AUTO_TEST_CASE(a_burst_is_not_deflected_by_reports_from_before_it) {
   constexpr auto flows = 50U;
   auto view = MakeView(7);
   auto directory = MakeDirectory(view);
@@ -201,10 +203,11 @@
   BOOST_TEST(directory.counters.opened >= 45u);
 }
 
-// 350 traders come back within 0.3 s. Were the desks to hear of each other's flows only with the
-// next probe, none could tell that it got more than the others, and a desk that is 20% over the
-// mean delays its holds. So a desk tells the others at once, but not for every flow.
-BOOST_AUTO_TEST_CASE(a_burst_is_told_to_the_peers_while_it_lasts) {
+// 350 clients reconnect within 0.3 s. If the desks learnt of each other's flows only with the next
+// probe, none could tell that it received more than the others, and requests are delayed on a desk
+// that is 20% over the mean. A desk therefore reports its flows during the burst, but not
+// indefinitelyy flow.
+BOOST_AUTO_TEST_CASE(a_burst_is_reported_to_the_peers_while_it_lasts) {
   auto view = MakeView(3);
   auto directory = MakeDirectory(view);
   directory.load.connections = 1000;
--- a/src/steering/tests/flow_table_test.cc
+++ b/src/steering/tests/flow_table_test.cc
@@ -20,8 +20,8 @@
   BOOST_TEST(table.size == 0u);
 }
 
-// A flood of new flows fills the table. It must not grow, and entries in use stay.
-BOOST_AUTO_TEST_CASE(a_full_table_evicts_what_was_not_used_and_takes_no_memory) {
+// A flood of new flows fills the table. It must not grow, and entries in use must stay.
+BOOST_AUTO_TEST_CASE(a_full_table_evicts_unused_entries_and_does_not_grow) {
   auto table = MakeFlowTable(1024);
   auto memory = MemoryOf(table);
   for (auto i = 0U; i < 100; ++i) Insert(table, MakeFlow(i), {{i}, 1});
--- a/src/steering/tests/hand_over_fixture.h
+++ b/src/steering/tests/hand_over_fixture.h
@@ -12,7 +12,7 @@
   message.set_incarnation(1);
 }
 
-// From desk-2 to desk-1.
+// An offer from desk-2 to desk-1.
 inline auto MakeHandOver(const wire::pb::TunnelHeader& packet, std::uint64_t attempt)
     -> wire::pb::TunnelHeader {
   auto header = wire::pb::TunnelHeader{};
@@ -33,7 +33,7 @@
   return Step(directory, HandOverArrived{kBalancer, &header, {}, acceptable}, kLater);
 }
 
-// The last message of the kind, which must be there.
+// Returns the last message of the type; fails if there is none.
 inline auto Last(const DirectoryEffects& effects, TunnelHeader::BodyCase body)
     -> wire::pb::TunnelHeader {
   auto last = wire::pb::TunnelHeader{};
--- a/src/steering/tests/placement_test.cc
+++ b/src/steering/tests/placement_test.cc
@@ -24,14 +24,15 @@
   BOOST_TEST(PlaceAt(MakeLoads(7, 1000), 3) == 3u);
 }
 
-BOOST_AUTO_TEST_CASE(a_home_over_its_bound_gives_the_flow_away) {
+BOOST_AUTO_TEST_CASE(a_home_over_its_bound_places_the_flow_elsewhere) {
   auto loads = MakeLoads(7, 1000);
   loads[3].flows = 1100;
   BOOST_TEST(PlaceAt(loads, 3) != 3u);
 }
 
-// A target that answers three times as slowly as the others would collect waiting requests.
-BOOST_AUTO_TEST_CASE(a_slow_or_refusing_home_gives_the_flow_away) {
+// Guards against waiting requests that would accumulate on a target that answers several times as
+// slowly as the others.
+BOOST_AUTO_TEST_CASE(a_slow_or_refusing_home_places_the_flow_elsewhere) {
   auto loads = MakeLoads(7, 1000);
   loads[3].delay = base::milliseconds(100);
   BOOST_TEST(PlaceAt(loads, 3) != 3u);
@@ -40,8 +41,8 @@
   BOOST_TEST(PlaceAt(loads, 3) != 3u);
 }
 
-// The target's own word says that it is idle. Only what agents observe counts.
-BOOST_AUTO_TEST_CASE(a_target_cannot_draw_flows_by_its_own_word) {
+// The target reports that it is idle. Only the load that agents observe may count.
+BOOST_AUTO_TEST_CASE(a_target_cannot_attract_flows_by_its_own_load_report) {
   auto loads = MakeLoads(7, 1000);
   for (auto& load : loads) load.reported_load = 900;
   loads[3].reported_load = 0;
@@ -58,7 +59,8 @@
   BOOST_TEST(PlaceAt(loads, 0) == kNoTarget);
 }
 
-// A target joins cold among full ones. At once it gets a fifth of its share, in the end all of it.
+// A cold target joins others that are full. It gets a fifth of its share at first, and all of it
+// after the slow start.
 BOOST_AUTO_TEST_CASE(a_cold_target_takes_a_growing_share) {
   auto flows_until_full = [](base::Duration age) {
     auto loads = MakeLoads(7, 1000);
@@ -74,9 +76,10 @@
   BOOST_TEST(at_end >= 1000u);
 }
 
-// One target is slow. Its flows go elsewhere, but the others keep theirs at home: were their bound
-// set by a mean that counts the slow one in full, each of their flows would cost a hop.
-BOOST_AUTO_TEST_CASE(a_slow_target_does_not_send_the_others_flows_astray) {
+// One target is slow and its flows are placed elsewhere, but the others keep their flows at home.
+// If their bound were derived from a mean that counts the slow target in full, each of their flows
+// would cost a hop.
+BOOST_AUTO_TEST_CASE(a_slow_target_does_not_displace_the_flows_of_others) {
   auto loads = MakeLoads(7, 1000);
   loads[0].delay = base::milliseconds(200);
   loads[0].flows = 300;
--- a/src/steering/tests/rendezvous_test.cc
+++ b/src/steering/tests/rendezvous_test.cc
@@ -37,7 +37,8 @@
   BOOST_TEST(std::abs(shares[1] / (kFlows / 9.0) - 1) < 0.05);
 }
 
-// A target leaves. Were other flows to change their home as well, each would need a registration.
+// When a target leaves, only its flows may change their home. Each further flow with a new home
+// would need a registration.
 BOOST_AUTO_TEST_CASE(only_the_flows_of_a_leaving_target_change_their_home) {
   auto set = MakeSet(7);
   auto without = set;
@@ -57,7 +58,7 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(a_suspect_home_is_passed_over_unless_all_are_suspect) {
+BOOST_AUTO_TEST_CASE(a_suspect_home_is_skipped_unless_all_are_suspect) {
   auto set = MakeSet(3);
   auto homes = FindHomes(set, FlowHash(1));
   set.candidates[homes.first].suspect = true;
--- a/src/steering/types/token_bucket.h
+++ b/src/steering/types/token_bucket.h
@@ -6,13 +6,13 @@
 
 namespace anvildrum::steering {
 
-/// Tokens that come at a rate, up to a burst.
+/// Tokens are added at a fixed rate up to a maximum, the burst.
 struct TokenBucket {
   double tokens = 0;
   base::TimePoint filled{};
 };
 
-/// Takes a token; false when there is none.
+/// Takes a token. Returns false if there is none.
 inline auto TakeToken(TokenBucket& bucket, double per_second, double burst, base::TimePoint now)
     -> bool {
   auto elapsed = std::chrono::duration<double>(now - bucket.filled).count();
