--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -32,7 +32,7 @@
   auto until = context.now + agent.policy.lost_memory;
   for (const auto& [flow, known] : agent.directory.known) {
     if (known.owner != owner) continue;
-    if (agent.lost_flows.size() >= agent.policy.parted_flows) return;
+    if (agent.lost_flows.size() >= agent.policy.max_ended_flows) return;
     agent.lost_flows[flow] = until;
   }
 }
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -49,7 +49,7 @@
 auto EndFlow(Context& context, const base::FlowKey& flow) -> void {
   context.agent.traces.erase(flow);
   auto& parted = context.agent.parted;
-  if (parted.size() < context.agent.policy.parted_flows) {
+  if (parted.size() < context.agent.policy.max_ended_flows) {
     parted[flow] = context.now + context.agent.policy.parting;
   }
   context.effects.emplace_back(CloseTarget{flow});
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -52,7 +52,7 @@
   /// Between two notices of a restart that the platform doesn't know of yet, to one instance after
   /// the other: 10 a second of 90 bytes, however many there are.
   base::Duration restart_notice_period = base::milliseconds(100);
-  std::size_t parted_flows = 100'000;  ///< bound on those, and on flows of lost owners
+  std::size_t max_ended_flows = 100'000;  ///< bound on those, and on flows of lost owners
   /// A late copy of a request is on its way for less than this.
   base::Duration lost_memory = requests::kExchangeLifetime;
   /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
