--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -50,7 +50,7 @@
   context.agent.traces.erase(flow);
   auto& parted = context.agent.parted;
   if (parted.size() < context.agent.policy.max_ended_flows) {
-    parted[flow] = context.now + context.agent.policy.parting;
+    parted[flow] = context.now + context.agent.policy.ended_flow_ttl;
   }
   context.effects.emplace_back(CloseTarget{flow});
   RunDirectory(context, steering::FlowEnded{flow});
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -48,7 +48,7 @@
   std::uint32_t silent_pings = 8;  ///< unanswered ones until others are preferred
   /// The answers of a flow that ended are still sent for this long: every retransmission of a
   /// confirmable one (RFC 7252, 4.8.2) fits in.
-  base::Duration parting = requests::kMaxTransmitWait;
+  base::Duration ended_flow_ttl = requests::kMaxTransmitWait;
   /// Between two notices of a restart that the platform doesn't know of yet, to one instance after
   /// the other: 10 a second of 90 bytes, however many there are.
   base::Duration restart_notice_period = base::milliseconds(100);
