--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -151,7 +151,7 @@
   std::size_t next_told = 0;
   base::TimePoint next_notice{};
   /// Flows that ended here and whose last answers are still to be sent, with the time until when.
-  std::unordered_map<base::FlowKey, base::TimePoint> parted;
+  std::unordered_map<base::FlowKey, base::TimePoint> ended_flows;
   std::vector<LostTarget> lost;
   /// Flows of this home whose owner was lost.
   std::unordered_map<base::FlowKey, base::TimePoint> lost_flows;
--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -124,7 +124,7 @@
   auto over = [&](const auto& entry) { return entry.second <= context.now; };
   std::erase_if(agent.lost, [&](const auto& lost) { return lost.until <= context.now; });
   if (!agent.lost_flows.empty()) std::erase_if(agent.lost_flows, over);
-  if (!agent.parted.empty()) std::erase_if(agent.parted, over);
+  if (!agent.ended_flows.empty()) std::erase_if(agent.ended_flows, over);
 }
 
 auto IsAdopted(const Agent& agent, const base::FlowKey& flow) -> bool {
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -32,7 +32,7 @@
 
 auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
-  if (agent.directory.fenced || !agent.parted.contains(flow)) return std::nullopt;
+  if (agent.directory.fenced || !agent.ended_flows.contains(flow)) return std::nullopt;
   if (const auto* sign = NextBySign(context, agent.reply_rotation++)) return sign->tunnel;
   // None gave a sign: this agent itself may be cut off, and trying costs nothing.
   if (agent.reply_balancers.empty()) return std::nullopt;
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -48,9 +48,9 @@
 // leave the client to its timeout; so the flow's answers go out for a while longer.
 auto EndFlow(Context& context, const base::FlowKey& flow) -> void {
   context.agent.traces.erase(flow);
-  auto& parted = context.agent.parted;
-  if (parted.size() < context.agent.policy.max_ended_flows) {
-    parted[flow] = context.now + context.agent.policy.ended_flow_ttl;
+  auto& ended_flows = context.agent.ended_flows;
+  if (ended_flows.size() < context.agent.policy.max_ended_flows) {
+    ended_flows[flow] = context.now + context.agent.policy.ended_flow_ttl;
   }
   context.effects.emplace_back(CloseTarget{flow});
   RunDirectory(context, steering::FlowEnded{flow});
