--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -145,7 +145,7 @@
   base::TimePoint drain_started{};
   std::optional<base::TimePoint> farewell;  ///< end of a drain whose time is up
   TargetWatch target;
-  bool earlier_lost = false;  ///< not yet noted in `lost`
+  bool predecessor_lost = false;  ///< not yet noted in `lost`
   /// It serves under the record of its earlier process, see RestartOf, and tells the others.
   bool provisional = false;
   std::size_t next_told = 0;
@@ -182,7 +182,7 @@
   membership::TargetRecord record;
   requests::EchoSecret secret{};
   std::uint64_t seed = 1;
-  bool earlier_lost = false;
+  bool predecessor_lost = false;
   bool provisional = false;
 };
 
--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -60,8 +60,8 @@
 // Before anything is served here, since the first event of an agent is its own record.
 auto NoteEarlierSelf(Context& context) -> void {
   auto& agent = context.agent;
-  if (!agent.earlier_lost) return;
-  agent.earlier_lost = false;
+  if (!agent.predecessor_lost) return;
+  agent.predecessor_lost = false;
   auto self = Candidate{};
   self.target = agent.record.id;
   self.failure_domain = base::HashName(agent.record.failure_domain);
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -147,7 +147,7 @@
   return *this;
 }
 auto AgentBuilder::WithEarlierLost(bool lost) -> AgentBuilder& {
-  this->earlier_lost = lost;
+  this->predecessor_lost = lost;
   return *this;
 }
 auto AgentBuilder::WithProvisional(bool value) -> AgentBuilder& {
@@ -172,7 +172,7 @@
                        .WithEchoSecret(this->secret)
                        .WithSeed(this->seed)
                        .Build();
-  agent.earlier_lost = this->earlier_lost;
+  agent.predecessor_lost = this->predecessor_lost;
   agent.provisional = this->provisional;
   return agent;
 }
--- a/src/agent/tests/fixture.cc
+++ b/src/agent/tests/fixture.cc
@@ -28,11 +28,11 @@
   return record;
 }
 
-Fixture::Fixture(bool earlier_lost)
+Fixture::Fixture(bool predecessor_lost)
     : agent(AgentBuilder{}
                 .WithRecord(RecordOf("desk-1", 1))
                 .WithEchoSecret({7})
-                .WithEarlierLost(earlier_lost)
+                .WithEarlierLost(predecessor_lost)
                 .Build()) {
   this->Run(TargetRecordChanged{RecordOf("desk-1", 1)});
   this->Run(BalancerRecordChanged{BalancerOf("b1", 11)});
--- a/src/agent/tests/fixture.h
+++ b/src/agent/tests/fixture.h
@@ -23,7 +23,7 @@
   Agent agent;
   base::TimePoint now = kStart;
 
-  explicit Fixture(bool earlier_lost = false);
+  explicit Fixture(bool predecessor_lost = false);
 
   auto Run(const Event& event) -> Effects;
   auto RunTimers(base::Duration span) -> Effects;
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -127,10 +127,10 @@
   this->record.incarnation = result.incarnation;
   this->record.revision = result.revision;
   auto current = this->agent && this->agent->record.incarnation == result.incarnation;
-  if (!current) this->StartCore(result.earlier_lost);
+  if (!current) this->StartCore(result.predecessor_lost);
 }
 
-auto AgentRuntime::StartCore(bool earlier_lost) -> void {
+auto AgentRuntime::StartCore(bool predecessor_lost) -> void {
   // Nothing of an earlier incarnation goes on in the new one.
   this->sockets.clear();
   this->spans.clear();
@@ -140,7 +140,7 @@
                     .WithPolicy(MakePolicy(*this->runtime))
                     .WithRecord(this->record)
                     .WithEchoSecret(secret)
-                    .WithEarlierLost(earlier_lost)
+                    .WithEarlierLost(predecessor_lost)
                     .WithProvisional(this->provisional)
                     .WithSeed(this->runtime->seed)
                     .Build();
--- a/src/daemon/internal/agent_runtime.h
+++ b/src/daemon/internal/agent_runtime.h
@@ -38,7 +38,7 @@
   auto MakeRecord() const -> membership::TargetRecord;
   auto OnReady() -> void;
   auto Announced(const Announcer::Announced& result) -> void;
-  auto StartCore(bool earlier_lost) -> void;
+  auto StartCore(bool predecessor_lost) -> void;
   auto ArmRestart() -> void;
   auto ServeUnderEarlierRecord() -> void;
   auto OnRecords(const std::vector<relay::PlatformObject>& records) -> void;
--- a/src/daemon/internal/announcer.cc
+++ b/src/daemon/internal/announcer.cc
@@ -33,11 +33,11 @@
   auto recorded = current ? this->parts.incarnation_of(current->value) : base::Incarnation{0};
   if (current && current->value == this->written) return {WriteIntent::kDone, {}};
   auto ours = recorded == this->incarnation;
-  if (!this->settled && !ours && recorded != 0) this->earlier_lost = true;
+  if (!this->settled && !ours && recorded != 0) this->predecessor_lost = true;
   if (!ours && recorded >= this->incarnation) this->incarnation = recorded + 1;
   if (!ours && this->provisional && !(current && this->StandsOn(*current))) {
     ++this->incarnation;
-    this->earlier_lost = true;
+    this->predecessor_lost = true;
     this->provisional.reset();
   }
   this->written = this->parts.compose(this->incarnation);
@@ -80,7 +80,7 @@
       {{"key", this->parts.key},
        {"revision", result.revision},
        {"incarnation", this->incarnation}});
-  this->parts.on_announced({this->incarnation, result.revision, this->earlier_lost});
+  this->parts.on_announced({this->incarnation, result.revision, this->predecessor_lost});
   if (!this->again) return;
   this->again = false;
   this->Announce();
@@ -93,7 +93,7 @@
   if (text != nullptr) return;
   Log(LogLevel::kWarning, "announcement_missing", {{"key", this->parts.key}});
   ++this->incarnation;
-  this->earlier_lost = true;
+  this->predecessor_lost = true;
   this->Announce();
 }
 
--- a/src/daemon/internal/announcer.h
+++ b/src/daemon/internal/announcer.h
@@ -30,7 +30,7 @@
     std::uint64_t revision = 0;
     /// The record of an earlier incarnation was still there: it did not end by a drain, which
     /// deletes it.
-    bool earlier_lost = false;
+    bool predecessor_lost = false;
   };
   using OnAnnounced = std::function<void(const Announced&)>;
 
@@ -77,7 +77,7 @@
   bool again = false;
   bool settled = false;
   bool withdrawn = false;
-  bool earlier_lost = false;
+  bool predecessor_lost = false;
   std::optional<std::uint64_t> provisional;  ///< revision that it serves under
 };
 
