--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -172,7 +172,7 @@
   auto WithEchoSecret(const requests::EchoSecret& secret) -> AgentBuilder&;
   auto WithSeed(std::uint64_t seed) -> AgentBuilder&;
   /// An earlier incarnation of this agent ended without a drain.
-  auto WithEarlierLost(bool lost) -> AgentBuilder&;
+  auto WithPredecessorLost(bool lost) -> AgentBuilder&;
   /// The platform has not taken the record yet, which comes from RestartOf.
   auto WithProvisional(bool provisional) -> AgentBuilder&;
   auto Build() const -> Agent;
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -146,7 +146,7 @@
   this->seed = seed;
   return *this;
 }
-auto AgentBuilder::WithEarlierLost(bool lost) -> AgentBuilder& {
+auto AgentBuilder::WithPredecessorLost(bool lost) -> AgentBuilder& {
   this->predecessor_lost = lost;
   return *this;
 }
--- a/src/agent/tests/fixture.cc
+++ b/src/agent/tests/fixture.cc
@@ -32,7 +32,7 @@
     : agent(AgentBuilder{}
                 .WithRecord(RecordOf("desk-1", 1))
                 .WithEchoSecret({7})
-                .WithEarlierLost(predecessor_lost)
+                .WithPredecessorLost(predecessor_lost)
                 .Build()) {
   this->Run(TargetRecordChanged{RecordOf("desk-1", 1)});
   this->Run(BalancerRecordChanged{BalancerOf("b1", 11)});
--- a/src/agent/tests/restart_test.cc
+++ b/src/agent/tests/restart_test.cc
@@ -14,7 +14,7 @@
   return AgentBuilder{}
       .WithRecord(record)
       .WithEchoSecret({8})
-      .WithEarlierLost(true)
+      .WithPredecessorLost(true)
       .WithProvisional(true)
       .Build();
 }
--- a/src/daemon/internal/agent_runtime.cc
+++ b/src/daemon/internal/agent_runtime.cc
@@ -140,7 +140,7 @@
                     .WithPolicy(MakePolicy(*this->runtime))
                     .WithRecord(this->record)
                     .WithEchoSecret(secret)
-                    .WithEarlierLost(predecessor_lost)
+                    .WithPredecessorLost(predecessor_lost)
                     .WithProvisional(this->provisional)
                     .WithSeed(this->runtime->seed)
                     .Build();
--- a/tools/scenario/agent_node.cc
+++ b/tools/scenario/agent_node.cc
@@ -116,7 +116,7 @@
   node.agent = agent::AgentBuilder{}
                    .WithRecord(node.record)
                    .WithEchoSecret(secret)
-                   .WithEarlierLost(node.announcer.provisional.has_value())
+                   .WithPredecessorLost(node.announcer.provisional.has_value())
                    .WithProvisional(node.announcer.provisional.has_value())
                    .WithSeed(node.world->random())
                    .Build();
