--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -135,7 +135,7 @@
   requests::StatePtr requests;
   membership::Suspicion suspicion;
   std::vector<membership::BalancerRecord> reply_balancers;
-  ReplySigns reply_signs;
+  ReplySigns reply_liveness;
   std::uint64_t reply_rotation = 0;  ///< of replies to flows that are not owned any more
   std::optional<base::TimePoint> request_timer;
   base::TimePoint next_load{};
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -22,7 +22,7 @@
 auto ChooseReplyBalancers(Agent& agent) -> void;
 auto SendReply(Context& context, const base::FlowKey& flow, wire::Bytes payload) -> void;
 
-// reply_signs.cc
+// reply_liveness.cc
 /// A balancer's probe or answer came; a sender that is no balancer of the view is ignored.
 auto NoteProbed(Context& context, const wire::pb::TunnelHeader& header) -> void;
 auto NoteAnswered(Context& context, const wire::pb::TunnelHeader& header) -> void;
--- a/src/agent/internal/reply_liveness.cc
+++ b/src/agent/internal/reply_liveness.cc
@@ -46,13 +46,13 @@
 }
 
 auto HasFreshSign(const Context& context) -> bool {
-  const auto* last = LastHeard(context.agent.reply_signs);
+  const auto* last = LastHeard(context.agent.reply_liveness);
   return last != nullptr && context.now - last->heard < context.agent.policy.sign_period;
 }
 
 // Not the one that was heard last: it is what is in doubt, and another one's answer settles it.
 auto NextToAsk(Agent& agent) -> const membership::BalancerRecord* {
-  auto& known = agent.reply_signs;
+  auto& known = agent.reply_liveness;
   const auto& balancers = agent.reply_balancers;
   const auto* last = LastHeard(known);
   for (auto i = std::size_t{0}; i < balancers.size(); ++i) {
@@ -69,13 +69,13 @@
 auto NoteProbed(Context& context, const TunnelHeader& header) -> void {
   const auto* balancer = SenderOf(context.agent, header);
   if (balancer == nullptr || header.probe().unheard()) return;
-  auto& sign = SignOf(context.agent.reply_signs, *balancer);
+  auto& sign = SignOf(context.agent.reply_liveness, *balancer);
   LearnPeriod(sign, context.now);
   sign.heard = context.now;
 }
 
 auto NoteAnswered(Context& context, const TunnelHeader& header) -> void {
-  auto& known = context.agent.reply_signs;
+  auto& known = context.agent.reply_liveness;
   const auto* balancer = SenderOf(context.agent, header);
   if (balancer == nullptr || header.probe_answer().sequence() != known.sequence) return;
   SignOf(known, *balancer).heard = context.now;
@@ -83,7 +83,7 @@
 
 auto AskForSign(Context& context) -> void {
   auto& agent = context.agent;
-  auto& known = agent.reply_signs;
+  auto& known = agent.reply_liveness;
   if (context.now < known.next_question || HasFreshSign(context)) return;
   const auto* balancer = NextToAsk(agent);
   if (balancer == nullptr) return;
@@ -96,7 +96,7 @@
 
 auto ForgetSigns(Agent& agent) -> void {
   const auto& balancers = agent.view.balancers;
-  std::erase_if(agent.reply_signs.signs, [&](const auto& sign) {
+  std::erase_if(agent.reply_liveness.signs, [&](const auto& sign) {
     return std::ranges::find(balancers, sign.instance, &membership::BalancerRecord::instance) ==
            balancers.end();
   });
@@ -104,16 +104,16 @@
 
 auto NextBySign(const Context& context, std::uint64_t turn) -> const ReplySign* {
   const auto& agent = context.agent;
-  const auto& signs = agent.reply_signs.signs;
+  const auto& signs = agent.reply_liveness.signs;
   for (auto i = std::size_t{0}; i < signs.size(); ++i) {
     const auto& sign = signs[(turn + i) % signs.size()];
     if (context.now - sign.heard < agent.policy.sign_period) return &sign;
   }
-  return LastHeard(agent.reply_signs);
+  return LastHeard(agent.reply_liveness);
 }
 
 auto IsOverdue(const Context& context, const base::Endpoint& tunnel) -> bool {
-  const auto& signs = context.agent.reply_signs.signs;
+  const auto& signs = context.agent.reply_liveness.signs;
   auto sign = std::ranges::find(signs, tunnel, &ReplySign::tunnel);
   if (sign == signs.end() || sign->period == base::Duration::zero()) return false;
   return context.now - sign->heard > sign->period + context.agent.policy.sign_margin;
