--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -116,7 +116,7 @@
 
 /// What is known of the balancers that replies may leave by, and the question under way to one
 /// that gave no sign of its own accord.
-struct ReplySigns {
+struct ReplyLiveness {
   std::vector<ReplySign> signs;
   std::uint64_t sequence = 0;  ///< of the last question
   std::uint64_t turn = 0;
@@ -135,7 +135,7 @@
   requests::StatePtr requests;
   membership::Suspicion suspicion;
   std::vector<membership::BalancerRecord> reply_balancers;
-  ReplySigns reply_liveness;
+  ReplyLiveness reply_liveness;
   std::uint64_t reply_rotation = 0;  ///< of replies to flows that are not owned any more
   std::optional<base::TimePoint> request_timer;
   base::TimePoint next_load{};
--- a/src/agent/internal/reply_liveness.cc
+++ b/src/agent/internal/reply_liveness.cc
@@ -22,7 +22,7 @@
   return found == balancers.end() ? nullptr : &*found;
 }
 
-auto SignOf(ReplySigns& known, const membership::BalancerRecord& balancer) -> ReplySign& {
+auto SignOf(ReplyLiveness& known, const membership::BalancerRecord& balancer) -> ReplySign& {
   auto& signs = known.signs;
   auto found = std::find_if(signs.begin(), signs.end(),
                             [&](const auto& sign) { return sign.instance == balancer.instance; });
@@ -40,7 +40,7 @@
   sign.probed = now;
 }
 
-auto LastHeard(const ReplySigns& known) -> const ReplySign* {
+auto LastHeard(const ReplyLiveness& known) -> const ReplySign* {
   auto last = std::ranges::max_element(known.signs, {}, &ReplySign::heard);
   return last == known.signs.end() ? nullptr : &*last;
 }
--- a/src/agent/tests/reply_liveness_test.cc
+++ b/src/agent/tests/reply_liveness_test.cc
@@ -129,7 +129,7 @@
   return last - died;
 }
 
-BOOST_AUTO_TEST_SUITE(ReplySigns)
+BOOST_AUTO_TEST_SUITE(ReplyLiveness)
 
 // Half of a balancer's control bytes were probes of agents whose replies may leave by it. An agent
 // that its monitors probe in every round has no question of its own.
