--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -105,7 +105,7 @@
 };
 
 /// A balancer's last sign that replies may leave by it: its probe, or its answer to this agent's.
-struct ReplySign {
+struct BalancerLiveness {
   base::InstanceId instance;
   base::Incarnation incarnation = 0;
   base::Endpoint tunnel;
@@ -117,7 +117,7 @@
 /// What is known of the balancers that replies may leave by, and the question under way to one
 /// that gave no sign of its own accord.
 struct ReplyLiveness {
-  std::vector<ReplySign> signs;
+  std::vector<BalancerLiveness> signs;
   std::uint64_t sequence = 0;  ///< of the last question
   std::uint64_t turn = 0;
   base::TimePoint next_question{};
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -32,7 +32,7 @@
 auto ForgetSigns(Agent& agent) -> void;
 /// The balancer for a reply without a trusted route: those with a fresh sign take turns. Null: no
 /// balancer has given one yet.
-auto NextBySign(const Context& context, std::uint64_t turn) -> const ReplySign*;
+auto NextBySign(const Context& context, std::uint64_t turn) -> const BalancerLiveness*;
 /// Whether a balancer that used to probe this agent has fallen silent.
 auto IsOverdue(const Context& context, const base::Endpoint& tunnel) -> bool;
 
--- a/src/agent/internal/reply_liveness.cc
+++ b/src/agent/internal/reply_liveness.cc
@@ -22,17 +22,17 @@
   return found == balancers.end() ? nullptr : &*found;
 }
 
-auto SignOf(ReplyLiveness& known, const membership::BalancerRecord& balancer) -> ReplySign& {
+auto SignOf(ReplyLiveness& known, const membership::BalancerRecord& balancer) -> BalancerLiveness& {
   auto& signs = known.signs;
   auto found = std::find_if(signs.begin(), signs.end(),
                             [&](const auto& sign) { return sign.instance == balancer.instance; });
-  auto fresh = ReplySign{balancer.instance, balancer.incarnation, balancer.tunnel};
+  auto fresh = BalancerLiveness{balancer.instance, balancer.incarnation, balancer.tunnel};
   if (found == signs.end()) return signs.emplace_back(fresh);
   if (found->incarnation != balancer.incarnation) *found = fresh;
   return *found;
 }
 
-auto LearnPeriod(ReplySign& sign, base::TimePoint now) -> void {
+auto LearnPeriod(BalancerLiveness& sign, base::TimePoint now) -> void {
   if (sign.probed != base::TimePoint{}) {
     auto faded = sign.period - sign.period / kPeriodMemory;
     sign.period = std::max<base::Duration>(now - sign.probed, faded);
@@ -40,8 +40,8 @@
   sign.probed = now;
 }
 
-auto LastHeard(const ReplyLiveness& known) -> const ReplySign* {
-  auto last = std::ranges::max_element(known.signs, {}, &ReplySign::heard);
+auto LastHeard(const ReplyLiveness& known) -> const BalancerLiveness* {
+  auto last = std::ranges::max_element(known.signs, {}, &BalancerLiveness::heard);
   return last == known.signs.end() ? nullptr : &*last;
 }
 
@@ -102,7 +102,7 @@
   });
 }
 
-auto NextBySign(const Context& context, std::uint64_t turn) -> const ReplySign* {
+auto NextBySign(const Context& context, std::uint64_t turn) -> const BalancerLiveness* {
   const auto& agent = context.agent;
   const auto& signs = agent.reply_liveness.signs;
   for (auto i = std::size_t{0}; i < signs.size(); ++i) {
@@ -114,7 +114,7 @@
 
 auto IsOverdue(const Context& context, const base::Endpoint& tunnel) -> bool {
   const auto& signs = context.agent.reply_liveness.signs;
-  auto sign = std::ranges::find(signs, tunnel, &ReplySign::tunnel);
+  auto sign = std::ranges::find(signs, tunnel, &BalancerLiveness::tunnel);
   if (sign == signs.end() || sign->period == base::Duration::zero()) return false;
   return context.now - sign->heard > sign->period + context.agent.policy.sign_margin;
 }
