--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -52,7 +52,7 @@
            "membership::SuspicionPolicy"},
           {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"},
           {"probe_timeout_s", Seconds(suspicion.longest_timeout), "membership::SuspicionPolicy"},
-          {"sign_period_s", Seconds(agent.sign_period), "agent::AgentPolicy"},
+          {"sign_period_s", Seconds(agent.liveness_period), "agent::AgentPolicy"},
           {"probed_peers", static_cast<double>(agent.probed_peers), "agent::AgentPolicy"},
           {"probers", static_cast<double>(balancer::MonitorPolicy{}.monitors),
            "balancer::MonitorPolicy"},
--- a/src/agent/internal/reply_liveness.cc
+++ b/src/agent/internal/reply_liveness.cc
@@ -47,7 +47,7 @@
 
 auto HasFreshSign(const Context& context) -> bool {
   const auto* last = LastHeard(context.agent.reply_liveness);
-  return last != nullptr && context.now - last->heard < context.agent.policy.sign_period;
+  return last != nullptr && context.now - last->heard < context.agent.policy.liveness_period;
 }
 
 // Not the one that was heard last: it is what is in doubt, and another one's answer settles it.
@@ -87,7 +87,7 @@
   if (context.now < known.next_question || HasFreshSign(context)) return;
   const auto* balancer = NextToAsk(agent);
   if (balancer == nullptr) return;
-  known.next_question = context.now + agent.policy.sign_period;
+  known.next_question = context.now + agent.policy.liveness_period;
   auto header = MakeHeader(agent);
   header.mutable_probe()->set_sequence(++known.sequence);
   ++agent.counters.probes_sent;
@@ -107,7 +107,7 @@
   const auto& signs = agent.reply_liveness.signs;
   for (auto i = std::size_t{0}; i < signs.size(); ++i) {
     const auto& sign = signs[(turn + i) % signs.size()];
-    if (context.now - sign.heard < agent.policy.sign_period) return &sign;
+    if (context.now - sign.heard < agent.policy.liveness_period) return &sign;
   }
   return LastHeard(agent.reply_liveness);
 }
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -36,7 +36,7 @@
   /// A balancer's probe shows for this long that replies may leave by it, and without any such sign
   /// one balancer is asked this often. A little over SuspicionPolicy::probe_period, so that a
   /// monitor that probes in every round is not asked as well.
-  base::Duration sign_period = base::milliseconds(600);
+  base::Duration liveness_period = base::milliseconds(600);
   /// A balancer that probes at known intervals is late by this much before it is left out.
   base::Duration sign_margin = base::milliseconds(300);
   /// A client packet through a balancer proves the whole way for this long.
