--- a/src/agent/internal/reply_liveness.cc
+++ b/src/agent/internal/reply_liveness.cc
@@ -116,7 +116,7 @@
   const auto& signs = context.agent.reply_liveness.signs;
   auto sign = std::ranges::find(signs, tunnel, &BalancerLiveness::tunnel);
   if (sign == signs.end() || sign->period == base::Duration::zero()) return false;
-  return context.now - sign->heard > sign->period + context.agent.policy.sign_margin;
+  return context.now - sign->heard > sign->period + context.agent.policy.liveness_margin;
 }
 
 }  // namespace anvildrum::agent
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -38,7 +38,7 @@
   /// monitor that probes in every round is not asked as well.
   base::Duration liveness_period = base::milliseconds(600);
   /// A balancer that probes at known intervals is late by this much before it is left out.
-  base::Duration sign_margin = base::milliseconds(300);
+  base::Duration liveness_margin = base::milliseconds(300);
   /// A client packet through a balancer proves the whole way for this long.
   base::Duration fresh_route = base::seconds(5);
   /// Peers of the service that are probed at most; the others are heard of through the relay.
