--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -120,7 +120,7 @@
   std::vector<BalancerLiveness> signs;
   std::uint64_t sequence = 0;  ///< of the last question
   std::uint64_t turn = 0;
-  base::TimePoint next_question{};
+  base::TimePoint next_probe{};
 };
 
 struct Agent {
--- a/src/agent/internal/reply_liveness.cc
+++ b/src/agent/internal/reply_liveness.cc
@@ -84,10 +84,10 @@
 auto AskForSign(Context& context) -> void {
   auto& agent = context.agent;
   auto& known = agent.reply_liveness;
-  if (context.now < known.next_question || HasFreshSign(context)) return;
+  if (context.now < known.next_probe || HasFreshSign(context)) return;
   const auto* balancer = NextToAsk(agent);
   if (balancer == nullptr) return;
-  known.next_question = context.now + agent.policy.liveness_period;
+  known.next_probe = context.now + agent.policy.liveness_period;
   auto header = MakeHeader(agent);
   header.mutable_probe()->set_sequence(++known.sequence);
   ++agent.counters.probes_sent;
