--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -67,7 +67,7 @@
           {"stand_by_batch", static_cast<double>(policy.batch_bytes), source},
           {"stand_by_refresh_s", Seconds(policy.refresh), source},
           {"stand_by_look_s", Seconds(policy.look_period), source},
-          {"stand_by_lived_s", Seconds(policy.lived), source}};
+          {"stand_by_lived_s", Seconds(policy.min_age), source}};
 }
 
 auto RequestConstants() -> std::vector<Constant> {
--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -45,7 +45,8 @@
 auto VersionOf(const Context& context, const base::FlowKey& flow) -> std::uint64_t {
   const auto& agent = context.agent;
   if (!IsServed(agent, flow)) return 0;
-  return requests::StreamsVersion(*agent.requests, flow, context.now - agent.policy.stand_by.lived);
+  return requests::StreamsVersion(*agent.requests, flow,
+                                  context.now - agent.policy.stand_by.min_age);
 }
 
 auto IsCurrent(const Context& context, const CopiedFlow& copied, const TargetRef& keeper,
@@ -113,7 +114,7 @@
   auto& message = *batch.add_flows();
   wire::WriteEndpoint(flow.client, *message.mutable_client());
   if (!keeps) return;
-  auto record = requests::ExportStreams(*agent.requests, flow, context.now - policy.lived);
+  auto record = requests::ExportStreams(*agent.requests, flow, context.now - policy.min_age);
   auto bytes = WriteRecord(record);
   NoteCopy(agent.copies, flow, {keeper, version, context.now});
   if (bytes.size() > policy.most_copy_bytes) {
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -12,7 +12,7 @@
 /// Copies of observations at another agent; docs/design/standby.md has the arithmetic.
 struct StandByPolicy {
   bool copies = true;                              ///< false: none are sent
-  base::Duration lived = base::seconds(3);         ///< observations that have not are left out
+  base::Duration min_age = base::seconds(3);       ///< observations that have not are left out
   base::Duration look_period = base::seconds(2);   ///< between two looks for what has changed
   base::Duration refresh = base::minutes(20);      ///< sent again after this, changed or not
   base::Duration retry = base::milliseconds(400);  ///< doubled at each repetition
