--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -66,7 +66,7 @@
   return {{"stand_by_bytes_s", policy.bytes_per_second, source},
           {"stand_by_batch", static_cast<double>(policy.batch_bytes), source},
           {"stand_by_refresh_s", Seconds(policy.refresh), source},
-          {"stand_by_look_s", Seconds(policy.look_period), source},
+          {"stand_by_look_s", Seconds(policy.scan_interval), source},
           {"stand_by_lived_s", Seconds(policy.min_age), source}};
 }
 
--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -84,7 +84,7 @@
 auto Look(Context& context) -> void {
   auto& agent = context.agent;
   if (context.now < agent.copies.next_look) return;
-  agent.copies.next_look = context.now + agent.policy.stand_by.look_period;
+  agent.copies.next_look = context.now + agent.policy.stand_by.scan_interval;
   LookAtCopied(context);
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : agent.directory.owned) flows.push_back(flow);
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -11,11 +11,11 @@
 
 /// Copies of observations at another agent; docs/design/standby.md has the arithmetic.
 struct StandByPolicy {
-  bool copies = true;                              ///< false: none are sent
-  base::Duration min_age = base::seconds(3);       ///< observations that have not are left out
-  base::Duration look_period = base::seconds(2);   ///< between two looks for what has changed
-  base::Duration refresh = base::minutes(20);      ///< sent again after this, changed or not
-  base::Duration retry = base::milliseconds(400);  ///< doubled at each repetition
+  bool copies = true;                               ///< false: none are sent
+  base::Duration min_age = base::seconds(3);        ///< observations that have not are left out
+  base::Duration scan_interval = base::seconds(2);  ///< between two looks for what has changed
+  base::Duration refresh = base::minutes(20);       ///< sent again after this, changed or not
+  base::Duration retry = base::milliseconds(400);   ///< doubled at each repetition
   base::Duration longest_retry = base::seconds(10);
   std::size_t batch_bytes = 900;         ///< a batch that has reached this takes no more copies
   std::size_t most_copy_bytes = 16'384;  ///< a flow with a larger one is not copied
