--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -99,7 +99,7 @@
 struct Copies {
   std::unordered_map<base::FlowKey, CopiedFlow> flows;
   std::list<CopyStream> streams;  ///< references last while others are added
-  base::TimePoint next_look{};
+  base::TimePoint next_scan{};
   double bytes_left = 0;  ///< of the budget; may go below zero by one batch
   base::TimePoint earned{};
 };
--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -83,8 +83,8 @@
 
 auto Look(Context& context) -> void {
   auto& agent = context.agent;
-  if (context.now < agent.copies.next_look) return;
-  agent.copies.next_look = context.now + agent.policy.stand_by.scan_interval;
+  if (context.now < agent.copies.next_scan) return;
+  agent.copies.next_scan = context.now + agent.policy.stand_by.scan_interval;
   LookAtCopied(context);
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : agent.directory.owned) flows.push_back(flow);
