--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -147,7 +147,7 @@
 auto SendBatch(Context& context, CopyStream& stream, const base::Endpoint& to) -> void {
   auto& agent = context.agent;
   stream.next_send = context.now + stream.retry;
-  stream.retry = std::min(stream.retry * 2, agent.policy.stand_by.longest_retry);
+  stream.retry = std::min(stream.retry * 2, agent.policy.stand_by.max_retry);
   auto bytes = stream.batch->ByteSizeLong() + kDatagramOverhead;
   agent.copies.bytes_left -= static_cast<double>(bytes);
   agent.counters.copy_bytes += bytes;
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -16,7 +16,7 @@
   base::Duration scan_interval = base::seconds(2);  ///< between two looks for what has changed
   base::Duration refresh = base::minutes(20);       ///< sent again after this, changed or not
   base::Duration retry = base::milliseconds(400);   ///< doubled at each repetition
-  base::Duration longest_retry = base::seconds(10);
+  base::Duration max_retry = base::seconds(10);
   std::size_t batch_bytes = 900;         ///< a batch that has reached this takes no more copies
   std::size_t most_copy_bytes = 16'384;  ///< a flow with a larger one is not copied
   /// Sent at most; beyond it copies wait, and flows that end meanwhile cost nothing.
