--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -117,7 +117,7 @@
   auto record = requests::ExportStreams(*agent.requests, flow, context.now - policy.min_age);
   auto bytes = WriteRecord(record);
   NoteCopy(agent.copies, flow, {keeper, version, context.now});
-  if (bytes.size() > policy.most_copy_bytes) {
+  if (bytes.size() > policy.max_copy_bytes) {
     ++agent.counters.copies_too_large;
     return;
   }
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -17,8 +17,8 @@
   base::Duration refresh = base::minutes(20);       ///< sent again after this, changed or not
   base::Duration retry = base::milliseconds(400);   ///< doubled at each repetition
   base::Duration max_retry = base::seconds(10);
-  std::size_t batch_bytes = 900;         ///< a batch that has reached this takes no more copies
-  std::size_t most_copy_bytes = 16'384;  ///< a flow with a larger one is not copied
+  std::size_t batch_bytes = 900;        ///< a batch that has reached this takes no more copies
+  std::size_t max_copy_bytes = 16'384;  ///< a flow with a larger one is not copied
   /// Sent at most; beyond it copies wait, and flows that end meanwhile cost nothing.
   double bytes_per_second = 1500;
   double burst_bytes = 15'000;
