--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -101,7 +101,7 @@
   std::list<CopyStream> streams;  ///< references last while others are added
   base::TimePoint next_scan{};
   double bytes_left = 0;  ///< of the budget; may go below zero by one batch
-  base::TimePoint earned{};
+  base::TimePoint refilled_at{};
 };
 
 /// A balancer's last sign that replies may leave by it: its probe, or its answer to this agent's.
--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -157,8 +157,8 @@
 auto Earn(Context& context) -> void {
   auto& copies = context.agent.copies;
   const auto& policy = context.agent.policy.stand_by;
-  auto elapsed = std::chrono::duration<double>(context.now - copies.earned).count();
-  copies.earned = context.now;
+  auto elapsed = std::chrono::duration<double>(context.now - copies.refilled_at).count();
+  copies.refilled_at = context.now;
   copies.bytes_left =
       std::min(policy.burst_bytes, copies.bytes_left + elapsed * policy.bytes_per_second);
 }
