--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -17,7 +17,7 @@
 auto IsFresh(const Context& context, const base::FlowKey& flow) -> bool {
   auto found = context.agent.directory.owned.find(flow);
   if (found == context.agent.directory.owned.end()) return false;
-  return context.now - found->second.last_from_client < context.agent.policy.fresh_route;
+  return context.now - found->second.last_from_client < context.agent.policy.route_ttl;
 }
 
 // Safeguard: a target notifies all its streams at once. Were the turns counted for the agent as a
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -40,7 +40,7 @@
   /// A balancer that probes at known intervals is late by this much before it is left out.
   base::Duration liveness_margin = base::milliseconds(300);
   /// A client packet through a balancer proves the whole way for this long.
-  base::Duration fresh_route = base::seconds(5);
+  base::Duration route_ttl = base::seconds(5);
   /// Peers of the service that are probed at most; the others are heard of through the relay.
   std::size_t probed_peers = 16;
   base::Duration load_period = base::milliseconds(100);  ///< between two looks at the own load
