--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -23,13 +23,13 @@
 auto KeepLost(Context& context, const Candidate& candidate) -> void {
   auto& lost = context.agent.lost;
   std::erase_if(lost, [&](const auto& one) { return one.candidate.target == candidate.target; });
-  lost.push_back({candidate, context.now + context.agent.policy.lost_memory});
+  lost.push_back({candidate, context.now + context.agent.policy.lost_target_ttl});
 }
 
 // The directory forgets them when the view changes.
 auto KeepFlowsOf(Context& context, const steering::TargetRef& owner) -> void {
   auto& agent = context.agent;
-  auto until = context.now + agent.policy.lost_memory;
+  auto until = context.now + agent.policy.lost_target_ttl;
   for (const auto& [flow, known] : agent.directory.known) {
     if (known.owner != owner) continue;
     if (agent.lost_flows.size() >= agent.policy.max_ended_flows) return;
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -54,7 +54,7 @@
   base::Duration restart_notice_period = base::milliseconds(100);
   std::size_t max_ended_flows = 100'000;  ///< bound on those, and on flows of lost owners
   /// A late copy of a request is on its way for less than this.
-  base::Duration lost_memory = requests::kExchangeLifetime;
+  base::Duration lost_target_ttl = requests::kExchangeLifetime;
   /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
   base::Duration farewell = base::seconds(4);
   StandByPolicy stand_by;
