--- a/src/agent/internal/hand_over.cc
+++ b/src/agent/internal/hand_over.cc
@@ -38,7 +38,7 @@
   auto flows = MovableFlows(context);
   if (flows.empty()) return;
   auto ledgers = requests::IndexLedger(*agent.requests);
-  auto left = agent.policy.hand_overs_of_period;
+  auto left = agent.policy.hand_overs_per_period;
   for (const auto& flow : flows) {
     if (left == 0) return;
     auto record = RecordOf(context, ledgers, flow);
--- a/src/agent/tests/drain_world.cc
+++ b/src/agent/tests/drain_world.cc
@@ -160,7 +160,7 @@
 auto MakeDrainWorld(std::size_t desks, std::size_t hand_overs) -> DrainWorld {
   auto world = DrainWorld{};
   auto policy = AgentPolicy{};
-  policy.hand_overs_of_period = hand_overs;
+  policy.hand_overs_per_period = hand_overs;
   policy.requests.queue_size = 100000;
   for (auto i = std::size_t{0}; i < desks; ++i) {
     auto secret = requests::EchoSecret{};
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -59,7 +59,7 @@
   base::Duration farewell = base::seconds(4);
   StandByPolicy stand_by;
   base::Duration hand_over_period = base::milliseconds(100);
-  std::size_t hand_overs_of_period = 128;  ///< flows that a draining agent offers at most
+  std::size_t hand_overs_per_period = 128;  ///< flows that a draining agent offers at most
   /// A flow whose request the target refused is offered to a target with a free slot for this long:
   /// until its client may be back (a refusal's Max-Age is at least a second).
   base::Duration shed_window = base::seconds(1);
