--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -148,7 +148,7 @@
   bool predecessor_lost = false;  ///< not yet noted in `lost`
   /// It serves under the record of its earlier process, see RestartOf, and tells the others.
   bool provisional = false;
-  std::size_t next_told = 0;
+  std::size_t next_notified = 0;
   base::TimePoint next_notice{};
   /// Flows that ended here and whose last answers are still to be sent, with the time until when.
   std::unordered_map<base::FlowKey, base::TimePoint> ended_flows;
--- a/src/agent/internal/restart.cc
+++ b/src/agent/internal/restart.cc
@@ -51,7 +51,7 @@
   agent.next_notice = context.now + agent.policy.restart_notice_period;
   auto listeners = Listeners(agent);
   if (listeners.empty()) return;
-  TellRestartTo(context, listeners[agent.next_told++ % listeners.size()]);
+  TellRestartTo(context, listeners[agent.next_notified++ % listeners.size()]);
 }
 
 auto OnRestartNotice(Context& context, const base::Endpoint& from,
