--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -143,7 +143,7 @@
   std::uint64_t refused_before = 0;
   double refused_permille = 0;
   base::TimePoint drain_started{};
-  std::optional<base::TimePoint> farewell;  ///< end of a drain whose time is up
+  std::optional<base::TimePoint> shutdown_at;  ///< end of a drain whose time is up
   TargetWatch target;
   bool predecessor_lost = false;  ///< not yet noted in `lost`
   /// It serves under the record of its earlier process, see RestartOf, and tells the others.
--- a/src/agent/internal/drain.cc
+++ b/src/agent/internal/drain.cc
@@ -32,19 +32,19 @@
 // only listens, would not notice. Each is told, and the process stays for a retransmission.
 auto EndWhatIsLeft(Context& context) -> void {
   auto& agent = context.agent;
-  if (!agent.farewell) {
-    auto stay = IsAwaited(context) ? agent.policy.farewell : base::Duration::zero();
-    agent.farewell = context.now + stay;
+  if (!agent.shutdown_at) {
+    auto stay = IsAwaited(context) ? agent.policy.shutdown_grace : base::Duration::zero();
+    agent.shutdown_at = context.now + stay;
     EndAllFlows(context);
   }
-  if (context.now >= *agent.farewell) Finish(context);
+  if (context.now >= *agent.shutdown_at) Finish(context);
 }
 
 }  // namespace
 
 auto CheckDrain(Context& context) -> void {
   if (context.agent.phase != Phase::kDraining) return;
-  if (context.agent.farewell || (IsOverdue(context) && !IsEmpty(context))) {
+  if (context.agent.shutdown_at || (IsOverdue(context) && !IsEmpty(context))) {
     return EndWhatIsLeft(context);
   }
   if (IsEmpty(context)) Finish(context);
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -56,7 +56,7 @@
   /// A late copy of a request is on its way for less than this.
   base::Duration lost_target_ttl = requests::kExchangeLifetime;
   /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
-  base::Duration farewell = base::seconds(4);
+  base::Duration shutdown_grace = base::seconds(4);
   StandByPolicy stand_by;
   base::Duration hand_over_period = base::milliseconds(100);
   std::size_t hand_overs_per_period = 128;  ///< flows that a draining agent offers at most
