--- a/src/agent/internal/drain.cc
+++ b/src/agent/internal/drain.cc
@@ -4,8 +4,8 @@
 namespace {
 
 // Safeguard: as long as a home may not know a flow's new owner, or a balancer may still send a
-// flow's packets here, this agent passes them on. Ended at once, it would leave those clients to
-// their retransmissions.
+// flow's packets here, this agent forwards them. If it ended at once, those clients would have to
+// retransmit.
 auto IsEmpty(const Context& context) -> bool {
   const auto& directory = context.agent.directory;
   if (!directory.owned.empty() || !directory.outgoing.empty()) return false;
@@ -22,18 +22,19 @@
   context.effects.emplace_back(Drained{});
 }
 
-// Whether a client still waits for something here; a flow without it can move on unnoticed.
-auto IsAwaited(const Context& context) -> bool {
+// Whether a client still waits for something from here. Otherwise its flow can move unnoticed.
+auto HasPendingWork(const Context& context) -> bool {
   auto busy = requests::BusyOf(*context.agent.requests, context.now);
   return busy.running + busy.queued + busy.offered + busy.streams + busy.transfers > 0;
 }
 
-// Safeguard: what is left when the time is up ends with the process, and a stream's client, who
-// only listens, would not notice. Each is told, and the process stays for a retransmission.
-auto EndWhatIsLeft(Context& context) -> void {
+// Safeguard: flows that are left at the time limit end with the process, and a stream's client,
+// which only listens, would not notice. Each client is told, and the process stays for a
+// retransmission.
+auto EndRemainingFlows(Context& context) -> void {
   auto& agent = context.agent;
   if (!agent.shutdown_at) {
-    auto stay = IsAwaited(context) ? agent.policy.shutdown_grace : base::Duration::zero();
+    auto stay = HasPendingWork(context) ? agent.policy.shutdown_grace : base::Duration::zero();
     agent.shutdown_at = context.now + stay;
     EndAllFlows(context);
   }
@@ -45,7 +46,7 @@
 auto CheckDrain(Context& context) -> void {
   if (context.agent.phase != Phase::kDraining) return;
   if (context.agent.shutdown_at || (IsOverdue(context) && !IsEmpty(context))) {
-    return EndWhatIsLeft(context);
+    return EndRemainingFlows(context);
   }
   if (IsEmpty(context)) Finish(context);
 }
--- a/src/agent/internal/hand_over.cc
+++ b/src/agent/internal/hand_over.cc
@@ -1,4 +1,4 @@
-// Flows move to other targets, both sides. docs/design/handover.md.
+// Both sides of moving flows to other targets; see docs/design/handover.md.
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -9,9 +9,9 @@
 namespace anvildrum::agent {
 namespace {
 
-// What is left of a datagram for the record, beside the header and MAC. A flow with more to hand
-// over waits until its ledger entries have expired.
-constexpr auto kMostRecordBytes = wire::kMaxDatagram - 1024;
+// Space for the record in a datagram beside the header and MAC. A flow with a larger record waits
+// until its ledger entries have expired.
+constexpr auto kMaxRecordBytes = wire::kMaxDatagram - 1024;
 
 auto MovableFlows(const Context& context) -> std::vector<base::FlowKey> {
   auto flows = std::vector<base::FlowKey>{};
@@ -23,13 +23,13 @@
   return flows;
 }
 
-// The flow's record, or nothing while the flow cannot move.
+// Returns the flow's record; nothing while the flow cannot move.
 auto RecordOf(const Context& context, const requests::FlowLedgers& ledgers,
               const base::FlowKey& flow) -> std::optional<wire::Bytes> {
   auto record = requests::ExportFlow(*context.agent.requests, ledgers, flow, context.now);
   if (!record) return std::nullopt;
   auto bytes = WriteRecord(*record);
-  if (bytes.size() > kMostRecordBytes) return std::nullopt;
+  if (bytes.size() > kMaxRecordBytes) return std::nullopt;
   return bytes;
 }
 
@@ -49,7 +49,7 @@
   }
 }
 
-// Returns whether the flow is done with: offered, or over the bound on moves.
+// Returns whether the flow needs no further attempt: it was offered or exceeds the limit on moves.
 auto OfferShedFlow(Context& context, const requests::FlowLedgers& ledgers,
                    const base::FlowKey& flow) -> bool {
   auto& agent = context.agent;
@@ -67,10 +67,10 @@
   return true;
 }
 
-// Safeguard: a client opened its flow while its target had slots free, and finds them taken by the
-// exports of others when it asks for its own; flows stay where they are, so it would be refused for
-// as long as those run, with other targets idle. Its flow moves to one with a free slot before its
-// client, told to come back in a second or more, is there again.
+// Safeguard: a client opens its flow while its target has free slots, and finds them taken by the
+// work of others when it sends a request. Since flows stay where they are, it would be refused for
+// as long as that work runs, while other targets are idle. The flow moves to a target with a free
+// slot before the client returns, which it was told to do after a second or more.
 auto OfferShedFlows(Context& context) -> void {
   auto& shed = context.agent.shed;
   std::erase_if(shed, [&](const ShedFlow& one) { return one.until <= context.now; });
@@ -84,7 +84,7 @@
 
 }  // namespace
 
-auto NoteShed(Context& context, const base::FlowKey& flow) -> void {
+auto QueueShedFlow(Context& context, const base::FlowKey& flow) -> void {
   auto& agent = context.agent;
   if (agent.shed.size() >= agent.policy.shed_flows) return;
   agent.shed.push_back({flow, context.now + agent.policy.shed_window});
--- a/src/agent/internal/hand_over_codec.cc
+++ b/src/agent/internal/hand_over_codec.cc
@@ -12,18 +12,18 @@
 using requests::HandedStream;
 using requests::Token;
 
-constexpr auto kLargestMessageId = std::uint32_t{0xffff};
+constexpr auto kMaxMessageId = std::uint32_t{0xffff};
 constexpr auto kTokenSize = sizeof(Token::bytes);
-constexpr auto kLongestMilliseconds = base::milliseconds(requests::kExchangeLifetime).count();
-constexpr auto kLargestSequence = std::uint32_t{0xffffff};
+constexpr auto kMaxMilliseconds = base::milliseconds(requests::kExchangeLifetime).count();
+constexpr auto kMaxSequence = std::uint32_t{0xffffff};
 
 auto MillisecondsOf(base::Duration duration) -> std::uint64_t {
   return std::chrono::ceil<base::milliseconds>(duration).count();
 }
 
-// Nothing is kept longer than a message can live (RFC 7252, 4.8.2).
+// Limits the duration to the maximum lifetime of a message (RFC 7252, 4.8.2).
 auto DurationOf(std::uint64_t milliseconds) -> base::Duration {
-  return base::milliseconds(std::min<std::uint64_t>(milliseconds, kLongestMilliseconds));
+  return base::milliseconds(std::min<std::uint64_t>(milliseconds, kMaxMilliseconds));
 }
 
 auto BytesOf(const std::string& text) -> wire::Bytes { return {text.begin(), text.end()}; }
@@ -60,11 +60,11 @@
          is(requests::Stage::kUnknown);
 }
 
-auto IsSound(const wire::pb::RequestRecord& record) -> bool {
+auto IsValid(const wire::pb::RequestRecord& record) -> bool {
   if (record.token().size() > kTokenSize) return false;
   if (record.challenged_token().size() > kTokenSize) return false;
-  if (record.message_id() > kLargestMessageId) return false;
-  if (record.challenged_message_id() > kLargestMessageId) return false;
+  if (record.message_id() > kMaxMessageId) return false;
+  if (record.challenged_message_id() > kMaxMessageId) return false;
   if (record.type() > static_cast<std::uint32_t>(requests::MessageType::kNonConfirmable)) {
     return false;
   }
@@ -110,16 +110,16 @@
   auto message = wire::pb::FlowRecord{};
   auto size = static_cast<int>(payload.size());
   if (!message.ParseFromArray(payload.data(), size)) return std::nullopt;
-  if (message.next_client_message_id() > kLargestMessageId) return std::nullopt;
+  if (message.next_client_message_id() > kMaxMessageId) return std::nullopt;
   auto record = FlowRecord{};
   record.next_client_message_id = static_cast<std::uint16_t>(message.next_client_message_id());
   record.quarantine_left = DurationOf(message.quarantine_left_ms());
   for (const auto& stream : message.streams()) {
-    if (stream.sequence() > kLargestSequence) return std::nullopt;
+    if (stream.sequence() > kMaxSequence) return std::nullopt;
     record.streams.push_back({BytesOf(stream.request()), stream.sequence()});
   }
   for (const auto& request : message.requests()) {
-    if (!IsSound(request)) return std::nullopt;
+    if (!IsValid(request)) return std::nullopt;
     record.requests.push_back(Read(request));
   }
   return record;
--- a/src/agent/internal/hand_over_codec.h
+++ b/src/agent/internal/hand_over_codec.h
@@ -7,10 +7,11 @@
 
 namespace anvildrum::agent {
 
-/// The record as the payload of a HandOver.
+/// Encodes the record as the payload of a HandOver.
 auto WriteRecord(const requests::FlowRecord& record) -> wire::Bytes;
 
-/// Nothing when it is malformed: a field out of range, or a token of more than 8 bytes.
+/// Returns nothing if the record is malformed: a field out of range or a token of more than 8
+/// bytes.
 auto ReadRecord(wire::BytesView payload) -> std::optional<requests::FlowRecord>;
 
 }  // namespace anvildrum::agent
--- a/src/agent/internal/life_cycle.cc
+++ b/src/agent/internal/life_cycle.cc
@@ -22,9 +22,8 @@
   struct Ended : msm::front::state<> {};
   using initial_state = Starting;
 
-  // A drain has no way back: balancers and homes were told to forget the target, and a new
-  // incarnation is the only thing they take again.
-  // NOLINTNEXTLINE(readability-identifier-naming): the name that MSM looks for
+  // A drain cannot be reversed: balancers and homes were told to remove the target, and accept it
+  // again only with a new incarnation.
   struct transition_table : boost::mpl::vector<Row<Starting, Announced, Serving, none, none>,
                                                Row<Starting, DrainBegun, Draining, none, none>,
                                                Row<Serving, DrainBegun, Draining, none, none>,
@@ -35,7 +34,8 @@
 };
 using LifeCycle = msm::back::state_machine<LifeCycleDef>;
 
-// Events that lead from the start to each phase, so that a plain enum can keep the machine's state.
+// Replays the events that lead from the start to the phase, so that a plain enum can store the
+// machine's state.
 auto Replay(LifeCycle& machine, Phase phase) -> void {
   machine.start();
   if (phase == Phase::kServing) machine.process_event(Announced{});
--- a/src/agent/internal/lost.cc
+++ b/src/agent/internal/lost.cc
@@ -1,5 +1,5 @@
 // Targets that were lost without a drain. A request may have run there, and a late copy of it may
-// still be on its way for the exchange lifetime; the next owner of the flow must not run it.
+// arrive within the exchange lifetime. The next owner of the flow must not run that copy.
 #include <algorithm>
 
 #include "agent/internal/parts.h"
@@ -20,14 +20,14 @@
   return candidate;
 }
 
-auto KeepLost(Context& context, const Candidate& candidate) -> void {
+auto AddLost(Context& context, const Candidate& candidate) -> void {
   auto& lost = context.agent.lost;
   std::erase_if(lost, [&](const auto& one) { return one.candidate.target == candidate.target; });
   lost.push_back({candidate, context.now + context.agent.policy.lost_target_ttl});
 }
 
-// The directory forgets them when the view changes.
-auto KeepFlowsOf(Context& context, const steering::TargetRef& owner) -> void {
+// The directory removes these flows when the view changes.
+auto AddLostFlowsOf(Context& context, const steering::TargetRef& owner) -> void {
   auto& agent = context.agent;
   auto until = context.now + agent.policy.lost_target_ttl;
   for (const auto& [flow, known] : agent.directory.known) {
@@ -42,7 +42,7 @@
   return found == set.candidates.end() ? nullptr : &*found;
 }
 
-// The candidates as they were before the losses.
+// Returns the candidates as they were before the losses.
 auto WithLost(const Agent& agent) -> CandidateSet {
   auto set = agent.directory.candidates;
   for (const auto& lost : agent.lost) {
@@ -57,15 +57,15 @@
   return set;
 }
 
-// Before anything is served here, since the first event of an agent is its own record.
-auto NoteEarlierSelf(Context& context) -> void {
+// Called before anything is served here, since the first event of an agent is its own record.
+auto RecordPredecessor(Context& context) -> void {
   auto& agent = context.agent;
   if (!agent.predecessor_lost) return;
   agent.predecessor_lost = false;
   auto self = Candidate{};
   self.target = agent.record.id;
   self.failure_domain = base::HashName(agent.record.failure_domain);
-  KeepLost(context, self);
+  AddLost(context, self);
 }
 
 auto IsLost(const Agent& agent, base::TargetId target) -> bool {
@@ -87,7 +87,7 @@
   });
 }
 
-// The flow that a message may open here.
+// Returns the flow that the message may open here.
 auto FlowOpenedBy(const Agent& agent, const wire::pb::TunnelHeader& header)
     -> std::optional<base::FlowKey> {
   if (!header.has_packet() && !header.has_owner_answer()) return std::nullopt;
@@ -99,27 +99,27 @@
 
 }  // namespace
 
-auto NoteLost(Context& context, const Target& target) -> void {
+auto RecordLost(Context& context, const Target& target) -> void {
   if (target.draining || target.record.service != context.agent.record.service) return;
-  KeepLost(context, CandidateOf(target));
-  KeepFlowsOf(context, {target.record.id, target.record.incarnation});
+  AddLost(context, CandidateOf(target));
+  AddLostFlowsOf(context, {target.record.id, target.record.incarnation});
 }
 
-auto NoteReplaced(Context& context, const membership::TargetRecord& record) -> void {
-  NoteEarlierSelf(context);
+auto RecordReplaced(Context& context, const membership::TargetRecord& record) -> void {
+  RecordPredecessor(context);
   const auto* known = membership::FindTarget(context.agent.view, record.id);
   if (known == nullptr || record.incarnation == known->record.incarnation) return;
   if (record.revision < known->record.revision) return;
-  NoteLost(context, *known);
+  RecordLost(context, *known);
 }
 
-auto NoteRemoved(Context& context, const TargetRecordRemoved& event) -> void {
+auto RecordRemoved(Context& context, const TargetRecordRemoved& event) -> void {
   const auto* known = membership::FindTarget(context.agent.view, event.id);
   if (known == nullptr || known->record.incarnation != event.incarnation) return;
-  NoteLost(context, *known);
+  RecordLost(context, *known);
 }
 
-auto ForgetLost(Context& context) -> void {
+auto ExpireLost(Context& context) -> void {
   auto& agent = context.agent;
   auto over = [&](const auto& entry) { return entry.second <= context.now; };
   std::erase_if(agent.lost, [&](const auto& lost) { return lost.until <= context.now; });
--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -6,7 +6,7 @@
 
 inline constexpr auto kTick = base::milliseconds(20);
 
-/// One step under way: the state, the time, and what is to be done.
+/// The context of a step: the state, the time and the effects.
 struct Context {
   Agent& agent;
   base::TimePoint now;
@@ -23,17 +23,17 @@
 auto SendReply(Context& context, const base::FlowKey& flow, wire::Bytes payload) -> void;
 
 // reply_liveness.cc
-/// A balancer's probe or answer came; a sender that is no balancer of the view is ignored.
-auto NoteProbed(Context& context, const wire::pb::TunnelHeader& header) -> void;
-auto NoteAnswered(Context& context, const wire::pb::TunnelHeader& header) -> void;
-/// Asks one balancer when none gave a sign for a while.
-auto AskForSign(Context& context) -> void;
-/// Drops what was known of balancers that left the view.
-auto ForgetSigns(Agent& agent) -> void;
-/// The balancer for a reply without a trusted route: those with a fresh sign take turns. Null: no
-/// balancer has given one yet.
-auto NextBySign(const Context& context, std::uint64_t turn) -> const BalancerLiveness*;
-/// Whether a balancer that used to probe this agent has fallen silent.
+/// Record a balancer's probe or answer. A sender that is not a balancer of the view is ignored.
+auto RecordProbe(Context& context, const wire::pb::TunnelHeader& header) -> void;
+auto RecordProbeAnswer(Context& context, const wire::pb::TunnelHeader& header) -> void;
+/// Probes one balancer if none has probed this agent recently.
+auto ProbeReplyBalancer(Context& context) -> void;
+/// Removes the liveness of balancers that have left the view.
+auto RemoveGoneBalancers(Agent& agent) -> void;
+/// Returns the balancer for a reply without a trusted route. The balancers that are known to be
+/// alive take turns. Returns null if none has been heard yet.
+auto NextLiveBalancer(const Context& context, std::uint64_t turn) -> const BalancerLiveness*;
+/// Whether a balancer that used to probe this agent has stopped doing so.
 auto IsOverdue(const Context& context, const base::Endpoint& tunnel) -> bool;
 
 // peers.cc
@@ -53,10 +53,10 @@
     -> void;
 
 // hand_over.cc
-/// Offers flows to other targets, so many a period: all of a draining agent, else those whose
-/// requests the target refused.
+/// Offers a limited number of flows per period to other targets: any flow of a draining agent,
+/// otherwise the flows whose requests the target refused.
 auto OfferFlows(Context& context) -> void;
-auto NoteShed(Context& context, const base::FlowKey& flow) -> void;
+auto QueueShedFlow(Context& context, const base::FlowKey& flow) -> void;
 auto OnHandOver(Context& context, const TunnelMessage& message) -> void;
 auto AdoptFlow(Context& context, const steering::FlowTaken& taken) -> void;
 
@@ -64,17 +64,19 @@
 /// Sends copies of observations that are served here to their stand-bys.
 auto CopyStreams(Context& context) -> void;
 auto OnStandByAck(Context& context, const wire::pb::StandByAck& ack) -> void;
-/// Goes on with the observations of a lost owner, or tells their clients.
+/// Continues the observations of a lost owner, or ends them with an error to their clients.
 auto ResumeFlow(Context& context, const steering::FlowTaken& taken) -> void;
 
 // restart.cc
-/// Tells the next one of peers and balancers, while the platform doesn't know of this process.
-auto TellRestart(Context& context) -> void;
-auto TellRestartTo(Context& context, const base::Endpoint& to) -> void;
+/// Notifies the next one of the peers and balancers of the restart while the platform does not know
+/// this process.
+auto SendNextRestartNotice(Context& context) -> void;
+auto SendRestartNotice(Context& context, const base::Endpoint& to) -> void;
 auto OnRestartNotice(Context& context, const base::Endpoint& from,
                      const wire::pb::RestartNotice& notice) -> void;
-/// The own record as the agent takes it: while provisional, the earlier process' one is its own.
-auto TakeOwnRecord(Agent& agent, const membership::TargetRecord& record)
+/// Returns the record to apply. While the agent is provisional, the record of its earlier process
+/// is replaced by its own.
+auto ResolveOwnRecord(Agent& agent, const membership::TargetRecord& record)
     -> membership::TargetRecord;
 
 // life_cycle.cc
@@ -83,29 +85,29 @@
 auto CheckDrain(Context& context) -> void;
 
 // target_watch.cc
-/// Stands for the agent's own pings: no client has port 0.
+/// Returns the flow key of the agent's own pings; no client has port 0.
 auto PingFlow(const Agent& agent) -> base::FlowKey;
 auto PingTarget(Context& context) -> void;
-auto NoteTargetHeard(Context& context) -> void;
-auto NoteTargetRefused(Context& context) -> void;
+auto OnTargetHeard(Context& context) -> void;
+auto OnTargetRefused(Context& context) -> void;
 /// Gives every request and stream its outcome and ends the flows.
 auto EndAllFlows(Context& context) -> void;
 auto IsTargetSilent(const Agent& agent) -> bool;
 
 // lost.cc
-auto NoteLost(Context& context, const membership::Target& target) -> void;
-auto NoteReplaced(Context& context, const membership::TargetRecord& record) -> void;
-auto NoteRemoved(Context& context, const TargetRecordRemoved& event) -> void;
-auto ForgetLost(Context& context) -> void;
-/// Whether a flow that opens here may have been served by a target that was lost.
+auto RecordLost(Context& context, const membership::Target& target) -> void;
+auto RecordReplaced(Context& context, const membership::TargetRecord& record) -> void;
+auto RecordRemoved(Context& context, const TargetRecordRemoved& event) -> void;
+auto ExpireLost(Context& context) -> void;
+/// Whether a flow that opens here may have been served by a lost target.
 auto IsAdopted(const Agent& agent, const base::FlowKey& flow) -> bool;
-/// Whether the event may open such a flow: its packet, or the end of asking for it.
+/// Whether the event may open such a flow, by its packet or by the end of its owner query.
 auto MayOpenAdopted(const Agent& agent, const steering::DirectoryEvent& event) -> bool;
 
-/// A header from this agent, without a body.
+/// Returns a header from this agent without a body.
 auto MakeHeader(const Agent& agent) -> wire::pb::TunnelHeader;
 
-/// Bits for "instance" and "tunnel" of whoever has this id; null when unknown.
+/// Returns the tunnel of the balancer or target with this id; null if unknown.
 auto TunnelOf(const membership::View& view, base::InstanceId instance) -> const base::Endpoint*;
 
 }  // namespace anvildrum::agent
--- a/src/agent/internal/peers.cc
+++ b/src/agent/internal/peers.cc
@@ -8,10 +8,11 @@
 using membership::PeerRef;
 
 constexpr auto kPermille = 1000.0;
-constexpr auto kGone = std::uint32_t{1000};  // refused of a thousand: nothing listens
-constexpr auto kRefusedMemory = 0.9;         // share of the old average kept at each look
+constexpr auto kAllRefused = std::uint32_t{1000};  // permille; nothing listens
+constexpr auto kRefusedDecay = 0.9;                // share of the old average kept at each update
 
-// The peers that come next in the ring of target ids: every target is some other one's next.
+// Appends the next peers in the ring of target ids, so that every target is probed by some other
+// one.
 auto AppendProbedTargets(const Agent& agent, std::vector<PeerRef>& peers) -> void {
   const auto* service = membership::FindService(agent.view, agent.record.service);
   if (service == nullptr) return;
@@ -44,7 +45,7 @@
   if (change.suspect) ++context.agent.counters.suspicions;
   const auto* target = TargetOfInstance(context.agent, change.instance);
   if (target == nullptr) return;
-  if (change.suspect) NoteLost(context, *target);
+  if (change.suspect) RecordLost(context, *target);
   membership::SetSuspect(context.agent.view, target->record.id, change.suspect);
   RunDirectory(context, steering::ViewArrived{&context.agent.view});
 }
@@ -54,30 +55,31 @@
   return target == nullptr ? 1.0 : target->weight;
 }
 
-// A target that does not answer pings may still answer requests, so that only one that refuses
-// datagrams is reported as gone.
+// A target that does not answer pings may still answer requests. Therefore only a target that
+// refuses datagrams is reported as gone.
 auto ReportedRefusals(const Agent& agent) -> std::uint32_t {
-  if (agent.target.refused) return kGone;
-  if (IsTargetSilent(agent)) return kGone - 1;
+  if (agent.target.refused) return kAllRefused;
+  if (IsTargetSilent(agent)) return kAllRefused - 1;
   return static_cast<std::uint32_t>(agent.refused_permille);
 }
 
-// With no other to take a flow it is opened here, so that its client gets an error and not silence.
-auto HasPeerToTake(const Agent& agent) -> bool {
+// Without another target that can take a flow, the flow is opened here, so that its client gets an
+// error instead of no answer.
+auto HasAvailablePeer(const Agent& agent) -> bool {
   const auto& peers = agent.directory.peers;
   return std::any_of(peers.begin(), peers.end(), [](const auto& peer) {
     return !peer.suspect && !peer.draining && peer.load.weight > 0;
   });
 }
 
-// A peer that refuses everything has no target. Without weight no flow is placed there; rendezvous
-// order, which has to be the same for all, goes by the view's weight.
+// A peer that refuses everything has no target. With weight 0 no flow is placed there. Rendezvous
+// order, which has to be the same on all instances, uses the view's weight.
 auto ApplyPeerLoad(Context& context, const wire::pb::LoadReport& report) -> void {
   RunDirectory(context, steering::PeerLoadArrived{report});
   auto target = base::TargetId{report.target().target()};
   for (auto& peer : context.agent.directory.peers) {
     if (peer.ref.target != target) continue;
-    auto gone = report.refused_permille() >= kGone;
+    auto gone = report.refused_permille() >= kAllRefused;
     peer.load.weight = gone ? 0 : WeightOf(context.agent, target);
   }
 }
@@ -98,7 +100,7 @@
   agent.refused_before = busy.refused;
   if (admitted + refused == 0) return;
   auto share = kPermille * static_cast<double>(refused) / static_cast<double>(admitted + refused);
-  agent.refused_permille = kRefusedMemory * agent.refused_permille + (1 - kRefusedMemory) * share;
+  agent.refused_permille = kRefusedDecay * agent.refused_permille + (1 - kRefusedDecay) * share;
 }
 
 }  // namespace
@@ -118,7 +120,7 @@
 auto OnViewChange(Context& context) -> void {
   auto& agent = context.agent;
   ChooseReplyBalancers(agent);
-  ForgetSigns(agent);
+  RemoveGoneBalancers(agent);
   auto peers = PeersToObserve(agent);
   ObservePeers(context, membership::PeersChanged{peers});
   const auto* self = membership::FindTarget(agent.view, agent.record.id);
@@ -136,9 +138,9 @@
 
 auto OnProbe(Context& context, const base::Endpoint& from, const wire::pb::TunnelHeader& probe)
     -> void {
-  NoteProbed(context, probe);
-  // First, so that the prober knows the incarnation of the answer.
-  TellRestartTo(context, from);
+  RecordProbe(context, probe);
+  // The notice is sent first, so that the prober knows the incarnation of the answer.
+  SendRestartNotice(context, from);
   auto header = MakeHeader(context.agent);
   auto* answer = header.mutable_probe_answer();
   answer->set_sequence(probe.probe().sequence());
@@ -150,7 +152,7 @@
 
 auto OnProbeAnswer(Context& context, const wire::pb::TunnelHeader& header) -> void {
   auto peer = PeerRef{{header.sender()}, header.incarnation()};
-  NoteAnswered(context, header);
+  RecordProbeAnswer(context, header);
   ObservePeers(context, membership::ProbeAnswered{peer, header.probe_answer().sequence()});
   for (const auto& load : header.probe_answer().loads()) {
     ApplyPeerLoad(context, load);
@@ -171,8 +173,8 @@
   load.delay = busy.service_time;
   load.refused_permille = ReportedRefusals(agent);
   RunDirectory(context, steering::OwnLoadChanged{load});
-  auto gives_away = agent.target.refused && HasPeerToTake(agent);
-  agent.directory.load.weight = gives_away ? 0 : WeightOf(agent, agent.record.id);
+  auto rejects_flows = agent.target.refused && HasAvailablePeer(agent);
+  agent.directory.load.weight = rejects_flows ? 0 : WeightOf(agent, agent.record.id);
 }
 
 }  // namespace anvildrum::agent
--- a/src/agent/internal/replies.cc
+++ b/src/agent/internal/replies.cc
@@ -20,36 +20,37 @@
   return context.now - found->second.last_from_client < context.agent.policy.route_ttl;
 }
 
-// Safeguard: a target notifies all its streams at once. Were the turns counted for the agent as a
-// whole, then with as many streams as balancers, or a multiple, each stream would get the same
-// balancer every time, and stay silent for as long as that one has lost its clients. So each flow
-// counts its own; the number of its opening starts flows at different balancers.
+// Safeguard: a target notifies all its streams at once. With a single counter for the agent, and as
+// many streams as balancers or a multiple of that, each stream would get the same balancer every
+// time, and would fail for as long as that balancer cannot reach its clients. Therefore each flow
+// has its own counter; the stamp of its opening starts flows at different balancers.
 auto TurnOf(Context& context, const base::FlowKey& flow) -> std::uint64_t {
   auto found = context.agent.directory.owned.find(flow);
   if (found == context.agent.directory.owned.end()) return context.agent.reply_rotation++;
   return found->second.stamp + found->second.reply_rotation++;
 }
 
-auto PartingRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
+auto EndedFlowRoute(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   if (agent.directory.fenced || !agent.ended_flows.contains(flow)) return std::nullopt;
-  if (const auto* sign = NextBySign(context, agent.reply_rotation++)) return sign->tunnel;
-  // None gave a sign: this agent itself may be cut off, and trying costs nothing.
+  if (const auto* entry = NextLiveBalancer(context, agent.reply_rotation++)) return entry->tunnel;
+  // No balancer has been heard. This agent itself may be disconnected, and trying costs nothing.
   if (agent.reply_balancers.empty()) return std::nullopt;
   return agent.reply_balancers.front().tunnel;
 }
 
-// Safeguard: a stream may run for an hour without a packet of its client, and the balancer that
-// carried its last one may die or lose its way to the clients meanwhile: the client's screen would
-// freeze. A route without a fresh client packet is therefore not trusted: such replies take turns
-// over balancers that have just given a sign of life, so that a dead one is left out when its sign
-// is old and one that merely lost its clients takes a share of the notifications, not all.
+// Safeguard: a stream may run for an hour without a packet from its client. In that time the
+// balancer of the client's last packet may die or lose its route to the clients, and the client
+// would receive no further notification. A route without a recent client packet is therefore not
+// trusted: such replies take turns over balancers that are known to be alive. A dead one is left
+// out when its last probe is too old, and one that has only lost its clients carries a share of the
+// notifications, not all of them.
 auto RouteOf(Context& context, const base::FlowKey& flow) -> std::optional<base::Endpoint> {
   auto& agent = context.agent;
   auto last = steering::ReplyRoute(agent.directory, flow, context.now);
-  if (!last) return PartingRoute(context, flow);
+  if (!last) return EndedFlowRoute(context, flow);
   if (IsFresh(context, flow) && !IsOverdue(context, *last)) return last;
-  const auto* other = NextBySign(context, TurnOf(context, flow));
+  const auto* other = NextLiveBalancer(context, TurnOf(context, flow));
   return other == nullptr ? last : std::optional(other->tunnel);
 }
 
--- a/src/agent/internal/restart.cc
+++ b/src/agent/internal/restart.cc
@@ -1,6 +1,6 @@
-// A target that is started again while its agent can't reach the platform. The platform's record of
-// its earlier process is in force at every peer; the agent serves under it, with an incarnation of
-// its own, and tells peers and balancers so itself. docs/design/platform.md weighs it.
+// Restart of a target while its agent cannot reach the platform. The platform's record of its
+// earlier process is in force at every peer. The agent serves under that record with an incarnation
+// of its own, and notifies peers and balancers itself. docs/design/platform.md discusses this.
 #include <algorithm>
 
 #include "agent/internal/parts.h"
@@ -10,9 +10,9 @@
 
 using membership::TargetRecord;
 
-// Peers first: they place flows. Balancers send packets to the same address either way; they learn
-// that the process answers.
-auto Listeners(const Agent& agent) -> std::vector<base::Endpoint> {
+// Peers come first because they place flows. Balancers send packets to the same address either way;
+// they learn that the process answers.
+auto NoticeReceivers(const Agent& agent) -> std::vector<base::Endpoint> {
   auto listeners = std::vector<base::Endpoint>{};
   for (const auto& peer : agent.directory.peers) listeners.push_back(peer.tunnel);
   for (const auto& balancer : agent.view.balancers) listeners.push_back(balancer.tunnel);
@@ -33,7 +33,7 @@
   return record;
 }
 
-auto TellRestartTo(Context& context, const base::Endpoint& to) -> void {
+auto SendRestartNotice(Context& context, const base::Endpoint& to) -> void {
   const auto& agent = context.agent;
   if (!agent.provisional) return;
   auto header = MakeHeader(agent);
@@ -45,13 +45,13 @@
   context.effects.emplace_back(SendTunnel{to, std::move(header), {}});
 }
 
-auto TellRestart(Context& context) -> void {
+auto SendNextRestartNotice(Context& context) -> void {
   auto& agent = context.agent;
   if (!agent.provisional || context.now < agent.next_notice) return;
   agent.next_notice = context.now + agent.policy.restart_notice_period;
-  auto listeners = Listeners(agent);
+  auto listeners = NoticeReceivers(agent);
   if (listeners.empty()) return;
-  TellRestartTo(context, listeners[agent.next_notified++ % listeners.size()]);
+  SendRestartNotice(context, listeners[agent.next_notified++ % listeners.size()]);
 }
 
 auto OnRestartNotice(Context& context, const base::Endpoint& from,
@@ -65,11 +65,11 @@
       id, {notice.service()}, notice.target().incarnation(), notice.revision(), from};
   auto applied = membership::ApplyRestart(agent.view, restart, context.now);
   if (applied != membership::Applied::kChanged) return;
-  NoteLost(context, before);
+  RecordLost(context, before);
   OnViewChange(context);
 }
 
-auto TakeOwnRecord(Agent& agent, const TargetRecord& record) -> TargetRecord {
+auto ResolveOwnRecord(Agent& agent, const TargetRecord& record) -> TargetRecord {
   if (!agent.provisional || record.id != agent.record.id) return record;
   if (record.revision <= agent.record.revision) return agent.record;
   agent.provisional = false;
--- a/src/agent/internal/stand_by.cc
+++ b/src/agent/internal/stand_by.cc
@@ -1,5 +1,5 @@
-// Copies of the observations served here go to their stand-bys; a lost owner's go on here.
-// docs/design/standby.md.
+// Sends copies of the observations served here to their stand-bys, and continues those of lost
+// owners. See docs/design/standby.md.
 #include <algorithm>
 
 #include "agent/internal/hand_over_codec.h"
@@ -11,7 +11,7 @@
 
 using steering::TargetRef;
 
-// MAC, length and what UDP and IPv4 add to a batch.
+// MAC, length, and the UDP and IPv4 headers of a batch.
 constexpr auto kDatagramOverhead = std::size_t{16 + 2 + 28};
 
 auto FindPeer(const Agent& agent, const TargetRef& ref) -> const steering::PeerTarget* {
@@ -41,7 +41,7 @@
   return owned != agent.directory.owned.end() && !owned->second.closing && !owned->second.offered;
 }
 
-// 0: nothing of the flow is to be kept by anyone.
+// Returns 0 if nothing of the flow is to be copied.
 auto VersionOf(const Context& context, const base::FlowKey& flow) -> std::uint64_t {
   const auto& agent = context.agent;
   if (!IsServed(agent, flow)) return 0;
@@ -55,7 +55,7 @@
   return context.now - copied.sent < context.agent.policy.stand_by.refresh;
 }
 
-auto LookAtServed(Context& context, const base::FlowKey& flow) -> void {
+auto ScanServedFlow(Context& context, const base::FlowKey& flow) -> void {
   auto& copies = context.agent.copies;
   auto version = VersionOf(context, flow);
   if (version == 0) return;
@@ -67,8 +67,8 @@
   Enqueue(copies, *keeper, flow, known && copied->second.keeper == *keeper);
 }
 
-// Flows that have ended or moved.
-auto LookAtCopied(Context& context) -> void {
+// Queues the removal of copies of flows that have ended or moved.
+auto ScanCopiedFlows(Context& context) -> void {
   auto& agent = context.agent;
   auto over = std::vector<base::FlowKey>{};
   for (const auto& [flow, copied] : agent.copies.flows) {
@@ -81,28 +81,28 @@
   }
 }
 
-auto Look(Context& context) -> void {
+auto ScanFlows(Context& context) -> void {
   auto& agent = context.agent;
   if (context.now < agent.copies.next_scan) return;
   agent.copies.next_scan = context.now + agent.policy.stand_by.scan_interval;
-  LookAtCopied(context);
+  ScanCopiedFlows(context);
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : agent.directory.owned) flows.push_back(flow);
   std::ranges::sort(flows);
-  for (const auto& flow : flows) LookAtServed(context, flow);
+  for (const auto& flow : flows) ScanServedFlow(context, flow);
 }
 
-// Safeguard: told to forget its copy before the next stand-by has one, the earlier one could not go
-// on with the flow if the owner died in between. It is told after it.
-auto NoteCopy(Copies& copies, const base::FlowKey& flow, const CopiedFlow& copy) -> void {
+// Safeguard: if the former stand-by removed its copy before the next one has its own, it could not
+// continue the flow if the owner died in between. The removal is queued after the new copy is sent.
+auto RecordCopy(Copies& copies, const base::FlowKey& flow, const CopiedFlow& copy) -> void {
   auto before = copies.flows.find(flow);
   auto moved = before != copies.flows.end() && before->second.keeper != copy.keeper;
   if (moved) Enqueue(copies, before->second.keeper, flow, true);
   copies.flows[flow] = copy;
 }
 
-// The flow as its stand-by is to have it now; without a record when it is to forget it. A flow that
-// has ended while it waited for its first copy costs nothing.
+// Adds the flow's current copy to the batch, or its removal, which has no record. A flow that has
+// ended while it waited for its first copy costs nothing.
 auto AddCopy(Context& context, const base::FlowKey& flow, const CopyStream& stream, bool has_copy,
              wire::pb::StandBy& batch) -> void {
   auto& agent = context.agent;
@@ -116,7 +116,7 @@
   if (!keeps) return;
   auto record = requests::ExportStreams(*agent.requests, flow, context.now - policy.min_age);
   auto bytes = WriteRecord(record);
-  NoteCopy(agent.copies, flow, {keeper, version, context.now});
+  RecordCopy(agent.copies, flow, {keeper, version, context.now});
   if (bytes.size() > policy.max_copy_bytes) {
     ++agent.counters.copies_too_large;
     return;
@@ -154,7 +154,7 @@
   context.effects.emplace_back(SendTunnel{to, *stream.batch, {}});
 }
 
-auto Earn(Context& context) -> void {
+auto RefillBudget(Context& context) -> void {
   auto& copies = context.agent.copies;
   const auto& policy = context.agent.policy.stand_by;
   auto elapsed = std::chrono::duration<double>(context.now - copies.refilled_at).count();
@@ -163,9 +163,10 @@
       std::min(policy.burst_bytes, copies.bytes_left + elapsed * policy.bytes_per_second);
 }
 
-// Safeguard: after a domain is lost every owner there sends its flows' copies anew; at once they
-// would take the control plane's bytes from probes and registrations. The rest waits its turn.
-auto Pump(Context& context, CopyStream& stream) -> void {
+// Safeguard: after a failure domain is lost, the copies of many flows are due at once. Sent without
+// a limit, they would crowd out probes and registrations on the control plane. Beyond the budget
+// they wait.
+auto SendDueBatch(Context& context, CopyStream& stream) -> void {
   const auto* keeper = FindPeer(context.agent, stream.keeper);
   if (keeper == nullptr || context.agent.copies.bytes_left <= 0) return;
   if (!stream.batch) {
@@ -175,7 +176,7 @@
   if (stream.batch && context.now >= stream.next_send) SendBatch(context, stream, keeper->tunnel);
 }
 
-auto ForgetGoneKeepers(Agent& agent) -> void {
+auto RemoveGoneKeepers(Agent& agent) -> void {
   std::erase_if(agent.copies.streams,
                 [&](const auto& stream) { return FindPeer(agent, stream.keeper) == nullptr; });
 }
@@ -191,10 +192,10 @@
 auto CopyStreams(Context& context) -> void {
   auto& agent = context.agent;
   if (!agent.policy.stand_by.copies || !agent.directory.in_view || agent.directory.fenced) return;
-  Earn(context);
-  ForgetGoneKeepers(agent);
-  Look(context);
-  for (auto& stream : agent.copies.streams) Pump(context, stream);
+  RefillBudget(context);
+  RemoveGoneKeepers(agent);
+  ScanFlows(context);
+  for (auto& stream : agent.copies.streams) SendDueBatch(context, stream);
 }
 
 auto OnStandByAck(Context& context, const wire::pb::StandByAck& ack) -> void {
@@ -205,8 +206,9 @@
   stream->batch.reset();
 }
 
-// Safeguard: the target and its agent died together, and a client who only listens would look at a
-// frozen screen for ever. Its observation goes on here; where that cannot be, it is told at once.
+// Safeguard: when a target and its agent die together, a client that only listens would see no
+// update and no error. Its observation continues here; where that is impossible, the client is told
+// at once.
 auto ResumeFlow(Context& context, const steering::FlowTaken& taken) -> void {
   auto& agent = context.agent;
   auto record = ReadRecord(taken.record);
--- a/src/agent/internal/step.cc
+++ b/src/agent/internal/step.cc
@@ -25,14 +25,14 @@
   directory.placement.prefer_domain = service.spread.local_failure_domain_first;
 }
 
-auto KeepWeights(Agent& agent, const config::Service& service) -> void {
+auto StoreWeights(Agent& agent, const config::Service& service) -> void {
   agent.weights.clear();
   for (const auto& weight : service.weights) {
     agent.weights.push_back({base::TargetIdOf(weight.target), weight.weight});
   }
 }
 
-auto ApplyKeptWeights(Agent& agent) -> void {
+auto ApplyStoredWeights(Agent& agent) -> void {
   membership::ApplyWeights(agent.view, agent.record.service, agent.weights);
 }
 
@@ -41,27 +41,27 @@
 }
 
 auto Handle(Context& context, const TargetDatagram& event) -> void {
-  NoteTargetHeard(context);
+  OnTargetHeard(context);
   if (event.flow == PingFlow(context.agent)) return;
   RunRequests(context, requests::TargetDatagram{event.flow, event.payload});
 }
 
 auto Handle(Context& context, const TargetUnreachable& event) -> void {
   RunRequests(context, requests::TargetUnreachable{event.flow});
-  NoteTargetRefused(context);
+  OnTargetRefused(context);
 }
 
 auto Handle(Context& context, const TargetRecordChanged& event) -> void {
-  auto record = TakeOwnRecord(context.agent, event.record);
-  NoteReplaced(context, record);
+  auto record = ResolveOwnRecord(context.agent, event.record);
+  RecordReplaced(context, record);
   auto applied = membership::ApplyRecord(context.agent.view, record, context.now);
   if (applied != membership::Applied::kChanged) return;
-  ApplyKeptWeights(context.agent);
+  ApplyStoredWeights(context.agent);
   OnViewChange(context);
 }
 
 auto Handle(Context& context, const TargetRecordRemoved& event) -> void {
-  NoteRemoved(context, event);
+  RecordRemoved(context, event);
   auto applied =
       membership::RemoveRecord(context.agent.view, event.id, event.incarnation, event.revision);
   if (applied == membership::Applied::kChanged) OnViewChange(context);
@@ -89,8 +89,8 @@
   if (service == nullptr) return;
   agent.addresses = service->addresses;
   ApplyLimits(agent, *service);
-  KeepWeights(agent, *service);
-  ApplyKeptWeights(agent);
+  StoreWeights(agent, *service);
+  ApplyStoredWeights(agent);
   OnViewChange(context);
 }
 
@@ -103,11 +103,11 @@
 
 auto Handle(Context& context, const Timer&) -> void {
   ObservePeers(context, membership::SuspicionTimer{});
-  AskForSign(context);
+  ProbeReplyBalancer(context);
   PingTarget(context);
-  ForgetLost(context);
+  ExpireLost(context);
   RefreshOwnLoad(context);
-  TellRestart(context);
+  SendNextRestartNotice(context);
   RunDirectory(context, steering::DirectoryTimer{});
   RunDueRequestTimer(context);
   OfferFlows(context);
--- a/src/agent/internal/target_watch.cc
+++ b/src/agent/internal/target_watch.cc
@@ -14,9 +14,9 @@
 
 }  // namespace
 
-// Safeguard: with the target dead, the client of a stream, who sends nothing himself, would look at
-// a frozen screen until he wonders. Every flow that is served here has died with the target; its
-// requests and streams get their outcome now.
+// Safeguard: when the target is dead, a stream's client, which sends nothing itself, would not
+// notice. Every flow that is served here has ended with the target, so its requests and streams get
+// their outcome now.
 auto EndAllFlows(Context& context) -> void {
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : context.agent.directory.owned) {
@@ -42,15 +42,15 @@
   context.effects.emplace_back(SendTarget{PingFlow(context.agent), PingBytes(message_id)});
 }
 
-auto NoteTargetHeard(Context& context) -> void {
+auto OnTargetHeard(Context& context) -> void {
   context.agent.target.unanswered = 0;
   context.agent.target.refused = false;
 }
 
-// Safeguard: an agent beside a dead target answers probes and looks idle, so that new flows would
-// be sent to it first. It reports that it refuses everything, and takes none until the target
+// Safeguard: an agent beside a dead target answers probes and appears idle, so that new flows would
+// be placed there first. It reports that it refuses everything, and takes no flow until the target
 // answers again.
-auto NoteTargetRefused(Context& context) -> void {
+auto OnTargetRefused(Context& context) -> void {
   auto& watch = context.agent.target;
   if (watch.refused) return;
   watch.refused = true;
--- a/src/agent/internal/tunnel.cc
+++ b/src/agent/internal/tunnel.cc
@@ -9,26 +9,26 @@
 
 using wire::pb::TunnelHeader;
 
-constexpr auto kMostTracedFlows = std::size_t{4096};
+constexpr auto kMaxTracedFlows = std::size_t{4096};
 
 auto CopyOf(wire::BytesView view) -> wire::Bytes { return {view.begin(), view.end()}; }
 
-auto RememberTrace(Agent& agent, const steering::Deliver& delivery) -> void {
+auto RecordTrace(Agent& agent, const steering::Deliver& delivery) -> void {
   if (delivery.trace_id == 0) return;
-  if (agent.traces.size() >= kMostTracedFlows) agent.traces.clear();
+  if (agent.traces.size() >= kMaxTracedFlows) agent.traces.clear();
   agent.traces[delivery.flow] = {delivery.trace_id, delivery.span_id};
 }
 
-// A held packet is delivered in a later step than it arrived in; its look-up then counts from that
-// step, since the directory keeps no arrival times.
-auto NoteHop(Context& context, Hop hop, std::uint64_t trace_id, std::uint64_t span_id) -> void {
+// A held packet is delivered in a later step than the one in which it arrived. Its lookup then
+// counts from the later step, since the directory keeps no arrival times.
+auto RecordHop(Context& context, Hop hop, std::uint64_t trace_id, std::uint64_t span_id) -> void {
   if (trace_id == 0) return;
   context.effects.emplace_back(HopPassed{hop, trace_id, span_id, context.now});
 }
 
 auto DeliverPacket(Context& context, const steering::Deliver& delivery) -> void {
-  RememberTrace(context.agent, delivery);
-  NoteHop(context, Hop::kHomeLookup, delivery.trace_id, delivery.span_id);
+  RecordTrace(context.agent, delivery);
+  RecordHop(context, Hop::kHomeLookup, delivery.trace_id, delivery.span_id);
   if (delivery.opened) {
     auto adopted = IsAdopted(context.agent, delivery.flow);
     if (adopted) ++context.agent.counters.adopted;
@@ -43,9 +43,10 @@
   RunRequests(context, requests::FlowClosed{flow});
 }
 
-// Safeguard: the flow ends while answers are still due: a request that was handed on, and the last
-// word to a stream's client with its retransmissions. Dropped for want of an owner, they would
-// leave the client to its timeout; so the flow's answers go out for a while longer.
+// Safeguard: the flow ends while answers are still due, such as the answer of a request that was
+// handed on, or the final message to a stream's client with its retransmissions. If they were
+// dropped because the flow has no owner, the client would have to wait for its timeout. The flow's
+// answers are therefore sent for some more time.
 auto EndFlow(Context& context, const base::FlowKey& flow) -> void {
   context.agent.traces.erase(flow);
   auto& ended_flows = context.agent.ended_flows;
@@ -56,13 +57,13 @@
   RunDirectory(context, steering::FlowEnded{flow});
 }
 
-// Requests that end without a mark, with their flow, say, would otherwise stay for ever.
-constexpr auto kMostTimedRequests = std::size_t{4096};
+// Requests that end without a mark, for example with their flow, would otherwise never be removed.
+constexpr auto kMaxTimedRequests = std::size_t{4096};
 
 auto TimeRequest(Context& context, const requests::TraceMark& mark) -> void {
   auto& sent = context.agent.sent;
   if (mark.mark == requests::Mark::kSentToTarget) {
-    if (sent.size() >= kMostTimedRequests) sent.clear();
+    if (sent.size() >= kMaxTimedRequests) sent.clear();
     sent[mark.request] = context.now;
     return;
   }
@@ -82,7 +83,7 @@
       SpanMark{trace->second.trace_id, trace->second.span_id, mark.request, mark.mark});
 }
 
-auto Carry(Context& context, requests::Effect effect) -> void {
+auto ApplyEffect(Context& context, requests::Effect effect) -> void {
   std::visit(
       base::Overloaded{
           [&](requests::SendToTarget& send) {
@@ -94,7 +95,7 @@
           [&](requests::OfferHandOn& offer) { SendHandOn(context, std::move(offer)); },
           [&](requests::AnswerHandOn& answer) { SendHandOnAnswer(context, std::move(answer)); },
           [&](requests::CloseFlow& close) { EndFlow(context, close.flow); },
-          [&](requests::FlowShed& shed) { NoteShed(context, shed.flow); },
+          [&](requests::FlowShed& shed) { QueueShedFlow(context, shed.flow); },
           [&](requests::SetTimer& timer) { context.agent.request_timer = timer.at; },
           [&](requests::Count& count) {
             ++context.agent.counters.requests.at(static_cast<std::size_t>(count.counter));
@@ -123,11 +124,11 @@
   }
 }
 
-// Safeguard: an address moves from desk to mapper while a balancer is stopped for a moment or cut
-// off from everyone but the clients; by its older configuration it still takes the address for
-// desk's, and a mapper's client would be answered by a desk. An agent whose configuration is newer
-// knows better and drops the packet. A balancer with the same or a newer one is believed, so that a
-// change that reaches balancers first costs no packet.
+// Safeguard: an address moves from desk to mapper while a balancer is paused or can reach only the
+// clients. By its older configuration it still considers the address desk's, and a desk target
+// would answer a mapper client. An agent with a newer configuration drops the packet. A balancer
+// with the same or a newer configuration is trusted, so that a change that reaches balancers first
+// costs no packet.
 auto IsForMovedAddress(const Agent& agent, const wire::pb::Packet& packet) -> bool {
   if (packet.config_number() >= agent.config_number) return false;
   auto address = wire::ReadEndpoint(packet.service_address());
@@ -150,16 +151,17 @@
   return header;
 }
 
-// Safeguard: a flow whose owner was lost, given by its home to a third agent, would be new to that
-// one, and a late copy of a request could run. While such a flow may open, it opens at its home.
+// Safeguard: if a flow whose owner was lost were placed at a third agent by its home, that agent
+// would consider it new, and a late copy of a request could run. While such a flow may open, it
+// opens at its home.
 auto StepDirectory(Context& context, const steering::DirectoryEvent& event)
     -> steering::DirectoryEffects {
   auto& directory = context.agent.directory;
   auto& kind = directory.policy.placement.kind;
-  auto usual = kind;
+  auto configured = kind;
   if (MayOpenAdopted(context.agent, event)) kind = steering::PlacementKind::kRendezvous;
   auto effects = steering::Step(directory, event, context.now);
-  kind = usual;
+  kind = configured;
   return effects;
 }
 
@@ -175,7 +177,7 @@
 
 auto RunRequests(Context& context, const requests::Event& event) -> void {
   auto effects = requests::Step(*context.agent.requests, event, context.now);
-  for (auto& effect : effects) Carry(context, std::move(effect));
+  for (auto& effect : effects) ApplyEffect(context, std::move(effect));
 }
 
 auto OnTunnelMessage(Context& context, const TunnelMessage& message) -> void {
@@ -187,7 +189,7 @@
       ++context.agent.counters.moved_address;
       return;
     }
-    NoteHop(context, Hop::kTunnel, header.packet().trace_id(), header.packet().span_id());
+    RecordHop(context, Hop::kTunnel, header.packet().trace_id(), header.packet().span_id());
   }
   if (IsForDirectory(header.body_case())) {
     RunDirectory(context, steering::TunnelArrived{message.from, &header, message.payload});
--- a/src/agent/tests/agent_test.cc
+++ b/src/agent/tests/agent_test.cc
@@ -25,7 +25,7 @@
   BOOST_CHECK(reply->to == BalancerOf("b2", 12).tunnel);
 }
 
-BOOST_AUTO_TEST_CASE(time_at_the_target_is_told) {
+BOOST_AUTO_TEST_CASE(time_at_the_target_is_reported) {
   constexpr auto taken = base::milliseconds(30);
   auto fixture = Fixture{};
   auto delivered = fixture.Deliver(kGet, "b2", 12);
@@ -39,10 +39,10 @@
   BOOST_CHECK(answered->taken == taken);
 }
 
-// A trader's feed shows no new price although the desk sends them: the balancer that the flow was
-// last seen at was killed, and the client, which only listens, sends nothing that would show
-// another way. The agent's probes go unanswered, so it must use the other balancer.
-BOOST_AUTO_TEST_CASE(silent_stream_leaves_by_another_balancer_after_its_own_died) {
+// A client receives no notifications although the target sends them: the balancer of the flow's
+// last packet was killed, and the client only listens, so no packet of it shows another route. The
+// agent's probes of that balancer go unanswered, so it has to use the other one.
+BOOST_AUTO_TEST_CASE(silent_stream_uses_another_balancer_after_its_own_died) {
   auto fixture = Fixture{};
   auto delivered = fixture.Deliver(kGet, "b2", 12);
   auto answer_probe = [&](const Effects& effects) {
@@ -67,7 +67,7 @@
   BOOST_CHECK(reply->to == BalancerOf("b1", 11).tunnel);
 }
 
-BOOST_AUTO_TEST_CASE(drain_tells_balancers_directly_and_ends_when_no_flow_is_left) {
+BOOST_AUTO_TEST_CASE(drain_notifies_balancers_directly_and_ends_when_no_flow_is_left) {
   auto fixture = Fixture{};
   fixture.Deliver(kGet, "b1", 11);
   auto effects = fixture.Run(DrainRequested{});
@@ -83,9 +83,9 @@
   BOOST_CHECK(fixture.agent.phase == Phase::kDraining);
 }
 
-// A balancer or agent of another version sends what makes no sense to an agent. It is counted, and
-// the next client is served.
-BOOST_AUTO_TEST_CASE(tunnel_messages_without_sense_are_counted) {
+// A balancer or agent of another version sends messages without a meaning to an agent. They are
+// counted, and the next client is served.
+BOOST_AUTO_TEST_CASE(invalid_tunnel_messages_are_counted) {
   auto fixture = Fixture{};
   auto messages = std::array<wire::pb::TunnelHeader, 4>{};
   messages[0].mutable_reply();  // balancers take replies, agents don't
@@ -100,11 +100,11 @@
   BOOST_TEST(Find<SendTarget>(fixture.Deliver(kGet, "b2", 12)) != nullptr);
 }
 
-// A mapper's client gets the answer of a desk: an address moved from desk to mapper while a
-// balancer was stopped for a moment, and it still sends packets for the address to desk's agents.
-// The agent has the newer configuration and drops them; a balancer that is as new as the agent is
-// believed.
-BOOST_AUTO_TEST_CASE(packet_for_an_address_that_moved_away_is_dropped) {
+// An address has moved from desk to mapper while a balancer was paused, and the balancer still
+// sends packets for the address to desk's agents. If they were delivered, a desk would answer a
+// mapper client. The agent has the newer configuration and has to drop them; it trusts a balancer
+// with the same configuration.
+BOOST_AUTO_TEST_CASE(packet_for_a_former_address_is_dropped) {
   auto fixture = Fixture{};
   auto configuration = config::Configuration{};
   configuration.number = 2;
--- a/src/agent/tests/drain_world.cc
+++ b/src/agent/tests/drain_world.cc
@@ -48,7 +48,7 @@
 
 auto StepDesk(DrainWorld& world, std::size_t desk, const Event& event) -> void;
 
-// 2.05 in the ACK of the request, under its token of 8 bytes.
+// A 2.05 response in the ACK of the request, with its 8-byte token.
 auto AnswerTo(const requests::Message& request) -> wire::Bytes {
   auto bytes = wire::Bytes(kHeaderAndToken);
   bytes[0] = 0x68;
@@ -59,7 +59,7 @@
   return bytes;
 }
 
-// The same with an Observe option (RFC 7641, 3.1).
+// The same response with an Observe option (RFC 7641, 3.1).
 auto Observed(TargetStream& stream, const requests::Message& request) -> wire::Bytes {
   auto bytes = AnswerTo(request);
   ++stream.sequence;
@@ -95,7 +95,7 @@
   StepDesk(world, desk, TargetDatagram{send.flow, answer});
 }
 
-auto Carry(DrainWorld& world, std::size_t desk, const Effect& effect) -> void {
+auto ApplyEffect(DrainWorld& world, std::size_t desk, const Effect& effect) -> void {
   auto& at = world.desks[desk];
   if (const auto* send = std::get_if<SendTunnel>(&effect)) return Push(world, at.tunnel, *send);
   if (const auto* send = std::get_if<SendTarget>(&effect)) return RunTarget(world, desk, *send);
@@ -110,7 +110,7 @@
 
 auto StepDesk(DrainWorld& world, std::size_t desk, const Event& event) -> void {
   auto effects = Step(world.desks[desk].agent, event, world.now);
-  for (const auto& effect : effects) Carry(world, desk, effect);
+  for (const auto& effect : effects) ApplyEffect(world, desk, effect);
 }
 
 auto DeskAt(const DrainWorld& world, const base::Endpoint& tunnel) -> std::size_t {
--- a/src/agent/tests/drain_world.h
+++ b/src/agent/tests/drain_world.h
@@ -8,15 +8,15 @@
 
 #include "agent/agent.h"
 
-// Agents with a target each and one balancer, joined by a queue under a virtual clock.
+// Agents with one target each and one balancer, connected by a queue with a virtual clock.
 namespace anvildrum::agent {
 
 inline const auto kDeskService = base::ServiceIdOf("desk");
 
-/// A stream at a target, which notifies at each period.
+/// A stream at a target, which sends a notification every period.
 struct TargetStream {
   base::FlowKey flow;
-  std::array<std::uint8_t, 8> token{};  ///< of the agent
+  std::array<std::uint8_t, 8> token{};  ///< chosen by the agent
   std::uint32_t sequence = 2;
 };
 
@@ -24,16 +24,16 @@
   Agent agent;
   base::Endpoint tunnel;
   std::vector<TargetStream> streams;
-  std::uint64_t posts = 0;  ///< that ran
+  std::uint64_t posts = 0;  ///< requests that ran
   bool refuses = false;     ///< the target answers 5.03
-  bool drained = false;     ///< or killed
+  bool drained = false;     ///< drained or killed
   base::TimePoint drained_at{};
 };
 
-/// A datagram that reached a client.
+/// A datagram received by a client.
 struct Received {
   base::TimePoint at{};
-  std::size_t from = 0;  ///< the desk
+  std::size_t from = 0;  ///< index of the desk
   wire::Bytes bytes;
 };
 
@@ -59,22 +59,23 @@
   std::vector<Desk> desks;
   std::priority_queue<InQueue, std::vector<InQueue>, IsLater> queue;
   std::map<base::FlowKey, std::vector<Received>> received;
-  std::set<std::pair<base::Endpoint, base::Endpoint>> cuts;  ///< tunnels, both ways
+  /// Disconnected tunnels, in both directions.
+  std::set<std::pair<base::Endpoint, base::Endpoint>> cuts;
 };
 
-/// `hand_overs`: flows that a draining agent offers a period; 0 for none.
+/// `hand_overs`: number of flows that a draining agent offers per period; 0: none.
 auto MakeDrainWorld(std::size_t desks, std::size_t hand_overs) -> DrainWorld;
 auto RunFor(DrainWorld& world, base::Duration span) -> void;
 auto FlowOfClient(std::uint32_t client) -> base::FlowKey;
-/// Through the balancer to the first desk that takes packets.
+/// Sends a client's datagram through the balancer to the first desk that accepts packets.
 auto FromClient(DrainWorld& world, const base::FlowKey& flow, const wire::Bytes& bytes) -> void;
 auto BeginDrain(DrainWorld& world, std::size_t desk) -> void;
-/// The desk's target and agent are gone; their record stays.
+/// Ends the desk's target and agent; their record stays.
 auto Kill(DrainWorld& world, std::size_t desk) -> void;
-/// The others learn that the desk's record was removed.
+/// Tells the other desks that the desk's record was removed.
 auto RemoveRecord(DrainWorld& world, std::size_t desk) -> void;
 auto Cut(DrainWorld& world, std::size_t one, std::size_t other) -> void;
-/// The desk that serves the flow, or the number of desks.
+/// Returns the desk that serves the flow; the number of desks if there is none.
 auto OwnerOf(const DrainWorld& world, const base::FlowKey& flow) -> std::size_t;
 
 /// GET /feed with Observe 0 and token 5.
--- a/src/agent/tests/fixture.h
+++ b/src/agent/tests/fixture.h
@@ -18,7 +18,7 @@
 auto RecordOf(const std::string& name, std::uint16_t port) -> membership::TargetRecord;
 auto BalancerOf(const std::string& name, std::uint16_t port) -> membership::BalancerRecord;
 
-/// One agent alone in its service, with two balancers.
+/// A single agent of its service, with two balancers.
 struct Fixture {
   Agent agent;
   base::TimePoint now = kStart;
@@ -39,10 +39,10 @@
   return nullptr;
 }
 
-/// 2.05 in answer to what the target was sent: same message ID and token.
+/// Returns a 2.05 response to the target's datagram, with the same message ID and token.
 auto AnswerTo(const SendTarget& sent) -> wire::Bytes;
 
-/// The datagram of the first reply to a client; empty when there is none.
+/// Returns the datagram of the first reply to a client; empty if there is none.
 auto ReplyIn(const Effects& effects) -> wire::Bytes;
 
 }  // namespace anvildrum::agent
--- a/src/agent/tests/hand_over_test.cc
+++ b/src/agent/tests/hand_over_test.cc
@@ -18,7 +18,7 @@
   return requests::ParseMessage(world.received[flow].back().bytes).value();
 }
 
-// A stream that runs at one of two desks; returns the desk.
+// Opens a stream at one of two desks and returns the desk.
 auto OpenFeed(DrainWorld& world, const base::FlowKey& flow) -> std::size_t {
   RunFor(world, base::seconds(1));
   FromClient(world, flow, ObserveGet());
@@ -26,9 +26,10 @@
   return OwnerOf(world, flow);
 }
 
-// A trader watches a feed and sends nothing. Its desk drains: within seconds the prices come from
-// the other desk, under the same token and with rising numbers, no gap longer than half a second,
-// and the desk's agent ends. Waiting for the trader to go home would take hours.
+// A client observes a feed and sends nothing while its desk drains. Within seconds the
+// notifications have to come from the other desk, under the same token, with rising sequence
+// numbers and no gap longer than half a second, and the draining agent has to end. Waiting for the
+// client to end the feed would take hours.
 BOOST_AUTO_TEST_CASE(stream_moves_when_its_target_drains) {
   auto world = MakeDrainWorld(2, kOffers);
   auto flow = FlowOfClient(kClient);
@@ -47,10 +48,11 @@
   }
 }
 
-// The trader's hold is challenged; its desk drains, and the trader's answer comes when its flow has
-// moved. It must not run at either desk without the trader hearing of it: here the flow waits for
-// the answer, the hold runs once, and a copy that comes after the move gets the same answer.
-BOOST_AUTO_TEST_CASE(hold_that_crosses_with_a_drain_runs_once) {
+// A POST is challenged, its desk drains, and the client's answer to the challenge arrives after the
+// flow has moved. The POST must not run at either desk without the client receiving its outcome.
+// The flow has to wait for the answer, the POST has to run once, and a copy that arrives after the
+// move has to get the same answer.
+BOOST_AUTO_TEST_CASE(post_that_crosses_with_a_drain_runs_once) {
   auto world = MakeDrainWorld(2, kOffers);
   auto flow = FlowOfClient(kClient);
   auto old_owner = OpenFeed(world, flow);
@@ -76,10 +78,10 @@
   BOOST_TEST(answer.code == 0x45);
 }
 
-// A trader's desk has no slot left and refuses to open its feed, for as long as others' work runs;
-// the other desk is idle. When the trader comes back, as it was told to, a second later, its flow
-// is at the other desk and the feed opens. Flows that stayed would see it refused again and again.
-BOOST_AUTO_TEST_CASE(flow_whose_target_refused_finds_room_when_its_client_is_back) {
+// A desk has no free slot and refuses to open a feed as long as other work runs, while the other
+// desk is idle. When the client returns a second later, as told, its flow has to be at the other
+// desk, where the feed opens. If flows stayed, it would be refused again and again.
+BOOST_AUTO_TEST_CASE(refused_flow_has_a_free_slot_when_its_client_returns) {
   auto world = MakeDrainWorld(2, kOffers);
   auto flow = FlowOfClient(kClient);
   RunFor(world, base::seconds(1));
@@ -98,9 +100,9 @@
   BOOST_TEST(LastOf(world, flow).observe.has_value());
 }
 
-// The only other desk drains as well: nobody takes the flow, and its owner serves it on until the
-// time allowed for the drain has passed.
-BOOST_AUTO_TEST_CASE(flow_that_nobody_takes_is_served_on) {
+// The only other desk is draining too, so nobody accepts the flow. Its owner has to serve it until
+// the time limit of the drain.
+BOOST_AUTO_TEST_CASE(flow_that_nobody_accepts_continues_to_be_served) {
   auto world = MakeDrainWorld(2, kOffers);
   auto flow = FlowOfClient(kClient);
   auto owner = OpenFeed(world, flow);
@@ -113,10 +115,10 @@
   BOOST_TEST(world.received[flow].size() > before);
 }
 
-// The flow has moved, but some balancer has not heard yet that the desk drains, and sends the
-// client's packet there. Ended at once, the agent would lose it; it passes packets on until every
-// balancer has heard.
-BOOST_AUTO_TEST_CASE(drained_agent_passes_packets_on_for_a_while) {
+// The flow has moved, but a balancer that does not know about the drain yet sends the client's
+// packet to the old desk. If the agent had ended at once, the packet would be lost; it has to
+// forward packets until every balancer has learnt of the drain.
+BOOST_AUTO_TEST_CASE(drained_agent_forwards_packets_for_a_while) {
   auto world = MakeDrainWorld(2, kOffers);
   auto old_owner = OpenFeed(world, FlowOfClient(kClient));
   BeginDrain(world, old_owner);
@@ -127,8 +129,9 @@
   BOOST_TEST(world.desks[old_owner].drained);
 }
 
-// The new owner is cut off from the old one right after it took the flow: whether it is registered
-// is not known, and the agent does not end although it serves nothing any more.
+// The new owner is disconnected from the old one right after it accepted the flow, so the old owner
+// does not know whether the flow is registered. Its agent must not end, although it serves nothing
+// any more.
 BOOST_AUTO_TEST_CASE(agent_stays_until_the_new_owner_is_registered) {
   auto world = MakeDrainWorld(2, kOffers);
   auto flow = FlowOfClient(kClient);
@@ -145,7 +148,7 @@
   BOOST_CHECK(agent.phase == Phase::kDrained);
 }
 
-// A datagram of another version of the system, or of a fault, must not become a flow's state.
+// A datagram of another version of the system or a faulty one must not become a flow's state.
 BOOST_AUTO_TEST_CASE(malformed_record_is_refused) {
   auto record = requests::FlowRecord{};
   record.next_client_message_id = 9;
--- a/src/agent/tests/loss_test.cc
+++ b/src/agent/tests/loss_test.cc
@@ -26,8 +26,8 @@
   return nullptr;
 }
 
-// A client's GET gets no answer: its target died, the agent gave the request to another agent and
-// ended the flow, and the answer that came back had no flow to leave by.
+// A target died, and its agent handed a request on to another agent and ended the flow. The answer
+// that came back had no flow, and the client got no answer to its GET.
 BOOST_AUTO_TEST_CASE(answer_of_a_request_handed_on_leaves_after_the_flow_has_ended) {
   auto fixture = Fixture{};
   auto delivered = fixture.Deliver(kGet, "b1", 11);
@@ -49,8 +49,8 @@
   BOOST_TEST(CodeOf(ReplyIn(arrived)) == kContent);
 }
 
-// A trader looks at a frozen price: the desk process died, and a client that only listens sends
-// nothing that would find out. The agent's own ping does, and ends the stream with an error.
+// A target process died, and a client that only listens sent nothing that would have shown it. The
+// agent's own ping has to detect the loss and end the stream with an error.
 BOOST_AUTO_TEST_CASE(client_of_a_stream_is_told_when_the_target_dies) {
   auto fixture = Fixture{};
   auto delivered = fixture.Deliver(kObserve, "b1", 11);
@@ -64,9 +64,10 @@
   BOOST_TEST(fixture.agent.counters.target_losses == 1U);
 }
 
-// A trader's feed stops without a word: the time of a planned stop was up and the agent ended with
-// the stream still open. It must end the stream with an error, and repeat that while it can.
-BOOST_AUTO_TEST_CASE(client_of_a_stream_is_told_when_the_time_of_a_drain_is_up) {
+// The time limit of a drain passed, and the agent ended with the stream still open and without a
+// message to its client. It has to end the stream with an error and to retransmit the error as long
+// as it runs.
+BOOST_AUTO_TEST_CASE(client_of_a_stream_is_told_at_the_time_limit_of_a_drain) {
   auto fixture = Fixture{};
   fixture.agent.policy.drain_limit = base::seconds(1);
   auto delivered = fixture.Deliver(kObserve, "b1", 11);
@@ -82,9 +83,9 @@
   BOOST_TEST((Find<Drained>(effects) != nullptr));
 }
 
-// New clients get refusals while six desks idle: the agent beside a dead one answers probes and has
-// no load. It must report that it refuses, until its target answers a ping again.
-BOOST_AUTO_TEST_CASE(agent_of_a_dead_or_silent_target_reports_that_it_refuses) {
+// New clients were refused while six desks were idle, because the agent beside a dead target
+// answers probes and has no load. It has to report refusals until its target answers a ping again.
+BOOST_AUTO_TEST_CASE(agent_of_a_dead_or_silent_target_reports_refusals) {
   auto fixture = Fixture{};
   auto refused = [&] { return fixture.agent.directory.load.refused_permille; };
   fixture.Run(TargetRecordChanged{RecordOf("desk-2", 2)});
@@ -105,7 +106,8 @@
   BOOST_TEST(refused() == 999U);
 }
 
-// With no target left, a client is told so by an error; refused a flow, it would hear nothing.
+// Without any target left, a client has to receive an error. If its flow were refused, it would get
+// no answer.
 BOOST_AUTO_TEST_CASE(agent_of_the_last_target_opens_flows_although_it_is_dead) {
   auto fixture = Fixture{};
   fixture.Run(TargetUnreachable{kPingFlow});
@@ -114,9 +116,9 @@
   BOOST_TEST(CodeOf(ReplyIn(fixture.Run(TargetUnreachable{kFlow}))) == kGatewayTimeout);
 }
 
-// A hold is made twice: its POST ran, the agent was killed and started again, and a copy of the
-// POST from before its challenge arrives late. The new incarnation must not challenge it, since its
-// sender would answer.
+// A POST ran twice: the agent was killed and restarted after the first run, and a copy of the POST
+// from before its challenge arrived late. The new incarnation must not challenge the copy, since
+// the client would answer.
 BOOST_AUTO_TEST_CASE(post_of_a_flow_from_before_a_crash_is_unknown) {
   auto after_crash = Fixture{true};
   BOOST_TEST(CodeOf(ReplyIn(after_crash.Deliver(kPost, "b1", 11))) == kGatewayTimeout);
@@ -124,7 +126,7 @@
   BOOST_TEST(CodeOf(ReplyIn(first_start.Deliver(kPost, "b1", 11))) == kUnauthorized);
 }
 
-BOOST_AUTO_TEST_CASE(flow_opened_long_after_a_crash_is_not_taken_for_an_earlier_one) {
+BOOST_AUTO_TEST_CASE(flow_opened_long_after_a_crash_is_not_adopted) {
   auto fixture = Fixture{true};
   fixture.RunTimers(base::seconds(250));
   BOOST_TEST(CodeOf(ReplyIn(fixture.Deliver(kPost, "b1", 11))) == kUnauthorized);
@@ -139,8 +141,8 @@
   fixture.Run(TargetRecordRemoved{record.id, record.incarnation, 3});
 }
 
-// As above, at the neighbour that takes the dead agent's place. After a drain nothing is adopted:
-// every POST of a new flow would be told "unknown" for minutes for nothing.
+// As above, at the agent that takes the lost agent's flows. After a drain nothing is adopted;
+// otherwise every POST of a new flow would get the outcome "unknown" for minutes.
 BOOST_AUTO_TEST_CASE(flows_of_a_lost_target_are_adopted_and_those_of_a_drained_one_are_not) {
   for (auto drained : {false, true}) {
     auto fixture = Fixture{};
--- a/src/agent/tests/reply_liveness_test.cc
+++ b/src/agent/tests/reply_liveness_test.cc
@@ -10,7 +10,8 @@
 constexpr auto kTickTime = base::milliseconds(20);
 constexpr auto kNever = base::TimePoint::max();
 
-// A balancer that monitors the agent and dies at some time; it then answers nothing either.
+// A balancer that monitors the agent until it dies at a given time. Afterwards it neither probes
+// nor answers.
 struct Monitoring {
   std::string name;
   std::uint16_t port = 0;
@@ -27,14 +28,15 @@
   return header;
 }
 
-// The agent's questions in the tick's effects; those of live balancers are answered at once.
-auto AnswerQuestions(Fixture& fixture, std::vector<Monitoring>& balancers, const Effects& effects)
+// Answers the agent's probes among the tick's effects for balancers that are alive, and returns the
+// number of probes.
+auto AnswerProbes(Fixture& fixture, std::vector<Monitoring>& balancers, const Effects& effects)
     -> std::size_t {
-  auto questions = std::size_t{0};
+  auto probes = std::size_t{0};
   for (const auto& effect : effects) {
     const auto* send = std::get_if<SendTunnel>(&effect);
     if (send == nullptr || !send->header.has_probe()) continue;
-    ++questions;
+    ++probes;
     for (const auto& balancer : balancers) {
       auto tunnel = BalancerOf(balancer.name, balancer.port).tunnel;
       if (send->to != tunnel || fixture.now >= balancer.dies || balancer.unheard) continue;
@@ -43,10 +45,11 @@
       fixture.Run(TunnelMessage{tunnel, &header, {}});
     }
   }
-  return questions;
+  return probes;
 }
 
-// One tick of 20 ms with the probes that fall due. Gives the number of the agent's own questions.
+// Runs one tick of 20 ms with the balancers' due probes. Returns the number of the agent's own
+// probes.
 auto RunTick(Fixture& fixture, std::vector<Monitoring>& balancers) -> std::size_t {
   for (auto& balancer : balancers) {
     if (balancer.period == base::Duration::zero() || fixture.now < balancer.next) continue;
@@ -57,28 +60,29 @@
     header.mutable_probe()->set_unheard(balancer.unheard);
     fixture.Run(TunnelMessage{BalancerOf(balancer.name, balancer.port).tunnel, &header, {}});
   }
-  auto questions = AnswerQuestions(fixture, balancers, fixture.Run(Timer{}));
+  auto probes = AnswerProbes(fixture, balancers, fixture.Run(Timer{}));
   fixture.now += kTickTime;
-  return questions;
+  return probes;
 }
 
 auto RunTicks(Fixture& fixture, std::vector<Monitoring>& balancers, base::Duration span)
     -> std::size_t {
-  auto questions = std::size_t{0};
-  for (auto end = fixture.now + span; fixture.now < end;) questions += RunTick(fixture, balancers);
-  return questions;
+  auto probes = std::size_t{0};
+  for (auto end = fixture.now + span; fixture.now < end;) probes += RunTick(fixture, balancers);
+  return probes;
 }
 
 // GET with Observe 0 and token aa (RFC 7641, 2).
 const auto kObserve = wire::Bytes{0x41, 0x01, 0x00, 0x01, 0xaa, 0x60};
 
-// A stream as its target sees it; the first answer's header and token are those of the request.
+// A stream as seen by its target. The header and token of the first answer are those of the
+// request.
 struct Stream {
   wire::Bytes answer;
   std::uint16_t number = 1;
 };
 
-// The next non-confirmable notification (RFC 7252, 3; Observe is option 6).
+// Returns the next non-confirmable notification (RFC 7252, 3; Observe is option 6).
 auto NextNotification(Stream& stream) -> wire::Bytes {
   ++stream.number;
   auto notification = stream.answer;
@@ -102,7 +106,7 @@
   return stream;
 }
 
-// Where the stream's next notification, whose client is silent, leaves now.
+// Returns the route of the stream's next notification while its client is silent.
 auto RouteOfNotification(Fixture& fixture, Stream& stream) -> base::Endpoint {
   auto notification = NextNotification(stream);
   for (const auto& effect : fixture.Run(TargetDatagram{kFlow, notification})) {
@@ -113,8 +117,9 @@
   return {};
 }
 
-// Time from b2's death until nothing leaves by it any more; one notification a tick, for `span`.
-auto TimeToNotice(Fixture& fixture, std::vector<Monitoring>& balancers, base::Duration span)
+// Returns the time from b2's death until no reply is sent through it any more, with one
+// notification per tick for `span`.
+auto TimeToDetection(Fixture& fixture, std::vector<Monitoring>& balancers, base::Duration span)
     -> base::Duration {
   auto stream = OpenStream(fixture);
   RunTicks(fixture, balancers, base::seconds(10));
@@ -131,9 +136,9 @@
 
 BOOST_AUTO_TEST_SUITE(ReplyLiveness)
 
-// Half of a balancer's control bytes were probes of agents whose replies may leave by it. An agent
-// that its monitors probe in every round has no question of its own.
-BOOST_AUTO_TEST_CASE(MonitorsThatProbeInEveryRoundAreAskedNothing) {
+// Half of a balancer's control bytes were probes by agents whose replies it might carry. An agent
+// that its monitors probe in every round must not send probes of its own.
+BOOST_AUTO_TEST_CASE(MonitorsThatProbeInEveryRoundAreNotProbed) {
   auto fixture = Fixture{};
   auto balancers = std::vector<Monitoring>{{"b1", 11, base::milliseconds(500)},
                                            {"b2", 12, base::milliseconds(500)}};
@@ -141,32 +146,32 @@
   BOOST_TEST(RunTicks(fixture, balancers, base::minutes(1)) == 0u);
 }
 
-// Where probes come seldom one balancer is asked a round, not each.
-BOOST_AUTO_TEST_CASE(WithoutMonitorsOneBalancerIsAskedARound) {
+// If monitors probe rarely, one balancer is probed per round, not each.
+BOOST_AUTO_TEST_CASE(WithoutMonitorsOneBalancerIsProbedPerRound) {
   auto fixture = Fixture{};
   auto balancers = std::vector<Monitoring>{{"b1", 11}, {"b2", 12}};
   RunTicks(fixture, balancers, base::seconds(2));
-  auto questions = RunTicks(fixture, balancers, base::minutes(1));
-  BOOST_TEST(questions >= 50u);
-  BOOST_TEST(questions <= 100u);
+  auto probes = RunTicks(fixture, balancers, base::minutes(1));
+  BOOST_TEST(probes >= 50u);
+  BOOST_TEST(probes <= 100u);
 }
 
-// A feed whose client has been silent goes on within a second of its balancer's death, whether
-// monitors probe in every round, at the pace of the largest fleet, or not at all.
+// A feed whose client is silent has to continue within a second of its balancer's death, whether
+// monitors probe in every round, at the rate of the largest fleet, or not at all.
 BOOST_AUTO_TEST_CASE(AFeedLeavesADeadBalancerWithinASecond) {
   for (auto period : {base::milliseconds(500), base::milliseconds(2000), base::milliseconds(0)}) {
     auto fixture = Fixture{};
     auto balancers = std::vector<Monitoring>{{"b1", 11, period}, {"b2", 12, period}};
-    auto noticed = TimeToNotice(fixture, balancers, base::seconds(20));
+    auto noticed = TimeToDetection(fixture, balancers, base::seconds(20));
     BOOST_TEST_MESSAGE("noticed after "
                        << std::chrono::duration_cast<base::milliseconds>(noticed).count() << " ms");
     BOOST_CHECK(noticed <= base::seconds(1));
   }
 }
 
-// A feed's client gets every second notification: what the agent sends to b2 is lost, while b2's
-// probes arrive. They say that b2 misses the answers, and are no sign.
-BOOST_AUTO_TEST_CASE(AProbeWhoseProberMissesTheAnswersIsNoSign) {
+// A feed's client received every second notification only: what the agent sent to b2 was lost,
+// while b2's probes arrived. Those probes say that b2 misses the answers, and must not count.
+BOOST_AUTO_TEST_CASE(AProbeWhoseProberMissesTheAnswersDoesNotCount) {
   auto fixture = Fixture{};
   auto balancers = std::vector<Monitoring>{{"b1", 11, base::milliseconds(500)},
                                            {"b2", 12, base::milliseconds(500)}};
@@ -180,8 +185,9 @@
   }
 }
 
-// The client sent a packet through b2 a moment ago and b2 is dead: its probes, which came in every
-// round, have stopped. The route is left before the five seconds for which a packet proves it.
+// The client has just sent a packet through b2, and b2 dies: its probes, which came in every round,
+// have stopped. The route must be left before the end of the five seconds for which a packet proves
+// it.
 BOOST_AUTO_TEST_CASE(AFreshRouteIsLeftWhenItsBalancerStopsProbing) {
   auto fixture = Fixture{};
   auto balancers = std::vector<Monitoring>{{"b1", 11, base::milliseconds(500)},
--- a/src/agent/tests/restart_test.cc
+++ b/src/agent/tests/restart_test.cc
@@ -8,7 +8,8 @@
 
 constexpr auto kRevision = std::uint64_t{1};
 
-// The second start of desk-1, while its first one's record is in force.
+// Returns the agent of desk-1 after its second start, while the record of its first one is in
+// force.
 auto StartedAgain() -> Agent {
   auto record = *RestartOf(RecordOf("desk-1", 1), RecordOf("desk-1", 1), 1);
   return AgentBuilder{}
@@ -49,9 +50,10 @@
   return all;
 }
 
-// The platform is away when a desk is started again: by its old record it would serve nobody until
-// the outage ends. It serves at once and tells peers and balancers, until the platform knows it.
-BOOST_AUTO_TEST_CASE(a_target_started_again_serves_under_its_earlier_record_and_says_so) {
+// A desk is restarted while the platform is down. If it waited for a new record, it would serve
+// nobody until the outage ends. It has to serve at once, and to notify peers and balancers until
+// the platform knows it.
+BOOST_AUTO_TEST_CASE(a_restarted_target_serves_under_its_earlier_record_and_notifies_others) {
   auto world = World{};
   BOOST_CHECK(world.agent.phase == Phase::kServing);
   auto notices = NoticesOfASecond(world);
@@ -70,8 +72,9 @@
   BOOST_CHECK(world.agent.phase == Phase::kServing);
 }
 
-// A balancer that missed the notice probes the earlier process; it is told before the answer comes.
-BOOST_AUTO_TEST_CASE(a_prober_is_told_of_the_restart_first) {
+// A balancer that missed the notice probes the earlier process. It has to receive the notice before
+// the answer.
+BOOST_AUTO_TEST_CASE(a_prober_is_notified_of_the_restart_first) {
   auto world = World{};
   auto probe = wire::pb::TunnelHeader{};
   probe.mutable_probe()->set_sequence(5);
@@ -81,8 +84,9 @@
   BOOST_TEST(std::get<SendTunnel>(effects[1]).header.has_probe_answer());
 }
 
-// A peer hears of it: flows of the dead process may have run there, so they count as lost.
-BOOST_AUTO_TEST_CASE(a_peer_takes_the_word_and_notes_what_was_lost) {
+// A peer learns of the restart. Flows of the dead process may have run requests there, so they have
+// to count as lost.
+BOOST_AUTO_TEST_CASE(a_peer_accepts_the_notice_and_records_the_loss) {
   auto fixture = Fixture{};
   auto record = RecordOf("desk-2", 2);
   fixture.Run(TargetRecordChanged{record});
@@ -99,8 +103,8 @@
   BOOST_TEST(membership::FindTarget(fixture.agent.view, record.id)->record.incarnation == 2U);
 }
 
-// The record's machine is another one, or its process another target: it has to wait for the
-// platform, or packets meant for one would reach the other.
+// The record names another machine, or its process is another target. The agent has to wait for the
+// platform, or packets for one target would reach the other.
 BOOST_AUTO_TEST_CASE(only_the_same_target_at_the_same_address_may_serve_under_a_record) {
   auto own = RecordOf("desk-1", 1);
   BOOST_TEST(RestartOf(own, own, 1)->incarnation == 2U);
--- a/src/agent/tests/stand_by_test.cc
+++ b/src/agent/tests/stand_by_test.cc
@@ -16,7 +16,7 @@
   return requests::ParseMessage(received.bytes).value();
 }
 
-// Feeds that have their copies, with `desks` desks.
+// Returns `desks` desks with feeds whose copies have been sent.
 auto OpenFeeds(std::size_t desks, std::uint32_t clients = kClients) -> DrainWorld {
   auto world = MakeDrainWorld(desks, 0);
   RunFor(world, base::seconds(1));
@@ -27,7 +27,8 @@
   return world;
 }
 
-// The desk that has a copy of the flow's observations, or the number of desks.
+// Returns the desk that has a copy of the flow's observations; the number of desks if there is
+// none.
 auto KeeperOf(const DrainWorld& world, const base::FlowKey& flow) -> std::size_t {
   auto keeps = [&](const Desk& desk) { return desk.agent.directory.copies.contains(flow); };
   auto found = std::ranges::find_if(world.desks, keeps);
@@ -69,10 +70,10 @@
   }
 }
 
-// Traders watch prices and send nothing; their desk's target and agent die together. Within three
-// seconds the prices come from another desk, under the same token and with rising numbers. Without
-// the copies nobody knows these clients any more.
-BOOST_AUTO_TEST_CASE(observation_goes_on_when_target_and_agent_die) {
+// Clients observe feeds and send nothing, and their desk's target and agent die together. Within
+// three seconds the notifications have to come from another desk, under the same token and with
+// rising sequence numbers. Without the copies nobody would know these clients any more.
+BOOST_AUTO_TEST_CASE(observation_continues_when_target_and_agent_die) {
   auto world = OpenFeeds(3);
   auto flows = FlowsOf(world, 0);
   Kill(world, 0);
@@ -84,8 +85,9 @@
   }
 }
 
-// The loss of a second desk right after: the first stand-by has left copies of what it took over.
-BOOST_AUTO_TEST_CASE(observation_goes_on_twice) {
+// A second desk is lost right after the first. The first stand-by has to have sent copies of the
+// flows that it took over.
+BOOST_AUTO_TEST_CASE(observation_continues_after_a_second_loss) {
   auto world = OpenFeeds(4);
   auto flows = FlowsOf(world, 0);
   Kill(world, 0);
@@ -98,9 +100,9 @@
   }
 }
 
-// A desk loses its way to all others, which live and serve. To itself all of them look dead: taking
-// their flows over, it would notify their clients beside them.
-BOOST_AUTO_TEST_CASE(stand_by_that_is_cut_off_takes_nothing_over) {
+// A desk is disconnected from all others, which are alive and serve. It considers all of them dead;
+// if it took their flows over, it would notify their clients besides their owners.
+BOOST_AUTO_TEST_CASE(disconnected_stand_by_takes_nothing_over) {
   auto world = OpenFeeds(3);
   auto flows = FlowsOf(world, 0);
   Cut(world, 1, 0);
@@ -110,8 +112,9 @@
   BOOST_TEST(world.desks[1].agent.directory.counters.copies_taken == 0U);
 }
 
-// Two desks lose each other, and a third reaches both: nothing is lost, and nobody acts.
-BOOST_AUTO_TEST_CASE(stand_by_takes_nothing_over_that_a_peer_reaches) {
+// Two desks are disconnected from each other, and a third reaches both. Nothing is lost, so nothing
+// may be taken over.
+BOOST_AUTO_TEST_CASE(stand_by_does_not_take_over_from_an_owner_that_a_peer_reaches) {
   auto world = OpenFeeds(3);
   Cut(world, 1, 0);
   RunFor(world, base::seconds(10));
@@ -120,8 +123,9 @@
   }
 }
 
-// With two desks nobody else can say whether the other one lives. Its removed record does.
-BOOST_AUTO_TEST_CASE(stand_by_without_a_witness_waits_for_the_removed_record) {
+// With two desks, no peer can tell whether the other one is alive. The removal of its record
+// confirms the loss.
+BOOST_AUTO_TEST_CASE(stand_by_without_another_peer_waits_for_the_removed_record) {
   auto world = OpenFeeds(2);
   auto flows = FlowsOf(world, 0);
   Kill(world, 0);
@@ -132,8 +136,9 @@
   for (const auto& flow : flows) BOOST_TEST(world.received[flow].back().from == 1U);
 }
 
-// The stand-by's own target has died as well, or its connections are used up: the traders are told
-// at once, in a confirmable message that is repeated, instead of looking at an old price.
+// The stand-by's own target has died as well, or is at its connection limit. The clients have to be
+// told at once by a confirmable message that is retransmitted; otherwise they would continue to
+// show old values.
 BOOST_AUTO_TEST_CASE(client_is_told_when_its_stand_by_cannot_serve) {
   for (auto full : {false, true}) {
     auto world = OpenFeeds(3);
@@ -167,8 +172,8 @@
   }
 }
 
-// Most flows are short: an observation of two seconds costs no copy; a longer one costs one, which
-// is taken away when the client has ended it.
+// Most flows are short. An observation of two seconds must not cost a copy; a longer one costs one,
+// which is removed when the client ends the observation.
 BOOST_AUTO_TEST_CASE(copy_lasts_as_long_as_its_observation) {
   auto world = MakeDrainWorld(3, 0);
   auto flow = FlowOfClient(1);
@@ -187,8 +192,8 @@
   BOOST_TEST(KeeperOf(world, flow) == 3U);
 }
 
-// The owner does not reach its stand-by for a while, and knows no other: the copy must stay, also
-// right after, or an owner that dies then leaves its clients to a frozen screen.
+// The owner does not reach its stand-by for a while and knows no other. The copy has to stay, also
+// right afterwards; otherwise the clients would get no notification after the owner's death.
 BOOST_AUTO_TEST_CASE(copy_stays_where_it_is_while_no_other_can_keep_it) {
   auto world = OpenFeeds(2);
   auto flow = FlowsOf(world, 0).front();
@@ -202,8 +207,8 @@
   }
 }
 
-// The stand-by is out of the owner's reach, and another one gets the copy. When the first is back,
-// it is that one's again, and the other has forgotten it.
+// The stand-by is unreachable for the owner, and another one gets the copy. When the first one is
+// reachable again, it has to get the copy back, and the other one has to remove it.
 BOOST_AUTO_TEST_CASE(copy_follows_the_stand_by) {
   auto world = OpenFeeds(3);
   auto flow = FlowsOf(world, 0).front();
@@ -217,8 +222,9 @@
   BOOST_TEST(!world.desks[3 - first].agent.directory.copies.contains(flow));
 }
 
-// Many feeds open at once: their copies wait for their turn, and all are there in the end.
-BOOST_AUTO_TEST_CASE(copies_keep_to_their_bytes) {
+// Many feeds open at once. Their copies have to stay within the budget, and all of them have to be
+// sent in the end.
+BOOST_AUTO_TEST_CASE(copies_stay_within_their_byte_budget) {
   auto world = OpenFeeds(3, kMany);
   const auto policy = StandByPolicy{};
   auto check = [&](double seconds) {
--- a/src/agent/types/agent_policy.h
+++ b/src/agent/types/agent_policy.h
@@ -9,17 +9,18 @@
 
 namespace anvildrum::agent {
 
-/// Copies of observations at another agent; docs/design/standby.md has the arithmetic.
+/// Copies of observations at other agents; docs/design/standby.md has the calculations.
 struct StandByPolicy {
   bool copies = true;                               ///< false: none are sent
-  base::Duration min_age = base::seconds(3);        ///< observations that have not are left out
-  base::Duration scan_interval = base::seconds(2);  ///< between two looks for what has changed
-  base::Duration refresh = base::minutes(20);       ///< sent again after this, changed or not
-  base::Duration retry = base::milliseconds(400);   ///< doubled at each repetition
+  base::Duration min_age = base::seconds(3);        ///< younger observations are not copied
+  base::Duration scan_interval = base::seconds(2);  ///< between two scans for changes
+  /// Copies are sent again after this time, changed or not.
+  base::Duration refresh = base::minutes(20);
+  base::Duration retry = base::milliseconds(400);  ///< doubled at each repetition
   base::Duration max_retry = base::seconds(10);
-  std::size_t batch_bytes = 900;        ///< a batch that has reached this takes no more copies
+  std::size_t batch_bytes = 900;        ///< a batch of this size takes no further copies
   std::size_t max_copy_bytes = 16'384;  ///< a flow with a larger one is not copied
-  /// Sent at most; beyond it copies wait, and flows that end meanwhile cost nothing.
+  /// Limits the bytes sent. Beyond it copies wait, and flows that end in the meantime cost nothing.
   double bytes_per_second = 1500;
   double burst_bytes = 15'000;
 };
@@ -29,48 +30,51 @@
   steering::DirectoryPolicy directory;
   requests::Parameters requests;
   membership::SuspicionPolicy suspicion;
-  /// Balancers that are asked in turn, for replies of flows without fresh client packets, while no
-  /// monitor's probe tells which ones live. Any balancer can carry any reply, so a few suffice,
-  /// whatever the fleet's size.
+  /// Number of balancers that are probed in turn for replies of flows without recent client
+  /// packets, while no monitor's probe shows which ones are alive. Any balancer can carry any
+  /// reply, so a few suffice for a fleet of any size.
   std::size_t reply_balancers = 4;
-  /// A balancer's probe shows for this long that replies may leave by it, and without any such sign
-  /// one balancer is asked this often. A little over SuspicionPolicy::probe_period, so that a
-  /// monitor that probes in every round is not asked as well.
+  /// How long a balancer's probe shows that it can carry replies. Without any such probe, one
+  /// balancer is probed at this interval. It is a little longer than SuspicionPolicy::probe_period,
+  /// so that a monitor that probes in every round is not probed in turn.
   base::Duration liveness_period = base::milliseconds(600);
-  /// A balancer that probes at known intervals is late by this much before it is left out.
+  /// A balancer with a known probe interval is no longer used when its probe is late by this time.
   base::Duration liveness_margin = base::milliseconds(300);
-  /// A client packet through a balancer proves the whole way for this long.
+  /// How long a client packet through a balancer proves the whole route.
   base::Duration route_ttl = base::seconds(5);
-  /// Peers of the service that are probed at most; the others are heard of through the relay.
+  /// Number of peers of the service that are probed at most. The others' failures are learnt
+  /// through the relay.
   std::size_t probed_peers = 16;
-  base::Duration load_period = base::milliseconds(100);  ///< between two looks at the own load
-  base::Duration ping_period = base::milliseconds(250);  ///< between two looks at the target
-  std::uint32_t silent_pings = 8;  ///< unanswered ones until others are preferred
-  /// The answers of a flow that ended are still sent for this long: every retransmission of a
-  /// confirmable one (RFC 7252, 4.8.2) fits in.
+  base::Duration load_period = base::milliseconds(100);  ///< between two updates of the own load
+  base::Duration ping_period = base::milliseconds(250);  ///< between two pings of the target
+  std::uint32_t silent_pings = 8;  ///< unanswered pings until other targets are preferred
+  /// How long the answers of a flow that has ended are still sent: long enough indefinitelyy
+  /// retransmission of a confirmable message (RFC 7252, 4.8.2).
   base::Duration ended_flow_ttl = requests::kMaxTransmitWait;
-  /// Between two notices of a restart that the platform doesn't know of yet, to one instance after
-  /// the other: 10 a second of 90 bytes, however many there are.
+  /// Interval between two notices of a restart that the platform does not know yet. The recipients
+  /// take turns: 10 notices a second of 90 bytes, whatever their number.
   base::Duration restart_notice_period = base::milliseconds(100);
-  std::size_t max_ended_flows = 100'000;  ///< bound on those, and on flows of lost owners
-  /// A late copy of a request is on its way for less than this.
+  std::size_t max_ended_flows = 100'000;  ///< limit on these, and on flows of lost owners
+  /// A late copy of a request arrives within this time.
   base::Duration lost_target_ttl = requests::kExchangeLifetime;
-  /// From then to the end of the process: the clients' last answers are sent twice (RFC 7252, 4.2).
+  /// Time from the end of the flows to the end of the process, in which the clients' last answers
+  /// are sent twice (RFC 7252, 4.2).
   base::Duration shutdown_grace = base::seconds(4);
   StandByPolicy stand_by;
   base::Duration hand_over_period = base::milliseconds(100);
-  std::size_t hand_overs_per_period = 128;  ///< flows that a draining agent offers at most
-  /// A flow whose request the target refused is offered to a target with a free slot for this long:
+  std::size_t hand_overs_per_period = 128;  ///< limit on flows that a draining agent offers
+  /// How long a flow whose request the target refused is offered to a target with a free slot:
   /// until its client may be back (a refusal's Max-Age is at least a second).
   base::Duration shed_window = base::seconds(1);
-  std::size_t shed_flows = 64;  ///< that wait for it at most
-  /// Load reports lag: without a bound, targets that fill up in turns would pass flows around.
+  std::size_t shed_flows = 64;  ///< limit on flows waiting for an offer
+  /// Load reports are stale. Without a limit, targets that fill up in turns would pass flows
+  /// around.
   double shed_moves_per_second = 8;
   double shed_moves_burst = 16;
-  /// How long a draining agent goes on passing packets on after its last flow has moved: until
-  /// every balancer has heard that it drains.
+  /// How long a draining agent forwards packets after its last flow has moved: until every balancer
+  /// has learnt of the drain.
   base::Duration drain_linger = base::seconds(6);
-  base::Duration drain_limit = base::hours(8);  ///< then what is left is ended
+  base::Duration drain_limit = base::hours(8);  ///< then the remaining flows are ended
 };
 
 }  // namespace anvildrum::agent
