--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -138,10 +138,10 @@
 struct Timer {};
 struct StopRequested {};
 /// The fabric no longer sends packets here (or the time allowed for it has passed).
-struct FabricLetGo {};
+struct FabricWithdrawn {};
 
 using Event = std::variant<ClientPacket, TunnelMessage, ViewChanged, ConfigChanged, Timer,
-                           StopRequested, FabricLetGo>;
+                           StopRequested, FabricWithdrawn>;
 
 struct SendTunnel {
   base::Endpoint to;
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -151,7 +151,7 @@
   state.phase = NextPhase(state.phase, LifeEvent::kStop);
 }
 
-auto Handle(Balancer& state, const FabricLetGo&, base::TimePoint, Effects&) -> void {
+auto Handle(Balancer& state, const FabricWithdrawn&, base::TimePoint, Effects&) -> void {
   state.phase = NextPhase(state.phase, LifeEvent::kLetGo);
 }
 
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -238,7 +238,7 @@
   Step(state, StopRequested{}, kNow);
   BOOST_CHECK(state.phase == Phase::kStopping);
   BOOST_CHECK(Send(state).kind == RouteKind::kHome);
-  Step(state, FabricLetGo{}, kNow);
+  Step(state, FabricWithdrawn{}, kNow);
   BOOST_CHECK(state.phase == Phase::kStopped);
   BOOST_CHECK(Send(state).kind == RouteKind::kNotReady);
 }
--- a/src/daemon/internal/balancer_runtime.cc
+++ b/src/daemon/internal/balancer_runtime.cc
@@ -276,7 +276,7 @@
 }
 
 auto BalancerRuntime::EndStop() -> void {
-  this->Carry(balancer::Step(this->balancer, balancer::FabricLetGo{}, Now()));
+  this->Carry(balancer::Step(this->balancer, balancer::FabricWithdrawn{}, Now()));
   this->runtime->io.stop();
 }
 
--- a/tools/scenario/balancer_node.cc
+++ b/tools/scenario/balancer_node.cc
@@ -94,7 +94,7 @@
 }
 
 auto EndStop(BalancerNode& node) -> void {
-  Carry(node, balancer::Step(node.balancer, balancer::FabricLetGo{}, Now(node)));
+  Carry(node, balancer::Step(node.balancer, balancer::FabricWithdrawn{}, Now(node)));
   Trace(*node.world, node.name + " stopped");
   EndProcess(ProcessOf(node));
 }
