--- a/src/balancer/internal/monitors.cc
+++ b/src/balancer/internal/monitors.cc
@@ -120,7 +120,7 @@
 }  // namespace
 
 auto PeersToProbe(const Monitor& monitor) -> std::vector<PeerRef> {
-  auto all = CountInstances(monitor.view) <= monitor.policy.probe_all_up_to;
+  auto all = CountInstances(monitor.view) <= monitor.policy.probe_all_limit;
   auto domains = DomainsOf(monitor.view);
   auto pools = std::map<std::string, Pools>{};
   auto peers = std::vector<PeerRef>{};
--- a/src/balancer/monitor.h
+++ b/src/balancer/monitor.h
@@ -17,7 +17,7 @@
   /// Up to this many agents and balancers are probed by every balancer. Beyond, each one is probed
   /// by `monitors` balancers, so that a probe's cost does not grow with the product of balancers
   /// and agents: more than relay::RelayPolicy::suspicion_quorum, so that one may die.
-  std::size_t probe_all_up_to = 64;
+  std::size_t probe_all_limit = 64;
   std::size_t monitors = 5;
   /// Of these, so many are of the nearest other failure domain: a quorum.
   std::size_t monitors_outside = 3;
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -120,7 +120,7 @@
 // and would keep it suspect for ever: no new flow goes there, and its report would still count.
 BOOST_AUTO_TEST_CASE(a_suspect_that_is_left_to_others_is_not_suspect_any_more) {
   auto monitor = MonitorOf("b1");
-  monitor.policy.probe_all_up_to = 2;
+  monitor.policy.probe_all_limit = 2;
   monitor.policy.monitors = 1;
   auto view = ViewOf(2);
   Step(monitor, MonitorView{&view}, kStart);
