--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -77,7 +77,7 @@
 struct EstablishedFilter {
   std::vector<std::uint64_t> current;
   std::vector<std::uint64_t> previous;
-  base::TimePoint renewed{};
+  base::TimePoint rotated_at{};
 };
 
 struct Balancer {
--- a/src/balancer/internal/established_filter.cc
+++ b/src/balancer/internal/established_filter.cc
@@ -47,8 +47,8 @@
 }
 
 auto RenewFilter(EstablishedFilter& filter, base::Duration period, base::TimePoint now) -> void {
-  if (now - filter.renewed < period) return;
-  filter.renewed = now;
+  if (now - filter.rotated_at < period) return;
+  filter.rotated_at = now;
   std::swap(filter.current, filter.previous);
   std::ranges::fill(filter.current, 0);
 }
