--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -144,7 +144,7 @@
   if (now < state.next_tick) return;
   state.next_tick = now + state.policy.table_tick;
   steering::Tick(state.flows);
-  RenewFilter(state.established, state.policy.established_period, now);
+  RotateFilter(state.established, state.policy.established_period, now);
 }
 
 auto Handle(Balancer& state, const StopRequested&, base::TimePoint, Effects&) -> void {
--- a/src/balancer/internal/established_filter.cc
+++ b/src/balancer/internal/established_filter.cc
@@ -46,7 +46,7 @@
   return HasAll(filter.current, fingerprint) || HasAll(filter.previous, fingerprint);
 }
 
-auto RenewFilter(EstablishedFilter& filter, base::Duration period, base::TimePoint now) -> void {
+auto RotateFilter(EstablishedFilter& filter, base::Duration period, base::TimePoint now) -> void {
   if (now - filter.rotated_at < period) return;
   filter.rotated_at = now;
   std::swap(filter.current, filter.previous);
--- a/src/balancer/internal/established_filter.h
+++ b/src/balancer/internal/established_filter.h
@@ -13,6 +13,6 @@
 auto IsEstablished(const EstablishedFilter& filter, const steering::Fingerprint& fingerprint)
     -> bool;
 
-auto RenewFilter(EstablishedFilter& filter, base::Duration period, base::TimePoint now) -> void;
+auto RotateFilter(EstablishedFilter& filter, base::Duration period, base::TimePoint now) -> void;
 
 }  // namespace anvildrum::balancer
