--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -34,7 +34,7 @@
     return;
   }
   ++state.counters.replies;
-  NoteEstablished(state.established, steering::FingerprintOf(*flow));
+  AddEstablished(state.established, steering::FingerprintOf(*flow));
   effects.client.push_back({*address, flow->client, event.payload});
 }
 
--- a/src/balancer/internal/established_filter.cc
+++ b/src/balancer/internal/established_filter.cc
@@ -34,7 +34,7 @@
   return filter;
 }
 
-auto NoteEstablished(EstablishedFilter& filter, const steering::Fingerprint& fingerprint) -> void {
+auto AddEstablished(EstablishedFilter& filter, const steering::Fingerprint& fingerprint) -> void {
   for (auto i = std::uint64_t{0}; i < kProbes; ++i) {
     auto bit = BitOf(fingerprint, i, filter.current.size());
     filter.current[bit / kWordBits] |= std::uint64_t{1} << (bit % kWordBits);
--- a/src/balancer/internal/established_filter.h
+++ b/src/balancer/internal/established_filter.h
@@ -7,7 +7,7 @@
 auto MakeEstablishedFilter(std::size_t bits) -> EstablishedFilter;
 
 /// Takes the flow in; renews the older filter when its period is over.
-auto NoteEstablished(EstablishedFilter& filter, const steering::Fingerprint& fingerprint) -> void;
+auto AddEstablished(EstablishedFilter& filter, const steering::Fingerprint& fingerprint) -> void;
 
 /// True for every flow noted in the last one to two periods, and for few others.
 auto IsEstablished(const EstablishedFilter& filter, const steering::Fingerprint& fingerprint)
