--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -17,29 +17,31 @@
 /// Parameters of a balancer.
 struct BalancerPolicy {
   std::size_t flow_table_capacity = 1 << 17;
-  /// Packets of flows that are not known to be established may open a flow at this rate; those over
-  /// it travel with may_open = false, so that an existing flow still gets them.
+  /// Rate at which packets of flows that are not known to be established may open a flow. Packets
+  /// over this rate are sent with may_open = false, so that they still reach an existing flow.
   double openings_per_second = 4000;
   double openings_burst = 8000;
-  std::size_t established_bits = 1 << 22;  ///< of each of the two filters of established flows
-  base::Duration established_period = base::minutes(5);  ///< after which a filter is renewed
-  std::uint64_t trace_one_in = 0;                        ///< sample; 0: none
+  std::size_t established_bits = 1 << 22;  ///< size of each of the two filters of established flows
+  /// Interval between two rotations of the filters.
+  base::Duration established_period = base::minutes(5);
+  /// Traces one packet in this number; 0: none.
+  std::uint64_t trace_one_in = 0;
   base::Duration table_tick = base::seconds(1);
 };
 
-/// Life cycle; the transitions are in internal/life_cycle.cc.
+/// The balancer's life cycle; internal/life_cycle.cc has the transitions.
 enum class Phase : std::uint8_t {
-  kStarting,  ///< no configuration or no targets yet: packets are dropped and counted
+  kStarting,  ///< no configuration or no targets yet; packets are dropped and counted
   kReady,
-  kStopping,  ///< told to stop: forwards until the fabric has let go of it
+  kStopping,  ///< requested to stop; forwards until the fabric has withdrawn it
   kStopped,
 };
 
 struct BalancerCounters {
   std::uint64_t client_packets = 0;
-  std::uint64_t to_owner = 0;  ///< by the flow table
+  std::uint64_t to_owner = 0;  ///< sent by an entry of the flow table
   std::uint64_t to_home = 0;
-  std::uint64_t to_second = 0;  ///< the home is suspect
+  std::uint64_t to_second = 0;  ///< sent to the second home because the first is suspect
   std::uint64_t replies = 0;
   std::uint64_t unknown_address = 0;  ///< no service at the local address
   std::uint64_t no_target = 0;
@@ -52,12 +54,12 @@
   std::uint64_t refused_unknown_flow = 0;
   std::uint64_t refused_hop_limit = 0;
   std::uint64_t refused_draining = 0;
-  std::uint64_t malformed = 0;      ///< tunnel messages that were sealed right but make no sense
-  std::uint64_t misdirected = 0;    ///< tunnel messages that are for agents
-  std::uint64_t wrong_service = 0;  ///< replies for a service that is not configured
+  std::uint64_t malformed = 0;      ///< authentic tunnel messages with invalid content
+  std::uint64_t misdirected = 0;    ///< tunnel messages meant for agents
+  std::uint64_t wrong_service = 0;  ///< replies of a service that is not configured
 };
 
-/// One service as the balancer steers it; `targets` and `candidates` are in the same order.
+/// The routing data of a service. `targets` and `candidates` have the same order.
 struct ServiceRoute {
   base::ServiceId service;
   std::vector<base::Endpoint> addresses;
@@ -72,8 +74,9 @@
   steering::CandidateSet candidates;
 };
 
-/// Flows that got a reply through this balancer: two Bloom filters (Bloom, 1970), the younger one
-/// filled, both asked, renewed in turn. Memory is fixed, whatever the clients send.
+/// Flows that got a reply through this balancer, in two Bloom filters (Bloom, 1970). Flows are
+/// added to the current filter and looked up in both; the filters are rotated in turn. The memory
+/// is fixed, whatever clients send.
 struct EstablishedFilter {
   std::vector<std::uint64_t> current;
   std::vector<std::uint64_t> previous;
@@ -84,7 +87,7 @@
   BalancerPolicy policy;
   base::InstanceId instance;
   base::Incarnation incarnation = 0;
-  base::Endpoint tunnel;  ///< this balancer's own, for replies
+  base::Endpoint tunnel;  ///< of this balancer, for replies
   Phase phase = Phase::kStarting;
   std::uint64_t config_number = 0;
   std::unordered_map<base::Endpoint, std::uint32_t> service_at;  ///< index into routes
@@ -115,29 +118,30 @@
   std::uint64_t seed = 1;
 };
 
-/// A client's datagram at a local address. The payload is used during the call only.
+/// A client's datagram for a local address. The payload is used during the call only.
 struct ClientPacket {
   base::Endpoint service_address;
   base::Endpoint client;
   wire::BytesView payload;
 };
-/// A datagram of the tunnel: Reply, Hint, Refused, DrainNotice; others are ignored.
+/// A tunnel datagram: Reply, Hint, Refused, DrainNotice or RestartNotice. Probes are handled by the
+/// monitor; others are counted.
 struct TunnelMessage {
   base::Endpoint from;
   const wire::pb::TunnelHeader* header = nullptr;
   wire::BytesView payload;
 };
-/// Also after this instance's own suspicion changed.
+/// Also sent when this instance's own suspicions change.
 struct ViewChanged {
   const membership::View* view = nullptr;
 };
-/// Lower numbers than the one in force are ignored.
+/// Numbers lower than the one in force are ignored.
 struct ConfigChanged {
   const config::Configuration* configuration = nullptr;
 };
 struct Timer {};
 struct StopRequested {};
-/// The fabric no longer sends packets here (or the time allowed for it has passed).
+/// The fabric no longer sends packets to this balancer, or the time limit for that has passed.
 struct FabricWithdrawn {};
 
 using Event = std::variant<ClientPacket, TunnelMessage, ViewChanged, ConfigChanged, Timer,
@@ -149,19 +153,19 @@
   wire::BytesView payload;
 };
 struct SendClient {
-  base::Endpoint service_address;  ///< to send from
+  base::Endpoint service_address;  ///< source address of the datagram
   base::Endpoint client;
   wire::BytesView payload;
 };
 
-/// Payloads view the event's buffer.
+/// Payload views refer to the event's buffer.
 struct Effects {
   std::vector<SendTunnel> tunnel;
   std::vector<SendClient> client;
   bool view_changed = false;  ///< a DrainNotice changed `Balancer::view`
 };
 
-/// The balancer's one entry.
+/// Applies an event and returns its effects.
 auto Step(Balancer& state, const Event& event, base::TimePoint now) -> Effects;
 
 enum class RouteKind : std::uint8_t {
@@ -173,7 +177,7 @@
   kNotReady
 };
 
-/// Where a client's packet goes.
+/// The routing decision for a client's packet.
 struct Route {
   RouteKind kind = RouteKind::kNoTarget;
   base::Endpoint to;
@@ -184,16 +188,17 @@
   std::uint64_t span_id = 0;
 };
 
-/// The decision for one packet without the allocations of Effects; Step uses it as well. Counts.
+/// Returns the routing decision for a packet, without the allocations of Effects, and counts it.
+/// Step uses this function as well.
 auto RoutePacket(Balancer& state, const base::Endpoint& service_address,
                  const base::Endpoint& client, base::TimePoint now) -> Route;
 
-/// Writes the header that carries a routed packet; the message's memory is reused.
+/// Writes the tunnel header of a routed packet. The message's memory is reused.
 auto WritePacketHeader(const Balancer& state, const Route& route, wire::pb::TunnelHeader& header)
     -> void;
 
-/// The address from which replies of a service leave: its first in the configuration. Null when the
-/// service is not configured.
+/// Returns the source address of a service's replies: its first address in the configuration.
+/// Returns null if the service is not configured.
 auto ServiceAddress(const Balancer& state, base::ServiceId service) -> const base::Endpoint*;
 
 }  // namespace anvildrum::balancer
--- a/src/balancer/internal/balancer.cc
+++ b/src/balancer/internal/balancer.cc
@@ -46,7 +46,7 @@
   }
   const auto* service = FindRoute(state, flow->service);
   auto owner = steering::FlowHint{{hint.owner().target()}, hint.owner().incarnation()};
-  // Safeguard: a hint for a target of another service would carry packets across services.
+  // Safeguard: a hint for a target of another service would send packets across services.
   if (service == nullptr || FindTarget(*service, owner) == nullptr) {
     ++state.counters.stale_hints;
     return;
@@ -73,7 +73,7 @@
   }
 }
 
-// Whatever the reason, the hint that led there is of no use any more.
+// Whatever the reason, the hint by which the packet was sent is no longer valid.
 auto HandleRefused(Balancer& state, const wire::pb::Refused& refused) -> void {
   auto flow = wire::ReadFlow(refused.flow());
   if (!flow) {
@@ -118,7 +118,7 @@
       return HandleDrainNotice(state, event.header->drain_notice(), effects);
     case TunnelHeader::kProbe:
     case TunnelHeader::kProbeAnswer:
-      return;  // the monitor's
+      return;  // handled by the monitor
     case TunnelHeader::kRestartNotice:
       return HandleRestartNotice(state, event, now, effects);
     default:
@@ -133,8 +133,8 @@
 }
 
 auto Handle(Balancer& state, const ConfigChanged& event, base::TimePoint, Effects&) -> void {
-  // Safeguard: a stale peer or a lagging read offers an older configuration; what is in force never
-  // reverts.
+  // Safeguard: a stale peer or a delayed read offers an older configuration. The configuration in
+  // force never reverts.
   if (event.configuration->number <= state.config_number) return;
   UpdateServices(state, *event.configuration);
   BecomeReady(state);
@@ -152,7 +152,7 @@
 }
 
 auto Handle(Balancer& state, const FabricWithdrawn&, base::TimePoint, Effects&) -> void {
-  state.phase = NextPhase(state.phase, LifeEvent::kLetGo);
+  state.phase = NextPhase(state.phase, LifeEvent::kWithdrawn);
 }
 
 }  // namespace
--- a/src/balancer/internal/established_filter.cc
+++ b/src/balancer/internal/established_filter.cc
@@ -6,10 +6,10 @@
 namespace anvildrum::balancer {
 namespace {
 
-constexpr auto kProbes = std::uint64_t{4};
+constexpr auto kHashCount = std::uint64_t{4};
 constexpr auto kWordBits = std::uint64_t{64};
 
-// Kirsch and Mitzenmacher (2006): two hashes stand for any number of them.
+// Derives any number of hashes from two (Kirsch and Mitzenmacher, 2006).
 auto BitOf(const steering::Fingerprint& fingerprint, std::uint64_t i, std::size_t words)
     -> std::uint64_t {
   return (fingerprint.low + i * fingerprint.high) & (words * kWordBits - 1);
@@ -17,7 +17,7 @@
 
 auto HasAll(const std::vector<std::uint64_t>& bits, const steering::Fingerprint& fingerprint)
     -> bool {
-  for (auto i = std::uint64_t{0}; i < kProbes; ++i) {
+  for (auto i = std::uint64_t{0}; i < kHashCount; ++i) {
     auto bit = BitOf(fingerprint, i, bits.size());
     if ((bits[bit / kWordBits] >> (bit % kWordBits) & 1U) == 0) return false;
   }
@@ -35,7 +35,7 @@
 }
 
 auto AddEstablished(EstablishedFilter& filter, const steering::Fingerprint& fingerprint) -> void {
-  for (auto i = std::uint64_t{0}; i < kProbes; ++i) {
+  for (auto i = std::uint64_t{0}; i < kHashCount; ++i) {
     auto bit = BitOf(fingerprint, i, filter.current.size());
     filter.current[bit / kWordBits] |= std::uint64_t{1} << (bit % kWordBits);
   }
--- a/src/balancer/internal/established_filter.h
+++ b/src/balancer/internal/established_filter.h
@@ -6,10 +6,10 @@
 
 auto MakeEstablishedFilter(std::size_t bits) -> EstablishedFilter;
 
-/// Takes the flow in; renews the older filter when its period is over.
+/// Adds the flow to the current filter.
 auto AddEstablished(EstablishedFilter& filter, const steering::Fingerprint& fingerprint) -> void;
 
-/// True for every flow noted in the last one to two periods, and for few others.
+/// Returns true for every flow added in the last one to two periods, and for few others.
 auto IsEstablished(const EstablishedFilter& filter, const steering::Fingerprint& fingerprint)
     -> bool;
 
--- a/src/balancer/internal/life_cycle.cc
+++ b/src/balancer/internal/life_cycle.cc
@@ -11,7 +11,7 @@
 
 struct Configured {};
 struct Stop {};
-struct LetGo {};
+struct Withdrawn {};
 
 struct LifeCycleFront : msm::front::state_machine_def<LifeCycleFront> {
   struct Starting : msm::front::state<> {};
@@ -21,11 +21,11 @@
   using initial_state = Starting;
   template <typename Source, typename Event, typename Next>
   using Row = msm::front::Row<Source, Event, Next, msm::front::none, msm::front::none>;
-  // A balancer that stops goes on forwarding until the fabric has let go of it: the fabric may
-  // still hand it packets of established flows.
+  // A stopping balancer forwards packets until the fabric has withdrawn it, because the fabric may
+  // still send it packets of established flows.
   struct transition_table  // NOLINT(readability-identifier-naming): the name that MSM looks for
       : boost::mpl::vector<Row<Starting, Configured, Ready>, Row<Starting, Stop, Stopped>,
-                           Row<Ready, Stop, Stopping>, Row<Stopping, LetGo, Stopped>> {};
+                           Row<Ready, Stop, Stopping>, Row<Stopping, Withdrawn, Stopped>> {};
   template <typename Machine, typename Event>
   auto no_transition(const Event&, Machine&, int) -> void {}  // NOLINT: the name that MSM calls
 };
@@ -39,8 +39,8 @@
     case LifeEvent::kStop:
       machine.process_event(Stop{});
       return;
-    case LifeEvent::kLetGo:
-      machine.process_event(LetGo{});
+    case LifeEvent::kWithdrawn:
+      machine.process_event(Withdrawn{});
       return;
   }
 }
@@ -49,7 +49,7 @@
 constexpr auto kPhases =
     std::array{Phase::kStarting, Phase::kReady, Phase::kStopping, Phase::kStopped};
 
-// A machine in the given phase: the balancer keeps only the phase, and changes it rarely.
+// Returns a machine in the given phase. The balancer stores only the phase, and changes it rarely.
 auto MachineIn(Phase phase) -> LifeCycle {
   auto machine = LifeCycle();
   machine.start();
@@ -57,7 +57,7 @@
   machine.process_event(Configured{});
   if (phase == Phase::kReady) return machine;
   machine.process_event(Stop{});
-  if (phase == Phase::kStopped) machine.process_event(LetGo{});
+  if (phase == Phase::kStopped) machine.process_event(Withdrawn{});
   return machine;
 }
 
--- a/src/balancer/internal/life_cycle.h
+++ b/src/balancer/internal/life_cycle.h
@@ -4,9 +4,9 @@
 
 namespace anvildrum::balancer {
 
-enum class LifeEvent : std::uint8_t { kConfigured, kStop, kLetGo };
+enum class LifeEvent : std::uint8_t { kConfigured, kStop, kWithdrawn };
 
-/// The phase after the event. A plain face to the state machine, which only life_cycle.cc includes.
+/// Returns the phase after the event. Hides the state machine, which only life_cycle.cc includes.
 auto NextPhase(Phase phase, LifeEvent event) -> Phase;
 
 }  // namespace anvildrum::balancer
--- a/src/balancer/internal/monitor.cc
+++ b/src/balancer/internal/monitor.cc
@@ -44,7 +44,7 @@
   return header;
 }
 
-auto NoteChange(MonitorContext& context, const membership::SuspectChanged& change) -> void {
+auto ReportChange(MonitorContext& context, const membership::SuspectChanged& change) -> void {
   auto& effects = context.effects;
   if (const auto* balancer = BalancerOf(context.monitor, change.instance)) {
     effects.balancer_changes.push_back({*balancer, change.suspect});
@@ -68,7 +68,7 @@
     ++monitor.probes_sent;
     context.effects.sends.push_back({*to, std::move(header)});
   }
-  for (const auto& change : observed.changes) NoteChange(context, change);
+  for (const auto& change : observed.changes) ReportChange(context, change);
 }
 
 auto SuspectsOf(const Monitor& monitor) -> std::vector<base::InstanceId> {
@@ -79,28 +79,30 @@
   return suspects;
 }
 
-// 0 when nothing is on record.
+// Returns 0 if the view has no record of the instance.
 auto RevisionOf(const Monitor& monitor, base::InstanceId instance) -> std::uint64_t {
   if (const auto* balancer = BalancerOf(monitor, instance)) return balancer->revision;
   const auto* record = RecordOf(monitor, instance);
   return record == nullptr ? 0 : record->revision;
 }
 
-/// What was said of an instance before its record changed, or before it was left to others.
+/// Repeats or withdraws the report of an instance after its record has changed, or after other
+/// balancers have become its monitors.
 ///
-/// Failure: an agent writes its record anew (it drains) and dies in the same second; it was suspect
-/// before and stays so. The report named the earlier revision, which no delete can meet. Symptom:
-/// the record of a dead target stays for ever. Another: a suspect has other monitors now; this one
-/// would suspect it for ever, and three such stale words clear a live target.
-auto SayAgain(MonitorContext& context, base::InstanceId instance, std::uint64_t revision_before)
+/// Safeguard: an agent writes its record again (it drains) and dies in the same second, and was
+/// suspect before. Without a new report, the last one would name the earlier revision, which no
+/// conditional delete can match, and the record of a dead target would stay forever. A suspect may
+/// also get other monitors. Without a withdrawal, this balancer would suspect it forever, and three
+/// such stale reports remove the record of a live target.
+auto RepeatReport(MonitorContext& context, base::InstanceId instance, std::uint64_t revision_before)
     -> void {
   auto& monitor = context.monitor;
   auto revision = RevisionOf(monitor, instance);
   if (revision == 0) return;
   const auto* peer = membership::FindPeer(monitor.suspicion, instance);
   auto suspect = peer != nullptr && peer->suspect;
-  auto is_news = suspect == (revision != revision_before);
-  if (peer == nullptr || is_news) NoteChange(context, {instance, suspect});
+  auto has_changed = suspect == (revision != revision_before);
+  if (peer == nullptr || has_changed) ReportChange(context, {instance, suspect});
 }
 
 auto Handle(MonitorContext& context, const MonitorView& event) -> void {
@@ -112,7 +114,7 @@
   auto peers = PeersToProbe(monitor);
   Observe(context, membership::PeersChanged{peers});
   for (auto i = std::size_t{0}; i < suspects.size(); ++i) {
-    SayAgain(context, suspects[i], revisions[i]);
+    RepeatReport(context, suspects[i], revisions[i]);
   }
 }
 
--- a/src/balancer/internal/monitors.cc
+++ b/src/balancer/internal/monitors.cc
@@ -18,8 +18,8 @@
 /// Balancers that may monitor the instances of one failure domain.
 struct Pools {
   Balancers inside;
-  Balancers outside;       ///< of the nearest domains, as many as may be needed
-  bool is_inside = false;  ///< whether this balancer is one of the first
+  Balancers outside;       ///< in the nearest domains, as many as may be needed
+  bool is_inside = false;  ///< this balancer is in `inside`
   bool is_outside = false;
 };
 
@@ -36,14 +36,15 @@
   return domains;
 }
 
-auto CommonStart(std::string_view left, std::string_view right) -> std::size_t {
+auto CommonPrefixLength(std::string_view left, std::string_view right) -> std::size_t {
   auto ends = std::ranges::mismatch(left, right);
   return static_cast<std::size_t>(ends.in1 - left.begin());
 }
 
-// Nearest first. Safeguard: monitors in a region that is cut off from the target's would take all
-// its targets for dead and, being a quorum, have their records deleted. Names of one region's
-// domains begin alike (boston-1, boston-2), so those are taken before any other.
+// Returns the other failure domains, nearest first. Safeguard: monitors in a region that is
+// disconnected from the target's region would consider all its targets dead and, being a quorum,
+// have their records deleted. The names of a region's domains have a common prefix (boston-1,
+// boston-2), so those domains come first.
 auto NearestDomains(const Domains& domains, const std::string& name)
     -> std::vector<Domains::const_iterator> {
   auto order = std::vector<Domains::const_iterator>{};
@@ -56,7 +57,7 @@
   append(start, domains.end());
   append(domains.begin(), start);
   std::ranges::stable_sort(order, std::ranges::greater{},
-                           [&](auto domain) { return CommonStart(domain->first, name); });
+                           [&](auto domain) { return CommonPrefixLength(domain->first, name); });
   return order;
 }
 
@@ -76,8 +77,8 @@
   return pools;
 }
 
-auto IsAmongFirst(const Balancers& pool, std::size_t count, base::InstanceId self,
-                  base::InstanceId observed) -> bool {
+auto IsAmongTopRanked(const Balancers& pool, std::size_t count, base::InstanceId self,
+                      base::InstanceId observed) -> bool {
   auto own = MonitorRank(self, observed);
   auto better = std::ranges::count_if(pool, [&](base::InstanceId balancer) {
     return balancer != observed && MonitorRank(balancer, observed) < own;
@@ -85,10 +86,11 @@
   return static_cast<std::size_t>(better) < count;
 }
 
-// Safeguard: a failure domain is lost with all its balancers. Were its targets monitored from
-// inside alone, nobody would suspect them, their records would stay, and each of their clients
-// would run into its timeout. So a quorum of the monitors is outside, and the others are inside,
-// where a balancer's round trip is short; where one side has too few, the other makes up for it.
+// Safeguard: a failure domain may be lost with all its balancers. If its targets were monitored
+// from inside only, nobody would suspect them, their records would stay, and each of their clients
+// would wait for its timeout. A quorum of the monitors is therefore outside. The others are inside,
+// where the round trip to a balancer is short. If one side has too few balancers, the other side
+// provides more.
 auto IsMonitorOf(const Monitor& monitor, const Pools& pools, base::InstanceId observed) -> bool {
   if (!pools.is_inside && !pools.is_outside) return false;
   const auto& policy = monitor.policy;
@@ -96,8 +98,8 @@
   auto outside = std::min(pools.outside.size(), policy.monitors_outside);
   inside = std::min(inside, policy.monitors - outside);
   outside = std::min(pools.outside.size(), policy.monitors - inside);
-  if (pools.is_inside) return IsAmongFirst(pools.inside, inside, monitor.self, observed);
-  return IsAmongFirst(pools.outside, outside, monitor.self, observed);
+  if (pools.is_inside) return IsAmongTopRanked(pools.inside, inside, monitor.self, observed);
+  return IsAmongTopRanked(pools.outside, outside, monitor.self, observed);
 }
 
 auto CountInstances(const membership::View& view) -> std::size_t {
@@ -106,7 +108,7 @@
   return count;
 }
 
-// Every balancer and target of the view but the monitor itself.
+// Calls `use` for every balancer and target of the view except the monitor itself.
 template <typename Use>
 auto ForEachInstance(const Monitor& monitor, const Use& use) -> void {
   for (const auto& balancer : monitor.view.balancers) {
--- a/src/balancer/internal/monitors.h
+++ b/src/balancer/internal/monitors.h
@@ -6,7 +6,8 @@
 
 namespace anvildrum::balancer {
 
-/// Whom this balancer probes: all while they are few, otherwise those that it monitors by rank.
+/// Returns the peers that this balancer probes: all while there are few, otherwise those that it
+/// monitors by rank.
 auto PeersToProbe(const Monitor& monitor) -> std::vector<membership::PeerRef>;
 
 }  // namespace anvildrum::balancer
--- a/src/balancer/internal/route.cc
+++ b/src/balancer/internal/route.cc
@@ -6,7 +6,8 @@
 namespace anvildrum::balancer {
 namespace {
 
-constexpr auto kTraceStep = std::uint64_t{0x9e3779b97f4a7c15};  // odd: visits every 64-bit number
+constexpr auto kTraceStep =
+    std::uint64_t{0x9e3779b97f4a7c15};  // odd, so that it visits every 64-bit number
 
 auto SampleTrace(Balancer& state, Route& route) -> void {
   if (state.policy.trace_one_in == 0) return;
@@ -20,7 +21,7 @@
   route.span_id = route.trace_id ^ state.instance.value;
 }
 
-// Where the flow table sends the packet, if the hint still holds.
+// Returns the target of the flow's hint, if the hint is still valid.
 auto FollowHint(Balancer& state, const ServiceRoute& service,
                 const steering::Fingerprint& fingerprint) -> const ServiceRoute::Target* {
   const auto* hint = steering::Find(state.flows, fingerprint);
@@ -31,15 +32,15 @@
     steering::Erase(state.flows, fingerprint);
     return nullptr;
   }
-  // The home, or the second, may still reach a target that this balancer suspects.
-  // Safeguard: a draining target hands its flows over and ends; a hint that still names it then
-  // would lose packets until its record is gone here. The home knows who has the flow.
+  // The home or the second home may still reach a target that this balancer suspects. Safeguard: a
+  // draining target hands its flows over and ends. If a hint that names it were followed, packets
+  // would be lost until its record is removed here. The home knows the flow's owner.
   return target->suspect || target->draining ? nullptr : target;
 }
 
-// Safeguard: under a flood of new flows the agents would open flows without end. A balancer cannot
-// tell a new flow from one that it has not seen yet, so it lets every packet pass, but those over
-// the limit cannot open a flow. No state is kept for them.
+// Safeguard: during a flood of new flows, agents would open an unlimited number of flows. A
+// balancer cannot distinguish a new flow from one that it has not seen yet. It forwards every
+// packet, but packets over the limit cannot open a flow. No state is kept for them.
 auto MayOpen(Balancer& state, const steering::Fingerprint& fingerprint, base::TimePoint now)
     -> bool {
   if (IsEstablished(state.established, fingerprint)) return true;
--- a/src/balancer/internal/tables.h
+++ b/src/balancer/internal/tables.h
@@ -4,19 +4,19 @@
 
 namespace anvildrum::balancer {
 
-/// Makes the routes' targets and candidates anew from the view.
+/// Rebuilds the routes' targets and candidates from the view.
 auto UpdateTargets(Balancer& state) -> void;
 
-/// Makes addresses and routes anew from the configuration.
+/// Rebuilds addresses and routes from the configuration.
 auto UpdateServices(Balancer& state, const config::Configuration& configuration) -> void;
 
-/// Null when the target or its incarnation isn't in the service.
+/// Returns null if the service does not have this incarnation of the target.
 auto FindTarget(const ServiceRoute& route, const steering::FlowHint& hint)
     -> const ServiceRoute::Target*;
 
 auto FindRoute(const Balancer& state, base::ServiceId service) -> const ServiceRoute*;
 
-/// Whether there is something to route to.
+/// Whether there is a target to route to.
 auto HasTargets(const Balancer& state) -> bool;
 
 }  // namespace anvildrum::balancer
--- a/src/balancer/monitor.h
+++ b/src/balancer/monitor.h
@@ -8,18 +8,19 @@
 #include "membership/view.h"
 #include "wire/datagram.h"
 
-/// A balancer's observation of agents and other balancers: which ones it probes, what it suspects.
-/// No input or output.
+/// A balancer's observation of agents and other balancers: which ones it probes and which ones it
+/// suspects. It does no input or output itself.
 namespace anvildrum::balancer {
 
 struct MonitorPolicy {
   membership::SuspicionPolicy suspicion;
-  /// Up to this many agents and balancers are probed by every balancer. Beyond, each one is probed
-  /// by `monitors` balancers, so that a probe's cost does not grow with the product of balancers
-  /// and agents: more than relay::RelayPolicy::suspicion_quorum, so that one may die.
+  /// Up to this number of agents and balancers, every balancer probes all of them. Above it, each
+  /// one is probed by `monitors` balancers, so that the cost of probes does not grow with the
+  /// product of balancers and agents. `monitors` is larger than
+  /// relay::RelayPolicy::suspicion_quorum, so that one monitor may die.
   std::size_t probe_all_limit = 64;
   std::size_t monitors = 5;
-  /// Of these, so many are of the nearest other failure domain: a quorum.
+  /// Number of these that are in the nearest other failure domains: a quorum.
   std::size_t monitors_outside = 3;
 };
 
@@ -47,13 +48,14 @@
   base::Endpoint to;
   wire::pb::TunnelHeader header;
 };
-/// The opinion on a target changed.
+/// A target's suspicion changed.
 struct TargetSuspicion {
   membership::TargetRecord record;
   bool suspect = false;
 };
-/// The opinion on another balancer changed. Packets are never routed by it; it clears the record of
-/// a balancer that died, or stopped while the platform was away, and could not take it back itself.
+/// Another balancer's suspicion changed. It does not affect routing. It leads to the removal of the
+/// record of a balancer that died, or that stopped while the platform was down and could not remove
+/// its record itself.
 struct BalancerSuspicion {
   membership::BalancerRecord record;
   bool suspect = false;
@@ -64,7 +66,7 @@
   std::vector<BalancerSuspicion> balancer_changes;
 };
 
-/// The monitor's one entry. Answers probes, sends its own, and reports what it suspects.
+/// Applies an event: answers probes, sends the monitor's own and reports changes of suspicion.
 auto Step(Monitor& monitor, const MonitorEvent& event, base::TimePoint now) -> MonitorEffects;
 
 }  // namespace anvildrum::balancer
--- a/src/balancer/tests/balancer_test.cc
+++ b/src/balancer/tests/balancer_test.cc
@@ -78,7 +78,7 @@
   return header;
 }
 
-// Some target that isn't the flow's home.
+// Returns a target of the service that is not the flow's home.
 auto OtherThanHome(Balancer& state) -> membership::TargetRecord {
   auto home = Send(state).to;
   const auto* service = membership::FindService(state.view, kDesk);
@@ -100,9 +100,9 @@
   BOOST_CHECK(route.to == owner.tunnel);
 }
 
-// A hint names a target of the mapper for a flow of the desk. Following it, the balancer would send
-// a trader's packet to the mapper.
-BOOST_AUTO_TEST_CASE(a_hint_across_services_is_not_taken) {
+// A hint names a target of mapper for a flow of desk. If the balancer followed it, it would send a
+// desk client's packet to mapper.
+BOOST_AUTO_TEST_CASE(a_hint_across_services_is_not_applied) {
   auto state = MakeReady(SmallPolicy());
   auto hint = HintFor(MakeRecord("map-11", "mapper", 11));
   Step(state, TunnelMessage{{}, &hint, {}}, kNow);
@@ -110,7 +110,8 @@
   BOOST_TEST(state.counters.stale_hints == 1u);
 }
 
-// The owner's process restarts: the hint names a process that is gone, and with it the flow.
+// The owner's process restarts. The hint names the former process, which is gone together with the
+// flow.
 BOOST_AUTO_TEST_CASE(a_hint_to_an_earlier_incarnation_is_dropped) {
   auto state = MakeReady(SmallPolicy());
   auto owner = OtherThanHome(state);
@@ -125,9 +126,9 @@
   BOOST_TEST(state.flows.size == 0u);
 }
 
-// The owner drains: it hands the flow over and ends within seconds. A hint that still names it
-// would send a trader's packets to a process that is gone, until its record is; the home knows
-// better.
+// The owner drains, hands the flow over and ends within seconds. If the hint that names it were
+// followed, packets would go to a process that is gone until its record is removed. The home knows
+// the new owner.
 BOOST_AUTO_TEST_CASE(a_hint_to_a_draining_target_is_not_followed) {
   auto state = MakeReady(SmallPolicy());
   auto owner = OtherThanHome(state);
@@ -154,9 +155,10 @@
   BOOST_CHECK(route.to != home);
 }
 
-// A flood of spoofed clients. Each packet still goes to its home, because it may belong to a flow
-// that another balancer carried so far, but over the limit none may open a flow, and the balancer
-// keeps nothing of it. A client that got a reply through here is not limited.
+// A flood of packets with spoofed client addresses. Each packet still goes to its home, because it
+// may belong to a flow that another balancer has carried so far. Over the limit none may open a
+// flow, and the balancer keeps no state for it. A client that received a reply through this
+// balancer is not limited.
 BOOST_AUTO_TEST_CASE(a_flood_opens_flows_at_the_limit_and_leaves_established_ones_alone) {
   auto policy = SmallPolicy();
   policy.openings_per_second = 10;
@@ -178,7 +180,8 @@
   BOOST_TEST(state.flows.size == 0u);
 }
 
-// A draining target's home share moves at the notice of its agent, without the platform.
+// After its agent's notice a draining target must not be the home of any flow, without the
+// platform.
 BOOST_AUTO_TEST_CASE(a_drain_notice_moves_the_home_at_once) {
   auto state = MakeReady(SmallPolicy());
   auto home = Send(state).to;
@@ -193,9 +196,10 @@
   BOOST_CHECK(Send(state).to != home);
 }
 
-// A target is started again while the platform is away; its agent says so itself. A balancer that
-// suspects it would send it no new client until the outage ends. From another address the word is
-// not believed: two agents under one name.
+// A target restarts while the platform is down, and its agent notifies the balancers itself.
+// Without the notice, a balancer that suspects the target would send it no new client until the
+// outage ends. A notice from another address must not be accepted, since it would mean two agents
+// under one name.
 BOOST_AUTO_TEST_CASE(a_restart_notice_counts_from_the_targets_own_address_only) {
   auto state = MakeReady(SmallPolicy());
   auto record = MakeRecord("desk-1", "desk", 1);
@@ -214,8 +218,8 @@
   BOOST_TEST(!target->suspect);
 }
 
-// An operator moves an address from the desk to the mapper. A stale peer offers the older
-// configuration afterwards; were it taken, mapper's clients would reach the desk.
+// An operator moves an address from desk to mapper, and a stale peer offers the older configuration
+// afterwards. If it were applied, mapper's clients would reach desk.
 BOOST_AUTO_TEST_CASE(an_address_moves_between_services_and_never_back) {
   auto state = MakeReady(SmallPolicy());
   auto moved = MakeConfiguration(2);
@@ -229,8 +233,9 @@
   BOOST_TEST(state.config_number == 2u);
 }
 
-// A balancer that stops is still handed packets until the fabric has noticed.
-BOOST_AUTO_TEST_CASE(a_stopping_balancer_forwards_until_the_fabric_lets_go) {
+// A stopping balancer still receives packets until the fabric has withdrawn it, and has to forward
+// them.
+BOOST_AUTO_TEST_CASE(a_stopping_balancer_forwards_until_the_fabric_withdraws_it) {
   auto state = BalancerBuilder{}.WithPolicy(SmallPolicy()).Build();
   BOOST_CHECK(Send(state).kind == RouteKind::kNotReady);
   state = MakeReady(SmallPolicy());
@@ -243,9 +248,9 @@
   BOOST_CHECK(Send(state).kind == RouteKind::kNotReady);
 }
 
-// An instance of another version, or a fault, sends what is sealed right and makes no sense here.
-// Each kind is counted, nothing is sent, and the next client's packet goes its way.
-BOOST_AUTO_TEST_CASE(tunnel_messages_without_sense_are_counted_by_kind) {
+// An instance of another version or a faulty one sends authentic messages without a meaning to a
+// balancer. Each type is counted, nothing is sent, and the next client's packet is forwarded.
+BOOST_AUTO_TEST_CASE(invalid_tunnel_messages_are_counted_by_type) {
   auto state = MakeReady(SmallPolicy());
   auto without_flow = wire::pb::TunnelHeader{};
   without_flow.mutable_reply();
@@ -267,7 +272,7 @@
   BOOST_CHECK(Send(state).kind == RouteKind::kHome);
 }
 
-// A client's packet comes in by an address that no service has.
+// A client's packet is addressed to an address that no service has.
 BOOST_AUTO_TEST_CASE(a_packet_for_an_unknown_address_is_counted) {
   auto state = MakeReady(SmallPolicy());
   auto nobodys = base::EndpointFromV4(0x0a000009, 5683);
--- a/src/balancer/tests/interleaving_checks.cc
+++ b/src/balancer/tests/interleaving_checks.cc
@@ -1,4 +1,4 @@
-// What is checked at each delivery and hand-over.
+// The checks at each delivery and hand-over.
 #include "balancer/tests/interleaving_world.h"
 
 namespace anvildrum::balancer {
@@ -24,7 +24,7 @@
   Fail(world, "an established flow moved to another target");
 }
 
-auto CheckTaken(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void {
+auto CheckTakeover(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void {
   auto process = TargetProcess{agent.record.id.value, agent.record.incarnation};
   for (const auto& other : world.agents) {
     auto before = TargetProcess{other->record.id.value, other->record.incarnation};
@@ -37,7 +37,7 @@
   if (known != world.owner_of.end()) known->second = process;
 }
 
-auto NoteLetGo(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void {
+auto RecordDroppedFlow(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void {
   auto process = TargetProcess{agent.record.id.value, agent.record.incarnation};
   auto known = world.owner_of.find(flow);
   if (known == world.owner_of.end() || known->second != process) return;
--- a/src/balancer/tests/interleaving_nodes.cc
+++ b/src/balancer/tests/interleaving_nodes.cc
@@ -2,7 +2,7 @@
 
 namespace anvildrum::balancer {
 
-// A new process lists the platform's records.
+// Applies the platform's records to a new process.
 template <typename AnyNode>
 auto ListRecords(World& world, AnyNode& node) -> void {
   for (const auto& [id, record] : world.records) {
@@ -10,7 +10,7 @@
   }
   ApplyWeights(world, node);
   UpdatePeers(world, node);
-  TellCore(world, node);
+  NotifyCore(world, node);
 }
 
 auto StartAgent(World& world, const membership::TargetRecord& record) -> void {
--- a/src/balancer/tests/interleaving_run.cc
+++ b/src/balancer/tests/interleaving_run.cc
@@ -7,7 +7,7 @@
 
 constexpr auto kShedSeeds = 4U;  // targets shed load in one script of so many
 constexpr auto kRemovalDelay = base::seconds(5);
-constexpr auto kRest = base::seconds(20);
+constexpr auto kSettleTime = base::seconds(20);
 constexpr auto kClients = 10U;
 
 template <typename Nodes>
@@ -28,7 +28,7 @@
   world.dead.insert(ProcessOf(agent));
 }
 
-// A stopped process may be given up by the platform's conditional update before it wakes.
+// The platform may remove the record of a paused process by a conditional update before it resumes.
 auto Freeze(World& world, AgentNode& agent, const Action& action) -> void {
   agent.frozen_until = world.now + base::milliseconds(action.length_ms);
   world.disturbed.insert(ProcessOf(agent));
@@ -53,7 +53,7 @@
     record.service = base::ServiceIdOf(record.service_name);
   }
   StartAgent(world, record);
-  // A cut is between addresses: the new process is behind it as well.
+  // A cut is between addresses, so it applies to the new process as well.
   if (IsCutOff(world, record.tunnel)) world.disturbed.insert(ProcessOf(*world.agents.back()));
 }
 
@@ -61,7 +61,7 @@
   if (agent.record.draining || IsFrozen(world, agent)) return;
   agent.record.draining = true;
   membership::ApplyDrain(agent.view, agent.record.id, agent.record.incarnation);
-  TellCore(world, agent);
+  NotifyCore(world, agent);
   Publish(world, agent.record, false);
 }
 
@@ -123,7 +123,7 @@
     case ActionKind::kKill:
       if (running.size() < 3) return;
       Kill(world, agent);
-      // With the platform down, the record of the dead stays.
+      // While the platform is down, the record of the dead agent stays.
       if (action.other % 2 == 0) Publish(world, agent.record, true, kRemovalDelay);
       return;
     case ActionKind::kRestart:
@@ -153,12 +153,12 @@
   });
 }
 
-// After everything has healed: every client is served, by one target.
-auto CheckAtRest(World& world) -> void {
+// Checks that after all faults have ended every client is served by one target.
+auto CheckSettled(World& world) -> void {
   world.loss_permille = 0;
   world.sheds = false;
-  RunUntil(world, world.now + kRest);
-  // While a target was stopped or cut off, its flows may have been opened elsewhere.
+  RunUntil(world, world.now + kSettleTime);
+  // While a target was paused or disconnected, its flows may have been opened elsewhere.
   if (!world.disturbed.empty()) world.owner_of.clear();
   world.disturbed.clear();
   for (auto round = 0U; round < 3; ++round) {
@@ -175,8 +175,8 @@
   }
 }
 
-// Without loss on the way, planned change drops no packet: not at the hop limit, and none that was
-// held.
+// Checks that without packet loss, planned changes drop no packet, neither at the hop limit nor
+// while it is held.
 auto CheckNothingDropped(World& world) -> void {
   if (!world.script.planned || world.script.loss_permille != 0) return;
   for (const auto& agent : world.agents) {
@@ -205,7 +205,7 @@
     if (!world.failure.empty()) return world.failure;
     Run(world, action);
   }
-  CheckAtRest(world);
+  CheckSettled(world);
   CheckNothingDropped(world);
   return world.failure;
 }
--- a/src/balancer/tests/interleaving_script.cc
+++ b/src/balancer/tests/interleaving_script.cc
@@ -42,7 +42,7 @@
     if (!planned && below(2) == 0) kind = kUnplannedKinds[below(kUnplannedKinds.size())];
     script.actions.push_back({below(kLengthMs), kind, below(64), below(64), 500 + below(7000)});
   }
-  // Some changes at the same instant, which is where orders differ.
+  // Some changes happen at the same instant, because that is where their order can differ.
   if (changes > 1 && below(2) == 0) {
     script.actions.back().at_ms = script.actions[script.actions.size() - 2].at_ms;
   }
--- a/src/balancer/tests/interleaving_script.h
+++ b/src/balancer/tests/interleaving_script.h
@@ -6,17 +6,16 @@
 
 namespace anvildrum::balancer {
 
-/// What happens to the system in a run. `node` is an agent's or balancer's number, taken modulo the
-/// number there is.
+/// An action of a run. `node` is the number of an agent or balancer, modulo the number of them.
 enum class ActionKind : std::uint8_t {
   kPacket,   ///< client `node` sends through balancer `other`
   kEndFlow,  ///< the target ends client `node`'s flow
   kDrain,    ///< agent `node`
-  kLeave,    ///< agent `node`, if it drains and has no flow
+  kLeave,    ///< agent `node` leaves if it is draining and has no flow
   kJoinAgent,
   kJoinBalancer,
   kStopBalancer,  ///< balancer `node`
-  kWeight,        ///< agent `node` weighs `other` % 3 + 1
+  kWeight,        ///< agent `node` gets weight `other` % 3 + 1
   kKill,          ///< agent `node`; its record is removed later
   kRestart,       ///< agent `node`, under the same name and address
   kRestartOther,  ///< agent `node`, under the same name and address, for the other service
@@ -34,20 +33,20 @@
 
 struct Script {
   std::uint32_t seed = 0;
-  std::uint32_t agents = 3;  ///< of each service
+  std::uint32_t agents = 3;  ///< agents of each service
   std::uint32_t balancers = 2;
   std::uint32_t loss_permille = 0;
-  bool planned = true;  ///< nothing dies, stops or is cut
+  bool planned = true;  ///< no agent is killed, paused or disconnected
   std::vector<Action> actions;
 };
 
-/// Draws a script. The same seed always draws the same.
+/// Draws a script. The same seed always gives the same script.
 auto DrawScript(std::uint32_t seed, bool planned) -> Script;
 
-/// One line an action.
+/// Formats the script with one line per action.
 auto Print(const Script& script) -> std::string;
 
-/// Drops actions as long as the script fails without them. `fails` runs a script.
+/// Removes actions as long as the script still fails without them. `fails` runs a script.
 template <typename Fails>
 auto Shrink(Script script, Fails fails) -> Script {
   for (auto chunk = script.actions.size() / 2 + 1; chunk > 0; chunk /= 2) {
--- a/src/balancer/tests/interleaving_test.cc
+++ b/src/balancer/tests/interleaving_test.cc
@@ -12,15 +12,16 @@
 constexpr auto kSeeds = std::uint32_t{1000};
 #endif
 
-// A number from the environment, for runs longer than CI's.
-auto NumberOf(const char* variable, std::uint32_t usual) -> std::uint32_t {
-  const auto* asked = std::getenv(variable);
-  return asked != nullptr ? static_cast<std::uint32_t>(std::strtoul(asked, nullptr, 10)) : usual;
+// Returns a number from the environment, for longer runs than those of CI.
+auto NumberOf(const char* variable, std::uint32_t fallback) -> std::uint32_t {
+  const auto* text = std::getenv(variable);
+  return text != nullptr ? static_cast<std::uint32_t>(std::strtoul(text, nullptr, 10)) : fallback;
 }
 
-// Runs every seed; the first that fails is cut down to the actions that it takes.
-auto RunSeeds(std::uint32_t usual_first, bool planned) -> void {
-  auto first = NumberOf("ANVILDRUM_FIRST_SEED", usual_first);
+// Runs every seed. The script of the first one that fails is reduced to the actions that it needs
+// to fail.
+auto RunSeeds(std::uint32_t default_first, bool planned) -> void {
+  auto first = NumberOf("ANVILDRUM_FIRST_SEED", default_first);
   auto count = NumberOf("ANVILDRUM_SEEDS", kSeeds);
   for (auto seed = first; seed < first + count; ++seed) {
     auto script = DrawScript(seed, planned);
@@ -32,15 +33,16 @@
   }
 }
 
-// A trader's feed is open; targets drain, come back and join, balancers come and go, weights
-// change, targets shed load, and each instance hears of it at another moment, in another order,
-// over a network that loses, doubles and reorders. The trader's packets must go on reaching the one
-// target that has the feed.
+// A client's flow is established. Targets drain, return and join, balancers come and go, weights
+// change and targets shed load. Each instance learns of it at a different time and in a different
+// order, over a network that loses, duplicates and reorders packets. The client's packets have to
+// reach the one target that owns the flow throughout.
 BOOST_AUTO_TEST_CASE(planned_change_in_any_order_moves_no_flow) { RunSeeds(1, true); }
 
-// The same, with agents killed, restarted (also for the other service at the same address), stopped
-// for seconds and cut from each other. Flows of a target that died are opened anew; at rest each
-// client is served again by one target, and no packet has ever crossed services.
+// The same, with agents that are killed, restarted (also for the other service at the same
+// address), paused for seconds and disconnected from each other. Flows of a dead target are opened
+// again. In the end each client has to be served by one target again, and no packet may ever cross
+// services.
 BOOST_AUTO_TEST_CASE(unplanned_change_leaves_one_owner_a_flow) { RunSeeds(100000, false); }
 
 }  // namespace
--- a/src/balancer/tests/interleaving_world.cc
+++ b/src/balancer/tests/interleaving_world.cc
@@ -57,8 +57,8 @@
 
 auto Apply(World& world, AgentNode& agent, const steering::DirectoryEvent& event) -> void {
   auto effects = steering::Step(agent.directory, event, world.now);
-  for (const auto& taken : effects.taken) CheckTaken(world, agent, taken.flow);
-  for (const auto& dropped : effects.dropped) NoteLetGo(world, agent, dropped.flow);
+  for (const auto& taken : effects.taken) CheckTakeover(world, agent, taken.flow);
+  for (const auto& dropped : effects.dropped) RecordDroppedFlow(world, agent, dropped.flow);
   for (const auto& send : effects.sends) Send(world, agent.tunnel, send.to, send.header);
   for (const auto& delivery : effects.deliveries) {
     CheckDelivery(world, agent, delivery.flow);
@@ -73,11 +73,11 @@
   if (effects.view_changed) balancer.view = balancer.core.view;
 }
 
-auto TellCore(World& world, AgentNode& agent) -> void {
+auto NotifyCore(World& world, AgentNode& agent) -> void {
   Apply(world, agent, steering::ViewArrived{&agent.view});
 }
 
-auto TellCore(World& world, BalancerNode& balancer) -> void {
+auto NotifyCore(World& world, BalancerNode& balancer) -> void {
   Apply(world, balancer, ViewChanged{&balancer.view});
 }
 
@@ -128,36 +128,36 @@
 }
 
 template <typename AnyNode>
-auto TakeWord(World& world, AnyNode& node, const InFlight& word) -> void {
-  const auto& record = *word.record;
-  auto applied = word.removed ? membership::RemoveRecord(node.view, record.id, record.incarnation,
-                                                         record.revision)
-                              : membership::ApplyRecord(node.view, record, world.now);
+auto ApplyRecordUpdate(World& world, AnyNode& node, const InFlight& update) -> void {
+  const auto& record = *update.record;
+  auto applied = update.removed ? membership::RemoveRecord(node.view, record.id, record.incarnation,
+                                                           record.revision)
+                                : membership::ApplyRecord(node.view, record, world.now);
   ApplyWeights(world, node);
   if (applied == membership::Applied::kStale) return;
   UpdatePeers(world, node);
-  TellCore(world, node);
+  NotifyCore(world, node);
 }
 
 auto Publish(World& world, const membership::TargetRecord& record, bool removed,
              base::Duration after) -> void {
-  // The platform's conditional update refuses what comes after the removal.
+  // The platform's conditional update refuses updates after the removal.
   auto process = TargetProcess{record.id.value, record.incarnation};
   if (world.removed.contains(process)) return;
   if (removed) world.removed.insert(process);
-  auto word = std::make_shared<membership::TargetRecord>(record);
-  word->revision = ++world.revision;
+  auto update = std::make_shared<membership::TargetRecord>(record);
+  update->revision = ++world.revision;
   if (removed) {
     world.records.erase(record.id);
   } else {
-    world.records[record.id] = *word;
+    world.records[record.id] = *update;
   }
-  auto tell = [&](const Node& node) {
+  auto send = [&](const Node& node) {
     auto delay = after + base::milliseconds(Below(world, 1500));
-    Push(world, {{}, 0, {}, node.tunnel, {}, word, removed, nullptr}, delay);
+    Push(world, {{}, 0, {}, node.tunnel, {}, update, removed, nullptr}, delay);
   };
-  for (const auto& agent : world.agents) tell(*agent);
-  for (const auto& balancer : world.balancers) tell(*balancer);
+  for (const auto& agent : world.agents) send(*agent);
+  for (const auto& balancer : world.balancers) send(*balancer);
 }
 
 auto AnswerProbe(World& world, AgentNode& agent, const InFlight& datagram) -> void {
@@ -175,7 +175,7 @@
   const auto& header = datagram.header;
   auto peer = membership::PeerRef{{header.sender()}, header.incarnation()};
   auto sequence = header.probe_answer().sequence();
-  if (Observe(world, node, membership::ProbeAnswered{peer, sequence})) TellCore(world, node);
+  if (Observe(world, node, membership::ProbeAnswered{peer, sequence})) NotifyCore(world, node);
 }
 
 auto Receive(World& world, AgentNode& agent, const InFlight& datagram) -> void {
@@ -192,10 +192,10 @@
   if (header.body_case() == TunnelHeader::kDrainNotice) {
     const auto& notice = header.drain_notice();
     membership::ApplyDrain(agent.view, {notice.target().target()}, notice.target().incarnation());
-    return TellCore(world, agent);
+    return NotifyCore(world, agent);
   }
   if (header.body_case() == TunnelHeader::kHandOver) {
-    // Now and then the agent's ledger has no room.
+    // Sometimes the agent's ledger has no room.
     return Apply(world, agent,
                  steering::HandOverArrived{datagram.from, &header, {}, Below(world, 8) != 0});
   }
@@ -213,14 +213,14 @@
 auto DeliverTo(World& world, Nodes& nodes, const std::shared_ptr<InFlight>& item) -> void {
   for (auto& node : nodes) {
     if (!node->running || node->tunnel != item->to) continue;
-    if (item->parked_at != nullptr && item->parked_at != node.get()) return;
+    if (item->buffered_at != nullptr && item->buffered_at != node.get()) return;
     if (IsFrozen(world, *node)) {
-      // The socket's buffer keeps it until the process runs again, or dies.
-      item->parked_at = node.get();
+      // The socket buffers the datagram until the process runs again or dies.
+      item->buffered_at = node.get();
       item->due = node->frozen_until;
       world.queue.push(item);
     } else if (item->record != nullptr) {
-      TakeWord(world, *node, *item);
+      ApplyRecordUpdate(world, *node, *item);
     } else {
       Receive(world, *node, *item);
     }
@@ -231,8 +231,8 @@
 constexpr auto kDrainOffers = 4U;  // one in so many looks at a flow
 constexpr auto kShedOffers = 64U;
 
-// An agent offers flows to others: all when it drains, each when its requests let it; now and then
-// one when its target sheds load.
+// Offers an agent's flows to others: all of them if it drains, each when its requests allow it;
+// sometimes one when its target sheds load.
 auto OfferFlows(World& world, AgentNode& agent, steering::HandOverReason reason) -> void {
   auto one_in = reason == steering::HandOverReason::kDrain ? kDrainOffers : kShedOffers;
   auto flows = std::vector<base::FlowKey>{};
@@ -254,12 +254,12 @@
     } else if (world.sheds) {
       OfferFlows(world, *agent, steering::HandOverReason::kShed);
     }
-    if (Observe(world, *agent, membership::SuspicionTimer{})) TellCore(world, *agent);
+    if (Observe(world, *agent, membership::SuspicionTimer{})) NotifyCore(world, *agent);
   }
   for (auto& balancer : world.balancers) {
     if (!balancer->running) continue;
     Apply(world, *balancer, Timer{});
-    if (Observe(world, *balancer, membership::SuspicionTimer{})) TellCore(world, *balancer);
+    if (Observe(world, *balancer, membership::SuspicionTimer{})) NotifyCore(world, *balancer);
   }
 }
 
--- a/src/balancer/tests/interleaving_world.h
+++ b/src/balancer/tests/interleaving_world.h
@@ -15,9 +15,9 @@
 
 namespace anvildrum::balancer {
 
-using TargetProcess = std::pair<std::uint64_t, base::Incarnation>;  ///< target and start number
+using TargetProcess = std::pair<std::uint64_t, base::Incarnation>;  ///< target id and incarnation
 
-/// What a node of either role has.
+/// The common part of nodes of both roles.
 struct Node {
   base::InstanceId instance;
   base::Endpoint tunnel;
@@ -36,17 +36,17 @@
   Balancer core;
 };
 
-/// A datagram or a word of the platform on its way to a node.
+/// A datagram or a record update of the platform on its way to a node.
 struct InFlight {
   base::TimePoint due{};
   std::uint64_t order = 0;
   base::Endpoint from;
   base::Endpoint to;
   wire::pb::TunnelHeader header;
-  /// Set for a word of the platform.
+  /// Set for a record update.
   std::shared_ptr<membership::TargetRecord> record;
   bool removed = false;
-  const Node* parked_at = nullptr;  ///< in the socket of a stopped process
+  const Node* buffered_at = nullptr;  ///< in the socket of a paused process
 };
 
 struct Later {
@@ -56,7 +56,7 @@
   }
 };
 
-/// The cores of agents and balancers joined by a queue under a virtual clock.
+/// The cores of agents and balancers, connected by a queue with a virtual clock.
 struct World {
   Script script;
   std::mt19937 random;
@@ -65,21 +65,23 @@
   std::uint64_t revision = 0;
   std::uint32_t next_name = 0;
   std::uint32_t loss_permille = 0;
-  bool sheds = false;  ///< targets shed load: now and then an agent offers a flow to another
+  bool sheds = false;  ///< targets shed load: sometimes an agent offers a flow to another one
   std::vector<std::unique_ptr<AgentNode>> agents;
   std::vector<std::unique_ptr<BalancerNode>> balancers;
-  std::map<base::TargetId, membership::TargetRecord> records;  ///< the platform's
+  std::map<base::TargetId, membership::TargetRecord> records;  ///< at the platform
   std::map<base::TargetId, double> weights;
   std::priority_queue<std::shared_ptr<InFlight>, std::vector<std::shared_ptr<InFlight>>, Later>
       queue;
-  std::map<std::pair<std::uint16_t, std::uint16_t>, base::TimePoint> cuts;  ///< by ports
-  std::map<base::FlowKey, TargetProcess> owner_of;  ///< as the client saw it last
+  /// By the ports of both ends.
+  std::map<std::pair<std::uint16_t, std::uint16_t>, base::TimePoint> cuts;
+  /// The target that received the client's last packet.
+  std::map<base::FlowKey, TargetProcess> owner_of;
   std::set<TargetProcess> dead;
   std::set<TargetProcess> removed;    ///< at the platform
-  std::set<TargetProcess> disturbed;  ///< frozen or cut at some time
+  std::set<TargetProcess> disturbed;  ///< paused or disconnected at some time
   std::map<base::FlowKey, std::uint64_t> delivered;
   std::uint64_t hand_overs = 0;
-  std::string failure;  ///< the first invariant that broke
+  std::string failure;  ///< the first violated invariant
 };
 
 inline const auto kServices = std::array{std::string("desk"), std::string("mapper")};
@@ -91,27 +93,28 @@
 auto IsFrozen(const World& world, const Node& node) -> bool;
 auto Apply(World& world, AgentNode& agent, const steering::DirectoryEvent& event) -> void;
 auto Apply(World& world, BalancerNode& balancer, const Event& event) -> void;
-/// One owner a flow: the check behind every delivery.
+/// Checks at a delivery that the flow has one owner.
 auto CheckDelivery(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
-/// After a hand-over: the old owner has stopped before the new one starts.
-auto CheckTaken(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
-/// Of two owners, of which one was stopped or cut off, this one has let go of the flow: the client
-/// is the other's, also if it was heard at this one last.
-auto NoteLetGo(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
-auto TellCore(World& world, AgentNode& agent) -> void;
-auto TellCore(World& world, BalancerNode& balancer) -> void;
+/// Checks after a hand-over that the old owner has stopped before the new one starts.
+auto CheckTakeover(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
+/// Called when one of two owners, one of which was paused or disconnected, drops the flow. From
+/// then on the flow counts as the other one's, even if this one received the client's last packet.
+auto RecordDroppedFlow(World& world, const AgentNode& agent, const base::FlowKey& flow) -> void;
+auto NotifyCore(World& world, AgentNode& agent) -> void;
+auto NotifyCore(World& world, BalancerNode& balancer) -> void;
 auto UpdatePeers(World& world, Node& node) -> void;
 auto ApplyWeights(const World& world, Node& node) -> void;
 auto MakeAgentRecord(World& world, const std::string& service) -> membership::TargetRecord;
 auto StartAgent(World& world, const membership::TargetRecord& record) -> void;
 auto StartBalancer(World& world) -> void;
-/// The platform takes the record, or its removal, and tells every node at a moment of its own.
+/// Applies the record or its removal at the platform, and sends it to each node with a delay of its
+/// own.
 auto Publish(World& world, const membership::TargetRecord& record, bool removed,
              base::Duration after = {}) -> void;
 auto RunUntil(World& world, base::TimePoint until) -> void;
 
-/// Runs a script to its end, lets the system come to rest and checks the invariants; returns the
-/// one that broke, or nothing.
+/// Runs a script, lets the system settle and checks the invariants. Returns the first violated one;
+/// empty if there is none.
 auto RunScript(const Script& script) -> std::string;
 
 }  // namespace anvildrum::balancer
--- a/src/balancer/tests/monitor_test.cc
+++ b/src/balancer/tests/monitor_test.cc
@@ -37,8 +37,8 @@
   return view;
 }
 
-// A balancer stopped while the platform was away and could not take its announcement back. Unless
-// another one says so, its record stays for ever, and relay and agents keep trying it.
+// A balancer stopped while the platform was down and could not remove its record. Unless another
+// balancer reports it, its record stays forever, and the relay and agents continue to contact it.
 BOOST_AUTO_TEST_CASE(a_balancer_that_stays_silent_is_reported) {
   auto monitor = MonitorOf("b1");
   auto view = ViewOf(2);
@@ -55,15 +55,15 @@
   BOOST_TEST(reported[0].record.revision == 2u);
 }
 
-// Runs the monitor for so long that a silent peer is suspect.
+// Runs the monitor until a silent peer is suspect.
 auto RunSilent(Monitor& monitor, base::TimePoint from) -> base::TimePoint {
   auto end = from + base::seconds(10);
   for (auto now = from; now < end; now += kTick) Step(monitor, MonitorTimer{}, now);
   return end;
 }
 
-// An agent is suspect, writes its record anew and dies in the same second. A delete names the
-// revision that was suspected, so without a second report its announcement stays for ever.
+// A suspect agent writes its record again and dies in the same second. A delete names the revision
+// that was suspected, so without a second report the record would stay forever.
 BOOST_AUTO_TEST_CASE(a_suspect_whose_record_changes_is_reported_again) {
   auto monitor = MonitorOf("b1");
   auto view = ViewOf(2);
@@ -80,7 +80,7 @@
   BOOST_TEST(Step(monitor, MonitorView{&view}, now).balancer_changes.empty());
 }
 
-// It is started again after that, and dies again: a fresh peer, found silent and reported anew.
+// The instance restarts after that and dies again. It is a new peer, and has to be reported again.
 BOOST_AUTO_TEST_CASE(an_instance_that_dies_twice_is_reported_twice) {
   auto monitor = MonitorOf("b1");
   auto view = ViewOf(2);
@@ -100,10 +100,10 @@
   BOOST_TEST(reported == std::vector<std::uint64_t>{77}, boost::test_tools::per_element());
 }
 
-// A target dies and is started again while the platform is away: the record stays, the process is
-// another one. Were its suspicion left standing, the clearers would delete a live target's record
-// as soon as the platform is back.
-BOOST_AUTO_TEST_CASE(a_new_process_under_the_same_record_is_not_suspect_any_more) {
+// A target dies and restarts while the platform is down: its record stays, but the process is a new
+// one. If the suspicion stayed, the record of a live target would be deleted as soon as the
+// platform is available.
+BOOST_AUTO_TEST_CASE(a_new_process_under_the_same_record_is_not_suspect) {
   auto monitor = MonitorOf("b1");
   auto view = ViewOf(2);
   Step(monitor, MonitorView{&view}, kStart);
@@ -116,9 +116,10 @@
   BOOST_TEST(!effects.balancer_changes[0].suspect);
 }
 
-// A balancer joins and takes a suspect over. Who observed it before does not hear of it any more,
-// and would keep it suspect for ever: no new flow goes there, and its report would still count.
-BOOST_AUTO_TEST_CASE(a_suspect_that_is_left_to_others_is_not_suspect_any_more) {
+// A balancer joins and becomes the monitor of a suspect. The former monitor no longer hears from
+// the suspect, and would suspect it forever: it would send no new flow there, and its report would
+// still count.
+BOOST_AUTO_TEST_CASE(a_suspect_with_other_monitors_is_no_longer_suspect) {
   auto monitor = MonitorOf("b1");
   monitor.policy.probe_all_limit = 2;
   monitor.policy.monitors = 1;
@@ -137,7 +138,7 @@
   BOOST_TEST(released[0].record.name == "b2");
 }
 
-// With a hundred balancers, each is probed by three of its failure domain, not by all.
+// With a hundred balancers, each one must be probed by three of its failure domain, not by all.
 BOOST_AUTO_TEST_CASE(each_balancer_has_as_many_monitors_as_the_policy_says) {
   constexpr auto balancers = 100;
   auto view = ViewOf(balancers);
@@ -150,7 +151,7 @@
   BOOST_TEST(observed == balancers * MonitorPolicy{}.monitors);
 }
 
-// Monitors of a target by failure domain. The view has so many balancers in each domain.
+// Number of balancers or monitors by failure domain.
 using Sizes = std::map<std::string, int>;
 
 auto ViewOf(const Sizes& sizes) -> membership::View {
@@ -193,8 +194,8 @@
   return monitors;
 }
 
-// A failure domain is lost with all its balancers. Unless a quorum of three watches from outside,
-// nobody suspects its targets, their records stay, and each client runs into its timeout.
+// A failure domain is lost with all its balancers. Unless a quorum of three monitors is outside,
+// nobody suspects its targets, their records stay, and each client waits for its timeout.
 BOOST_AUTO_TEST_CASE(a_lost_domain_leaves_a_quorum_of_monitors) {
   auto view = ViewOf(Sizes{{"boston-1", 20}, {"boston-2", 20}, {"boston-3", 20}});
   AddTargets(view, "boston-2", 20);
@@ -205,8 +206,8 @@
   }
 }
 
-// A region is cut off from the others. Were the targets of its last domain watched from another
-// region, a quorum there would have the records of live targets deleted.
+// A region is disconnected from the others. If the targets of its last domain were monitored from
+// another region, a quorum there would have the records of live targets deleted.
 BOOST_AUTO_TEST_CASE(monitors_outside_the_domain_are_near) {
   auto view = ViewOf(Sizes{{"boston-1", 25}, {"boston-2", 25}, {"chicago-1", 25}});
   AddTargets(view, "boston-2", 5);
@@ -217,8 +218,9 @@
   }
 }
 
-// A domain has a single balancer: the others make up for it, also from several domains.
-BOOST_AUTO_TEST_CASE(small_domains_make_up_for_each_other) {
+// A domain has a single balancer. The other domains have to provide the missing monitors, also
+// several of them.
+BOOST_AUTO_TEST_CASE(small_domains_provide_monitors_for_each_other) {
   auto view = ViewOf(Sizes{{"a", 1}, {"b", 2}, {"c", 70}});
   AddTargets(view, "a", 1);
   auto monitors = MonitorsByDomain(view, "a-t0");
@@ -226,10 +228,10 @@
   BOOST_TEST(monitors["b"] + monitors["c"] == 4);
 }
 
-// The way from an agent to a balancer is cut, the other direction is not. The agent takes probes as
-// the sign that its replies may leave by the balancer, and they would vanish; so a probe says that
-// the last one got no answer.
-BOOST_AUTO_TEST_CASE(a_probe_tells_that_the_last_one_went_unanswered) {
+// Datagrams from an agent to a balancer are lost, but not in the other direction. The agent would
+// consider the balancer's probes a proof that it can carry replies, and the replies would be lost.
+// A probe therefore says whether the last one was answered.
+BOOST_AUTO_TEST_CASE(a_probe_says_whether_the_last_one_was_answered) {
   auto monitor = MonitorOf("b1");
   auto view = ViewOf(2);
   Step(monitor, MonitorView{&view}, kStart);
