--- a/src/balancer/tests/interleaving_world.cc
+++ b/src/balancer/tests/interleaving_world.cc
@@ -152,12 +152,12 @@
   } else {
     world.records[record.id] = *update;
   }
-  auto send = [&](const Node& node) {
+  auto enqueue = [&](const Node& node) {
     auto delay = after + base::milliseconds(Below(world, 1500));
     Push(world, {{}, 0, {}, node.tunnel, {}, update, removed, nullptr}, delay);
   };
-  for (const auto& agent : world.agents) send(*agent);
-  for (const auto& balancer : world.balancers) send(*balancer);
+  for (const auto& agent : world.agents) enqueue(*agent);
+  for (const auto& balancer : world.balancers) enqueue(*balancer);
 }
 
 auto AnswerProbe(World& world, AgentNode& agent, const InFlight& datagram) -> void {
--- a/src/steering/internal/directory_lineage.cc
+++ b/src/steering/internal/directory_lineage.cc
@@ -5,15 +5,14 @@
 namespace {
 
 // A home that missed more hand-overs than this still knows the flow's opening.
-constexpr auto kMaxPreviousOwners = std::size_t{8};
+constexpr auto kMaxPrevious = std::size_t{8};
 
 }  // namespace
 
 auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void {
   ++lineage.hand_overs;
   lineage.previous.push_back(self);
-  if (lineage.previous.size() > kMaxPreviousOwners)
-    lineage.previous.erase(lineage.previous.begin());
+  if (lineage.previous.size() > kMaxPrevious) lineage.previous.erase(lineage.previous.begin());
 }
 
 auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void {
