--- a/src/agent/internal/life_cycle.cc
+++ b/src/agent/internal/life_cycle.cc
@@ -24,6 +24,7 @@
 
   // A drain cannot be reversed: balancers and homes were told to remove the target, and accept it
   // again only with a new incarnation.
+  // NOLINTNEXTLINE(readability-identifier-naming): the name that MSM looks for
   struct transition_table : boost::mpl::vector<Row<Starting, Announced, Serving, none, none>,
                                                Row<Starting, DrainBegun, Draining, none, none>,
                                                Row<Serving, DrainBegun, Draining, none, none>,
