--- a/src/agent/internal/parts.h
+++ b/src/agent/internal/parts.h
@@ -23,7 +23,7 @@
 auto SendReply(Context& context, const base::FlowKey& flow, wire::Bytes payload) -> void;
 
 // reply_liveness.cc
-/// Record a balancer's probe or answer. A sender that is not a balancer of the view is ignored.
+/// Records a balancer's probe or answer. A sender that is not a balancer of the view is ignored.
 auto RecordProbe(Context& context, const wire::pb::TunnelHeader& header) -> void;
 auto RecordProbeAnswer(Context& context, const wire::pb::TunnelHeader& header) -> void;
 /// Probes one balancer if none has probed this agent recently.
@@ -90,7 +90,7 @@
 auto PingTarget(Context& context) -> void;
 auto OnTargetHeard(Context& context) -> void;
 auto OnTargetRefused(Context& context) -> void;
-/// Gives every request and stream its outcome and ends the flows.
+/// Completes every request and stream with its outcome and ends the flows.
 auto EndAllFlows(Context& context) -> void;
 auto IsTargetSilent(const Agent& agent) -> bool;
 
--- a/src/balancer/internal/route.cc
+++ b/src/balancer/internal/route.cc
@@ -6,8 +6,7 @@
 namespace anvildrum::balancer {
 namespace {
 
-constexpr auto kTraceStep =
-    std::uint64_t{0x9e3779b97f4a7c15};  // odd, so that it visits every 64-bit number
+constexpr auto kTraceStep = std::uint64_t{0x9e3779b97f4a7c15};  // odd: visits every 64-bit number
 
 auto SampleTrace(Balancer& state, Route& route) -> void {
   if (state.policy.trace_one_in == 0) return;
--- a/src/steering/internal/directory_owner_query.cc
+++ b/src/steering/internal/directory_owner_query.cc
@@ -138,8 +138,8 @@
     -> std::optional<TargetRef> {
   auto& directory = context.directory;
   // Safeguard: if another agent opened the flow, it would continue there without its observations,
-  // and the client's screen would freeze. The stand-by answers for the flow and sends queries
-  // itself.
+  // and the client would receive no further notifications. The stand-by answers for the flow and
+  // sends queries itself.
   if (!query.stands_by() && IsOrphaned(directory, flow)) {
     StartOwnerQuery(context, flow, nullptr, std::nullopt);
     if (FindOwned(directory, flow) != nullptr) return directory.self;
--- a/src/steering/internal/directory_packets.cc
+++ b/src/steering/internal/directory_packets.cc
@@ -184,7 +184,7 @@
     return;
   }
   // A closing flow stays closed until the home knows about its end. Meanwhile the home places the
-  // flow elsewhere.
+  // flow again.
   if (owned != nullptr && IsOpening(directory, arrival)) {
     auto* sender = FindPeerByInstance(directory, arrival.sender);
     if (sender != nullptr) Decline(context, *sender, arrival);
