--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -42,7 +42,7 @@
   auto suspicion = membership::SuspicionPolicy{};
   auto agent = agent::AgentPolicy{};
   auto table_places = static_cast<double>(balancer.flow_table_capacity);
-  auto batch = static_cast<double>(directory.registrations_of_batch);
+  auto batch = static_cast<double>(directory.registrations_per_batch);
   return {{"load_margin", config::SpreadPolicy{}.load_margin, "config::SpreadPolicy"},
           {"table_entries", table_places, "balancer::BalancerPolicy"},
           {"hint_rate", directory.hints_per_second, "steering::DirectoryPolicy"},
@@ -52,7 +52,7 @@
            "membership::SuspicionPolicy"},
           {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"},
           {"probe_timeout_s", Seconds(suspicion.longest_timeout), "membership::SuspicionPolicy"},
-          {"sign_period_s", Seconds(agent.sign_period), "agent::AgentPolicy"},
+          {"sign_period_s", Seconds(agent.liveness_period), "agent::AgentPolicy"},
           {"probed_peers", static_cast<double>(agent.probed_peers), "agent::AgentPolicy"},
           {"probers", static_cast<double>(balancer::MonitorPolicy{}.monitors),
            "balancer::MonitorPolicy"},
@@ -66,8 +66,8 @@
   return {{"stand_by_bytes_s", policy.bytes_per_second, source},
           {"stand_by_batch", static_cast<double>(policy.batch_bytes), source},
           {"stand_by_refresh_s", Seconds(policy.refresh), source},
-          {"stand_by_look_s", Seconds(policy.look_period), source},
-          {"stand_by_lived_s", Seconds(policy.lived), source}};
+          {"stand_by_look_s", Seconds(policy.scan_interval), source},
+          {"stand_by_lived_s", Seconds(policy.min_age), source}};
 }
 
 auto RequestConstants() -> std::vector<Constant> {
--- a/src/steering/internal/directory.cc
+++ b/src/steering/internal/directory.cc
@@ -18,8 +18,8 @@
   AcceptPacket(context, {*flow, packet, event.payload, {event.header->sender()}});
 }
 
-// The flow that a control message speaks of; null where it speaks of none.
-auto FlowIn(const wire::pb::TunnelHeader& header) -> const wire::pb::Flow* {
+// Returns the flow of a control message; null if the message type has none.
+auto FlowOfMessage(const wire::pb::TunnelHeader& header) -> const wire::pb::Flow* {
   using wire::pb::TunnelHeader;
   switch (header.body_case()) {
     case TunnelHeader::kOwnerQuery:
@@ -40,7 +40,7 @@
 auto Handle(StepContext& context, const TunnelArrived& event) -> void {
   using wire::pb::TunnelHeader;
   const auto& header = *event.header;
-  const auto* flow = FlowIn(header);
+  const auto* flow = FlowOfMessage(header);
   if (flow != nullptr && !wire::ReadFlow(*flow)) {
     ++context.directory.counters.malformed;
     return;
@@ -108,7 +108,7 @@
   auto idle = std::vector<base::FlowKey>{};
   for (const auto& [flow, owned] : directory.owned) {
     auto is_used = context.now - owned.last_used < directory.policy.flow_idle;
-    if (owned.closing || owned.handing || is_used) continue;
+    if (owned.closing || owned.offered || is_used) continue;
     idle.push_back(flow);
   }
   for (const auto& flow : idle) {
@@ -117,43 +117,43 @@
   }
 }
 
-// Entries that this agent keeps as an earlier home only save hops.
-auto ForgetOldForwards(StepContext& context) -> void {
+// Entries that this agent keeps as a former home only save hops.
+auto ExpireForwards(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.known, [&](const auto& entry) {
-    if (context.now - entry.second.last_packet < directory.policy.forward_memory) return false;
-    return entry.second.promised || !IsHome(directory, entry.first);
+    if (context.now - entry.second.last_packet < directory.policy.forward_ttl) return false;
+    return entry.second.tentative || !IsHome(directory, entry.first);
   });
 }
 
-// No duplicate of an offer is on its way for that long.
-auto ForgetOldOffers(StepContext& context) -> void {
+// No duplicate of an offer is delayed for this long.
+auto ExpireOffers(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.incoming, [&](const auto& entry) {
-    return context.now - entry.second.at > directory.policy.forward_memory;
+    return context.now - entry.second.at > directory.policy.forward_ttl;
   });
 }
 
 auto Handle(StepContext& context, const DirectoryTimer&) -> void {
   auto& directory = context.directory;
-  directory.pump_due = true;
-  ContinueAsking(context);
+  directory.streams_due = true;
+  RetryOwnerQueries(context);
   RetryYields(context);
-  ContinueHandOvers(context);
-  ContinueStandBy(context);
+  RetryHandOvers(context);
+  RetryTakeovers(context);
   SendDrainNotices(context);
   if (context.now < directory.next_sweep) return;
   directory.next_sweep = context.now + directory.policy.sweep_period;
   EndIdleFlows(context);
-  ForgetOldForwards(context);
-  ForgetOldOffers(context);
-  ForgetOldCopies(context);
+  ExpireForwards(context);
+  ExpireOffers(context);
+  ExpireCopies(context);
 }
 
-auto NoticeStop(StepContext& context) -> void {
+auto DetectPause(StepContext& context) -> void {
   auto& directory = context.directory;
   auto first = directory.last_step == base::TimePoint{};
-  auto stopped = context.now - directory.last_step > directory.policy.stopped_after;
+  auto stopped = context.now - directory.last_step > directory.policy.pause_threshold;
   directory.last_step = context.now;
   if (!first && stopped && directory.in_view) Fence(context);
 }
@@ -192,27 +192,27 @@
     -> DirectoryEffects {
   auto effects = DirectoryEffects{};
   auto context = StepContext{directory, now, effects};
-  NoticeStop(context);
+  DetectPause(context);
   std::visit([&](const auto& concrete) { Handle(context, concrete); }, event);
-  if (directory.pump_due) PumpStreams(context);
-  TellFlows(context);
-  ContinueFence(context);
+  if (directory.streams_due) SendDueBatches(context);
+  ReportFlowCount(context);
+  UpdateFence(context);
   return effects;
 }
 
 auto ReplyRoute(Directory& directory, const base::FlowKey& flow, base::TimePoint now)
     -> std::optional<base::Endpoint> {
-  auto stopped = now - directory.last_step > directory.policy.stopped_after;
+  auto stopped = now - directory.last_step > directory.policy.pause_threshold;
   if (directory.fenced || stopped) return std::nullopt;
   auto* owned = FindOwned(directory, flow);
-  if (owned == nullptr || owned->closing || owned->handing) return std::nullopt;
+  if (owned == nullptr || owned->closing || owned->offered) return std::nullopt;
   if (owned->balancer.port == 0) return std::nullopt;
   owned->last_used = now;
   return owned->balancer;
 }
 
-auto MoveReplies(Directory& directory, const base::FlowKey& flow, const base::Endpoint& balancer)
-    -> void {
+auto SetReplyBalancer(Directory& directory, const base::FlowKey& flow,
+                      const base::Endpoint& balancer) -> void {
   auto* owned = FindOwned(directory, flow);
   if (owned != nullptr) owned->balancer = balancer;
 }
--- a/src/steering/internal/directory_forwarding.cc
+++ b/src/steering/internal/directory_forwarding.cc
@@ -5,8 +5,8 @@
 
 using wire::pb::Refused;
 
-// The packet as it goes on, or nothing when it has passed too many agents. Safeguard: two agents
-// whose views differ could send a packet to and fro for ever.
+// Returns the packet to forward; nothing if it has passed too many agents. Safeguard: two agents
+// with different views could send a packet back and forth indefinitely.
 auto NextHop(StepContext& context, const PacketArrival& arrival)
     -> std::optional<wire::pb::Packet> {
   auto& directory = context.directory;
@@ -24,8 +24,8 @@
 
 }  // namespace
 
-auto PassOn(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
-            const TargetRef* opens) -> void {
+auto ForwardPacket(StepContext& context, const base::Endpoint& to, const PacketArrival& arrival,
+                   const TargetRef* opens) -> void {
   auto packet = NextHop(context, arrival);
   if (!packet) return;
   packet->set_opening(opens != nullptr);
@@ -58,15 +58,15 @@
   }
 }
 
-auto PassToHome(StepContext& context, const PacketArrival& arrival) -> void {
+auto ForwardToHome(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
-  auto index = FindActing(directory.candidates, base::HashFlow(arrival.flow));
+  auto index = FindActingHome(directory.candidates, base::HashFlow(arrival.flow));
   if (index == kNone) {
     Refuse(context, arrival, Refused::REASON_DRAINING, directory.counters.draining);
     return;
   }
   auto* peer = FindPeer(directory, directory.candidates.candidates[index].target);
-  PassOn(context, peer->tunnel, arrival, nullptr);
+  ForwardPacket(context, peer->tunnel, arrival, nullptr);
 }
 
 }  // namespace anvildrum::steering
--- a/src/steering/internal/directory_hand_over.cc
+++ b/src/steering/internal/directory_hand_over.cc
@@ -1,5 +1,5 @@
-// Flows move from their owner to other targets: both sides. docs/design/handover.md has the
-// argument.
+// Both sides of a hand-over, in which a flow moves from its owner to another target.
+// docs/design/handover.md explains the protocol.
 #include <algorithm>
 
 #include "steering/internal/directory_parts.h"
@@ -24,7 +24,7 @@
   return offer.reason == HandOverReason::kDrain || HasFreeSlot(load);
 }
 
-// The policy's choice as for a new flow, without those that have refused this one.
+// Chooses a target as for a new flow, except those that have refused this one.
 auto ChooseTarget(StepContext& context, const base::FlowKey& flow, const OutgoingHandOver& offer)
     -> PeerTarget* {
   auto& directory = context.directory;
@@ -35,7 +35,7 @@
     auto own = candidates[i].target == directory.self.target;
     if (own || !MayBeOffered(offer, candidates[i].target, load)) load.eligible = false;
   }
-  auto home = FindFirst(directory.candidates, base::HashFlow(flow));
+  auto home = FindFirstHome(directory.candidates, base::HashFlow(flow));
   auto request = PlacementRequest{directory.load_scratch, home, 0};
   auto index = Place(directory.policy.placement, request, directory.random);
   if (index == kNoTarget) return nullptr;
@@ -63,25 +63,25 @@
   context.effects.sends.push_back({peer->tunnel, std::move(header), record});
 }
 
-// Nothing was taken: the flow is served here as before.
-auto TakeBack(StepContext& context, const base::FlowKey& flow) -> void {
+// No target has accepted the flow; it continues to be served here.
+auto CancelOffer(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   auto node = directory.outgoing.extract(flow);
   auto* owned = FindOwned(directory, flow);
   if (node.empty() || owned == nullptr) return;
   ++directory.counters.hand_overs_taken_back;
-  owned->handing = false;
-  owned->next_offer = context.now + directory.policy.hand_over_pause;
+  owned->offered = false;
+  owned->next_offer = context.now + directory.policy.hand_over_backoff;
   for (auto& held : node.mapped().held) {
     context.effects.held.push_back(std::move(held.payload));
     AcceptPacket(context, {flow, held.packet, context.effects.held.back(), {}});
   }
 }
 
-// The target whose turn it is, or back to this one.
+// Offers the flow to the next target, or cancels the offer if there is none.
 auto OfferNext(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer) -> void {
   auto* peer = ChooseTarget(context, flow, offer);
-  if (peer == nullptr) return TakeBack(context, flow);
+  if (peer == nullptr) return CancelOffer(context, flow);
   ++peer->load.flows;
   offer.to = peer->ref;
   offer.attempt = ++context.directory.sequence;
@@ -89,24 +89,24 @@
   SendOffer(context, flow, offer);
 }
 
-// Safeguard: a target that does not answer may have taken the flow. It is offered elsewhere, or
-// taken back, only when the target is certainly gone; one that is merely suspect holds the flow up
-// for a while and no longer, as an owner that is cut off does.
-auto IsHopeless(StepContext& context, const OutgoingHandOver& offer) -> bool {
+// Safeguard: a target that does not answer may have accepted the flow. The flow is offered
+// elsewhere or served here again only when the target is certainly gone. A target that is merely
+// suspect delays the flow for a limited time, as an unreachable owner does.
+auto IsExpired(StepContext& context, const OutgoingHandOver& offer) -> bool {
   auto* peer = FindPeer(context.directory, offer.to);
   if (peer == nullptr) return true;
   auto waited = context.now - offer.started;
-  return peer->suspect && waited > context.directory.policy.hand_over_limit;
+  return peer->suspect && waited > context.directory.policy.hand_over_timeout;
 }
 
 auto ContinueOffer(StepContext& context, const base::FlowKey& flow, OutgoingHandOver& offer)
     -> void {
   auto& outgoing = context.directory.outgoing;
-  if (IsHopeless(context, offer)) {
+  if (IsExpired(context, offer)) {
     if (offer.accepted) {
       outgoing.erase(flow);
     } else {
-      TakeBack(context, flow);
+      CancelOffer(context, flow);
     }
     return;
   }
@@ -115,15 +115,15 @@
 
 auto IsRegistered(const Directory& directory, const base::FlowKey& flow) -> bool {
   auto owned = directory.owned.find(flow);
-  // Moved on or ended: what became of it is registered by its own rules.
+  // If the flow has moved on or ended, that is registered separately.
   if (owned == directory.owned.end() || owned->second.closing) return true;
   auto home = HomeOf(directory, flow);
   const auto& first = owned->second.first;
   return home && (*home == directory.self || (first.home == *home && !first.queued));
 }
 
-auto Answer(StepContext& context, const base::Endpoint& to, const wire::pb::HandOver& message,
-            bool accepted) -> void {
+auto AcknowledgeOffer(StepContext& context, const base::Endpoint& to,
+                      const wire::pb::HandOver& message, bool accepted) -> void {
   auto flow = wire::ReadFlow(message.flow());
   auto header = MakeHeader(context.directory);
   auto* ack = header.mutable_hand_over_ack();
@@ -145,7 +145,8 @@
   }
 }
 
-auto Take(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event) -> void {
+auto TakeOver(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event)
+    -> void {
   auto& directory = context.directory;
   const auto& message = event.header->hand_over();
   directory.known.erase(flow);
@@ -163,21 +164,23 @@
   ReleasePending(context, flow);
 }
 
-auto MayTake(const Directory& directory, const HandOverArrived& event) -> bool {
+auto CanTakeOver(const Directory& directory, const HandOverArrived& event) -> bool {
   return event.acceptable && directory.in_view && !directory.draining && !IsFull(directory);
 }
 
-auto Decide(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event) -> bool {
+auto DecideOffer(StepContext& context, const base::FlowKey& flow, const HandOverArrived& event)
+    -> bool {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
-  // Safeguard: this agent has offered the flow itself, perhaps to the very sender, which took it
-  // and offers it back before its word of that has arrived here. Accepted now, the flow would be
-  // given up by both when it does arrive. Refused, the sender serves it on.
-  if (owned != nullptr && owned->handing) return false;
-  // Two owners, after a cut: the old one lets go.
+  // Safeguard: this agent has offered the flow itself, perhaps to the sender of this offer, which
+  // has accepted it and offers it back before its acceptance has arrived here. If this offer were
+  // accepted, both would drop the flow when that acceptance arrives. After a refusal the sender
+  // continues to serve it.
+  if (owned != nullptr && owned->offered) return false;
+  // There are two owners after a network partition; the old one drops the flow.
   if (owned != nullptr) return !owned->closing;
-  if (MayTake(directory, event)) {
-    Take(context, flow, event);
+  if (CanTakeOver(directory, event)) {
+    TakeOver(context, flow, event);
     return true;
   }
   ++directory.counters.hand_overs_refused;
@@ -194,11 +197,11 @@
   const auto& owned = found->second;
   if (now < owned.next_offer) return false;
   auto home = HomeOf(directory, flow);
-  // Safeguard: a home that has not heard of the flow at all would, once the old owner is gone,
-  // open it anew beside the new owner.
+  // Safeguard: a home that does not know the flow at all would open it again beside the new owner
+  // once the old owner is gone.
   auto known =
       home && (*home == directory.self || (owned.first.home == *home && !owned.first.queued));
-  return known && !owned.closing && !owned.handing && !directory.outgoing.contains(flow);
+  return known && !owned.closing && !owned.offered && !directory.outgoing.contains(flow);
 }
 
 auto OfferFlow(StepContext& context, const FlowOffered& event) -> void {
@@ -210,8 +213,9 @@
   offer.record = event.record;
   offer.flow = owned;
   ExtendLineage(offer.flow.lineage, directory.self);
-  // From here on nothing is delivered or answered: one owner at any time.
-  owned.handing = true;
+  // From here on nothing is delivered or sent to the client, so that the flow has one owner at any
+  // time.
+  owned.offered = true;
   OfferNext(context, event.flow, offer);
 }
 
@@ -223,7 +227,8 @@
     ++directory.counters.malformed;
     return;
   }
-  // Safeguard: what waited in the socket of a stopped process may have been taken back since.
+  // Safeguard: an offer that waited in the socket of a paused process may have been withdrawn
+  // since.
   if (flow->service != directory.service || directory.fenced) return;
   auto from = ReadRef(message.from());
   auto* peer = FindPeer(directory, from);
@@ -240,9 +245,9 @@
   if (!repeated && !message.settled()) {
     last.from = from;
     last.attempt = message.attempt();
-    last.accepted = Decide(context, *flow, event);
+    last.accepted = DecideOffer(context, *flow, event);
   }
-  Answer(context, peer->tunnel, message, message.settled() || last.accepted);
+  AcknowledgeOffer(context, peer->tunnel, message, message.settled() || last.accepted);
 }
 
 auto HandleHandOverAck(StepContext& context, const wire::pb::HandOverAck& ack) -> void {
@@ -259,11 +264,11 @@
     OfferNext(context, *flow, offer);
     return;
   }
-  if (!offer.accepted) SettleHandOver(context, *flow, offer.to);
+  if (!offer.accepted) CompleteHandOver(context, *flow, offer.to);
   if (ack.registered()) directory.outgoing.erase(*flow);
 }
 
-auto ContinueHandOvers(StepContext& context) -> void {
+auto RetryHandOvers(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced) return;
   auto flows = std::vector<base::FlowKey>{};
@@ -275,14 +280,14 @@
 auto HoldForHandOver(StepContext& context, const PacketArrival& arrival) -> void {
   auto& directory = context.directory;
   auto& held = directory.outgoing.at(arrival.flow).held;
-  if (held.size() >= directory.policy.held_packets_of_flow) {
+  if (held.size() >= directory.policy.held_packets_per_flow) {
     ++directory.counters.held_dropped;
     return;
   }
   held.push_back({arrival.packet, {arrival.payload.begin(), arrival.payload.end()}});
 }
 
-auto SettleHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+auto CompleteHandOver(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void {
   auto& directory = context.directory;
   auto& offer = directory.outgoing.at(flow);
@@ -294,7 +299,7 @@
   auto known = KnownOwner{};
   known.owner = owner;
   known.opened = offer.flow.opened;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = context.now;
   known.lineage = offer.flow.lineage;
   directory.known[flow] = known;
--- a/src/steering/internal/directory_home.cc
+++ b/src/steering/internal/directory_home.cc
@@ -6,10 +6,10 @@
 namespace anvildrum::steering {
 namespace {
 
-constexpr auto kYieldTries = std::uint32_t{50};
-constexpr auto kHeardTogether = base::milliseconds(100);  // delays on the way, and no more
+constexpr auto kMaxYieldAttempts = std::uint32_t{50};
+constexpr auto kSimultaneousWindow = base::milliseconds(100);  // allows for network delay only
 
-// One of two owners of a flow.
+// A target's claim to own a flow.
 struct Claim {
   TargetRef owner;
   base::TimePoint opened{};
@@ -23,28 +23,30 @@
   return one.lineage.opener == other.lineage.opener;
 }
 
-// The claim of an owner that took the flow over, directly or not, from `other`, of which this home
-// knows no more than that it was the owner.
+// Whether `claim` is from an owner that took the flow over, directly or not, from the owner of
+// `other`, about which this home knows nothing else.
 auto Follows(const Claim& claim, const Claim& other) -> bool {
   if (other.lineage.stamp != 0) return false;
   return std::ranges::count(claim.lineage.previous, other.owner) != 0;
 }
 
-// The owner that heard from the client last has the client's present state: the other one was cut
-// off or stopped meanwhile. When both heard from it, the older one has more state to lose.
-auto IsBetter(const Claim& one, const Claim& other) -> bool {
+// Whether the first claim takes precedence. The owner that received a client packet last has the
+// client's current state; the other one was disconnected or paused in the meantime. If both
+// received one, the older owner has more state to lose.
+auto HasPrecedence(const Claim& one, const Claim& other) -> bool {
   if (Follows(one, other) != Follows(other, one)) return Follows(one, other);
   // Safeguard: the new owner of a flow that was handed over registers it while the home still names
-  // the old one. Judged as two owners, the one that serves it could be told to let go.
+  // the old owner. If the two were judged as competing owners, the one that serves the flow could
+  // be told to drop it.
   if (HaveSameOpening(one, other)) return one.lineage.hand_overs > other.lineage.hand_overs;
   auto lead = one.last_from_client - other.last_from_client;
-  if (lead > kHeardTogether) return true;
-  if (-lead > kHeardTogether) return false;
+  if (lead > kSimultaneousWindow) return true;
+  if (-lead > kSimultaneousWindow) return false;
   if (one.opened != other.opened) return one.opened < other.opened;
   return one.owner.target < other.owner.target;
 }
 
-auto DropOwn(StepContext& context, const base::FlowKey& flow) -> void {
+auto DropOwnedFlow(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   directory.owned.erase(flow);
   directory.outgoing.erase(flow);
@@ -54,7 +56,7 @@
 
 auto SendYield(StepContext& context, PendingYield& yield) -> void {
   yield.next_retry = context.now + context.directory.policy.register_retry;
-  ++yield.tries;
+  ++yield.attempts;
   auto* peer = FindPeer(context.directory, yield.loser);
   if (peer == nullptr) return;
   auto header = MakeHeader(context.directory);
@@ -66,17 +68,18 @@
   SendControl(context, peer->tunnel, header);
 }
 
-auto Overrule(StepContext& context, const base::FlowKey& flow, const Claim& loser,
-              const TargetRef& winner) -> void {
+auto RevokeClaim(StepContext& context, const base::FlowKey& flow, const Claim& loser,
+                 const TargetRef& winner) -> void {
   auto& directory = context.directory;
   if (loser.owner == directory.self) {
     auto* own = FindOwned(directory, flow);
-    if (own != nullptr && own->handing) return SettleHandOver(context, flow, winner);
-    DropOwn(context, flow);
+    if (own != nullptr && own->offered) return CompleteHandOver(context, flow, winner);
+    DropOwnedFlow(context, flow);
     return;
   }
-  // Safeguard: a verdict against an owner that was out of reach still waits when that owner is
-  // heard again and wins. Sent after all, both would let go, and nobody would own the flow.
+  // Safeguard: a decision against an unreachable owner may still be waiting when that owner is
+  // heard again and wins. If it were still sent, both owners would drop the flow and nobody would
+  // serve it.
   auto is_earlier = [&](const PendingYield& yield) {
     return yield.flow == flow && (yield.loser == loser.owner || yield.loser == winner);
   };
@@ -85,23 +88,24 @@
   SendYield(context, directory.yields.back());
 }
 
-auto Remember(StepContext& context, const base::FlowKey& flow, const Claim& claim) -> void {
+auto RecordOwner(StepContext& context, const base::FlowKey& flow, const Claim& claim) -> void {
   auto known = KnownOwner{};
   known.owner = claim.owner;
   known.opened = claim.opened;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = claim.last_from_client;
   known.stamp = claim.stamp;
   known.lineage = claim.lineage;
-  OverruleLost(context, flow, claim.owner);
+  RevokeLostClaim(context, flow, claim.owner);
   if (context.directory.pending.contains(flow)) {
-    FinishAsking(context, flow, known);
+    ResolveOwner(context, flow, known);
     return;
   }
   context.directory.known[flow] = known;
 }
 
-// The flow's owner as this home knows it so far, if it is another than `owner` and alive.
+// Returns the claim of the owner that this home knows so far, if that owner is alive and is not
+// `owner`.
 auto OtherClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> std::optional<Claim> {
   auto& directory = context.directory;
@@ -112,7 +116,7 @@
   auto known = directory.known.find(flow);
   if (known == directory.known.end()) return std::nullopt;
   const auto& entry = known->second;
-  if (entry.promised || entry.owner == owner) return std::nullopt;
+  if (entry.tentative || entry.owner == owner) return std::nullopt;
   if (FindPeer(directory, entry.owner) == nullptr) return std::nullopt;
   return Claim{entry.owner, entry.opened, entry.last_packet, entry.stamp, entry.lineage};
 }
@@ -121,33 +125,34 @@
     -> void {
   auto other = OtherClaim(context, flow, claim.owner);
   if (!other) {
-    Remember(context, flow, claim);
+    RecordOwner(context, flow, claim);
     return;
   }
   ++context.directory.counters.conflicts;
-  if (IsBetter(claim, *other)) {
-    Overrule(context, flow, *other, claim.owner);
-    Remember(context, flow, claim);
+  if (HasPrecedence(claim, *other)) {
+    RevokeClaim(context, flow, *other, claim.owner);
+    RecordOwner(context, flow, claim);
   } else {
-    Overrule(context, flow, claim, other->owner);
+    RevokeClaim(context, flow, claim, other->owner);
   }
 }
 
-// Safeguard: this home has handed the flow over, and it has ended at its new owner before the
-// acceptance arrived here. Taken for accepted afterwards, the home would send the client's next
-// packets to an agent that has forgotten the flow, and that one back to the home, for ever.
-auto EndOffered(StepContext& context, const base::FlowKey& flow, const TargetRef& owner) -> void {
+// Safeguard: this home has handed the flow over, and the flow has ended at its new owner before the
+// acceptance arrived here. If the acceptance were processed afterwards, the home would send the
+// client's next packets to an agent that has discarded the flow and returns them, indefinitely.
+auto CompleteEndedOffer(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+    -> void {
   auto& directory = context.directory;
   auto offer = directory.outgoing.find(flow);
   if (offer == directory.outgoing.end() || offer->second.to != owner) return;
-  if (!offer->second.accepted) SettleHandOver(context, flow, owner);
+  if (!offer->second.accepted) CompleteHandOver(context, flow, owner);
   directory.outgoing.erase(flow);
 }
 
 auto ApplyEnd(StepContext& context, const base::FlowKey& flow, const TargetRef& owner,
               std::uint64_t stamp) -> void {
   auto& directory = context.directory;
-  EndOffered(context, flow, owner);
+  CompleteEndedOffer(context, flow, owner);
   auto known = directory.known.find(flow);
   if (known == directory.known.end() || known->second.owner != owner) return;
   if (known->second.stamp != 0 && known->second.stamp != stamp) return;
@@ -203,17 +208,17 @@
   auto found = directory.known.find(flow);
   if (found == directory.known.end()) return {};
   const auto& known = found->second;
-  // Without a stamp the owner has its registration still to come, which will be judged then.
-  if (known.promised || known.stamp == 0) return known.lost;
+  // Without a stamp the owner's registration is still to come, and will be judged when it arrives.
+  if (known.tentative || known.stamp == 0) return known.lost;
   return {known.owner, known.stamp};
 }
 
-auto OverruleLost(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
+auto RevokeLostClaim(StepContext& context, const base::FlowKey& flow, const TargetRef& winner)
     -> void {
   auto lost = LostOwnerOf(context.directory, flow);
   if (lost.stamp == 0 || lost.owner == winner) return;
   if (FindPeer(context.directory, lost.owner) == nullptr) return;
-  Overrule(context, flow, {lost.owner, {}, {}, lost.stamp, {}}, winner);
+  RevokeClaim(context, flow, {lost.owner, {}, {}, lost.stamp, {}}, winner);
 }
 
 auto HandleYield(StepContext& context, const base::Endpoint& from, const wire::pb::Yield& message)
@@ -223,14 +228,14 @@
   if (!flow || ReadRef(message.loser()) != directory.self) return;
   auto* owned = FindOwned(directory, *flow);
   // Safeguard: a late duplicate must not end a flow that was opened here afterwards.
-  if (owned != nullptr && owned->stamp == message.stamp() && owned->handing) {
-    SettleHandOver(context, *flow, ReadRef(message.winner()));
+  if (owned != nullptr && owned->stamp == message.stamp() && owned->offered) {
+    CompleteHandOver(context, *flow, ReadRef(message.winner()));
   } else if (owned != nullptr && owned->stamp == message.stamp()) {
-    DropOwn(context, *flow);
+    DropOwnedFlow(context, *flow);
     auto known = KnownOwner{};
     known.owner = ReadRef(message.winner());
     known.opened = context.now;
-    known.noted = context.now;
+    known.noted_at = context.now;
     known.last_packet = context.now;
     directory.known[*flow] = known;
   }
@@ -254,10 +259,10 @@
 auto RetryYields(StepContext& context) -> void {
   auto& directory = context.directory;
   std::erase_if(directory.yields, [&](const PendingYield& yield) {
-    return yield.tries >= kYieldTries || FindPeer(directory, yield.loser) == nullptr;
+    return yield.attempts >= kMaxYieldAttempts || FindPeer(directory, yield.loser) == nullptr;
   });
   for (auto& yield : directory.yields) {
-    // A loser that is out of reach hears of it when it is back.
+    // An unreachable loser is told when it is reachable again.
     if (FindPeer(directory, yield.loser)->suspect) continue;
     if (context.now >= yield.next_retry) SendYield(context, yield);
   }
--- a/src/steering/internal/directory_lineage.cc
+++ b/src/steering/internal/directory_lineage.cc
@@ -1,18 +1,18 @@
-// Where a flow comes from, over hand-overs.
+// The history of a flow's hand-overs.
 #include "steering/internal/directory_parts.h"
 
 namespace anvildrum::steering {
 namespace {
 
-// Homes that are more hand-overs behind than this know the flow's opening as well.
-constexpr auto kPreviousOwners = std::size_t{8};
+// A home that missed more hand-overs than this still knows the flow's opening.
+constexpr auto kMaxPrevious = std::size_t{8};
 
 }  // namespace
 
 auto ExtendLineage(Lineage& lineage, const TargetRef& self) -> void {
   ++lineage.hand_overs;
   lineage.previous.push_back(self);
-  if (lineage.previous.size() > kPreviousOwners) lineage.previous.erase(lineage.previous.begin());
+  if (lineage.previous.size() > kMaxPrevious) lineage.previous.erase(lineage.previous.begin());
 }
 
 auto WriteLineage(const Lineage& lineage, wire::pb::Lineage& message) -> void {
--- a/src/steering/internal/directory_asking.cc
+++ b/src/steering/internal/directory_owner_query.cc
@@ -18,15 +18,15 @@
   SendControl(context, peer.tunnel, header);
 }
 
-auto AskWaiting(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
-  pending.next_ask = context.now + context.directory.policy.ask_period;
-  for (const auto& ref : pending.waiting) {
+auto SendQueries(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+  pending.next_query = context.now + context.directory.policy.query_interval;
+  for (const auto& ref : pending.unanswered) {
     auto* peer = FindPeer(context.directory, ref);
     if (peer != nullptr) SendQuery(context, flow, pending, *peer);
   }
 }
 
-// `place_first`: the first packet that may open the flow does.
+// `place_first`: places the flow with the first held packet that may open it.
 auto ReleaseHeld(StepContext& context, const base::FlowKey& flow, bool place_first) -> void {
   auto& directory = context.directory;
   auto node = directory.pending.extract(flow);
@@ -51,9 +51,9 @@
   known.via = from;
   known.via_since = context.now;
   known.opened = context.now;
-  known.noted = context.now;
+  known.noted_at = context.now;
   known.last_packet = context.now;
-  known.promised = true;
+  known.tentative = true;
   known.lost = LostOwnerOf(context.directory, flow);
   context.directory.known[flow] = known;
 }
@@ -62,28 +62,29 @@
   return pending.claimed_lineage.hand_overs > 0;
 }
 
-// Safeguard: flows move between targets that shed load, and one that handed a flow over remembers
-// its successor for a while after that one has let go of it. Believed, two of them could name each
-// other, and the client's packets would go round between them. The successor had taken the flow
-// when it was named, so that its word from then on decides; its earlier answer may be from before.
-auto AskSuccessor(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+// Safeguard: flows move between targets that shed load, and a target that handed a flow over keeps
+// its successor's name for a while after the successor has dropped the flow. Two such targets could
+// name each other, and the client's packets would go back and forth between them. The successor
+// already had the flow when it was named, so only its answers from then on decide; an earlier
+// answer may be from before.
+auto QuerySuccessor(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   if (!WasHandedOver(pending) || FindPeer(context.directory, *pending.claimed) == nullptr) return;
   pending.denied = false;
   pending.sequence = ++context.directory.sequence;
-  auto waits = std::ranges::count(pending.waiting, *pending.claimed) != 0;
-  if (!waits) pending.waiting.push_back(*pending.claimed);
-  AskWaiting(context, flow, pending);
+  auto waits = std::ranges::count(pending.unanswered, *pending.claimed) != 0;
+  if (!waits) pending.unanswered.push_back(*pending.claimed);
+  SendQueries(context, flow, pending);
 }
 
-// Nobody has the flow.
+// Concludes a query that found no owner.
 auto ConcludeUnowned(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
     -> void {
-  auto taken = ConcludeOrphan(context, flow, pending);
+  auto taken = ConcludeOrphanQuery(context, flow, pending);
   ReleaseHeld(context, flow, !taken);
 }
 
-// All have answered, or are suspect.
-auto Conclude(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
+// Called when all peers have answered or are suspect.
+auto ConcludeQuery(StepContext& context, const base::FlowKey& flow, PendingFlow& pending) -> void {
   auto& directory = context.directory;
   if (!pending.claimed) {
     ConcludeUnowned(context, flow, pending);
@@ -97,14 +98,14 @@
     return;
   }
   if (peer->suspect && pending.claimed_via.port == 0 && !pending.lost) {
-    // Known to another agent, but out of reach from here: does anyone reach it?
+    // Another agent knows the owner, but this one cannot reach it: query whether any peer does.
     pending.lost = pending.claimed;
     pending.claimed.reset();
     pending.denied = false;
     pending.sequence = ++directory.sequence;
-    pending.waiting.clear();
-    for (const auto& other : directory.peers) pending.waiting.push_back(other.ref);
-    AskWaiting(context, flow, pending);
+    pending.unanswered.clear();
+    for (const auto& other : directory.peers) pending.unanswered.push_back(other.ref);
+    SendQueries(context, flow, pending);
     return;
   }
   auto owner = KnownOwner{};
@@ -113,38 +114,39 @@
   owner.via = pending.claimed_via;
   owner.via_since = context.now;
   owner.opened = context.now;
-  owner.noted = context.now;
+  owner.noted_at = context.now;
   owner.last_packet = context.now;
-  FinishAsking(context, flow, owner);
+  ResolveOwner(context, flow, owner);
 }
 
-// Whether `newer` is a later process of the same target: then the earlier one is dead.
+// Whether `newer` is a later process of the same target, so that the earlier one is dead.
 auto IsSuperseded(const TargetRef& ref, const TargetRef& newer) -> bool {
   return ref.target == newer.target && ref.incarnation < newer.incarnation;
 }
 
-// Of two that ask at once the stand-by goes first, since it has the flow's observations; of two
-// alike the lower id.
-auto GoesFirst(const Directory& directory, const PendingFlow& pending, const TargetRef& asker,
-               const wire::pb::OwnerQuery& query) -> bool {
+// Whether this agent's query takes precedence over a concurrent one. A stand-by takes precedence
+// because it has the flow's observations; otherwise the lower id does.
+auto HasPriority(const Directory& directory, const PendingFlow& pending, const TargetRef& asker,
+                 const wire::pb::OwnerQuery& query) -> bool {
   if (pending.stands_by != query.stands_by()) return pending.stands_by;
   return directory.self.target < asker.target;
 }
 
-// What this agent answers about a flow that it does not serve.
-auto AnswerFor(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
-               const base::Endpoint& from, const wire::pb::OwnerQuery& query)
+// Returns the owner to name in the answer to a query about a flow that this agent does not serve.
+auto FindAnswer(StepContext& context, const base::FlowKey& flow, const TargetRef& asker,
+                const base::Endpoint& from, const wire::pb::OwnerQuery& query)
     -> std::optional<TargetRef> {
   auto& directory = context.directory;
-  // Safeguard: opened by another agent, the flow would go on there without its observations, and
-  // their client's screen would freeze. The stand-by answers for it and asks by itself.
+  // Safeguard: if another agent opened the flow, it would continue there without its observations,
+  // and the client would receive no further notifications. The stand-by answers for the flow and
+  // sends queries itself.
   if (!query.stands_by() && IsOrphaned(directory, flow)) {
-    StartAsking(context, flow, nullptr, std::nullopt);
+    StartOwnerQuery(context, flow, nullptr, std::nullopt);
     if (FindOwned(directory, flow) != nullptr) return directory.self;
   }
   auto pending = directory.pending.find(flow);
   if (pending != directory.pending.end()) {
-    if (GoesFirst(directory, pending->second, asker, query)) return directory.self;
+    if (HasPriority(directory, pending->second, asker, query)) return directory.self;
     DeferTo(context, flow, asker, from);
     ReleaseHeld(context, flow, false);
     return std::nullopt;
@@ -155,13 +157,13 @@
     directory.known.erase(known);
     known = directory.known.end();
   }
-  if (known != directory.known.end() && !known->second.promised) {
+  if (known != directory.known.end() && !known->second.tentative) {
     auto owner = known->second.owner;
     auto* peer = FindPeer(directory, owner);
     if (owner == asker) return std::nullopt;
-    // Safeguard: only the home hears of a flow's end. What an earlier home remembers would lead to
-    // a target that has let go of the flow, again and again.
-    auto fresh = context.now - known->second.noted < directory.policy.fresh_claim;
+    // Safeguard: only the home is told of a flow's end. The entry of a former home would repeatedly
+    // lead to a target that has dropped the flow.
+    auto fresh = context.now - known->second.noted_at < directory.policy.claim_validity;
     auto current = fresh || IsHome(directory, flow);
     if (peer != nullptr && owner != lost && current) return owner;
   }
@@ -170,7 +172,7 @@
     auto relayed = KnownOwner{};
     relayed.owner = *lost;
     relayed.opened = context.now;
-    relayed.noted = context.now;
+    relayed.noted_at = context.now;
     relayed.last_packet = context.now;
     directory.known[flow] = relayed;
     return lost;
@@ -188,8 +190,8 @@
   return names ? known->second.lineage : Lineage{};
 }
 
-auto DropSilent(StepContext& context, PendingFlow& pending) -> void {
-  std::erase_if(pending.waiting, [&](const TargetRef& ref) {
+auto DropSuspects(StepContext& context, PendingFlow& pending) -> void {
+  std::erase_if(pending.unanswered, [&](const TargetRef& ref) {
     auto* peer = FindPeer(context.directory, ref);
     return peer == nullptr || peer->suspect;
   });
@@ -197,15 +199,15 @@
 
 }  // namespace
 
-auto StartAsking(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
-                 std::optional<TargetRef> lost) -> void {
+auto StartOwnerQuery(StepContext& context, const base::FlowKey& flow, const PacketArrival* arrival,
+                     std::optional<TargetRef> lost) -> void {
   auto& directory = context.directory;
-  auto under_way = directory.pending.find(flow);
-  if (under_way != directory.pending.end()) {
-    if (arrival != nullptr) HoldPacket(context, under_way->second, *arrival);
+  auto awaiting_ack = directory.pending.find(flow);
+  if (awaiting_ack != directory.pending.end()) {
+    if (arrival != nullptr) HoldPacket(context, awaiting_ack->second, *arrival);
     return;
   }
-  if (directory.pending.size() >= directory.policy.pending_flows) {
+  if (directory.pending.size() >= directory.policy.max_pending_flows) {
     if (arrival != nullptr) ++directory.counters.held_dropped;
     return;
   }
@@ -215,11 +217,11 @@
   pending.lost = lost;
   pending.stands_by = IsOrphaned(directory, flow);
   if (pending.stands_by) pending.lost = directory.copies.at(flow).owner;
-  for (const auto& peer : directory.peers) pending.waiting.push_back(peer.ref);
+  for (const auto& peer : directory.peers) pending.unanswered.push_back(peer.ref);
   if (arrival != nullptr) HoldPacket(context, pending, *arrival);
   ++directory.counters.asked;
-  AskWaiting(context, flow, pending);
-  if (pending.waiting.empty()) Conclude(context, flow, pending);
+  SendQueries(context, flow, pending);
+  if (pending.unanswered.empty()) ConcludeQuery(context, flow, pending);
 }
 
 auto HandleOwnerQuery(StepContext& context, const base::Endpoint& from,
@@ -235,7 +237,7 @@
   }
   auto* owned = FindOwned(directory, *flow);
   auto owner = owned != nullptr && !owned->closing ? std::optional(directory.self)
-                                                   : AnswerFor(context, *flow, asker, from, query);
+                                                   : FindAnswer(context, *flow, asker, from, query);
   auto header = MakeHeader(directory);
   auto* answer = header.mutable_owner_answer();
   *answer->mutable_flow() = query.flow();
@@ -255,16 +257,18 @@
   auto found = directory.pending.find(*flow);
   if (found == directory.pending.end()) return;
   auto& pending = found->second;
-  // Safeguard: an answer to an earlier query says nothing of what the peer has opened since.
+  // Safeguard: an answer to an earlier query says nothing about flows that the peer has opened
+  // since.
   if (pending.sequence != answer.sequence()) return;
   auto responder = ReadRef(answer.responder());
   auto owner = ReadRef(answer.owner());
   auto* peer = FindPeer(directory, responder.target);
   if (peer == nullptr || peer->ref.incarnation > responder.incarnation) return;
   auto claims_other = answer.owned() && owner != responder && owner != directory.self;
-  // The responder's view names a process that this one does not: one of them lags. Asked again.
+  // The responder's view contains a process that this agent's view does not, so one of them is
+  // stale. The peer is queried again.
   if (claims_other && FindPeer(directory, owner) == nullptr) return;
-  std::erase_if(pending.waiting,
+  std::erase_if(pending.unanswered,
                 [&](const TargetRef& ref) { return ref.target == responder.target; });
   if (!answer.owned()) pending.answered = true;
   if (!answer.owned() && pending.claimed == responder) pending.denied = true;
@@ -273,62 +277,62 @@
     known.owner = owner;
     known.lineage = ReadLineage(answer.lineage());
     known.opened = context.now;
-    known.noted = context.now;
+    known.noted_at = context.now;
     known.last_packet = context.now;
-    // It answered just now, whatever the probes say.
+    // The owner has just answered, whatever the probes indicate.
     if (peer->suspect || peer->ref != responder) {
       known.via = from;
       known.via_since = context.now;
     }
-    FinishAsking(context, *flow, known);
+    ResolveOwner(context, *flow, known);
     return;
   }
   if (claims_other) {
     pending.claimed = owner;
     pending.claimed_lineage = ReadLineage(answer.lineage());
-    pending.denied = !std::ranges::count(pending.waiting, owner);
+    pending.denied = !std::ranges::count(pending.unanswered, owner);
     pending.claimed_via = pending.lost == owner ? peer->tunnel : base::Endpoint{};
-    AskSuccessor(context, *flow, pending);
+    QuerySuccessor(context, *flow, pending);
   }
-  if (pending.waiting.empty()) Conclude(context, *flow, pending);
+  if (pending.unanswered.empty()) ConcludeQuery(context, *flow, pending);
 }
 
-auto ContinueAsking(StepContext& context) -> void {
+auto RetryOwnerQueries(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced) return;
   auto due = std::vector<base::FlowKey>{};
   for (const auto& [flow, pending] : directory.pending) {
-    if (context.now >= pending.next_ask) due.push_back(flow);
+    if (context.now >= pending.next_query) due.push_back(flow);
   }
   std::ranges::sort(due);
   for (const auto& flow : due) {
     auto found = directory.pending.find(flow);
     if (found == directory.pending.end()) continue;
     auto& pending = found->second;
-    if (context.now - pending.started > directory.policy.longest_hold) {
+    if (context.now - pending.started > directory.policy.max_hold_time) {
       directory.counters.held_dropped += pending.held.size();
       directory.pending.erase(found);
       continue;
     }
-    DropSilent(context, pending);
-    if (pending.waiting.empty()) {
-      Conclude(context, flow, pending);
+    DropSuspects(context, pending);
+    if (pending.unanswered.empty()) {
+      ConcludeQuery(context, flow, pending);
     } else {
-      AskWaiting(context, flow, pending);
+      SendQueries(context, flow, pending);
     }
   }
 }
 
-auto ReleaseAll(StepContext& context) -> void {
+auto ReleaseAllHeld(StepContext& context) -> void {
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, pending] : context.directory.pending) flows.push_back(flow);
   std::ranges::sort(flows);
   for (const auto& flow : flows) ReleaseHeld(context, flow, false);
 }
 
-auto FinishAsking(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner)
+auto ResolveOwner(StepContext& context, const base::FlowKey& flow, const KnownOwner& owner)
     -> void {
-  NoteCopysOwner(context, flow, owner.owner);
+  ReconcileCopy(context, flow, owner.owner);
   auto known = owner;
   known.lost = LostOwnerOf(context.directory, flow);
   context.directory.known[flow] = known;
--- a/src/steering/internal/directory_registration.cc
+++ b/src/steering/internal/directory_registration.cc
@@ -18,30 +18,30 @@
   return std::chrono::duration_cast<base::milliseconds>(now - then).count();
 }
 
-// The home of the flow that `home` is, if it is one.
-auto RegisteredAtOf(const Directory& directory, const base::FlowKey& flow, OwnedFlow& owned,
-                    const TargetRef& home) -> RegisteredAt* {
+// Returns the flow's registration with `home`; null if `home` is not one of its homes.
+auto FindRegistration(const Directory& directory, const base::FlowKey& flow, OwnedFlow& owned,
+                      const TargetRef& home) -> RegisteredAt* {
   if (HomeOf(directory, flow) == home) return &owned.first;
   if (ActingHomeOf(directory, flow) == home) return &owned.acting;
   return nullptr;
 }
 
-// Flows that are still this agent's and whose home the stream leads to.
+// Fills the batch with queued flows that this agent still owns and whose home the stream leads to.
 auto FillBatch(Directory& directory, RegisterStream& stream) -> void {
   stream.batch.clear();
-  while (!stream.queue.empty() && stream.batch.size() < directory.policy.registrations_of_batch) {
+  while (!stream.queue.empty() && stream.batch.size() < directory.policy.registrations_per_batch) {
     auto flow = stream.queue.front();
     stream.queue.pop_front();
     auto* owned = FindOwned(directory, flow);
     if (owned == nullptr) continue;
-    auto* registered = RegisteredAtOf(directory, flow, *owned, stream.home);
+    auto* registered = FindRegistration(directory, flow, *owned, stream.home);
     if (registered == nullptr) continue;
     registered->queued = false;
     stream.batch.push_back(flow);
   }
-  // With the queue empty, this batch is the last one under the view.
+  // If the queue is empty, this batch is the last one under the view.
   auto unsettled = stream.settled != directory.digest;
-  stream.batch_settles = stream.queue.empty() && unsettled ? directory.digest : 0;
+  stream.settling_digest = stream.queue.empty() && unsettled ? directory.digest : 0;
 }
 
 auto SendBatch(StepContext& context, RegisterStream& stream) -> void {
@@ -54,8 +54,8 @@
   message->set_sequence(stream.sequence);
   WriteRef(directory.self, *message->mutable_owner());
   WriteRef(stream.home, *message->mutable_home());
-  message->set_settled(stream.batch_settles != 0);
-  message->set_view(stream.batch_settles);
+  message->set_settled(stream.settling_digest != 0);
+  message->set_view(stream.settling_digest);
   for (const auto& flow : stream.batch) {
     auto* owned = FindOwned(directory, flow);
     if (owned == nullptr) continue;
@@ -71,23 +71,23 @@
   SendControl(context, peer->tunnel, header);
 }
 
-auto PumpStream(StepContext& context, RegisterStream& stream) -> void {
-  if (stream.under_way) {
+auto SendDueBatch(StepContext& context, RegisterStream& stream) -> void {
+  if (stream.awaiting_ack) {
     if (context.now >= stream.next_retry) SendBatch(context, stream);
     return;
   }
   FillBatch(context.directory, stream);
-  if (stream.batch.empty() && stream.batch_settles == 0) return;
+  if (stream.batch.empty() && stream.settling_digest == 0) return;
   ++stream.sequence;
-  stream.under_way = true;
+  stream.awaiting_ack = true;
   SendBatch(context, stream);
 }
 
-auto NoteRegistered(Directory& directory, const base::FlowKey& flow, const TargetRef& home)
+auto MarkRegistered(Directory& directory, const base::FlowKey& flow, const TargetRef& home)
     -> void {
   auto* owned = FindOwned(directory, flow);
   if (owned == nullptr) return;
-  auto* registered = RegisteredAtOf(directory, flow, *owned, home);
+  auto* registered = FindRegistration(directory, flow, *owned, home);
   if (registered == nullptr || registered->queued) return;
   if (owned->closing && registered == &owned->first) {
     directory.owned.erase(flow);
@@ -107,7 +107,7 @@
   if (stream == nullptr) return;
   stream->queue.push_back(flow);
   registered.queued = true;
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 }  // namespace
@@ -125,37 +125,36 @@
   }
 }
 
-// A flow that is closing is forgotten when its home moves, because the new home has never heard of
-// it.
-auto RegisterAnew(Directory& directory) -> void {
+// A closing flow is discarded when its home moves, because the new home has never known it.
+auto ReregisterFlows(Directory& directory) -> void {
   for (auto& stream : directory.streams) stream.queue.clear();
   auto forgotten = std::vector<base::FlowKey>{};
   for (auto& [flow, owned] : directory.owned) {
     owned.first.queued = false;
     owned.acting.queued = false;
-    auto moved = HomeOf(directory, flow) != owned.closing_at;
+    auto moved = HomeOf(directory, flow) != owned.closing_home;
     if (owned.closing && moved) forgotten.push_back(flow);
     EnqueueRegistration(directory, flow, owned);
   }
   for (const auto& flow : forgotten) directory.owned.erase(flow);
 }
 
-auto PumpStreams(StepContext& context) -> void {
+auto SendDueBatches(StepContext& context) -> void {
   auto& directory = context.directory;
-  directory.pump_due = false;
+  directory.streams_due = false;
   if (!directory.in_view) return;
-  for (auto& stream : directory.streams) PumpStream(context, stream);
+  for (auto& stream : directory.streams) SendDueBatch(context, stream);
 }
 
 auto HandleRegisterAck(StepContext& context, const wire::pb::RegisterAck& ack) -> void {
   auto& directory = context.directory;
   auto* stream = FindStream(directory, ReadRef(ack.home()));
-  if (stream == nullptr || !stream->under_way || stream->sequence != ack.sequence()) return;
-  stream->under_way = false;
-  for (const auto& flow : stream->batch) NoteRegistered(directory, flow, stream->home);
-  if (stream->batch_settles != 0) stream->settled = stream->batch_settles;
+  if (stream == nullptr || !stream->awaiting_ack || stream->sequence != ack.sequence()) return;
+  stream->awaiting_ack = false;
+  for (const auto& flow : stream->batch) MarkRegistered(directory, flow, stream->home);
+  if (stream->settling_digest != 0) stream->settled = stream->settling_digest;
   stream->batch.clear();
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 auto HandleResettle(StepContext& context, const wire::pb::Resettle& message) -> void {
@@ -163,21 +162,21 @@
   auto* stream = FindStream(directory, ReadRef(message.asker()));
   if (stream == nullptr) return;
   stream->settled = 0;
-  if (stream->batch_settles != 0) stream->batch_settles = 0;
+  if (stream->settling_digest != 0) stream->settling_digest = 0;
   for (auto& [flow, owned] : directory.owned) {
-    auto* registered = RegisteredAtOf(directory, flow, owned, stream->home);
+    auto* registered = FindRegistration(directory, flow, owned, stream->home);
     if (registered == nullptr) continue;
     registered->home = {};
     EnqueueRegistration(directory, flow, owned);
   }
-  directory.pump_due = true;
+  directory.streams_due = true;
 }
 
 auto CloseFlow(StepContext& context, const base::FlowKey& flow) -> void {
   auto& directory = context.directory;
   auto* owned = FindOwned(directory, flow);
-  // What is offered may be served elsewhere already: there it will end.
-  if (owned == nullptr || owned->closing || owned->handing) return;
+  // An offered flow may already be served elsewhere, and will end there.
+  if (owned == nullptr || owned->closing || owned->offered) return;
   ++directory.counters.ended;
   auto home = HomeOf(directory, flow);
   if (!home || *home == directory.self || FindStream(directory, *home) == nullptr) {
@@ -185,7 +184,7 @@
     return;
   }
   owned->closing = true;
-  owned->closing_at = *home;
+  owned->closing_home = *home;
   owned->first.home = {};
   owned->acting.home = {};
   EnqueueRegistration(directory, flow, *owned);
--- a/src/steering/internal/directory_stand_by.cc
+++ b/src/steering/internal/directory_stand_by.cc
@@ -1,5 +1,5 @@
-// Copies of observations that other targets serve, and what becomes of them when such a target is
-// lost. docs/design/standby.md has the argument.
+// Copies of observations that other targets serve, and the takeover of their flows when such a
+// target is lost. docs/design/standby.md explains the protocol.
 #include <algorithm>
 
 #include "steering/internal/directory_parts.h"
@@ -27,7 +27,7 @@
   std::erase_if(directory.copied_owners, [&](const auto& one) { return one.ref == ref; });
 }
 
-auto ForgetCopy(Directory& directory, const base::FlowKey& flow) -> void {
+auto RemoveCopy(Directory& directory, const base::FlowKey& flow) -> void {
   auto found = directory.copies.find(flow);
   if (found == directory.copies.end()) return;
   directory.copied_bytes -= found->second.record.size();
@@ -36,7 +36,8 @@
   UncountOwner(directory, owner);
 }
 
-// A later copy of an owner that the flow has left does not replace that of the new one.
+// Whether the copy is from an owner that has handed the flow over to the owner of the known copy.
+// Such a copy does not replace the known one, even if it arrives later.
 auto IsOutdated(const StandByCopy& copy, const StandByCopy& known) -> bool {
   if (copy.owner == known.owner) return false;
   const auto& one = copy.lineage;
@@ -46,16 +47,16 @@
 }
 
 auto HasRoom(const Directory& directory, const StandByCopy& copy) -> bool {
-  if (directory.copies.size() >= directory.policy.copied_flows) return false;
-  return directory.copied_bytes + copy.record.size() <= directory.policy.copied_bytes;
+  if (directory.copies.size() >= directory.policy.max_copies) return false;
+  return directory.copied_bytes + copy.record.size() <= directory.policy.max_copy_bytes;
 }
 
-auto KeepCopy(StepContext& context, const base::FlowKey& flow, StandByCopy copy) -> void {
+auto StoreCopy(StepContext& context, const base::FlowKey& flow, StandByCopy copy) -> void {
   auto& directory = context.directory;
   if (directory.owned.contains(flow)) return;
   auto known = directory.copies.find(flow);
   if (known != directory.copies.end() && IsOutdated(copy, known->second)) return;
-  ForgetCopy(directory, flow);
+  RemoveCopy(directory, flow);
   if (!HasRoom(directory, copy)) {
     ++directory.counters.copies_refused;
     return;
@@ -78,10 +79,10 @@
   if (!record.empty()) {
     auto bytes = wire::Bytes(record.begin(), record.end());
     auto lineage = ReadLineage(message.lineage());
-    return KeepCopy(context, flow, {owner, std::move(lineage), std::move(bytes), context.now});
+    return StoreCopy(context, flow, {owner, std::move(lineage), std::move(bytes), context.now});
   }
   auto known = directory.copies.find(flow);
-  if (known != directory.copies.end() && known->second.owner == owner) ForgetCopy(directory, flow);
+  if (known != directory.copies.end() && known->second.owner == owner) RemoveCopy(directory, flow);
 }
 
 auto Acknowledge(StepContext& context, const PeerTarget& owner, std::uint64_t sequence) -> void {
@@ -94,65 +95,65 @@
   SendControl(context, owner.tunnel, header);
 }
 
-// No such process any more, or out of reach.
+// Whether the owner's process is gone from the view or unreachable.
 auto IsOutOfReach(Directory& directory, const TargetRef& owner) -> bool {
   auto* peer = FindPeer(directory, owner);
   return peer == nullptr || peer->suspect;
 }
 
-// Safeguard: a stand-by that is cut off from its peers takes them all for lost. Were it to act on
-// that, two targets would notify one client. So the owner's process is gone from the view, which is
-// agreed through the platform, or some peer has answered and reaches no owner either, or the client
-// itself has come here.
-auto IsAgreedLost(Directory& directory, const TargetRef& owner, const PendingFlow& pending)
+// Safeguard: a stand-by that is disconnected from its peers considers all of them lost. If it acted
+// on that alone, two targets would notify one client. A loss is therefore confirmed only if the
+// owner's process is gone from the view, which is decided through the platform, or if a peer has
+// answered that it reaches no owner either, or if a packet of the client itself has arrived here.
+auto IsLossConfirmed(Directory& directory, const TargetRef& owner, const PendingFlow& pending)
     -> bool {
   return FindPeer(directory, owner) == nullptr || pending.answered || !pending.held.empty();
 }
 
-auto Withhold(StepContext& context, const TargetRef& ref) -> void {
+auto PostponeTakeover(StepContext& context, const TargetRef& ref) -> void {
   auto& directory = context.directory;
   auto* owner = FindCopiedOwner(directory, ref);
   if (owner == nullptr) return;
   ++directory.counters.copies_withheld;
-  auto longest = directory.policy.longest_copy_retry;
-  owner->agreed = false;
-  owner->pause = std::clamp(owner->pause * 2, directory.policy.copy_retry, longest);
-  owner->next_try = context.now + owner->pause;
+  auto max_backoff = directory.policy.max_takeover_retry;
+  owner->loss_confirmed = false;
+  owner->backoff = std::clamp(owner->backoff * 2, directory.policy.takeover_retry, max_backoff);
+  owner->next_attempt = context.now + owner->backoff;
 }
 
-auto FlowsToAskFor(const Directory& directory, const CopiedOwner& owner)
+auto FlowsToQuery(const Directory& directory, const CopiedOwner& owner)
     -> std::vector<base::FlowKey> {
   auto flows = std::vector<base::FlowKey>{};
   for (const auto& [flow, copy] : directory.copies) {
     if (copy.owner == owner.ref && !directory.pending.contains(flow)) flows.push_back(flow);
   }
   std::ranges::sort(flows);
-  auto most = owner.agreed ? directory.policy.copies_asked : std::size_t{1};
-  if (flows.size() > most) flows.resize(most);
+  auto limit = owner.loss_confirmed ? directory.policy.takeover_batch : std::size_t{1};
+  if (flows.size() > limit) flows.resize(limit);
   return flows;
 }
 
-auto AskForOrphans(StepContext& context, CopiedOwner& owner) -> void {
+auto QueryOrphans(StepContext& context, CopiedOwner& owner) -> void {
   const auto& policy = context.directory.policy;
   auto gone = FindPeer(context.directory, owner.ref) == nullptr;
-  if (!gone && context.now < owner.next_try) return;
-  if (!owner.agreed) owner.next_try = context.now + policy.copy_retry;
-  auto flows = FlowsToAskFor(context.directory, owner);
-  // `owner` may be gone after the first of them.
-  for (const auto& flow : flows) StartAsking(context, flow, nullptr, std::nullopt);
+  if (!gone && context.now < owner.next_attempt) return;
+  if (!owner.loss_confirmed) owner.next_attempt = context.now + policy.takeover_retry;
+  auto flows = FlowsToQuery(context.directory, owner);
+  // The first query may remove `owner`.
+  for (const auto& flow : flows) StartOwnerQuery(context, flow, nullptr, std::nullopt);
 }
 
-// Where replies leave until the client is heard of: the agent's route goes by probes for such
-// flows.
+// Returns the balancer for replies until the first packet from the client. For such flows the agent
+// chooses the route by probes.
 auto AnyBalancer(const Directory& directory) -> base::Endpoint {
   return directory.balancers.empty() ? base::Endpoint{} : directory.balancers.front().tunnel;
 }
 
-auto OwnOrphan(StepContext& context, const StandByCopy& copy) -> OwnedFlow {
+auto MakeOwnedOrphan(StepContext& context, const StandByCopy& copy) -> OwnedFlow {
   auto& directory = context.directory;
   auto owned = OwnedFlow{};
   owned.opened = context.now;
-  owned.last_from_client = copy.noted;
+  owned.last_from_client = copy.noted_at;
   owned.last_used = context.now;
   owned.balancer = AnyBalancer(directory);
   owned.stamp = ++directory.stamp;
@@ -173,8 +174,8 @@
   return std::ranges::lower_bound(directory.peers, target, {}, target_of)->ref;
 }
 
-auto AddressCopies(const Directory& directory, const TargetRef& keeper, wire::pb::StandBy& batch)
-    -> void {
+auto WriteBatchAddress(const Directory& directory, const TargetRef& keeper,
+                       wire::pb::StandBy& batch) -> void {
   batch.set_service(directory.service.value);
   WriteRef(directory.self, *batch.mutable_owner());
   WriteRef(keeper, *batch.mutable_keeper());
@@ -194,7 +195,7 @@
     ++directory.counters.stale_sender;
     return;
   }
-  // Safeguard: a duplicate of an earlier batch would bring a copy back that was taken away since.
+  // Safeguard: a duplicate of an earlier batch would restore a copy that was removed since.
   if (message.sequence() > peer->copies_applied) {
     peer->copies_applied = message.sequence();
     for (const auto& flow : message.flows()) ApplyCopy(context, flow, peer->ref);
@@ -207,18 +208,18 @@
   return copy != directory.copies.end() && IsOutOfReach(directory, copy->second.owner);
 }
 
-auto TakeOrphan(StepContext& context, const base::FlowKey& flow) -> bool {
+auto TakeOverOrphan(StepContext& context, const base::FlowKey& flow) -> bool {
   auto& directory = context.directory;
   if (!IsOrphaned(directory, flow)) return false;
   auto copy = std::move(directory.copies.at(flow));
   directory.copied_bytes -= copy.record.size();
   directory.copies.erase(flow);
   UncountOwner(directory, copy.owner);
-  OverruleLost(context, flow, directory.self);
+  RevokeLostClaim(context, flow, directory.self);
   directory.known.erase(flow);
   auto full = IsFull(directory);
   auto& owned = directory.owned[flow];
-  owned = OwnOrphan(context, copy);
+  owned = MakeOwnedOrphan(context, copy);
   ++directory.counters.copies_taken;
   context.effects.held.push_back(std::move(copy.record));
   context.effects.taken.push_back({flow, context.effects.held.back(), true, full});
@@ -226,34 +227,34 @@
   return true;
 }
 
-auto ConcludeOrphan(StepContext& context, const base::FlowKey& flow, const PendingFlow& pending)
-    -> bool {
+auto ConcludeOrphanQuery(StepContext& context, const base::FlowKey& flow,
+                         const PendingFlow& pending) -> bool {
   auto& directory = context.directory;
   if (!IsOrphaned(directory, flow)) return false;
   auto ref = directory.copies.at(flow).owner;
-  if (!IsAgreedLost(directory, ref, pending)) {
-    Withhold(context, ref);
+  if (!IsLossConfirmed(directory, ref, pending)) {
+    PostponeTakeover(context, ref);
     return false;
   }
-  TakeOrphan(context, flow);
+  TakeOverOrphan(context, flow);
   if (auto* owner = FindCopiedOwner(directory, ref)) {
-    owner->agreed = true;
-    owner->pause = {};
-    owner->next_try = {};
+    owner->loss_confirmed = true;
+    owner->backoff = {};
+    owner->next_attempt = {};
   }
   return true;
 }
 
-auto NoteCopysOwner(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
+auto ReconcileCopy(StepContext& context, const base::FlowKey& flow, const TargetRef& owner)
     -> void {
   auto copy = context.directory.copies.find(flow);
   if (copy == context.directory.copies.end()) return;
-  if (copy->second.owner == owner) return Withhold(context, owner);
-  ForgetCopy(context.directory, flow);
+  if (copy->second.owner == owner) return PostponeTakeover(context, owner);
+  RemoveCopy(context.directory, flow);
 }
 
-// The flows of an owner that is out of reach are asked for: one until the loss is agreed, then all.
-auto ContinueStandBy(StepContext& context) -> void {
+// Queries the flows of unreachable owners: a single flow until the loss is confirmed, then all.
+auto RetryTakeovers(StepContext& context) -> void {
   auto& directory = context.directory;
   if (directory.fenced || !directory.in_view) return;
   auto owners = directory.copied_owners;
@@ -261,22 +262,22 @@
     auto* owner = FindCopiedOwner(directory, known.ref);
     if (owner == nullptr) continue;
     if (IsOutOfReach(directory, owner->ref)) {
-      AskForOrphans(context, *owner);
+      QueryOrphans(context, *owner);
     } else {
-      owner->agreed = false;
-      owner->pause = {};
-      owner->next_try = {};
+      owner->loss_confirmed = false;
+      owner->backoff = {};
+      owner->next_attempt = {};
     }
   }
 }
 
-auto ForgetOldCopies(StepContext& context) -> void {
+auto ExpireCopies(StepContext& context) -> void {
   auto& directory = context.directory;
   auto old = std::vector<base::FlowKey>{};
   for (const auto& [flow, copy] : directory.copies) {
-    if (context.now - copy.noted > directory.policy.copy_memory) old.push_back(flow);
+    if (context.now - copy.noted_at > directory.policy.copy_ttl) old.push_back(flow);
   }
-  for (const auto& flow : old) ForgetCopy(directory, flow);
+  for (const auto& flow : old) RemoveCopy(directory, flow);
 }
 
 }  // namespace anvildrum::steering
--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -9,28 +9,28 @@
 
 constexpr auto kPermille = 1000.0;
 constexpr auto kDraws = 2;
-constexpr auto kDrawTries = 8;
+constexpr auto kMaxDrawAttempts = 8;
 
 auto CanTake(const TargetLoad& load) -> bool {
   if (!load.eligible || load.weight <= 0) return false;
   return load.connections == 0 || load.flows < load.connections;
 }
 
-// What the service's eligible targets have in common.
+// Mean values of the service's eligible targets.
 struct Means {
-  double delay = 0;            ///< in ns, over those that have one
+  double delay = 0;            ///< in ns, over the targets with a known delay
   double refused = 0;          ///< permille
-  double flows_per_share = 0;  ///< flows over the sum of shares
+  double flows_per_share = 0;  ///< number of flows divided by the sum of shares
 };
 
-auto ColdFactor(const PlacementPolicy& policy, const TargetLoad& load) -> double {
+auto SlowStartFactor(const PlacementPolicy& policy, const TargetLoad& load) -> double {
   if (load.age >= policy.slow_start) return 1.0;
   auto ramp =
       static_cast<double>(load.age.count()) / static_cast<double>(policy.slow_start.count());
   return policy.slow_start_floor + (1.0 - policy.slow_start_floor) * ramp;
 }
 
-// A target that answers in twice the mean time is worth half a target.
+// A target with twice the mean delay gets half the share.
 auto DelayFactor(const PlacementPolicy& policy, const TargetLoad& load, const Means& means)
     -> double {
   auto delay = static_cast<double>(load.delay.count());
@@ -47,7 +47,7 @@
 
 auto ShareOf(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> double {
   auto factor = DelayFactor(policy, load, means) * RefusedFactor(policy, load, means);
-  return load.weight * ColdFactor(policy, load) * std::max(policy.least_factor, factor);
+  return load.weight * SlowStartFactor(policy, load) * std::max(policy.min_factor, factor);
 }
 
 auto MeansOf(const PlacementPolicy& policy, std::span<const TargetLoad> loads) -> Means {
@@ -82,20 +82,20 @@
   return load.flows + 1.0 <= (1.0 + policy.flow_margin) * mean + policy.flow_slack;
 }
 
-// Lower is better: flows against the share, and requests that wait for a slot.
+// Combines the flows relative to the share and the requests that wait for a slot. Lower is better.
 auto Cost(const PlacementPolicy& policy, const TargetLoad& load, const Means& means) -> double {
   auto flows = (load.flows + 1.0) / ShareOf(policy, load, means) / (means.flows_per_share + 1.0);
   auto busy = static_cast<double>(load.in_flight) / std::max(1U, load.slots);
   return flows + std::max(0.0, busy - 1.0);
 }
 
-// The number of eligible targets is small or a sample of them is enough, so draws that hit a target
-// which can't take the flow are repeated a few times before all are looked at.
+// Draws a random target that can take the flow. Usually a few draws find one; after
+// kMaxDrawAttempts all targets are checked.
 template <typename Allowed>
 auto Draw(std::span<const TargetLoad> loads, Random& random, Allowed allowed) -> std::uint32_t {
   auto any =
       std::uniform_int_distribution<std::uint32_t>(0, static_cast<std::uint32_t>(loads.size()) - 1);
-  for (auto i = 0; i < kDrawTries; ++i) {
+  for (auto i = 0; i < kMaxDrawAttempts; ++i) {
     auto index = any(random);
     if (allowed(loads[index])) return index;
   }
@@ -123,7 +123,7 @@
   return best;
 }
 
-auto LeastReported(std::span<const TargetLoad> loads) -> std::uint32_t {
+auto LeastReportedLoad(std::span<const TargetLoad> loads) -> std::uint32_t {
   auto best = kNoTarget;
   for (auto i = std::uint32_t{0}; i < loads.size(); ++i) {
     if (!CanTake(loads[i])) continue;
@@ -165,7 +165,7 @@
     case PlacementKind::kRandom:
       return Draw(request.loads, random, CanTake);
     case PlacementKind::kLeastReportedLoad:
-      return LeastReported(request.loads);
+      return LeastReportedLoad(request.loads);
     case PlacementKind::kRendezvous:
       return HomeOrAny(request, random);
     case PlacementKind::kPowerOfTwo:
--- a/src/steering/internal/rendezvous.cc
+++ b/src/steering/internal/rendezvous.cc
@@ -9,7 +9,7 @@
 constexpr auto kUnit = 0x1.0p-53;
 constexpr auto kMantissaShift = 11;
 
-// Finalizer of SplitMix64: spreads flow and target over 64 bits.
+// Mixes flow and target into 64 uniform bits with the finalizer of SplitMix64.
 auto Mix(std::uint64_t flow_hash, base::TargetId target) -> std::uint64_t {
   auto x = flow_hash ^ target.value;
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -22,7 +22,7 @@
   return -weight / std::log(uniform);
 }
 
-// Index of the best of the candidates that `allowed` lets in.
+// Returns the index of the best candidate for which `allowed` is true.
 template <typename Allowed>
 auto BestOf(const CandidateSet& set, std::uint64_t flow_hash, Allowed allowed) -> std::uint32_t {
   auto best = kNone;
@@ -45,7 +45,7 @@
   return best;
 }
 
-auto FindSecond(const CandidateSet& set, std::uint64_t flow_hash, std::uint32_t first)
+auto FindSecondHome(const CandidateSet& set, std::uint64_t flow_hash, std::uint32_t first)
     -> std::uint32_t {
   if (first == kNone) return kNone;
   auto domain = set.candidates[first].failure_domain;
@@ -69,13 +69,13 @@
   return set;
 }
 
-auto FindFirst(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
+auto FindFirstHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
   return BestOf(set, flow_hash, [](std::uint32_t, const Candidate&) { return true; });
 }
 
 auto FindHomes(const CandidateSet& set, std::uint64_t flow_hash) -> Homes {
-  auto first = FindFirst(set, flow_hash);
-  return {first, FindSecond(set, flow_hash, first)};
+  auto first = FindFirstHome(set, flow_hash);
+  return {first, FindSecondHome(set, flow_hash, first)};
 }
 
 auto FindStandBy(const CandidateSet& set, std::uint64_t flow_hash, base::TargetId owner,
@@ -88,10 +88,10 @@
   return BestOf(set, flow_hash, [&](std::uint32_t, const Candidate& c) { return other(c); });
 }
 
-auto FindActing(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
-  auto first = FindFirst(set, flow_hash);
+auto FindActingHome(const CandidateSet& set, std::uint64_t flow_hash) -> std::uint32_t {
+  auto first = FindFirstHome(set, flow_hash);
   if (first == kNone || !set.candidates[first].suspect) return first;
-  auto second = FindSecond(set, flow_hash, first);
+  auto second = FindSecondHome(set, flow_hash, first);
   if (second != kNone && !set.candidates[second].suspect) return second;
   auto trusted =
       BestOf(set, flow_hash, [](std::uint32_t, const Candidate& c) { return !c.suspect; });
