--- a/src/packets/internal/flow_load.h
+++ b/src/packets/internal/flow_load.h
@@ -9,7 +9,8 @@
 
 /// The load that flows put on the agent's target, as derived from their packets.
 
-/// Returns the limit that keeps the target from taking the opening; Limit::kNone if it has capacity.
+/// Returns the limit that keeps the target from taking the opening; Limit::kNone if it has
+/// capacity.
 auto CapacityLimit(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Limit;
 
 /// Returns the opening as a candidate for admission.
