Count an answer whose FIN overtakes its data

The FIN of a short answer is sent together with its data and may arrive first. The request then counted as unanswered, so that nearly all requests of healthy targets counted as failed and no target stood out. The FIN's sequence now tells the answer's length.

--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -112,7 +112,9 @@
   std::uint32_t bytes = 0;  ///< of the answer so far
   std::uint16_t ahead = 0;  ///< requests that waited for a slot when this one arrived
   bool answering = false;   ///< the answer has begun and is not counted yet
-  bool counted = false;     ///< the request has counted as failed
+  bool counted = false;     ///< the request's outcome is counted; later packets change nothing
+  bool begin_known = false;
+  std::uint32_t begin = 0;  ///< sequence of the answer's first byte, if begin_known
 };
 
 /// State of a flow that was offered to the target, and its load.
--- a/src/packets/internal/request_outcome.cc
+++ b/src/packets/internal/request_outcome.cc
@@ -36,6 +36,7 @@
   auto& answer = flow.answer;
   if (!answer.answering) return;
   answer.answering = false;
+  answer.begin += answer.bytes;
   const auto request = outlier::FinishedRequest{
       .route = KeyOf(id.service), .ending = ending, .bytes = answer.bytes, .taken = answer.taken};
   outlier::Record(agent.outcomes, request, now);
@@ -57,6 +58,24 @@
   if (flow.answer.answering || IsAsked(flow) || refused) Fail(agent, id, flow, Ending::kReset, now);
 }
 
+// Safeguard: the FIN of an answer may overtake its data. Judged by the order of arrival, nearly
+// every request of a healthy target would count as unanswered. The FIN's sequence tells how much
+// data comes before it.
+auto NoteFinish(Agent& agent, const FlowId& id, FlowState& flow, const Packet& packet,
+                base::TimePoint now) -> void {
+  auto& answer = flow.answer;
+  const auto end = packet.sequence + packet.payload;
+  const auto sent = answer.begin_known ? static_cast<std::int32_t>(end - answer.begin) : 0;
+  if (sent > 0 && !answer.answering && IsAsked(flow)) {
+    answer.answering = true;
+    answer.counted = true;
+    answer.taken = now - flow.asked_at;
+  }
+  if (sent > 0) answer.bytes = static_cast<std::uint32_t>(sent);
+  FinishAnswer(agent, id, flow, Ending::kAnswered, now);
+  if (answer.begin_known && IsAsked(flow)) Fail(agent, id, flow, Ending::kUnanswered, now);
+}
+
 }  // namespace
 
 auto NoteRequest(Agent& agent, const FlowId& id, FlowState& flow, base::TimePoint now) -> void {
@@ -66,17 +85,21 @@
   const auto slots = std::max<std::uint32_t>(agent.target.last.slots, 1);
   const auto ahead = admission::AheadOf({.in_flight = others, .slots = slots});
   constexpr auto most = std::uint32_t{std::numeric_limits<std::uint16_t>::max()};
-  flow.answer = {.ahead = static_cast<std::uint16_t>(std::min(ahead, most))};
+  flow.answer = {.ahead = static_cast<std::uint16_t>(std::min(ahead, most)),
+                 .begin_known = flow.answer.begin_known,
+                 .begin = flow.answer.begin};
 }
 
 auto NoteFromTarget(Agent& agent, const FlowId& id, FlowState& flow, const Packet& packet,
                     std::optional<base::Duration> taken, base::TimePoint now) -> void {
+  if (packet.synchronize) {
+    flow.answer.begin = packet.sequence + 1;
+    flow.answer.begin_known = true;
+  }
   if (taken) BeginAnswer(agent, flow, *taken, now);
   if (flow.answer.answering) flow.answer.bytes += packet.payload;
   if (packet.reset) return NoteTargetReset(agent, id, flow, now);
-  if (!packet.finish) return;
-  FinishAnswer(agent, id, flow, Ending::kAnswered, now);
-  if (IsAsked(flow)) Fail(agent, id, flow, Ending::kUnanswered, now);
+  if (packet.finish) NoteFinish(agent, id, flow, packet, now);
 }
 
 auto NoteClientReset(Agent& agent, const FlowId& id, base::TimePoint now) -> void {
--- a/src/packets/tests/request_outcome_test.cc
+++ b/src/packets/tests/request_outcome_test.cc
@@ -103,6 +103,38 @@
   BOOST_TEST((CountsAt(agent, Later(2)) == outlier::Counts{1, 1}));
 }
 
+// Guards against a healthy target that counts as failing, since the FIN of each answer overtakes
+// the answer's data.
+BOOST_AUTO_TEST_CASE(an_answer_whose_fin_comes_first_counts_once_by_its_whole_length) {
+  auto agent = MakeExperienced();
+  auto whole = Flow{agent, 1};
+  whole.Ask(kStart);
+  auto finish = Reply(0);
+  finish.finish = true;
+  finish.sequence = 1 + kAnswerBytes;
+  whole.Answer(finish, Later(30));
+  whole.Answer(Reply(kAnswerBytes), Later(30));
+  BOOST_TEST((CountsAt(agent, Later(31)) == outlier::Counts{1, 0}));
+  auto error = Flow{agent, 2};
+  error.Ask(Later(40));
+  finish.sequence = 1 + kAnswerBytes / 5;
+  error.Answer(finish, Later(41));
+  error.Answer(Reply(kAnswerBytes / 5), Later(41));
+  BOOST_TEST((CountsAt(agent, Later(42)) == outlier::Counts{2, 1}));
+}
+
+// Guards against a target that closes flows without an answer.
+BOOST_AUTO_TEST_CASE(a_close_without_an_answer_counts_as_failed) {
+  auto agent = MakeExperienced();
+  auto flow = Flow{agent, 1};
+  flow.Ask(kStart);
+  auto finish = Reply(0);
+  finish.finish = true;
+  finish.sequence = 1;
+  flow.Answer(finish, Later(1));
+  BOOST_TEST((CountsAt(agent, Later(2)) == outlier::Counts{1, 1}));
+}
+
 // Guards against answers that are never counted because their flow stays open.
 BOOST_AUTO_TEST_CASE(the_next_request_of_a_flow_ends_the_answer_before) {
   auto agent = MakeExperienced();
