Remove the range of configured priorities

The order under shortage uses the priorities of recent openings (admission::ActivePriorities), since configured routes without traffic must not count. Nothing reads the range of the configured ones any more; its test goes with it, and the tests that used it beside others check the classes themselves.

--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -333,10 +333,6 @@
 /// Returns the class of the requests on the route, or RequestClass{} if it is unknown.
 auto ClassOf(const Agent& agent, const End& route) -> admission::RequestClass;
 
-/// Returns the most and the least urgent priority among the known classes of the service's routes,
-/// in this order; both are 0 if no class is known.
-auto PriorityRange(const Agent& agent) -> std::pair<admission::Priority, admission::Priority>;
-
 /// Number of agents per service that hold a copy of the configuration. Some of them survive the
 /// loss of one or two failure domains.
 inline constexpr auto kConfigurationCopies = std::size_t{6};
--- a/src/packets/internal/agent_classes.cc
+++ b/src/packets/internal/agent_classes.cc
@@ -91,7 +91,7 @@
   const auto equal = known.digest != 0 && offer.version == known.version;
   if (equal && IsAnnounced(agent, known.digest, now)) return;
   if (offer.digest != DigestOfNoClasses()) return Request(agent, offer, now);
-  SetClasses(known, {});
+  known.classes = {};
   known.digest = offer.digest;
   known.version = offer.version;
   DropOlderRequest(known);
@@ -115,7 +115,7 @@
     known.wanted->repeat_at = now + agent.policy.class_mismatch_pause;
     return false;
   }
-  SetClasses(known, ByRoute(*groups));
+  known.classes = ByRoute(*groups);
   known.digest = part.digest;
   known.version = known.wanted->version;
   known.wanted.reset();
@@ -128,8 +128,4 @@
   return entry == classes.end() ? admission::RequestClass{} : entry->second;
 }
 
-auto PriorityRange(const Agent& agent) -> std::pair<admission::Priority, admission::Priority> {
-  return agent.route_classes.priorities;
-}
-
 }  // namespace anvildrum::packets
--- a/src/packets/internal/route_classes.cc
+++ b/src/packets/internal/route_classes.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace anvildrum::packets {
 namespace {
@@ -144,18 +145,4 @@
   return digest;
 }
 
-auto SetClasses(KnownClasses& known,
-                std::unordered_map<std::uint64_t, admission::RequestClass> classes) -> void {
-  known.classes = std::move(classes);
-  known.priorities = {};
-  auto first = true;
-  for (const auto& [route, request] : known.classes) {
-    if (!request.known) continue;
-    auto& [most_urgent, least_urgent] = known.priorities;
-    most_urgent = first ? request.priority : std::min(most_urgent, request.priority);
-    least_urgent = std::max(least_urgent, request.priority);
-    first = false;
-  }
-}
-
 }  // namespace anvildrum::packets
--- a/src/packets/route_classes.h
+++ b/src/packets/route_classes.h
@@ -4,7 +4,6 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "admission/types/request_class.h"
@@ -54,13 +53,7 @@
   std::unordered_map<std::uint64_t, admission::RequestClass> classes;  ///< by KeyOf(route)
   std::uint64_t version = 0;  ///< of the configuration that states them; 0: none
   std::uint32_t digest = 0;   ///< of the set; 0: none
-  /// Most and least urgent priority of the known classes; both 0 if there are none.
-  std::pair<admission::Priority, admission::Priority> priorities{};
   std::optional<WantedClasses> wanted;
 };
 
-/// Replaces the classes and updates KnownClasses::priorities.
-auto SetClasses(KnownClasses& known,
-                std::unordered_map<std::uint64_t, admission::RequestClass> classes) -> void;
-
 }  // namespace anvildrum::packets
--- a/src/packets/tests/route_classes_test.cc
+++ b/src/packets/tests/route_classes_test.cc
@@ -17,7 +17,6 @@
 
 using admission::RequestClass;
 using Classes = std::unordered_map<std::uint64_t, RequestClass>;
-using PriorityPair = std::pair<admission::Priority, admission::Priority>;
 
 constexpr auto kFirst = kBalancer;
 constexpr auto kSecond = kBalancer + 1;
@@ -100,21 +99,10 @@
 BOOST_AUTO_TEST_CASE(an_unknown_route_has_no_class) {
   auto agent = MakeAgent();
   BOOST_TEST((ClassOf(agent, kRoute) == RequestClass{}));
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
-  SetClasses(agent.route_classes, {{RouteAt(1), kUrgent}});
+  agent.route_classes.classes = {{RouteAt(1), kUrgent}};
   BOOST_TEST((ClassOf(agent, kRoute) == RequestClass{}));
 }
 
-// Guards against the range keeping priorities of routes that were removed or are unknown.
-BOOST_AUTO_TEST_CASE(the_range_covers_the_known_classes) {
-  auto agent = MakeAgent();
-  SetClasses(agent.route_classes,
-             {{RouteAt(0), kUrgent}, {RouteAt(1), kRelaxed}, {RouteAt(2), RequestClass{}}});
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{1, 2}));
-  SetClasses(agent.route_classes, {{RouteAt(1), kRelaxed}});
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{2, 2}));
-}
-
 // Guards against a class that is altered on its way to the agent, and against repeated transfers.
 BOOST_AUTO_TEST_CASE(classes_reach_the_agent_once) {
   auto agent = MakeAgent();
@@ -125,7 +113,6 @@
   BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == 1U);
   BOOST_TEST((agent.route_classes.classes == classes));
   BOOST_TEST(agent.route_classes.version == 7U);
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{1, 255}));
   BOOST_TEST(Exchange(agent, kFirst, balancer, kStart + kHelloPeriod) == 0U);
   BOOST_TEST(Exchange(agent, kSecond, balancer, kStart + kHelloPeriod) == 0U);
 }
@@ -133,7 +120,7 @@
 // Guards against a packet of another route, or of another port of the address, getting the class.
 BOOST_AUTO_TEST_CASE(the_class_is_that_of_the_packets_route) {
   auto agent = MakeAgent();
-  SetClasses(agent.route_classes, {{KeyOf(kRoute), kUrgent}});
+  agent.route_classes.classes = {{KeyOf(kRoute), kUrgent}};
   auto packet = Opening();
   BOOST_TEST((ClassOf(agent, packet.destination) == kUrgent));
   packet.destination.port = 444;
@@ -264,7 +251,6 @@
   const auto without = MakeBalancer(8, {});
   BOOST_TEST(Exchange(agent, kFirst, without, kStart + kHelloPeriod) == 0U);
   BOOST_TEST(Knows(agent, {}));
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
   BOOST_TEST(agent.route_classes.version == 8U);
 }
 
@@ -429,7 +415,6 @@
   Exchange(agent, kFirst, balancer, kStart);
   ChangeService(agent, kMapper, kStart);
   BOOST_TEST(Knows(agent, {}));
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{0, 0}));
   BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == 0U);
   BOOST_TEST(!TakeRouteClasses(agent, balancer.classes.at(kDesk).parts.front(), kStart));
   BOOST_TEST(Knows(agent, {}));
@@ -445,7 +430,6 @@
   BOOST_TEST(Exchange(agent, kFirst, balancer, kStart) == kMaxClassParts);
   BOOST_TEST(agent.route_classes.classes.size() == most);
   BOOST_TEST(!agent.route_classes.classes.contains(RouteAt(0)));
-  BOOST_TEST((PriorityRange(agent) == PriorityPair{1, 1}));
 }
 
 // Guards against control traffic above its bounds: 6,700 routes in datagrams of under 1,300 bytes,
--- a/src/packets/tests/shortage_test.cc
+++ b/src/packets/tests/shortage_test.cc
@@ -27,7 +27,7 @@
 auto MakeOrderedAgent() -> Agent {
   auto agent = MakeAgent();
   DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther, kThird}), kStart);
-  SetClasses(agent.route_classes, {{KeyOf(kRoute), kUrgent}, {KeyOf(kOtherRoute), kRelaxed}});
+  agent.route_classes.classes = {{KeyOf(kRoute), kUrgent}, {KeyOf(kOtherRoute), kRelaxed}};
   agent.admission.policy = {.order_by_priority = true,
                             .admit_by_completion = true,
                             .fair_callers = true,
