Forget what admission has learned when the service changes

An agent kept the service times, the callers' use and the recent priorities of its earlier service. Openings of the new one could be turned away as too late by times that were never its own.

--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -72,6 +72,17 @@
   MarkFlowsUncertain(agent, {});
 }
 
+// Drops what admission has learned of a service. The policy and the seed of the hashes stay.
+auto ForgetAdmission(Agent& agent) -> void {
+  const auto policy = agent.admission.policy;
+  const auto seed = agent.callers.seed;
+  agent.admission = {};
+  agent.admission.policy = policy;
+  agent.callers = {};
+  agent.callers.seed = seed;
+  agent.priorities = {};
+}
+
 auto LeaveIsDoubtful(const Agent& agent, base::TimePoint now) -> bool {
   const auto started = std::max(agent.started_at, agent.target.restarted_at);
   return started != base::TimePoint{} && now - started < agent.policy.late_leave_window;
@@ -174,6 +185,7 @@
   agent.wanted.reset();
   agent.route_classes = {};
   agent.outcomes = {};
+  ForgetAdmission(agent);
   ForgetFlows(agent);
   MergePeers(agent, now);
 }
--- a/src/packets/tests/route_classes_test.cc
+++ b/src/packets/tests/route_classes_test.cc
@@ -421,6 +421,29 @@
   BOOST_TEST(Knows(agent, kUrgent));
 }
 
+// Guards against openings that are turned away by the service times, callers and priorities of an
+// earlier service.
+BOOST_AUTO_TEST_CASE(an_agent_that_changes_its_service_forgets_what_admission_has_learned) {
+  auto agent = MakeAgent();
+  agent.admission.policy = {.admit_by_completion = true, .fair_callers = true};
+  agent.callers.seed = 7;
+  admission::RecordAnswer(agent.admission, kUrgent, seconds{2}, 0, 4, kStart);
+  admission::RecordHandshake(agent.admission, seconds{1}, kStart);
+  admission::Decide(agent.admission, {}, {.in_flight = 8, .slots = 4}, kStart);
+  admission::CountUse(agent.callers, kClient.address, kStart);
+  admission::NoteOpening(agent.priorities, kUrgent.priority, kStart);
+  ChangeService(agent, kMapper, kStart);
+  const auto& controller = agent.admission;
+  BOOST_TEST(controller.policy.admit_by_completion);
+  BOOST_TEST(controller.service_times.empty());
+  BOOST_TEST((controller.mix.observed == base::TimePoint{}));
+  BOOST_TEST((controller.handshake.observed == base::TimePoint{}));
+  BOOST_TEST(!admission::IsShort(controller, kStart));
+  BOOST_TEST(agent.callers.seed == 7U);
+  BOOST_TEST(admission::UseOf(agent.callers, kClient.address, kStart) == 0U);
+  BOOST_TEST(agent.priorities.entries.empty());
+}
+
 // Guards against routes of an earlier service keeping their classes, and against parts that were
 // sent before the change.
 BOOST_AUTO_TEST_CASE(an_agent_that_changes_its_service_forgets_the_classes) {
