Bound the time of a handshake

A client that paused for ten seconds after the target's answer raised the mean handshake by a second. Under shortage, each opening without a free slot was then predicted to end too late.

--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -103,7 +103,10 @@
   if (flow.stage == FlowStage::kAnswered) {
     const auto ours = packet.acknowledged - flow.target_sequence <= 1;
     flow.stage = ours ? FlowStage::kOpen : FlowStage::kOpenElsewhere;
-    if (ours) admission::RecordHandshake(agent.admission, now - flow.seen, now);
+    // A client that pauses says nothing about the round trip. Without the bound, one pause of ten
+    // seconds would raise the mean by one, and each opening that waits would seem too late.
+    const auto taken = std::min<base::Duration>(now - flow.seen, agent.policy.offer_timeout);
+    if (ours) admission::RecordHandshake(agent.admission, taken, now);
   }
   if (flow.stage == FlowStage::kAssumed) return ReturnsForSearch(flow);
   if (flow.stage != FlowStage::kOpenElsewhere) return false;
--- a/src/packets/tests/agent_load_test.cc
+++ b/src/packets/tests/agent_load_test.cc
@@ -205,6 +205,19 @@
   BOOST_TEST(MakeReport(agent, kBalancer, later + milliseconds{100}).in_flight == 0U);
 }
 
+// Guards against openings being turned away as too late because one client paused between the
+// target's answer and its next packet.
+BOOST_AUTO_TEST_CASE(a_pause_in_a_handshake_counts_at_most_as_the_offer_timeout) {
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  FromTarget(agent, OpeningAnswer(0), kStart);
+  auto request = Data();
+  request.acknowledged = 1;
+  FromPeer(agent, request, kStart + seconds{10});
+  BOOST_TEST((agent.admission.handshake.observed == kStart + seconds{10}));
+  BOOST_TEST((agent.admission.handshake.mean == agent.policy.offer_timeout));
+}
+
 // A restarted agent receives parts of requests, or requests that its target has already answered,
 // and the target acknowledges them without data. When these counted as load, idle targets accepted
 // no openings for as long as their flows were kept, and traffic never recovered after an outage.
