--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -39,13 +39,14 @@
 }
 
 // Returns the time since the last packet of the request in progress and marks it as answered.
-auto TakeAnswer(Agent& agent, FlowState& flow, const admission::RequestClass& request,
-                base::TimePoint now) -> std::optional<base::Duration> {
+// The class is looked up only then, since most packets of an answer are not its first.
+auto TakeAnswer(Agent& agent, FlowState& flow, const End& route, base::TimePoint now)
+    -> std::optional<base::Duration> {
   if (flow.asked_at == base::TimePoint{}) return std::nullopt;
   agent.answered = std::max(agent.answered, flow.asked_at);
   const auto taken = now - std::exchange(flow.asked_at, {});
-  admission::RecordAnswer(agent.admission, request, taken, flow.answer.ahead, LoadOf(agent).slots,
-                          now);
+  admission::RecordAnswer(agent.admission, ClassOf(agent, route), taken, flow.answer.ahead,
+                          LoadOf(agent).slots, now);
   return taken;
 }
 
@@ -226,9 +227,8 @@
     entry = agent.flows.emplace(FlowFromTarget(packet), FlowState{.stage = FlowStage::kOpen}).first;
   }
   auto& flow = entry->second;
-  const auto answered = packet.payload != 0
-                            ? TakeAnswer(agent, flow, ClassOf(agent, packet.source), now)
-                            : std::nullopt;
+  const auto answered =
+      packet.payload != 0 ? TakeAnswer(agent, flow, packet.source, now) : std::nullopt;
   NoteFromTarget(agent, entry->first, flow, packet, answered, now);
   if (packet.reset) {
     Erase(agent, entry->first);
