Drop the service time of a class without answers

Service times of removed or changed classes stayed until the process restarted. An urgent class with an objective that was never met kept less urgent openings from queueing, and after 16 classes new ones had no service time of their own.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -48,6 +48,10 @@
 // Weight of a new observation in the moving averages.
 constexpr auto kServiceTimeWeight = 0.1;
 
+// A class without an answer for this long loses its service time. Its routes may have been removed
+// or changed, and an objective of the past would keep less urgent openings from queueing.
+constexpr auto kServiceTimeLifetime = base::seconds{60};
+
 // Service time before the first observation, as a divisor of the latency objective.
 constexpr auto kObjectivePerServiceTime = 5;
 
@@ -249,6 +253,9 @@
   Observe(controller.mix, service_time, kServiceTimeWeight, now);
   if (!request.known) return;
   auto& times = controller.service_times;
+  std::erase_if(times, [&](const auto& known) {
+    return now - known.estimate.observed > kServiceTimeLifetime;
+  });
   auto entry = std::find_if(times.begin(), times.end(),
                             [&](const auto& known) { return IsSameWork(known.request, request); });
   if (entry == times.end()) {
--- a/src/admission/tests/controller_test.cc
+++ b/src/admission/tests/controller_test.cc
@@ -215,6 +215,21 @@
   BOOST_TEST(LimitOf(controller, {.request = kLessUrgent}) == kSlots + 1);
 }
 
+// Guards against an objective that no route has any more, and that keeps less urgent openings from
+// queueing until the process restarts.
+BOOST_AUTO_TEST_CASE(a_class_without_answers_loses_its_service_time) {
+  auto controller = ShortWith({.order_by_priority = true, .admit_by_completion = true});
+  auto removed = kUrgent;
+  removed.objective = milliseconds{10};
+  Learn(controller, removed, milliseconds{30});
+  Learn(controller, kLessUrgent, milliseconds{30});
+  BOOST_TEST(LimitOf(controller, {.request = kLessUrgent}) == kSlots + 1);
+  const auto later = kStart + base::seconds{90};
+  RecordAnswer(controller, kLessUrgent, milliseconds{30}, 0, kSlots, later);
+  DecideAt(controller, {}, kTwoPerSlot, later);
+  BOOST_TEST(LimitOf(controller, {.request = kLessUrgent}, later) == 8U);  // 2.5 per slot is 7.5
+}
+
 // Guards against openings that visit many full targets, and against less capacity for urgent ones.
 BOOST_AUTO_TEST_CASE(less_urgent_openings_visit_one_more_agent) {
   const auto hops = [](const Controller& controller, const Candidate& candidate) {
