--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -173,10 +173,12 @@
   const auto was_short = admission::IsShort(agent.admission, now);
   const auto limit = admission::Decide(agent.admission, candidate, load, now);
   if (!was_short && admission::IsShort(agent.admission, now)) ++agent.counters.shortage.shortages;
-  CountVerdict(agent, candidate, limit, load, now);
-  if (limit == admission::Limit::kNone || packet.acknowledged != 0) return limit;
   const auto trial_limit = agent.admission.policy.opening_limit * load.slots;
-  return MayAdmitTrial(agent, trial_limit, now) ? admission::Limit::kNone : limit;
+  const auto trial = limit != admission::Limit::kNone && packet.acknowledged == 0 &&
+                     MayAdmitTrial(agent, trial_limit, now);
+  if (trial) return admission::Limit::kNone;
+  CountVerdict(agent, candidate, limit, load, now);
+  return limit;
 }
 
 auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void {
--- a/src/packets/tests/agent_load_test.cc
+++ b/src/packets/tests/agent_load_test.cc
@@ -195,6 +195,9 @@
   const auto trial = OpeningOf(21, 0);
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, trial, later)));
   BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, OpeningOf(22, 0), later)));
+  // The admitted trial must not be exported as turned away.
+  const auto slots = static_cast<std::size_t>(admission::Limit::kSlots);
+  BOOST_TEST(agent.counters.shortage.turned_away.at(slots) == 2U);
   auto request = Data();
   request.source = trial.source;
   FromPeer(agent, request, later);
