Saturate the length of an answer

The counter of 32 bits wrapped at 4 GiB. A longer download could then count as a failed, far too short answer, and take weight from its target.

--- a/src/packets/internal/request_outcome.cc
+++ b/src/packets/internal/request_outcome.cc
@@ -50,6 +50,11 @@
   outlier::RecordService(agent.outcomes, admission::WithoutWait(taken, answer.ahead, slots), now);
 }
 
+// Answers of more than 4 GiB count as 4 GiB.
+auto AddBytes(AnswerState& answer, std::uint32_t bytes) -> void {
+  answer.bytes += std::min(bytes, std::numeric_limits<std::uint32_t>::max() - answer.bytes);
+}
+
 // Handles a reset by the target. A reset of a flow that carries no request counts only if it
 // answers the opening; a target may discard idle flows.
 auto NoteTargetReset(Agent& agent, const FlowId& id, FlowState& flow, base::TimePoint now) -> void {
@@ -72,7 +77,7 @@
 auto NoteFromTarget(Agent& agent, const FlowId& id, FlowState& flow, const Packet& packet,
                     std::optional<base::Duration> taken, base::TimePoint now) -> void {
   if (taken) BeginAnswer(agent, flow, *taken, now);
-  if (flow.answer.answering) flow.answer.bytes += packet.payload;
+  if (flow.answer.answering) AddBytes(flow.answer, packet.payload);
   if (packet.reset) return NoteTargetReset(agent, id, flow, now);
   if (!packet.finish) return;
   FinishAnswer(agent, id, flow, Ending::kAnswered, now);
--- a/src/packets/tests/request_outcome_test.cc
+++ b/src/packets/tests/request_outcome_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 #include "agent_test_utils.h"
 #include "packets/agent.h"
@@ -94,6 +95,18 @@
   BOOST_TEST((CountsAt(agent, Later(50)) == outlier::Counts{1, 0}));
 }
 
+// Guards against a long download that counts as a short answer since the counter overflows.
+BOOST_AUTO_TEST_CASE(an_answer_of_more_than_four_gibibytes_is_no_short_one) {
+  auto agent = MakeExperienced();
+  auto flow = Flow{agent, 1};
+  constexpr auto most = std::numeric_limits<std::uint16_t>::max();
+  flow.Ask(kStart);
+  // 65,537 packets of 65,535 bytes are 4 GiB less one byte.
+  for (auto i = 0; i < 65'537; ++i) flow.Answer(Reply(most), Later(30));
+  flow.Finish(Later(31), 11);
+  BOOST_TEST((CountsAt(agent, Later(40)) == outlier::Counts{1, 0}));
+}
+
 // Guards against a target that answers errors at once and looks idle and fast.
 BOOST_AUTO_TEST_CASE(an_answer_far_shorter_than_usual_counts_as_failed) {
   auto agent = MakeExperienced();
