--- a/src/packets/tests/agent_load_test.cc
+++ b/src/packets/tests/agent_load_test.cc
@@ -268,5 +268,74 @@
   BOOST_TEST(agent.flows.empty());
 }
 
+constexpr auto kLessUrgentRoute = End{kRoute.address + 1, 443};
+
+auto LessUrgentOpening(std::uint16_t port) -> Packet {
+  auto opening = OpeningOf(port, 0);
+  opening.destination = kLessUrgentRoute;
+  return opening;
+}
+
+// Returns an agent with three peers, whose target has been at its ordinary limit since kStart, and
+// which has received openings of two priorities.
+auto MakeFull(const admission::Policy& policy) -> Agent {
+  auto agent = MakeAgent();
+  DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther, kOther + 1, kOther + 2}), kStart);
+  SetClasses(agent.route_classes,
+             {{KeyOf(kRoute),
+               admission::MakeRequestClass(1, milliseconds{300}, milliseconds{1500}, false)},
+              {KeyOf(kLessUrgentRoute),
+               admission::MakeRequestClass(2, milliseconds{250}, milliseconds{1200}, true)}});
+  agent.admission.policy = policy;
+  for (auto port = std::uint16_t{1}; port <= 8; ++port) OpenAndSendRequest(agent, port, kStart);
+  FromPeer(agent, LessUrgentOpening(9), kStart);
+  return agent;
+}
+
+// Guards against less urgent openings that visit six full agents, and against urgent ones that
+// visit fewer than six.
+BOOST_AUTO_TEST_CASE(under_shortage_a_less_urgent_opening_is_passed_on_once) {
+  auto ordered = MakeFull({.order_by_priority = true});
+  auto less_urgent = LessUrgentOpening(20);
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(ordered, less_urgent, kStart)));
+  less_urgent.stamp.hops = 1;
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(FromPeer(ordered, less_urgent, kStart)));
+  auto urgent = OpeningOf(21, 0);
+  urgent.stamp.hops = 1;
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(ordered, urgent, kStart)));
+  auto unordered = MakeFull({});
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(unordered, less_urgent, kStart)));
+}
+
+// Guards against refusals in a short burst, and against openings that stay without an answer
+// although the shortage lasts.
+BOOST_AUTO_TEST_CASE(openings_are_left_to_copies_in_the_first_second_of_a_shortage) {
+  auto agent = MakeFull({.await_copies = true});
+  auto opening = OpeningOf(20, 0);
+  opening.stamp.hops = agent.policy.opening_hops;
+  const auto left = FromPeer(agent, opening, kStart);
+  BOOST_REQUIRE(std::holds_alternative<Discard>(left));
+  BOOST_TEST((std::get<Discard>(left).reason == DiscardReason::kAwaitsCopy));
+  BOOST_TEST(agent.counters.shortage.left_to_copies == 1U);
+  BOOST_TEST(agent.counters.refused == 0U);
+  auto last = AgentVerdict{};
+  for (auto now = kStart; now <= kStart + milliseconds{1100}; now += milliseconds{50}) {
+    last = FromPeer(agent, opening, now);
+  }
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(last));
+  auto off = MakeFull({});
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(FromPeer(off, opening, kStart)));
+}
+
+// Guards against forged openings, whose senders receive no answer, using up another caller's share.
+BOOST_AUTO_TEST_CASE(a_callers_use_is_counted_at_its_first_data) {
+  auto agent = MakeAgent();
+  agent.admission.policy.fair_callers = true;
+  FromPeer(agent, OpeningOf(1, 0), kStart);
+  BOOST_TEST(admission::UseOf(agent.callers, kClient.address, kStart) == 0U);
+  OpenAndSendRequest(agent, 2, kStart);
+  BOOST_TEST(admission::UseOf(agent.callers, kClient.address, kStart) == 1U);
+}
+
 }  // namespace
 }  // namespace anvildrum::packets::agent_tests
