Reject route classes without routes

The number of groups in a part was bounded by the size of the datagram only: thousands of groups without a route could be stored for each of 64 parts.

--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -325,7 +325,8 @@
   for (const auto& entry : message.classes()) {
     auto group = RouteGroup{ClassFrom(entry), {entry.routes().begin(), entry.routes().end()}};
     routes += entry.routes_size();
-    if (!group.request_class.known || routes > static_cast<int>(kRoutesInPart)) {
+    if (!group.request_class.known || group.routes.empty() ||
+        routes > static_cast<int>(kRoutesInPart)) {
       return std::nullopt;
     }
     part.groups.push_back(std::move(group));
--- a/src/packets/tests/route_classes_test.cc
+++ b/src/packets/tests/route_classes_test.cc
@@ -536,6 +536,10 @@
   BOOST_TEST(RoundTrip(part).has_value());
   part.groups.push_back({kRelaxed, {1}});
   BOOST_TEST(!RoundTrip(part));
+  // The number of routes bounds that of the groups, so that a set takes bounded memory.
+  part = valid;
+  part.groups.push_back({kRelaxed, {}});
+  BOOST_TEST(!RoundTrip(part));
   for (const auto time : {milliseconds{0}, milliseconds{3'600'001}}) {
     part = valid;
     part.groups.front().request_class.objective = time;
