--- a/src/admission/controller.h
+++ b/src/admission/controller.h
@@ -51,7 +51,8 @@
 /// State at one target.
 struct Controller {
   Policy policy;
-  /// Priorities among the service's routes; equal while there is only one, or none is known.
+  /// Priority up to which openings are urgent, and the least urgent one, of recent openings at the
+  /// target (RangeOf); equal while there is only one, or none is known.
   Priority most_urgent = 0;
   Priority least_urgent = 0;
   std::vector<ClassServiceTime> service_times;  ///< by class, at most kMaxClasses
