--- a/src/admission/active_priorities.h
+++ b/src/admission/active_priorities.h
@@ -31,6 +31,6 @@
 /// Returns the range of recent priorities: first, the priority up to which openings are urgent, and
 /// then the least urgent one; both are 0 if there is none. Priorities above the first one make up
 /// too small a share of the openings to need capacity of their own.
-auto RangeOf(const ActivePriorities& active) -> std::pair<Priority, Priority>;
+auto RangeOf(const ActivePriorities& active, base::TimePoint now) -> std::pair<Priority, Priority>;
 
 }  // namespace anvildrum::admission
--- a/src/admission/internal/active_priorities.cc
+++ b/src/admission/internal/active_priorities.cc
@@ -42,8 +42,8 @@
   ++active.total;
 }
 
-auto RangeOf(const ActivePriorities& active) -> std::pair<Priority, Priority> {
-  if (active.entries.empty()) return {};
+auto RangeOf(const ActivePriorities& active, base::TimePoint now) -> std::pair<Priority, Priority> {
+  if (active.entries.empty() || now - active.began_at >= 2 * kGeneration) return {};
   auto urgent = std::uint32_t{0};
   const auto last_urgent =
       std::find_if(active.entries.begin(), active.entries.end(), [&](const auto& entry) {
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -1,6 +1,7 @@
 #include "packetd/agent_node.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "base/clock.h"
@@ -102,7 +103,7 @@
   this->core.admission.policy = ShortagePolicyOf(settings, adapter.shortage_contract);
   this->core.service = base::ServiceIdOf(settings.agent->service);
   this->core.start = StartSeed(settings);
-  this->core.callers.seed = this->core.start;
+  this->core.callers.seed = std::random_device{}();
 }
 
 auto AgentNode::Start() -> base::Result<void> {
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -11,6 +11,7 @@
 #include "packetd/addresses.h"
 #include "packetd/internal/common.h"
 #include "packetd/record.h"
+#include "packetd/shortage_policy.h"
 #include "packets/reach.h"
 #include "packets/target_verdicts.h"
 #include "telemetry/log.h"
@@ -61,6 +62,8 @@
   this->core.view.policy = this->core.policy.view;
   this->core.policy.avoid_failing_targets = settings.avoid_failing_targets;
   this->core.policy.place_by_completion = settings.place_by_completion;
+  this->core.policy.copies_awaited =
+      ShortagePolicyOf(settings, adapter.shortage_contract).await_copies;
   this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
 }
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -48,6 +48,9 @@
   base::Duration former_service_ttl = base::seconds{60};
   /// Load of an open flow without a request, in requests: about one request of 30 ms per second.
   double held_flow_weight = 0.03;
+  /// Agents leave openings to their clients' copies in the first second of a shortage, so that a
+  /// copy does not show that a busy agent is gone.
+  bool copies_awaited = false;
   /// Factor applied to the load of a target that has just started and is still slow.
   double cold_load_factor = 2.0;
   /// Targets whose requests fail more often than those of their peers lose weight
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -117,6 +117,7 @@
   if (entry == balancer.view.members.end()) return;
   auto& member = entry->second;
   if (member.heard > hint.offered_at) return;
+  if (balancer.policy.copies_awaited && !HasFreeSlot(member)) return;
   packets::Suspect(member, now);
   ++balancer.counters.suspicions;
 }
--- a/src/packets/tests/agent_load_test.cc
+++ b/src/packets/tests/agent_load_test.cc
@@ -195,6 +195,9 @@
   const auto trial = OpeningOf(21, 0);
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, trial, later)));
   BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, OpeningOf(22, 0), later)));
+  // The admitted trial must not be exported as turned away.
+  const auto slots = static_cast<std::size_t>(admission::Limit::kSlots);
+  BOOST_TEST(agent.counters.shortage.turned_away.at(slots) == 2U);
   auto request = Data();
   request.source = trial.source;
   FromPeer(agent, request, later);
@@ -205,6 +208,19 @@
   BOOST_TEST(MakeReport(agent, kBalancer, later + milliseconds{100}).in_flight == 0U);
 }
 
+// Guards against openings being turned away as too late because one client paused between the
+// target's answer and its next packet.
+BOOST_AUTO_TEST_CASE(a_pause_in_a_handshake_counts_at_most_as_the_offer_timeout) {
+  auto agent = MakeAgent();
+  FromPeer(agent, Opening(), kStart);
+  FromTarget(agent, OpeningAnswer(0), kStart);
+  auto request = Data();
+  request.acknowledged = 1;
+  FromPeer(agent, request, kStart + seconds{10});
+  BOOST_TEST((agent.admission.handshake.observed == kStart + seconds{10}));
+  BOOST_TEST((agent.admission.handshake.mean == agent.policy.offer_timeout));
+}
+
 // A restarted agent receives parts of requests, or requests that its target has already answered,
 // and the target acknowledges them without data. When these counted as load, idle targets accepted
 // no openings for as long as their flows were kept, and traffic never recovered after an outage.
@@ -252,5 +268,73 @@
   BOOST_TEST(agent.flows.empty());
 }
 
+constexpr auto kLessUrgentRoute = End{kRoute.address + 1, 443};
+
+auto LessUrgentOpening(std::uint16_t port) -> Packet {
+  auto opening = OpeningOf(port, 0);
+  opening.destination = kLessUrgentRoute;
+  return opening;
+}
+
+// Returns an agent with three peers, whose target has been at its ordinary limit since kStart, and
+// which has received openings of two priorities.
+auto MakeFull(const admission::Policy& policy) -> Agent {
+  auto agent = MakeAgent();
+  DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther, kOther + 1, kOther + 2}), kStart);
+  agent.route_classes.classes = {
+      {KeyOf(kRoute), admission::MakeRequestClass(1, milliseconds{300}, milliseconds{1500}, false)},
+      {KeyOf(kLessUrgentRoute),
+       admission::MakeRequestClass(2, milliseconds{250}, milliseconds{1200}, true)}};
+  agent.admission.policy = policy;
+  for (auto port = std::uint16_t{1}; port <= 8; ++port) OpenAndSendRequest(agent, port, kStart);
+  FromPeer(agent, LessUrgentOpening(9), kStart);
+  return agent;
+}
+
+// Guards against less urgent openings that visit six full agents, and against urgent ones that
+// visit fewer than six.
+BOOST_AUTO_TEST_CASE(under_shortage_a_less_urgent_opening_is_passed_on_once) {
+  auto ordered = MakeFull({.order_by_priority = true});
+  auto less_urgent = LessUrgentOpening(20);
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(ordered, less_urgent, kStart)));
+  less_urgent.stamp.hops = 1;
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(FromPeer(ordered, less_urgent, kStart)));
+  auto urgent = OpeningOf(21, 0);
+  urgent.stamp.hops = 1;
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(ordered, urgent, kStart)));
+  auto unordered = MakeFull({});
+  BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(unordered, less_urgent, kStart)));
+}
+
+// Guards against refusals in a short burst, and against openings that stay without an answer
+// although the shortage lasts.
+BOOST_AUTO_TEST_CASE(openings_are_left_to_copies_in_the_first_second_of_a_shortage) {
+  auto agent = MakeFull({.await_copies = true});
+  auto opening = OpeningOf(20, 0);
+  opening.stamp.hops = agent.policy.opening_hops;
+  const auto left = FromPeer(agent, opening, kStart);
+  BOOST_REQUIRE(std::holds_alternative<Discard>(left));
+  BOOST_TEST((std::get<Discard>(left).reason == DiscardReason::kAwaitsCopy));
+  BOOST_TEST(agent.counters.shortage.left_to_copies == 1U);
+  BOOST_TEST(agent.counters.refused == 0U);
+  auto last = AgentVerdict{};
+  for (auto now = kStart; now <= kStart + milliseconds{1100}; now += milliseconds{50}) {
+    last = FromPeer(agent, opening, now);
+  }
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(last));
+  auto off = MakeFull({});
+  BOOST_TEST(std::holds_alternative<RefuseOpening>(FromPeer(off, opening, kStart)));
+}
+
+// Guards against forged openings, whose senders receive no answer, using up another caller's share.
+BOOST_AUTO_TEST_CASE(a_callers_use_is_counted_at_its_first_data) {
+  auto agent = MakeAgent();
+  agent.admission.policy.fair_callers = true;
+  FromPeer(agent, OpeningOf(1, 0), kStart);
+  BOOST_TEST(admission::UseOf(agent.callers, kClient.address, kStart) == 0U);
+  OpenAndSendRequest(agent, 2, kStart);
+  BOOST_TEST(admission::UseOf(agent.callers, kClient.address, kStart) == 1U);
+}
+
 }  // namespace
 }  // namespace anvildrum::packets::agent_tests
--- a/src/packets/tests/balancer_test.cc
+++ b/src/packets/tests/balancer_test.cc
@@ -262,6 +262,22 @@
   BOOST_TEST(IsUsable(rig.balancer.view, rig.balancer.view.members.at(agent), rig.now));
 }
 
+// Guards against healthy agents that receive no openings in a burst: they leave openings to their
+// clients' copies, and the copies would count as signs that they are gone.
+BOOST_AUTO_TEST_CASE(a_busy_agent_that_may_leave_openings_to_copies_is_not_suspected) {
+  for (const auto awaited : {true, false}) {
+    auto rig = Rig{2};
+    rig.balancer.policy.copies_awaited = awaited;
+    for (auto i = Address{0}; i < 2; ++i) rig.Report(kFirstAgent + i, 8);
+    rig.now += milliseconds{1};
+    const auto agent = AgentOf(rig.Opening(1));
+    rig.now += milliseconds{200};
+    rig.Opening(1, 1);
+    const auto& member = rig.balancer.view.members.at(agent);
+    BOOST_TEST(IsUsable(rig.balancer.view, member, rig.now) == awaited);
+  }
+}
+
 // No agent can accept the opening. The client receives a reset at once instead of failing after
 // 1.4 s, and no request has run. A copy gets no reset, since an earlier one may have opened the
 // flow by another path.
