--- a/bench/capacity/requests_slopes.cc
+++ b/bench/capacity/requests_slopes.cc
@@ -110,7 +110,7 @@
     auto state = RunRequests(kPost, count);
     auto size = static_cast<double>(count);
     heap.points.push_back({size, AllocatedBytes() - before});
-    auto busy = requests::BusyOf(*state, kNow);
+    auto busy = requests::RequestLoadOf(*state, kNow);
     counted.points.push_back({size, static_cast<double>(busy.ledger_bytes)});
   }
   return {heap, counted};
--- a/bench/overload_targets.cc
+++ b/bench/overload_targets.cc
@@ -101,7 +101,7 @@
       target.observed = static_cast<double>(InFlight(target));
       continue;
     }
-    auto busy = BusyOf(*sim.cores[i], At(sim.now));
+    auto busy = RequestLoadOf(*sim.cores[i], At(sim.now));
     target.observed = static_cast<double>(busy.running + busy.queued + 1) *
                       static_cast<double>(busy.service_time.count());
   }
--- a/bench/requests_bench.cc
+++ b/bench/requests_bench.cc
@@ -89,7 +89,7 @@
     bed.now += base::milliseconds(5);
     RunPost(bed, FlowOfClient(bed.client++ % 1000));
   }
-  auto busy = BusyOf(*bed.core, bed.now);
+  auto busy = RequestLoadOf(*bed.core, bed.now);
   state.counters["entries"] = static_cast<double>(busy.ledger_entries);
 }
 BENCHMARK(PostThroughStep);
@@ -112,7 +112,7 @@
 // Ledger bytes of an answered POST, as counted against the limit and as the allocator sees them, at
 // several sizes.
 auto LedgerBytes(benchmark::State& state) -> void {
-  auto busy = Busy{};
+  auto busy = RequestLoad{};
   auto allocated = std::size_t{0};
   for (auto _ : state) {
     auto bed = MakeBed();
@@ -120,7 +120,7 @@
     for (auto i = std::int64_t{0}; i < state.range(0); ++i) {
       RunPost(bed, FlowOfClient(static_cast<std::uint32_t>(i % 1000)));
     }
-    busy = BusyOf(*bed.core, bed.now);
+    busy = RequestLoadOf(*bed.core, bed.now);
     allocated = mallinfo2().uordblks - before;
   }
   auto entries = static_cast<double>(busy.ledger_entries);
--- a/src/agent/internal/drain.cc
+++ b/src/agent/internal/drain.cc
@@ -24,7 +24,7 @@
 
 // Whether a client still waits for something from here. Otherwise its flow can move unnoticed.
 auto HasPendingWork(const Context& context) -> bool {
-  auto busy = requests::BusyOf(*context.agent.requests, context.now);
+  auto busy = requests::RequestLoadOf(*context.agent.requests, context.now);
   return busy.running + busy.queued + busy.offered + busy.streams + busy.transfers > 0;
 }
 
--- a/src/agent/internal/peers.cc
+++ b/src/agent/internal/peers.cc
@@ -93,7 +93,7 @@
   context.effects.emplace_back(SendTunnel{*to, std::move(header), {}});
 }
 
-auto UpdateRefusedShare(Agent& agent, const requests::Busy& busy) -> void {
+auto UpdateRefusedShare(Agent& agent, const requests::RequestLoad& busy) -> void {
   auto admitted = busy.admitted - agent.admitted_before;
   auto refused = busy.refused - agent.refused_before;
   agent.admitted_before = busy.admitted;
@@ -163,7 +163,7 @@
   auto& agent = context.agent;
   if (context.now < agent.next_load) return;
   agent.next_load = context.now + agent.policy.load_period;
-  auto busy = requests::BusyOf(*agent.requests, context.now);
+  auto busy = requests::RequestLoadOf(*agent.requests, context.now);
   UpdateRefusedShare(agent, busy);
   auto load = agent.directory.load;
   load.slots = agent.record.slots;
--- a/src/daemon/internal/status.cc
+++ b/src/daemon/internal/status.cc
@@ -102,7 +102,7 @@
   status["ready"] = agent.phase == agent::Phase::kServing;
   status["settled"] = steering::IsSettled(agent.directory);
   status["provisional"] = agent.provisional;
-  auto busy = requests::BusyOf(*agent.requests, Now());
+  auto busy = requests::RequestLoadOf(*agent.requests, Now());
   status["running"] = busy.running;
   status["queued"] = busy.queued;
   status["streams"] = busy.streams;
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -57,7 +57,7 @@
 };
 
 /// A planned stop has begun. Established flows are served on; requests are no longer taken from
-/// other agents. `BusyOf` tells when the agent may end.
+/// other agents. `RequestLoadOf` tells when the agent may end.
 struct Drain {};
 
 /// Another agent offers a request. At most once holds through Echo as for a client: the first offer
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -61,8 +61,8 @@
   state.parameters.slots = std::max(parameters.slots, 1U);
 }
 
-auto BusyOf(const State& state, base::TimePoint now) -> Busy {
-  auto busy = Busy{};
+auto RequestLoadOf(const State& state, base::TimePoint now) -> RequestLoad {
+  auto busy = RequestLoad{};
   busy.running = state.admission.running;
   busy.queued = static_cast<std::uint32_t>(state.admission.queue.size());
   for (const auto& [key, flow] : state.flows) {
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -50,7 +50,7 @@
 auto SetParameters(State& state, const Parameters& parameters) -> void;
 
 /// What the agent reports to homes, and waits for at a planned stop.
-struct Busy {
+struct RequestLoad {
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
   std::uint32_t offered = 0;      ///< handed on, not answered yet
@@ -62,7 +62,7 @@
   std::size_t ledger_entries = 0;
   std::size_t ledger_bytes = 0;
 };
-auto BusyOf(const State& state, base::TimePoint now) -> Busy;
+auto RequestLoadOf(const State& state, base::TimePoint now) -> RequestLoad;
 
 /// Whether nothing of the flow is in progress, so that its socket may be closed (then feed
 /// FlowClosed). For flows of other agents, which a hand-on opened here, that is at once.
--- a/src/requests/tests/admission_test.cc
+++ b/src/requests/tests/admission_test.cc
@@ -52,7 +52,7 @@
   rig.now += rig.parameters.queue_limit - rig.parameters.initial_service_time;
   Feed(rig, Timer{});
   BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
-  BOOST_TEST(BusyOf(*rig.core, rig.now).queued == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).queued == 0U);
 }
 
 // One trader sends a burst that fills the queue; another's single request takes the next slot and
@@ -112,7 +112,7 @@
     refused = Sent(rig).code == kCodeServiceUnavailable;
   }
   BOOST_TEST(refused);
-  BOOST_TEST(BusyOf(*rig.core, rig.now).ledger_bytes < 11000U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).ledger_bytes < 11000U);
   FromClient(rig, post);
   BOOST_TEST(rig.to_target.size() == 1U);
 }
--- a/src/requests/tests/crash_test.cc
+++ b/src/requests/tests/crash_test.cc
@@ -86,7 +86,7 @@
   Answer(rig, ParseMessage(sent).value(), 7);
   rig.now += base::seconds(600);
   FromClient(rig, post);
-  BOOST_TEST(BusyOf(*rig.core, rig.now).ledger_entries == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).ledger_entries == 0U);
   BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
   BOOST_TEST(rig.to_target.empty());
 }
@@ -214,7 +214,7 @@
   auto expected =
       std::vector<std::uint8_t>{kCodeGatewayTimeout, kCodeGatewayTimeout, kCodeServiceUnavailable};
   BOOST_TEST(codes == expected);
-  BOOST_TEST(BusyOf(*rig.core, rig.now).running == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).running == 0U);
 }
 
 // The target froze: the client is told unknown at the run limit, and the answer that comes when the
@@ -260,7 +260,7 @@
     refused = Sent(rig).code == kCodeServiceUnavailable;
   }
   BOOST_TEST(refused);
-  BOOST_TEST(BusyOf(*rig.core, rig.now).ledger_bytes <= 2000U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).ledger_bytes <= 2000U);
   FromClient(rig, post);
   BOOST_TEST(rig.to_client.at(0) == answer);
 }
--- a/src/requests/tests/deadline_test.cc
+++ b/src/requests/tests/deadline_test.cc
@@ -127,7 +127,7 @@
     BOOST_TEST(Sent(rig).code == code);
     rig.now += milliseconds(300);
   }
-  BOOST_CHECK(BusyOf(*rig.core, rig.now).service_time >= milliseconds(100));
+  BOOST_CHECK(RequestLoadOf(*rig.core, rig.now).service_time >= milliseconds(100));
 }
 
 // A hold runs, and its client's time is up: the client is told "unknown" then and not after the run
@@ -142,7 +142,7 @@
   Pass(rig, milliseconds(1));
   BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
   BOOST_TEST(Counted(rig, Counter::kUnknownDeadline));
-  BOOST_TEST(BusyOf(*rig.core, rig.now).running == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).running == 0U);
   Answer(rig, ParseMessage(request).value(), 7);
   BOOST_TEST(rig.to_client.empty());
   FromClient(rig, post);
--- a/src/requests/tests/fuzz_test.cc
+++ b/src/requests/tests/fuzz_test.cc
@@ -72,7 +72,7 @@
   Feed(rig, FlowClosed{kOtherFlow});
   rig.now += base::hours(1);
   Feed(rig, Timer{});
-  auto busy = BusyOf(*rig.core, rig.now);
+  auto busy = RequestLoadOf(*rig.core, rig.now);
   BOOST_TEST(busy.running + busy.queued + busy.offered + busy.streams == 0U);
   BOOST_TEST(busy.ledger_entries == 0U);
   BOOST_TEST(busy.ledger_bytes == 0U);
--- a/src/requests/tests/hand_over_test.cc
+++ b/src/requests/tests/hand_over_test.cc
@@ -69,7 +69,7 @@
   BOOST_TEST(first.message_id == static_cast<std::uint16_t>(before_id + 1));
   Feed(pair.new_owner, TargetDatagram{kFlow, Notification(kNon, 301, token, 3)});
   BOOST_CHECK(Sent(pair.new_owner).observe == 202U);
-  BOOST_TEST(BusyOf(*pair.new_owner.core, pair.new_owner.now).streams == 1U);
+  BOOST_TEST(RequestLoadOf(*pair.new_owner.core, pair.new_owner.now).streams == 1U);
 }
 
 // A second drain takes the stream on to a third target: the number that the client saw counts, not
--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -92,7 +92,7 @@
     if (order.outcome == Outcome::kPending) return "no final outcome";
   }
   for (auto& agent : world.agents) {
-    auto busy = BusyOf(*agent.core, world.now);
+    auto busy = RequestLoadOf(*agent.core, world.now);
     if (busy.running + busy.queued + busy.offered > 0) return "a request was left behind";
     if (busy.ledger_entries > 0 || busy.ledger_bytes > 0) return "the ledger kept something";
   }
--- a/src/requests/tests/streams_test.cc
+++ b/src/requests/tests/streams_test.cc
@@ -43,7 +43,7 @@
   auto rig = MakeRig(Alone());
   OpenStream(rig);
   BOOST_TEST(Sent(rig).message_id == 1);
-  auto busy = BusyOf(*rig.core, rig.now);
+  auto busy = RequestLoadOf(*rig.core, rig.now);
   BOOST_TEST(busy.running == 0U);
   BOOST_TEST(busy.streams == 1U);
 }
@@ -113,7 +113,7 @@
   BOOST_TEST(rig.to_target.at(0) == BuildEmptyAck(500));
   FromClient(rig, BuildReset(message_id));
   BOOST_TEST(rig.to_target.at(0) == BuildReset(500));
-  BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
 // The client is gone and acknowledges nothing: the target is told by an RST and the stream freed,
@@ -130,7 +130,7 @@
   rig.now += base::seconds(63);
   Feed(rig, Timer{});
   BOOST_TEST(rig.to_target.at(0) == BuildReset(500));
-  BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
 // The client cancels with the token of its observation; the target must see the token it knows the
@@ -143,7 +143,7 @@
   BOOST_CHECK(request.token == token);
   Answer(rig, request, 1);
   BOOST_TEST(Sent(rig).message_id == 2);
-  auto busy = BusyOf(*rig.core, rig.now);
+  auto busy = RequestLoadOf(*rig.core, rig.now);
   BOOST_TEST(busy.streams == 0U);
   BOOST_TEST(busy.ledger_entries == 0U);
 }
@@ -237,7 +237,7 @@
   FromClient(rig, BuildReset(Sent(rig).message_id));
   FromClient(rig, ObserveGet(1, false));
   BOOST_TEST(rig.to_target.empty());
-  BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
 // A screen asks for a feed and closes at once: its Observe 1 overtakes the target's first answer.
@@ -253,7 +253,7 @@
   BOOST_CHECK(Forwarded(rig).token == request.token);
   Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kAcknowledgement, request.message_id,
                                                request.token, 10)});
-  BOOST_TEST(BusyOf(*rig.core, rig.now).streams == 0U);
+  BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
 // The client has the ACK when the target freezes, so it no longer asks: its 5.04 is a CON of the
