--- a/src/agent/internal/hand_over_codec.cc
+++ b/src/agent/internal/hand_over_codec.cc
@@ -8,8 +8,8 @@
 namespace {
 
 using requests::FlowRecord;
-using requests::HandedRequest;
-using requests::HandedStream;
+using requests::HandedOverRequest;
+using requests::HandedOverStream;
 using requests::Token;
 
 constexpr auto kMaxMessageId = std::uint32_t{0xffff};
@@ -39,7 +39,7 @@
   return token;
 }
 
-auto Write(const HandedRequest& handed, wire::pb::RequestRecord& record) -> void {
+auto Write(const HandedOverRequest& handed, wire::pb::RequestRecord& record) -> void {
   record.set_token(TextOf(handed.token));
   record.set_message_id(handed.message_id);
   record.set_was_challenged(handed.was_challenged);
@@ -74,8 +74,8 @@
   return IsFinal(record.stage());
 }
 
-auto Read(const wire::pb::RequestRecord& record) -> HandedRequest {
-  auto handed = HandedRequest{};
+auto Read(const wire::pb::RequestRecord& record) -> HandedOverRequest {
+  auto handed = HandedOverRequest{};
   handed.token = TokenOf(record.token());
   handed.message_id = static_cast<std::uint16_t>(record.message_id());
   handed.was_challenged = record.was_challenged();
--- a/src/requests/hand_over.h
+++ b/src/requests/hand_over.h
@@ -15,13 +15,13 @@
 
 /// An observation. The new owner registers it at its own target and goes on under the client's
 /// token, with sequence numbers that go on rising (RFC 7641, 3.4).
-struct HandedStream {
+struct HandedOverStream {
   Bytes request;               ///< the client's GET as it came last: has its token and message ID
   std::uint32_t sequence = 0;  ///< last one sent to the client, 24 bits
 };
 
 /// A finished request that a late copy could still repeat.
-struct HandedRequest {
+struct HandedOverRequest {
   Token token;
   std::uint16_t message_id = 0;
   bool was_challenged = false;
@@ -39,8 +39,8 @@
 struct FlowRecord {
   std::uint16_t next_client_message_id = 0;
   base::Duration quarantine_left{};  ///< of a flow that was itself taken over from a dead agent
-  std::vector<HandedStream> streams;
-  std::vector<HandedRequest> requests;
+  std::vector<HandedOverStream> streams;
+  std::vector<HandedOverRequest> requests;
 };
 
 /// Ledger entries by flow, so that many flows are exported after one pass over the ledger.
--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -34,8 +34,8 @@
   return flow.transfer_until > now || (flow.upload && flow.upload->expires > now);
 }
 
-auto RequestOf(const LedgerEntry& entry, base::TimePoint now) -> HandedRequest {
-  auto handed = HandedRequest{};
+auto RequestOf(const LedgerEntry& entry, base::TimePoint now) -> HandedOverRequest {
+  auto handed = HandedOverRequest{};
   handed.token = entry.identity.token;
   handed.message_id = entry.identity.message_id;
   handed.was_challenged = entry.was_challenged;
@@ -53,7 +53,7 @@
 
 // The client never answered its challenge here. It may yet, with a value that is foreign to the new
 // owner; both messages are told the same then.
-auto AnswerAbandoned(HandedRequest& handed, FlowRecord& record) -> void {
+auto AnswerAbandoned(HandedOverRequest& handed, FlowRecord& record) -> void {
   auto confirmable = handed.type == MessageType::kConfirmable;
   auto type = confirmable ? MessageType::kAcknowledgement : MessageType::kNonConfirmable;
   auto message_id = confirmable ? handed.message_id : record.next_client_message_id++;
@@ -71,7 +71,8 @@
   record.requests.push_back(std::move(handed));
 }
 
-auto TakeRequest(Context& context, const base::FlowKey& flow, const HandedRequest& handed) -> void {
+auto TakeRequest(Context& context, const base::FlowKey& flow, const HandedOverRequest& handed)
+    -> void {
   auto& ledger = context.state.ledger;
   auto identity = RequestIdentity{flow, handed.token, handed.message_id, {}};
   auto entry = LedgerEntry{};
@@ -92,7 +93,7 @@
 // Registered at this target as a request that is never refused and holds no slot: the client was
 // admitted long ago. Its first answer goes out as a notification, not in the ACK of a request that
 // the client has long had answered.
-auto TakeStream(Context& context, const base::FlowKey& flow, const HandedStream& handed)
+auto TakeStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
     -> LedgerEntry* {
   auto request = ParseMessage(handed.request);
   if (!request || !IsRequest(*request)) {
@@ -115,13 +116,15 @@
   return &InsertRequest(context.state.ledger, std::move(entry));
 }
 
-auto ServeStream(Context& context, const base::FlowKey& flow, const HandedStream& handed) -> void {
+auto ServeStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
+    -> void {
   if (auto* entry = TakeStream(context, flow, handed)) Admit(context, *entry);
 }
 
 // The client's last word for its token, sent until it is acknowledged, as after the loss of a
 // target.
-auto RefuseStream(Context& context, const base::FlowKey& flow, const HandedStream& handed) -> void {
+auto RefuseStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
+    -> void {
   auto* entry = TakeStream(context, flow, handed);
   if (entry == nullptr) return;
   MoveOn(context, *entry, Transition::kSend);
@@ -179,7 +182,7 @@
   context.effects.emplace_back(CloseFlow{event.flow, CloseReason::kTargetGone});
 }
 
-auto StreamOf(const LedgerEntry& entry) -> HandedStream {
+auto StreamOf(const LedgerEntry& entry) -> HandedOverStream {
   return {entry.request, MovedSequence(entry, entry.notification_sequence)};
 }
 
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -175,7 +175,7 @@
 auto ContinueUpload(Context& context, const Message& message, const base::FlowKey& flow) -> bool;
 
 /// An observation as it moves: hand_over.cc.
-auto StreamOf(const LedgerEntry& entry) -> HandedStream;
+auto StreamOf(const LedgerEntry& entry) -> HandedOverStream;
 
 /// Sequence numbers (RFC 7641, 3.4) of a stream that was taken over: hand_over.cc. The first
 /// answer's number follows the last one that the client was sent.
