--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -87,7 +87,7 @@
 /// When TakeOverdue is next due.
 auto NextOverdue(const Admission& admission) -> std::optional<base::TimePoint>;
 
-auto HoldSlot(Admission& admission, const ClientAddress& client) -> void;
+auto AcquireSlot(Admission& admission, const ClientAddress& client) -> void;
 auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void;
 /// A run was given up after `taken`.
 auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
--- a/src/requests/internal/admission.cc
+++ b/src/requests/internal/admission.cc
@@ -146,7 +146,7 @@
   return next;
 }
 
-auto HoldSlot(Admission& admission, const ClientAddress& client) -> void {
+auto AcquireSlot(Admission& admission, const ClientAddress& client) -> void {
   ++admission.running;
   auto& load = admission.clients[client];
   ++load.running;
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -75,7 +75,7 @@
   Enlist(context, entry, Transition::kSend);
   entry.started = context.now;
   entry.holds_slot = !entry.follow_up;
-  if (entry.holds_slot) HoldSlot(state.admission, entry.identity.flow.client.address);
+  if (entry.holds_slot) AcquireSlot(state.admission, entry.identity.flow.client.address);
   SendRequest(context, entry);
   // A safe request may be sent again when the client repeats it; any other one never is.
   if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
