--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -90,8 +90,8 @@
 auto AcquireSlot(Admission& admission, const ClientAddress& client) -> void;
 auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void;
 /// A run was given up after `taken`.
-auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
-                   base::TimePoint now) -> void;
+auto ObserveAbortedRun(Admission& admission, const Parameters& parameters, base::Duration taken,
+                       base::TimePoint now) -> void;
 auto ObserveDecision(Admission& admission, bool refused) -> void;
 auto ChallengesOf(const Admission& admission, const ClientAddress& client) -> std::uint32_t;
 auto AddChallenge(Admission& admission, const ClientAddress& client) -> void;
--- a/src/requests/internal/admission.cc
+++ b/src/requests/internal/admission.cc
@@ -10,7 +10,7 @@
 
 constexpr auto kDecisionWeight = 0.02;  // moving average over about the last 50 decisions
 constexpr auto kEstimateLifetime = base::milliseconds(250);
-constexpr auto kCutRunFactor = 2;
+constexpr auto kAbortedRunFactor = 2;
 constexpr auto kSpreadWhenAllRefused = 3.0;  // the range grows by this factor on top of one
 
 auto LoadOf(const Admission& admission, const ClientAddress& client) -> ClientLoad {
@@ -162,9 +162,9 @@
 // Safeguard: a run that is cut at its client's deadline takes longer than that, and nobody knows
 // how much. Observed as the deadline, the estimate would settle there and let in what cannot
 // finish; twice the time seen keeps it over the deadline, as RFC 6298, 5.5 backs its timer off.
-auto ObserveCutRun(Admission& admission, const Parameters& parameters, base::Duration taken,
-                   base::TimePoint now) -> void {
-  const auto at_least = std::max(admission.service_time.mean, kCutRunFactor * taken);
+auto ObserveAbortedRun(Admission& admission, const Parameters& parameters, base::Duration taken,
+                       base::TimePoint now) -> void {
+  const auto at_least = std::max(admission.service_time.mean, kAbortedRunFactor * taken);
   admission::Observe(admission.service_time, at_least, parameters.service_time_weight, now);
 }
 
--- a/src/requests/internal/deadline.cc
+++ b/src/requests/internal/deadline.cc
@@ -51,8 +51,8 @@
 auto OnClientDeadline(Context& context, LedgerEntry& entry) -> void {
   if (CannotHaveRun(entry)) return FinishNotRun(context, entry, Counter::kRefusedDeadline);
   if (entry.holds_slot) {
-    ObserveCutRun(context.state.admission, context.state.parameters, context.now - entry.started,
-                  context.now);
+    ObserveAbortedRun(context.state.admission, context.state.parameters,
+                      context.now - entry.started, context.now);
   }
   CancelAtTarget(context, entry);
   FinishUnknown(context, entry, Counter::kUnknownDeadline);
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -90,7 +90,7 @@
   const auto& parameters = context.state.parameters;
   auto taken = context.now - entry.started;
   auto was_cut = code == kCodeGatewayTimeout && entry.client_deadline != kNoDeadline;
-  if (was_cut) return ObserveCutRun(admission, parameters, taken, context.now);
+  if (was_cut) return ObserveAbortedRun(admission, parameters, taken, context.now);
   admission::Observe(admission.service_time, taken, parameters.service_time_weight, context.now);
 }
 
