--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -86,7 +86,7 @@
   entry.content_digest = handed.content_digest;
   entry.answer = handed.answer;
   auto& kept = InsertRequest(ledger, std::move(entry));
-  if (kept.identity != identity) AdoptIdentity(ledger, kept, identity);
+  if (kept.identity != identity) AddIdentity(ledger, kept, identity);
   KeepUntil(ledger, kept, context.now + std::min(handed.left, base::Duration(kExchangeLifetime)));
 }
 
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -150,7 +150,7 @@
   auto& state = context.state;
   EndChallenge(state.admission, intake.asker.identity.flow.client.address);
   MoveOn(context, entry, Transition::kConfirm);
-  AdoptIdentity(state.ledger, entry, intake.asker.identity);
+  AddIdentity(state.ledger, entry, intake.asker.identity);
   entry.type = intake.message.type;
   entry.origin_request = intake.asker.origin_request;
   entry.arrived = context.now;
--- a/src/requests/internal/ledger.cc
+++ b/src/requests/internal/ledger.cc
@@ -54,7 +54,7 @@
   return ledger.entries.emplace(id, std::move(entry)).first->second;
 }
 
-auto AdoptIdentity(Ledger& ledger, LedgerEntry& entry, const RequestIdentity& identity) -> void {
+auto AddIdentity(Ledger& ledger, LedgerEntry& entry, const RequestIdentity& identity) -> void {
   auto keeps_old = entry.was_challenged && entry.identity == entry.challenged;
   if (!keeps_old) ForgetIdentity(ledger, entry.identity, entry.id);
   entry.identity = identity;
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -135,7 +135,7 @@
   auto found = std::find_if(live.begin(), live.end(), matches);
   if (asker.identity.origin.value != 0 || found == live.end()) return false;
   auto& entry = *FindById(ledger, *found);
-  AdoptIdentity(ledger, entry, asker.identity);
+  AddIdentity(ledger, entry, asker.identity);
   entry.type = asker.type;
   entry.acknowledged = false;
   entry.content_digest = message.content_digest;
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -101,7 +101,7 @@
 
 /// Makes the request also known under the identity it came back with, after a challenge or as a
 /// refresh of an observation.
-auto AdoptIdentity(Ledger& ledger, LedgerEntry& entry, const RequestIdentity& identity) -> void;
+auto AddIdentity(Ledger& ledger, LedgerEntry& entry, const RequestIdentity& identity) -> void;
 
 auto SetEcho(Ledger& ledger, LedgerEntry& entry, std::uint64_t issue) -> void;
 auto SetRequestBytes(Ledger& ledger, LedgerEntry& entry, BytesView bytes) -> void;
