--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -74,7 +74,7 @@
   auto& state = context.state;
   Enlist(context, entry, Transition::kSend);
   entry.started = context.now;
-  entry.holds_slot = !entry.follow_up;
+  entry.holds_slot = !entry.admission_exempt;
   if (entry.holds_slot) AcquireSlot(state.admission, entry.identity.flow.client.address);
   SendRequest(context, entry);
   // A safe request may be sent again when the client repeats it; any other one never is.
@@ -197,7 +197,7 @@
   if (entry.client_deadline <= context.now) {
     return FinishNotRun(context, entry, Counter::kRefusedDeadline);
   }
-  if (entry.follow_up) return Run(context, entry);
+  if (entry.admission_exempt) return Run(context, entry);
   auto candidate =
       Candidate{entry.identity.flow.client.address, entry.deadline, entry.client_deadline};
   auto verdict = DecideAdmission(state.admission, state.parameters, candidate, context.now);
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -12,7 +12,7 @@
 // transfers stay with their flow.
 auto MayBeHandedOn(const LedgerEntry& entry) -> bool {
   if (entry.identity.origin.value != 0 || entry.request.empty()) return false;
-  if (entry.observe || entry.follow_up) return false;
+  if (entry.observe || entry.admission_exempt) return false;
   return entry.stage != Stage::kOffered && entry.stage != Stage::kObserving;
 }
 
--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -110,7 +110,7 @@
   entry.deadline = context.now;
   entry.request = handed.request;
   entry.observe = true;
-  entry.follow_up = true;
+  entry.admission_exempt = true;
   entry.sequence_offset = handed.sequence;
   entry.sequence_moved = true;
   return &InsertRequest(context.state.ledger, std::move(entry));
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -196,7 +196,7 @@
     return ReplyUnknown(context, intake.asker, Counter::kUnknownUpload);
   }
   auto entry = EntryFor(context, intake);
-  entry.follow_up = true;
+  entry.admission_exempt = true;
   Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
 }
 
@@ -242,7 +242,7 @@
   const auto& flow = FlowOf(context, intake.asker.identity.flow);
   auto entry = EntryFor(context, intake);
   entry.observe = intake.message.observe == 0U && intake.asker.identity.origin.value == 0;
-  entry.follow_up = ContinuesTransfer(context, flow, intake.message);
+  entry.admission_exempt = ContinuesTransfer(context, flow, intake.message);
   if (entry.observe && StreamsOf(context, flow) >= context.state.parameters.flow_streams) {
     return ReplyNotRun(context, intake.asker, Counter::kRefusedStreams);
   }
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -58,7 +58,7 @@
 // A later block of a transfer is not shed: its flow has to stay where the transfer is.
 auto NoteShed(Context& context, const LedgerEntry& entry, const Message& answer) -> void {
   if (answer.code != kCodeServiceUnavailable) return;
-  if (entry.follow_up || entry.identity.origin.value != 0) return;
+  if (entry.admission_exempt || entry.identity.origin.value != 0) return;
   context.effects.emplace_back(FlowShed{entry.identity.flow});
 }
 
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -143,7 +143,7 @@
   if (message.observe != 0U) {
     // The client gives the observation up: what comes now is a plain answer.
     entry.observe = false;
-    entry.follow_up = true;
+    entry.admission_exempt = true;
     MoveOn(context, entry, Transition::kCancelStream);
     entry.started = context.now;
     WakeAt(context, entry, context.now + context.state.parameters.run_limit);
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -40,9 +40,9 @@
   MethodClass method = MethodClass::kSafe;
   Stage stage = Stage::kNew;
   bool was_challenged = false;
-  bool acknowledged = false;  ///< the client has an empty ACK: its answer comes separately
-  bool observe = false;       ///< asks for notifications
-  bool follow_up = false;     ///< later block of a transfer: never refused, holds no slot
+  bool acknowledged = false;      ///< the client has an empty ACK: its answer comes separately
+  bool observe = false;           ///< asks for notifications
+  bool admission_exempt = false;  ///< later block of a transfer: never refused, holds no slot
   bool holds_slot = false;
   Counter refusal = Counter::kRefusedQueue;  ///< why it was offered to another agent
   bool offer_confirmed = false;              ///< offered again with the other agent's Echo value
