--- a/src/requests/internal/client.cc
+++ b/src/requests/internal/client.cc
@@ -16,12 +16,12 @@
 }
 
 auto IsOwn(const LedgerEntry* entry, const PassedMessage& passed) -> bool {
-  return entry != nullptr && entry->sends_left > 0 &&
+  return entry != nullptr && entry->transmissions_left > 0 &&
          entry->client_message_id == passed.client_side;
 }
 
 auto StopResending(Context& context, LedgerEntry& entry) -> void {
-  entry.sends_left = 0;
+  entry.transmissions_left = 0;
   WakeAt(context, entry, {});
 }
 
--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -19,7 +19,7 @@
 // Safeguard: a separate answer that was lost is sent again by the target until the client has
 // acknowledged it. Moved before that, the flow's client would be left without a final answer.
 auto AwaitsClient(const LedgerEntry& entry, base::TimePoint now) -> bool {
-  if (entry.sends_left > 0) return true;
+  if (entry.transmissions_left > 0) return true;
   return entry.awaits_ack && KeptFor(entry, now) < kMaxTransmitWait;
 }
 
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -17,7 +17,7 @@
 auto OwnConfirmable(Context& context, LedgerEntry& entry) -> ReplyForm {
   auto& flow = FlowOf(context, entry.identity.flow);
   entry.client_message_id = flow.next_client_message_id++;
-  entry.sends_left = kMaxSends - 1;
+  entry.transmissions_left = kMaxSends - 1;
   RememberPassed(flow, {entry.client_message_id, 0, entry.id});
   return {MessageType::kConfirmable, entry.client_message_id};
 }
@@ -31,7 +31,7 @@
   // A copy of a read that ran out of its time would run once more, with all of that time again.
   auto missed_deadline = entry.client_deadline != kNoDeadline && entry.stage == Stage::kUnknown;
   // A copy of a NON is to be dropped (RFC 7252, 4.3); its answer would be matched by token alone.
-  return missed_deadline || entry.method != MethodClass::kSafe || entry.sends_left > 0 ||
+  return missed_deadline || entry.method != MethodClass::kSafe || entry.transmissions_left > 0 ||
          entry.type == MessageType::kNonConfirmable;
 }
 
@@ -44,7 +44,7 @@
   SetRequestBytes(state.ledger, entry, {});
   SetAnswerBytes(state.ledger, entry, std::move(answer));
   KeepUntil(state.ledger, entry, context.now + kExchangeLifetime);
-  if (entry.sends_left > 0) WakeAt(context, entry, context.now + kAckTimeout);
+  if (entry.transmissions_left > 0) WakeAt(context, entry, context.now + kAckTimeout);
 }
 
 auto NoteTransfer(Context& context, const LedgerEntry& entry, const Message& answer) -> void {
@@ -179,11 +179,12 @@
 }
 
 auto ResendOwn(Context& context, LedgerEntry& entry) -> void {
-  if (entry.sends_left == 0) return;
-  auto round = kMaxSends - entry.sends_left;
-  --entry.sends_left;
+  if (entry.transmissions_left == 0) return;
+  auto round = kMaxSends - entry.transmissions_left;
+  --entry.transmissions_left;
   context.effects.emplace_back(SendToClient{entry.identity.flow, entry.answer});
-  if (entry.sends_left > 0) WakeAt(context, entry, context.now + kAckTimeout * (1 << round));
+  if (entry.transmissions_left > 0)
+    WakeAt(context, entry, context.now + kAckTimeout * (1 << round));
 }
 
 }  // namespace anvildrum::requests
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -46,7 +46,8 @@
   bool holds_slot = false;
   Counter refusal = Counter::kRefusedQueue;  ///< why it was offered to another agent
   bool offer_confirmed = false;              ///< offered again with the other agent's Echo value
-  std::uint8_t sends_left = 0;  ///< of the final answer, when that is a CON of the agent's own
+  std::uint8_t transmissions_left =
+      0;  ///< of the final answer, when that is a CON of the agent's own
   std::uint16_t target_message_id = 0;
   std::uint16_t client_message_id = 0;        ///< of the agent's last CON towards the client
   std::uint16_t notification_message_id = 0;  ///< the target's, of the last notification
