--- a/src/requests/internal/client.cc
+++ b/src/requests/internal/client.cc
@@ -22,7 +22,7 @@
 
 auto StopResending(Context& context, LedgerEntry& entry) -> void {
   entry.transmissions_left = 0;
-  WakeAt(context, entry, {});
+  SetEntryTimer(context, entry, {});
 }
 
 auto OnAcknowledged(Context& context, const base::FlowKey& flow, const PassedMessage& passed)
@@ -32,7 +32,7 @@
   context.effects.emplace_back(SendToTarget{flow, BuildEmptyAck(passed.target_side)});
   if (entry != nullptr) entry->awaits_ack = false;
   // The client of the stream is there.
-  if (entry != nullptr && entry->stage == Stage::kObserving) WakeAt(context, *entry, {});
+  if (entry != nullptr && entry->stage == Stage::kObserving) SetEntryTimer(context, *entry, {});
 }
 
 auto OnReset(Context& context, const base::FlowKey& flow, const PassedMessage& passed) -> void {
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -31,8 +31,8 @@
   MarkTrace(context, entry, Mark::kQueued);
 }
 
-auto OnWake(Context& context, LedgerEntry& entry) -> void {
-  entry.wake = {};
+auto OnEntryTimer(Context& context, LedgerEntry& entry) -> void {
+  entry.timer_due = {};
   switch (entry.stage) {
     case Stage::kRunning:
       if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
@@ -45,7 +45,7 @@
       FinishUnknown(context, entry, Counter::kUnknownHandOn);
       break;
     case Stage::kObserving:
-      OnStreamWake(context, entry);
+      OnStreamTimer(context, entry);
       break;
     default:
       ResendOwn(context, entry);
@@ -53,13 +53,13 @@
   }
 }
 
-auto WakeEntries(Context& context) -> void {
-  auto& wakeups = context.state.wakeups;
-  while (!wakeups.empty() && wakeups.begin()->first <= context.now) {
-    auto id = wakeups.begin()->second;
-    wakeups.erase(wakeups.begin());
+auto RunEntryTimers(Context& context) -> void {
+  auto& entry_timers = context.state.entry_timers;
+  while (!entry_timers.empty() && entry_timers.begin()->first <= context.now) {
+    auto id = entry_timers.begin()->second;
+    entry_timers.erase(entry_timers.begin());
     auto* entry = FindById(context.state.ledger, id);
-    if (entry != nullptr) OnWake(context, *entry);
+    if (entry != nullptr) OnEntryTimer(context, *entry);
   }
 }
 
@@ -79,7 +79,8 @@
   SendRequest(context, entry);
   // A safe request may be sent again when the client repeats it; any other one never is.
   if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
-  WakeAt(context, entry, std::min(context.now + state.parameters.run_limit, entry.client_deadline));
+  SetEntryTimer(context, entry,
+                std::min(context.now + state.parameters.run_limit, entry.client_deadline));
   ++state.admitted;
   EarnRetry(state.retries, state.parameters.retry_share, state.parameters.retry_burst);
   ObserveDecision(state.admission, false);
@@ -143,11 +144,11 @@
   return at->second;
 }
 
-auto WakeAt(Context& context, LedgerEntry& entry, base::TimePoint at) -> void {
-  auto& wakeups = context.state.wakeups;
-  if (entry.wake != base::TimePoint{}) wakeups.erase({entry.wake, entry.id});
-  entry.wake = at;
-  if (at != base::TimePoint{}) wakeups.insert({at, entry.id});
+auto SetEntryTimer(Context& context, LedgerEntry& entry, base::TimePoint at) -> void {
+  auto& entry_timers = context.state.entry_timers;
+  if (entry.timer_due != base::TimePoint{}) entry_timers.erase({entry.timer_due, entry.id});
+  entry.timer_due = at;
+  if (at != base::TimePoint{}) entry_timers.insert({at, entry.id});
 }
 
 auto TokenOfId(std::uint64_t id) -> Token {
@@ -219,7 +220,7 @@
   if (entry.stage == Stage::kQueued) RemoveQueued(admission, entry.id);
   if (entry.holds_slot) ReleaseSlot(admission, client);
   entry.holds_slot = false;
-  WakeAt(context, entry, {});
+  SetEntryTimer(context, entry, {});
   auto flow = context.state.flows.find(entry.identity.flow);
   if (flow == context.state.flows.end()) return;
   std::erase(flow->second.live, entry.id);
@@ -248,11 +249,11 @@
 
 auto OnTimer(Context& context) -> void {
   auto& state = context.state;
-  WakeEntries(context);
+  RunEntryTimers(context);
   RefuseOverdue(context);
   ForgetFloors(context);
   ExpireRequests(state.ledger, context.now, [&](LedgerEntry& entry) {
-    WakeAt(context, entry, {});
+    SetEntryTimer(context, entry, {});
     if (entry.stage != Stage::kChallenged) return;
     EndChallenge(state.admission, entry.identity.flow.client.address);
   });
--- a/src/requests/internal/hand_on.cc
+++ b/src/requests/internal/hand_on.cc
@@ -32,7 +32,7 @@
 auto Offer(Context& context, LedgerEntry& entry, Bytes bytes, base::TargetId only_to) -> void {
   context.effects.emplace_back(
       OfferHandOn{entry.identity.flow, OfferId(entry), std::move(bytes), entry.deadline, only_to});
-  WakeAt(context, entry, std::min(GiveUpAt(context, entry), entry.client_deadline));
+  SetEntryTimer(context, entry, std::min(GiveUpAt(context, entry), entry.client_deadline));
 }
 
 // With what is left of the client's time.
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -44,7 +44,7 @@
   SetRequestBytes(state.ledger, entry, {});
   SetAnswerBytes(state.ledger, entry, std::move(answer));
   KeepUntil(state.ledger, entry, context.now + kExchangeLifetime);
-  if (entry.transmissions_left > 0) WakeAt(context, entry, context.now + kAckTimeout);
+  if (entry.transmissions_left > 0) SetEntryTimer(context, entry, context.now + kAckTimeout);
 }
 
 auto NoteTransfer(Context& context, const LedgerEntry& entry, const Message& answer) -> void {
@@ -184,7 +184,7 @@
   --entry.transmissions_left;
   context.effects.emplace_back(SendToClient{entry.identity.flow, entry.answer});
   if (entry.transmissions_left > 0)
-    WakeAt(context, entry, context.now + kAckTimeout * (1 << round));
+    SetEntryTimer(context, entry, context.now + kAckTimeout * (1 << round));
 }
 
 }  // namespace anvildrum::requests
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -64,8 +64,8 @@
   RetryBudget retries;
   std::unordered_map<base::FlowKey, FlowState> flows;
   ClosedFloors closed;
-  std::set<std::pair<base::TimePoint, std::uint64_t>> wakeups;  ///< entries' own timers
-  std::optional<base::TimePoint> timer;                         ///< as last asked for
+  std::set<std::pair<base::TimePoint, std::uint64_t>> entry_timers;  ///< entries' own timers
+  std::optional<base::TimePoint> timer;                              ///< as last asked for
   bool draining = false;
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
@@ -96,7 +96,7 @@
 auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState&;
 
 /// Sets the entry's own timer, in place of the one before; a zero time ends it.
-auto WakeAt(Context& context, LedgerEntry& entry, base::TimePoint at) -> void;
+auto SetEntryTimer(Context& context, LedgerEntry& entry, base::TimePoint at) -> void;
 
 /// Life of a request: dispatch.cc.
 auto Admit(Context& context, LedgerEntry& entry) -> void;
@@ -186,7 +186,7 @@
 /// Notifications and the client's answers to them: streams.cc.
 auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void;
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void;
-auto OnStreamWake(Context& context, LedgerEntry& entry) -> void;
+auto OnStreamTimer(Context& context, LedgerEntry& entry) -> void;
 /// The client gives up an observation whose registration has not been answered (RFC 7641, 3.6):
 /// what waits is dropped, the target is told of what runs. Without this the target would open a
 /// stream that its client has cancelled.
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -30,7 +30,7 @@
 auto NextTimer(const State& state) -> std::optional<base::TimePoint> {
   auto next = NextOverdue(state.admission);
   auto consider = [&](base::TimePoint at) { next = next ? std::min(*next, at) : at; };
-  if (!state.wakeups.empty()) consider(state.wakeups.begin()->first);
+  if (!state.entry_timers.empty()) consider(state.entry_timers.begin()->first);
   if (!state.ledger.expiries.empty()) consider(state.ledger.expiries.front().first);
   return next;
 }
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -35,9 +35,9 @@
     return;
   }
   PassToClient(context, entry, message);
-  auto waits = entry.wake != base::TimePoint{};
+  auto waits = entry.timer_due != base::TimePoint{};
   if (message.type != MessageType::kConfirmable || waits) return;
-  WakeAt(context, entry, context.now + context.state.parameters.stream_ack_limit);
+  SetEntryTimer(context, entry, context.now + context.state.parameters.stream_ack_limit);
 }
 
 // Safeguard: a client drops a notification whose number is not newer than the last one (RFC 7641,
@@ -101,7 +101,7 @@
   KeepUntil(context.state.ledger, entry, context.now + kExchangeLifetime);
 }
 
-auto OnStreamWake(Context& context, LedgerEntry& entry) -> void {
+auto OnStreamTimer(Context& context, LedgerEntry& entry) -> void {
   // A target that sends confirmable notifications waits for their ACKs too; the RST makes it
   // forget the stream now rather than after its own retransmissions (RFC 7641, 3.6).
   context.effects.emplace_back(
@@ -146,7 +146,7 @@
     entry.admission_exempt = true;
     MoveOn(context, entry, Transition::kCancelStream);
     entry.started = context.now;
-    WakeAt(context, entry, context.now + context.state.parameters.run_limit);
+    SetEntryTimer(context, entry, context.now + context.state.parameters.run_limit);
   }
   SendRequest(context, entry);
   return true;
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -65,7 +65,7 @@
   base::TimePoint started;
   base::TimePoint deadline;                       ///< of the wait in the queue or for a hand-on
   base::TimePoint client_deadline = kNoDeadline;  ///< the client's own: of the run too
-  base::TimePoint wake;                           ///< when the entry's own timer is due; zero: none
+  base::TimePoint timer_due;                      ///< when the entry's own timer is due; zero: none
   base::TimePoint notified;                       ///< the last notification that was passed on
   base::TimePoint expires;                        ///< of a final stage
   Bytes request;                                  ///< while it may still have to be sent
