--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -112,7 +112,7 @@
   entry.observe = true;
   entry.admission_exempt = true;
   entry.sequence_offset = handed.sequence;
-  entry.sequence_moved = true;
+  entry.sequence_offset_pending = true;
   return &InsertRequest(context.state.ledger, std::move(entry));
 }
 
@@ -183,16 +183,16 @@
 }
 
 auto StreamOf(const LedgerEntry& entry) -> HandedOverStream {
-  return {entry.request, MovedSequence(entry, entry.notification_sequence)};
+  return {entry.request, ClientSequence(entry, entry.notification_sequence)};
 }
 
-auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void {
-  if (!entry.sequence_moved) return;
-  entry.sequence_moved = false;
+auto SetSequenceOffset(LedgerEntry& entry, std::uint32_t first) -> void {
+  if (!entry.sequence_offset_pending) return;
+  entry.sequence_offset_pending = false;
   entry.sequence_offset = (entry.sequence_offset + 1 - first) & kSequenceMask;
 }
 
-auto MovedSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t {
+auto ClientSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t {
   return (sequence + entry.sequence_offset) & kSequenceMask;
 }
 
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -180,8 +180,8 @@
 /// Sequence numbers (RFC 7641, 3.4) of a stream that was taken over: hand_over.cc. The first
 /// answer's number follows the last one that the client was sent.
 inline constexpr auto kSequenceMask = std::uint32_t{0xffffff};
-auto MoveSequence(LedgerEntry& entry, std::uint32_t first) -> void;
-auto MovedSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t;
+auto SetSequenceOffset(LedgerEntry& entry, std::uint32_t first) -> void;
+auto ClientSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t;
 
 /// Notifications and the client's answers to them: streams.cc.
 auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void;
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -42,11 +42,12 @@
 
 // Safeguard: a client drops a notification whose number is not newer than the last one (RFC 7641,
 // 3.4), and two targets count apart: after a move its screen would stand still for 128 s.
-auto PassMoved(Context& context, LedgerEntry& entry, const Message& message) -> void {
+auto ForwardWithClientSequence(Context& context, LedgerEntry& entry, const Message& message)
+    -> void {
   if (!message.observe) return PassNotification(context, entry, message);
-  MoveSequence(entry, *message.observe);
+  SetSequenceOffset(entry, *message.observe);
   if (entry.sequence_offset == 0) return PassNotification(context, entry, message);
-  auto bytes = WithObserve(message, MovedSequence(entry, *message.observe));
+  auto bytes = WithObserve(message, ClientSequence(entry, *message.observe));
   PassNotification(context, entry, *ParseMessage(bytes));
 }
 
@@ -87,7 +88,7 @@
              IsStale(context, entry, message)) {
     return DropStale(context, entry, message);
   }
-  PassMoved(context, entry, message);
+  ForwardWithClientSequence(context, entry, message);
   if (EndsStream(message)) return EndStream(context, entry, Counter::kStreamEnded);
   NoteNotification(context, entry, message);
 }
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -55,8 +55,8 @@
   /// Added to the target's sequence numbers for the client, modulo 2^24. Until the first answer of
   /// a target that took the stream over: the last number that the client was sent.
   std::uint32_t sequence_offset = 0;
-  bool sequence_moved = false;  ///< the stream was taken over, its first answer is due
-  bool awaits_ack = false;      ///< a separate answer, sent as a CON, is not acknowledged yet
+  bool sequence_offset_pending = false;  ///< the stream was taken over, its first answer is due
+  bool awaits_ack = false;  ///< a separate answer, sent as a CON, is not acknowledged yet
   std::uint64_t content_digest = 0;
   std::uint64_t path_digest = 0;
   std::uint64_t echo_issue = 0;      ///< 0: none
