--- a/src/requests/internal/client.cc
+++ b/src/requests/internal/client.cc
@@ -15,7 +15,7 @@
   }
 }
 
-auto IsOwn(const LedgerEntry* entry, const PassedMessage& passed) -> bool {
+auto IsOwn(const LedgerEntry* entry, const ForwardedMessage& passed) -> bool {
   return entry != nullptr && entry->transmissions_left > 0 &&
          entry->client_message_id == passed.client_side;
 }
@@ -25,7 +25,7 @@
   SetEntryTimer(context, entry, {});
 }
 
-auto OnAcknowledged(Context& context, const base::FlowKey& flow, const PassedMessage& passed)
+auto OnAcknowledged(Context& context, const base::FlowKey& flow, const ForwardedMessage& passed)
     -> void {
   auto* entry = FindById(context.state.ledger, passed.request);
   if (IsOwn(entry, passed)) return StopResending(context, *entry);
@@ -35,7 +35,7 @@
   if (entry != nullptr && entry->stage == Stage::kObserving) SetEntryTimer(context, *entry, {});
 }
 
-auto OnReset(Context& context, const base::FlowKey& flow, const PassedMessage& passed) -> void {
+auto OnReset(Context& context, const base::FlowKey& flow, const ForwardedMessage& passed) -> void {
   auto* entry = FindById(context.state.ledger, passed.request);
   if (IsOwn(entry, passed)) return StopResending(context, *entry);
   context.effects.emplace_back(SendToTarget{flow, BuildReset(passed.target_side)});
@@ -45,7 +45,7 @@
 }
 
 auto OnAckOrReset(Context& context, const base::FlowKey& flow, const Message& message) -> void {
-  auto* passed = FindPassedByClient(FlowOf(context, flow), message.message_id);
+  auto* passed = FindForwardedByClient(FlowOf(context, flow), message.message_id);
   if (passed == nullptr || message.code != kCodeEmpty) {
     return CountOne(context, Counter::kUnexpectedFromClient);
   }
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -18,7 +18,7 @@
   auto& flow = FlowOf(context, entry.identity.flow);
   entry.client_message_id = flow.next_client_message_id++;
   entry.transmissions_left = kMaxSends - 1;
-  RememberPassed(flow, {entry.client_message_id, 0, entry.id});
+  RecordForwarded(flow, {entry.client_message_id, 0, entry.id});
   return {MessageType::kConfirmable, entry.client_message_id};
 }
 
@@ -64,9 +64,9 @@
 
 // A separate response of the target (RFC 7252, 5.2.2). The entry is kept, so that the target's
 // retransmissions reach the client under the same message ID until it acknowledges one.
-auto PassSeparate(Context& context, LedgerEntry& entry, const Message& answer) -> void {
+auto ForwardSeparateResponse(Context& context, LedgerEntry& entry, const Message& answer) -> void {
   auto& ledger = context.state.ledger;
-  auto bytes = PassToClient(context, entry, answer);
+  auto bytes = ForwardToClient(context, entry, answer);
   EndLive(context, entry);
   MoveOn(context, entry, Transition::kAnswer);
   SetRequestBytes(ledger, entry, {});
@@ -162,7 +162,7 @@
   CountOne(context, Counter::kAnswered);
   MarkTrace(context, entry, Mark::kAnswered);
   auto piggybacked = answer.type == MessageType::kAcknowledgement;
-  if (!piggybacked && !AnswersInAck(entry)) return PassSeparate(context, entry, answer);
+  if (!piggybacked && !AnswersInAck(entry)) return ForwardSeparateResponse(context, entry, answer);
   auto form = FormFor(context, entry);
   Settle(context, entry, Transition::kAnswer,
          WithIdentity(answer.whole, form.type, form.message_id, entry.identity.token));
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -21,7 +21,7 @@
 
 /// A CON or NON of the target that was passed on: the client's ACK or RST goes back with the
 /// target's message ID.
-struct PassedMessage {
+struct ForwardedMessage {
   std::uint16_t client_side = 0;
   std::uint16_t target_side = 0;
   std::uint64_t request = 0;
@@ -39,11 +39,11 @@
   std::uint16_t next_target_message_id = 0;
   std::uint16_t next_client_message_id = 0;
   base::TimePoint adopted_until;
-  std::uint64_t echo_floor = 0;       ///< Echo values issued up to here run nothing any more
-  std::uint64_t last_echo = 0;        ///< issue number of the latest value for the flow
-  std::vector<std::uint64_t> live;    ///< requests queued, running, offered or observing
-  std::vector<PassedMessage> passed;  ///< a ring of the latest
-  std::size_t passed_next = 0;
+  std::uint64_t echo_floor = 0;          ///< Echo values issued up to here run nothing any more
+  std::uint64_t last_echo = 0;           ///< issue number of the latest value for the flow
+  std::vector<std::uint64_t> live;       ///< requests queued, running, offered or observing
+  std::vector<ForwardedMessage> passed;  ///< a ring of the latest
+  std::size_t forwarded_next = 0;
   std::optional<Upload> upload;
   base::TimePoint transfer_until;  ///< a block-wise answer is in progress until then
   std::uint64_t transfer_path = 0;
@@ -195,11 +195,11 @@
 auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool;
 
 /// Passes a CON or NON of the target on under a message ID of the agent's.
-auto PassToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes;
-auto FindPassedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
-    -> PassedMessage*;
-auto FindPassedByClient(FlowState& flow, std::uint16_t client_side) -> PassedMessage*;
-auto RememberPassed(FlowState& flow, const PassedMessage& message) -> void;
+auto ForwardToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes;
+auto FindForwardedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
+    -> ForwardedMessage*;
+auto FindForwardedByClient(FlowState& flow, std::uint16_t client_side) -> ForwardedMessage*;
+auto RecordForwarded(FlowState& flow, const ForwardedMessage& message) -> void;
 
 auto TokenOfId(std::uint64_t id) -> Token;
 auto IdOfToken(const Token& token) -> std::uint64_t;
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -6,7 +6,7 @@
 namespace anvildrum::requests {
 namespace {
 
-constexpr auto kPassedRing = std::size_t{32};
+constexpr auto kMaxForwarded = std::size_t{32};
 // RFC 7641, 3.4: sequence numbers are 24 bits and compare as newer within half of that, or after
 // this much time whatever they are.
 constexpr auto kSequenceHalf = std::uint32_t{1} << 23;
@@ -26,7 +26,7 @@
   entry.notified = context.now;
 }
 
-auto PassNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+auto ForwardNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
   if (message.type == MessageType::kAcknowledgement) {
     auto form = ReplyFormOf(context, AskerOf(entry));
     context.effects.emplace_back(SendToClient{
@@ -34,7 +34,7 @@
         WithIdentity(message.whole, form.type, form.message_id, entry.identity.token)});
     return;
   }
-  PassToClient(context, entry, message);
+  ForwardToClient(context, entry, message);
   auto waits = entry.timer_due != base::TimePoint{};
   if (message.type != MessageType::kConfirmable || waits) return;
   SetEntryTimer(context, entry, context.now + context.state.parameters.stream_ack_limit);
@@ -44,11 +44,11 @@
 // 3.4), and two targets count apart: after a move its screen would stand still for 128 s.
 auto ForwardWithClientSequence(Context& context, LedgerEntry& entry, const Message& message)
     -> void {
-  if (!message.observe) return PassNotification(context, entry, message);
+  if (!message.observe) return ForwardNotification(context, entry, message);
   SetSequenceOffset(entry, *message.observe);
-  if (entry.sequence_offset == 0) return PassNotification(context, entry, message);
+  if (entry.sequence_offset == 0) return ForwardNotification(context, entry, message);
   auto bytes = WithObserve(message, ClientSequence(entry, *message.observe));
-  PassNotification(context, entry, *ParseMessage(bytes));
+  ForwardNotification(context, entry, *ParseMessage(bytes));
 }
 
 // The first answer ends the request; the stream that stays holds a connection, not a slot.
@@ -84,7 +84,7 @@
   auto& flow = FlowOf(context, entry.identity.flow);
   if (entry.stage == Stage::kRunning) {
     OpenStream(context, entry, message.code);
-  } else if (FindPassedByTarget(flow, entry.id, message.message_id) == nullptr &&
+  } else if (FindForwardedByTarget(flow, entry.id, message.message_id) == nullptr &&
              IsStale(context, entry, message)) {
     return DropStale(context, entry, message);
   }
@@ -153,39 +153,39 @@
   return true;
 }
 
-auto FindPassedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
-    -> PassedMessage* {
+auto FindForwardedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
+    -> ForwardedMessage* {
   for (auto& passed : flow.passed) {
     if (passed.request == request && passed.target_side == target_side) return &passed;
   }
   return nullptr;
 }
 
-auto FindPassedByClient(FlowState& flow, std::uint16_t client_side) -> PassedMessage* {
+auto FindForwardedByClient(FlowState& flow, std::uint16_t client_side) -> ForwardedMessage* {
   for (auto& passed : flow.passed) {
     if (passed.client_side == client_side) return &passed;
   }
   return nullptr;
 }
 
-auto RememberPassed(FlowState& flow, const PassedMessage& message) -> void {
-  if (flow.passed.size() < kPassedRing) {
+auto RecordForwarded(FlowState& flow, const ForwardedMessage& message) -> void {
+  if (flow.passed.size() < kMaxForwarded) {
     flow.passed.push_back(message);
     return;
   }
-  flow.passed[flow.passed_next] = message;
-  flow.passed_next = (flow.passed_next + 1) % kPassedRing;
+  flow.passed[flow.forwarded_next] = message;
+  flow.forwarded_next = (flow.forwarded_next + 1) % kMaxForwarded;
 }
 
-auto PassToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes {
+auto ForwardToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes {
   auto& flow = FlowOf(context, entry.identity.flow);
-  auto* known = FindPassedByTarget(flow, entry.id, message.message_id);
+  auto* known = FindForwardedByTarget(flow, entry.id, message.message_id);
   auto client_side = std::uint16_t{0};
   if (known != nullptr) {
     client_side = known->client_side;
   } else {
     client_side = flow.next_client_message_id++;
-    RememberPassed(flow, {client_side, message.message_id, entry.id});
+    RecordForwarded(flow, {client_side, message.message_id, entry.id});
   }
   auto bytes = WithIdentity(message.whole, message.type, client_side, entry.identity.token);
   context.effects.emplace_back(SendToClient{entry.identity.flow, bytes});
--- a/src/requests/internal/target.cc
+++ b/src/requests/internal/target.cc
@@ -73,7 +73,7 @@
 auto IsRetransmission(Context& context, const LedgerEntry& entry, const Message& message) -> bool {
   auto& flow = FlowOf(context, entry.identity.flow);
   return message.type == MessageType::kConfirmable &&
-         FindPassedByTarget(flow, entry.id, message.message_id) != nullptr;
+         FindForwardedByTarget(flow, entry.id, message.message_id) != nullptr;
 }
 
 auto OnResponse(Context& context, const base::FlowKey& flow, const Message& message) -> void {
@@ -84,7 +84,7 @@
   if (entry->stage == Stage::kRunning) return OnAnswer(context, *entry, message);
   if (entry->stage == Stage::kObserving) return OnNotification(context, *entry, message);
   if (entry->stage == Stage::kAnswered && IsRetransmission(context, *entry, message)) {
-    PassToClient(context, *entry, message);
+    ForwardToClient(context, *entry, message);
     return;
   }
   DropLate(context, flow, message);
