--- a/src/requests/admission.h
+++ b/src/requests/admission.h
@@ -14,7 +14,7 @@
 
 namespace anvildrum::requests {
 
-/// A client, whichever port its flow has.
+/// Address of a client without its port: all flows of an address count as one client.
 using ClientAddress = std::array<std::uint8_t, 16>;
 
 struct ClientAddressHash {
@@ -24,7 +24,7 @@
 struct ClientLoad {
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
-  std::uint64_t last_start = 0;  ///< Admission::starts when a request of it last got a slot
+  std::uint64_t last_start = 0;  ///< Admission::starts when a request of the client last got a slot
 };
 
 struct QueuedRequest {
@@ -33,23 +33,24 @@
   base::TimePoint deadline;
 };
 
-/// Slots, queue and what was observed of the target.
+/// Slots, the queue and the observed service times of the target.
 struct Admission {
-  std::uint32_t running = 0;  ///< slots held
-  std::uint64_t starts = 0;   ///< slots given so far
+  std::uint32_t running = 0;  ///< slots in use
+  std::uint64_t starts = 0;   ///< slots assigned so far
   std::vector<QueuedRequest> queue;
   std::unordered_map<ClientAddress, ClientLoad, ClientAddressHash> clients;
-  std::unordered_map<ClientAddress, std::uint32_t, ClientAddressHash> challenges;  ///< open ones
+  std::unordered_map<ClientAddress, std::uint32_t, ClientAddressHash>
+      challenges;                       ///< open ones by client
   std::uint32_t open_challenges = 0;    ///< of all clients
-  admission::ServiceTime service_time;  ///< of the runs observed
+  admission::ServiceTime service_time;  ///< of observed runs
   double refused_share = 0;             ///< moving average over recent requests
 };
 
 /// A request that asks to be admitted.
 struct Candidate {
   ClientAddress client{};
-  base::TimePoint deadline;                                  ///< of a wait and the run after it
-  base::TimePoint client_deadline = base::TimePoint::max();  ///< the client's own, of any run
+  base::TimePoint deadline;                                  ///< for the wait and the run
+  base::TimePoint client_deadline = base::TimePoint::max();  ///< set by the client, for any run
 };
 
 enum class AdmissionVerdict : std::uint8_t {
@@ -60,36 +61,38 @@
   kRefuseDeadline
 };
 
-/// Decides on a new request. Nothing is queued whose wait and run, by the observed service times,
-/// would end after its deadline: it would take a slot for an answer that comes too late. Nothing is
-/// started either that would end after its client's own.
+/// Decides whether a new request runs, waits or is refused. A request is not queued if its wait and
+/// run, by the observed service times, would end after its deadline: it would take a slot for an
+/// answer that comes too late. A request that would end after the client's own deadline is not
+/// started either.
 auto DecideAdmission(const Admission& admission, const Parameters& parameters,
                      const Candidate& candidate, base::TimePoint now) -> AdmissionVerdict;
 
 auto Enqueue(Admission& admission, const QueuedRequest& request) -> void;
 
-/// When the queue is full: the newest request of the client that has most in the queue, if it has
-/// more than `client`. Refusing that one makes room, so that a burst cannot shut others out.
+/// Returns the request to refuse when the queue is full: the newest one of the client with the most
+/// queued requests, if that client has more than `client`. This keeps a burst of one client from
+/// filling the queue for all others.
 auto VictimFor(const Admission& admission, const ClientAddress& client)
     -> std::optional<std::uint64_t>;
 
-/// Takes the next request for a free slot: of the client with the fewest running, among these of
-/// the one that was served longest ago, the request with the earliest deadline. Nothing when no
-/// slot is free or nothing waits.
+/// Removes and returns the next request for a free slot: of the client with the fewest running
+/// requests, then of the one served longest ago, the request with the earliest deadline. Returns
+/// nothing if no slot is free or the queue is empty.
 auto TakeNext(Admission& admission, const Parameters& parameters) -> std::optional<QueuedRequest>;
 
-/// Takes out one request whose deadline can no longer be met.
+/// Removes and returns one request that can no longer meet its deadline.
 auto TakeOverdue(Admission& admission, base::TimePoint now) -> std::optional<QueuedRequest>;
 
-/// Takes out a request that is given up.
+/// Removes a request from the queue.
 auto RemoveQueued(Admission& admission, std::uint64_t id) -> void;
 
-/// When TakeOverdue is next due.
+/// Returns when TakeOverdue is next due.
 auto NextOverdue(const Admission& admission) -> std::optional<base::TimePoint>;
 
 auto AcquireSlot(Admission& admission, const ClientAddress& client) -> void;
 auto ReleaseSlot(Admission& admission, const ClientAddress& client) -> void;
-/// A run was given up after `taken`.
+/// Takes a run that was aborted after `taken` into the service times.
 auto ObserveAbortedRun(Admission& admission, const Parameters& parameters, base::Duration taken,
                        base::TimePoint now) -> void;
 auto ObserveDecision(Admission& admission, bool refused) -> void;
@@ -97,8 +100,8 @@
 auto AddChallenge(Admission& admission, const ClientAddress& client) -> void;
 auto EndChallenge(Admission& admission, const ClientAddress& client) -> void;
 
-/// Seconds until a refused client should come back: drawn from a range that widens with the share
-/// of refusals, so that clients refused together do not return together.
+/// Draws a Max-Age in seconds for a refused client. The range grows with the share of refusals, so
+/// that clients refused together do not return together.
 auto DrawMaxAge(const Admission& admission, const Parameters& parameters, std::mt19937_64& random)
     -> std::uint32_t;
 
--- a/src/requests/effects.h
+++ b/src/requests/effects.h
@@ -11,8 +11,8 @@
 
 namespace anvildrum::requests {
 
-/// Send on the flow's socket, which is connected to the target and opened at the first use: also
-/// for a flow of another agent whose request was handed on to this one.
+/// Send on the flow's socket, which is connected to the target and opened on first use. This
+/// includes flows of other agents whose requests were handed on to this agent.
 struct SendToTarget {
   base::FlowKey flow;
   Bytes bytes;
@@ -24,9 +24,9 @@
   Bytes bytes;
 };
 
-/// Offer a request that was not run here to another target of the service: to `only_to` when that
-/// is set (it has challenged the first offer), otherwise to one of the agent's choice. An agent
-/// that finds no other target answers with HandOnAnswered{not_run = true}.
+/// Offer a request that did not run here to another target of the service: to `only_to` if set,
+/// because that one challenged the first offer, otherwise to a target of the agent's choice. If
+/// there is none, the agent answers with HandOnAnswered{not_run = true}.
 struct OfferHandOn {
   base::FlowKey flow;
   std::uint64_t request = 0;
@@ -35,7 +35,7 @@
   base::TargetId only_to;  ///< 0: any
 };
 
-/// Answer of an offer taken from `origin`.
+/// Answer to an offer from `origin`.
 struct AnswerHandOn {
   base::FlowKey flow;
   base::InstanceId origin;
@@ -46,19 +46,19 @@
 
 enum class CloseReason : std::uint8_t { kTargetGone };
 
-/// The flow has ended: close its socket and forget it.
+/// The flow has ended: close its socket and remove its state.
 struct CloseFlow {
   base::FlowKey flow;
   CloseReason reason = CloseReason::kTargetGone;
 };
 
-/// The target itself has refused a request of the flow (5.03): its client is told, and may find
-/// room when it comes back if the flow is at another target by then.
+/// The target itself refused a request of the flow (5.03). The client's next request may succeed if
+/// the flow is at another target by then.
 struct FlowShed {
   base::FlowKey flow;
 };
 
-/// Call Step with Timer at this time; replaces the one asked for before.
+/// Call Step with Timer at this time. Replaces the time requested before.
 struct SetTimer {
   base::TimePoint at;
 };
@@ -76,7 +76,7 @@
   kUnknown
 };
 
-/// A point in a request's life, for its trace.
+/// Trace event of a request.
 struct TraceMark {
   base::FlowKey flow;
   std::uint64_t request = 0;
--- a/src/requests/internal/admission.cc
+++ b/src/requests/internal/admission.cc
@@ -11,14 +11,14 @@
 constexpr auto kDecisionWeight = 0.02;  // moving average over about the last 50 decisions
 constexpr auto kEstimateLifetime = base::milliseconds(250);
 constexpr auto kAbortedRunFactor = 2;
-constexpr auto kSpreadWhenAllRefused = 3.0;  // the range grows by this factor on top of one
+constexpr auto kSpreadWhenAllRefused = 3.0;  // the range grows by up to this factor times its size
 
 auto LoadOf(const Admission& admission, const ClientAddress& client) -> ClientLoad {
   auto found = admission.clients.find(client);
   return found == admission.clients.end() ? ClientLoad{} : found->second;
 }
 
-// Keeps no entry for a client that has nothing here.
+// Removes the entry of a client without requests.
 auto ForgetIfIdle(Admission& admission, const ClientAddress& client) -> void {
   auto found = admission.clients.find(client);
   if (found == admission.clients.end()) return;
@@ -26,7 +26,7 @@
   if (load.running + load.queued == 0) admission.clients.erase(found);
 }
 
-auto Take(Admission& admission, std::vector<QueuedRequest>::iterator at) -> QueuedRequest {
+auto TakeAt(Admission& admission, std::vector<QueuedRequest>::iterator at) -> QueuedRequest {
   auto request = *at;
   admission.queue.erase(at);
   --admission.clients[request.client].queued;
@@ -34,8 +34,8 @@
   return request;
 }
 
-// Slots are given to clients in turns, so a newcomer waits for as many requests of each other
-// client as it has itself, not for the whole of another's burst.
+// Clients get slots in turns, so a new request waits for at most as many requests of each other
+// client as its own client has, not for another client's whole burst.
 auto RequestsAhead(const Admission& admission, const ClientAddress& client) -> std::uint32_t {
   auto turn = LoadOf(admission, client).queued + 1;
   auto ahead = std::uint32_t{0};
@@ -54,9 +54,9 @@
   return wait <= static_cast<double>(left.count());
 }
 
-// Safeguard: when all clients have deadlines and the target was slow for a while, none of their
-// requests would run any more, no service time would be observed, and the refusals would never end.
-// One request at a time at an otherwise idle target is enough to see that it is fast again.
+// Safeguard: if all clients have deadlines and the target was slow for a while, all their requests
+// would be refused, no service time would be observed, and the refusals would never end. One
+// request at a time at an otherwise idle target is enough to detect that it has recovered.
 auto MayProbe(const Admission& admission, base::TimePoint now) -> bool {
   auto idle = admission.running == 0 && admission.queue.empty();
   return idle && now - admission.service_time.observed >= kEstimateLifetime;
@@ -119,8 +119,8 @@
     return std::tuple(load.running, load.last_start, request.deadline);
   };
   auto comes_first = [&](const auto& left, const auto& right) { return rank(left) < rank(right); };
-  return Take(admission,
-              std::min_element(admission.queue.begin(), admission.queue.end(), comes_first));
+  return TakeAt(admission,
+                std::min_element(admission.queue.begin(), admission.queue.end(), comes_first));
 }
 
 auto TakeOverdue(Admission& admission, base::TimePoint now) -> std::optional<QueuedRequest> {
@@ -128,13 +128,13 @@
   auto at = std::find_if(admission.queue.begin(), admission.queue.end(),
                          [&](const auto& request) { return request.deadline <= latest_start; });
   if (at == admission.queue.end()) return std::nullopt;
-  return Take(admission, at);
+  return TakeAt(admission, at);
 }
 
 auto RemoveQueued(Admission& admission, std::uint64_t id) -> void {
   auto at = std::find_if(admission.queue.begin(), admission.queue.end(),
                          [&](const auto& request) { return request.id == id; });
-  if (at != admission.queue.end()) Take(admission, at);
+  if (at != admission.queue.end()) TakeAt(admission, at);
 }
 
 auto NextOverdue(const Admission& admission) -> std::optional<base::TimePoint> {
@@ -159,9 +159,10 @@
   ForgetIfIdle(admission, client);
 }
 
-// Safeguard: a run that is cut at its client's deadline takes longer than that, and nobody knows
-// how much. Observed as the deadline, the estimate would settle there and let in what cannot
-// finish; twice the time seen keeps it over the deadline, as RFC 6298, 5.5 backs its timer off.
+// Safeguard: a run aborted at its client's deadline takes longer than that, by an unknown time. If
+// it were observed as taking just the deadline, the estimate would converge there and admit
+// requests that cannot finish. Twice the elapsed time keeps the estimate above the deadline, as the
+// timer back-off of RFC 6298, 5.5.
 auto ObserveAbortedRun(Admission& admission, const Parameters& parameters, base::Duration taken,
                        base::TimePoint now) -> void {
   const auto at_least = std::max(admission.service_time.mean, kAbortedRunFactor * taken);
--- a/src/requests/internal/client.cc
+++ b/src/requests/internal/client.cc
@@ -1,4 +1,4 @@
-// Datagrams of the client.
+// Datagrams from the client.
 #include "requests/internal/state.h"
 
 namespace anvildrum::requests {
@@ -15,41 +15,42 @@
   }
 }
 
-auto IsOwn(const LedgerEntry* entry, const ForwardedMessage& passed) -> bool {
+auto IsAgentMessage(const LedgerEntry* entry, const ForwardedMessage& forwarded) -> bool {
   return entry != nullptr && entry->transmissions_left > 0 &&
-         entry->client_message_id == passed.client_side;
+         entry->client_message_id == forwarded.client_side;
 }
 
-auto StopResending(Context& context, LedgerEntry& entry) -> void {
+auto StopRetransmitting(Context& context, LedgerEntry& entry) -> void {
   entry.transmissions_left = 0;
   SetEntryTimer(context, entry, {});
 }
 
-auto OnAcknowledged(Context& context, const base::FlowKey& flow, const ForwardedMessage& passed)
+auto OnAcknowledged(Context& context, const base::FlowKey& flow, const ForwardedMessage& forwarded)
     -> void {
-  auto* entry = FindById(context.state.ledger, passed.request);
-  if (IsOwn(entry, passed)) return StopResending(context, *entry);
-  context.effects.emplace_back(SendToTarget{flow, BuildEmptyAck(passed.target_side)});
+  auto* entry = FindById(context.state.ledger, forwarded.request);
+  if (IsAgentMessage(entry, forwarded)) return StopRetransmitting(context, *entry);
+  context.effects.emplace_back(SendToTarget{flow, BuildEmptyAck(forwarded.target_side)});
   if (entry != nullptr) entry->awaits_ack = false;
-  // The client of the stream is there.
+  // The ACK shows that the client of the stream is alive.
   if (entry != nullptr && entry->stage == Stage::kObserving) SetEntryTimer(context, *entry, {});
 }
 
-auto OnReset(Context& context, const base::FlowKey& flow, const ForwardedMessage& passed) -> void {
-  auto* entry = FindById(context.state.ledger, passed.request);
-  if (IsOwn(entry, passed)) return StopResending(context, *entry);
-  context.effects.emplace_back(SendToTarget{flow, BuildReset(passed.target_side)});
+auto OnReset(Context& context, const base::FlowKey& flow, const ForwardedMessage& forwarded)
+    -> void {
+  auto* entry = FindById(context.state.ledger, forwarded.request);
+  if (IsAgentMessage(entry, forwarded)) return StopRetransmitting(context, *entry);
+  context.effects.emplace_back(SendToTarget{flow, BuildReset(forwarded.target_side)});
   if (entry != nullptr) entry->awaits_ack = false;
   if (entry == nullptr || entry->stage != Stage::kObserving) return;
   EndStream(context, *entry, Counter::kStreamClientGone);
 }
 
 auto OnAckOrReset(Context& context, const base::FlowKey& flow, const Message& message) -> void {
-  auto* passed = FindForwardedByClient(FlowOf(context, flow), message.message_id);
-  if (passed == nullptr || message.code != kCodeEmpty) {
+  auto* forwarded = FindForwardedByClient(FlowOf(context, flow), message.message_id);
+  if (forwarded == nullptr || message.code != kCodeEmpty) {
     return CountOne(context, Counter::kUnexpectedFromClient);
   }
-  auto found = *passed;
+  auto found = *forwarded;
   if (message.type == MessageType::kReset) return OnReset(context, flow, found);
   OnAcknowledged(context, flow, found);
 }
@@ -67,7 +68,7 @@
     auto left = context.state.parameters.queue_limit;
     return OnRequest(context, *message, {identity, message->type, 0}, left);
   }
-  // An empty CON asks whether anyone is there (RFC 7252, 4.3); anything else is rejected.
+  // An empty CON is a ping (RFC 7252, 4.3). Other messages are rejected.
   if (message->code != kCodeEmpty) CountOne(context, Counter::kUnexpectedFromClient);
   if (message->type != MessageType::kConfirmable) return;
   SendBack(context, event.flow, BuildReset(message->message_id));
--- a/src/requests/internal/coap_build.cc
+++ b/src/requests/internal/coap_build.cc
@@ -1,4 +1,4 @@
-// Datagrams that the agent writes or alters.
+// Building and rewriting of CoAP datagrams.
 #include <algorithm>
 #include <array>
 #include <span>
@@ -39,10 +39,10 @@
   out.insert(out.end(), payload.begin(), payload.end());
 }
 
-/// An option that is to be written in place of those of the same number.
+/// An option that replaces all options of the same number.
 struct Replacement {
   std::uint16_t number = 0;
-  std::optional<BytesView> value;  ///< nothing: leave them out
+  std::optional<BytesView> value;  ///< empty: the options are removed
 };
 
 using UintBytes = std::array<std::uint8_t, sizeof(std::uint32_t)>;
@@ -53,8 +53,8 @@
 }
 
 // Options are written in the order of their numbers (RFC 7252, 3.1).
-auto AppendDue(Bytes& out, std::uint16_t& last, std::uint32_t below,
-               std::span<const Replacement>& replacements) -> void {
+auto AppendReplacementsBelow(Bytes& out, std::uint16_t& last, std::uint32_t below,
+                             std::span<const Replacement>& replacements) -> void {
   while (!replacements.empty() && replacements.front().number < below) {
     const auto& [number, value] = replacements.front();
     if (value) AppendOption(out, last, number, *value);
@@ -62,8 +62,7 @@
   }
 }
 
-// Writes the options and payload of `message` with the replacements, which are in the order of
-// their numbers.
+// Writes the options and payload of `message` with the replacements, which are sorted by number.
 auto AppendBody(Bytes& out, const Message& message, std::span<const Replacement> replacements)
     -> void {
   auto pdu = ParsePdu(message.whole);
@@ -74,10 +73,10 @@
   while (auto* option = coap_option_next(&iterator)) {
     auto is_replaced = [&](const auto& one) { return one.number == iterator.number; };
     if (std::any_of(replacements.begin(), replacements.end(), is_replaced)) continue;
-    AppendDue(out, last, iterator.number, due);
+    AppendReplacementsBelow(out, last, iterator.number, due);
     AppendOption(out, last, iterator.number, OptionValue(option));
   }
-  AppendDue(out, last, kBeyondOptions, due);
+  AppendReplacementsBelow(out, last, kBeyondOptions, due);
   AppendPayload(out, PayloadOf(pdu.get()));
 }
 
--- a/src/requests/internal/coap_message.cc
+++ b/src/requests/internal/coap_message.cc
@@ -15,13 +15,14 @@
 constexpr auto kFirstPrintable = std::uint8_t{0x20};
 constexpr auto kDelete = std::uint8_t{0x7f};
 
-// libcoap would write a line to standard error for each malformed datagram a stranger sends.
-auto SilenceLibcoap() -> void {
-  static const auto silenced = [] {
+// libcoap writes a line to standard error for each malformed datagram, and any sender can cause
+// these.
+auto DisableLibcoapLogging() -> void {
+  static const auto disabled = [] {
     coap_set_log_level(LOG_EMERG);
     return true;
   }();
-  static_cast<void>(silenced);
+  static_cast<void>(disabled);
 }
 
 auto Fail(RequestErrorCode code, std::size_t size) -> boost::leaf::error_id {
@@ -49,8 +50,9 @@
   return XXH3_64bits_withSeed(value.data(), value.size(), seed * 31 + number);
 }
 
-// The option's value where it lies in the datagram: the PDU is a copy that ends with the parse.
-auto InDatagram(const coap_pdu_t* pdu, BytesView datagram, BytesView value) -> BytesView {
+// Returns the option's value as a span of the datagram. The PDU is a copy that lives only during
+// the parse.
+auto SpanInDatagram(const coap_pdu_t* pdu, BytesView datagram, BytesView value) -> BytesView {
   const auto* token = coap_pdu_get_token(pdu).s;
   return datagram.subspan(kHeaderSize + static_cast<std::size_t>(value.data() - token),
                           value.size());
@@ -90,7 +92,7 @@
       message.body_digest = Digest(message.body_digest, number, value);
       break;
     case COAP_OPTION_ECHO:
-      message.echo = InDatagram(pdu, message.whole, value);
+      message.echo = SpanInDatagram(pdu, message.whole, value);
       return;
     case kDeadlineOption:
       return ReadDeadline(option, message);
@@ -111,7 +113,7 @@
 }  // namespace
 
 auto ParsePdu(BytesView datagram) -> Pdu {
-  SilenceLibcoap();
+  DisableLibcoapLogging();
   auto pdu = Pdu(coap_pdu_init(COAP_MESSAGE_CON, COAP_EMPTY_CODE, 0, datagram.size()));
   if (!pdu) return nullptr;
   if (coap_pdu_parse(COAP_PROTO_UDP, datagram.data(), datagram.size(), pdu.get()) == 0) {
--- a/src/requests/internal/coap_pdu.h
+++ b/src/requests/internal/coap_pdu.h
@@ -6,7 +6,7 @@
 
 #include "requests/coap_message.h"
 
-// The one place that includes libcoap, used as the codec only.
+// The only header that includes libcoap, which is used as a codec.
 namespace anvildrum::requests {
 
 inline constexpr auto kHeaderSize = std::size_t{4};
@@ -19,7 +19,7 @@
 };
 using Pdu = std::unique_ptr<coap_pdu_t, PduDeleter>;
 
-/// Nothing when the datagram is malformed. The PDU holds a copy of the datagram.
+/// Returns null if the datagram is malformed. The PDU holds a copy of the datagram.
 auto ParsePdu(BytesView datagram) -> Pdu;
 auto OptionValue(const coap_opt_t* option) -> BytesView;
 auto PayloadOf(const coap_pdu_t* pdu) -> BytesView;
--- a/src/requests/internal/deadline.cc
+++ b/src/requests/internal/deadline.cc
@@ -1,4 +1,4 @@
-// The client's own deadline, as its Deadline option tells it.
+// Deadlines that clients set with the Deadline option.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -8,7 +8,7 @@
 
 using base::milliseconds;
 
-// An offer that has not been confirmed with the other agent's Echo value runs nothing there.
+// An offer runs nothing at the other agent until it is repeated with that agent's Echo value.
 auto CannotHaveRun(const LedgerEntry& entry) -> bool {
   return entry.stage == Stage::kOffered && entry.method != MethodClass::kSafe &&
          !entry.offer_confirmed;
@@ -29,9 +29,9 @@
   return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(left).count());
 }
 
-// What this target needs says nothing of another when this one is slow; the initial service time is
-// what a healthy one is taken to need.
-auto LeavesTimeElsewhere(const Context& context, base::TimePoint client_deadline) -> bool {
+// The service time of a slow target says nothing about the others. The initial service time stands
+// for that of a healthy target.
+auto CanFinishElsewhere(const Context& context, base::TimePoint client_deadline) -> bool {
   if (client_deadline == kNoDeadline) return true;
   const auto& state = context.state;
   auto needed = std::min(admission::UpperBound(state.admission.service_time),
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -1,4 +1,4 @@
-// Life of a request between its intake and its outcome: queue, slot, target, timers.
+// A request between its arrival and its outcome: queue, slot, target and timers.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -8,8 +8,8 @@
 
 constexpr auto kIdBytes = std::size_t{8};
 
-auto Enlist(Context& context, LedgerEntry& entry, Transition transition) -> void {
-  MoveOn(context, entry, transition);
+auto AddLive(Context& context, LedgerEntry& entry, Transition transition) -> void {
+  ApplyTransition(context, entry, transition);
   auto& live = FlowOf(context, entry.identity.flow).live;
   if (std::find(live.begin(), live.end(), entry.id) == live.end()) live.push_back(entry.id);
 }
@@ -25,7 +25,7 @@
 auto WaitInQueue(Context& context, LedgerEntry& entry) -> void {
   const auto& client = entry.identity.flow.client.address;
   MakeRoomInQueue(context, client);
-  Enlist(context, entry, Transition::kEnqueue);
+  AddLive(context, entry, Transition::kEnqueue);
   Enqueue(context.state.admission, {entry.id, client, entry.deadline});
   CountOne(context, Counter::kQueued);
   MarkTrace(context, entry, Mark::kQueued);
@@ -48,7 +48,7 @@
       OnStreamTimer(context, entry);
       break;
     default:
-      ResendOwn(context, entry);
+      Retransmit(context, entry);
       break;
   }
 }
@@ -72,12 +72,12 @@
 
 auto Run(Context& context, LedgerEntry& entry) -> void {
   auto& state = context.state;
-  Enlist(context, entry, Transition::kSend);
+  AddLive(context, entry, Transition::kSend);
   entry.started = context.now;
   entry.holds_slot = !entry.admission_exempt;
   if (entry.holds_slot) AcquireSlot(state.admission, entry.identity.flow.client.address);
   SendRequest(context, entry);
-  // A safe request may be sent again when the client repeats it; any other one never is.
+  // A safe request may be sent again when its client repeats it. All others are sent only once.
   if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
   SetEntryTimer(context, entry,
                 std::min(context.now + state.parameters.run_limit, entry.client_deadline));
@@ -102,12 +102,12 @@
       if (target_gone && entry.method == MethodClass::kSafe && TryHandOn(context, entry)) return;
       return FinishUnknown(context, entry, Counter::kUnknownTargetGone);
     default:
-      // What is offered to another agent goes on there while the flow is open here.
+      // An offer to another agent stays valid while the flow is open here.
       if (!target_gone) FinishUnknown(context, entry, Counter::kUnknownTargetGone);
   }
 }
 
-// Ends what of the flow is in progress; the flow is known.
+// Ends the requests in progress of a known flow.
 auto EndRequests(Context& context, const base::FlowKey& flow, FlowEnd end) -> void {
   auto live = context.state.flows.at(flow).live;
   for (auto id : live) {
@@ -122,7 +122,7 @@
   context.effects.emplace_back(Count{counter});
 }
 
-auto MoveOn(Context& context, LedgerEntry& entry, Transition transition) -> void {
+auto ApplyTransition(Context& context, LedgerEntry& entry, Transition transition) -> void {
   auto next = Advance(entry.stage, transition);
   if (!next) return CountOne(context, Counter::kIllegalTransition);
   entry.stage = *next;
@@ -135,7 +135,8 @@
 auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState& {
   auto [at, added] = context.state.flows.try_emplace(flow);
   if (!added) return at->second;
-  // A flow that comes back finds other message IDs in use than those the client still remembers.
+  // A flow that returns starts with random message IDs, because its client may still remember the
+  // earlier ones.
   at->second.next_target_message_id = static_cast<std::uint16_t>(context.state.random());
   at->second.next_client_message_id = static_cast<std::uint16_t>(context.state.random());
   const auto& floors = context.state.closed.floors;
@@ -214,7 +215,7 @@
   }
 }
 
-auto EndLive(Context& context, LedgerEntry& entry) -> void {
+auto RemoveLive(Context& context, LedgerEntry& entry) -> void {
   auto& admission = context.state.admission;
   const auto& client = entry.identity.flow.client.address;
   if (entry.stage == Stage::kQueued) RemoveQueued(admission, entry.id);
@@ -226,16 +227,16 @@
   std::erase(flow->second.live, entry.id);
 }
 
-// A flow that closes may be opened elsewhere, where what its client was challenged for here is
-// foreign and told unknown; should it come back, the old values must not run anything.
-auto KeepFloor(Context& context, const base::FlowKey& key, const FlowState& flow) -> void {
+// A closed flow may be opened elsewhere, where Echo values of this agent are foreign and answered
+// with "unknown". If the flow returns, the values from before must not run anything.
+auto RecordEchoFloor(Context& context, const base::FlowKey& key, const FlowState& flow) -> void {
   if (std::max(flow.last_echo, flow.echo_floor) == 0) return;
   auto& closed = context.state.closed;
   closed.floors[key] = context.state.mint.last_issue;
   closed.expiries.emplace_back(context.now + context.state.parameters.echo_lifetime, key);
 }
 
-auto ForgetFloors(Context& context) -> void {
+auto ExpireEchoFloors(Context& context) -> void {
   auto& closed = context.state.closed;
   while (!closed.expiries.empty() && closed.expiries.front().first <= context.now) {
     auto key = closed.expiries.front().second;
@@ -251,7 +252,7 @@
   auto& state = context.state;
   RunEntryTimers(context);
   RefuseOverdue(context);
-  ForgetFloors(context);
+  ExpireEchoFloors(context);
   ExpireRequests(state.ledger, context.now, [&](LedgerEntry& entry) {
     SetEntryTimer(context, entry, {});
     if (entry.stage != Stage::kChallenged) return;
@@ -263,7 +264,7 @@
   auto& state = context.state;
   if (!state.flows.contains(event.flow)) return;
   EndRequests(context, event.flow, FlowEnd::kClosed);
-  KeepFloor(context, event.flow, state.flows.at(event.flow));
+  RecordEchoFloor(context, event.flow, state.flows.at(event.flow));
   state.flows.erase(event.flow);
 }
 
--- a/src/requests/internal/hand_over.cc
+++ b/src/requests/internal/hand_over.cc
@@ -1,4 +1,4 @@
-// A flow that moves from a draining agent to another one, both sides.
+// Hand-over of a flow from a draining agent to another one, both sides.
 #include "requests/hand_over.h"
 
 #include <algorithm>
@@ -8,33 +8,33 @@
 namespace anvildrum::requests {
 namespace {
 
-// A client answers a challenge within a round trip; its next retransmission comes after 3 s at the
+// A client answers a challenge within a round trip. Its next retransmission comes after 3 s at the
 // latest (RFC 7252, 4.8.2).
-constexpr auto kChallengeOpen = base::seconds(5);
+constexpr auto kChallengeAnswerTime = base::seconds(5);
 
-auto KeptFor(const LedgerEntry& entry, base::TimePoint now) -> base::Duration {
+auto TimeKept(const LedgerEntry& entry, base::TimePoint now) -> base::Duration {
   return now - (entry.expires - kExchangeLifetime);
 }
 
-// Safeguard: a separate answer that was lost is sent again by the target until the client has
-// acknowledged it. Moved before that, the flow's client would be left without a final answer.
+// Safeguard: the target retransmits a lost separate answer until the client acknowledges it. If the
+// flow moved before that, its client would get no final answer.
 auto AwaitsClient(const LedgerEntry& entry, base::TimePoint now) -> bool {
   if (entry.transmissions_left > 0) return true;
-  return entry.awaits_ack && KeptFor(entry, now) < kMaxTransmitWait;
+  return entry.awaits_ack && TimeKept(entry, now) < kMaxTransmitWait;
 }
 
-auto HoldsFlow(const LedgerEntry& entry, base::TimePoint now) -> bool {
+auto BlocksHandOver(const LedgerEntry& entry, base::TimePoint now) -> bool {
   if (entry.stage == Stage::kObserving) return false;
   if (IsLive(entry.stage)) return true;
-  if (entry.stage == Stage::kChallenged) return KeptFor(entry, now) < kChallengeOpen;
+  if (entry.stage == Stage::kChallenged) return TimeKept(entry, now) < kChallengeAnswerTime;
   return AwaitsClient(entry, now);
 }
 
-auto HoldsFlow(const FlowState& flow, base::TimePoint now) -> bool {
+auto BlocksHandOver(const FlowState& flow, base::TimePoint now) -> bool {
   return flow.transfer_until > now || (flow.upload && flow.upload->expires > now);
 }
 
-auto RequestOf(const LedgerEntry& entry, base::TimePoint now) -> HandedOverRequest {
+auto ToHandedOverRequest(const LedgerEntry& entry, base::TimePoint now) -> HandedOverRequest {
   auto handed = HandedOverRequest{};
   handed.token = entry.identity.token;
   handed.message_id = entry.identity.message_id;
@@ -51,27 +51,27 @@
   return handed;
 }
 
-// The client never answered its challenge here. It may yet, with a value that is foreign to the new
-// owner; both messages are told the same then.
-auto AnswerAbandoned(HandedOverRequest& handed, FlowRecord& record) -> void {
+// The client has not answered its challenge here. If it answers later, its value is foreign to the
+// new owner. Both messages then get the same outcome.
+auto SetUnknownAnswer(HandedOverRequest& handed, FlowRecord& record) -> void {
   auto confirmable = handed.type == MessageType::kConfirmable;
   auto type = confirmable ? MessageType::kAcknowledgement : MessageType::kNonConfirmable;
   auto message_id = confirmable ? handed.message_id : record.next_client_message_id++;
   handed.answer = BuildUnknown(type, message_id, handed.token);
 }
 
-auto AddTo(FlowRecord& record, const LedgerEntry& entry, base::TimePoint now) -> void {
+auto AppendToRecord(FlowRecord& record, const LedgerEntry& entry, base::TimePoint now) -> void {
   if (entry.stage == Stage::kObserving) {
     record.streams.push_back(StreamOf(entry));
     return;
   }
   if (entry.expires <= now) return;
-  auto handed = RequestOf(entry, now);
-  if (entry.stage == Stage::kChallenged) AnswerAbandoned(handed, record);
+  auto handed = ToHandedOverRequest(entry, now);
+  if (entry.stage == Stage::kChallenged) SetUnknownAnswer(handed, record);
   record.requests.push_back(std::move(handed));
 }
 
-auto TakeRequest(Context& context, const base::FlowKey& flow, const HandedOverRequest& handed)
+auto ImportRequest(Context& context, const base::FlowKey& flow, const HandedOverRequest& handed)
     -> void {
   auto& ledger = context.state.ledger;
   auto identity = RequestIdentity{flow, handed.token, handed.message_id, {}};
@@ -90,10 +90,10 @@
   KeepUntil(ledger, kept, context.now + std::min(handed.left, base::Duration(kExchangeLifetime)));
 }
 
-// Registered at this target as a request that is never refused and holds no slot: the client was
-// admitted long ago. Its first answer goes out as a notification, not in the ACK of a request that
-// the client has long had answered.
-auto TakeStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
+// Registers the observation at this target, exempt from admission and without a slot, because the
+// client was admitted by an earlier owner. The first answer is sent as a notification: the client's
+// request was answered long ago, so there is nothing to acknowledge.
+auto ImportStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
     -> LedgerEntry* {
   auto request = ParseMessage(handed.request);
   if (!request || !IsRequest(*request)) {
@@ -116,19 +116,19 @@
   return &InsertRequest(context.state.ledger, std::move(entry));
 }
 
-auto ServeStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
+auto ResumeStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
     -> void {
-  if (auto* entry = TakeStream(context, flow, handed)) Admit(context, *entry);
+  if (auto* entry = ImportStream(context, flow, handed)) Admit(context, *entry);
 }
 
-// The client's last word for its token, sent until it is acknowledged, as after the loss of a
-// target.
+// Ends the observation with an error under the client's token, retransmitted until acknowledged, as
+// after the loss of a target.
 auto RefuseStream(Context& context, const base::FlowKey& flow, const HandedOverStream& handed)
     -> void {
-  auto* entry = TakeStream(context, flow, handed);
+  auto* entry = ImportStream(context, flow, handed);
   if (entry == nullptr) return;
-  MoveOn(context, *entry, Transition::kSend);
-  MoveOn(context, *entry, Transition::kOpenStream);
+  ApplyTransition(context, *entry, Transition::kSend);
+  ApplyTransition(context, *entry, Transition::kOpenStream);
   FinishNotRun(context, *entry, Counter::kStreamEnded);
 }
 
@@ -147,15 +147,15 @@
   auto record = FlowRecord{};
   auto flow = state.flows.find(key);
   if (flow == state.flows.end()) return record;
-  if (HoldsFlow(flow->second, now)) return std::nullopt;
+  if (BlocksHandOver(flow->second, now)) return std::nullopt;
   record.next_client_message_id = flow->second.next_client_message_id;
   record.quarantine_left = std::max(flow->second.adopted_until - now, base::Duration{});
   auto ids = ledgers.find(key);
   if (ids == ledgers.end()) return record;
   for (auto id : ids->second) {
     const auto& entry = state.ledger.entries.at(id);
-    if (HoldsFlow(entry, now)) return std::nullopt;
-    AddTo(record, entry, now);
+    if (BlocksHandOver(entry, now)) return std::nullopt;
+    AppendToRecord(record, entry, now);
   }
   return record;
 }
@@ -173,9 +173,9 @@
   flow.echo_floor = context.state.mint.last_issue;
   flow.next_client_message_id = record.next_client_message_id;
   flow.adopted_until = context.now + record.quarantine_left;
-  for (const auto& handed : record.requests) TakeRequest(context, event.flow, handed);
+  for (const auto& handed : record.requests) ImportRequest(context, event.flow, handed);
   for (const auto& handed : record.streams) {
-    if (event.served) ServeStream(context, event.flow, handed);
+    if (event.served) ResumeStream(context, event.flow, handed);
     if (!event.served) RefuseStream(context, event.flow, handed);
   }
   if (event.served) return;
--- a/src/requests/internal/intake.cc
+++ b/src/requests/internal/intake.cc
@@ -1,4 +1,4 @@
-// What becomes of a request that comes in: a repetition, a read, or one that changes something.
+// Handling of an incoming request: a repetition, a safe request, or one that needs a challenge.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -6,19 +6,19 @@
 namespace anvildrum::requests {
 namespace {
 
-constexpr auto kRepeatToTargetAfter = base::seconds(1);
+constexpr auto kMinRepeatInterval = base::seconds(1);
 
 struct Intake {
   const Message& message;
-  const Asker& asker;
+  const Requester& requester;
   base::Duration left;
 };
 
 auto EntryFor(const Context& context, const Intake& intake) -> LedgerEntry {
   auto entry = LedgerEntry{};
-  entry.identity = intake.asker.identity;
+  entry.identity = intake.requester.identity;
   entry.type = intake.message.type;
-  entry.origin_request = intake.asker.origin_request;
+  entry.origin_request = intake.requester.origin_request;
   entry.method = MethodClassOf(intake.message.code);
   entry.content_digest = intake.message.content_digest;
   entry.path_digest = intake.message.path_digest;
@@ -35,11 +35,11 @@
 }
 
 auto SendChallenge(Context& context, const LedgerEntry& entry) -> void {
-  auto asker = Asker{entry.challenged, entry.type, entry.origin_request};
-  auto form = ReplyFormOf(context, asker);
+  auto requester = Requester{entry.challenged, entry.type, entry.origin_request};
+  auto form = ReplyFormOf(context, requester);
   auto binding = EchoBinding{entry.challenged.flow, entry.challenged.origin, entry.content_digest};
   auto echo = EchoOfIssue(context.state.mint, binding, entry.echo_issue);
-  Reply(context, asker, false,
+  Reply(context, requester, false,
         BuildChallenge(form.type, form.message_id, entry.challenged.token, echo));
 }
 
@@ -49,7 +49,7 @@
 
 auto RepeatToTarget(Context& context, LedgerEntry& entry) -> void {
   if (entry.method != MethodClass::kSafe || entry.request.empty()) return;
-  if (context.now - entry.started < kRepeatToTargetAfter) return;
+  if (context.now - entry.started < kMinRepeatInterval) return;
   SendRequest(context, entry);
 }
 
@@ -68,144 +68,148 @@
 
 auto OnRepeated(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
   if (entry.content_digest != intake.message.content_digest) {
-    return ReplyUnknown(context, intake.asker, Counter::kUnknownIdentityReuse);
+    return ReplyUnknown(context, intake.requester, Counter::kUnknownIdentityReuse);
   }
   if (entry.stage == Stage::kChallenged) return SendChallenge(context, entry);
-  // The client has the challenge, since it has answered it.
-  if (IsChallengedCopy(entry, intake.asker.identity)) {
+  // The client has answered the challenge, so it needs no other copy.
+  if (IsChallengedCopy(entry, intake.requester.identity)) {
     return CountOne(context, Counter::kRetransmissionWhileRunning);
   }
   if (IsLive(entry.stage)) return OnLiveRepeated(context, entry);
   RepeatAnswer(context, entry);
 }
 
-// A challenge answered now would be refused at once, and no other agent may be asked.
-auto WouldBeRefused(const Context& context, const Intake& intake) -> std::optional<Counter> {
+// Returns the counter for a request that would be refused at once after answering its challenge,
+// and that no other agent may run. Such a request is refused without a challenge.
+auto RefusalOnArrival(const Context& context, const Intake& intake) -> std::optional<Counter> {
   const auto& state = context.state;
   auto client_deadline = ClientDeadlineOf(context, intake.message);
   auto can_hand_on = state.parameters.retry_share > 0 && state.retries.tokens >= 1 &&
-                     intake.asker.identity.origin.value == 0 &&
-                     LeavesTimeElsewhere(context, client_deadline);
+                     intake.requester.identity.origin.value == 0 &&
+                     CanFinishElsewhere(context, client_deadline);
   if (can_hand_on) return std::nullopt;
-  auto candidate = Candidate{intake.asker.identity.flow.client.address,
+  auto candidate = Candidate{intake.requester.identity.flow.client.address,
                              std::min(context.now + intake.left, client_deadline), client_deadline};
   return RefusalOf(DecideAdmission(state.admission, state.parameters, candidate, context.now));
 }
 
 auto TooManyChallenges(const Context& context, const Intake& intake) -> bool {
   const auto& state = context.state;
-  auto of_client = ChallengesOf(state.admission, intake.asker.identity.flow.client.address);
+  auto of_client = ChallengesOf(state.admission, intake.requester.identity.flow.client.address);
   if (of_client >= state.parameters.client_challenges) return true;
   auto share =
       state.parameters.challenge_share * static_cast<double>(state.parameters.ledger_bytes);
   return static_cast<double>(state.admission.open_challenges * kLedgerEntryBytes) > share;
 }
 
-// A request that must not run twice and carries no Echo value made for it. It never runs: only its
-// sender, by sending it again with the value, shows that it still waits for it.
+// Challenges a request that must not run twice and has no Echo value issued for it. This message
+// never runs. Only the repetition with the value proves that the client still waits for the
+// request.
 auto Challenge(Context& context, const Intake& intake) -> void {
   auto& state = context.state;
-  const auto& asker = intake.asker;
-  // A copy of a request with a cached value gets the challenge again, not a second value.
-  auto* known = FindRequest(state.ledger, asker.identity);
+  const auto& requester = intake.requester;
+  // A copy of a request with a cached value gets the same challenge, not a second value.
+  auto* known = FindRequest(state.ledger, requester.identity);
   if (known != nullptr) return OnRepeated(context, intake, *known);
-  if (FlowOf(context, asker.identity.flow).adopted_until > context.now) {
-    return ReplyUnknown(context, asker, Counter::kUnknownAdoptedFlow);
+  if (FlowOf(context, requester.identity.flow).adopted_until > context.now) {
+    return ReplyUnknown(context, requester, Counter::kUnknownAdoptedFlow);
   }
-  if (auto refusal = WouldBeRefused(context, intake)) {
-    return ReplyNotRun(context, asker, *refusal);
+  if (auto refusal = RefusalOnArrival(context, intake)) {
+    return ReplyNotRun(context, requester, *refusal);
   }
   if (TooManyChallenges(context, intake)) {
-    return ReplyNotRun(context, asker, Counter::kRefusedChallenges);
+    return ReplyNotRun(context, requester, Counter::kRefusedChallenges);
   }
   if (!HasRoom(state.ledger, state.parameters.ledger_bytes, 0)) {
-    return ReplyNotRun(context, asker, Counter::kRefusedLedgerFull);
+    return ReplyNotRun(context, requester, Counter::kRefusedLedgerFull);
   }
   auto entry = EntryFor(context, intake);
   entry.request.clear();
-  MoveOn(context, entry, Transition::kChallenge);
+  ApplyTransition(context, entry, Transition::kChallenge);
   entry.was_challenged = true;
-  entry.challenged = asker.identity;
-  auto binding = EchoBinding{asker.identity.flow, asker.identity.origin, entry.content_digest};
+  entry.challenged = requester.identity;
+  auto binding =
+      EchoBinding{requester.identity.flow, requester.identity.origin, entry.content_digest};
   entry.echo_issue = MintEcho(state.mint, binding, context.now).issue;
-  FlowOf(context, asker.identity.flow).last_echo = entry.echo_issue;
+  FlowOf(context, requester.identity.flow).last_echo = entry.echo_issue;
   auto& kept = InsertRequest(state.ledger, std::move(entry));
   KeepUntil(state.ledger, kept, context.now + kExchangeLifetime);
-  AddChallenge(state.admission, asker.identity.flow.client.address);
+  AddChallenge(state.admission, requester.identity.flow.client.address);
   CountOne(context, Counter::kChallenged);
   MarkTrace(context, kept, Mark::kChallenged);
   SendChallenge(context, kept);
 }
 
-// Another agent answers at once or gives up: it waits this long beyond the deadline of its offer
-// (hand_on.cc), so that nothing starts here after it has told its client "unknown".
+// An origin agent waits for the answer up to this long after the deadline of its offer
+// (hand_on.cc). Nothing may start here after it has told its client "unknown".
 auto EchoLifetimeOf(const Context& context, const Intake& intake) -> base::Duration {
   const auto& parameters = context.state.parameters;
-  auto from_client = intake.asker.identity.origin.value == 0;
+  auto from_client = intake.requester.identity.origin.value == 0;
   return from_client ? parameters.echo_lifetime : parameters.queue_limit;
 }
 
-// The request came back with the Echo value of its challenge, which from here on is used up.
+// Admits a request that returned with the Echo value of its challenge. The value cannot be used
+// again.
 auto Confirm(Context& context, const Intake& intake, LedgerEntry& entry) -> void {
   auto& state = context.state;
-  EndChallenge(state.admission, intake.asker.identity.flow.client.address);
-  MoveOn(context, entry, Transition::kConfirm);
-  AddIdentity(state.ledger, entry, intake.asker.identity);
+  EndChallenge(state.admission, intake.requester.identity.flow.client.address);
+  ApplyTransition(context, entry, Transition::kConfirm);
+  AddIdentity(state.ledger, entry, intake.requester.identity);
   entry.type = intake.message.type;
-  entry.origin_request = intake.asker.origin_request;
+  entry.origin_request = intake.requester.origin_request;
   entry.arrived = context.now;
-  // The time runs from the first message, whatever the second one says is left of it.
+  // The client's deadline counts from the first message. The second one can only shorten it.
   entry.client_deadline =
       std::min(entry.client_deadline, ClientDeadlineOf(context, intake.message));
   entry.deadline = std::min(context.now + intake.left, entry.client_deadline);
-  // A copy that was minutes on its way: its sender may have stopped waiting. It has not run, and
-  // the used value sees to it that no other copy will.
+  // This copy was delayed by minutes, and its client may have stopped waiting. It has not run, and
+  // the used value prevents any other copy from running.
   if (EchoAge(entry.echo_issue, context.now) > EchoLifetimeOf(context, intake)) {
     return FinishNotRun(context, entry, Counter::kRefusedExpiredEcho);
   }
   SetRequestBytes(state.ledger, entry, intake.message.whole);
   auto id = entry.id;
   Admit(context, entry);
-  NoteUpload(context, intake.message, intake.asker.identity.flow, id);
+  RecordUpload(context, intake.message, intake.requester.identity.flow, id);
 }
 
-// Safeguard: a client that saw the challenge twice may send the request twice, under two message
-// IDs and tokens but with the same value; run both, and one hold is made twice. Each value runs one
-// request, once.
+// Safeguard: a client that received the challenge twice may send the request twice, under two
+// message IDs and tokens but with the same value. If both ran, a hold would be made twice. Each
+// value therefore runs one request, once.
 auto OnMintedEcho(Context& context, const Intake& intake, std::uint64_t issue) -> void {
-  // Safeguard: the flow was elsewhere meanwhile, where this request was foreign and its client was
-  // told that nobody would run it; a copy that comes here now must not.
-  if (issue <= FlowOf(context, intake.asker.identity.flow).echo_floor) {
-    return ReplyUnknown(context, intake.asker, Counter::kUnknownForeignEcho);
+  // Safeguard: meanwhile the flow was at another agent, where this request was foreign and its
+  // client was told that it would not run. A copy that arrives here now must not run.
+  if (issue <= FlowOf(context, intake.requester.identity.flow).echo_floor) {
+    return ReplyUnknown(context, intake.requester, Counter::kUnknownForeignEcho);
   }
   auto* entry = FindByEcho(context.state.ledger, issue);
-  // Told "unknown" now, the client might act on it before the first copy even starts.
+  // If the client were told "unknown" now, it might act on that before the first copy starts.
   if (entry != nullptr && IsLive(entry->stage)) {
     return CountOne(context, Counter::kRetransmissionWhileRunning);
   }
   if (entry == nullptr || entry->stage != Stage::kChallenged) {
-    return ReplyUnknown(context, intake.asker, Counter::kUnknownEchoUsed);
+    return ReplyUnknown(context, intake.requester, Counter::kUnknownEchoUsed);
   }
   Confirm(context, intake, *entry);
 }
 
 auto OnLaterBlock(Context& context, const Intake& intake) -> void {
-  // Without its first block here the upload began at another agent or incarnation, where this may
-  // have been the block that completed it.
-  if (!ContinueUpload(context, intake.message, intake.asker.identity.flow)) {
-    return ReplyUnknown(context, intake.asker, Counter::kUnknownUpload);
+  // Without its first block here, the upload began at another agent or incarnation, where this
+  // block may have completed it.
+  if (!ContinueUpload(context, intake.message, intake.requester.identity.flow)) {
+    return ReplyUnknown(context, intake.requester, Counter::kUnknownUpload);
   }
   auto entry = EntryFor(context, intake);
   entry.admission_exempt = true;
   Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
 }
 
-// POST, and PUT, DELETE and iPATCH too: a late copy of a PUT at another agent would undo what came
-// after it, or run what was refused here as not run.
-auto OnGuarded(Context& context, const Intake& intake) -> void {
+// Handles POST, PUT, DELETE and iPATCH. A late copy of a PUT at another agent would undo a later
+// change, or run a request that was refused here as not run.
+auto OnUnsafeRequest(Context& context, const Intake& intake) -> void {
   if (IsLaterBlock(intake.message)) return OnLaterBlock(context, intake);
   if (!intake.message.echo) return Challenge(context, intake);
-  const auto& identity = intake.asker.identity;
+  const auto& identity = intake.requester.identity;
   auto binding = EchoBinding{identity.flow, identity.origin, intake.message.content_digest};
   auto check = CheckEcho(context.state.mint, binding, *intake.message.echo);
   switch (check.verdict) {
@@ -214,7 +218,7 @@
     case EchoVerdict::kOtherContent:
       return Challenge(context, intake);
     case EchoVerdict::kForeign:
-      return ReplyUnknown(context, intake.asker, Counter::kUnknownForeignEcho);
+      return ReplyUnknown(context, intake.requester, Counter::kUnknownForeignEcho);
   }
 }
 
@@ -232,35 +236,35 @@
          flow.transfer_path == message.path_digest;
 }
 
-auto OnSafe(Context& context, const Intake& intake) -> void {
-  if (intake.message.observe && RefreshStream(context, intake.message, intake.asker)) return;
-  auto gives_up = intake.message.observe.value_or(0) != 0;
-  if (gives_up) CancelPending(context, intake.message, intake.asker);
+auto OnSafeRequest(Context& context, const Intake& intake) -> void {
+  if (intake.message.observe && RefreshStream(context, intake.message, intake.requester)) return;
+  auto cancels = intake.message.observe.value_or(0) != 0;
+  if (cancels) CancelPending(context, intake.message, intake.requester);
   if (!HasRoomFor(context, intake)) {
-    return ReplyNotRun(context, intake.asker, Counter::kRefusedLedgerFull);
+    return ReplyNotRun(context, intake.requester, Counter::kRefusedLedgerFull);
   }
-  const auto& flow = FlowOf(context, intake.asker.identity.flow);
+  const auto& flow = FlowOf(context, intake.requester.identity.flow);
   auto entry = EntryFor(context, intake);
-  entry.observe = intake.message.observe == 0U && intake.asker.identity.origin.value == 0;
+  entry.observe = intake.message.observe == 0U && intake.requester.identity.origin.value == 0;
   entry.admission_exempt = ContinuesTransfer(context, flow, intake.message);
   if (entry.observe && StreamsOf(context, flow) >= context.state.parameters.flow_streams) {
-    return ReplyNotRun(context, intake.asker, Counter::kRefusedStreams);
+    return ReplyNotRun(context, intake.requester, Counter::kRefusedStreams);
   }
   Admit(context, InsertRequest(context.state.ledger, std::move(entry)));
 }
 
 }  // namespace
 
-auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
-    -> void {
-  auto intake = Intake{message, asker, left};
+auto OnRequest(Context& context, const Message& message, const Requester& requester,
+               base::Duration left) -> void {
+  auto intake = Intake{message, requester, left};
   if (message.bad_deadline) CountOne(context, Counter::kBadDeadline);
-  auto* known = FindRequest(context.state.ledger, asker.identity);
+  auto* known = FindRequest(context.state.ledger, requester.identity);
   auto answers_challenge =
       known != nullptr && known->stage == Stage::kChallenged && message.echo.has_value();
   if (known != nullptr && !answers_challenge) return OnRepeated(context, intake, *known);
-  if (MethodClassOf(message.code) == MethodClass::kSafe) return OnSafe(context, intake);
-  OnGuarded(context, intake);
+  if (MethodClassOf(message.code) == MethodClass::kSafe) return OnSafeRequest(context, intake);
+  OnUnsafeRequest(context, intake);
 }
 
 }  // namespace anvildrum::requests
--- a/src/requests/internal/lifecycle.cc
+++ b/src/requests/internal/lifecycle.cc
@@ -115,8 +115,8 @@
   return machine.stage;
 }
 
-// A machine for each request would cost it several times the memory of its ledger entry. The
-// machine is run once along every path instead, and what it did is kept as a table.
+// A state machine for each request would take several times the memory of its ledger entry. The
+// machine is run once along every path instead, and the results are kept as a table.
 auto MakeTable() -> Table {
   auto table = Table{};
   auto paths = std::array<std::optional<Path>, kStages>{};
--- a/src/requests/internal/stand_by.cc
+++ b/src/requests/internal/stand_by.cc
@@ -1,4 +1,4 @@
-// What an agent's stand-by keeps of a flow: its observations, without the ledger.
+// The copy that an agent's stand-by keeps of a flow: its observations, without the ledger.
 #include "requests/hand_over.h"
 #include "requests/internal/state.h"
 
@@ -6,9 +6,10 @@
 namespace {
 
 // Safeguard: a client drops a notification that is not newer than the last one (RFC 7641, 3.4), and
-// takes one with a message ID that it saw lately for a repetition (RFC 7252, 4.5); its screen would
-// freeze. The copy's numbers are behind by what the owner has sent since: by less than kReported..,
-// as it is sent again then. kResume.. is more than that, and less than half of the numbers' range.
+// treats one with a recent message ID as a duplicate (RFC 7252, 4.5), so it would show no updates.
+// The numbers in the copy lag behind those that the owner has sent. The copy is sent again before
+// the lag reaches kReported.., and kResume.. is larger than that and less than half of the number
+// range.
 constexpr auto kReportedSequenceBits = 20U;
 constexpr auto kResumeSequence = std::uint32_t{1} << 22;
 constexpr auto kReportedMessageIdBits = 14U;
@@ -35,13 +36,13 @@
   return Mix(version, sent >> kReportedSequenceBits);
 }
 
-template <typename Take>
-auto ForEachStream(const State& state, const FlowState& flow, base::TimePoint until, Take&& take)
+template <typename Visit>
+auto ForEachStream(const State& state, const FlowState& flow, base::TimePoint until, Visit&& visit)
     -> void {
   for (auto id : flow.live) {
     const auto& entry = state.ledger.entries.at(id);
     auto own = entry.identity.origin.value == 0;
-    if (own && entry.stage == Stage::kObserving && entry.arrived <= until) take(entry);
+    if (own && entry.stage == Stage::kObserving && entry.arrived <= until) visit(entry);
   }
 }
 
@@ -73,7 +74,7 @@
   record.next_client_message_id += kResumeMessageId;
   record.quarantine_left = quarantine;
   for (auto& stream : record.streams) {
-    // The first number is the one after it.
+    // The next number sent is one higher.
     stream.sequence = (stream.sequence + kResumeSequence - 1) & kSequenceMask;
   }
 }
--- a/src/requests/internal/state.h
+++ b/src/requests/internal/state.h
@@ -19,7 +19,7 @@
 
 namespace anvildrum::requests {
 
-/// A CON or NON of the target that was passed on: the client's ACK or RST goes back with the
+/// A CON or NON of the target that was forwarded. The client's ACK or RST is returned with the
 /// target's message ID.
 struct ForwardedMessage {
   std::uint16_t client_side = 0;
@@ -34,22 +34,22 @@
   base::TimePoint expires;
 };
 
-/// What the core keeps of a flow besides its requests.
+/// State of a flow besides its requests.
 struct FlowState {
   std::uint16_t next_target_message_id = 0;
   std::uint16_t next_client_message_id = 0;
   base::TimePoint adopted_until;
-  std::uint64_t echo_floor = 0;          ///< Echo values issued up to here run nothing any more
-  std::uint64_t last_echo = 0;           ///< issue number of the latest value for the flow
-  std::vector<std::uint64_t> live;       ///< requests queued, running, offered or observing
-  std::vector<ForwardedMessage> passed;  ///< a ring of the latest
+  std::uint64_t echo_floor = 0;             ///< values issued up to this number are no longer valid
+  std::uint64_t last_echo = 0;              ///< latest issue number of the flow
+  std::vector<std::uint64_t> live;          ///< requests queued, running, offered or observing
+  std::vector<ForwardedMessage> forwarded;  ///< ring buffer of the latest
   std::size_t forwarded_next = 0;
   std::optional<Upload> upload;
   base::TimePoint transfer_until;  ///< a block-wise answer is in progress until then
   std::uint64_t transfer_path = 0;
 };
 
-/// Echo floors of flows that have closed, for as long as a value below them could still run.
+/// Echo floors of closed flows, kept while a value below them could still run.
 struct ClosedFloors {
   std::unordered_map<base::FlowKey, std::uint64_t> floors;
   std::deque<std::pair<base::TimePoint, base::FlowKey>> expiries;
@@ -64,21 +64,21 @@
   RetryBudget retries;
   std::unordered_map<base::FlowKey, FlowState> flows;
   ClosedFloors closed;
-  std::set<std::pair<base::TimePoint, std::uint64_t>> entry_timers;  ///< entries' own timers
-  std::optional<base::TimePoint> timer;                              ///< as last asked for
+  std::set<std::pair<base::TimePoint, std::uint64_t>> entry_timers;  ///< timers of entries
+  std::optional<base::TimePoint> timer;                              ///< as last requested
   bool draining = false;
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
 };
 
-/// What one Step works on.
+/// The context of a step: the state, the time and the effects.
 struct Context {
   State& state;
   base::TimePoint now;
   Effects& effects;
 };
 
-/// Steps of the event kinds, one file each.
+/// Event handlers, one file each.
 auto OnClientDatagram(Context& context, const ClientDatagram& event) -> void;
 auto OnTargetDatagram(Context& context, const TargetDatagram& event) -> void;
 auto OnTargetUnreachable(Context& context, const TargetUnreachable& event) -> void;
@@ -89,112 +89,119 @@
 auto OnTimer(Context& context) -> void;
 
 auto CountOne(Context& context, Counter counter) -> void;
-/// Takes the entry through its life cycle; a transition that does not exist is counted and left
-/// out.
-auto MoveOn(Context& context, LedgerEntry& entry, Transition transition) -> void;
+/// Applies the transition to the entry. A transition that does not exist is counted and ignored.
+auto ApplyTransition(Context& context, LedgerEntry& entry, Transition transition) -> void;
 auto MarkTrace(Context& context, const LedgerEntry& entry, Mark mark) -> void;
 auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState&;
 
-/// Sets the entry's own timer, in place of the one before; a zero time ends it.
+/// Sets the timer of an entry and replaces the one before. A zero time cancels it.
 auto SetEntryTimer(Context& context, LedgerEntry& entry, base::TimePoint at) -> void;
 
-/// Life of a request: dispatch.cc.
+// dispatch.cc
 auto Admit(Context& context, LedgerEntry& entry) -> void;
-/// What a refusal counts as; nothing when the verdict is none.
+/// Returns the counter of a refusal, or nothing if the verdict is not one.
 auto RefusalOf(AdmissionVerdict verdict) -> std::optional<Counter>;
 auto SendRequest(Context& context, LedgerEntry& entry) -> void;
 auto StartQueued(Context& context) -> void;
 
-/// Takes the entry out of the live ones: queue, slot, flow and timer.
-auto EndLive(Context& context, LedgerEntry& entry) -> void;
+/// Removes the entry from the queue, its slot, its flow's live entries and the timers.
+auto RemoveLive(Context& context, LedgerEntry& entry) -> void;
 
-/// Final outcomes: outcome.cc. After each the entry may be gone.
+// outcome.cc
+/// Each of these may remove the entry.
 auto FinishNotRun(Context& context, LedgerEntry& entry, Counter counter) -> void;
 auto FinishUnknown(Context& context, LedgerEntry& entry, Counter counter) -> void;
-/// `answer` is a response of the target, or of the agent that took the request, with any identity.
+/// `answer` is a response of the target or of the agent that took the request, under any message ID
+/// and token.
 auto FinishAnswered(Context& context, LedgerEntry& entry, const Message& answer) -> void;
 
-/// Whether the final answer goes into the ACK of the request, or back to the agent it came from:
-/// then the target's separate response is acknowledged here.
+/// Whether the final answer is piggybacked on the ACK of the request or returned to its origin
+/// agent. The target's separate response is then acknowledged here.
 auto AnswersInAck(const LedgerEntry& entry) -> bool;
 
-/// Takes the time since the request was sent into the observed service times; `code` is the
-/// answer's.
-auto NoteServiceTime(Context& context, const LedgerEntry& entry, std::uint8_t code) -> void;
+/// Takes the time since the request was sent into the observed service times. `code` is that of the
+/// answer.
+auto RecordServiceTime(Context& context, const LedgerEntry& entry, std::uint8_t code) -> void;
 
-/// Refusals of requests that are in no ledger; `identity` is the request's.
-struct Asker {
+/// Sender of a request, also of one without a ledger entry.
+struct Requester {
   RequestIdentity identity;
   MessageType type = MessageType::kConfirmable;
   std::uint64_t origin_request = 0;
 };
-auto ReplyNotRun(Context& context, const Asker& asker, Counter counter) -> void;
-auto ReplyUnknown(Context& context, const Asker& asker, Counter counter) -> void;
-auto Reply(Context& context, const Asker& asker, bool not_run, Bytes bytes) -> void;
+auto ReplyNotRun(Context& context, const Requester& requester, Counter counter) -> void;
+auto ReplyUnknown(Context& context, const Requester& requester, Counter counter) -> void;
+auto Reply(Context& context, const Requester& requester, bool not_run, Bytes bytes) -> void;
 
-/// Type and message ID under which a request that has no empty ACK is answered: piggybacked on the
-/// ACK of a confirmable one (RFC 7252, 5.2.1), or as a NON with an ID of the agent's.
+/// Type and message ID of the answer to a request without an empty ACK: piggybacked on the ACK of a
+/// confirmable request (RFC 7252, 5.2.1), or a NON with a message ID of the agent.
 struct ReplyForm {
   MessageType type = MessageType::kAcknowledgement;
   std::uint16_t message_id = 0;
 };
-auto ReplyFormOf(Context& context, const Asker& asker) -> ReplyForm;
-auto AskerOf(const LedgerEntry& entry) -> Asker;
+auto ReplyFormOf(Context& context, const Requester& requester) -> ReplyForm;
+auto RequesterOf(const LedgerEntry& entry) -> Requester;
 
-/// Sends what a retransmission of a finished request gets again.
+/// Repeats the answer of a finished request for a retransmission.
 auto RepeatAnswer(Context& context, LedgerEntry& entry) -> void;
-/// Retransmission of a CON of the agent's own that the client has not acknowledged.
-auto ResendOwn(Context& context, LedgerEntry& entry) -> void;
+/// Retransmits a CON of the agent that the client has not acknowledged.
+auto Retransmit(Context& context, LedgerEntry& entry) -> void;
 
-/// The client's own deadline: deadline.cc.
-/// Of a request that has just come; kNoDeadline when it has no Deadline option.
+// deadline.cc
+/// Returns the client's deadline of a request that has just arrived, or kNoDeadline without a
+/// Deadline option.
 auto ClientDeadlineOf(const Context& context, const Message& message) -> base::TimePoint;
-/// What is left of it in milliseconds, for whom the request is sent on to.
+/// Returns the remaining milliseconds, for the receiver that the request is sent to.
 auto DeadlineLeft(const Context& context, const LedgerEntry& entry) -> std::optional<std::uint32_t>;
 /// Whether another target could still answer in time.
-auto LeavesTimeElsewhere(const Context& context, base::TimePoint client_deadline) -> bool;
-/// Tells the target that nobody waits for a registration that runs. CoAP has no such message for a
-/// plain request; that one the target gives up by the Deadline option itself.
+auto CanFinishElsewhere(const Context& context, base::TimePoint client_deadline) -> bool;
+/// Cancels a registration that is running at the target. CoAP has no such message for a plain
+/// request, which the target ends by the Deadline option instead.
 auto CancelAtTarget(Context& context, const LedgerEntry& entry) -> void;
-/// The deadline is up while the request runs here or elsewhere.
+/// Handles a deadline that passes while the request runs here or at another agent.
 auto OnClientDeadline(Context& context, LedgerEntry& entry) -> void;
 
-/// Offers the request to another agent when that is allowed and the budget has room: hand_on.cc.
+// hand_on.cc
+/// Offers the request to another agent if that is allowed and the retry budget has
+/// room.
 auto TryHandOn(Context& context, LedgerEntry& entry) -> bool;
 
-/// A request of a client or of another agent: intake.cc.
-auto OnRequest(Context& context, const Message& message, const Asker& asker, base::Duration left)
-    -> void;
+// intake.cc
+/// Handles a request of a client or of another agent.
+auto OnRequest(Context& context, const Message& message, const Requester& requester,
+               base::Duration left) -> void;
 
-/// Block-wise uploads: uploads.cc.
+// uploads.cc
 auto IsLaterBlock(const Message& message) -> bool;
-/// Remembers an upload whose first block was taken, so that its later blocks are let through.
-auto NoteUpload(Context& context, const Message& message, const base::FlowKey& flow,
-                std::uint64_t id) -> void;
-/// Whether this is the next block of the flow's upload; moves the upload on when it is.
+/// Records an upload whose first block was admitted, so that its later blocks are accepted.
+auto RecordUpload(Context& context, const Message& message, const base::FlowKey& flow,
+                  std::uint64_t id) -> void;
+/// Returns whether this is the next block of the flow's upload, and if so advances the upload.
 auto ContinueUpload(Context& context, const Message& message, const base::FlowKey& flow) -> bool;
 
-/// An observation as it moves: hand_over.cc.
+// hand_over.cc
 auto StreamOf(const LedgerEntry& entry) -> HandedOverStream;
 
-/// Sequence numbers (RFC 7641, 3.4) of a stream that was taken over: hand_over.cc. The first
-/// answer's number follows the last one that the client was sent.
+// hand_over.cc
+/// Sequence numbers (RFC 7641, 3.4) of a stream that was taken over: the first one
+/// follows the last one sent to the client.
 inline constexpr auto kSequenceMask = std::uint32_t{0xffffff};
 auto SetSequenceOffset(LedgerEntry& entry, std::uint32_t first) -> void;
 auto ClientSequence(const LedgerEntry& entry, std::uint32_t sequence) -> std::uint32_t;
 
-/// Notifications and the client's answers to them: streams.cc.
+// streams.cc
+/// Notifications and the client's replies to them.
 auto OnNotification(Context& context, LedgerEntry& entry, const Message& message) -> void;
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void;
 auto OnStreamTimer(Context& context, LedgerEntry& entry) -> void;
-/// The client gives up an observation whose registration has not been answered (RFC 7641, 3.6):
-/// what waits is dropped, the target is told of what runs. Without this the target would open a
-/// stream that its client has cancelled.
-auto CancelPending(Context& context, const Message& message, const Asker& asker) -> void;
-/// A new request for an observation the client already has. False when there is none.
-auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool;
-
-/// Passes a CON or NON of the target on under a message ID of the agent's.
+/// Cancels a registration that has not been answered yet (RFC 7641, 3.6): a queued one is dropped,
+/// and a running one is cancelled at the target, which would otherwise open a stream that its
+/// client has cancelled.
+auto CancelPending(Context& context, const Message& message, const Requester& requester) -> void;
+/// Refreshes an observation that the client already has. Returns false if there is none.
+auto RefreshStream(Context& context, const Message& message, const Requester& requester) -> bool;
+
+/// Forwards a CON or NON of the target under a message ID of the agent.
 auto ForwardToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes;
 auto FindForwardedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
     -> ForwardedMessage*;
--- a/src/requests/internal/step.cc
+++ b/src/requests/internal/step.cc
@@ -35,8 +35,8 @@
   return next;
 }
 
-// A time that has passed is asked for again: the daemon's timer may have fired early.
-auto AskForTimer(Context& context) -> void {
+// A time in the past is requested again, because the daemon's timer may have fired early.
+auto RequestTimer(Context& context) -> void {
   auto& state = context.state;
   auto next = NextTimer(state);
   if (!next || (state.timer == next && *next > context.now)) return;
@@ -52,7 +52,7 @@
   OnTimer(context);
   Dispatch(context, event);
   StartQueued(context);
-  AskForTimer(context);
+  RequestTimer(context);
   return effects;
 }
 
@@ -62,23 +62,23 @@
 }
 
 auto RequestLoadOf(const State& state, base::TimePoint now) -> RequestLoad {
-  auto busy = RequestLoad{};
-  busy.running = state.admission.running;
-  busy.queued = static_cast<std::uint32_t>(state.admission.queue.size());
+  auto load = RequestLoad{};
+  load.running = state.admission.running;
+  load.queued = static_cast<std::uint32_t>(state.admission.queue.size());
   for (const auto& [key, flow] : state.flows) {
-    if (flow.transfer_until > now || (flow.upload && flow.upload->expires > now)) ++busy.transfers;
+    if (flow.transfer_until > now || (flow.upload && flow.upload->expires > now)) ++load.transfers;
     for (auto id : flow.live) {
       auto stage = state.ledger.entries.at(id).stage;
-      if (stage == Stage::kObserving) ++busy.streams;
-      if (stage == Stage::kOffered) ++busy.offered;
+      if (stage == Stage::kObserving) ++load.streams;
+      if (stage == Stage::kOffered) ++load.offered;
     }
   }
-  busy.service_time = state.admission.service_time.mean;
-  busy.admitted = state.admitted;
-  busy.refused = state.refused;
-  busy.ledger_entries = state.ledger.entries.size();
-  busy.ledger_bytes = state.ledger.bytes;
-  return busy;
+  load.service_time = state.admission.service_time.mean;
+  load.admitted = state.admitted;
+  load.refused = state.refused;
+  load.ledger_entries = state.ledger.entries.size();
+  load.ledger_bytes = state.ledger.bytes;
+  return load;
 }
 
 auto IsIdle(const State& state, const base::FlowKey& key, base::TimePoint now) -> bool {
@@ -118,7 +118,8 @@
   state->random.seed(this->seed);
   state->admission.service_time = admission::StartingAt(this->parameters.initial_service_time);
   state->retries.tokens = this->parameters.retry_burst;
-  // Ids start at random, so that an answer meant for an earlier incarnation matches nothing here.
+  // Ids start at a random number, so that an answer for an earlier incarnation matches nothing
+  // here.
   state->ledger.next_id = state->random() * kIdStep;
   return state;
 }
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -1,4 +1,4 @@
-// Observations (RFC 7641) and the message IDs of what the target sends on its own.
+// Observations (RFC 7641) and the message IDs of messages initiated by the target.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr auto kMaxForwarded = std::size_t{32};
-// RFC 7641, 3.4: sequence numbers are 24 bits and compare as newer within half of that, or after
-// this much time whatever they are.
+// RFC 7641, 3.4: a sequence number has 24 bits and is newer within half of that range, or after
+// this much time whatever its value.
 constexpr auto kSequenceHalf = std::uint32_t{1} << 23;
 constexpr auto kSequenceTime = base::seconds(128);
 constexpr auto kSuccessClass = 2;
@@ -20,7 +20,7 @@
   return now > entry.notified + kSequenceTime;
 }
 
-auto NoteNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+auto RecordNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
   entry.notification_sequence = message.observe.value_or(entry.notification_sequence);
   entry.notification_message_id = message.message_id;
   entry.notified = context.now;
@@ -28,7 +28,7 @@
 
 auto ForwardNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
   if (message.type == MessageType::kAcknowledgement) {
-    auto form = ReplyFormOf(context, AskerOf(entry));
+    auto form = ReplyFormOf(context, RequesterOf(entry));
     context.effects.emplace_back(SendToClient{
         entry.identity.flow,
         WithIdentity(message.whole, form.type, form.message_id, entry.identity.token)});
@@ -41,7 +41,8 @@
 }
 
 // Safeguard: a client drops a notification whose number is not newer than the last one (RFC 7641,
-// 3.4), and two targets count apart: after a move its screen would stand still for 128 s.
+// 3.4), and each target has its own numbers. After a move the client would show no updates for 128
+// s.
 auto ForwardWithClientSequence(Context& context, LedgerEntry& entry, const Message& message)
     -> void {
   if (!message.observe) return ForwardNotification(context, entry, message);
@@ -51,11 +52,11 @@
   ForwardNotification(context, entry, *ParseMessage(bytes));
 }
 
-// The first answer ends the request; the stream that stays holds a connection, not a slot.
+// The first answer ends the request. The stream keeps the flow's socket but no slot.
 auto OpenStream(Context& context, LedgerEntry& entry, std::uint8_t code) -> void {
-  NoteServiceTime(context, entry, code);
-  EndLive(context, entry);
-  MoveOn(context, entry, Transition::kOpenStream);
+  RecordServiceTime(context, entry, code);
+  RemoveLive(context, entry);
+  ApplyTransition(context, entry, Transition::kOpenStream);
   FlowOf(context, entry.identity.flow).live.push_back(entry.id);
   CountOne(context, Counter::kStreamOpened);
   CountOne(context, Counter::kAnswered);
@@ -90,32 +91,33 @@
   }
   ForwardWithClientSequence(context, entry, message);
   if (EndsStream(message)) return EndStream(context, entry, Counter::kStreamEnded);
-  NoteNotification(context, entry, message);
+  RecordNotification(context, entry, message);
 }
 
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void {
   CountOne(context, counter);
-  EndLive(context, entry);
-  // Kept without an answer: a late copy of the registration must not open the stream again.
-  MoveOn(context, entry, Transition::kAnswer);
+  RemoveLive(context, entry);
+  // The entry is kept without an answer, so that a late copy of the registration does not reopen
+  // the stream.
+  ApplyTransition(context, entry, Transition::kAnswer);
   SetRequestBytes(context.state.ledger, entry, {});
   KeepUntil(context.state.ledger, entry, context.now + kExchangeLifetime);
 }
 
 auto OnStreamTimer(Context& context, LedgerEntry& entry) -> void {
-  // A target that sends confirmable notifications waits for their ACKs too; the RST makes it
-  // forget the stream now rather than after its own retransmissions (RFC 7641, 3.6).
+  // A target that sends confirmable notifications also waits for their ACKs. The RST makes it drop
+  // the stream at once rather than after its own retransmissions (RFC 7641, 3.6).
   context.effects.emplace_back(
       SendToTarget{entry.identity.flow, BuildReset(entry.notification_message_id)});
   EndStream(context, entry, Counter::kStreamClientGone);
 }
 
-auto CancelPending(Context& context, const Message& message, const Asker& asker) -> void {
+auto CancelPending(Context& context, const Message& message, const Requester& requester) -> void {
   auto& ledger = context.state.ledger;
-  auto live = FlowOf(context, asker.identity.flow).live;
+  auto live = FlowOf(context, requester.identity.flow).live;
   for (auto id : live) {
     auto& entry = *FindById(ledger, id);
-    auto is_it = entry.observe && entry.identity.token == asker.identity.token &&
+    auto is_it = entry.observe && entry.identity.token == requester.identity.token &&
                  entry.path_digest == message.path_digest;
     if (!is_it) continue;
     if (entry.stage == Stage::kQueued) FinishNotRun(context, entry, Counter::kStreamEnded);
@@ -125,27 +127,27 @@
   }
 }
 
-auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool {
+auto RefreshStream(Context& context, const Message& message, const Requester& requester) -> bool {
   auto& ledger = context.state.ledger;
   auto matches = [&](std::uint64_t id) {
     const auto& entry = ledger.entries.at(id);
-    return entry.stage == Stage::kObserving && entry.identity.token == asker.identity.token &&
+    return entry.stage == Stage::kObserving && entry.identity.token == requester.identity.token &&
            entry.path_digest == message.path_digest;
   };
-  const auto& live = FlowOf(context, asker.identity.flow).live;
+  const auto& live = FlowOf(context, requester.identity.flow).live;
   auto found = std::find_if(live.begin(), live.end(), matches);
-  if (asker.identity.origin.value != 0 || found == live.end()) return false;
+  if (requester.identity.origin.value != 0 || found == live.end()) return false;
   auto& entry = *FindById(ledger, *found);
-  AddIdentity(ledger, entry, asker.identity);
-  entry.type = asker.type;
+  AddIdentity(ledger, entry, requester.identity);
+  entry.type = requester.type;
   entry.acknowledged = false;
   entry.content_digest = message.content_digest;
   SetRequestBytes(ledger, entry, message.whole);
   if (message.observe != 0U) {
-    // The client gives the observation up: what comes now is a plain answer.
+    // The client cancels the observation, so the next answer is a plain one.
     entry.observe = false;
     entry.admission_exempt = true;
-    MoveOn(context, entry, Transition::kCancelStream);
+    ApplyTransition(context, entry, Transition::kCancelStream);
     entry.started = context.now;
     SetEntryTimer(context, entry, context.now + context.state.parameters.run_limit);
   }
@@ -155,25 +157,25 @@
 
 auto FindForwardedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
     -> ForwardedMessage* {
-  for (auto& passed : flow.passed) {
-    if (passed.request == request && passed.target_side == target_side) return &passed;
+  for (auto& forwarded : flow.forwarded) {
+    if (forwarded.request == request && forwarded.target_side == target_side) return &forwarded;
   }
   return nullptr;
 }
 
 auto FindForwardedByClient(FlowState& flow, std::uint16_t client_side) -> ForwardedMessage* {
-  for (auto& passed : flow.passed) {
-    if (passed.client_side == client_side) return &passed;
+  for (auto& forwarded : flow.forwarded) {
+    if (forwarded.client_side == client_side) return &forwarded;
   }
   return nullptr;
 }
 
 auto RecordForwarded(FlowState& flow, const ForwardedMessage& message) -> void {
-  if (flow.passed.size() < kMaxForwarded) {
-    flow.passed.push_back(message);
+  if (flow.forwarded.size() < kMaxForwarded) {
+    flow.forwarded.push_back(message);
     return;
   }
-  flow.passed[flow.forwarded_next] = message;
+  flow.forwarded[flow.forwarded_next] = message;
   flow.forwarded_next = (flow.forwarded_next + 1) % kMaxForwarded;
 }
 
--- a/src/requests/internal/target.cc
+++ b/src/requests/internal/target.cc
@@ -1,4 +1,4 @@
-// Datagrams of the target.
+// Datagrams from the target.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -20,12 +20,12 @@
   return nullptr;
 }
 
-// The target took the request and answers later: the client may stop retransmitting.
+// The target has accepted the request and answers later, so the client may stop retransmitting.
 auto OnEmptyAck(Context& context, LedgerEntry& entry) -> void {
   if (entry.stage != Stage::kRunning) return;
   if (entry.identity.origin.value != 0 || entry.type != MessageType::kConfirmable) return;
   // Safeguard: the answer to a read is always piggybacked on the ACK of its own message ID. A late
-  // copy of a read runs again; answered separately, by its token alone, it could be taken for the
+  // copy of a read runs again. A separate answer, matched by token alone, could be taken for the
   // answer to a later request with the same token.
   if (entry.method == MethodClass::kSafe && !entry.observe) return;
   entry.acknowledged = true;
@@ -50,8 +50,8 @@
   OnReset(context, *entry);
 }
 
-// Safeguard: an answer to a request that was already given up, passed on, would tell its client
-// two outcomes, or reach a later request that has the same token.
+// Safeguard: if the late answer to a finished request were forwarded, its client would get two
+// outcomes, or a later request with the same token would get it.
 auto DropLate(Context& context, const base::FlowKey& flow, const Message& message) -> void {
   CountOne(context, Counter::kLateAnswer);
   if (message.type != MessageType::kConfirmable) return;
--- a/src/requests/internal/uploads.cc
+++ b/src/requests/internal/uploads.cc
@@ -1,4 +1,4 @@
-// Block-wise uploads (RFC 7959, 2.5): which later blocks follow a first one that was taken here.
+// Block-wise uploads (RFC 7959, 2.5). A later block is accepted only after the first one.
 #include "requests/internal/state.h"
 
 namespace anvildrum::requests {
@@ -24,8 +24,8 @@
   return message.block1 && message.block1->number > 0;
 }
 
-auto NoteUpload(Context& context, const Message& message, const base::FlowKey& flow,
-                std::uint64_t id) -> void {
+auto RecordUpload(Context& context, const Message& message, const base::FlowKey& flow,
+                  std::uint64_t id) -> void {
   if (!StartsUpload(message)) return;
   auto* entry = FindById(context.state.ledger, id);
   if (entry == nullptr || !IsLive(entry->stage)) return;
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -16,8 +16,8 @@
 
 inline constexpr auto kNoDeadline = base::TimePoint::max();
 
-/// What tells a request from others: the client's message ID and token within a flow. `origin` is
-/// the agent that handed the request on, 0 for a client.
+/// Identifies a request by the client's message ID and token within a flow. `origin` is the agent
+/// that handed the request on, or 0 for a client.
 struct RequestIdentity {
   base::FlowKey flow;
   Token token;
@@ -30,63 +30,64 @@
   auto operator()(const RequestIdentity& identity) const noexcept -> std::size_t;
 };
 
-/// One request. `id` is also its token towards the target: unique within the incarnation, so that
-/// a late answer cannot be taken for that of a later request with the same token of the client.
+/// One request. `id` is also its token at the target. It is unique within the incarnation, so that
+/// a late answer is not taken for that of a later request with the same token of the client.
 struct LedgerEntry {
   std::uint64_t id = 0;
   RequestIdentity identity;
-  RequestIdentity challenged;  ///< of the request without Echo, when there was a challenge
+  RequestIdentity challenged;  ///< of the request without Echo, if it was challenged
   MessageType type = MessageType::kConfirmable;
   MethodClass method = MethodClass::kSafe;
   Stage stage = Stage::kNew;
   bool was_challenged = false;
-  bool acknowledged = false;      ///< the client has an empty ACK: its answer comes separately
-  bool observe = false;           ///< asks for notifications
-  bool admission_exempt = false;  ///< later block of a transfer: never refused, holds no slot
+  bool acknowledged = false;  ///< the client has an empty ACK, and its answer is sent separately
+  bool observe = false;       ///< asks for notifications
+  bool admission_exempt =
+      false;  ///< such as a later block of a transfer: never refused, holds no slot
   bool holds_slot = false;
-  Counter refusal = Counter::kRefusedQueue;  ///< why it was offered to another agent
-  bool offer_confirmed = false;              ///< offered again with the other agent's Echo value
-  std::uint8_t transmissions_left =
-      0;  ///< of the final answer, when that is a CON of the agent's own
+  Counter refusal = Counter::kRefusedQueue;  ///< reason for offering it to another agent
+  bool offer_confirmed = false;              ///< repeated with the other agent's Echo value
+  std::uint8_t transmissions_left = 0;       ///< of the final answer, if it is a CON of the agent
   std::uint16_t target_message_id = 0;
-  std::uint16_t client_message_id = 0;        ///< of the agent's last CON towards the client
-  std::uint16_t notification_message_id = 0;  ///< the target's, of the last notification
-  std::uint32_t notification_sequence = 0;    ///< the target's, of the last notification
+  std::uint16_t client_message_id = 0;        ///< of the agent's last CON to the client
+  std::uint16_t notification_message_id = 0;  ///< of the target's last notification
+  std::uint32_t notification_sequence = 0;    ///< of the target's last notification
   /// Added to the target's sequence numbers for the client, modulo 2^24. Until the first answer of
-  /// a target that took the stream over: the last number that the client was sent.
+  /// a target that took the stream over, this is the last number sent to the client.
   std::uint32_t sequence_offset = 0;
-  bool sequence_offset_pending = false;  ///< the stream was taken over, its first answer is due
+  bool sequence_offset_pending = false;  ///< the stream was taken over and has no answer yet
   bool awaits_ack = false;  ///< a separate answer, sent as a CON, is not acknowledged yet
   std::uint64_t content_digest = 0;
   std::uint64_t path_digest = 0;
   std::uint64_t echo_issue = 0;      ///< 0: none
-  std::uint64_t origin_request = 0;  ///< the origin's id of a request handed on
+  std::uint64_t origin_request = 0;  ///< id of a request handed on, at its origin
   base::TimePoint arrived;
   base::TimePoint started;
-  base::TimePoint deadline;                       ///< of the wait in the queue or for a hand-on
-  base::TimePoint client_deadline = kNoDeadline;  ///< the client's own: of the run too
-  base::TimePoint timer_due;                      ///< when the entry's own timer is due; zero: none
-  base::TimePoint notified;                       ///< the last notification that was passed on
-  base::TimePoint expires;                        ///< of a final stage
-  Bytes request;                                  ///< while it may still have to be sent
-  Bytes answer;  ///< as sent to the client; kept for its retransmissions
+  base::TimePoint deadline;                       ///< for the wait in the queue or a hand-on
+  base::TimePoint client_deadline = kNoDeadline;  ///< set by the client, also for the run
+  base::TimePoint timer_due;                      ///< when the entry's timer is due; zero: none
+  base::TimePoint notified;                       ///< when the last notification was forwarded
+  base::TimePoint expires;                        ///< of an entry in a final stage
+  Bytes request;                                  ///< kept while it may still have to be sent
+  Bytes answer;  ///< as sent to the client; kept for retransmissions
 };
 
-/// Every request that is live or that a late copy could still repeat.
+/// All requests that are live or that a late copy could still repeat.
 struct Ledger {
   std::unordered_map<std::uint64_t, LedgerEntry> entries;
   std::unordered_map<RequestIdentity, std::uint64_t, RequestIdentityHash> by_identity;
   std::unordered_map<std::uint64_t, std::uint64_t> by_echo;        ///< issue number -> entry
-  std::deque<std::pair<base::TimePoint, std::uint64_t>> expiries;  ///< in the order of time
+  std::deque<std::pair<base::TimePoint, std::uint64_t>> expiries;  ///< sorted by time
   std::size_t bytes = 0;
   std::uint64_t next_id = 0;  ///< even; see kIdStep
 };
 
-/// Ids are even: the odd one that follows names the second offer of the request to another agent.
+/// Ids are even. The odd number that follows an id names the second offer of the request to another
+/// agent.
 inline constexpr auto kIdStep = std::uint64_t{2};
 
-/// Memory counted for an entry besides its request and answer: the entry and its index nodes, by
-/// what the allocator was seen to hand out (bench/requests_bench.cc).
+/// Memory counted for an entry besides its request and answer: the entry and its index nodes, as
+/// measured at the allocator (bench/requests_bench.cc).
 inline constexpr auto kLedgerEntryBytes = sizeof(LedgerEntry) + 2 * sizeof(RequestIdentity) + 200;
 
 auto IsLive(Stage stage) -> bool;
@@ -97,23 +98,23 @@
 /// Whether `size` more bytes fit under `limit`.
 auto HasRoom(const Ledger& ledger, std::size_t limit, std::size_t size) -> bool;
 
-/// Takes the entry in and gives it its id. The caller has checked HasRoom.
+/// Inserts the entry and assigns its id. The caller has checked HasRoom.
 auto InsertRequest(Ledger& ledger, LedgerEntry entry) -> LedgerEntry&;
 
-/// Makes the request also known under the identity it came back with, after a challenge or as a
-/// refresh of an observation.
+/// Adds another identity of the request, from the answer to a challenge or the refresh of an
+/// observation.
 auto AddIdentity(Ledger& ledger, LedgerEntry& entry, const RequestIdentity& identity) -> void;
 
 auto SetEcho(Ledger& ledger, LedgerEntry& entry, std::uint64_t issue) -> void;
 auto SetRequestBytes(Ledger& ledger, LedgerEntry& entry, BytesView bytes) -> void;
 auto SetAnswerBytes(Ledger& ledger, LedgerEntry& entry, Bytes bytes) -> void;
 
-/// Keeps the entry, which is in a final stage or challenged, until `expires`.
+/// Keeps the entry, which is challenged or in a final stage, until `expires`.
 auto KeepUntil(Ledger& ledger, LedgerEntry& entry, base::TimePoint expires) -> void;
 
 auto EraseRequest(Ledger& ledger, std::uint64_t id) -> void;
 
-/// Forgets what is due. Calls `forgotten(entry)` before each.
+/// Removes expired entries and calls `forgotten(entry)` before each removal.
 template <typename Forgotten>
 auto ExpireRequests(Ledger& ledger, base::TimePoint now, Forgotten&& forgotten) -> void {
   while (!ledger.expiries.empty() && ledger.expiries.front().first <= now) {
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -10,15 +10,15 @@
 #include "requests/events.h"
 #include "requests/types/parameters.h"
 
-/// The agent's request core, without input or output. It sees every datagram between the clients
-/// and the target and decides for each: pass on, answer by itself, hold in the queue, or drop and
-/// count. Three outcomes reach a client: answered; not run (5.03 with Max-Age: it did not and will
-/// not run at any target); unknown (5.04: it may have run, and nobody will run it again).
+/// The agent's request core, without input or output. It processes every datagram between the
+/// clients and the target: it forwards, answers, queues, or drops and counts it. A client gets one
+/// of three outcomes: answered; not run (5.03 with Max-Age: the request did not run and will not
+/// run at any target); unknown (5.04: the request may have run and will not run again).
 namespace anvildrum::requests {
 
 struct State;
 
-/// Frees a State, which is incomplete here.
+/// Deletes a State, which is an incomplete type here.
 struct StateDeleter {
   auto operator()(State* state) const -> void;
 };
@@ -28,11 +28,11 @@
 class RequestsBuilder {
  public:
   auto WithParameters(const Parameters& parameters) -> RequestsBuilder&;
-  /// The agent process's start number; an Echo value of another one is recognised by it.
+  /// Start number of the agent process. Echo values of other incarnations are recognised by it.
   auto WithIncarnation(base::Incarnation incarnation) -> RequestsBuilder&;
-  /// From a cryptographic generator, never kept beyond the process.
+  /// From a cryptographic generator. Must not be stored beyond the process.
   auto WithEchoSecret(const EchoSecret& secret) -> RequestsBuilder&;
-  /// Seed of message IDs, request ids and of the jitter in Max-Age.
+  /// Seed of message IDs, request ids and the jitter of Max-Age.
   auto WithSeed(std::uint64_t seed) -> RequestsBuilder&;
   auto Build() const -> StatePtr;
 
@@ -43,20 +43,20 @@
   std::uint64_t seed = 1;
 };
 
-/// The narrow door: one event in, what is to be done out. `now` never goes back.
+/// Processes one event and returns the effects to carry out. `now` must never decrease.
 auto Step(State& state, const Event& event, base::TimePoint now) -> Effects;
 
-/// Replaces the parameters; requests in flight keep their deadlines.
+/// Replaces the parameters. Requests in progress keep their deadlines.
 auto SetParameters(State& state, const Parameters& parameters) -> void;
 
-/// What the agent reports to homes, and waits for at a planned stop.
+/// Load that the agent reports to homes, and that has to end before a planned stop.
 struct RequestLoad {
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
   std::uint32_t offered = 0;      ///< handed on, not answered yet
   std::uint32_t streams = 0;      ///< observations
-  std::uint32_t transfers = 0;    ///< flows in the middle of a block-wise transfer
-  base::Duration service_time{};  ///< moving average, observed
+  std::uint32_t transfers = 0;    ///< flows with a block-wise transfer in progress
+  base::Duration service_time{};  ///< moving average of observed runs
   std::uint64_t admitted = 0;     ///< since the start
   std::uint64_t refused = 0;      ///< since the start
   std::size_t ledger_entries = 0;
@@ -65,7 +65,7 @@
 auto RequestLoadOf(const State& state, base::TimePoint now) -> RequestLoad;
 
 /// Whether nothing of the flow is in progress, so that its socket may be closed (then feed
-/// FlowClosed). For flows of other agents, which a hand-on opened here, that is at once.
+/// FlowClosed). A flow of another agent that a hand-on opened here is idle after the answer.
 auto IsIdle(const State& state, const base::FlowKey& flow, base::TimePoint now) -> bool;
 
 }  // namespace anvildrum::requests
--- a/src/requests/retry_budget.h
+++ b/src/requests/retry_budget.h
@@ -4,10 +4,10 @@
 
 namespace anvildrum::requests {
 
-/// Token bucket that holds retries to a share of the traffic: each admitted request earns `share`
-/// of a retry. Safeguard: when all targets shed, every refusal would become an extra request to
-/// the others and the load would double just then; with the bucket, the extra work of any period
-/// is at most share x admitted + burst.
+/// Token bucket that limits retries to a share of the traffic: each admitted request earns `share`
+/// of a retry. Safeguard: when all targets shed load, every refusal would become an extra request
+/// to the others and double the load. With the bucket, the extra requests of any period are at most
+/// share x admitted + burst.
 struct RetryBudget {
   double tokens = 0;
 };
@@ -16,7 +16,7 @@
   budget.tokens = std::min(budget.tokens + share, burst);
 }
 
-/// Takes a whole retry from the bucket, if there is one.
+/// Takes one retry from the bucket. Returns false if there is none.
 inline auto SpendRetry(RetryBudget& budget) -> bool {
   if (budget.tokens < 1) return false;
   budget.tokens -= 1;
--- a/src/requests/tests/admission_test.cc
+++ b/src/requests/tests/admission_test.cc
@@ -11,12 +11,13 @@
 }
 
 auto OneSlot() -> Parameters {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.slots = 1;
   return parameters;
 }
 
-// The target's slots are full: the next request waits and starts when an answer frees a slot.
+// All slots of the target are taken. The next request has to wait and start when an answer frees a
+// slot.
 BOOST_AUTO_TEST_CASE(request_waits_for_a_slot) {
   auto rig = MakeRig(OneSlot());
   FromClient(rig, Get(1, 1));
@@ -29,8 +30,9 @@
   BOOST_TEST(rig.to_target.size() == 1U);
 }
 
-// With 100 ms a request and 250 ms to the deadline, the third in line would be answered late. It
-// is refused at once, with a time to come back, instead of waiting for an answer it cannot use.
+// With 100 ms a request and 250 ms to the deadline, the third request would be answered late. It
+// has to be refused at once with a Max-Age, instead of waiting for an answer that its client cannot
+// use.
 BOOST_AUTO_TEST_CASE(nothing_is_queued_that_would_be_late) {
   auto parameters = OneSlot();
   parameters.initial_service_time = base::milliseconds(100);
@@ -43,8 +45,8 @@
   BOOST_TEST(Sent(rig).max_age.has_value());
 }
 
-// The target stalls after a request was queued: as soon as the wait has eaten the time that the
-// run would take, the client is told not run, before its deadline rather than after.
+// The target stalls after a request was queued. The client has to be told "not run" as soon as too
+// little time is left for a run, before its deadline rather than after it.
 BOOST_AUTO_TEST_CASE(queued_request_is_refused_before_its_deadline) {
   auto rig = MakeRig(OneSlot());
   FromClient(rig, Get(1, 1));
@@ -55,8 +57,8 @@
   BOOST_TEST(RequestLoadOf(*rig.core, rig.now).queued == 0U);
 }
 
-// One trader sends a burst that fills the queue; another's single request takes the next slot and
-// does not wait behind the burst.
+// One trader's burst fills the queue. Another trader's single request has to take the next slot and
+// not wait behind the burst.
 BOOST_AUTO_TEST_CASE(burst_of_one_client_does_not_starve_another) {
   auto parameters = OneSlot();
   parameters.queue_size = 4;
@@ -72,9 +74,9 @@
   BOOST_TEST(rig.to_target.at(0).back() == 99);
 }
 
-// A client with as many requests as it may have is refused, though slots are free.
+// A client at its limit of requests is refused although slots are free.
 BOOST_AUTO_TEST_CASE(client_limit) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.client_in_flight = 2;
   auto rig = MakeRig(parameters);
   FromClient(rig, Get(1, 1));
@@ -85,10 +87,10 @@
   BOOST_TEST(rig.to_target.size() == 1U);
 }
 
-// A source that asks for challenges and never answers one is refused after its share; others are
-// not.
+// A source requests challenges and never answers one. It has to be refused at its limit, and other
+// sources must not be.
 BOOST_AUTO_TEST_CASE(open_challenges_of_one_client_are_bounded) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.client_challenges = 3;
   auto rig = MakeRig(parameters);
   for (auto i = std::uint16_t{0}; i < 3; ++i) ChallengedPost(rig, i, i);
@@ -99,10 +101,10 @@
   BOOST_TEST(Sent(rig).code == kCodeUnauthorized);
 }
 
-// A flood of challenges from ever new addresses takes its share of the ledger and no more: what was
-// challenged before still runs.
+// A flood of challenges from new addresses may take only its share of the ledger. A request
+// challenged before has to run.
 BOOST_AUTO_TEST_CASE(open_challenges_take_half_of_the_ledger) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.ledger_bytes = 20000;
   auto rig = MakeRig(parameters);
   auto post = ChallengedPost(rig, 1, 7);
@@ -117,8 +119,9 @@
   BOOST_TEST(rig.to_target.size() == 1U);
 }
 
-// Clients refused together come back at different times, or they would be refused together again.
-BOOST_AUTO_TEST_CASE(refusals_spread_the_returns) {
+// Clients refused together would be refused together again if they returned at the same time, so
+// their Max-Age values have to differ.
+BOOST_AUTO_TEST_CASE(refusals_vary_in_max_age) {
   auto parameters = OneSlot();
   parameters.queue_size = 0;
   auto rig = MakeRig(parameters);
@@ -132,8 +135,8 @@
   BOOST_TEST(ages.size() > parameters.max_age_spread);
 }
 
-// A report is on its way in blocks while the target is full: its next block is not refused, which
-// would cut the report; a first block of another report is.
+// A report is transferred in blocks while the target is full. Refusing the next block would
+// truncate the report, so only the first block of another report may be refused.
 BOOST_AUTO_TEST_CASE(next_block_of_a_report_is_not_refused) {
   auto parameters = OneSlot();
   parameters.queue_size = 0;
--- a/src/requests/tests/coap_message_test.cc
+++ b/src/requests/tests/coap_message_test.cc
@@ -27,7 +27,8 @@
   BOOST_TEST(UriPathOf(message) == "/hold");
 }
 
-// The target must see the request as the client first sent it: the Echo value is the agent's.
+// The Echo value belongs to the agent, so the target has to see the request as the client first
+// sent it.
 BOOST_AUTO_TEST_CASE(echo_is_taken_out_and_all_else_stays_byte_equal) {
   auto plain = ParseMessage(kPost).value();
   auto bytes = WithEcho(plain, kEcho);
@@ -38,7 +39,8 @@
   BOOST_TEST(ForTarget(message, plain.message_id, plain.token, {}) == kPost);
 }
 
-// Options of higher numbers than the Deadline option stay behind it, those before it in front.
+// Options are sorted by number: those above the Deadline option have to follow it and the others
+// precede it.
 BOOST_AUTO_TEST_CASE(deadline_is_written_in_the_order_of_options) {
   auto with_highest = Bytes{kPost.begin(), kPost.end() - 2};
   auto highest = Bytes{0xe1, 0xfe, 0xe5, 9, 0xff, 'x'};  // option 65533
--- a/src/requests/tests/crash_test.cc
+++ b/src/requests/tests/crash_test.cc
@@ -5,10 +5,11 @@
 namespace anvildrum::requests {
 namespace {
 
-// The client has its challenge when the agent dies, and answers it to the new incarnation: 5.04.
-// The new one cannot know whether the POST ran under the old one's value, so it must not run it.
+// The agent dies after it has challenged a client, which answers the challenge to the new
+// incarnation. That one cannot know whether the POST ran under the old value, so it has to answer
+// 5.04 and not run it.
 BOOST_AUTO_TEST_CASE(agent_dies_before_admission) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   Restart(rig);
   FromClient(rig, post);
@@ -16,10 +17,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The POST waits in the queue, admitted but not sent, when the agent dies. The client's
-// retransmission reaches the new incarnation and is told 5.04 at once; nothing runs it.
+// The agent dies while the POST is admitted and queued, but not sent. The new incarnation has to
+// answer the client's retransmission with 5.04 at once and not run it.
 BOOST_AUTO_TEST_CASE(agent_dies_before_the_target_has_it) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.slots = 1;
   auto rig = MakeRig(parameters);
   FromClient(rig, Get(1, 1), kOtherFlow);
@@ -32,10 +33,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The target has the POST when the agent dies. Its answer comes to the new incarnation, which has
-// no such request and drops it; the retransmission is told 5.04 and does not run again.
+// The agent dies while the target runs the POST. The new incarnation does not know the request, so
+// it has to drop the answer, and answer the retransmission with 5.04 without running it again.
 BOOST_AUTO_TEST_CASE(agent_dies_while_the_target_runs_it) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto request = ParseMessage(rig.to_target.at(0)).value();
@@ -48,9 +49,9 @@
 }
 
 // The POST ran, its answer was lost on the way to the client, and the agent died. The
-// retransmission must not run it again: 5.04.
+// retransmission has to get 5.04 and must not run again.
 BOOST_AUTO_TEST_CASE(agent_dies_after_the_run) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto sent = rig.to_target.at(0);
@@ -61,10 +62,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The answer left and was lost; the agent lives. Each retransmission gets the same bytes, whichever
-// balancer it came through, and the target sees one request.
+// The answer was lost on the way to the client. Each retransmission, through whichever balancer,
+// has to get the same bytes, and the target may see one request only.
 BOOST_AUTO_TEST_CASE(answer_is_lost_after_it_left) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto sent = rig.to_target.at(0);
@@ -76,10 +77,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// A copy of a POST that ran comes when the ledger has forgotten it: the Echo value is older than
-// anything that may still run, so the client is told 5.04 and the target sees nothing.
-BOOST_AUTO_TEST_CASE(copy_comes_after_the_ledger_forgot) {
-  auto rig = MakeRig(Alone());
+// A copy of a POST that ran arrives after its ledger entry has expired. The Echo value is too old
+// to run anything, so the client gets 5.04 and the target must not see the copy.
+BOOST_AUTO_TEST_CASE(copy_arrives_after_its_ledger_entry_expired) {
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto sent = rig.to_target.at(0);
@@ -91,10 +92,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The POST on a challenge was minutes on its way and its sender may have given up: it is refused as
-// not run, and a further copy gets the same refusal instead of a run.
+// The answer to a challenge was delayed by minutes, and its client may have stopped waiting. It has
+// to be refused as not run, and a further copy has to get the same refusal.
 BOOST_AUTO_TEST_CASE(challenge_is_answered_too_late) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   rig.now += base::seconds(180);
   for (auto copy = 0; copy < 2; ++copy) {
@@ -104,17 +105,17 @@
   }
 }
 
-// The network doubles the challenge and the client answers both copies, under two message IDs and
-// tokens. One runs; the other is told 5.04, since with the same value it may be the same hold.
+// The network duplicates a challenge, and the client answers both copies under two message IDs and
+// tokens. One runs. The other has to get 5.04, since with the same value it may be the same hold.
 BOOST_AUTO_TEST_CASE(challenge_is_answered_twice) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   auto again = WithIdentity(post, MessageType::kConfirmable, 9, TokenOf(200));
   FromClient(rig, post);
   auto sent = rig.to_target.at(0);
   FromClient(rig, again);
   BOOST_TEST(rig.to_target.empty());
-  BOOST_TEST(rig.to_client.empty());  // the first is not settled yet
+  BOOST_TEST(rig.to_client.empty());  // the first has no outcome yet
   Answer(rig, ParseMessage(sent).value(), 7);
   BOOST_TEST(Sent(rig).message_id == 2);
   FromClient(rig, again);
@@ -122,11 +123,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The client answered the challenge; the flow was elsewhere for a while, where that POST was
-// foreign and the client was told 5.04; now it is here again. A copy that was on its way must not
-// run.
-BOOST_AUTO_TEST_CASE(copy_comes_when_the_flow_is_back) {
-  auto rig = MakeRig(Alone());
+// The client answered its challenge while the flow was at another agent, where the POST was foreign
+// and got 5.04. The flow has returned here, and a delayed copy of the answer must not run.
+BOOST_AUTO_TEST_CASE(copy_arrives_after_the_flow_has_returned) {
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   Feed(rig, FlowClosed{kFlow});
   FromClient(rig, post);
@@ -139,9 +139,9 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// A repeated first POST gets the same challenge, not a second value that could run a second time.
+// A repeated first POST has to get the same challenge, not a second value that could run it again.
 BOOST_AUTO_TEST_CASE(repeated_request_gets_the_same_challenge) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto first = world::MakeRequest(world::kPost, 1, TokenOf(1), 7);
   FromClient(rig, first);
   auto challenge = rig.to_client.at(0);
@@ -150,9 +150,10 @@
   BOOST_TEST(rig.to_client.at(0) == challenge);
 }
 
-// Another POST with a value the client has cached is new: it is challenged, not called unknown.
+// Another POST with a value that the client has cached is a new request. It has to be challenged
+// and not answered "unknown".
 BOOST_AUTO_TEST_CASE(cached_echo_on_another_request) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto echo = *ParseMessage(post).value().echo;
@@ -162,10 +163,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The client's address changed on its way (a NAT's timeout) and its retransmission comes as another
-// flow. The POST has run under the old one, so the value must not run it, nor get a new one: 5.04.
+// A NAT timeout changes the client's address, and its retransmission arrives as another flow. The
+// POST has run in the old flow, so its value must neither run it nor get a new challenge, but 5.04.
 BOOST_AUTO_TEST_CASE(echo_of_another_flow) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   FromClient(rig, post, kOtherFlow);
@@ -173,9 +174,9 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// The network doubles a POST that carries a cached value: both copies get the same challenge.
+// The network duplicates a POST with a cached value. Both copies have to get the same challenge.
 BOOST_AUTO_TEST_CASE(cached_echo_on_a_doubled_request) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   auto echo = *ParseMessage(post).value().echo;
   auto other = world::MakeRequest(world::kPost, 5, TokenOf(5), 8);
@@ -186,10 +187,10 @@
   BOOST_TEST(rig.to_client.at(0) == challenge);
 }
 
-// The flow's agent died and this one took the flow over. A late copy of the client's first,
-// unchallenged POST must not be challenged here: a client that answers would have it run again.
+// The flow's agent died and this one took the flow over. A late copy of the client's first POST
+// must not be challenged here, because a client that answered would have it run again.
 BOOST_AUTO_TEST_CASE(late_copy_reaches_the_agent_that_took_over) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   Feed(rig, FlowOpened{kFlow, true});
   auto first = world::MakeRequest(world::kPost, 1, TokenOf(1), 7);
   FromClient(rig, first);
@@ -199,10 +200,10 @@
   BOOST_TEST(Sent(rig).code == kCodeUnauthorized);
 }
 
-// The target dies with a POST and a GET running and another POST waiting. All three clients are
-// told at once: unknown for what it had, not run for what it never had.
-BOOST_AUTO_TEST_CASE(target_dies_with_requests_in_hand) {
-  auto parameters = Alone();
+// The target dies with a POST and a GET running and another POST queued. All three clients have to
+// be told at once: unknown for the requests that were running, not run for the queued one.
+BOOST_AUTO_TEST_CASE(target_dies_with_requests_in_progress) {
+  auto parameters = WithoutHandOn();
   parameters.slots = 2;
   auto rig = MakeRig(parameters);
   FromClient(rig, ChallengedPost(rig, 1, 1));
@@ -217,10 +218,10 @@
   BOOST_TEST(RequestLoadOf(*rig.core, rig.now).running == 0U);
 }
 
-// The target froze: the client is told unknown at the run limit, and the answer that comes when the
-// target wakes is dropped, so that the client hears one outcome.
+// The target hangs until the run limit, and its client is told unknown. The answer that arrives
+// when the target resumes has to be dropped, so that the client gets one outcome only.
 BOOST_AUTO_TEST_CASE(frozen_target_answers_after_the_run_limit) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, ChallengedPost(rig, 1, 7));
   auto sent = rig.to_target.at(0);
   rig.now += rig.parameters.run_limit;
@@ -231,10 +232,10 @@
   BOOST_CHECK(rig.counts == std::vector{Counter::kLateAnswer});
 }
 
-// The client restarted on the same port and uses a message ID and token again: the kept answer is
-// another request's, so the client gets 5.04 instead.
+// The client restarted on the same port and reuses a message ID and token. The kept answer belongs
+// to another request, so the client has to get 5.04 instead.
 BOOST_AUTO_TEST_CASE(identity_of_another_request) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto sent = rig.to_target.at(0);
@@ -243,9 +244,10 @@
   BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
 }
 
-// A full ledger refuses as not run and forgets nothing: the POST it knows still gets its answer.
-BOOST_AUTO_TEST_CASE(full_ledger_refuses_and_remembers) {
-  auto parameters = Alone();
+// A full ledger has to refuse new requests as not run and keep its entries: the POST that it knows
+// still gets its answer.
+BOOST_AUTO_TEST_CASE(full_ledger_keeps_known_requests) {
+  auto parameters = WithoutHandOn();
   parameters.ledger_bytes = 2000;
   parameters.challenge_share = 1;
   auto rig = MakeRig(parameters);
@@ -265,10 +267,11 @@
   BOOST_TEST(rig.to_client.at(0) == answer);
 }
 
-// The agent restarted in the middle of an upload. Its last block may already have completed the
-// upload at the old incarnation: 5.04, and not 4.08, on which a client would begin again.
+// The agent restarted during an upload, and the old incarnation may have received the block that
+// completes it. The answer has to be 5.04 and not 4.08, on which a client would start the upload
+// again.
 BOOST_AUTO_TEST_CASE(later_block_of_an_upload_begun_elsewhere) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   // CON POST /hold with Block1 1/0/64 (option 27: delta 16).
   auto block = Bytes{0x41, 2, 0, 9, 5, 0xb4, 'h', 'o', 'l', 'd', 0xd1, 3, 0x12, 0xff, 'x'};
   BOOST_REQUIRE(ParseMessage(block).value().block1->number == 1U);
@@ -277,10 +280,11 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// A client uploads in three blocks; only the first carries an Echo value, as stock libcoap does.
-// Every block runs once, also when it is repeated, and a block of another body is not mixed in.
+// A client uploads in three blocks, and only the first has an Echo value, as stock libcoap sends
+// them. Every block has to run once even if repeated, and a block of another body must not be mixed
+// in.
 BOOST_AUTO_TEST_CASE(upload_in_blocks) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto block = [](std::uint8_t id, std::uint8_t number, bool more, std::uint8_t tag) {
     auto option = static_cast<std::uint8_t>(number << 4 | (more ? 0x08 : 0));
     return Bytes{
@@ -304,9 +308,10 @@
   BOOST_TEST(Sent(rig).code == kCodeGatewayTimeout);
 }
 
-// Malformed datagrams of strangers are counted, and a confirmable one is reset; nothing else.
+// Malformed datagrams of unknown senders have to be counted, and confirmable ones reset. Nothing
+// else may happen.
 BOOST_AUTO_TEST_CASE(malformed_datagrams) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, Bytes{0x4f, 1, 0, 7});
   BOOST_TEST(rig.to_client.at(0) == (Bytes{0x70, 0, 0, 7}));
   BOOST_CHECK(rig.counts == std::vector{Counter::kClientMalformed});
--- a/src/requests/tests/fuzz_test.cc
+++ b/src/requests/tests/fuzz_test.cc
@@ -24,7 +24,7 @@
   return bytes;
 }
 
-// Draws a datagram: noise, or an altered copy of one that the core itself sent or was sent.
+// Returns noise, or an altered copy of a datagram that the core sent or received.
 auto Draw(std::mt19937_64& random, const std::vector<Bytes>& seen) -> Bytes {
   if (random() % 4 == 0) return Noise(random);
   return Altered(random, seen[random() % seen.size()]);
@@ -50,12 +50,12 @@
   }
 }
 
-// Strangers and a broken target send rubbish, some of it nearly right. Nothing crashes (the
-// sanitizer build runs this too), no request is left behind, and the target never sees an Echo
-// value.
-BOOST_AUTO_TEST_CASE(rubbish_from_both_sides) {
+// Unknown senders and a broken target send random datagrams, some of them nearly valid. The core
+// must not crash (the sanitizer build runs this too), keep any request, or send an Echo value to
+// the target.
+BOOST_AUTO_TEST_CASE(random_datagrams_from_both_sides) {
   auto random = std::mt19937_64{7};
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto seen = std::vector<Bytes>{Get(1, 1), world::MakeRequest(world::kPost, 2, TokenOf(2), 2)};
   auto illegal = 0;
   for (auto round = 0; round < kRounds; ++round) {
@@ -72,10 +72,10 @@
   Feed(rig, FlowClosed{kOtherFlow});
   rig.now += base::hours(1);
   Feed(rig, Timer{});
-  auto busy = RequestLoadOf(*rig.core, rig.now);
-  BOOST_TEST(busy.running + busy.queued + busy.offered + busy.streams == 0U);
-  BOOST_TEST(busy.ledger_entries == 0U);
-  BOOST_TEST(busy.ledger_bytes == 0U);
+  auto load = RequestLoadOf(*rig.core, rig.now);
+  BOOST_TEST(load.running + load.queued + load.offered + load.streams == 0U);
+  BOOST_TEST(load.ledger_entries == 0U);
+  BOOST_TEST(load.ledger_bytes == 0U);
   BOOST_TEST(illegal == 0);
 }
 
--- a/src/requests/tests/hand_over_test.cc
+++ b/src/requests/tests/hand_over_test.cc
@@ -28,9 +28,9 @@
 }
 
 struct Pair {
-  Rig old_owner = MakeRig(Alone());
-  Rig new_owner = MakeRig(Alone());
-  Pair() { Restart(this->new_owner); }  // another incarnation, another secret
+  Rig old_owner = MakeRig(WithoutHandOn());
+  Rig new_owner = MakeRig(WithoutHandOn());
+  Pair() { Restart(this->new_owner); }  // another incarnation and secret
 };
 
 auto Move(Pair& pair) -> void {
@@ -41,7 +41,7 @@
   Feed(pair.old_owner, FlowClosed{kFlow});
 }
 
-// Opens a stream whose last notification had `sequence`.
+// Opens a stream and sends a notification with `sequence`, which is returned.
 auto OpenStream(Rig& rig, std::uint8_t sequence) -> Message {
   FromClient(rig, kObserveGet);
   auto request = ParseMessage(rig.to_target.at(0)).value();
@@ -50,10 +50,10 @@
   return Sent(rig);
 }
 
-// A trader's feed moves on a drain: the client sees the next price under its own token, as a
-// message of its own, with the next number and a message ID it has not seen. The new target counts
-// from 2 again: passed on as it is, the client would drop every price for two minutes.
-BOOST_AUTO_TEST_CASE(stream_goes_on_from_the_other_target_with_rising_numbers) {
+// A trader's feed moves when its target drains. The next price has to have the client's token, the
+// next sequence number and a new message ID. The new target counts from 2 again, and if its numbers
+// were forwarded unchanged, the client would drop every price for two minutes.
+BOOST_AUTO_TEST_CASE(moved_stream_continues_with_rising_sequence_numbers) {
   auto pair = Pair{};
   auto before = OpenStream(pair.old_owner, 200);
   auto before_id = before.message_id;
@@ -72,8 +72,8 @@
   BOOST_TEST(RequestLoadOf(*pair.new_owner.core, pair.new_owner.now).streams == 1U);
 }
 
-// A second drain takes the stream on to a third target: the number that the client saw counts, not
-// the second target's own.
+// A second drain moves the stream to a third target. The numbers have to continue from the last one
+// sent to the client, not from the second target's own.
 BOOST_AUTO_TEST_CASE(stream_moves_twice) {
   auto pair = Pair{};
   OpenStream(pair.old_owner, 200);
@@ -90,8 +90,8 @@
   BOOST_CHECK(Sent(third.new_owner).observe == 202U);
 }
 
-// Numbers have 24 bits: behind the last of them comes 0.
-BOOST_AUTO_TEST_CASE(moved_number_wraps) {
+// Sequence numbers have 24 bits and wrap to 0.
+BOOST_AUTO_TEST_CASE(moved_sequence_number_wraps) {
   auto pair = Pair{};
   auto record = FlowRecord{};
   record.streams.push_back({kObserveGet, 0xffffff});
@@ -102,10 +102,10 @@
   BOOST_CHECK(Sent(pair.new_owner).observe == 0U);
 }
 
-// A hold ran at the old owner. Late copies of both its messages come to the new one: the confirmed
-// one gets the answer again, the one without Echo nothing, since its client has the challenge.
-// Challenged afresh, a client that answers would make the hold a second time.
-BOOST_AUTO_TEST_CASE(late_copies_of_a_hold_find_it_in_the_new_ledger) {
+// A hold ran at the old owner, and late copies of both its messages reach the new one. The copy
+// with Echo has to get the answer again, and the one without Echo no answer, since its client has
+// the challenge. A new challenge could make the client run the hold twice.
+BOOST_AUTO_TEST_CASE(late_copies_of_a_hold_match_the_new_ledger) {
   auto pair = Pair{};
   auto confirmed = ChallengedPost(pair.old_owner, 20, 7);
   FromClient(pair.old_owner, confirmed);
@@ -120,8 +120,8 @@
   BOOST_TEST(pair.new_owner.to_target.empty());
 }
 
-// A client answers its challenge when the flow has moved: told unknown, run nowhere, and the copy
-// without Echo is told the same.
+// A client answers its challenge after the flow has moved. The request must not run, and both of
+// its messages have to get the outcome "unknown".
 BOOST_AUTO_TEST_CASE(challenge_answered_after_the_move_is_unknown) {
   auto pair = Pair{};
   auto confirmed = ChallengedPost(pair.old_owner, 20, 7);
@@ -134,8 +134,8 @@
   BOOST_TEST(pair.new_owner.to_target.empty());
 }
 
-// A hold that was never sent before comes after a move: it is challenged as on any flow, and not
-// told "unknown" for four minutes as on a flow whose owner died with its ledger.
+// A new hold arrives after a move. It has to be challenged as on any flow, and not answered
+// "unknown" for four minutes as on a flow whose owner died with its ledger.
 BOOST_AUTO_TEST_CASE(new_hold_after_a_move_runs) {
   auto pair = Pair{};
   OpenStream(pair.old_owner, 11);
@@ -144,8 +144,8 @@
   BOOST_TEST(pair.new_owner.to_target.size() == 1U);
 }
 
-// The old owner had itself taken the flow over from an agent that died with its ledger: its
-// quarantine goes on at the new owner.
+// The old owner had taken the flow over from an agent that died with its ledger. The rest of that
+// quarantine has to apply at the new owner.
 BOOST_AUTO_TEST_CASE(quarantine_moves_with_the_flow) {
   auto pair = Pair{};
   Feed(pair.old_owner, FlowOpened{kFlow, true});
@@ -158,10 +158,10 @@
   BOOST_TEST(Sent(pair.new_owner).code == kCodeUnauthorized);
 }
 
-// What is in progress stays: a request that runs, a challenge a client is about to answer, an
-// answer of which the client may not have a copy yet.
+// A flow must not move while a request runs, a challenge may be answered, or an answer may not have
+// reached the client.
 BOOST_AUTO_TEST_CASE(busy_flow_does_not_move) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto confirmed = ChallengedPost(rig, 20, 7);
   BOOST_TEST(!Export(rig).has_value());
   FromClient(rig, confirmed);
@@ -175,9 +175,10 @@
   BOOST_TEST(Export(rig).has_value());
 }
 
-// A full ledger takes no flow over: it would have to forget requests of its own.
+// A full ledger cannot import a flow without losing requests of its own, so it has to report no
+// room.
 BOOST_AUTO_TEST_CASE(full_ledger_has_no_room_for_a_record) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.ledger_bytes = kLedgerEntryBytes;
   auto rig = MakeRig(parameters);
   auto record = FlowRecord{};
--- a/src/requests/tests/rubbish_test.cc
+++ b/src/requests/tests/invalid_message_test.cc
@@ -8,11 +8,10 @@
 const auto kTokenOf15Bytes = Bytes{0x4f, 1, 0, 7};
 const auto kResponse = Bytes{0x60, 0x45, 0x77, 0x77};  // 2.05, ACK of message ID 0x7777
 
-// A client and a target send what makes no sense: no CoAP, and responses and requests that nobody
-// waits for. Each is counted by its kind, nothing reaches the other side, and the next request is
-// answered.
-BOOST_AUTO_TEST_CASE(rubbish_of_either_side_is_counted_by_kind) {
-  auto rig = MakeRig(Alone());
+// A client and a target send malformed datagrams, and unexpected responses and requests. Each has
+// to be counted by its kind, none may be forwarded, and the next request has to be answered.
+BOOST_AUTO_TEST_CASE(invalid_messages_of_either_side_are_counted_by_kind) {
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, Get(1, 1));
   auto forwarded = Forwarded(rig);
   auto get = rig.to_target.at(0);
--- a/src/requests/tests/lifecycle_test.cc
+++ b/src/requests/tests/lifecycle_test.cc
@@ -14,7 +14,7 @@
   BOOST_CHECK(stage == Stage::kAnswered);
 }
 
-// A client that was told one outcome is told no other.
+// A client that got one outcome must not get another.
 BOOST_AUTO_TEST_CASE(nothing_follows_a_final_outcome) {
   for (auto stage : {Stage::kAnswered, Stage::kRefused, Stage::kUnknown}) {
     for (auto i = std::size_t{0}; i < kTransitions; ++i) {
@@ -23,7 +23,8 @@
   }
 }
 
-// What the target has may have run: it is given up as unknown, never refused as not run.
+// A request sent to the target may have run. It may end as unknown, but must not be refused as not
+// run.
 BOOST_AUTO_TEST_CASE(running_request_cannot_be_refused) {
   BOOST_CHECK(!Advance(Stage::kRunning, Transition::kRefuse).has_value());
   BOOST_CHECK(Advance(Stage::kRunning, Transition::kGiveUp) == Stage::kUnknown);
--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -10,13 +10,13 @@
 
 constexpr auto kAgents = std::size_t{3};
 constexpr auto kClients = std::size_t{4};
-constexpr auto kOrders = 48;
+constexpr auto kUserRequests = 48;
 constexpr auto kSeconds = 60;
 
-// ANVILDRUM_SEEDS asks for more seeds than CI runs.
-auto SeedsOf(std::uint64_t usual) -> std::uint64_t {
-  const auto* asked = std::getenv("ANVILDRUM_SEEDS");
-  return asked == nullptr ? usual : std::stoull(asked);
+// ANVILDRUM_SEEDS sets a higher number of seeds than CI runs.
+auto SeedCount(std::uint64_t default_count) -> std::uint64_t {
+  const auto* requested = std::getenv("ANVILDRUM_SEEDS");
+  return requested == nullptr ? default_count : std::stoull(requested);
 }
 
 auto MoveFlow(World& world) -> void {
@@ -27,7 +27,7 @@
   Feed(world, client.owner, FlowOpened{client.flow, world.faults.adopted});
 }
 
-// A busy flow stays: its owner tries again later.
+// A flow with requests in progress does not move now. Its owner tries again later.
 auto HandOver(World& world) -> void {
   auto& client = world.clients[world.random() % world.clients.size()];
   auto old_owner = client.owner;
@@ -42,11 +42,11 @@
 
 auto KillTarget(World& world) -> void {
   auto agent = world.random() % world.agents.size();
-  ++world.agents[agent].target_life;
+  ++world.agents[agent].target_incarnation;
   for (const auto& client : world.clients) Feed(world, agent, TargetUnreachable{client.flow});
 }
 
-auto Disturb(World& world) -> void {
+auto InjectFaults(World& world) -> void {
   if (Chance(world, world.faults.move)) MoveFlow(world);
   if (Chance(world, world.faults.agent_death)) {
     auto agent = world.random() % world.agents.size();
@@ -66,40 +66,43 @@
   return draw < 8 ? kPut : kGet;
 }
 
-auto Schedule(World& world) -> void {
-  for (auto i = 0; i < kOrders; ++i) {
+auto ScheduleEvents(World& world) -> void {
+  for (auto i = 0; i < kUserRequests; ++i) {
     auto burst = base::seconds(world.random() % kSeconds / 20 * 20);
     auto at = burst + base::milliseconds(world.random() % 100);
-    After(world, at,
-          [&world] { PlaceOrder(world, world.random() % world.clients.size(), MethodOf(world)); });
+    After(world, at, [&world] {
+      SubmitRequest(world, world.random() % world.clients.size(), MethodOf(world));
+    });
   }
   for (auto second = 0; second < kSeconds; ++second) {
     After(world, base::seconds(second) + base::milliseconds(world.random() % 1000),
-          [&world] { Disturb(world); });
+          [&world] { InjectFaults(world); });
   }
 }
 
-auto BrokenInvariant(World& world) -> std::string {
+auto FindViolation(World& world) -> std::string {
   if (world.echo_reached_target) return "a target saw an Echo value";
   if (world.counts.count(Counter::kIllegalTransition) > 0) return "an illegal transition";
-  for (const auto& order : world.orders) {
-    auto changes = order.method != kGet;
-    if (changes && order.executions > 1) return "ran twice";
-    if (changes && order.outcome == Outcome::kNotRun && order.executions > 0) return "not run ran";
-    if (order.outcome == Outcome::kAnswered && order.executions == 0) return "answered, never ran";
-    if (changes && order.ran_after_unknown) return "ran after its client was told unknown";
-    if (order.foreign_answer) return "answer of another request";
-    if (order.outcome == Outcome::kPending) return "no final outcome";
+  for (const auto& user_request : world.user_requests) {
+    auto changes = user_request.method != kGet;
+    if (changes && user_request.executions > 1) return "ran twice";
+    if (changes && user_request.outcome == Outcome::kNotRun && user_request.executions > 0)
+      return "not run ran";
+    if (user_request.outcome == Outcome::kAnswered && user_request.executions == 0)
+      return "answered, never ran";
+    if (changes && user_request.ran_after_unknown) return "ran after its client was told unknown";
+    if (user_request.foreign_answer) return "answer of another request";
+    if (user_request.outcome == Outcome::kPending) return "no final outcome";
   }
   for (auto& agent : world.agents) {
-    auto busy = RequestLoadOf(*agent.core, world.now);
-    if (busy.running + busy.queued + busy.offered > 0) return "a request was left behind";
-    if (busy.ledger_entries > 0 || busy.ledger_bytes > 0) return "the ledger kept something";
+    auto load = RequestLoadOf(*agent.core, world.now);
+    if (load.running + load.queued + load.offered > 0) return "a request was left behind";
+    if (load.ledger_entries > 0 || load.ledger_bytes > 0) return "the ledger kept something";
   }
   return {};
 }
 
-auto Small() -> Parameters {
+auto SmallParameters() -> Parameters {
   auto parameters = Parameters{};
   parameters.slots = 1;
   parameters.queue_size = 3;
@@ -110,24 +113,25 @@
 
 auto CheckSeeds(const Faults& faults, std::uint64_t seeds, bool timeouts_allowed) -> void {
   auto answered = std::uint64_t{0};
-  for (auto seed = std::uint64_t{1}; seed <= SeedsOf(seeds); ++seed) {
-    auto world = MakeWorld(seed, faults, Small(), kAgents, kClients);
-    Schedule(world);
+  for (auto seed = std::uint64_t{1}; seed <= SeedCount(seeds); ++seed) {
+    auto world = MakeWorld(seed, faults, SmallParameters(), kAgents, kClients);
+    ScheduleEvents(world);
     RunAll(world);
-    auto broken = BrokenInvariant(world);
-    for (const auto& order : world.orders) {
-      if (order.outcome == Outcome::kAnswered) ++answered;
-      if (!timeouts_allowed && order.outcome == Outcome::kTimeout) broken = "a client timed out";
+    auto violation = FindViolation(world);
+    for (const auto& user_request : world.user_requests) {
+      if (user_request.outcome == Outcome::kAnswered) ++answered;
+      if (!timeouts_allowed && user_request.outcome == Outcome::kTimeout)
+        violation = "a client timed out";
     }
-    BOOST_REQUIRE_MESSAGE(broken.empty(), "seed " << seed << ": " << broken);
+    BOOST_REQUIRE_MESSAGE(violation.empty(), "seed " << seed << ": " << violation);
   }
   BOOST_TEST(answered > 0U);
 }
 
 // Clients send holds, setpoints and reads through agents that restart, targets that die and flows
-// that move, over a network that loses, doubles and reorders and holds copies back for minutes.
-// Whatever happens, nothing that changes something runs twice, no refusal has run, every answer is
-// the asker's own, and no agent is left with a request in hand.
+// that move, over a network that drops, duplicates, reorders and delays messages by minutes. No
+// request that changes state may run twice, no refused request may have run, every answer has to
+// belong to its request, and no agent may keep a request in progress.
 BOOST_AUTO_TEST_CASE(all_faults_at_once) {
   auto faults = Faults{};
   faults.drop = 0.05;
@@ -139,9 +143,9 @@
   CheckSeeds(faults, 1500, true);
 }
 
-// The same with clients that use few tokens again and again: an answer that its target gives late
-// must not be taken for that of the next request with the same token.
-BOOST_AUTO_TEST_CASE(tokens_that_come_again) {
+// The same with clients that reuse a few tokens. A late answer of a target must not be taken for
+// that of the next request with the same token.
+BOOST_AUTO_TEST_CASE(reused_tokens) {
   auto faults = Faults{};
   faults.duplicate = 0.1;
   faults.agent_death = 0.05;
@@ -151,8 +155,8 @@
   CheckSeeds(faults, 800, true);
 }
 
-// Clients that answer a challenge again when a copy of it comes late, as stock libcoap's may: the
-// value that was used once runs nothing, and a flow that was taken over does not challenge.
+// Clients that answer a late copy of a challenge again, as stock libcoap may do. A used value must
+// not run anything, and a flow that was taken over must not challenge.
 BOOST_AUTO_TEST_CASE(clients_that_answer_repeated_challenges) {
   auto faults = Faults{};
   faults.drop = 0.05;
@@ -164,8 +168,8 @@
   CheckSeeds(faults, 800, true);
 }
 
-// Clients that do not wait long, with all faults: an outcome that is told at a client's deadline,
-// while the request runs here or elsewhere, must be as true as any other.
+// Clients with short deadlines, under all faults. An outcome sent at the deadline, while the
+// request runs here or elsewhere, has to be as correct as any other.
 BOOST_AUTO_TEST_CASE(clients_with_deadlines) {
   auto faults = Faults{};
   faults.drop = 0.05;
@@ -178,16 +182,16 @@
   CheckSeeds(faults, 800, true);
 }
 
-// With a network that loses nothing and agents and targets that live, nobody is left to time out.
-BOOST_AUTO_TEST_CASE(every_request_is_told_its_outcome) {
+// If the network loses nothing and no agent or target dies, no client may time out.
+BOOST_AUTO_TEST_CASE(every_request_gets_its_outcome) {
   auto faults = Faults{};
   faults.duplicate = 0.1;
   CheckSeeds(faults, 800, false);
 }
 
-// Targets drain one after the other and flows are handed over again and again, also back, among
-// copies that are late by minutes and clients that answer each copy of a challenge. The record
-// that moves with a flow has to do what a quarantine of 247 s does for a flow whose owner died.
+// Targets drain one after the other, and flows are handed over repeatedly, also back, with copies
+// delayed by minutes and clients that answer each copy of a challenge. The record that moves with a
+// flow has to prevent what a quarantine of 247 s prevents for a flow whose owner died.
 BOOST_AUTO_TEST_CASE(flows_that_are_handed_over) {
   auto faults = Faults{};
   faults.drop = 0.05;
@@ -198,8 +202,8 @@
   CheckSeeds(faults, 700, true);
 }
 
-// Without loss on the way, a hand-over leaves nobody without an outcome.
-BOOST_AUTO_TEST_CASE(hand_over_leaves_nobody_to_time_out) {
+// Without message loss, a hand-over must not leave a client without an outcome.
+BOOST_AUTO_TEST_CASE(hand_over_causes_no_timeout) {
   auto faults = Faults{};
   faults.duplicate = 0.1;
   faults.hand_over = 0.9;
--- a/src/requests/tests/rig.h
+++ b/src/requests/tests/rig.h
@@ -7,7 +7,7 @@
 #include "requests/requests.h"
 #include "requests/tests/world.h"
 
-// One core under test, with what it sent in the last step sorted by receiver.
+// One core under test, with the output of its last step by receiver.
 namespace anvildrum::requests {
 
 inline const auto kFlow =
@@ -30,7 +30,7 @@
 };
 
 inline auto Feed(Rig& rig, const Event& event) -> void {
-  // The event may view what was sent in the last step.
+  // The event may refer to buffers of the last step, so these are cleared after the step.
   auto effects = Step(*rig.core, event, rig.now);
   rig.to_target.clear();
   rig.to_client.clear();
@@ -46,7 +46,7 @@
   }
 }
 
-/// A new incarnation of the agent: nothing of the old one is left.
+/// Replaces the core by a new incarnation of the agent without any state.
 inline auto Restart(Rig& rig) -> void {
   auto secret = EchoSecret{};
   secret[0] = static_cast<std::uint8_t>(++rig.incarnation);
@@ -66,7 +66,7 @@
 }
 
 /// Parameters without hand-on.
-inline auto Alone() -> Parameters {
+inline auto WithoutHandOn() -> Parameters {
   auto parameters = Parameters{};
   parameters.retry_share = 0;
   return parameters;
@@ -81,7 +81,7 @@
   Feed(rig, ClientDatagram{flow, bytes});
 }
 
-/// Answers the request that was forwarded last, as its target would.
+/// Answers the request as its target would.
 inline auto Answer(Rig& rig, const Message& request, std::size_t number,
                    const base::FlowKey& flow = kFlow) -> void {
   auto bytes =
@@ -89,7 +89,7 @@
   Feed(rig, TargetDatagram{flow, bytes});
 }
 
-/// Sends a POST without Echo and returns the same POST as the client sends it on the challenge.
+/// Sends a POST without Echo and returns the client's answer to the challenge.
 inline auto ChallengedPost(Rig& rig, std::uint16_t message_id, std::size_t number,
                            const base::FlowKey& flow = kFlow) -> Bytes {
   auto token = TokenOf(static_cast<std::uint8_t>(number));
@@ -100,8 +100,8 @@
   return WithEcho(ParseMessage(next).value(), echo);
 }
 
-/// The request of world::MakeRequest with a Deadline option in front of its payload.
-inline auto Within(Bytes request, std::uint32_t milliseconds) -> Bytes {
+/// Returns a request of world::MakeRequest with a Deadline option before its payload.
+inline auto WithDeadline(Bytes request, std::uint32_t milliseconds) -> Bytes {
   auto high = static_cast<std::uint8_t>(milliseconds >> 8);
   auto low = static_cast<std::uint8_t>(milliseconds);
   auto option = Bytes{0xe2, 0xfc, 0xe4, high, low};  // 65020, after Uri-Path; two bytes
--- a/src/requests/tests/stand_by_test.cc
+++ b/src/requests/tests/stand_by_test.cc
@@ -20,7 +20,7 @@
   return bytes;
 }
 
-// An observation at a target that has sent `sequence` last; returns the target's token.
+// Opens an observation whose last notification had `sequence`, and returns the target's token.
 auto Observe(Rig& rig, std::uint32_t sequence) -> Token {
   FromClient(rig, kObserveGet);
   auto token = Forwarded(rig).token;
@@ -30,17 +30,17 @@
 
 auto Version(const Rig& rig) -> std::uint64_t { return StreamsVersion(*rig.core, kFlow, rig.now); }
 
-// A trader's price feed is taken over from a lost owner, whose copy is a million notifications old.
-// The first price from the new target must count as newer than all of them, also over the end of
-// the 24 bits, and must not have a message ID that the client has just seen.
-BOOST_AUTO_TEST_CASE(numbers_go_on_above_all_that_the_lost_owner_can_have_sent) {
+// A price feed is taken over from a lost owner whose copy is a million notifications old. The first
+// price from the new target has to be newer than all of them, also across the end of the 24 bits,
+// and must not reuse a recent message ID.
+BOOST_AUTO_TEST_CASE(sequence_numbers_resume_above_those_of_the_lost_owner) {
   for (auto reported : {100U, kSequenceRange - 100}) {
-    auto owner = MakeRig(Alone());
+    auto owner = MakeRig(WithoutHandOn());
     Observe(owner, reported);
     auto record = ExportStreams(*owner.core, kFlow, owner.now);
     auto reported_id = record.next_client_message_id;
     ResumeAfterLoss(record, kExchangeLifetime);
-    auto stand_by = MakeRig(Alone());
+    auto stand_by = MakeRig(WithoutHandOn());
     Feed(stand_by, FlowAdopted{kFlow, &record});
     auto token = Forwarded(stand_by).token;
     Feed(stand_by, TargetDatagram{kFlow, Notification(1, token, 7)});
@@ -56,9 +56,9 @@
   }
 }
 
-// The copy must not fall further behind than the step in the numbers allows for.
+// The copy must not lag further behind than the gap in the resumed numbers allows.
 BOOST_AUTO_TEST_CASE(copy_is_out_of_date_after_many_notifications_and_a_refresh) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   BOOST_TEST(Version(rig) == 0U);
   auto token = Observe(rig, 10);
   auto version = Version(rig);
@@ -75,14 +75,14 @@
   BOOST_TEST(Version(rig) != version);
 }
 
-// The stand-by cannot serve the feed. Its client is told so under the feed's token until it has
-// acknowledged it, and a POST of the lost owner's time is not run.
-BOOST_AUTO_TEST_CASE(client_of_a_feed_that_is_not_served_on_is_told) {
-  auto owner = MakeRig(Alone());
+// The stand-by cannot serve the feed. Its client has to get an error under the feed's token until
+// it acknowledges it, and a POST sent to the lost owner must not run.
+BOOST_AUTO_TEST_CASE(client_is_notified_when_its_stream_cannot_be_resumed) {
+  auto owner = MakeRig(WithoutHandOn());
   Observe(owner, 10);
   auto record = ExportStreams(*owner.core, kFlow, owner.now);
   ResumeAfterLoss(record, kExchangeLifetime);
-  auto stand_by = MakeRig(Alone());
+  auto stand_by = MakeRig(WithoutHandOn());
   Feed(stand_by, FlowAdopted{kFlow, &record, false});
   BOOST_TEST(stand_by.to_target.empty());
   auto told = Sent(stand_by);
--- a/src/requests/tests/streams_test.cc
+++ b/src/requests/tests/streams_test.cc
@@ -28,7 +28,7 @@
   return bytes;
 }
 
-// Opens a stream and returns its token towards the target.
+// Opens a stream and returns its token at the target.
 auto OpenStream(Rig& rig) -> Token {
   FromClient(rig, ObserveGet(1, false));
   auto request = ParseMessage(rig.to_target.at(0)).value();
@@ -38,19 +38,19 @@
   return token;
 }
 
-// A price feed holds a connection for hours and a slot for its first answer only.
-BOOST_AUTO_TEST_CASE(stream_gives_its_slot_back) {
-  auto rig = MakeRig(Alone());
+// A price feed lasts for hours. It may occupy a slot only until its first answer.
+BOOST_AUTO_TEST_CASE(stream_releases_its_slot) {
+  auto rig = MakeRig(WithoutHandOn());
   OpenStream(rig);
   BOOST_TEST(Sent(rig).message_id == 1);
-  auto busy = RequestLoadOf(*rig.core, rig.now);
-  BOOST_TEST(busy.running == 0U);
-  BOOST_TEST(busy.streams == 1U);
+  auto load = RequestLoadOf(*rig.core, rig.now);
+  BOOST_TEST(load.running == 0U);
+  BOOST_TEST(load.streams == 1U);
 }
 
-// A client that opens streams without end is refused, typed and counted.
+// A client that opens streams without limit has to be refused and counted.
 BOOST_AUTO_TEST_CASE(streams_of_a_flow_are_bounded) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.flow_streams = 1;
   auto rig = MakeRig(parameters);
   OpenStream(rig);
@@ -60,9 +60,9 @@
   BOOST_CHECK(rig.counts == std::vector{Counter::kRefusedStreams});
 }
 
-// A stream, a request or a transfer keeps the flow's socket; nothing else does.
+// The flow's socket is needed for a stream, a request or a transfer, and only for these.
 BOOST_AUTO_TEST_CASE(flow_with_a_stream_is_not_idle) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   BOOST_TEST(IsIdle(*rig.core, kFlow, rig.now));
   auto token = OpenStream(rig);
   BOOST_TEST(!IsIdle(*rig.core, kFlow, rig.now));
@@ -71,10 +71,10 @@
   BOOST_TEST(IsIdle(*rig.core, kFlow, rig.now));
 }
 
-// The target dies under a stream: its client is told at once and under the stream's token, instead
-// of watching a frozen screen.
-BOOST_AUTO_TEST_CASE(stream_of_a_dead_target_is_ended_aloud) {
-  auto rig = MakeRig(Alone());
+// The target of a stream dies. The client has to get an error at once under the stream's token, or
+// its display would silently stop updating.
+BOOST_AUTO_TEST_CASE(client_of_a_dead_targets_stream_is_notified) {
+  auto rig = MakeRig(WithoutHandOn());
   OpenStream(rig);
   Feed(rig, TargetUnreachable{kFlow});
   BOOST_TEST(Sent(rig).code == kCodeServiceUnavailable);
@@ -82,18 +82,18 @@
   BOOST_CHECK(Sent(rig).type == MessageType::kConfirmable);
 }
 
-// A ping (an empty CON) is answered by the agent (RFC 7252, 4.3).
+// The agent has to answer a ping (an empty CON, RFC 7252, 4.3).
 BOOST_AUTO_TEST_CASE(ping_is_answered_by_a_reset) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, Bytes{0x40, 0, 0, 9});
   BOOST_TEST(rig.to_client.at(0) == BuildReset(9));
   BOOST_TEST(rig.to_target.empty());
 }
 
-// Notifications reach the client under its own token; one that was overtaken is dropped, or the
-// screen would show an older price after a newer one.
+// Notifications have to reach the client under its own token. A reordered one has to be dropped, or
+// the client would show an older price after a newer one.
 BOOST_AUTO_TEST_CASE(overtaken_notification_is_dropped) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto token = OpenStream(rig);
   rig.now += base::hours(1);
   Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kNonConfirmable, 101, token, 12)});
@@ -103,9 +103,10 @@
   BOOST_CHECK(rig.counts == std::vector{Counter::kStaleNotification});
 }
 
-// The client's ACK and RST go back under the target's message ID; on RST the stream is freed.
+// The client's ACK and RST have to be returned under the target's message ID. An RST has to end the
+// stream.
 BOOST_AUTO_TEST_CASE(reset_of_the_client_frees_the_stream) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto token = OpenStream(rig);
   Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kConfirmable, 500, token, 11)});
   auto message_id = Sent(rig).message_id;
@@ -116,10 +117,11 @@
   BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
-// The client is gone and acknowledges nothing: the target is told by an RST and the stream freed,
-// while its copies keep one message ID, so that a client that is there sees no duplicate.
+// The client is gone and acknowledges nothing. The target has to get an RST and the stream has to
+// end. All copies of a notification need the same message ID, so that a live client would see no
+// duplicate.
 BOOST_AUTO_TEST_CASE(stream_of_a_vanished_client_is_freed) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto token = OpenStream(rig);
   auto notification = Notification(MessageType::kConfirmable, 500, token, 11);
   Feed(rig, TargetDatagram{kFlow, notification});
@@ -133,25 +135,26 @@
   BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
-// The client cancels with the token of its observation; the target must see the token it knows the
-// observation by, or it would go on for ever.
+// The client cancels with the token of its observation. The target has to get the token under which
+// it knows the observation, or the observation would never end.
 BOOST_AUTO_TEST_CASE(cancellation_reaches_the_target_under_the_same_token) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto token = OpenStream(rig);
   FromClient(rig, ObserveGet(2, true));
   auto request = ParseMessage(rig.to_target.at(0)).value();
   BOOST_CHECK(request.token == token);
   Answer(rig, request, 1);
   BOOST_TEST(Sent(rig).message_id == 2);
-  auto busy = RequestLoadOf(*rig.core, rig.now);
-  BOOST_TEST(busy.streams == 0U);
-  BOOST_TEST(busy.ledger_entries == 0U);
+  auto load = RequestLoadOf(*rig.core, rig.now);
+  BOOST_TEST(load.streams == 0U);
+  BOOST_TEST(load.ledger_entries == 0U);
 }
 
-// The target acknowledges a POST and answers it seconds later. A retransmission in between gets
-// the ACK; the answer is passed on with the target's retransmissions under one message ID.
+// The target acknowledges a POST and answers it seconds later. A retransmission in between has to
+// get the ACK, and the target's retransmissions of the answer have to be forwarded under one
+// message ID.
 BOOST_AUTO_TEST_CASE(separate_response) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto post = ChallengedPost(rig, 1, 7);
   FromClient(rig, post);
   auto sent = rig.to_target.at(0);
@@ -170,11 +173,11 @@
   BOOST_TEST(rig.to_target.at(0) == BuildEmptyAck(900));
 }
 
-// A read was answered and its client uses the token for the next request, when a copy of the read
-// comes late and the target answers it separately. Passed on as a message of its own, the answer
-// would be taken for that of the next request; in the ACK of the old message ID it does no harm.
+// A read was answered, and its client reuses the token, when a late copy of the read gets a
+// separate answer from the target. Forwarded as a message of its own, it would be taken for the
+// answer to the next request. In the ACK of the old message ID it is harmless.
 BOOST_AUTO_TEST_CASE(late_copy_of_a_read_is_answered_in_its_ack) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, Get(1, 7));
   auto request = ParseMessage(rig.to_target.at(0)).value();
   auto token = request.token;
@@ -187,10 +190,10 @@
   BOOST_TEST(rig.to_target.at(0) == BuildEmptyAck(900));
 }
 
-// A copy of a NON read that was answered is dropped (RFC 7252, 4.3): a second answer would be
+// A copy of an answered NON read has to be dropped (RFC 7252, 4.3), since a second answer would be
 // matched by its token alone.
 BOOST_AUTO_TEST_CASE(copy_of_an_answered_non_is_dropped) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto read = WithIdentity(Get(1, 7), MessageType::kNonConfirmable, 1, TokenOf(7));
   FromClient(rig, read);
   auto token = Forwarded(rig).token;
@@ -200,10 +203,10 @@
   BOOST_TEST(rig.to_target.empty());
 }
 
-// A NON read was refused; when a slot is free again a copy of it comes. It gets the same refusal:
-// the client was told "not run" and may use the token for its next request.
+// A NON read was refused, and a copy of it arrives when a slot is free. The client was told "not
+// run" and may reuse the token, so the copy has to get the same refusal.
 BOOST_AUTO_TEST_CASE(copy_of_a_refused_non_gets_the_same_refusal) {
-  auto parameters = Alone();
+  auto parameters = WithoutHandOn();
   parameters.slots = 1;
   parameters.queue_size = 0;
   auto rig = MakeRig(parameters);
@@ -218,9 +221,9 @@
   BOOST_TEST(rig.to_client.at(0) == refusal);
 }
 
-// An answer that comes in on the socket of another flow is nobody's.
+// An answer received on the socket of another flow has to be dropped.
 BOOST_AUTO_TEST_CASE(answer_on_the_wrong_flow_is_dropped) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, Get(1, 7));
   auto sent = rig.to_target.at(0);
   Answer(rig, ParseMessage(sent).value(), 7, kOtherFlow);
@@ -228,10 +231,10 @@
   BOOST_CHECK(rig.counts == std::vector{Counter::kLateAnswer});
 }
 
-// The client has ended its observation when a copy of the registration comes late: it opens no
-// stream that nobody reads.
+// The client has ended its observation, and a late copy of the registration arrives. It must not
+// open a stream that nobody reads.
 BOOST_AUTO_TEST_CASE(late_copy_of_a_registration_opens_no_stream) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   auto token = OpenStream(rig);
   Feed(rig, TargetDatagram{kFlow, Notification(MessageType::kNonConfirmable, 500, token, 11)});
   FromClient(rig, BuildReset(Sent(rig).message_id));
@@ -240,10 +243,10 @@
   BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
-// A screen asks for a feed and closes at once: its Observe 1 overtakes the target's first answer.
-// The target is told under the token of the registration; the answer opens no stream.
-BOOST_AUTO_TEST_CASE(registration_is_given_up_before_its_answer) {
-  auto rig = MakeRig(Alone());
+// A client requests a feed and cancels it by Observe 1 before the target's first answer. The target
+// has to be told under the token of the registration, and the answer must not open a stream.
+BOOST_AUTO_TEST_CASE(registration_is_cancelled_before_its_answer) {
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, ObserveGet(1, false));
   auto sent = rig.to_target.at(0);
   auto request = ParseMessage(sent).value();
@@ -256,10 +259,10 @@
   BOOST_TEST(RequestLoadOf(*rig.core, rig.now).streams == 0U);
 }
 
-// The client has the ACK when the target freezes, so it no longer asks: its 5.04 is a CON of the
-// agent's, sent again until the client acknowledges it.
+// The target hangs after the client has got the ACK and stopped retransmitting. The 5.04 has to be
+// a CON of the agent, retransmitted until the client acknowledges it.
 BOOST_AUTO_TEST_CASE(outcome_after_an_ack_is_sent_until_acknowledged) {
-  auto rig = MakeRig(Alone());
+  auto rig = MakeRig(WithoutHandOn());
   FromClient(rig, ChallengedPost(rig, 1, 7));
   auto sent = rig.to_target.at(0);
   Feed(rig, TargetDatagram{kFlow, BuildEmptyAck(ParseMessage(sent).value().message_id)});
--- a/src/requests/tests/world.cc
+++ b/src/requests/tests/world.cc
@@ -5,21 +5,21 @@
 namespace anvildrum::requests::world {
 namespace {
 
-auto Between(World& world, base::Duration low, base::Duration high) -> base::Duration {
+auto RandomDuration(World& world, base::Duration low, base::Duration high) -> base::Duration {
   auto span = static_cast<std::uint64_t>((high - low).count()) + 1;
   return low + base::Duration(static_cast<base::Duration::rep>(world.random() % span));
 }
 
 auto NetworkDelay(World& world) -> base::Duration {
   if (Chance(world, world.faults.late)) {
-    return Between(world, base::seconds(10), base::seconds(400));
+    return RandomDuration(world, base::seconds(10), base::seconds(400));
   }
-  return Between(world, base::milliseconds(1), base::milliseconds(12));
+  return RandomDuration(world, base::milliseconds(1), base::milliseconds(12));
 }
 
 auto TargetAnswers(World& world, std::size_t agent, const base::FlowKey& flow, const Bytes& bytes,
-                   std::uint64_t life) -> void {
-  if (world.agents[agent].target_life != life) return;
+                   std::uint64_t incarnation) -> void {
+  if (world.agents[agent].target_incarnation != incarnation) return;
   Feed(world, agent, TargetDatagram{flow, bytes});
 }
 
@@ -29,15 +29,16 @@
   if (!IsRequest(message) || Chance(world, world.faults.drop / 10)) return;
   if (message.echo) world.echo_reached_target = true;
   auto number = NumberIn(bytes);
-  auto& order = world.orders[number];
-  ++order.executions;
-  // What waits in the queue of an agent that lost the flow but lives may still start.
-  auto settled = order.told + 2 * world.parameters.queue_limit;
-  if (order.outcome == Outcome::kUnknown && world.now > settled) order.ran_after_unknown = true;
-  auto life = world.agents[agent].target_life;
-  auto taken = Between(world, base::milliseconds(1), base::milliseconds(120));
-  auto send = [&world, agent, flow, life](base::Duration delay, const Bytes& datagram) {
-    After(world, delay, [=, &world] { TargetAnswers(world, agent, flow, datagram, life); });
+  auto& user_request = world.user_requests[number];
+  ++user_request.executions;
+  // A live agent that has lost the flow may still start requests in its queue.
+  auto settled = user_request.outcome_at + 2 * world.parameters.queue_limit;
+  if (user_request.outcome == Outcome::kUnknown && world.now > settled)
+    user_request.ran_after_unknown = true;
+  auto incarnation = world.agents[agent].target_incarnation;
+  auto taken = RandomDuration(world, base::milliseconds(1), base::milliseconds(120));
+  auto send = [&world, agent, flow, incarnation](base::Duration delay, const Bytes& datagram) {
+    After(world, delay, [=, &world] { TargetAnswers(world, agent, flow, datagram, incarnation); });
   };
   if (!Chance(world, 0.2)) {
     return send(taken, MakeResponse(MessageType::kAcknowledgement, message.message_id,
@@ -46,7 +47,7 @@
   send(base::milliseconds(1), BuildEmptyAck(message.message_id));
   auto message_id = static_cast<std::uint16_t>(world.random());
   auto separate = MakeResponse(MessageType::kConfirmable, message_id, message.token, number);
-  // Retransmits a few times whether it is acknowledged or not.
+  // Retransmits even if acknowledged.
   for (auto round = 0; round < 3; ++round) send(taken + base::seconds(2) * round, separate);
 }
 
@@ -127,7 +128,7 @@
   return world.clients[flow.client.port];
 }
 
-auto ToOwner(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void {
+auto SendToOwner(World& world, const base::FlowKey& flow, const Bytes& bytes) -> void {
   Deliver(world, [&world, flow, bytes] {
     Feed(world, ClientOf(world, flow).owner, ClientDatagram{flow, bytes});
   });
--- a/src/requests/tests/world_client.cc
+++ b/src/requests/tests/world_client.cc
@@ -1,4 +1,4 @@
-// The clients of the world.
+// Clients of the simulation.
 #include <algorithm>
 
 #include "requests/tests/world.h"
@@ -6,13 +6,13 @@
 namespace anvildrum::requests::world {
 namespace {
 
-constexpr auto kSends = 5;  // MAX_RETRANSMIT and the first (RFC 7252, 4.8)
+constexpr auto kSends = 5;  // the first transmission and MAX_RETRANSMIT more (RFC 7252, 4.8)
 
 auto Transmit(World& world, const base::FlowKey& flow, std::size_t exchange) -> void {
   auto& sent = ClientOf(world, flow).exchanges[exchange];
   if (!sent.open || sent.acknowledged) return;
   if (sent.sends == kSends) return;
-  ToOwner(world, flow, sent.bytes);
+  SendToOwner(world, flow, sent.bytes);
   auto timeout = base::seconds(2 << sent.sends++);
   After(world, timeout + timeout * static_cast<int>(world.random() % 50) / 100,
         [&world, flow, exchange] { Transmit(world, flow, exchange); });
@@ -44,13 +44,13 @@
   return token;
 }
 
-auto OpenExchange(World& world, Client& client, std::size_t order, BytesView echo) -> void {
+auto OpenExchange(World& world, Client& client, std::size_t user_request, BytesView echo) -> void {
   auto exchange = Exchange{};
-  exchange.order = order;
+  exchange.user_request = user_request;
   exchange.message_id = client.next_message_id++;
   exchange.token = FreeToken(world, client);
-  exchange.bytes =
-      MakeRequest(world.orders[order].method, exchange.message_id, exchange.token, order);
+  exchange.bytes = MakeRequest(world.user_requests[user_request].method, exchange.message_id,
+                               exchange.token, user_request);
   auto message = ParseMessage(exchange.bytes).value();
   if (world.faults.deadlines && Chance(world, 0.8)) {
     auto deadline = static_cast<std::uint32_t>(30 + world.random() % 371);
@@ -63,22 +63,23 @@
 
 auto Close(World& world, Exchange& exchange, Outcome outcome) -> void {
   exchange.open = false;
-  auto& order = world.orders[exchange.order];
-  if (order.outcome != Outcome::kPending) return;
-  order.outcome = outcome;
-  order.told = world.now;
+  auto& user_request = world.user_requests[exchange.user_request];
+  if (user_request.outcome != Outcome::kPending) return;
+  user_request.outcome = outcome;
+  user_request.outcome_at = world.now;
 }
 
 auto OnFinal(World& world, Client& client, Exchange& exchange, const Message& message) -> void {
   if (message.code == kCodeUnauthorized && message.echo) {
-    auto order = exchange.order;
+    auto user_request = exchange.user_request;
     exchange.open = false;
-    OpenExchange(world, client, order, *message.echo);
+    OpenExchange(world, client, user_request, *message.echo);
     return;
   }
   if (message.code == kCodeServiceUnavailable) return Close(world, exchange, Outcome::kNotRun);
   if (message.code == kCodeGatewayTimeout) return Close(world, exchange, Outcome::kUnknown);
-  if (NumberIn(message.whole) != exchange.order) world.orders[exchange.order].foreign_answer = true;
+  if (NumberIn(message.whole) != exchange.user_request)
+    world.user_requests[exchange.user_request].foreign_answer = true;
   Close(world, exchange, Outcome::kAnswered);
 }
 
@@ -87,9 +88,9 @@
   for (auto& exchange : client.exchanges) {
     auto open = exchange.open;
     if (world.faults.lenient && !open) {
-      // Takes a repeated challenge of the first message for one of the message that followed it.
+      // Accepts a repeated challenge of an earlier message of the same request.
       open = message.code == kCodeUnauthorized &&
-             world.orders[exchange.order].outcome == Outcome::kPending;
+             world.user_requests[exchange.user_request].outcome == Outcome::kPending;
     }
     if (!open || exchange.token != message.token) continue;
     if (!piggybacked || exchange.message_id == message.message_id) return &exchange;
@@ -111,27 +112,28 @@
   auto* exchange = FindExchange(world, client, message);
   if (message.type == MessageType::kConfirmable) {
     auto known = exchange != nullptr;
-    // A copy of what was received before is acknowledged and dropped (RFC 7252, 4.2).
+    // A duplicate CON is acknowledged and dropped (RFC 7252, 4.2).
     if (!client.seen.insert(message.message_id).second) {
-      return ToOwner(world, flow, BuildEmptyAck(message.message_id));
+      return SendToOwner(world, flow, BuildEmptyAck(message.message_id));
     }
-    ToOwner(world, flow,
-            known ? BuildEmptyAck(message.message_id) : BuildReset(message.message_id));
+    SendToOwner(world, flow,
+                known ? BuildEmptyAck(message.message_id) : BuildReset(message.message_id));
   }
   if (exchange != nullptr) OnFinal(world, client, *exchange, message);
 }
 
-auto PlaceOrder(World& world, std::size_t client, std::uint8_t method) -> std::size_t {
+auto SubmitRequest(World& world, std::size_t client, std::uint8_t method) -> std::size_t {
   auto& at = world.clients[client];
-  auto number = world.orders.size();
-  auto order = Order{};
-  order.method = method;
-  order.flow = at.flow;
-  world.orders.push_back(order);
+  auto number = world.user_requests.size();
+  auto user_request = UserRequest{};
+  user_request.method = method;
+  user_request.flow = at.flow;
+  world.user_requests.push_back(user_request);
   OpenExchange(world, at, number, {});
   After(world, kMaxTransmitWait, [&world, client, number] {
     for (auto& exchange : world.clients[client].exchanges) {
-      if (exchange.order == number && exchange.open) Close(world, exchange, Outcome::kTimeout);
+      if (exchange.user_request == number && exchange.open)
+        Close(world, exchange, Outcome::kTimeout);
     }
   });
   return number;
--- a/src/requests/types/counter.h
+++ b/src/requests/types/counter.h
@@ -4,10 +4,10 @@
 
 namespace anvildrum::requests {
 
-/// What is counted, one each; the daemon turns these into metrics.
+/// Counted events. The daemon exports them as metrics.
 enum class Counter : std::uint8_t {
-  kClientMalformed,       ///< datagram of a client that is no CoAP message
-  kTargetMalformed,       ///< datagram of the target that is no CoAP message
+  kClientMalformed,       ///< datagram of a client that is not a CoAP message
+  kTargetMalformed,       ///< datagram of the target that is not a CoAP message
   kBadDeadline,           ///< Deadline option too long or repeated; ignored
   kUnexpectedFromClient,  ///< a response, or an ACK or RST that matches nothing
   kUnexpectedFromTarget,  ///< a request, or an ACK or RST that matches nothing
@@ -21,19 +21,19 @@
   kRefusedExpiredEcho,  ///< a challenge answered too late; not run
   kRefusedStreams,      ///< too many observations of the flow; not run
   kRefusedDeadline,     ///< could not finish by the client's own deadline; not run
-  kUnknownRunLimit,     ///< no answer of the target in time
+  kUnknownRunLimit,     ///< no answer of the target within the run limit
   kUnknownTargetGone,
   kUnknownForeignEcho,    ///< an Echo value of another incarnation or flow
   kUnknownEchoUsed,       ///< an Echo value whose request has been admitted already
   kUnknownAdoptedFlow,    ///< may be a late copy from before the flow was taken over
   kUnknownUpload,         ///< a later block of an upload that did not start here
-  kUnknownIdentityReuse,  ///< message ID and token of another request that is still remembered
+  kUnknownIdentityReuse,  ///< message ID and token of another request in the ledger
   kUnknownHandOn,         ///< no answer of the other agent in time
   kUnknownDeadline,       ///< no answer by the client's own deadline
   kChallenged,
   kRetransmissionAnswered,
   kRetransmissionWhileRunning,
-  kLateAnswer,         ///< of the target, for a request that has its final answer
+  kLateAnswer,         ///< from the target, for a request with a final outcome
   kStaleNotification,  ///< older than one already sent (RFC 7641, 3.4)
   kStreamOpened,
   kStreamEnded,
@@ -41,8 +41,8 @@
   kHandOnOffered,
   kHandOnAnswered,
   kHandOnBudgetSpent,
-  kIllegalTransition,  ///< a fault of the core itself
-  kCount,              ///< number of counters, not one itself
+  kIllegalTransition,  ///< a bug in the core
+  kCount,              ///< number of counters, not a counter
 };
 
 }  // namespace anvildrum::requests
