--- a/bench/capacity/constants.cc
+++ b/bench/capacity/constants.cc
@@ -51,7 +51,7 @@
           {"probes_per_round", static_cast<double>(suspicion.probes_per_round),
            "membership::SuspicionPolicy"},
           {"probe_misses", static_cast<double>(suspicion.misses), "membership::SuspicionPolicy"},
-          {"probe_timeout_s", Seconds(suspicion.longest_timeout), "membership::SuspicionPolicy"},
+          {"probe_timeout_s", Seconds(suspicion.max_timeout), "membership::SuspicionPolicy"},
           {"sign_period_s", Seconds(agent.liveness_period), "agent::AgentPolicy"},
           {"probed_peers", static_cast<double>(agent.probed_peers), "agent::AgentPolicy"},
           {"probers", static_cast<double>(balancer::MonitorPolicy{}.monitors),
--- a/src/membership/internal/suspicion.cc
+++ b/src/membership/internal/suspicion.cc
@@ -35,7 +35,7 @@
   }
   ++peer.answers;
   if (peer.answers < peer.recovery_answers) return;
-  peer.recovery_answers = std::min(2 * peer.recovery_answers, policy.most_recovery_answers);
+  peer.recovery_answers = std::min(2 * peer.recovery_answers, policy.max_recovery_answers);
   SetSuspect(peer, false, now, effects);
 }
 
@@ -162,9 +162,9 @@
 }
 
 auto TimeoutOf(const SuspicionPolicy& policy, const Peer& peer) -> base::Duration {
-  if (peer.round_trip == base::Duration::zero()) return policy.longest_timeout;
+  if (peer.round_trip == base::Duration::zero()) return policy.max_timeout;
   auto timeout = peer.round_trip * policy.timeout_factor;
-  return std::clamp(timeout, policy.shortest_timeout, policy.longest_timeout);
+  return std::clamp(timeout, policy.min_timeout, policy.max_timeout);
 }
 
 auto FindPeer(const Suspicion& state, base::InstanceId instance) -> const Peer* {
--- a/src/membership/suspicion.h
+++ b/src/membership/suspicion.h
@@ -15,12 +15,12 @@
   base::Duration probe_period = base::milliseconds(500);  ///< between rounds of probes
   std::uint32_t probes_per_round = 8;                     ///< bound on a round's probes
   std::uint32_t timeout_factor = 4;                       ///< timeout = factor x smoothed RTT
-  base::Duration shortest_timeout = base::milliseconds(150);
-  base::Duration longest_timeout = base::seconds(1);
+  base::Duration min_timeout = base::milliseconds(150);
+  base::Duration max_timeout = base::seconds(1);
   std::uint32_t misses = 3;  ///< unanswered probes in a row until a peer is suspect
   /// Each recovery doubles the number of answers that the next recovery takes, up to the bound;
   /// a quiet period of `calm` sets it back.
-  std::uint32_t most_recovery_answers = 16;
+  std::uint32_t max_recovery_answers = 16;
   base::Duration calm = base::seconds(60);
 };
 
--- a/src/steering/types/directory_types.h
+++ b/src/steering/types/directory_types.h
@@ -33,7 +33,7 @@
   /// A packet that has passed this many agents is held and its flow's owner queried.
   std::uint32_t query_hops = 3;
   /// After a pause of this length, peers may have given this process up. The threshold is shorter
-  /// than the shortest time after which they suspect it (misses x shortest_timeout of
+  /// than the shortest time after which they suspect it (misses x min_timeout of
   /// SuspicionPolicy).
   base::Duration pause_threshold = base::milliseconds(400);
   base::Duration hand_over_retry = base::milliseconds(100);
