--- a/src/membership/internal/suspicion.cc
+++ b/src/membership/internal/suspicion.cc
@@ -23,14 +23,14 @@
 
 // Safeguard: a peer that dies and lives again every few seconds would move its flows' home each
 // time, and each move costs registrations. It has to answer twice as often each time before it is
-// trusted again, so the moves grow rarer; after a calm period it starts afresh.
+// trusted again, so the moves grow rarer; after a recovery_reset period it starts afresh.
 auto NoteAnswer(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
                 SuspicionEffects& effects) -> void {
   peer.last_heard = now;
   peer.sent_since = {};
   peer.misses = 0;
   if (!peer.suspect) {
-    if (now - peer.last_change > policy.calm) peer.recovery_answers = 1;
+    if (now - peer.last_change > policy.recovery_reset) peer.recovery_answers = 1;
     return;
   }
   ++peer.answers;
--- a/src/membership/suspicion.h
+++ b/src/membership/suspicion.h
@@ -19,9 +19,9 @@
   base::Duration max_timeout = base::seconds(1);
   std::uint32_t misses = 3;  ///< unanswered probes in a row until a peer is suspect
   /// Each recovery doubles the number of answers that the next recovery takes, up to the bound;
-  /// a quiet period of `calm` sets it back.
+  /// a quiet period of `recovery_reset` sets it back.
   std::uint32_t max_recovery_answers = 16;
-  base::Duration calm = base::seconds(60);
+  base::Duration recovery_reset = base::seconds(60);
 };
 
 /// What is known of one peer.
