--- a/src/membership/internal/suspicion.cc
+++ b/src/membership/internal/suspicion.cc
@@ -27,7 +27,7 @@
 auto NoteAnswer(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
                 SuspicionEffects& effects) -> void {
   peer.last_heard = now;
-  peer.sent_since = {};
+  peer.unanswered_since = {};
   peer.misses = 0;
   if (!peer.suspect) {
     if (now - peer.last_change > policy.recovery_reset) peer.recovery_answers = 1;
@@ -86,8 +86,8 @@
 }
 
 auto IsDoubtful(const SuspicionPolicy& policy, const Peer& peer, base::TimePoint now) -> bool {
-  if (peer.suspect || peer.probe != 0 || peer.sent_since == base::TimePoint{}) return false;
-  return now - peer.sent_since > TimeoutOf(policy, peer);
+  if (peer.suspect || peer.probe != 0 || peer.unanswered_since == base::TimePoint{}) return false;
+  return now - peer.unanswered_since > TimeoutOf(policy, peer);
 }
 
 auto SendRound(Suspicion& state, base::TimePoint now, SuspicionEffects& effects) -> void {
@@ -135,7 +135,7 @@
 
 auto Handle(Suspicion& state, const Sent& event, base::TimePoint now, SuspicionEffects&) -> void {
   auto* peer = FindPeer(state, event.peer);
-  if (peer != nullptr && peer->sent_since == base::TimePoint{}) peer->sent_since = now;
+  if (peer != nullptr && peer->unanswered_since == base::TimePoint{}) peer->unanswered_since = now;
 }
 
 auto Handle(Suspicion& state, const SuspicionTimer&, base::TimePoint now, SuspicionEffects& effects)
--- a/src/membership/suspicion.h
+++ b/src/membership/suspicion.h
@@ -34,7 +34,7 @@
   std::uint32_t recovery_answers = 1;
   base::Duration round_trip{};  ///< smoothed; zero until measured
   base::TimePoint last_heard{};
-  base::TimePoint sent_since{};  ///< first datagram after `last_heard`; zero: none
+  base::TimePoint unanswered_since{};  ///< first datagram after `last_heard`; zero: none
   base::TimePoint last_change{};
   std::uint64_t probe = 0;  ///< sequence of the probe under way; 0: none
   base::TimePoint probe_sent{};
