--- a/src/membership/internal/codec.cc
+++ b/src/membership/internal/codec.cc
@@ -34,7 +34,8 @@
       MembershipError{MembershipErrorCode::kBadRecord, std::string(key), shape});
 }
 
-// As text: many JSON readers hold numbers as doubles, which would change an id of 64 bits.
+// Ids are written as text, because many JSON readers store numbers as doubles, which cannot hold
+// all 64-bit ids.
 auto FormatId(std::uint64_t value) -> std::string {
   auto digits = std::array<char, kIdDigits>{};
   auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, kHexBase).ptr;
@@ -46,8 +47,8 @@
   auto text = std::string();
   if (!json::TakeText(at, text)) return;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, kHexBase);
-  auto whole = text.size() == kIdDigits && end == text.data() + text.size();
-  if (error != std::errc{} || !whole) {
+  auto is_complete = text.size() == kIdDigits && end == text.data() + text.size();
+  if (error != std::errc{} || !is_complete) {
     json::Refuse(at, json::ReadErrorCode::kNotAKey, "16 hexadecimal digits");
   }
 }
--- a/src/membership/internal/suspicion.cc
+++ b/src/membership/internal/suspicion.cc
@@ -5,7 +5,7 @@
 namespace anvildrum::membership {
 namespace {
 
-constexpr auto kSmoothing = 8;  // RFC 6298: the new sample weighs an eighth
+constexpr auto kSmoothing = 8;  // RFC 6298: a new sample has a weight of 1/8
 
 auto FindPeer(Suspicion& state, const PeerRef& ref) -> Peer* {
   auto found = std::ranges::lower_bound(state.peers, ref.instance, {}, &Peer::instance);
@@ -21,11 +21,11 @@
   effects.changes.push_back({peer.instance, suspect});
 }
 
-// Safeguard: a peer that dies and lives again every few seconds would move its flows' home each
-// time, and each move costs registrations. It has to answer twice as often each time before it is
-// trusted again, so the moves grow rarer; after a recovery_reset period it starts afresh.
-auto NoteAnswer(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
-                SuspicionEffects& effects) -> void {
+// Safeguard: a peer that fails and recovers every few seconds would move its flows' homes each
+// time, and each move costs registrations. Each recovery therefore takes twice as many answers as
+// the one before, which makes the moves rarer. After a period without changes the number is reset.
+auto RecordAnswer(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
+                  SuspicionEffects& effects) -> void {
   peer.last_heard = now;
   peer.unanswered_since = {};
   peer.misses = 0;
@@ -39,15 +39,15 @@
   SetSuspect(peer, false, now, effects);
 }
 
-auto NoteMiss(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
-              SuspicionEffects& effects) -> void {
+auto RecordMiss(const SuspicionPolicy& policy, Peer& peer, base::TimePoint now,
+                SuspicionEffects& effects) -> void {
   peer.answers = 0;
   ++peer.misses;
   if (peer.suspect || peer.misses < policy.misses) return;
   SetSuspect(peer, true, now, effects);
 }
 
-auto Smooth(Peer& peer, base::Duration sample) -> void {
+auto UpdateRoundTrip(Peer& peer, base::Duration sample) -> void {
   if (peer.round_trip == base::Duration::zero()) {
     peer.round_trip = std::max<base::Duration>(sample, base::microseconds(1));
     return;
@@ -80,7 +80,7 @@
     if (peer.probe == 0) continue;
     if (now - peer.probe_sent < TimeoutOf(state.policy, peer)) continue;
     peer.probe = 0;
-    NoteMiss(state.policy, peer, now, effects);
+    RecordMiss(state.policy, peer, now, effects);
     if (!peer.suspect) SendProbeTo(state, peer, now, effects);
   }
 }
@@ -116,21 +116,21 @@
     -> void {
   auto* peer = FindPeer(state, event.peer);
   if (peer == nullptr) return;
-  if (peer->suspect) return;  // only answered probes, which are counted, end a suspicion
-  NoteAnswer(state.policy, *peer, now, effects);
+  if (peer->suspect) return;  // only counted answers to probes end a suspicion
+  RecordAnswer(state.policy, *peer, now, effects);
 }
 
 auto Handle(Suspicion& state, const ProbeAnswered& event, base::TimePoint now,
             SuspicionEffects& effects) -> void {
-  // Safeguard: a load that a peer tells unasked has no sequence. Taken for the answer to a probe
-  // that was answered before, it would lengthen the round trip, and the peer's death be noticed
-  // late.
+  // Safeguard: an unsolicited load report has no sequence number. If it were taken for the answer
+  // to an earlier probe, it would increase the measured round trip, and the peer's failure would be
+  // detected late.
   if (event.sequence == 0) return;
   auto* peer = FindPeer(state, event.peer);
   if (peer == nullptr || peer->probe != event.sequence) return;
   peer->probe = 0;
-  Smooth(*peer, now - peer->probe_sent);
-  NoteAnswer(state.policy, *peer, now, effects);
+  UpdateRoundTrip(*peer, now - peer->probe_sent);
+  RecordAnswer(state.policy, *peer, now, effects);
 }
 
 auto Handle(Suspicion& state, const Sent& event, base::TimePoint now, SuspicionEffects&) -> void {
--- a/src/membership/internal/view.cc
+++ b/src/membership/internal/view.cc
@@ -37,13 +37,13 @@
   service.digest = digest;
 }
 
-// The service that holds the target, and the target in it; null pointers when unknown.
-struct Place {
+// A target and the service that it belongs to. Both are null if the target is unknown.
+struct TargetLocation {
   ServiceView* service = nullptr;
   Target* target = nullptr;
 };
 
-auto FindPlace(View& view, base::TargetId id) -> Place {
+auto FindLocation(View& view, base::TargetId id) -> TargetLocation {
   for (auto& service : view.services) {
     auto found = LowerBound(service.targets, id, IdOfTarget);
     if (found != service.targets.end() && found->record.id == id) return {&service, &*found};
@@ -57,27 +57,27 @@
   return *view.services.insert(found, ServiceView{id, {}, 0});
 }
 
-auto Erase(const Place& place) -> void {
-  auto& targets = place.service->targets;
-  targets.erase(targets.begin() + (place.target - targets.data()));
-  UpdateDigest(*place.service);
+auto Erase(const TargetLocation& location) -> void {
+  auto& targets = location.service->targets;
+  targets.erase(targets.begin() + (location.target - targets.data()));
+  UpdateDigest(*location.service);
 }
 
-// Whether a record of another incarnation was written before what is known. The platform's
-// revisions tell; an incarnation is a clock's word.
+// Whether a record of another incarnation is older than the known one. Revisions of the platform
+// decide, since incarnations come from a wall clock.
 auto IsEarlier(base::Incarnation incarnation, std::uint64_t revision, base::Incarnation known,
                std::uint64_t known_revision) -> bool {
   if (revision != known_revision) return revision < known_revision;
   return incarnation < known;
 }
 
-auto IsBuried(const View& view, const TargetRecord& record) -> bool {
+auto HasTombstone(const View& view, const TargetRecord& record) -> bool {
   auto found = LowerBound(view.tombstones, record.id, IdOfTombstone);
   if (found == view.tombstones.end() || found->id != record.id) return false;
   return record.incarnation == found->incarnation || record.revision <= found->revision;
 }
 
-auto Bury(View& view, const Tombstone& tombstone) -> bool {
+auto AddTombstone(View& view, const Tombstone& tombstone) -> bool {
   auto found = LowerBound(view.tombstones, tombstone.id, IdOfTombstone);
   if (found == view.tombstones.end() || found->id != tombstone.id) {
     view.tombstones.insert(found, tombstone);
@@ -95,13 +95,13 @@
   UpdateDigest(service);
 }
 
-auto UpdateSameIncarnation(const Place& place, const TargetRecord& record) -> Applied {
-  auto& target = *place.target;
+auto UpdateSameIncarnation(const TargetLocation& location, const TargetRecord& record) -> Applied {
+  auto& target = *location.target;
   if (record.revision < target.record.revision) return Applied::kStale;
   if (record.revision == target.record.revision) return Applied::kUnchanged;
   target.record = record;
   target.draining = target.draining || record.draining;
-  UpdateDigest(*place.service);
+  UpdateDigest(*location.service);
   return Applied::kChanged;
 }
 
@@ -113,19 +113,19 @@
 }
 
 auto ApplyRecord(View& view, const TargetRecord& record, base::TimePoint now) -> Applied {
-  if (IsBuried(view, record)) return Applied::kStale;
-  auto place = FindPlace(view, record.id);
-  if (place.target != nullptr) {
-    const auto& known = place.target->record;
-    if (record.incarnation == known.incarnation) return UpdateSameIncarnation(place, record);
+  if (HasTombstone(view, record)) return Applied::kStale;
+  auto location = FindLocation(view, record.id);
+  if (location.target != nullptr) {
+    const auto& known = location.target->record;
+    if (record.incarnation == known.incarnation) return UpdateSameIncarnation(location, record);
     if (IsEarlier(record.incarnation, record.revision, known.incarnation, known.revision)) {
       return Applied::kStale;
     }
   }
   auto weight = kDefaultWeight;
-  if (place.target != nullptr) {
-    if (place.service->id == record.service) weight = place.target->weight;
-    Erase(place);
+  if (location.target != nullptr) {
+    if (location.service->id == record.service) weight = location.target->weight;
+    Erase(location);
   }
   InsertTarget(view, Target{record, weight, false, record.draining, now});
   view.revision = std::max(view.revision, record.revision);
@@ -134,35 +134,35 @@
 
 auto RemoveRecord(View& view, base::TargetId id, base::Incarnation incarnation,
                   std::uint64_t revision) -> Applied {
-  auto place = FindPlace(view, id);
-  if (place.target != nullptr) {
-    const auto& known = place.target->record;
+  auto location = FindLocation(view, id);
+  if (location.target != nullptr) {
+    const auto& known = location.target->record;
     if (known.incarnation > incarnation || known.revision > revision) return Applied::kStale;
   }
-  auto buried = Bury(view, {id, incarnation, revision});
+  auto is_newest = AddTombstone(view, {id, incarnation, revision});
   view.revision = std::max(view.revision, revision);
-  if (place.target == nullptr) return buried ? Applied::kUnchanged : Applied::kStale;
-  Erase(place);
+  if (location.target == nullptr) return is_newest ? Applied::kUnchanged : Applied::kStale;
+  Erase(location);
   return Applied::kChanged;
 }
 
 auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation) -> Applied {
-  auto place = FindPlace(view, id);
-  if (place.target == nullptr) return Applied::kStale;
-  if (place.target->record.incarnation != incarnation) return Applied::kStale;
-  if (place.target->draining) return Applied::kUnchanged;
-  place.target->draining = true;
-  UpdateDigest(*place.service);
+  auto location = FindLocation(view, id);
+  if (location.target == nullptr) return Applied::kStale;
+  if (location.target->record.incarnation != incarnation) return Applied::kStale;
+  if (location.target->draining) return Applied::kUnchanged;
+  location.target->draining = true;
+  UpdateDigest(*location.service);
   return Applied::kChanged;
 }
 
 auto ApplyRestart(View& view, const Restart& restart, base::TimePoint now) -> Applied {
-  auto place = FindPlace(view, restart.id);
-  if (place.target == nullptr) return Applied::kStale;
-  auto record = place.target->record;
-  auto stands_on_it = record.service == restart.service && record.revision == restart.revision &&
-                      record.tunnel == restart.tunnel;
-  if (!stands_on_it) return Applied::kStale;
+  auto location = FindLocation(view, restart.id);
+  if (location.target == nullptr) return Applied::kStale;
+  auto record = location.target->record;
+  auto matches_record = record.service == restart.service && record.revision == restart.revision &&
+                        record.tunnel == restart.tunnel;
+  if (!matches_record) return Applied::kStale;
   if (record.incarnation == restart.incarnation) return Applied::kUnchanged;
   record.incarnation = restart.incarnation;
   record.draining = false;
@@ -170,10 +170,10 @@
 }
 
 auto SetSuspect(View& view, base::TargetId id, bool suspect) -> Applied {
-  auto place = FindPlace(view, id);
-  if (place.target == nullptr) return Applied::kStale;
-  if (place.target->suspect == suspect) return Applied::kUnchanged;
-  place.target->suspect = suspect;
+  auto location = FindLocation(view, id);
+  if (location.target == nullptr) return Applied::kStale;
+  if (location.target->suspect == suspect) return Applied::kUnchanged;
+  location.target->suspect = suspect;
   return Applied::kChanged;
 }
 
--- a/src/membership/suspicion.h
+++ b/src/membership/suspicion.h
@@ -10,21 +10,21 @@
 
 namespace anvildrum::membership {
 
-/// How an instance notices that another one does not answer. All times of one observer.
+/// Parameters by which an observer detects that a peer does not answer.
 struct SuspicionPolicy {
   base::Duration probe_period = base::milliseconds(500);  ///< between rounds of probes
-  std::uint32_t probes_per_round = 8;                     ///< bound on a round's probes
+  std::uint32_t probes_per_round = 8;                     ///< maximum number of probes in a round
   std::uint32_t timeout_factor = 4;                       ///< timeout = factor x smoothed RTT
   base::Duration min_timeout = base::milliseconds(150);
   base::Duration max_timeout = base::seconds(1);
-  std::uint32_t misses = 3;  ///< unanswered probes in a row until a peer is suspect
-  /// Each recovery doubles the number of answers that the next recovery takes, up to the bound;
-  /// a quiet period of `recovery_reset` sets it back.
+  std::uint32_t misses = 3;  ///< unanswered probes in a row before a peer is suspect
+  /// Each recovery doubles the number of answers needed for the next one, up to this maximum. After
+  /// `recovery_reset` without a change the number is reset.
   std::uint32_t max_recovery_answers = 16;
   base::Duration recovery_reset = base::seconds(60);
 };
 
-/// What is known of one peer.
+/// State of one peer.
 struct Peer {
   base::InstanceId instance;
   base::Incarnation incarnation = 0;
@@ -34,9 +34,9 @@
   std::uint32_t recovery_answers = 1;
   base::Duration round_trip{};  ///< smoothed; zero until measured
   base::TimePoint last_heard{};
-  base::TimePoint unanswered_since{};  ///< first datagram after `last_heard`; zero: none
+  base::TimePoint unanswered_since{};  ///< first datagram sent after `last_heard`; zero: none
   base::TimePoint last_change{};
-  std::uint64_t probe = 0;  ///< sequence of the probe under way; 0: none
+  std::uint64_t probe = 0;  ///< sequence of the outstanding probe; 0: none
   base::TimePoint probe_sent{};
 };
 
@@ -54,11 +54,11 @@
   base::Incarnation incarnation = 0;
 };
 
-/// The peers to observe from now on; those that stay keep their history.
+/// Sets the peers to observe. Peers that were observed before keep their state.
 struct PeersChanged {
   std::span<const PeerRef> peers;
 };
-/// A datagram of this incarnation arrived: proof of life.
+/// A datagram of this incarnation arrived, so the peer is alive.
 struct Heard {
   PeerRef peer;
 };
@@ -67,9 +67,10 @@
   PeerRef peer;
   std::uint64_t sequence = 0;
 };
-/// A datagram went to the peer. If nothing is heard of it for longer than TimeoutOf, the peer is
-/// probed ahead of its turn: with more peers than a round reaches, traffic tells whom to doubt.
-/// Silence itself is no proof, because answers may leave by another way.
+/// A datagram was sent to the peer. If nothing is received from it for longer than TimeoutOf, the
+/// peer is probed before its turn. With more peers than a round can probe, this selects the peers
+/// to check first. Silence alone does not make a peer suspect, because answers may take another
+/// route.
 struct Sent {
   PeerRef peer;
 };
@@ -90,19 +91,19 @@
   std::vector<SuspectChanged> changes;
 };
 
-/// The observer's one entry. Call with SuspicionTimer at NextWakeUp or more often. Each
-/// probe_period starts at most probes_per_round probes, however many peers there are and however
-/// often they come and go; an unanswered one is repeated at once until the peer is suspect, so that
-/// control traffic is at most `misses` times that.
+/// Processes one event. Call it with SuspicionTimer at NextWakeUp or more often. Each probe_period
+/// starts at most probes_per_round probes, whatever the number of peers and however often it
+/// changes. An unanswered probe is repeated at once until the peer is suspect, so the control
+/// traffic is at most `misses` times that.
 auto Step(Suspicion& state, const SuspicionEvent& event, base::TimePoint now) -> SuspicionEffects;
 
-/// When the next timer is due.
+/// Returns when the next timer is due.
 auto NextWakeUp(const Suspicion& state) -> base::TimePoint;
 
-/// How long an answer of this peer may take.
+/// Returns how long this peer may take to answer.
 auto TimeoutOf(const SuspicionPolicy& policy, const Peer& peer) -> base::Duration;
 
-/// Null when not observed.
+/// Returns null if the peer is not observed.
 auto FindPeer(const Suspicion& state, base::InstanceId instance) -> const Peer*;
 
 }  // namespace anvildrum::membership
--- a/src/membership/tests/codec_test.cc
+++ b/src/membership/tests/codec_test.cc
@@ -64,9 +64,9 @@
   BOOST_TEST(read.revision == 3U);
 }
 
-// During an upgrade an old balancer reads records of new agents. Refusing a key it doesn't know
-// would make every upgraded target vanish from it.
-BOOST_AUTO_TEST_CASE(keys_of_a_later_version_are_passed_over) {
+// During an upgrade an old balancer reads records of new agents. If it refused unknown keys, it
+// would lose every upgraded target.
+BOOST_AUTO_TEST_CASE(keys_of_a_later_version_are_ignored) {
   auto text = Serialize(SampleTarget());
   text.insert(1, R"("colour": "red", )");
   BOOST_CHECK(ParseTargetRecord("targets/desk/desk-1", 1, text).has_value());
--- a/src/membership/tests/suspicion_test.cc
+++ b/src/membership/tests/suspicion_test.cc
@@ -12,7 +12,7 @@
   std::size_t changes = 0;
 };
 
-// Runs the observer; `answers` says whether the peers answer at a time.
+// Runs the observer. `answers` returns whether the peers answer at a given time.
 template <typename Answers>
 auto Run(Suspicion& state, base::TimePoint& now, base::Duration length, Answers answers)
     -> Observation {
@@ -49,9 +49,10 @@
   BOOST_TEST(!state.peers[0].suspect);
 }
 
-// A peer that stops and goes on every two seconds for ten minutes. Were it trusted at each first
-// answer, its flows' homes would move 300 times; the rising number of answers bounds the moves.
-BOOST_AUTO_TEST_CASE(a_flapping_peer_costs_bounded_changes) {
+// A peer stops and continues every two seconds for ten minutes. If one answer ended each suspicion,
+// the homes of its flows would move 300 times. The growing number of answers has to limit the
+// moves.
+BOOST_AUTO_TEST_CASE(changes_of_a_flapping_peer_are_bounded) {
   auto state = MakeObserver(1);
   auto now = base::TimePoint{};
   auto flapping = [](base::TimePoint at) {
@@ -70,7 +71,7 @@
   BOOST_TEST(seen.probes >= (rounds - 1) * state.policy.probes_per_round);
 }
 
-// The answer of a process that was replaced arrives late. It says nothing of the new process.
+// A late answer of a replaced process must not count for its successor.
 BOOST_AUTO_TEST_CASE(an_answer_of_another_incarnation_is_no_proof_of_life) {
   auto state = MakeObserver(1);
   auto now = base::TimePoint{};
@@ -80,9 +81,10 @@
   BOOST_TEST(state.peers[0].suspect);
 }
 
-// A peer tells its load unasked, under no sequence, half a period after it answered a probe. Taken
-// for the answer, it would look half a period away, and its death would be noticed that much later.
-BOOST_AUTO_TEST_CASE(a_load_told_unasked_answers_no_probe) {
+// A peer reports its load unsolicited, without a sequence number, half a period after it answered a
+// probe. If that counted as the answer, the round trip would be measured as half a period, and the
+// peer's failure would be detected that much later.
+BOOST_AUTO_TEST_CASE(an_unsolicited_load_report_answers_no_probe) {
   auto state = MakeObserver(1);
   auto now = base::TimePoint{};
   Run(state, now, base::seconds(5), [](auto) { return true; });
--- a/src/membership/tests/view_test.cc
+++ b/src/membership/tests/view_test.cc
@@ -20,8 +20,8 @@
 
 constexpr auto kNow = base::TimePoint{base::seconds(1)};
 
-// An instance that lags offers the record of a target's earlier process. Taking it would send
-// packets to a port where nobody, or another service, listens.
+// A lagging instance offers the record of a target's earlier process. If it were accepted, packets
+// would go to a port where nothing, or another service, listens.
 BOOST_AUTO_TEST_CASE(an_older_incarnation_or_revision_is_refused) {
   auto view = View{};
   BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow) == Applied::kChanged);
@@ -33,8 +33,8 @@
   BOOST_CHECK(RemoveRecord(view, base::TargetIdOf("a"), 1, 40) == Applied::kStale);
 }
 
-// A target is removed; then a peer that was frozen offers it again. The tombstone keeps it out, and
-// a restart (higher incarnation) comes in.
+// A peer that was stopped offers a target that has been removed. The tombstone has to refuse it,
+// and a restart (higher incarnation) has to be accepted.
 BOOST_AUTO_TEST_CASE(a_removed_target_comes_back_only_as_a_new_incarnation) {
   auto view = View{};
   ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
@@ -44,10 +44,10 @@
   BOOST_TEST(FindTarget(view, base::TargetIdOf("a"))->record.incarnation == 3u);
 }
 
-// A target drains, its machine's clock is set back by hours, and it starts again. Were incarnations
-// compared, nobody would take its record and it would serve no client until the clock has caught
-// up. Order: start, removal, start with a lower incarnation; a late record of the first start.
-BOOST_AUTO_TEST_CASE(a_start_after_the_clock_was_set_back_is_taken) {
+// A target drains, its machine's clock is set back by hours, and it starts again. If incarnations
+// were compared, all instances would refuse its record until the clock has caught up. Order: start,
+// removal, start with a lower incarnation, then a late record of the first start.
+BOOST_AUTO_TEST_CASE(a_start_after_the_clock_was_set_back_is_accepted) {
   auto view = View{};
   auto id = base::TargetIdOf("a");
   ApplyRecord(view, MakeRecord("a", "desk", 9, 20), kNow);
@@ -60,8 +60,9 @@
   BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 9, 20), kNow) == Applied::kStale);
 }
 
-// The same, and this instance did not see the removal: the relay passes on the last state of a key.
-BOOST_AUTO_TEST_CASE(a_start_with_a_lower_number_is_taken_where_the_removal_was_not_seen) {
+// The same on an instance that did not see the removal, since the relay forwards only the last
+// state of a key.
+BOOST_AUTO_TEST_CASE(a_lower_incarnation_is_accepted_without_the_removal) {
   auto view = View{};
   ApplyRecord(view, MakeRecord("a", "desk", 9, 20), kNow);
   BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 2, 22), kNow) == Applied::kChanged);
@@ -82,9 +83,10 @@
   return {record.id, record.service, incarnation, record.revision, record.tunnel};
 }
 
-// The platform is away and a target starts again. Its agent's word puts the new process under the
-// record in force; the platform's word, when it comes, has a higher revision and wins.
-BOOST_AUTO_TEST_CASE(a_restart_stands_on_the_record_in_force_until_the_platform_speaks) {
+// A target restarts while the platform is unreachable. Its agent's notice has to put the new
+// process under the record in force, and the platform's later record has a higher revision and has
+// to replace it.
+BOOST_AUTO_TEST_CASE(a_restart_updates_the_record_until_a_newer_revision) {
   auto view = View{};
   auto id = base::TargetIdOf("a");
   ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
@@ -99,9 +101,9 @@
   BOOST_TEST(FindTarget(view, id)->record.incarnation == 3u);
 }
 
-// Words that must not be believed: of a target that was removed, of an earlier process, of one that
-// stands on another record, of a second agent of the name elsewhere, of another service.
-BOOST_AUTO_TEST_CASE(a_restart_that_does_not_stand_on_the_record_is_refused) {
+// Notices that must be refused: of a removed target, of an earlier process, based on another
+// record, of a second agent with the same name at another address, and of another service.
+BOOST_AUTO_TEST_CASE(a_restart_that_does_not_match_the_record_is_refused) {
   auto view = View{};
   BOOST_CHECK(ApplyRestart(view, RestartOfA(3), kNow) == Applied::kStale);
   ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
@@ -120,9 +122,9 @@
   BOOST_TEST(view.services.front().targets.empty());
 }
 
-// The record is removed while a process serves under it. Its incarnation is buried with it: a late
-// copy of its word, or of the record, doesn't bring it back.
-BOOST_AUTO_TEST_CASE(a_restart_is_buried_with_its_record) {
+// The record is removed while a restarted process serves under it. Its incarnation is removed with
+// it, and late copies of its notice or of the record must not restore it.
+BOOST_AUTO_TEST_CASE(a_restart_is_removed_with_its_record) {
   auto view = View{};
   auto id = base::TargetIdOf("a");
   ApplyRecord(view, MakeRecord("a", "desk", 2, 20), kNow);
@@ -134,8 +136,8 @@
   BOOST_CHECK(ApplyRecord(view, MakeRecord("a", "desk", 4, 23), kNow) == Applied::kChanged);
 }
 
-// A process restarts on the same port as a target of another service. Balancers of the old service
-// must not find it any more.
+// A process restarts on the same port as a target of another service. Balancers must no longer find
+// it in the old service.
 BOOST_AUTO_TEST_CASE(a_target_that_restarts_under_another_service_leaves_the_first) {
   auto view = View{};
   ApplyRecord(view, MakeRecord("a", "desk", 1, 1), kNow);
@@ -166,8 +168,8 @@
   BOOST_CHECK(StateOf(*FindTarget(view, base::TargetIdOf("a"))) == TargetState::kLive);
 }
 
-// The agent says that its target drains; then the platform's record from before arrives late. Were
-// the drain taken back, the target would get new flows.
+// The agent announces that its target drains, and an older record of the platform arrives late. If
+// that ended the drain, the target would get new flows.
 BOOST_AUTO_TEST_CASE(a_record_from_before_the_drain_does_not_end_it) {
   auto view = View{};
   ApplyRecord(view, MakeRecord("a", "desk", 1, 1), kNow);
--- a/src/membership/types/membership_error.h
+++ b/src/membership/types/membership_error.h
@@ -8,7 +8,7 @@
 
 enum class MembershipErrorCode {
   kBadKey,     ///< not "targets/SERVICE/NAME" or "balancers/NAME"
-  kBadRecord,  ///< the value isn't a record; `shape` says why
+  kBadRecord,  ///< the value is not a record; `shape` has the reason
 };
 
 struct MembershipError {
--- a/src/membership/types/records.h
+++ b/src/membership/types/records.h
@@ -8,8 +8,8 @@
 
 namespace anvildrum::membership {
 
-/// What an agent announces for the target beside it: one object at the platform, key
-/// "targets/SERVICE/NAME", written once for each incarnation and deleted at the end of a drain.
+/// The target that an agent announces: one object at the platform, key "targets/SERVICE/NAME",
+/// written once for each incarnation and deleted at the end of a drain.
 struct TargetRecord {
   std::string name;
   base::TargetId id;
@@ -17,16 +17,16 @@
   base::ServiceId service;
   base::InstanceId instance;  ///< the agent process
   base::Incarnation incarnation = 0;
-  base::Endpoint tunnel;  ///< where the agent takes datagrams of the tunnel
+  base::Endpoint tunnel;  ///< where the agent receives tunnel datagrams
   base::Endpoint operator_port;
   std::string failure_domain;
   std::uint32_t slots = 0;        ///< requests the target runs at once
-  std::uint32_t connections = 0;  ///< flows the target holds at most
+  std::uint32_t connections = 0;  ///< maximum number of flows of the target
   bool draining = false;
-  std::uint64_t revision = 0;  ///< the platform's; fences every later write about this record
+  std::uint64_t revision = 0;  ///< set by the platform; fences every later write of this record
 };
 
-/// What a balancer announces: key "balancers/NAME".
+/// The balancer that announces itself, key "balancers/NAME".
 struct BalancerRecord {
   std::string name;
   base::InstanceId instance;
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -9,8 +9,8 @@
 
 namespace anvildrum::membership {
 
-/// What an instance thinks of a target. `kSuspect` is its own observation; the others are the same
-/// on every instance that has the same records.
+/// State of a target in an instance's view. `kSuspect` is the instance's own observation. The
+/// others are the same on every instance with the same records.
 enum class TargetState : std::uint8_t { kLive, kSuspect, kDraining };
 
 struct Target {
@@ -27,75 +27,75 @@
 struct ServiceView {
   base::ServiceId id;
   std::vector<Target> targets;
-  /// Over id, incarnation, draining and weight of each target; suspicion is not part of it. Two
+  /// Digest over id, incarnation, draining and weight of each target, without suspicion. Two
   /// instances with the same digest agree on the home of every flow.
   std::uint64_t digest = 0;
 };
 
-/// What is left of a target that was removed, so that an older record cannot bring it back.
+/// Remainder of a removed target, so that an older record cannot restore it.
 struct Tombstone {
   base::TargetId id;
   base::Incarnation incarnation = 0;
   std::uint64_t revision = 0;
 };
 
-/// All that an instance knows of the others. `services`, `tombstones` and `balancers` are sorted
-/// (by id, id and instance).
+/// An instance's knowledge of the others. `services`, `tombstones` and `balancers` are sorted (by
+/// id, id and instance).
 struct View {
   std::vector<ServiceView> services;
   std::vector<Tombstone> tombstones;
   std::vector<BalancerRecord> balancers;
-  std::uint64_t revision = 0;  ///< highest platform revision that was applied
+  std::uint64_t revision = 0;  ///< highest applied revision of the platform
 };
 
 enum class Applied : std::uint8_t {
-  kChanged,    ///< the view differs now
+  kChanged,    ///< the view has changed
   kUnchanged,  ///< nothing new in the record
-  kStale,      ///< refused: older than what is known
+  kStale,      ///< refused: older than the known state
 };
 
-/// Takes a record in. Safeguard: a lagging read, a slow peer or a process that wakes may offer the
-/// record of an earlier process, which would send packets to a dead one; a record of lower
-/// revision, or of the same one with a lower incarnation, is refused as kStale. So is the
-/// incarnation that was removed, whatever its revision.
+/// Applies a record. Safeguard: a lagging read, a slow peer or a process that was suspended may
+/// offer the record of an earlier process, and packets would be sent to a process that no longer
+/// exists. A record with a lower revision, or with the same revision and a lower incarnation, is
+/// refused as kStale. So is a removed incarnation, whatever its revision.
 ///
-/// The revision goes first because incarnations come from a wall clock. Failure: a target drains,
-/// its machine's clock is set back, it starts anew. Symptom by incarnation: no instance takes its
-/// record, and it serves nobody until the clock has passed the earlier start. The platform's
-/// revisions never go back for a key.
+/// Revisions are compared before incarnations, because incarnations come from a wall clock.
+/// Failure: a target drains, its machine's clock is set back, and it starts again. Symptom if
+/// incarnations decided: all instances refuse its record, and it serves nobody until the clock has
+/// passed the earlier start. The platform's revisions of a key never decrease.
 ///
-/// A later record under another service takes the target out of its earlier service.
+/// A later record under another service removes the target from its earlier service.
 auto ApplyRecord(View& view, const TargetRecord& record, base::TimePoint now) -> Applied;
 
-/// Takes a target out after its record was deleted at `revision`. A removal of an incarnation older
-/// than the known one, or at a lower revision than the known record's, is kStale.
+/// Removes a target after its record was deleted at `revision`. The removal is kStale if the known
+/// record has a higher incarnation or a higher revision.
 auto RemoveRecord(View& view, base::TargetId id, base::Incarnation incarnation,
                   std::uint64_t revision) -> Applied;
 
-/// Takes in the word of a target's own agent, which comes ahead of the platform's. A drain is final
-/// for an incarnation, so that a late record from before cannot end it; the target takes flows
+/// Applies a drain notice of the target's own agent, which arrives before the platform's record. A
+/// drain is final for an incarnation, so that an older record cannot end it. The target takes flows
 /// again after a restart.
 auto ApplyDrain(View& view, base::TargetId id, base::Incarnation incarnation) -> Applied;
 
-/// The word of a target's agent that it was started again while the platform was out of its reach.
+/// Notice of an agent that its target was restarted while the platform was unreachable.
 struct Restart {
   base::TargetId id;
   base::ServiceId service;
   base::Incarnation incarnation = 0;
-  std::uint64_t revision = 0;  ///< of the record in force that it stands on
-  base::Endpoint tunnel;       ///< where the word came from
+  std::uint64_t revision = 0;  ///< of the record in force that the notice is based on
+  base::Endpoint tunnel;       ///< sender of the notice
 };
 
-/// Puts a new incarnation under the record in force, which keeps its revision. Taken only under the
-/// very record that the agent stands on, from its own address and for its service. So nobody comes
-/// back who was removed, a second agent of the name elsewhere isn't believed, and whatever the
-/// platform takes later has a higher revision and wins. All else is kStale.
+/// Sets a new incarnation in the record in force, which keeps its revision. The notice has to match
+/// that record's revision, service and tunnel address; otherwise it is kStale. A removed target is
+/// therefore not restored, a second agent with the same name at another address is refused, and any
+/// later record of the platform has a higher revision and replaces this one.
 auto ApplyRestart(View& view, const Restart& restart, base::TimePoint now) -> Applied;
 
-/// Sets this instance's own suspicion. Leaves the digest as it is.
+/// Sets this instance's own suspicion. Does not change the digest.
 auto SetSuspect(View& view, base::TargetId id, bool suspect) -> Applied;
 
-/// A target's weight by name; targets not named weigh 1.
+/// Weight of a target by name. Other targets have a weight of 1.
 struct NamedWeight {
   base::TargetId id;
   double weight = 1.0;
@@ -107,7 +107,7 @@
 auto RemoveBalancer(View& view, base::InstanceId instance, base::Incarnation incarnation)
     -> Applied;
 
-/// Null when unknown. The pointers hold until the view changes.
+/// Returns null if unknown. The pointers are valid until the view changes.
 auto FindService(const View& view, base::ServiceId id) -> const ServiceView*;
 auto FindTarget(const ServiceView& service, base::TargetId id) -> const Target*;
 auto FindTarget(const View& view, base::TargetId id) -> const Target*;
