--- a/src/config/internal/patch.cc
+++ b/src/config/internal/patch.cc
@@ -125,15 +125,15 @@
 }
 
 auto Again(const Current& current, const PatchRecord& record, const PatchRequest& request,
-           std::string_view text) -> base::Result<Accepted> {
+           std::string_view text) -> base::Result<AcceptedPatch> {
   if (record.digest != DigestOf(request)) {
     return Refuse(current, {Rule::kIdReused, Place::kPatch, {}, request.id, {}});
   }
-  return Accepted{std::string(text), record.number, record.difference, true};
+  return AcceptedPatch{std::string(text), record.number, record.difference, true};
 }
 
 auto ApplyFresh(const Current& current, const PatchRequest& request,
-                std::span<const KnownTarget> targets) -> base::Result<Accepted> {
+                std::span<const KnownTarget> targets) -> base::Result<AcceptedPatch> {
   auto patch = PatchDocument{};
   if (auto fault = ParsePatch(request.patch, patch)) return Refuse(current, *fault);
   auto before = WithSections(current.document);
@@ -146,13 +146,13 @@
   if (document.size() > kMaxDocument) {
     return Refuse(current, {Rule::kTooLarge, {}, {}, std::to_string(document.size()), {}});
   }
-  return Accepted{std::move(document), number, std::move(difference), false};
+  return AcceptedPatch{std::move(document), number, std::move(difference), false};
 }
 
 }  // namespace
 
 auto ApplyPatch(std::string_view text, const PatchRequest& request,
-                std::span<const KnownTarget> targets) -> base::Result<Accepted> {
+                std::span<const KnownTarget> targets) -> base::Result<AcceptedPatch> {
   auto current = Current{};
   if (auto fault = ReadCurrent(text, current)) return Refuse(current, *fault);
   if (auto fault = CheckIdentity(request)) return Refuse(current, *fault);
--- a/src/config/patch.h
+++ b/src/config/patch.h
@@ -17,6 +17,6 @@
 /// by conditional update on the revision that `current` was read at; that, and not this function,
 /// decides between two operators. Errors: PatchRefusal.
 auto ApplyPatch(std::string_view current, const PatchRequest& request,
-                std::span<const KnownTarget> targets) -> base::Result<Accepted>;
+                std::span<const KnownTarget> targets) -> base::Result<AcceptedPatch>;
 
 }  // namespace anvildrum::config
--- a/src/config/tests/patch_test.cc
+++ b/src/config/tests/patch_test.cc
@@ -20,7 +20,7 @@
 }
 
 auto Taken(std::string_view current, const PatchRequest& request,
-           std::span<const KnownTarget> targets = {}) -> Accepted {
+           std::span<const KnownTarget> targets = {}) -> AcceptedPatch {
   auto accepted = ApplyPatch(current, request, targets);
   BOOST_REQUIRE(accepted.has_value());
   return accepted.value();
--- a/src/config/types/patch.h
+++ b/src/config/types/patch.h
@@ -23,7 +23,7 @@
 };
 
 /// The outcome of a patch that was accepted.
-struct Accepted {
+struct AcceptedPatch {
   std::string document;  ///< to be written by conditional update
   std::uint64_t number = 0;
   std::string difference;  ///< RFC 6902 text of what changed
--- a/src/ctl/apply.h
+++ b/src/ctl/apply.h
@@ -23,7 +23,8 @@
   CtlError error;
 };
 
-using ApplyOutcome = std::variant<config::Accepted, config::PatchRefusal, NotApplied, Unsettled>;
+using ApplyOutcome =
+    std::variant<config::AcceptedPatch, config::PatchRefusal, NotApplied, Unsettled>;
 
 struct ApplyOptions {
   bool dry_run = false;
--- a/src/ctl/internal/apply.cc
+++ b/src/ctl/internal/apply.cc
@@ -75,7 +75,7 @@
            const ApplyOptions& options, Run& run) -> std::optional<ApplyOutcome> {
   auto reading = Read(store, run);
   if (!reading) return std::nullopt;
-  auto accepted = config::Accepted{};
+  auto accepted = config::AcceptedPatch{};
   auto refusal = base::ErrorOf<config::PatchRefusal>([&]() -> base::Result<void> {
     BOOST_LEAF_ASSIGN(accepted, config::ApplyPatch(reading->document, request, reading->targets));
     return {};
--- a/src/ctl/internal/run_apply.cc
+++ b/src/ctl/internal/run_apply.cc
@@ -58,7 +58,7 @@
   base::Duration wait_limit;
   Edge& edge;
 
-  auto operator()(const config::Accepted& accepted) const -> base::Result<int> {
+  auto operator()(const config::AcceptedPatch& accepted) const -> base::Result<int> {
     if (this->command.dry_run && !accepted.before) {
       this->edge.out << "would become number " << accepted.number << ": " << accepted.difference
                      << '\n';
--- a/src/ctl/tests/apply_test.cc
+++ b/src/ctl/tests/apply_test.cc
@@ -46,8 +46,8 @@
 BOOST_AUTO_TEST_CASE(a_patch_is_written_once) {
   auto platform = SamplePlatform();
   auto outcome = Apply(platform.Store(), Request("p1"), Options());
-  BOOST_REQUIRE(std::holds_alternative<config::Accepted>(outcome));
-  BOOST_TEST(std::get<config::Accepted>(outcome).number == 4U);
+  BOOST_REQUIRE(std::holds_alternative<config::AcceptedPatch>(outcome));
+  BOOST_TEST(std::get<config::AcceptedPatch>(outcome).number == 4U);
   BOOST_TEST(platform.writes_that_took == 1);
 }
 
@@ -58,7 +58,7 @@
   request.patch = R"([{"op": "add", "path": "/services/desk",
                        "value": {"addresses": ["10.0.0.1:5683"]}}])";
   auto outcome = Apply(platform.Store(), request, Options());
-  BOOST_REQUIRE(std::holds_alternative<config::Accepted>(outcome));
+  BOOST_REQUIRE(std::holds_alternative<config::AcceptedPatch>(outcome));
   BOOST_TEST(History(platform).size() == 1U);
 }
 
@@ -70,8 +70,8 @@
     auto platform = SamplePlatform();
     platform.faults = {fault};
     auto outcome = Apply(platform.Store(), Request("p1"), Options());
-    BOOST_REQUIRE(std::holds_alternative<config::Accepted>(outcome));
-    BOOST_TEST(std::get<config::Accepted>(outcome).number == 4U);
+    BOOST_REQUIRE(std::holds_alternative<config::AcceptedPatch>(outcome));
+    BOOST_TEST(std::get<config::AcceptedPatch>(outcome).number == 4U);
     BOOST_TEST(platform.writes_that_took == 1);
   }
 }
@@ -137,7 +137,7 @@
   auto options = Options();
   options.dry_run = true;
   auto outcome = Apply(platform.Store(), Request("p1"), options);
-  BOOST_REQUIRE(std::holds_alternative<config::Accepted>(outcome));
+  BOOST_REQUIRE(std::holds_alternative<config::AcceptedPatch>(outcome));
   BOOST_TEST(platform.writes_that_took == 0);
 }
 
@@ -160,7 +160,7 @@
     auto count = std::count_if(history.begin(), history.end(),
                                [](const auto& record) { return record.id == "p1"; });
     BOOST_REQUIRE(count <= 1);
-    if (std::holds_alternative<config::Accepted>(outcome)) BOOST_REQUIRE(count == 1);
+    if (std::holds_alternative<config::AcceptedPatch>(outcome)) BOOST_REQUIRE(count == 1);
     if (std::holds_alternative<config::PatchRefusal>(outcome)) BOOST_REQUIRE(count == 0);
     if (std::holds_alternative<NotApplied>(outcome)) BOOST_REQUIRE(count == 0);
   }
