--- a/src/config/groups.h
+++ b/src/config/groups.h
@@ -34,13 +34,13 @@
 };
 
 /// What a reader holds. It may hold groups that its head does not name.
-struct Stored {
+struct StoredGroups {
   Head head;
   std::map<std::string, std::string, std::less<>> groups;  ///< key -> text
 };
 
 /// What a patch has to write, in this order.
-struct Written {
+struct GroupWrites {
   std::vector<Group> groups;
   std::string head;
 };
@@ -50,15 +50,16 @@
 
 /// Splits the document that a patch made. Groups whose text is as before keep their key. Errors:
 /// ConfigurationError kShape.
-auto SplitDocument(std::string_view document, const Stored& before, std::string_view patch_id)
-    -> base::Result<Written>;
+auto SplitDocument(std::string_view document, const StoredGroups& before, std::string_view patch_id)
+    -> base::Result<GroupWrites>;
 
 /// The document under the head's number, or nothing while a group that the head names isn't held:
 /// then the number in force stays. Errors: ConfigurationError kShape.
-auto JoinDocument(const Stored& stored) -> base::Result<std::optional<std::string>>;
+auto JoinDocument(const StoredGroups& stored) -> base::Result<std::optional<std::string>>;
 
 /// Those of the keys that neither this head nor a later one can name: made for this number or an
 /// earlier one, and not named. They may be deleted at any later time.
-auto Garbage(const Head& head, std::span<const std::string> keys) -> std::vector<std::string>;
+auto ObsoleteGroups(const Head& head, std::span<const std::string> keys)
+    -> std::vector<std::string>;
 
 }  // namespace anvildrum::config
--- a/src/config/internal/groups.cc
+++ b/src/config/internal/groups.cc
@@ -67,8 +67,8 @@
 }
 
 // The key under which the text stands already, in this place.
-auto KeptKey(const Stored& before, std::size_t count, std::size_t index, const std::string& text)
-    -> const std::string* {
+auto KeptKey(const StoredGroups& before, std::size_t count, std::size_t index,
+             const std::string& text) -> const std::string* {
   if (before.head.keys.size() != count) return nullptr;
   const auto& key = before.head.keys[index];
   auto found = before.groups.find(key);
@@ -102,13 +102,13 @@
   return head;
 }
 
-auto SplitDocument(std::string_view document, const Stored& before, std::string_view patch_id)
-    -> base::Result<Written> {
+auto SplitDocument(std::string_view document, const StoredGroups& before, std::string_view patch_id)
+    -> base::Result<GroupWrites> {
   BOOST_LEAF_AUTO(parsed, Parse(document));
   if (!HasParts(parsed)) return boost::leaf::new_error(ConfigurationError{});
   auto number = parsed["number"].get<std::uint64_t>();
   auto texts = TextsOf(parsed, before.head);
-  auto written = Written{};
+  auto written = GroupWrites{};
   auto keys = Json::array();
   for (auto i = std::size_t{0}; i < texts.size(); ++i) {
     const auto* kept = KeptKey(before, texts.size(), i, texts[i]);
@@ -119,7 +119,7 @@
   return written;
 }
 
-auto JoinDocument(const Stored& stored) -> base::Result<std::optional<std::string>> {
+auto JoinDocument(const StoredGroups& stored) -> base::Result<std::optional<std::string>> {
   auto document = Json{{"number", stored.head.number}, {"services", Json::object()}};
   for (const auto& key : stored.head.keys) {
     auto found = stored.groups.find(key);
@@ -136,7 +136,8 @@
   return std::optional<std::string>(document.dump());
 }
 
-auto Garbage(const Head& head, std::span<const std::string> keys) -> std::vector<std::string> {
+auto ObsoleteGroups(const Head& head, std::span<const std::string> keys)
+    -> std::vector<std::string> {
   auto garbage = std::vector<std::string>{};
   for (const auto& key : keys) {
     auto number = NumberOf(key);
--- a/src/config/tests/groups_test.cc
+++ b/src/config/tests/groups_test.cc
@@ -28,7 +28,7 @@
 struct Store {
   std::string head;
   std::uint64_t revision = 0;  // of the head
-  Stored now;
+  StoredGroups now;
   std::vector<Event> events;
 
   auto PutGroup(const Group& group) -> void {
@@ -53,7 +53,7 @@
   std::string id;
   std::uint64_t revision = 0;
   std::string document;
-  Written written;
+  GroupWrites written;
   std::size_t next = 0;
   std::optional<Head> committed;
   std::vector<std::string> garbage;
@@ -62,7 +62,7 @@
 
 struct Reader {
   std::size_t next = 0;
-  Stored stored;
+  StoredGroups stored;
   std::uint64_t in_force = 0;
 };
 
@@ -104,7 +104,7 @@
 auto ListGarbage(const World& world, Writer& writer) -> void {
   auto keys = std::vector<std::string>{};
   for (const auto& [key, text] : world.store.now.groups) keys.push_back(key);
-  writer.garbage = Garbage(*writer.committed, keys);
+  writer.garbage = ObsoleteGroups(*writer.committed, keys);
   writer.committed.reset();
 }
 
@@ -179,7 +179,7 @@
 
 BOOST_AUTO_TEST_CASE(a_patch_writes_the_groups_that_it_changes_and_the_rest_keep_their_keys) {
   auto document = FirstDocument();
-  auto before = Stored{};
+  auto before = StoredGroups{};
   auto all = SplitDocument(document.dump(), before, "p1").value();
   BOOST_TEST(all.groups.size() == 8U);  // seven of services, one of the history
   before.head = ParseHead(all.head).value();
