--- a/src/config/tests/patch_test.cc
+++ b/src/config/tests/patch_test.cc
@@ -29,7 +29,7 @@
 BOOST_AUTO_TEST_CASE(a_patch_makes_the_next_number_and_enters_the_history) {
   auto accepted = Taken(kSample, Request("p1", 7, kMargin));
   BOOST_TEST(accepted.number == 8U);
-  BOOST_TEST(!accepted.before);
+  BOOST_TEST(!accepted.already_accepted);
   BOOST_TEST(accepted.difference.find("load_margin") != std::string::npos);
   auto configuration = ParseConfiguration(accepted.document).value();
   BOOST_TEST(configuration.number == 8U);
@@ -47,7 +47,7 @@
   auto first = Taken(kSample, request);
   auto later = Taken(first.document, Request("p2", 8, "[]"));
   auto again = Taken(later.document, request);
-  BOOST_TEST(again.before);
+  BOOST_TEST(again.already_accepted);
   BOOST_TEST(again.number == first.number);
   BOOST_TEST(again.difference == first.difference);
   BOOST_TEST(again.document == later.document);
--- a/src/config/types/patch.h
+++ b/src/config/types/patch.h
@@ -26,8 +26,8 @@
 struct AcceptedPatch {
   std::string document;  ///< to be written by conditional update
   std::uint64_t number = 0;
-  std::string difference;  ///< RFC 6902 text of what changed
-  bool before = false;     ///< it had been accepted already, under `number`
+  std::string difference;         ///< RFC 6902 text of what changed
+  bool already_accepted = false;  ///< it had been accepted already, under `number`
 };
 
 }  // namespace anvildrum::config
--- a/src/ctl/internal/apply.cc
+++ b/src/ctl/internal/apply.cc
@@ -81,7 +81,7 @@
     return {};
   });
   if (refusal) return Refused(*refusal, run);
-  if (accepted.before || options.dry_run) return accepted;
+  if (accepted.already_accepted || options.dry_run) return accepted;
   if (Write(store, *reading, accepted.document, run)) return accepted;
   return std::nullopt;
 }
--- a/src/ctl/internal/run_apply.cc
+++ b/src/ctl/internal/run_apply.cc
@@ -59,13 +59,13 @@
   Edge& edge;
 
   auto operator()(const config::AcceptedPatch& accepted) const -> base::Result<int> {
-    if (this->command.dry_run && !accepted.before) {
+    if (this->command.dry_run && !accepted.already_accepted) {
       this->edge.out << "would become number " << accepted.number << ": " << accepted.difference
                      << '\n';
       return kDone;
     }
     this->edge.out << "accepted number " << accepted.number << " id " << this->id
-                   << (accepted.before ? " (it was in force already)\n" : "\n");
+                   << (accepted.already_accepted ? " (it was in force already)\n" : "\n");
     if (!this->command.wait || this->command.dry_run) return kDone;
     return Wait(accepted.number, this->wait_limit, this->edge);
   }
