--- a/src/config/groups.h
+++ b/src/config/groups.h
@@ -11,21 +11,22 @@
 #include "base/result.h"
 #include "config/types/configuration_error.h"
 
-/// The configuration in parts that each fit a value of the platform: groups of services, the
-/// history, and a head that names them. No input or output; docs/design/configuration.md, "Groups
-/// and a head", weighs it. Not wired yet: anvilctl and the relay still use one object.
+/// The configuration in parts that each fit into a value of the platform: groups of services, the
+/// history, and a head that lists them. No input or output. See docs/design/configuration.md,
+/// "Groups and a head". Not in use yet: anvilctl and the relay still use one object.
 ///
-/// A writer puts the new groups first and the head last, by conditional update on the revision that
-/// it read; so the head accepts a patch as a whole. A group is never written over: its key holds
-/// the number and the patch that it was made for. Failure: of two writers at one number the loser's
-/// group would stand under the winner's head. Symptom: a configuration that nobody accepted.
+/// A writer stores the new groups first and the head last, by conditional update on the revision
+/// that it read, so the head accepts a patch as a whole. A group is never overwritten: its key has
+/// the number and the patch that it was made for. Failure: two writers use the same number, and the
+/// loser's group replaces one of the winner's head. Symptom: a configuration that was never
+/// accepted.
 namespace anvildrum::config {
 
 inline constexpr std::string_view kGroupPrefix = "config-groups/";
 
 struct Head {
   std::uint64_t number = 0;
-  std::vector<std::string> keys;  ///< of the groups; the last one is the history's
+  std::vector<std::string> keys;  ///< of the groups; the last one is that of the history
 };
 
 struct Group {
@@ -33,13 +34,14 @@
   std::string text;
 };
 
-/// What a reader holds. It may hold groups that its head does not name.
+/// The head and groups that a reader has received, possibly with groups that the head does not
+/// list.
 struct StoredGroups {
   Head head;
   std::map<std::string, std::string, std::less<>> groups;  ///< key -> text
 };
 
-/// What a patch has to write, in this order.
+/// The groups and the head that a patch has to write, in this order.
 struct GroupWrites {
   std::vector<Group> groups;
   std::string head;
@@ -48,17 +50,17 @@
 /// Errors: ConfigurationError kShape.
 auto ParseHead(std::string_view text) -> base::Result<Head>;
 
-/// Splits the document that a patch made. Groups whose text is as before keep their key. Errors:
+/// Splits the document of a patch into groups. Groups with unchanged text keep their key. Errors:
 /// ConfigurationError kShape.
 auto SplitDocument(std::string_view document, const StoredGroups& before, std::string_view patch_id)
     -> base::Result<GroupWrites>;
 
-/// The document under the head's number, or nothing while a group that the head names isn't held:
-/// then the number in force stays. Errors: ConfigurationError kShape.
+/// Returns the document under the head's number, or nothing while a group listed in the head is
+/// missing. The number in force then stays. Errors: ConfigurationError kShape.
 auto JoinDocument(const StoredGroups& stored) -> base::Result<std::optional<std::string>>;
 
-/// Those of the keys that neither this head nor a later one can name: made for this number or an
-/// earlier one, and not named. They may be deleted at any later time.
+/// Returns the keys that neither this head nor a later one can list: those of this number or an
+/// earlier one that are not listed. They may be deleted at any later time.
 auto ObsoleteGroups(const Head& head, std::span<const std::string> keys)
     -> std::vector<std::string>;
 
--- a/src/config/internal/groups.cc
+++ b/src/config/internal/groups.cc
@@ -14,8 +14,9 @@
 using json::Json;
 
 constexpr auto kNumbers = json::Range{0, 9'007'199'254'740'991};
-constexpr auto kMostKeys = json::Range{1, 10'000};
-constexpr auto kSpare = std::size_t{4};  // groups grow to this many times their first size
+constexpr auto kKeyCount = json::Range{1, 10'000};
+constexpr auto kMaxGrowth =
+    std::size_t{4};  // groups may grow to this many times their initial size
 
 auto FromShape(const json::ReadError& error) -> ConfigurationError {
   return {Rule::kShape, Place::kDocument, error.pointer, error.found, error};
@@ -31,13 +32,14 @@
   return parsed;
 }
 
-// A change of their count writes every group anew, so it is kept while the groups are small.
+// A change of the group count rewrites every group, so the count is kept while the groups are
+// small.
 auto GroupCount(std::size_t services, const Head& before) -> std::size_t {
   auto wanted = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(services))));
   wanted = std::max(wanted, std::size_t{1});
   if (before.keys.size() < 2) return wanted;
   auto count = before.keys.size() - 1;
-  return services <= kSpare * count * count ? count : wanted;
+  return services <= kMaxGrowth * count * count ? count : wanted;
 }
 
 auto TextsOf(const Json& document, const Head& before) -> std::vector<std::string> {
@@ -66,9 +68,9 @@
   return number;
 }
 
-// The key under which the text stands already, in this place.
-auto KeptKey(const StoredGroups& before, std::size_t count, std::size_t index,
-             const std::string& text) -> const std::string* {
+// Returns the key at this index if the group has the same text, or null.
+auto ExistingKey(const StoredGroups& before, std::size_t count, std::size_t index,
+                 const std::string& text) -> const std::string* {
   if (before.head.keys.size() != count) return nullptr;
   const auto& key = before.head.keys[index];
   auto found = before.groups.find(key);
@@ -92,7 +94,7 @@
     json::TakeNumber(*number, kNumbers, head.number);
   }
   if (auto keys = json::Find(section, "groups", json::Presence::kRequired)) {
-    json::TakeEach(*keys, kMostKeys, [&](const Cursor& item) {
+    json::TakeEach(*keys, kKeyCount, [&](const Cursor& item) {
       head.keys.emplace_back();
       json::TakeText(item, head.keys.back());
     });
@@ -111,9 +113,9 @@
   auto written = GroupWrites{};
   auto keys = Json::array();
   for (auto i = std::size_t{0}; i < texts.size(); ++i) {
-    const auto* kept = KeptKey(before, texts.size(), i, texts[i]);
-    keys.push_back(kept != nullptr ? *kept : KeyOf(number, patch_id, i));
-    if (kept == nullptr) written.groups.push_back({keys.back(), std::move(texts[i])});
+    const auto* existing = ExistingKey(before, texts.size(), i, texts[i]);
+    keys.push_back(existing != nullptr ? *existing : KeyOf(number, patch_id, i));
+    if (existing == nullptr) written.groups.push_back({keys.back(), std::move(texts[i])});
   }
   written.head = Json{{"number", number}, {"groups", keys}}.dump();
   return written;
--- a/src/config/internal/operations.cc
+++ b/src/config/internal/operations.cc
@@ -16,8 +16,8 @@
     std::array<std::string_view, 6>{"add", "remove", "replace", "move", "copy", "test"};
 constexpr auto kOperationCount = json::Range{0, 10'000};
 
-// Safeguard: each "copy" of a part into itself doubles the document, so that a few dozen operations
-// would take all memory; a document that may grow no further than this can at most double once.
+// Safeguard: each "copy" of a part into itself doubles the document, so a few dozen operations
+// would use up all memory. With this limit the document can at most double once more.
 constexpr auto kMaxValues = std::size_t{500'000};
 
 auto InPatch(Rule rule, std::string pointer, std::string found) -> ConfigurationError {
@@ -51,7 +51,8 @@
   return rest.empty() || rest.front() == '/';
 }
 
-// The members that RFC 6902, section 4, requires of each operation; others are ignored by it.
+// Checks the members that RFC 6902, section 4, requires of each operation. Other members are
+// ignored.
 auto CheckMembers(const Cursor& at, json::Errors& errors) -> std::optional<ConfigurationError> {
   auto section = json::OpenSection(at);
   auto index = kOperations.size();
@@ -77,7 +78,8 @@
   return std::nullopt;
 }
 
-// Counts values until `budget` is used up; false when there are more, or deeper than kMaxDepth.
+// Counts values against `budget`. Returns false if there are more, or if they are nested deeper
+// than kMaxDepth.
 auto Fits(const Json& value, int depth, std::size_t& budget) -> bool {
   if (depth > json::kMaxDepth || budget == 0) return false;
   --budget;
--- a/src/config/internal/operations.h
+++ b/src/config/internal/operations.h
@@ -7,16 +7,17 @@
 
 namespace anvildrum::config {
 
-/// What an operator submitted, parsed.
+/// A parsed patch.
 struct PatchDocument {
   json::Json operations = json::Json::array();
   bool allow_address_move = false;
 };
 
-/// Parses either form of a patch; errors have place kPatch.
+/// Parses either form of a patch. Errors have the place kPatch.
 auto ParsePatch(std::string_view text, PatchDocument& out) -> std::optional<ConfigurationError>;
 
-/// Applies RFC 6902 operations in order. After an error `document` is only fit to be dropped.
+/// Applies RFC 6902 operations in order. After an error `document` is incomplete and must be
+/// discarded.
 auto Apply(const json::Json& operations, json::Json& document) -> std::optional<ConfigurationError>;
 
 }  // namespace anvildrum::config
--- a/src/config/internal/patch.cc
+++ b/src/config/internal/patch.cc
@@ -40,13 +40,13 @@
 }
 
 auto CheckIdentity(const PatchRequest& request) -> Fault {
-  auto whole =
+  auto is_valid =
       IsIdentity(request.id) && IsIdentity(request.author) && IsIdentity(request.submitted_at);
-  if (whole) return std::nullopt;
+  if (is_valid) return std::nullopt;
   return ConfigurationError{Rule::kBadIdentity, Place::kPatch, {}, {}, {}};
 }
 
-// Under one id there is one patch: its text, its base and its author.
+// Digest of a patch's text, base and author, all of which must be equal under the same id.
 auto DigestOf(const PatchRequest& request) -> std::uint64_t {
   auto text = std::to_string(request.base) + '\n' + request.author + '\n' + request.patch;
   return base::HashName(text);
@@ -59,7 +59,7 @@
   return found == history.end() ? nullptr : &*found;
 }
 
-auto Since(const Configuration& configuration, std::uint64_t base) -> std::string {
+auto ChangesSince(const Configuration& configuration, std::uint64_t base) -> std::string {
   auto since = Json::array();
   for (const auto& record : configuration.history) {
     if (record.number <= base) continue;
@@ -68,22 +68,22 @@
   return since.dump();
 }
 
-// Whether the history reaches back to the number that the base was followed by.
-auto Remembers(const Configuration& configuration, std::uint64_t base) -> bool {
+// Whether the history still has the record of the number after the base.
+auto HistoryCovers(const Configuration& configuration, std::uint64_t base) -> bool {
   const auto& history = configuration.history;
   return !history.empty() && history.front().number <= base + 1;
 }
 
 auto RefuseStale(const Current& current, std::uint64_t base) -> boost::leaf::error_id {
   const auto& configuration = current.configuration;
-  auto known = base > configuration.number || Remembers(configuration, base);
+  auto known = base > configuration.number || HistoryCovers(configuration, base);
   auto rule = known ? Rule::kStale : Rule::kBaseForgotten;
   auto fault = ConfigurationError{rule, Place::kCurrent, "/number", std::to_string(base), {}};
-  auto since = known ? Since(configuration, base) : std::string();
+  auto since = known ? ChangesSince(configuration, base) : std::string();
   return boost::leaf::new_error(PatchRefusal{fault, configuration.number, since});
 }
 
-// Parts of a service that may be left out are written in, so that an "add" below them has a parent.
+// Adds the optional sections of each service, so that an "add" below them has a parent.
 auto WithSections(Json document) -> Json {
   for (auto& service : document["services"]) {
     for (const auto* section : {"spread", "limits", "weights"}) {
@@ -93,7 +93,7 @@
   return document;
 }
 
-auto Trim(Json& history) -> void {
+auto TrimHistory(Json& history) -> void {
   auto bytes = history.dump().size();
   while (history.size() > 1 && (history.size() > kMaxHistory || bytes > kMaxHistoryBytes)) {
     bytes -= history.front().dump().size();
@@ -101,8 +101,8 @@
   }
 }
 
-auto Number(const Current& current, const PatchRequest& request, const std::string& difference,
-            Json& document) -> std::uint64_t {
+auto AssignNumber(const Current& current, const PatchRequest& request,
+                  const std::string& difference, Json& document) -> std::uint64_t {
   auto number = current.configuration.number + 1;
   auto record = PatchRecord{request.id, request.author,    request.submitted_at,
                             number,     DigestOf(request), difference};
@@ -110,7 +110,7 @@
   auto& history = document["history"];
   if (!history.is_array()) history = Json::array();
   history.push_back(WriteRecord(record));
-  Trim(history);
+  TrimHistory(history);
   return number;
 }
 
@@ -124,16 +124,17 @@
   return CheckPlacement(current.configuration, after, targets);
 }
 
-auto Again(const Current& current, const PatchRecord& record, const PatchRequest& request,
-           std::string_view text) -> base::Result<AcceptedPatch> {
+auto RepeatAcceptance(const Current& current, const PatchRecord& record,
+                      const PatchRequest& request, std::string_view text)
+    -> base::Result<AcceptedPatch> {
   if (record.digest != DigestOf(request)) {
     return Refuse(current, {Rule::kIdReused, Place::kPatch, {}, request.id, {}});
   }
   return AcceptedPatch{std::string(text), record.number, record.difference, true};
 }
 
-auto ApplyFresh(const Current& current, const PatchRequest& request,
-                std::span<const KnownTarget> targets) -> base::Result<AcceptedPatch> {
+auto ApplyNew(const Current& current, const PatchRequest& request,
+              std::span<const KnownTarget> targets) -> base::Result<AcceptedPatch> {
   auto patch = PatchDocument{};
   if (auto fault = ParsePatch(request.patch, patch)) return Refuse(current, *fault);
   auto before = WithSections(current.document);
@@ -141,7 +142,7 @@
   if (auto fault = Apply(patch.operations, after)) return Refuse(current, *fault);
   if (auto fault = CheckChange(current, patch, after, targets)) return Refuse(current, *fault);
   auto difference = Json::diff(before, after).dump();
-  auto number = Number(current, request, difference, after);
+  auto number = AssignNumber(current, request, difference, after);
   auto document = after.dump();
   if (document.size() > kMaxDocument) {
     return Refuse(current, {Rule::kTooLarge, {}, {}, std::to_string(document.size()), {}});
@@ -156,12 +157,13 @@
   auto current = Current{};
   if (auto fault = ReadCurrent(text, current)) return Refuse(current, *fault);
   if (auto fault = CheckIdentity(request)) return Refuse(current, *fault);
-  // Safeguard: a patch whose answer was lost comes again under its id. Its base is stale by then,
-  // so it must be looked for before the base is compared, or it would be reported as refused.
+  // Safeguard: a patch whose answer was lost is submitted again under its id, and its base is stale
+  // by then. The history is searched before the base is compared, or the patch would be reported as
+  // refused.
   const auto* record = FindRecord(current.configuration, request.id);
-  if (record != nullptr) return Again(current, *record, request, text);
+  if (record != nullptr) return RepeatAcceptance(current, *record, request, text);
   if (request.base != current.configuration.number) return RefuseStale(current, request.base);
-  return ApplyFresh(current, request, targets);
+  return ApplyNew(current, request, targets);
 }
 
 }  // namespace anvildrum::config
--- a/src/config/internal/read.cc
+++ b/src/config/internal/read.cc
@@ -16,7 +16,7 @@
 constexpr auto kRequired = json::Presence::kRequired;
 constexpr auto kOptional = json::Presence::kOptional;
 
-constexpr auto kNumbers = Range{0, 9'007'199'254'740'991};  // whole in every JSON reader
+constexpr auto kNumbers = Range{0, 9'007'199'254'740'991};  // exact in every JSON reader
 constexpr auto kDigests = Range{0, 18'446'744'073'709'551'615.0};
 constexpr auto kAddresses = Range{0, 10'000};
 constexpr auto kLoadMargins = Range{0, 10};
--- a/src/config/internal/read.h
+++ b/src/config/internal/read.h
@@ -8,10 +8,10 @@
 
 namespace anvildrum::config {
 
-/// Fills `out` from a document and checks its form and the rules that need nothing else.
+/// Fills `out` from a document. Checks its shape and the rules that need no other input.
 auto Read(const json::Json& document, Configuration& out) -> std::optional<ConfigurationError>;
 
-/// Parses text; the error's place is kDocument.
+/// Parses text. Errors have the place kDocument.
 auto ParseDocument(std::string_view text, json::Json& out) -> std::optional<ConfigurationError>;
 
 }  // namespace anvildrum::config
--- a/src/config/internal/rules.cc
+++ b/src/config/internal/rules.cc
@@ -18,7 +18,7 @@
   return json::Child(json::Child(ServicePointer(service), "addresses"), std::to_string(index));
 }
 
-auto Broken(Rule rule, std::string pointer, std::string found) -> ConfigurationError {
+auto Violation(Rule rule, std::string pointer, std::string found) -> ConfigurationError {
   return {rule, Place::kDocument, std::move(pointer), std::move(found), {}};
 }
 
@@ -30,17 +30,18 @@
 
 auto CheckService(const Service& service, Owners& owners) -> std::optional<ConfigurationError> {
   if (service.addresses.empty()) {
-    return Broken(Rule::kNoAddress, ServicePointer(service) + "/addresses", service.name);
+    return Violation(Rule::kNoAddress, ServicePointer(service) + "/addresses", service.name);
   }
   for (auto i = std::size_t{0}; i < service.addresses.size(); ++i) {
     const auto& address = service.addresses[i];
     auto text = base::FormatEndpoint(address);
     if (!IsUsable(address)) {
-      return Broken(Rule::kUnusableAddress, AddressPointer(service, i), text);
+      return Violation(Rule::kUnusableAddress, AddressPointer(service, i), text);
     }
     auto [owner, added] = owners.emplace(address, service.name);
     if (!added) {
-      return Broken(Rule::kAddressTaken, AddressPointer(service, i), text + " of " + owner->second);
+      return Violation(Rule::kAddressTaken, AddressPointer(service, i),
+                       text + " of " + owner->second);
     }
   }
   return std::nullopt;
@@ -63,7 +64,7 @@
   return services;
 }
 
-// Targets that take new flows, as far as they themselves go.
+// Targets that are not draining, by service.
 auto IndexTargets(std::span<const KnownTarget> targets) -> TargetsByService {
   auto by_service = TargetsByService{};
   for (const auto& target : targets) {
@@ -103,8 +104,8 @@
     for (auto i = std::size_t{0}; i < service.addresses.size(); ++i) {
       auto owner = owners.find(service.addresses[i]);
       if (owner == owners.end() || owner->second == service.name) continue;
-      return Broken(Rule::kAddressMoved, AddressPointer(service, i),
-                    base::FormatEndpoint(owner->first) + " of " + owner->second);
+      return Violation(Rule::kAddressMoved, AddressPointer(service, i),
+                       base::FormatEndpoint(owner->first) + " of " + owner->second);
     }
   }
   return std::nullopt;
@@ -119,10 +120,10 @@
     if (own.empty()) continue;
     auto successor = successors.find(service.name);
     if (successor == successors.end()) {
-      return Broken(Rule::kServiceHasTargets, ServicePointer(service), service.name);
+      return Violation(Rule::kServiceHasTargets, ServicePointer(service), service.name);
     }
     if (CanPlace(service, own) && !CanPlace(*successor->second, own)) {
-      return Broken(Rule::kNowhereToPlace, ServicePointer(service) + "/weights", service.name);
+      return Violation(Rule::kNowhereToPlace, ServicePointer(service) + "/weights", service.name);
     }
   }
   return std::nullopt;
--- a/src/config/internal/rules.h
+++ b/src/config/internal/rules.h
@@ -9,17 +9,20 @@
 
 namespace anvildrum::config {
 
-/// Every service has an address, each usable and of one service only.
+/// Checks that every service has an address, and that each address is usable and belongs to one
+/// service.
 auto CheckAddresses(const Configuration& configuration) -> std::optional<ConfigurationError>;
 
-/// No address goes from one service to another. Safeguard: instances learn of a change at different
-/// moments, so for seconds a moved address means one service here and another there, and clients
-/// that still use it for the old service would reach the new one. An operator who has moved the
-/// clients first says so in the patch; two patches, first a removal, do the same without a flag.
+/// Checks that no address moves from one service to another. Safeguard: instances receive a change
+/// at different times, so for seconds a moved address belongs to one service on some instances and
+/// to another on the rest, and clients that still use it for the old service would reach the new
+/// one. An operator who has moved the clients first sets a flag in the patch. Two patches, first
+/// one with a removal, have the same effect without the flag.
 auto CheckMoves(const Configuration& before, const Configuration& after)
     -> std::optional<ConfigurationError>;
 
-/// Every service that could place a new flow still can, and none goes while targets serve it.
+/// Checks that every service that could place a new flow still can, and that no service with
+/// targets is removed.
 auto CheckPlacement(const Configuration& before, const Configuration& after,
                     std::span<const KnownTarget> targets) -> std::optional<ConfigurationError>;
 
--- a/src/config/tests/configuration_test.cc
+++ b/src/config/tests/configuration_test.cc
@@ -18,7 +18,7 @@
          std::string(name) + "\": " + std::string(service) + "}}";
 }
 
-BOOST_AUTO_TEST_CASE(a_document_reads_whole_with_defaults) {
+BOOST_AUTO_TEST_CASE(a_document_is_parsed_with_defaults) {
   auto configuration = ParseConfiguration(kSample).value();
   BOOST_TEST(configuration.number == 7U);
   BOOST_REQUIRE(configuration.services.size() == 2);
@@ -43,7 +43,7 @@
   BOOST_TEST(configuration.services.empty());
 }
 
-BOOST_AUTO_TEST_CASE(faults_of_form_name_their_place) {
+BOOST_AUTO_TEST_CASE(shape_errors_name_their_place) {
   auto check = [](std::string_view service, json::ReadErrorCode code, std::string_view pointer) {
     auto error = ErrorIn(WithService("desk", service));
     BOOST_CHECK(error.rule == Rule::kShape);
@@ -63,7 +63,7 @@
         "/services/desk/spread/mood");
 }
 
-BOOST_AUTO_TEST_CASE(faults_of_sense_name_their_rule) {
+BOOST_AUTO_TEST_CASE(rule_violations_name_their_rule) {
   auto check = [](std::string_view service, Rule rule, std::string_view pointer) {
     auto error = ErrorIn(WithService("desk", service));
     BOOST_CHECK(error.rule == rule);
@@ -76,8 +76,9 @@
         "/services/desk/addresses/1");
 }
 
-// A packet for the address would reach whichever service an instance happens to look up first.
-BOOST_AUTO_TEST_CASE(an_address_is_of_one_service) {
+// If two services had the address, a packet for it would reach whichever service an instance finds
+// first.
+BOOST_AUTO_TEST_CASE(an_address_belongs_to_one_service) {
   auto error = ErrorIn(WithService("desk", R"({"addresses": ["10.0.0.2:5683"]})"));
   BOOST_CHECK(error.rule == Rule::kAddressTaken);
   BOOST_TEST(error.found == "10.0.0.2:5683 of desk");
--- a/src/config/tests/fuzz_test.cc
+++ b/src/config/tests/fuzz_test.cc
@@ -12,8 +12,8 @@
 constexpr auto kSeed = 20'261'202U;
 constexpr auto kRuns = 4'000;
 
-// Bytes at random rarely stay JSON, so most mutations swap in pieces that do.
-constexpr auto kPieces =
+// Random bytes rarely give valid JSON, so most mutations insert these fragments.
+constexpr auto kFragments =
     std::array<std::string_view, 18>{"{}",
                                      "[]",
                                      "null",
@@ -45,17 +45,17 @@
     auto start = text.find_last_of(",:[{", at);
     start = start == std::string::npos ? 0 : start + 1;
     if (start > end) continue;
-    text.replace(start, end - start, kPieces.at(random() % kPieces.size()));
+    text.replace(start, end - start, kFragments.at(random() % kFragments.size()));
   }
   return text;
 }
 
-// Whatever stands at the platform or in a patch file, the answer is a value or a typed error, and
-// what is accepted reads back: an instance that met anything else would end, or refuse a number
-// that an operator was told is in force.
+// Any document from the platform or a patch file has to give a value or a typed error, and accepted
+// ones have to survive a round trip. Otherwise an instance would exit, or refuse a number that was
+// reported to an operator as in force.
 BOOST_AUTO_TEST_CASE(mutated_documents_give_typed_errors) {
   auto random = std::mt19937(kSeed);
-  auto read = 0;
+  auto accepted_count = 0;
   auto refused = 0;
   for (auto run = 0; run < kRuns; ++run) {
     auto text = Mutate(std::string(kSample), random);
@@ -65,13 +65,13 @@
       return {};
     });
     BOOST_REQUIRE(!error || !Describe(*error).empty());
-    ++(error ? refused : read);
+    ++(error ? refused : accepted_count);
   }
-  BOOST_TEST(read > 0);
+  BOOST_TEST(accepted_count > 0);
   BOOST_TEST(refused > 0);
 }
 
-BOOST_AUTO_TEST_CASE(mutated_patches_are_taken_whole_or_refused) {
+BOOST_AUTO_TEST_CASE(mutated_patches_are_applied_completely_or_refused) {
   constexpr auto patch = std::string_view{
       R"([{"op":"add","path":"/services/desk/weights/desk-2","value":0.5},
           {"op":"copy","from":"/services/desk","path":"/services/twin"},
@@ -79,7 +79,7 @@
           {"op":"replace","path":"/services/desk/weights","value":{"desk-1":3}},
           {"op":"test","path":"/number","value":7}])"};
   auto random = std::mt19937(kSeed);
-  auto taken = 0;
+  auto accepted_count = 0;
   auto refused = 0;
   for (auto run = 0; run < kRuns; ++run) {
     auto request = Request("p", 7, Mutate(std::string(patch), random));
@@ -90,9 +90,9 @@
       return {};
     });
     BOOST_REQUIRE(!error || error->number == 7);
-    ++(error ? refused : taken);
+    ++(error ? refused : accepted_count);
   }
-  BOOST_TEST(taken > 0);
+  BOOST_TEST(accepted_count > 0);
   BOOST_TEST(refused > 0);
 }
 
--- a/src/config/tests/groups_test.cc
+++ b/src/config/tests/groups_test.cc
@@ -21,10 +21,10 @@
 
 struct Event {
   std::string key;
-  std::optional<std::string> text;  // nothing: deleted
+  std::optional<std::string> text;  // empty: deleted
 };
 
-// The platform: the head by conditional update, groups beside it, and the watch's events in order.
+// The platform: the head with conditional updates, the groups, and the watch's events in order.
 struct Store {
   std::string head;
   std::uint64_t revision = 0;  // of the head
@@ -53,10 +53,10 @@
   std::string id;
   std::uint64_t revision = 0;
   std::string document;
-  GroupWrites written;
+  GroupWrites writes;
   std::size_t next = 0;
   std::optional<Head> committed;
-  std::vector<std::string> garbage;
+  std::vector<std::string> obsolete;
   bool busy = false;
 };
 
@@ -77,9 +77,9 @@
   int patches = 0;
 };
 
-auto Begin(World& world, Writer& writer) -> void {
+auto BeginPatch(World& world, Writer& writer) -> void {
   auto document = JoinDocument(world.store.now).value();
-  BOOST_REQUIRE(document.has_value());  // the head in force is whole at any moment
+  BOOST_REQUIRE(document.has_value());  // the head in force is always complete
   auto changed = Json::parse(*document);
   changed["number"] = changed["number"].get<std::uint64_t>() + 1;
   auto service = "service-" + std::to_string(world.random() % kServices);
@@ -89,43 +89,43 @@
   writer.id = "p" + std::to_string(++world.patches);
   writer.revision = world.store.revision;
   writer.document = changed.dump();
-  writer.written = SplitDocument(writer.document, world.store.now, writer.id).value();
+  writer.writes = SplitDocument(writer.document, world.store.now, writer.id).value();
 }
 
 auto Commit(World& world, Writer& writer) -> void {
-  writer.busy = world.store.PutHead(writer.written.head, writer.revision);
+  writer.busy = world.store.PutHead(writer.writes.head, writer.revision);
   if (!writer.busy) return;
   world.accepted[world.store.now.head.number] = writer.document;
   writer.committed = world.store.now.head;
-  writer.written.head.clear();
+  writer.writes.head.clear();
 }
 
-// By its own head, which is an old one by now.
-auto ListGarbage(const World& world, Writer& writer) -> void {
+// Uses the writer's own head, which may be out of date by now.
+auto ListObsolete(const World& world, Writer& writer) -> void {
   auto keys = std::vector<std::string>{};
   for (const auto& [key, text] : world.store.now.groups) keys.push_back(key);
-  writer.garbage = ObsoleteGroups(*writer.committed, keys);
+  writer.obsolete = ObsoleteGroups(*writer.committed, keys);
   writer.committed.reset();
 }
 
-// One call of a writer; it may also die here.
-auto Move(World& world, Writer& writer) -> void {
+// Makes one call of a writer, which may also stop here for good.
+auto Step(World& world, Writer& writer) -> void {
   if (writer.busy && world.random() % 30 == 0) writer.busy = false;
-  if (!writer.busy) return Begin(world, writer);
-  if (writer.next < writer.written.groups.size()) {
-    return world.store.PutGroup(writer.written.groups[writer.next++]);
+  if (!writer.busy) return BeginPatch(world, writer);
+  if (writer.next < writer.writes.groups.size()) {
+    return world.store.PutGroup(writer.writes.groups[writer.next++]);
   }
-  if (!writer.written.head.empty()) return Commit(world, writer);
-  if (writer.committed) return ListGarbage(world, writer);
-  if (writer.garbage.empty()) {
+  if (!writer.writes.head.empty()) return Commit(world, writer);
+  if (writer.committed) return ListObsolete(world, writer);
+  if (writer.obsolete.empty()) {
     writer.busy = false;
     return;
   }
-  world.store.DeleteGroup(writer.garbage.back());
-  writer.garbage.pop_back();
+  world.store.DeleteGroup(writer.obsolete.back());
+  writer.obsolete.pop_back();
 }
 
-auto TakeEvent(Reader& reader, const Event& event) -> void {
+auto ApplyEvent(Reader& reader, const Event& event) -> void {
   if (event.key == "config") {
     reader.stored.head = ParseHead(*event.text).value();
   } else if (event.text) {
@@ -135,7 +135,7 @@
   }
 }
 
-auto Check(const World& world, Reader& reader) -> void {
+auto CheckReader(const World& world, Reader& reader) -> void {
   auto document = JoinDocument(reader.stored).value();
   auto number = reader.stored.head.number;
   BOOST_REQUIRE(number >= reader.in_force);
@@ -144,33 +144,33 @@
   BOOST_REQUIRE(*document == world.accepted.at(number));
 }
 
-auto Move(World& world, Reader& reader) -> void {
-  if (world.random() % 50 == 0) {  // lists anew
+auto Step(World& world, Reader& reader) -> void {
+  if (world.random() % 50 == 0) {  // lists again
     reader.stored = world.store.now;
     reader.next = world.store.events.size();
   } else if (reader.next < world.store.events.size()) {
-    TakeEvent(reader, world.store.events[reader.next++]);
+    ApplyEvent(reader, world.store.events[reader.next++]);
   }
-  Check(world, reader);
+  CheckReader(world, reader);
 }
 
-// Three operators patch at once, die in the middle, and clean up late; three instances follow at
-// their own pace. Whatever the order, an instance has accepted documents in force and nothing else,
-// and the last one in the end.
+// Three operators submit patches at once, may die in between and clean up late, while three
+// instances follow at different speeds. In any order, an instance may have only accepted documents
+// in force, and the last one in the end.
 BOOST_AUTO_TEST_CASE(only_accepted_documents_come_into_force_and_the_last_one_does) {
   for (auto seed = 1U; seed <= 12; ++seed) {
     auto world = World(seed);
     auto first = FirstDocument().dump();
-    auto written = SplitDocument(first, {}, "first").value();
-    for (const auto& group : written.groups) world.store.PutGroup(group);
-    world.store.PutHead(written.head, 0);
+    auto writes = SplitDocument(first, {}, "first").value();
+    for (const auto& group : writes.groups) world.store.PutGroup(group);
+    world.store.PutHead(writes.head, 0);
     world.accepted[1] = first;
     for (auto step = 0; step < kSteps; ++step) {
-      if (world.random() % 2 == 0) Move(world, world.writers[world.random() % 3]);
-      Move(world, world.readers[world.random() % 3]);
+      if (world.random() % 2 == 0) Step(world, world.writers[world.random() % 3]);
+      Step(world, world.readers[world.random() % 3]);
     }
     for (auto& reader : world.readers) {
-      while (reader.next < world.store.events.size()) Move(world, reader);
+      while (reader.next < world.store.events.size()) Step(world, reader);
       BOOST_TEST(reader.in_force == world.accepted.rbegin()->first);
     }
     BOOST_TEST(world.accepted.size() > 10U);
@@ -193,7 +193,7 @@
   BOOST_TEST(!JoinDocument(missing).value().has_value());
 }
 
-BOOST_AUTO_TEST_CASE(a_head_that_is_none_is_refused) {
+BOOST_AUTO_TEST_CASE(an_invalid_head_is_refused) {
   for (const auto* text :
        {"", "[]", R"({"number": 1})", R"({"number": 1, "groups": []})",
         R"({"number": -1, "groups": ["a"]})", R"({"number": 1, "groups": [7]})"}) {
--- a/src/config/tests/sample.h
+++ b/src/config/tests/sample.h
@@ -7,7 +7,7 @@
 
 namespace anvildrum::config {
 
-/// A small site as it would be written by hand.
+/// A small site, formatted as if written by hand.
 inline constexpr auto kSample = std::string_view{R"({
   "number": 7,
   "services": {
