--- a/src/wire/convert.h
+++ b/src/wire/convert.h
@@ -8,7 +8,8 @@
 
 namespace anvildrum::wire {
 
-/// Between the core's value types and their messages. Reading fails with WireError kBadAddress.
+/// Conversion between the core's value types and their messages. Reading fails with WireError
+/// kBadAddress.
 auto WriteEndpoint(const base::Endpoint& endpoint, pb::Address& message) -> void;
 auto ReadEndpoint(const pb::Address& message) -> base::Result<base::Endpoint>;
 auto WriteFlow(const base::FlowKey& flow, pb::Flow& message) -> void;
--- a/src/wire/key_ring.h
+++ b/src/wire/key_ring.h
@@ -6,11 +6,11 @@
 
 namespace anvildrum::wire {
 
-/// A secret that all instances of one deployment share, for SipHash-2-4 (128-bit MAC).
+/// A secret shared by all instances of one deployment, for SipHash-2-4 (128-bit MAC).
 using Key = base::SipHashKey;
 
-/// Keys that are accepted; the first one seals. For a rotation each instance first accepts the new
-/// key beside the old one, then seals with the new one, then drops the old one.
+/// Accepted keys, of which the first one is used to seal. In a rotation each instance first accepts
+/// the new key besides the old one, then seals with the new one, then removes the old one.
 struct KeyRing {
   std::vector<Key> keys;
 };
--- a/src/wire/tests/datagram_test.cc
+++ b/src/wire/tests/datagram_test.cc
@@ -37,8 +37,8 @@
   BOOST_TEST(Bytes(opened.payload.begin(), opened.payload.end()) == payload);
 }
 
-// Instances of two versions run side by side during a rollout: were the MAC computed otherwise,
-// each would drop all datagrams of the other. The bytes are those that OpenSSL's SIPHASH gave.
+// Instances of two versions run together during a rollout. If they computed the MAC differently,
+// each would drop all datagrams of the other. The bytes are those of OpenSSL's SIPHASH.
 BOOST_AUTO_TEST_CASE(a_sealed_datagram_is_the_same_in_every_version) {
   auto header = pb::TunnelHeader{};
   header.set_sender(1);
@@ -51,8 +51,8 @@
   BOOST_TEST(datagram == expected, boost::test_tools::per_element());
 }
 
-// A sender without the key, or with a datagram altered on its way, gets nothing delivered: one
-// flipped bit anywhere makes the MAC fail, and the header is never parsed.
+// A datagram of a sender without the key, or one altered on its way, must not be delivered. Any
+// flipped bit has to make the MAC check fail before the header is parsed.
 BOOST_AUTO_TEST_CASE(any_flipped_bit_is_refused) {
   auto ring = KeyRing{{kOldKey}};
   auto datagram = SealPacket(ring, Bytes{9, 9});
