--- a/src/ctl/internal/apply.cc
+++ b/src/ctl/internal/apply.cc
@@ -75,13 +75,13 @@
            const ApplyOptions& options, Run& run) -> std::optional<ApplyOutcome> {
   auto reading = Read(store, run);
   if (!reading) return std::nullopt;
-  auto accepted = config::Accepted{};
+  auto accepted = config::AcceptedPatch{};
   auto refusal = base::ErrorOf<config::PatchRefusal>([&]() -> base::Result<void> {
     BOOST_LEAF_ASSIGN(accepted, config::ApplyPatch(reading->document, request, reading->targets));
     return {};
   });
   if (refusal) return Refused(*refusal, run);
-  if (accepted.before || options.dry_run) return accepted;
+  if (accepted.already_accepted || options.dry_run) return accepted;
   if (Write(store, *reading, accepted.document, run)) return accepted;
   return std::nullopt;
 }
--- a/src/requests/internal/dispatch.cc
+++ b/src/requests/internal/dispatch.cc
@@ -1,4 +1,4 @@
-// Life of a request between its intake and its outcome: queue, slot, target, timers.
+// A request between its arrival and its outcome: queue, slot, target and timers.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -8,8 +8,8 @@
 
 constexpr auto kIdBytes = std::size_t{8};
 
-auto Enlist(Context& context, LedgerEntry& entry, Transition transition) -> void {
-  MoveOn(context, entry, transition);
+auto AddLive(Context& context, LedgerEntry& entry, Transition transition) -> void {
+  ApplyTransition(context, entry, transition);
   auto& live = FlowOf(context, entry.identity.flow).live;
   if (std::find(live.begin(), live.end(), entry.id) == live.end()) live.push_back(entry.id);
 }
@@ -25,14 +25,14 @@
 auto WaitInQueue(Context& context, LedgerEntry& entry) -> void {
   const auto& client = entry.identity.flow.client.address;
   MakeRoomInQueue(context, client);
-  Enlist(context, entry, Transition::kEnqueue);
+  AddLive(context, entry, Transition::kEnqueue);
   Enqueue(context.state.admission, {entry.id, client, entry.deadline});
   CountOne(context, Counter::kQueued);
   MarkTrace(context, entry, Mark::kQueued);
 }
 
-auto OnWake(Context& context, LedgerEntry& entry) -> void {
-  entry.wake = {};
+auto OnEntryTimer(Context& context, LedgerEntry& entry) -> void {
+  entry.timer_due = {};
   switch (entry.stage) {
     case Stage::kRunning:
       if (entry.client_deadline <= context.now) return OnClientDeadline(context, entry);
@@ -45,21 +45,21 @@
       FinishUnknown(context, entry, Counter::kUnknownHandOn);
       break;
     case Stage::kObserving:
-      OnStreamWake(context, entry);
+      OnStreamTimer(context, entry);
       break;
     default:
-      ResendOwn(context, entry);
+      Retransmit(context, entry);
       break;
   }
 }
 
-auto WakeEntries(Context& context) -> void {
-  auto& wakeups = context.state.wakeups;
-  while (!wakeups.empty() && wakeups.begin()->first <= context.now) {
-    auto id = wakeups.begin()->second;
-    wakeups.erase(wakeups.begin());
+auto RunEntryTimers(Context& context) -> void {
+  auto& entry_timers = context.state.entry_timers;
+  while (!entry_timers.empty() && entry_timers.begin()->first <= context.now) {
+    auto id = entry_timers.begin()->second;
+    entry_timers.erase(entry_timers.begin());
     auto* entry = FindById(context.state.ledger, id);
-    if (entry != nullptr) OnWake(context, *entry);
+    if (entry != nullptr) OnEntryTimer(context, *entry);
   }
 }
 
@@ -72,14 +72,15 @@
 
 auto Run(Context& context, LedgerEntry& entry) -> void {
   auto& state = context.state;
-  Enlist(context, entry, Transition::kSend);
+  AddLive(context, entry, Transition::kSend);
   entry.started = context.now;
-  entry.holds_slot = !entry.follow_up;
-  if (entry.holds_slot) HoldSlot(state.admission, entry.identity.flow.client.address);
+  entry.holds_slot = !entry.admission_exempt;
+  if (entry.holds_slot) AcquireSlot(state.admission, entry.identity.flow.client.address);
   SendRequest(context, entry);
-  // A safe request may be sent again when the client repeats it; any other one never is.
+  // A safe request may be sent again when its client repeats it. All others are sent only once.
   if (entry.method != MethodClass::kSafe) SetRequestBytes(state.ledger, entry, {});
-  WakeAt(context, entry, std::min(context.now + state.parameters.run_limit, entry.client_deadline));
+  SetEntryTimer(context, entry,
+                std::min(context.now + state.parameters.run_limit, entry.client_deadline));
   ++state.admitted;
   EarnRetry(state.retries, state.parameters.retry_share, state.parameters.retry_burst);
   ObserveDecision(state.admission, false);
@@ -101,12 +102,12 @@
       if (target_gone && entry.method == MethodClass::kSafe && TryHandOn(context, entry)) return;
       return FinishUnknown(context, entry, Counter::kUnknownTargetGone);
     default:
-      // What is offered to another agent goes on there while the flow is open here.
+      // An offer to another agent stays valid while the flow is open here.
       if (!target_gone) FinishUnknown(context, entry, Counter::kUnknownTargetGone);
   }
 }
 
-// Ends what of the flow is in progress; the flow is known.
+// Ends the requests in progress of a known flow.
 auto EndRequests(Context& context, const base::FlowKey& flow, FlowEnd end) -> void {
   auto live = context.state.flows.at(flow).live;
   for (auto id : live) {
@@ -121,7 +122,7 @@
   context.effects.emplace_back(Count{counter});
 }
 
-auto MoveOn(Context& context, LedgerEntry& entry, Transition transition) -> void {
+auto ApplyTransition(Context& context, LedgerEntry& entry, Transition transition) -> void {
   auto next = Advance(entry.stage, transition);
   if (!next) return CountOne(context, Counter::kIllegalTransition);
   entry.stage = *next;
@@ -134,7 +135,8 @@
 auto FlowOf(Context& context, const base::FlowKey& flow) -> FlowState& {
   auto [at, added] = context.state.flows.try_emplace(flow);
   if (!added) return at->second;
-  // A flow that comes back finds other message IDs in use than those the client still remembers.
+  // A flow that returns starts with random message IDs, because its client may still remember the
+  // earlier ones.
   at->second.next_target_message_id = static_cast<std::uint16_t>(context.state.random());
   at->second.next_client_message_id = static_cast<std::uint16_t>(context.state.random());
   const auto& floors = context.state.closed.floors;
@@ -143,11 +145,11 @@
   return at->second;
 }
 
-auto WakeAt(Context& context, LedgerEntry& entry, base::TimePoint at) -> void {
-  auto& wakeups = context.state.wakeups;
-  if (entry.wake != base::TimePoint{}) wakeups.erase({entry.wake, entry.id});
-  entry.wake = at;
-  if (at != base::TimePoint{}) wakeups.insert({at, entry.id});
+auto SetEntryTimer(Context& context, LedgerEntry& entry, base::TimePoint at) -> void {
+  auto& entry_timers = context.state.entry_timers;
+  if (entry.timer_due != base::TimePoint{}) entry_timers.erase({entry.timer_due, entry.id});
+  entry.timer_due = at;
+  if (at != base::TimePoint{}) entry_timers.insert({at, entry.id});
 }
 
 auto TokenOfId(std::uint64_t id) -> Token {
@@ -197,7 +199,7 @@
   if (entry.client_deadline <= context.now) {
     return FinishNotRun(context, entry, Counter::kRefusedDeadline);
   }
-  if (entry.follow_up) return Run(context, entry);
+  if (entry.admission_exempt) return Run(context, entry);
   auto candidate =
       Candidate{entry.identity.flow.client.address, entry.deadline, entry.client_deadline};
   auto verdict = DecideAdmission(state.admission, state.parameters, candidate, context.now);
@@ -213,28 +215,28 @@
   }
 }
 
-auto EndLive(Context& context, LedgerEntry& entry) -> void {
+auto RemoveLive(Context& context, LedgerEntry& entry) -> void {
   auto& admission = context.state.admission;
   const auto& client = entry.identity.flow.client.address;
   if (entry.stage == Stage::kQueued) RemoveQueued(admission, entry.id);
   if (entry.holds_slot) ReleaseSlot(admission, client);
   entry.holds_slot = false;
-  WakeAt(context, entry, {});
+  SetEntryTimer(context, entry, {});
   auto flow = context.state.flows.find(entry.identity.flow);
   if (flow == context.state.flows.end()) return;
   std::erase(flow->second.live, entry.id);
 }
 
-// A flow that closes may be opened elsewhere, where what its client was challenged for here is
-// foreign and told unknown; should it come back, the old values must not run anything.
-auto KeepFloor(Context& context, const base::FlowKey& key, const FlowState& flow) -> void {
+// A closed flow may be opened elsewhere, where Echo values of this agent are foreign and answered
+// with "unknown". If the flow returns, the values from before must not run anything.
+auto RecordEchoFloor(Context& context, const base::FlowKey& key, const FlowState& flow) -> void {
   if (std::max(flow.last_echo, flow.echo_floor) == 0) return;
   auto& closed = context.state.closed;
   closed.floors[key] = context.state.mint.last_issue;
   closed.expiries.emplace_back(context.now + context.state.parameters.echo_lifetime, key);
 }
 
-auto ForgetFloors(Context& context) -> void {
+auto ExpireEchoFloors(Context& context) -> void {
   auto& closed = context.state.closed;
   while (!closed.expiries.empty() && closed.expiries.front().first <= context.now) {
     auto key = closed.expiries.front().second;
@@ -248,11 +250,11 @@
 
 auto OnTimer(Context& context) -> void {
   auto& state = context.state;
-  WakeEntries(context);
+  RunEntryTimers(context);
   RefuseOverdue(context);
-  ForgetFloors(context);
+  ExpireEchoFloors(context);
   ExpireRequests(state.ledger, context.now, [&](LedgerEntry& entry) {
-    WakeAt(context, entry, {});
+    SetEntryTimer(context, entry, {});
     if (entry.stage != Stage::kChallenged) return;
     EndChallenge(state.admission, entry.identity.flow.client.address);
   });
@@ -262,7 +264,7 @@
   auto& state = context.state;
   if (!state.flows.contains(event.flow)) return;
   EndRequests(context, event.flow, FlowEnd::kClosed);
-  KeepFloor(context, event.flow, state.flows.at(event.flow));
+  RecordEchoFloor(context, event.flow, state.flows.at(event.flow));
   state.flows.erase(event.flow);
 }
 
--- a/src/requests/internal/streams.cc
+++ b/src/requests/internal/streams.cc
@@ -1,4 +1,4 @@
-// Observations (RFC 7641) and the message IDs of what the target sends on its own.
+// Observations (RFC 7641) and the message IDs of messages initiated by the target.
 #include <algorithm>
 
 #include "requests/internal/state.h"
@@ -6,9 +6,9 @@
 namespace anvildrum::requests {
 namespace {
 
-constexpr auto kPassedRing = std::size_t{32};
-// RFC 7641, 3.4: sequence numbers are 24 bits and compare as newer within half of that, or after
-// this much time whatever they are.
+constexpr auto kMaxForwarded = std::size_t{32};
+// RFC 7641, 3.4: a sequence number has 24 bits and is newer within half of that range, or after
+// this much time whatever its value.
 constexpr auto kSequenceHalf = std::uint32_t{1} << 23;
 constexpr auto kSequenceTime = base::seconds(128);
 constexpr auto kSuccessClass = 2;
@@ -20,41 +20,43 @@
   return now > entry.notified + kSequenceTime;
 }
 
-auto NoteNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+auto RecordNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
   entry.notification_sequence = message.observe.value_or(entry.notification_sequence);
   entry.notification_message_id = message.message_id;
   entry.notified = context.now;
 }
 
-auto PassNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
+auto ForwardNotification(Context& context, LedgerEntry& entry, const Message& message) -> void {
   if (message.type == MessageType::kAcknowledgement) {
-    auto form = ReplyFormOf(context, AskerOf(entry));
+    auto form = ReplyFormOf(context, RequesterOf(entry));
     context.effects.emplace_back(SendToClient{
         entry.identity.flow,
         WithIdentity(message.whole, form.type, form.message_id, entry.identity.token)});
     return;
   }
-  PassToClient(context, entry, message);
-  auto waits = entry.wake != base::TimePoint{};
+  ForwardToClient(context, entry, message);
+  auto waits = entry.timer_due != base::TimePoint{};
   if (message.type != MessageType::kConfirmable || waits) return;
-  WakeAt(context, entry, context.now + context.state.parameters.stream_ack_limit);
+  SetEntryTimer(context, entry, context.now + context.state.parameters.stream_ack_limit);
 }
 
 // Safeguard: a client drops a notification whose number is not newer than the last one (RFC 7641,
-// 3.4), and two targets count apart: after a move its screen would stand still for 128 s.
-auto PassMoved(Context& context, LedgerEntry& entry, const Message& message) -> void {
-  if (!message.observe) return PassNotification(context, entry, message);
-  MoveSequence(entry, *message.observe);
-  if (entry.sequence_offset == 0) return PassNotification(context, entry, message);
-  auto bytes = WithObserve(message, MovedSequence(entry, *message.observe));
-  PassNotification(context, entry, *ParseMessage(bytes));
-}
-
-// The first answer ends the request; the stream that stays holds a connection, not a slot.
+// 3.4), and each target has its own numbers. After a move the client would show no updates for 128
+// s.
+auto ForwardWithClientSequence(Context& context, LedgerEntry& entry, const Message& message)
+    -> void {
+  if (!message.observe) return ForwardNotification(context, entry, message);
+  SetSequenceOffset(entry, *message.observe);
+  if (entry.sequence_offset == 0) return ForwardNotification(context, entry, message);
+  auto bytes = WithObserve(message, ClientSequence(entry, *message.observe));
+  ForwardNotification(context, entry, *ParseMessage(bytes));
+}
+
+// The first answer ends the request. The stream keeps the flow's socket but no slot.
 auto OpenStream(Context& context, LedgerEntry& entry, std::uint8_t code) -> void {
-  NoteServiceTime(context, entry, code);
-  EndLive(context, entry);
-  MoveOn(context, entry, Transition::kOpenStream);
+  RecordServiceTime(context, entry, code);
+  RemoveLive(context, entry);
+  ApplyTransition(context, entry, Transition::kOpenStream);
   FlowOf(context, entry.identity.flow).live.push_back(entry.id);
   CountOne(context, Counter::kStreamOpened);
   CountOne(context, Counter::kAnswered);
@@ -83,38 +85,39 @@
   auto& flow = FlowOf(context, entry.identity.flow);
   if (entry.stage == Stage::kRunning) {
     OpenStream(context, entry, message.code);
-  } else if (FindPassedByTarget(flow, entry.id, message.message_id) == nullptr &&
+  } else if (FindForwardedByTarget(flow, entry.id, message.message_id) == nullptr &&
              IsStale(context, entry, message)) {
     return DropStale(context, entry, message);
   }
-  PassMoved(context, entry, message);
+  ForwardWithClientSequence(context, entry, message);
   if (EndsStream(message)) return EndStream(context, entry, Counter::kStreamEnded);
-  NoteNotification(context, entry, message);
+  RecordNotification(context, entry, message);
 }
 
 auto EndStream(Context& context, LedgerEntry& entry, Counter counter) -> void {
   CountOne(context, counter);
-  EndLive(context, entry);
-  // Kept without an answer: a late copy of the registration must not open the stream again.
-  MoveOn(context, entry, Transition::kAnswer);
+  RemoveLive(context, entry);
+  // The entry is kept without an answer, so that a late copy of the registration does not reopen
+  // the stream.
+  ApplyTransition(context, entry, Transition::kAnswer);
   SetRequestBytes(context.state.ledger, entry, {});
   KeepUntil(context.state.ledger, entry, context.now + kExchangeLifetime);
 }
 
-auto OnStreamWake(Context& context, LedgerEntry& entry) -> void {
-  // A target that sends confirmable notifications waits for their ACKs too; the RST makes it
-  // forget the stream now rather than after its own retransmissions (RFC 7641, 3.6).
+auto OnStreamTimer(Context& context, LedgerEntry& entry) -> void {
+  // A target that sends confirmable notifications also waits for their ACKs. The RST makes it drop
+  // the stream at once rather than after its own retransmissions (RFC 7641, 3.6).
   context.effects.emplace_back(
       SendToTarget{entry.identity.flow, BuildReset(entry.notification_message_id)});
   EndStream(context, entry, Counter::kStreamClientGone);
 }
 
-auto CancelPending(Context& context, const Message& message, const Asker& asker) -> void {
+auto CancelPending(Context& context, const Message& message, const Requester& requester) -> void {
   auto& ledger = context.state.ledger;
-  auto live = FlowOf(context, asker.identity.flow).live;
+  auto live = FlowOf(context, requester.identity.flow).live;
   for (auto id : live) {
     auto& entry = *FindById(ledger, id);
-    auto is_it = entry.observe && entry.identity.token == asker.identity.token &&
+    auto is_it = entry.observe && entry.identity.token == requester.identity.token &&
                  entry.path_digest == message.path_digest;
     if (!is_it) continue;
     if (entry.stage == Stage::kQueued) FinishNotRun(context, entry, Counter::kStreamEnded);
@@ -124,67 +127,67 @@
   }
 }
 
-auto RefreshStream(Context& context, const Message& message, const Asker& asker) -> bool {
+auto RefreshStream(Context& context, const Message& message, const Requester& requester) -> bool {
   auto& ledger = context.state.ledger;
   auto matches = [&](std::uint64_t id) {
     const auto& entry = ledger.entries.at(id);
-    return entry.stage == Stage::kObserving && entry.identity.token == asker.identity.token &&
+    return entry.stage == Stage::kObserving && entry.identity.token == requester.identity.token &&
            entry.path_digest == message.path_digest;
   };
-  const auto& live = FlowOf(context, asker.identity.flow).live;
+  const auto& live = FlowOf(context, requester.identity.flow).live;
   auto found = std::find_if(live.begin(), live.end(), matches);
-  if (asker.identity.origin.value != 0 || found == live.end()) return false;
+  if (requester.identity.origin.value != 0 || found == live.end()) return false;
   auto& entry = *FindById(ledger, *found);
-  AdoptIdentity(ledger, entry, asker.identity);
-  entry.type = asker.type;
+  AddIdentity(ledger, entry, requester.identity);
+  entry.type = requester.type;
   entry.acknowledged = false;
   entry.content_digest = message.content_digest;
   SetRequestBytes(ledger, entry, message.whole);
   if (message.observe != 0U) {
-    // The client gives the observation up: what comes now is a plain answer.
+    // The client cancels the observation, so the next answer is a plain one.
     entry.observe = false;
-    entry.follow_up = true;
-    MoveOn(context, entry, Transition::kCancelStream);
+    entry.admission_exempt = true;
+    ApplyTransition(context, entry, Transition::kCancelStream);
     entry.started = context.now;
-    WakeAt(context, entry, context.now + context.state.parameters.run_limit);
+    SetEntryTimer(context, entry, context.now + context.state.parameters.run_limit);
   }
   SendRequest(context, entry);
   return true;
 }
 
-auto FindPassedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
-    -> PassedMessage* {
-  for (auto& passed : flow.passed) {
-    if (passed.request == request && passed.target_side == target_side) return &passed;
+auto FindForwardedByTarget(FlowState& flow, std::uint64_t request, std::uint16_t target_side)
+    -> ForwardedMessage* {
+  for (auto& forwarded : flow.forwarded) {
+    if (forwarded.request == request && forwarded.target_side == target_side) return &forwarded;
   }
   return nullptr;
 }
 
-auto FindPassedByClient(FlowState& flow, std::uint16_t client_side) -> PassedMessage* {
-  for (auto& passed : flow.passed) {
-    if (passed.client_side == client_side) return &passed;
+auto FindForwardedByClient(FlowState& flow, std::uint16_t client_side) -> ForwardedMessage* {
+  for (auto& forwarded : flow.forwarded) {
+    if (forwarded.client_side == client_side) return &forwarded;
   }
   return nullptr;
 }
 
-auto RememberPassed(FlowState& flow, const PassedMessage& message) -> void {
-  if (flow.passed.size() < kPassedRing) {
-    flow.passed.push_back(message);
+auto RecordForwarded(FlowState& flow, const ForwardedMessage& message) -> void {
+  if (flow.forwarded.size() < kMaxForwarded) {
+    flow.forwarded.push_back(message);
     return;
   }
-  flow.passed[flow.passed_next] = message;
-  flow.passed_next = (flow.passed_next + 1) % kPassedRing;
+  flow.forwarded[flow.forwarded_next] = message;
+  flow.forwarded_next = (flow.forwarded_next + 1) % kMaxForwarded;
 }
 
-auto PassToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes {
+auto ForwardToClient(Context& context, LedgerEntry& entry, const Message& message) -> Bytes {
   auto& flow = FlowOf(context, entry.identity.flow);
-  auto* known = FindPassedByTarget(flow, entry.id, message.message_id);
+  auto* known = FindForwardedByTarget(flow, entry.id, message.message_id);
   auto client_side = std::uint16_t{0};
   if (known != nullptr) {
     client_side = known->client_side;
   } else {
     client_side = flow.next_client_message_id++;
-    RememberPassed(flow, {client_side, message.message_id, entry.id});
+    RecordForwarded(flow, {client_side, message.message_id, entry.id});
   }
   auto bytes = WithIdentity(message.whole, message.type, client_side, entry.identity.token);
   context.effects.emplace_back(SendToClient{entry.identity.flow, bytes});
