--- a/src/packets/internal/request_outcome.cc
+++ b/src/packets/internal/request_outcome.cc
@@ -76,7 +76,8 @@
     answer.counted = true;
     answer.taken = now - flow.asked_at;
   }
-  if (sent > 0) answer.bytes = static_cast<std::uint32_t>(sent);
+  // Sequences wrap around at 4 GiB, so the bytes counted may be more.
+  if (sent > 0) answer.bytes = std::max(answer.bytes, static_cast<std::uint32_t>(sent));
   FinishAnswer(agent, id, flow, Ending::kAnswered, now);
   if (answer.begin_known && IsAsked(flow)) Fail(agent, id, flow, Ending::kUnanswered, now);
 }
--- a/src/requests/internal/outcome.cc
+++ b/src/requests/internal/outcome.cc
@@ -23,8 +23,9 @@
 }
 
 auto FormFor(Context& context, LedgerEntry& entry) -> ReplyForm {
-  if (entry.identity.origin.value == 0 && HadAnswer(entry))
+  if (entry.identity.origin.value == 0 && HadAnswer(entry)) {
     return NewAgentConfirmable(context, entry);
+  }
   return ReplyFormOf(context, RequesterOf(entry));
 }
 
@@ -187,8 +188,9 @@
   auto round = kMaxSends - entry.transmissions_left;
   --entry.transmissions_left;
   context.effects.emplace_back(SendToClient{entry.identity.flow, entry.answer});
-  if (entry.transmissions_left > 0)
+  if (entry.transmissions_left > 0) {
     SetEntryTimer(context, entry, context.now + kAckTimeout * (1 << round));
+  }
 }
 
 }  // namespace anvildrum::requests
--- a/src/requests/tests/property_test.cc
+++ b/src/requests/tests/property_test.cc
@@ -86,10 +86,12 @@
   for (const auto& user_request : world.user_requests) {
     auto changes = user_request.method != kGet;
     if (changes && user_request.executions > 1) return "ran twice";
-    if (changes && user_request.outcome == Outcome::kNotRun && user_request.executions > 0)
+    if (changes && user_request.outcome == Outcome::kNotRun && user_request.executions > 0) {
       return "not run ran";
-    if (user_request.outcome == Outcome::kAnswered && user_request.executions == 0)
+    }
+    if (user_request.outcome == Outcome::kAnswered && user_request.executions == 0) {
       return "answered, never ran";
+    }
     if (changes && user_request.ran_after_unknown) return "ran after its client was told unknown";
     if (user_request.foreign_answer) return "answer of another request";
     if (user_request.outcome == Outcome::kPending) return "no final outcome";
@@ -120,8 +122,9 @@
     auto violation = FindViolation(world);
     for (const auto& user_request : world.user_requests) {
       if (user_request.outcome == Outcome::kAnswered) ++answered;
-      if (!timeouts_allowed && user_request.outcome == Outcome::kTimeout)
+      if (!timeouts_allowed && user_request.outcome == Outcome::kTimeout) {
         violation = "a client timed out";
+      }
     }
     BOOST_REQUIRE_MESSAGE(violation.empty(), "seed " << seed << ": " << violation);
   }
--- a/src/requests/tests/world.cc
+++ b/src/requests/tests/world.cc
@@ -33,8 +33,9 @@
   ++user_request.executions;
   // A live agent that has lost the flow may still start requests in its queue.
   auto settled = user_request.outcome_at + 2 * world.parameters.queue_limit;
-  if (user_request.outcome == Outcome::kUnknown && world.now > settled)
+  if (user_request.outcome == Outcome::kUnknown && world.now > settled) {
     user_request.ran_after_unknown = true;
+  }
   auto incarnation = world.agents[agent].target_incarnation;
   auto taken = RandomDuration(world, base::milliseconds(1), base::milliseconds(120));
   auto send = [&world, agent, flow, incarnation](base::Duration delay, const Bytes& datagram) {
--- a/src/requests/tests/world_client.cc
+++ b/src/requests/tests/world_client.cc
@@ -78,8 +78,9 @@
   }
   if (message.code == kCodeServiceUnavailable) return Close(world, exchange, Outcome::kNotRun);
   if (message.code == kCodeGatewayTimeout) return Close(world, exchange, Outcome::kUnknown);
-  if (NumberIn(message.whole) != exchange.user_request)
+  if (NumberIn(message.whole) != exchange.user_request) {
     world.user_requests[exchange.user_request].foreign_answer = true;
+  }
   Close(world, exchange, Outcome::kAnswered);
 }
 
@@ -132,8 +133,9 @@
   OpenExchange(world, at, number, {});
   After(world, kMaxTransmitWait, [&world, client, number] {
     for (auto& exchange : world.clients[client].exchanges) {
-      if (exchange.user_request == number && exchange.open)
+      if (exchange.user_request == number && exchange.open) {
         Close(world, exchange, Outcome::kTimeout);
+      }
     }
   });
   return number;
