State reasons of the admission limits without the trials behind them

The comments of two limits and of the failure share told what other values gave, and one named a parameter that does not exist. They now give the reason alone.

--- a/src/admission/internal/controller.cc
+++ b/src/admission/internal/controller.cc
@@ -30,7 +30,7 @@
 constexpr auto kSecondCopyAfter = base::milliseconds{600};
 
 // Limit for less urgent first openings, in requests per slot, where waits are predicted and urgent
-// requests stay in time. With 2.0, the limit of last copies, copies displaced a sixth of the first
+// requests stay in time. It exceeds the limit of last copies, so that these do not displace first
 // openings after a burst.
 constexpr auto kLessUrgentPerSlot = 2.5;
 
@@ -57,8 +57,8 @@
 // Handshake time before the first observation: a round trip between client and target.
 constexpr auto kInitialHandshake = base::milliseconds{6};
 
-// Less urgent openings that may be saved up for admission beyond their limit. With 2, a fifth of a
-// large reserved share expired unused.
+// Less urgent openings that may be saved up for admission beyond their limit, so that the share
+// does not expire unused between two of them.
 constexpr auto kMaxReserved = 4.0;
 
 auto IsSameWork(const RequestClass& a, const RequestClass& b) -> bool {
@@ -92,8 +92,8 @@
   return load.in_flight < per_slot * load.slots;
 }
 
-// Whether an opening whose client has waited for `waited` would be answered after `within` (zero:
-// unknown).
+// Whether the opening would be answered later than `within` after its client's first one; zero is
+// an unknown time.
 auto EndsTooLate(const Controller& controller, const Candidate& candidate, const TargetLoad& load,
                  base::Duration within) -> bool {
   if (!controller.policy.admit_by_completion || within == base::Duration{}) return false;
--- a/src/outlier/internal/verdicts.cc
+++ b/src/outlier/internal/verdicts.cc
@@ -30,8 +30,8 @@
 // Estimates a target's failure share as the mean of Jeffreys' prior after the counts.
 //
 // Safeguard: at 20 requests a second and a failure share of 0.03, every second target has no
-// failure in its counts. With the plain quotient the peers' median was then 0, and one healthy
-// target in 11 became doubtful within an hour.
+// failure in its counts. The median of plain quotients would be 0, and a healthy target with a few
+// failures would look as if it failed far more often than its peers.
 auto ShareOf(const Counts& counts) -> double {
   return (std::min(counts.failed, counts.answered) + 0.5) / (counts.answered + 1.0);
 }
