--- a/src/json/tests/reader_test.cc
+++ b/src/json/tests/reader_test.cc
@@ -79,7 +79,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(names_are_fit_for_keys_of_the_platform) {
-  for (const auto* text : {"desk", "scada-gw", "b1", "cuyo_2.x"}) BOOST_TEST(IsName(text));
+  for (const auto* text : {"desk", "scada-gw", "b1", "north_2.x"}) BOOST_TEST(IsName(text));
   for (const auto* text : {"", "a/b", "-a", "A", "a b", "a\n"}) BOOST_TEST(!IsName(text));
   BOOST_TEST(!IsName(std::string(64, 'a')));
 }
--- a/src/membership/tests/codec_test.cc
+++ b/src/membership/tests/codec_test.cc
@@ -55,7 +55,7 @@
   auto record = BalancerRecord{};
   record.name = "b1";
   record.instance = {1};
-  record.failure_domain = "cuyo-2";
+  record.failure_domain = "north-2";
   record.control = base::EndpointFromV4(0x7f000001, 7100);
   auto read = ParseBalancerRecord(KeyOf(record), 3, Serialize(record)).value();
   BOOST_TEST(read.name == "b1");
