--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -24,23 +24,6 @@
 // stall while the agent is not running.
 constexpr auto kShutdownDelay = base::milliseconds{100};
 
-constexpr auto kOk = 200U;
-constexpr auto kBadRequest = 400U;
-constexpr auto kConflict = 409U;
-
-// Longest part of a path in a log line, in characters; the sender chooses the path's length.
-constexpr auto kLoggedPath = std::size_t{80};
-
-auto JsonReply(unsigned status) -> net::OperatorResponse {
-  return {.status = status, .content_type = "application/json", .body = "{}"};
-}
-
-auto PlainReply(unsigned status) -> net::OperatorResponse {
-  auto response = net::OperatorResponse{};
-  response.status = status;
-  return response;
-}
-
 // A target counts as silent after two and a half heartbeat periods, so that one heartbeat may be
 // lost, but at the latest when its address may serve another service. The time is at least
 // kMinHeartbeats periods; a shorter one withholds openings from a healthy target.
@@ -58,10 +41,6 @@
   return std::max(missed, HeartbeatsOf(settings, kMinHeartbeats));
 }
 
-// A target with a higher heartbeat sequence number started before this process, so an earlier
-// process has written the record.
-constexpr auto kMaxStartupHeartbeats = std::uint64_t{2};
-
 // Shortest time between two requests for a newer configuration, so that an agent does not fetch
 // every revision of a rapid series.
 constexpr auto kMinAskInterval = base::milliseconds{500};
@@ -193,28 +172,6 @@
   return {};
 }
 
-auto AgentNode::OpenHeartbeats() -> base::Result<void> {
-  auto readiness = net::OperatorPort::Open(this->io, {.local = this->settings.readiness});
-  if (!readiness) return readiness.error();
-  this->readiness_port = std::move(readiness.value());
-  this->readiness_port->Route("GET", std::string(this->adapter.readiness_path),
-                              [](const net::OperatorRequest&) { return PlainReply(kOk); });
-  auto heartbeats = net::OperatorPort::Open(this->io, {.local = this->settings.heartbeats});
-  if (!heartbeats) return heartbeats.error();
-  this->heartbeat_port = std::move(heartbeats.value());
-  const auto path = std::string(this->adapter.heartbeat_path);
-  this->heartbeat_port->Route("PUT", path, [this](const net::OperatorRequest& request) {
-    return this->OnHeartbeat(request);
-  });
-  this->heartbeat_port->Route(
-      "GET", this->configuration.Path(),
-      [this](const net::OperatorRequest&) { return this->configuration.Answer(); });
-  this->heartbeat_port->Route("DELETE", path, [this](const net::OperatorRequest& request) {
-    return this->OnLeave(request);
-  });
-  return {};
-}
-
 // The agent may have a different target from now on, possibly of another service.
 auto AgentNode::Reload(const Settings& changed) -> void {
   this->settings.seeds = changed.seeds;
@@ -335,54 +292,6 @@
        {"flows", this->core.flows.size()}});
 }
 
-auto AgentNode::TargetIdOf(std::string_view path) const -> std::string_view {
-  return path.substr(std::min(path.size(), this->adapter.heartbeat_path.size()));
-}
-
-auto AgentNode::OnHeartbeat(const net::OperatorRequest& request) -> net::OperatorResponse {
-  const auto heartbeat =
-      this->adapter.decode_heartbeat(this->TargetIdOf(request.path), request.body);
-  if (!heartbeat) {
-    ++this->malformed;
-    this->LogInvalidInput("heartbeat_unreadable", request.path);
-    return JsonReply(kBadRequest);
-  }
-  auto outcome = packets::TakeHeartbeat(this->core, *heartbeat, base::Now());
-  if (outcome == packets::HeartbeatOutcome::kOtherService) {
-    this->reload();
-    outcome = packets::TakeHeartbeat(this->core, *heartbeat, base::Now());
-  }
-  // A stale heartbeat is not acknowledged, because a target assumes that a departure is known once
-  // it is acknowledged.
-  if (outcome == packets::HeartbeatOutcome::kStale) {
-    this->LogInvalidInput("heartbeat_not_believed", request.path);
-    return JsonReply(kConflict);
-  }
-  this->target_watch.OnTargetAlive();
-  if (outcome != packets::HeartbeatOutcome::kChanged || this->core.stopping) return JsonReply(kOk);
-  this->told_state = packets::StateOf(this->core, base::Now());
-  Log(LogLevel::kInfo, "target_state",
-      {{"target", heartbeat->incarnation.id},
-       {"started_ms", heartbeat->incarnation.started_ms.value_or(0)},
-       {"sequence", heartbeat->sequence},
-       {"draining", heartbeat->draining}});
-  this->ReportToAll();
-  this->AnnounceToSeeds();
-  if (heartbeat->sequence > kMaxStartupHeartbeats) this->registrar.ExpectObject();
-  this->registrar.Keep(EncodeRecord({this->core.own, this->settings.agent->service}));
-  return JsonReply(kOk);
-}
-
-auto AgentNode::OnLeave(const net::OperatorRequest& request) -> net::OperatorResponse {
-  const auto id = this->adapter.target_id(this->TargetIdOf(request.path));
-  if (!packets::TakeLeave(this->core, id, base::Now())) return JsonReply(kOk);
-  const auto doubtful = this->core.target.leave_doubtful;
-  Log(LogLevel::kInfo, "target_left", {{"target", id}, {"doubtful", doubtful}});
-  this->ReportToAll();
-  if (!doubtful) this->registrar.Remove();
-  return JsonReply(kOk);
-}
-
 auto AgentNode::SendControl(packets::Address balancer, const packets::Control& control) -> void {
   const auto text = packets::EncodeControl(control);
   const auto* bytes = reinterpret_cast<const std::uint8_t*>(text.data());
@@ -417,84 +326,6 @@
   for (const auto& [balancer, heard] : this->core.balancers) this->Report(balancer);
 }
 
-auto AgentNode::ObserveWork(base::Duration took) -> void {
-  telemetry::Observe(this->work_seconds, std::chrono::duration<double>(took).count());
-}
-
-auto AgentNode::LogDecision(std::string_view event, const packets::Packet& packet,
-                            std::string_view reason) -> void {
-  this->operators.LogDecision(event, packet, reason,
-                              {this->core.peers.size(), this->core.flows.size(), 0});
-}
-
-auto AgentNode::Counts() const -> std::vector<NamedCount> {
-  auto counts = CountsOf(this->core, base::Now());
-  const auto calls = CountsOf(CallsByFreshness{this->client.Counts(), this->stale_client.Counts()});
-  counts.insert(counts.end(), calls.begin(), calls.end());
-  counts.push_back({"classed_routes", "Routes of the target's service whose class is known",
-                    this->core.route_classes.classes.size(), true});
-  counts.push_back(
-      {"malformed_total", "Datagrams and heartbeats rejected as malformed", this->malformed});
-  return counts;
-}
-
-auto AgentNode::LogTraffic() -> void {
-  const auto& counters = this->core.counters;
-  if (counters.delivered == this->logged_counters.delivered &&
-      counters.refused == this->logged_counters.refused) {
-    return;
-  }
-  const auto work = packets::SummarizeWork(this->core);
-  Log(LogLevel::kInfo, "traffic",
-      {{"delivered", counters.delivered - this->logged_counters.delivered},
-       {"replies", counters.replies - this->logged_counters.replies},
-       {"returned", counters.returned - this->logged_counters.returned},
-       {"passed_on", counters.passed_on - this->logged_counters.passed_on},
-       {"over_limit", counters.over_limit - this->logged_counters.over_limit},
-       {"wrong_service", counters.wrong_service - this->logged_counters.wrong_service},
-       {"none_left", counters.none_left - this->logged_counters.none_left},
-       {"given_back", counters.given_back - this->logged_counters.given_back},
-       {"queried", counters.queried - this->logged_counters.queried},
-       {"refused", counters.refused - this->logged_counters.refused},
-       {"flows", this->core.flows.size()},
-       {"at_work", this->core.at_work},
-       {"work_offered", work.offered},
-       {"work_assumed", work.assumed},
-       {"work_open", work.open},
-       {"work_repeated", work.repeated},
-       {"work_quiet", this->core.quiet_work},
-       {"peers", this->core.peers.size()}});
-  this->logged_counters = counters;
-}
-
-auto AgentNode::LogShortage(base::TimePoint now) -> void {
-  const auto& admission = this->core.admission;
-  const auto turned_away = TurnedAway(this->core.counters.shortage);
-  const auto line =
-      NextShortageLine(this->shortage_log, admission::IsShort(admission, now), turned_away, now);
-  if (line == ShortageLine::kNone) return;
-  using Milliseconds = std::chrono::duration<double, std::milli>;
-  Log(LogLevel::kInfo, line == ShortageLine::kBegan ? "shortage_began" : "shortage_ended",
-      {{"in_flight", this->core.at_work},
-       {"slots", this->core.target.last.slots},
-       {"most_urgent", admission.most_urgent},
-       {"least_urgent", admission.least_urgent},
-       {"service_time_ms", Milliseconds(admission.mix.mean).count()},
-       {"turned_away", turned_away - this->shortage_log.turned_away}});
-}
-
-// Removes the record after a doubtful leave once the target has stayed silent, which shows that the
-// leave was genuine.
-auto AgentNode::RemoveRecordOfSilent(base::TimePoint now) -> void {
-  if (!this->core.target.leave_doubtful) return;
-  if (packets::StateOf(this->core, now) != packets::TargetState::kAbsent) return;
-  this->registrar.Remove();
-}
-
-auto AgentNode::LogInvalidInput(std::string_view event, std::string_view path) -> void {
-  this->operators.LogInvalidInput(event, path.substr(0, kLoggedPath));
-}
-
 auto AgentNode::IsKnown() const -> bool {
   return !this->core.balancers.empty() && this->registrar.IsSettled();
 }
