Look up a caller's use once per opening, and a class by one function

An opening that was passed on computed its caller's share up to three times. The search for a class's service time stood twice.

--- a/src/admission/internal/completion.cc
+++ b/src/admission/internal/completion.cc
@@ -25,12 +25,10 @@
   return a.priority == b.priority && a.objective == b.objective && a.repeatable == b.repeatable;
 }
 
-auto Find(const Controller& controller, const RequestClass& request) -> const ServiceTime* {
-  const auto& times = controller.service_times;
-  const auto entry = std::find_if(times.begin(), times.end(), [&](const auto& known) {
-    return IsSameWork(known.request, request);
-  });
-  return entry == times.end() ? nullptr : &entry->estimate;
+// Returns the entry of the class; the end if there is none.
+auto FindClass(auto& times, const RequestClass& request) {
+  return std::find_if(times.begin(), times.end(),
+                      [&](const auto& known) { return IsSameWork(known.request, request); });
 }
 
 }  // namespace
@@ -55,8 +53,7 @@
   std::erase_if(times, [&](const auto& known) {
     return now - known.estimate.observed > kServiceTimeLifetime;
   });
-  auto entry = std::find_if(times.begin(), times.end(),
-                            [&](const auto& known) { return IsSameWork(known.request, request); });
+  auto entry = FindClass(times, request);
   if (entry == times.end()) {
     if (times.size() >= kMaxClasses) return;
     entry = times.insert(entry, {request, {}});
@@ -70,12 +67,12 @@
 
 auto PredictCompletion(const Controller& controller, const RequestClass& request,
                        const TargetLoad& load) -> base::Duration {
-  const auto* own = Find(controller, request);
+  const auto own = FindClass(controller.service_times, request);
   const auto start = request.objective / kObjectivePerServiceTime;
   const auto measured = controller.mix.observed != base::TimePoint{};
   const auto full = controller.service_times.size() >= kMaxClasses;
   const auto unknown = full && measured ? UpperBound(controller.mix) : start;
-  const auto run = own != nullptr ? UpperBound(*own) : unknown;
+  const auto run = own != controller.service_times.end() ? UpperBound(own->estimate) : unknown;
   const auto each = measured ? controller.mix.mean : start;
   const auto handshake = controller.handshake.observed != base::TimePoint{}
                              ? controller.handshake.mean
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -24,7 +24,7 @@
   const auto drained = IsDrained(agent.drained, agent.domain);
   if (drained && !HasSettled(agent, now)) return Discard{DiscardReason::kDrained};
   if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
-  if (admission::AwaitsCopy(agent.admission, CandidateOf(agent, packet, now), now)) {
+  if (admission::AwaitsCopy(agent.admission, CandidateOf(agent, packet), now)) {
     ++agent.counters.shortage.left_to_copies;
     return Discard{DiscardReason::kAwaitsCopy};
   }
@@ -36,7 +36,7 @@
 // which bounds their number even if the agents' peer lists differ.
 auto PassOn(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict {
   const auto others = OpenPeers(agent);
-  const auto hops = admission::MaxHops(agent.admission, CandidateOf(agent, packet, now),
+  const auto hops = admission::MaxHops(agent.admission, CandidateOf(agent, packet),
                                        agent.policy.opening_hops, now);
   const auto most = std::min<std::size_t>(others.size(), hops);
   if (packet.stamp.hops >= most) return RefuseOrDiscard(agent, packet, now);
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -147,11 +147,8 @@
   }
 }
 
-auto CandidateOf(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Candidate {
-  const auto fair = agent.admission.policy.fair_callers;
-  return {.request = ClassOf(agent, packet.destination),
-          .copies = packet.acknowledged,
-          .over_share = fair && admission::IsOverShare(agent.callers, packet.source.address, now)};
+auto CandidateOf(const Agent& agent, const Packet& packet) -> admission::Candidate {
+  return {.request = ClassOf(agent, packet.destination), .copies = packet.acknowledged};
 }
 
 // Safeguard: under overload, a queue at the target delays all requests: after an outage, all
@@ -164,7 +161,9 @@
     return admission::Limit::kSlots;
   }
   const auto load = LoadOf(agent);
-  const auto candidate = CandidateOf(agent, packet, now);
+  auto candidate = CandidateOf(agent, packet);
+  candidate.over_share = agent.admission.policy.fair_callers &&
+                         admission::IsOverShare(agent.callers, packet.source.address, now);
   if (candidate.request.known && packet.stamp.hops == 0) {
     admission::NoteOpening(agent.priorities, candidate.request.priority, now);
   }
--- a/src/packets/internal/flow_load.h
+++ b/src/packets/internal/flow_load.h
@@ -13,8 +13,8 @@
 /// capacity.
 auto CapacityLimit(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Limit;
 
-/// Returns the opening as a candidate for admission.
-auto CandidateOf(Agent& agent, const Packet& packet, base::TimePoint now) -> admission::Candidate;
+/// Returns the opening as a candidate for admission, without its caller's recent use.
+auto CandidateOf(const Agent& agent, const Packet& packet) -> admission::Candidate;
 
 /// Counts a packet that is delivered to the target.
 auto CountFromClient(Agent& agent, const Packet& packet, base::TimePoint now) -> void;
