--- a/src/admission/internal/completion.cc
+++ b/src/admission/internal/completion.cc
@@ -26,7 +26,8 @@
 }
 
 // Returns the entry of the class; the end if there is none.
-auto FindClass(auto& times, const RequestClass& request) {
+template <typename Times>
+auto FindClass(Times& times, const RequestClass& request) -> decltype(times.begin()) {
   return std::find_if(times.begin(), times.end(),
                       [&](const auto& known) { return IsSameWork(known.request, request); });
 }
