Use the field's terms in outlier detection and its tests

A target without an answer has exceeded its response timeout; generations rotate. Two test names and the comment of the recorded digest told the history of the code.

--- a/src/admission/caller_share.h
+++ b/src/admission/caller_share.h
@@ -20,7 +20,7 @@
   std::array<std::uint32_t, 2> occupied{};  ///< counters of the first row in use, by generation
   std::uint32_t occupied_in_either = 0;     ///< the same, in use in either generation
   std::uint8_t current = 0;                 ///< index of the current generation
-  base::TimePoint turned_at{};              ///< start of the current generation
+  base::TimePoint rotated_at{};             ///< start of the current generation
 };
 
 /// Counts one admitted request of the caller. It is to be counted when the client's first data
--- a/src/admission/internal/caller_share.cc
+++ b/src/admission/internal/caller_share.cc
@@ -58,16 +58,16 @@
 }
 
 // Starts a new generation if the current one is over.
-auto Turn(CallerShare& share, base::TimePoint now) -> void {
-  const auto age = now - share.turned_at;
+auto RotateGenerations(CallerShare& share, base::TimePoint now) -> void {
+  const auto age = now - share.rotated_at;
   if (age < kGeneration) return;
   const auto expired = std::size_t{1} - share.current;
   Clear(share, expired);
   if (age >= 2 * kGeneration) {
     Clear(share, share.current);
-    share.turned_at = now;
+    share.rotated_at = now;
   } else {
-    share.turned_at += kGeneration;
+    share.rotated_at += kGeneration;
   }
   share.occupied_in_either = share.occupied[share.current];
   share.current = static_cast<std::uint8_t>(expired);
@@ -90,9 +90,9 @@
 auto CountUse(CallerShare& share, std::uint32_t caller, base::TimePoint now) -> void {
   if (IsEmpty(share)) {
     for (auto& counters : share.counters) counters.resize(kRows * kColumns);
-    share.turned_at = now;
+    share.rotated_at = now;
   }
-  Turn(share, now);
+  RotateGenerations(share, now);
   auto& counters = share.counters[share.current];
   const auto positions = PositionsOf(share, caller);
   const auto first = positions.front();
@@ -108,14 +108,14 @@
 
 auto UseOf(CallerShare& share, std::uint32_t caller, base::TimePoint now) -> std::uint64_t {
   if (IsEmpty(share)) return 0;
-  Turn(share, now);
+  RotateGenerations(share, now);
   const auto positions = PositionsOf(share, caller);
   return std::uint64_t{Least(share.counters[0], positions)} + Least(share.counters[1], positions);
 }
 
 auto CallersSeen(CallerShare& share, base::TimePoint now) -> double {
   if (IsEmpty(share)) return 0;
-  Turn(share, now);
+  RotateGenerations(share, now);
   const auto columns = static_cast<double>(kColumns);
   const auto unused = std::max(columns - share.occupied_in_either, 1.0);
   return columns * std::log(columns / unused);
--- a/src/outlier/internal/outcomes.cc
+++ b/src/outlier/internal/outcomes.cc
@@ -26,11 +26,11 @@
 constexpr auto kMaxMultiple = 4.0;
 
 // A request without an answer for this multiple of the route's usual time counts as failed.
-constexpr auto kMuteFactor = 8;
+constexpr auto kResponseTimeoutFactor = 8;
 
-// Lower bound of MuteAfter. Answers of a few hundred microseconds would otherwise count as missing
-// when a process waits for its processor for some milliseconds.
-constexpr auto kMinMute = base::milliseconds{50};
+// Lower bound of ResponseTimeout. Answers of a few hundred microseconds would otherwise count as
+// missing when a process waits for its processor for some milliseconds.
+constexpr auto kMinResponseTimeout = base::milliseconds{50};
 
 // Weight of a service time in the mean. Its relative error is then below a tenth for exponentially
 // distributed service times.
@@ -99,19 +99,19 @@
   route.mean_taken = Moved(route.mean_taken, request.taken, weight);
 }
 
-auto Turn(Outcomes& outcomes, base::TimePoint now) -> void {
-  const auto age = now - outcomes.turned_at;
+auto RotateGenerations(Outcomes& outcomes, base::TimePoint now) -> void {
+  const auto age = now - outcomes.rotated_at;
   if (age < kGeneration) return;
   const auto current = std::exchange(outcomes.generations[0], {});
   outcomes.generations[1] = age < 2 * kGeneration ? current : Counts{};
   // Generations keep their rhythm while requests arrive, so that none is longer than another.
-  outcomes.turned_at = age < 2 * kGeneration ? outcomes.turned_at + kGeneration : now;
+  outcomes.rotated_at = age < 2 * kGeneration ? outcomes.rotated_at + kGeneration : now;
 }
 
 }  // namespace
 
 auto Record(Outcomes& outcomes, const FinishedRequest& request, base::TimePoint now) -> Outcome {
-  Turn(outcomes, now);
+  RotateGenerations(outcomes, now);
   auto& route = FindOrAdd(outcomes, request.route);
   route.used = now;
   const auto outcome = Classify(route, request);
@@ -130,7 +130,7 @@
 }
 
 auto CountsOf(Outcomes& outcomes, base::TimePoint now) -> Counts {
-  Turn(outcomes, now);
+  RotateGenerations(outcomes, now);
   const auto& [current, previous] = outcomes.generations;
   return {current.answered + previous.answered, current.failed + previous.failed};
 }
@@ -139,10 +139,12 @@
   return now - outcomes.served_at < kServiceLifetime ? outcomes.mean_service : base::Duration{};
 }
 
-auto MuteAfter(const Outcomes& outcomes, std::uint64_t route) -> std::optional<base::Duration> {
+auto ResponseTimeout(const Outcomes& outcomes, std::uint64_t route)
+    -> std::optional<base::Duration> {
   const auto* statistics = Find(outcomes, route);
   if (statistics == nullptr || statistics->observed < kMinObserved) return std::nullopt;
-  return std::max<base::Duration>(kMuteFactor * statistics->mean_taken, kMinMute);
+  return std::max<base::Duration>(kResponseTimeoutFactor * statistics->mean_taken,
+                                  kMinResponseTimeout);
 }
 
 }  // namespace anvildrum::outlier
--- a/src/outlier/outcomes.h
+++ b/src/outlier/outcomes.h
@@ -37,7 +37,7 @@
 struct Outcomes {
   std::vector<RouteStatistics> routes;  ///< at most kMaxRoutes
   std::array<Counts, 2> generations{};  ///< current and previous
-  base::TimePoint turned_at{};          ///< start of the current generation; the epoch: none yet
+  base::TimePoint rotated_at{};         ///< start of the current generation; the epoch: none yet
   base::Duration mean_service{};        ///< zero: unknown
   base::TimePoint served_at{};          ///< last observation of `mean_service`
 };
@@ -59,6 +59,7 @@
 
 /// Returns the time without an answer after which a request of the route has failed, or nothing
 /// while the route's usual time is unknown.
-auto MuteAfter(const Outcomes& outcomes, std::uint64_t route) -> std::optional<base::Duration>;
+auto ResponseTimeout(const Outcomes& outcomes, std::uint64_t route)
+    -> std::optional<base::Duration>;
 
 }  // namespace anvildrum::outlier
--- a/src/outlier/tests/outcomes_test.cc
+++ b/src/outlier/tests/outcomes_test.cc
@@ -54,7 +54,7 @@
   Record(outcomes, Answer(10'000), kStart);
   for (auto i = 0; i < 10; ++i) Record(outcomes, Answer(50), kStart);
   BOOST_TEST(CountsOf(outcomes, kStart).failed == 0U);
-  BOOST_TEST(!MuteAfter(outcomes, kRoute).has_value());
+  BOOST_TEST(!ResponseTimeout(outcomes, kRoute).has_value());
 }
 
 // Guards against a target that fails fast and after a while counts as healthy, since its error
@@ -96,15 +96,15 @@
     Record(outcomes, Answer(2000), now);
   }
   BOOST_TEST(outcomes.routes.size() == kMaxRoutes);
-  BOOST_TEST(MuteAfter(outcomes, kRoute).has_value());
+  BOOST_TEST(ResponseTimeout(outcomes, kRoute).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_request_is_unanswered_after_eight_times_the_usual_time) {
   auto outcomes = MakeOutcomes();
-  const auto mute_after = MuteAfter(outcomes, kRoute);
-  BOOST_REQUIRE(mute_after.has_value());
-  BOOST_TEST((*mute_after > milliseconds{239} && *mute_after < milliseconds{241}));
-  BOOST_TEST(!MuteAfter(outcomes, kRoute + 1).has_value());
+  const auto response_timeout = ResponseTimeout(outcomes, kRoute);
+  BOOST_REQUIRE(response_timeout.has_value());
+  BOOST_TEST((*response_timeout > milliseconds{239} && *response_timeout < milliseconds{241}));
+  BOOST_TEST(!ResponseTimeout(outcomes, kRoute + 1).has_value());
 }
 
 // Guards against failures that are remembered for longer than two generations, and against a gap in
--- a/src/outlier/types/request.h
+++ b/src/outlier/types/request.h
@@ -11,7 +11,7 @@
   kAnswered,    ///< the answer is complete
   kClientLeft,  ///< the client closed the flow by a reset, perhaps before the end of the answer
   kReset,       ///< the target reset the flow
-  kUnanswered,  ///< no answer within MuteAfter, or the target closed the flow without one
+  kUnanswered,  ///< no answer within ResponseTimeout, or the target closed the flow without one
   kReturned,    ///< the target returned the opening or a packet of the request
 };
 
--- a/src/packets/internal/request_outcome.cc
+++ b/src/packets/internal/request_outcome.cc
@@ -132,8 +132,8 @@
 
 auto NoteSilence(Agent& agent, const FlowId& id, FlowState& flow, base::TimePoint now) -> void {
   if (!IsAsked(flow) || MayHaveStalled(agent, now)) return;
-  const auto mute_after = outlier::MuteAfter(agent.outcomes, KeyOf(id.service));
-  if (!mute_after || now - flow.asked_at < *mute_after) return;
+  const auto response_timeout = outlier::ResponseTimeout(agent.outcomes, KeyOf(id.service));
+  if (!response_timeout || now - flow.asked_at < *response_timeout) return;
   Fail(agent, id, flow, Ending::kUnanswered, now);
 }
 
--- a/src/packets/tests/placement_test.cc
+++ b/src/packets/tests/placement_test.cc
@@ -12,9 +12,8 @@
 namespace anvildrum::packets::placement_tests {
 namespace {
 
-// FNV-1a digest of the choices, recorded with the balancer of commit b01b940, which knew neither
-// verdicts nor service times.
-constexpr auto kFormerChoices = std::uint64_t{7555703451398280959U};
+// FNV-1a digest of the choices of a balancer that knows neither verdicts nor service times.
+constexpr auto kChoicesByLoad = std::uint64_t{7555703451398280959U};
 
 auto DigestOfChoices(Replay replay) -> std::uint64_t {
   auto digest = std::uint64_t{0xcbf29ce484222325U};
@@ -27,9 +26,9 @@
 BOOST_AUTO_TEST_SUITE(placement)
 
 // Guards against a change of placement in deployments that switch neither feature on.
-BOOST_AUTO_TEST_CASE(with_both_switches_off_choices_are_those_of_the_former_code) {
+BOOST_AUTO_TEST_CASE(with_both_switches_off_choices_follow_the_load_alone) {
   for (const auto even : {true, false}) {
-    BOOST_TEST(DigestOfChoices(Replay{Balancer{}, even}) == kFormerChoices);
+    BOOST_TEST(DigestOfChoices(Replay{Balancer{}, even}) == kChoicesByLoad);
   }
 }
 
@@ -41,8 +40,8 @@
 }
 
 // Guards against a placement that changes although no target stands out.
-BOOST_AUTO_TEST_CASE(among_even_and_healthy_targets_choices_are_those_of_the_former_code) {
-  BOOST_TEST(DigestOfChoices(Replay{SwitchedOn(), true}) == kFormerChoices);
+BOOST_AUTO_TEST_CASE(among_even_and_healthy_targets_choices_follow_the_load_alone) {
+  BOOST_TEST(DigestOfChoices(Replay{SwitchedOn(), true}) == kChoicesByLoad);
   auto former = Replay{Balancer{}, true};
   auto current = Replay{SwitchedOn(), true};
   for (auto i = 0; i < Replay::kSteps; ++i) {
@@ -53,7 +52,7 @@
 
 // Guards against a replay that would not notice a change.
 BOOST_AUTO_TEST_CASE(among_uneven_targets_choices_differ_when_switched_on) {
-  BOOST_TEST(DigestOfChoices(Replay{SwitchedOn(), false}) != kFormerChoices);
+  BOOST_TEST(DigestOfChoices(Replay{SwitchedOn(), false}) != kChoicesByLoad);
 }
 
 /// A balancer with a number of agents, of which some report failures or another speed.
