--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An endpoint is added, and a balancer is taken away for good. Nothing else happens."""
+"""A route is given another service; then the balancers are restarted in turn, as at any release."""
 
 import os
 import sys
@@ -10,67 +10,72 @@
 from fleet import IDLE_TIMEOUT_MS, Clients, Router, play, wait_until  # noqa: E402
 
 ROUTE = ("198.18.0.1", 443)
-SERVICE = "desk"
-FLOWS = 60
-STALE_SECONDS = 5.0  # age of what the store answers to allowStale calls of the balancers that stay
-SECOND_REQUESTS = (3.6, 5.6)  # seconds after the balancer got SIGTERM
+OLD, NEW = "desk-blue", "desk-green"
+FLOWS = 12
+PAUSE = 0.7  # seconds between two requests of a flow
+APPLY = 3.0  # configApplyMs
 
 
-def configuration():
-    return {"version": 1,
+def configuration(version, service):
+    return {"version": version,
             "routes": [{"name": "feed", "hostname": ROUTE[0], "pathPrefix": f"/{ROUTE[1]}/",
                         "type": "idempotent", "timeoutMs": 1000, "targetLatencyMs": 150,
-                        "priority": 1, "service": SERVICE, "maxAttempts": 2}],
-            "services": [{"name": SERVICE, "healthCheckPath": "/healthz", "maxConnections": 2000,
-                          "protocol": "h1", "tls": False}],
+                        "priority": 1, "service": service, "maxAttempts": 2}],
+            "services": [{"name": name, "healthCheckPath": "/healthz", "maxConnections": 2000,
+                          "protocol": "h1", "tls": False} for name in (OLD, NEW)],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": IDLE_TIMEOUT_MS}}
 
 
 def case(fleet, trouble):
-    stay, leaves = [fleet.host(10), fleet.host(11)], fleet.host(12)
-    # "seeds ... may be stale or down": two machines that are no more.
-    fleet.seeds = [f"{fleet.host(last)}:{fleet.ports['control']}" for last in (200, 201)]
-    for balancer in stay:
-        fleet.store.lag[balancer] = STALE_SECONDS
-    fleet.store.write("config", "main", configuration())
-    for last in (20, 21, 22, 23):
-        fleet.endpoint(last, SERVICE)
-    time.sleep(STALE_SECONDS)
-    for balancer in (*stay, leaves):
+    balancers = [fleet.host(10), fleet.host(11)]
+    fleet.seeds = [f"{balancer}:{fleet.ports['control']}" for balancer in balancers]
+    fleet.store.write("config", "main", configuration(1, OLD))
+    for balancer in balancers:
         fleet.start(balancer, "balancer")
-    router = Router(fleet, [*stay, leaves])
+    old = [fleet.endpoint(last, OLD) for last in (20, 21)]
+    new = [fleet.endpoint(last, NEW) for last in (30, 31)]
+    router = Router(fleet, balancers)
     clients = Clients(fleet, fleet.host(90), router)
-    wait_until(lambda: all(map(fleet.is_ready, (*stay, leaves))), "balancers ready")
-    wait_until(lambda: all(any(clients.flow(ROUTE).open() for _ in range(4)) for _ in range(3)),
-               "flows open")
-    time.sleep(12)
+    wait_until(lambda: all(fleet.is_ready(balancer) for balancer in balancers), "balancers ready")
+    wait_until(lambda: clients.flow(ROUTE).open(), "a flow opens")
+    time.sleep(3)
 
-    added = fleet.endpoint(24, SERVICE)
-    wait_until(lambda: added.flows or not clients.flow(ROUTE).open(), "a flow at the new endpoint")
     flows = [clients.flow(ROUTE) for _ in range(FLOWS)]
-    opened = [flow for flow in flows if flow.open() and flow.ask(f"first-{flow.end[1]}")]
-    there = [flow for flow in opened if added.holds(flow.key)]
-    fleet.record.note("case", f"{len(opened)} flows opened, {len(there)} of them at the new endpoint")
-    if not there:
-        return
+    opened = [flow for flow in flows if flow.open()]
+    if len(opened) < FLOWS:
+        fleet.record.note("case", f"{FLOWS - len(opened)} flows did not open")
+    done = threading.Event()
 
-    began = time.monotonic()
-    if trouble:
-        threading.Thread(target=fleet.end, args=(leaves,)).start()
-    first, last = SECOND_REQUESTS
+    def use(flow):
+        count = 0
+        while not done.is_set():
+            count += 1
+            if flow.ask(f"request-{flow.end[1]}-{count}") is None:
+                return  # its client opens another flow
+            done.wait(PAUSE)
 
-    def use(flow, place):
-        time.sleep(max(began + first + (last - first) * place / len(there) - time.monotonic(), 0))
-        flow.ask(f"second-{flow.end[1]}")
-
-    users = [threading.Thread(target=use, args=(flow, place)) for place, flow in enumerate(there)]
+    users = [threading.Thread(target=use, args=(flow,)) for flow in opened]
     for user in users:
         user.start()
+    time.sleep(2)
+
+    fleet.store.write("config", "main", configuration(2, NEW))
+    time.sleep(APPLY + 1)
+    fresh = clients.flow(ROUTE)
+    if not fresh.open() or not any(endpoint.holds(fresh.key) or endpoint.flows for endpoint in new):
+        fleet.record.note("case", "the new flow was not opened at the new service")
+    for balancer in balancers:
+        if trouble:
+            fleet.restart(balancer)
+        time.sleep(5)
+    done.set()
     for user in users:
         user.join()
-    reset = sum(flow.reset for flow in there)
-    fleet.record.note("case", f"{reset} of {len(there)} flows at the new endpoint were reset")
+    alive = sum(not flow.reset for flow in opened)
+    fleet.record.note("case", f"{len(opened)} flows opened before the change, {alive} of them "
+                              f"without a reset; endpoints of {OLD} hold "
+                              f"{sum(held.is_open for end in old for held in end.flows.values())}")
 
 
-play(FOLDER, case)
+play(FOLDER, "ledgewater-lb", case)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -29,11 +29,19 @@
 KEY = b"known to the two ends only"
 CANNOT_RUN = 2
 
-# Figures of the site ledgewater-lb (SYSTEM.md and its site file).
-BOUNDS = {"graceS": 6, "configApplyMs": 3000, "reuseAfterS": 2, "drainMs": 3000}
+# Figures of the sites' sheets and files: bounds, and the deadline of their most frequent requests.
+SITES = {
+    "ledgewater-lb": {
+        "configApplyMs": 3000, "slots": 4, "deadlineMs": 1000,
+        "contracts": ["base", "drain", "config", "cost", "recover", "flows", "platform"]},
+    "zmka-kilns-grown": {
+        "configApplyMs": 5000, "slots": 3, "deadlineMs": 1200, "evacuateMs": 5000,
+        "contracts": ["base", "drain", "config", "cost", "recover", "health", "flows", "places",
+                      "pressure", "platform"]},
+}
+GRACE_SECONDS = 6
+REUSE_AFTER_SECONDS = 2
 HEARTBEAT_SECONDS = 0.77
-SLOTS = 4
-DEADLINE_SECONDS = 1.0  # of price-feed
 IDLE_TIMEOUT_MS = 15000
 PROBE_SECONDS = 0.5  # "twice per second. After two misses, the node is out of rotation"
 MISSES = 2
@@ -310,7 +318,7 @@
         with self.lock:
             self.sequence += 1
             body = {"service": self.service, "address": f"{self.address}:{self.fleet.ports['app']}",
-                    "zone": "z", "version": "v1", "concurrency": SLOTS, "state": self.state,
+                    "zone": "z", "version": "v1", "concurrency": self.fleet.site["slots"], "state": self.state,
                     "warmupLeftMs": 0, "sequence": self.sequence, "born": self.born}
         status = self.call("PUT", body)
         if body["state"] != "ready" or body["sequence"] == 1:
@@ -460,11 +468,11 @@
         with self.changed:
             return self.changed.wait_for(condition, max(seconds, 0))
 
-    def ask(self, text, within=DEADLINE_SECONDS):
-        """Sends one request, again while it is not answered; its answer, or nothing.
-
-        `within` is the deadline, in seconds, at which the client gives up.
+    def ask(self, text):
+        """Sends one request, again while it is not answered until the client gives up at its
+        deadline; the answer, or nothing.
         """
+        within = self.clients.fleet.site["deadlineMs"] / 1000
         self.answer, data = None, text.encode()
         began = time.monotonic()
         for after in (0.0,) + RETRANSMITS:
@@ -539,8 +547,8 @@
 class Fleet:
     """The programs under test and everything around them."""
 
-    def __init__(self, folder):
-        self.folder, self.running = folder, True
+    def __init__(self, folder, site):
+        self.folder, self.running, self.site = folder, True, SITES[site]
         self.record = Record(folder)
         self.faults, self.runs, self.lock = [], {}, threading.Lock()
         self.heartbeat_seconds = HEARTBEAT_SECONDS
@@ -587,18 +595,19 @@
                "readiness": f"{address}:{ports['readiness']}",
                "heartbeats": f"{address}:{ports['control']}", "metrics": f"{address}:9464",
                "control_port": ports["internal"], "seeds": self.seeds,
-               "platform_contracts": ["base", "drain", "config", "cost", "recover", "flows",
-                                      "platform"],
-               "grace_seconds": BOUNDS["graceS"],
-               "configuration_within_seconds": BOUNDS["configApplyMs"] / 1000,
+               "platform_contracts": self.site["contracts"],
+               "grace_seconds": GRACE_SECONDS,
+               "configuration_within_seconds": self.site["configApplyMs"] / 1000,
                "platform": self.store.address_for(address)}
         if role == "agent":
             own |= {"from_target": f"{address}:{ports['outbound']}",
                     "target": f"{address}:{ports['app']}", "service": service,
                     "heartbeat_seconds": self.heartbeat_seconds,
-                    "address_reused_after_seconds": BOUNDS["reuseAfterS"]}
+                    "address_reused_after_seconds": REUSE_AFTER_SECONDS}
         else:
             own["avoid_failing_targets"] = True
+            if "evacuateMs" in self.site:
+                own["drains_within_seconds"] = self.site["evacuateMs"] / 1000
         path = os.path.join(self.temporary.name, f"{address}.json")
         with open(path + ".new", "w") as file:
             json.dump(own | changed, file)
@@ -618,7 +627,7 @@
         process = self.processes.pop(address)
         process.send_signal(how)
         try:
-            process.wait(BOUNDS["graceS"])
+            process.wait(GRACE_SECONDS)
         except subprocess.TimeoutExpired:
             process.kill()
             process.wait()
@@ -676,8 +685,8 @@
     pass
 
 
-def play(folder, case):
-    """Runs the case and ends this process with 1 if a rule was broken, 0 if not, 2 if it can't run."""
+def play(folder, site, case):
+    """Runs the case with the figures of the site and ends this process with 1 if a rule was broken, 0 if not, 2 if it can't run."""
     for name in os.listdir(folder):
         if name.startswith("log-"):
             os.remove(os.path.join(folder, name))
@@ -687,7 +696,7 @@
     try:
         if not os.path.exists(os.path.join(ROOT, PROGRAM)):
             raise CannotRun(f"{PROGRAM} is not built")
-        fleet = Fleet(folder)
+        fleet = Fleet(folder, site)
         case(fleet, trouble)
         for address in fleet.own_ends():
             fleet.fault("Fault", f"the process on {address} ended by itself")
