--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -690,6 +690,7 @@
     for name in os.listdir(folder):
         if name.startswith("log-"):
             os.remove(os.path.join(folder, name))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))  # leaves no process behind
     trouble = os.environ.get("TROUBLE", "1") != "0"
     status = CANNOT_RUN
     fleet = None
