--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 from fleet import IDLE_TIMEOUT_MS, Clients, Router, play, wait_until  # noqa: E402
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.1.0.1", 443)  # outside the networks that Fleet draws
 OLD, NEW = "desk-blue", "desk-green"
 FLOWS = 12
 PAUSE = 0.7  # seconds between two requests of a flow
