Find open flows of a route's former services, whatever processes have forgotten

What callers saw: a route was given another service, and its open flows went on at the former one, as planned.

Cause: the services that a route has left were known only to the memory of balancers that had applied both versions. A balancer that started later, or that skipped a version, searched the present service alone, and took the truthful answers of its agents for proof that no target holds the flow.

Change: a reset now needs the answer of every target that may hold the flow, which is known in two ways. - Agents report of which routes their targets hold flows (64 bits in the report, at once for a new route). Before a reset, those of other services that hold flows of the route are queried. One balancer writes, before a change can come; each reads at its start, and before a reset that depends on an agent which was started again and does not know its target's flows. Without such knowledge a flow is left undecided: silence, no reset. Targets of services that a route never had still receive none of its packets.

--- a/bench/packet_path_bench.cc
+++ b/bench/packet_path_bench.cc
@@ -10,6 +10,7 @@
 #include "packets/balancer.h"
 #include "packets/control.h"
 #include "packets/hello.h"
+#include "packets/search.h"
 
 namespace {
 
@@ -183,12 +184,62 @@
   CountAllocations(state, before);
 }
 
+/// Adds an agent that holds no flows, as its report says.
+auto AddIdleAgent(packets::Balancer& balancer, Address own, base::ServiceId service) -> void {
+  auto agent = packets::Agent{};
+  agent.own = own;
+  agent.service = service;
+  packets::TakeHeartbeat(
+      agent, {.incarnation = {1, std::nullopt}, .service = service, .sequence = 1, .slots = 4},
+      kNow);
+  packets::TakeReport(balancer.view, packets::MakeReport(agent, 1, kNow), kNow);
+}
+
+/// The search for a flow that no target holds, until its reset: the service has five agents, all
+/// others are of other services.
+auto BalancerLostFlow(benchmark::State& state) -> void {
+  constexpr auto own_agents = Address{5};
+  auto balancer = MakeBalancer(0);
+  balancer.records_at = kNow;
+  for (auto i = Address{0}; i < static_cast<Address>(state.range(0)); ++i) {
+    AddIdleAgent(balancer, kFirstAgent + i, i < own_agents ? kDesk : base::ServiceId{1000 + i / 3});
+  }
+  auto now = kNow;
+  auto queries = std::uint64_t{0};
+  auto port = std::uint16_t{0};
+  const auto before = allocations;
+  for (auto step : state) {
+    port = static_cast<std::uint16_t>((port + 1) % kPorts);
+    balancer.searches.next_query_at = {};
+    packets::RoutePacket(balancer, DataOf(port), now);
+    const auto asked = packets::StepSearches(balancer, now).queries;
+    queries += asked.size();
+    const auto digest = balancer.searches.rounds.begin()->second.digest;
+    for (const auto& query : asked) {
+      packets::TakeAnswer(balancer,
+                          {.agent = query.agent,
+                           .service = kDesk,
+                           .token = query.query.token,
+                           .settled = true,
+                           .peers_digest = digest},
+                          now);
+    }
+  }
+  if (balancer.counters.resets != static_cast<std::uint64_t>(state.iterations())) {
+    state.SkipWithError("a lost flow was not reset");
+  }
+  CountAllocations(state, before);
+  state.counters["queries"] =
+      benchmark::Counter(static_cast<double>(queries), benchmark::Counter::kAvgIterations);
+}
+
 auto Sizes(benchmark::internal::Benchmark* bench) -> void {
   for (const auto agents : {16, 50, 200, 1000}) bench->Arg(agents);
 }
 
 BENCHMARK(BalancerOpening)->Apply(Sizes);
 BENCHMARK(BalancerData)->Apply(Sizes);
+BENCHMARK(BalancerLostFlow)->Apply(Sizes);
 BENCHMARK(AgentData)->Apply(Sizes);
 BENCHMARK(AgentReply)->Apply(Sizes);
 BENCHMARK(AgentPassesOn)->Apply(Sizes);
--- a/src/packetd/adapter.h
+++ b/src/packetd/adapter.h
@@ -38,9 +38,10 @@
   /// Key prefix of the drain objects. A failure domain is drained while an object of its name
   /// exists.
   std::string_view drains_prefix;
-  std::string_view members_prefix;  ///< key prefix of the agents' records
-  std::string_view readiness_path;  ///< GET: 200 or 503
-  std::string_view heartbeat_path;  ///< PUT and DELETE, followed by the target's id
+  std::string_view members_prefix;        ///< key prefix of the agents' records
+  std::string_view route_history_prefix;  ///< key prefix of the recorded history of routes
+  std::string_view readiness_path;        ///< GET: 200 or 503
+  std::string_view heartbeat_path;        ///< PUT and DELETE, followed by the target's id
   /// Contract of the platform that switches on all of admission::Policy (see ShortagePolicyOf).
   std::string_view shortage_contract;
 };
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -20,6 +20,7 @@
 #include "packetd/machine_probes.h"
 #include "packetd/operator_reads.h"
 #include "packetd/peer_configuration.h"
+#include "packetd/route_recorder.h"
 #include "packetd/settings.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
@@ -79,6 +80,8 @@
   auto WatchAsSeed() -> void;
   auto MakeReadCallbacks() -> OperatorReadCallbacks;
   [[nodiscard]] auto IsSeed() const -> bool;
+  [[nodiscard]] auto RecordsRoutes(base::TimePoint now) const -> bool;
+  auto KeepRouteHistory(base::TimePoint now) -> void;
   [[nodiscard]] auto Balancers() const -> std::set<packets::Address>;
   [[nodiscard]] auto BalancerCount(base::TimePoint now) const -> std::size_t;
   auto NextHolder(packets::Address receiver) -> packets::Address;
@@ -110,6 +113,7 @@
   platform::Client stale_client;  ///< its reads may be seconds old
   PeerConfiguration peers;
   OperatorReads reads;
+  RouteRecorder route_recorder;
   MachineProbes probes;
   std::optional<packets::NewerConfiguration> newer_configuration;
   packets::KeptConfigurations kept_configurations;
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -198,7 +198,10 @@
     ++this->malformed;
     return;
   }
-  this->ApplyVerdict(datagram, *packet, packets::FromPeer(this->core, *packet, base::Now()));
+  const auto now = base::Now();
+  const auto verdict = packets::FromPeer(this->core, *packet, now);
+  if (packets::TakeAddedRoutes(this->core, now)) this->ReportToAll();
+  this->ApplyVerdict(datagram, *packet, verdict);
 }
 
 auto AgentNode::OnTargetPacket(std::span<const std::uint8_t> datagram) -> void {
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -31,6 +31,9 @@
 // Covers two hello periods, so that one hello may be lost.
 constexpr auto kRecentHelloWindow = base::milliseconds{2500};
 
+// Time after which a balancer has received hellos of all live seeds.
+constexpr auto kSeedsKnownAfter = kRecentHelloWindow;
+
 // Number of balancers whose counts are compared, more than there are seeds.
 constexpr auto kMaxBalancerReports = std::size_t{8};
 
@@ -55,6 +58,7 @@
       peers(io, adapter, settings,
             [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }),
       reads({this->client, this->stale_client}, adapter, settings, this->MakeReadCallbacks()),
+      route_recorder(this->client, adapter, this->core),
       probes(io, settings.heartbeats.port,
              [this](packets::Address machine, base::TimePoint began, bool answered) {
                packets::RecordProbeResult(this->core.view, machine, began, answered);
@@ -87,6 +91,7 @@
         this->PaceCalls(now);
         this->reads.Check(now);
         this->AskForNewer(now);
+        this->KeepRouteHistory(now);
         this->LogFreshness(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
@@ -335,6 +340,31 @@
   return count;
 }
 
+// The live seed with the lowest address records the history of routes. Two balancers that both take
+// themselves for it only cost calls, since their writes are conditional.
+auto BalancerNode::RecordsRoutes(base::TimePoint now) const -> bool {
+  if (now - this->started_at < kSeedsKnownAfter) return false;
+  const auto own_is_seed = this->IsSeed();
+  const auto goes_first = [&](const base::Endpoint& seed) {
+    const auto known = this->balancers.find(AddressOf(seed));
+    if (known == this->balancers.end() || known->first == this->core.own) return false;
+    const auto lives = now - known->second.mark.at <= kRecentHelloWindow;
+    return lives && (!own_is_seed || known->first < this->core.own);
+  };
+  const auto& seeds = this->settings.seeds;
+  return std::none_of(seeds.begin(), seeds.end(), goes_first);
+}
+
+auto BalancerNode::KeepRouteHistory(base::TimePoint now) -> void {
+  const auto& newer = this->newer_configuration;
+  this->core.outdated = newer && newer->revision > this->peers.Revision();
+  this->route_recorder.Step({.is_writer = this->RecordsRoutes(now),
+                             .platform_answers = this->platform_answers,
+                             .outage_turn = this->reads.TurnInOutage(),
+                             .balancers = this->BalancerCount(now)},
+                            now);
+}
+
 // On receipt, other balancers delay their own reads or fetch a newer configuration.
 auto BalancerNode::SendBriefHello(base::TimePoint now) -> void {
   auto brief = packets::Hello{};
@@ -405,6 +435,16 @@
   counts.push_back({"configuration_unconfirmed",
                     "Whether the last confirmation of the configuration is older than allowed",
                     this->unconfirmed ? 1U : 0U, true});
+  const auto& recorder = this->route_recorder.counters;
+  counts.push_back(
+      {"route_history_reads_total", "Reads of the recorded history of routes", recorder.reads});
+  counts.push_back(
+      {"route_history_writes_total", "Writes of the recorded history of routes", recorder.writes});
+  counts.push_back(
+      {"route_history_failed_total", "Reads and writes of it that failed", recorder.failed});
+  counts.push_back({"route_history_known",
+                    "Whether all services that may hold flows of the routes are known",
+                    packets::KnowsFormerServices(this->core, base::Now()) ? 1U : 0U, true});
   if (this->core.routes) {
     counts.push_back({"configuration_version", "Number of the configuration that is in force",
                       this->core.routes->version, true});
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -19,6 +19,7 @@
 #include "packets/cold.h"
 #include "packets/control.h"
 #include "packets/route_classes.h"
+#include "packets/route_set.h"
 #include "packets/stall.h"
 #include "packets/types/target.h"
 
@@ -240,6 +241,8 @@
   base::TimePoint merged_at{};    ///< when `peers` was last computed from the hellos
   bool peers_stale = false;       ///< hellos have changed since
   std::unordered_map<FlowId, FlowState> flows;
+  RecentRoutes recent_routes;       ///< of the flows that the target holds or was offered
+  bool routes_added = false;        ///< a route was added to `recent_routes`, not yet reported
   bool overflowed = false;          ///< a flow was not tracked because of max_flows
   std::uint32_t at_work = 0;        ///< flows with FlowState::at_work
   std::uint32_t quiet_work = 0;     ///< of these, silent for overtaken_timeout at the last sweep
@@ -378,6 +381,14 @@
 /// The next report to a balancer.
 auto MakeReport(Agent& agent, Address balancer, base::TimePoint now) -> TargetReport;
 
+/// Whether the target may hold flows of a route that no report has named. Such a report is due to
+/// all balancers at once. Returns true once per change.
+///
+/// Safeguard: a balancer resets a lost flow without asking agents of other services that hold no
+/// flows of its route. With a report that is one hello interval old, a flow that was just opened
+/// under another configuration would be reset.
+auto TakeAddedRoutes(Agent& agent, base::TimePoint now) -> bool;
+
 /// Number of flows that take up the target's capacity, by kind.
 struct WorkSummary {
   std::size_t offered = 0;   ///< openings without an answer, or without the client's next packet
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -46,6 +46,9 @@
   /// How long a service that was removed from a route may still hold flows of the route: the
   /// maximum age up to which users keep a flow.
   base::Duration former_service_ttl = base::seconds{60};
+  /// How old the recorded history may be when a flow is reset. A balancer that has an older one
+  /// reads it again, and resets the flow at its client's next packet.
+  base::Duration history_fresh_for = base::seconds{10};
   /// Load of an open flow without a request, in requests: about one request of 30 ms per second.
   double held_flow_weight = 0.03;
   /// Agents leave openings to their clients' copies in the first second of a shortage, so that a
@@ -103,6 +106,13 @@
   std::optional<Routes> routes;  ///< empty until a configuration has been read
   ClassesByService classes;      ///< of the routes in `routes`
   std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf(route)
+  RouteServices recorded;           ///< see TakeHistory; until a configuration has been read
+  base::TimePoint history_at{};     ///< when the record was read that TakeHistory took
+  bool history_wanted = false;      ///< a flow was not reset for lack of a newer one
+  bool outdated = false;            ///< another instance has told of a newer configuration
+  base::TimePoint configured_at{};  ///< when the first configuration was applied
+  base::TimePoint routes_at{};      ///< when the present one was
+  std::uint64_t route_changes = 0;  ///< counts the changes of `routes` and `former`
   View view;
   std::unordered_map<FlowId, Hint> hints;
   Searches searches;
--- a/src/packets/internal/agent_query.cc
+++ b/src/packets/internal/agent_query.cc
@@ -1,6 +1,7 @@
-#include <algorithm>
+#include "packets/internal/agent_query.h"
+
+#include <utility>
 
-#include "packets/agent.h"
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/agent_target.h"
 
@@ -13,24 +14,6 @@
 
 enum class Holding : std::uint8_t { kNot, kUnsure, kHeld };
 
-// Whether the agent knows all flows of its target. All packets to the target pass through its
-// agent. An agent that has seen the target's first opening, or has run for longer than any flow is
-// kept, therefore knows all its flows.
-//
-// Safeguard: a crashed target may restart and accept openings for up to one period before its first
-// heartbeat. If its agent restarts in that time, the new process must not treat the first heartbeat
-// as the target's start, or a flow that the target holds is reset. A balancer that knew the earlier
-// process reports it. After a power loss no balancer knows one, and there are no earlier flows.
-auto KnowsFlows(const Agent& agent, base::TimePoint now) -> bool {
-  // The flows of a target that has left are uncertain.
-  if (StateOf(agent, now) == TargetState::kAbsent) return false;
-  if (agent.overflowed) return false;
-  const auto runs_for_long =
-      agent.started_at != base::TimePoint{} && now - agent.started_at > agent.policy.flow_age;
-  const auto first_heard = agent.target.seen_from_first_heartbeat && !agent.had_predecessor;
-  return agent.target.seen_from_start || first_heard || runs_for_long;
-}
-
 // A target that answered an opening holds the flow half open, and the client may continue with it
 // through any balancer. Once the client has continued with another target, this one does not count
 // as holding the flow.
@@ -51,6 +34,25 @@
 
 }  // namespace
 
+auto KnowsFlows(const Agent& agent, base::TimePoint now) -> bool {
+  // The flows of a target that has left are uncertain.
+  if (StateOf(agent, now) == TargetState::kAbsent) return false;
+  if (agent.overflowed) return false;
+  const auto runs_for_long =
+      agent.started_at != base::TimePoint{} && now - agent.started_at > agent.policy.flow_age;
+  const auto first_heard = agent.target.seen_from_first_heartbeat && !agent.had_predecessor;
+  return agent.target.seen_from_start || first_heard || runs_for_long;
+}
+
+auto RoutesOf(const Agent& agent, base::TimePoint now) -> RouteSet {
+  if (!KnowsFlows(agent, now)) return kAllRoutes;
+  return RoutesWithin(agent.recent_routes, agent.policy.flow_age, now);
+}
+
+auto TakeAddedRoutes(Agent& agent, base::TimePoint now) -> bool {
+  return std::exchange(agent.routes_added, false) && KnowsFlows(agent, now);
+}
+
 auto AnswerQuery(Agent& agent, const FlowQuery& query, base::TimePoint now) -> FlowAnswer {
   const auto doubtful = NoteEvent(agent.stall, now);
   agent.counters.queried += query.flows.size();
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -4,6 +4,7 @@
 
 #include "packets/internal/agent_classes.h"
 #include "packets/internal/agent_peers.h"
+#include "packets/internal/agent_query.h"
 #include "packets/internal/flow_load.h"
 #include "packets/internal/incarnations.h"
 #include "packets/internal/request_outcome.h"
@@ -185,6 +186,7 @@
   agent.wanted.reset();
   agent.route_classes = {};
   agent.outcomes = {};
+  agent.recent_routes = {};
   ForgetAdmission(agent);
   ForgetFlows(agent);
   MergePeers(agent, now);
@@ -216,7 +218,8 @@
           .wanted_classes = TakeRequestFor(agent, balancer),
           .answered = counts.answered,
           .failed = counts.failed,
-          .service_time = outlier::MeanService(agent.outcomes, now)};
+          .service_time = outlier::MeanService(agent.outcomes, now),
+          .routes = RoutesOf(agent, now)};
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "packets/order.h"
+#include "packets/route_history.h"
 #include "packets/search.h"
 #include "packets/target_verdicts.h"
 
@@ -183,32 +184,6 @@
   return RefuseOpening{reason};
 }
 
-// Returns the services that may hold an open flow: first the one that a new flow would go to, then
-// the other services of its route, then those that were removed from the route recently.
-//
-// Safeguard: a change of a route's services or weights assigns open flows to another service than
-// the one that holds them. Searching only there would leave these flows without an answer until
-// they break, although the change was planned.
-auto HoldersOf(const Balancer& balancer, const FlowId& flow, base::TimePoint now)
-    -> std::vector<base::ServiceId> {
-  auto holders = std::vector<base::ServiceId>{};
-  const auto add = [&](base::ServiceId service) {
-    const auto known = std::find(holders.begin(), holders.end(), service) != holders.end();
-    if (!known) holders.push_back(service);
-  };
-  const auto route = balancer.routes->shares.find(KeyOf(flow.service));
-  if (route == balancer.routes->shares.end()) return holders;
-  const auto first = ServiceOf(*balancer.routes, flow);
-  if (first) add(*first);
-  for (const auto& share : route->second) add(share.service);
-  const auto former = balancer.former.find(route->first);
-  if (former == balancer.former.end()) return holders;
-  for (const auto& left : former->second) {
-    if (now < left.until) add(left.service);
-  }
-  return holders;
-}
-
 // Whether the hint's agent may still hold the flow: the agent is known, serves a service that may
 // hold the flow, its target has not left, and the agent is not permanently silent. An agent that is
 // silent for a short time keeps its flows, unless its machine is unreachable.
@@ -275,26 +250,6 @@
   return Discard{DiscardReason::kNoRoute};
 }
 
-// Records the services that the new configuration removes from each remaining route, and drops
-// expired records and those of removed routes.
-auto RecordFormerServices(Balancer& balancer, const Routes& next, base::TimePoint now) -> void {
-  for (const auto& [key, shares] : balancer.routes->shares) {
-    const auto stays = next.shares.find(key);
-    if (stays == next.shares.end()) continue;
-    for (const auto& share : shares) {
-      const auto same = [&](const Share& other) { return other.service == share.service; };
-      if (std::any_of(stays->second.begin(), stays->second.end(), same)) continue;
-      balancer.former[key].push_back({share.service, now + balancer.policy.former_service_ttl});
-    }
-  }
-  for (auto& [key, services] : balancer.former) {
-    std::erase_if(services, [&](const FormerService& left) { return now >= left.until; });
-  }
-  std::erase_if(balancer.former, [&](const auto& entry) {
-    return entry.second.empty() || !next.shares.contains(entry.first);
-  });
-}
-
 }  // namespace
 
 auto NameOf(DiscardReason reason) -> std::string_view {
@@ -347,9 +302,8 @@
 
 auto ApplyRoutes(Balancer& balancer, Routes routes, base::TimePoint now) -> bool {
   if (balancer.routes && routes.version < balancer.routes->version) return false;
-  if (balancer.routes) RecordFormerServices(balancer, routes, now);
   balancer.classes = MakeServiceClasses(routes);
-  balancer.routes = std::move(routes);
+  ReplaceRoutes(balancer, std::move(routes), now);
   return true;
 }
 
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -89,6 +89,7 @@
   body->set_answered(report.answered);
   body->set_failed(report.failed);
   body->set_service_us(ServiceMicroseconds(report.service_time));
+  if (report.routes != kAllRoutes) body->set_routes(report.routes.bits);
   return message;
 }
 
@@ -261,7 +262,8 @@
                       .wanted_classes = message.wanted_classes(),
                       .answered = message.answered(),
                       .failed = message.failed(),
-                      .service_time = base::microseconds{message.service_us()}};
+                      .service_time = base::microseconds{message.service_us()},
+                      .routes = message.has_routes() ? RouteSet{message.routes()} : kAllRoutes};
 }
 
 // Inverse of KeyOf; returns nullopt for numbers that are not an address and port.
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -111,6 +111,16 @@
   if (admission::GoesFirst(agent.admission, candidate, load, now)) ++counters.admitted_urgent_first;
 }
 
+// A packet that was delivered to find out whether the target holds its flow shows nothing about the
+// route.
+auto NoteRouteOf(Agent& agent, const FlowId& flow, const FlowState& state, base::TimePoint now)
+    -> void {
+  if (state.stage == FlowStage::kAssumed) return;
+  if (NoteRoute(agent.recent_routes, flow.service, agent.policy.flow_age, now)) {
+    agent.routes_added = true;
+  }
+}
+
 }  // namespace
 
 auto ColdLimit(const Agent& agent, base::TimePoint now) -> std::uint32_t {
@@ -219,6 +229,7 @@
   }
   entry->second.seen = now;
   entry->second.origin = packet.stamp.origin;
+  NoteRouteOf(agent, flow, entry->second, now);
 }
 
 auto CountFromTarget(Agent& agent, const Packet& packet, base::TimePoint now)
--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "packets/internal/search_queries.h"
+#include "packets/route_history.h"
 
 namespace anvildrum::packets {
 namespace {
@@ -37,16 +39,21 @@
   Remember(balancer, flow, agent, now);
 }
 
-// Decides whether a flow that no queried target holds is lost.
-auto Conclude(Balancer& balancer, const FlowId& flow, base::TimePoint now) -> SearchOutcome {
-  const auto& search = balancer.searches.flows.at(flow);
-  if (!search.expects_answer) return Fail(balancer, flow, SearchFailure::kNoData);
-  if (!search.conclusive) return Fail(balancer, flow, SearchFailure::kUnsettled, search.undecided);
+// Returns what is missing to reset a flow that no target of its services holds.
+auto MissingPremiseOf(const Balancer& balancer, const FlowSearch& search, base::TimePoint now)
+    -> std::optional<MissingPremise> {
+  if (!search.expects_answer) return MissingPremise{SearchFailure::kNoData};
+  if (!search.conclusive) return MissingPremise{SearchFailure::kUnsettled, search.undecided};
   const auto away =
       FirstAway(balancer.view, search.services.front(), balancer.stall.running_since, now);
-  if (away != 0 || !KnowsAllAgents(balancer, now)) {
-    return Fail(balancer, flow, SearchFailure::kAgentMissing, away);
-  }
+  if (away == 0 && KnowsAllAgents(balancer, now)) return std::nullopt;
+  return MissingPremise{SearchFailure::kAgentMissing, away};
+}
+
+// Ends the search for a flow that no queried target holds.
+auto EndNotFound(Balancer& balancer, const FlowId& flow) -> SearchOutcome {
+  const auto& search = balancer.searches.flows.at(flow);
+  if (search.missing) return Fail(balancer, flow, search.missing->reason, search.missing->agent);
   const auto lost = FlowLost{flow, search.acknowledged};
   balancer.searches.flows.erase(flow);
   balancer.hints.erase(flow);
@@ -54,6 +61,41 @@
   return lost;
 }
 
+// Returns the agents of services that the search has not covered, but whose targets may hold flows
+// of the route. A service may have become known since the search began.
+auto OtherHoldersOf(Balancer& balancer, const FlowId& flow, const Services& services,
+                    base::TimePoint now) -> OtherHolders {
+  const auto holders = HoldersOf(balancer, flow, now);
+  const auto covered = std::all_of(holders.begin(), holders.end(), [&](base::ServiceId service) {
+    return std::find(services.begin(), services.end(), service) != services.end();
+  });
+  const auto known = KnowsFormerServices(balancer, now);
+  auto others = FindOtherHolders(balancer.view, flow.service, services, known && covered,
+                                 balancer.stall.running_since, now);
+  if (others.undecided != 0 && !known) balancer.history_wanted = true;
+  return others;
+}
+
+auto NoteUndecided(FlowSearch& search, const OtherHolders& others) -> void {
+  if (search.missing || others.undecided == 0) return;
+  search.missing = {SearchFailure::kAgentMissing, others.undecided};
+}
+
+// Continues the search at agents of other services, or ends it if none of them may hold the flow.
+auto Conclude(Balancer& balancer, const FlowId& flow, std::optional<MissingPremise> missing,
+              base::TimePoint now) -> std::optional<SearchOutcome> {
+  auto& search = balancer.searches.flows.at(flow);
+  if (!search.missing) search.missing = missing;
+  if (search.elsewhere) return EndNotFound(balancer, flow);
+  const auto others = OtherHoldersOf(balancer, flow, search.services, now);
+  NoteUndecided(search, others);
+  if (others.agents.empty()) return EndNotFound(balancer, flow);
+  search.elsewhere = true;
+  search.all_agents = true;
+  search.stage = SearchStage::kDue;
+  return std::nullopt;
+}
+
 // Returns the agents that could not tell and may receive the flow's packet: all of them after a
 // query to all agents, otherwise only the likely ones if there are too many.
 auto UnsureOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
@@ -69,17 +111,34 @@
   return unsure;
 }
 
+// Concludes a round at agents of other services. Their targets receive no packet of the flow, since
+// its route may never have had their services.
+auto ConcludeElsewhere(Balancer& balancer, const QueryRound& round, const FlowId& flow,
+                       const std::vector<Candidate>& unsure) -> SearchOutcome {
+  auto& missing = balancer.searches.flows.at(flow).missing;
+  if (!missing && !round.missing.empty()) {
+    missing = {SearchFailure::kNoAnswer, round.missing.front()};
+  }
+  if (!missing && !round.conclusive) missing = {SearchFailure::kUnsettled, round.undecided};
+  if (!missing && !unsure.empty()) missing = {SearchFailure::kMayBeHeld, unsure.front().agent};
+  return EndNotFound(balancer, flow);
+}
+
 // Concludes a round for a flow that no answering agent holds; the agents `unsure` could not tell.
 auto ConcludeRound(Balancer& balancer, const QueryRound& round, const FlowId& flow,
-                   std::vector<Candidate> unsure, base::TimePoint now) -> SearchOutcome {
+                   std::vector<Candidate> unsure, base::TimePoint now)
+    -> std::optional<SearchOutcome> {
+  if (round.elsewhere) return ConcludeElsewhere(balancer, round, flow, unsure);
   auto& search = balancer.searches.flows.at(flow);
   search.conclusive = round.conclusive && round.missing.empty();
   search.undecided = round.missing.empty() ? round.undecided : round.missing.front();
-  search.probed = std::move(unsure);
-  if (search.probed.empty() && !round.missing.empty()) {
-    return Fail(balancer, flow, SearchFailure::kNoAnswer, round.missing.front());
+  if (unsure.empty()) {
+    const auto unanswered = MissingPremise{SearchFailure::kNoAnswer, search.undecided};
+    const auto missing =
+        round.missing.empty() ? MissingPremiseOf(balancer, search, now) : std::optional{unanswered};
+    return Conclude(balancer, flow, missing, now);
   }
-  if (search.probed.empty()) return Conclude(balancer, flow, now);
+  search.probed = std::move(unsure);
   search.stage = SearchStage::kProbing;
   search.probed_at = now;
   return FlowUnsure{flow, search.probed};
@@ -125,7 +184,8 @@
     if (!round.all_agents && unsure.empty()) {
       AskAllAgents(balancer, balancer.searches.flows.at(flow), now);
     } else {
-      outcomes.push_back(ConcludeRound(balancer, round, flow, std::move(unsure), now));
+      auto outcome = ConcludeRound(balancer, round, flow, std::move(unsure), now);
+      if (outcome) outcomes.push_back(std::move(*outcome));
     }
   }
   return outcomes;
@@ -197,7 +257,9 @@
     EndFound(balancer, flow, holder->agent, now);
     step.outcomes.emplace_back(FlowPresumed{flow});
   } else if (search.all_agents) {
-    step.outcomes.push_back(Fail(balancer, flow, SearchFailure::kMayBeHeld));
+    const auto missing = MissingPremise{SearchFailure::kMayBeHeld};
+    auto outcome = Conclude(balancer, flow, missing, now);
+    if (outcome) step.outcomes.push_back(std::move(*outcome));
   } else {
     AskAllAgents(balancer, search, now);
   }
@@ -209,8 +271,23 @@
   const auto agents = AgentsOf(balancer, services, now);
   if (!agents.empty()) return AskFor(balancer, agents, due, now, step);
   for (const auto& flow : due) {
-    step.outcomes.push_back(Fail(balancer, flow, SearchFailure::kNoTarget));
+    auto outcome = Conclude(balancer, flow, MissingPremise{SearchFailure::kNoTarget}, now);
+    if (outcome) step.outcomes.push_back(std::move(*outcome));
+  }
+}
+
+// Queries agents of other services for the due flows of one route and set of services.
+auto AskElsewhereForDue(Balancer& balancer, const Services& services,
+                        const std::vector<FlowId>& due, base::TimePoint now, SearchStep& step)
+    -> void {
+  if (now < balancer.searches.next_query_at) return;
+  const auto others = OtherHoldersOf(balancer, due.front(), services, now);
+  for (const auto& flow : due) {
+    auto& search = balancer.searches.flows.at(flow);
+    NoteUndecided(search, others);
+    if (others.agents.empty()) step.outcomes.push_back(EndNotFound(balancer, flow));
   }
+  if (!others.agents.empty()) packets::AskElsewhere(balancer, others.agents, due, now, step);
 }
 
 // Notes that the agent withheld the packet because its target may hold the flow half open and drop
@@ -264,13 +341,21 @@
   auto step = SearchStep{};
   StepRounds(balancer, now, step);
   auto due = std::map<Services, std::vector<FlowId>>{};
+  auto elsewhere = std::map<std::pair<Services, End>, std::vector<FlowId>>{};
   auto over = std::vector<FlowId>{};
   for (const auto& [flow, search] : balancer.searches.flows) {
-    if (search.stage == SearchStage::kDue) due[search.services].push_back(flow);
+    if (search.stage == SearchStage::kDue) {
+      auto& flows =
+          search.elsewhere ? elsewhere[{search.services, flow.service}] : due[search.services];
+      flows.push_back(flow);
+    }
     if (HasProbed(balancer.policy.search, search, now)) over.push_back(flow);
   }
   for (const auto& flow : over) EndProbing(balancer, flow, now, step);
   for (const auto& [services, flows] : due) AskForDue(balancer, services, flows, now, step);
+  for (const auto& [key, flows] : elsewhere) {
+    AskElsewhereForDue(balancer, key.first, flows, now, step);
+  }
   return step;
 }
 
@@ -282,7 +367,8 @@
   const auto place = std::lower_bound(round.missing.begin(), round.missing.end(), answer.agent);
   if (place == round.missing.end() || *place != answer.agent) return {};
   round.missing.erase(place);
-  if (!answer.settled || answer.peers_digest != round.digest) MarkInconclusive(round, answer.agent);
+  const auto settled = answer.settled && answer.peers_digest == round.digest;
+  if (!settled && !round.elsewhere) MarkInconclusive(round, answer.agent);
   const auto candidate = Candidate{answer.agent, answer.service};
   const auto asked_for = std::find(round.services.begin(), round.services.end(), answer.service) !=
                          round.services.end();
@@ -296,6 +382,7 @@
     const auto* flow = FlowAt(round, held);
     if (flow == nullptr || !asked_for || !IsOfRound(balancer, *flow, answer.token)) continue;
     EndFound(balancer, *flow, candidate.agent, now);
+    NoteHolder(balancer, KeyOf(flow->service), candidate.service, now);
     outcomes.emplace_back(FlowFound{*flow, candidate});
   }
   if (!round.missing.empty()) return outcomes;
@@ -330,7 +417,10 @@
     search.undecided = agent;
   }
   if (left == 0 || !search.probed.empty()) return {};
-  if (search.all_agents) return {Conclude(balancer, flow, now)};
+  if (search.all_agents) {
+    const auto outcome = Conclude(balancer, flow, MissingPremiseOf(balancer, search, now), now);
+    return outcome ? std::vector{*outcome} : std::vector<SearchOutcome>{};
+  }
   AskAllAgents(balancer, search, now);
   return {};
 }
--- a/src/packets/internal/search_queries.cc
+++ b/src/packets/internal/search_queries.cc
@@ -8,9 +8,23 @@
 namespace anvildrum::packets {
 namespace {
 
+enum class Scope : std::uint8_t {
+  kSome,       ///< some agents of the flows' services
+  kAll,        ///< all of them
+  kElsewhere,  ///< agents of other services
+};
+
+auto ServicesOf(const View& view, const std::vector<Place>& agents) -> Services {
+  auto services = Services{};
+  for (const auto& place : agents) services.push_back(view.members.at(place.agent).service);
+  std::sort(services.begin(), services.end());
+  services.erase(std::unique(services.begin(), services.end()), services.end());
+  return services;
+}
+
 // Queries `agents` for `flows`, which all have the same set of services.
 auto Ask(Balancer& balancer, std::vector<FlowId> flows, const std::vector<Place>& agents,
-         bool all_agents, base::TimePoint now, SearchStep& step) -> void {
+         Scope scope, base::TimePoint now, SearchStep& step) -> void {
   const auto token = ++balancer.searches.last_token;
   auto& round = balancer.searches.rounds[token];
   for (const auto& flow : flows) {
@@ -18,12 +32,14 @@
     search.stage = SearchStage::kAsked;
     search.round = token;
   }
-  round.services = balancer.searches.flows.at(flows.front()).services;
+  round.elsewhere = scope == Scope::kElsewhere;
+  round.services = round.elsewhere ? ServicesOf(balancer.view, agents)
+                                   : balancer.searches.flows.at(flows.front()).services;
   round.unsure.resize(flows.size());
   round.flows = std::move(flows);
-  round.all_agents = all_agents;
-  round.conclusive = all_agents && round.services.size() == 1;
-  if (all_agents) round.digest = DigestOf(agents);
+  round.all_agents = scope != Scope::kSome;
+  round.conclusive = round.elsewhere || (round.all_agents && round.services.size() == 1);
+  if (scope == Scope::kAll) round.digest = DigestOf(agents);
   for (const auto& place : agents) round.missing.push_back(place.agent);
   round.asked_at = now;
   round.sent_at = now;
@@ -38,7 +54,7 @@
 // Queries `agents` for the flows, with as many flows per datagram as fit, until the rate limit is
 // reached.
 auto AskInChunks(Balancer& balancer, const std::vector<FlowId>& flows,
-                 const std::vector<Place>& agents, bool all_agents, base::TimePoint now,
+                 const std::vector<Place>& agents, Scope scope, base::TimePoint now,
                  SearchStep& step) -> void {
   for (auto first = std::size_t{0}; first < flows.size(); first += kFlowsInQuery) {
     if (now < balancer.searches.next_query_at) return;
@@ -46,7 +62,7 @@
     Ask(balancer,
         {flows.begin() + static_cast<std::ptrdiff_t>(first),
          flows.begin() + static_cast<std::ptrdiff_t>(last)},
-        agents, all_agents, now, step);
+        agents, scope, now, step);
   }
 }
 
@@ -60,11 +76,11 @@
   if (!domain.empty() && flows.size() * likely > domain.size()) {
     const auto all = domain.size() == agents.size();
     for (const auto& flow : flows) balancer.searches.flows.at(flow).all_agents = all;
-    return AskInChunks(balancer, flows, domain, all, now, step);
+    return AskInChunks(balancer, flows, domain, all ? Scope::kAll : Scope::kSome, now, step);
   }
   for (const auto& flow : flows) {
     if (now < balancer.searches.next_query_at) return;
-    Ask(balancer, {flow}, LikelyAgents(balancer, flow, agents), false, now, step);
+    Ask(balancer, {flow}, LikelyAgents(balancer, flow, agents), Scope::kSome, now, step);
   }
 }
 
@@ -100,6 +116,11 @@
   }
 }
 
+auto AskElsewhere(Balancer& balancer, const std::vector<Place>& agents,
+                  const std::vector<FlowId>& due, base::TimePoint now, SearchStep& step) -> void {
+  AskInChunks(balancer, due, agents, Scope::kElsewhere, now, step);
+}
+
 auto AskFor(Balancer& balancer, const std::vector<Place>& agents, const std::vector<FlowId>& due,
             base::TimePoint now, SearchStep& step) -> void {
   auto& searches = balancer.searches;
@@ -114,7 +135,7 @@
   }
   const auto all_now = others.empty() || (!all_agents.empty() && searches.all_agents_next);
   searches.all_agents_next = !all_now;
-  if (all_now) return AskInChunks(balancer, all_agents, agents, true, now, step);
+  if (all_now) return AskInChunks(balancer, all_agents, agents, Scope::kAll, now, step);
   AskLikely(balancer, others, agents, now, step);
 }
 
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "packets/route_set.h"
+
 namespace anvildrum::packets {
 namespace {
 
@@ -54,6 +56,15 @@
   return counts && !MayHoldFlows(view, member, now) && now - last <= away_for;
 }
 
+// Whether the member may hold flows or has yet to report for the first time.
+auto IsAwayOrAlive(const View& view, const Member& member, base::TimePoint running_since,
+                   base::TimePoint now) -> bool {
+  if (MayHoldFlows(view, member, now) || IsAway(view, member, running_since, now)) return true;
+  const auto known_for = now - std::max(member.known_since, running_since);
+  return !WasHeard(member) && known_for <= view.policy.silence_timeout &&
+         !IsOutOfReach(view, member, running_since, now);
+}
+
 }  // namespace
 
 // Another service may reuse an address while an old record of it is still in transit. The agent
@@ -192,6 +203,26 @@
   return alive.empty() ? known : alive;
 }
 
+auto FindOtherHolders(const View& view, const End& route, std::span<const base::ServiceId> services,
+                      bool services_known, base::TimePoint running_since, base::TimePoint now)
+    -> OtherHolders {
+  auto others = OtherHolders{};
+  const auto set = SetOf(route);
+  for (const auto& [agent, member] : view.members) {
+    const auto& routes = member.report.routes;
+    const auto tells = routes != kAllRoutes;
+    if (tells ? (routes.bits & set.bits) == 0 : services_known) continue;
+    if (std::find(services.begin(), services.end(), member.service) != services.end()) continue;
+    if (tells && MayHoldFlows(view, member, now)) {
+      others.agents.push_back(PlaceOf(member));
+    } else if (IsAwayOrAlive(view, member, running_since, now)) {
+      others.undecided = agent;
+    }
+  }
+  std::sort(others.agents.begin(), others.agents.end());
+  return others;
+}
+
 auto PlacementSet(const View& view, base::ServiceId service, base::TimePoint now)
     -> std::vector<Place> {
   auto tiers = std::array<std::vector<Place>, 4>{};
--- a/src/packets/routes.h
+++ b/src/packets/routes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -31,6 +32,9 @@
   base::Duration idle_limit = base::seconds{15};  ///< a flow idle for longer may be discarded
 };
 
+/// Services of routes, by KeyOf.
+using RouteServices = std::map<std::uint64_t, std::vector<base::ServiceId>>;
+
 /// Returns the service for a new flow, or nothing if no route has the flow's address. If several
 /// services share the route, the weights and the flow's digest decide, so that all instances
 /// choose the same service.
--- a/src/packets/tests/interleaving_test.cc
+++ b/src/packets/tests/interleaving_test.cc
@@ -96,6 +96,20 @@
   BOOST_TEST(opened > 30 * count);
 }
 
+// An operator gives the route to another service and back, while balancers and agents restart. A
+// balancer that does not know a service with open flows of the route would reset them.
+BOOST_AUTO_TEST_CASE(any_interleaving_with_moved_routes_keeps_the_promises) {
+  auto opened = std::uint64_t{0};
+  const auto [first, count] = Seeds();
+  for (auto seed = first; seed < first + count; ++seed) {
+    const auto world = Play({.seed = seed, .agents = 6, .pauses = seed % 2 == 0, .moves = true});
+    const auto fault = world.faults.empty() ? std::string{} : world.faults.front();
+    BOOST_TEST(world.faults.empty(), "seed " << seed << ": " << fault);
+    opened += world.opened;
+  }
+  BOOST_TEST(opened > 50 * count);
+}
+
 // Seeds that showed a fault. 6339: the last agent of a round was paused, and then reset a flow
 // whose agent had come back meanwhile. 20736: a balancer that had been paused considered an agent
 // gone that was paused after it, and reported its list as complete.
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -94,6 +94,10 @@
   /// An operator drains failure domains and reverses this. The platform does not inform instances
   /// that start later, so that these learn of it only from other instances.
   bool drains = false;
+  /// An operator gives the route to the other service and back. Each balancer applies a version
+  /// some time later or never. One that starts has the newest version, and reads the recorded
+  /// history some time later.
+  bool moves = false;
 };
 
 class World {
@@ -128,6 +132,10 @@
   auto Crash(std::size_t index) -> void;
   auto PauseOne() -> void;
   auto DrainDomain() -> void;
+  auto MoveRoute() -> void;
+  auto ApplyNewest(std::size_t index) -> void;
+  auto KeepHistory(std::size_t index) -> void;
+  auto ReadHistory(std::size_t index) -> void;
   [[nodiscard]] auto IsLongDrained(const AgentSite& site) const -> bool;
   auto StartTarget(std::size_t index, base::ServiceId service) -> void;
 
@@ -139,6 +147,7 @@
   auto SpeakLate(std::size_t index, bool leave) -> void;
   auto Record(Address agent, std::optional<base::ServiceId> service) -> void;
   auto Report(AgentSite& site, Address balancer) -> void;
+  auto ReportToAll(AgentSite& site) -> void;
 
   auto StepClients() -> void;
   auto Send(ClientFlow& flow) -> void;
@@ -169,6 +178,9 @@
   std::vector<BalancerSite> balancers;
   std::map<FlowId, ClientFlow> clients;
   std::map<Address, base::ServiceId> records;
+  base::ServiceId service = kDesk;                  ///< of the route, in the newest version
+  std::uint64_t version = 1;                        ///< the newest
+  RouteServices history;                            ///< as recorded at the platform
   DrainedDomains drained;                           ///< as set by the operator
   std::map<DomainTag, base::TimePoint> drained_at;  ///< of those that are
   std::uint64_t incarnations = 0;
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
@@ -59,6 +60,25 @@
 };
 
 /// The search for a flow for which the balancer has no hint.
+/// Why a flow was neither found nor known to be lost. The flow's packets are dropped.
+enum class SearchFailure : std::uint8_t {
+  kNoTarget,      ///< no agent of the service is known
+  kNoAnswer,      ///< an agent did not answer
+  kUnsettled,     ///< agents and this balancer do not all know the same agents yet
+  kAgentMissing,  ///< an agent whose target may hold the flow is missing
+  kNoData,        ///< no data arrived; the flow may have closed normally
+  kMayBeHeld,     ///< a target may hold the flow but did not answer
+};
+
+/// Short description of the failure for logs.
+auto NameOf(SearchFailure failure) -> std::string_view;
+
+/// What a reset of the flow lacks.
+struct MissingPremise {
+  SearchFailure reason = SearchFailure::kNoAnswer;
+  Address agent = 0;  ///< first agent that caused it; 0: no single one
+};
+
 struct FlowSearch {
   SearchStage stage = SearchStage::kDue;
   base::TimePoint probed_at{};  ///< when SearchStage::kProbing began
@@ -73,6 +93,10 @@
   /// An agent whose target may hold the flow half open, so that its silence proves nothing.
   Address withheld = 0;
   std::vector<Candidate> probed;  ///< agents that have not returned the packet yet
+  /// None of `services` is known to hold the flow; agents of other services are queried.
+  bool elsewhere = false;
+  /// What a reset lacked when `elsewhere` was set.
+  std::optional<MissingPremise> missing;
 };
 
 /// A query that was sent to several agents, and their answers so far.
@@ -80,6 +104,7 @@
   std::vector<FlowId> flows;
   std::vector<base::ServiceId> services;
   bool all_agents = false;
+  bool elsewhere = false;        ///< the agents are of other services, see FlowSearch
   bool conclusive = false;       ///< by the answers so far, a flow that no target holds is lost
   Address undecided = 0;         ///< first agent whose answer leaves this open
   std::uint32_t digest = 0;      ///< digest of the agents that were queried
@@ -128,19 +153,6 @@
   std::uint32_t acknowledged = 0;  ///< acknowledgement number of the client's last packet
 };
 
-/// Why a flow was neither found nor known to be lost. The flow's packets are dropped.
-enum class SearchFailure : std::uint8_t {
-  kNoTarget,      ///< no agent of the service is known
-  kNoAnswer,      ///< an agent did not answer
-  kUnsettled,     ///< agents and this balancer do not all know the same agents yet
-  kAgentMissing,  ///< an agent whose target may hold the flow is missing
-  kNoData,        ///< no data arrived; the flow may have closed normally
-  kMayBeHeld,     ///< a target may hold the flow but did not answer
-};
-
-/// Short description of the failure for logs.
-auto NameOf(SearchFailure failure) -> std::string_view;
-
 struct FlowNotFound {
   FlowId flow;
   SearchFailure reason = SearchFailure::kNoAnswer;
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -8,6 +8,7 @@
 #include "packets/drain.h"
 #include "packets/types/packet.h"
 #include "packets/types/place.h"
+#include "packets/types/route_set.h"
 
 namespace anvildrum::packets {
 
@@ -46,6 +47,9 @@
   /// Mean of recent requests without the wait in the target's queue; zero: unknown. Reports carry
   /// it in whole microseconds.
   base::Duration service_time{};
+  /// Routes of which the target may hold flows. An agent that does not know all flows of its
+  /// target, and one that reports no set, may hold flows of any route.
+  RouteSet routes = kAllRoutes;
 };
 
 /// One run of a target's process. A later run may use the same id, but holds none of the flows of
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -170,6 +170,22 @@
 auto SearchSet(const View& view, base::ServiceId service, base::TimePoint now)
     -> std::vector<Place>;
 
+/// Agents of other services whose targets may hold flows of a route.
+struct OtherHolders {
+  std::vector<Place> agents;  ///< can be queried, sorted by address
+  Address undecided = 0;      ///< an agent that cannot tell at present; 0: none
+};
+
+/// Returns the agents of all services but `services` whose targets hold flows of the route, by
+/// their last reports. An agent that reports no set of routes knows too little about its target; it
+/// counts as undecided unless `services` are known to be all that may hold such flows.
+///
+/// Safeguard: balancers do not apply every version of the configuration, nor at the same moment, so
+/// that one may not know a service to which another one sent the route's flows.
+auto FindOtherHolders(const View& view, const End& route, std::span<const base::ServiceId> services,
+                      bool services_known, base::TimePoint running_since, base::TimePoint now)
+    -> OtherHolders;
+
 /// Returns the agents of a service to which an opening may be sent, none of them in a drained
 /// domain. If none is usable, returns the next best agents that are not known to refuse it:
 /// suspected ones, then those that have never reported (which know themselves whether their domain
