Leave a flow undecided after a late opening at a restarted agent

What callers saw: a balancer stood still for 4 s while agents were restarted, then sent openings on that had waited in its socket. Open flows whose opening came late in this way were reset at their next request.

Cause: the target answers the late opening of an open flow once more. An agent that was restarted meanwhile takes this for the flow's beginning; the client's next packet acknowledges more than that answer, and OpenedElsewhere concluded that another target holds the flow. HoldingOf then told every balancer that this one does not.

Change: only an agent that knows all flows of its target draws that conclusion. Any other delivers the packet and lets the target's reaction decide.

The new test fails without the change.

--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "packets/internal/agent_peers.h"
+#include "packets/internal/agent_query.h"
 #include "packets/internal/agent_target.h"
 #include "packets/internal/flow_load.h"
 #include "packets/internal/request_outcome.h"
@@ -96,13 +97,19 @@
 // continues with one of them. The other target holds the flow half open: it neither serves nor
 // returns its packets, so that a balancer that sends them there would hang the flow for good.
 // Until this target has sent data, a packet meant for it acknowledges exactly its answer.
+//
+// Safeguard: an opening may arrive late, after the flow was opened here by a copy of it and the
+// agent was restarted. The target answers it once more, and the client's next packet acknowledges
+// more than that answer. An agent that does not know all flows of its target therefore leaves the
+// decision to the target's reaction.
 auto OpenedElsewhere(Agent& agent, const Packet& packet, base::TimePoint now) -> bool {
   const auto entry = agent.flows.find(FlowFromClient(packet));
   if (entry == agent.flows.end() || IsOpening(packet)) return false;
   auto& flow = entry->second;
   if (flow.stage == FlowStage::kAnswered) {
     const auto ours = packet.acknowledged - flow.target_sequence <= 1;
-    flow.stage = ours ? FlowStage::kOpen : FlowStage::kOpenElsewhere;
+    const auto other = KnowsFlows(agent, now) ? FlowStage::kOpenElsewhere : FlowStage::kAssumed;
+    flow.stage = ours ? FlowStage::kOpen : other;
     // A client that pauses says nothing about the round trip. Without the bound, one pause of ten
     // seconds would raise the mean by one, and each opening that waits would seem too late.
     const auto taken = std::min<base::Duration>(now - flow.seen, agent.policy.offer_timeout);
--- a/src/packets/tests/agent_peers_test.cc
+++ b/src/packets/tests/agent_peers_test.cc
@@ -212,6 +212,22 @@
   BOOST_TEST(AnswerQuery(agent, QueryOf(port), kStart).held.size() == 1U);
 }
 
+// Fails if an agent that was restarted denies an open flow after an old opening of it came late.
+BOOST_AUTO_TEST_CASE(a_late_opening_at_a_restarted_agent_does_not_hide_an_open_flow) {
+  const auto port = kClient.port;
+  auto agent = MakeAgent();
+  agent.had_predecessor = true;
+  FromPeer(agent, Opening(), kStart);
+  FromTarget(agent, OpeningAnswer(5000), kStart);
+  auto data = Data();
+  data.acknowledged = 7001;  // the client has received 2,000 bytes on this flow
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, data, kStart)));
+  BOOST_TEST(AnswerQuery(agent, QueryOf(port), kStart).unsure.size() == 1U);
+  const auto reply = FromTarget(agent, Reply(100), kStart);
+  BOOST_TEST(std::get<SendToClient>(reply).located_for.has_value());
+  BOOST_TEST(AnswerQuery(agent, QueryOf(port), kStart).held.size() == 1U);
+}
+
 // A client downloads through a balancer that has just started, and the agent has restarted too. The
 // client sends only acknowledgements, but the target's data shows that the target holds the flow.
 BOOST_AUTO_TEST_CASE(an_agent_learns_flows_from_what_its_target_sends) {
