Take a record of routes as proof only for the routes that it has

Cause: all balancers were restarted before the first of them had run for the 2.5 s after which it records the services of routes. The balancer that came back after the change read an empty record and took it for complete.

Change: KnowsFormerServices asks for the route; a record without it leaves a flow undecided where an agent cannot tell.

--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -442,9 +442,8 @@
       {"route_history_writes_total", "Writes of the recorded history of routes", recorder.writes});
   counts.push_back(
       {"route_history_failed_total", "Reads and writes of it that failed", recorder.failed});
-  counts.push_back({"route_history_known",
-                    "Whether all services that may hold flows of the routes are known",
-                    packets::KnowsFormerServices(this->core, base::Now()) ? 1U : 0U, true});
+  counts.push_back({"route_history_routes", "Routes in the recorded history as last read",
+                    this->core.recorded.size(), true});
   if (this->core.routes) {
     counts.push_back({"configuration_version", "Number of the configuration that is in force",
                       this->core.routes->version, true});
--- a/src/packetd/internal/route_recorder.cc
+++ b/src/packetd/internal/route_recorder.cc
@@ -112,10 +112,9 @@
 
 auto RouteRecorder::WriteNext() -> void {
   const auto now = base::Now();
-  if (!packets::KnowsFormerServices(this->core, now) &&
-      this->core.history_at == base::TimePoint{}) {
-    return;
-  }
+  const auto has_read = this->core.history_at != base::TimePoint{};
+  const auto runs_for = now - this->core.configured_at;
+  if (!has_read && runs_for < this->core.policy.former_service_ttl) return;
   for (auto part = std::size_t{0}; part < this->parts.size(); ++part) {
     auto services = packets::HistoryPart(this->core, part, now);
     const auto& known = this->parts.at(part);
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -106,7 +106,7 @@
   std::optional<Routes> routes;  ///< empty until a configuration has been read
   ClassesByService classes;      ///< of the routes in `routes`
   std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf(route)
-  RouteServices recorded;           ///< see TakeHistory; until a configuration has been read
+  RouteServices recorded;           ///< as last taken by TakeHistory
   base::TimePoint history_at{};     ///< when the record was read that TakeHistory took
   bool history_wanted = false;      ///< a flow was not reset for lack of a newer one
   bool outdated = false;            ///< another instance has told of a newer configuration
--- a/src/packets/internal/route_history.cc
+++ b/src/packets/internal/route_history.cc
@@ -31,11 +31,11 @@
                      [&](const FormerService& left) { return left.service == service; });
 }
 
-// Takes what TakeHistory has left until a configuration is known. A service that is known to have
-// left keeps its time limit, however often it is read.
+// Adds the recorded services. One that is known to have left keeps its time limit, however often it
+// is read.
 auto MergeRecorded(Balancer& balancer, base::TimePoint now) -> void {
   if (!balancer.routes) return;
-  for (const auto& [route, services] : std::exchange(balancer.recorded, {})) {
+  for (const auto& [route, services] : balancer.recorded) {
     const auto former = balancer.former.find(route);
     const auto known =
         former == balancer.former.end() ? std::vector<FormerService>{} : former->second;
@@ -51,9 +51,10 @@
   if (balancer.routes) KeepFormerServices(balancer, routes, now);
   if (!balancer.routes) balancer.configured_at = now;
   balancer.routes_at = now;
+  const auto first = !balancer.routes;
   balancer.routes = std::move(routes);
   ++balancer.route_changes;
-  MergeRecorded(balancer, now);
+  if (first) MergeRecorded(balancer, now);
 }
 
 // Safeguard: a change of a route's services or weights assigns open flows to another service than
@@ -123,10 +124,11 @@
   MergeRecorded(balancer, now);
 }
 
-auto KnowsFormerServices(const Balancer& balancer, base::TimePoint now) -> bool {
+auto KnowsFormerServices(const Balancer& balancer, std::uint64_t route, base::TimePoint now)
+    -> bool {
   if (!balancer.routes || balancer.outdated) return false;
   if (now - balancer.routes_at >= balancer.policy.former_service_ttl) return true;
-  if (balancer.history_at == base::TimePoint{}) return false;
+  if (!balancer.recorded.contains(route)) return false;
   if (now - balancer.history_at >= balancer.policy.history_fresh_for) return false;
   const auto just_started = balancer.routes_at == balancer.configured_at;
   const auto delay = just_started ? base::Duration{} : base::Duration{kRecordedWithin};
--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -69,7 +69,7 @@
   const auto covered = std::all_of(holders.begin(), holders.end(), [&](base::ServiceId service) {
     return std::find(services.begin(), services.end(), service) != services.end();
   });
-  const auto known = KnowsFormerServices(balancer, now);
+  const auto known = KnowsFormerServices(balancer, KeyOf(flow.service), now);
   auto others = FindOtherHolders(balancer.view, flow.service, services, known && covered,
                                  balancer.stall.running_since, now);
   if (others.undecided != 0 && !known) balancer.history_wanted = true;
--- a/src/packets/route_history.h
+++ b/src/packets/route_history.h
@@ -50,10 +50,15 @@
 /// skipped that version can read it.
 inline constexpr auto kRecordedWithin = base::milliseconds{1000};
 
-/// Whether the balancer knows every service that may hold flows of its routes: it has read the
-/// record within BalancerPolicy::history_fresh_for and after its configuration took effect,
-/// kRecordedWithin later unless the process has just started; or the configuration is in force for
-/// longer than any flow of an earlier one is kept. In both cases it must know of no newer one.
-auto KnowsFormerServices(const Balancer& balancer, base::TimePoint now) -> bool;
+/// Whether the balancer knows every service that may hold flows of the route, by KeyOf: it has read
+/// the record, which has the route, within BalancerPolicy::history_fresh_for and after its
+/// configuration took effect, kRecordedWithin later unless the process has just started; or the
+/// configuration is in force for longer than any flow of an earlier one is kept. In both cases it
+/// must know of no newer one.
+///
+/// Safeguard: a record without the route shows nothing about it. A fleet may be restarted before
+/// its first balancer has recorded anything.
+auto KnowsFormerServices(const Balancer& balancer, std::uint64_t route, base::TimePoint now)
+    -> bool;
 
 }  // namespace anvildrum::packets
--- a/src/packets/tests/other_services_test.cc
+++ b/src/packets/tests/other_services_test.cc
@@ -110,17 +110,31 @@
   auto routes = Routes{};
   routes.shares[KeyOf(kRoute)] = {{kMapper, 1}};
   ApplyRoutes(balancer, routes, kStart);
-  BOOST_TEST(KnowsFormerServices(balancer, kStart));
+  BOOST_TEST(KnowsFormerServices(balancer, KeyOf(kRoute), kStart));
   BOOST_REQUIRE(balancer.former.contains(KeyOf(kRoute)));
   BOOST_TEST((balancer.former.at(KeyOf(kRoute)).front().service == kDesk));
 }
 
+// Fails if a record that does not name a route counts as proof that it had no other service.
+BOOST_AUTO_TEST_CASE(a_history_without_the_route_leaves_its_flows_undecided) {
+  auto rig = Rig{kDesks, kMappers};
+  rig.Open(1, kPort);
+  rig.Configure(2, kMapper);
+  for (auto i = std::size_t{0}; i < kDesks; ++i) rig.RestartAgent(i);
+  rig.RestartBalancer();
+  TakeHistory(rig.balancer, {}, rig.now, rig.now);
+  rig.Route(DataOf(kPort));
+  BOOST_TEST((ReasonOf(rig.Search()) == SearchFailure::kAgentMissing));
+  BOOST_TEST(rig.balancer.history_wanted);
+}
+
 // Fails if a balancer that cannot read the history never resets a flow again.
 BOOST_AUTO_TEST_CASE(a_balancer_with_a_configuration_for_long_knows_all_services) {
   auto balancer = Balancer{};
   ApplyRoutes(balancer, Routes{}, kStart);
-  BOOST_TEST(!KnowsFormerServices(balancer, kStart));
-  BOOST_TEST(KnowsFormerServices(balancer, kStart + balancer.policy.former_service_ttl));
+  const auto route = KeyOf(kRoute);
+  BOOST_TEST(!KnowsFormerServices(balancer, route, kStart));
+  BOOST_TEST(KnowsFormerServices(balancer, route, kStart + balancer.policy.former_service_ttl));
 }
 
 // Fails if an agent of another service that the balancer has never heard does not delay a reset.
--- a/src/packets/tests/search_rig.h
+++ b/src/packets/tests/search_rig.h
@@ -54,7 +54,7 @@
 struct Rig {
   explicit Rig(std::size_t count, std::size_t others = 0) : agents(count + others) {
     this->Configure(1, kDesk);
-    TakeHistory(this->balancer, {}, this->now, this->now);
+    TakeHistory(this->balancer, this->History(), this->now, this->now);
     this->balancer.own = kBalancer;
     this->balancer.records_at = this->now;
     NoteEvent(this->balancer.stall, this->now);
