Say which members are awaited, and count parts of the route history that cannot be read

unreadable_total of a balancer left out the parts of the recorded history of routes that could not be read. The rest is wording and one branch.

--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -450,7 +450,7 @@
   }
   counts.push_back(
       {"malformed_total", "Datagrams and heartbeats rejected as malformed", this->malformed});
-  const auto left_out = this->record_watcher->Counters().unreadable;
+  const auto left_out = this->record_watcher->Counters().unreadable + recorder.unreadable;
   counts.push_back({"unreadable_total", "Entries of the platform that could not be used",
                     this->unreadable + left_out});
   return counts;
--- a/src/packets/internal/route_history.cc
+++ b/src/packets/internal/route_history.cc
@@ -48,10 +48,13 @@
 }  // namespace
 
 auto ReplaceRoutes(Balancer& balancer, Routes routes, base::TimePoint now) -> void {
-  if (balancer.routes) KeepFormerServices(balancer, routes, now);
-  if (!balancer.routes) balancer.configured_at = now;
-  balancer.routes_at = now;
   const auto first = !balancer.routes;
+  if (first) {
+    balancer.configured_at = now;
+  } else {
+    KeepFormerServices(balancer, routes, now);
+  }
+  balancer.routes_at = now;
   balancer.routes = std::move(routes);
   ++balancer.route_changes;
   if (first) MergeRecorded(balancer, now);
--- a/src/packets/internal/search_queries.cc
+++ b/src/packets/internal/search_queries.cc
@@ -8,6 +8,7 @@
 namespace anvildrum::packets {
 namespace {
 
+// The agents that a round queries.
 enum class Scope : std::uint8_t {
   kSome,       ///< some agents of the flows' services
   kAll,        ///< all of them
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -56,7 +56,8 @@
   return counts && !MayHoldFlows(view, member, now) && now - last <= away_for;
 }
 
-// Whether the member may hold flows or has yet to report for the first time.
+// Whether the member's target may hold flows, as far as reports tell. A member that has never
+// reported is awaited for ViewPolicy::silence_timeout, with or without a record.
 auto IsAwayOrAlive(const View& view, const Member& member, base::TimePoint running_since,
                    base::TimePoint now) -> bool {
   if (MayHoldFlows(view, member, now) || IsAway(view, member, running_since, now)) return true;
