Give drawn worlds without moved routes a recorded history, and their draws back

Found on reading the change again: since the record of routes counts only for the routes that it has, worlds of the interleaving tests that move no route had an empty record.

--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -20,6 +20,7 @@
 }  // namespace
 
 World::World(const WorldOptions& given) : options(given), generator(given.seed) {
+  this->history[KeyOf(kRoute)] = {this->service};
   this->agents.resize(given.agents);
   this->balancers.resize(given.balancers);
   for (auto i = std::size_t{0}; i < given.balancers; ++i) this->RestartBalancer(i);
@@ -118,9 +119,7 @@
   if (!this->calm && this->Draw(10) == 0) this->Disturb();
   if (!this->calm && this->options.drains && this->Draw(20) == 0) this->DrainDomain();
   if (!this->calm && this->options.moves && this->Draw(40) == 0) this->MoveRoute();
-  if (this->options.moves) {
-    for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) this->KeepHistory(i);
-  }
+  for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) this->KeepHistory(i);
   if (!this->calm && this->options.pauses && this->Draw(10) == 0) this->PauseOne();
   this->Later(kTickEvery, [this] { this->Tick(); });
 }
@@ -366,7 +365,9 @@
       auto* site = this->SiteOf(agent);
       if (!site->up) return;
       const auto verdict = FromPeer(site->core, packet, this->now);
-      if (TakeAddedRoutes(site->core, this->now)) this->ReportToAll(*site);
+      // Without moved routes these reports change nothing, and the seeds keep their draws.
+      const auto added = TakeAddedRoutes(site->core, this->now);
+      if (added && this->options.moves) this->ReportToAll(*site);
       this->Act(*site, packet, verdict);
     });
   });
