Log a lost flow that another service may hold by a reason of its own

What operators saw: "an agent is away" with the name of an agent that lives, where a flow stayed undecided because an agent of another service does not know its target's flows. The reason is now "another service may hold it".

NoteHolder is NoteFormerService, since a holder is a flow's agent elsewhere, and one function compares sets of routes where there were two ways.

--- a/src/packets/internal/route_set.cc
+++ b/src/packets/internal/route_set.cc
@@ -15,9 +15,7 @@
 
 auto SetOf(const End& route) -> RouteSet { return {std::uint64_t{1} << BitOf(route)}; }
 
-auto MayContain(const RouteSet& set, const End& route) -> bool {
-  return (set.bits & SetOf(route).bits) != 0;
-}
+auto Overlap(const RouteSet& a, const RouteSet& b) -> bool { return (a.bits & b.bits) != 0; }
 
 auto NoteRoute(RecentRoutes& recent, const End& route, base::Duration window, base::TimePoint now)
     -> bool {
--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -78,7 +78,7 @@
 
 auto NoteUndecided(FlowSearch& search, const OtherHolders& others) -> void {
   if (search.missing || others.undecided == 0) return;
-  search.missing = {SearchFailure::kAgentMissing, others.undecided};
+  search.missing = {SearchFailure::kOtherService, others.undecided};
 }
 
 // Continues the search at agents of other services, or ends it if none of them may hold the flow.
@@ -313,6 +313,8 @@
       return "not found, no data";
     case SearchFailure::kMayBeHeld:
       return "not found, a target may hold it";
+    case SearchFailure::kOtherService:
+      return "not found, another service may hold it";
   }
   return "unknown";
 }
@@ -382,7 +384,7 @@
     const auto* flow = FlowAt(round, held);
     if (flow == nullptr || !asked_for || !IsOfRound(balancer, *flow, answer.token)) continue;
     EndFound(balancer, *flow, candidate.agent, now);
-    NoteHolder(balancer, KeyOf(flow->service), candidate.service, now);
+    NoteFormerService(balancer, KeyOf(flow->service), candidate.service, now);
     outcomes.emplace_back(FlowFound{*flow, candidate});
   }
   if (!round.missing.empty()) return outcomes;
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -212,7 +212,7 @@
   for (const auto& [agent, member] : view.members) {
     const auto& routes = member.report.routes;
     const auto tells = routes != kAllRoutes;
-    if (tells ? (routes.bits & set.bits) == 0 : services_known) continue;
+    if (tells ? !Overlap(routes, set) : services_known) continue;
     if (std::find(services.begin(), services.end(), member.service) != services.end()) continue;
     if (tells && MayHoldFlows(view, member, now)) {
       others.agents.push_back(PlaceOf(member));
--- a/src/packets/route_history.h
+++ b/src/packets/route_history.h
@@ -28,8 +28,8 @@
 
 /// Notes that the service may hold flows of the route, by KeyOf. Unless the route has it now, it is
 /// searched for the route's flows like one that the route has just left.
-auto NoteHolder(Balancer& balancer, std::uint64_t route, base::ServiceId service,
-                base::TimePoint now) -> void;
+auto NoteFormerService(Balancer& balancer, std::uint64_t route, base::ServiceId service,
+                       base::TimePoint now) -> void;
 
 /// Number of parts in which the history is recorded. A change rewrites one part: 40 kB with 6,700
 /// routes.
--- a/src/packets/route_set.h
+++ b/src/packets/route_set.h
@@ -15,9 +15,9 @@
 /// Returns the set that contains this route only.
 auto SetOf(const End& route) -> RouteSet;
 
-/// Whether the set may contain the route. It may also be true for about one in 64 routes that were
-/// not added, for each route that was.
-auto MayContain(const RouteSet& set, const End& route) -> bool;
+/// Whether the sets may have a route in common. It is also true for about one pair in 64 of single
+/// routes that differ.
+auto Overlap(const RouteSet& a, const RouteSet& b) -> bool;
 
 /// When a packet of each route was last delivered to the target.
 struct RecentRoutes {
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -68,6 +68,7 @@
   kAgentMissing,  ///< an agent whose target may hold the flow is missing
   kNoData,        ///< no data arrived; the flow may have closed normally
   kMayBeHeld,     ///< a target may hold the flow but did not answer
+  kOtherService,  ///< a target of another service may hold the flow; its agent cannot tell
 };
 
 /// Short description of the failure for logs.
