--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -20,7 +20,7 @@
 #include "packetd/machine_probes.h"
 #include "packetd/operator_reads.h"
 #include "packetd/peer_configuration.h"
-#include "packetd/route_recorder.h"
+#include "packetd/route_history_store.h"
 #include "packetd/settings.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
@@ -113,7 +113,7 @@
   platform::Client stale_client;  ///< its reads may be seconds old
   PeerConfiguration peers;
   OperatorReads reads;
-  RouteRecorder route_recorder;
+  RouteHistoryStore route_history_store;
   MachineProbes probes;
   std::optional<packets::NewerConfiguration> newer_configuration;
   packets::KeptConfigurations kept_configurations;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -58,7 +58,7 @@
       peers(io, adapter, settings,
             [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }),
       reads({this->client, this->stale_client}, adapter, settings, this->MakeReadCallbacks()),
-      route_recorder(this->client, adapter, this->core),
+      route_history_store(this->client, adapter, this->core),
       probes(io, settings.heartbeats.port,
              [this](packets::Address machine, base::TimePoint began, bool answered) {
                packets::RecordProbeResult(this->core.view, machine, began, answered);
@@ -358,11 +358,11 @@
 auto BalancerNode::KeepRouteHistory(base::TimePoint now) -> void {
   const auto& newer = this->newer_configuration;
   this->core.outdated = newer && newer->revision > this->peers.Revision();
-  this->route_recorder.Step({.is_writer = this->RecordsRoutes(now),
-                             .platform_answers = this->platform_answers,
-                             .outage_turn = this->reads.TurnInOutage(),
-                             .balancers = this->BalancerCount(now)},
-                            now);
+  this->route_history_store.Step({.is_writer = this->RecordsRoutes(now),
+                                  .platform_answers = this->platform_answers,
+                                  .outage_turn = this->reads.TurnInOutage(),
+                                  .balancers = this->BalancerCount(now)},
+                                 now);
 }
 
 // On receipt, other balancers delay their own reads or fetch a newer configuration.
@@ -435,7 +435,7 @@
   counts.push_back({"configuration_unconfirmed",
                     "Whether the last confirmation of the configuration is older than allowed",
                     this->unconfirmed ? 1U : 0U, true});
-  const auto& recorder = this->route_recorder.counters;
+  const auto& recorder = this->route_history_store.counters;
   counts.push_back(
       {"route_history_reads_total", "Reads of the recorded history of routes", recorder.reads});
   counts.push_back(
--- a/src/packetd/internal/route_record.cc
+++ b/src/packetd/internal/route_history_codec.cc
@@ -1,4 +1,4 @@
-#include "packetd/route_record.h"
+#include "packetd/route_history_codec.h"
 
 #include <charconv>
 #include <cstdio>
--- a/src/packetd/internal/route_recorder.cc
+++ b/src/packetd/internal/route_history_store.cc
@@ -1,4 +1,4 @@
-#include "packetd/route_recorder.h"
+#include "packetd/route_history_store.h"
 
 #include <algorithm>
 #include <string>
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "base/clock.h"
-#include "packetd/route_record.h"
+#include "packetd/route_history_codec.h"
 #include "telemetry/log.h"
 
 namespace anvildrum::packetd {
@@ -29,11 +29,11 @@
 
 }  // namespace
 
-RouteRecorder::RouteRecorder(platform::Client& client, const Adapter& adapter,
-                             packets::Balancer& core)
+RouteHistoryStore::RouteHistoryStore(platform::Client& client, const Adapter& adapter,
+                                     packets::Balancer& core)
     : client(client), adapter(adapter), core(core) {}
 
-auto RouteRecorder::Step(const RouteRecorderContext& context, base::TimePoint now) -> void {
+auto RouteHistoryStore::Step(const RouteHistoryContext& context, base::TimePoint now) -> void {
   this->retry_after = context.platform_answers
                           ? base::Duration{kCallInterval}
                           : std::max<base::Duration>(kCallInterval, context.outage_turn);
@@ -45,7 +45,8 @@
 
 // A balancer that is not the writer waits before it checks the record, so that it usually finds its
 // changes there and balancers do not all read at once.
-auto RouteRecorder::Compare(bool is_writer, std::size_t balancers, base::TimePoint now) -> void {
+auto RouteHistoryStore::Compare(bool is_writer, std::size_t balancers, base::TimePoint now)
+    -> void {
   const auto changed =
       std::exchange(this->compared_changes, this->core.route_changes) != this->core.route_changes;
   if (is_writer) {
@@ -65,13 +66,13 @@
   this->Read(now);
 }
 
-auto RouteRecorder::IsReadDue(base::TimePoint now) const -> bool {
+auto RouteHistoryStore::IsReadDue(base::TimePoint now) const -> bool {
   if (!this->known) return true;
   const auto recorded = now - this->core.routes_at >= packets::kRecordedWithin;
   return this->core.history_wanted && recorded && now - this->begun_at >= kCallInterval;
 }
 
-auto RouteRecorder::Read(base::TimePoint now) -> void {
+auto RouteHistoryStore::Read(base::TimePoint now) -> void {
   this->pending = true;
   this->begun_at = now;
   ++this->counters.reads;
@@ -87,7 +88,7 @@
 
 // A part that cannot be read leaves the history unknown. The writer replaces it once it knows all
 // former services by itself.
-auto RouteRecorder::Take(const platform::Listing& listing, base::TimePoint read_at) -> void {
+auto RouteHistoryStore::Take(const platform::Listing& listing, base::TimePoint read_at) -> void {
   auto all = packets::RouteServices{};
   auto unreadable = listing.unreadable;
   this->parts = {};
@@ -110,7 +111,7 @@
   if (this->writes) this->WriteNext();
 }
 
-auto RouteRecorder::WriteNext() -> void {
+auto RouteHistoryStore::WriteNext() -> void {
   const auto now = base::Now();
   const auto has_read = this->core.history_at != base::TimePoint{};
   const auto runs_for = now - this->core.configured_at;
@@ -133,8 +134,8 @@
   }
 }
 
-auto RouteRecorder::OnWritten(std::size_t part, const packets::RouteServices& services,
-                              const platform::Outcome<std::uint64_t>& outcome) -> void {
+auto RouteHistoryStore::OnWritten(std::size_t part, const packets::RouteServices& services,
+                                  const platform::Outcome<std::uint64_t>& outcome) -> void {
   this->pending = false;
   if (const auto* error = std::get_if<platform::PlatformError>(&outcome)) {
     // The write may have taken effect, or another balancer may have written.
@@ -148,7 +149,7 @@
   this->WriteNext();
 }
 
-auto RouteRecorder::OnFailed(const platform::PlatformError& error) -> void {
+auto RouteHistoryStore::OnFailed(const platform::PlatformError& error) -> void {
   ++this->counters.failed;
   this->next_call_at = base::Now() + this->retry_after;
   Log(LogLevel::kDebug, "route_history_failed",
--- a/src/packetd/route_recorder.h
+++ b/src/packetd/route_history_store.h
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <optional>
 
 #include "base/types/time.h"
@@ -12,34 +11,34 @@
 
 namespace anvildrum::packetd {
 
-struct RouteRecorderCounters {
+struct RouteHistoryCounters {
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
   std::uint64_t failed = 0;      ///< of both
   std::uint64_t unreadable = 0;  ///< parts that were left out
 };
 
-/// What a RouteRecorder needs to know of its balancer at each step.
-struct RouteRecorderContext {
+/// What a RouteHistoryStore needs to know of its balancer at each step.
+struct RouteHistoryContext {
   bool is_writer = false;         ///< this balancer writes what others have to read
   bool platform_answers = false;  ///< it answered any balancer lately
   base::Duration outage_turn{};   ///< longest wait between two calls while it does not
   std::size_t balancers = 1;      ///< number of balancers that may have the same to write
 };
 
-/// Reads and writes the recorded history of routes (packets/route_history.h). One balancer writes.
-/// Each reads when it starts and when a reset depends on it, and after it has changed the services
-/// of a route, which the writer may have missed. Writes carry the revision that was read, so that
-/// two writers do not undo each other's changes.
-class RouteRecorder {
+/// Reads and writes the route history at the platform (packets/route_history.h). One balancer
+/// writes. Each reads when it starts and when a reset depends on it, and after it has changed the
+/// services of a route, which the writer may have missed. Writes carry the revision that was read,
+/// so that two writers do not undo each other's changes.
+class RouteHistoryStore {
  public:
   /// All references have to outlive this object.
-  RouteRecorder(platform::Client& client, const Adapter& adapter, packets::Balancer& core);
+  RouteHistoryStore(platform::Client& client, const Adapter& adapter, packets::Balancer& core);
 
   /// Begins the reads and writes that are due. Called at each stall check.
-  auto Step(const RouteRecorderContext& context, base::TimePoint now) -> void;
+  auto Step(const RouteHistoryContext& context, base::TimePoint now) -> void;
 
-  RouteRecorderCounters counters;
+  RouteHistoryCounters counters;
 
  private:
   struct Part {
--- a/src/packets/route_history.h
+++ b/src/packets/route_history.h
@@ -9,13 +9,13 @@
 #include "packets/routes.h"
 
 /// Which services may hold flows of each route: the present ones, and those that it has left within
-/// BalancerPolicy::former_service_ttl. Balancers keep it in memory and record it at the platform,
-/// so that it outlasts all of their processes.
+/// BalancerPolicy::former_service_ttl. Balancers keep it in memory and at the platform, so
+/// that it outlasts all of their processes.
 ///
 /// Safeguard: a balancer that starts after a route was given another service would search only
 /// there, and reset the flows that are open at the former one. All balancers may start at once. The
-/// record names the present services too, so that it need not be written in the moment between a
-/// change and the end of the processes that know of it.
+/// stored history names the present services too, so that it need not be written in the moment
+/// between a change and the end of the processes that know of it.
 namespace anvildrum::packets {
 
 /// Replaces the balancer's routes, and keeps the services that the new ones lack as former ones.
@@ -41,8 +41,8 @@
 /// Returns the services that may hold flows of the routes of one part, each list sorted.
 auto HistoryPart(const Balancer& balancer, std::size_t part, base::TimePoint now) -> RouteServices;
 
-/// Takes the whole record, as read by a call that began at `read_at`. Services that a route does
-/// not have any longer count as left just now, since the record has no times.
+/// Takes the whole stored history, as read by a call that began at `read_at`. Services that a route
+/// does not have any longer count as left just now, since the history has no times.
 auto TakeHistory(Balancer& balancer, RouteServices recorded, base::TimePoint read_at,
                  base::TimePoint now) -> void;
 
@@ -51,12 +51,12 @@
 inline constexpr auto kRecordedWithin = base::milliseconds{1000};
 
 /// Whether the balancer knows every service that may hold flows of the route, by KeyOf: it has read
-/// the record, which has the route, within BalancerPolicy::history_fresh_for and after its
+/// the stored history, which has the route, within BalancerPolicy::history_fresh_for and after its
 /// configuration took effect, kRecordedWithin later unless the process has just started; or the
 /// configuration is in force for longer than any flow of an earlier one is kept. In both cases it
 /// must know of no newer one.
 ///
-/// Safeguard: a record without the route shows nothing about it. A fleet may be restarted before
+/// Safeguard: a history without the route shows nothing about it. A fleet may be restarted before
 /// its first balancer has recorded anything.
 auto KnowsFormerServices(const Balancer& balancer, std::uint64_t route, base::TimePoint now)
     -> bool;
