--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -207,6 +207,16 @@
   this->record_watcher->Hasten(kRecordPause);
 }
 
+auto BalancerNode::KeepRouteHistory(base::TimePoint now) -> void {
+  const auto& newer = this->newer_configuration;
+  this->core.outdated = newer && newer->revision > this->peers.Revision();
+  this->route_history_store.Step({.is_writer = this->RecordsRoutes(now),
+                                  .platform_answers = this->platform_answers,
+                                  .outage_turn = this->reads.TurnInOutage(),
+                                  .balancers = this->BalancerCount(now)},
+                                 now);
+}
+
 // Logs one line when reads of the configuration begin to fail and one when they succeed again.
 auto BalancerNode::OnAnswer(const platform::PlatformError* error) -> void {
   const auto now = base::Now();
--- a/src/packets/route_history.h
+++ b/src/packets/route_history.h
@@ -31,8 +31,7 @@
 auto NoteFormerService(Balancer& balancer, std::uint64_t route, base::ServiceId service,
                        base::TimePoint now) -> void;
 
-/// Number of parts in which the history is recorded. A change rewrites one part: 40 kB with 6,700
-/// routes.
+/// Number of parts in which the history is stored, so that a change rewrites only one of them.
 inline constexpr auto kHistoryParts = std::size_t{8};
 
 /// The part in which a route is recorded, by KeyOf.
