--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -7,11 +7,8 @@
 #include "base/overloaded.h"
 #include "packetd/addresses.h"
 #include "packetd/internal/common.h"
-#include "packetd/record.h"
 #include "packetd/shortage_policy.h"
 #include "packets/reach.h"
-#include "packets/target_verdicts.h"
-#include "telemetry/log.h"
 
 namespace anvildrum::packetd {
 namespace {
