--- a/review/4/run.py
+++ b/review/4/run.py
@@ -11,8 +11,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
 
-from world import BROKEN, HELD, NOT_RUN, Machines, Record, configuration, trouble, wait_until  # noqa: E402
-from packet_standins import ACK, HEARTBEATS, PACKETS, RST, SYN, Client, Packet, Target  # noqa: E402
+from world import (BROKEN, HELD, NOT_RUN, Machines, Record, configuration, retransmitted, trouble,  # noqa: E402
+                   wait_until)
+from packet_standins import Client, Target  # noqa: E402
 
 import packet_standins  # noqa: E402
 
@@ -25,31 +26,6 @@
 packet_standins.HEARTBEAT_SECONDS = 0.77
 
 
-def send(client, balancer, flow, flags, data=b""):
-    packet = Packet((client.address, flow.port), flow.route, flags, flow.seq, flow.ack, data)
-    client.socket.sendto(packet.encode(), (balancer, PACKETS))
-
-
-def retransmitted(client, balancer, flow, data, record):
-    """A request with a client's retransmissions; its answer, "reset", or None."""
-    for wait in (0.2, 0.4, 0.8):
-        send(client, balancer, flow, ACK, data)
-        record.note(f"client sends request {data!r} on flow {flow.port} to {balancer}")
-        deadline = time.monotonic() + wait
-        while time.monotonic() < deadline:
-            try:
-                packet = client.queues[flow.port].get(timeout=max(0, deadline - time.monotonic()))
-            except Exception:
-                break
-            if packet.flags & RST:
-                record.note(f"client gets RST on flow {flow.port}, seq {packet.seq}")
-                return "reset"
-            if packet.data:
-                record.note(f"client gets {packet.data!r} on flow {flow.port}")
-                return packet.data.decode()
-    return None
-
-
 def play(machines, record):
     route = (machines.host(ROUTE_HOST), 8443)
     machines.store.put("config", "main", configuration(1, route, "desk"))
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import queue
 import signal
 import sys
 import threading
@@ -142,3 +143,26 @@
 
 def trouble():
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def retransmitted(client, balancer, flow, data, record):
+    """Sends a request with a client's retransmissions; its answer, "reset", or None."""
+    for wait in (0.2, 0.4, 0.8):
+        packet = standins.Packet((client.address, flow.port), flow.route, standins.ACK, flow.seq,
+                                 flow.ack, data)
+        client.socket.sendto(packet.encode(), (balancer, standins.PACKETS))
+        record.note(f"client sends request {data!r} on flow {flow.port} to {balancer}")
+        deadline = time.monotonic() + wait
+        while True:
+            left = deadline - time.monotonic()
+            try:
+                packet = client.queues[flow.port].get(timeout=max(0.0, left))
+            except queue.Empty:
+                break
+            if packet.flags & standins.RST:
+                record.note(f"client gets RST on flow {flow.port}, seq {packet.seq}")
+                return "reset"
+            if packet.data:
+                record.note(f"client gets {packet.data!r} on flow {flow.port}")
+                return packet.data.decode()
+    return None
