--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,120 +1,91 @@
-"""EVAC: a new endpoint in an evacuated zone gets openings before its agent knows of the evacuation.
+"""FLOW: the one balancer that knows a new agent loses power; another resets the agent's open flow.
 
-Machines: balancers 10 (the seed) and 11; agents 20, 21 and 24 of service desk in zone z1, agents 30
-and 31 of service mapper in z2. All endpoints of desk are in z1, which an operator evacuates.
+Machines: balancers 10 (the one seed that is up), 11 and 12; agents 20 to 24 of one service. The
+endpoint beside agent 24 starts some seconds after its agent, as an endpoint that has to load does.
 """
 
 import os
 import sys
-import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
 
-from world import BROKEN, HELD, NOT_RUN, Machines, Record, configuration, trouble, wait_until  # noqa: E402
-from packet_standins import PACKETS, SYN, Client, Packet, Target  # noqa: E402
+from world import BROKEN, HELD, NOT_RUN, configuration, retransmitted, run, trouble, wait_until  # noqa: E402
+from packet_standins import Client, Target  # noqa: E402
 
 import packet_standins  # noqa: E402
 
-SEED, OTHER = 10, 11
-DESK, MAPPER, NEWCOMER, CLIENT, ROUTE_HOST = (20, 21), (30, 31), 24, 90, 99
-STABLE_SECONDS, EVACUATE_SECONDS = 5.0, 5.0  # stableWindowMs and evacuateMs of the site
-OPENINGS_PER_SECOND = 100
+SEED, OTHERS, STALE_SEEDS = 10, (11, 12), (13, 14)
+AGENTS, NEWCOMER, CLIENT, ROUTE_HOST = (20, 21, 22, 23), 24, 90, 99
+STABLE_SECONDS = 4.0        # stableWindowMs
+POWER_SECONDS = 3.5         # for_s of node_kill (power) in the site file
+PROBE_SECONDS = 0.5         # the routers' probes of readiness; two misses end the rotation
+COPY_LAG_SECONDS = 3.0      # "seconds old"
 packet_standins.HEARTBEAT_SECONDS = 0.77
 
 
-class Openings(threading.Thread):
-    """Clients that open flows at an even rate through one balancer; copies are not sent."""
-
-    def __init__(self, client, balancer, route):
-        super().__init__(daemon=True)
-        self.client, self.balancer, self.route = client, balancer, route
-        self.sent, self.running = {}, True
-
-    def run(self):
-        while self.running:
-            flow = self.client.new_flow(self.route)
-            packet = Packet((self.client.address, flow.port), self.route, SYN, flow.seq)
-            self.sent[flow.port] = time.monotonic()
-            self.client.socket.sendto(packet.encode(), (self.balancer, PACKETS))
-            time.sleep(1 / OPENINGS_PER_SECOND)
-
-
-class TimedTarget(Target):
-    """An endpoint that notes when each opening reached it."""
-
-    def __init__(self, *args):
-        self.arrivals = []
-        super().__init__(*args)
-
-    def answer(self, packet):
-        if packet.flags & SYN:
-            self.arrivals.append((time.monotonic(), packet.source[1]))
-        return super().answer(packet)
-
-
 def play(machines, record):
     route = (machines.host(ROUTE_HOST), 8443)
     machines.store.put("config", "main", configuration(1, route, "desk"))
-    for last in (SEED, OTHER):
-        machines.start(last, failure_domain="z2", drains_within_seconds=EVACUATE_SECONDS)
-    for last in (*DESK, NEWCOMER):
-        machines.start(last, "desk", failure_domain="z1")
-    for last in MAPPER:
-        machines.start(last, "mapper", failure_domain="z2")
-    targets = {last: TimedTarget(machines.host(last), "desk") for last in DESK}
-    targets |= {last: TimedTarget(machines.host(last), "mapper") for last in MAPPER}
-    if not wait_until(lambda: all(machines.is_ready(last) for last in (SEED, OTHER)), 10):
+    for last in (SEED, *OTHERS):
+        machines.start(last)
+    targets = {}
+    for last in (*AGENTS, NEWCOMER):
+        machines.start(last, "desk")
+    for last in AGENTS:
+        targets[last] = Target(machines.host(last), "desk")
+    if not wait_until(lambda: all(machines.is_ready(last) for last in (SEED, *OTHERS)), 10):
         return NOT_RUN
-    client = Client(machines.host(CLIENT), machines.host(OTHER))
-    openings = Openings(client, machines.host(OTHER), route)
-    openings.start()
+    record.note("all balancers are ready; the fleet runs undisturbed for 8 s")
+    client = Client(machines.host(CLIENT), machines.host(SEED))
+    time.sleep(2 * STABLE_SECONDS)
     try:
-        return evacuate(machines, record, targets, openings)
+        return disturb(machines, record, client, route, targets)
     finally:
-        openings.running = False
-        openings.join()
         client.close()
         for target in targets.values():
             target.stop()
 
 
-def evacuate(machines, record, targets, openings):
-    time.sleep(STABLE_SECONDS + 1)
-    served = sum(len(targets[last].arrivals) for last in DESK)
-    record.note(f"undisturbed for {STABLE_SECONDS + 1:.0f} s; desk took {served} openings")
-    acknowledged = time.monotonic()
+def disturb(machines, record, client, route, targets):
+    newcomer = targets[NEWCOMER] = Target(machines.host(NEWCOMER), "desk")
+    record.note(f"the endpoint {newcomer.id} beside agent {NEWCOMER} starts (scale_out)")
+    flow = None
+    for _ in range(400):
+        tried = client.new_flow(route)
+        if tried.open() and (tried.request(b"first") or "").startswith(newcomer.id):
+            flow = tried
+            break
+        time.sleep(0.002)
+    if flow is None:
+        record.note("no flow reached the new endpoint")
+        return NOT_RUN
+    record.note(f"flow {flow.port} is open at {newcomer.id}, which has answered a request on it")
+    flow.seq += len(b"first")
+    taken = len(newcomer.openings)
+    balancer = machines.host(SEED)
     if trouble():
-        machines.store.put("evacuations", "z1", {})
-        record.note("the evacuation of z1 is acknowledged")
-    time.sleep(EVACUATE_SECONDS + STABLE_SECONDS)
-    record.note("evacuateMs and stableWindowMs have passed")
-    newcomer = targets[NEWCOMER] = TimedTarget(machines.host(NEWCOMER), "desk")
-    record.note(f"an endpoint starts beside agent {NEWCOMER} in z1 (scale_out)")
-    time.sleep(6)
-    late = [(at, port) for last in (*DESK, NEWCOMER) for at, port in targets[last].arrivals
-            if at > acknowledged + EVACUATE_SECONDS]
-    for at, port in late[:20]:
-        record.note(f"opening from port {port}, sent {openings.sent[port] - acknowledged:.3f} s and "
-                    f"arrived {at - acknowledged:.3f} s after the acknowledgement")
-    record.note(f"openings later than evacuateMs: {len(late)}, of these {len(newcomer.arrivals)} at "
-                "the new endpoint")
-    if not trouble():
-        return HELD if newcomer.arrivals else NOT_RUN
-    return BROKEN if late else HELD
-
-
-def main():
-    record = Record(HERE)
-    machines = Machines(seeds=(SEED,), lag=0.0)
-    try:
-        result = play(machines, record)
-    finally:
-        machines.close()
-    record.note({HELD: "the rule held", BROKEN: "EVAC broken", NOT_RUN: "not run"}[result])
-    return result
+        record.note(f"balancer {SEED} loses power (node_kill, power)")
+        machines.kill(SEED)
+        killed = time.monotonic()
+        time.sleep(2 * PROBE_SECONDS)
+        balancer = machines.host(OTHERS[0])
+        record.note(f"two probes missed: the routers use balancer {OTHERS[0]}")
+    else:
+        time.sleep(2 * PROBE_SECONDS)
+    time.sleep(0.4)  # a pause of the client between two requests
+    answer = retransmitted(client, balancer, flow, b"again", record)
+    alive = (flow.client.address, flow.port), flow.route
+    holds = alive in newcomer.flows
+    record.note(f"endpoint {newcomer.id} runs, holds the flow: {holds}; it sent no reset")
+    if trouble():
+        time.sleep(max(0.0, killed + POWER_SECONDS - time.monotonic()))
+        machines.start(SEED)
+        record.note(f"balancer {SEED} starts again")
+    record.note(f"answer to the request: {answer}; openings at the new endpoint: {taken}")
+    return BROKEN if answer == "reset" and holds else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run(HERE, "FLOW", (SEED, *STALE_SEEDS), COPY_LAG_SECONDS, play))
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,8 +1,7 @@
-"""ROUTE: an endpoint gets openings of another service that had its address before.
+"""EVAC: a new endpoint in an evacuated zone gets openings before its agent knows of the evacuation.
 
-Machines: balancers 10 (the seed) and 11; agent 20 beside the one endpoint of service desk, agent 30
-beside one of another service. Machine 20 is lost; two seconds later its address is used again by a
-machine of the other service. The low 13 bits of the two names' XXH3 hashes are the same.
+Machines: balancers 10 (the seed) and 11; agents 20, 21 and 24 of service desk in zone z1, agents 30
+and 31 of service mapper in z2. All endpoints of desk are in z1, which an operator evacuates.
 """
 
 import os
@@ -13,82 +12,98 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
 
-from world import BROKEN, HELD, NOT_RUN, Machines, Record, configuration, trouble, wait_until  # noqa: E402
+from world import BROKEN, HELD, NOT_RUN, configuration, run, trouble, wait_until  # noqa: E402
 from packet_standins import PACKETS, SYN, Client, Packet, Target  # noqa: E402
 
 import packet_standins  # noqa: E402
 
-SEED, OTHER, DESK, MAPPER, CLIENT, ROUTE_HOST = 10, 11, 20, 30, 90, 99
-OTHER_SERVICE = "mapper-2783"
-REUSE_SECONDS, STABLE_SECONDS = 2.0, 4.0
+SEED, OTHER = 10, 11
+DESK, MAPPER, NEWCOMER, CLIENT, ROUTE_HOST = (20, 21), (30, 31), 24, 90, 99
+STABLE_SECONDS, EVACUATE_SECONDS = 5.0, 5.0  # stableWindowMs and evacuateMs of the site
 OPENINGS_PER_SECOND = 100
 packet_standins.HEARTBEAT_SECONDS = 0.77
 
 
 class Openings(threading.Thread):
+    """Clients that open flows at an even rate through one balancer; copies are not sent."""
+
     def __init__(self, client, balancer, route):
         super().__init__(daemon=True)
         self.client, self.balancer, self.route = client, balancer, route
-        self.running, self.count = True, 0
+        self.sent, self.running = {}, True
 
     def run(self):
         while self.running:
             flow = self.client.new_flow(self.route)
             packet = Packet((self.client.address, flow.port), self.route, SYN, flow.seq)
+            self.sent[flow.port] = time.monotonic()
             self.client.socket.sendto(packet.encode(), (self.balancer, PACKETS))
-            self.count += 1
             time.sleep(1 / OPENINGS_PER_SECOND)
 
 
+class TimedTarget(Target):
+    """An endpoint that notes when each opening reached it."""
+
+    def __init__(self, *args):
+        self.arrivals = []
+        super().__init__(*args)
+
+    def answer(self, packet):
+        if packet.flags & SYN:
+            self.arrivals.append((time.monotonic(), packet.source[1]))
+        return super().answer(packet)
+
+
 def play(machines, record):
     route = (machines.host(ROUTE_HOST), 8443)
     machines.store.put("config", "main", configuration(1, route, "desk"))
     for last in (SEED, OTHER):
-        machines.start(last)
-    machines.start(DESK, "desk")
-    machines.start(MAPPER, OTHER_SERVICE)
-    targets = [Target(machines.host(DESK), "desk"), Target(machines.host(MAPPER), OTHER_SERVICE)]
+        machines.start(last, failure_domain="z2", drains_within_seconds=EVACUATE_SECONDS)
+    for last in (*DESK, NEWCOMER):
+        machines.start(last, "desk", failure_domain="z1")
+    for last in MAPPER:
+        machines.start(last, "mapper", failure_domain="z2")
+    targets = {last: TimedTarget(machines.host(last), "desk") for last in DESK}
+    targets |= {last: TimedTarget(machines.host(last), "mapper") for last in MAPPER}
     if not wait_until(lambda: all(machines.is_ready(last) for last in (SEED, OTHER)), 10):
         return NOT_RUN
     client = Client(machines.host(CLIENT), machines.host(OTHER))
     openings = Openings(client, machines.host(OTHER), route)
     openings.start()
     try:
-        time.sleep(2 * STABLE_SECONDS)
-        record.note(f"undisturbed for 8 s; desk took {len(targets[0].openings)} openings")
-        machines.kill(DESK)
-        targets[0].stop()
-        record.note(f"machine {DESK} is lost with its endpoint (replace_with_reuse, side)")
-        time.sleep(REUSE_SECONDS + 0.2)
-        after = OTHER_SERVICE if trouble() else "desk"
-        machines.start(DESK, after)
-        wait_until(lambda: machines.is_ready(DESK), 5, step=0.002)
-        targets[0] = Target(machines.host(DESK), after)
-        record.note(f"its address is used again by a machine and endpoint of {after}")
-        time.sleep(3)
+        return evacuate(machines, record, targets, openings)
     finally:
         openings.running = False
         openings.join()
         client.close()
-        for target in targets:
+        for target in targets.values():
             target.stop()
-    taken = len(targets[0].openings)
-    record.note(f"the new endpoint of {after} took {taken} openings of desk's route")
-    if not trouble():
-        return HELD if taken else NOT_RUN
-    return BROKEN if taken else HELD
 
 
-def main():
-    record = Record(HERE)
-    machines = Machines(seeds=(SEED,))
-    try:
-        result = play(machines, record)
-    finally:
-        machines.close()
-    record.note({HELD: "the rule held", BROKEN: "ROUTE broken", NOT_RUN: "not run"}[result])
-    return result
+def evacuate(machines, record, targets, openings):
+    time.sleep(STABLE_SECONDS + 1)
+    served = sum(len(targets[last].arrivals) for last in DESK)
+    record.note(f"undisturbed for {STABLE_SECONDS + 1:.0f} s; desk took {served} openings")
+    acknowledged = time.monotonic()
+    if trouble():
+        machines.store.put("evacuations", "z1", {})
+        record.note("the evacuation of z1 is acknowledged")
+    time.sleep(EVACUATE_SECONDS + STABLE_SECONDS)
+    record.note("evacuateMs and stableWindowMs have passed")
+    newcomer = targets[NEWCOMER] = TimedTarget(machines.host(NEWCOMER), "desk")
+    record.note(f"an endpoint starts beside agent {NEWCOMER} in z1 (scale_out)")
+    time.sleep(6)
+    late = [(at, port) for last in (*DESK, NEWCOMER) for at, port in targets[last].arrivals
+            if at > acknowledged + EVACUATE_SECONDS]
+    for at, port in late[:20]:
+        record.note(f"opening from port {port}, sent {openings.sent[port] - acknowledged:.3f} s and "
+                    f"arrived {at - acknowledged:.3f} s after the acknowledgement")
+    record.note(f"openings later than evacuateMs: {len(late)}, of these {len(newcomer.arrivals)} at "
+                "the new endpoint")
+    if not trouble():
+        return HELD if newcomer.arrivals else NOT_RUN
+    return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run(HERE, "EVAC", (SEED,), 0.0, play))
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -1,4 +1,4 @@
-"""What the scripts of review/4 to review/8 share: a small deployment on loopback addresses.
+"""What the scripts of review/4 to review/7 share: a small deployment on loopback addresses.
 
 It builds on the project's own stand-ins (tests/process/packet_standins.py) and adds what the users'
 pages allow beyond them: copies of the store that are seconds old, settings as the deploy templates
@@ -11,6 +11,7 @@
 import sys
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "process"))
@@ -54,8 +55,8 @@
         super().delete(kind, name)
         self.times.append((time.monotonic(), self.revision))
 
-    def copied_revision(self):
-        until = time.monotonic() - self.lag
+    def copied_revision(self, lag):
+        until = time.monotonic() - lag
         return max(revision for moment, revision in self.times if moment <= until)
 
     def objects_at(self, revision, kind):
@@ -70,13 +71,14 @@
                 found[item["meta"]["name"]] = item
         return found
 
-    def call(self, method, kind, name, query, body):
+    def call(self, method, kind, name, query, body, lag=None):
+        lag = self.lag if lag is None else lag
         if method != "GET" or "allowStale" not in query:
             return super().call(method, kind, name, query, body)
         if "watch" in query:
-            return self.watch_copy(kind, int(query["watch"]), int(query["waitMs"]))
+            return self.watch_copy(kind, int(query["watch"]), int(query["waitMs"]), lag)
         with self.lock:
-            revision = self.copied_revision()
+            revision = self.copied_revision(lag)
             found = self.objects_at(revision, kind)
         if not name:
             items = [item for _, item in sorted(found.items())]
@@ -84,11 +86,11 @@
         item = found.get(name[0])
         return (200, item) if item else (404, {})
 
-    def watch_copy(self, kind, after, wait_ms):
+    def watch_copy(self, kind, after, wait_ms, lag):
         deadline = time.monotonic() + wait_ms / 1000
         while True:
             with self.lock:
-                revision = max(self.copied_revision(), after)
+                revision = max(self.copied_revision(lag), after)
                 found = [event for at, of, event in self.events
                          if after < at <= revision and of == kind]
                 if found or time.monotonic() >= deadline:
@@ -96,6 +98,17 @@
             time.sleep(standins.WATCH_STEP_SECONDS)
 
 
+class Entrance(standins.Store):
+    """Another address of the same store, whose copies are of another age."""
+
+    def __init__(self, address, store, lag):
+        self.store, self.own_lag = store, lag
+        super().__init__(address)
+
+    def call(self, method, kind, name, query, body):
+        return self.store.call(method, kind, name, query, body, self.own_lag)
+
+
 class Machines(standins.Machines):
     """Machines with the settings that deploy/balancer.json and deploy/agent.json give."""
 
@@ -166,3 +179,20 @@
                 record.note(f"client gets {packet.data!r} on flow {flow.port}")
                 return packet.data.decode()
     return None
+
+
+def run(folder, rule, seeds, lag, play):
+    """Plays a case and ends every process that it started; the exit code for run.sh."""
+    record = Record(folder)
+    result = NOT_RUN
+    try:
+        machines = Machines(seeds, lag)
+        try:
+            result = play(machines, record)
+        finally:
+            machines.close()
+    except Exception:
+        record.note(traceback.format_exc())
+        result = NOT_RUN
+    record.note({HELD: "the rule held", BROKEN: f"{rule} broken", NOT_RUN: "not run"}[result])
+    return result
