--- a/bench/packet_path_bench.cc
+++ b/bench/packet_path_bench.cc
@@ -119,6 +119,7 @@
   const auto heartbeat = packets::Heartbeat{
       .incarnation = {1, std::nullopt}, .service = kDesk, .sequence = 1, .slots = 1'000'000};
   packets::TakeHeartbeat(agent, heartbeat, kNow);
+  packets::NoteRecorded(agent, heartbeat.incarnation, true);
   auto hello = packets::Hello{kDesk, {}, true};
   for (auto i = Address{0}; i < static_cast<Address>(agents); ++i) {
     hello.peers.push_back({kFirstAgent + i, kDesk, 1 + i % kDomains});
@@ -192,6 +193,7 @@
   packets::TakeHeartbeat(
       agent, {.incarnation = {1, std::nullopt}, .service = service, .sequence = 1, .slots = 4},
       kNow);
+  packets::NoteRecorded(agent, {1, std::nullopt}, true);
   packets::TakeReport(balancer.view, packets::MakeReport(agent, 1, kNow), kNow);
 }
 
--- a/bench/placement_model.cc
+++ b/bench/placement_model.cc
@@ -121,6 +121,7 @@
         agent,
         {.incarnation = {1, std::nullopt}, .service = kService, .sequence = 1, .slots = kSlots},
         this->now);
+    packets::NoteRecorded(agent, {1, std::nullopt}, true);
     if (index < kSlowTargets) this->targets[index].factor = this->load.slow_factor;
   }
 
--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -60,6 +60,9 @@
                 bool by_target) -> void;
   auto Report(packets::Address balancer) -> void;
   auto ReportToAll() -> void;
+  auto ReportChange(base::TimePoint now) -> void;
+  auto OnRecordKept(std::string_view value, bool written) -> void;
+  [[nodiscard]] auto RecordOfTarget() const -> std::string;
   auto Check(base::TimePoint now) -> void;
   auto OnRefused(base::TimePoint began) -> void;
   auto KeepConfiguration(packets::Address balancer, std::uint64_t revision) -> void;
--- a/src/packetd/internal/agent_heartbeats.cc
+++ b/src/packetd/internal/agent_heartbeats.cc
@@ -80,7 +80,7 @@
   }
   this->target_watch.OnTargetAlive();
   if (outcome != packets::HeartbeatOutcome::kChanged || this->core.stopping) return JsonReply(kOk);
-  this->told_state = packets::StateOf(this->core, base::Now());
+  this->told_state = packets::ReportedState(this->core, base::Now());
   Log(LogLevel::kInfo, "target_state",
       {{"target", heartbeat->incarnation.id},
        {"started_ms", heartbeat->incarnation.started_ms.value_or(0)},
@@ -89,10 +89,22 @@
   this->ReportToAll();
   this->AnnounceToSeeds();
   if (heartbeat->sequence > kMaxStartupHeartbeats) this->registrar.ExpectObject();
-  this->registrar.Keep(EncodeRecord({this->core.own, this->settings.agent->service}));
+  this->registrar.Keep(this->RecordOfTarget());
   return JsonReply(kOk);
 }
 
+auto AgentNode::RecordOfTarget() const -> std::string {
+  return EncodeRecord({.agent = this->core.own,
+                       .service = this->settings.agent->service,
+                       .target = this->core.target.last.incarnation});
+}
+
+auto AgentNode::OnRecordKept(std::string_view value, bool written) -> void {
+  if (value != this->RecordOfTarget()) return;
+  packets::NoteRecorded(this->core, this->core.target.last.incarnation, written);
+  this->ReportChange(base::Now());
+}
+
 auto AgentNode::OnLeave(const net::OperatorRequest& request) -> net::OperatorResponse {
   const auto id = this->adapter.target_id(this->TargetIdOf(request.path));
   if (!packets::TakeLeave(this->core, id, base::Now())) return JsonReply(kOk);
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -67,8 +67,10 @@
       work_seconds(
           telemetry::AddSummary(this->operators.registry, "anvildrum_packets_work_seconds",
                                 "Time from a request's last packet to its answer's first packet")),
-      registrar(io, {this->client, this->stale_client}, MembersKey(adapter, settings),
-                StartSeed(settings)),
+      registrar(
+          io, {this->client, this->stale_client}, MembersKey(adapter, settings),
+          StartSeed(settings),
+          [this](std::string_view value, bool written) { this->OnRecordKept(value, written); }),
       target_watch(io, settings.agent->target,
                    [this](base::TimePoint began) { this->OnRefused(began); }),
       configuration(io, adapter, settings,
@@ -116,8 +118,14 @@
   packets::RefreshPeers(this->core, now);
   this->RemindBalancers(now);
   this->LogShortage(now);
-  const auto state = packets::StateOf(this->core, now);
-  if (std::exchange(this->told_state, state) != state) this->ReportToAll();
+  this->ReportChange(now);
+}
+
+auto AgentNode::ReportChange(base::TimePoint now) -> void {
+  const auto state = packets::ReportedState(this->core, now);
+  if (std::exchange(this->told_state, state) == state) return;
+  this->ReportToAll();
+  if (state == packets::TargetState::kReady) this->AnnounceToSeeds();
 }
 
 // Safeguard: if all balancers end at once during a platform outage, they find the configuration
--- a/src/packetd/internal/record.cc
+++ b/src/packetd/internal/record.cc
@@ -16,7 +16,12 @@
 }
 
 auto EncodeRecord(const Record& record) -> std::string {
-  return Json{{"agent", FormatAddress(record.agent)}, {"service", record.service}}.dump();
+  auto document = Json{{"agent", FormatAddress(record.agent)},
+                       {"service", record.service},
+                       {"target", std::to_string(record.target.id)}};
+  const auto& started_ms = record.target.started_ms;
+  if (started_ms) document["target_started_ms"] = *started_ms;
+  return document.dump();
 }
 
 auto DecodeRecord(std::string_view text) -> std::optional<Record> {
--- a/src/packetd/internal/registrar.cc
+++ b/src/packetd/internal/registrar.cc
@@ -28,9 +28,10 @@
 
 struct RegistrarCore : std::enable_shared_from_this<RegistrarCore> {
   RegistrarCore(boost::asio::io_context& io, const PlatformClients& given, std::string given_key,
-                std::uint64_t seed)
+                std::uint64_t seed, OnKept given_on_kept)
       : clients(given),
         key(std::move(given_key)),
+        on_kept(std::move(given_on_kept)),
         timer(io),
         backoff(platform::MakeBackoff(kBackoff, seed)) {}
 
@@ -60,6 +61,7 @@
 
   PlatformClients clients;
   std::string key;
+  OnKept on_kept;
   boost::asio::steady_timer timer;
   platform::Backoff backoff;
   std::string wanted;              ///< requested value; empty: absent
@@ -67,6 +69,7 @@
   std::uint64_t revision = 0;      ///< last known one of the object; 0: absent or unknown
   bool revision_known = false;     ///< `revision` is the platform's last answer
   bool object_expected = false;    ///< the object probably exists
+  bool wrote = false;              ///< a write has put `sent` in place of another value
   bool fetches_copy = true;        ///< for the next fetch; once only, as a copy may be stale
   bool platform_available = true;  ///< whether the platform answers other instances
   bool awaits_platform = false;    ///< the timer waits until the platform answers
@@ -115,6 +118,7 @@
 
 auto RegistrarCore::OnWritten(const std::uint64_t& written) -> void {
   this->revision = written;
+  this->wrote = true;
   this->OnDone();
 }
 
@@ -136,8 +140,10 @@
   platform::Reset(this->backoff);
   this->running = false;
   this->fetches_copy = true;
+  const auto written = std::exchange(this->wrote, false);
   if (this->sent != this->wanted) return this->Run();
   this->settled = true;
+  if (!this->wanted.empty()) this->on_kept(this->wanted, written);
   telemetry::Log(
       telemetry::LogLevel::kInfo, "record_settled",
       {{"key", this->key}, {"present", !this->wanted.empty()}, {"revision", this->revision}});
@@ -178,8 +184,9 @@
 }
 
 Registrar::Registrar(boost::asio::io_context& io, const PlatformClients& clients, std::string key,
-                     std::uint64_t seed)
-    : core(std::make_shared<RegistrarCore>(io, clients, std::move(key), seed)) {}
+                     std::uint64_t seed, OnKept on_kept)
+    : core(std::make_shared<RegistrarCore>(io, clients, std::move(key), seed, std::move(on_kept))) {
+}
 
 Registrar::~Registrar() {
   this->core->stopped = true;
--- a/src/packetd/registrar.h
+++ b/src/packetd/registrar.h
@@ -2,8 +2,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "packetd/types/platform_clients.h"
 #include "platform/backoff.h"
@@ -12,6 +14,10 @@
 
 struct RegistrarCore;
 
+/// Called when the platform has confirmed a requested value. `written` says that a write of this
+/// process has put it in place of another value or of none.
+using OnKept = std::function<void(std::string_view value, bool written)>;
+
 /// Maintains one object at the platform: present with a given value, or absent. Failed calls are
 /// retried with backoff until the platform answers. If a creation took effect but its answer was
 /// lost, the retry fails with a conflict, and the object is read.
@@ -19,7 +25,7 @@
  public:
   /// `seed` seeds the backoff's jitter and has to differ between instances.
   Registrar(boost::asio::io_context& io, const PlatformClients& clients, std::string key,
-            std::uint64_t seed);
+            std::uint64_t seed, OnKept on_kept);
   ~Registrar();
   Registrar(const Registrar&) = delete;
   auto operator=(const Registrar&) -> Registrar& = delete;
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -170,6 +170,9 @@
   base::TimePoint heard{};
 };
 
+/// A target with no higher heartbeat sequence is new: it may have just started.
+inline constexpr auto kNewTargetSequence = std::uint64_t{1};
+
 /// The local target, as known from its heartbeats.
 struct LocalTarget {
   TargetState state = TargetState::kUnknown;  ///< last known; StateOf also considers silence
@@ -183,8 +186,10 @@
   base::TimePoint restarted_at{};  ///< when an incarnation with a former id was accepted
   bool leave_doubtful = false;     ///< the leave may belong to an earlier incarnation
   bool seen_from_start = false;    ///< only this process has delivered openings to this incarnation
-  /// The same, provided that no other process of this agent ran just before this one.
-  bool seen_from_first_heartbeat = false;
+  bool new_when_heard = false;     ///< it was, by the first heartbeat that this process took
+  bool recorded = false;           ///< the agent's record at the platform names the incarnation
+  /// This process was the first to record the incarnation, and no other one took openings for it.
+  bool first_to_record = false;
   /// The failure domain has just been returned to service. The target may have become cold; its
   /// next heartbeat tells.
   bool cold_doubtful = false;
@@ -310,6 +315,20 @@
 auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
     -> HeartbeatOutcome;
 
+/// Notes that the agent's record at the platform names the incarnation. `written` says that this
+/// process has put it there in place of another value, by a conditional write that succeeded.
+///
+/// Safeguard: after a restart of its process an agent has to know whether an earlier process has
+/// delivered openings to the target, since it knows nothing of those flows. All other processes may
+/// have been restarted as well. A new target therefore receives openings only once its record is
+/// written, and an agent that finds another incarnation in the record is the target's first.
+auto NoteRecorded(Agent& agent, const Incarnation& incarnation, bool written) -> void;
+
+/// Whether the target is new and not recorded, so that it receives no openings yet. Without the
+/// platform the wait ends with the target's next heartbeat: a later process of this agent does not
+/// take the target for new then.
+auto AwaitsRecord(const Agent& agent) -> bool;
+
 /// Handles a leave notice of the target with this id. Returns true if it applies to the current
 /// target.
 ///
@@ -375,6 +394,12 @@
 /// Packets of its flows do no harm, since a target returns those of flows that it does not hold.
 auto StateOf(const Agent& agent, base::TimePoint now) -> TargetState;
 
+/// Whether the agent has what it needs to deliver openings to a target that is ready.
+auto IsPrepared(const Agent& agent) -> bool;
+
+/// The target's state as reported to balancers.
+auto ReportedState(const Agent& agent, base::TimePoint now) -> TargetState;
+
 /// Whether the target is, or may be, in its slow phase after a start.
 auto IsCold(const Agent& agent, base::TimePoint now) -> bool;
 
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -135,6 +135,7 @@
   kNotAccepted,      ///< every agent that received the opening passed it on
   kMayBeOpen,        ///< no agent accepted the opening, but one may have before
   kEnded,            ///< the last acknowledgement of a flow that closed normally
+  kStarting,         ///< the agent takes openings soon; the client's next copy may find it ready
   kAwaitsCopy,       ///< no target has capacity yet; the client's next copy may find some
   kTooManySearches,  ///< the limit of concurrent searches is reached
 };
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -15,7 +15,13 @@
 
 auto TakesOpenings(const Agent& agent, base::TimePoint now) -> bool {
   const auto drained = IsDrained(agent.drained, agent.domain);
-  return StateOf(agent, now) == TargetState::kReady && !agent.stopping && !drained;
+  return StateOf(agent, now) == TargetState::kReady && !agent.stopping && !drained &&
+         IsPrepared(agent);
+}
+
+// Whether the agent will soon take openings for its target.
+auto WillTakeOpenings(const Agent& agent, base::TimePoint now) -> bool {
+  return ReportedState(agent, now) == TargetState::kStarting;
 }
 
 // An agent in a drained domain refuses no opening while its list of other agents may be incomplete.
@@ -24,6 +30,7 @@
   ++agent.counters.none_left;
   const auto drained = IsDrained(agent.drained, agent.domain);
   if (drained && !HasSettled(agent, now)) return Discard{DiscardReason::kDrained};
+  if (WillTakeOpenings(agent, now)) return Discard{DiscardReason::kStarting};
   if (!packet.stamp.refusable) return Discard{DiscardReason::kMayBeOpen};
   if (admission::AwaitsCopy(agent.admission, CandidateOf(agent, packet), now)) {
     ++agent.counters.shortage.left_to_copies;
--- a/src/packets/internal/agent_query.cc
+++ b/src/packets/internal/agent_query.cc
@@ -40,8 +40,9 @@
   if (agent.overflowed) return false;
   const auto runs_for_long =
       agent.started_at != base::TimePoint{} && now - agent.started_at > agent.policy.flow_age;
-  const auto first_heard = agent.target.seen_from_first_heartbeat && !agent.had_predecessor;
-  return agent.target.seen_from_start || first_heard || runs_for_long;
+  const auto first_process =
+      agent.target.new_when_heard && agent.target.first_to_record && !agent.had_predecessor;
+  return agent.target.seen_from_start || first_process || runs_for_long;
 }
 
 auto RoutesOf(const Agent& agent, base::TimePoint now) -> RouteSet {
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -18,24 +18,6 @@
   return since == base::TimePoint{} ? base::Duration{} : now - since;
 }
 
-// The target's state as reported to balancers.
-//
-// Safeguard: a stopping agent may return to a target that holds flows, and until then no flow of
-// the service is reset. An agent whose target has already left is reported as absent at once. If
-// balancers detected this only after seconds of silence, a service whose targets leave at one per
-// second would have no flow reset during that time, and clients of flows lost in a power loss would
-// wait until they give up. A target that has never been heard is also reported as absent, after a
-// shorter time-out: an agent that was stopped 1.2 s after all machines had lost power delayed the
-// resets for 3,000 packets of lost flows by five seconds.
-auto ReportedState(const Agent& agent, base::TimePoint now) -> TargetState {
-  const auto never_heard = !WasHeard(agent.target) && !agent.target.doubtful && agent.stopping &&
-                           RunTimeSinceStall(agent, now) > agent.policy.never_heard_timeout;
-  const auto has_left = never_heard || StateOf(agent, now) == TargetState::kAbsent;
-  if (agent.stopping) return has_left ? TargetState::kAbsent : TargetState::kStopping;
-  if (has_left && TakesPackets(agent, now)) return TargetState::kDraining;
-  return StateOf(agent, now);
-}
-
 // The earliest time at which the heartbeat's sender may have started, as computed from its sequence
 // and the heartbeat period. The age is doubled, since heartbeats may be late.
 auto StartedAtEarliest(const Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
@@ -69,7 +51,7 @@
   target.state = TargetState::kAbsent;
   target.left_at = left_at;
   target.seen_from_start = false;
-  target.seen_from_first_heartbeat = false;
+  target.new_when_heard = false;
   MarkFlowsUncertain(agent, {});
 }
 
@@ -114,6 +96,26 @@
   return waited ? TargetState::kAbsent : TargetState::kUnknown;
 }
 
+auto IsPrepared(const Agent& agent) -> bool { return !AwaitsRecord(agent); }
+
+// Safeguard: a stopping agent may return to a target that holds flows, and until then no flow of
+// the service is reset. An agent whose target has already left is reported as absent at once. If
+// balancers detected this only after seconds of silence, a service whose targets leave at one per
+// second would have no flow reset during that time, and clients of flows lost in a power loss would
+// wait until they give up. A target that has never been heard is also reported as absent, after a
+// shorter time-out: an agent that was stopped 1.2 s after all machines had lost power delayed the
+// resets for 3,000 packets of lost flows by five seconds.
+auto ReportedState(const Agent& agent, base::TimePoint now) -> TargetState {
+  const auto never_heard = !WasHeard(agent.target) && !agent.target.doubtful && agent.stopping &&
+                           RunTimeSinceStall(agent, now) > agent.policy.never_heard_timeout;
+  const auto has_left = never_heard || StateOf(agent, now) == TargetState::kAbsent;
+  if (agent.stopping) return has_left ? TargetState::kAbsent : TargetState::kStopping;
+  if (has_left && TakesPackets(agent, now)) return TargetState::kDraining;
+  const auto state = StateOf(agent, now);
+  const auto starts = state == TargetState::kReady && !IsPrepared(agent);
+  return starts ? TargetState::kStarting : state;
+}
+
 auto TakeHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
     -> HeartbeatOutcome {
   auto& target = agent.target;
@@ -128,7 +130,9 @@
   const auto first = !WasHeard(target) || claim != HeartbeatClass::kCurrent;
   if (first) {
     target.seen_from_start = SeenFromStart(agent, heartbeat, now);
-    target.seen_from_first_heartbeat = heartbeat.sequence <= 1;
+    target.new_when_heard = heartbeat.sequence <= kNewTargetSequence;
+    target.recorded = false;
+    target.first_to_record = false;
   }
   const auto went_on = target.refused && heartbeat.incarnation == target.last.incarnation;
   if (went_on) target.ignore_refusals = true;
@@ -145,6 +149,18 @@
   return changed ? HeartbeatOutcome::kChanged : HeartbeatOutcome::kUnchanged;
 }
 
+auto NoteRecorded(Agent& agent, const Incarnation& incarnation, bool written) -> void {
+  auto& target = agent.target;
+  if (!WasHeard(target) || target.last.incarnation != incarnation) return;
+  target.recorded = true;
+  if (written) target.first_to_record = true;
+}
+
+auto AwaitsRecord(const Agent& agent) -> bool {
+  const auto& target = agent.target;
+  return !target.recorded && target.last.sequence <= kNewTargetSequence;
+}
+
 auto TakeLeave(Agent& agent, std::uint64_t id, base::TimePoint now) -> bool {
   auto& target = agent.target;
   const auto known = WasHeard(target) && target.last.incarnation.id == id;
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -270,6 +270,8 @@
       return "no target took it, one may have before";
     case DiscardReason::kEnded:
       return "the flow has ended";
+    case DiscardReason::kStarting:
+      return "agent is starting, left to the client's next copy";
     case DiscardReason::kAwaitsCopy:
       return "no capacity yet, left to the client's next copy";
     case DiscardReason::kTooManySearches:
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -242,7 +242,7 @@
 }
 
 auto FromMessage(const pb::Report& message, Address sender) -> std::optional<TargetReport> {
-  if (message.state() > static_cast<std::uint32_t>(TargetState::kStopping)) return std::nullopt;
+  if (message.state() > static_cast<std::uint32_t>(TargetState::kStarting)) return std::nullopt;
   const auto drained = DrainedFrom(message.drained());
   if (!IsDomain(message.domain()) || !drained) return std::nullopt;
   if (message.failed() > message.answered()) return std::nullopt;
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -32,14 +32,15 @@
 enum class Tier : std::uint8_t {
   kUsable,
   kSuspected,  ///< reports, but left an opening or a query unanswered
-  kUnheard,    ///< has never reported
+  kUnheard,    ///< has never reported, or is starting
   kSilent,     ///< was ready in its last report, which is too old
 };
 
 auto TierOf(const View& view, const Member& member, base::TimePoint now) -> std::optional<Tier> {
   if (IsDrained(view.drained, member.report.domain)) return std::nullopt;
   if (IsUsable(view, member, now)) return Tier::kUsable;
-  if (!WasHeard(member)) return Tier::kUnheard;
+  const auto starts = member.report.state == TargetState::kStarting;
+  if (!WasHeard(member) || (starts && IsAlive(view, member, now))) return Tier::kUnheard;
   if (member.report.state != TargetState::kReady) return std::nullopt;
   return IsAlive(view, member, now) ? Tier::kSuspected : Tier::kSilent;
 }
--- a/src/packets/tests/agent_incarnation_test.cc
+++ b/src/packets/tests/agent_incarnation_test.cc
@@ -19,7 +19,7 @@
   auto agent = Agent{};
   agent.own = kOwn;
   agent.service = kDesk;
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 9), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 9), kStart);
   DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther}, true), kStart);
   return agent;
 }
@@ -35,7 +35,7 @@
   auto agent = MakeAgentOfFirstStart();
   const auto restarted_at = kStart + seconds{3};
   const auto outcome =
-      TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), restarted_at);
+      DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), restarted_at);
   BOOST_TEST((outcome == HeartbeatOutcome::kChanged));
   BOOST_TEST((StateAt(agent, restarted_at) == TargetState::kReady));
   BOOST_TEST(agent.target.last.sequence == 1U);
@@ -49,7 +49,7 @@
   FromPeer(agent, OpeningOf(7, 0), kStart);
   FromPeer(agent, Data(), kStart);
   BOOST_TEST(agent.at_work == 2U);
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
   BOOST_TEST(agent.at_work == 0U);
   BOOST_TEST(agent.offered.empty());
 }
@@ -62,11 +62,11 @@
   auto agent = MakeAgentOfFirstStart();
   FromPeer(agent, OpeningOf(7, 0), kStart);
   const auto restarted_at = kStart + seconds{10};
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10), restarted_at - seconds{1});
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10), restarted_at - seconds{1});
   FromPeer(agent, OpeningOf(8, 0), restarted_at - milliseconds{500});
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 11),
-                restarted_at - milliseconds{100});
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), restarted_at);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 11),
+                   restarted_at - milliseconds{100});
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), restarted_at);
   BOOST_TEST(agent.flows.size() == 1U);
   const auto query =
       FlowQuery{kDesk, 1, {{{kClient.address, 7}, kRoute}, {{kClient.address, 8}, kRoute}}};
@@ -79,9 +79,9 @@
 // the agent accepted it, a live target would get no more openings.
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_the_earlier_start_changes_nothing) {
   auto agent = MakeAgentOfFirstStart();
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
   const auto late =
-      TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10, true), kStart);
+      DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10, true), kStart);
   BOOST_TEST((late == HeartbeatOutcome::kStale));
   BOOST_TEST((StateAt(agent, kStart) == TargetState::kReady));
 }
@@ -91,11 +91,12 @@
   auto agent = Agent{};
   agent.own = kOwn;
   agent.service = kDesk;
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10, true), kStart);
-  const auto outcome = TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10, true), kStart);
+  const auto outcome =
+      DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
   BOOST_TEST((outcome == HeartbeatOutcome::kChanged));
   BOOST_TEST((StateAt(agent, kStart) == TargetState::kReady));
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 11), kStart) ==
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 11), kStart) ==
               HeartbeatOutcome::kStale));
 }
 
@@ -104,9 +105,9 @@
   auto agent = MakeAgentOfFirstStart();
   BOOST_TEST(TakeLeave(agent, kId, kStart));
   const auto restarted_at = kStart + seconds{3};
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 99), restarted_at) ==
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 99), restarted_at) ==
               HeartbeatOutcome::kStale));
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), restarted_at) ==
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), restarted_at) ==
               HeartbeatOutcome::kChanged));
   BOOST_TEST((StateAt(agent, restarted_at) == TargetState::kReady));
   BOOST_TEST(TakeLeave(agent, kId, restarted_at));
@@ -119,14 +120,14 @@
 // its heartbeats stop.
 BOOST_AUTO_TEST_CASE(a_leave_that_may_be_of_an_earlier_start_resets_no_flow) {
   auto agent = MakeAgentOfFirstStart();
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
   BOOST_TEST(TakeLeave(agent, kId, kStart));
   const auto later = kStart + agent.policy.leave_grace;
   BOOST_TEST((StateAt(agent, later) == TargetState::kDraining));
   BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Opening(), later)));
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), later)));
   const auto next = kStart + kHeartbeatPeriod;
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 2), next) ==
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 2), next) ==
               HeartbeatOutcome::kChanged));
   BOOST_TEST((StateAt(agent, next) == TargetState::kReady));
 }
@@ -134,7 +135,7 @@
 // As above, but the leave message came from the current start.
 BOOST_AUTO_TEST_CASE(a_doubted_leave_is_believed_once_the_target_is_silent) {
   auto agent = MakeAgentOfFirstStart();
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
   NoteEvent(agent.stall, kStart);
   TakeLeave(agent, kId, kStart);
   const auto silent = kStart + agent.policy.silent_for + milliseconds{1};
@@ -148,9 +149,9 @@
 // departed target's flows are passed on to other targets without further delay.
 BOOST_AUTO_TEST_CASE(a_leave_long_after_the_start_is_believed_at_once) {
   auto agent = MakeAgentOfFirstStart();
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
   const auto later = kStart + agent.policy.late_leave_window;
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 2, true), later);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 2, true), later);
   BOOST_TEST(TakeLeave(agent, kId, later));
   BOOST_TEST((StateAt(agent, later + agent.policy.leave_grace) == TargetState::kAbsent));
 }
@@ -169,7 +170,7 @@
   const auto later = kStart + agent.policy.leave_grace;
   BOOST_TEST((StateAt(agent, later) == TargetState::kUnknown));
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), later)));
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId + 1, kSecondStart, 9), later);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId + 1, kSecondStart, 9), later);
   BOOST_TEST((StateAt(agent, later) == TargetState::kReady));
 }
 
@@ -180,7 +181,7 @@
   ChangeService(agent, kMapper, kStart);
   auto heartbeat = MakeHeartbeatWithStart(kId, kSecondStart, 1);
   heartbeat.service = kMapper;
-  TakeHeartbeat(agent, heartbeat, kStart);
+  DeliverHeartbeat(agent, heartbeat, kStart);
   TakeLeave(agent, kId, kStart);
   BOOST_TEST((StateAt(agent, kStart + agent.policy.leave_grace) == TargetState::kDraining));
 }
@@ -191,10 +192,10 @@
   auto agent = MakeAgentOfFirstStart();
   const auto earlier_ms = kFirstStart - 30'000;
   const auto restarted_at = kStart + seconds{3};
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, earlier_ms, 1), restarted_at) ==
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, earlier_ms, 1), restarted_at) ==
               HeartbeatOutcome::kStale));
-  const auto second = TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, earlier_ms, 2),
-                                    restarted_at + kHeartbeatPeriod);
+  const auto second = DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, earlier_ms, 2),
+                                       restarted_at + kHeartbeatPeriod);
   BOOST_TEST((second == HeartbeatOutcome::kChanged));
   BOOST_TEST(agent.target.last.incarnation.started_ms.value_or(0) == earlier_ms);
   BOOST_TEST(agent.flows.empty());
@@ -207,7 +208,7 @@
   for (auto sequence = std::uint64_t{10}; sequence < 14; ++sequence) {
     const auto at = kStart + milliseconds{sequence};
     const auto outcome =
-        TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, sequence), at);
+        DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, sequence), at);
     BOOST_TEST((outcome == HeartbeatOutcome::kStale));
   }
   BOOST_TEST((StateAt(agent, kStart + agent.policy.leave_grace) == TargetState::kAbsent));
@@ -221,10 +222,11 @@
   for (auto round = std::uint64_t{1}; round < 8; ++round) {
     now += kHeartbeatPeriod / 2;
     const auto other =
-        TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart - 5, round, true), now);
+        DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart - 5, round, true), now);
     BOOST_TEST((other == HeartbeatOutcome::kStale));
     now += kHeartbeatPeriod / 2;
-    const auto own = TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 9 + round), now);
+    const auto own =
+        DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 9 + round), now);
     BOOST_TEST((own == HeartbeatOutcome::kUnchanged));
   }
   BOOST_TEST((StateAt(agent, now) == TargetState::kReady));
@@ -234,13 +236,13 @@
 // number. The target's own sequence would never reach it, so the target would get no openings.
 BOOST_AUTO_TEST_CASE(a_sequence_that_ran_ahead_does_not_silence_the_target) {
   auto agent = MakeAgentOfFirstStart();
-  TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, std::uint64_t{1} << 63U, true),
-                kStart);
-  const auto first =
-      TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10), kStart + kHeartbeatPeriod);
+  DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, std::uint64_t{1} << 63U, true),
+                   kStart);
+  const auto first = DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10),
+                                      kStart + kHeartbeatPeriod);
   BOOST_TEST((first == HeartbeatOutcome::kStale));
-  const auto second = TakeHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 11),
-                                    kStart + 2 * kHeartbeatPeriod);
+  const auto second = DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 11),
+                                       kStart + 2 * kHeartbeatPeriod);
   BOOST_TEST((second == HeartbeatOutcome::kChanged));
   BOOST_TEST((StateAt(agent, kStart + 2 * kHeartbeatPeriod) == TargetState::kReady));
 }
@@ -250,12 +252,13 @@
   auto agent = Agent{};
   agent.own = kOwn;
   agent.service = kDesk;
-  TakeHeartbeat(agent, MakeHeartbeat(kId, 500), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeat(kId, 500), kStart);
   FromPeer(agent, Data(), kStart);
   const auto restarted_at = kStart + seconds{3};
   BOOST_TEST(
-      (TakeHeartbeat(agent, MakeHeartbeat(kId, 1), restarted_at) == HeartbeatOutcome::kStale));
-  const auto second = TakeHeartbeat(agent, MakeHeartbeat(kId, 2), restarted_at + kHeartbeatPeriod);
+      (DeliverHeartbeat(agent, MakeHeartbeat(kId, 1), restarted_at) == HeartbeatOutcome::kStale));
+  const auto second =
+      DeliverHeartbeat(agent, MakeHeartbeat(kId, 2), restarted_at + kHeartbeatPeriod);
   BOOST_TEST((second == HeartbeatOutcome::kChanged));
   BOOST_TEST(agent.at_work == 0U);
 }
@@ -264,7 +267,7 @@
 BOOST_AUTO_TEST_CASE(former_starts_that_are_remembered_are_bounded) {
   auto agent = MakeAgentOfFirstStart();
   for (auto start = std::uint64_t{1}; start < 1'000; ++start) {
-    TakeHeartbeat(agent, MakeHeartbeatWithStart(start % 7, kFirstStart + start, 1), kStart);
+    DeliverHeartbeat(agent, MakeHeartbeatWithStart(start % 7, kFirstStart + start, 1), kStart);
     TakeLeave(agent, 1'000 + start, kStart);
   }
   BOOST_TEST(agent.target.retired.size() <= kMaxRetired);
--- a/src/packets/tests/agent_peers_test.cc
+++ b/src/packets/tests/agent_peers_test.cc
@@ -139,16 +139,58 @@
     return AnswerQuery(agent, QueryOf(1), now).unsure.empty();
   };
   BOOST_TEST(!knows(kStart));  // no heartbeat of the target yet
-  TakeHeartbeat(agent, MakeHeartbeat(1, 40), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 40), kStart);
   BOOST_TEST(!knows(kStart));
   auto runs_long = agent;
-  TakeHeartbeat(runs_long, MakeHeartbeat(1, 140), kStart + agent.policy.flow_age);
+  DeliverHeartbeat(runs_long, MakeHeartbeat(1, 140), kStart + agent.policy.flow_age);
   const auto older = kStart + agent.policy.flow_age + milliseconds{1};
   BOOST_TEST(AnswerQuery(runs_long, QueryOf(1), older).unsure.empty());
-  TakeHeartbeat(agent, MakeHeartbeat(2, 1), kStart + seconds{1});
+  DeliverHeartbeat(agent, MakeHeartbeat(2, 1), kStart + seconds{1});
   BOOST_TEST(knows(kStart + seconds{1}));
 }
 
+// Guards against a reset of open flows after all processes were killed: an agent took the second
+// heartbeat of its target for the first one, and thus itself for the target's first process.
+BOOST_AUTO_TEST_CASE(an_agent_whose_target_is_recorded_already_does_not_know_its_flows) {
+  const auto knows_flows = [](bool written) {
+    auto agent = Agent{};
+    agent.own = kOwn;
+    agent.service = kDesk;
+    agent.started_at = kStart;
+    NoteEvent(agent.stall, kStart);
+    TakeHeartbeat(agent, MakeHeartbeat(1, 1), kStart);
+    BOOST_TEST(!AnswerQuery(agent, QueryOf(1), kStart).unsure.empty());  // no record read yet
+    NoteRecorded(agent, {1, std::nullopt}, written);
+    return AnswerQuery(agent, QueryOf(1), kStart).unsure.empty();
+  };
+  BOOST_TEST(!knows_flows(false));
+  BOOST_TEST(knows_flows(true));
+}
+
+// Guards against openings that a later process of the agent cannot learn of: a new target receives
+// none before it is recorded, and without the platform none before its next heartbeat.
+BOOST_AUTO_TEST_CASE(a_new_target_receives_openings_once_it_is_recorded) {
+  auto agent = Agent{};
+  agent.own = kOwn;
+  agent.service = kDesk;
+  TakeHeartbeat(agent, MakeHeartbeat(1, 0), kStart);
+  DeliverHello(agent, kBalancer, MakeHello({kOwn}), kStart);
+  BOOST_TEST((MakeReport(agent, kBalancer, kStart).state == TargetState::kStarting));
+  BOOST_TEST(std::holds_alternative<Discard>(FromPeer(agent, Opening(), kStart)));
+
+  auto recorded = agent;
+  NoteRecorded(recorded, {2, std::nullopt}, true);  // of an earlier target
+  BOOST_TEST(AwaitsRecord(recorded));
+  NoteRecorded(recorded, {1, std::nullopt}, true);
+  BOOST_TEST((MakeReport(recorded, kBalancer, kStart).state == TargetState::kReady));
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(recorded, Opening(), kStart)));
+
+  TakeHeartbeat(agent, MakeHeartbeat(1, 1), kStart);
+  BOOST_TEST(AwaitsRecord(agent));
+  TakeHeartbeat(agent, MakeHeartbeat(1, 2), kStart);
+  BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Opening(), kStart)));
+}
+
 // The target accepted an opening before its first heartbeat, through an earlier process of the
 // agent. A balancer that knew that process reports it, so the agent does not conclude from having
 // received the first heartbeat that it knows all flows of the target.
@@ -169,9 +211,9 @@
 BOOST_AUTO_TEST_CASE(a_target_that_has_said_little_started_after_an_agent_that_runs_for_long) {
   auto agent = MakeAgent();
   agent.stall.running_since = kStart;
-  TakeHeartbeat(agent, MakeHeartbeat(2, 3), kStart + milliseconds{500});
+  DeliverHeartbeat(agent, MakeHeartbeat(2, 3), kStart + milliseconds{500});
   BOOST_TEST(!AnswerQuery(agent, QueryOf(1), kStart + milliseconds{500}).unsure.empty());
-  TakeHeartbeat(agent, MakeHeartbeat(3, 3), kStart + seconds{10});
+  DeliverHeartbeat(agent, MakeHeartbeat(3, 3), kStart + seconds{10});
   BOOST_TEST(AnswerQuery(agent, QueryOf(1), kStart + seconds{10}).unsure.empty());
 }
 
@@ -183,8 +225,8 @@
   BOOST_TEST(AnswerQuery(agent, QueryOf(2), kStart).unsure.empty());
   FromPeer(agent, OpeningOf(2, 0), kStart);
   BOOST_TEST(!AnswerQuery(agent, QueryOf(2), kStart).unsure.empty());
-  TakeHeartbeat(agent, MakeHeartbeat(2, 1),
-                kStart + seconds{1});  // the next target holds no flows yet
+  DeliverHeartbeat(agent, MakeHeartbeat(2, 1),
+                   kStart + seconds{1});  // the next target holds no flows yet
   BOOST_TEST(AnswerQuery(agent, QueryOf(2), kStart + seconds{1}).unsure.empty());
 }
 
--- a/src/packets/tests/agent_target_test.cc
+++ b/src/packets/tests/agent_target_test.cc
@@ -11,7 +11,7 @@
 BOOST_AUTO_TEST_CASE(a_draining_target_is_given_no_opening_but_its_flows_packets) {
   auto agent = MakeAgent();
   BOOST_TEST(
-      (TakeHeartbeat(agent, MakeHeartbeat(1, 2, true), kStart) == HeartbeatOutcome::kChanged));
+      (DeliverHeartbeat(agent, MakeHeartbeat(1, 2, true), kStart) == HeartbeatOutcome::kChanged));
   BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Opening(), kStart)));
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), kStart)));
 }
@@ -62,7 +62,7 @@
   const auto heard_by = kStart + agent.policy.never_heard_timeout;
   BOOST_TEST((report(heard_by) == TargetState::kStopping));
   BOOST_TEST((report(heard_by + milliseconds{1}) == TargetState::kAbsent));
-  TakeHeartbeat(agent, MakeHeartbeat(1, 1), heard_by);
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 1), heard_by);
   BOOST_TEST((report(heard_by + milliseconds{1}) == TargetState::kStopping));
 }
 
@@ -77,7 +77,7 @@
   NoteEvent(agent.stall, kStart);
   TakeLeave(agent, 1, kStart);
   const auto heard = kStart + milliseconds{700};
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeat(1, 4), heard) == HeartbeatOutcome::kStale));
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeat(1, 4), heard) == HeartbeatOutcome::kStale));
   agent.stopping = true;
   const auto stops = kStart + agent.policy.never_heard_timeout + milliseconds{1};
   agent.stall.active_at = stops;
@@ -112,7 +112,7 @@
   BOOST_TEST((report(later) == TargetState::kAbsent));
   DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther}, true), later);
   BOOST_TEST(std::get<ReturnToBalancer>(FromPeer(agent, Data(), later)).by_target);
-  TakeHeartbeat(agent, MakeHeartbeat(1, 1), later);
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 1), later);
   BOOST_TEST((report(later) == TargetState::kReady));
 }
 
@@ -131,8 +131,8 @@
 // live target would get no more flows.
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_incarnation_changes_nothing) {
   auto agent = MakeAgent();
-  TakeHeartbeat(agent, MakeHeartbeat(2, 1), kStart + seconds{1});
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeat(1, 9, true), kStart + seconds{2}) ==
+  DeliverHeartbeat(agent, MakeHeartbeat(2, 1), kStart + seconds{1});
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeat(1, 9, true), kStart + seconds{2}) ==
               HeartbeatOutcome::kStale));
   BOOST_TEST((agent.target.state == TargetState::kReady));
   BOOST_TEST(agent.target.last.incarnation.id == 2U);
@@ -140,15 +140,15 @@
 
 BOOST_AUTO_TEST_CASE(a_heartbeat_out_of_order_does_not_undo_draining) {
   auto agent = MakeAgent();
-  TakeHeartbeat(agent, MakeHeartbeat(1, 3, true), kStart);
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeat(1, 2), kStart) == HeartbeatOutcome::kStale));
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 3, true), kStart);
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeat(1, 2), kStart) == HeartbeatOutcome::kStale));
   BOOST_TEST((agent.target.state == TargetState::kDraining));
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_left_stays_gone_whatever_comes_late) {
   auto agent = MakeAgent();
   BOOST_TEST(TakeLeave(agent, 1, kStart));
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeat(1, 9), kStart) == HeartbeatOutcome::kStale));
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeat(1, 9), kStart) == HeartbeatOutcome::kStale));
   const auto later = kStart + agent.policy.leave_grace;
   BOOST_TEST((MakeReport(agent, kBalancer, later).state == TargetState::kAbsent));
 }
@@ -165,7 +165,7 @@
   BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, OpeningOf(7, 0), silent)));
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), silent)));
   BOOST_TEST((MakeReport(agent, kBalancer, silent).state == TargetState::kUnknown));
-  const auto back = TakeHeartbeat(agent, MakeHeartbeat(1, 2), silent);
+  const auto back = DeliverHeartbeat(agent, MakeHeartbeat(1, 2), silent);
   BOOST_TEST((back == HeartbeatOutcome::kChanged));
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(8, 0), silent)));
   BOOST_TEST((MakeReport(agent, kBalancer, silent).state == TargetState::kReady));
@@ -178,10 +178,10 @@
   auto agent = MakeAgent();
   auto heartbeat = MakeHeartbeat(2, 1);
   heartbeat.service = kMapper;
-  BOOST_TEST((TakeHeartbeat(agent, heartbeat, kStart) == HeartbeatOutcome::kOtherService));
+  BOOST_TEST((DeliverHeartbeat(agent, heartbeat, kStart) == HeartbeatOutcome::kOtherService));
   BOOST_TEST(agent.target.last.incarnation.id == 1U);
   TakeLeave(agent, 2, kStart);
-  BOOST_TEST((TakeHeartbeat(agent, heartbeat, kStart) == HeartbeatOutcome::kStale));
+  BOOST_TEST((DeliverHeartbeat(agent, heartbeat, kStart) == HeartbeatOutcome::kStale));
 }
 
 // A target crashes, and its port refuses connections at once. If the agent waited for missing
@@ -197,7 +197,7 @@
   BOOST_TEST(std::holds_alternative<ForwardToAgent>(FromPeer(agent, Opening(), crashed)));
   BOOST_TEST(std::get<ReturnToBalancer>(FromPeer(agent, Data(), crashed)).by_target);
   BOOST_TEST(MakeReport(agent, kBalancer, crashed).in_flight == 0U);
-  TakeHeartbeat(agent, MakeHeartbeat(2, 1), crashed + seconds{1});
+  DeliverHeartbeat(agent, MakeHeartbeat(2, 1), crashed + seconds{1});
   BOOST_TEST((StateOf(agent, crashed + seconds{1}) == TargetState::kReady));
 }
 
@@ -221,7 +221,7 @@
 // A draining target may close its listening port and still serve its open flows.
 BOOST_AUTO_TEST_CASE(a_refusal_by_a_draining_target_ends_no_flow) {
   auto agent = MakeAgent();
-  TakeHeartbeat(agent, MakeHeartbeat(1, 2, true), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 2, true), kStart);
   BOOST_TEST(!TakeRefusal(agent, kStart + seconds{1}, kStart + seconds{1}));
   BOOST_TEST(std::holds_alternative<DeliverToTarget>(FromPeer(agent, Data(), kStart)));
 }
@@ -233,9 +233,9 @@
   FromTarget(agent, Reply(100), kStart);
   const auto refused = kStart + milliseconds{100};
   TakeRefusal(agent, refused, refused);
-  TakeHeartbeat(agent, MakeHeartbeat(1, 2), refused + milliseconds{10});
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 2), refused + milliseconds{10});
   const auto later = refused + milliseconds{10} + agent.policy.confirmation_interval;
-  BOOST_TEST((TakeHeartbeat(agent, MakeHeartbeat(1, 3), later) == HeartbeatOutcome::kChanged));
+  BOOST_TEST((DeliverHeartbeat(agent, MakeHeartbeat(1, 3), later) == HeartbeatOutcome::kChanged));
   BOOST_TEST(!TakeRefusal(agent, later + milliseconds{1}, later + milliseconds{1}));
   const auto query = FlowQuery{kDesk, 1, {{kClient, kRoute}}};
   BOOST_TEST(AnswerQuery(agent, query, later).held.empty());
--- a/src/packets/tests/agent_test_utils.h
+++ b/src/packets/tests/agent_test_utils.h
@@ -52,12 +52,20 @@
   return taken;
 }
 
+/// Delivers a heartbeat. The platform records a new target at once.
+inline auto DeliverHeartbeat(Agent& agent, const Heartbeat& heartbeat, base::TimePoint now)
+    -> HeartbeatOutcome {
+  const auto outcome = TakeHeartbeat(agent, heartbeat, now);
+  if (!agent.target.recorded) NoteRecorded(agent, agent.target.last.incarnation, true);
+  return outcome;
+}
+
 /// Returns an agent of service kDesk that has a ready target and one peer.
 inline auto MakeAgent() -> Agent {
   auto agent = Agent{};
   agent.own = kOwn;
   agent.service = kDesk;
-  TakeHeartbeat(agent, MakeHeartbeat(1, 1), kStart);
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 1), kStart);
   DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther}, true), kStart);
   return agent;
 }
--- a/src/packets/tests/cold_test.cc
+++ b/src/packets/tests/cold_test.cc
@@ -35,7 +35,7 @@
   auto agent = Agent{};
   agent.own = kOwn;
   agent.service = kDesk;
-  TakeHeartbeat(agent, ColdHeartbeat(1), kStart);
+  DeliverHeartbeat(agent, ColdHeartbeat(1), kStart);
   DeliverHello(agent, kBalancer,
                per_second ? HelloWithRate(*per_second) : MakeHello({kOwn, kOther}), kStart);
   return agent;
@@ -99,7 +99,7 @@
   const auto later = kStart + milliseconds{kColdMs};
   auto heartbeat = ColdHeartbeat(2);
   heartbeat.cold_ms = 0;
-  TakeHeartbeat(warm, heartbeat, later);
+  DeliverHeartbeat(warm, heartbeat, later);
   for (auto port = std::uint16_t{1}; port <= 100; ++port) {
     BOOST_TEST(Offer(warm, port, later));
     BOOST_TEST(Offer(unlimited, port, kStart));
@@ -113,7 +113,7 @@
   agent.domain = 1;
   auto heartbeat = ColdHeartbeat(2);
   heartbeat.cold_ms = 0;
-  TakeHeartbeat(agent, heartbeat, kStart);
+  DeliverHeartbeat(agent, heartbeat, kStart);
   auto hello = HelloWithRate(5);
   hello.drained = DrainedOf(10, {1});
   TakeHello(agent, kBalancer, hello, kStart);
@@ -126,7 +126,7 @@
   BOOST_TEST(taken <= 5U);
   BOOST_TEST(MakeReport(agent, kBalancer, kStart).cold);
   ++heartbeat.sequence;
-  TakeHeartbeat(agent, heartbeat, kStart);
+  DeliverHeartbeat(agent, heartbeat, kStart);
   BOOST_TEST(!MakeReport(agent, kBalancer, kStart).cold);
   BOOST_TEST(Offer(agent, 21, kStart));
 }
--- a/src/packets/tests/interleaving_events.cc
+++ b/src/packets/tests/interleaving_events.cc
@@ -47,22 +47,37 @@
   site.core.stopping = true;
   this->ReportToAll(site);
   this->Later(milliseconds{100}, [this, index] { this->agents[index].up = false; });
-  this->Later(milliseconds{300 + this->Draw(1500)}, [this, index] {
-    auto& restarted = this->agents[index];
-    const auto own = restarted.core.own;
-    const auto start = restarted.core.start;
-    restarted.core = {};
-    restarted.core.own = own;
-    if (this->options.drains) {
-      restarted.core.domain = static_cast<DomainTag>(1 + index % kDomains);
-    }
-    restarted.core.start = start + 1;
-    restarted.core.service = restarted.target.service;
-    restarted.core.started_at = this->now;
-    restarted.up = true;
-    NoteEvent(restarted.core.stall, this->now);
-    restarted.pause = {{}, restarted.pause.starts + 1};
-  });
+  this->Later(milliseconds{300 + this->Draw(1500)}, [this, index] { this->StartAgent(index); });
+}
+
+auto World::StartAgent(std::size_t index) -> void {
+  auto& restarted = this->agents[index];
+  const auto own = restarted.core.own;
+  const auto start = restarted.core.start;
+  restarted.core = {};
+  restarted.core.own = own;
+  if (this->options.drains) {
+    restarted.core.domain = static_cast<DomainTag>(1 + index % kDomains);
+  }
+  restarted.core.start = start + 1;
+  restarted.core.service = restarted.target.service;
+  restarted.core.started_at = this->now;
+  restarted.up = true;
+  NoteEvent(restarted.core.stall, this->now);
+  restarted.pause = {{}, restarted.pause.starts + 1};
+}
+
+auto World::KillProcesses() -> void {
+  const auto all = this->Draw(2) == 0;
+  for (auto i = std::size_t{0}; i < this->agents.size(); ++i) {
+    auto& site = this->agents[i];
+    if (!site.up || (!all && this->Draw(2) == 0)) continue;
+    site.up = false;
+    this->Later(milliseconds{200 + this->Draw(600)}, [this, i] { this->StartAgent(i); });
+  }
+  for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
+    if (all || this->Draw(2) == 0) this->RestartBalancer(i);
+  }
 }
 
 auto World::RestartBalancer(std::size_t index) -> void {
@@ -198,6 +213,7 @@
   site.target.incarnation = ++this->incarnations;
   site.target.id = this->options.same_id ? index + 1 : site.target.incarnation;
   site.target.service = service;
+  if (this->options.kills) site.target.heartbeats = ~std::uint64_t{0};  // the next one is 0
   if (site.core.service == service) return;
   ChangeService(site.core, service, this->now);  // the agent's settings name the new service
 }
--- a/src/packets/tests/interleaving_test.cc
+++ b/src/packets/tests/interleaving_test.cc
@@ -81,6 +81,23 @@
   BOOST_TEST(opened > 50 * count);
 }
 
+// Processes are killed together, which leaves no process that knows of open flows, and the platform
+// is away at times.
+BOOST_AUTO_TEST_CASE(any_interleaving_with_killed_processes_keeps_the_promises) {
+  auto opened = std::uint64_t{0};
+  auto resets = std::uint64_t{0};
+  const auto [first, count] = Seeds();
+  for (auto seed = first; seed < first + count; ++seed) {
+    const auto world = Play({.seed = seed, .kills = true});
+    const auto fault = world.faults.empty() ? std::string{} : world.faults.front();
+    BOOST_TEST(world.faults.empty(), "seed " << seed << ": " << fault);
+    opened += world.opened;
+    resets += world.resets;
+  }
+  BOOST_TEST(opened > 50 * count);
+  BOOST_TEST(resets > count / 10);
+}
+
 // An operator drains failure domains and reverses this, while balancers and agents restart. At each
 // change the platform answers only one or two balancers, and the others learn of it from agents
 // alone. Once all have run for a moment, no opening may go to a drained domain.
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -14,6 +14,7 @@
 constexpr auto kFirstAgent = Address{0x0a010001};
 constexpr auto kTickEvery = milliseconds{50};
 constexpr auto kHeartbeatTicks = std::uint64_t{15};  // 750 ms
+constexpr auto kOutage = milliseconds{3000};         // of the platform, and the time between two
 
 auto IsServed(const AgentSite& site) -> bool { return site.up && site.target.alive; }
 
@@ -119,6 +120,7 @@
   if (!this->calm && this->Draw(10) == 0) this->Disturb();
   if (!this->calm && this->options.drains && this->Draw(20) == 0) this->DrainDomain();
   if (!this->calm && this->options.moves && this->Draw(40) == 0) this->MoveRoute();
+  if (!this->calm && this->options.kills && this->Draw(60) == 0) this->KillProcesses();
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) this->KeepHistory(i);
   if (!this->calm && this->options.pauses && this->Draw(10) == 0) this->PauseOne();
   this->Later(kTickEvery, [this] { this->Tick(); });
@@ -129,11 +131,23 @@
   if (!target.alive) return;
   const auto heartbeat = this->MakeHeartbeat(target, ++target.heartbeats);
   if (!site.up) return;  // the call fails; the next one continues the count
-  if (TakeHeartbeat(site.core, heartbeat, this->now) != HeartbeatOutcome::kChanged) return;
+  const auto outcome = TakeHeartbeat(site.core, heartbeat, this->now);
+  this->RecordTarget(site);
+  if (outcome != HeartbeatOutcome::kChanged) return;
   this->Record(site.core.own, target.service);
   this->ReportToAll(site);
 }
 
+// The platform answers at once, or not at all.
+auto World::RecordTarget(AgentSite& site) -> void {
+  const auto away = this->options.kills && this->now.time_since_epoch() / kOutage % 2 != 0;
+  if (away || site.core.target.recorded) return;
+  const auto& incarnation = site.core.target.last.incarnation;
+  auto& recorded = this->recorded_targets[site.core.own];
+  NoteRecorded(site.core, incarnation, recorded != incarnation);
+  recorded = incarnation;
+}
+
 auto World::ReportToAll(AgentSite& site) -> void {
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
     this->Report(site, kFirstBalancer + static_cast<Address>(i));
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -98,6 +98,9 @@
   /// some time later or never. One that starts has the newest version, and reads the recorded
   /// history some time later.
   bool moves = false;
+  /// All processes, or a part of them, are killed at once and started again, while targets run on.
+  /// At times the platform does not answer. Targets count their heartbeats from 0.
+  bool kills = false;
 };
 
 class World {
@@ -133,6 +136,8 @@
   auto PauseOne() -> void;
   auto DrainDomain() -> void;
   auto MoveRoute() -> void;
+  auto KillProcesses() -> void;
+  auto StartAgent(std::size_t index) -> void;
   auto ApplyNewest(std::size_t index) -> void;
   auto KeepHistory(std::size_t index) -> void;
   auto ReadHistory(std::size_t index) -> void;
@@ -145,6 +150,7 @@
   auto MakeHeartbeat(const Target& target, std::uint64_t sequence) const -> packets::Heartbeat;
   [[nodiscard]] auto MayBeUnheard(const AgentSite& site) const -> bool;
   auto SpeakLate(std::size_t index, bool leave) -> void;
+  auto RecordTarget(AgentSite& site) -> void;
   auto Record(Address agent, std::optional<base::ServiceId> service) -> void;
   auto Report(AgentSite& site, Address balancer) -> void;
   auto ReportToAll(AgentSite& site) -> void;
@@ -178,6 +184,7 @@
   std::vector<BalancerSite> balancers;
   std::map<FlowId, ClientFlow> clients;
   std::map<Address, base::ServiceId> records;
+  std::map<Address, Incarnation> recorded_targets;  ///< as the agents' records name them
   base::ServiceId service = kDesk;                  ///< of the route, in the newest version
   std::uint64_t version = 1;                        ///< the newest
   RouteServices history;                            ///< as recorded at the platform
--- a/src/packets/tests/search_rig.h
+++ b/src/packets/tests/search_rig.h
@@ -92,6 +92,7 @@
                    .sequence = sequence,
                    .slots = 2},
                   this->now);
+    NoteRecorded(agent, agent.target.last.incarnation, sequence <= kNewTargetSequence);
   }
 
   /// Receives a report of each agent that is not cut off.
--- a/src/packets/types/target.h
+++ b/src/packets/types/target.h
@@ -24,6 +24,7 @@
   kReady,     ///< the target accepts openings
   kDraining,  ///< the target keeps its flows but receives no openings
   kStopping,  ///< the agent's process is about to end
+  kStarting,  ///< the target is ready, and its agent will soon deliver openings to it
 };
 
 /// An agent's report to a balancer about its target.
