Read the agents' records from the platform before a flow is reset

The only balancer that knew it had lost power. The others took copies of the records, which may be seconds old, for a list of all agents, and the agents dropped the dead balancer's list a second after its last hello.

A search that has found no holder now waits for a read that began after the flow's packet arrived and takes no copy.

Evidence: two tests of lost_flows_test fail without the change. One of them expected another reason for the failure, since the age of copies no longer decides. The drawn interleavings tell new agents to one balancer only, and let agents notice the end of a target as its connection does; they did not show this fault.

--- a/bench/packet_path_bench.cc
+++ b/bench/packet_path_bench.cc
@@ -203,6 +203,7 @@
   constexpr auto own_agents = Address{5};
   auto balancer = MakeBalancer(0);
   balancer.records_at = kNow;
+  balancer.records_read_at = kNow;
   for (auto i = Address{0}; i < static_cast<Address>(state.range(0)); ++i) {
     AddIdleAgent(balancer, kFirstAgent + i, i < own_agents ? kDesk : base::ServiceId{1000 + i / 3});
   }
--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -20,6 +20,7 @@
 #include "packetd/machine_probes.h"
 #include "packetd/operator_reads.h"
 #include "packetd/peer_configuration.h"
+#include "packetd/record_reader.h"
 #include "packetd/route_history_store.h"
 #include "packetd/settings.h"
 #include "packets/balancer.h"
@@ -82,6 +83,7 @@
   [[nodiscard]] auto IsSeed() const -> bool;
   [[nodiscard]] auto RecordsRoutes(base::TimePoint now) const -> bool;
   auto KeepRouteHistory(base::TimePoint now) -> void;
+  auto ReadRecords(base::TimePoint now) -> void;
   [[nodiscard]] auto Balancers() const -> std::set<packets::Address>;
   [[nodiscard]] auto BalancerCount(base::TimePoint now) const -> std::size_t;
   auto NextHolder(packets::Address receiver) -> packets::Address;
@@ -114,6 +116,7 @@
   PeerConfiguration peers;
   OperatorReads reads;
   RouteHistoryStore route_history_store;
+  RecordReader record_reader;
   MachineProbes probes;
   std::optional<packets::NewerConfiguration> newer_configuration;
   packets::KeptConfigurations kept_configurations;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -34,6 +34,7 @@
             [this](const platform::Object& object) { this->OnConfiguration(object, "peer"); }),
       reads({this->client, this->stale_client}, adapter, settings, this->MakeReadCallbacks()),
       route_history_store(this->client, adapter, this->core),
+      record_reader(this->client, adapter, this->core),
       probes(io, settings.heartbeats.port,
              [this](packets::Address machine, base::TimePoint began, bool answered) {
                packets::RecordProbeResult(this->core.view, machine, began, answered);
@@ -67,6 +68,7 @@
         this->reads.Check(now);
         this->AskForNewer(now);
         this->KeepRouteHistory(now);
+        this->ReadRecords(now);
         this->LogFreshness(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
--- a/src/packetd/internal/balancer_observability.cc
+++ b/src/packetd/internal/balancer_observability.cc
@@ -41,6 +41,11 @@
       {"route_history_failed_total", "Reads and writes of it that failed", recorder.failed});
   counts.push_back({"route_history_routes", "Routes in the recorded history as last read",
                     this->core.recorded.size(), true});
+  const auto& records = this->record_reader.counters;
+  counts.push_back({"record_reads_total",
+                    "Reads of the agents' records from the platform for lost flows",
+                    records.reads});
+  counts.push_back({"record_reads_failed_total", "Of these, the failed ones", records.failed});
   if (this->core.routes) {
     counts.push_back({"configuration_version", "Number of the configuration that is in force",
                       this->core.routes->version, true});
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -217,6 +217,14 @@
                                  now);
 }
 
+auto BalancerNode::ReadRecords(base::TimePoint now) -> void {
+  this->record_reader.Step({.copy_revision = this->record_watcher->Revision(),
+                            .balancers = this->BalancerCount(now),
+                            .platform_answers = this->platform_answers,
+                            .outage_turn = this->reads.TurnInOutage()},
+                           now);
+}
+
 // Logs one line when reads of the configuration begin to fail and one when they succeed again.
 auto BalancerNode::OnAnswer(const platform::PlatformError* error) -> void {
   const auto now = base::Now();
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -102,7 +102,10 @@
   BalancerPolicy policy;
   Address own = 0;
   DomainTag domain = 0;          ///< domain of this balancer and of most of its clients
-  base::TimePoint records_at{};  ///< when the platform last confirmed the agents' records
+  base::TimePoint records_at{};  ///< when a copy of the agents' records was last read
+  /// When the last read of the agents' records began that did not take a copy; see TakeRecords.
+  base::TimePoint records_read_at{};
+  bool records_wanted = false;   ///< a search awaits such a read
   std::optional<Routes> routes;  ///< empty until a configuration has been read
   ClassesByService classes;      ///< of the routes in `routes`
   std::unordered_map<std::uint64_t, std::vector<FormerService>> former;  ///< by KeyOf(route)
@@ -163,10 +166,27 @@
 /// Returns the stamp for a packet of the service; `refusable` is as in Stamp.
 auto StampFor(const Balancer& balancer, base::ServiceId service, bool refusable = false) -> Stamp;
 
-/// Whether the platform confirmed the agent records recently. Without fresh records the balancer
-/// cannot rule out that an agent is missing.
+/// Whether a copy of the agent records was read recently. The copy itself may be seconds old, so
+/// that it does not show that no agent is missing.
 auto RecordsAreFresh(const Balancer& balancer, base::TimePoint now) -> bool;
 
+/// An agent's record at the platform.
+struct AgentRecord {
+  Address agent = 0;
+  base::ServiceId service;
+};
+
+/// Takes the agents' records, as read from the platform itself and not from a copy, by a call that
+/// began at `read_at`. With those that are known already they are the records of all agents.
+///
+/// Safeguard: a balancer may be the only one that knows a new agent, and may lose power. The others
+/// have copies of the records that are seconds old, and the agents forget what it told them, so
+/// that an open flow at the new agent would be reset. A new target receives openings once it is
+/// recorded, so that a read that began after a packet of the flow arrived names the agent of every
+/// holder.
+auto TakeRecords(Balancer& balancer, std::span<const AgentRecord> records, base::TimePoint read_at,
+                 base::TimePoint now) -> void;
+
 /// Drops the hints of flows that have been idle for longer than the idle limit.
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void;
 
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -227,7 +227,7 @@
     return ForwardToAgent{agent, StampFor(balancer, service)};
   }
   ++balancer.counters.hint_misses;
-  if (BeginSearch(balancer, packet, holders, doubtful)) return AwaitSearch{};
+  if (BeginSearch(balancer, packet, holders, doubtful, now)) return AwaitSearch{};
   return Discard{DiscardReason::kTooManySearches};
 }
 
@@ -297,6 +297,13 @@
          now - balancer.records_at < balancer.policy.records_fresh_for;
 }
 
+auto TakeRecords(Balancer& balancer, std::span<const AgentRecord> records, base::TimePoint read_at,
+                 base::TimePoint now) -> void {
+  for (const auto& record : records) AddRecord(balancer.view, record.agent, record.service, now);
+  balancer.records_read_at = read_at;
+  balancer.records_wanted = false;
+}
+
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void {
   const auto idle = balancer.routes ? balancer.routes->idle_limit : balancer.policy.hint_idle;
   std::erase_if(balancer.hints, [&](const auto& entry) { return now - entry.second.seen > idle; });
--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -25,9 +25,9 @@
   return FlowNotFound{flow, reason, agent};
 }
 
-// Whether the balancer can be relied on to know every agent that may be missing.
-auto KnowsAllAgents(const Balancer& balancer, base::TimePoint now) -> bool {
-  return RecordsAreFresh(balancer, now) && now >= balancer.stall.doubtful_until;
+// Whether the records of all agents that may hold the flow have been read.
+auto KnowsAllAgents(const Balancer& balancer, const FlowSearch& search) -> bool {
+  return balancer.records_read_at != base::TimePoint{} && balancer.records_read_at >= search.since;
 }
 
 // Ends the search because the flow was found at the agent.
@@ -46,7 +46,7 @@
   if (!search.conclusive) return MissingPremise{SearchFailure::kUnsettled, search.undecided};
   const auto away =
       FirstAway(balancer.view, search.services.front(), balancer.stall.running_since, now);
-  if (away == 0 && KnowsAllAgents(balancer, now)) return std::nullopt;
+  if (away == 0 && now >= balancer.stall.doubtful_until) return std::nullopt;
   return MissingPremise{SearchFailure::kAgentMissing, away};
 }
 
@@ -81,10 +81,21 @@
   search.missing = {SearchFailure::kOtherService, others.undecided};
 }
 
+// Postpones the conclusion until the agents' records have been read.
+auto AwaitRecords(Balancer& balancer, FlowSearch& search, base::TimePoint now) -> void {
+  if (search.stage != SearchStage::kAwaitsRecords) search.awaits_since = now;
+  search.stage = SearchStage::kAwaitsRecords;
+  balancer.records_wanted = true;
+}
+
 // Continues the search at agents of other services, or ends it if none of them may hold the flow.
 auto Conclude(Balancer& balancer, const FlowId& flow, std::optional<MissingPremise> missing,
               base::TimePoint now) -> std::optional<SearchOutcome> {
   auto& search = balancer.searches.flows.at(flow);
+  if (!search.missing && !missing && !KnowsAllAgents(balancer, search)) {
+    AwaitRecords(balancer, search, now);
+    return std::nullopt;
+  }
   if (!search.missing) search.missing = missing;
   if (search.elsewhere) return EndNotFound(balancer, flow);
   const auto others = OtherHoldersOf(balancer, flow, search.services, now);
@@ -265,6 +276,21 @@
   }
 }
 
+// Concludes the search if the records have been read since, or have not come in time.
+auto StepAwaiting(Balancer& balancer, const FlowId& flow, base::TimePoint now, SearchStep& step)
+    -> void {
+  const auto& search = balancer.searches.flows.at(flow);
+  const auto late = now - search.awaits_since >= balancer.policy.search.records_timeout;
+  if (!late && !KnowsAllAgents(balancer, search)) {
+    balancer.records_wanted = true;
+    return;
+  }
+  const auto missing = late ? MissingPremise{SearchFailure::kRecordsUnread}
+                            : MissingPremiseOf(balancer, search, now);
+  auto outcome = Conclude(balancer, flow, missing, now);
+  if (outcome) step.outcomes.push_back(std::move(*outcome));
+}
+
 // Queries agents for the due flows of one set of services.
 auto AskForDue(Balancer& balancer, const Services& services, const std::vector<FlowId>& due,
                base::TimePoint now, SearchStep& step) -> void {
@@ -313,6 +339,8 @@
       return "not found, no data";
     case SearchFailure::kMayBeHeld:
       return "not found, a target may hold it";
+    case SearchFailure::kRecordsUnread:
+      return "not found, agents' records not read";
     case SearchFailure::kOtherService:
       return "not found, another service may hold it";
   }
@@ -320,7 +348,8 @@
 }
 
 auto BeginSearch(Balancer& balancer, const Packet& packet,
-                 std::span<const base::ServiceId> services, bool doubtful) -> bool {
+                 std::span<const base::ServiceId> services, bool doubtful, base::TimePoint now)
+    -> bool {
   auto& searches = balancer.searches;
   const auto flow = FlowFromClient(packet);
   const auto known = searches.flows.find(flow);
@@ -331,6 +360,7 @@
   auto& search = known == searches.flows.end() ? searches.flows[flow] : known->second;
   if (known == searches.flows.end()) {
     search.services.assign(services.begin(), services.end());
+    search.since = now;
   }
   // A packet without data proves nothing: a target also returns the last acknowledgement of a flow
   // that has just closed normally.
@@ -345,6 +375,7 @@
   auto due = std::map<Services, std::vector<FlowId>>{};
   auto elsewhere = std::map<std::pair<Services, End>, std::vector<FlowId>>{};
   auto over = std::vector<FlowId>{};
+  auto awaiting = std::vector<FlowId>{};
   for (const auto& [flow, search] : balancer.searches.flows) {
     if (search.stage == SearchStage::kDue) {
       auto& flows =
@@ -352,7 +383,9 @@
       flows.push_back(flow);
     }
     if (HasProbed(balancer.policy.search, search, now)) over.push_back(flow);
+    if (search.stage == SearchStage::kAwaitsRecords) awaiting.push_back(flow);
   }
+  for (const auto& flow : awaiting) StepAwaiting(balancer, flow, now, step);
   for (const auto& flow : over) EndProbing(balancer, flow, now, step);
   for (const auto& [services, flows] : due) AskForDue(balancer, services, flows, now, step);
   for (const auto& [key, flows] : elsewhere) {
@@ -397,7 +430,8 @@
     -> bool {
   const auto& flows = balancer.searches.flows;
   const auto entry = flows.find(flow);
-  const auto probed = entry != flows.end() && entry->second.stage == SearchStage::kProbing;
+  const auto stage = entry == flows.end() ? SearchStage::kDue : entry->second.stage;
+  const auto probed = stage == SearchStage::kProbing || stage == SearchStage::kAwaitsRecords;
   if (probed) {
     EndFound(balancer, flow, agent, now);
   } else {
--- a/src/packets/search.h
+++ b/src/packets/search.h
@@ -23,7 +23,8 @@
 /// A flow is lost when, for every agent that may be alive, either the agent has answered that its
 /// target does not hold the flow or the target has returned the packet. Each agent must know the
 /// same agents as the querying balancer, and must have done so for long enough that each balancer
-/// has sent it all that it knows; and each balancer must report that no agent is missing.
+/// has sent it all that it knows; and each balancer must report that no agent is missing. At the
+/// end the balancer has read the agents' records, after the flow's packet arrived.
 namespace anvildrum::packets {
 
 /// A query and the agent that receives it.
@@ -41,7 +42,8 @@
 /// Begins a search for the packet's flow, or updates the one in progress. `doubtful` says that the
 /// packet may have been queued for long. Returns false if the limit of searches is reached.
 auto BeginSearch(Balancer& balancer, const Packet& packet,
-                 std::span<const base::ServiceId> services, bool doubtful) -> bool;
+                 std::span<const base::ServiceId> services, bool doubtful, base::TimePoint now)
+    -> bool;
 
 /// Returns the queries to send now and the searches that have ended. The caller calls it every
 /// kSearchCheck while there are searches.
--- a/src/packets/tests/interleaving_events.cc
+++ b/src/packets/tests/interleaving_events.cc
@@ -16,6 +16,9 @@
 // two checks later.
 constexpr auto kDrainWithin = milliseconds{3000};
 
+// Time after which an agent's next connection to a target that has ended is refused.
+constexpr auto kNoticedWithin = milliseconds{25};
+
 auto RoutesTo(std::uint64_t version, base::ServiceId service) -> Routes {
   auto routes = Routes{};
   routes.version = version;
@@ -153,6 +156,7 @@
       auto& gone = this->agents[index];
       if (gone.target.incarnation != incarnation) return;
       gone.target.alive = false;
+      if (this->options.kills) this->NoticeEnd(index);
       if (this->options.same_id) this->SpeakLate(index, true);
       const auto service = this->Draw(4) == 0 ? kMapper : kDesk;
       this->Later(milliseconds{200 + this->Draw(1500)},
@@ -165,12 +169,23 @@
   auto& site = this->agents[index];
   if (!site.target.alive) return;
   site.target.alive = false;
+  if (this->options.kills) this->NoticeEnd(index);
   if (this->options.same_id) this->SpeakLate(index, false);
   const auto service = site.target.service;
   this->Later(milliseconds{200 + this->Draw(1500)},
               [this, index, service] { this->StartTarget(index, service); });
 }
 
+// The agent's connection to the target ends, and the target's port refuses the next one.
+auto World::NoticeEnd(std::size_t index) -> void {
+  const auto ended_at = this->now;
+  this->Later(kNoticedWithin, [this, index, ended_at] {
+    auto& site = this->agents[index];
+    const auto ran = site.up && site.core.started_at <= ended_at;
+    if (ran && TakeRefusal(site.core, ended_at, this->now)) this->ReportToAll(site);
+  });
+}
+
 auto World::PauseOne() -> void {
   const auto until = this->now + milliseconds{50 + this->Draw(2000)};
   auto& pause = this->Draw(2) == 0 ? this->agents[this->Draw(this->agents.size())].pause
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -138,10 +138,13 @@
   this->ReportToAll(site);
 }
 
+auto World::IsPlatformAway() const -> bool {
+  return this->options.kills && this->now.time_since_epoch() / kOutage % 2 != 0;
+}
+
 // The platform answers at once, or not at all.
 auto World::RecordTarget(AgentSite& site) -> void {
-  const auto away = this->options.kills && this->now.time_since_epoch() / kOutage % 2 != 0;
-  if (away || site.core.target.recorded) return;
+  if (this->IsPlatformAway() || site.core.target.recorded || !IsServed(site)) return;
   const auto& incarnation = site.core.target.last.incarnation;
   auto& recorded = this->recorded_targets[site.core.own];
   NoteRecorded(site.core, incarnation, recorded != incarnation);
@@ -150,7 +153,9 @@
 
 auto World::ReportToAll(AgentSite& site) -> void {
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
-    this->Report(site, kFirstBalancer + static_cast<Address>(i));
+    const auto balancer = kFirstBalancer + static_cast<Address>(i);
+    const auto known = i == 0 || site.core.balancers.contains(balancer);
+    if (known || !this->options.kills) this->Report(site, balancer);
   }
 }
 
@@ -290,12 +295,26 @@
     const auto step = StepSearches(awake.core, this->now);
     for (const auto& addressed : step.queries) this->Query(index, addressed);
     this->Apply(index, step.outcomes);
+    if (awake.core.records_wanted) this->ReadRecords(index);
     awake.searching = !IsIdle(awake.core.searches);
     if (!awake.searching) return;
     this->Later(kSearchCheck, [this, index, starts] { this->StepSearch(index, starts); });
   });
 }
 
+// The platform's answer comes a moment after its state was read.
+auto World::ReadRecords(std::size_t index) -> void {
+  if (this->IsPlatformAway()) return;
+  auto records = std::vector<AgentRecord>{};
+  for (const auto& [agent, service] : this->records) records.push_back({agent, service});
+  this->Later(milliseconds{3}, [this, index, began = this->now, records = std::move(records)] {
+    auto& site = this->balancers[index];
+    this->WhenAwake(site.pause, [this, index, began, records] {
+      TakeRecords(this->balancers[index].core, records, began, this->now);
+    });
+  });
+}
+
 auto World::Query(std::size_t index, const AddressedQuery& addressed) -> void {
   this->Carry([this, index, addressed] {
     this->WhenAwake(this->SiteOf(addressed.agent)->pause, [this, index, addressed] {
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -99,7 +99,8 @@
   /// history some time later.
   bool moves = false;
   /// All processes, or a part of them, are killed at once and started again, while targets run on.
-  /// At times the platform does not answer. Targets count their heartbeats from 0.
+  /// At times the platform does not answer. Targets count their heartbeats from 0. A new agent
+  /// knows only one balancer, the others learn of it from their copies of the records.
   bool kills = false;
 };
 
@@ -133,6 +134,7 @@
   auto RestartBalancer(std::size_t index) -> void;
   auto Drain(std::size_t index) -> void;
   auto Crash(std::size_t index) -> void;
+  auto NoticeEnd(std::size_t index) -> void;
   auto PauseOne() -> void;
   auto DrainDomain() -> void;
   auto MoveRoute() -> void;
@@ -150,7 +152,9 @@
   auto MakeHeartbeat(const Target& target, std::uint64_t sequence) const -> packets::Heartbeat;
   [[nodiscard]] auto MayBeUnheard(const AgentSite& site) const -> bool;
   auto SpeakLate(std::size_t index, bool leave) -> void;
+  [[nodiscard]] auto IsPlatformAway() const -> bool;
   auto RecordTarget(AgentSite& site) -> void;
+  auto ReadRecords(std::size_t index) -> void;
   auto Record(Address agent, std::optional<base::ServiceId> service) -> void;
   auto Report(AgentSite& site, Address balancer) -> void;
   auto ReportToAll(AgentSite& site) -> void;
--- a/src/packets/tests/lost_flows_test.cc
+++ b/src/packets/tests/lost_flows_test.cc
@@ -110,13 +110,37 @@
   BOOST_TEST((ReasonOf(rig.Search()) == SearchFailure::kUnsettled));
 }
 
-// The platform has been unreachable for long, so a new agent may have written a record that no
-// balancer has read.
+// Guards against a reset on records that are older than the flow: a new agent may have written a
+// record since.
 BOOST_AUTO_TEST_CASE(a_flow_is_not_reset_on_old_records) {
   auto rig = Rig{5};
-  rig.balancer.records_at = rig.now - rig.balancer.policy.records_fresh_for;
+  rig.balancer.records_read_at = rig.now - milliseconds{1};
+  rig.platform_answers = false;
+  rig.Route(DataOf(9));
+  BOOST_TEST((ReasonOf(rig.Search()) == SearchFailure::kRecordsUnread));
+  rig.platform_answers = true;
+  rig.Route(DataOf(9));
+  BOOST_TEST(Count<FlowLost>(rig.Search()) == 1U);
+}
+
+// Guards against a reset of a flow whose agent only a balancer knew that has ended: all agents
+// agree on their list, which lacks the new one.
+BOOST_AUTO_TEST_CASE(a_flow_of_an_agent_that_no_running_balancer_knows_is_served) {
+  auto rig = Rig{6};
+  const auto newcomer = kFirstAgent + 5;
+  rig.Open(5, 9);
+  rig.cut = {newcomer};
+  rig.balancer.view.members.erase(newcomer);
+  rig.balancer.hints.clear();
+  rig.SayHello();
+  rig.records = {{newcomer, kDesk}};
   rig.Route(DataOf(9));
   BOOST_TEST((ReasonOf(rig.Search()) == SearchFailure::kAgentMissing));
+
+  rig.cut.clear();
+  rig.TakeReports();  // the record has made the balancer send a hello
+  rig.Route(DataOf(9));
+  BOOST_TEST(Count<FlowFound>(rig.Search()) == 1U);
 }
 
 // The balancer resumes from a pause with the packet in its socket and outdated state.
--- a/src/packets/tests/search_rig.h
+++ b/src/packets/tests/search_rig.h
@@ -175,6 +175,9 @@
     return RoutePacket(this->balancer, packet, this->now);
   }
 
+  bool platform_answers = true;
+  std::vector<AgentRecord> records;  ///< of agents that the balancer may not know
+
   /// Agents that receive no datagrams.
   std::set<Address> cut;
   /// Flows that targets hold, by agent; the agents may not know about them.
@@ -191,6 +194,9 @@
       this->Apply(step.outcomes, ended);
       this->now += milliseconds{1};
       for (const auto& addressed : step.queries) this->Ask(addressed, ended);
+      if (this->balancer.records_wanted && this->platform_answers) {
+        TakeRecords(this->balancer, this->records, this->now, this->now);
+      }
       this->Live(kSearchCheck);
     }
     return ended;
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -40,6 +40,8 @@
   /// it or answers within some milliseconds, unless its instance has used up its CPU quota. A
   /// client retransmits its packet after 200 ms, which begins another search.
   base::Duration probe_timeout = base::milliseconds{200};
+  /// How long a search waits for the agents' records: a client's longest retransmission time-out.
+  base::Duration records_timeout = base::milliseconds{1600};
   /// Maximum number of concurrent searches, 300 bytes each, so that a flood of forged flows does
   /// not exhaust the memory limit.
   std::size_t max_searches = 8'000;
@@ -49,6 +51,8 @@
   kDue,      ///< no agent has been queried yet
   kAsked,    ///< agents were queried
   kProbing,  ///< the flow's packet was sent to agents that could not tell
+  /// No agent that the balancer knows holds the flow; the platform is asked whether it knows all.
+  kAwaitsRecords,
 };
 
 /// An agent and the service for whose flows it was queried. The agent's address may belong to
@@ -62,13 +66,14 @@
 /// The search for a flow for which the balancer has no hint.
 /// Why a flow was neither found nor known to be lost. The flow's packets are dropped.
 enum class SearchFailure : std::uint8_t {
-  kNoTarget,      ///< no agent of the service is known
-  kNoAnswer,      ///< an agent did not answer
-  kUnsettled,     ///< agents and this balancer do not all know the same agents yet
-  kAgentMissing,  ///< an agent whose target may hold the flow is missing
-  kNoData,        ///< no data arrived; the flow may have closed normally
-  kMayBeHeld,     ///< a target may hold the flow but did not answer
-  kOtherService,  ///< a target of another service may hold the flow; its agent cannot tell
+  kNoTarget,       ///< no agent of the service is known
+  kNoAnswer,       ///< an agent did not answer
+  kUnsettled,      ///< agents and this balancer do not all know the same agents yet
+  kAgentMissing,   ///< an agent whose target may hold the flow is missing
+  kNoData,         ///< no data arrived; the flow may have closed normally
+  kMayBeHeld,      ///< a target may hold the flow but did not answer
+  kRecordsUnread,  ///< the platform did not say which agents there are
+  kOtherService,   ///< a target of another service may hold the flow; its agent cannot tell
 };
 
 /// Short description of the failure for logs.
@@ -82,8 +87,10 @@
 
 struct FlowSearch {
   SearchStage stage = SearchStage::kDue;
-  base::TimePoint probed_at{};  ///< when SearchStage::kProbing began
-  bool all_agents = false;      ///< all agents are queried; the likely ones if false
+  base::TimePoint since{};         ///< when the packet arrived with which the search began
+  base::TimePoint awaits_since{};  ///< when SearchStage::kAwaitsRecords began
+  base::TimePoint probed_at{};     ///< when SearchStage::kProbing began
+  bool all_agents = false;         ///< all agents are queried; the likely ones if false
   /// A packet with data or a FIN arrived without a long delay, so its client expects an answer.
   bool expects_answer = false;
   std::uint32_t acknowledged = 0;         ///< acknowledgement number of the client's last packet
--- a/tools/fuzz/packet_control.cc
+++ b/tools/fuzz/packet_control.cc
@@ -23,7 +23,7 @@
   auto packet = packets::Packet{.source = {1, 2}, .destination = {3, 4}};
   packet.payload = 1;
   const auto services = {kService};
-  packets::BeginSearch(balancer, packet, services, false);
+  packets::BeginSearch(balancer, packet, services, false, kNow);
   packets::StepSearches(balancer, kNow);
 }
 
