Read the records as soon as a search awaits them; mend the killed world

A read for a lost flow began at the next stall check, up to 50 ms later. It begins with the step of the searches now.

--- a/src/packetd/flow_searcher.h
+++ b/src/packetd/flow_searcher.h
@@ -21,6 +21,7 @@
                      bool kept)>
       forward;
   std::function<void(const packets::FlowLost& lost)> reset;
+  std::function<void()> read_records;  ///< a search awaits the agents' records
   std::function<void(const packets::FlowId& flow, std::string_view event, std::string_view reason,
                      packets::Address agent)>
       log;
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -68,7 +68,6 @@
         this->reads.Check(now);
         this->AskForNewer(now);
         this->KeepRouteHistory(now);
-        this->ReadRecords(now);
         this->LogFreshness(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
@@ -215,6 +214,7 @@
                 base::EndpointFromV4(lost.flow.client.address, this->settings.packets.port),
                 this->adapter.make_reset(lost.flow, lost.acknowledged));
           },
+      .read_records = [this] { this->ReadRecords(base::Now()); },
       .log =
           [this](const packets::FlowId& flow, std::string_view event, std::string_view reason,
                  packets::Address agent) {
--- a/src/packetd/internal/flow_searcher.cc
+++ b/src/packetd/internal/flow_searcher.cc
@@ -62,6 +62,7 @@
     this->callbacks.send_control(addressed.agent, addressed.query);
   }
   this->Apply(step.outcomes);
+  if (this->core.records_wanted) this->callbacks.read_records();
   if (!packets::IsIdle(this->core.searches)) this->Arm();
 }
 
--- a/src/packetd/record_reader.h
+++ b/src/packetd/record_reader.h
@@ -28,7 +28,7 @@
   /// All references have to outlive this object.
   RecordReader(platform::Client& client, const Adapter& adapter, packets::Balancer& core);
 
-  /// Begins a read if one is due. Called at each stall check.
+  /// Begins a read if one is due. Called at each step of the searches.
   auto Step(const RecordReaderContext& context, base::TimePoint now) -> void;
 
   RecordReaderCounters counters;
--- a/src/packets/tests/interleaving_events.cc
+++ b/src/packets/tests/interleaving_events.cc
@@ -182,7 +182,7 @@
   this->Later(kNoticedWithin, [this, index, ended_at] {
     auto& site = this->agents[index];
     const auto ran = site.up && site.core.started_at <= ended_at;
-    if (ran && TakeRefusal(site.core, ended_at, this->now)) this->ReportToAll(site);
+    if (ran && TakeRefusal(site.core, this->now, this->now)) this->ReportToAll(site);
   });
 }
 
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -144,7 +144,8 @@
 
 // The platform answers at once, or not at all.
 auto World::RecordTarget(AgentSite& site) -> void {
-  if (this->IsPlatformAway() || site.core.target.recorded || !IsServed(site)) return;
+  const auto heard = site.core.target.heard != base::TimePoint{};
+  if (this->IsPlatformAway() || site.core.target.recorded || !heard) return;
   const auto& incarnation = site.core.target.last.incarnation;
   auto& recorded = this->recorded_targets[site.core.own];
   NoteRecorded(site.core, incarnation, recorded != incarnation);
