Deliver openings only once it is known what is drained

Its agent had had no hello yet and took "told nothing" for "nothing is drained", while balancers that had read its record sent it openings.

An agent now reports "starting", and leaves openings to their clients' copies, until a balancer that knows what is drained has sent it a hello.

One test of incarnations now begins with a hello, as an agent that delivers does.

--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -46,6 +46,7 @@
       ShortagePolicyOf(settings, adapter.shortage_contract).await_copies;
   this->core.own = AddressOf(settings.packets);
   this->core.domain = packets::DomainTagOf(settings.failure_domain);
+  this->core.drains_unknown = settings.drains_within.has_value();
 }
 
 auto BalancerNode::Start() -> base::Result<void> {
@@ -69,6 +70,7 @@
         this->AskForNewer(now);
         this->KeepRouteHistory(now);
         this->LogFreshness(now);
+        this->AwaitDrains(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
         this->RefreshVerdicts(now);
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -239,6 +239,7 @@
   std::optional<WantedList> wanted;
   KnownClasses route_classes;                    ///< of the service's routes
   DrainedDomains drained;                        ///< as told by balancers
+  bool drains_told = false;                      ///< `drained` is known, and may be empty
   std::optional<std::uint32_t> cold_per_second;  ///< Hello::cold_per_second, once received
   std::vector<Place> peers;  ///< agents of the service that any balancer considers alive
   std::uint32_t peers_digest = 0;
@@ -394,7 +395,11 @@
 /// Packets of its flows do no harm, since a target returns those of flows that it does not hold.
 auto StateOf(const Agent& agent, base::TimePoint now) -> TargetState;
 
-/// Whether the agent has what it needs to deliver openings to a target that is ready.
+/// Whether the agent knows what it has to know before it delivers openings to a target that is
+/// ready: that the target is recorded, if it is new, and whether its failure domain is drained.
+///
+/// Safeguard: an agent learns from hellos alone that its domain is drained. A balancer that reads
+/// of a new agent in its record may send it openings before its first hello.
 auto IsPrepared(const Agent& agent) -> bool;
 
 /// The target's state as reported to balancers.
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -112,6 +112,7 @@
   RouteServices recorded;           ///< as last taken by TakeHistory
   base::TimePoint history_at{};     ///< when the record was read that TakeHistory took
   bool history_wanted = false;      ///< a flow was not reset for lack of a newer one
+  bool drains_unknown = false;      ///< it has not been learned yet which domains are drained
   bool outdated = false;            ///< another instance has told of a newer configuration
   base::TimePoint configured_at{};  ///< when the first configuration was applied
   base::TimePoint routes_at{};      ///< when the present one was
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -64,6 +64,7 @@
   /// To a balancer: another balancer that has the sender's configuration and can be asked for it
   /// instead of the sender; 0: none is known. Each receiver is given a different one.
   Address holder = 0;
+  bool drains_unknown = false;   ///< to an agent: the sender does not know `drained` yet
   bool platform_silent = false;  ///< to an agent: the platform has answered no balancer lately
   std::uint32_t balancers = 0;   ///< to a balancer: number that the sender knows, itself included
   /// To an agent: digest of the classes of its service's routes; 0: the sender knows none.
--- a/src/packets/internal/agent_peers.cc
+++ b/src/packets/internal/agent_peers.cc
@@ -117,6 +117,7 @@
 auto TakeDrainedOf(Agent& agent, const Hello& hello) -> void {
   const auto was_drained = IsDrained(agent.drained, agent.domain);
   TakeDrained(agent.drained, hello.drained);
+  if (!hello.drains_unknown) agent.drains_told = true;
   if (was_drained && !IsDrained(agent.drained, agent.domain)) agent.target.cold_doubtful = true;
 }
 
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -96,7 +96,7 @@
   return waited ? TargetState::kAbsent : TargetState::kUnknown;
 }
 
-auto IsPrepared(const Agent& agent) -> bool { return !AwaitsRecord(agent); }
+auto IsPrepared(const Agent& agent) -> bool { return agent.drains_told && !AwaitsRecord(agent); }
 
 // Safeguard: a stopping agent may return to a target that holds flows, and until then no flow of
 // the service is reset. An agent whose target has already left is reported as absent at once. If
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -42,6 +42,7 @@
   body->set_cold_per_second(hello.cold_per_second);
   body->set_balancers(hello.balancers);
   body->set_platform_silent(hello.platform_silent);
+  body->set_drains_unknown(hello.drains_unknown);
   body->set_holder(hello.holder);
   body->set_classes_digest(hello.classes_digest);
   body->set_classes_version(hello.classes_version);
@@ -229,6 +230,7 @@
   hello.cold_per_second = message.cold_per_second();
   hello.balancers = message.balancers();
   hello.platform_silent = message.platform_silent();
+  hello.drains_unknown = message.drains_unknown();
   hello.holder = message.holder();
   hello.classes_digest = message.classes_digest();
   hello.classes_version = message.classes_version();
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -76,6 +76,7 @@
               [](const Peer& a, const Peer& b) { return a.agent < b.agent; });
     hello.service = service;
     hello.drained = view.drained;
+    hello.drains_unknown = balancer.drains_unknown;
     hello.cold_per_second = ColdPerSecond(balancer, service);
     PutClasses(balancer, hello);
     hello.every = view.hello_interval;
--- a/src/packets/tests/agent_incarnation_test.cc
+++ b/src/packets/tests/agent_incarnation_test.cc
@@ -91,6 +91,7 @@
   auto agent = Agent{};
   agent.own = kOwn;
   agent.service = kDesk;
+  DeliverHello(agent, kBalancer, MakeHello({kOwn, kOther}, true), kStart);
   DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kFirstStart, 10, true), kStart);
   const auto outcome =
       DeliverHeartbeat(agent, MakeHeartbeatWithStart(kId, kSecondStart, 1), kStart);
--- a/src/packets/tests/drain_test.cc
+++ b/src/packets/tests/drain_test.cc
@@ -156,6 +156,34 @@
   BOOST_TEST(!TakeDrained(known, {}));
 }
 
+// Guards against openings in a drained domain at an agent that has not been told of the drain: it
+// takes none before a balancer that knows has sent it a hello.
+BOOST_AUTO_TEST_CASE(an_agent_takes_no_opening_before_it_is_told_what_is_drained) {
+  auto agent = Agent{};
+  agent.own = kOwn;
+  agent.service = kDesk;
+  agent.domain = kNorth;
+  DeliverHeartbeat(agent, MakeHeartbeat(1, 5), kStart);
+  const auto is_taken = [&](std::uint16_t port) {
+    return std::holds_alternative<DeliverToTarget>(FromPeer(agent, OpeningOf(port, 0), kStart));
+  };
+  BOOST_TEST(!is_taken(1));
+  BOOST_TEST((MakeReport(agent, kBalancer, kStart).state == TargetState::kStarting));
+
+  auto hello = MakeHello({kOwn});
+  hello.drains_unknown = true;
+  DeliverHello(agent, kBalancer, hello, kStart);
+  BOOST_TEST(!is_taken(2));
+  auto in_drained_domain = agent;
+  hello.drains_unknown = false;
+  DeliverHello(agent, kBalancer, hello, kStart);
+  BOOST_TEST(is_taken(3));
+
+  hello.drained = DrainedOf(10, {kNorth});
+  DeliverHello(in_drained_domain, kBalancer, hello, kStart);
+  BOOST_TEST(std::holds_alternative<Discard>(FromPeer(in_drained_domain, Opening(), kStart)));
+}
+
 // Agents are told of a drain at once, as of any other change. An agent that knows of it passes
 // openings on, whichever balancer sends them.
 BOOST_AUTO_TEST_CASE(a_drain_makes_hellos_due_and_is_included_in_them) {
