Read the steady clock first in the test of a suspension

The boot-time clock was read before the steady one, so that their difference fell short of the ten hours by the time between the two calls. On a machine that was suspended before, the difference is larger and hid this. The bound is as it was.

--- a/src/base/tests/clock_test.cc
+++ b/src/base/tests/clock_test.cc
@@ -26,7 +26,10 @@
   if (::write(file, offset.data(), offset.size()) < 0) return kNotAllowed;
   ::close(file);
   auto child = ::fork();  // the first process that is in the new namespace
-  if (child == 0) ::_exit(Now() - Clock::now() >= hours(10) ? kPassed : kFailed);
+  if (child == 0) {
+    const auto steady = Clock::now();
+    ::_exit(Now() - steady >= hours(10) ? kPassed : kFailed);
+  }
   auto status = 0;
   ::waitpid(child, &status, 0);
   return WEXITSTATUS(status);
