--- a/src/admission/caller_share.h
+++ b/src/admission/caller_share.h
@@ -11,7 +11,7 @@
 /// Recent use of a target by caller, in a count-min sketch of constant size: 32 KiB from the first
 /// use on, whatever the number of addresses. Use is forgotten 2.5 to 5 s after it was counted.
 struct CallerShare {
-  /// Seed of the hashes. It has to be hard to guess: a caller that knew it could choose addresses
+  /// Seed of the hashes. It has to be unpredictable: a caller that knew it could choose addresses
   /// whose counters are another caller's.
   std::uint64_t seed = 0;
   /// Counters of the current and the previous generation, row by row; empty before the first use.
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -63,7 +63,6 @@
   base::ServiceId service;
 };
 
-/// The search for a flow for which the balancer has no hint.
 /// Why a flow was neither found nor known to be lost. The flow's packets are dropped.
 enum class SearchFailure : std::uint8_t {
   kNoTarget,       ///< no agent of the service is known
@@ -85,6 +84,7 @@
   Address agent = 0;  ///< first agent that caused it; 0: no single one
 };
 
+/// The search for a flow for which the balancer has no hint.
 struct FlowSearch {
   SearchStage stage = SearchStage::kDue;
   base::TimePoint since{};         ///< when the packet arrived with which the search began
--- a/src/requests/ledger.h
+++ b/src/requests/ledger.h
@@ -86,8 +86,8 @@
 /// agent.
 inline constexpr auto kIdStep = std::uint64_t{2};
 
-/// Memory counted for an entry besides its request and answer: the entry and its index nodes, as
-/// measured at the allocator (bench/requests_bench.cc).
+/// Memory counted for an entry besides its request and answer: the entry, its two keys in the
+/// indexes, and the nodes of these.
 inline constexpr auto kLedgerEntryBytes = sizeof(LedgerEntry) + 2 * sizeof(RequestIdentity) + 200;
 
 auto IsLive(Stage stage) -> bool;
