Decide in the core whether it is known what is drained, and log giving up

Whether a balancer tells agents that it does not know what is drained was decided beside the sockets and had no test. It is a function of the core now, counts from the end of the last stall, and an operator sees drains_not_known where openings are served without that knowledge, and target_recorded with the word on whether this process is its target's first.

a_balancer_says_that_it_does_not_know_what_is_drained is the test; the round trip of a hello and the largest hello carry the new field too.

--- a/src/packetd/balancer_node.h
+++ b/src/packetd/balancer_node.h
@@ -84,7 +84,7 @@
   [[nodiscard]] auto RecordsRoutes(base::TimePoint now) const -> bool;
   auto KeepRouteHistory(base::TimePoint now) -> void;
   auto ReadRecords(base::TimePoint now) -> void;
-  auto AwaitDrains(base::TimePoint now) -> void;
+  auto ReviewDrains(base::TimePoint now) -> void;
   [[nodiscard]] auto Balancers() const -> std::set<packets::Address>;
   [[nodiscard]] auto BalancerCount(base::TimePoint now) const -> std::size_t;
   auto NextHolder(packets::Address receiver) -> packets::Address;
--- a/src/packetd/internal/agent_heartbeats.cc
+++ b/src/packetd/internal/agent_heartbeats.cc
@@ -101,7 +101,10 @@
 
 auto AgentNode::OnRecordKept(std::string_view value, bool written) -> void {
   if (value != this->RecordOfTarget()) return;
-  packets::NoteRecorded(this->core, this->core.target.last.incarnation, written);
+  const auto& incarnation = this->core.target.last.incarnation;
+  packets::NoteRecorded(this->core, incarnation, written);
+  Log(LogLevel::kInfo, "target_recorded",
+      {{"target", incarnation.id}, {"first", this->core.target.first_to_record}});
   this->ReportChange(base::Now());
 }
 
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -70,7 +70,7 @@
         this->AskForNewer(now);
         this->KeepRouteHistory(now);
         this->LogFreshness(now);
-        this->AwaitDrains(now);
+        this->ReviewDrains(now);
         this->ProbeSilentAgents(now);
         this->SendDueHellos(now);
         this->RefreshVerdicts(now);
--- a/src/packetd/internal/balancer_platform.cc
+++ b/src/packetd/internal/balancer_platform.cc
@@ -41,9 +41,6 @@
 constexpr auto kRecordHold = base::seconds{8};
 constexpr auto kRecordPause = base::seconds{2};
 
-// Time after its start within which a balancer learns what is drained, if the platform answers.
-constexpr auto kDrainsAwaited = base::milliseconds{1000};
-
 auto WatchPolicyOf(base::Duration hold, base::Duration pause) -> platform::WatchPolicy {
   auto policy = platform::WatchPolicy{};
   policy.hold = hold;
@@ -285,13 +282,12 @@
        {"from", from}});
 }
 
-// What is drained is known once the platform or another instance has told. While the platform does
-// not answer, nobody may know it, and openings go where agents take them.
-auto BalancerNode::AwaitDrains(base::TimePoint now) -> void {
-  const auto gave_up = this->platform_lost_at || now - this->started_at > kDrainsAwaited;
-  if (!this->core.drains_unknown || (this->core.view.drained.revision == 0 && !gave_up)) return;
-  this->core.drains_unknown = false;
-  ++this->core.view.changes;
+auto BalancerNode::ReviewDrains(base::TimePoint now) -> void {
+  const auto status = packets::ReviewDrains(this->core, !this->platform_lost_at, now);
+  if (status != packets::DrainsStatus::kGivenUp) return;
+  Log(LogLevel::kWarning, "drains_not_known",
+      {{"after_ms", (now - this->started_at) / base::milliseconds{1}},
+       {"platform_answers", !this->platform_lost_at}});
 }
 
 auto BalancerNode::OnRecord(const platform::Object& object) -> void {
--- a/src/packets/balancer.h
+++ b/src/packets/balancer.h
@@ -43,6 +43,9 @@
   /// A balancer that has run for this long has received reports from all live agents, because they
   /// contact a silent balancer twice a second.
   base::Duration discovery_time = base::milliseconds{1000};
+  /// How long after its start a balancer waits to learn which domains are drained. A platform that
+  /// answers does so within it.
+  base::Duration drains_timeout = base::milliseconds{1000};
   /// How long a service that was removed from a route may still hold flows of the route: the
   /// maximum age up to which users keep a flow.
   base::Duration former_service_ttl = base::seconds{60};
@@ -188,6 +191,16 @@
 auto TakeRecords(Balancer& balancer, std::span<const AgentRecord> records, base::TimePoint read_at,
                  base::TimePoint now) -> void;
 
+enum class DrainsStatus : std::uint8_t {
+  kUnchanged,
+  kLearned,  ///< the platform or another instance has told which domains are drained
+  kGivenUp,  ///< nobody told, and the platform does not answer
+};
+
+/// Clears Balancer::drains_unknown once it is known which domains are drained, or once nobody can
+/// be expected to tell. Openings are served then. Agents are told at once.
+auto ReviewDrains(Balancer& balancer, bool platform_answers, base::TimePoint now) -> DrainsStatus;
+
 /// Drops the hints of flows that have been idle for longer than the idle limit.
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void;
 
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -304,6 +304,17 @@
   balancer.records_wanted = false;
 }
 
+auto ReviewDrains(Balancer& balancer, bool platform_answers, base::TimePoint now) -> DrainsStatus {
+  if (!balancer.drains_unknown) return DrainsStatus::kUnchanged;
+  const auto told = balancer.view.drained.revision != 0;
+  const auto runs_for = now - balancer.stall.running_since;
+  const auto gives_up = !platform_answers || runs_for > balancer.policy.drains_timeout;
+  if (!told && !gives_up) return DrainsStatus::kUnchanged;
+  balancer.drains_unknown = false;
+  ++balancer.view.changes;
+  return told ? DrainsStatus::kLearned : DrainsStatus::kGivenUp;
+}
+
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void {
   const auto idle = balancer.routes ? balancer.routes->idle_limit : balancer.policy.hint_idle;
   std::erase_if(balancer.hints, [&](const auto& entry) { return now - entry.second.seen > idle; });
--- a/src/packets/tests/control_test.cc
+++ b/src/packets/tests/control_test.cc
@@ -61,6 +61,7 @@
   hello.mark = 4'000'000'000U;
   hello.balancers = 4'150;
   hello.platform_silent = true;
+  hello.drains_unknown = true;
   hello.holder = 0x0a010007;
   hello.echo = base::Echo{.mark = 7, .held = base::microseconds{2'999}};
   const auto read = RoundTrip(hello);
@@ -70,6 +71,7 @@
   BOOST_TEST(back.mark == 4'000'000'000U);
   BOOST_TEST(back.balancers == 4'150U);
   BOOST_TEST(back.platform_silent);
+  BOOST_TEST(back.drains_unknown);
   BOOST_TEST(back.holder == 0x0a010007U);
   BOOST_TEST((back.echo == base::Echo{.mark = 7, .held = base::milliseconds{2}}));
   BOOST_TEST(!std::get<Hello>(*RoundTrip(Hello{})).echo.has_value());
@@ -154,6 +156,7 @@
   for (const auto count : {kMaxRestarted, kMaxRestarted + 1}) {
     auto balancer = Balancer{};
     balancer.records_at = now;
+    balancer.drains_unknown = true;
     balancer.view.drained = DrainedOf(1ULL << 32, MostDrained());
     auto routes = Routes{};
     routes.version = 1ULL << 32;
--- a/src/packets/tests/drain_test.cc
+++ b/src/packets/tests/drain_test.cc
@@ -184,6 +184,33 @@
   BOOST_TEST(std::holds_alternative<Discard>(FromPeer(in_drained_domain, Opening(), kStart)));
 }
 
+// Guards against a balancer that passes "not read yet" on as "nothing is drained", and against
+// agents that take no openings for as long as the platform is away.
+BOOST_AUTO_TEST_CASE(a_balancer_says_that_it_does_not_know_what_is_drained) {
+  const auto says_unknown = [](const Balancer& balancer) {
+    return MakeHellos(balancer, kStart).at(kDesk).brief.drains_unknown;
+  };
+  auto fixture = DrainFixture{};
+  auto& balancer = fixture.balancer;
+  NoteEvent(balancer.stall, kStart);
+  balancer.drains_unknown = true;
+  BOOST_TEST((ReviewDrains(balancer, true, kStart) == DrainsStatus::kUnchanged));
+  BOOST_TEST(says_unknown(balancer));
+
+  auto without_platform = balancer;
+  BOOST_TEST((ReviewDrains(without_platform, false, kStart) == DrainsStatus::kGivenUp));
+  BOOST_TEST(!says_unknown(without_platform));
+  auto without_answer = balancer;
+  const auto later = kStart + balancer.policy.drains_timeout + milliseconds{1};
+  BOOST_TEST((ReviewDrains(without_answer, true, later) == DrainsStatus::kGivenUp));
+
+  const auto changes = balancer.view.changes;
+  fixture.Drain(10, {});
+  BOOST_TEST((ReviewDrains(balancer, true, kStart) == DrainsStatus::kLearned));
+  BOOST_TEST(!says_unknown(balancer));
+  BOOST_TEST(balancer.view.changes > changes);  // agents are sent hellos at once
+}
+
 // Agents are told of a drain at once, as of any other change. An agent that knows of it passes
 // openings on, whichever balancer sends them.
 BOOST_AUTO_TEST_CASE(a_drain_makes_hellos_due_and_is_included_in_them) {
