Test the committed deployments beside them, not in a library's tests

They name deployments, which code under src/ does not, and they test settings and configuration files rather than anvilctl. The checks are as they were.

--- a/src/ctl/tests/deployments_test.cc
+++ b/tests/deployments/deployments_test.cc
@@ -9,7 +9,7 @@
 #include "config/configuration.h"
 #include "settings/settings.h"
 
-namespace anvildrum::ctl {
+namespace anvildrum::deployments {
 namespace {
 
 using settings::Role;
@@ -106,4 +106,4 @@
 }
 
 }  // namespace
-}  // namespace anvildrum::ctl
+}  // namespace anvildrum::deployments
