Deliver packets only of routes that the agent's service is known to have

"This packet is for my service" rested on 13 bits of a digest in the stamp, which are equal for one pair of names in 8,192.

An agent now knows the routes of its service: by the set of route classes that balancers send, and by asking the sender for any other route. The packet is held meanwhile, 150 ms at most. An answer counts for two seconds and is renewed while the route is in use. The sender of a packet for another service gets a report at once. Hellos tell whether their balancer answers; while one of an earlier build is known, the bits decide as before.

Rigs that play agents with real hellos answer the new question; what they check is unchanged. Without equal tags the drawn worlds keep their draws.

--- a/bench/packet_path_bench.cc
+++ b/bench/packet_path_bench.cc
@@ -125,7 +125,9 @@
     hello.peers.push_back({kFirstAgent + i, kDesk, 1 + i % kDomains});
   }
   hello.digest = packets::DigestOf(hello);
+  hello.answers_route_queries = true;
   packets::TakeHello(agent, 1, hello, kNow);
+  packets::TakeRouteAnswer(agent, {kDesk, kRoute, true, true}, kNow);
   packets::RefreshPeers(agent, kNow);
   return agent;
 }
--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -11,6 +11,7 @@
 #include "net/periodic_timer.h"
 #include "net/udp_port.h"
 #include "packetd/adapter.h"
+#include "packetd/awaiting_packets.h"
 #include "packetd/internal/operator_view.h"
 #include "packetd/peer_configuration.h"
 #include "packetd/registrar.h"
@@ -44,7 +45,14 @@
  private:
   auto OpenPorts() -> base::Result<void>;
   auto OpenHeartbeats() -> base::Result<void>;
-  auto OnPeerPacket(std::span<const std::uint8_t> datagram) -> void;
+  auto OnPeerPacket(packets::Address sender, std::span<const std::uint8_t> datagram) -> void;
+  auto DecideOnPacket(packets::Address sender, const packets::Packet& packet, base::TimePoint now)
+      -> packets::AgentVerdict;
+  auto AskRoute(const packets::RouteQuery& query, packets::Address sender,
+                const packets::Stamp& stamp) -> void;
+  auto OnRouteAnswer(packets::Address balancer, const packets::RouteAnswer& answer) -> void;
+  auto StepAwaiting(base::TimePoint now) -> void;
+  auto CorrectSender(packets::Address sender, base::TimePoint now) -> void;
   auto OnTargetPacket(std::span<const std::uint8_t> datagram) -> void;
   auto ApplyVerdict(std::span<const std::uint8_t> datagram, const packets::Packet& packet,
                     const packets::AgentVerdict& verdict) -> void;
@@ -90,6 +98,9 @@
   telemetry::Summary& work_seconds;
   Registrar registrar;
   std::uint64_t malformed = 0;
+  AwaitingPackets awaiting;           ///< until a balancer has answered about their route
+  std::uint64_t expired_packets = 0;  ///< packets for which no answer came in time
+  base::TimePoint corrected_at{};     ///< last report to the sender of a misdirected packet
   packets::TargetState told_state = packets::TargetState::kUnknown;  ///< last pushed state
   TargetWatch target_watch;
   PeerConfiguration configuration;  ///< copy for balancers that find no other
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -117,6 +117,7 @@
   packets::NoteEvent(this->core.stall, now);
   packets::RefreshPeers(this->core, now);
   this->RemindBalancers(now);
+  this->StepAwaiting(now);
   this->LogShortage(now);
   this->ReportChange(now);
 }
@@ -158,8 +159,8 @@
 auto AgentNode::OpenPorts() -> base::Result<void> {
   auto packet_opened =
       net::UdpPort::Open(this->io, PacketPortOptions(this->settings.packets),
-                         [this](const base::Endpoint&, std::span<const std::uint8_t> data) {
-                           this->OnPeerPacket(data);
+                         [this](const base::Endpoint& from, std::span<const std::uint8_t> data) {
+                           this->OnPeerPacket(AddressOf(from), data);
                          });
   if (!packet_opened) return packet_opened.error();
   this->packet_port = std::move(packet_opened.value());
@@ -200,18 +201,6 @@
   return std::min<base::Duration>(kShutdownDelay, this->settings.grace / 2);
 }
 
-auto AgentNode::OnPeerPacket(std::span<const std::uint8_t> datagram) -> void {
-  const auto packet = this->adapter.decode_packet(datagram);
-  if (!packet) {
-    ++this->malformed;
-    return;
-  }
-  const auto now = base::Now();
-  const auto verdict = packets::FromPeer(this->core, *packet, now);
-  if (packets::TakeAddedRoutes(this->core, now)) this->ReportToAll();
-  this->ApplyVerdict(datagram, *packet, verdict);
-}
-
 auto AgentNode::OnTargetPacket(std::span<const std::uint8_t> datagram) -> void {
   const auto packet = this->adapter.decode_packet(datagram);
   if (!packet) {
@@ -253,6 +242,7 @@
                        [&](const packets::ReturnToBalancer& back) {
                          this->SendBack(datagram, packet, back.by_target);
                        },
+                       [](const packets::AwaitRoute&) {},  // held by OnPeerPacket
                        [&](const packets::Discard& discard) {
                          this->LogDecision("packet_dropped", packet, NameOf(discard.reason));
                        }},
@@ -272,6 +262,7 @@
   const auto* hello = control ? std::get_if<packets::Hello>(&*control) : nullptr;
   const auto* query = control ? std::get_if<packets::FlowQuery>(&*control) : nullptr;
   const auto* part = control ? std::get_if<packets::RouteClassesPart>(&*control) : nullptr;
+  const auto* answer = control ? std::get_if<packets::RouteAnswer>(&*control) : nullptr;
   if (hello != nullptr) {
     this->OnHello(sender, *hello);
     this->KeepConfiguration(sender, hello->revision);
@@ -282,6 +273,7 @@
     return this->SendControl(sender, packets::AnswerQuery(this->core, *query, base::Now()));
   }
   if (part != nullptr) return this->OnRouteClasses(*part);
+  if (answer != nullptr) return this->OnRouteAnswer(sender, *answer);
   ++this->malformed;
 }
 
--- a/src/packetd/internal/agent_observability.cc
+++ b/src/packetd/internal/agent_observability.cc
@@ -34,6 +34,9 @@
   counts.insert(counts.end(), calls.begin(), calls.end());
   counts.push_back({"classed_routes", "Routes of the target's service whose class is known",
                     this->core.route_classes.classes.size(), true});
+  counts.push_back({"unanswered_routes_total",
+                    "Packets dropped because no balancer confirmed their route in time",
+                    this->expired_packets});
   counts.push_back(
       {"malformed_total", "Datagrams and heartbeats rejected as malformed", this->malformed});
   return counts;
@@ -53,6 +56,7 @@
        {"passed_on", counters.passed_on - this->logged_counters.passed_on},
        {"over_limit", counters.over_limit - this->logged_counters.over_limit},
        {"wrong_service", counters.wrong_service - this->logged_counters.wrong_service},
+       {"unconfirmed", counters.unconfirmed - this->logged_counters.unconfirmed},
        {"none_left", counters.none_left - this->logged_counters.none_left},
        {"given_back", counters.given_back - this->logged_counters.given_back},
        {"queried", counters.queried - this->logged_counters.queried},
--- a/src/packetd/internal/balancer_node.cc
+++ b/src/packetd/internal/balancer_node.cc
@@ -9,6 +9,7 @@
 #include "packetd/internal/common.h"
 #include "packetd/shortage_policy.h"
 #include "packets/reach.h"
+#include "packets/route_history.h"
 
 namespace anvildrum::packetd {
 namespace {
@@ -180,7 +181,12 @@
           [&](const packets::Located& located) { this->searcher.OnLocated(located, now); },
           [&](const packets::FlowAnswer& answer) { this->searcher.OnAnswer(answer, now); },
           [&](const packets::GivenBack& back) { this->OnGivenBack(back, now); },
-          [&](const packets::FlowQuery&) { ++this->malformed; },  // only agents answer queries
+          [&](const packets::RouteQuery& query) {
+            const auto answer = packets::AnswerRouteQuery(this->core, query, now);
+            if (answer) this->SendControl(AddressOf(from), packets::EncodeControl(*answer));
+          },
+          [&](const packets::RouteAnswer&) { ++this->malformed; },  // sent to agents only
+          [&](const packets::FlowQuery&) { ++this->malformed; },    // only agents answer queries
           [&](const packets::RouteClassesPart&) { ++this->malformed; }},  // sent to agents only
       *control);
 }
--- a/src/packetd/internal/metrics.cc
+++ b/src/packetd/internal/metrics.cc
@@ -78,6 +78,8 @@
       {"drained", "Whether the target's failure domain is drained",
        packets::IsDrained(agent.drained, agent.domain) ? 1U : 0U, true},
       {"wrong_service_total", "Packets for another service", counters.wrong_service},
+      {"unconfirmed_total", "Packets that awaited a balancer's word on their route",
+       counters.unconfirmed},
       {"none_left_total", "Openings that no agent accepted", counters.none_left},
       {"given_back_total", "Packets sent back to their balancer", counters.given_back},
       {"queried_total", "Flows that balancers asked for", counters.queried},
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -17,6 +17,7 @@
 #include "outlier/outcomes.h"
 #include "packets/balancer.h"
 #include "packets/cold.h"
+#include "packets/confirmed_routes.h"
 #include "packets/control.h"
 #include "packets/route_classes.h"
 #include "packets/route_set.h"
@@ -55,6 +56,12 @@
   base::Duration list_request_timeout = base::milliseconds{100};
   /// The same time for requested route classes.
   base::Duration class_request_timeout = base::milliseconds{100};
+  /// How long a balancer's answer about a route counts. It is well below the time within which a
+  /// configuration comes into force. With a packet in the second half of it the route is asked for
+  /// again, so that packets of a route in use do not wait.
+  base::Duration route_confirmed_for = base::seconds{2};
+  /// A question about a route that was not answered is repeated after this long.
+  base::Duration route_query_timeout = base::milliseconds{40};
   /// A set of route classes whose contents do not match its digest is requested again after this
   /// long. It probably comes from a build that computes the digest differently, and up to 60 kB of
   /// it should not be sent for each hello.
@@ -217,6 +224,7 @@
   std::uint64_t over_limit = 0;     ///< openings for which the target had no capacity
   std::uint64_t over_cold = 0;      ///< of these, openings above the rate of a cold target
   std::uint64_t wrong_service = 0;  ///< packets for another service than the target's
+  std::uint64_t unconfirmed = 0;    ///< packets that awaited a balancer's word on their route
   std::uint64_t none_left = 0;      ///< openings that no agent accepted
   std::uint64_t given_back = 0;     ///< packets returned to their balancer
   std::uint64_t queried = 0;        ///< flows in balancers' queries
@@ -238,6 +246,7 @@
   std::unordered_map<Address, BalancerHello> balancers;
   std::optional<WantedList> wanted;
   KnownClasses route_classes;                    ///< of the service's routes
+  ConfirmedRoutes confirmed_routes;              ///< of the service, beside those
   DrainedDomains drained;                        ///< as told by balancers
   bool drains_told = false;                      ///< `drained` is known, and may be empty
   std::optional<std::uint32_t> cold_per_second;  ///< Hello::cold_per_second, once received
@@ -282,10 +291,24 @@
   bool by_target = false;  ///< true: the target does not hold the flow; false: it may, half open
 };
 
+/// Hold the packet until a balancer has answered whether the agent's service may receive packets of
+/// its route. The caller passes it to FromPeer again then, or drops it after kMaxRouteWait.
+struct AwaitRoute {};
+
+/// Longest time that a packet is held for AwaitRoute. It is below the time after which a client
+/// retransmits.
+inline constexpr auto kMaxRouteWait = base::milliseconds{150};
+
 using AgentVerdict = std::variant<DeliverToTarget, SendToClient, ForwardToAgent, RefuseOpening,
-                                  ReturnToBalancer, Discard>;
+                                  ReturnToBalancer, AwaitRoute, Discard>;
 
 /// Decides what to do with a packet from a balancer or another agent.
+///
+/// Safeguard: an address may be reused by another service while a balancer still has the old
+/// record. The stamp names the service that the balancer chose by a few bits, which are equal for
+/// some pairs of services, so that equal bits prove nothing. The target receives a packet only if a
+/// balancer has told that the service has the packet's route, or if it has packets of the flow
+/// already.
 auto FromPeer(Agent& agent, const Packet& packet, base::TimePoint now) -> AgentVerdict;
 
 /// Decides what to do with a packet that the target sent or returned.
@@ -353,6 +376,17 @@
 /// another service, are ignored. Returns true if the known classes have changed.
 auto TakeRouteClasses(Agent& agent, const RouteClassesPart& part, base::TimePoint now) -> bool;
 
+/// Returns the question to send now, if FromPeer has found a route that the agent does not know, or
+/// whose confirmation is about to expire.
+auto TakeRouteQuery(Agent& agent) -> std::optional<RouteQuery>;
+
+/// Returns the question again if it has not been answered in time.
+auto RepeatRouteQuery(Agent& agent, const End& route, base::TimePoint now)
+    -> std::optional<RouteQuery>;
+
+/// Handles a balancer's answer. Returns false if it is about another service.
+auto TakeRouteAnswer(Agent& agent, const RouteAnswer& answer, base::TimePoint now) -> bool;
+
 /// Returns the class of the requests on the route, or RequestClass{} if it is unknown.
 auto ClassOf(const Agent& agent, const End& route) -> admission::RequestClass;
 
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -12,6 +12,7 @@
 #include "packets/drain.h"
 #include "packets/types/query.h"
 #include "packets/types/route_classes.h"
+#include "packets/types/route_query.h"
 #include "packets/types/target.h"
 
 /// Control datagrams of packet flows. A balancer sends a hello to each agent that it knows, and the
@@ -70,6 +71,9 @@
   /// To an agent: digest of the classes of its service's routes; 0: the sender knows none.
   std::uint32_t classes_digest = 0;
   std::uint64_t classes_version = 0;  ///< number of the configuration that states the classes
+  /// To an agent: the sender answers a RouteQuery. Builds that do not are trusted to have sent a
+  /// packet to the right service if its stamp agrees.
+  bool answers_route_queries = false;
 };
 
 /// Maximum number of restarted agents in a hello; they fill the rest of a datagram. If there are
@@ -111,8 +115,8 @@
 /// Maximum size of a returned packet in bytes, header and payload. It exceeds the longest packet.
 inline constexpr auto kMaxGivenBack = std::size_t{1400};
 
-using Control =
-    std::variant<Hello, TargetReport, Located, FlowQuery, FlowAnswer, GivenBack, RouteClassesPart>;
+using Control = std::variant<Hello, TargetReport, Located, FlowQuery, FlowAnswer, GivenBack,
+                             RouteClassesPart, RouteQuery, RouteAnswer>;
 
 auto EncodeControl(const Control& control) -> std::string;
 
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -5,6 +5,7 @@
 
 #include "packets/internal/agent_peers.h"
 #include "packets/internal/agent_query.h"
+#include "packets/internal/agent_routes.h"
 #include "packets/internal/agent_target.h"
 #include "packets/internal/flow_load.h"
 #include "packets/internal/request_outcome.h"
@@ -140,15 +141,16 @@
 
 }  // namespace
 
-// Safeguard: an address may be reused by another service while a balancer still has the old record,
-// and the packet would reach the wrong service. The stamp names the service that the balancer
-// chose, and only packets for the agent's own service are delivered.
 auto FromPeer(Agent& agent, const Packet& received, base::TimePoint now) -> AgentVerdict {
   const auto packet = WithoutStaleRefusal(agent, received, now);
   if (packet.stamp.service_tag != TagOf(agent.service)) {
     ++agent.counters.wrong_service;
     return Discard{DiscardReason::kWrongService};
   }
+  if (!MayReceive(agent, packet, now)) {
+    ++agent.counters.unconfirmed;
+    return AwaitRoute{};
+  }
   // A draining target would still accept an opening. Forwarding it here ensures that the target
   // receives none even before any balancer knows that it drains.
   if (IsOpening(packet) && !TakesOpenings(agent, now)) return PassOn(agent, packet, now);
--- a/src/packets/internal/agent_target.cc
+++ b/src/packets/internal/agent_target.cc
@@ -201,6 +201,7 @@
   agent.balancers.clear();
   agent.wanted.reset();
   agent.route_classes = {};
+  agent.confirmed_routes = {};
   agent.outcomes = {};
   agent.recent_routes = {};
   ForgetAdmission(agent);
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -46,6 +46,7 @@
   body->set_holder(hello.holder);
   body->set_classes_digest(hello.classes_digest);
   body->set_classes_version(hello.classes_version);
+  body->set_answers_route_queries(hello.answers_route_queries);
   for (const auto agent : hello.out_of_reach) body->add_out_of_reach(agent);
   body->set_every_ms(static_cast<std::uint32_t>(hello.every / base::milliseconds{1}));
   if (hello.service != base::ServiceId{}) {
@@ -167,6 +168,24 @@
   return message;
 }
 
+auto ToMessage(const RouteQuery& query) -> pb::Control {
+  auto message = pb::Control{};
+  auto* body = message.mutable_route_query();
+  body->set_service(query.service.value);
+  body->set_route(KeyOf(query.route));
+  return message;
+}
+
+auto ToMessage(const RouteAnswer& answer) -> pb::Control {
+  auto message = pb::Control{};
+  auto* body = message.mutable_route_answer();
+  body->set_service(answer.service.value);
+  body->set_route(KeyOf(answer.route));
+  body->set_openings(answer.openings);
+  body->set_packets(answer.packets);
+  return message;
+}
+
 auto IsPort(std::uint32_t number) -> bool {
   return number <= std::numeric_limits<std::uint16_t>::max();
 }
@@ -234,6 +253,7 @@
   hello.holder = message.holder();
   hello.classes_digest = message.classes_digest();
   hello.classes_version = message.classes_version();
+  hello.answers_route_queries = message.answers_route_queries();
   hello.out_of_reach.assign(message.out_of_reach().begin(), message.out_of_reach().end());
   hello.every = base::milliseconds{message.every_ms()};
   for (const auto& peer : message.peers()) {
@@ -338,6 +358,21 @@
   return part;
 }
 
+auto FromMessage(const pb::RouteQuery& message) -> std::optional<RouteQuery> {
+  const auto route = EndOf(message.route());
+  if (!route) return std::nullopt;
+  return RouteQuery{base::ServiceId{message.service()}, *route};
+}
+
+auto FromMessage(const pb::RouteAnswer& message) -> std::optional<RouteAnswer> {
+  const auto route = EndOf(message.route());
+  if (!route) return std::nullopt;
+  return RouteAnswer{.service = base::ServiceId{message.service()},
+                     .route = *route,
+                     .openings = message.openings(),
+                     .packets = message.packets()};
+}
+
 // Wraps a decoded message as a Control; nullopt stays nullopt.
 template <typename Message>
 auto AsControl(const std::optional<Message>& message) -> std::optional<Control> {
@@ -375,6 +410,10 @@
       return AsControl(FromMessage(message.given_back(), sender));
     case pb::Control::kRouteClasses:
       return AsControl(FromMessage(message.route_classes()));
+    case pb::Control::kRouteQuery:
+      return AsControl(FromMessage(message.route_query()));
+    case pb::Control::kRouteAnswer:
+      return AsControl(FromMessage(message.route_answer()));
     default:
       return std::nullopt;
   }
--- a/src/packets/internal/flow_load.cc
+++ b/src/packets/internal/flow_load.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "packets/internal/agent_routes.h"
 #include "packets/internal/request_outcome.h"
 
 namespace anvildrum::packets {
@@ -326,6 +327,7 @@
     const auto& hello = entry.second;
     return now - hello.at > std::max(agent.policy.balancer_timeout, kReportsMissed * hello.every);
   });
+  DropExpiredRoutes(agent, now);
 }
 
 }  // namespace anvildrum::packets
--- a/src/packets/internal/hello.cc
+++ b/src/packets/internal/hello.cc
@@ -79,6 +79,7 @@
     hello.drains_unknown = balancer.drains_unknown;
     hello.cold_per_second = ColdPerSecond(balancer, service);
     PutClasses(balancer, hello);
+    hello.answers_route_queries = true;
     hello.every = view.hello_interval;
     hello.digest = DigestOf(hello);
     hello.complete =
--- a/src/packets/internal/route_history.cc
+++ b/src/packets/internal/route_history.cc
@@ -83,6 +83,21 @@
   return holders;
 }
 
+auto AnswerRouteQuery(const Balancer& balancer, const RouteQuery& query, base::TimePoint now)
+    -> std::optional<RouteAnswer> {
+  if (!balancer.routes) return std::nullopt;
+  auto answer = RouteAnswer{.service = query.service, .route = query.route};
+  const auto route = balancer.routes->shares.find(KeyOf(query.route));
+  if (route != balancer.routes->shares.end()) {
+    answer.openings = std::any_of(
+        route->second.begin(), route->second.end(),
+        [&](const Share& share) { return share.service == query.service && share.weight != 0; });
+  }
+  const auto holders = HoldersOf(balancer, {.client = {}, .service = query.route}, now);
+  answer.packets = std::find(holders.begin(), holders.end(), query.service) != holders.end();
+  return answer;
+}
+
 auto NoteFormerService(Balancer& balancer, std::uint64_t route, base::ServiceId service,
                        base::TimePoint now) -> void {
   if (!balancer.routes) return;
--- a/src/packets/route_history.h
+++ b/src/packets/route_history.h
@@ -2,11 +2,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/types/time.h"
 #include "packets/balancer.h"
 #include "packets/routes.h"
+#include "packets/types/route_query.h"
 
 /// Which services may hold flows of each route: the present ones, and those that it has left within
 /// BalancerPolicy::former_service_ttl. Balancers keep it in memory and at the platform, so
@@ -26,6 +28,10 @@
 auto HoldersOf(const Balancer& balancer, const FlowId& flow, base::TimePoint now)
     -> std::vector<base::ServiceId>;
 
+/// Answers an agent's question by the routes in force; nullopt if there are none yet.
+auto AnswerRouteQuery(const Balancer& balancer, const RouteQuery& query, base::TimePoint now)
+    -> std::optional<RouteAnswer>;
+
 /// Notes that the service may hold flows of the route, by KeyOf. Unless the route has it now, it is
 /// searched for the route's flows like one that the route has just left.
 auto NoteFormerService(Balancer& balancer, std::uint64_t route, base::ServiceId service,
--- a/src/packets/tests/interleaving_agents.cc
+++ b/src/packets/tests/interleaving_agents.cc
@@ -1,10 +1,12 @@
 // The agents and the targets beside them.
 
 #include <algorithm>
+#include <utility>
 
 #include "base/overloaded.h"
 #include "interleaving_world.h"
 #include "packets/hello.h"
+#include "packets/route_history.h"
 
 namespace anvildrum::packets::tests {
 auto World::Heartbeat(AgentSite& site) -> void {
@@ -80,16 +82,46 @@
   this->Carry([this, agent, packet] {
     this->WhenAwake(this->SiteOf(agent)->pause, [this, agent, packet] {
       auto* site = this->SiteOf(agent);
-      if (!site->up) return;
-      const auto verdict = FromPeer(site->core, packet, this->now);
-      // Without moved routes these reports change nothing, and the seeds keep their draws.
-      const auto added = TakeAddedRoutes(site->core, this->now);
-      if (added && this->options.moves) this->ReportToAll(*site);
-      this->Act(*site, packet, verdict);
+      if (site->up) this->AtAgent(*site, packet);
     });
   });
 }
 
+auto World::AtAgent(AgentSite& site, const Packet& packet) -> void {
+  const auto verdict = FromPeer(site.core, packet, this->now);
+  if (const auto query = TakeRouteQuery(site.core)) this->AskRoute(site, *query, packet);
+  // Without moved routes these reports change nothing, and the seeds keep their draws.
+  const auto added = TakeAddedRoutes(site.core, this->now);
+  if (added && this->options.moves) this->ReportToAll(site);
+  if (std::holds_alternative<AwaitRoute>(verdict)) site.awaiting.push_back({packet, this->now});
+  this->Act(site, packet, verdict);
+}
+
+auto World::AskRoute(AgentSite& site, const RouteQuery& query, const Packet& packet) -> void {
+  for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
+    if (OriginTagOf(kFirstBalancer + static_cast<Address>(i)) != packet.stamp.origin) continue;
+    this->ToBalancerCore(i, [this, query, own = site.core.own](Balancer& core) {
+      const auto answer = AnswerRouteQuery(core, query, this->now);
+      if (!answer) return;
+      this->Carry([this, own, answer = *answer] {
+        this->WhenAwake(this->SiteOf(own)->pause, [this, own, answer] {
+          auto* site = this->SiteOf(own);
+          if (site->up) this->TakeAnswerAboutRoute(*site, answer);
+        });
+      });
+    });
+  }
+}
+
+auto World::TakeAnswerAboutRoute(AgentSite& site, const RouteAnswer& answer) -> void {
+  if (!TakeRouteAnswer(site.core, answer, this->now)) return;
+  for (auto& [packet, since] : std::exchange(site.awaiting, {})) {
+    if (this->now - since >= kMaxRouteWait) continue;
+    if (IsOpening(packet)) packet.stamp.refusable = false;
+    this->Act(site, packet, FromPeer(site.core, packet, this->now));
+  }
+}
+
 auto World::Act(AgentSite& site, const Packet& packet, const AgentVerdict& verdict) -> void {
   std::visit(
       base::Overloaded{
@@ -116,7 +148,7 @@
             this->ResetClient(FlowFromClient(packet), "an agent's refusal");
           },
           [&](const ReturnToBalancer& back) { this->SendBack(site, packet, back.by_target); },
-          [](const Discard&) {}},
+          [](const AwaitRoute&) {}, [](const Discard&) {}},
       verdict);
 }
 
--- a/src/packets/tests/interleaving_balancers.cc
+++ b/src/packets/tests/interleaving_balancers.cc
@@ -16,6 +16,11 @@
   if (due.empty()) return;
   balancer.core.records_at = this->now;
   balancer.said = MakeHellos(balancer.core, this->now);
+  // Elsewhere agents go by tags alone, so that the seeds keep their draws.
+  for (auto& [service, said] : balancer.said) {
+    said.brief.answers_route_queries = this->options.equal_tags;
+    for (auto& part : said.listed) part.answers_route_queries = this->options.equal_tags;
+  }
   for (const auto agent : due) {
     this->Say(agent, own, balancer.said.at(view.members.at(agent).service).brief);
   }
--- a/src/packets/tests/interleaving_events.cc
+++ b/src/packets/tests/interleaving_events.cc
@@ -58,6 +58,7 @@
   const auto own = restarted.core.own;
   const auto start = restarted.core.start;
   restarted.core = {};
+  restarted.awaiting.clear();
   restarted.core.own = own;
   if (this->options.drains) {
     restarted.core.domain = static_cast<DomainTag>(1 + index % kDomains);
@@ -103,7 +104,7 @@
 // Each balancer is told of the version soon and applies it within a second, unless the next one
 // comes before.
 auto World::MoveRoute() -> void {
-  this->service = this->service == kDesk ? kMapper : kDesk;
+  this->service = this->service == kDesk ? this->OtherService() : kDesk;
   ++this->version;
   for (auto i = std::size_t{0}; i < this->balancers.size(); ++i) {
     const auto told_after = this->Draw(100);
@@ -140,7 +141,7 @@
       gone.target.alive = false;
       if (this->options.notices_ends) this->NoticeEnd(index);
       if (this->options.same_id) this->SpeakLate(index, true);
-      const auto service = this->Draw(4) == 0 ? kMapper : kDesk;
+      const auto service = this->Draw(4) == 0 ? this->OtherService() : kDesk;
       this->Later(milliseconds{200 + this->Draw(1500)},
                   [this, index, service] { this->StartTarget(index, service); });
     });
--- a/src/packets/tests/interleaving_test.cc
+++ b/src/packets/tests/interleaving_test.cc
@@ -109,6 +109,25 @@
   PlayKills(false);
 }
 
+// Guards against packets for a target of another service whose tag is equal, after addresses have
+// changed hands, while processes are killed or paused.
+BOOST_AUTO_TEST_CASE(any_interleaving_of_services_with_equal_tags_keeps_the_promises) {
+  auto opened = std::uint64_t{0};
+  const auto [first, count] = Seeds();
+  for (auto seed = first; seed < first + count; ++seed) {
+    const auto kills = seed % 2 == 0;
+    const auto world = Play({.seed = seed,
+                             .pauses = !kills,
+                             .kills = kills,
+                             .notices_ends = kills,
+                             .equal_tags = true});
+    const auto fault = world.faults.empty() ? std::string{} : world.faults.front();
+    BOOST_TEST(world.faults.empty(), "seed " << seed << ": " << fault);
+    opened += world.opened;
+  }
+  BOOST_TEST(opened > 50 * count);
+}
+
 // An operator drains failure domains and reverses this, while balancers and agents restart. At each
 // change the platform answers only one or two balancers, and the others learn of it from agents
 // alone. Once all have run for a moment, no opening may go to a drained domain.
--- a/src/packets/tests/interleaving_world.cc
+++ b/src/packets/tests/interleaving_world.cc
@@ -23,7 +23,7 @@
     core.own = kFirstAgent + static_cast<Address>(i);
     core.start = 1;
     if (given.drains) core.domain = static_cast<DomainTag>(1 + i % kDomains);
-    this->StartTarget(i, given.moves && i % 2 != 0 ? kMapper : kDesk);
+    this->StartTarget(i, given.moves && i % 2 != 0 ? this->OtherService() : kDesk);
   }
   this->Later({}, [this] { this->Tick(); });
 }
@@ -85,6 +85,10 @@
   return index < this->agents.size() ? &this->agents[index] : nullptr;
 }
 
+auto World::OtherService() const -> base::ServiceId {
+  return this->options.equal_tags ? kEqualTag : kMapper;
+}
+
 auto World::OpenAt(const FlowId& flow) -> AgentSite* {
   for (auto& site : this->agents) {
     const auto held = site.target.flows.find(flow);
--- a/src/packets/tests/interleaving_world.h
+++ b/src/packets/tests/interleaving_world.h
@@ -25,6 +25,8 @@
 inline constexpr auto kFirstBalancer = Address{0x0a020001};
 inline constexpr auto kDomains = std::size_t{3};  // where domains are drained
 inline constexpr auto kMapper = base::ServiceId{0x7654321};
+// A service whose tag in a stamp is that of kDesk.
+inline constexpr auto kEqualTag = base::ServiceId{kDesk.value + (1U << kServiceTagBits)};
 
 inline constexpr auto kTickEvery = base::milliseconds{50};
 inline constexpr auto kHeartbeatTicks = std::uint64_t{15};  // 750 ms
@@ -50,8 +52,15 @@
   std::uint64_t starts = 0;
 };
 
+/// A packet that awaits a balancer's word on its route.
+struct AwaitingPacket {
+  Packet packet;
+  base::TimePoint since{};
+};
+
 struct AgentSite {
   Agent core;
+  std::vector<AwaitingPacket> awaiting;
   Target target;
   bool up = true;
   Pause pause;
@@ -107,6 +116,8 @@
   bool kills = false;
   /// An agent notices the end of its target by its connection, before the next target runs.
   bool notices_ends = false;
+  /// The other service has the tag of the first one, and balancers answer agents about routes.
+  bool equal_tags = false;
 };
 
 class World {
@@ -176,6 +187,10 @@
   auto SendLocated(const AgentSite& agent, const FlowId& flow, std::uint16_t origin) -> void;
   auto SendBack(const AgentSite& agent, const Packet& packet, bool by_target) -> void;
   auto ToAgent(Address agent, const Packet& packet) -> void;
+  auto AtAgent(AgentSite& site, const Packet& packet) -> void;
+  auto AskRoute(AgentSite& site, const RouteQuery& query, const Packet& packet) -> void;
+  auto TakeAnswerAboutRoute(AgentSite& site, const RouteAnswer& answer) -> void;
+  [[nodiscard]] auto OtherService() const -> base::ServiceId;
   auto ToTarget(AgentSite& site, Packet packet) -> void;
   auto FromTargetOf(AgentSite& site, const Packet& packet) -> void;
   auto Act(AgentSite& site, const Packet& packet, const AgentVerdict& verdict) -> void;
--- a/src/packets/tests/lost_flows_test.cc
+++ b/src/packets/tests/lost_flows_test.cc
@@ -42,14 +42,9 @@
   auto rig = Rig{5};
   auto& agent = rig.agents[3];
   agent.had_predecessor = true;
-  FromPeer(
-      agent,
-      [&] {
-        auto packet = DataOf(9);
-        packet.stamp = StampFor(rig.balancer, kDesk);
-        return packet;
-      }(),
-      rig.now);  // delivered, and the target does not react
+  auto packet = DataOf(9);
+  packet.stamp = StampFor(rig.balancer, kDesk);
+  rig.Deliver(agent, packet);  // the target does not react
   rig.Route(DataOf(9));
   BOOST_TEST((ReasonOf(rig.Search()) == SearchFailure::kUnsettled));
 }
--- a/src/packets/tests/search_rig.h
+++ b/src/packets/tests/search_rig.h
@@ -142,9 +142,20 @@
     this->SayHello();
   }
 
-  /// Opens a flow at the target of an agent.
+  /// Gives the agent a packet of the balancer, which answers its question about the route.
+  auto Deliver(Agent& agent, const Packet& packet) -> AgentVerdict {
+    auto verdict = FromPeer(agent, packet, this->now);
+    if (!std::holds_alternative<AwaitRoute>(verdict)) return verdict;
+    const auto answer = AnswerRouteQuery(this->balancer, *TakeRouteQuery(agent), this->now);
+    TakeRouteAnswer(agent, *answer, this->now);
+    return FromPeer(agent, packet, this->now);
+  }
+
+  /// Opens a flow at the target of an agent, by way of a balancer in whose configuration the route
+  /// has the agent's service.
   auto Open(std::size_t index, std::uint16_t port) -> void {
     auto& agent = this->agents[index];
+    TakeRouteAnswer(agent, {agent.service, kRoute, true, true}, this->now);
     auto opening = Packet{.source = {0x64400007, port}, .destination = kRoute, .synchronize = true};
     opening.stamp = StampFor(this->balancer, agent.service);
     FromPeer(agent, opening, this->now);
@@ -242,7 +253,7 @@
     auto& agent = this->agents.at(to - kFirstAgent);
     auto packet = DataOf(flow.client.port);
     packet.stamp = StampFor(this->balancer, agent.service, true);
-    auto verdict = FromPeer(agent, packet, this->now);
+    auto verdict = this->Deliver(agent, packet);
     if (std::holds_alternative<DeliverToTarget>(verdict)) {
       if (this->held.contains({to, flow})) {
         const auto reply = FromTarget(agent, ReplyOf(flow.client.port), this->now);
--- a/src/packets/types/packet.h
+++ b/src/packets/types/packet.h
@@ -35,8 +35,8 @@
 /// Returns a tag of kOriginTagBits that differs between most balancers.
 auto OriginTagOf(Address balancer) -> std::uint16_t;
 
-/// Number of bits of a service's id in a stamp. If another service has taken over an address, one
-/// in 8,192 packets for the former service is not recognized as such.
+/// Number of bits of a service's id in a stamp. They are equal for one pair of services in 8,192,
+/// so that a packet with other bits is for another service, and one with equal bits may be.
 inline constexpr auto kServiceTagBits = 13U;
 /// Number of bits of a balancer's address in a stamp. A packet for a balancer is sent to every
 /// balancer with the same bits: with 100 balancers, to one other in two of 100 cases.
--- a/tools/fuzz/packet_control.cc
+++ b/tools/fuzz/packet_control.cc
@@ -7,6 +7,7 @@
 #include "packets/agent.h"
 #include "packets/balancer.h"
 #include "packets/control.h"
+#include "packets/route_history.h"
 #include "packets/search.h"
 
 namespace {
@@ -68,6 +69,14 @@
                    part.service = kService;
                    RequestClasses(agent, part);
                    packets::TakeRouteClasses(agent, part, kNow);
+                 },
+                 [&](const packets::RouteQuery& query) {
+                   packets::ApplyRoutes(balancer, packets::Routes{}, kNow);
+                   packets::AnswerRouteQuery(balancer, query, kNow);
+                 },
+                 [&](packets::RouteAnswer answer) {
+                   answer.service = kService;
+                   packets::TakeRouteAnswer(agent, answer, kNow);
                  }},
              *control);
   return 0;
