Send a target one packet of another's flow, and keep packets for agents that are away

Balancers now remember for 20 s which targets have themselves returned a packet of a flow, and send them no other one; one packet is sent to find out, in place of up to four. Where agents know others, or the balancer knows none, the records are read. While an agent is away, the packet waits for up to 1.6 s, and only the agents that come or return are asked. Silence counts only of an agent that is present.

One test expects another reason for a flow that is not reset while an agent is away: the agent itself is named now, where the search said that agents had not settled.

--- a/src/packetd/agent_node.h
+++ b/src/packetd/agent_node.h
@@ -65,7 +65,7 @@
   auto SendControl(packets::Address balancer, const packets::Control& control) -> void;
   auto SendLocated(const packets::FlowId& flow, std::uint16_t origin) -> void;
   auto SendBack(std::span<const std::uint8_t> datagram, const packets::Packet& packet,
-                bool by_target) -> void;
+                const packets::ReturnToBalancer& back) -> void;
   auto Report(packets::Address balancer) -> void;
   auto ReportToAll() -> void;
   auto ReportChange(base::TimePoint now) -> void;
--- a/src/packetd/flow_searcher.h
+++ b/src/packetd/flow_searcher.h
@@ -54,7 +54,9 @@
   auto Arm() -> void;
   auto Step() -> void;
   auto Apply(const std::vector<packets::SearchOutcome>& outcomes) -> void;
-  auto Forward(const packets::FlowId& flow, const packets::Candidate& agent, bool kept) -> void;
+  auto Forward(const packets::FlowId& flow, const packets::Candidate& agent) -> void;
+  auto Probe(const packets::FlowUnsure& unsure) -> void;
+  auto ForwardRest(const packets::FlowPresumed& presumed) -> void;
 
   packets::Balancer& core;
   SearchCallbacks callbacks;
--- a/src/packetd/internal/agent_node.cc
+++ b/src/packetd/internal/agent_node.cc
@@ -214,38 +214,36 @@
                              const packets::AgentVerdict& verdict) -> void {
   const auto port = this->settings.packets.port;
   std::visit(
-      base::Overloaded{[&](const packets::DeliverToTarget& deliver) {
-                         this->packet_port->Send(this->settings.agent->target, datagram);
-                         if (deliver.located) {
-                           this->SendLocated(packets::FlowFromClient(packet), packet.stamp.origin);
-                         }
-                       },
-                       [&](const packets::SendToClient& reply) {
-                         if (reply.answered_after) {
-                           this->ObserveWork(*reply.answered_after);
-                         }
-                         if (reply.located_for) {
-                           this->SendLocated(packets::FlowFromTarget(packet), *reply.located_for);
-                         }
-                         this->packet_port->Send(
-                             base::EndpointFromV4(packet.destination.address, port), datagram);
-                       },
-                       [&](const packets::ForwardToAgent& forward) {
-                         ForwardPacket(*this->packet_port, this->adapter,
-                                       base::EndpointFromV4(forward.agent, port), datagram,
-                                       forward.stamp);
-                       },
-                       [&](const packets::RefuseOpening& refuse) {
-                         this->Refuse(packet);
-                         this->LogDecision("opening_refused", packet, NameOf(refuse.reason));
-                       },
-                       [&](const packets::ReturnToBalancer& back) {
-                         this->SendBack(datagram, packet, back.by_target);
-                       },
-                       [](const packets::AwaitRoute&) {},  // held by OnPeerPacket
-                       [&](const packets::Discard& discard) {
-                         this->LogDecision("packet_dropped", packet, NameOf(discard.reason));
-                       }},
+      base::Overloaded{
+          [&](const packets::DeliverToTarget& deliver) {
+            this->packet_port->Send(this->settings.agent->target, datagram);
+            if (deliver.located) {
+              this->SendLocated(packets::FlowFromClient(packet), packet.stamp.origin);
+            }
+          },
+          [&](const packets::SendToClient& reply) {
+            if (reply.answered_after) {
+              this->ObserveWork(*reply.answered_after);
+            }
+            if (reply.located_for) {
+              this->SendLocated(packets::FlowFromTarget(packet), *reply.located_for);
+            }
+            this->packet_port->Send(base::EndpointFromV4(packet.destination.address, port),
+                                    datagram);
+          },
+          [&](const packets::ForwardToAgent& forward) {
+            ForwardPacket(*this->packet_port, this->adapter,
+                          base::EndpointFromV4(forward.agent, port), datagram, forward.stamp);
+          },
+          [&](const packets::RefuseOpening& refuse) {
+            this->Refuse(packet);
+            this->LogDecision("opening_refused", packet, NameOf(refuse.reason));
+          },
+          [&](const packets::ReturnToBalancer& back) { this->SendBack(datagram, packet, back); },
+          [](const packets::AwaitRoute&) {},  // held by OnPeerPacket
+          [&](const packets::Discard& discard) {
+            this->LogDecision("packet_dropped", packet, NameOf(discard.reason));
+          }},
       verdict);
 }
 
@@ -315,13 +313,16 @@
 }
 
 auto AgentNode::SendBack(std::span<const std::uint8_t> datagram, const packets::Packet& packet,
-                         bool by_target) -> void {
-  auto back = packets::GivenBack{this->core.own, by_target, packets::FlowFromClient(packet)};
+                         const packets::ReturnToBalancer& back) -> void {
+  auto given_back = packets::GivenBack{.agent = this->core.own,
+                                       .by_target = back.by_target,
+                                       .packet = packets::FlowFromClient(packet),
+                                       .denied = back.denied};
   if (!packet.stamp.refusable) {
-    back.packet = std::vector<std::uint8_t>{datagram.begin(), datagram.end()};
+    given_back.packet = std::vector<std::uint8_t>{datagram.begin(), datagram.end()};
   }
   for (const auto balancer : packets::BalancersOf(this->core, packet.stamp.origin)) {
-    this->SendControl(balancer, back);
+    this->SendControl(balancer, given_back);
   }
 }
 
--- a/src/packetd/internal/flow_searcher.cc
+++ b/src/packetd/internal/flow_searcher.cc
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/overloaded.h"
+#include "packets/flow_denials.h"
 
 namespace anvildrum::packetd {
 
@@ -24,12 +25,16 @@
 
 auto FlowSearcher::OnProbeBack(const packets::FlowId& flow, const packets::GivenBack& given_back,
                                base::TimePoint now) -> void {
+  if (given_back.denied) packets::NoteDenial(this->core, flow, given_back.agent, now);
   this->Apply(
       packets::HandleReturnedProbe(this->core, flow, given_back.agent, given_back.by_target, now));
 }
 
 auto FlowSearcher::OnGivenBack(const packets::GivenBack& given_back, const packets::Packet& packet,
                                base::TimePoint now) -> void {
+  if (given_back.denied) {
+    packets::NoteDenial(this->core, packets::FlowFromClient(packet), given_back.agent, now);
+  }
   const auto step = packets::HandleReturnedPacket(this->core, packet, given_back.agent,
                                                   given_back.by_target, now);
   const auto& datagram = std::get<std::vector<std::uint8_t>>(given_back.packet);
@@ -70,15 +75,11 @@
   for (const auto& outcome : outcomes) {
     std::visit(base::Overloaded{
                    [&](const packets::FlowFound& found) {
-                     this->Forward(found.flow, found.holder, false);
+                     this->Forward(found.flow, found.holder);
                      this->held.Drop(found.flow);
                    },
-                   [&](const packets::FlowUnsure& unsure) {
-                     for (const auto& agent : unsure.agents) {
-                       this->Forward(unsure.flow, agent, true);
-                     }
-                   },
-                   [&](const packets::FlowPresumed& presumed) { this->held.Drop(presumed.flow); },
+                   [&](const packets::FlowUnsure& unsure) { this->Probe(unsure); },
+                   [&](const packets::FlowPresumed& presumed) { this->ForwardRest(presumed); },
                    [&](const packets::FlowLost& lost) {
                      this->held.Drop(lost.flow);
                      this->callbacks.reset(lost);
@@ -93,9 +94,24 @@
   }
 }
 
-auto FlowSearcher::Forward(const packets::FlowId& flow, const packets::Candidate& agent, bool kept)
-    -> void {
-  for (const auto& datagram : this->held.Of(flow)) this->callbacks.forward(agent, datagram, kept);
+auto FlowSearcher::Forward(const packets::FlowId& flow, const packets::Candidate& agent) -> void {
+  for (const auto& datagram : this->held.Of(flow)) this->callbacks.forward(agent, datagram, false);
+}
+
+// One packet suffices to show whether a target holds the flow, and targets that do not hold it
+// should receive as few of its packets as possible.
+auto FlowSearcher::Probe(const packets::FlowUnsure& unsure) -> void {
+  const auto datagrams = this->held.Of(unsure.flow);
+  if (datagrams.empty()) return;
+  for (const auto& agent : unsure.agents) this->callbacks.forward(agent, datagrams.front(), true);
+}
+
+auto FlowSearcher::ForwardRest(const packets::FlowPresumed& presumed) -> void {
+  const auto datagrams = this->held.Of(presumed.flow);
+  for (auto i = std::size_t{1}; i < datagrams.size(); ++i) {
+    this->callbacks.forward(presumed.holder, datagrams[i], false);
+  }
+  this->held.Drop(presumed.flow);
 }
 
 }  // namespace anvildrum::packetd
--- a/src/packets/agent.h
+++ b/src/packets/agent.h
@@ -289,6 +289,7 @@
 /// Return the packet to the balancer that sent it, which then searches for the flow's target.
 struct ReturnToBalancer {
   bool by_target = false;  ///< true: the target does not hold the flow; false: it may, half open
+  bool denied = false;     ///< the target itself has returned a packet of the flow
 };
 
 /// Hold the packet until a balancer has answered whether the agent's service may receive packets of
--- a/src/packets/control.h
+++ b/src/packets/control.h
@@ -110,6 +110,9 @@
   bool by_target = false;
   /// The packet, at most kMaxGivenBack bytes, or only its flow if the balancer keeps the packet.
   std::variant<std::vector<std::uint8_t>, FlowId> packet;
+  /// The target itself has returned a packet of the flow. Where only `by_target` is set, the agent
+  /// may have found that there is no target.
+  bool denied = false;
 };
 
 /// Maximum size of a returned packet in bytes, header and payload. It exceeds the longest packet.
--- a/src/packets/internal/agent.cc
+++ b/src/packets/internal/agent.cc
@@ -64,9 +64,9 @@
   return entry != agent.flows.end() && entry->second.stage == FlowStage::kNotHeld;
 }
 
-auto Return(Agent& agent, bool by_target) -> AgentVerdict {
+auto Return(Agent& agent, const ReturnToBalancer& back) -> AgentVerdict {
   ++agent.counters.given_back;
-  return ReturnToBalancer{by_target};
+  return back;
 }
 
 // Handles a packet that the target returned. The final acknowledgement of a flow that ended
@@ -78,7 +78,7 @@
   const auto bare = packet.payload == 0 && !packet.finish;
   if (ended && bare) return Discard{DiscardReason::kEnded};
   MarkNotHeld(agent, flow, now);
-  return Return(agent, true);
+  return Return(agent, {.by_target = true, .denied = true});
 }
 
 // Clears the refusable flag after a stall. Packets received during the stall are old, and another
@@ -162,9 +162,11 @@
       return PassOn(agent, packet, now);
     }
   }
-  if (!TakesPackets(agent, now)) return Return(agent, true);
-  if (!IsOpening(packet) && IsNotHeld(agent, packet)) return Return(agent, true);
-  if (OpenedElsewhere(agent, packet, now)) return Return(agent, false);
+  if (!TakesPackets(agent, now)) return Return(agent, {.by_target = true});
+  if (!IsOpening(packet) && IsNotHeld(agent, packet)) {
+    return Return(agent, {.by_target = true, .denied = true});
+  }
+  if (OpenedElsewhere(agent, packet, now)) return Return(agent, {});
   CountFromClient(agent, packet, now);
   ++agent.counters.delivered;
   return DeliverToTarget{IsOpening(packet) && packet.stamp.hops != 0};
--- a/src/packets/internal/balancer.cc
+++ b/src/packets/internal/balancer.cc
@@ -4,6 +4,7 @@
 #include <span>
 #include <utility>
 
+#include "packets/flow_denials.h"
 #include "packets/order.h"
 #include "packets/route_history.h"
 #include "packets/search.h"
@@ -164,6 +165,7 @@
   auto forgotten = Hint{};
   auto& hint = HintOf(balancer, flow, forgotten);
   hint.seen = now;
+  balancer.searches.denials.erase(flow);  // of an earlier flow of this client's port
   if (packet.acknowledged != 0) ++balancer.counters.copies;
   if (hint.offers != 0 && !hint.opened) SuspectOffered(balancer, hint, now);
   const auto sole = packet.acknowledged == 0 && hint.offers == 0 && !doubtful;
@@ -318,6 +320,7 @@
 auto ForgetHints(Balancer& balancer, base::TimePoint now) -> void {
   const auto idle = balancer.routes ? balancer.routes->idle_limit : balancer.policy.hint_idle;
   std::erase_if(balancer.hints, [&](const auto& entry) { return now - entry.second.seen > idle; });
+  ForgetDenials(balancer, now);
 }
 
 auto ApplyRoutes(Balancer& balancer, Routes routes, base::TimePoint now) -> bool {
--- a/src/packets/internal/control.cc
+++ b/src/packets/internal/control.cc
@@ -136,6 +136,7 @@
   auto message = pb::Control{};
   auto* body = message.mutable_given_back();
   body->set_by_target(given_back.by_target);
+  body->set_denied(given_back.denied);
   if (const auto* flow = std::get_if<FlowId>(&given_back.packet)) {
     PutFlow(*flow, *body->mutable_flow());
   } else {
@@ -324,12 +325,12 @@
   if (message.has_flow()) {
     const auto flow = FlowFrom(message.flow());
     if (!flow) return std::nullopt;
-    return GivenBack{sender, message.by_target(), *flow};
+    return GivenBack{sender, message.by_target(), *flow, message.denied()};
   }
   const auto& datagram = message.datagram();
   if (datagram.size() > kMaxGivenBack) return std::nullopt;
   return GivenBack{sender, message.by_target(),
-                   std::vector<std::uint8_t>{datagram.begin(), datagram.end()}};
+                   std::vector<std::uint8_t>{datagram.begin(), datagram.end()}, message.denied()};
 }
 
 auto ClassFrom(const pb::RouteClass& message) -> admission::RequestClass {
--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -5,7 +5,9 @@
 #include <optional>
 #include <utility>
 
+#include "packets/flow_denials.h"
 #include "packets/internal/search_queries.h"
+#include "packets/internal/search_waits.h"
 #include "packets/route_history.h"
 
 namespace anvildrum::packets {
@@ -25,10 +27,22 @@
   return FlowNotFound{flow, reason, agent};
 }
 
-// Whether the records of all agents that may hold the flow have been read.
-auto KnowsAllAgents(const Balancer& balancer, const FlowSearch& search) -> bool {
-  return balancer.records_read_at != base::TimePoint{} && balancer.records_read_at >= search.since;
-}
+// The agents that are away, by services. They are looked up once for a step of all searches.
+class AwayAgents {
+ public:
+  AwayAgents(const Balancer& balancer, base::TimePoint now) : balancer(balancer), now(now) {}
+
+  auto Of(const Services& services) -> Address {
+    const auto [entry, added] = this->by_services.try_emplace(services);
+    if (added) entry->second = AwayAgent(this->balancer, services, this->now);
+    return entry->second;
+  }
+
+ private:
+  const Balancer& balancer;
+  base::TimePoint now;
+  std::map<Services, Address> by_services;
+};
 
 // Ends the search because the flow was found at the agent.
 auto EndFound(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now) -> void {
@@ -81,22 +95,25 @@
   search.missing = {SearchFailure::kOtherService, others.undecided};
 }
 
-// Postpones the conclusion until the agents' records have been read.
-auto AwaitRecords(Balancer& balancer, FlowSearch& search, base::TimePoint now) -> void {
-  if (search.stage != SearchStage::kAwaitsRecords) search.awaits_since = now;
-  search.stage = SearchStage::kAwaitsRecords;
-  balancer.records_wanted = true;
+// Queries all agents again.
+auto AskAgain(FlowSearch& search) -> void {
+  search.awaited.reset();
+  search.stage = SearchStage::kDue;
+  search.all_agents = true;
 }
 
 // Continues the search at agents of other services, or ends it if none of them may hold the flow.
 auto Conclude(Balancer& balancer, const FlowId& flow, std::optional<MissingPremise> missing,
               base::TimePoint now) -> std::optional<SearchOutcome> {
   auto& search = balancer.searches.flows.at(flow);
-  if (!search.missing && !missing && !KnowsAllAgents(balancer, search)) {
-    AwaitRecords(balancer, search, now);
+  if (!search.missing && Postpone(balancer, search, missing, now)) return std::nullopt;
+  if (!search.elsewhere && !missing && HaveAgentsCome(balancer, search, now)) {
+    AskAgain(search);
     return std::nullopt;
   }
+  const auto unread = !missing && !KnowsAllAgents(balancer, search);
   if (!search.missing) search.missing = missing;
+  if (!search.missing && unread) search.missing = {SearchFailure::kRecordsUnread};
   if (search.elsewhere) return EndNotFound(balancer, flow);
   const auto others = OtherHoldersOf(balancer, flow, search.services, now);
   NoteUndecided(search, others);
@@ -108,10 +125,14 @@
 }
 
 // Returns the agents that could not tell and may receive the flow's packet: all of them after a
-// query to all agents, otherwise only the likely ones if there are too many.
+// query to all agents, otherwise only the likely ones if there are too many. Those whose target has
+// returned a packet of the flow are left out.
 auto UnsureOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
               base::TimePoint now) -> std::vector<Candidate> {
   auto unsure = round.unsure[place];
+  std::erase_if(unsure, [&](const Candidate& candidate) {
+    return HasDenied(balancer, round.flows[place], candidate.agent);
+  });
   if (round.all_agents || unsure.size() <= balancer.policy.search.likely) return unsure;
   const auto agents = AgentsOf(balancer, round.services, now);
   const auto likely = LikelyAgents(balancer, round.flows[place], agents);
@@ -125,13 +146,16 @@
 // Concludes a round at agents of other services. Their targets receive no packet of the flow, since
 // its route may never have had their services.
 auto ConcludeElsewhere(Balancer& balancer, const QueryRound& round, const FlowId& flow,
-                       const std::vector<Candidate>& unsure) -> SearchOutcome {
+                       const std::vector<Candidate>& unsure, base::TimePoint now) -> SearchOutcome {
   auto& missing = balancer.searches.flows.at(flow).missing;
   if (!missing && !round.missing.empty()) {
     missing = {SearchFailure::kNoAnswer, round.missing.front()};
   }
   if (!missing && !round.conclusive) missing = {SearchFailure::kUnsettled, round.undecided};
   if (!missing && !unsure.empty()) missing = {SearchFailure::kMayBeHeld, unsure.front().agent};
+  if (!missing && HaveAgentsCome(balancer, balancer.searches.flows.at(flow), now)) {
+    missing = {SearchFailure::kUnsettled};
+  }
   return EndNotFound(balancer, flow);
 }
 
@@ -139,10 +163,11 @@
 auto ConcludeRound(Balancer& balancer, const QueryRound& round, const FlowId& flow,
                    std::vector<Candidate> unsure, base::TimePoint now)
     -> std::optional<SearchOutcome> {
-  if (round.elsewhere) return ConcludeElsewhere(balancer, round, flow, unsure);
+  if (round.elsewhere) return ConcludeElsewhere(balancer, round, flow, unsure, now);
   auto& search = balancer.searches.flows.at(flow);
   search.conclusive = round.conclusive && round.missing.empty();
   search.undecided = round.missing.empty() ? round.undecided : round.missing.front();
+  search.disagrees = round.disagrees;
   if (unsure.empty()) {
     const auto unanswered = MissingPremise{SearchFailure::kNoAnswer, search.undecided};
     const auto missing =
@@ -192,8 +217,11 @@
     const auto& flow = round.flows[place];
     if (!IsOfRound(balancer, flow, token)) continue;
     auto unsure = UnsureOf(balancer, round, place, now);
-    if (!round.all_agents && unsure.empty()) {
-      AskAllAgents(balancer, balancer.searches.flows.at(flow), now);
+    auto& search = balancer.searches.flows.at(flow);
+    if (!round.all_agents && unsure.empty() && search.awaited) {
+      search.stage = SearchStage::kAwaitsAgents;  // the agents that have returned do not hold it
+    } else if (!round.all_agents && unsure.empty()) {
+      AskAllAgents(balancer, search, now);
     } else {
       auto outcome = ConcludeRound(balancer, round, flow, std::move(unsure), now);
       if (outcome) outcomes.push_back(std::move(*outcome));
@@ -245,12 +273,26 @@
   return search.all_agents ? policy.probe_timeout : policy.response_timeout;
 }
 
-// Whether the wait for the agents that were sent the flow's packet is over.
-auto HasProbed(const SearchPolicy& policy, const FlowSearch& search, base::TimePoint now) -> bool {
+// Whether the wait for the agents that were sent the flow's packet is over. If just one has not
+// returned it, the flow is probably there, unless it may be at an agent that is away.
+auto HasProbed(const Balancer& balancer, const FlowSearch& search, AwayAgents& away,
+               base::TimePoint now) -> bool {
   if (search.stage != SearchStage::kProbing) return false;
+  const auto& policy = balancer.policy.search;
   const auto waited = now - search.probed_at;
+  if (waited >= ProbeFor(policy, search)) return true;
   const auto single = search.probed.size() == 1 && search.probed.front().agent != search.withheld;
-  return waited >= ProbeFor(policy, search) || (single && waited >= policy.return_timeout);
+  return single && waited >= policy.return_timeout && away.Of(search.services) == 0;
+}
+
+// Whether the silence of the agent shows that its target keeps the packet: an agent that has ended
+// since is silent too.
+auto KeepsPacket(const Balancer& balancer, const FlowSearch& search, Address agent,
+                 base::TimePoint now) -> bool {
+  const auto member = balancer.view.members.find(agent);
+  return agent != search.withheld && member != balancer.view.members.end() &&
+         MayHoldFlows(balancer.view, member->second, now) &&
+         member->second.restarted_at < search.probed_at;
 }
 
 // Ends probing. If an agent has not returned the packet, the flow is presumed to be there.
@@ -261,14 +303,17 @@
 auto EndProbing(Balancer& balancer, const FlowId& flow, base::TimePoint now, SearchStep& step)
     -> void {
   auto& search = balancer.searches.flows.at(flow);
-  const auto holder =
-      std::find_if(search.probed.begin(), search.probed.end(),
-                   [&](const Candidate& probed) { return probed.agent != search.withheld; });
+  const auto holder = std::find_if(
+      search.probed.begin(), search.probed.end(),
+      [&](const Candidate& probed) { return KeepsPacket(balancer, search, probed.agent, now); });
   if (holder != search.probed.end()) {
-    EndFound(balancer, flow, holder->agent, now);
-    step.outcomes.emplace_back(FlowPresumed{flow});
+    const auto presumed = FlowPresumed{flow, *holder};
+    EndFound(balancer, flow, presumed.holder.agent, now);
+    step.outcomes.emplace_back(presumed);
   } else if (search.all_agents) {
-    const auto missing = MissingPremise{SearchFailure::kMayBeHeld};
+    const auto away = AwayAgent(balancer, search.services, now);
+    const auto missing = away != 0 ? MissingPremise{SearchFailure::kAgentMissing, away}
+                                   : MissingPremise{SearchFailure::kMayBeHeld};
     auto outcome = Conclude(balancer, flow, missing, now);
     if (outcome) step.outcomes.push_back(std::move(*outcome));
   } else {
@@ -276,21 +321,44 @@
   }
 }
 
-// Concludes the search if the records have been read since, or have not come in time.
-auto StepAwaiting(Balancer& balancer, const FlowId& flow, base::TimePoint now, SearchStep& step)
-    -> void {
-  const auto& search = balancer.searches.flows.at(flow);
-  const auto late = now - search.awaits_since >= balancer.policy.search.records_timeout;
-  if (!late && !KnowsAllAgents(balancer, search)) {
+// Continues a search that awaits agents or their records once they have come, or have not come in
+// time. `away` is an agent of its services that is away.
+auto StepAwaiting(Balancer& balancer, const FlowId& flow, Address away, base::TimePoint now,
+                  SearchStep& step) -> void {
+  auto& search = balancer.searches.flows.at(flow);
+  const auto& policy = balancer.policy.search;
+  const auto unread = search.awaits_records && !KnowsAllAgents(balancer, search);
+  if (unread && now - search.awaits_since < RecordsTimeoutOf(policy, search)) {
     balancer.records_wanted = true;
     return;
   }
-  const auto missing = late ? MissingPremise{SearchFailure::kRecordsUnread}
-                            : MissingPremiseOf(balancer, search, now);
+  if (!unread && away != 0 && now - search.since < policy.away_timeout) return;
+  const auto may_differ = unread ? search.disagrees : away == 0 && search.awaited.has_value();
+  if (may_differ && now - search.since < policy.records_timeout) {
+    AskAgain(search);
+    return;
+  }
+  auto missing = MissingPremiseOf(balancer, search, now);
+  if (away != 0) missing = {SearchFailure::kAgentMissing, away};
   auto outcome = Conclude(balancer, flow, missing, now);
   if (outcome) step.outcomes.push_back(std::move(*outcome));
 }
 
+// Handles the searches that await agents or their records, all of the same set of services.
+auto StepAwaitingFlows(Balancer& balancer, const Services& services,
+                       const std::vector<FlowId>& flows, base::TimePoint now, SearchStep& step)
+    -> void {
+  const auto away = AwayAgent(balancer, services, now);
+  for (const auto& flow : flows) StepAwaiting(balancer, flow, away, now, step);
+  auto still = flows;
+  std::erase_if(still, [&](const FlowId& flow) {
+    const auto entry = balancer.searches.flows.find(flow);
+    return entry == balancer.searches.flows.end() ||
+           entry->second.stage != SearchStage::kAwaitsAgents || !entry->second.awaited;
+  });
+  if (!still.empty()) AskReturned(balancer, services, still, now, step);
+}
+
 // Queries agents for the due flows of one set of services.
 auto AskForDue(Balancer& balancer, const Services& services, const std::vector<FlowId>& due,
                base::TimePoint now, SearchStep& step) -> void {
@@ -375,17 +443,20 @@
   auto due = std::map<Services, std::vector<FlowId>>{};
   auto elsewhere = std::map<std::pair<Services, End>, std::vector<FlowId>>{};
   auto over = std::vector<FlowId>{};
-  auto awaiting = std::vector<FlowId>{};
+  auto awaiting = std::map<Services, std::vector<FlowId>>{};
+  auto away = AwayAgents{balancer, now};
   for (const auto& [flow, search] : balancer.searches.flows) {
     if (search.stage == SearchStage::kDue) {
       auto& flows =
           search.elsewhere ? elsewhere[{search.services, flow.service}] : due[search.services];
       flows.push_back(flow);
     }
-    if (HasProbed(balancer.policy.search, search, now)) over.push_back(flow);
-    if (search.stage == SearchStage::kAwaitsRecords) awaiting.push_back(flow);
+    if (HasProbed(balancer, search, away, now)) over.push_back(flow);
+    if (search.stage == SearchStage::kAwaitsAgents) awaiting[search.services].push_back(flow);
+  }
+  for (const auto& [services, flows] : awaiting) {
+    StepAwaitingFlows(balancer, services, flows, now, step);
   }
-  for (const auto& flow : awaiting) StepAwaiting(balancer, flow, now, step);
   for (const auto& flow : over) EndProbing(balancer, flow, now, step);
   for (const auto& [services, flows] : due) AskForDue(balancer, services, flows, now, step);
   for (const auto& [key, flows] : elsewhere) {
@@ -404,6 +475,7 @@
   round.missing.erase(place);
   const auto settled = answer.settled && answer.peers_digest == round.digest;
   if (!settled && !round.elsewhere) MarkInconclusive(round, answer.agent);
+  if (round.digest != 0 && answer.peers_digest != round.digest) round.disagrees = true;
   const auto candidate = Candidate{answer.agent, answer.service};
   const auto asked_for = std::find(round.services.begin(), round.services.end(), answer.service) !=
                          round.services.end();
@@ -431,7 +503,7 @@
   const auto& flows = balancer.searches.flows;
   const auto entry = flows.find(flow);
   const auto stage = entry == flows.end() ? SearchStage::kDue : entry->second.stage;
-  const auto probed = stage == SearchStage::kProbing || stage == SearchStage::kAwaitsRecords;
+  const auto probed = stage == SearchStage::kProbing || stage == SearchStage::kAwaitsAgents;
   if (probed) {
     EndFound(balancer, flow, agent, now);
   } else {
--- a/src/packets/internal/search_queries.cc
+++ b/src/packets/internal/search_queries.cc
@@ -32,6 +32,8 @@
     auto& search = balancer.searches.flows.at(flow);
     search.stage = SearchStage::kAsked;
     search.round = token;
+    search.asked_at = now;
+    if (scope == Scope::kAll) search.asked_all_at = now;
   }
   round.elsewhere = scope == Scope::kElsewhere;
   round.services = round.elsewhere ? ServicesOf(balancer.view, agents)
@@ -117,6 +119,11 @@
   }
 }
 
+auto AskSome(Balancer& balancer, const std::vector<Place>& agents, const std::vector<FlowId>& due,
+             base::TimePoint now, SearchStep& step) -> void {
+  AskInChunks(balancer, due, agents, Scope::kSome, now, step);
+}
+
 auto AskElsewhere(Balancer& balancer, const std::vector<Place>& agents,
                   const std::vector<FlowId>& due, base::TimePoint now, SearchStep& step) -> void {
   AskInChunks(balancer, due, agents, Scope::kElsewhere, now, step);
--- a/src/packets/internal/search_queries.h
+++ b/src/packets/internal/search_queries.h
@@ -26,6 +26,11 @@
 auto SendQueries(const Balancer& balancer, std::uint32_t token, const QueryRound& round,
                  std::vector<AddressedQuery>& queries) -> void;
 
+/// Queries `agents` for the flows `due`, all of the same set of services. They need not be all
+/// agents of the services.
+auto AskSome(Balancer& balancer, const std::vector<Place>& agents, const std::vector<FlowId>& due,
+             base::TimePoint now, SearchStep& step) -> void;
+
 /// Queries the agents of other services that may hold flows of the route for the flows `due`, which
 /// are all of this route and of the same set of services.
 auto AskElsewhere(Balancer& balancer, const std::vector<Place>& agents,
--- a/src/packets/internal/view.cc
+++ b/src/packets/internal/view.cc
@@ -100,7 +100,9 @@
   member.heard = now;
   member.suspected_at = {};
   member.offered = 0;
-  if (moved || restarted || held_flows != MayHoldFlows(view, member, now)) ++view.changes;
+  const auto holds_flows = MayHoldFlows(view, member, now);
+  if (holds_flows && (moved || restarted || !held_flows)) member.present_since = now;
+  if (moved || restarted || held_flows != holds_flows) ++view.changes;
   return true;
 }
 
--- a/src/packets/search.h
+++ b/src/packets/search.h
@@ -18,7 +18,9 @@
 /// The balancer queries the agents for many flows at once: first the few at which the flow was
 /// probably placed, then all. An agent knows which flows its target holds, since every packet to
 /// the target passes through it. An agent that is younger than its target receives the packet
-/// itself, likely agents first. Only targets that may hold a flow receive its packets.
+/// itself, likely agents first. Only targets that may hold a flow receive its packets, and each of
+/// them one packet of a flow that it does not hold. While an agent is away that may hold the flow,
+/// its packets wait.
 ///
 /// A flow is lost when, for every agent that may be alive, either the agent has answered that its
 /// target does not hold the flow or the target has returned the packet. Each agent must know the
--- a/src/packets/tests/search_rig.h
+++ b/src/packets/tests/search_rig.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "packets/agent.h"
+#include "packets/flow_denials.h"
 #include "packets/hello.h"
 #include "packets/order.h"
 #include "packets/route_history.h"
@@ -201,18 +202,23 @@
   auto Search() -> std::vector<SearchOutcome> {
     auto ended = std::vector<SearchOutcome>{};
     for (auto steps = 0; steps < 1000 && !this->balancer.searches.flows.empty(); ++steps) {
-      const auto step = StepSearches(this->balancer, this->now);
-      this->Apply(step.outcomes, ended);
-      this->now += milliseconds{1};
-      for (const auto& addressed : step.queries) this->Ask(addressed, ended);
-      if (this->balancer.records_wanted && this->platform_answers) {
-        TakeRecords(this->balancer, this->records, this->now, this->now);
-      }
-      this->Live(kSearchCheck);
+      this->Step(ended);
     }
     return ended;
   }
 
+  /// One step of the searches, and the answers to their queries and to a read of the records.
+  auto Step(std::vector<SearchOutcome>& ended) -> void {
+    const auto step = StepSearches(this->balancer, this->now);
+    this->Apply(step.outcomes, ended);
+    this->now += milliseconds{1};
+    for (const auto& addressed : step.queries) this->Ask(addressed, ended);
+    if (this->balancer.records_wanted && this->platform_answers) {
+      TakeRecords(this->balancer, this->records, this->now, this->now);
+    }
+    this->Live(kSearchCheck);
+  }
+
   /// Advances the time while all processes run and the balancer sends its hellos.
   auto Live(base::Duration duration) -> void {
     this->now += duration;
@@ -268,6 +274,7 @@
     }
     const auto& back = std::get<ReturnToBalancer>(verdict);
     const auto flow_of = FlowFromClient(packet);
+    if (back.denied) NoteDenial(this->balancer, flow_of, to, this->now);
     this->Apply(HandleReturnedProbe(this->balancer, flow_of, to, back.by_target, this->now), ended);
   }
 
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -42,6 +42,12 @@
   base::Duration probe_timeout = base::milliseconds{200};
   /// How long a search waits for the agents' records: a client's longest retransmission time-out.
   base::Duration records_timeout = base::milliseconds{1600};
+  /// How long a packet is held for an agent that is away and may hold its flow. A restart of an
+  /// agent takes less.
+  base::Duration away_timeout = base::milliseconds{1000};
+  /// How long it counts that a target has returned a packet of a flow: as long as clients keep a
+  /// flow without a packet. The target cannot come to hold the flow, since it is open elsewhere.
+  base::Duration denial_ttl = base::seconds{20};
   /// Maximum number of concurrent searches, 300 bytes each, so that a flood of forged flows does
   /// not exhaust the memory limit.
   std::size_t max_searches = 8'000;
@@ -51,8 +57,9 @@
   kDue,      ///< no agent has been queried yet
   kAsked,    ///< agents were queried
   kProbing,  ///< the flow's packet was sent to agents that could not tell
-  /// No agent that the balancer knows holds the flow; the platform is asked whether it knows all.
-  kAwaitsRecords,
+  /// No agent that answered holds the flow. The platform is asked whether the balancer knows all
+  /// agents, or the flow waits for an agent that is away.
+  kAwaitsAgents,
 };
 
 /// An agent and the service for whose flows it was queried. The agent's address may belong to
@@ -88,15 +95,21 @@
 struct FlowSearch {
   SearchStage stage = SearchStage::kDue;
   base::TimePoint since{};         ///< when the packet arrived with which the search began
-  base::TimePoint awaits_since{};  ///< when SearchStage::kAwaitsRecords began
-  base::TimePoint probed_at{};     ///< when SearchStage::kProbing began
-  bool all_agents = false;         ///< all agents are queried; the likely ones if false
+  base::TimePoint awaits_since{};  ///< when SearchStage::kAwaitsAgents began
+  base::TimePoint asked_at{};      ///< when agents were last queried
+  base::TimePoint asked_all_at{};  ///< when all agents of `services` were last queried
+  bool awaits_records = false;     ///< it awaits a read of the agents' records
+  /// What a reset lacked when it began to await an agent that has not answered.
+  std::optional<MissingPremise> awaited;
+  base::TimePoint probed_at{};  ///< when SearchStage::kProbing began
+  bool all_agents = false;      ///< all agents are queried; the likely ones if false
   /// A packet with data or a FIN arrived without a long delay, so its client expects an answer.
   bool expects_answer = false;
   std::uint32_t acknowledged = 0;         ///< acknowledgement number of the client's last packet
   std::vector<base::ServiceId> services;  ///< services that may hold the flow
   std::uint32_t round = 0;                ///< token of the QueryRound
   bool conclusive = false;                ///< while probing: no other agent may hold the flow
+  bool disagrees = false;                 ///< an agent knows other agents than this balancer
   Address undecided = 0;                  ///< an agent that leaves the result open
   /// An agent whose target may hold the flow half open, so that its silence proves nothing.
   Address withheld = 0;
@@ -115,6 +128,7 @@
   bool elsewhere = false;        ///< the agents are of other services, see FlowSearch
   bool conclusive = false;       ///< by the answers so far, a flow that no target holds is lost
   Address undecided = 0;         ///< first agent whose answer leaves this open
+  bool disagrees = false;        ///< an agent answered with the digest of other agents
   std::uint32_t digest = 0;      ///< digest of the agents that were queried
   std::vector<Address> missing;  ///< agents that have not answered, sorted
   std::vector<std::vector<Candidate>> unsure;  ///< may hold a flow, by index in `flows`
@@ -122,8 +136,17 @@
   base::TimePoint sent_at{};
 };
 
+/// The agents whose targets have returned a packet of a flow.
+struct Denials {
+  std::vector<Address> agents;
+  base::TimePoint at{};  ///< of the last one
+};
+
 struct Searches {
   std::unordered_map<FlowId, FlowSearch> flows;
+  /// Of flows that a probe or a hint did not find, at most SearchPolicy::max_searches. Without it a
+  /// target would receive a packet of another target's flow with each search.
+  std::unordered_map<FlowId, Denials> denials;
   std::unordered_map<std::uint32_t, QueryRound> rounds;  ///< by token
   std::uint32_t last_token = 0;
   base::TimePoint next_query_at{};  ///< earliest time of the next query
@@ -143,16 +166,18 @@
   Candidate holder;
 };
 
-/// Only the targets can tell whether they hold the flow; its packet goes to each of these agents.
+/// Only the targets can tell whether they hold the flow; its first packet goes to each of these
+/// agents.
 struct FlowUnsure {
   FlowId flow;
   std::vector<Candidate> agents;
 };
 
-/// An agent that received the flow's packet has not returned it, so the flow is presumed to be
-/// there. The packet need not be sent again.
+/// An agent that received the flow's first packet has not returned it, so the flow is presumed to
+/// be there. That packet need not be sent again.
 struct FlowPresumed {
   FlowId flow;
+  Candidate holder;
 };
 
 /// No target holds the flow; the client is answered with a reset.
--- a/src/packets/view.h
+++ b/src/packets/view.h
@@ -19,9 +19,12 @@
   base::ServiceId service;
   bool listed = false;  ///< has a record at the platform
   base::TimePoint known_since{};
-  base::TimePoint heard{};          ///< time of the last report; the epoch: never
-  base::TimePoint suspected_at{};   ///< gets no opening until it reports; the epoch: not suspected
-  base::TimePoint restarted_at{};   ///< first report after a restart; the epoch: none
+  base::TimePoint heard{};         ///< time of the last report; the epoch: never
+  base::TimePoint suspected_at{};  ///< gets no opening until it reports; the epoch: not suspected
+  base::TimePoint restarted_at{};  ///< first report after a restart; the epoch: none
+  /// Since when its reports have said that its target may hold flows: its process or its target has
+  /// come or returned then.
+  base::TimePoint present_since{};
   base::TimePoint hello_sent_at{};  ///< last hello; the epoch: none yet
   base::TimePoint probed_at{};      ///< last connection attempt to its machine; the epoch: never
   /// Start of the connection attempt that the agent's machine did not answer. If this is the epoch
