--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "packets/flow_denials.h"
+#include "packets/internal/search_probes.h"
 #include "packets/internal/search_queries.h"
 #include "packets/internal/search_waits.h"
 #include "packets/route_history.h"
@@ -27,23 +28,6 @@
   return FlowNotFound{flow, reason, agent};
 }
 
-// The agents that are away, by services. They are looked up once for a step of all searches.
-class AwayAgents {
- public:
-  AwayAgents(const Balancer& balancer, base::TimePoint now) : balancer(balancer), now(now) {}
-
-  auto Of(const Services& services) -> Address {
-    const auto [entry, added] = this->by_services.try_emplace(services);
-    if (added) entry->second = AwayAgent(this->balancer, services, this->now);
-    return entry->second;
-  }
-
- private:
-  const Balancer& balancer;
-  base::TimePoint now;
-  std::map<Services, Address> by_services;
-};
-
 // Ends the search because the flow was found at the agent.
 auto EndFound(Balancer& balancer, const FlowId& flow, Address agent, base::TimePoint now) -> void {
   const auto entry = balancer.searches.flows.find(flow);
@@ -267,34 +251,6 @@
   return place < round.flows.size() ? &round.flows[place] : nullptr;
 }
 
-// Returns how long to wait for agents that were sent the packet. The wait for the likely agents is
-// shorter, since the others may hold the flow.
-auto ProbeFor(const SearchPolicy& policy, const FlowSearch& search) -> base::Duration {
-  return search.all_agents ? policy.probe_timeout : policy.response_timeout;
-}
-
-// Whether the wait for the agents that were sent the flow's packet is over. If just one has not
-// returned it, the flow is probably there, unless it may be at an agent that is away.
-auto HasProbed(const Balancer& balancer, const FlowSearch& search, AwayAgents& away,
-               base::TimePoint now) -> bool {
-  if (search.stage != SearchStage::kProbing) return false;
-  const auto& policy = balancer.policy.search;
-  const auto waited = now - search.probed_at;
-  if (waited >= ProbeFor(policy, search)) return true;
-  const auto single = search.probed.size() == 1 && search.probed.front().agent != search.withheld;
-  return single && waited >= policy.return_timeout && away.Of(search.services) == 0;
-}
-
-// Whether the silence of the agent shows that its target keeps the packet: an agent that has ended
-// since is silent too.
-auto KeepsPacket(const Balancer& balancer, const FlowSearch& search, Address agent,
-                 base::TimePoint now) -> bool {
-  const auto member = balancer.view.members.find(agent);
-  return agent != search.withheld && member != balancer.view.members.end() &&
-         MayHoldFlows(balancer.view, member->second, now) &&
-         member->second.restarted_at < search.probed_at;
-}
-
 // Ends probing. If an agent has not returned the packet, the flow is presumed to be there.
 // Safeguard: a target acknowledges a request together with its answer, which takes longer than to
 // return a packet. If flows without an answer counted as unknown after 120 ms, flows being served
