--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -5,7 +5,6 @@
 #include <optional>
 #include <utility>
 
-#include "packets/flow_denials.h"
 #include "packets/internal/search_probes.h"
 #include "packets/internal/search_queries.h"
 #include "packets/internal/search_waits.h"
@@ -108,25 +107,6 @@
   return std::nullopt;
 }
 
-// Returns the agents that could not tell and may receive the flow's packet: all of them after a
-// query to all agents, otherwise only the likely ones if there are too many. Those whose target has
-// returned a packet of the flow are left out.
-auto UnsureOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
-              base::TimePoint now) -> std::vector<Candidate> {
-  auto unsure = round.unsure[place];
-  std::erase_if(unsure, [&](const Candidate& candidate) {
-    return HasDenied(balancer, round.flows[place], candidate.agent);
-  });
-  if (round.all_agents || unsure.size() <= balancer.policy.search.likely) return unsure;
-  const auto agents = AgentsOf(balancer, round.services, now);
-  const auto likely = LikelyAgents(balancer, round.flows[place], agents);
-  std::erase_if(unsure, [&](const Candidate& candidate) {
-    const auto same = [&](const Place& place) { return place.agent == candidate.agent; };
-    return std::none_of(likely.begin(), likely.end(), same);
-  });
-  return unsure;
-}
-
 // Concludes a round at agents of other services. Their targets receive no packet of the flow, since
 // its route may never have had their services.
 auto ConcludeElsewhere(Balancer& balancer, const QueryRound& round, const FlowId& flow,
@@ -300,11 +280,11 @@
   if (outcome) step.outcomes.push_back(std::move(*outcome));
 }
 
-// Handles the searches that await agents or their records, all of the same set of services.
+// Handles the searches that await agents or their records, all of the same set of services. `away`
+// is as in StepAwaiting.
 auto StepAwaitingFlows(Balancer& balancer, const Services& services,
-                       const std::vector<FlowId>& flows, base::TimePoint now, SearchStep& step)
-    -> void {
-  const auto away = AwayAgent(balancer, services, now);
+                       const std::vector<FlowId>& flows, Address away, base::TimePoint now,
+                       SearchStep& step) -> void {
   for (const auto& flow : flows) StepAwaiting(balancer, flow, away, now, step);
   auto still = flows;
   std::erase_if(still, [&](const FlowId& flow) {
@@ -349,28 +329,6 @@
 
 }  // namespace
 
-auto NameOf(SearchFailure failure) -> std::string_view {
-  switch (failure) {
-    case SearchFailure::kNoTarget:
-      return "no target known";
-    case SearchFailure::kNoAnswer:
-      return "not found, an agent did not answer";
-    case SearchFailure::kUnsettled:
-      return "not found, agents not settled";
-    case SearchFailure::kAgentMissing:
-      return "not found, an agent is away";
-    case SearchFailure::kNoData:
-      return "not found, no data";
-    case SearchFailure::kMayBeHeld:
-      return "not found, a target may hold it";
-    case SearchFailure::kRecordsUnread:
-      return "not found, agents' records not read";
-    case SearchFailure::kOtherService:
-      return "not found, another service may hold it";
-  }
-  return "unknown";
-}
-
 auto BeginSearch(Balancer& balancer, const Packet& packet,
                  std::span<const base::ServiceId> services, bool doubtful, base::TimePoint now)
     -> bool {
@@ -411,7 +369,7 @@
     if (search.stage == SearchStage::kAwaitsAgents) awaiting[search.services].push_back(flow);
   }
   for (const auto& [services, flows] : awaiting) {
-    StepAwaitingFlows(balancer, services, flows, now, step);
+    StepAwaitingFlows(balancer, services, flows, away.Of(services), now, step);
   }
   for (const auto& flow : over) EndProbing(balancer, flow, now, step);
   for (const auto& [services, flows] : due) AskForDue(balancer, services, flows, now, step);
--- a/src/packets/internal/search_probes.cc
+++ b/src/packets/internal/search_probes.cc
@@ -1,5 +1,8 @@
 #include "packets/internal/search_probes.h"
 
+#include <algorithm>
+
+#include "packets/flow_denials.h"
 #include "packets/internal/search_waits.h"
 
 namespace anvildrum::packets {
@@ -13,6 +16,22 @@
   return entry->second;
 }
 
+auto UnsureOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
+              base::TimePoint now) -> std::vector<Candidate> {
+  auto unsure = round.unsure[place];
+  std::erase_if(unsure, [&](const Candidate& candidate) {
+    return HasDenied(balancer, round.flows[place], candidate.agent);
+  });
+  if (round.all_agents || unsure.size() <= balancer.policy.search.likely) return unsure;
+  const auto agents = AgentsOf(balancer, round.services, now);
+  const auto likely = LikelyAgents(balancer, round.flows[place], agents);
+  std::erase_if(unsure, [&](const Candidate& candidate) {
+    const auto same = [&](const Place& place) { return place.agent == candidate.agent; };
+    return std::none_of(likely.begin(), likely.end(), same);
+  });
+  return unsure;
+}
+
 auto HasProbed(const Balancer& balancer, const FlowSearch& search, AwayAgents& away,
                base::TimePoint now) -> bool {
   if (search.stage != SearchStage::kProbing) return false;
--- a/src/packets/internal/search_probes.h
+++ b/src/packets/internal/search_probes.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <vector>
 
 #include "packets/balancer.h"
 #include "packets/internal/search_queries.h"
 
-/// What follows from the silence of agents whose targets were sent a flow's packet.
+/// Which agents are sent a flow's packet since only their targets can tell whether they hold it,
+/// and what follows from the silence of such an agent.
 namespace anvildrum::packets {
 
 /// The agents that are away, by services. They are looked up once for a step of all searches.
@@ -22,6 +25,12 @@
   std::map<Services, Address> by_services;
 };
 
+/// Returns the agents that could not tell and may receive the packet of the round's flow at this
+/// index: all of them after a query to all agents, otherwise only the likely ones if there are too
+/// many. Those whose target has returned a packet of the flow are left out.
+auto UnsureOf(const Balancer& balancer, const QueryRound& round, std::size_t place,
+              base::TimePoint now) -> std::vector<Candidate>;
+
 /// Whether the wait for the agents that were sent the flow's packet is over. If just one has not
 /// returned it, the flow is probably there, unless it may be at an agent that is away. The wait for
 /// the likely agents is shorter, since the others may hold the flow.
--- a/src/packets/types/search.h
+++ b/src/packets/types/search.h
@@ -99,7 +99,7 @@
   base::TimePoint asked_at{};      ///< when agents were last queried
   base::TimePoint asked_all_at{};  ///< when all agents of `services` were last queried
   bool awaits_records = false;     ///< it awaits a read of the agents' records
-  /// What a reset lacked when it began to await an agent that has not answered.
+  /// What a reset lacked when the wait began, besides the records; an agent that comes is queried.
   std::optional<MissingPremise> awaited;
   base::TimePoint probed_at{};  ///< when SearchStage::kProbing began
   bool all_agents = false;      ///< all agents are queried; the likely ones if false
