Ask an agent that has returned again if it missed the question

A packet that waits for an agent that is away was given up although the agent had come back, if the one question to it or its answer was lost or late while another agent was still away: the client had to send the packet again, up to 1.6 s later. The search took the query for answered once it was sent.

Agents that did not answer within the query's 40 ms are queried again, within the 1.6 s that a packet waits. an_agent_that_returned_and_missed_a_question_ is_asked_again fails without the change.

--- a/src/packets/internal/search.cc
+++ b/src/packets/internal/search.cc
@@ -170,6 +170,13 @@
   searches.all_at_once_until = now + balancer.policy.search.all_at_once_for;
 }
 
+// Continues to wait after a query to agents that had returned, none of which holds the flow. Those
+// that did not answer are queried again.
+auto AwaitFurther(FlowSearch& search, const QueryRound& round) -> void {
+  search.stage = SearchStage::kAwaitsAgents;
+  if (!round.missing.empty()) search.asked_at = search.asked_all_at;
+}
+
 // Ends a round: for each of its flows, the search continues at all agents or is concluded.
 auto Close(Balancer& balancer, std::uint32_t token, base::TimePoint now)
     -> std::vector<SearchOutcome> {
@@ -183,7 +190,7 @@
     auto unsure = UnsureOf(balancer, round, place, now);
     auto& search = balancer.searches.flows.at(flow);
     if (!round.all_agents && unsure.empty() && search.awaited) {
-      search.stage = SearchStage::kAwaitsAgents;  // the agents that have returned do not hold it
+      AwaitFurther(search, round);
     } else if (!round.all_agents && unsure.empty()) {
       AskAllAgents(balancer, search, now);
     } else {
--- a/src/packets/tests/lost_flows_test.cc
+++ b/src/packets/tests/lost_flows_test.cc
@@ -179,6 +179,33 @@
   BOOST_TEST(Count<FlowFound>(ended) == 1U);
 }
 
+// Guards against a question that is lost to an agent that has just come back, while another one is
+// away for longer.
+BOOST_AUTO_TEST_CASE(an_agent_that_returned_and_missed_a_question_is_asked_again) {
+  auto rig = Rig{5};
+  rig.Open(4, 9);
+  const auto holder = rig.agents[4].own;
+  const auto other = rig.agents[3].own;
+  for (const auto index : {3U, 4U}) {
+    rig.agents[index].stopping = true;
+    TakeReport(rig.balancer.view, MakeReport(rig.agents[index], kBalancer, rig.now), rig.now);
+  }
+  rig.cut = {holder, other};
+  rig.Route(DataOf(9));
+  auto ended = std::vector<SearchOutcome>{};
+  const auto back_at = rig.now + milliseconds{600};
+  while (ended.empty() && rig.now < back_at) rig.Step(ended);
+  rig.agents[4].stopping = false;
+  rig.agents[4].start = 2;
+  rig.cut = {other};
+  rig.TakeReports();
+  rig.cut = {holder, other};
+  while (ended.empty() && rig.now < back_at + milliseconds{60}) rig.Step(ended);
+  rig.cut = {other};
+  while (ended.empty() && rig.now < back_at + milliseconds{200}) rig.Step(ended);
+  BOOST_TEST(Count<FlowFound>(ended) == 1U);
+}
+
 // Guards against a search that ends although the other agents know one that may hold the flow.
 BOOST_AUTO_TEST_CASE(an_agent_that_the_others_know_is_searched_too) {
   auto rig = Rig{6};
